Fix the interfaces between the parts before they are built side by side

Cause: the repository is empty and its parts are to be built side by side; without fixed seams each would invent its own shapes for engines, platform, mesh, settings and decisions.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Targets print what they ran; each exits non-zero when anything failed.
+GO ?= go
+SEED ?= 1
+SECONDS ?= 30
+APPS := $(notdir $(wildcard app/*))
+
+.PHONY: build test lint fmt proto
+
+build:
+	@mkdir -p bin
+	$(GO) build -o bin/ ./app/...
+
+test:
+	$(GO) test -timeout 9m ./...
+
+lint:
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+fmt:
+	@out="$$(gofmt -l app lib)"; if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+# proto regenerates committed code; the build itself needs no generator.
+proto:
+	@mkdir -p bin/tools
+	GOBIN=$(CURDIR)/bin/tools $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go
+	PATH="$(CURDIR)/bin/tools:$$PATH" protoc --go_out=. --go_opt=paths=source_relative lib/meshpb/mesh.proto
--- /dev/null
+++ b/lib/platformapi/platformapi.go
@@ -0,0 +1,88 @@
+// Package platformapi defines the HTTP interface of the platform: table, object store, instance list, weight store.
+// All bodies are JSON. The platform's own documentation is the source; the stand-in serves the same shapes.
+package platformapi
+
+// Paths of the interface.
+const (
+	PathTxn       = "/table/txn"   // POST Txn, answers TxnResult
+	PathOp        = "/table/op/"   // GET {op id}: TxnResult of an earlier Txn; 404 when it did not take effect
+	PathGet       = "/table/get"   // GET ?key=: Item; 404 when absent
+	PathRange     = "/table/range" // GET ?prefix=&after_rev=&limit=: RangeResult
+	PathObjects   = "/objects/"    // PUT, GET, DELETE {name}
+	PathInstances = "/instances"   // GET: InstanceList, some seconds behind
+	PathWeights   = "/weights/"    // GET {model}/{version}: 200 when a transfer may start, 429 with Retry-After
+)
+
+// Cond holds when the key's revision equals Rev. Rev 0 means that the key is absent.
+type Cond struct {
+	Key string `json:"key"`
+	Rev uint64 `json:"rev"`
+}
+
+// Put writes a value.
+type Put struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+}
+
+// Txn applies all of Puts and Deletes when every Cond holds, and nothing otherwise. OpID makes it idempotent:
+// the same OpID again answers the first result and writes nothing.
+type Txn struct {
+	OpID    string   `json:"op_id"`
+	Conds   []Cond   `json:"conds,omitempty"`
+	Puts    []Put    `json:"puts,omitempty"`
+	Deletes []string `json:"deletes,omitempty"`
+}
+
+// TxnResult answers a Txn. Rev is the table's revision after it; Failed holds current items of the conditions
+// that did not hold (an absent key has Rev 0).
+type TxnResult struct {
+	Committed bool   `json:"committed"`
+	Rev       uint64 `json:"rev"`
+	Failed    []Item `json:"failed,omitempty"`
+}
+
+// Item is a key with its value and the table revision that last wrote it.
+type Item struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value,omitempty"`
+	Rev   uint64 `json:"rev"`
+}
+
+// RangeResult holds items under a prefix changed after a revision, in order of revision, and the table's revision.
+// Deletions are not listed; use a tombstone value where they matter.
+type RangeResult struct {
+	Items []Item `json:"items"`
+	Rev   uint64 `json:"rev"`
+	More  bool   `json:"more"`
+}
+
+// Values of Instance.State.
+const (
+	InstanceLive    = "live"
+	InstanceLeaving = "leaving"
+)
+
+// Instance is one machine of the system. Incarnation grows when the machine is replaced.
+type Instance struct {
+	ID            string `json:"id"`
+	Incarnation   uint64 `json:"incarnation"`
+	FailureDomain string `json:"failure_domain"`
+	MeshAddr      string `json:"mesh_addr"` // IP:port
+	State         string `json:"state"`
+}
+
+// InstanceList lags behind the truth by seconds.
+type InstanceList struct {
+	Instances []Instance `json:"instances"`
+}
+
+// Key prefixes that the system uses in the table, so that no two uses collide.
+const (
+	KeySettingsHead = "settings/head" // current revision number and digest of the settings tree
+	KeySettingsRev  = "settings/rev/" // settings/rev/%012d: one committed revision
+	KeyLease        = "lease/"        // lease/{name}
+	KeyClaim        = "claim/"        // claim/{workspace}/{hash of the key}
+	KeyGeneration   = "generation/"   // generation/{id}: resume record of long or non-idempotent work
+	KeyIntent       = "intent/"       // intent/{target}: desired state and fencing number
+)
--- /dev/null
+++ b/lib/result/result.go
@@ -0,0 +1,180 @@
+// Package result defines the numbered result codes that callers see, with the outcome each one promises.
+package result
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Outcome is what a caller may conclude about its request.
+type Outcome uint8
+
+// The four outcomes. Every accepted request ends in exactly one of them.
+const (
+	Completed      Outcome = iota + 1 // the whole answer was delivered
+	NotRun                            // proved: no target executed any part of it
+	FailedRan                         // a target executed some of it, and no whole answer exists
+	OutcomeUnknown                    // a target may have executed it; nobody can prove which
+)
+
+var outcomeNames = [...]string{"", "completed", "refused, not run", "failed, was run", "outcome unknown"}
+
+// String returns the wording used in error bodies and docs.
+func (o Outcome) String() string {
+	if int(o) < len(outcomeNames) {
+		return outcomeNames[o]
+	}
+	return "invalid outcome"
+}
+
+// Code is a stable number. Numbers are never reused; the thousands digit groups them by outcome.
+type Code uint16
+
+// The result codes. docs/RESULT-CODES.md is tested against Table.
+const (
+	OK Code = 1000
+
+	// 2xxx: refused, not run; the request itself is at fault.
+	BadRequest      Code = 2000
+	BodyTooLarge    Code = 2001
+	Unauthenticated Code = 2002
+	Forbidden       Code = 2003
+	NoRoute         Code = 2004
+	BadHeader       Code = 2005
+	KeyReused       Code = 2006
+	Poisoned        Code = 2007
+	UnknownStream   Code = 2008
+
+	// 3xxx: refused, not run; the same request may succeed later.
+	WorkspaceLimit  Code = 3000
+	QueueFull       Code = 3001
+	DeadlineTooNear Code = 3002
+	NoTarget        Code = 3003
+	StoreDown       Code = 3004
+	Stopping        Code = 3005
+	RetryBudget     Code = 3006
+	PowerCap        Code = 3007
+	TooManyStreams  Code = 3008
+	AlreadyRunning  Code = 3009
+
+	// 4xxx: failed, was run.
+	TargetFailed    Code = 4000
+	CannotResume    Code = 4001
+	DeadlinePassed  Code = 4002
+	CallerTooSlow   Code = 4003
+	CallerGone      Code = 4004
+	TargetCutShort  Code = 4005
+	InvariantBroken Code = 4006
+
+	// 5xxx: outcome unknown.
+	Unknown      Code = 5000
+	ClaimOrphan  Code = 5001
+	TargetSilent Code = 5002
+)
+
+// Again says whether the caller may send the same request again.
+type Again uint8
+
+// Values of Again.
+const (
+	AgainNo         Again = iota + 1 // asking again gives the same refusal
+	AgainLater                       // ask again after Retry-After
+	AgainWithKey                     // ask again only with the same Idempotency-Key
+	AgainIdempotent                  // ask again only if the call is idempotent
+)
+
+var againNames = [...]string{"", "no", "after Retry-After", "with the same Idempotency-Key", "only if idempotent"}
+
+// String returns the wording used in docs.
+func (a Again) String() string { return againNames[a] }
+
+// Info is one row of the table.
+type Info struct {
+	Code    Code
+	Name    string
+	HTTP    int
+	Outcome Outcome
+	Again   Again
+	Text    string
+}
+
+// Table lists every code in ascending order.
+var Table = []Info{
+	{OK, "ok", http.StatusOK, Completed, AgainNo, "the answer is complete"},
+	{BadRequest, "bad_request", http.StatusBadRequest, NotRun, AgainNo, "the body can't be read as the route's format"},
+	{BodyTooLarge, "body_too_large", http.StatusRequestEntityTooLarge, NotRun, AgainNo, "the body is over the route's bound"},
+	{Unauthenticated, "unauthenticated", http.StatusUnauthorized, NotRun, AgainNo, "no workspace has this key"},
+	{Forbidden, "forbidden", http.StatusForbidden, NotRun, AgainNo, "the workspace may not use this service or class"},
+	{NoRoute, "no_route", http.StatusNotFound, NotRun, AgainNo, "no service answers this path"},
+	{BadHeader, "bad_header", http.StatusBadRequest, NotRun, AgainNo, "a header has a bad value"},
+	{KeyReused, "key_reused", http.StatusUnprocessableEntity, NotRun, AgainNo, "the Idempotency-Key was used for another request"},
+	{Poisoned, "poisoned", http.StatusUnprocessableEntity, NotRun, AgainLater, "targets died while they ran this content"},
+	{UnknownStream, "unknown_stream", http.StatusNotFound, NotRun, AgainNo, "no stream is kept for this key and event id"},
+	{WorkspaceLimit, "workspace_limit", http.StatusTooManyRequests, NotRun, AgainLater, "the workspace or class is at its limit"},
+	{QueueFull, "queue_full", http.StatusServiceUnavailable, NotRun, AgainLater, "the queue is at its bound"},
+	{DeadlineTooNear, "deadline_too_near", http.StatusServiceUnavailable, NotRun, AgainLater, "the answer can't be had before its deadline"},
+	{NoTarget, "no_target", http.StatusServiceUnavailable, NotRun, AgainLater, "no target can take the request"},
+	{StoreDown, "store_down", http.StatusServiceUnavailable, NotRun, AgainLater, "the claim can't be recorded"},
+	{Stopping, "stopping", http.StatusServiceUnavailable, NotRun, AgainLater, "this instance is stopping"},
+	{RetryBudget, "retry_budget", http.StatusServiceUnavailable, NotRun, AgainLater, "the retry budget is spent"},
+	{PowerCap, "power_cap", http.StatusServiceUnavailable, NotRun, AgainLater, "the site's power cap leaves no room"},
+	{TooManyStreams, "too_many_streams", http.StatusServiceUnavailable, NotRun, AgainLater, "this instance holds its bound of streams"},
+	{AlreadyRunning, "already_running", http.StatusConflict, NotRun, AgainLater, "a request with this key is in progress; this one started nothing"},
+	{TargetFailed, "target_failed", http.StatusBadGateway, FailedRan, AgainIdempotent, "the target reported an error"},
+	{CannotResume, "cannot_resume", http.StatusBadGateway, FailedRan, AgainIdempotent, "the stream broke and can't be resumed"},
+	{DeadlinePassed, "deadline_passed", http.StatusGatewayTimeout, FailedRan, AgainIdempotent, "the deadline passed while it ran"},
+	{CallerTooSlow, "caller_too_slow", http.StatusRequestTimeout, FailedRan, AgainWithKey, "the caller read too slowly"},
+	{CallerGone, "caller_gone", 499, FailedRan, AgainWithKey, "the caller closed its connection"},
+	{TargetCutShort, "target_cut_short", http.StatusBadGateway, FailedRan, AgainIdempotent, "the target's answer ended without its end mark"},
+	{InvariantBroken, "invariant_broken", http.StatusInternalServerError, FailedRan, AgainIdempotent, "an internal check failed; this request was stopped"},
+	{Unknown, "outcome_unknown", http.StatusBadGateway, OutcomeUnknown, AgainNo, "the target may have run it; nobody can prove which"},
+	{ClaimOrphan, "claim_orphan", http.StatusConflict, OutcomeUnknown, AgainNo, "the key was claimed, its holder is gone, and the outcome is not known"},
+	{TargetSilent, "target_silent", http.StatusGatewayTimeout, OutcomeUnknown, AgainNo, "the target fell silent while it ran the call"},
+}
+
+var byCode = func() map[Code]Info {
+	m := make(map[Code]Info, len(Table))
+	for _, in := range Table {
+		m[in.Code] = in
+	}
+	return m
+}()
+
+// Lookup returns the row of c, or the row of Unknown for a number that is not in Table.
+func Lookup(c Code) Info {
+	if in, ok := byCode[c]; ok {
+		return in
+	}
+	return byCode[Unknown]
+}
+
+// Error carries a code to the place that answers the caller.
+type Error struct {
+	Code       Code
+	Detail     string        // what was attempted, lower case, no secrets
+	RetryAfter time.Duration // 0 when the code's Again is not AgainLater
+	Cause      error
+}
+
+// New returns an Error without a cause.
+func New(c Code, format string, args ...any) *Error {
+	return &Error{Code: c, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Wrap returns an Error that keeps cause for errors.Is and errors.As.
+func Wrap(c Code, cause error, attempted string) *Error {
+	return &Error{Code: c, Detail: attempted, Cause: cause}
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	in := Lookup(e.Code)
+	if e.Cause != nil {
+		return fmt.Sprintf("%d %s: %s: %v", e.Code, in.Name, e.Detail, e.Cause)
+	}
+	return fmt.Sprintf("%d %s: %s", e.Code, in.Name, e.Detail)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
