--- /dev/null
+++ b/lib/settings/kind.go
@@ -0,0 +1,273 @@
+package settings
+
+import (
+	"encoding/hex"
+	"errors"
+	"math"
+	"net/netip"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/yaml.v3"
+)
+
+// kind reads and prints the values of one type and unit.
+type kind[V any] struct {
+	unit   string // as docs name it
+	want   string // as a refusal words it
+	secret bool   // a refused value is not shown
+	parse  func(*yaml.Node) (V, error)
+	format func(V) string
+}
+
+var errValue = errors.New("not a value of this kind")
+
+// keyHashPrefix marks a hashed workspace key.
+const keyHashPrefix = "sha256:"
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+// scalar lifts a parser of text to a parser of YAML scalars.
+func scalar[V any](parse func(string) (V, error)) func(*yaml.Node) (V, error) {
+	return func(n *yaml.Node) (V, error) {
+		if n.Kind != yaml.ScalarNode || n.Tag == "!!null" {
+			var zero V
+			return zero, errValue
+		}
+		return parse(n.Value)
+	}
+}
+
+// list lifts a kind of single values to a kind of lists.
+func list[V any](k kind[V]) kind[[]V] {
+	return kind[[]V]{
+		unit:   "list of " + k.unit,
+		want:   "a list, each item " + k.want,
+		secret: k.secret,
+		parse: func(n *yaml.Node) ([]V, error) {
+			if n.Kind != yaml.SequenceNode {
+				return nil, errValue
+			}
+			out := make([]V, 0, len(n.Content))
+			for _, item := range n.Content {
+				v, err := k.parse(item)
+				if err != nil {
+					return nil, err
+				}
+				out = append(out, v)
+			}
+			return out, nil
+		},
+		format: func(vs []V) string {
+			words := make([]string, len(vs))
+			for i, v := range vs {
+				words[i] = k.format(v)
+			}
+			return "[" + strings.Join(words, ", ") + "]"
+		},
+	}
+}
+
+func formatString(s string) string { return s }
+
+// text is a string that check accepts.
+func text(unit, want string, check func(string) bool) kind[string] {
+	parse := func(s string) (string, error) {
+		if !check(s) {
+			return "", errValue
+		}
+		return s, nil
+	}
+	return kind[string]{unit: unit, want: want, parse: scalar(parse), format: formatString}
+}
+
+var (
+	kindName = text("name", "a name of lower-case letters, digits, dots, dashes and underscores, 63 at most", namePattern.MatchString)
+	// kindLabel is for names that others chose, such as models.
+	kindLabel = text("text", "text of 1 to 128 characters without spaces", func(s string) bool {
+		return s != "" && len(s) <= 128 && !strings.ContainsAny(s, " \t\r\n")
+	})
+	kindPath = text("path", `a path that starts with "/"`, func(s string) bool {
+		return strings.HasPrefix(s, "/") && len(s) <= 1024
+	})
+	kindMethod = text("HTTP method", "an HTTP method in capitals", regexp.MustCompile(`^[A-Z]{1,16}$`).MatchString)
+	kindAddr   = text("IP:port", "an IP number and a port such as 10.0.0.7:8080, not a host name", func(s string) bool {
+		ap, err := netip.ParseAddrPort(s)
+		return err == nil && ap.Port() != 0 && ap.Addr().Zone() == ""
+	})
+)
+
+func oneOf(words ...string) kind[string] {
+	all := strings.Join(words, " | ")
+	return text(all, "one of "+all, func(s string) bool {
+		for _, w := range words {
+			if s == w {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+var kindBool = kind[bool]{
+	unit:   "true | false",
+	want:   "true or false",
+	format: strconv.FormatBool,
+	parse: scalar(func(s string) (bool, error) {
+		switch s {
+		case "true":
+			return true, nil
+		case "false":
+			return false, nil
+		}
+		return false, errValue
+	}),
+}
+
+// count is a whole number from lo to hi.
+func count(unit string, lo, hi int) kind[int] {
+	return kind[int]{
+		unit:   unit,
+		want:   "a whole number from " + strconv.Itoa(lo) + " to " + strconv.Itoa(hi),
+		format: strconv.Itoa,
+		parse: scalar(func(s string) (int, error) {
+			v, err := strconv.Atoi(s)
+			if err != nil || v < lo || v > hi {
+				return 0, errValue
+			}
+			return v, nil
+		}),
+	}
+}
+
+// number is a decimal number from lo to hi.
+func number(unit string, lo, hi float64) kind[float64] {
+	return kind[float64]{
+		unit:   unit,
+		want:   "a number from " + formatFloat(lo) + " to " + formatFloat(hi),
+		format: formatFloat,
+		parse: scalar(func(s string) (float64, error) {
+			v, err := strconv.ParseFloat(s, 64)
+			if err != nil || math.IsNaN(v) || v < lo || v > hi {
+				return 0, errValue
+			}
+			return v, nil
+		}),
+	}
+}
+
+func formatFloat(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
+
+// span is a duration with its unit written out, from lo to hi.
+func span(lo, hi time.Duration) kind[time.Duration] {
+	return kind[time.Duration]{
+		unit:   "duration",
+		want:   "a duration with its unit such as 250ms, 30s or 8h, from " + formatSpan(lo) + " to " + formatSpan(hi),
+		format: formatSpan,
+		parse: scalar(func(s string) (time.Duration, error) {
+			d, err := time.ParseDuration(s)
+			bare := s == "" || s[len(s)-1] <= '9'
+			if err != nil || bare || d < lo || d > hi {
+				return 0, errValue
+			}
+			return d, nil
+		}),
+	}
+}
+
+// formatSpan leaves out the zero parts that time.Duration prints: 8h and not 8h0m0s.
+func formatSpan(d time.Duration) string {
+	s := d.String()
+	if strings.HasSuffix(s, "m0s") {
+		s = s[:len(s)-2]
+	}
+	if strings.HasSuffix(s, "h0m") {
+		s = s[:len(s)-2]
+	}
+	return s
+}
+
+type unitStep struct {
+	suffix string
+	factor float64
+}
+
+var (
+	byteUnits = []unitStep{{"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}}
+	wattUnits = []unitStep{{"MW", 1e6}, {"kW", 1e3}, {"W", 1}}
+)
+
+// parseUnits reads a number followed by one of the units.
+func parseUnits(s string, units []unitStep) (float64, error) {
+	for _, u := range units {
+		digits, ok := strings.CutSuffix(s, u.suffix)
+		if !ok {
+			continue
+		}
+		v, err := strconv.ParseFloat(digits, 64)
+		if err != nil || math.IsNaN(v) || v < 0 || strings.ContainsAny(digits, "eExXpP_iI+ ") {
+			return 0, errValue
+		}
+		return v * u.factor, nil
+	}
+	return 0, errValue
+}
+
+// formatUnits picks the largest unit that leaves the number exact and at least 1.
+func formatUnits(v float64, units []unitStep) string {
+	for _, u := range units {
+		q := v / u.factor
+		if q >= 1 && q == math.Trunc(q) {
+			return formatFloat(q) + u.suffix
+		}
+	}
+	return formatFloat(v) + units[len(units)-1].suffix
+}
+
+// kindBytes is a size in bytes.
+var kindBytes = kind[int]{
+	unit:   "size",
+	want:   "a size with its unit such as 512B, 64KiB or 4MiB, 1GiB at most",
+	format: func(v int) string { return formatUnits(float64(v), byteUnits) },
+	parse: scalar(func(s string) (int, error) {
+		v, err := parseUnits(s, byteUnits)
+		if err != nil || v > 1<<30 || v != math.Trunc(v) {
+			return 0, errValue
+		}
+		return int(v), nil
+	}),
+}
+
+// kindWatts is a power in watts.
+var kindWatts = kind[float64]{
+	unit:   "power",
+	want:   "a power with its unit such as 700W or 12kW, 1000MW at most",
+	format: func(v float64) string { return formatUnits(v, wattUnits) },
+	parse: scalar(func(s string) (float64, error) {
+		v, err := parseUnits(s, wattUnits)
+		if err != nil || v > 1e9 {
+			return 0, errValue
+		}
+		return v, nil
+	}),
+}
+
+// kindKeyHash is the SHA-256 of a workspace key. A key in clear is refused and never shown: the refusal would carry
+// it into logs and terminals.
+var kindKeyHash = kind[[32]byte]{
+	unit:   "sha256:<64 hexadecimal digits>",
+	want:   "sha256: and 64 hexadecimal digits (a key in clear must not stand in settings; see anvilwick-ctl settings hash-key)",
+	secret: true,
+	format: func(h [32]byte) string { return keyHashPrefix + hex.EncodeToString(h[:]) },
+	parse: scalar(func(s string) ([32]byte, error) {
+		var h [32]byte
+		digits, ok := strings.CutPrefix(s, keyHashPrefix)
+		if !ok || len(digits) != hex.EncodedLen(len(h)) {
+			return h, errValue
+		}
+		_, err := hex.Decode(h[:], []byte(digits))
+		return h, err
+	}),
+}
--- a/lib/settings/types.go
+++ b/lib/settings/types.go
@@ -78,6 +78,7 @@
 	KeyHashes [][32]byte // SHA-256 of bearer tokens
 	Services  []string   // services it may use; empty: all
 	Classes   []string   // classes it may name; the first is its default
+	Parent    string     // workspace whose values under services it inherits; empty: none
 }
 
 // Site holds what belongs to the whole site.
@@ -93,24 +94,3 @@
 	ProgressInterval  time.Duration // entry to owner
 	TickInterval      time.Duration // scheduler tick
 }
-
-// Snapshot is one revision, resolved.
-type Snapshot struct {
-	Revision   uint64
-	Site       Site
-	Services   map[string]*Service
-	Workspaces map[string]*Workspace
-	policies   map[policyKey]*Policy
-	fallback   map[string]*Policy // service name to its own policy
-}
-
-type policyKey struct{ service, workspace, class string }
-
-// Policy returns the resolved values for a service, workspace and class. Unknown names fall back to the nearest
-// parent, so that a request accepted under an older revision still has a policy.
-func (s *Snapshot) Policy(service, workspace, class string) *Policy {
-	if p, ok := s.policies[policyKey{service, workspace, class}]; ok {
-		return p
-	}
-	return s.fallback[service]
-}
