--- a/lib/settings/field.go
+++ b/lib/settings/field.go
@@ -1,6 +1,11 @@
 package settings
 
-import "gopkg.in/yaml.v3"
+import (
+	"math/bits"
+	"slices"
+
+	"gopkg.in/yaml.v3"
+)
 
 // field is one key of a node of type T. A key stands in one table only; parsing, resolving, explaining, comparing
 // and the docs all walk that table.
@@ -94,9 +99,12 @@
 
 // resolve returns base with every field given along chain, nearest first.
 func resolve[T any](fields []field[T], base T, chain []*node[T]) T {
-	for i := range fields {
-		if n := origin(chain, i); n != nil {
-			fields[i].move(&base, &n.vals)
+	for _, n := range slices.Backward(chain) {
+		if n == nil {
+			continue
+		}
+		for given := n.given; given != 0; given &= given - 1 {
+			fields[bits.TrailingZeros64(given)].move(&base, &n.vals)
 		}
 	}
 	return base
