Add the platform's stand-in and the client of its table

Cause: leases, claims, settings and membership need the platform's table, whose answers get lost after their writes took effect, and whose outages last for hours; nothing spoke to it yet.

Ruled out: reading the operation id back alone. A 404 for it proves nothing while the first try is on its way, so the client then sends the transaction again under the same id. Taking 503 as 'not committed': a proxy may give up on a write that stands; only 429, a failed dial, the budget and the open breaker count as proof.

Change: lib/standin/platform serves lib/platformapi with faults to order (outage, slow, lost answer, stale reads, list lag), lib/platform has transactions, grouped transactions, reads, objects, weights, a shared budget and a breaker.

Conclusion: control, settings and mesh can build on Client.

--- /dev/null
+++ b/lib/platform/read.go
@@ -0,0 +1,109 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/dghubble/sling"
+
+	"anvilwick.example/anvilwick/lib/platformapi"
+)
+
+// Get reads a key; it reports false when the key is absent. The answer may be older than the newest write: make
+// writes conditional on the revision read.
+func (c *Client) Get(ctx context.Context, key string) (platformapi.Item, bool, error) {
+	var out platformapi.Item
+	found, err := c.read(ctx, platformapi.PathGet+"?"+url.Values{"key": {key}}.Encode(), &out)
+	if !found {
+		out = platformapi.Item{Key: key}
+	}
+	return out, found, err
+}
+
+// Range reads one page of items under prefix that were written after a revision, in order of revision. limit 0
+// leaves the page size to the platform. Go on after the last item's revision while More is set.
+func (c *Client) Range(ctx context.Context, prefix string, after uint64, limit int) (platformapi.RangeResult, error) {
+	q := url.Values{"prefix": {prefix}, "after_rev": {strconv.FormatUint(after, 10)}}
+	if limit > 0 {
+		q.Set("limit", strconv.Itoa(limit))
+	}
+	var out platformapi.RangeResult
+	_, err := c.read(ctx, platformapi.PathRange+"?"+q.Encode(), &out)
+	return out, err
+}
+
+// Instances reads the platform's instance list, which lags by seconds.
+func (c *Client) Instances(ctx context.Context) (platformapi.InstanceList, error) {
+	var out platformapi.InstanceList
+	_, err := c.read(ctx, platformapi.PathInstances, &out)
+	return out, err
+}
+
+// StartTransfer asks the weight store for leave to start a transfer. It reports false, and when to ask again, while
+// the store is at its limit.
+func (c *Client) StartTransfer(ctx context.Context, model, version string) (bool, time.Duration, error) {
+	path := platformapi.PathWeights + url.PathEscape(model) + "/" + url.PathEscape(version)
+	res, err := c.ask(ctx, c.base.New().Get(path))
+	if err != nil && err.fate == fateNotSent && res.status == http.StatusTooManyRequests {
+		return false, err.after, nil
+	}
+	if err != nil {
+		return false, 0, readError(err, path)
+	}
+	return res.status == http.StatusOK, 0, nil
+}
+
+// PutObject stores an object whole. Storing it again is harmless.
+func (c *Client) PutObject(ctx context.Context, name string, body []byte) error {
+	return c.object(ctx, name, c.base.New().Put(objectPath(name)).Body(bytes.NewReader(body)))
+}
+
+// DeleteObject removes an object. Removing it again is harmless.
+func (c *Client) DeleteObject(ctx context.Context, name string) error {
+	return c.object(ctx, name, c.base.New().Delete(objectPath(name)))
+}
+
+// GetObject reads an object; it reports false when there is none.
+func (c *Client) GetObject(ctx context.Context, name string) ([]byte, bool, error) {
+	res, err := c.ask(ctx, c.base.New().Get(objectPath(name)))
+	if err != nil {
+		return nil, false, readError(err, name)
+	}
+	return res.body, res.status != http.StatusNotFound, nil
+}
+
+func (c *Client) object(ctx context.Context, name string, req *sling.Sling) error {
+	if _, err := c.ask(ctx, req); err != nil {
+		return writeError(err, "object "+name)
+	}
+	return nil
+}
+
+func objectPath(name string) string { return platformapi.PathObjects + url.PathEscape(name) }
+
+// read asks for a JSON answer; it reports false for 404.
+func (c *Client) read(ctx context.Context, path string, into any) (bool, error) {
+	res, err := c.ask(ctx, c.base.New().Get(path))
+	if err != nil {
+		return false, readError(err, path)
+	}
+	if res.status == http.StatusNotFound {
+		return false, nil
+	}
+	if err := decode(res, into); err != nil {
+		return false, readError(err, path)
+	}
+	return true, nil
+}
+
+// ask makes one exchange out of the budget for reads.
+func (c *Client) ask(ctx context.Context, req *sling.Sling) (response, *exchangeError) {
+	if err := c.budget.take(ctx, c.budget.reads); err != nil {
+		return response{}, err
+	}
+	return c.exchange(ctx, req)
+}
--- /dev/null
+++ b/lib/standin/platform/table.go
@@ -0,0 +1,194 @@
+package platform
+
+import (
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/platformapi"
+)
+
+const (
+	// keepVersions bounds how far back a stale read can look.
+	keepVersions = 2 * time.Minute
+	// keepOps is how many results of transactions are kept for a read by operation id.
+	keepOps = 200_000
+	// defaultRangeLimit is the page size when a range names none.
+	defaultRangeLimit = 1000
+)
+
+// version is one written state of a key.
+type version struct {
+	at      time.Time
+	rev     uint64
+	value   []byte
+	deleted bool
+}
+
+// table is a transactional key-value table. Transactions are serialised by one lock and see the newest state;
+// reads can be asked to see the state of an earlier moment.
+type table struct {
+	mu       sync.Mutex
+	rev      uint64
+	keys     map[string][]version // oldest first
+	ops      map[string]platformapi.TxnResult
+	opOrder  []string
+	revTimes []version // rev and at of each commit, for the revision of a stale read
+}
+
+func newTable() *table {
+	return &table{keys: map[string][]version{}, ops: map[string]platformapi.TxnResult{}}
+}
+
+// apply runs a transaction. The same operation id again answers the first result and writes nothing.
+func (t *table) apply(txn platformapi.Txn, now time.Time) platformapi.TxnResult {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if res, ok := t.ops[txn.OpID]; ok {
+		return res
+	}
+	res := platformapi.TxnResult{Rev: t.rev, Failed: t.failed(txn.Conds)}
+	if len(res.Failed) == 0 {
+		t.write(txn, now)
+		res = platformapi.TxnResult{Committed: true, Rev: t.rev}
+	}
+	t.remember(txn.OpID, res)
+	return res
+}
+
+// failed lists current items of the conditions that do not hold.
+func (t *table) failed(conds []platformapi.Cond) []platformapi.Item {
+	var out []platformapi.Item
+	for _, c := range conds {
+		it, _ := t.item(c.Key, time.Time{})
+		if it.Rev != c.Rev {
+			out = append(out, it)
+		}
+	}
+	return out
+}
+
+func (t *table) write(txn platformapi.Txn, now time.Time) {
+	t.rev++
+	t.revTimes = append(t.revTimes, version{at: now, rev: t.rev})
+	t.revTimes = trim(t.revTimes, now)
+	for _, p := range txn.Puts {
+		t.push(p.Key, version{at: now, rev: t.rev, value: p.Value})
+	}
+	for _, k := range txn.Deletes {
+		t.push(k, version{at: now, rev: t.rev, deleted: true})
+	}
+}
+
+func (t *table) push(key string, v version) {
+	vs := trim(append(t.keys[key], v), v.at)
+	if len(vs) == 1 && v.deleted {
+		delete(t.keys, key)
+		return
+	}
+	t.keys[key] = vs
+}
+
+// trim drops versions older than keepVersions, but never the newest.
+func trim(vs []version, now time.Time) []version {
+	cut := 0
+	for cut < len(vs)-1 && now.Sub(vs[cut+1].at) > keepVersions {
+		cut++
+	}
+	return vs[cut:]
+}
+
+func (t *table) remember(op string, res platformapi.TxnResult) {
+	if op == "" {
+		return
+	}
+	t.ops[op] = res
+	t.opOrder = append(t.opOrder, op)
+	if len(t.opOrder) > keepOps {
+		delete(t.ops, t.opOrder[0])
+		t.opOrder = t.opOrder[1:]
+	}
+}
+
+// op returns the result of a transaction that took effect.
+func (t *table) op(id string) (platformapi.TxnResult, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	res, ok := t.ops[id]
+	return res, ok && res.Committed
+}
+
+// item returns the state of a key; a zero asOf means the newest. An absent key has revision 0.
+func (t *table) item(key string, asOf time.Time) (platformapi.Item, bool) {
+	vs := t.keys[key]
+	for i := len(vs) - 1; i >= 0; i-- {
+		if !asOf.IsZero() && vs[i].at.After(asOf) {
+			continue
+		}
+		if vs[i].deleted {
+			break
+		}
+		return platformapi.Item{Key: key, Value: vs[i].value, Rev: vs[i].rev}, true
+	}
+	return platformapi.Item{Key: key}, false
+}
+
+func (t *table) get(key string, asOf time.Time) (platformapi.Item, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.item(key, asOf)
+}
+
+// scan returns items under prefix written after a revision, in order of revision.
+func (t *table) scan(prefix string, after uint64, limit int, asOf time.Time) platformapi.RangeResult {
+	if limit <= 0 {
+		limit = defaultRangeLimit
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := platformapi.RangeResult{Rev: t.revAt(asOf)}
+	for k := range t.keys {
+		if !strings.HasPrefix(k, prefix) {
+			continue
+		}
+		if it, ok := t.item(k, asOf); ok && it.Rev > after {
+			out.Items = append(out.Items, it)
+		}
+	}
+	sort.Slice(out.Items, func(i, j int) bool {
+		a, b := out.Items[i], out.Items[j]
+		if a.Rev != b.Rev {
+			return a.Rev < b.Rev
+		}
+		return a.Key < b.Key
+	})
+	return page(out, limit)
+}
+
+// page cuts a result to limit items, but never between items of one revision: a caller that goes on after the
+// last revision it saw would miss the rest of that transaction.
+func page(r platformapi.RangeResult, limit int) platformapi.RangeResult {
+	if len(r.Items) <= limit {
+		return r
+	}
+	end := limit
+	for end < len(r.Items) && r.Items[end].Rev == r.Items[end-1].Rev {
+		end++
+	}
+	r.More = end < len(r.Items)
+	r.Items = r.Items[:end]
+	return r
+}
+
+func (t *table) revAt(asOf time.Time) uint64 {
+	if asOf.IsZero() {
+		return t.rev
+	}
+	for i := len(t.revTimes) - 1; i >= 0; i-- {
+		if !t.revTimes[i].at.After(asOf) {
+			return t.revTimes[i].rev
+		}
+	}
+	return 0
+}
