--- a/lib/settings/field.go
+++ b/lib/settings/field.go
@@ -87,16 +87,6 @@
 	return t
 }
 
-// origin finds the nearest node of chain that gives field i; nil means the default.
-func origin[T any](chain []*node[T], i int) *node[T] {
-	for _, n := range chain {
-		if n.has(i) {
-			return n
-		}
-	}
-	return nil
-}
-
 // resolve returns base with every field given along chain, nearest first.
 func resolve[T any](fields []field[T], base T, chain []*node[T]) T {
 	for _, n := range slices.Backward(chain) {
--- a/lib/settings/parse.go
+++ b/lib/settings/parse.go
@@ -12,7 +12,7 @@
 )
 
 // MaxFile bounds a settings file, in bytes.
-const MaxFile = 4 << 20
+const MaxFile = 2 << 20
 
 // maxShown bounds how much of a refused value a problem shows, in bytes.
 const maxShown = 64
--- a/lib/settings/snapshot.go
+++ b/lib/settings/snapshot.go
@@ -15,14 +15,13 @@
 	Workspaces map[string]*Workspace
 
 	policies map[policyKey]*Policy
-	root     *Policy // the site's own values
 	keys     []keyOwner
 	routes   []serviceRoute // longest prefix first
 	models   map[string]*Service
 }
 
 // policyKey names a resolved policy. An empty workspace stands for every workspace that overrides nothing, an empty
-// class for values without a class.
+// class for values without a class, an empty service for the site's own.
 type policyKey struct{ service, workspace, class string }
 
 type keyOwner struct {
@@ -94,8 +93,10 @@
 // resolvePolicies resolves one policy for each service and class, and further ones only for workspaces that override
 // something there: most workspaces of a large site share the same few.
 func (t *Tree) resolvePolicies(s *Snapshot) {
-	s.root = t.resolvePolicy("", "", "")
 	classes := append(sortedKeys(t.classes), "")
+	for _, class := range classes {
+		s.policies[policyKey{class: class}] = t.resolvePolicy("", "", class)
+	}
 	for service, svc := range t.services {
 		for _, class := range classes {
 			s.policies[policyKey{service, "", class}] = t.resolvePolicy(service, "", class)
@@ -119,12 +120,18 @@
 // Policy returns the resolved values for a service, workspace and class. Unknown names fall back to the nearest
 // parent, so that a request accepted under an older revision still has a policy. It never returns nil.
 func (s *Snapshot) Policy(service, workspace, class string) *Policy {
-	for _, k := range [...]policyKey{{service, workspace, class}, {service, workspace, ""}, {service, "", class}, {service, "", ""}} {
+	for _, k := range [...]policyKey{
+		{service, workspace, class},
+		{service, workspace, ""},
+		{service, "", class},
+		{service, "", ""},
+		{"", "", class},
+	} {
 		if p, ok := s.policies[k]; ok {
 			return p
 		}
 	}
-	return s.root
+	return s.policies[policyKey{}]
 }
 
 // LookupToken returns the workspace that owns a bearer token, or nil. It compares with every hash, each in constant
--- /dev/null
+++ b/lib/settingsync/peers.go
@@ -0,0 +1,129 @@
+package settingsync
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/meshpb"
+)
+
+// peerTick is the time between looks at what peers have.
+const peerTick = 250 * time.Millisecond
+
+// peerView is what peers say they have.
+type peerView struct {
+	revisions map[string]uint64
+	behind    time.Time // when a peer was first ahead since the last revision learnt; zero: none is
+}
+
+// Notice tells which revisions the peers have, by instance, as their heartbeats say. Instances left out are forgotten.
+func (s *Sync) Notice(revisions map[string]uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peers.revisions = maps.Clone(revisions)
+}
+
+// peerLoop fetches what peers have and the table did not bring. In the ordinary case the table is quicker and
+// cheaper, as it carries differences. When the store is down, peers are the only source: an instance replaced
+// meanwhile gets its settings from them.
+func (s *Sync) peerLoop(ctx context.Context) {
+	for {
+		if instance, ok := s.ahead(time.Now()); ok {
+			s.fetch(ctx, instance)
+		}
+		if !pause(ctx, jittered(peerTick)) {
+			return
+		}
+	}
+}
+
+// ahead picks one of the peers that have the highest revision, when that is over the one seen and the table had its
+// time to bring it. An instance that has nothing in force yet asks at once.
+func (s *Sync) ahead(now time.Time) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	highest, holders := s.peers.highest()
+	if highest <= s.seen.revision {
+		s.peers.behind = time.Time{}
+		return "", false
+	}
+	if s.peers.behind.IsZero() {
+		s.peers.behind = now
+	}
+	if s.held != nil && now.Sub(s.peers.behind) < s.cfg.PeerDelay {
+		return "", false
+	}
+	return holders[rand.IntN(len(holders))], true
+}
+
+// highest returns the highest revision of any peer, and the peers that have it.
+func (v *peerView) highest() (uint64, []string) {
+	var highest uint64
+	var holders []string
+	for instance, revision := range v.revisions {
+		if revision > highest {
+			highest = revision
+			holders = holders[:0]
+		}
+		if revision == highest {
+			holders = append(holders, instance)
+		}
+	}
+	return highest, holders
+}
+
+func (s *Sync) fetch(ctx context.Context, instance string) {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.PeerTimeout)
+	defer cancel()
+	body, err := s.cfg.Peers.FetchSettings(ctx, instance, s.Offer())
+	if err != nil {
+		fetchFailed(instance, err)
+		return
+	}
+	s.Learn(body, "peer "+instance)
+}
+
+// awaitPeers holds the first swap back for a moment. A table replica that lags may bring an old revision to an
+// instance that has just been replaced, while its peers hold a newer one; put into force at once, the old one would
+// undo an accepted change there. It goes on as soon as the peers heard of have nothing newer, or after StartGrace.
+func (s *Sync) awaitPeers(ctx context.Context) bool {
+	if s.cfg.Peers == nil {
+		return true
+	}
+	deadline := time.Now().Add(s.cfg.StartGrace)
+	for time.Now().Before(deadline) && !s.level() {
+		if !pause(ctx, peerTick/10) {
+			return false
+		}
+	}
+	return ctx.Err() == nil
+}
+
+// level reports whether peers were heard of and none is ahead.
+func (s *Sync) level() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	highest, _ := s.peers.highest()
+	return highest > 0 && highest <= s.seen.revision
+}
+
+// Conversation is one stream between two instances.
+type Conversation interface {
+	Read(*meshpb.SettingsOffer) error
+	Write(*meshpb.SettingsBody) error
+}
+
+// Serve answers the offers of one peer until the stream ends.
+func (s *Sync) Serve(c Conversation) error {
+	for {
+		var offer meshpb.SettingsOffer
+		if err := c.Read(&offer); err != nil {
+			return err
+		}
+		if err := c.Write(s.Answer(&offer)); err != nil {
+			return err
+		}
+	}
+}
