--- /dev/null
+++ b/lib/result/table.go
@@ -0,0 +1,17 @@
+package result
+
+import (
+	"fmt"
+	"io"
+)
+
+// WriteTable writes Table as docs/RESULT-CODES.md holds it.
+func WriteTable(w io.Writer) error {
+	_, err := fmt.Fprint(w, "| code | name | HTTP | outcome | ask again | meaning |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, in := range Table {
+		if err == nil {
+			_, err = fmt.Fprintf(w, "| %d | `%s` | %d | %s | %s | %s |\n", in.Code, in.Name, in.HTTP, in.Outcome, in.Again, in.Text)
+		}
+	}
+	return err
+}
--- a/lib/settings/kind.go
+++ b/lib/settings/kind.go
@@ -93,10 +93,7 @@
 		return strings.HasPrefix(s, "/") && len(s) <= 1024
 	})
 	kindMethod = text("HTTP method", "an HTTP method in capitals", regexp.MustCompile(`^[A-Z]{1,16}$`).MatchString)
-	kindAddr   = text("IP:port", "an IP number and a port such as 10.0.0.7:8080, not a host name", func(s string) bool {
-		ap, err := netip.ParseAddrPort(s)
-		return err == nil && ap.Port() != 0 && ap.Addr().Zone() == ""
-	})
+	kindAddr   = text("IP:port", "an IP number and a port such as 10.0.0.7:8080, not a host name", ValidAddr)
 )
 
 func oneOf(words ...string) kind[string] {
@@ -271,3 +268,9 @@
 		return h, err
 	}),
 }
+
+// ValidAddr reports whether s is an IP number and a port; host names are not.
+func ValidAddr(s string) bool {
+	ap, err := netip.ParseAddrPort(s)
+	return err == nil && ap.Port() != 0 && ap.Addr().Zone() == ""
+}
