--- /dev/null
+++ b/lib/doctest/doctest.go
@@ -0,0 +1,26 @@
+// Package doctest compares a part of a page in docs with what the code says.
+package doctest
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+)
+
+// Section replaces the part of a page between its begin and end marks by want. It returns the page as it should be,
+// and whether it is so already.
+func Section(file, name string, want []byte) (page []byte, same bool, err error) {
+	page, err = os.ReadFile(file)
+	if err != nil {
+		return nil, false, err
+	}
+	begin := fmt.Appendf(nil, "<!-- %s:begin -->\n", name)
+	end := fmt.Appendf(nil, "<!-- %s:end -->", name)
+	head, rest, ok := bytes.Cut(page, begin)
+	_, tail, ok2 := bytes.Cut(rest, end)
+	if !ok || !ok2 {
+		return nil, false, fmt.Errorf("%s: no section %s", file, name)
+	}
+	next := bytes.Join([][]byte{head, begin, want, end, tail}, nil)
+	return next, bytes.Equal(page, next), nil
+}
--- a/lib/settings/check.go
+++ b/lib/settings/check.go
@@ -8,6 +8,7 @@
 
 // check refuses what only the whole tree can show: missing parents, cycles, names used twice.
 func (p *parser) check(t *Tree) {
+	p.checkSite(&t.site)
 	for _, name := range sortedKeys(t.workspaces) {
 		p.checkWorkspace(t, t.workspaces[name])
 	}
@@ -37,6 +38,15 @@
 	return n.line
 }
 
+func (p *parser) checkSite(site *node[Site]) {
+	if len(site.vals.FailureDomains) == 0 {
+		p.add(lineOf(site, siteFields, "failure_domains"), site.path+".failure_domains", "an empty list", "at least one failure domain")
+	}
+	if site.vals.PowerCapWatts > 0 && site.vals.PowerGuardWatts >= site.vals.PowerCapWatts {
+		p.add(lineOf(site, siteFields, "power_guard"), site.path+".power_guard", kindWatts.format(site.vals.PowerGuardWatts), "less than power_cap")
+	}
+}
+
 func listed(names []string) string {
 	if len(names) == 0 {
 		return "none is declared"
--- a/lib/settings/settings_test.go
+++ b/lib/settings/settings_test.go
@@ -146,6 +146,8 @@
 		{"alias", "{priority: 9}", "&u {priority: 9}\n  slow: *u", "got an alias, merge or complex key"},
 		{"second document", "services:", "---\nservices:", "got a second document"},
 		{"tab", "  name: s", "\tname: s", "expected a YAML mapping"},
+		{"guard over cap", "name: s", "name: s\n  power_cap: 1kW\n  power_guard: 1kW", `f:4: site.power_guard: got 1kW, expected less than power_cap`},
+		{"no failure domain", "failure_domains: [a, b]", "failure_domains: []", `f:3: site.failure_domains: got an empty list, expected at least one`},
 		{"list in place of mapping", "{priority: 9}", "[1]", "f:5: classes.urgent: got a list, expected a mapping"},
 		{"bad name", "  urgent:", "  Urgent Ones:", `classes: got "Urgent Ones", expected a name of lower-case letters`},
 	} {
--- a/lib/settingsync/poll.go
+++ b/lib/settingsync/poll.go
@@ -26,12 +26,21 @@
 	var base baseText
 	for {
 		base = s.poll(ctx, base)
-		if !pause(ctx, jittered(s.cfg.Poll)) {
+		if !pause(ctx, jittered(s.pollEvery())) {
 			return
 		}
 	}
 }
 
+func (s *Sync) pollEvery() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.held == nil {
+		return s.cfg.Poll
+	}
+	return max(s.cfg.Poll, PollInterval(s.fleet, s.held.Snapshot.Site.StoreReadsPerSec))
+}
+
 // jittered spreads polls over a quarter of the interval, so that instances started together don't read together.
 func jittered(d time.Duration) time.Duration { return d - rand.N(d/4+1) }
 
--- a/lib/settingsync/sync.go
+++ b/lib/settingsync/sync.go
@@ -29,7 +29,7 @@
 type Config struct {
 	Table       Table         // nil: learn from peers and Learn alone
 	Peers       Peers         // nil: none
-	Poll        time.Duration // time between reads of the table; one read each, two more for each new revision
+	Poll        time.Duration // least time between reads of the table; one read each, two more for each new revision
 	PollTimeout time.Duration
 	PeerDelay   time.Duration // how long the table may take to bring what a peer has
 	PeerTimeout time.Duration
@@ -88,6 +88,7 @@
 	refused string
 	updated chan struct{} // closed at the next swap
 	peers   peerView
+	fleet   int // instances that read the table
 
 	wake chan struct{} // a candidate waits
 }
@@ -115,6 +116,13 @@
 	wg.Wait()
 }
 
+// SetInstances tells how many instances read the table, so that together they stay within their share of its reads.
+func (s *Sync) SetInstances(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet = n
+}
+
 // Current returns what is in force; nil before the first revision.
 func (s *Sync) Current() *Held {
 	s.mu.Lock()
