Decide placements, queues, victims and power in one pure owner

Cause: nobody knows how long an output will be; memory fills partway through a decode and urgent work arrives then. Interface: Request.PrefixTokens is new (optional). Policy now says that the tokens of Progress and End include Request.Emitted.

--- a/lib/sched/api.go
+++ b/lib/sched/api.go
@@ -32,6 +32,7 @@
 	Emitted      int      // tokens already delivered by earlier attempts
 	Preemptions  int      // how often it was already moved or preempted
 	Prefixes     []uint64 // hashes of growing prompt prefixes, shortest first
+	PrefixTokens []int    // tokens of each of Prefixes; nil: evenly spaced
 	Deadline     Time     // 0: none
 	Avoid        []string // targets that failed it
 	Fingerprint  uint64
@@ -114,6 +115,8 @@
 // PolicyFunc resolves the policy of a workspace and class; it must be pure between calls of SetPolicy.
 type PolicyFunc func(workspace, class string) ClassPolicy
 
+// Policy counts tokens of a generation over all its attempts: the tokens of Progress and End include Request.Emitted.
+//
 // Policy is what the entry, the tests and the bench drive. anvilwick's own implementation is Owner; the bench has
 // baselines behind the same interface.
 type Policy interface {
--- /dev/null
+++ b/lib/sched/memory.go
@@ -0,0 +1,108 @@
+package sched
+
+import (
+	"time"
+
+	"anvilwick.example/anvilwick/lib/forecast"
+)
+
+// loadAge is how long a forecast stands without a change on its target.
+const loadAge = 200 * time.Millisecond
+
+// refreshLoads renews the forecasts of targets that changed, or that are old.
+func (o *Owner) refreshLoads(now Time) {
+	for i := range o.targets {
+		t := &o.targets[i]
+		if t.dirty || now.Sub(t.loadAt) >= loadAge {
+			o.refreshLoad(now, t)
+		}
+	}
+}
+
+func (o *Owner) refreshLoad(now Time, t *target) {
+	t.load = forecast.Load{}
+	t.dirty = false
+	t.loadAt = now
+	for i := t.run.head; i != none; i = o.gens[i].next {
+		o.addLoad(t, &o.gens[i])
+	}
+	t.load.AddConstant(t.foreignKV)
+}
+
+// addLoad adds one running generation to its target's forecast.
+func (o *Owner) addLoad(t *target, g *gen) {
+	t.load.Add(forecast.Generation{Held: g.held(), Output: max(g.tokens, g.emitted), Max: g.maxTok}, o.curve(g, &o.scratch))
+}
+
+// preemptBeforeFull moves generations off engines that would run out of memory within a few steps, where another
+// engine has room. The engine would stop one of them anyway, of its own choice, and keep it waiting.
+func (o *Owner) preemptBeforeFull(now Time, acts []Action) []Action {
+	if o.opt.DisableVictims {
+		return acts
+	}
+	for ti := range o.targets {
+		t := &o.targets[ti]
+		if t.kvTotal == 0 || t.moving > 0 || t.load.Peak(0, o.victimSteps) <= float64(t.kvTotal) {
+			continue
+		}
+		v := o.victim(now, t)
+		if v == none || o.place(now, v) == none {
+			continue
+		}
+		acts = o.preempt(v, acts)
+	}
+	return acts
+}
+
+// victim picks the generation with the least lost work for each token of memory it would free. None is moved more
+// often than its policy allows, and urgent work is left alone.
+func (o *Owner) victim(_ Time, t *target) int32 {
+	best := none
+	var bestCost float64
+	for i := t.run.head; i != none; i = o.gens[i].next {
+		g := &o.gens[i]
+		gr := &o.groups[g.group]
+		if !o.movable(t, g, gr) {
+			continue
+		}
+		cost := o.lostWork(t, g) / o.freed(g)
+		if best == none || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+func (o *Owner) movable(t *target, g *gen, gr *group) bool {
+	return g.state == stateRunning &&
+		!gr.policy.Urgent &&
+		g.moves < gr.policy.MaxPreemptions &&
+		(t.spec.Resumes || !g.started)
+}
+
+// lostWork is what a move costs, in tokens to prefill again; a shorter rest counts for more, for it would soon have
+// freed its memory by itself.
+func (o *Owner) lostWork(t *target, g *gen) float64 {
+	return float64(max(g.held()-o.cachedTokens(t, g), 1))
+}
+
+// freed is the memory that a move frees over the victim horizon, in tokens.
+func (o *Owner) freed(g *gen) float64 {
+	ahead := o.curve(g, &o.scratch).Mean(g.tokens, g.maxTok)
+	return float64(g.held()) + min(ahead, float64(o.opt.HorizonTokens))
+}
+
+// preempt asks the entry to stop generation i and submit its rest. Its place counts as taken until the entry says
+// that the attempt has ended.
+func (o *Owner) preempt(i int32, acts []Action) []Action {
+	g := &o.gens[i]
+	t := &o.targets[g.target]
+	g.state = stateMoving
+	t.moving++
+	return append(acts, Action{
+		Kind:    ActPreempt,
+		Gen:     g.id,
+		Attempt: g.attempt,
+		Target:  t.spec.Name,
+	})
+}
--- /dev/null
+++ b/lib/sched/power.go
@@ -0,0 +1,107 @@
+package sched
+
+// power is the budget in force.
+type power struct {
+	set        bool
+	watts      float64
+	validUntil Time
+	fallback   float64
+}
+
+// SetPower implements Policy. After validUntil without news the fallback holds: the fallback shares of all owners
+// together are under the site's cap, so a lost budget holder can't lead to more than the cap.
+func (o *Owner) SetPower(_ Time, watts float64, validUntil Time, fallbackWatts float64) {
+	o.power = power{set: true, watts: watts, validUntil: validUntil, fallback: fallbackWatts}
+}
+
+// budget returns the watts that may be drawn now; ok is false without a cap.
+func (o *Owner) budget(now Time) (watts float64, ok bool) {
+	if !o.power.set || o.opt.DisablePower {
+		return 0, false
+	}
+	watts = o.power.watts
+	if now > o.power.validUntil {
+		watts = min(watts, o.power.fallback)
+	}
+	return watts * (1 - o.opt.PowerGuard), true
+}
+
+// drawn models the power of all targets: readings lag and may be frozen, so they only ever raise the model.
+func (o *Owner) drawn() float64 {
+	var sum float64
+	for i := range o.targets {
+		t := &o.targets[i]
+		if t.gone || !t.listed && t.run.n == 0 {
+			continue
+		}
+		sum += t.spec.IdleWatts + t.spec.SeqWatts*float64(t.run.n+t.foreign) + t.watts
+	}
+	return sum
+}
+
+// powerRoom filters by the cap.
+func (o *Owner) powerRoom(t *target) bool {
+	if !o.cand.capped || t.spec.SeqWatts <= o.cand.spare {
+		return true
+	}
+	o.powerBound = true
+	return false
+}
+
+// shedPower moves generations into the queue while the model is over the budget: after a cut of the budget, holding
+// new work back alone would take as long as the longest output. Long work is held back first.
+func (o *Owner) shedPower(now Time, acts []Action) []Action {
+	o.powerBound = false
+	watts, ok := o.budget(now)
+	if !ok {
+		return acts
+	}
+	excess := o.drawn() - watts
+	for i := range o.targets {
+		t := &o.targets[i]
+		excess -= float64(t.moving) * t.spec.SeqWatts
+	}
+	for excess > 0 {
+		v := o.powerVictim()
+		if v == none {
+			return acts
+		}
+		excess -= o.targets[o.gens[v].target].spec.SeqWatts
+		acts = o.preempt(v, acts)
+	}
+	return acts
+}
+
+// powerVictim picks, over all targets, the lowest priority, and of these the generation that holds least.
+func (o *Owner) powerVictim() int32 {
+	best := none
+	var bestGen *gen
+	for ti := range o.targets {
+		t := &o.targets[ti]
+		if t.spec.SeqWatts <= 0 {
+			continue
+		}
+		for i := t.run.head; i != none; i = o.gens[i].next {
+			g := &o.gens[i]
+			if g.state != stateRunning || g.started && !t.spec.Resumes {
+				continue
+			}
+			if best == none || o.shedsBefore(g, bestGen) {
+				best, bestGen = i, g
+			}
+		}
+	}
+	return best
+}
+
+// shedsBefore orders victims of the power cap: urgent work last, then by priority, then by lost work.
+func (o *Owner) shedsBefore(a, b *gen) bool {
+	pa, pb := &o.groups[a.group].policy, &o.groups[b.group].policy
+	if pa.Urgent != pb.Urgent {
+		return pb.Urgent
+	}
+	if pa.Priority != pb.Priority {
+		return pa.Priority < pb.Priority
+	}
+	return a.held() < b.held()
+}
--- /dev/null
+++ b/lib/sched/queue.go
@@ -0,0 +1,189 @@
+package sched
+
+import "math"
+
+// Levels order groups before their shares do; the priority of the class is added.
+const (
+	levelAged   = 1 << 16
+	levelUrgent = 1 << 20
+)
+
+// maxResumeTries bounds how many resumes are tried for a place in one tick.
+const maxResumeTries = 16
+
+// admit grants places: first to generations that already gave tokens, for each second that they wait is stall time,
+// then to the groups in their order.
+func (o *Owner) admit(now Time, acts []Action) []Action {
+	if o.resumes.n == 0 && o.queued == 0 {
+		return acts
+	}
+	o.clearReservations()
+	acts = o.admitResumes(now, acts)
+	for range maxGrants {
+		gi := o.nextGroup(now)
+		if gi == none {
+			return acts
+		}
+		var ok bool
+		if acts, ok = o.admitFrom(now, gi, acts); !ok {
+			o.groups[gi].blocked = true
+		}
+	}
+	return acts
+}
+
+func (o *Owner) clearReservations() {
+	for i := range o.targets {
+		o.targets[i].reserved = false
+	}
+	for i := range o.groups {
+		o.groups[i].blocked = false
+	}
+}
+
+func (o *Owner) admitResumes(now Time, acts []Action) []Action {
+	tries := 0
+	for i := o.resumes.head; i != none && tries < maxResumeTries; tries++ {
+		next := o.gens[i].next
+		if t := o.place(now, i); t != none {
+			acts = o.grant(now, i, t, acts)
+		} else {
+			o.reserve(i)
+		}
+		i = next
+	}
+	return acts
+}
+
+// admitFrom places the head of a queue, or one of the few behind it.
+func (o *Owner) admitFrom(now Time, gi int32, acts []Action) ([]Action, bool) {
+	gr := &o.groups[gi]
+	aged := o.raised(now, gr)
+	i := gr.queue.head
+	for tries := 0; i != none && tries <= o.opt.Backfill; tries++ {
+		if t := o.place(now, i); t != none {
+			return o.grant(now, i, t, acts), true
+		}
+		if aged && tries == 0 {
+			o.reserve(i)
+		}
+		i = o.gens[i].next
+	}
+	return acts, false
+}
+
+// nextGroup returns the group to serve next: highest level, then least weighted work granted.
+func (o *Owner) nextGroup(now Time) int32 {
+	best := none
+	bestLevel := math.MinInt
+	bestKey := math.Inf(1)
+	for i := range o.groups {
+		gr := &o.groups[i]
+		if gr.queue.n == 0 || gr.blocked {
+			continue
+		}
+		level := o.level(now, gr)
+		key := o.shareKey(gr)
+		if level > bestLevel || level == bestLevel && key < bestKey {
+			best, bestLevel, bestKey = int32(i), level, key
+		}
+	}
+	return best
+}
+
+func (o *Owner) level(now Time, gr *group) int {
+	level := gr.policy.Priority
+	if gr.policy.Urgent {
+		return level + levelUrgent
+	}
+	if o.raised(now, gr) {
+		return level + levelAged
+	}
+	return level
+}
+
+func (o *Owner) shareKey(gr *group) float64 {
+	if o.opt.DisableShares {
+		return float64(o.gens[gr.queue.head].queued)
+	}
+	return gr.vtime
+}
+
+// raised reports whether the head of a queue has waited long or has a deadline near.
+func (o *Owner) raised(now Time, gr *group) bool {
+	if o.opt.DisableAgeing || gr.queue.head == none {
+		return false
+	}
+	g := &o.gens[gr.queue.head]
+	if now.Sub(g.queued).Seconds() > o.opt.AgeFraction*gr.policy.MaxWait.Seconds() {
+		return true
+	}
+	if g.deadline == 0 {
+		return false
+	}
+	expected := max(gr.output, 1) * o.opt.StepSeconds
+	return g.deadline.Sub(now).Seconds()-expected < o.opt.DeadlineSlack.Seconds()
+}
+
+// reserve keeps one target from other new work until generation i fits it. Without it a large request starves: small
+// ones fill each gap before it is wide enough.
+func (o *Owner) reserve(i int32) {
+	g := &o.gens[i]
+	best := none
+	var bestRoom float64
+	for ti := range o.targets {
+		t := &o.targets[ti]
+		if t.reserved || !o.accepts(t) || g.avoids(int32(ti)) {
+			continue
+		}
+		room := float64(t.kvTotal) - t.load.Peak(0, o.steps)
+		if best == none || room > bestRoom {
+			best, bestRoom = int32(ti), room
+		}
+	}
+	if best != none {
+		o.targets[best].reserved = true
+	}
+}
+
+func (g *gen) avoids(t int32) bool {
+	for _, a := range g.avoid {
+		if a == t {
+			return true
+		}
+	}
+	return false
+}
+
+// grant gives generation i a place on a target.
+func (o *Owner) grant(now Time, i, ti int32, acts []Action) []Action {
+	g := &o.gens[i]
+	gr := &o.groups[g.group]
+	fresh := g.emitted == 0
+	o.take(now, i)
+	o.hold(now, i, ti)
+	t := &o.targets[ti]
+	t.lastGrant = now
+	o.addLoad(t, g)
+	if t.silent {
+		t.probe = now.Add(o.opt.ProbeEvery)
+	}
+	if fresh {
+		gr.grants.add(now)
+	}
+	o.charge(g, gr)
+	return append(acts, Action{
+		Kind:     ActGrant,
+		Gen:      g.id,
+		Attempt:  g.attempt,
+		Target:   t.spec.Name,
+		Priority: gr.policy.Priority,
+	})
+}
+
+// charge adds the work that a grant is expected to take to its group's share.
+func (o *Owner) charge(g *gen, gr *group) {
+	o.virtualTime = max(o.virtualTime, gr.vtime)
+	g.charged = float64(g.prompt) + max(gr.output, 1)
+	gr.vtime += g.charged / gr.policy.Weight
+}
--- /dev/null
+++ b/lib/sched/rate.go
@@ -0,0 +1,78 @@
+package sched
+
+import (
+	"math"
+	"time"
+)
+
+// rate measures events a second over about rateWindow.
+type rate struct {
+	value float64
+	last  Time
+	seen  bool
+}
+
+const rateWindow = 20 * time.Second
+
+// add counts one event.
+func (r *rate) add(now Time) {
+	if !r.seen {
+		r.seen = true
+		r.last = now
+	}
+	r.decay(now)
+	r.value += 1 / rateWindow.Seconds()
+}
+
+func (r *rate) decay(now Time) {
+	dt := now.Sub(r.last)
+	if dt <= 0 {
+		return
+	}
+	r.value *= math.Exp(-dt.Seconds() / rateWindow.Seconds())
+	r.last = now
+}
+
+// perSecond returns the rate at now.
+func (r *rate) perSecond(now Time) float64 {
+	dt := max(now.Sub(r.last), 0)
+	return r.value * math.Exp(-dt.Seconds()/rateWindow.Seconds())
+}
+
+// blendMean moves mean towards v; the first value is taken as it is.
+func blendMean(mean *float64, v float64) {
+	const weight = 0.05
+	if *mean == 0 {
+		*mean = v
+		return
+	}
+	*mean += weight * (v - *mean)
+}
+
+// endRing remembers generations that left a target lately, so that an old report can be compared with what ran then.
+type endRing struct {
+	items [64]endItem
+	next  int
+}
+
+type endItem struct {
+	granted, ended Time
+	held           int
+}
+
+func (r *endRing) add(e endItem) {
+	r.items[r.next] = e
+	r.next = (r.next + 1) % len(r.items)
+}
+
+// at returns how many of the remembered generations were on the target at t, and what they held.
+func (r *endRing) at(t Time) (n, held int) {
+	for i := range r.items {
+		e := &r.items[i]
+		if e.granted <= t && t < e.ended {
+			n++
+			held += e.held
+		}
+	}
+	return n, held
+}
