Serve a model engine and a plain service as small stand-ins

Ruled out: a script of canned answers; it would show neither growing memory nor preemption nor lagging reports, on which the decisions hang.

--- /dev/null
+++ b/app/anvilwick-standin/main.go
@@ -0,0 +1,93 @@
+// Command anvilwick-standin runs one small stand-in for a part that is not anvilwick's: a model engine or a plain service.
+//
+// Exit codes: 0 after a graceful stop, 1 when the stand-in failed or was ordered to die, 2 for bad flags.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+const (
+	exitFailed   = 1
+	exitUsage    = 2
+	envPrefix    = "ANVILWICK_STANDIN"
+	stopDeadline = 10 * time.Second
+)
+
+// server is what every stand-in offers once it runs.
+type server interface {
+	Addr() string
+	Close(ctx context.Context) error
+}
+
+func main() {
+	root := &ffcli.Command{
+		ShortUsage:  "anvilwick-standin <engine|plain> [flags]",
+		ShortHelp:   "runs a stand-in for a model engine or a plain service, on loopback, for tests and demos",
+		FlagSet:     flag.NewFlagSet("anvilwick-standin", flag.ContinueOnError),
+		Subcommands: subcommands(),
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	os.Exit(exitCode(root, ctx))
+}
+
+// subcommands lists the stand-ins; the platform's stands beside these two.
+func subcommands() []*ffcli.Command {
+	return []*ffcli.Command{engineCommand(), plainCommand()}
+}
+
+func exitCode(root *ffcli.Command, ctx context.Context) int {
+	if err := root.Parse(os.Args[1:]); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return 0
+		}
+		fmt.Fprintln(os.Stderr, "anvilwick-standin:", err)
+		return exitUsage
+	}
+	err := root.Run(ctx)
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, flag.ErrHelp):
+		return exitUsage
+	}
+	fmt.Fprintln(os.Stderr, "anvilwick-standin:", err)
+	return exitFailed
+}
+
+// command builds a subcommand whose flags can also come from the environment.
+func command(fs *flag.FlagSet, help string, start func() (server, error)) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       fs.Name(),
+		ShortUsage: "anvilwick-standin " + fs.Name() + " [flags]",
+		ShortHelp:  help,
+		FlagSet:    fs,
+		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
+		Exec:       func(ctx context.Context, _ []string) error { return serve(ctx, fs.Name(), start) },
+	}
+}
+
+// serve runs a stand-in until a signal asks it to stop.
+func serve(ctx context.Context, kind string, start func() (server, error)) error {
+	srv, err := start()
+	if err != nil {
+		return err
+	}
+	fmt.Printf("event=listening kind=%s addr=%s pid=%d\n", kind, srv.Addr(), os.Getpid())
+	<-ctx.Done()
+	stop, cancel := context.WithTimeout(context.Background(), stopDeadline)
+	defer cancel()
+	return srv.Close(stop)
+}
--- /dev/null
+++ b/lib/standin/engine/fault.go
@@ -0,0 +1,172 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/engineapi"
+	"anvilwick.example/anvilwick/lib/enginemodel"
+)
+
+// Paths of the stand-in itself; a real engine has none of them.
+const (
+	PathFault = "/standin/fault" // POST Fault
+	PathStats = "/standin/stats" // GET Stats
+)
+
+// Values of Fault.Kind.
+const (
+	FaultDie     = "die"     // cut all connections and end the process
+	FaultStall   = "stall"   // the link carries nothing for MS; the engine works on
+	FaultFreeze  = "freeze"  // load reports stay as they are; MS 0: until thawed
+	FaultThaw    = "thaw"    // load reports go on
+	FaultSlow    = "slow"    // steps take Factor times as long
+	FaultLeave   = "leave"   // refuse new work, and die after MS; 0: stay
+	FaultCut     = "cut"     // cut every stream in progress without an end mark; the engine stays
+	FaultRepeat  = "repeat"  // streams carry repeated frames and frames of other attempts beside the right ones
+	FaultHealthy = "healthy" // end stall, freeze, slow, leave and repeat
+)
+
+// Fault is an order to misbehave.
+type Fault struct {
+	Kind   string  `json:"kind"`
+	MS     int64   `json:"ms,omitempty"`
+	Factor float64 `json:"factor,omitempty"`
+}
+
+// Stats counts what the stand-in did, for tests.
+type Stats struct {
+	Generations   int    `json:"generations"`
+	OrdersApplied int    `json:"orders_applied"`
+	Fence         uint64 `json:"fence"`
+	Preemptions   uint64 `json:"preemptions"`
+	Streams       int    `json:"streams"`
+}
+
+type faultState struct {
+	stalledUntil time.Time
+	repeat       bool
+}
+
+// stallPoll is how often a held-back writer looks whether the link has recovered.
+const stallPoll = 5 * time.Millisecond
+
+func (s *Server) faultHandler(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		refuse(w, http.StatusBadRequest, engineapi.ErrBad, err.Error(), true)
+		return
+	}
+	if !s.Order(f) {
+		refuse(w, http.StatusBadRequest, engineapi.ErrBad, "unknown fault "+f.Kind, true)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Order carries a fault out and reports whether its kind is known.
+func (s *Server) Order(f Fault) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wait := time.Duration(f.MS) * time.Millisecond
+	switch f.Kind {
+	case FaultDie:
+		go s.die()
+	case FaultStall:
+		s.faults.stalledUntil = time.Now().Add(wait)
+	case FaultFreeze:
+		s.model.FreezeReports(true)
+		if wait > 0 {
+			time.AfterFunc(wait, func() { s.Order(Fault{Kind: FaultThaw}) })
+		}
+	case FaultThaw:
+		s.model.FreezeReports(false)
+	case FaultSlow:
+		s.model.SetSlow(max(1, f.Factor))
+	case FaultLeave:
+		s.model.SetLeaving(true)
+		if wait > 0 {
+			time.AfterFunc(wait, s.die)
+		}
+	case FaultCut:
+		s.cutStreams()
+	case FaultRepeat:
+		s.faults.repeat = true
+	case FaultHealthy:
+		s.faults = faultState{}
+		s.model.FreezeReports(false)
+		s.model.SetSlow(1)
+		s.model.SetLeaving(false)
+	default:
+		return false
+	}
+	return true
+}
+
+func (s *Server) die() {
+	s.Kill()
+	s.cfg.Die()
+}
+
+func (s *Server) cutStreams() {
+	for key, st := range s.streams {
+		s.model.Cancel(s.now(), key.gen, key.attempt)
+		delete(s.streams, key)
+		close(st.cancel)
+	}
+}
+
+// waitLink holds the caller while the link is stalled; false: the reader went away first.
+func (s *Server) waitLink(gone <-chan struct{}) bool {
+	for {
+		s.mu.Lock()
+		left := time.Until(s.faults.stalledUntil)
+		s.mu.Unlock()
+		if left <= 0 {
+			return true
+		}
+		select {
+		case <-gone:
+			return false
+		case <-s.stop:
+			return false
+		case <-time.After(min(left, stallPoll)):
+		}
+	}
+}
+
+// poison ends the process if the prompt asks for it and the engine is vulnerable.
+func (s *Server) poison(j *job) {
+	if s.cfg.Poison && strings.Contains(j.prompt, markPoison) {
+		s.die()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// repeats adds the frames that a reader must drop, if they were ordered.
+func (s *Server) repeats(j *job, ev enginemodel.Event, f engineapi.Frame) []engineapi.Frame {
+	s.mu.Lock()
+	repeat := s.faults.repeat
+	s.mu.Unlock()
+	if !repeat || ev.Kind != enginemodel.EvToken {
+		return []engineapi.Frame{f}
+	}
+	old := f
+	old.Ext.Attempt--
+	old.Choices = []engineapi.Choice{j.choice(" late-late-late")}
+	return []engineapi.Frame{old, f, f}
+}
+
+func (s *Server) stats(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writeJSON(w, http.StatusOK, Stats{
+		Generations:   len(s.fences.byGen),
+		OrdersApplied: s.orders.applied,
+		Fence:         s.orders.fence,
+		Preemptions:   s.model.Preemptions(),
+		Streams:       len(s.streams),
+	})
+}
--- /dev/null
+++ b/lib/standin/engine/server.go
@@ -0,0 +1,184 @@
+// Package engine is a stand-in model engine: it serves lib/engineapi over HTTP and runs lib/enginemodel in real time.
+//
+// Its answers are made-up text that tells prompt, generation and index apart (TokenText). Faults are ordered by flags, or
+// by POST /standin/fault, which has no authentication: the stand-in is for loopback only.
+package engine
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/enginemodel"
+	"anvilwick.example/anvilwick/lib/ids"
+)
+
+// Config is what the stand-in needs to know.
+type Config struct {
+	Addr         string // IP:port; port 0 picks one
+	Engine       enginemodel.Config
+	Model        string // model it starts with; requests for another are refused
+	ModelVersion string
+	Role         string
+	Fencing      bool // refuse orders with an old fencing number
+	NoResume     bool // refuse requests that start beyond token 0
+	Poison       bool // die while running a prompt that holds "[poison]"
+	Incarnation  uint64
+	Die          func() // called by the fault "die" after connections are cut; nil: os.Exit(1)
+}
+
+// Server is one running stand-in.
+type Server struct {
+	cfg   Config
+	start time.Time
+	http  *http.Server
+	ln    net.Listener
+	wake  chan struct{}
+	stop  chan struct{}
+	done  sync.WaitGroup
+	once  sync.Once
+
+	mu      sync.Mutex
+	model   *enginemodel.Engine
+	streams map[streamKey]*stream
+	fences  fences
+	orders  orderState
+	faults  faultState
+}
+
+type streamKey struct {
+	gen     ids.Generation
+	attempt uint32
+}
+
+// Start listens and serves until Close or Kill.
+func Start(cfg Config) (*Server, error) {
+	ln, err := net.Listen("tcp", cfg.Addr)
+	if err != nil {
+		return nil, err
+	}
+	s := newServer(cfg)
+	s.ln = ln
+	s.done.Add(2)
+	go func() {
+		defer s.done.Done()
+		s.run()
+	}()
+	go func() {
+		defer s.done.Done()
+		_ = s.http.Serve(ln)
+	}()
+	return s, nil
+}
+
+func newServer(cfg Config) *Server {
+	if cfg.Role == "" {
+		cfg.Role = "mixed"
+	}
+	if cfg.Die == nil {
+		cfg.Die = func() { os.Exit(1) }
+	}
+	if cfg.Incarnation == 0 {
+		cfg.Incarnation = uint64(time.Now().UnixNano())
+	}
+	s := &Server{
+		cfg:     cfg,
+		start:   time.Now(),
+		wake:    make(chan struct{}, 1),
+		stop:    make(chan struct{}),
+		model:   enginemodel.New(cfg.Engine),
+		streams: make(map[streamKey]*stream),
+		fences:  newFences(),
+		orders:  newOrderState(cfg),
+	}
+	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: 10 * time.Second}
+	return s
+}
+
+// Addr is the address it listens on.
+func (s *Server) Addr() string { return s.ln.Addr().String() }
+
+// Close ends gracefully: streams in progress may finish until ctx ends.
+func (s *Server) Close(ctx context.Context) error {
+	err := s.http.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = s.http.Close()
+	}
+	s.halt()
+	s.done.Wait()
+	return err
+}
+
+// Kill cuts every connection at once, as the death of the process would.
+func (s *Server) Kill() {
+	s.halt()
+	_ = s.http.Close()
+}
+
+func (s *Server) halt() { s.once.Do(func() { close(s.stop) }) }
+
+func (s *Server) now() time.Duration { return time.Since(s.start) }
+
+// run ends the model's steps when they are due.
+func (s *Server) run() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		timer.Reset(s.stepDue())
+		select {
+		case <-s.stop:
+			return
+		case <-s.wake:
+		case <-timer.C:
+		}
+	}
+}
+
+// stepDue runs the steps that are due and returns the time until the next.
+func (s *Server) stepDue() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for {
+		at, busy := s.model.Next()
+		if !busy {
+			return time.Hour
+		}
+		now := s.now()
+		if now < at {
+			return at - now
+		}
+		for _, ev := range s.model.Step(now, nil) {
+			s.deliver(ev)
+		}
+	}
+}
+
+// deliver hands an event to its stream. It never blocks: a stream holds as many events as its answer can have.
+func (s *Server) deliver(ev enginemodel.Event) {
+	key := streamKey{ev.Gen, ev.Attempt}
+	st := s.streams[key]
+	if st == nil {
+		return
+	}
+	switch ev.Kind {
+	case enginemodel.EvPreempted:
+		return
+	case enginemodel.EvToken:
+		s.fences.produced(ev.Gen, ev.Index+1)
+	case enginemodel.EvFinished, enginemodel.EvDropped:
+		delete(s.streams, key)
+	}
+	st.push(ev)
+}
+
+// kick makes run look at the model again.
+func (s *Server) kick() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/lib/standin/engine/stream.go
@@ -0,0 +1,38 @@
+package engine
+
+import (
+	"sync"
+
+	"anvilwick.example/anvilwick/lib/enginemodel"
+)
+
+// stream carries events of one attempt to its HTTP handler. A reader that is slow lets it grow up to the answer's length.
+type stream struct {
+	mu     sync.Mutex
+	queue  []enginemodel.Event
+	ready  chan struct{}
+	cancel chan struct{} // closed when the attempt is fenced
+}
+
+func newStream() *stream {
+	return &stream{ready: make(chan struct{}, 1), cancel: make(chan struct{})}
+}
+
+func (st *stream) push(ev enginemodel.Event) {
+	st.mu.Lock()
+	st.queue = append(st.queue, ev)
+	st.mu.Unlock()
+	select {
+	case st.ready <- struct{}{}:
+	default:
+	}
+}
+
+// take returns all events that wait.
+func (st *stream) take() []enginemodel.Event {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	q := st.queue
+	st.queue = nil
+	return q
+}
--- /dev/null
+++ b/lib/standin/engine/text.go
@@ -0,0 +1,92 @@
+package engine
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Marks that a test may put into a prompt.
+const (
+	markLength = "[len="    // [len=200]: the answer has 200 tokens
+	markPoison = "[poison]" // the engine dies while it runs this prompt, if Config.Poison is set
+)
+
+// Bounds of answers whose prompt does not fix a length.
+const (
+	medianLength = 120
+	sigmaLength  = 0.9
+	maxLength    = 8000
+)
+
+// TokenText returns token i of the answer to a prompt within a generation. Tests check a whole answer by it: the first
+// part names the prompt, the second the generation, the third the index.
+func TokenText(prompt, generation string, i int) string {
+	return fmt.Sprintf(" %08x-%04x-%d", uint32(xxhash.Sum64String(prompt)), uint16(xxhash.Sum64String(generation)), i)
+}
+
+// Answer returns the whole text of an answer of n tokens.
+func Answer(prompt, generation string, n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(TokenText(prompt, generation, i))
+	}
+	return b.String()
+}
+
+// CheckAnswer reports the first thing wrong with the text of a whole answer of n tokens to a prompt: a token of another
+// prompt, a change of generation, a gap, a repeat or a missing end. n < 0 accepts any count.
+func CheckAnswer(prompt, text string, n int) error {
+	tokens := strings.Fields(text)
+	if n >= 0 && len(tokens) != n {
+		return fmt.Errorf("the answer has %d tokens, want %d", len(tokens), n)
+	}
+	want := fmt.Sprintf("%08x", uint32(xxhash.Sum64String(prompt)))
+	generation := ""
+	for i, tok := range tokens {
+		part := strings.Split(tok, "-")
+		if len(part) != 3 {
+			return fmt.Errorf("token %d reads %q", i, tok)
+		}
+		if generation == "" {
+			generation = part[1]
+		}
+		switch {
+		case part[0] != want:
+			return fmt.Errorf("token %d is of another prompt: %q", i, tok)
+		case part[1] != generation:
+			return fmt.Errorf("token %d is of another generation: %q", i, tok)
+		case part[2] != strconv.Itoa(i):
+			return fmt.Errorf("token %d has index %s", i, part[2])
+		}
+	}
+	return nil
+}
+
+// AnswerLength returns the tokens of the answer to a prompt: what the prompt fixes, or a heavy-tailed draw that depends
+// on the prompt alone, so that every engine agrees on it.
+func AnswerLength(prompt string) int {
+	if n, ok := fixedLength(prompt); ok {
+		return n
+	}
+	rng := rand.New(rand.NewPCG(xxhash.Sum64String(prompt), 1))
+	n := int(medianLength * math.Exp(sigmaLength*rng.NormFloat64()))
+	return min(max(n, 1), maxLength)
+}
+
+func fixedLength(prompt string) (int, bool) {
+	_, rest, found := strings.Cut(prompt, markLength)
+	if !found {
+		return 0, false
+	}
+	digits, _, closed := strings.Cut(rest, "]")
+	n, err := strconv.Atoi(digits)
+	if !closed || err != nil || n < 1 {
+		return 0, false
+	}
+	return n, true
+}
--- /dev/null
+++ b/lib/standin/plain/call.go
@@ -0,0 +1,146 @@
+package plain
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Order carries a fault out and reports whether its kind is known.
+func (s *Server) Order(f Fault) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wait := time.Duration(f.MS) * time.Millisecond
+	switch f.Kind {
+	case FaultDie:
+		go s.die()
+	case FaultDelay:
+		s.delay = wait
+	case FaultLeave:
+		s.leaving = true
+		if wait > 0 {
+			time.AfterFunc(wait, s.die)
+		}
+	case FaultDieBefore, FaultDieAfter, FaultCutBefore, FaultCutAfter, FaultCutBody, FaultHang, FaultError:
+		s.fault = f.Kind
+		s.left = max(1, f.Count)
+	case FaultHealthy:
+		s.fault, s.left = "", 0
+		s.leaving = false
+		s.delay = s.cfg.Delay
+	default:
+		return false
+	}
+	return true
+}
+
+func (s *Server) die() {
+	s.Kill()
+	s.cfg.Die()
+}
+
+// call executes one call, with the faults that were ordered around it.
+func (s *Server) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		return
+	}
+	fault, delay, ok := s.enter()
+	if !ok {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "at capacity", http.StatusServiceUnavailable)
+		return
+	}
+	defer s.leave()
+	s.failBefore(fault)
+	if fault == FaultError {
+		http.Error(w, "ordered to fail", http.StatusInternalServerError)
+		return
+	}
+	ans := s.execute(r, string(body))
+	select {
+	case <-time.After(delay):
+	case <-s.stop:
+		panic(http.ErrAbortHandler)
+	}
+	s.answer(w, r, fault, ans)
+}
+
+// enter takes a place and the fault for this call; false: no place is free.
+func (s *Server) enter() (fault string, delay time.Duration, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running >= s.cfg.Capacity {
+		return "", 0, false
+	}
+	s.running++
+	if s.left > 0 {
+		s.left--
+		fault = s.fault
+	}
+	return fault, s.delay, true
+}
+
+func (s *Server) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+func (s *Server) failBefore(fault string) {
+	switch fault {
+	case FaultDieBefore:
+		s.die()
+		panic(http.ErrAbortHandler)
+	case FaultCutBefore:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Server) execute(r *http.Request, body string) Answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := callID(r)
+	if len(s.counts) < maxPending || s.counts[id] > 0 {
+		s.counts[id]++
+	}
+	return Answer{
+		Service:    s.cfg.Name,
+		ID:         id,
+		Executions: s.counts[id],
+		Method:     r.Method,
+		Path:       r.URL.Path,
+		Body:       body,
+	}
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, fault string, ans Answer) {
+	switch fault {
+	case FaultDieAfter:
+		s.die()
+		panic(http.ErrAbortHandler)
+	case FaultCutAfter:
+		panic(http.ErrAbortHandler)
+	case FaultHang:
+		select {
+		case <-r.Context().Done():
+		case <-s.stop:
+		}
+		panic(http.ErrAbortHandler)
+	}
+	data, err := json.Marshal(ans)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	if fault == FaultCutBody {
+		_, _ = w.Write(data[:len(data)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/lib/standin/plain/plain.go
@@ -0,0 +1,205 @@
+// Package plain is a stand-in for a plain HTTP service behind anvilwick: it answers any method and path, counts
+// executions by the id that the call carries, reports its load, and misbehaves when told to.
+//
+// An id is the header X-Call-Id, else Idempotency-Key, else the query parameter id, else the path.
+package plain
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/engineapi"
+)
+
+// Paths of the stand-in itself; a real service has only engineapi.PathServiceLoad.
+const (
+	PathFault      = "/standin/fault"      // POST Fault
+	PathExecutions = "/standin/executions" // GET: map of id to count
+)
+
+// HeaderCallID names the execution to count.
+const HeaderCallID = "X-Call-Id"
+
+const (
+	maxBody    = 16 << 20 // bytes
+	maxPending = 1 << 20  // ids counted at most
+)
+
+// Config is what the stand-in needs to know.
+type Config struct {
+	Addr      string // IP:port; port 0 picks one
+	Name      string // told in each answer
+	Delay     time.Duration
+	Capacity  int           // calls at once; more are refused with 503
+	ReportLag time.Duration // load reports are up to so old
+	Die       func()        // called by the death faults after connections are cut; nil: os.Exit(1)
+}
+
+// Values of Fault.Kind. All but "delay", "leave" and "die" act on the next Count calls.
+const (
+	FaultDie       = "die"        // cut all connections and end the process
+	FaultDieBefore = "die_before" // end the process on a call before it is executed
+	FaultDieAfter  = "die_after"  // end the process on a call after it is executed, before the answer
+	FaultCutBefore = "cut_before" // close the connection before the call is executed
+	FaultCutAfter  = "cut_after"  // execute the call, then close the connection without an answer
+	FaultCutBody   = "cut_body"   // execute the call, answer half of the body, then close
+	FaultHang      = "hang"       // execute the call and never answer
+	FaultError     = "error"      // execute nothing and answer 500
+	FaultDelay     = "delay"      // every call takes MS from now on
+	FaultLeave     = "leave"      // report leaving; MS > 0: die after it
+	FaultHealthy   = "healthy"    // end all of them
+)
+
+// Fault is an order to misbehave.
+type Fault struct {
+	Kind  string `json:"kind"`
+	MS    int64  `json:"ms,omitempty"`
+	Count int    `json:"count,omitempty"` // calls that it acts on; 0: one
+}
+
+// Answer is the body of every answer.
+type Answer struct {
+	Service    string `json:"service"`
+	ID         string `json:"id"`
+	Executions int    `json:"executions"` // of this id at this service, this one included
+	Method     string `json:"method"`
+	Path       string `json:"path"`
+	Body       string `json:"body,omitempty"`
+}
+
+// Server is one running stand-in.
+type Server struct {
+	cfg  Config
+	http *http.Server
+	ln   net.Listener
+	stop chan struct{}
+	once sync.Once
+	done sync.WaitGroup
+
+	mu      sync.Mutex
+	counts  map[string]int
+	running int
+	delay   time.Duration
+	leaving bool
+	fault   string
+	left    int // calls that fault still acts on
+	report  engineapi.ServiceLoad
+	at      time.Time // when report was taken
+}
+
+// Start listens and serves until Close or Kill.
+func Start(cfg Config) (*Server, error) {
+	ln, err := net.Listen("tcp", cfg.Addr)
+	if err != nil {
+		return nil, err
+	}
+	if cfg.Die == nil {
+		cfg.Die = func() { os.Exit(1) }
+	}
+	if cfg.Capacity == 0 {
+		cfg.Capacity = 64
+	}
+	s := &Server{
+		cfg:    cfg,
+		ln:     ln,
+		stop:   make(chan struct{}),
+		counts: make(map[string]int),
+		delay:  cfg.Delay,
+	}
+	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: 10 * time.Second}
+	s.done.Add(1)
+	go func() {
+		defer s.done.Done()
+		_ = s.http.Serve(ln)
+	}()
+	return s, nil
+}
+
+// Addr is the address it listens on.
+func (s *Server) Addr() string { return s.ln.Addr().String() }
+
+// Close ends gracefully: calls in progress may finish until ctx ends.
+func (s *Server) Close(ctx context.Context) error {
+	err := s.http.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = s.http.Close()
+	}
+	s.halt()
+	s.done.Wait()
+	return err
+}
+
+// Kill cuts every connection at once, as the death of the process would.
+func (s *Server) Kill() {
+	s.halt()
+	_ = s.http.Close()
+}
+
+func (s *Server) halt() { s.once.Do(func() { close(s.stop) }) }
+
+// Executions returns how often each id was executed.
+func (s *Server) Executions() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.counts)
+}
+
+func (s *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+engineapi.PathServiceLoad, s.load)
+	mux.HandleFunc("POST "+PathFault, s.faultHandler)
+	mux.HandleFunc("GET "+PathExecutions, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, s.Executions())
+	})
+	mux.HandleFunc("/", s.call)
+	return mux
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func callID(r *http.Request) string {
+	for _, id := range []string{r.Header.Get(HeaderCallID), r.Header.Get("Idempotency-Key"), r.URL.Query().Get("id")} {
+		if id != "" {
+			return id
+		}
+	}
+	return r.URL.Path
+}
+
+func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.report.Seq == 0 || time.Since(s.at) >= s.cfg.ReportLag {
+		s.at = time.Now()
+		s.report = engineapi.ServiceLoad{
+			Seq:      s.report.Seq + 1,
+			Running:  s.running,
+			Capacity: s.cfg.Capacity,
+			Leaving:  s.leaving,
+		}
+	}
+	rep := s.report
+	rep.AgeMS = time.Since(s.at).Milliseconds()
+	writeJSON(w, http.StatusOK, rep)
+}
+
+func (s *Server) faultHandler(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&f); err != nil || !s.Order(f) {
+		http.Error(w, "unknown fault", http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
