--- /dev/null
+++ b/lib/standin/engine/server_test.go
@@ -0,0 +1,233 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/engineapi"
+	"anvilwick.example/anvilwick/lib/enginemodel"
+	"anvilwick.example/anvilwick/lib/ids"
+)
+
+// fast is an engine with millisecond steps.
+func fast() Config {
+	m := enginemodel.Default()
+	m.StepBase = time.Millisecond
+	m.StepPerSeq = 0
+	m.StepPerPrefill = 0
+	m.ReportLag = 20 * time.Millisecond
+	return Config{Addr: "127.0.0.1:0", Engine: m, Model: "m1", Fencing: true, Incarnation: 1, Die: func() {}}
+}
+
+func begin(t *testing.T, cfg Config) *Server {
+	s, err := Start(cfg)
+	must.NoError(t, err)
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = s.Close(ctx)
+	})
+	return s
+}
+
+func post(t *testing.T, s *Server, path string, v any) *http.Response {
+	body, err := json.Marshal(v)
+	must.NoError(t, err)
+	resp, err := http.Post("http://"+s.Addr()+path, "application/json", bytes.NewReader(body))
+	must.NoError(t, err)
+	t.Cleanup(func() { resp.Body.Close() })
+	return resp
+}
+
+func streamed(g ids.Generation, attempt, start uint32, prompt string) engineapi.Request {
+	return engineapi.Request{
+		Model:  "m1",
+		Prompt: prompt,
+		Stream: true,
+		Ext:    &engineapi.Ext{Generation: g.String(), Attempt: attempt, StartIndex: start},
+	}
+}
+
+// readFrames reads until [DONE] or the end of the stream; done tells which.
+func readFrames(r io.Reader, most int) (frames []engineapi.Frame, done bool) {
+	sc := bufio.NewScanner(r)
+	for len(frames) < most && sc.Scan() {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		switch {
+		case !ok:
+		case data == engineapi.DoneData:
+			return frames, true
+		default:
+			var f engineapi.Frame
+			if json.Unmarshal([]byte(data), &f) == nil {
+				frames = append(frames, f)
+			}
+		}
+	}
+	return frames, false
+}
+
+func text(frames []engineapi.Frame) string {
+	var b strings.Builder
+	for _, f := range frames {
+		b.WriteString(f.Choices[0].Text)
+	}
+	return b.String()
+}
+
+func refusal(t *testing.T, resp *http.Response) engineapi.Error {
+	var body struct {
+		Error engineapi.Error `json:"error"`
+	}
+	must.NoError(t, json.NewDecoder(resp.Body).Decode(&body))
+	return body.Error
+}
+
+const unlimited = 1 << 30
+
+func TestStreamIsWholeAndMarked(t *testing.T) {
+	s := begin(t, fast())
+	resp := post(t, s, engineapi.PathCompletions, streamed(ids.From(1, 1), 1, 0, "a [len=20]"))
+	frames, done := readFrames(resp.Body, unlimited)
+	must.True(t, done)
+	must.Eq(t, 21, len(frames))
+	must.Eq(t, "stop", *frames[20].Choices[0].FinishReason)
+	must.NoError(t, CheckAnswer("a [len=20]", text(frames), 20))
+}
+
+// The caller sees one answer although its engine changed: the rest that a second engine sends from index 7 continues the
+// text of the first, because text depends on prompt, generation and index alone.
+func TestResumeContinuesElsewhere(t *testing.T) {
+	a, b := begin(t, fast()), begin(t, fast())
+	g := ids.From(1, 2)
+	first, _ := readFrames(post(t, a, engineapi.PathCompletions, streamed(g, 1, 0, "x [len=30]")).Body, 7)
+	rest, done := readFrames(post(t, b, engineapi.PathCompletions, streamed(g, 2, 7, "x [len=30]")).Body, unlimited)
+	must.True(t, done)
+	must.NoError(t, CheckAnswer("x [len=30]", text(first)+text(rest), 30))
+}
+
+// An entry cancels attempt 1 and its request arrives after the cancel, delayed in a queue. It must not run: attempt 2
+// runs elsewhere by then. The engine refuses with 409 and proves that nothing was executed.
+func TestLateAttemptIsFenced(t *testing.T) {
+	s := begin(t, fast())
+	g := ids.From(1, 3)
+	req, err := http.NewRequest(http.MethodDelete, fmt.Sprintf("http://%s%s%s?attempt=1", s.Addr(), engineapi.PathGenerations, g), nil)
+	must.NoError(t, err)
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	var res engineapi.CancelResult
+	must.NoError(t, json.NewDecoder(resp.Body).Decode(&res))
+	must.Eq(t, engineapi.CancelResult{}, res)
+	late := post(t, s, engineapi.PathCompletions, streamed(g, 1, 0, "late"))
+	must.Eq(t, http.StatusConflict, late.StatusCode)
+	must.True(t, refusal(t, late).NotRun)
+	next := post(t, s, engineapi.PathCompletions, streamed(g, 2, 0, "late [len=2]"))
+	must.Eq(t, http.StatusOK, next.StatusCode)
+}
+
+// Attempt 2 of a generation arrives at the same engine while attempt 1 still streams. The first stream ends without an
+// end mark, so that its reader can't take it for whole; only the second goes on.
+func TestLaterAttemptEndsTheEarlier(t *testing.T) {
+	s := begin(t, fast())
+	g := ids.From(1, 4)
+	one := post(t, s, engineapi.PathCompletions, streamed(g, 1, 0, "y [len=2000]"))
+	got, _ := readFrames(one.Body, 3)
+	must.Eq(t, 3, len(got))
+	two := post(t, s, engineapi.PathCompletions, streamed(g, 2, 3, "y [len=40]"))
+	_, done := readFrames(one.Body, unlimited)
+	must.False(t, done)
+	_, done = readFrames(two.Body, unlimited)
+	must.True(t, done)
+}
+
+func TestOrdersHonourFencingNumbers(t *testing.T) {
+	for _, enforced := range []bool{true, false} {
+		cfg := fast()
+		cfg.Fencing = enforced
+		s := begin(t, cfg)
+		order := func(fence uint64, model string) int {
+			o := engineapi.Order{Fence: fence, Kind: engineapi.OrderLoadModel, Model: model}
+			return post(t, s, engineapi.PathOrders, o).StatusCode
+		}
+		must.Eq(t, http.StatusNoContent, order(5, "m2"))
+		must.Eq(t, http.StatusNoContent, order(5, "m2"))
+		must.Eq(t, 1, s.orders.applied)
+		old := order(4, "m3")
+		must.Eq(t, enforced, old == http.StatusConflict)
+		must.Eq(t, uint64(5), s.orders.fence)
+	}
+}
+
+// Each frame of a stream comes twice, after one of an earlier attempt, as a confused link could deliver them. A reader
+// that takes the frames of its own attempt and of the next index still has the whole answer.
+func TestRepeatedFramesCanBeTold(t *testing.T) {
+	s := begin(t, fast())
+	must.True(t, s.Order(Fault{Kind: FaultRepeat}))
+	frames, done := readFrames(post(t, s, engineapi.PathCompletions, streamed(ids.From(1, 5), 3, 0, "z [len=9]")).Body, unlimited)
+	must.True(t, done)
+	must.Eq(t, 3*9+1, len(frames))
+	var kept []engineapi.Frame
+	for _, f := range frames {
+		if f.Ext.Attempt == 3 && int(f.Ext.Index) == len(kept) {
+			kept = append(kept, f)
+		}
+	}
+	must.NoError(t, CheckAnswer("z [len=9]", text(kept), 9))
+}
+
+// The process dies while it streams: the reader sees the stream end without an end mark.
+func TestPoisonKillsTheEngine(t *testing.T) {
+	cfg := fast()
+	cfg.Poison = true
+	died := make(chan struct{})
+	cfg.Die = func() { close(died) }
+	s := begin(t, cfg)
+	body := strings.NewReader(`{"prompt":"[poison]","stream":true}`)
+	resp, err := http.Post("http://"+s.Addr()+engineapi.PathCompletions, "application/json", body)
+	if err == nil {
+		_, done := readFrames(resp.Body, unlimited)
+		resp.Body.Close()
+		must.False(t, done)
+	}
+	<-died
+}
+
+func TestLeavingRefusesNewWork(t *testing.T) {
+	s := begin(t, fast())
+	must.True(t, s.Order(Fault{Kind: FaultLeave}))
+	resp := post(t, s, engineapi.PathCompletions, streamed(ids.From(1, 6), 1, 0, "q"))
+	must.Eq(t, http.StatusServiceUnavailable, resp.StatusCode)
+	must.Eq(t, engineapi.ErrDraining, refusal(t, resp).Type)
+}
+
+func TestCheckAnswerFindsMixedText(t *testing.T) {
+	whole := Answer("p", "g", 5)
+	must.NoError(t, CheckAnswer("p", whole, 5))
+	must.Error(t, CheckAnswer("other", whole, 5))
+	must.Error(t, CheckAnswer("p", whole, 6))
+	must.Error(t, CheckAnswer("p", whole+TokenText("p", "g", 4), -1))
+	must.Error(t, CheckAnswer("p", whole+TokenText("p", "h", 5), -1))
+}
+
+func FuzzParseCompletion(f *testing.F) {
+	f.Add([]byte(`{"prompt":"a [len=3]","ext":{"generation":"00112233445566778899aabbccddeeff","start_index":1,"resume":["x"]}}`))
+	f.Add([]byte(`{"messages":[{"role":"user","content":"[len=99999999999999999999]"}],"max_tokens":-1}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		r, err := http.NewRequest(http.MethodPost, engineapi.PathCompletions, bytes.NewReader(body))
+		must.NoError(t, err)
+		if j, err := parseJob(r); err == nil && (j.seq.Length < 1 || j.seq.Emitted > j.seq.Length) {
+			t.Fatalf("accepted %+v", j.seq)
+		}
+	})
+}
--- /dev/null
+++ b/lib/standin/plain/plain_test.go
@@ -0,0 +1,88 @@
+package plain
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/engineapi"
+)
+
+func begin(t *testing.T) *Server {
+	s, err := Start(Config{Addr: "127.0.0.1:0", Name: "dispatch", Capacity: 2, Die: func() {}})
+	must.NoError(t, err)
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = s.Close(ctx)
+	})
+	return s
+}
+
+// call posts with an id on a connection of its own.
+func call(s *Server, id string) (*http.Response, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+s.Addr()+"/crews", strings.NewReader("send one"))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set(HeaderCallID, id)
+	req.Close = true
+	return http.DefaultClient.Do(req)
+}
+
+func TestCallsAreCountedByID(t *testing.T) {
+	s := begin(t)
+	for range 2 {
+		resp, err := call(s, "a")
+		must.NoError(t, err)
+		resp.Body.Close()
+	}
+	resp, err := call(s, "b")
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	var ans Answer
+	must.NoError(t, json.NewDecoder(resp.Body).Decode(&ans))
+	must.Eq(t, Answer{Service: "dispatch", ID: "b", Executions: 1, Method: "POST", Path: "/crews", Body: "send one"}, ans)
+	must.Eq(t, map[string]int{"a": 2, "b": 1}, s.Executions())
+}
+
+// The caller sees the connection close without an answer in both cases. Only the count tells them apart: cut before, the
+// call was never executed; cut after, it was. A router that repeats the second runs it twice.
+func TestCutBeforeAndAfterExecution(t *testing.T) {
+	s := begin(t)
+	must.True(t, s.Order(Fault{Kind: FaultCutBefore}))
+	_, err := call(s, "before")
+	must.Error(t, err)
+	must.True(t, s.Order(Fault{Kind: FaultCutAfter}))
+	_, err = call(s, "after")
+	must.Error(t, err)
+	must.Eq(t, map[string]int{"after": 1}, s.Executions())
+}
+
+func TestCutBodyIsVisible(t *testing.T) {
+	s := begin(t)
+	must.True(t, s.Order(Fault{Kind: FaultCutBody}))
+	resp, err := call(s, "half")
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	_, err = io.ReadAll(resp.Body)
+	must.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+func TestLoadAndLeaving(t *testing.T) {
+	s := begin(t)
+	must.True(t, s.Order(Fault{Kind: FaultLeave}))
+	resp, err := http.Get("http://" + s.Addr() + engineapi.PathServiceLoad)
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	var rep engineapi.ServiceLoad
+	must.NoError(t, json.NewDecoder(resp.Body).Decode(&rep))
+	must.True(t, rep.Leaving)
+	must.Eq(t, 2, rep.Capacity)
+}
