--- /dev/null
+++ b/lib/workload/text.go
@@ -0,0 +1,29 @@
+package workload
+
+import (
+	"fmt"
+	"strings"
+
+	"anvilwick.example/anvilwick/lib/engineapi"
+)
+
+// Text builds the prompt of r: the shared template of its workspace and class, then what is its own, then the mark that
+// tells a stand-in engine how long its answer is. engineapi.CountTokens of it is r.Prompt.
+func (r *Request) Text() string {
+	var b strings.Builder
+	fill(&b, r.Class.Template, fmt.Sprintf("%s/%s ", r.Workspace, r.Class.Name))
+	mark := fmt.Sprintf("[len=%d]", r.Length)
+	own := r.Prompt*engineapi.BytesPerToken - len(mark)
+	var tail strings.Builder
+	fill(&tail, own/engineapi.BytesPerToken+1, fmt.Sprintf("request %d ", r.Index))
+	b.WriteString(tail.String()[:max(0, own-b.Len())])
+	b.WriteString(mark)
+	return b.String()
+}
+
+// fill writes a repeated phrase of exactly so many tokens.
+func fill(b *strings.Builder, tokens int, phrase string) {
+	n := tokens * engineapi.BytesPerToken
+	text := strings.Repeat(phrase, n/len(phrase)+1)
+	b.WriteString(text[:n])
+}
