--- a/lib/sched/api.go
+++ b/lib/sched/api.go
@@ -31,8 +31,7 @@
 	MaxTokens    int      // 0: unbounded
 	Emitted      int      // tokens already delivered by earlier attempts
 	Preemptions  int      // how often it was already moved or preempted
-	Prefixes     []uint64 // hashes of growing prompt prefixes, shortest first
-	PrefixTokens []int    // tokens of each of Prefixes; nil: evenly spaced
+	Prefixes     []uint64 // hashes of growing prompt prefixes, shortest first, as engineapi.PrefixHashes gives them
 	Deadline     Time     // 0: none
 	Avoid        []string // targets that failed it
 	Fingerprint  uint64
--- a/lib/sched/inputs.go
+++ b/lib/sched/inputs.go
@@ -24,7 +24,6 @@
 	g.tokens = r.Emitted
 	g.moves = r.Preemptions
 	g.prefixes = r.Prefixes
-	g.prefixLens = r.PrefixTokens
 	g.deadline = r.Deadline
 	g.queued = now
 	g.heard = now
--- a/lib/sched/place.go
+++ b/lib/sched/place.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"anvilwick.example/anvilwick/lib/engineapi"
 	"anvilwick.example/anvilwick/lib/forecast"
 )
 
@@ -152,16 +153,8 @@
 	n := len(g.prefixes)
 	for k := n - 1; k >= 0; k-- {
 		if _, ok := t.cache[g.prefixes[k]]; ok {
-			return g.prefixTokens(k)
+			return min(engineapi.PrefixTokens(k), g.prompt)
 		}
 	}
 	return 0
 }
-
-// prefixTokens is the length of prefix k; without lengths the prefixes are taken as evenly spaced.
-func (g *gen) prefixTokens(k int) int {
-	if k < len(g.prefixLens) {
-		return min(g.prefixLens[k], g.prompt)
-	}
-	return g.prompt * (k + 1) / (len(g.prefixes) + 1)
-}
--- a/lib/sched/tables.go
+++ b/lib/sched/tables.go
@@ -23,31 +23,30 @@
 
 // gen is one row of the generations table.
 type gen struct {
-	id         ids.Generation
-	state      state
-	started    bool // the running attempt gave a token
-	refuse     result.Code
-	attempt    uint32
-	group      int32
-	target     int32 // running and moving only
-	prev       int32 // neighbours in its queue or on its target; next also links the free list
-	next       int32
-	prompt     int
-	maxTok     int
-	known      int
-	emitted    int // tokens before the running attempt
-	tokens     int // tokens so far, as last reported
-	cached     int // prompt tokens that the target held when it was granted
-	moves      int
-	charged    float64 // work charged to its group at the grant
-	prefixes   []uint64
-	prefixLens []int
-	avoid      []int32 // never allocated in steady state: most requests avoid nothing
-	deadline   Time
-	queued     Time // when it was submitted
-	granted    Time
-	heard      Time // last message about it
-	advanced   Time // when tokens last grew
+	id       ids.Generation
+	state    state
+	started  bool // the running attempt gave a token
+	refuse   result.Code
+	attempt  uint32
+	group    int32
+	target   int32 // running and moving only
+	prev     int32 // neighbours in its queue or on its target; next also links the free list
+	next     int32
+	prompt   int
+	maxTok   int
+	known    int
+	emitted  int // tokens before the running attempt
+	tokens   int // tokens so far, as last reported
+	cached   int // prompt tokens that the target held when it was granted
+	moves    int
+	charged  float64 // work charged to its group at the grant
+	prefixes []uint64
+	avoid    []int32 // never allocated in steady state: most requests avoid nothing
+	deadline Time
+	queued   Time // when it was submitted
+	granted  Time
+	heard    Time // last message about it
+	advanced Time // when tokens last grew
 }
 
 // held is the memory, in tokens, that the generation takes once it is prefilled.
@@ -110,7 +109,6 @@
 	delete(o.byID, g.id)
 	g.state = stateFree
 	g.prefixes = nil
-	g.prefixLens = nil
 	g.next = o.free
 	o.free = i
 }
