Bench policies on crowded engines in virtual time

Change: lib/bench (timeline, entries, engines with links, baselines, faults, figures, ratios, ablations by the Disable fields of sched.Options), app/anvilwick-bench, make bench.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SECONDS ?= 30
 APPS := $(notdir $(wildcard app/*))
 
-.PHONY: build test lint fmt proto
+.PHONY: build test lint fmt proto bench
 
 build:
 	@mkdir -p bin
@@ -25,3 +25,9 @@
 	@mkdir -p bin/tools
 	GOBIN=$(CURDIR)/bin/tools $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go
 	PATH="$(CURDIR)/bin/tools:$$PATH" protoc --go_out=. --go_opt=paths=source_relative lib/meshpb/mesh.proto
+
+# bench compares the scheduling policies in virtual time; the same figures each time for the same SEED.
+bench:
+	@mkdir -p bin
+	$(GO) build -o bin/ ./app/anvilwick-bench
+	./bin/anvilwick-bench -seed $(SEED)
--- /dev/null
+++ b/lib/bench/doc.go
@@ -0,0 +1,22 @@
+// Package bench measures scheduling policies on crowded engines in virtual time.
+//
+// It drives any sched.Policy, unchanged, against the engines of lib/enginemodel with the arrivals of lib/workload. Each
+// message between entry, owner and engine takes the deployment's one-way delay; load reports lag by up to a second,
+// progress reaches the owner in batches of 50 ms, and the policy ticks each 10 ms. Equal seeds give equal figures.
+// It models the queues, the memory and the delays that decisions depend on, and nothing else of a cluster.
+//
+// The figures of a run:
+//
+//   - offered, completed, refused, lost: requests; lost = offered - completed - refused after the run has drained.
+//   - stall_s: over all generations, the time beyond 250 ms of each gap between two tokens, in seconds.
+//   - preemptions: by the engines, and by the policy's moves.
+//   - itl_p99_ms: 99th percentile of the gaps between tokens, over all gaps, as the entry sees them.
+//   - ttft_p95_ms: 95th percentile of the time from arrival at the entry to the first token there.
+//   - tokens_per_s: tokens delivered within the window of arrivals, over the window.
+//   - fairness: Jain's index over workspaces of tokens delivered within the window, relative to tokens asked for.
+//   - urgent_ttft_p95_ms: ttft_p95_ms of the urgent class alone.
+//   - wait_s: sum over all generations of the time to the first token, in seconds; it shows stalls traded for waits.
+//   - over_cap_ticks: ticks at which the true draw of all engines was over the cap in force.
+//
+// A drop of the power cap is announced powerNotice before it is in force, as the grid's operators do.
+package bench
--- /dev/null
+++ b/lib/bench/metrics.go
@@ -0,0 +1,145 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// stallFloor is the gap up to which a pause between tokens is no stall.
+const stallFloor = 250 * time.Millisecond
+
+// Range of the histograms, in microseconds.
+const (
+	histMax    = int64(2 * time.Hour / time.Microsecond)
+	histDigits = 3
+)
+
+// metrics gathers a run's figures.
+type metrics struct {
+	window  time.Duration
+	gaps    *hdrhistogram.Histogram
+	ttft    *hdrhistogram.Histogram
+	urgent  *hdrhistogram.Histogram
+	stall   time.Duration
+	wait    time.Duration
+	tokens  int // within the window
+	moves   int
+	overCap int
+	served  map[string]int // tokens within the window by workspace
+	asked   map[string]int
+}
+
+func newHist() *hdrhistogram.Histogram { return hdrhistogram.New(1, histMax, histDigits) }
+
+func (m *metrics) init(cfg *Config) {
+	m.window = cfg.Window
+	m.gaps, m.ttft, m.urgent = newHist(), newHist(), newHist()
+	m.served = make(map[string]int)
+	m.asked = make(map[string]int)
+	for i := range cfg.Arrivals {
+		r := &cfg.Arrivals[i]
+		m.asked[r.Workspace] += r.Length
+	}
+}
+
+// record clamps v into the histogram's range, so that recording can't fail.
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), histMax))
+}
+
+func (m *metrics) first(f *flow, now time.Duration) {
+	d := now - f.req.At
+	m.wait += d
+	record(m.ttft, d)
+	if f.req.Class.Urgent {
+		record(m.urgent, d)
+	}
+}
+
+func (m *metrics) gap(d time.Duration) {
+	record(m.gaps, d)
+	m.stall += max(0, d-stallFloor)
+}
+
+func (m *metrics) token(f *flow, now time.Duration) {
+	if now <= m.window {
+		m.tokens++
+		m.served[f.req.Workspace]++
+	}
+}
+
+// Result holds a run's figures, as the package comment defines them.
+type Result struct {
+	Deployment   string
+	Policy       string
+	Fault        string
+	Without      string
+	Offered      int
+	Completed    int
+	Refused      int
+	Lost         int
+	StallS       float64
+	Preemptions  int
+	ITLP99MS     float64
+	TTFTP95MS    float64
+	TokensPerS   float64
+	Fairness     float64
+	UrgentP95MS  float64
+	WaitS        float64
+	OverCapTicks int
+	EndS         float64 // virtual time of the last event
+}
+
+func (s *sim) result() Result {
+	r := Result{
+		Deployment:   s.cfg.Mix.Deployment,
+		Policy:       s.cfg.Policy,
+		Fault:        s.cfg.Fault,
+		Without:      s.cfg.Without,
+		Offered:      len(s.flows),
+		StallS:       s.metrics.stall.Seconds(),
+		Preemptions:  int(s.preemptions()) + s.metrics.moves,
+		ITLP99MS:     percentile(s.metrics.gaps, 99),
+		TTFTP95MS:    percentile(s.metrics.ttft, 95),
+		UrgentP95MS:  percentile(s.metrics.urgent, 95),
+		TokensPerS:   float64(s.metrics.tokens) / s.cfg.Window.Seconds(),
+		Fairness:     s.metrics.fairness(s.cfg),
+		WaitS:        s.metrics.wait.Seconds(),
+		OverCapTicks: s.metrics.overCap,
+		EndS:         s.now.Seconds(),
+	}
+	for i := range s.flows {
+		switch s.flows[i].state {
+		case flowCompleted:
+			r.Completed++
+		case flowRefused:
+			r.Refused++
+		}
+	}
+	r.Lost = r.Offered - r.Completed - r.Refused
+	return r
+}
+
+func percentile(h *hdrhistogram.Histogram, p float64) float64 {
+	return float64(h.ValueAtQuantile(p)) / 1000
+}
+
+// fairness is Jain's index of served over asked.
+func (m *metrics) fairness(cfg *Config) float64 {
+	var sum, squares, n float64
+	for _, w := range cfg.Mix.Workspaces {
+		asked := m.asked[w.Name]
+		if asked == 0 {
+			continue
+		}
+		x := float64(m.served[w.Name]) / float64(asked)
+		sum += x
+		squares += x * x
+		n++
+	}
+	if squares == 0 {
+		return 0
+	}
+	return sum * sum / (n * squares)
+}
--- /dev/null
+++ b/lib/bench/policies.go
@@ -0,0 +1,59 @@
+package bench
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"anvilwick.example/anvilwick/lib/sched"
+)
+
+// The policies that the bench compares.
+const (
+	PolicyRoundRobin  = "round-robin"
+	PolicyLeastLoaded = "least-loaded"
+	PolicyAnvilwick   = "anvilwick"
+	PolicyOracle      = "oracle" // anvilwick, told every length
+)
+
+// Policies lists them in the order of the report.
+var Policies = []string{PolicyRoundRobin, PolicyLeastLoaded, PolicyAnvilwick, PolicyOracle}
+
+// makePolicy returns the maker of a policy by name.
+func makePolicy(name string, opt sched.Options) func(*Config) sched.Policy {
+	switch name {
+	case PolicyRoundRobin:
+		return func(*Config) sched.Policy { return NewRoundRobin() }
+	case PolicyLeastLoaded:
+		return func(*Config) sched.Policy { return NewLeastLoaded() }
+	}
+	return func(c *Config) sched.Policy { return sched.NewOwner(c.Mix.Service, opt) }
+}
+
+// ablationPrefix marks the switches of sched.Options that take a part of the policy out.
+const ablationPrefix = "Disable"
+
+// Ablations lists the parts that can be taken out, in the order of sched.Options.
+func Ablations() []string {
+	var out []string
+	t := reflect.TypeFor[sched.Options]()
+	for i := range t.NumField() {
+		if part, ok := strings.CutPrefix(t.Field(i).Name, ablationPrefix); ok && t.Field(i).Type.Kind() == reflect.Bool {
+			out = append(out, strings.ToLower(part))
+		}
+	}
+	return out
+}
+
+// Ablate returns options without one part.
+func Ablate(opt sched.Options, part string) (sched.Options, error) {
+	v := reflect.ValueOf(&opt).Elem()
+	for i := range v.NumField() {
+		name, ok := strings.CutPrefix(v.Type().Field(i).Name, ablationPrefix)
+		if ok && strings.EqualFold(name, part) {
+			v.Field(i).SetBool(true)
+			return opt, nil
+		}
+	}
+	return opt, fmt.Errorf("no part %q to take out; want one of %s", part, strings.Join(Ablations(), ", "))
+}
