--- a/lib/bench/entry.go
+++ b/lib/bench/entry.go
@@ -16,6 +16,7 @@
 	flowGranted
 	flowCompleted
 	flowRefused
+	flowFailed // given up after tokens were delivered; counts as lost
 )
 
 // noEngine marks a flow without a place.
@@ -93,6 +94,8 @@
 		f.moves++
 		s.metrics.moves++
 		s.leaveEngine(i, sched.EndMoved)
+	case a.Kind == sched.ActRefuse && f.state == flowQueued && f.tokens > 0:
+		s.over(i, flowFailed)
 	case a.Kind == sched.ActRefuse && f.state == flowQueued:
 		s.over(i, flowRefused)
 	}
--- a/lib/standin/engine/fault.go
+++ b/lib/standin/engine/fault.go
@@ -20,7 +20,7 @@
 const (
 	FaultDie     = "die"     // cut all connections and end the process
 	FaultStall   = "stall"   // the link carries nothing for MS; the engine works on
-	FaultFreeze  = "freeze"  // load reports stay as they are; MS 0: until thawed
+	FaultFreeze  = "freeze"  // load reports stay as they are, age and all; MS 0: until thawed
 	FaultThaw    = "thaw"    // load reports go on
 	FaultSlow    = "slow"    // steps take Factor times as long
 	FaultLeave   = "leave"   // refuse new work, and die after MS; 0: stay
@@ -48,6 +48,8 @@
 type faultState struct {
 	stalledUntil time.Time
 	repeat       bool
+	frozen       bool
+	frozenAge    int64 // age_ms that frozen reports go on telling
 }
 
 // stallPoll is how often a held-back writer looks whether the link has recovered.
@@ -77,11 +79,12 @@
 	case FaultStall:
 		s.faults.stalledUntil = time.Now().Add(wait)
 	case FaultFreeze:
-		s.model.FreezeReports(true)
+		s.freeze()
 		if wait > 0 {
 			time.AfterFunc(wait, func() { s.Order(Fault{Kind: FaultThaw}) })
 		}
 	case FaultThaw:
+		s.faults.frozen = false
 		s.model.FreezeReports(false)
 	case FaultSlow:
 		s.model.SetSlow(max(1, f.Factor))
@@ -105,6 +108,21 @@
 	return true
 }
 
+// freeze keeps load reports as they are, their age too: a reader can tell only by the sequence number that stands still.
+func (s *Server) freeze() {
+	s.faults.frozen = true
+	s.faults.frozenAge = s.reportAge()
+	s.model.FreezeReports(true)
+}
+
+func (s *Server) reportAge() int64 {
+	if s.faults.frozen {
+		return s.faults.frozenAge
+	}
+	now := s.now()
+	return (now - s.model.Report(now).At).Milliseconds()
+}
+
 func (s *Server) die() {
 	s.Kill()
 	s.cfg.Die()
--- a/lib/standin/engine/handlers.go
+++ b/lib/standin/engine/handlers.go
@@ -203,11 +203,10 @@
 func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
-	rep := s.model.Report(now)
+	rep := s.model.Report(s.now())
 	writeJSON(w, http.StatusOK, engineapi.LoadReport{
 		Seq:          rep.Seq,
-		AgeMS:        (now - rep.At).Milliseconds(),
+		AgeMS:        s.reportAge(),
 		Running:      rep.Running,
 		Waiting:      rep.Waiting,
 		KVUsed:       rep.KVUsed,
--- a/lib/standin/engine/server_test.go
+++ b/lib/standin/engine/server_test.go
@@ -203,6 +203,25 @@
 	<-died
 }
 
+// The engine's reports stop changing, yet each says that it is fresh. Only the sequence number, which stands still, tells
+// the reader that the figures are old.
+func TestFrozenReportsLookFresh(t *testing.T) {
+	s := begin(t, fast())
+	load := func() (rep engineapi.LoadReport) {
+		resp, err := http.Get("http://" + s.Addr() + engineapi.PathLoad)
+		must.NoError(t, err)
+		defer resp.Body.Close()
+		must.NoError(t, json.NewDecoder(resp.Body).Decode(&rep))
+		return rep
+	}
+	must.True(t, s.Order(Fault{Kind: FaultFreeze}))
+	frozen := load()
+	time.Sleep(3 * s.cfg.Engine.ReportLag)
+	must.Eq(t, frozen, load())
+	must.True(t, s.Order(Fault{Kind: FaultThaw}))
+	must.Greater(t, frozen.Seq, load().Seq)
+}
+
 func TestLeavingRefusesNewWork(t *testing.T) {
 	s := begin(t, fast())
 	must.True(t, s.Order(Fault{Kind: FaultLeave}))
