Judge urgent and resumed work by what fits soon, and make room for urgent work

Ruled out: headroom alone (the engines were full when the burst came). Change: urgent work is tested on the mean over 64 steps, resumed work on the mean over 256; steps at which a candidate has all but ended don't count against it; when nothing fits an urgent request, the victim with the least lost work a token freed is moved. Memory of a victim counts as free at once. Curves are also rebuilt on lengths passed, so that a cold estimator learns before the first output ends; the prior's tail is heavier (hazard 0.04 from 0.062).

--- a/lib/forecast/forecast.go
+++ b/lib/forecast/forecast.go
@@ -57,6 +57,9 @@
 // negligible cuts the tail of a generation whose further steps can't matter.
 const negligible = 1e-4
 
+// negligiblePart is the part of what a generation holds now that is no reason to keep it out.
+const negligiblePart = 0.05
+
 // AddLoad adds all of other.
 func (l *Load) AddLoad(other *Load) {
 	for i := range l.Mean {
@@ -82,9 +85,13 @@
 }
 
 // Fits reports whether l and other together stay within capacity, at z standard deviations, over the first steps of
-// the grid. It is Peak of the sum without the roots.
+// the grid. It is Peak of the sum without the roots. Steps at which other has all but ended are left out: short work
+// is not kept waiting for a peak that it has no part in.
 func (l *Load) Fits(other *Load, capacity, z float64, steps int) bool {
 	for i := range l.Mean[:steps] {
+		if other.Mean[i] < negligiblePart*other.Mean[0] {
+			return true
+		}
 		room := capacity - l.Mean[i] - other.Mean[i]
 		if room < 0 {
 			return false
--- a/lib/length/estimator.go
+++ b/lib/length/estimator.go
@@ -21,15 +21,16 @@
 const (
 	defaultMemory   = 256
 	defaultStrength = 8
-	freshEnds       = 4  // a curve is rebuilt after so many ends of its own group
-	staleEnds       = 64 // or so many of the service
+	freshNews       = 16  // a curve is rebuilt after so much news of its own group: lengths passed, and ends
+	newsOfEnd       = 4   // what an end counts for
+	staleNews       = 512 // or so much of the service
 )
 
 // Prior hazards: about half of the outputs end within 200 tokens, and from there each doubling is outlived by 0.6.
 const (
 	priorShortEnd    = 64
 	priorShortHazard = 0.004
-	priorTailHazard  = 0.062
+	priorTailHazard  = 0.04
 )
 
 // hazard counts, for each bucket, outputs that came to it and outputs that ended in it, both decayed.
@@ -51,8 +52,8 @@
 	hazard
 	class   int32
 	curve   Curve
-	fresh   int    // ends since the curve was built
-	builtAt uint64 // Estimator.ends when the curve was built
+	fresh   int    // news since the curve was built
+	builtAt uint64 // Estimator.news when the curve was built
 	built   bool
 }
 
@@ -62,7 +63,7 @@
 type Estimator struct {
 	opt     Options
 	keep    float32
-	ends    uint64
+	news    uint64
 	service hazard
 	classes []hazard
 	groups  []groupNode
@@ -112,6 +113,8 @@
 	}
 	n := &e.groups[g]
 	c := &e.classes[n.class]
+	n.fresh++
+	e.news++
 	for b := first; b < last; b++ {
 		n.pass(b, e.keep)
 		c.pass(b, e.keep)
@@ -128,8 +131,8 @@
 	n.end(b, e.keep)
 	c.end(b, e.keep)
 	e.service.end(b, e.keep)
-	n.fresh++
-	e.ends++
+	n.fresh += newsOfEnd
+	e.news += newsOfEnd
 }
 
 // Observe records a whole output of total tokens.
@@ -139,7 +142,7 @@
 // follows what is learnt.
 func (e *Estimator) Curve(g Group) *Curve {
 	n := &e.groups[g]
-	if !n.built || n.fresh >= freshEnds || e.ends-n.builtAt > staleEnds {
+	if !n.built || n.fresh >= freshNews || e.news-n.builtAt > staleNews {
 		e.rebuild(n)
 	}
 	return &n.curve
@@ -167,7 +170,7 @@
 	n.curve.reach[numBuckets] = 0
 	n.built = true
 	n.fresh = 0
-	n.builtAt = e.ends
+	n.builtAt = e.news
 }
 
 func blend(ended, came, parent, k float32) float32 { return (ended + k*parent) / (came + k) }
--- a/lib/sched/health.go
+++ b/lib/sched/health.go
@@ -72,10 +72,12 @@
 			continue
 		}
 		if !ifPlace {
+			o.stats.MovedEvacuate++
 			acts = o.preempt(i, acts)
 			continue
 		}
 		if o.place(now, i) != none {
+			o.stats.MovedEvacuate++
 			return o.preempt(i, acts)
 		}
 	}
--- a/lib/sched/memory.go
+++ b/lib/sched/memory.go
@@ -24,7 +24,9 @@
 	t.dirty = false
 	t.loadAt = now
 	for i := t.run.head; i != none; i = o.gens[i].next {
-		o.addLoad(t, &o.gens[i])
+		if o.gens[i].state == stateRunning {
+			o.addLoad(t, &o.gens[i])
+		}
 	}
 	t.load.AddConstant(t.foreignKV)
 }
@@ -45,10 +47,11 @@
 		if t.kvTotal == 0 || t.moving > 0 || t.load.Peak(0, o.victimSteps) <= float64(t.kvTotal) {
 			continue
 		}
-		v := o.victim(now, t)
+		v := o.victim(t)
 		if v == none || o.place(now, v) == none {
 			continue
 		}
+		o.stats.MovedFull++
 		acts = o.preempt(v, acts)
 	}
 	return acts
@@ -56,7 +59,7 @@
 
 // victim picks the generation with the least lost work for each token of memory it would free. None is moved more
 // often than its policy allows, and urgent work is left alone.
-func (o *Owner) victim(_ Time, t *target) int32 {
+func (o *Owner) victim(t *target) int32 {
 	best := none
 	var bestCost float64
 	for i := t.run.head; i != none; i = o.gens[i].next {
@@ -92,13 +95,15 @@
 	return float64(g.held()) + min(ahead, float64(o.opt.HorizonTokens))
 }
 
-// preempt asks the entry to stop generation i and submit its rest. Its place counts as taken until the entry says
-// that the attempt has ended.
+// preempt asks the entry to stop generation i and submit its rest. Its place in the batch and its power count as taken
+// until the entry says that the attempt has ended; its memory counts as free at once, for the engine frees it before
+// it could take in what is granted from now on.
 func (o *Owner) preempt(i int32, acts []Action) []Action {
 	g := &o.gens[i]
 	t := &o.targets[g.target]
 	g.state = stateMoving
 	t.moving++
+	o.refreshLoad(o.now, t)
 	return append(acts, Action{
 		Kind:    ActPreempt,
 		Gen:     g.id,
@@ -106,3 +111,38 @@
 		Target:  t.spec.Name,
 	})
 }
+
+// preemptForUrgent makes room for an urgent request that no target has memory for: the victim, over all targets, with
+// the least lost work for each token freed. It returns none when no single victim would do.
+func (o *Owner) preemptForUrgent(now Time, i int32, acts []Action) ([]Action, bool) {
+	if o.opt.DisableVictims {
+		return acts, false
+	}
+	best := none
+	var bestCost float64
+	for ti := range o.targets {
+		t := &o.targets[ti]
+		if !o.open(now, t) || o.gens[i].avoids(int32(ti)) || !o.batchRoom(t) || !o.powerRoom(t) {
+			continue
+		}
+		v := o.victim(t)
+		if v == none || !o.relieves(t, v) {
+			continue
+		}
+		g := &o.gens[v]
+		if cost := o.lostWork(t, g) / o.freed(g); best == none || cost < bestCost {
+			best, bestCost = v, cost
+		}
+	}
+	if best == none {
+		return acts, false
+	}
+	o.stats.MovedUrgent++
+	return o.preempt(best, acts), true
+}
+
+// relieves reports whether the memory of victim v is enough for the candidate.
+func (o *Owner) relieves(t *target, v int32) bool {
+	over := t.load.Mean[0] + float64(o.cand.held) - float64(t.kvTotal)*o.opt.MemoryFill
+	return over <= float64(o.gens[v].held())
+}
--- a/lib/sched/owner.go
+++ b/lib/sched/owner.go
@@ -39,19 +39,22 @@
 	sweepAt     int32
 	heard       Time // last Progress about any generation
 	cand        candidate
+	stats       Stats
 	scratch     length.Curve // of a known length, outside cand
 }
 
 // candidate is scratch for the generation being placed.
 type candidate struct {
-	gen    int32
-	held   int
-	urgent bool
-	z      float64
-	capped bool    // a power cap is in force
-	spare  float64 // watts under it
-	load   forecast.Load
-	fixed  length.Curve
+	gen     int32
+	held    int
+	urgent  bool
+	resumed bool // it gave tokens already
+	z       float64
+	steps   int
+	capped  bool    // a power cap is in force
+	spare   float64 // watts under it
+	load    forecast.Load
+	fixed   length.Curve
 }
 
 // NewOwner returns an Owner without targets.
--- a/lib/sched/place.go
+++ b/lib/sched/place.go
@@ -23,20 +23,35 @@
 	return best
 }
 
+// How much of the forecast's grid a generation has to fit that can't wait for the whole horizon.
+const (
+	resumeSteps = 8 // 256 steps
+	urgentSteps = 4 // 64 steps
+)
+
 // prepare fills the candidate with what is the same for each target.
 func (o *Owner) prepare(i int32) {
 	g := &o.gens[i]
 	gr := &o.groups[g.group]
 	c := &o.cand
 	c.gen = i
-	c.held = g.prompt + g.emitted
+	c.held = g.held()
+	c.resumed = max(g.tokens, g.emitted) > 0
 	c.urgent = gr.policy.Urgent
-	c.z = gr.deviation
+	c.z, c.steps = gr.deviation, o.steps
+	switch {
+	case c.urgent:
+		// It is over before what long outputs may grow to matters.
+		c.z, c.steps = 0, urgentSteps
+	case c.resumed:
+		// Its caller sees it stand still: it comes back as soon as there is room on the mean for some while.
+		c.z, c.steps = 0, resumeSteps
+	}
 	if c.spare, c.capped = o.budget(o.now); c.capped {
 		c.spare -= o.drawn()
 	}
 	c.load = forecast.Load{}
-	c.load.Add(forecast.Generation{Held: c.held, Output: g.emitted, Max: g.maxTok}, o.curve(g, &c.fixed))
+	c.load.Add(forecast.Generation{Held: c.held, Output: max(g.tokens, g.emitted), Max: g.maxTok}, o.curve(g, &c.fixed))
 }
 
 // fits runs the filters.
@@ -111,14 +126,15 @@
 	if o.opt.DisableForecast {
 		return t.load.Mean[0]+float64(o.cand.held) <= capacity
 	}
-	return t.load.Fits(&o.cand.load, capacity, o.cand.z, o.steps)
+	return t.load.Fits(&o.cand.load, capacity, o.cand.z, o.cand.steps)
 }
 
 // Weights of the score, in seconds.
 const (
-	memoryCost = 0.5 // of a target whose memory is foreseen to be full
-	batchCost  = 0.5 // of a target whose batch is full
-	probeScore = -1  // of a silent target that is due to be tried: before all others, or it would never be tried
+	memoryCost       = 0.5 // of a target whose memory is foreseen to be full
+	batchCost        = 0.5 // of a target whose batch is full
+	interferenceCost = 0.1 // of a second by which an urgent prefill delays another generation's token
+	probeScore       = -1  // of a silent target that is due to be tried: before all others, or it would never be tried
 )
 
 // score is the cost of placing the candidate on a target, in seconds: what its prefill costs it and the batch beside
@@ -130,6 +146,10 @@
 	g := &o.gens[o.cand.gen]
 	prefill := float64(max(o.cand.held-o.cachedTokens(t, g), 1)) * o.opt.PrefillSeconds
 	waiting := float64(t.prefillLeft) * o.opt.PrefillSeconds
+	if o.cand.urgent {
+		// What counts is the first token: the step in progress, the prefills before it and its own.
+		return prefill + waiting + t.step + interferenceCost*prefill*float64(t.run.n-t.prefilling)
+	}
 	cost := prefill + waiting
 	if !o.opt.DisableInterfer {
 		cost += prefill * float64(t.run.n-t.prefilling)
--- a/lib/sched/power.go
+++ b/lib/sched/power.go
@@ -67,6 +67,7 @@
 			return acts
 		}
 		excess -= o.targets[o.gens[v].target].spec.SeqWatts
+		o.stats.MovedPower++
 		acts = o.preempt(v, acts)
 	}
 	return acts
--- a/lib/sched/queue.go
+++ b/lib/sched/queue.go
@@ -11,16 +11,22 @@
 // maxResumeTries bounds how many resumes are tried for a place in one tick.
 const maxResumeTries = 16
 
-// admit grants places: first to generations that already gave tokens, for each second that they wait is stall time,
-// then to the groups in their order.
+// admit grants places: first to urgent work, then to generations that already gave tokens, for each second that they
+// wait is stall time, then to the other groups in their order.
 func (o *Owner) admit(now Time, acts []Action) []Action {
 	if o.resumes.n == 0 && o.queued == 0 {
 		return acts
 	}
 	o.clearReservations()
+	acts = o.admitGroups(now, levelUrgent, acts)
 	acts = o.admitResumes(now, acts)
+	return o.admitGroups(now, math.MinInt, acts)
+}
+
+// admitGroups serves the groups of at least a level until none has a request that fits.
+func (o *Owner) admitGroups(now Time, least int, acts []Action) []Action {
 	for range maxGrants {
-		gi := o.nextGroup(now)
+		gi := o.nextGroup(now, least)
 		if gi == none {
 			return acts
 		}
@@ -64,6 +70,12 @@
 		if t := o.place(now, i); t != none {
 			return o.grant(now, i, t, acts), true
 		}
+		if gr.policy.Urgent && tries == 0 {
+			var ok bool
+			if acts, ok = o.preemptForUrgent(now, i, acts); ok {
+				continue
+			}
+		}
 		if aged && tries == 0 {
 			o.reserve(i)
 		}
@@ -73,9 +85,9 @@
 }
 
 // nextGroup returns the group to serve next: highest level, then least weighted work granted.
-func (o *Owner) nextGroup(now Time) int32 {
+func (o *Owner) nextGroup(now Time, least int) int32 {
 	best := none
-	bestLevel := math.MinInt
+	bestLevel := least
 	bestKey := math.Inf(1)
 	for i := range o.groups {
 		gr := &o.groups[i]
@@ -84,7 +96,7 @@
 		}
 		level := o.level(now, gr)
 		key := o.shareKey(gr)
-		if level > bestLevel || level == bestLevel && key < bestKey {
+		if level > bestLevel || level == bestLevel && (best == none || key < bestKey) {
 			best, bestLevel, bestKey = int32(i), level, key
 		}
 	}
@@ -157,6 +169,7 @@
 
 // grant gives generation i a place on a target.
 func (o *Owner) grant(now Time, i, ti int32, acts []Action) []Action {
+	o.stats.Grants++
 	g := &o.gens[i]
 	gr := &o.groups[g.group]
 	fresh := g.emitted == 0
--- /dev/null
+++ b/lib/sched/stats.go
@@ -0,0 +1,14 @@
+package sched
+
+// Stats counts what an Owner has done, for metrics and for the bench.
+type Stats struct {
+	Grants        uint64
+	Refusals      uint64
+	MovedFull     uint64 // preempted before an engine's memory ran out
+	MovedUrgent   uint64 // preempted to make room for urgent work
+	MovedPower    uint64 // preempted to get under the power cap
+	MovedEvacuate uint64 // preempted because the target is gone, leaving or silent
+}
+
+// Stats returns the counts so far.
+func (o *Owner) Stats() Stats { return o.stats }
--- a/lib/sched/tick.go
+++ b/lib/sched/tick.go
@@ -104,6 +104,7 @@
 	for o.refused.head != none {
 		i := o.refused.head
 		g := &o.gens[i]
+		o.stats.Refusals++
 		acts = append(acts, Action{
 			Kind:       ActRefuse,
 			Gen:        g.id,
