--- /dev/null
+++ b/lib/power/follower.go
@@ -0,0 +1,66 @@
+package power
+
+import "time"
+
+// Follower applies the shares of one part. It is not safe for concurrent use.
+type Follower struct {
+	cfg      Config
+	part     string
+	epoch    uint64
+	start    time.Time
+	fallback float64
+	share    Share
+	until    time.Time // end of share
+	ackFence uint64
+	ackSeq   uint64
+	last     int64
+}
+
+// NewFollower returns a Follower at its fallback. Epoch is the process's incarnation and grows with each restart.
+func NewFollower(now time.Time, cfg Config, part string, epoch uint64, fallbackWatts float64) *Follower {
+	return &Follower{cfg: cfg, part: part, epoch: epoch, start: now, fallback: fallbackWatts}
+}
+
+// SetFallback takes in new settings.
+func (f *Follower) SetFallback(watts float64) { f.fallback = watts }
+
+// Apply takes in a share; it reports false for one that is late, of another process, or of an older fence.
+func (f *Follower) Apply(now time.Time, s Share) bool {
+	if s.Part != f.part || s.Echo.Epoch != f.epoch || !s.newer(f.share.Fence, f.share.Seq) {
+		return false
+	}
+	until := f.start.Add(time.Duration(s.Echo.Nanos) + f.cfg.TTL)
+	f.share = s
+	f.until = until
+	return now.Before(until)
+}
+
+// Limit is what the part may draw now. It is back at the fallback Drain before the share ends, for draw falls only as
+// sequences end or are held.
+func (f *Follower) Limit(now time.Time) float64 {
+	if f.share.Fence == 0 || !now.Before(f.until.Add(-f.cfg.Drain)) {
+		return f.fallback
+	}
+	return f.share.Watts
+}
+
+// Valid returns how long Limit stays as it is without news; 0 at the fallback.
+func (f *Follower) Valid(now time.Time) time.Duration {
+	if f.share.Fence == 0 {
+		return 0
+	}
+	return max(0, f.until.Add(-f.cfg.Drain).Sub(now))
+}
+
+// Report tells the allotter what the part wants and draws. A share is acknowledged once the draw is under it: only
+// then may the allotter give the difference to others.
+func (f *Follower) Report(now time.Time, wantedWatts, drawnWatts float64) Report {
+	if drawnWatts <= f.Limit(now) {
+		f.ackFence, f.ackSeq = f.share.Fence, f.share.Seq
+	}
+	f.last = max(f.last+1, int64(now.Sub(f.start))+1)
+	return Report{
+		Part: f.part, Stamp: Stamp{Epoch: f.epoch, Nanos: f.last},
+		WantedWatts: wantedWatts, DrawnWatts: drawnWatts, AckFence: f.ackFence, AckSeq: f.ackSeq,
+	}
+}
--- /dev/null
+++ b/lib/retry/budget.go
@@ -0,0 +1,104 @@
+// Package retry bounds how much work retries may add: a budget per workspace, bounded attempts, one retrying layer,
+// and the caller's deadline carried down to each attempt.
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+// BudgetConfig sizes the budgets. All workspaces share it; the ratio comes with each deposit.
+type BudgetConfig struct {
+	FloorPerSecond float64       // retries a second that a workspace may always make
+	Window         time.Duration // how much good traffic a budget remembers; bounds a burst of retries
+	Idle           time.Duration // a workspace without traffic for so long is forgotten
+}
+
+// DefaultBudgetConfig lets a quiet workspace retry once in two seconds.
+var DefaultBudgetConfig = BudgetConfig{FloorPerSecond: 0.5, Window: 10 * time.Second, Idle: 10 * time.Minute}
+
+// Budgets holds a token bucket for each workspace. A first attempt deposits a fraction of a token, a retry takes a
+// whole one. It is safe for concurrent use.
+//
+// Failure: targets slow down, every caller's request is sent twice, and the added load keeps them slow after the
+// cause has gone. Retries that are a fraction of first attempts can't multiply the load by more than 1+fraction.
+type Budgets struct {
+	cfg     BudgetConfig
+	mu      sync.Mutex
+	buckets map[string]*bucket
+	swept   time.Time
+}
+
+type bucket struct {
+	tokens   float64
+	deposits float64 // decayed sum of deposits over Window, which bounds tokens
+	last     time.Time
+}
+
+// NewBudgets returns empty budgets.
+func NewBudgets(cfg BudgetConfig) *Budgets {
+	return &Budgets{cfg: cfg, buckets: make(map[string]*bucket)}
+}
+
+// Deposit records a first attempt of workspace. Ratio is the settings' retry budget, retries per first attempt.
+func (b *Budgets) Deposit(now time.Time, workspace string, ratio float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.at(now, workspace)
+	k.deposits += ratio
+	k.tokens = min(k.tokens+ratio, b.capacity(k))
+}
+
+// Take spends one retry of workspace. It reports false when the budget is empty, with the time until the floor alone
+// fills it; 0 when there is no floor.
+func (b *Budgets) Take(now time.Time, workspace string) (bool, time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.at(now, workspace)
+	if k.tokens >= 1 {
+		k.tokens--
+		return true, 0
+	}
+	if b.cfg.FloorPerSecond <= 0 {
+		return false, 0
+	}
+	wait := (1 - k.tokens) / b.cfg.FloorPerSecond
+	return false, time.Duration(wait * float64(time.Second))
+}
+
+// at returns the bucket of workspace, brought up to now.
+func (b *Budgets) at(now time.Time, workspace string) *bucket {
+	b.sweep(now)
+	k := b.buckets[workspace]
+	if k == nil {
+		k = &bucket{tokens: 1, last: now}
+		b.buckets[workspace] = k
+		return k
+	}
+	dt := now.Sub(k.last)
+	if dt <= 0 {
+		return k
+	}
+	k.last = now
+	k.deposits *= max(0, 1-dt.Seconds()/b.cfg.Window.Seconds())
+	k.tokens = min(k.tokens+b.cfg.FloorPerSecond*dt.Seconds(), b.capacity(k))
+	return k
+}
+
+// capacity is what a bucket may hold: recent deposits, and never less than one retry plus the floor's window.
+func (b *Budgets) capacity(k *bucket) float64 {
+	return k.deposits + max(1, b.cfg.FloorPerSecond*b.cfg.Window.Seconds())
+}
+
+// sweep forgets idle workspaces, so that names that never return don't hold memory.
+func (b *Budgets) sweep(now time.Time) {
+	if now.Sub(b.swept) < b.cfg.Idle {
+		return
+	}
+	b.swept = now
+	for name, k := range b.buckets {
+		if now.Sub(k.last) >= b.cfg.Idle {
+			delete(b.buckets, name)
+		}
+	}
+}
