--- a/lib/platform/client.go
+++ b/lib/platform/client.go
@@ -30,12 +30,17 @@
 	DefaultSettleTimeout = 5 * time.Second
 	DefaultBudgetWait    = 500 * time.Millisecond
 	DefaultBreakerAfter  = 5
-	DefaultBreakerOpen   = time.Second
+	DefaultBreakerOpen   = 250 * time.Millisecond
 	DefaultGroupLinger   = 2 * time.Millisecond
 	DefaultGroupMembers  = 64
 )
 
-const maxAnswer = 16 << 20
+const (
+	maxAnswer = 16 << 20
+	// downRetryAfter is what callers are told while the store is down: long against the breaker's probes, short
+	// against people's patience.
+	downRetryAfter = 2 * time.Second
+)
 
 // Config names the platform and bounds its use. Zero values take the defaults.
 type Config struct {
@@ -49,7 +54,7 @@
 	SettleTimeout time.Duration     // in all, to settle a write whose answer was lost
 	BudgetWait    time.Duration     // longest wait for the budget
 	BreakerAfter  int               // failures in a row that open the breaker
-	BreakerOpen   time.Duration     // time before a probe
+	BreakerOpen   time.Duration     // time before a probe; short, so that a spell of lost answers costs no lease
 	GroupLinger   time.Duration     // how long the first of a group waits for others
 	GroupMembers  int               // transactions in a group at most
 }
@@ -135,11 +140,11 @@
 	res, err := c.breaker.Execute(func() (response, error) { return c.roundTrip(ctx, req) })
 	switch {
 	case errors.Is(err, gobreaker.ErrOpenState), errors.Is(err, gobreaker.ErrTooManyRequests):
-		return res, &exchangeError{fate: fateNotSent, after: c.cfg.BreakerOpen, cause: err}
+		return res, &exchangeError{fate: fateNotSent, after: downRetryAfter, cause: err}
 	case err != nil && res.status == http.StatusServiceUnavailable:
-		return res, &exchangeError{fate: fateLost, after: c.cfg.BreakerOpen, cause: err}
+		return res, &exchangeError{fate: fateLost, after: downRetryAfter, cause: err}
 	case err != nil:
-		return res, &exchangeError{fate: transportFate(err), after: c.cfg.BreakerOpen, cause: err}
+		return res, &exchangeError{fate: transportFate(err), after: downRetryAfter, cause: err}
 	}
 	return res, statusFate(res)
 }
--- a/lib/platform/client_test.go
+++ b/lib/platform/client_test.go
@@ -100,7 +100,7 @@
 // with a time to come back; within the breaker's time after its return, writes go through again.
 func TestOutageOfHours(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, c := start(t, standin.Config{}, platform.Config{SettleTimeout: 500 * time.Millisecond})
+		s, c := start(t, standin.Config{}, platform.Config{SettleTimeout: 500 * time.Millisecond, BreakerOpen: time.Second})
 		s.SetFault(standin.Fault{Kind: standin.FaultOutage, DurationMS: (3 * time.Hour).Milliseconds()})
 		for range platform.DefaultBreakerAfter {
 			_, err := c.Txn(t.Context(), put("k", "v", 0))
--- a/lib/platform/errors.go
+++ b/lib/platform/errors.go
@@ -70,7 +70,7 @@
 	return fateLost
 }
 
-// asFailure turns the last exchange's error into the error of a write whose other exchanges are all proved not run.
+// writeError turns the last exchange's error into the error of a write whose other exchanges are all proved not run.
 func writeError(err *exchangeError, op string) error {
 	t := Unknown
 	switch err.fate {
--- a/lib/platform/txn.go
+++ b/lib/platform/txn.go
@@ -14,7 +14,7 @@
 // Waits between tries to settle a write; each doubles the one before, with jitter.
 const (
 	settleWaitMin = 20 * time.Millisecond
-	settleWaitMax = time.Second
+	settleWaitMax = 250 * time.Millisecond
 )
 
 // NewOpID returns a fresh operation id.
