--- /dev/null
+++ b/lib/callerapi/headers.go
@@ -0,0 +1,138 @@
+// Package callerapi reads callers' requests and writes their answers: the OpenAI-compatible shape of completions, the
+// headers that the system adds to it, and error bodies with the numbered codes of lib/result.
+package callerapi
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/ids"
+	"anvilwick.example/anvilwick/lib/result"
+)
+
+// Headers of the interface.
+const (
+	HeaderKey       = "Idempotency-Key"
+	HeaderLastEvent = "Last-Event-Id"
+	HeaderClass     = "X-Anvilwick-Class"
+	HeaderDeadline  = "X-Anvilwick-Deadline-Ms"
+	HeaderRequestID = "X-Request-Id"
+	HeaderCode      = "X-Anvilwick-Code"
+)
+
+// Bounds on header values.
+const (
+	MaxKey      = 200
+	MaxClass    = 64
+	MaxDeadline = 30 * 24 * time.Hour
+	maxToken    = 512
+)
+
+// EventID names a token of a generation; it is the id of the event that carried it.
+type EventID struct {
+	Generation ids.Generation
+	Index      uint32
+}
+
+// String is the form sent to callers.
+func (e EventID) String() string {
+	return e.Generation.String() + "-" + strconv.FormatUint(uint64(e.Index), 10)
+}
+
+// Headers is what a request's headers say to the system.
+type Headers struct {
+	Token     string // bearer token; a secret
+	Key       string
+	Class     string
+	Deadline  time.Duration // time left; 0: not given
+	LastEvent *EventID
+}
+
+// ParseHeaders reads and bounds them. Errors carry Unauthenticated or BadHeader.
+func ParseHeaders(h http.Header) (Headers, *result.Error) {
+	var out Headers
+	steps := []func(http.Header, *Headers) *result.Error{readToken, readKey, readClass, readDeadline, readLastEvent}
+	for _, step := range steps {
+		if err := step(h, &out); err != nil {
+			return Headers{}, err
+		}
+	}
+	return out, nil
+}
+
+func readToken(h http.Header, out *Headers) *result.Error {
+	scheme, token, ok := strings.Cut(h.Get("Authorization"), " ")
+	token = strings.TrimSpace(token)
+	if !ok || !strings.EqualFold(scheme, "Bearer") || token == "" || len(token) > maxToken {
+		return result.New(result.Unauthenticated, "an Authorization header with a bearer token is needed")
+	}
+	out.Token = token
+	return nil
+}
+
+func readKey(h http.Header, out *Headers) *result.Error {
+	v := h.Values(HeaderKey)
+	if len(v) == 0 {
+		return nil
+	}
+	if len(v) > 1 || !printable(v[0], MaxKey) {
+		return badHeader(HeaderKey, "one value of 1 to 200 printable ASCII characters")
+	}
+	out.Key = v[0]
+	return nil
+}
+
+func readClass(h http.Header, out *Headers) *result.Error {
+	v := h.Get(HeaderClass)
+	if v != "" && !printable(v, MaxClass) {
+		return badHeader(HeaderClass, "1 to 64 printable ASCII characters")
+	}
+	out.Class = v
+	return nil
+}
+
+func readDeadline(h http.Header, out *Headers) *result.Error {
+	v := h.Get(HeaderDeadline)
+	if v == "" {
+		return nil
+	}
+	ms, err := strconv.ParseInt(v, 10, 64)
+	if err != nil || ms <= 0 || ms > MaxDeadline.Milliseconds() {
+		return badHeader(HeaderDeadline, "a positive count of milliseconds, 30 days at most")
+	}
+	out.Deadline = time.Duration(ms) * time.Millisecond
+	return nil
+}
+
+func readLastEvent(h http.Header, out *Headers) *result.Error {
+	v := h.Get(HeaderLastEvent)
+	if v == "" {
+		return nil
+	}
+	gen, index, ok := strings.Cut(v, "-")
+	g, err := ids.Parse(gen)
+	n, nerr := strconv.ParseUint(index, 10, 31)
+	if !ok || err != nil || nerr != nil {
+		return badHeader(HeaderLastEvent, "the id of an event of the stream")
+	}
+	out.LastEvent = &EventID{Generation: g, Index: uint32(n)}
+	return nil
+}
+
+func badHeader(name, want string) *result.Error {
+	return result.New(result.BadHeader, "%s: expected %s", name, want)
+}
+
+func printable(s string, limit int) bool {
+	if s == "" || len(s) > limit {
+		return false
+	}
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/lib/target/sse.go
@@ -0,0 +1,102 @@
+package target
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+)
+
+// MaxEvent bounds one event of a stream, in bytes.
+const MaxEvent = 256 << 10
+
+const sseBuffer = 8 << 10
+
+// ErrEventTooLarge is returned for an event over MaxEvent.
+var ErrEventTooLarge = errors.New("server-sent event over its bound")
+
+var dataField = []byte("data")
+
+// eventReader splits a body into server-sent events. It keeps one buffer for its whole life.
+type eventReader struct {
+	r    *bufio.Reader
+	data []byte
+}
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, sseBuffer)}
+}
+
+// next returns the data of the next event that has any, valid until the following call. Fields other than data are
+// ignored, as are comments. An event cut off by the end of the body is not returned.
+func (e *eventReader) next() ([]byte, error) {
+	e.data = e.data[:0]
+	lines := 0
+	for {
+		from := len(e.data)
+		if err := e.readLine(); err != nil {
+			return nil, err
+		}
+		line := bytes.TrimRight(e.data[from:], "\r\n")
+		if len(line) == 0 {
+			e.data = e.data[:from]
+			if lines > 0 {
+				return e.data, nil
+			}
+			continue
+		}
+		value, ok := cutData(line)
+		if !ok {
+			e.data = e.data[:from]
+			continue
+		}
+		e.data = joinData(e.data[:from], value, lines)
+		lines++
+	}
+}
+
+// joinData appends the value of one more data line. value lies behind data in the same buffer.
+func joinData(data, value []byte, lines int) []byte {
+	if lines == 0 {
+		n := copy(data[:len(value)], value)
+		return data[:n]
+	}
+	value = bytes.Clone(value)
+	data = append(data, '\n')
+	return append(data, value...)
+}
+
+func cutData(line []byte) ([]byte, bool) {
+	if !bytes.HasPrefix(line, dataField) {
+		return nil, false
+	}
+	rest := line[len(dataField):]
+	if len(rest) == 0 {
+		return rest, true
+	}
+	if rest[0] != ':' {
+		return nil, false
+	}
+	return bytes.TrimPrefix(rest[1:], []byte(" ")), true
+}
+
+// readLine appends one whole line, with its end, to e.data. A last line without an end is io.ErrUnexpectedEOF.
+func (e *eventReader) readLine() error {
+	for {
+		part, err := e.r.ReadSlice('\n')
+		if len(e.data)+len(part) > MaxEvent {
+			return ErrEventTooLarge
+		}
+		e.data = append(e.data, part...)
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case errors.Is(err, io.EOF) && len(e.data) > 0:
+			return io.ErrUnexpectedEOF
+		default:
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/lib/target/stream.go
@@ -0,0 +1,77 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"anvilwick.example/anvilwick/lib/engineapi"
+)
+
+// Stream is one attempt's stream of frames. It is used by one goroutine, and Close by any.
+type Stream struct {
+	resp   *http.Response
+	cancel context.CancelFunc
+	events *eventReader
+	parser frameParser
+	frame  Frame
+}
+
+// Open sends body to path and returns the stream of its answer. The error is ErrNotSent when no byte left this
+// process, a *RefusedError when the engine refused, and ErrBroken otherwise. Cancelling ctx closes the connection.
+func (c *Client) Open(ctx context.Context, path string, body []byte) (*Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	sctx, sent := withSent(ctx)
+	req, err := http.NewRequestWithContext(sctx, http.MethodPost, c.base+path, newOnceBody(body))
+	if err != nil {
+		cancel()
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Accept", "text/event-stream")
+	resp, err := c.clients.once.Do(req)
+	if err != nil {
+		cancel()
+		return nil, classify(err, sent)
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer cancel()
+		defer resp.Body.Close()
+		return nil, readRefusal(resp)
+	}
+	return &Stream{resp: resp, cancel: cancel, events: newEventReader(resp.Body)}, nil
+}
+
+func classify(err error, sent *sentFlag) error {
+	if sent.v.Load() {
+		return fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	return fmt.Errorf("%w: %w", ErrNotSent, err)
+}
+
+// Next returns the next frame, valid until the following call. io.EOF means that the engine sent [DONE]; a body that
+// ends before that is ErrCutShort or ErrBroken.
+func (s *Stream) Next() (*Frame, error) {
+	data, err := s.events.next()
+	switch {
+	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+		return nil, fmt.Errorf("%w: %w", ErrCutShort, err)
+	case err != nil:
+		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+	case string(data) == engineapi.DoneData:
+		return nil, io.EOF
+	}
+	if err := s.parser.parse(data, &s.frame); err != nil {
+		return nil, err
+	}
+	return &s.frame, nil
+}
+
+// Close ends the connection.
+func (s *Stream) Close() {
+	s.cancel()
+	s.resp.Body.Close()
+}
