--- a/lib/target/call.go
+++ b/lib/target/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 )
 
@@ -60,9 +61,17 @@
 		}
 		return resp, nil
 	}
-	resp, err := c.clients.pooled.Do(req)
+	resp, err := c.clients.pooled.Do(req.WithContext(traceSent(ctx, sent)))
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+		return nil, classify(err, sent)
 	}
 	return resp, nil
 }
+
+// traceSent sets the flag as soon as a connection, kept or fresh, is given to the request. The transport may try several
+// in turn, so that the last error alone (a refused dial) does not prove that nothing was sent.
+func traceSent(ctx context.Context, sent *sentFlag) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.v.Store(true) },
+	})
+}
