--- a/lib/callerapi/completion.go
+++ b/lib/callerapi/completion.go
@@ -12,16 +12,14 @@
 	"anvilwick.example/anvilwick/lib/result"
 )
 
-// bytesPerToken turns a prompt's length into an estimate of its tokens; engines don't offer their tokenizer.
-const bytesPerToken = 4
-
 // Completion is a caller's request for a generation. Fields that the system doesn't read are kept as they came.
 type Completion struct {
 	Chat      bool
 	Model     string
 	Stream    bool
 	MaxTokens int    // 0: not given
-	Content   []byte // prompt or messages, as JSON
+	Prompt    string // text that tokens and prefixes are counted on
+	content   []byte // prompt or messages, as JSON
 	fields    map[string]json.RawMessage
 }
 
@@ -62,20 +60,18 @@
 
 func readContent(c *Completion) *result.Error {
 	if !c.Chat {
-		var prompt string
-		if json.Unmarshal(c.fields[fieldPrompt], &prompt) != nil {
-			return result.New(result.BadRequest, "prompt: expected a string")
+		if json.Unmarshal(c.fields[fieldPrompt], &c.Prompt) != nil || c.Prompt == "" {
+			return result.New(result.BadRequest, "prompt: expected a string that is not empty")
 		}
-		c.Content = c.fields[fieldPrompt]
+		c.content = c.fields[fieldPrompt]
 		return nil
 	}
-	var msgs []struct {
-		Role string `json:"role"`
-	}
+	var msgs []engineapi.Message
 	if json.Unmarshal(c.fields[fieldMessages], &msgs) != nil || len(msgs) == 0 {
-		return result.New(result.BadRequest, "messages: expected a list of messages")
+		return result.New(result.BadRequest, "messages: expected a list of messages with text content")
 	}
-	c.Content = c.fields[fieldMessages]
+	c.Prompt = engineapi.PromptText(&engineapi.Request{Messages: msgs})
+	c.content = c.fields[fieldMessages]
 	return nil
 }
 
@@ -117,14 +113,14 @@
 }
 
 // PromptTokens estimates the length of the prompt.
-func (c *Completion) PromptTokens() int { return len(c.Content)/bytesPerToken + 1 }
+func (c *Completion) PromptTokens() int { return engineapi.CountTokens(c.Prompt) }
 
 // Fingerprint identifies the content across resends under other keys: the same prompt to the same model.
 func (c *Completion) Fingerprint() uint64 {
 	d := xxhash.New()
 	_, _ = d.WriteString(c.Model)
 	_, _ = d.Write([]byte{0})
-	_, _ = d.Write(c.Content)
+	_, _ = d.Write(c.content)
 	return d.Sum64()
 }
 
--- a/lib/callerapi/events.go
+++ b/lib/callerapi/events.go
@@ -7,6 +7,7 @@
 
 	"anvilwick.example/anvilwick/lib/engineapi"
 	"anvilwick.example/anvilwick/lib/ids"
+	"anvilwick.example/anvilwick/lib/stream"
 )
 
 // Done is the last event of a whole stream.
@@ -28,11 +29,13 @@
 }
 
 // AppendEvent appends an event with its id, as one write to the caller. data is one line.
-func AppendEvent(dst []byte, gen string, index uint32, data []byte) []byte {
+func AppendEvent(dst []byte, gen string, index uint32, sum stream.Digest, data []byte) []byte {
 	dst = append(dst, "id: "...)
 	dst = append(dst, gen...)
 	dst = append(dst, '-')
 	dst = strconv.AppendUint(dst, uint64(index), 10)
+	dst = append(dst, '-')
+	dst = strconv.AppendUint(dst, uint64(sum), 16)
 	dst = append(dst, "\ndata: "...)
 	dst = append(dst, data...)
 	return append(dst, "\n\n"...)
--- a/lib/callerapi/headers.go
+++ b/lib/callerapi/headers.go
@@ -10,6 +10,7 @@
 
 	"anvilwick.example/anvilwick/lib/ids"
 	"anvilwick.example/anvilwick/lib/result"
+	"anvilwick.example/anvilwick/lib/stream"
 )
 
 // Headers of the interface.
@@ -30,15 +31,33 @@
 	maxToken    = 512
 )
 
-// EventID names a token of a generation; it is the id of the event that carried it.
+// EventID names a token of a generation; it is the id of the event that carried it, as "generation-index-digest" with
+// the digest of all tokens up to that one.
 type EventID struct {
 	Generation ids.Generation
 	Index      uint32
+	Digest     stream.Digest
 }
 
-// String is the form sent to callers.
-func (e EventID) String() string {
-	return e.Generation.String() + "-" + strconv.FormatUint(uint64(e.Index), 10)
+// ParseEventID reads the form that AppendEvent writes.
+func ParseEventID(s string) (EventID, bool) {
+	parts := strings.Split(s, "-")
+	if len(parts) != 3 {
+		return EventID{}, false
+	}
+	g, err := ids.Parse(parts[0])
+	if err != nil {
+		return EventID{}, false
+	}
+	index, err := strconv.ParseUint(parts[1], 10, 31)
+	if err != nil {
+		return EventID{}, false
+	}
+	sum, err := strconv.ParseUint(parts[2], 16, 64)
+	if err != nil {
+		return EventID{}, false
+	}
+	return EventID{Generation: g, Index: uint32(index), Digest: stream.Digest(sum)}, true
 }
 
 // Headers is what a request's headers say to the system.
@@ -111,13 +130,11 @@
 	if v == "" {
 		return nil
 	}
-	gen, index, ok := strings.Cut(v, "-")
-	g, err := ids.Parse(gen)
-	n, nerr := strconv.ParseUint(index, 10, 31)
-	if !ok || err != nil || nerr != nil {
+	id, ok := ParseEventID(v)
+	if !ok {
 		return badHeader(HeaderLastEvent, "the id of an event of the stream")
 	}
-	out.LastEvent = &EventID{Generation: g, Index: uint32(n)}
+	out.LastEvent = &id
 	return nil
 }
 
--- /dev/null
+++ b/lib/entry/accept.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/callerapi"
+	"anvilwick.example/anvilwick/lib/ids"
+	"anvilwick.example/anvilwick/lib/result"
+	"anvilwick.example/anvilwick/lib/settings"
+)
+
+const (
+	maxRequestID = 64
+	startRetry   = time.Second // while no settings are in force yet
+)
+
+// request is what is known of a caller's request while it is accepted.
+type request struct {
+	id        string
+	accepted  time.Time
+	headers   callerapi.Headers
+	view      *view
+	workspace *settings.Workspace
+	class     string
+}
+
+// open reads the headers that every kind of request has, and finds its workspace.
+func (s *Server) open(w http.ResponseWriter, r *http.Request) (*request, *result.Error) {
+	rq := &request{id: requestID(r), accepted: s.now(), view: s.view.Load()}
+	w.Header().Set(callerapi.HeaderRequestID, rq.id)
+	if rq.view == nil {
+		err := result.New(result.Stopping, "no settings are in force yet")
+		err.RetryAfter = startRetry
+		return rq, err
+	}
+	var err *result.Error
+	if rq.headers, err = callerapi.ParseHeaders(r.Header); err != nil {
+		return rq, err
+	}
+	return rq, rq.authenticate()
+}
+
+func (rq *request) authenticate() *result.Error {
+	rq.workspace = rq.view.snap.LookupToken(rq.headers.Token)
+	if rq.workspace == nil {
+		return result.New(result.Unauthenticated, "unknown key")
+	}
+	rq.class = rq.headers.Class
+	if rq.class == "" && len(rq.workspace.Classes) > 0 {
+		rq.class = rq.workspace.Classes[0]
+		return nil
+	}
+	if !rq.workspace.MayName(rq.class) {
+		class := rq.class
+		rq.class = ""
+		return result.New(result.Forbidden, "class %q", class)
+	}
+	return nil
+}
+
+// policy returns the values for a service that the workspace may use.
+func (rq *request) policy(svc *settings.Service) (*settings.Policy, *result.Error) {
+	if !rq.workspace.MayUse(svc.Name) {
+		return nil, result.New(result.Forbidden, "service %q", svc.Name)
+	}
+	return rq.view.snap.Policy(svc.Name, rq.workspace.Name, rq.class), nil
+}
+
+// deadline returns the earlier of the caller's and the policy's; zero when there is neither.
+func (rq *request) deadline(p *settings.Policy) time.Time {
+	left := rq.headers.Deadline
+	if left == 0 || (p.Deadline > 0 && p.Deadline < left) {
+		left = p.Deadline
+	}
+	if left == 0 {
+		return time.Time{}
+	}
+	return rq.accepted.Add(left)
+}
+
+// requestID returns the caller's own id when it fits into a log line, else a new one.
+func requestID(r *http.Request) string {
+	id := r.Header.Get(callerapi.HeaderRequestID)
+	if id == "" || len(id) > maxRequestID {
+		return ids.New().String()
+	}
+	for i := range len(id) {
+		if c := id[i]; c <= ' ' || c > '~' || c == '"' || c == '=' || c == '\\' {
+			return ids.New().String()
+		}
+	}
+	return id
+}
+
+// readBody reads a body of at most limit bytes.
+func readBody(w http.ResponseWriter, r *http.Request, limit int) ([]byte, *result.Error) {
+	if limit <= 0 || limit > maxBodyBytes {
+		limit = maxBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, result.New(result.BodyTooLarge, "%d bytes at most", limit)
+	case err != nil:
+		return nil, result.Wrap(result.BadRequest, err, "read the body")
+	}
+	return body, nil
+}
--- /dev/null
+++ b/lib/entry/attempt.go
@@ -0,0 +1,201 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/engineapi"
+	"anvilwick.example/anvilwick/lib/ids"
+	"anvilwick.example/anvilwick/lib/result"
+	"anvilwick.example/anvilwick/lib/sched"
+	"anvilwick.example/anvilwick/lib/stream"
+	"anvilwick.example/anvilwick/lib/target"
+)
+
+// errEngine is an error frame in a stream.
+var (
+	errEngine    = errors.New("the engine ended the stream with an error")
+	errPreempted = errors.New("the engine preempted the sequence")
+	errGap       = errors.New("a token is missing from the stream")
+)
+
+// attemptEnd tells how an attempt ended.
+type attemptEnd struct {
+	reason  sched.EndReason
+	cause   error
+	final   *result.Error // the generation ends with it; nil: completed, or another attempt may follow
+	refused bool          // proved not run
+	settled bool          // nothing to cancel at the engine: it ended or refused the attempt itself
+}
+
+// endFrame keeps an end mark until [DONE] follows it.
+type endFrame struct {
+	generation ids.Generation
+	attempt    uint32
+	count      uint32
+	reason     string
+	raw        []byte
+}
+
+// runAttempt sends one attempt to a target and forwards its tokens until it ends.
+func (s *Server) runAttempt(g *generation, c *target.Client, number uint32, priority int) attemptEnd {
+	ctx, cancel := context.WithCancelCause(g.ctx)
+	defer cancel(nil)
+	body, err := g.attemptBody(number, priority)
+	if err != nil {
+		return attemptEnd{reason: sched.EndTargetRefused, refused: true, final: result.Wrap(result.BadRequest, err, "encode the request")}
+	}
+	g.start(c.Name(), s.now(), cancel)
+	st, err := c.Open(ctx, g.asked.Path(), body)
+	if err != nil {
+		return openEnd(ctx, g, err)
+	}
+	defer st.Close()
+	g.noteRan()
+	return s.forward(ctx, g, st, c.Name())
+}
+
+func (g *generation) attemptBody(number uint32, priority int) ([]byte, error) {
+	ext := &engineapi.Ext{Generation: g.idText, Attempt: number, Priority: priority}
+	g.mu.Lock()
+	ext.StartIndex = g.state.Next()
+	ext.Resume = g.text.Tokens(0)
+	g.mu.Unlock()
+	if !g.deadline.IsZero() {
+		ext.DeadlineMS = max(1, time.Until(g.deadline).Milliseconds())
+	}
+	return g.template.With(ext)
+}
+
+// openEnd classifies a failure before the first frame. Only a proof makes it "refused".
+func openEnd(ctx context.Context, g *generation, err error) attemptEnd {
+	var refusal *target.RefusedError
+	switch {
+	case errors.Is(err, target.ErrNotSent):
+		return attemptEnd{reason: sched.EndTargetDied, cause: err, refused: true, settled: true}
+	case errors.As(err, &refusal):
+		return refusalEnd(g, refusal)
+	}
+	g.noteRan()
+	return breakEnd(ctx, err)
+}
+
+func refusalEnd(g *generation, r *target.RefusedError) attemptEnd {
+	end := attemptEnd{reason: sched.EndTargetRefused, cause: r, refused: r.Err.NotRun, settled: true}
+	if !r.Err.NotRun {
+		g.noteRan()
+	}
+	switch {
+	case r.Err.Type == engineapi.ErrBad || r.Status == http.StatusBadRequest:
+		end.final = result.Wrap(result.BadRequest, r, r.Err.Message)
+	case r.Err.Type == engineapi.ErrNoResume:
+		end.final = result.Wrap(result.CannotResume, r, "resume at the next token")
+	}
+	return end
+}
+
+// breakEnd names why a connection broke: by our own order, or by the target.
+func breakEnd(ctx context.Context, err error) attemptEnd {
+	switch cause := context.Cause(ctx); cause {
+	case errStalled:
+		return attemptEnd{reason: sched.EndStalled, cause: cause}
+	case errMoved:
+		return attemptEnd{reason: sched.EndMoved, cause: cause}
+	case nil:
+		return attemptEnd{reason: sched.EndTargetDied, cause: err}
+	default:
+		return attemptEnd{reason: sched.EndCancelled, cause: cause, final: causeError(cause)}
+	}
+}
+
+// causeError is what the caller is told when the generation was cancelled as a whole.
+func causeError(cause error) *result.Error {
+	switch {
+	case errors.Is(cause, errDeadline):
+		return result.Wrap(result.DeadlinePassed, cause, "finish in time")
+	case errors.Is(cause, errCallerSlow):
+		return result.Wrap(result.CallerTooSlow, cause, "deliver tokens")
+	case errors.Is(cause, errDiverged):
+		return result.Wrap(result.CannotResume, cause, "go on with the caller's stream")
+	}
+	return result.Wrap(result.CallerGone, cause, "deliver tokens")
+}
+
+// forward hands on frames until the attempt ends.
+func (s *Server) forward(ctx context.Context, g *generation, st *target.Stream, name string) attemptEnd {
+	var end *endFrame
+	for {
+		f, err := st.Next()
+		switch {
+		case errors.Is(err, io.EOF):
+			return s.closeStream(g, end)
+		case errors.Is(err, target.ErrBadFrame):
+			return attemptEnd{reason: sched.EndTargetDied, cause: err}
+		case err != nil:
+			return breakEnd(ctx, err)
+		case (f.Err != nil || f.Finish != "") && !g.current(f):
+			s.metrics.Dropped(stream.Foreign.String())
+			continue
+		case f.Err != nil:
+			return errorFrameEnd(f.Err)
+		case f.Finish != "":
+			end = keepEnd(f)
+			continue
+		}
+		if v := s.forwardToken(g, f, name); v.Failed() {
+			return attemptEnd{reason: sched.EndTargetDied, cause: errGap}
+		}
+	}
+}
+
+// forwardToken is the hot path: one call for each token.
+func (s *Server) forwardToken(g *generation, f *target.Frame, name string) stream.Verdict {
+	now := s.now()
+	v, gap := g.token(now, f)
+	if v != stream.Deliver {
+		s.metrics.Dropped(v.String())
+		return v
+	}
+	g.metrics.Tokens.Inc()
+	if f.Index == 0 {
+		g.metrics.FirstToken.Update(now.Sub(g.accepted).Seconds())
+		return v
+	}
+	g.metrics.InterToken.Update(gap.Seconds())
+	s.opts.Stalls.Observe(name, gap)
+	return v
+}
+
+func keepEnd(f *target.Frame) *endFrame {
+	return &endFrame{
+		generation: f.Generation,
+		attempt:    f.Attempt,
+		count:      f.Index,
+		reason:     f.Finish,
+		raw:        append([]byte(nil), f.Raw...),
+	}
+}
+
+// closeStream judges a stream that was closed by [DONE]. Without an end mark that counts every token it was cut short:
+// the caller would take a part for the whole.
+func (s *Server) closeStream(g *generation, end *endFrame) attemptEnd {
+	if end == nil {
+		return attemptEnd{reason: sched.EndTargetDied, cause: target.ErrCutShort}
+	}
+	v := g.endMark(end)
+	if v != stream.End {
+		s.metrics.Dropped(v.String())
+		return attemptEnd{reason: sched.EndTargetDied, cause: target.ErrCutShort}
+	}
+	return attemptEnd{reason: sched.EndCompleted, settled: true}
+}
+
+func errorFrameEnd(e *engineapi.Error) attemptEnd {
+	if e.Type == engineapi.ErrPreempted {
+		return attemptEnd{reason: sched.EndPreempted, cause: errPreempted}
+	}
+	return attemptEnd{reason: sched.EndTargetDied, cause: errors.Join(errEngine, errors.New(e.Type+": "+e.Message))}
+}
--- /dev/null
+++ b/lib/entry/complete.go
@@ -0,0 +1,281 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"anvilwick.example/anvilwick/lib/callerapi"
+	"anvilwick.example/anvilwick/lib/engineapi"
+	"anvilwick.example/anvilwick/lib/ids"
+	"anvilwick.example/anvilwick/lib/result"
+	"anvilwick.example/anvilwick/lib/settings"
+	"anvilwick.example/anvilwick/lib/stream"
+)
+
+// restoreGap is added to the attempt number of a generation that is taken over from a dead entry, whose last attempts may
+// not be in its record.
+const restoreGap = 16
+
+// serveCompletion answers a request for a generation, or goes on with one.
+func (s *Server) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	rq, err := s.open(w, r)
+	if err != nil {
+		s.refuse(w, rq, err)
+		return
+	}
+	if err := s.enter(); err != nil {
+		s.refuse(w, rq, err)
+		return
+	}
+	defer s.table.leave()
+	a, err := s.readCompletion(w, r, rq)
+	if err != nil {
+		s.refuse(w, rq, err)
+		return
+	}
+	g, sk, err := s.obtain(r.Context(), a)
+	if err != nil {
+		s.refuse(w, rq, err)
+		return
+	}
+	s.deliver(w, r, g, sk)
+}
+
+// asked is a completion request with what its settings say.
+type asked struct {
+	*request
+	conn       http.ResponseWriter
+	completion *callerapi.Completion
+	body       []byte
+	service    *settings.Service
+	policy     *settings.Policy
+	idempotent bool
+	subject    Subject
+}
+
+func (s *Server) readCompletion(w http.ResponseWriter, r *http.Request, rq *request) (*asked, *result.Error) {
+	if r.Method != http.MethodPost {
+		return nil, result.New(result.NoRoute, "%s %s", r.Method, r.URL.Path)
+	}
+	body, err := readBody(w, r, maxBodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	c, err := callerapi.ParseCompletion(body, r.URL.Path == engineapi.PathChatCompletions)
+	if err != nil {
+		return nil, err
+	}
+	a := &asked{request: rq, conn: w, completion: c, body: body}
+	if a.service = rq.view.snap.LookupModel(c.Model); a.service == nil {
+		return nil, result.New(result.NoRoute, "model %q", c.Model)
+	}
+	if a.policy, err = rq.policy(a.service); err != nil {
+		return nil, err
+	}
+	if len(body) > a.policy.MaxBody {
+		return nil, result.New(result.BodyTooLarge, "%d bytes at most", a.policy.MaxBody)
+	}
+	c.Bound(a.policy.MaxTokens)
+	a.subject = Subject{Service: a.service.Name, Workspace: rq.workspace.Name, Class: rq.class, Fingerprint: c.Fingerprint()}
+	return a, nil
+}
+
+// obtain returns the generation to deliver, and the sink that is attached to it: one in progress here under the
+// request's key, one taken over from an entry that died, or a new one.
+func (s *Server) obtain(ctx context.Context, a *asked) (*generation, *sink, *result.Error) {
+	last := a.headers.LastEvent
+	if last != nil && (a.headers.Key == "" || !a.completion.Stream) {
+		return nil, nil, result.New(result.BadHeader, "%s needs %s and a streamed answer", callerapi.HeaderLastEvent, callerapi.HeaderKey)
+	}
+	if g := s.table.find(a.workspace.Name, a.headers.Key); g != nil {
+		return s.join(g, a)
+	}
+	if last != nil {
+		return s.takeOver(ctx, a)
+	}
+	return s.admit(ctx, a)
+}
+
+// newSink returns a sink for the request's connection, from the token on that its caller lacks.
+func (a *asked) newSink() *sink {
+	sk := newSink(a.conn, a.policy, !a.completion.Stream)
+	if a.headers.LastEvent != nil {
+		sk.resume(*a.headers.LastEvent)
+	}
+	return sk
+}
+
+// join attaches a caller that asks again to the generation of its key.
+func (s *Server) join(g *generation, a *asked) (*generation, *sink, *result.Error) {
+	if g.subject.Fingerprint != a.subject.Fingerprint || g.service.Name != a.service.Name {
+		return nil, nil, result.New(result.KeyReused, "%s", callerapi.HeaderKey)
+	}
+	last := a.headers.LastEvent
+	if last != nil && last.Generation != g.id {
+		return nil, nil, result.New(result.UnknownStream, "%s names another generation", callerapi.HeaderLastEvent)
+	}
+	sk := a.newSink()
+	if err := g.attach(s.now(), sk, last != nil); err != nil {
+		return nil, nil, err
+	}
+	g.log(log.Info(), "caller_joined").Str("by_request", a.id).Msg("")
+	return g, sk, nil
+}
+
+// admit starts a new generation, or refuses it at once.
+func (s *Server) admit(ctx context.Context, a *asked) (*generation, *sink, *result.Error) {
+	g := s.newGeneration(a, ids.New(), stream.New)
+	if err := s.admission(g); err != nil {
+		return nil, nil, err
+	}
+	sk := a.newSink()
+	if err := g.attach(s.now(), sk, true); err != nil {
+		g.release()
+		return nil, nil, err
+	}
+	if old := s.table.add(g); old != nil {
+		g.release()
+		return s.join(old, a)
+	}
+	if err := s.claim(ctx, g, a); err != nil {
+		s.withdraw(g, sk, err)
+		return s.afterClaim(ctx, a, err)
+	}
+	s.opts.Retries.First(g.subject, g.policy)
+	go s.run(g)
+	return g, sk, nil
+}
+
+// withdraw ends a generation that never started. Another connection may have joined it meanwhile and is told as well.
+func (s *Server) withdraw(g *generation, own *sink, err *result.Error) {
+	s.table.drop(g)
+	g.detach(own, s.now())
+	g.end(s.now(), err)
+	g.release()
+}
+
+// admission is the chain of checks before anything is sent.
+func (s *Server) admission(g *generation) *result.Error {
+	if !g.deadline.IsZero() && !s.now().Before(g.deadline) {
+		err := result.New(result.DeadlineTooNear, "it has passed")
+		err.RetryAfter = time.Second
+		return err
+	}
+	if err := s.opts.Poison.Check(g.subject); err != nil {
+		return err
+	}
+	var err *result.Error
+	g.release, err = s.opts.Limiter.Acquire(g.subject, g.policy)
+	return err
+}
+
+// claim makes a keyed request that is not idempotent known to all entries before any of it is sent.
+func (s *Server) claim(ctx context.Context, g *generation, a *asked) *result.Error {
+	if g.key == "" || a.idempotent {
+		return nil
+	}
+	c, err := s.opts.Claims.Claim(ctx, g.subject, g.key)
+	if err != nil {
+		return err
+	}
+	g.claim = c
+	return nil
+}
+
+// afterClaim answers a request whose key is claimed elsewhere. When the holder is gone and left a record, the rest of its
+// generation can be given.
+func (s *Server) afterClaim(ctx context.Context, a *asked, err *result.Error) (*generation, *sink, *result.Error) {
+	if err.Code != result.AlreadyRunning && err.Code != result.ClaimOrphan {
+		return nil, nil, err
+	}
+	g, sk, terr := s.takeOver(ctx, a)
+	if terr != nil {
+		return nil, nil, err
+	}
+	return g, sk, nil
+}
+
+// takeOver goes on with a generation whose entry died, from the record that it left with a peer.
+func (s *Server) takeOver(ctx context.Context, a *asked) (*generation, *sink, *result.Error) {
+	rec, err := s.opts.Records.Get(ctx, a.workspace.Name, a.headers.Key)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := matches(rec, a); err != nil {
+		return nil, nil, err
+	}
+	g, sk := s.restored(a, rec), a.newSink()
+	if err := g.attach(s.now(), sk, true); err != nil {
+		return nil, nil, err
+	}
+	if g.release, err = s.opts.Limiter.Acquire(g.subject, g.policy); err != nil {
+		return nil, nil, err
+	}
+	if old := s.table.add(g); old != nil {
+		g.release()
+		return s.join(old, a)
+	}
+	g.log(log.Info(), "taken_over").Int("tokens", len(rec.Tokens)).Bool("finished", rec.Finished).Msg("")
+	if rec.Finished {
+		go s.finish(g, nil)
+		return g, sk, nil
+	}
+	go s.run(g)
+	return g, sk, nil
+}
+
+// matches refuses a record that is not of the request: its key was used for something else.
+func matches(rec *Record, a *asked) *result.Error {
+	last := a.headers.LastEvent
+	switch {
+	case rec.Subject.Fingerprint != a.subject.Fingerprint || rec.Subject.Service != a.service.Name:
+		return result.New(result.KeyReused, "%s", callerapi.HeaderKey)
+	case last != nil && last.Generation != rec.Generation:
+		return result.New(result.UnknownStream, "%s names another generation", callerapi.HeaderLastEvent)
+	}
+	return nil
+}
+
+// restored builds a generation from its record.
+func (s *Server) restored(a *asked, rec *Record) *generation {
+	g := s.newGeneration(a, rec.Generation, func(id ids.Generation) *stream.State {
+		return stream.Restore(id, rec.Attempt+restoreGap, uint32(len(rec.Tokens)))
+	})
+	for _, token := range rec.Tokens {
+		g.text.Append([]byte(token))
+	}
+	g.finish = rec.FinishedWhy
+	g.mayHaveRun = true
+	g.lastToken = g.accepted
+	return g
+}
+
+func (s *Server) newGeneration(a *asked, id ids.Generation, state func(ids.Generation) *stream.State) *generation {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	c := a.completion
+	return &generation{
+		id:       id,
+		idText:   id.String(),
+		request:  a.id,
+		subject:  a.subject,
+		key:      a.headers.Key,
+		policy:   a.policy,
+		view:     a.view,
+		service:  a.service,
+		asked:    c,
+		body:     a.body,
+		template: c.Template(),
+		shape:    callerapi.Shape{Generation: id, Model: c.Model, Chat: c.Chat},
+		prefixes: engineapi.PrefixHashes(c.Prompt),
+		accepted: a.accepted,
+		deadline: a.deadline(a.policy),
+		metrics:  s.metrics.Pair(a.workspace.Name, a.class),
+		ctx:      ctx,
+		cancel:   cancel,
+		done:     make(chan struct{}),
+		state:    state(id),
+	}
+}
--- /dev/null
+++ b/lib/entry/deliver.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/callerapi"
+	"anvilwick.example/anvilwick/lib/result"
+)
+
+// keepAlive is the time without an event after which a comment is sent, so that balancers keep the connection and a
+// caller that is gone is noticed.
+const keepAlive = 15 * time.Second
+
+const keepAliveComment = ": waiting\n\n"
+
+// delivery is one connection's side of a generation.
+type delivery struct {
+	w       http.ResponseWriter
+	g       *generation
+	sink    *sink
+	buf     []byte
+	started bool // headers of the stream are sent
+	idle    bool // nothing was written since the keep-alive timer last fired
+}
+
+// deliver answers the caller until the generation has ended or the caller is gone.
+func (s *Server) deliver(w http.ResponseWriter, r *http.Request, g *generation, sk *sink) {
+	d := &delivery{w: w, g: g, sink: sk}
+	whole := d.loop(r)
+	if whole {
+		_ = sk.conn.SetWriteDeadline(time.Time{})
+		g.detach(sk, s.now())
+		return
+	}
+	s.callerLeft(g, sk)
+	panic(http.ErrAbortHandler)
+}
+
+// callerLeft ends a generation whose caller is gone, so that the engine's memory is free at once. A keyed one runs on for
+// a while, since its caller can come back for the rest.
+func (s *Server) callerLeft(g *generation, sk *sink) {
+	if g.detach(sk, s.now()) && g.key == "" {
+		g.cancel(errCallerGone)
+	}
+}
+
+// loop reports whether the answer was written to its end.
+func (d *delivery) loop(r *http.Request) bool {
+	timer := time.NewTimer(keepAlive)
+	defer timer.Stop()
+	for {
+		select {
+		case <-d.sink.wake:
+			last, ok := d.writeOut()
+			if !ok || last {
+				return ok
+			}
+		case <-timer.C:
+			if !d.keepAlive() {
+				return false
+			}
+			timer.Reset(keepAlive)
+		case <-r.Context().Done():
+			return false
+		}
+	}
+}
+
+// writeOut writes all that is buffered.
+func (d *delivery) writeOut() (last, ok bool) {
+	d.g.mu.Lock()
+	d.buf = d.sink.take(d.buf)
+	last, closed, events := d.sink.last, d.sink.closed, d.sink.events
+	d.g.mu.Unlock()
+	switch {
+	case closed:
+		return false, false
+	case d.sink.quiet:
+		return last, !last || d.writeAnswer()
+	case last && !events && !d.started && d.g.err != nil:
+		callerapi.WriteError(d.w, d.g.err, d.g.request)
+		return true, true
+	case len(d.buf) == 0:
+		return last, true
+	}
+	return last, d.write(d.buf)
+}
+
+func (d *delivery) write(data []byte) bool {
+	if !d.started {
+		callerapi.SetStreamHeaders(d.w)
+		d.started = true
+	}
+	d.idle = false
+	if _, err := d.w.Write(data); err != nil {
+		return false
+	}
+	return d.sink.conn.Flush() == nil
+}
+
+func (d *delivery) keepAlive() bool {
+	if d.sink.quiet || !d.idle {
+		d.idle = true
+		return true
+	}
+	ok := d.write([]byte(keepAliveComment))
+	d.idle = true
+	return ok
+}
+
+// writeAnswer writes the whole answer of an unstreamed request. The generation has ended, so its fields are fixed.
+func (d *delivery) writeAnswer() bool {
+	g := d.g
+	if g.err != nil {
+		callerapi.WriteError(d.w, g.err, g.request)
+		return true
+	}
+	usage := callerapi.Usage{PromptTokens: g.asked.PromptTokens(), CompletionTokens: g.text.Len()}
+	body, err := json.Marshal(g.shape.Answer(g.text.String(), g.finish, g.accepted.Unix(), usage))
+	if err != nil {
+		callerapi.WriteError(d.w, result.Wrap(result.TargetFailed, err, "encode the answer"), g.request)
+		return true
+	}
+	h := d.w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	_, err = d.w.Write(body)
+	return err == nil
+}
--- /dev/null
+++ b/lib/entry/finish.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"anvilwick.example/anvilwick/lib/result"
+)
+
+const claimTimeout = 5 * time.Second
+
+// finish ends a generation: caller, claim, record, limits, metrics and log, in that order.
+func (s *Server) finish(g *generation, err *result.Error) {
+	now := s.now()
+	err = truthful(g, err)
+	g.end(now, err)
+	g.cancel(nil)
+	s.record(g, now, true)
+	s.settleClaim(g.claim, codeOf(err))
+	g.release()
+	s.table.ended(g, now)
+	s.report(g, now, codeOf(err))
+}
+
+func codeOf(err *result.Error) result.Code {
+	if err == nil {
+		return result.OK
+	}
+	return err.Code
+}
+
+// truthful replaces a code whose promise does not hold. "Not run" is kept only when no engine may have executed any
+// part, whatever step of the way gave up in the end; and a deadline that passed before anything was sent is "not run".
+func truthful(g *generation, err *result.Error) *result.Error {
+	if err == nil {
+		return nil
+	}
+	g.mu.Lock()
+	ran := g.mayHaveRun
+	g.mu.Unlock()
+	outcome := result.Lookup(err.Code).Outcome
+	switch {
+	case ran && outcome == result.NotRun:
+		return result.Wrap(result.TargetFailed, err, "go on with it on another target: "+err.Error())
+	case !ran && err.Code == result.DeadlinePassed:
+		late := result.Wrap(result.DeadlineTooNear, err, "start it before its deadline")
+		late.RetryAfter = maxResumePause
+		return late
+	case !ran && err.Code == result.TargetFailed:
+		none := result.Wrap(result.NoTarget, err, err.Detail)
+		none.RetryAfter = maxResumePause
+		return none
+	}
+	return err
+}
+
+// settleClaim records the outcome of a claimed request. It waits for the table only a bounded time, in the background:
+// the answer is already with the caller, and an unfinished claim is the safe side.
+func (s *Server) settleClaim(c Claim, code result.Code) {
+	if c == nil {
+		return
+	}
+	s.background.Add(1)
+	go func() {
+		defer s.background.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+		defer cancel()
+		if result.Lookup(code).Outcome == result.NotRun {
+			c.Withdraw(ctx)
+			return
+		}
+		c.Finish(ctx, code)
+	}()
+}
+
+func (s *Server) report(g *generation, now time.Time, code result.Code) {
+	g.mu.Lock()
+	tokens, attempts, stalled := g.state.Next(), g.state.Attempt(), g.stalled
+	g.mu.Unlock()
+	took := now.Sub(g.accepted)
+	g.metrics.Duration.Update(took.Seconds())
+	g.metrics.Stall.Update(stalled.Seconds())
+	g.metrics.Result(code)
+	e := g.log(log.Info(), "request_end").Str("workspace", g.subject.Workspace).Str("class", g.subject.Class)
+	e = e.Str("service", g.subject.Service).Uint16("code", uint16(code)).Str("result", result.Lookup(code).Name)
+	e.Uint32("tokens", tokens).Uint32("attempts", attempts).Dur("took", took).Dur("stalled", stalled).Msg("")
+}
--- /dev/null
+++ b/lib/entry/plain.go
@@ -0,0 +1,240 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/phuslu/log"
+
+	"anvilwick.example/anvilwick/lib/callerapi"
+	"anvilwick.example/anvilwick/lib/entrymetrics"
+	"anvilwick.example/anvilwick/lib/result"
+	"anvilwick.example/anvilwick/lib/settings"
+	"anvilwick.example/anvilwick/lib/target"
+)
+
+// plainCall is one caller's call of a plain service.
+type plainCall struct {
+	*request
+	service *settings.Service
+	route   *settings.Route
+	policy  *settings.Policy
+	subject Subject
+	call    target.Call
+	claim   Claim
+	metrics *entrymetrics.Pair
+}
+
+// servePlain routes any method and path under a route of a plain service.
+func (s *Server) servePlain(w http.ResponseWriter, r *http.Request) {
+	rq, err := s.open(w, r)
+	if err != nil {
+		s.refuse(w, rq, err)
+		return
+	}
+	if err := s.enter(); err != nil {
+		s.refuse(w, rq, err)
+		return
+	}
+	defer s.table.leave()
+	pc, err := s.readPlain(w, r, rq)
+	if err != nil {
+		s.refuse(w, rq, err)
+		return
+	}
+	release, err := s.admitPlain(r.Context(), pc)
+	if err != nil {
+		s.refuse(w, rq, err)
+		return
+	}
+	defer release()
+	s.runPlain(w, r, pc)
+}
+
+func (s *Server) readPlain(w http.ResponseWriter, r *http.Request, rq *request) (*plainCall, *result.Error) {
+	pc := &plainCall{request: rq}
+	if pc.service, pc.route = rq.view.snap.LookupRoute(r.Method, r.URL.Path); pc.service == nil {
+		return nil, result.New(result.NoRoute, "%s %s", r.Method, r.URL.Path)
+	}
+	var err *result.Error
+	if pc.policy, err = rq.policy(pc.service); err != nil {
+		return nil, err
+	}
+	body, err := readBody(w, r, pc.policy.MaxBody)
+	if err != nil {
+		return nil, err
+	}
+	header := r.Header.Clone()
+	header.Del("Authorization") // the workspace's key is for us alone
+	header.Set(callerapi.HeaderRequestID, rq.id)
+	pc.call = target.Call{
+		Method: r.Method,
+		Path:   r.URL.RequestURI(),
+		Header: header,
+		Body:   body,
+		Once:   !pc.route.Idempotent,
+	}
+	pc.subject = Subject{
+		Service:     pc.service.Name,
+		Workspace:   rq.workspace.Name,
+		Class:       rq.class,
+		Fingerprint: pc.fingerprint(),
+	}
+	pc.metrics = s.metrics.Pair(rq.workspace.Name, rq.class)
+	return pc, nil
+}
+
+func (pc *plainCall) fingerprint() uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(pc.call.Method + " " + pc.call.Path + "\x00")
+	_, _ = d.Write(pc.call.Body)
+	return d.Sum64()
+}
+
+// admitPlain is the chain of checks before anything is sent. The claim comes last, since it costs a write.
+func (s *Server) admitPlain(ctx context.Context, pc *plainCall) (func(), *result.Error) {
+	if err := s.opts.Poison.Check(pc.subject); err != nil {
+		return nil, err
+	}
+	release, err := s.opts.Limiter.Acquire(pc.subject, pc.policy)
+	if err != nil {
+		return nil, err
+	}
+	if pc.route.Idempotent || pc.headers.Key == "" {
+		return release, nil
+	}
+	if pc.claim, err = s.opts.Claims.Claim(ctx, pc.subject, pc.headers.Key); err != nil {
+		release()
+		return nil, err
+	}
+	return release, nil
+}
+
+// runPlain sends the call and relays its answer.
+func (s *Server) runPlain(w http.ResponseWriter, r *http.Request, pc *plainCall) {
+	ctx, cancel := pc.limit(r.Context())
+	defer cancel()
+	s.opts.Retries.First(pc.subject, pc.policy)
+	resp, name, err := s.sendPlain(ctx, pc)
+	if err != nil {
+		s.endPlain(pc, name, err.Code)
+		callerapi.WriteError(w, err, pc.id)
+		return
+	}
+	defer resp.Body.Close()
+	started, err := relay(w, r, resp, pc.policy)
+	if err == nil {
+		s.endPlain(pc, name, result.OK)
+		return
+	}
+	s.endPlain(pc, name, err.Code)
+	if started {
+		panic(http.ErrAbortHandler) // a connection closed in the middle tells the caller that its answer was cut
+	}
+	callerapi.WriteError(w, err, pc.id)
+}
+
+// limit bounds a call by its deadline.
+func (pc *plainCall) limit(ctx context.Context) (context.Context, context.CancelFunc) {
+	if d := pc.deadline(pc.policy); !d.IsZero() {
+		return context.WithDeadline(ctx, d)
+	}
+	return context.WithCancel(ctx)
+}
+
+// sendPlain tries targets until one answers. A call that may not be repeated goes on to another target only while it is
+// proved that no byte of it was sent.
+func (s *Server) sendPlain(ctx context.Context, pc *plainCall) (*http.Response, string, *result.Error) {
+	var avoid []string
+	mayHaveRun := false
+	for try := 1; ; try++ {
+		name, done := s.opts.Picker.Pick(pc.service.Name, avoid)
+		if name == "" {
+			return nil, "", pc.noTarget(mayHaveRun)
+		}
+		resp, err := s.sendOnce(ctx, pc, name)
+		done(err == nil)
+		s.opts.Breaker.Done(name, err == nil)
+		if err == nil {
+			return resp, name, nil
+		}
+		sent := !errors.Is(err, target.ErrNotSent)
+		mayHaveRun = mayHaveRun || sent
+		log.Info().Str("event", "call_failed").Str("request", pc.id).Str("target", name).Bool("sent", sent).AnErr("cause", err).Msg("")
+		avoid = append(avoid, name)
+		if final := s.mayRepeat(ctx, pc, try, sent, mayHaveRun, err); final != nil {
+			return nil, name, final
+		}
+		pc.metrics.Retries.Inc()
+	}
+}
+
+func (s *Server) sendOnce(ctx context.Context, pc *plainCall, name string) (*http.Response, error) {
+	c := s.Client(name)
+	if c == nil {
+		c = pc.view.clients[name]
+	}
+	if c == nil || !s.opts.Breaker.Allow(name) {
+		return nil, errors.Join(target.ErrNotSent, errNoClient)
+	}
+	return c.Do(ctx, &pc.call)
+}
+
+// mayRepeat returns nil when the call may be sent to another target, else what the caller is told.
+func (s *Server) mayRepeat(ctx context.Context, pc *plainCall, try int, sent, mayHaveRun bool, err error) *result.Error {
+	switch {
+	case ctx.Err() != nil:
+		return pc.ended(ctx, mayHaveRun, err)
+	case sent && !pc.route.Idempotent:
+		return result.Wrap(result.Unknown, err, "get the target's answer")
+	case try >= max(1, pc.policy.MaxAttempts):
+		return pc.gaveUp(mayHaveRun, err)
+	case !s.opts.Retries.Retry(pc.subject, pc.policy):
+		return pc.gaveUp(mayHaveRun, err)
+	}
+	return nil
+}
+
+func (pc *plainCall) noTarget(mayHaveRun bool) *result.Error {
+	if mayHaveRun {
+		return result.New(result.Unknown, "no other target can take it")
+	}
+	err := result.New(result.NoTarget, "service %q", pc.service.Name)
+	err.RetryAfter = time.Second
+	return err
+}
+
+func (pc *plainCall) gaveUp(mayHaveRun bool, cause error) *result.Error {
+	if mayHaveRun {
+		return result.Wrap(result.Unknown, cause, "get a target's answer")
+	}
+	err := result.Wrap(result.NoTarget, cause, "reach a target")
+	err.RetryAfter = time.Second
+	return err
+}
+
+// ended is what a call is told whose deadline passed, or whose caller left.
+func (pc *plainCall) ended(ctx context.Context, mayHaveRun bool, cause error) *result.Error {
+	if !mayHaveRun {
+		err := result.Wrap(result.DeadlineTooNear, cause, "reach a target before the deadline")
+		err.RetryAfter = time.Second
+		return err
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return result.Wrap(result.TargetSilent, cause, "get the target's answer before the deadline")
+	}
+	return result.Wrap(result.Unknown, cause, "get the target's answer")
+}
+
+func (s *Server) endPlain(pc *plainCall, name string, code result.Code) {
+	s.settleClaim(pc.claim, code)
+	took := s.now().Sub(pc.accepted)
+	pc.metrics.Duration.Update(took.Seconds())
+	pc.metrics.Result(code)
+	e := log.Info().Str("event", "call_end").Str("request", pc.id).Str("workspace", pc.workspace.Name).Str("class", pc.class)
+	e = e.Str("service", pc.service.Name).Str("target", name).Uint16("code", uint16(code))
+	e.Str("result", result.Lookup(code).Name).Dur("took", took).Msg("")
+}
--- /dev/null
+++ b/lib/entry/run.go
@@ -0,0 +1,284 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"anvilwick.example/anvilwick/lib/invariant"
+	"anvilwick.example/anvilwick/lib/result"
+	"anvilwick.example/anvilwick/lib/sched"
+	"anvilwick.example/anvilwick/lib/target"
+)
+
+const (
+	maxAvoid       = 8                // targets that an attempt keeps away from
+	maxMoves       = 1000             // attempts of one generation, of whatever cause
+	resumePatience = 30 * time.Second // a started generation waits at least so long for a place
+	maxResumePause = time.Second      // between two tries to place it
+	cancelTimeout  = 2 * time.Second
+	placeGrace     = 5 * time.Second // beyond the policy's bound on waiting, in case the scheduler is silent
+)
+
+// runState is what the loop over attempts remembers.
+type runState struct {
+	avoid       []string
+	fruitless   int       // attempts in a row that gave no token
+	preemptions int       // moves and preemptions
+	waiting     time.Time // since when a started generation looks for a place; zero: it has one
+}
+
+// run takes a generation from acceptance to its end, over as many attempts as it needs.
+func (s *Server) run(g *generation) {
+	var rs runState
+	for {
+		err, again := s.runOnce(g, &rs)
+		if again {
+			continue
+		}
+		s.finish(g, err)
+		return
+	}
+}
+
+// runOnce places and runs one attempt. again asks for the next one.
+func (s *Server) runOnce(g *generation, rs *runState) (err *result.Error, again bool) {
+	if err := s.mayAttempt(g, rs); err != nil {
+		return err, false
+	}
+	number, berr := g.begin()
+	if berr != nil {
+		return result.Wrap(result.InvariantBroken, invariant.Broken("attempt_before_fenced", berr.Error()), "begin an attempt"), false
+	}
+	grant, perr := s.place(g, rs, number)
+	if perr != nil {
+		g.stop()
+		return s.afterRefusal(g, rs, perr)
+	}
+	rs.waiting = time.Time{}
+	end := s.attemptOn(g, number, grant)
+	g.stop()
+	s.settle(g, number, grant.Target, end)
+	return s.afterAttempt(g, rs, grant.Target, end)
+}
+
+// mayAttempt holds attempts to their bounds.
+func (s *Server) mayAttempt(g *generation, rs *runState) *result.Error {
+	if g.ctx.Err() != nil {
+		return causeError(context.Cause(g.ctx))
+	}
+	next := g.delivered()
+	switch {
+	case rs.fruitless >= max(1, g.policy.MaxAttempts), rs.preemptions > maxMoves:
+		return result.New(result.TargetFailed, "%d attempts in a row gave no token", rs.fruitless)
+	case next > 0 && !g.service.Resumes:
+		return result.New(result.CannotResume, "the service's engines start at the first token only")
+	}
+	return s.opts.Poison.Check(g.subject)
+}
+
+// place asks the scheduler for a target and waits for its answer.
+func (s *Server) place(g *generation, rs *runState, number uint32) (sched.Action, *result.Error) {
+	g.mu.Lock()
+	emitted, decisions := int(g.state.Next()), g.attempt.decisions
+	g.mu.Unlock()
+	asked := s.now()
+	s.opts.Placer.Submit(g.service.Name, sched.Request{
+		Gen:          g.id,
+		Workspace:    g.subject.Workspace,
+		Class:        g.subject.Class,
+		Attempt:      number,
+		PromptTokens: g.asked.PromptTokens(),
+		MaxTokens:    g.asked.MaxTokens,
+		Emitted:      emitted,
+		Preemptions:  rs.preemptions,
+		Prefixes:     g.prefixes,
+		Deadline:     s.schedDeadline(g, asked),
+		Avoid:        rs.avoid,
+		Fingerprint:  g.subject.Fingerprint,
+	}, g.decide)
+	patience := time.NewTimer(g.policy.MaxWait + placeGrace)
+	defer patience.Stop()
+	var err *result.Error
+	select {
+	case a := <-decisions:
+		if a.Kind == sched.ActGrant {
+			g.metrics.QueueWait.Update(s.now().Sub(asked).Seconds())
+			return a, nil
+		}
+		err = result.New(a.Code, "no place for attempt %d", number)
+		err.RetryAfter = a.RetryAfter
+		return a, err
+	case <-g.ctx.Done():
+		err = causeError(context.Cause(g.ctx))
+	case <-patience.C:
+		err = result.New(result.QueueFull, "no place within %s", g.policy.MaxWait)
+		err.RetryAfter = maxResumePause
+	}
+	s.opts.Placer.End(g.service.Name, g.id, number, emitted, sched.EndCancelled)
+	return sched.Action{}, err
+}
+
+func (s *Server) schedDeadline(g *generation, now time.Time) sched.Time {
+	if g.deadline.IsZero() {
+		return 0
+	}
+	return s.opts.Placer.Now().Add(g.deadline.Sub(now))
+}
+
+// attemptOn runs the attempt on the granted target, unless its circuit is open.
+func (s *Server) attemptOn(g *generation, number uint32, grant sched.Action) attemptEnd {
+	c := s.client(g, grant.Target)
+	if c == nil || !s.opts.Breaker.Allow(grant.Target) {
+		return attemptEnd{reason: sched.EndTargetRefused, cause: errNoClient, refused: true, settled: true}
+	}
+	g.log(log.Debug(), "attempt_start").Str("target", grant.Target).Uint32("attempt", number).Msg("")
+	end := s.runAttempt(g, c, number, grant.Priority)
+	s.opts.Breaker.Done(grant.Target, targetWell(end.reason))
+	return end
+}
+
+var errNoClient = errors.New("the target is unknown or its circuit is open")
+
+// targetWell reports whether an attempt that ended so speaks for the target.
+func targetWell(r sched.EndReason) bool { return r != sched.EndTargetDied && r != sched.EndStalled }
+
+// client returns the client of a target: under the settings in force, else under those the request was accepted with.
+func (s *Server) client(g *generation, name string) *target.Client {
+	if c := s.view.Load().clients[name]; c != nil {
+		return c
+	}
+	return g.view.clients[name]
+}
+
+// settle tells scheduler, engine and log that an attempt is over. The attempt is fenced already; the cancel only frees
+// the engine's memory sooner, so nothing waits for it.
+func (s *Server) settle(g *generation, number uint32, name string, end attemptEnd) {
+	s.opts.Placer.End(g.service.Name, g.id, number, int(g.delivered()), end.reason)
+	s.metrics.AttemptEnded(reasonName(end.reason))
+	e := g.log(log.Info(), "attempt_end").Str("target", name).Uint32("attempt", number).Str("reason", reasonName(end.reason))
+	e.Uint32("tokens", g.delivered()).AnErr("cause", end.cause).Msg("")
+	if end.settled {
+		return
+	}
+	if c := s.client(g, name); c != nil {
+		s.cancelAttempt(g, c, number)
+	}
+}
+
+func (s *Server) cancelAttempt(g *generation, c *target.Client, number uint32) {
+	s.background.Add(1)
+	go func() {
+		defer s.background.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		if _, err := c.Cancel(ctx, g.id, number); err != nil {
+			g.log(log.Debug(), "cancel_failed").Str("target", c.Name()).AnErr("cause", err).Msg("")
+		}
+	}()
+}
+
+// afterRefusal decides what follows when the scheduler gives no place. A request that never started is refused at once.
+// One that has started is owed the rest, and waits a bounded time for a place.
+func (s *Server) afterRefusal(g *generation, rs *runState, err *result.Error) (*result.Error, bool) {
+	if result.Lookup(err.Code).Again != result.AgainLater || g.delivered() == 0 {
+		return err, false
+	}
+	now := s.now()
+	if rs.waiting.IsZero() {
+		rs.waiting = now
+	}
+	if now.Sub(rs.waiting) > max(resumePatience, g.policy.MaxWait) {
+		return err, false
+	}
+	pause := time.NewTimer(min(max(err.RetryAfter, maxResumePause/20), maxResumePause))
+	defer pause.Stop()
+	select {
+	case <-pause.C:
+	case <-g.ctx.Done():
+	}
+	return nil, true
+}
+
+// afterAttempt decides whether the generation has ended or another attempt follows.
+func (s *Server) afterAttempt(g *generation, rs *runState, name string, end attemptEnd) (*result.Error, bool) {
+	switch {
+	case end.final != nil:
+		return end.final, false
+	case end.reason == sched.EndCompleted:
+		return nil, false
+	case end.reason == sched.EndMoved || end.reason == sched.EndPreempted:
+		rs.preemptions++
+		g.metrics.Preemptions.Inc()
+		return nil, true
+	}
+	s.noteFailure(g, rs, name, end)
+	return s.retry(g, end)
+}
+
+func (s *Server) noteFailure(g *generation, rs *runState, name string, end attemptEnd) {
+	rs.fruitless++
+	if g.attemptTokens() > 0 {
+		rs.fruitless = 0
+	}
+	if !slices.Contains(rs.avoid, name) {
+		rs.avoid = append(rs.avoid, name)
+	}
+	if len(rs.avoid) > maxAvoid {
+		rs.avoid = rs.avoid[1:]
+	}
+	if end.reason == sched.EndTargetDied && !end.refused {
+		s.judgeDeath(g, name)
+	}
+}
+
+// retry spends from the workspace's budget, which keeps a failing service from being asked ever more. A generation that
+// has given tokens goes on without: starting it afresh would cost more than resuming it, and its attempts are bounded.
+func (s *Server) retry(g *generation, end attemptEnd) (*result.Error, bool) {
+	g.metrics.Retries.Inc()
+	if g.delivered() > 0 || s.opts.Retries.Retry(g.subject, g.policy) {
+		return nil, true
+	}
+	err := result.Wrap(result.RetryBudget, end.cause, "try another target")
+	err.RetryAfter = maxResumePause
+	return err, false
+}
+
+// attemptTokens returns the count of tokens that the last attempt delivered.
+func (g *generation) attemptTokens() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.attempt.tokens
+}
+
+// judgeDeath asks whether the engine process is gone. Only then did the content perhaps kill it; a cut link or a lost
+// answer says nothing about the content.
+func (s *Server) judgeDeath(g *generation, name string) {
+	c := s.client(g, name)
+	if c == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, deathProbeTimeout)
+	defer cancel()
+	if _, err := c.Load(ctx); err == nil || errors.Is(err, context.DeadlineExceeded) {
+		return
+	}
+	s.opts.Poison.Died(g.subject, name)
+}
+
+const deathProbeTimeout = 300 * time.Millisecond
+
+var reasonNames = map[sched.EndReason]string{
+	sched.EndCompleted:     "completed",
+	sched.EndCancelled:     "cancelled",
+	sched.EndTargetDied:    "target_died",
+	sched.EndTargetRefused: "target_refused",
+	sched.EndStalled:       "stalled",
+	sched.EndPreempted:     "preempted",
+	sched.EndMoved:         "moved",
+}
+
+func reasonName(r sched.EndReason) string { return reasonNames[r] }
--- /dev/null
+++ b/lib/entry/server.go
@@ -0,0 +1,184 @@
+// Package entry is the life of callers' requests: accept, admit, place, run, go on elsewhere when a target fails, finish.
+//
+// The promises to callers are kept here and need nobody else: attempts are numbered and fenced (lib/stream), every
+// outcome is one of lib/result, and "not run" is said only when nothing was sent or a target proved it. Who decides
+// where a generation runs, limits, budgets, claims and records stand behind the small interfaces of Options.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"anvilwick.example/anvilwick/lib/callerapi"
+	"anvilwick.example/anvilwick/lib/engineapi"
+	"anvilwick.example/anvilwick/lib/entrymetrics"
+	"anvilwick.example/anvilwick/lib/placer"
+	"anvilwick.example/anvilwick/lib/result"
+	"anvilwick.example/anvilwick/lib/settings"
+	"anvilwick.example/anvilwick/lib/target"
+)
+
+// Bounds on callers' connections.
+const (
+	readHeaderTimeout = 10 * time.Second
+	readTimeout       = 60 * time.Second // a whole request, its body included
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 32 << 10
+	maxBodyBytes      = 16 << 20 // whatever the settings say
+	defaultMaxStreams = 4096
+)
+
+// Options are an entry's parts. Only Placer is needed; the others default to parts that allow everything, but for
+// Claims, which refuses.
+type Options struct {
+	Placer     placer.Placer
+	Limiter    Limiter
+	Retries    Retries
+	Breaker    Breaker
+	Stalls     Stalls
+	Poison     Poison
+	Claims     Claims
+	Records    Records
+	Picker     Picker
+	MaxStreams int // requests in progress; 0: 4096
+	Metrics    *entrymetrics.Set
+	Clients    *target.Clients
+	// OnView is called with each revision of settings before it is in force, with a client of each target.
+	OnView func(snap *settings.Snapshot, clients func(*settings.Service) []*target.Client)
+}
+
+// Server serves callers.
+type Server struct {
+	opts       Options
+	metrics    *entrymetrics.Set
+	clients    *target.Clients
+	table      *table
+	view       atomic.Pointer[view]
+	applying   sync.Mutex
+	stopping   atomic.Bool
+	background sync.WaitGroup
+}
+
+// New returns a Server without settings; it refuses every request until Apply.
+func New(opts Options) *Server {
+	fillDefaults(&opts)
+	s := &Server{opts: opts, metrics: opts.Metrics, clients: opts.Clients, table: newTable(opts.MaxStreams)}
+	if s.opts.Picker == nil {
+		s.opts.Picker = newRotation(s.Snapshot)
+	}
+	s.metrics.Gauge("requests_in_progress", func() float64 { n, _ := s.table.counts(); return float64(n) })
+	s.metrics.Gauge("generations_in_progress", func() float64 { _, n := s.table.counts(); return float64(n) })
+	s.metrics.Gauge("settings_revision", func() float64 { return float64(s.Revision()) })
+	return s
+}
+
+func fillDefaults(o *Options) {
+	orDefault[Limiter](&o.Limiter, noLimits{})
+	orDefault[Retries](&o.Retries, freeRetries{})
+	orDefault[Breaker](&o.Breaker, closedBreaker{})
+	orDefault[Stalls](&o.Stalls, fixedStalls{})
+	orDefault[Poison](&o.Poison, noPoison{})
+	orDefault[Claims](&o.Claims, noStore{})
+	orDefault[Records](&o.Records, noRecords{})
+	if o.MaxStreams == 0 {
+		o.MaxStreams = defaultMaxStreams
+	}
+	if o.Metrics == nil {
+		o.Metrics = entrymetrics.New()
+	}
+	if o.Clients == nil {
+		o.Clients = target.NewClients()
+	}
+	if o.OnView == nil {
+		o.OnView = func(*settings.Snapshot, func(*settings.Service) []*target.Client) {}
+	}
+}
+
+func orDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Run runs the systems over requests in progress until ctx is done.
+func (s *Server) Run(ctx context.Context) { s.tick(ctx) }
+
+// Apply puts a revision in force for requests accepted from now on. An older revision than the one in force is ignored.
+func (s *Server) Apply(snap *settings.Snapshot) {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	if old := s.view.Load(); old != nil && old.snap.Revision > snap.Revision {
+		return
+	}
+	v := newView(snap, s.clients)
+	s.opts.OnView(snap, v.clientsOf)
+	s.view.Store(v)
+	log.Info().Str("event", "settings_in_force").Uint64("revision", snap.Revision).Msg("")
+}
+
+// Revision returns the revision in force; 0 when there is none.
+func (s *Server) Revision() uint64 {
+	if v := s.view.Load(); v != nil {
+		return v.snap.Revision
+	}
+	return 0
+}
+
+// Snapshot returns the settings in force, or nil.
+func (s *Server) Snapshot() *settings.Snapshot {
+	if v := s.view.Load(); v != nil {
+		return v.snap
+	}
+	return nil
+}
+
+// Client returns the client of a target under the settings in force, or nil.
+func (s *Server) Client(name string) *target.Client {
+	if v := s.view.Load(); v != nil {
+		return v.clients[name]
+	}
+	return nil
+}
+
+// Counts returns requests in progress and generations among them.
+func (s *Server) Counts() (requests, generations int) { return s.table.counts() }
+
+func (s *Server) now() time.Time { return time.Now() }
+
+// Handler answers callers.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(engineapi.PathCompletions, s.serveCompletion)
+	mux.HandleFunc(engineapi.PathChatCompletions, s.serveCompletion)
+	mux.HandleFunc("/", s.servePlain)
+	return mux
+}
+
+// HTTPServer returns a server for Handler with bounds on what callers may send.
+func (s *Server) HTTPServer() *http.Server {
+	return &http.Server{
+		Handler:           s.Handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// refuse answers a request that never got a workspace or a service.
+func (s *Server) refuse(w http.ResponseWriter, rq *request, err *result.Error) {
+	if rq.workspace == nil {
+		s.metrics.Refused(err.Code)
+	} else {
+		s.metrics.Pair(rq.workspace.Name, rq.class).Result(err.Code)
+	}
+	e := log.Info().Str("event", "refused").Str("request", rq.id).Uint16("code", uint16(err.Code))
+	e.Str("result", result.Lookup(err.Code).Name).Str("detail", err.Detail).Msg("")
+	callerapi.WriteError(w, err, rq.id)
+}
--- /dev/null
+++ b/lib/entry/view.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"anvilwick.example/anvilwick/lib/sched"
+	"anvilwick.example/anvilwick/lib/settings"
+	"anvilwick.example/anvilwick/lib/target"
+)
+
+// view is one revision of settings with the clients of its targets. A request keeps the view it was accepted under.
+type view struct {
+	snap    *settings.Snapshot
+	clients map[string]*target.Client // by target name, which is unique in a site
+}
+
+func newView(snap *settings.Snapshot, shared *target.Clients) *view {
+	v := &view{snap: snap, clients: make(map[string]*target.Client)}
+	for _, svc := range snap.Services {
+		for i := range svc.Targets {
+			t := &svc.Targets[i]
+			v.clients[t.Name] = shared.Client(t.Name, t.Addr)
+		}
+	}
+	return v
+}
+
+// clientsOf returns the clients of a service's targets.
+func (v *view) clientsOf(svc *settings.Service) []*target.Client {
+	out := make([]*target.Client, 0, len(svc.Targets))
+	for i := range svc.Targets {
+		out = append(out, v.clients[svc.Targets[i].Name])
+	}
+	return out
+}
+
+// TargetSpecs returns the targets of a service that may get new work, as the scheduler knows them.
+func TargetSpecs(svc *settings.Service) []sched.TargetSpec {
+	specs := make([]sched.TargetSpec, 0, len(svc.Targets))
+	for i := range svc.Targets {
+		t := &svc.Targets[i]
+		if t.Draining {
+			continue
+		}
+		specs = append(specs, sched.TargetSpec{
+			Name:          t.Name,
+			FailureDomain: t.FailureDomain,
+			Instance:      t.Instance,
+			KVTotal:       t.KVTokens,
+			MaxBatch:      t.MaxBatch,
+			IdleWatts:     t.IdleWatts,
+			SeqWatts:      t.SeqWatts,
+			Resumes:       svc.Resumes,
+		})
+	}
+	return specs
+}
+
+// ClassPolicies returns the scheduler's view of the policies of a service.
+func ClassPolicies(snap *settings.Snapshot, service string) sched.PolicyFunc {
+	return func(workspace, class string) sched.ClassPolicy {
+		p := snap.Policy(service, workspace, class)
+		return sched.ClassPolicy{
+			Priority:       p.Priority,
+			Urgent:         p.Urgent,
+			Weight:         p.Weight,
+			MaxWait:        p.MaxWait,
+			QueueBound:     p.QueueBound,
+			MaxPreemptions: p.MaxPreemptions,
+			MemoryRisk:     p.MemoryRisk,
+		}
+	}
+}
--- a/lib/stream/state.go
+++ b/lib/stream/state.go
@@ -117,6 +117,9 @@
 	return End
 }
 
+// Current reports whether a frame with these numbers is of the attempt that may now deliver.
+func (s *State) Current(g ids.Generation, attempt uint32) bool { return s.judge(g, attempt) == Deliver }
+
 func (s *State) judge(g ids.Generation, attempt uint32) Verdict {
 	switch {
 	case g != s.gen:
--- a/lib/stream/state_test.go
+++ b/lib/stream/state_test.go
@@ -100,3 +100,18 @@
 	must.Eq(t, 3, x.Len())
 	must.Eq(t, 3, x.Size())
 }
+
+// Two texts that read alike but fall into other tokens must not pass for each other, since indexes count tokens.
+func TestDigest(t *testing.T) {
+	sum := func(tokens ...string) Digest {
+		var x Text
+		for _, tok := range tokens {
+			x.Append([]byte(tok))
+		}
+		return x.Digest()
+	}
+	must.Eq(t, sum("a", "b"), sum("a", "b"))
+	must.NotEq(t, sum("ab"), sum("a", "b"))
+	must.NotEq(t, sum("a", "b"), sum("b", "a"))
+	must.NotEq(t, sum("a"), sum("a", ""))
+}
--- a/lib/stream/text.go
+++ b/lib/stream/text.go
@@ -5,14 +5,19 @@
 type Text struct {
 	buf  []byte
 	ends []uint32
+	sum  Digest
 }
 
 // Append adds one token.
 func (t *Text) Append(token []byte) {
 	t.buf = append(t.buf, token...)
 	t.ends = append(t.ends, uint32(len(t.buf)))
+	t.sum = t.sum.Add(token)
 }
 
+// Digest returns the digest of all tokens.
+func (t *Text) Digest() Digest { return t.sum }
+
 // Len returns the count of tokens.
 func (t *Text) Len() int { return len(t.ends) }
 
--- a/lib/target/call.go
+++ b/lib/target/call.go
@@ -11,7 +11,7 @@
 // hopHeaders belong to one connection and are not passed on.
 var hopHeaders = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
 // PassHeaders copies the headers that belong to the message, and not to the connection it came by.
--- a/lib/target/frame.go
+++ b/lib/target/frame.go
@@ -38,6 +38,9 @@
 	*f = Frame{Raw: data}
 	if e := v.Get("error"); e != nil && e.Type() == fastjson.TypeObject {
 		f.Err = parseError(e)
+		if ext := v.Get("ext"); ext != nil {
+			return f.readExt(ext)
+		}
 		return nil
 	}
 	if err := f.readExt(v.Get("ext")); err != nil {
