--- a/lib/entry/server.go
+++ b/lib/entry/server.go
@@ -60,6 +60,7 @@
 	table      *table
 	view       atomic.Pointer[view]
 	applying   sync.Mutex
+	leaving    atomic.Bool
 	stopping   atomic.Bool
 	background sync.WaitGroup
 }
--- a/lib/entry/stop.go
+++ b/lib/entry/stop.go
@@ -14,12 +14,19 @@
 	stopRetryAfter = time.Second // another entry takes the request at once
 )
 
+// Leave marks the instance as not ready; requests are still taken.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Leaving reports whether a planned stop has begun.
+func (s *Server) Leaving() bool { return s.leaving.Load() }
+
 // Stopping reports whether new requests are refused.
 func (s *Server) Stopping() bool { return s.stopping.Load() }
 
 // Stop refuses new requests and waits until every request in progress has ended, however long it runs, or until ctx is
 // done. Balancers learn of it from the health page before that; what they still send is refused, not run.
 func (s *Server) Stop(ctx context.Context) error {
+	s.leaving.Store(true)
 	s.stopping.Store(true)
 	t := time.NewTicker(stopPoll)
 	defer t.Stop()
--- /dev/null
+++ b/lib/entryproc/config.go
@@ -0,0 +1,56 @@
+// Package entryproc assembles the entry process: settings, callers' port, operators' port, scheduler and shutdown.
+package entryproc
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// Config is what the command line gives.
+type Config struct {
+	Listen       string        // callers' port, IP:port
+	OpsAddr      string        // operators' port, IP:port
+	Instance     string        // name of the instance
+	Domain       string        // failure domain
+	SettingsFile string        // settings to start with; empty: wait until they are pushed
+	StopNotice   time.Duration // between the end of readiness and the first refusal
+	StopLimit    time.Duration // bound on waiting for requests in progress; 0: none
+	MaxStreams   int
+	LogLevel     string
+}
+
+// Register adds the flags to fs.
+func (c *Config) Register(fs *flag.FlagSet) {
+	fs.StringVar(&c.Listen, "listen", "127.0.0.1:8080", "callers' port, IP:port")
+	fs.StringVar(&c.OpsAddr, "ops-addr", "127.0.0.1:8081", "operators' port, IP:port: health, readiness, metrics")
+	fs.StringVar(&c.Instance, "instance", "", "name of this instance")
+	fs.StringVar(&c.Domain, "failure-domain", "", "failure domain of this instance")
+	fs.StringVar(&c.SettingsFile, "settings", "", "settings file to start with")
+	fs.DurationVar(&c.StopNotice, "stop-notice", 3*time.Second, "after SIGTERM, time in which balancers see that it is not ready and requests are still taken")
+	fs.DurationVar(&c.StopLimit, "stop-limit", 0, "after SIGTERM, bound on waiting for requests in progress; 0: however long they run")
+	fs.IntVar(&c.MaxStreams, "max-streams", 4096, "requests in progress at most")
+	fs.StringVar(&c.LogLevel, "log-level", "info", "debug, info, warn or error")
+}
+
+// Check returns an error that names the first bad flag.
+func (c *Config) Check() error {
+	for _, a := range []struct{ flag, value string }{{"listen", c.Listen}, {"ops-addr", c.OpsAddr}} {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			return fmt.Errorf("-%s: %q is no IP:port", a.flag, a.value)
+		}
+	}
+	switch {
+	case c.Instance == "":
+		return errors.New("-instance: a name is needed")
+	case c.SettingsFile == "":
+		return errors.New("-settings: a file is needed")
+	case c.MaxStreams < 1:
+		return fmt.Errorf("-max-streams: %d is not positive", c.MaxStreams)
+	case c.StopNotice < 0 || c.StopLimit < 0:
+		return errors.New("-stop-notice and -stop-limit: a time can't be negative")
+	}
+	return nil
+}
--- /dev/null
+++ b/lib/entryproc/process.go
@@ -0,0 +1,140 @@
+package entryproc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"anvilwick.example/anvilwick/lib/entry"
+	"anvilwick.example/anvilwick/lib/entrymetrics"
+	"anvilwick.example/anvilwick/lib/settings"
+	"anvilwick.example/anvilwick/lib/target"
+)
+
+const closeTimeout = 10 * time.Second // for connections without a request, once every request has ended
+
+// Process is one entry process.
+type Process struct {
+	cfg     Config
+	server  *entry.Server
+	metrics *entrymetrics.Set
+	clients *target.Clients
+	decider *decider
+
+	callers   net.Listener
+	ops       net.Listener
+	callerSrv *http.Server
+	opsSrv    *http.Server
+	failed    chan error
+	cancel    context.CancelFunc
+}
+
+// Start checks cfg, loads the settings, listens and serves. Nothing is left running when it returns an error.
+func Start(cfg Config) (*Process, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	snap, err := loadSettings(cfg.SettingsFile)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Process{cfg: cfg, metrics: entrymetrics.New(), clients: target.NewClients(), failed: make(chan error, 2), cancel: cancel}
+	p.decider = newDecider(ctx)
+	p.server = entry.New(entry.Options{
+		Placer:     p.decider.local,
+		MaxStreams: cfg.MaxStreams,
+		Metrics:    p.metrics,
+		Clients:    p.clients,
+		OnView:     p.decider.apply,
+	})
+	if err := p.listen(); err != nil {
+		cancel()
+		return nil, err
+	}
+	p.server.Apply(snap)
+	go p.server.Run(ctx)
+	p.serve()
+	return p, nil
+}
+
+func loadSettings(file string) (*settings.Snapshot, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("-settings: %w", err)
+	}
+	tree, err := settings.Parse(text, file)
+	if err != nil {
+		return nil, err
+	}
+	return tree.Resolve(1)
+}
+
+func (p *Process) listen() error {
+	var err error
+	if p.callers, err = net.Listen("tcp", p.cfg.Listen); err != nil {
+		return fmt.Errorf("-listen: %w", err)
+	}
+	if p.ops, err = net.Listen("tcp", p.cfg.OpsAddr); err != nil {
+		_ = p.callers.Close()
+		return fmt.Errorf("-ops-addr: %w", err)
+	}
+	return nil
+}
+
+func (p *Process) serve() {
+	p.callerSrv = p.server.HTTPServer()
+	p.opsSrv = &http.Server{Handler: p.opsHandler(), ReadHeaderTimeout: closeTimeout}
+	for _, s := range []struct {
+		srv *http.Server
+		ln  net.Listener
+	}{{p.callerSrv, p.callers}, {p.opsSrv, p.ops}} {
+		go func() {
+			if err := s.srv.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) {
+				p.failed <- err
+			}
+		}()
+	}
+	log.Info().Str("event", "listening").Str("instance", p.cfg.Instance).Str("failure_domain", p.cfg.Domain).
+		Str("callers", p.Addr()).Str("ops", p.OpsAddr()).Int("pid", os.Getpid()).Msg("")
+}
+
+// Addr returns the address of the callers' port.
+func (p *Process) Addr() string { return p.callers.Addr().String() }
+
+// OpsAddr returns the address of the operators' port.
+func (p *Process) OpsAddr() string { return p.ops.Addr().String() }
+
+// Failed tells that a listener broke.
+func (p *Process) Failed() <-chan error { return p.failed }
+
+// Stop ends the process gracefully. First readiness ends, and balancers take the instance out while it still serves;
+// then new requests are refused, not run; then requests in progress end, however long they run; then it closes.
+func (p *Process) Stop() error {
+	log.Info().Str("event", "stopping").Msg("")
+	p.server.Leave()
+	time.Sleep(p.cfg.StopNotice)
+	ctx, cancel := p.stopContext()
+	defer cancel()
+	stopErr := p.server.Stop(ctx)
+	cctx, ccancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer ccancel()
+	err := errors.Join(stopErr, p.callerSrv.Shutdown(cctx), p.opsSrv.Shutdown(cctx))
+	p.cancel()
+	p.clients.Close()
+	log.Info().Str("event", "stopped").AnErr("cause", err).Msg("")
+	return err
+}
+
+func (p *Process) stopContext() (context.Context, context.CancelFunc) {
+	if p.cfg.StopLimit == 0 {
+		return context.WithCancel(context.Background())
+	}
+	return context.WithTimeout(context.Background(), p.cfg.StopLimit)
+}
