Test plain calls, refusals, keyed resume, take-over by record, slow callers and graceful stop

Bound the kernel's send buffer of a caller's connection as well: with the sink bounded to 50 tokens a caller that reads nothing was still given up only after 3.9 s, because the kernel took megabytes first.

--- a/lib/entry/finish.go
+++ b/lib/entry/finish.go
@@ -46,11 +46,11 @@
 		return result.Wrap(result.TargetFailed, err, "go on with it on another target: "+err.Error())
 	case !ran && err.Code == result.DeadlinePassed:
 		late := result.Wrap(result.DeadlineTooNear, err, "start it before its deadline")
-		late.RetryAfter = maxResumePause
+		late.RetryAfter = refusalRetry
 		return late
 	case !ran && err.Code == result.TargetFailed:
 		none := result.Wrap(result.NoTarget, err, err.Detail)
-		none.RetryAfter = maxResumePause
+		none.RetryAfter = refusalRetry
 		return none
 	}
 	return err
--- /dev/null
+++ b/lib/entry/keyed_test.go
@@ -0,0 +1,229 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/result"
+	"anvilwick.example/anvilwick/lib/standin/engine"
+)
+
+// memoryRecords is a Records that two entries of a test share.
+type memoryRecords struct {
+	mu   sync.Mutex
+	recs map[string]*Record
+	stop bool // entries can't put any more
+	lag  int  // last tokens of each record that got lost
+}
+
+func newMemoryRecords() *memoryRecords { return &memoryRecords{recs: map[string]*Record{}} }
+
+func (m *memoryRecords) Put(rec *Record, from int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stop {
+		return
+	}
+	whole := *rec
+	if old := m.recs[rec.Key]; old != nil {
+		whole.Tokens = append(append([]string(nil), old.Tokens[:from]...), rec.Tokens...)
+	}
+	m.recs[rec.Key] = &whole
+}
+
+func (m *memoryRecords) Get(_ context.Context, _, key string) (*Record, *result.Error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	rec := m.recs[key]
+	if rec == nil {
+		return nil, result.New(result.UnknownStream, "key %s", key)
+	}
+	out := *rec
+	out.Tokens = out.Tokens[:max(0, len(out.Tokens)-m.lag)]
+	return &out, nil
+}
+
+func withKeys(claims Claims, records Records) func(*Options) {
+	return func(o *Options) {
+		o.Claims = claims
+		o.Records = records
+	}
+}
+
+// readSome reads n tokens and then drops the connection.
+func readSome(t *testing.T, r *rig, a ask, st *story, n int) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	resp := r.send(ctx, a)
+	must.Eq(t, http.StatusOK, resp.StatusCode)
+	ev := eventsOf(resp)
+	for range n {
+		e, ok := ev.next()
+		must.True(t, ok)
+		must.True(t, st.take(t, e))
+	}
+}
+
+// The caller's connection breaks in the middle of a keyed stream. It asks again with its key and the last event it saw,
+// and gets the rest of the same generation, which went on meanwhile: each token once.
+func TestCallerComesBackToTheSameEntry(t *testing.T) {
+	e := startEngine(t, nil)
+	r := newRig(t, siteText("", true, []string{e.Addr()}, nil), withKeys(newMemoryClaims(), newMemoryRecords()))
+	const prompt = "come back [len=80]"
+	var st story
+	readSome(t, r, ask{prompt: prompt, stream: true, key: "k"}, &st, 20)
+	resp := r.send(context.Background(), ask{prompt: prompt, stream: true, key: "k", last: st.lastID})
+	st.read(t, eventsOf(resp), nil)
+	st.whole(t, prompt, 80)
+
+	var again story
+	again.read(t, eventsOf(r.send(context.Background(), ask{prompt: prompt, stream: true, key: "k"})), nil)
+	again.whole(t, prompt, 80)
+	must.Eq(t, st.text.String(), again.text.String(), must.Sprint("a resend must give the same generation"))
+}
+
+// The caller asks again with its key while its first connection still stands: nothing new is started.
+func TestSecondRequestOfARunningKey(t *testing.T) {
+	e := startEngine(t, nil)
+	r := newRig(t, siteText("", true, []string{e.Addr()}, nil), withKeys(newMemoryClaims(), newMemoryRecords()))
+	const prompt = "twice [len=60]"
+	resp := r.send(context.Background(), ask{prompt: prompt, stream: true, key: "k"})
+	var st story
+	st.read(t, eventsOf(resp), func(n int) {
+		if n != 5 {
+			return
+		}
+		must.Eq(t, result.AlreadyRunning, readError(t, r.send(context.Background(), ask{prompt: prompt, stream: true, key: "k"})).Code)
+		must.Eq(t, result.KeyReused, readError(t, r.send(context.Background(), ask{prompt: "other", stream: true, key: "k"})).Code)
+	})
+	st.whole(t, prompt, 60)
+}
+
+// The entry that holds the caller dies. The caller asks another entry with its key and the last event it saw. That entry
+// has only a record which lags by some tokens; it lets an engine decode them again, and proves by the digest in the
+// event id that they are the ones the caller has, before it sends the next.
+func TestCallerComesBackThroughAnotherEntry(t *testing.T) {
+	e := startEngine(t, nil)
+	text := siteText("", true, []string{e.Addr()}, nil)
+	claims, records := newMemoryClaims(), newMemoryRecords()
+	first := newRig(t, text, withKeys(claims, records))
+	second := newRig(t, text, withKeys(claims, records))
+	const prompt = "entry dies [len=80]"
+	var st story
+	readSome(t, first, ask{prompt: prompt, stream: true, key: "k"}, &st, 20)
+	for _, g := range first.server.table.running(nil) {
+		first.server.record(g, first.server.now(), true)
+	}
+	die(t, first, records)
+	records.lag = records.excess(st.tokens) + 7
+
+	resp := second.send(context.Background(), ask{prompt: prompt, stream: true, key: "k", last: st.lastID})
+	must.Eq(t, http.StatusOK, resp.StatusCode)
+	st.read(t, eventsOf(resp), nil)
+	st.whole(t, prompt, 80)
+}
+
+// excess returns how many tokens the only record holds beyond n.
+func (m *memoryRecords) excess(n int) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(0, len(m.recs["k"].Tokens)-n)
+}
+
+// die stops an entry as a crash would: no record and no claim of it changes any more, and its attempts end.
+func die(t *testing.T, r *rig, records *memoryRecords) {
+	t.Helper()
+	records.mu.Lock()
+	records.stop = true
+	records.mu.Unlock()
+	for _, g := range r.server.table.running(nil) {
+		g.cancel(errCallerGone)
+	}
+	eventually(t, "first entry idle", func() bool { _, n := r.server.Counts(); return n == 0 })
+}
+
+// The same, but the engine decodes other tokens the second time. The caller would get the middle of one answer after the
+// start of another; it is told instead that the stream can't be resumed.
+func TestOtherTokensAreNotPassedForTheRest(t *testing.T) {
+	e := startEngine(t, nil)
+	text := siteText("", true, []string{e.Addr()}, nil)
+	claims, records := newMemoryClaims(), newMemoryRecords()
+	first := newRig(t, text, withKeys(claims, records))
+	second := newRig(t, text, withKeys(claims, records))
+	const prompt = "diverge [len=80]"
+	var st story
+	readSome(t, first, ask{prompt: prompt, stream: true, key: "k"}, &st, 20)
+	for _, g := range first.server.table.running(nil) {
+		first.server.record(g, first.server.now(), true)
+	}
+	die(t, first, records)
+	records.recs["k"].Tokens[3] = " sampled otherwise"
+
+	resp := second.send(context.Background(), ask{prompt: prompt, stream: true, key: "k", last: st.lastID})
+	must.NotEq(t, http.StatusOK, resp.StatusCode)
+	code := readError(t, resp).Code
+	must.SliceContains(t, []result.Code{result.CannotResume, result.UnknownStream}, code)
+}
+
+// Without Last-Event-ID, an unfinished claim whose entry died still leads to the rest of its generation by the record,
+// from the first token on, and never to a second run.
+func TestClaimedKeyOfADeadEntryIsTakenOver(t *testing.T) {
+	e := startEngine(t, nil)
+	text := siteText("", true, []string{e.Addr()}, nil)
+	claims, records := newMemoryClaims(), newMemoryRecords()
+	first := newRig(t, text, withKeys(claims, records))
+	second := newRig(t, text, withKeys(claims, records))
+	const prompt = "claimed [len=60]"
+	var st story
+	readSome(t, first, ask{prompt: prompt, stream: true, key: "k"}, &st, 10)
+	die(t, first, records)
+
+	var again story
+	again.read(t, eventsOf(second.send(context.Background(), ask{prompt: prompt, stream: true, key: "k"})), nil)
+	again.whole(t, prompt, 60)
+	must.StrHasPrefix(t, st.text.String(), again.text.String())
+}
+
+// A caller that stops reading holds a buffer here and memory at the engine. Both are given up after the bounds of its
+// settings, long before the answer would have ended.
+func TestSlowCallerIsGivenUp(t *testing.T) {
+	e := startEngine(t, func(c *engine.Config) {
+		c.Engine.StepBase, c.Engine.StepPerSeq, c.Engine.StepPerContext = 50*time.Microsecond, 0, 0
+	})
+	policy := "  slow_reader_buffer: 50\n  slow_reader_wait: 100ms\n"
+	r := newRig(t, siteText(policy, true, []string{e.Addr()}, nil), nil)
+	sendUnread(t, r, `{"model":"planner-llm","prompt":"unread [len=40000]","stream":true}`)
+	var g *generation
+	eventually(t, "a generation", func() bool {
+		gens := r.server.table.running(nil)
+		if len(gens) == 1 {
+			g = gens[0]
+		}
+		return g != nil
+	})
+	eventually(t, "given up", func() bool { _, n := r.server.Counts(); return n == 0 })
+	must.Eq(t, result.CallerTooSlow, g.err.Code)
+	must.Less(t, 40000, g.text.Len())
+}
+
+// sendUnread sends a completion request on a connection with a small window and reads nothing of the answer.
+func sendUnread(t *testing.T, r *rig, body string) {
+	t.Helper()
+	dialer := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	}}
+	conn, err := dialer.Dial("tcp", r.http.Listener.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testKey, len(body), body)
+	must.NoError(t, err)
+}
--- /dev/null
+++ b/lib/entry/plain_test.go
@@ -0,0 +1,222 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/callerapi"
+	"anvilwick.example/anvilwick/lib/result"
+	"anvilwick.example/anvilwick/lib/standin/plain"
+)
+
+func startPlain(t *testing.T, name string) *plain.Server {
+	t.Helper()
+	p, err := plain.Start(plain.Config{Addr: "127.0.0.1:0", Name: name, Die: func() {}})
+	must.NoError(t, err)
+	t.Cleanup(p.Kill)
+	return p
+}
+
+func (r *rig) call(method, path, key, body string) *http.Response {
+	r.t.Helper()
+	req, err := http.NewRequest(method, r.http.URL+path, strings.NewReader(body))
+	must.NoError(r.t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	if key != "" {
+		req.Header.Set(callerapi.HeaderKey, key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(r.t, err)
+	r.t.Cleanup(func() { resp.Body.Close() })
+	return resp
+}
+
+// memoryClaims is a Claims that remembers keys and their outcomes.
+type memoryClaims struct {
+	mu     sync.Mutex
+	state  map[string]string
+	refuse *result.Error
+}
+
+func newMemoryClaims() *memoryClaims { return &memoryClaims{state: map[string]string{}} }
+
+type memoryClaim struct {
+	claims *memoryClaims
+	key    string
+}
+
+func (m *memoryClaims) Claim(_ context.Context, s Subject, key string) (Claim, *result.Error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.refuse != nil {
+		return nil, m.refuse
+	}
+	if _, taken := m.state[key]; taken {
+		return nil, result.New(result.ClaimOrphan, "key %s", key)
+	}
+	m.state[key] = "claimed"
+	return memoryClaim{m, key}, nil
+}
+
+func (c memoryClaim) Finish(_ context.Context, code result.Code) { c.set(fmt.Sprint(code)) }
+
+func (c memoryClaim) Withdraw(context.Context) {
+	c.claims.mu.Lock()
+	defer c.claims.mu.Unlock()
+	delete(c.claims.state, c.key)
+}
+
+func (c memoryClaim) set(v string) {
+	c.claims.mu.Lock()
+	defer c.claims.mu.Unlock()
+	c.claims.state[c.key] = v
+}
+
+func (m *memoryClaims) get(key string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state[key]
+}
+
+func TestPlainCallIsPassedOn(t *testing.T) {
+	p := startPlain(t, "one")
+	r := newRig(t, siteText("", true, nil, []string{p.Addr()}), nil)
+	resp := r.call(http.MethodPut, "/dispatch/crew/7?x=1", "", "go")
+	must.Eq(t, http.StatusOK, resp.StatusCode)
+	var ans plain.Answer
+	must.NoError(t, json.NewDecoder(resp.Body).Decode(&ans))
+	must.Eq(t, "PUT", ans.Method)
+	must.Eq(t, "/dispatch/crew/7", ans.Path)
+	must.Eq(t, "go", ans.Body)
+}
+
+// The target executes a call that may not be repeated and dies before it answers. Sending it to the other target would
+// send two crews. The caller is told that the outcome is unknown, and no target executes the call again.
+func TestNonIdempotentCallIsNeverSentTwice(t *testing.T) {
+	for _, fault := range []string{plain.FaultDieAfter, plain.FaultCutAfter, plain.FaultCutBefore, plain.FaultDieBefore} {
+		t.Run(fault, func(t *testing.T) {
+			a, b := startPlain(t, "a"), startPlain(t, "b")
+			r := newRig(t, siteText("", true, nil, []string{a.Addr(), b.Addr()}), nil)
+			a.Order(plain.Fault{Kind: fault})
+			b.Order(plain.Fault{Kind: fault})
+			resp := r.call(http.MethodPost, "/dispatch/send?id=crew", "", "go")
+			must.Eq(t, http.StatusBadGateway, resp.StatusCode)
+			e := readError(t, resp)
+			must.Eq(t, result.Unknown, e.Code)
+			must.Eq(t, result.OutcomeUnknown.String(), e.Outcome)
+			runs := a.Executions()["crew"] + b.Executions()["crew"]
+			must.LessEq(t, 1, runs)
+		})
+	}
+}
+
+// A key makes net/http believe that a request may be resent when a kept connection breaks. The call must still reach one
+// target once.
+func TestKeyedCallIsNotResentByTheTransport(t *testing.T) {
+	a := startPlain(t, "a")
+	claims := newMemoryClaims()
+	r := newRig(t, siteText("", true, nil, []string{a.Addr()}), func(o *Options) { o.Claims = claims })
+	must.Eq(t, http.StatusOK, r.call(http.MethodPost, "/dispatch/send?id=warm", "k0", "").StatusCode)
+	a.Order(plain.Fault{Kind: plain.FaultCutAfter})
+	resp := r.call(http.MethodPost, "/dispatch/send?id=crew", "k1", "")
+	must.Eq(t, result.Unknown, readError(t, resp).Code)
+	must.Eq(t, 1, a.Executions()["k1"]+a.Executions()["crew"])
+	eventually(t, "claim finished as unknown", func() bool { return claims.get("k1") == fmt.Sprint(result.Unknown) })
+	resp = r.call(http.MethodPost, "/dispatch/send?id=crew", "k1", "")
+	must.Eq(t, result.ClaimOrphan, readError(t, resp).Code)
+	must.Eq(t, 1, a.Executions()["k1"]+a.Executions()["crew"])
+}
+
+// One target refuses connections. Nothing was sent to it, so even a call that may not be repeated goes to the next one;
+// when none can be reached the caller is told that it was not run, and its claim is withdrawn so that it may ask again.
+func TestRefusedBeforeSendIsNotRun(t *testing.T) {
+	b := startPlain(t, "b")
+	claims := newMemoryClaims()
+	r := newRig(t, siteText("", true, nil, []string{"127.0.0.1:3", b.Addr()}), func(o *Options) { o.Claims = claims })
+	for range 2 {
+		must.Eq(t, http.StatusOK, r.call(http.MethodPost, "/dispatch/send", "", "").StatusCode)
+	}
+	b.Kill()
+	resp := r.call(http.MethodPost, "/dispatch/send", "k", "")
+	must.Eq(t, http.StatusServiceUnavailable, resp.StatusCode)
+	must.NotEq(t, "", resp.Header.Get("Retry-After"))
+	e := readError(t, resp)
+	must.Eq(t, result.NoTarget, e.Code)
+	must.Eq(t, result.NotRun.String(), e.Outcome)
+	eventually(t, "claim withdrawn", func() bool { return claims.get("k") == "" })
+}
+
+// The table is down. A keyed call that may not be repeated can't be held to one run, so just that is refused; a call
+// without a key and an idempotent call go on.
+func TestStoreDownRefusesOnlyKeyedCalls(t *testing.T) {
+	p := startPlain(t, "one")
+	r := newRig(t, siteText("", true, nil, []string{p.Addr()}), nil)
+	resp := r.call(http.MethodPost, "/dispatch/send?id=x", "k", "")
+	e := readError(t, resp)
+	must.Eq(t, result.StoreDown, e.Code)
+	must.Eq(t, result.NotRun.String(), e.Outcome)
+	must.Positive(t, e.RetryAfterMS)
+	must.Eq(t, 0, p.Executions()["k"]+p.Executions()["x"])
+	must.Eq(t, http.StatusOK, r.call(http.MethodPost, "/dispatch/send", "", "").StatusCode)
+	must.Eq(t, http.StatusOK, r.call(http.MethodGet, "/dispatch/status/1", "k", "").StatusCode)
+}
+
+// A link retires while drivers ask for the state of their crews: one target breaks every connection. A status check may
+// be repeated, so each is answered by the other target.
+func TestStatusChecksAreAnsweredWhileALinkRetires(t *testing.T) {
+	a, b := startPlain(t, "a"), startPlain(t, "b")
+	r := newRig(t, siteText("", true, nil, []string{a.Addr(), b.Addr()}), nil)
+	a.Order(plain.Fault{Kind: plain.FaultCutBefore, Count: 1000})
+	for i := range 20 {
+		if i == 10 {
+			a.Kill()
+		}
+		must.Eq(t, http.StatusOK, r.call(http.MethodGet, fmt.Sprintf("/dispatch/status/%d", i), "", "").StatusCode)
+	}
+}
+
+// A target that executes and never answers: at the deadline nobody can say whether it ran.
+func TestSilentTargetIsUnknown(t *testing.T) {
+	p := startPlain(t, "one")
+	p.Order(plain.Fault{Kind: plain.FaultHang})
+	r := newRig(t, siteText("  deadline: 100ms\n", true, nil, []string{p.Addr()}), nil)
+	e := readError(t, r.call(http.MethodPost, "/dispatch/send", "", ""))
+	must.Eq(t, result.TargetSilent, e.Code)
+}
+
+// The answer is cut in its middle. The caller must see a broken answer and never a short one that looks whole.
+func TestCutAnswerIsSeen(t *testing.T) {
+	p := startPlain(t, "one")
+	p.Order(plain.Fault{Kind: plain.FaultCutBody})
+	r := newRig(t, siteText("", true, nil, []string{p.Addr()}), nil)
+	_, err := io.ReadAll(r.call(http.MethodPost, "/dispatch/send", "", "").Body)
+	must.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+// Legacy screens speak HTTP/1.0: no chunks, and the answer has a length so that a cut can be told from an end.
+func TestOldCaller(t *testing.T) {
+	p := startPlain(t, "one")
+	r := newRig(t, siteText("", true, nil, []string{p.Addr()}), nil)
+	conn, err := net.Dial("tcp", r.http.Listener.Addr().String())
+	must.NoError(t, err)
+	defer conn.Close()
+	must.NoError(t, conn.SetDeadline(time.Now().Add(waitMost)))
+	_, err = fmt.Fprintf(conn, "GET /dispatch/status/9 HTTP/1.0\r\nAuthorization: Bearer %s\r\n\r\n", testKey)
+	must.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, resp.StatusCode)
+	must.Positive(t, resp.ContentLength)
+	must.SliceEmpty(t, resp.TransferEncoding)
+}
--- /dev/null
+++ b/lib/entry/refusal_test.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/callerapi"
+	"anvilwick.example/anvilwick/lib/engineapi"
+	"anvilwick.example/anvilwick/lib/result"
+)
+
+// Each refusal comes at once, with its code, status and outcome, and nothing reaches a target.
+func TestRefusals(t *testing.T) {
+	r := newRig(t, siteText("  max_body: 1KiB\n", true, nil, nil), nil)
+	for _, tc := range []struct {
+		name   string
+		path   string
+		header map[string]string
+		body   string
+		want   result.Code
+	}{
+		{"no key", "/dispatch", map[string]string{"Authorization": ""}, "", result.Unauthenticated},
+		{"unknown key", "/dispatch", map[string]string{"Authorization": "Bearer nobody"}, "", result.Unauthenticated},
+		{"class", "/dispatch", map[string]string{callerapi.HeaderClass: "urgent"}, "", result.Forbidden},
+		{"route", "/ledger", nil, "", result.NoRoute},
+		{"model", engineapi.PathCompletions, nil, `{"model":"other","prompt":"x"}`, result.NoRoute},
+		{"deadline", "/dispatch", map[string]string{callerapi.HeaderDeadline: "soon"}, "", result.BadHeader},
+		{"event id", engineapi.PathCompletions, map[string]string{callerapi.HeaderLastEvent: "7"}, `{}`, result.BadHeader},
+		{"json", engineapi.PathCompletions, nil, `{"model":`, result.BadRequest},
+		{"large plain", "/dispatch", nil, strings.Repeat("x", 1025), result.BodyTooLarge},
+		{"large prompt", engineapi.PathCompletions, nil, `{"model":"planner-llm","prompt":"` + strings.Repeat("x", 1024) + `"}`, result.BodyTooLarge},
+		{"several answers", engineapi.PathCompletions, nil, `{"model":"planner-llm","prompt":"x","n":2}`, result.BadRequest},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			req, err := http.NewRequest(http.MethodPost, r.http.URL+tc.path, strings.NewReader(tc.body))
+			must.NoError(t, err)
+			req.Header.Set("Authorization", "Bearer "+testKey)
+			for k, v := range tc.header {
+				req.Header.Set(k, v)
+			}
+			resp, err := http.DefaultClient.Do(req)
+			must.NoError(t, err)
+			defer resp.Body.Close()
+			must.Eq(t, result.Lookup(tc.want).HTTP, resp.StatusCode)
+			e := readError(t, resp)
+			must.Eq(t, tc.want, e.Code)
+			must.Eq(t, result.NotRun.String(), e.Outcome)
+		})
+	}
+}
+
+// A planned stop while an answer is under way: new requests are refused, not run, with a time to come back, and the
+// answer in progress goes on to its end before the stop is over.
+func TestStopCutsNothing(t *testing.T) {
+	e := startEngine(t, nil)
+	r := newRig(t, siteText("", true, []string{e.Addr()}, nil), nil)
+	const prompt = "stop [len=100]"
+	resp := r.send(context.Background(), ask{prompt: prompt, stream: true})
+	stopped := make(chan error, 1)
+	var st story
+	st.read(t, eventsOf(resp), func(n int) {
+		if n != 10 {
+			return
+		}
+		go func() { stopped <- r.server.Stop(context.Background()) }()
+		eventually(t, "stopping", r.server.Stopping)
+		late := r.send(context.Background(), ask{prompt: "late", stream: true})
+		must.Eq(t, http.StatusServiceUnavailable, late.StatusCode)
+		must.NotEq(t, "", late.Header.Get("Retry-After"))
+		must.Eq(t, result.Stopping, readError(t, late).Code)
+	})
+	st.whole(t, prompt, 100)
+	must.NoError(t, <-stopped)
+}
+
+// The deadline passes while the answer is under way: the caller is told, as the end of its stream, that it was run.
+func TestDeadlineWhileRunning(t *testing.T) {
+	e := startEngine(t, nil)
+	r := newRig(t, siteText("", true, []string{e.Addr()}, nil), nil)
+	var st story
+	st.read(t, eventsOf(r.send(context.Background(), ask{prompt: "slow [len=5000]", stream: true, ms: "150"})), nil)
+	must.NotNil(t, st.err)
+	must.Eq(t, result.DeadlinePassed, st.err.Code)
+	must.Positive(t, st.tokens)
+}
+
+// More requests than the bound at once: the one too many is refused at once and the others don't notice.
+func TestTooManyStreams(t *testing.T) {
+	e := startEngine(t, nil)
+	r := newRig(t, siteText("", true, []string{e.Addr()}, nil), func(o *Options) { o.MaxStreams = 1 })
+	const prompt = "one [len=50]"
+	first := r.send(context.Background(), ask{prompt: prompt, stream: true})
+	start := time.Now()
+	second := r.send(context.Background(), ask{prompt: "two", stream: true})
+	must.Eq(t, result.TooManyStreams, readError(t, second).Code)
+	must.Less(t, time.Second, time.Since(start))
+	var st story
+	st.read(t, eventsOf(first), nil)
+	st.whole(t, prompt, 50)
+}
--- a/lib/entry/run.go
+++ b/lib/entry/run.go
@@ -15,10 +15,11 @@
 )
 
 const (
-	maxAvoid       = 8                // targets that an attempt keeps away from
-	maxMoves       = 1000             // attempts of one generation, of whatever cause
-	resumePatience = 30 * time.Second // a started generation waits at least so long for a place
-	maxResumePause = time.Second      // between two tries to place it
+	maxAvoid       = 8                      // targets that an attempt keeps away from
+	maxMoves       = 1000                   // attempts of one generation, of whatever cause
+	resumePatience = 30 * time.Second       // a started generation waits at least so long for a place
+	resumePause    = 100 * time.Millisecond // between two tries to place it; its caller sees the stall
+	refusalRetry   = time.Second            // told to callers where nobody knows better
 	cancelTimeout  = 2 * time.Second
 	placeGrace     = 5 * time.Second // beyond the policy's bound on waiting, in case the scheduler is silent
 )
@@ -116,7 +117,7 @@
 		err = causeError(context.Cause(g.ctx))
 	case <-patience.C:
 		err = result.New(result.QueueFull, "no place within %s", g.policy.MaxWait)
-		err.RetryAfter = maxResumePause
+		err.RetryAfter = refusalRetry
 	}
 	s.opts.Placer.End(g.service.Name, g.id, number, emitted, sched.EndCancelled)
 	return sched.Action{}, err
@@ -194,7 +195,7 @@
 	if now.Sub(rs.waiting) > max(resumePatience, g.policy.MaxWait) {
 		return err, false
 	}
-	pause := time.NewTimer(min(max(err.RetryAfter, maxResumePause/20), maxResumePause))
+	pause := time.NewTimer(resumePause)
 	defer pause.Stop()
 	select {
 	case <-pause.C:
@@ -243,7 +244,7 @@
 		return nil, true
 	}
 	err := result.Wrap(result.RetryBudget, end.cause, "try another target")
-	err.RetryAfter = maxResumePause
+	err.RetryAfter = refusalRetry
 	return err, false
 }
 
--- a/lib/entry/server.go
+++ b/lib/entry/server.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -30,6 +31,7 @@
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 32 << 10
 	maxBodyBytes      = 16 << 20 // whatever the settings say
+	connWriteBuffer   = 128 << 10
 	defaultMaxStreams = 4096
 )
 
@@ -169,9 +171,19 @@
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       boundConn,
 	}
 }
 
+// boundConn bounds what the kernel keeps for one caller. Left to itself it grows to megabytes for each caller that reads
+// slowly, unseen by the bound on the sink.
+func boundConn(ctx context.Context, c net.Conn) context.Context {
+	if tc, ok := c.(*net.TCPConn); ok {
+		_ = tc.SetWriteBuffer(connWriteBuffer)
+	}
+	return ctx
+}
+
 // refuse answers a request that never got a workspace or a service.
 func (s *Server) refuse(w http.ResponseWriter, rq *request, err *result.Error) {
 	if rq.workspace == nil {
