--- /dev/null
+++ b/lib/member/instances.go
@@ -0,0 +1,25 @@
+package member
+
+import "slices"
+
+// SetInstances joins the platform's list, which is some seconds behind. It can add members, raise incarnations and
+// announce leaving. It never revives one that heartbeats found dead, and a member that it lacks stays: the list may
+// not have it yet.
+func (t *Table) SetInstances(now Time, list []Member) {
+	for _, e := range t.members {
+		e.listed = false
+	}
+	for _, m := range list {
+		m.State, m.Refutation = Live, 0
+		t.learn(now, m)
+		if e, ok := t.members[m.Instance]; ok && e.Incarnation <= m.Incarnation {
+			e.listed = true
+		}
+	}
+}
+
+// Neighbours returns whom this instance sends heartbeats to, sorted.
+func (t *Table) Neighbours(now Time) []string {
+	t.refreshNeighbours(now)
+	return slices.Clone(t.neighbours)
+}
--- /dev/null
+++ b/lib/member/view.go
@@ -0,0 +1,85 @@
+package member
+
+import (
+	"slices"
+
+	"anvilwick.example/anvilwick/lib/meshpb"
+)
+
+// View is an immutable copy of the table for those that act on it.
+type View struct {
+	Version  uint64
+	Self     Member
+	Members  []Member // all known, self included, sorted by instance
+	Replaced bool     // a higher incarnation of this instance exists
+	Alone    bool     // others are known and none of them counts as live
+}
+
+// View copies the table.
+func (t *Table) View() *View {
+	v := &View{Version: t.version, Self: t.self, Replaced: t.replaced, Alone: len(t.members) > 0}
+	v.Members = make([]Member, 0, len(t.members)+1)
+	v.Members = append(v.Members, t.self)
+	for _, e := range t.members {
+		v.Members = append(v.Members, e.Member)
+		v.Alone = v.Alone && e.State == Dead
+	}
+	slices.SortFunc(v.Members, compareNames)
+	return v
+}
+
+// Get finds a member.
+func (v *View) Get(instance string) (Member, bool) {
+	at, ok := slices.BinarySearchFunc(v.Members, instance, func(m Member, name string) int {
+		return compareNames(m, Member{Instance: name})
+	})
+	if !ok {
+		return Member{}, false
+	}
+	return v.Members[at], true
+}
+
+// Workers returns the members that may own anything. An instance that was replaced doesn't count itself.
+func (v *View) Workers() []Member {
+	out := make([]Member, 0, len(v.Members))
+	for _, m := range v.Members {
+		if v.Replaced && m.Instance == v.Self.Instance {
+			continue
+		}
+		if m.TakesWork() {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Digest is a shard digest as last heard from the instance that owns the shard.
+type Digest struct {
+	Instance string
+	Age      Time // since it was heard
+	*meshpb.ShardDigest
+}
+
+// Digests returns what members that take work said of their shards, in order of instance.
+func (t *Table) Digests(now Time) []Digest {
+	var out []Digest
+	for _, name := range t.order {
+		e := t.members[name]
+		if !e.TakesWork() {
+			continue
+		}
+		for _, d := range e.digests {
+			out = append(out, Digest{Instance: name, Age: now - e.digestedAt, ShardDigest: d})
+		}
+	}
+	return out
+}
+
+// SettingsRevisions returns the highest revision that each other member said it has in force.
+func (t *Table) SettingsRevisions() map[string]uint64 {
+	out := make(map[string]uint64, len(t.members))
+	for name, e := range t.members {
+		out[name] = e.settings
+	}
+	return out
+}
