--- /dev/null
+++ b/lib/mesh/mesh_test.go
@@ -0,0 +1,216 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/meshpb"
+)
+
+const kindEcho = meshpb.StreamKind_STREAM_RECORD
+
+// quick are options with short times, for tests on loopback.
+func quick(instance string) Options {
+	return Options{
+		Self:         Identity{Instance: instance, Incarnation: 1},
+		Plain:        true,
+		KeepAlive:    50 * time.Millisecond,
+		WriteTimeout: 150 * time.Millisecond,
+		DialTimeout:  300 * time.Millisecond,
+		BackoffMin:   20 * time.Millisecond,
+		BackoffMax:   100 * time.Millisecond,
+	}
+}
+
+func startNode(t *testing.T, o Options) (*Node, string) {
+	t.Helper()
+	n, err := New(o)
+	must.NoError(t, err)
+	n.Handle(kindEcho, echo)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.Serve(ln)
+	}()
+	t.Cleanup(func() {
+		n.Close()
+		<-done
+	})
+	return n, ln.Addr().String()
+}
+
+func echo(_ context.Context, s *Stream) {
+	for {
+		var m meshpb.SettingsOffer
+		if s.Read(&m) != nil || s.Write(&m) != nil {
+			return
+		}
+	}
+}
+
+func openTo(t *testing.T, n *Node, instance, addr string) *Stream {
+	t.Helper()
+	s, err := n.Open(t.Context(), Peer{instance, addr}, kindEcho)
+	must.NoError(t, err)
+	t.Cleanup(func() { s.Close() })
+	return s
+}
+
+func call(t *testing.T, s *Stream, revision uint64) {
+	t.Helper()
+	must.NoError(t, s.Write(&meshpb.SettingsOffer{Revision: revision}))
+	must.NoError(t, s.SetReadDeadline(time.Now().Add(5*time.Second)))
+	var m meshpb.SettingsOffer
+	must.NoError(t, s.Read(&m))
+	must.EqOp(t, revision, m.GetRevision())
+}
+
+func waitFor(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !cond(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
+func TestOpenNamesBothEnds(t *testing.T) {
+	a, _ := startNode(t, quick("a"))
+	_, addr := startNode(t, quick("b"))
+	s := openTo(t, a, "b", addr)
+	must.Eq(t, Identity{"b", 1}, s.Peer())
+	call(t, s, 7)
+}
+
+// An instance was replaced by another on the same address. Whoever still dials the old one must learn so before it
+// sends anything, or the new instance would act on messages that were not meant for it.
+func TestOpenRefusesAnotherInstanceOnTheAddress(t *testing.T) {
+	a, _ := startNode(t, quick("a"))
+	_, addr := startNode(t, quick("c"))
+	_, err := a.Open(t.Context(), Peer{"b", addr}, kindEcho)
+	must.True(t, errorx.IsOfType(err, ErrWrongPeer))
+	must.True(t, Refused(err))
+}
+
+func TestPlainMustBeAskedFor(t *testing.T) {
+	o := quick("a")
+	o.Plain = false
+	_, err := New(o)
+	must.True(t, errorx.IsOfType(err, ErrConfig))
+}
+
+func TestUnknownKindIsRefusedAndTheSessionStays(t *testing.T) {
+	a, _ := startNode(t, quick("a"))
+	_, addr := startNode(t, quick("b"))
+	s := openTo(t, a, "b", addr)
+	_, err := a.Open(t.Context(), Peer{"b", addr}, meshpb.StreamKind_STREAM_LOCAL)
+	must.True(t, errorx.IsOfType(err, ErrHello))
+	must.EqOp(t, s.conn.LocalAddr().String(), openTo(t, a, "b", addr).conn.LocalAddr().String())
+	call(t, s, 1)
+}
+
+func TestStreamsOfASessionAreBounded(t *testing.T) {
+	a, _ := startNode(t, quick("a"))
+	o := quick("b")
+	o.MaxStreams = 2
+	_, addr := startNode(t, o)
+	first := openTo(t, a, "b", addr)
+	openTo(t, a, "b", addr)
+	_, err := a.Open(t.Context(), Peer{"b", addr}, kindEcho)
+	must.Error(t, err)
+	first.Close()
+	waitFor(t, "the place of a closed stream", func() bool {
+		s, err := a.Open(t.Context(), Peer{"b", addr}, kindEcho)
+		if err == nil {
+			s.Close()
+		}
+		return err == nil
+	})
+}
+
+func TestMessageOverTheBoundIsRefused(t *testing.T) {
+	o := quick("b")
+	o.MaxMessage = 64
+	_, addr := startNode(t, o)
+	a, _ := startNode(t, quick("a"))
+	s := openTo(t, a, "b", addr)
+	must.NoError(t, s.Write(&meshpb.SettingsBody{Yaml: make([]byte, 1000)}))
+	must.NoError(t, s.SetReadDeadline(time.Now().Add(5*time.Second)))
+	must.Error(t, s.Read(&meshpb.SettingsOffer{}))
+}
+
+func TestDeadPeerIsInBackoff(t *testing.T) {
+	o := quick("a")
+	o.BackoffMin, o.BackoffMax = time.Minute, time.Minute
+	var dialed atomic.Int32
+	o.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		dialed.Add(1)
+		return nil, net.ErrClosed
+	}
+	a, _ := startNode(t, o)
+	for range 20 {
+		_, err := a.Open(t.Context(), Peer{"b", "127.0.0.1:1"}, kindEcho)
+		must.Error(t, err)
+	}
+	must.EqOp(t, 1, dialed.Load())
+}
+
+func TestBackoffDoublesToItsBoundWithJitter(t *testing.T) {
+	b := backoff{min: 100 * time.Millisecond, max: time.Second}
+	now := time.Now()
+	for _, want := range []time.Duration{100, 200, 400, 800, 1000, 1000} {
+		b.failed(now)
+		wait := b.until.Sub(now)
+		must.Between(t, want*time.Millisecond/2, wait, want*time.Millisecond)
+	}
+	b.ok()
+	must.True(t, b.ready(now))
+}
+
+// The caller of a long generation must see nothing when its link is retired, and a status check sent meanwhile must
+// be answered: users have lived through a retirement that left status checks hanging behind the long stream.
+// Order: a long stream is open; the link is retired, by either end; short calls go on a new session; the long stream
+// then goes on and ends; only then does the old session close.
+func TestRetiredLinkFinishesItsStreamsWhileShortCallsAreAnswered(t *testing.T) {
+	ends := map[string]func(dialer, server *Node, addr string){
+		"dialer": func(dialer, _ *Node, addr string) { dialer.Retire(addr) },
+		"server": func(_, server *Node, _ string) { server.RetireAccepted() },
+	}
+	for name, retire := range ends {
+		t.Run(name, func(t *testing.T) {
+			a, _ := startNode(t, quick("a"))
+			b, addr := startNode(t, quick("b"))
+			long := openTo(t, a, "b", addr)
+			call(t, long, 1)
+			retire(a, b, addr)
+			waitFor(t, "new streams on a new session", func() bool {
+				s, err := a.Open(t.Context(), Peer{"b", addr}, kindEcho)
+				must.NoError(t, err)
+				defer s.Close()
+				call(t, s, 2)
+				return s.conn.LocalAddr().String() != long.conn.LocalAddr().String()
+			})
+			for i := range uint64(20) {
+				call(t, long, i)
+				call(t, openTo(t, a, "b", addr), i)
+			}
+			must.EqOp(t, 2, sessionsOf(b))
+			long.Close()
+			waitFor(t, "the old session to close", func() bool { return sessionsOf(b) == 1 })
+		})
+	}
+}
+
+func sessionsOf(n *Node) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.accepted)
+}
