--- /dev/null
+++ b/lib/member/sim_test.go
@@ -0,0 +1,175 @@
+package member
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/meshpb"
+)
+
+const testInterval = 100 * time.Millisecond
+
+// simNode is one process: a table, and whether it runs.
+type simNode struct {
+	table  *Table
+	paused bool
+	killed bool
+	side   int // nodes on different sides can't reach each other
+	// figures
+	messages int
+	bytes    int
+}
+
+// sim passes heartbeats between tables in virtual time, with loss. Delivery takes no time, answers included.
+type sim struct {
+	t     must.T
+	now   Time
+	rng   *rand.Rand
+	nodes []*simNode // by slot; a replaced process takes its slot's place
+	addrs map[string]int
+	inc   []uint64
+	names []string
+	loss  float64
+	full  int
+}
+
+func newSim(t must.T, n int, seed uint64) *sim {
+	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 1)), addrs: make(map[string]int)}
+	for i := range n {
+		s.nodes = append(s.nodes, nil)
+		s.names = append(s.names, fmt.Sprintf("i%03d", i))
+		s.inc = append(s.inc, 0)
+		s.addrs[s.addr(i)] = i
+		s.start(i)
+	}
+	return s
+}
+
+func (s *sim) addr(i int) string { return fmt.Sprintf("10.0.%d.%d:1", i/250, i%250) }
+
+func (s *sim) self(i int) Member {
+	return Member{Instance: s.names[i], Incarnation: s.inc[i], FailureDomain: fmt.Sprint("d", i%3), MeshAddr: s.addr(i)}
+}
+
+// start begins a new life of slot i, which knows nobody yet.
+func (s *sim) start(i int) {
+	s.inc[i]++
+	cfg := Config{Self: s.self(i), Interval: testInterval, Seed: uint64(i), Forget: time.Hour, FullMesh: s.full}
+	side := 0
+	if s.nodes[i] != nil {
+		side = s.nodes[i].side
+	}
+	s.nodes[i] = &simNode{table: NewTable(s.now, cfg), side: side}
+}
+
+// list is the platform's: the truth at the time it is read.
+func (s *sim) list() []Member {
+	var out []Member
+	for i, n := range s.nodes {
+		if !n.killed {
+			m := s.self(i)
+			m.Leaving = n.table.Self().Leaving
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (s *sim) giveList(list []Member) {
+	for _, n := range s.nodes {
+		if n.running() {
+			n.table.SetInstances(s.now, list)
+		}
+	}
+}
+
+func (n *simNode) running() bool { return !n.killed && !n.paused }
+
+// run moves time on by d, in steps of a fifth of an interval.
+func (s *sim) run(d time.Duration) {
+	for end := s.now + d; s.now < end; {
+		s.now += testInterval / urgentDivisor
+		for i, n := range s.nodes {
+			if n.running() {
+				s.send(i, n, n.table.Tick(s.now))
+			}
+		}
+	}
+}
+
+func (s *sim) send(from int, n *simNode, out []Outgoing) {
+	for _, o := range out {
+		n.messages++
+		n.bytes += proto.Size(o.Beat)
+		to, ok := s.addrs[o.To.MeshAddr]
+		if !ok || s.nodes[to].killed || s.names[to] != o.To.Instance {
+			n.table.Unreachable(s.now, o.To.Instance, o.To.Incarnation)
+			continue
+		}
+		s.deliver(n, s.nodes[to], o.Beat)
+	}
+}
+
+func (s *sim) deliver(from, to *simNode, hb *meshpb.Heartbeat) {
+	if s.lost(from, to) {
+		return
+	}
+	answer := to.table.Receive(s.now, hb)
+	if answer == nil {
+		return
+	}
+	to.messages++
+	to.bytes += proto.Size(answer)
+	if !s.lost(to, from) {
+		from.table.Receive(s.now, answer)
+	}
+}
+
+func (s *sim) lost(a, b *simNode) bool {
+	return !a.running() || !b.running() || a.side != b.side || s.rng.Float64() < s.loss
+}
+
+// converged reports the first disagreement with the truth, or "".
+func (s *sim) converged() string {
+	for i, n := range s.nodes {
+		if !n.running() {
+			continue
+		}
+		for j, o := range s.nodes {
+			if i == j {
+				continue
+			}
+			m, known := n.table.Get(s.names[j])
+			switch {
+			case o.killed && known && m.State != Dead:
+				return fmt.Sprintf("%s holds killed %s for %v", s.names[i], s.names[j], m.State)
+			case !o.killed && !known:
+				return fmt.Sprintf("%s does not know %s", s.names[i], s.names[j])
+			case !o.killed && m.State != Live:
+				return fmt.Sprintf("%s holds running %s for %v", s.names[i], s.names[j], m.State)
+			case !o.killed && m.Incarnation != s.inc[j]:
+				return fmt.Sprintf("%s has %s at %d, not %d", s.names[i], s.names[j], m.Incarnation, s.inc[j])
+			case !o.killed && m.Leaving != o.table.Self().Leaving:
+				return fmt.Sprintf("%s has leaving of %s wrong", s.names[i], s.names[j])
+			}
+		}
+	}
+	return ""
+}
+
+// runUntilConverged returns the time it took, or fails after bound.
+func (s *sim) runUntilConverged(bound time.Duration) time.Duration {
+	from := s.now
+	for s.converged() != "" {
+		if s.now-from > bound {
+			must.Eq(s.t, "", s.converged(), must.Sprintf("after %v", bound))
+		}
+		s.run(testInterval)
+	}
+	return s.now - from
+}
--- a/lib/mesh/session.go
+++ b/lib/mesh/session.go
@@ -12,7 +12,6 @@
 // session counts its streams, so that a retired one can be closed when the last has ended.
 type session struct {
 	mux      *yamux.Session
-	onDone   func()
 	mu       sync.Mutex
 	streams  int
 	retired  bool
