--- a/lib/member/table_test.go
+++ b/lib/member/table_test.go
@@ -16,6 +16,7 @@
 func started(t must.T, n int) *sim {
 	s := newSim(t, n, 1)
 	s.giveList(s.list())
+	s.run(3 * testInterval)
 	s.runUntilConverged(10 * time.Second)
 	return s
 }
