--- /dev/null
+++ b/lib/shard/shard.go
@@ -0,0 +1,95 @@
+// Package shard splits the targets of a service into shards, and finds the entry that owns each.
+//
+// Both are computed by every entry from what it knows, with no message: targets come from the settings revision in
+// force and owners from the live members. Entries whose knowledge differs for a moment may take two entries for the
+// owner of one shard. That costs speed only; promises to callers don't rest on owners.
+package shard
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ID names a shard of one service.
+type ID struct {
+	Service string
+	Index   uint32
+}
+
+// String returns service/index.
+func (id ID) String() string { return fmt.Sprintf("%s/%d", id.Service, id.Index) }
+
+// Shard is a part of a service's targets.
+type Shard struct {
+	ID
+	Targets []string // sorted
+}
+
+// slack is the share of places that stays free when the count of shards is chosen, as one part in so many. Without
+// it almost every shard would be full, and one new target would push others from shard to shard.
+const slack = 5
+
+// Split puts the targets into shards of at most limit each. It depends on the set alone. A target goes to the shard
+// that ranks highest for it and has room, so one target more or less moves few others, and one shard more takes from
+// the others only what is its own.
+func Split(service string, targets []string, limit int) []Shard {
+	count := countFor(len(targets), limit)
+	shards := make([]Shard, count)
+	for i := range shards {
+		shards[i].ID = ID{Service: service, Index: uint32(i)}
+	}
+	for _, name := range byHash(targets) {
+		i := firstWithRoom(shards, name, limit)
+		shards[i].Targets = append(shards[i].Targets, name)
+	}
+	for i := range shards {
+		slices.Sort(shards[i].Targets)
+	}
+	return shards
+}
+
+// countFor is one shard while all fit, so that at today's size one owner sees one queue.
+func countFor(targets, limit int) int {
+	if targets == 0 {
+		return 0
+	}
+	if limit <= 0 || targets <= limit {
+		return 1
+	}
+	usable := max(1, limit-limit/slack)
+	return (targets + usable - 1) / usable
+}
+
+// byHash orders the targets the same way everywhere, and without any bias to the first names.
+func byHash(targets []string) []string {
+	out := slices.Clone(targets)
+	slices.SortFunc(out, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	})
+	return slices.Compact(out)
+}
+
+func firstWithRoom(shards []Shard, target string, limit int) int {
+	best, bestRank := -1, uint64(0)
+	h := xxhash.Sum64String(target)
+	for i := range shards {
+		if limit > 0 && len(shards[i].Targets) >= limit {
+			continue
+		}
+		if r := rank(h, uint64(i)); best < 0 || r > bestRank {
+			best, bestRank = i, r
+		}
+	}
+	return best
+}
+
+// rank is the weight of a pair in rendezvous hashing.
+func rank(a, b uint64) uint64 {
+	x := a ^ (b+1)*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
