schedlink: place generations through the shard's owner over the mesh

Cause: an entry that decides alone sees only its own generations; one owner a shard sees all. Losing an owner must cost speed only. Change: Link implements placer.Placer: one stream to each owner in use, state-based (whenever a stream opens the owner is told of all, what runs first), progress grouped. Host runs a placer.Runner with a sched.Policy for each owned shard. A silent owner: the entry places alone by two random choices, bounded by its share of each batch. Ruled out: refusing a Submit for a shard not owned (untrue while views differ; it is hosted at need); freeing places as soon as a stream breaks.

--- /dev/null
+++ b/lib/schedlink/choose.go
@@ -0,0 +1,82 @@
+package schedlink
+
+import (
+	"anvilwick.example/anvilwick/lib/member"
+	"anvilwick.example/anvilwick/lib/meshpb"
+	"anvilwick.example/anvilwick/lib/shard"
+)
+
+// digests are the last that were heard, by shard. The newest epoch wins when two owners spoke of one shard.
+type digests map[shard.ID]*meshpb.ShardDigest
+
+func newDigests(list []member.Digest) digests {
+	out := make(digests, len(list))
+	for _, d := range list {
+		id := shard.ID{Service: d.GetService(), Index: d.GetShard()}
+		if old := out[id]; old == nil || d.GetEpoch() > old.GetEpoch() {
+			out[id] = d.ShardDigest
+		}
+	}
+	return out
+}
+
+// choose gives an item a shard of its service: the better of two random ones. ok is false when there is none.
+func (l *Link) choose(it *item) (ok bool) {
+	sp := l.plan[it.id.Service]
+	if sp == nil || len(sp.shards) == 0 {
+		return false
+	}
+	n := len(sp.shards)
+	it.id.Index = uint32(l.rng.IntN(n))
+	if n == 1 {
+		return true
+	}
+	other := shard.ID{Service: it.id.Service, Index: uint32(l.rng.IntN(n))}
+	if l.better(other, it.id) {
+		it.id = other
+	}
+	return true
+}
+
+// better compares two shards by silence of the owner, expected wait, queue and running generations. One without a
+// digest counts as empty: some entry must be the first to use it.
+func (l *Link) better(a, b shard.ID) bool {
+	if sa, sb := l.silent(a), l.silent(b); sa != sb {
+		return sb
+	}
+	da, db := l.digests[a], l.digests[b]
+	switch {
+	case da.GetExpectedWaitMs() != db.GetExpectedWaitMs():
+		return da.GetExpectedWaitMs() < db.GetExpectedWaitMs()
+	case da.GetQueued() != db.GetQueued():
+		return da.GetQueued() < db.GetQueued()
+	default:
+		return da.GetRunning() < db.GetRunning()
+	}
+}
+
+func (l *Link) silent(id shard.ID) bool {
+	m, ok := l.own.of(id)
+	if !ok {
+		return true
+	}
+	c := l.conns[m.Instance]
+	return c != nil && c.silent
+}
+
+// reshard puts an item whose shard is no longer in the plan, or no longer holds its target, into one that fits.
+func (l *Link) reshard(it *item) {
+	sp := l.plan[it.id.Service]
+	if sp == nil {
+		return
+	}
+	if it.queued() {
+		if l.plan.shard(it.id) == nil {
+			l.choose(it)
+		}
+		return
+	}
+	if id, ok := shard.Of(sp.shards, it.target); ok {
+		it.id = id
+	}
+}
--- /dev/null
+++ b/lib/schedlink/hosted.go
@@ -0,0 +1,240 @@
+package schedlink
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/ids"
+	"anvilwick.example/anvilwick/lib/meshpb"
+	"anvilwick.example/anvilwick/lib/placer"
+	"anvilwick.example/anvilwick/lib/sched"
+	"anvilwick.example/anvilwick/lib/shard"
+)
+
+// hosted is one shard that this process decides for.
+type hosted struct {
+	id      shard.ID
+	epoch   uint64
+	runner  *placer.Runner
+	targets func(names []string) // what is polled
+	cancel  context.CancelFunc
+
+	mu       sync.Mutex // never held while runner is called: its Notify takes mu
+	gens     map[ids.Generation]*hostedGen
+	queued   int
+	wait     time.Duration // decayed mean of the time from Submit to Grant
+	free     map[string]int
+	lastUsed time.Time
+	settling bool
+	held     []sched.Request // queued requests that came while settling
+}
+
+// hostedGen is a generation that an entry asked about.
+type hostedGen struct {
+	attempt   uint32
+	session   *session
+	target    string // empty: queued
+	priority  int
+	submitted time.Time
+}
+
+const waitWeight = 0.2 // of the newest wait in the mean
+
+// submit takes a request of an entry. An entry repeats its requests after its link broke, and a new owner hears them
+// for the first time: both must come out the same.
+func (h *hosted) submit(s *session, r sched.Request) {
+	known, again := h.claim(s, &r)
+	if again != nil {
+		s.push(downOf(*again, h.epoch))
+	}
+	if known || h.hold(r) {
+		return
+	}
+	h.runner.Submit(r, h.decided)
+}
+
+// hold keeps a queued request back while entries still tell a new owner what runs. Granted at once, the first entry's
+// queue would be put on top of what the other entries run, and the engines would overflow.
+func (h *hosted) hold(r sched.Request) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.settling || r.RunningOn != "" {
+		return false
+	}
+	h.held = append(h.held, r)
+	return true
+}
+
+// settle passes on what was held, unless it ended meanwhile.
+func (h *hosted) settle() {
+	h.mu.Lock()
+	h.settling = false
+	var ready []sched.Request
+	for _, r := range h.held {
+		if g := h.gens[r.Gen]; g != nil && g.attempt == r.Attempt && g.target == "" {
+			ready = append(ready, r)
+		}
+	}
+	h.held = nil
+	h.mu.Unlock()
+	for _, r := range ready {
+		h.runner.Submit(r, h.decided)
+	}
+}
+
+// claim books the generation for session s. known: the policy has it already and as it should be; again is then the
+// grant that the entry may have missed.
+func (h *hosted) claim(s *session, r *sched.Request) (known bool, again *sched.Action) {
+	h.mu.Lock()
+	g := h.gens[r.Gen]
+	h.lastUsed = time.Now()
+	if g != nil && g.attempt == r.Attempt {
+		g.session = s
+		same := r.RunningOn == "" || r.RunningOn == g.target
+		if same && r.RunningOn == "" && g.target != "" {
+			again = &sched.Action{Kind: sched.ActGrant, Gen: r.Gen, Attempt: r.Attempt, Target: g.target, Priority: g.priority}
+		}
+		if same {
+			h.mu.Unlock()
+			return true, again
+		}
+	}
+	if g != nil && g.attempt > r.Attempt {
+		h.mu.Unlock()
+		return true, nil
+	}
+	h.forget(r.Gen)
+	h.gens[r.Gen] = &hostedGen{attempt: r.Attempt, session: s, target: r.RunningOn, submitted: time.Now()}
+	if r.RunningOn == "" {
+		h.queued++
+	}
+	h.mu.Unlock()
+	if g != nil && g.attempt == r.Attempt {
+		// It runs elsewhere than this policy placed it: the entry decided alone meanwhile. The policy must drop what
+		// it believes, for a second Submit of one attempt changes nothing there.
+		h.runner.End(r.Gen, r.Attempt, r.Emitted, sched.EndCancelled)
+	}
+	return false, nil
+}
+
+// forget drops a generation from the books. The caller holds mu.
+func (h *hosted) forget(id ids.Generation) {
+	g := h.gens[id]
+	if g == nil {
+		return
+	}
+	delete(h.gens, id)
+	if g.target == "" {
+		h.queued--
+	}
+	h.lastUsed = time.Now()
+}
+
+// decided passes a decision to the entry that holds the generation. The runner calls it under its own lock.
+func (h *hosted) decided(a sched.Action) {
+	h.mu.Lock()
+	g := h.gens[a.Gen]
+	if g == nil || g.attempt != a.Attempt {
+		h.mu.Unlock()
+		return
+	}
+	s := g.session
+	switch a.Kind {
+	case sched.ActGrant:
+		h.granted(g, a)
+	case sched.ActRefuse:
+		h.forget(a.Gen)
+	}
+	h.mu.Unlock()
+	s.push(downOf(a, h.epoch))
+}
+
+func (h *hosted) granted(g *hostedGen, a sched.Action) {
+	if g.target == "" {
+		h.queued--
+	}
+	g.target, g.priority = a.Target, a.Priority
+	took := time.Since(g.submitted)
+	h.wait += time.Duration(waitWeight * float64(took-h.wait))
+}
+
+// end closes an attempt.
+func (h *hosted) end(id ids.Generation, attempt uint32, tokens int, reason sched.EndReason) {
+	h.mu.Lock()
+	if g := h.gens[id]; g != nil && g.attempt == attempt {
+		h.forget(id)
+	}
+	h.mu.Unlock()
+	h.runner.End(id, attempt, tokens, reason)
+}
+
+// dropSession ends what is still booked for a session that closed a while ago. An entry whose link only broke has
+// claimed its generations on a new session by now.
+func (h *hosted) dropSession(s *session) {
+	type ref struct {
+		id      ids.Generation
+		attempt uint32
+	}
+	var gone []ref
+	h.mu.Lock()
+	for id, g := range h.gens {
+		if g.session == s {
+			gone = append(gone, ref{id, g.attempt})
+			h.forget(id)
+		}
+	}
+	h.mu.Unlock()
+	for _, r := range gone {
+		h.runner.End(r.id, r.attempt, 0, sched.EndCancelled)
+	}
+}
+
+// idle reports whether nothing was booked for d.
+func (h *hosted) idle(d time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.gens) == 0 && time.Since(h.lastUsed) > d
+}
+
+// digest sums the shard up for entries that choose between shards.
+func (h *hosted) digest() *meshpb.ShardDigest {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	d := &meshpb.ShardDigest{
+		Service: h.id.Service,
+		Shard:   h.id.Index,
+		Epoch:   h.epoch,
+		Queued:  uint32(h.queued),
+		Running: uint32(len(h.gens) - h.queued),
+	}
+	for _, n := range h.free {
+		d.FreeTokens += uint64(n)
+	}
+	if h.queued > 0 {
+		d.ExpectedWaitMs = uint32(h.wait.Milliseconds())
+	}
+	return d
+}
+
+// feed passes reports on to the runner and keeps the free memory for digests.
+type feed struct {
+	*placer.Runner
+	h *hosted
+}
+
+// Report implements placer.Feed.
+func (f feed) Report(r sched.Report) {
+	f.h.mu.Lock()
+	f.h.free[r.Target] = max(0, r.KVTotal-r.KVUsed)
+	f.h.mu.Unlock()
+	f.Runner.Report(r)
+}
+
+// TargetGone implements placer.Feed.
+func (f feed) TargetGone(target string) {
+	f.h.mu.Lock()
+	delete(f.h.free, target)
+	f.h.mu.Unlock()
+	f.Runner.TargetGone(target)
+}
--- /dev/null
+++ b/lib/schedlink/wire.go
@@ -0,0 +1,130 @@
+package schedlink
+
+import (
+	"time"
+
+	"anvilwick.example/anvilwick/lib/ids"
+	"anvilwick.example/anvilwick/lib/meshpb"
+	"anvilwick.example/anvilwick/lib/result"
+	"anvilwick.example/anvilwick/lib/sched"
+	"anvilwick.example/anvilwick/lib/shard"
+)
+
+// submitOf writes a request. Deadlines travel as time left: clocks of two processes have nothing in common.
+func submitOf(id shard.ID, r *sched.Request, runningOn string, now sched.Time) *meshpb.SchedUp {
+	m := &meshpb.Submit{
+		Generation:   r.Gen[:],
+		Service:      id.Service,
+		Shard:        id.Index,
+		Workspace:    r.Workspace,
+		Class:        r.Class,
+		Attempt:      r.Attempt,
+		PromptTokens: uint32(r.PromptTokens),
+		MaxTokens:    uint32(r.MaxTokens),
+		Emitted:      uint32(r.Emitted),
+		Prefixes:     r.Prefixes,
+		Preemptions:  uint32(r.Preemptions),
+		Avoid:        r.Avoid,
+		Fingerprint:  r.Fingerprint,
+		RunningOn:    runningOn,
+	}
+	if r.Deadline != 0 {
+		m.DeadlineMs = max(1, r.Deadline.Sub(now).Milliseconds())
+	}
+	return &meshpb.SchedUp{Msg: &meshpb.SchedUp_Submit{Submit: m}}
+}
+
+// requestOf reads a Submit. ok is false when the generation's id is malformed.
+func requestOf(m *meshpb.Submit, now sched.Time) (id shard.ID, r sched.Request, ok bool) {
+	g, err := ids.FromBytes(m.GetGeneration())
+	if err != nil {
+		return id, r, false
+	}
+	r = sched.Request{
+		Gen:          g,
+		Workspace:    m.GetWorkspace(),
+		Class:        m.GetClass(),
+		Attempt:      m.GetAttempt(),
+		PromptTokens: int(m.GetPromptTokens()),
+		MaxTokens:    int(m.GetMaxTokens()),
+		Emitted:      int(m.GetEmitted()),
+		Preemptions:  int(m.GetPreemptions()),
+		Prefixes:     m.GetPrefixes(),
+		Avoid:        m.GetAvoid(),
+		Fingerprint:  m.GetFingerprint(),
+		RunningOn:    m.GetRunningOn(),
+	}
+	if m.GetDeadlineMs() != 0 {
+		r.Deadline = now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond)
+	}
+	return shard.ID{Service: m.GetService(), Index: m.GetShard()}, r, true
+}
+
+func progressOf(items []*meshpb.ProgressItem) *meshpb.SchedUp {
+	return &meshpb.SchedUp{Msg: &meshpb.SchedUp_Progress{Progress: &meshpb.Progress{Items: items}}}
+}
+
+func endOf(g ids.Generation, attempt uint32, tokens int, reason sched.EndReason) *meshpb.SchedUp {
+	return &meshpb.SchedUp{Msg: &meshpb.SchedUp_End{End: &meshpb.End{
+		Generation: g[:],
+		Attempt:    attempt,
+		Tokens:     uint32(tokens),
+		Reason:     meshpb.EndReason(reason),
+	}}}
+}
+
+// downOf writes a decision.
+func downOf(a sched.Action, epoch uint64) *meshpb.SchedDown {
+	switch a.Kind {
+	case sched.ActGrant:
+		return &meshpb.SchedDown{Msg: &meshpb.SchedDown_Grant{Grant: &meshpb.Grant{
+			Generation: a.Gen[:],
+			Attempt:    a.Attempt,
+			Target:     a.Target,
+			Epoch:      epoch,
+			Priority:   int32(a.Priority),
+		}}}
+	case sched.ActPreempt:
+		return &meshpb.SchedDown{Msg: &meshpb.SchedDown_Preempt{Preempt: &meshpb.Preempt{
+			Generation: a.Gen[:],
+			Attempt:    a.Attempt,
+		}}}
+	default:
+		return &meshpb.SchedDown{Msg: &meshpb.SchedDown_Refuse{Refuse: &meshpb.Refuse{
+			Generation:   a.Gen[:],
+			Attempt:      a.Attempt,
+			Code:         uint32(a.Code),
+			RetryAfterMs: uint32(a.RetryAfter.Milliseconds()),
+		}}}
+	}
+}
+
+// actionOf reads a decision. ok is false for anything else, or a malformed id.
+func actionOf(m *meshpb.SchedDown) (a sched.Action, ok bool) {
+	var gen []byte
+	switch d := m.GetMsg().(type) {
+	case *meshpb.SchedDown_Grant:
+		gen = d.Grant.GetGeneration()
+		a = sched.Action{Kind: sched.ActGrant, Attempt: d.Grant.GetAttempt(), Target: d.Grant.GetTarget(), Priority: int(d.Grant.GetPriority())}
+	case *meshpb.SchedDown_Preempt:
+		gen = d.Preempt.GetGeneration()
+		a = sched.Action{Kind: sched.ActPreempt, Attempt: d.Preempt.GetAttempt()}
+	case *meshpb.SchedDown_Refuse:
+		gen = d.Refuse.GetGeneration()
+		a = refusalOf(d.Refuse)
+	default:
+		return a, false
+	}
+	g, err := ids.FromBytes(gen)
+	a.Gen = g
+	return a, err == nil
+}
+
+func refusalOf(m *meshpb.Refuse) sched.Action {
+	return sched.Action{
+		Kind:       sched.ActRefuse,
+		Attempt:    m.GetAttempt(),
+		Code:       result.Code(m.GetCode()),
+		RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond,
+	}
+}
