Start processes by id for tests and the demo

Ports on 127.0.0.1 were ruled out: an outgoing connection may take such a port between its being found and its being used. Each call draws an IP number of its own in 127/8. Kill waits until the child is reaped, so that its address is free on return.

--- /dev/null
+++ b/lib/proc/addr.go
@@ -0,0 +1,25 @@
+package proc
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+)
+
+// Addrs returns n loopback addresses (IP:port) that were free a moment ago, all on one random IP number of 127/8.
+//
+// A port on 127.0.0.1 could be taken as the source port of any connection between being found and being used, and the
+// process would then fail to start. Outgoing connections use 127.0.0.1, so a port on another number stays free.
+func Addrs(n int) ([]string, error) {
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 2+rand.IntN(250))
+	addrs := make([]string, 0, n)
+	for range n {
+		ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			return nil, fmt.Errorf("find a free port: %w", err)
+		}
+		defer ln.Close()
+		addrs = append(addrs, ln.Addr().String())
+	}
+	return addrs, nil
+}
--- /dev/null
+++ b/lib/proc/proc.go
@@ -0,0 +1,156 @@
+// Package proc starts the project's binaries for multi-process tests and for the demo, and sends them signals by id.
+//
+// No daemon of the project imports it: a process of the system starts no other.
+package proc
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// keptOutput bounds the output kept of one process, so that a chatty process can't fill the test's memory.
+const keptOutput = 1 << 20
+
+// ErrStillRunning is returned by Wait when the context ends first.
+var ErrStillRunning = errors.New("process is still running")
+
+// Spec says what to start.
+type Spec struct {
+	Name string    // unique among the processes of a run; used in messages
+	Path string    // binary
+	Args []string  // arguments without the program's name
+	Env  []string  // whole environment; nil: inherit
+	Tee  io.Writer // also gets the output; nil: none
+}
+
+// Proc is one started process.
+type Proc struct {
+	Name string
+
+	cmd  *exec.Cmd
+	out  *tail
+	done chan struct{}
+}
+
+// Start starts s with standard output and standard error kept for Output.
+func Start(s Spec) (*Proc, error) {
+	out := &tail{tee: s.Tee}
+	cmd := exec.Command(s.Path, s.Args...)
+	cmd.Env = s.Env
+	cmd.Stdout = out
+	cmd.Stderr = out
+	if err := cmd.Start(); err != nil {
+		return nil, fmt.Errorf("start %s: %w", s.Name, err)
+	}
+	p := &Proc{Name: s.Name, cmd: cmd, out: out, done: make(chan struct{})}
+	go p.reap()
+	return p, nil
+}
+
+func (p *Proc) reap() {
+	_ = p.cmd.Wait()
+	close(p.done)
+}
+
+// PID returns the process id.
+func (p *Proc) PID() int { return p.cmd.Process.Pid }
+
+// Done is closed once the process has ended.
+func (p *Proc) Done() <-chan struct{} { return p.done }
+
+// Running reports whether the process has not ended yet.
+func (p *Proc) Running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Output returns what the process wrote lately.
+func (p *Proc) Output() string { return p.out.String() }
+
+// Kill sends SIGKILL and waits until the process is reaped, so that its ports are free again on return.
+func (p *Proc) Kill() error {
+	if err := p.signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	<-p.done
+	return nil
+}
+
+// Freeze sends SIGSTOP: the process keeps its connections and answers nothing.
+func (p *Proc) Freeze() error { return p.signal(syscall.SIGSTOP) }
+
+// Thaw sends SIGCONT.
+func (p *Proc) Thaw() error { return p.signal(syscall.SIGCONT) }
+
+// Terminate sends SIGTERM, which asks for a graceful stop, and returns at once.
+func (p *Proc) Terminate() error { return p.signal(syscall.SIGTERM) }
+
+// Wait returns the exit code. A process ended by a signal has code -1.
+func (p *Proc) Wait(ctx context.Context) (int, error) {
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode(), nil
+	case <-ctx.Done():
+		return 0, fmt.Errorf("%s: %w", p.Name, ErrStillRunning)
+	}
+}
+
+// CPU returns user plus system time; it is known only once the process has ended.
+func (p *Proc) CPU() time.Duration {
+	select {
+	case <-p.done:
+		st := p.cmd.ProcessState
+		return st.UserTime() + st.SystemTime()
+	default:
+		return 0
+	}
+}
+
+func (p *Proc) signal(sig syscall.Signal) error {
+	if !p.Running() {
+		return nil
+	}
+	if err := p.cmd.Process.Signal(sig); err != nil && p.Running() {
+		return fmt.Errorf("%s: signal %v: %w", p.Name, sig, err)
+	}
+	return nil
+}
+
+// tail keeps the last keptOutput bytes written to it.
+type tail struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+	tee io.Writer
+}
+
+// Write implements io.Writer and never fails.
+func (t *tail) Write(b []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if over := t.buf.Len() + len(b) - keptOutput; over > 0 {
+		t.buf.Next(over)
+	}
+	t.buf.Write(b)
+	if t.tee != nil {
+		_, _ = t.tee.Write(b)
+	}
+	return len(b), nil
+}
+
+// String returns what is kept.
+func (t *tail) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.buf.String()
+}
--- /dev/null
+++ b/lib/proc/proc_test.go
@@ -0,0 +1,97 @@
+package proc
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestMain turns this test binary into the child process when PROC_CHILD is set.
+func TestMain(m *testing.M) {
+	if os.Getenv("PROC_CHILD") != "" {
+		child()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func child() {
+	os.Stdout.WriteString("child up\n")
+	select {}
+}
+
+func startChild(t *testing.T) *Proc {
+	t.Helper()
+	p, err := Start(Spec{Name: "child", Path: os.Args[0], Env: append(os.Environ(), "PROC_CHILD=1")})
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = p.Kill() })
+	return p
+}
+
+func ctxFor(t *testing.T, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestKillReapsAndKeepsOutput(t *testing.T) {
+	p := startChild(t)
+	must.NoError(t, Until(ctxFor(t, 5*time.Second), "output", func(context.Context) error {
+		if !strings.Contains(p.Output(), "child up") {
+			return errors.New("no output yet")
+		}
+		return nil
+	}))
+	must.NoError(t, p.Kill())
+	must.False(t, p.Running())
+	code, err := p.Wait(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, -1, code)
+}
+
+func TestFrozenProcessIsStillKilled(t *testing.T) {
+	p := startChild(t)
+	must.NoError(t, p.Freeze())
+	must.True(t, p.Running())
+	must.NoError(t, p.Kill())
+	must.False(t, p.Running())
+}
+
+func TestTerminateReportsAnExitCode(t *testing.T) {
+	p := startChild(t)
+	// The child has no handler for SIGTERM, so the signal itself ends it: not a graceful stop.
+	must.ErrorContains(t, Terminate(ctxFor(t, 5*time.Second), p), "exit code")
+}
+
+func TestUntilGivesTheLastAnswer(t *testing.T) {
+	err := Until(ctxFor(t, 30*time.Millisecond), "rain", func(context.Context) error { return errors.New("dry") })
+	must.ErrorContains(t, err, "waited for rain: dry")
+}
+
+func TestAddrsAreDistinctAndFree(t *testing.T) {
+	addrs, err := Addrs(20)
+	must.NoError(t, err)
+	seen := map[string]bool{}
+	for _, a := range addrs {
+		must.False(t, seen[a])
+		seen[a] = true
+		ln, err := net.Listen("tcp", a)
+		must.NoError(t, err)
+		must.NoError(t, ln.Close())
+	}
+}
+
+func TestTailIsBounded(t *testing.T) {
+	out := &tail{}
+	block := make([]byte, 64<<10)
+	for range 40 {
+		_, _ = out.Write(block)
+	}
+	must.LessEq(t, keptOutput, len(out.String()))
+}
--- /dev/null
+++ b/lib/proc/wait.go
@@ -0,0 +1,49 @@
+package proc
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+// pollInterval is how often Until asks; short, since the runs are counted in tenths of a second.
+const pollInterval = 10 * time.Millisecond
+
+// Until calls cond until it returns nil. When ctx ends first it returns the last answer of cond.
+func Until(ctx context.Context, what string, cond func(ctx context.Context) error) error {
+	tick := time.NewTicker(pollInterval)
+	defer tick.Stop()
+	for {
+		err := cond(ctx)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("waited for %s: %w", what, err)
+		case <-tick.C:
+		}
+	}
+}
+
+// Answers is a condition for Until: GET url gives 200.
+func Answers(url string) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return err
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		_, _ = io.Copy(io.Discard, resp.Body)
+		if resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("GET %s: %s", url, resp.Status)
+		}
+		return nil
+	}
+}
