Serve operators on a port of their own

Operators need status, targets, queues and drain apart from the callers' port, and a token of their own. The client first lost a 404 behind the error of decoding its text body (TestClientReadsWhatTheSourceSays failed): the HTTP status is looked at first now. go test ./lib/opsapi passes.

--- /dev/null
+++ b/lib/opsapi/client.go
@@ -0,0 +1,68 @@
+package opsapi
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/dghubble/sling"
+)
+
+// clientTimeout bounds one question to one process.
+const clientTimeout = 3 * time.Second
+
+// Client asks one process.
+type Client struct {
+	base *sling.Sling
+}
+
+// NewClient returns a client of the process whose operator port is addr (IP:port).
+func NewClient(addr, token string) *Client {
+	s := sling.New().Client(&http.Client{Timeout: clientTimeout}).Base("http://" + addr)
+	if token != "" {
+		s = s.Set("Authorization", "Bearer "+token)
+	}
+	return &Client{base: s}
+}
+
+// Status asks for the process's status.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var st Status
+	err := c.do(ctx, c.base.New().Get(PathStatus), &st)
+	return st, err
+}
+
+// Targets asks for the targets it knows.
+func (c *Client) Targets(ctx context.Context) ([]Target, error) {
+	var ts []Target
+	err := c.do(ctx, c.base.New().Get(PathTargets), &ts)
+	return ts, err
+}
+
+// Queues asks for the queues that it holds.
+func (c *Client) Queues(ctx context.Context) ([]Queue, error) {
+	var qs []Queue
+	err := c.do(ctx, c.base.New().Get(PathQueues), &qs)
+	return qs, err
+}
+
+// Drain turns a target's drain on or off.
+func (c *Client) Drain(ctx context.Context, r DrainRequest) (DrainReply, error) {
+	var rep DrainReply
+	err := c.do(ctx, c.base.New().Post(PathDrain).BodyJSON(r), &rep)
+	return rep, err
+}
+
+func (c *Client) do(ctx context.Context, s *sling.Sling, into any) error {
+	req, err := s.Request()
+	if err != nil {
+		return err
+	}
+	var refusal ErrorReply
+	resp, err := s.Do(req.WithContext(ctx), into, &refusal)
+	if resp != nil && resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s %s: %s: %s", req.Method, req.URL.Path, resp.Status, refusal.Error)
+	}
+	return err
+}
