--- /dev/null
+++ b/lib/caller/caller_test.go
@@ -0,0 +1,154 @@
+package caller
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/callerapi"
+	"anvilwick.example/anvilwick/lib/ids"
+	"anvilwick.example/anvilwick/lib/result"
+)
+
+var gen = ids.From(1, 2)
+
+// script answers the n-th request with the n-th function and remembers each request's Last-Event-ID.
+type script struct {
+	mu    sync.Mutex
+	steps []http.HandlerFunc
+	last  []string
+}
+
+func (s *script) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	n := len(s.last)
+	s.last = append(s.last, r.Header.Get(callerapi.HeaderLastEvent))
+	s.mu.Unlock()
+	s.steps[n](w, r)
+}
+
+func client(t *testing.T, s *script) *Client {
+	t.Helper()
+	srv := httptest.NewServer(s)
+	t.Cleanup(srv.Close)
+	return &Client{Entries: []string{strings.TrimPrefix(srv.URL, "http://")}, Token: "k", HTTP: srv.Client()}
+}
+
+// tokens streams the tokens [from, to) and then end.
+func tokens(g ids.Generation, from, to int, end func(b []byte, sh callerapi.Shape) []byte) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		callerapi.SetStreamHeaders(w)
+		sh := callerapi.Shape{Generation: g, Model: "m"}
+		var b []byte
+		for i := from; i < to; i++ {
+			b = callerapi.AppendEvent(b, g.String(), uint32(i), sh.Token(uint32(i), fmt.Appendf(nil, " %d", i)))
+		}
+		_, _ = w.Write(end(b, sh))
+	}
+}
+
+func whole(n int) func([]byte, callerapi.Shape) []byte {
+	return func(b []byte, sh callerapi.Shape) []byte {
+		b = callerapi.AppendEvent(b, sh.Generation.String(), uint32(n), sh.Finish(uint32(n), "stop"))
+		return append(b, callerapi.Done...)
+	}
+}
+
+func cut(b []byte, _ callerapi.Shape) []byte { return b }
+
+func refuse(e *result.Error) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { callerapi.WriteError(w, e, "r1") }
+}
+
+func run(t *testing.T, c *Client, call Call) (string, Result, error) {
+	t.Helper()
+	var text strings.Builder
+	res, err := c.Stream(t.Context(), call, func(tok Token) { text.WriteString(tok.Text) })
+	return text.String(), res, err
+}
+
+func TestWholeAnswer(t *testing.T) {
+	text, res, err := run(t, client(t, &script{steps: []http.HandlerFunc{tokens(gen, 0, 3, whole(3))}}), Call{})
+	must.NoError(t, err)
+	must.Eq(t, " 0 1 2", text)
+	must.True(t, res.Done)
+	must.Eq(t, gen.String(), res.Generation)
+}
+
+// The entry dies after two tokens. The caller asks again with its key and the last id it saw; the next entry first
+// says that it can't yet, then gives the rest. Taken as an end, either would lose the answer's tail.
+func TestGoesOnAfterACut(t *testing.T) {
+	s := &script{steps: []http.HandlerFunc{
+		tokens(gen, 0, 2, cut),
+		refuse(result.New(result.AlreadyRunning, "held elsewhere")),
+		tokens(gen, 2, 4, whole(4)),
+	}}
+	text, res, err := run(t, client(t, s), Call{Key: "k1", Resumes: 5})
+	must.NoError(t, err)
+	must.Eq(t, " 0 1 2 3", text)
+	must.Eq(t, 1, res.Resumed)
+	must.Eq(t, []string{"", gen.String() + "-1", gen.String() + "-1"}, s.last)
+}
+
+func TestCutWithoutAKeyIsAFailure(t *testing.T) {
+	_, res, err := run(t, client(t, &script{steps: []http.HandlerFunc{tokens(gen, 0, 2, cut)}}), Call{Resumes: 5})
+	must.ErrorIs(t, err, ErrCut)
+	must.False(t, res.Done)
+}
+
+func TestFaultsOfTheStreamAreSeen(t *testing.T) {
+	other := ids.From(3, 4)
+	mixed := func(b []byte, sh callerapi.Shape) []byte {
+		sh.Generation = other
+		return callerapi.AppendEvent(b, other.String(), 2, sh.Token(2, []byte(" x")))
+	}
+	cases := map[string]struct {
+		step http.HandlerFunc
+		want error
+	}{
+		"gap":              {tokens(gen, 1, 3, whole(3)), ErrOrder},
+		"short count":      {tokens(gen, 0, 3, whole(4)), ErrOrder},
+		"other generation": {tokens(gen, 0, 2, mixed), ErrGeneration},
+		"done alone": {tokens(gen, 0, 2, func(b []byte, _ callerapi.Shape) []byte {
+			return append(b, callerapi.Done...)
+		}), ErrCut},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, _, err := run(t, client(t, &script{steps: []http.HandlerFunc{c.step}}), Call{})
+			must.ErrorIs(t, err, c.want)
+		})
+	}
+}
+
+func TestNumberedErrorEndsTheStream(t *testing.T) {
+	failed := func(b []byte, _ callerapi.Shape) []byte {
+		return callerapi.AppendErrorEvent(b, result.New(result.TargetFailed, "engine"), "r1")
+	}
+	s := &script{steps: []http.HandlerFunc{tokens(gen, 0, 2, failed)}}
+	_, res, err := run(t, client(t, s), Call{Key: "k1", Resumes: 3})
+	var refused *Refused
+	must.True(t, errors.As(err, &refused))
+	must.Eq(t, result.TargetFailed, res.Code)
+	must.Eq(t, 1, len(s.last))
+}
+
+func TestPlainTellsRefusalFromAnswer(t *testing.T) {
+	s := &script{steps: []http.HandlerFunc{
+		func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) },
+		refuse(result.New(result.NoTarget, "none")),
+	}}
+	c := client(t, s)
+	_, res, err := c.Plain(t.Context(), PlainCall{Method: http.MethodGet, Path: "/x"})
+	must.NoError(t, err)
+	must.Eq(t, http.StatusTeapot, res.HTTP)
+	_, res, err = c.Plain(t.Context(), PlainCall{Method: http.MethodPost, Path: "/x", Body: "b"})
+	must.Error(t, err)
+	must.Eq(t, result.NoTarget, res.Code)
+}
