Carry the local link by the mesh's streams

The first form of the link had its own yamux session, framing and Hello; lib/mesh has the same with TLS, back-off and counted bytes. Two copies of that would drift, so the link is now one mesh stream of kind STREAM_LOCAL and keeps only what is its own: state in place of commands, the newest link wins, one instance on both sides.

--- a/lib/locallink/client.go
+++ b/lib/locallink/client.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"net"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
+	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/meshpb"
 )
 
@@ -23,15 +21,15 @@
 // Client is the control process's side. It holds the latest message of each kind and subject, and sends every one of
 // them on each new link.
 type Client struct {
-	Self Identity
-	Addr string                  // IP:port of the entry's local listener
-	TLS  *tls.Config             // nil: plain
-	Up   func(m *meshpb.LocalUp) // called in order
+	Node *mesh.Node
+	Addr string                  // IP:port of the entry's mesh listener
+	Up   func(m *meshpb.LocalUp) // called in order; nil: ignored
 	Lost func(err error)         // a link or a connect failed; nil: ignored
 
 	mu      sync.Mutex
 	state   map[string]held
 	next    uint64
+	linked  bool
 	changed chan struct{}
 }
 
@@ -43,9 +41,9 @@
 }
 
 // NewClient returns a Client that holds nothing yet.
-func NewClient(self Identity, addr string) *Client {
+func NewClient(node *mesh.Node, addr string) *Client {
 	return &Client{
-		Self:    self,
+		Node:    node,
 		Addr:    addr,
 		state:   map[string]held{},
 		changed: make(chan struct{}, 1),
@@ -103,49 +101,43 @@
 	}
 }
 
+// Linked reports whether the entry is connected.
+func (c *Client) Linked() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.linked
+}
+
+func (c *Client) setLinked(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.linked = on
+}
+
 // once connects, sends all that is held, then what changes, until the link ends.
 func (c *Client) once(ctx context.Context) error {
-	sess, st, err := c.connect(ctx)
+	peer := mesh.Peer{Instance: c.Node.Self().Instance, Addr: c.Addr}
+	st, err := c.Node.Open(ctx, peer, meshpb.StreamKind_STREAM_LOCAL)
 	if err != nil {
 		return err
 	}
-	defer sess.Close()
-	stop := context.AfterFunc(ctx, func() { _ = sess.Close() })
-	defer stop()
-	go c.readUp(sess, st)
-	return c.writeDown(ctx, sess, st)
-}
-
-func (c *Client) connect(ctx context.Context) (*yamux.Session, *stream, error) {
-	d := net.Dialer{Timeout: helloTimeout}
-	conn, err := d.DialContext(ctx, "tcp", c.Addr)
-	if err != nil {
-		return nil, nil, err
-	}
-	sess, err := yamux.Client(secure(conn, c.TLS, tls.Client), yamuxConfig())
-	if err != nil {
-		_ = conn.Close()
-		return nil, nil, err
-	}
-	ys, err := sess.OpenStream()
-	if err != nil {
-		_ = sess.Close()
-		return nil, nil, err
-	}
-	st := newStream(ys)
-	if err := st.greet(c.Self); err != nil {
-		_ = sess.Close()
-		return nil, nil, err
-	}
-	return sess, st, nil
+	c.setLinked(true)
+	defer c.setLinked(false)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var reading sync.WaitGroup
+	reading.Go(func() { cancel(c.readUp(st)) })
+	err = c.writeDown(ctx, st)
+	_ = st.Close()
+	reading.Wait()
+	return err
 }
 
-func (c *Client) readUp(sess *yamux.Session, st *stream) {
-	defer sess.Close()
+func (c *Client) readUp(st *mesh.Stream) error {
 	for {
 		var m meshpb.LocalUp
-		if err := st.receive(&m); err != nil {
-			return
+		if err := st.Read(&m); err != nil {
+			return err
 		}
 		if c.Up != nil {
 			c.Up(&m)
@@ -153,21 +145,19 @@
 	}
 }
 
-func (c *Client) writeDown(ctx context.Context, sess *yamux.Session, st *stream) error {
+func (c *Client) writeDown(ctx context.Context, st *mesh.Stream) error {
 	sent := uint64(0)
 	for {
 		msgs, newest := c.since(sent)
 		for _, m := range msgs {
-			if err := st.send(m); err != nil {
+			if err := st.Write(m); err != nil {
 				return err
 			}
 		}
 		sent = newest
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
-		case <-sess.CloseChan():
-			return net.ErrClosed
+			return context.Cause(ctx)
 		case <-c.changed:
 		}
 	}
--- a/lib/locallink/link_test.go
+++ b/lib/locallink/link_test.go
@@ -8,12 +8,14 @@
 
 	"github.com/shoenig/test/must"
 
+	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/meshpb"
+	"anvilwick.example/anvilwick/lib/proc"
 )
 
 const patience = 5 * time.Second
 
-var self = Identity{Instance: "i1", Incarnation: 7}
+const self = "i1"
 
 func settingsMsg(rev uint64) *meshpb.LocalDown {
 	return &meshpb.LocalDown{Msg: &meshpb.LocalDown_Settings{Settings: &meshpb.SettingsBody{Revision: rev}}}
@@ -28,30 +30,50 @@
 }
 
 func statusMsg() *meshpb.LocalUp {
-	return &meshpb.LocalUp{Msg: &meshpb.LocalUp_Status{Status: &meshpb.EntryStatus{Instance: self.Instance}}}
+	return &meshpb.LocalUp{Msg: &meshpb.LocalUp_Status{Status: &meshpb.EntryStatus{Instance: self}}}
+}
+
+func newNode(t *testing.T, instance string) *mesh.Node {
+	t.Helper()
+	n, err := mesh.New(mesh.Options{
+		Self:       mesh.Identity{Instance: instance, Incarnation: 7},
+		Plain:      true,
+		BackoffMin: time.Millisecond,
+		BackoffMax: 20 * time.Millisecond,
+	})
+	must.NoError(t, err)
+	t.Cleanup(n.Close)
+	return n
 }
 
 // startServer listens on addr ("" draws one) and passes what comes down to the returned channel.
-func startServer(t *testing.T, addr string, id Identity) (string, chan *meshpb.LocalDown, context.CancelFunc) {
+func startServer(t *testing.T, addr, instance string) (string, chan *meshpb.LocalDown, func()) {
 	t.Helper()
 	if addr == "" {
-		addr = "127.0.0.1:0"
+		addrs, err := proc.Addrs(1)
+		must.NoError(t, err)
+		addr = addrs[0]
 	}
 	ln, err := net.Listen("tcp", addr)
 	must.NoError(t, err)
-	ctx, cancel := context.WithCancel(t.Context())
 	down := make(chan *meshpb.LocalDown, 64)
 	s := &Server{
-		Self:     id,
+		Instance: instance,
 		Down:     func(m *meshpb.LocalDown) { down <- m },
 		Up:       func() []*meshpb.LocalUp { return []*meshpb.LocalUp{statusMsg()} },
 		Interval: 10 * time.Millisecond,
 	}
+	n := newNode(t, instance)
+	n.Handle(meshpb.StreamKind_STREAM_LOCAL, s.Handle)
 	done := make(chan struct{})
-	go func() { defer close(done); _ = s.Serve(ctx, ln) }()
-	stop := func() { cancel(); <-done }
-	t.Cleanup(stop)
-	return ln.Addr().String(), down, stop
+	go func() { defer close(done); _ = n.Serve(ln) }()
+	stop := func() { n.Close(); <-done }
+	return addr, down, stop
+}
+
+func newClient(t *testing.T, addr string) *Client {
+	t.Helper()
+	return NewClient(newNode(t, self), addr)
 }
 
 func startClient(t *testing.T, c *Client) context.CancelFunc {
@@ -77,13 +99,13 @@
 
 func TestStateGoesDownAndReportsComeUp(t *testing.T) {
 	addr, down, _ := startServer(t, "", self)
-	c := NewClient(self, addr)
+	c := newClient(t, addr)
 	up := make(chan *meshpb.LocalUp, 64)
 	c.Up = func(m *meshpb.LocalUp) { up <- m }
 	startClient(t, c)
 	c.Set(settingsMsg(3))
 	must.Eq(t, 3, next(t, down).GetSettings().GetRevision())
-	must.Eq(t, self.Instance, next(t, up).GetStatus().GetInstance())
+	must.Eq(t, self, next(t, up).GetStatus().GetInstance())
 }
 
 // The entry dies and comes back on its address with nothing in memory. Nothing changes at the control process
@@ -91,7 +113,7 @@
 // caller. The client sends all that it holds on each new link.
 func TestRestartedEntryGetsTheWholeState(t *testing.T) {
 	addr, down, stop := startServer(t, "", self)
-	c := NewClient(self, addr)
+	c := newClient(t, addr)
 	startClient(t, c)
 	c.Set(settingsMsg(3))
 	next(t, down)
@@ -108,13 +130,13 @@
 // sends what it held before. Were both links read, the entry would apply the old state over the new.
 func TestNewestLinkWins(t *testing.T) {
 	addr, down, _ := startServer(t, "", self)
-	old := NewClient(self, addr)
+	old := newClient(t, addr)
 	oldDone := make(chan struct{})
 	go func() { defer close(oldDone); _ = old.once(t.Context()) }()
 	old.Set(drainMsg("t1", true))
 	next(t, down)
 
-	successor := NewClient(self, addr)
+	successor := newClient(t, addr)
 	successor.Set(drainMsg("t1", false))
 	startClient(t, successor)
 	must.False(t, next(t, down).GetDrain().GetOn())
@@ -126,9 +148,9 @@
 	}
 }
 
-func TestLinkOfAnotherInstanceIsRefused(t *testing.T) {
-	addr, down, _ := startServer(t, "", Identity{Instance: "i2"})
-	c := NewClient(self, addr)
+func TestClientRefusesAnotherInstancesEntry(t *testing.T) {
+	addr, down, _ := startServer(t, "", "i2")
+	c := newClient(t, addr)
 	lost := make(chan error, 8)
 	c.Lost = func(err error) { lost <- err }
 	c.Set(settingsMsg(1))
@@ -137,8 +159,18 @@
 	must.Eq(t, 0, len(down))
 }
 
+func TestEntryRefusesAnotherInstancesControl(t *testing.T) {
+	addr, down, _ := startServer(t, "", "i2")
+	st, err := newNode(t, self).Open(t.Context(), mesh.Peer{Addr: addr}, meshpb.StreamKind_STREAM_LOCAL)
+	must.NoError(t, err)
+	defer st.Close()
+	_ = st.Write(settingsMsg(1))
+	must.Error(t, st.Read(&meshpb.LocalUp{})) // closed by the entry
+	must.Eq(t, 0, len(down))
+}
+
 func TestOnlyTheNewestOfASubjectIsHeld(t *testing.T) {
-	c := NewClient(self, "")
+	c := newClient(t, "")
 	for rev := range uint64(100) {
 		c.Set(settingsMsg(rev))
 	}
@@ -156,7 +188,7 @@
 // its whole span once more the entry would run on it for eighteen seconds, while another holder hands the same watts
 // to others: the site passes its cap.
 func TestPowerShareIsSentWithTheTimeThatIsLeft(t *testing.T) {
-	c := NewClient(self, "")
+	c := newClient(t, "")
 	c.Set(powerMsg(10_000))
 	e := c.state["power/s"]
 	later := e.current(e.expires.Add(-2 * time.Second))
--- a/lib/locallink/server.go
+++ b/lib/locallink/server.go
@@ -1,138 +1,107 @@
+// Package locallink joins a control process to the entry beside it: one mesh stream with LocalDown messages to the
+// entry and LocalUp messages back.
+//
+// Either side may die and come back at any time. The link carries state, never commands: after each connect the
+// control process sends all that it holds, so that a message lost with a link is made good by the next link.
 package locallink
 
 import (
 	"context"
-	"crypto/tls"
-	"errors"
-	"net"
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
-
+	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/meshpb"
 )
 
 // Server is the entry's side.
 type Server struct {
-	Self     Identity
-	TLS      *tls.Config               // nil: plain
+	Instance string                    // whose control process may connect
 	Down     func(m *meshpb.LocalDown) // called in order, one at a time over all links
 	Up       func() []*meshpb.LocalUp  // called every Interval while a link stands
 	Interval time.Duration             // between reports upwards
-	Lost     func(err error)           // a link ended; nil: ignored
-
-	mu      sync.Mutex // serialises Down
-	current *yamux.Session
-	curMu   sync.Mutex
-}
 
-// Serve accepts links until ctx is done, then closes ln and the link.
-func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
-	stop := context.AfterFunc(ctx, func() {
-		_ = ln.Close()
-		s.replace(nil)
-	})
-	defer stop()
-	for {
-		conn, err := ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			if !pause(ctx, retryMin) {
-				return nil
-			}
-			continue
-		}
-		go s.handle(ctx, conn)
-	}
+	mu      sync.Mutex // held while Down runs
+	current *mesh.Stream
 }
 
-func (s *Server) handle(ctx context.Context, conn net.Conn) {
-	conn = secure(conn, s.TLS, tls.Server)
-	sess, err := yamux.Server(conn, yamuxConfig())
-	if err != nil {
-		_ = conn.Close()
+// Handle serves one link; it is the node's handler of meshpb.StreamKind_STREAM_LOCAL.
+//
+// A link from another instance is refused: a wrong address in the flags would let one instance's control process steer
+// another instance's entry, and both would look healthy.
+func (s *Server) Handle(ctx context.Context, st *mesh.Stream) {
+	if st.Peer().Instance != s.Instance {
 		return
 	}
-	defer sess.Close()
-	err = s.link(ctx, sess)
-	if s.Lost != nil && ctx.Err() == nil {
-		s.Lost(err)
-	}
+	s.replace(st)
+	ctx, cancel := context.WithCancel(ctx)
+	var reporting sync.WaitGroup
+	reporting.Go(func() { s.report(ctx, st) })
+	s.read(st)
+	cancel()
+	reporting.Wait()
+	s.forget(st)
 }
 
-func (s *Server) link(ctx context.Context, sess *yamux.Session) error {
-	actx, cancel := context.WithTimeout(ctx, helloTimeout)
-	defer cancel()
-	ys, err := sess.AcceptStreamWithContext(actx)
-	if err != nil {
-		return err
-	}
-	st := newStream(ys)
-	if err := st.greet(s.Self); err != nil {
-		return err
-	}
-	s.replace(sess)
-	go s.report(ctx, sess, st)
-	return s.readDown(sess, st)
+// Linked reports whether a control process is connected.
+func (s *Server) Linked() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current != nil
 }
 
-// replace makes sess the only link. A restarted control process connects while the dead one's link may still stand;
-// two links would apply old state over new, so the newest wins and the older one is closed.
-func (s *Server) replace(sess *yamux.Session) {
-	s.curMu.Lock()
+// replace makes st the only link. A restarted control process connects while the dead one's link may still stand; two
+// links would apply old state over new, so the newest wins and the older one is closed.
+func (s *Server) replace(st *mesh.Stream) {
+	s.mu.Lock()
 	old := s.current
-	s.current = sess
-	s.curMu.Unlock()
+	s.current = st
+	s.mu.Unlock()
 	if old != nil {
 		_ = old.Close()
 	}
 }
 
-func (s *Server) isCurrent(sess *yamux.Session) bool {
-	s.curMu.Lock()
-	defer s.curMu.Unlock()
-	return s.current == sess
+func (s *Server) forget(st *mesh.Stream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current == st {
+		s.current = nil
+	}
 }
 
-func (s *Server) readDown(sess *yamux.Session, st *stream) error {
+func (s *Server) read(st *mesh.Stream) {
 	for {
 		var m meshpb.LocalDown
-		if err := st.receive(&m); err != nil {
-			return err
+		if err := st.Read(&m); err != nil {
+			return
 		}
-		if !s.deliver(sess, &m) {
-			return net.ErrClosed
+		if !s.deliver(st, &m) {
+			return
 		}
 	}
 }
 
-func (s *Server) deliver(sess *yamux.Session, m *meshpb.LocalDown) bool {
+func (s *Server) deliver(st *mesh.Stream, m *meshpb.LocalDown) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.isCurrent(sess) {
+	if s.current != st {
 		return false
 	}
 	s.Down(m)
 	return true
 }
 
-func (s *Server) report(ctx context.Context, sess *yamux.Session, st *stream) {
+func (s *Server) report(ctx context.Context, st *mesh.Stream) {
 	for {
 		for _, m := range s.Up() {
-			if err := st.send(m); err != nil {
-				_ = sess.Close()
+			if err := st.Write(m); err != nil {
+				_ = st.Close()
 				return
 			}
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-sess.CloseChan():
+		if !pause(ctx, s.Interval) {
 			return
-		case <-time.After(s.Interval):
 		}
 	}
 }
