--- /dev/null
+++ b/lib/control/control.go
@@ -0,0 +1,154 @@
+// Package control is the process beside each entry that deals with the platform: it watches settings, the instance list
+// and operators' drains, holds leases for power, model placement and weight transfers, and keeps its entry told over
+// the local link.
+//
+// No caller's request depends on it. When it dies, its entry goes on with what it was told last; leases lapse and are
+// taken by other control processes; its successor reads everything from the platform and sends it again.
+package control
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"anvilwick.example/anvilwick/lib/locallink"
+	"anvilwick.example/anvilwick/lib/mesh"
+	"anvilwick.example/anvilwick/lib/meshpb"
+	"anvilwick.example/anvilwick/lib/platform"
+	"anvilwick.example/anvilwick/lib/settings"
+	"anvilwick.example/anvilwick/lib/settingsync"
+)
+
+// Defaults of Options.
+const (
+	DefaultInstancePoll = 2 * time.Second
+	DefaultDrainPoll    = time.Second
+	DefaultLeaseTTL     = 15 * time.Second
+	DefaultStoreShare   = 0.4 // the entry beside it has the rest, for claims
+)
+
+// Options of a Process. Zero values take the defaults.
+type Options struct {
+	Instance      string
+	Incarnation   uint64
+	FailureDomain string
+	Version       string
+	EntryAddr     string // IP:port of its entry's mesh listener
+	Links         mesh.Options
+	Platform      platform.Config
+	Targets       http.RoundTripper // for orders and reports; nil: one of its own
+	InstancePoll  time.Duration
+	DrainPoll     time.Duration
+	LeaseTTL      time.Duration
+}
+
+func (o *Options) setDefaults() {
+	orDuration(&o.InstancePoll, DefaultInstancePoll)
+	orDuration(&o.DrainPoll, DefaultDrainPoll)
+	orDuration(&o.LeaseTTL, DefaultLeaseTTL)
+	if o.Platform.Share == 0 {
+		o.Platform.Share = DefaultStoreShare
+	}
+	if o.Platform.Transport == nil {
+		o.Platform.Transport = counted("platform")
+	}
+	if o.Targets == nil {
+		o.Targets = counted("targets")
+	}
+	o.Links.Self = mesh.Identity{Instance: o.Instance, Incarnation: o.Incarnation}
+}
+
+func orDuration(v *time.Duration, def time.Duration) {
+	if *v == 0 {
+		*v = def
+	}
+}
+
+// Process is one control process.
+type Process struct {
+	opts   Options
+	node   *mesh.Node
+	link   *locallink.Client
+	store  *platform.Client
+	sync   *settingsync.Sync
+	tables tables
+}
+
+// New checks the options. Nothing is contacted yet.
+func New(o Options) (*Process, error) {
+	o.setDefaults()
+	node, err := mesh.New(o.Links)
+	if err != nil {
+		return nil, err
+	}
+	store := platform.New(o.Platform)
+	p := &Process{
+		opts:   o,
+		node:   node,
+		link:   locallink.NewClient(node, o.EntryAddr),
+		store:  store,
+		sync:   settingsync.New(settingsync.Config{Table: store}),
+		tables: newTables(),
+	}
+	p.link.Up = p.tables.hear
+	p.link.Lost = func(err error) { log.Warn().Str("event", "entry_link_lost").Err(err).Msg("") }
+	return p, nil
+}
+
+// Run works until ctx is done, then gives its leases back and returns.
+func (p *Process) Run(ctx context.Context) {
+	defer p.node.Close()
+	var wg sync.WaitGroup
+	for _, work := range []func(context.Context){
+		p.link.Run,
+		p.sync.Run,
+		p.forwardSettings,
+		p.watchInstances,
+		p.watchDrains,
+	} {
+		wg.Go(func() { work(ctx) })
+	}
+	wg.Wait()
+}
+
+// Snapshot returns the settings in force, or nil.
+func (p *Process) Snapshot() *settings.Snapshot {
+	if held := p.sync.Current(); held != nil {
+		return held.Snapshot
+	}
+	return nil
+}
+
+// forwardSettings sends each revision in force to the entry, as the text it was committed with. The entry parses it
+// itself: a fault in one process's resolved form can't reach the other.
+func (p *Process) forwardSettings(ctx context.Context) {
+	for {
+		updated := p.sync.Updated()
+		if held := p.sync.Current(); held != nil {
+			body := &meshpb.SettingsBody{Revision: held.Snapshot.Revision, Yaml: held.Tree.Source()}
+			p.link.Set(&meshpb.LocalDown{Msg: &meshpb.LocalDown_Settings{Settings: body}})
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-updated:
+		}
+	}
+}
+
+// every calls work at once and then once an interval until ctx is done.
+func every(ctx context.Context, interval time.Duration, work func(context.Context)) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		work(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
--- /dev/null
+++ b/lib/control/status.go
@@ -0,0 +1,168 @@
+package control
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/meshpb"
+	"anvilwick.example/anvilwick/lib/opsapi"
+	"anvilwick.example/anvilwick/lib/platformapi"
+	"anvilwick.example/anvilwick/lib/settings"
+)
+
+// silentAfter is the age of a report from which a target counts as silent.
+const silentAfter = 10 * time.Second
+
+var errNoSettings = errors.New("no settings yet")
+
+// Source answers operators.
+func (p *Process) Source() opsapi.Source {
+	return opsapi.Source{
+		Status:  p.Status,
+		Targets: p.Targets,
+		Queues:  p.Queues,
+		Drain:   p.Drain,
+		Ready:   p.ready,
+	}
+}
+
+func (p *Process) ready() error {
+	if p.Snapshot() == nil {
+		return errNoSettings
+	}
+	return nil
+}
+
+// Status is this process's view.
+func (p *Process) Status() opsapi.Status {
+	v := p.tables.view()
+	st := opsapi.Status{
+		Instance:         p.opts.Instance,
+		Role:             opsapi.RoleControl,
+		Incarnation:      p.opts.Incarnation,
+		FailureDomain:    p.opts.FailureDomain,
+		Version:          p.opts.Version,
+		SettingsRevision: p.sync.Status().InForce,
+		Streams:          int(v.entry.GetStreams()),
+		Queued:           int(v.entry.GetQueued()),
+		Stopping:         v.entry.GetStopping(),
+		Store:            upOrDown(p.store.Up()),
+		Link:             upOrDown(p.link.Linked()),
+		Members:          members(v),
+	}
+	for _, h := range v.leases {
+		st.Leases = append(st.Leases, opsapi.Lease{Name: h.Name(), Fence: h.Fence(), LeftMS: h.Left().Milliseconds()})
+	}
+	slices.SortFunc(st.Leases, func(a, b opsapi.Lease) int { return cmp.Compare(a.Name, b.Name) })
+	return st
+}
+
+func upOrDown(up bool) string {
+	if up {
+		return "up"
+	}
+	return "down"
+}
+
+// members gives the entry's view, which knows heartbeats, and the platform's list while the entry has said nothing.
+func members(v tablesView) []opsapi.Member {
+	var out []opsapi.Member
+	for _, m := range v.entry.GetMembers() {
+		out = append(out, opsapi.Member{
+			Instance:      m.GetInstance(),
+			Incarnation:   m.GetIncarnation(),
+			FailureDomain: m.GetFailureDomain(),
+			State:         stateName(m.GetState()),
+			Addr:          m.GetMeshAddr(),
+		})
+	}
+	if out != nil {
+		return out
+	}
+	for _, in := range v.instances {
+		out = append(out, memberOf(in))
+	}
+	return out
+}
+
+func memberOf(in platformapi.Instance) opsapi.Member {
+	return opsapi.Member{
+		Instance:      in.ID,
+		Incarnation:   in.Incarnation,
+		FailureDomain: in.FailureDomain,
+		State:         in.State,
+		Addr:          in.MeshAddr,
+	}
+}
+
+func stateName(s meshpb.MemberState) string {
+	return strings.ToLower(strings.TrimPrefix(s.String(), "MEMBER_"))
+}
+
+// Targets lists every target of the settings in force with its last report.
+func (p *Process) Targets() []opsapi.Target {
+	snap := p.Snapshot()
+	if snap == nil {
+		return []opsapi.Target{}
+	}
+	v := p.tables.view()
+	now := time.Now()
+	out := []opsapi.Target{}
+	for _, svc := range snap.Services {
+		for i := range svc.Targets {
+			out = append(out, targetOf(svc.Name, &svc.Targets[i], v, now))
+		}
+	}
+	slices.SortFunc(out, func(a, b opsapi.Target) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
+func targetOf(service string, t *settings.Target, v tablesView, now time.Time) opsapi.Target {
+	out := opsapi.Target{
+		Service:       service,
+		Name:          t.Name,
+		Addr:          t.Addr,
+		FailureDomain: t.FailureDomain,
+		State:         opsapi.TargetSilent,
+	}
+	r, known := v.reports[t.Name]
+	if known {
+		out.Running = int(r.GetRunning())
+		out.KVUsed = int(r.GetKvUsed())
+		out.KVTotal = int(r.GetKvTotal())
+		out.Watts = r.GetWatts()
+		out.Model = r.GetModel()
+		out.ModelVersion = r.GetModelVersion()
+		out.Fence = r.GetFence()
+		out.ReportAgeMS = now.Sub(r.taken).Milliseconds()
+	}
+	switch {
+	case t.Draining || v.drains[t.Name].on:
+		out.State = opsapi.TargetDraining
+	case known && r.GetLeaving():
+		out.State = opsapi.TargetLeaving
+	case known && now.Sub(r.taken) < silentAfter:
+		out.State = opsapi.TargetLive
+	}
+	return out
+}
+
+// Queues lists the shards that the entry owns.
+func (p *Process) Queues() []opsapi.Queue {
+	out := []opsapi.Queue{}
+	for _, d := range p.tables.view().entry.GetShards() {
+		out = append(out, opsapi.Queue{
+			Service: d.GetService(),
+			Shard:   int(d.GetShard()),
+			Queued:  int(d.GetQueued()),
+			Running: int(d.GetRunning()),
+			WaitMS:  int64(d.GetExpectedWaitMs()),
+		})
+	}
+	return out
+}
