Serve the platform's stand-in by anvilwick-standin platform

lib/standin/platform could be reached in one process only; the demo and the multi-process tests need it as a process of its own. One subcommand beside engine and plain, with the limits, the list's lag and the first instance list as flags.

--- a/app/anvilwick-standin/main.go
+++ b/app/anvilwick-standin/main.go
@@ -1,4 +1,5 @@
-// Command anvilwick-standin runs one small stand-in for a part that is not anvilwick's: a model engine or a plain service.
+// Command anvilwick-standin runs one small stand-in for a part that is not anvilwick's: a model engine, a plain service or
+// the platform.
 //
 // Exit codes: 0 after a graceful stop, 1 when the stand-in failed or was ordered to die, 2 for bad flags.
 package main
@@ -32,8 +33,8 @@
 
 func main() {
 	root := &ffcli.Command{
-		ShortUsage:  "anvilwick-standin <engine|plain> [flags]",
-		ShortHelp:   "runs a stand-in for a model engine or a plain service, on loopback, for tests and demos",
+		ShortUsage:  "anvilwick-standin <engine|plain|platform> [flags]",
+		ShortHelp:   "runs a stand-in for a model engine, a plain service or the platform, on loopback, for tests and demos",
 		FlagSet:     flag.NewFlagSet("anvilwick-standin", flag.ContinueOnError),
 		Subcommands: subcommands(),
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
@@ -43,9 +44,9 @@
 	os.Exit(exitCode(root, ctx))
 }
 
-// subcommands lists the stand-ins; the platform's stands beside these two.
+// subcommands lists the stand-ins.
 func subcommands() []*ffcli.Command {
-	return []*ffcli.Command{engineCommand(), plainCommand()}
+	return []*ffcli.Command{engineCommand(), plainCommand(), platformCommand()}
 }
 
 func exitCode(root *ffcli.Command, ctx context.Context) int {
--- /dev/null
+++ b/app/anvilwick-standin/platform.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"flag"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"anvilwick.example/anvilwick/lib/standin/platform"
+)
+
+func platformCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("platform", flag.ContinueOnError)
+	var cfg platform.Config
+	addr := fs.String("addr", "127.0.0.1:0", "address to listen on, IP:port; port 0 picks one")
+	list := fs.String("instances", "", "JSON file with the instance list to start with")
+	fs.Float64Var(&cfg.WritesPerSec, "writes", 300, "writes a second of the table")
+	fs.Float64Var(&cfg.ReadsPerSec, "reads", 2000, "reads a second")
+	fs.DurationVar(&cfg.ListLag, "list-lag", time.Second, "how far the instance list is behind")
+	fs.Float64Var(&cfg.WeightsPerSec, "weights", 1, "transfers of the weight store that may start a second")
+	fs.DurationVar(&cfg.AnswerDelay, "answer-delay", 0, "service time of every request")
+	fs.Uint64Var(&cfg.Seed, "seed", 1, "seed of the draws of faults")
+	return command(fs, "the platform: table, object store, instance list, weight store", func() (server, error) {
+		return platform.Start(*addr, *list, cfg)
+	})
+}
