--- a/app/anvilwick-standin/platform.go
+++ b/app/anvilwick-standin/platform.go
@@ -14,10 +14,10 @@
 	var cfg platform.Config
 	addr := fs.String("addr", "127.0.0.1:0", "address to listen on, IP:port; port 0 picks one")
 	list := fs.String("instances", "", "JSON file with the instance list to start with")
-	fs.Float64Var(&cfg.WritesPerSec, "writes", 300, "writes a second of the table")
-	fs.Float64Var(&cfg.ReadsPerSec, "reads", 2000, "reads a second")
-	fs.DurationVar(&cfg.ListLag, "list-lag", time.Second, "how far the instance list is behind")
-	fs.Float64Var(&cfg.WeightsPerSec, "weights", 1, "transfers of the weight store that may start a second")
+	fs.Float64Var(&cfg.WritesPerSec, "writes-per-sec", 300, "limit of transactions")
+	fs.Float64Var(&cfg.ReadsPerSec, "reads-per-sec", 2000, "limit of reads")
+	fs.DurationVar(&cfg.ListLag, "list-lag", 2*time.Second, "lag of the instance list")
+	fs.Float64Var(&cfg.WeightsPerSec, "weights-per-sec", 1, "transfers from the weight store that may start")
 	fs.DurationVar(&cfg.AnswerDelay, "answer-delay", 0, "service time of every request")
 	fs.Uint64Var(&cfg.Seed, "seed", 1, "seed of the draws of faults")
 	return command(fs, "the platform: table, object store, instance list, weight store", func() (server, error) {
