--- a/app/anvilwick-standin/main.go
+++ b/app/anvilwick-standin/main.go
@@ -1,5 +1,5 @@
-// Command anvilwick-standin runs one small stand-in for a part that is not anvilwick's: a model engine, a plain service or
-// the platform.
+// Command anvilwick-standin runs one small stand-in for a part that is not anvilwick's: a model engine, a plain service
+// or the platform.
 //
 // Exit codes: 0 after a graceful stop, 1 when the stand-in failed or was ordered to die, 2 for bad flags.
 package main
