Join entries to each other and to their control process

The entry read its settings from a file alone. With -mesh-addr it listens for other entries and for its control process: settings, drains, power shares and the instance list come from there, revisions are exchanged with the other entries by heartbeats, and reports of targets go back. Its operators' port is lib/opsapi. Flags of links and operators stood in two places and are now lib/procflags. -settings stays for an entry alone.

--- a/lib/controlproc/config.go
+++ b/lib/controlproc/config.go
@@ -2,16 +2,12 @@
 package controlproc
 
 import (
-	"crypto/tls"
 	"errors"
 	"flag"
 	"fmt"
-	"net/netip"
-	"strings"
 	"time"
 
-	"anvilwick.example/anvilwick/lib/mesh"
-	"anvilwick.example/anvilwick/lib/opsapi"
+	"anvilwick.example/anvilwick/lib/procflags"
 )
 
 // Config is what the command line gives.
@@ -22,9 +18,8 @@
 	EntryAddr   string // mesh address of the entry beside it, IP:port
 	Platform    string // IP:port
 	OpsAddr     string // IP:port
-	Operators   string // SHA-256 of operators' tokens, hexadecimal, separated by commas
-	Link        mesh.TLSFiles
-	PlainLinks  bool
+	Operators   procflags.Operators
+	Links       procflags.Links
 	LeaseTTL    time.Duration
 	LogLevel    string
 	Version     string
@@ -38,11 +33,8 @@
 	fs.StringVar(&c.EntryAddr, "entry-addr", "127.0.0.1:8082", "mesh address of the entry beside it, IP:port")
 	fs.StringVar(&c.Platform, "platform", "", "the platform, IP:port")
 	fs.StringVar(&c.OpsAddr, "ops-addr", "127.0.0.1:8083", "operators' port, IP:port: health, readiness, metrics, status, targets, queues, drain")
-	fs.StringVar(&c.Operators, "operator-token-sha256", "", "SHA-256 of operators' tokens, hexadecimal, separated by commas; empty: no operator is let in")
-	fs.StringVar(&c.Link.CA, "link-ca", "", "PEM file of the authority of links between our processes")
-	fs.StringVar(&c.Link.Cert, "link-cert", "", "PEM file of this process's certificate")
-	fs.StringVar(&c.Link.Key, "link-key", "", "PEM file of its key")
-	fs.BoolVar(&c.PlainLinks, "plain-links", false, "links without TLS; only where nobody else can reach the network")
+	c.Operators.Register(fs)
+	c.Links.Register(fs)
 	fs.DurationVar(&c.LeaseTTL, "lease-ttl", 15*time.Second, "time after which a silent holder of a lease is replaced")
 	fs.StringVar(&c.LogLevel, "log-level", "info", "debug, info, warn or error")
 }
@@ -51,8 +43,8 @@
 func (c *Config) Check() error {
 	addrs := []struct{ flag, value string }{{"entry-addr", c.EntryAddr}, {"platform", c.Platform}, {"ops-addr", c.OpsAddr}}
 	for _, a := range addrs {
-		if _, err := netip.ParseAddrPort(a.value); err != nil {
-			return fmt.Errorf("-%s: %q is no IP:port", a.flag, a.value)
+		if err := procflags.CheckAddr(a.flag, a.value); err != nil {
+			return err
 		}
 	}
 	switch {
@@ -60,35 +52,6 @@
 		return errors.New("-instance: a name is needed")
 	case c.LeaseTTL < time.Second:
 		return fmt.Errorf("-lease-ttl: %v is under a second", c.LeaseTTL)
-	case c.PlainLinks == c.hasTLS():
-		return errors.New("-plain-links: give it, or all of -link-ca, -link-cert and -link-key")
 	}
-	_, err := c.operators()
-	return err
-}
-
-func (c *Config) hasTLS() bool { return c.Link.CA != "" && c.Link.Cert != "" && c.Link.Key != "" }
-
-func (c *Config) links() (mesh.Options, error) {
-	if c.PlainLinks {
-		return mesh.Options{Plain: true}, nil
-	}
-	var cfg *tls.Config
-	cfg, err := mesh.LoadTLS(c.Link)
-	return mesh.Options{TLS: cfg}, err
-}
-
-func (c *Config) operators() ([]opsapi.Hash, error) {
-	var hashes []opsapi.Hash
-	for s := range strings.SplitSeq(c.Operators, ",") {
-		if s = strings.TrimSpace(s); s == "" {
-			continue
-		}
-		h, err := opsapi.ParseHash(s)
-		if err != nil {
-			return nil, fmt.Errorf("-operator-token-sha256: %w", err)
-		}
-		hashes = append(hashes, h)
-	}
-	return hashes, nil
+	return nil
 }
--- a/lib/controlproc/process.go
+++ b/lib/controlproc/process.go
@@ -32,11 +32,11 @@
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
-	hashes, err := cfg.operators()
+	hashes, err := cfg.Operators.Hashes()
 	if err != nil {
 		return nil, err
 	}
-	links, err := cfg.links()
+	links, err := cfg.Links.Options()
 	if err != nil {
 		return nil, err
 	}
--- a/lib/entryproc/config.go
+++ b/lib/entryproc/config.go
@@ -5,17 +5,22 @@
 	"errors"
 	"flag"
 	"fmt"
-	"net/netip"
 	"time"
+
+	"anvilwick.example/anvilwick/lib/procflags"
 )
 
 // Config is what the command line gives.
 type Config struct {
-	Listen       string        // callers' port, IP:port
-	OpsAddr      string        // operators' port, IP:port
-	Instance     string        // name of the instance
-	Domain       string        // failure domain
-	SettingsFile string        // settings to start with; empty: wait until they are pushed
+	Listen       string // callers' port, IP:port
+	OpsAddr      string // operators' port, IP:port
+	Instance     string // name of the instance
+	Domain       string // failure domain
+	Incarnation  uint64 // 0: milliseconds of the clock at start
+	SettingsFile string // settings to start with; empty: wait until they are pushed
+	MeshAddr     string // port for the other entries and the control process, IP:port; empty: none
+	Links        procflags.Links
+	Operators    procflags.Operators
 	StopNotice   time.Duration // between the end of readiness and the first refusal
 	StopLimit    time.Duration // bound on waiting for requests in progress; 0: none
 	MaxStreams   int
@@ -28,7 +33,11 @@
 	fs.StringVar(&c.OpsAddr, "ops-addr", "127.0.0.1:8081", "operators' port, IP:port: health, readiness, metrics")
 	fs.StringVar(&c.Instance, "instance", "", "name of this instance")
 	fs.StringVar(&c.Domain, "failure-domain", "", "failure domain of this instance")
-	fs.StringVar(&c.SettingsFile, "settings", "", "settings file to start with")
+	fs.Uint64Var(&c.Incarnation, "incarnation", 0, "number that grows when the instance is replaced; 0: from the clock")
+	fs.StringVar(&c.SettingsFile, "settings", "", "settings file to start with; not needed with -mesh-addr")
+	fs.StringVar(&c.MeshAddr, "mesh-addr", "", "port for the other entries and the control process beside it, IP:port; empty: alone")
+	c.Links.Register(fs)
+	c.Operators.Register(fs)
 	fs.DurationVar(&c.StopNotice, "stop-notice", 3*time.Second, "after SIGTERM, time in which balancers see that it is not ready and requests are still taken")
 	fs.DurationVar(&c.StopLimit, "stop-limit", 0, "after SIGTERM, bound on waiting for requests in progress; 0: however long they run")
 	fs.IntVar(&c.MaxStreams, "max-streams", 4096, "requests in progress at most")
@@ -37,16 +46,20 @@
 
 // Check returns an error that names the first bad flag.
 func (c *Config) Check() error {
-	for _, a := range []struct{ flag, value string }{{"listen", c.Listen}, {"ops-addr", c.OpsAddr}} {
-		if _, err := netip.ParseAddrPort(a.value); err != nil {
-			return fmt.Errorf("-%s: %q is no IP:port", a.flag, a.value)
+	addrs := []struct{ flag, value string }{{"listen", c.Listen}, {"ops-addr", c.OpsAddr}}
+	if c.MeshAddr != "" {
+		addrs = append(addrs, struct{ flag, value string }{"mesh-addr", c.MeshAddr})
+	}
+	for _, a := range addrs {
+		if err := procflags.CheckAddr(a.flag, a.value); err != nil {
+			return err
 		}
 	}
 	switch {
 	case c.Instance == "":
 		return errors.New("-instance: a name is needed")
-	case c.SettingsFile == "":
-		return errors.New("-settings: a file is needed")
+	case c.SettingsFile == "" && c.MeshAddr == "":
+		return errors.New("-settings: a file is needed, or -mesh-addr to be told by a control process")
 	case c.MaxStreams < 1:
 		return fmt.Errorf("-max-streams: %d is not positive", c.MaxStreams)
 	case c.StopNotice < 0 || c.StopLimit < 0:
--- a/lib/entryproc/decider.go
+++ b/lib/entryproc/decider.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"sync"
+	"time"
 
+	"anvilwick.example/anvilwick/lib/engineapi"
 	"anvilwick.example/anvilwick/lib/entry"
 	"anvilwick.example/anvilwick/lib/loadpoll"
+	"anvilwick.example/anvilwick/lib/meshpb"
 	"anvilwick.example/anvilwick/lib/placer"
 	"anvilwick.example/anvilwick/lib/sched"
 	"anvilwick.example/anvilwick/lib/settings"
@@ -16,6 +19,8 @@
 type decider struct {
 	ctx   context.Context
 	local *placer.Local
+	// onReport, when set, sees each whole report; set it before the first settings.
+	onReport func(target string, rep *engineapi.LoadReport)
 
 	mu      sync.Mutex
 	pollers map[string]*loadpoll.Poller
@@ -54,7 +59,14 @@
 	p, ok := d.pollers[service]
 	if !ok {
 		p = loadpoll.New(d.ctx, feed, loadpoll.DefaultInterval)
+		p.OnReport = d.onReport
 		d.pollers[service] = p
 	}
 	return p
 }
+
+// setPower puts a share of the site's power in force.
+func (d *decider) setPower(share *meshpb.PowerShare) {
+	valid := time.Duration(share.GetValidMs()) * time.Millisecond
+	d.local.Runner(share.GetService()).SetPower(share.GetWatts(), valid, share.GetFallbackWatts())
+}
--- a/lib/entryproc/ops.go
+++ b/lib/entryproc/ops.go
@@ -1,24 +1,50 @@
 package entryproc
 
 import (
-	"io"
+	"errors"
 	"net/http"
+
+	"anvilwick.example/anvilwick/lib/opsapi"
+)
+
+var (
+	errLeaving    = errors.New("leaving")
+	errNoSettings = errors.New("no settings yet")
 )
 
-// opsHandler serves health, readiness and metrics.
-func (p *Process) opsHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
-	mux.HandleFunc("GET /readyz", p.ready)
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { p.metrics.Write(w) })
-	return mux
+// opsHandler serves operators, probes and scrapers.
+func (p *Process) opsHandler(hashes []opsapi.Hash) http.Handler {
+	return opsapi.Handler(hashes, opsapi.Source{
+		Status:  p.status,
+		Ready:   p.ready,
+		Metrics: p.metrics.Write,
+	})
 }
 
-// ready answers balancers: 503 from the first moment of a planned stop.
-func (p *Process) ready(w http.ResponseWriter, _ *http.Request) {
-	if p.server.Leaving() {
-		http.Error(w, "leaving", http.StatusServiceUnavailable)
-		return
+// ready answers balancers: not ready before there are settings, and from the first moment of a planned stop.
+func (p *Process) ready() error {
+	switch {
+	case p.server.Leaving():
+		return errLeaving
+	case p.server.Snapshot() == nil:
+		return errNoSettings
+	}
+	return nil
+}
+
+func (p *Process) status() opsapi.Status {
+	requests, _ := p.server.Counts()
+	st := opsapi.Status{
+		Instance:         p.cfg.Instance,
+		Role:             opsapi.RoleEntry,
+		Incarnation:      p.cfg.Incarnation,
+		FailureDomain:    p.cfg.Domain,
+		SettingsRevision: p.server.Revision(),
+		Streams:          requests,
+		Stopping:         p.server.Leaving(),
+	}
+	if p.links != nil {
+		p.links.describe(&st)
 	}
-	_, _ = io.WriteString(w, "ready\n")
+	return st
 }
--- a/lib/entryproc/process.go
+++ b/lib/entryproc/process.go
@@ -13,6 +13,7 @@
 
 	"anvilwick.example/anvilwick/lib/entry"
 	"anvilwick.example/anvilwick/lib/entrymetrics"
+	"anvilwick.example/anvilwick/lib/opsapi"
 	"anvilwick.example/anvilwick/lib/settings"
 	"anvilwick.example/anvilwick/lib/target"
 )
@@ -26,7 +27,9 @@
 	metrics *entrymetrics.Set
 	clients *target.Clients
 	decider *decider
+	links   *links // nil: alone
 
+	hashes    []opsapi.Hash
 	callers   net.Listener
 	ops       net.Listener
 	callerSrv *http.Server
@@ -40,6 +43,9 @@
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
+	if cfg.Incarnation == 0 {
+		cfg.Incarnation = uint64(time.Now().UnixMilli())
+	}
 	snap, err := loadSettings(cfg.SettingsFile)
 	if err != nil {
 		return nil, err
@@ -58,13 +64,22 @@
 		cancel()
 		return nil, err
 	}
-	p.server.Apply(snap)
+	if snap != nil {
+		p.server.Apply(snap)
+	}
 	go p.server.Run(ctx)
+	if p.links != nil {
+		p.links.run(ctx)
+	}
 	p.serve()
 	return p, nil
 }
 
+// loadSettings reads the file; without one the settings come from the control process.
 func loadSettings(file string) (*settings.Snapshot, error) {
+	if file == "" {
+		return nil, nil
+	}
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("-settings: %w", err)
@@ -76,21 +91,43 @@
 	return tree.Resolve(1)
 }
 
-func (p *Process) listen() error {
-	var err error
+// listen opens every port, or none.
+func (p *Process) listen() (err error) {
+	defer func() {
+		if err != nil {
+			p.closeListeners()
+		}
+	}()
+	if p.hashes, err = p.cfg.Operators.Hashes(); err != nil {
+		return err
+	}
 	if p.callers, err = net.Listen("tcp", p.cfg.Listen); err != nil {
 		return fmt.Errorf("-listen: %w", err)
 	}
 	if p.ops, err = net.Listen("tcp", p.cfg.OpsAddr); err != nil {
-		_ = p.callers.Close()
 		return fmt.Errorf("-ops-addr: %w", err)
 	}
+	if p.cfg.MeshAddr == "" {
+		return nil
+	}
+	if p.links, err = newLinks(p.cfg, p.server, p.decider.setPower); err != nil {
+		return err
+	}
+	p.decider.onReport = p.links.control.Report
 	return nil
 }
 
+func (p *Process) closeListeners() {
+	for _, ln := range []net.Listener{p.callers, p.ops} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+}
+
 func (p *Process) serve() {
 	p.callerSrv = p.server.HTTPServer()
-	p.opsSrv = &http.Server{Handler: p.opsHandler(), ReadHeaderTimeout: closeTimeout}
+	p.opsSrv = opsapi.Server(p.opsHandler(p.hashes))
 	for _, s := range []struct {
 		srv *http.Server
 		ln  net.Listener
@@ -119,6 +156,9 @@
 func (p *Process) Stop() error {
 	log.Info().Str("event", "stopping").Msg("")
 	p.server.Leave()
+	if p.links != nil {
+		p.links.members.Leave()
+	}
 	time.Sleep(p.cfg.StopNotice)
 	ctx, cancel := p.stopContext()
 	defer cancel()
@@ -127,6 +167,9 @@
 	defer ccancel()
 	err := errors.Join(stopErr, p.callerSrv.Shutdown(cctx), p.opsSrv.Shutdown(cctx))
 	p.cancel()
+	if p.links != nil {
+		p.links.close()
+	}
 	p.clients.Close()
 	log.Info().Str("event", "stopped").AnErr("cause", err).Msg("")
 	return err
--- a/lib/opsapi/server.go
+++ b/lib/opsapi/server.go
@@ -49,7 +49,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+PathHealth, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET "+PathReady, ready(src.Ready))
-	mux.HandleFunc("GET "+PathMetrics, func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	mux.HandleFunc("GET "+PathMetrics, func(w http.ResponseWriter, _ *http.Request) { writeMetrics(w, src.Metrics) })
 	ops := http.NewServeMux()
 	if src.Status != nil {
 		ops.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, src.Status()) })
@@ -79,6 +79,14 @@
 	}
 }
 
+// writeMetrics gives the process's own set, then what belongs to the whole process: processor time, memory, links.
+func writeMetrics(w io.Writer, own func(io.Writer)) {
+	if own != nil {
+		own(w)
+	}
+	metrics.WritePrometheus(w, true)
+}
+
 func ready(f func() error) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		if f != nil {
--- a/lib/opsapi/types.go
+++ b/lib/opsapi/types.go
@@ -2,7 +2,10 @@
 // operator's token, status, targets, queues and drain as JSON. Entries and control processes serve the same paths.
 package opsapi
 
-import "context"
+import (
+	"context"
+	"io"
+)
 
 // Paths of the interface. Health, readiness and metrics need no token: probes and scrapers have none, and they show no
 // request and no key.
@@ -128,5 +131,6 @@
 	Targets func() []Target
 	Queues  func() []Queue
 	Drain   func(ctx context.Context, r DrainRequest) (DrainReply, error)
-	Ready   func() error // nil: always ready
+	Ready   func() error    // nil: always ready
+	Metrics func(io.Writer) // metrics outside the process-wide set; nil: none
 }
--- /dev/null
+++ b/lib/procflags/procflags.go
@@ -0,0 +1,77 @@
+// Package procflags holds the flags that the daemons share: links between processes, and operators' tokens.
+package procflags
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"anvilwick.example/anvilwick/lib/mesh"
+	"anvilwick.example/anvilwick/lib/opsapi"
+)
+
+// Links says how links between our processes are authenticated.
+type Links struct {
+	Files mesh.TLSFiles
+	Plain bool
+}
+
+// Register adds the flags to fs.
+func (l *Links) Register(fs *flag.FlagSet) {
+	fs.StringVar(&l.Files.CA, "link-ca", "", "PEM file of the authority of links between our processes")
+	fs.StringVar(&l.Files.Cert, "link-cert", "", "PEM file of this process's certificate")
+	fs.StringVar(&l.Files.Key, "link-key", "", "PEM file of its key")
+	fs.BoolVar(&l.Plain, "plain-links", false, "links without TLS; only where nobody else can reach the network")
+}
+
+// Options checks the flags and reads the files.
+func (l *Links) Options() (mesh.Options, error) {
+	any := l.Files.CA != "" || l.Files.Cert != "" || l.Files.Key != ""
+	switch {
+	case l.Plain && any:
+		return mesh.Options{}, errors.New("-plain-links: not together with -link-ca, -link-cert or -link-key")
+	case l.Plain:
+		return mesh.Options{Plain: true}, nil
+	case l.Files.CA == "" || l.Files.Cert == "" || l.Files.Key == "":
+		return mesh.Options{}, errors.New("-link-ca, -link-cert and -link-key: all three are needed, or -plain-links")
+	}
+	cfg, err := mesh.LoadTLS(l.Files)
+	return mesh.Options{TLS: cfg}, err
+}
+
+// Operators holds the hashes of operators' tokens as one flag gives them.
+type Operators struct {
+	list string
+}
+
+// Register adds the flag to fs.
+func (o *Operators) Register(fs *flag.FlagSet) {
+	fs.StringVar(&o.list, "operator-token-sha256", "", "SHA-256 of operators' tokens, hexadecimal, separated by commas; empty: no operator is let in")
+}
+
+// Hashes reads the flag.
+func (o *Operators) Hashes() ([]opsapi.Hash, error) {
+	var hashes []opsapi.Hash
+	for s := range strings.SplitSeq(o.list, ",") {
+		if s = strings.TrimSpace(s); s == "" {
+			continue
+		}
+		h, err := opsapi.ParseHash(s)
+		if err != nil {
+			return nil, fmt.Errorf("-operator-token-sha256: %w", err)
+		}
+		hashes = append(hashes, h)
+	}
+	return hashes, nil
+}
+
+// CheckAddr returns an error that names the flag unless value is an IP:port. Names are refused: a process must not
+// depend on a resolver.
+func CheckAddr(name, value string) error {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return fmt.Errorf("-%s: %q is no IP:port", name, value)
+	}
+	return nil
+}
