Show the whole path as separate processes: make demo, make load

The parts ran alone; nobody had sent a request through all of them. lib/localsite starts a small site on loopback: the platform's stand-in, engines, plain services, three entries in three failure domains, each with its control process. Keyed generations are refused with 3004 until the entry has its claims, so -keyed is off by default for now.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SECONDS ?= 30
 APPS := $(notdir $(wildcard app/*))
 
-.PHONY: build test lint fmt proto bench
+.PHONY: build test lint fmt proto bench demo load
 
 build:
 	@mkdir -p bin
@@ -18,7 +18,7 @@
 	$(GO) tool staticcheck ./...
 
 fmt:
-	@out="$$(gofmt -l app lib)"; if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	@out="$$(gofmt -l app lib examples)"; if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
 
 # proto regenerates committed code; the build itself needs no generator.
 proto:
@@ -31,3 +31,12 @@
 	@mkdir -p bin
 	$(GO) build -o bin/ ./app/anvilwick-bench
 	./bin/anvilwick-bench -seed $(SEED)
+
+# demo shows the whole path as separate processes on loopback; the last line is "demo: ok ...".
+demo: build
+	$(GO) build -o bin/ ./examples/demo
+	./bin/demo -bin bin
+
+# load sends a seeded mix to a small site of its own; the last line is key=value pairs. LOADFLAGS adds flags.
+load: build
+	./bin/anvilwick-load -seed $(SEED) $(LOADFLAGS)
--- /dev/null
+++ b/lib/loadrun/config.go
@@ -0,0 +1,96 @@
+// Package loadrun runs the load generator against given entries, or against a small site of its own.
+package loadrun
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"strings"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/procflags"
+	"anvilwick.example/anvilwick/lib/workload"
+)
+
+// Config is what the command line gives.
+type Config struct {
+	Seed        uint64
+	Deployment  string
+	Span        time.Duration
+	Load        float64
+	Length      float64
+	PlainRate   float64
+	PlainRoute  string
+	Model       string
+	Entries     string // IP:port each, separated by commas; empty: a site of its own
+	KeyFormat   string // workspace keys, with %s for the workspace
+	Keyed       bool
+	Patience    time.Duration
+	StallFloor  time.Duration
+	MaxInFlight int
+	History     string // file
+	KillEngine  time.Duration
+	Binaries    string
+}
+
+// Register adds the flags to fs.
+func (c *Config) Register(fs *flag.FlagSet) {
+	fs.Uint64Var(&c.Seed, "seed", 1, "seed of the arrivals")
+	fs.StringVar(&c.Deployment, "deployment", "kelburn", "whose mix: kelburn or kivu")
+	fs.DurationVar(&c.Span, "span", 15*time.Second, "time over which requests arrive")
+	fs.Float64Var(&c.Load, "load", 0.4, "factor on the mix's rates and backlog")
+	fs.Float64Var(&c.Length, "length", 0.05, "factor on the lengths of answers")
+	fs.Float64Var(&c.PlainRate, "plain-rate", 20, "plain calls a second")
+	fs.StringVar(&c.PlainRoute, "plain-route", "/dispatch/status", "path of plain calls")
+	fs.StringVar(&c.Model, "model", "", "model to ask for; empty: the mix's service")
+	fs.StringVar(&c.Entries, "entries", "", "callers' ports of entries, IP:port, separated by commas; empty: start a small site")
+	fs.StringVar(&c.KeyFormat, "key-format", "%s-localsite-key", "workspace keys; %s stands for the workspace")
+	fs.BoolVar(&c.Keyed, "keyed", false, "give every generation an Idempotency-Key, so that a cut stream is gone on with")
+	fs.DurationVar(&c.Patience, "patience", time.Minute, "longest time for one request")
+	fs.DurationVar(&c.StallFloor, "stall-floor", time.Second, "a wait between tokens beyond it is stall time")
+	fs.IntVar(&c.MaxInFlight, "max-in-flight", 2000, "requests at once; arrivals beyond it are counted as unsent")
+	fs.StringVar(&c.History, "history", "", "file for what every caller saw, one operation a line, for checking")
+	fs.DurationVar(&c.KillEngine, "kill-engine", 0, "kill a busy engine of the own site after this time; 0: none")
+	fs.StringVar(&c.Binaries, "bin", "bin", "directory of the programs, for a site of its own")
+}
+
+// Check returns an error that names the first bad flag.
+func (c *Config) Check() error {
+	if _, err := c.mix(); err != nil {
+		return err
+	}
+	for _, addr := range c.entries() {
+		if err := procflags.CheckAddr("entries", addr); err != nil {
+			return err
+		}
+	}
+	switch {
+	case c.Span <= 0 || c.Patience <= 0:
+		return errors.New("-span and -patience: must be positive")
+	case c.Load <= 0 || c.Length <= 0:
+		return errors.New("-load and -length: must be positive")
+	case c.PlainRate < 0 || c.MaxInFlight < 1:
+		return errors.New("-plain-rate: can't be negative; -max-in-flight: at least 1")
+	case strings.Count(c.KeyFormat, "%s") != 1:
+		return fmt.Errorf("-key-format: %q must hold %%s once", c.KeyFormat)
+	case c.KillEngine > 0 && c.Entries != "":
+		return errors.New("-kill-engine: only with a site of its own")
+	}
+	return nil
+}
+
+func (c *Config) mix() (workload.Mix, error) {
+	for _, m := range workload.Deployments() {
+		if m.Deployment == c.Deployment {
+			return m, nil
+		}
+	}
+	return workload.Mix{}, fmt.Errorf("-deployment: %q is neither kelburn nor kivu", c.Deployment)
+}
+
+func (c *Config) entries() []string {
+	if c.Entries == "" {
+		return nil
+	}
+	return strings.Split(c.Entries, ",")
+}
--- /dev/null
+++ b/lib/localsite/standin.go
@@ -0,0 +1,83 @@
+package localsite
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/dghubble/sling"
+
+	"anvilwick.example/anvilwick/lib/opsapi"
+	"anvilwick.example/anvilwick/lib/standin/engine"
+	"anvilwick.example/anvilwick/lib/standin/plain"
+	"anvilwick.example/anvilwick/lib/standin/platform"
+)
+
+const standinTimeout = 5 * time.Second
+
+// Stats asks an engine what it did.
+func Stats(ctx context.Context, n *Node) (engine.Stats, error) {
+	var st engine.Stats
+	err := ask(ctx, sling.New().Base("http://"+n.Addr).Get(engine.PathStats), &st)
+	return st, err
+}
+
+// Executions asks a plain service how often it ran each id.
+func Executions(ctx context.Context, n *Node) (map[string]int, error) {
+	out := map[string]int{}
+	err := ask(ctx, sling.New().Base("http://"+n.Addr).Get(plain.PathExecutions), &out)
+	return out, err
+}
+
+// EngineFault orders a fault of an engine.
+func EngineFault(ctx context.Context, n *Node, f engine.Fault) error {
+	return ask(ctx, sling.New().Base("http://"+n.Addr).Post(engine.PathFault).BodyJSON(f), nil)
+}
+
+// PlainFault orders a fault of a plain service.
+func PlainFault(ctx context.Context, n *Node, f plain.Fault) error {
+	return ask(ctx, sling.New().Base("http://"+n.Addr).Post(plain.PathFault).BodyJSON(f), nil)
+}
+
+// PlatformFault orders a fault of the platform.
+func (s *Site) PlatformFault(ctx context.Context, f platform.Fault) error {
+	return ask(ctx, sling.New().Base("http://"+s.Platform.Addr).Post(platform.FaultPath).BodyJSON(f), nil)
+}
+
+// Busy returns the first running engine that has a stream, or nil.
+func (s *Site) Busy(ctx context.Context) (*Node, error) {
+	for _, n := range s.Engines {
+		if !n.Running() {
+			continue
+		}
+		st, err := Stats(ctx, n)
+		if err != nil {
+			return nil, err
+		}
+		if st.Streams > 0 {
+			return n, nil
+		}
+	}
+	return nil, nil
+}
+
+// Operator returns a client of a process's operators' port.
+func Operator(n *Node) *opsapi.Client { return opsapi.NewClient(n.Ops, OperatorToken) }
+
+func ask(ctx context.Context, s *sling.Sling, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, standinTimeout)
+	defer cancel()
+	req, err := s.Request()
+	if err != nil {
+		return err
+	}
+	resp, err := s.Do(req.WithContext(ctx), into, nil)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("%s %s: %s", req.Method, req.URL, resp.Status)
+	}
+	return nil
+}
