--- a/lib/ctl/codes.go
+++ b/lib/ctl/codes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -10,8 +9,7 @@
 )
 
 func newCodes(g *globals) *ffcli.Command {
-	fs := flag.NewFlagSet("codes", flag.ContinueOnError)
-	fs.SetOutput(g.Err)
+	fs := g.flagSet("codes")
 	return &ffcli.Command{
 		Name:       "codes",
 		ShortUsage: "anvilwick-ctl codes",
--- a/lib/ctl/ctl.go
+++ b/lib/ctl/ctl.go
@@ -2,6 +2,7 @@
 package ctl
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"flag"
@@ -57,6 +58,7 @@
 	platform string
 	timeout  time.Duration
 	version  bool
+	help     bytes.Buffer // what the flag sets print
 }
 
 var (
@@ -71,23 +73,31 @@
 	root := newRoot(g)
 	err := root.Parse(args)
 	if errors.Is(err, flag.ErrHelp) {
+		_, _ = g.help.WriteTo(g.Out)
 		return ExitOK
 	}
 	if err != nil {
-		return g.report(usageErr.Wrap(err, "flags"))
+		return g.report(usageErr.New("%v, see -h", err))
 	}
 	ctx, cancel := context.WithTimeout(ctx, g.timeout)
 	defer cancel()
 	err = root.Run(ctx)
 	if errors.Is(err, flag.ErrHelp) {
+		_, _ = g.help.WriteTo(g.Err)
 		return ExitUsage
 	}
 	return g.report(err)
 }
 
+// flagSet returns an empty flag set. What it prints is kept: a bad flag is answered by one line and not by the help.
+func (g *globals) flagSet(name string) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(&g.help)
+	return fs
+}
+
 func newRoot(g *globals) *ffcli.Command {
-	fs := flag.NewFlagSet("anvilwick-ctl", flag.ContinueOnError)
-	fs.SetOutput(g.Err)
+	fs := g.flagSet("anvilwick-ctl")
 	fs.StringVar(&g.platform, "platform", "", "IP:port of the platform's table service")
 	fs.DurationVar(&g.timeout, "timeout", 30*time.Second, "longest time that a command may take")
 	fs.BoolVar(&g.version, "version", false, "print the version and end")
@@ -154,9 +164,9 @@
 	return ExitFailed
 }
 
-// message words an error without the name of its type.
+// message words an error without the name of its type, where that says no more than the message.
 func message(err error) string {
-	if e := errorx.Cast(err); e != nil && errorx.IsOfType(err, usageErr) {
+	if e := errorx.Cast(err); e != nil && e.Cause() == nil {
 		return e.Message()
 	}
 	return err.Error()
--- a/lib/ctl/ctl_test.go
+++ b/lib/ctl/ctl_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	standin "anvilwick.example/anvilwick/lib/standin/platform"
 )
@@ -138,6 +139,25 @@
 	must.Eq(t, 2, strings.Count(out, "\n"))
 }
 
+// The platform takes the change and answers after the operator's patience. To say that it failed would be a lie: it
+// takes effect. The command says that it doesn't know, and history tells later.
+func TestApplyWithoutAnAnswerInTime(t *testing.T) {
+	s := newSite(t)
+	s.SetFault(standin.Fault{Kind: standin.FaultSlow, DelayMS: 1500, WritesOnly: true})
+	code, _, errs := run(t, "", "-platform", s.Addr(), "-timeout", "700ms", "settings", "apply", "-base", "0", example)
+	must.Eq(t, ExitUnknown, code)
+	must.StrContains(t, errs, "operation ")
+	s.SetFault(standin.Fault{Kind: standin.FaultClear})
+	must.Wait(t, wait.InitialSuccess(
+		wait.BoolFunc(func() bool {
+			_, out, _ := s.settings(t, "history")
+			return strings.Count(out, "\n") == 2
+		}),
+		wait.Timeout(10*time.Second),
+		wait.Gap(50*time.Millisecond),
+	))
+}
+
 func TestApplyDuringAnOutage(t *testing.T) {
 	s := newSite(t)
 	s.SetFault(standin.Fault{Kind: standin.FaultOutage})
@@ -206,15 +226,21 @@
 		{[]string{"nonsense"}, ExitUsage, `unknown subcommand "nonsense"`},
 		{[]string{"settings", "nonsense"}, ExitUsage, `unknown subcommand "nonsense"`},
 		{[]string{"-nonsense"}, ExitUsage, "-nonsense"},
+		{[]string{"-timeout", "5", "codes"}, ExitUsage, "-timeout"},
+		{[]string{"settings", "history", "-n", "many"}, ExitUsage, "-n"},
 		{[]string{"settings", "history"}, ExitUsage, "-platform is missing"},
 		{[]string{"-platform", "platform:80", "settings", "history"}, ExitUsage, "not a host name"},
 		{[]string{"settings", "validate"}, ExitUsage, "expected a FILE"},
 		{[]string{"settings", "validate", "absent.yaml"}, ExitFailed, "absent.yaml"},
 	} {
 		t.Run(strings.Join(tc.args, " "), func(t *testing.T) {
-			code, _, errs := run(t, "", tc.args...)
+			code, out, errs := run(t, "", tc.args...)
 			must.Eq(t, tc.code, code)
-			must.StrContains(t, errs, tc.want)
+			must.StrContains(t, out+errs, tc.want)
+			if code != ExitOK && len(tc.args) > 0 {
+				must.Eq(t, 1, strings.Count(errs, "\n"))
+				must.Eq(t, "", out)
+			}
 		})
 	}
 }
--- a/lib/ctl/settings.go
+++ b/lib/ctl/settings.go
@@ -9,8 +9,7 @@
 )
 
 func newSettings(g *globals) *ffcli.Command {
-	fs := flag.NewFlagSet("settings", flag.ContinueOnError)
-	fs.SetOutput(g.Err)
+	fs := g.flagSet("settings")
 	return &ffcli.Command{
 		Name:       "settings",
 		ShortUsage: "anvilwick-ctl settings <subcommand> [flags] [arguments]",
@@ -38,8 +37,7 @@
 
 // leaf returns a subcommand without subcommands of its own. Its flags may come from the environment too.
 func (g *globals) leaf(name, usage, help string, flags func(*flag.FlagSet), exec func(context.Context, []string) error) *ffcli.Command {
-	fs := flag.NewFlagSet(name, flag.ContinueOnError)
-	fs.SetOutput(g.Err)
+	fs := g.flagSet(name)
 	if flags != nil {
 		flags(fs)
 	}
