Fix the seeds of randomised tests

Cause: TestOwnerKeepsInvariantsInRandomRuns drew its seed from the clock.

Ruled out: a flag in the Makefile, since go test refuses -rapid.seed in packages that don't use rapid.

Change: lib/testseed sets rapid's seed; each package that uses rapid imports it in seed_test.go. The flag still overrides.

--- /dev/null
+++ b/lib/enginemodel/seed_test.go
@@ -0,0 +1,3 @@
+package enginemodel
+
+import _ "anvilwick.example/anvilwick/lib/testseed" // fixed seeds
--- /dev/null
+++ b/lib/member/seed_test.go
@@ -0,0 +1,3 @@
+package member
+
+import _ "anvilwick.example/anvilwick/lib/testseed" // fixed seeds
--- /dev/null
+++ b/lib/sched/seed_test.go
@@ -0,0 +1,3 @@
+package sched
+
+import _ "anvilwick.example/anvilwick/lib/testseed" // fixed seeds
--- /dev/null
+++ b/lib/settings/seed_test.go
@@ -0,0 +1,3 @@
+package settings
+
+import _ "anvilwick.example/anvilwick/lib/testseed" // fixed seeds
--- /dev/null
+++ b/lib/shard/seed_test.go
@@ -0,0 +1,3 @@
+package shard
+
+import _ "anvilwick.example/anvilwick/lib/testseed" // fixed seeds
--- /dev/null
+++ b/lib/stream/seed_test.go
@@ -0,0 +1,3 @@
+package stream
+
+import _ "anvilwick.example/anvilwick/lib/testseed" // fixed seeds
