--- a/app/anvilwick-bench/main.go
+++ b/app/anvilwick-bench/main.go
@@ -118,6 +118,7 @@
 // run prints the lines of all seeds and returns how many requests were lost.
 func run(opt options) (lost int, err error) {
 	ratios := make(map[string][]bench.Ratios)
+	var worths []bench.Worth
 	for _, seed := range opt.seeds {
 		suite := bench.Suite{
 			Seed:     seed,
@@ -135,6 +136,7 @@
 			fmt.Println(results[i].Line())
 			lost += results[i].Lost
 		}
+		worths = append(worths, bench.Worths(results)...)
 		for _, m := range workload.Deployments() {
 			if r, ok := bench.RatiosOf(m.Deployment, seed, results); ok {
 				ratios[m.Deployment] = append(ratios[m.Deployment], r)
@@ -143,6 +145,9 @@
 		}
 	}
 	printMedians(ratios)
+	for _, w := range bench.MedianWorths(worths) {
+		fmt.Println(w.Line())
+	}
 	return lost, nil
 }
 
--- a/lib/bench/bench_test.go
+++ b/lib/bench/bench_test.go
@@ -48,10 +48,12 @@
 func TestNothingIsLostUnderFaults(t *testing.T) {
 	const window = 125 * time.Second // beyond the second fault
 	m := workload.Kelburn()
+	m.Engines = 7 // the faults name engines up to the seventh
+	m.Load = 0.6
 	base := Config{Mix: &m, Arrivals: m.Arrivals(1, window), Window: window}
 	var configs []Config
-	for _, policy := range []string{PolicyLeastLoaded, PolicyAnvilwick} {
-		for _, fault := range Faults {
+	for _, fault := range Faults {
+		for _, policy := range []string{PolicyLeastLoaded, PolicyAnvilwick} {
 			c := base
 			c.Policy = policy
 			c.Fault = fault
@@ -123,3 +125,16 @@
 	must.Eq(t, 2, m.OverCap)
 	must.Eq(t, "1,2,3", m.Seeds)
 }
+
+// A small workspace floods the engines. Served in order of arrival it gets far more than its share, at the cost of the
+// others; the index must tell this from weighted shares.
+func TestFairnessTellsFloodFromShares(t *testing.T) {
+	ws := []workload.Workspace{{Name: "large", Weight: 8}, {Name: "small", Weight: 1}, {Name: "idle", Weight: 1}}
+	asked := map[string]int{"large": 800, "small": 800, "idle": 50}
+	must.MapEq(t, map[string]float64{"large": 400, "small": 50, "idle": 50},
+		entitled(ws, map[string]int{"large": 300, "small": 150, "idle": 50}, asked))
+	fair := fairness(ws, map[string]int{"large": 400, "small": 50, "idle": 50}, asked)
+	flooded := fairness(ws, map[string]int{"large": 225, "small": 225, "idle": 50}, asked)
+	must.Eq(t, 1.0, fair)
+	must.Less(t, 0.7, flooded)
+}
--- a/lib/bench/doc.go
+++ b/lib/bench/doc.go
@@ -13,7 +13,8 @@
 //   - itl_p99_ms: 99th percentile of the gaps between tokens, over all gaps, as the entry sees them.
 //   - ttft_p95_ms: 95th percentile of the time from arrival at the entry to the first token there.
 //   - tokens_per_s: tokens delivered within the window of arrivals, over the window.
-//   - fairness: Jain's index over workspaces of tokens delivered within the window, relative to tokens asked for.
+//   - fairness: Jain's index over workspaces of tokens delivered within the window, relative to what each was entitled to:
+//     its weighted max-min share of all tokens delivered, and no more than it asked for.
 //   - urgent_ttft_p95_ms: ttft_p95_ms of the urgent class alone.
 //   - wait_s: sum over all generations of the time to the first token, in seconds; it shows stalls traded for waits.
 //   - over_cap_ticks: ticks at which the true draw of all engines was over the cap in force.
--- a/lib/bench/metrics.go
+++ b/lib/bench/metrics.go
@@ -104,7 +104,7 @@
 		TTFTP95MS:    percentile(s.metrics.ttft, 95),
 		UrgentP95MS:  percentile(s.metrics.urgent, 95),
 		TokensPerS:   float64(s.metrics.tokens) / s.cfg.Window.Seconds(),
-		Fairness:     s.metrics.fairness(s.cfg),
+		Fairness:     fairness(s.cfg.Mix.Workspaces, s.metrics.served, s.metrics.asked),
 		WaitS:        s.metrics.wait.Seconds(),
 		OverCapTicks: s.metrics.overCap,
 		EndS:         s.now.Seconds(),
@@ -124,22 +124,3 @@
 func percentile(h *hdrhistogram.Histogram, p float64) float64 {
 	return float64(h.ValueAtQuantile(p)) / 1000
 }
-
-// fairness is Jain's index of served over asked.
-func (m *metrics) fairness(cfg *Config) float64 {
-	var sum, squares, n float64
-	for _, w := range cfg.Mix.Workspaces {
-		asked := m.asked[w.Name]
-		if asked == 0 {
-			continue
-		}
-		x := float64(m.served[w.Name]) / float64(asked)
-		sum += x
-		squares += x * x
-		n++
-	}
-	if squares == 0 {
-		return 0
-	}
-	return sum * sum / (n * squares)
-}
--- a/lib/bench/ratios.go
+++ b/lib/bench/ratios.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"slices"
 	"strings"
 )
 
@@ -82,14 +81,7 @@
 		out.Lost += r.Lost
 		out.OverCap += r.OverCap
 	}
-	mid := func(get func(*Ratios) float64) float64 {
-		vs := make([]float64, len(all))
-		for i := range all {
-			vs[i] = get(&all[i])
-		}
-		slices.Sort(vs)
-		return (vs[(len(vs)-1)/2] + vs[len(vs)/2]) / 2
-	}
+	mid := func(get func(*Ratios) float64) float64 { return median(all, get) }
 	out.Seeds = strings.Join(seeds, ",")
 	out.Stall = mid(func(r *Ratios) float64 { return r.Stall })
 	out.Oracle = mid(func(r *Ratios) float64 { return r.Oracle })
--- a/lib/bench/suite.go
+++ b/lib/bench/suite.go
@@ -57,16 +57,26 @@
 			add(PolicyAnvilwick, f, s.Options)
 		}
 	}
+	if !s.Faults && len(s.Ablate) > 0 {
+		add(PolicyAnvilwick, FaultStall, s.Options)
+		add(PolicyAnvilwick, FaultDip, s.Options)
+	}
 	for _, part := range s.Ablate {
 		opt, err := Ablate(s.Options, part)
 		if err != nil {
 			return nil, err
 		}
-		add(PolicyAnvilwick, FaultNone, opt).Without = part
+		add(PolicyAnvilwick, ablationFault[part], opt).Without = part
 	}
 	return out, nil
 }
 
+// ablationFault is the fault under which a part has work to do, where it has none without a fault.
+var ablationFault = map[string]string{
+	"silence": FaultStall,
+	"power":   FaultDip,
+}
+
 // runAll makes the runs, some at once; each is alone with its state, so the order of ending does not matter.
 func runAll(configs []Config, workers int) []Result {
 	out := make([]Result, len(configs))
--- a/lib/workload/arrivals.go
+++ b/lib/workload/arrivals.go
@@ -10,9 +10,12 @@
 
 // Shape of the arrivals.
 const (
-	tailAlpha    = 1.2              // Pareto exponent of the output tail
-	tailStart    = 3                // the tail begins at so many medians
-	backlogSpan  = 5 * time.Second  // the backlog arrives within it
+	tailAlpha    = 1.2             // Pareto exponent of the output tail
+	tailStart    = 3               // the tail begins at so many medians
+	backlogSpan  = 5 * time.Second // the backlog arrives within it
+	floodAt      = 0.6             // of the window
+	floodSpan    = 2 * time.Second
+	smallPart    = 2                // floods come from the last 1/smallPart of the workspaces, which are the small ones
 	burstEvery   = 45 * time.Second // mean time between bursts
 	burstLength  = 8 * time.Second
 	minOwnPrompt = 8    // tokens; room for the mark that tells the length
@@ -53,6 +56,7 @@
 			bursts: bursts,
 		}
 		s.backlog()
+		s.flood(window)
 		s.steady(window)
 		all = append(all, s.out...)
 	}
@@ -83,6 +87,17 @@
 	}
 }
 
+// flood adds a drop of many requests by one small workspace, which a fair policy keeps from the others' shares.
+func (s *source) flood(window time.Duration) {
+	all := s.mix.Workspaces
+	small := all[len(all)-len(all)/smallPart:]
+	w := &small[s.rng.IntN(len(small))]
+	start := time.Duration(floodAt * float64(window))
+	for range s.class.Flood {
+		s.add(start+time.Duration(s.rng.Float64()*float64(floodSpan)), w)
+	}
+}
+
 // steady draws batches by thinning a Poisson process of the highest rate.
 func (s *source) steady(window time.Duration) {
 	factor := max(1, s.class.BurstFactor)
--- a/lib/workload/mix.go
+++ b/lib/workload/mix.go
@@ -16,6 +16,7 @@
 	Batch          float64 // mean size of a batch of requests that come together; 1: single requests
 	BurstFactor    float64 // rate in a burst, relative to Rate; 1: no bursts
 	Backlog        int     // requests that wait when the run begins
+	Flood          int     // requests that one small workspace sends at once, well before the window ends
 	Template       int     // tokens of the prompt that a workspace's requests of the class share
 	Prompt         float64 // median of the prompt's own tokens
 	PromptSigma    float64
@@ -74,7 +75,7 @@
 				MaxWait: 15 * time.Second, QueueBound: 200, MaxPreemptions: 1, MemoryRisk: 0.3,
 			},
 			{
-				Name: "narrative", Priority: 1, Rate: 3.4, Batch: 6, BurstFactor: 1, Backlog: 220,
+				Name: "narrative", Priority: 1, Rate: 3.4, Batch: 6, BurstFactor: 1, Backlog: 160, Flood: 80,
 				Template: 1024, Prompt: 350, PromptSigma: 0.6, Median: 1300, Sigma: 0.7, TailShare: 0.05,
 				MaxWait: 30 * time.Minute, QueueBound: 4000, MaxPreemptions: 2, MemoryRisk: 0.3,
 				Deadline: 8 * time.Hour,
@@ -110,7 +111,7 @@
 				MaxWait: 4 * time.Minute, QueueBound: 1000, MaxPreemptions: 2, MemoryRisk: 0.3,
 			},
 			{
-				Name: "bordereau", Priority: 1, Rate: 1.6, Batch: 5, BurstFactor: 1, Backlog: 140,
+				Name: "bordereau", Priority: 1, Rate: 1.6, Batch: 5, BurstFactor: 1, Backlog: 100, Flood: 50,
 				Template: 1024, Prompt: 900, PromptSigma: 0.6, Median: 1900, Sigma: 0.8, TailShare: 0.06,
 				MaxWait: 30 * time.Minute, QueueBound: 4000, MaxPreemptions: 2, MemoryRisk: 0.3,
 				Deadline: 8 * time.Hour,
