Measure ways to divide the decisions

Cause: docs/DECISIONS.md has to weigh every entry alone, one scheduler and owners per target by figures. Change: lib/bench/division.go runs several owners as one policy, requests routed by two choices over digests 500 ms old; -division compares one owner, 2, 5, one for each target, and 8 entries alone, with messages a second between entries and owners; -scale k multiplies engines and load.

--- a/lib/bench/entry.go
+++ b/lib/bench/entry.go
@@ -52,6 +52,7 @@
 
 // submit asks the owner for a place for the current attempt.
 func (s *sim) submit(i int) {
+	s.metrics.messages++
 	s.line.add(event{at: s.now + s.delay, kind: atOwnerSubmit, flow: int32(i), attempt: s.flows[i].attempt})
 }
 
@@ -121,6 +122,7 @@
 
 // end tells the owner that the current attempt is over.
 func (s *sim) end(i int, reason sched.EndReason) {
+	s.metrics.messages++
 	f := &s.flows[i]
 	s.line.add(event{
 		at: s.now + s.delay, kind: atOwnerEnd,
@@ -227,6 +229,8 @@
 		}
 	}
 	if len(items) > 0 {
+		s.metrics.messages += min(len(items), s.owners)
+		s.metrics.items += len(items)
 		s.line.add(event{at: s.now + s.delay, kind: atOwnerProgress, progress: items})
 	}
 	s.line.add(event{at: s.now + progressEvery, kind: atEntryFlush, n: entry})
--- a/lib/bench/metrics.go
+++ b/lib/bench/metrics.go
@@ -26,8 +26,11 @@
 	tokens  int // within the window
 	moves   int
 	overCap int
-	served  map[string]int // tokens within the window by workspace
-	asked   map[string]int
+	// What entries and owners told each other, if every owner were another process.
+	messages int
+	items    int            // generations named in progress messages
+	served   map[string]int // tokens within the window by workspace
+	asked    map[string]int
 }
 
 func newHist() *hdrhistogram.Histogram { return hdrhistogram.New(1, histMax, histDigits) }
@@ -89,6 +92,8 @@
 	WaitS        float64
 	OverCapTicks int
 	EndS         float64 // virtual time of the last event
+	Messages     int     // between entries and owners
+	Items        int     // generations named in progress messages
 }
 
 func (s *sim) result() Result {
@@ -108,6 +113,8 @@
 		WaitS:        s.metrics.wait.Seconds(),
 		OverCapTicks: s.metrics.overCap,
 		EndS:         s.now.Seconds(),
+		Messages:     s.metrics.messages,
+		Items:        s.metrics.items,
 	}
 	for i := range s.flows {
 		switch s.flows[i].state {
--- a/lib/bench/policies.go
+++ b/lib/bench/policies.go
@@ -27,7 +27,13 @@
 	case PolicyLeastLoaded:
 		return func(*Config) sched.Policy { return NewLeastLoaded() }
 	}
-	return func(c *Config) sched.Policy { return sched.NewOwner(c.Mix.Service, opt) }
+	return func(c *Config) sched.Policy {
+		newOwner := func() sched.Policy { return sched.NewOwner(c.Mix.Service, opt) }
+		if n := ownersOf(name, c.Mix); n > 1 {
+			return newDivision(n, name == PolicyAlone, newOwner)
+		}
+		return newOwner()
+	}
 }
 
 // ablationPrefix marks the switches of sched.Options that take a part of the policy out.
--- a/lib/bench/report.go
+++ b/lib/bench/report.go
@@ -22,3 +22,13 @@
 	fmt.Fprintf(&b, " urgent_ttft_p95_ms=%.0f wait_s=%.0f over_cap_ticks=%d", r.UrgentP95MS, r.WaitS, r.OverCapTicks)
 	return b.String()
 }
+
+// DivisionLine adds what dividing the decisions costs: messages between entries and owners and, in them, generations named
+// by progress, each a second of the run.
+func (r *Result) DivisionLine() string {
+	messages, items := float64(r.Messages), float64(r.Items)
+	if r.Policy == PolicyAlone {
+		messages, items = 0, 0
+	}
+	return fmt.Sprintf("%s messages_per_s=%.0f progress_items_per_s=%.0f", r.Line(), messages/r.EndS, items/r.EndS)
+}
--- a/lib/bench/sim.go
+++ b/lib/bench/sim.go
@@ -43,6 +43,7 @@
 	acts    []sched.Action
 	open    int // flows that are not over
 	cap     float64
+	owners  int
 	frozen  bool
 	metrics metrics
 }
@@ -70,6 +71,7 @@
 		flows: make([]flow, len(cfg.Arrivals)),
 		open:  len(cfg.Arrivals),
 	}
+	s.owners = ownersOf(cfg.Policy, cfg.Mix)
 	s.cap = s.plant.capWatts
 	s.metrics.init(cfg)
 	s.policy = cfg.Make(cfg)
@@ -138,6 +140,7 @@
 // tick runs the policy and sends its actions to the entries; it also samples the true draw.
 func (s *sim) tick(now sched.Time) {
 	s.acts = s.policy.Tick(now, s.acts[:0])
+	s.metrics.messages += len(s.acts)
 	for _, a := range s.acts {
 		s.line.add(event{at: s.now + s.delay, kind: atEntryAction, action: a})
 	}
--- a/lib/bench/suite.go
+++ b/lib/bench/suite.go
@@ -17,6 +17,7 @@
 	Window   time.Duration
 	Policies []string
 	Faults   bool     // also run least-loaded and anvilwick under each fault
+	Scale    int      // engines, entries' load and batches times so many; 0: as they are
 	Ablate   []string // parts to take out of anvilwick, one run each
 	Workers  int      // runs at once
 	Options  sched.Options
@@ -26,6 +27,7 @@
 func (s *Suite) Run() ([]Result, error) {
 	var configs []Config
 	for _, mix := range workload.Deployments() {
+		mix = mix.Scaled(max(1, s.Scale))
 		arrivals := mix.Arrivals(s.Seed, s.Window)
 		more, err := s.configs(Config{Mix: &mix, Arrivals: arrivals, Window: s.Window})
 		if err != nil {
--- a/lib/workload/mix.go
+++ b/lib/workload/mix.go
@@ -5,7 +5,10 @@
 // workspace; urgent questions come in bursts. The same seed gives the same requests to every policy.
 package workload
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Class is one priority class of a deployment.
 type Class struct {
@@ -120,6 +123,18 @@
 	}
 }
 
+// Scaled returns the mix with k times the engines and requests.
+func (m Mix) Scaled(k int) Mix {
+	m.Engines *= k
+	m.Load *= float64(k)
+	m.Classes = slices.Clone(m.Classes)
+	for i := range m.Classes {
+		m.Classes[i].Backlog *= k
+		m.Classes[i].Flood *= k
+	}
+	return m
+}
+
 // Class returns the class of a name; ok is false when the mix has none.
 func (m *Mix) Class(name string) (c *Class, ok bool) {
 	for i := range m.Classes {
