Add claims that let keyed requests run at most once

Cause: a claims summary was booked twice; a resend through another entry, or after its entry died, must not run again.

Ruled out: one write before the send (inserting the claim as sent): cheaper, but an entry that dies while its request waits in a queue would leave 'outcome unknown' behind. With started and then sent, each a compare-and-set, a resend takes over what was never sent, and a paused first holder is stopped by the record, whatever membership believes. Trusting membership for safety; it now only chooses between safe answers. Waiting for the outcome's write before the caller is answered: it goes on in the background, through hours of outage, and Flush waits for it at a planned stop.

--- /dev/null
+++ b/lib/claim/claim.go
@@ -0,0 +1,299 @@
+// Package claim lets a keyed request that must not run twice run at most once, over all entries and their deaths.
+//
+// A claim is one record in the platform's table. Begin inserts it as started; Sent marks it before anything leaves
+// for a target; Finish keeps the outcome. Each step is a compare-and-set on the record's revision, so of all who
+// believe that they hold a claim only one can take the step that allows the send. That alone carries "at most once".
+// What membership says of other holders decides only between two safe answers:
+//
+//	record     holder lives        holder is gone
+//	started    AlreadyRunning      taken over: it was never sent, and its holder's next step fails
+//	sent       AlreadyRunning      ClaimOrphan, unless the target proves that it did not run and never will
+//	finished   the outcome is told again
+//	released   taken over
+//
+// The same key with other content is KeyReused in every state. When the store does not answer, Begin and Sent refuse
+// with StoreDown, not run: nothing is sent without the record.
+//
+// Finished and released claims are kept for Retention, unfinished ones for OrphanRetention (see Collect). A key sent
+// again after that runs again.
+package claim
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/ids"
+	"anvilwick.example/anvilwick/lib/platform"
+	"anvilwick.example/anvilwick/lib/platformapi"
+	"anvilwick.example/anvilwick/lib/result"
+)
+
+// Defaults of Config.
+const (
+	DefaultTimeout = 2 * time.Second
+	DefaultMaxBody = 8 << 10
+	// busyRetryAfter is told to the sender of a key that is in progress.
+	busyRetryAfter = 2 * time.Second
+	// takeovers bounds how often Begin judges a record that others keep changing.
+	takeovers = 4
+)
+
+// errTaken ends a claim whose record another holder changed.
+var errTaken = errors.New("claim: another holder has taken it over")
+
+// Store is the part of the platform's client that claims use.
+type Store interface {
+	GroupTxn(ctx context.Context, txn platformapi.Txn) (platformapi.TxnResult, error)
+}
+
+// Send names what a holder that is gone may have sent.
+type Send struct {
+	Generation string
+	Target     string
+	Attempt    uint32
+}
+
+// Config sets up a Table.
+type Config struct {
+	Holder Holder
+	// Gone reports that a holder's process has ended. A wrong answer is safe; see the package comment.
+	Gone func(Holder) bool
+	// NeverRan reports that the target proves that it did not run the send, and that it will refuse it from now on.
+	// nil: no target can.
+	NeverRan func(context.Context, Send) bool
+	Timeout  time.Duration // of Begin and Sent: a caller is refused rather than held; default DefaultTimeout
+	MaxBody  int           // longest answer kept, bytes; default DefaultMaxBody
+}
+
+// Table holds this process's claims.
+type Table struct {
+	cfg    Config
+	store  Store
+	mu     sync.Mutex
+	claims map[string]*Claim // by key in the platform's table; in progress, or not yet settled there
+	ending int               // outcomes on their way to the table
+}
+
+// New returns an empty Table.
+func New(store Store, cfg Config) *Table {
+	if cfg.Timeout == 0 {
+		cfg.Timeout = DefaultTimeout
+	}
+	if cfg.MaxBody == 0 {
+		cfg.MaxBody = DefaultMaxBody
+	}
+	return &Table{cfg: cfg, store: store, claims: map[string]*Claim{}}
+}
+
+// Request is what a caller sent.
+type Request struct {
+	Workspace   string
+	Key         string
+	Fingerprint string
+	Generation  string
+}
+
+// Claim is a right to run one request. Its methods are for one goroutine, in the order Sent, then Finish or Release.
+type Claim struct {
+	table *Table
+	key   string
+	rec   record
+	rev   uint64
+	done  bool // under table.mu: rec's outcome is known, and told to resends
+}
+
+// FirstAttempt is the lowest attempt number that was certainly not used under this key.
+func (c *Claim) FirstAttempt() uint32 { return c.rec.Attempt + 1 }
+
+// Begin claims a key. Exactly one of its results is set: the claim to run, the outcome of an earlier run, or the
+// refusal.
+func (t *Table) Begin(ctx context.Context, req Request) (*Claim, *Summary, *result.Error) {
+	c := &Claim{
+		table: t,
+		key:   tableKey(req.Workspace, req.Key),
+		rec: record{
+			State:       Started,
+			ID:          ids.New().String(),
+			Fingerprint: req.Fingerprint,
+			Holder:      t.cfg.Holder,
+			Generation:  req.Generation,
+		},
+	}
+	if sum, err, other := t.enter(c); other {
+		return nil, sum, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, t.cfg.Timeout)
+	defer cancel()
+	sum, err := c.insert(ctx)
+	if sum != nil || err != nil {
+		return nil, sum, err
+	}
+	return c, nil, nil
+}
+
+// enter makes c this process's only claim of its key; it reports true when another is there.
+func (t *Table) enter(c *Claim) (*Summary, *result.Error, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	other, ok := t.claims[c.key]
+	if !ok {
+		t.claims[c.key] = c
+		return nil, nil, false
+	}
+	switch {
+	case other.rec.Fingerprint != c.rec.Fingerprint:
+		return nil, reused(), true
+	case other.done && other.rec.State == Finished:
+		return other.rec.Summary, nil, true
+	}
+	return nil, busy("in progress at this entry"), true
+}
+
+func (c *Claim) leave() {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	delete(c.table.claims, c.key)
+}
+
+// insert writes the first record, or judges the one that stands there.
+func (c *Claim) insert(ctx context.Context) (*Summary, *result.Error) {
+	for range takeovers {
+		found, err := c.write(ctx)
+		if err != nil && !errors.Is(err, errTaken) {
+			c.abandon(err)
+			return nil, storeDown(err)
+		}
+		if err == nil {
+			return nil, nil
+		}
+		sum, refusal := c.judge(ctx, found)
+		if sum != nil || refusal != nil {
+			c.leave()
+			return sum, refusal
+		}
+	}
+	c.leave()
+	return nil, busy("others claim the same key")
+}
+
+// judge decides on the record of an earlier request with the same key. Neither result set: c may take it over, and
+// carries its revision.
+func (c *Claim) judge(ctx context.Context, found platformapi.Item) (*Summary, *result.Error) {
+	old, err := decode(found)
+	switch {
+	case err != nil && found.Rev != 0:
+		return nil, result.Wrap(result.ClaimOrphan, err, "the claim can't be read")
+	case found.Rev != 0 && old.Fingerprint != c.rec.Fingerprint:
+		return nil, reused()
+	case old.State == Finished:
+		return old.Summary, nil
+	}
+	if refusal := c.mayTake(ctx, old, found.Rev); refusal != nil {
+		return nil, refusal
+	}
+	c.rev, c.rec.Attempt = found.Rev, old.Attempt
+	return nil, nil
+}
+
+// mayTake returns nil when the earlier request was never sent, or is proved not run.
+func (c *Claim) mayTake(ctx context.Context, old record, rev uint64) *result.Error {
+	cfg := c.table.cfg
+	if rev == 0 || old.State == Released {
+		return nil
+	}
+	if old.Holder != cfg.Holder && !cfg.Gone(old.Holder) {
+		return busy("in progress at " + old.Holder.Instance)
+	}
+	if old.State == Started {
+		return nil
+	}
+	send := Send{Generation: old.Generation, Target: old.Target, Attempt: old.Attempt}
+	if cfg.NeverRan != nil && cfg.NeverRan(ctx, send) {
+		return nil
+	}
+	return result.New(result.ClaimOrphan, "sent to %s by %s, which is gone", old.Target, old.Holder.Instance)
+}
+
+// Sent records that the request is about to leave for a target, and must return nil before it does. After a target
+// proved that it did not run an attempt, Sent allows the next. A refusal ends the claim; nothing was sent by it.
+func (c *Claim) Sent(ctx context.Context, target string, attempt uint32) *result.Error {
+	ctx, cancel := context.WithTimeout(ctx, c.table.cfg.Timeout)
+	defer cancel()
+	c.rec.State, c.rec.Target, c.rec.Attempt = Sent, target, attempt
+	_, err := c.write(ctx)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, errTaken):
+		c.leave()
+		return busy("taken over by another entry")
+	}
+	c.end(Released, nil) // nothing was sent, whatever the table says
+	return storeDown(err)
+}
+
+// Finish keeps the outcome. It does not wait for the table: the outcome is told to resends at this entry at once, and
+// at others once it is written, which goes on through an outage.
+func (c *Claim) Finish(sum Summary) {
+	if len(sum.Body) > c.table.cfg.MaxBody {
+		sum.Body, sum.Kept = nil, false
+	}
+	c.end(Finished, &sum)
+}
+
+// Release gives the key free. Call it only on proof that no target ran the request, or will.
+func (c *Claim) Release() { c.end(Released, nil) }
+
+// abandon gives up a claim whose insert failed. When it may stand in the table all the same, it is released there.
+func (c *Claim) abandon(err error) {
+	if platform.IsNotCommitted(err) {
+		c.leave()
+		return
+	}
+	c.end(Released, nil)
+}
+
+// write puts c's record over revision c.rev. errTaken comes with the item that stands in the way.
+//
+// An unknown outcome is settled by writing again: when the first write took effect, its own record is in the way.
+func (c *Claim) write(ctx context.Context) (platformapi.Item, error) {
+	value := c.rec.encode()
+	txn := platformapi.Txn{
+		Conds: []platformapi.Cond{{Key: c.key, Rev: c.rev}},
+		Puts:  []platformapi.Put{{Key: c.key, Value: value}},
+	}
+	res, err := c.table.store.GroupTxn(ctx, txn)
+	first := err
+	for err != nil && platform.IsUnknown(first) && ctx.Err() == nil {
+		res, err = c.table.store.GroupTxn(ctx, txn)
+	}
+	switch {
+	case err != nil:
+		return platformapi.Item{}, first // a later try's "not committed" says nothing of the first
+	case res.Committed:
+		c.rev = res.Rev
+		return platformapi.Item{}, nil
+	case len(res.Failed) == 0:
+		return platformapi.Item{}, errors.New("claim: refused without a reason")
+	case string(res.Failed[0].Value) == string(value):
+		c.rev = res.Failed[0].Rev
+		return platformapi.Item{}, nil
+	}
+	return res.Failed[0], errTaken
+}
+
+func busy(detail string) *result.Error {
+	return &result.Error{Code: result.AlreadyRunning, Detail: detail, RetryAfter: busyRetryAfter}
+}
+
+func reused() *result.Error {
+	return result.New(result.KeyReused, "the key was used with other content")
+}
+
+func storeDown(err error) *result.Error {
+	out := result.Wrap(result.StoreDown, err, "claim")
+	out.RetryAfter = max(platform.RetryAfter(err), time.Second)
+	return out
+}
--- /dev/null
+++ b/lib/claim/claim_test.go
@@ -0,0 +1,261 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/ids"
+	"anvilwick.example/anvilwick/lib/platform"
+	"anvilwick.example/anvilwick/lib/platformapi"
+	"anvilwick.example/anvilwick/lib/result"
+	standin "anvilwick.example/anvilwick/lib/standin/platform"
+)
+
+func client(s *standin.Server) *platform.Client {
+	return platform.New(platform.Config{Addr: "127.0.0.1:1", Transport: s.Transport()})
+}
+
+// entry returns the claims of one entry; gone names entries that membership holds for dead.
+func entry(s *standin.Server, name string, gone ...string) *Table {
+	return New(client(s), Config{
+		Holder: Holder{Instance: name, Incarnation: 1},
+		Gone: func(h Holder) bool {
+			for _, g := range gone {
+				if g == h.Instance {
+					return true
+				}
+			}
+			return false
+		},
+	})
+}
+
+func request(body string) Request {
+	return Request{
+		Workspace:   "kelburn/roads",
+		Key:         "key-1",
+		Fingerprint: Fingerprint("POST", "/crews", []byte(body)),
+		Generation:  ids.New().String(),
+	}
+}
+
+func mustBegin(t *testing.T, tab *Table, req Request) *Claim {
+	t.Helper()
+	c, sum, err := tab.Begin(t.Context(), req)
+	must.Nil(t, err)
+	must.Nil(t, sum)
+	return c
+}
+
+func refusal(t *testing.T, tab *Table, req Request) result.Code {
+	t.Helper()
+	c, sum, err := tab.Begin(t.Context(), req)
+	must.Nil(t, c)
+	must.Nil(t, sum)
+	must.NotNil(t, err)
+	return err.Code
+}
+
+func settled(t *testing.T, tab *Table) {
+	t.Helper()
+	must.NoError(t, tab.Flush(t.Context()))
+}
+
+// A resend is told the first outcome, at the same entry before the table has it, and at another entry from the table.
+func TestFinishedClaimIsReplayed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Config{AnswerDelay: 10 * time.Millisecond})
+		a, b := entry(s, "a"), entry(s, "b")
+		c := mustBegin(t, a, request("x"))
+		must.Nil(t, c.Sent(t.Context(), "svc", c.FirstAttempt()))
+		c.Finish(Summary{Code: result.OK, Status: 200, Body: []byte("done"), Kept: true})
+		_, sum, err := a.Begin(t.Context(), request("x"))
+		must.Nil(t, err)
+		must.Eq(t, "done", string(sum.Body))
+		settled(t, a)
+		must.Zero(t, a.Unsettled())
+		_, sum, err = b.Begin(t.Context(), request("x"))
+		must.Nil(t, err)
+		must.Eq(t, "done", string(sum.Body))
+		must.Eq(t, result.KeyReused, refusal(t, b, request("y")))
+		must.Zero(t, b.Unsettled())
+	})
+}
+
+func TestLongAnswerIsNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := entry(standin.New(standin.Config{}), "a")
+		c := mustBegin(t, a, request("x"))
+		must.Nil(t, c.Sent(t.Context(), "svc", 1))
+		c.Finish(Summary{Code: result.OK, Status: 200, Body: make([]byte, DefaultMaxBody+1), Kept: true})
+		settled(t, a)
+		_, sum, err := a.Begin(t.Context(), request("x"))
+		must.Nil(t, err)
+		must.False(t, sum.Kept)
+		must.Len(t, 0, sum.Body)
+	})
+}
+
+// The caller sends its request again while it runs, through the same entry and through another. Neither starts it a
+// second time; both say that this one was not run.
+func TestResendWhileRunning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Config{})
+		a, b := entry(s, "a"), entry(s, "b")
+		c := mustBegin(t, a, request("x"))
+		must.Eq(t, result.AlreadyRunning, refusal(t, a, request("x")))
+		must.Eq(t, result.AlreadyRunning, refusal(t, b, request("x")))
+		must.Eq(t, result.KeyReused, refusal(t, a, request("y")))
+		must.Nil(t, c.Sent(t.Context(), "svc", 1))
+		must.Eq(t, result.AlreadyRunning, refusal(t, b, request("x")))
+	})
+}
+
+// The entry dies between claim and send; the caller sends again through another. Nothing was sent, so the other runs
+// it. Should the first only have been paused, its send is refused by the record that it no longer owns.
+func TestDeathBetweenClaimAndSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Config{})
+		a, b := entry(s, "a"), entry(s, "b", "a")
+		paused := mustBegin(t, a, request("x"))
+		c := mustBegin(t, b, request("x"))
+		must.Nil(t, c.Sent(t.Context(), "svc", c.FirstAttempt()))
+		err := paused.Sent(t.Context(), "svc", 1)
+		must.NotNil(t, err)
+		must.Eq(t, result.AlreadyRunning, err.Code)
+		must.Zero(t, a.Unsettled())
+	})
+}
+
+// The entry dies between send and finish; nobody can tell whether the target ran it. The resend hears that, and
+// starts nothing: a second crew sent to the same close is worse than a question to an operator.
+func TestDeathBetweenSendAndFinish(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Config{})
+		a, b := entry(s, "a"), entry(s, "b", "a")
+		c := mustBegin(t, a, request("x"))
+		must.Nil(t, c.Sent(t.Context(), "svc", 1))
+		must.Eq(t, result.ClaimOrphan, refusal(t, b, request("x")))
+		must.Eq(t, result.ClaimOrphan, refusal(t, b, request("x")))
+	})
+}
+
+// As before, but the target proves that the attempt never ran and never will: the resend runs, as a later attempt.
+func TestDeathBeforeTheTargetGotIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Config{})
+		a, b := entry(s, "a"), entry(s, "b", "a")
+		var asked Send
+		b.cfg.NeverRan = func(_ context.Context, s Send) bool {
+			asked = s
+			return true
+		}
+		req := request("x")
+		first := mustBegin(t, a, req)
+		must.Nil(t, first.Sent(t.Context(), "engine-1", 4))
+		c := mustBegin(t, b, request("x"))
+		must.Eq(t, Send{Generation: req.Generation, Target: "engine-1", Attempt: 4}, asked)
+		must.Eq(t, 5, c.FirstAttempt())
+	})
+}
+
+// The answer to the insert is lost, and so is each that would settle it, until the claim is given up. The caller
+// hears "not run", which stays true; the record that stands in the table is released as soon as answers come again,
+// so that the caller's next try is not taken for a double.
+func TestLostInsertIsReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Config{})
+		a, b := entry(s, "a"), entry(s, "b")
+		s.SetFault(standin.Fault{Kind: standin.FaultLoseAnswer, DurationMS: 20_000})
+		must.Eq(t, result.StoreDown, refusal(t, a, request("x")))
+		it, ok := s.Item(tableKey("kelburn/roads", "key-1"))
+		must.True(t, ok)
+		must.StrContains(t, string(it.Value), string(Started))
+		must.NotEq(t, 0, a.Unsettled())
+		time.Sleep(time.Minute)
+		settled(t, a)
+		must.NotNil(t, mustBegin(t, b, request("x")))
+	})
+}
+
+// The store goes down while a request runs, and stays down for three hours. The caller has its answer; a resend at
+// the same entry is told it from memory. New claims are refused at once, not run. After the outage the outcome is
+// written, and a resend elsewhere is told it too.
+func TestOutcomeOutlivesOutageOfHours(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Config{})
+		a, b := entry(s, "a"), entry(s, "b", "a")
+		c := mustBegin(t, a, request("x"))
+		must.Nil(t, c.Sent(t.Context(), "svc", 1))
+		s.SetFault(standin.Fault{Kind: standin.FaultOutage, DurationMS: (3 * time.Hour).Milliseconds()})
+		c.Finish(Summary{Code: result.OK, Status: 200, Body: []byte("done"), Kept: true})
+		for i := range 100 {
+			time.Sleep(time.Minute)
+			other := request("x")
+			other.Key = fmt.Sprint("other-", i)
+			from := time.Now()
+			must.Eq(t, result.StoreDown, refusal(t, a, other))
+			must.LessEq(t, DefaultTimeout, time.Since(from))
+			_, sum, err := a.Begin(t.Context(), request("x"))
+			must.Nil(t, err)
+			must.Eq(t, "done", string(sum.Body))
+		}
+		time.Sleep(2 * time.Hour)
+		settled(t, a)
+		_, sum, err := b.Begin(t.Context(), request("x"))
+		must.Nil(t, err)
+		must.Eq(t, "done", string(sum.Body))
+	})
+}
+
+// The write of Sent takes effect, but its answer is lost while the store goes down. Nothing may leave for the target
+// without that answer; the claim is released later, since nothing did.
+func TestLostSentIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Config{})
+		a, b := entry(s, "a"), entry(s, "b", "a")
+		c := mustBegin(t, a, request("x"))
+		s.SetFault(standin.Fault{Kind: standin.FaultLoseAnswer, DurationMS: 10_000})
+		err := c.Sent(t.Context(), "svc", 1)
+		must.NotNil(t, err)
+		must.Eq(t, result.StoreDown, err.Code)
+		must.Eq(t, result.NotRun, result.Lookup(err.Code).Outcome)
+		time.Sleep(time.Minute)
+		settled(t, a)
+		must.NotNil(t, mustBegin(t, b, request("x")))
+	})
+}
+
+func TestCollectKeepsWhatIsYoungOrUnfinished(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Config{})
+		a := entry(s, "a")
+		for i := range 120 {
+			req := request("x")
+			req.Key = fmt.Sprint("old-", i)
+			c := mustBegin(t, a, req)
+			must.Nil(t, c.Sent(t.Context(), "svc", 1))
+			if i > 0 {
+				c.Finish(Summary{Code: result.OK, Status: 200})
+			}
+		}
+		settled(t, a)
+		time.Sleep(Retention)
+		mustBegin(t, a, request("young"))
+		n, err := Collect(t.Context(), client(s), nil, time.Now())
+		must.NoError(t, err)
+		must.Eq(t, 119, n)
+		time.Sleep(OrphanRetention)
+		n, err = Collect(t.Context(), client(s), []platformapi.Cond{{Key: "lease/gc/fence", Rev: 9}}, time.Now())
+		must.NoError(t, err)
+		must.Zero(t, n) // the guard does not hold
+		n, err = Collect(t.Context(), client(s), nil, time.Now())
+		must.NoError(t, err)
+		must.Eq(t, 2, n)
+	})
+}
--- /dev/null
+++ b/lib/claim/record.go
@@ -0,0 +1,87 @@
+package claim
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/url"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"anvilwick.example/anvilwick/lib/ids"
+	"anvilwick.example/anvilwick/lib/platformapi"
+	"anvilwick.example/anvilwick/lib/result"
+)
+
+// State is how far a claim has come.
+type State string
+
+// The states. Started, and Sent, come before their step: Started means that nothing was sent and that nothing will be
+// sent before the record says Sent.
+const (
+	Started  State = "started"
+	Sent     State = "sent"
+	Finished State = "finished"
+	Released State = "released" // proved not run
+)
+
+// Holder is a process that runs claims. Incarnation must differ in each life of the process.
+type Holder struct {
+	Instance    string `json:"instance"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Summary is the outcome of a finished claim, told again to whoever sends the same request later.
+type Summary struct {
+	Code        result.Code `json:"code"`
+	Status      int         `json:"status"` // HTTP status of the answer
+	ContentType string      `json:"content_type,omitempty"`
+	Body        []byte      `json:"body,omitempty"`
+	Kept        bool        `json:"kept"` // Body is the whole answer; false: it was too large to keep
+}
+
+// record is the value at claim/{workspace}/{hash of the key}.
+type record struct {
+	State       State    `json:"state"`
+	ID          string   `json:"id"`    // drawn by Begin: tells our own claim from another's
+	Write       string   `json:"write"` // drawn for each write
+	Fingerprint string   `json:"fingerprint"`
+	Holder      Holder   `json:"holder"`
+	Generation  string   `json:"generation"`
+	Target      string   `json:"target,omitempty"`
+	Attempt     uint32   `json:"attempt,omitempty"` // last attempt that may have been sent
+	Summary     *Summary `json:"summary,omitempty"`
+	UnixSec     int64    `json:"unix_sec"` // of this write, on its holder's clock
+}
+
+// Fingerprint identifies a request's content. Two contents must never share one: the second would be answered with
+// the first's result.
+func Fingerprint(method, path string, body []byte) string {
+	h := sha256.New()
+	h.Write([]byte(method + "\n" + path + "\n")) // neither holds a newline
+	h.Write(body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// tableKey hashes the caller's key, which may be long and hold anything.
+func tableKey(workspace, key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return platformapi.KeyClaim + url.PathEscape(workspace) + "/" + hex.EncodeToString(sum[:])
+}
+
+func (r record) encode() []byte {
+	r.Write = ids.New().String()
+	r.UnixSec = time.Now().Unix()
+	b, err := json.Marshal(r)
+	if err != nil {
+		panic(errorx.Decorate(err, "a claim is always encodable"))
+	}
+	return b
+}
+
+func decode(it platformapi.Item) (record, error) {
+	var r record
+	err := json.Unmarshal(it.Value, &r)
+	return r, err
+}
