--- /dev/null
+++ b/lib/placement/main_test.go
@@ -0,0 +1,16 @@
+package placement
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the randomised tests unless one is given, so that a run can be repeated.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
+		f.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
