Bound abandoned claims; assert invariants in claims and placement

Cause: reading the code again: during an outage each probe of the store can leave claims with an unknown insert behind, each with a goroutine that repeats its release for hours; and a claim's retry after an unknown outcome spun without a wait while the breaker was open.

Ruled out: not releasing at all: resends through other entries would hear AlreadyRunning until the process ends. It is what happens past the bound now. Change: MaxUnsettled (1024), a wait before a write is made again, invariants (a claim ended twice, sent after its end, attempt numbers out of order, an order without its intent), counters and log lines for terms of leases.

Conclusion: memory stays bounded through an outage.

--- a/lib/claim/claim.go
+++ b/lib/claim/claim.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/ids"
+	"anvilwick.example/anvilwick/lib/invariant"
 	"anvilwick.example/anvilwick/lib/platform"
 	"anvilwick.example/anvilwick/lib/platformapi"
 	"anvilwick.example/anvilwick/lib/result"
@@ -34,8 +35,12 @@
 const (
 	DefaultTimeout = 2 * time.Second
 	DefaultMaxBody = 8 << 10
+	// DefaultMaxUnsettled claims hold a few megabytes.
+	DefaultMaxUnsettled = 1024
 	// busyRetryAfter is told to the sender of a key that is in progress.
 	busyRetryAfter = 2 * time.Second
+	// rewriteWait passes before a write with an unknown outcome is made again.
+	rewriteWait = 100 * time.Millisecond
 	// takeovers bounds how often Begin judges a record that others keep changing.
 	takeovers = 4
 )
@@ -65,6 +70,8 @@
 	NeverRan func(context.Context, Send) bool
 	Timeout  time.Duration // of Begin and Sent: a caller is refused rather than held; default DefaultTimeout
 	MaxBody  int           // longest answer kept, bytes; default DefaultMaxBody
+	// MaxUnsettled bounds the claims never sent that wait to be released; default DefaultMaxUnsettled.
+	MaxUnsettled int
 }
 
 // Table holds this process's claims.
@@ -84,6 +91,9 @@
 	if cfg.MaxBody == 0 {
 		cfg.MaxBody = DefaultMaxBody
 	}
+	if cfg.MaxUnsettled == 0 {
+		cfg.MaxUnsettled = DefaultMaxUnsettled
+	}
 	return &Table{cfg: cfg, store: store, claims: map[string]*Claim{}}
 }
 
@@ -151,9 +161,11 @@
 	return nil, busy("in progress at this entry"), true
 }
 
+// leave ends a claim that has nothing to settle.
 func (c *Claim) leave() {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
+	c.done = true
 	delete(c.table.claims, c.key)
 }
 
@@ -162,7 +174,7 @@
 	for range takeovers {
 		found, err := c.write(ctx)
 		if err != nil && !errors.Is(err, errTaken) {
-			c.abandon(err)
+			c.abandon(platform.IsUnknown(err))
 			return nil, storeDown(err)
 		}
 		if err == nil {
@@ -219,6 +231,9 @@
 // Sent records that the request is about to leave for a target, and must return nil before it does. After a target
 // proved that it did not run an attempt, Sent allows the next. A refusal ends the claim; nothing was sent by it.
 func (c *Claim) Sent(ctx context.Context, target string, attempt uint32) *result.Error {
+	if err := c.maySend(attempt); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, c.table.cfg.Timeout)
 	defer cancel()
 	c.rec.State, c.rec.Target, c.rec.Attempt = Sent, target, attempt
@@ -230,10 +245,25 @@
 		c.leave()
 		return busy("taken over by another entry")
 	}
-	c.end(Released, nil) // nothing was sent, whatever the table says
+	c.abandon(true)
 	return storeDown(err)
 }
 
+// maySend stops a send that its entry must not ask for: after the claim has ended, another may run it; under a number
+// that may have been used, a target could take the send for the earlier one.
+func (c *Claim) maySend(attempt uint32) *result.Error {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	err := invariant.Check(!c.done, "claim_sent_after_end", "attempt %d", attempt)
+	if err == nil {
+		err = invariant.Check(attempt > c.rec.Attempt, "claim_attempt_order", "%d after %d", attempt, c.rec.Attempt)
+	}
+	if err == nil {
+		return nil
+	}
+	return result.Wrap(result.InvariantBroken, err, "claim")
+}
+
 // Finish keeps the outcome. It does not wait for the table: the outcome is told to resends at this entry at once, and
 // at others once it is written, which goes on through an outage.
 func (c *Claim) Finish(sum Summary) {
@@ -246,9 +276,12 @@
 // Release gives the key free. Call it only on proof that no target ran the request, or will.
 func (c *Claim) Release() { c.end(Released, nil) }
 
-// abandon gives up a claim whose insert failed. When it may stand in the table all the same, it is released there.
-func (c *Claim) abandon(err error) {
-	if platform.IsNotCommitted(err) {
+// abandon gives up a claim that was never sent. When it may stand in the table, it is released there.
+//
+// During an outage each probe of the store can leave such claims behind, for hours; past MaxUnsettled they are
+// dropped. Resends at this entry take a dropped one over, and others hear AlreadyRunning until this process ends.
+func (c *Claim) abandon(mayStand bool) {
+	if !mayStand || c.table.outcomes() >= c.table.cfg.MaxUnsettled {
 		c.leave()
 		return
 	}
@@ -266,7 +299,7 @@
 	}
 	res, err := c.table.store.GroupTxn(ctx, txn)
 	first := err
-	for err != nil && platform.IsUnknown(first) && ctx.Err() == nil {
+	for err != nil && platform.IsUnknown(first) && pause(ctx, rewriteWait) {
 		res, err = c.table.store.GroupTxn(ctx, txn)
 	}
 	switch {
--- a/lib/claim/claim_test.go
+++ b/lib/claim/claim_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -231,6 +232,31 @@
 	})
 }
 
+// The store loses every answer for minutes while hundreds of callers come at a time. Each leaves a claim behind that may stand
+// in the table; kept without bound, they would fill a small instance.
+func TestAbandonedClaimsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Config{})
+		a := entry(s, "a")
+		cfg := platform.Config{Addr: "127.0.0.1:1", Transport: s.Transport(), BreakerAfter: 1 << 30}
+		a.cfg.MaxUnsettled = 100
+		a.store = platform.New(cfg) // the breaker would hide most of the losses
+		s.SetFault(standin.Fault{Kind: standin.FaultLoseAnswer, DurationMS: (5 * time.Minute).Milliseconds()})
+		for range 4 {
+			var wg sync.WaitGroup
+			for range 100 {
+				req := request("x")
+				req.Key = req.Generation
+				wg.Go(func() { must.Eq(t, result.StoreDown, refusal(t, a, req)) })
+			}
+			wg.Wait()
+		}
+		must.Between(t, 1, a.Unsettled(), 100)
+		time.Sleep(2 * time.Hour)
+		must.Zero(t, a.Unsettled())
+	})
+}
+
 func TestCollectKeepsWhatIsYoungOrUnfinished(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := standin.New(standin.Config{})
@@ -259,3 +285,21 @@
 		must.Eq(t, 2, n)
 	})
 }
+
+// An entry that sends under a number it has used, or after it ended its claim, is at fault; it is stopped before
+// anything leaves, since another entry may run the request by then.
+func TestSendOutOfOrderIsStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := entry(standin.New(standin.Config{}), "a")
+		c := mustBegin(t, a, request("x"))
+		must.Nil(t, c.Sent(t.Context(), "engine-1", 1))
+		err := c.Sent(t.Context(), "engine-2", 1)
+		must.NotNil(t, err)
+		must.Eq(t, result.InvariantBroken, err.Code)
+		c.Release()
+		err = c.Sent(t.Context(), "engine-2", 2)
+		must.NotNil(t, err)
+		must.Eq(t, result.InvariantBroken, err.Code)
+		settled(t, a)
+	})
+}
--- a/lib/claim/settle.go
+++ b/lib/claim/settle.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/invariant"
 	"anvilwick.example/anvilwick/lib/platform"
 	"anvilwick.example/anvilwick/lib/platformapi"
 )
@@ -24,6 +25,10 @@
 func (c *Claim) end(state State, sum *Summary) {
 	t := c.table
 	t.mu.Lock()
+	if invariant.Check(!c.done, "claim_ended_twice", "%s after %s", state, c.rec.State) != nil {
+		t.mu.Unlock()
+		return
+	}
 	c.rec.State, c.rec.Summary = state, sum
 	c.done = true
 	t.ending++
@@ -48,7 +53,7 @@
 			return
 		}
 		if !errors.Is(err, errTaken) {
-			time.Sleep(max(wait/2+rand.N(wait/2+1), platform.RetryAfter(err)))
+			pause(context.Background(), max(wait, platform.RetryAfter(err)))
 		}
 	}
 }
@@ -70,6 +75,18 @@
 	return true
 }
 
+// pause waits for between half of d and d; it reports false when ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d/2 + rand.N(d/2+1))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
 // Flush waits until every outcome stands in the table, or until ctx ends. A planned stop calls it after its last
 // request, so that none of its finished requests becomes an orphan.
 func (t *Table) Flush(ctx context.Context) error {
--- a/lib/lease/lease.go
+++ b/lib/lease/lease.go
@@ -17,10 +17,13 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/joomcode/errorx"
+	"github.com/phuslu/log"
 
 	"anvilwick.example/anvilwick/lib/ids"
 	"anvilwick.example/anvilwick/lib/platformapi"
@@ -149,16 +152,35 @@
 	h.mu.Lock()
 	h.cancel = cancel
 	h.mu.Unlock()
+	logTerm("lease_won", cfg, h)
 	var renewing sync.WaitGroup
 	renewing.Go(func() { keep(term, s, cfg, h) })
 	work(term, h)
 	mine := h.Valid()
 	h.end()
 	renewing.Wait()
+	countOverrun(cfg, h)
+	logTerm("lease_ended", cfg, h)
 	if mine {
 		release(ctx, s, cfg, h)
 	}
 }
 
+// countOverrun counts a term whose work went on for longer than the TTL, when another may have worked too. After a
+// pause that is nobody's fault; without one, the work does not heed its context.
+func countOverrun(cfg Config, h *Held) {
+	h.mu.Lock()
+	over := elapsed(h.renewed, time.Now()) > h.ttl
+	h.mu.Unlock()
+	if over {
+		metrics.GetOrCreateCounter(fmt.Sprintf("anvilwick_lease_overruns_total{lease=%q}", cfg.Name)).Inc()
+		logTerm("lease_overrun", cfg, h)
+	}
+}
+
+func logTerm(event string, cfg Config, h *Held) {
+	log.Info().Str("event", event).Str("lease", cfg.Name).Str("holder", cfg.Holder).Uint64("fence", h.fence).Msg("")
+}
+
 // newNonce tells two campaigns apart.
 func newNonce() string { return ids.New().String() }
--- a/lib/placement/run.go
+++ b/lib/placement/run.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 
 	"anvilwick.example/anvilwick/lib/engineapi"
+	"anvilwick.example/anvilwick/lib/invariant"
 	"anvilwick.example/anvilwick/lib/lease"
 	"anvilwick.example/anvilwick/lib/platformapi"
 )
@@ -182,6 +183,9 @@
 // order gives the orders of a step, once the weight store lets its transfer start. Valid is asked before each: after
 // a pause, ctx may not have ended yet.
 func (r *runner) order(ctx context.Context, s Step) error {
+	if err := r.mayOrder(s); err != nil {
+		return err
+	}
 	if time.Now().Before(r.notYet) {
 		return nil
 	}
@@ -205,3 +209,10 @@
 	}
 	return nil
 }
+
+// mayOrder stops orders that no open intent of this term covers: after this holder's death nobody would know of them.
+func (r *runner) mayOrder(s Step) error {
+	in := r.intents[s.Target]
+	ok := in != nil && !in.Done && in.Fence == r.term.Fence && in.Want.equal(s.Want)
+	return invariant.Check(ok, "placement_order_without_intent", "%s", s.Target)
+}
