Count the platform client's exchanges; refuse at once while the breaker is open

Cause: a refusal during an outage waited for a token of the budget first, up to half a second under load, and nothing showed operators what the store's budget is spent on. Change: the breaker is asked before the budget; counters by use and outcome, time and group size histograms. The wait was found by reading; it was not measured. Conclusion: what can't be sent is refused without a wait.

--- a/lib/platform/budget.go
+++ b/lib/platform/budget.go
@@ -53,10 +53,11 @@
 
 // take waits for one token, but not for longer than the budget's wait: the limiter refuses at once when the token
 // would come too late.
-func (b *budget) take(ctx context.Context, l *rate.Limiter) *exchangeError {
+func (b *budget) take(ctx context.Context, u use, l *rate.Limiter) *exchangeError {
 	ctx, cancel := context.WithTimeout(ctx, b.wait)
 	defer cancel()
 	if err := l.Wait(ctx); err != nil {
+		u.countBudget()
 		after := time.Duration(float64(time.Second) / float64(l.Limit()))
 		return &exchangeError{fate: fateNotSent, after: max(after, b.wait), cause: errors.Join(errBudget, err)}
 	}
--- a/lib/platform/client.go
+++ b/lib/platform/client.go
@@ -20,6 +20,7 @@
 
 	"github.com/dghubble/sling"
 	"github.com/sony/gobreaker/v2"
+	"golang.org/x/time/rate"
 )
 
 // Defaults of Config.
@@ -135,8 +136,23 @@
 	body   []byte
 }
 
+// admit takes a token for one exchange. While the breaker is open nothing waits for a token that it could not use.
+func (c *Client) admit(ctx context.Context, u use, l *rate.Limiter) *exchangeError {
+	if c.breaker.State() == gobreaker.StateOpen {
+		return &exchangeError{fate: fateNotSent, after: downRetryAfter, cause: gobreaker.ErrOpenState}
+	}
+	return c.budget.take(ctx, u, l)
+}
+
 // exchange sends one request and reads its whole answer, through the breaker.
-func (c *Client) exchange(ctx context.Context, req *sling.Sling) (response, *exchangeError) {
+func (c *Client) exchange(ctx context.Context, u use, req *sling.Sling) (response, *exchangeError) {
+	start := time.Now()
+	res, err := c.through(ctx, req)
+	u.count(start, err)
+	return res, err
+}
+
+func (c *Client) through(ctx context.Context, req *sling.Sling) (response, *exchangeError) {
 	res, err := c.breaker.Execute(func() (response, error) { return c.roundTrip(ctx, req) })
 	switch {
 	case errors.Is(err, gobreaker.ErrOpenState), errors.Is(err, gobreaker.ErrTooManyRequests):
--- a/lib/platform/group.go
+++ b/lib/platform/group.go
@@ -98,7 +98,7 @@
 	time.Sleep(g.client.cfg.GroupLinger)
 	for g.more() {
 		g.slots <- struct{}{}
-		err := g.client.budget.take(context.Background(), g.client.budget.writes)
+		err := g.client.admit(context.Background(), useTxn, g.client.budget.writes)
 		batch := g.takeBatch()
 		if err != nil {
 			endAll(batch, writeError(err, "group"))
@@ -169,6 +169,7 @@
 	if len(batch) == 0 {
 		return
 	}
+	groupMembers.Update(float64(len(batch)))
 	joined := join(batch)
 	res, ferr := g.client.post(context.Background(), joined)
 	var err error
--- a/lib/platform/read.go
+++ b/lib/platform/read.go
@@ -17,7 +17,7 @@
 // writes conditional on the revision read.
 func (c *Client) Get(ctx context.Context, key string) (platformapi.Item, bool, error) {
 	var out platformapi.Item
-	found, err := c.read(ctx, platformapi.PathGet+"?"+url.Values{"key": {key}}.Encode(), &out)
+	found, err := c.read(ctx, useGet, platformapi.PathGet+"?"+url.Values{"key": {key}}.Encode(), &out)
 	if !found {
 		out = platformapi.Item{Key: key}
 	}
@@ -32,14 +32,14 @@
 		q.Set("limit", strconv.Itoa(limit))
 	}
 	var out platformapi.RangeResult
-	_, err := c.read(ctx, platformapi.PathRange+"?"+q.Encode(), &out)
+	_, err := c.read(ctx, useRange, platformapi.PathRange+"?"+q.Encode(), &out)
 	return out, err
 }
 
 // Instances reads the platform's instance list, which lags by seconds.
 func (c *Client) Instances(ctx context.Context) (platformapi.InstanceList, error) {
 	var out platformapi.InstanceList
-	_, err := c.read(ctx, platformapi.PathInstances, &out)
+	_, err := c.read(ctx, useInstances, platformapi.PathInstances, &out)
 	return out, err
 }
 
@@ -47,7 +47,7 @@
 // the store is at its limit.
 func (c *Client) StartTransfer(ctx context.Context, model, version string) (bool, time.Duration, error) {
 	path := platformapi.PathWeights + url.PathEscape(model) + "/" + url.PathEscape(version)
-	res, err := c.ask(ctx, c.base.New().Get(path))
+	res, err := c.ask(ctx, useWeights, c.base.New().Get(path))
 	if err != nil && err.fate == fateNotSent && res.status == http.StatusTooManyRequests {
 		return false, err.after, nil
 	}
@@ -69,7 +69,7 @@
 
 // GetObject reads an object; it reports false when there is none.
 func (c *Client) GetObject(ctx context.Context, name string) ([]byte, bool, error) {
-	res, err := c.ask(ctx, c.base.New().Get(objectPath(name)))
+	res, err := c.ask(ctx, useObject, c.base.New().Get(objectPath(name)))
 	if err != nil {
 		return nil, false, readError(err, name)
 	}
@@ -77,7 +77,7 @@
 }
 
 func (c *Client) object(ctx context.Context, name string, req *sling.Sling) error {
-	if _, err := c.ask(ctx, req); err != nil {
+	if _, err := c.ask(ctx, useObject, req); err != nil {
 		return writeError(err, "object "+name)
 	}
 	return nil
@@ -86,8 +86,8 @@
 func objectPath(name string) string { return platformapi.PathObjects + url.PathEscape(name) }
 
 // read asks for a JSON answer; it reports false for 404.
-func (c *Client) read(ctx context.Context, path string, into any) (bool, error) {
-	res, err := c.ask(ctx, c.base.New().Get(path))
+func (c *Client) read(ctx context.Context, u use, path string, into any) (bool, error) {
+	res, err := c.ask(ctx, u, c.base.New().Get(path))
 	if err != nil {
 		return false, readError(err, path)
 	}
@@ -101,9 +101,9 @@
 }
 
 // ask makes one exchange out of the budget for reads.
-func (c *Client) ask(ctx context.Context, req *sling.Sling) (response, *exchangeError) {
-	if err := c.budget.take(ctx, c.budget.reads); err != nil {
+func (c *Client) ask(ctx context.Context, u use, req *sling.Sling) (response, *exchangeError) {
+	if err := c.admit(ctx, u, c.budget.reads); err != nil {
 		return response{}, err
 	}
-	return c.exchange(ctx, req)
+	return c.exchange(ctx, u, req)
 }
--- a/lib/platform/txn.go
+++ b/lib/platform/txn.go
@@ -42,7 +42,7 @@
 
 // send makes one try at a transaction.
 func (c *Client) send(ctx context.Context, txn platformapi.Txn) (platformapi.TxnResult, *exchangeError) {
-	if err := c.budget.take(ctx, c.budget.writes); err != nil {
+	if err := c.admit(ctx, useTxn, c.budget.writes); err != nil {
 		return platformapi.TxnResult{}, err
 	}
 	return c.post(ctx, txn)
@@ -51,7 +51,7 @@
 // post is send for a caller that has taken its token.
 func (c *Client) post(ctx context.Context, txn platformapi.Txn) (platformapi.TxnResult, *exchangeError) {
 	var out platformapi.TxnResult
-	res, err := c.exchange(ctx, c.base.New().Post(platformapi.PathTxn).BodyJSON(txn))
+	res, err := c.exchange(ctx, useTxn, c.base.New().Post(platformapi.PathTxn).BodyJSON(txn))
 	if err != nil {
 		return out, err
 	}
@@ -84,10 +84,10 @@
 // proves nothing: the first try may still be on its way.
 func (c *Client) readBack(ctx context.Context, txn platformapi.Txn) (platformapi.TxnResult, bool) {
 	var out platformapi.TxnResult
-	if c.budget.take(ctx, c.budget.reads) != nil {
+	if c.admit(ctx, useOp, c.budget.reads) != nil {
 		return out, false
 	}
-	res, err := c.exchange(ctx, c.base.New().Get(platformapi.PathOp+txn.OpID))
+	res, err := c.exchange(ctx, useOp, c.base.New().Get(platformapi.PathOp+txn.OpID))
 	if err != nil {
 		return out, false
 	}
