--- a/lib/platform/budget.go
+++ b/lib/platform/budget.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -16,29 +17,48 @@
 // budget keeps this process to its share of the site's reads and writes. The platform's limits hold for the whole
 // site: an instance that took what it could get would starve the leases of all others.
 type budget struct {
-	writesPerSec float64
+	share  float64
+	wait   time.Duration
+	writes *rate.Limiter
+	reads  *rate.Limiter
+
+	mu           sync.Mutex
+	live         int
+	writesPerSec float64 // whole site
 	readsPerSec  float64
-	share        float64
-	wait         time.Duration
-	writes       *rate.Limiter
-	reads        *rate.Limiter
 }
 
-func newBudget(cfg Config) budget {
-	b := budget{
-		writesPerSec: cfg.WritesPerSec,
-		readsPerSec:  cfg.ReadsPerSec,
+func newBudget(cfg Config) *budget {
+	b := &budget{
 		share:        cfg.Share,
 		wait:         cfg.BudgetWait,
 		writes:       rate.NewLimiter(0, 1),
 		reads:        rate.NewLimiter(0, 1),
+		live:         cfg.Live,
+		writesPerSec: cfg.WritesPerSec,
+		readsPerSec:  cfg.ReadsPerSec,
 	}
-	b.setLive(cfg.Live)
+	b.apply()
 	return b
 }
 
 func (b *budget) setLive(n int) {
-	part := b.share / float64(max(1, n))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.live = max(1, n)
+	b.apply()
+}
+
+func (b *budget) setSite(writesPerSec, readsPerSec float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.writesPerSec, b.readsPerSec = writesPerSec, readsPerSec
+	b.apply()
+}
+
+// apply sets the rates of this process.
+func (b *budget) apply() {
+	part := b.share / float64(b.live)
 	setRate(b.writes, b.writesPerSec*part)
 	setRate(b.reads, b.readsPerSec*part)
 }
--- a/lib/platform/client.go
+++ b/lib/platform/client.go
@@ -101,7 +101,7 @@
 	http    *http.Client
 	base    *sling.Sling
 	breaker *gobreaker.CircuitBreaker[response]
-	budget  budget
+	budget  *budget
 	group   grouper
 }
 
@@ -127,6 +127,11 @@
 // SetLive shares the site's budgets over n live instances.
 func (c *Client) SetLive(n int) { c.budget.setLive(n) }
 
+// SetSite changes the site's budgets of writes and reads a second.
+func (c *Client) SetSite(writesPerSec, readsPerSec float64) {
+	c.budget.setSite(writesPerSec, readsPerSec)
+}
+
 // Up reports whether the breaker is closed. It is a hint: the next call may fail all the same.
 func (c *Client) Up() bool { return c.breaker.State() == gobreaker.StateClosed }
 
