--- a/lib/sched/inputs.go
+++ b/lib/sched/inputs.go
@@ -96,7 +96,7 @@
 	if g.deadline > 0 && g.deadline <= now {
 		return result.DeadlineTooNear
 	}
-	if gr.queue.n >= minDrainSample && o.expectedWait(now, gr) > p.MaxWait {
+	if gr.queue.n >= minDrainSample && gr.expectedWait(now) > p.MaxWait {
 		return result.QueueFull
 	}
 	return 0
@@ -222,8 +222,12 @@
 			o.remove(&o.resumes, i)
 			break
 		}
-		o.remove(&o.groups[g.group].queue, i)
+		gr := &o.groups[g.group]
+		o.remove(&gr.queue, i)
 		o.queued--
+		if gr.queue.n == 0 {
+			gr.drain.backlogged = false
+		}
 	case stateRefused:
 		o.remove(&o.refused, i)
 	case stateRunning, stateMoving:
--- a/lib/sched/owner_test.go
+++ b/lib/sched/owner_test.go
@@ -150,38 +150,36 @@
 	test.GreaterEq(t, time.Second, a.RetryAfter)
 }
 
-// The queue drains at a measured rate. A request that would wait beyond its bound is refused in the next tick, and
-// Retry-After is about the time that the queue really takes to drain.
+// One place serves a request a second and two arrive each second. Once the drain rate is known, a request that would
+// wait beyond its bound is refused in the next tick, with the time that the queue really takes to drain; none is left
+// to wait to its bound in vain, and the place stays busy.
 func TestRefusesAtOnceWhenTheQueueIsHopelessAndTellsWhenToReturn(t *testing.T) {
+	const maxWait = 20 * time.Second
 	r := newRig(t, Options{}, spec("a", 40_000, 1))
-	r.policy["batch"] = ClassPolicy{MaxWait: 20 * time.Second}
+	r.policy["batch"] = ClassPolicy{MaxWait: maxWait}
 	r.o.SetPolicy(r.o.policy)
-	n := 0
-	for range 1500 {
-		// One place, each generation takes about a second, one arrives each second and a half.
-		if n*75 < int(r.now.Sub(0)/rigStep) {
-			n++
-			r.submit(n, "batch", nil)
-		}
-		r.tick()
-		for _, run := range r.runs {
-			run.length = 50
+	sent := map[ids.Generation]Time{}
+	granted, refused := 0, 0
+	for k := range 6000 {
+		if k%25 == 0 {
+			r.submit(k, "batch", nil)
+			sent[gid(k)] = r.now
 		}
-	}
-	for range 40 {
-		n++
-		r.submit(n, "batch", nil)
-	}
-	refused := 0
-	for _, a := range r.tick() {
-		if a.Kind != ActRefuse {
-			continue
+		for _, a := range r.tick() {
+			switch a.Kind {
+			case ActGrant:
+				granted++
+				r.runs[a.Gen].length = 50
+			case ActRefuse:
+				refused++
+				test.LessEq(t, 2*rigStep, r.now.Sub(sent[a.Gen]))
+				test.EqOp(t, result.QueueFull, a.Code)
+				test.Between(t, maxWait/2, a.RetryAfter, 2*maxWait)
+			}
 		}
-		refused++
-		test.EqOp(t, result.QueueFull, a.Code)
-		test.Between(t, 10*time.Second, a.RetryAfter, 45*time.Second)
 	}
-	test.Between(t, 5, refused, 35)
+	test.Between(t, 110, granted, 120)
+	test.Between(t, 80, refused, 120)
 }
 
 func TestRefusesOverTheQueueBound(t *testing.T) {
@@ -505,3 +503,29 @@
 	}
 	test.EqOp(t, run(), run())
 }
+
+// A workspace's long work had no turn for minutes, for others came first by their shares. That is no sign that its
+// queue stands still: a batch that joins it must wait its turn within the half hour that its class allows, and not be
+// refused as hopeless.
+func TestQueueWithoutATurnForMinutesIsNotHopeless(t *testing.T) {
+	r := newRig(t, Options{}, spec("a", 1_000_000, 2))
+	r.policy["night"] = ClassPolicy{MaxWait: 30 * time.Minute}
+	r.o.SetPolicy(r.o.policy)
+	for n := range 12 {
+		r.submit(n, "night", nil)
+	}
+	for range 200 {
+		for _, a := range r.tick() {
+			r.runs[a.Gen].length = 10
+		}
+	}
+	for n := 20; n < 22; n++ {
+		r.submit(n, "batch", nil)
+		r.until(ActGrant, n, 10*time.Second)
+		r.runs[gid(n)].length = 5000
+	}
+	for n := 30; n < 42; n++ {
+		r.submit(n, "night", nil)
+		r.never(ActRefuse, n, 8*time.Second)
+	}
+}
--- a/lib/sched/queue.go
+++ b/lib/sched/queue.go
@@ -182,7 +182,7 @@
 		t.probe = now.Add(o.opt.ProbeEvery)
 	}
 	if fresh {
-		gr.grants.add(now)
+		gr.drain.granted(now, gr.queue.n)
 	}
 	o.charge(g, gr)
 	return append(acts, Action{
--- a/lib/sched/rate.go
+++ b/lib/sched/rate.go
@@ -39,6 +39,41 @@
 	return r.value * math.Exp(-dt.Seconds()/rateWindow.Seconds())
 }
 
+// drain measures how fast a queue is served while more waits in it. Grants to a queue that is empty otherwise say
+// nothing about how fast it could be served.
+type drain struct {
+	interval   float64 // mean seconds between two grants
+	since      Time    // last grant
+	backlogged bool    // the queue has not been empty since
+	grants     int     // measured
+}
+
+// minDrainGrants is how many grants have to be measured before an estimate is made.
+const minDrainGrants = 8
+
+// granted notes a grant that left so many in the queue.
+func (d *drain) granted(now Time, left int) {
+	if d.backlogged {
+		d.grants++
+		blendMean(&d.interval, now.Sub(d.since).Seconds())
+	}
+	d.since = now
+	d.backlogged = left > 0
+}
+
+// seconds returns how long n requests take to be served, or 0 while nobody knows. A queue without a turn for a while
+// is taken to get one each such while, and not to stand still.
+func (d *drain) seconds(now Time, n int) float64 {
+	if d.grants < minDrainGrants {
+		return 0
+	}
+	interval := d.interval
+	if d.backlogged {
+		interval = max(interval, now.Sub(d.since).Seconds())
+	}
+	return float64(n) * interval
+}
+
 // blendMean moves mean towards v; the first value is taken as it is.
 func blendMean(mean *float64, v float64) {
 	const weight = 0.05
--- a/lib/sched/tables.go
+++ b/lib/sched/tables.go
@@ -157,7 +157,7 @@
 	queue     list
 	vtime     float64 // weighted work granted
 	arrivals  rate
-	grants    rate
+	drain     drain
 	output    float64 // mean output, decayed
 	prompt    float64 // mean prompt, decayed
 	residence float64 // mean seconds from grant to end, decayed
--- a/lib/sched/tick.go
+++ b/lib/sched/tick.go
@@ -110,7 +110,7 @@
 			Gen:        g.id,
 			Attempt:    g.attempt,
 			Code:       g.refuse,
-			RetryAfter: o.retryAfter(now, &o.groups[g.group]),
+			RetryAfter: retryAfter(now, &o.groups[g.group]),
 		})
 		o.remove(&o.refused, i)
 		o.release(i)
@@ -118,19 +118,15 @@
 	return acts
 }
 
-// expectedWait is how long a request that joined the queue of gr now would wait, by the measured rate of grants.
-func (o *Owner) expectedWait(now Time, gr *group) time.Duration {
-	perSecond := gr.grants.perSecond(now)
-	if perSecond <= 0 {
-		return 0
-	}
-	seconds := float64(gr.queue.n+1) / perSecond
+// expectedWait is how long a request that joined the queue of gr now would wait; 0 while nobody knows.
+func (gr *group) expectedWait(now Time) time.Duration {
+	seconds := gr.drain.seconds(now, gr.queue.n+1)
 	return time.Duration(min(seconds, math.MaxInt32) * float64(time.Second))
 }
 
 // retryAfter is when the queue of gr will have drained, rounded up to whole seconds.
-func (o *Owner) retryAfter(now Time, gr *group) time.Duration {
-	wait := o.expectedWait(now, gr)
+func retryAfter(now Time, gr *group) time.Duration {
+	wait := gr.expectedWait(now)
 	if wait <= 0 {
 		wait = gr.policy.MaxWait / 2
 	}
