Give urgent work 150 ms to find a place before it moves others

Ruled out for urgent placement: more weight on the batch beside it, or on memory in place of the measured step (itl and urgent p95 the same or worse).

--- a/lib/sched/options.go
+++ b/lib/sched/options.go
@@ -8,7 +8,7 @@
 	// Memory.
 	MemoryRisk     float64 // accepted chance that an engine runs out, where a ClassPolicy sets none (default 0.02)
 	MemoryFill     float64 // fraction of an engine's memory that is planned with (default 0.98)
-	HorizonTokens  int     // steps ahead that the forecast looks (default 256)
+	HorizonTokens  int     // steps ahead that the forecast looks (default 128)
 	VictimSteps    int     // steps ahead at which running out is acted on (default 48)
 	MaxPreemptions int     // bound on moves of a generation, where a ClassPolicy sets none (default 3)
 
@@ -19,11 +19,12 @@
 	StepSeconds    float64 // seconds of a decode step before any was measured (default 0.03)
 
 	// Queues.
-	MaxWait       time.Duration // bound on queue wait, where a ClassPolicy sets none (default 60 s)
-	AgeFraction   float64       // fraction of MaxWait after which a waiting request is raised (default 0.5)
-	Backfill      int           // requests of one queue tried when its head does not fit (default 3)
-	UrgentSigmas  float64       // headroom for urgent work above its mean, in deviations (default 2)
-	DeadlineSlack time.Duration // a queued request with less slack to its deadline is raised (default 10 min)
+	MaxWait        time.Duration // bound on queue wait, where a ClassPolicy sets none (default 60 s)
+	AgeFraction    float64       // fraction of MaxWait after which a waiting request is raised (default 0.5)
+	Backfill       int           // requests of one queue tried when its head does not fit (default 3)
+	UrgentSigmas   float64       // headroom for urgent work above its mean, in deviations (default 2)
+	UrgentPatience time.Duration // wait after which an urgent request may move others away (default 150 ms)
+	DeadlineSlack  time.Duration // a queued request with less slack to its deadline is raised (default 10 min)
 
 	// Health.
 	SilentAfter time.Duration // an engine that runs work and gives no token for so long takes no new work (default 1.5 s)
@@ -52,7 +53,7 @@
 const (
 	defaultMemoryRisk     = 0.02
 	defaultMemoryFill     = 0.98
-	defaultHorizonTokens  = 256
+	defaultHorizonTokens  = 128
 	defaultVictimSteps    = 48
 	defaultMaxPreemptions = 3
 	defaultBatchBound     = 1.0
@@ -63,6 +64,7 @@
 	defaultAgeFraction    = 0.5
 	defaultBackfill       = 3
 	defaultUrgentSigmas   = 2
+	defaultUrgentPatience = 150 * time.Millisecond
 	defaultDeadlineSlack  = 10 * time.Minute
 	defaultSilentAfter    = 1500 * time.Millisecond
 	defaultMoveAfter      = 3 * time.Second
@@ -91,6 +93,7 @@
 	orDefault(&o.AgeFraction, defaultAgeFraction)
 	orDefault(&o.Backfill, defaultBackfill)
 	orDefault(&o.UrgentSigmas, defaultUrgentSigmas)
+	orDefault(&o.UrgentPatience, defaultUrgentPatience)
 	orDefault(&o.DeadlineSlack, defaultDeadlineSlack)
 	orDefault(&o.SilentAfter, defaultSilentAfter)
 	orDefault(&o.MoveAfter, defaultMoveAfter)
--- a/lib/sched/queue.go
+++ b/lib/sched/queue.go
@@ -70,7 +70,7 @@
 		if t := o.place(now, i); t != none {
 			return o.grant(now, i, t, acts), true
 		}
-		if gr.policy.Urgent && tries == 0 {
+		if gr.policy.Urgent && tries == 0 && now.Sub(o.gens[i].queued) >= o.opt.UrgentPatience {
 			var ok bool
 			if acts, ok = o.preemptForUrgent(now, i, acts); ok {
 				continue
