Test streams that break in every way, and be patient for requests that may have run

Found by the tests, each failing first: an error frame whose ext is empty was taken for a bad frame, so that a preemption counted as an engine's death; a request whose first attempt broke before its first token was given up as soon as no place was free at that moment, though an engine had taken it. It now waits as one that has given tokens does. Ruled out: waiting for requests that no engine took; they are refused at once.

--- a/lib/entry/finish.go
+++ b/lib/entry/finish.go
@@ -37,9 +37,7 @@
 	if err == nil {
 		return nil
 	}
-	g.mu.Lock()
-	ran := g.mayHaveRun
-	g.mu.Unlock()
+	ran := g.ran()
 	outcome := result.Lookup(err.Code).Outcome
 	switch {
 	case ran && outcome == result.NotRun:
--- a/lib/entry/generation.go
+++ b/lib/entry/generation.go
@@ -146,6 +146,13 @@
 	g.mayHaveRun = true
 }
 
+// ran reports whether an engine may have executed a part.
+func (g *generation) ran() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.mayHaveRun
+}
+
 // token judges a token frame and, when it is the next one, hands it to the caller.
 func (g *generation) token(now time.Time, f *target.Frame) (stream.Verdict, time.Duration) {
 	g.mu.Lock()
--- a/lib/entry/refusal_test.go
+++ b/lib/entry/refusal_test.go
@@ -64,6 +64,9 @@
 	stopped := make(chan error, 1)
 	var st story
 	st.read(t, eventsOf(resp), func(n int) {
+		if n == 90 {
+			must.Eq(t, 0, len(stopped), must.Sprint("stopped while an answer was under way"))
+		}
 		if n != 10 {
 			return
 		}
--- a/lib/entry/run.go
+++ b/lib/entry/run.go
@@ -15,13 +15,12 @@
 )
 
 const (
-	maxAvoid       = 8                      // targets that an attempt keeps away from
-	maxMoves       = 1000                   // attempts of one generation, of whatever cause
-	resumePatience = 30 * time.Second       // a started generation waits at least so long for a place
-	resumePause    = 100 * time.Millisecond // between two tries to place it; its caller sees the stall
-	refusalRetry   = time.Second            // told to callers where nobody knows better
-	cancelTimeout  = 2 * time.Second
-	placeGrace     = 5 * time.Second // beyond the policy's bound on waiting, in case the scheduler is silent
+	maxAvoid      = 8                      // targets that an attempt keeps away from
+	maxMoves      = 1000                   // attempts of one generation, of whatever cause
+	resumePause   = 100 * time.Millisecond // between two tries to place it; its caller sees the stall
+	refusalRetry  = time.Second            // told to callers where nobody knows better
+	cancelTimeout = 2 * time.Second
+	placeGrace    = 5 * time.Second // beyond the policy's bound on waiting, in case the scheduler is silent
 )
 
 // runState is what the loop over attempts remembers.
@@ -182,17 +181,17 @@
 	}()
 }
 
-// afterRefusal decides what follows when the scheduler gives no place. A request that never started is refused at once.
-// One that has started is owed the rest, and waits a bounded time for a place.
+// afterRefusal decides what follows when the scheduler gives no place. A request that no engine took is refused at once.
+// One that may have run is owed its answer, and waits a bounded time for a place.
 func (s *Server) afterRefusal(g *generation, rs *runState, err *result.Error) (*result.Error, bool) {
-	if result.Lookup(err.Code).Again != result.AgainLater || g.delivered() == 0 {
+	if result.Lookup(err.Code).Again != result.AgainLater || !g.ran() {
 		return err, false
 	}
 	now := s.now()
 	if rs.waiting.IsZero() {
 		rs.waiting = now
 	}
-	if now.Sub(rs.waiting) > max(resumePatience, g.policy.MaxWait) {
+	if now.Sub(rs.waiting) > max(s.opts.ResumePatience, g.policy.MaxWait) {
 		return err, false
 	}
 	pause := time.NewTimer(resumePause)
--- a/lib/entry/server.go
+++ b/lib/entry/server.go
@@ -33,6 +33,7 @@
 	maxBodyBytes      = 16 << 20 // whatever the settings say
 	connWriteBuffer   = 128 << 10
 	defaultMaxStreams = 4096
+	resumePatience    = 30 * time.Second
 )
 
 // Options are an entry's parts. Only Placer is needed; the others default to parts that allow everything, but for
@@ -48,8 +49,10 @@
 	Records    Records
 	Picker     Picker
 	MaxStreams int // requests in progress; 0: 4096
-	Metrics    *entrymetrics.Set
-	Clients    *target.Clients
+	// ResumePatience is how long at least a generation that may have run looks for a place again; 0: 30 s.
+	ResumePatience time.Duration
+	Metrics        *entrymetrics.Set
+	Clients        *target.Clients
 	// OnView is called with each revision of settings before it is in force, with a client of each target.
 	OnView func(snap *settings.Snapshot, clients func(*settings.Service) []*target.Client)
 }
@@ -91,6 +94,9 @@
 	if o.MaxStreams == 0 {
 		o.MaxStreams = defaultMaxStreams
 	}
+	if o.ResumePatience == 0 {
+		o.ResumePatience = resumePatience
+	}
 	if o.Metrics == nil {
 		o.Metrics = entrymetrics.New()
 	}
--- a/lib/target/frame.go
+++ b/lib/target/frame.go
@@ -38,7 +38,7 @@
 	*f = Frame{Raw: data}
 	if e := v.Get("error"); e != nil && e.Type() == fastjson.TypeObject {
 		f.Err = parseError(e)
-		if ext := v.Get("ext"); ext != nil {
+		if ext := v.Get("ext"); len(ext.GetStringBytes("generation")) > 0 {
 			return f.readExt(ext)
 		}
 		return nil
