--- a/lib/entry/server.go
+++ b/lib/entry/server.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -30,7 +31,9 @@
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 32 << 10
 	maxBodyBytes      = 16 << 20 // whatever the settings say
+	connWriteBuffer   = 128 << 10
 	defaultMaxStreams = 4096
+	resumePatience    = 30 * time.Second
 )
 
 // Options are an entry's parts. Only Placer is needed; the others default to parts that allow everything, but for
@@ -46,8 +49,10 @@
 	Records    Records
 	Picker     Picker
 	MaxStreams int // requests in progress; 0: 4096
-	Metrics    *entrymetrics.Set
-	Clients    *target.Clients
+	// ResumePatience is how long at least a generation that may have run looks for a place again; 0: 30 s.
+	ResumePatience time.Duration
+	Metrics        *entrymetrics.Set
+	Clients        *target.Clients
 	// OnView is called with each revision of settings before it is in force, with a client of each target.
 	OnView func(snap *settings.Snapshot, clients func(*settings.Service) []*target.Client)
 }
@@ -89,6 +94,9 @@
 	if o.MaxStreams == 0 {
 		o.MaxStreams = defaultMaxStreams
 	}
+	if o.ResumePatience == 0 {
+		o.ResumePatience = resumePatience
+	}
 	if o.Metrics == nil {
 		o.Metrics = entrymetrics.New()
 	}
@@ -169,7 +177,17 @@
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       boundConn,
+	}
+}
+
+// boundConn bounds what the kernel keeps for one caller. Left to itself it grows to megabytes for each caller that reads
+// slowly, unseen by the bound on the sink.
+func boundConn(ctx context.Context, c net.Conn) context.Context {
+	if tc, ok := c.(*net.TCPConn); ok {
+		_ = tc.SetWriteBuffer(connWriteBuffer)
 	}
+	return ctx
 }
 
 // refuse answers a request that never got a workspace or a service.
