record: keep resume records with two peers in different failure domains

Cause: the entry that holds a caller dies; the caller must get the rest of the same generation through any other. Change: Keeper implements entry.Records. Increments go to two rendezvous peers; a peer that lost the start says so and gets the whole; an older attempt never replaces one that took over; memory and time bounded. A dead owner is known at once by its refusing address, before any heartbeat is missed; a live one's record is not given out. Found on the way: lib/entry marks a failed generation's record as finished; given out, part of an answer would be closed as the whole.

--- a/lib/member/neighbours.go
+++ b/lib/member/neighbours.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"anvilwick.example/anvilwick/lib/rendezvous"
 )
 
 // ringSuccessors of the neighbours are the next ones on the ring of hashed names: they keep the graph of heartbeats
@@ -36,10 +38,10 @@
 
 // successors returns the n names that follow self on the ring.
 func successors(self string, names []string, n int) []string {
-	at := nameHash(self)
+	at := rendezvous.Hash(self)
 	ring := make([]ranked, len(names))
 	for i, name := range names {
-		ring[i] = ranked{name, nameHash(name) - at} // wraps: the distance clockwise
+		ring[i] = ranked{name, rendezvous.Hash(name) - at} // wraps: the distance clockwise
 	}
 	slices.SortFunc(ring, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
 	out := make([]string, 0, n)
@@ -50,10 +52,10 @@
 }
 
 func byRank(self string, names []string) []ranked {
-	h := nameHash(self)
+	h := rendezvous.Hash(self)
 	all := make([]ranked, len(names))
 	for i, name := range names {
-		all[i] = ranked{name, mix(h ^ nameHash(name))}
+		all[i] = ranked{name, rendezvous.Rank(h, rendezvous.Hash(name))}
 	}
 	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
 	return all
--- a/lib/member/table.go
+++ b/lib/member/table.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/meshpb"
+	"anvilwick.example/anvilwick/lib/rendezvous"
 )
 
 // Time is the time since any fixed moment, on the caller's monotonic clock.
@@ -58,7 +59,7 @@
 		cfg:       cfg,
 		self:      cfg.Self,
 		members:   make(map[string]*entry),
-		rng:       rand.New(rand.NewPCG(cfg.Seed, nameHash(cfg.Self.Instance))),
+		rng:       rand.New(rand.NewPCG(cfg.Seed, rendezvous.Hash(cfg.Self.Instance))),
 		lastTick:  now,
 		lastRound: now - cfg.Interval,
 		version:   1,
@@ -214,11 +215,11 @@
 	if m.State == Dead {
 		return 0
 	}
-	h := nameHash(m.Instance)
-	h = mix(h ^ m.Incarnation)
-	h = mix(h ^ uint64(m.Refutation)<<8 ^ uint64(m.State))
+	h := rendezvous.Hash(m.Instance)
+	h = rendezvous.Mix(h ^ m.Incarnation)
+	h = rendezvous.Mix(h ^ uint64(m.Refutation)<<8 ^ uint64(m.State))
 	if m.Leaving {
-		h = mix(h ^ 1)
+		h = rendezvous.Mix(h ^ 1)
 	}
 	return h
 }
--- /dev/null
+++ b/lib/record/get.go
@@ -0,0 +1,150 @@
+package record
+
+import (
+	"context"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/entry"
+	"anvilwick.example/anvilwick/lib/ids"
+	"anvilwick.example/anvilwick/lib/member"
+	"anvilwick.example/anvilwick/lib/mesh"
+	"anvilwick.example/anvilwick/lib/meshpb"
+	"anvilwick.example/anvilwick/lib/result"
+)
+
+// retryRunning is told to a caller whose entry is not known to be dead yet.
+const retryRunning = time.Second
+
+// Get implements entry.Records.
+func (k *Keeper) Get(ctx context.Context, workspace, idempotencyKey string) (*entry.Record, *result.Error) {
+	ctx, cancel := context.WithTimeout(ctx, k.opts.Timeout)
+	defer cancel()
+	id := keyOf(workspace, idempotencyKey)
+	best := k.find(ctx, id)
+	if best == nil {
+		return nil, result.New(result.UnknownStream, "no entry has a record of this key")
+	}
+	if best.GetFinished() && best.GetFinishReason() == "" {
+		// It failed. Given out as finished, its part of an answer would be closed as if it were the whole.
+		return nil, result.New(result.UnknownStream, "the generation ended without an end mark")
+	}
+	if !best.GetFinished() && !k.ownerGone(ctx, best) {
+		err := result.New(result.AlreadyRunning, "entry %s holds it", best.GetOwner())
+		err.RetryAfter = retryRunning
+		return nil, err
+	}
+	rec, err := fromProto(best, idempotencyKey)
+	if err != nil {
+		return nil, result.Wrap(result.UnknownStream, err, "read the record")
+	}
+	return rec, nil
+}
+
+// find asks everyone who may hold the record and takes the most advanced answer.
+func (k *Keeper) find(ctx context.Context, id key) *meshpb.Record {
+	asked := searched(ranked(id, k.opts.View().Workers()))
+	answers := make(chan *meshpb.Record, len(asked))
+	for _, m := range asked {
+		go func() { answers <- k.ask(ctx, m, id) }()
+	}
+	var best *meshpb.Record
+	for range asked {
+		if r := <-answers; r != nil && (best == nil || further(r, best)) {
+			best = r
+		}
+	}
+	return best
+}
+
+// further reports whether a is more advanced than b.
+func further(a, b *meshpb.Record) bool {
+	if a.GetAttempt() != b.GetAttempt() {
+		return a.GetAttempt() > b.GetAttempt()
+	}
+	if len(a.GetTokens()) != len(b.GetTokens()) {
+		return len(a.GetTokens()) > len(b.GetTokens())
+	}
+	return a.GetFinished() && !b.GetFinished()
+}
+
+func (k *Keeper) ask(ctx context.Context, m member.Member, id key) *meshpb.Record {
+	if m.Instance == k.opts.Self.Instance {
+		return k.store.get(time.Now(), id)
+	}
+	s, err := k.opts.Node.Open(ctx, mesh.Peer{Instance: m.Instance, Addr: m.MeshAddr}, meshpb.StreamKind_STREAM_RECORD)
+	if err != nil {
+		return nil
+	}
+	defer s.Close()
+	get := &meshpb.RecordGet{Workspace: id.workspace, KeyHash: id.hash}
+	by, _ := ctx.Deadline()
+	reply, err := roundTrip(s, &meshpb.RecordRequest{Msg: &meshpb.RecordRequest_Get{Get: get}}, by)
+	if err != nil {
+		return nil
+	}
+	return reply.GetRecord()
+}
+
+// ownerGone reports whether the entry that runs the generation is known to be dead, replaced or cut off. A caller whose
+// connection broke comes back before any heartbeat is missed, so an address that refuses counts as well.
+func (k *Keeper) ownerGone(ctx context.Context, rec *meshpb.Record) bool {
+	m, ok := k.opts.View().Get(rec.GetOwner())
+	switch {
+	case !ok, m.State == member.Dead, m.Incarnation > rec.GetOwnerIncarnation():
+		return true
+	case m.Instance == k.opts.Self.Instance:
+		return false
+	}
+	s, err := k.opts.Node.Open(ctx, mesh.Peer{Instance: m.Instance, Addr: m.MeshAddr}, meshpb.StreamKind_STREAM_RECORD)
+	if err != nil {
+		return mesh.Refused(err)
+	}
+	defer s.Close()
+	return s.Peer().Incarnation > rec.GetOwnerIncarnation()
+}
+
+func toProto(r *entry.Record, id key, from int, self mesh.Identity) *meshpb.Record {
+	return &meshpb.Record{
+		Generation:       r.Generation[:],
+		Workspace:        id.workspace,
+		KeyHash:          id.hash,
+		Fingerprint:      r.Subject.Fingerprint,
+		Target:           r.Target,
+		Attempt:          r.Attempt,
+		Delivered:        uint32(from + len(r.Tokens)),
+		Owner:            self.Instance,
+		OwnerIncarnation: self.Incarnation,
+		Request:          r.Request,
+		Path:             r.Path,
+		Class:            r.Subject.Class,
+		Service:          r.Subject.Service,
+		Tokens:           r.Tokens,
+		TokensFrom:       uint32(from),
+		Finished:         r.Finished,
+		FinishReason:     r.FinishedWhy,
+	}
+}
+
+func fromProto(r *meshpb.Record, idempotencyKey string) (*entry.Record, error) {
+	g, err := ids.FromBytes(r.GetGeneration())
+	if err != nil {
+		return nil, err
+	}
+	return &entry.Record{
+		Generation: g,
+		Subject: entry.Subject{
+			Service:     r.GetService(),
+			Workspace:   r.GetWorkspace(),
+			Class:       r.GetClass(),
+			Fingerprint: r.GetFingerprint(),
+		},
+		Key:         idempotencyKey,
+		Attempt:     r.GetAttempt(),
+		Target:      r.GetTarget(),
+		Path:        r.GetPath(),
+		Request:     r.GetRequest(),
+		Tokens:      r.GetTokens(),
+		Finished:    r.GetFinished(),
+		FinishedWhy: r.GetFinishReason(),
+	}, nil
+}
--- /dev/null
+++ b/lib/record/keeper.go
@@ -0,0 +1,160 @@
+package record
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/entry"
+	"anvilwick.example/anvilwick/lib/member"
+	"anvilwick.example/anvilwick/lib/mesh"
+	"anvilwick.example/anvilwick/lib/meshpb"
+)
+
+// Defaults of Options.
+const (
+	DefaultMaxBytes = 16 << 20
+	DefaultExpire   = 5 * time.Minute
+	DefaultTimeout  = time.Second
+)
+
+// Options of a Keeper. Zero fields take the defaults.
+type Options struct {
+	Self     mesh.Identity
+	Node     *mesh.Node
+	View     func() *member.View
+	MaxBytes int           // of records kept for others, and again of own ones
+	Expire   time.Duration // of a record that nobody changed
+	Timeout  time.Duration // of one exchange with a peer
+}
+
+// Keeper puts records of this entry's generations with peers, keeps those of peers, and finds them again. It implements
+// entry.Records.
+type Keeper struct {
+	opts  Options
+	ctx   context.Context
+	store *store
+
+	mu    sync.Mutex
+	own   map[key]*own
+	bytes int
+	peers map[string]*peer // by instance
+}
+
+var _ entry.Records = (*Keeper)(nil)
+
+// own is a record of a generation that runs here. The peers may change, so the whole is kept until it is over.
+type own struct {
+	rec     *meshpb.Record
+	size    int
+	changed time.Time
+	dropped bool
+}
+
+// New returns a Keeper that lives until ctx is done, and serves records on o.Node.
+func New(ctx context.Context, o Options) *Keeper {
+	if o.MaxBytes <= 0 {
+		o.MaxBytes = DefaultMaxBytes
+	}
+	if o.Expire <= 0 {
+		o.Expire = DefaultExpire
+	}
+	if o.Timeout <= 0 {
+		o.Timeout = DefaultTimeout
+	}
+	k := &Keeper{
+		opts:  o,
+		ctx:   ctx,
+		store: newStore(o.MaxBytes, o.Expire),
+		own:   make(map[key]*own),
+		peers: make(map[string]*peer),
+	}
+	o.Node.Handle(meshpb.StreamKind_STREAM_RECORD, k.serve)
+	return k
+}
+
+// Put implements entry.Records.
+func (k *Keeper) Put(rec *entry.Record, from int) {
+	id := keyOf(rec.Subject.Workspace, rec.Key)
+	inc := toProto(rec, id, from, k.opts.Self)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	o := k.own[id]
+	if o == nil {
+		k.makeRoom()
+		o = &own{}
+		k.own[id] = o
+	}
+	o.rec = joined(o.rec, inc)
+	o.changed = time.Now()
+	k.bytes += sizeOf(o.rec) - o.size
+	o.size = sizeOf(o.rec)
+	order := ranked(id, k.opts.View().Workers())
+	for _, m := range holders(order, k.opts.Self.Instance) {
+		k.peerOf(m).want(id)
+	}
+}
+
+// makeRoom drops own records that are over or old, when all of them hold too much. The caller holds mu.
+func (k *Keeper) makeRoom() {
+	now := time.Now()
+	for id, o := range k.own {
+		old := now.Sub(o.changed) > k.opts.Expire
+		settled := o.rec.GetFinished() && now.Sub(o.changed) > settleTime
+		if old || settled || k.bytes > k.opts.MaxBytes {
+			k.drop(id, o)
+		}
+	}
+}
+
+// settleTime is how long a finished record is kept here so that both peers get its end.
+const settleTime = 10 * time.Second
+
+func (k *Keeper) drop(id key, o *own) {
+	delete(k.own, id)
+	k.bytes -= o.size
+	o.dropped = true
+	for _, p := range k.peers {
+		delete(p.have, id)
+		delete(p.wanted, id)
+	}
+}
+
+// peerOf returns the sender to a member. The caller holds mu.
+func (k *Keeper) peerOf(m member.Member) *peer {
+	p := k.peers[m.Instance]
+	if p != nil && p.to.Incarnation == m.Incarnation && p.to.MeshAddr == m.MeshAddr {
+		return p
+	}
+	if p != nil {
+		p.close()
+	}
+	p = newPeer(k, m)
+	k.peers[m.Instance] = p
+	return p
+}
+
+// serve answers one peer's puts and gets.
+func (k *Keeper) serve(_ context.Context, s *mesh.Stream) {
+	for {
+		var req meshpb.RecordRequest
+		if err := s.Read(&req); err != nil {
+			return
+		}
+		if err := s.Write(k.answer(&req)); err != nil {
+			return
+		}
+	}
+}
+
+func (k *Keeper) answer(req *meshpb.RecordRequest) *meshpb.RecordReply {
+	switch m := req.GetMsg().(type) {
+	case *meshpb.RecordRequest_Put:
+		return k.store.put(time.Now(), m.Put)
+	case *meshpb.RecordRequest_Get:
+		rec := k.store.get(time.Now(), key{m.Get.GetWorkspace(), m.Get.GetKeyHash()})
+		return &meshpb.RecordReply{Found: rec != nil, Record: rec}
+	default:
+		return &meshpb.RecordReply{}
+	}
+}
--- /dev/null
+++ b/lib/record/store_test.go
@@ -0,0 +1,116 @@
+package record
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/member"
+	"anvilwick.example/anvilwick/lib/meshpb"
+)
+
+func incOf(attempt uint32, from int, tokens ...string) *meshpb.Record {
+	return &meshpb.Record{
+		Generation: []byte("g"),
+		Workspace:  "w",
+		KeyHash:    1,
+		Attempt:    attempt,
+		TokensFrom: uint32(from),
+		Tokens:     tokens,
+		Delivered:  uint32(from + len(tokens)),
+	}
+}
+
+var testKey = key{"w", 1}
+
+func TestStoreJoinsIncrements(t *testing.T) {
+	s, now := newStore(1<<20, time.Minute), time.Now()
+	first := incOf(1, 0, "a", "b")
+	first.Request = []byte("body")
+	must.EqOp(t, 2, s.put(now, first).GetHave())
+	must.EqOp(t, 3, s.put(now, incOf(1, 2, "c")).GetHave())
+	must.EqOp(t, 4, s.put(now, incOf(1, 1, "b", "c", "d")).GetHave())
+	got := s.get(now, testKey)
+	must.Eq(t, []string{"a", "b", "c", "d"}, got.GetTokens())
+	must.Eq(t, "body", string(got.GetRequest()))
+}
+
+// A peer was restarted, or chosen late, and gets the middle of a record. It must not keep tokens after a gap: the one
+// that goes on would give the caller the wrong ones.
+func TestStoreLeavesOutTokensAfterAGap(t *testing.T) {
+	s, now := newStore(1<<20, time.Minute), time.Now()
+	last := incOf(1, 5, "f")
+	last.Finished = true
+	reply := s.put(now, last)
+	must.EqOp(t, 0, reply.GetHave())
+	must.True(t, reply.GetNeedRequest())
+	must.SliceEmpty(t, s.get(now, testKey).GetTokens())
+	must.False(t, s.get(now, testKey).GetFinished())
+}
+
+// An entry that was frozen wakes after another has taken its generation over, and writes on. Its word must not replace
+// the newer attempt's.
+func TestStoreRefusesAnOlderAttempt(t *testing.T) {
+	s, now := newStore(1<<20, time.Minute), time.Now()
+	s.put(now, incOf(7, 0, "a", "b", "c"))
+	must.False(t, s.put(now, incOf(1, 0, "a", "x", "y", "z")).GetFound())
+	must.Eq(t, []string{"a", "b", "c"}, s.get(now, testKey).GetTokens())
+}
+
+func TestStoreStartsAfreshForAnotherGeneration(t *testing.T) {
+	s, now := newStore(1<<20, time.Minute), time.Now()
+	s.put(now, incOf(7, 0, "a", "b"))
+	other := incOf(1, 0, "z")
+	other.Generation = []byte("h")
+	must.EqOp(t, 1, s.put(now, other).GetHave())
+}
+
+func TestStoreIsBoundedInBytesAndTime(t *testing.T) {
+	s, now := newStore(20_000, time.Minute), time.Now()
+	for i := range 100 {
+		inc := incOf(1, 0, strings.Repeat("x", 1000))
+		inc.KeyHash = uint64(i)
+		s.put(now, inc)
+		must.LessEq(t, 20_000, s.bytes)
+	}
+	must.NotNil(t, s.get(now, key{"w", 99}))
+	must.Nil(t, s.get(now, key{"w", 0}))
+	must.Nil(t, s.get(now.Add(time.Minute), key{"w", 99}))
+	must.EqOp(t, 0, s.bytes)
+	must.MapEmpty(t, s.byKey)
+}
+
+func membersOf(n, domains int) []member.Member {
+	var out []member.Member
+	for i := range n {
+		out = append(out, member.Member{Instance: fmt.Sprintf("i%02d", i), FailureDomain: fmt.Sprint("d", i%domains)})
+	}
+	return out
+}
+
+// A record must outlive a failure domain, whichever entry wrote it, and be found without knowing which that was.
+func TestHoldersAreInTwoDomainsAndAreSearched(t *testing.T) {
+	ms := membersOf(9, 3)
+	for i := range 200 {
+		order := ranked(keyOf("w", fmt.Sprint("key", i)), ms)
+		for _, owner := range ms {
+			h := holders(order, owner.Instance)
+			must.Len(t, 2, h)
+			must.NotEq(t, h[0].FailureDomain, h[1].FailureDomain)
+			for _, m := range h {
+				must.NotEq(t, owner.Instance, m.Instance)
+				must.SliceContains(t, searched(order), m)
+			}
+		}
+		must.LessEq(t, 4, len(searched(order)))
+	}
+}
+
+func TestHoldersWithFewMembers(t *testing.T) {
+	must.Len(t, 0, holders(membersOf(1, 1), "i00"))
+	must.Len(t, 1, holders(membersOf(2, 1), "i00"))
+	must.Len(t, 2, holders(membersOf(3, 1), "i00"))
+}
--- a/lib/shard/owner.go
+++ b/lib/shard/owner.go
@@ -3,9 +3,8 @@
 import (
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"anvilwick.example/anvilwick/lib/member"
+	"anvilwick.example/anvilwick/lib/rendezvous"
 )
 
 // Owner returns the member that owns the shard: the one that ranks highest for it among those that may own anything.
@@ -14,10 +13,10 @@
 // Failure domains play no part: an owner sees targets of all domains, and a millisecond between domains is far under
 // a scheduler's tick.
 func Owner(id ID, workers []member.Member) (owner member.Member, ok bool) {
-	h := xxhash.Sum64String(id.String())
+	h := rendezvous.Hash(id.String())
 	var best uint64
 	for _, m := range workers {
-		r := rank(h, xxhash.Sum64String(m.Instance))
+		r := rendezvous.Rank(h, rendezvous.Hash(m.Instance))
 		if !ok || r > best || (r == best && m.Instance < owner.Instance) {
 			owner, best, ok = m, r, true
 		}
--- a/lib/shard/shard.go
+++ b/lib/shard/shard.go
@@ -10,7 +10,7 @@
 	"fmt"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
+	"anvilwick.example/anvilwick/lib/rendezvous"
 )
 
 // ID names a shard of one service.
@@ -67,29 +67,21 @@
 func byHash(targets []string) []string {
 	out := slices.Clone(targets)
 	slices.SortFunc(out, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(rendezvous.Hash(a), rendezvous.Hash(b)), cmp.Compare(a, b))
 	})
 	return slices.Compact(out)
 }
 
 func firstWithRoom(shards []Shard, target string, limit int) int {
 	best, bestRank := -1, uint64(0)
-	h := xxhash.Sum64String(target)
+	h := rendezvous.Hash(target)
 	for i := range shards {
 		if limit > 0 && len(shards[i].Targets) >= limit {
 			continue
 		}
-		if r := rank(h, uint64(i)); best < 0 || r > bestRank {
+		if r := rendezvous.Rank(h, uint64(i)); best < 0 || r > bestRank {
 			best, bestRank = i, r
 		}
 	}
 	return best
 }
-
-// rank is the weight of a pair in rendezvous hashing.
-func rank(a, b uint64) uint64 {
-	x := a ^ (b+1)*0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
