--- a/lib/member/instances.go
+++ b/lib/member/instances.go
@@ -11,9 +11,14 @@
 	}
 	for _, m := range list {
 		m.State, m.Refutation = Live, 0
-		t.learn(now, m)
-		if e, ok := t.members[m.Instance]; ok && e.Incarnation <= m.Incarnation {
-			e.listed = true
+		changed := t.learn(now, m)
+		e, ok := t.members[m.Instance]
+		if !ok {
+			continue
+		}
+		e.listed = e.listed || e.Incarnation <= m.Incarnation
+		if changed && !e.Leaving {
+			e.sends = 0 // all others get the list too; at a start it would be the whole of it, many times
 		}
 	}
 }
--- a/lib/member/receive.go
+++ b/lib/member/receive.go
@@ -45,9 +45,10 @@
 // suspectOthersAt doubts any other instance said to be at the address of one that was just heard: an address is given
 // on to a new instance at once when the old one is replaced.
 func (t *Table) suspectOthersAt(now Time, e *entry) {
-	if e.MeshAddr == "" {
+	if e.MeshAddr == "" || t.heardAt[e.MeshAddr] == e.Instance {
 		return
 	}
+	t.heardAt[e.MeshAddr] = e.Instance
 	for _, o := range t.members {
 		if o != e && o.State == Live && o.MeshAddr == e.MeshAddr {
 			t.suspect(now, o)
--- a/lib/member/table.go
+++ b/lib/member/table.go
@@ -36,6 +36,8 @@
 	cfg        Config
 	self       Member
 	members    map[string]*entry // others, never self
+	heardAt    map[string]string // by address, who was heard there last
+	notLive    int               // members that are suspect or dead
 	order      []string          // names of members, sorted, for rounds that don't depend on the map
 	rng        *rand.Rand
 	seq        uint64
@@ -59,6 +61,7 @@
 		cfg:       cfg,
 		self:      cfg.Self,
 		members:   make(map[string]*entry),
+		heardAt:   make(map[string]string),
 		rng:       rand.New(rand.NewPCG(cfg.Seed, rendezvous.Hash(cfg.Self.Instance))),
 		lastTick:  now,
 		lastRound: now - cfg.Interval,
@@ -160,6 +163,7 @@
 	e := &entry{Member: m, heard: now, watched: notWatched, sends: t.sendsEach()}
 	if m.State == Suspect {
 		e.suspected = now
+		t.notLive++
 	}
 	t.members[m.Instance] = e
 	at, _ := slices.BinarySearch(t.order, m.Instance)
@@ -175,12 +179,14 @@
 func (t *Table) set(now Time, e *entry, m Member) {
 	old := e.Member
 	t.hash ^= memberHash(old) ^ memberHash(m)
+	t.notLive += doubt(m) - doubt(old)
 	e.Member = m
 	e.sends = t.sendsEach()
 	t.version++
 	if m.Incarnation != old.Incarnation || m.MeshAddr != old.MeshAddr {
 		e.heard, e.watched = now, notWatched
 		e.digests, e.settings = nil, 0
+		t.unhear(old)
 	}
 	switch {
 	case m.State == Suspect && old.State != Suspect:
@@ -195,7 +201,17 @@
 	t.urgent = true
 }
 
+func doubt(m Member) int {
+	if m.State == Live {
+		return 0
+	}
+	return 1
+}
+
 func (t *Table) drop(name string) {
+	e := t.members[name]
+	t.notLive -= doubt(e.Member)
+	t.unhear(e.Member)
 	delete(t.members, name)
 	if at, ok := slices.BinarySearch(t.order, name); ok {
 		t.order = slices.Delete(t.order, at, at+1)
@@ -204,6 +220,13 @@
 	t.stale = true
 }
 
+// unhear forgets that a member was heard at its address.
+func (t *Table) unhear(m Member) {
+	if t.heardAt[m.MeshAddr] == m.Instance {
+		delete(t.heardAt, m.MeshAddr)
+	}
+}
+
 // sendsEach is how often a change is piggybacked: enough to reach all with high probability, so that no member
 // repeats old news for ever.
 func (t *Table) sendsEach() int {
--- a/lib/member/table_test.go
+++ b/lib/member/table_test.go
@@ -282,6 +282,7 @@
 
 func (w *watch) check(t must.T) {
 	for _, n := range w.s.nodes {
+		checkCounts(t, n.table)
 		held := w.seen[n.table]
 		if held == nil {
 			held = make(map[string]Member)
@@ -298,6 +299,19 @@
 	}
 }
 
+// checkCounts compares what a table keeps up to date with what it is worked out from.
+func checkCounts(t must.T, table *Table) {
+	notLive, hash := 0, memberHash(table.self)
+	for _, e := range table.members {
+		notLive += doubt(e.Member)
+		hash ^= memberHash(e.Member)
+	}
+	must.EqOp(t, notLive, table.notLive)
+	must.EqOp(t, hash, table.hash)
+	must.EqOp(t, len(table.members), len(table.order))
+	must.LessEq(t, len(table.members), len(table.heardAt))
+}
+
 func TestHeartbeatIsBoundedWhateverChanged(t *testing.T) {
 	s := started(t, 64)
 	for i := range 40 {
--- a/lib/member/tick.go
+++ b/lib/member/tick.go
@@ -16,8 +16,10 @@
 	t.lastTick = now
 	t.refreshNeighbours(now)
 	t.suspectSilent(now)
-	t.buryUnrefuted(now)
-	t.forget(now)
+	if t.notLive > 0 {
+		t.buryUnrefuted(now)
+		t.forget(now)
+	}
 	if !t.due(now) {
 		return nil
 	}
@@ -126,6 +128,9 @@
 // someDead picks one dead member to try again. Two sides of a healed partition each think the other dead, and nobody
 // else would ever dial across.
 func (t *Table) someDead() *entry {
+	if t.notLive == 0 {
+		return nil
+	}
 	var pick *entry
 	seen := 0
 	for _, name := range t.order {
