--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SECONDS ?= 30
 APPS := $(notdir $(wildcard app/*))
 
-.PHONY: build test lint fmt proto
+.PHONY: build test lint fmt proto bench demo load
 
 build:
 	@mkdir -p bin
@@ -18,10 +18,25 @@
 	$(GO) tool staticcheck ./...
 
 fmt:
-	@out="$$(gofmt -l app lib)"; if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	@out="$$(gofmt -l app lib examples)"; if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
 
 # proto regenerates committed code; the build itself needs no generator.
 proto:
 	@mkdir -p bin/tools
 	GOBIN=$(CURDIR)/bin/tools $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go
 	PATH="$(CURDIR)/bin/tools:$$PATH" protoc --go_out=. --go_opt=paths=source_relative lib/meshpb/mesh.proto
+
+# bench compares the scheduling policies in virtual time; the same figures each time for the same SEED.
+bench:
+	@mkdir -p bin
+	$(GO) build -o bin/ ./app/anvilwick-bench
+	./bin/anvilwick-bench -seed $(SEED)
+
+# demo shows the whole path as separate processes on loopback; the last line is "demo: ok ...".
+demo: build
+	$(GO) build -o bin/ ./examples/demo
+	./bin/demo -bin bin
+
+# load sends a seeded mix to a small site of its own; the last line is key=value pairs. LOADFLAGS adds flags.
+load: build
+	./bin/anvilwick-load -seed $(SEED) $(LOADFLAGS)
