mesh: one Outbox for messages that may be lost; member uses it

Cause: a sender for each peer, so that a stalled one delays nobody, stood in lib/member and was about to be written again.

--- a/lib/member/runner.go
+++ b/lib/member/runner.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/meshpb"
 )
@@ -21,9 +23,7 @@
 	shown uint64 // version of the current view
 	next  chan struct{}
 
-	view  atomic.Pointer[View]
-	conns map[string]*peerConn // by instance; only Run's goroutine uses it
-	wg    sync.WaitGroup
+	view atomic.Pointer[View]
 }
 
 // NewRunner makes a table for cfg and serves heartbeats on node, which must carry the same identity as cfg.Self.
@@ -35,7 +35,6 @@
 		start:    time.Now(),
 		table:    NewTable(0, cfg),
 		next:     make(chan struct{}),
-		conns:    make(map[string]*peerConn),
 	}
 	r.view.Store(r.table.View())
 	node.Handle(meshpb.StreamKind_STREAM_HEARTBEAT, r.serve)
@@ -44,15 +43,25 @@
 
 // Run sends heartbeats until ctx ends.
 func (r *Runner) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	out := mesh.NewOutbox(ctx, r.node, mesh.OutboxOptions{
+		Kind:     meshpb.StreamKind_STREAM_HEARTBEAT,
+		Queue:    1, // an old heartbeat is worth nothing
+		Idle:     idleIntervals * r.interval,
+		NewReply: func() proto.Message { return new(meshpb.Heartbeat) },
+		OnReply:  func(_ mesh.Identity, m proto.Message) { r.receive(m.(*meshpb.Heartbeat)) },
+		OnError:  r.failed,
+	})
+	defer out.Wait()
+	defer cancel()
 	ticker := time.NewTicker(r.interval / urgentDivisor)
 	defer ticker.Stop()
-	defer r.closeConns()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			r.round(ctx)
+			r.round(out)
 		}
 	}
 }
@@ -72,6 +81,12 @@
 	r.locked(func(now Time) { r.table.SetInstances(now, list) })
 }
 
+// Neighbours returns whom this instance sends heartbeats to.
+func (r *Runner) Neighbours() (out []string) {
+	r.locked(func(now Time) { out = r.table.Neighbours(now) })
+	return out
+}
+
 // SetLocal sets what heartbeats tell of this instance beside its state.
 func (r *Runner) SetLocal(settingsRevision uint64, digests []*meshpb.ShardDigest) {
 	r.locked(func(Time) { r.table.SetLocal(settingsRevision, digests) })
@@ -108,14 +123,11 @@
 	r.next = make(chan struct{})
 }
 
-func (r *Runner) round(ctx context.Context) {
-	var out []Outgoing
-	r.locked(func(now Time) { out = r.table.Tick(now) })
-	for _, o := range out {
-		r.connTo(ctx, o.To).offer(o.Beat)
-	}
-	if len(out) > 0 {
-		r.dropIdle()
+func (r *Runner) round(out *mesh.Outbox) {
+	var beats []Outgoing
+	r.locked(func(now Time) { beats = r.table.Tick(now) })
+	for _, o := range beats {
+		out.Send(mesh.Peer{Instance: o.To.Instance, Addr: o.To.MeshAddr}, o.Beat)
 	}
 }
 
@@ -125,8 +137,16 @@
 	return answer
 }
 
-func (r *Runner) unreachable(m Member) {
-	r.locked(func(now Time) { r.table.Unreachable(now, m.Instance, m.Incarnation) })
+// failed notes that nobody, or another instance, answers at a member's address.
+func (r *Runner) failed(to mesh.Peer, err error) {
+	if !mesh.Refused(err) {
+		return
+	}
+	r.locked(func(now Time) {
+		if m, ok := r.table.Get(to.Instance); ok && m.MeshAddr == to.Addr {
+			r.table.Unreachable(now, m.Instance, m.Incarnation)
+		}
+	})
 }
 
 // serve answers the probes of one peer.
@@ -146,34 +166,5 @@
 	}
 }
 
-func (r *Runner) connTo(ctx context.Context, m Member) *peerConn {
-	c, ok := r.conns[m.Instance]
-	if ok && c.addr == m.MeshAddr {
-		return c
-	}
-	if ok {
-		c.stop()
-	}
-	c = newPeerConn(ctx, r, m)
-	r.conns[m.Instance] = c
-	return c
-}
-
-// dropIdle stops connections to peers that are no neighbours any more.
-func (r *Runner) dropIdle() {
-	for name, c := range r.conns {
-		if time.Since(c.used) > idleIntervals*r.interval {
-			c.stop()
-			delete(r.conns, name)
-		}
-	}
-}
-
+// idleIntervals without a heartbeat to a peer close its stream: it is no neighbour any more.
 const idleIntervals = 10
-
-func (r *Runner) closeConns() {
-	for _, c := range r.conns {
-		c.stop()
-	}
-	r.wg.Wait()
-}
