Use retry budgets, breakers, stall monitor, poison table and plain-service pick in the entry

An attempt that was never sent spends no retry: it asked nothing of anybody. The test of status checks while a link retires now has the traffic before it that earns the budget; without it a workspace unseen so far has one retry, and the second failure was told to the caller (502). A breaker's ticket ends at the first token, since a probe that streams for hours would count as failed. An engine counts as dead only when its address refuses connections or another incarnation answers; a cut link told as a death would bar innocent content. Ruled out: asking each engine's incarnation before each attempt (a call a request).

--- a/lib/entry/attempt.go
+++ b/lib/entry/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/breaker"
 	"anvilwick.example/anvilwick/lib/engineapi"
 	"anvilwick.example/anvilwick/lib/ids"
 	"anvilwick.example/anvilwick/lib/result"
@@ -40,22 +41,38 @@
 	raw        []byte
 }
 
-// runAttempt sends one attempt to a target and forwards its tokens until it ends.
-func (s *Server) runAttempt(g *generation, c *target.Client, number uint32, priority int) attemptEnd {
+// run is one attempt on its target.
+type run struct {
+	server   *Server
+	g        *generation
+	client   *target.Client
+	number   uint32
+	priority int
+	ticket   breaker.Ticket
+	tokens   int
+	watch    uint64
+}
+
+// do sends the attempt and forwards its tokens until it ends.
+func (r *run) do() attemptEnd {
+	g := r.g
 	ctx, cancel := context.WithCancelCause(g.ctx)
 	defer cancel(nil)
-	body, err := g.attemptBody(number, priority)
+	body, err := g.attemptBody(r.number, r.priority)
 	if err != nil {
 		return attemptEnd{reason: sched.EndTargetRefused, refused: true, final: result.Wrap(result.BadRequest, err, "encode the request")}
 	}
-	g.start(c.Name(), s.now(), cancel)
-	st, err := c.Open(ctx, g.asked.Path(), body)
+	now := r.server.now()
+	g.start(r.client.Name(), now, cancel)
+	r.watch = r.server.watches.start(now, g, r.client.Name())
+	defer r.server.watches.end(r.watch)
+	st, err := r.client.Open(ctx, g.asked.Path(), body)
 	if err != nil {
 		return openEnd(ctx, g, err)
 	}
 	defer st.Close()
 	g.noteRan()
-	return s.forward(ctx, g, st, c.Name())
+	return r.forward(ctx, st)
 }
 
 func (g *generation) attemptBody(number uint32, priority int) ([]byte, error) {
@@ -125,7 +142,8 @@
 }
 
 // forward hands on frames until the attempt ends.
-func (s *Server) forward(ctx context.Context, g *generation, st *target.Stream, name string) attemptEnd {
+func (r *run) forward(ctx context.Context, st *target.Stream) attemptEnd {
+	s, g := r.server, r.g
 	var end *endFrame
 	for {
 		f, err := st.Next()
@@ -145,27 +163,32 @@
 			end = keepEnd(f)
 			continue
 		}
-		if v := s.forwardToken(g, f, name); v.Failed() {
+		if v := r.token(f); v.Failed() {
 			return attemptEnd{reason: sched.EndTargetDied, cause: errGap}
 		}
 	}
 }
 
-// forwardToken is the hot path: one call for each token.
-func (s *Server) forwardToken(g *generation, f *target.Frame, name string) stream.Verdict {
-	now := s.now()
+// token is the hot path: one call for each token.
+func (r *run) token(f *target.Frame) stream.Verdict {
+	g := r.g
+	now := r.server.now()
 	v, gap := g.token(now, f)
 	if v != stream.Deliver {
-		s.metrics.Dropped(v.String())
+		r.server.metrics.Dropped(v.String())
 		return v
 	}
+	r.server.watches.monitor.Token(now, r.watch)
+	r.tokens++
+	if r.tokens == 1 {
+		r.ticket.Done(now, breaker.Success)
+	}
 	g.metrics.Tokens.Inc()
 	if f.Index == 0 {
 		g.metrics.FirstToken.Update(now.Sub(g.accepted).Seconds())
 		return v
 	}
 	g.metrics.InterToken.Update(gap.Seconds())
-	s.opts.Stalls.Observe(name, gap)
 	return v
 }
 
--- a/lib/entry/generation.go
+++ b/lib/entry/generation.go
@@ -81,6 +81,7 @@
 	cancel    context.CancelCauseFunc // nil while no target runs it
 	since     time.Time               // sent, or its last token
 	tokens    int
+	silent    bool // the stall monitor calls it overdue
 }
 
 // log returns a log entry that carries the request's id.
@@ -164,12 +165,13 @@
 	g.text.Append(f.Text)
 	g.offer(now, f.Index, f.Raw)
 	gap := now.Sub(g.lastToken)
-	if floor := stallFloor(g.policy); f.Index > 0 && gap > floor {
+	if floor := g.policy.StallFloor; f.Index > 0 && gap > floor {
 		g.stalled += gap - floor
 	}
 	g.lastToken = now
 	g.attempt.since = now
 	g.attempt.tokens++
+	g.attempt.silent = false
 	return v, gap
 }
 
--- a/lib/entry/plain.go
+++ b/lib/entry/plain.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 
+	"anvilwick.example/anvilwick/lib/breaker"
 	"anvilwick.example/anvilwick/lib/callerapi"
 	"anvilwick.example/anvilwick/lib/entrymetrics"
 	"anvilwick.example/anvilwick/lib/result"
@@ -96,10 +98,10 @@
 
 // admitPlain is the chain of checks before anything is sent. The claim comes last, since it costs a write.
 func (s *Server) admitPlain(ctx context.Context, pc *plainCall) (func(), *result.Error) {
-	if err := s.opts.Poison.Check(pc.subject); err != nil {
+	if err := s.clean(ctx, pc.subject.Fingerprint); err != nil {
 		return nil, err
 	}
-	release, err := s.opts.Limiter.Acquire(pc.subject, pc.policy)
+	release, err := s.opts.Limiter.Acquire(ctx, pc.subject, pc.policy)
 	if err != nil {
 		return nil, err
 	}
@@ -117,7 +119,7 @@
 func (s *Server) runPlain(w http.ResponseWriter, r *http.Request, pc *plainCall) {
 	ctx, cancel := pc.limit(r.Context())
 	defer cancel()
-	s.opts.Retries.First(pc.subject, pc.policy)
+	s.opts.Budgets.Deposit(s.now(), pc.subject.Workspace, pc.policy.RetryBudget)
 	resp, name, err := s.sendPlain(ctx, pc)
 	if err != nil {
 		s.endPlain(pc, name, err.Code)
@@ -151,13 +153,11 @@
 	var avoid []string
 	mayHaveRun := false
 	for try := 1; ; try++ {
-		name, done := s.opts.Picker.Pick(pc.service.Name, avoid)
-		if name == "" {
+		name, ok := s.pickTarget(pc.service.Name, s.avoidFor(avoid, pc.subject.Fingerprint))
+		if !ok {
 			return nil, "", pc.noTarget(mayHaveRun)
 		}
 		resp, err := s.sendOnce(ctx, pc, name)
-		done(err == nil)
-		s.opts.Breaker.Done(name, err == nil)
 		if err == nil {
 			return resp, name, nil
 		}
@@ -172,15 +172,54 @@
 	}
 }
 
+// sendOnce sends the call to one target. The answer's body is still to be read.
 func (s *Server) sendOnce(ctx context.Context, pc *plainCall, name string) (*http.Response, error) {
 	c := s.Client(name)
 	if c == nil {
 		c = pc.view.clients[name]
 	}
-	if c == nil || !s.opts.Breaker.Allow(name) {
+	if c == nil {
 		return nil, errors.Join(target.ErrNotSent, errNoClient)
 	}
-	return c.Do(ctx, &pc.call)
+	ticket, _, ok := s.opts.Breakers.Allow(s.now(), name)
+	if !ok {
+		return nil, errors.Join(target.ErrNotSent, errOpen)
+	}
+	s.opts.Poison.Started(name, pc.subject.Fingerprint)
+	resp, err := c.Do(ctx, &pc.call)
+	ticket.Done(s.now(), callOutcome(ctx, err))
+	s.settleCall(ctx, pc, c, err)
+	return resp, err
+}
+
+// callOutcome says what a call tells of the link. A caller that left says nothing.
+func callOutcome(ctx context.Context, err error) breaker.Outcome {
+	switch {
+	case err == nil:
+		return breaker.Success
+	case errors.Is(ctx.Err(), context.Canceled):
+		return breaker.Ignored
+	}
+	return breaker.Failure
+}
+
+// settleCall tells how the call ended to the table that looks for content that kills. A target that refuses connections
+// right after it broke one is taken for dead.
+func (s *Server) settleCall(ctx context.Context, pc *plainCall, c *target.Client, err error) {
+	name, f := c.Name(), pc.subject.Fingerprint
+	switch {
+	case err == nil:
+		s.opts.Poison.Finished(s.now(), name, f)
+		return
+	case errors.Is(err, target.ErrBroken) && ctx.Err() == nil:
+		pctx, cancel := context.WithTimeout(ctx, deathProbeTimeout)
+		defer cancel()
+		if _, perr := c.ServiceLoad(pctx); errors.Is(perr, syscall.ECONNREFUSED) {
+			s.tellDeath(name, uint64(s.now().Unix())/uint64(plainDeathSpan.Seconds()))
+			return
+		}
+	}
+	s.opts.Poison.Stopped(name, f)
 }
 
 // mayRepeat returns nil when the call may be sent to another target, else what the caller is told.
@@ -192,10 +231,14 @@
 		return result.Wrap(result.Unknown, err, "get the target's answer")
 	case try >= max(1, pc.policy.MaxAttempts):
 		return pc.gaveUp(mayHaveRun, err)
-	case !s.opts.Retries.Retry(pc.subject, pc.policy):
+	}
+	if !sent {
+		return nil
+	}
+	if ok, _ := s.opts.Budgets.Take(s.now(), pc.subject.Workspace); !ok {
 		return pc.gaveUp(mayHaveRun, err)
 	}
-	return nil
+	return s.clean(ctx, pc.subject.Fingerprint)
 }
 
 func (pc *plainCall) noTarget(mayHaveRun bool) *result.Error {
--- a/lib/entry/plain_test.go
+++ b/lib/entry/plain_test.go
@@ -172,11 +172,15 @@
 	must.Eq(t, http.StatusOK, r.call(http.MethodGet, "/dispatch/status/1", "k", "").StatusCode)
 }
 
-// A link retires while drivers ask for the state of their crews: one target breaks every connection. A status check may
-// be repeated, so each is answered by the other target.
+// A link retires while drivers ask for the state of their crews, as they constantly do: one target breaks every
+// connection. A status check may be repeated, so each is answered by the other target. The retries come out of the budget
+// that the traffic before has earned, and are few, since the breaker opens after the first failures.
 func TestStatusChecksAreAnsweredWhileALinkRetires(t *testing.T) {
 	a, b := startPlain(t, "a"), startPlain(t, "b")
 	r := newRig(t, siteText("", true, nil, []string{a.Addr(), b.Addr()}), nil)
+	for i := range 30 {
+		must.Eq(t, http.StatusOK, r.call(http.MethodGet, fmt.Sprintf("/dispatch/status/%d", i), "", "").StatusCode)
+	}
 	a.Order(plain.Fault{Kind: plain.FaultCutBefore, Count: 1000})
 	for i := range 20 {
 		if i == 10 {
--- a/lib/entry/run.go
+++ b/lib/entry/run.go
@@ -77,7 +77,7 @@
 	case next > 0 && !g.service.Resumes:
 		return result.New(result.CannotResume, "the service's engines start at the first token only")
 	}
-	return s.opts.Poison.Check(g.subject)
+	return s.clean(g.ctx, g.subject.Fingerprint)
 }
 
 // place asks the scheduler for a target and waits for its answer.
@@ -97,7 +97,7 @@
 		Preemptions:  rs.preemptions,
 		Prefixes:     g.prefixes,
 		Deadline:     s.schedDeadline(g, asked),
-		Avoid:        rs.avoid,
+		Avoid:        s.avoidFor(rs.avoid, g.subject.Fingerprint),
 		Fingerprint:  g.subject.Fingerprint,
 	}, g.decide)
 	patience := time.NewTimer(g.policy.MaxWait + placeGrace)
@@ -132,19 +132,30 @@
 // attemptOn runs the attempt on the granted target, unless its circuit is open.
 func (s *Server) attemptOn(g *generation, number uint32, grant sched.Action) attemptEnd {
 	c := s.client(g, grant.Target)
-	if c == nil || !s.opts.Breaker.Allow(grant.Target) {
+	if c == nil {
 		return attemptEnd{reason: sched.EndTargetRefused, cause: errNoClient, refused: true, settled: true}
 	}
+	ticket, _, ok := s.opts.Breakers.Allow(s.now(), grant.Target)
+	if !ok {
+		return attemptEnd{reason: sched.EndTargetRefused, cause: errOpen, refused: true, settled: true}
+	}
 	g.log(log.Debug(), "attempt_start").Str("target", grant.Target).Uint32("attempt", number).Msg("")
-	end := s.runAttempt(g, c, number, grant.Priority)
-	s.opts.Breaker.Done(grant.Target, targetWell(end.reason))
+	s.learnLife(c)
+	s.opts.Poison.Started(grant.Target, g.subject.Fingerprint)
+	r := &run{server: s, g: g, client: c, number: number, priority: grant.Priority, ticket: ticket}
+	end := r.do()
+	g.stop()
+	if r.tokens == 0 {
+		ticket.Done(s.now(), outcomeOf(end.reason))
+	}
+	s.settlePoison(g, c, end.reason)
 	return end
 }
 
-var errNoClient = errors.New("the target is unknown or its circuit is open")
-
-// targetWell reports whether an attempt that ended so speaks for the target.
-func targetWell(r sched.EndReason) bool { return r != sched.EndTargetDied && r != sched.EndStalled }
+var (
+	errNoClient = errors.New("the target is unknown")
+	errOpen     = errors.New("the circuit to the target is open")
+)
 
 // client returns the client of a target: under the settings in force, else under those the request was accepted with.
 func (s *Server) client(g *generation, name string) *target.Client {
@@ -215,11 +226,11 @@
 		g.metrics.Preemptions.Inc()
 		return nil, true
 	}
-	s.noteFailure(g, rs, name, end)
+	noteFailure(g, rs, name)
 	return s.retry(g, end)
 }
 
-func (s *Server) noteFailure(g *generation, rs *runState, name string, end attemptEnd) {
+func noteFailure(g *generation, rs *runState, name string) {
 	rs.fruitless++
 	if g.attemptTokens() > 0 {
 		rs.fruitless = 0
@@ -230,21 +241,21 @@
 	if len(rs.avoid) > maxAvoid {
 		rs.avoid = rs.avoid[1:]
 	}
-	if end.reason == sched.EndTargetDied && !end.refused {
-		s.judgeDeath(g, name)
-	}
 }
 
-// retry spends from the workspace's budget, which keeps a failing service from being asked ever more. A generation that
-// has given tokens goes on without: starting it afresh would cost more than resuming it, and its attempts are bounded.
+// retry spends from the workspace's budget, which keeps a failing service from being asked ever more. An attempt that was
+// never sent asked nothing of anybody. A generation that has given tokens goes on without: starting it afresh would cost
+// more than resuming it, and its attempts are bounded.
 func (s *Server) retry(g *generation, end attemptEnd) (*result.Error, bool) {
-	g.metrics.Retries.Inc()
-	if g.delivered() > 0 || s.opts.Retries.Retry(g.subject, g.policy) {
-		return nil, true
+	if g.delivered() == 0 && !errors.Is(end.cause, target.ErrNotSent) {
+		if ok, wait := s.opts.Budgets.Take(s.now(), g.subject.Workspace); !ok {
+			err := result.Wrap(result.RetryBudget, end.cause, "try another target")
+			err.RetryAfter = max(wait, refusalRetry)
+			return err, false
+		}
 	}
-	err := result.Wrap(result.RetryBudget, end.cause, "try another target")
-	err.RetryAfter = refusalRetry
-	return err, false
+	g.metrics.Retries.Inc()
+	return nil, true
 }
 
 // attemptTokens returns the count of tokens that the last attempt delivered.
@@ -254,23 +265,6 @@
 	return g.attempt.tokens
 }
 
-// judgeDeath asks whether the engine process is gone. Only then did the content perhaps kill it; a cut link or a lost
-// answer says nothing about the content.
-func (s *Server) judgeDeath(g *generation, name string) {
-	c := s.client(g, name)
-	if c == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(g.ctx, deathProbeTimeout)
-	defer cancel()
-	if _, err := c.Load(ctx); err == nil || errors.Is(err, context.DeadlineExceeded) {
-		return
-	}
-	s.opts.Poison.Died(g.subject, name)
-}
-
-const deathProbeTimeout = 300 * time.Millisecond
-
 var reasonNames = map[sched.EndReason]string{
 	sched.EndCompleted:     "completed",
 	sched.EndCancelled:     "cancelled",
--- a/lib/entry/server.go
+++ b/lib/entry/server.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -15,12 +16,16 @@
 
 	"github.com/phuslu/log"
 
+	"anvilwick.example/anvilwick/lib/breaker"
 	"anvilwick.example/anvilwick/lib/callerapi"
 	"anvilwick.example/anvilwick/lib/engineapi"
 	"anvilwick.example/anvilwick/lib/entrymetrics"
 	"anvilwick.example/anvilwick/lib/placer"
+	"anvilwick.example/anvilwick/lib/poison"
 	"anvilwick.example/anvilwick/lib/result"
+	"anvilwick.example/anvilwick/lib/retry"
 	"anvilwick.example/anvilwick/lib/settings"
+	"anvilwick.example/anvilwick/lib/stall"
 	"anvilwick.example/anvilwick/lib/target"
 )
 
@@ -36,19 +41,19 @@
 	resumePatience    = 30 * time.Second
 )
 
-// Options are an entry's parts. Only Placer is needed; the others default to parts that allow everything, but for
-// Claims, which refuses.
+// Options are an entry's parts. Only Placer is needed. Without Limiter nothing is limited; without Claims keyed requests
+// that are not idempotent are refused; without Records nobody can go on with a generation whose entry died.
 type Options struct {
-	Placer     placer.Placer
-	Limiter    Limiter
-	Retries    Retries
-	Breaker    Breaker
-	Stalls     Stalls
-	Poison     Poison
-	Claims     Claims
-	Records    Records
-	Picker     Picker
-	MaxStreams int // requests in progress; 0: 4096
+	Placer        placer.Placer
+	Limiter       Limiter
+	Claims        Claims
+	Records       Records
+	Budgets       *retry.Budgets
+	Breakers      *breaker.Set
+	Stalls        *stall.Monitor
+	Poison        *poison.Table
+	FailureDomain string // of this instance
+	MaxStreams    int    // requests in progress; 0: 4096
 	// ResumePatience is how long at least a generation that may have run looks for a place again; 0: 30 s.
 	ResumePatience time.Duration
 	Metrics        *entrymetrics.Set
@@ -63,6 +68,9 @@
 	metrics    *entrymetrics.Set
 	clients    *target.Clients
 	table      *table
+	watches    *watches
+	lives      *lives
+	picks      *picks
 	view       atomic.Pointer[view]
 	applying   sync.Mutex
 	leaving    atomic.Bool
@@ -73,9 +81,14 @@
 // New returns a Server without settings; it refuses every request until Apply.
 func New(opts Options) *Server {
 	fillDefaults(&opts)
-	s := &Server{opts: opts, metrics: opts.Metrics, clients: opts.Clients, table: newTable(opts.MaxStreams)}
-	if s.opts.Picker == nil {
-		s.opts.Picker = newRotation(s.Snapshot)
+	s := &Server{
+		opts:    opts,
+		metrics: opts.Metrics,
+		clients: opts.Clients,
+		table:   newTable(opts.MaxStreams),
+		watches: newWatches(opts.Stalls),
+		lives:   newLives(),
+		picks:   newPicks(),
 	}
 	s.metrics.Gauge("requests_in_progress", func() float64 { n, _ := s.table.counts(); return float64(n) })
 	s.metrics.Gauge("generations_in_progress", func() float64 { _, n := s.table.counts(); return float64(n) })
@@ -85,10 +98,12 @@
 
 func fillDefaults(o *Options) {
 	orDefault[Limiter](&o.Limiter, noLimits{})
-	orDefault[Retries](&o.Retries, freeRetries{})
-	orDefault[Breaker](&o.Breaker, closedBreaker{})
-	orDefault[Stalls](&o.Stalls, fixedStalls{})
-	orDefault[Poison](&o.Poison, noPoison{})
+	orDefault(&o.Budgets, retry.NewBudgets(retry.DefaultBudgetConfig))
+	orDefault(&o.Breakers, breaker.New(breaker.DefaultConfig, rand.Uint64()))
+	orDefault(&o.Stalls, stall.New(stall.DefaultConfig))
+	orDefault(&o.Poison, poison.New(poison.DefaultConfig))
+	orDefault(&o.Metrics, entrymetrics.New())
+	orDefault(&o.Clients, target.NewClients())
 	orDefault[Claims](&o.Claims, noStore{})
 	orDefault[Records](&o.Records, noRecords{})
 	if o.MaxStreams == 0 {
@@ -97,12 +112,6 @@
 	if o.ResumePatience == 0 {
 		o.ResumePatience = resumePatience
 	}
-	if o.Metrics == nil {
-		o.Metrics = entrymetrics.New()
-	}
-	if o.Clients == nil {
-		o.Clients = target.NewClients()
-	}
 	if o.OnView == nil {
 		o.OnView = func(*settings.Snapshot, func(*settings.Service) []*target.Client) {}
 	}
@@ -126,6 +135,7 @@
 		return
 	}
 	v := newView(snap, s.clients)
+	s.picks.apply(snap)
 	s.opts.OnView(snap, v.clientsOf)
 	s.view.Store(v)
 	log.Info().Str("event", "settings_in_force").Uint64("revision", snap.Revision).Msg("")
--- a/lib/entry/tick.go
+++ b/lib/entry/tick.go
@@ -24,6 +24,7 @@
 		case <-t.C:
 		}
 		now := s.now()
+		s.watches.check(now)
 		gens = s.table.running(gens[:0])
 		for _, g := range gens {
 			s.tickOne(g, now)
@@ -34,31 +35,13 @@
 }
 
 func (s *Server) tickOne(g *generation, now time.Time) {
-	s.checkStall(g, now)
+	checkStall(g, now)
 	checkCaller(g, now)
 	checkDeadline(g, now)
 	s.tellProgress(g, now)
 	s.record(g, now, false)
 }
 
-// checkStall gives up on an attempt whose target is silent. A link can stall without breaking, and the caller would
-// wait for ever.
-func (s *Server) checkStall(g *generation, now time.Time) {
-	g.mu.Lock()
-	a := g.attempt
-	g.mu.Unlock()
-	if a.cancel == nil {
-		return
-	}
-	bound := s.opts.Stalls.FirstToken(a.target, g.policy)
-	if a.tokens > 0 {
-		bound = s.opts.Stalls.NextToken(a.target, g.policy)
-	}
-	if now.Sub(a.since) > bound {
-		a.cancel(errStalled)
-	}
-}
-
 // checkCaller gives up on a generation whose caller is slow beyond its bounds, or gone for too long.
 func checkCaller(g *generation, now time.Time) {
 	g.mu.Lock()
--- /dev/null
+++ b/lib/entry/watch.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"anvilwick.example/anvilwick/lib/stall"
+)
+
+// watches joins the stall monitor's streams to the generations that they belong to.
+type watches struct {
+	monitor *stall.Monitor
+
+	mu     sync.Mutex
+	last   uint64
+	byID   map[uint64]*generation
+	stalls []stall.Stall // reused by each check
+}
+
+func newWatches(m *stall.Monitor) *watches {
+	return &watches{monitor: m, byID: make(map[uint64]*generation)}
+}
+
+// start begins to watch the attempt that g runs on a target.
+func (w *watches) start(now time.Time, g *generation, target string) uint64 {
+	w.mu.Lock()
+	w.last++
+	id := w.last
+	w.byID[id] = g
+	w.mu.Unlock()
+	w.monitor.Start(now, id, target)
+	return id
+}
+
+func (w *watches) end(id uint64) {
+	w.monitor.End(id)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.byID, id)
+}
+
+// check marks the attempts that are silent beyond what their target has shown. A link can stall without breaking, and
+// the caller would wait for ever.
+func (w *watches) check(now time.Time) {
+	w.stalls = w.monitor.Check(now, w.stalls[:0])
+	for _, st := range w.stalls {
+		w.mu.Lock()
+		g := w.byID[st.Stream]
+		w.mu.Unlock()
+		if g == nil {
+			continue
+		}
+		g.markSilent()
+		g.log(log.Info(), "silent").Str("target", st.Target).Str("kind", st.Kind.String()).Dur("silent", st.Silent).Msg("")
+	}
+}
+
+// markSilent notes that the attempt is overdue; it is given up once the policy's floor has passed as well.
+func (g *generation) markSilent() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.attempt.silent = true
+}
+
+// checkStall gives up on an overdue attempt.
+func checkStall(g *generation, now time.Time) {
+	g.mu.Lock()
+	a := g.attempt
+	g.mu.Unlock()
+	if a.silent && a.cancel != nil && now.Sub(a.since) >= g.policy.StallFloor {
+		a.cancel(errStalled)
+	}
+}
