Claim keyed requests that are not idempotent, and tell their outcome to resends

A claimed call goes on when its caller leaves, and its answer is read to the end: cutting it would turn an outcome that is about to be known into one that nobody knows. A generation is marked as sent before each attempt until an engine may have run it; later attempts go on without the table. The tests' own fake of claims is replaced by claim.Table on a table in memory, which is stricter.

--- a/lib/entry/deliver.go
+++ b/lib/entry/deliver.go
@@ -118,15 +118,20 @@
 		callerapi.WriteError(d.w, g.err, g.request)
 		return true
 	}
-	usage := callerapi.Usage{PromptTokens: g.asked.PromptTokens(), CompletionTokens: g.text.Len()}
-	body, err := json.Marshal(g.shape.Answer(g.text.String(), g.finish, g.accepted.Unix(), usage))
+	body, err := json.Marshal(g.answer())
 	if err != nil {
 		callerapi.WriteError(d.w, result.Wrap(result.TargetFailed, err, "encode the answer"), g.request)
 		return true
 	}
 	h := d.w.Header()
-	h.Set("Content-Type", "application/json")
+	h.Set("Content-Type", contentJSON)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	_, err = d.w.Write(body)
 	return err == nil
 }
+
+// answer is the whole answer of a generation that ended well.
+func (g *generation) answer() callerapi.Answer {
+	usage := callerapi.Usage{PromptTokens: g.asked.PromptTokens(), CompletionTokens: g.text.Len()}
+	return g.shape.Answer(g.text.String(), g.finish, g.accepted.Unix(), usage)
+}
--- a/lib/entry/finish.go
+++ b/lib/entry/finish.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"time"
 
 	"github.com/phuslu/log"
@@ -9,8 +8,6 @@
 	"anvilwick.example/anvilwick/lib/result"
 )
 
-const claimTimeout = 5 * time.Second
-
 // finish ends a generation: caller, claim, record, limits, metrics and log, in that order.
 func (s *Server) finish(g *generation, err *result.Error) {
 	now := s.now()
@@ -18,7 +15,7 @@
 	g.end(now, err)
 	g.cancel(nil)
 	s.record(g, now, true)
-	s.settleClaim(g.claim, codeOf(err))
+	g.settleClaim()
 	g.release()
 	s.table.ended(g, now)
 	s.report(g, now, codeOf(err))
@@ -54,25 +51,6 @@
 	return err
 }
 
-// settleClaim records the outcome of a claimed request. It waits for the table only a bounded time, in the background:
-// the answer is already with the caller, and an unfinished claim is the safe side.
-func (s *Server) settleClaim(c Claim, code result.Code) {
-	if c == nil {
-		return
-	}
-	s.background.Add(1)
-	go func() {
-		defer s.background.Done()
-		ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
-		defer cancel()
-		if result.Lookup(code).Outcome == result.NotRun {
-			c.Withdraw(ctx)
-			return
-		}
-		c.Finish(ctx, code)
-	}()
-}
-
 func (s *Server) report(g *generation, now time.Time, code result.Code) {
 	g.mu.Lock()
 	tokens, attempts, stalled := g.state.Next(), g.state.Attempt(), g.stalled
--- a/lib/entry/plain.go
+++ b/lib/entry/plain.go
@@ -12,6 +12,7 @@
 
 	"anvilwick.example/anvilwick/lib/breaker"
 	"anvilwick.example/anvilwick/lib/callerapi"
+	"anvilwick.example/anvilwick/lib/claim"
 	"anvilwick.example/anvilwick/lib/entrymetrics"
 	"anvilwick.example/anvilwick/lib/result"
 	"anvilwick.example/anvilwick/lib/settings"
@@ -27,7 +28,11 @@
 	subject Subject
 	call    target.Call
 	claim   Claim
-	metrics *entrymetrics.Pair
+	kept    *claim.Summary // the answer of an earlier run under the same key
+	answer  []byte         // start of the answer, kept for the claim
+
+	complete bool // the whole answer was read, whoever was still there for it
+	metrics  *entrymetrics.Pair
 }
 
 // servePlain routes any method and path under a route of a plain service.
@@ -53,6 +58,10 @@
 		return
 	}
 	defer release()
+	if pc.kept != nil {
+		writeKept(w, pc.kept)
+		return
+	}
 	s.runPlain(w, r, pc)
 }
 
@@ -108,13 +117,33 @@
 	if pc.route.Idempotent || pc.headers.Key == "" {
 		return release, nil
 	}
-	if pc.claim, err = s.opts.Claims.Claim(ctx, pc.subject, pc.headers.Key); err != nil {
+	if err := s.claimCall(ctx, pc); err != nil {
 		release()
 		return nil, err
 	}
 	return release, nil
 }
 
+// claimCall makes the call known to all entries before it is sent, or finds the answer of an earlier run.
+func (s *Server) claimCall(ctx context.Context, pc *plainCall) *result.Error {
+	c, sum, err := s.opts.Claims.Begin(ctx, claim.Request{
+		Workspace:   pc.workspace.Name,
+		Key:         pc.headers.Key,
+		Fingerprint: claim.Fingerprint(pc.call.Method, pc.call.Path, pc.call.Body),
+		Generation:  pc.id,
+	})
+	switch {
+	case err != nil:
+		return err
+	case sum != nil && sum.Code == result.OK && sum.Kept:
+		pc.kept = sum
+	case sum != nil:
+		return retold(sum)
+	}
+	pc.claim = c
+	return nil
+}
+
 // runPlain sends the call and relays its answer.
 func (s *Server) runPlain(w http.ResponseWriter, r *http.Request, pc *plainCall) {
 	ctx, cancel := pc.limit(r.Context())
@@ -122,29 +151,39 @@
 	s.opts.Budgets.Deposit(s.now(), pc.subject.Workspace, pc.policy.RetryBudget)
 	resp, name, err := s.sendPlain(ctx, pc)
 	if err != nil {
-		s.endPlain(pc, name, err.Code)
+		s.endPlain(pc, name, nil, err)
 		callerapi.WriteError(w, err, pc.id)
 		return
 	}
 	defer resp.Body.Close()
-	started, err := relay(w, r, resp, pc.policy)
+	started, err := pc.relay(w, r, resp)
+	s.endPlain(pc, name, resp, err)
 	if err == nil {
-		s.endPlain(pc, name, result.OK)
 		return
 	}
-	s.endPlain(pc, name, err.Code)
 	if started {
 		panic(http.ErrAbortHandler) // a connection closed in the middle tells the caller that its answer was cut
 	}
 	callerapi.WriteError(w, err, pc.id)
 }
 
-// limit bounds a call by its deadline.
+// claimedLimit bounds a claimed call without a deadline, which goes on without its caller.
+const claimedLimit = 10 * time.Minute
+
+// limit bounds a call by its deadline and its caller's presence. A claimed call goes on when its caller leaves: cutting it
+// would turn an outcome that is about to be known into one that nobody knows.
 func (pc *plainCall) limit(ctx context.Context) (context.Context, context.CancelFunc) {
-	if d := pc.deadline(pc.policy); !d.IsZero() {
-		return context.WithDeadline(ctx, d)
+	deadline := pc.deadline(pc.policy)
+	if pc.claim != nil {
+		ctx = context.WithoutCancel(ctx)
+		if deadline.IsZero() {
+			deadline = pc.accepted.Add(claimedLimit)
+		}
 	}
-	return context.WithCancel(ctx)
+	if deadline.IsZero() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline)
 }
 
 // sendPlain tries targets until one answers. A call that may not be repeated goes on to another target only while it is
@@ -157,7 +196,7 @@
 		if !ok {
 			return nil, "", pc.noTarget(mayHaveRun)
 		}
-		resp, err := s.sendOnce(ctx, pc, name)
+		resp, err := s.sendOnce(ctx, pc, name, uint32(try))
 		if err == nil {
 			return resp, name, nil
 		}
@@ -173,7 +212,7 @@
 }
 
 // sendOnce sends the call to one target. The answer's body is still to be read.
-func (s *Server) sendOnce(ctx context.Context, pc *plainCall, name string) (*http.Response, error) {
+func (s *Server) sendOnce(ctx context.Context, pc *plainCall, name string, try uint32) (*http.Response, error) {
 	c := s.Client(name)
 	if c == nil {
 		c = pc.view.clients[name]
@@ -185,6 +224,10 @@
 	if !ok {
 		return nil, errors.Join(target.ErrNotSent, errOpen)
 	}
+	if err := pc.markSent(ctx, name, try); err != nil {
+		ticket.Done(s.now(), breaker.Ignored)
+		return nil, errors.Join(target.ErrNotSent, err)
+	}
 	s.opts.Poison.Started(name, pc.subject.Fingerprint)
 	resp, err := c.Do(ctx, &pc.call)
 	ticket.Done(s.now(), callOutcome(ctx, err))
@@ -192,6 +235,18 @@
 	return resp, err
 }
 
+// markSent records in the claim that the call is about to leave.
+func (pc *plainCall) markSent(ctx context.Context, name string, try uint32) error {
+	if pc.claim == nil {
+		return nil
+	}
+	if err := pc.claim.Sent(ctx, name, try); err != nil {
+		pc.claim = nil
+		return err
+	}
+	return nil
+}
+
 // callOutcome says what a call tells of the link. A caller that left says nothing.
 func callOutcome(ctx context.Context, err error) breaker.Outcome {
 	switch {
@@ -224,7 +279,10 @@
 
 // mayRepeat returns nil when the call may be sent to another target, else what the caller is told.
 func (s *Server) mayRepeat(ctx context.Context, pc *plainCall, try int, sent, mayHaveRun bool, err error) *result.Error {
+	var refusal *result.Error
 	switch {
+	case errors.As(err, &refusal):
+		return refusal
 	case ctx.Err() != nil:
 		return pc.ended(ctx, mayHaveRun, err)
 	case sent && !pc.route.Idempotent:
@@ -272,8 +330,10 @@
 	return result.Wrap(result.Unknown, cause, "get the target's answer")
 }
 
-func (s *Server) endPlain(pc *plainCall, name string, code result.Code) {
-	s.settleClaim(pc.claim, code)
+// endPlain settles claim, metrics and log. resp is nil when no target answered.
+func (s *Server) endPlain(pc *plainCall, name string, resp *http.Response, err *result.Error) {
+	code := codeOf(err)
+	pc.settleClaim(resp, err)
 	took := s.now().Sub(pc.accepted)
 	pc.metrics.Duration.Update(took.Seconds())
 	pc.metrics.Result(code)
@@ -281,3 +341,31 @@
 	e = e.Str("service", pc.service.Name).Str("target", name).Uint16("code", uint16(code))
 	e.Str("result", result.Lookup(code).Name).Dur("took", took).Msg("")
 }
+
+// settleClaim keeps the outcome of the call: a whole answer counts, even when its caller was no longer there for it.
+func (pc *plainCall) settleClaim(resp *http.Response, err *result.Error) {
+	switch {
+	case pc.claim == nil:
+	case err != nil && result.Lookup(err.Code).Outcome == result.NotRun:
+		pc.claim.Release()
+	case err != nil && !pc.complete:
+		pc.claim.Finish(claim.Summary{Code: err.Code, Status: result.Lookup(err.Code).HTTP})
+	default:
+		pc.claim.Finish(claim.Summary{
+			Code:        result.OK,
+			Status:      resp.StatusCode,
+			ContentType: resp.Header.Get("Content-Type"),
+			Body:        pc.answer,
+			Kept:        len(pc.answer) <= claim.DefaultMaxBody,
+		})
+	}
+}
+
+// keep remembers the start of the answer for the claim; one byte over its bound shows that it was too long.
+func (pc *plainCall) keep(chunk []byte) {
+	if pc.claim == nil {
+		return
+	}
+	room := claim.DefaultMaxBody + 1 - len(pc.answer)
+	pc.answer = append(pc.answer, chunk[:min(room, len(chunk))]...)
+}
--- a/lib/entry/run.go
+++ b/lib/entry/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/phuslu/log"
 
+	"anvilwick.example/anvilwick/lib/breaker"
 	"anvilwick.example/anvilwick/lib/invariant"
 	"anvilwick.example/anvilwick/lib/result"
 	"anvilwick.example/anvilwick/lib/sched"
@@ -139,6 +140,10 @@
 	if !ok {
 		return attemptEnd{reason: sched.EndTargetRefused, cause: errOpen, refused: true, settled: true}
 	}
+	if err := s.markSent(g, grant.Target, number); err != nil {
+		ticket.Done(s.now(), breaker.Ignored)
+		return attemptEnd{reason: sched.EndCancelled, cause: err, final: err, settled: true}
+	}
 	g.log(log.Debug(), "attempt_start").Str("target", grant.Target).Uint32("attempt", number).Msg("")
 	s.learnLife(c)
 	s.opts.Poison.Started(grant.Target, g.subject.Fingerprint)
--- /dev/null
+++ b/lib/entry/store_test.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	"anvilwick.example/anvilwick/lib/claim"
+	"anvilwick.example/anvilwick/lib/platform"
+	"anvilwick.example/anvilwick/lib/platformapi"
+)
+
+// memoryStore is the platform's table for claims.
+type memoryStore struct {
+	mu    sync.Mutex
+	rev   uint64
+	items map[string]platformapi.Item
+}
+
+func newMemoryStore() *memoryStore { return &memoryStore{items: map[string]platformapi.Item{}} }
+
+// GroupTxn implements claim.Store.
+func (m *memoryStore) GroupTxn(_ context.Context, txn platformapi.Txn) (platformapi.TxnResult, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var failed []platformapi.Item
+	for _, c := range txn.Conds {
+		if m.items[c.Key].Rev != c.Rev {
+			it := m.items[c.Key]
+			it.Key = c.Key
+			failed = append(failed, it)
+		}
+	}
+	if len(failed) > 0 {
+		return platformapi.TxnResult{Rev: m.rev, Failed: failed}, nil
+	}
+	m.rev++
+	for _, p := range txn.Puts {
+		m.items[p.Key] = platformapi.Item{Key: p.Key, Value: p.Value, Rev: m.rev}
+	}
+	return platformapi.TxnResult{Committed: true, Rev: m.rev}, nil
+}
+
+// holds counts the items whose value contains text.
+func (m *memoryStore) holds(text string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for _, it := range m.items {
+		if strings.Contains(string(it.Value), text) {
+			n++
+		}
+	}
+	return n
+}
+
+// claims returns the claims of an entry that knows the given other entries to be gone.
+func (m *memoryStore) claims(instance string, gone ...string) Claims {
+	return claimsOn(m, instance, gone)
+}
+
+func claimsOn(store claim.Store, instance string, gone []string) Claims {
+	return TableClaims{claim.New(store, claim.Config{
+		Holder: claim.Holder{Instance: instance, Incarnation: 1},
+		Gone:   func(h claim.Holder) bool { return slices.Contains(gone, h.Instance) },
+	})}
+}
+
+// gate is one entry's way to the store, which a test can shut as the death of the entry would.
+type gate struct {
+	store *memoryStore
+	mu    sync.Mutex
+	dead  bool
+}
+
+func (m *memoryStore) gate() *gate { return &gate{store: m} }
+
+func (g *gate) claims(instance string) Claims { return claimsOn(g, instance, nil) }
+
+func (g *gate) shut() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dead = true
+}
+
+// GroupTxn implements claim.Store.
+func (g *gate) GroupTxn(ctx context.Context, txn platformapi.Txn) (platformapi.TxnResult, error) {
+	g.mu.Lock()
+	dead := g.dead
+	g.mu.Unlock()
+	if dead {
+		return platformapi.TxnResult{}, platform.NotCommitted.New("the entry is dead")
+	}
+	return g.store.GroupTxn(ctx, txn)
+}
