Decide through shard owners, with limits, claims and records over mesh and table, in anvilwick-entry

With -mesh-addr an entry asks the owners of shards (lib/schedlink) and owns its part; alone it runs the same sched.Owner in this process. -platform gives it the table for claims; without it only keyed requests that are not idempotent are refused. Plain services' load is polled for the pick. An engine that does not know a generation is no proof that it never ran it: it may have been replaced since.

--- a/lib/entry/rig_test.go
+++ b/lib/entry/rig_test.go
@@ -83,7 +83,7 @@
 func newRig(t *testing.T, text string, change func(*Options)) *rig {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	local := placer.NewLocal(ctx, func() sched.Policy { return placer.NewLeastLoaded() }, time.Millisecond)
+	local := placer.NewLocal(ctx, func(string) sched.Policy { return placer.NewLeastLoaded() }, time.Millisecond)
 	quick := stall.DefaultConfig
 	quick.Cold, quick.Floor = 150*time.Millisecond, 150*time.Millisecond
 	opts := Options{Placer: local, Stalls: stall.New(quick), OnView: func(snap *settings.Snapshot, clients func(*settings.Service) []*target.Client) {
--- a/lib/entry/stop.go
+++ b/lib/entry/stop.go
@@ -20,14 +20,19 @@
 // Leaving reports whether a planned stop has begun.
 func (s *Server) Leaving() bool { return s.leaving.Load() }
 
+// Refuse refuses new requests from now on; those in progress go on.
+func (s *Server) Refuse() {
+	s.leaving.Store(true)
+	s.stopping.Store(true)
+}
+
 // Stopping reports whether new requests are refused.
 func (s *Server) Stopping() bool { return s.stopping.Load() }
 
 // Stop refuses new requests and waits until every request in progress has ended, however long it runs, or until ctx is
 // done. Balancers learn of it from the health page before that; what they still send is refused, not run.
 func (s *Server) Stop(ctx context.Context) error {
-	s.leaving.Store(true)
-	s.stopping.Store(true)
+	s.Refuse()
 	t := time.NewTicker(stopPoll)
 	defer t.Stop()
 	for {
--- /dev/null
+++ b/lib/entryproc/assemble.go
@@ -0,0 +1,110 @@
+package entryproc
+
+import (
+	"context"
+
+	"anvilwick.example/anvilwick/lib/engineapi"
+	"anvilwick.example/anvilwick/lib/entry"
+	"anvilwick.example/anvilwick/lib/guardlink"
+	"anvilwick.example/anvilwick/lib/limit"
+	"anvilwick.example/anvilwick/lib/loadpoll"
+	"anvilwick.example/anvilwick/lib/member"
+	"anvilwick.example/anvilwick/lib/mesh"
+	"anvilwick.example/anvilwick/lib/pick"
+	"anvilwick.example/anvilwick/lib/poison"
+	"anvilwick.example/anvilwick/lib/record"
+	"anvilwick.example/anvilwick/lib/settings"
+	"anvilwick.example/anvilwick/lib/target"
+)
+
+// assemble makes the server and the parts behind it. The listeners are open, and nothing is served yet.
+func (p *Process) assemble(ctx context.Context) {
+	p.poison = poison.New(poison.DefaultConfig)
+	p.limits = limit.NewService(limit.DefaultConfig, p.cfg.Instance, p.cfg.Incarnation, limitsOf(p.snapshot), p.sendLimits)
+	d := p.newDecider(ctx)
+	opts := entry.Options{
+		Placer:        d,
+		Limiter:       limiter{p.limits},
+		Poison:        p.poison,
+		FailureDomain: p.cfg.Domain,
+		MaxStreams:    p.cfg.MaxStreams,
+		Metrics:       p.metrics,
+		Clients:       p.clients,
+		OnView:        p.onView(ctx, d),
+	}
+	p.addStores(ctx, &opts)
+	p.server = entry.New(opts)
+	sh, ok := d.(*shared)
+	if !ok {
+		p.limits.SetView([]string{p.cfg.Instance})
+		return
+	}
+	p.links.join(p.cfg, p.server, sh, p.limits)
+	p.guard = guardlink.New(ctx, guardlink.Options{Node: p.links.node, View: p.links.members.View, Limits: p.limits, Poison: p.poison})
+	go p.guard.Run()
+}
+
+// snapshot returns the settings in force, or nil.
+func (p *Process) snapshot() *settings.Snapshot { return p.server.Snapshot() }
+
+// sendLimits is the way of the limits' messages; alone there is nobody to send them to.
+func (p *Process) sendLimits(to string, up limit.Up) {
+	if p.guard != nil {
+		p.guard.SendUp(to, up)
+	}
+}
+
+func (p *Process) newDecider(ctx context.Context) decider {
+	if p.links == nil {
+		return newAlone(ctx, p.onReport)
+	}
+	return newShared(ctx, p.cfg.Instance, p.links, p.onReport)
+}
+
+// onReport sees the load reports of the engines that this process decides for.
+func (p *Process) onReport(name string, rep *engineapi.LoadReport) {
+	p.server.NoteLife(name, rep.Incarnation)
+	if p.links != nil {
+		p.links.report(name, rep)
+	}
+}
+
+// onView takes up a revision of settings before requests are accepted under it.
+func (p *Process) onView(ctx context.Context, d decider) func(*settings.Snapshot, func(*settings.Service) []*target.Client) {
+	services := loadpoll.NewServices(ctx, func(service, name string, rep pick.Report) {
+		p.server.ServiceReport(service, name, rep)
+	})
+	return func(snap *settings.Snapshot, clients func(*settings.Service) []*target.Client) {
+		d.apply(snap, clients)
+		plain := make(map[string][]*target.Client)
+		for name, svc := range snap.Services {
+			if svc.Kind == settings.KindPlain {
+				plain[name] = clients(svc)
+			}
+		}
+		services.SetTargets(plain)
+	}
+}
+
+// addStores adds what outlives this process: claims in the platform's table, records at peers.
+func (p *Process) addStores(ctx context.Context, opts *entry.Options) {
+	if p.cfg.Platform != "" {
+		p.claims = newClaims(p.cfg, p.view, func() *entry.Server { return p.server })
+		opts.Claims = entry.TableClaims{Table: p.claims.table}
+	}
+	if p.links != nil {
+		opts.Records = record.New(ctx, record.Options{
+			Self: mesh.Identity{Instance: p.cfg.Instance, Incarnation: p.cfg.Incarnation},
+			Node: p.links.node,
+			View: p.links.members.View,
+		})
+	}
+}
+
+// view returns the members as known here, or nil.
+func (p *Process) view() *member.View {
+	if p.links == nil {
+		return nil
+	}
+	return p.links.members.View()
+}
--- /dev/null
+++ b/lib/entryproc/claims.go
@@ -0,0 +1,85 @@
+package entryproc
+
+import (
+	"context"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/claim"
+	"anvilwick.example/anvilwick/lib/entry"
+	"anvilwick.example/anvilwick/lib/ids"
+	"anvilwick.example/anvilwick/lib/member"
+	"anvilwick.example/anvilwick/lib/platform"
+	"anvilwick.example/anvilwick/lib/settings"
+)
+
+const (
+	storeShare   = 0.7 // of the instance's budget at the platform; the control process has the rest
+	flushTimeout = 10 * time.Second
+)
+
+// claims keeps this process's claims in the platform's table.
+type claims struct {
+	store *platform.Client
+	table *claim.Table
+}
+
+func newClaims(cfg Config, view func() *member.View, server func() *entry.Server) *claims {
+	store := platform.New(platform.Config{Addr: cfg.Platform, Share: storeShare})
+	self := claim.Holder{Instance: cfg.Instance, Incarnation: cfg.Incarnation}
+	return &claims{store: store, table: claim.New(store, claim.Config{
+		Holder:   self,
+		Gone:     func(h claim.Holder) bool { return holderGone(view(), self, h) },
+		NeverRan: func(ctx context.Context, s claim.Send) bool { return neverRan(ctx, server(), s) },
+	})}
+}
+
+// holderGone reports whether the process that holds a claim has ended, as far as is known here.
+func holderGone(view *member.View, self, h claim.Holder) bool {
+	if h.Instance == self.Instance {
+		return h.Incarnation != self.Incarnation
+	}
+	if view == nil {
+		return false
+	}
+	m, ok := view.Get(h.Instance)
+	if !ok {
+		return len(view.Members) > 1 // long forgotten; a process that knows only itself can't tell
+	}
+	return m.State == member.Dead || m.Incarnation > h.Incarnation
+}
+
+// neverRan asks an engine to refuse a send from now on, and whether it ran. An engine that does not know the generation
+// proves nothing: it may have been replaced since it ran it. Plain services can't be asked.
+func neverRan(ctx context.Context, server *entry.Server, s claim.Send) bool {
+	snap := server.Snapshot()
+	g, err := ids.Parse(s.Generation)
+	if snap == nil || err != nil || !isEngine(snap, s.Target) {
+		return false
+	}
+	res, err := server.Client(s.Target).Cancel(ctx, g, s.Attempt)
+	return err == nil && res.Known && !res.Ran
+}
+
+func isEngine(snap *settings.Snapshot, name string) bool {
+	for _, svc := range snap.Services {
+		if svc.Kind != settings.KindModel {
+			continue
+		}
+		for i := range svc.Targets {
+			if svc.Targets[i].Name == name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// flush waits until the outcomes of finished requests stand in the table.
+func (c *claims) flush() error {
+	if c == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	return c.table.Flush(ctx)
+}
--- a/lib/entryproc/config.go
+++ b/lib/entryproc/config.go
@@ -18,6 +18,7 @@
 	Domain       string // failure domain
 	Incarnation  uint64 // 0: milliseconds of the clock at start
 	SettingsFile string // settings to start with; empty: wait until they are pushed
+	Platform     string // the platform's table, IP:port; empty: none, and keyed requests that are not idempotent are refused
 	MeshAddr     string // port for the other entries and the control process, IP:port; empty: none
 	Links        procflags.Links
 	Operators    procflags.Operators
@@ -36,6 +37,7 @@
 	fs.Uint64Var(&c.Incarnation, "incarnation", 0, "number that grows when the instance is replaced; 0: from the clock")
 	fs.StringVar(&c.SettingsFile, "settings", "", "settings file to start with; not needed with -mesh-addr")
 	fs.StringVar(&c.MeshAddr, "mesh-addr", "", "port for the other entries and the control process beside it, IP:port; empty: alone")
+	fs.StringVar(&c.Platform, "platform", "", "the platform, IP:port; empty: none, and keyed requests that are not idempotent are refused")
 	c.Links.Register(fs)
 	c.Operators.Register(fs)
 	fs.DurationVar(&c.StopNotice, "stop-notice", 3*time.Second, "after SIGTERM, time in which balancers see that it is not ready and requests are still taken")
@@ -50,6 +52,9 @@
 	if c.MeshAddr != "" {
 		addrs = append(addrs, struct{ flag, value string }{"mesh-addr", c.MeshAddr})
 	}
+	if c.Platform != "" {
+		addrs = append(addrs, struct{ flag, value string }{"platform", c.Platform})
+	}
 	for _, a := range addrs {
 		if err := procflags.CheckAddr(a.flag, a.value); err != nil {
 			return err
--- a/lib/entryproc/decider.go
+++ b/lib/entryproc/decider.go
@@ -11,39 +11,52 @@
 	"anvilwick.example/anvilwick/lib/meshpb"
 	"anvilwick.example/anvilwick/lib/placer"
 	"anvilwick.example/anvilwick/lib/sched"
+	"anvilwick.example/anvilwick/lib/schedlink"
 	"anvilwick.example/anvilwick/lib/settings"
 	"anvilwick.example/anvilwick/lib/target"
 )
 
-// decider decides for every model service in this process and feeds itself with the engines' reports.
-type decider struct {
-	ctx   context.Context
-	local *placer.Local
-	// onReport, when set, sees each whole report; set it before the first settings.
-	onReport func(target string, rep *engineapi.LoadReport)
+// decider says where generations run.
+type decider interface {
+	placer.Placer
+	// apply takes up a revision of settings.
+	apply(snap *settings.Snapshot, clients func(*settings.Service) []*target.Client)
+	// setPower puts a share of the site's power in force.
+	setPower(share *meshpb.PowerShare)
+}
+
+// reportFunc sees each whole load report of an engine.
+type reportFunc func(name string, rep *engineapi.LoadReport)
+
+func newPolicy(service string) sched.Policy { return sched.NewOwner(service, sched.Options{}) }
+
+// alone decides in this process for every model service.
+type alone struct {
+	*placer.Local
+	ctx      context.Context
+	onReport reportFunc
 
 	mu      sync.Mutex
 	pollers map[string]*loadpoll.Poller
 }
 
-func newDecider(ctx context.Context) *decider {
-	newPolicy := func() sched.Policy { return placer.NewLeastLoaded() }
-	return &decider{
-		ctx:     ctx,
-		local:   placer.NewLocal(ctx, newPolicy, placer.DefaultTick),
-		pollers: make(map[string]*loadpoll.Poller),
+func newAlone(ctx context.Context, onReport reportFunc) *alone {
+	return &alone{
+		Local:    placer.NewLocal(ctx, newPolicy, placer.DefaultTick),
+		ctx:      ctx,
+		onReport: onReport,
+		pollers:  make(map[string]*loadpoll.Poller),
 	}
 }
 
-// apply takes up a revision of settings.
-func (d *decider) apply(snap *settings.Snapshot, clients func(*settings.Service) []*target.Client) {
+func (d *alone) apply(snap *settings.Snapshot, clients func(*settings.Service) []*target.Client) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for name, svc := range snap.Services {
 		if svc.Kind != settings.KindModel {
 			continue
 		}
-		r := d.local.Runner(name)
+		r := d.Runner(name)
 		r.SetPolicy(entry.ClassPolicies(snap, name))
 		r.SetTargets(entry.TargetSpecs(svc))
 		d.poller(name, r).SetTargets(clients(svc))
@@ -55,7 +68,7 @@
 	}
 }
 
-func (d *decider) poller(service string, feed placer.Feed) *loadpoll.Poller {
+func (d *alone) poller(service string, feed placer.Feed) *loadpoll.Poller {
 	p, ok := d.pollers[service]
 	if !ok {
 		p = loadpoll.New(d.ctx, feed, loadpoll.DefaultInterval)
@@ -65,8 +78,71 @@
 	return p
 }
 
-// setPower puts a share of the site's power in force.
-func (d *decider) setPower(share *meshpb.PowerShare) {
+func (d *alone) setPower(share *meshpb.PowerShare) {
+	valid := time.Duration(share.GetValidMs()) * time.Millisecond
+	d.Runner(share.GetService()).SetPower(share.GetWatts(), valid, share.GetFallbackWatts())
+}
+
+// shared asks the owners of shards over the mesh, and decides for the shards that this process owns.
+type shared struct {
+	*schedlink.Link
+	host     *schedlink.Host
+	onReport reportFunc
+
+	mu      sync.Mutex
+	clients map[string]*target.Client
+}
+
+func newShared(ctx context.Context, instance string, l *links, onReport reportFunc) *shared {
+	d := &shared{onReport: onReport, clients: make(map[string]*target.Client)}
+	d.host = schedlink.NewHost(ctx, schedlink.HostOptions{Self: instance, NewPolicy: newPolicy, Poll: d.poll})
+	d.Link = schedlink.NewLink(ctx, schedlink.LinkOptions{Self: instance, Node: l.node, Members: l.members, Host: d.host})
+	l.node.Handle(meshpb.StreamKind_STREAM_SCHED, d.host.Serve)
+	return d
+}
+
+// poll reads the engines of one shard that this process owns.
+func (d *shared) poll(ctx context.Context, _ string, feed placer.Feed) func([]string) {
+	p := loadpoll.New(ctx, feed, loadpoll.DefaultInterval)
+	p.OnReport = d.onReport
+	return func(names []string) { p.SetTargets(d.named(names)) }
+}
+
+func (d *shared) named(names []string) []*target.Client {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]*target.Client, 0, len(names))
+	for _, name := range names {
+		if c := d.clients[name]; c != nil {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (d *shared) apply(snap *settings.Snapshot, clients func(*settings.Service) []*target.Client) {
+	site := schedlink.Site{ShardTargets: snap.Site.ShardTargets}
+	all := make(map[string]*target.Client)
+	for name, svc := range snap.Services {
+		if svc.Kind != settings.KindModel {
+			continue
+		}
+		for _, c := range clients(svc) {
+			all[c.Name()] = c
+		}
+		site.Services = append(site.Services, schedlink.Service{
+			Name:     name,
+			Targets:  entry.TargetSpecs(svc),
+			Policies: entry.ClassPolicies(snap, name),
+		})
+	}
+	d.mu.Lock()
+	d.clients = all
+	d.mu.Unlock()
+	d.Apply(site)
+}
+
+func (d *shared) setPower(share *meshpb.PowerShare) {
 	valid := time.Duration(share.GetValidMs()) * time.Millisecond
-	d.local.Runner(share.GetService()).SetPower(share.GetWatts(), valid, share.GetFallbackWatts())
+	d.host.SetPower(share.GetService(), share.GetWatts(), valid, share.GetFallbackWatts())
 }
--- a/lib/entryproc/links.go
+++ b/lib/entryproc/links.go
@@ -9,14 +9,15 @@
 
 	"github.com/phuslu/log"
 
+	"anvilwick.example/anvilwick/lib/engineapi"
 	"anvilwick.example/anvilwick/lib/entry"
 	"anvilwick.example/anvilwick/lib/entrylink"
+	"anvilwick.example/anvilwick/lib/limit"
 	"anvilwick.example/anvilwick/lib/locallink"
 	"anvilwick.example/anvilwick/lib/member"
 	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/meshpb"
 	"anvilwick.example/anvilwick/lib/opsapi"
-	"anvilwick.example/anvilwick/lib/settings"
 	"anvilwick.example/anvilwick/lib/settingsync"
 )
 
@@ -26,13 +27,16 @@
 	members *member.Runner
 	sync    *settingsync.Sync
 	control *entrylink.Link
-	server  *locallink.Server
+	local   *locallink.Server
+	server  *entry.Server
+	decider *shared
+	limits  *limit.Service
 	ln      net.Listener
 	running sync.WaitGroup
 }
 
-// newLinks listens on the mesh port. Nothing is served before run.
-func newLinks(cfg Config, server *entry.Server, power func(*meshpb.PowerShare)) (*links, error) {
+// newLinks listens on the mesh port. Nothing is served before join and run.
+func newLinks(cfg Config) (*links, error) {
 	opts, err := cfg.Links.Options()
 	if err != nil {
 		return nil, err
@@ -54,21 +58,29 @@
 		FailureDomain: cfg.Domain,
 		MeshAddr:      cfg.MeshAddr,
 	}})
+	return l, nil
+}
+
+// join connects the links to the parts that they serve.
+func (l *links) join(cfg Config, server *entry.Server, d *shared, limits *limit.Service) {
+	l.server, l.decider, l.limits = server, d, limits
 	l.sync = settingsync.New(settingsync.Config{Peers: peers{l}})
 	l.control = entrylink.New(entrylink.Options{
 		Instance: cfg.Instance,
 		Sync:     l.sync,
-		Apply:    l.apply(server),
+		Apply:    server.Apply,
 		View:     l.setInstances,
-		Power:    power,
-		Status:   func() *meshpb.EntryStatus { return l.status(cfg, server) },
+		Power:    d.setPower,
+		Status:   func() *meshpb.EntryStatus { return l.status(cfg) },
 	})
-	l.server = l.control.Server()
-	node.Handle(meshpb.StreamKind_STREAM_LOCAL, l.server.Handle)
-	node.Handle(meshpb.StreamKind_STREAM_SETTINGS, l.serveSettings)
-	return l, nil
+	l.local = l.control.Server()
+	l.node.Handle(meshpb.StreamKind_STREAM_LOCAL, l.local.Handle)
+	l.node.Handle(meshpb.StreamKind_STREAM_SETTINGS, l.serveSettings)
 }
 
+// report passes a load report on to the control process.
+func (l *links) report(name string, rep *engineapi.LoadReport) { l.control.Report(name, rep) }
+
 // run serves until ctx is done.
 func (l *links) run(ctx context.Context) {
 	l.running.Go(func() {
@@ -76,7 +88,7 @@
 			log.Error().Str("event", "mesh_listener_failed").Err(err).Msg("")
 		}
 	})
-	for _, work := range []func(context.Context){l.members.Run, l.sync.Run, l.control.Run, l.noticePeers} {
+	for _, work := range []func(context.Context){l.members.Run, l.sync.Run, l.control.Run, l.decider.Run, l.exchange} {
 		l.running.Go(func() { work(ctx) })
 	}
 }
@@ -87,37 +99,43 @@
 	l.running.Wait()
 }
 
-func (l *links) apply(server *entry.Server) func(*settings.Snapshot) {
-	return func(snap *settings.Snapshot) {
-		server.Apply(snap)
-		l.members.SetLocal(snap.Revision, nil)
-	}
-}
-
 func (l *links) setInstances(v *meshpb.View) {
 	list := make([]member.Member, 0, len(v.GetMembers()))
+	names := make([]string, 0, len(v.GetMembers()))
 	for _, m := range v.GetMembers() {
 		list = append(list, member.FromProto(m))
+		names = append(names, m.GetInstance())
 	}
 	l.members.SetInstances(list)
+	l.limits.SetView(names)
 }
 
-// noticeInterval is how often the revisions that heartbeats carry are passed on.
-const noticeInterval = 250 * time.Millisecond
+// exchangeInterval is how often what heartbeats carry is passed on, both ways.
+const exchangeInterval = 250 * time.Millisecond
 
-func (l *links) noticePeers(ctx context.Context) {
-	t := time.NewTicker(noticeInterval)
+func (l *links) exchange(ctx context.Context) {
+	t := time.NewTicker(exchangeInterval)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			l.sync.Notice(l.members.SettingsRevisions())
+			l.exchangeOnce()
 		}
 	}
 }
 
+// exchangeOnce passes revisions and digests on. An instance that finds itself replaced, after a long pause, takes no more
+// work: its successor has its place, and what is in progress here may still end.
+func (l *links) exchangeOnce() {
+	l.sync.Notice(l.members.SettingsRevisions())
+	l.members.SetLocal(l.server.Revision(), l.decider.host.Digests())
+	if l.members.View().Replaced {
+		l.server.Refuse()
+	}
+}
+
 // peers fetches settings from other entries, for the time in which the platform's table can't be read.
 type peers struct{ *links }
 
@@ -151,13 +169,14 @@
 func (l *links) serveSettings(_ context.Context, st *mesh.Stream) { _ = l.sync.Serve(conversation{st}) }
 
 // status is what the control process is told.
-func (l *links) status(cfg Config, server *entry.Server) *meshpb.EntryStatus {
-	requests, _ := server.Counts()
+func (l *links) status(cfg Config) *meshpb.EntryStatus {
+	requests, generations := l.server.Counts()
 	st := &meshpb.EntryStatus{
 		Instance:         cfg.Instance,
-		SettingsRevision: server.Revision(),
-		Streams:          uint32(requests),
-		Stopping:         server.Leaving(),
+		SettingsRevision: l.server.Revision(),
+		Streams:          uint32(max(requests, generations)),
+		Stopping:         l.server.Leaving(),
+		Shards:           l.decider.host.Digests(),
 	}
 	for _, m := range l.members.View().Members {
 		st.Members = append(st.Members, member.ToProto(m))
@@ -168,7 +187,7 @@
 // describe adds to an operator's view what the links know.
 func (l *links) describe(st *opsapi.Status) {
 	st.Link = "down"
-	if l.server.Linked() {
+	if l.local.Linked() {
 		st.Link = "up"
 	}
 	revisions := l.members.SettingsRevisions()
--- a/lib/entryproc/process.go
+++ b/lib/entryproc/process.go
@@ -13,7 +13,10 @@
 
 	"anvilwick.example/anvilwick/lib/entry"
 	"anvilwick.example/anvilwick/lib/entrymetrics"
+	"anvilwick.example/anvilwick/lib/guardlink"
+	"anvilwick.example/anvilwick/lib/limit"
 	"anvilwick.example/anvilwick/lib/opsapi"
+	"anvilwick.example/anvilwick/lib/poison"
 	"anvilwick.example/anvilwick/lib/settings"
 	"anvilwick.example/anvilwick/lib/target"
 )
@@ -26,8 +29,11 @@
 	server  *entry.Server
 	metrics *entrymetrics.Set
 	clients *target.Clients
-	decider *decider
-	links   *links // nil: alone
+	limits  *limit.Service
+	poison  *poison.Table
+	guard   *guardlink.Link // nil: alone
+	claims  *claims         // nil: no platform
+	links   *links          // nil: alone
 
 	hashes    []opsapi.Hash
 	callers   net.Listener
@@ -52,22 +58,16 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Process{cfg: cfg, metrics: entrymetrics.New(), clients: target.NewClients(), failed: make(chan error, 2), cancel: cancel}
-	p.decider = newDecider(ctx)
-	p.server = entry.New(entry.Options{
-		Placer:     p.decider.local,
-		MaxStreams: cfg.MaxStreams,
-		Metrics:    p.metrics,
-		Clients:    p.clients,
-		OnView:     p.decider.apply,
-	})
 	if err := p.listen(); err != nil {
 		cancel()
 		return nil, err
 	}
+	p.assemble(ctx)
 	if snap != nil {
 		p.server.Apply(snap)
 	}
 	go p.server.Run(ctx)
+	go p.limits.Run(ctx)
 	if p.links != nil {
 		p.links.run(ctx)
 	}
@@ -110,11 +110,8 @@
 	if p.cfg.MeshAddr == "" {
 		return nil
 	}
-	if p.links, err = newLinks(p.cfg, p.server, p.decider.setPower); err != nil {
-		return err
-	}
-	p.decider.onReport = p.links.control.Report
-	return nil
+	p.links, err = newLinks(p.cfg)
+	return err
 }
 
 func (p *Process) closeListeners() {
@@ -162,7 +159,7 @@
 	time.Sleep(p.cfg.StopNotice)
 	ctx, cancel := p.stopContext()
 	defer cancel()
-	stopErr := p.server.Stop(ctx)
+	stopErr := errors.Join(p.server.Stop(ctx), p.claims.flush())
 	cctx, ccancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer ccancel()
 	err := errors.Join(stopErr, p.callerSrv.Shutdown(cctx), p.opsSrv.Shutdown(cctx))
--- /dev/null
+++ b/lib/loadpoll/services.go
@@ -0,0 +1,81 @@
+package loadpoll
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/pick"
+	"anvilwick.example/anvilwick/lib/target"
+)
+
+// ServiceInterval is the time between two polls of a plain service's target.
+const ServiceInterval = time.Second
+
+// ServiceFeed takes the load reports of plain services' targets.
+type ServiceFeed func(service, name string, rep pick.Report)
+
+// Services polls the targets of plain services.
+type Services struct {
+	ctx  context.Context
+	feed ServiceFeed
+
+	mu      sync.Mutex
+	targets map[string]polled // by target name
+}
+
+// NewServices returns a Services that lives until ctx is done.
+func NewServices(ctx context.Context, feed ServiceFeed) *Services {
+	return &Services{ctx: ctx, feed: feed, targets: make(map[string]polled)}
+}
+
+// SetTargets replaces the targets that are polled; services holds clients by service.
+func (s *Services) SetTargets(services map[string][]*target.Client) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	keep := make(map[string]bool)
+	for service, clients := range services {
+		for _, c := range clients {
+			keep[c.Name()] = true
+			s.start(service, c)
+		}
+	}
+	for name, p := range s.targets {
+		if !keep[name] {
+			p.cancel()
+			delete(s.targets, name)
+		}
+	}
+}
+
+func (s *Services) start(service string, c *target.Client) {
+	if old, ok := s.targets[c.Name()]; ok {
+		if old.client.Addr() == c.Addr() {
+			return
+		}
+		old.cancel()
+	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	s.targets[c.Name()] = polled{client: c, cancel: cancel}
+	go s.poll(ctx, service, c)
+}
+
+func (s *Services) poll(ctx context.Context, service string, c *target.Client) {
+	t := time.NewTicker(ServiceInterval)
+	defer t.Stop()
+	for {
+		if rep, err := c.ServiceLoad(ctx); err == nil {
+			s.feed(service, c.Name(), pick.Report{
+				Running:  rep.Running,
+				Capacity: rep.Capacity,
+				Leaving:  rep.Leaving,
+				Age:      time.Duration(rep.AgeMS) * time.Millisecond,
+			})
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
--- a/lib/placer/local.go
+++ b/lib/placer/local.go
@@ -12,7 +12,7 @@
 
 // Local decides for every service inside this process, one Runner a service.
 type Local struct {
-	newPolicy func() sched.Policy
+	newPolicy func(service string) sched.Policy
 	tick      time.Duration
 	start     time.Time
 
@@ -24,7 +24,7 @@
 var _ Placer = (*Local)(nil)
 
 // NewLocal returns a Local whose Runners live until ctx is done.
-func NewLocal(ctx context.Context, newPolicy func() sched.Policy, tick time.Duration) *Local {
+func NewLocal(ctx context.Context, newPolicy func(service string) sched.Policy, tick time.Duration) *Local {
 	return &Local{
 		newPolicy: newPolicy,
 		tick:      tick,
@@ -40,7 +40,7 @@
 	defer l.mu.Unlock()
 	r, ok := l.runners[service]
 	if !ok {
-		r = NewRunner(l.newPolicy())
+		r = NewRunner(l.newPolicy(service))
 		r.start = l.start
 		l.runners[service] = r
 		go r.Run(l.ctx, l.tick)
