--- a/lib/entry/seams.go
+++ b/lib/entry/seams.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/callerapi"
+	"anvilwick.example/anvilwick/lib/claim"
 	"anvilwick.example/anvilwick/lib/ids"
 	"anvilwick.example/anvilwick/lib/result"
 	"anvilwick.example/anvilwick/lib/settings"
@@ -21,52 +22,35 @@
 // Limiter holds workspaces and classes to their rates and counts.
 type Limiter interface {
 	// Acquire admits a request or refuses it at once. release is called when the request has ended.
-	Acquire(s Subject, p *settings.Policy) (release func(), err *result.Error)
+	Acquire(ctx context.Context, s Subject, p *settings.Policy) (release func(), err *result.Error)
 }
 
-// Retries holds the retry budgets of workspaces.
-type Retries interface {
-	// First counts a first attempt, which earns a fraction of a retry.
-	First(s Subject, p *settings.Policy)
-	// Retry spends one retry and reports whether there was one.
-	Retry(s Subject, p *settings.Policy) bool
-}
-
-// Breaker stops sending to a target whose link or process fails.
-type Breaker interface {
-	Allow(target string) bool
-	Done(target string, ok bool)
-}
-
-// Stalls bounds how long an attempt may give no token.
-type Stalls interface {
-	// FirstToken bounds the wait for an attempt's first token, the engine's own queue included.
-	FirstToken(target string, p *settings.Policy) time.Duration
-	// NextToken bounds the wait between tokens.
-	NextToken(target string, p *settings.Policy) time.Duration
-	// Observe tells a time between tokens that was seen.
-	Observe(target string, d time.Duration)
+// Claim is the right to run one keyed request, held in the platform's table. *claim.Claim implements it.
+type Claim interface {
+	// Sent must return nil before anything leaves for a target. A refusal ends the claim.
+	Sent(ctx context.Context, target string, attempt uint32) *result.Error
+	// Finish keeps the outcome for resends. It doesn't wait for the table.
+	Finish(sum claim.Summary)
+	// Release gives the key free; only on proof that no target ran the request.
+	Release()
 }
 
-// Poison knows content that kills the targets that run it.
-type Poison interface {
-	// Check refuses content that is barred.
-	Check(s Subject) *result.Error
-	// Died counts the death of a target while it ran the content.
-	Died(s Subject, target string)
+// Claims makes keyed requests that are not idempotent run at most once, over all entries and their deaths.
+type Claims interface {
+	// Begin returns the claim to run, or the outcome of an earlier run, or a refusal.
+	Begin(ctx context.Context, req claim.Request) (Claim, *claim.Summary, *result.Error)
 }
 
-// Claim is the durable record of a keyed request.
-type Claim interface {
-	// Finish records the outcome, so that a resend is answered truthfully.
-	Finish(ctx context.Context, code result.Code)
-	// Withdraw removes the claim of a request that is proved not run.
-	Withdraw(ctx context.Context)
-}
+// TableClaims makes a claim.Table a Claims.
+type TableClaims struct{ *claim.Table }
 
-// Claims makes keyed non-idempotent requests run at most once, over all entries.
-type Claims interface {
-	Claim(ctx context.Context, s Subject, key string) (Claim, *result.Error)
+// Begin implements Claims.
+func (t TableClaims) Begin(ctx context.Context, req claim.Request) (Claim, *claim.Summary, *result.Error) {
+	c, sum, err := t.Table.Begin(ctx, req)
+	if c == nil {
+		return nil, sum, err
+	}
+	return c, nil, nil
 }
 
 // Record is what another entry needs to go on with a generation whose entry died.
@@ -91,67 +75,22 @@
 	Get(ctx context.Context, workspace, key string) (*Record, *result.Error)
 }
 
-// Picker chooses the target of a plain call.
-type Picker interface {
-	// Pick returns a target's name, or "" when none is usable. done tells whether the call was answered.
-	Pick(service string, avoid []string) (target string, done func(ok bool))
-}
-
 // noLimits, and the types below, are the defaults of Options.
 type noLimits struct{}
 
-func (noLimits) Acquire(Subject, *settings.Policy) (func(), *result.Error) { return func() {}, nil }
-
-type freeRetries struct{}
-
-func (freeRetries) First(Subject, *settings.Policy)      {}
-func (freeRetries) Retry(Subject, *settings.Policy) bool { return true }
-
-type closedBreaker struct{}
-
-func (closedBreaker) Allow(string) bool { return true }
-func (closedBreaker) Done(string, bool) {}
-
-// fixedStalls bounds the wait between tokens by a multiple of the stall floor.
-type fixedStalls struct{}
-
-const (
-	stallFactor      = 2
-	firstTokenFactor = 10
-	defaultStall     = 2 * time.Second
-)
-
-func stallFloor(p *settings.Policy) time.Duration {
-	if p.StallFloor > 0 {
-		return p.StallFloor
-	}
-	return defaultStall
+func (noLimits) Acquire(context.Context, Subject, *settings.Policy) (func(), *result.Error) {
+	return func() {}, nil
 }
 
-func (fixedStalls) FirstToken(_ string, p *settings.Policy) time.Duration {
-	return max(firstTokenFactor*stallFloor(p), p.MaxWait)
-}
-
-func (fixedStalls) NextToken(_ string, p *settings.Policy) time.Duration {
-	return stallFactor * stallFloor(p)
-}
-
-func (fixedStalls) Observe(string, time.Duration) {}
-
-type noPoison struct{}
-
-func (noPoison) Check(Subject) *result.Error { return nil }
-func (noPoison) Died(Subject, string)        {}
-
 // noStore refuses every claim: without the table a keyed non-idempotent request can't be held to one run.
 type noStore struct{}
 
 const storeRetryAfter = 5 * time.Second
 
-func (noStore) Claim(context.Context, Subject, string) (Claim, *result.Error) {
+func (noStore) Begin(context.Context, claim.Request) (Claim, *claim.Summary, *result.Error) {
 	err := result.New(result.StoreDown, "this entry has no table")
 	err.RetryAfter = storeRetryAfter
-	return nil, err
+	return nil, nil, err
 }
 
 type noRecords struct{}
