--- a/lib/schedlink/rig_test.go
+++ b/lib/schedlink/rig_test.go
@@ -127,6 +127,7 @@
 type rig struct {
 	t        *testing.T
 	interval time.Duration // of heartbeats
+	mu       sync.Mutex // guards procs against dial
 	procs    []*proc
 }
 
@@ -137,13 +138,11 @@
 
 func newRigAt(t *testing.T, n int, site Site, interval time.Duration) *rig {
 	r := &rig{t: t, interval: interval}
-	var list []member.Member
 	for i := range n {
-		p := r.start(fmt.Sprintf("i%02d", i))
-		list = append(list, p.self)
+		r.start(fmt.Sprintf("i%02d", i))
 	}
 	for _, p := range r.procs {
-		p.members.SetInstances(list)
+		p.members.SetInstances(listOf(r.procs))
 		p.Apply(site)
 	}
 	for _, p := range r.procs {
@@ -156,6 +155,13 @@
 	return r
 }
 
+func listOf(procs []*proc) (list []member.Member) {
+	for _, p := range procs {
+		list = append(list, p.self)
+	}
+	return list
+}
+
 func (r *rig) start(name string) *proc {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(r.t, err)
@@ -186,6 +192,8 @@
 		wg.Wait()
 	})
 	r.t.Cleanup(p.stop)
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.procs = append(r.procs, p)
 	return p
 }
@@ -198,6 +206,8 @@
 		return nil, err
 	}
 	ends := []*proc{from}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, p := range r.procs {
 		if p.self.MeshAddr == addr {
 			ends = append(ends, p)
