--- a/lib/entry/rig_test.go
+++ b/lib/entry/rig_test.go
@@ -23,6 +23,7 @@
 	"anvilwick.example/anvilwick/lib/placer"
 	"anvilwick.example/anvilwick/lib/sched"
 	"anvilwick.example/anvilwick/lib/settings"
+	"anvilwick.example/anvilwick/lib/stall"
 	"anvilwick.example/anvilwick/lib/standin/engine"
 	"anvilwick.example/anvilwick/lib/target"
 )
@@ -82,8 +83,10 @@
 func newRig(t *testing.T, text string, change func(*Options)) *rig {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	local := placer.NewLocal(ctx, func() sched.Policy { return placer.NewLeastLoaded() }, time.Millisecond)
-	opts := Options{Placer: local, OnView: func(snap *settings.Snapshot, clients func(*settings.Service) []*target.Client) {
+	local := placer.NewLocal(ctx, func(string) sched.Policy { return placer.NewLeastLoaded() }, time.Millisecond)
+	quick := stall.DefaultConfig
+	quick.Cold, quick.Floor = 150*time.Millisecond, 150*time.Millisecond
+	opts := Options{Placer: local, Stalls: stall.New(quick), OnView: func(snap *settings.Snapshot, clients func(*settings.Service) []*target.Client) {
 		svc := snap.Services["planner-llm"]
 		r := local.Runner("planner-llm")
 		r.SetTargets(TargetSpecs(svc))
