--- /dev/null
+++ b/lib/entry/bench_test.go
@@ -0,0 +1,161 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/engineapi"
+	"anvilwick.example/anvilwick/lib/settings"
+	"anvilwick.example/anvilwick/lib/stream"
+	"anvilwick.example/anvilwick/lib/target"
+)
+
+// frames is an endless body of token frames.
+type frames struct {
+	gen  string
+	next uint32
+	buf  []byte
+	sent int // of buf
+}
+
+func (f *frames) Read(p []byte) (int, error) {
+	if f.sent == len(f.buf) {
+		f.buf, f.sent = appendFrame(f.buf[:0], f.gen, f.next), 0
+		f.next++
+	}
+	n := copy(p, f.buf[f.sent:])
+	f.sent += n
+	return n, nil
+}
+
+func (f *frames) Close() error { return nil }
+
+func appendFrame(dst []byte, gen string, index uint32) []byte {
+	dst = append(dst, `data: {"id":"gen-`...)
+	dst = append(dst, gen...)
+	dst = append(dst, `","object":"text_completion","model":"planner-llm","choices":[{"index":0,"text":" market","finish_reason":null}],"ext":{"generation":"`...)
+	dst = append(dst, gen...)
+	dst = append(dst, `","attempt":1,"index":`...)
+	dst = strconv.AppendUint(dst, uint64(index), 10)
+	return append(dst, "}}\n\n"...)
+}
+
+// BenchmarkForwardToken measures what the entry itself spends on one token: reading the event, parsing and judging the
+// frame, metrics, stall watch, and the event for the caller. The making of the frames and the network are left out.
+func BenchmarkForwardToken(b *testing.B) {
+	s := New(Options{Placer: nil})
+	g, sk := benchGeneration(s)
+	src := &frames{gen: g.idText}
+	st := target.NewStream(src)
+	r := &run{server: s, g: g, tokens: 1}
+	r.watch = s.watches.start(time.Now(), g, "planner-1")
+	var spare []byte
+	b.ReportAllocs()
+	for b.Loop() {
+		f, err := st.Next()
+		if err != nil || r.token(f) != stream.Deliver {
+			b.Fatal("token lost")
+		}
+		spare = sk.take(spare)
+	}
+}
+
+func benchGeneration(s *Server) (*generation, *sink) {
+	p := &settings.Policy{SlowReaderBuffer: 1 << 20, SlowReaderWait: time.Minute, StallFloor: time.Second}
+	a := &asked{
+		request: &request{accepted: time.Now(), workspace: &settings.Workspace{Name: "w"}, class: "c"},
+		conn:    httptest.NewRecorder(),
+		policy:  p,
+	}
+	a.completion = mustCompletion()
+	g := s.newGeneration(a, [16]byte{1}, stream.New)
+	sk := a.newSink()
+	_ = g.attach(time.Now(), sk, true)
+	_, _ = g.begin()
+	g.start("planner-1", time.Now(), func(error) {})
+	return g, sk
+}
+
+// BenchmarkStream measures processor time a token of whole streams over loopback: "direct" between a caller and an
+// engine, "entry" with the entry between them, all in this process. What the entry adds is the difference.
+func BenchmarkStream(b *testing.B) {
+	engine := httptest.NewServer(http.HandlerFunc(benchEngine))
+	defer engine.Close()
+	b.Run("direct", func(b *testing.B) {
+		body := `{"ext":{"generation":"` + strings.Repeat("ab", 16) + `"}}`
+		benchStreams(b, engine.URL, body)
+	})
+	b.Run("entry", func(b *testing.B) {
+		r := newRig(b, siteText("  slow_reader_buffer: 100000\n", true, []string{engine.Listener.Addr().String()}, nil), nil)
+		benchStreams(b, r.http.URL, `{"model":"planner-llm","prompt":"x","stream":true}`)
+	})
+}
+
+const benchTokens = 500
+
+// benchEngine sends a token each millisecond, as an engine would one each step.
+func benchEngine(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost {
+		_, _ = io.WriteString(w, `{"incarnation":1}`)
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	_, rest, _ := strings.Cut(string(body), `"generation":"`)
+	gen := rest[:32]
+	conn := http.NewResponseController(w)
+	var buf []byte
+	for i := range uint32(benchTokens) {
+		buf = appendFrame(buf[:0], gen, i)
+		_, _ = w.Write(buf)
+		_ = conn.Flush()
+		time.Sleep(time.Millisecond)
+	}
+	fmt.Fprintf(w, `data: {"choices":[{"index":0,"finish_reason":"stop"}],"ext":{"generation":"%s","attempt":1,"index":%d}}`+"\n\ndata: [DONE]\n\n", gen, benchTokens)
+}
+
+// benchStreams runs b.N streams, eight at a time.
+func benchStreams(b *testing.B, url, body string) {
+	sem := make(chan struct{}, 8)
+	before := processorTime()
+	for b.Loop() {
+		sem <- struct{}{}
+		go func() {
+			defer func() { <-sem }()
+			benchStream(b, url, body)
+		}()
+	}
+	for range cap(sem) {
+		sem <- struct{}{}
+	}
+	spent := processorTime() - before
+	b.ReportMetric(float64(spent.Microseconds())/float64(b.N*benchTokens), "cpu-µs/token")
+}
+
+func benchStream(b *testing.B, url, body string) {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url+engineapi.PathCompletions, strings.NewReader(body))
+	must.NoError(b, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(b, err)
+	defer resp.Body.Close()
+	all, err := io.ReadAll(resp.Body)
+	must.NoError(b, err)
+	must.Eq(b, benchTokens+2, strings.Count(string(all), "data: "))
+}
+
+// processorTime returns what this process has used, user and system.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/lib/entry/rig_test.go
+++ b/lib/entry/rig_test.go
@@ -41,7 +41,7 @@
 
 // rig is one entry in this process, before engines and plain services at given addresses.
 type rig struct {
-	t      *testing.T
+	t      testing.TB
 	server *Server
 	http   *httptest.Server
 }
@@ -70,7 +70,7 @@
 	}
 }
 
-func snapshot(t *testing.T, text string, revision uint64) *settings.Snapshot {
+func snapshot(t testing.TB, text string, revision uint64) *settings.Snapshot {
 	t.Helper()
 	tree, err := settings.Parse([]byte(text), "test.yaml")
 	must.NoError(t, err)
@@ -80,7 +80,7 @@
 }
 
 // newRig starts an entry. change may set further options.
-func newRig(t *testing.T, text string, change func(*Options)) *rig {
+func newRig(t testing.TB, text string, change func(*Options)) *rig {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	local := placer.NewLocal(ctx, func(string) sched.Policy { return placer.NewLeastLoaded() }, time.Millisecond)
@@ -248,6 +248,14 @@
 	must.NoError(t, engine.CheckAnswer(prompt, st.text.String(), n))
 }
 
+func mustCompletion() *callerapi.Completion {
+	c, err := callerapi.ParseCompletion([]byte(`{"model":"planner-llm","prompt":"x","stream":true}`), false)
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
 func readError(t *testing.T, resp *http.Response) callerapi.ErrorDetail {
 	t.Helper()
 	var body callerapi.ErrorBody
--- a/lib/target/stream.go
+++ b/lib/target/stream.go
@@ -12,7 +12,7 @@
 
 // Stream is one attempt's stream of frames. It is used by one goroutine, and Close by any.
 type Stream struct {
-	resp   *http.Response
+	body   io.ReadCloser
 	cancel context.CancelFunc
 	events *eventReader
 	parser frameParser
@@ -42,7 +42,14 @@
 		defer resp.Body.Close()
 		return nil, readRefusal(resp)
 	}
-	return &Stream{resp: resp, cancel: cancel, events: newEventReader(resp.Body)}, nil
+	st := NewStream(resp.Body)
+	st.cancel = cancel
+	return st, nil
+}
+
+// NewStream reads the events of a body.
+func NewStream(body io.ReadCloser) *Stream {
+	return &Stream{body: body, cancel: func() {}, events: newEventReader(body)}
 }
 
 func classify(err error, sent *sentFlag) error {
@@ -73,5 +80,5 @@
 // Close ends the connection.
 func (s *Stream) Close() {
 	s.cancel()
-	s.resp.Body.Close()
+	_ = s.body.Close()
 }
