--- a/lib/callerapi/completion.go
+++ b/lib/callerapi/completion.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -42,7 +43,7 @@
 		return nil, result.New(result.BadRequest, "the body must be one JSON object")
 	}
 	delete(c.fields, fieldExt)
-	steps := []func(*Completion) *result.Error{readModel, readContent, readStream, readMaxTokens, readN}
+	steps := []func(*Completion) *result.Error{checkNames, readModel, readContent, readStream, readMaxTokens, readN}
 	for _, step := range steps {
 		if err := step(c); err != nil {
 			return nil, err
@@ -51,6 +52,23 @@
 	return c, nil
 }
 
+var systemFields = []string{
+	fieldModel, fieldPrompt, fieldMessages, fieldStream, fieldMaxTokens, fieldMaxTokens2, fieldN, fieldExt,
+}
+
+// checkNames refuses a field that is a system field but for its case. Many JSON readers, Go's among them, take "EXT" for
+// "ext"; an engine would then mix the caller's values into the extension object, and forged tokens into an answer.
+func checkNames(c *Completion) *result.Error {
+	for name := range c.fields {
+		for _, own := range systemFields {
+			if name != own && strings.EqualFold(name, own) {
+				return result.New(result.BadRequest, "%q: write %q", name, own)
+			}
+		}
+	}
+	return nil
+}
+
 func readModel(c *Completion) *result.Error {
 	if json.Unmarshal(c.fields[fieldModel], &c.Model) != nil || c.Model == "" {
 		return result.New(result.BadRequest, "model: expected a name")
