--- a/lib/bench/metrics.go
+++ b/lib/bench/metrics.go
@@ -26,8 +26,11 @@
 	tokens  int // within the window
 	moves   int
 	overCap int
-	served  map[string]int // tokens within the window by workspace
-	asked   map[string]int
+	// What entries and owners told each other, if every owner were another process.
+	messages int
+	items    int            // generations named in progress messages
+	served   map[string]int // tokens within the window by workspace
+	asked    map[string]int
 }
 
 func newHist() *hdrhistogram.Histogram { return hdrhistogram.New(1, histMax, histDigits) }
@@ -89,6 +92,8 @@
 	WaitS        float64
 	OverCapTicks int
 	EndS         float64 // virtual time of the last event
+	Messages     int     // between entries and owners
+	Items        int     // generations named in progress messages
 }
 
 func (s *sim) result() Result {
@@ -104,10 +109,12 @@
 		TTFTP95MS:    percentile(s.metrics.ttft, 95),
 		UrgentP95MS:  percentile(s.metrics.urgent, 95),
 		TokensPerS:   float64(s.metrics.tokens) / s.cfg.Window.Seconds(),
-		Fairness:     s.metrics.fairness(s.cfg),
+		Fairness:     fairness(s.cfg.Mix.Workspaces, s.metrics.served, s.metrics.asked),
 		WaitS:        s.metrics.wait.Seconds(),
 		OverCapTicks: s.metrics.overCap,
 		EndS:         s.now.Seconds(),
+		Messages:     s.metrics.messages,
+		Items:        s.metrics.items,
 	}
 	for i := range s.flows {
 		switch s.flows[i].state {
@@ -124,22 +131,3 @@
 func percentile(h *hdrhistogram.Histogram, p float64) float64 {
 	return float64(h.ValueAtQuantile(p)) / 1000
 }
-
-// fairness is Jain's index of served over asked.
-func (m *metrics) fairness(cfg *Config) float64 {
-	var sum, squares, n float64
-	for _, w := range cfg.Mix.Workspaces {
-		asked := m.asked[w.Name]
-		if asked == 0 {
-			continue
-		}
-		x := float64(m.served[w.Name]) / float64(asked)
-		sum += x
-		squares += x * x
-		n++
-	}
-	if squares == 0 {
-		return 0
-	}
-	return sum * sum / (n * squares)
-}
--- a/lib/bench/suite.go
+++ b/lib/bench/suite.go
@@ -17,6 +17,7 @@
 	Window   time.Duration
 	Policies []string
 	Faults   bool     // also run least-loaded and anvilwick under each fault
+	Scale    int      // engines, entries' load and batches times so many; 0: as they are
 	Ablate   []string // parts to take out of anvilwick, one run each
 	Workers  int      // runs at once
 	Options  sched.Options
@@ -26,6 +27,7 @@
 func (s *Suite) Run() ([]Result, error) {
 	var configs []Config
 	for _, mix := range workload.Deployments() {
+		mix = mix.Scaled(max(1, s.Scale))
 		arrivals := mix.Arrivals(s.Seed, s.Window)
 		more, err := s.configs(Config{Mix: &mix, Arrivals: arrivals, Window: s.Window})
 		if err != nil {
@@ -57,16 +59,26 @@
 			add(PolicyAnvilwick, f, s.Options)
 		}
 	}
+	if !s.Faults && len(s.Ablate) > 0 {
+		add(PolicyAnvilwick, FaultStall, s.Options)
+		add(PolicyAnvilwick, FaultDip, s.Options)
+	}
 	for _, part := range s.Ablate {
 		opt, err := Ablate(s.Options, part)
 		if err != nil {
 			return nil, err
 		}
-		add(PolicyAnvilwick, FaultNone, opt).Without = part
+		add(PolicyAnvilwick, ablationFault[part], opt).Without = part
 	}
 	return out, nil
 }
 
+// ablationFault is the fault under which a part has work to do, where it has none without a fault.
+var ablationFault = map[string]string{
+	"silence": FaultStall,
+	"power":   FaultDip,
+}
+
 // runAll makes the runs, some at once; each is alone with its state, so the order of ending does not matter.
 func runAll(configs []Config, workers int) []Result {
 	out := make([]Result, len(configs))
