--- a/lib/limit/client.go
+++ b/lib/limit/client.go
@@ -37,6 +37,7 @@
 	tokens []lentTokens
 	ack    uint64
 	asked  time.Time // last Up that named it; zero: none
+	open   time.Time // first Up that named it since the last share; zero: none
 	told   time.Time // last share that came; zero: none
 	sent   Demand    // as last sent
 	due    bool      // must go into the next Up
@@ -85,14 +86,13 @@
 	return Answer{Verdict: Refused, RetryAfter: k.retryAfter(c.cfg, slotFree)}
 }
 
-// mayGrow reports whether asking the holder now may help: it was not asked since it last gave all that was wanted, or
-// was asked just now. A holder that gave less has no more, and one that does not answer is not waited for again.
+// mayGrow reports whether asking the holder may help: it gave all that was wanted when it was last asked, or was asked
+// just now. A holder that gave less has no more, and one that does not answer is not waited for again and again.
 func (k *ownKey) mayGrow(now time.Time, cfg Config) bool {
-	answered := !k.told.Before(k.asked)
-	if answered {
+	if k.open.IsZero() {
 		return k.satisfied || now.Sub(k.told) > cfg.TTL
 	}
-	return now.Sub(k.asked) < cfg.Interval
+	return now.Sub(k.open) < cfg.AskWait
 }
 
 // release ends a request that was admitted.
@@ -207,6 +207,7 @@
 	k.satisfied = s.Slots >= k.sent.Slots && s.Tokens >= k.sent.Tokens
 	k.ack = s.Seq
 	k.told = now
+	k.open = time.Time{}
 	k.slots = s.Slots
 	k.until = until
 	if s.Tokens > 0 {
--- a/lib/limit/limit.go
+++ b/lib/limit/limit.go
@@ -32,6 +32,7 @@
 	Interval      time.Duration // between messages of a client to a holder
 	TTL           time.Duration // life of a share
 	SupportTTL    time.Duration // life of a member's support of a holder
+	AskWait       time.Duration // how long a request waits for a holder that may have more to lend
 	ClockSkew     float64       // bound on the difference in rate of two monotonic clocks
 	OrphanHold    time.Duration // how long requests of a silent instance count as in progress
 	FloorFraction float64       // part of each limit that is split evenly, for use without a holder
@@ -40,8 +41,8 @@
 
 // DefaultConfig suits sites of up to 16 instances.
 var DefaultConfig = Config{
-	Interval: 200 * time.Millisecond, TTL: 1500 * time.Millisecond, SupportTTL: time.Second, ClockSkew: 0.02,
-	OrphanHold: 10 * time.Second, FloorFraction: 0.25, MaxInstances: 16,
+	Interval: 200 * time.Millisecond, TTL: 1500 * time.Millisecond, SupportTTL: time.Second,
+	AskWait: 50 * time.Millisecond, ClockSkew: 0.02, OrphanHold: 10 * time.Second, FloorFraction: 0.25, MaxInstances: 16,
 }
 
 // lent is how long a holder counts a share, which is longer than its client does by the clock skew.
--- /dev/null
+++ b/lib/limit/limit_test.go
@@ -0,0 +1,196 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// What the callers of a workspace see: never more of its requests in progress, or accepted in a second, than its limit
+// allows over all instances, whatever happens between them. Instances are killed, restarted and paused, links lose,
+// delay, cut and later deliver, clocks differ in rate, and members join and leave in views that spread slowly. Shares
+// end at their clients first, and a new holder waits the old one's shares out, so no slot is lent twice.
+func TestSumNeverOverLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := DefaultConfig
+		cfg.FloorFraction = rapid.SampledFrom([]float64{0, 0.25}).Draw(t, "floor")
+		cfg.MaxInstances = 8
+		lim := Limit{
+			Concurrency:   rapid.SampledFrom([]int{1, 2, 5, 64}).Draw(t, "concurrency"),
+			RatePerSecond: rapid.SampledFrom([]float64{0, 2, 50}).Draw(t, "rate"),
+		}
+		s := newSim(cfg, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 6).Draw(t, "instances"), lim)
+		s.loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "loss")
+		s.delay = rapid.SampledFrom([]time.Duration{time.Millisecond, 50 * time.Millisecond, time.Second}).Draw(t, "delay")
+		s.spread = rapid.SampledFrom([]time.Duration{500 * time.Millisecond, 4 * time.Second}).Draw(t, "spread")
+		life := rapid.SampledFrom([]time.Duration{500 * time.Millisecond, cfg.OrphanHold * 9 / 10}).Draw(t, "life")
+		trouble := rapid.SampledFrom([]int{300, 1200}).Draw(t, "trouble")
+		s.run(20*time.Second, func() {
+			s.disturb(cfg, trouble)
+			for range s.rng.IntN(4) {
+				s.request(s.insts[s.rng.IntN(len(s.insts))], time.Duration(s.rng.Int64N(int64(life))))
+			}
+			if n := s.inProgress(); n > lim.Concurrency {
+				t.Fatalf("%v: %d in progress, limit %d", s.now, n, lim.Concurrency)
+			}
+		})
+		checkRate(t, s, lim)
+	})
+}
+
+// disturb makes something fail now and then.
+func (s *sim) disturb(cfg Config, oneIn int) {
+	in := s.insts[s.rng.IntN(len(s.insts))]
+	switch s.rng.IntN(oneIn) {
+	case 0, 1:
+		in.paused = s.now + time.Duration(s.rng.Int64N(int64(2*cfg.WaitOut())))
+	case 2:
+		if in.alive {
+			s.kill(in)
+		}
+	case 3, 4:
+		if !in.alive {
+			s.start(in)
+		}
+	case 5, 6, 7:
+		a, b := s.rng.IntN(len(s.insts)), s.rng.IntN(len(s.insts))
+		s.cut[[2]int{a, b}] = !s.cut[[2]int{a, b}]
+	case 8:
+		for j := range s.insts {
+			s.cut[[2]int{in.id, j}], s.cut[[2]int{j, in.id}] = true, true
+		}
+	case 9:
+		clear(s.cut)
+	case 10, 11, 12, 13, 14:
+		s.addView()
+	}
+}
+
+// checkRate asserts that admissions in any window stay within the rate and what may have been lent before it: tokens
+// live for TTL, and each bucket holds a burst.
+func checkRate(t *rapid.T, s *sim, lim Limit) {
+	if lim.RatePerSecond == 0 {
+		return
+	}
+	rate := lim.RatePerSecond * (1 + s.cfg.ClockSkew)
+	burst := rate*s.cfg.TTL.Seconds() + bucketSize(lim.RatePerSecond)
+	if floor := s.cfg.floorRate(lim); floor > 0 {
+		burst += float64(len(s.insts)) * bucketSize(floor)
+	}
+	level, last := 0.0, time.Duration(0)
+	for _, at := range s.admits {
+		level = max(0, level-rate*(at-last).Seconds()) + 1
+		last = at
+		if level > burst+1 {
+			t.Fatalf("%v: %.1f admissions over the rate, %.1f allowed", at, level, burst)
+		}
+	}
+}
+
+// What callers see when their workspace's traffic moves from one instance to another: after a moment the limit's
+// lendable part follows. The share of the idle instance shrinks at its next message, and the holder lends it on.
+func TestShareFollowsDemand(t *testing.T) {
+	cfg := DefaultConfig
+	cfg.FloorFraction = 0
+	for seed := range uint64(5) {
+		s := newSim(cfg, seed, 8, Limit{Concurrency: 64})
+		s.run(2*cfg.WaitOut(), nil)
+		busy := func(in *simInst) func() {
+			return func() {
+				for range 4 {
+					s.request(in, 300*time.Millisecond)
+				}
+			}
+		}
+		s.run(3*time.Second, busy(s.insts[0]))
+		must.Eq(t, 64, len(s.insts[0].ends))
+		moved := s.now
+		took := time.Duration(0)
+		next := busy(s.insts[5])
+		s.run(3*time.Second, func() {
+			next()
+			if took == 0 && len(s.insts[5].ends) >= 58 {
+				took = s.now - moved
+			}
+		})
+		t.Logf("seed %d: 90%% of the limit followed in %v", seed, took)
+		must.Positive(t, took)
+		must.LessEq(t, 1500*time.Millisecond, took)
+	}
+}
+
+// What callers see when several instances want more than the limit: each instance gets a like part.
+func TestScarceSharesAreFair(t *testing.T) {
+	cfg := DefaultConfig
+	cfg.MaxInstances = 8
+	s := newSim(cfg, 1, 8, Limit{Concurrency: 80})
+	s.run(2*cfg.WaitOut(), nil)
+	s.run(5*time.Second, func() {
+		for _, in := range s.insts {
+			s.request(in, 200*time.Millisecond)
+		}
+	})
+	must.LessEq(t, 80, s.inProgress())
+	must.GreaterEq(t, 76, s.inProgress())
+	for _, in := range s.insts {
+		must.Between(t, 8, len(in.ends), 12)
+	}
+}
+
+// What callers see of an instance that is cut off: it refuses at once when its share has ended, with a time to come
+// back, and the rest of the site then has its slots. Its requests in progress run on and stay counted.
+func TestCutOffInstanceFallsToFloor(t *testing.T) {
+	cfg := DefaultConfig
+	s := newSim(cfg, 3, 4, Limit{Concurrency: 64})
+	s.run(2*cfg.WaitOut(), nil)
+	holder := s.index(s.insts[0].node.holderOf(simKey))
+	away := s.insts[(holder+1)%4]
+	for j := range s.insts {
+		s.cut[[2]int{away.id, j}], s.cut[[2]int{j, away.id}] = true, true
+	}
+	s.run(cfg.lent(), nil)
+	floor := cfg.floorSlots(s.limit)
+	must.Eq(t, 1, floor)
+	must.True(t, s.request(away, time.Second))
+	must.False(t, s.request(away, time.Second)) // Pending: asks once
+	s.run(cfg.Interval, nil)
+	a := away.node.Acquire(s.clock(away), simKey)
+	must.Eq(t, Refused, a.Verdict)
+	must.Positive(t, a.RetryAfter)
+}
+
+// What callers see when the holder dies: refusals beyond the floor until the new holder has waited out the old shares,
+// then the whole limit again.
+func TestNewHolderWaitsOutOldShares(t *testing.T) {
+	cfg := DefaultConfig
+	s := newSim(cfg, 4, 4, Limit{Concurrency: 64})
+	s.run(2*cfg.WaitOut(), nil)
+	old := s.index(s.insts[0].node.holderOf(simKey))
+	client := s.insts[(old+1)%4]
+	load := func() { s.request(client, 100*time.Millisecond) }
+	s.run(2*time.Second, load)
+	s.kill(s.insts[old])
+	died := s.now
+	var members []string
+	for _, in := range s.insts {
+		if in.alive {
+			members = append(members, in.name)
+		}
+	}
+	s.views = append(s.views, members)
+	low, back := time.Duration(0), time.Duration(0)
+	s.run(3*cfg.WaitOut(), func() {
+		load()
+		switch {
+		case low == 0 && client.node.client.keys[simKey].allowed(s.clock(client)) == 0:
+			low = s.now - died
+		case low > 0 && back == 0 && client.node.client.keys[simKey].allowed(s.clock(client)) > 1:
+			back = s.now - died
+		}
+	})
+	t.Logf("shares ended %v after the holder's death, new ones came after %v", low, back)
+	must.Positive(t, back)
+	must.GreaterEq(t, cfg.WaitOut(), back)
+}
--- a/lib/limit/node.go
+++ b/lib/limit/node.go
@@ -48,7 +48,7 @@
 		return
 	}
 	for _, k := range n.client.keys {
-		k.due = true
+		k.due, k.open = true, time.Time{}
 	}
 }
 
@@ -194,6 +194,9 @@
 			continue
 		}
 		k.due, k.asked, k.sent = false, now, d
+		if k.open.IsZero() {
+			k.open = now
+		}
 		up.Demands = append(up.Demands, d)
 	}
 	slices.SortFunc(up.Demands, func(a, b Demand) int {
--- a/lib/limit/service.go
+++ b/lib/limit/service.go
@@ -20,10 +20,6 @@
 	asking  map[string]time.Time
 }
 
-// AskWait bounds how long Acquire waits for a holder's answer. A holder that does not answer in that time is taken to
-// be gone, and the request is refused at once.
-const AskWait = 50 * time.Millisecond
-
 // NewService returns a Service for the instance self.
 func NewService(cfg Config, self string, epoch uint64, limits LimitFunc, send SendFunc) *Service {
 	return &Service{
@@ -94,9 +90,9 @@
 }
 
 // Acquire admits or refuses one request. It waits only for a holder that may have more to lend, and never longer than
-// AskWait. After Admitted, Release must be called when the request ends.
+// AskWait: a holder that takes longer is taken to be gone, and the request is refused at once. After Admitted, Release must be called when the request ends.
 func (s *Service) Acquire(ctx context.Context, key Key) Answer {
-	deadline := time.Now().Add(AskWait)
+	deadline := time.Now().Add(s.cfg.AskWait)
 	for {
 		a, answers := s.try(key)
 		if a.Verdict != Pending {
@@ -128,7 +124,7 @@
 
 func (s *Service) ask(now time.Time, key Key) (Outgoing, bool) {
 	to := s.node.holderOf(key)
-	if since, open := s.asking[to]; open && now.Sub(since) < AskWait {
+	if since, open := s.asking[to]; open && now.Sub(since) < s.cfg.AskWait {
 		return Outgoing{}, false
 	}
 	out, ok := s.node.Ask(now, key)
--- a/lib/retry/budget.go
+++ b/lib/retry/budget.go
@@ -3,6 +3,7 @@
 package retry
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -63,9 +64,12 @@
 		return false, 0
 	}
 	wait := (1 - k.tokens) / b.cfg.FloorPerSecond
-	return false, time.Duration(wait * float64(time.Second))
+	return false, time.Duration(math.Ceil(wait*1000-epsilon)) * time.Millisecond
 }
 
+// epsilon keeps rounding errors of the bucket from adding a millisecond.
+const epsilon = 1e-6
+
 // at returns the bucket of workspace, brought up to now.
 func (b *Budgets) at(now time.Time, workspace string) *bucket {
 	b.sweep(now)
--- /dev/null
+++ b/lib/retry/retry_test.go
@@ -0,0 +1,170 @@
+package retry_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/result"
+	"anvilwick.example/anvilwick/lib/retry"
+)
+
+var t0 = time.Unix(1_700_000_000, 0)
+
+// What callers see when every target fails: each request fails after its first attempt but for one in ten, so that
+// retries add a tenth to the load and not a multiple of it. The budget grows with first attempts only.
+func TestBudgetBoundsAddedLoad(t *testing.T) {
+	b := retry.NewBudgets(retry.BudgetConfig{Window: 10 * time.Second, Idle: time.Minute})
+	retries := 0
+	now := t0
+	for range 10_000 {
+		now = now.Add(time.Millisecond)
+		b.Deposit(now, "roads", 0.1)
+		if ok, _ := b.Take(now, "roads"); ok {
+			retries++
+		}
+	}
+	must.Between(t, 990, retries, 1002)
+}
+
+func TestBudgetKeepsWorkspacesApart(t *testing.T) {
+	b := retry.NewBudgets(retry.DefaultBudgetConfig)
+	for range 100 {
+		b.Deposit(t0, "roads", 0.2)
+	}
+	for range 3 {
+		b.Take(t0, "claims")
+	}
+	ok, _ := b.Take(t0, "roads")
+	must.True(t, ok)
+}
+
+func TestFloorLetsQuietWorkspaceRetry(t *testing.T) {
+	b := retry.NewBudgets(retry.DefaultBudgetConfig)
+	ok, _ := b.Take(t0, "roads")
+	must.True(t, ok)
+	ok, wait := b.Take(t0, "roads")
+	must.False(t, ok)
+	must.Eq(t, 2*time.Second, wait)
+	ok, _ = b.Take(t0.Add(wait), "roads")
+	must.True(t, ok)
+}
+
+func TestPlanBoundsAttemptsAndDeadline(t *testing.T) {
+	b := retry.NewBudgets(retry.BudgetConfig{FloorPerSecond: 100, Window: time.Second, Idle: time.Minute})
+	p := retry.Plan{Workspace: "roads", MaxAttempts: 2, Deadline: t0.Add(time.Second), MinRun: 100 * time.Millisecond}
+	must.Nil(t, p.Next(t0, b))
+	must.Eq(t, time.Second, p.Left(t0))
+	must.Nil(t, p.Next(t0.Add(500*time.Millisecond), b))
+	must.Eq(t, result.RetryBudget, p.Next(t0.Add(600*time.Millisecond), b).Code)
+
+	late := retry.Plan{Workspace: "roads", MaxAttempts: 5, Deadline: t0.Add(time.Second), MinRun: 100 * time.Millisecond}
+	must.Nil(t, late.Next(t0, b))
+	must.Eq(t, result.DeadlineTooNear, late.Next(t0.Add(950*time.Millisecond), b).Code)
+}
+
+func TestBackoffIsJitteredAndBounded(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for n := 1; n < 40; n++ {
+		must.Less(t, 500*time.Millisecond, retry.DefaultBackoff.Delay(rng, n))
+	}
+}
+
+func TestEnterRefusesSecondLayer(t *testing.T) {
+	ctx, err := retry.Enter(context.Background())
+	must.NoError(t, err)
+	_, err = retry.Enter(ctx)
+	must.ErrorIs(t, err, retry.ErrNested)
+}
+
+// What the caller sees without the safeguard: a booking made twice. The target reads the call off a kept-alive
+// connection and the connection breaks before the answer; net/http takes the Idempotency-Key header as leave to send
+// the call again by itself, below every budget and claim of ours.
+func TestSingleShotIsNotReplayed(t *testing.T) {
+	must.Eq(t, 2, callsAfterBreak(t, func(*http.Request) {})) // the fault, without the safeguard
+	must.Eq(t, 1, callsAfterBreak(t, retry.SingleShot))
+}
+
+// callsAfterBreak sends a call on a kept-alive connection that breaks once the call was read, and counts how often the
+// target reads it.
+func callsAfterBreak(t *testing.T, guard func(*http.Request)) int {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	var calls atomic.Int64
+	go acceptBroken(ln, &calls)
+	client := &http.Client{Transport: &http.Transport{}, Timeout: 5 * time.Second}
+	url := "http://" + ln.Addr().String()
+	warm, err := client.Get(url + "/warm")
+	must.NoError(t, err)
+	_, _ = io.Copy(io.Discard, warm.Body)
+	_ = warm.Body.Close()
+
+	req, err := http.NewRequest(http.MethodPost, url+"/book", bytes.NewReader([]byte("summary")))
+	must.NoError(t, err)
+	req.Header.Set("Idempotency-Key", "k1")
+	guard(req)
+	resp, err := client.Do(req)
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	return int(calls.Load())
+}
+
+// acceptBroken answers /warm, and closes a connection after it has read a /book.
+func acceptBroken(ln net.Listener, calls *atomic.Int64) {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go serveBroken(conn, calls)
+	}
+}
+
+func serveBroken(conn net.Conn, calls *atomic.Int64) {
+	defer func() { _ = conn.Close() }()
+	r := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		if req.URL.Path == "/book" {
+			calls.Add(1)
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	}
+}
+
+// One layer retries, within the workspace's budget and the caller's deadline.
+func Example() {
+	budgets := retry.NewBudgets(retry.DefaultBudgetConfig)
+	now := time.Unix(0, 0)
+	plan := retry.Plan{Workspace: "roads", MaxAttempts: 3, Deadline: now.Add(2 * time.Second)}
+	budgets.Deposit(now, plan.Workspace, 0.1)
+	for {
+		if err := plan.Next(now, budgets); err != nil {
+			fmt.Println("give up:", err.Code, "come back in", err.RetryAfter)
+			return
+		}
+		fmt.Println("attempt", plan.Attempt, "may take", plan.Left(now))
+		now = now.Add(100 * time.Millisecond) // it failed
+	}
+	// Output:
+	// attempt 1 may take 2s
+	// attempt 2 may take 1.9s
+	// give up: 3006 come back in 1.6s
+}
--- a/lib/stall/monitor.go
+++ b/lib/stall/monitor.go
@@ -25,7 +25,7 @@
 // DefaultConfig suits engines with 10 to 100 ms between tokens.
 var DefaultConfig = Config{
 	Quantile: 0.999, Factor: 4, Floor: 500 * time.Millisecond, Cap: 10 * time.Second, Cold: 5 * time.Second,
-	MinSamples: 200, FirstToken: 30 * time.Second, HalfLife: 2 * time.Minute, LinkStreams: 3, LinkShare: 0.8,
+	MinSamples: 50, FirstToken: 30 * time.Second, HalfLife: 2 * time.Minute, LinkStreams: 3, LinkShare: 0.8,
 }
 
 // Kind tells what a Stall is about.
