--- a/lib/limit/limit_test.go
+++ b/lib/limit/limit_test.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -194,3 +195,56 @@
 	must.Positive(t, back)
 	must.GreaterEq(t, cfg.WaitOut(), back)
 }
+
+// What callers see when the holder is replaced while another instance, cut off from the new holder, has requests that
+// run on: the workspace gets no slot twice. The new holder lends only what those it has heard from have in progress,
+// until the silent one's requests must have ended.
+func TestNewHolderCountsRequestsOfSilentInstance(t *testing.T) {
+	cfg := DefaultConfig
+	cfg.FloorFraction = 0
+	s := newSim(cfg, 6, 4, Limit{Concurrency: 8})
+	s.run(2*cfg.WaitOut(), nil)
+	old := s.index(s.insts[0].node.holderOf(simKey))
+	next := s.index(newView(without(s.views[0], s.insts[old].name)).holder(simKey))
+	silent, other := s.others(old, next)
+	s.run(2*time.Second, func() { s.request(silent, cfg.OrphanHold*9/10) })
+	must.Eq(t, 8, s.inProgress())
+	s.cut[[2]int{silent.id, next}], s.cut[[2]int{next, silent.id}] = true, true
+	s.views = append(s.views, without(s.views[0], s.insts[old].name))
+	s.run(cfg.WaitOut()+cfg.OrphanHold*2, func() {
+		s.request(other, 100*time.Millisecond)
+		must.LessEq(t, 8, s.inProgress())
+	})
+	must.Between(t, 6, s.inProgress(), 8) // the slots are lent again in the end
+}
+
+// others returns the two instances of four that are neither a nor b.
+func (s *sim) others(a, b int) (x, y *simInst) {
+	for _, in := range s.insts {
+		switch {
+		case in.id == a || in.id == b:
+		case x == nil:
+			x = in
+		default:
+			y = in
+		}
+	}
+	return x, y
+}
+
+func without(members []string, name string) []string {
+	return slices.DeleteFunc(slices.Clone(members), func(m string) bool { return m == name })
+}
+
+// An instance that restarts has forgotten whom it supported. It supports nobody until the shares that its old support
+// may have led to have ended.
+func TestRestartedInstanceSupportsNobodyAtFirst(t *testing.T) {
+	cfg := DefaultConfig
+	s := newSim(cfg, 5, 3, Limit{Concurrency: 8})
+	up := func() Up { return s.insts[0].node.up(s.clock(s.insts[0]), s.insts[1].name) }
+	must.SliceEmpty(t, up().Views)
+	s.run(cfg.WaitOut()-100*time.Millisecond, nil)
+	must.SliceEmpty(t, up().Views)
+	s.run(200*time.Millisecond, nil)
+	must.SliceLen(t, 1, up().Views)
+}
--- /dev/null
+++ b/lib/pick/pick_test.go
@@ -0,0 +1,116 @@
+package pick_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/pick"
+)
+
+var t0 = time.Unix(1_700_000_000, 0)
+
+func table(now time.Time, running ...int) *pick.Table {
+	tab := pick.New(pick.DefaultConfig)
+	var specs []pick.Target
+	for i := range running {
+		specs = append(specs, pick.Target{Name: fmt.Sprint("t", i), FailureDomain: fmt.Sprint("d", i%2)})
+	}
+	tab.SetTargets(specs)
+	for i, n := range running {
+		tab.Report(now, fmt.Sprint("t", i), pick.Report{Running: n, Capacity: 10})
+	}
+	return tab
+}
+
+func picks(tab *pick.Table, now time.Time, q pick.Query, n int) map[string]int {
+	rng := rand.New(rand.NewPCG(1, 1))
+	out := make(map[string]int)
+	for range n {
+		if name, ok := tab.Pick(now, rng, q); ok {
+			out[name]++
+		}
+	}
+	return out
+}
+
+// What callers see with reports five seconds old: the target that looked idle is not overrun, for each call that was
+// sent since counts.
+func TestOwnCallsCorrectLaggingReports(t *testing.T) {
+	tab := table(t0, 0, 4, 4, 4)
+	rng := rand.New(rand.NewPCG(1, 1))
+	sent := make(map[string]int)
+	for i := range 40 {
+		now := t0.Add(time.Duration(i) * 100 * time.Millisecond)
+		name, ok := tab.Pick(now, rng, pick.Query{})
+		must.True(t, ok)
+		tab.Sent(now, name)
+		sent[name]++
+	}
+	must.Between(t, 10, sent["t0"], 16)
+	must.Between(t, 7, sent["t1"], 13)
+}
+
+// A report that is older than the call does not hide the call; one that is younger has counted it.
+func TestReportAgeDecidesWhatItHasSeen(t *testing.T) {
+	tab := table(t0, 0, 3)
+	for range 4 {
+		tab.Sent(t0.Add(time.Second), "t0")
+	}
+	now := t0.Add(2 * time.Second)
+	tab.Report(now, "t0", pick.Report{Running: 0, Capacity: 10, Age: 1500 * time.Millisecond})
+	must.Eq(t, 20, picks(tab, now, pick.Query{}, 20)["t1"]) // 0 reported + 4 sent since, against 3
+	for range 4 {
+		tab.Done(now, "t0")
+	}
+	now = now.Add(time.Second)
+	tab.Report(now, "t0", pick.Report{Running: 1, Capacity: 10})
+	must.Eq(t, 20, picks(tab, now, pick.Query{}, 20)["t0"])
+}
+
+func TestPrefersOwnDomainUnlessMarkedlyWorse(t *testing.T) {
+	tab := table(t0, 4, 3, 4, 3)
+	got := picks(tab, t0, pick.Query{FailureDomain: "d0"}, 50)
+	must.Eq(t, 50, got["t0"]+got["t2"])
+	tab = table(t0, 9, 3, 9, 3)
+	got = picks(tab, t0, pick.Query{FailureDomain: "d0"}, 50)
+	must.Eq(t, 50, got["t1"]+got["t3"])
+}
+
+// What callers see when targets leave, drain, fail or have an open breaker: no call goes there; with none left there is
+// no answer rather than a bad one.
+func TestNeverPicksUnusableTargets(t *testing.T) {
+	tab := table(t0, 0, 0, 0, 0)
+	tab.SetTargets([]pick.Target{{Name: "t0", Draining: true}, {Name: "t1"}, {Name: "t2"}, {Name: "t3"}})
+	tab.Report(t0, "t1", pick.Report{Capacity: 10, Leaving: true})
+	q := pick.Query{Avoid: []string{"t2"}, Usable: func(name string) bool { return name != "t3" }}
+	must.MapEmpty(t, picks(tab, t0, q, 20))
+	q.Usable = nil
+	must.Eq(t, map[string]int{"t3": 20}, picks(tab, t0, q, 20))
+}
+
+// A frozen report must not draw calls for ever: when it is stale, own calls alone count.
+func TestStaleReportIsNotBelieved(t *testing.T) {
+	tab := table(t0, 0, 9)
+	now := t0.Add(pick.DefaultConfig.StaleAfter + time.Second)
+	for range 2 {
+		tab.Sent(now, "t0")
+	}
+	must.Eq(t, 20, picks(tab, now, pick.Query{}, 20)["t1"])
+}
+
+// A call goes to the less loaded of two targets.
+func Example() {
+	targets := pick.New(pick.DefaultConfig)
+	targets.SetTargets([]pick.Target{{Name: "dispatch-1", FailureDomain: "leith-hall"}, {Name: "dispatch-2", FailureDomain: "leith-hall"}})
+	now := time.Unix(0, 0)
+	targets.Report(now, "dispatch-1", pick.Report{Running: 7, Capacity: 8})
+	targets.Report(now, "dispatch-2", pick.Report{Running: 2, Capacity: 8})
+	name, _ := targets.Pick(now, rand.New(rand.NewPCG(1, 1)), pick.Query{FailureDomain: "leith-hall"})
+	targets.Sent(now, name)
+	fmt.Println(name)
+	// Output: dispatch-2
+}
--- a/lib/power/allotter.go
+++ b/lib/power/allotter.go
@@ -54,6 +54,9 @@
 	a.lease = l
 }
 
+// Lease returns the lease last taken in.
+func (a *Allotter) Lease() Lease { return a.lease }
+
 // SetFallbacks replaces the parts and their fallbacks, as Config.Fallbacks gives them.
 func (a *Allotter) SetFallbacks(fallbacks map[string]float64) {
 	a.fallbacks = fallbacks
@@ -72,7 +75,17 @@
 }
 
 // Read takes in a measurement of the site's draw.
-func (a *Allotter) Read(now time.Time, r Reading) { a.meter.read(now, r) }
+func (a *Allotter) Read(now time.Time, r Reading) { a.meter.read(now, r, a.allHeard(now)) }
+
+// allHeard reports whether the modelled draw is that of all parts.
+func (a *Allotter) allHeard(now time.Time) bool {
+	for _, p := range a.parts {
+		if p.heard.IsZero() || now.Sub(p.heard) >= a.cfg.lent() {
+			return false
+		}
+	}
+	return true
+}
 
 // UsableWatts is what all parts may draw together now.
 func (a *Allotter) UsableWatts(now time.Time) float64 { return a.meter.usable(now) }
--- a/lib/power/follower.go
+++ b/lib/power/follower.go
@@ -35,6 +35,9 @@
 	return now.Before(until)
 }
 
+// Fallback is what the part may draw without a share.
+func (f *Follower) Fallback() float64 { return f.fallback }
+
 // Limit is what the part may draw now. It is back at the fallback Drain before the share ends, for draw falls only as
 // sequences end or are held.
 func (f *Follower) Limit(now time.Time) float64 {
--- a/lib/power/guard.go
+++ b/lib/power/guard.go
@@ -44,8 +44,9 @@
 // excessDecay is the part of a shrinking excess that is given back with each reading.
 const excessDecay = 0.1
 
-// read takes in a reading. One that is older than the last is dropped.
-func (m *meter) read(now time.Time, r Reading) {
+// read takes in a reading. One that is older than the last is dropped. Without the whole modelled draw to hold it against,
+// it says nothing about an excess.
+func (m *meter) read(now time.Time, r Reading, modelWhole bool) {
 	taken := now.Add(-max(0, r.Age))
 	if taken.Before(m.taken) {
 		return
@@ -55,6 +56,9 @@
 		m.atValue = m.modelledNow()
 	}
 	m.last, m.taken = r, taken
+	if !modelWhole {
+		return
+	}
 	excess := max(0, r.Watts-m.modelledAround(taken))
 	if excess < m.excess {
 		excess = m.excess + excessDecay*(excess-m.excess)
