Count each engine's death once, run by run, and spread the news at once

lib/poison: a death is now told by the run that was aboard (Lost), not by target. Causes found by the randomised test of merging, rewritten to model engines' lives: late news of one death were laid at what ran on the restarted engine; news of a peer made a content a suspect by that very death, so that others aboard went unblamed; parts of blame summed in map order fell short of the whole (1.9999...); a second finish within 2 s was lost to peers. The entry's rule 'told once for each incarnation' is gone: an engine that died again before its new incarnation was learnt was not counted, and its runs stayed aboard for ever. A run that began after a known death is now a new death under the old number. lib/guardlink: news go out at once; each second only was later than the 300 ms for which verdicts wait. lib/power: readings before all parts have reported are no excess; takes in the drop of readings older than MaxAge. lib/limit: AloneConfig gives a single instance its whole limit at once.

--- a/lib/entry/guards.go
+++ b/lib/entry/guards.go
@@ -71,7 +71,6 @@
 type lives struct {
 	mu   sync.Mutex
 	seen map[string]life
-	told map[string]uint64 // last incarnation whose death was told
 }
 
 type life struct {
@@ -79,7 +78,7 @@
 	at          time.Time
 }
 
-func newLives() *lives { return &lives{seen: make(map[string]life), told: make(map[string]uint64)} }
+func newLives() *lives { return &lives{seen: make(map[string]life)} }
 
 func (l *lives) note(now time.Time, name string, incarnation uint64) {
 	l.mu.Lock()
@@ -94,17 +93,6 @@
 	return seen, ok
 }
 
-// firstTold reports whether the death was not told yet.
-func (l *lives) firstTold(name string, incarnation uint64) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if last, ok := l.told[name]; ok && last == incarnation {
-		return false
-	}
-	l.told[name] = incarnation
-	return true
-}
-
 // NoteLife tells the incarnation that an engine reported.
 func (s *Server) NoteLife(name string, incarnation uint64) { s.lives.note(s.now(), name, incarnation) }
 
@@ -135,29 +123,25 @@
 	return seen.incarnation, seen.incarnation != 0 && rep.Incarnation != seen.incarnation
 }
 
-// settlePoison tells how an attempt ended to the table that looks for content that kills. The death of a target clears
-// its table of what ran there, so whoever sees it first tells it for all.
-func (s *Server) settlePoison(g *generation, c *target.Client, reason sched.EndReason) {
-	f := g.subject.Fingerprint
+// settlePoison tells how an attempt ended to the table that looks for content that kills. Each attempt that was aboard
+// tells a death; the table counts it once.
+func (s *Server) settlePoison(g *generation, c *target.Client, ran poison.Run, reason sched.EndReason) {
 	switch reason {
 	case sched.EndCompleted:
-		s.opts.Poison.Finished(s.now(), c.Name(), f)
+		s.opts.Poison.Finished(s.now(), ran)
 		return
 	case sched.EndTargetDied:
 		if incarnation, died := s.engineDied(g.ctx, c); died {
-			s.tellDeath(c.Name(), incarnation)
+			s.tellDeath(ran, c.Name(), incarnation)
 			return
 		}
 	}
-	s.opts.Poison.Stopped(c.Name(), f)
+	s.opts.Poison.Stopped(ran)
 }
 
-func (s *Server) tellDeath(name string, incarnation uint64) {
-	if !s.lives.firstTold(name, incarnation) {
-		return
-	}
+func (s *Server) tellDeath(ran poison.Run, name string, incarnation uint64) {
 	log.Warn().Str("event", "target_died").Str("target", name).Uint64("incarnation", incarnation).Msg("")
-	s.opts.Poison.Died(s.now(), name, incarnation)
+	s.opts.Poison.Lost(s.now(), ran, incarnation)
 }
 
 // picks holds the load of plain services' targets.
--- a/lib/entry/plain.go
+++ b/lib/entry/plain.go
@@ -14,6 +14,7 @@
 	"anvilwick.example/anvilwick/lib/callerapi"
 	"anvilwick.example/anvilwick/lib/claim"
 	"anvilwick.example/anvilwick/lib/entrymetrics"
+	"anvilwick.example/anvilwick/lib/poison"
 	"anvilwick.example/anvilwick/lib/result"
 	"anvilwick.example/anvilwick/lib/settings"
 	"anvilwick.example/anvilwick/lib/target"
@@ -228,10 +229,10 @@
 		ticket.Done(s.now(), breaker.Ignored)
 		return nil, errors.Join(target.ErrNotSent, err)
 	}
-	s.opts.Poison.Started(name, pc.subject.Fingerprint)
+	ran := s.opts.Poison.Started(name, pc.subject.Fingerprint)
 	resp, err := c.Do(ctx, &pc.call)
 	ticket.Done(s.now(), callOutcome(ctx, err))
-	s.settleCall(ctx, pc, c, err)
+	s.settleCall(ctx, c, ran, err)
 	return resp, err
 }
 
@@ -260,21 +261,20 @@
 
 // settleCall tells how the call ended to the table that looks for content that kills. A target that refuses connections
 // right after it broke one is taken for dead.
-func (s *Server) settleCall(ctx context.Context, pc *plainCall, c *target.Client, err error) {
-	name, f := c.Name(), pc.subject.Fingerprint
+func (s *Server) settleCall(ctx context.Context, c *target.Client, ran poison.Run, err error) {
 	switch {
 	case err == nil:
-		s.opts.Poison.Finished(s.now(), name, f)
+		s.opts.Poison.Finished(s.now(), ran)
 		return
 	case errors.Is(err, target.ErrBroken) && ctx.Err() == nil:
 		pctx, cancel := context.WithTimeout(ctx, deathProbeTimeout)
 		defer cancel()
 		if _, perr := c.ServiceLoad(pctx); errors.Is(perr, syscall.ECONNREFUSED) {
-			s.tellDeath(name, uint64(s.now().Unix())/uint64(plainDeathSpan.Seconds()))
+			s.tellDeath(ran, c.Name(), uint64(s.now().Unix())/uint64(plainDeathSpan.Seconds()))
 			return
 		}
 	}
-	s.opts.Poison.Stopped(name, f)
+	s.opts.Poison.Stopped(ran)
 }
 
 // mayRepeat returns nil when the call may be sent to another target, else what the caller is told.
--- a/lib/entry/run.go
+++ b/lib/entry/run.go
@@ -146,14 +146,14 @@
 	}
 	g.log(log.Debug(), "attempt_start").Str("target", grant.Target).Uint32("attempt", number).Msg("")
 	s.learnLife(c)
-	s.opts.Poison.Started(grant.Target, g.subject.Fingerprint)
+	ran := s.opts.Poison.Started(grant.Target, g.subject.Fingerprint)
 	r := &run{server: s, g: g, client: c, number: number, priority: grant.Priority, ticket: ticket}
 	end := r.do()
 	g.stop()
 	if r.tokens == 0 {
 		ticket.Done(s.now(), outcomeOf(end.reason))
 	}
-	s.settlePoison(g, c, end.reason)
+	s.settlePoison(g, c, ran, end.reason)
 	return end
 }
 
--- a/lib/guardlink/link.go
+++ b/lib/guardlink/link.go
@@ -67,7 +67,7 @@
 	l.peer(m).send(upToProto(up))
 }
 
-// Run sends news of poison until the Link ends, and forgets peers that have gone.
+// Run sends news of poison at once, and again where they were lost, until the Link ends. It forgets peers that have gone.
 func (l *Link) Run() {
 	t := time.NewTicker(newsInterval)
 	defer t.Stop()
@@ -75,6 +75,8 @@
 		select {
 		case <-l.ctx.Done():
 			return
+		case <-l.opts.Poison.News():
+			l.round()
 		case <-t.C:
 			l.round()
 		}
--- a/lib/guardlink/link_test.go
+++ b/lib/guardlink/link_test.go
@@ -119,8 +119,8 @@
 	procs := startAll(t, 3)
 	const content = 77
 	for i, target := range []string{"planner-1", "planner-2"} {
-		procs[i].poison.Started(target, content)
-		procs[i].poison.Died(time.Now(), target, uint64(i+1))
+		run := procs[i].poison.Started(target, content)
+		procs[i].poison.Lost(time.Now(), run, uint64(i+1))
 	}
 	for _, p := range procs {
 		eventually(t, "poisoned at "+p.self.Instance, func() bool {
--- a/lib/guardlink/wire.go
+++ b/lib/guardlink/wire.go
@@ -104,7 +104,7 @@
 		recs = append(recs, poison.Record{
 			Fingerprint: r.GetFingerprint(),
 			Death:       r.GetDeath(),
-			Level:       poison.Level(min(r.GetLevel(), uint32(poison.LevelStrong))),
+			Level:       poison.Level(min(r.GetLevel(), uint32(poison.LevelFinished))),
 			Newest:      r.GetNewest(),
 			Age:         time.Duration(max(0, r.GetAgeMs())) * time.Millisecond,
 		})
--- a/lib/limit/limit.go
+++ b/lib/limit/limit.go
@@ -45,6 +45,13 @@
 	AskWait: 50 * time.Millisecond, ClockSkew: 0.02, OrphanHold: 10 * time.Second, FloorFraction: 0.25, MaxInstances: 16,
 }
 
+// AloneConfig suits a single instance without peers: the whole limit is its floor, so that it needs no holder.
+func AloneConfig() Config {
+	cfg := DefaultConfig
+	cfg.FloorFraction, cfg.MaxInstances = 1, 1
+	return cfg
+}
+
 // lent is how long a holder counts a share, which is longer than its client does by the clock skew.
 func (c Config) lent() time.Duration {
 	return time.Duration(float64(c.TTL) * (1 + c.ClockSkew))
--- a/lib/limit/limit_test.go
+++ b/lib/limit/limit_test.go
@@ -236,6 +236,19 @@
 	return slices.DeleteFunc(slices.Clone(members), func(m string) bool { return m == name })
 }
 
+// A single instance has its whole limit from the first moment.
+func TestAloneNeedsNoHolder(t *testing.T) {
+	now := simBase
+	n := NewNode(now, AloneConfig(), "only", 1, func(Key) Limit { return Limit{Concurrency: 3} })
+	n.SetView(now, []string{"only"})
+	for range 3 {
+		must.Eq(t, Admitted, n.Acquire(now, simKey).Verdict)
+	}
+	must.Eq(t, Refused, n.Acquire(now, simKey).Verdict)
+	n.Release(simKey)
+	must.Eq(t, Admitted, n.Acquire(now, simKey).Verdict)
+}
+
 // An instance that restarts has forgotten whom it supported. It supports nobody until the shares that its old support
 // may have led to have ended.
 func TestRestartedInstanceSupportsNobodyAtFirst(t *testing.T) {
--- a/lib/limit/sim_test.go
+++ b/lib/limit/sim_test.go
@@ -224,14 +224,3 @@
 	}
 	return n
 }
-
-func (s *sim) heal() {
-	clear(s.cut)
-	s.loss = 0
-	for _, in := range s.insts {
-		in.paused = 0
-		if !in.alive {
-			s.start(in)
-		}
-	}
-}
--- a/lib/poison/gossip.go
+++ b/lib/poison/gossip.go
@@ -9,7 +9,7 @@
 // relative, so that clocks need not agree. Merging a Record twice, or from two tellers, changes nothing.
 type Record struct {
 	Fingerprint uint64
-	Death       uint64 // 0: the content finished, earlier deaths don't count
+	Death       uint64 // of the engine; with LevelFinished, names the run that finished
 	Level       Level  // how strongly it was suspected before
 	Newest      bool   // it had just started
 	Age         time.Duration
@@ -36,8 +36,15 @@
 		old++
 	}
 	t.log = slices.Delete(t.log, 0, old)
+	select {
+	case t.news <- struct{}{}:
+	default:
+	}
 }
 
+// News has a value when there is something new to tell peers. They should hear of it within Config.Settle.
+func (t *Table) News() <-chan struct{} { return t.news }
+
 // Since returns the records after seq, and the seq to ask with next time. Start from 0 for a peer that is new or has
 // restarted. What was merged is in it too, so that news crosses between instances that have no link.
 func (t *Table) Since(now time.Time, seq uint64) ([]Record, uint64) {
@@ -67,37 +74,25 @@
 }
 
 func (t *Table) merge(now time.Time, r Record) {
-	if r.Age >= t.cfg.Window {
+	if r.Age >= t.cfg.Window || r.Level > LevelFinished {
 		return
 	}
 	l := logged{
-		fingerprint: r.Fingerprint, death: r.Death, level: min(r.Level, LevelStrong), newest: r.Newest,
-		at: now.Add(-max(0, r.Age)),
+		fingerprint: r.Fingerprint, death: r.Death, level: r.Level, newest: r.Newest, at: now.Add(-max(0, r.Age)),
 	}
-	if r.Death == 0 {
-		t.mergeClear(now, l)
+	if r.Level == LevelFinished {
+		t.finish(now, l)
 		return
 	}
 	t.record(now, l)
 }
 
-// clearSlack is how far apart two instances may date one clearing, whose age grows inexact with each hop.
-const clearSlack = 2 * time.Second
-
-func (t *Table) mergeClear(now time.Time, l logged) {
-	if !l.at.After(t.content(now, l.fingerprint).cleared.Add(clearSlack)) {
-		return
-	}
-	t.clear(now, l.fingerprint, l.at)
-	t.append(now, l)
-}
-
 // Avoid lists the targets on which this instance runs another suspect that is suspected as strongly or more. A
 // suspect is not to be placed there: were the engine to die, its death would name neither.
 func (t *Table) Avoid(now time.Time, fingerprint uint64) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	level := t.level(now, fingerprint)
+	level := t.level(now, fingerprint, 0)
 	if level == LevelNone {
 		return nil
 	}
@@ -111,9 +106,9 @@
 	return targets
 }
 
-func (t *Table) hasRival(now time.Time, runs map[uint64]*run, fingerprint uint64, level Level) bool {
-	for f := range runs {
-		if f != fingerprint && t.level(now, f) >= max(level, LevelStrong) {
+func (t *Table) hasRival(now time.Time, runs map[uint64]uint64, fingerprint uint64, level Level) bool {
+	for _, f := range runs {
+		if f != fingerprint && t.level(now, f, 0) >= max(level, LevelStrong) {
 			return true
 		}
 	}
--- a/lib/poison/poison_test.go
+++ b/lib/poison/poison_test.go
@@ -30,49 +30,92 @@
 	const bad, good, later = 1, 2, 3
 	now := t0
 	tab.Started("engine-1", good)
-	tab.Started("engine-1", bad)
-	tab.Died(now, "engine-1", 10)
+	tab.Lost(now, tab.Started("engine-1", bad), 10)
 	must.Eq(t, poison.Suspect, verdict(tab, now, bad))
 	must.Eq(t, poison.Suspect, verdict(tab, now, good))
 
-	tab.Started("engine-2", good)
+	spared := tab.Started("engine-2", good)
 	must.Eq(t, []string{"engine-2"}, tab.Avoid(now, bad)) // kept apart
 	tab.Started("engine-3", later)
-	tab.Started("engine-3", bad)
 	now = now.Add(time.Second)
-	tab.Died(now, "engine-3", 11)
+	tab.Lost(now, tab.Started("engine-3", bad), 11)
 	must.Eq(t, poison.Settling, verdict(tab, now, bad))
 	now = now.Add(settled)
 	must.Eq(t, poison.Poisoned, verdict(tab, now, bad))
 	must.Eq(t, poison.Clean, verdict(tab, now, later)) // the suspect aboard is to blame, not the newcomer
 
-	tab.Finished(now, "engine-2", good)
+	tab.Finished(now, spared)
 	must.Eq(t, poison.Clean, verdict(tab, now, good))
 	must.Eq(t, poison.Suspect, verdict(tab, now.Add(poison.DefaultConfig.Refuse), bad)) // refused for a while only
 }
 
+// What callers see when a target restarts quickly: the late news of its first death, told by each run that was aboard,
+// are not laid at what runs there by then, even the same content.
+func TestLateNewsOfOneDeathCountOnce(t *testing.T) {
+	tab := poison.New(poison.DefaultConfig)
+	first, second := tab.Started("engine-1", 1), tab.Started("engine-1", 2)
+	tab.Lost(t0, first, 5)
+	tab.Started("engine-1", 2) // the target has restarted
+	tab.Started("engine-1", 3)
+	tab.Lost(t0, second, 5)
+	must.Eq(t, poison.Clean, verdict(tab, t0, 3))
+	must.Eq(t, poison.Suspect, verdict(tab, t0.Add(settled), 2))
+}
+
+// What callers see when the target restarts faster than its new incarnation is learnt: the second death under the old
+// number is a second death all the same, and the request is refused.
+func TestSecondDeathUnderUnlearntIncarnation(t *testing.T) {
+	tab := poison.New(poison.DefaultConfig)
+	for range 2 {
+		tab.Lost(t0, tab.Started("engine-1", 1), 5)
+	}
+	must.Eq(t, poison.Poisoned, verdict(tab, t0.Add(settled), 1))
+}
+
 // What callers see when two entries tell of the same death: it counts once. Each entry ran the content there, and each
 // hears of it from the other as well.
 func TestOneDeathCountsOnceWhoeverTells(t *testing.T) {
 	a, b := poison.New(poison.DefaultConfig), poison.New(poison.DefaultConfig)
 	for _, tab := range []*poison.Table{a, b} {
-		tab.Started("engine-1", 7)
-		tab.Died(t0, "engine-1", 3)
+		tab.Lost(t0, tab.Started("engine-1", 7), 3)
 	}
 	now := exchange(t0.Add(50*time.Millisecond), a, b)
 	must.Eq(t, poison.Suspect, verdict(a, now.Add(settled), 7))
 	must.Eq(t, poison.Suspect, verdict(b, now.Add(settled), 7))
 }
 
+// What callers see when a peer's news of a death come before one's own: a content aboard is no suspect by that very
+// death, so the others aboard are blamed like it.
+func TestDeathIsNoSuspicionBeforeItself(t *testing.T) {
+	a, b := poison.New(poison.DefaultConfig), poison.New(poison.DefaultConfig)
+	inA, inB := a.Started("engine-1", 1), b.Started("engine-1", 1)
+	b.Started("engine-1", 2)
+	a.Lost(t0, inA, 3)
+	now := exchange(t0.Add(10*time.Millisecond), a, b)
+	b.Lost(now, inB, 3)
+	must.Eq(t, poison.Suspect, verdict(b, now, 2))
+}
+
+// Parts of blame add up to the whole, in whatever order: a third thrice makes a second death.
+func TestPartsOfBlameAddUp(t *testing.T) {
+	for range 50 {
+		tab := poison.New(poison.DefaultConfig)
+		for life := range uint64(4) {
+			tab.Started("engine-1", 2)
+			tab.Started("engine-1", 3)
+			tab.Lost(t0, tab.Started("engine-1", 1), life)
+		}
+		must.Eq(t, poison.Poisoned, verdict(tab, t0.Add(settled), 1))
+	}
+}
+
 // What the caller sees who sends the request again through another entry after each death: the third time it is
 // refused, though each entry saw one death only.
 func TestDeathsAreCountedAcrossInstances(t *testing.T) {
 	a, b, c := poison.New(poison.DefaultConfig), poison.New(poison.DefaultConfig), poison.New(poison.DefaultConfig)
-	a.Started("engine-1", 7)
-	a.Died(t0, "engine-1", 3)
+	a.Lost(t0, a.Started("engine-1", 7), 3)
 	now := exchange(t0.Add(100*time.Millisecond), a, b, c)
-	b.Started("engine-2", 7)
-	b.Died(now, "engine-2", 9)
+	b.Lost(now, b.Started("engine-2", 7), 9)
 	now = exchange(now.Add(100*time.Millisecond), a, b, c)
 	must.Eq(t, poison.Poisoned, verdict(c, now.Add(settled), 7))
 }
@@ -81,15 +124,13 @@
 // and would refuse it for a second death, but b's news of the other suspect comes within Settle.
 func TestNewsOfOtherSuspectSpareTheInnocent(t *testing.T) {
 	a, b := poison.New(poison.DefaultConfig), poison.New(poison.DefaultConfig)
-	a.Started("engine-1", 1)
-	b.Started("engine-1", 2)
-	a.Died(t0, "engine-1", 3)
-	b.Died(t0, "engine-1", 3)
+	inA, inB := a.Started("engine-1", 1), b.Started("engine-1", 2)
+	a.Lost(t0, inA, 3)
+	b.Lost(t0, inB, 3)
 	now := exchange(t0.Add(time.Second), a, b)
-	a.Started("engine-2", 1)
-	b.Started("engine-2", 2)
-	a.Died(now, "engine-2", 4)
-	b.Died(now, "engine-2", 4)
+	inA, inB = a.Started("engine-2", 1), b.Started("engine-2", 2)
+	a.Lost(now, inA, 4)
+	b.Lost(now, inB, 4)
 	must.Eq(t, poison.Settling, verdict(a, now, 1))
 	now = exchange(now.Add(100*time.Millisecond), a, b)
 	must.Eq(t, poison.Suspect, verdict(a, now.Add(settled), 1))
@@ -99,10 +140,11 @@
 // other, or there would be no room for them.
 func TestOldGenerationsMayShareAnEngine(t *testing.T) {
 	tab := poison.New(poison.DefaultConfig)
+	var run poison.Run
 	for f := uint64(1); f <= 20; f++ {
-		tab.Started("engine-1", f)
+		run = tab.Started("engine-1", f)
 	}
-	tab.Died(t0, "engine-1", 1)
+	tab.Lost(t0, run, 1)
 	tab.Started("engine-2", 1)
 	must.SliceEmpty(t, tab.Avoid(t0, 2))
 	tab.Started("engine-3", 20)
@@ -125,42 +167,20 @@
 }
 
 // Whatever the order, the repetition and the loss of first news, instances that have heard all agree, and no content is
-// poisoned that did not see two deaths.
+// poisoned that was not aboard at two deaths of engines, however many generations and instances tell of each.
 func TestMergeConverges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
-		tables := make([]*poison.Table, rapid.IntRange(2, 5).Draw(t, "tables"))
-		for i := range tables {
-			tables[i] = poison.New(poison.DefaultConfig)
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 5).Draw(t, "tables"))
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			w.step()
 		}
-		deaths := make(map[uint64]map[uint64]bool)
-		now := t0
-		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			now = now.Add(10 * time.Millisecond)
-			tab := tables[rng.IntN(len(tables))]
-			f, inc := rng.Uint64N(6)+1, rng.Uint64N(4)+1
-			target := fmt.Sprintf("engine-%d", rng.IntN(3))
-			switch rng.IntN(4) {
-			case 0:
-				tab.Started(target, f)
-				tab.Died(now, target, inc)
-				if deaths[f] == nil {
-					deaths[f] = make(map[uint64]bool)
-				}
-				deaths[f][poison.DeathID(target, inc)] = true
-			case 1:
-				recs, _ := tab.Since(now, uint64(rng.IntN(10)))
-				rng.Shuffle(len(recs), func(i, j int) { recs[i], recs[j] = recs[j], recs[i] })
-				tables[rng.IntN(len(tables))].Merge(now, recs)
+		now := exchange(w.now, w.tables...).Add(settled)
+		for f := range uint64(contents) {
+			want := verdict(w.tables[0], now, f)
+			if want == poison.Poisoned && w.deaths[f] < 2 {
+				t.Fatalf("content %d is poisoned after %d deaths", f, w.deaths[f])
 			}
-		}
-		now = exchange(now, tables...).Add(settled)
-		for f := uint64(1); f <= 6; f++ {
-			want := verdict(tables[0], now, f)
-			if want == poison.Poisoned && len(deaths[f]) < 2 {
-				t.Fatalf("content %d is poisoned after %d deaths", f, len(deaths[f]))
-			}
-			for _, tab := range tables[1:] {
+			for _, tab := range w.tables[1:] {
 				if got := verdict(tab, now, f); got != want {
 					t.Fatalf("content %d: %v and %v", f, want, got)
 				}
@@ -169,14 +189,98 @@
 	})
 }
 
+const contents, engines = 6, 3
+
+// world is some entries' tables and the engines that they send to.
+type world struct {
+	rng    *rand.Rand
+	now    time.Time
+	tables []*poison.Table
+	lives  [engines]uint64
+	aboard [engines][]aboard
+	late   []func() // deaths that are still to be told
+	deaths [contents]int
+}
+
+type aboard struct {
+	table       *poison.Table
+	fingerprint uint64
+	run         poison.Run
+}
+
+func newWorld(seed uint64, n int) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), now: t0}
+	for range n {
+		w.tables = append(w.tables, poison.New(poison.DefaultConfig))
+	}
+	return w
+}
+
+func (w *world) step() {
+	w.now = w.now.Add(10 * time.Millisecond)
+	tab, e := w.tables[w.rng.IntN(len(w.tables))], w.rng.IntN(engines)
+	switch w.rng.IntN(7) {
+	case 0, 1, 2:
+		f := w.rng.Uint64N(contents)
+		w.aboard[e] = append(w.aboard[e], aboard{tab, f, tab.Started(fmt.Sprint("engine-", e), f)})
+	case 3:
+		w.kill(e)
+	case 4:
+		recs, _ := tab.Since(w.now, w.rng.Uint64N(10))
+		w.rng.Shuffle(len(recs), func(i, j int) { recs[i], recs[j] = recs[j], recs[i] })
+		w.tables[w.rng.IntN(len(w.tables))].Merge(w.now, recs)
+	case 5:
+		w.tellLate()
+	case 6:
+		w.finishOne(e)
+	}
+}
+
+// kill ends an engine. Each instance tells for the first of its generations at once, for the others later.
+func (w *world) kill(e int) {
+	life := w.lives[e]
+	seen := make(map[uint64]bool)
+	told := make(map[*poison.Table]bool)
+	for _, a := range w.aboard[e] {
+		if !seen[a.fingerprint] {
+			w.deaths[a.fingerprint]++
+		}
+		seen[a.fingerprint] = true
+		tell := func() { a.table.Lost(w.now, a.run, life) }
+		if told[a.table] {
+			w.late = append(w.late, tell)
+			continue
+		}
+		told[a.table] = true
+		tell()
+	}
+	w.aboard[e] = nil
+	w.lives[e]++
+}
+
+// finishOne lets the oldest run on an engine finish.
+func (w *world) finishOne(e int) {
+	if len(w.aboard[e]) > 0 {
+		a := w.aboard[e][0]
+		w.aboard[e] = w.aboard[e][1:]
+		a.table.Finished(w.now, a.run)
+	}
+}
+
+func (w *world) tellLate() {
+	if len(w.late) > 0 {
+		w.late[0]()
+		w.late = w.late[1:]
+	}
+}
+
 func TestTableIsBounded(t *testing.T) {
 	cfg := poison.DefaultConfig
 	cfg.MaxSize = 10
 	tab := poison.New(cfg)
 	for f := uint64(1); f <= 100; f++ {
 		now := t0.Add(time.Duration(f) * time.Second)
-		tab.Started("engine-1", f)
-		tab.Died(now, "engine-1", f)
+		tab.Lost(now, tab.Started("engine-1", f), f)
 	}
 	suspects := 0
 	for f := uint64(1); f <= 100; f++ {
@@ -193,8 +297,7 @@
 	now := time.Unix(0, 0)
 	f := poison.Fingerprint("roads", []byte(`{"prompt":"..."}`))
 	for incarnation := range uint64(2) {
-		table.Started("engine-3", f)
-		table.Died(now, "engine-3", incarnation)
+		table.Lost(now, table.Started("engine-3", f), incarnation)
 	}
 	v, wait := table.Check(now.Add(time.Second), f)
 	fmt.Println(v, wait)
--- a/lib/poison/table.go
+++ b/lib/poison/table.go
@@ -8,6 +8,8 @@
 
 import (
 	"cmp"
+	"encoding/binary"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -30,16 +32,6 @@
 	Weight: 2, Newest: 2, Window: time.Hour, Refuse: 15 * time.Minute, Settle: 300 * time.Millisecond, MaxSize: 4096,
 }
 
-// Level is how strongly a content was suspected before a death.
-type Level uint8
-
-// Levels.
-const (
-	LevelNone   Level = iota
-	LevelWeak         // was aboard, among many, when an engine died
-	LevelStrong       // had only just started when an engine died, or was aboard more than once
-)
-
 // Verdict is what a Table thinks of a content.
 type Verdict uint8
 
@@ -60,22 +52,25 @@
 	mu       sync.Mutex
 	contents map[uint64]*content
 	deaths   map[uint64]*death
-	running  map[string]map[uint64]*run // by target and fingerprint: this instance's generations
+	running  map[string]map[uint64]uint64 // this instance's runs by target: fingerprint by start
 	starts   uint64
 	log      []logged
 	seq      uint64
+	news     chan struct{}
 }
 
 type content struct {
-	deaths  map[uint64]struct{} // by death id
-	cleared time.Time           // deaths up to here don't count
-	touched time.Time
+	deaths   map[uint64]struct{} // by death id
+	finished map[uint64]struct{} // runs that finished, by id
+	cleared  time.Time           // when the last of them did; deaths up to here don't count
+	touched  time.Time
 }
 
 // death is one death of an engine, with the contents that were aboard.
 type death struct {
 	at     time.Time
 	heard  time.Time // when the last content was added
+	starts uint64    // runs of this instance with a higher start began after it
 	aboard map[uint64]blame
 }
 
@@ -84,16 +79,18 @@
 	newest bool
 }
 
-type run struct {
-	count int
-	start uint64 // order of the last start
+// Run is one run of a content on a target, from Started to one of Stopped, Finished and Lost.
+type Run struct {
+	target      string
+	fingerprint uint64
+	start       uint64 // order of starts at this instance
 }
 
 // New returns an empty Table.
 func New(cfg Config) *Table {
 	return &Table{
 		cfg: cfg, contents: make(map[uint64]*content), deaths: make(map[uint64]*death),
-		running: make(map[string]map[uint64]*run),
+		running: make(map[string]map[uint64]uint64), news: make(chan struct{}, 1),
 	}
 }
 
@@ -108,15 +105,22 @@
 }
 
 // DeathID names one death of an engine, the same at each instance that saw it: the incarnation that died.
-func DeathID(target string, incarnation uint64) uint64 {
+func DeathID(target string, incarnation uint64) uint64 { return hashID(target, incarnation) }
+
+// finishID names one run that finished.
+func finishID(now time.Time, r Run) uint64 {
+	return hashID(r.target, r.fingerprint, r.start, uint64(now.UnixNano()))
+}
+
+func hashID(name string, words ...uint64) uint64 {
 	var d xxhash.Digest
 	d.Reset()
-	_, _ = d.WriteString(target)
+	_, _ = d.WriteString(name)
 	var b [8]byte
-	for i := range b {
-		b[i] = byte(incarnation >> (8 * i))
+	for _, w := range words {
+		binary.LittleEndian.PutUint64(b[:], w)
+		_, _ = d.Write(b[:])
 	}
-	_, _ = d.Write(b[:])
 	return max(1, d.Sum64())
 }
 
@@ -128,13 +132,13 @@
 	if c == nil {
 		return Clean, 0
 	}
-	weight, last, heard := t.weigh(now, fingerprint, c)
+	weight, last, heard := t.weigh(now, fingerprint, 0, c)
 	refusedUntil := last.Add(t.cfg.Refuse)
 	settled := heard.Add(t.cfg.Settle)
 	switch {
 	case weight == 0:
 		return Clean, 0
-	case weight < t.cfg.Weight || !now.Before(refusedUntil):
+	case weight < t.cfg.Weight-rounding || !now.Before(refusedUntil):
 		return Suspect, 0
 	case now.Before(settled):
 		return Settling, settled.Sub(now)
@@ -142,156 +146,101 @@
 	return Poisoned, refusedUntil.Sub(now)
 }
 
-// weigh sums the blame of a content that still counts, and tells when its last death was and when last heard of.
-func (t *Table) weigh(now time.Time, fingerprint uint64, c *content) (weight float64, last, heard time.Time) {
-	for id := range c.deaths {
-		d := t.deaths[id]
-		if d == nil || !d.at.After(c.cleared) || now.Sub(d.at) >= t.cfg.Window {
-			continue
-		}
-		weight += d.share(fingerprint)
-		if d.at.After(last) {
-			last = d.at
-		}
-		if d.heard.After(heard) {
-			heard = d.heard
-		}
-	}
-	return weight, last, heard
-}
-
-// share is the part of a death that is laid at one content. Those that were suspected most before it share one death
-// between them; the others aboard are innocent by all likelihood. When none was suspected, each gets a whole one.
-func (d *death) share(fingerprint uint64) float64 {
-	top, n := LevelNone, 0
-	for _, b := range d.aboard {
-		switch {
-		case b.level > top:
-			top, n = b.level, 1
-		case b.level == top:
-			n++
-		}
-	}
-	switch {
-	case d.aboard[fingerprint].level < top:
-		return 0
-	case top == LevelNone:
-		return 1
-	}
-	return 1 / float64(n)
-}
-
-// level is how strongly a content is suspected now.
-func (t *Table) level(now time.Time, fingerprint uint64) Level {
-	c := t.contents[fingerprint]
-	if c == nil {
-		return LevelNone
-	}
-	weight, _, _ := t.weigh(now, fingerprint, c)
-	if weight == 0 {
-		return LevelNone
-	}
-	if weight > 1 {
-		return LevelStrong
-	}
-	for id := range c.deaths {
-		d := t.deaths[id]
-		if d != nil && d.at.After(c.cleared) && d.aboard[fingerprint].newest {
-			return LevelStrong
-		}
-	}
-	return LevelWeak
-}
-
 // Started notes that a generation of this instance runs on target.
-func (t *Table) Started(target string, fingerprint uint64) {
+func (t *Table) Started(target string, fingerprint uint64) Run {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := t.running[target]
 	if m == nil {
-		m = make(map[uint64]*run)
+		m = make(map[uint64]uint64)
 		t.running[target] = m
 	}
-	r := m[fingerprint]
-	if r == nil {
-		r = &run{}
-		m[fingerprint] = r
-	}
 	t.starts++
-	r.count++
-	r.start = t.starts
+	m[t.starts] = fingerprint
+	return Run{target: target, fingerprint: fingerprint, start: t.starts}
 }
 
-// Stopped notes that it no longer runs there, for any reason but the target's death.
-func (t *Table) Stopped(target string, fingerprint uint64) {
+// Stopped notes that a run ended, for any reason but its target's death.
+func (t *Table) Stopped(r Run) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.stopped(target, fingerprint)
+	t.stopped(r)
 }
 
-func (t *Table) stopped(target string, fingerprint uint64) {
-	r := t.running[target][fingerprint]
-	if r == nil {
-		return
-	}
-	r.count--
-	if r.count > 0 {
-		return
-	}
-	delete(t.running[target], fingerprint)
-	if len(t.running[target]) == 0 {
-		delete(t.running, target)
+func (t *Table) stopped(r Run) {
+	delete(t.running[r.target], r.start)
+	if len(t.running[r.target]) == 0 {
+		delete(t.running, r.target)
 	}
 }
 
 // Finished is Stopped for a generation that ran to its end, which clears a suspect.
-func (t *Table) Finished(now time.Time, target string, fingerprint uint64) {
+func (t *Table) Finished(now time.Time, r Run) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.stopped(target, fingerprint)
-	if t.level(now, fingerprint) == LevelNone {
+	t.stopped(r)
+	if t.level(now, r.fingerprint, 0) == LevelNone {
 		return
 	}
-	t.clear(now, fingerprint, now)
-	t.append(now, logged{fingerprint: fingerprint, at: now})
+	t.finish(now, logged{fingerprint: r.fingerprint, death: finishID(now, r), at: now, level: LevelFinished})
 }
 
-// Died notes that target died, and with it all generations of this instance on it. Tell it once for each incarnation,
-// and neither for a target that left in good order nor for a link that broke.
-func (t *Table) Died(now time.Time, target string, incarnation uint64) {
+// Lost is Stopped for a run whose target died under it; incarnation is the one that died, as far as it is known. The
+// first run to tell blames all that are aboard and ends them; those that tell the same death later change nothing. It is
+// not for a target that left in good order, nor for a link that broke.
+//
+// Failure: the news of one death come from each run that was aboard, some after the target has restarted. Were each to
+// blame what runs there now, one death would count twice, against contents that were not aboard.
+func (t *Table) Lost(now time.Time, r Run, incarnation uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if _, aboard := t.running[r.target][r.start]; !aboard {
+		return
+	}
 	t.sweep(now)
-	id := DeathID(target, incarnation)
-	aboard := t.aboard(now, target)
-	delete(t.running, target)
-	for _, l := range aboard {
-		l.death, l.at = id, now
-		t.record(now, l)
+	last := t.lastStarts(r.target)
+	delete(t.running, r.target)
+	for i, f := range newestFirst(last) {
+		id := t.deathOf(r.target, incarnation, last[f])
+		t.record(now, logged{
+			fingerprint: f, death: id, at: now, level: t.level(now, f, id), newest: i < t.cfg.Newest,
+		})
 	}
 }
 
-// aboard lists this instance's contents on target, the last started first.
-func (t *Table) aboard(now time.Time, target string) []logged {
-	runs := t.running[target]
-	list := make([]logged, 0, len(runs))
-	for f := range runs {
-		list = append(list, logged{fingerprint: f, level: t.level(now, f)})
+// lastStarts returns the start of the newest run of each content on target.
+func (t *Table) lastStarts(target string) map[uint64]uint64 {
+	last := make(map[uint64]uint64)
+	for start, f := range t.running[target] {
+		last[f] = max(last[f], start)
 	}
-	slices.SortFunc(list, func(a, b logged) int {
-		return cmp.Compare(runs[b.fingerprint].start, runs[a.fingerprint].start)
-	})
-	for i := range list {
-		list[i].newest = i < t.cfg.Newest
+	return last
+}
+
+func newestFirst(last map[uint64]uint64) []uint64 {
+	return slices.SortedFunc(maps.Keys(last), func(a, b uint64) int { return cmp.Compare(last[b], last[a]) })
+}
+
+// restarts is added to an incarnation whose death is known when a run that began after it has died too: the target has
+// restarted, and its new incarnation was not learnt in time.
+const restarts = 1 << 48
+
+// deathOf names the death that ended a run.
+func (t *Table) deathOf(target string, incarnation, start uint64) uint64 {
+	for {
+		id := DeathID(target, incarnation)
+		if d := t.deaths[id]; d == nil || start <= d.starts {
+			return id
+		}
+		incarnation += restarts
 	}
-	return list
 }
 
 // record takes in that a content was aboard at a death, and logs it for peers unless it was known.
 func (t *Table) record(now time.Time, l logged) {
 	d := t.deaths[l.death]
 	if d == nil {
-		d = &death{at: l.at, aboard: make(map[uint64]blame)}
+		d = &death{at: l.at, starts: t.starts, aboard: make(map[uint64]blame)}
 		t.deaths[l.death] = d
 	}
 	old, known := d.aboard[l.fingerprint]
@@ -310,18 +259,24 @@
 	c := t.contents[fingerprint]
 	if c == nil {
 		t.makeRoom()
-		c = &content{deaths: make(map[uint64]struct{})}
+		c = &content{deaths: make(map[uint64]struct{}), finished: make(map[uint64]struct{})}
 		t.contents[fingerprint] = c
 	}
 	c.touched = now
 	return c
 }
 
-func (t *Table) clear(now time.Time, fingerprint uint64, at time.Time) {
-	c := t.content(now, fingerprint)
-	if at.After(c.cleared) {
-		c.cleared = at
+// finish takes in that a run finished, and logs it for peers unless it was known.
+func (t *Table) finish(now time.Time, l logged) {
+	c := t.content(now, l.fingerprint)
+	if _, known := c.finished[l.death]; known {
+		return
 	}
+	c.finished[l.death] = struct{}{}
+	if l.at.After(c.cleared) {
+		c.cleared = l.at
+	}
+	t.append(now, l)
 }
 
 // sweep forgets what is older than the window.
--- a/lib/power/allotter.go
+++ b/lib/power/allotter.go
@@ -75,7 +75,10 @@
 }
 
 // Read takes in a measurement of the site's draw.
-func (a *Allotter) Read(now time.Time, r Reading) { a.meter.read(now, r, a.allHeard(now)) }
+func (a *Allotter) Read(now time.Time, r Reading) {
+	a.meter.partial = !a.allHeard(now)
+	a.meter.read(now, r)
+}
 
 // allHeard reports whether the modelled draw is that of all parts.
 func (a *Allotter) allHeard(now time.Time) bool {
--- a/lib/power/guard.go
+++ b/lib/power/guard.go
@@ -17,6 +17,7 @@
 	atValue float64   // modelled draw when the value last changed
 	excess  float64   // measured draw beyond the modelled one
 	peaks   []modelled
+	partial bool // not all parts are modelled: a reading says nothing about an excess
 }
 
 // modelled is the draw that followers reported at one time.
@@ -44,11 +45,13 @@
 // excessDecay is the part of a shrinking excess that is given back with each reading.
 const excessDecay = 0.1
 
-// read takes in a reading. One that is older than the last is dropped. Without the whole modelled draw to hold it against,
-// it says nothing about an excess.
-func (m *meter) read(now time.Time, r Reading, modelWhole bool) {
+// read takes in a reading. One that is older than the last, or than MaxAge, is dropped.
+//
+// The draw that was modelled so long ago is no longer kept: against it, all of an old reading would count as excess,
+// and the site would be held at its fallbacks for as long as the excess takes to decay.
+func (m *meter) read(now time.Time, r Reading) {
 	taken := now.Add(-max(0, r.Age))
-	if taken.Before(m.taken) {
+	if taken.Before(m.taken) || r.Age > m.cfg.MaxAge {
 		return
 	}
 	if m.taken.IsZero() || r.Watts != m.last.Watts {
@@ -56,7 +59,7 @@
 		m.atValue = m.modelledNow()
 	}
 	m.last, m.taken = r, taken
-	if !modelWhole {
+	if m.partial {
 		return
 	}
 	excess := max(0, r.Watts-m.modelledAround(taken))
