Measure what limits cost on the wire

BenchmarkLimitTraffic: entries in one process over real sockets, limit.DefaultConfig, twenty requests of half a second a second and entry. A first run showed less at 16 entries than at 8: the rig's names were out of order, and View.Get found only some.

--- /dev/null
+++ b/lib/guardlink/bench_test.go
@@ -0,0 +1,72 @@
+package guardlink
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/limit"
+)
+
+// BenchmarkLimitTraffic measures what limits cost on the wire: entries in one process over real sockets, keys in use at
+// every entry, twenty requests a second an entry of half a second each. Run it with -benchtime=1x. A node's figure counts
+// bytes both ways, the yamux pings of its links included; with keys=0 it is what support of holders and pings cost.
+func BenchmarkLimitTraffic(b *testing.B) {
+	for _, c := range []struct{ entries, keys int }{{2, 30}, {4, 30}, {8, 30}, {16, 30}, {8, 0}, {16, 0}, {8, 120}} {
+		b.Run(fmt.Sprintf("entries=%d/keys=%d", c.entries, c.keys), func(b *testing.B) {
+			procs := startAll(b, c.entries, limit.DefaultConfig)
+			ctx, cancel := context.WithCancel(context.Background())
+			var wg sync.WaitGroup
+			if c.keys > 0 {
+				for i, p := range procs {
+					wg.Go(func() { p.request(ctx, uint64(i), c.keys) })
+				}
+			}
+			time.Sleep(2 * limit.DefaultConfig.WaitOut())
+			for b.Loop() {
+				measureTraffic(b, procs)
+			}
+			cancel()
+			wg.Wait()
+		})
+	}
+}
+
+const (
+	trafficSpan    = 4 * time.Second
+	requestSpacing = 50 * time.Millisecond
+	requestLength  = 500 * time.Millisecond
+)
+
+func measureTraffic(b *testing.B, procs []*process) {
+	before := bytesOf(procs)
+	start := time.Now()
+	time.Sleep(trafficSpan)
+	perSecond := float64(bytesOf(procs)-before) / time.Since(start).Seconds()
+	b.ReportMetric(perSecond/float64(len(procs)), "B/s/entry")
+	b.ReportMetric(0, "ns/op")
+}
+
+func bytesOf(procs []*process) int64 {
+	sum := int64(0)
+	for _, p := range procs {
+		sent, received := p.node.Bytes()
+		sum += sent + received
+	}
+	return sum
+}
+
+// request makes requests until ctx is done.
+func (p *process) request(ctx context.Context, seed uint64, keys int) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	for ctx.Err() == nil {
+		key := limit.Key{Workspace: fmt.Sprint("planner-llm/workspace-", rng.IntN(keys)), Class: "urgent"}
+		if p.limits.Acquire(ctx, key).Verdict == limit.Admitted {
+			time.AfterFunc(requestLength, func() { p.limits.Release(key) })
+		}
+		time.Sleep(requestSpacing)
+	}
+}
--- a/lib/guardlink/link_test.go
+++ b/lib/guardlink/link_test.go
@@ -43,7 +43,7 @@
 	OrphanHold: time.Second, FloorFraction: 0.25, MaxInstances: 4,
 }
 
-func (e *entries) start(t *testing.T, name string) *process {
+func (e *entries) start(t testing.TB, name string, cfg limit.Config) *process {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -55,7 +55,7 @@
 	e.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	limits := func(limit.Key) limit.Limit { return limit.Limit{Concurrency: 8} }
-	p.limits = limit.NewService(quickLimits, name, 1, limits, func(to string, up limit.Up) { p.link.SendUp(to, up) })
+	p.limits = limit.NewService(cfg, name, 1, limits, func(to string, up limit.Up) { p.link.SendUp(to, up) })
 	p.link = New(ctx, Options{Node: p.node, View: e.viewOf(p.self), Limits: p.limits, Poison: p.poison})
 	go p.node.Serve(ln)
 	go p.link.Run()
@@ -67,12 +67,12 @@
 	return p
 }
 
-func startAll(t *testing.T, n int) []*process {
+func startAll(t testing.TB, n int, cfg limit.Config) []*process {
 	e := &entries{}
 	var procs []*process
 	var names []string
 	for i := range n {
-		procs = append(procs, e.start(t, fmt.Sprint("entry-", i)))
+		procs = append(procs, e.start(t, fmt.Sprintf("entry-%02d", i), cfg))
 		names = append(names, procs[i].self.Instance)
 	}
 	for _, p := range procs {
@@ -94,7 +94,7 @@
 // A limit of eight holds over three entries: together they admit eight at once, wherever the requests come, and never
 // nine. Without the messages each would stay at its floor.
 func TestLimitHoldsOverEntries(t *testing.T) {
-	procs := startAll(t, 3)
+	procs := startAll(t, 3, quickLimits)
 	key := limit.Key{Workspace: "planner-llm/glasgow-planning", Class: "urgent"}
 	admitted := 0
 	eventually(t, "eight admitted", func() bool {
@@ -116,7 +116,7 @@
 // Two engines die under the same content, each seen by another entry. Every entry must come to refuse it, also one that
 // saw neither death.
 func TestPoisonIsKnownEverywhere(t *testing.T) {
-	procs := startAll(t, 3)
+	procs := startAll(t, 3, quickLimits)
 	const content = 77
 	for i, target := range []string{"planner-1", "planner-2"} {
 		run := procs[i].poison.Started(target, content)
