Keep power free for urgent work, and count the power of targets told to be gone

Change: work that is not urgent leaves the headroom's power; an urgent request without power takes it from one victim at a time. Tests for both failed first.

--- a/lib/sched/headroom.go
+++ b/lib/sched/headroom.go
@@ -6,6 +6,7 @@
 // once without a victim.
 type headroom struct {
 	running int     // urgent generations running now
+	free    float64 // urgent generations that there must be room for, over all targets
 	slots   int     // places in the batch of each target
 	tokens  float64 // memory of each target
 }
@@ -19,6 +20,7 @@
 // sizeHeadroom sizes the headroom from the urgent arrival rate: by Little's law it is the number of urgent
 // generations at once, and some deviations of a Poisson count above it, less those that already run.
 func (o *Owner) sizeHeadroom(now Time) {
+	o.headroom.free = 0
 	o.headroom.slots = 0
 	o.headroom.tokens = 0
 	if o.opt.DisableHeadroom || o.usable == 0 {
@@ -41,6 +43,7 @@
 	if free <= 0 {
 		return
 	}
+	o.headroom.free = free
 	each := free / float64(o.usable)
 	o.headroom.slots = int(math.Ceil(each))
 	o.headroom.tokens = each * size / atOnce
--- a/lib/sched/memory.go
+++ b/lib/sched/memory.go
@@ -112,21 +112,26 @@
 	})
 }
 
-// preemptForUrgent makes room for an urgent request that no target has memory for: the victim, over all targets, with
-// the least lost work for each token freed. It returns none when no single victim would do.
+// preemptForUrgent makes room for an urgent request that no target has memory or power for: it moves the victim, over
+// all targets, with the least lost work for each token freed. It reports false when no single victim would do.
 func (o *Owner) preemptForUrgent(now Time, i int32, acts []Action) ([]Action, bool) {
 	if o.opt.DisableVictims {
 		return acts, false
 	}
+	starved := o.powerStarved()
+	if starved && o.movingTotal() > 0 {
+		// The power of a victim is free only when its attempt has ended: one at a time.
+		return acts, false
+	}
 	best := none
 	var bestCost float64
 	for ti := range o.targets {
 		t := &o.targets[ti]
-		if !o.open(now, t) || o.gens[i].avoids(int32(ti)) || !o.batchRoom(t) || !o.powerRoom(t) {
+		if !o.open(now, t) || o.gens[i].avoids(int32(ti)) {
 			continue
 		}
 		v := o.victim(t)
-		if v == none || !o.relieves(t, v) {
+		if v == none || !starved && !o.relieves(t, v) {
 			continue
 		}
 		g := &o.gens[v]
@@ -141,8 +146,17 @@
 	return o.preempt(best, acts), true
 }
 
-// relieves reports whether the memory of victim v is enough for the candidate.
+// relieves reports whether victim v is what keeps the candidate out of target t: its memory is enough, and the batch
+// has a place.
 func (o *Owner) relieves(t *target, v int32) bool {
 	over := t.load.Mean[0] + float64(o.cand.held) - float64(t.kvTotal)*o.opt.MemoryFill
-	return over <= float64(o.gens[v].held())
+	return over <= float64(o.gens[v].held()) && o.batchRoom(t)
+}
+
+func (o *Owner) movingTotal() int {
+	n := 0
+	for i := range o.targets {
+		n += o.targets[i].moving
+	}
+	return n
 }
--- a/lib/sched/owner_test.go
+++ b/lib/sched/owner_test.go
@@ -529,3 +529,56 @@
 		r.never(ActRefuse, n, 8*time.Second)
 	}
 }
+
+// The power cap is taken up by long work when an urgent question comes. One long generation is stopped for it after a
+// short while, and only one: its power is free as soon as its attempt has ended.
+func TestUrgentWorkGetsPowerFromOneVictim(t *testing.T) {
+	s := spec("a", 100_000, 32)
+	s.SeqWatts = 10
+	r := newRig(t, Options{DisableHeadroom: true}, s)
+	r.o.SetPower(r.now, 101, r.now.Add(time.Hour), 0)
+	for n := range 20 {
+		r.submit(n, "night", nil)
+	}
+	r.tick()
+	must.MapLen(t, 9, r.runs)
+	r.submit(100, "urgent", nil)
+	victims := 0
+	for range 50 {
+		for _, a := range r.tick() {
+			if a.Kind == ActPreempt {
+				victims++
+				r.o.End(r.now, a.Gen, a.Attempt, r.runs[a.Gen].tokens, EndMoved)
+				delete(r.runs, a.Gen)
+			}
+			if a.Gen == gid(100) {
+				test.EqOp(t, ActGrant, a.Kind)
+				test.EqOp(t, 1, victims)
+				return
+			}
+		}
+	}
+	t.Fatal("the urgent request got no power")
+}
+
+// A target is told to be gone while its generations have not been heard to end: it may be cut off and draw power all
+// the same. Until their ends come, their power is not given to others.
+func TestPowerOfAGoneTargetIsKeptUntilItsWorkEnded(t *testing.T) {
+	a, b := spec("a", 40_000, 8), spec("b", 40_000, 8)
+	a.SeqWatts, b.SeqWatts = 10, 10
+	r := newRig(t, Options{}, a)
+	r.o.SetPower(r.now, 31, r.now.Add(time.Hour), 0)
+	for n := range 3 {
+		r.submit(n, "batch", nil)
+	}
+	r.tick()
+	must.MapLen(t, 3, r.runs)
+	r.o.SetTargets(r.now, []TargetSpec{a, b})
+	r.o.TargetGone(r.now, "a")
+	r.submit(9, "batch", nil)
+	r.never(ActGrant, 9, 200*time.Millisecond)
+	for n := range 3 {
+		r.o.End(r.now, gid(n), 1, 5, EndTargetDied)
+	}
+	test.EqOp(t, "b", r.until(ActGrant, 9, time.Second).Target)
+}
--- a/lib/sched/power.go
+++ b/lib/sched/power.go
@@ -31,7 +31,8 @@
 	var sum float64
 	for i := range o.targets {
 		t := &o.targets[i]
-		if t.gone || !t.listed && t.run.n == 0 {
+		if t.run.n == 0 && (t.gone || !t.listed) {
+			// A target that is told to be gone may still draw power for what is not known to have ended there.
 			continue
 		}
 		sum += t.spec.IdleWatts + t.spec.SeqWatts*float64(t.run.n+t.foreign) + t.watts
@@ -39,9 +40,13 @@
 	return sum
 }
 
-// powerRoom filters by the cap.
+// powerRoom filters by the cap. Work that is not urgent leaves the power of the headroom.
 func (o *Owner) powerRoom(t *target) bool {
-	if !o.cand.capped || t.spec.SeqWatts <= o.cand.spare {
+	spare := o.cand.spare
+	if !o.cand.urgent {
+		spare -= o.headroom.free * t.spec.SeqWatts
+	}
+	if !o.cand.capped || t.spec.SeqWatts <= spare {
 		return true
 	}
 	o.powerBound = true
@@ -106,3 +111,17 @@
 	}
 	return a.held() < b.held()
 }
+
+// powerStarved reports whether the cap leaves the candidate no power on any target.
+func (o *Owner) powerStarved() bool {
+	if !o.cand.capped {
+		return false
+	}
+	for i := range o.targets {
+		t := &o.targets[i]
+		if o.accepts(t) && t.spec.SeqWatts <= o.cand.spare {
+			return false
+		}
+	}
+	return true
+}
