--- a/lib/control/status.go
+++ b/lib/control/status.go
@@ -10,12 +10,8 @@
 	"anvilwick.example/anvilwick/lib/meshpb"
 	"anvilwick.example/anvilwick/lib/opsapi"
 	"anvilwick.example/anvilwick/lib/platformapi"
-	"anvilwick.example/anvilwick/lib/settings"
 )
 
-// silentAfter is the age of a report from which a target counts as silent.
-const silentAfter = 10 * time.Second
-
 var errNoSettings = errors.New("no settings yet")
 
 // Source answers operators.
@@ -104,52 +100,15 @@
 
 // Targets lists every target of the settings in force with its last report.
 func (p *Process) Targets() []opsapi.Target {
-	snap := p.Snapshot()
-	if snap == nil {
-		return []opsapi.Target{}
-	}
 	v := p.tables.view()
 	now := time.Now()
-	out := []opsapi.Target{}
-	for _, svc := range snap.Services {
-		for i := range svc.Targets {
-			out = append(out, targetOf(svc.Name, &svc.Targets[i], v, now))
-		}
-	}
-	slices.SortFunc(out, func(a, b opsapi.Target) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
+	return opsapi.TargetsOf(p.Snapshot(), opsapi.TargetView{
+		Report: func(name string) (*meshpb.TargetReport, time.Duration) {
+			r := v.reports[name]
+			return r.TargetReport, now.Sub(r.taken)
+		},
+		Draining: func(name string) bool { return v.drains[name].on },
 	})
-	return out
-}
-
-func targetOf(service string, t *settings.Target, v tablesView, now time.Time) opsapi.Target {
-	out := opsapi.Target{
-		Service:       service,
-		Name:          t.Name,
-		Addr:          t.Addr,
-		FailureDomain: t.FailureDomain,
-		State:         opsapi.TargetSilent,
-	}
-	r, known := v.reports[t.Name]
-	if known {
-		out.Running = int(r.GetRunning())
-		out.KVUsed = int(r.GetKvUsed())
-		out.KVTotal = int(r.GetKvTotal())
-		out.Watts = r.GetWatts()
-		out.Model = r.GetModel()
-		out.ModelVersion = r.GetModelVersion()
-		out.Fence = r.GetFence()
-		out.ReportAgeMS = now.Sub(r.taken).Milliseconds()
-	}
-	switch {
-	case t.Draining || v.drains[t.Name].on:
-		out.State = opsapi.TargetDraining
-	case known && r.GetLeaving():
-		out.State = opsapi.TargetLeaving
-	case known && now.Sub(r.taken) < silentAfter:
-		out.State = opsapi.TargetLive
-	}
-	return out
 }
 
 // Queues lists the shards that the entry owns.
--- /dev/null
+++ b/lib/e2e/control_test.go
@@ -0,0 +1,155 @@
+package e2e
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/caller"
+	"anvilwick.example/anvilwick/lib/localsite"
+	"anvilwick.example/anvilwick/lib/opsapi"
+	"anvilwick.example/anvilwick/lib/proc"
+	"anvilwick.example/anvilwick/lib/standin/platform"
+)
+
+var engineFault = localsite.EngineFault
+
+// inForce waits until each entry has a revision in force.
+func inForce(t *testing.T, ctx context.Context, site *localsite.Site, revision uint64, entries ...*localsite.Node) {
+	t.Helper()
+	for _, n := range entries {
+		must.NoError(t, proc.Until(ctx, n.Name, func(ctx context.Context) error {
+			st, err := localsite.Operator(n).Status(ctx)
+			if err == nil && st.SettingsRevision != revision {
+				err = fmt.Errorf("revision %d in force, want %d", st.SettingsRevision, revision)
+			}
+			return err
+		}))
+	}
+}
+
+// A control process is killed, and frozen, while its entry streams. The entry takes no step through it, so the caller
+// sees nothing; the successor connects and brings settings that were committed meanwhile.
+func TestControlDiesUnderAStream(t *testing.T) {
+	site, ctx := siteOf(t, 1, 2)
+	frozen, killed := site.Controls[0], site.Controls[1]
+	a := start(ctx, clientOf(site), "control frozen", 120, caller.Call{Entry: 0})
+	b := start(ctx, clientOf(site), "control killed", 120, caller.Call{Entry: 1})
+	a.reach(t, ctx, 5)
+	b.reach(t, ctx, 5)
+	must.NoError(t, frozen.Freeze())
+	must.NoError(t, killed.Kill())
+	a.whole(t, ctx)
+	b.whole(t, ctx)
+
+	must.NoError(t, site.Commit(ctx, site.Text()+"# second\n", localsite.Revision))
+	must.NoError(t, site.Restart(killed))
+	must.NoError(t, frozen.Thaw())
+	inForce(t, ctx, site, 2, site.Entries...)
+}
+
+// An operator's change must be in force at every instance within five seconds of its acceptance.
+func TestSettingsAreInForceWithinFiveSeconds(t *testing.T) {
+	site, ctx := siteOf(t, 1, 3)
+	for base := uint64(localsite.Revision); base < 4; base++ {
+		must.NoError(t, site.Commit(ctx, fmt.Sprintf("%s# change %d\n", site.Text(), base), base))
+		accepted := time.Now()
+		inForce(t, ctx, site, base+1, site.Entries...)
+		took := time.Since(accepted)
+		t.Logf("revision %d in force at 3 entries after %v", base+1, took)
+		must.Less(t, 5*time.Second, took)
+	}
+}
+
+// The platform is down. Streams in progress, new streams and idempotent calls go on; settings stay in force; and an
+// entry that is replaced meanwhile gets its settings from its peers and not from the table.
+func TestPlatformOutage(t *testing.T) {
+	site, ctx := siteOf(t, 2, 3)
+	c := clientOf(site)
+	s := start(ctx, c, "through the outage", 150, caller.Call{})
+	s.reach(t, ctx, 5)
+	must.NoError(t, site.PlatformFault(ctx, platform.Fault{Kind: platform.FaultOutage}))
+	s.whole(t, ctx)
+	for i := range site.Entries {
+		start(ctx, c, fmt.Sprint("in the outage ", i), 20, caller.Call{Entry: i}).whole(t, ctx)
+		_, res, err := c.Plain(ctx, caller.PlainCall{Method: http.MethodGet, Path: "/ledger/status?id=1", Entry: i})
+		must.NoError(t, err)
+		must.Eq(t, http.StatusOK, res.HTTP)
+	}
+
+	replaced := site.Entries[2]
+	must.NoError(t, replaced.Kill())
+	must.NoError(t, site.Controls[2].Kill())
+	must.NoError(t, site.Restart(replaced))
+	inForce(t, ctx, site, localsite.Revision, replaced)
+	must.NoError(t, site.AwaitReady(ctx, replaced))
+	start(ctx, c, "at the replaced entry", 20, caller.Call{Entry: 2}).whole(t, ctx)
+}
+
+// An operator drains an engine through one instance. Within three seconds no entry sends it anything new, and what it
+// runs is cut by nothing.
+func TestDrainedTargetGetsNothingNew(t *testing.T) {
+	site, ctx := siteOf(t, 2, 2)
+	c := clientOf(site)
+	long := start(ctx, c, "long", 250, caller.Call{})
+	long.reach(t, ctx, 2)
+	busy, err := site.Busy(ctx)
+	must.NoError(t, err)
+	must.NotNil(t, busy)
+
+	rep, err := localsite.Operator(site.Controls[0]).Drain(ctx, opsapi.DrainRequest{Target: busy.Name, On: true, Operator: "ann"})
+	must.NoError(t, err)
+	must.True(t, rep.Durable)
+	asked := time.Now()
+	for _, e := range site.Entries {
+		must.NoError(t, proc.Until(ctx, "the drain", func(ctx context.Context) error { return draining(ctx, e, busy.Name) }))
+	}
+	must.Less(t, 3*time.Second, time.Since(asked))
+	before, err := localsite.Stats(ctx, busy)
+	must.NoError(t, err)
+	for i := range 10 {
+		start(ctx, c, fmt.Sprint("short ", i), 5, caller.Call{Entry: i}).whole(t, ctx)
+	}
+	after, err := localsite.Stats(ctx, busy)
+	must.NoError(t, err)
+	must.Eq(t, before.Generations, after.Generations)
+	long.whole(t, ctx)
+}
+
+func draining(ctx context.Context, n *localsite.Node, target string) error {
+	ts, err := localsite.Operator(n).Targets(ctx)
+	if err != nil {
+		return err
+	}
+	for _, tg := range ts {
+		if tg.Name == target && tg.State == opsapi.TargetDraining {
+			return nil
+		}
+	}
+	return errors.New("not draining yet")
+}
+
+// Every process is stopped by SIGTERM while streams run on all entries. Each stream ends whole before its entry does,
+// and each process ends with exit code 0.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	site, ctx := siteOf(t, 2, 2)
+	c := clientOf(site)
+	var streams []*stream
+	for i := range 4 {
+		s := start(ctx, c, fmt.Sprint("stopping ", i), 120, caller.Call{Entry: i})
+		s.reach(t, ctx, 3)
+		streams = append(streams, s)
+	}
+	must.NoError(t, proc.Terminate(ctx, site.Controls[0].Proc, site.Controls[1].Proc))
+	stopped := make(chan error, 1)
+	go func() { stopped <- site.Stop(ctx) }()
+	for _, s := range streams {
+		s.whole(t, ctx)
+	}
+	must.NoError(t, <-stopped)
+}
--- /dev/null
+++ b/lib/e2e/e2e_test.go
@@ -0,0 +1,132 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/caller"
+	"anvilwick.example/anvilwick/lib/localsite"
+	"anvilwick.example/anvilwick/lib/proc"
+	"anvilwick.example/anvilwick/lib/standin/engine"
+	"anvilwick.example/anvilwick/lib/workload"
+)
+
+const (
+	workspace = "treaty-desk"
+	model     = "treaty-70b"
+	patience  = 30 * time.Second // of one test; they wait on conditions and end much sooner
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	proc.RemoveBinaries()
+	os.Exit(code)
+}
+
+// siteOf starts a site and stops it at the end of the test. On a failure it shows what the processes said.
+func siteOf(t *testing.T, engines, entries int, engineFlags ...string) (*localsite.Site, context.Context) {
+	t.Helper()
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	t.Cleanup(cancel)
+	bin, err := proc.Binaries(ctx)
+	must.NoError(t, err)
+	site, err := localsite.Start(ctx, localsite.Config{
+		Binaries: bin, Engines: engines, Plains: 2, Entries: entries,
+		EngineFlags: append([]string{"-report-lag", "100ms"}, engineFlags...),
+		Settings: localsite.Settings{
+			Model: model, Service: "anvilwick-treaty", Route: "/ledger", Workspaces: []string{workspace},
+			Classes: []workload.Class{{Name: "standard", Priority: 50, MaxWait: time.Minute, QueueBound: 100, MaxPreemptions: 2}},
+		},
+	})
+	must.NoError(t, err)
+	t.Cleanup(func() {
+		if t.Failed() {
+			for _, n := range site.Nodes() {
+				t.Logf("--- %s\n%s", n.Name, n.Output())
+			}
+		}
+		site.Close()
+	})
+	return site, ctx
+}
+
+func clientOf(site *localsite.Site) *caller.Client {
+	return &caller.Client{Entries: site.Callers(), Token: localsite.Key(workspace), HTTP: &http.Client{Transport: &http.Transport{}}}
+}
+
+// stream is a generation in progress.
+type stream struct {
+	prompt string
+	tokens int
+	seen   chan caller.Token
+	done   chan struct{}
+	text   strings.Builder
+	res    caller.Result
+	err    error
+}
+
+// start asks for an answer of n tokens.
+func start(ctx context.Context, c *caller.Client, name string, n int, call caller.Call) *stream {
+	s := &stream{
+		prompt: fmt.Sprintf("%s [len=%d]", name, n),
+		tokens: n,
+		seen:   make(chan caller.Token, n),
+		done:   make(chan struct{}),
+	}
+	call.Model, call.Prompt, call.Class = model, s.prompt, "standard"
+	go func() {
+		defer close(s.done)
+		s.res, s.err = c.Stream(ctx, call, func(tok caller.Token) {
+			s.text.WriteString(tok.Text)
+			s.seen <- tok
+		})
+	}()
+	return s
+}
+
+// reach waits until token n has come.
+func (s *stream) reach(t *testing.T, ctx context.Context, n int) {
+	t.Helper()
+	for {
+		select {
+		case tok := <-s.seen:
+			if tok.Index >= n {
+				return
+			}
+		case <-s.done:
+			t.Fatalf("%s ended before token %d: %+v %v", s.prompt, n, s.res, s.err)
+		case <-ctx.Done():
+			t.Fatalf("%s: token %d did not come", s.prompt, n)
+		}
+	}
+}
+
+// whole waits for the end and checks every token.
+func (s *stream) whole(t *testing.T, ctx context.Context) {
+	t.Helper()
+	select {
+	case <-s.done:
+	case <-ctx.Done():
+		t.Fatalf("%s did not end", s.prompt)
+	}
+	must.NoError(t, s.err, must.Sprint(s.prompt))
+	must.NoError(t, engine.CheckAnswer(s.prompt, s.text.String(), s.tokens))
+}
+
+func running(nodes []*localsite.Node) int {
+	n := 0
+	for _, node := range nodes {
+		if node.Running() {
+			n++
+		}
+	}
+	return n
+}
--- a/lib/entrylink/entrylink.go
+++ b/lib/entrylink/entrylink.go
@@ -168,18 +168,34 @@
 			delete(l.reports, name)
 			continue
 		}
-		out.Targets = append(out.Targets, &meshpb.TargetReport{
-			Target:       name,
-			Watts:        t.rep.Watts,
-			Running:      uint32(t.rep.Running),
-			KvUsed:       uint64(t.rep.KVUsed),
-			KvTotal:      uint64(t.rep.KVTotal),
-			Model:        t.rep.Model,
-			ModelVersion: t.rep.ModelVersion,
-			Fence:        t.rep.Fence,
-			Leaving:      t.rep.Leaving,
-			AgeMs:        age.Milliseconds(),
-		})
+		out.Targets = append(out.Targets, t.message(name, age))
 	}
 	return out
 }
+
+func (t taken) message(name string, age time.Duration) *meshpb.TargetReport {
+	return &meshpb.TargetReport{
+		Target:       name,
+		Watts:        t.rep.Watts,
+		Running:      uint32(t.rep.Running),
+		KvUsed:       uint64(t.rep.KVUsed),
+		KvTotal:      uint64(t.rep.KVTotal),
+		Model:        t.rep.Model,
+		ModelVersion: t.rep.ModelVersion,
+		Fence:        t.rep.Fence,
+		Leaving:      t.rep.Leaving,
+		AgeMs:        age.Milliseconds(),
+	}
+}
+
+// Last returns a target's last report and its age; nil when there is none.
+func (l *Link) Last(target string) (*meshpb.TargetReport, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t, ok := l.reports[target]
+	if !ok {
+		return nil, 0
+	}
+	age := time.Since(t.at)
+	return t.message(target, age), age
+}
--- a/lib/entryproc/ops.go
+++ b/lib/entryproc/ops.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"net/http"
+	"time"
 
+	"anvilwick.example/anvilwick/lib/meshpb"
 	"anvilwick.example/anvilwick/lib/opsapi"
 )
 
@@ -16,6 +18,7 @@
 func (p *Process) opsHandler(hashes []opsapi.Hash) http.Handler {
 	return opsapi.Handler(hashes, opsapi.Source{
 		Status:  p.status,
+		Targets: p.targets,
 		Ready:   p.ready,
 		Metrics: p.metrics.Write,
 	})
@@ -48,3 +51,15 @@
 	}
 	return st
 }
+
+// targets shows what this entry acts on: the settings in force with drains laid over them.
+func (p *Process) targets() []opsapi.Target {
+	v := opsapi.TargetView{
+		Report:   func(string) (*meshpb.TargetReport, time.Duration) { return nil, 0 },
+		Draining: func(string) bool { return false },
+	}
+	if p.links != nil {
+		v.Report = p.links.control.Last
+	}
+	return opsapi.TargetsOf(p.server.Snapshot(), v)
+}
--- /dev/null
+++ b/lib/opsapi/targets.go
@@ -0,0 +1,60 @@
+package opsapi
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/meshpb"
+	"anvilwick.example/anvilwick/lib/settings"
+)
+
+// SilentAfter is the age of a report from which a target counts as silent.
+const SilentAfter = 10 * time.Second
+
+// TargetView is what a process knows of targets beside the settings.
+type TargetView struct {
+	Report   func(target string) (*meshpb.TargetReport, time.Duration) // last report with its age now; nil: none
+	Draining func(target string) bool                                  // by an operator
+}
+
+// TargetsOf lists every target of snap, sorted by service and name; nil snap has none.
+func TargetsOf(snap *settings.Snapshot, v TargetView) []Target {
+	out := []Target{}
+	if snap == nil {
+		return out
+	}
+	for _, svc := range snap.Services {
+		for i := range svc.Targets {
+			out = append(out, v.target(svc.Name, &svc.Targets[i]))
+		}
+	}
+	slices.SortFunc(out, func(a, b Target) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
+func (v TargetView) target(service string, t *settings.Target) Target {
+	out := Target{Service: service, Name: t.Name, Addr: t.Addr, FailureDomain: t.FailureDomain, State: TargetSilent}
+	r, age := v.Report(t.Name)
+	if r != nil {
+		out.Running = int(r.GetRunning())
+		out.KVUsed = int(r.GetKvUsed())
+		out.KVTotal = int(r.GetKvTotal())
+		out.Watts = r.GetWatts()
+		out.Model = r.GetModel()
+		out.ModelVersion = r.GetModelVersion()
+		out.Fence = r.GetFence()
+		out.ReportAgeMS = age.Milliseconds()
+	}
+	switch {
+	case t.Draining || v.Draining(t.Name):
+		out.State = TargetDraining
+	case r != nil && r.GetLeaving():
+		out.State = TargetLeaving
+	case r != nil && age < SilentAfter:
+		out.State = TargetLive
+	}
+	return out
+}
