Divide the site's power by a lease, through the table

Parts are shards of services with known power. Beside each shard's owner a follower leaves reports in the table every 2.5 s and reads its share; the lease's holder divides the cap with lib/power and writes all shares in one transaction on the lease's condition, so a paused holder's shares are refused by the table. Cost: 0.4 writes/s a shard and up to 2/s for the holder; with hundreds of shards this needs direct streams in place of the table. The entry is told a share's time left, also when it has run out (then it falls to its fallback), and an entry without shards is told the fallback.

--- a/lib/control/control.go
+++ b/lib/control/control.go
@@ -108,6 +108,8 @@
 		p.forwardSettings,
 		p.watchInstances,
 		p.watchDrains,
+		p.follow,
+		p.allot,
 	} {
 		wg.Go(func() { work(ctx) })
 	}
--- a/lib/control/power.go
+++ b/lib/control/power.go
@@ -242,8 +242,8 @@
 	if len(fresh) == 0 {
 		return
 	}
-	a.read()
 	a.answer(ctx, fresh)
+	a.read()
 }
 
 func (a *allotting) replan() {
@@ -280,7 +280,9 @@
 	return fresh
 }
 
-// read gives the allotter the site's draw as the targets report it, as old as the oldest part of it.
+// read gives the allotter the site's draw as the targets report it, as old as the oldest part of it. It comes after
+// answer, by which the allotter has modelled what the reports draw. A reading from before this allotter began is left
+// out: nothing was modelled then, so all of it would count as excess and hold every part near its fallback.
 func (a *allotting) read() {
 	var sum power.Reading
 	now := time.Now()
@@ -292,6 +294,9 @@
 		sum.Watts += r.MeasuredWatts
 		sum.Age = max(sum.Age, time.Duration(r.MeasuredAgeMS)*time.Millisecond+now.Sub(r.at))
 	}
+	if now.Add(-sum.Age).Before(a.since) {
+		return
+	}
 	a.allotter.Read(now, sum)
 }
 
--- a/lib/control/status.go
+++ b/lib/control/status.go
@@ -52,10 +52,25 @@
 	for _, h := range v.leases {
 		st.Leases = append(st.Leases, opsapi.Lease{Name: h.Name(), Fence: h.Fence(), LeftMS: h.Left().Milliseconds()})
 	}
+	st.Power = shares(v, time.Now())
 	slices.SortFunc(st.Leases, func(a, b opsapi.Lease) int { return cmp.Compare(a.Name, b.Name) })
 	return st
 }
 
+func shares(v tablesView, now time.Time) []opsapi.Power {
+	var out []opsapi.Power
+	for service, s := range v.shares {
+		out = append(out, opsapi.Power{
+			Service:       service,
+			Watts:         s.GetWatts(),
+			FallbackWatts: s.GetFallbackWatts(),
+			LeftMS:        max(0, s.until.Sub(now).Milliseconds()),
+		})
+	}
+	slices.SortFunc(out, func(a, b opsapi.Power) int { return cmp.Compare(a.Service, b.Service) })
+	return out
+}
+
 func upOrDown(up bool) string {
 	if up {
 		return "up"
--- a/lib/control/tables.go
+++ b/lib/control/tables.go
@@ -32,6 +32,13 @@
 	entry     *meshpb.EntryStatus
 	reports   map[string]report
 	leases    map[string]*lease.Held
+	shares    map[string]heldShare
+}
+
+// heldShare is what the entry was told of a service's power, with the time at which it runs out.
+type heldShare struct {
+	*meshpb.PowerShare
+	until time.Time
 }
 
 func newTables() tables {
@@ -82,6 +89,27 @@
 	return t.drains[target].rev
 }
 
+// hold shows a lease to operators until the returned function is called.
+func (t *tables) hold(h *lease.Held) (release func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leases[h.Name()] = h
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.leases, h.Name())
+	}
+}
+
+func (t *tables) setShares(shares map[string]*meshpb.PowerShare, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.shares = make(map[string]heldShare, len(shares))
+	for service, s := range shares {
+		t.shares[service] = heldShare{s, now.Add(time.Duration(s.GetValidMs()) * time.Millisecond)}
+	}
+}
+
 // view copies what operators are shown.
 func (t *tables) view() tablesView {
 	t.mu.Lock()
@@ -92,6 +120,7 @@
 		entry:     t.entry,
 		reports:   maps.Clone(t.reports),
 		leases:    slices.Collect(maps.Values(t.leases)),
+		shares:    t.shares,
 	}
 }
 
@@ -101,6 +130,7 @@
 	entry     *meshpb.EntryStatus
 	reports   map[string]report
 	leases    []*lease.Held
+	shares    map[string]heldShare
 }
 
 func findTarget(snap *settings.Snapshot, name string) *settings.Target {
--- a/lib/locallink/client.go
+++ b/lib/locallink/client.go
@@ -173,29 +173,23 @@
 			continue
 		}
 		m := e.current(time.Now())
-		switch {
-		case m == nil:
-		case m.GetSettings() != nil:
+		if m.GetSettings() != nil {
 			msgs = slices.Insert(msgs, 0, m)
-		default:
-			msgs = append(msgs, m)
+			continue
 		}
+		msgs = append(msgs, m)
 	}
 	return msgs, c.next
 }
 
-// current returns the message as it is worth now: nil for a power share that has run out, and one with the time that is
-// left otherwise. Sent as it was first given, an old share would be valid for its whole span again after each reconnect,
-// and the sum of shares could pass the site's cap.
+// current returns the message as it is worth now: a power share with the time that is left, and with none when it has
+// run out, so that the entry falls to its fallback. Sent as it was first given, an old share would be valid for its
+// whole span again after each reconnect, and the sum of shares could pass the site's cap.
 func (e held) current(now time.Time) *meshpb.LocalDown {
 	if e.expires.IsZero() {
 		return e.msg
 	}
-	left := e.expires.Sub(now).Milliseconds()
-	if left <= 0 {
-		return nil
-	}
 	p := proto.CloneOf(e.msg.GetPower())
-	p.ValidMs = left
+	p.ValidMs = max(0, e.expires.Sub(now).Milliseconds())
 	return &meshpb.LocalDown{Msg: &meshpb.LocalDown_Power{Power: p}}
 }
