Add status, targets, queues and drain to anvilwick-ctl

Operators could commit settings but not see what is in force. status shows each process asked with its revision, and the other instances with the revisions that heartbeats carry, leases with fencing numbers and shares of power; a process that does not answer is named and the rest is shown. drain tells whether the table has it: without the table it holds only where it was applied, and the exit code is 1.

--- /dev/null
+++ b/lib/ctl/ops.go
@@ -0,0 +1,295 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"text/tabwriter"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"anvilwick.example/anvilwick/lib/opsapi"
+	"anvilwick.example/anvilwick/lib/settings"
+)
+
+// tokenEnv holds an operator's token when -token-file is not given. A flag would show it in the list of processes.
+const tokenEnv = "ANVILWICK_OPERATOR_TOKEN"
+
+// noAnswer is for processes that did not answer; what the others said was printed.
+var noAnswer = namespace.NewType("no_answer")
+
+// ops is what the subcommands share that ask processes.
+type ops struct {
+	g         *globals
+	addrs     string
+	tokenFile string
+}
+
+func newOps(g *globals) []*ffcli.Command {
+	return []*ffcli.Command{newStatus(g), newTargets(g), newQueues(g), newDrain(g)}
+}
+
+// leaf returns a subcommand that asks processes.
+func (o *ops) leaf(name, usage, help string, flags func(*flag.FlagSet), exec func(context.Context, []string) error) *ffcli.Command {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(o.g.Err)
+	fs.StringVar(&o.addrs, "ops", "", "operators' ports of entries or control processes, IP:port, separated by commas")
+	fs.StringVar(&o.tokenFile, "token-file", "", "file with the operator's token; default: the environment's "+tokenEnv)
+	if flags != nil {
+		flags(fs)
+	}
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "anvilwick-ctl " + name + " -ops IP:port,... " + usage,
+		ShortHelp:  help,
+		FlagSet:    fs,
+		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
+		Exec:       exec,
+	}
+}
+
+// answer is what one process said.
+type answer[T any] struct {
+	addr string
+	body T
+	err  error
+}
+
+// askAll asks every process at once and returns the answers in the order of -ops.
+func askAll[T any](ctx context.Context, o *ops, ask func(context.Context, *opsapi.Client) (T, error)) ([]answer[T], error) {
+	addrs, token, err := o.targets()
+	if err != nil {
+		return nil, err
+	}
+	out := make([]answer[T], len(addrs))
+	var wg sync.WaitGroup
+	for i, addr := range addrs {
+		wg.Go(func() {
+			body, err := ask(ctx, opsapi.NewClient(addr, token))
+			out[i] = answer[T]{addr, body, err}
+		})
+	}
+	wg.Wait()
+	return out, nil
+}
+
+func (o *ops) targets() (addrs []string, token string, err error) {
+	for addr := range strings.SplitSeq(o.addrs, ",") {
+		if addr = strings.TrimSpace(addr); addr == "" {
+			continue
+		}
+		if !settings.ValidAddr(addr) {
+			return nil, "", usageErr.New("-ops %q: expected an IP number and a port such as 10.0.0.7:8083, not a host name", addr)
+		}
+		addrs = append(addrs, addr)
+	}
+	if len(addrs) == 0 {
+		return nil, "", usageErr.New("-ops is missing: give the operators' ports to ask")
+	}
+	token, err = o.token()
+	return addrs, token, err
+}
+
+func (o *ops) token() (string, error) {
+	if o.tokenFile == "" {
+		return os.Getenv(tokenEnv), nil
+	}
+	raw, err := os.ReadFile(o.tokenFile)
+	if err != nil {
+		return "", usageErr.Wrap(err, "-token-file")
+	}
+	return strings.TrimSpace(string(raw)), nil
+}
+
+// failures tells in one line which processes did not answer.
+func failures[T any](answers []answer[T]) error {
+	var failed []string
+	for _, a := range answers {
+		if a.err != nil {
+			failed = append(failed, fmt.Sprintf("%s: %s", a.addr, a.err))
+		}
+	}
+	if failed == nil {
+		return nil
+	}
+	return noAnswer.New("%s", strings.Join(failed, "; "))
+}
+
+func newStatus(g *globals) *ffcli.Command {
+	o := &ops{g: g}
+	return o.leaf("status", "", "Show processes, the settings revision in force at each, leases and power.", nil,
+		func(ctx context.Context, _ []string) error {
+			answers, err := askAll(ctx, o, func(ctx context.Context, c *opsapi.Client) (opsapi.Status, error) { return c.Status(ctx) })
+			if err != nil {
+				return err
+			}
+			g.printProcesses(answers)
+			g.printMembers(answers)
+			g.printControl(answers)
+			return failures(answers)
+		})
+}
+
+func (g *globals) tab() *tabwriter.Writer { return tabwriter.NewWriter(g.Out, 0, 8, 2, ' ', 0) }
+
+func (g *globals) printProcesses(answers []answer[opsapi.Status]) {
+	w := g.tab()
+	fmt.Fprintln(w, "instance\trole\tfailure domain\trevision\tstreams\tqueued\tstopping\tstore\tlink\taddress")
+	for _, a := range answers {
+		if a.err != nil {
+			fmt.Fprintf(w, "-\t-\t-\t-\t-\t-\t-\t-\t-\t%s: no answer\n", a.addr)
+			continue
+		}
+		s := a.body
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%t\t%s\t%s\t%s\n",
+			s.Instance, s.Role, dash(s.FailureDomain), s.SettingsRevision, s.Streams, s.Queued, s.Stopping, dash(s.Store), dash(s.Link), a.addr)
+	}
+	_ = w.Flush()
+}
+
+// printMembers shows the other instances as the first process sees them that knows any, with the revisions that their
+// heartbeats carry: an instance that lags or is cut off shows here even when it isn't asked.
+func (g *globals) printMembers(answers []answer[opsapi.Status]) {
+	for _, a := range answers {
+		if len(a.body.Members) == 0 {
+			continue
+		}
+		fmt.Fprintf(g.Out, "\ninstances as %s of %s sees them:\n", a.body.Role, a.body.Instance)
+		w := g.tab()
+		fmt.Fprintln(w, "instance\tfailure domain\tstate\trevision\tmesh address")
+		for _, m := range a.body.Members {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", m.Instance, dash(m.FailureDomain), m.State, revisionOf(a.body, m), dash(m.Addr))
+		}
+		_ = w.Flush()
+		return
+	}
+}
+
+func revisionOf(s opsapi.Status, m opsapi.Member) string {
+	switch {
+	case m.Instance == s.Instance:
+		return fmt.Sprint(s.SettingsRevision)
+	case m.SettingsRevision == 0:
+		return "-"
+	}
+	return fmt.Sprint(m.SettingsRevision)
+}
+
+func (g *globals) printControl(answers []answer[opsapi.Status]) {
+	w := g.tab()
+	for _, a := range answers {
+		for _, l := range a.body.Leases {
+			fmt.Fprintf(w, "lease %s\theld by %s\tfencing number %d\t%d ms left\n", l.Name, a.body.Instance, l.Fence, l.LeftMS)
+		}
+		for _, p := range a.body.Power {
+			fmt.Fprintf(w, "power of %s\tat %s\t%.0f W\tfallback %.0f W, %d ms left\n", p.Service, a.body.Instance, p.Watts, p.FallbackWatts, p.LeftMS)
+		}
+	}
+	_ = w.Flush()
+}
+
+func newTargets(g *globals) *ffcli.Command {
+	o := &ops{g: g}
+	return o.leaf("targets", "", "Show every target as the first process that answers sees it.", nil,
+		func(ctx context.Context, _ []string) error {
+			answers, err := askAll(ctx, o, func(ctx context.Context, c *opsapi.Client) ([]opsapi.Target, error) { return c.Targets(ctx) })
+			if err != nil {
+				return err
+			}
+			for _, a := range answers {
+				if a.err == nil {
+					return g.printTargets(a.body)
+				}
+			}
+			return failures(answers)
+		})
+}
+
+func (g *globals) printTargets(targets []opsapi.Target) error {
+	w := g.tab()
+	fmt.Fprintln(w, "service\ttarget\tstate\tfailure domain\taddress\trunning\twaiting\tmemory\twatts\tmodel\treport age")
+	for _, t := range targets {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d/%d\t%.0f\t%s\t%d ms\n",
+			t.Service, t.Name, t.State, t.FailureDomain, t.Addr, t.Running, t.Waiting, t.KVUsed, t.KVTotal, t.Watts, modelOf(t), t.ReportAgeMS)
+	}
+	return w.Flush()
+}
+
+func modelOf(t opsapi.Target) string {
+	if t.ModelVersion == "" {
+		return dash(t.Model)
+	}
+	return t.Model + "@" + t.ModelVersion
+}
+
+func newQueues(g *globals) *ffcli.Command {
+	o := &ops{g: g}
+	return o.leaf("queues", "", "Show the queues of every process asked.", nil,
+		func(ctx context.Context, _ []string) error {
+			answers, err := askAll(ctx, o, func(ctx context.Context, c *opsapi.Client) ([]opsapi.Queue, error) { return c.Queues(ctx) })
+			if err != nil {
+				return err
+			}
+			w := g.tab()
+			fmt.Fprintln(w, "address\tservice\tshard\tworkspace\tclass\tqueued\trunning\texpected wait")
+			for _, a := range answers {
+				for _, q := range a.body {
+					fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%d\t%d\t%d ms\n",
+						a.addr, q.Service, q.Shard, dash(q.Workspace), dash(q.Class), q.Queued, q.Running, q.WaitMS)
+				}
+			}
+			return errors.Join(w.Flush(), failures(answers))
+		})
+}
+
+func newDrain(g *globals) *ffcli.Command {
+	o := &ops{g: g}
+	r := opsapi.DrainRequest{}
+	var off bool
+	flags := func(fs *flag.FlagSet) {
+		fs.BoolVar(&off, "off", false, "end the drain: the target gets work again")
+		fs.StringVar(&r.Operator, "operator", operatorName(), "who, for other operators")
+	}
+	return o.leaf("drain", "[-off] TARGET", "Give a target nothing new; what runs there ends by itself. Ask control processes.", flags,
+		func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return usageErr.New("drain: expected one TARGET")
+			}
+			r.Target, r.On = args[0], !off
+			return o.drain(ctx, r)
+		})
+}
+
+// drain asks every process given: one that reaches the table is enough for all instances, and without the table each
+// that is asked still drains at its own entry.
+func (o *ops) drain(ctx context.Context, r opsapi.DrainRequest) error {
+	answers, err := askAll(ctx, o, func(ctx context.Context, c *opsapi.Client) (opsapi.DrainReply, error) { return c.Drain(ctx, r) })
+	if err != nil {
+		return err
+	}
+	durable := false
+	for _, a := range answers {
+		if a.err != nil {
+			fmt.Fprintf(o.g.Out, "%s: %s\n", a.addr, a.err)
+			continue
+		}
+		durable = durable || a.body.Durable
+		fmt.Fprintf(o.g.Out, "%s: applied=%t recorded=%t %s\n", a.addr, a.body.Applied, a.body.Durable, a.body.Detail)
+	}
+	if durable {
+		return nil
+	}
+	return noAnswer.New("the drain is not in the table: it holds only where applied=true")
+}
+
+func dash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
