Place models under a lease, from the control processes

Drains are now kept by target and party: the end of a change must not end an operator's drain (TestOperatorsDrainOutlivesAChangeOfModel).

--- a/lib/control/control.go
+++ b/lib/control/control.go
@@ -110,6 +110,7 @@
 		p.watchDrains,
 		p.follow,
 		p.allot,
+		p.place,
 	} {
 		wg.Go(func() { work(ctx) })
 	}
--- a/lib/control/control_test.go
+++ b/lib/control/control_test.go
@@ -200,10 +200,22 @@
 // that its operator has put back.
 func TestOldDrainChangesNothing(t *testing.T) {
 	tb := newTables()
-	must.True(t, tb.setDrain("t1", drainState{on: true, rev: 5}))
-	must.True(t, tb.setDrain("t1", drainState{on: false, rev: 9}))
-	must.False(t, tb.setDrain("t1", drainState{on: true, rev: 5}))
-	must.False(t, tb.view().drains["t1"].on)
+	must.True(t, tb.setDrain("t1", byOperator, drainState{on: true, rev: 5}))
+	must.True(t, tb.setDrain("t1", byOperator, drainState{on: false, rev: 9}))
+	must.False(t, tb.setDrain("t1", byOperator, drainState{on: true, rev: 5}))
+	must.False(t, tb.draining("t1"))
+}
+
+// A change of model ends on a target that an operator has drained meanwhile. Were the two one drain, the target would
+// get work again under the operator's hands.
+func TestOperatorsDrainOutlivesAChangeOfModel(t *testing.T) {
+	tb := newTables()
+	tb.setDrain("t1", byPlacement, drainState{on: true, rev: 1})
+	tb.setDrain("t1", byOperator, drainState{on: true, rev: 2})
+	tb.setDrain("t1", byPlacement, drainState{on: false, rev: 3})
+	must.True(t, tb.draining("t1"))
+	tb.setDrain("t1", byOperator, drainState{on: false, rev: 4})
+	must.False(t, tb.draining("t1"))
 }
 
 func TestOperatorsSeeTargetsAndQueues(t *testing.T) {
--- a/lib/control/drains.go
+++ b/lib/control/drains.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -17,18 +19,28 @@
 // drainPage is how many drains one read may bring.
 const drainPage = 500
 
+// Who drains a target. It has new work again only when neither does.
+const (
+	byOperator  = "operator"
+	byPlacement = "placement"
+)
+
 // ErrNoTarget is for a target that is in no settings.
 var ErrNoTarget = errorx.NewNamespace("control").NewType("no_target")
 
-// drainRecord is the value at drain/{target}. Off is written as a record too, since deletions are not listed.
+var errDrainLost = errors.New("the drain was not recorded: the lease has ended")
+
+// drainRecord is the value at drain/{target}/{by}. Off is written as a record too, since deletions are not listed.
 type drainRecord struct {
 	On       bool      `json:"on"`
 	Operator string    `json:"operator"`
 	Time     time.Time `json:"time"`
 }
 
-// watchDrains polls the drains that operators recorded and sends each change to the entry. The next read starts after
-// the last item seen and not after the table's revision: a replica that lags could else hide an item for ever.
+func drainKey(target, by string) string { return platformapi.KeyDrain + target + "/" + by }
+
+// watchDrains polls the drains that are recorded and sends each change to the entry. The next read starts after the last
+// item seen and not after the table's revision: a replica that lags could else hide an item for ever.
 func (p *Process) watchDrains(ctx context.Context) {
 	after := uint64(0)
 	every(ctx, p.opts.DrainPoll, func(ctx context.Context) {
@@ -40,50 +52,66 @@
 			}
 			for _, it := range page.Items {
 				after = max(after, it.Rev)
-				p.takeDrain(it)
+				p.readDrain(it)
 			}
 			more = page.More && len(page.Items) > 0
 		}
 	})
 }
 
-func (p *Process) takeDrain(it platformapi.Item) {
-	target := it.Key[len(platformapi.KeyDrain):]
+func (p *Process) readDrain(it platformapi.Item) {
+	target, by, ok := strings.Cut(strings.TrimPrefix(it.Key, platformapi.KeyDrain), "/")
 	var rec drainRecord
-	if err := json.Unmarshal(it.Value, &rec); err != nil {
-		log.Error().Str("event", "drain_unreadable").Str("target", target).Err(err).Msg("")
+	if err := json.Unmarshal(it.Value, &rec); err != nil || !ok {
+		log.Error().Str("event", "drain_unreadable").Str("key", it.Key).Msg("")
 		return
 	}
-	if p.tables.setDrain(target, drainState{on: rec.On, rev: it.Rev}) {
-		p.sendDrain(target, rec.On)
-	}
+	p.applyDrain(target, by, rec.On, it.Rev)
 }
 
-func (p *Process) sendDrain(target string, on bool) {
-	log.Info().Str("event", "drain").Str("target", target).Bool("on", on).Msg("")
-	d := &meshpb.Drain{Target: target, On: on}
+// applyDrain puts a drain in force here and tells the entry when that changes anything for it.
+func (p *Process) applyDrain(target, by string, on bool, rev uint64) {
+	changed := p.tables.setDrain(target, by, drainState{on: on, rev: rev, since: time.Now()})
+	if !changed {
+		return
+	}
+	effective := p.tables.draining(target)
+	log.Info().Str("event", "drain").Str("target", target).Str("by", by).Bool("on", on).Bool("effective", effective).Msg("")
+	d := &meshpb.Drain{Target: target, On: effective}
 	p.link.Set(&meshpb.LocalDown{Msg: &meshpb.LocalDown_Drain{Drain: d}})
 }
 
+// recordDrain writes a drain and puts it in force here once the table has it.
+func (p *Process) recordDrain(ctx context.Context, target, by string, rec drainRecord, conds ...platformapi.Cond) error {
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return err
+	}
+	res, err := p.store.Txn(ctx, platformapi.Txn{
+		OpID:  ids.New().String(),
+		Conds: conds,
+		Puts:  []platformapi.Put{{Key: drainKey(target, by), Value: value}},
+	})
+	if err != nil {
+		return err
+	}
+	if !res.Committed {
+		return errDrainLost
+	}
+	p.applyDrain(target, by, rec.On, res.Rev)
+	return nil
+}
+
 // Drain carries out an operator's request: here at once, and in the table for all other instances. Without the store it
 // holds at this instance alone, and the reply says so; the operator can ask every instance.
 func (p *Process) Drain(ctx context.Context, r opsapi.DrainRequest) (opsapi.DrainReply, error) {
 	if snap := p.Snapshot(); snap == nil || findTarget(snap, r.Target) == nil {
 		return opsapi.DrainReply{}, ErrNoTarget.New("no target %q in the settings in force", r.Target)
 	}
-	p.sendDrain(r.Target, r.On)
-	rec, err := json.Marshal(drainRecord{On: r.On, Operator: r.Operator, Time: time.Now().UTC()})
-	if err != nil {
-		return opsapi.DrainReply{Applied: true}, err
-	}
-	res, err := p.store.Txn(ctx, platformapi.Txn{
-		OpID: ids.New().String(),
-		Puts: []platformapi.Put{{Key: platformapi.KeyDrain + r.Target, Value: rec}},
-	})
-	if err != nil {
-		p.tables.setDrain(r.Target, drainState{on: r.On, rev: p.tables.drainRev(r.Target)})
+	p.applyDrain(r.Target, byOperator, r.On, p.tables.drainRev(r.Target, byOperator))
+	rec := drainRecord{On: r.On, Operator: r.Operator, Time: time.Now().UTC()}
+	if err := p.recordDrain(ctx, r.Target, byOperator, rec); err != nil {
 		return opsapi.DrainReply{Applied: true, Detail: "not recorded in the table: " + err.Error()}, nil
 	}
-	p.tables.setDrain(r.Target, drainState{on: r.On, rev: res.Rev})
 	return opsapi.DrainReply{Applied: true, Durable: true}, nil
 }
--- a/lib/control/power_test.go
+++ b/lib/control/power_test.go
@@ -1,26 +1,21 @@
 package control
 
 import (
-	"context"
 	"fmt"
 	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
-	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/meshpb"
-	"anvilwick.example/anvilwick/lib/platform"
 	standin "anvilwick.example/anvilwick/lib/standin/platform"
 )
 
 const (
 	cap4kW   = 4000.0
-	services = 3               // each owned by another instance
-	leaseTTL = 2 * time.Second // short against the life of a share, so that a new holder comes while old shares hold
+	services = 3 // each owned by another instance
 )
 
 // powerSettings has three services of one engine: 300 W idle, 100 W a sequence, 20 sequences, so 2300 W each at most.
@@ -39,50 +34,6 @@
 	return b.String()
 }
 
-// fleet is three processes in virtual time, without their entries' links.
-type fleet struct {
-	t     *testing.T
-	store *standin.Server
-	procs []*Process
-	stop  []context.CancelFunc
-	loads map[int][2]int // running and queued
-	wg    sync.WaitGroup
-}
-
-func startFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, store: standin.New(standin.Config{}), loads: map[int][2]int{}}
-	commit(t, f.store, powerSettings(), 0)
-	for i := range services {
-		f.add(i)
-	}
-	return f
-}
-
-func (f *fleet) add(i int) {
-	p, err := New(Options{
-		Instance:  fmt.Sprint("i", i),
-		EntryAddr: "127.0.0.1:1",
-		Links:     mesh.Options{Plain: true},
-		Platform:  platform.Config{Addr: "127.0.0.1:1", Transport: f.store.Transport(), Live: services},
-		LeaseTTL:  leaseTTL,
-	})
-	must.NoError(f.t, err)
-	ctx, cancel := context.WithCancel(f.t.Context())
-	for _, work := range []func(context.Context){p.sync.Run, p.follow, p.allot} {
-		f.wg.Go(func() { work(ctx) })
-	}
-	f.procs = append(f.procs, p)
-	f.stop = append(f.stop, func() { cancel(); p.node.Close() })
-}
-
-// close must be deferred: the bubble waits for every goroutine.
-func (f *fleet) close() {
-	for _, stop := range f.stop {
-		stop()
-	}
-	f.wg.Wait()
-}
-
 // load says how many sequences run and wait at the service that instance i owns.
 func (f *fleet) load(i, running, queued int) { f.loads[i] = [2]int{running, queued} }
 
@@ -131,7 +82,7 @@
 // limits together pass the cap.
 func TestPowerFollowsDemandUnderTheCap(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := startFleet(t)
+		f := startFleet(t, services, powerSettings())
 		defer f.close()
 		for i := range services {
 			f.load(i, 1, 0)
@@ -155,13 +106,13 @@
 // once, old and new shares together would pass it.
 func TestPowerStaysUnderTheCapWhenTheHolderDies(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := startFleet(t)
+		f := startFleet(t, services, powerSettings())
 		defer f.close()
 		for i := range services {
 			f.load(i, 1, 0)
 		}
 		f.pass(5 * time.Second)
-		dead := f.holder()
+		dead := f.holder(leasePower)
 		f.load(dead, 6, 30)
 		f.pass(30 * time.Second)
 		must.Greater(t, cap4kW/2, f.limit(dead))
@@ -175,7 +126,7 @@
 		busy := (dead + 1) % services
 		f.load(busy, 6, 30)
 		f.pass(60 * time.Second)
-		must.NotEq(t, dead, f.holder())
+		must.NotEq(t, dead, f.holder(leasePower))
 		must.Greater(t, cap4kW/2, f.limit(busy))
 	})
 }
@@ -191,26 +142,9 @@
 	}
 }
 
-// holder returns the one process that holds the lease.
-func (f *fleet) holder() int {
-	f.t.Helper()
-	holder := -1
-	for i, p := range f.procs {
-		if len(p.Status().Leases) > 0 {
-			must.Eq(f.t, -1, holder)
-			holder = i
-		}
-	}
-	must.NotEq(f.t, -1, holder)
-	return holder
-}
-
 func TestNoCapNoPower(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := standin.New(standin.Config{})
-		commit(t, s, someSettings, 0)
-		f := &fleet{t: t, store: s}
-		f.add(0)
+		f := startFleet(t, 1, someSettings)
 		defer f.close()
 		time.Sleep(10 * time.Second)
 		must.MapLen(t, 0, f.procs[0].tables.view().shares)
--- a/lib/control/status.go
+++ b/lib/control/status.go
@@ -122,7 +122,7 @@
 			r := v.reports[name]
 			return r.TargetReport, now.Sub(r.taken)
 		},
-		Draining: func(name string) bool { return v.drains[name].on },
+		Draining: p.tables.draining,
 	})
 }
 
--- a/lib/control/tables.go
+++ b/lib/control/tables.go
@@ -12,10 +12,14 @@
 	"anvilwick.example/anvilwick/lib/settings"
 )
 
-// drainState is the newest drain known of a target, with the table's revision that it was read at.
+// drainID names one party's drain of a target.
+type drainID struct{ target, by string }
+
+// drainState is the newest that is known of a drain.
 type drainState struct {
-	on  bool
-	rev uint64
+	on    bool
+	rev   uint64    // of the table, that it was read at
+	since time.Time // when this process learnt of it
 }
 
 // report is what the entry said of a target, dated on this process's clock.
@@ -28,7 +32,7 @@
 type tables struct {
 	mu        sync.Mutex
 	instances []platformapi.Instance
-	drains    map[string]drainState
+	drains    map[drainID]drainState
 	entry     *meshpb.EntryStatus
 	reports   map[string]report
 	leases    map[string]*lease.Held
@@ -42,7 +46,7 @@
 }
 
 func newTables() tables {
-	return tables{drains: map[string]drainState{}, reports: map[string]report{}, leases: map[string]*lease.Held{}}
+	return tables{drains: map[drainID]drainState{}, reports: map[string]report{}, leases: map[string]*lease.Held{}}
 }
 
 // hear takes a message from the entry.
@@ -72,21 +76,42 @@
 }
 
 // setDrain reports whether it changed what is in force. An older revision than the one known changes nothing.
-func (t *tables) setDrain(target string, d drainState) bool {
+func (t *tables) setDrain(target, by string, d drainState) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	old, known := t.drains[target]
+	k := drainID{target, by}
+	old, known := t.drains[k]
 	if known && d.rev < old.rev {
 		return false
 	}
-	t.drains[target] = d
+	if known && old.on == d.on {
+		d.since = old.since
+	}
+	t.drains[k] = d
 	return !known || old.on != d.on
 }
 
-func (t *tables) drainRev(target string) uint64 {
+func (t *tables) drainRev(target, by string) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.drains[drainID{target, by}].rev
+}
+
+// draining reports whether anybody drains the target.
+func (t *tables) draining(target string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.drains[target].rev
+	return t.drains[drainID{target, byOperator}].on || t.drains[drainID{target, byPlacement}].on
+}
+
+// drainedSince returns when this process learnt of a drain that is on; zero when it is off.
+func (t *tables) drainedSince(target, by string) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if d := t.drains[drainID{target, by}]; d.on {
+		return d.since
+	}
+	return time.Time{}
 }
 
 // hold shows a lease to operators until the returned function is called.
@@ -116,7 +141,6 @@
 	defer t.mu.Unlock()
 	return tablesView{
 		instances: t.instances,
-		drains:    maps.Clone(t.drains),
 		entry:     t.entry,
 		reports:   maps.Clone(t.reports),
 		leases:    slices.Collect(maps.Values(t.leases)),
@@ -126,7 +150,6 @@
 
 type tablesView struct {
 	instances []platformapi.Instance
-	drains    map[string]drainState
 	entry     *meshpb.EntryStatus
 	reports   map[string]report
 	leases    []*lease.Held
--- a/lib/platformapi/platformapi.go
+++ b/lib/platformapi/platformapi.go
@@ -85,6 +85,6 @@
 	KeyClaim        = "claim/"        // claim/{workspace}/{hash of the key}
 	KeyGeneration   = "generation/"   // generation/{id}: resume record of long or non-idempotent work
 	KeyIntent       = "intent/"       // intent/{target}: desired state and fencing number
-	KeyDrain        = "drain/"        // drain/{target}: an operator's drain, on or off
+	KeyDrain        = "drain/"        // drain/{target}/{by}: a drain, on or off
 	KeyPower        = "power/"        // power/report/{part}, power/share/{part}
 )
