--- a/lib/caller/caller.go
+++ b/lib/caller/caller.go
@@ -50,6 +50,7 @@
 	Deadline  time.Duration // 0: not given
 	Entry     int           // index of the entry to ask first
 	Resumes   int           // how often to go on through the next entry after a cut
+	Silence   time.Duration // an entry that sends nothing for so long is given up as if the stream were cut; 0: never
 }
 
 // Token is one token as the caller saw it.
@@ -128,6 +129,10 @@
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	heard := s.watch(cancel)
+	defer heard.Stop()
 	resp, err := c.HTTP.Do(req.WithContext(ctx))
 	if err != nil {
 		return err
@@ -140,7 +145,22 @@
 	if s.res.Tokens > 0 || try > 0 {
 		s.res.Resumed++
 	}
-	return s.read(newEvents(resp.Body))
+	return s.read(newEvents(resp.Body), heard)
+}
+
+// forever stands for no bound.
+const forever = 1 << 62 * time.Nanosecond
+
+// watch cancels an attempt that has been silent for Silence; each event resets it.
+func (s *streamState) watch(cancel func()) *time.Timer {
+	return time.AfterFunc(s.silence(), cancel)
+}
+
+func (s *streamState) silence() time.Duration {
+	if s.call.Silence <= 0 {
+		return forever
+	}
+	return s.call.Silence
 }
 
 func (c *Client) request(addr string, s *streamState) (*http.Request, error) {
@@ -188,9 +208,10 @@
 }
 
 // read takes events until the end mark, an error event or a cut.
-func (s *streamState) read(ev *events) error {
+func (s *streamState) read(ev *events, heard *time.Timer) error {
 	for {
 		e, err := ev.next()
+		heard.Reset(s.silence())
 		if err != nil {
 			return fmt.Errorf("%w after %d tokens: %w", ErrCut, s.res.Tokens, err)
 		}
--- a/lib/caller/caller_test.go
+++ b/lib/caller/caller_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -96,6 +97,22 @@
 	must.Eq(t, []string{"", gen.String() + "-1-0", gen.String() + "-1-0"}, s.last)
 }
 
+// The entry freezes after two tokens: its connection stands and nothing comes. A caller that waited for the end of the
+// connection would wait for ever.
+func TestGivesUpASilentEntry(t *testing.T) {
+	s := &script{steps: []http.HandlerFunc{
+		func(w http.ResponseWriter, r *http.Request) {
+			tokens(gen, 0, 2, cut)(w, r)
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		},
+		tokens(gen, 2, 3, whole(3)),
+	}}
+	text, _, err := run(t, client(t, s), Call{Key: "k1", Resumes: 5, Silence: 100 * time.Millisecond})
+	must.NoError(t, err)
+	must.Eq(t, " 0 1 2", text)
+}
+
 func TestCutWithoutAKeyIsAFailure(t *testing.T) {
 	_, res, err := run(t, client(t, &script{steps: []http.HandlerFunc{tokens(gen, 0, 2, cut)}}), Call{Resumes: 5})
 	must.ErrorIs(t, err, ErrCut)
--- a/lib/e2e/e2e_test.go
+++ b/lib/e2e/e2e_test.go
@@ -40,7 +40,7 @@
 	must.NoError(t, err)
 	site, err := localsite.Start(ctx, localsite.Config{
 		Binaries: bin, Engines: engines, Plains: 2, Entries: entries,
-		EngineFlags: append([]string{"-report-lag", "100ms"}, engineFlags...),
+		EngineFlags: append([]string{"-report-lag", "100ms", "-step-base", "5ms"}, engineFlags...),
 		Settings: localsite.Settings{
 			Model: model, Service: "anvilwick-treaty", Route: "/ledger", Workspaces: []string{workspace},
 			Classes: []workload.Class{{Name: "standard", Priority: 50, MaxWait: time.Minute, QueueBound: 100, MaxPreemptions: 2}},
--- a/lib/localsite/site.go
+++ b/lib/localsite/site.go
@@ -156,6 +156,7 @@
 	args := []string{
 		"-instance", name, "-failure-domain", domain(i), "-listen", addr, "-ops-addr", ops, "-mesh-addr", mesh,
 		"-plain-links", "-operator-token-sha256", tokenHash(), "-stop-notice", "200ms",
+		"-platform", s.Platform.Addr,
 	}
 	return &Node{
 		Name: name, Domain: domain(i), Addr: addr, Ops: ops, Mesh: mesh, binary: "anvilwick-entry",
--- a/lib/proc/proc.go
+++ b/lib/proc/proc.go
@@ -46,7 +46,10 @@
 	cmd.Env = s.Env
 	cmd.Stdout = out
 	cmd.Stderr = out
-	if err := cmd.Start(); err != nil {
+	forking.Lock()
+	err := cmd.Start()
+	forking.Unlock()
+	if err != nil {
 		return nil, fmt.Errorf("start %s: %w", s.Name, err)
 	}
 	p := &Proc{Name: s.Name, cmd: cmd, out: out, done: make(chan struct{})}
