Collect expired claims under a lease, and follow the site's budgets for the store

Claims past their retention were deleted by nobody; the control process that holds the lease does it once a minute, on the lease's condition. The platform client takes the site's budgets from the settings in force. Entries list their shards on the operators' port. go test ./lib/control ./lib/opsapi pass.

--- a/lib/control/control.go
+++ b/lib/control/control.go
@@ -111,6 +111,7 @@
 		p.follow,
 		p.allot,
 		p.place,
+		p.collectClaims,
 	} {
 		wg.Go(func() { work(ctx) })
 	}
@@ -131,6 +132,7 @@
 	for {
 		updated := p.sync.Updated()
 		if held := p.sync.Current(); held != nil {
+			p.store.SetSite(held.Snapshot.Site.StoreWritesPerSec, held.Snapshot.Site.StoreReadsPerSec)
 			body := &meshpb.SettingsBody{Revision: held.Snapshot.Revision, Yaml: held.Tree.Source()}
 			p.link.Set(&meshpb.LocalDown{Msg: &meshpb.LocalDown_Settings{Settings: body}})
 		}
--- a/lib/control/status.go
+++ b/lib/control/status.go
@@ -127,16 +127,4 @@
 }
 
 // Queues lists the shards that the entry owns.
-func (p *Process) Queues() []opsapi.Queue {
-	out := []opsapi.Queue{}
-	for _, d := range p.tables.view().entry.GetShards() {
-		out = append(out, opsapi.Queue{
-			Service: d.GetService(),
-			Shard:   int(d.GetShard()),
-			Queued:  int(d.GetQueued()),
-			Running: int(d.GetRunning()),
-			WaitMS:  int64(d.GetExpectedWaitMs()),
-		})
-	}
-	return out
-}
+func (p *Process) Queues() []opsapi.Queue { return opsapi.QueuesOf(p.tables.view().entry.GetShards()) }
--- a/lib/entryproc/ops.go
+++ b/lib/entryproc/ops.go
@@ -19,6 +19,7 @@
 	return opsapi.Handler(hashes, opsapi.Source{
 		Status:  p.status,
 		Targets: p.targets,
+		Queues:  p.queues,
 		Ready:   p.ready,
 		Metrics: p.metrics.Write,
 	})
@@ -63,3 +64,11 @@
 	}
 	return opsapi.TargetsOf(p.server.Snapshot(), v)
 }
+
+// queues shows the shards that this entry owns.
+func (p *Process) queues() []opsapi.Queue {
+	if p.links == nil {
+		return []opsapi.Queue{}
+	}
+	return opsapi.QueuesOf(p.links.decider.host.Digests())
+}
--- a/lib/opsapi/targets.go
+++ b/lib/opsapi/targets.go
@@ -58,3 +58,18 @@
 	}
 	return out
 }
+
+// QueuesOf lists the shards that digests sum up.
+func QueuesOf(digests []*meshpb.ShardDigest) []Queue {
+	out := []Queue{}
+	for _, d := range digests {
+		out = append(out, Queue{
+			Service: d.GetService(),
+			Shard:   int(d.GetShard()),
+			Queued:  int(d.GetQueued()),
+			Running: int(d.GetRunning()),
+			WaitMS:  int64(d.GetExpectedWaitMs()),
+		})
+	}
+	return out
+}
