--- a/lib/power/guard.go
+++ b/lib/power/guard.go
@@ -17,6 +17,7 @@
 	atValue float64   // modelled draw when the value last changed
 	excess  float64   // measured draw beyond the modelled one
 	peaks   []modelled
+	partial bool // not all parts are modelled: a reading says nothing about an excess
 }
 
 // modelled is the draw that followers reported at one time.
@@ -58,6 +59,9 @@
 		m.atValue = m.modelledNow()
 	}
 	m.last, m.taken = r, taken
+	if m.partial {
+		return
+	}
 	excess := max(0, r.Watts-m.modelledAround(taken))
 	if excess < m.excess {
 		excess = m.excess + excessDecay*(excess-m.excess)
