Share the random faults of the store's proofs; collect claims under a lease

Cause: three proofs each had their own loop of random faults; Collect had no caller, and the parts of the budget that entry and control processes take had to be guessed (0.7 and 0.4 were). Change: Server.Disturb in the stand-in, claim.Keep as a lease's work, ShareEntry and ShareControl (0.6 and 0.4). The faults are stronger now (probability 0.1 to 1): the history of writes fell to 168 operations under its floor of 200, so its writers take 60 steps in place of 40; the floor stays.

--- a/lib/claim/collect.go
+++ b/lib/claim/collect.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/phuslu/log"
+
+	"anvilwick.example/anvilwick/lib/lease"
 	"anvilwick.example/anvilwick/lib/platformapi"
 )
 
@@ -24,6 +27,28 @@
 	Range(ctx context.Context, prefix string, after uint64, limit int) (platformapi.RangeResult, error)
 }
 
+// CollectInterval is the time between two runs of Keep.
+const CollectInterval = 10 * time.Minute
+
+// Keep collects again and again until ctx ends. It is the work of a lease: see lease.Run.
+func Keep(ctx context.Context, h *lease.Held, s Collector) {
+	t := time.NewTicker(CollectInterval)
+	defer t.Stop()
+	for {
+		n, err := Collect(ctx, s, []platformapi.Cond{h.Cond()}, time.Now())
+		e := log.Info()
+		if err != nil {
+			e = log.Warn().Str("error", err.Error())
+		}
+		e.Str("event", "claims_collected").Int("deleted", n).Msg("")
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
 // Collect deletes claims past their retention and returns how many. guard is put before each transaction, so that
 // the holder of a lease works alone; it may be empty.
 //
--- a/lib/claim/history_test.go
+++ b/lib/claim/history_test.go
@@ -217,21 +217,16 @@
 }
 
 // faults orders faults of the store and ends entries.
-func (w *world) faults() {
-	kinds := []string{standin.FaultOutage, standin.FaultLoseAnswer, standin.FaultLoseAnswer, standin.FaultSlow}
-	for range 25 {
-		w.s.SetFault(standin.Fault{
-			Kind:        kinds[w.draw(len(kinds))],
-			Probability: 0.1 * float64(1+w.draw(10)),
-			DelayMS:     w.upTo(4).Milliseconds(),
-			DurationMS:  w.upTo(8).Milliseconds(),
-		})
+func (w *world) faults(seed uint64) {
+	d := standin.Disturbance{
+		Kinds:  []string{standin.FaultOutage, standin.FaultLoseAnswer, standin.FaultLoseAnswer, standin.FaultSlow},
+		Faults: 25, Unit: w.unit, Delay: 4, Duration: 8, Gap: 6,
+	}
+	w.s.Disturb(rand.New(rand.NewPCG(seed, 2)), d, func() {
 		if !w.undying && w.draw(2) == 0 {
 			w.start(w.draw(len(w.tables)))
 		}
-		time.Sleep(w.upTo(6))
-	}
-	w.s.SetFault(standin.Fault{Kind: standin.FaultClear})
+	})
 }
 
 // play lets the world run through its faults, and then heal, in virtual time.
@@ -254,7 +249,7 @@
 		w.start(i)
 	}
 	var wg sync.WaitGroup
-	wg.Go(w.faults)
+	wg.Go(func() { w.faults(seed) })
 	for i := range 12 {
 		wg.Go(func() { w.caller(i) })
 	}
--- a/lib/lease/lease_test.go
+++ b/lib/lease/lease_test.go
@@ -52,6 +52,34 @@
 	return &link{Client: platform.New(platform.Config{Addr: "127.0.0.1:1", Transport: s.Transport(), Live: 8})}
 }
 
+// campaign is what the tests in virtual time share: a store, its candidates and their terms.
+type campaign struct {
+	s      *standin.Server
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	mu     sync.Mutex
+	terms  []term
+}
+
+func newCampaign(t *testing.T, seed uint64) *campaign {
+	c := &campaign{s: standin.New(standin.Config{Seed: seed})}
+	c.ctx, c.cancel = context.WithCancel(t.Context())
+	return c
+}
+
+// enter starts a candidate that works until its term ends.
+func (c *campaign) enter(ctx context.Context, l *link, who string) {
+	c.wg.Go(func() { record(ctx, l, who, &c.mu, &c.terms) })
+}
+
+// end stops all candidates and returns their terms.
+func (c *campaign) end() []term {
+	c.cancel()
+	c.wg.Wait()
+	return c.terms
+}
+
 // term is one stretch of work under a lease.
 type term struct {
 	who        string
@@ -75,26 +103,20 @@
 // and the other must start soon after the TTL; otherwise two act at once, or nobody does.
 func TestCutOffHolderStopsBeforeTheNextStarts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := standin.New(standin.Config{})
-		ctx, cancel := context.WithCancel(t.Context())
-		var mu sync.Mutex
-		var terms []term
-		var wg sync.WaitGroup
-		a, b := newLink(s), newLink(s)
-		wg.Go(func() { record(ctx, a, "a", &mu, &terms) })
+		c := newCampaign(t, 0)
+		a := newLink(c.s)
+		c.enter(c.ctx, a, "a")
 		time.Sleep(time.Second)
-		wg.Go(func() { record(ctx, b, "b", &mu, &terms) })
+		c.enter(c.ctx, newLink(c.s), "b")
 		time.Sleep(30 * time.Second)
 		a.cut.Store(true)
 		time.Sleep(30 * time.Second)
-		cancel()
-		wg.Wait()
+		terms := c.end()
 		must.Len(t, 2, terms)
 		must.Eq(t, "a", terms[0].who)
 		must.Eq(t, "b", terms[1].who)
 		must.Greater(t, terms[0].fence, terms[1].fence)
-		gap := terms[1].start.Sub(terms[0].end)
-		must.Between(t, ttl/5, gap, ttl)
+		must.Between(t, ttl/5, terms[1].start.Sub(terms[0].end), ttl)
 	})
 }
 
@@ -102,20 +124,15 @@
 // answer, its term would outlast the TTL that others have been counting since the effect, and two would act at once.
 func TestTermCountsFromTheRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := standin.New(standin.Config{})
-		ctx, cancel := context.WithCancel(t.Context())
-		var mu sync.Mutex
-		var terms []term
-		var wg sync.WaitGroup
-		a, b := newLink(s), newLink(s)
+		c := newCampaign(t, 0)
+		a := newLink(c.s)
 		a.late = 9 * time.Second
-		wg.Go(func() { record(ctx, a, "a", &mu, &terms) })
+		c.enter(c.ctx, a, "a")
 		time.Sleep(time.Second)
 		a.cut.Store(true)
-		wg.Go(func() { record(ctx, b, "b", &mu, &terms) })
+		c.enter(c.ctx, newLink(c.s), "b")
 		time.Sleep(time.Minute)
-		cancel()
-		wg.Wait()
+		terms := c.end()
 		must.Len(t, 2, terms)
 		must.True(t, terms[0].end.Before(terms[1].start))
 	})
@@ -124,20 +141,15 @@
 // A holder that stops on purpose hands over at once instead of leaving the role idle for the TTL.
 func TestReleaseHandsOverWithinARenewal(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := standin.New(standin.Config{})
-		ctx, cancel := context.WithCancel(t.Context())
-		first, stop := context.WithCancel(ctx)
-		var mu sync.Mutex
-		var terms []term
-		var wg sync.WaitGroup
-		wg.Go(func() { record(first, newLink(s), "a", &mu, &terms) })
+		c := newCampaign(t, 0)
+		first, stop := context.WithCancel(c.ctx)
+		c.enter(first, newLink(c.s), "a")
 		time.Sleep(time.Second)
-		wg.Go(func() { record(ctx, newLink(s), "b", &mu, &terms) })
+		c.enter(c.ctx, newLink(c.s), "b")
 		time.Sleep(20 * time.Second)
 		stop()
 		time.Sleep(20 * time.Second)
-		cancel()
-		wg.Wait()
+		terms := c.end()
 		must.Len(t, 2, terms)
 		must.Between(t, 0, terms[1].start.Sub(terms[0].end), ttl/5)
 	})
@@ -147,39 +159,27 @@
 // record instead of taking it for another's, so the role does not change hands.
 func TestLostAnswersKeepTheTerm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := standin.New(standin.Config{Seed: 7})
-		ctx, cancel := context.WithCancel(t.Context())
-		var mu sync.Mutex
-		var terms []term
-		var wg sync.WaitGroup
-		wg.Go(func() { record(ctx, newLink(s), "a", &mu, &terms) })
+		c := newCampaign(t, 7)
+		c.enter(c.ctx, newLink(c.s), "a")
 		time.Sleep(time.Second)
-		s.SetFault(standin.Fault{Kind: standin.FaultLoseAnswer, Probability: 0.3})
+		c.s.SetFault(standin.Fault{Kind: standin.FaultLoseAnswer, Probability: 0.3})
 		time.Sleep(10 * time.Minute)
-		cancel()
-		wg.Wait()
-		must.Len(t, 1, terms)
+		must.Len(t, 1, c.end())
 	})
 }
 
 // The store is down for three hours: the term lapses and nobody acts; after it, one holder works again soon.
 func TestOutageOfHoursLapsesAndRecovers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := standin.New(standin.Config{})
-		ctx, cancel := context.WithCancel(t.Context())
-		var mu sync.Mutex
-		var terms []term
-		var wg sync.WaitGroup
+		c := newCampaign(t, 0)
 		for i := range 3 {
-			l := newLink(s)
-			wg.Go(func() { record(ctx, l, fmt.Sprint(i), &mu, &terms) })
+			c.enter(c.ctx, newLink(c.s), fmt.Sprint(i))
 		}
 		time.Sleep(time.Minute)
 		down := time.Now()
-		s.SetFault(standin.Fault{Kind: standin.FaultOutage, DurationMS: (3 * time.Hour).Milliseconds()})
+		c.s.SetFault(standin.Fault{Kind: standin.FaultOutage, DurationMS: (3 * time.Hour).Milliseconds()})
 		time.Sleep(4 * time.Hour)
-		cancel()
-		wg.Wait()
+		terms := c.end()
 		must.Len(t, 2, terms)
 		must.Between(t, 0, terms[0].end.Sub(down), ttl)
 		must.Between(t, 3*time.Hour, terms[1].start.Sub(down), 3*time.Hour+ttl+ttl/5+time.Second)
@@ -190,32 +190,26 @@
 // what it writes under its old term, whether or not it asked Valid.
 func TestTableRefusesAnOldTerm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := standin.New(standin.Config{})
-		a, b := newLink(s), newLink(s)
-		ctx, cancel := context.WithCancel(t.Context())
-		var wg sync.WaitGroup
-		var mu sync.Mutex
-		var terms []term
-		wg.Go(func() {
-			lease.Run(ctx, a, lease.Config{Name: "r", Holder: "a", TTL: ttl}, func(_ context.Context, h *lease.Held) {
+		c := newCampaign(t, 0)
+		a := newLink(c.s)
+		c.wg.Go(func() {
+			lease.Run(c.ctx, a, lease.Config{Name: "r", Holder: "a", TTL: ttl}, func(_ context.Context, h *lease.Held) {
 				must.True(t, h.Valid())
 				time.Sleep(5 * time.Second)
 				a.cut.Store(true)
 				time.Sleep(time.Minute) // b has taken over meanwhile
 				must.False(t, h.Valid())
 				txn := platformapi.Txn{Conds: []platformapi.Cond{h.Cond()}, Puts: []platformapi.Put{{Key: "x"}}}
-				res, err := a.Client.Txn(ctx, txn)
+				res, err := a.Client.Txn(c.ctx, txn)
 				must.NoError(t, err)
 				must.False(t, res.Committed)
-				<-ctx.Done()
+				<-c.ctx.Done()
 			})
 		})
 		time.Sleep(time.Second)
-		wg.Go(func() { record(ctx, b, "b", &mu, &terms) })
+		c.enter(c.ctx, newLink(c.s), "b")
 		time.Sleep(2 * time.Minute)
-		cancel()
-		wg.Wait()
-		must.Len(t, 1, terms)
+		must.Len(t, 1, c.end())
 	})
 }
 
@@ -248,20 +242,12 @@
 	return history.Yes
 }
 
-// chaos orders faults of the store and cuts links for a while, then lets all heal.
+// chaos orders faults of the store and cuts links for a while, then lets the store heal.
 func chaos(rng *rand.Rand, s *standin.Server, links []*link) {
-	kinds := []string{standin.FaultOutage, standin.FaultLoseAnswer, standin.FaultSlow, standin.FaultStaleReads}
-	for range 60 {
-		s.SetFault(standin.Fault{
-			Kind:        kinds[rng.IntN(len(kinds))],
-			Probability: 0.2 + 0.8*rng.Float64(),
-			DelayMS:     rng.Int64N(20_000),
-			DurationMS:  rng.Int64N(40_000),
-		})
-		links[rng.IntN(len(links))].cut.Store(rng.IntN(3) == 0)
-		time.Sleep(time.Duration(rng.Int64N(int64(30 * time.Second))))
-	}
-	s.SetFault(standin.Fault{Kind: standin.FaultClear})
+	s.Disturb(rng, standin.Disturbance{
+		Kinds:  []string{standin.FaultOutage, standin.FaultLoseAnswer, standin.FaultSlow, standin.FaultStaleReads},
+		Faults: 60, Unit: time.Second, Delay: 20, Duration: 40, Gap: 30,
+	}, func() { links[rng.IntN(len(links))].cut.Store(rng.IntN(3) == 0) })
 }
 
 // play runs four candidates through chaos and returns the history of their orders. pause is drawn before each
--- a/lib/platform/client.go
+++ b/lib/platform/client.go
@@ -36,6 +36,13 @@
 	DefaultGroupMembers  = 64
 )
 
+// Parts of an instance's share, for Config.Share: together they are the whole. Leases of the control process never
+// wait behind claims of the entry.
+const (
+	ShareEntry   = 0.6
+	ShareControl = 0.4
+)
+
 const (
 	maxAnswer = 16 << 20
 	// downRetryAfter is what callers are told while the store is down: long against the breaker's probes, short
--- a/lib/platform/history_test.go
+++ b/lib/platform/history_test.go
@@ -73,6 +73,11 @@
 	w.log.Add(op)
 }
 
+var disturbance = standin.Disturbance{
+	Kinds:  []string{standin.FaultOutage, standin.FaultLoseAnswer, standin.FaultLoseAnswer, standin.FaultSlow},
+	Faults: 15, Unit: time.Second, Delay: 3, Duration: 6, Gap: 4,
+}
+
 // Writers race for three keys while the store is down, slow, and loses half of its answers. Each is told whether its
 // write stands. One told "committed" whose value is lost, or "not committed" whose value shows up, would book twice or
 // not at all.
@@ -86,10 +91,10 @@
 				c := platform.New(platform.Config{Addr: "127.0.0.1:1", Transport: s.Transport(), Live: 3})
 				for j := range 2 {
 					w := &writer{id: 2*i + j, c: c, rng: rand.New(rand.NewPCG(seed, uint64(2*i+j))), log: &log}
-					wg.Go(func() { w.run(t.Context(), 40) })
+					wg.Go(func() { w.run(t.Context(), 60) })
 				}
 			}
-			disturb(rand.New(rand.NewPCG(seed, 99)), s)
+			s.Disturb(rand.New(rand.NewPCG(seed, 99)), disturbance, func() {})
 			wg.Wait()
 			time.Sleep(time.Minute)
 		})
@@ -97,17 +102,3 @@
 		must.NoError(t, history.Check(log.Ops(), 20*time.Second), must.Sprintf("seed %d", seed))
 	}
 }
-
-func disturb(rng *rand.Rand, s *standin.Server) {
-	kinds := []string{standin.FaultOutage, standin.FaultLoseAnswer, standin.FaultLoseAnswer, standin.FaultSlow}
-	for range 15 {
-		s.SetFault(standin.Fault{
-			Kind:        kinds[rng.IntN(len(kinds))],
-			Probability: 0.5,
-			DelayMS:     rng.Int64N(3000),
-			DurationMS:  rng.Int64N(6000),
-		})
-		time.Sleep(time.Duration(rng.IntN(4000)) * time.Millisecond)
-	}
-	s.SetFault(standin.Fault{Kind: standin.FaultClear})
-}
