Never run a claim again that is finished without an outcome

Cause: read again, judge took a finished record without a summary for one that may be taken over, and would have run the request a second time. No path of ours writes such a record today. Ruled out: a default summary: it would tell an outcome that nobody knows. Change: it is an orphan now; the test failed before (the claim was given). Conclusion: only started, released and proved claims are taken over.

--- a/lib/claim/claim.go
+++ b/lib/claim/claim.go
@@ -199,6 +199,8 @@
 		return nil, result.Wrap(result.ClaimOrphan, err, "the claim can't be read")
 	case found.Rev != 0 && old.Fingerprint != c.rec.Fingerprint:
 		return nil, reused()
+	case old.State == Finished && old.Summary == nil:
+		return nil, result.New(result.ClaimOrphan, "the claim is finished and says no outcome")
 	case old.State == Finished:
 		return old.Summary, nil
 	}
@@ -279,7 +281,7 @@
 // abandon gives up a claim that was never sent. When it may stand in the table, it is released there.
 //
 // During an outage each probe of the store can leave such claims behind, for hours; past MaxUnsettled they are
-// dropped. Resends at this entry take a dropped one over, and others hear AlreadyRunning until this process ends.
+// dropped. Resends at other entries then hear AlreadyRunning until this process ends.
 func (c *Claim) abandon(mayStand bool) {
 	if !mayStand || c.table.outcomes() >= c.table.cfg.MaxUnsettled {
 		c.leave()
--- a/lib/claim/claim_test.go
+++ b/lib/claim/claim_test.go
@@ -303,3 +303,18 @@
 		settled(t, a)
 	})
 }
+
+// A record that says finished without an outcome, as a later version or a damaged table may leave it, must not read as
+// "free to run": the request ran.
+func TestFinishedWithoutOutcomeIsNotRunAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Config{})
+		req := request("x")
+		rec := record{State: Finished, Fingerprint: req.Fingerprint, Holder: Holder{Instance: "b", Incarnation: 1}}
+		_, err := client(s).Txn(t.Context(), platformapi.Txn{
+			Puts: []platformapi.Put{{Key: tableKey(req.Workspace, req.Key), Value: rec.encode()}},
+		})
+		must.NoError(t, err)
+		must.Eq(t, result.ClaimOrphan, refusal(t, entry(s, "a", "b"), req))
+	})
+}
