Bring back targets that a stale read left drained

Cause: read again: a new holder reads each intent once in its term. A stale read can show an open change as closed; the target agreed with the settings, so nothing was planned for it, and it stayed drained for the whole term. Change: a target that placement drained is taken up again; writing its intent fails on the old revision, and then the newest is read. The case failed before the change.

--- a/lib/placement/placement.go
+++ b/lib/placement/placement.go
@@ -176,13 +176,20 @@
 func candidate(now time.Time, s Service) *Target {
 	for i := range s.Targets {
 		t := &s.Targets[i]
-		if t.fresh(now) && !t.Report.Leaving && !t.Report.meets(s.Want) && enoughServe(now, s, t) {
+		if !t.fresh(now) || t.Report.Leaving {
+			continue
+		}
+		if t.leftDrained() || !t.Report.meets(s.Want) && enoughServe(now, s, t) {
 			return t
 		}
 	}
 	return nil
 }
 
+// leftDrained reports a target that is out though no change is open. A new holder's first read of the intents can be
+// stale and show a change as closed; the target would stay out for the whole term.
+func (t *Target) leftDrained() bool { return !t.Drained.IsZero() }
+
 // enoughServe reports whether t can be spared. A service of one target has nobody to wait for.
 func enoughServe(now time.Time, s Service, t *Target) bool {
 	serving := 0
--- a/lib/placement/placement_test.go
+++ b/lib/placement/placement_test.go
@@ -54,6 +54,8 @@
 	adapter.Report.Running = 3
 	silent := drained
 	silent.Report = &Report{State: v1, At: now.Add(-FreshReport - 1)}
+	left := done
+	left.Intent = &Intent{Want: v2, Fence: 6, Done: true}
 	rest := serving("b", v1)
 	cases := []struct {
 		name string
@@ -79,6 +81,7 @@
 		{"serving again", service(inChange("a", v2), rest), CloseIntent, "a"},
 		{"silent in the middle", service(silent, rest), 0, ""},
 		{"nobody else serves", service(serving("a", v1), Target{Name: "b"}), 0, ""},
+		{"left drained by a change that looks closed", service(left, rest), WriteIntent, "a"},
 		{"a single target", service(serving("a", v1)), WriteIntent, "a"},
 	}
 	for _, c := range cases {
