--- a/lib/entry/claimed.go
+++ b/lib/entry/claimed.go
@@ -89,7 +89,7 @@
 	if sum.Code != result.OK {
 		return result.New(sum.Code, "as the first request with this %s was told", callerapi.HeaderKey)
 	}
-	return result.New(result.UnknownStream, "the first request with this %s completed; its answer is no longer kept", callerapi.HeaderKey)
+	return result.New(result.AnswerGone, "%s", callerapi.HeaderKey)
 }
 
 // writeKept writes the kept answer of an earlier run.
