Refuse a resume from wrong tokens, and scale the flood in the load tool

Cause: the stand-in went on from any resume, so a token lost at an entry could not be seen in the rest; and lib/loadgen's TestScaleLeavesTheWorkloadItself failed since the mix's backlog changed from 220 to 160: it holds the old value's half as a literal, and Scale left the new flood at its full size. Change: the stand-in answers 400 when resume is not the beginning of its own answer; Scale multiplies Flood; the test compares both with the mix's own values, one check more than before. It failed on Flood before the change. Measured: lib/entry, lib/loadgen, lib/standin pass; make demo ok with an engine killed, its answer resumed from checked tokens.

--- a/lib/loadgen/loadgen_test.go
+++ b/lib/loadgen/loadgen_test.go
@@ -48,7 +48,10 @@
 	before := m.Workspaces[0].Length
 	s := Scale(m, 0.5, 0.1)
 	must.Eq(t, before, m.Workspaces[0].Length)
-	must.Eq(t, 110, s.Classes[1].Backlog)
+	must.Positive(t, m.Classes[1].Backlog)
+	must.Eq(t, m.Classes[1].Backlog/2, s.Classes[1].Backlog)
+	must.Positive(t, m.Classes[1].Flood)
+	must.Eq(t, m.Classes[1].Flood/2, s.Classes[1].Flood)
 	must.Eq(t, 800, s.MaxTokens)
 }
 
--- a/lib/loadgen/plan.go
+++ b/lib/loadgen/plan.go
@@ -52,6 +52,7 @@
 	m.Classes = slices.Clone(m.Classes)
 	for i := range m.Classes {
 		m.Classes[i].Backlog = int(float64(m.Classes[i].Backlog) * load)
+		m.Classes[i].Flood = int(float64(m.Classes[i].Flood) * load)
 	}
 	return m
 }
--- a/lib/standin/engine/handlers.go
+++ b/lib/standin/engine/handlers.go
@@ -117,6 +117,20 @@
 	return nil
 }
 
+// resumeMatches checks that the tokens to go on from are the answer's own. A real engine would go on from whatever it is
+// given; here a token that was dropped, repeated or taken from another stream on its way is found.
+func (j *job) resumeMatches() bool {
+	if j.req.Ext == nil {
+		return true
+	}
+	for i, tok := range j.req.Ext.Resume {
+		if tok != TokenText(j.prompt, j.id, i) {
+			return false
+		}
+	}
+	return true
+}
+
 // accept starts the attempt or refuses it. A later attempt of the same generation ends the earlier one.
 func (s *Server) accept(w http.ResponseWriter, j *job) (*stream, bool) {
 	s.mu.Lock()
@@ -128,6 +142,9 @@
 	case s.cfg.NoResume && j.seq.Emitted > 0:
 		refuse(w, http.StatusConflict, engineapi.ErrNoResume, "this engine starts at token 0 only", true)
 		return nil, false
+	case !j.resumeMatches():
+		refuse(w, http.StatusBadRequest, engineapi.ErrBad, "resume is not the beginning of this answer", true)
+		return nil, false
 	case !s.fences.admit(j.seq.Gen, j.seq.Attempt):
 		notRun := s.fences.get(j.seq.Gen).started != j.seq.Attempt
 		refuse(w, http.StatusConflict, engineapi.ErrFenced, "the attempt is old", notRun)
--- a/lib/standin/engine/server_test.go
+++ b/lib/standin/engine/server_test.go
@@ -116,6 +116,23 @@
 	must.NoError(t, CheckAnswer("x [len=30]", text(first)+text(rest), 30))
 }
 
+// An entry lost a token on the way, and asks another engine to go on from the rest. The answer would read on as if
+// nothing were missing, so the stand-in refuses it.
+func TestResumeFromWrongTokensIsRefused(t *testing.T) {
+	s := begin(t, fast())
+	g := ids.From(1, 7)
+	const prompt = "w [len=9]"
+	req := streamed(g, 2, 3, prompt)
+	for i := range 3 {
+		req.Ext.Resume = append(req.Ext.Resume, TokenText(prompt, g.String(), i))
+	}
+	whole := post(t, s, engineapi.PathCompletions, req)
+	must.Eq(t, http.StatusOK, whole.StatusCode)
+	req.Ext.Attempt = 3
+	req.Ext.Resume[1] = req.Ext.Resume[2]
+	must.Eq(t, http.StatusBadRequest, post(t, s, engineapi.PathCompletions, req).StatusCode)
+}
+
 // An entry cancels attempt 1 and its request arrives after the cancel, delayed in a queue. It must not run: attempt 2
 // runs elsewhere by then. The engine refuses with 409 and proves that nothing was executed.
 func TestLateAttemptIsFenced(t *testing.T) {
