Give targets that failed a generation a second chance when no other has room

Run with sched.Owner in place of least-loaded, the tests of cut streams failed: the owner takes Avoid to the letter, and a generation that had met a cut on the only engine, or on each of a few, waited to its bound (70 s for one test) and was refused. The tests of lib/entry drive sched.Owner from here on. Ruled out: making Avoid a preference in the owner, which would send a retry back to the engine that just failed it whenever that engine is the emptiest.

--- a/lib/entry/generation_test.go
+++ b/lib/entry/generation_test.go
@@ -137,7 +137,7 @@
 
 // No engine can be reached: nothing was sent, so the caller is told at once that it was not run, and when to come back.
 func TestNoEngineIsNotRun(t *testing.T) {
-	r := newRig(t, siteText("  max_attempts: 2\n", true, []string{"127.0.0.1:1"}, nil), nil)
+	r := newRig(t, siteText("  max_attempts: 2\n  max_wait: 300ms\n", true, []string{"127.0.0.1:1"}, nil), nil)
 	resp := r.send(context.Background(), ask{prompt: "nobody", stream: true})
 	must.Eq(t, http.StatusServiceUnavailable, resp.StatusCode)
 	must.NotEq(t, "", resp.Header.Get("Retry-After"))
--- a/lib/entry/rig_test.go
+++ b/lib/entry/rig_test.go
@@ -83,12 +83,15 @@
 func newRig(t testing.TB, text string, change func(*Options)) *rig {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	local := placer.NewLocal(ctx, func(string) sched.Policy { return placer.NewLeastLoaded() }, time.Millisecond)
+	local := placer.NewLocal(ctx, func(service string) sched.Policy {
+		return sched.NewOwner(service, sched.Options{ProbeEvery: 50 * time.Millisecond})
+	}, time.Millisecond)
 	quick := stall.DefaultConfig
 	quick.Cold, quick.Floor = 150*time.Millisecond, 150*time.Millisecond
 	opts := Options{Placer: local, Stalls: stall.New(quick), OnView: func(snap *settings.Snapshot, clients func(*settings.Service) []*target.Client) {
 		svc := snap.Services["planner-llm"]
 		r := local.Runner("planner-llm")
+		r.SetPolicy(ClassPolicies(snap, "planner-llm"))
 		r.SetTargets(TargetSpecs(svc))
 		loadpoll.New(ctx, r, 20*time.Millisecond).SetTargets(clients(svc))
 	}}
--- a/lib/entry/run.go
+++ b/lib/entry/run.go
@@ -21,12 +21,14 @@
 	resumePause   = 100 * time.Millisecond // between two tries to place it; its caller sees the stall
 	refusalRetry  = time.Second            // told to callers where nobody knows better
 	cancelTimeout = 2 * time.Second
+	avoidPatience = time.Second     // a place is waited for so long without the targets that failed it
 	placeGrace    = 5 * time.Second // beyond the policy's bound on waiting, in case the scheduler is silent
 )
 
 // runState is what the loop over attempts remembers.
 type runState struct {
-	avoid       []string
+	avoid       []string  // targets that failed it since its last token
+	anywhere    bool      // no place was found without the targets to avoid: any will do
 	fruitless   int       // attempts in a row that gave no token
 	preemptions int       // moves and preemptions
 	waiting     time.Time // since when a started generation looks for a place; zero: it has one
@@ -55,6 +57,11 @@
 		return result.Wrap(result.InvariantBroken, invariant.Broken("attempt_before_fenced", berr.Error()), "begin an attempt"), false
 	}
 	grant, perr := s.place(g, rs, number)
+	if grant.Target == "" && perr == nil {
+		g.stop()
+		return nil, true
+	}
+	rs.anywhere = false
 	if perr != nil {
 		g.stop()
 		return s.afterRefusal(g, rs, perr)
@@ -87,6 +94,7 @@
 	emitted, decisions := int(g.state.Next()), g.attempt.decisions
 	g.mu.Unlock()
 	asked := s.now()
+	avoid := s.avoidFor(s.spared(g, rs), g.subject.Fingerprint)
 	s.opts.Placer.Submit(g.service.Name, sched.Request{
 		Gen:          g.id,
 		Workspace:    g.subject.Workspace,
@@ -98,11 +106,16 @@
 		Preemptions:  rs.preemptions,
 		Prefixes:     g.prefixes,
 		Deadline:     s.schedDeadline(g, asked),
-		Avoid:        s.avoidFor(rs.avoid, g.subject.Fingerprint),
+		Avoid:        avoid,
 		Fingerprint:  g.subject.Fingerprint,
 	}, g.decide)
 	patience := time.NewTimer(g.policy.MaxWait + placeGrace)
 	defer patience.Stop()
+	choosy := time.NewTimer(avoidPatience)
+	defer choosy.Stop()
+	if len(avoid) == 0 {
+		choosy.Stop()
+	}
 	var err *result.Error
 	select {
 	case a := <-decisions:
@@ -115,6 +128,8 @@
 		return a, err
 	case <-g.ctx.Done():
 		err = causeError(context.Cause(g.ctx))
+	case <-choosy.C:
+		rs.avoid, rs.anywhere = nil, true
 	case <-patience.C:
 		err = result.New(result.QueueFull, "no place within %s", g.policy.MaxWait)
 		err.RetryAfter = refusalRetry
@@ -123,6 +138,22 @@
 	return sched.Action{}, err
 }
 
+// spared returns the targets that the next attempt keeps away from: none when no other is left. A scheduler takes the
+// list to the letter, and a long generation that met a cut on each of a few engines would never find a place again.
+func (s *Server) spared(g *generation, rs *runState) []string {
+	svc := s.view.Load().snap.Services[g.service.Name]
+	if svc == nil || rs.anywhere {
+		return nil
+	}
+	for i := range svc.Targets {
+		t := &svc.Targets[i]
+		if !t.Draining && !slices.Contains(rs.avoid, t.Name) {
+			return rs.avoid
+		}
+	}
+	return nil
+}
+
 func (s *Server) schedDeadline(g *generation, now time.Time) sched.Time {
 	if g.deadline.IsZero() {
 		return 0
@@ -239,6 +270,7 @@
 	rs.fruitless++
 	if g.attemptTokens() > 0 {
 		rs.fruitless = 0
+		rs.avoid = rs.avoid[:0]
 	}
 	if !slices.Contains(rs.avoid, name) {
 		rs.avoid = append(rs.avoid, name)
