--- a/lib/entry/run.go
+++ b/lib/entry/run.go
@@ -21,8 +21,8 @@
 	resumePause   = 100 * time.Millisecond // between two tries to place it; its caller sees the stall
 	refusalRetry  = time.Second            // told to callers where nobody knows better
 	cancelTimeout = 2 * time.Second
-	avoidPatience = time.Second     // a place is waited for so long without the targets that failed it
-	placeGrace    = 5 * time.Second // beyond the policy's bound on waiting, in case the scheduler is silent
+	avoidPatience = 300 * time.Millisecond // a place is waited for so long without the targets that failed it
+	placeGrace    = 5 * time.Second        // beyond the policy's bound on waiting, in case the scheduler is silent
 )
 
 // runState is what the loop over attempts remembers.
@@ -94,7 +94,7 @@
 	emitted, decisions := int(g.state.Next()), g.attempt.decisions
 	g.mu.Unlock()
 	asked := s.now()
-	avoid := s.avoidFor(s.spared(g, rs), g.subject.Fingerprint)
+	avoid := s.spared(g, rs)
 	s.opts.Placer.Submit(g.service.Name, sched.Request{
 		Gen:          g.id,
 		Workspace:    g.subject.Workspace,
@@ -138,17 +138,20 @@
 	return sched.Action{}, err
 }
 
-// spared returns the targets that the next attempt keeps away from: none when no other is left. A scheduler takes the
-// list to the letter, and a long generation that met a cut on each of a few engines would never find a place again.
+// spared returns the targets that the next attempt keeps away from: those that failed it, and those where its content
+// would meet another suspect. A scheduler takes the list to the letter. It is empty when no other target is left, or when
+// none had room in time: a generation that met a cut on each of a few engines would never find a place again, and after
+// the death of one engine there are more suspects than engines to keep them apart on.
 func (s *Server) spared(g *generation, rs *runState) []string {
 	svc := s.view.Load().snap.Services[g.service.Name]
 	if svc == nil || rs.anywhere {
 		return nil
 	}
+	avoid := s.avoidFor(rs.avoid, g.subject.Fingerprint)
 	for i := range svc.Targets {
 		t := &svc.Targets[i]
-		if !t.Draining && !slices.Contains(rs.avoid, t.Name) {
-			return rs.avoid
+		if !t.Draining && !slices.Contains(avoid, t.Name) {
+			return avoid
 		}
 	}
 	return nil
