Admit first where the prefix is held, look 192 steps ahead, count a missed turn once

Change: of the groups at the highest level those go first that the free target is warm for, unless a group is behind its share by two of the largest steps. A queue's open interval counts once in its expected wait.

--- a/lib/sched/options.go
+++ b/lib/sched/options.go
@@ -53,7 +53,7 @@
 const (
 	defaultMemoryRisk     = 0.02
 	defaultMemoryFill     = 0.98
-	defaultHorizonTokens  = 128
+	defaultHorizonTokens  = 192
 	defaultVictimSteps    = 48
 	defaultMaxPreemptions = 3
 	defaultBatchBound     = 1.0
--- a/lib/sched/owner.go
+++ b/lib/sched/owner.go
@@ -26,9 +26,11 @@
 	refused list // answered in the next tick
 	queued  int  // over all groups, without resumes
 
-	now         Time // of the tick in progress
-	usable      int  // targets that accept work
-	powerBound  bool // the cap kept a place from being granted since the last maintenance
+	now         Time    // of the tick in progress
+	usable      int     // targets that accept work
+	warmOnly    bool    // first pass of a tick: only where the prefix is held
+	largestStep float64 // of any group's vtime, decayed
+	powerBound  bool    // the cap kept a place from being granted since the last maintenance
 	power       power
 	headroom    headroom
 	virtualTime float64 // vtime of the group granted last
@@ -48,6 +50,7 @@
 	gen     int32
 	held    int
 	urgent  bool
+	warmest int  // prompt tokens that a target has to hold; 0: any
 	resumed bool // it gave tokens already
 	z       float64
 	steps   int
--- a/lib/sched/place.go
+++ b/lib/sched/place.go
@@ -47,6 +47,10 @@
 		// Its caller sees it stand still: it comes back as soon as there is room on the mean for some while.
 		c.z, c.steps = 0, resumeSteps
 	}
+	c.warmest = 0
+	if o.warmOnly && !c.urgent && !o.behind(gr) && !o.raised(o.now, gr) {
+		c.warmest = o.warmest(g)
+	}
 	if c.spare, c.capped = o.budget(o.now); c.capped {
 		c.spare -= o.drawn()
 	}
@@ -60,6 +64,7 @@
 	return o.open(now, t) &&
 		!o.gens[o.cand.gen].avoids(ti) &&
 		o.batchRoom(t) &&
+		o.warmEnough(t) &&
 		o.prefillRoom(t) &&
 		o.powerRoom(t) &&
 		o.memoryRoom(t)
@@ -82,6 +87,22 @@
 	return o.accepts(t)
 }
 
+// warmest returns the most prompt tokens of g that any target holds.
+func (o *Owner) warmest(g *gen) int {
+	most := 0
+	for i := range o.targets {
+		if t := &o.targets[i]; o.accepts(t) {
+			most = max(most, o.cachedTokens(t, g))
+		}
+	}
+	return most
+}
+
+// warmEnough filters targets that would have to prefill what another target holds, in the first pass of a tick.
+func (o *Owner) warmEnough(t *target) bool {
+	return o.cand.warmest == 0 || o.cachedTokens(t, &o.gens[o.cand.gen]) >= o.cand.warmest
+}
+
 // batchRoom bounds the batch: each further sequence lengthens the step of all. Work that is not urgent leaves the
 // headroom free.
 func (o *Owner) batchRoom(t *target) bool {
--- a/lib/sched/queue.go
+++ b/lib/sched/queue.go
@@ -12,7 +12,9 @@
 const maxResumeTries = 16
 
 // admit grants places: first to urgent work, then to generations that already gave tokens, for each second that they
-// wait is stall time, then to the other groups in their order.
+// wait is stall time, then to the other groups in their order. Of the groups at the highest level, those whose prefix a
+// target holds come first at that target: when engines are full, one place is free at a time, and the prefill of a
+// prompt that is not cached there would slow its whole batch down.
 func (o *Owner) admit(now Time, acts []Action) []Action {
 	if o.resumes.n == 0 && o.queued == 0 {
 		return acts
@@ -20,9 +22,26 @@
 	o.clearReservations()
 	acts = o.admitGroups(now, levelUrgent, acts)
 	acts = o.admitResumes(now, acts)
+	if !o.opt.DisableAffinity {
+		o.warmOnly = true
+		acts = o.admitGroups(now, o.topLevel(now), acts)
+		o.warmOnly = false
+		o.unblock()
+	}
 	return o.admitGroups(now, math.MinInt, acts)
 }
 
+// topLevel returns the highest level at which something waits.
+func (o *Owner) topLevel(now Time) int {
+	top := math.MinInt
+	for i := range o.groups {
+		if gr := &o.groups[i]; gr.queue.n > 0 {
+			top = max(top, o.level(now, gr))
+		}
+	}
+	return top
+}
+
 // admitGroups serves the groups of at least a level until none has a request that fits.
 func (o *Owner) admitGroups(now Time, least int, acts []Action) []Action {
 	for range maxGrants {
@@ -42,6 +61,10 @@
 	for i := range o.targets {
 		o.targets[i].reserved = false
 	}
+	o.unblock()
+}
+
+func (o *Owner) unblock() {
 	for i := range o.groups {
 		o.groups[i].blocked = false
 	}
@@ -76,7 +99,7 @@
 				continue
 			}
 		}
-		if aged && tries == 0 {
+		if aged && tries == 0 && !o.warmOnly {
 			o.reserve(i)
 		}
 		i = o.gens[i].next
@@ -198,5 +221,19 @@
 func (o *Owner) charge(g *gen, gr *group) {
 	o.virtualTime = max(o.virtualTime, gr.vtime)
 	g.charged = float64(g.prompt) + max(gr.output, 1)
-	gr.vtime += g.charged / gr.policy.Weight
+	step := g.charged / gr.policy.Weight
+	gr.vtime += step
+	o.largestStep = max(o.largestStep*stepDecay, step)
+}
+
+// behind reports whether a group has had so much less than its share lately that a cold prefix holds it back no more.
+// The slack is counted in the largest step of any group, that of the least weight.
+func (o *Owner) behind(gr *group) bool {
+	return gr.vtime+shareSlack*o.largestStep < o.virtualTime
 }
+
+// stepDecay lets the largest step fade with each grant.
+const stepDecay = 0.995
+
+// shareSlack is how many of the largest steps a group may fall behind.
+const shareSlack = 2
--- a/lib/sched/rate.go
+++ b/lib/sched/rate.go
@@ -61,17 +61,17 @@
 	d.backlogged = left > 0
 }
 
-// seconds returns how long n requests take to be served, or 0 while nobody knows. A queue without a turn for a while
-// is taken to get one each such while, and not to stand still.
+// seconds returns how long n requests take to be served, or 0 while nobody knows. A queue that has had no turn for a
+// while waits for others' turns; that while counts once, not for each request.
 func (d *drain) seconds(now Time, n int) float64 {
 	if d.grants < minDrainGrants {
 		return 0
 	}
-	interval := d.interval
+	wait := float64(n) * d.interval
 	if d.backlogged {
-		interval = max(interval, now.Sub(d.since).Seconds())
+		wait += now.Sub(d.since).Seconds()
 	}
-	return float64(n) * interval
+	return wait
 }
 
 // blendMean moves mean towards v; the first value is taken as it is.
