--- a/lib/entry/finish.go
+++ b/lib/entry/finish.go
@@ -61,5 +61,5 @@
 	g.metrics.Result(code)
 	e := g.log(log.Info(), "request_end").Str("workspace", g.subject.Workspace).Str("class", g.subject.Class)
 	e = e.Str("service", g.subject.Service).Uint16("code", uint16(code)).Str("result", result.Lookup(code).Name)
-	e.Uint32("tokens", tokens).Uint32("attempts", attempts).Dur("took", took).Dur("stalled", stalled).Msg("")
+	e.Uint32("tokens", tokens).Uint32("attempts", attempts).Int64("took_ms", took.Milliseconds()).Int64("stalled_ms", stalled.Milliseconds()).Msg("")
 }
--- a/lib/entry/plain.go
+++ b/lib/entry/plain.go
@@ -14,6 +14,7 @@
 	"anvilwick.example/anvilwick/lib/callerapi"
 	"anvilwick.example/anvilwick/lib/claim"
 	"anvilwick.example/anvilwick/lib/entrymetrics"
+	"anvilwick.example/anvilwick/lib/logline"
 	"anvilwick.example/anvilwick/lib/poison"
 	"anvilwick.example/anvilwick/lib/result"
 	"anvilwick.example/anvilwick/lib/settings"
@@ -125,26 +126,6 @@
 	return release, nil
 }
 
-// claimCall makes the call known to all entries before it is sent, or finds the answer of an earlier run.
-func (s *Server) claimCall(ctx context.Context, pc *plainCall) *result.Error {
-	c, sum, err := s.opts.Claims.Begin(ctx, claim.Request{
-		Workspace:   pc.workspace.Name,
-		Key:         pc.headers.Key,
-		Fingerprint: claim.Fingerprint(pc.call.Method, pc.call.Path, pc.call.Body),
-		Generation:  pc.id,
-	})
-	switch {
-	case err != nil:
-		return err
-	case sum != nil && sum.Code == result.OK && sum.Kept:
-		pc.kept = sum
-	case sum != nil:
-		return retold(sum)
-	}
-	pc.claim = c
-	return nil
-}
-
 // runPlain sends the call and relays its answer.
 func (s *Server) runPlain(w http.ResponseWriter, r *http.Request, pc *plainCall) {
 	ctx, cancel := pc.limit(r.Context())
@@ -203,7 +184,7 @@
 		}
 		sent := !errors.Is(err, target.ErrNotSent)
 		mayHaveRun = mayHaveRun || sent
-		log.Info().Str("event", "call_failed").Str("request", pc.id).Str("target", name).Bool("sent", sent).AnErr("cause", err).Msg("")
+		logline.Cause(log.Info().Str("event", "call_failed").Str("request", pc.id).Str("target", name).Bool("sent", sent), err)
 		avoid = append(avoid, name)
 		if final := s.mayRepeat(ctx, pc, try, sent, mayHaveRun, err); final != nil {
 			return nil, name, final
@@ -236,18 +217,6 @@
 	return resp, err
 }
 
-// markSent records in the claim that the call is about to leave.
-func (pc *plainCall) markSent(ctx context.Context, name string, try uint32) error {
-	if pc.claim == nil {
-		return nil
-	}
-	if err := pc.claim.Sent(ctx, name, try); err != nil {
-		pc.claim = nil
-		return err
-	}
-	return nil
-}
-
 // callOutcome says what a call tells of the link. A caller that left says nothing.
 func callOutcome(ctx context.Context, err error) breaker.Outcome {
 	switch {
@@ -339,33 +308,5 @@
 	pc.metrics.Result(code)
 	e := log.Info().Str("event", "call_end").Str("request", pc.id).Str("workspace", pc.workspace.Name).Str("class", pc.class)
 	e = e.Str("service", pc.service.Name).Str("target", name).Uint16("code", uint16(code))
-	e.Str("result", result.Lookup(code).Name).Dur("took", took).Msg("")
-}
-
-// settleClaim keeps the outcome of the call: a whole answer counts, even when its caller was no longer there for it.
-func (pc *plainCall) settleClaim(resp *http.Response, err *result.Error) {
-	switch {
-	case pc.claim == nil:
-	case err != nil && result.Lookup(err.Code).Outcome == result.NotRun:
-		pc.claim.Release()
-	case err != nil && !pc.complete:
-		pc.claim.Finish(claim.Summary{Code: err.Code, Status: result.Lookup(err.Code).HTTP})
-	default:
-		pc.claim.Finish(claim.Summary{
-			Code:        result.OK,
-			Status:      resp.StatusCode,
-			ContentType: resp.Header.Get("Content-Type"),
-			Body:        pc.answer,
-			Kept:        len(pc.answer) <= claim.DefaultMaxBody,
-		})
-	}
-}
-
-// keep remembers the start of the answer for the claim; one byte over its bound shows that it was too long.
-func (pc *plainCall) keep(chunk []byte) {
-	if pc.claim == nil {
-		return
-	}
-	room := claim.DefaultMaxBody + 1 - len(pc.answer)
-	pc.answer = append(pc.answer, chunk[:min(room, len(chunk))]...)
+	e.Str("result", result.Lookup(code).Name).Int64("took_ms", took.Milliseconds()).Msg("")
 }
--- /dev/null
+++ b/lib/entry/plainclaim.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+
+	"anvilwick.example/anvilwick/lib/claim"
+	"anvilwick.example/anvilwick/lib/result"
+)
+
+// claimCall makes the call known to all entries before it is sent, or finds the answer of an earlier run.
+func (s *Server) claimCall(ctx context.Context, pc *plainCall) *result.Error {
+	c, sum, err := s.opts.Claims.Begin(ctx, claim.Request{
+		Workspace:   pc.workspace.Name,
+		Key:         pc.headers.Key,
+		Fingerprint: claim.Fingerprint(pc.call.Method, pc.call.Path, pc.call.Body),
+		Generation:  pc.id,
+	})
+	switch {
+	case err != nil:
+		return err
+	case sum != nil && sum.Code == result.OK && sum.Kept:
+		pc.kept = sum
+	case sum != nil:
+		return retold(sum)
+	}
+	pc.claim = c
+	return nil
+}
+
+// markSent records in the claim that the call is about to leave.
+func (pc *plainCall) markSent(ctx context.Context, name string, try uint32) error {
+	if pc.claim == nil {
+		return nil
+	}
+	if err := pc.claim.Sent(ctx, name, try); err != nil {
+		pc.claim = nil
+		return err
+	}
+	return nil
+}
+
+// settleClaim keeps the outcome of the call: a whole answer counts, even when its caller was no longer there for it.
+func (pc *plainCall) settleClaim(resp *http.Response, err *result.Error) {
+	switch {
+	case pc.claim == nil:
+	case err != nil && result.Lookup(err.Code).Outcome == result.NotRun:
+		pc.claim.Release()
+	case err != nil && !pc.complete:
+		pc.claim.Finish(claim.Summary{Code: err.Code, Status: result.Lookup(err.Code).HTTP})
+	default:
+		pc.claim.Finish(claim.Summary{
+			Code:        result.OK,
+			Status:      resp.StatusCode,
+			ContentType: resp.Header.Get("Content-Type"),
+			Body:        pc.answer,
+			Kept:        len(pc.answer) <= claim.DefaultMaxBody,
+		})
+	}
+}
+
+// keep remembers the start of the answer for the claim; one byte over its bound shows that it was too long.
+func (pc *plainCall) keep(chunk []byte) {
+	if pc.claim == nil {
+		return
+	}
+	room := claim.DefaultMaxBody + 1 - len(pc.answer)
+	pc.answer = append(pc.answer, chunk[:min(room, len(chunk))]...)
+}
--- a/lib/entry/run.go
+++ b/lib/entry/run.go
@@ -10,6 +10,7 @@
 
 	"anvilwick.example/anvilwick/lib/breaker"
 	"anvilwick.example/anvilwick/lib/invariant"
+	"anvilwick.example/anvilwick/lib/logline"
 	"anvilwick.example/anvilwick/lib/result"
 	"anvilwick.example/anvilwick/lib/sched"
 	"anvilwick.example/anvilwick/lib/target"
@@ -210,7 +211,7 @@
 	s.opts.Placer.End(g.service.Name, g.id, number, int(g.delivered()), end.reason)
 	s.metrics.AttemptEnded(reasonName(end.reason))
 	e := g.log(log.Info(), "attempt_end").Str("target", name).Uint32("attempt", number).Str("reason", reasonName(end.reason))
-	e.Uint32("tokens", g.delivered()).AnErr("cause", end.cause).Msg("")
+	logline.Cause(e.Uint32("tokens", g.delivered()), end.cause)
 	if end.settled {
 		return
 	}
@@ -226,7 +227,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
 		if _, err := c.Cancel(ctx, g.id, number); err != nil {
-			g.log(log.Debug(), "cancel_failed").Str("target", c.Name()).AnErr("cause", err).Msg("")
+			logline.Cause(g.log(log.Debug(), "cancel_failed").Str("target", c.Name()), err)
 		}
 	}()
 }
--- a/lib/entry/watch.go
+++ b/lib/entry/watch.go
@@ -53,7 +53,7 @@
 			continue
 		}
 		g.markSilent()
-		g.log(log.Info(), "silent").Str("target", st.Target).Str("kind", st.Kind.String()).Dur("silent", st.Silent).Msg("")
+		g.log(log.Info(), "silent").Str("target", st.Target).Str("kind", st.Kind.String()).Int64("silent_ms", st.Silent.Milliseconds()).Msg("")
 	}
 }
 
--- a/lib/entryproc/process.go
+++ b/lib/entryproc/process.go
@@ -15,6 +15,7 @@
 	"anvilwick.example/anvilwick/lib/entrymetrics"
 	"anvilwick.example/anvilwick/lib/guardlink"
 	"anvilwick.example/anvilwick/lib/limit"
+	"anvilwick.example/anvilwick/lib/logline"
 	"anvilwick.example/anvilwick/lib/opsapi"
 	"anvilwick.example/anvilwick/lib/poison"
 	"anvilwick.example/anvilwick/lib/settings"
@@ -171,7 +172,7 @@
 		p.links.close()
 	}
 	p.clients.Close()
-	log.Info().Str("event", "stopped").AnErr("cause", err).Msg("")
+	logline.Cause(log.Info().Str("event", "stopped"), err)
 	return err
 }
 
--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -71,3 +71,11 @@
 	}
 	return value != ""
 }
+
+// Cause adds an error, when there is one, and ends the line.
+func Cause(e *log.Entry, err error) {
+	if err != nil {
+		e = e.Str("cause", err.Error())
+	}
+	e.Msg("")
+}
