--- a/lib/entry/plain_test.go
+++ b/lib/entry/plain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -227,3 +228,27 @@
 	must.Positive(t, resp.ContentLength)
 	must.SliceEmpty(t, resp.TransferEncoding)
 }
+
+// The caller of a claimed call leaves before the answer comes. The call goes on, its answer is kept, and a resend gets it;
+// cut with its caller it would have ended as "outcome unknown" for good.
+func TestClaimedCallGoesOnWithoutItsCaller(t *testing.T) {
+	p := startPlain(t, "one")
+	p.Order(plain.Fault{Kind: plain.FaultDelay, MS: 200})
+	store := newMemoryStore()
+	r := newRig(t, siteText("", true, nil, []string{p.Addr()}), func(o *Options) { o.Claims = store.claims("e1") })
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.http.URL+"/dispatch/send", strings.NewReader("go"))
+	must.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	req.Header.Set(callerapi.HeaderKey, "k")
+	go func() {
+		eventually(t, "executed", func() bool { return p.Executions()["k"] == 1 })
+		cancel()
+	}()
+	_, err = http.DefaultClient.Do(req)
+	must.ErrorIs(t, err, context.Canceled)
+	eventually(t, "outcome in the table", func() bool { return store.holds(`"code":1000`) == 1 })
+	resp := r.call(http.MethodPost, "/dispatch/send", "k", "go")
+	must.Eq(t, http.StatusOK, resp.StatusCode)
+	must.Eq(t, 1, p.Executions()["k"])
+}
