--- a/lib/schedlink/rig_test.go
+++ b/lib/schedlink/rig_test.go
@@ -127,7 +127,7 @@
 type rig struct {
 	t        *testing.T
 	interval time.Duration // of heartbeats
-	mu       sync.Mutex // guards procs against dial
+	mu       sync.Mutex    // guards procs against dial
 	procs    []*proc
 }
 
