--- a/lib/capacity/schedlink.go
+++ b/lib/capacity/schedlink.go
@@ -33,6 +33,7 @@
 	Duration time.Duration // of the run
 	Life     time.Duration // of a generation
 	Prefixes int           // hashes of prompt prefixes in a request
+	Progress time.Duration // between an entry's reports of progress
 }
 
 const capacityService = "service"
@@ -67,7 +68,7 @@
 	}
 	var links []*schedlink.Link
 	for i, node := range nodes {
-		links = append(links, newPlacementLink(ctx, node, fixedMembers{&member.View{Self: members[i], Members: members}}))
+		links = append(links, newPlacementLink(ctx, node, fixedMembers{&member.View{Self: members[i], Members: members}}, load.Progress))
 	}
 	owner, _ := shard.Owner(shard.ID{Service: capacityService}, members)
 	asking := 0
@@ -77,7 +78,7 @@
 	return askPlaces(ctx, links[asking], nodes[asking], load)
 }
 
-func newPlacementLink(ctx context.Context, node *mesh.Node, members fixedMembers) *schedlink.Link {
+func newPlacementLink(ctx context.Context, node *mesh.Node, members fixedMembers, progress time.Duration) *schedlink.Link {
 	host := schedlink.NewHost(ctx, schedlink.HostOptions{
 		Self:      node.Self().Instance,
 		NewPolicy: func(string) sched.Policy { return placer.NewLeastLoaded() },
@@ -89,7 +90,7 @@
 	for i := range 28 {
 		targets = append(targets, sched.TargetSpec{Name: fmt.Sprint("t", i)})
 	}
-	l.Apply(schedlink.Site{Services: []schedlink.Service{{Name: capacityService, Targets: targets}}})
+	l.Apply(schedlink.Site{ProgressEvery: progress, Services: []schedlink.Service{{Name: capacityService, Targets: targets}}})
 	go l.Run(ctx)
 	return l
 }
@@ -131,12 +132,12 @@
 	r := sched.Request{Gen: g, Workspace: "workspace", Class: "urgent", Attempt: 1, PromptTokens: 700, Prefixes: prefixes, Fingerprint: 1 << 60}
 	l.Submit(capacityService, r, func(sched.Action) { granted <- struct{}{} })
 	<-granted
-	tick := time.NewTicker(schedlink.DefaultProgressEvery)
+	tick := time.NewTicker(load.Progress)
 	defer tick.Stop()
 	tokens := 0
 	for end := time.Now().Add(load.Life); time.Now().Before(end); {
 		<-tick.C
-		tokens += 8
+		tokens += 2
 		l.Progress(capacityService, g, 1, tokens)
 	}
 	l.End(capacityService, g, 1, tokens, sched.EndCompleted)
--- a/lib/capacity/schedlink_test.go
+++ b/lib/capacity/schedlink_test.go
@@ -8,22 +8,25 @@
 	"github.com/shoenig/test/must"
 )
 
-// What asking an owner costs for each generation. MEASURE=1 takes several rates, for the slope.
+// What asking an owner costs for each generation. MEASURE=1 takes several rates and intervals, for the slopes.
 func TestPlacementsOverSockets(t *testing.T) {
-	rates, d := []int{100}, time.Second
+	rates, intervals, d := []int{50}, []time.Duration{50 * time.Millisecond}, time.Second
 	if os.Getenv("MEASURE") != "" {
-		rates, d = []int{30, 58, 120, 240}, 5*time.Second
+		rates, d = []int{30, 58, 120}, 5*time.Second
+		intervals = append(intervals, 200*time.Millisecond, time.Second)
 	}
-	var cpu, up []Point
-	for _, rate := range rates {
-		p, err := MeasurePlacements(t.Context(), PlacementLoad{Rate: rate, Duration: d, Life: 2 * time.Second, Prefixes: 8})
-		must.NoError(t, err)
-		t.Logf("rate=%.0f generations=%d up_bytes=%.0f down_bytes=%.0f cpu_per_generation=%v", p.Rate, p.Generations, p.UpBytes, p.DownBytes, p.CPUPerGen)
-		must.Less(t, 2000, p.UpBytes)
-		cpu = append(cpu, Point{float64(rate), float64(rate) * p.CPUPerGen.Seconds() * 100})
-		up = append(up, Point{float64(rate), float64(rate) * (p.UpBytes + p.DownBytes)})
-	}
-	if len(rates) > 2 {
-		t.Logf("percent of a core by generations a second: %v; bytes a second: %v", Fit(cpu), Fit(up))
+	for _, interval := range intervals {
+		var cpu, bytes []Point
+		for _, rate := range rates {
+			p, err := MeasurePlacements(t.Context(), PlacementLoad{Rate: rate, Duration: d, Life: 2 * time.Second, Prefixes: 8, Progress: interval})
+			must.NoError(t, err)
+			t.Logf("progress=%v rate=%d generations=%d up_bytes=%.0f down_bytes=%.0f cpu_per_generation=%v", interval, rate, p.Generations, p.UpBytes, p.DownBytes, p.CPUPerGen)
+			must.Less(t, 2000, p.UpBytes)
+			cpu = append(cpu, Point{float64(rate), float64(rate) * p.CPUPerGen.Seconds() * 100})
+			bytes = append(bytes, Point{float64(rate), float64(rate) * (p.UpBytes + p.DownBytes)})
+		}
+		if len(rates) > 2 {
+			t.Logf("progress=%v by generations a second: percent of a core: %v; bytes a second: %v", interval, Fit(cpu), Fit(bytes))
+		}
 	}
 }
--- a/lib/schedlink/host_test.go
+++ b/lib/schedlink/host_test.go
@@ -33,7 +33,7 @@
 
 func (c *caller) ask(g ids.Generation, runningOn string) {
 	r := sched.Request{Gen: g, Attempt: 1}
-	c.handle(submitOf(shard.ID{Service: svc}, &r, runningOn, 0))
+	c.handle(submitOf(shard.ID{Service: svc}, &r, uint32(g[15])+1, runningOn, 0))
 }
 
 // grants returns the targets granted, in order.
--- a/lib/schedlink/item.go
+++ b/lib/schedlink/item.go
@@ -19,6 +19,7 @@
 	notify placer.Notify
 	conn   *ownerConn // nil: no member owns the shard
 	since  time.Time  // when it was submitted
+	handle uint32     // short name of the generation on streams
 	target string     // where it runs; empty: queued
 	tokens int        // delivered, as last told
 	dirty  bool       // tokens not yet told to the owner
@@ -28,14 +29,13 @@
 
 // submit is the message that tells an owner all about the item, whether it heard of it before or not.
 func (it *item) submit(now sched.Time) *meshpb.SchedUp {
-	return submitOf(it.id, &it.req, it.target, now)
+	return submitOf(it.id, &it.req, it.handle, it.target, now)
 }
 
 // progress takes the tokens not yet told.
 func (it *item) progress() *meshpb.ProgressItem {
 	it.dirty = false
-	gen := it.req.Gen
-	return &meshpb.ProgressItem{Generation: gen[:], Attempt: it.req.Attempt, Tokens: uint32(it.tokens)}
+	return &meshpb.ProgressItem{Handle: it.handle, Attempt: it.req.Attempt, Tokens: uint32(it.tokens)}
 }
 
 // items is the table of an entry's attempts.
--- a/lib/schedlink/link.go
+++ b/lib/schedlink/link.go
@@ -24,13 +24,12 @@
 
 // LinkOptions of a Link. Zero times take the defaults.
 type LinkOptions struct {
-	Self          string // instance
-	Node          *mesh.Node
-	Members       Members
-	Host          *Host
-	Silence       time.Duration // after which the entry decides alone for what it asked
-	ProgressEvery time.Duration // between two messages of progress to an owner
-	Seed          uint64
+	Self    string // instance
+	Node    *mesh.Node
+	Members Members
+	Host    *Host
+	Silence time.Duration // after which the entry decides alone for what it asked
+	Seed    uint64
 }
 
 // Link is the entry's way to the owners. It implements placer.Placer.
@@ -39,16 +38,17 @@
 	ctx   context.Context
 	start time.Time
 
-	mu      sync.Mutex
-	plan    plan
-	view    *member.View
-	own     *owners
-	digests digests
-	items   items
-	conns   map[string]*ownerConn // by instance
-	alone   alone
-	rng     *rand.Rand
-	kick    chan struct{}
+	mu       sync.Mutex
+	plan     plan
+	view     *member.View
+	own      *owners
+	digests  digests
+	items    items
+	conns    map[string]*ownerConn // by instance
+	alone    alone
+	rng      *rand.Rand
+	handle   uint32 // last given out
+	progress time.Duration
 }
 
 var _ placer.Placer = (*Link)(nil)
@@ -56,7 +56,6 @@
 // NewLink returns a Link that lives until ctx is done. Run must be started.
 func NewLink(ctx context.Context, o LinkOptions) *Link {
 	orDefault(&o.Silence, DefaultSilence)
-	orDefault(&o.ProgressEvery, DefaultProgressEvery)
 	rng := rand.New(rand.NewPCG(o.Seed, 0))
 	v := o.Members.View()
 	return &Link{
@@ -70,7 +69,6 @@
 		conns: make(map[string]*ownerConn),
 		alone: newAlone(rng),
 		rng:   rng,
-		kick:  make(chan struct{}, 1),
 	}
 }
 
@@ -79,19 +77,37 @@
 	p := newPlan(site)
 	l.mu.Lock()
 	l.plan = p
+	l.progress = site.ProgressEvery
 	l.mu.Unlock()
 	l.opts.Host.update(p, l.opts.Members.View())
 	l.rebind()
 }
 
-// sweepEvery is the time between looks for silent owners.
-const sweepEvery = 50 * time.Millisecond
+// Times of Run.
+const (
+	sweepEvery   = 100 * time.Millisecond // between looks for silent owners
+	digestsEvery = 200 * time.Millisecond // between looks at what heartbeats brought
+)
+
+// progressEvery is the time between two messages of progress to an owner. Owners forecast memory from it and don't
+// guess between two messages, so it is short; a site whose entries run very many generations sets it longer, for the
+// bytes grow with generations over it.
+func (l *Link) progressEvery() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.progress > 0 {
+		return l.progress
+	}
+	return DefaultProgressEvery
+}
 
 // Run follows the members and looks for silent owners, until ctx is done.
 func (l *Link) Run(ctx context.Context) {
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
-	progress := time.NewTicker(l.opts.ProgressEvery)
+	digests := time.NewTicker(digestsEvery)
+	defer digests.Stop()
+	progress := time.NewTimer(l.progressEvery())
 	defer progress.Stop()
 	for {
 		changed := l.opts.Members.Changed()
@@ -104,6 +120,8 @@
 			l.sweep(time.Now())
 		case <-progress.C:
 			l.flushProgress()
+			progress.Reset(l.progressEvery())
+		case <-digests.C:
 			l.readDigests()
 		}
 	}
@@ -198,7 +216,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.remove(r.Gen)
-	it := &item{req: r, notify: notify, since: time.Now(), tokens: r.Emitted}
+	l.handle++
+	it := &item{req: r, notify: notify, since: time.Now(), handle: l.handle, tokens: r.Emitted}
 	it.id.Service = service
 	if !l.choose(it) {
 		notify(refuseNoTarget(&r))
@@ -263,7 +282,7 @@
 	defer l.mu.Unlock()
 	byConn := make(map[*ownerConn][]*meshpb.ProgressItem)
 	for _, it := range l.items {
-		if it.dirty && it.conn != nil && it.conn.up {
+		if it.conn != nil && it.conn.up && it.dirty {
 			byConn[it.conn] = append(byConn[it.conn], it.progress())
 		}
 	}
--- a/lib/schedlink/rig_test.go
+++ b/lib/schedlink/rig_test.go
@@ -181,7 +181,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p.host = NewHost(ctx, HostOptions{Self: name, NewPolicy: newSlots, Poll: noPoll, AliveEvery: 50 * time.Millisecond, Settle: 50 * time.Millisecond, Grace: 500 * time.Millisecond})
 	p.node.Handle(meshpb.StreamKind_STREAM_SCHED, p.host.Serve)
-	p.Link = NewLink(ctx, LinkOptions{Self: name, Node: p.node, Members: p.members, Host: p.host, Silence: testSilence, ProgressEvery: 20 * time.Millisecond})
+	p.Link = NewLink(ctx, LinkOptions{Self: name, Node: p.node, Members: p.members, Host: p.host, Silence: testSilence})
 	var wg sync.WaitGroup
 	for _, f := range []func(){func() { p.members.Run(ctx) }, func() { p.Link.Run(ctx) }, func() { p.node.Serve(ln) }} {
 		wg.Go(f)
--- a/lib/schedlink/session.go
+++ b/lib/schedlink/session.go
@@ -24,16 +24,24 @@
 
 	local func(*meshpb.SchedDown) // instead of out, inside the process
 
-	mu   sync.Mutex
-	gens map[ids.Generation]shard.ID // where this entry's generations are booked
+	mu       sync.Mutex
+	gens     map[ids.Generation]booking
+	byHandle map[uint32]ids.Generation
+}
+
+// booking is where a generation of the entry is decided for, and its short name on this stream.
+type booking struct {
+	shard  shard.ID
+	handle uint32
 }
 
 func newSession(h *Host) *session {
 	return &session{
-		host: h,
-		out:  make(chan *meshpb.SchedDown, downBound),
-		done: make(chan struct{}),
-		gens: make(map[ids.Generation]shard.ID),
+		host:     h,
+		out:      make(chan *meshpb.SchedDown, downBound),
+		done:     make(chan struct{}),
+		gens:     make(map[ids.Generation]booking),
+		byHandle: make(map[uint32]ids.Generation),
 	}
 }
 
@@ -96,44 +104,58 @@
 		// alone; a refusal would tell a caller something untrue.
 		return
 	}
-	s.mu.Lock()
-	s.gens[r.Gen] = id
-	s.mu.Unlock()
+	s.book(r.Gen, booking{shard: id, handle: m.GetHandle()})
 	h.submit(s, r)
 }
 
+func (s *session) book(g ids.Generation, b booking) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.byHandle, s.gens[g].handle)
+	s.gens[g] = b
+	s.byHandle[b.handle] = g
+}
+
+func (s *session) unbook(g ids.Generation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.byHandle, s.gens[g].handle)
+	delete(s.gens, g)
+}
+
 func (s *session) progress(m *meshpb.Progress) {
 	for _, it := range m.GetItems() {
-		if h, g := s.booked(it.GetGeneration()); h != nil {
+		s.mu.Lock()
+		g, ok := s.byHandle[it.GetHandle()]
+		s.mu.Unlock()
+		if h := s.booked(g); ok && h != nil {
 			h.runner.Progress(g, it.GetAttempt(), int(it.GetTokens()))
 		}
 	}
 }
 
 func (s *session) end(m *meshpb.End) {
-	h, g := s.booked(m.GetGeneration())
+	g, err := ids.FromBytes(m.GetGeneration())
+	if err != nil {
+		return
+	}
+	h := s.booked(g)
+	s.unbook(g)
 	if h == nil {
 		return
 	}
-	s.mu.Lock()
-	delete(s.gens, g)
-	s.mu.Unlock()
 	h.end(g, m.GetAttempt(), int(m.GetTokens()), sched.EndReason(m.GetReason()))
 }
 
 // booked finds the shard of a generation of this entry.
-func (s *session) booked(gen []byte) (*hosted, ids.Generation) {
-	g, err := ids.FromBytes(gen)
-	if err != nil {
-		return nil, g
-	}
+func (s *session) booked(g ids.Generation) *hosted {
 	s.mu.Lock()
-	id, ok := s.gens[g]
+	b, ok := s.gens[g]
 	s.mu.Unlock()
 	if !ok {
-		return nil, g
+		return nil
 	}
-	return s.host.lookup(id), g
+	return s.host.lookup(b.shard)
 }
 
 // close ends the session. What it booked is kept for Grace: a link that only broke comes back within it, and freeing
--- a/lib/schedlink/site.go
+++ b/lib/schedlink/site.go
@@ -19,8 +19,9 @@
 
 // Site is what Link and Host need of one revision of settings.
 type Site struct {
-	Services     []Service
-	ShardTargets int // targets of one shard at most; 0: no limit
+	Services      []Service
+	ShardTargets  int           // targets of one shard at most; 0: no limit
+	ProgressEvery time.Duration // between an entry's messages of progress to an owner; 0: DefaultProgressEvery
 }
 
 // Members tells who is live. member.Runner implements it.
@@ -38,7 +39,7 @@
 const (
 	DefaultSilence       = time.Second
 	DefaultAliveEvery    = 250 * time.Millisecond
-	DefaultProgressEvery = 200 * time.Millisecond
+	DefaultProgressEvery = 50 * time.Millisecond
 	DefaultGrace         = 2 * time.Second
 	DefaultSettle        = 200 * time.Millisecond
 )
--- a/lib/schedlink/wire.go
+++ b/lib/schedlink/wire.go
@@ -11,7 +11,7 @@
 )
 
 // submitOf writes a request. Deadlines travel as time left: clocks of two processes have nothing in common.
-func submitOf(id shard.ID, r *sched.Request, runningOn string, now sched.Time) *meshpb.SchedUp {
+func submitOf(id shard.ID, r *sched.Request, handle uint32, runningOn string, now sched.Time) *meshpb.SchedUp {
 	m := &meshpb.Submit{
 		Generation:   r.Gen[:],
 		Service:      id.Service,
@@ -27,6 +27,7 @@
 		Avoid:        r.Avoid,
 		Fingerprint:  r.Fingerprint,
 		RunningOn:    runningOn,
+		Handle:       handle,
 	}
 	if r.Deadline != 0 {
 		m.DeadlineMs = max(1, r.Deadline.Sub(now).Milliseconds())
