--- a/lib/schedlink/site.go
+++ b/lib/schedlink/site.go
@@ -19,8 +19,9 @@
 
 // Site is what Link and Host need of one revision of settings.
 type Site struct {
-	Services     []Service
-	ShardTargets int // targets of one shard at most; 0: no limit
+	Services      []Service
+	ShardTargets  int           // targets of one shard at most; 0: no limit
+	ProgressEvery time.Duration // between an entry's messages of progress to an owner; 0: DefaultProgressEvery
 }
 
 // Members tells who is live. member.Runner implements it.
@@ -38,7 +39,7 @@
 const (
 	DefaultSilence       = time.Second
 	DefaultAliveEvery    = 250 * time.Millisecond
-	DefaultProgressEvery = 200 * time.Millisecond
+	DefaultProgressEvery = 50 * time.Millisecond
 	DefaultGrace         = 2 * time.Second
 	DefaultSettle        = 200 * time.Millisecond
 )
@@ -90,23 +91,31 @@
 	return out
 }
 
-// owners finds the owner of a shard under one view and remembers it.
+// ids returns all shards of the site.
+func (p plan) ids() (ids []shard.ID) {
+	for _, sp := range p {
+		for _, s := range sp.shards {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
+// owners knows the owner of each shard under one plan and view.
 type owners struct {
-	workers []member.Member
-	found   map[shard.ID]member.Member
+	workers  []member.Member
+	assigned map[shard.ID]member.Member
 }
 
-func newOwners(v *member.View) *owners {
-	return &owners{workers: v.Workers(), found: make(map[shard.ID]member.Member)}
+func newOwners(p plan, v *member.View) *owners {
+	workers := v.Workers()
+	return &owners{workers: workers, assigned: shard.Assign(p.ids(), workers)}
 }
 
 // of returns the owner; ok is false when no member may own anything.
 func (o *owners) of(id shard.ID) (m member.Member, ok bool) {
-	if m, ok = o.found[id]; ok {
+	if m, ok = o.assigned[id]; ok {
 		return m, true
 	}
-	if m, ok = shard.Owner(id, o.workers); ok {
-		o.found[id] = m
-	}
-	return m, ok
+	return shard.Owner(id, o.workers)
 }
