Count requests of former members as well; a stronger randomised run of limits

It now waits for all that were members, unless they are known dead. A forgotten process's late messages no longer revive it.

--- a/lib/limit/holder.go
+++ b/lib/limit/holder.go
@@ -14,6 +14,7 @@
 	views  *history
 	peers  map[string]*peer
 	keys   map[Key]*heldKey
+	gone   map[string]uint64 // epochs of processes known to be dead
 }
 
 // clock makes stamps of one process.
@@ -53,12 +54,21 @@
 func newHolder(now time.Time, cfg Config, self string, epoch uint64, views *history, limits LimitFunc) *holder {
 	return &holder{
 		cfg: cfg, self: self, clock: clock{epoch, now}, limits: limits, views: views,
-		peers: make(map[string]*peer), keys: make(map[Key]*heldKey),
+		peers: make(map[string]*peer), keys: make(map[Key]*heldKey), gone: make(map[string]uint64),
 	}
 }
 
-// forget drops an instance whose process is known to be gone, and its requests in progress with it.
+// forget takes in that an instance's process is known to be gone, and its requests in progress with it. Messages of that
+// process that are still under way change nothing.
 func (h *holder) forget(instance string) {
+	h.gone[instance] = 0
+	if p := h.peers[instance]; p != nil {
+		h.gone[instance] = p.last.Epoch
+	}
+	h.drop(instance)
+}
+
+func (h *holder) drop(instance string) {
 	delete(h.peers, instance)
 	for _, k := range h.keys {
 		delete(k.clients, instance)
@@ -67,9 +77,12 @@
 
 // handle answers an Up of client from; ok is false when it is late or repeated.
 func (h *holder) handle(now time.Time, from string, up Up) (down Down, ok bool) {
+	if dead, ok := h.gone[from]; ok && up.Stamp.Epoch <= dead {
+		return Down{}, false
+	}
 	p := h.peers[from]
 	if p != nil && up.Stamp.Epoch > p.last.Epoch {
-		h.forget(from)
+		h.drop(from)
 		p = nil
 	}
 	if p == nil {
@@ -79,6 +92,7 @@
 	if up.Stamp.Epoch < p.last.Epoch || up.Stamp.Nanos <= p.last.Nanos {
 		return Down{}, false
 	}
+	delete(h.gone, from)
 	h.note(p, up)
 	down = Down{Stamp: h.clock.stamp(now), Echo: up.Stamp, WantFull: h.wantFull(now, p)}
 	for _, d := range up.Demands {
@@ -139,21 +153,32 @@
 }
 
 // accounted reports whether every member has told what it has in progress after old shares ended, or has been silent
-// for too long to wait for. A member that takes another for the holder did not tell this one of the key.
+// for too long to wait for. A member that takes another for the holder did not tell this one of the key. Former members
+// count too: an instance that is leaving has requests in progress long after it has left the list.
 func (h *holder) accounted(now time.Time, key Key) bool {
 	since, _ := h.views.heldSince(h.self, key)
 	took := h.took(since)
 	if now.Sub(took) >= h.cfg.OrphanHold {
 		return true
 	}
-	for _, m := range h.views.current().members {
-		if p := h.peers[m]; p == nil || p.full.Before(took) || !h.views.agree(h.self, key, []uint64{p.whole}) {
-			return false
+	for _, v := range h.views.views {
+		for _, m := range v.members {
+			if !h.told(m, key, took) {
+				return false
+			}
 		}
 	}
 	return true
 }
 
+func (h *holder) told(member string, key Key, took time.Time) bool {
+	if _, dead := h.gone[member]; dead {
+		return true
+	}
+	p := h.peers[member]
+	return p != nil && !p.full.Before(took) && h.views.agree(h.self, key, []uint64{p.whole})
+}
+
 // lend works out the share of one client.
 func (h *holder) lend(now time.Time, from string, asOf time.Time, d Demand) (Share, bool) {
 	k := h.key(d.Key)
--- a/lib/limit/limit_test.go
+++ b/lib/limit/limit_test.go
@@ -28,8 +28,9 @@
 		s.spread = rapid.SampledFrom([]time.Duration{500 * time.Millisecond, 4 * time.Second}).Draw(t, "spread")
 		life := rapid.SampledFrom([]time.Duration{500 * time.Millisecond, cfg.OrphanHold * 9 / 10}).Draw(t, "life")
 		trouble := rapid.SampledFrom([]int{300, 1200}).Draw(t, "trouble")
+		kinds := rapid.SliceOfNDistinct(rapid.SampledFrom(allTrouble), 1, len(allTrouble), rapid.ID).Draw(t, "kinds")
 		s.run(20*time.Second, func() {
-			s.disturb(cfg, trouble)
+			s.disturb(cfg, kinds, trouble)
 			for range s.rng.IntN(4) {
 				s.request(s.insts[s.rng.IntN(len(s.insts))], time.Duration(s.rng.Int64N(int64(life))))
 			}
@@ -41,34 +42,52 @@
 	})
 }
 
-// disturb makes something fail now and then.
-func (s *sim) disturb(cfg Config, oneIn int) {
+// trouble is a kind of failure.
+type trouble int
+
+const (
+	pauses trouble = iota
+	kills
+	cuts
+	isolations
+	viewChanges
+)
+
+var allTrouble = []trouble{pauses, kills, cuts, isolations, viewChanges}
+
+// disturb makes something of the given kinds fail, or mends it, once in so many steps on average.
+func (s *sim) disturb(cfg Config, kinds []trouble, oneIn int) {
+	if s.rng.IntN(oneIn) >= 2*len(kinds) {
+		return
+	}
 	in := s.insts[s.rng.IntN(len(s.insts))]
-	switch s.rng.IntN(oneIn) {
-	case 0, 1:
+	other := s.insts[s.rng.IntN(len(s.insts))]
+	switch kinds[s.rng.IntN(len(kinds))] {
+	case pauses:
 		in.paused = s.now + time.Duration(s.rng.Int64N(int64(2*cfg.WaitOut())))
-	case 2:
+	case kills:
 		if in.alive {
 			s.kill(in)
-		}
-	case 3, 4:
-		if !in.alive {
+		} else {
 			s.start(in)
 		}
-	case 5, 6, 7:
-		a, b := s.rng.IntN(len(s.insts)), s.rng.IntN(len(s.insts))
-		s.cut[[2]int{a, b}] = !s.cut[[2]int{a, b}]
-	case 8:
-		for j := range s.insts {
-			s.cut[[2]int{in.id, j}], s.cut[[2]int{j, in.id}] = true, true
-		}
-	case 9:
-		clear(s.cut)
-	case 10, 11, 12, 13, 14:
+	case cuts:
+		link := [2]int{in.id, other.id}
+		s.cut[link] = !s.cut[link]
+	case isolations:
+		s.isolate(in, !s.cut[[2]int{in.id, other.id}])
+	case viewChanges:
 		s.addView()
 	}
 }
 
+// isolate cuts or mends all links of one instance.
+func (s *sim) isolate(in *simInst, cut bool) {
+	for j := range s.insts {
+		s.cut[[2]int{in.id, j}], s.cut[[2]int{j, in.id}] = cut, cut
+	}
+}
+
 // checkRate asserts that admissions in any window stay within the rate and what may have been lent before it: tokens
 // live for TTL, and each bucket holds a burst.
 func checkRate(t *rapid.T, s *sim, lim Limit) {
