--- a/lib/entryproc/claims.go
+++ b/lib/entryproc/claims.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	storeShare   = 0.7 // of the instance's budget at the platform; the control process has the rest
-	flushTimeout = 10 * time.Second
+	flushTimeout   = 10 * time.Second
+	budgetInterval = time.Second // between two looks at the members and settings that the store's budget hangs on
 )
 
 // claims keeps this process's claims in the platform's table.
@@ -24,7 +24,7 @@
 }
 
 func newClaims(cfg Config, view func() *member.View, server func() *entry.Server) *claims {
-	store := platform.New(platform.Config{Addr: cfg.Platform, Share: storeShare})
+	store := platform.New(platform.Config{Addr: cfg.Platform, Share: platform.ShareEntry})
 	self := claim.Holder{Instance: cfg.Instance, Incarnation: cfg.Incarnation}
 	return &claims{store: store, table: claim.New(store, claim.Config{
 		Holder:   self,
@@ -33,6 +33,38 @@
 	})}
 }
 
+// share keeps this process to its part of the site's budget at the platform until ctx is done. Without it every entry
+// would take the whole site's, and together they would be refused by the table when claims are needed most.
+func (c *claims) share(ctx context.Context, view func() *member.View, snapshot func() *settings.Snapshot) {
+	t := time.NewTicker(budgetInterval)
+	defer t.Stop()
+	for {
+		c.store.SetLive(sharers(view()))
+		if snap := snapshot(); snap != nil {
+			c.store.SetSite(snap.Site.StoreWritesPerSec, snap.Site.StoreReadsPerSec)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// sharers counts the instances that may be using the platform: all that are not known dead, and at least this one.
+func sharers(view *member.View) int {
+	if view == nil {
+		return 1
+	}
+	n := 0
+	for _, m := range view.Members {
+		if m.State != member.Dead {
+			n++
+		}
+	}
+	return max(1, n)
+}
+
 // holderGone reports whether the process that holds a claim has ended, as far as is known here.
 func holderGone(view *member.View, self, h claim.Holder) bool {
 	if h.Instance == self.Instance {
--- a/lib/entryproc/process.go
+++ b/lib/entryproc/process.go
@@ -68,6 +68,9 @@
 	}
 	go p.server.Run(ctx)
 	go p.limits.Run(ctx)
+	if p.claims != nil {
+		go p.claims.share(ctx, p.view, p.server.Snapshot)
+	}
 	if p.links != nil {
 		p.links.run(ctx)
 	}
--- a/lib/mesh/link.go
+++ b/lib/mesh/link.go
@@ -14,6 +14,7 @@
 	mu   sync.Mutex // held while dialing: callers of the same address share one dial
 	cur  *session
 	back backoff
+	last error // of the dial that put the peer into backoff
 }
 
 // session returns the current one or dials. A peer in backoff fails at once: callers decide without it.
@@ -25,11 +26,13 @@
 	}
 	l.cur = nil
 	if !l.back.ready(time.Now()) {
-		return nil, ErrBackoff.New("%s failed %d times", l.addr, l.back.failures)
+		// The cause stays with it: a peer whose address refuses is known dead in backoff as well, and Refused must see it.
+		return nil, ErrBackoff.Wrap(l.last, "%s failed %d times", l.addr, l.back.failures)
 	}
 	mux, err := n.dial(ctx, l.addr)
 	if err != nil {
 		l.back.failed(time.Now())
+		l.last = err
 		return nil, ErrDial.Wrap(err, "%s", l.addr)
 	}
 	l.back.ok()
--- a/lib/platform/client.go
+++ b/lib/platform/client.go
@@ -20,6 +20,7 @@
 
 	"github.com/dghubble/sling"
 	"github.com/sony/gobreaker/v2"
+	"golang.org/x/time/rate"
 )
 
 // Defaults of Config.
@@ -35,6 +36,13 @@
 	DefaultGroupMembers  = 64
 )
 
+// Parts of an instance's share, for Config.Share: together they are the whole. Leases of the control process never
+// wait behind claims of the entry.
+const (
+	ShareEntry   = 0.6
+	ShareControl = 0.4
+)
+
 const (
 	maxAnswer = 16 << 20
 	// downRetryAfter is what callers are told while the store is down: long against the breaker's probes, short
@@ -100,7 +108,7 @@
 	http    *http.Client
 	base    *sling.Sling
 	breaker *gobreaker.CircuitBreaker[response]
-	budget  budget
+	budget  *budget
 	group   grouper
 }
 
@@ -126,6 +134,11 @@
 // SetLive shares the site's budgets over n live instances.
 func (c *Client) SetLive(n int) { c.budget.setLive(n) }
 
+// SetSite changes the site's budgets of writes and reads a second.
+func (c *Client) SetSite(writesPerSec, readsPerSec float64) {
+	c.budget.setSite(writesPerSec, readsPerSec)
+}
+
 // Up reports whether the breaker is closed. It is a hint: the next call may fail all the same.
 func (c *Client) Up() bool { return c.breaker.State() == gobreaker.StateClosed }
 
@@ -135,8 +148,23 @@
 	body   []byte
 }
 
+// admit takes a token for one exchange. While the breaker is open nothing waits for a token that it could not use.
+func (c *Client) admit(ctx context.Context, u use, l *rate.Limiter) *exchangeError {
+	if c.breaker.State() == gobreaker.StateOpen {
+		return &exchangeError{fate: fateNotSent, after: downRetryAfter, cause: gobreaker.ErrOpenState}
+	}
+	return c.budget.take(ctx, u, l)
+}
+
 // exchange sends one request and reads its whole answer, through the breaker.
-func (c *Client) exchange(ctx context.Context, req *sling.Sling) (response, *exchangeError) {
+func (c *Client) exchange(ctx context.Context, u use, req *sling.Sling) (response, *exchangeError) {
+	start := time.Now()
+	res, err := c.through(ctx, req)
+	u.count(start, err)
+	return res, err
+}
+
+func (c *Client) through(ctx context.Context, req *sling.Sling) (response, *exchangeError) {
 	res, err := c.breaker.Execute(func() (response, error) { return c.roundTrip(ctx, req) })
 	switch {
 	case errors.Is(err, gobreaker.ErrOpenState), errors.Is(err, gobreaker.ErrTooManyRequests):
--- a/lib/workload/mix.go
+++ b/lib/workload/mix.go
@@ -5,7 +5,10 @@
 // workspace; urgent questions come in bursts. The same seed gives the same requests to every policy.
 package workload
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Class is one priority class of a deployment.
 type Class struct {
@@ -16,6 +19,7 @@
 	Batch          float64 // mean size of a batch of requests that come together; 1: single requests
 	BurstFactor    float64 // rate in a burst, relative to Rate; 1: no bursts
 	Backlog        int     // requests that wait when the run begins
+	Flood          int     // requests that one small workspace sends at once, well before the window ends
 	Template       int     // tokens of the prompt that a workspace's requests of the class share
 	Prompt         float64 // median of the prompt's own tokens
 	PromptSigma    float64
@@ -71,12 +75,12 @@
 			{
 				Name: "depot", Priority: 10, Urgent: true, Rate: 5, Batch: 1, BurstFactor: 5,
 				Template: 256, Prompt: 120, PromptSigma: 0.5, Median: 60, Sigma: 0.6, TailShare: 0.01,
-				MaxWait: 15 * time.Second, QueueBound: 200, MaxPreemptions: 1, MemoryRisk: 0.3,
+				MaxWait: 15 * time.Second, QueueBound: 200, MaxPreemptions: 1, MemoryRisk: 0.1,
 			},
 			{
-				Name: "narrative", Priority: 1, Rate: 3.4, Batch: 6, BurstFactor: 1, Backlog: 220,
+				Name: "narrative", Priority: 1, Rate: 3.4, Batch: 6, BurstFactor: 1, Backlog: 160, Flood: 80,
 				Template: 1024, Prompt: 350, PromptSigma: 0.6, Median: 1300, Sigma: 0.7, TailShare: 0.05,
-				MaxWait: 30 * time.Minute, QueueBound: 4000, MaxPreemptions: 2, MemoryRisk: 0.3,
+				MaxWait: 30 * time.Minute, QueueBound: 4000, MaxPreemptions: 2, MemoryRisk: 0.1,
 				Deadline: 8 * time.Hour,
 			},
 		},
@@ -102,23 +106,35 @@
 			{
 				Name: "clause", Priority: 10, Urgent: true, Rate: 4, Batch: 1, BurstFactor: 5,
 				Template: 512, Prompt: 200, PromptSigma: 0.5, Median: 50, Sigma: 0.6, TailShare: 0.01,
-				MaxWait: 15 * time.Second, QueueBound: 200, MaxPreemptions: 1, MemoryRisk: 0.3,
+				MaxWait: 15 * time.Second, QueueBound: 200, MaxPreemptions: 1, MemoryRisk: 0.1,
 			},
 			{
 				Name: "summary", Priority: 5, Rate: 2.2, Batch: 2, BurstFactor: 2,
 				Template: 512, Prompt: 700, PromptSigma: 0.5, Median: 350, Sigma: 0.6, TailShare: 0.03,
-				MaxWait: 4 * time.Minute, QueueBound: 1000, MaxPreemptions: 2, MemoryRisk: 0.3,
+				MaxWait: 4 * time.Minute, QueueBound: 1000, MaxPreemptions: 2, MemoryRisk: 0.1,
 			},
 			{
-				Name: "bordereau", Priority: 1, Rate: 1.6, Batch: 5, BurstFactor: 1, Backlog: 140,
+				Name: "bordereau", Priority: 1, Rate: 1.6, Batch: 5, BurstFactor: 1, Backlog: 100, Flood: 50,
 				Template: 1024, Prompt: 900, PromptSigma: 0.6, Median: 1900, Sigma: 0.8, TailShare: 0.06,
-				MaxWait: 30 * time.Minute, QueueBound: 4000, MaxPreemptions: 2, MemoryRisk: 0.3,
+				MaxWait: 30 * time.Minute, QueueBound: 4000, MaxPreemptions: 2, MemoryRisk: 0.1,
 				Deadline: 8 * time.Hour,
 			},
 		},
 	}
 }
 
+// Scaled returns the mix with k times the engines and requests.
+func (m Mix) Scaled(k int) Mix {
+	m.Engines *= k
+	m.Load *= float64(k)
+	m.Classes = slices.Clone(m.Classes)
+	for i := range m.Classes {
+		m.Classes[i].Backlog *= k
+		m.Classes[i].Flood *= k
+	}
+	return m
+}
+
 // Class returns the class of a name; ok is false when the mix has none.
 func (m *Mix) Class(name string) (c *Class, ok bool) {
 	for i := range m.Classes {
