Survive a limit of a service that is unknown here; give a lone entry its whole limit

Cause: limitsOf took a policy for every service name, and there is none for a service that a newer revision removed. A key in use, or a message of a peer under another revision, ended the process by a nil dereference, with all its streams; the new test showed that panic. A lone entry used the shared configuration: for its first 2.6 s it had a 64th of its limit. Node.Ready no longer falls back at each change of view.

--- a/lib/entryproc/assemble.go
+++ b/lib/entryproc/assemble.go
@@ -20,7 +20,7 @@
 // assemble makes the server and the parts behind it. The listeners are open, and nothing is served yet.
 func (p *Process) assemble(ctx context.Context) {
 	p.poison = poison.New(poison.DefaultConfig)
-	p.limits = limit.NewService(limit.DefaultConfig, p.cfg.Instance, p.cfg.Incarnation, limitsOf(p.snapshot), p.sendLimits)
+	p.limits = limit.NewService(p.limitConfig(), p.cfg.Instance, p.cfg.Incarnation, limitsOf(p.snapshot), p.sendLimits)
 	d := p.newDecider(ctx)
 	opts := entry.Options{
 		Placer:        d,
@@ -44,6 +44,13 @@
 	go p.guard.Run()
 }
 
+func (p *Process) limitConfig() limit.Config {
+	if p.links == nil {
+		return limit.AloneConfig()
+	}
+	return limit.DefaultConfig
+}
+
 // snapshot returns the settings in force, or nil.
 func (p *Process) snapshot() *settings.Snapshot { return p.server.Snapshot() }
 
--- a/lib/entryproc/limiter.go
+++ b/lib/entryproc/limiter.go
@@ -29,6 +29,9 @@
 			return limit.Limit{}
 		}
 		p := snap.Policy(service, workspace, k.Class)
+		if p == nil { // another revision than the asker's: the service is unknown here
+			return limit.Limit{}
+		}
 		return limit.Limit{Concurrency: p.Concurrency, RatePerSecond: p.RatePerSecond}
 	}
 }
--- a/lib/limit/node.go
+++ b/lib/limit/node.go
@@ -58,9 +58,10 @@
 	delete(n.links, instance)
 }
 
-// Ready reports whether this process could lend: it has a view and has waited out its predecessor.
+// Ready reports whether this process has a view and has waited out its predecessor. A later change of view does not make
+// it unready.
 func (n *Node) Ready(now time.Time) bool {
-	return n.views.current() != nil && !now.Before(n.holder.took(n.views.changed()))
+	return n.views.current() != nil && now.Sub(n.holder.clock.start) >= n.cfg.WaitOut()
 }
 
 // Acquire decides on one request. Pending is only given when this instance is not itself the holder.
