Don't charge the retry budget for what a leaving engine turns away

An engine that was told to leave refuses new work at once, but the reports that tell of it lag; each request placed there meanwhile came back and took one retry, and the sixth caller got 3006, retry budget spent, though another engine was free (TestLeavingEngineGetsNothingNew, new). Ruled out: the settings' budget (0.1, as meant for failures) and the avoid list (it worked). A refusal that is proved not run because the target is leaving asked nothing of it, as an attempt never sent; it is bounded by the attempts of the generation. Not done: the owner could learn of the leaving from that refusal.

--- a/lib/e2e/control_test.go
+++ b/lib/e2e/control_test.go
@@ -14,6 +14,7 @@
 	"anvilwick.example/anvilwick/lib/localsite"
 	"anvilwick.example/anvilwick/lib/opsapi"
 	"anvilwick.example/anvilwick/lib/proc"
+	"anvilwick.example/anvilwick/lib/standin/engine"
 	"anvilwick.example/anvilwick/lib/standin/platform"
 )
 
@@ -153,3 +154,28 @@
 	}
 	must.NoError(t, <-stopped)
 }
+
+// An engine is reclaimed at short notice: it reports that it is leaving and refuses new work. Within three seconds no
+// entry sends it anything, no caller is refused for it, and what it runs ends there.
+func TestLeavingEngineGetsNothingNew(t *testing.T) {
+	site, ctx := siteOf(t, 2, 2)
+	c := clientOf(site)
+	long := start(ctx, c, "long", 400, caller.Call{})
+	long.reach(t, ctx, 2)
+	busy, err := site.Busy(ctx)
+	must.NoError(t, err)
+	must.NotNil(t, busy)
+	must.NoError(t, engineFault(ctx, busy, engine.Fault{Kind: engine.FaultLeave}))
+	for asked, i := time.Now(), 0; time.Since(asked) < time.Second; i++ {
+		start(ctx, c, fmt.Sprint("meanwhile ", i), 3, caller.Call{Entry: i}).whole(t, ctx)
+	}
+	before, err := localsite.Stats(ctx, busy)
+	must.NoError(t, err)
+	for i := range 10 {
+		start(ctx, c, fmt.Sprint("later ", i), 3, caller.Call{Entry: i}).whole(t, ctx)
+	}
+	after, err := localsite.Stats(ctx, busy)
+	must.NoError(t, err)
+	must.Eq(t, before.Generations, after.Generations)
+	long.whole(t, ctx)
+}
--- a/lib/entry/run.go
+++ b/lib/entry/run.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"anvilwick.example/anvilwick/lib/breaker"
+	"anvilwick.example/anvilwick/lib/engineapi"
 	"anvilwick.example/anvilwick/lib/invariant"
 	"anvilwick.example/anvilwick/lib/result"
 	"anvilwick.example/anvilwick/lib/sched"
@@ -252,7 +253,7 @@
 // never sent asked nothing of anybody. A generation that has given tokens goes on without: starting it afresh would cost
 // more than resuming it, and its attempts are bounded.
 func (s *Server) retry(g *generation, end attemptEnd) (*result.Error, bool) {
-	if g.delivered() == 0 && !errors.Is(end.cause, target.ErrNotSent) {
+	if g.delivered() == 0 && !askedNothing(end.cause) {
 		if ok, wait := s.opts.Budgets.Take(s.now(), g.subject.Workspace); !ok {
 			err := result.Wrap(result.RetryBudget, end.cause, "try another target")
 			err.RetryAfter = max(wait, refusalRetry)
@@ -263,6 +264,15 @@
 	return nil, true
 }
 
+// askedNothing reports whether an attempt cost its target nothing: it was never sent, or the target turned it away because
+// it is leaving. Reports that tell of the leaving lag; in that time every request placed there comes back, and were they
+// charged to the budget, a planned stop of one target would use it up and callers would be refused.
+func askedNothing(cause error) bool {
+	var refusal *target.RefusedError
+	leaving := errors.As(cause, &refusal) && refusal.Err.NotRun && refusal.Err.Type == engineapi.ErrDraining
+	return leaving || errors.Is(cause, target.ErrNotSent)
+}
+
 // attemptTokens returns the count of tokens that the last attempt delivered.
 func (g *generation) attemptTokens() int {
 	g.mu.Lock()
