--- /dev/null
+++ b/lib/loadrun/compare.go
@@ -0,0 +1,194 @@
+package loadrun
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"anvilwick.example/anvilwick/lib/caller"
+	"anvilwick.example/anvilwick/lib/localsite"
+	"anvilwick.example/anvilwick/lib/opsapi"
+	"anvilwick.example/anvilwick/lib/standin/engine"
+	"anvilwick.example/anvilwick/lib/workload"
+)
+
+// Compare's streams run in pairs, one straight to the engine and one through an entry, at the same time on the same
+// engine, so that the engine's own steps and the machine's load meet both alike.
+const (
+	compareModel     = "compare"
+	compareWorkspace = "compare"
+	compareTokens    = 200
+	histLowest       = 1 // microseconds
+	histHighest      = int64(time.Minute / time.Microsecond)
+	histDigits       = 3
+)
+
+// side is what callers of one way saw, in microseconds.
+type side struct {
+	mu      sync.Mutex
+	first   *hdrhistogram.Histogram
+	between *hdrhistogram.Histogram
+	tokens  int
+}
+
+func newSide() *side {
+	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(histLowest, histHighest, histDigits) }
+	return &side{first: h(), between: h()}
+}
+
+func (s *side) add(sent time.Time, tokens []time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := sent
+	for i, at := range tokens {
+		h := s.between
+		if i == 0 {
+			h = s.first
+		}
+		_ = h.RecordValue(min(max(at.Sub(last).Microseconds(), histLowest), histHighest)) // in bounds: can't fail
+		last = at
+	}
+	s.tokens += len(tokens)
+}
+
+// Compare measures what an entry adds to a stream and what it costs, in a site of its own.
+func Compare(ctx context.Context, c Config, w io.Writer) error {
+	site, err := c.compareSite(ctx)
+	if err != nil {
+		return err
+	}
+	defer site.Close()
+	direct, through := newSide(), newSide()
+	before, err := usageOf(ctx, site.Entries[0])
+	if err != nil {
+		return err
+	}
+	if err := c.pairs(ctx, site, direct, through); err != nil {
+		return err
+	}
+	after, err := usageOf(ctx, site.Entries[0])
+	if err != nil {
+		return err
+	}
+	printCompare(w, c, direct, through, after.cpu-before.cpu, after.memory)
+	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopLimit)
+	defer cancel()
+	return site.Stop(sctx)
+}
+
+func (c Config) compareSite(ctx context.Context) (*localsite.Site, error) {
+	sctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	return localsite.Start(sctx, localsite.Config{
+		Binaries: c.Binaries, Engines: 1, Plains: 1, Entries: 1,
+		EngineFlags: []string{"-max-batch", strconv.Itoa(4 * c.Compare), "-kv-tokens", "2000000"},
+		EntryFlags:  []string{"-log-level", "warn"},
+		Settings: localsite.Settings{
+			Model: compareModel, Service: compareModel, Route: "/plain", Workspaces: []string{compareWorkspace},
+			Classes: []workload.Class{{Name: "standard", Priority: 1, MaxWait: time.Minute, QueueBound: 10000}},
+		},
+	})
+}
+
+// pairs keeps c.Compare pairs of streams running for c.Span.
+func (c Config) pairs(ctx context.Context, site *localsite.Site, direct, through *side) error {
+	transport := &http.Transport{MaxIdleConnsPerHost: 2 * c.Compare}
+	defer transport.CloseIdleConnections()
+	client := func(addr string) *caller.Client {
+		return &caller.Client{Entries: []string{addr}, Token: localsite.Key(compareWorkspace), HTTP: &http.Client{Transport: transport}}
+	}
+	straight, entry := client(site.Engines[0].Addr), client(site.Entries[0].Addr)
+	end := time.Now().Add(c.Span)
+	var wg sync.WaitGroup
+	errs := make(chan error, 2*c.Compare)
+	for n := range c.Compare {
+		for way, run := range map[string]func(string) error{
+			"direct":  func(name string) error { return measured(ctx, straight, direct, name) },
+			"through": func(name string) error { return measured(ctx, entry, through, name) },
+		} {
+			wg.Go(func() {
+				for i := 0; time.Now().Before(end); i++ {
+					if err := run(fmt.Sprintf("%s %d %d", way, n, i)); err != nil {
+						errs <- err
+						return
+					}
+				}
+			})
+		}
+	}
+	wg.Wait()
+	close(errs)
+	return <-errs
+}
+
+// measured runs one stream, checks it whole, and adds its times.
+func measured(ctx context.Context, c *caller.Client, s *side, name string) error {
+	prompt := fmt.Sprintf("%s [len=%d]", name, compareTokens)
+	times := make([]time.Time, 0, compareTokens)
+	var text strings.Builder
+	sent := time.Now()
+	_, err := c.Stream(ctx, caller.Call{Model: compareModel, Prompt: prompt, Class: "standard"}, func(t caller.Token) {
+		times = append(times, t.At)
+		text.WriteString(t.Text)
+	})
+	if err != nil {
+		return err
+	}
+	s.add(sent, times)
+	return engine.CheckAnswer(prompt, text.String(), compareTokens)
+}
+
+// usage is what a process has used so far.
+type usage struct {
+	cpu    float64 // seconds
+	memory float64 // resident bytes
+}
+
+// usageOf reads a process's own metrics.
+func usageOf(ctx context.Context, n *localsite.Node) (usage, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Ops+opsapi.PathMetrics, nil)
+	if err != nil {
+		return usage{}, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return usage{}, err
+	}
+	defer resp.Body.Close()
+	var u usage
+	sc := bufio.NewScanner(resp.Body)
+	for sc.Scan() {
+		name, value, _ := strings.Cut(sc.Text(), " ")
+		switch name {
+		case "process_cpu_seconds_total":
+			u.cpu, err = strconv.ParseFloat(value, 64)
+		case "process_resident_memory_bytes":
+			u.memory, err = strconv.ParseFloat(value, 64)
+		}
+		if err != nil {
+			return u, err
+		}
+	}
+	return u, sc.Err()
+}
+
+func printCompare(w io.Writer, c Config, direct, through *side, cpu, memory float64) {
+	ms := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	d99, t99 := ms(direct.between, 99), ms(through.between, 99)
+	fmt.Fprintf(w, "compare: pairs=%d span_s=%.0f tokens_direct=%d tokens_through=%d "+
+		"ttft_p50_direct_ms=%.2f ttft_p50_through_ms=%.2f ttft_p99_direct_ms=%.2f ttft_p99_through_ms=%.2f "+
+		"between_p50_direct_ms=%.2f between_p50_through_ms=%.2f between_p99_direct_ms=%.2f between_p99_through_ms=%.2f "+
+		"between_p99_added_percent=%.1f entry_cpu_us_per_token=%.1f entry_memory_mb=%.1f\n",
+		c.Compare, c.Span.Seconds(), direct.tokens, through.tokens,
+		ms(direct.first, 50), ms(through.first, 50), ms(direct.first, 99), ms(through.first, 99),
+		ms(direct.between, 50), ms(through.between, 50), d99, t99,
+		100*(t99-d99)/d99, 1e6*cpu/float64(max(1, through.tokens)), memory/1e6)
+}
--- a/lib/loadrun/config.go
+++ b/lib/loadrun/config.go
@@ -31,6 +31,7 @@
 	History     string // file
 	KillEngine  time.Duration
 	Binaries    string
+	Compare     int // pairs of streams; 0: the mix
 }
 
 // Register adds the flags to fs.
@@ -51,6 +52,7 @@
 	fs.IntVar(&c.MaxInFlight, "max-in-flight", 2000, "requests at once; arrivals beyond it are counted as unsent")
 	fs.StringVar(&c.History, "history", "", "file for what every caller saw, one operation a line, for checking")
 	fs.DurationVar(&c.KillEngine, "kill-engine", 0, "kill a busy engine of the own site after this time; 0: none")
+	fs.IntVar(&c.Compare, "compare", 0, "in place of the mix, run so many pairs of streams, straight to an engine and through an entry, and print what the entry adds")
 	fs.StringVar(&c.Binaries, "bin", "bin", "directory of the programs, for a site of its own")
 }
 
@@ -73,6 +75,8 @@
 		return errors.New("-plain-rate: can't be negative; -max-in-flight: at least 1")
 	case strings.Count(c.KeyFormat, "%s") != 1:
 		return fmt.Errorf("-key-format: %q must hold %%s once", c.KeyFormat)
+	case c.Compare < 0 || c.Compare > 0 && c.Entries != "":
+		return errors.New("-compare: a count of pairs, only with a site of its own")
 	case c.KillEngine > 0 && c.Entries != "":
 		return errors.New("-kill-engine: only with a site of its own")
 	}
--- a/lib/loadrun/run.go
+++ b/lib/loadrun/run.go
@@ -29,6 +29,9 @@
 
 // Run sends the load and prints the figures to w.
 func Run(ctx context.Context, c Config, w io.Writer) error {
+	if c.Compare > 0 {
+		return Compare(ctx, c, w)
+	}
 	entries := c.entries()
 	if entries != nil {
 		return c.send(ctx, entries, w)
