--- a/lib/loadrun/compare.go
+++ b/lib/loadrun/compare.go
@@ -1,7 +1,6 @@
 package loadrun
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -15,7 +14,6 @@
 
 	"anvilwick.example/anvilwick/lib/caller"
 	"anvilwick.example/anvilwick/lib/localsite"
-	"anvilwick.example/anvilwick/lib/opsapi"
 	"anvilwick.example/anvilwick/lib/standin/engine"
 	"anvilwick.example/anvilwick/lib/workload"
 )
@@ -146,40 +144,6 @@
 	return engine.CheckAnswer(prompt, text.String(), compareTokens)
 }
 
-// usage is what a process has used so far.
-type usage struct {
-	cpu    float64 // seconds
-	memory float64 // resident bytes
-}
-
-// usageOf reads a process's own metrics.
-func usageOf(ctx context.Context, n *localsite.Node) (usage, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Ops+opsapi.PathMetrics, nil)
-	if err != nil {
-		return usage{}, err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return usage{}, err
-	}
-	defer resp.Body.Close()
-	var u usage
-	sc := bufio.NewScanner(resp.Body)
-	for sc.Scan() {
-		name, value, _ := strings.Cut(sc.Text(), " ")
-		switch name {
-		case "process_cpu_seconds_total":
-			u.cpu, err = strconv.ParseFloat(value, 64)
-		case "process_resident_memory_bytes":
-			u.memory, err = strconv.ParseFloat(value, 64)
-		}
-		if err != nil {
-			return u, err
-		}
-	}
-	return u, sc.Err()
-}
-
 func printCompare(w io.Writer, c Config, direct, through *side, cpu, memory float64) {
 	ms := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
 	d99, t99 := ms(direct.between, 99), ms(through.between, 99)
--- a/lib/loadrun/run.go
+++ b/lib/loadrun/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -34,7 +35,7 @@
 	}
 	entries := c.entries()
 	if entries != nil {
-		return c.send(ctx, entries, w)
+		return c.send(ctx, entries, w, func() {})
 	}
 	site, err := c.startSite(ctx)
 	if err != nil {
@@ -44,7 +45,9 @@
 	if c.KillEngine > 0 {
 		go killBusy(ctx, site, c.KillEngine)
 	}
-	err = c.send(ctx, site.Callers(), w)
+	watched := append(slices.Clone(site.Entries), site.Controls...)
+	before := usages(ctx, watched)
+	err = c.send(ctx, site.Callers(), w, func() { printUsage(w, before, usages(ctx, watched), watched) })
 	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopLimit)
 	defer cancel()
 	return errors.Join(err, site.Stop(sctx))
@@ -79,7 +82,8 @@
 	}
 }
 
-func (c Config) send(ctx context.Context, entries []string, w io.Writer) error {
+// send runs the plan and prints the figures; atEnd prints what comes before them.
+func (c Config) send(ctx context.Context, entries []string, w io.Writer, atEnd func()) error {
 	m, err := c.mix()
 	if err != nil {
 		return err
@@ -103,6 +107,7 @@
 	began := time.Now()
 	r.Run(ctx)
 	herr := c.checkHistory(r.History)
+	atEnd()
 	r.Figures.Print(w, c.Seed, time.Since(began))
 	if n := len(r.Figures.Wrong()); n > 0 {
 		herr = errors.Join(herr, fmt.Errorf("%w: %d answers", ErrBroken, n))
