--- a/lib/loadgen/loadgen_test.go
+++ b/lib/loadgen/loadgen_test.go
@@ -50,6 +50,8 @@
 	must.Eq(t, before, m.Workspaces[0].Length)
 	must.Positive(t, backlog)
 	must.Eq(t, backlog/2, s.Classes[1].Backlog)
+	must.Positive(t, m.Classes[1].Flood)
+	must.Eq(t, m.Classes[1].Flood/2, s.Classes[1].Flood)
 	must.Eq(t, 800, s.MaxTokens)
 }
 
--- a/lib/result/result.go
+++ b/lib/result/result.go
@@ -33,7 +33,8 @@
 
 // The result codes. docs/RESULT-CODES.md is tested against Table.
 const (
-	OK Code = 1000
+	OK         Code = 1000
+	AnswerGone Code = 1001
 
 	// 2xxx: refused, not run; the request itself is at fault.
 	BadRequest      Code = 2000
@@ -102,6 +103,7 @@
 // Table lists every code in ascending order.
 var Table = []Info{
 	{OK, "ok", http.StatusOK, Completed, AgainNo, "the answer is complete"},
+	{AnswerGone, "answer_gone", http.StatusGone, Completed, AgainNo, "the first request with this key completed; its answer is no longer kept"},
 	{BadRequest, "bad_request", http.StatusBadRequest, NotRun, AgainNo, "the body can't be read as the route's format"},
 	{BodyTooLarge, "body_too_large", http.StatusRequestEntityTooLarge, NotRun, AgainNo, "the body is over the route's bound"},
 	{Unauthenticated, "unauthenticated", http.StatusUnauthorized, NotRun, AgainNo, "no workspace has this key"},
--- a/lib/settingsync/sync.go
+++ b/lib/settingsync/sync.go
@@ -15,7 +15,7 @@
 	DefaultPollTimeout = 2 * time.Second
 	DefaultPeerDelay   = 1500 * time.Millisecond
 	DefaultPeerTimeout = 2 * time.Second
-	DefaultStartGrace  = 500 * time.Millisecond
+	DefaultStartGrace  = 3 * time.Second
 	DefaultSwapShare   = 0.005
 	DefaultMaxSwapWait = 3 * time.Second
 )
