--- a/lib/localsite/site.go
+++ b/lib/localsite/site.go
@@ -1,5 +1,6 @@
 // Package localsite starts a whole small site as separate processes on loopback, for the demo, the load tool and the
 // multi-process tests: the platform's stand-in, model engines, plain services, entries with their control processes.
+// Links between our processes are TLS, with certificates made for the one site.
 package localsite
 
 import (
@@ -11,6 +12,7 @@
 	"path/filepath"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/opsapi"
 	"anvilwick.example/anvilwick/lib/platform"
 	"anvilwick.example/anvilwick/lib/platformapi"
@@ -61,6 +63,8 @@
 	cfg Config
 	set proc.Set
 	dir string // scratch
+
+	links mesh.TLSFiles
 }
 
 // Start starts every process and commits the settings. On an error nothing is left running.
@@ -97,8 +101,11 @@
 }
 
 // plan draws addresses and works out every command line.
-func (s *Site) plan() error {
+func (s *Site) plan() (err error) {
 	c := s.cfg
+	if s.links, err = WriteCerts(s.dir); err != nil {
+		return err
+	}
 	addrs, err := proc.Addrs(1 + c.Engines + c.Plains + 4*c.Entries)
 	if err != nil {
 		return err
@@ -155,9 +162,9 @@
 	name := fmt.Sprintf("entry-%d", i+1)
 	args := []string{
 		"-instance", name, "-failure-domain", domain(i), "-listen", addr, "-ops-addr", ops, "-mesh-addr", mesh,
-		"-plain-links", "-operator-token-sha256", tokenHash(), "-stop-notice", "200ms",
-		"-platform", s.Platform.Addr,
+		"-operator-token-sha256", tokenHash(), "-stop-notice", "200ms", "-platform", s.Platform.Addr,
 	}
+	args = append(args, s.linkFlags()...)
 	return &Node{
 		Name: name, Domain: domain(i), Addr: addr, Ops: ops, Mesh: mesh, binary: "anvilwick-entry",
 		args: append(args, s.cfg.EntryFlags...),
@@ -167,13 +174,20 @@
 func (s *Site) control(e *Node, ops string) *Node {
 	return &Node{
 		Name: "control of " + e.Name, Domain: e.Domain, Ops: ops, binary: "anvilwick-control",
-		args: []string{
+		args: append([]string{
 			"-instance", e.Name, "-failure-domain", e.Domain, "-entry-addr", e.Mesh, "-platform", s.Platform.Addr,
-			"-ops-addr", ops, "-plain-links", "-operator-token-sha256", tokenHash(), "-lease-ttl", "3s",
-		},
+			"-ops-addr", ops, "-operator-token-sha256", tokenHash(), "-lease-ttl", "3s",
+		}, s.linkFlags()...),
 	}
 }
 
+// Links returns the files of the site's links.
+func (s *Site) Links() mesh.TLSFiles { return s.links }
+
+func (s *Site) linkFlags() []string {
+	return []string{"-link-ca", s.links.CA, "-link-cert", s.links.Cert, "-link-key", s.links.Key}
+}
+
 func tokenHash() string { return fmt.Sprintf("%x", opsapi.HashToken(OperatorToken)) }
 
 func (s *Site) writeInstances() error {
@@ -196,8 +210,11 @@
 	return err
 }
 
-// Restart starts a process that has ended again, on its old addresses.
-func (s *Site) Restart(n *Node) error { return s.launch(n) }
+// Restart starts a process that has ended again, on its old addresses. Flags are added, and win over earlier ones.
+func (s *Site) Restart(n *Node, flags ...string) error {
+	n.args = append(n.args, flags...)
+	return s.launch(n)
+}
 
 func (s *Site) awaitTargets(ctx context.Context) error {
 	paths := map[*Node]string{s.Platform: platformapi.PathInstances}
