Move work off a silent target after 1.2 s, and learn how often tokens are told

Cause: with a stalled link 15 generations stood still for 2 s, until the entries gave the target up by themselves. Change: no new work after 750 ms without a token and moves after 1.2 s, both stretched to ten times the usual gap between news, so that seldom progress reports are no silence. Gaps over 2 s are faults and are not learnt from.

--- a/lib/sched/health.go
+++ b/lib/sched/health.go
@@ -10,6 +10,9 @@
 	evacuateWithin = 5 * time.Second
 	// prefillPatience is how much longer than expected a prefill may take before it counts as silence.
 	prefillPatience = 3
+	// silentGaps is how many times the usual gap between news of tokens counts as silence, where that is longer than
+	// the options say: entries may report seldom, and engines may be slow.
+	silentGaps = 10
 )
 
 // watch finds engines that run work and give no token: a stalled link looks like this, and so does an engine that
@@ -18,7 +21,7 @@
 	o.usable = 0
 	for i := range o.targets {
 		t := &o.targets[i]
-		if !t.silent && o.silentFor(now, t) > o.opt.SilentAfter && !o.opt.DisableSilence {
+		if !t.silent && o.silentFor(now, t) > t.patience(o.opt.SilentAfter) && !o.opt.DisableSilence {
 			o.suspect(now, t)
 		}
 		if o.accepts(t) {
@@ -27,6 +30,11 @@
 	}
 }
 
+// patience is the silence that is accepted of a target.
+func (t *target) patience(least time.Duration) time.Duration {
+	return max(least, time.Duration(silentGaps*t.gap*float64(time.Second)))
+}
+
 // suspect stops new work on a target until a probe gives a token.
 func (o *Owner) suspect(now Time, t *target) {
 	if o.opt.DisableSilence {
@@ -56,7 +64,7 @@
 			acts = o.moveAll(now, t, acts, false)
 		case t.leaving:
 			acts = o.moveAll(now, t, acts, now.Sub(t.leavingAt) < evacuateWithin)
-		case t.silent && o.silentFor(now, t) > o.opt.MoveAfter:
+		case t.silent && o.silentFor(now, t) > t.patience(o.opt.MoveAfter):
 			acts = o.moveAll(now, t, acts, true)
 		}
 	}
--- a/lib/sched/inputs.go
+++ b/lib/sched/inputs.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"time"
+
 	"anvilwick.example/anvilwick/lib/ids"
 	"anvilwick.example/anvilwick/lib/length"
 	"anvilwick.example/anvilwick/lib/result"
@@ -130,7 +132,18 @@
 	g.tokens = tokens
 	g.advanced = now
 	o.start(g)
-	t := &o.targets[g.target]
+	o.targets[g.target].hear(now)
+}
+
+// longestGap is the longest time between news of tokens that is taken as usual; a longer one is a fault that passed.
+const longestGap = 2 * time.Second
+
+// hear books news of tokens from a target.
+func (t *target) hear(now Time) {
+	gap := now.Sub(max(t.lastToken, t.idleSince))
+	if gap > 0 && gap < longestGap {
+		blendMean(&t.gap, gap.Seconds())
+	}
 	t.lastToken = now
 	t.silent = false
 }
@@ -194,8 +207,7 @@
 	t := &o.targets[g.target]
 	total := max(tokens, g.tokens)
 	if total > g.tokens {
-		t.lastToken = now
-		t.silent = false
+		t.hear(now)
 	}
 	if reason != EndCompleted || g.maxTok > 0 && total >= g.maxTok {
 		// Cut short: it would have gone on, so nothing is known but that it came this far.
--- a/lib/sched/options.go
+++ b/lib/sched/options.go
@@ -27,8 +27,8 @@
 	DeadlineSlack  time.Duration // a queued request with less slack to its deadline is raised (default 10 min)
 
 	// Health.
-	SilentAfter time.Duration // an engine that runs work and gives no token for so long takes no new work (default 1.5 s)
-	MoveAfter   time.Duration // and its generations are moved (default 3 s)
+	SilentAfter time.Duration // an engine that runs work and gives no token for so long takes no new work (default 750 ms)
+	MoveAfter   time.Duration // and its generations are moved (default 1.2 s)
 	ProbeEvery  time.Duration // a silent engine without work is tried with one request so often (default 5 s)
 	ForgetAfter time.Duration // a generation nobody speaks of for so long is dropped from the tables (default 2 min)
 
@@ -66,8 +66,8 @@
 	defaultUrgentSigmas   = 2
 	defaultUrgentPatience = 150 * time.Millisecond
 	defaultDeadlineSlack  = 10 * time.Minute
-	defaultSilentAfter    = 1500 * time.Millisecond
-	defaultMoveAfter      = 3 * time.Second
+	defaultSilentAfter    = 750 * time.Millisecond
+	defaultMoveAfter      = 1200 * time.Millisecond
 	defaultProbeEvery     = 5 * time.Second
 	defaultForgetAfter    = 2 * time.Minute
 	defaultPowerGuard     = 0.02
--- a/lib/sched/owner_test.go
+++ b/lib/sched/owner_test.go
@@ -582,3 +582,30 @@
 	}
 	test.EqOp(t, "b", r.until(ActGrant, 9, time.Second).Target)
 }
+
+// Entries are set to report progress once a second. A target must not look silent between two reports: its work would
+// be moved about for ever.
+func TestSeldomProgressIsNotSilence(t *testing.T) {
+	const every = 50 // steps, so a second
+	r := newRig(t, Options{}, spec("a", 100_000, 8), spec("b", 100_000, 8))
+	r.submit(1, "batch", nil)
+	a := r.until(ActGrant, 1, time.Second)
+	r.mute[a.Target] = true
+	moves := 0
+	for n := 1; n <= 3000; n++ {
+		if n%every == 0 {
+			r.o.Progress(r.now, gid(1), 1, n)
+		}
+		// Another target is heard from, so the owner itself is not cut off.
+		r.o.Progress(r.now, gid(99), 1, n)
+		for _, a := range r.tick() {
+			if a.Kind == ActPreempt {
+				moves++
+			}
+		}
+		if n > 5*every && r.o.targets[r.o.byName[a.Target]].silent {
+			t.Fatalf("silent after %v", r.now)
+		}
+	}
+	test.EqOp(t, 0, moves)
+}
--- a/lib/sched/tables.go
+++ b/lib/sched/tables.go
@@ -137,8 +137,9 @@
 	ends        endRing
 	step        float64 // seconds a token, measured
 	lastGrant   Time
-	lastToken   Time // last token of any generation on it
-	idleSince   Time // when it last ran nothing
+	lastToken   Time    // last token of any generation on it
+	gap         float64 // mean seconds between news of tokens
+	idleSince   Time    // when it last ran nothing
 	silent      bool
 	probe       Time // when a silent target may be tried again
 	load        forecast.Load
