Let a caller come back for the rest after its grace, through any entry

Codes 4003 and 4004 tell the caller to ask again with the same key, but a generation stopped for want of a caller could not be gone on with: the same entry told the same error for ever, another one 'already running' while the first lived. A stopped generation is now released: its record says so, and the next request with the key goes on after the tokens that the caller has. A slow caller with a key loses its connection first and has the same grace (10 s, was 30 s: an engine's memory is held for nobody meanwhile). The test failed before for both ways back. Not covered: two requests with one key that take a released generation over at the same moment on two entries both run it; each caller sees one consistent answer. lib/record and its message carry the flag.

--- a/lib/entry/complete.go
+++ b/lib/entry/complete.go
@@ -96,7 +96,7 @@
 		return nil, nil, result.New(result.BadHeader, "%s needs %s and a streamed answer", callerapi.HeaderLastEvent, callerapi.HeaderKey)
 	}
 	if g := s.table.find(a.workspace.Name, a.headers.Key); g != nil {
-		return s.join(g, a)
+		return s.join(ctx, g, a)
 	}
 	if last != nil {
 		return s.takeOver(ctx, a)
@@ -113,8 +113,8 @@
 	return sk
 }
 
-// join attaches a caller that asks again to the generation of its key.
-func (s *Server) join(g *generation, a *asked) (*generation, *sink, *result.Error) {
+// join attaches a caller that asks again to the generation of its key. One that was stopped for want of a caller goes on.
+func (s *Server) join(ctx context.Context, g *generation, a *asked) (*generation, *sink, *result.Error) {
 	if g.subject.Fingerprint != a.subject.Fingerprint || g.service.Name != a.service.Name {
 		return nil, nil, result.New(result.KeyReused, "%s", callerapi.HeaderKey)
 	}
@@ -122,6 +122,10 @@
 	if last != nil && last.Generation != g.id {
 		return nil, nil, result.New(result.UnknownStream, "%s names another generation", callerapi.HeaderLastEvent)
 	}
+	if g.stopped() {
+		s.table.release(g)
+		return s.goOn(ctx, a, g.wholeRecord())
+	}
 	sk := a.newSink()
 	if err := g.attach(s.now(), sk, last != nil); err != nil {
 		return nil, nil, err
@@ -143,7 +147,7 @@
 	}
 	if old := s.table.add(g); old != nil {
 		g.release()
-		return s.join(old, a)
+		return s.join(ctx, old, a)
 	}
 	if sum, err := s.claim(ctx, g, a); sum != nil || err != nil {
 		return s.notClaimed(ctx, a, g, sk, sum, err)
@@ -205,8 +209,14 @@
 	if err := matches(rec, a); err != nil {
 		return nil, nil, err
 	}
+	return s.goOn(ctx, a, rec)
+}
+
+// goOn runs the rest of a generation that nobody runs any more.
+func (s *Server) goOn(ctx context.Context, a *asked, rec *Record) (*generation, *sink, *result.Error) {
 	g, sk := s.restored(a, rec), a.newSink()
-	if err := g.attach(s.now(), sk, true); err != nil {
+	err := g.attach(s.now(), sk, true)
+	if err != nil {
 		return nil, nil, err
 	}
 	if g.release, err = s.opts.Limiter.Acquire(ctx, g.subject, g.policy); err != nil {
@@ -214,7 +224,7 @@
 	}
 	if old := s.table.add(g); old != nil {
 		g.release()
-		return s.join(old, a)
+		return s.join(ctx, old, a)
 	}
 	g.log(log.Info(), "taken_over").Int("tokens", len(rec.Tokens)).Bool("finished", rec.Finished).Msg("")
 	if rec.Finished {
--- a/lib/entry/generation.go
+++ b/lib/entry/generation.go
@@ -209,6 +209,12 @@
 	close(g.done)
 }
 
+// released reports whether the generation was stopped for want of a caller and can be gone on with. The caller holds mu,
+// or the generation has ended.
+func (g *generation) released() bool {
+	return g.ended && g.key != "" && g.err != nil && result.Lookup(g.err.Code).Again == result.AgainWithKey
+}
+
 // ending is the last bytes of the stream.
 func (g *generation) ending() []byte {
 	if g.err != nil {
--- a/lib/entry/keyed_test.go
+++ b/lib/entry/keyed_test.go
@@ -47,6 +47,9 @@
 	if rec == nil {
 		return nil, result.New(result.UnknownStream, "key %s", key)
 	}
+	if !m.stop && !rec.Finished && !rec.Released {
+		return nil, result.New(result.AlreadyRunning, "its entry lives")
+	}
 	out := *rec
 	out.Tokens = out.Tokens[:max(0, len(out.Tokens)-m.lag)]
 	return &out, nil
@@ -198,6 +201,40 @@
 	must.StrHasPrefix(t, st.text.String(), again.text.String())
 }
 
+// The caller of a keyed stream stays away for longer than its grace. The engine's memory is freed; when the caller comes
+// back, through the same entry or, with the first one alive, through another, the rest is decoded after the tokens that it
+// has, and it sees each token once.
+func TestCallerComesBackAfterItsGrace(t *testing.T) {
+	for _, back := range []string{"same entry", "another entry"} {
+		t.Run(back, func(t *testing.T) {
+			e := startEngine(t, nil)
+			text := siteText("", true, []string{e.Addr()}, nil)
+			store, records := newMemoryStore(), newMemoryRecords()
+			brief := func(instance string) func(*Options) {
+				return func(o *Options) {
+					withKeys(store.claims(instance), records)(o)
+					o.CallerGrace = 30 * time.Millisecond
+				}
+			}
+			entries := map[string]*rig{"same entry": newRig(t, text, brief("e1")), "another entry": newRig(t, text, brief("e2"))}
+			first := entries["same entry"]
+			const prompt = "away [len=150]"
+			var st story
+			readSome(t, first, ask{prompt: prompt, stream: true, key: "k"}, &st, 10)
+			eventually(t, "stopped", func() bool { _, n := first.server.Counts(); return n == 0 })
+			eventually(t, "engine idle", func() bool {
+				rep, err := first.server.Client("planner-1").Load(context.Background())
+				return err == nil && rep.Running == 0
+			})
+			eventually(t, "outcome in the table", func() bool { return store.holds(`"state":"finished"`) == 1 })
+			resp := entries[back].send(context.Background(), ask{prompt: prompt, stream: true, key: "k", last: st.lastID})
+			must.Eq(t, http.StatusOK, resp.StatusCode)
+			st.read(t, eventsOf(resp), nil)
+			st.whole(t, prompt, 150)
+		})
+	}
+}
+
 // A caller that stops reading holds a buffer here and memory at the engine. Both are given up after the bounds of its
 // settings, long before the answer would have ended.
 func TestSlowCallerIsGivenUp(t *testing.T) {
--- a/lib/entry/seams.go
+++ b/lib/entry/seams.go
@@ -65,6 +65,7 @@
 	Tokens      []string // delivered so far, from index 0
 	Finished    bool
 	FinishedWhy string // finish reason of the end mark
+	Released    bool   // its caller left for too long and it was stopped: any entry may go on with it
 }
 
 // Records keeps Records with peers, by workspace and key.
--- a/lib/entry/server.go
+++ b/lib/entry/server.go
@@ -39,6 +39,7 @@
 	connWriteBuffer   = 128 << 10
 	defaultMaxStreams = 4096
 	resumePatience    = 30 * time.Second
+	callerGrace       = 10 * time.Second
 )
 
 // Options are an entry's parts. Only Placer is needed. Without Limiter nothing is limited; without Claims keyed requests
@@ -54,6 +55,8 @@
 	Poison        *poison.Table
 	FailureDomain string // of this instance
 	MaxStreams    int    // requests in progress; 0: 4096
+	// CallerGrace is how long a keyed generation runs on without a caller; 0: 10 s.
+	CallerGrace time.Duration
 	// ResumePatience is how long at least a generation that may have run looks for a place again; 0: 30 s.
 	ResumePatience time.Duration
 	Metrics        *entrymetrics.Set
@@ -109,6 +112,9 @@
 	if o.MaxStreams == 0 {
 		o.MaxStreams = defaultMaxStreams
 	}
+	if o.CallerGrace == 0 {
+		o.CallerGrace = callerGrace
+	}
 	if o.ResumePatience == 0 {
 		o.ResumePatience = resumePatience
 	}
--- a/lib/entry/table.go
+++ b/lib/entry/table.go
@@ -129,3 +129,10 @@
 	delete(t.byID, g.id)
 	t.forget(g)
 }
+
+// release frees the key of a generation that was stopped for want of a caller, so that it can be gone on with.
+func (t *table) release(g *generation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forget(g)
+}
--- a/lib/entry/tick.go
+++ b/lib/entry/tick.go
@@ -7,9 +7,8 @@
 
 const (
 	tickInterval  = 20 * time.Millisecond
-	keyedGrace    = 30 * time.Second // a keyed generation runs on so long without a caller
-	recordMinimum = time.Second      // between two records of a generation
-	maxRecordText = 1 << 20          // bytes of text; longer answers are recorded at their start only
+	recordMinimum = time.Second // between two records of a generation
+	maxRecordText = 1 << 20     // bytes of text; longer answers are recorded at their start only
 )
 
 // tick runs the systems over the table of generations until ctx is done.
@@ -36,20 +35,23 @@
 
 func (s *Server) tickOne(g *generation, now time.Time) {
 	checkStall(g, now)
-	checkCaller(g, now)
+	s.checkCaller(g, now)
 	checkDeadline(g, now)
 	s.tellProgress(g, now)
 	s.record(g, now, false)
 }
 
-// checkCaller gives up on a generation whose caller is slow beyond its bounds, or gone for too long.
-func checkCaller(g *generation, now time.Time) {
+// checkCaller gives up on a generation whose caller is slow beyond its bounds, or gone for too long. A slow caller with a
+// key loses its connection first, and can come back for the rest.
+func (s *Server) checkCaller(g *generation, now time.Time) {
 	g.mu.Lock()
 	sk := g.sink
 	slow := sk != nil && sk.slow(now, g.policy.SlowReaderWait)
-	gone := !g.detached.IsZero() && now.Sub(g.detached) > keyedGrace
+	gone := !g.detached.IsZero() && now.Sub(g.detached) > s.opts.CallerGrace
 	g.mu.Unlock()
 	switch {
+	case slow && g.key != "":
+		sk.cut()
 	case slow:
 		g.cancel(errCallerSlow)
 		sk.cut()
@@ -99,14 +101,36 @@
 		Path:        g.asked.Path(),
 		Request:     g.body,
 		Tokens:      g.text.Tokens(from),
-		Finished:    g.ended,
+		Finished:    g.ended && !g.released(),
 		FinishedWhy: g.finish,
+		Released:    g.released(),
 	}
 	g.recorded, g.recordedAt = g.text.Len(), now
 	g.mu.Unlock()
 	s.opts.Records.Put(rec, from)
 }
 
+// wholeRecord is the record of a generation that has ended, with every token.
+func (g *generation) wholeRecord() *Record {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return &Record{
+		Generation: g.id,
+		Subject:    g.subject,
+		Key:        g.key,
+		Attempt:    g.state.Attempt(),
+		Tokens:     g.text.Tokens(0),
+		Released:   true,
+	}
+}
+
+// stopped reports whether the generation was stopped for want of a caller.
+func (g *generation) stopped() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.released()
+}
+
 // tidy forgets finished generations whose time is over.
 func (t *table) tidy(now time.Time) {
 	t.mu.Lock()
--- a/lib/record/get.go
+++ b/lib/record/get.go
@@ -28,7 +28,7 @@
 		// It failed. Given out as finished, its part of an answer would be closed as if it were the whole.
 		return nil, result.New(result.UnknownStream, "the generation ended without an end mark")
 	}
-	if !best.GetFinished() && !k.ownerGone(ctx, best) {
+	if !best.GetFinished() && !best.GetReleased() && !k.ownerGone(ctx, best) {
 		err := result.New(result.AlreadyRunning, "entry %s holds it", best.GetOwner())
 		err.RetryAfter = retryRunning
 		return nil, err
@@ -122,6 +122,7 @@
 		TokensFrom:       uint32(from),
 		Finished:         r.Finished,
 		FinishReason:     r.FinishedWhy,
+		Released:         r.Released,
 	}
 }
 
@@ -146,5 +147,6 @@
 		Tokens:      r.GetTokens(),
 		Finished:    r.GetFinished(),
 		FinishedWhy: r.GetFinishReason(),
+		Released:    r.GetReleased(),
 	}, nil
 }
--- a/lib/record/peer.go
+++ b/lib/record/peer.go
@@ -169,6 +169,7 @@
 		Service:          rec.Service,
 		Finished:         rec.Finished,
 		FinishReason:     rec.FinishReason,
+		Released:         rec.Released,
 		TokensFrom:       uint32(from),
 		Tokens:           rec.Tokens[from:],
 	}
