Make the limits' tick linear in keys, and let an ordinary limit be used whole

The floor is a tenth of a limit in place of a quarter: floors that fewer than 16 instances leave unused are lost to all, and 8 instances could use 56 of 64. Now 64 of 64 (TestOneInstanceCanUseTheWholeLimit); the price is that a limit under 160 has no floor while its holder is being replaced (1.1 s and more). Tests of the floor set it themselves, as before.

--- a/lib/limit/limit.go
+++ b/lib/limit/limit.go
@@ -39,10 +39,11 @@
 	MaxInstances  int           // instances that split it; no more than so many may run
 }
 
-// DefaultConfig suits sites of up to 16 instances.
+// DefaultConfig suits sites of up to 16 instances. Its floor is small, for what floors take from a limit can be used by
+// nobody while fewer than MaxInstances run: with a quarter, 8 instances could use 56 of 64.
 var DefaultConfig = Config{
 	Interval: 200 * time.Millisecond, TTL: 1500 * time.Millisecond, SupportTTL: time.Second,
-	AskWait: 50 * time.Millisecond, ClockSkew: 0.02, OrphanHold: 10 * time.Second, FloorFraction: 0.25, MaxInstances: 16,
+	AskWait: 50 * time.Millisecond, ClockSkew: 0.02, OrphanHold: 10 * time.Second, FloorFraction: 0.1, MaxInstances: 16,
 }
 
 // AloneConfig suits a single instance without peers: the whole limit is its floor, so that it needs no holder.
--- a/lib/limit/limit_test.go
+++ b/lib/limit/limit_test.go
@@ -141,10 +141,22 @@
 	}
 }
 
+// What callers see when all their requests come to one instance: they can use the whole of an ordinary limit there.
+func TestOneInstanceCanUseTheWholeLimit(t *testing.T) {
+	s := newSim(DefaultConfig, 2, 8, Limit{Concurrency: 64})
+	s.run(2*DefaultConfig.WaitOut(), nil)
+	s.run(2*time.Second, func() {
+		for range 4 {
+			s.request(s.insts[3], 300*time.Millisecond)
+		}
+	})
+	must.Eq(t, 64, s.inProgress())
+}
+
 // What callers see when several instances want more than the limit: each instance gets a like part.
 func TestScarceSharesAreFair(t *testing.T) {
 	cfg := DefaultConfig
-	cfg.MaxInstances = 8
+	cfg.FloorFraction, cfg.MaxInstances = 0.25, 8
 	s := newSim(cfg, 1, 8, Limit{Concurrency: 80})
 	s.run(2*cfg.WaitOut(), nil)
 	s.run(5*time.Second, func() {
@@ -163,6 +175,7 @@
 // back, and the rest of the site then has its slots. Its requests in progress run on and stay counted.
 func TestCutOffInstanceFallsToFloor(t *testing.T) {
 	cfg := DefaultConfig
+	cfg.FloorFraction = 0.25
 	s := newSim(cfg, 3, 4, Limit{Concurrency: 64})
 	s.run(2*cfg.WaitOut(), nil)
 	holder := s.index(s.insts[0].node.holderOf(simKey))
@@ -285,7 +298,7 @@
 func TestRestartedInstanceSupportsNobodyAtFirst(t *testing.T) {
 	cfg := DefaultConfig
 	s := newSim(cfg, 5, 3, Limit{Concurrency: 8})
-	up := func() Up { return s.insts[0].node.up(s.clock(s.insts[0]), s.insts[1].name) }
+	up := func() Up { return s.insts[0].node.up(s.clock(s.insts[0]), s.insts[1].name, nil, false) }
 	must.SliceEmpty(t, up().Views)
 	s.run(cfg.WaitOut()-100*time.Millisecond, nil)
 	must.SliceEmpty(t, up().Views)
--- a/lib/limit/node.go
+++ b/lib/limit/node.go
@@ -70,7 +70,7 @@
 	if a.Verdict != Pending || n.holderOf(key) != n.self {
 		return a
 	}
-	n.exchangeLocally(now)
+	n.exchangeLocally(now, []Key{key}, false)
 	if a = n.client.acquire(now, key); a.Verdict == Pending {
 		return n.Refuse(now, key)
 	}
@@ -94,7 +94,7 @@
 	if to == "" || to == n.self {
 		return Outgoing{}, false
 	}
-	return Outgoing{To: to, Up: n.up(now, to)}, true
+	return Outgoing{To: to, Up: n.up(now, to, []Key{key}, false)}, true
 }
 
 // Tick exchanges with the own holder and returns the messages that are due to others. Call it each Interval.
@@ -104,13 +104,18 @@
 		return nil
 	}
 	n.sweep(now)
-	n.exchangeLocally(now)
+	held := n.keysByHolder()
+	n.exchangeLocally(now, held[n.self], true)
 	var out []Outgoing
 	for _, m := range cur.members {
 		if m == n.self {
 			continue
 		}
-		if up := n.up(now, m); n.worthSending(now, m, up) {
+		if len(held[m]) == 0 && !n.supportDue(now, m) {
+			continue
+		}
+		up := n.up(now, m, held[m], true)
+		if len(up.Demands) > 0 || n.supportDue(now, m) {
 			out = append(out, Outgoing{To: m, Up: up})
 		}
 	}
@@ -120,12 +125,29 @@
 	return out
 }
 
+// keysByHolder groups the client's keys, in order.
+func (n *Node) keysByHolder() map[string][]Key {
+	held := make(map[string][]Key)
+	for key := range n.client.keys {
+		to := n.holderOf(key)
+		held[to] = append(held[to], key)
+	}
+	for _, keys := range held {
+		slices.SortFunc(keys, compareKeys)
+	}
+	return held
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Class, b.Class))
+}
+
 // supportParts: support is renewed so many times within its life.
 const supportParts = 3
 
-func (n *Node) worthSending(now time.Time, to string, up Up) bool {
+func (n *Node) supportDue(now time.Time, to string) bool {
 	l := n.link(to)
-	return len(up.Demands) > 0 || up.Full || now.Sub(l.sent) >= n.cfg.SupportTTL/supportParts
+	return l.wantFull || now.Sub(l.sent) >= n.cfg.SupportTTL/supportParts
 }
 
 // HandleUp answers a client; ok is false when the message is late.
@@ -170,26 +192,25 @@
 }
 
 // exchangeLocally is Up and Down between the own client and the own holder.
-func (n *Node) exchangeLocally(now time.Time) {
+func (n *Node) exchangeLocally(now time.Time, keys []Key, all bool) {
 	l := n.link(n.self)
 	l.echo = n.holder.clock.stamp(now)
-	up := n.up(now, n.self)
+	up := n.up(now, n.self, keys, all)
 	if d, ok := n.holder.handle(now, n.self, up); ok {
 		n.HandleDown(now, n.self, d)
 	}
 }
 
-// up builds the message to one holder. A key goes into it when the holder should hear of it.
-func (n *Node) up(now time.Time, to string) Up {
+// up builds the message to one holder, of keys that it holds; all tells that there are no others. A key goes into it
+// when the holder should hear of it.
+func (n *Node) up(now time.Time, to string, keys []Key, all bool) Up {
 	l := n.link(to)
 	up := Up{
 		Stamp: n.nextStamp(now), Echo: l.echo,
-		Views: n.views.recent(now.Add(-n.cfg.WaitOut())), Full: l.wantFull,
+		Views: n.views.recent(now.Add(-n.cfg.WaitOut())), Full: all && l.wantFull,
 	}
-	for key, k := range n.client.keys {
-		if n.holderOf(key) != to {
-			continue
-		}
+	for _, key := range keys {
+		k := n.client.key(now, key)
 		d := n.client.demand(now, key, k)
 		if !up.Full && !k.needsSending(now, n.cfg, d) {
 			continue
@@ -200,9 +221,6 @@
 		}
 		up.Demands = append(up.Demands, d)
 	}
-	slices.SortFunc(up.Demands, func(a, b Demand) int {
-		return cmp.Or(cmp.Compare(a.Key.Workspace, b.Key.Workspace), cmp.Compare(a.Key.Class, b.Key.Class))
-	})
 	return up
 }
 
