Don't blame content that finished lately for a target's death

A content that finished within 10 to 20 minutes is vouched for: its part of a death is nobody's, and the record of that goes to peers within Settle. Ruled out: dating a clearing a second ahead, which would hide a real death. Content that kills only now and then, and finishes in between, is not found any more.

--- a/lib/poison/blame.go
+++ b/lib/poison/blame.go
@@ -5,12 +5,13 @@
 // Level is how strongly a content was suspected before a death.
 type Level uint8
 
-// Levels. LevelFinished marks a Record of a run that finished.
+// Levels.
 const (
-	LevelNone   Level = iota
-	LevelWeak         // was aboard, among many, when an engine died
-	LevelStrong       // had only just started when an engine died, or was aboard more than once
-	LevelFinished
+	LevelNone     Level = iota
+	LevelWeak           // was aboard, among many, when an engine died
+	LevelStrong         // had only just started when an engine died, or was aboard more than once
+	LevelVouched        // finished elsewhere not long before: not to blame
+	LevelFinished       // marks a Record of a run that finished
 )
 
 // rounding is how far a sum of parts may fall short of the whole.
@@ -41,6 +42,7 @@
 	top, n := LevelNone, 0
 	for _, b := range d.aboard {
 		switch {
+		case b.level == LevelVouched:
 		case b.level > top:
 			top, n = b.level, 1
 		case b.level == top:
@@ -48,7 +50,7 @@
 		}
 	}
 	switch {
-	case d.aboard[fingerprint].level < top:
+	case d.aboard[fingerprint].level < top, d.aboard[fingerprint].level == LevelVouched:
 		return 0
 	case top == LevelNone:
 		return 1
@@ -72,9 +74,44 @@
 	}
 	for id := range c.deaths {
 		d := t.deaths[id]
-		if id != except && d != nil && d.at.After(c.cleared) && d.aboard[fingerprint].newest {
+		if id != except && d != nil && d.at.After(c.cleared) && d.aboard[fingerprint].newest && d.share(fingerprint) > 0 {
 			return LevelStrong
 		}
 	}
 	return LevelWeak
 }
+
+// vouchers remembers contents that finished lately, for between one and two periods.
+//
+// Failure: a rack fails and takes several targets with it. A call that everybody makes, such as a status check, was
+// aboard all of them, and would be refused everywhere as if it had killed them. Content that kills does not finish.
+type vouchers struct {
+	period      time.Duration
+	max         int
+	turned      time.Time
+	recent, old map[uint64]struct{}
+}
+
+func (v *vouchers) add(now time.Time, fingerprint uint64) {
+	v.turn(now)
+	if v.recent == nil {
+		v.recent = make(map[uint64]struct{})
+	}
+	v.recent[fingerprint] = struct{}{}
+}
+
+func (v *vouchers) has(now time.Time, fingerprint uint64) bool {
+	v.turn(now)
+	_, recent := v.recent[fingerprint]
+	_, old := v.old[fingerprint]
+	return recent || old
+}
+
+func (v *vouchers) turn(now time.Time) {
+	switch {
+	case now.Sub(v.turned) >= 2*v.period:
+		v.recent, v.old, v.turned = nil, nil, now
+	case now.Sub(v.turned) >= v.period || len(v.recent) >= v.max:
+		v.recent, v.old, v.turned = nil, v.recent, now
+	}
+}
--- a/lib/poison/poison_test.go
+++ b/lib/poison/poison_test.go
@@ -84,6 +84,25 @@
 	must.Eq(t, poison.Suspect, verdict(b, now.Add(settled), 7))
 }
 
+// What callers see of a call that everybody makes, such as a status check, when a rack fails and two targets die with
+// it aboard: it is not refused. It finished a moment ago, and content that kills never does. The entry that saw it finish
+// tells the one that did not.
+func TestContentThatFinishedLatelyIsNotBlamed(t *testing.T) {
+	a, b := poison.New(poison.DefaultConfig), poison.New(poison.DefaultConfig)
+	const status = 9
+	a.Finished(t0, a.Started("dispatch-1", status))
+	now := t0.Add(time.Minute)
+	for _, target := range []string{"dispatch-1", "dispatch-2"} {
+		inA, inB := a.Started(target, status), b.Started(target, status)
+		b.Lost(now, inB, 1)
+		a.Lost(now, inA, 1)
+	}
+	must.Eq(t, poison.Clean, verdict(a, now, status))
+	must.Eq(t, poison.Settling, verdict(b, now, status))
+	now = exchange(now.Add(50*time.Millisecond), a, b)
+	must.Eq(t, poison.Clean, verdict(b, now, status))
+}
+
 // What callers see when a peer's news of a death come before one's own: a content aboard is no suspect by that very
 // death, so the others aboard are blamed like it.
 func TestDeathIsNoSuspicionBeforeItself(t *testing.T) {
--- a/lib/poison/table.go
+++ b/lib/poison/table.go
@@ -23,13 +23,15 @@
 	Newest  int           // of an instance's contents on a dying engine, how many of the last started are strong suspects
 	Window  time.Duration // a death older than this is forgotten
 	Refuse  time.Duration // how long a poisoned content is refused after its last death
+	Vouch   time.Duration // a content that finished within it is not blamed
 	Settle  time.Duration // how long peers may take to tell who else was aboard, before a content is refused
 	MaxSize int           // contents kept; over it the one touched longest ago is dropped
 }
 
 // DefaultConfig refuses after the second death within an hour, for 15 minutes.
 var DefaultConfig = Config{
-	Weight: 2, Newest: 2, Window: time.Hour, Refuse: 15 * time.Minute, Settle: 300 * time.Millisecond, MaxSize: 4096,
+	Weight: 2, Newest: 2, Window: time.Hour, Refuse: 15 * time.Minute, Settle: 300 * time.Millisecond,
+	Vouch: 10 * time.Minute, MaxSize: 4096,
 }
 
 // Verdict is what a Table thinks of a content.
@@ -57,6 +59,7 @@
 	log      []logged
 	seq      uint64
 	news     chan struct{}
+	vouchers vouchers
 }
 
 type content struct {
@@ -86,11 +89,15 @@
 	start       uint64 // order of starts at this instance
 }
 
+// vouchersFor is how many finished contents are remembered for each suspect; most requests finish.
+const vouchersFor = 4
+
 // New returns an empty Table.
 func New(cfg Config) *Table {
 	return &Table{
 		cfg: cfg, contents: make(map[uint64]*content), deaths: make(map[uint64]*death),
 		running: make(map[string]map[uint64]uint64), news: make(chan struct{}, 1),
+		vouchers: vouchers{period: cfg.Vouch, max: vouchersFor * cfg.MaxSize},
 	}
 }
 
@@ -179,6 +186,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.stopped(r)
+	t.vouchers.add(now, r.fingerprint)
 	if t.level(now, r.fingerprint, 0) == LevelNone {
 		return
 	}
@@ -243,11 +251,15 @@
 		d = &death{at: l.at, starts: t.starts, aboard: make(map[uint64]blame)}
 		t.deaths[l.death] = d
 	}
+	if t.vouchers.has(now, l.fingerprint) {
+		l.level = LevelVouched
+	}
 	old, known := d.aboard[l.fingerprint]
 	merged := blame{level: max(old.level, l.level), newest: old.newest || l.newest}
 	if known && merged == old {
 		return
 	}
+	l.level, l.newest = merged.level, merged.newest
 	d.aboard[l.fingerprint] = merged
 	d.heard = now
 	c := t.content(now, l.fingerprint)
