--- a/lib/guardlink/bench_test.go
+++ b/lib/guardlink/bench_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -70,3 +71,41 @@
 		time.Sleep(requestSpacing)
 	}
 }
+
+// BenchmarkFollowDemand measures how long it takes until nine tenths of a limit of 64 have moved from one of eight
+// entries to another, when all requests (of 300 ms) move at once. Run it with -benchtime=5x.
+func BenchmarkFollowDemand(b *testing.B) {
+	procs := startAll(b, 8, limit.DefaultConfig)
+	time.Sleep(2 * limit.DefaultConfig.WaitOut())
+	at := 0
+	procs[at].saturate(b, 64)
+	took := time.Duration(0)
+	for b.Loop() {
+		start := time.Now()
+		at = (at + 3) % len(procs)
+		procs[at].saturate(b, 58)
+		took += time.Since(start)
+		procs[at].saturate(b, 64)
+	}
+	b.ReportMetric(float64(took.Milliseconds())/float64(b.N), "ms/move")
+	b.ReportMetric(0, "ns/op")
+}
+
+// saturate makes more requests than are let in, until so many are in progress.
+func (p *process) saturate(b *testing.B, want int64) {
+	b.Helper()
+	var inProgress atomic.Int64
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if p.limits.Acquire(context.Background(), wideKey).Verdict == limit.Admitted {
+			inProgress.Add(1)
+			time.AfterFunc(300*time.Millisecond, func() {
+				inProgress.Add(-1)
+				p.limits.Release(wideKey)
+			})
+		}
+		if inProgress.Load() >= want {
+			return
+		}
+	}
+	b.Fatalf("%d of %d in progress", inProgress.Load(), want)
+}
--- a/lib/guardlink/link_test.go
+++ b/lib/guardlink/link_test.go
@@ -43,6 +43,9 @@
 	OrphanHold: time.Second, FloorFraction: 0.25, MaxInstances: 4,
 }
 
+// wideKey has a limit of 64, all other keys of 8.
+var wideKey = limit.Key{Workspace: "planner-llm/wide", Class: "batch"}
+
 func (e *entries) start(t testing.TB, name string, cfg limit.Config) *process {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -54,7 +57,12 @@
 	e.view = append(e.view, p.self)
 	e.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
-	limits := func(limit.Key) limit.Limit { return limit.Limit{Concurrency: 8} }
+	limits := func(k limit.Key) limit.Limit {
+		if k == wideKey {
+			return limit.Limit{Concurrency: 64}
+		}
+		return limit.Limit{Concurrency: 8}
+	}
 	p.limits = limit.NewService(cfg, name, 1, limits, func(to string, up limit.Up) { p.link.SendUp(to, up) })
 	p.link = New(ctx, Options{Node: p.node, View: e.viewOf(p.self), Limits: p.limits, Poison: p.poison})
 	go p.node.Serve(ln)
