Forget instances that the list drops, so that their limits are lent again at once

What the platform's list names neither live nor leaving is gone. A view that names an instance again takes it back: its messages were ignored for good after a flap of the list (TestForgottenInstanceComesBack failed first). An empty list is no news.

--- a/lib/entryproc/links.go
+++ b/lib/entryproc/links.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,7 @@
 	decider *shared
 	limits  *limit.Service
 	ln      net.Listener
+	listed  []string // instances that the platform's list named last
 	running sync.WaitGroup
 }
 
@@ -107,7 +109,21 @@
 		names = append(names, m.GetInstance())
 	}
 	l.members.SetInstances(list)
-	l.limits.SetView(names)
+	if len(names) > 0 { // an empty list is no news: this instance at least runs
+		l.limits.SetView(names)
+		l.forgetDropped(names)
+	}
+}
+
+// forgetDropped tells the limits of instances that the platform's list no longer names, neither live nor leaving: their
+// processes are gone, and nobody need wait for news of their requests.
+func (l *links) forgetDropped(names []string) {
+	for _, name := range l.listed {
+		if !slices.Contains(names, name) {
+			l.limits.Forget(name)
+		}
+	}
+	l.listed = names
 }
 
 // exchangeInterval is how often what heartbeats carry is passed on, both ways.
--- a/lib/limit/limit_test.go
+++ b/lib/limit/limit_test.go
@@ -305,3 +305,27 @@
 	s.run(200*time.Millisecond, nil)
 	must.SliceLen(t, 1, up().Views)
 }
+
+// What callers of an instance see that the platform's list left out for a moment: it is lent shares again once the list
+// names it, though it was taken for dead meanwhile.
+func TestForgottenInstanceComesBack(t *testing.T) {
+	cfg := DefaultConfig
+	s := newSim(cfg, 8, 4, Limit{Concurrency: 8})
+	s.run(2*cfg.WaitOut(), nil)
+	holder := s.index(s.insts[0].node.holderOf(simKey))
+	back := s.insts[(holder+1)%4]
+	all := s.views[0]
+	for _, in := range s.insts {
+		if in != back {
+			in.node.SetView(s.clock(in), without(all, back.name))
+			in.node.Forget(back.name)
+		}
+	}
+	s.run(time.Second, nil)
+	for _, in := range s.insts {
+		in.node.SetView(s.clock(in), all)
+	}
+	s.run(cfg.WaitOut()+cfg.OrphanHold, nil)
+	s.run(time.Second, func() { s.request(back, 100*time.Millisecond) })
+	must.Positive(t, len(back.ends))
+}
--- a/lib/limit/node.go
+++ b/lib/limit/node.go
@@ -47,12 +47,17 @@
 	if !n.views.set(now, members) {
 		return
 	}
+	for _, m := range members {
+		delete(n.holder.gone, m)
+	}
 	for _, k := range n.client.keys {
 		k.due, k.open = true, time.Time{}
 	}
 }
 
-// Forget tells that an instance's process is known to be gone, and its requests in progress with it.
+// Forget tells that an instance's process is known to be gone, and its requests in progress with it. Without it, a new
+// holder of its keys lends no more than is in progress until OrphanHold has passed. A view that names it again takes it
+// back.
 func (n *Node) Forget(instance string) {
 	n.holder.forget(instance)
 	delete(n.links, instance)
