--- a/lib/loadrun/config.go
+++ b/lib/loadrun/config.go
@@ -32,6 +32,7 @@
 	KillEngine  time.Duration
 	Binaries    string
 	Compare     int // pairs of streams; 0: the mix
+	Recover     int // kills of each role; 0: the mix
 }
 
 // Register adds the flags to fs.
@@ -53,6 +54,7 @@
 	fs.StringVar(&c.History, "history", "", "file for what every caller saw, one operation a line, for checking")
 	fs.DurationVar(&c.KillEngine, "kill-engine", 0, "kill a busy engine of the own site after this time; 0: none")
 	fs.IntVar(&c.Compare, "compare", 0, "in place of the mix, run so many pairs of streams, straight to an engine and through an entry, and print what the entry adds")
+	fs.IntVar(&c.Recover, "recover", 0, "in place of the mix, kill one process of each role so many times, and print how long service takes to go on")
 	fs.StringVar(&c.Binaries, "bin", "bin", "directory of the programs, for a site of its own")
 }
 
@@ -77,6 +79,8 @@
 		return fmt.Errorf("-key-format: %q must hold %%s once", c.KeyFormat)
 	case c.Compare < 0 || c.Compare > 0 && c.Entries != "":
 		return errors.New("-compare: a count of pairs, only with a site of its own")
+	case c.Recover < 0 || c.Recover > 0 && c.Entries != "":
+		return errors.New("-recover: a count of kills, only with a site of its own")
 	case c.KillEngine > 0 && c.Entries != "":
 		return errors.New("-kill-engine: only with a site of its own")
 	}
--- /dev/null
+++ b/lib/loadrun/recover.go
@@ -0,0 +1,257 @@
+package loadrun
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/caller"
+	"anvilwick.example/anvilwick/lib/localsite"
+	"anvilwick.example/anvilwick/lib/proc"
+	"anvilwick.example/anvilwick/lib/standin/engine"
+	"anvilwick.example/anvilwick/lib/workload"
+)
+
+const (
+	recoverModel     = "recover"
+	recoverWorkspace = "recover"
+	recoverTokens    = 250
+	recoverKillAt    = 120 // tokens; over a second into the stream, so that a resume record was left
+	recoverRound     = time.Minute
+	recoverLease     = "power"
+)
+
+var errNobody = errors.New("nobody to kill was found")
+
+// recovery is a site whose processes are killed one after the other.
+type recovery struct {
+	site *localsite.Site
+}
+
+// Recover kills one process of each role c.Recover times and prints how long it takes until service goes on: from
+// SIGKILL to the next token that the caller sees, or to the next holder of the lease.
+func Recover(ctx context.Context, c Config, w io.Writer) error {
+	site, err := c.recoverSite(ctx)
+	if err != nil {
+		return err
+	}
+	defer site.Close()
+	r := &recovery{site: site}
+	for _, role := range []struct {
+		name  string
+		round func(context.Context, int) (time.Duration, error)
+	}{
+		{"engine under a stream", r.engine},
+		{"entry under a keyed stream", r.entry},
+		{"owner of the shard, new request elsewhere", r.owner},
+		{"holder of a lease, TTL 3 s", r.holder},
+	} {
+		times, err := rounds(ctx, c.Recover, role.round)
+		if err != nil {
+			return fmt.Errorf("%s: %w", role.name, err)
+		}
+		fmt.Fprintf(w, "recover: killed=%q n=%d p50_ms=%d worst_ms=%d\n",
+			role.name, len(times), times[len(times)/2].Milliseconds(), times[len(times)-1].Milliseconds())
+	}
+	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopLimit)
+	defer cancel()
+	return site.Stop(sctx)
+}
+
+func (c Config) recoverSite(ctx context.Context) (*localsite.Site, error) {
+	sctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	return localsite.Start(sctx, localsite.Config{
+		Binaries: c.Binaries, Engines: 3, Plains: 1, Entries: 3,
+		Settings: localsite.Settings{
+			Model: recoverModel, Service: recoverModel, Route: "/plain", Workspaces: []string{recoverWorkspace}, PowerCap: 100000,
+			Classes: []workload.Class{{Name: "standard", Priority: 1, MaxWait: time.Minute, QueueBound: 100}},
+		},
+	})
+}
+
+// rounds returns the times in ascending order.
+func rounds(ctx context.Context, n int, round func(context.Context, int) (time.Duration, error)) ([]time.Duration, error) {
+	var times []time.Duration
+	for i := range n {
+		rctx, cancel := context.WithTimeout(ctx, recoverRound)
+		d, err := round(rctx, i)
+		cancel()
+		if err != nil {
+			return nil, fmt.Errorf("round %d: %w", i, err)
+		}
+		times = append(times, d)
+	}
+	slices.Sort(times)
+	return times, nil
+}
+
+// killed runs a stream through an entry, calls kill in the middle, and returns the time from there to the next token. The
+// answer must come whole.
+func (r *recovery) killed(ctx context.Context, call caller.Call, kill func() error) (time.Duration, error) {
+	c := &caller.Client{Entries: r.site.Callers(), Token: localsite.Key(recoverWorkspace), HTTP: &http.Client{Transport: &http.Transport{}}}
+	call.Model, call.Class = recoverModel, "standard"
+	call.Prompt = fmt.Sprintf("%d [len=%d]", time.Now().UnixNano(), recoverTokens)
+	var text strings.Builder
+	var from, to time.Time
+	var killErr error
+	_, err := c.Stream(ctx, call, func(t caller.Token) {
+		text.WriteString(t.Text)
+		switch {
+		case t.Index == recoverKillAt:
+			killErr = kill()
+			from = time.Now()
+		case to.IsZero() && t.Index > recoverKillAt && t.At.After(from):
+			to = t.At
+		}
+	})
+	if err := errors.Join(killErr, err); err != nil {
+		return 0, err
+	}
+	return to.Sub(from), engine.CheckAnswer(call.Prompt, text.String(), recoverTokens)
+}
+
+func (r *recovery) engine(ctx context.Context, i int) (time.Duration, error) {
+	var dead *localsite.Node
+	d, err := r.killed(ctx, caller.Call{Entry: i}, func() (err error) {
+		if dead, err = r.site.Busy(ctx); err != nil {
+			return err
+		}
+		if dead == nil {
+			return errNobody
+		}
+		return dead.Kill()
+	})
+	if err != nil {
+		return 0, err
+	}
+	return d, errors.Join(r.site.Restart(dead), r.site.AwaitTargets(ctx))
+}
+
+func (r *recovery) entry(ctx context.Context, i int) (time.Duration, error) {
+	dead := r.site.Entries[i%len(r.site.Entries)]
+	call := caller.Call{Entry: i, Key: fmt.Sprint("recover-", i), Resumes: 1000}
+	d, err := r.killed(ctx, call, dead.Kill)
+	if err != nil {
+		return 0, err
+	}
+	return d, r.back(ctx, dead)
+}
+
+// owner kills the entry that owns the engines' shard, and asks another entry for a new answer.
+func (r *recovery) owner(ctx context.Context, _ int) (time.Duration, error) {
+	at, err := r.ownerAt(ctx)
+	if err != nil {
+		return 0, err
+	}
+	dead := r.site.Entries[at]
+	if err := dead.Kill(); err != nil {
+		return 0, err
+	}
+	from := time.Now()
+	var first time.Time
+	c := &caller.Client{Entries: r.site.Callers(), Token: localsite.Key(recoverWorkspace), HTTP: &http.Client{Transport: &http.Transport{}}}
+	call := caller.Call{Model: recoverModel, Class: "standard", Prompt: "new [len=5]", Entry: at + 1}
+	_, err = c.Stream(ctx, call, func(t caller.Token) {
+		if first.IsZero() {
+			first = t.At
+		}
+	})
+	if err != nil {
+		return 0, err
+	}
+	return first.Sub(from), r.back(ctx, dead)
+}
+
+func (r *recovery) ownerAt(ctx context.Context) (int, error) {
+	at := -1
+	err := proc.Until(ctx, "an owner", func(ctx context.Context) error {
+		for i, n := range r.site.Entries {
+			qs, err := localsite.Operator(n).Queues(ctx)
+			if err != nil {
+				return err
+			}
+			if len(qs) > 0 {
+				at = i
+				return nil
+			}
+		}
+		return errNobody
+	})
+	return at, err
+}
+
+// holder kills the control process that holds the lease and waits until another one does.
+func (r *recovery) holder(ctx context.Context, _ int) (time.Duration, error) {
+	dead, err := r.leaseholder(ctx, nil)
+	if err != nil {
+		return 0, err
+	}
+	if err := dead.Kill(); err != nil {
+		return 0, err
+	}
+	from := time.Now()
+	if _, err := r.leaseholder(ctx, dead); err != nil {
+		return 0, err
+	}
+	d := time.Since(from)
+	return d, r.back(ctx, dead)
+}
+
+func (r *recovery) leaseholder(ctx context.Context, but *localsite.Node) (holder *localsite.Node, err error) {
+	err = proc.Until(ctx, "a holder", func(ctx context.Context) error {
+		for _, n := range r.site.Controls {
+			if n == but {
+				continue
+			}
+			st, err := localsite.Operator(n).Status(ctx)
+			if err != nil {
+				return err
+			}
+			for _, l := range st.Leases {
+				if l.Name == recoverLease && l.LeftMS > 0 {
+					holder = n
+					return nil
+				}
+			}
+		}
+		return errNobody
+	})
+	return holder, err
+}
+
+// back restarts a process and waits until all are ready, so that each round starts from a whole site.
+func (r *recovery) back(ctx context.Context, n *localsite.Node) error {
+	if err := r.site.Restart(n); err != nil {
+		return err
+	}
+	if err := r.site.AwaitReady(ctx, append(slices.Clone(r.site.Entries), r.site.Controls...)...); err != nil {
+		return err
+	}
+	return proc.Until(ctx, "members", r.allLive)
+}
+
+// allLive waits until every entry sees every other one live.
+func (r *recovery) allLive(ctx context.Context) error {
+	for _, n := range r.site.Entries {
+		st, err := localsite.Operator(n).Status(ctx)
+		if err != nil {
+			return err
+		}
+		live := 0
+		for _, m := range st.Members {
+			if m.State == "live" {
+				live++
+			}
+		}
+		if live != len(r.site.Entries) {
+			return fmt.Errorf("%s sees %d live", n.Name, live)
+		}
+	}
+	return nil
+}
--- a/lib/loadrun/run.go
+++ b/lib/loadrun/run.go
@@ -33,6 +33,9 @@
 	if c.Compare > 0 {
 		return Compare(ctx, c, w)
 	}
+	if c.Recover > 0 {
+		return Recover(ctx, c, w)
+	}
 	entries := c.entries()
 	if entries != nil {
 		return c.send(ctx, entries, w, func() {})
--- a/lib/loadrun/usage_test.go
+++ b/lib/loadrun/usage_test.go
@@ -33,6 +33,7 @@
 		"-key-format":  func(c *Config) { c.KeyFormat = "key" },
 		"-kill-engine": func(c *Config) { c.KillEngine, c.Entries = 1, "127.0.0.1:1" },
 		"-compare":     func(c *Config) { c.Compare = -1 },
+		"-recover":     func(c *Config) { c.Recover, c.Entries = 1, "127.0.0.1:1" },
 	}
 	for name, spoil := range bad {
 		c := good
--- a/lib/localsite/site.go
+++ b/lib/localsite/site.go
@@ -91,7 +91,7 @@
 		}
 	}
 	s.Store = platform.New(platform.Config{Addr: s.Platform.Addr})
-	if err := s.awaitTargets(ctx); err != nil {
+	if err := s.AwaitTargets(ctx); err != nil {
 		return err
 	}
 	if err := s.commit(ctx); err != nil {
@@ -216,7 +216,8 @@
 	return s.launch(n)
 }
 
-func (s *Site) awaitTargets(ctx context.Context) error {
+// AwaitTargets waits until the platform and every target answers.
+func (s *Site) AwaitTargets(ctx context.Context) error {
 	paths := map[*Node]string{s.Platform: platformapi.PathInstances}
 	for _, n := range s.Engines {
 		paths[n] = "/v1/load"
