Keep the load tool from starting processes; trials start their sites from examples/load

The users' rule is that a process of the system starts no other, and anvilwick-load, which ships, started a small site when it got no -entries. It needs -entries now; examples/load starts a site of its own for make load, -compare and -recover, as examples/demo does. lib/loadrun sends the mix, lib/siterun holds the trials. -keyed is on by default, as claims stand now.

--- a/app/anvilwick-load/main.go
+++ b/app/anvilwick-load/main.go
@@ -1,5 +1,5 @@
 // Command anvilwick-load sends a seeded, open-loop mix of requests to entries, measures what callers see by workspace
-// and class, and checks every answer. Without -entries it starts a small site of its own and stops it at the end.
+// and class, and checks every answer.
 //
 // Exit codes: 0 when no promise was broken, 1 when one was or the run failed, 2 for bad flags. Refusals are no breach.
 package main
@@ -47,7 +47,7 @@
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	if err := loadrun.Run(ctx, cfg, os.Stdout); err != nil {
+	if err := loadrun.Run(ctx, cfg, os.Stdout, nil); err != nil {
 		return fail(exitFailed, err)
 	}
 	return exitOK
@@ -68,7 +68,7 @@
 }
 
 const help = `anvilwick-load sends a seeded, open-loop mix of requests to entries, measures what callers see by workspace and class,
-and checks every answer against the stand-in engines' text. Without -entries it starts a small site of its own.
+and checks every answer against the stand-in engines' text.
 
 The last line is key=value pairs. Exit codes: 0 when no promise was broken, 1 when one was or the run failed, 2 for
 bad flags.
--- a/lib/loadrun/config.go
+++ b/lib/loadrun/config.go
@@ -1,4 +1,4 @@
-// Package loadrun runs the load generator against given entries, or against a small site of its own.
+// Package loadrun is the load tool's command line: flags, one run against given entries, figures and history.
 package loadrun
 
 import (
@@ -22,17 +22,13 @@
 	PlainRate   float64
 	PlainRoute  string
 	Model       string
-	Entries     string // IP:port each, separated by commas; empty: a site of its own
+	Entries     string // IP:port each, separated by commas
 	KeyFormat   string // workspace keys, with %s for the workspace
 	Keyed       bool
 	Patience    time.Duration
 	StallFloor  time.Duration
 	MaxInFlight int
 	History     string // file
-	KillEngine  time.Duration
-	Binaries    string
-	Compare     int // pairs of streams; 0: the mix
-	Recover     int // kills of each role; 0: the mix
 }
 
 // Register adds the flags to fs.
@@ -45,24 +41,23 @@
 	fs.Float64Var(&c.PlainRate, "plain-rate", 20, "plain calls a second")
 	fs.StringVar(&c.PlainRoute, "plain-route", "/dispatch/status", "path of plain calls")
 	fs.StringVar(&c.Model, "model", "", "model to ask for; empty: the mix's service")
-	fs.StringVar(&c.Entries, "entries", "", "callers' ports of entries, IP:port, separated by commas; empty: start a small site")
+	fs.StringVar(&c.Entries, "entries", "", "callers' ports of entries, IP:port, separated by commas")
 	fs.StringVar(&c.KeyFormat, "key-format", "%s-localsite-key", "workspace keys; %s stands for the workspace")
-	fs.BoolVar(&c.Keyed, "keyed", false, "give every generation an Idempotency-Key, so that a cut stream is gone on with")
+	fs.BoolVar(&c.Keyed, "keyed", true, "give every generation an Idempotency-Key, so that a cut stream is gone on with")
 	fs.DurationVar(&c.Patience, "patience", time.Minute, "longest time for one request")
 	fs.DurationVar(&c.StallFloor, "stall-floor", time.Second, "a wait between tokens beyond it is stall time")
 	fs.IntVar(&c.MaxInFlight, "max-in-flight", 2000, "requests at once; arrivals beyond it are counted as unsent")
 	fs.StringVar(&c.History, "history", "", "file for what every caller saw, one operation a line, for checking")
-	fs.DurationVar(&c.KillEngine, "kill-engine", 0, "kill a busy engine of the own site after this time; 0: none")
-	fs.IntVar(&c.Compare, "compare", 0, "in place of the mix, run so many pairs of streams, straight to an engine and through an entry, and print what the entry adds")
-	fs.IntVar(&c.Recover, "recover", 0, "in place of the mix, kill one process of each role so many times, and print how long service takes to go on")
-	fs.StringVar(&c.Binaries, "bin", "bin", "directory of the programs, for a site of its own")
 }
 
 // Check returns an error that names the first bad flag.
 func (c *Config) Check() error {
-	if _, err := c.mix(); err != nil {
+	if _, err := c.Mix(); err != nil {
 		return err
 	}
+	if c.Entries == "" {
+		return errors.New("-entries: the callers' ports of entries are needed")
+	}
 	for _, addr := range c.entries() {
 		if err := procflags.CheckAddr("entries", addr); err != nil {
 			return err
@@ -77,17 +72,12 @@
 		return errors.New("-plain-rate: can't be negative; -max-in-flight: at least 1")
 	case strings.Count(c.KeyFormat, "%s") != 1:
 		return fmt.Errorf("-key-format: %q must hold %%s once", c.KeyFormat)
-	case c.Compare < 0 || c.Compare > 0 && c.Entries != "":
-		return errors.New("-compare: a count of pairs, only with a site of its own")
-	case c.Recover < 0 || c.Recover > 0 && c.Entries != "":
-		return errors.New("-recover: a count of kills, only with a site of its own")
-	case c.KillEngine > 0 && c.Entries != "":
-		return errors.New("-kill-engine: only with a site of its own")
 	}
 	return nil
 }
 
-func (c *Config) mix() (workload.Mix, error) {
+// Mix returns the deployment's workload at its full size.
+func (c *Config) Mix() (workload.Mix, error) {
 	for _, m := range workload.Deployments() {
 		if m.Deployment == c.Deployment {
 			return m, nil
@@ -96,9 +86,4 @@
 	return workload.Mix{}, fmt.Errorf("-deployment: %q is neither kelburn nor kivu", c.Deployment)
 }
 
-func (c *Config) entries() []string {
-	if c.Entries == "" {
-		return nil
-	}
-	return strings.Split(c.Entries, ",")
-}
+func (c *Config) entries() []string { return strings.Split(c.Entries, ",") }
--- a/lib/loadrun/run.go
+++ b/lib/loadrun/run.go
@@ -6,88 +6,23 @@
 	"fmt"
 	"io"
 	"os"
-	"slices"
 	"strings"
 	"time"
 
 	"anvilwick.example/anvilwick/lib/history"
 	"anvilwick.example/anvilwick/lib/loadgen"
-	"anvilwick.example/anvilwick/lib/localsite"
 )
 
-const (
-	startLimit   = 30 * time.Second
-	stopLimit    = 30 * time.Second
-	checkLimit   = 30 * time.Second
-	ownEngines   = 4
-	ownPlains    = 2
-	ownEntries   = 3
-	killPollTime = 20 * time.Millisecond
-)
+// checkLimit bounds the check of a history.
+const checkLimit = 30 * time.Second
 
 // ErrBroken is returned when a caller saw a broken promise.
 var ErrBroken = errors.New("a promise was broken")
 
-// Run sends the load and prints the figures to w.
-func Run(ctx context.Context, c Config, w io.Writer) error {
-	if c.Compare > 0 {
-		return Compare(ctx, c, w)
-	}
-	if c.Recover > 0 {
-		return Recover(ctx, c, w)
-	}
+// Run sends the load to the entries of c and prints the figures to w. atEnd, when given, prints what comes before them.
+func Run(ctx context.Context, c Config, w io.Writer, atEnd func()) error {
 	entries := c.entries()
-	if entries != nil {
-		return c.send(ctx, entries, w, func() {})
-	}
-	site, err := c.startSite(ctx)
-	if err != nil {
-		return err
-	}
-	defer site.Close()
-	if c.KillEngine > 0 {
-		go killBusy(ctx, site, c.KillEngine)
-	}
-	watched := append(slices.Clone(site.Entries), site.Controls...)
-	before := usages(ctx, watched)
-	err = c.send(ctx, site.Callers(), w, func() { printUsage(w, before, usages(ctx, watched), watched) })
-	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopLimit)
-	defer cancel()
-	return errors.Join(err, site.Stop(sctx))
-}
-
-func (c Config) startSite(ctx context.Context) (*localsite.Site, error) {
-	m, err := c.mix()
-	if err != nil {
-		return nil, err
-	}
-	sctx, cancel := context.WithTimeout(ctx, startLimit)
-	defer cancel()
-	return localsite.Start(sctx, localsite.Config{
-		Binaries: c.Binaries, Engines: ownEngines, Plains: ownPlains, Entries: ownEntries,
-		Settings: localsite.WorkloadSettings(m),
-	})
-}
-
-// killBusy ends an engine that has a stream, some time into the run.
-func killBusy(ctx context.Context, site *localsite.Site, after time.Duration) {
-	time.Sleep(after)
-	for ctx.Err() == nil {
-		n, err := site.Busy(ctx)
-		if err != nil {
-			return
-		}
-		if n != nil {
-			_ = n.Kill()
-			return
-		}
-		time.Sleep(killPollTime)
-	}
-}
-
-// send runs the plan and prints the figures; atEnd prints what comes before them.
-func (c Config) send(ctx context.Context, entries []string, w io.Writer, atEnd func()) error {
-	m, err := c.mix()
+	m, err := c.Mix()
 	if err != nil {
 		return err
 	}
@@ -110,7 +45,9 @@
 	began := time.Now()
 	r.Run(ctx)
 	herr := c.checkHistory(r.History)
-	atEnd()
+	if atEnd != nil {
+		atEnd()
+	}
 	r.Figures.Print(w, c.Seed, time.Since(began))
 	if n := len(r.Figures.Wrong()); n > 0 {
 		herr = errors.Join(herr, fmt.Errorf("%w: %d answers", ErrBroken, n))
--- a/lib/loadrun/compare.go
+++ b/lib/siterun/compare.go
@@ -1,4 +1,4 @@
-package loadrun
+package siterun
 
 import (
 	"context"
@@ -65,6 +65,9 @@
 	}
 	defer site.Close()
 	direct, through := newSide(), newSide()
+	if err := warmUp(ctx, site); err != nil {
+		return err
+	}
 	before, err := usageOf(ctx, site.Entries[0])
 	if err != nil {
 		return err
@@ -77,15 +80,11 @@
 		return err
 	}
 	printCompare(w, c, direct, through, after.cpu-before.cpu, after.memory)
-	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopLimit)
-	defer cancel()
-	return site.Stop(sctx)
+	return stop(ctx, site)
 }
 
 func (c Config) compareSite(ctx context.Context) (*localsite.Site, error) {
-	sctx, cancel := context.WithTimeout(ctx, startLimit)
-	defer cancel()
-	return localsite.Start(sctx, localsite.Config{
+	return start(ctx, localsite.Config{
 		Binaries: c.Binaries, Engines: 1, Plains: 1, Entries: 1,
 		EngineFlags: []string{"-max-batch", strconv.Itoa(4 * c.Compare), "-kv-tokens", "2000000"},
 		EntryFlags:  []string{"-log-level", "warn"},
@@ -96,7 +95,14 @@
 	})
 }
 
-// pairs keeps c.Compare pairs of streams running for c.Span.
+// warmUp runs one stream through the entry: a site that has just started waits for news of what runs before its shard's
+// owner places anything, which is no part of the comparison.
+func warmUp(ctx context.Context, site *localsite.Site) error {
+	c := &caller.Client{Entries: site.Callers(), Token: localsite.Key(compareWorkspace), HTTP: http.DefaultClient}
+	return measured(ctx, c, newSide(), "warm-up")
+}
+
+// pairs keeps c.Compare pairs of streams running for c.Load.Span.
 func (c Config) pairs(ctx context.Context, site *localsite.Site, direct, through *side) error {
 	transport := &http.Transport{MaxIdleConnsPerHost: 2 * c.Compare}
 	defer transport.CloseIdleConnections()
@@ -104,7 +110,7 @@
 		return &caller.Client{Entries: []string{addr}, Token: localsite.Key(compareWorkspace), HTTP: &http.Client{Transport: transport}}
 	}
 	straight, entry := client(site.Engines[0].Addr), client(site.Entries[0].Addr)
-	end := time.Now().Add(c.Span)
+	end := time.Now().Add(c.Load.Span)
 	var wg sync.WaitGroup
 	errs := make(chan error, 2*c.Compare)
 	for n := range c.Compare {
@@ -151,7 +157,7 @@
 		"ttft_p50_direct_ms=%.2f ttft_p50_through_ms=%.2f ttft_p99_direct_ms=%.2f ttft_p99_through_ms=%.2f "+
 		"between_p50_direct_ms=%.2f between_p50_through_ms=%.2f between_p99_direct_ms=%.2f between_p99_through_ms=%.2f "+
 		"between_p99_added_percent=%.1f entry_cpu_us_per_token=%.1f entry_memory_mb=%.1f\n",
-		c.Compare, c.Span.Seconds(), direct.tokens, through.tokens,
+		c.Compare, c.Load.Span.Seconds(), direct.tokens, through.tokens,
 		ms(direct.first, 50), ms(through.first, 50), ms(direct.first, 99), ms(through.first, 99),
 		ms(direct.between, 50), ms(through.between, 50), d99, t99,
 		100*(t99-d99)/d99, 1e6*cpu/float64(max(1, through.tokens)), memory/1e6)
--- a/lib/loadrun/recover.go
+++ b/lib/siterun/recover.go
@@ -1,4 +1,4 @@
-package loadrun
+package siterun
 
 import (
 	"context"
@@ -58,15 +58,11 @@
 		fmt.Fprintf(w, "recover: killed=%q n=%d p50_ms=%d worst_ms=%d\n",
 			role.name, len(times), times[len(times)/2].Milliseconds(), times[len(times)-1].Milliseconds())
 	}
-	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopLimit)
-	defer cancel()
-	return site.Stop(sctx)
+	return stop(ctx, site)
 }
 
 func (c Config) recoverSite(ctx context.Context) (*localsite.Site, error) {
-	sctx, cancel := context.WithTimeout(ctx, startLimit)
-	defer cancel()
-	return localsite.Start(sctx, localsite.Config{
+	return start(ctx, localsite.Config{
 		Binaries: c.Binaries, Engines: 3, Plains: 1, Entries: 3,
 		Settings: localsite.Settings{
 			Model: recoverModel, Service: recoverModel, Route: "/plain", Workspaces: []string{recoverWorkspace}, PowerCap: 100000,
--- /dev/null
+++ b/lib/siterun/siterun.go
@@ -0,0 +1,124 @@
+// Package siterun runs trials on a small site of its own, started for the trial as separate processes on loopback: the load
+// tool's mix, a comparison with direct streams, and kills of each role.
+package siterun
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/loadrun"
+	"anvilwick.example/anvilwick/lib/localsite"
+)
+
+const (
+	startLimit   = 30 * time.Second
+	stopLimit    = 30 * time.Second
+	ownEngines   = 4
+	ownPlains    = 2
+	ownEntries   = 3
+	killPollTime = 20 * time.Millisecond
+)
+
+// Config says which trial to run.
+type Config struct {
+	Load       loadrun.Config // its entries are those of the site
+	Binaries   string
+	KillEngine time.Duration
+	Compare    int // pairs of streams; 0: the mix
+	Recover    int // kills of each role; 0: the mix
+}
+
+// Register adds the flags to fs, those of the load included.
+func (c *Config) Register(fs *flag.FlagSet) {
+	c.Load.Register(fs)
+	fs.StringVar(&c.Binaries, "bin", "bin", "directory of the programs")
+	fs.DurationVar(&c.KillEngine, "kill-engine", 0, "kill a busy engine after this time; 0: none")
+	fs.IntVar(&c.Compare, "compare", 0, "in place of the mix, run so many pairs of streams, straight to an engine and through an entry, and print what the entry adds")
+	fs.IntVar(&c.Recover, "recover", 0, "in place of the mix, kill one process of each role so many times, and print how long service takes to go on")
+}
+
+// Check returns an error that names the first bad flag.
+func (c *Config) Check() error {
+	switch {
+	case c.Load.Entries != "":
+		return errors.New("-entries: this tool starts entries of its own")
+	case c.Compare < 0 || c.Recover < 0 || c.KillEngine < 0:
+		return errors.New("-compare, -recover and -kill-engine: can't be negative")
+	}
+	load := c.Load
+	load.Entries = "127.0.0.1:1" // known only once the site runs
+	return load.Check()
+}
+
+// Run runs the trial and prints its figures to w.
+func Run(ctx context.Context, c Config, w io.Writer) error {
+	switch {
+	case c.Compare > 0:
+		return Compare(ctx, c, w)
+	case c.Recover > 0:
+		return Recover(ctx, c, w)
+	}
+	return mix(ctx, c, w)
+}
+
+// mix sends the load tool's mix and prints what entries and control processes used, before the load's own figures.
+func mix(ctx context.Context, c Config, w io.Writer) error {
+	site, err := c.mixSite(ctx)
+	if err != nil {
+		return err
+	}
+	defer site.Close()
+	if c.KillEngine > 0 {
+		go killBusy(ctx, site, c.KillEngine)
+	}
+	watched := append(slices.Clone(site.Entries), site.Controls...)
+	before := usages(ctx, watched)
+	c.Load.Entries = strings.Join(site.Callers(), ",")
+	err = loadrun.Run(ctx, c.Load, w, func() { printUsage(w, before, usages(ctx, watched), watched) })
+	return errors.Join(err, stop(ctx, site))
+}
+
+// stop stops the site gracefully, also when ctx is done.
+func stop(ctx context.Context, site *localsite.Site) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopLimit)
+	defer cancel()
+	return site.Stop(ctx)
+}
+
+func start(ctx context.Context, cfg localsite.Config) (*localsite.Site, error) {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	return localsite.Start(ctx, cfg)
+}
+
+func (c Config) mixSite(ctx context.Context) (*localsite.Site, error) {
+	m, err := c.Load.Mix()
+	if err != nil {
+		return nil, err
+	}
+	return start(ctx, localsite.Config{
+		Binaries: c.Binaries, Engines: ownEngines, Plains: ownPlains, Entries: ownEntries,
+		Settings: localsite.WorkloadSettings(m),
+	})
+}
+
+// killBusy ends an engine that has a stream, some time into the run.
+func killBusy(ctx context.Context, site *localsite.Site, after time.Duration) {
+	time.Sleep(after)
+	for ctx.Err() == nil {
+		n, err := site.Busy(ctx)
+		if err != nil {
+			return
+		}
+		if n != nil {
+			_ = n.Kill()
+			return
+		}
+		time.Sleep(killPollTime)
+	}
+}
--- a/lib/loadrun/usage.go
+++ b/lib/siterun/usage.go
@@ -1,4 +1,4 @@
-package loadrun
+package siterun
 
 import (
 	"bufio"
--- /dev/null
+++ b/lib/siterun/usage_test.go
@@ -0,0 +1,24 @@
+package siterun
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestReadUsage(t *testing.T) {
+	u, err := readUsage(strings.NewReader(`# HELP x
+process_cpu_seconds_total 1.5
+process_resident_memory_bytes 20000000
+anvilwick_control_sent_bytes_total{link="platform"} 100
+anvilwick_control_received_bytes_total{link="targets"} 30
+anvilwick_mesh_sent_bytes_total 7
+go_info_ext{compiler="gc", GOARCH="amd64"} 1
+anvilwick_tokens_total{workspace="w",class="c"} 9
+`))
+	must.NoError(t, err)
+	must.Eq(t, 1.5, u.cpu)
+	must.Eq(t, 20e6, u.memory)
+	must.Eq(t, 137, u.bytes)
+}
