--- a/lib/e2e/e2e_test.go
+++ b/lib/e2e/e2e_test.go
@@ -34,8 +34,21 @@
 	os.Exit(code)
 }
 
-// siteOf starts a site and stops it at the end of the test. On a failure it shows what the processes said.
+// siteOf starts a site with the settings that most tests use.
 func siteOf(t *testing.T, engines, entries int, engineFlags ...string) (*localsite.Site, context.Context) {
+	t.Helper()
+	return siteWith(t, engines, entries, someSettings(), engineFlags...)
+}
+
+func someSettings() localsite.Settings {
+	return localsite.Settings{
+		Model: model, Service: "anvilwick-treaty", Route: "/ledger", Workspaces: []string{workspace},
+		Classes: []workload.Class{{Name: "standard", Priority: 50, MaxWait: time.Minute, QueueBound: 100, MaxPreemptions: 2}},
+	}
+}
+
+// siteWith starts a site and stops it at the end of the test. On a failure it shows what the processes said.
+func siteWith(t *testing.T, engines, entries int, settings localsite.Settings, engineFlags ...string) (*localsite.Site, context.Context) {
 	t.Helper()
 	t.Parallel()
 	sites <- struct{}{}
@@ -45,12 +58,8 @@
 	bin, err := proc.Binaries(ctx)
 	must.NoError(t, err)
 	site, err := localsite.Start(ctx, localsite.Config{
-		Binaries: bin, Engines: engines, Plains: 2, Entries: entries,
+		Binaries: bin, Engines: engines, Plains: 2, Entries: entries, Settings: settings,
 		EngineFlags: append([]string{"-report-lag", "100ms", "-step-base", "5ms"}, engineFlags...),
-		Settings: localsite.Settings{
-			Model: model, Service: "anvilwick-treaty", Route: "/ledger", Workspaces: []string{workspace},
-			Classes: []workload.Class{{Name: "standard", Priority: 50, MaxWait: time.Minute, QueueBound: 100, MaxPreemptions: 2}},
-		},
 	})
 	must.NoError(t, err)
 	t.Cleanup(func() {
--- a/lib/localsite/settings.go
+++ b/lib/localsite/settings.go
@@ -14,6 +14,9 @@
 	Service    string // of the engines
 	Route      string // prefix of the plain service; idempotent under Route + "/status"
 	PowerCap   int    // watts; 0: none
+	IdleWatts  int    // of each engine
+	SeqWatts   int    // added for each sequence
+	MaxBatch   int    // of each engine; 0: not told
 	Workspaces []string
 	Classes    []workload.Class
 }
@@ -31,9 +34,9 @@
 	c.classes(&b)
 	c.workspaces(&b)
 	fmt.Fprintf(&b, "services:\n  %s:\n    kind: model\n    models: [%s]\n    resumes: true\n    fencing: enforced\n    targets:\n", c.Service, c.Model)
-	targets(&b, s.Engines)
+	targets(&b, s.Engines, c.engineLines())
 	fmt.Fprintf(&b, "  plain:\n    kind: plain\n    routes:\n      - prefix: %s/status\n        idempotent: true\n      - prefix: %s\n    targets:\n", c.Route, c.Route)
-	targets(&b, s.Plains)
+	targets(&b, s.Plains, "")
 	return b.String()
 }
 
@@ -56,12 +59,24 @@
 	}
 }
 
-func targets(b *strings.Builder, nodes []*Node) {
+func targets(b *strings.Builder, nodes []*Node, more string) {
 	for _, n := range nodes {
-		fmt.Fprintf(b, "      %s:\n        addr: %s\n        failure_domain: %s\n        instance: %s\n", n.Name, n.Addr, n.Domain, n.Name)
+		fmt.Fprintf(b, "      %s:\n        addr: %s\n        failure_domain: %s\n        instance: %s\n%s", n.Name, n.Addr, n.Domain, n.Name, more)
 	}
 }
 
+// engineLines is what the settings say of every engine alike.
+func (c Settings) engineLines() string {
+	out := ""
+	if c.IdleWatts > 0 {
+		out += fmt.Sprintf("        idle_power: %dW\n        sequence_power: %dW\n", c.IdleWatts, c.SeqWatts)
+	}
+	if c.MaxBatch > 0 {
+		out += fmt.Sprintf("        max_batch: %d\n", c.MaxBatch)
+	}
+	return out
+}
+
 // WorkloadSettings returns settings for a deployment's mix.
 func WorkloadSettings(m workload.Mix) Settings {
 	s := Settings{Model: m.Service, Service: m.Service, Route: "/dispatch", Classes: m.Classes}
--- a/lib/localsite/site.go
+++ b/lib/localsite/site.go
@@ -144,6 +144,12 @@
 
 func (s *Site) engine(i int, addr string) *Node {
 	args := []string{"engine", "-addr", addr, "-model", s.cfg.Settings.Model, "-seed", fmt.Sprint(i + 1), "-fencing"}
+	if set := s.cfg.Settings; set.IdleWatts > 0 {
+		args = append(args, "-idle-watts", fmt.Sprint(set.IdleWatts), "-seq-watts", fmt.Sprint(set.SeqWatts))
+	}
+	if n := s.cfg.Settings.MaxBatch; n > 0 {
+		args = append(args, "-max-batch", fmt.Sprint(n))
+	}
 	return &Node{
 		Name: fmt.Sprintf("engine-%d", i+1), Domain: domain(i), Addr: addr, binary: "anvilwick-standin",
 		args: append(args, s.cfg.EngineFlags...),
