--- a/lib/localsite/site.go
+++ b/lib/localsite/site.go
@@ -91,7 +91,7 @@
 		}
 	}
 	s.Store = platform.New(platform.Config{Addr: s.Platform.Addr})
-	if err := s.awaitTargets(ctx); err != nil {
+	if err := s.AwaitTargets(ctx); err != nil {
 		return err
 	}
 	if err := s.commit(ctx); err != nil {
@@ -144,6 +144,12 @@
 
 func (s *Site) engine(i int, addr string) *Node {
 	args := []string{"engine", "-addr", addr, "-model", s.cfg.Settings.Model, "-seed", fmt.Sprint(i + 1), "-fencing"}
+	if set := s.cfg.Settings; set.IdleWatts > 0 {
+		args = append(args, "-idle-watts", fmt.Sprint(set.IdleWatts), "-seq-watts", fmt.Sprint(set.SeqWatts))
+	}
+	if n := s.cfg.Settings.MaxBatch; n > 0 {
+		args = append(args, "-max-batch", fmt.Sprint(n))
+	}
 	return &Node{
 		Name: fmt.Sprintf("engine-%d", i+1), Domain: domain(i), Addr: addr, binary: "anvilwick-standin",
 		args: append(args, s.cfg.EngineFlags...),
@@ -216,7 +222,8 @@
 	return s.launch(n)
 }
 
-func (s *Site) awaitTargets(ctx context.Context) error {
+// AwaitTargets waits until the platform and every target answers.
+func (s *Site) AwaitTargets(ctx context.Context) error {
 	paths := map[*Node]string{s.Platform: platformapi.PathInstances}
 	for _, n := range s.Engines {
 		paths[n] = "/v1/load"
