--- a/lib/entry/bench_test.go
+++ b/lib/entry/bench_test.go
@@ -1,13 +1,16 @@
 package entry
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -101,9 +104,12 @@
 	})
 }
 
-const benchTokens = 500
+const (
+	benchTokens = 100
+	benchStep   = 10 * time.Millisecond
+)
 
-// benchEngine sends a token each millisecond, as an engine would one each step.
+// benchEngine sends a token each step.
 func benchEngine(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodPost {
 		_, _ = io.WriteString(w, `{"incarnation":1}`)
@@ -118,20 +124,28 @@
 		buf = appendFrame(buf[:0], gen, i)
 		_, _ = w.Write(buf)
 		_ = conn.Flush()
-		time.Sleep(time.Millisecond)
+		time.Sleep(benchStep)
 	}
 	fmt.Fprintf(w, `data: {"choices":[{"index":0,"finish_reason":"stop"}],"ext":{"generation":"%s","attempt":1,"index":%d}}`+"\n\ndata: [DONE]\n\n", gen, benchTokens)
 }
 
+// times is what callers saw.
+type times struct {
+	mu    sync.Mutex
+	first []time.Duration // request to first token
+	gaps  []time.Duration // between tokens
+}
+
 // benchStreams runs b.N streams, eight at a time.
 func benchStreams(b *testing.B, url, body string) {
 	sem := make(chan struct{}, 8)
+	seen := &times{}
 	before := processorTime()
 	for b.Loop() {
 		sem <- struct{}{}
 		go func() {
 			defer func() { <-sem }()
-			benchStream(b, url, body)
+			benchStream(b, seen, url, body)
 		}()
 	}
 	for range cap(sem) {
@@ -139,18 +153,41 @@
 	}
 	spent := processorTime() - before
 	b.ReportMetric(float64(spent.Microseconds())/float64(b.N*benchTokens), "cpu-µs/token")
+	slices.Sort(seen.first)
+	slices.Sort(seen.gaps)
+	b.ReportMetric(quantile(seen.first, 0.5), "first-ms-p50")
+	b.ReportMetric(quantile(seen.first, 0.99), "first-ms-p99")
+	b.ReportMetric(quantile(seen.gaps, 0.5), "gap-ms-p50")
+	b.ReportMetric(quantile(seen.gaps, 0.99), "gap-ms-p99")
+}
+
+func quantile(sorted []time.Duration, q float64) float64 {
+	i := min(int(q*float64(len(sorted))), len(sorted)-1)
+	return float64(sorted[i].Microseconds()) / 1000
 }
 
-func benchStream(b *testing.B, url, body string) {
+func benchStream(b *testing.B, seen *times, url, body string) {
+	start := time.Now()
 	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url+engineapi.PathCompletions, strings.NewReader(body))
 	must.NoError(b, err)
 	req.Header.Set("Authorization", "Bearer "+testKey)
 	resp, err := http.DefaultClient.Do(req)
 	must.NoError(b, err)
 	defer resp.Body.Close()
-	all, err := io.ReadAll(resp.Body)
-	must.NoError(b, err)
-	must.Eq(b, benchTokens+2, strings.Count(string(all), "data: "))
+	var at []time.Time
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		if strings.HasPrefix(lines.Text(), "data: {") {
+			at = append(at, time.Now())
+		}
+	}
+	must.Len(b, benchTokens+1, at)
+	seen.mu.Lock()
+	defer seen.mu.Unlock()
+	seen.first = append(seen.first, at[0].Sub(start))
+	for i := 1; i < benchTokens; i++ {
+		seen.gaps = append(seen.gaps, at[i].Sub(at[i-1]))
+	}
 }
 
 // processorTime returns what this process has used, user and system.
--- a/lib/entry/deliver.go
+++ b/lib/entry/deliver.go
@@ -28,7 +28,7 @@
 
 // deliver answers the caller until the generation has ended or the caller is gone.
 func (s *Server) deliver(w http.ResponseWriter, r *http.Request, g *generation, sk *sink) {
-	d := &delivery{w: w, g: g, sink: sk}
+	d := &delivery{w: w, g: g, sink: sk, idle: true}
 	whole := d.loop(r)
 	if whole {
 		_ = sk.conn.SetWriteDeadline(time.Time{})
--- a/lib/entry/rig_test.go
+++ b/lib/entry/rig_test.go
@@ -32,6 +32,7 @@
 	testKey   = "glasgow-planning-test-key"
 	testModel = "planner-llm"
 	waitMost  = 10 * time.Second
+	pollEvery = 20 * time.Millisecond
 )
 
 func init() {
@@ -85,7 +86,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	local := placer.NewLocal(ctx, func(service string) sched.Policy {
 		return sched.NewOwner(service, sched.Options{ProbeEvery: 50 * time.Millisecond})
-	}, time.Millisecond)
+	}, 5*time.Millisecond)
 	quick := stall.DefaultConfig
 	quick.Cold, quick.Floor = 150*time.Millisecond, 150*time.Millisecond
 	opts := Options{Placer: local, Stalls: stall.New(quick), OnView: func(snap *settings.Snapshot, clients func(*settings.Service) []*target.Client) {
@@ -93,7 +94,7 @@
 		r := local.Runner("planner-llm")
 		r.SetPolicy(ClassPolicies(snap, "planner-llm"))
 		r.SetTargets(TargetSpecs(svc))
-		loadpoll.New(ctx, r, 20*time.Millisecond).SetTargets(clients(svc))
+		loadpoll.New(ctx, r, pollEvery).SetTargets(clients(svc))
 	}}
 	if change != nil {
 		change(&opts)
