--- a/lib/entry/run.go
+++ b/lib/entry/run.go
@@ -9,7 +9,9 @@
 	"github.com/phuslu/log"
 
 	"anvilwick.example/anvilwick/lib/breaker"
+	"anvilwick.example/anvilwick/lib/engineapi"
 	"anvilwick.example/anvilwick/lib/invariant"
+	"anvilwick.example/anvilwick/lib/logline"
 	"anvilwick.example/anvilwick/lib/result"
 	"anvilwick.example/anvilwick/lib/sched"
 	"anvilwick.example/anvilwick/lib/target"
@@ -210,7 +212,7 @@
 	s.opts.Placer.End(g.service.Name, g.id, number, int(g.delivered()), end.reason)
 	s.metrics.AttemptEnded(reasonName(end.reason))
 	e := g.log(log.Info(), "attempt_end").Str("target", name).Uint32("attempt", number).Str("reason", reasonName(end.reason))
-	e.Uint32("tokens", g.delivered()).AnErr("cause", end.cause).Msg("")
+	logline.Cause(e.Uint32("tokens", g.delivered()), end.cause)
 	if end.settled {
 		return
 	}
@@ -226,7 +228,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
 		if _, err := c.Cancel(ctx, g.id, number); err != nil {
-			g.log(log.Debug(), "cancel_failed").Str("target", c.Name()).AnErr("cause", err).Msg("")
+			logline.Cause(g.log(log.Debug(), "cancel_failed").Str("target", c.Name()), err)
 		}
 	}()
 }
@@ -287,7 +289,7 @@
 // never sent asked nothing of anybody. A generation that has given tokens goes on without: starting it afresh would cost
 // more than resuming it, and its attempts are bounded.
 func (s *Server) retry(g *generation, end attemptEnd) (*result.Error, bool) {
-	if g.delivered() == 0 && !errors.Is(end.cause, target.ErrNotSent) {
+	if g.delivered() == 0 && !askedNothing(end.cause) {
 		if ok, wait := s.opts.Budgets.Take(s.now(), g.subject.Workspace); !ok {
 			err := result.Wrap(result.RetryBudget, end.cause, "try another target")
 			err.RetryAfter = max(wait, refusalRetry)
@@ -298,6 +300,15 @@
 	return nil, true
 }
 
+// askedNothing reports whether an attempt cost its target nothing: it was never sent, or the target turned it away because
+// it is leaving. Reports that tell of the leaving lag; in that time every request placed there comes back, and were they
+// charged to the budget, a planned stop of one target would use it up and callers would be refused.
+func askedNothing(cause error) bool {
+	var refusal *target.RefusedError
+	leaving := errors.As(cause, &refusal) && refusal.Err.NotRun && refusal.Err.Type == engineapi.ErrDraining
+	return leaving || errors.Is(cause, target.ErrNotSent)
+}
+
 // attemptTokens returns the count of tokens that the last attempt delivered.
 func (g *generation) attemptTokens() int {
 	g.mu.Lock()
