prove: run a site of processes under seeded faults and check what its clients saw

A relay stands in each configured link, so that links can be cut and stalled. The seed fixes operations and faults; outcomes may differ with timing.

--- a/lib/caller/plain.go
+++ b/lib/caller/plain.go
@@ -15,6 +15,9 @@
 	"anvilwick.example/anvilwick/lib/result"
 )
 
+// headerCallID reaches the service as it is. The stand-in counts executions by it.
+const headerCallID = "X-Call-Id"
+
 // PlainCall is one call of a plain service.
 type PlainCall struct {
 	Method string
@@ -23,6 +26,7 @@
 	Class  string
 	Key    string // Idempotency-Key
 	Entry  int    // index of the entry to ask
+	ID     string // X-Call-Id: names this one sending to the service; empty: none
 }
 
 // Plain sends a call once and returns the body. The error is a *Refused when the system gave a numbered code.
@@ -34,6 +38,7 @@
 	sl.Set("Authorization", "Bearer "+c.Token)
 	set(sl, callerapi.HeaderKey, call.Key)
 	set(sl, callerapi.HeaderClass, call.Class)
+	set(sl, headerCallID, call.ID)
 	if call.Body != "" {
 		sl.Body(strings.NewReader(call.Body))
 	}
--- a/lib/history/history.go
+++ b/lib/history/history.go
@@ -55,6 +55,20 @@
 	l.ops = append(l.ops, op)
 }
 
+// AddAll records operations that have ended, in their order.
+func (l *Log) AddAll(ops []Op) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ops = append(l.ops, ops...)
+}
+
+// Replace puts ops in the place of all that was recorded.
+func (l *Log) Replace(ops []Op) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ops = ops
+}
+
 // Ops returns a copy of what was recorded.
 func (l *Log) Ops() []Op {
 	l.mu.Lock()
--- a/lib/localsite/settings.go
+++ b/lib/localsite/settings.go
@@ -58,7 +58,7 @@
 
 func targets(b *strings.Builder, nodes []*Node) {
 	for _, n := range nodes {
-		fmt.Fprintf(b, "      %s:\n        addr: %s\n        failure_domain: %s\n        instance: %s\n", n.Name, n.Addr, n.Domain, n.Name)
+		fmt.Fprintf(b, "      %s:\n        addr: %s\n        failure_domain: %s\n        instance: %s\n", n.Name, n.Reach, n.Domain, n.Name)
 	}
 }
 
--- a/lib/localsite/site.go
+++ b/lib/localsite/site.go
@@ -34,14 +34,25 @@
 	EntryFlags  []string  // added for every entry
 	Settings    Settings  // Targets are filled in
 	Output      io.Writer // gets all processes' output; nil: kept by each process only
+
+	// Via returns the address to configure instead of addr for one link; nil: links are direct. Faults of links are
+	// injected by a relay there. Links between entries have none: an entry tells the others its own address.
+	Via func(link, addr string) (string, error)
 }
 
+// Names of links for Config.Via.
+func linkToPlatform(from string) string { return "platform of " + from }
+func linkToTarget(name string) string   { return "target " + name }
+func linkToEntry(control string) string { return "entry of " + control }
+func linkOfCallers(entry string) string { return "callers of " + entry }
+
 // Node is one process of the site.
 type Node struct {
 	*proc.Proc
 	Name   string
 	Domain string
 	Addr   string // callers' port of an entry, port of a target or of the platform; IP:port
+	Reach  string // where others of the site reach Addr
 	Ops    string // operators' port of an entry or control process
 	Mesh   string // of an entry
 
@@ -61,6 +72,7 @@
 	cfg Config
 	set proc.Set
 	dir string // scratch
+	err error  // of Config.Via
 }
 
 // Start starts every process and commits the settings. On an error nothing is left running.
@@ -120,9 +132,24 @@
 		s.Entries = append(s.Entries, e)
 		s.Controls = append(s.Controls, s.control(e, next()))
 	}
+	if s.err != nil {
+		return s.err
+	}
 	return s.writeInstances()
 }
 
+// via returns the address by which a link is configured.
+func (s *Site) via(link, addr string) string {
+	if s.cfg.Via == nil {
+		return addr
+	}
+	out, err := s.cfg.Via(link, addr)
+	if err != nil && s.err == nil {
+		s.err = err
+	}
+	return out
+}
+
 func domain(i int) string { return domains[i%len(domains)] }
 
 func (s *Site) instanceList() string { return filepath.Join(s.dir, "instances.json") }
@@ -130,15 +157,16 @@
 func (s *Site) planPlatform(next func() string) {
 	addr := next()
 	s.Platform = &Node{
-		Name: "platform", Addr: addr, binary: "anvilwick-standin",
+		Name: "platform", Addr: addr, Reach: addr, binary: "anvilwick-standin",
 		args: []string{"platform", "-addr", addr, "-instances", s.instanceList(), "-list-lag", "500ms"},
 	}
 }
 
 func (s *Site) engine(i int, addr string) *Node {
 	args := []string{"engine", "-addr", addr, "-model", s.cfg.Settings.Model, "-seed", fmt.Sprint(i + 1), "-fencing"}
+	name := fmt.Sprintf("engine-%d", i+1)
 	return &Node{
-		Name: fmt.Sprintf("engine-%d", i+1), Domain: domain(i), Addr: addr, binary: "anvilwick-standin",
+		Name: name, Domain: domain(i), Addr: addr, Reach: s.via(linkToTarget(name), addr), binary: "anvilwick-standin",
 		args: append(args, s.cfg.EngineFlags...),
 	}
 }
@@ -146,7 +174,7 @@
 func (s *Site) plain(i int, addr string) *Node {
 	name := fmt.Sprintf("plain-%d", i+1)
 	return &Node{
-		Name: name, Domain: domain(i), Addr: addr, binary: "anvilwick-standin",
+		Name: name, Domain: domain(i), Addr: addr, Reach: s.via(linkToTarget(name), addr), binary: "anvilwick-standin",
 		args: []string{"plain", "-addr", addr, "-name", name},
 	}
 }
@@ -156,19 +184,21 @@
 	args := []string{
 		"-instance", name, "-failure-domain", domain(i), "-listen", addr, "-ops-addr", ops, "-mesh-addr", mesh,
 		"-plain-links", "-operator-token-sha256", tokenHash(), "-stop-notice", "200ms",
-		"-platform", s.Platform.Addr,
+		"-platform", s.via(linkToPlatform(name), s.Platform.Addr),
 	}
 	return &Node{
-		Name: name, Domain: domain(i), Addr: addr, Ops: ops, Mesh: mesh, binary: "anvilwick-entry",
+		Name: name, Domain: domain(i), Addr: addr, Reach: s.via(linkOfCallers(name), addr), Ops: ops, Mesh: mesh, binary: "anvilwick-entry",
 		args: append(args, s.cfg.EntryFlags...),
 	}
 }
 
 func (s *Site) control(e *Node, ops string) *Node {
+	name := "control of " + e.Name
 	return &Node{
-		Name: "control of " + e.Name, Domain: e.Domain, Ops: ops, binary: "anvilwick-control",
+		Name: name, Domain: e.Domain, Ops: ops, binary: "anvilwick-control",
 		args: []string{
-			"-instance", e.Name, "-failure-domain", e.Domain, "-entry-addr", e.Mesh, "-platform", s.Platform.Addr,
+			"-instance", e.Name, "-failure-domain", e.Domain, "-entry-addr", s.via(linkToEntry(name), e.Mesh),
+			"-platform", s.via(linkToPlatform(name), s.Platform.Addr),
 			"-ops-addr", ops, "-plain-links", "-operator-token-sha256", tokenHash(), "-lease-ttl", "3s",
 		},
 	}
@@ -263,7 +293,7 @@
 func (s *Site) Callers() []string {
 	var out []string
 	for _, e := range s.Entries {
-		out = append(out, e.Addr)
+		out = append(out, e.Reach)
 	}
 	return out
 }
--- /dev/null
+++ b/lib/prove/measure.go
@@ -0,0 +1,9 @@
+package prove
+
+import (
+	"context"
+	"io"
+)
+
+func measureRecovery(ctx context.Context, cfg Config, out io.Writer) error { return nil }
+func measureSettings(ctx context.Context, cfg Config, out io.Writer) error { return nil }
--- /dev/null
+++ b/lib/prove/operators.go
@@ -0,0 +1,194 @@
+package prove
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/history"
+	"anvilwick.example/anvilwick/lib/localsite"
+	"anvilwick.example/anvilwick/lib/opsapi"
+	"anvilwick.example/anvilwick/lib/platform"
+	"anvilwick.example/anvilwick/lib/settingsync"
+)
+
+const (
+	operators      = 2
+	applyPatience  = 8 * time.Second
+	inForceLimit   = 5 * time.Second
+	watchInterval  = 150 * time.Millisecond
+	settingsObject = "settings"
+	drainLimit     = 3 * time.Second
+	drainWatched   = 3 * time.Second // after the limit
+	drainPoll      = 200 * time.Millisecond
+)
+
+// acceptance is a revision that an operator was told is committed.
+type acceptance struct {
+	revision uint64
+	at       time.Time
+}
+
+// sighting is a revision that was in force at an instance.
+type sighting struct {
+	node     string
+	revision uint64
+	at       time.Time
+}
+
+// applyRace lets two operators commit different settings made from one base.
+func (r *run) applyRace(ctx context.Context, op operation) {
+	ctx, cancel := context.WithTimeout(ctx, applyPatience)
+	defer cancel()
+	base, err := settingsync.Newest(ctx, r.site.Store)
+	if err != nil {
+		r.count(op.kind, "store down")
+		return
+	}
+	var wg sync.WaitGroup
+	for i := range operators {
+		wg.Go(func() { r.apply(ctx, op, base, i) })
+	}
+	wg.Wait()
+}
+
+func (r *run) apply(ctx context.Context, op operation, base uint64, operator int) {
+	store := platform.New(platform.Config{Addr: r.site.Platform.Addr})
+	text := fmt.Sprintf("%s# operation %d of operator %d\n", r.site.Text(), op.n, operator)
+	rec := history.Op{
+		Model: history.ModelSettings, Object: settingsObject, Action: history.Apply, Client: operator,
+		Call: history.Now(), Number: base + 1, Value: settingsync.Digest([]byte(text)),
+	}
+	got, err := settingsync.Commit(ctx, store, settingsync.Change{
+		Text: []byte(text), File: "prove", Base: base, Operator: fmt.Sprint("operator ", operator), Time: time.Now(),
+	})
+	rec.Return = history.Now()
+	if got != nil {
+		rec.Number = got.Revision
+	}
+	var conflict *settingsync.Conflict
+	switch {
+	case err == nil:
+		rec.Outcome = history.Yes
+		r.mu.Lock()
+		r.accepted = append(r.accepted, acceptance{got.Revision, time.Now()})
+		r.mu.Unlock()
+	case isUnknown(err):
+		rec.Outcome, rec.Return = history.Unknown, 0
+	default:
+		rec.Outcome = history.No
+	}
+	switch {
+	case errors.As(err, &conflict):
+		r.count(op.kind, "conflict")
+	case rec.Outcome == history.No:
+		r.count(op.kind, "refused")
+	default:
+		r.count(op.kind, rec.Outcome)
+	}
+	r.log.Add(rec)
+}
+
+// watchSettings asks every instance over and over which revision is in force.
+func (r *run) watchSettings(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, n := range r.site.Entries {
+		wg.Go(func() { r.watchNode(ctx, n) })
+	}
+	wg.Wait()
+}
+
+func (r *run) watchNode(ctx context.Context, n *localsite.Node) {
+	operator := localsite.Operator(n)
+	last, recorded := uint64(0), time.Time{}
+	for ctx.Err() == nil {
+		call := history.Now()
+		st, err := operator.Status(ctx)
+		if err == nil && st.SettingsRevision > 0 {
+			r.saw(n.Name, st.SettingsRevision)
+			if st.SettingsRevision != last || time.Since(recorded) > 2*time.Second {
+				last, recorded = st.SettingsRevision, time.Now()
+				r.log.Add(history.Op{
+					Model: history.ModelSettings, Object: settingsObject, Action: history.See, Client: 100 + index(r.site.Entries, n),
+					Request: n.Name, Number: st.SettingsRevision, Call: call, Return: history.Now(),
+				})
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(watchInterval):
+		}
+	}
+}
+
+func index(nodes []*localsite.Node, n *localsite.Node) int {
+	for i, it := range nodes {
+		if it == n {
+			return i
+		}
+	}
+	return len(nodes)
+}
+
+func (r *run) saw(node string, revision uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seen = append(r.seen, sighting{node, revision, time.Now()})
+}
+
+// drain drains an engine through one control process and watches that it is given nothing new from the limit on.
+func (r *run) drain(ctx context.Context, op operation) {
+	n := r.site.Engines[op.target]
+	control := r.site.Controls[op.entry]
+	rep, err := localsite.Operator(control).Drain(ctx, opsapi.DrainRequest{Target: n.Name, On: true, Operator: "prove"})
+	defer r.undrain(n)
+	if err != nil || !rep.Durable {
+		r.count(op.kind, "not recorded")
+		return
+	}
+	asked := time.Now()
+	time.Sleep(drainLimit)
+	before, err := localsite.Stats(ctx, n)
+	for err == nil && time.Since(asked) < drainLimit+drainWatched {
+		time.Sleep(drainPoll)
+		now, nowErr := localsite.Stats(ctx, n)
+		if nowErr != nil || now.Attempts < before.Attempts {
+			r.count(op.kind, "target died")
+			return
+		}
+		if now.Attempts > before.Attempts {
+			r.judgeLateWork(op, n.Name, asked, now.Attempts-before.Attempts)
+			return
+		}
+	}
+	r.count(op.kind, "held")
+}
+
+// judgeLateWork excuses work by an entry that was frozen, or started again, within the last seconds: it may learn of the
+// drain as late as the limit after it is back.
+func (r *run) judgeLateWork(op operation, target string, asked time.Time, n int) {
+	recent := time.Now().Add(-drainLimit)
+	for _, e := range r.site.Entries {
+		if r.down.during(recent, time.Now(), silences(e.Name)) {
+			r.count(op.kind, "late work beside a fault of an instance")
+			return
+		}
+	}
+	r.violated("%d new attempts at drained %s, %v after its drain was recorded", n, target, time.Since(asked).Round(time.Millisecond))
+}
+
+// undrain repeats until it is recorded: an engine left without work would spoil the rest of the run.
+func (r *run) undrain(n *localsite.Node) {
+	ctx, cancel := context.WithTimeout(context.Background(), readyLimit)
+	defer cancel()
+	for i := 0; ctx.Err() == nil; i++ {
+		c := r.site.Controls[i%len(r.site.Controls)]
+		rep, err := localsite.Operator(c).Drain(ctx, opsapi.DrainRequest{Target: n.Name, Operator: "prove"})
+		if err == nil && rep.Durable {
+			return
+		}
+		time.Sleep(drainPoll)
+	}
+}
--- a/lib/standin/engine/fault.go
+++ b/lib/standin/engine/fault.go
@@ -38,7 +38,8 @@
 
 // Stats counts what the stand-in did, for tests.
 type Stats struct {
-	Generations   int    `json:"generations"`
+	Generations   int    `json:"generations"` // heard of, by an attempt or by a cancel
+	Attempts      int    `json:"attempts"`    // accepted
 	OrdersApplied int    `json:"orders_applied"`
 	Fence         uint64 `json:"fence"`
 	Preemptions   uint64 `json:"preemptions"`
@@ -182,6 +183,7 @@
 	defer s.mu.Unlock()
 	writeJSON(w, http.StatusOK, Stats{
 		Generations:   len(s.fences.byGen),
+		Attempts:      s.fences.begun,
 		OrdersApplied: s.orders.applied,
 		Fence:         s.orders.fence,
 		Preemptions:   s.model.Preemptions(),
--- a/lib/standin/engine/fence.go
+++ b/lib/standin/engine/fence.go
@@ -18,6 +18,7 @@
 type fences struct {
 	byGen map[ids.Generation]*record
 	order []ids.Generation
+	begun int // attempts accepted
 }
 
 func newFences() fences {
@@ -46,6 +47,7 @@
 
 func (f *fences) start(g ids.Generation, attempt uint32) {
 	f.get(g).started = attempt
+	f.begun++
 }
 
 func (f *fences) fence(g ids.Generation, attempt uint32) *record {
