--- a/lib/prove/plan.go
+++ b/lib/prove/plan.go
@@ -40,7 +40,7 @@
 var weights = []struct {
 	kind  string
 	share int
-}{{opStream, 25}, {opKeyed, 22}, {opStatus, 20}, {opBook, 10}, {opBookOnce, 16}, {opApply, 6}, {opDrain, 1}}
+}{{opStream, 25}, {opKeyed, 22}, {opStatus, 18}, {opBook, 10}, {opBookOnce, 16}, {opApply, 6}, {opDrain, 3}}
 
 // drainEvery keeps two drains apart, so that at most one engine is without work.
 const drainEvery = 9 * time.Second
@@ -140,27 +140,31 @@
 	faultMin  = 300 * time.Millisecond
 	faultMax  = 4500 * time.Millisecond // beyond the leases' time to live
 	gapMin    = 400 * time.Millisecond
-	gapMax    = 2500 * time.Millisecond
+	gapMax    = 1800 * time.Millisecond
 	recovery  = 3 * time.Second // a subject is left alone for so long after its fault
 	maxAtOnce = 2
 )
 
+// drawTries bounds how often a fault is drawn again that would come too close to another.
+const drawTries = 8
+
 // planFaults draws faults: the same for the same seed and span. At most two are on at once, never on one subject, and
 // never on two entries, so that a caller always finds one.
 func planFaults(seed uint64, span time.Duration) []fault {
 	rng := rand.New(rand.NewPCG(seed, 2))
 	var out []fault
-	for at := gapMin; ; at += gapMin + upTo(rng, gapMax-gapMin) {
-		f := drawFault(rng)
-		f.at, f.span = at, faultMin+upTo(rng, faultMax-faultMin)
-		if f.at+f.span >= span {
-			return out
-		}
-		if fits(out, f) {
-			f.pair = len(overlapping(out, f)) > 0
-			out = append(out, f)
+	for at := gapMin; at < span; at += gapMin + upTo(rng, gapMax-gapMin) {
+		for range drawTries {
+			f := drawFault(rng)
+			f.at, f.span = at, faultMin+upTo(rng, faultMax-faultMin)
+			if f.at+f.span < span && fits(out, f) {
+				f.pair = len(overlapping(out, f)) > 0
+				out = append(out, f)
+				break
+			}
 		}
 	}
+	return out
 }
 
 func upTo(rng *rand.Rand, d time.Duration) time.Duration { return time.Duration(rng.Int64N(int64(d))) }
