--- a/lib/prove/measure.go
+++ b/lib/prove/measure.go
@@ -2,8 +2,319 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
+	"slices"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/caller"
+	"anvilwick.example/anvilwick/lib/localsite"
+	"anvilwick.example/anvilwick/lib/proc"
+)
+
+const (
+	roundLimit   = 60 * time.Second
+	killAt       = 40              // token at which a stream's engine or entry is killed
+	longAnswer   = 2000            // tokens; the stream is left once it goes on
+	rest         = 2 * time.Second // between a restart and the next round
+	probeEvery   = 100 * time.Millisecond
+	probesAfter  = 5 * time.Second
+	probeDelayed = 300 * time.Millisecond // a first token later than this counts as delayed by the kill
 )
 
-func measureRecovery(ctx context.Context, cfg Config, out io.Writer) error { return nil }
-func measureSettings(ctx context.Context, cfg Config, out io.Writer) error { return nil }
+// times are the results of the rounds of one measurement.
+type times []time.Duration
+
+func (t times) quantile(q float64) time.Duration {
+	s := slices.Sorted(slices.Values(t))
+	return s[min(len(s)-1, int(q*float64(len(s))))].Round(time.Millisecond)
+}
+
+func (t times) print(w io.Writer, what string) {
+	fmt.Fprintf(w, "measured what=%q rounds=%d p50=%v p99=%v worst=%v\n", what, len(t), t.quantile(0.5), t.quantile(0.99), t.quantile(1))
+}
+
+// bench is a site for measurements.
+type bench struct {
+	site   *localsite.Site
+	client *caller.Client
+	relays relays
+	round  int
+}
+
+func openBench(ctx context.Context, cfg Config, relayed bool) (*bench, error) {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	b := &bench{}
+	var via func(link, addr string) (string, error)
+	if relayed {
+		via = b.relays.via
+	}
+	site, err := localsite.Start(ctx, siteConfig(cfg.Binaries, via, nil))
+	if err != nil {
+		return nil, err
+	}
+	b.site, b.client = site, clientOf(site)
+	return b, nil
+}
+
+func (b *bench) close() {
+	b.site.Close()
+	b.relays.close()
+}
+
+// measureRecovery kills one kind of process after another, and measures how long its callers wait for full service.
+func measureRecovery(ctx context.Context, cfg Config, out io.Writer) error {
+	b, err := openBench(ctx, cfg, false)
+	if err != nil {
+		return err
+	}
+	defer b.close()
+	for _, m := range []struct {
+		what  string
+		round func(context.Context) (time.Duration, *localsite.Node, error)
+	}{
+		{"SIGKILL of an engine to the next token of its stream", b.engineRound},
+		{"SIGKILL of an entry to the next token of its keyed stream through another", b.entryRound},
+		{"SIGKILL of the owner to full service at another entry", b.ownerRound},
+		{"SIGKILL of the lease holder to the next holder (lease of 3s)", b.holderRound},
+	} {
+		var got times
+		for range cfg.Rounds {
+			d, err := b.measure(ctx, m.round)
+			if err != nil {
+				return fmt.Errorf("%s: %w", m.what, err)
+			}
+			got = append(got, d)
+		}
+		got.print(out, m.what)
+	}
+	return nil
+}
+
+// measure runs one round and makes the site whole again.
+func (b *bench) measure(ctx context.Context, round func(context.Context) (time.Duration, *localsite.Node, error)) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, roundLimit)
+	defer cancel()
+	b.round++
+	took, dead, err := round(ctx)
+	if err != nil {
+		return 0, err
+	}
+	r := run{site: b.site}
+	if err := r.again(ctx, dead); err != nil {
+		return 0, err
+	}
+	time.Sleep(rest)
+	return took, nil
+}
+
+// goOn starts a long stream, kills what victim names once it runs, and times the next token.
+func (b *bench) goOn(ctx context.Context, call caller.Call, victim func(context.Context) (*localsite.Node, error)) (time.Duration, *localsite.Node, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	call.Model, call.Class = model, classOfAll
+	call.Prompt = fmt.Sprintf("measurement %d [len=%d]", b.round, longAnswer)
+	tokens := make(chan caller.Token, longAnswer)
+	go func() {
+		defer close(tokens)
+		_, _ = b.client.Stream(ctx, call, func(t caller.Token) { tokens <- t }) // judged by its tokens
+	}()
+	if !reach(tokens, killAt) {
+		return 0, nil, errors.New("the stream ended early")
+	}
+	n, err := victim(ctx)
+	if err != nil {
+		return 0, nil, err
+	}
+	if err := n.Kill(); err != nil {
+		return 0, nil, err
+	}
+	killed := time.Now()
+	for t := range tokens {
+		if t.At.After(killed.Add(bufferedTokens)) {
+			return t.At.Sub(killed), n, nil
+		}
+	}
+	return 0, nil, errors.New("the stream did not go on")
+}
+
+// bufferedTokens is how long after a kill tokens that were under way may still arrive.
+const bufferedTokens = 30 * time.Millisecond
+
+func reach(tokens <-chan caller.Token, index int) bool {
+	for t := range tokens {
+		if t.Index >= index {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *bench) engineRound(ctx context.Context) (time.Duration, *localsite.Node, error) {
+	return b.goOn(ctx, caller.Call{Entry: b.round}, func(ctx context.Context) (*localsite.Node, error) {
+		n, err := b.site.Busy(ctx)
+		if n == nil && err == nil {
+			err = errors.New("no engine is busy")
+		}
+		return n, err
+	})
+}
+
+func (b *bench) entryRound(ctx context.Context) (time.Duration, *localsite.Node, error) {
+	i := b.round % len(b.site.Entries)
+	call := caller.Call{Entry: i, Key: fmt.Sprint("measurement-", b.round), Resumes: resumes}
+	return b.goOn(ctx, call, func(context.Context) (*localsite.Node, error) { return b.site.Entries[i], nil })
+}
+
+func (b *bench) ownerRound(ctx context.Context) (time.Duration, *localsite.Node, error) {
+	i, err := b.owner(ctx)
+	if err != nil {
+		return 0, nil, err
+	}
+	n := b.site.Entries[i]
+	if err := n.Kill(); err != nil {
+		return 0, nil, err
+	}
+	took, err := b.probe(ctx, time.Now(), i+1)
+	return took, n, err
+}
+
+// owner is the entry that owns the shard of the engines.
+func (b *bench) owner(ctx context.Context) (int, error) {
+	for i, n := range b.site.Entries {
+		qs, err := localsite.Operator(n).Queues(ctx)
+		if err != nil {
+			return 0, err
+		}
+		for _, q := range qs {
+			if q.Service == service {
+				return i, nil
+			}
+		}
+	}
+	return 0, errors.New("nobody owns the shard")
+}
+
+// probe sends short requests to one entry and returns when, after the kill, the last one that was delayed got its first
+// token; without any, when the first one did.
+func (b *bench) probe(ctx context.Context, killed time.Time, entry int) (time.Duration, error) {
+	type answer struct {
+		first time.Duration // since the kill
+		took  time.Duration
+		err   error
+	}
+	answers := make(chan answer)
+	sent := 0
+	for ; time.Since(killed) < probesAfter; sent++ {
+		name := fmt.Sprintf("probe %d.%d [len=3]", b.round, sent)
+		go func() {
+			from := time.Now()
+			first := time.Time{}
+			call := caller.Call{Model: model, Class: classOfAll, Entry: entry, Prompt: name}
+			_, err := b.client.Stream(ctx, call, func(t caller.Token) {
+				if first.IsZero() {
+					first = t.At
+				}
+			})
+			answers <- answer{first.Sub(killed), first.Sub(from), err}
+		}()
+		time.Sleep(probeEvery)
+	}
+	earliest, delayed := roundLimit, time.Duration(0)
+	var errs []error
+	for range sent {
+		a := <-answers
+		errs = append(errs, a.err)
+		earliest = min(earliest, a.first)
+		if a.took > probeDelayed {
+			delayed = max(delayed, a.first)
+		}
+	}
+	return max(earliest, delayed), errors.Join(errs...)
+}
+
+func (b *bench) holderRound(ctx context.Context) (time.Duration, *localsite.Node, error) {
+	holder, held, err := b.holder(ctx, nil)
+	if err != nil {
+		return 0, nil, err
+	}
+	if err := holder.Kill(); err != nil {
+		return 0, nil, err
+	}
+	killed := time.Now()
+	err = proc.Until(ctx, "the next holder", func(ctx context.Context) error {
+		_, now, err := b.holder(ctx, holder)
+		if err == nil && now != held {
+			err = fmt.Errorf("%q is held, want %q", now, held)
+		}
+		return err
+	})
+	return time.Since(killed), holder, err
+}
+
+// holder is a control process other than not that holds a lease, with the lease's name.
+func (b *bench) holder(ctx context.Context, not *localsite.Node) (*localsite.Node, string, error) {
+	for _, n := range b.site.Controls {
+		if n == not {
+			continue
+		}
+		st, err := localsite.Operator(n).Status(ctx)
+		if err != nil {
+			return nil, "", err
+		}
+		if len(st.Leases) > 0 {
+			return n, st.Leases[0].Name, nil
+		}
+	}
+	return nil, "", errors.New("nobody holds a lease")
+}
+
+// measureSettings commits revisions and times until the last entry has each in force: with the store, and with all but
+// one instance cut off from it.
+func measureSettings(ctx context.Context, cfg Config, out io.Writer) error {
+	b, err := openBench(ctx, cfg, true)
+	if err != nil {
+		return err
+	}
+	defer b.close()
+	if err := b.propagation(ctx, cfg.Rounds, out, "acceptance to in force at every entry, with the store"); err != nil {
+		return err
+	}
+	for _, n := range append(b.site.Entries[1:], b.site.Controls[1:]...) {
+		if err := b.relays.set("platform of "+n.Name, linkCut); err != nil {
+			return err
+		}
+	}
+	return b.propagation(ctx, cfg.Rounds, out, "acceptance to in force at every entry, all but one instance cut off from the store")
+}
+
+func (b *bench) propagation(ctx context.Context, rounds int, out io.Writer, what string) error {
+	var got times
+	for range rounds {
+		base := uint64(localsite.Revision + b.round)
+		b.round++
+		text := fmt.Sprintf("%s# change %d\n", b.site.Text(), b.round)
+		if err := b.site.Commit(ctx, text, base); err != nil {
+			return err
+		}
+		accepted := time.Now()
+		for _, n := range b.site.Entries {
+			err := proc.Until(ctx, n.Name, func(ctx context.Context) error {
+				st, err := localsite.Operator(n).Status(ctx)
+				if err == nil && st.SettingsRevision <= base {
+					err = errBehind
+				}
+				return err
+			})
+			if err != nil {
+				return err
+			}
+		}
+		got = append(got, time.Since(accepted))
+		time.Sleep(time.Duration(b.round%7) * 37 * time.Millisecond) // so that commits don't fall in step with polls
+	}
+	got.print(out, what)
+	return nil
+}
--- /dev/null
+++ b/lib/prove/verify_test.go
@@ -0,0 +1,150 @@
+package prove
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/caller"
+	"anvilwick.example/anvilwick/lib/history"
+	"anvilwick.example/anvilwick/lib/standin/engine"
+)
+
+// sound is what a short run leaves behind: a stream, a keyed call sent twice, settings committed and seen.
+func sound() []history.Op {
+	prompt := "operation 0 of seed 1 [len=3]"
+	rec := newStreamRecord(operation{n: 0}, prompt)
+	for i := range 3 {
+		rec.token(caller.Token{Index: i, Text: engine.TokenText(prompt, "generation", i)})
+	}
+	rec.end(3)
+	claim := func(action, request, outcome, value string, call, ret int64) history.Op {
+		return history.Op{
+			Model: history.ModelClaim, Object: "book-1", Action: action, Client: int(call),
+			Request: request, Outcome: outcome, Value: value, Call: call, Return: ret,
+		}
+	}
+	settings := func(action, node string, number uint64, value string, at int64) history.Op {
+		return history.Op{
+			Model: history.ModelSettings, Object: settingsObject, Action: action, Outcome: history.Yes,
+			Request: node, Number: number, Value: value, Call: at, Return: at + 1,
+		}
+	}
+	return append(rec.ops,
+		claim(history.Reply, "book-1.0", history.Completed, "book-1.0", 1, 5),
+		claim(history.Reply, "book-1.1000", history.Completed, "book-1.0", 2, 9),
+		claim(history.Reply, "book-1.1001", history.NotRun, "", 3, 4),
+		claim(history.Execute, "book-1.0", "", "book-1.0", 1, 99),
+		settings(history.Apply, "", 1, "d1", 1),
+		settings(history.Apply, "", 2, "d2", 10),
+		settings(history.See, "entry-1", 2, "d2", 20),
+	)
+}
+
+// A checker that can't fail proves nothing. Each case spoils one thing in a sound history and takes the way that a run
+// takes: written to a file, read back, checked object by object.
+func TestEachBrokenPromiseIsFound(t *testing.T) {
+	cases := map[string]func([]history.Op) []history.Op{
+		"doubled run": func(ops []history.Op) []history.Op {
+			again := ops[find(ops, history.Execute)]
+			again.Client = -2
+			return append(ops, again)
+		},
+		"run under another's key": func(ops []history.Op) []history.Op {
+			again := ops[find(ops, history.Execute)]
+			again.Request, again.Value = "book-1.1000", "book-1.1000"
+			return append(ops, again)
+		},
+		"not-run lie": func(ops []history.Op) []history.Op {
+			i := find(ops, history.Reply)
+			ops[i].Outcome, ops[i].Value = history.NotRun, ""
+			return ops
+		},
+		"completed without a run": func(ops []history.Op) []history.Op {
+			i := find(ops, history.Execute)
+			return slices.Delete(ops, i, i+1)
+		},
+		"swapped token": func(ops []history.Op) []history.Op {
+			ops[0].Number, ops[1].Number = ops[1].Number, ops[0].Number
+			return ops
+		},
+		"token twice":   func(ops []history.Op) []history.Op { ops[1].Number = 0; return ops },
+		"missing token": func(ops []history.Op) []history.Op { ops[3].Number = 4; return ops },
+		"foreign token": func(ops []history.Op) []history.Op { ops[1].Value = "of another"; return ops },
+		"reverted setting": func(ops []history.Op) []history.Op {
+			old := ops[len(ops)-1]
+			old.Number, old.Value, old.Call, old.Return = 1, "d1", 30, 31
+			return append(ops, old)
+		},
+		"accepted setting lost": func(ops []history.Op) []history.Op {
+			other := ops[len(ops)-2]
+			other.Value, other.Call, other.Return = "e2", 14, 15
+			return append(ops, other)
+		},
+		"uncommitted setting in force": func(ops []history.Op) []history.Op {
+			ops[len(ops)-1].Number = 3
+			return ops
+		},
+	}
+	must.NoError(t, check(t, sound()))
+	for name, spoil := range cases {
+		t.Run(name, func(t *testing.T) {
+			must.ErrorIs(t, check(t, spoil(sound())), ErrViolated)
+		})
+	}
+}
+
+func find(ops []history.Op, action string) int {
+	return slices.IndexFunc(ops, func(op history.Op) bool { return op.Action == action })
+}
+
+func check(t *testing.T, ops []history.Op) error {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "history.jsonl")
+	f, err := os.Create(path)
+	must.NoError(t, err)
+	must.NoError(t, history.Write(f, ops))
+	must.NoError(t, f.Close())
+	var out bytes.Buffer
+	return recheck(path, &out)
+}
+
+func TestTokensAreJudgedByTheirText(t *testing.T) {
+	prompt := "p [len=2]"
+	cases := map[string][]string{
+		"of another prompt":     {engine.TokenText(prompt, "g", 0), engine.TokenText("q", "g", 1)},
+		"of another generation": {engine.TokenText(prompt, "g", 0), engine.TokenText(prompt, "h", 1)},
+		"twice":                 {engine.TokenText(prompt, "g", 0), engine.TokenText(prompt, "g", 0)},
+		"unreadable":            {engine.TokenText(prompt, "g", 0), "garbage"},
+	}
+	for name, texts := range cases {
+		t.Run(name, func(t *testing.T) {
+			rec := newStreamRecord(operation{}, prompt)
+			for i, text := range texts {
+				rec.token(caller.Token{Index: i, Text: text}) // the index outside the text claims that all is well
+			}
+			must.SliceNotEmpty(t, Verify(rec.ops))
+		})
+	}
+}
+
+func TestOldRevisionAfterTheLimitIsFound(t *testing.T) {
+	due := time.Unix(100, 0)
+	seen := []sighting{{"entry-1", 1, due.Add(-time.Second)}, {"entry-1", 1, due.Add(time.Millisecond)}}
+	must.ErrorIs(t, behind(seen, "entry-1", 2, due), errBehind)
+	seen[1].revision = 2
+	must.NoError(t, behind(seen, "entry-1", 2, due))
+}
+
+func TestBrokenInvariantInALogIsFound(t *testing.T) {
+	b := &breaches{}
+	_, _ = b.Write([]byte("time=x level=info event=listening\n"))
+	must.SliceEmpty(t, b.all())
+	_, _ = b.Write([]byte("time=x level=error event=invariant_broken name=claim_ended_twice\n"))
+	must.Len(t, 1, b.all())
+}
