entry: number attempts after those already used under a claimed key

Cause: a claim that was marked as sent and then released (no target took the call, or the answer to the mark was lost) keeps its attempt number in the table. The entry that was given the claim for the caller's resend began at 1 again and never asked FirstAttempt. The claim stopped it (claim_attempt_order, 1 after 1), the caller heard 4006 'failed, was run' for a call that never ran, and the stopped claim stayed in the entry's memory, so that every later resend there heard 'in progress' until the process ended. Ruled out: a second run (executions were 0), a fault of the table (the record was as written). Change: the first attempt is the claim's FirstAttempt, for calls and generations; a claim stopped for its number is forgotten at its entry, its record stands. Before: TestReleasedKeyRunsWhenItIsSentAgain, TestReleasedGenerationRunsWhenItIsSentAgain (invariant panic) and TestStoppedSendDoesNotHoldItsKey (1 unsettled, want 0) failed; after: they pass, with all of lib/entry and lib/claim.

--- a/lib/claim/claim.go
+++ b/lib/claim/claim.go
@@ -263,6 +263,11 @@
 	if err == nil {
 		return nil
 	}
+	if !c.done {
+		// The claim ends here, with its record as it stands. Kept, the key would be in progress until the process ends.
+		c.done = true
+		delete(c.table.claims, c.key)
+	}
 	return result.Wrap(result.InvariantBroken, err, "claim")
 }
 
--- a/lib/claim/claim_test.go
+++ b/lib/claim/claim_test.go
@@ -318,3 +318,14 @@
 		must.Eq(t, result.ClaimOrphan, refusal(t, entry(s, "a", "b"), req))
 	})
 }
+
+// An entry is stopped for a send out of order. Only that request may suffer: kept as in progress for ever, the key would
+// answer each resend at this entry with "in progress" until the process ends.
+func TestStoppedSendDoesNotHoldItsKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := entry(standin.New(standin.Config{}), "a")
+		must.NotNil(t, mustBegin(t, a, request("x")).Sent(t.Context(), "engine-1", 0))
+		must.Eq(t, 0, a.Unsettled())
+		must.NotNil(t, mustBegin(t, a, request("x")))
+	})
+}
--- a/lib/entry/claimed.go
+++ b/lib/entry/claimed.go
@@ -40,6 +40,9 @@
 		Generation:  g.idText,
 	})
 	g.claim = c
+	if c != nil {
+		g.beginAt(c.FirstAttempt())
+	}
 	return sum, err
 }
 
--- a/lib/entry/generation.go
+++ b/lib/entry/generation.go
@@ -108,6 +108,13 @@
 	}
 }
 
+// beginAt sets the number of the first attempt, before there is any.
+func (g *generation) beginAt(first uint32) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.state = stream.Restore(g.id, first-1, 0)
+}
+
 // begin numbers the next attempt. The caller has fenced the one before.
 func (g *generation) begin() (uint32, error) {
 	g.mu.Lock()
--- a/lib/entry/keyed_test.go
+++ b/lib/entry/keyed_test.go
@@ -253,3 +253,16 @@
 	streamed := second.send(context.Background(), ask{prompt: "once [len=12]", key: "k", stream: true})
 	must.Eq(t, result.KeyReused, readError(t, streamed).Code)
 }
+
+// A keyed generation was marked as sent, and then its claim was released because no engine had taken it. The caller's
+// resend must number its attempts after that one; begun from 1 again it is stopped as out of order.
+func TestReleasedGenerationRunsWhenItIsSentAgain(t *testing.T) {
+	addr := freeAddr(t)
+	store := newMemoryStore()
+	r := newRig(t, siteText("  max_wait: 300ms\n", true, []string{addr}, nil), withKeys(store.claims("e1"), newMemoryRecords()))
+	a := ask{prompt: "route [len=5]", key: "k"}
+	must.Eq(t, result.NotRun, result.Lookup(readError(t, r.send(t.Context(), a)).Code).Outcome)
+	eventually(t, "claim released", func() bool { return store.holds(`"state":"released"`) == 1 })
+	startEngine(t, func(c *engine.Config) { c.Addr = addr })
+	eventually(t, "a whole answer", func() bool { return r.send(t.Context(), a).StatusCode == http.StatusOK })
+}
--- a/lib/entry/plain.go
+++ b/lib/entry/plain.go
@@ -29,6 +29,7 @@
 	subject Subject
 	call    target.Call
 	claim   Claim
+	first   uint32         // attempt number of the first try under the claim
 	kept    *claim.Summary // the answer of an earlier run under the same key
 	answer  []byte         // start of the answer, kept for the claim
 
@@ -138,10 +139,12 @@
 		return err
 	case sum != nil && sum.Code == result.OK && sum.Kept:
 		pc.kept = sum
+		return nil
 	case sum != nil:
 		return retold(sum)
 	}
 	pc.claim = c
+	pc.first = c.FirstAttempt()
 	return nil
 }
 
@@ -241,7 +244,7 @@
 	if pc.claim == nil {
 		return nil
 	}
-	if err := pc.claim.Sent(ctx, name, try); err != nil {
+	if err := pc.claim.Sent(ctx, name, pc.first+try-1); err != nil {
 		pc.claim = nil
 		return err
 	}
--- a/lib/entry/plain_test.go
+++ b/lib/entry/plain_test.go
@@ -14,6 +14,7 @@
 	"github.com/shoenig/test/must"
 
 	"anvilwick.example/anvilwick/lib/callerapi"
+	"anvilwick.example/anvilwick/lib/proc"
 	"anvilwick.example/anvilwick/lib/result"
 	"anvilwick.example/anvilwick/lib/standin/plain"
 )
@@ -110,6 +111,38 @@
 	eventually(t, "claim released", func() bool { return store.holds(`"state":"released"`) == 1 })
 }
 
+// A keyed call found no target that took it, so its caller is told "not run, ask again later" and its claim is released.
+// It asks again, here and through another entry, once a target is back. The attempts that were marked in the claim before
+// count: begun from 1 again, the resend is stopped as an attempt out of order and the key is never free again.
+func TestReleasedKeyRunsWhenItIsSentAgain(t *testing.T) {
+	for _, back := range []string{"e1", "e2"} {
+		t.Run("through "+back, func(t *testing.T) {
+			addr := freeAddr(t)
+			store := newMemoryStore()
+			text := siteText("", true, nil, []string{addr})
+			rigs := map[string]*rig{}
+			for _, name := range []string{"e1", "e2"} {
+				rigs[name] = newRig(t, text, func(o *Options) { o.Claims = store.claims(name) })
+			}
+			must.Eq(t, result.NoTarget, readError(t, rigs["e1"].call(http.MethodPost, "/dispatch/send", "k", "go")).Code)
+			eventually(t, "claim released", func() bool { return store.holds(`"state":"released"`) == 1 })
+			p, err := plain.Start(plain.Config{Addr: addr, Name: "back", Die: func() {}})
+			must.NoError(t, err)
+			t.Cleanup(p.Kill)
+			must.Eq(t, http.StatusOK, rigs[back].call(http.MethodPost, "/dispatch/send", "k", "go").StatusCode)
+			must.Eq(t, 1, p.Executions()["k"])
+		})
+	}
+}
+
+// freeAddr returns an address that refuses connections until a test listens there.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	addrs, err := proc.Addrs(1)
+	must.NoError(t, err)
+	return addrs[0]
+}
+
 // A keyed call is sent again after it has finished: the caller gets the first answer, and the target runs nothing.
 func TestFinishedKeyIsAnsweredFromItsClaim(t *testing.T) {
 	p := startPlain(t, "one")
--- a/lib/entry/seams.go
+++ b/lib/entry/seams.go
@@ -27,6 +27,8 @@
 
 // Claim is the right to run one keyed request, held in the platform's table. *claim.Claim implements it.
 type Claim interface {
+	// FirstAttempt is the number to begin with: lower ones may have been used by earlier requests under the key.
+	FirstAttempt() uint32
 	// Sent must return nil before anything leaves for a target. A refusal ends the claim.
 	Sent(ctx context.Context, target string, attempt uint32) *result.Error
 	// Finish keeps the outcome for resends. It doesn't wait for the table.
