--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SECONDS ?= 30
 APPS := $(notdir $(wildcard app/*))
 
-.PHONY: build test lint fmt proto bench demo load
+.PHONY: build test lint fmt proto bench demo load prove
 
 build:
 	@mkdir -p bin
@@ -40,3 +40,8 @@
 # load sends a seeded mix to a small site of its own; the last line is key=value pairs. LOADFLAGS adds flags.
 load: build
 	./bin/anvilwick-load -seed $(SEED) $(LOADFLAGS)
+
+# prove runs a small site of processes under seeded faults for SECONDS and checks what its clients saw; the last line is
+# key=value pairs and ends in violations=0 when no promise was broken. PROVEFLAGS adds flags.
+prove: build
+	./bin/anvilwick-prove -seed $(SEED) -span $(SECONDS)s $(PROVEFLAGS)
