control: a late write of a drain can't undo a newer one

Cause: an operator's drain was written without a condition. A write held up on its way (a stalled link to the platform) arrived after its operator had been told 'not recorded' and after the drain was ended durably through another instance, and drained the target again, everywhere. Ruled out: a stale read by the poll (the table itself held the late record). Change: the write is conditional on the revision that it replaces, taken anew when another operator's is in the way; a write of unknown outcome is said to be 'not known to be recorded' instead of 'not recorded'. Before: TestLateDrainDoesNotUndoANewerOne found "on":true in the table; after: it passes, with all of lib/control.

--- a/lib/control/control_test.go
+++ b/lib/control/control_test.go
@@ -177,6 +177,37 @@
 	must.Error(t, err)
 }
 
+// An operator drains a target and the write is held up on its way to the table. The operator hears that it isn't known to
+// be there, and a colleague ends the drain through another instance, durably. Then the held-up write arrives. Taken, it
+// would drain the target again behind the back of the one who was told that it is not.
+func TestLateDrainDoesNotUndoANewerOne(t *testing.T) {
+	const late = 600 * time.Millisecond
+	s := standin.New(standin.Config{})
+	commit(t, s, someSettings, 0)
+	p1, down1 := start(t, s, "i1")
+	p2, down2 := start(t, s, "i2")
+	told(t, down1, revision(1))
+	told(t, down2, revision(1))
+	s.SetFault(standin.Fault{Kind: standin.FaultSlow, DelayMS: late.Milliseconds(), WritesOnly: true})
+	ctx, cancel := context.WithTimeout(t.Context(), late/3)
+	defer cancel()
+	sent := time.Now()
+	rep, err := p1.Drain(ctx, opsapi.DrainRequest{Target: "t1", On: true, Operator: "ann"})
+	must.NoError(t, err)
+	must.False(t, rep.Durable)
+	s.SetFault(standin.Fault{Kind: standin.FaultClear})
+	rep, err = p2.Drain(t.Context(), opsapi.DrainRequest{Target: "t1", On: false, Operator: "ben"})
+	must.NoError(t, err)
+	must.True(t, rep.Durable)
+	time.Sleep(time.Until(sent.Add(2 * late)))
+	it, ok := s.Item(drainKey("t1", byOperator))
+	must.True(t, ok)
+	must.StrContains(t, string(it.Value), `"on":false`)
+	until(t, "the drain to end everywhere", func() bool {
+		return !p1.tables.draining("t1") && !p2.tables.draining("t1")
+	})
+}
+
 // The store is down while an operator drains a target. The drain must hold at this instance all the same, and the
 // operator must be told that it reached no other.
 func TestDrainDuringAnOutage(t *testing.T) {
--- a/lib/control/drains.go
+++ b/lib/control/drains.go
@@ -13,6 +13,7 @@
 	"anvilwick.example/anvilwick/lib/ids"
 	"anvilwick.example/anvilwick/lib/meshpb"
 	"anvilwick.example/anvilwick/lib/opsapi"
+	"anvilwick.example/anvilwick/lib/platform"
 	"anvilwick.example/anvilwick/lib/platformapi"
 )
 
@@ -28,7 +29,7 @@
 // ErrNoTarget is for a target that is in no settings.
 var ErrNoTarget = errorx.NewNamespace("control").NewType("no_target")
 
-var errDrainLost = errors.New("the drain was not recorded: the lease has ended")
+var errDrainLost = errors.New("the drain was not recorded: the lease has ended, or others write the same drain")
 
 // drainRecord is the value at drain/{target}/{by}. Off is written as a record too, since deletions are not listed.
 type drainRecord struct {
@@ -81,27 +82,35 @@
 	p.link.Set(&meshpb.LocalDown{Msg: &meshpb.LocalDown_Drain{Drain: d}})
 }
 
-// recordDrain writes a drain and puts it in force here once the table has it.
+// recordDrain writes a drain, unless a condition fails.
 func (p *Process) recordDrain(ctx context.Context, target, by string, rec drainRecord, conds ...platformapi.Cond) error {
+	res, err := p.writeDrain(ctx, target, by, rec, conds...)
+	if err == nil && !res.Committed {
+		err = errDrainLost
+	}
+	return err
+}
+
+// writeDrain writes a drain once and puts it in force here when the table has it.
+func (p *Process) writeDrain(ctx context.Context, target, by string, rec drainRecord, conds ...platformapi.Cond) (platformapi.TxnResult, error) {
 	value, err := json.Marshal(rec)
 	if err != nil {
-		return err
+		return platformapi.TxnResult{}, err
 	}
 	res, err := p.store.Txn(ctx, platformapi.Txn{
 		OpID:  ids.New().String(),
 		Conds: conds,
 		Puts:  []platformapi.Put{{Key: drainKey(target, by), Value: value}},
 	})
-	if err != nil {
-		return err
+	if err == nil && res.Committed {
+		p.applyDrain(target, by, rec.On, res.Rev)
 	}
-	if !res.Committed {
-		return errDrainLost
-	}
-	p.applyDrain(target, by, rec.On, res.Rev)
-	return nil
+	return res, err
 }
 
+// drainTries bounds how often an operator's drain is written over those of others.
+const drainTries = 4
+
 // Drain carries out an operator's request: here at once, and in the table for all other instances. Without the store it
 // holds at this instance alone, and the reply says so; the operator can ask every instance.
 func (p *Process) Drain(ctx context.Context, r opsapi.DrainRequest) (opsapi.DrainReply, error) {
@@ -110,8 +119,34 @@
 	}
 	p.applyDrain(r.Target, byOperator, r.On, p.tables.drainRev(r.Target, byOperator))
 	rec := drainRecord{On: r.On, Operator: r.Operator, Time: time.Now().UTC()}
-	if err := p.recordDrain(ctx, r.Target, byOperator, rec); err != nil {
-		return opsapi.DrainReply{Applied: true, Detail: "not recorded in the table: " + err.Error()}, nil
+	if err := p.recordOperators(ctx, r.Target, rec); err != nil {
+		return opsapi.DrainReply{Applied: true, Detail: notRecorded(err)}, nil
 	}
 	return opsapi.DrainReply{Applied: true, Durable: true}, nil
 }
+
+func notRecorded(err error) string {
+	if platform.IsUnknown(err) {
+		return "not known to be recorded in the table: " + err.Error()
+	}
+	return "not recorded in the table: " + err.Error()
+}
+
+// recordOperators writes an operator's drain over the revision that stands in the table.
+//
+// A write can be held up on its way and arrive after its operator was told that it isn't known to be recorded, and after
+// a newer one was. Without the condition it would win then, and bring back a drain that somebody ended. With it the
+// late one finds the newer in its way.
+func (p *Process) recordOperators(ctx context.Context, target string, rec drainRecord) error {
+	over := platformapi.Cond{Key: drainKey(target, byOperator), Rev: p.tables.drainRev(target, byOperator)}
+	for range drainTries {
+		res, err := p.writeDrain(ctx, target, byOperator, rec, over)
+		if err != nil || res.Committed {
+			return err
+		}
+		for _, it := range res.Failed {
+			over.Rev = it.Rev
+		}
+	}
+	return errDrainLost
+}
