control: show no lease whose time is over

Cause: a holder that was paused past its lease shows the lease in its status for a moment after it wakes, while another shows it too under a higher number. It may not act then (each order asks Valid), so only operators were misled.

--- a/lib/control/status.go
+++ b/lib/control/status.go
@@ -50,6 +50,9 @@
 		Members:          members(v),
 	}
 	for _, h := range v.leases {
+		if !h.Valid() {
+			continue // a holder that was paused past its time: it acts no more, and must not show a lease that another has
+		}
 		st.Leases = append(st.Leases, opsapi.Lease{Name: h.Name(), Fence: h.Fence(), LeftMS: h.Left().Milliseconds()})
 	}
 	st.Power = shares(v, time.Now())
