result: a stream that is kept nowhere is 'outcome unknown', not 'not run'

Cause: a caller that came back with its key and Last-Event-ID, after its stream's record was lost, was told 2008 'refused, not run' for a generation that had run, even whole. It would ask again under a new key and have it twice. Change: UnknownStream is 5003, outcome unknown; 2008 is not used again. Before: TestResendOfALostStreamIsNotToldNotRun failed on the second of its two resends; after: it passes, with all of lib/entry, lib/record and lib/result.

--- a/lib/entry/keyed_test.go
+++ b/lib/entry/keyed_test.go
@@ -266,3 +266,25 @@
 	startEngine(t, func(c *engine.Config) { c.Addr = addr })
 	eventually(t, "a whole answer", func() bool { return r.send(t.Context(), a).StatusCode == http.StatusOK })
 }
+
+// A keyed stream was whole, its record and its answer are gone, and its caller never saw the end: its connection broke. It
+// asks again, with and without the last event it has. The stream ran. Told "refused, not run", the caller would ask for it
+// under a new key, and pay for it and get it twice.
+func TestResendOfALostStreamIsNotToldNotRun(t *testing.T) {
+	e := startEngine(t, nil)
+	text := siteText("", true, []string{e.Addr()}, nil)
+	store := newMemoryStore()
+	first := newRig(t, text, withKeys(store.claims("e1"), newMemoryRecords()))
+	second := newRig(t, text, withKeys(store.claims("e2", "e1"), newMemoryRecords()))
+	a := ask{prompt: "lost [len=30]", stream: true, key: "k"}
+	var st story
+	st.read(t, eventsOf(first.send(context.Background(), a)), nil)
+	st.whole(t, a.prompt, 30)
+	eventually(t, "outcome in the table", func() bool { return store.holds(`"state":"finished"`) == 1 })
+	for _, last := range []string{"", st.lastID} {
+		a.last = last
+		again := readError(t, second.send(context.Background(), a))
+		must.NotEq(t, result.NotRun, result.Lookup(again.Code).Outcome, must.Sprint(again))
+		must.Eq(t, result.Lookup(again.Code).Outcome.String(), again.Outcome)
+	}
+}
--- a/lib/result/result.go
+++ b/lib/result/result.go
@@ -45,7 +45,6 @@
 	BadHeader       Code = 2005
 	KeyReused       Code = 2006
 	Poisoned        Code = 2007
-	UnknownStream   Code = 2008
 
 	// 3xxx: refused, not run; the same request may succeed later.
 	WorkspaceLimit  Code = 3000
@@ -69,9 +68,10 @@
 	InvariantBroken Code = 4006
 
 	// 5xxx: outcome unknown.
-	Unknown      Code = 5000
-	ClaimOrphan  Code = 5001
-	TargetSilent Code = 5002
+	Unknown       Code = 5000
+	ClaimOrphan   Code = 5001
+	TargetSilent  Code = 5002
+	UnknownStream Code = 5003 // was 2008, "not run": of a stream that is kept nowhere that is not proved
 )
 
 // Again says whether the caller may send the same request again.
@@ -112,7 +112,6 @@
 	{BadHeader, "bad_header", http.StatusBadRequest, NotRun, AgainNo, "a header has a bad value"},
 	{KeyReused, "key_reused", http.StatusUnprocessableEntity, NotRun, AgainNo, "the Idempotency-Key was used for another request"},
 	{Poisoned, "poisoned", http.StatusUnprocessableEntity, NotRun, AgainLater, "targets died while they ran this content"},
-	{UnknownStream, "unknown_stream", http.StatusNotFound, NotRun, AgainNo, "no stream is kept for this key and event id"},
 	{WorkspaceLimit, "workspace_limit", http.StatusTooManyRequests, NotRun, AgainLater, "the workspace or class is at its limit"},
 	{QueueFull, "queue_full", http.StatusServiceUnavailable, NotRun, AgainLater, "the queue is at its bound"},
 	{DeadlineTooNear, "deadline_too_near", http.StatusServiceUnavailable, NotRun, AgainLater, "the answer can't be had before its deadline"},
@@ -133,6 +132,7 @@
 	{Unknown, "outcome_unknown", http.StatusBadGateway, OutcomeUnknown, AgainNo, "the target may have run it; nobody can prove which"},
 	{ClaimOrphan, "claim_orphan", http.StatusConflict, OutcomeUnknown, AgainNo, "the key was claimed, its holder is gone, and the outcome is not known"},
 	{TargetSilent, "target_silent", http.StatusGatewayTimeout, OutcomeUnknown, AgainNo, "the target fell silent while it ran the call"},
+	{UnknownStream, "unknown_stream", http.StatusNotFound, OutcomeUnknown, AgainNo, "no stream is kept for this key and event id; what ran of it is not known"},
 }
 
 var byCode = func() map[Code]Info {
