--- a/lib/prove/book.go
+++ b/lib/prove/book.go
@@ -102,6 +102,8 @@
 func told(body []byte, res caller.Result, err error) (outcome, value string) {
 	var refused *caller.Refused
 	switch {
+	case errors.As(err, &refused) && refused.Detail.Code == result.AnswerGone:
+		return history.FailedRan, "" // it ran, and there is no answer to compare
 	case errors.As(err, &refused):
 		return outcomes[result.Lookup(refused.Detail.Code).Outcome], ""
 	case err != nil:
--- a/lib/prove/disturbances.go
+++ b/lib/prove/disturbances.go
@@ -37,15 +37,20 @@
 
 // during tells whether a subject that match accepts was disturbed between from and to.
 func (d *disturbances) during(from, to time.Time, match func(subject, kind string) bool) bool {
+	return d.which(from, to, match) != ""
+}
+
+// which is like during and names the first such fault.
+func (d *disturbances) which(from, to time.Time, match func(subject, kind string) bool) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, it := range d.all {
 		ended := !it.to.IsZero() && it.to.Add(slack).Before(from)
 		if !ended && it.from.Before(to) && match(it.subject, it.kind) {
-			return true
+			return it.kind + " of " + class(it.subject)
 		}
 	}
-	return false
+	return ""
 }
 
 // cutsCallers matches faults that end or silence callers' connections to an entry. A planned stop does not.
