Let a control process take its entry's settings, so that it can't revert

Cause: control.New gave its settings a table and no peers. One replaced while the table's replicas lag began with the older revision; one replaced in an outage had none. Change: the entry beside it is a peer over STREAM_SETTINGS, noticed by the revision that its status says is in force (not by what it has only heard: that may be the echo of what this process told it). Fetch and ServeStream are now shared by lib/entryproc and lib/control. As the control process now waits for its entry, it forwards what it read from the table at once and not when in force; else a whole instance that is replaced would start at its peers' revision. Found on the way: TestPowerCapSlowsAndDropsNothing then failed (2200 W of 1000 W), because on a new site the entry was ready before its control process had told it a share.

--- a/lib/control/control.go
+++ b/lib/control/control.go
@@ -16,9 +16,7 @@
 
 	"anvilwick.example/anvilwick/lib/locallink"
 	"anvilwick.example/anvilwick/lib/mesh"
-	"anvilwick.example/anvilwick/lib/meshpb"
 	"anvilwick.example/anvilwick/lib/platform"
-	"anvilwick.example/anvilwick/lib/settings"
 	"anvilwick.example/anvilwick/lib/settingsync"
 )
 
@@ -90,10 +88,10 @@
 		node:   node,
 		link:   locallink.NewClient(node, o.EntryAddr),
 		store:  store,
-		sync:   settingsync.New(settingsync.Config{Table: store}),
+		sync:   settingsync.New(settingsync.Config{Table: store, Peers: entryPeer{node, o.EntryAddr}}),
 		tables: newTables(),
 	}
-	p.link.Up = p.tables.hear
+	p.link.Up = p.hear
 	p.link.Lost = func(err error) { log.Warn().Str("event", "entry_link_lost").Err(err).Msg("") }
 	return p, nil
 }
@@ -106,6 +104,7 @@
 		p.link.Run,
 		p.sync.Run,
 		p.forwardSettings,
+		p.applySite,
 		p.watchInstances,
 		p.watchDrains,
 		p.follow,
@@ -118,32 +117,6 @@
 	wg.Wait()
 }
 
-// Snapshot returns the settings in force, or nil.
-func (p *Process) Snapshot() *settings.Snapshot {
-	if held := p.sync.Current(); held != nil {
-		return held.Snapshot
-	}
-	return nil
-}
-
-// forwardSettings sends each revision in force to the entry, as the text it was committed with. The entry parses it
-// itself: a fault in one process's resolved form can't reach the other.
-func (p *Process) forwardSettings(ctx context.Context) {
-	for {
-		updated := p.sync.Updated()
-		if held := p.sync.Current(); held != nil {
-			p.store.SetSite(held.Snapshot.Site.StoreWritesPerSec, held.Snapshot.Site.StoreReadsPerSec)
-			body := &meshpb.SettingsBody{Revision: held.Snapshot.Revision, Yaml: held.Tree.Source()}
-			p.link.Set(&meshpb.LocalDown{Msg: &meshpb.LocalDown_Settings{Settings: body}})
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-updated:
-		}
-	}
-}
-
 // every calls work at once and then once an interval until ctx is done.
 func every(ctx context.Context, interval time.Duration, work func(context.Context)) {
 	t := time.NewTicker(interval)
--- a/lib/control/power.go
+++ b/lib/control/power.go
@@ -156,12 +156,10 @@
 // before its control process has heard of that.
 func (f *followers) tell(now time.Time) {
 	shares := f.ownedShares(now)
-	for name, part := range f.plan.parts {
-		if f.parts[name] != nil || shares[part.service] != nil {
-			continue
+	for service, s := range fallbackShares(f.plan) {
+		if shares[service] == nil {
+			shares[service] = s
 		}
-		fallback := f.serviceFallback(part.service)
-		shares[part.service] = &meshpb.PowerShare{Service: part.service, Watts: fallback, FallbackWatts: fallback}
 	}
 	for _, s := range shares {
 		f.p.link.Set(&meshpb.LocalDown{Msg: &meshpb.LocalDown_Power{Power: s}})
@@ -186,14 +184,22 @@
 	return shares
 }
 
-func (f *followers) serviceFallback(service string) float64 {
-	sum := 0.0
-	for name, part := range f.plan.parts {
-		if part.service == service {
-			sum += f.plan.fallbacks[name]
+// fallbackShares gives each service of a plan, which may be nil, the sum of its parts' fallbacks, valid for no time.
+func fallbackShares(plan *powerPlan) map[string]*meshpb.PowerShare {
+	shares := map[string]*meshpb.PowerShare{}
+	if plan == nil {
+		return shares
+	}
+	for name, part := range plan.parts {
+		s := shares[part.service]
+		if s == nil {
+			s = &meshpb.PowerShare{Service: part.service}
+			shares[part.service] = s
 		}
+		s.Watts += plan.fallbacks[name]
+		s.FallbackWatts = s.Watts
 	}
-	return sum
+	return shares
 }
 
 func partName(d *meshpb.ShardDigest) string {
--- a/lib/entryproc/links.go
+++ b/lib/entryproc/links.go
@@ -161,28 +161,10 @@
 	if !ok {
 		return nil, fmt.Errorf("instance %s is not known", instance)
 	}
-	st, err := p.node.Open(ctx, mesh.Peer{Instance: instance, Addr: m.MeshAddr}, meshpb.StreamKind_STREAM_SETTINGS)
-	if err != nil {
-		return nil, err
-	}
-	defer st.Close()
-	if deadline, ok := ctx.Deadline(); ok {
-		_ = st.SetReadDeadline(deadline)
-	}
-	if err := st.Write(offer); err != nil {
-		return nil, err
-	}
-	var body meshpb.SettingsBody
-	return &body, st.Read(&body)
+	return settingsync.Fetch(ctx, p.node, mesh.Peer{Instance: instance, Addr: m.MeshAddr}, offer)
 }
 
-// conversation gives a mesh stream the types of settingsync.
-type conversation struct{ *mesh.Stream }
-
-func (c conversation) Read(o *meshpb.SettingsOffer) error { return c.Stream.Read(o) }
-func (c conversation) Write(b *meshpb.SettingsBody) error { return c.Stream.Write(b) }
-
-func (l *links) serveSettings(_ context.Context, st *mesh.Stream) { _ = l.sync.Serve(conversation{st}) }
+func (l *links) serveSettings(_ context.Context, st *mesh.Stream) { _ = l.sync.ServeStream(st) }
 
 // status is what the control process is told.
 func (l *links) status(cfg Config) *meshpb.EntryStatus {
--- a/lib/settingsync/sync.go
+++ b/lib/settingsync/sync.go
@@ -90,6 +90,7 @@
 	held    *Held
 	refused string
 	updated chan struct{} // closed at the next swap
+	learnt  chan struct{} // closed when what Newest returns changes
 	peers   peerView
 	fleet   int  // instances that read the table
 	heard   bool // the table, or the control process that reads it, gave an answer
@@ -103,6 +104,7 @@
 	return &Sync{
 		cfg:     cfg,
 		updated: make(chan struct{}),
+		learnt:  make(chan struct{}),
 		wake:    make(chan struct{}, 1),
 	}
 }
@@ -160,6 +162,24 @@
 	return &meshpb.SettingsOffer{Revision: s.seen.revision}
 }
 
+// Newest returns the highest revision seen, to be passed on for the table's by a process that reads the table, and a
+// channel that is closed when it changes. The body has revision 0 until the table was heard: whoever is told takes it as
+// the table's word, and would in an outage stop waiting for the table.
+func (s *Sync) Newest() (*meshpb.SettingsBody, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.heard {
+		return &meshpb.SettingsBody{}, s.learnt
+	}
+	return &meshpb.SettingsBody{Revision: s.seen.revision, Yaml: s.seen.text}, s.learnt
+}
+
+// announce wakes those that wait on Newest's channel. The caller holds mu.
+func (s *Sync) announce() {
+	close(s.learnt)
+	s.learnt = make(chan struct{})
+}
+
 // Answer returns the highest revision seen when it is over what the asker has, and a body of revision 0 otherwise.
 func (s *Sync) Answer(offer *meshpb.SettingsOffer) *meshpb.SettingsBody {
 	s.mu.Lock()
@@ -180,7 +200,10 @@
 func (s *Sync) hearTable() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.heard = true
+	if !s.heard {
+		s.heard = true
+		s.announce()
+	}
 }
 
 func (s *Sync) learnBody(body *meshpb.SettingsBody, source string) bool {
@@ -211,6 +234,7 @@
 	s.seen = c
 	s.refused = ""
 	s.peers.behind = time.Time{}
+	s.announce()
 	signal(s.wake)
 	return true
 }
