--- a/lib/entry/attempt.go
+++ b/lib/entry/attempt.go
@@ -10,6 +10,7 @@
 	"anvilwick.example/anvilwick/lib/breaker"
 	"anvilwick.example/anvilwick/lib/engineapi"
 	"anvilwick.example/anvilwick/lib/ids"
+	"anvilwick.example/anvilwick/lib/invariant"
 	"anvilwick.example/anvilwick/lib/result"
 	"anvilwick.example/anvilwick/lib/sched"
 	"anvilwick.example/anvilwick/lib/stream"
@@ -28,7 +29,6 @@
 	reason  sched.EndReason
 	cause   error
 	final   *result.Error // the generation ends with it; nil: completed, or another attempt may follow
-	refused bool          // proved not run
 	settled bool          // nothing to cancel at the engine: it ended or refused the attempt itself
 }
 
@@ -60,7 +60,7 @@
 	defer cancel(nil)
 	body, err := g.attemptBody(r.number, r.priority)
 	if err != nil {
-		return attemptEnd{reason: sched.EndTargetRefused, refused: true, final: result.Wrap(result.BadRequest, err, "encode the request")}
+		return attemptEnd{reason: sched.EndTargetRefused, final: result.Wrap(result.BadRequest, err, "encode the request")}
 	}
 	now := r.server.now()
 	g.start(r.client.Name(), now, cancel)
@@ -92,7 +92,7 @@
 	var refusal *target.RefusedError
 	switch {
 	case errors.Is(err, target.ErrNotSent):
-		return attemptEnd{reason: sched.EndTargetDied, cause: err, refused: true, settled: true}
+		return attemptEnd{reason: sched.EndTargetDied, cause: err, settled: true}
 	case errors.As(err, &refusal):
 		return refusalEnd(g, refusal)
 	}
@@ -101,7 +101,7 @@
 }
 
 func refusalEnd(g *generation, r *target.RefusedError) attemptEnd {
-	end := attemptEnd{reason: sched.EndTargetRefused, cause: r, refused: r.Err.NotRun, settled: true}
+	end := attemptEnd{reason: sched.EndTargetRefused, cause: r, settled: true}
 	if !r.Err.NotRun {
 		g.noteRan()
 	}
@@ -135,6 +135,8 @@
 		return result.Wrap(result.DeadlinePassed, cause, "finish in time")
 	case errors.Is(cause, errCallerSlow):
 		return result.Wrap(result.CallerTooSlow, cause, "deliver tokens")
+	case errors.Is(cause, invariant.ErrBroken):
+		return result.Wrap(result.InvariantBroken, cause, "deliver tokens")
 	case errors.Is(cause, errDiverged):
 		return result.Wrap(result.CannotResume, cause, "go on with the caller's stream")
 	}
--- a/lib/entry/generation.go
+++ b/lib/entry/generation.go
@@ -233,12 +233,11 @@
 		return
 	}
 	needed, err := g.sink.lacks(index, g.text.Digest())
+	if err == nil && needed {
+		err = g.sink.token(now, g.idText, index, g.text.Digest(), raw)
+	}
 	if err != nil {
 		g.cancel(err)
-		return
-	}
-	if needed {
-		g.sink.token(now, g.idText, index, g.text.Digest(), raw)
 	}
 }
 
@@ -285,6 +284,7 @@
 		}
 		if needed {
 			s.buf = callerapi.AppendEvent(s.buf, g.idText, i, sum, g.shape.Token(i, token))
+			s.next = i + 1
 			s.events = true
 		}
 	}
--- /dev/null
+++ b/lib/entry/invariant_test.go
@@ -0,0 +1,37 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/invariant"
+	"anvilwick.example/anvilwick/lib/result"
+	"anvilwick.example/anvilwick/lib/stream"
+	"anvilwick.example/anvilwick/lib/target"
+)
+
+// A defect of ours lets a token through out of its turn. The last check before the caller sees it: the breach is counted
+// and that one stream ends with its own code, with nothing out of order written.
+func TestTokenOutOfTurnStopsTheStream(t *testing.T) {
+	told := 0
+	invariant.SetHook(func(string, string) { told++ })
+	t.Cleanup(func() {
+		invariant.SetHook(func(name, detail string) { panic("invariant " + name + ": " + detail) })
+	})
+	before := invariant.Count("token_order")
+	s := New(Options{})
+	g, sk := benchGeneration(s)
+	v, _ := g.token(time.Now(), &target.Frame{Generation: g.id, Attempt: 1, Index: 0, Raw: []byte("{}")})
+	must.Eq(t, stream.Deliver, v)
+	good := string(sk.buf)
+	sk.next = 5
+	_, _ = g.token(time.Now(), &target.Frame{Generation: g.id, Attempt: 1, Index: 1, Raw: []byte("{}")})
+	must.Eq(t, good, string(sk.buf))
+	must.Eq(t, 1, told)
+	must.Eq(t, before+1, invariant.Count("token_order"))
+	must.ErrorIs(t, context.Cause(g.ctx), invariant.ErrBroken)
+	must.Eq(t, result.InvariantBroken, causeError(context.Cause(g.ctx)).Code)
+}
--- /dev/null
+++ b/lib/entry/moved_test.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/phuslu/log"
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/ids"
+	"anvilwick.example/anvilwick/lib/logline"
+	"anvilwick.example/anvilwick/lib/placer"
+	"anvilwick.example/anvilwick/lib/sched"
+)
+
+// mover is a Placer through which a test can preempt what was granted.
+type mover struct {
+	placer.Placer
+	mu     sync.Mutex
+	last   sched.Request
+	notify placer.Notify
+	ends   []sched.EndReason
+}
+
+func (m *mover) Submit(service string, r sched.Request, notify placer.Notify) {
+	m.mu.Lock()
+	m.last, m.notify = r, notify
+	m.mu.Unlock()
+	m.Placer.Submit(service, r, notify)
+}
+
+func (m *mover) End(service string, g ids.Generation, attempt uint32, tokens int, reason sched.EndReason) {
+	m.mu.Lock()
+	m.ends = append(m.ends, reason)
+	m.mu.Unlock()
+	m.Placer.End(service, g, attempt, tokens, reason)
+}
+
+// preempt takes the place of an attempt away: 0 is the current one, 1 the one before.
+func (m *mover) preempt(back uint32) {
+	m.mu.Lock()
+	r, notify := m.last, m.notify
+	m.mu.Unlock()
+	notify(sched.Action{Kind: sched.ActPreempt, Gen: r.Gen, Attempt: r.Attempt - back})
+}
+
+// The owner of the engines takes a running answer's place away, twice, and once for an attempt that is long over. The
+// caller sees only a pause: each token once, of one generation.
+func TestMovedGenerationGoesOn(t *testing.T) {
+	a, b := startEngine(t, nil), startEngine(t, nil)
+	m := &mover{}
+	r := newRig(t, siteText("", true, []string{a.Addr(), b.Addr()}, nil), func(o *Options) {
+		m.Placer = o.Placer
+		o.Placer = m
+	})
+	const prompt = "moved [len=90]"
+	var st story
+	st.read(t, eventsOf(r.send(context.Background(), ask{prompt: prompt, stream: true})), func(n int) {
+		switch n {
+		case 10, 40:
+			m.preempt(0)
+		case 70:
+			m.preempt(1)
+		}
+	})
+	st.whole(t, prompt, 90)
+	must.Eq(t, []sched.EndReason{sched.EndMoved, sched.EndMoved, sched.EndCompleted}, m.ends)
+}
+
+// Every log line of a request carries its id, and no line holds the caller's keys.
+func TestLogLines(t *testing.T) {
+	old := log.DefaultLogger
+	t.Cleanup(func() { log.DefaultLogger = old })
+	var buf lockedBuffer
+	must.NoError(t, logline.Setup(&buf, "debug"))
+	e := startEngine(t, nil)
+	r := newRig(t, siteText("", true, []string{e.Addr()}, nil), withKeys(newMemoryStore().claims("e1"), newMemoryRecords()))
+	const key = "the-callers-idempotency-key"
+	resp := r.send(context.Background(), ask{prompt: "logged [len=5]", stream: true, key: key})
+	var st story
+	st.read(t, eventsOf(resp), nil)
+	id := resp.Header.Get("X-Request-Id")
+	eventually(t, "request_end", func() bool { return strings.Contains(buf.String(), "event=request_end request="+id) })
+	text := buf.String()
+	must.StrNotContains(t, text, testKey)
+	must.StrNotContains(t, text, key)
+	for _, event := range []string{"attempt_start", "attempt_end", "request_end"} {
+		must.StrContains(t, text, "event="+event+" request="+id)
+	}
+}
+
+// lockedBuffer is a bytes.Buffer for several goroutines.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
--- a/lib/entry/plain.go
+++ b/lib/entry/plain.go
@@ -14,6 +14,7 @@
 	"anvilwick.example/anvilwick/lib/callerapi"
 	"anvilwick.example/anvilwick/lib/claim"
 	"anvilwick.example/anvilwick/lib/entrymetrics"
+	"anvilwick.example/anvilwick/lib/invariant"
 	"anvilwick.example/anvilwick/lib/logline"
 	"anvilwick.example/anvilwick/lib/poison"
 	"anvilwick.example/anvilwick/lib/result"
@@ -33,6 +34,7 @@
 	kept    *claim.Summary // the answer of an earlier run under the same key
 	answer  []byte         // start of the answer, kept for the claim
 
+	maySent  bool // some target may have got it
 	complete bool // the whole answer was read, whoever was still there for it
 	metrics  *entrymetrics.Pair
 }
@@ -184,6 +186,7 @@
 		}
 		sent := !errors.Is(err, target.ErrNotSent)
 		mayHaveRun = mayHaveRun || sent
+		pc.maySent = mayHaveRun
 		logline.Cause(log.Info().Str("event", "call_failed").Str("request", pc.id).Str("target", name).Bool("sent", sent), err)
 		avoid = append(avoid, name)
 		if final := s.mayRepeat(ctx, pc, try, sent, mayHaveRun, err); final != nil {
@@ -206,6 +209,9 @@
 	if !ok {
 		return nil, errors.Join(target.ErrNotSent, errOpen)
 	}
+	if err := invariant.Check(!pc.call.Once || !pc.maySent, "sent_once", "request %s again to %s", pc.id, name); err != nil {
+		return nil, err
+	}
 	if err := pc.markSent(ctx, name, try); err != nil {
 		ticket.Done(s.now(), breaker.Ignored)
 		return nil, errors.Join(target.ErrNotSent, err)
--- a/lib/entry/run.go
+++ b/lib/entry/run.go
@@ -170,11 +170,11 @@
 func (s *Server) attemptOn(g *generation, number uint32, grant sched.Action) attemptEnd {
 	c := s.client(g, grant.Target)
 	if c == nil {
-		return attemptEnd{reason: sched.EndTargetRefused, cause: errNoClient, refused: true, settled: true}
+		return attemptEnd{reason: sched.EndTargetRefused, cause: errNoClient, settled: true}
 	}
 	ticket, _, ok := s.opts.Breakers.Allow(s.now(), grant.Target)
 	if !ok {
-		return attemptEnd{reason: sched.EndTargetRefused, cause: errOpen, refused: true, settled: true}
+		return attemptEnd{reason: sched.EndTargetRefused, cause: errOpen, settled: true}
 	}
 	if err := s.markSent(g, grant.Target, number); err != nil {
 		ticket.Done(s.now(), breaker.Ignored)
--- a/lib/entry/sink.go
+++ b/lib/entry/sink.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
 	"anvilwick.example/anvilwick/lib/callerapi"
+	"anvilwick.example/anvilwick/lib/invariant"
 	"anvilwick.example/anvilwick/lib/settings"
 	"anvilwick.example/anvilwick/lib/stream"
 )
@@ -25,6 +27,7 @@
 	last     bool // buf holds the end of the stream
 	closed   bool // another connection has taken the stream over
 
+	next    uint32        // index of the next token that goes into buf
 	from    uint32        // index of the first token it lacks
 	proof   stream.Digest // of the tokens before from, as the caller has them; checked once they are all here
 	checked bool
@@ -48,6 +51,7 @@
 // resume makes the sink one of a caller that has every token up to that of id.
 func (s *sink) resume(id callerapi.EventID) {
 	s.from = id.Index + 1
+	s.next = s.from
 	s.proof = id.Digest
 	s.checked = false
 }
@@ -71,8 +75,13 @@
 	return index >= s.from, nil
 }
 
-// token appends one token's event.
-func (s *sink) token(now time.Time, gen string, index uint32, sum stream.Digest, data []byte) {
+// token appends one token's event. The order of what a caller sees is checked here once more, after everything that
+// decides about it: an error means a defect of this program, and the stream must end.
+func (s *sink) token(now time.Time, gen string, index uint32, sum stream.Digest, data []byte) error {
+	if index != s.next {
+		return invariant.Broken("token_order", fmt.Sprintf("token %d of %s where %d was due", index, gen, s.next))
+	}
+	s.next++
 	s.buf = callerapi.AppendEvent(s.buf, gen, index, sum, data)
 	s.events = true
 	s.tokens++
@@ -80,6 +89,7 @@
 		s.over = now
 	}
 	s.signal()
+	return nil
 }
 
 // finish appends the end of the stream. From here on the engine's memory is free, but the connection is not: what is left
