--- a/lib/entry/keyed_test.go
+++ b/lib/entry/keyed_test.go
@@ -226,7 +226,7 @@
 				rep, err := first.server.Client("planner-1").Load(context.Background())
 				return err == nil && rep.Running == 0
 			})
-			eventually(t, "outcome in the table", func() bool { return store.holds(`"state":"finished"`) == 1 })
+			eventually(t, "the caller's absence in the table", func() bool { return store.holds(`"code":4004`) == 1 })
 			resp := entries[back].send(context.Background(), ask{prompt: prompt, stream: true, key: "k", last: st.lastID})
 			must.Eq(t, http.StatusOK, resp.StatusCode)
 			st.read(t, eventsOf(resp), nil)
--- a/lib/entry/refusal_test.go
+++ b/lib/entry/refusal_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -106,3 +110,32 @@
 	st.read(t, eventsOf(first), nil)
 	st.whole(t, prompt, 50)
 }
+
+// A caller reads nothing. What the kernel keeps for it must be bounded, since the bound on the sink does not see it.
+func TestKernelBufferIsBounded(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer ln.Close()
+	client, err := net.Dial("tcp", ln.Addr().String())
+	must.NoError(t, err)
+	defer client.Close()
+	conn, err := ln.Accept()
+	must.NoError(t, err)
+	defer conn.Close()
+	boundConn(context.Background(), conn)
+	must.NoError(t, conn.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
+	n, err := io.CopyN(conn, endlessZeros{}, 64<<20)
+	must.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	must.Less(t, 8<<20, n)
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	must.NoError(t, err)
+	must.NoError(t, raw.Control(func(fd uintptr) {
+		size, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF)
+		must.NoError(t, err)
+		must.Eq(t, 2*connWriteBuffer, size, must.Sprint("the kernel doubles what is asked"))
+	}))
+}
+
+type endlessZeros struct{}
+
+func (endlessZeros) Read(p []byte) (int, error) { return len(p), nil }
--- a/lib/entryproc/process_test.go
+++ b/lib/entryproc/process_test.go
@@ -62,7 +62,7 @@
 		Instance:     "entry-1",
 		SettingsFile: file,
 		MaxStreams:   100,
-		StopNotice:   50 * time.Millisecond,
+		StopNotice:   500 * time.Millisecond,
 	}
 }
 
@@ -87,8 +87,8 @@
 	return resp.StatusCode
 }
 
-// SIGTERM while an answer is under way: readiness ends at once so that balancers leave, the answer goes on to its [DONE],
-// and only then does the process close its port.
+// SIGTERM while an answer is under way: readiness ends at once so that balancers leave, what they still send is served
+// meanwhile, the answer goes on to its [DONE], and only then does the process close its port.
 func TestStopLetsAnswersEnd(t *testing.T) {
 	p, err := Start(config(settingsFile(t, startEngine(t).Addr())))
 	must.NoError(t, err)
@@ -100,6 +100,7 @@
 	for status(t, p.OpsAddr(), "/readyz") != http.StatusServiceUnavailable {
 		time.Sleep(time.Millisecond)
 	}
+	must.Eq(t, http.StatusOK, post(t, p, "standard", "sent by a balancer that has not noticed [len=3]").StatusCode)
 	last := ""
 	for lines.Scan() {
 		if lines.Text() != "" {
