--- a/lib/entry/keyed_test.go
+++ b/lib/entry/keyed_test.go
@@ -290,3 +290,38 @@
 	streamed := second.send(context.Background(), ask{prompt: "once [len=12]", key: "k", stream: true})
 	must.Eq(t, result.KeyReused, readError(t, streamed).Code)
 }
+
+// A keyed generation was marked as sent, and then its claim was released because no engine had taken it. The caller's
+// resend must number its attempts after that one; begun from 1 again it is stopped as out of order.
+func TestReleasedGenerationRunsWhenItIsSentAgain(t *testing.T) {
+	addr := freeAddr(t)
+	store := newMemoryStore()
+	r := newRig(t, siteText("  max_wait: 300ms\n", true, []string{addr}, nil), withKeys(store.claims("e1"), newMemoryRecords()))
+	a := ask{prompt: "route [len=5]", key: "k"}
+	must.Eq(t, result.NotRun, result.Lookup(readError(t, r.send(t.Context(), a)).Code).Outcome)
+	eventually(t, "claim released", func() bool { return store.holds(`"state":"released"`) == 1 })
+	startEngine(t, func(c *engine.Config) { c.Addr = addr })
+	eventually(t, "a whole answer", func() bool { return r.send(t.Context(), a).StatusCode == http.StatusOK })
+}
+
+// A keyed stream was whole, its record and its answer are gone, and its caller never saw the end: its connection broke. It
+// asks again, with and without the last event it has. The stream ran. Told "refused, not run", the caller would ask for it
+// under a new key, and pay for it and get it twice.
+func TestResendOfALostStreamIsNotToldNotRun(t *testing.T) {
+	e := startEngine(t, nil)
+	text := siteText("", true, []string{e.Addr()}, nil)
+	store := newMemoryStore()
+	first := newRig(t, text, withKeys(store.claims("e1"), newMemoryRecords()))
+	second := newRig(t, text, withKeys(store.claims("e2", "e1"), newMemoryRecords()))
+	a := ask{prompt: "lost [len=30]", stream: true, key: "k"}
+	var st story
+	st.read(t, eventsOf(first.send(context.Background(), a)), nil)
+	st.whole(t, a.prompt, 30)
+	eventually(t, "outcome in the table", func() bool { return store.holds(`"state":"finished"`) == 1 })
+	for _, last := range []string{"", st.lastID} {
+		a.last = last
+		again := readError(t, second.send(context.Background(), a))
+		must.NotEq(t, result.NotRun, result.Lookup(again.Code).Outcome, must.Sprint(again))
+		must.Eq(t, result.Lookup(again.Code).Outcome.String(), again.Outcome)
+	}
+}
--- a/lib/entry/plain.go
+++ b/lib/entry/plain.go
@@ -31,6 +31,7 @@
 	subject Subject
 	call    target.Call
 	claim   Claim
+	first   uint32         // attempt number of the first try under the claim
 	kept    *claim.Summary // the answer of an earlier run under the same key
 	answer  []byte         // start of the answer, kept for the claim
 
--- a/lib/localsite/site.go
+++ b/lib/localsite/site.go
@@ -36,14 +36,25 @@
 	EntryFlags  []string  // added for every entry
 	Settings    Settings  // Targets are filled in
 	Output      io.Writer // gets all processes' output; nil: kept by each process only
+
+	// Via returns the address to configure instead of addr for one link; nil: links are direct. Faults of links are
+	// injected by a relay there. Links between entries have none: an entry tells the others its own address.
+	Via func(link, addr string) (string, error)
 }
 
+// Names of links for Config.Via.
+func linkToPlatform(from string) string { return "platform of " + from }
+func linkToTarget(name string) string   { return "target " + name }
+func linkToEntry(control string) string { return "entry of " + control }
+func linkOfCallers(entry string) string { return "callers of " + entry }
+
 // Node is one process of the site.
 type Node struct {
 	*proc.Proc
 	Name   string
 	Domain string
 	Addr   string // callers' port of an entry, port of a target or of the platform; IP:port
+	Reach  string // where others of the site reach Addr
 	Ops    string // operators' port of an entry or control process
 	Mesh   string // of an entry
 
@@ -65,6 +76,7 @@
 	dir string // scratch
 
 	links mesh.TLSFiles
+	err   error // of Config.Via
 }
 
 // Start starts every process and commits the settings. On an error nothing is left running.
@@ -91,7 +103,7 @@
 		}
 	}
 	s.Store = platform.New(platform.Config{Addr: s.Platform.Addr})
-	if err := s.awaitTargets(ctx); err != nil {
+	if err := s.AwaitTargets(ctx); err != nil {
 		return err
 	}
 	if err := s.commit(ctx); err != nil {
@@ -127,9 +139,24 @@
 		s.Entries = append(s.Entries, e)
 		s.Controls = append(s.Controls, s.control(e, next()))
 	}
+	if s.err != nil {
+		return s.err
+	}
 	return s.writeInstances()
 }
 
+// via returns the address by which a link is configured.
+func (s *Site) via(link, addr string) string {
+	if s.cfg.Via == nil {
+		return addr
+	}
+	out, err := s.cfg.Via(link, addr)
+	if err != nil && s.err == nil {
+		s.err = err
+	}
+	return out
+}
+
 func domain(i int) string { return domains[i%len(domains)] }
 
 func (s *Site) instanceList() string { return filepath.Join(s.dir, "instances.json") }
@@ -137,15 +164,22 @@
 func (s *Site) planPlatform(next func() string) {
 	addr := next()
 	s.Platform = &Node{
-		Name: "platform", Addr: addr, binary: "anvilwick-standin",
+		Name: "platform", Addr: addr, Reach: addr, binary: "anvilwick-standin",
 		args: []string{"platform", "-addr", addr, "-instances", s.instanceList(), "-list-lag", "500ms"},
 	}
 }
 
 func (s *Site) engine(i int, addr string) *Node {
 	args := []string{"engine", "-addr", addr, "-model", s.cfg.Settings.Model, "-seed", fmt.Sprint(i + 1), "-fencing"}
+	if set := s.cfg.Settings; set.IdleWatts > 0 {
+		args = append(args, "-idle-watts", fmt.Sprint(set.IdleWatts), "-seq-watts", fmt.Sprint(set.SeqWatts))
+	}
+	if n := s.cfg.Settings.MaxBatch; n > 0 {
+		args = append(args, "-max-batch", fmt.Sprint(n))
+	}
+	name := fmt.Sprintf("engine-%d", i+1)
 	return &Node{
-		Name: fmt.Sprintf("engine-%d", i+1), Domain: domain(i), Addr: addr, binary: "anvilwick-standin",
+		Name: name, Domain: domain(i), Addr: addr, Reach: s.via(linkToTarget(name), addr), binary: "anvilwick-standin",
 		args: append(args, s.cfg.EngineFlags...),
 	}
 }
@@ -153,7 +187,7 @@
 func (s *Site) plain(i int, addr string) *Node {
 	name := fmt.Sprintf("plain-%d", i+1)
 	return &Node{
-		Name: name, Domain: domain(i), Addr: addr, binary: "anvilwick-standin",
+		Name: name, Domain: domain(i), Addr: addr, Reach: s.via(linkToTarget(name), addr), binary: "anvilwick-standin",
 		args: []string{"plain", "-addr", addr, "-name", name},
 	}
 }
@@ -162,20 +196,21 @@
 	name := fmt.Sprintf("entry-%d", i+1)
 	args := []string{
 		"-instance", name, "-failure-domain", domain(i), "-listen", addr, "-ops-addr", ops, "-mesh-addr", mesh,
-		"-operator-token-sha256", tokenHash(), "-stop-notice", "200ms", "-platform", s.Platform.Addr,
+		"-operator-token-sha256", tokenHash(), "-stop-notice", "200ms", "-platform", s.via(linkToPlatform(name), s.Platform.Addr),
 	}
 	args = append(args, s.linkFlags()...)
 	return &Node{
-		Name: name, Domain: domain(i), Addr: addr, Ops: ops, Mesh: mesh, binary: "anvilwick-entry",
+		Name: name, Domain: domain(i), Addr: addr, Reach: s.via(linkOfCallers(name), addr), Ops: ops, Mesh: mesh, binary: "anvilwick-entry",
 		args: append(args, s.cfg.EntryFlags...),
 	}
 }
 
 func (s *Site) control(e *Node, ops string) *Node {
+	name := "control of " + e.Name
 	return &Node{
-		Name: "control of " + e.Name, Domain: e.Domain, Ops: ops, binary: "anvilwick-control",
+		Name: name, Domain: e.Domain, Ops: ops, binary: "anvilwick-control",
 		args: append([]string{
-			"-instance", e.Name, "-failure-domain", e.Domain, "-entry-addr", e.Mesh, "-platform", s.Platform.Addr,
+			"-instance", e.Name, "-failure-domain", e.Domain, "-entry-addr", s.via(linkToEntry(name), e.Mesh), "-platform", s.via(linkToPlatform(name), s.Platform.Addr),
 			"-ops-addr", ops, "-operator-token-sha256", tokenHash(), "-lease-ttl", "3s",
 		}, s.linkFlags()...),
 	}
@@ -216,7 +251,8 @@
 	return s.launch(n)
 }
 
-func (s *Site) awaitTargets(ctx context.Context) error {
+// AwaitTargets waits until the platform and every target answers.
+func (s *Site) AwaitTargets(ctx context.Context) error {
 	paths := map[*Node]string{s.Platform: platformapi.PathInstances}
 	for _, n := range s.Engines {
 		paths[n] = "/v1/load"
@@ -280,7 +316,7 @@
 func (s *Site) Callers() []string {
 	var out []string
 	for _, e := range s.Entries {
-		out = append(out, e.Addr)
+		out = append(out, e.Reach)
 	}
 	return out
 }
--- a/lib/settingsync/peers.go
+++ b/lib/settingsync/peers.go
@@ -82,18 +82,29 @@
 		fetchFailed(instance, err)
 		return
 	}
-	s.Learn(body, "peer "+instance)
+	s.learnBody(body, "peer "+instance)
 }
 
-// awaitPeers holds the first swap back for a moment. A table replica that lags may bring an old revision to an
-// instance that has just been replaced, while its peers hold a newer one; put into force at once, the old one would
-// undo an accepted change there. It goes on as soon as the peers heard of have nothing newer, or after StartGrace.
-func (s *Sync) awaitPeers(ctx context.Context) bool {
+// awaitSources holds the first swap back for a moment. An instance that has just been replaced may hear first from a
+// table replica that lags while its peers hold a newer revision, or first from peers while the table has a newer one
+// that the instance before it had in force already. Put into force at once, the older one would undo an accepted
+// change there. It goes on as soon as both were heard and neither is ahead. It waits for peers, which there may not be,
+// no longer than StartGrace, and for a table that may be down no longer than TableGrace once peers were heard.
+func (s *Sync) awaitSources(ctx context.Context) bool {
 	if s.cfg.Peers == nil {
 		return true
 	}
 	deadline := time.Now().Add(s.cfg.StartGrace)
-	for time.Now().Before(deadline) && !s.level() {
+	peersHeard := false
+	for time.Now().Before(deadline) {
+		peers, table := s.level()
+		if peers && table {
+			break
+		}
+		if peers && !peersHeard {
+			peersHeard = true
+			deadline = earlier(deadline, time.Now().Add(s.cfg.TableGrace))
+		}
 		if !pause(ctx, peerTick/10) {
 			return false
 		}
@@ -101,12 +112,19 @@
 	return ctx.Err() == nil
 }
 
-// level reports whether peers were heard of and none is ahead.
-func (s *Sync) level() bool {
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// level reports whether peers were heard and none is ahead, and whether the table was heard.
+func (s *Sync) level() (peers, table bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	highest, _ := s.peers.highest()
-	return highest > 0 && highest <= s.seen.revision
+	return highest > 0 && highest <= s.seen.revision, s.heard
 }
 
 // Conversation is one stream between two instances.
