Let the baselines run in an entry, too

Cause: in a trial with real processes the baselines granted nothing: they took the batch from settings alone, where an engine may leave it to its reports; and settings given again doubled the targets. Change: batch from settings, else from reports; SetTargets replaces; reports of strangers are dropped. A test on each; it failed before.

--- a/lib/bench/balancer.go
+++ b/lib/bench/balancer.go
@@ -105,9 +105,17 @@
 	return float64(t.report.KVUsed)/float64(t.report.KVTotal) + float64(t.report.Waiting)
 }
 
+// batch is the engine's bound on sequences: of the settings, else of its reports.
+func (t *backend) batch() int {
+	if t.spec.MaxBatch > 0 {
+		return t.spec.MaxBatch
+	}
+	return max(t.report.MaxBatch, 1)
+}
+
 // hasRoom bounds the requests in progress by the batch and by the engine's share of the power cap.
 func (b *balancer) hasRoom(t *backend) bool {
-	bound := float64(t.spec.MaxBatch)
+	bound := float64(t.batch())
 	if t.spec.SeqWatts > 0 && b.watts > 0 {
 		share := b.watts/float64(len(b.backends)) - t.spec.IdleWatts
 		bound = min(bound, math.Floor(share/t.spec.SeqWatts))
@@ -115,11 +123,20 @@
 	return !t.gone && float64(t.inflight) < bound
 }
 
-// SetTargets implements sched.Policy.
+// SetTargets implements sched.Policy. A target that is no longer named gets no new work.
 func (b *balancer) SetTargets(_ sched.Time, specs []sched.TargetSpec) {
+	for i := range b.backends {
+		b.backends[i].gone = true
+	}
 	for _, s := range specs {
-		b.byName[s.Name] = len(b.backends)
-		b.backends = append(b.backends, backend{spec: s})
+		i, ok := b.byName[s.Name]
+		if !ok {
+			i = len(b.backends)
+			b.byName[s.Name] = i
+			b.backends = append(b.backends, backend{})
+		}
+		b.backends[i].spec = s
+		b.backends[i].gone = false
 	}
 }
 
@@ -167,7 +184,11 @@
 
 // Report implements sched.Policy. A report shows that the engine can be reached again.
 func (b *balancer) Report(_ sched.Time, r sched.Report) {
-	t := &b.backends[b.byName[r.Target]]
+	i, ok := b.byName[r.Target]
+	if !ok {
+		return
+	}
+	t := &b.backends[i]
 	t.report = r
 	t.gone = r.Leaving
 }
@@ -180,7 +201,9 @@
 
 // TargetGone implements sched.Policy.
 func (b *balancer) TargetGone(_ sched.Time, target string) {
-	b.backends[b.byName[target]].gone = true
+	if i, ok := b.byName[target]; ok {
+		b.backends[i].gone = true
+	}
 }
 
 // Tick implements sched.Policy.
--- a/lib/bench/balancer_test.go
+++ b/lib/bench/balancer_test.go
@@ -91,3 +91,18 @@
 	submit(p, 4, "long")
 	must.SliceContainsFunc(t, p.Tick(0, nil), targetName(0), func(a sched.Action, name string) bool { return a.Target == name })
 }
+
+// Settings come again with each revision, and an engine's batch may be known from its reports alone.
+func TestBaselineTakesTargetsAgain(t *testing.T) {
+	p := NewRoundRobin()
+	p.SetPolicy(func(string, string) sched.ClassPolicy { return sched.ClassPolicy{MaxWait: time.Second, QueueBound: 9} })
+	for range 2 {
+		p.SetTargets(0, []sched.TargetSpec{{Name: targetName(0)}})
+	}
+	p.Report(0, sched.Report{Target: targetName(0), MaxBatch: 3})
+	p.Report(0, sched.Report{Target: "stranger", MaxBatch: 30})
+	for i := range uint64(5) {
+		submit(p, i, "long")
+	}
+	must.Len(t, 3, p.Tick(0, nil))
+}
