--- a/lib/entry/run.go
+++ b/lib/entry/run.go
@@ -8,25 +8,29 @@
 
 	"github.com/phuslu/log"
 
+	"anvilwick.example/anvilwick/lib/breaker"
+	"anvilwick.example/anvilwick/lib/engineapi"
 	"anvilwick.example/anvilwick/lib/invariant"
+	"anvilwick.example/anvilwick/lib/logline"
 	"anvilwick.example/anvilwick/lib/result"
 	"anvilwick.example/anvilwick/lib/sched"
 	"anvilwick.example/anvilwick/lib/target"
 )
 
 const (
-	maxAvoid       = 8                      // targets that an attempt keeps away from
-	maxMoves       = 1000                   // attempts of one generation, of whatever cause
-	resumePatience = 30 * time.Second       // a started generation waits at least so long for a place
-	resumePause    = 100 * time.Millisecond // between two tries to place it; its caller sees the stall
-	refusalRetry   = time.Second            // told to callers where nobody knows better
-	cancelTimeout  = 2 * time.Second
-	placeGrace     = 5 * time.Second // beyond the policy's bound on waiting, in case the scheduler is silent
+	maxAvoid      = 8                      // targets that an attempt keeps away from
+	maxMoves      = 1000                   // attempts of one generation, of whatever cause
+	resumePause   = 100 * time.Millisecond // between two tries to place it; its caller sees the stall
+	refusalRetry  = time.Second            // told to callers where nobody knows better
+	cancelTimeout = 2 * time.Second
+	avoidPatience = 300 * time.Millisecond // a place is waited for so long without the targets that failed it
+	placeGrace    = 5 * time.Second        // beyond the policy's bound on waiting, in case the scheduler is silent
 )
 
 // runState is what the loop over attempts remembers.
 type runState struct {
-	avoid       []string
+	avoid       []string  // targets that failed it since its last token
+	anywhere    bool      // no place was found without the targets to avoid: any will do
 	fruitless   int       // attempts in a row that gave no token
 	preemptions int       // moves and preemptions
 	waiting     time.Time // since when a started generation looks for a place; zero: it has one
@@ -55,6 +59,11 @@
 		return result.Wrap(result.InvariantBroken, invariant.Broken("attempt_before_fenced", berr.Error()), "begin an attempt"), false
 	}
 	grant, perr := s.place(g, rs, number)
+	if grant.Target == "" && perr == nil {
+		g.stop()
+		return nil, true
+	}
+	rs.anywhere = false
 	if perr != nil {
 		g.stop()
 		return s.afterRefusal(g, rs, perr)
@@ -78,7 +87,7 @@
 	case next > 0 && !g.service.Resumes:
 		return result.New(result.CannotResume, "the service's engines start at the first token only")
 	}
-	return s.opts.Poison.Check(g.subject)
+	return s.clean(g.ctx, g.subject.Fingerprint)
 }
 
 // place asks the scheduler for a target and waits for its answer.
@@ -87,6 +96,7 @@
 	emitted, decisions := int(g.state.Next()), g.attempt.decisions
 	g.mu.Unlock()
 	asked := s.now()
+	avoid := s.spared(g, rs)
 	s.opts.Placer.Submit(g.service.Name, sched.Request{
 		Gen:          g.id,
 		Workspace:    g.subject.Workspace,
@@ -98,11 +108,16 @@
 		Preemptions:  rs.preemptions,
 		Prefixes:     g.prefixes,
 		Deadline:     s.schedDeadline(g, asked),
-		Avoid:        rs.avoid,
+		Avoid:        avoid,
 		Fingerprint:  g.subject.Fingerprint,
 	}, g.decide)
 	patience := time.NewTimer(g.policy.MaxWait + placeGrace)
 	defer patience.Stop()
+	choosy := time.NewTimer(avoidPatience)
+	defer choosy.Stop()
+	if len(avoid) == 0 {
+		choosy.Stop()
+	}
 	var err *result.Error
 	select {
 	case a := <-decisions:
@@ -115,6 +130,8 @@
 		return a, err
 	case <-g.ctx.Done():
 		err = causeError(context.Cause(g.ctx))
+	case <-choosy.C:
+		rs.avoid, rs.anywhere = nil, true
 	case <-patience.C:
 		err = result.New(result.QueueFull, "no place within %s", g.policy.MaxWait)
 		err.RetryAfter = refusalRetry
@@ -123,6 +140,25 @@
 	return sched.Action{}, err
 }
 
+// spared returns the targets that the next attempt keeps away from: those that failed it, and those where its content
+// would meet another suspect. A scheduler takes the list to the letter. It is empty when no other target is left, or when
+// none had room in time: a generation that met a cut on each of a few engines would never find a place again, and after
+// the death of one engine there are more suspects than engines to keep them apart on.
+func (s *Server) spared(g *generation, rs *runState) []string {
+	svc := s.view.Load().snap.Services[g.service.Name]
+	if svc == nil || rs.anywhere {
+		return nil
+	}
+	avoid := s.avoidFor(rs.avoid, g.subject.Fingerprint)
+	for i := range svc.Targets {
+		t := &svc.Targets[i]
+		if !t.Draining && !slices.Contains(avoid, t.Name) {
+			return avoid
+		}
+	}
+	return nil
+}
+
 func (s *Server) schedDeadline(g *generation, now time.Time) sched.Time {
 	if g.deadline.IsZero() {
 		return 0
@@ -133,19 +169,34 @@
 // attemptOn runs the attempt on the granted target, unless its circuit is open.
 func (s *Server) attemptOn(g *generation, number uint32, grant sched.Action) attemptEnd {
 	c := s.client(g, grant.Target)
-	if c == nil || !s.opts.Breaker.Allow(grant.Target) {
+	if c == nil {
 		return attemptEnd{reason: sched.EndTargetRefused, cause: errNoClient, refused: true, settled: true}
 	}
+	ticket, _, ok := s.opts.Breakers.Allow(s.now(), grant.Target)
+	if !ok {
+		return attemptEnd{reason: sched.EndTargetRefused, cause: errOpen, refused: true, settled: true}
+	}
+	if err := s.markSent(g, grant.Target, number); err != nil {
+		ticket.Done(s.now(), breaker.Ignored)
+		return attemptEnd{reason: sched.EndCancelled, cause: err, final: err, settled: true}
+	}
 	g.log(log.Debug(), "attempt_start").Str("target", grant.Target).Uint32("attempt", number).Msg("")
-	end := s.runAttempt(g, c, number, grant.Priority)
-	s.opts.Breaker.Done(grant.Target, targetWell(end.reason))
+	s.learnLife(c)
+	ran := s.opts.Poison.Started(grant.Target, g.subject.Fingerprint)
+	r := &run{server: s, g: g, client: c, number: number, priority: grant.Priority, ticket: ticket}
+	end := r.do()
+	g.stop()
+	if r.tokens == 0 {
+		ticket.Done(s.now(), outcomeOf(end.reason))
+	}
+	s.settlePoison(g, c, ran, end.reason)
 	return end
 }
 
-var errNoClient = errors.New("the target is unknown or its circuit is open")
-
-// targetWell reports whether an attempt that ended so speaks for the target.
-func targetWell(r sched.EndReason) bool { return r != sched.EndTargetDied && r != sched.EndStalled }
+var (
+	errNoClient = errors.New("the target is unknown")
+	errOpen     = errors.New("the circuit to the target is open")
+)
 
 // client returns the client of a target: under the settings in force, else under those the request was accepted with.
 func (s *Server) client(g *generation, name string) *target.Client {
@@ -161,7 +212,7 @@
 	s.opts.Placer.End(g.service.Name, g.id, number, int(g.delivered()), end.reason)
 	s.metrics.AttemptEnded(reasonName(end.reason))
 	e := g.log(log.Info(), "attempt_end").Str("target", name).Uint32("attempt", number).Str("reason", reasonName(end.reason))
-	e.Uint32("tokens", g.delivered()).AnErr("cause", end.cause).Msg("")
+	logline.Cause(e.Uint32("tokens", g.delivered()), end.cause)
 	if end.settled {
 		return
 	}
@@ -177,22 +228,22 @@
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
 		if _, err := c.Cancel(ctx, g.id, number); err != nil {
-			g.log(log.Debug(), "cancel_failed").Str("target", c.Name()).AnErr("cause", err).Msg("")
+			logline.Cause(g.log(log.Debug(), "cancel_failed").Str("target", c.Name()), err)
 		}
 	}()
 }
 
-// afterRefusal decides what follows when the scheduler gives no place. A request that never started is refused at once.
-// One that has started is owed the rest, and waits a bounded time for a place.
+// afterRefusal decides what follows when the scheduler gives no place. A request that no engine took is refused at once.
+// One that may have run is owed its answer, and waits a bounded time for a place.
 func (s *Server) afterRefusal(g *generation, rs *runState, err *result.Error) (*result.Error, bool) {
-	if result.Lookup(err.Code).Again != result.AgainLater || g.delivered() == 0 {
+	if result.Lookup(err.Code).Again != result.AgainLater || !g.ran() {
 		return err, false
 	}
 	now := s.now()
 	if rs.waiting.IsZero() {
 		rs.waiting = now
 	}
-	if now.Sub(rs.waiting) > max(resumePatience, g.policy.MaxWait) {
+	if now.Sub(rs.waiting) > max(s.opts.ResumePatience, g.policy.MaxWait) {
 		return err, false
 	}
 	pause := time.NewTimer(resumePause)
@@ -216,14 +267,15 @@
 		g.metrics.Preemptions.Inc()
 		return nil, true
 	}
-	s.noteFailure(g, rs, name, end)
+	noteFailure(g, rs, name)
 	return s.retry(g, end)
 }
 
-func (s *Server) noteFailure(g *generation, rs *runState, name string, end attemptEnd) {
+func noteFailure(g *generation, rs *runState, name string) {
 	rs.fruitless++
 	if g.attemptTokens() > 0 {
 		rs.fruitless = 0
+		rs.avoid = rs.avoid[:0]
 	}
 	if !slices.Contains(rs.avoid, name) {
 		rs.avoid = append(rs.avoid, name)
@@ -231,21 +283,30 @@
 	if len(rs.avoid) > maxAvoid {
 		rs.avoid = rs.avoid[1:]
 	}
-	if end.reason == sched.EndTargetDied && !end.refused {
-		s.judgeDeath(g, name)
-	}
 }
 
-// retry spends from the workspace's budget, which keeps a failing service from being asked ever more. A generation that
-// has given tokens goes on without: starting it afresh would cost more than resuming it, and its attempts are bounded.
+// retry spends from the workspace's budget, which keeps a failing service from being asked ever more. An attempt that was
+// never sent asked nothing of anybody. A generation that has given tokens goes on without: starting it afresh would cost
+// more than resuming it, and its attempts are bounded.
 func (s *Server) retry(g *generation, end attemptEnd) (*result.Error, bool) {
-	g.metrics.Retries.Inc()
-	if g.delivered() > 0 || s.opts.Retries.Retry(g.subject, g.policy) {
-		return nil, true
+	if g.delivered() == 0 && !askedNothing(end.cause) {
+		if ok, wait := s.opts.Budgets.Take(s.now(), g.subject.Workspace); !ok {
+			err := result.Wrap(result.RetryBudget, end.cause, "try another target")
+			err.RetryAfter = max(wait, refusalRetry)
+			return err, false
+		}
 	}
-	err := result.Wrap(result.RetryBudget, end.cause, "try another target")
-	err.RetryAfter = refusalRetry
-	return err, false
+	g.metrics.Retries.Inc()
+	return nil, true
+}
+
+// askedNothing reports whether an attempt cost its target nothing: it was never sent, or the target turned it away because
+// it is leaving. Reports that tell of the leaving lag; in that time every request placed there comes back, and were they
+// charged to the budget, a planned stop of one target would use it up and callers would be refused.
+func askedNothing(cause error) bool {
+	var refusal *target.RefusedError
+	leaving := errors.As(cause, &refusal) && refusal.Err.NotRun && refusal.Err.Type == engineapi.ErrDraining
+	return leaving || errors.Is(cause, target.ErrNotSent)
 }
 
 // attemptTokens returns the count of tokens that the last attempt delivered.
@@ -255,23 +316,6 @@
 	return g.attempt.tokens
 }
 
-// judgeDeath asks whether the engine process is gone. Only then did the content perhaps kill it; a cut link or a lost
-// answer says nothing about the content.
-func (s *Server) judgeDeath(g *generation, name string) {
-	c := s.client(g, name)
-	if c == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(g.ctx, deathProbeTimeout)
-	defer cancel()
-	if _, err := c.Load(ctx); err == nil || errors.Is(err, context.DeadlineExceeded) {
-		return
-	}
-	s.opts.Poison.Died(g.subject, name)
-}
-
-const deathProbeTimeout = 300 * time.Millisecond
-
 var reasonNames = map[sched.EndReason]string{
 	sched.EndCompleted:     "completed",
 	sched.EndCancelled:     "cancelled",
--- a/lib/limit/limit.go
+++ b/lib/limit/limit.go
@@ -7,7 +7,12 @@
 // old one. A holder lends only while a majority of the members regard it as holder, so that two views of who is a
 // member can't make two holders lend the same limit.
 //
-// Client, Holder and Node are pure: the time is passed in, messages are returned. Nothing here stores or elects.
+// A Node is pure: the time is passed in, messages are returned. Nothing here stores anything. A Service runs a Node in
+// real time.
+//
+// Cost: an instance's messages grow with its keys in use, whatever the number of instances, and with the number of
+// instances for the support of holders, which is the square of them over a site. Figures are in BenchmarkLimitTraffic's
+// commits. Hundreds of instances need a longer TTL and SupportTTL, or support by a few members for each key.
 package limit
 
 import "time"
@@ -32,16 +37,25 @@
 	Interval      time.Duration // between messages of a client to a holder
 	TTL           time.Duration // life of a share
 	SupportTTL    time.Duration // life of a member's support of a holder
+	AskWait       time.Duration // how long a request waits for a holder that may have more to lend
 	ClockSkew     float64       // bound on the difference in rate of two monotonic clocks
 	OrphanHold    time.Duration // how long requests of a silent instance count as in progress
 	FloorFraction float64       // part of each limit that is split evenly, for use without a holder
 	MaxInstances  int           // instances that split it; no more than so many may run
 }
 
-// DefaultConfig suits sites of up to 16 instances.
+// DefaultConfig suits sites of up to 16 instances. Its floor is small, for what floors take from a limit can be used by
+// nobody while fewer than MaxInstances run: with a quarter, 8 instances could use 56 of 64.
 var DefaultConfig = Config{
-	Interval: 200 * time.Millisecond, TTL: 1500 * time.Millisecond, SupportTTL: time.Second, ClockSkew: 0.02,
-	OrphanHold: 10 * time.Second, FloorFraction: 0.25, MaxInstances: 16,
+	Interval: 200 * time.Millisecond, TTL: 1500 * time.Millisecond, SupportTTL: time.Second,
+	AskWait: 50 * time.Millisecond, ClockSkew: 0.02, OrphanHold: 10 * time.Second, FloorFraction: 0.1, MaxInstances: 16,
+}
+
+// AloneConfig suits a single instance without peers: the whole limit is its floor, so that it needs no holder.
+func AloneConfig() Config {
+	cfg := DefaultConfig
+	cfg.FloorFraction, cfg.MaxInstances = 1, 1
+	return cfg
 }
 
 // lent is how long a holder counts a share, which is longer than its client does by the clock skew.
--- a/lib/settingsync/sync.go
+++ b/lib/settingsync/sync.go
@@ -15,7 +15,8 @@
 	DefaultPollTimeout = 2 * time.Second
 	DefaultPeerDelay   = 1500 * time.Millisecond
 	DefaultPeerTimeout = 2 * time.Second
-	DefaultStartGrace  = 500 * time.Millisecond
+	DefaultStartGrace  = 3 * time.Second
+	DefaultTableGrace  = time.Second
 	DefaultSwapShare   = 0.005
 	DefaultMaxSwapWait = 3 * time.Second
 )
@@ -33,7 +34,8 @@
 	PollTimeout time.Duration
 	PeerDelay   time.Duration // how long the table may take to bring what a peer has
 	PeerTimeout time.Duration
-	StartGrace  time.Duration // longest wait for peers before the first revision comes into force; needs Peers
+	StartGrace  time.Duration // longest wait for table and peers before the first revision comes into force; needs Peers
+	TableGrace  time.Duration // longest wait for the table alone, once peers were heard
 	SwapShare   float64       // part of a core that parsing and swapping may take
 	MaxSwapWait time.Duration // longest time that SwapShare holds a revision back
 }
@@ -44,6 +46,7 @@
 	orDuration(&c.PeerDelay, DefaultPeerDelay)
 	orDuration(&c.PeerTimeout, DefaultPeerTimeout)
 	orDuration(&c.StartGrace, DefaultStartGrace)
+	orDuration(&c.TableGrace, DefaultTableGrace)
 	orDuration(&c.MaxSwapWait, DefaultMaxSwapWait)
 	if c.SwapShare == 0 {
 		c.SwapShare = DefaultSwapShare
@@ -88,7 +91,8 @@
 	refused string
 	updated chan struct{} // closed at the next swap
 	peers   peerView
-	fleet   int // instances that read the table
+	fleet   int  // instances that read the table
+	heard   bool // the table, or the control process that reads it, gave an answer
 
 	wake chan struct{} // a candidate waits
 }
@@ -166,9 +170,20 @@
 	return &meshpb.SettingsBody{Revision: s.seen.revision, Yaml: s.seen.text}
 }
 
-// Learn takes a revision from a peer or from the control process. It keeps the body's bytes. Revisions not over the
-// highest one seen are ignored; it reports whether this one was taken. Run brings it into force.
+// Learn takes a revision from the control process, which has it from the table. It keeps the body's bytes. Revisions
+// not over the highest one seen are ignored; it reports whether this one was taken. Run brings it into force.
 func (s *Sync) Learn(body *meshpb.SettingsBody, source string) bool {
+	s.hearTable()
+	return s.learnBody(body, source)
+}
+
+func (s *Sync) hearTable() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heard = true
+}
+
+func (s *Sync) learnBody(body *meshpb.SettingsBody, source string) bool {
 	if body.GetRevision() == 0 || len(body.GetYaml()) > settings.MaxFile {
 		return false
 	}
