Tie the standard deviations of the memory risk to the steps looked at

Cause: the correction for a peak that has many steps to get over the bound was one number for every horizon; with the horizon cut to a few steps it asked for more than the accepted risk. Change: the risk is divided by the steps over 2.5; horizon 256.

--- a/lib/forecast/forecast.go
+++ b/lib/forecast/forecast.go
@@ -112,15 +112,15 @@
 	return n
 }
 
-// independentSteps is how many steps of the grid a peak has to get over at about the same height. A bound that each
-// step keeps with chance 1-risk is broken at one of them far more often: in the test of this package 24 of 100 batches
-// broke a bound made for 5.
-const independentSteps = 4
-
-// Deviations returns how many standard deviations above the mean keep the peak of a batch, over all steps, within
-// the bound but for a chance of risk.
-func Deviations(risk float64) float64 {
-	risk /= independentSteps
+// stepsAlike is how many neighbouring steps of the grid break a bound together. A bound that each step keeps with chance
+// 1-risk is broken at one of the whole grid far more often: in the test of this package 24 of 100 batches broke a bound
+// made for 5.
+const stepsAlike = 2.5
+
+// Deviations returns how many standard deviations above the mean keep the peak of a batch, over the first steps of
+// the grid, within the bound but for a chance of risk.
+func Deviations(risk float64, steps int) float64 {
+	risk /= max(1, float64(steps)/stepsAlike)
 	if risk <= 0 {
 		return maxDeviations
 	}
--- a/lib/sched/options.go
+++ b/lib/sched/options.go
@@ -8,7 +8,7 @@
 	// Memory.
 	MemoryRisk     float64 // accepted chance that an engine runs out, where a ClassPolicy sets none (default 0.02)
 	MemoryFill     float64 // fraction of an engine's memory that is planned with (default 0.98)
-	HorizonTokens  int     // steps ahead that the forecast looks (default 128)
+	HorizonTokens  int     // steps ahead that the forecast looks (default 256)
 	VictimSteps    int     // steps ahead at which running out is acted on (default 48)
 	MaxPreemptions int     // bound on moves of a generation, where a ClassPolicy sets none (default 3)
 
@@ -53,7 +53,7 @@
 const (
 	defaultMemoryRisk     = 0.02
 	defaultMemoryFill     = 0.98
-	defaultHorizonTokens  = 192
+	defaultHorizonTokens  = 256
 	defaultVictimSteps    = 48
 	defaultMaxPreemptions = 3
 	defaultBatchBound     = 1.0
--- a/lib/sched/owner.go
+++ b/lib/sched/owner.go
@@ -98,7 +98,7 @@
 	orDefault(&p.MemoryRisk, o.opt.MemoryRisk)
 	orDefault(&p.Weight, 1)
 	g.policy = p
-	g.deviation = forecast.Deviations(p.MemoryRisk)
+	g.deviation = forecast.Deviations(p.MemoryRisk, o.steps)
 }
 
 // groupOf returns the row of a workspace and class, made on first use.
