--- a/lib/sched/place.go
+++ b/lib/sched/place.go
@@ -155,6 +155,7 @@
 	memoryCost       = 0.5 // of a target whose memory is foreseen to be full
 	batchCost        = 0.5 // of a target whose batch is full
 	interferenceCost = 0.1 // of a second by which an urgent prefill delays another generation's token
+	failedDomainCost = 1.0 // of a target in a failure domain where an attempt failed
 	probeScore       = -1  // of a silent target that is due to be tried: before all others, or it would never be tried
 )
 
@@ -171,7 +172,7 @@
 		// What counts is the first token: the step in progress, the prefills before it and its own.
 		return prefill + waiting + t.step + interferenceCost*prefill*float64(t.run.n-t.prefilling)
 	}
-	cost := prefill + waiting
+	cost := prefill + waiting + o.domainCost(t, g)
 	if !o.opt.DisableInterfer {
 		cost += prefill * float64(t.run.n-t.prefilling)
 	}
@@ -185,6 +186,17 @@
 	return cost
 }
 
+// domainCost keeps a generation out of the failure domains in which an attempt of it failed: what broke there may be a
+// switch or a rack and not one target.
+func (o *Owner) domainCost(t *target, g *gen) float64 {
+	for _, a := range g.avoid {
+		if domain := o.targets[a].spec.FailureDomain; domain != "" && domain == t.spec.FailureDomain {
+			return failedDomainCost
+		}
+	}
+	return 0
+}
+
 // cachedTokens estimates how many prompt tokens of g the target holds already. Cache events come late and with gaps:
 // this is a hint for the score, and the filters bound the load that it can draw.
 func (o *Owner) cachedTokens(t *target, g *gen) int {
