--- a/lib/entry/plain_test.go
+++ b/lib/entry/plain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -14,6 +15,7 @@
 	"github.com/shoenig/test/must"
 
 	"anvilwick.example/anvilwick/lib/callerapi"
+	"anvilwick.example/anvilwick/lib/proc"
 	"anvilwick.example/anvilwick/lib/result"
 	"anvilwick.example/anvilwick/lib/standin/plain"
 )
@@ -110,6 +112,38 @@
 	eventually(t, "claim released", func() bool { return store.holds(`"state":"released"`) == 1 })
 }
 
+// A keyed call found no target that took it, so its caller is told "not run, ask again later" and its claim is released.
+// It asks again, here and through another entry, once a target is back. The attempts that were marked in the claim before
+// count: begun from 1 again, the resend is stopped as an attempt out of order and the key is never free again.
+func TestReleasedKeyRunsWhenItIsSentAgain(t *testing.T) {
+	for _, back := range []string{"e1", "e2"} {
+		t.Run("through "+back, func(t *testing.T) {
+			addr := freeAddr(t)
+			store := newMemoryStore()
+			text := siteText("", true, nil, []string{addr})
+			rigs := map[string]*rig{}
+			for _, name := range []string{"e1", "e2"} {
+				rigs[name] = newRig(t, text, func(o *Options) { o.Claims = store.claims(name) })
+			}
+			must.Eq(t, result.NoTarget, readError(t, rigs["e1"].call(http.MethodPost, "/dispatch/send", "k", "go")).Code)
+			eventually(t, "claim released", func() bool { return store.holds(`"state":"released"`) == 1 })
+			p, err := plain.Start(plain.Config{Addr: addr, Name: "back", Die: func() {}})
+			must.NoError(t, err)
+			t.Cleanup(p.Kill)
+			must.Eq(t, http.StatusOK, rigs[back].call(http.MethodPost, "/dispatch/send", "k", "go").StatusCode)
+			must.Eq(t, 1, p.Executions()["k"])
+		})
+	}
+}
+
+// freeAddr returns an address that refuses connections until a test listens there.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	addrs, err := proc.Addrs(1)
+	must.NoError(t, err)
+	return addrs[0]
+}
+
 // A keyed call is sent again after it has finished: the caller gets the first answer, and the target runs nothing.
 func TestFinishedKeyIsAnsweredFromItsClaim(t *testing.T) {
 	p := startPlain(t, "one")
@@ -227,3 +261,27 @@
 	must.Positive(t, resp.ContentLength)
 	must.SliceEmpty(t, resp.TransferEncoding)
 }
+
+// The caller of a claimed call leaves before the answer comes. The call goes on, its answer is kept, and a resend gets it;
+// cut with its caller it would have ended as "outcome unknown" for good.
+func TestClaimedCallGoesOnWithoutItsCaller(t *testing.T) {
+	p := startPlain(t, "one")
+	p.Order(plain.Fault{Kind: plain.FaultDelay, MS: 200})
+	store := newMemoryStore()
+	r := newRig(t, siteText("", true, nil, []string{p.Addr()}), func(o *Options) { o.Claims = store.claims("e1") })
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.http.URL+"/dispatch/send", strings.NewReader("go"))
+	must.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	req.Header.Set(callerapi.HeaderKey, "k")
+	go func() {
+		eventually(t, "executed", func() bool { return p.Executions()["k"] == 1 })
+		cancel()
+	}()
+	_, err = http.DefaultClient.Do(req)
+	must.ErrorIs(t, err, context.Canceled)
+	eventually(t, "outcome in the table", func() bool { return store.holds(`"code":1000`) == 1 })
+	resp := r.call(http.MethodPost, "/dispatch/send", "k", "go")
+	must.Eq(t, http.StatusOK, resp.StatusCode)
+	must.Eq(t, 1, p.Executions()["k"])
+}
--- a/lib/entry/seams.go
+++ b/lib/entry/seams.go
@@ -27,6 +27,8 @@
 
 // Claim is the right to run one keyed request, held in the platform's table. *claim.Claim implements it.
 type Claim interface {
+	// FirstAttempt is the number to begin with: lower ones may have been used by earlier requests under the key.
+	FirstAttempt() uint32
 	// Sent must return nil before anything leaves for a target. A refusal ends the claim.
 	Sent(ctx context.Context, target string, attempt uint32) *result.Error
 	// Finish keeps the outcome for resends. It doesn't wait for the table.
@@ -65,6 +67,7 @@
 	Tokens      []string // delivered so far, from index 0
 	Finished    bool
 	FinishedWhy string // finish reason of the end mark
+	Released    bool   // its caller left for too long and it was stopped: any entry may go on with it
 }
 
 // Records keeps Records with peers, by workspace and key.
--- a/lib/localsite/site.go
+++ b/lib/localsite/site.go
@@ -1,5 +1,6 @@
 // Package localsite starts a whole small site as separate processes on loopback, for the demo, the load tool and the
 // multi-process tests: the platform's stand-in, model engines, plain services, entries with their control processes.
+// Links between our processes are TLS, with certificates made for the one site.
 package localsite
 
 import (
@@ -11,6 +12,7 @@
 	"path/filepath"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/opsapi"
 	"anvilwick.example/anvilwick/lib/platform"
 	"anvilwick.example/anvilwick/lib/platformapi"
@@ -34,14 +36,25 @@
 	EntryFlags  []string  // added for every entry
 	Settings    Settings  // Targets are filled in
 	Output      io.Writer // gets all processes' output; nil: kept by each process only
+
+	// Via returns the address to configure instead of addr for one link; nil: links are direct. Faults of links are
+	// injected by a relay there. Links between entries have none: an entry tells the others its own address.
+	Via func(link, addr string) (string, error)
 }
 
+// Names of links for Config.Via.
+func linkToPlatform(from string) string { return "platform of " + from }
+func linkToTarget(name string) string   { return "target " + name }
+func linkToEntry(control string) string { return "entry of " + control }
+func linkOfCallers(entry string) string { return "callers of " + entry }
+
 // Node is one process of the site.
 type Node struct {
 	*proc.Proc
 	Name   string
 	Domain string
 	Addr   string // callers' port of an entry, port of a target or of the platform; IP:port
+	Reach  string // where others of the site reach Addr
 	Ops    string // operators' port of an entry or control process
 	Mesh   string // of an entry
 
@@ -61,6 +74,9 @@
 	cfg Config
 	set proc.Set
 	dir string // scratch
+
+	links mesh.TLSFiles
+	err   error // of Config.Via
 }
 
 // Start starts every process and commits the settings. On an error nothing is left running.
@@ -87,7 +103,7 @@
 		}
 	}
 	s.Store = platform.New(platform.Config{Addr: s.Platform.Addr})
-	if err := s.awaitTargets(ctx); err != nil {
+	if err := s.AwaitTargets(ctx); err != nil {
 		return err
 	}
 	if err := s.commit(ctx); err != nil {
@@ -97,8 +113,11 @@
 }
 
 // plan draws addresses and works out every command line.
-func (s *Site) plan() error {
+func (s *Site) plan() (err error) {
 	c := s.cfg
+	if s.links, err = WriteCerts(s.dir); err != nil {
+		return err
+	}
 	addrs, err := proc.Addrs(1 + c.Engines + c.Plains + 4*c.Entries)
 	if err != nil {
 		return err
@@ -120,9 +139,24 @@
 		s.Entries = append(s.Entries, e)
 		s.Controls = append(s.Controls, s.control(e, next()))
 	}
+	if s.err != nil {
+		return s.err
+	}
 	return s.writeInstances()
 }
 
+// via returns the address by which a link is configured.
+func (s *Site) via(link, addr string) string {
+	if s.cfg.Via == nil {
+		return addr
+	}
+	out, err := s.cfg.Via(link, addr)
+	if err != nil && s.err == nil {
+		s.err = err
+	}
+	return out
+}
+
 func domain(i int) string { return domains[i%len(domains)] }
 
 func (s *Site) instanceList() string { return filepath.Join(s.dir, "instances.json") }
@@ -130,15 +164,22 @@
 func (s *Site) planPlatform(next func() string) {
 	addr := next()
 	s.Platform = &Node{
-		Name: "platform", Addr: addr, binary: "anvilwick-standin",
+		Name: "platform", Addr: addr, Reach: addr, binary: "anvilwick-standin",
 		args: []string{"platform", "-addr", addr, "-instances", s.instanceList(), "-list-lag", "500ms"},
 	}
 }
 
 func (s *Site) engine(i int, addr string) *Node {
 	args := []string{"engine", "-addr", addr, "-model", s.cfg.Settings.Model, "-seed", fmt.Sprint(i + 1), "-fencing"}
+	if set := s.cfg.Settings; set.IdleWatts > 0 {
+		args = append(args, "-idle-watts", fmt.Sprint(set.IdleWatts), "-seq-watts", fmt.Sprint(set.SeqWatts))
+	}
+	if n := s.cfg.Settings.MaxBatch; n > 0 {
+		args = append(args, "-max-batch", fmt.Sprint(n))
+	}
+	name := fmt.Sprintf("engine-%d", i+1)
 	return &Node{
-		Name: fmt.Sprintf("engine-%d", i+1), Domain: domain(i), Addr: addr, binary: "anvilwick-standin",
+		Name: name, Domain: domain(i), Addr: addr, Reach: s.via(linkToTarget(name), addr), binary: "anvilwick-standin",
 		args: append(args, s.cfg.EngineFlags...),
 	}
 }
@@ -146,7 +187,7 @@
 func (s *Site) plain(i int, addr string) *Node {
 	name := fmt.Sprintf("plain-%d", i+1)
 	return &Node{
-		Name: name, Domain: domain(i), Addr: addr, binary: "anvilwick-standin",
+		Name: name, Domain: domain(i), Addr: addr, Reach: s.via(linkToTarget(name), addr), binary: "anvilwick-standin",
 		args: []string{"plain", "-addr", addr, "-name", name},
 	}
 }
@@ -155,25 +196,33 @@
 	name := fmt.Sprintf("entry-%d", i+1)
 	args := []string{
 		"-instance", name, "-failure-domain", domain(i), "-listen", addr, "-ops-addr", ops, "-mesh-addr", mesh,
-		"-plain-links", "-operator-token-sha256", tokenHash(), "-stop-notice", "200ms",
-		"-platform", s.Platform.Addr,
+		"-operator-token-sha256", tokenHash(), "-stop-notice", "200ms", "-platform", s.via(linkToPlatform(name), s.Platform.Addr),
 	}
+	args = append(args, s.linkFlags()...)
 	return &Node{
-		Name: name, Domain: domain(i), Addr: addr, Ops: ops, Mesh: mesh, binary: "anvilwick-entry",
+		Name: name, Domain: domain(i), Addr: addr, Reach: s.via(linkOfCallers(name), addr), Ops: ops, Mesh: mesh, binary: "anvilwick-entry",
 		args: append(args, s.cfg.EntryFlags...),
 	}
 }
 
 func (s *Site) control(e *Node, ops string) *Node {
+	name := "control of " + e.Name
 	return &Node{
-		Name: "control of " + e.Name, Domain: e.Domain, Ops: ops, binary: "anvilwick-control",
-		args: []string{
-			"-instance", e.Name, "-failure-domain", e.Domain, "-entry-addr", e.Mesh, "-platform", s.Platform.Addr,
-			"-ops-addr", ops, "-plain-links", "-operator-token-sha256", tokenHash(), "-lease-ttl", "3s",
-		},
+		Name: name, Domain: e.Domain, Ops: ops, binary: "anvilwick-control",
+		args: append([]string{
+			"-instance", e.Name, "-failure-domain", e.Domain, "-entry-addr", s.via(linkToEntry(name), e.Mesh), "-platform", s.via(linkToPlatform(name), s.Platform.Addr),
+			"-ops-addr", ops, "-operator-token-sha256", tokenHash(), "-lease-ttl", "3s",
+		}, s.linkFlags()...),
 	}
 }
 
+// Links returns the files of the site's links.
+func (s *Site) Links() mesh.TLSFiles { return s.links }
+
+func (s *Site) linkFlags() []string {
+	return []string{"-link-ca", s.links.CA, "-link-cert", s.links.Cert, "-link-key", s.links.Key}
+}
+
 func tokenHash() string { return fmt.Sprintf("%x", opsapi.HashToken(OperatorToken)) }
 
 func (s *Site) writeInstances() error {
@@ -196,10 +245,14 @@
 	return err
 }
 
-// Restart starts a process that has ended again, on its old addresses.
-func (s *Site) Restart(n *Node) error { return s.launch(n) }
+// Restart starts a process that has ended again, on its old addresses. Flags are added, and win over earlier ones.
+func (s *Site) Restart(n *Node, flags ...string) error {
+	n.args = append(n.args, flags...)
+	return s.launch(n)
+}
 
-func (s *Site) awaitTargets(ctx context.Context) error {
+// AwaitTargets waits until the platform and every target answers.
+func (s *Site) AwaitTargets(ctx context.Context) error {
 	paths := map[*Node]string{s.Platform: platformapi.PathInstances}
 	for _, n := range s.Engines {
 		paths[n] = "/v1/load"
@@ -263,7 +316,7 @@
 func (s *Site) Callers() []string {
 	var out []string
 	for _, e := range s.Entries {
-		out = append(out, e.Addr)
+		out = append(out, e.Reach)
 	}
 	return out
 }
