--- a/lib/entry/run.go
+++ b/lib/entry/run.go
@@ -9,7 +9,9 @@
 	"github.com/phuslu/log"
 
 	"anvilwick.example/anvilwick/lib/breaker"
+	"anvilwick.example/anvilwick/lib/engineapi"
 	"anvilwick.example/anvilwick/lib/invariant"
+	"anvilwick.example/anvilwick/lib/logline"
 	"anvilwick.example/anvilwick/lib/result"
 	"anvilwick.example/anvilwick/lib/sched"
 	"anvilwick.example/anvilwick/lib/target"
@@ -21,12 +23,14 @@
 	resumePause   = 100 * time.Millisecond // between two tries to place it; its caller sees the stall
 	refusalRetry  = time.Second            // told to callers where nobody knows better
 	cancelTimeout = 2 * time.Second
-	placeGrace    = 5 * time.Second // beyond the policy's bound on waiting, in case the scheduler is silent
+	avoidPatience = 300 * time.Millisecond // a place is waited for so long without the targets that failed it
+	placeGrace    = 5 * time.Second        // beyond the policy's bound on waiting, in case the scheduler is silent
 )
 
 // runState is what the loop over attempts remembers.
 type runState struct {
-	avoid       []string
+	avoid       []string  // targets that failed it since its last token
+	anywhere    bool      // no place was found without the targets to avoid: any will do
 	fruitless   int       // attempts in a row that gave no token
 	preemptions int       // moves and preemptions
 	waiting     time.Time // since when a started generation looks for a place; zero: it has one
@@ -55,6 +59,11 @@
 		return result.Wrap(result.InvariantBroken, invariant.Broken("attempt_before_fenced", berr.Error()), "begin an attempt"), false
 	}
 	grant, perr := s.place(g, rs, number)
+	if grant.Target == "" && perr == nil {
+		g.stop()
+		return nil, true
+	}
+	rs.anywhere = false
 	if perr != nil {
 		g.stop()
 		return s.afterRefusal(g, rs, perr)
@@ -87,6 +96,7 @@
 	emitted, decisions := int(g.state.Next()), g.attempt.decisions
 	g.mu.Unlock()
 	asked := s.now()
+	avoid := s.spared(g, rs)
 	s.opts.Placer.Submit(g.service.Name, sched.Request{
 		Gen:          g.id,
 		Workspace:    g.subject.Workspace,
@@ -98,11 +108,16 @@
 		Preemptions:  rs.preemptions,
 		Prefixes:     g.prefixes,
 		Deadline:     s.schedDeadline(g, asked),
-		Avoid:        s.avoidFor(rs.avoid, g.subject.Fingerprint),
+		Avoid:        avoid,
 		Fingerprint:  g.subject.Fingerprint,
 	}, g.decide)
 	patience := time.NewTimer(g.policy.MaxWait + placeGrace)
 	defer patience.Stop()
+	choosy := time.NewTimer(avoidPatience)
+	defer choosy.Stop()
+	if len(avoid) == 0 {
+		choosy.Stop()
+	}
 	var err *result.Error
 	select {
 	case a := <-decisions:
@@ -115,6 +130,8 @@
 		return a, err
 	case <-g.ctx.Done():
 		err = causeError(context.Cause(g.ctx))
+	case <-choosy.C:
+		rs.avoid, rs.anywhere = nil, true
 	case <-patience.C:
 		err = result.New(result.QueueFull, "no place within %s", g.policy.MaxWait)
 		err.RetryAfter = refusalRetry
@@ -123,6 +140,25 @@
 	return sched.Action{}, err
 }
 
+// spared returns the targets that the next attempt keeps away from: those that failed it, and those where its content
+// would meet another suspect. A scheduler takes the list to the letter. It is empty when no other target is left, or when
+// none had room in time: a generation that met a cut on each of a few engines would never find a place again, and after
+// the death of one engine there are more suspects than engines to keep them apart on.
+func (s *Server) spared(g *generation, rs *runState) []string {
+	svc := s.view.Load().snap.Services[g.service.Name]
+	if svc == nil || rs.anywhere {
+		return nil
+	}
+	avoid := s.avoidFor(rs.avoid, g.subject.Fingerprint)
+	for i := range svc.Targets {
+		t := &svc.Targets[i]
+		if !t.Draining && !slices.Contains(avoid, t.Name) {
+			return avoid
+		}
+	}
+	return nil
+}
+
 func (s *Server) schedDeadline(g *generation, now time.Time) sched.Time {
 	if g.deadline.IsZero() {
 		return 0
@@ -176,7 +212,7 @@
 	s.opts.Placer.End(g.service.Name, g.id, number, int(g.delivered()), end.reason)
 	s.metrics.AttemptEnded(reasonName(end.reason))
 	e := g.log(log.Info(), "attempt_end").Str("target", name).Uint32("attempt", number).Str("reason", reasonName(end.reason))
-	e.Uint32("tokens", g.delivered()).AnErr("cause", end.cause).Msg("")
+	logline.Cause(e.Uint32("tokens", g.delivered()), end.cause)
 	if end.settled {
 		return
 	}
@@ -192,7 +228,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
 		if _, err := c.Cancel(ctx, g.id, number); err != nil {
-			g.log(log.Debug(), "cancel_failed").Str("target", c.Name()).AnErr("cause", err).Msg("")
+			logline.Cause(g.log(log.Debug(), "cancel_failed").Str("target", c.Name()), err)
 		}
 	}()
 }
@@ -239,6 +275,7 @@
 	rs.fruitless++
 	if g.attemptTokens() > 0 {
 		rs.fruitless = 0
+		rs.avoid = rs.avoid[:0]
 	}
 	if !slices.Contains(rs.avoid, name) {
 		rs.avoid = append(rs.avoid, name)
@@ -252,7 +289,7 @@
 // never sent asked nothing of anybody. A generation that has given tokens goes on without: starting it afresh would cost
 // more than resuming it, and its attempts are bounded.
 func (s *Server) retry(g *generation, end attemptEnd) (*result.Error, bool) {
-	if g.delivered() == 0 && !errors.Is(end.cause, target.ErrNotSent) {
+	if g.delivered() == 0 && !askedNothing(end.cause) {
 		if ok, wait := s.opts.Budgets.Take(s.now(), g.subject.Workspace); !ok {
 			err := result.Wrap(result.RetryBudget, end.cause, "try another target")
 			err.RetryAfter = max(wait, refusalRetry)
@@ -263,6 +300,15 @@
 	return nil, true
 }
 
+// askedNothing reports whether an attempt cost its target nothing: it was never sent, or the target turned it away because
+// it is leaving. Reports that tell of the leaving lag; in that time every request placed there comes back, and were they
+// charged to the budget, a planned stop of one target would use it up and callers would be refused.
+func askedNothing(cause error) bool {
+	var refusal *target.RefusedError
+	leaving := errors.As(cause, &refusal) && refusal.Err.NotRun && refusal.Err.Type == engineapi.ErrDraining
+	return leaving || errors.Is(cause, target.ErrNotSent)
+}
+
 // attemptTokens returns the count of tokens that the last attempt delivered.
 func (g *generation) attemptTokens() int {
 	g.mu.Lock()
--- a/lib/entryproc/process.go
+++ b/lib/entryproc/process.go
@@ -15,6 +15,7 @@
 	"anvilwick.example/anvilwick/lib/entrymetrics"
 	"anvilwick.example/anvilwick/lib/guardlink"
 	"anvilwick.example/anvilwick/lib/limit"
+	"anvilwick.example/anvilwick/lib/logline"
 	"anvilwick.example/anvilwick/lib/opsapi"
 	"anvilwick.example/anvilwick/lib/poison"
 	"anvilwick.example/anvilwick/lib/settings"
@@ -68,6 +69,9 @@
 	}
 	go p.server.Run(ctx)
 	go p.limits.Run(ctx)
+	if p.claims != nil {
+		go p.claims.share(ctx, p.view, p.server.Snapshot)
+	}
 	if p.links != nil {
 		p.links.run(ctx)
 	}
@@ -168,7 +172,7 @@
 		p.links.close()
 	}
 	p.clients.Close()
-	log.Info().Str("event", "stopped").AnErr("cause", err).Msg("")
+	logline.Cause(log.Info().Str("event", "stopped"), err)
 	return err
 }
 
--- a/lib/limit/limit.go
+++ b/lib/limit/limit.go
@@ -7,7 +7,12 @@
 // old one. A holder lends only while a majority of the members regard it as holder, so that two views of who is a
 // member can't make two holders lend the same limit.
 //
-// Client, Holder and Node are pure: the time is passed in, messages are returned. Nothing here stores or elects.
+// A Node is pure: the time is passed in, messages are returned. Nothing here stores anything. A Service runs a Node in
+// real time.
+//
+// Cost: an instance's messages grow with its keys in use, whatever the number of instances, and with the number of
+// instances for the support of holders, which is the square of them over a site. Figures are in BenchmarkLimitTraffic's
+// commits. Hundreds of instances need a longer TTL and SupportTTL, or support by a few members for each key.
 package limit
 
 import "time"
@@ -39,10 +44,11 @@
 	MaxInstances  int           // instances that split it; no more than so many may run
 }
 
-// DefaultConfig suits sites of up to 16 instances.
+// DefaultConfig suits sites of up to 16 instances. Its floor is small, for what floors take from a limit can be used by
+// nobody while fewer than MaxInstances run: with a quarter, 8 instances could use 56 of 64.
 var DefaultConfig = Config{
 	Interval: 200 * time.Millisecond, TTL: 1500 * time.Millisecond, SupportTTL: time.Second,
-	AskWait: 50 * time.Millisecond, ClockSkew: 0.02, OrphanHold: 10 * time.Second, FloorFraction: 0.25, MaxInstances: 16,
+	AskWait: 50 * time.Millisecond, ClockSkew: 0.02, OrphanHold: 10 * time.Second, FloorFraction: 0.1, MaxInstances: 16,
 }
 
 // AloneConfig suits a single instance without peers: the whole limit is its floor, so that it needs no holder.
