--- a/lib/member/config.go
+++ b/lib/member/config.go
@@ -38,6 +38,13 @@
 	Seed         uint64 // of the choice of dead members to try again
 }
 
+// at returns the config with another interval, and the times that follow from it.
+func (c Config) at(interval time.Duration) Config {
+	c.Interval = interval
+	c.SuspectAfter, c.DeadAfter = 0, 0
+	return c.withDefaults()
+}
+
 func (c Config) withDefaults() Config {
 	if c.Interval <= 0 {
 		c.Interval = DefaultInterval
--- a/lib/member/runner.go
+++ b/lib/member/runner.go
@@ -14,9 +14,8 @@
 
 // Runner drives a Table over a mesh node. Its methods are safe for concurrent use.
 type Runner struct {
-	node     *mesh.Node
-	interval time.Duration
-	start    time.Time
+	node  *mesh.Node
+	start time.Time
 
 	mu    sync.Mutex
 	table *Table
@@ -28,13 +27,11 @@
 
 // NewRunner makes a table for cfg and serves heartbeats on node, which must carry the same identity as cfg.Self.
 func NewRunner(node *mesh.Node, cfg Config) *Runner {
-	cfg = cfg.withDefaults()
 	r := &Runner{
-		node:     node,
-		interval: cfg.Interval,
-		start:    time.Now(),
-		table:    NewTable(0, cfg),
-		next:     make(chan struct{}),
+		node:  node,
+		start: time.Now(),
+		table: NewTable(0, cfg),
+		next:  make(chan struct{}),
 	}
 	r.view.Store(r.table.View())
 	node.Handle(meshpb.StreamKind_STREAM_HEARTBEAT, r.serve)
@@ -47,25 +44,37 @@
 	out := mesh.NewOutbox(ctx, r.node, mesh.OutboxOptions{
 		Kind:     meshpb.StreamKind_STREAM_HEARTBEAT,
 		Queue:    1, // an old heartbeat is worth nothing
-		Idle:     idleIntervals * r.interval,
+		Idle:     idlePeer,
 		NewReply: func() proto.Message { return new(meshpb.Heartbeat) },
 		OnReply:  func(_ mesh.Identity, m proto.Message) { r.receive(m.(*meshpb.Heartbeat)) },
 		OnError:  r.failed,
 	})
 	defer out.Wait()
 	defer cancel()
-	ticker := time.NewTicker(r.interval / urgentDivisor)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 			r.round(out)
+			timer.Reset(r.tickInterval())
 		}
 	}
 }
 
+// tickInterval is short enough for news that can't wait for the next round.
+func (r *Runner) tickInterval() (d time.Duration) {
+	r.locked(func(Time) { d = r.table.cfg.Interval / urgentDivisor })
+	return d
+}
+
+// SetInterval changes the time between heartbeats, as settings say.
+func (r *Runner) SetInterval(d time.Duration) {
+	r.locked(func(Time) { r.table.SetInterval(d) })
+}
+
 // View returns the newest view.
 func (r *Runner) View() *View { return r.view.Load() }
 
@@ -166,5 +175,5 @@
 	}
 }
 
-// idleIntervals without a heartbeat to a peer close its stream: it is no neighbour any more.
-const idleIntervals = 10
+// idlePeer without a heartbeat to a peer closes its stream: it is no neighbour any more.
+const idlePeer = 10 * time.Second
--- a/lib/member/runner_test.go
+++ b/lib/member/runner_test.go
@@ -131,6 +131,15 @@
 	must.Len(t, 4, ps[0].View().Workers())
 }
 
+func TestIntervalIsSetWhileRunning(t *testing.T) {
+	ps := startProcesses(t, 2, time.Hour/1000)
+	for _, p := range ps {
+		p.SetInterval(runnerInterval)
+	}
+	ps[1].stop()
+	waitView(t, ps[0], "death at the new interval", stateIs("i01", 1, Dead))
+}
+
 func TestRunnersPassOnDigestsAndRevisions(t *testing.T) {
 	ps := startProcesses(t, 3, runnerInterval)
 	ps[1].SetLocal(12, []*meshpb.ShardDigest{{Service: "planner", Shard: 3, Queued: 9}})
--- a/lib/member/table.go
+++ b/lib/member/table.go
@@ -99,6 +99,13 @@
 	t.digests = digests[:min(len(digests), maxDigests)]
 }
 
+// SetInterval changes the time between rounds, and with it the times to suspicion and death.
+func (t *Table) SetInterval(d time.Duration) {
+	if d > 0 && d != t.cfg.Interval {
+		t.cfg = t.cfg.at(d)
+	}
+}
+
 // Leave announces that this instance is stopping. It can't be taken back: a new life needs a new incarnation.
 func (t *Table) Leave() {
 	if t.self.Leaving {
