--- a/lib/e2e/e2e_test.go
+++ b/lib/e2e/e2e_test.go
@@ -24,27 +24,42 @@
 	patience  = 2 * time.Minute // of one test, the build of the binaries included; they wait on conditions and end much sooner
 )
 
+// sites bounds the sites that run at once, some ten processes each: more would wait for the processor and not for the
+// conditions that the tests are about.
+var sites = make(chan struct{}, 4)
+
 func TestMain(m *testing.M) {
 	code := m.Run()
 	proc.RemoveBinaries()
 	os.Exit(code)
 }
 
-// siteOf starts a site and stops it at the end of the test. On a failure it shows what the processes said.
+// siteOf starts a site with the settings that most tests use.
 func siteOf(t *testing.T, engines, entries int, engineFlags ...string) (*localsite.Site, context.Context) {
+	t.Helper()
+	return siteWith(t, engines, entries, someSettings(), engineFlags...)
+}
+
+func someSettings() localsite.Settings {
+	return localsite.Settings{
+		Model: model, Service: "anvilwick-treaty", Route: "/ledger", Workspaces: []string{workspace},
+		Classes: []workload.Class{{Name: "standard", Priority: 50, MaxWait: time.Minute, QueueBound: 100, MaxPreemptions: 2}},
+	}
+}
+
+// siteWith starts a site and stops it at the end of the test. On a failure it shows what the processes said.
+func siteWith(t *testing.T, engines, entries int, settings localsite.Settings, engineFlags ...string) (*localsite.Site, context.Context) {
 	t.Helper()
 	t.Parallel()
+	sites <- struct{}{}
+	t.Cleanup(func() { <-sites })
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	t.Cleanup(cancel)
 	bin, err := proc.Binaries(ctx)
 	must.NoError(t, err)
 	site, err := localsite.Start(ctx, localsite.Config{
-		Binaries: bin, Engines: engines, Plains: 2, Entries: entries,
+		Binaries: bin, Engines: engines, Plains: 2, Entries: entries, Settings: settings,
 		EngineFlags: append([]string{"-report-lag", "100ms", "-step-base", "5ms"}, engineFlags...),
-		Settings: localsite.Settings{
-			Model: model, Service: "anvilwick-treaty", Route: "/ledger", Workspaces: []string{workspace},
-			Classes: []workload.Class{{Name: "standard", Priority: 50, MaxWait: time.Minute, QueueBound: 100, MaxPreemptions: 2}},
-		},
 	})
 	must.NoError(t, err)
 	t.Cleanup(func() {
@@ -102,6 +117,9 @@
 				return
 			}
 		case <-s.done:
+			if len(s.seen) > 0 {
+				continue // what is still to be read comes first
+			}
 			t.Fatalf("%s ended before token %d: %+v %v", s.prompt, n, s.res, s.err)
 		case <-ctx.Done():
 			t.Fatalf("%s: token %d did not come", s.prompt, n)
--- a/lib/entryproc/links.go
+++ b/lib/entryproc/links.go
@@ -1,9 +1,11 @@
 package entryproc
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +34,7 @@
 	decider *shared
 	limits  *limit.Service
 	ln      net.Listener
+	listed  []string // instances that the platform's list named last
 	running sync.WaitGroup
 }
 
@@ -46,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ln, err := net.Listen("tcp", cfg.MeshAddr)
+	ln, err := net.Listen("tcp", cmp.Or(cfg.MeshListen, cfg.MeshAddr))
 	if err != nil {
 		node.Close()
 		return nil, fmt.Errorf("-mesh-addr: %w", err)
@@ -107,7 +110,21 @@
 		names = append(names, m.GetInstance())
 	}
 	l.members.SetInstances(list)
-	l.limits.SetView(names)
+	if len(names) > 0 { // an empty list is no news: this instance at least runs
+		l.limits.SetView(names)
+		l.forgetDropped(names)
+	}
+}
+
+// forgetDropped tells the limits of instances that the platform's list no longer names, neither live nor leaving: their
+// processes are gone, and nobody need wait for news of their requests.
+func (l *links) forgetDropped(names []string) {
+	for _, name := range l.listed {
+		if !slices.Contains(names, name) {
+			l.limits.Forget(name)
+		}
+	}
+	l.listed = names
 }
 
 // exchangeInterval is how often what heartbeats carry is passed on, both ways.
--- a/lib/limit/limit_test.go
+++ b/lib/limit/limit_test.go
@@ -28,8 +28,9 @@
 		s.spread = rapid.SampledFrom([]time.Duration{500 * time.Millisecond, 4 * time.Second}).Draw(t, "spread")
 		life := rapid.SampledFrom([]time.Duration{500 * time.Millisecond, cfg.OrphanHold * 9 / 10}).Draw(t, "life")
 		trouble := rapid.SampledFrom([]int{300, 1200}).Draw(t, "trouble")
+		kinds := rapid.SliceOfNDistinct(rapid.SampledFrom(allTrouble), 1, len(allTrouble), rapid.ID).Draw(t, "kinds")
 		s.run(20*time.Second, func() {
-			s.disturb(cfg, trouble)
+			s.disturb(cfg, kinds, trouble)
 			for range s.rng.IntN(4) {
 				s.request(s.insts[s.rng.IntN(len(s.insts))], time.Duration(s.rng.Int64N(int64(life))))
 			}
@@ -41,34 +42,52 @@
 	})
 }
 
-// disturb makes something fail now and then.
-func (s *sim) disturb(cfg Config, oneIn int) {
+// trouble is a kind of failure.
+type trouble int
+
+const (
+	pauses trouble = iota
+	kills
+	cuts
+	isolations
+	viewChanges
+)
+
+var allTrouble = []trouble{pauses, kills, cuts, isolations, viewChanges}
+
+// disturb makes something of the given kinds fail, or mends it, once in so many steps on average.
+func (s *sim) disturb(cfg Config, kinds []trouble, oneIn int) {
+	if s.rng.IntN(oneIn) >= 2*len(kinds) {
+		return
+	}
 	in := s.insts[s.rng.IntN(len(s.insts))]
-	switch s.rng.IntN(oneIn) {
-	case 0, 1:
+	other := s.insts[s.rng.IntN(len(s.insts))]
+	switch kinds[s.rng.IntN(len(kinds))] {
+	case pauses:
 		in.paused = s.now + time.Duration(s.rng.Int64N(int64(2*cfg.WaitOut())))
-	case 2:
+	case kills:
 		if in.alive {
 			s.kill(in)
-		}
-	case 3, 4:
-		if !in.alive {
+		} else {
 			s.start(in)
 		}
-	case 5, 6, 7:
-		a, b := s.rng.IntN(len(s.insts)), s.rng.IntN(len(s.insts))
-		s.cut[[2]int{a, b}] = !s.cut[[2]int{a, b}]
-	case 8:
-		for j := range s.insts {
-			s.cut[[2]int{in.id, j}], s.cut[[2]int{j, in.id}] = true, true
-		}
-	case 9:
-		clear(s.cut)
-	case 10, 11, 12, 13, 14:
+	case cuts:
+		link := [2]int{in.id, other.id}
+		s.cut[link] = !s.cut[link]
+	case isolations:
+		s.isolate(in, !s.cut[[2]int{in.id, other.id}])
+	case viewChanges:
 		s.addView()
 	}
 }
 
+// isolate cuts or mends all links of one instance.
+func (s *sim) isolate(in *simInst, cut bool) {
+	for j := range s.insts {
+		s.cut[[2]int{in.id, j}], s.cut[[2]int{j, in.id}] = cut, cut
+	}
+}
+
 // checkRate asserts that admissions in any window stay within the rate and what may have been lent before it: tokens
 // live for TTL, and each bucket holds a burst.
 func checkRate(t *rapid.T, s *sim, lim Limit) {
@@ -122,10 +141,22 @@
 	}
 }
 
+// What callers see when all their requests come to one instance: they can use the whole of an ordinary limit there.
+func TestOneInstanceCanUseTheWholeLimit(t *testing.T) {
+	s := newSim(DefaultConfig, 2, 8, Limit{Concurrency: 64})
+	s.run(2*DefaultConfig.WaitOut(), nil)
+	s.run(2*time.Second, func() {
+		for range 4 {
+			s.request(s.insts[3], 300*time.Millisecond)
+		}
+	})
+	must.Eq(t, 64, s.inProgress())
+}
+
 // What callers see when several instances want more than the limit: each instance gets a like part.
 func TestScarceSharesAreFair(t *testing.T) {
 	cfg := DefaultConfig
-	cfg.MaxInstances = 8
+	cfg.FloorFraction, cfg.MaxInstances = 0.25, 8
 	s := newSim(cfg, 1, 8, Limit{Concurrency: 80})
 	s.run(2*cfg.WaitOut(), nil)
 	s.run(5*time.Second, func() {
@@ -144,6 +175,7 @@
 // back, and the rest of the site then has its slots. Its requests in progress run on and stay counted.
 func TestCutOffInstanceFallsToFloor(t *testing.T) {
 	cfg := DefaultConfig
+	cfg.FloorFraction = 0.25
 	s := newSim(cfg, 3, 4, Limit{Concurrency: 64})
 	s.run(2*cfg.WaitOut(), nil)
 	holder := s.index(s.insts[0].node.holderOf(simKey))
@@ -266,10 +298,34 @@
 func TestRestartedInstanceSupportsNobodyAtFirst(t *testing.T) {
 	cfg := DefaultConfig
 	s := newSim(cfg, 5, 3, Limit{Concurrency: 8})
-	up := func() Up { return s.insts[0].node.up(s.clock(s.insts[0]), s.insts[1].name) }
+	up := func() Up { return s.insts[0].node.up(s.clock(s.insts[0]), s.insts[1].name, nil, false) }
 	must.SliceEmpty(t, up().Views)
 	s.run(cfg.WaitOut()-100*time.Millisecond, nil)
 	must.SliceEmpty(t, up().Views)
 	s.run(200*time.Millisecond, nil)
 	must.SliceLen(t, 1, up().Views)
 }
+
+// What callers of an instance see that the platform's list left out for a moment: it is lent shares again once the list
+// names it, though it was taken for dead meanwhile.
+func TestForgottenInstanceComesBack(t *testing.T) {
+	cfg := DefaultConfig
+	s := newSim(cfg, 8, 4, Limit{Concurrency: 8})
+	s.run(2*cfg.WaitOut(), nil)
+	holder := s.index(s.insts[0].node.holderOf(simKey))
+	back := s.insts[(holder+1)%4]
+	all := s.views[0]
+	for _, in := range s.insts {
+		if in != back {
+			in.node.SetView(s.clock(in), without(all, back.name))
+			in.node.Forget(back.name)
+		}
+	}
+	s.run(time.Second, nil)
+	for _, in := range s.insts {
+		in.node.SetView(s.clock(in), all)
+	}
+	s.run(cfg.WaitOut()+cfg.OrphanHold, nil)
+	s.run(time.Second, func() { s.request(back, 100*time.Millisecond) })
+	must.Positive(t, len(back.ends))
+}
--- a/lib/localsite/site.go
+++ b/lib/localsite/site.go
@@ -1,5 +1,6 @@
 // Package localsite starts a whole small site as separate processes on loopback, for the demo, the load tool and the
 // multi-process tests: the platform's stand-in, model engines, plain services, entries with their control processes.
+// Links between our processes are TLS, with certificates made for the one site.
 package localsite
 
 import (
@@ -11,6 +12,7 @@
 	"path/filepath"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/opsapi"
 	"anvilwick.example/anvilwick/lib/platform"
 	"anvilwick.example/anvilwick/lib/platformapi"
@@ -36,16 +38,10 @@
 	Output      io.Writer // gets all processes' output; nil: kept by each process only
 
 	// Via returns the address to configure instead of addr for one link; nil: links are direct. Faults of links are
-	// injected by a relay there. Links between entries have none: an entry tells the others its own address.
+	// injected by a relay there. The link "mesh of" an entry carries what other entries open to it.
 	Via func(link, addr string) (string, error)
 }
 
-// Names of links for Config.Via.
-func linkToPlatform(from string) string { return "platform of " + from }
-func linkToTarget(name string) string   { return "target " + name }
-func linkToEntry(control string) string { return "entry of " + control }
-func linkOfCallers(entry string) string { return "callers of " + entry }
-
 // Node is one process of the site.
 type Node struct {
 	*proc.Proc
@@ -54,7 +50,9 @@
 	Addr   string // callers' port of an entry, port of a target or of the platform; IP:port
 	Reach  string // where others of the site reach Addr
 	Ops    string // operators' port of an entry or control process
-	Mesh   string // of an entry
+	Mesh   string // where an entry listens for other entries and its control process
+
+	meshReach string // where other entries reach Mesh
 
 	binary string
 	args   []string
@@ -73,6 +71,8 @@
 	set proc.Set
 	dir string // scratch
 	err error  // of Config.Via
+
+	links mesh.TLSFiles
 }
 
 // Start starts every process and commits the settings. On an error nothing is left running.
@@ -99,7 +99,7 @@
 		}
 	}
 	s.Store = platform.New(platform.Config{Addr: s.Platform.Addr})
-	if err := s.awaitTargets(ctx); err != nil {
+	if err := s.AwaitTargets(ctx); err != nil {
 		return err
 	}
 	if err := s.commit(ctx); err != nil {
@@ -109,8 +109,11 @@
 }
 
 // plan draws addresses and works out every command line.
-func (s *Site) plan() error {
+func (s *Site) plan() (err error) {
 	c := s.cfg
+	if s.links, err = WriteCerts(s.dir); err != nil {
+		return err
+	}
 	addrs, err := proc.Addrs(1 + c.Engines + c.Plains + 4*c.Entries)
 	if err != nil {
 		return err
@@ -138,18 +141,6 @@
 	return s.writeInstances()
 }
 
-// via returns the address by which a link is configured.
-func (s *Site) via(link, addr string) string {
-	if s.cfg.Via == nil {
-		return addr
-	}
-	out, err := s.cfg.Via(link, addr)
-	if err != nil && s.err == nil {
-		s.err = err
-	}
-	return out
-}
-
 func domain(i int) string { return domains[i%len(domains)] }
 
 func (s *Site) instanceList() string { return filepath.Join(s.dir, "instances.json") }
@@ -165,6 +156,12 @@
 func (s *Site) engine(i int, addr string) *Node {
 	args := []string{"engine", "-addr", addr, "-model", s.cfg.Settings.Model, "-seed", fmt.Sprint(i + 1), "-fencing"}
 	name := fmt.Sprintf("engine-%d", i+1)
+	if set := s.cfg.Settings; set.IdleWatts > 0 {
+		args = append(args, "-idle-watts", fmt.Sprint(set.IdleWatts), "-seq-watts", fmt.Sprint(set.SeqWatts))
+	}
+	if n := s.cfg.Settings.MaxBatch; n > 0 {
+		args = append(args, "-max-batch", fmt.Sprint(n))
+	}
 	return &Node{
 		Name: name, Domain: domain(i), Addr: addr, Reach: s.via(linkToTarget(name), addr), binary: "anvilwick-standin",
 		args: append(args, s.cfg.EngineFlags...),
@@ -181,13 +178,16 @@
 
 func (s *Site) entry(i int, addr, ops, mesh string) *Node {
 	name := fmt.Sprintf("entry-%d", i+1)
+	meshReach := s.via(linkOfMesh(name), mesh)
 	args := []string{
-		"-instance", name, "-failure-domain", domain(i), "-listen", addr, "-ops-addr", ops, "-mesh-addr", mesh,
-		"-plain-links", "-operator-token-sha256", tokenHash(), "-stop-notice", "200ms",
+		"-instance", name, "-failure-domain", domain(i), "-listen", addr, "-ops-addr", ops,
+		"-mesh-addr", meshReach, "-mesh-listen", mesh,
+		"-operator-token-sha256", tokenHash(), "-stop-notice", "200ms",
 		"-platform", s.via(linkToPlatform(name), s.Platform.Addr),
 	}
+	args = append(args, s.linkFlags()...)
 	return &Node{
-		Name: name, Domain: domain(i), Addr: addr, Reach: s.via(linkOfCallers(name), addr), Ops: ops, Mesh: mesh, binary: "anvilwick-entry",
+		Name: name, Domain: domain(i), Addr: addr, Reach: s.via(linkOfCallers(name), addr), Ops: ops, Mesh: mesh, meshReach: meshReach, binary: "anvilwick-entry",
 		args: append(args, s.cfg.EntryFlags...),
 	}
 }
@@ -196,21 +196,28 @@
 	name := "control of " + e.Name
 	return &Node{
 		Name: name, Domain: e.Domain, Ops: ops, binary: "anvilwick-control",
-		args: []string{
+		args: append([]string{
 			"-instance", e.Name, "-failure-domain", e.Domain, "-entry-addr", s.via(linkToEntry(name), e.Mesh),
 			"-platform", s.via(linkToPlatform(name), s.Platform.Addr),
-			"-ops-addr", ops, "-plain-links", "-operator-token-sha256", tokenHash(), "-lease-ttl", "3s",
-		},
+			"-ops-addr", ops, "-operator-token-sha256", tokenHash(), "-lease-ttl", "3s",
+		}, s.linkFlags()...),
 	}
 }
 
+// Links returns the files of the site's links.
+func (s *Site) Links() mesh.TLSFiles { return s.links }
+
+func (s *Site) linkFlags() []string {
+	return []string{"-link-ca", s.links.CA, "-link-cert", s.links.Cert, "-link-key", s.links.Key}
+}
+
 func tokenHash() string { return fmt.Sprintf("%x", opsapi.HashToken(OperatorToken)) }
 
 func (s *Site) writeInstances() error {
 	var list platformapi.InstanceList
 	for _, e := range s.Entries {
 		list.Instances = append(list.Instances, platformapi.Instance{
-			ID: e.Name, FailureDomain: e.Domain, MeshAddr: e.Mesh, State: platformapi.InstanceLive,
+			ID: e.Name, FailureDomain: e.Domain, MeshAddr: e.meshReach, State: platformapi.InstanceLive,
 		})
 	}
 	b, err := json.Marshal(list)
@@ -226,10 +233,14 @@
 	return err
 }
 
-// Restart starts a process that has ended again, on its old addresses.
-func (s *Site) Restart(n *Node) error { return s.launch(n) }
+// Restart starts a process that has ended again, on its old addresses. Flags are added, and win over earlier ones.
+func (s *Site) Restart(n *Node, flags ...string) error {
+	n.args = append(n.args, flags...)
+	return s.launch(n)
+}
 
-func (s *Site) awaitTargets(ctx context.Context) error {
+// AwaitTargets waits until the platform and every target answers.
+func (s *Site) AwaitTargets(ctx context.Context) error {
 	paths := map[*Node]string{s.Platform: platformapi.PathInstances}
 	for _, n := range s.Engines {
 		paths[n] = "/v1/load"
