--- a/lib/prove/plan.go
+++ b/lib/prove/plan.go
@@ -120,6 +120,8 @@
 		return "callers"
 	case strings.HasPrefix(subject, "platform of"):
 		return "platform"
+	case strings.HasPrefix(subject, "mesh of"):
+		return "mesh"
 	case strings.HasPrefix(subject, "entry of"):
 		return "local"
 	case strings.HasPrefix(subject, "target "):
@@ -209,7 +211,7 @@
 	control := "control of " + entry
 	engine := fmt.Sprintf("engine-%d", 1+rng.IntN(siteEngines))
 	plain := fmt.Sprintf("plain-%d", 1+rng.IntN(sitePlains))
-	links := []string{"callers of " + entry, "platform of " + entry, "platform of " + control, "entry of " + control, "target " + engine, "target " + plain}
+	links := []string{"mesh of " + entry, "mesh of " + entry, "callers of " + entry, "platform of " + entry, "platform of " + control, "entry of " + control, "target " + engine, "target " + plain}
 	switch rng.IntN(16) {
 	case 0, 1:
 		return fault{kind: faultKill, subject: engine}
