--- a/Makefile
+++ b/Makefile
@@ -45,4 +45,5 @@
 # prove runs a small site of processes under seeded faults for SECONDS and checks what its clients saw; the last line is
 # key=value pairs and ends in violations=0 when no promise was broken. PROVEFLAGS adds flags.
 prove: build
-	./bin/anvilwick-prove -seed $(SEED) -span $(SECONDS)s $(PROVEFLAGS)
+	$(GO) build -o bin/ ./examples/prove
+	./bin/prove -seed $(SEED) -span $(SECONDS)s $(PROVEFLAGS)
--- a/app/anvilwick-prove/main.go
+++ b/examples/prove/main.go
@@ -1,4 +1,4 @@
-// Command anvilwick-prove starts a small site of separate processes, runs clients against it under seeded faults, and
+// Command prove starts a small site of separate processes, runs clients against it under seeded faults, and
 // checks what they saw. It also measures recovery after kills, and how soon settings are in force.
 //
 // Exit codes: 0 when no promise was broken, 1 when one was or the run failed, 2 for bad flags. Refusals are no breach.
@@ -23,7 +23,7 @@
 	exitOK     = 0
 	exitFailed = 1
 	exitUsage  = 2
-	envPrefix  = "ANVILWICK_PROVE"
+	envPrefix  = "PROVE"
 )
 
 // version is set by the build.
@@ -39,7 +39,7 @@
 	case err != nil:
 		return fail(exitUsage, err)
 	case show:
-		fmt.Println("anvilwick-prove", version)
+		fmt.Println("prove", version)
 		return exitOK
 	}
 	if err := cfg.Check(); err != nil {
@@ -54,7 +54,7 @@
 }
 
 func parse(args []string) (cfg prove.Config, showVersion bool, err error) {
-	fs := flag.NewFlagSet("anvilwick-prove", flag.ContinueOnError)
+	fs := flag.NewFlagSet("prove", flag.ContinueOnError)
 	cfg.Register(fs)
 	fs.BoolVar(&showVersion, "version", false, "print the version and exit")
 	fs.SetOutput(io.Discard)
@@ -66,7 +66,7 @@
 	return cfg, showVersion, err
 }
 
-const help = `anvilwick-prove starts a small site of separate processes on loopback, runs clients against it under seeded faults, and
+const help = `prove starts a small site of separate processes on loopback, runs clients against it under seeded faults, and
 checks what they saw: histories by porcupine, and plain invariants. The same seed gives the same operations and faults
 at the same times; outcomes may differ with the timing of the processes.
 
@@ -82,6 +82,6 @@
 }
 
 func fail(code int, err error) int {
-	fmt.Fprintln(os.Stderr, "anvilwick-prove:", err)
+	fmt.Fprintln(os.Stderr, "prove:", err)
 	return code
 }
