Let heartbeats name the newest revision that an entry has the text of

Cause: they named the one in force. An entry whose program can't read a revision keeps its text for peers that can, and none asked for it. Operators see it in the column of other instances, which is named "newest revision" now; each instance's own line still shows what is in force there. Ruled out: an entry without an instance list that never learns of peers.

--- a/lib/ctl/ops.go
+++ b/lib/ctl/ops.go
@@ -161,7 +161,7 @@
 		}
 		fmt.Fprintf(g.Out, "\ninstances as %s of %s sees them:\n", a.body.Role, a.body.Instance)
 		w := g.tab()
-		fmt.Fprintln(w, "instance\tfailure domain\tstate\trevision\tmesh address")
+		fmt.Fprintln(w, "instance\tfailure domain\tstate\tnewest revision\tmesh address")
 		for _, m := range a.body.Members {
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", m.Instance, dash(m.FailureDomain), m.State, revisionOf(a.body, m), dash(m.Addr))
 		}
--- a/lib/entryproc/links.go
+++ b/lib/entryproc/links.go
@@ -143,11 +143,12 @@
 	}
 }
 
-// exchangeOnce passes revisions and digests on. An instance that finds itself replaced, after a long pause, takes no more
+// exchangeOnce passes revisions and digests on. Heartbeats name the highest revision that this process has the text of,
+// in force or not: peers of another version may read what it can't. An instance that finds itself replaced, after a long pause, takes no more
 // work: its successor has its place, and what is in progress here may still end.
 func (l *links) exchangeOnce() {
 	l.sync.Notice(l.members.SettingsRevisions())
-	l.members.SetLocal(l.server.Revision(), l.decider.host.Digests())
+	l.members.SetLocal(l.sync.Offer().GetRevision(), l.decider.host.Digests())
 	if l.members.View().Replaced {
 		l.server.Refuse()
 	}
--- a/lib/member/runner.go
+++ b/lib/member/runner.go
@@ -112,7 +112,7 @@
 	return out
 }
 
-// SettingsRevisions returns the revision in force at each other member.
+// SettingsRevisions returns the highest revision that each other member has.
 func (r *Runner) SettingsRevisions() (out map[string]uint64) {
 	r.locked(func(Time) { out = r.table.SettingsRevisions() })
 	return out
--- a/lib/member/view.go
+++ b/lib/member/view.go
@@ -75,7 +75,7 @@
 	return out
 }
 
-// SettingsRevisions returns the highest revision that each other member said it has in force.
+// SettingsRevisions returns the highest revision that each other member said it has, in force or not.
 func (t *Table) SettingsRevisions() map[string]uint64 {
 	out := make(map[string]uint64, len(t.members))
 	for name, e := range t.members {
--- a/lib/opsapi/types.go
+++ b/lib/opsapi/types.go
@@ -50,7 +50,7 @@
 	FailureDomain    string `json:"failure_domain"`
 	State            string `json:"state"` // live, leaving or dead
 	Addr             string `json:"addr"`
-	SettingsRevision uint64 `json:"settings_revision,omitempty"` // from its heartbeats; 0: not known here
+	SettingsRevision uint64 `json:"settings_revision,omitempty"` // highest that its heartbeats say it has, in force or not; 0: not known here
 }
 
 // Lease is one that this process holds.
