--- a/examples/load/main.go
+++ b/examples/load/main.go
@@ -7,35 +7,35 @@
 
 import (
 	"context"
-	"flag"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
+	"anvilwick.example/anvilwick/lib/cmdline"
 	"anvilwick.example/anvilwick/lib/siterun"
 )
 
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
+// version is set by the build.
+var version = "dev"
+
+const help = `load runs trials on a small site that it starts for itself as separate processes on loopback.
+
+Exit codes: 0 when no promise was broken, 1 when one was or the run failed, 2 for bad flags.
+`
 
 func main() {
 	var cfg siterun.Config
-	cfg.Register(flag.CommandLine)
-	flag.Parse()
-	if err := cfg.Check(); err != nil {
-		fail(exitUsage, err)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	if err := siterun.Run(ctx, cfg, os.Stdout); err != nil {
-		fail(exitFailed, err)
+	p := cmdline.Program{
+		Name:     "load",
+		Version:  version,
+		Help:     help,
+		Register: cfg.Register,
+		Run:      func(ctx context.Context) error { return run(ctx, cfg) },
 	}
+	p.Main()
 }
 
-func fail(code int, err error) {
-	fmt.Fprintln(os.Stderr, "load:", err)
-	os.Exit(code)
+func run(ctx context.Context, cfg siterun.Config) error {
+	if err := cfg.Check(); err != nil {
+		return cmdline.Usage(err)
+	}
+	return siterun.Run(ctx, cfg, os.Stdout)
 }
--- /dev/null
+++ b/lib/cmdline/cmdline.go
@@ -0,0 +1,112 @@
+// Package cmdline is what the mains of our programs share: flags from the command line, the environment and a file, help,
+// version, signals and exit codes.
+package cmdline
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3"
+)
+
+// Exit codes of every program.
+const (
+	ExitOK     = 0
+	ExitFailed = 1 // it failed while running
+	ExitUsage  = 2 // bad flags or settings; nothing was started
+)
+
+// Program is one command.
+type Program struct {
+	Name     string
+	Version  string
+	Help     string // printed before the flags
+	Register func(*flag.FlagSet)
+	// Run works until it is done or ctx is, which SIGTERM and SIGINT end. An error made by Usage ends with ExitUsage.
+	Run func(ctx context.Context) error
+}
+
+// usageError is an error of the one who started the program.
+type usageError struct{ error }
+
+func (e usageError) Unwrap() error { return e.error }
+
+// Usage marks an error found before anything was started. It returns nil for nil.
+func Usage(err error) error {
+	if err == nil {
+		return nil
+	}
+	return usageError{err}
+}
+
+// Main runs the program with os.Args and ends the process.
+func (p *Program) Main() { os.Exit(p.run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+func (p *Program) run(args []string, out, errs io.Writer) int {
+	showVersion, err := p.parse(args, out)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		return ExitOK
+	case err != nil:
+		return p.fail(errs, Usage(err))
+	case showVersion:
+		fmt.Fprintln(out, p.Name, p.Version)
+		return ExitOK
+	}
+	// Signals are caught before anything starts: one that came in between would end the process without a graceful stop.
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	return p.fail(errs, p.Run(ctx))
+}
+
+// parse reads the flags. Help goes to out, and faults are left to the caller, as one line.
+func (p *Program) parse(args []string, out io.Writer) (showVersion bool, err error) {
+	fs := flag.NewFlagSet(p.Name, flag.ContinueOnError)
+	p.Register(fs)
+	fs.BoolVar(&showVersion, "version", false, "print the version and exit")
+	_ = fs.String("config", "", "file of flags, one \"name value\" a line")
+	fs.SetOutput(io.Discard)
+	fs.Usage = func() {}
+	err = ff.Parse(fs, args, ff.WithEnvVarPrefix(p.envPrefix()), ff.WithConfigFileFlag("config"), ff.WithConfigFileParser(ff.PlainParser))
+	if errors.Is(err, flag.ErrHelp) {
+		p.help(fs, out)
+	}
+	if err == nil && fs.NArg() > 0 {
+		err = fmt.Errorf("unexpected argument %q", fs.Arg(0))
+	}
+	return showVersion, err
+}
+
+func (p *Program) envPrefix() string { return strings.ToUpper(strings.ReplaceAll(p.Name, "-", "_")) }
+
+const sources = `
+Every flag can also be given by the environment (%s_ and the name in capitals, "-" as "_") or by the file
+that -config names. The command line comes first, then the environment, then the file.
+
+`
+
+func (p *Program) help(fs *flag.FlagSet, out io.Writer) {
+	fmt.Fprint(out, p.Help)
+	fmt.Fprintf(out, sources, p.envPrefix())
+	fs.SetOutput(out)
+	fs.PrintDefaults()
+}
+
+// fail prints err as one line and returns the exit code for it.
+func (p *Program) fail(errs io.Writer, err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintf(errs, "%s: %v\n", p.Name, err)
+	if errors.As(err, new(usageError)) {
+		return ExitUsage
+	}
+	return ExitFailed
+}
