--- a/lib/entryproc/links.go
+++ b/lib/entryproc/links.go
@@ -1,6 +1,7 @@
 package entryproc
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -48,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ln, err := net.Listen("tcp", cfg.MeshAddr)
+	ln, err := net.Listen("tcp", cmp.Or(cfg.MeshListen, cfg.MeshAddr))
 	if err != nil {
 		node.Close()
 		return nil, fmt.Errorf("-mesh-addr: %w", err)
--- a/lib/localsite/site.go
+++ b/lib/localsite/site.go
@@ -36,6 +36,10 @@
 	EntryFlags  []string  // added for every entry
 	Settings    Settings  // Targets are filled in
 	Output      io.Writer // gets all processes' output; nil: kept by each process only
+
+	// Via returns the address to configure instead of addr for one link; nil: links are direct. Faults of links are
+	// injected by a relay there. The link "mesh of" an entry carries what other entries open to it.
+	Via func(link, addr string) (string, error)
 }
 
 // Node is one process of the site.
@@ -44,8 +48,11 @@
 	Name   string
 	Domain string
 	Addr   string // callers' port of an entry, port of a target or of the platform; IP:port
+	Reach  string // where others of the site reach Addr
 	Ops    string // operators' port of an entry or control process
-	Mesh   string // of an entry
+	Mesh   string // where an entry listens for other entries and its control process
+
+	meshReach string // where other entries reach Mesh
 
 	binary string
 	args   []string
@@ -63,6 +70,7 @@
 	cfg Config
 	set proc.Set
 	dir string // scratch
+	err error  // of Config.Via
 
 	links mesh.TLSFiles
 }
@@ -127,6 +135,9 @@
 		s.Entries = append(s.Entries, e)
 		s.Controls = append(s.Controls, s.control(e, next()))
 	}
+	if s.err != nil {
+		return s.err
+	}
 	return s.writeInstances()
 }
 
@@ -137,13 +148,14 @@
 func (s *Site) planPlatform(next func() string) {
 	addr := next()
 	s.Platform = &Node{
-		Name: "platform", Addr: addr, binary: "anvilwick-standin",
+		Name: "platform", Addr: addr, Reach: addr, binary: "anvilwick-standin",
 		args: []string{"platform", "-addr", addr, "-instances", s.instanceList(), "-list-lag", "500ms"},
 	}
 }
 
 func (s *Site) engine(i int, addr string) *Node {
 	args := []string{"engine", "-addr", addr, "-model", s.cfg.Settings.Model, "-seed", fmt.Sprint(i + 1), "-fencing"}
+	name := fmt.Sprintf("engine-%d", i+1)
 	if set := s.cfg.Settings; set.IdleWatts > 0 {
 		args = append(args, "-idle-watts", fmt.Sprint(set.IdleWatts), "-seq-watts", fmt.Sprint(set.SeqWatts))
 	}
@@ -151,7 +163,7 @@
 		args = append(args, "-max-batch", fmt.Sprint(n))
 	}
 	return &Node{
-		Name: fmt.Sprintf("engine-%d", i+1), Domain: domain(i), Addr: addr, binary: "anvilwick-standin",
+		Name: name, Domain: domain(i), Addr: addr, Reach: s.via(linkToTarget(name), addr), binary: "anvilwick-standin",
 		args: append(args, s.cfg.EngineFlags...),
 	}
 }
@@ -159,29 +171,34 @@
 func (s *Site) plain(i int, addr string) *Node {
 	name := fmt.Sprintf("plain-%d", i+1)
 	return &Node{
-		Name: name, Domain: domain(i), Addr: addr, binary: "anvilwick-standin",
+		Name: name, Domain: domain(i), Addr: addr, Reach: s.via(linkToTarget(name), addr), binary: "anvilwick-standin",
 		args: []string{"plain", "-addr", addr, "-name", name},
 	}
 }
 
 func (s *Site) entry(i int, addr, ops, mesh string) *Node {
 	name := fmt.Sprintf("entry-%d", i+1)
+	meshReach := s.via(linkOfMesh(name), mesh)
 	args := []string{
-		"-instance", name, "-failure-domain", domain(i), "-listen", addr, "-ops-addr", ops, "-mesh-addr", mesh,
-		"-operator-token-sha256", tokenHash(), "-stop-notice", "200ms", "-platform", s.Platform.Addr,
+		"-instance", name, "-failure-domain", domain(i), "-listen", addr, "-ops-addr", ops,
+		"-mesh-addr", meshReach, "-mesh-listen", mesh,
+		"-operator-token-sha256", tokenHash(), "-stop-notice", "200ms",
+		"-platform", s.via(linkToPlatform(name), s.Platform.Addr),
 	}
 	args = append(args, s.linkFlags()...)
 	return &Node{
-		Name: name, Domain: domain(i), Addr: addr, Ops: ops, Mesh: mesh, binary: "anvilwick-entry",
+		Name: name, Domain: domain(i), Addr: addr, Reach: s.via(linkOfCallers(name), addr), Ops: ops, Mesh: mesh, meshReach: meshReach, binary: "anvilwick-entry",
 		args: append(args, s.cfg.EntryFlags...),
 	}
 }
 
 func (s *Site) control(e *Node, ops string) *Node {
+	name := "control of " + e.Name
 	return &Node{
-		Name: "control of " + e.Name, Domain: e.Domain, Ops: ops, binary: "anvilwick-control",
+		Name: name, Domain: e.Domain, Ops: ops, binary: "anvilwick-control",
 		args: append([]string{
-			"-instance", e.Name, "-failure-domain", e.Domain, "-entry-addr", e.Mesh, "-platform", s.Platform.Addr,
+			"-instance", e.Name, "-failure-domain", e.Domain, "-entry-addr", s.via(linkToEntry(name), e.Mesh),
+			"-platform", s.via(linkToPlatform(name), s.Platform.Addr),
 			"-ops-addr", ops, "-operator-token-sha256", tokenHash(), "-lease-ttl", "3s",
 		}, s.linkFlags()...),
 	}
@@ -200,7 +217,7 @@
 	var list platformapi.InstanceList
 	for _, e := range s.Entries {
 		list.Instances = append(list.Instances, platformapi.Instance{
-			ID: e.Name, FailureDomain: e.Domain, MeshAddr: e.Mesh, State: platformapi.InstanceLive,
+			ID: e.Name, FailureDomain: e.Domain, MeshAddr: e.meshReach, State: platformapi.InstanceLive,
 		})
 	}
 	b, err := json.Marshal(list)
@@ -287,7 +304,7 @@
 func (s *Site) Callers() []string {
 	var out []string
 	for _, e := range s.Entries {
-		out = append(out, e.Addr)
+		out = append(out, e.Reach)
 	}
 	return out
 }
