Tidy the bench's power and the engine model's admission

Cause: the current cap shadowed a builtin, the dip repeated what the periodic renewal does, and two parameters were never read. Change: names and one shared step; no behaviour.

--- a/lib/bench/events.go
+++ b/lib/bench/events.go
@@ -24,7 +24,7 @@
 	atOwnerReport                        // report
 	atOwnerCache                         // engine, cache
 	atOwnerGone                          // engine
-	atOwnerPower                         // watts
+	atOwnerPower
 	atOwnerTick
 	atEngineAdd    // flow, attempt, engine, n = priority
 	atEngineCancel // flow, attempt, engine
@@ -43,7 +43,6 @@
 	attempt  uint32
 	n        int
 	reason   sched.EndReason
-	watts    float64
 	action   sched.Action
 	report   sched.Report
 	tokens   []enginemodel.Event
--- a/lib/bench/faults.go
+++ b/lib/bench/faults.go
@@ -38,10 +38,10 @@
 		s.at(faultAgainAt, func() { s.stall(6) })
 	case FaultDip:
 		s.at(faultAt-powerNotice, func() {
-			s.policy.SetPower(s.policyTime(), s.announced(), s.policyTime().Add(powerValid), s.announced())
+		s.at(faultAt-powerNotice, s.grantPower)
 		})
-		s.at(faultAt, func() { s.cap = s.plant.capWatts * dipFactor })
-		s.at(faultAt+faultLasts, func() { s.cap = s.plant.capWatts })
+		s.at(faultAt, func() { s.capWatts = s.plant.capWatts * dipFactor })
+		s.at(faultAt+faultLasts, func() { s.capWatts = s.plant.capWatts })
 	case FaultFreeze:
 		s.at(faultAt, func() { s.freeze(true) })
 		s.at(faultAt+faultLasts, func() { s.freeze(false) })
@@ -53,8 +53,6 @@
 	s.line.add(event{at: when, kind: atFault, fault: do})
 }
 
-func (s *sim) policyTime() sched.Time { return sched.Time(s.now) }
-
 // announced is the cap that the holder of the budget may hand out now.
 func (s *sim) announced() float64 {
 	if s.cfg.Fault == FaultDip && s.now >= faultAt-powerNotice && s.now < faultAt+faultLasts {
--- a/lib/bench/sim.go
+++ b/lib/bench/sim.go
@@ -32,20 +32,20 @@
 
 // sim is one run in progress.
 type sim struct {
-	cfg     *Config
-	plant   plant
-	policy  sched.Policy
-	now     time.Duration
-	delay   time.Duration
-	line    timeline
-	flows   []flow
-	engines []engine
-	acts    []sched.Action
-	open    int // flows that are not over
-	cap     float64
-	owners  int
-	frozen  bool
-	metrics metrics
+	cfg      *Config
+	plant    plant
+	policy   sched.Policy
+	now      time.Duration
+	delay    time.Duration
+	line     timeline
+	flows    []flow
+	engines  []engine
+	acts     []sched.Action
+	open     int     // flows that are not over
+	capWatts float64 // in force now
+	owners   int
+	frozen   bool
+	metrics  metrics
 }
 
 // Run carries out one run and returns its figures.
@@ -72,7 +72,7 @@
 		open:  len(cfg.Arrivals),
 	}
 	s.owners = ownersOf(cfg.Policy, cfg.Mix)
-	s.cap = s.plant.capWatts
+	s.capWatts = s.plant.capWatts
 	s.metrics.init(cfg)
 	s.policy = cfg.Make(cfg)
 	s.policy.SetTargets(0, s.plant.targets(cfg.Mix))
@@ -86,7 +86,7 @@
 		s.line.add(event{at: phase, kind: atEntryFlush, n: e})
 	}
 	s.line.add(event{kind: atOwnerTick})
-	s.line.add(event{kind: atOwnerPower, watts: s.cap})
+	s.line.add(event{kind: atOwnerPower})
 	s.scheduleFaults()
 	return s
 }
@@ -121,7 +121,7 @@
 	case atOwnerGone:
 		s.policy.TargetGone(now, targetName(int(ev.engine)))
 	case atOwnerPower:
-		s.tellPower(now)
+		s.tellPower()
 	case atOwnerTick:
 		s.tick(now)
 	case atEngineAdd:
@@ -144,17 +144,23 @@
 	for _, a := range s.acts {
 		s.line.add(event{at: s.now + s.delay, kind: atEntryAction, action: a})
 	}
-	if s.draw() > s.cap {
+	if s.draw() > s.capWatts {
 		s.metrics.overCap++
 	}
 	s.line.add(event{at: s.now + tickEvery, kind: atOwnerTick})
 }
 
-// tellPower renews the policy's share: it holds all targets, so the whole cap, and the fallback is the same.
-func (s *sim) tellPower(now sched.Time) {
+// tellPower renews the policy's share each powerEvery.
+func (s *sim) tellPower() {
+	s.grantPower()
+	s.line.add(event{at: s.now + powerEvery, kind: atOwnerPower})
+}
+
+// grantPower tells the policy its share: it holds all targets, so the whole cap, and the fallback is the same.
+func (s *sim) grantPower() {
+	now := sched.Time(s.now)
 	watts := s.announced()
 	s.policy.SetPower(now, watts, now.Add(powerValid), watts)
-	s.line.add(event{at: s.now + powerEvery, kind: atOwnerPower})
 }
 
 func genID(flow int) ids.Generation { return ids.From(0x616e76696c, uint64(flow)) }
--- a/lib/enginemodel/cache.go
+++ b/lib/enginemodel/cache.go
@@ -43,7 +43,7 @@
 }
 
 // match returns the tokens of the longest prefix held and marks it used.
-func (c *prefixCache) match(_ time.Duration, ps []Prefix) int {
+func (c *prefixCache) match(ps []Prefix) int {
 	for _, p := range slices.Backward(ps) {
 		if c.touch(p) {
 			return p.Tokens
--- a/lib/enginemodel/engine.go
+++ b/lib/enginemodel/engine.go
@@ -192,7 +192,7 @@
 // begin makes room, admits what fits and starts a step. It leaves the engine idle when nothing runs.
 func (e *Engine) begin(now time.Duration, evs []Event) []Event {
 	evs = e.makeRoom(evs)
-	e.admit(now)
+	e.admit()
 	if len(e.running) == 0 {
 		return evs
 	}
@@ -233,7 +233,7 @@
 }
 
 // admit moves waiting sequences into the batch, in order, until one does not fit.
-func (e *Engine) admit(now time.Duration) {
+func (e *Engine) admit() {
 	n := 0
 	for _, s := range e.waiting {
 		need := s.Prompt + s.Emitted
@@ -242,7 +242,7 @@
 			break
 		}
 		s.held = need
-		s.prefill = max(1, need-e.cache.match(now, s.Prefixes))
+		s.prefill = max(1, need-e.cache.match(s.Prefixes))
 		e.kvUsed += need
 		e.running = append(e.running, s)
 		n++
