Never grant what runs already, answer resumes that have no place left, move nobody in vain

Found by reading, each with a test that failed first: - told of a running generation whose target the settings don't name yet, or after a Submit of the same attempt, the owner queued it and granted it again; it now books it on a row without new work; - a resume waited for ever when all targets were lost or too small for it; it is refused with no_target after its bound or at once; - an urgent request behind a busy prefill moved long work away though memory was not short; - a later attempt that had given no token yet was refused for a full queue after its first had been accepted.

--- a/lib/sched/health_test.go
+++ b/lib/sched/health_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"anvilwick.example/anvilwick/lib/ids"
+	"anvilwick.example/anvilwick/lib/result"
 )
 
 // An engine says that it is leaving. It gets no new work from the next tick on, and what runs there is moved: first
@@ -171,3 +172,30 @@
 	}
 	test.EqOp(t, 0, moves)
 }
+
+// A new owner is told of a running generation before its settings name the target, or after a Submit of the same
+// attempt crossed with the grant of the old owner. Granting it again would run it twice.
+func TestWhatRunsIsNeverGrantedAgain(t *testing.T) {
+	r := newRig(t, Options{}, spec("a", 4000, 4))
+	r.submit(1, "batch", func(q *Request) { q.RunningOn = "unheard-of" })
+	r.never(ActGrant, 1, time.Second)
+	r.o.SetTargets(r.now, nil)
+	r.submit(2, "batch", nil)
+	r.submit(2, "batch", func(q *Request) { q.RunningOn = "a" })
+	r.o.SetTargets(r.now, []TargetSpec{spec("a", 4000, 4)})
+	r.never(ActGrant, 2, time.Second)
+}
+
+// All targets are lost while a generation that gave tokens waits for a new place. Its caller gets an answer when the
+// bound on waiting is reached, and at once when no target is large enough for what it has grown to.
+func TestResumeWithoutAnyTargetIsAnswered(t *testing.T) {
+	r := newRig(t, Options{}, spec("a", 4000, 4))
+	resumed := func(q *Request) { q.Attempt, q.Emitted = 2, 40 }
+	r.submit(1, "batch", func(q *Request) { resumed(q); q.PromptTokens = 4000 })
+	test.EqOp(t, result.NoTarget, r.until(ActRefuse, 1, 100*time.Millisecond).Code)
+	r.o.SetTargets(r.now, nil)
+	r.submit(2, "batch", resumed)
+	since := r.now
+	test.EqOp(t, result.NoTarget, r.until(ActRefuse, 2, 61*time.Second).Code)
+	test.GreaterEq(t, time.Minute, r.now.Sub(since))
+}
--- a/lib/sched/inputs.go
+++ b/lib/sched/inputs.go
@@ -11,7 +11,7 @@
 // Submit implements Policy.
 func (o *Owner) Submit(now Time, r Request) {
 	if i, ok := o.byID[r.Gen]; ok {
-		if !o.supersede(now, i, r.Attempt) {
+		if !o.supersede(now, i, &r) {
 			return
 		}
 	}
@@ -35,18 +35,20 @@
 			g.avoid = append(g.avoid, t)
 		}
 	}
-	if t, ok := o.byName[r.RunningOn]; ok && r.RunningOn != "" {
-		o.adopt(now, i, t)
+	if r.RunningOn != "" {
+		o.adopt(now, i, r.RunningOn)
 		return
 	}
 	o.enqueue(now, i)
 }
 
-// supersede makes room for a newer attempt of a generation that is already in the tables. A repeated Submit of the
-// same attempt changes nothing: two grants of one attempt would let two targets run it.
-func (o *Owner) supersede(now Time, i int32, attempt uint32) bool {
+// supersede makes room for a newer attempt of a generation that is already in the tables, or for the news that the
+// attempt that waits here was granted by another owner. A repeated Submit of the same attempt changes nothing: two
+// grants of one attempt would let two targets run it.
+func (o *Owner) supersede(now Time, i int32, r *Request) bool {
 	g := &o.gens[i]
-	if attempt <= g.attempt {
+	runsElsewhere := r.Attempt == g.attempt && r.RunningOn != "" && g.target == none
+	if r.Attempt <= g.attempt && !runsElsewhere {
 		return false
 	}
 	o.take(now, i)
@@ -54,8 +56,13 @@
 	return true
 }
 
-// adopt books a generation that already runs, as a new owner is told of it.
-func (o *Owner) adopt(now Time, i, t int32) {
+// adopt books a generation that already runs, as a new owner is told of it. The target may not be in the settings that
+// the owner knows; it then gets a row without new work.
+func (o *Owner) adopt(now Time, i int32, name string) {
+	t, ok := o.byName[name]
+	if !ok {
+		t = o.newTarget(now, name)
+	}
 	o.hold(now, i, t)
 	g := &o.gens[i]
 	if g.emitted > 0 {
@@ -74,7 +81,7 @@
 	}
 	gr.arrivals.add(now)
 	blendMean(&gr.prompt, float64(g.prompt))
-	if code := o.hopeless(now, g, gr); code != 0 {
+	if code := o.hopeless(now, g, gr); code != 0 && g.attempt <= 1 {
 		o.refuse(i, code)
 		return
 	}
--- a/lib/sched/memory.go
+++ b/lib/sched/memory.go
@@ -146,11 +146,13 @@
 	return o.preempt(best, acts), true
 }
 
-// relieves reports whether victim v is what keeps the candidate out of target t: its memory is enough, and the batch
-// has a place.
+// relieves reports whether memory alone keeps the candidate out of target t, and that of victim v is enough.
 func (o *Owner) relieves(t *target, v int32) bool {
+	if o.memoryRoom(t) || !o.batchRoom(t) || !o.prefillRoom(t) {
+		return false
+	}
 	over := t.load.Mean[0] + float64(o.cand.held) - float64(t.kvTotal)*o.opt.MemoryFill
-	return over <= float64(o.gens[v].held()) && o.batchRoom(t)
+	return over <= float64(o.gens[v].held())
 }
 
 func (o *Owner) movingTotal() int {
--- a/lib/sched/owner.go
+++ b/lib/sched/owner.go
@@ -148,6 +148,7 @@
 // newTarget reuses the row of a target that was replaced, so that the table stays as small as the shard.
 func (o *Owner) newTarget(now Time, name string) int32 {
 	fresh := target{
+		spec:      TargetSpec{Name: name},
 		run:       newList(),
 		cache:     make(map[uint64]struct{}),
 		step:      o.opt.StepSeconds,
@@ -155,7 +156,7 @@
 	}
 	for i := range o.targets {
 		t := &o.targets[i]
-		if !t.listed && t.run.n == 0 && t.gone {
+		if !t.listed && t.run.n == 0 {
 			delete(o.byName, t.spec.Name)
 			*t = fresh
 			o.byName[name] = int32(i)
--- a/lib/sched/queue_test.go
+++ b/lib/sched/queue_test.go
@@ -197,3 +197,29 @@
 		r.never(ActRefuse, n, 8*time.Second)
 	}
 }
+
+// All engines are busy with a prefill when an urgent question comes. Moving long work away would not help it.
+func TestUrgentWorkMovesNobodyWhenMemoryIsNotShort(t *testing.T) {
+	r := newRig(t, Options{}, spec("a", 100_000, 32))
+	r.submit(1, "night", nil)
+	r.until(ActGrant, 1, time.Second)
+	r.submit(2, "night", func(q *Request) { q.PromptTokens = 500 })
+	r.until(ActGrant, 2, time.Second)
+	r.mute["a"] = true
+	r.submit(3, "urgent", func(q *Request) { q.PromptTokens = 300 })
+	r.never(ActPreempt, 1, 500*time.Millisecond)
+	test.MapLen(t, 2, r.runs)
+}
+
+// The first attempt was accepted and its engine died before a token came. The second one is not turned away for a
+// queue that has filled meanwhile.
+func TestLaterAttemptIsNotRefusedForAFullQueue(t *testing.T) {
+	r := newRig(t, Options{}, spec("a", 4000, 1))
+	r.policy["batch"] = ClassPolicy{MaxWait: time.Minute, QueueBound: 1}
+	r.o.SetPolicy(r.o.policy)
+	r.submit(1, "batch", nil)
+	r.until(ActGrant, 1, time.Second)
+	r.submit(2, "batch", nil)
+	r.submit(3, "batch", func(q *Request) { q.Attempt = 2 })
+	r.never(ActRefuse, 3, time.Second)
+}
--- a/lib/sched/tick.go
+++ b/lib/sched/tick.go
@@ -76,15 +76,39 @@
 	for i := o.resumes.head; i != none; {
 		g := &o.gens[i]
 		next := g.next
-		late := g.deadline > 0 && now >= g.deadline
-		if late {
+		if code := o.resumeLost(now, g); code != 0 {
 			o.take(now, i)
-			o.refuse(i, result.DeadlinePassed)
+			o.refuse(i, code)
 		}
 		i = next
 	}
 }
 
+// resumeLost returns the code for a generation that can't be resumed any more, or 0. While a target may yet take it, it
+// is not given up before its deadline: its caller holds a part of the answer.
+func (o *Owner) resumeLost(now Time, g *gen) result.Code {
+	switch {
+	case g.deadline > 0 && now >= g.deadline:
+		return result.DeadlinePassed
+	case o.usable == 0 && now.Sub(g.queued) >= o.groups[g.group].policy.MaxWait:
+		return result.NoTarget
+	case o.usable > 0 && o.fitsNone(g):
+		return result.NoTarget
+	}
+	return 0
+}
+
+// fitsNone reports whether every target that accepts work is too small for g.
+func (o *Owner) fitsNone(g *gen) bool {
+	for i := range o.targets {
+		t := &o.targets[i]
+		if o.accepts(t) && (t.kvTotal == 0 || g.held() < t.kvTotal) {
+			return false
+		}
+	}
+	return true
+}
+
 func (o *Owner) overdue(now Time, g *gen, gr *group) result.Code {
 	switch {
 	case g.deadline > 0 && now >= g.deadline:
