Time a tick in which every forecast is renewed

The benchmark's tables emptied after two minutes of its own time; they keep their 2,000 generations now, and it checks.

--- a/lib/sched/bench_test.go
+++ b/lib/sched/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -18,7 +19,7 @@
 func crowded(tb testing.TB) (*Owner, Time, *rand.Rand) {
 	tb.Helper()
 	rng := rand.New(rand.NewPCG(1, 2))
-	o := NewOwner("svc", Options{DisablePrefill: true, DisableSilence: true})
+	o := NewOwner("svc", Options{DisablePrefill: true, DisableSilence: true, ForgetAfter: math.MaxInt64})
 	o.SetPolicy(func(_, class string) ClassPolicy {
 		return ClassPolicy{Urgent: class == "urgent", Weight: 1, MaxWait: time.Hour}
 	})
@@ -38,6 +39,13 @@
 		acts = o.Tick(now, acts[:0])
 		advanceAll(o, now)
 	}
+	running := 0
+	for i := range o.targets {
+		running += o.targets[i].run.n
+	}
+	if running != benchGenerations {
+		tb.Fatalf("%d generations run", running)
+	}
 	return o, now, rng
 }
 
@@ -116,3 +124,14 @@
 		t.Fatalf("%v allocations a tick", n)
 	}
 }
+
+// BenchmarkTickAllChanged is a tick in which every target's forecast has to be renewed.
+func BenchmarkTickAllChanged(b *testing.B) {
+	o, now, _ := crowded(b)
+	acts := make([]Action, 0, 64)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(loadAge)
+		acts = o.Tick(now, acts[:0])
+	}
+}
