member: log and count what changes

Operators saw no word of a member's death, return or replacement: one line an event now, and counters of deaths and own refutations. go test -run 'Runner|Changed|Merge|Interval' ./lib/member: ok.

--- a/lib/member/member_test.go
+++ b/lib/member/member_test.go
@@ -30,6 +30,18 @@
 	})
 }
 
+func TestChangedMembers(t *testing.T) {
+	a, b := Member{Instance: "a", Incarnation: 1}, Member{Instance: "b", Incarnation: 1}
+	dead, leaving := a, b
+	dead.State, leaving.Leaving = Dead, true
+	suspected := a
+	suspected.Refutation = 3
+	old := &View{Members: []Member{a, b}}
+	must.Eq(t, []Member{dead, leaving}, changedMembers(old, &View{Members: []Member{dead, leaving}}))
+	must.SliceEmpty(t, changedMembers(old, &View{Members: []Member{suspected, b}}))
+	must.Eq(t, []Member{b}, changedMembers(&View{Members: []Member{a}}, old))
+}
+
 func TestMergeOrder(t *testing.T) {
 	base := Member{Instance: "x", Incarnation: 5, Refutation: 1}
 	leaving := base
--- a/lib/member/runner.go
+++ b/lib/member/runner.go
@@ -127,7 +127,8 @@
 		return
 	}
 	r.shown = r.table.Version()
-	r.view.Store(r.table.View())
+	v := r.table.View()
+	report(r.view.Swap(v), v)
 	close(r.next)
 	r.next = make(chan struct{})
 }
