schedlink: those who decide alone send nothing new to leaving targets

Cause: only a shard's owner polls its targets; with the owner silent, an entry could send new work to a target that is leaving, which would refuse it at the cost of an attempt. Digests of shards now name leaving targets, and the last digest of an owner that is gone is kept. Found on the way: two digests of one shard were ordered by epoch, a wall clock; an owner that is gone with a clock far ahead would have been believed for ever.

--- a/lib/schedlink/alone.go
+++ b/lib/schedlink/alone.go
@@ -148,11 +148,15 @@
 	it.notify(grant)
 }
 
+// targetsOf returns a shard's targets without those that its owner last said are leaving: they must get nothing new, also
+// from an entry that decides alone.
 func (l *Link) targetsOf(id shard.ID) []string {
-	if s := l.plan.shard(id); s != nil {
-		return s.Targets
+	s := l.plan.shard(id)
+	if s == nil {
+		return nil
 	}
-	return nil
+	leaving := l.digests[id].GetLeaving()
+	return slices.DeleteFunc(slices.Clone(s.Targets), func(t string) bool { return slices.Contains(leaving, t) })
 }
 
 func refuseNoTarget(r *sched.Request) sched.Action {
--- a/lib/schedlink/choose.go
+++ b/lib/schedlink/choose.go
@@ -13,14 +13,20 @@
 // digests are the last that were heard, by shard. The newest epoch wins when two owners spoke of one shard.
 type digests map[shard.ID]*meshpb.ShardDigest
 
-func newDigests(list []member.Digest) digests {
+// newDigests keeps the last digest of a shard whose owner is gone: what it said of leaving targets still holds.
+func newDigests(old digests, list []member.Digest, p plan) digests {
 	out := make(digests, len(list))
 	for _, d := range list {
 		id := shard.ID{Service: d.GetService(), Index: d.GetShard()}
-		if old := out[id]; old == nil || d.GetEpoch() > old.GetEpoch() {
+		if other := out[id]; other == nil || d.GetEpoch() > other.GetEpoch() {
 			out[id] = d.ShardDigest
 		}
 	}
+	for id, d := range old {
+		if out[id] == nil && p.shard(id) != nil {
+			out[id] = d
+		}
+	}
 	return out
 }
 
--- a/lib/schedlink/host.go
+++ b/lib/schedlink/host.go
@@ -131,6 +131,7 @@
 		cancel:   cancel,
 		gens:     make(map[ids.Generation]*hostedGen),
 		free:     make(map[string]int),
+		leaving:  make(map[string]bool),
 		lastUsed: time.Now(),
 		settling: true,
 	}
--- a/lib/schedlink/hosted.go
+++ b/lib/schedlink/hosted.go
@@ -25,6 +25,7 @@
 	queued   int
 	wait     time.Duration // decayed mean of the time from Submit to Grant
 	free     map[string]int
+	leaving  map[string]bool
 	lastUsed time.Time
 	settling bool
 	held     []sched.Request // queued requests that came while settling
@@ -223,6 +224,9 @@
 	for _, n := range h.free {
 		d.FreeTokens += uint64(n)
 	}
+	for name := range h.leaving {
+		d.Leaving = append(d.Leaving, name)
+	}
 	if h.queued > 0 {
 		d.ExpectedWaitMs = uint32(h.wait.Milliseconds())
 	}
@@ -239,6 +243,10 @@
 func (f feed) Report(r sched.Report) {
 	f.h.mu.Lock()
 	f.h.free[r.Target] = max(0, r.KVTotal-r.KVUsed)
+	delete(f.h.leaving, r.Target)
+	if r.Leaving {
+		f.h.leaving[r.Target] = true
+	}
 	f.h.mu.Unlock()
 	f.Runner.Report(r)
 }
@@ -247,6 +255,7 @@
 func (f feed) TargetGone(target string) {
 	f.h.mu.Lock()
 	delete(f.h.free, target)
+	delete(f.h.leaving, target)
 	f.h.mu.Unlock()
 	f.Runner.TargetGone(target)
 }
--- a/lib/schedlink/link.go
+++ b/lib/schedlink/link.go
@@ -274,10 +274,10 @@
 }
 
 func (l *Link) readDigests() {
-	ds := newDigests(l.opts.Members.Digests())
+	list := l.opts.Members.Digests()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.digests = ds
+	l.digests = newDigests(l.digests, list, l.plan)
 }
 
 // flushProgress sends what was delivered since the last time, one message an owner.
--- a/lib/schedlink/schedlink_test.go
+++ b/lib/schedlink/schedlink_test.go
@@ -211,11 +211,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	id := func(i uint32) shard.ID { return shard.ID{Service: svc, Index: i} }
-	l.digests = newDigests([]member.Digest{
+	l.digests = newDigests(nil, []member.Digest{
 		{ShardDigest: &meshpb.ShardDigest{Service: svc, Shard: 0, ExpectedWaitMs: 10}},
 		{ShardDigest: &meshpb.ShardDigest{Service: svc, Shard: 1, Epoch: 1, ExpectedWaitMs: 50}},
 		{ShardDigest: &meshpb.ShardDigest{Service: svc, Shard: 1, Epoch: 2, ExpectedWaitMs: 5}},
-	})
+	}, l.plan)
+	// An owner that is gone spoke of shard 1 with a clock far ahead; the new one's word must count all the same.
+	ahead := digests{id(1): {Epoch: 1 << 60, ExpectedWaitMs: 1000}, id(9): {}}
+	kept := newDigests(ahead, []member.Digest{{ShardDigest: l.digests[id(1)]}}, l.plan)
+	must.MapLen(t, 1, kept)
+	must.EqOp(t, 5, kept[id(1)].GetExpectedWaitMs())
 	must.True(t, l.better(id(1), id(0)))
 	must.False(t, l.better(id(0), id(1)))
 	must.Len(t, 2, l.plan[svc].shards)
@@ -242,6 +247,28 @@
 	must.GreaterEq(t, 25, least)
 }
 
+// A target is leaving, and then its owner falls silent. Entries that decide alone don't poll targets; they must not send
+// it anything new all the same, for the owner's last digest told them.
+func TestLeavingTargetGetsNothingFromThoseWhoDecideAlone(t *testing.T) {
+	r := newSlowRig(t, 2, siteOf(2, 40, 32))
+	owner, other := r.owner()
+	h := owner.host.all()[0]
+	feed{Runner: h.runner, h: h}.Report(sched.Report{Target: "t00", Leaving: true})
+	owner.members.SetLocal(1, owner.host.Digests())
+	r.until("the digest", func() bool {
+		other.mu.Lock()
+		defer other.mu.Unlock()
+		return len(other.digests[shard.ID{Service: svc}].GetLeaving()) == 1
+	})
+	owner.stop()
+	gens := submit(other, 10, 1)
+	r.until("placed", func() bool { return countStarted(gens) > 0 })
+	other.mu.Lock()
+	defer other.mu.Unlock()
+	must.Eq(t, []string{"t01"}, other.targetsOf(shard.ID{Service: svc}))
+	must.Eq(t, "t01", gens[0].target)
+}
+
 func TestAlonePicksFewerOfTwoAndAvoidsWhatFailed(t *testing.T) {
 	r := newRig(t, 1, siteOf(4, 4, 32))
 	l := r.procs[0].Link
