schedlink: a generation on a drained target is not placed again by a new owner

Cause: found by reading sched.Owner beside it: told of a generation that runs on a target it was not given, a policy queues and grants it; the entry starts nothing, says again where it runs, and both would go on so without end. A drained target is left out of the specs while its generations go on. Change: the host books such a generation and keeps it from the policy. Test first, with the test's policy made as strict as sched.Owner: failed, passes now.

--- a/lib/schedlink/host.go
+++ b/lib/schedlink/host.go
@@ -149,11 +149,12 @@
 	if sp := h.plan[s.id.Service]; sp != nil && sp.Policies != nil {
 		s.runner.SetPolicy(sp.Policies)
 	}
-	s.runner.SetTargets(h.plan.specsOf(s.id))
 	var names []string
 	if sh := h.plan.shard(s.id); sh != nil {
 		names = sh.Targets
 	}
+	s.runner.SetTargets(h.plan.specsOf(s.id))
+	s.knows(names)
 	s.targets(names)
 }
 
--- a/lib/schedlink/host_test.go
+++ b/lib/schedlink/host_test.go
@@ -179,3 +179,16 @@
 	time.Sleep(50 * time.Millisecond)
 	must.LessEq(t, before+1, opens())
 }
+
+// A target is drained and runs on; then the shard gets a new owner, whose targets leave it out. Told of what runs there, a
+// policy that does not know the target would queue and grant it again, and entry and owner would correct each other
+// without end.
+func TestNewHostPlacesNothingThatRunsOnADrainedTarget(t *testing.T) {
+	h := newTestHost(t, 1, 1)
+	c := newCaller(h)
+	c.ask(ids.From(1, 1), "drained")
+	time.Sleep(150 * time.Millisecond) // over the time in which a new owner listens
+	must.Len(t, 0, c.grants())
+	c.ask(ids.From(2, 2), "")
+	waitGrants(t, c, 1)
+}
--- a/lib/schedlink/hosted.go
+++ b/lib/schedlink/hosted.go
@@ -26,6 +26,7 @@
 	wait     time.Duration // decayed mean of the time from Submit to Grant
 	free     map[string]int
 	leaving  map[string]bool
+	known    map[string]bool // targets that the policy was given
 	lastUsed time.Time
 	settling bool
 	held     []sched.Request // queued requests that came while settling
@@ -58,12 +59,20 @@
 	if again != nil {
 		s.push(downOf(*again, h.epoch))
 	}
-	if known || h.hold(r) {
+	if known || h.hold(r) || h.elsewhere(r.RunningOn) {
 		return
 	}
 	h.runner.Submit(r, h.decided)
 }
 
+// elsewhere reports whether an attempt runs on a target that the policy was not given: one that is drained. The policy
+// would take it for a request without a place and grant it again.
+func (h *hosted) elsewhere(target string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return target != "" && !h.known[target]
+}
+
 // hold keeps a queued request back while entries still tell a new owner what runs. Granted at once, the first entry's
 // queue would be put on top of what the other entries run, and the engines would overflow.
 func (h *hosted) hold(r sched.Request) bool {
@@ -259,3 +268,14 @@
 	f.h.mu.Unlock()
 	f.Runner.TargetGone(target)
 }
+
+// knows notes the targets that the policy was given.
+func (h *hosted) knows(names []string) {
+	known := make(map[string]bool, len(names))
+	for _, n := range names {
+		known[n] = true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.known = known
+}
--- a/lib/schedlink/rig_test.go
+++ b/lib/schedlink/rig_test.go
@@ -47,7 +47,7 @@
 }
 
 func (p *slots) Submit(_ sched.Time, r sched.Request) {
-	if r.RunningOn != "" {
+	if _, known := p.free[r.RunningOn]; known { // as sched.Owner: elsewhere it is queued
 		p.running[r.Gen] = r
 		p.free[r.RunningOn]--
 		return
