schedlink: repeat a preemption that was lost with its link

An order to preempt that was on its way when the stream broke was never given again: the owner would wait for the end of an attempt that nobody ends. The host repeats it when the entry tells of the attempt again; one that heard neither of the grant nor of the preemption starts anew. Tests for both; go test -count=2 ./lib/schedlink: ok.

--- a/lib/schedlink/host_test.go
+++ b/lib/schedlink/host_test.go
@@ -81,6 +81,24 @@
 	must.Eq(t, []string{"t00"}, again.grants())
 }
 
+// The order to preempt was on its way when the link broke. Unless it is given again, the owner waits for the end of an
+// attempt that nobody ends, and the engine stays as full as it was.
+func TestHostRepeatsAPreemptionThatWasLost(t *testing.T) {
+	h := newTestHost(t, 1, 1)
+	lost, again := newCaller(h), newCaller(h)
+	g := ids.From(1, 1)
+	lost.ask(g, "")
+	waitGrants(t, lost, 1)
+	h.all()[0].decided(sched.Action{Kind: sched.ActPreempt, Gen: g, Attempt: 1})
+	again.ask(g, "t00")
+	must.Len(t, 1, again.got)
+	must.NotNil(t, again.got[0].GetPreempt())
+
+	never := newCaller(h) // heard neither of the grant nor of the preemption
+	never.ask(g, "")
+	waitGrants(t, never, 1)
+}
+
 // A new owner hears from entries one after another. If it granted the first one's queue before the second told what
 // it runs, the engine would get both.
 func TestNewHostListensBeforeItGrants(t *testing.T) {
--- a/lib/schedlink/hosted.go
+++ b/lib/schedlink/hosted.go
@@ -39,6 +39,7 @@
 	target    string // empty: queued
 	priority  int
 	submitted time.Time
+	preempted bool // told to the entry, and not ended yet
 }
 
 // take moves the generation to another session of its entry.
@@ -102,19 +103,16 @@
 	}
 }
 
-// claim books the generation for session s. known: the policy has it already and as it should be; again is then the
-// grant that the entry may have missed.
+// claim books the generation for session s. known: the policy has it already and as it should be; again is then
+// what the entry may have missed.
 func (h *hosted) claim(s *session, r *sched.Request) (known bool, again *sched.Action) {
 	h.mu.Lock()
 	g := h.gens[r.Gen]
 	h.lastUsed = time.Now()
 	if g != nil && g.attempt == r.Attempt {
 		g.take(s)
-		same := r.RunningOn == "" || r.RunningOn == g.target
-		if same && r.RunningOn == "" && g.target != "" {
-			again = &sched.Action{Kind: sched.ActGrant, Gen: r.Gen, Attempt: r.Attempt, Target: g.target, Priority: g.priority}
-		}
-		if same {
+		if g.agrees(r) {
+			again = g.unheard(r)
 			h.mu.Unlock()
 			return true, again
 		}
@@ -131,13 +129,33 @@
 	}
 	h.mu.Unlock()
 	if g != nil && g.attempt == r.Attempt {
-		// It runs elsewhere than this policy placed it: the entry decided alone meanwhile. The policy must drop what
-		// it believes, for a second Submit of one attempt changes nothing there.
+		// Most often it runs elsewhere than this policy placed it, as the entry decided alone meanwhile. The policy must
+		// drop what it believes, for a second Submit of one attempt changes nothing there.
 		h.runner.End(r.Gen, r.Attempt, r.Emitted, sched.EndCancelled)
 	}
 	return false, nil
 }
 
+// agrees reports whether the books match what the entry says of the attempt. One that was granted and preempted without
+// the entry hearing of either starts anew.
+func (g *hostedGen) agrees(r *sched.Request) bool {
+	if r.RunningOn == "" {
+		return !g.preempted
+	}
+	return r.RunningOn == g.target
+}
+
+// unheard returns the decision that an entry which asks again for an attempt may have missed, or nil.
+func (g *hostedGen) unheard(r *sched.Request) *sched.Action {
+	switch {
+	case g.preempted:
+		return &sched.Action{Kind: sched.ActPreempt, Gen: r.Gen, Attempt: r.Attempt}
+	case r.RunningOn == "" && g.target != "":
+		return &sched.Action{Kind: sched.ActGrant, Gen: r.Gen, Attempt: r.Attempt, Target: g.target, Priority: g.priority}
+	}
+	return nil
+}
+
 // forget drops a generation from the books. The caller holds mu.
 func (h *hosted) forget(id ids.Generation) {
 	g := h.gens[id]
@@ -164,6 +182,8 @@
 	switch a.Kind {
 	case sched.ActGrant:
 		h.granted(g, a)
+	case sched.ActPreempt:
+		g.preempted = true
 	case sched.ActRefuse:
 		h.forget(a.Gen)
 	}
