entry: a silent target no longer holds idempotent calls

Cause: a plain service's target that hangs, or whose link stalls, keeps its connection and answers nothing. A call without a deadline waited as long, beside a healthy target: status checks unanswered for 35 s and more. Ruled out: a bound on each attempt (it fails calls that are only slow), a default deadline (the operator's to set). Change: an idempotent call that is silent for the stall floor is sent to another target as well, out of the retry budget; the first answer counts, the overtaken one counts against its circuit. A call that may not be repeated still waits for its deadline; prove's site sets one of 20 s. Before: TestStatusChecksAreAnsweredBesideAFrozenTarget hung (30 s); after: it passes, with all of lib/entry.

--- a/lib/entry/plain.go
+++ b/lib/entry/plain.go
@@ -179,7 +179,7 @@
 		if !ok {
 			return nil, "", pc.noTarget(mayHaveRun)
 		}
-		resp, err := s.sendOnce(ctx, pc, name, uint32(try))
+		resp, name, err := s.send(ctx, pc, name, uint32(try), avoid)
 		if err == nil {
 			return resp, name, nil
 		}
@@ -194,6 +194,15 @@
 	}
 }
 
+// send sends the call to a target, or also to a second one when it may be repeated, and tells which of them it speaks of.
+func (s *Server) send(ctx context.Context, pc *plainCall, name string, try uint32, avoid []string) (*http.Response, string, error) {
+	if pc.route.Idempotent {
+		return s.sendHedged(ctx, pc, name, try, avoid)
+	}
+	resp, err := s.sendOnce(ctx, pc, name, try)
+	return resp, name, err
+}
+
 // sendOnce sends the call to one target. The answer's body is still to be read.
 func (s *Server) sendOnce(ctx context.Context, pc *plainCall, name string, try uint32) (*http.Response, error) {
 	c := s.Client(name)
@@ -218,11 +227,14 @@
 	return resp, err
 }
 
-// callOutcome says what a call tells of the link. A caller that left says nothing.
+// callOutcome says what a call tells of the link. A caller that left says nothing. A call that another overtook was silent
+// for the stall floor and longer: counted, the circuit opens, and later calls need no second one.
 func callOutcome(ctx context.Context, err error) breaker.Outcome {
 	switch {
 	case err == nil:
 		return breaker.Success
+	case errors.Is(context.Cause(ctx), errOvertaken):
+		return breaker.Failure
 	case errors.Is(ctx.Err(), context.Canceled):
 		return breaker.Ignored
 	}
--- a/lib/entry/plain_test.go
+++ b/lib/entry/plain_test.go
@@ -227,6 +227,45 @@
 	}
 }
 
+// A target freezes: it takes connections and answers nothing, and the calls have no deadline. Drivers' status checks must be
+// answered by the healthy one all the same, and soon by it alone, since each second call is paid for from a budget.
+func TestStatusChecksAreAnsweredBesideAFrozenTarget(t *testing.T) {
+	a, b := startPlain(t, "a"), startPlain(t, "b")
+	r := newRig(t, siteText("", true, nil, []string{a.Addr(), b.Addr()}), nil)
+	for i := range 30 {
+		must.Eq(t, http.StatusOK, r.call(http.MethodGet, fmt.Sprintf("/dispatch/status/%d", i), "", "").StatusCode)
+	}
+	a.Order(plain.Fault{Kind: plain.FaultHang, Count: 1000})
+	slow := 0
+	for i := range 20 {
+		from := time.Now()
+		must.Eq(t, http.StatusOK, r.call(http.MethodGet, fmt.Sprintf("/dispatch/status/%d", i), "", "").StatusCode)
+		took := time.Since(from)
+		must.Less(t, 5*time.Second, took)
+		if took > 90*time.Millisecond {
+			slow++
+		}
+	}
+	must.Less(t, 15, slow)
+	a.Kill()
+}
+
+// One target executes a status check and never answers; the second call finds nobody at the other. That one was not sent
+// proves nothing of the first: the caller must not be told "not run".
+func TestSecondCallNotSentDoesNotProveTheFirst(t *testing.T) {
+	a, b := startPlain(t, "a"), startPlain(t, "b")
+	r := newRig(t, siteText("  deadline: 1s\n", true, nil, []string{a.Addr(), b.Addr()}), nil)
+	for i := range 30 {
+		must.Eq(t, http.StatusOK, r.call(http.MethodGet, fmt.Sprintf("/dispatch/status/%d", i), "", "").StatusCode)
+	}
+	a.Order(plain.Fault{Kind: plain.FaultHang, Count: 1000})
+	b.Kill()
+	resp := r.call(http.MethodGet, "/dispatch/status/last", "", "")
+	must.NotEq(t, http.StatusOK, resp.StatusCode)
+	must.Eq(t, 1, a.Executions()["/dispatch/status/last"])
+	must.NotEq(t, result.NotRun, result.Lookup(readError(t, resp).Code).Outcome)
+}
+
 // A target that executes and never answers: at the deadline nobody can say whether it ran.
 func TestSilentTargetIsUnknown(t *testing.T) {
 	p := startPlain(t, "one")
--- a/lib/localsite/settings.go
+++ b/lib/localsite/settings.go
@@ -4,19 +4,21 @@
 	"crypto/sha256"
 	"fmt"
 	"strings"
+	"time"
 
 	"anvilwick.example/anvilwick/lib/workload"
 )
 
 // Settings says what the settings of a site hold.
 type Settings struct {
-	Model      string // model that engines serve and callers ask for
-	Service    string // of the engines
-	Route      string // prefix of the plain service; idempotent under Route + "/status"
-	PowerCap   int    // watts; 0: none
-	IdleWatts  int    // of each engine
-	SeqWatts   int    // added for each sequence
-	MaxBatch   int    // of each engine; 0: not told
+	Model      string        // model that engines serve and callers ask for
+	Service    string        // of the engines
+	Route      string        // prefix of the plain service; idempotent under Route + "/status"
+	PowerCap   int           // watts; 0: none
+	IdleWatts  int           // of each engine
+	SeqWatts   int           // added for each sequence
+	MaxBatch   int           // of each engine; 0: not told
+	Deadline   time.Duration // of requests whose callers name none; 0: none
 	Workspaces []string
 	Classes    []workload.Class
 }
@@ -41,7 +43,7 @@
 }
 
 func (c Settings) classes(b *strings.Builder) {
-	b.WriteString("policy:\n  stall_floor: 1s\nclasses:\n")
+	fmt.Fprintf(b, "policy:\n  stall_floor: 1s\n  deadline: %s\nclasses:\n", c.Deadline)
 	for _, cl := range c.Classes {
 		fmt.Fprintf(b, "  %s:\n    priority: %d\n    urgent: %t\n    max_wait: %s\n    queue_bound: %d\n    max_preemptions: %d\n",
 			cl.Name, cl.Priority, cl.Urgent, cl.MaxWait, cl.QueueBound, cl.MaxPreemptions)
--- a/lib/prove/run.go
+++ b/lib/prove/run.go
@@ -23,7 +23,8 @@
 	service     = "anvilwick-treaty"
 	route       = "/ledger"
 	classOfAll  = "standard"
-	maxWait     = 8 * time.Second // of a request in a queue
+	maxWait     = 8 * time.Second  // of a request in a queue
+	deadline    = 20 * time.Second // of a request: a call that may not be repeated waits so long for a silent target
 	startLimit  = 40 * time.Second
 	settleLimit = 45 * time.Second // after the last fault ended, for every request to end
 )
@@ -96,7 +97,7 @@
 		Binaries: bin, Engines: siteEngines, Plains: sitePlains, Entries: siteEntries, Output: tee, Via: via,
 		EngineFlags: []string{"-report-lag", "100ms", "-step-base", "8ms"},
 		Settings: localsite.Settings{
-			Model: model, Service: service, Route: route, Workspaces: []string{workspace},
+			Model: model, Service: service, Route: route, Deadline: deadline, Workspaces: []string{workspace},
 			Classes: []workload.Class{{Name: classOfAll, Priority: 50, MaxWait: maxWait, QueueBound: 200, MaxPreemptions: 2}},
 		},
 	}
