--- /dev/null
+++ b/lib/entry/hedge_test.go
@@ -0,0 +1,21 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/target"
+)
+
+// Both calls of a hedged one fail, the later one without a byte sent. Told of that one alone, the caller would hear "not
+// run" of a call that the other target may have run.
+func TestFailureOfASentCallCountsMore(t *testing.T) {
+	sent := &sending{err: errors.New("broken")}
+	unsent := &sending{err: fmt.Errorf("%w: refused", target.ErrNotSent)}
+	must.True(t, unsent == graver(nil, unsent))
+	must.True(t, sent == graver(unsent, sent))
+	must.True(t, sent == graver(sent, unsent))
+}
