--- a/lib/prove/config.go
+++ b/lib/prove/config.go
@@ -23,6 +23,7 @@
 	Measure  string        // empty, "recovery" or "settings": what to measure instead of a run
 	Rounds   int           // of a measurement
 	Faults   bool
+	AtOnce   int // faults at most
 }
 
 // Values of Config.Measure.
@@ -42,6 +43,7 @@
 	fs.StringVar(&c.Recheck, "check", "", "check this history file and run nothing")
 	fs.StringVar(&c.Measure, "measure", "", "recovery or settings: measure that instead")
 	fs.IntVar(&c.Rounds, "rounds", 10, "rounds of a measurement")
+	fs.IntVar(&c.AtOnce, "at-once", 2, "faults at once at most, 2 or 3; one fewer of them on entries")
 	fs.BoolVar(&c.Faults, "faults", true, "inject faults")
 }
 
@@ -50,6 +52,8 @@
 	switch {
 	case c.Span <= 0 || c.Rate <= 0:
 		return errors.New("-span and -rate: must be positive")
+	case c.AtOnce < 2 || c.AtOnce > siteEntries:
+		return errors.New("-at-once: 2 or 3")
 	case c.Rounds < 1:
 		return errors.New("-rounds: at least 1")
 	case c.Measure != "" && c.Measure != MeasureRecovery && c.Measure != MeasureSettings:
--- a/lib/prove/plan.go
+++ b/lib/prove/plan.go
@@ -139,27 +139,25 @@
 }
 
 const (
-	faultMin  = 300 * time.Millisecond
-	faultMax  = 4500 * time.Millisecond // beyond the leases' time to live
-	gapMin    = 400 * time.Millisecond
-	gapMax    = 1800 * time.Millisecond
-	recovery  = 3 * time.Second // a subject is left alone for so long after its fault
-	maxAtOnce = 2
+	faultMin = 300 * time.Millisecond
+	faultMax = 4500 * time.Millisecond // beyond the leases' time to live
+	gapMin   = 400 * time.Millisecond
+	gapMax   = 1800 * time.Millisecond
+	recovery = 3 * time.Second // a subject is left alone for so long after its fault
 )
 
 // drawTries bounds how often a fault is drawn again that would come too close to another.
 const drawTries = 8
 
-// planFaults draws faults: the same for the same seed and span. At most two are on at once, never on one subject, and
-// never on two entries, so that a caller always finds one.
-func planFaults(seed uint64, span time.Duration) []fault {
+// planFaults draws faults: the same for the same seed, span and bound on how many are on at once.
+func planFaults(seed uint64, span time.Duration, atOnce int) []fault {
 	rng := rand.New(rand.NewPCG(seed, 2))
 	var out []fault
 	for at := gapMin; at < span; at += gapMin + upTo(rng, gapMax-gapMin) {
 		for range drawTries {
 			f := drawFault(rng)
 			f.at, f.span = at, faultMin+upTo(rng, faultMax-faultMin)
-			if f.at+f.span < span && fits(out, f) {
+			if f.at+f.span < span && fits(out, f, atOnce) {
 				f.pair = len(overlapping(out, f)) > 0
 				out = append(out, f)
 				break
@@ -181,22 +179,28 @@
 	return on
 }
 
-// clashes tells whether two faults may not come close to one another: one subject, or two entries.
-func clashes(o, f fault) bool {
-	same := o.subject == f.subject || entryOf(o.subject) && entryOf(f.subject)
-	return same && o.at+o.span+recovery > f.at
-}
+// clashes tells whether two faults of one subject would come too close.
+func clashes(o, f fault) bool { return o.subject == f.subject && o.at+o.span+recovery > f.at }
 
 // entryOf tells whether callers of an entry feel a fault of the subject.
 func entryOf(subject string) bool { return class(subject) == "entry" || class(subject) == "callers" }
 
-func fits(all []fault, f fault) bool {
+// fits tells whether a fault may come: at most atOnce are on, and one fewer of them on entries, so that a caller always
+// finds one.
+func fits(all []fault, f fault, atOnce int) bool {
+	entries := 0
 	for _, o := range all {
 		if clashes(o, f) {
 			return false
 		}
+		if entryOf(o.subject) && o.at+o.span+recovery > f.at {
+			entries++
+		}
+	}
+	if entryOf(f.subject) && entries >= min(atOnce, siteEntries)-1 {
+		return false
 	}
-	return len(overlapping(all, f)) < maxAtOnce
+	return len(overlapping(all, f)) < atOnce
 }
 
 var (
--- a/lib/prove/plan_test.go
+++ b/lib/prove/plan_test.go
@@ -9,26 +9,36 @@
 
 func TestSeedFixesThePlan(t *testing.T) {
 	const span = time.Minute
-	must.Eq(t, planFaults(7, span), planFaults(7, span))
+	must.Eq(t, planFaults(7, span, 2), planFaults(7, span, 2))
 	must.Eq(t, planOperations(7, span, 10), planOperations(7, span, 10))
-	must.NotEq(t, planFaults(7, span), planFaults(8, span))
+	must.NotEq(t, planFaults(7, span, 2), planFaults(8, span, 2))
 }
 
 func TestFaultsLeaveOneEntryAlone(t *testing.T) {
-	kinds, pairs := map[string]int{}, 0
-	for seed := range uint64(20) {
-		plan := planFaults(seed, time.Minute)
-		for i, f := range plan {
-			kinds[f.kind]++
-			if f.pair {
-				pairs++
-			}
-			must.LessEq(t, maxAtOnce, len(overlapping(plan[:i], f))+1)
-			for _, o := range plan[:i] {
-				must.False(t, clashes(o, f), must.Sprintf("%v and %v", o, f))
+	for _, atOnce := range []int{2, 3} {
+		kinds, pairs := map[string]int{}, 0
+		for seed := range uint64(20) {
+			plan := planFaults(seed, time.Minute, atOnce)
+			for i, f := range plan {
+				kinds[f.kind]++
+				if f.pair {
+					pairs++
+				}
+				on := overlapping(plan[:i], f)
+				must.Less(t, atOnce, len(on))
+				entries := map[string]bool{}
+				for _, o := range append(on, f) {
+					if entryOf(o.subject) {
+						entries[o.subject] = true
+					}
+				}
+				must.Less(t, atOnce, len(entries)) // one fewer than faults
+				for _, o := range plan[:i] {
+					must.False(t, clashes(o, f), must.Sprintf("%v and %v", o, f))
+				}
 			}
 		}
+		must.MapLen(t, 8, kinds)
+		must.Positive(t, pairs)
 	}
-	must.MapLen(t, 8, kinds)
-	must.Positive(t, pairs)
 }
--- a/lib/prove/run.go
+++ b/lib/prove/run.go
@@ -121,7 +121,7 @@
 	var watching, working sync.WaitGroup
 	watching.Go(func() { r.watchSettings(watchCtx) })
 	if r.cfg.Faults {
-		working.Go(func() { r.injectAll(ctx, planFaults(r.cfg.Seed, r.cfg.Span)) })
+		working.Go(func() { r.injectAll(ctx, planFaults(r.cfg.Seed, r.cfg.Span, r.cfg.AtOnce)) })
 	}
 	working.Go(func() { r.operateAll(ctx, planOperations(r.cfg.Seed, r.cfg.Span, r.cfg.Rate)) })
 	working.Wait()
