--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SECONDS ?= 30
 APPS := $(notdir $(wildcard app/*))
 
-.PHONY: build test lint fmt proto bench demo load
+.PHONY: build test lint fmt proto bench demo load capacity
 
 build:
 	@mkdir -p bin
@@ -41,3 +41,8 @@
 load: build
 	$(GO) build -o bin/ ./examples/load
 	./bin/load -bin bin -seed $(SEED) $(LOADFLAGS)
+
+# capacity measures the slopes behind docs/CAPACITY.md; the last line is "capacity: ok ...". CAPACITYFLAGS adds flags.
+capacity: build
+	$(GO) build -o bin/ ./examples/capacity
+	./bin/capacity -bin bin $(CAPACITYFLAGS)
