--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SECONDS ?= 30
 APPS := $(notdir $(wildcard app/*))
 
-.PHONY: build test lint fmt proto bench demo load prove
+.PHONY: build test lint fmt proto bench demo load prove capacity
 
 build:
 	@mkdir -p bin
@@ -48,3 +48,8 @@
 prove: build
 	$(GO) build -o bin/ ./examples/prove
 	./bin/prove -seed $(SEED) -span $(SECONDS)s $(PROVEFLAGS)
+
+# capacity measures the slopes behind docs/CAPACITY.md; the last line is "capacity: ok ...". CAPACITYFLAGS adds flags.
+capacity: build
+	$(GO) build -o bin/ ./examples/capacity
+	./bin/capacity -bin bin $(CAPACITYFLAGS)
