--- a/lib/bench/faults.go
+++ b/lib/bench/faults.go
@@ -38,7 +38,7 @@
 		s.at(faultAgainAt, func() { s.stall(6) })
 	case FaultDip:
 		s.at(faultAt-powerNotice, func() {
-		s.at(faultAt-powerNotice, s.grantPower)
+			s.at(faultAt-powerNotice, s.grantPower)
 		})
 		s.at(faultAt, func() { s.capWatts = s.plant.capWatts * dipFactor })
 		s.at(faultAt+faultLasts, func() { s.capWatts = s.plant.capWatts })
