Spread the polls of a large site; read the instance list again soon after a failure

Cause: no control process told its settings how many instances read the table, and drains and the instance list were polled at a fixed pace. A first read that failed was tried again only after the whole interval (2 s for the list). Change: settings keep to a tenth of store_reads over the site, drains to a tenth, the instance list to a twentieth, and those who wait for leases to a twentieth (new lease.Config.Watch). The waits are jittered. A first read is tried again after 100 ms, doubling up to the interval. Both new tests failed before. A drain's interval stays 1 s at eight instances and is 2.15 s at 430. On the way: doubling without a bound overflowed after some minutes' outage and ended the process; it is bounded by the interval now, and TestReplacedInAnOutageGetsSettingsFromItsEntry had shown it.

--- a/lib/control/drains.go
+++ b/lib/control/drains.go
@@ -44,12 +44,13 @@
 // item seen and not after the table's revision: a replica that lags could else hide an item for ever.
 func (p *Process) watchDrains(ctx context.Context) {
 	after := uint64(0)
-	every(ctx, p.opts.DrainPoll, func(ctx context.Context) {
+	interval := func() time.Duration { return p.pollEvery(p.opts.DrainPoll, drainShare) }
+	poll(ctx, interval, func(ctx context.Context) error {
 		for more := true; more; {
 			page, err := p.store.Range(ctx, platformapi.KeyDrain, after, drainPage)
 			if err != nil {
 				pollFailed(ctx, "drains", err)
-				return
+				return err
 			}
 			for _, it := range page.Items {
 				after = max(after, it.Rev)
@@ -57,6 +58,7 @@
 			}
 			more = page.More && len(page.Items) > 0
 		}
+		return nil
 	})
 }
 
--- a/lib/control/housekeeping.go
+++ b/lib/control/housekeeping.go
@@ -19,7 +19,7 @@
 // collectClaims deletes claims past their retention while this process holds the lease, so that the table does not grow
 // for ever. Two at once would only meet each other's deletions; the lease saves the reads.
 func (p *Process) collectClaims(ctx context.Context) {
-	cfg := lease.Config{Name: leaseClaims, Holder: p.opts.Instance, TTL: p.opts.LeaseTTL}
+	cfg := p.leaseConfig(leaseClaims)
 	lease.Run(ctx, p.store, cfg, func(ctx context.Context, h *lease.Held) {
 		defer p.tables.hold(h)()
 		every(ctx, collectEvery, func(ctx context.Context) {
--- a/lib/control/instances.go
+++ b/lib/control/instances.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/phuslu/log"
 
@@ -15,24 +16,32 @@
 func (p *Process) watchInstances(ctx context.Context) {
 	var last []platformapi.Instance
 	seq := uint64(0)
-	every(ctx, p.opts.InstancePoll, func(ctx context.Context) {
+	interval := func() time.Duration { return p.pollEvery(p.opts.InstancePoll, instanceShare) }
+	poll(ctx, interval, func(ctx context.Context) error {
 		list, err := p.store.Instances(ctx)
 		if err != nil {
 			pollFailed(ctx, "instances", err)
-			return
+			return err
 		}
 		if seq > 0 && slices.Equal(list.Instances, last) {
-			return
+			return nil
 		}
 		last = list.Instances
 		seq++
-		p.store.SetLive(live(last))
-		p.tables.setInstances(last)
+		p.setInstances(last)
 		p.link.Set(&meshpb.LocalDown{Msg: &meshpb.LocalDown_View{View: viewOf(seq, last)}})
 		log.Info().Str("event", "instances_changed").Int("instances", len(last)).Int("live", live(last)).Msg("")
+		return nil
 	})
 }
 
+// setInstances divides what the site may use of the store over the instances of a list.
+func (p *Process) setInstances(list []platformapi.Instance) {
+	p.store.SetLive(live(list))
+	p.sync.SetInstances(live(list))
+	p.tables.setInstances(list)
+}
+
 // live counts the instances that share the store's budgets; leaving ones still use it until they are gone.
 func live(list []platformapi.Instance) int { return max(1, len(list)) }
 
--- a/lib/control/placement.go
+++ b/lib/control/placement.go
@@ -21,7 +21,7 @@
 // place brings engines to the models that the settings want, while this process holds the lease. The weight store's
 // budget is kept by the same lease: its holder alone asks for transfers.
 func (p *Process) place(ctx context.Context) {
-	cfg := lease.Config{Name: leasePlacement, Holder: p.opts.Instance, TTL: p.opts.LeaseTTL}
+	cfg := p.leaseConfig(leasePlacement)
 	lease.Run(ctx, p.store, cfg, func(ctx context.Context, h *lease.Held) {
 		defer p.tables.hold(h)()
 		log.Info().Str("event", "lease_held").Str("lease", h.Name()).Uint64("fence", h.Fence()).Msg("")
--- /dev/null
+++ b/lib/control/poll_test.go
@@ -0,0 +1,153 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/mesh"
+	"anvilwick.example/anvilwick/lib/platform"
+	"anvilwick.example/anvilwick/lib/platformapi"
+	standin "anvilwick.example/anvilwick/lib/standin/platform"
+)
+
+// readCounter counts the reads that go to the platform, by what they are for.
+type readCounter struct {
+	next http.RoundTripper
+
+	mu    sync.Mutex
+	reads map[string]int
+}
+
+// RoundTrip implements http.RoundTripper.
+func (c *readCounter) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.Method == http.MethodGet && r.Context().Err() == nil {
+		c.mu.Lock()
+		c.reads[purpose(r)]++
+		c.mu.Unlock()
+	}
+	return c.next.RoundTrip(r)
+}
+
+func purpose(r *http.Request) string {
+	q := r.URL.Query()
+	name, _, _ := strings.Cut(q.Get("key")+q.Get("prefix"), "/")
+	if name == "" {
+		name = strings.Trim(r.URL.Path, "/")
+	}
+	return name
+}
+
+func (c *readCounter) take() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := c.reads
+	c.reads = map[string]int{}
+	return out
+}
+
+// siteReads runs n control processes in virtual time and returns their reads a second, by purpose, once all have the list.
+func siteReads(t *testing.T, n int, settings string) map[string]float64 {
+	const span = 60
+	s := standin.New(standin.Config{})
+	commit(t, s, settings, 0)
+	for i := range n {
+		s.PutInstance(platformapi.Instance{ID: fmt.Sprint("i", i), Incarnation: 1, State: platformapi.InstanceLive})
+	}
+	time.Sleep(10 * time.Second) // the list lags
+	count := &readCounter{next: s.Transport(), reads: map[string]int{}}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for i := range n {
+		p, err := New(Options{
+			Instance:  fmt.Sprint("i", i),
+			EntryAddr: "127.0.0.1:1",
+			Links:     mesh.Options{Plain: true},
+			Platform:  platform.Config{Addr: "127.0.0.1:1", Transport: count},
+			Targets:   newFakeEngines(),
+		})
+		must.NoError(t, err)
+		defer p.node.Close()
+		for _, work := range []func(context.Context){p.sync.Run, p.applySite, p.watchInstances, p.watchDrains, p.follow, p.allot, p.place, p.collectClaims} {
+			wg.Go(func() { work(ctx) })
+		}
+	}
+	time.Sleep(30 * time.Second)
+	count.take()
+	time.Sleep(span * time.Second)
+	out := map[string]float64{}
+	for name, reads := range count.take() {
+		out[name] = math.Round(float64(reads)/span*10) / 10
+	}
+	cancel()
+	wg.Wait()
+	return out
+}
+
+// Many instances that each poll every second would take most of the site's reads, and in the end be refused by the table
+// when leases need it. Together they must stay within a quarter, and a drain still be read by each within three seconds;
+// at today's eight nothing may be slower than before. Forty at 200 reads a second stand for 400 at the default 2,000.
+func TestPollsOfTheWholeSiteStayWithinTheirShare(t *testing.T) {
+	for _, site := range []struct{ instances, reads int }{{1, 2000}, {8, 2000}, {40, 200}} {
+		synctest.Test(t, func(t *testing.T) {
+			text := strings.Replace(someSettings, "name: test\n", fmt.Sprintf("name: test\n  store_reads: %d\n", site.reads), 1)
+			got := siteReads(t, site.instances, text)
+			t.Logf("%d instances, of %d reads a second: %v", site.instances, site.reads, got)
+			polls := got["settings"] + got["drain"] + got["instances"]
+			must.LessEq(t, 0.25*float64(site.reads)*jitterMean, polls)
+			must.LessEq(t, 0.05*float64(site.reads)*leaseJitterMean, got["lease"])
+			must.GreaterEq(t, float64(site.instances)/3, got["drain"])
+			if site.instances <= 8 {
+				must.GreaterEq(t, float64(site.instances), got["settings"])
+				must.GreaterEq(t, float64(site.instances), got["drain"])
+				must.GreaterEq(t, float64(site.instances)/2, got["instances"])
+			}
+		})
+	}
+}
+
+// jitterMean is how many polls there are for one at the whole interval, which jitter shortens by an eighth in the mean.
+const (
+	jitterMean      = 8.0 / 7 * 1.02
+	leaseJitterMean = 4.0 / 3 * 1.05
+)
+
+// The platform is away in the moment in which an instance starts. Were the first read of the list tried again only a whole
+// interval later, its entry would know no other for that time and count itself the owner of every target.
+func TestFirstReadIsTriedAgainSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Config{})
+		s.PutInstance(platformapi.Instance{ID: "i0", Incarnation: 1, State: platformapi.InstanceLive})
+		time.Sleep(10 * time.Second)
+		s.SetFault(standin.Fault{Kind: standin.FaultOutage, DurationMS: 250})
+		p, err := New(Options{
+			Instance:  "i0",
+			EntryAddr: "127.0.0.1:1",
+			Links:     mesh.Options{Plain: true},
+			Platform:  platform.Config{Addr: "127.0.0.1:1", Transport: s.Transport()},
+		})
+		must.NoError(t, err)
+		defer p.node.Close()
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { p.watchInstances(ctx) })
+		time.Sleep(time.Second)
+		must.Len(t, 1, p.tables.view().instances)
+		cancel()
+		wg.Wait()
+	})
+}
+
+func TestSpread(t *testing.T) {
+	must.Eq(t, time.Second, spread(time.Second, 8, 2000, drainShare))
+	must.Eq(t, 2150*time.Millisecond, spread(time.Second, 430, 2000, drainShare))
+	must.Eq(t, time.Second, spread(time.Second, 430, 0, drainShare))
+}
--- a/lib/control/power.go
+++ b/lib/control/power.go
@@ -208,7 +208,7 @@
 
 // allot divides the cap while this process holds the lease.
 func (p *Process) allot(ctx context.Context) {
-	cfg := lease.Config{Name: leasePower, Holder: p.opts.Instance, TTL: p.opts.LeaseTTL}
+	cfg := p.leaseConfig(leasePower)
 	lease.Run(ctx, p.store, cfg, func(ctx context.Context, h *lease.Held) {
 		defer p.tables.hold(h)()
 		log.Info().Str("event", "lease_held").Str("lease", h.Name()).Uint64("fence", h.Fence()).Msg("")
--- a/lib/control/tables.go
+++ b/lib/control/tables.go
@@ -75,6 +75,13 @@
 	t.instances = slices.Clone(list)
 }
 
+// live counts the instances of the last list.
+func (t *tables) live() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return live(t.instances)
+}
+
 // setDrain reports whether it changed what is in force. An older revision than the one known changes nothing.
 func (t *tables) setDrain(target, by string, d drainState) bool {
 	t.mu.Lock()
--- a/lib/lease/campaign.go
+++ b/lib/lease/campaign.go
@@ -28,12 +28,20 @@
 		if h := attempt(ctx, s, cfg, &last); h != nil {
 			return h
 		}
-		if !pause(ctx, fraction(cfg.TTL, RenewFraction)) {
+		if !pause(ctx, cfg.watchEvery()) {
 			return nil
 		}
 	}
 }
 
+func (c *Config) watchEvery() time.Duration {
+	every := fraction(c.TTL, RenewFraction)
+	if c.Watch != nil {
+		every = max(every, c.Watch())
+	}
+	return every
+}
+
 // attempt looks once, and takes the lease when it is free or has not moved for the whole TTL.
 //
 // A stale read can hide renewals and make a live holder look dead. The takeover is conditional on the revision that
--- a/lib/lease/lease.go
+++ b/lib/lease/lease.go
@@ -50,6 +50,9 @@
 	Name   string        // of the role; no slash
 	Holder string        // told to operators; need not be unique
 	TTL    time.Duration // default DefaultTTL
+	// Watch returns the least time between two looks of a process that waits for the lease; nil: RenewFraction of the TTL.
+	// Many that wait would else take much of the table's reads; as they look at different times, one comes soon all the same.
+	Watch func() time.Duration
 }
 
 // Held is a lease in force. Its methods are safe for concurrent use.
