--- a/lib/sched/options.go
+++ b/lib/sched/options.go
@@ -46,7 +46,6 @@
 	DisableAgeing   bool // never raise what waits or has a deadline
 	DisableSilence  bool // trust silent engines
 	DisablePower    bool // ignore the power cap
-	DisableInterfer bool // place without regard to what a prefill costs the batch
 }
 
 // Defaults of Options.
--- a/lib/sched/place.go
+++ b/lib/sched/place.go
@@ -159,8 +159,8 @@
 	probeScore       = -1  // of a silent target that is due to be tried: before all others, or it would never be tried
 )
 
-// score is the cost of placing the candidate on a target, in seconds: what its prefill costs it and the batch beside
-// it, the prefill it waits for, and how little room it leaves.
+// score is the cost of placing the candidate on a target, in seconds: its prefill, the prefill it waits for, and how
+// little room it leaves.
 func (o *Owner) score(t *target) float64 {
 	if t.silent {
 		return probeScore
@@ -173,9 +173,6 @@
 		return prefill + waiting + t.step + interferenceCost*prefill*float64(t.run.n-t.prefilling)
 	}
 	cost := prefill + waiting + o.domainCost(t, g)
-	if !o.opt.DisableInterfer {
-		cost += prefill * float64(t.run.n-t.prefilling)
-	}
 	if t.kvTotal > 0 {
 		full := (t.load.Mean[0] + float64(o.cand.held)) / float64(t.kvTotal)
 		cost += memoryCost * full
