schedlink: tell a new owner of progress, not of the start alone

Cause: an item moved to an owner whose stream is open already was told with the tokens of its start; the owner would forecast its memory from none until the next token. Test first (failed), then the change; go test -count=2: ok.

--- a/lib/schedlink/host_test.go
+++ b/lib/schedlink/host_test.go
@@ -210,3 +210,20 @@
 	c.ask(ids.From(2, 2), "")
 	waitGrants(t, c, 1)
 }
+
+// A shard gets another owner while a generation that gave thousands of tokens waits for its next. The new owner would
+// forecast its memory from none, and overfill the engine, unless it is told of the progress as well.
+func TestNewOwnerIsToldOfProgress(t *testing.T) {
+	r := newRig(t, 2, siteOf(2, 8, 32))
+	_, other := r.owner()
+	g := submit(other, 1, 1)[0]
+	r.until("granted", g.started)
+	other.Progress(svc, g.id, 1, 7)
+	other.flushProgress()
+	other.mu.Lock()
+	defer other.mu.Unlock()
+	it := other.items[g.id]
+	must.False(t, it.dirty)
+	other.bind(it, it.conn)
+	must.True(t, it.dirty)
+}
--- a/lib/schedlink/link.go
+++ b/lib/schedlink/link.go
@@ -198,6 +198,7 @@
 		return
 	}
 	it.asked = time.Now()
+	it.dirty = it.tokens > it.req.Emitted
 	c.bound++
 	c.send(it.submit(l.Now()))
 }
