--- a/lib/member/instances.go
+++ b/lib/member/instances.go
@@ -1,7 +1,5 @@
 package member
 
-import "slices"
-
 // SetInstances joins the platform's list, which is some seconds behind. It can add members, raise incarnations and
 // announce leaving. It never revives one that heartbeats found dead, and a member that it lacks stays: the list may
 // not have it yet.
@@ -22,9 +20,3 @@
 		}
 	}
 }
-
-// Neighbours returns whom this instance sends heartbeats to, sorted.
-func (t *Table) Neighbours(now Time) []string {
-	t.refreshNeighbours(now)
-	return slices.Clone(t.neighbours)
-}
--- a/lib/member/runner.go
+++ b/lib/member/runner.go
@@ -90,12 +90,6 @@
 	r.locked(func(now Time) { r.table.SetInstances(now, list) })
 }
 
-// Neighbours returns whom this instance sends heartbeats to.
-func (r *Runner) Neighbours() (out []string) {
-	r.locked(func(now Time) { out = r.table.Neighbours(now) })
-	return out
-}
-
 // SetLocal sets what heartbeats tell of this instance beside its state.
 func (r *Runner) SetLocal(settingsRevision uint64, digests []*meshpb.ShardDigest) {
 	r.locked(func(Time) { r.table.SetLocal(settingsRevision, digests) })
