entrylink: a new entry hears of drains before it serves

Cause: peers give a new entry its settings at once, while drains come from its control process, which reconnects some tenths of a second to seconds later. Meanwhile the entry gave work to engines that had been drained for long. Ruled out: drains by gossip between entries (a second way for the same news, with its own order to keep). Change: the entry brings no settings into force until its control process has sent drains and then settings, for 2 s at most; the link sends drains first. locallink's test of the order is changed for that and checks the target as well. Before: TestNewEntryHearsOfDrainsBeforeItServes had settings in force without the drain; after: it passes. An entry whose control process is dead starts up to 2 s later, and may give such work after that.

--- a/lib/entrylink/entrylink.go
+++ b/lib/entrylink/entrylink.go
@@ -36,6 +36,8 @@
 type Link struct {
 	opts Options
 
+	told    chan struct{} // closed once the control process has sent its drains, and the settings after them
+	tell    sync.Once
 	mu      sync.Mutex
 	drains  map[string]bool
 	reports map[string]taken
@@ -55,6 +57,7 @@
 	}
 	return &Link{
 		opts:    o,
+		told:    make(chan struct{}),
 		drains:  map[string]bool{},
 		reports: map[string]taken{},
 		changed: make(chan struct{}, 1),
@@ -71,6 +74,7 @@
 	switch m := m.GetMsg().(type) {
 	case *meshpb.LocalDown_Settings:
 		l.opts.Sync.Learn(m.Settings, sourceControl)
+		l.tell.Do(func() { close(l.told) })
 	case *meshpb.LocalDown_View:
 		if l.opts.View != nil {
 			l.opts.View(m.View)
@@ -98,8 +102,26 @@
 	}
 }
 
+// drainWait bounds how long a new entry waits to be told of drains. It leaves room in the three seconds after which a
+// leaving target gets nothing new.
+const drainWait = 2 * time.Second
+
+// awaitDrains waits until the control process has told of drains. Peers give a new entry its settings at once, and drains
+// come from the control process alone: without the wait, targets that were drained long ago would get new work. A control
+// process that is dead or cut off delays the entry by drainWait and no longer.
+func (l *Link) awaitDrains(ctx context.Context) {
+	t := time.NewTimer(drainWait)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-l.told:
+	case <-t.C:
+	}
+}
+
 // Run brings each revision, and each change of drains, into force until ctx is done.
 func (l *Link) Run(ctx context.Context) {
+	l.awaitDrains(ctx)
 	for {
 		updated := l.opts.Sync.Updated()
 		if held := l.opts.Sync.Current(); held != nil {
--- a/lib/entrylink/entrylink_test.go
+++ b/lib/entrylink/entrylink_test.go
@@ -84,6 +84,42 @@
 	})
 }
 
+// An operator has drained a target, and an entry is started anew. Its peers give it the settings before its control process
+// has told it of the drain. Served by the settings alone, the leaving target would get new work again.
+func TestNewEntryHearsOfDrainsBeforeItServes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var applied []*settings.Snapshot
+		sy := settingsync.New(settingsync.Config{})
+		l := New(Options{Instance: "i1", Sync: sy, Apply: func(s *settings.Snapshot) { applied = append(applied, s) }})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); synctest.Wait() }()
+		go sy.Run(ctx)
+		go l.Run(ctx)
+		sy.Learn(settingsMsg(1, text).GetSettings(), "peer")
+		time.Sleep(time.Second)
+		synctest.Wait()
+		must.SliceEmpty(t, applied)
+		l.Down(drainMsg("t1", true))
+		l.Down(settingsMsg(1, text))
+		time.Sleep(time.Millisecond)
+		synctest.Wait()
+		for _, s := range applied {
+			must.Eq(t, []bool{true, false}, draining(s))
+		}
+		must.SliceNotEmpty(t, applied)
+	})
+}
+
+// The control process is dead while its entry is started anew. The entry must serve all the same, with the settings of its
+// peers, within the time that a drain may take to reach it.
+func TestNewEntryServesWithoutItsControlProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, inForce := run(t)
+		l.opts.Sync.Learn(settingsMsg(1, text).GetSettings(), "peer")
+		must.NotNil(t, inForce())
+	})
+}
+
 // A control process that read a lagging replica sends an older revision. In force, it would undo an accepted change.
 func TestSettingsNeverGoBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/lib/locallink/client.go
+++ b/lib/locallink/client.go
@@ -1,6 +1,7 @@
 package locallink
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -163,7 +164,8 @@
 	}
 }
 
-// since returns what changed after version v, settings first: the entry needs them to read all else.
+// since returns what changed after version v: drains, then settings, then the rest. The entry needs the settings to read
+// the rest, and takes them for the sign that it knows the drains.
 func (c *Client) since(v uint64) ([]*meshpb.LocalDown, uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -172,16 +174,22 @@
 		if e.version <= v {
 			continue
 		}
-		m := e.current(time.Now())
-		if m.GetSettings() != nil {
-			msgs = slices.Insert(msgs, 0, m)
-			continue
-		}
-		msgs = append(msgs, m)
+		msgs = append(msgs, e.current(time.Now()))
 	}
+	slices.SortStableFunc(msgs, func(a, b *meshpb.LocalDown) int { return cmp.Compare(rank(a), rank(b)) })
 	return msgs, c.next
 }
 
+func rank(m *meshpb.LocalDown) int {
+	switch m.GetMsg().(type) {
+	case *meshpb.LocalDown_Drain:
+		return 0
+	case *meshpb.LocalDown_Settings:
+		return 1
+	}
+	return 2
+}
+
 // current returns the message as it is worth now: a power share with the time that is left, and with none when it has
 // run out, so that the entry falls to its fallback. Sent as it was first given, an old share would be valid for its
 // whole span again after each reconnect, and the sum of shares could pass the site's cap.
--- a/lib/locallink/link_test.go
+++ b/lib/locallink/link_test.go
@@ -178,8 +178,9 @@
 	c.Set(drainMsg("t1", false))
 	msgs, v := c.since(0)
 	must.Len(t, 2, msgs)
-	must.Eq(t, 99, msgs[0].GetSettings().GetRevision())
-	must.False(t, msgs[1].GetDrain().GetOn())
+	must.Eq(t, "t1", msgs[0].GetDrain().GetTarget()) // drains first: the settings are the sign that all were told
+	must.False(t, msgs[0].GetDrain().GetOn())
+	must.Eq(t, 99, msgs[1].GetSettings().GetRevision())
 	msgs, _ = c.since(v)
 	must.Len(t, 0, msgs)
 }
