--- a/lib/prove/disturbances.go
+++ b/lib/prove/disturbances.go
@@ -72,9 +72,10 @@
 	}
 }
 
-// silences matches faults in which an entry, or the control process beside it, does nothing itself.
-func silences(entry string) func(subject, kind string) bool {
+// keepsDrains matches faults that keep an operator's drain from an entry: it is frozen, or its control process is dead,
+// frozen or cut off. An entry that was killed or stopped must be told of drains before it serves again.
+func keepsDrains(entry string) func(subject, kind string) bool {
 	return func(subject, kind string) bool {
-		return subject == entry || strings.HasSuffix(subject, "control of "+entry)
+		return subject == entry && kind == faultFreeze || strings.HasSuffix(subject, "control of "+entry)
 	}
 }
--- a/lib/prove/operators.go
+++ b/lib/prove/operators.go
@@ -166,12 +166,12 @@
 	r.count(op.kind, "held")
 }
 
-// judgeLateWork excuses work by an entry that was frozen, started again or cut off from its control process within the
-// last seconds: it may learn of the drain as late as the limit after it is back.
+// judgeLateWork excuses work by an entry that was frozen, or without its control process, within the last seconds: it may
+// learn of the drain as late as the limit after that has ended.
 func (r *run) judgeLateWork(op operation, target string, asked time.Time, n int) {
 	recent := time.Now().Add(-drainLimit)
 	for _, e := range r.site.Entries {
-		if kind := r.down.which(recent, time.Now(), silences(e.Name)); kind != "" {
+		if kind := r.down.which(recent, time.Now(), keepsDrains(e.Name)); kind != "" {
 			r.count(op.kind, "late work beside "+kind)
 			return
 		}
