--- a/Makefile
+++ b/Makefile
@@ -4,14 +4,15 @@
 SECONDS ?= 30
 APPS := $(notdir $(wildcard app/*))
 
-.PHONY: build test lint fmt proto bench demo load prove
+.PHONY: build test lint fmt proto bench demo load prove capacity
 
 build:
 	@mkdir -p bin
 	$(GO) build -o bin/ ./app/...
 
+# No result is taken from the cache: the multi-process tests depend on programs that the cache knows nothing of.
 test:
-	$(GO) test -timeout 9m ./...
+	$(GO) test -count=1 -timeout 9m ./...
 
 lint:
 	$(GO) vet ./...
@@ -47,3 +48,8 @@
 prove: build
 	$(GO) build -o bin/ ./examples/prove
 	./bin/prove -seed $(SEED) -span $(SECONDS)s $(PROVEFLAGS)
+
+# capacity measures the slopes behind docs/CAPACITY.md; the last line is "capacity: ok ...". CAPACITYFLAGS adds flags.
+capacity: build
+	$(GO) build -o bin/ ./examples/capacity
+	./bin/capacity -bin bin $(CAPACITYFLAGS)
--- a/lib/schedlink/host_test.go
+++ b/lib/schedlink/host_test.go
@@ -81,6 +81,24 @@
 	must.Eq(t, []string{"t00"}, again.grants())
 }
 
+// The order to preempt was on its way when the link broke. Unless it is given again, the owner waits for the end of an
+// attempt that nobody ends, and the engine stays as full as it was.
+func TestHostRepeatsAPreemptionThatWasLost(t *testing.T) {
+	h := newTestHost(t, 1, 1)
+	lost, again := newCaller(h), newCaller(h)
+	g := ids.From(1, 1)
+	lost.ask(g, "")
+	waitGrants(t, lost, 1)
+	h.all()[0].decided(sched.Action{Kind: sched.ActPreempt, Gen: g, Attempt: 1})
+	again.ask(g, "t00")
+	must.Len(t, 1, again.got)
+	must.NotNil(t, again.got[0].GetPreempt())
+
+	never := newCaller(h) // heard neither of the grant nor of the preemption
+	never.ask(g, "")
+	waitGrants(t, never, 1)
+}
+
 // A new owner hears from entries one after another. If it granted the first one's queue before the second told what
 // it runs, the engine would get both.
 func TestNewHostListensBeforeItGrants(t *testing.T) {
@@ -179,3 +197,16 @@
 	time.Sleep(50 * time.Millisecond)
 	must.LessEq(t, before+1, opens())
 }
+
+// A target is drained and runs on; then the shard gets a new owner, whose targets leave it out. Told of what runs there, a
+// policy that does not know the target would queue and grant it again, and entry and owner would correct each other
+// without end.
+func TestNewHostPlacesNothingThatRunsOnADrainedTarget(t *testing.T) {
+	h := newTestHost(t, 1, 1)
+	c := newCaller(h)
+	c.ask(ids.From(1, 1), "drained")
+	time.Sleep(150 * time.Millisecond) // over the time in which a new owner listens
+	must.Len(t, 0, c.grants())
+	c.ask(ids.From(2, 2), "")
+	waitGrants(t, c, 1)
+}
--- a/lib/schedlink/hosted.go
+++ b/lib/schedlink/hosted.go
@@ -25,6 +25,8 @@
 	queued   int
 	wait     time.Duration // decayed mean of the time from Submit to Grant
 	free     map[string]int
+	leaving  map[string]bool
+	known    map[string]bool // targets that the policy was given
 	lastUsed time.Time
 	settling bool
 	held     []sched.Request // queued requests that came while settling
@@ -37,6 +39,7 @@
 	target    string // empty: queued
 	priority  int
 	submitted time.Time
+	preempted bool // told to the entry, and not ended yet
 }
 
 // take moves the generation to another session of its entry.
@@ -57,12 +60,20 @@
 	if again != nil {
 		s.push(downOf(*again, h.epoch))
 	}
-	if known || h.hold(r) {
+	if known || h.hold(r) || h.elsewhere(r.RunningOn) {
 		return
 	}
 	h.runner.Submit(r, h.decided)
 }
 
+// elsewhere reports whether an attempt runs on a target that the policy was not given: one that is drained. The policy
+// would take it for a request without a place and grant it again.
+func (h *hosted) elsewhere(target string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return target != "" && !h.known[target]
+}
+
 // hold keeps a queued request back while entries still tell a new owner what runs. Granted at once, the first entry's
 // queue would be put on top of what the other entries run, and the engines would overflow.
 func (h *hosted) hold(r sched.Request) bool {
@@ -92,19 +103,16 @@
 	}
 }
 
-// claim books the generation for session s. known: the policy has it already and as it should be; again is then the
-// grant that the entry may have missed.
+// claim books the generation for session s. known: the policy has it already and as it should be; again is then
+// what the entry may have missed.
 func (h *hosted) claim(s *session, r *sched.Request) (known bool, again *sched.Action) {
 	h.mu.Lock()
 	g := h.gens[r.Gen]
 	h.lastUsed = time.Now()
 	if g != nil && g.attempt == r.Attempt {
 		g.take(s)
-		same := r.RunningOn == "" || r.RunningOn == g.target
-		if same && r.RunningOn == "" && g.target != "" {
-			again = &sched.Action{Kind: sched.ActGrant, Gen: r.Gen, Attempt: r.Attempt, Target: g.target, Priority: g.priority}
-		}
-		if same {
+		if g.agrees(r) {
+			again = g.unheard(r)
 			h.mu.Unlock()
 			return true, again
 		}
@@ -121,13 +129,33 @@
 	}
 	h.mu.Unlock()
 	if g != nil && g.attempt == r.Attempt {
-		// It runs elsewhere than this policy placed it: the entry decided alone meanwhile. The policy must drop what
-		// it believes, for a second Submit of one attempt changes nothing there.
+		// Most often it runs elsewhere than this policy placed it, as the entry decided alone meanwhile. The policy must
+		// drop what it believes, for a second Submit of one attempt changes nothing there.
 		h.runner.End(r.Gen, r.Attempt, r.Emitted, sched.EndCancelled)
 	}
 	return false, nil
 }
 
+// agrees reports whether the books match what the entry says of the attempt. One that was granted and preempted without
+// the entry hearing of either starts anew.
+func (g *hostedGen) agrees(r *sched.Request) bool {
+	if r.RunningOn == "" {
+		return !g.preempted
+	}
+	return r.RunningOn == g.target
+}
+
+// unheard returns the decision that an entry which asks again for an attempt may have missed, or nil.
+func (g *hostedGen) unheard(r *sched.Request) *sched.Action {
+	switch {
+	case g.preempted:
+		return &sched.Action{Kind: sched.ActPreempt, Gen: r.Gen, Attempt: r.Attempt}
+	case r.RunningOn == "" && g.target != "":
+		return &sched.Action{Kind: sched.ActGrant, Gen: r.Gen, Attempt: r.Attempt, Target: g.target, Priority: g.priority}
+	}
+	return nil
+}
+
 // forget drops a generation from the books. The caller holds mu.
 func (h *hosted) forget(id ids.Generation) {
 	g := h.gens[id]
@@ -154,6 +182,8 @@
 	switch a.Kind {
 	case sched.ActGrant:
 		h.granted(g, a)
+	case sched.ActPreempt:
+		g.preempted = true
 	case sched.ActRefuse:
 		h.forget(a.Gen)
 	}
@@ -223,6 +253,9 @@
 	for _, n := range h.free {
 		d.FreeTokens += uint64(n)
 	}
+	for name := range h.leaving {
+		d.Leaving = append(d.Leaving, name)
+	}
 	if h.queued > 0 {
 		d.ExpectedWaitMs = uint32(h.wait.Milliseconds())
 	}
@@ -239,6 +272,10 @@
 func (f feed) Report(r sched.Report) {
 	f.h.mu.Lock()
 	f.h.free[r.Target] = max(0, r.KVTotal-r.KVUsed)
+	delete(f.h.leaving, r.Target)
+	if r.Leaving {
+		f.h.leaving[r.Target] = true
+	}
 	f.h.mu.Unlock()
 	f.Runner.Report(r)
 }
@@ -247,6 +284,18 @@
 func (f feed) TargetGone(target string) {
 	f.h.mu.Lock()
 	delete(f.h.free, target)
+	delete(f.h.leaving, target)
 	f.h.mu.Unlock()
 	f.Runner.TargetGone(target)
 }
+
+// knows notes the targets that the policy was given.
+func (h *hosted) knows(names []string) {
+	known := make(map[string]bool, len(names))
+	for _, n := range names {
+		known[n] = true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.known = known
+}
