--- a/lib/capacity/limits.go
+++ b/lib/capacity/limits.go
@@ -26,6 +26,7 @@
 
 // limitSite is a number of entries in this process whose limits talk over real sockets.
 type limitSite struct {
+	files   mesh.TLSFiles
 	wg      sync.WaitGroup
 	members []member.Member
 	procs   []*limitProcess
@@ -38,7 +39,11 @@
 }
 
 func newLimitSite(ctx context.Context, n int) (*limitSite, error) {
-	s := &limitSite{}
+	files, err := linkFiles()
+	if err != nil {
+		return nil, err
+	}
+	s := &limitSite{files: files}
 	var listeners []net.Listener
 	var names []string
 	for i := range n {
@@ -62,7 +67,11 @@
 }
 
 func (s *limitSite) start(ctx context.Context, self member.Member, ln net.Listener) error {
-	node, err := mesh.New(mesh.Options{Self: mesh.Identity{Instance: self.Instance, Incarnation: 1}, Plain: true})
+	tls, err := mesh.LoadTLS(s.files)
+	if err != nil {
+		return err
+	}
+	node, err := mesh.New(mesh.Options{Self: mesh.Identity{Instance: self.Instance, Incarnation: 1}, TLS: tls})
 	if err != nil {
 		return err
 	}
--- a/lib/capacity/run.go
+++ b/lib/capacity/run.go
@@ -86,8 +86,12 @@
 	r.fit("heartbeat-tables", "sent_bytes_per_s", "node", bytes)
 	r.fit("heartbeat-tables", "core_percent", "node", cpu)
 	bytes, cpu = nil, nil
+	files, err := linkFiles()
+	if err != nil {
+		return err
+	}
 	for _, n := range []int{20, 40, 64} {
-		h, err := HeartbeatsOverSockets(ctx, n, heartbeatEvery, 3*time.Second, nil)
+		h, err := HeartbeatsOverSockets(ctx, n, heartbeatEvery, 3*time.Second, &files)
 		if err != nil {
 			return err
 		}
--- a/lib/capacity/sites.go
+++ b/lib/capacity/sites.go
@@ -191,7 +191,8 @@
 }
 
 // MeasureTokens measures an entry's processor time by the length of streams, as separate processes: 64 streams at once
-// from one engine. The slope is a token's cost, the base a request's.
+// from one engine. The slope is a token's cost, the base a request's. The stand-in engine's own time is given beside it: a
+// write to a socket for each token and little else.
 func MeasureTokens(ctx context.Context, r Report, binaries string) error {
 	s, err := startSite(ctx, binaries, 1, 1, 1, "-step-per-seq", "0", "-step-base", "20ms")
 	if err != nil {
@@ -203,13 +204,16 @@
 		Entries: s.Callers(), Token: localsite.Key("workspace-0"),
 		HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: streamsOnce}},
 	}
-	var cpu []Point
-	var memory float64
+	var cpu, bare []Point
 	for _, length := range []int{1, 10, 40, 100} {
 		before, err := usageOf(ctx, s.Entries[0])
 		if err != nil {
 			return err
 		}
+		engine, err := cpuOf(s.Engines[0].PID())
+		if err != nil {
+			return err
+		}
 		n, err := streams(ctx, client, length)
 		if err != nil {
 			return err
@@ -220,12 +224,18 @@
 		}
 		spent := micros(after.cpu-before.cpu) / float64(n)
 		took := after.at.Sub(before.at).Seconds()
-		memory = after.memory
-		r.point("stream", "tokens=%d streams=%d at_once=%d entry_cpu_us_per_stream=%.0f tokens_per_s=%.0f core_percent=%.1f memory_mb=%.1f mesh_bytes_per_s=%.0f",
-			length, n, streamsOnce, spent, float64(n*int64(length))/took, 100*(after.cpu-before.cpu).Seconds()/took, memory/1e6, (after.meshBytes-before.meshBytes)/took)
+		engineAfter, err := cpuOf(s.Engines[0].PID())
+		if err != nil {
+			return err
+		}
+		engineSpent := micros(engineAfter-engine) / float64(n)
+		r.point("stream", "tokens=%d streams=%d at_once=%d entry_cpu_us_per_stream=%.0f engine_cpu_us_per_stream=%.0f tokens_per_s=%.0f core_percent=%.1f memory_mb=%.1f mesh_bytes_per_s=%.0f",
+			length, n, streamsOnce, spent, engineSpent, float64(n*int64(length))/took, 100*(after.cpu-before.cpu).Seconds()/took, after.memory/1e6, (after.meshBytes-before.meshBytes)/took)
 		cpu = append(cpu, Point{float64(length), spent})
+		bare = append(bare, Point{float64(length), engineSpent})
 	}
 	r.fit("stream", "entry_cpu_us", "token", cpu)
+	r.fit("stream", "engine_cpu_us", "token", bare)
 	return nil
 }
 
