Name the caller's context when it, and not the budget, ends a wait for the platform

Cause: a caller with 10 ms left, or none, was told "the budget for the platform is spent", and the refusal was counted against the budget. Change: what the context ends is refused with the context's error and not counted; a wait beyond the budget's own bound says what it said.

--- a/lib/platform/budget.go
+++ b/lib/platform/budget.go
@@ -12,7 +12,10 @@
 // budgetBurst is how much of a rate may be used at once: a tenth of a second's worth, and always one.
 const budgetBurst = 0.1
 
-var errBudget = errors.New("the budget for the platform is spent")
+var (
+	errBudget = errors.New("the budget for the platform is spent")
+	errNoTime = errors.New("the caller's time ends before the budget for the platform allows the exchange")
+)
 
 // budget keeps this process to its share of the site's reads and writes. The platform's limits hold for the whole
 // site: an instance that took what it could get would starve the leases of all others.
@@ -74,12 +77,21 @@
 // take waits for one token, but not for longer than the budget's wait: the limiter refuses at once when the token
 // would come too late.
 func (b *budget) take(ctx context.Context, u use, l *rate.Limiter) *exchangeError {
-	ctx, cancel := context.WithTimeout(ctx, b.wait)
+	ends, bounded := ctx.Deadline()
+	short := bounded && ends.Before(time.Now().Add(b.wait))
+	waiting, cancel := context.WithTimeout(ctx, b.wait)
 	defer cancel()
-	if err := l.Wait(ctx); err != nil {
-		u.countBudget()
-		after := time.Duration(float64(time.Second) / float64(l.Limit()))
-		return &exchangeError{fate: fateNotSent, after: max(after, b.wait), cause: errors.Join(errBudget, err)}
+	err := l.Wait(waiting)
+	if err == nil {
+		return nil
+	}
+	after := max(time.Duration(float64(time.Second)/float64(l.Limit())), b.wait)
+	switch {
+	case ctx.Err() != nil:
+		return &exchangeError{fate: fateNotSent, after: after, cause: ctx.Err()}
+	case short:
+		return &exchangeError{fate: fateNotSent, after: after, cause: errors.Join(errNoTime, context.DeadlineExceeded)}
 	}
-	return nil
+	u.countBudget()
+	return &exchangeError{fate: fateNotSent, after: after, cause: errors.Join(errBudget, err)}
 }
--- /dev/null
+++ b/lib/platform/budget_test.go
@@ -0,0 +1,38 @@
+package platform_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/platform"
+	standin "anvilwick.example/anvilwick/lib/standin/platform"
+)
+
+// A caller has 10 ms left and the budget would have a token in 500 ms, or it has plenty of time and the budget has none for
+// it. Told of the budget in both cases, operators would raise a limit that was not in the way.
+func TestRefusalNamesTheContextOrTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, c := start(t, standin.Config{}, platform.Config{ReadsPerSec: 2, BudgetWait: 600 * time.Millisecond})
+		_, _, err := c.Get(t.Context(), "a")
+		must.NoError(t, err)
+		short, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		_, _, err = c.Get(short, "a")
+		must.ErrorContains(t, err, "context deadline exceeded")
+		must.StrNotContains(t, err.Error(), "is spent")
+		time.Sleep(20 * time.Millisecond)
+		_, _, err = c.Get(short, "a")
+		must.ErrorContains(t, err, "context deadline exceeded")
+		must.StrNotContains(t, err.Error(), "is spent")
+
+		_, spent := start(t, standin.Config{}, platform.Config{ReadsPerSec: 0.1})
+		_, _, err = spent.Get(t.Context(), "a")
+		must.NoError(t, err)
+		_, _, err = spent.Get(t.Context(), "a")
+		must.ErrorContains(t, err, "the budget for the platform is spent")
+	})
+}
