Put the site's times in force in the entry

Cause: heartbeat_interval and tick_interval were parsed and read by nothing; progress_interval was read by the table of generations and not by the link to owners, which flushed every 50 ms. Runners change their tick while running. The defaults of two keys change: heartbeat_interval 250ms to 500ms, tick_interval 5ms to 10ms.

--- a/lib/entryproc/assemble.go
+++ b/lib/entryproc/assemble.go
@@ -82,6 +82,9 @@
 		p.server.ServiceReport(service, name, rep)
 	})
 	return func(snap *settings.Snapshot, clients func(*settings.Service) []*target.Client) {
+		if p.links != nil {
+			p.links.members.SetInterval(snap.Site.HeartbeatInterval)
+		}
 		d.apply(snap, clients)
 		plain := make(map[string][]*target.Client)
 		for name, svc := range snap.Services {
--- a/lib/entryproc/decider.go
+++ b/lib/entryproc/decider.go
@@ -57,6 +57,7 @@
 			continue
 		}
 		r := d.Runner(name)
+		r.SetTick(snap.Site.TickInterval)
 		r.SetPolicy(entry.ClassPolicies(snap, name))
 		r.SetTargets(entry.TargetSpecs(svc))
 		d.poller(name, r).SetTargets(clients(svc))
@@ -121,25 +122,40 @@
 }
 
 func (d *shared) apply(snap *settings.Snapshot, clients func(*settings.Service) []*target.Client) {
-	site := schedlink.Site{ShardTargets: snap.Site.ShardTargets}
+	site := siteOf(snap)
 	all := make(map[string]*target.Client)
-	for name, svc := range snap.Services {
+	for _, svc := range snap.Services {
 		if svc.Kind != settings.KindModel {
 			continue
 		}
 		for _, c := range clients(svc) {
 			all[c.Name()] = c
 		}
+	}
+	d.mu.Lock()
+	d.clients = all
+	d.mu.Unlock()
+	d.Apply(site)
+}
+
+// siteOf is what links and owners need of a revision of settings.
+func siteOf(snap *settings.Snapshot) schedlink.Site {
+	site := schedlink.Site{
+		ShardTargets:  snap.Site.ShardTargets,
+		ProgressEvery: snap.Site.ProgressInterval,
+		Tick:          snap.Site.TickInterval,
+	}
+	for name, svc := range snap.Services {
+		if svc.Kind != settings.KindModel {
+			continue
+		}
 		site.Services = append(site.Services, schedlink.Service{
 			Name:     name,
 			Targets:  entry.TargetSpecs(svc),
 			Policies: entry.ClassPolicies(snap, name),
 		})
 	}
-	d.mu.Lock()
-	d.clients = all
-	d.mu.Unlock()
-	d.Apply(site)
+	return site
 }
 
 func (d *shared) setPower(share *meshpb.PowerShare) {
--- a/lib/placer/runner.go
+++ b/lib/placer/runner.go
@@ -21,6 +21,7 @@
 	acts   []sched.Action
 
 	start time.Time
+	every time.Duration // between ticks; 0: as Run was told
 	kick  chan struct{}
 }
 
@@ -44,14 +45,40 @@
 // Now is nanoseconds since the Runner was made.
 func (r *Runner) Now() sched.Time { return sched.Time(time.Since(r.start)) }
 
-// Run ticks the policy every interval, and at once after a Submit or an End, until ctx is done.
-func (r *Runner) Run(ctx context.Context, interval time.Duration) {
-	if interval <= 0 {
-		interval = DefaultTick
+// SetTick changes the time between ticks, also while the Runner runs; 0: as Run was told.
+func (r *Runner) SetTick(every time.Duration) {
+	r.mu.Lock()
+	changed := r.every != every
+	r.every = every
+	r.mu.Unlock()
+	if changed {
+		r.wake()
+	}
+}
+
+func (r *Runner) tickEvery(told time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.every > 0:
+		return r.every
+	case told > 0:
+		return told
 	}
-	t := time.NewTicker(interval)
+	return DefaultTick
+}
+
+// Run ticks the policy every interval, unless SetTick says another, and at once after a Submit or an End, until ctx is
+// done.
+func (r *Runner) Run(ctx context.Context, interval time.Duration) {
+	every := r.tickEvery(interval)
+	t := time.NewTicker(every)
 	defer t.Stop()
 	for {
+		if now := r.tickEvery(interval); now != every {
+			every = now
+			t.Reset(every)
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/lib/schedlink/host.go
+++ b/lib/schedlink/host.go
@@ -38,6 +38,7 @@
 	shards map[shard.ID]*hosted
 	owned  map[shard.ID]bool
 	power  map[string]powerShare
+	tick   time.Duration // of settings; 0: opts.Tick
 }
 
 type powerShare struct {
@@ -92,6 +93,16 @@
 	}
 }
 
+// setTick changes the time between ticks of every shard's policy.
+func (h *Host) setTick(every time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tick = every
+	for _, s := range h.shards {
+		s.runner.SetTick(every)
+	}
+}
+
 // hostOwned works out which shards are this process's own. The caller holds mu.
 func (h *Host) hostOwned() {
 	own := newOwners(h.plan, h.view)
@@ -137,6 +148,7 @@
 	}
 	s.targets = h.opts.Poll(ctx, id.Service, feed{Runner: s.runner, h: s})
 	h.shards[id] = s
+	s.runner.SetTick(h.tick)
 	h.configure(s)
 	h.sharePower()
 	go s.runner.Run(ctx, h.opts.Tick)
--- a/lib/schedlink/link.go
+++ b/lib/schedlink/link.go
@@ -85,6 +85,7 @@
 	}
 	l.progress = site.ProgressEvery
 	l.mu.Unlock()
+	l.opts.Host.setTick(site.Tick)
 	l.opts.Host.update(p, l.opts.Members.View())
 	l.rebind()
 }
--- a/lib/schedlink/site.go
+++ b/lib/schedlink/site.go
@@ -22,6 +22,7 @@
 	Services      []Service
 	ShardTargets  int           // targets of one shard at most; 0: no limit
 	ProgressEvery time.Duration // between an entry's messages of progress to an owner; 0: DefaultProgressEvery
+	Tick          time.Duration // of a policy; 0: HostOptions.Tick
 }
 
 // Members tells who is live. member.Runner implements it.
--- a/lib/settings/fields.go
+++ b/lib/settings/fields.go
@@ -14,12 +14,12 @@
 	required(bind("failure_domains", kindNames, "", "failure domains of the site", func(s *Site) *[]string { return &s.FailureDomains })),
 	bind("power_cap", kindWatts, "0W", "cap on the electric power of all targets together; 0W: none", func(s *Site) *float64 { return &s.PowerCapWatts }),
 	bind("power_guard", kindWatts, "0W", "part of the cap kept free, because readings lag", func(s *Site) *float64 { return &s.PowerGuardWatts }),
-	bind("heartbeat_interval", span(10*time.Millisecond, time.Minute), "250ms", "time between heartbeats of instances", func(s *Site) *time.Duration { return &s.HeartbeatInterval }),
+	bind("heartbeat_interval", span(10*time.Millisecond, time.Minute), "500ms", "time between heartbeats of instances", func(s *Site) *time.Duration { return &s.HeartbeatInterval }),
 	bind("shard_targets", count("targets", 1, 1024), "32", "targets of one owner at most", func(s *Site) *int { return &s.ShardTargets }),
 	bind("store_writes", number("per second", 1, 1e6), "300", "writes that all instances together may make to the platform's table", func(s *Site) *float64 { return &s.StoreWritesPerSec }),
 	bind("store_reads", number("per second", 1, 1e6), "2000", "reads that all instances together may make from the platform's table", func(s *Site) *float64 { return &s.StoreReadsPerSec }),
 	bind("progress_interval", span(time.Millisecond, time.Minute), "50ms", "time between an entry's progress reports to an owner", func(s *Site) *time.Duration { return &s.ProgressInterval }),
-	bind("tick_interval", span(time.Millisecond, time.Second), "5ms", "time between ticks of the scheduler", func(s *Site) *time.Duration { return &s.TickInterval }),
+	bind("tick_interval", span(time.Millisecond, time.Second), "10ms", "time between ticks of the scheduler", func(s *Site) *time.Duration { return &s.TickInterval }),
 }
 
 var serviceFields = []field[Service]{
