--- a/lib/entry/plain.go
+++ b/lib/entry/plain.go
@@ -14,6 +14,7 @@
 	"anvilwick.example/anvilwick/lib/callerapi"
 	"anvilwick.example/anvilwick/lib/claim"
 	"anvilwick.example/anvilwick/lib/entrymetrics"
+	"anvilwick.example/anvilwick/lib/invariant"
 	"anvilwick.example/anvilwick/lib/logline"
 	"anvilwick.example/anvilwick/lib/poison"
 	"anvilwick.example/anvilwick/lib/result"
@@ -34,6 +35,7 @@
 	kept    *claim.Summary // the answer of an earlier run under the same key
 	answer  []byte         // start of the answer, kept for the claim
 
+	maySent  bool // some target may have got it
 	complete bool // the whole answer was read, whoever was still there for it
 	metrics  *entrymetrics.Pair
 }
@@ -179,12 +181,13 @@
 		if !ok {
 			return nil, "", pc.noTarget(mayHaveRun)
 		}
-		resp, err := s.sendOnce(ctx, pc, name, uint32(try))
+		resp, name, err := s.send(ctx, pc, name, uint32(try), avoid)
 		if err == nil {
 			return resp, name, nil
 		}
 		sent := !errors.Is(err, target.ErrNotSent)
 		mayHaveRun = mayHaveRun || sent
+		pc.maySent = mayHaveRun
 		logline.Cause(log.Info().Str("event", "call_failed").Str("request", pc.id).Str("target", name).Bool("sent", sent), err)
 		avoid = append(avoid, name)
 		if final := s.mayRepeat(ctx, pc, try, sent, mayHaveRun, err); final != nil {
@@ -194,6 +197,15 @@
 	}
 }
 
+// send sends the call to a target, or also to a second one when it may be repeated, and tells which of them it speaks of.
+func (s *Server) send(ctx context.Context, pc *plainCall, name string, try uint32, avoid []string) (*http.Response, string, error) {
+	if pc.route.Idempotent {
+		return s.sendHedged(ctx, pc, name, try, avoid)
+	}
+	resp, err := s.sendOnce(ctx, pc, name, try)
+	return resp, name, err
+}
+
 // sendOnce sends the call to one target. The answer's body is still to be read.
 func (s *Server) sendOnce(ctx context.Context, pc *plainCall, name string, try uint32) (*http.Response, error) {
 	c := s.Client(name)
@@ -207,6 +219,9 @@
 	if !ok {
 		return nil, errors.Join(target.ErrNotSent, errOpen)
 	}
+	if err := invariant.Check(!pc.call.Once || !pc.maySent, "sent_once", "request %s again to %s", pc.id, name); err != nil {
+		return nil, err
+	}
 	if err := pc.markSent(ctx, name, try); err != nil {
 		ticket.Done(s.now(), breaker.Ignored)
 		return nil, errors.Join(target.ErrNotSent, err)
@@ -218,11 +233,14 @@
 	return resp, err
 }
 
-// callOutcome says what a call tells of the link. A caller that left says nothing.
+// callOutcome says what a call tells of the link. A caller that left says nothing. A call that another overtook was silent
+// for the stall floor and longer: counted, the circuit opens, and later calls need no second one.
 func callOutcome(ctx context.Context, err error) breaker.Outcome {
 	switch {
 	case err == nil:
 		return breaker.Success
+	case errors.Is(context.Cause(ctx), errOvertaken):
+		return breaker.Failure
 	case errors.Is(ctx.Err(), context.Canceled):
 		return breaker.Ignored
 	}
--- a/lib/localsite/site.go
+++ b/lib/localsite/site.go
@@ -38,16 +38,10 @@
 	Output      io.Writer // gets all processes' output; nil: kept by each process only
 
 	// Via returns the address to configure instead of addr for one link; nil: links are direct. Faults of links are
-	// injected by a relay there. Links between entries have none: an entry tells the others its own address.
+	// injected by a relay there. The link "mesh of" an entry carries what other entries open to it.
 	Via func(link, addr string) (string, error)
 }
 
-// Names of links for Config.Via.
-func linkToPlatform(from string) string { return "platform of " + from }
-func linkToTarget(name string) string   { return "target " + name }
-func linkToEntry(control string) string { return "entry of " + control }
-func linkOfCallers(entry string) string { return "callers of " + entry }
-
 // Node is one process of the site.
 type Node struct {
 	*proc.Proc
@@ -56,7 +50,9 @@
 	Addr   string // callers' port of an entry, port of a target or of the platform; IP:port
 	Reach  string // where others of the site reach Addr
 	Ops    string // operators' port of an entry or control process
-	Mesh   string // of an entry
+	Mesh   string // where an entry listens for other entries and its control process
+
+	meshReach string // where other entries reach Mesh
 
 	binary string
 	args   []string
@@ -74,9 +70,9 @@
 	cfg Config
 	set proc.Set
 	dir string // scratch
+	err error  // of Config.Via
 
 	links mesh.TLSFiles
-	err   error // of Config.Via
 }
 
 // Start starts every process and commits the settings. On an error nothing is left running.
@@ -145,18 +141,6 @@
 	return s.writeInstances()
 }
 
-// via returns the address by which a link is configured.
-func (s *Site) via(link, addr string) string {
-	if s.cfg.Via == nil {
-		return addr
-	}
-	out, err := s.cfg.Via(link, addr)
-	if err != nil && s.err == nil {
-		s.err = err
-	}
-	return out
-}
-
 func domain(i int) string { return domains[i%len(domains)] }
 
 func (s *Site) instanceList() string { return filepath.Join(s.dir, "instances.json") }
@@ -171,13 +155,13 @@
 
 func (s *Site) engine(i int, addr string) *Node {
 	args := []string{"engine", "-addr", addr, "-model", s.cfg.Settings.Model, "-seed", fmt.Sprint(i + 1), "-fencing"}
+	name := fmt.Sprintf("engine-%d", i+1)
 	if set := s.cfg.Settings; set.IdleWatts > 0 {
 		args = append(args, "-idle-watts", fmt.Sprint(set.IdleWatts), "-seq-watts", fmt.Sprint(set.SeqWatts))
 	}
 	if n := s.cfg.Settings.MaxBatch; n > 0 {
 		args = append(args, "-max-batch", fmt.Sprint(n))
 	}
-	name := fmt.Sprintf("engine-%d", i+1)
 	return &Node{
 		Name: name, Domain: domain(i), Addr: addr, Reach: s.via(linkToTarget(name), addr), binary: "anvilwick-standin",
 		args: append(args, s.cfg.EngineFlags...),
@@ -194,13 +178,16 @@
 
 func (s *Site) entry(i int, addr, ops, mesh string) *Node {
 	name := fmt.Sprintf("entry-%d", i+1)
+	meshReach := s.via(linkOfMesh(name), mesh)
 	args := []string{
-		"-instance", name, "-failure-domain", domain(i), "-listen", addr, "-ops-addr", ops, "-mesh-addr", mesh,
-		"-operator-token-sha256", tokenHash(), "-stop-notice", "200ms", "-platform", s.via(linkToPlatform(name), s.Platform.Addr),
+		"-instance", name, "-failure-domain", domain(i), "-listen", addr, "-ops-addr", ops,
+		"-mesh-addr", meshReach, "-mesh-listen", mesh,
+		"-operator-token-sha256", tokenHash(), "-stop-notice", "200ms",
+		"-platform", s.via(linkToPlatform(name), s.Platform.Addr),
 	}
 	args = append(args, s.linkFlags()...)
 	return &Node{
-		Name: name, Domain: domain(i), Addr: addr, Reach: s.via(linkOfCallers(name), addr), Ops: ops, Mesh: mesh, binary: "anvilwick-entry",
+		Name: name, Domain: domain(i), Addr: addr, Reach: s.via(linkOfCallers(name), addr), Ops: ops, Mesh: mesh, meshReach: meshReach, binary: "anvilwick-entry",
 		args: append(args, s.cfg.EntryFlags...),
 	}
 }
@@ -210,7 +197,8 @@
 	return &Node{
 		Name: name, Domain: e.Domain, Ops: ops, binary: "anvilwick-control",
 		args: append([]string{
-			"-instance", e.Name, "-failure-domain", e.Domain, "-entry-addr", s.via(linkToEntry(name), e.Mesh), "-platform", s.via(linkToPlatform(name), s.Platform.Addr),
+			"-instance", e.Name, "-failure-domain", e.Domain, "-entry-addr", s.via(linkToEntry(name), e.Mesh),
+			"-platform", s.via(linkToPlatform(name), s.Platform.Addr),
 			"-ops-addr", ops, "-operator-token-sha256", tokenHash(), "-lease-ttl", "3s",
 		}, s.linkFlags()...),
 	}
@@ -229,7 +217,7 @@
 	var list platformapi.InstanceList
 	for _, e := range s.Entries {
 		list.Instances = append(list.Instances, platformapi.Instance{
-			ID: e.Name, FailureDomain: e.Domain, MeshAddr: e.Mesh, State: platformapi.InstanceLive,
+			ID: e.Name, FailureDomain: e.Domain, MeshAddr: e.meshReach, State: platformapi.InstanceLive,
 		})
 	}
 	b, err := json.Marshal(list)
