--- a/lib/capacity/decisions.go
+++ b/lib/capacity/decisions.go
@@ -102,8 +102,8 @@
 		r.point("owner", "targets=%d generations=%d tick_us=%.1f decision_us=%.1f progress_round_us=%.1f heap_bytes=%.0f",
 			targets, c.gens, micros(tick), micros(decide), micros(news), bytes)
 	}
-	r.fit("owner", "tick_us", "target", ticks)
-	r.fit("owner", "decision_us", "target", decisions)
+	r.fit("owner", "tick_us", "target_of_shard", ticks)
+	r.fit("owner", "decision_us", "target_of_shard", decisions)
 	r.fit("owner", "progress_us", "generation", progress)
 	r.fit("owner", "heap_bytes", "generation", heap)
 	return nil
--- a/lib/capacity/line.go
+++ b/lib/capacity/line.go
@@ -17,9 +17,31 @@
 	fmt.Fprintf(r.W, "point probe=%s %s\n", probe, fmt.Sprintf(format, args...))
 }
 
-// fit writes the line through points: value of unit for each one more of by.
+// letterSize is what a series grows to in the users' letter; docs/CAPACITY.md says how each was worked out.
+var letterSize = map[string]float64{
+	"node":             430,
+	"instance":         430,
+	"peer":             429,
+	"target":           12_000,
+	"target_of_shard":  28,
+	"workspace":        480,
+	"generation":       632,
+	"generation_per_s": 58,
+	"group":            1_440,
+	"key":              1_440,
+	"key_held":         480,
+	"stream_at_once":   632,
+	"token":            388,
+}
+
+// fit writes the line through points: value for each one more of by, and what it comes to at the letter's size.
 func (r Report) fit(probe, value, by string, points []Point) {
-	fmt.Fprintf(r.W, "fit probe=%s value=%s by=%s points=%d %v\n", probe, value, by, len(points), Fit(points))
+	l := Fit(points)
+	fmt.Fprintf(r.W, "fit probe=%s value=%s by=%s points=%d %v", probe, value, by, len(points), l)
+	if size, ok := letterSize[by]; ok {
+		fmt.Fprintf(r.W, " letter_size=%.0f letter_value=%.5g", size, l.At(size))
+	}
+	fmt.Fprintln(r.W)
 }
 
 // perOp returns the processor time of one run of work. It works for at least d of processor time, so that the clock's
--- a/lib/capacity/run.go
+++ b/lib/capacity/run.go
@@ -33,7 +33,7 @@
 		{"heartbeat", "tables and sockets", inProcess(MeasureHeartbeats)},
 		{"placement", "sockets", inProcess(MeasurePlacementSlopes)},
 		{"limits", "sockets and tables", inProcess(MeasureLimits)},
-		{"stream", "processes", MeasureTokens},
+		{"stream", "processes", MeasureStreams},
 		{"sites", "processes", MeasureSites},
 	}
 }
@@ -109,7 +109,7 @@
 // MeasurePlacementSlopes measures what asking another entry for places costs, by generations a second and by reports of
 // progress of one generation.
 func MeasurePlacementSlopes(ctx context.Context, r Report) error {
-	const span, life = 2 * time.Second, time.Second
+	const span, life = 1500 * time.Millisecond, time.Second
 	var cpu, bytes []Point
 	for _, rate := range []int{30, 58, 120} {
 		p, err := MeasurePlacements(ctx, PlacementLoad{Rate: rate, Duration: span, Life: life, Prefixes: 8, Progress: time.Second})
--- a/lib/capacity/sites.go
+++ b/lib/capacity/sites.go
@@ -4,13 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
-	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"anvilwick.example/anvilwick/lib/caller"
 	"anvilwick.example/anvilwick/lib/control"
 	"anvilwick.example/anvilwick/lib/localsite"
 	"anvilwick.example/anvilwick/lib/proc"
@@ -18,14 +14,12 @@
 )
 
 const (
-	siteStart   = 40 * time.Second
-	siteStop    = 20 * time.Second
-	siteSettle  = 6 * time.Second
-	siteIdle    = 6 * time.Second
-	siteModel   = "capacity"
-	siteCap     = 1_000_000 // watts: power is divided, and holds nothing back
-	tokenSpan   = 4 * time.Second
-	streamsOnce = 64
+	siteStart  = 40 * time.Second
+	siteStop   = 20 * time.Second
+	siteSettle = 6 * time.Second
+	siteIdle   = 6 * time.Second
+	siteModel  = "capacity"
+	siteCap    = 1_000_000 // watts: power is divided, and holds nothing back
 )
 
 func startSite(ctx context.Context, binaries string, entries, engines, workspaces int, engineFlags ...string) (*localsite.Site, error) {
@@ -134,7 +128,7 @@
 
 var allSeries = []siteSeries{
 	{"instance", []siteSize{{2, 4, 10}, {4, 4, 10}, {8, 4, 10}}, func(s siteSize) int { return s.entries }},
-	{"target", []siteSize{{1, 4, 10}, {1, 16, 10}, {1, 28, 10}}, func(s siteSize) int { return s.engines }},
+	{"target_of_shard", []siteSize{{1, 4, 10}, {1, 16, 10}, {1, 28, 10}}, func(s siteSize) int { return s.engines }},
 	{"workspace", []siteSize{{1, 4, 120}, {1, 4, 240}, {1, 4, 480}}, func(s siteSize) int { return s.workspaces }},
 }
 
@@ -189,75 +183,3 @@
 	r.point(probe, "instances=%d targets=%d workspaces=%d core_percent=%.2f memory_mb=%.1f mesh_bytes_per_s=%.0f http_bytes_per_s=%.0f platform_reads_per_s=%.2f platform_writes_per_s=%.2f",
 		s.entries, s.engines, s.workspaces, m.corePercent, m.memoryMB, m.meshBytes, m.httpBytes, m.reads, m.writes)
 }
-
-// MeasureTokens measures an entry's processor time by the length of streams, as separate processes: 64 streams at once
-// from one engine. The slope is a token's cost, the base a request's. The stand-in engine's own time is given beside it: a
-// write to a socket for each token and little else.
-func MeasureTokens(ctx context.Context, r Report, binaries string) error {
-	s, err := startSite(ctx, binaries, 1, 1, 1, "-step-per-seq", "0", "-step-base", "20ms")
-	if err != nil {
-		return err
-	}
-	defer stopSite(ctx, s)
-	time.Sleep(siteSettle)
-	client := &caller.Client{
-		Entries: s.Callers(), Token: localsite.Key("workspace-0"),
-		HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: streamsOnce}},
-	}
-	var cpu, bare []Point
-	for _, length := range []int{1, 10, 40, 100} {
-		before, err := usageOf(ctx, s.Entries[0])
-		if err != nil {
-			return err
-		}
-		engine, err := cpuOf(s.Engines[0].PID())
-		if err != nil {
-			return err
-		}
-		n, err := streams(ctx, client, length)
-		if err != nil {
-			return err
-		}
-		after, err := usageOf(ctx, s.Entries[0])
-		if err != nil {
-			return err
-		}
-		spent := micros(after.cpu-before.cpu) / float64(n)
-		took := after.at.Sub(before.at).Seconds()
-		engineAfter, err := cpuOf(s.Engines[0].PID())
-		if err != nil {
-			return err
-		}
-		engineSpent := micros(engineAfter-engine) / float64(n)
-		r.point("stream", "tokens=%d streams=%d at_once=%d entry_cpu_us_per_stream=%.0f engine_cpu_us_per_stream=%.0f tokens_per_s=%.0f core_percent=%.1f memory_mb=%.1f mesh_bytes_per_s=%.0f",
-			length, n, streamsOnce, spent, engineSpent, float64(n*int64(length))/took, 100*(after.cpu-before.cpu).Seconds()/took, after.memory/1e6, (after.meshBytes-before.meshBytes)/took)
-		cpu = append(cpu, Point{float64(length), spent})
-		bare = append(bare, Point{float64(length), engineSpent})
-	}
-	r.fit("stream", "entry_cpu_us", "token", cpu)
-	r.fit("stream", "engine_cpu_us", "token", bare)
-	return nil
-}
-
-// streams runs streams of a length for tokenSpan and returns how many.
-func streams(ctx context.Context, client *caller.Client, length int) (int64, error) {
-	end := time.Now().Add(tokenSpan)
-	var n atomic.Int64
-	errs := make(chan error, streamsOnce)
-	var wg sync.WaitGroup
-	for i := range streamsOnce {
-		wg.Go(func() {
-			for time.Now().Before(end) {
-				prompt := "stream " + strconv.Itoa(i) + " " + strconv.FormatInt(n.Add(1), 10) + " [len=" + strconv.Itoa(length) + "]"
-				call := caller.Call{Model: siteModel, Prompt: prompt, Class: "standard"}
-				if _, err := client.Stream(ctx, call, func(caller.Token) {}); err != nil {
-					errs <- err
-					return
-				}
-			}
-		})
-	}
-	wg.Wait()
-	close(errs)
-	return n.Load(), <-errs
-}
