Give entries a scheduler switch for experiments, and compare policies over real processes

Ruled out: a dependence of the daemons on lib/bench; a second set of baselines. Change: the baselines are a small package, lib/baseline; anvilwick-entry takes -scheduler owner|least-loaded|round-robin, the last two for experiments only. make load LOADFLAGS="-policy all" runs the same arrivals under each policy over real processes and in virtual time and prints the bench's columns, with the attempts that the entry gave up as stalled. Local sites have the mix's weights and accepted memory risk, as the bench has.

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,8 @@
 	$(GO) build -o bin/ ./examples/demo
 	./bin/demo -bin bin
 
-# load sends a seeded mix to a small site of its own; the last line is key=value pairs. LOADFLAGS adds flags.
+# load sends a seeded mix to a small site of its own; the last line is key=value pairs. LOADFLAGS adds flags;
+# LOADFLAGS="-policy all -load 0.9 -length 0.25 -span 40s" compares the scheduler with baselines, a line each.
 load: build
 	$(GO) build -o bin/ ./examples/load
 	./bin/load -bin bin -seed $(SEED) $(LOADFLAGS)
--- a/lib/bench/balancer.go
+++ b/lib/baseline/balancer.go
@@ -1,4 +1,6 @@
-package bench
+// Package baseline holds ordinary load balancers behind sched.Policy, to compare the scheduler with: in virtual time by
+// lib/bench, and in real processes for experiments.
+package baseline
 
 import (
 	"math"
--- a/lib/bench/balancer_test.go
+++ b/lib/baseline/balancer_test.go
@@ -1,6 +1,7 @@
-package bench
+package baseline
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -10,6 +11,8 @@
 	"anvilwick.example/anvilwick/lib/sched"
 )
 
+func targetName(i int) string { return fmt.Sprintf("engine-%02d", i) }
+
 // twoEngines returns a baseline before two engines of 1000 W: 100 idle and 100 for each sequence.
 func twoEngines(p sched.Policy, watts float64) sched.Policy {
 	var specs []sched.TargetSpec
--- a/lib/bench/plant.go
+++ b/lib/bench/plant.go
@@ -16,17 +16,24 @@
 }
 
 // Memory, not the batch, is what fills first on these engines.
-func plantOf(m *workload.Mix) plant {
+func plantOf(cfg *Config) plant {
+	m := cfg.Mix
 	c := enginemodel.Default()
 	c.MaxBatch = 64
 	if m.Deployment == "kivu" {
 		c.KVTokens = 64_000
 		c.CacheTokens = 16_000
 	}
+	if cfg.KVTokens > 0 {
+		c.KVTokens = cfg.KVTokens
+	}
 	perEngine := c.IdleWatts + wattsSeqs*c.SeqWatts
 	return plant{engine: c, capWatts: float64(m.Engines) * perEngine}
 }
 
+// EngineOf returns the engines of a run.
+func EngineOf(cfg Config) enginemodel.Config { return plantOf(&cfg).engine }
+
 const (
 	wattsSeqs   = 32              // sequences on each engine that the cap has power for
 	dipFactor   = 0.55            // of the cap, while it is cut
--- a/lib/bench/policies.go
+++ b/lib/bench/policies.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"strings"
 
+	"anvilwick.example/anvilwick/lib/baseline"
 	"anvilwick.example/anvilwick/lib/sched"
 )
 
@@ -23,9 +24,9 @@
 func makePolicy(name string, opt sched.Options) func(*Config) sched.Policy {
 	switch name {
 	case PolicyRoundRobin:
-		return func(*Config) sched.Policy { return NewRoundRobin() }
+		return func(*Config) sched.Policy { return baseline.NewRoundRobin() }
 	case PolicyLeastLoaded:
-		return func(*Config) sched.Policy { return NewLeastLoaded() }
+		return func(*Config) sched.Policy { return baseline.NewLeastLoaded() }
 	}
 	return func(c *Config) sched.Policy {
 		newOwner := func() sched.Policy { return sched.NewOwner(c.Mix.Service, opt) }
--- a/lib/bench/sim.go
+++ b/lib/bench/sim.go
@@ -28,6 +28,8 @@
 	Oracle   bool   // tell the policy each length
 	Without  string // the part taken out of anvilwick, or none
 	Make     func(c *Config) sched.Policy
+
+	KVTokens int // memory of each engine; 0: the deployment's
 }
 
 // sim is one run in progress.
@@ -66,7 +68,7 @@
 func newSim(cfg *Config) *sim {
 	s := &sim{
 		cfg:   cfg,
-		plant: plantOf(cfg.Mix),
+		plant: plantOf(cfg),
 		delay: cfg.Mix.Delay,
 		flows: make([]flow, len(cfg.Arrivals)),
 		open:  len(cfg.Arrivals),
--- a/lib/entryproc/assemble.go
+++ b/lib/entryproc/assemble.go
@@ -62,10 +62,11 @@
 }
 
 func (p *Process) newDecider(ctx context.Context) decider {
+	newPolicy := p.cfg.newPolicy()
 	if p.links == nil {
-		return newAlone(ctx, p.onReport)
+		return newAlone(ctx, newPolicy, p.onReport)
 	}
-	return newShared(ctx, p.cfg.Instance, p.links, p.onReport)
+	return newShared(ctx, p.cfg.Instance, p.links, newPolicy, p.onReport)
 }
 
 // onReport sees the load reports of the engines that this process decides for.
--- a/lib/entryproc/config.go
+++ b/lib/entryproc/config.go
@@ -26,6 +26,7 @@
 	StopNotice   time.Duration // between the end of readiness and the first refusal
 	StopLimit    time.Duration // bound on waiting for requests in progress; 0: none
 	MaxStreams   int
+	Scheduler    string // who decides for a shard; all but SchedulerOwner are for experiments
 	LogLevel     string
 }
 
@@ -45,6 +46,7 @@
 	fs.DurationVar(&c.StopNotice, "stop-notice", 3*time.Second, "after SIGTERM, time in which balancers see that it is not ready and requests are still taken")
 	fs.DurationVar(&c.StopLimit, "stop-limit", 0, "after SIGTERM, bound on waiting for requests in progress; 0: however long they run")
 	fs.IntVar(&c.MaxStreams, "max-streams", 4096, "requests in progress at most")
+	fs.StringVar(&c.Scheduler, "scheduler", SchedulerOwner, "who decides for a shard: owner; for experiments only: least-loaded or round-robin, which know nothing of memory to come")
 	fs.StringVar(&c.LogLevel, "log-level", "info", "debug, info, warn or error")
 }
 
@@ -70,6 +72,8 @@
 		return errors.New("-instance: a name is needed")
 	case c.SettingsFile == "" && c.MeshAddr == "":
 		return errors.New("-settings: a file is needed, or -mesh-addr to be told by a control process")
+	case c.newPolicy() == nil:
+		return fmt.Errorf("-scheduler: %q is none of owner, least-loaded, round-robin", c.Scheduler)
 	case c.MaxStreams < 1:
 		return fmt.Errorf("-max-streams: %d is not positive", c.MaxStreams)
 	case c.StopNotice < 0 || c.StopLimit < 0:
--- a/lib/entryproc/decider.go
+++ b/lib/entryproc/decider.go
@@ -1,10 +1,12 @@
 package entryproc
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/baseline"
 	"anvilwick.example/anvilwick/lib/engineapi"
 	"anvilwick.example/anvilwick/lib/entry"
 	"anvilwick.example/anvilwick/lib/loadpoll"
@@ -28,7 +30,25 @@
 // reportFunc sees each whole load report of an engine.
 type reportFunc func(name string, rep *engineapi.LoadReport)
 
-func newPolicy(service string) sched.Policy { return sched.NewOwner(service, sched.Options{}) }
+// Values of Config.Scheduler. The baselines are there to compare the owner with, in real processes: they don't keep
+// urgent work, fair shares or a moving power share the way that settings promise.
+const (
+	SchedulerOwner       = "owner"
+	SchedulerLeastLoaded = "least-loaded"
+	SchedulerRoundRobin  = "round-robin"
+)
+
+// policyFunc makes the policy of one shard of a service.
+type policyFunc func(service string) sched.Policy
+
+// newPolicy returns the maker that Scheduler names, or nil; an empty name is the owner.
+func (c *Config) newPolicy() policyFunc { return newPolicies[cmp.Or(c.Scheduler, SchedulerOwner)] }
+
+var newPolicies = map[string]policyFunc{
+	SchedulerOwner:       func(service string) sched.Policy { return sched.NewOwner(service, sched.Options{}) },
+	SchedulerLeastLoaded: func(string) sched.Policy { return baseline.NewLeastLoaded() },
+	SchedulerRoundRobin:  func(string) sched.Policy { return baseline.NewRoundRobin() },
+}
 
 // alone decides in this process for every model service.
 type alone struct {
@@ -40,7 +60,7 @@
 	pollers map[string]*loadpoll.Poller
 }
 
-func newAlone(ctx context.Context, onReport reportFunc) *alone {
+func newAlone(ctx context.Context, newPolicy policyFunc, onReport reportFunc) *alone {
 	return &alone{
 		Local:    placer.NewLocal(ctx, newPolicy, placer.DefaultTick),
 		ctx:      ctx,
@@ -93,7 +113,7 @@
 	clients map[string]*target.Client
 }
 
-func newShared(ctx context.Context, instance string, l *links, onReport reportFunc) *shared {
+func newShared(ctx context.Context, instance string, l *links, newPolicy policyFunc, onReport reportFunc) *shared {
 	d := &shared{onReport: onReport, clients: make(map[string]*target.Client)}
 	d.host = schedlink.NewHost(ctx, schedlink.HostOptions{Self: instance, NewPolicy: newPolicy, Poll: d.poll})
 	d.Link = schedlink.NewLink(ctx, schedlink.LinkOptions{Self: instance, Node: l.node, Members: l.members, Host: d.host})
--- a/lib/loadgen/run.go
+++ b/lib/loadgen/run.go
@@ -29,6 +29,9 @@
 	Figures     *Figures
 	History     *history.Log // nil: none kept
 
+	// Observe, when set, sees each outcome with its place in the plan; it is called from many goroutines.
+	Observe func(n int, o Outcome)
+
 	http *http.Client
 }
 
@@ -81,7 +84,11 @@
 		r.Figures.Add(r.plain(ctx, c, a))
 		return
 	}
-	r.Figures.Add(r.generation(ctx, c, n, a))
+	o := r.generation(ctx, c, n, a)
+	r.Figures.Add(o)
+	if r.Observe != nil {
+		r.Observe(n, o)
+	}
 }
 
 func (r *Runner) generation(ctx context.Context, c *caller.Client, n int, a Arrival) Outcome {
--- a/lib/localsite/settings.go
+++ b/lib/localsite/settings.go
@@ -1,6 +1,7 @@
 package localsite
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"fmt"
 	"strings"
@@ -19,10 +20,14 @@
 	SeqWatts   int           // added for each sequence
 	MaxBatch   int           // of each engine; 0: not told
 	Deadline   time.Duration // of requests whose callers name none; 0: none
+	StallFloor time.Duration // 0: defaultStallFloor
 	Workspaces []string
+	Weights    map[string]float64 // of workspaces; those left out have 1
 	Classes    []workload.Class
 }
 
+const defaultStallFloor = time.Second
+
 // Key returns the key of a workspace of a local site.
 func Key(workspace string) string { return workspace + "-localsite-key" }
 
@@ -35,7 +40,7 @@
 	}
 	c.classes(&b)
 	c.workspaces(&b)
-	fmt.Fprintf(&b, "services:\n  %s:\n    kind: model\n    models: [%s]\n    resumes: true\n    fencing: enforced\n    targets:\n", c.Service, c.Model)
+	fmt.Fprintf(&b, "services:\n  %s:\n    kind: model\n    models: [%s]\n    resumes: true\n    fencing: enforced\n%s    targets:\n", c.Service, c.Model, c.weights())
 	targets(&b, s.Engines, c.engineLines())
 	fmt.Fprintf(&b, "  plain:\n    kind: plain\n    routes:\n      - prefix: %s/status\n        idempotent: true\n      - prefix: %s\n    targets:\n", c.Route, c.Route)
 	targets(&b, s.Plains, "")
@@ -43,10 +48,13 @@
 }
 
 func (c Settings) classes(b *strings.Builder) {
-	fmt.Fprintf(b, "policy:\n  stall_floor: 1s\n  deadline: %s\nclasses:\n", c.Deadline)
+	fmt.Fprintf(b, "policy:\n  stall_floor: %s\n  deadline: %s\nclasses:\n", cmp.Or(c.StallFloor, defaultStallFloor), c.Deadline)
 	for _, cl := range c.Classes {
 		fmt.Fprintf(b, "  %s:\n    priority: %d\n    urgent: %t\n    max_wait: %s\n    queue_bound: %d\n    max_preemptions: %d\n",
 			cl.Name, cl.Priority, cl.Urgent, cl.MaxWait, cl.QueueBound, cl.MaxPreemptions)
+		if cl.MemoryRisk > 0 {
+			fmt.Fprintf(b, "    memory_risk: %g\n", cl.MemoryRisk)
+		}
 	}
 }
 
@@ -61,6 +69,19 @@
 	}
 }
 
+// weights writes the weights of workspaces, as the service's own block.
+func (c Settings) weights() string {
+	if len(c.Weights) == 0 {
+		return ""
+	}
+	var b strings.Builder
+	b.WriteString("    workspaces:\n")
+	for _, w := range c.Workspaces {
+		fmt.Fprintf(&b, "      %s:\n        policy:\n          weight: %g\n", w, cmp.Or(c.Weights[w], 1))
+	}
+	return b.String()
+}
+
 func targets(b *strings.Builder, nodes []*Node, more string) {
 	for _, n := range nodes {
 		fmt.Fprintf(b, "      %s:\n        addr: %s\n        failure_domain: %s\n        instance: %s\n%s", n.Name, n.Reach, n.Domain, n.Name, more)
@@ -81,9 +102,10 @@
 
 // WorkloadSettings returns settings for a deployment's mix.
 func WorkloadSettings(m workload.Mix) Settings {
-	s := Settings{Model: m.Service, Service: m.Service, Route: "/dispatch", Classes: m.Classes}
+	s := Settings{Model: m.Service, Service: m.Service, Route: "/dispatch", Classes: m.Classes, Weights: map[string]float64{}}
 	for _, w := range m.Workspaces {
 		s.Workspaces = append(s.Workspaces, w.Name)
+		s.Weights[w.Name] = w.Weight
 	}
 	return s
 }
--- a/lib/siterun/siterun.go
+++ b/lib/siterun/siterun.go
@@ -31,6 +31,7 @@
 	KillEngine time.Duration
 	Compare    int // pairs of streams; 0: the mix
 	Recover    int // kills of each role; 0: the mix
+	Policies   Policies
 }
 
 // Register adds the flags to fs, those of the load included.
@@ -40,6 +41,7 @@
 	fs.DurationVar(&c.KillEngine, "kill-engine", 0, "kill a busy engine after this time; 0: none")
 	fs.IntVar(&c.Compare, "compare", 0, "in place of the mix, run so many pairs of streams, straight to an engine and through an entry, and print what the entry adds")
 	fs.IntVar(&c.Recover, "recover", 0, "in place of the mix, kill one process of each role so many times, and print how long service takes to go on")
+	c.Policies.register(fs)
 }
 
 // Check returns an error that names the first bad flag.
@@ -50,6 +52,9 @@
 	case c.Compare < 0 || c.Recover < 0 || c.KillEngine < 0:
 		return errors.New("-compare, -recover and -kill-engine: can't be negative")
 	}
+	if err := c.Policies.check(); err != nil {
+		return err
+	}
 	load := c.Load
 	load.Entries = "127.0.0.1:1" // known only once the site runs
 	return load.Check()
@@ -62,6 +67,8 @@
 		return Compare(ctx, c, w)
 	case c.Recover > 0:
 		return Recover(ctx, c, w)
+	case c.Policies.Names != "":
+		return ComparePolicies(ctx, c, w)
 	}
 	return mix(ctx, c, w)
 }
--- a/lib/siterun/usage.go
+++ b/lib/siterun/usage.go
@@ -18,6 +18,9 @@
 const (
 	metricCPU    = "process_cpu_seconds_total"
 	metricMemory = "process_resident_memory_bytes"
+
+	metricMoved   = `anvilwick_attempts_total{reason="moved"}`
+	metricStalled = `anvilwick_attempts_total{reason="stalled"}`
 )
 
 // byteMetrics sum up what a control process sends and receives: platform, targets, and the link to its entry.
@@ -32,6 +35,9 @@
 	cpu    float64 // seconds
 	memory float64 // resident bytes
 	bytes  float64 // sent and received on links of control
+
+	moved   float64 // attempts of an entry that its scheduler moved
+	stalled float64 // attempts of an entry that it gave up as stalled
 }
 
 // usageOf reads a process's own metrics.
@@ -74,6 +80,12 @@
 	case metricMemory:
 		u.memory = v
 	}
+	switch name {
+	case metricMoved:
+		u.moved = v
+	case metricStalled:
+		u.stalled = v
+	}
 	for _, m := range byteMetrics {
 		if bare == m {
 			u.bytes += v
