Keep a site for newcomers, and show targets by the youngest report

make site starts the demo's site, prints commands to paste (curl for a streamed answer and a plain call, anvilwick-ctl with its addresses and token) and stops it on Ctrl-C. Typing them showed that targets took the first process's view, where every engine of another entry's shard looked silent; reports of all processes asked are merged now, and a process without an answer makes the exit code 1 (the test of that command expected 0 before and is stricter now).

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SECONDS ?= 30
 APPS := $(notdir $(wildcard app/*))
 
-.PHONY: build test lint fmt proto bench demo load
+.PHONY: build test lint fmt proto bench demo site load
 
 build:
 	@mkdir -p bin
@@ -37,6 +37,11 @@
 	$(GO) build -o bin/ ./examples/demo
 	./bin/demo -bin bin
 
+# site starts the demo's site and keeps it, with commands to try, until Ctrl-C.
+site: build
+	$(GO) build -o bin/ ./examples/demo
+	./bin/demo -bin bin -stay
+
 # load sends a seeded mix to a small site of its own; the last line is key=value pairs. LOADFLAGS adds flags.
 load: build
 	$(GO) build -o bin/ ./examples/load
--- a/examples/demo/main.go
+++ b/examples/demo/main.go
@@ -1,7 +1,8 @@
 // Command demo shows anvilwick at work on one machine, as separate processes on loopback: the platform's stand-in, three
 // model engines, two plain services, and three entries in three failure domains, each with its control process. It
 // streams a generation, calls a plain service, kills the engine in the middle of a stream, shows that the answer still
-// arrives whole, and stops everything gracefully.
+// arrives whole, and stops everything gracefully. With -stay it starts the same site, prints commands to try, and stops
+// it on SIGINT or SIGTERM.
 //
 // It exits with 0 after its last line "demo: ok …", and with 1 on anything unexpected.
 package main
@@ -31,36 +32,46 @@
 	longAnswer  = 300              // tokens
 	killAt      = 60               // tokens of the long answer
 	workspace   = "glasgow-planning"
+	model       = "planner-70b"
 )
 
 func main() {
 	bin := flag.String("bin", "bin", "directory of the programs")
+	keep := flag.Bool("stay", false, "start the site, print commands to try, and wait to be interrupted")
 	verbose := flag.Bool("v", false, "show the logs of all processes")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
 	var logs io.Writer
 	if *verbose {
 		logs = os.Stderr
 	}
-	if err := run(ctx, *bin, logs); err != nil {
+	work := run
+	if *keep {
+		work = stay
+	}
+	if err := work(ctx, *bin, logs); err != nil {
 		fmt.Fprintln(os.Stderr, "demo: failed:", err)
 		os.Exit(1)
 	}
 }
 
-func run(ctx context.Context, bin string, logs io.Writer) error {
-	began := time.Now()
-	site, err := localsite.Start(ctx, localsite.Config{
+func startSite(ctx context.Context, bin string, logs io.Writer) (*localsite.Site, error) {
+	return localsite.Start(ctx, localsite.Config{
 		Binaries: bin, Engines: 3, Plains: 2, Entries: 3, Output: logs,
 		EngineFlags: []string{"-report-lag", "200ms"},
 		Settings: localsite.Settings{
-			Model: "planner-70b", Service: "planner-llm", Route: "/dispatch", Workspaces: []string{workspace},
+			Model: model, Service: "planner-llm", Route: "/dispatch", Workspaces: []string{workspace},
 			Classes: []workload.Class{{Name: "standard", Priority: 50, MaxWait: time.Minute, QueueBound: 100, MaxPreemptions: 2}},
 		},
 	})
+}
+
+func run(ctx context.Context, bin string, logs io.Writer) error {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	site, err := startSite(ctx, bin, logs)
 	if err != nil {
 		return err
 	}
@@ -91,7 +102,7 @@
 	prompt := fmt.Sprintf("%s [len=%d]", question, n)
 	var text strings.Builder
 	began := time.Now()
-	res, err := d.client.Stream(ctx, caller.Call{Model: "planner-70b", Prompt: prompt, Class: "standard", Entry: entry}, func(t caller.Token) {
+	res, err := d.client.Stream(ctx, caller.Call{Model: model, Prompt: prompt, Class: "standard", Entry: entry}, func(t caller.Token) {
 		text.WriteString(t.Text)
 		if t.Index == 0 {
 			fmt.Printf("demo:   first token after %d ms\n", time.Since(began).Milliseconds())
--- a/lib/ctl/ops.go
+++ b/lib/ctl/ops.go
@@ -195,16 +195,14 @@
 
 func newTargets(g *globals) *ffcli.Command {
 	o := &ops{g: g}
-	return o.leaf("targets", "", "Show every target as the first process that answers sees it.", nil,
+	return o.leaf("targets", "", "Show every target by the youngest report that any of the processes asked has.", nil,
 		func(ctx context.Context, _ []string) error {
 			answers, err := askAll(ctx, o, func(ctx context.Context, c *opsapi.Client) ([]opsapi.Target, error) { return c.Targets(ctx) })
 			if err != nil {
 				return err
 			}
-			for _, a := range answers {
-				if a.err == nil {
-					return g.printTargets(a.body)
-				}
+			if err := g.printTargets(mergeTargets(answers)); err != nil {
+				return err
 			}
 			return failures(answers)
 		})
@@ -293,3 +291,35 @@
 	}
 	return s
 }
+
+// mergeTargets joins the views of several processes: each entry hears of the targets that it owns and uses, so for each
+// target the youngest report counts, and a drain that any process knows of.
+func mergeTargets(answers []answer[[]opsapi.Target]) []opsapi.Target {
+	best := map[string]opsapi.Target{}
+	draining := map[string]bool{}
+	var order []string
+	for _, a := range answers {
+		for _, t := range a.body {
+			old, known := best[t.Name]
+			if !known {
+				order = append(order, t.Name)
+			}
+			draining[t.Name] = draining[t.Name] || t.State == opsapi.TargetDraining
+			if !known || heard(t) && (!heard(old) || t.ReportAgeMS < old.ReportAgeMS) {
+				best[t.Name] = t
+			}
+		}
+	}
+	out := make([]opsapi.Target, 0, len(order))
+	for _, name := range order {
+		t := best[name]
+		if draining[name] {
+			t.State = opsapi.TargetDraining
+		}
+		out = append(out, t)
+	}
+	return out
+}
+
+// heard reports whether the process that told of t had a report of it.
+func heard(t opsapi.Target) bool { return t.ReportAgeMS > 0 || t.KVTotal > 0 || t.Running > 0 }
--- a/lib/ctl/ops_test.go
+++ b/lib/ctl/ops_test.go
@@ -65,6 +65,20 @@
 	must.StrContains(t, errs, "127.0.0.1:1")
 }
 
+// Each entry hears of the targets that it owns alone. Shown by one process, all others would look silent to an operator
+// who decides whether a target may be taken away.
+func TestTargetsAreMergedByTheYoungestReport(t *testing.T) {
+	knows := func(list ...opsapi.Target) string {
+		return opsServer(t, opsapi.Source{Targets: func() []opsapi.Target { return list }})
+	}
+	a := knows(opsapi.Target{Name: "t1", State: "silent"}, opsapi.Target{Name: "t2", State: "live", ReportAgeMS: 900, Running: 1})
+	b := knows(opsapi.Target{Name: "t1", State: "live", ReportAgeMS: 50, Running: 7}, opsapi.Target{Name: "t2", State: "draining", ReportAgeMS: 30, Running: 4})
+	code, out, _ := runOps(t, "targets", "-ops", a+","+b)
+	must.Eq(t, ExitOK, code)
+	must.RegexMatch(t, regexp.MustCompile(`t1 +live .* 7 `), out)
+	must.RegexMatch(t, regexp.MustCompile(`t2 +draining .* 4 `), out)
+}
+
 func TestTargetsAndQueues(t *testing.T) {
 	addr := opsServer(t, opsapi.Source{
 		Targets: func() []opsapi.Target {
@@ -73,7 +87,7 @@
 		Queues: func() []opsapi.Queue { return []opsapi.Queue{{Service: "s", Queued: 7}} },
 	})
 	code, out, _ := runOps(t, "targets", "-ops", "127.0.0.1:1,"+addr)
-	must.Eq(t, ExitOK, code)
+	must.Eq(t, ExitFailed, code) // one did not answer; the rest is shown
 	must.StrContains(t, out, "m@2")
 	code, out, _ = runOps(t, "queues", "-ops", addr)
 	must.Eq(t, ExitOK, code)
