--- a/lib/entry/generation.go
+++ b/lib/entry/generation.go
@@ -108,6 +108,13 @@
 	}
 }
 
+// beginAt sets the number of the first attempt, before there is any.
+func (g *generation) beginAt(first uint32) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.state = stream.Restore(g.id, first-1, 0)
+}
+
 // begin numbers the next attempt. The caller has fenced the one before.
 func (g *generation) begin() (uint32, error) {
 	g.mu.Lock()
@@ -209,6 +216,12 @@
 	close(g.done)
 }
 
+// released reports whether the generation was stopped for want of a caller and can be gone on with. The caller holds mu,
+// or the generation has ended.
+func (g *generation) released() bool {
+	return g.ended && g.key != "" && g.err != nil && result.Lookup(g.err.Code).Again == result.AgainWithKey
+}
+
 // ending is the last bytes of the stream.
 func (g *generation) ending() []byte {
 	if g.err != nil {
@@ -227,12 +240,11 @@
 		return
 	}
 	needed, err := g.sink.lacks(index, g.text.Digest())
+	if err == nil && needed {
+		err = g.sink.token(now, g.idText, index, g.text.Digest(), raw)
+	}
 	if err != nil {
 		g.cancel(err)
-		return
-	}
-	if needed {
-		g.sink.token(now, g.idText, index, g.text.Digest(), raw)
 	}
 }
 
@@ -279,6 +291,7 @@
 		}
 		if needed {
 			s.buf = callerapi.AppendEvent(s.buf, g.idText, i, sum, g.shape.Token(i, token))
+			s.next = i + 1
 			s.events = true
 		}
 	}
--- a/lib/entryproc/config.go
+++ b/lib/entryproc/config.go
@@ -20,6 +20,7 @@
 	SettingsFile string // settings to start with; empty: wait until they are pushed
 	Platform     string // the platform's table, IP:port; empty: none, and keyed requests that are not idempotent are refused
 	MeshAddr     string // port for the other entries and the control process, IP:port; empty: none
+	MeshListen   string // where to listen when others reach it at MeshAddr by way of something between; empty: MeshAddr
 	Links        procflags.Links
 	Operators    procflags.Operators
 	StopNotice   time.Duration // between the end of readiness and the first refusal
@@ -37,6 +38,7 @@
 	fs.Uint64Var(&c.Incarnation, "incarnation", 0, "number that grows when the instance is replaced; 0: from the clock")
 	fs.StringVar(&c.SettingsFile, "settings", "", "settings file to start with; not needed with -mesh-addr")
 	fs.StringVar(&c.MeshAddr, "mesh-addr", "", "port for the other entries and the control process beside it, IP:port; empty: alone")
+	fs.StringVar(&c.MeshListen, "mesh-listen", "", "where to listen for -mesh-addr when something stands between, IP:port; empty: -mesh-addr")
 	fs.StringVar(&c.Platform, "platform", "", "the platform, IP:port; empty: none, and keyed requests that are not idempotent are refused")
 	c.Links.Register(fs)
 	c.Operators.Register(fs)
@@ -52,6 +54,9 @@
 	if c.MeshAddr != "" {
 		addrs = append(addrs, struct{ flag, value string }{"mesh-addr", c.MeshAddr})
 	}
+	if c.MeshListen != "" {
+		addrs = append(addrs, struct{ flag, value string }{"mesh-listen", c.MeshListen})
+	}
 	if c.Platform != "" {
 		addrs = append(addrs, struct{ flag, value string }{"platform", c.Platform})
 	}
--- a/lib/localsite/settings.go
+++ b/lib/localsite/settings.go
@@ -61,7 +61,7 @@
 
 func targets(b *strings.Builder, nodes []*Node, more string) {
 	for _, n := range nodes {
-		fmt.Fprintf(b, "      %s:\n        addr: %s\n        failure_domain: %s\n        instance: %s\n%s", n.Name, n.Addr, n.Domain, n.Name, more)
+		fmt.Fprintf(b, "      %s:\n        addr: %s\n        failure_domain: %s\n        instance: %s\n%s", n.Name, n.Reach, n.Domain, n.Name, more)
 	}
 }
 
--- a/lib/sched/options.go
+++ b/lib/sched/options.go
@@ -8,7 +8,7 @@
 	// Memory.
 	MemoryRisk     float64 // accepted chance that an engine runs out, where a ClassPolicy sets none (default 0.02)
 	MemoryFill     float64 // fraction of an engine's memory that is planned with (default 0.98)
-	HorizonTokens  int     // steps ahead that the forecast looks (default 128)
+	HorizonTokens  int     // steps ahead that the forecast looks (default 256)
 	VictimSteps    int     // steps ahead at which running out is acted on (default 48)
 	MaxPreemptions int     // bound on moves of a generation, where a ClassPolicy sets none (default 3)
 
@@ -27,8 +27,8 @@
 	DeadlineSlack  time.Duration // a queued request with less slack to its deadline is raised (default 10 min)
 
 	// Health.
-	SilentAfter time.Duration // an engine that runs work and gives no token for so long takes no new work (default 1.5 s)
-	MoveAfter   time.Duration // and its generations are moved (default 3 s)
+	SilentAfter time.Duration // an engine that runs work and gives no token for so long takes no new work (default 750 ms)
+	MoveAfter   time.Duration // and its generations are moved (default 1.2 s)
 	ProbeEvery  time.Duration // a silent engine without work is tried with one request so often (default 5 s)
 	ForgetAfter time.Duration // a generation nobody speaks of for so long is dropped from the tables (default 2 min)
 
@@ -53,7 +53,7 @@
 const (
 	defaultMemoryRisk     = 0.02
 	defaultMemoryFill     = 0.98
-	defaultHorizonTokens  = 192
+	defaultHorizonTokens  = 256
 	defaultVictimSteps    = 48
 	defaultMaxPreemptions = 3
 	defaultBatchBound     = 1.0
@@ -66,8 +66,8 @@
 	defaultUrgentSigmas   = 2
 	defaultUrgentPatience = 150 * time.Millisecond
 	defaultDeadlineSlack  = 10 * time.Minute
-	defaultSilentAfter    = 1500 * time.Millisecond
-	defaultMoveAfter      = 3 * time.Second
+	defaultSilentAfter    = 750 * time.Millisecond
+	defaultMoveAfter      = 1200 * time.Millisecond
 	defaultProbeEvery     = 5 * time.Second
 	defaultForgetAfter    = 2 * time.Minute
 	defaultPowerGuard     = 0.02
