--- a/lib/schedlink/link.go
+++ b/lib/schedlink/link.go
@@ -198,6 +198,7 @@
 		return
 	}
 	it.asked = time.Now()
+	it.dirty = it.tokens > it.req.Emitted
 	c.bound++
 	c.send(it.submit(l.Now()))
 }
@@ -274,10 +275,10 @@
 }
 
 func (l *Link) readDigests() {
-	ds := newDigests(l.opts.Members.Digests())
+	list := l.opts.Members.Digests()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.digests = ds
+	l.digests = newDigests(l.digests, list, l.plan)
 }
 
 // flushProgress sends what was delivered since the last time, one message an owner.
