entry, claim: the claim names the engine that gave the first token

Cause: once an attempt may have run, later ones were no longer marked in the claim. An engine took the first attempt and never began it (its link stalled); the generation went on at another engine, whose tokens reached the caller; its entry was killed. The next entry asked the engine that the claim named, which proved truly that it never ran the attempt, and ran the key a second time from the start, while the first generation was resumed from its record. Ruled out: a wrong proof by the engine (it had known the attempt and produced nothing). Change: every attempt is marked until the first token.

--- a/lib/claim/claim.go
+++ b/lib/claim/claim.go
@@ -251,6 +251,29 @@
 	return storeDown(err)
 }
 
+// Resent is Sent for a further attempt after one that may have run, without proof that it did not. The record must name the
+// last target that may have run the request: its holder gone, others ask that one alone for proof.
+//
+// When the store does not answer the attempt must not leave. The claim is not released then, since an earlier attempt may
+// have run; the caller ends it by Finish.
+func (c *Claim) Resent(ctx context.Context, target string, attempt uint32) *result.Error {
+	if err := c.maySend(attempt); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.table.cfg.Timeout)
+	defer cancel()
+	c.rec.Target, c.rec.Attempt = target, attempt
+	_, err := c.write(ctx)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, errTaken):
+		c.leave()
+		return busy("taken over by another entry")
+	}
+	return storeDown(err)
+}
+
 // maySend stops a send that its entry must not ask for: after the claim has ended, another may run it; under a number
 // that may have been used, a target could take the send for the earlier one.
 func (c *Claim) maySend(attempt uint32) *result.Error {
--- a/lib/claim/claim_test.go
+++ b/lib/claim/claim_test.go
@@ -329,3 +329,27 @@
 		must.NotNil(t, mustBegin(t, a, request("x")))
 	})
 }
+
+// An attempt may have run, and the store is down when the next is to be marked. The claim must not be released: the key
+// would be free though its request may have run. It is finished, and resends hear of that once the store is back.
+func TestResentWithoutTheStoreIsNotReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Config{})
+		a, b := entry(s, "a"), entry(s, "b", "a")
+		c := mustBegin(t, a, request("x"))
+		must.Nil(t, c.Sent(t.Context(), "engine-1", 1))
+		must.Nil(t, c.Resent(t.Context(), "engine-2", 2))
+		it, _ := s.Item(tableKey("kelburn/roads", "key-1"))
+		must.StrContains(t, string(it.Value), `"target":"engine-2"`)
+		s.SetFault(standin.Fault{Kind: standin.FaultOutage, DurationMS: 20_000})
+		err := c.Resent(t.Context(), "engine-3", 3)
+		must.NotNil(t, err)
+		must.Eq(t, result.StoreDown, err.Code)
+		c.Finish(Summary{Code: result.TargetFailed, Status: 502})
+		time.Sleep(time.Minute)
+		settled(t, a)
+		_, sum, _ := b.Begin(t.Context(), request("x"))
+		must.NotNil(t, sum)
+		must.Eq(t, result.TargetFailed, sum.Code)
+	})
+}
--- a/lib/entry/claimed.go
+++ b/lib/entry/claimed.go
@@ -46,14 +46,20 @@
 	return sum, err
 }
 
-// markSent records in the claim that the attempt is about to leave. Once an engine may have run a part the claim says so
-// for good, and later attempts go on without the table, which may be down by then.
+// markSent records in the claim that the attempt is about to leave. Once a token came, the claim names the engine that gave
+// it and says so for good; later attempts go on without the table, which may be down by then. Until then each attempt is
+// marked, also after one that may have run: an engine that took a request and never began it proves that truly, and the
+// claim may not rest on its word while another engine runs the rest.
 func (s *Server) markSent(g *generation, target string, number uint32) *result.Error {
-	if g.claim == nil || g.ran() {
+	if g.claim == nil || g.delivered() > 0 {
 		return nil
 	}
-	err := g.claim.Sent(g.ctx, target, number)
-	if err != nil {
+	mark := g.claim.Sent
+	if g.ran() {
+		mark = g.claim.Resent
+	}
+	err := mark(g.ctx, target, number)
+	if err != nil && !(g.ran() && err.Code == result.StoreDown) {
 		g.claim = nil
 	}
 	return err
--- a/lib/entry/keyed_test.go
+++ b/lib/entry/keyed_test.go
@@ -325,3 +325,25 @@
 		must.Eq(t, result.Lookup(again.Code).Outcome.String(), again.Outcome)
 	}
 }
+
+// A keyed generation is sent to an engine that takes it and gives no token; it goes on at another engine, and then its entry
+// dies. Asked by the next entry, the first engine proves that it never ran it. Were the claim still to name that engine, the
+// proof would let the key run a second time from the start, beside the tokens that its caller has.
+func TestClaimNamesTheEngineThatRanFirst(t *testing.T) {
+	a, b := startEngine(t, nil), startEngine(t, nil)
+	store := newMemoryStore()
+	r := newRig(t, siteText("", true, []string{a.Addr(), b.Addr()}, nil), withKeys(store.claims("e1"), newMemoryRecords()))
+	a.Order(engine.Fault{Kind: engine.FaultStall, MS: 20_000})
+	b.Order(engine.Fault{Kind: engine.FaultLeave})
+	go func() {
+		for store.holds(`"state":"sent"`) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(20 * time.Millisecond) // planner-1 has it by then
+		b.Order(engine.Fault{Kind: engine.FaultHealthy})
+	}()
+	prompt := "first engine silent [len=400]"
+	var st story
+	readSome(t, r, ask{prompt: prompt, stream: true, key: "k"}, &st, 5)
+	must.Eq(t, 1, store.holds(`"target":"planner-2"`))
+}
--- a/lib/entry/seams.go
+++ b/lib/entry/seams.go
@@ -31,6 +31,8 @@
 	FirstAttempt() uint32
 	// Sent must return nil before anything leaves for a target. A refusal ends the claim.
 	Sent(ctx context.Context, target string, attempt uint32) *result.Error
+	// Resent is Sent after an attempt that may have run. AlreadyRunning ends the claim; after StoreDown only Finish is left.
+	Resent(ctx context.Context, target string, attempt uint32) *result.Error
 	// Finish keeps the outcome for resends. It doesn't wait for the table.
 	Finish(sum claim.Summary)
 	// Release gives the key free; only on proof that no target ran the request.
