Foresee known lengths exactly, so that the oracle bounds the policy from above

Cause: the oracle was admitted by the forecast's grid. Ends between two of its points were not seen, and with no variance left the horizon of 256 steps filled engines to the brim for a growth that came later; every engine then ran full. Ruled out: a finer grid (it still ends at the horizon).

--- a/lib/sched/memory.go
+++ b/lib/sched/memory.go
@@ -21,6 +21,7 @@
 
 func (o *Owner) refreshLoad(now Time, t *target) {
 	t.load = forecast.Load{}
+	t.exact.Reset()
 	t.dirty = false
 	t.loadAt = now
 	for i := t.run.head; i != none; i = o.gens[i].next {
@@ -33,7 +34,19 @@
 
 // addLoad adds one running generation to its target's forecast.
 func (o *Owner) addLoad(t *target, g *gen) {
-	t.load.Add(forecast.Generation{Held: g.held(), Output: max(g.tokens, g.emitted), Max: g.maxTok}, o.curve(g, &o.scratch))
+	t.load.Add(g.foreseen(), o.curve(g, &o.scratch))
+	if g.known > 0 {
+		t.exact.Add(g.foreseen(), g.known)
+	}
+}
+
+func (g *gen) foreseen() forecast.Generation {
+	return forecast.Generation{Held: g.held(), Output: max(g.tokens, g.emitted), Max: g.maxTok}
+}
+
+// peakSoon is the memory that target t is foreseen to need within the victims' horizon.
+func (o *Owner) peakSoon(t *target) float64 {
+	return max(t.load.Peak(0, o.victimSteps), t.exact.Peak(o.opt.VictimSteps))
 }
 
 // preemptBeforeFull moves generations off engines that would run out of memory within a few steps, where another
@@ -44,7 +57,7 @@
 	}
 	for ti := range o.targets {
 		t := &o.targets[ti]
-		if t.kvTotal == 0 || t.moving > 0 || t.load.Peak(0, o.victimSteps) <= float64(t.kvTotal) {
+		if t.kvTotal == 0 || t.moving > 0 || o.peakSoon(t) <= float64(t.kvTotal) {
 			continue
 		}
 		v := o.victim(t)
--- a/lib/sched/place.go
+++ b/lib/sched/place.go
@@ -55,7 +55,7 @@
 		c.spare -= o.drawn()
 	}
 	c.load = forecast.Load{}
-	c.load.Add(forecast.Generation{Held: c.held, Output: max(g.tokens, g.emitted), Max: g.maxTok}, o.curve(g, &c.fixed))
+	c.load.Add(g.foreseen(), o.curve(g, &c.fixed))
 }
 
 // fits runs the filters.
@@ -147,6 +147,10 @@
 	if o.opt.DisableForecast {
 		return t.load.Mean[0]+float64(o.cand.held) <= capacity
 	}
+	if g := &o.gens[o.cand.gen]; g.known > 0 {
+		// Nothing is left to chance, so the whole future counts and not the horizon alone.
+		return t.foreignKV+t.exact.PeakWith(g.foreseen(), g.known) <= capacity
+	}
 	return t.load.Fits(&o.cand.load, capacity, o.cand.z, o.cand.steps)
 }
 
--- a/lib/sched/tables.go
+++ b/lib/sched/tables.go
@@ -143,6 +143,7 @@
 	silent      bool
 	probe       Time // when a silent target may be tried again
 	load        forecast.Load
+	exact       forecast.Exact // of generations whose lengths were told
 	dirty       bool
 	loadAt      Time
 	reserved    bool // held for an aged request in this tick
