Date load reports by their sequence numbers

Cause: a frozen report goes on telling the age that it told last, and loadpoll took that age, so that its figures were new at every poll. TestFrozenReportGrowsOld failed before; the stand-in's freeze fault does the same. Ruled out: dropping a repeated number: between two views of an engine each poll gets the same one, and its leaving mark still counts. Change: a number that stands still is as old as the time since it was first seen, for engines and plain services. A target that was gone and answers again is dated by its return, for otherwise a frozen report and a cut together would keep it out for good. Left: lib/control reads engines' reports by itself and believes age_ms there.

--- a/lib/loadpoll/loadpoll.go
+++ b/lib/loadpoll/loadpoll.go
@@ -90,6 +90,7 @@
 	client      *target.Client
 	failed      int
 	incarnation uint64
+	dating      dating
 	cache       cacheCursor
 }
 
@@ -102,6 +103,7 @@
 		w.fail()
 		return
 	}
+	w.date(rep)
 	w.failed = 0
 	if rep.Incarnation != w.incarnation {
 		w.replaced(rep.Incarnation)
@@ -113,6 +115,17 @@
 	w.cache.poll(ctx, w.client, w.poller.feed)
 }
 
+// date puts the report's true age in place of the one that it tells.
+func (w *watch) date(rep *engineapi.LoadReport) {
+	now := time.Now()
+	if w.failed >= goneAfter {
+		w.dating.restart(now)
+	}
+	told := time.Duration(rep.AgeMS) * time.Millisecond
+	age := w.dating.age(now, rep.Incarnation, rep.Seq, told)
+	rep.AgeMS = int64((age + time.Millisecond - 1) / time.Millisecond) // rounded up: never younger than it is
+}
+
 func (w *watch) fail() {
 	w.failed++
 	if w.failed == goneAfter {
--- a/lib/loadpoll/loadpoll_test.go
+++ b/lib/loadpoll/loadpoll_test.go
@@ -49,6 +49,7 @@
 type feed struct {
 	mu   sync.Mutex
 	told []string
+	age  time.Duration // of the last report
 }
 
 func (f *feed) note(s string) {
@@ -67,7 +68,7 @@
 
 func (f *feed) SetTargets([]sched.TargetSpec)          {}
 func (f *feed) SetPolicy(sched.PolicyFunc)             {}
-func (f *feed) Report(r sched.Report)                  { f.note("report " + r.Target) }
+func (f *feed) Report(r sched.Report)                  { f.age = r.Age; f.note("report " + r.Target) }
 func (f *feed) TargetGone(name string)                 { f.note("gone " + name) }
 func (f *feed) CacheSnapshot(_ string, p []uint64)     { f.note("snapshot " + string(rune('0'+len(p)))) }
 func (f *feed) CacheStored(_ string, p uint64, s bool) { f.note("stored " + string(rune('0'+p))) }
--- a/lib/loadpoll/services.go
+++ b/lib/loadpoll/services.go
@@ -61,6 +61,7 @@
 }
 
 func (s *Services) poll(ctx context.Context, service string, c *target.Client) {
+	var d dating
 	t := time.NewTicker(ServiceInterval)
 	defer t.Stop()
 	for {
@@ -69,7 +70,7 @@
 				Running:  rep.Running,
 				Capacity: rep.Capacity,
 				Leaving:  rep.Leaving,
-				Age:      time.Duration(rep.AgeMS) * time.Millisecond,
+				Age:      d.age(time.Now(), 0, rep.Seq, time.Duration(rep.AgeMS)*time.Millisecond),
 			})
 		}
 		select {
