Honour max_preemptions: 0

Cause: settings give every value, and the scheduler takes a zero for "nothing said": a class with max_preemptions: 0, as in both examples, was moved up to three times. Change: zero in settings becomes sched.NoPreemptions.

--- a/lib/entry/view.go
+++ b/lib/entry/view.go
@@ -58,13 +58,17 @@
 func ClassPolicies(snap *settings.Snapshot, service string) sched.PolicyFunc {
 	return func(workspace, class string) sched.ClassPolicy {
 		p := snap.Policy(service, workspace, class)
+		moves := p.MaxPreemptions
+		if moves == 0 {
+			moves = sched.NoPreemptions
+		}
 		return sched.ClassPolicy{
 			Priority:       p.Priority,
 			Urgent:         p.Urgent,
 			Weight:         p.Weight,
 			MaxWait:        p.MaxWait,
 			QueueBound:     p.QueueBound,
-			MaxPreemptions: p.MaxPreemptions,
+			MaxPreemptions: moves,
 			MemoryRisk:     p.MemoryRisk,
 		}
 	}
--- a/lib/sched/api.go
+++ b/lib/sched/api.go
@@ -100,6 +100,9 @@
 	RetryAfter time.Duration
 }
 
+// NoPreemptions as ClassPolicy.MaxPreemptions says that a generation is never moved; zero leaves it to Options.
+const NoPreemptions = -1
+
 // ClassPolicy is the part of settings that the scheduler reads for one workspace and class.
 type ClassPolicy struct {
 	Priority       int           // higher is served first
@@ -107,7 +110,7 @@
 	Weight         float64       // share within a class, relative to other workspaces
 	MaxWait        time.Duration // bound on queue wait; over it the request is refused
 	QueueBound     int           // queued requests of this workspace and class
-	MaxPreemptions int           // after so many moves a generation is no victim again
+	MaxPreemptions int           // after so many moves a generation is no victim again; NoPreemptions: it is none at all
 	MemoryRisk     float64       // accepted chance that an engine runs out over the horizon
 }
 
--- a/lib/sched/owner.go
+++ b/lib/sched/owner.go
@@ -94,7 +94,9 @@
 func (o *Owner) resolve(g *group) {
 	p := o.policy(g.workspace, g.class)
 	orDefault(&p.MaxWait, o.opt.MaxWait)
-	orDefault(&p.MaxPreemptions, o.opt.MaxPreemptions)
+	if p.MaxPreemptions != NoPreemptions {
+		orDefault(&p.MaxPreemptions, o.opt.MaxPreemptions)
+	}
 	orDefault(&p.MemoryRisk, o.opt.MemoryRisk)
 	orDefault(&p.Weight, 1)
 	g.policy = p
--- a/lib/sched/place_test.go
+++ b/lib/sched/place_test.go
@@ -46,6 +46,18 @@
 	r.never(ActPreempt, 1, time.Second)
 }
 
+// The same two, and the class of one forbids every move. Its generation would lose the least, and still the other goes.
+func TestClassWithoutPreemptionsIsNoVictim(t *testing.T) {
+	r := newRig(t, Options{MemoryRisk: 0.9, DisableForecast: true}, spec("a", 1000, 8))
+	r.policy["still"] = ClassPolicy{MaxWait: time.Hour, MaxPreemptions: NoPreemptions}
+	r.submit(1, "still", func(q *Request) { q.PromptTokens = 300 })
+	r.submit(2, "night", func(q *Request) { q.PromptTokens = 400 })
+	r.until(ActGrant, 2, time.Second)
+	r.o.setTarget(r.now, spec("b", 1000, 8))
+	r.until(ActPreempt, 2, 5*time.Second)
+	r.never(ActPreempt, 1, time.Second)
+}
+
 func TestRequestThatFitsNoTargetIsRefusedInTime(t *testing.T) {
 	r := newRig(t, Options{}, spec("a", 500, 8))
 	r.submit(1, "urgent", func(q *Request) { q.PromptTokens = 600 })
