Leave max_preemptions out of test sites that don't set it

Cause: local sites wrote 0 for a class that named none, and that is honoured now: their generations would never be moved. Change: left out, the key's default (2) holds; until now those classes had the scheduler's 3.

--- a/lib/localsite/settings.go
+++ b/lib/localsite/settings.go
@@ -50,8 +50,11 @@
 func (c Settings) classes(b *strings.Builder) {
 	fmt.Fprintf(b, "policy:\n  stall_floor: %s\n  deadline: %s\nclasses:\n", cmp.Or(c.StallFloor, defaultStallFloor), c.Deadline)
 	for _, cl := range c.Classes {
-		fmt.Fprintf(b, "  %s:\n    priority: %d\n    urgent: %t\n    max_wait: %s\n    queue_bound: %d\n    max_preemptions: %d\n",
-			cl.Name, cl.Priority, cl.Urgent, cl.MaxWait, cl.QueueBound, cl.MaxPreemptions)
+		fmt.Fprintf(b, "  %s:\n    priority: %d\n    urgent: %t\n    max_wait: %s\n    queue_bound: %d\n",
+			cl.Name, cl.Priority, cl.Urgent, cl.MaxWait, cl.QueueBound)
+		if cl.MaxPreemptions > 0 {
+			fmt.Fprintf(b, "    max_preemptions: %d\n", cl.MaxPreemptions)
+		}
 		if cl.MemoryRisk > 0 {
 			fmt.Fprintf(b, "    memory_risk: %g\n", cl.MemoryRisk)
 		}
