Say what the key deadline does

Cause: the page said that it holds when the caller names none; the entry takes the earlier of the two. Found by looking up the reader of every key of docs/SETTINGS.md in the code.

--- a/lib/settings/fields.go
+++ b/lib/settings/fields.go
@@ -65,7 +65,7 @@
 	bind("concurrency", count("requests", 0, maxCount), "0", "requests in progress over all entries; 0: no limit", func(p *Policy) *int { return &p.Concurrency }),
 	bind("rate", number("per second", 0, 1e6), "0", "requests accepted over all entries; 0: no limit", func(p *Policy) *float64 { return &p.RatePerSecond }),
 	bind("max_tokens", count("tokens", 0, maxCount), "0", "bound on the output of a generation; 0: none", func(p *Policy) *int { return &p.MaxTokens }),
-	bind("deadline", span(0, 7*day), "0s", "time for the whole answer when the caller names none; 0s: none", func(p *Policy) *time.Duration { return &p.Deadline }),
+	bind("deadline", span(0, 7*day), "0s", "time for the whole answer; a caller may name less, not more; 0s: none", func(p *Policy) *time.Duration { return &p.Deadline }),
 	bind("max_preemptions", count("moves", 0, 1000), "2", "after so many moves a generation is no victim again; 0: it is never moved", func(p *Policy) *int { return &p.MaxPreemptions }),
 	bind("memory_risk", number("chance", 0, 1), "0.01", "accepted chance that an engine runs out of memory over the horizon", func(p *Policy) *float64 { return &p.MemoryRisk }),
 	bind("max_attempts", count("attempts", 1, 100), "4", "attempts of a request, the first one included", func(p *Policy) *int { return &p.MaxAttempts }),
