--- a/lib/entry/keyed_test.go
+++ b/lib/entry/keyed_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -333,17 +334,26 @@
 	a, b := startEngine(t, nil), startEngine(t, nil)
 	store := newMemoryStore()
 	r := newRig(t, siteText("", true, []string{a.Addr(), b.Addr()}, nil), withKeys(store.claims("e1"), newMemoryRecords()))
-	a.Order(engine.Fault{Kind: engine.FaultStall, MS: 20_000})
-	b.Order(engine.Fault{Kind: engine.FaultLeave})
+	engines := map[string]*engine.Server{"planner-1": a, "planner-2": b}
+	for _, e := range engines {
+		e.Order(engine.Fault{Kind: engine.FaultStall, MS: 20_000})
+	}
+	first, second := make(chan string, 1), make(chan string, 1)
 	go func() {
 		for store.holds(`"state":"sent"`) == 0 {
 			time.Sleep(time.Millisecond)
 		}
-		time.Sleep(20 * time.Millisecond) // planner-1 has it by then
-		b.Order(engine.Fault{Kind: engine.FaultHealthy})
+		names := []string{"planner-1", "planner-2"}
+		if store.holds(`"target":"planner-2"`) == 1 {
+			slices.Reverse(names)
+		}
+		first <- names[0]
+		second <- names[1]
+		engines[names[1]].Order(engine.Fault{Kind: engine.FaultHealthy})
 	}()
 	prompt := "first engine silent [len=400]"
 	var st story
 	readSome(t, r, ask{prompt: prompt, stream: true, key: "k"}, &st, 5)
-	must.Eq(t, 1, store.holds(`"target":"planner-2"`))
+	must.Eq(t, 0, store.holds(fmt.Sprintf(`"target":%q`, <-first)))
+	must.Eq(t, 1, store.holds(fmt.Sprintf(`"target":%q`, <-second)))
 }
