--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SECONDS ?= 30
 APPS := $(notdir $(wildcard app/*))
 
-.PHONY: build test lint fmt proto bench demo load prove capacity
+.PHONY: build test lint fmt proto bench demo site load prove capacity
 
 build:
 	@mkdir -p bin
@@ -38,7 +38,13 @@
 	$(GO) build -o bin/ ./examples/demo
 	./bin/demo -bin bin
 
-# load sends a seeded mix to a small site of its own; the last line is key=value pairs. LOADFLAGS adds flags.
+# site starts the demo's site and keeps it, with commands to try, until Ctrl-C.
+site: build
+	$(GO) build -o bin/ ./examples/demo
+	./bin/demo -bin bin -stay
+
+# load sends a seeded mix to a small site of its own; the last line is key=value pairs. LOADFLAGS adds flags;
+# LOADFLAGS="-policy all -load 0.9 -length 0.25 -span 40s" compares the scheduler with baselines, a line each.
 load: build
 	$(GO) build -o bin/ ./examples/load
 	./bin/load -bin bin -seed $(SEED) $(LOADFLAGS)
