engineapi: an engine is a witness only of attempts that it has seen

Cause: 'known' told that the engine has seen any attempt of the generation. One that ran the first attempt, was restarted and then got a later one would have proved that the first never ran; the claim was given out on that word.

--- a/lib/engineapi/engineapi.go
+++ b/lib/engineapi/engineapi.go
@@ -94,7 +94,7 @@
 
 // CancelResult answers a cancel.
 type CancelResult struct {
-	Known  bool   `json:"known"`  // the engine has seen this generation
+	Known  bool   `json:"known"`  // the engine has seen an attempt of this generation, up to the cancelled one
 	Ran    bool   `json:"ran"`    // it executed some of it
 	Tokens uint32 `json:"tokens"` // count of tokens produced
 }
--- a/lib/standin/engine/fence.go
+++ b/lib/standin/engine/fence.go
@@ -7,6 +7,7 @@
 
 // record is what an engine remembers of a generation after its stream has ended.
 type record struct {
+	first   uint32 // lowest attempt that was accepted; 0: none
 	started uint32 // highest attempt that was accepted
 	fenced  uint32 // attempts up to it are refused
 	tokens  int    // index after the last token produced here
@@ -46,7 +47,11 @@
 }
 
 func (f *fences) start(g ids.Generation, attempt uint32) {
-	f.get(g).started = attempt
+	r := f.get(g)
+	if r.first == 0 {
+		r.first = attempt // the first to be accepted is the lowest: each next one is higher
+	}
+	r.started = attempt
 	f.begun++
 }
 
--- a/lib/standin/engine/handlers.go
+++ b/lib/standin/engine/handlers.go
@@ -214,7 +214,7 @@
 	defer s.mu.Unlock()
 	s.dropAttempts(g, attempt)
 	rec := s.fences.fence(g, attempt)
-	return engineapi.CancelResult{Known: rec.started > 0, Ran: rec.ran, Tokens: uint32(rec.tokens)}
+	return engineapi.CancelResult{Known: rec.first > 0 && rec.first <= attempt, Ran: rec.ran, Tokens: uint32(rec.tokens)}
 }
 
 func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
--- a/lib/standin/engine/server_test.go
+++ b/lib/standin/engine/server_test.go
@@ -267,3 +267,14 @@
 		}
 	})
 }
+
+// An engine ran the first attempt of a generation and was restarted, and a later attempt reached its new life. Asked of the
+// first, it must not pass for a witness that this never ran: the claim would be given out and the request run again.
+func TestRestartedEngineIsNoWitnessOfEarlierAttempts(t *testing.T) {
+	s := &Server{fences: newFences()}
+	g := ids.New()
+	s.fences.start(g, 17)
+	must.False(t, s.cancel(g, 1).Known)
+	must.True(t, s.cancel(g, 17).Known)
+	must.True(t, s.cancel(g, 18).Known)
+}
