--- a/lib/capacity/run.go
+++ b/lib/capacity/run.go
@@ -25,6 +25,7 @@
 // Probes returns all probes in the order in which they run.
 func Probes() []Probe {
 	return []Probe{
+		{"loopback", "sockets", inProcess(MeasureLoopback)},
 		{"owner", "tables", inProcess(MeasureOwner)},
 		{"lengths", "tables", inProcess(MeasureLengths)},
 		{"settings", "tables", inProcess(MeasureSettings)},
