--- a/Makefile
+++ b/Makefile
@@ -4,14 +4,15 @@
 SECONDS ?= 30
 APPS := $(notdir $(wildcard app/*))
 
-.PHONY: build test lint fmt proto bench demo load prove capacity
+.PHONY: build test lint fmt proto bench demo site load prove capacity
 
 build:
 	@mkdir -p bin
 	$(GO) build -o bin/ ./app/...
 
+# No result is taken from the cache: the multi-process tests depend on programs that the cache knows nothing of.
 test:
-	$(GO) test -timeout 9m ./...
+	$(GO) test -count=1 -timeout 9m ./...
 
 lint:
 	$(GO) vet ./...
@@ -37,7 +38,13 @@
 	$(GO) build -o bin/ ./examples/demo
 	./bin/demo -bin bin
 
-# load sends a seeded mix to a small site of its own; the last line is key=value pairs. LOADFLAGS adds flags.
+# site starts the demo's site and keeps it, with commands to try, until Ctrl-C.
+site: build
+	$(GO) build -o bin/ ./examples/demo
+	./bin/demo -bin bin -stay
+
+# load sends a seeded mix to a small site of its own; the last line is key=value pairs. LOADFLAGS adds flags;
+# LOADFLAGS="-policy all -load 0.9 -length 0.25 -span 40s" compares the scheduler with baselines, a line each.
 load: build
 	$(GO) build -o bin/ ./examples/load
 	./bin/load -bin bin -seed $(SEED) $(LOADFLAGS)
--- a/lib/control/power.go
+++ b/lib/control/power.go
@@ -156,12 +156,10 @@
 // before its control process has heard of that.
 func (f *followers) tell(now time.Time) {
 	shares := f.ownedShares(now)
-	for name, part := range f.plan.parts {
-		if f.parts[name] != nil || shares[part.service] != nil {
-			continue
+	for service, s := range fallbackShares(f.plan) {
+		if shares[service] == nil {
+			shares[service] = s
 		}
-		fallback := f.serviceFallback(part.service)
-		shares[part.service] = &meshpb.PowerShare{Service: part.service, Watts: fallback, FallbackWatts: fallback}
 	}
 	for _, s := range shares {
 		f.p.link.Set(&meshpb.LocalDown{Msg: &meshpb.LocalDown_Power{Power: s}})
@@ -186,14 +184,22 @@
 	return shares
 }
 
-func (f *followers) serviceFallback(service string) float64 {
-	sum := 0.0
-	for name, part := range f.plan.parts {
-		if part.service == service {
-			sum += f.plan.fallbacks[name]
+// fallbackShares gives each service of a plan, which may be nil, the sum of its parts' fallbacks, valid for no time.
+func fallbackShares(plan *powerPlan) map[string]*meshpb.PowerShare {
+	shares := map[string]*meshpb.PowerShare{}
+	if plan == nil {
+		return shares
+	}
+	for name, part := range plan.parts {
+		s := shares[part.service]
+		if s == nil {
+			s = &meshpb.PowerShare{Service: part.service}
+			shares[part.service] = s
 		}
+		s.Watts += plan.fallbacks[name]
+		s.FallbackWatts = s.Watts
 	}
-	return sum
+	return shares
 }
 
 func partName(d *meshpb.ShardDigest) string {
@@ -202,7 +208,7 @@
 
 // allot divides the cap while this process holds the lease.
 func (p *Process) allot(ctx context.Context) {
-	cfg := lease.Config{Name: leasePower, Holder: p.opts.Instance, TTL: p.opts.LeaseTTL}
+	cfg := p.leaseConfig(leasePower)
 	lease.Run(ctx, p.store, cfg, func(ctx context.Context, h *lease.Held) {
 		defer p.tables.hold(h)()
 		log.Info().Str("event", "lease_held").Str("lease", h.Name()).Uint64("fence", h.Fence()).Msg("")
--- a/lib/entryproc/assemble.go
+++ b/lib/entryproc/assemble.go
@@ -62,10 +62,11 @@
 }
 
 func (p *Process) newDecider(ctx context.Context) decider {
+	newPolicy := p.cfg.newPolicy()
 	if p.links == nil {
-		return newAlone(ctx, p.onReport)
+		return newAlone(ctx, newPolicy, p.onReport)
 	}
-	return newShared(ctx, p.cfg.Instance, p.links, p.onReport)
+	return newShared(ctx, p.cfg.Instance, p.links, newPolicy, p.onReport)
 }
 
 // onReport sees the load reports of the engines that this process decides for.
@@ -82,6 +83,9 @@
 		p.server.ServiceReport(service, name, rep)
 	})
 	return func(snap *settings.Snapshot, clients func(*settings.Service) []*target.Client) {
+		if p.links != nil {
+			p.links.members.SetInterval(snap.Site.HeartbeatInterval)
+		}
 		d.apply(snap, clients)
 		plain := make(map[string][]*target.Client)
 		for name, svc := range snap.Services {
--- a/lib/sched/place.go
+++ b/lib/sched/place.go
@@ -55,7 +55,7 @@
 		c.spare -= o.drawn()
 	}
 	c.load = forecast.Load{}
-	c.load.Add(forecast.Generation{Held: c.held, Output: max(g.tokens, g.emitted), Max: g.maxTok}, o.curve(g, &c.fixed))
+	c.load.Add(g.foreseen(), o.curve(g, &c.fixed))
 }
 
 // fits runs the filters.
@@ -147,6 +147,10 @@
 	if o.opt.DisableForecast {
 		return t.load.Mean[0]+float64(o.cand.held) <= capacity
 	}
+	if g := &o.gens[o.cand.gen]; g.known > 0 {
+		// Nothing is left to chance, so the whole future counts and not the horizon alone.
+		return t.foreignKV+t.exact.PeakWith(g.foreseen(), g.known) <= capacity
+	}
 	return t.load.Fits(&o.cand.load, capacity, o.cand.z, o.cand.steps)
 }
 
@@ -159,8 +163,8 @@
 	probeScore       = -1  // of a silent target that is due to be tried: before all others, or it would never be tried
 )
 
-// score is the cost of placing the candidate on a target, in seconds: what its prefill costs it and the batch beside
-// it, the prefill it waits for, and how little room it leaves.
+// score is the cost of placing the candidate on a target, in seconds: its prefill, the prefill it waits for, and how
+// little room it leaves.
 func (o *Owner) score(t *target) float64 {
 	if t.silent {
 		return probeScore
@@ -173,9 +177,6 @@
 		return prefill + waiting + t.step + interferenceCost*prefill*float64(t.run.n-t.prefilling)
 	}
 	cost := prefill + waiting + o.domainCost(t, g)
-	if !o.opt.DisableInterfer {
-		cost += prefill * float64(t.run.n-t.prefilling)
-	}
 	if t.kvTotal > 0 {
 		full := (t.load.Mean[0] + float64(o.cand.held)) / float64(t.kvTotal)
 		cost += memoryCost * full
--- a/lib/schedlink/host.go
+++ b/lib/schedlink/host.go
@@ -38,6 +38,7 @@
 	shards map[shard.ID]*hosted
 	owned  map[shard.ID]bool
 	power  map[string]powerShare
+	tick   time.Duration // of settings; 0: opts.Tick
 }
 
 type powerShare struct {
@@ -92,6 +93,16 @@
 	}
 }
 
+// setTick changes the time between ticks of every shard's policy.
+func (h *Host) setTick(every time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tick = every
+	for _, s := range h.shards {
+		s.runner.SetTick(every)
+	}
+}
+
 // hostOwned works out which shards are this process's own. The caller holds mu.
 func (h *Host) hostOwned() {
 	own := newOwners(h.plan, h.view)
@@ -131,11 +142,13 @@
 		cancel:   cancel,
 		gens:     make(map[ids.Generation]*hostedGen),
 		free:     make(map[string]int),
+		leaving:  make(map[string]bool),
 		lastUsed: time.Now(),
 		settling: true,
 	}
 	s.targets = h.opts.Poll(ctx, id.Service, feed{Runner: s.runner, h: s})
 	h.shards[id] = s
+	s.runner.SetTick(h.tick)
 	h.configure(s)
 	h.sharePower()
 	go s.runner.Run(ctx, h.opts.Tick)
@@ -148,11 +161,12 @@
 	if sp := h.plan[s.id.Service]; sp != nil && sp.Policies != nil {
 		s.runner.SetPolicy(sp.Policies)
 	}
-	s.runner.SetTargets(h.plan.specsOf(s.id))
 	var names []string
 	if sh := h.plan.shard(s.id); sh != nil {
 		names = sh.Targets
 	}
+	s.runner.SetTargets(h.plan.specsOf(s.id))
+	s.knows(names)
 	s.targets(names)
 }
 
