--- a/lib/capacity/line.go
+++ b/lib/capacity/line.go
@@ -20,7 +20,6 @@
 // letterSize is what a series grows to in the users' letter; docs/CAPACITY.md says how each was worked out.
 var letterSize = map[string]float64{
 	"node":             430,
-	"instance":         430,
 	"peer":             429,
 	"target":           12_000,
 	"target_of_shard":  28,
--- a/lib/capacity/streams.go
+++ b/lib/capacity/streams.go
@@ -72,7 +72,7 @@
 	r.fit("stream", "entry_cpu_us", "token", cpu)
 	r.fit("stream", "engine_cpu_us", "token", bare)
 	r.fit("stream", "entry_memory_mb", "stream_at_once", memory)
-	r.fit("stream", "entry_cpu_us_per_token", "stream_at_once", crowded)
+	r.fit("stream", "entry_cpu_us_per_token", "at_once", crowded)
 	return nil
 }
 
