--- a/lib/capacity/heartbeat_test.go
+++ b/lib/capacity/heartbeat_test.go
@@ -27,6 +27,7 @@
 
 // Not part of the usual run, as it takes half a minute: MEASURE=1 go test -run OverSockets -v ./lib/capacity
 func TestHeartbeatsOverSockets(t *testing.T) {
+	t.Parallel()
 	sizes, d := []int{4}, time.Second
 	if os.Getenv("MEASURE") != "" {
 		sizes, d = []int{4, 8, 16, 32, 64}, 5*time.Second
--- /dev/null
+++ b/lib/capacity/probes_test.go
@@ -0,0 +1,61 @@
+package capacity
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestFitTellsTheValueAtTheLettersSize(t *testing.T) {
+	var out strings.Builder
+	Report{W: &out}.fit("p", "v", "peer", []Point{{1, 2}, {2, 4}, {3, 6}})
+	must.EqOp(t, "fit probe=p value=v by=peer points=3 base=0 slope=2 slope_err=0 letter_size=429 letter_value=858\n", out.String())
+}
+
+func TestTreesOfAllSizesLoad(t *testing.T) {
+	for _, size := range [][2]int{{1, 0}, {60, 0}, {10, 750}} {
+		_, err := loadTree(treeText(size[0], size[1]))
+		must.NoError(t, err)
+	}
+}
+
+func TestCPUOfThisProcessGrows(t *testing.T) {
+	before, err := cpuOf(os.Getpid())
+	must.NoError(t, err)
+	for end := time.Now().Add(20 * time.Millisecond); time.Now().Before(end); {
+		_ = treeText(10, 10)
+	}
+	after, err := cpuOf(os.Getpid())
+	must.NoError(t, err)
+	must.Greater(t, before, after)
+}
+
+// Claims that share a write are what lets several hundred writes a second carry more claims than that.
+func TestClaimsOfManyCallersShareWrites(t *testing.T) {
+	_, writes, bytes, err := claimsAt(t.Context(), 32)
+	must.NoError(t, err)
+	must.Less(t, 0.5, writes)
+	must.Positive(t, bytes)
+}
+
+func TestLimitTrafficCountsBothWays(t *testing.T) {
+	t.Parallel()
+	bytes, _, err := limitTraffic(t.Context(), 2, 1, nil)
+	must.NoError(t, err)
+	must.Positive(t, bytes)
+	must.Less(t, 2_000, bytes)
+}
+
+func TestProbesAreNamedOnce(t *testing.T) {
+	seen := map[string]bool{}
+	for _, p := range Probes() {
+		must.False(t, seen[p.Name])
+		seen[p.Name] = true
+	}
+	must.True(t, named("owner", nil))
+	must.True(t, named("owner", []string{"claim", "owner"}))
+	must.False(t, named("owner", []string{"claim"}))
+}
--- a/lib/capacity/schedlink_test.go
+++ b/lib/capacity/schedlink_test.go
@@ -10,6 +10,7 @@
 
 // What asking an owner costs for each generation. MEASURE=1 takes several rates and intervals, for the slopes.
 func TestPlacementsOverSockets(t *testing.T) {
+	t.Parallel()
 	rates, intervals, d, life := []int{50}, []time.Duration{50 * time.Millisecond}, time.Second, 200*time.Millisecond
 	if os.Getenv("MEASURE") != "" {
 		rates, d, life = []int{30, 58, 120}, 5*time.Second, 2*time.Second
