Move a generation's claim to the entry that goes on with it

Cause: when an entry died, two others that were asked at once both found the record and both ran the rest: the claim stood as sent by the dead entry and nobody looked at it. Change: claim.TakeOver moves it by compare-and-set before anything is sent. The new holder's first attempt number is a fence: a record from before the move is refused, also when the first new holder has released or failed meanwhile. Ruled out: judging by membership who may go on; it can call the living dead.

--- a/lib/claim/claim.go
+++ b/lib/claim/claim.go
@@ -11,6 +11,8 @@
 //	finished   the outcome is told again
 //	released   taken over
 //
+// Who has a record of what was delivered goes on with a generation instead, and moves its claim by TakeOver.
+//
 // The same key with other content is KeyReused in every state. When the store does not answer, Begin and Sent refuse
 // with StoreDown, not run: nothing is sent without the record.
 //
@@ -224,7 +226,7 @@
 		return nil
 	}
 	send := Send{Generation: old.Generation, Target: old.Target, Attempt: old.Attempt}
-	if cfg.NeverRan != nil && cfg.NeverRan(ctx, send) {
+	if !old.Resumed && cfg.NeverRan != nil && cfg.NeverRan(ctx, send) {
 		return nil
 	}
 	return result.New(result.ClaimOrphan, "sent to %s by %s, which is gone", old.Target, old.Holder.Instance)
--- a/lib/claim/record.go
+++ b/lib/claim/record.go
@@ -51,6 +51,7 @@
 	Generation  string   `json:"generation"`
 	Target      string   `json:"target,omitempty"`
 	Attempt     uint32   `json:"attempt,omitempty"` // last attempt that may have been sent
+	Resumed     bool     `json:"resumed,omitempty"` // taken over: parts ran before Attempt, which proofs about it say nothing of
 	Summary     *Summary `json:"summary,omitempty"`
 	UnixSec     int64    `json:"unix_sec"` // of this write, on its holder's clock
 }
--- a/lib/entry/claimed.go
+++ b/lib/entry/claimed.go
@@ -33,12 +33,7 @@
 	if !a.needsClaim() {
 		return nil, nil
 	}
-	c, sum, err := s.opts.Claims.Begin(ctx, claim.Request{
-		Workspace:   a.workspace.Name,
-		Key:         a.headers.Key,
-		Fingerprint: claim.Fingerprint(http.MethodPost, a.completion.Path(), a.body),
-		Generation:  g.idText,
-	})
+	c, sum, err := s.opts.Claims.Begin(ctx, a.claimRequest(g, a.completion.Path(), a.body))
 	g.claim = c
 	if c != nil {
 		g.beginAt(c.FirstAttempt())
@@ -46,6 +41,45 @@
 	return sum, err
 }
 
+func (a *asked) claimRequest(g *generation, path string, body []byte) claim.Request {
+	return claim.Request{
+		Workspace:   a.workspace.Name,
+		Key:         a.headers.Key,
+		Fingerprint: claim.Fingerprint(http.MethodPost, path, body),
+		Generation:  g.idText,
+	}
+}
+
+// moveClaim makes this entry the holder of a restored generation's claim, before anything of it is sent. Two entries can
+// find the same record at once, and both would run the rest: the table lets only one of them by.
+//
+// An idempotent generation has no claim. Two entries that go on with it cost engine time only: each numbers its own
+// attempts and checks its own tokens, and no stream holds tokens of both.
+func (s *Server) moveClaim(ctx context.Context, g *generation, a *asked, rec *Record) (Claim, *result.Error) {
+	if !a.needsClaim() {
+		return nil, nil
+	}
+	// The record's body, since the caller may have sent the same content in other bytes.
+	req := a.claimRequest(g, rec.Path, rec.Request)
+	c, sum, err := s.opts.Claims.TakeOver(ctx, req, rec.Attempt+restoreGap+1)
+	if sum != nil {
+		return nil, retold(sum)
+	}
+	return c, err
+}
+
+// closeClaim keeps the outcome of a generation whose end is in its record, in case its entry died before its claim told
+// it. The caller doesn't wait for it: nothing is run.
+func (s *Server) closeClaim(g *generation, a *asked, rec *Record) {
+	defer s.background.Done()
+	c, err := s.moveClaim(context.Background(), g, a, rec)
+	if c == nil || err != nil {
+		return
+	}
+	<-g.done
+	c.Finish(g.summary())
+}
+
 // markSent records in the claim that the attempt is about to leave. Once an engine may have run a part the claim says so
 // for good, and later attempts go on without the table, which may be down by then.
 func (s *Server) markSent(g *generation, target string, number uint32) *result.Error {
--- a/lib/entry/complete.go
+++ b/lib/entry/complete.go
@@ -167,9 +167,14 @@
 	if err.Code == result.StoreDown || err.Code == result.KeyReused {
 		return nil, nil, err
 	}
-	if g, sk, terr := s.takeOver(ctx, a); terr == nil {
+	g, sk, terr := s.takeOver(ctx, a)
+	if terr == nil {
 		return g, sk, nil
 	}
+	open := sum == nil || result.Lookup(sum.Code).Again == result.AgainWithKey
+	if open && (terr.Code == result.AlreadyRunning || terr.Code == result.StoreDown) {
+		return nil, nil, terr // another goes on with it, or nobody can for now: neither an orphan nor given up
+	}
 	if sum != nil && sum.Code == result.OK && sum.Kept && !a.completion.Stream {
 		a.kept = sum
 		return nil, nil, nil
@@ -226,11 +231,18 @@
 		g.release()
 		return s.join(ctx, old, a)
 	}
-	g.log(log.Info(), "taken_over").Int("tokens", len(rec.Tokens)).Bool("finished", rec.Finished).Msg("")
 	if rec.Finished {
+		g.log(log.Info(), "told_again").Int("tokens", len(rec.Tokens)).Msg("")
+		s.background.Add(1)
+		go s.closeClaim(g, a, rec)
 		go s.finish(g, nil)
 		return g, sk, nil
 	}
+	if g.claim, err = s.moveClaim(ctx, g, a, rec); err != nil {
+		s.withdraw(g, sk, err)
+		return nil, nil, err
+	}
+	g.log(log.Info(), "taken_over").Int("tokens", len(rec.Tokens)).Msg("")
 	go s.run(g)
 	return g, sk, nil
 }
--- a/lib/entry/seams.go
+++ b/lib/entry/seams.go
@@ -41,6 +41,9 @@
 type Claims interface {
 	// Begin returns the claim to run, or the outcome of an earlier run, or a refusal.
 	Begin(ctx context.Context, req claim.Request) (Claim, *claim.Summary, *result.Error)
+	// TakeOver moves the claim of a generation to this entry, which goes on with it from its record, beginning with the
+	// given attempt. Results as with Begin. Only one of several entries gets the claim.
+	TakeOver(ctx context.Context, req claim.Request, attempt uint32) (Claim, *claim.Summary, *result.Error)
 }
 
 // TableClaims makes a claim.Table a Claims.
@@ -55,6 +58,15 @@
 	return c, nil, nil
 }
 
+// TakeOver implements Claims.
+func (t TableClaims) TakeOver(ctx context.Context, req claim.Request, attempt uint32) (Claim, *claim.Summary, *result.Error) {
+	c, sum, err := t.Table.TakeOver(ctx, req, attempt)
+	if c == nil {
+		return nil, sum, err
+	}
+	return c, nil, nil
+}
+
 // Record is what another entry needs to go on with a generation whose entry died.
 type Record struct {
 	Generation  ids.Generation
@@ -96,6 +108,10 @@
 	return nil, nil, err
 }
 
+func (n noStore) TakeOver(ctx context.Context, req claim.Request, _ uint32) (Claim, *claim.Summary, *result.Error) {
+	return n.Begin(ctx, req)
+}
+
 type noRecords struct{}
 
 func (noRecords) Put(*Record, int) {}
--- a/lib/entry/store_test.go
+++ b/lib/entry/store_test.go
@@ -84,6 +84,12 @@
 	g.dead = true
 }
 
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dead = false
+}
+
 // GroupTxn implements claim.Store.
 func (g *gate) GroupTxn(ctx context.Context, txn platformapi.Txn) (platformapi.TxnResult, error) {
 	g.mu.Lock()
--- /dev/null
+++ b/lib/entry/takeover_test.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/placer"
+	"anvilwick.example/anvilwick/lib/result"
+	"anvilwick.example/anvilwick/lib/sched"
+)
+
+// meeting is a Records that gives out a record only when all who were expected have asked for it.
+type meeting struct {
+	*memoryRecords
+	all sync.WaitGroup
+}
+
+func (m *meeting) Get(ctx context.Context, workspace, key string) (*Record, *result.Error) {
+	rec, err := m.memoryRecords.Get(ctx, workspace, key)
+	m.all.Done()
+	m.all.Wait()
+	return rec, err
+}
+
+// attempts counts the attempts that entries ask places for.
+type attempts struct {
+	mu sync.Mutex
+	n  int
+}
+
+type countedPlacer struct {
+	placer.Placer
+	count *attempts
+}
+
+func (c countedPlacer) Submit(service string, r sched.Request, notify placer.Notify) {
+	c.count.mu.Lock()
+	c.count.n++
+	c.count.mu.Unlock()
+	c.Placer.Submit(service, r, notify)
+}
+
+// deadStream is a keyed stream whose caller has read some tokens when its entry dies.
+type deadStream struct {
+	prompt  string
+	length  int
+	store   *memoryStore
+	records *memoryRecords
+	text    string
+	st      story
+}
+
+func newDeadStream(t *testing.T) *deadStream {
+	t.Helper()
+	e := startEngine(t, nil)
+	d := &deadStream{prompt: "both take over [len=80]", length: 80, store: newMemoryStore(), records: newMemoryRecords()}
+	d.text = siteText("", true, []string{e.Addr()}, nil)
+	way := d.store.gate()
+	first := newRig(t, d.text, withKeys(way.claims("e1"), d.records))
+	readSome(t, first, ask{prompt: d.prompt, stream: true, key: "k"}, &d.st, 20)
+	for _, g := range first.server.table.running(nil) {
+		first.server.record(g, first.server.now(), true)
+	}
+	die(t, first, way, d.records)
+	return d
+}
+
+// The entry of a keyed stream dies. Two processes of its caller ask two other entries for the rest, and both find the
+// record before either has begun. Without the claim's move, both entries run the rest on an engine. One of them must, and
+// the other say that it runs already and that it started nothing. In the end the claim tells the outcome, and by whom.
+func TestTwoEntriesTakeOverAtOnce(t *testing.T) {
+	for _, resume := range []bool{true, false} {
+		d := newDeadStream(t)
+		m := &meeting{memoryRecords: d.records}
+		m.all.Add(2)
+		var count attempts
+		a := ask{prompt: d.prompt, stream: true, key: "k"}
+		if resume {
+			a.last = d.st.lastID
+		}
+		answers := make([]*http.Response, 2)
+		var wg sync.WaitGroup
+		for i, name := range []string{"e2", "e3"} {
+			r := newRig(t, d.text, func(o *Options) {
+				withKeys(d.store.claims(name, "e1"), m)(o)
+				o.Placer = countedPlacer{o.Placer, &count}
+			})
+			wg.Go(func() { answers[i] = r.send(context.Background(), a) })
+		}
+		wg.Wait()
+		if answers[0].StatusCode != http.StatusOK {
+			answers[0], answers[1] = answers[1], answers[0]
+		}
+		must.Eq(t, http.StatusOK, answers[0].StatusCode)
+		must.Eq(t, http.StatusConflict, answers[1].StatusCode, must.Sprint("both entries run the rest"))
+		must.Eq(t, result.AlreadyRunning, readError(t, answers[1]).Code)
+		must.NotEq(t, "", answers[1].Header.Get("Retry-After"))
+		st := &story{}
+		if resume {
+			st = &d.st
+		}
+		st.read(t, eventsOf(answers[0]), nil)
+		st.whole(t, d.prompt, d.length)
+		must.Eq(t, 1, count.n)
+		eventually(t, "outcome in the table", func() bool { return d.store.holds(`"state":"finished"`) == 1 })
+		must.Eq(t, 0, d.store.holds(`"instance":"e1"`), must.Sprint("the claim still names the dead entry"))
+		must.Eq(t, 1, d.store.holds(`"attempt":18`), must.Sprint("1, the gap, and the next"))
+	}
+}
+
+// The entry of a claimed stream dies while the platform is down. Another entry can't know whether a third goes on with it
+// at this moment, so it sends nothing, and tells its caller so and when to ask again. With the store back it goes on.
+func TestTakeOverWaitsForTheStore(t *testing.T) {
+	d := newDeadStream(t)
+	way := d.store.gate()
+	r := newRig(t, d.text, withKeys(claimsOn(way, "e2", []string{"e1"}), d.records))
+	a := ask{prompt: d.prompt, stream: true, key: "k", last: d.st.lastID}
+	way.shut()
+	refused := r.send(context.Background(), a)
+	must.Eq(t, http.StatusServiceUnavailable, refused.StatusCode)
+	must.NotEq(t, "", refused.Header.Get("Retry-After"))
+	must.Eq(t, result.StoreDown, readError(t, refused).Code)
+	_, n := r.server.Counts()
+	must.Zero(t, n)
+	way.open()
+	d.st.read(t, eventsOf(r.send(context.Background(), a)), nil)
+	d.st.whole(t, d.prompt, d.length)
+}
--- a/lib/entry/tick.go
+++ b/lib/entry/tick.go
@@ -119,6 +119,8 @@
 		Subject:    g.subject,
 		Key:        g.key,
 		Attempt:    g.state.Attempt(),
+		Path:       g.asked.Path(),
+		Request:    g.body,
 		Tokens:     g.text.Tokens(0),
 		Released:   true,
 	}
