Record a generation only once it is this entry's to run

Cause: the tick put a record of every keyed generation in the table, also while its claim was still asked for. With a slow store that record took the place of the dead entry's at its peers: its tokens were lost, or every later caller heard that an entry which ran nothing held the stream. Change: record() waits until run or finish has begun. Test: TestNoRecordBeforeTheClaim failed first (attempt 17 in place of 1); lib/entry passes.

--- a/lib/entry/complete.go
+++ b/lib/entry/complete.go
@@ -235,6 +235,7 @@
 		g.log(log.Info(), "told_again").Int("tokens", len(rec.Tokens)).Msg("")
 		s.background.Add(1)
 		go s.closeClaim(g, a, rec)
+		g.own()
 		go s.finish(g, nil)
 		return g, sk, nil
 	}
--- a/lib/entry/generation.go
+++ b/lib/entry/generation.go
@@ -64,7 +64,8 @@
 	stalled    time.Duration // all stalls added up
 	reported   uint32        // tokens told to the placer
 	reportedAt time.Time
-	recorded   int // tokens given to Records
+	begun      bool // run or finished by this entry, no longer only asked for; from then on it is recorded
+	recorded   int  // tokens given to Records
 	recordedAt time.Time
 	ended      bool
 	endedAt    time.Time
@@ -115,6 +116,14 @@
 	g.state = stream.Restore(g.id, first-1, 0)
 }
 
+// own notes that the generation is this entry's to run and to record. Before its claim is held, a record would stand in
+// place of that of the entry which held it before, or holds it.
+func (g *generation) own() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.begun = true
+}
+
 // begin numbers the next attempt. The caller has fenced the one before.
 func (g *generation) begin() (uint32, error) {
 	g.mu.Lock()
--- a/lib/entry/run.go
+++ b/lib/entry/run.go
@@ -38,6 +38,7 @@
 
 // run takes a generation from acceptance to its end, over as many attempts as it needs.
 func (s *Server) run(g *generation) {
+	g.own()
 	var rs runState
 	for {
 		err, again := s.runOnce(g, &rs)
--- a/lib/entry/store_test.go
+++ b/lib/entry/store_test.go
@@ -72,6 +72,7 @@
 	store *memoryStore
 	mu    sync.Mutex
 	dead  bool
+	slow  chan struct{} // answers are held back until it is closed; nil: none are
 }
 
 func (m *memoryStore) gate() *gate { return &gate{store: m} }
@@ -93,8 +94,11 @@
 // GroupTxn implements claim.Store.
 func (g *gate) GroupTxn(ctx context.Context, txn platformapi.Txn) (platformapi.TxnResult, error) {
 	g.mu.Lock()
-	dead := g.dead
+	dead, slow := g.dead, g.slow
 	g.mu.Unlock()
+	if slow != nil {
+		<-slow
+	}
 	if dead {
 		return platformapi.TxnResult{}, platform.NotCommitted.New("the entry is dead")
 	}
--- a/lib/entry/takeover_test.go
+++ b/lib/entry/takeover_test.go
@@ -130,3 +130,36 @@
 	d.st.read(t, eventsOf(r.send(context.Background(), a)), nil)
 	d.st.whole(t, d.prompt, d.length)
 }
+
+// The store is slow while an entry asks for a claim, and then refuses. Until the claim is its own the entry must not tell
+// the peers that it runs the generation: its record would stand in place of the dead entry's, with its tokens, and every
+// later caller would hear that an entry which runs nothing holds the stream.
+func TestNoRecordBeforeTheClaim(t *testing.T) {
+	for _, resume := range []bool{true, false} {
+		d := newDeadStream(t)
+		want := *d.records.recs["k"]
+		way := d.store.gate()
+		way.slow = make(chan struct{})
+		d.records.stop = false
+		d.records.recs["k"].Released = true
+		r := newRig(t, d.text, withKeys(claimsOn(way, "e2", []string{"e1"}), d.records))
+		a := ask{prompt: d.prompt, stream: true, key: "k"}
+		if resume {
+			a.last = d.st.lastID
+		}
+		var wg sync.WaitGroup
+		wg.Go(func() { must.NotEq(t, http.StatusOK, r.send(context.Background(), a).StatusCode) })
+		eventually(t, "asked", func() bool { _, n := r.server.Counts(); return n == 1 })
+		for _, g := range r.server.table.running(nil) {
+			r.server.record(g, r.server.now(), false)
+		}
+		way.shut()
+		close(way.slow)
+		wg.Wait()
+		d.records.mu.Lock()
+		must.Eq(t, want.Generation, d.records.recs["k"].Generation)
+		must.Eq(t, want.Attempt, d.records.recs["k"].Attempt)
+		must.Eq(t, len(want.Tokens), len(d.records.recs["k"].Tokens))
+		d.records.mu.Unlock()
+	}
+}
--- a/lib/entry/tick.go
+++ b/lib/entry/tick.go
@@ -87,7 +87,7 @@
 	}
 	g.mu.Lock()
 	due := last || g.recordedAt.IsZero() || (g.text.Len() > g.recorded && now.Sub(g.recordedAt) >= recordMinimum)
-	if !due || g.text.Size() > maxRecordText {
+	if !due || !g.begun || g.text.Size() > maxRecordText {
 		g.mu.Unlock()
 		return
 	}
