Check take-overs of claims by an invariant over runs with faults

Eight entries go on with one generation from records older than its claim, through outages, slow and lost answers: attempts of those who got the claim must rise, and none may get it after the end. Also: a frozen former holder can't settle a moved claim, and an engine's proof about a later attempt frees nothing.

--- /dev/null
+++ b/lib/claim/takeover_test.go
@@ -0,0 +1,200 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/result"
+	standin "anvilwick.example/anvilwick/lib/standin/platform"
+)
+
+func sentBy(t *testing.T, tab *Table, attempt uint32) Request {
+	t.Helper()
+	req := request("x")
+	c := mustBegin(t, tab, req)
+	must.Nil(t, c.Sent(t.Context(), "engine-1", attempt))
+	return req
+}
+
+// An entry is frozen past the move of its claim, wakes, and ends its run. Its outcome must not be told in place of that of
+// the entry which went on: that one may still be at it, and a third would take the key for settled.
+func TestFormerHolderCantSettleAMovedClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Config{})
+		a, b, c := entry(s, "a"), entry(s, "b"), entry(s, "c")
+		req := request("x")
+		frozen := mustBegin(t, a, req)
+		must.Nil(t, frozen.Sent(t.Context(), "engine-1", 1))
+		moved, sum, err := b.TakeOver(t.Context(), req, 18)
+		must.Nil(t, err)
+		must.Nil(t, sum)
+		frozen.Finish(Summary{Code: result.OK, Status: 200, Body: []byte("of a"), Kept: true})
+		settled(t, a)
+		must.Eq(t, result.AlreadyRunning, refusal(t, c, request("x")))
+		moved.Finish(Summary{Code: result.OK, Status: 200, Body: []byte("of b"), Kept: true})
+		settled(t, b)
+		_, sum, err = c.Begin(t.Context(), request("x"))
+		must.Nil(t, err)
+		must.Eq(t, "of b", string(sum.Body))
+	})
+}
+
+// The entry that took a generation over dies before its engine got the attempt. The engine proves just that; but parts of
+// the generation ran before, on whatever engine. Taken for "never ran", the key would be run again from its start.
+func TestProofOfALaterAttemptFreesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Config{})
+		req := sentBy(t, entry(s, "a"), 1)
+		_, _, err := entry(s, "b").TakeOver(t.Context(), req, 18)
+		must.Nil(t, err)
+		c := entry(s, "c", "b")
+		c.cfg.NeverRan = func(context.Context, Send) bool { return true }
+		must.Eq(t, result.ClaimOrphan, refusal(t, c, request("x")))
+	})
+}
+
+// What may not be taken over, and what is told instead.
+func TestTakeOverIsRefused(t *testing.T) {
+	for name, tc := range map[string]struct {
+		change  func(*Request)
+		attempt uint32
+		fault   string
+		want    result.Code
+	}{
+		"moved since the record":  {attempt: 3, want: result.AlreadyRunning},
+		"another generation":      {change: func(r *Request) { r.Generation = request("x").Generation }, attempt: 18, want: result.AlreadyRunning},
+		"other content":           {change: func(r *Request) { r.Fingerprint = "y" }, attempt: 18, want: result.KeyReused},
+		"the store does not work": {attempt: 18, fault: standin.FaultOutage, want: result.StoreDown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := standin.New(standin.Config{})
+				req := sentBy(t, entry(s, "a"), 3)
+				if tc.change != nil {
+					tc.change(&req)
+				}
+				if tc.fault != "" {
+					s.SetFault(standin.Fault{Kind: tc.fault, DurationMS: time.Minute.Milliseconds()})
+				}
+				b := entry(s, "b")
+				c, sum, err := b.TakeOver(t.Context(), req, tc.attempt)
+				must.Nil(t, c)
+				must.Nil(t, sum)
+				must.Eq(t, tc.want, err.Code)
+				must.Positive(t, max(int64(err.RetryAfter), int64(tc.want-result.StoreDown))) // only KeyReused has none
+				time.Sleep(2 * time.Minute)
+				must.Zero(t, b.Unsettled())
+			})
+		})
+	}
+}
+
+// relay is a generation that entries go on with one after the other, from a record that some of them leave behind.
+type relay struct {
+	mu     sync.Mutex
+	rng    *rand.Rand
+	record uint32   // attempt in the record at the peers
+	wins   []uint32 // first attempts of those who took over, in order
+	done   bool     // told to have finished
+	faults []string
+}
+
+const recordGap = 16
+
+func (r *relay) draw(n int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rng.IntN(n)
+}
+
+// won notes a take-over, and what is wrong with it.
+func (r *relay) won(attempt uint32) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n := len(r.wins); n > 0 && attempt <= r.wins[n-1] {
+		r.faults = append(r.faults, fmt.Sprintf("attempt %d after %d", attempt, r.wins[n-1]))
+	}
+	if r.done {
+		r.faults = append(r.faults, fmt.Sprintf("attempt %d after the end", attempt))
+	}
+	r.wins = append(r.wins, attempt)
+}
+
+func (r *relay) found() uint32 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.record
+}
+
+func (r *relay) leave(attempt uint32, done bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record = max(r.record, attempt)
+	r.done = r.done || done
+}
+
+// runner asks for the rest again and again through its entry, with records that are often old when the claim is asked
+// for, and then dies, is left by its caller, or finishes.
+func (r *relay) runner(s *standin.Server, name string, req Request) {
+	tab := entry(s, name)
+	for range 25 {
+		from := r.found()
+		time.Sleep(time.Duration(r.draw(2000)) * time.Millisecond)
+		c, sum, err := tab.TakeOver(context.Background(), req, from+recordGap+1)
+		if sum != nil {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		first := from + recordGap + 1
+		r.won(first)
+		time.Sleep(time.Duration(r.draw(1500)) * time.Millisecond)
+		last := first + uint32(r.draw(4))
+		switch r.draw(12) {
+		case 0:
+			r.leave(last, true)
+			c.Finish(Summary{Code: result.OK, Status: 200})
+			return
+		case 1, 2, 3:
+			r.leave(last, false)
+			tab = entry(s, name+"'") // dead, with all that it held in memory
+		default:
+			r.leave(last, false)
+			c.Finish(Summary{Code: result.CallerGone, Status: 499})
+		}
+	}
+}
+
+// Eight entries go on with one generation, again and again, from records that are often older than the claim, while the
+// store is down, slow, or loses its answers. Whoever gets the claim must have a higher attempt number than all before, or
+// two would run the same rest; and none may get it once the end was told.
+func TestEachRestHasOneRunner(t *testing.T) {
+	for seed := range uint64(seeds) {
+		synctest.Test(t, func(t *testing.T) {
+			s := standin.New(standin.Config{Seed: seed})
+			req := sentBy(t, entry(s, "a"), 1)
+			r := &relay{rng: rand.New(rand.NewPCG(seed, 7)), record: 1}
+			var wg sync.WaitGroup
+			d := standin.Disturbance{
+				Kinds:  []string{standin.FaultOutage, standin.FaultLoseAnswer, standin.FaultLoseAnswer, standin.FaultSlow},
+				Faults: 8, Unit: time.Second, Delay: 3, Duration: 4, Gap: 3,
+			}
+			wg.Go(func() { s.Disturb(rand.New(rand.NewPCG(seed, 2)), d, func() {}) })
+			for i := range 8 {
+				wg.Go(func() { r.runner(s, fmt.Sprint("e", i), req) })
+			}
+			wg.Wait()
+			time.Sleep(10 * time.Minute)
+			must.SliceEmpty(t, r.faults, must.Sprintf("seed %d", seed))
+			must.Positive(t, len(r.wins), must.Sprintf("seed %d", seed))
+		})
+	}
+}
