Give a plain call without a deadline a bound on its target's silence

Cause: a call that may not be repeated waited as long as a frozen target kept its connection, and a planned stop of the entry with it. Change: policy key max_silence (5m) bounds the wait for the answer, and each wait for its next part. Calls with a deadline are left to it. Ruled out: a bound on the whole call; it would cut answers that are long and alive.

--- a/lib/entry/plain.go
+++ b/lib/entry/plain.go
@@ -227,7 +227,7 @@
 		return nil, errors.Join(target.ErrNotSent, err)
 	}
 	ran := s.opts.Poison.Started(name, pc.subject.Fingerprint)
-	resp, err := c.Do(ctx, &pc.call)
+	resp, err := pc.doBounded(ctx, c)
 	ticket.Done(s.now(), callOutcome(ctx, err))
 	s.settleCall(ctx, c, ran, err)
 	return resp, err
@@ -274,7 +274,7 @@
 	case ctx.Err() != nil:
 		return pc.ended(ctx, mayHaveRun, err)
 	case sent && !pc.route.Idempotent:
-		return result.Wrap(result.Unknown, err, "get the target's answer")
+		return result.Wrap(unknownCode(err), err, "get the target's answer")
 	case try >= max(1, pc.policy.MaxAttempts):
 		return pc.gaveUp(mayHaveRun, err)
 	}
@@ -298,13 +298,21 @@
 
 func (pc *plainCall) gaveUp(mayHaveRun bool, cause error) *result.Error {
 	if mayHaveRun {
-		return result.Wrap(result.Unknown, cause, "get a target's answer")
+		return result.Wrap(unknownCode(cause), cause, "get a target's answer")
 	}
 	err := result.Wrap(result.NoTarget, cause, "reach a target")
 	err.RetryAfter = time.Second
 	return err
 }
 
+// unknownCode tells silence from a broken connection, where nobody knows whether the target ran the call.
+func unknownCode(cause error) result.Code {
+	if errors.Is(cause, errSilent) {
+		return result.TargetSilent
+	}
+	return result.Unknown
+}
+
 // ended is what a call is told whose deadline passed, or whose caller left.
 func (pc *plainCall) ended(ctx context.Context, mayHaveRun bool, cause error) *result.Error {
 	if !mayHaveRun {
--- a/lib/entry/relay.go
+++ b/lib/entry/relay.go
@@ -59,7 +59,7 @@
 			pc.complete = true
 			return nil
 		case err != nil:
-			return result.Wrap(result.TargetCutShort, err, errReadTarget.Error())
+			return result.Wrap(brokenCode(err), err, errReadTarget.Error())
 		}
 	}
 }
@@ -81,6 +81,14 @@
 	return conn.Flush()
 }
 
+// brokenCode tells an answer that stopped coming from one that was cut.
+func brokenCode(err error) result.Code {
+	if errors.Is(err, errSilent) {
+		return result.TargetSilent
+	}
+	return result.TargetCutShort
+}
+
 func writeCode(err error) result.Code {
 	var ne net.Error
 	if errors.As(err, &ne) && ne.Timeout() {
@@ -97,7 +105,7 @@
 		rerr = errOldBody
 	}
 	if rerr != nil {
-		return false, result.Wrap(result.TargetCutShort, rerr, errReadTarget.Error())
+		return false, result.Wrap(brokenCode(rerr), rerr, errReadTarget.Error())
 	}
 	pc.keep(body)
 	pc.complete = true
--- a/lib/settings/fields.go
+++ b/lib/settings/fields.go
@@ -71,6 +71,7 @@
 	bind("max_attempts", count("attempts", 1, 100), "4", "attempts of a request, the first one included", func(p *Policy) *int { return &p.MaxAttempts }),
 	bind("retry_budget", number("fraction", 0, 1), "0.1", "retries as a fraction of first attempts", func(p *Policy) *float64 { return &p.RetryBudget }),
 	bind("stall_floor", span(time.Millisecond, day), "2s", "a stream without a token for so long is stalled", func(p *Policy) *time.Duration { return &p.StallFloor }),
+	bind("max_silence", span(time.Millisecond, 7*day), "5m", "a call without a deadline is given up on a target that sends nothing for so long", func(p *Policy) *time.Duration { return &p.MaxSilence }),
 	bind("max_body", kindBytes, "1MiB", "bound on a request's body", func(p *Policy) *int { return &p.MaxBody }),
 	bind("slow_reader_buffer", count("tokens", 1, maxCount), "4096", "tokens kept for a caller that reads slowly", func(p *Policy) *int { return &p.SlowReaderBuffer }),
 	bind("slow_reader_wait", span(0, day), "10s", "time that a full buffer is borne before the stream is cancelled", func(p *Policy) *time.Duration { return &p.SlowReaderWait }),
--- a/lib/settings/types.go
+++ b/lib/settings/types.go
@@ -68,7 +68,8 @@
 	RetryBudget      float64 // retries as a fraction of first attempts
 	StallFloor       time.Duration
 	MaxBody          int
-	SlowReaderBuffer int // tokens kept for a caller that reads slowly
+	MaxSilence       time.Duration // of the target of a plain call without a deadline
+	SlowReaderBuffer int           // tokens kept for a caller that reads slowly
 	SlowReaderWait   time.Duration
 }
 
