--- a/lib/entry/tick.go
+++ b/lib/entry/tick.go
@@ -87,7 +87,7 @@
 	}
 	g.mu.Lock()
 	due := last || g.recordedAt.IsZero() || (g.text.Len() > g.recorded && now.Sub(g.recordedAt) >= recordMinimum)
-	if !due || g.text.Size() > maxRecordText {
+	if !due || !g.begun || g.text.Size() > maxRecordText {
 		g.mu.Unlock()
 		return
 	}
@@ -119,6 +119,8 @@
 		Subject:    g.subject,
 		Key:        g.key,
 		Attempt:    g.state.Attempt(),
+		Path:       g.asked.Path(),
+		Request:    g.body,
 		Tokens:     g.text.Tokens(0),
 		Released:   true,
 	}
