Let a service say that its generations may run more than once

Ruled out: going on without the table for work that runs once; two entries that find the same record would both run it. Letting the peers that hold the record decide: cut off from each other they would let two by.

Change: `idempotent` of a model service, false unless given; refused for plain services, whose routes say it.

Conclusion: at most once holds through an outage, and who prefers to go on can say so.

--- a/lib/e2e/pairs_test.go
+++ b/lib/e2e/pairs_test.go
@@ -13,13 +13,16 @@
 	"anvilwick.example/anvilwick/lib/localsite"
 	"anvilwick.example/anvilwick/lib/opsapi"
 	"anvilwick.example/anvilwick/lib/proc"
+	"anvilwick.example/anvilwick/lib/result"
 	"anvilwick.example/anvilwick/lib/standin/platform"
 )
 
-// The platform goes down, and then the entry under a keyed stream is killed. The table can't tell the next entry
-// anything; the record that the dead one left with its peers must be enough for the rest of the answer.
+// The platform goes down, and then the entry under a keyed stream of an idempotent service is killed. The table can't tell
+// the next entry anything; the record that the dead one left with its peers must be enough for the rest of the answer.
 func TestEntryKilledDuringAnOutage(t *testing.T) {
-	site, ctx := siteOf(t, 2, 3)
+	set := someSettings()
+	set.Idempotent = true
+	site, ctx := siteWith(t, 2, 3, set)
 	s := start(ctx, clientOf(site), "killed in an outage", 400, caller.Call{Entry: 0, Key: "extraction-3", Resumes: 200})
 	s.reach(t, ctx, 200)
 	must.NoError(t, site.PlatformFault(ctx, platform.Fault{Kind: platform.FaultOutage}))
@@ -28,6 +31,31 @@
 	must.Positive(t, s.res.Resumed)
 }
 
+// The same under a keyed stream that may run only once. Two entries could both find the record, and only the table can
+// say which of them goes on: until it is back the caller is told so, each time at once, and then it gets the rest.
+func TestEntryKilledDuringAnOutageOfWorkThatRunsOnce(t *testing.T) {
+	site, ctx := siteOf(t, 2, 3)
+	c := clientOf(site)
+	const tokens = 400
+	call := caller.Call{Entry: 0, Key: "extraction-once", Resumes: 500}
+	s := start(ctx, c, "once in an outage", tokens, call)
+	s.reach(t, ctx, 200)
+	must.NoError(t, site.PlatformFault(ctx, platform.Fault{Kind: platform.FaultOutage}))
+	must.NoError(t, site.Entries[0].Kill())
+	refused := start(ctx, c, "once in an outage", tokens, caller.Call{Entry: 1, Key: call.Key})
+	select {
+	case <-refused.done:
+	case <-ctx.Done():
+		t.Fatal("no refusal")
+	}
+	must.Error(t, refused.err)
+	must.Eq(t, result.StoreDown, refused.res.Code)
+	must.Positive(t, refused.res.RetryAfter)
+	must.NoError(t, site.PlatformFault(ctx, platform.Fault{Kind: platform.FaultClear}))
+	s.whole(t, ctx)
+	must.Positive(t, s.res.Resumed)
+}
+
 // The entry and the engine under a keyed stream are killed together: a rack went. The stream goes on through another
 // entry, on another engine, from the next token.
 func TestEntryAndEngineKilledTogether(t *testing.T) {
--- a/lib/entry/claimed.go
+++ b/lib/entry/claimed.go
@@ -14,19 +14,9 @@
 // headerReplayed marks the answer of an earlier run, told again to a resend.
 const headerReplayed = "Idempotent-Replayed"
 
-// needsClaim reports whether a keyed generation must be claimed: unless a route of its service says that the path is
-// idempotent, it is not.
-func (a *asked) needsClaim() bool {
-	if a.headers.Key == "" {
-		return false
-	}
-	for _, r := range a.service.Routes {
-		if r.Idempotent && r.Prefix == a.completion.Path() {
-			return false
-		}
-	}
-	return true
-}
+// needsClaim reports whether a keyed generation must be claimed: unless its service says that generations are
+// idempotent, they are not.
+func (a *asked) needsClaim() bool { return a.headers.Key != "" && !a.service.Idempotent }
 
 // claim makes a keyed generation known to all entries before any of it is sent.
 func (s *Server) claim(ctx context.Context, g *generation, a *asked) (*claim.Summary, *result.Error) {
--- a/lib/localsite/settings.go
+++ b/lib/localsite/settings.go
@@ -19,6 +19,7 @@
 	IdleWatts  int           // of each engine
 	SeqWatts   int           // added for each sequence
 	MaxBatch   int           // of each engine; 0: not told
+	Idempotent bool          // keyed generations may run more than once
 	Deadline   time.Duration // of requests whose callers name none; 0: none
 	StallFloor time.Duration // 0: defaultStallFloor
 	Workspaces []string
@@ -40,7 +41,7 @@
 	}
 	c.classes(&b)
 	c.workspaces(&b)
-	fmt.Fprintf(&b, "services:\n  %s:\n    kind: model\n    models: [%s]\n    resumes: true\n    fencing: enforced\n%s    targets:\n", c.Service, c.Model, c.weights())
+	fmt.Fprintf(&b, "services:\n  %s:\n    kind: model\n    models: [%s]\n    resumes: true\n    fencing: enforced\n    idempotent: %t\n%s    targets:\n", c.Service, c.Model, c.Idempotent, c.weights())
 	targets(&b, s.Engines, c.engineLines())
 	fmt.Fprintf(&b, "  plain:\n    kind: plain\n    routes:\n      - prefix: %s/status\n        idempotent: true\n      - prefix: %s\n    targets:\n", c.Route, c.Route)
 	targets(&b, s.Plains, "")
--- a/lib/settings/check.go
+++ b/lib/settings/check.go
@@ -145,6 +145,9 @@
 		if len(svc.vals.Models) > 0 {
 			p.add(line("models"), svc.path+".models", "models", "no models, for kind plain")
 		}
+		if svc.vals.Idempotent {
+			p.add(line("idempotent"), svc.path+".idempotent", "true", "no value, for kind plain: each route says it")
+		}
 		if len(svc.routes) == 0 {
 			p.add(svc.line, svc.path+".routes", "", "at least one route, for kind plain")
 		}
--- a/lib/settings/fields.go
+++ b/lib/settings/fields.go
@@ -27,6 +27,7 @@
 	bind("models", list(kindLabel), "", "model names that callers may ask for; kind model only", func(s *Service) *[]string { return &s.Models }),
 	bind("fencing", oneOf(FencingEnforced, FencingIgnored), FencingIgnored, "whether targets refuse orders that carry an old fencing number", func(s *Service) *string { return &s.Fencing }),
 	bind("resumes", kindBool, "false", "whether engines resume a stream from a token index", func(s *Service) *bool { return &s.Resumes }),
+	bind("idempotent", kindBool, "false", "whether a generation with a key may run more than once; leave false when unsure; kind model only", func(s *Service) *bool { return &s.Idempotent }),
 	bind("model", kindLabel, "", "model that its engines are kept at; empty: not managed", func(s *Service) *string { return &s.Model }),
 	bind("version", kindLabel, "", "version of model", func(s *Service) *string { return &s.Version }),
 	bind("adapters", list(kindLabel), "", "adapters that its engines are kept at", func(s *Service) *[]string { return &s.Adapters }),
--- a/lib/settings/types.go
+++ b/lib/settings/types.go
@@ -39,16 +39,19 @@
 
 // Service is a resolved service.
 type Service struct {
-	Name     string
-	Kind     string
-	Models   []string // model names that callers may ask for (KindModel)
-	Routes   []Route  // KindPlain
-	Fencing  string
-	Resumes  bool // engines resume streams from a token index
-	Targets  []Target
-	Model    string // desired model, version, adapters of its engines; empty: not managed
-	Version  string
-	Adapters []string
+	Name    string
+	Kind    string
+	Models  []string // model names that callers may ask for (KindModel)
+	Routes  []Route  // KindPlain
+	Fencing string
+	// Idempotent lets keyed generations of model engines run more than once (default false). They need no claim in the
+	// platform's table then, and can be gone on with through another entry while it is down.
+	Idempotent bool
+	Resumes    bool // engines resume streams from a token index
+	Targets    []Target
+	Model      string // desired model, version, adapters of its engines; empty: not managed
+	Version    string
+	Adapters   []string
 }
 
 // Policy holds every inherited value, resolved for one service, workspace and class.
