Tell an entry that its generation was gone on with elsewhere

Cause: a frozen entry that woke dropped its record when a peer refused it, and ran on; on a site of two nobody refused it. A record that lags behind a take-over could also move the claim from a holder that lives. Change: the keeper reports the generation as lost when a peer refuses its record, when the new owner does, and when the new owner's record comes in. TakeOver refuses a record that is not of the claim's holder, unless that holder has ended.

--- a/lib/claim/claim.go
+++ b/lib/claim/claim.go
@@ -105,6 +105,7 @@
 	Key         string
 	Fingerprint string
 	Generation  string
+	Owner       Holder // for TakeOver: whose record is gone on with, and known to have ended; zero: this process's
 }
 
 // Claim is a right to run one request. Its methods are for one goroutine, in the order Sent, then Finish or Release.
--- a/lib/claim/takeover.go
+++ b/lib/claim/takeover.go
@@ -19,8 +19,9 @@
 // used is an attempt number above all that the record's owner can have used; the new holder goes on after it.
 //
 // The record can be found by two entries at once. The table lets one of them by; to the other, the claim's attempt is
-// no longer below used, whatever the first has made of it meanwhile, and it hears AlreadyRunning. Whether the former
-// holder is gone is the caller's to judge. With the store down the answer is StoreDown, and nothing may be sent.
+// no longer below used, whatever the first has made of it meanwhile, and it hears AlreadyRunning. So does one whose record
+// is not of the claim's holder, unless that is gone: a record can lag behind a take-over. Whether the record's owner is
+// gone is the caller's to judge. With the store down the answer is StoreDown, and nothing may be sent.
 //
 // Exactly one result is set, as with Begin. A claim taken over counts as sent.
 func (t *Table) TakeOver(ctx context.Context, req Request, used uint32) (*Claim, *Summary, *result.Error) {
@@ -42,7 +43,7 @@
 	if err := t.enterSettled(ctx, c); err != nil {
 		return nil, nil, err
 	}
-	sum, err := c.seize(ctx)
+	sum, err := c.seize(ctx, req.Owner)
 	if sum != nil || err != nil {
 		return nil, sum, err
 	}
@@ -74,7 +75,7 @@
 var errUnsettled = errors.New("claim: the outcome of the key does not stand in the table yet")
 
 // seize writes c's record over the former holder's.
-func (c *Claim) seize(ctx context.Context) (*Summary, *result.Error) {
+func (c *Claim) seize(ctx context.Context, owner Holder) (*Summary, *result.Error) {
 	for range takeovers {
 		found, err := c.write(ctx)
 		switch {
@@ -84,7 +85,7 @@
 			c.unseize(platform.IsUnknown(err))
 			return nil, storeDown(err)
 		}
-		sum, refusal := c.maySeize(found)
+		sum, refusal := c.maySeize(found, owner)
 		if sum != nil || refusal != nil {
 			c.leave()
 			return sum, refusal
@@ -96,7 +97,7 @@
 }
 
 // maySeize judges the record that stands there. Neither result set: it is the one to take over.
-func (c *Claim) maySeize(found platformapi.Item) (*Summary, *result.Error) {
+func (c *Claim) maySeize(found platformapi.Item, owner Holder) (*Summary, *result.Error) {
 	if found.Rev == 0 {
 		return nil, nil // collected since; the insert is the compare-and-set
 	}
@@ -112,12 +113,18 @@
 		return old.Summary, nil
 	case old.Generation != c.rec.Generation:
 		return nil, busy("another generation runs under the key")
-	case old.Attempt < c.rec.Attempt:
-		return nil, nil
-	case old.State == Sent && c.table.cfg.Gone(old.Holder):
+	case old.Attempt >= c.rec.Attempt && old.State == Sent && c.table.cfg.Gone(old.Holder):
 		return nil, result.New(result.ClaimOrphan, "taken over by %s, which is gone and left no record", old.Holder.Instance)
+	case old.Attempt >= c.rec.Attempt || !c.ended(old, owner):
+		return nil, busy("taken over by " + old.Holder.Instance)
 	}
-	return nil, busy("taken over by " + old.Holder.Instance)
+	return nil, nil
+}
+
+// ended reports whether the holder of a record does not run it any more.
+func (c *Claim) ended(old record, owner Holder) bool {
+	cfg := c.table.cfg
+	return old.State == Finished || old.State == Released || old.Holder == owner || old.Holder == cfg.Holder || cfg.Gone(old.Holder)
 }
 
 // unseize gives up a take-over that the table did not confirm, and that nothing was sent by. Its record may stand. It
--- a/lib/claim/takeover_test.go
+++ b/lib/claim/takeover_test.go
@@ -20,6 +20,7 @@
 	req := request("x")
 	c := mustBegin(t, tab, req)
 	must.Nil(t, c.Sent(t.Context(), "engine-1", attempt))
+	req.Owner = tab.cfg.Holder
 	return req
 }
 
@@ -30,6 +31,7 @@
 		s := standin.New(standin.Config{})
 		a, b, c := entry(s, "a"), entry(s, "b"), entry(s, "c")
 		req := request("x")
+		req.Owner = a.cfg.Holder
 		frozen := mustBegin(t, a, req)
 		must.Nil(t, frozen.Sent(t.Context(), "engine-1", 1))
 		moved, sum, err := b.TakeOver(t.Context(), req, 17)
@@ -69,6 +71,7 @@
 		want    result.Code
 	}{
 		"moved since the record":  {attempt: 3, want: result.AlreadyRunning},
+		"held by one that lives":  {change: func(r *Request) { r.Owner = Holder{Instance: "z"} }, attempt: 17, want: result.AlreadyRunning},
 		"another generation":      {change: func(r *Request) { r.Generation = request("x").Generation }, attempt: 17, want: result.AlreadyRunning},
 		"other content":           {change: func(r *Request) { r.Fingerprint = "y" }, attempt: 17, want: result.KeyReused},
 		"the store does not work": {attempt: 17, fault: standin.FaultOutage, want: result.StoreDown},
@@ -101,6 +104,7 @@
 	mu     sync.Mutex
 	rng    *rand.Rand
 	record uint32   // attempt in the record at the peers
+	owner  Holder   // of that record
 	wins   []uint32 // first attempts of those who took over, in order
 	done   bool     // told to have finished
 	faults []string
@@ -127,16 +131,18 @@
 	r.wins = append(r.wins, attempt)
 }
 
-func (r *relay) found() uint32 {
+func (r *relay) found() (uint32, Holder) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.record
+	return r.record, r.owner
 }
 
-func (r *relay) leave(attempt uint32, done bool) {
+func (r *relay) leave(tab *Table, attempt uint32, done bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.record = max(r.record, attempt)
+	if attempt > r.record {
+		r.record, r.owner = attempt, tab.cfg.Holder
+	}
 	r.done = r.done || done
 }
 
@@ -145,8 +151,9 @@
 func (r *relay) runner(s *standin.Server, name string, req Request) {
 	tab := entry(s, name)
 	for range 25 {
-		from := r.found()
+		from, owner := r.found()
 		time.Sleep(time.Duration(r.draw(2000)) * time.Millisecond)
+		req.Owner = owner
 		c, sum, err := tab.TakeOver(context.Background(), req, from+recordGap)
 		if sum != nil {
 			return
@@ -162,13 +169,14 @@
 		case 0:
 			c.Finish(Summary{Code: result.OK, Status: 200})
 			_ = tab.Flush(context.Background()) // until then its record names a living owner, and is not given out
-			r.leave(last, true)
+			r.leave(tab, last, true)
 			return
 		case 1, 2, 3:
-			r.leave(last, false)
-			tab = entry(s, name+"'") // dead, with all that it held in memory
+			r.leave(tab, last, false)
+			name += "'"
+			tab = entry(s, name) // dead, with all that it held in memory
 		default:
-			r.leave(last, false)
+			r.leave(tab, last, false)
 			c.Finish(Summary{Code: result.CallerGone, Status: 499})
 		}
 	}
@@ -182,7 +190,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			s := standin.New(standin.Config{Seed: seed})
 			req := sentBy(t, entry(s, "a"), 1)
-			r := &relay{rng: rand.New(rand.NewPCG(seed, 7)), record: 1}
+			r := &relay{rng: rand.New(rand.NewPCG(seed, 7)), record: 1, owner: req.Owner}
 			var wg sync.WaitGroup
 			d := standin.Disturbance{
 				Kinds:  []string{standin.FaultOutage, standin.FaultLoseAnswer, standin.FaultLoseAnswer, standin.FaultSlow},
--- a/lib/entry/claimed.go
+++ b/lib/entry/claimed.go
@@ -61,6 +61,7 @@
 	}
 	// The record's body, since the caller may have sent the same content in other bytes.
 	req := a.claimRequest(g, rec.Path, rec.Request)
+	req.Owner = rec.Owner
 	c, sum, err := s.opts.Claims.TakeOver(ctx, req, rec.Attempt+restoreGap)
 	if sum != nil {
 		return nil, retold(sum)
--- a/lib/entry/seams.go
+++ b/lib/entry/seams.go
@@ -80,8 +80,9 @@
 	Request     []byte   // body as accepted
 	Tokens      []string // delivered so far, from index 0
 	Finished    bool
-	FinishedWhy string // finish reason of the end mark
-	Released    bool   // its caller left for too long and it was stopped: any entry may go on with it
+	FinishedWhy string       // finish reason of the end mark
+	Owner       claim.Holder // who put it; zero: this entry
+	Released    bool         // its caller left for too long and it was stopped: any entry may go on with it
 }
 
 // Records keeps Records with peers, by workspace and key.
--- a/lib/record/get.go
+++ b/lib/record/get.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/claim"
 	"anvilwick.example/anvilwick/lib/entry"
 	"anvilwick.example/anvilwick/lib/ids"
 	"anvilwick.example/anvilwick/lib/member"
@@ -150,5 +151,6 @@
 		Finished:    r.GetFinished(),
 		FinishedWhy: r.GetFinishReason(),
 		Released:    r.GetReleased(),
+		Owner:       claim.Holder{Instance: r.GetOwner(), Incarnation: r.GetOwnerIncarnation()},
 	}, nil
 }
--- a/lib/record/keeper.go
+++ b/lib/record/keeper.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/entry"
+	"anvilwick.example/anvilwick/lib/ids"
 	"anvilwick.example/anvilwick/lib/member"
 	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/meshpb"
@@ -26,6 +27,8 @@
 	MaxBytes int           // of records kept for others, and again of own ones
 	Expire   time.Duration // of a record that nobody changed
 	Timeout  time.Duration // of one exchange with a peer
+	// Lost is told a generation that runs here and that another entry has gone on with. It may be told more than once.
+	Lost func(ids.Generation)
 }
 
 // Keeper puts records of this entry's generations with peers, keeps those of peers, and finds them again. It implements
@@ -62,6 +65,9 @@
 	if o.Timeout <= 0 {
 		o.Timeout = DefaultTimeout
 	}
+	if o.Lost == nil {
+		o.Lost = func(ids.Generation) {}
+	}
 	k := &Keeper{
 		opts:  o,
 		ctx:   ctx,
@@ -150,6 +156,9 @@
 func (k *Keeper) answer(req *meshpb.RecordRequest) *meshpb.RecordReply {
 	switch m := req.GetMsg().(type) {
 	case *meshpb.RecordRequest_Put:
+		if k.newer(m.Put) {
+			return &meshpb.RecordReply{}
+		}
 		return k.store.put(time.Now(), m.Put)
 	case *meshpb.RecordRequest_Get:
 		rec := k.store.get(time.Now(), key{m.Get.GetWorkspace(), m.Get.GetKeyHash()})
@@ -158,3 +167,29 @@
 		return &meshpb.RecordReply{}
 	}
 }
+
+// newer reports whether this entry itself runs a later attempt of a generation that a peer records. Is the peer's the
+// later one, then this entry was frozen or cut off, and the peer has taken the generation over: it must not run on.
+func (k *Keeper) newer(inc *meshpb.Record) bool {
+	id := key{inc.GetWorkspace(), inc.GetKeyHash()}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	o := k.own[id]
+	switch {
+	case o == nil || string(o.rec.GetGeneration()) != string(inc.GetGeneration()):
+		return false
+	case inc.GetAttempt() < o.rec.GetAttempt():
+		return true
+	case inc.GetAttempt() > o.rec.GetAttempt():
+		k.lose(id, o)
+	}
+	return false
+}
+
+// lose drops an own record that another entry has gone on with. The caller holds mu.
+func (k *Keeper) lose(id key, o *own) {
+	k.drop(id, o)
+	if g, err := ids.FromBytes(o.rec.GetGeneration()); err == nil {
+		go k.opts.Lost(g)
+	}
+}
--- a/lib/record/keeper_test.go
+++ b/lib/record/keeper_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"anvilwick.example/anvilwick/lib/claim"
 	"anvilwick.example/anvilwick/lib/entry"
 	"anvilwick.example/anvilwick/lib/ids"
 	"anvilwick.example/anvilwick/lib/member"
@@ -28,6 +29,7 @@
 
 type proc struct {
 	*Keeper
+	lost chan ids.Generation
 	self member.Member
 	stop func()
 }
@@ -48,7 +50,8 @@
 	must.NoError(c.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &proc{self: member.Member{Instance: name, Incarnation: 1, FailureDomain: fmt.Sprint("d", domain%3), MeshAddr: ln.Addr().String()}}
-	p.Keeper = New(ctx, Options{Self: id, Node: node, View: c.current})
+	p.lost = make(chan ids.Generation, 16)
+	p.Keeper = New(ctx, Options{Self: id, Node: node, View: c.current, Lost: func(g ids.Generation) { p.lost <- g }})
 	go node.Serve(ln)
 	p.stop = sync.OnceFunc(func() {
 		cancel()
@@ -137,6 +140,7 @@
 		rec, err := p.Get(t.Context(), "w", "k")
 		must.Nil(t, err)
 		want := recordOf("k", "a", "b", "c")
+		want.Owner = claim.Holder{Instance: owner.self.Instance, Incarnation: owner.self.Incarnation}
 		must.Eq(t, want, rec)
 	}
 }
@@ -241,6 +245,39 @@
 	}
 }
 
+// A frozen entry wakes after another took its generation over. It must hear of that, from the peers that hold the record
+// or, on a site of two, from the new owner itself; else it runs on, and delivers to a caller that it no longer serves.
+func TestOldOwnerHearsThatItWasReplaced(t *testing.T) {
+	for _, n := range []int{2, 3, 6} {
+		for _, first := range []string{"new", "old"} {
+			c := newCluster(t, n)
+			old, next := c.procs[0], c.procs[1]
+			c.put(old, "k")
+			over := recordOf("k", "a", "b", "c")
+			over.Attempt = 18
+			if first == "new" {
+				next.Put(over, 0)
+				c.waitHeld(next, "k", 3)
+			}
+			old.Put(recordOf("k", "d"), 3)
+			if first == "old" {
+				next.Put(over, 0)
+			}
+			select {
+			case g := <-old.lost:
+				must.Eq(t, over.Generation, g)
+			case <-time.After(5 * time.Second):
+				t.Fatalf("%d entries, %s puts first: the old owner never hears", n, first)
+			}
+			select {
+			case g := <-next.lost:
+				t.Fatalf("the new owner is told that it was replaced: %v", g)
+			default:
+			}
+		}
+	}
+}
+
 func TestOwnRecordsAreBounded(t *testing.T) {
 	c := newCluster(t, 3)
 	p := c.procs[0]
--- a/lib/record/peer.go
+++ b/lib/record/peer.go
@@ -188,7 +188,7 @@
 	case o == nil:
 		return
 	case err == nil && !reply.GetFound():
-		k.drop(id, o) // another entry took over
+		k.lose(id, o)
 		return
 	}
 	if err != nil || reply.GetNeedRequest() {
