Stop a generation that another entry goes on with

Cause: an entry that was frozen past the take-over of a stream woke and ran on beside the new one, on whichever engine did not fence it. Change: Superseded cancels it; its caller is told 4007 taken_over (ask again with the same key), its record is no longer put, its claim's settlement fails by compare-and-set, and the next request with the key is led to the other entry. Ruled out: 5000 (says not to ask again) and 3009 (says that nothing ran). Tests: TestSupersededEntryGivesWay; lib/entry (keyed, take-over), record, result, entryproc, caller pass.

--- a/lib/entry/attempt.go
+++ b/lib/entry/attempt.go
@@ -137,6 +137,8 @@
 		return result.Wrap(result.CallerTooSlow, cause, "deliver tokens")
 	case errors.Is(cause, invariant.ErrBroken):
 		return result.Wrap(result.InvariantBroken, cause, "deliver tokens")
+	case errors.Is(cause, errTakenOver):
+		return result.Wrap(result.TakenOver, cause, "ask again with the key")
 	case errors.Is(cause, errDiverged):
 		return result.Wrap(result.CannotResume, cause, "go on with the caller's stream")
 	}
--- a/lib/entry/claimed.go
+++ b/lib/entry/claimed.go
@@ -8,6 +8,7 @@
 
 	"anvilwick.example/anvilwick/lib/callerapi"
 	"anvilwick.example/anvilwick/lib/claim"
+	"anvilwick.example/anvilwick/lib/ids"
 	"anvilwick.example/anvilwick/lib/result"
 )
 
@@ -100,6 +101,16 @@
 	return err
 }
 
+// Superseded stops a generation that another entry goes on with: this one was frozen or cut off for so long that it was
+// taken for dead. Its claim is not its own any more, so it can't be settled; engines take the other's attempts for the
+// later ones. Run on, it would keep an engine busy for a text that is given elsewhere. Its caller is told to ask again with
+// the key; its record is no longer put, and the next request with the key is led to the other entry.
+func (s *Server) Superseded(id ids.Generation) {
+	if g := s.table.lost(id); g != nil {
+		g.cancel(errTakenOver)
+	}
+}
+
 // settleClaim keeps the outcome of a generation. A key is free again only when nothing was run under it.
 func (g *generation) settleClaim() {
 	switch {
--- a/lib/entry/generation.go
+++ b/lib/entry/generation.go
@@ -25,6 +25,7 @@
 	errDeadline   = errors.New("the deadline passed")
 	errStalled    = errors.New("no token within the stall bound")
 	errMoved      = errors.New("moved by the scheduler")
+	errTakenOver  = errors.New("another entry goes on with it")
 	errDiverged   = errors.New("the caller has other tokens than were decoded again")
 )
 
@@ -228,7 +229,8 @@
 // released reports whether the generation was stopped for want of a caller and can be gone on with. The caller holds mu,
 // or the generation has ended.
 func (g *generation) released() bool {
-	return g.ended && g.key != "" && g.err != nil && result.Lookup(g.err.Code).Again == result.AgainWithKey
+	return g.ended && g.key != "" && g.err != nil && g.err.Code != result.TakenOver &&
+		result.Lookup(g.err.Code).Again == result.AgainWithKey
 }
 
 // ending is the last bytes of the stream.
--- a/lib/entry/table.go
+++ b/lib/entry/table.go
@@ -105,6 +105,22 @@
 	}
 }
 
+// lost frees the key of a generation that another entry goes on with, and returns it, or nil.
+func (t *table) lost(id ids.Generation) *generation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if g := t.byID[id]; g != nil {
+		t.forget(g)
+		return g
+	}
+	for _, g := range t.kept {
+		if g.id == id && g.released() {
+			t.forget(g)
+		}
+	}
+	return nil
+}
+
 // running appends the generations in progress to out, for the systems that run over them.
 func (t *table) running(out []*generation) []*generation {
 	t.mu.Lock()
--- a/lib/entry/takeover_test.go
+++ b/lib/entry/takeover_test.go
@@ -177,3 +177,32 @@
 	must.Eq(t, 1, d.store.holds(`"attempt":18`))
 	must.Eq(t, 1, d.store.holds(`"instance":"e2"`))
 }
+
+// An entry was frozen, another goes on with its keyed stream, and it wakes with its caller still connected. The caller must
+// be told to ask again with its key, and get no end mark. Its next request at the same entry must be led to the record of
+// the other, which holds the stream, and not to what is left of it here.
+func TestSupersededEntryGivesWay(t *testing.T) {
+	e := startEngine(t, nil)
+	store, records := newMemoryStore(), newMemoryRecords()
+	r := newRig(t, siteText("", true, []string{e.Addr()}, nil), withKeys(store.claims("e1"), records))
+	a := ask{prompt: "superseded [len=2000]", stream: true, key: "k"}
+	var st story
+	var put uint32
+	st.read(t, eventsOf(r.send(context.Background(), a)), func(n int) {
+		if n != 20 {
+			return
+		}
+		records.mu.Lock()
+		records.recs["k"].Attempt += 17 // of the other entry
+		put = records.recs["k"].Attempt
+		records.mu.Unlock()
+		r.server.Superseded(r.server.table.running(nil)[0].id)
+	})
+	must.False(t, st.done)
+	must.NotNil(t, st.err)
+	must.Eq(t, result.TakenOver, st.err.Code)
+	eventually(t, "idle", func() bool { _, n := r.server.Counts(); return n == 0 })
+	must.Eq(t, put, records.recs["k"].Attempt, must.Sprint("its record stands over the other's"))
+	a.last = st.lastID
+	must.Eq(t, result.AlreadyRunning, readError(t, r.send(context.Background(), a)).Code)
+}
--- a/lib/entry/tick.go
+++ b/lib/entry/tick.go
@@ -86,8 +86,9 @@
 		return
 	}
 	g.mu.Lock()
+	lost := context.Cause(g.ctx) == errTakenOver
 	due := last || g.recordedAt.IsZero() || (g.text.Len() > g.recorded && now.Sub(g.recordedAt) >= recordMinimum)
-	if !due || !g.begun || g.text.Size() > maxRecordText {
+	if !due || !g.begun || lost || g.text.Size() > maxRecordText {
 		g.mu.Unlock()
 		return
 	}
--- a/lib/entryproc/assemble.go
+++ b/lib/entryproc/assemble.go
@@ -6,6 +6,7 @@
 	"anvilwick.example/anvilwick/lib/engineapi"
 	"anvilwick.example/anvilwick/lib/entry"
 	"anvilwick.example/anvilwick/lib/guardlink"
+	"anvilwick.example/anvilwick/lib/ids"
 	"anvilwick.example/anvilwick/lib/limit"
 	"anvilwick.example/anvilwick/lib/loadpoll"
 	"anvilwick.example/anvilwick/lib/member"
@@ -108,6 +109,7 @@
 			Self: mesh.Identity{Instance: p.cfg.Instance, Incarnation: p.cfg.Incarnation},
 			Node: p.links.node,
 			View: p.links.members.View,
+			Lost: func(g ids.Generation) { p.server.Superseded(g) },
 		})
 	}
 }
--- a/lib/result/result.go
+++ b/lib/result/result.go
@@ -66,6 +66,7 @@
 	CallerGone      Code = 4004
 	TargetCutShort  Code = 4005
 	InvariantBroken Code = 4006
+	TakenOver       Code = 4007
 
 	// 5xxx: outcome unknown.
 	Unknown       Code = 5000
@@ -129,6 +130,7 @@
 	{CallerGone, "caller_gone", 499, FailedRan, AgainWithKey, "the caller closed its connection"},
 	{TargetCutShort, "target_cut_short", http.StatusBadGateway, FailedRan, AgainIdempotent, "the target's answer ended without its end mark"},
 	{InvariantBroken, "invariant_broken", http.StatusInternalServerError, FailedRan, AgainIdempotent, "an internal check failed; this request was stopped"},
+	{TakenOver, "taken_over", http.StatusConflict, FailedRan, AgainWithKey, "this instance was cut off, and another goes on with the request"},
 	{Unknown, "outcome_unknown", http.StatusBadGateway, OutcomeUnknown, AgainNo, "the target may have run it; nobody can prove which"},
 	{ClaimOrphan, "claim_orphan", http.StatusConflict, OutcomeUnknown, AgainNo, "the key was claimed, its holder is gone, and the outcome is not known"},
 	{TargetSilent, "target_silent", http.StatusGatewayTimeout, OutcomeUnknown, AgainNo, "the target fell silent while it ran the call"},
