Don't hold a caller's stream against a generation that was only drawn

Cause: an entry that is asked for a key lists a generation with a fresh id while it asks for the claim. A second request with the key and a Last-Event-ID met that listing and was told 5003, stream lost, though the next second would have given it the rest.

Ruled out: a lost record; it stood at both peers.

Change: before the claim is held such a caller is told 3009 with a time to come back.

Conclusion: "lost" is said only when the keeper of records says so.

--- a/lib/entry/complete.go
+++ b/lib/entry/complete.go
@@ -119,6 +119,13 @@
 		return nil, nil, result.New(result.KeyReused, "%s", callerapi.HeaderKey)
 	}
 	last := a.headers.LastEvent
+	if last != nil && last.Generation != g.id && !g.owned() {
+		// Its id was only drawn. Whether the stream that the caller names can be gone on with is not known before the
+		// claim is: told that it is lost, the caller would give it up.
+		err := result.New(result.AlreadyRunning, "its claim is asked for")
+		err.RetryAfter = time.Second
+		return nil, nil, err
+	}
 	if last != nil && last.Generation != g.id {
 		return nil, nil, result.New(result.UnknownStream, "%s names another generation", callerapi.HeaderLastEvent)
 	}
--- a/lib/entry/generation.go
+++ b/lib/entry/generation.go
@@ -125,6 +125,13 @@
 	g.begun = true
 }
 
+// owned reports whether own was called.
+func (g *generation) owned() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.begun
+}
+
 // begin numbers the next attempt. The caller has fenced the one before.
 func (g *generation) begin() (uint32, error) {
 	g.mu.Lock()
--- a/lib/entry/takeover_test.go
+++ b/lib/entry/takeover_test.go
@@ -164,6 +164,25 @@
 	}
 }
 
+// Two processes of a caller come back at once after its entry died. The entry that they ask is still asking for the claim
+// for the one that names no event, under a generation that it just drew; the other names the event it saw last. Held
+// against the drawn generation it would hear that its stream is lost, for good, while the next second gives it the rest.
+func TestComesBackWhileTheClaimIsAskedFor(t *testing.T) {
+	d := newDeadStream(t)
+	way := d.store.gate()
+	way.slow = make(chan struct{})
+	answer := sync.OnceFunc(func() { close(way.slow) })
+	r := newRig(t, d.text, withKeys(claimsOn(way, "e2", []string{"e1"}), d.records))
+	t.Cleanup(answer) // before the entry is stopped, which waits for its requests
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = r.send(context.Background(), ask{prompt: d.prompt, stream: true, key: "k"}) })
+	eventually(t, "asked", func() bool { _, n := r.server.Counts(); return n == 1 })
+	again := ask{prompt: d.prompt, stream: true, key: "k", last: d.st.lastID}
+	must.Eq(t, result.AlreadyRunning, readError(t, r.send(context.Background(), again)).Code)
+	answer()
+	wg.Wait()
+}
+
 // The entry dies before the first token of its stream is in the record. The entry that goes on marks its attempt in the
 // claim that it took over, as after any attempt that may have run, under a number above those that may have been used.
 func TestTakeOverBeforeTheFirstToken(t *testing.T) {
@@ -206,3 +225,29 @@
 	a.last = st.lastID
 	must.Eq(t, result.AlreadyRunning, readError(t, r.send(context.Background(), a)).Code)
 }
+
+// Generations of the service are idempotent, the store is down, and its entry dies. No claim holds it, so that another entry goes
+// on with it at once from the record.
+func TestIdempotentStreamGoesOnWithoutTheStore(t *testing.T) {
+	e := startEngine(t, nil)
+	text := siteText("", true, []string{e.Addr()}, nil)
+	records, way := newMemoryRecords(), newMemoryStore().gate()
+	way.shut()
+	first := newRig(t, text, withKeys(way.claims("e1"), records))
+	second := newRig(t, text, withKeys(way.claims("e2"), records))
+	for _, r := range []*rig{first, second} {
+		snap := snapshot(t, text, 2)
+		snap.Services["planner-llm"].Idempotent = true
+		r.server.Apply(snap)
+	}
+	a := ask{prompt: "idempotent [len=80]", stream: true, key: "k"}
+	var st story
+	readSome(t, first, a, &st, 20)
+	for _, g := range first.server.table.running(nil) {
+		first.server.record(g, first.server.now(), true)
+	}
+	die(t, first, way, records)
+	a.last = st.lastID
+	st.read(t, eventsOf(second.send(context.Background(), a)), nil)
+	st.whole(t, a.prompt, 80)
+}
