power: give each shard its own share, and start owners at the fallback of the settings

Cause: an entry that its control process had told nothing drew what it liked: after a start with settings from a peer, after a restart, with the control process dead from the beginning. And a service's share was divided over the shards hosted on the instance, so that one shard in use beside an owned one took a part that nobody had counted there, and a control process that left out targets of unknown power split the service otherwise than entries do.

Change: lib/powerplan works out the parts and fallbacks from a revision; entries and control processes use it alike. It splits all targets of a service, so drains move no shard. schedlink.Host starts every shard at its fallback, less what drained targets draw with nothing running, and takes shares by shard (PowerShare.shard). A cap that settings take back is lifted; before, the last fallback held for ever. An entry without links, for which nobody divides the cap, holds to the fallbacks too.

--- a/lib/control/power.go
+++ b/lib/control/power.go
@@ -12,6 +12,7 @@
 	"anvilwick.example/anvilwick/lib/meshpb"
 	"anvilwick.example/anvilwick/lib/platformapi"
 	"anvilwick.example/anvilwick/lib/power"
+	"anvilwick.example/anvilwick/lib/powerplan"
 	"anvilwick.example/anvilwick/lib/shard"
 )
 
@@ -43,7 +44,7 @@
 type followers struct {
 	p        *Process
 	revision uint64
-	plan     *powerPlan
+	plan     *powerplan.Plan
 	parts    map[string]*follower
 	after    uint64 // revision of the last share read
 }
@@ -71,29 +72,29 @@
 		return
 	}
 	f.revision = snap.Revision
-	f.plan = planPower(snap)
+	f.plan = powerplan.Of(snap)
 	for name, part := range f.parts {
-		if f.plan == nil || f.plan.parts[name] == nil {
+		if f.plan == nil || f.plan.Parts[name] == nil {
 			delete(f.parts, name)
 			continue
 		}
-		part.SetFallback(f.plan.fallbacks[name])
+		part.SetFallback(f.plan.Fallbacks[name])
 	}
 }
 
-// owned returns what waits in each shard that the entry owns, and keeps followers for those only.
-func (f *followers) owned(v tablesView) map[string]int {
-	out := map[string]int{}
+// owned returns what waits and runs in each shard that the entry owns, and keeps followers for those only.
+func (f *followers) owned(v tablesView) map[string]ownedShard {
+	out := map[string]ownedShard{}
 	for _, d := range v.entry.GetShards() {
 		name := partName(d)
-		if f.plan.parts[name] == nil {
+		if f.plan.Parts[name] == nil {
 			continue
 		}
-		out[name] = int(d.GetQueued())
+		out[name] = ownedShard{queued: int(d.GetQueued()), running: int(d.GetRunning())}
 		if f.parts[name] == nil {
 			now := time.Now()
 			epoch := uint64(now.UnixNano()) // grows with each life of a follower, of this process or another
-			f.parts[name] = &follower{Follower: power.NewFollower(now, f.plan.cfg, name, epoch, f.plan.fallbacks[name])}
+			f.parts[name] = &follower{Follower: power.NewFollower(now, f.plan.Config, name, epoch, f.plan.Fallbacks[name])}
 		}
 	}
 	for name := range f.parts {
@@ -105,7 +106,7 @@
 }
 
 // report leaves the reports that are due in one transaction.
-func (f *followers) report(ctx context.Context, v tablesView, owned map[string]int) {
+func (f *followers) report(ctx context.Context, v tablesView, owned map[string]ownedShard) {
 	now := time.Now()
 	var txn platformapi.Txn
 	for name, part := range f.parts {
@@ -113,7 +114,7 @@
 			continue
 		}
 		part.reported = now
-		d := f.plan.parts[name].demandOf(v, owned[name], func(r report) int64 { return now.Sub(r.taken).Milliseconds() })
+		d := demandOf(f.plan.Parts[name], v, owned[name], now)
 		value, err := json.Marshal(powerReport{
 			Report: part.Report(now, d.wanted, d.modelled), MeasuredWatts: d.measured, MeasuredAgeMS: d.ageMS,
 		})
@@ -151,15 +152,13 @@
 	}
 }
 
-// tell sends the entry one share a service: the sum over the shards that it owns, valid as long as the shortest of them.
-// An entry that owns none of a service's shards is told the fallback, so that it starts at it should it become an owner
-// before its control process has heard of that.
+// tell sends the entry one share a shard. For a shard that it doesn't own it is told the fallback, so that it starts at
+// it should it become an owner before its control process has heard of that.
 func (f *followers) tell(now time.Time) {
-	shares := f.ownedShares(now)
-	for service, s := range fallbackShares(f.plan) {
-		if shares[service] == nil {
-			shares[service] = s
-		}
+	shares := fallbackShares(f.plan)
+	for name, part := range f.parts {
+		s := shares[name]
+		s.Watts, s.ValidMs = part.Limit(now), part.Valid(now).Milliseconds()
 	}
 	for _, s := range shares {
 		f.p.link.Set(&meshpb.LocalDown{Msg: &meshpb.LocalDown_Power{Power: s}})
@@ -167,37 +166,15 @@
 	f.p.tables.setShares(shares, now)
 }
 
-func (f *followers) ownedShares(now time.Time) map[string]*meshpb.PowerShare {
-	shares := map[string]*meshpb.PowerShare{}
-	for name, part := range f.parts {
-		service := f.plan.parts[name].service
-		s := shares[service]
-		valid := part.Valid(now).Milliseconds()
-		if s == nil {
-			s = &meshpb.PowerShare{Service: service, ValidMs: valid}
-			shares[service] = s
-		}
-		s.Watts += part.Limit(now)
-		s.FallbackWatts += f.plan.fallbacks[name]
-		s.ValidMs = min(s.ValidMs, valid)
-	}
-	return shares
-}
-
-// fallbackShares gives each service of a plan, which may be nil, the sum of its parts' fallbacks, valid for no time.
-func fallbackShares(plan *powerPlan) map[string]*meshpb.PowerShare {
+// fallbackShares gives each part of a plan, which may be nil, its fallback, valid for no time.
+func fallbackShares(plan *powerplan.Plan) map[string]*meshpb.PowerShare {
 	shares := map[string]*meshpb.PowerShare{}
 	if plan == nil {
 		return shares
 	}
-	for name, part := range plan.parts {
-		s := shares[part.service]
-		if s == nil {
-			s = &meshpb.PowerShare{Service: part.service}
-			shares[part.service] = s
-		}
-		s.Watts += plan.fallbacks[name]
-		s.FallbackWatts = s.Watts
+	for name, part := range plan.Parts {
+		w := plan.Fallbacks[name]
+		shares[name] = &meshpb.PowerShare{Service: part.ID.Service, Shard: part.ID.Index, Watts: w, FallbackWatts: w}
 	}
 	return shares
 }
@@ -222,7 +199,7 @@
 	held     *lease.Held
 	since    time.Time
 	revision uint64
-	plan     *powerPlan
+	plan     *powerplan.Plan
 	allotter *power.Allotter
 	after    uint64
 	reports  map[string]heardReport // the newest of each part
@@ -258,18 +235,18 @@
 		return
 	}
 	a.revision = snap.Revision
-	plan := planPower(snap)
+	plan := powerplan.Of(snap)
 	if plan == nil {
 		a.plan = nil
 		return
 	}
-	if a.plan == nil || a.plan.cfg != plan.cfg {
+	if a.plan == nil || a.plan.Config != plan.Config {
 		// Another cap: shares given under the old one must be waited out, as those of another holder are.
-		a.allotter = power.NewAllotter(plan.cfg)
+		a.allotter = power.NewAllotter(plan.Config)
 		a.since = time.Now()
 	}
 	a.plan = plan
-	a.allotter.SetFallbacks(plan.fallbacks)
+	a.allotter.SetFallbacks(plan.Fallbacks)
 }
 
 func (a *allotting) take(items []platformapi.Item) []power.Report {
@@ -293,7 +270,7 @@
 	var sum power.Reading
 	now := time.Now()
 	for name, r := range a.reports {
-		if a.plan.parts[name] == nil {
+		if a.plan.Parts[name] == nil {
 			delete(a.reports, name)
 			continue
 		}
--- a/lib/control/power_test.go
+++ b/lib/control/power_test.go
@@ -52,7 +52,7 @@
 
 // limit is what instance i's entry may draw for its service.
 func (f *fleet) limit(i int) float64 {
-	s, ok := f.procs[i].tables.view().shares[fmt.Sprint("s", i)]
+	s, ok := f.procs[i].tables.view().shares[fmt.Sprintf("s%d/0", i)]
 	switch {
 	case !ok:
 		return 0
@@ -89,7 +89,7 @@
 		}
 		f.load(0, 6, 30)
 		f.pass(30 * time.Second)
-		fallback := f.procs[0].tables.view().shares["s0"].GetFallbackWatts()
+		fallback := f.procs[0].tables.view().shares["s0/0"].GetFallbackWatts()
 		must.Greater(t, 1.3*fallback, f.limit(0))
 
 		must.True(t, f.store.SetFault(standin.Fault{Kind: standin.FaultOutage, DurationMS: 60_000}))
--- a/lib/control/settings.go
+++ b/lib/control/settings.go
@@ -5,6 +5,7 @@
 
 	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/meshpb"
+	"anvilwick.example/anvilwick/lib/powerplan"
 	"anvilwick.example/anvilwick/lib/settings"
 	"anvilwick.example/anvilwick/lib/settingsync"
 )
@@ -70,7 +71,7 @@
 	if err != nil {
 		return
 	}
-	for _, s := range fallbackShares(planPower(snap)) {
+	for _, s := range fallbackShares(powerplan.Of(snap)) {
 		p.link.Set(&meshpb.LocalDown{Msg: &meshpb.LocalDown_Power{Power: s}})
 	}
 }
--- a/lib/control/settings_test.go
+++ b/lib/control/settings_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"anvilwick.example/anvilwick/lib/meshpb"
+	"anvilwick.example/anvilwick/lib/powerplan"
 	"anvilwick.example/anvilwick/lib/settings"
 	standin "anvilwick.example/anvilwick/lib/standin/platform"
 )
@@ -57,7 +58,7 @@
 	must.NoError(t, err)
 	snap, err := tree.Resolve(1)
 	must.NoError(t, err)
-	shares := fallbackShares(planPower(snap))
+	shares := fallbackShares(powerplan.Of(snap))
 	must.MapLen(t, services, shares)
 	sum := 0.0
 	for _, share := range shares {
--- a/lib/control/status.go
+++ b/lib/control/status.go
@@ -62,15 +62,18 @@
 
 func shares(v tablesView, now time.Time) []opsapi.Power {
 	var out []opsapi.Power
-	for service, s := range v.shares {
+	for _, s := range v.shares {
 		out = append(out, opsapi.Power{
-			Service:       service,
+			Service:       s.GetService(),
+			Shard:         s.GetShard(),
 			Watts:         s.GetWatts(),
 			FallbackWatts: s.GetFallbackWatts(),
 			LeftMS:        max(0, s.until.Sub(now).Milliseconds()),
 		})
 	}
-	slices.SortFunc(out, func(a, b opsapi.Power) int { return cmp.Compare(a.Service, b.Service) })
+	slices.SortFunc(out, func(a, b opsapi.Power) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Shard, b.Shard))
+	})
 	return out
 }
 
--- a/lib/control/tables.go
+++ b/lib/control/tables.go
@@ -39,7 +39,7 @@
 	shares    map[string]heldShare
 }
 
-// heldShare is what the entry was told of a service's power, with the time at which it runs out.
+// heldShare is what the entry was told of a shard's power, with the time at which it runs out.
 type heldShare struct {
 	*meshpb.PowerShare
 	until time.Time
@@ -130,8 +130,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.shares = make(map[string]heldShare, len(shares))
-	for service, s := range shares {
-		t.shares[service] = heldShare{s, now.Add(time.Duration(s.GetValidMs()) * time.Millisecond)}
+	for name, s := range shares {
+		t.shares[name] = heldShare{s, now.Add(time.Duration(s.GetValidMs()) * time.Millisecond)}
 	}
 }
 
--- a/lib/ctl/ops.go
+++ b/lib/ctl/ops.go
@@ -187,7 +187,7 @@
 			fmt.Fprintf(w, "lease %s\theld by %s\tfencing number %d\t%d ms left\n", l.Name, a.body.Instance, l.Fence, l.LeftMS)
 		}
 		for _, p := range a.body.Power {
-			fmt.Fprintf(w, "power of %s\tat %s\t%.0f W\tfallback %.0f W, %d ms left\n", p.Service, a.body.Instance, p.Watts, p.FallbackWatts, p.LeftMS)
+			fmt.Fprintf(w, "power of %s/%d\tat %s\t%.0f W\tfallback %.0f W, %d ms left\n", p.Service, p.Shard, a.body.Instance, p.Watts, p.FallbackWatts, p.LeftMS)
 		}
 	}
 	_ = w.Flush()
--- a/lib/e2e/power_test.go
+++ b/lib/e2e/power_test.go
@@ -70,3 +70,71 @@
 	}
 	return sum
 }
+
+// Every control process is killed, and then the entries are restarted one after another: each has its settings from the
+// other, and nobody to tell it of power. Forty requests at once would draw 2200 W. What must be seen: the entries hold to
+// the fallbacks that the settings give, the cap is never passed, and every caller gets its whole answer.
+func TestPowerCapHoldsWithoutControlProcesses(t *testing.T) {
+	s := cappedSettings()
+	site, ctx := siteWith(t, 2, 2, s)
+	for _, n := range site.Controls {
+		must.NoError(t, n.Kill())
+	}
+	for _, n := range site.Entries {
+		must.NoError(t, n.Kill())
+		must.NoError(t, site.Restart(n))
+		must.NoError(t, site.AwaitReady(ctx, n))
+	}
+	underTheCap(t, ctx, site)
+}
+
+// The engines' load reports freeze, age and all, before forty requests come: they tell of idle engines for ever. The cap
+// must hold on what owners know themselves, and every caller gets its whole answer.
+func TestPowerCapHoldsWithFrozenReports(t *testing.T) {
+	site, ctx := siteWith(t, 2, 2, cappedSettings())
+	for _, n := range site.Engines {
+		must.NoError(t, localsite.EngineFault(ctx, n, engine.Fault{Kind: engine.FaultFreeze}))
+	}
+	underTheCap(t, ctx, site)
+}
+
+const capWatts = 1000
+
+func cappedSettings() localsite.Settings {
+	s := someSettings()
+	s.PowerCap, s.IdleWatts, s.SeqWatts, s.MaxBatch = capWatts, 100, 50, 30
+	return s
+}
+
+// underTheCap sends forty requests and checks what the engines draw, by the sequences that they really run.
+func underTheCap(t *testing.T, ctx context.Context, site *localsite.Site) {
+	t.Helper()
+	c := clientOf(site)
+	var streams []*stream
+	for i := range 40 {
+		streams = append(streams, start(ctx, c, fmt.Sprint("watts ", i), 40, caller.Call{Entry: i}))
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for _, s := range streams {
+			<-s.done
+		}
+	}()
+	top, samples := 0, 0
+	for running := true; running; {
+		select {
+		case <-done:
+			running = false
+		case <-time.After(20 * time.Millisecond):
+			top = max(top, running2watts(t, ctx, site))
+			samples++
+		}
+	}
+	for _, s := range streams {
+		s.whole(t, ctx)
+	}
+	t.Logf("most drawn %d W of %d W in %d samples", top, capWatts, samples)
+	must.LessEq(t, capWatts, top)
+	must.Greater(t, 200, top)
+}
--- a/lib/entryproc/decider.go
+++ b/lib/entryproc/decider.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -10,9 +11,11 @@
 	"anvilwick.example/anvilwick/lib/loadpoll"
 	"anvilwick.example/anvilwick/lib/meshpb"
 	"anvilwick.example/anvilwick/lib/placer"
+	"anvilwick.example/anvilwick/lib/powerplan"
 	"anvilwick.example/anvilwick/lib/sched"
 	"anvilwick.example/anvilwick/lib/schedlink"
 	"anvilwick.example/anvilwick/lib/settings"
+	"anvilwick.example/anvilwick/lib/shard"
 	"anvilwick.example/anvilwick/lib/target"
 )
 
@@ -21,8 +24,6 @@
 	placer.Placer
 	// apply takes up a revision of settings.
 	apply(snap *settings.Snapshot, clients func(*settings.Service) []*target.Client)
-	// setPower puts a share of the site's power in force.
-	setPower(share *meshpb.PowerShare)
 }
 
 // reportFunc sees each whole load report of an engine.
@@ -52,6 +53,7 @@
 func (d *alone) apply(snap *settings.Snapshot, clients func(*settings.Service) []*target.Client) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	power := powerplan.Of(snap)
 	for name, svc := range snap.Services {
 		if svc.Kind != settings.KindModel {
 			continue
@@ -59,6 +61,7 @@
 		r := d.Runner(name)
 		r.SetPolicy(entry.ClassPolicies(snap, name))
 		r.SetTargets(entry.TargetSpecs(svc))
+		setPower(r, powerOf(power, name))
 		d.poller(name, r).SetTargets(clients(svc))
 	}
 	for name, p := range d.pollers {
@@ -78,9 +81,30 @@
 	return p
 }
 
-func (d *alone) setPower(share *meshpb.PowerShare) {
-	valid := time.Duration(share.GetValidMs()) * time.Millisecond
-	d.Runner(share.GetService()).SetPower(share.GetWatts(), valid, share.GetFallbackWatts())
+// setPower holds a service to the fallbacks of its shards: nobody divides the cap for an entry without links.
+func setPower(r *placer.Runner, shards map[uint32]schedlink.ShardPower) {
+	watts := math.Inf(1)
+	if len(shards) > 0 {
+		watts = 0
+	}
+	for _, p := range shards {
+		watts += max(0, p.FallbackWatts-p.DrainedWatts)
+	}
+	r.SetPower(watts, 0, watts)
+}
+
+// powerOf returns what a plan, which may be nil, says of the shards of a service.
+func powerOf(plan *powerplan.Plan, service string) map[uint32]schedlink.ShardPower {
+	if plan == nil {
+		return nil
+	}
+	out := make(map[uint32]schedlink.ShardPower)
+	for name, p := range plan.Parts {
+		if p.ID.Service == service {
+			out[p.ID.Index] = schedlink.ShardPower{FallbackWatts: plan.Fallbacks[name], DrainedWatts: p.DrainedWatts()}
+		}
+	}
+	return out
 }
 
 // shared asks the owners of shards over the mesh, and decides for the shards that this process owns.
@@ -122,6 +146,7 @@
 
 func (d *shared) apply(snap *settings.Snapshot, clients func(*settings.Service) []*target.Client) {
 	site := schedlink.Site{ShardTargets: snap.Site.ShardTargets}
+	power := powerplan.Of(snap)
 	all := make(map[string]*target.Client)
 	for name, svc := range snap.Services {
 		if svc.Kind != settings.KindModel {
@@ -134,6 +159,7 @@
 			Name:     name,
 			Targets:  entry.TargetSpecs(svc),
 			Policies: entry.ClassPolicies(snap, name),
+			Power:    powerOf(power, name),
 		})
 	}
 	d.mu.Lock()
@@ -144,5 +170,5 @@
 
 func (d *shared) setPower(share *meshpb.PowerShare) {
 	valid := time.Duration(share.GetValidMs()) * time.Millisecond
-	d.host.SetPower(share.GetService(), share.GetWatts(), valid, share.GetFallbackWatts())
+	d.host.SetPower(shard.ID{Service: share.GetService(), Index: share.GetShard()}, share.GetWatts(), valid)
 }
--- a/lib/locallink/client.go
+++ b/lib/locallink/client.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -75,7 +76,7 @@
 	case *meshpb.LocalDown_View:
 		return "view"
 	case *meshpb.LocalDown_Power:
-		return "power/" + m.Power.GetService()
+		return fmt.Sprintf("power/%s/%d", m.Power.GetService(), m.Power.GetShard())
 	case *meshpb.LocalDown_Drain:
 		return "drain/" + m.Drain.GetTarget()
 	default:
--- a/lib/locallink/link_test.go
+++ b/lib/locallink/link_test.go
@@ -191,7 +191,7 @@
 func TestPowerShareIsSentWithTheTimeThatIsLeft(t *testing.T) {
 	c := newClient(t, "")
 	c.Set(powerMsg(10_000))
-	e := c.state["power/s"]
+	e := c.state["power/s/0"]
 	later := e.current(e.expires.Add(-2 * time.Second))
 	must.Eq(t, 2000, later.GetPower().GetValidMs())
 	must.Eq(t, 0, e.current(e.expires.Add(time.Hour)).GetPower().GetValidMs())
--- a/lib/opsapi/types.go
+++ b/lib/opsapi/types.go
@@ -63,6 +63,7 @@
 // Power is a service's share of the site's power in force here.
 type Power struct {
 	Service       string  `json:"service"`
+	Shard         uint32  `json:"shard"`
 	Watts         float64 `json:"watts"`
 	FallbackWatts float64 `json:"fallback_watts"`
 	Fence         uint64  `json:"fence"`
--- /dev/null
+++ b/lib/powerplan/powerplan.go
@@ -0,0 +1,82 @@
+// Package powerplan works out what one revision of settings says about power: the parts that draw it, one a shard, and
+// the fallback of each. Entries and control processes work it out alike, with no message.
+package powerplan
+
+import (
+	"anvilwick.example/anvilwick/lib/power"
+	"anvilwick.example/anvilwick/lib/settings"
+	"anvilwick.example/anvilwick/lib/shard"
+)
+
+// Part is a shard of a service as something that draws power.
+type Part struct {
+	ID       shard.ID
+	Targets  []settings.Target
+	MaxWatts float64 // with every batch full
+}
+
+// Plan is what a revision says about power.
+type Plan struct {
+	Config    power.Config
+	Parts     map[string]*Part   // by the name of the shard
+	Fallbacks map[string]float64 // watts, by the name of the shard
+}
+
+// Of returns nil when the site has no cap or no target's power is known.
+func Of(snap *settings.Snapshot) *Plan {
+	if snap == nil || snap.Site.PowerCapWatts <= 0 {
+		return nil
+	}
+	plan := &Plan{
+		Config: power.DefaultConfig(snap.Site.PowerCapWatts, snap.Site.PowerGuardWatts),
+		Parts:  map[string]*Part{},
+	}
+	var list []power.Part
+	for _, svc := range snap.Services {
+		for _, p := range partsOf(svc, snap.Site.ShardTargets) {
+			plan.Parts[p.ID.String()] = p
+			list = append(list, power.Part{Name: p.ID.String(), MaxWatts: p.MaxWatts})
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	plan.Fallbacks = plan.Config.Fallbacks(list)
+	return plan
+}
+
+// partsOf splits all targets of a service, also drained ones and those of unknown power, so that a shard's number, and
+// with it its fallback, stays the same while targets are drained and given back.
+func partsOf(svc *settings.Service, shardTargets int) []*Part {
+	byName := map[string]settings.Target{}
+	var names []string
+	for _, t := range svc.Targets {
+		byName[t.Name] = t
+		names = append(names, t.Name)
+	}
+	var parts []*Part
+	for _, sh := range shard.Split(svc.Name, names, shardTargets) {
+		p := &Part{ID: sh.ID}
+		for _, name := range sh.Targets {
+			t := byName[name]
+			p.Targets = append(p.Targets, t)
+			p.MaxWatts += t.IdleWatts + t.SeqWatts*float64(t.MaxBatch)
+		}
+		if p.MaxWatts > 0 {
+			parts = append(parts, p)
+		}
+	}
+	return parts
+}
+
+// DrainedWatts is what a part's drained targets draw with nothing running. Owners are not given these targets, and so
+// must leave it out of what they hand out.
+func (p *Part) DrainedWatts() float64 {
+	sum := 0.0
+	for _, t := range p.Targets {
+		if t.Draining {
+			sum += t.IdleWatts
+		}
+	}
+	return sum
+}
--- a/lib/schedlink/host.go
+++ b/lib/schedlink/host.go
@@ -37,12 +37,7 @@
 	view   *member.View
 	shards map[shard.ID]*hosted
 	owned  map[shard.ID]bool
-	power  map[string]powerShare
-}
-
-type powerShare struct {
-	watts, fallback float64
-	until           time.Time
+	power  map[shard.ID]powerShare
 }
 
 // NewHost returns a Host without shards, that lives until ctx is done.
@@ -56,7 +51,7 @@
 		start:  time.Now(),
 		plan:   make(plan),
 		shards: make(map[shard.ID]*hosted),
-		power:  make(map[string]powerShare),
+		power:  make(map[shard.ID]powerShare),
 	}
 }
 
@@ -87,9 +82,6 @@
 			delete(h.shards, id)
 		}
 	}
-	if changed {
-		h.sharePower()
-	}
 }
 
 // hostOwned works out which shards are this process's own. The caller holds mu.
@@ -138,7 +130,6 @@
 	s.targets = h.opts.Poll(ctx, id.Service, feed{Runner: s.runner, h: s})
 	h.shards[id] = s
 	h.configure(s)
-	h.sharePower()
 	go s.runner.Run(ctx, h.opts.Tick)
 	time.AfterFunc(h.opts.Settle, s.settle)
 	return s
@@ -156,6 +147,7 @@
 	s.runner.SetTargets(h.plan.specsOf(s.id))
 	s.knows(names)
 	s.targets(names)
+	h.applyPower(s)
 }
 
 // find returns a hosted shard, hosting it at need when the plan knows it.
@@ -200,31 +192,6 @@
 	return out
 }
 
-// SetPower sets this instance's share of watts for a service. It is divided over the hosted shards of the service by
-// their count of targets, and falls to fallback watts when validFor has passed.
-func (h *Host) SetPower(service string, watts float64, validFor time.Duration, fallback float64) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.power[service] = powerShare{watts: watts, fallback: fallback, until: time.Now().Add(validFor)}
-	h.sharePower()
-}
-
-// sharePower divides the shares anew. The caller holds mu.
-func (h *Host) sharePower() {
-	count := make(map[string]int)
-	for id := range h.shards {
-		count[id.Service] += len(h.plan.specsOf(id))
-	}
-	for id, s := range h.shards {
-		p, ok := h.power[id.Service]
-		if !ok || count[id.Service] == 0 {
-			continue
-		}
-		part := float64(len(h.plan.specsOf(id))) / float64(count[id.Service])
-		s.runner.SetPower(p.watts*part, time.Until(p.until), p.fallback*part)
-	}
-}
-
 // Serve handles one entry's stream of kind STREAM_SCHED.
 func (h *Host) Serve(_ context.Context, s *mesh.Stream) {
 	sess := newSession(h)
--- a/lib/schedlink/hosted.go
+++ b/lib/schedlink/hosted.go
@@ -18,6 +18,7 @@
 	epoch   uint64
 	runner  *placer.Runner
 	targets func(names []string) // what is polled
+	capped  bool                 // a limit on power is in force; Host.mu guards it
 	cancel  context.CancelFunc
 
 	mu       sync.Mutex // never held while runner is called: its Notify takes mu
--- a/lib/schedlink/site.go
+++ b/lib/schedlink/site.go
@@ -15,6 +15,13 @@
 	Name     string
 	Targets  []sched.TargetSpec
 	Policies sched.PolicyFunc
+	Power    map[uint32]ShardPower // by number of the shard; empty: no cap
+}
+
+// ShardPower is what settings alone let the owner of a shard draw.
+type ShardPower struct {
+	FallbackWatts float64 // without a share in force
+	DrainedWatts  float64 // drawn by targets of the shard that are not in Service.Targets
 }
 
 // Site is what Link and Host need of one revision of settings.
@@ -78,6 +85,14 @@
 	return &sp.shards[id.Index]
 }
 
+// powerOf returns what settings say of a shard's power; ok is false without a cap.
+func (p plan) powerOf(id shard.ID) (sp ShardPower, ok bool) {
+	if svc := p[id.Service]; svc != nil {
+		sp, ok = svc.Power[id.Index]
+	}
+	return sp, ok
+}
+
 // specsOf returns the targets of a shard.
 func (p plan) specsOf(id shard.ID) []sched.TargetSpec {
 	s := p.shard(id)
