power: count what the owner before started, hold those who decide alone to the fallback, date frozen reports

A part's model counts what its owner runs, too.

Price, not measured: while a target is dead or drained, and so has no report, the site keeps the widest guard.

Ruled out: leaving Finished out of the last record of a failed generation. Its record would stay as that of a running one and resends be refused as already running; the field's comment now says what the pair means.

--- a/lib/control/fleet_test.go
+++ b/lib/control/fleet_test.go
@@ -28,6 +28,8 @@
 	procs   []*Process
 	stop    []context.CancelFunc
 	loads   map[int][2]int // running and queued
+	since   time.Time      // when the targets' reports froze; zero: they are fresh
+	missing bool           // targets report nothing
 	engines *fakeEngines
 	wg      sync.WaitGroup
 }
--- a/lib/control/power_test.go
+++ b/lib/control/power_test.go
@@ -10,6 +10,8 @@
 	"github.com/shoenig/test/must"
 
 	"anvilwick.example/anvilwick/lib/meshpb"
+	"anvilwick.example/anvilwick/lib/powerplan"
+	"anvilwick.example/anvilwick/lib/settings"
 	standin "anvilwick.example/anvilwick/lib/standin/platform"
 )
 
@@ -44,7 +46,13 @@
 		digest := &meshpb.ShardDigest{Service: fmt.Sprint("s", i), Queued: uint32(queued), Running: uint32(running)}
 		status := &meshpb.EntryStatus{Shards: []*meshpb.ShardDigest{digest}}
 		rep := &meshpb.TargetReport{Target: fmt.Sprint("t", i), Running: uint32(running), Watts: 300 + 100*float64(running)}
+		if !f.since.IsZero() {
+			rep.AgeMs = time.Since(f.since).Milliseconds()
+		}
 		reports := &meshpb.TargetReports{Targets: []*meshpb.TargetReport{rep}}
+		if f.missing {
+			reports.Targets = nil
+		}
 		f.procs[i].tables.hear(&meshpb.LocalUp{Msg: &meshpb.LocalUp_Status{Status: status}})
 		f.procs[i].tables.hear(&meshpb.LocalUp{Msg: &meshpb.LocalUp_Reports{Reports: reports}})
 	}
@@ -69,11 +77,7 @@
 		f.report()
 		time.Sleep(250 * time.Millisecond)
 		synctest.Wait()
-		sum := 0.0
-		for i := range f.procs {
-			sum += f.limit(i)
-		}
-		must.LessEq(f.t, cap4kW, sum)
+		must.LessEq(f.t, cap4kW, f.limits())
 	}
 }
 
@@ -131,6 +135,58 @@
 	})
 }
 
+// All services have more to do than the cap allows, and hold nearly all of it. Then the targets' reports freeze, and then
+// there are none. Nobody knows any more what is drawn: within the life of the shares all of them together must leave the
+// widest guard free, for as long as it lasts; no longer when reports come again.
+func TestPowerKeepsItsWidestGuardWithoutReadings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, services, powerSettings())
+		defer f.close()
+		for i := range services {
+			f.load(i, 8, 30)
+		}
+		f.pass(40 * time.Second)
+		cfg := powerplan.Of(f.procs[0].Snapshot()).Config
+		widest := cfg.CapWatts - cfg.MaxGuardWatts
+		must.Greater(t, widest, f.limits())
+		f.since = time.Now()
+		f.pass(cfg.MaxAge + cfg.TTL + reportEvery)
+		for range 20 {
+			f.pass(time.Second)
+			must.LessEq(t, widest, f.limits())
+		}
+		f.missing = true
+		for range 70 {
+			f.pass(time.Second)
+			must.LessEq(t, widest, f.limits())
+		}
+		f.since, f.missing = time.Time{}, false
+		f.pass(30 * time.Second)
+		must.Greater(t, widest, f.limits())
+	})
+}
+
+// limits is what all entries together may draw.
+func (f *fleet) limits() float64 {
+	sum := 0.0
+	for i := range f.procs {
+		sum += f.limit(i)
+	}
+	return sum
+}
+
+// The reports of a target froze while it was idle. What its owner runs there must count as drawn, or the site's power
+// goes to others while this part uses it.
+func TestDemandCountsWhatTheOwnerRuns(t *testing.T) {
+	p := &powerplan.Part{MaxWatts: 5000, Targets: []settings.Target{{Name: "t", IdleWatts: 300, SeqWatts: 100}}}
+	now := time.Now()
+	v := tablesView{reports: map[string]report{"t": {&meshpb.TargetReport{Target: "t", Watts: 300}, now}}}
+	d := demandOf(p, v, ownedShard{queued: 2, running: 5}, now)
+	must.Eq(t, demand{wanted: 1000, modelled: 800, measured: 300}, d)
+	d = demandOf(p, tablesView{}, ownedShard{}, now)
+	must.Eq(t, demand{wanted: 300, modelled: 300, measured: 300, ageMS: missingAge.Milliseconds()}, d)
+}
+
 // awaitReport returns as soon as instance i has left its next report in the table.
 func (f *fleet) awaitReport(i int) {
 	f.report()
--- a/lib/e2e/power_test.go
+++ b/lib/e2e/power_test.go
@@ -13,6 +13,7 @@
 	"anvilwick.example/anvilwick/lib/caller"
 	"anvilwick.example/anvilwick/lib/engineapi"
 	"anvilwick.example/anvilwick/lib/localsite"
+	"anvilwick.example/anvilwick/lib/standin/engine"
 )
 
 // Forty requests arrive at once at a site whose cap lets some sixteen sequences run at most. All of them at once would
@@ -121,20 +122,32 @@
 			<-s.done
 		}
 	}()
-	top, samples := 0, 0
+	top, samples := 0.0, 0
 	for running := true; running; {
 		select {
 		case <-done:
 			running = false
 		case <-time.After(20 * time.Millisecond):
-			top = max(top, running2watts(t, ctx, site))
+			top = max(top, trulyDrawn(t, ctx, site))
 			samples++
 		}
 	}
 	for _, s := range streams {
 		s.whole(t, ctx)
 	}
-	t.Logf("most drawn %d W of %d W in %d samples", top, capWatts, samples)
+	t.Logf("most drawn %.0f W of %d W in %d samples", top, capWatts, samples)
 	must.LessEq(t, capWatts, top)
 	must.Greater(t, 200, top)
 }
+
+// trulyDrawn sums up what the engines draw, whatever their reports say.
+func trulyDrawn(t *testing.T, ctx context.Context, site *localsite.Site) float64 {
+	t.Helper()
+	sum := 0.0
+	for _, n := range site.Engines {
+		st, err := localsite.Stats(ctx, n)
+		must.NoError(t, err)
+		sum += st.Watts
+	}
+	return sum
+}
--- a/lib/entry/seams.go
+++ b/lib/entry/seams.go
@@ -65,9 +65,9 @@
 	Path        string
 	Request     []byte   // body as accepted
 	Tokens      []string // delivered so far, from index 0
-	Finished    bool
-	FinishedWhy string // finish reason of the end mark
-	Released    bool   // its caller left for too long and it was stopped: any entry may go on with it
+	Finished    bool     // it ended and won't go on; without FinishedWhy it failed
+	FinishedWhy string   // finish reason of the end mark
+	Released    bool     // its caller left for too long and it was stopped: any entry may go on with it
 }
 
 // Records keeps Records with peers, by workspace and key.
--- a/lib/loadpoll/loadpoll.go
+++ b/lib/loadpoll/loadpoll.go
@@ -90,6 +90,8 @@
 	client      *target.Client
 	failed      int
 	incarnation uint64
+	seq         uint64
+	seqSince    time.Time // when seq came first
 	cache       cacheCursor
 }
 
@@ -106,6 +108,7 @@
 	if rep.Incarnation != w.incarnation {
 		w.replaced(rep.Incarnation)
 	}
+	w.age(rep, time.Now())
 	w.poller.feed.Report(toReport(w.client.Name(), rep))
 	if w.poller.OnReport != nil {
 		w.poller.OnReport(w.client.Name(), rep)
@@ -113,6 +116,18 @@
 	w.cache.poll(ctx, w.client, w.poller.feed)
 }
 
+// age corrects the age of a report whose number stands still.
+//
+// Failure: an engine's reports freeze, age and all; the site's draw is read as it was for as long as that lasts, always
+// fresh, and budgets grow on it. The number is what a frozen engine can't move. Engines that give none are believed.
+func (w *watch) age(rep *engineapi.LoadReport, now time.Time) {
+	if rep.Seq == 0 || rep.Seq != w.seq {
+		w.seq, w.seqSince = rep.Seq, now
+		return
+	}
+	rep.AgeMS += now.Sub(w.seqSince).Milliseconds()
+}
+
 func (w *watch) fail() {
 	w.failed++
 	if w.failed == goneAfter {
@@ -126,6 +141,7 @@
 		w.poller.feed.TargetGone(w.client.Name())
 	}
 	w.incarnation = incarnation
+	w.seq = 0
 	w.cache = cacheCursor{}
 }
 
--- a/lib/loadpoll/loadpoll_test.go
+++ b/lib/loadpoll/loadpoll_test.go
@@ -49,6 +49,7 @@
 type feed struct {
 	mu   sync.Mutex
 	told []string
+	ages []time.Duration // of reports
 }
 
 func (f *feed) note(s string) {
@@ -67,7 +68,7 @@
 
 func (f *feed) SetTargets([]sched.TargetSpec)          {}
 func (f *feed) SetPolicy(sched.PolicyFunc)             {}
-func (f *feed) Report(r sched.Report)                  { f.note("report " + r.Target) }
+func (f *feed) Report(r sched.Report)                  { f.note("report " + r.Target); f.ages = append(f.ages, r.Age) }
 func (f *feed) TargetGone(name string)                 { f.note("gone " + name) }
 func (f *feed) CacheSnapshot(_ string, p []uint64)     { f.note("snapshot " + string(rune('0'+len(p)))) }
 func (f *feed) CacheStored(_ string, p uint64, s bool) { f.note("stored " + string(rune('0'+p))) }
@@ -139,3 +140,28 @@
 	}
 	must.MapEmpty(t, p.stop)
 }
+
+// An engine's reports freeze: the same figures come again and again and call themselves fresh. Only the number tells. The
+// age passed on must grow with the time for which it stands still, and start anew with the next number or process.
+func TestFrozenReportsGrowOld(t *testing.T) {
+	e := newEngine(t)
+	w, f := newWatch(t, e)
+	ask := func(rep engineapi.LoadReport) time.Duration {
+		e.load = &rep
+		w.once(t.Context())
+		return f.ages[len(f.ages)-1]
+	}
+	rep := engineapi.LoadReport{Incarnation: 1, Seq: 7, AgeMS: 40}
+	must.Eq(t, 40*time.Millisecond, ask(rep))
+	w.seqSince = w.seqSince.Add(-12 * time.Second)
+	must.Between(t, 12*time.Second, ask(rep), 17*time.Second)
+	rep.Seq = 8
+	must.Eq(t, 40*time.Millisecond, ask(rep))
+	w.seqSince = w.seqSince.Add(-12 * time.Second)
+	rep.Incarnation = 2
+	must.Eq(t, 40*time.Millisecond, ask(rep))
+	rep.Seq = 0 // an engine that numbers nothing
+	w.seqSince = w.seqSince.Add(-12 * time.Second)
+	must.Eq(t, 40*time.Millisecond, ask(rep))
+	must.Eq(t, 40*time.Millisecond, ask(rep))
+}
--- a/lib/schedlink/alone.go
+++ b/lib/schedlink/alone.go
@@ -14,7 +14,8 @@
 // alone is what an entry knows without any owner: what it runs itself on each target, and which failed it lately.
 type alone struct {
 	rng     *rand.Rand
-	running map[string]int
+	running map[string]int // of this entry, by target
+	self    map[string]int // of these, placed without the owner
 	failed  map[string]time.Time
 }
 
@@ -25,18 +26,25 @@
 const retryAfterNoTarget = time.Second
 
 func newAlone(rng *rand.Rand) alone {
-	return alone{rng: rng, running: make(map[string]int), failed: make(map[string]time.Time)}
+	return alone{rng: rng, running: make(map[string]int), self: make(map[string]int), failed: make(map[string]time.Time)}
 }
 
 func (a *alone) placed(target string) { a.running[target]++ }
 
-func (a *alone) left(target string) {
-	if target == "" {
+func (a *alone) left(it *item) {
+	if it.target == "" {
 		return
 	}
-	a.running[target]--
-	if a.running[target] <= 0 {
-		delete(a.running, target)
+	decrement(a.running, it.target)
+	if it.self {
+		decrement(a.self, it.target)
+	}
+}
+
+func decrement(counts map[string]int, key string) {
+	counts[key]--
+	if counts[key] <= 0 {
+		delete(counts, key)
 	}
 }
 
@@ -134,14 +142,18 @@
 		it.notify(refuseNoTarget(&it.req))
 		return
 	}
+	if !l.powerRoom(it.id) {
+		return
+	}
 	target := l.alone.pick(targets, it.req.Avoid, l.room(it.id.Service), time.Now())
 	if target == "" {
 		return
 	}
 	aloneTotal.Inc()
 	grant := sched.Action{Kind: sched.ActGrant, Gen: it.req.Gen, Attempt: it.req.Attempt, Target: target, Priority: l.priority(it)}
-	it.target = target
+	it.target, it.self = target, true
 	l.alone.placed(target)
+	l.alone.self[target]++
 	if it.conn != nil {
 		it.conn.send(it.submit(l.Now()))
 	}
--- a/lib/schedlink/host.go
+++ b/lib/schedlink/host.go
@@ -124,6 +124,8 @@
 		gens:     make(map[ids.Generation]*hostedGen),
 		free:     make(map[string]int),
 		leaving:  make(map[string]bool),
+		heard:    make(map[string]bool),
+		since:    time.Now(),
 		lastUsed: time.Now(),
 		settling: true,
 	}
--- a/lib/schedlink/hosted.go
+++ b/lib/schedlink/hosted.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"anvilwick.example/anvilwick/lib/ids"
@@ -18,7 +19,8 @@
 	epoch   uint64
 	runner  *placer.Runner
 	targets func(names []string) // what is polled
-	capped  bool                 // a limit on power is in force; Host.mu guards it
+	capped  atomic.Bool          // a limit on power is in force
+	since   time.Time
 	cancel  context.CancelFunc
 
 	mu       sync.Mutex // never held while runner is called: its Notify takes mu
@@ -28,6 +30,7 @@
 	free     map[string]int
 	leaving  map[string]bool
 	known    map[string]bool // targets that the policy was given
+	heard    map[string]bool // targets that have reported, or could not be reached
 	lastUsed time.Time
 	settling bool
 	held     []sched.Request // queued requests that came while settling
@@ -90,6 +93,11 @@
 // settle passes on what was held, unless it ended meanwhile.
 func (h *hosted) settle() {
 	h.mu.Lock()
+	if h.unheard() {
+		h.mu.Unlock()
+		time.AfterFunc(settleAgain, h.settle)
+		return
+	}
 	h.settling = false
 	var ready []sched.Request
 	for _, r := range h.held {
@@ -104,6 +112,29 @@
 	}
 }
 
+// settleAgain is the time between two looks whether every target was heard.
+const settleAgain = 20 * time.Millisecond
+
+// heardWithin bounds the wait for targets that are not heard. The poller knows one that can't be reached sooner.
+const heardWithin = 10 * time.Second
+
+// unheard reports whether a new owner under a cap on power must listen on. The caller holds mu.
+//
+// Failure: the owner before it is cut off or frozen and its generations run on; entries that it alone serves tell the new
+// owner nothing of them. It would start as many again, and the engines together pass the cap. Each target's own report
+// tells of all that runs there, and the policy counts it before it grants.
+func (h *hosted) unheard() bool {
+	if !h.capped.Load() || time.Since(h.since) > heardWithin {
+		return false
+	}
+	for name := range h.known {
+		if !h.heard[name] {
+			return true
+		}
+	}
+	return false
+}
+
 // claim books the generation for session s. known: the policy has it already and as it should be; again is then
 // what the entry may have missed.
 func (h *hosted) claim(s *session, r *sched.Request) (known bool, again *sched.Action) {
@@ -279,6 +310,7 @@
 	}
 	f.h.mu.Unlock()
 	f.Runner.Report(r)
+	f.h.hears(r.Target)
 }
 
 // TargetGone implements placer.Feed.
@@ -288,6 +320,14 @@
 	delete(f.h.leaving, target)
 	f.h.mu.Unlock()
 	f.Runner.TargetGone(target)
+	f.h.hears(target)
+}
+
+// hears notes that the policy knows of a target's state.
+func (h *hosted) hears(target string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.heard[target] = true
 }
 
 // knows notes the targets that the policy was given.
--- a/lib/schedlink/item.go
+++ b/lib/schedlink/item.go
@@ -22,6 +22,7 @@
 	asked  time.Time  // when its owner was first asked
 	handle uint32     // short name of the generation on streams
 	target string     // where it runs; empty: queued
+	self   bool       // placed there without the owner
 	tokens int        // delivered, as last told
 	dirty  bool       // tokens not yet told to the owner
 }
--- a/lib/schedlink/link.go
+++ b/lib/schedlink/link.go
@@ -268,7 +268,7 @@
 		return
 	}
 	delete(l.items, g)
-	l.alone.left(it.target)
+	l.alone.left(it)
 	if it.conn != nil {
 		it.conn.bound--
 	}
--- a/lib/standin/engine/fault.go
+++ b/lib/standin/engine/fault.go
@@ -38,12 +38,13 @@
 
 // Stats counts what the stand-in did, for tests.
 type Stats struct {
-	Generations   int    `json:"generations"` // heard of, by an attempt or by a cancel
-	Attempts      int    `json:"attempts"`    // accepted
-	OrdersApplied int    `json:"orders_applied"`
-	Fence         uint64 `json:"fence"`
-	Preemptions   uint64 `json:"preemptions"`
-	Streams       int    `json:"streams"`
+	Generations   int     `json:"generations"` // heard of, by an attempt or by a cancel
+	Attempts      int     `json:"attempts"`    // accepted
+	OrdersApplied int     `json:"orders_applied"`
+	Fence         uint64  `json:"fence"`
+	Preemptions   uint64  `json:"preemptions"`
+	Streams       int     `json:"streams"`
+	Watts         float64 `json:"watts"` // drawn now, whatever the load reports say
 }
 
 type faultState struct {
@@ -188,5 +189,6 @@
 		Fence:         s.orders.fence,
 		Preemptions:   s.model.Preemptions(),
 		Streams:       len(s.streams),
+		Watts:         s.model.Watts(),
 	})
 }
