--- a/lib/loadpoll/loadpoll.go
+++ b/lib/loadpoll/loadpoll.go
@@ -90,8 +90,7 @@
 	client      *target.Client
 	failed      int
 	incarnation uint64
-	seq         uint64
-	seqSince    time.Time // when seq came first
+	dating      dating
 	cache       cacheCursor
 }
 
@@ -104,11 +103,11 @@
 		w.fail()
 		return
 	}
+	w.date(rep)
 	w.failed = 0
 	if rep.Incarnation != w.incarnation {
 		w.replaced(rep.Incarnation)
 	}
-	w.age(rep, time.Now())
 	w.poller.feed.Report(toReport(w.client.Name(), rep))
 	if w.poller.OnReport != nil {
 		w.poller.OnReport(w.client.Name(), rep)
@@ -116,16 +115,15 @@
 	w.cache.poll(ctx, w.client, w.poller.feed)
 }
 
-// age corrects the age of a report whose number stands still.
-//
-// Failure: an engine's reports freeze, age and all; the site's draw is read as it was for as long as that lasts, always
-// fresh, and budgets grow on it. The number is what a frozen engine can't move. Engines that give none are believed.
-func (w *watch) age(rep *engineapi.LoadReport, now time.Time) {
-	if rep.Seq == 0 || rep.Seq != w.seq {
-		w.seq, w.seqSince = rep.Seq, now
-		return
+// date puts the report's true age in place of the one that it tells.
+func (w *watch) date(rep *engineapi.LoadReport) {
+	now := time.Now()
+	if w.failed >= goneAfter {
+		w.dating.restart(now)
 	}
-	rep.AgeMS += now.Sub(w.seqSince).Milliseconds()
+	told := time.Duration(rep.AgeMS) * time.Millisecond
+	age := w.dating.age(now, rep.Incarnation, rep.Seq, told)
+	rep.AgeMS = int64((age + time.Millisecond - 1) / time.Millisecond) // rounded up: never younger than it is
 }
 
 func (w *watch) fail() {
@@ -141,7 +139,6 @@
 		w.poller.feed.TargetGone(w.client.Name())
 	}
 	w.incarnation = incarnation
-	w.seq = 0
 	w.cache = cacheCursor{}
 }
 
--- a/lib/schedlink/host.go
+++ b/lib/schedlink/host.go
@@ -38,6 +38,7 @@
 	shards map[shard.ID]*hosted
 	owned  map[shard.ID]bool
 	power  map[shard.ID]powerShare
+	tick   time.Duration // of settings; 0: opts.Tick
 }
 
 // NewHost returns a Host without shards, that lives until ctx is done.
@@ -84,6 +85,16 @@
 	}
 }
 
+// setTick changes the time between ticks of every shard's policy.
+func (h *Host) setTick(every time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tick = every
+	for _, s := range h.shards {
+		s.runner.SetTick(every)
+	}
+}
+
 // hostOwned works out which shards are this process's own. The caller holds mu.
 func (h *Host) hostOwned() {
 	own := newOwners(h.plan, h.view)
@@ -131,6 +142,7 @@
 	}
 	s.targets = h.opts.Poll(ctx, id.Service, feed{Runner: s.runner, h: s})
 	h.shards[id] = s
+	s.runner.SetTick(h.tick)
 	h.configure(s)
 	go s.runner.Run(ctx, h.opts.Tick)
 	time.AfterFunc(h.opts.Settle, s.settle)
