power: a fallback covers the idle draw and leaves room for work

Cause: fallbacks were split in proportion to the most that parts draw, idle draw included. Where the cap is near the idle draw a fallback was under it, and nothing ran at all while nobody divided the cap: three engines of 900 W idle under 4 kW had 600 W each. Work must be slowed, not stopped.

--- a/lib/power/power.go
+++ b/lib/power/power.go
@@ -42,24 +42,35 @@
 // WaitOut is how long a new allotter gives fallbacks only: the last shares of the one before it may run so long.
 func (c Config) WaitOut() time.Duration { return time.Duration(float64(c.lent()) * (1 + c.ClockSkew)) }
 
-// Part is something that draws power, with the most that it can draw.
+// Part is something that draws power, with the least and the most that it can draw.
 type Part struct {
-	Name     string
-	MaxWatts float64
+	Name      string
+	IdleWatts float64 // with nothing running
+	MaxWatts  float64
 }
 
-// Fallbacks splits the fallback part of the cap in proportion to what parts can draw. It depends on settings alone,
-// so all processes work out the same.
+// Fallbacks gives each part what it draws idle, and splits the fallback part of the rest of the cap in proportion to what
+// parts can draw beyond that. It depends on settings alone, so all processes work out the same.
+//
+// A fallback under the idle draw would stop all work for as long as nobody divides the cap. The idle draw is there once,
+// however many follow for one part: with FallbackShare at a half, the cap holds even with every part followed twice.
 func (c Config) Fallbacks(parts []Part) map[string]float64 {
-	sum := 0.0
+	idle, above := 0.0, 0.0
 	for _, p := range parts {
-		sum += p.MaxWatts
+		idle += p.IdleWatts
+		above += p.MaxWatts - p.IdleWatts
+	}
+	usable := max(0, c.CapWatts-c.MaxGuardWatts)
+	scale := 1.0 // of idle draws that alone pass what is usable
+	if idle > usable {
+		scale = usable / idle
 	}
-	pool := c.FallbackShare * max(0, c.CapWatts-c.MaxGuardWatts)
+	pool := c.FallbackShare * max(0, usable-idle)
 	out := make(map[string]float64, len(parts))
 	for _, p := range parts {
-		if sum > 0 {
-			out[p.Name] = min(p.MaxWatts, pool*p.MaxWatts/sum)
+		out[p.Name] = scale * p.IdleWatts
+		if above > 0 {
+			out[p.Name] += min(1, pool/above) * (p.MaxWatts - p.IdleWatts)
 		}
 	}
 	return out
--- a/lib/powerplan/powerplan.go
+++ b/lib/powerplan/powerplan.go
@@ -10,9 +10,10 @@
 
 // Part is a shard of a service as something that draws power.
 type Part struct {
-	ID       shard.ID
-	Targets  []settings.Target
-	MaxWatts float64 // with every batch full
+	ID        shard.ID
+	Targets   []settings.Target
+	IdleWatts float64 // with nothing running
+	MaxWatts  float64 // with every batch full
 }
 
 // Plan is what a revision says about power.
@@ -35,7 +36,7 @@
 	for _, svc := range snap.Services {
 		for _, p := range partsOf(svc, snap.Site.ShardTargets) {
 			plan.Parts[p.ID.String()] = p
-			list = append(list, power.Part{Name: p.ID.String(), MaxWatts: p.MaxWatts})
+			list = append(list, power.Part{Name: p.ID.String(), IdleWatts: p.IdleWatts, MaxWatts: p.MaxWatts})
 		}
 	}
 	if len(list) == 0 {
@@ -60,6 +61,7 @@
 		for _, name := range sh.Targets {
 			t := byName[name]
 			p.Targets = append(p.Targets, t)
+			p.IdleWatts += t.IdleWatts
 			p.MaxWatts += t.IdleWatts + t.SeqWatts*float64(t.MaxBatch)
 		}
 		if p.MaxWatts > 0 {
