--- a/lib/entry/seams.go
+++ b/lib/entry/seams.go
@@ -77,9 +77,9 @@
 	Attempt     uint32
 	Target      string
 	Path        string
-	Request     []byte   // body as accepted
-	Tokens      []string // delivered so far, from index 0
-	Finished    bool
+	Request     []byte       // body as accepted
+	Tokens      []string     // delivered so far, from index 0
+	Finished    bool         // it ended and won't go on; without FinishedWhy it failed
 	FinishedWhy string       // finish reason of the end mark
 	Owner       claim.Holder // who put it; zero: this entry
 	Released    bool         // its caller left for too long and it was stopped: any entry may go on with it
