--- a/app/anvilwick-bench/main.go
+++ b/app/anvilwick-bench/main.go
@@ -34,6 +34,7 @@
 	ablate   []string
 	workers  int
 	scale    int
+	risk     float64
 	division bool
 }
 
@@ -65,6 +66,7 @@
 	fs.BoolVar(&opt.faults, "faults", true, "run least-loaded and anvilwick under each fault too")
 	fs.DurationVar(&opt.window, "window", bench.DefaultWindow, "virtual time in which requests arrive")
 	fs.IntVar(&opt.scale, "scale", 1, "times the engines and the load")
+	fs.Float64Var(&opt.risk, "memory-risk", 0, "accepted memory risk of every class; 0: the mix's own")
 	fs.BoolVar(&opt.division, "division", false, "compare ways to divide the decisions: "+strings.Join(bench.Divisions, ", "))
 	fs.IntVar(&opt.workers, "workers", 4, "runs at once; the figures do not depend on it")
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("ANVILWICK_BENCH")); err != nil {
@@ -137,6 +139,7 @@
 			Ablate:   opt.ablate,
 			Workers:  opt.workers,
 			Scale:    opt.scale,
+			Risk:     opt.risk,
 		}
 		results, err := suite.Run()
 		if err != nil {
--- a/lib/bench/suite.go
+++ b/lib/bench/suite.go
@@ -19,6 +19,7 @@
 	Faults   bool     // also run least-loaded and anvilwick under each fault
 	Scale    int      // engines, entries' load and batches times so many; 0: as they are
 	Ablate   []string // parts to take out of anvilwick, one run each
+	Risk     float64  // accepted memory risk of every class; 0: the mix's
 	Workers  int      // runs at once
 	Options  sched.Options
 }
@@ -28,6 +29,11 @@
 	var configs []Config
 	for _, mix := range workload.Deployments() {
 		mix = mix.Scaled(max(1, s.Scale))
+		if s.Risk > 0 {
+			for i := range mix.Classes {
+				mix.Classes[i].MemoryRisk = s.Risk
+			}
+		}
 		arrivals := mix.Arrivals(s.Seed, s.Window)
 		more, err := s.configs(Config{Mix: &mix, Arrivals: arrivals, Window: s.Window})
 		if err != nil {
--- a/lib/entry/view.go
+++ b/lib/entry/view.go
@@ -54,6 +54,9 @@
 	return specs
 }
 
+// leastRisk stands for a memory risk of 0, which the scheduler would take for one that is not set.
+const leastRisk = 1e-12
+
 // ClassPolicies returns the scheduler's view of the policies of a service.
 func ClassPolicies(snap *settings.Snapshot, service string) sched.PolicyFunc {
 	return func(workspace, class string) sched.ClassPolicy {
@@ -65,7 +68,7 @@
 			MaxWait:        p.MaxWait,
 			QueueBound:     p.QueueBound,
 			MaxPreemptions: p.MaxPreemptions,
-			MemoryRisk:     p.MemoryRisk,
+			MemoryRisk:     max(p.MemoryRisk, leastRisk),
 		}
 	}
 }
--- a/lib/sched/options.go
+++ b/lib/sched/options.go
@@ -6,7 +6,7 @@
 // that the bench can show what the part is worth.
 type Options struct {
 	// Memory.
-	MemoryRisk     float64 // accepted chance that an engine runs out, where a ClassPolicy sets none (default 0.02)
+	MemoryRisk     float64 // accepted chance that an engine runs out, where a ClassPolicy sets none (default 0.1)
 	MemoryFill     float64 // fraction of an engine's memory that is planned with (default 0.98)
 	HorizonTokens  int     // steps ahead that the forecast looks (default 256)
 	VictimSteps    int     // steps ahead at which running out is acted on (default 48)
@@ -50,7 +50,7 @@
 
 // Defaults of Options.
 const (
-	defaultMemoryRisk     = 0.02
+	defaultMemoryRisk     = 0.1
 	defaultMemoryFill     = 0.98
 	defaultHorizonTokens  = 256
 	defaultVictimSteps    = 48
--- a/lib/settings/fields.go
+++ b/lib/settings/fields.go
@@ -67,7 +67,7 @@
 	bind("max_tokens", count("tokens", 0, maxCount), "0", "bound on the output of a generation; 0: none", func(p *Policy) *int { return &p.MaxTokens }),
 	bind("deadline", span(0, 7*day), "0s", "time for the whole answer when the caller names none; 0s: none", func(p *Policy) *time.Duration { return &p.Deadline }),
 	bind("max_preemptions", count("moves", 0, 1000), "2", "after so many moves a generation is no victim again", func(p *Policy) *int { return &p.MaxPreemptions }),
-	bind("memory_risk", number("chance", 0, 1), "0.01", "accepted chance that an engine runs out of memory over the horizon", func(p *Policy) *float64 { return &p.MemoryRisk }),
+	bind("memory_risk", number("chance", 0, 1), "0.1", "accepted chance that an engine runs out of memory over the horizon; urgent work is placed by the mean", func(p *Policy) *float64 { return &p.MemoryRisk }),
 	bind("max_attempts", count("attempts", 1, 100), "4", "attempts of a request, the first one included", func(p *Policy) *int { return &p.MaxAttempts }),
 	bind("retry_budget", number("fraction", 0, 1), "0.1", "retries as a fraction of first attempts", func(p *Policy) *float64 { return &p.RetryBudget }),
 	bind("stall_floor", span(time.Millisecond, day), "2s", "a stream without a token for so long is stalled", func(p *Policy) *time.Duration { return &p.StallFloor }),
