Let the bench's entries give silent streams up as the real ones do, when told

Ruled out: the engines (preemptions 94 to 102 real, 116 to 120 virtual), the load of the machine (round-robin with a stall floor of 60 s has 87 s real, 117 virtual on the same machine). Change: Config.GiveUp, off in make bench, on in make load -policy; the real line adds attempts given up and codes of failures.

--- a/lib/bench/entry.go
+++ b/lib/bench/entry.go
@@ -33,6 +33,7 @@
 	tokens    int // delivered to the caller
 	told      int // tokens of the last progress sent
 	moves     int
+	fruitless int // attempts in a row that were given up without a token
 	avoid     []string
 	last      time.Duration // of the last token
 	grantedAt time.Duration
@@ -223,6 +224,7 @@
 	var items []progressItem
 	for i := entry; i < len(s.flows); i += entries {
 		f := &s.flows[i]
+		s.giveUp(i)
 		if f.state == flowGranted && f.tokens > f.told {
 			f.told = f.tokens
 			items = append(items, progressItem{int32(i), f.attempt, f.tokens})
--- a/lib/bench/metrics.go
+++ b/lib/bench/metrics.go
@@ -25,6 +25,7 @@
 	wait    time.Duration
 	tokens  int // within the window
 	moves   int
+	givenUp int // attempts, by Config.GiveUp
 	overCap int
 	// What entries and owners told each other, if every owner were another process.
 	messages int
@@ -94,6 +95,7 @@
 	EndS         float64 // virtual time of the last event
 	Messages     int     // between entries and owners
 	Items        int     // generations named in progress messages
+	GivenUp      int     // attempts that entries gave up as stalled, with Config.GiveUp
 }
 
 func (s *sim) result() Result {
@@ -115,6 +117,7 @@
 		EndS:         s.now.Seconds(),
 		Messages:     s.metrics.messages,
 		Items:        s.metrics.items,
+		GivenUp:      s.metrics.givenUp,
 	}
 	for i := range s.flows {
 		switch s.flows[i].state {
--- a/lib/bench/sim.go
+++ b/lib/bench/sim.go
@@ -29,7 +29,8 @@
 	Without  string // the part taken out of anvilwick, or none
 	Make     func(c *Config) sched.Policy
 
-	KVTokens int // memory of each engine; 0: the deployment's
+	KVTokens int           // memory of each engine; 0: the deployment's
+	GiveUp   time.Duration // entries leave an engine when one stream is silent for so long, as the real ones do; 0: never
 }
 
 // sim is one run in progress.
--- a/lib/siterun/policies.go
+++ b/lib/siterun/policies.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -79,15 +81,16 @@
 		Arrivals: m.Arrivals(c.Load.Seed, c.Load.Span),
 		Window:   c.Load.Span,
 		KVTokens: c.Policies.KVTokens,
+		GiveUp:   c.Policies.StallFloor,
 	}
 	for _, name := range c.Policies.names() {
-		r, stalled, err := c.real(ctx, run, name)
+		r, more, err := c.real(ctx, run, name)
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(w, "load time=real seed=%d %s given_up_stalled=%.0f\n", c.Load.Seed, columns(r), stalled)
+		fmt.Fprintf(w, "load time=real seed=%d %s %s\n", c.Load.Seed, columns(r), more)
 		v := bench.RunPolicy(run, name)
-		fmt.Fprintf(w, "load time=virtual seed=%d %s\n", c.Load.Seed, columns(v))
+		fmt.Fprintf(w, "load time=virtual seed=%d %s given_up_stalled=%d\n", c.Load.Seed, columns(v), v.GivenUp)
 	}
 	return nil
 }
@@ -103,6 +106,7 @@
 	mu    sync.Mutex
 	start time.Time
 	seen  []bench.Observed
+	codes map[result.Code]int // of answers that are not whole
 }
 
 func (o *observer) note(n int, out loadgen.Outcome) {
@@ -110,38 +114,56 @@
 	defer o.mu.Unlock()
 	s := &o.seen[n]
 	s.Completed = out.Whole
+	if !out.Whole {
+		o.codes[out.Code]++
+	}
 	s.Refused = !out.Whole && out.Code != 0 && result.Lookup(out.Code).Outcome == result.NotRun
 	for _, at := range out.Tokens {
 		s.Tokens = append(s.Tokens, at.Sub(o.start))
 	}
 }
 
-// real runs the plan over processes of its own. It also returns how many attempts the entry gave up as stalled.
-func (c Config) real(ctx context.Context, run bench.Config, policy string) (bench.Result, float64, error) {
+// failures names the codes, lowest first.
+func (o *observer) failures() string {
+	var names []string
+	for _, code := range slices.Sorted(maps.Keys(o.codes)) {
+		names = append(names, fmt.Sprintf("%d:%d", code, o.codes[code]))
+	}
+	return strings.Join(names, ",")
+}
+
+// real runs the plan over processes of its own. It also returns what the bench has no column for: the attempts that the
+// entry gave up as stalled, and the codes of answers that are not whole.
+func (c Config) real(ctx context.Context, run bench.Config, policy string) (bench.Result, string, error) {
 	site, err := c.policySite(ctx, run, policy)
 	if err != nil {
-		return bench.Result{}, 0, err
+		return bench.Result{}, "", err
 	}
 	defer site.Close()
-	seen, err := c.send(ctx, run, site)
+	obs, err := c.send(ctx, run, site)
 	if err != nil {
-		return bench.Result{}, 0, err
+		return bench.Result{}, "", err
 	}
 	u, err := usageOf(ctx, site.Entries[0])
 	if err != nil {
-		return bench.Result{}, 0, err
+		return bench.Result{}, "", err
 	}
 	byEngines, err := preemptions(ctx, site)
 	if err != nil {
-		return bench.Result{}, 0, err
+		return bench.Result{}, "", err
 	}
 	run.Policy = policy
-	return bench.ResultOf(run, seen, byEngines+int(u.moved)), u.stalled, stop(ctx, site)
+	more := fmt.Sprintf("given_up_stalled=%.0f failure_codes=%s", u.stalled, obs.failures())
+	return bench.ResultOf(run, obs.seen, byEngines+int(u.moved)), more, stop(ctx, site)
 }
 
 // send sends the plan and returns what callers saw.
-func (c Config) send(ctx context.Context, run bench.Config, site *localsite.Site) ([]bench.Observed, error) {
-	obs := &observer{start: time.Now(), seen: make([]bench.Observed, len(run.Arrivals))}
+func (c Config) send(ctx context.Context, run bench.Config, site *localsite.Site) (*observer, error) {
+	obs := &observer{
+		start: time.Now(),
+		seen:  make([]bench.Observed, len(run.Arrivals)),
+		codes: make(map[result.Code]int),
+	}
 	r := loadgen.Runner{
 		Mix:         loadgen.Mix{Workload: *run.Mix, Span: run.Window, Entries: 1, Seed: c.Load.Seed},
 		Entries:     site.Callers(),
@@ -156,7 +178,7 @@
 	if wrong := r.Figures.Wrong(); len(wrong) > 0 {
 		return nil, fmt.Errorf("%d broken promises, the first: %s", len(wrong), wrong[0])
 	}
-	return obs.seen, nil
+	return obs, nil
 }
 
 func engineFlags(e enginemodel.Config) []string {
