--- a/lib/workload/mix.go
+++ b/lib/workload/mix.go
@@ -106,17 +106,17 @@
 			{
 				Name: "clause", Priority: 10, Urgent: true, Rate: 4, Batch: 1, BurstFactor: 5,
 				Template: 512, Prompt: 200, PromptSigma: 0.5, Median: 50, Sigma: 0.6, TailShare: 0.01,
-				MaxWait: 15 * time.Second, QueueBound: 200, MaxPreemptions: 1, MemoryRisk: 0.05,
+				MaxWait: 15 * time.Second, QueueBound: 200, MaxPreemptions: 1, MemoryRisk: 0.1,
 			},
 			{
 				Name: "summary", Priority: 5, Rate: 2.2, Batch: 2, BurstFactor: 2,
 				Template: 512, Prompt: 700, PromptSigma: 0.5, Median: 350, Sigma: 0.6, TailShare: 0.03,
-				MaxWait: 4 * time.Minute, QueueBound: 1000, MaxPreemptions: 2, MemoryRisk: 0.05,
+				MaxWait: 4 * time.Minute, QueueBound: 1000, MaxPreemptions: 2, MemoryRisk: 0.1,
 			},
 			{
 				Name: "bordereau", Priority: 1, Rate: 1.6, Batch: 5, BurstFactor: 1, Backlog: 100, Flood: 50,
 				Template: 1024, Prompt: 900, PromptSigma: 0.6, Median: 1900, Sigma: 0.8, TailShare: 0.06,
-				MaxWait: 30 * time.Minute, QueueBound: 4000, MaxPreemptions: 1, MemoryRisk: 0.05,
+				MaxWait: 30 * time.Minute, QueueBound: 4000, MaxPreemptions: 1, MemoryRisk: 0.1,
 				Deadline: 8 * time.Hour,
 			},
 		},
