--- a/lib/workload/mix.go
+++ b/lib/workload/mix.go
@@ -116,7 +116,7 @@
 			{
 				Name: "bordereau", Priority: 1, Rate: 1.6, Batch: 5, BurstFactor: 1, Backlog: 100, Flood: 50,
 				Template: 1024, Prompt: 900, PromptSigma: 0.6, Median: 1900, Sigma: 0.8, TailShare: 0.06,
-				MaxWait: 30 * time.Minute, QueueBound: 4000, MaxPreemptions: 2, MemoryRisk: 0.1,
+				MaxWait: 30 * time.Minute, QueueBound: 4000, MaxPreemptions: 1, MemoryRisk: 0.1,
 				Deadline: 8 * time.Hour,
 			},
 		},
