Write each series of an entry's metrics once

Cause: lib/entrymetrics wrote the metrics of the whole process after its own, and the operators' port did so again. Every process-wide series stood twice on an entry's /metrics; a strict scraper refuses such a page, and the load tool's bytes of the mesh were counted double for entries. Found by reading /metrics of a site started by hand. Ruled out: a second registration (each package registers once). Change: lib/opsapi alone writes them. lib/capacity's reader already skipped the repeats; its figures stay as they are. TestEachSeriesIsWrittenOnce failed before; go test ./lib/opsapi ./lib/entrymetrics passes.

--- a/lib/entrymetrics/metrics.go
+++ b/lib/entrymetrics/metrics.go
@@ -120,8 +120,6 @@
 	s.set.GetOrCreateGauge("anvilwick_"+name, f)
 }
 
-// Write writes every metric, those of the process and of other packages included.
-func (s *Set) Write(w io.Writer) {
-	s.set.WritePrometheus(w)
-	metrics.WritePrometheus(w, true)
-}
+// Write writes the metrics of s. Those of the process and of other packages are written once for every program by
+// lib/opsapi: a scraper refuses a page that has a series twice.
+func (s *Set) Write(w io.Writer) { s.set.WritePrometheus(w) }
--- /dev/null
+++ b/lib/opsapi/metrics_test.go
@@ -0,0 +1,37 @@
+package opsapi
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/entrymetrics"
+)
+
+// A scraper sees each series of an entry once. The entry's own set and the operators' port both wrote the metrics of
+// the whole process; a strict scraper refuses such a page, and one that adds lines up counts every byte double.
+func TestEachSeriesIsWrittenOnce(t *testing.T) {
+	own := entrymetrics.New()
+	own.AttemptEnded("completed")
+	src := source()
+	src.Metrics = own.Write
+	resp, err := http.Get("http://" + serve(t, src) + PathMetrics)
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	page, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	must.StrContains(t, string(page), `anvilwick_attempts_total{reason="completed"} 1`)
+	must.StrContains(t, string(page), "process_cpu_seconds_total ")
+	seen := map[string]bool{}
+	for line := range strings.Lines(string(page)) {
+		if line[0] == '#' {
+			continue
+		}
+		series := line[:strings.LastIndexByte(line, ' ')]
+		must.False(t, seen[series], must.Sprint(series))
+		seen[series] = true
+	}
+}
