--- a/lib/doctest/doctest.go
+++ b/lib/doctest/doctest.go
@@ -24,3 +24,16 @@
 	next := bytes.Join([][]byte{head, begin, want, end, tail}, nil)
 	return next, bytes.Equal(page, next), nil
 }
+
+// Keep holds a section of a page to want: it writes the section anew with update, and otherwise returns an error when
+// the page differs.
+func Keep(file, name string, want []byte, update bool) error {
+	page, same, err := Section(file, name, want)
+	switch {
+	case err != nil || same:
+		return err
+	case update:
+		return os.WriteFile(file, page, 0o644)
+	}
+	return fmt.Errorf("%s differs from the code; run with -update", file)
+}
--- a/lib/result/table_test.go
+++ b/lib/result/table_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"flag"
-	"os"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -18,13 +17,7 @@
 func TestDocsListEveryCode(t *testing.T) {
 	var want bytes.Buffer
 	must.NoError(t, WriteTable(&want))
-	page, same, err := doctest.Section(codesPage, "codes", want.Bytes())
-	must.NoError(t, err)
-	if *update {
-		must.NoError(t, os.WriteFile(codesPage, page, 0o644))
-		return
-	}
-	must.True(t, same, must.Sprint("docs/RESULT-CODES.md differs from the code; run with -update"))
+	must.NoError(t, doctest.Keep(codesPage, "codes", want.Bytes(), *update))
 }
 
 // thousands is the outcome that each group of numbers promises.
