Read a process's metrics in one place

Change: opsapi.Scrape and ReadMetrics with a test; lib/siterun uses them. The test of its figures keeps its input and assertions.

--- a/lib/opsapi/metrics_test.go
+++ b/lib/opsapi/metrics_test.go
@@ -35,3 +35,11 @@
 		seen[series] = true
 	}
 }
+
+func TestReadMetrics(t *testing.T) {
+	got := map[string]float64{}
+	each := func(series string, v float64) { got[series] = v }
+	must.NoError(t, ReadMetrics(strings.NewReader("# HELP x\nx_total{name=\"a b\"} 2.5\ny 1\n"), each))
+	must.Eq(t, map[string]float64{`x_total{name="a b"}`: 2.5, "y": 1}, got)
+	must.ErrorContains(t, ReadMetrics(strings.NewReader("z one\n"), each), "metric z")
+}
--- a/lib/siterun/usage.go
+++ b/lib/siterun/usage.go
@@ -1,12 +1,9 @@
 package siterun
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
-	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -42,34 +39,8 @@
 
 // usageOf reads a process's own metrics.
 func usageOf(ctx context.Context, n *localsite.Node) (usage, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Ops+opsapi.PathMetrics, nil)
-	if err != nil {
-		return usage{}, err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return usage{}, err
-	}
-	defer resp.Body.Close()
-	return readUsage(resp.Body)
-}
-
-func readUsage(r io.Reader) (usage, error) {
 	u := usage{at: time.Now()}
-	sc := bufio.NewScanner(r)
-	for sc.Scan() {
-		line := sc.Text()
-		at := strings.LastIndexByte(line, ' ') // labels may hold spaces
-		if at < 0 || line[0] == '#' {
-			continue
-		}
-		v, err := strconv.ParseFloat(line[at+1:], 64)
-		if err != nil {
-			return u, fmt.Errorf("metric %s: %w", line[:at], err)
-		}
-		u.add(line[:at], v)
-	}
-	return u, sc.Err()
+	return u, opsapi.Scrape(ctx, n.Ops, u.add)
 }
 
 func (u *usage) add(name string, v float64) {
--- a/lib/siterun/usage_test.go
+++ b/lib/siterun/usage_test.go
@@ -5,10 +5,13 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/opsapi"
 )
 
 func TestReadUsage(t *testing.T) {
-	u, err := readUsage(strings.NewReader(`# HELP x
+	var u usage
+	err := opsapi.ReadMetrics(strings.NewReader(`# HELP x
 process_cpu_seconds_total 1.5
 process_resident_memory_bytes 20000000
 anvilwick_control_sent_bytes_total{link="platform"} 100
@@ -18,7 +21,7 @@
 anvilwick_attempts_total{reason="moved"} 4
 anvilwick_attempts_total{reason="stalled"} 5
 anvilwick_tokens_total{workspace="w",class="c"} 9
-`))
+`), u.add)
 	must.NoError(t, err)
 	must.Eq(t, 1.5, u.cpu)
 	must.Eq(t, 20e6, u.memory)
