--- a/lib/capacity/links.go
+++ b/lib/capacity/links.go
@@ -11,9 +11,19 @@
 // linkFiles returns certificates for links between instances in this process, made once. Links of a real site are TLS too,
 // and its records add to every message.
 var linkFiles = sync.OnceValues(func() (mesh.TLSFiles, error) {
-	dir, err := os.MkdirTemp("", "anvilwick-capacity-")
-	if err != nil {
+	var err error
+	if linkDir, err = os.MkdirTemp("", "anvilwick-capacity-"); err != nil {
 		return mesh.TLSFiles{}, err
 	}
-	return localsite.WriteCerts(dir)
+	return localsite.WriteCerts(linkDir)
 })
+
+// linkDir holds linkFiles once they were made.
+var linkDir string
+
+// removeLinkFiles leaves nothing behind; links can't be made after it.
+func removeLinkFiles() {
+	if linkDir != "" {
+		_ = os.RemoveAll(linkDir)
+	}
+}
--- a/lib/capacity/probes_test.go
+++ b/lib/capacity/probes_test.go
@@ -43,6 +43,7 @@
 
 func TestLimitTrafficCountsBothWays(t *testing.T) {
 	t.Parallel()
+	t.Cleanup(removeLinkFiles)
 	bytes, _, err := limitTraffic(t.Context(), 2, 1, nil)
 	must.NoError(t, err)
 	must.Positive(t, bytes)
--- a/lib/capacity/run.go
+++ b/lib/capacity/run.go
@@ -43,6 +43,7 @@
 func Run(ctx context.Context, r Report, binaries string, only []string) error {
 	fmt.Fprintf(r.W, "run time=%s cores=%d go=%s load_average=%q clock=processor\n",
 		time.Now().UTC().Format(time.RFC3339), runtime.NumCPU(), runtime.Version(), loadAverage())
+	defer removeLinkFiles()
 	began := time.Now()
 	for _, p := range Probes() {
 		if !named(p.Name, only) {
