--- /dev/null
+++ b/lib/fleet/fleet.go
@@ -0,0 +1,413 @@
+// Package fleet holds what one instance believes of the targets it sends to, and chooses among them.
+//
+// What it believes comes from the list of targets, from its own sends and their outcomes, and from what peers tell of
+// theirs. Nothing here does I/O or reads a clock: times are passed in.
+package fleet
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// State is a target's place in its life.
+type State uint8
+
+const (
+	Ready   State = iota + 1
+	Leaving       // takes no new requests, finishes what it has for a short while
+)
+
+// Info is what the list says of a target.
+type Info struct {
+	ID      string // of one life of the target; a restart has another
+	Service string
+	Addr    string
+	Domain  string // failure domain
+	Slots   int
+	Leaving bool
+	ColdFor time.Duration // it stays slow for so long
+}
+
+// Spec is what the settings say of a service's targets.
+type Spec struct {
+	KVTokens int // memory of an engine in tokens; 0 for a plain service
+	ConnCap  int // connections that a target accepts from all instances together
+}
+
+// Target is one target. Its fields are the fleet's; read them through the methods of Fleet.
+type Target struct {
+	Info
+	state      State
+	leavingAt  time.Time
+	own        Load
+	fails      float64 // decayed share of this instance's requests that the target failed
+	avoidUntil time.Time
+	avoidStep  time.Duration
+	reported   float64 // requests running and waiting, as its last answer told
+	reportedAt time.Time
+	missing    time.Time // since when a list read after an outage has not had it; zero: it is listed
+}
+
+// Load is what a target carries.
+type Load struct {
+	Runs   int
+	Tokens int // of engine memory, now and expected
+}
+
+// Constants of the choice. Scores are in units of a full target.
+const (
+	// failStep is the weight of one outcome in the share of failures: about the last ten requests count.
+	failStep = 0.1
+	// failFree is the share of failures that is borne as the callers' own: some requests fail wherever they run.
+	failFree = 0.25
+	// failCost is the score of a target that fails everything, beyond failFree.
+	failCost = 3.0
+	// awayCost is the score of another failure domain: bytes between domains cost, but less than waiting.
+	awayCost = 0.04
+	// reportLife is how long a report of load is believed.
+	reportLife = 400 * time.Millisecond
+	// avoidFirst and avoidMax bound how long a target that could not be reached gets nothing.
+	avoidFirst = 250 * time.Millisecond
+	avoidMax   = 2 * time.Second
+	// OutageGrace is how long an entry that lapsed while the store was away is still believed: entries of targets that
+	// live are back within about two seconds of the store's return.
+	OutageGrace = 2 * time.Second
+	// peerLife is how long a peer's news of its sends is believed.
+	peerLife = 1500 * time.Millisecond
+	// jitter keeps instances that believe the same from choosing the same target.
+	jitter = 0.02
+	// minConns is the number of connections that an instance may hold to a target however many instances there are.
+	minConns = 2
+	// runWeight is the score of one more run on an engine, beside its memory: each run slows the others' tokens.
+	runWeight = 0.01
+)
+
+// Fleet is safe for concurrent use.
+type Fleet struct {
+	domain string
+
+	mu      sync.Mutex
+	targets map[string]*Target
+	peers   map[string]*peer
+	specs   map[string]Spec // by service
+	share   float64         // this instance's part of a target's connections
+}
+
+type peer struct {
+	loads map[string]Load
+	at    time.Time
+}
+
+// New returns an empty fleet of an instance in domain.
+func New(domain string) *Fleet {
+	return &Fleet{domain: domain, targets: make(map[string]*Target), peers: make(map[string]*peer), share: 1}
+}
+
+// Change is what an update of the list did.
+type Change struct {
+	Added, Leaving, Gone []Info
+}
+
+// Apply takes in entries of the list and the ids whose entries were removed. silent is how long the list could not be
+// read before. It returns what changed.
+func (f *Fleet) Apply(now time.Time, entries []Info, removed []string, silent time.Duration) Change {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var ch Change
+	for _, e := range entries {
+		f.upsert(now, e, &ch)
+	}
+	for _, id := range removed {
+		f.remove(now, id, silent, &ch)
+	}
+	return ch
+}
+
+// ApplyWhole is Apply for a list read as a whole: what is not in it was removed.
+func (f *Fleet) ApplyWhole(now time.Time, entries []Info, silent time.Duration) Change {
+	listed := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		listed[e.ID] = true
+	}
+	f.mu.Lock()
+	var removed []string
+	for id, t := range f.targets {
+		if !listed[id] && t.state == Ready {
+			removed = append(removed, id)
+		}
+	}
+	f.mu.Unlock()
+	return f.Apply(now, entries, removed, silent)
+}
+
+func (f *Fleet) upsert(now time.Time, e Info, ch *Change) {
+	t := f.targets[e.ID]
+	if t == nil {
+		t = &Target{state: Ready}
+		f.targets[e.ID] = t
+		ch.Added = append(ch.Added, e)
+	}
+	t.Info = e
+	t.missing = time.Time{}
+	if e.Leaving {
+		f.leave(now, t, ch)
+	}
+}
+
+// leave is final for one life of a target: a stale entry that says ready doesn't bring it back.
+func (f *Fleet) leave(now time.Time, t *Target, ch *Change) {
+	if t.state == Leaving {
+		return
+	}
+	t.state = Leaving
+	t.leavingAt = now
+	ch.Leaving = append(ch.Leaving, t.Info)
+}
+
+func (f *Fleet) remove(now time.Time, id string, silent time.Duration, ch *Change) {
+	t := f.targets[id]
+	if t == nil {
+		return
+	}
+	if silent > 0 && t.state == Ready {
+		if t.missing.IsZero() {
+			t.missing = now
+		}
+		return
+	}
+	f.leave(now, t, ch)
+}
+
+// goneAfter is how long a target that left is remembered, for runs that still end there.
+const goneAfter = 30 * time.Second
+
+// Tick ends the grace of entries that have not come back and forgets targets that left long ago.
+func (f *Fleet) Tick(now time.Time) Change {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var ch Change
+	for id, t := range f.targets {
+		if !t.missing.IsZero() && now.Sub(t.missing) > OutageGrace {
+			t.missing = time.Time{}
+			f.leave(now, t, &ch)
+		}
+		if t.state == Leaving && now.Sub(t.leavingAt) > goneAfter && t.own.Runs == 0 {
+			delete(f.targets, id)
+			ch.Gone = append(ch.Gone, t.Info)
+		}
+	}
+	for name, p := range f.peers {
+		if now.Sub(p.at) > peerLife {
+			delete(f.peers, name)
+		}
+	}
+	return ch
+}
+
+// SetShare sets this instance's part of the connections that targets accept.
+func (f *Fleet) SetShare(share float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.share = share
+}
+
+// SetSpecs sets what is known of each service's targets.
+func (f *Fleet) SetSpecs(specs map[string]Spec) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.specs = specs
+}
+
+// Tell takes in what a peer carries on each target.
+func (f *Fleet) Tell(now time.Time, name string, loads map[string]Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peers[name] = &peer{loads: loads, at: now}
+}
+
+// Own returns what this instance carries on each target.
+func (f *Fleet) Own() map[string]Load {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]Load)
+	for id, t := range f.targets {
+		if t.own.Runs > 0 {
+			out[id] = t.own
+		}
+	}
+	return out
+}
+
+// Counts returns how many targets of a service are ready, and how many are listed.
+func (f *Fleet) Counts(service string) (ready, listed int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range f.targets {
+		if t.Service != service {
+			continue
+		}
+		listed++
+		if t.state == Ready {
+			ready++
+		}
+	}
+	return ready, listed
+}
+
+// IsLeaving reports whether a target takes no new requests.
+func (f *Fleet) IsLeaving(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.targets[id]
+	return t == nil || t.state == Leaving
+}
+
+// Need is what a request asks of a target.
+type Need struct {
+	Service string
+	Tokens  int             // of engine memory; 0 for a plain service
+	Without map[string]bool // targets not to choose
+	Near    string          // failure domain to prefer; empty: the instance's own
+	Must    bool            // engine memory must hold Tokens: for copies, which are refused otherwise
+	Spread  float64         // weight of Near; 0: awayCost
+}
+
+// Acquire chooses a target and counts the request there until Release.
+func (f *Fleet) Acquire(now time.Time, n Need) (Info, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	best := f.choose(now, n)
+	if best == nil {
+		return Info{}, false
+	}
+	best.own.Runs++
+	best.own.Tokens += n.Tokens
+	return best.Info, true
+}
+
+func (f *Fleet) choose(now time.Time, n Need) *Target {
+	var best, last *Target
+	bestScore := 0.0
+	for _, t := range f.targets {
+		if !f.allowed(t, n) {
+			continue
+		}
+		if now.Before(t.avoidUntil) {
+			if last == nil || t.avoidUntil.Before(last.avoidUntil) {
+				last = t
+			}
+			continue
+		}
+		s := f.score(now, t, n)
+		if best == nil || s < bestScore {
+			best, bestScore = t, s
+		}
+	}
+	if best == nil && !n.Must {
+		// All were unreachable lately; the one that has rested longest is better than a refusal.
+		return last
+	}
+	return best
+}
+
+func (f *Fleet) allowed(t *Target, n Need) bool {
+	if t.Service != n.Service || t.state != Ready || n.Without[t.ID] {
+		return false
+	}
+	spec := f.specs[t.Service]
+	if spec.ConnCap > 0 && float64(t.own.Runs) >= max(minConns, f.share*float64(spec.ConnCap)) {
+		return false
+	}
+	if n.Must && spec.KVTokens > 0 {
+		return f.carried(t).Tokens+n.Tokens <= spec.KVTokens
+	}
+	return true
+}
+
+// carried is the load of all instances, as far as this one knows.
+func (f *Fleet) carried(t *Target) Load {
+	sum := t.own
+	for _, p := range f.peers {
+		l := p.loads[t.ID]
+		sum.Runs += l.Runs
+		sum.Tokens += l.Tokens
+	}
+	return sum
+}
+
+func (f *Fleet) score(now time.Time, t *Target, n Need) float64 {
+	load := f.carried(t)
+	s := failCost*max(0, t.fails-failFree) + jitter*rand.Float64()
+	if kv := f.specs[t.Service].KVTokens; kv > 0 {
+		s += float64(load.Tokens+n.Tokens)/float64(kv) + runWeight*float64(load.Runs)
+	} else {
+		busy := float64(load.Runs)
+		if now.Sub(t.reportedAt) < reportLife {
+			busy = max(busy, t.reported)
+		}
+		s += busy / float64(max(1, t.Slots))
+	}
+	near := n.Near
+	if near == "" {
+		near = f.domain
+	}
+	if t.Domain != near {
+		s += max(awayCost, n.Spread)
+	}
+	return s
+}
+
+// Grow changes the memory that a request counts for.
+func (f *Fleet) Grow(id string, tokens int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t := f.targets[id]; t != nil {
+		t.own.Tokens += tokens
+	}
+}
+
+// Outcome is how a request ended at a target.
+type Outcome uint8
+
+const (
+	Served      Outcome = iota // it answered
+	Failed                     // it answered with a failure of its own, or broke off
+	Unreachable                // no connection could be made
+	Refused                    // it was full, or another target has the address
+	Abandoned                  // the caller left, or the run went on elsewhere: says nothing of the target
+)
+
+// Release takes a request off a target and learns from its outcome.
+func (f *Fleet) Release(now time.Time, id string, tokens int, o Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.targets[id]
+	if t == nil {
+		return
+	}
+	t.own.Runs--
+	t.own.Tokens -= tokens
+	switch o {
+	case Served:
+		t.fails -= failStep * t.fails
+		t.avoidStep = 0
+	case Failed:
+		t.fails += failStep * (1 - t.fails)
+	case Unreachable, Refused:
+		t.fails += failStep * (1 - t.fails)
+		t.avoidStep = min(max(2*t.avoidStep, avoidFirst), avoidMax)
+		t.avoidUntil = now.Add(t.avoidStep)
+	case Abandoned:
+	}
+}
+
+// Report takes in the load that a target told with an answer.
+func (f *Fleet) Report(now time.Time, id string, running, waiting int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t := f.targets[id]; t != nil {
+		t.reported = float64(running + waiting)
+		t.reportedAt = now
+	}
+}
--- /dev/null
+++ b/lib/gateway/answer.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/wirehttp"
+)
+
+// perAnswerHeaders of a target concern its connection with us.
+var perAnswerHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// refuse answers on the gateway's own behalf.
+func (g *Gateway) refuse(w http.ResponseWriter, c *call, ref refusal) {
+	g.Log.Refused(c.entry(), ref.status, ref.reason, ref.after)
+	h := w.Header()
+	if c.id != "" {
+		h.Set(g.Names.RequestID, c.id)
+	}
+	if ref.after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(ref.after.Seconds(), 'f', 3, 64))
+	}
+	h.Set("Content-Length", "0")
+	w.WriteHeader(ref.status)
+}
+
+// again is a refusal of a request that no target has run and none will. The wait is at most a third of what the caller
+// has left: a longer one would not be kept to.
+func (c *call) again(reason string) refusal {
+	after := againPlain
+	if c.engine != nil {
+		after = againStream
+	}
+	third := time.Duration(math.Max(0, float64(time.Until(c.deadline))/3.2))
+	return refusal{status: http.StatusServiceUnavailable, after: max(min(after, third), time.Millisecond), reason: reason}
+}
+
+// copyHead sets the headers of a target's answer.
+func (g *Gateway) copyHead(w http.ResponseWriter, from http.Header) {
+	h := w.Header()
+	for name, values := range from {
+		h[name] = values
+	}
+	for _, name := range perAnswerHeaders {
+		h.Del(name)
+	}
+	if g.stopping.Load() {
+		h.Set("Connection", "close")
+	}
+}
+
+// verdict is what an answer's head says.
+type verdict uint8
+
+const (
+	verdictGood    verdict = iota
+	verdictFailure         // the target's own failure, which it may have run into midway
+	verdictNotRun          // the target proves that it did not run the request
+	verdictFaulty          // not an answer that can be passed on
+)
+
+// judge reads the head of an answer to this very request.
+func (g *Gateway) judge(r *wirehttp.Response) verdict {
+	h := r.Header
+	if r.Status == http.StatusMisdirectedRequest {
+		return verdictNotRun
+	}
+	if h.Get(g.Names.NotRun) != "" {
+		return verdictNotRun
+	}
+	switch r.Status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout:
+		// These promise the caller that nothing ran, and this target does not say so.
+		return verdictFaulty
+	}
+	if r.Status >= 500 {
+		return verdictFailure
+	}
+	if h.Get("Content-Encoding") != "" {
+		return verdictFaulty
+	}
+	if r.Status < 300 && h.Get(g.Names.Seal) == "" {
+		return verdictFaulty
+	}
+	return verdictGood
+}
+
+// readLoad passes on the load that an answer tells.
+func (g *Gateway) readLoad(id string, h http.Header) {
+	parts := strings.SplitN(h.Get(g.Names.Load), ",", 3)
+	if len(parts) < 2 {
+		return
+	}
+	g.Fleet.Report(time.Now(), id, atoi(parts[0]), atoi(parts[1]))
+}
--- /dev/null
+++ b/lib/gateway/call.go
@@ -0,0 +1,209 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/routes"
+	"anvilwick.example/anvilwick/lib/wirehttp"
+)
+
+// call is one attempt of a caller.
+type call struct {
+	id        string
+	route     *routes.Route
+	service   string
+	engine    *routes.Engine // nil for a plain service
+	workspace string
+	priority  int
+	method    string
+	target    string // request target as it came
+	host      string
+	header    http.Header // as it goes to targets, without what differs from send to send
+	body      []byte
+	arrived   time.Time
+	deadline  time.Time // the caller waits no longer
+	limit     time.Time // the answer is due: the deadline or the route's limit
+	prompt    int       // tokens of the prompt
+	output    int       // expected tokens of the output
+	made      int       // tokens of the output so far
+	lastEvent string    // the last event that the caller had when it asked
+
+	sends  int             // targets that the call was sent to
+	mayRan bool            // a target may have run it
+	tried  map[string]bool // targets not to choose again
+}
+
+// refusal is an answer of the gateway's own.
+type refusal struct {
+	status int
+	after  time.Duration // for Retry-After; 0: none
+	reason string
+}
+
+// Waits told to callers whose request has not run.
+const (
+	// againPlain suits short requests: a budget of a second leaves a third of it for the wait.
+	againPlain = 150 * time.Millisecond
+	// againStream suits generations, whose targets are replaced within some seconds.
+	againStream = 900 * time.Millisecond
+	// againUnready is for requests that arrive before the instance knows its settings.
+	againUnready = 300 * time.Millisecond
+)
+
+// defaultDeadline holds for a request that names none on a route without a limit.
+const defaultDeadline = 60 * time.Second
+
+// perRequestHeaders are about one connection, or set anew for each send.
+var perRequestHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Content-Length", "Host", "Expect", "Proxy-Authorization", "Proxy-Authenticate",
+}
+
+// accept reads a request and finds its route and workspace. The call is returned with a refusal, too, for the log.
+func (g *Gateway) accept(w http.ResponseWriter, r *http.Request) (*call, *refusal) {
+	c := &call{id: r.Header.Get(g.Names.RequestID), method: r.Method, target: r.RequestURI, host: r.Host, arrived: time.Now()}
+	t := g.table.Load()
+	if t == nil {
+		return c, &refusal{status: http.StatusServiceUnavailable, after: againUnready, reason: "no_settings"}
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	c.route = t.Match(hostname(r.Host), path)
+	if c.route == nil {
+		return c, &refusal{status: http.StatusNotFound, reason: "no_route"}
+	}
+	c.priority = c.route.Priority
+	if t.Keyed && !c.route.Public {
+		holder := t.Holder(r.Header.Get(g.Names.Key))
+		if holder == nil {
+			return c, &refusal{status: http.StatusUnauthorized, reason: "no_key"}
+		}
+		c.workspace = holder.Name
+		if holder.Priority != nil {
+			c.priority = *holder.Priority
+		}
+	}
+	if ref := g.readBody(w, r, c, t.Limits.BodyBytes); ref != nil {
+		return c, ref
+	}
+	c.service = c.route.Choose(rand.Float64())
+	c.engine = t.Service(c.service).Engine
+	g.readHeaders(r, c)
+	return c, nil
+}
+
+// readBody reads the whole body: a request is sent only once it has arrived whole, with its length stated.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, c *call, limit int64) *refusal {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil
+	}
+	body := io.Reader(r.Body)
+	if limit > 0 {
+		body = http.MaxBytesReader(w, r.Body, limit)
+	}
+	b, err := io.ReadAll(body)
+	var tooLong *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLong):
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_long"}
+	case err != nil:
+		return &refusal{status: http.StatusBadRequest, reason: "body_cut"}
+	}
+	c.body = b
+	return nil
+}
+
+func (g *Gateway) readHeaders(r *http.Request, c *call) {
+	c.deadline = c.arrived.Add(defaultDeadline)
+	if ms, err := strconv.ParseFloat(r.Header.Get(g.Names.Deadline), 64); err == nil && ms >= 0 {
+		c.deadline = c.arrived.Add(time.Duration(ms * float64(time.Millisecond)))
+	}
+	c.limit = c.deadline
+	if t := c.route.Timeout; t > 0 && c.arrived.Add(t).Before(c.limit) {
+		c.limit = c.arrived.Add(t)
+	}
+	c.prompt, c.output = g.tokens(r.Header)
+	c.lastEvent = r.Header.Get(g.Names.LastEvent)
+	c.header = g.forwarded(r.Header, c)
+	c.tried = make(map[string]bool)
+}
+
+// tokens returns the prompt's size and a guess of the output's: the caller's own guess, else half of the largest.
+func (g *Gateway) tokens(h http.Header) (prompt, output int) {
+	in, most, _ := strings.Cut(h.Get(g.Names.Tokens), ",")
+	prompt = atoi(in)
+	output = atoi(most) / 2
+	if hint := atoi(h.Get(g.Names.Hint)); hint > 0 {
+		output = hint
+	}
+	return prompt, output
+}
+
+// atoi reads a number that a caller may have got wrong; what can't be read counts as 0, which only makes the choice of
+// a target worse.
+func atoi(s string) int {
+	n, err := strconv.Atoi(strings.TrimSpace(s))
+	if err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
+
+// forwarded copies the headers that go on to targets.
+func (g *Gateway) forwarded(h http.Header, c *call) http.Header {
+	out := h.Clone()
+	for name := range strings.SplitSeq(h.Get("Connection"), ",") {
+		out.Del(strings.TrimSpace(name))
+	}
+	for _, name := range perRequestHeaders {
+		out.Del(name)
+	}
+	for _, name := range g.Names.Reserved {
+		out.Del(name)
+	}
+	out.Del(g.Names.Key)
+	if c.workspace != "" {
+		out.Set(g.Names.Workspace, c.workspace)
+	}
+	if c.engine != nil {
+		out.Set(g.Names.Urgency, strconv.Itoa(urgency(c.priority)))
+	}
+	return out
+}
+
+// urgency maps priorities (0 first) to an engine's ranks, of which the highest stay free for runs that go on.
+func urgency(priority int) int { return min(max(priority, 0)+2, 9) }
+
+func hostname(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		return h
+	}
+	return host
+}
+
+// left is the time that a target has for the call. A target works no longer than the caller waits.
+func (c *call) left(now time.Time) time.Duration { return c.limit.Sub(now) }
+
+// request builds what goes to one target.
+func (g *Gateway) request(c *call, target string, now time.Time) *wirehttp.Request {
+	h := c.header.Clone()
+	h.Set(g.Names.Expect, target)
+	h.Set(g.Names.Deadline, strconv.FormatInt(max(1, c.left(now).Milliseconds()), 10))
+	return &wirehttp.Request{Method: c.method, Target: c.target, Host: c.host, Header: h, Body: c.body}
+}
+
+// mayRepeat reports whether the call can be sent to one more target after one may have run it.
+func (g *Gateway) mayRepeat(c *call) bool {
+	return c.route.MayRepeat() && c.sends < c.route.MaxAttempts && g.Budget.Take(time.Now(), c.service)
+}
+
+// maySendAgain is mayRepeat for a call that no target has run.
+func (g *Gateway) maySendAgain(c *call) bool {
+	return c.sends < c.route.MaxAttempts && g.Budget.Take(time.Now(), c.service)
+}
--- /dev/null
+++ b/lib/gateway/gateway.go
@@ -0,0 +1,144 @@
+// Package gateway passes callers' requests through to targets unchanged and answers with what the targets said.
+//
+// A request is matched to a route, its key to a workspace; a target is chosen; the answer goes back with the target's
+// headers. What may be repeated follows from the route's kind alone. A request that was given up on is answered at
+// once: 503 with Retry-After when it is sure that no target ran it, 502 or 504 when one may have.
+//
+// The names of headers and the calls to engines belong to the site and are passed in (Names, Engines).
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/retry"
+	"anvilwick.example/anvilwick/lib/routes"
+	"anvilwick.example/anvilwick/lib/wirehttp"
+)
+
+// Names are the site's names of the headers that the gateway reads and sets.
+type Names struct {
+	RequestID string // of one attempt of a caller; answers repeat it
+	Deadline  string // milliseconds that the caller, or the target, has
+	Key       string // the caller's key
+	Workspace string // name of the key's workspace, for targets
+	Expect    string // id of the one target that may run the request
+	NotRun    string // in an answer: the target did not run the request
+	Seal      string // in an answer: the target's mark on it
+	Load      string // in an answer: requests running, waiting and slots, separated by commas
+	LastEvent string // id of the last event that the caller has
+	Tokens    string // tokens of the prompt and largest number of output tokens
+	Hint      string // the caller's guess of the output's tokens
+	Urgency   string // rank in an engine's queue
+	CopyFrom  string // address and handle of a copy of a run to go on from
+
+	Reserved []string // headers that only the gateway may set; a caller's are dropped
+}
+
+// Moved is the answer to a copy of a run.
+type Moved struct {
+	Handle string
+	Events int // events that the run has made so far
+}
+
+// Engines makes calls to model engines beside the requests themselves.
+type Engines interface {
+	// Copy copies the memory of the run that serves request id from one engine to another, or what is new of it. last
+	// ends the run at its source before the rest is copied.
+	Copy(ctx context.Context, from, to fleet.Info, id string, last bool) (Moved, error)
+	// Free gives up a copy at both ends.
+	Free(ctx context.Context, from fleet.Info, handle string) error
+}
+
+// Config is what a Gateway is made of.
+type Config struct {
+	Names   Names
+	Engines Engines
+	Fleet   *fleet.Fleet
+	Pool    *wirehttp.Pool
+	Budget  *retry.Share
+	Log     Log
+	Grace   time.Duration // from the order to stop until the process is killed
+}
+
+// Gateway serves callers. It is an http.Handler.
+type Gateway struct {
+	Config
+	table    atomic.Pointer[routes.Table]
+	stopping atomic.Bool
+	cut      chan struct{} // closed when open answers are to be broken off
+	runs     runTable
+	active   sync.WaitGroup
+}
+
+// New returns a Gateway that knows no settings yet.
+func New(cfg Config) *Gateway {
+	return &Gateway{Config: cfg, cut: make(chan struct{}), runs: newRunTable()}
+}
+
+// Apply puts a table of routes in force. An older one than that in force is left out: a request handled by a state that
+// operators have replaced would undo what a caller has already seen.
+func (g *Gateway) Apply(t *routes.Table) bool {
+	for {
+		old := g.table.Load()
+		if old != nil && t.Version <= old.Version {
+			return false
+		}
+		if g.table.CompareAndSwap(old, t) {
+			return true
+		}
+	}
+}
+
+// Table returns the table in force, nil before the first.
+func (g *Gateway) Table() *routes.Table { return g.table.Load() }
+
+// Stop makes answers ask callers to close their connections.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// Cut breaks off what is still open. Call it once, after Stop.
+func (g *Gateway) Cut() { close(g.cut) }
+
+// Wait returns when no request is open.
+func (g *Gateway) Wait() { g.active.Wait() }
+
+// ServeHTTP serves one request of a caller.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Done()
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c, ref := g.accept(w, r)
+	if ref != nil {
+		g.refuse(w, c, *ref)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.limit)
+	defer cancel()
+	stop := g.cutWith(cancel)
+	defer stop()
+	g.Budget.Request(c.arrived, c.service)
+	if c.route.Kind == routes.Stream {
+		g.serveStream(ctx, w, c)
+		return
+	}
+	g.servePlain(ctx, w, c)
+}
+
+// cutWith calls cancel when the gateway is cut.
+func (g *Gateway) cutWith(cancel func()) (stop func()) {
+	done := make(chan struct{})
+	go func() {
+		select {
+		case <-g.cut:
+			cancel()
+		case <-done:
+		}
+	}()
+	return func() { close(done) }
+}
--- /dev/null
+++ b/lib/gateway/log.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/phuslu/log"
+
+	"anvilwick.example/anvilwick/lib/logline"
+)
+
+// Log writes one line for each decision about a request. Lines carry no key and no body.
+type Log struct {
+	Version func() int64 // of the settings in force
+}
+
+// entry is what each line about a call says of it.
+type entry struct {
+	id, route, kind, service string
+	age                      time.Duration
+}
+
+func (c *call) entry() entry {
+	e := entry{id: c.id, service: c.service, age: time.Since(c.arrived)}
+	if c.route != nil {
+		e.route = c.route.Name
+		e.kind = c.route.Kind.String()
+	}
+	return e
+}
+
+func (l Log) line(at *log.Entry, event string, e entry) *log.Entry {
+	at = at.Str("event", event).Str("request", e.id).Str("route", e.route).Str("kind", e.kind)
+	at = at.Str("service", e.service).Int64("age_ms", e.age.Milliseconds())
+	if l.Version != nil {
+		at = at.Int64("settings", l.Version())
+	}
+	return at
+}
+
+// Refused tells of an answer of the gateway's own.
+func (l Log) Refused(e entry, status int, reason string, after time.Duration) {
+	l.line(log.Warn(), "refused", e).Int("status", status).Str("reason", reason).Int64("retry_after_ms", after.Milliseconds()).Msg("")
+}
+
+// Sent tells how a send to one target ended.
+func (l Log) Sent(e entry, target string, status int, outcome string, err error) {
+	logline.Cause(l.line(log.Info(), "sent", e).Str("target", target).Int("status", status).Str("outcome", outcome), err)
+}
+
+// Begun tells of a stream's first event.
+func (l Log) Begun(e entry, target string, after time.Duration) {
+	l.line(log.Info(), "first_event", e).Str("target", target).Int64("after_ms", after.Milliseconds()).Msg("")
+}
+
+// Answered tells of an answer passed on whole.
+func (l Log) Answered(e entry, target string, status int, after time.Duration) {
+	l.line(log.Info(), "answered", e).Str("target", target).Int("status", status).Int64("after_ms", after.Milliseconds()).Msg("")
+}
+
+// Cut tells of a stream broken off midway.
+func (l Log) Cut(e entry, target, reason string, events int) {
+	l.line(log.Warn(), "cut", e).Str("target", target).Str("reason", reason).Int("events", events).Msg("")
+}
+
+// Moved tells how a move of a run ended.
+func (l Log) Moved(e entry, from, to string, took time.Duration, err error) {
+	logline.Cause(l.line(log.Info(), "moved", e).Str("from", from).Str("to", to).Int64("took_ms", took.Milliseconds()), err)
+}
+
+// Warn tells of something that touches no single request.
+func (l Log) Warn(event, subject string, err error) {
+	logline.Cause(log.Warn().Str("event", event).Str("subject", subject), err)
+}
+
+// String returns the name used in logs.
+func (v verdict) String() string {
+	return [...]string{"good", "failure", "not_run", "faulty"}[v]
+}
--- /dev/null
+++ b/lib/gateway/stream.go
@@ -0,0 +1,437 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/wirehttp"
+)
+
+const (
+	// firstShare is the part of a route's aim after which a resumable stream without a first event is tried elsewhere.
+	firstShare = 0.6
+	// stallGaps is how many times the route's longest pause a resumable stream may be silent before it goes on elsewhere.
+	stallGaps = 4
+	// minPatience is the shortest wait for an event before a target is taken for silent.
+	minPatience = 700 * time.Millisecond
+	// handoffWait bounds the wait for the copy of a run whose stream has stopped for it.
+	handoffWait = 2 * time.Second
+)
+
+// end is how a run ended at one target.
+type end uint8
+
+const (
+	endComplete end = iota
+	endUnsent       // no connection, nothing was sent
+	endNotRun       // the target proves that it ran nothing
+	endFailure      // the target answered with a failure, before any event
+	endBroken       // the stream stopped short
+	endMoved        // the run was stopped to go on elsewhere
+	endCaller       // the caller left, or the time is over
+)
+
+var endNames = [...]string{"complete", "unsent", "not_run", "failure", "broken", "moved", "caller"}
+
+// String returns the name used in logs.
+func (e end) String() string { return endNames[e] }
+
+// next says where a run goes on.
+type next struct {
+	target   fleet.Info
+	counted  int    // tokens that the run counts for there already
+	copyFrom string // address and handle of a copy; empty: from the prompt and the last event
+}
+
+// run is one stream to a caller, across the targets that it runs on.
+type run struct {
+	g      *Gateway
+	c      *call
+	w      http.ResponseWriter
+	out    *http.ResponseController
+	begun  bool   // the caller has the head of the answer
+	lastID string // of the last event that the caller has
+	events int
+
+	mu      sync.Mutex
+	target  fleet.Info // where it runs now
+	counted int        // tokens that it counts for there
+	conn    *wirehttp.Conn
+	handoff chan next // the copy to go on from, once a move has stopped the run; nil when no move is in its last part
+	ended   bool
+}
+
+// serveStream serves a call that is answered by events.
+func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, c *call) {
+	r := &run{g: g, c: c, w: w, out: http.NewResponseController(w), lastID: c.lastEvent}
+	defer r.finish()
+	var to next
+	dials := 0
+	for {
+		if to.target.ID == "" {
+			var ok bool
+			need := r.need()
+			to.counted = need.Tokens
+			to.target, ok = g.Fleet.Acquire(time.Now(), need)
+			if !ok {
+				r.giveUp(ctx, "no_target")
+				return
+			}
+		}
+		if to.copyFrom == "" {
+			c.tried[to.target.ID] = true
+		}
+		e, x := r.runOn(ctx, to)
+		g.Log.Sent(c.entry(), to.target.ID, x.statusCode(), e.String(), x.err)
+		resumed := to.copyFrom != ""
+		to = next{}
+		switch e {
+		case endComplete, endCaller:
+			r.conclude(ctx, e)
+			return
+		case endMoved:
+			to = r.taken()
+			if to.target.ID == "" {
+				r.giveUp(ctx, "copy_lost")
+				return
+			}
+			g.Budget.Spend(time.Now(), c.service)
+			continue
+		case endUnsent:
+			dials++
+			if dials >= maxDials || resumed {
+				r.giveUp(ctx, "unreachable")
+				return
+			}
+			continue
+		}
+		c.sends++
+		c.mayRan = c.mayRan || e != endNotRun
+		if !r.onward(e, resumed) {
+			r.fail(ctx, e, x)
+			return
+		}
+	}
+}
+
+// need is what the run asks of a target now.
+func (r *run) need() fleet.Need {
+	return fleet.Need{Service: r.c.service, Tokens: r.c.prompt + r.c.output/2, Without: r.c.tried}
+}
+
+// onward decides whether the run goes to one more target from its prompt.
+func (r *run) onward(e end, resumed bool) bool {
+	if e == endNotRun && !resumed && !r.begun {
+		return r.g.maySendAgain(r.c)
+	}
+	return r.g.mayRepeat(r.c)
+}
+
+// runOn runs the stream on one target until it ends there.
+func (r *run) runOn(ctx context.Context, to next) (end, *exchange) {
+	x := &exchange{target: to.target}
+	r.enter(to)
+	e := endUnsent
+	defer func() { r.leave(e, x) }()
+	conn, err := r.g.connect(ctx, to.target)
+	if err != nil {
+		x.err = err
+		if ctx.Err() != nil {
+			e = endCaller
+		}
+		return e, x
+	}
+	r.setConn(conn)
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, conn.Close)
+	defer stop()
+	e = r.exchange(ctx, conn, to, x)
+	if ctx.Err() != nil && e != endComplete {
+		e = endCaller
+	}
+	if e == endComplete && stop() {
+		r.g.Pool.Put(conn, x.resp)
+		r.setConn(nil)
+	}
+	return e, x
+}
+
+// exchange sends the request and passes the events on.
+func (r *run) exchange(ctx context.Context, conn *wirehttp.Conn, to next, x *exchange) end {
+	req := r.g.request(r.c, to.target.ID, time.Now())
+	if r.lastID != "" {
+		req.Header.Set(r.g.Names.LastEvent, r.lastID)
+	}
+	if to.copyFrom != "" {
+		req.Header.Set(r.g.Names.CopyFrom, to.copyFrom)
+	}
+	if err := conn.Send(req); err != nil {
+		x.err = err
+		if !wirehttp.MaybeSent(err) {
+			return endUnsent
+		}
+		return endBroken
+	}
+	x.sent = true
+	patience := r.patience(true)
+	r.bound(conn, patience)
+	x.resp, x.err = conn.Receive(r.c.method, r.g.Names.RequestID, r.c.id)
+	if x.err != nil {
+		return r.broken()
+	}
+	x.verdict = r.g.judge(x.resp)
+	r.g.readLoad(to.target.ID, x.resp.Header)
+	switch x.verdict {
+	case verdictGood:
+		return r.relay(conn, x)
+	case verdictNotRun:
+		return endNotRun
+	case verdictFailure:
+		x.body, x.err = x.resp.ReadAll(answerLimit)
+		if x.err != nil {
+			return endBroken
+		}
+		return endFailure
+	}
+	return endBroken
+}
+
+// patience is how long the run waits for the next event; 0: as long as the caller does. Only a stream that may go on
+// elsewhere is ended for a target's silence.
+func (r *run) patience(first bool) time.Duration {
+	if !r.c.route.MayRepeat() || r.c.sends+1 >= r.c.route.MaxAttempts {
+		return 0
+	}
+	if first {
+		return max(minPatience, time.Duration(firstShare*float64(r.c.route.Aim)))
+	}
+	return max(minPatience, stallGaps*r.c.route.GapAim)
+}
+
+func (r *run) bound(conn *wirehttp.Conn, patience time.Duration) {
+	if patience == 0 {
+		conn.SetDeadline(time.Time{})
+		return
+	}
+	conn.SetDeadline(time.Now().Add(patience))
+}
+
+// relay passes whole events on as they come.
+func (r *run) relay(conn *wirehttp.Conn, x *exchange) end {
+	var events eventBuffer
+	p := make([]byte, 4<<10)
+	for {
+		r.bound(conn, r.patience(r.events == 0))
+		n, err := x.resp.Read(p)
+		if n > 0 {
+			whole, count, id, eerr := events.add(p[:n])
+			if eerr != nil {
+				x.err = eerr
+				return endBroken
+			}
+			if werr := r.pass(x.resp, whole, count, id); werr != nil {
+				x.err = werr
+				return endCaller
+			}
+		}
+		switch {
+		case err == nil:
+			continue
+		case errors.Is(err, io.EOF) && !events.rest() && !r.stopped(x.resp):
+			if !r.begun {
+				// An empty stream is an answer, too.
+				if werr := r.pass(x.resp, nil, 0, ""); werr != nil {
+					return endCaller
+				}
+			}
+			return endComplete
+		default:
+			x.err = err
+			return r.broken()
+		}
+	}
+}
+
+// stopped reports whether the end of an answer without a stated length is the doing of a move.
+func (r *run) stopped(resp *wirehttp.Response) bool {
+	if !resp.EndsWithConn() {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.handoff != nil
+}
+
+// broken tells a stream that was stopped by a move from one that broke.
+func (r *run) broken() end {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.handoff != nil {
+		return endMoved
+	}
+	return endBroken
+}
+
+// pass gives whole events to the caller. The head waits for the first one: until then another target can still answer.
+func (r *run) pass(resp *wirehttp.Response, whole []byte, count int, id string) error {
+	if len(whole) == 0 && (r.begun || !resp.Ended()) {
+		return nil
+	}
+	if !r.begun {
+		r.begun = true
+		r.g.copyHead(r.w, resp.Header)
+		r.w.WriteHeader(resp.Status)
+		r.g.Log.Begun(r.c.entry(), r.at().ID, time.Since(r.c.arrived))
+	}
+	if _, err := r.w.Write(whole); err != nil {
+		return err
+	}
+	if id != "" {
+		r.lastID = id
+	}
+	if count > 0 {
+		r.events += count
+		r.grow(count)
+	}
+	return r.out.Flush()
+}
+
+// conclude ends the answer: whole, or visibly cut.
+func (r *run) conclude(ctx context.Context, e end) {
+	if e == endComplete {
+		r.g.Log.Answered(r.c.entry(), r.at().ID, http.StatusOK, time.Since(r.c.arrived))
+		return
+	}
+	if r.begun {
+		r.abort("caller_or_limit")
+	}
+	reason := refusal{status: http.StatusGatewayTimeout, reason: "time_limit"}
+	if !r.c.mayRan && r.c.sends == 0 && ctx.Err() == nil {
+		reason = r.c.again("no_time")
+	}
+	r.g.refuse(r.w, r.c, reason)
+}
+
+// giveUp ends a run that has no target to go to.
+func (r *run) giveUp(ctx context.Context, reason string) {
+	switch {
+	case r.begun:
+		r.abort(reason)
+	case ctx.Err() != nil:
+		r.g.refuse(r.w, r.c, refusal{status: http.StatusGatewayTimeout, reason: "time_limit"})
+	case r.c.mayRan:
+		r.g.refuse(r.w, r.c, refusal{status: http.StatusBadGateway, reason: reason})
+	default:
+		r.g.refuse(r.w, r.c, r.c.again(reason))
+	}
+}
+
+// fail ends a run whose last target failed it.
+func (r *run) fail(ctx context.Context, e end, x *exchange) {
+	if e == endFailure && !r.begun {
+		r.g.answer(r.w, r.c, x)
+		return
+	}
+	r.giveUp(ctx, "target_"+e.String())
+}
+
+// abort cuts the caller's connection, so that a stream that stopped short does not look complete.
+func (r *run) abort(reason string) {
+	r.g.Log.Cut(r.c.entry(), r.at().ID, reason, r.events)
+	panic(http.ErrAbortHandler)
+}
+
+// enter counts the run at a target and lets moves find it. The first target was counted when it was chosen.
+func (r *run) enter(to next) {
+	target := to.target
+	r.mu.Lock()
+	r.target = target
+	r.counted = to.counted
+	r.handoff = nil
+	r.mu.Unlock()
+	r.g.runs.add(target.ID, r)
+	if r.c.engine != nil && r.c.engine.Moves && r.g.Fleet.IsLeaving(target.ID) {
+		go r.g.move(r, target)
+	}
+}
+
+// leave takes the run off its target.
+func (r *run) leave(e end, x *exchange) {
+	r.g.runs.remove(x.target.ID, r)
+	r.mu.Lock()
+	counted := r.counted
+	r.conn = nil
+	r.mu.Unlock()
+	r.g.Fleet.Release(time.Now(), x.target.ID, counted, e.outcome())
+}
+
+// outcome is what a run's end says of its target.
+func (e end) outcome() fleet.Outcome {
+	switch e {
+	case endComplete:
+		return fleet.Served
+	case endUnsent:
+		return fleet.Unreachable
+	case endNotRun:
+		return fleet.Refused
+	case endFailure, endBroken:
+		return fleet.Failed
+	default:
+		return fleet.Abandoned
+	}
+}
+
+func (r *run) finish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
+}
+
+func (r *run) at() fleet.Info {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.target
+}
+
+func (r *run) setConn(conn *wirehttp.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.conn = conn
+}
+
+// grow counts tokens beyond what was expected of the run.
+func (r *run) grow(events int) {
+	if r.c.engine == nil {
+		return
+	}
+	tokens := events * max(1, r.c.engine.Stride)
+	r.c.made += tokens
+	over := r.c.made - r.c.output/2
+	if over <= 0 {
+		return
+	}
+	more := min(tokens, over)
+	r.mu.Lock()
+	r.counted += more
+	id := r.target.ID
+	r.mu.Unlock()
+	r.g.Fleet.Grow(id, more)
+}
+
+// taken waits for the copy that a move has made.
+func (r *run) taken() next {
+	r.mu.Lock()
+	ch := r.handoff
+	r.mu.Unlock()
+	select {
+	case n := <-ch:
+		return n
+	case <-time.After(handoffWait):
+		return next{}
+	}
+}
--- /dev/null
+++ b/lib/gatewayproc/process.go
@@ -0,0 +1,211 @@
+// Package gatewayproc assembles the gateway process: callers' listener, readiness, and the feeds of settings and
+// targets.
+package gatewayproc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"anvilwick.example/anvilwick/lib/feed"
+	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/gateway"
+	"anvilwick.example/anvilwick/lib/logline"
+	"anvilwick.example/anvilwick/lib/retry"
+	"anvilwick.example/anvilwick/lib/routes"
+	"anvilwick.example/anvilwick/lib/wirehttp"
+)
+
+// Config is what the instance is told at its start.
+type Config struct {
+	Instance string
+	Domain   string // failure domain
+	Front    string // address for callers
+	Ready    string // address for the balancer's readiness checks
+	Peer     string // address for other instances
+	MemoryMB int    // over which the process is killed
+
+	Grace time.Duration // from SIGTERM to the kill
+
+	// All instances together may repeat RepeatRatio of a service's requests and RepeatFloor more in each RepeatWindow.
+	RepeatRatio  float64
+	RepeatFloor  float64
+	RepeatWindow time.Duration
+}
+
+// Site is where the instance runs: what is spoken there.
+type Site struct {
+	Names   gateway.Names
+	Pool    *wirehttp.Pool
+	Engines gateway.Engines
+
+	Settings       feed.Source
+	DecodeSettings func([]feed.Row) (*routes.Revision, error)
+	Targets        feed.Source
+	DecodeTarget   func(feed.Row) (fleet.Info, error)
+}
+
+const (
+	// firstSettings is how long the listener for callers waits for settings, whose limits it is made with.
+	firstSettings = 2 * time.Second
+	// defaultIdle and defaultHeader hold where settings state no limit or are not known in time.
+	defaultIdle   = 20 * time.Second
+	defaultHeader = 5 * time.Second
+	// maxHeader is net/http's bound on a request's head, in bytes.
+	maxHeader = 64 << 10
+	// tickEvery is the period of housekeeping.
+	tickEvery = 200 * time.Millisecond
+	// outOfRotation is how long after SIGTERM the balancer may still send new connections: it asks once a second and
+	// takes an instance out after two misses.
+	outOfRotation = 2500 * time.Millisecond
+	// cutMargin is how long before the kill open answers are broken off.
+	cutMargin = 300 * time.Millisecond
+	// memoryShare is the part of the memory limit at which the garbage collector works harder.
+	memoryShare = 0.6
+)
+
+// Process is a running instance.
+type Process struct {
+	cfg   Config
+	site  Site
+	fleet *fleet.Fleet
+	gate  *gateway.Gateway
+	share *retry.Share
+
+	front, ready *http.Server
+	cancel       context.CancelFunc
+	feeds        sync.WaitGroup
+	known        chan struct{} // closed when settings are first in force
+	knownOnce    sync.Once
+
+	mu      sync.Mutex
+	listed  bool // the list of targets was read
+	stopped bool
+}
+
+// Run serves until ctx is done, then stops gracefully.
+func Run(ctx context.Context, cfg Config, site Site) error {
+	p := &Process{cfg: cfg, site: site, fleet: fleet.New(cfg.Domain), known: make(chan struct{})}
+	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
+	p.share = retry.NewShare(cfg.RepeatRatio, cfg.RepeatFloor, cfg.RepeatWindow)
+	p.gate = gateway.New(gateway.Config{
+		Names: site.Names, Engines: site.Engines, Fleet: p.fleet, Pool: site.Pool, Budget: p.share, Grace: cfg.Grace,
+		Log: gateway.Log{Version: p.version},
+	})
+	log.Info().Str("event", "start").Str("instance", cfg.Instance).Str("domain", cfg.Domain).Str("front", cfg.Front).Msg("")
+	work, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	defer cancel()
+	if err := p.serveReady(); err != nil {
+		return err
+	}
+	p.follow(work)
+	failed := make(chan error, 1)
+	go func() { failed <- p.serveFront(work) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	return p.stop()
+}
+
+func (p *Process) version() int64 {
+	if t := p.gate.Table(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// serveReady answers the balancer: 200 while this instance can serve and is to go on serving.
+func (p *Process) serveReady() error {
+	ln, err := net.Listen("tcp", p.cfg.Ready)
+	if err != nil {
+		return fmt.Errorf("gatewayproc: readiness: %w", err)
+	}
+	p.ready = &http.Server{Handler: http.HandlerFunc(p.answerReady), ReadHeaderTimeout: defaultHeader}
+	go func() {
+		if err := p.ready.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			logline.Cause(log.Error().Str("event", "ready_listener_failed"), err)
+		}
+	}()
+	return nil
+}
+
+func (p *Process) answerReady(w http.ResponseWriter, _ *http.Request) {
+	status := http.StatusServiceUnavailable
+	p.mu.Lock()
+	if p.listed && !p.stopped && p.gate.Table() != nil {
+		status = http.StatusOK
+	}
+	p.mu.Unlock()
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+}
+
+// serveFront opens the listener for callers once settings are known, or after a while without.
+func (p *Process) serveFront(ctx context.Context) error {
+	select {
+	case <-p.known:
+	case <-time.After(firstSettings):
+	case <-ctx.Done():
+		return nil
+	}
+	idle, header := defaultIdle, defaultHeader
+	if t := p.gate.Table(); t != nil {
+		idle = orDefault(t.Limits.IdleTimeout, idle)
+		header = orDefault(t.Limits.HeaderTimeout, header)
+	}
+	ln, err := net.Listen("tcp", p.cfg.Front)
+	if err != nil {
+		return fmt.Errorf("gatewayproc: callers: %w", err)
+	}
+	p.mu.Lock()
+	p.front = &http.Server{Handler: p.gate, IdleTimeout: idle, ReadHeaderTimeout: header, MaxHeaderBytes: maxHeader}
+	front := p.front
+	p.mu.Unlock()
+	if err := front.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("gatewayproc: callers: %w", err)
+	}
+	return nil
+}
+
+func orDefault(d, def time.Duration) time.Duration {
+	if d > 0 {
+		return d
+	}
+	return def
+}
+
+// stop takes the instance out of rotation, lets open answers end, and breaks off what is left just before the kill.
+func (p *Process) stop() error {
+	start := time.Now()
+	log.Info().Str("event", "stop").Str("instance", p.cfg.Instance).Msg("")
+	p.mu.Lock()
+	p.stopped = true
+	front := p.front
+	p.mu.Unlock()
+	p.gate.Stop()
+	time.Sleep(min(outOfRotation, p.cfg.Grace/2))
+	cut := time.AfterFunc(p.cfg.Grace-time.Since(start)-cutMargin, p.gate.Cut)
+	defer cut.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.Grace-time.Since(start)-cutMargin/2)
+	defer cancel()
+	var err error
+	if front != nil {
+		err = front.Shutdown(ctx)
+	}
+	p.cancel()
+	log.Info().Str("event", "stopped").Int64("after_ms", time.Since(start).Milliseconds()).Msg("")
+	if err != nil {
+		return fmt.Errorf("gatewayproc: answers were cut at the stop limit: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/lib/retry/share.go
@@ -0,0 +1,123 @@
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+// Share bounds the repeats that one instance sends, so that all instances together stay under
+// ratio x requests + floor in each sliding window, without a message between them: the floor is divided by the number
+// of instances, and each adds the ratio of its own requests.
+type Share struct {
+	ratio  float64
+	floor  float64
+	window time.Duration
+
+	mu        sync.Mutex
+	instances int
+	requests  map[string]*ring
+	repeats   map[string]*ring
+}
+
+// shareSafety is the part of the bound that is used. The rest covers instances that come and go: one that has just
+// started divides by too few, and one that was replaced in the window has spent its part already.
+const shareSafety = 0.7
+
+// shareSlots is how many slots a window is counted in. One more slot than the window is kept, so that a count never
+// leaves out an event that is within the window.
+const shareSlots = 20
+
+// NewShare returns a Share of a bound of ratio x requests + floor in each window.
+func NewShare(ratio, floor float64, window time.Duration) *Share {
+	return &Share{
+		ratio: ratio, floor: floor, window: window, instances: 1,
+		requests: make(map[string]*ring), repeats: make(map[string]*ring),
+	}
+}
+
+// SetInstances sets how many instances divide the floor.
+func (s *Share) SetInstances(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances = max(1, n)
+}
+
+// Request counts a request of a caller for a service.
+func (s *Share) Request(now time.Time, service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ring(s.requests, service).add(now)
+}
+
+// Take counts a repeat at a service and reports whether it may be sent.
+func (s *Share) Take(now time.Time, service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.left(now, service) < 1 {
+		return false
+	}
+	s.ring(s.repeats, service).add(now)
+	return true
+}
+
+// Spend counts a repeat that is sent whatever is left, so that later ones wait for it.
+func (s *Share) Spend(now time.Time, service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ring(s.repeats, service).add(now)
+}
+
+// Left returns how many repeats may still be sent to a service now.
+func (s *Share) Left(now time.Time, service string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.left(now, service)
+}
+
+func (s *Share) left(now time.Time, service string) float64 {
+	requests := s.ring(s.requests, service).sum(now)
+	repeats := s.ring(s.repeats, service).sum(now)
+	return shareSafety*(s.floor/float64(s.instances)+s.ratio*float64(requests)) - float64(repeats)
+}
+
+func (s *Share) ring(m map[string]*ring, service string) *ring {
+	r := m[service]
+	if r == nil {
+		r = &ring{slot: s.window / shareSlots}
+		m[service] = r
+	}
+	return r
+}
+
+// ring counts events in slots of time.
+type ring struct {
+	slot   time.Duration
+	counts [shareSlots + 1]int
+	head   int64 // number of the newest slot
+}
+
+func (r *ring) advance(now time.Time) {
+	n := now.UnixNano() / int64(r.slot)
+	if n-r.head > int64(len(r.counts)) {
+		r.counts = [shareSlots + 1]int{}
+		r.head = n
+	}
+	for r.head < n {
+		r.head++
+		r.counts[r.head%int64(len(r.counts))] = 0
+	}
+}
+
+func (r *ring) add(now time.Time) {
+	r.advance(now)
+	r.counts[r.head%int64(len(r.counts))]++
+}
+
+func (r *ring) sum(now time.Time) int {
+	r.advance(now)
+	n := 0
+	for _, c := range r.counts {
+		n += c
+	}
+	return n
+}
--- /dev/null
+++ b/lib/wirehttp/pool.go
@@ -0,0 +1,193 @@
+package wirehttp
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Bounds of idle connections.
+const (
+	// idleDefault holds where a target states no idle timeout: long enough for the next request of a busy service,
+	// short enough that a target which closes idle connections early seldom closes one that is just being used.
+	idleDefault = 4 * time.Second
+	// idleMargin is taken off a stated idle timeout: the clock of the target starts when its answer leaves.
+	idleMargin = 700 * time.Millisecond
+	// idleMax bounds what a target may state.
+	idleMax = 30 * time.Second
+	// idlePerTarget bounds the idle connections kept to one address.
+	idlePerTarget = 32
+)
+
+// ErrClosed says that the pool was closed.
+var ErrClosed = errors.New("wirehttp: pool closed")
+
+// Pool keeps idle connections by address. It is safe for concurrent use.
+type Pool struct {
+	dial func(ctx context.Context, addr string) (net.Conn, error)
+
+	mu     sync.Mutex
+	idle   map[string][]*Conn
+	closed bool
+	dials  uint64
+}
+
+// NewPool returns a pool that opens connections with dial; nil: net.Dialer.
+func NewPool(dial func(ctx context.Context, addr string) (net.Conn, error)) *Pool {
+	if dial == nil {
+		d := net.Dialer{KeepAlive: -1}
+		dial = func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
+	}
+	return &Pool{dial: dial, idle: make(map[string][]*Conn)}
+}
+
+// Get returns an idle connection to addr that is still sound, else a new one.
+func (p *Pool) Get(ctx context.Context, addr string) (*Conn, error) {
+	for {
+		c := p.take(addr)
+		if c == nil {
+			return p.Dial(ctx, addr)
+		}
+		if time.Now().Before(c.expires) && c.quiet() {
+			c.SetDeadline(time.Time{})
+			return c, nil
+		}
+		c.Close()
+	}
+}
+
+// Dial opens a new connection. Its errors say that nothing was sent.
+func (p *Pool) Dial(ctx context.Context, addr string) (*Conn, error) {
+	p.mu.Lock()
+	p.dials++
+	p.mu.Unlock()
+	nc, err := p.dial(ctx, addr)
+	if err != nil {
+		return nil, &SendError{Err: err}
+	}
+	return newConn(nc, addr), nil
+}
+
+// Dials returns how many connections were opened.
+func (p *Pool) Dials() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dials
+}
+
+func (p *Pool) take(addr string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[addr] = list[:len(list)-1]
+	return c
+}
+
+// Put takes a connection back after the exchange that resp ended. It is closed unless the next exchange is sure to find
+// nothing of this one on it: the answer was read whole, the request was written whole, and no byte follows.
+func (p *Pool) Put(c *Conn, resp *Response) {
+	if c.spoiled || resp == nil || !resp.reusable() || !c.written() || c.rd.Buffered() > 0 {
+		c.Close()
+		return
+	}
+	c.used = true
+	c.expires = time.Now().Add(idleLimit(resp.Header))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.idle[c.addr]) >= idlePerTarget {
+		c.Close()
+		return
+	}
+	p.idle[c.addr] = append(p.idle[c.addr], c)
+}
+
+// idleLimit reads the idle timeout that a target states.
+func idleLimit(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		s, err := strconv.Atoi(strings.TrimSpace(value))
+		if err != nil || s < 0 {
+			return idleDefault
+		}
+		return min(max(time.Duration(s)*time.Second-idleMargin, 0), idleMax)
+	}
+	return idleDefault
+}
+
+// Sweep closes idle connections that have expired; call it now and then.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Before(c.expires) {
+				kept = append(kept, c)
+			} else {
+				c.Close()
+			}
+		}
+		clear(list[len(kept):])
+		p.idle[addr] = kept
+		if len(kept) == 0 {
+			delete(p.idle, addr)
+		}
+	}
+}
+
+// Drop closes the idle connections to addr.
+func (p *Pool) Drop(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[addr] {
+		c.Close()
+	}
+	delete(p.idle, addr)
+}
+
+// Close closes all idle connections; those in use are closed when they come back.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for addr, list := range p.idle {
+		for _, c := range list {
+			c.Close()
+		}
+		delete(p.idle, addr)
+	}
+}
+
+// quiet reports whether nothing has come on an idle connection: neither its end nor bytes that belong to no request.
+// Without it a request is sent on a connection that the target has closed, and whether it ran can't be known.
+func (c *Conn) quiet() bool {
+	sc, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, rerr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(rerr, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/lib/wirehttp/response.go
@@ -0,0 +1,62 @@
+package wirehttp
+
+import (
+	"errors"
+	"io"
+	"net/http"
+)
+
+// ErrTooLong says that an answer's body is over the caller's bound.
+var ErrTooLong = errors.New("wirehttp: answer too long")
+
+// Response is the head of an answer; its body is read from the connection that it came on.
+type Response struct {
+	Status int
+	Header http.Header
+	Length int64 // of the body in bytes; -1 when not stated
+
+	body   io.Reader
+	closes bool
+	ended  bool
+}
+
+// Read reads the body. io.EOF comes only after a whole body; one that was cut gives another error.
+func (r *Response) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	if err == io.EOF {
+		r.ended = true
+	}
+	return n, err
+}
+
+// ReadAll reads a whole body of at most limit bytes.
+func (r *Response) ReadAll(limit int64) ([]byte, error) {
+	if r.Length > limit {
+		return nil, ErrTooLong
+	}
+	b, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(b)) > limit {
+		return nil, ErrTooLong
+	}
+	return b, nil
+}
+
+// strayLimit bounds, in bytes, an answer to another request that is read past.
+const strayLimit = 1 << 20
+
+func (r *Response) discard() error {
+	_, err := r.ReadAll(strayLimit)
+	return err
+}
+
+// reusable reports whether another exchange may follow on the connection.
+func (r *Response) reusable() bool { return r.ended && !r.closes }
+
+// EndsWithConn reports whether only the end of the connection ends the body.
+func (r *Response) EndsWithConn() bool { return r.Length < 0 && r.closes }
+
+// Ended reports whether the whole body has been read.
+func (r *Response) Ended() bool { return r.ended }
