Take the last change of a key in a page of a feed for its state

Cause: after an outage one long poll returns several changes of a key in order; the first was taken, and nothing came after the page's version. Ruled out: a stale read (the page's version was the newest), a stuck poll (it returned in time). Change: a follower keeps the last row of each key. Test failed before.

--- a/lib/feed/feed.go
+++ b/lib/feed/feed.go
@@ -152,7 +152,29 @@
 		return
 	}
 	f.version = page.Version
+	u.Rows = newest(page.Rows)
 	if whole || len(page.Rows) > 0 || u.Silent > 0 {
 		f.apply(u)
 	}
 }
+
+// newest keeps the last row of each key.
+//
+// Failure: after an outage one page holds several changes of a key in order. Whoever took the first for the state would
+// serve by an old one until the next change, since nothing comes after the page's version.
+func newest(rows []Row) []Row {
+	last := make(map[string]int, len(rows))
+	for i, r := range rows {
+		last[r.Key] = i
+	}
+	if len(last) == len(rows) {
+		return rows
+	}
+	out := make([]Row, 0, len(last))
+	for i, r := range rows {
+		if last[r.Key] == i {
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/lib/feed/feed_test.go
@@ -0,0 +1,112 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// script is a Source that plays answers in order and then waits.
+type script struct {
+	snapshots []answer
+	changes   []answer
+	after     []int64 // versions that changes were asked after
+}
+
+type answer struct {
+	page Page
+	err  error
+}
+
+func (s *script) Snapshot(ctx context.Context) (Page, error) { return play(ctx, &s.snapshots) }
+
+func (s *script) Changes(ctx context.Context, after int64, _ time.Duration) (Page, error) {
+	s.after = append(s.after, after)
+	return play(ctx, &s.changes)
+}
+
+func play(ctx context.Context, list *[]answer) (Page, error) {
+	if len(*list) == 0 {
+		<-ctx.Done()
+		return Page{}, ctx.Err()
+	}
+	a := (*list)[0]
+	*list = (*list)[1:]
+	return a.page, a.err
+}
+
+func follow(t *testing.T, s *script, span time.Duration) []Update {
+	t.Helper()
+	var got []Update
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(context.Background(), span)
+		defer cancel()
+		New(s, DefaultOptions, func(u Update) { got = append(got, u) }, func(error) {}).Run(ctx)
+	})
+	return got
+}
+
+func page(version int64, rows ...Row) answer { return answer{page: Page{Version: version, Rows: rows}} }
+
+// A caller is served by the settings of before an outage, seconds after newer ones were accepted. The store answers the
+// first long poll after the outage with both changes of the key in order; the follower took the first for the state,
+// and nothing came after the page's version.
+func TestLastChangeOfAKeyCounts(t *testing.T) {
+	s := &script{
+		snapshots: []answer{page(1, Row{Key: "a", Value: []byte("one"), Version: 1})},
+		changes: []answer{
+			{err: errors.New("away")},
+			page(9, Row{Key: "a", Value: []byte("two"), Version: 4}, Row{Key: "b", Version: 5}, Row{Key: "a", Value: []byte("three"), Version: 9}),
+		},
+	}
+	got := follow(t, s, time.Second)
+	must.Len(t, 2, got)
+	must.Eq(t, []Row{{Key: "b", Version: 5}, {Key: "a", Value: []byte("three"), Version: 9}}, got[1].Rows)
+	must.True(t, got[1].Silent > 0)
+}
+
+// A process that starts while the store is silent must be back soon after the store is. Each call ends after its own
+// short time-out and another follows at once; a long one would wait out its time with the store already back.
+func TestSilentStoreIsAskedAgainSoon(t *testing.T) {
+	s := &script{}
+	var got []Update
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		time.AfterFunc(5*time.Second, func() { s.snapshots = []answer{page(3)} })
+		var at time.Duration
+		start := time.Now()
+		New(s, DefaultOptions, func(u Update) { got = append(got, u); at = time.Since(start) }, func(error) {}).Run(ctx)
+		must.Less(t, 6300*time.Millisecond, at)
+	})
+	must.Len(t, 1, got)
+}
+
+// A version in force never goes back: history is dropped, and the snapshot that follows comes from a replica that is
+// seconds behind. The follower asks until it gets a state as new as the one shown.
+func TestStaleSnapshotIsLeftOut(t *testing.T) {
+	s := &script{
+		snapshots: []answer{page(10, Row{Key: "a", Version: 10}), page(7, Row{Key: "a", Version: 7}), page(12, Row{Key: "a", Version: 12})},
+		changes:   []answer{{err: ErrHistoryGone}},
+	}
+	got := follow(t, s, 2*time.Second)
+	must.Len(t, 2, got)
+	must.Eq(t, 12, got[1].Version)
+	must.True(t, got[1].Whole)
+}
+
+// Changes are asked for after the newest version shown, so that none is left out or shown twice.
+func TestChangesFollowOn(t *testing.T) {
+	s := &script{
+		snapshots: []answer{page(5)},
+		changes:   []answer{page(6, Row{Key: "x", Version: 6}), page(6), page(8, Row{Key: "x", Version: 8, Removed: true})},
+	}
+	got := follow(t, s, time.Second)
+	must.Eq(t, []int64{5, 6, 6, 8}, s.after)
+	must.Len(t, 3, got)
+	must.True(t, got[2].Rows[0].Removed)
+}
