Tell peers what runs where; plan moves off a leaving engine from it

Cause: instances that choose by their own sends alone pile on the same idle engine (nine of some 34 runs on one), and a leaving engine's link then can't carry all copies in the 1.5 to 2.1 s of its notice; copies of several instances queue on each other. Ruled out: too short a notice for an even load (4.3 runs take 0.8 s), refused copies (no room was rare and tried again at once). Change: datagrams of runs and open calls (lib/peernews, lib/newspb), an instance table in the store, prompts waiting to be read in the choice of a target, and lib/moveplan: every instance makes the same plan and does its part.

--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -53,6 +53,13 @@
 type Load struct {
 	Runs   int
 	Tokens int // of engine memory, now and expected
+	Unread int // tokens of prompts that are not read yet
+}
+
+func (l *Load) add(m Load) {
+	l.Runs += m.Runs
+	l.Tokens += m.Tokens
+	l.Unread += m.Unread
 }
 
 // Constants of the choice. Scores are in units of a full target.
@@ -79,6 +86,9 @@
 	jitter = 0.02
 	// minConns is the number of connections that an instance may hold to a target however many instances there are.
 	minConns = 2
+	// unreadWeight is what a token of a prompt that waits to be read costs, against one in memory: prompts are read one
+	// chunk between the tokens of others, so a second one doubles the time to the first token of both.
+	unreadWeight = 2.0
 	// runWeight is the score of one more run on an engine, beside its memory: each run slows the others' tokens.
 	runWeight = 0.01
 )
@@ -267,6 +277,7 @@
 type Need struct {
 	Service string
 	Tokens  int             // of engine memory; 0 for a plain service
+	Unread  int             // tokens of its prompt to read
 	Without map[string]bool // targets not to choose
 	Near    string          // failure domain to prefer; empty: the instance's own
 	Must    bool            // engine memory must hold Tokens: for copies, which are refused otherwise
@@ -281,11 +292,41 @@
 	if best == nil {
 		return Info{}, false
 	}
-	best.own.Runs++
-	best.own.Tokens += n.Tokens
+	best.own.add(Load{Runs: 1, Tokens: n.Tokens, Unread: n.Unread})
 	return best.Info, true
 }
 
+// AcquireAt counts a request at one target, if it may be chosen.
+func (f *Fleet) AcquireAt(id string, n Need) (Info, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.targets[id]
+	if t == nil || !f.allowed(t, n) {
+		return Info{}, false
+	}
+	t.own.add(Load{Runs: 1, Tokens: n.Tokens, Unread: n.Unread})
+	return t.Info, true
+}
+
+// Room is a target of a service that takes requests, and the engine memory in tokens that nobody is known to use.
+type Room struct {
+	Info
+	Free int
+}
+
+// Rooms lists the engines of a service that take requests.
+func (f *Fleet) Rooms(service string) []Room {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []Room
+	for _, t := range f.targets {
+		if t.Service == service && t.state == Ready {
+			out = append(out, Room{Info: t.Info, Free: f.specs[service].KVTokens - f.carried(t).Tokens})
+		}
+	}
+	return out
+}
+
 func (f *Fleet) choose(now time.Time, n Need) *Target {
 	var best, last *Target
 	bestScore := 0.0
@@ -329,9 +370,7 @@
 func (f *Fleet) carried(t *Target) Load {
 	sum := t.own
 	for _, p := range f.peers {
-		l := p.loads[t.ID]
-		sum.Runs += l.Runs
-		sum.Tokens += l.Tokens
+		sum.add(p.loads[t.ID])
 	}
 	return sum
 }
@@ -340,7 +379,8 @@
 	load := f.carried(t)
 	s := failCost*max(0, t.fails-failFree) + jitter*rand.Float64()
 	if kv := f.specs[t.Service].KVTokens; kv > 0 {
-		s += float64(load.Tokens+n.Tokens)/float64(kv) + runWeight*float64(load.Runs)
+		s += (float64(load.Tokens+n.Tokens) + unreadWeight*float64(load.Unread)) / float64(kv)
+		s += runWeight * float64(load.Runs)
 	} else {
 		busy := float64(load.Runs)
 		if now.Sub(t.reportedAt) < reportLife {
@@ -358,12 +398,12 @@
 	return s
 }
 
-// Grow changes the memory that a request counts for.
-func (f *Fleet) Grow(id string, tokens int) {
+// Grow changes what a request counts for at its target.
+func (f *Fleet) Grow(id string, by Load) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if t := f.targets[id]; t != nil {
-		t.own.Tokens += tokens
+		t.own.add(by)
 	}
 }
 
@@ -379,15 +419,14 @@
 )
 
 // Release takes a request off a target and learns from its outcome.
-func (f *Fleet) Release(now time.Time, id string, tokens int, o Outcome) {
+func (f *Fleet) Release(now time.Time, id string, l Load, o Outcome) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := f.targets[id]
 	if t == nil {
 		return
 	}
-	t.own.Runs--
-	t.own.Tokens -= tokens
+	t.own.add(Load{Runs: -1, Tokens: -l.Tokens, Unread: -l.Unread})
 	switch o {
 	case Served:
 		t.fails -= failStep * t.fails
--- a/lib/gateway/call.go
+++ b/lib/gateway/call.go
@@ -32,7 +32,6 @@
 	limit     time.Time // the answer is due: the deadline or the route's limit
 	prompt    int       // tokens of the prompt
 	output    int       // expected tokens of the output
-	made      int       // tokens of the output so far
 	lastEvent string    // the last event that the caller had when it asked
 
 	sends  int             // targets that the call was sent to
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -62,7 +62,9 @@
 	Pool    *wirehttp.Pool
 	Budget  *retry.Share
 	Log     Log
-	Grace   time.Duration // from the order to stop until the process is killed
+	// OnChange is called when what runs here has changed; nil: nobody is told.
+	OnChange func()
+	Grace    time.Duration // from the order to stop until the process is killed
 }
 
 // Gateway serves callers. It is an http.Handler.
--- a/lib/gateway/move.go
+++ b/lib/gateway/move.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/moveplan"
+	"anvilwick.example/anvilwick/lib/routes"
 )
 
 // Errors that Engines return for a copy.
@@ -69,30 +71,76 @@
 	return out
 }
 
-// Evacuate moves the runs of a target that is leaving to other engines. It returns at once.
-func (g *Gateway) Evacuate(target fleet.Info) {
+// Evacuate moves the runs of a target that is leaving to other engines. others are the runs that peers have there. It
+// returns at once.
+func (g *Gateway) Evacuate(target fleet.Info, others []moveplan.Run) {
+	t := g.table.Load()
+	if t == nil {
+		return
+	}
+	svc := t.Service(target.Service)
+	if svc == nil || svc.Engine == nil || !svc.Engine.Moves {
+		return
+	}
+	notice := time.Now()
+	own := make(map[uint64]*run)
+	runs := others
 	for _, r := range g.runs.on(target.ID) {
-		if r.c.engine != nil && r.c.engine.Moves {
-			go g.move(r, target)
+		m := r.news()
+		own[m.ID] = r
+		runs = append(runs, m)
+	}
+	for _, step := range moveplan.Plan(runs, g.destinations(target), linkOf(svc.Engine)) {
+		if r := own[step.Run.ID]; r != nil {
+			go g.move(r, target, notice, step)
 		}
 	}
 }
 
+// destinations lists the engines that a leaving one's runs can go to.
+func (g *Gateway) destinations(from fleet.Info) []moveplan.Engine {
+	var out []moveplan.Engine
+	for _, room := range g.Fleet.Rooms(from.Service) {
+		if room.ID != from.ID {
+			out = append(out, moveplan.Engine{ID: room.ID, Free: room.Free, Near: room.Domain == from.Domain})
+		}
+	}
+	return out
+}
+
+// farFactor is how many times longer a copy takes between failure domains.
+const farFactor = 2
+
+func linkOf(e *routes.Engine) moveplan.Link {
+	if e.KVBytes <= 0 {
+		return moveplan.Link{}
+	}
+	return moveplan.Link{TokensPerSecond: e.LinkMbps * 1e6 / 8 / e.KVBytes, FarFactor: farFactor}
+}
+
 // move copies a run to another engine while it goes on, stops it once little is left to copy, and hands the copy over.
-func (g *Gateway) move(r *run, from fleet.Info) {
-	notice := time.Now()
+func (g *Gateway) move(r *run, from fleet.Info, notice time.Time, step moveplan.Step) {
+	if step.Start > 0 {
+		time.Sleep(min(step.Start, moveBy))
+	}
 	without := map[string]bool{from.ID: true}
+	first := step.To
 	for r.on(from.ID) && time.Since(notice) < moveGiveUp {
-		to, ok := g.Fleet.Acquire(time.Now(), fleet.Need{
-			Service: from.Service, Tokens: r.size(), Without: without, Near: from.Domain, Spread: domainWeight, Must: true,
-		})
+		need := fleet.Need{
+			Service: from.Service, Tokens: r.size().Tokens, Without: without, Near: from.Domain, Spread: domainWeight, Must: true,
+		}
+		to, ok := g.Fleet.AcquireAt(first, need)
+		first = ""
+		if !ok {
+			to, ok = g.Fleet.Acquire(time.Now(), need)
+		}
 		if !ok {
 			clear(without)
 			without[from.ID] = true
 			time.Sleep(runPoll)
 			continue
 		}
-		err := g.moveTo(r, from, to, notice)
+		err := g.moveTo(r, from, to, need.Tokens, notice)
 		g.Log.Moved(r.c.entry(), from.ID, to.ID, time.Since(notice), err)
 		switch {
 		case err == nil:
@@ -106,8 +154,8 @@
 }
 
 // moveTo moves a run to one engine, where the caller has counted it. On success the count passes to the run.
-func (g *Gateway) moveTo(r *run, from, to fleet.Info, notice time.Time) (err error) {
-	size := r.size()
+func (g *Gateway) moveTo(r *run, from, to fleet.Info, tokens int, notice time.Time) (err error) {
+	size := fleet.Load{Tokens: tokens}
 	defer func() {
 		if err != nil {
 			g.Fleet.Release(time.Now(), to.ID, size, fleet.Abandoned)
@@ -170,8 +218,8 @@
 	return !r.ended && r.target.ID == target && r.handoff == nil
 }
 
-// size is the memory in tokens that the run counts for.
-func (r *run) size() int {
+// size is what the run counts for at its target.
+func (r *run) size() fleet.Load {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.counted
--- /dev/null
+++ b/lib/gateway/news.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"anvilwick.example/anvilwick/lib/moveplan"
+	"anvilwick.example/anvilwick/lib/newspb"
+	"anvilwick.example/anvilwick/lib/rendezvous"
+)
+
+// Changed tells that what runs here has changed, so that peers should hear of it.
+func (g *Gateway) Changed() {
+	if g.OnChange != nil {
+		g.OnChange()
+	}
+}
+
+// news is the run as moves and peers see it.
+func (r *run) news() moveplan.Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held := r.c.prompt + r.made
+	return moveplan.Run{ID: rendezvous.Hash(r.c.id), Tokens: held, Expected: max(0, r.counted.Tokens-held)}
+}
+
+// News lists the runs and open calls of this instance.
+func (g *Gateway) News() ([]*newspb.Run, []*newspb.Calls) {
+	var runs []*newspb.Run
+	engines := make(map[string]bool)
+	for target, list := range g.runs.all() {
+		for _, r := range list {
+			if r.c.engine == nil {
+				continue
+			}
+			engines[target] = true
+			m := r.news()
+			runs = append(runs, &newspb.Run{
+				Id: m.ID, Target: target, Tokens: uint32(m.Tokens), Expected: uint32(m.Expected), Unread: uint32(r.size().Unread),
+			})
+		}
+	}
+	var calls []*newspb.Calls
+	for id, load := range g.Fleet.Own() {
+		if !engines[id] && load.Runs > 0 && load.Tokens == 0 {
+			calls = append(calls, &newspb.Calls{Target: id, Open: uint32(load.Runs)})
+		}
+	}
+	return runs, calls
+}
+
+// all returns the runs by target.
+func (t *runTable) all() map[string][]*run {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string][]*run, len(t.runs))
+	for target, runs := range t.runs {
+		for r := range runs {
+			out[target] = append(out[target], r)
+		}
+	}
+	return out
+}
--- a/lib/gateway/plain.go
+++ b/lib/gateway/plain.go
@@ -43,7 +43,7 @@
 		}
 		x := g.send(ctx, c, target, c.route.MayRepeat() && c.sends+1 < c.route.MaxAttempts)
 		c.tried[target.ID] = true
-		g.Fleet.Release(time.Now(), target.ID, 0, x.outcome(ctx))
+		g.Fleet.Release(time.Now(), target.ID, fleet.Load{}, x.outcome(ctx))
 		g.Log.Sent(c.entry(), target.ID, x.statusCode(), x.verdict.String(), x.err)
 		if !x.sent {
 			if ctx.Err() != nil {
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/moveplan"
 	"anvilwick.example/anvilwick/lib/wirehttp"
 )
 
@@ -44,8 +45,8 @@
 // next says where a run goes on.
 type next struct {
 	target   fleet.Info
-	counted  int    // tokens that the run counts for there already
-	copyFrom string // address and handle of a copy; empty: from the prompt and the last event
+	counted  fleet.Load // what the run counts for there already
+	copyFrom string     // address and handle of a copy; empty: from the prompt and the last event
 }
 
 // run is one stream to a caller, across the targets that it runs on.
@@ -60,8 +61,9 @@
 
 	mu      sync.Mutex
 	target  fleet.Info // where it runs now
-	counted int        // tokens that it counts for there
+	counted fleet.Load // what it counts for there
 	conn    *wirehttp.Conn
+	made    int       // tokens of output so far
 	handoff chan next // the copy to go on from, once a move has stopped the run; nil when no move is in its last part
 	ended   bool
 }
@@ -76,7 +78,7 @@
 		if to.target.ID == "" {
 			var ok bool
 			need := r.need()
-			to.counted = need.Tokens
+			to.counted = fleet.Load{Tokens: need.Tokens, Unread: need.Unread}
 			to.target, ok = g.Fleet.Acquire(time.Now(), need)
 			if !ok {
 				r.giveUp(ctx, "no_target")
@@ -121,7 +123,7 @@
 
 // need is what the run asks of a target now.
 func (r *run) need() fleet.Need {
-	return fleet.Need{Service: r.c.service, Tokens: r.c.prompt + r.c.output/2, Without: r.c.tried}
+	return fleet.Need{Service: r.c.service, Tokens: r.c.prompt + r.c.output/2, Unread: r.c.prompt, Without: r.c.tried}
 }
 
 // onward decides whether the run goes to one more target from its prompt.
@@ -355,8 +357,9 @@
 	r.handoff = nil
 	r.mu.Unlock()
 	r.g.runs.add(target.ID, r)
+	r.g.Changed()
 	if r.c.engine != nil && r.c.engine.Moves && r.g.Fleet.IsLeaving(target.ID) {
-		go r.g.move(r, target)
+		go r.g.move(r, target, time.Now(), moveplan.Step{})
 	}
 }
 
@@ -410,17 +413,19 @@
 		return
 	}
 	tokens := events * max(1, r.c.engine.Stride)
-	r.c.made += tokens
-	over := r.c.made - r.c.output/2
-	if over <= 0 {
-		return
-	}
-	more := min(tokens, over)
 	r.mu.Lock()
-	r.counted += more
+	r.made += tokens
+	by := fleet.Load{Tokens: min(tokens, max(0, r.made-r.c.output/2)), Unread: -r.counted.Unread}
+	r.counted.Tokens += by.Tokens
+	r.counted.Unread = 0
 	id := r.target.ID
 	r.mu.Unlock()
-	r.g.Fleet.Grow(id, more)
+	if by != (fleet.Load{}) {
+		r.g.Fleet.Grow(id, by)
+	}
+	if by.Unread != 0 {
+		r.g.Changed()
+	}
 }
 
 // taken waits for the copy that a move has made.
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -16,6 +16,9 @@
 func (p *Process) follow(ctx context.Context) {
 	p.start(func() { feed.New(p.site.Settings, feed.DefaultOptions, p.applySettings, lost("settings")).Run(ctx) })
 	p.start(func() { feed.New(p.site.Targets, feed.DefaultOptions, p.applyTargets, lost("targets")).Run(ctx) })
+	p.start(func() { feed.New(p.site.Instances, instanceOptions, p.applyInstances, lost("instances")).Run(ctx) })
+	p.start(func() { p.register(ctx) })
+	p.start(func() { p.news.Run(ctx) })
 	p.start(func() { p.tick(ctx) })
 }
 
@@ -102,7 +105,7 @@
 	}
 	for _, t := range ch.Leaving {
 		log.Info().Str("event", "target_leaving").Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr).Msg("")
-		p.gate.Evacuate(t)
+		p.gate.Evacuate(t, p.peerRuns(t.ID))
 	}
 }
 
--- /dev/null
+++ b/lib/gatewayproc/peers.go
@@ -0,0 +1,122 @@
+package gatewayproc
+
+import (
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"anvilwick.example/anvilwick/lib/feed"
+	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/logline"
+	"anvilwick.example/anvilwick/lib/moveplan"
+	"anvilwick.example/anvilwick/lib/newspb"
+	"anvilwick.example/anvilwick/lib/peernews"
+)
+
+// instanceOptions follow the instances: they change seldom, and late news of one costs only worse choices.
+var instanceOptions = feed.Options{Wait: 10 * time.Second, Timeout: time.Second, Retry: 200 * time.Millisecond, RetryMax: 2 * time.Second}
+
+// registerTimeout bounds one try to write this instance's row.
+const registerTimeout = 800 * time.Millisecond
+
+// register writes this instance's row until the store has taken it.
+func (p *Process) register(ctx context.Context) {
+	for {
+		try, cancel := context.WithTimeout(ctx, registerTimeout)
+		err := p.site.Register(try, peernews.Peer{Instance: p.cfg.Instance, Addr: p.cfg.Peer})
+		cancel()
+		if err == nil {
+			return
+		}
+		logline.Cause(log.Warn().Str("event", "register_failed"), err)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(instanceOptions.RetryMax):
+		}
+	}
+}
+
+// unregister takes the row away. One that stays costs peers a datagram a period.
+func (p *Process) unregister(ctx context.Context) {
+	try, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	if err := p.site.Unregister(try, p.cfg.Instance); err != nil {
+		logline.Cause(log.Warn().Str("event", "unregister_failed"), err)
+	}
+}
+
+func (p *Process) applyInstances(u feed.Update) {
+	p.mu.Lock()
+	if u.Whole {
+		clear(p.peers)
+	}
+	for _, row := range u.Rows {
+		if row.Removed {
+			delete(p.peers, row.Key)
+			continue
+		}
+		peer, err := p.site.DecodeInstance(row)
+		if err != nil {
+			logline.Cause(log.Error().Str("event", "instance_refused").Str("instance", row.Key), err)
+			continue
+		}
+		p.peers[row.Key] = peer
+	}
+	peers := make([]peernews.Peer, 0, len(p.peers))
+	for _, peer := range p.peers {
+		peers = append(peers, peer)
+	}
+	p.mu.Unlock()
+	if err := p.news.SetPeers(peers); err != nil {
+		logline.Cause(log.Error().Str("event", "instance_refused"), err)
+	}
+	n := max(1, len(peers))
+	p.share.SetInstances(n)
+	p.fleet.SetShare(1 / float64(n))
+	log.Info().Str("event", "instances").Int("n", n).Msg("")
+}
+
+// gather makes this instance's news.
+func (p *Process) gather() *newspb.News {
+	runs, calls := p.gate.News()
+	p.mu.Lock()
+	leaving := p.stopped
+	p.mu.Unlock()
+	return &newspb.News{
+		Instance: p.cfg.Instance, Incarnation: p.born, FailureDomain: p.cfg.Domain, Leaving: leaving,
+		Settings: p.version(), Runs: runs, Calls: calls,
+	}
+}
+
+// heard takes in a peer's news.
+func (p *Process) heard(n *newspb.News) {
+	loads := make(map[string]fleet.Load)
+	for _, r := range n.Runs {
+		l := loads[r.Target]
+		l.Runs++
+		l.Tokens += int(r.Tokens + r.Expected)
+		l.Unread += int(r.Unread)
+		loads[r.Target] = l
+	}
+	for _, c := range n.Calls {
+		l := loads[c.Target]
+		l.Runs += int(c.Open)
+		loads[c.Target] = l
+	}
+	p.fleet.Tell(time.Now(), n.Instance, loads)
+}
+
+// peerRuns lists the runs that peers have on a target.
+func (p *Process) peerRuns(target string) []moveplan.Run {
+	var out []moveplan.Run
+	for _, n := range p.news.Latest(time.Now()) {
+		for _, r := range n.Runs {
+			if r.Target == target {
+				out = append(out, moveplan.Run{ID: r.Id, Tokens: int(r.Tokens), Expected: int(r.Expected)})
+			}
+		}
+	}
+	return out
+}
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -18,6 +18,7 @@
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/gateway"
 	"anvilwick.example/anvilwick/lib/logline"
+	"anvilwick.example/anvilwick/lib/peernews"
 	"anvilwick.example/anvilwick/lib/retry"
 	"anvilwick.example/anvilwick/lib/routes"
 	"anvilwick.example/anvilwick/lib/wirehttp"
@@ -50,6 +51,12 @@
 	DecodeSettings func([]feed.Row) (*routes.Revision, error)
 	Targets        feed.Source
 	DecodeTarget   func(feed.Row) (fleet.Info, error)
+
+	// Instances is the table in which each instance stands with the address at which peers tell it news.
+	Instances      feed.Source
+	DecodeInstance func(feed.Row) (peernews.Peer, error)
+	Register       func(context.Context, peernews.Peer) error
+	Unregister     func(context.Context, string) error
 }
 
 const (
@@ -78,6 +85,8 @@
 	fleet *fleet.Fleet
 	gate  *gateway.Gateway
 	share *retry.Share
+	news  *peernews.Exchange
+	born  uint64 // incarnation
 
 	front, ready *http.Server
 	cancel       context.CancelFunc
@@ -86,19 +95,28 @@
 	knownOnce    sync.Once
 
 	mu      sync.Mutex
+	peers   map[string]peernews.Peer
 	listed  bool // the list of targets was read
 	stopped bool
 }
 
 // Run serves until ctx is done, then stops gracefully.
 func Run(ctx context.Context, cfg Config, site Site) error {
-	p := &Process{cfg: cfg, site: site, fleet: fleet.New(cfg.Domain), known: make(chan struct{})}
+	p := &Process{
+		cfg: cfg, site: site, fleet: fleet.New(cfg.Domain), known: make(chan struct{}),
+		peers: make(map[string]peernews.Peer), born: uint64(time.Now().UnixNano()),
+	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
 	p.share = retry.NewShare(cfg.RepeatRatio, cfg.RepeatFloor, cfg.RepeatWindow)
 	p.gate = gateway.New(gateway.Config{
 		Names: site.Names, Engines: site.Engines, Fleet: p.fleet, Pool: site.Pool, Budget: p.share, Grace: cfg.Grace,
-		Log: gateway.Log{Version: p.version},
+		Log: gateway.Log{Version: p.version}, OnChange: func() { p.news.Changed() },
 	})
+	news, err := peernews.New(cfg.Instance, cfg.Peer, p.gather, p.heard)
+	if err != nil {
+		return fmt.Errorf("gatewayproc: peers: %w", err)
+	}
+	p.news = news
 	log.Info().Str("event", "start").Str("instance", cfg.Instance).Str("domain", cfg.Domain).Str("front", cfg.Front).Msg("")
 	work, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
@@ -202,6 +220,7 @@
 	if front != nil {
 		err = front.Shutdown(ctx)
 	}
+	p.unregister(ctx)
 	p.cancel()
 	log.Info().Str("event", "stopped").Int64("after_ms", time.Since(start).Milliseconds()).Msg("")
 	if err != nil {
