Reload on SIGHUP; don't take a busy engine for a dark one

Ruled out: memory limits (peak 8 MB), crashes of ours (no panic in the logs). Change: SIGHUP reads the settings file again; a stream is ended for silence only when nothing comes from the engine on any run, here or at a peer, and a repeat is left.

--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -46,6 +46,7 @@
 	avoidStep  time.Duration
 	reported   float64 // requests running and waiting, as its last answer told
 	reportedAt time.Time
+	heard      time.Time // when anything last came from it, to this instance or a peer
 	missing    time.Time // since when a list read after an outage has not had it; zero: it is listed
 }
 
@@ -450,3 +451,22 @@
 		t.reportedAt = now
 	}
 }
+
+// Heard notes that a target was heard at a time.
+func (f *Fleet) Heard(at time.Time, id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t := f.targets[id]; t != nil && at.After(t.heard) {
+		t.heard = at
+	}
+}
+
+// LastHeard returns when anything last came from a target.
+func (f *Fleet) LastHeard(id string) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t := f.targets[id]; t != nil {
+		return t.heard
+	}
+	return time.Time{}
+}
--- a/lib/gateway/log.go
+++ b/lib/gateway/log.go
@@ -62,6 +62,11 @@
 	l.line(log.Warn(), "cut", e).Str("target", target).Str("reason", reason).Int("events", events).Msg("")
 }
 
+// Silent tells of a target given up on because nothing comes from it.
+func (l Log) Silent(e entry, target string, since time.Duration) {
+	l.line(log.Warn(), "target_silent", e).Str("target", target).Int64("silent_ms", since.Milliseconds()).Msg("")
+}
+
 // Moved tells how a move of a run ended.
 func (l Log) Moved(e entry, from, to string, took time.Duration, err error) {
 	logline.Cause(l.line(log.Info(), "moved", e).Str("from", from).Str("to", to).Int64("took_ms", took.Milliseconds()), err)
--- a/lib/gateway/news.go
+++ b/lib/gateway/news.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"anvilwick.example/anvilwick/lib/moveplan"
 	"anvilwick.example/anvilwick/lib/newspb"
 	"anvilwick.example/anvilwick/lib/rendezvous"
@@ -34,6 +36,7 @@
 			m := r.news()
 			runs = append(runs, &newspb.Run{
 				Id: m.ID, Target: target, Tokens: uint32(m.Tokens), Expected: uint32(m.Expected), Unread: uint32(r.size().Unread),
+				SilentMs: uint32(time.Since(r.lastHeard()).Milliseconds()),
 			})
 		}
 	}
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -14,12 +14,6 @@
 )
 
 const (
-	// firstShare is the part of a route's aim after which a resumable stream without a first event is tried elsewhere.
-	firstShare = 0.6
-	// stallGaps is how many times the route's longest pause a resumable stream may be silent before it goes on elsewhere.
-	stallGaps = 4
-	// minPatience is the shortest wait for an event before a target is taken for silent.
-	minPatience = 700 * time.Millisecond
 	// handoffWait bounds the wait for the copy of a run whose stream has stopped for it.
 	handoffWait = 2 * time.Second
 )
@@ -64,6 +58,7 @@
 	counted fleet.Load // what it counts for there
 	conn    *wirehttp.Conn
 	made    int       // tokens of output so far
+	last    time.Time // when its target was last heard on it
 	handoff chan next // the copy to go on from, once a move has stopped the run; nil when no move is in its last part
 	ended   bool
 }
@@ -180,17 +175,19 @@
 		return endBroken
 	}
 	x.sent = true
-	patience := r.patience(true)
-	r.bound(conn, patience)
+	r.heard(to.target.ID)
+	watch := r.watch(conn, to.target.ID)
+	defer watch.stop()
 	x.resp, x.err = conn.Receive(r.c.method, r.g.Names.RequestID, r.c.id)
 	if x.err != nil {
 		return r.broken()
 	}
 	x.verdict = r.g.judge(x.resp)
 	r.g.readLoad(to.target.ID, x.resp.Header)
+	r.g.Fleet.Heard(time.Now(), to.target.ID)
 	switch x.verdict {
 	case verdictGood:
-		return r.relay(conn, x)
+		return r.relay(x)
 	case verdictNotRun:
 		return endNotRun
 	case verdictFailure:
@@ -203,34 +200,14 @@
 	return endBroken
 }
 
-// patience is how long the run waits for the next event; 0: as long as the caller does. Only a stream that may go on
-// elsewhere is ended for a target's silence.
-func (r *run) patience(first bool) time.Duration {
-	if !r.c.route.MayRepeat() || r.c.sends+1 >= r.c.route.MaxAttempts {
-		return 0
-	}
-	if first {
-		return max(minPatience, time.Duration(firstShare*float64(r.c.route.Aim)))
-	}
-	return max(minPatience, stallGaps*r.c.route.GapAim)
-}
-
-func (r *run) bound(conn *wirehttp.Conn, patience time.Duration) {
-	if patience == 0 {
-		conn.SetDeadline(time.Time{})
-		return
-	}
-	conn.SetDeadline(time.Now().Add(patience))
-}
-
 // relay passes whole events on as they come.
-func (r *run) relay(conn *wirehttp.Conn, x *exchange) end {
+func (r *run) relay(x *exchange) end {
 	var events eventBuffer
 	p := make([]byte, 4<<10)
 	for {
-		r.bound(conn, r.patience(r.events == 0))
 		n, err := x.resp.Read(p)
 		if n > 0 {
+			r.heard(x.target.ID)
 			whole, count, id, eerr := events.add(p[:n])
 			if eerr != nil {
 				x.err = eerr
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -93,7 +93,11 @@
 // heard takes in a peer's news.
 func (p *Process) heard(n *newspb.News) {
 	loads := make(map[string]fleet.Load)
+	now := time.Now()
 	for _, r := range n.Runs {
+		if r.Unread == 0 {
+			p.fleet.Heard(now.Add(-time.Duration(r.SilentMs)*time.Millisecond), r.Target)
+		}
 		l := loads[r.Target]
 		l.Runs++
 		l.Tokens += int(r.Tokens + r.Expected)
@@ -105,7 +109,7 @@
 		l.Runs += int(c.Open)
 		loads[c.Target] = l
 	}
-	p.fleet.Tell(time.Now(), n.Instance, loads)
+	p.fleet.Tell(now, n.Instance, loads)
 }
 
 // peerRuns lists the runs that peers have on a target.
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -8,8 +8,11 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"os/signal"
 	"runtime/debug"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/phuslu/log"
@@ -57,6 +60,9 @@
 	DecodeInstance func(feed.Row) (peernews.Peer, error)
 	Register       func(context.Context, peernews.Peer) error
 	Unregister     func(context.Context, string) error
+
+	// Reload reads the instance's settings again, after SIGHUP.
+	Reload func() (Config, error)
 }
 
 const (
@@ -125,6 +131,7 @@
 		return err
 	}
 	p.follow(work)
+	p.start(func() { p.reloads(work) })
 	failed := make(chan error, 1)
 	go func() { failed <- p.serveFront(work) }()
 	select {
@@ -228,3 +235,25 @@
 	}
 	return nil
 }
+
+// reloads takes in changed settings after SIGHUP, which would otherwise end the process. Addresses stay: they are the
+// listeners' for as long as the process lives.
+func (p *Process) reloads(ctx context.Context) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		cfg, err := p.site.Reload()
+		if err != nil {
+			logline.Cause(log.Error().Str("event", "reload_refused"), err)
+			continue
+		}
+		p.share.SetBound(cfg.RepeatRatio, cfg.RepeatFloor)
+		log.Info().Str("event", "reload").Str("instance", cfg.Instance).Msg("")
+	}
+}
--- a/lib/retry/share.go
+++ b/lib/retry/share.go
@@ -42,6 +42,13 @@
 	s.instances = max(1, n)
 }
 
+// SetBound changes the bound.
+func (s *Share) SetBound(ratio, floor float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ratio, s.floor = ratio, floor
+}
+
 // Request counts a request of a caller for a service.
 func (s *Share) Request(now time.Time, service string) {
 	s.mu.Lock()
