One reader of the store in each failure domain, relayed to the others

Weighed: longer polls (a silent connection is then noticed too late for the two seconds of a change), one reader for the site (its domain's cut takes all with it). Chosen: a reader in each failure domain by rendezvous over the instances that are heard; pages carry the age of the store's word, so a reader that is cut off is left; an instance that knows nothing asks its seeds. Change: feed.Replica, lib/feedlink over lib/mesh, the role serves control.

--- a/lib/feed/feed.go
+++ b/lib/feed/feed.go
@@ -1,8 +1,8 @@
 // Package feed follows a table of the platform's store: one snapshot, then long polls for what has changed.
 //
-// A follower never goes back: pages older than what it has shown are left out, since reads may be seconds behind. Its
-// waits are short, because a silent store shows itself by nothing but a time-out, and an instance that has not read its
-// settings yet can serve nothing.
+// A Replica holds the table; a Follower fills it from the store. Neither goes back: pages older than what is held are
+// left out, since reads may be seconds behind. Waits are short, because a silent store shows itself by nothing but
+// a time-out, and an instance that has not read its settings yet can serve nothing.
 package feed
 
 import (
@@ -36,11 +36,11 @@
 	Changes(ctx context.Context, after int64, wait time.Duration) (Page, error)
 }
 
-// Update is what a follower shows.
+// Update is a change of a Replica.
 type Update struct {
 	Page
-	Whole  bool          // Rows are the whole table; what is missing was removed
-	Silent time.Duration // time before this update in which the store could not be reached; 0: it was reached all along
+	Whole  bool          // the first state: Rows are the whole table
+	Silent time.Duration // how long the store was out of everybody's reach before this update; 0: it was not
 }
 
 // Options bound a follower's calls.
@@ -55,44 +55,38 @@
 // DefaultOptions suit a store that answers within some milliseconds. Wait plus Timeout is how long a change can stay
 // unseen on a connection that has gone silent; operators are promised changes within two seconds.
 var DefaultOptions = Options{
-	Wait:     1200 * time.Millisecond,
+	Wait:     700 * time.Millisecond,
 	Timeout:  600 * time.Millisecond,
 	Retry:    60 * time.Millisecond,
 	RetryMax: 400 * time.Millisecond,
 }
 
-// Follower follows one table.
+// Follower fills a Replica from the store.
 type Follower struct {
-	src   Source
-	opt   Options
-	apply func(Update)
-	fail  func(error)
-
-	version int64 // highest shown
-	known   bool  // version is set, changes can be asked for
-	reached time.Time
-	failing bool
-	pause   time.Duration
+	src  Source
+	opt  Options
+	to   *Replica
+	fail func(error)
+
+	gone  bool // the store no longer has the changes after the version held
+	pause time.Duration
 }
 
-// New returns a Follower that shows updates to apply and failed calls to fail, both from one goroutine.
-func New(src Source, opt Options, apply func(Update), fail func(error)) *Follower {
-	return &Follower{src: src, opt: opt, apply: apply, fail: fail, pause: opt.Retry}
+// NewFollower returns a Follower that tells of failed calls to fail.
+func NewFollower(src Source, opt Options, to *Replica, fail func(error)) *Follower {
+	return &Follower{src: src, opt: opt, to: to, fail: fail, pause: opt.Retry}
 }
 
 // Run follows until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
-	f.reached = time.Now()
 	for ctx.Err() == nil {
-		err := f.step(ctx)
-		switch {
-		case err == nil:
+		err := f.Step(ctx, f.opt.Wait)
+		if err == nil {
 			f.pause = f.opt.Retry
-		case errors.Is(err, ErrHistoryGone):
-			f.known = false
-		case ctx.Err() == nil:
+			continue
+		}
+		if ctx.Err() == nil {
 			f.fail(err)
-			f.failing = true
 			f.rest(ctx)
 		}
 	}
@@ -109,17 +103,23 @@
 	}
 }
 
-func (f *Follower) step(ctx context.Context) error {
-	if !f.known {
+// Step makes one call: for the whole table when nothing is held, else for the changes within wait.
+func (f *Follower) Step(ctx context.Context, wait time.Duration) error {
+	version, known := f.to.Version()
+	if !known || f.gone {
 		return f.snapshot(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.opt.Wait+f.opt.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+f.opt.Timeout)
 	defer cancel()
-	page, err := f.src.Changes(ctx, f.version, f.opt.Wait)
+	page, err := f.src.Changes(ctx, version, wait)
+	if errors.Is(err, ErrHistoryGone) {
+		f.gone = true
+		return f.snapshot(ctx)
+	}
 	if err != nil {
 		return err
 	}
-	f.show(page, false)
+	f.to.Take(page, false, time.Now())
 	return nil
 }
 
@@ -132,32 +132,14 @@
 	if err != nil {
 		return err
 	}
-	if page.Version < f.version {
+	if version, _ := f.to.Version(); page.Version < version {
 		return errStale
 	}
-	f.known = true
-	f.show(page, true)
+	f.gone = false
+	f.to.Take(page, true, time.Now())
 	return nil
 }
 
-func (f *Follower) show(page Page, whole bool) {
-	now := time.Now()
-	u := Update{Page: page, Whole: whole}
-	if f.failing {
-		u.Silent = now.Sub(f.reached)
-	}
-	f.failing = false
-	f.reached = now
-	if page.Version < f.version {
-		return
-	}
-	f.version = page.Version
-	u.Rows = newest(page.Rows)
-	if whole || len(page.Rows) > 0 || u.Silent > 0 {
-		f.apply(u)
-	}
-}
-
 // newest keeps the last row of each key.
 //
 // Failure: after an outage one page holds several changes of a key in order. Whoever took the first for the state would
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -135,23 +135,6 @@
 	return ch
 }
 
-// ApplyWhole is Apply for a list read as a whole: what is not in it was removed.
-func (f *Fleet) ApplyWhole(now time.Time, entries []Info, silent time.Duration) Change {
-	listed := make(map[string]bool, len(entries))
-	for _, e := range entries {
-		listed[e.ID] = true
-	}
-	f.mu.Lock()
-	var removed []string
-	for id, t := range f.targets {
-		if !listed[id] && t.state == Ready {
-			removed = append(removed, id)
-		}
-	}
-	f.mu.Unlock()
-	return f.Apply(now, entries, removed, silent)
-}
-
 func (f *Fleet) upsert(now time.Time, e Info, ch *Change) {
 	t := f.targets[e.ID]
 	if t == nil {
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -1,33 +1,145 @@
 package gatewayproc
 
 import (
+	"cmp"
 	"context"
+	"fmt"
+	"net"
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
 
 	"anvilwick.example/anvilwick/lib/feed"
+	"anvilwick.example/anvilwick/lib/feedlink"
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/logline"
+	"anvilwick.example/anvilwick/lib/mesh"
+	"anvilwick.example/anvilwick/lib/rendezvous"
 	"anvilwick.example/anvilwick/lib/routes"
 )
 
+// Names of the tables towards peers.
+const (
+	settingsTable  = "settings"
+	targetsTable   = "targets"
+	instancesTable = "instances"
+)
+
+// maxAge is the age of the last contact with the store at which a reader is doubted. Changes are to be in force within
+// two seconds, a reader's poll takes up to 0.7 s, and the way around it some tens of milliseconds.
+const maxAge = 1300 * time.Millisecond
+
+// openLinks listens for peers and passes the replicas on to them.
+func (p *Process) openLinks() error {
+	node, err := mesh.New(mesh.Options{
+		Self: mesh.Identity{Instance: p.cfg.Instance, Incarnation: p.born},
+		// The platform's network is the instances' own, and it hands out no certificates.
+		Plain: true,
+	})
+	if err != nil {
+		return fmt.Errorf("gatewayproc: links: %w", err)
+	}
+	p.node = node
+	p.feeds.settings = feed.NewReplica(p.applySettings)
+	p.feeds.targets = feed.NewReplica(p.applyTargets)
+	p.feeds.instances = feed.NewReplica(p.applyInstances)
+	feedlink.Serve(node, map[string]*feed.Replica{
+		settingsTable: p.feeds.settings, targetsTable: p.feeds.targets, instancesTable: p.feeds.instances,
+	})
+	ln, err := net.Listen("tcp", p.cfg.Link)
+	if err != nil {
+		return fmt.Errorf("gatewayproc: links: %w", err)
+	}
+	go func() {
+		if err := node.Serve(ln); err != nil {
+			logline.Cause(log.Info().Str("event", "links_closed"), err)
+		}
+	}()
+	return nil
+}
+
 // follow starts the feeds and the housekeeping.
 func (p *Process) follow(ctx context.Context) {
-	p.start(func() { feed.New(p.site.Settings, feed.DefaultOptions, p.applySettings, lost("settings")).Run(ctx) })
-	p.start(func() { feed.New(p.site.Targets, feed.DefaultOptions, p.applyTargets, lost("targets")).Run(ctx) })
-	p.start(func() { feed.New(p.site.Instances, instanceOptions, p.applyInstances, lost("instances")).Run(ctx) })
+	p.track(ctx, settingsTable, p.site.Settings, p.feeds.settings, feed.DefaultOptions, maxAge)
+	p.track(ctx, targetsTable, p.site.Targets, p.feeds.targets, feed.DefaultOptions, maxAge)
+	p.track(ctx, instancesTable, p.site.Instances, p.feeds.instances, instanceOptions, instanceMaxAge)
+	p.start(func() { p.askSeeds(ctx) })
 	p.start(func() { p.register(ctx) })
 	p.start(func() { p.news.Run(ctx) })
 	p.start(func() { p.tick(ctx) })
 }
 
-func (p *Process) start(f func()) {
-	p.feeds.Add(1)
-	go func() {
-		defer p.feeds.Done()
-		f()
-	}()
+func (p *Process) track(ctx context.Context, name string, src feed.Source, r *feed.Replica, o feed.Options, age time.Duration) {
+	t := feedlink.New(feedlink.Config{
+		Table: name, Source: src, Replica: r, Options: o, MaxAge: age, Node: p.node, Readers: p.readers, Fail: lost(name),
+	})
+	p.start(func() { t.Run(ctx) })
+}
+
+// readers ranks the instances of this failure domain that are heard, and this one.
+func (p *Process) readers() []mesh.Peer {
+	type ranked struct {
+		peer mesh.Peer
+		rank uint64
+	}
+	key := rendezvous.Hash(p.cfg.Domain)
+	list := []ranked{{rank: rendezvous.Rank(key, rendezvous.Hash(p.cfg.Instance))}}
+	p.mu.Lock()
+	for _, n := range p.news.Latest(time.Now()) {
+		known, ok := p.peers[n.Instance]
+		if ok && known.Link != "" && n.FailureDomain == p.cfg.Domain && !n.Leaving {
+			list = append(list, ranked{mesh.Peer{Instance: n.Instance, Addr: known.Link}, rendezvous.Rank(key, rendezvous.Hash(n.Instance))})
+		}
+	}
+	p.mu.Unlock()
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
+	out := make([]mesh.Peer, len(list))
+	for i, r := range list {
+		out[i] = r.peer
+	}
+	return out
+}
+
+// seedEvery is the pause between two rounds of asking seeds.
+const seedEvery = 300 * time.Millisecond
+
+// askSeeds takes the tables from instances that know them, while this one has read nothing: it may have been started
+// while the store is away.
+func (p *Process) askSeeds(ctx context.Context) {
+	tables := map[string]*feed.Replica{
+		settingsTable: p.feeds.settings, targetsTable: p.feeds.targets, instancesTable: p.feeds.instances,
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(seedEvery):
+		}
+		for name, r := range tables {
+			if _, known := r.Version(); known {
+				delete(tables, name)
+				continue
+			}
+			p.fetch(ctx, name, r)
+		}
+		if len(tables) == 0 {
+			return
+		}
+	}
+}
+
+func (p *Process) fetch(ctx context.Context, name string, r *feed.Replica) {
+	for _, addr := range p.cfg.Seeds {
+		if addr == p.cfg.Link {
+			continue
+		}
+		err := feedlink.Fetch(ctx, p.node, addr, name, r)
+		logline.Cause(log.Info().Str("event", "seed_asked").Str("feed", name).Str("addr", addr), err)
+		if err == nil {
+			return
+		}
+	}
 }
 
 // lost logs the failures of a feed.
@@ -82,11 +194,7 @@
 		}
 		entries = append(entries, info)
 	}
-	if u.Whole {
-		p.changed(p.fleet.ApplyWhole(time.Now(), entries, u.Silent))
-	} else {
-		p.changed(p.fleet.Apply(time.Now(), entries, removed, u.Silent))
-	}
+	p.changed(p.fleet.Apply(time.Now(), entries, removed, u.Silent))
 	p.mu.Lock()
 	p.listed = true
 	p.mu.Unlock()
@@ -123,3 +231,12 @@
 		}
 	}
 }
+
+// start runs f beside the others.
+func (p *Process) start(f func()) {
+	p.work.Add(1)
+	go func() {
+		defer p.work.Done()
+		f()
+	}()
+}
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -15,7 +15,10 @@
 )
 
 // instanceOptions follow the instances: they change seldom, and late news of one costs only worse choices.
-var instanceOptions = feed.Options{Wait: 10 * time.Second, Timeout: time.Second, Retry: 200 * time.Millisecond, RetryMax: 2 * time.Second}
+var instanceOptions = feed.Options{Wait: 5 * time.Second, Timeout: time.Second, Retry: 200 * time.Millisecond, RetryMax: 2 * time.Second}
+
+// instanceMaxAge is the age at which a reader of the instances is doubted.
+const instanceMaxAge = 12 * time.Second
 
 // registerTimeout bounds one try to write this instance's row.
 const registerTimeout = 800 * time.Millisecond
@@ -24,7 +27,7 @@
 func (p *Process) register(ctx context.Context) {
 	for {
 		try, cancel := context.WithTimeout(ctx, registerTimeout)
-		err := p.site.Register(try, peernews.Peer{Instance: p.cfg.Instance, Addr: p.cfg.Peer})
+		err := p.site.Register(try, peernews.Peer{Instance: p.cfg.Instance, Addr: p.cfg.Peer, Link: p.cfg.Link})
 		cancel()
 		if err == nil {
 			return
@@ -49,9 +52,6 @@
 
 func (p *Process) applyInstances(u feed.Update) {
 	p.mu.Lock()
-	if u.Whole {
-		clear(p.peers)
-	}
 	for _, row := range u.Rows {
 		if row.Removed {
 			delete(p.peers, row.Key)
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -21,6 +21,7 @@
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/gateway"
 	"anvilwick.example/anvilwick/lib/logline"
+	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/peernews"
 	"anvilwick.example/anvilwick/lib/retry"
 	"anvilwick.example/anvilwick/lib/routes"
@@ -30,11 +31,13 @@
 // Config is what the instance is told at its start.
 type Config struct {
 	Instance string
-	Domain   string // failure domain
-	Front    string // address for callers
-	Ready    string // address for the balancer's readiness checks
-	Peer     string // address for other instances
-	MemoryMB int    // over which the process is killed
+	Domain   string   // failure domain
+	Front    string   // address for callers
+	Ready    string   // address for the balancer's readiness checks
+	Peer     string   // address for other instances' news, by datagram
+	Link     string   // address for other instances' streams
+	Seeds    []string // links of some instances, which may be stale
+	MemoryMB int      // over which the process is killed
 
 	Grace time.Duration // from SIGTERM to the kill
 
@@ -93,10 +96,12 @@
 	share *retry.Share
 	news  *peernews.Exchange
 	born  uint64 // incarnation
+	node  *mesh.Node
+	feeds struct{ settings, targets, instances *feed.Replica }
 
 	front, ready *http.Server
 	cancel       context.CancelFunc
-	feeds        sync.WaitGroup
+	work         sync.WaitGroup
 	known        chan struct{} // closed when settings are first in force
 	knownOnce    sync.Once
 
@@ -123,6 +128,10 @@
 		return fmt.Errorf("gatewayproc: peers: %w", err)
 	}
 	p.news = news
+	if err := p.openLinks(); err != nil {
+		return err
+	}
+	defer p.node.Close()
 	log.Info().Str("event", "start").Str("instance", cfg.Instance).Str("domain", cfg.Domain).Str("front", cfg.Front).Msg("")
 	work, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
--- a/lib/peernews/peernews.go
+++ b/lib/peernews/peernews.go
@@ -32,7 +32,8 @@
 // Peer is where an instance is told.
 type Peer struct {
 	Instance string
-	Addr     string
+	Addr     string // for news, by datagram
+	Link     string // for streams between instances
 }
 
 // Exchange sends and receives news.
