Readers by capacity, large values compressed, news to all peers

Change: readers are those with half the largest capacity or more; large values are compressed once. Change: all of up to 128 peers are told each time. Long calls: one of three failed calls in a row may take four times as long, so that a large answer over a slow link arrives at all.

--- a/lib/feed/feed.go
+++ b/lib/feed/feed.go
@@ -70,6 +70,21 @@
 
 	gone  bool // the store no longer has the changes after the version held
 	pause time.Duration
+	fails int // calls that failed one after another
+}
+
+// patientEvery and patience: one of so many calls in a row that failed gets so many times the time-out. A large answer
+// over a slow link would otherwise never arrive, and the instance would serve by old settings for good.
+const (
+	patientEvery = 3
+	patience     = 4
+)
+
+func (f *Follower) timeout() time.Duration {
+	if f.fails%patientEvery == patientEvery-1 {
+		return patience * f.opt.Timeout
+	}
+	return f.opt.Timeout
 }
 
 // NewFollower returns a Follower that tells of failed calls to fail.
@@ -83,8 +98,10 @@
 		err := f.Step(ctx, f.opt.Wait)
 		if err == nil {
 			f.pause = f.opt.Retry
+			f.fails = 0
 			continue
 		}
+		f.fails++
 		if ctx.Err() == nil {
 			f.fail(err)
 			f.rest(ctx)
@@ -109,7 +126,7 @@
 	if !known || f.gone {
 		return f.snapshot(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+f.opt.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+f.timeout())
 	defer cancel()
 	page, err := f.src.Changes(ctx, version, wait)
 	if errors.Is(err, ErrHistoryGone) {
@@ -126,7 +143,7 @@
 var errStale = errors.New("feed: the store answered with an older state than shown")
 
 func (f *Follower) snapshot(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.opt.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, f.timeout())
 	defer cancel()
 	page, err := f.src.Snapshot(ctx)
 	if err != nil {
--- a/lib/feedlink/serve.go
+++ b/lib/feedlink/serve.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"github.com/klauspost/compress/s2"
+
 	"anvilwick.example/anvilwick/lib/feed"
 	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/meshpb"
@@ -11,6 +14,7 @@
 
 // Serve passes the replicas on to whoever asks, by the name of the table.
 func Serve(node *mesh.Node, replicas map[string]*feed.Replica) {
+	packs := newPacker()
 	node.Handle(meshpb.StreamKind_STREAM_FEED, func(ctx context.Context, s *mesh.Stream) {
 		var ask meshpb.FeedAsk
 		if err := s.Read(&ask); err != nil {
@@ -20,12 +24,12 @@
 		if r == nil {
 			return
 		}
-		pass(ctx, s, r, ask.After)
+		pass(ctx, s, r, ask.After, packs)
 	})
 }
 
 // pass sends pages until the stream breaks, which ends the subscription at its other end, too.
-func pass(ctx context.Context, s *mesh.Stream, r *feed.Replica, after int64) {
+func pass(ctx context.Context, s *mesh.Stream, r *feed.Replica, after int64, packs *packer) {
 	t := time.NewTicker(beat)
 	defer t.Stop()
 	for {
@@ -34,7 +38,7 @@
 		if !known {
 			page.Version = 0
 		}
-		if err := s.Write(message(page, whole, contact)); err != nil || !known {
+		if err := s.Write(packs.message(page, whole, contact)); err != nil || !known {
 			return
 		}
 		after = page.Version
@@ -47,10 +51,43 @@
 	}
 }
 
-func message(page feed.Page, whole bool, contact time.Time) *meshpb.FeedPage {
+// packMin is the size in bytes from which a value is compressed: settings of a thousand routes shrink to a tenth, and
+// an instance with a slow link passes them to twenty others.
+const packMin = 2 << 10
+
+// packer keeps the compressed form of the last large values, since one is sent to many.
+type packer struct {
+	mu   sync.Mutex
+	last map[string]packed // by key
+}
+
+type packed struct {
+	version int64
+	value   []byte
+}
+
+func newPacker() *packer { return &packer{last: make(map[string]packed)} }
+
+func (p *packer) pack(r feed.Row) []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old, ok := p.last[r.Key]; ok && old.version == r.Version {
+		return old.value
+	}
+	b := s2.EncodeBetter(nil, r.Value)
+	p.last[r.Key] = packed{version: r.Version, value: b}
+	return b
+}
+
+func (p *packer) message(page feed.Page, whole bool, contact time.Time) *meshpb.FeedPage {
 	m := &meshpb.FeedPage{Version: page.Version, Whole: whole, ContactAgeMs: uint32(time.Since(contact).Milliseconds())}
 	for _, r := range page.Rows {
-		m.Rows = append(m.Rows, &meshpb.FeedRow{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed})
+		row := &meshpb.FeedRow{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed}
+		if len(r.Value) >= packMin {
+			row.Value = p.pack(r)
+			row.Packed = true
+		}
+		m.Rows = append(m.Rows, row)
 	}
 	return m
 }
--- a/lib/feedlink/track.go
+++ b/lib/feedlink/track.go
@@ -13,6 +13,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/klauspost/compress/s2"
+
 	"anvilwick.example/anvilwick/lib/feed"
 	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/meshpb"
@@ -183,6 +185,13 @@
 	}
 	rows := make([]feed.Row, len(p.Rows))
 	for i, r := range p.Rows {
+		if r.Packed {
+			b, err := s2.Decode(nil, r.Value)
+			if err != nil {
+				return err
+			}
+			r.Value = b
+		}
 		rows[i] = feed.Row{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed}
 	}
 	contact := time.Now().Add(-time.Duration(p.ContactAgeMs) * time.Millisecond)
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -77,23 +77,40 @@
 	p.start(func() { t.Run(ctx) })
 }
 
-// readers ranks the instances of this failure domain that are heard, and this one.
+// readers ranks the instances of this failure domain that are heard, and this one. Those with half of the largest
+// capacity or more come first: the reader sends each change to all others, and a link of a twentieth would take
+// seconds for a large one.
 func (p *Process) readers() []mesh.Peer {
 	type ranked struct {
-		peer mesh.Peer
-		rank uint64
+		peer     mesh.Peer
+		rank     uint64
+		capacity uint32
 	}
 	key := rendezvous.Hash(p.cfg.Domain)
-	list := []ranked{{rank: rendezvous.Rank(key, rendezvous.Hash(p.cfg.Instance))}}
+	list := []ranked{{rank: rendezvous.Rank(key, rendezvous.Hash(p.cfg.Instance)), capacity: p.capacity()}}
+	most := p.capacity()
 	p.mu.Lock()
 	for _, n := range p.news.Latest(time.Now()) {
 		known, ok := p.peers[n.Instance]
 		if ok && known.Link != "" && n.FailureDomain == p.cfg.Domain && !n.Leaving {
-			list = append(list, ranked{mesh.Peer{Instance: n.Instance, Addr: known.Link}, rendezvous.Rank(key, rendezvous.Hash(n.Instance))})
+			list = append(list, ranked{
+				peer:     mesh.Peer{Instance: n.Instance, Addr: known.Link},
+				rank:     rendezvous.Rank(key, rendezvous.Hash(n.Instance)),
+				capacity: n.Capacity,
+			})
+			most = max(most, n.Capacity)
 		}
 	}
 	p.mu.Unlock()
-	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
+	slices.SortFunc(list, func(a, b ranked) int {
+		if able := a.capacity >= most/2; able != (b.capacity >= most/2) {
+			if able {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.rank, a.rank)
+	})
 	out := make([]mesh.Peer, len(list))
 	for i, r := range list {
 		out[i] = r.peer
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -86,7 +86,7 @@
 	p.mu.Unlock()
 	return &newspb.News{
 		Instance: p.cfg.Instance, Incarnation: p.born, FailureDomain: p.cfg.Domain, Leaving: leaving,
-		Settings: p.version(), Runs: runs, Calls: calls,
+		Settings: p.version(), Runs: runs, Calls: calls, Capacity: p.capacity(),
 	}
 }
 
@@ -124,3 +124,11 @@
 	}
 	return out
 }
+
+// capacityUnit makes the smallest instances' capacity a number that still compares.
+const capacityUnit = 100
+
+// capacity is what this instance can carry for others.
+func (p *Process) capacity() uint32 {
+	return uint32(max(1, capacityUnit*p.cfg.LinkMbps*p.cfg.CPUShare))
+}
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -38,6 +38,8 @@
 	Link     string   // address for other instances' streams
 	Seeds    []string // links of some instances, which may be stale
 	MemoryMB int      // over which the process is killed
+	LinkMbps float64
+	CPUShare float64 // of a core
 
 	Grace time.Duration // from SIGTERM to the kill
 
--- a/lib/peernews/peernews.go
+++ b/lib/peernews/peernews.go
@@ -22,7 +22,7 @@
 	// minGap keeps changes in quick succession to one datagram.
 	minGap = 15 * time.Millisecond
 	// fanout bounds the peers told at a time, so that an instance's traffic does not grow with their number.
-	fanout = 16
+	fanout = 128
 	// maxDatagram is the largest news in bytes; longer ones are cut to it by leaving runs out.
 	maxDatagram = 8 << 10
 	// life is how long news is believed.
