--- a/lib/feed/feed.go
+++ b/lib/feed/feed.go
@@ -50,6 +50,8 @@
 	Retry   time.Duration // pause after a failure, doubled up to RetryMax
 	// RetryMax is short: it is part of the time that an instance stays out of service after the store's return.
 	RetryMax time.Duration
+	// Gap is the least time between two calls. It gathers changes that come one by one, as when all instances start.
+	Gap time.Duration
 }
 
 // DefaultOptions suit a store that answers within some milliseconds. Wait plus Timeout is how long a change can stay
@@ -99,6 +101,7 @@
 		if err == nil {
 			f.pause = f.opt.Retry
 			f.fails = 0
+			sleep(ctx, f.opt.Gap)
 			continue
 		}
 		f.fails++
@@ -114,6 +117,13 @@
 func (f *Follower) rest(ctx context.Context) {
 	d := f.pause/2 + rand.N(f.pause)
 	f.pause = min(2*f.pause, f.opt.RetryMax)
+	sleep(ctx, d)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(d):
--- a/lib/feed/replica.go
+++ b/lib/feed/replica.go
@@ -24,8 +24,9 @@
 	// keepRemoved is how long a removed row can still be told as a change. A peer that asks from before is sent the
 	// whole table.
 	keepRemoved = time.Minute
-	// outage is the age of the last contact from which the store is taken to have been away.
-	outage = 2500 * time.Millisecond
+	// outage is the age of the last contact from which the store is taken to have been away: longer than a poll takes,
+	// shorter than entries take to lapse.
+	outage = 1500 * time.Millisecond
 )
 
 // NewReplica returns an empty Replica that shows each change to apply, one at a time and in order.
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -199,6 +199,43 @@
 	return ch
 }
 
+// Leave marks a target that was seen to leave, although the list has not told.
+func (f *Fleet) Leave(now time.Time, id string) Change {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var ch Change
+	if t := f.targets[id]; t != nil {
+		f.leave(now, t, &ch)
+	}
+	return ch
+}
+
+// LeftSince lists the targets that have left since a time.
+func (f *Fleet) LeftSince(at time.Time) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for id, t := range f.targets {
+		if t.state == Leaving && t.leavingAt.After(at) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Engines lists the targets with engine memory that take requests.
+func (f *Fleet) Engines() []Info {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []Info
+	for _, t := range f.targets {
+		if t.state == Ready && f.specs[t.Service].KVTokens > 0 {
+			out = append(out, t.Info)
+		}
+	}
+	return out
+}
+
 // SetShare sets this instance's part of the connections that targets accept.
 func (f *Fleet) SetShare(share float64) {
 	f.mu.Lock()
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -45,11 +45,18 @@
 	Events int // events that the run has made so far
 }
 
+// Report is what an engine tells of itself.
+type Report struct {
+	Leaving bool // it was told to end, or is about to
+}
+
 // Engines makes calls to model engines beside the requests themselves.
 type Engines interface {
 	// Copy copies the memory of the run that serves request id from one engine to another, or what is new of it. last
 	// ends the run at its source before the rest is copied.
 	Copy(ctx context.Context, from, to fleet.Info, id string, last bool) (Moved, error)
+	// Report asks an engine for its state.
+	Report(ctx context.Context, at fleet.Info) (Report, error)
 	// Free gives up a copy at both ends.
 	Free(ctx context.Context, from fleet.Info, handle string) error
 }
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -68,6 +68,7 @@
 	p.start(func() { p.register(ctx) })
 	p.start(func() { p.news.Run(ctx) })
 	p.start(func() { p.tick(ctx) })
+	p.start(func() { p.watchEngines(ctx) })
 }
 
 func (p *Process) track(ctx context.Context, name string, src feed.Source, r *feed.Replica, o feed.Options, age time.Duration) {
@@ -232,6 +233,9 @@
 		log.Info().Str("event", "target_leaving").Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr).Msg("")
 		p.gate.Evacuate(t, p.peerRuns(t.ID))
 	}
+	if len(ch.Leaving) > 0 {
+		p.news.Changed()
+	}
 }
 
 // tick does the housekeeping.
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -15,7 +15,7 @@
 )
 
 // instanceOptions follow the instances: they change seldom, and late news of one costs only worse choices.
-var instanceOptions = feed.Options{Wait: 5 * time.Second, Timeout: time.Second, Retry: 200 * time.Millisecond, RetryMax: 2 * time.Second}
+var instanceOptions = feed.Options{Wait: 5 * time.Second, Timeout: time.Second, Retry: 200 * time.Millisecond, RetryMax: 2 * time.Second, Gap: 500 * time.Millisecond}
 
 // instanceMaxAge is the age at which a reader of the instances is doubted.
 const instanceMaxAge = 12 * time.Second
@@ -78,6 +78,9 @@
 	log.Info().Str("event", "instances").Int("n", n).Msg("")
 }
 
+// tellLeaving is how long peers are told of a target that leaves: until a lost datagram has been made up for.
+const tellLeaving = 2 * time.Second
+
 // gather makes this instance's news.
 func (p *Process) gather() *newspb.News {
 	runs, calls := p.gate.News()
@@ -87,6 +90,7 @@
 	return &newspb.News{
 		Instance: p.cfg.Instance, Incarnation: p.born, FailureDomain: p.cfg.Domain, Leaving: leaving,
 		Settings: p.version(), Runs: runs, Calls: calls, Capacity: p.capacity(),
+		LeavingTargets: p.fleet.LeftSince(time.Now().Add(-tellLeaving)),
 	}
 }
 
@@ -109,6 +113,9 @@
 		l.Runs += int(c.Open)
 		loads[c.Target] = l
 	}
+	for _, id := range n.LeavingTargets {
+		p.changed(p.fleet.Leave(now, id))
+	}
 	p.fleet.Tell(now, n.Instance, loads)
 }
 
--- /dev/null
+++ b/lib/gatewayproc/watch.go
@@ -0,0 +1,69 @@
+package gatewayproc
+
+import (
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/logline"
+	"anvilwick.example/anvilwick/lib/rendezvous"
+)
+
+const (
+	// watchEvery is the period of asking engines while the list of targets is out of reach: an engine leaves within two
+	// seconds of its notice, and a move takes a good part of them.
+	watchEvery = 350 * time.Millisecond
+	// listSilent is the age of the list from which engines are asked.
+	listSilent = 1500 * time.Millisecond
+	// reportTimeout bounds one question.
+	reportTimeout = 300 * time.Millisecond
+)
+
+// watchEngines asks engines themselves whether they leave, while the list can't tell. Each is asked by one instance,
+// chosen by rendezvous, which tells the others: questions delay an engine's work and are paid for.
+func (p *Process) watchEngines(ctx context.Context) {
+	t := time.NewTicker(watchEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if time.Since(p.feeds.targets.Contact()) < listSilent {
+			continue
+		}
+		for _, e := range p.fleet.Engines() {
+			if p.watches(e.ID) {
+				go p.ask(ctx, e)
+			}
+		}
+	}
+}
+
+// watches reports whether this instance is the one to ask an engine.
+func (p *Process) watches(id string) bool {
+	key := rendezvous.Hash(id)
+	own := rendezvous.Rank(key, rendezvous.Hash(p.cfg.Instance))
+	for _, n := range p.news.Latest(time.Now()) {
+		if !n.Leaving && rendezvous.Rank(key, rendezvous.Hash(n.Instance)) > own {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Process) ask(ctx context.Context, e fleet.Info) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	r, err := p.site.Engines.Report(ctx, e)
+	if err != nil {
+		logline.Cause(log.Info().Str("event", "engine_not_asked").Str("target", e.ID), err)
+		return
+	}
+	if r.Leaving {
+		p.changed(p.fleet.Leave(time.Now(), e.ID))
+	}
+}
--- a/lib/wirehttp/conn.go
+++ b/lib/wirehttp/conn.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 )
 
@@ -90,10 +91,10 @@
 	nc      net.Conn
 	rd      *bufio.Reader
 	addr    string
-	used    bool // an exchange went over it before
-	spoiled bool
-	expires time.Time  // idle connections are not used after it
-	writing chan error // result of a write that goes on beside reading; nil when there is none
+	used    bool        // an exchange went over it before
+	spoiled atomic.Bool // it must not carry another exchange; a cancelled request sets it from beside
+	expires time.Time   // idle connections are not used after it
+	writing chan error  // result of a write that goes on beside reading; nil when there is none
 }
 
 func newConn(nc net.Conn, addr string) *Conn {
@@ -108,7 +109,7 @@
 
 // Close ends the connection. The target sees it as the caller's leaving.
 func (c *Conn) Close() {
-	c.spoiled = true
+	c.spoiled.Store(true)
 	_ = c.nc.Close()
 }
 
@@ -135,7 +136,7 @@
 	if err == nil {
 		return nil
 	}
-	c.spoiled = true
+	c.spoiled.Store(true)
 	return &SendError{Sent: n > 0, Err: err}
 }
 
@@ -145,21 +146,21 @@
 	for range maxStray {
 		resp, err := c.receive(method)
 		if err != nil {
-			c.spoiled = true
+			c.spoiled.Store(true)
 			return nil, &SendError{Sent: true, Err: err}
 		}
 		if got := resp.Header.Get(idHeader); idHeader == "" || got == id || got == "" && resp.Status >= 300 {
 			return resp, nil
 		}
 		if err := resp.discard(); err != nil {
-			c.spoiled = true
+			c.spoiled.Store(true)
 			return nil, &SendError{Sent: true, Err: errors.Join(ErrStray, err)}
 		}
 		if !resp.reusable() {
 			break
 		}
 	}
-	c.spoiled = true
+	c.spoiled.Store(true)
 	return nil, &SendError{Sent: true, Err: ErrStray}
 }
 
--- a/lib/wirehttp/pool.go
+++ b/lib/wirehttp/pool.go
@@ -96,7 +96,7 @@
 // Put takes a connection back after the exchange that resp ended. It is closed unless the next exchange is sure to find
 // nothing of this one on it: the answer was read whole, the request was written whole, and no byte follows.
 func (p *Pool) Put(c *Conn, resp *Response) {
-	if c.spoiled || resp == nil || !resp.reusable() || !c.written() || c.rd.Buffered() > 0 {
+	if c.spoiled.Load() || resp == nil || !resp.reusable() || !c.written() || c.rd.Buffered() > 0 {
 		c.Close()
 		return
 	}
