Listen at once, hold for the first settings; ask engines as soon as the list fails

Cause: after the final fault instances listened only once settings were known; callers used up their repeat on refused connections. Change: the listener opens at once, a request waits up to a fifth of its time for the first settings and is then told when to come back; idle limits follow the settings in force. Engines are asked once a call for the list has failed here or at a peer, before the list is old.

--- a/lib/feed/feed_test.go
+++ b/lib/feed/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 
 // script is a Source that plays answers in order and then waits.
 type script struct {
+	mu        sync.Mutex
 	snapshots []answer
 	changes   []answer
 	after     []int64 // versions that changes were asked after
@@ -22,18 +24,21 @@
 	err  error
 }
 
-func (s *script) Snapshot(ctx context.Context) (Page, error) { return play(ctx, &s.snapshots) }
+func (s *script) Snapshot(ctx context.Context) (Page, error) { return s.play(ctx, &s.snapshots) }
 
 func (s *script) Changes(ctx context.Context, after int64, _ time.Duration) (Page, error) {
 	s.after = append(s.after, after)
-	return play(ctx, &s.changes)
+	return s.play(ctx, &s.changes)
 }
 
-func play(ctx context.Context, list *[]answer) (Page, error) {
+func (s *script) play(ctx context.Context, list *[]answer) (Page, error) {
+	s.mu.Lock()
 	if len(*list) == 0 {
+		s.mu.Unlock()
 		<-ctx.Done()
 		return Page{}, ctx.Err()
 	}
+	defer s.mu.Unlock()
 	a := (*list)[0]
 	*list = (*list)[1:]
 	return a.page, a.err
@@ -76,7 +81,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		defer cancel()
-		time.AfterFunc(5*time.Second, func() { s.snapshots = []answer{page(3)} })
+		time.AfterFunc(5*time.Second, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.snapshots = []answer{page(3)}
+		})
 		var at time.Duration
 		start := time.Now()
 		NewFollower(s, DefaultOptions, NewReplica(func(u Update) { got = append(got, u); at = time.Since(start) }), func(error) {}).Run(ctx)
--- a/lib/gateway/answer.go
+++ b/lib/gateway/answer.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -36,10 +35,17 @@
 	if c.engine != nil {
 		after = againStream
 	}
-	third := time.Duration(math.Max(0, float64(time.Until(c.deadline))/3.2))
-	return refusal{status: http.StatusServiceUnavailable, after: max(min(after, third), time.Millisecond), reason: reason}
+	return refusal{status: http.StatusServiceUnavailable, after: c.wait(after), reason: reason}
 }
 
+// wait bounds a wait to what the caller keeps to.
+func (c *call) wait(after time.Duration) time.Duration {
+	return max(min(after, time.Duration(float64(time.Until(c.deadline))*waitPart)), time.Millisecond)
+}
+
+// waitPart of a caller's time is the longest wait told: callers keep to a third.
+const waitPart = 0.31
+
 // copyHead sets the headers of a target's answer.
 func (g *Gateway) copyHead(w http.ResponseWriter, from http.Header) {
 	h := w.Header()
--- a/lib/gateway/call.go
+++ b/lib/gateway/call.go
@@ -52,8 +52,8 @@
 	againPlain = 150 * time.Millisecond
 	// againStream suits generations, whose targets are replaced within some seconds.
 	againStream = 900 * time.Millisecond
-	// againUnready is for requests that arrive before the instance knows its settings.
-	againUnready = 300 * time.Millisecond
+	// againUnready is for requests that arrive before the instance knows its settings: the store is away, for seconds.
+	againUnready = 2500 * time.Millisecond
 )
 
 // defaultDeadline holds for a request that names none on a route without a limit.
@@ -70,7 +70,8 @@
 	c := &call{id: r.Header.Get(g.Names.RequestID), method: r.Method, target: r.RequestURI, host: r.Host, arrived: time.Now()}
 	t := g.table.Load()
 	if t == nil {
-		return c, &refusal{status: http.StatusServiceUnavailable, after: againUnready, reason: "no_settings"}
+		c.deadline = c.arrived.Add(g.callersTime(r))
+		return c, &refusal{status: http.StatusServiceUnavailable, after: c.wait(againUnready), reason: "no_settings"}
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	c.route = t.Match(hostname(r.Host), path)
@@ -119,10 +120,7 @@
 }
 
 func (g *Gateway) readHeaders(r *http.Request, c *call) {
-	c.deadline = c.arrived.Add(defaultDeadline)
-	if ms, err := strconv.ParseFloat(r.Header.Get(g.Names.Deadline), 64); err == nil && ms >= 0 {
-		c.deadline = c.arrived.Add(time.Duration(ms * float64(time.Millisecond)))
-	}
+	c.deadline = c.arrived.Add(g.callersTime(r))
 	c.limit = c.deadline
 	if t := c.route.Timeout; t > 0 && c.arrived.Add(t).Before(c.limit) {
 		c.limit = c.arrived.Add(t)
@@ -133,6 +131,14 @@
 	c.tried = make(map[string]bool)
 }
 
+// callersTime is how long the caller waits.
+func (g *Gateway) callersTime(r *http.Request) time.Duration {
+	if ms, err := strconv.ParseFloat(r.Header.Get(g.Names.Deadline), 64); err == nil && ms >= 0 {
+		return time.Duration(ms * float64(time.Millisecond))
+	}
+	return defaultDeadline
+}
+
 // tokens returns the prompt's size and a guess of the output's: the caller's own guess, else half of the largest.
 func (g *Gateway) tokens(h http.Header) (prompt, output int) {
 	in, most, _ := strings.Cut(h.Get(g.Names.Tokens), ",")
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -80,13 +81,21 @@
 	table    atomic.Pointer[routes.Table]
 	stopping atomic.Bool
 	cut      chan struct{} // closed when open answers are to be broken off
+	known    chan struct{} // closed when settings are first in force
 	runs     runTable
 	active   sync.WaitGroup
 }
 
+// defaultHold bounds how long a request waits for the first settings; holdPart is the part of the caller's time that it
+// waits at most.
+const (
+	defaultHold = 500 * time.Millisecond
+	holdPart    = 5
+)
+
 // New returns a Gateway that knows no settings yet.
 func New(cfg Config) *Gateway {
-	return &Gateway{Config: cfg, cut: make(chan struct{}), runs: newRunTable()}
+	return &Gateway{Config: cfg, cut: make(chan struct{}), known: make(chan struct{}), runs: newRunTable()}
 }
 
 // Apply puts a table of routes in force. An older one than that in force is left out: a request handled by a state that
@@ -98,6 +107,9 @@
 			return false
 		}
 		if g.table.CompareAndSwap(old, t) {
+			if old == nil {
+				close(g.known)
+			}
 			return true
 		}
 	}
@@ -122,6 +134,7 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	g.awaitSettings(r)
 	c, ref := g.accept(w, r)
 	if ref != nil {
 		g.refuse(w, c, *ref)
@@ -139,6 +152,25 @@
 	g.servePlain(ctx, w, c)
 }
 
+// awaitSettings holds a request that came before the first settings. An instance that was just started knows them within
+// some tens of milliseconds, and a refusal would use up the caller's only repeat.
+func (g *Gateway) awaitSettings(r *http.Request) {
+	if g.table.Load() != nil {
+		return
+	}
+	hold := defaultHold
+	if ms, err := strconv.Atoi(r.Header.Get(g.Names.Deadline)); err == nil {
+		hold = min(hold, time.Duration(ms)*time.Millisecond/holdPart)
+	}
+	t := time.NewTimer(hold)
+	defer t.Stop()
+	select {
+	case <-g.known:
+	case <-t.C:
+	case <-r.Context().Done():
+	}
+}
+
 // cutWith calls cancel when the gateway is cut.
 func (g *Gateway) cutWith(cancel func()) (stop func()) {
 	done := make(chan struct{})
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -75,6 +75,12 @@
 	t := feedlink.New(feedlink.Config{
 		Table: name, Source: src, Replica: r, Options: o, MaxAge: age, Node: p.node, Readers: p.readers, Fail: lost(name),
 	})
+	if name == targetsTable {
+		t.Fail = func(err error) {
+			lost(name)(err)
+			p.listLost.Store(true)
+		}
+	}
 	p.start(func() { t.Run(ctx) })
 }
 
@@ -193,7 +199,6 @@
 	})
 	p.fleet.SetSpecs(specs)
 	log.Info().Str("event", "settings").Int64("settings", rev.Version).Int("routes", len(rev.Routes)).Msg("")
-	p.knownOnce.Do(func() { close(p.known) })
 }
 
 func (p *Process) applyTargets(u feed.Update) {
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -71,10 +72,10 @@
 }
 
 const (
-	// firstSettings is how long the listener for callers waits for settings, whose limits it is made with.
-	firstSettings = 2 * time.Second
-	// defaultIdle and defaultHeader hold where settings state no limit or are not known in time.
-	defaultIdle   = 20 * time.Second
+	// defaultIdle holds where settings state no limit or are not known yet; maxIdle is net/http's own bound, over any.
+	defaultIdle = 20 * time.Second
+	maxIdle     = 10 * time.Minute
+	// defaultHeader bounds reading the head of a request.
 	defaultHeader = 5 * time.Second
 	// maxHeader is net/http's bound on a request's head, in bytes.
 	maxHeader = 64 << 10
@@ -104,8 +105,8 @@
 	front, ready *http.Server
 	cancel       context.CancelFunc
 	work         sync.WaitGroup
-	known        chan struct{} // closed when settings are first in force
-	knownOnce    sync.Once
+
+	listLost atomic.Bool // the last call for the list of targets failed
 
 	mu      sync.Mutex
 	peers   map[string]peernews.Peer
@@ -116,7 +117,7 @@
 // Run serves until ctx is done, then stops gracefully.
 func Run(ctx context.Context, cfg Config, site Site) error {
 	p := &Process{
-		cfg: cfg, site: site, fleet: fleet.New(cfg.Domain), known: make(chan struct{}),
+		cfg: cfg, site: site, fleet: fleet.New(cfg.Domain),
 		peers: make(map[string]peernews.Peer), born: uint64(time.Now().UnixNano()),
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
@@ -144,7 +145,7 @@
 	p.follow(work)
 	p.start(func() { p.reloads(work) })
 	failed := make(chan error, 1)
-	go func() { failed <- p.serveFront(work) }()
+	go func() { failed <- p.serveFront() }()
 	select {
 	case err := <-failed:
 		return err
@@ -186,25 +187,22 @@
 	w.WriteHeader(status)
 }
 
-// serveFront opens the listener for callers once settings are known, or after a while without.
-func (p *Process) serveFront(ctx context.Context) error {
-	select {
-	case <-p.known:
-	case <-time.After(firstSettings):
-	case <-ctx.Done():
-		return nil
-	}
-	idle, header := defaultIdle, defaultHeader
-	if t := p.gate.Table(); t != nil {
-		idle = orDefault(t.Limits.IdleTimeout, idle)
-		header = orDefault(t.Limits.HeaderTimeout, header)
-	}
+// serveFront listens for callers.
+func (p *Process) serveFront() error {
 	ln, err := net.Listen("tcp", p.cfg.Front)
 	if err != nil {
 		return fmt.Errorf("gatewayproc: callers: %w", err)
 	}
+	guard := newIdleGuard(func() time.Duration {
+		if t := p.gate.Table(); t != nil {
+			return orDefault(t.Limits.IdleTimeout, defaultIdle)
+		}
+		return defaultIdle
+	})
 	p.mu.Lock()
-	p.front = &http.Server{Handler: p.gate, IdleTimeout: idle, ReadHeaderTimeout: header, MaxHeaderBytes: maxHeader}
+	p.front = &http.Server{
+		Handler: p.gate, ConnState: guard.state, ReadHeaderTimeout: defaultHeader, IdleTimeout: maxIdle, MaxHeaderBytes: maxHeader,
+	}
 	front := p.front
 	p.mu.Unlock()
 	if err := front.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
--- a/lib/gatewayproc/watch.go
+++ b/lib/gatewayproc/watch.go
@@ -15,8 +15,9 @@
 	// watchEvery is the period of asking engines while the list of targets is out of reach: an engine leaves within two
 	// seconds of its notice, and a move takes a good part of them.
 	watchEvery = 350 * time.Millisecond
-	// listSilent is the age of the list from which engines are asked.
-	listSilent = 1500 * time.Millisecond
+	// listSilent is the age of the list from which engines are asked, when no call for it has failed yet: over the time of
+	// one long poll and a page passed on.
+	listSilent = 1100 * time.Millisecond
 	// reportTimeout bounds one question.
 	reportTimeout = 300 * time.Millisecond
 )
@@ -32,7 +33,7 @@
 			return
 		case <-t.C:
 		}
-		if time.Since(p.feeds.targets.Contact()) < listSilent {
+		if !p.listAway() {
 			continue
 		}
 		for _, e := range p.fleet.Engines() {
@@ -43,6 +44,25 @@
 	}
 }
 
+// listAway reports whether the list of targets can't be relied on: it is old, or a call for it has failed here or at a
+// peer and none has succeeded since.
+func (p *Process) listAway() bool {
+	now := time.Now()
+	age := now.Sub(p.feeds.targets.Contact())
+	if age < watchEvery/2 {
+		p.listLost.Store(false)
+	}
+	if age >= listSilent || p.listLost.Load() {
+		return true
+	}
+	for _, n := range p.news.Latest(now) {
+		if n.ListLost {
+			return true
+		}
+	}
+	return false
+}
+
 // watches reports whether this instance is the one to ask an engine.
 func (p *Process) watches(id string) bool {
 	key := rendezvous.Hash(id)
