Wire the failure of the list's calls into asking engines

Cause: the failure hook was set after the follower had taken the old one, so engines were asked only once the list was old.

--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -72,15 +72,16 @@
 }
 
 func (p *Process) track(ctx context.Context, name string, src feed.Source, r *feed.Replica, o feed.Options, age time.Duration) {
-	t := feedlink.New(feedlink.Config{
-		Table: name, Source: src, Replica: r, Options: o, MaxAge: age, Node: p.node, Readers: p.readers, Fail: lost(name),
-	})
+	fail := lost(name)
 	if name == targetsTable {
-		t.Fail = func(err error) {
+		fail = func(err error) {
 			lost(name)(err)
-			p.listLost.Store(true)
+			p.listFailed.Store(time.Now().UnixNano())
 		}
 	}
+	t := feedlink.New(feedlink.Config{
+		Table: name, Source: src, Replica: r, Options: o, MaxAge: age, Node: p.node, Readers: p.readers, Fail: fail,
+	})
 	p.start(func() { t.Run(ctx) })
 }
 
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -90,7 +90,7 @@
 	return &newspb.News{
 		Instance: p.cfg.Instance, Incarnation: p.born, FailureDomain: p.cfg.Domain, Leaving: leaving,
 		Settings: p.version(), Runs: runs, Calls: calls, Capacity: p.capacity(),
-		ListLost:       p.listLost.Load(),
+		ListLost:       p.listLost(),
 		LeavingTargets: p.fleet.LeftSince(time.Now().Add(-tellLeaving)),
 	}
 }
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -106,7 +106,7 @@
 	cancel       context.CancelFunc
 	work         sync.WaitGroup
 
-	listLost atomic.Bool // the last call for the list of targets failed
+	listFailed atomic.Int64 // when a call for the list of targets last failed, in Unix nanoseconds
 
 	mu      sync.Mutex
 	peers   map[string]peernews.Peer
--- a/lib/gatewayproc/watch.go
+++ b/lib/gatewayproc/watch.go
@@ -14,7 +14,7 @@
 const (
 	// watchEvery is the period of asking engines while the list of targets is out of reach: an engine leaves within two
 	// seconds of its notice, and a move takes a good part of them.
-	watchEvery = 350 * time.Millisecond
+	watchEvery = 300 * time.Millisecond
 	// listSilent is the age of the list from which engines are asked, when no call for it has failed yet: over the time of
 	// one long poll and a page passed on.
 	listSilent = 1100 * time.Millisecond
@@ -44,15 +44,15 @@
 	}
 }
 
-// listAway reports whether the list of targets can't be relied on: it is old, or a call for it has failed here or at a
-// peer and none has succeeded since.
+// listLost reports whether a call for the list has failed and none has succeeded since, here or at the reader.
+func (p *Process) listLost() bool {
+	return p.listFailed.Load() > p.feeds.targets.Contact().UnixNano()
+}
+
+// listAway reports whether the list of targets can't be relied on: it is old, or lost here or at a peer.
 func (p *Process) listAway() bool {
 	now := time.Now()
-	age := now.Sub(p.feeds.targets.Contact())
-	if age < watchEvery/2 {
-		p.listLost.Store(false)
-	}
-	if age >= listSilent || p.listLost.Load() {
+	if now.Sub(p.feeds.targets.Contact()) >= listSilent || p.listLost() {
 		return true
 	}
 	for _, n := range p.news.Latest(now) {
