--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -329,6 +329,29 @@
 	return t.Info, true
 }
 
+// Spare chooses the engine with the most free memory for a copy of a run, and counts tokens there. It gives none where
+// less than the share free of an engine's memory would be left: copies must not push out runs.
+func (f *Fleet) Spare(service string, tokens int, without map[string]bool, free float64) (Info, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	kv := f.specs[service].KVTokens
+	var best *Target
+	most := int(free * float64(kv))
+	for _, t := range f.targets {
+		if t.Service != service || t.state != Ready || without[t.ID] {
+			continue
+		}
+		if left := kv - f.carried(t).Tokens - tokens; left > most {
+			best, most = t, left
+		}
+	}
+	if best == nil {
+		return Info{}, false
+	}
+	best.own.Tokens += tokens
+	return best.Info, true
+}
+
 // Room is a target of a service that takes requests, and the engine memory in tokens that nobody is known to use.
 type Room struct {
 	Info
--- /dev/null
+++ b/lib/gateway/backup.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/newspb"
+)
+
+// backupFree is the share of an engine's memory that must stay free for it to hold a copy of another's run. With copies
+// of every run the engines' memory fills up and runs are preempted, which costs more than the copies save.
+const backupFree = 0.7
+
+// backup is a copy of a run that its engine keeps up to date on another one.
+type backup struct {
+	at     fleet.Info // empty: none
+	tokens int        // counted there
+}
+
+// chooseBackup picks an engine for a copy of a run that can't be run again from its prompt. It is all that survives the
+// crash of the run's engine, and a notice too short for a move.
+func (r *run) chooseBackup(on fleet.Info) {
+	if r.c.engine == nil || !r.c.engine.Backups || r.c.route.MayRepeat() || r.g.Names.Backup == "" {
+		return
+	}
+	tokens := r.size().Tokens
+	at, ok := r.g.Fleet.Spare(on.Service, tokens, map[string]bool{on.ID: true}, backupFree)
+	if !ok {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.copy = backup{at: at, tokens: tokens}
+}
+
+// dropBackup takes the copy's tokens off its engine and returns where it was.
+func (r *run) dropBackup() fleet.Info {
+	r.mu.Lock()
+	b := r.copy
+	r.copy = backup{}
+	r.mu.Unlock()
+	if b.at.ID != "" {
+		r.g.Fleet.Grow(b.at.ID, fleet.Load{Tokens: -b.tokens})
+	}
+	return b.at
+}
+
+// fromBackup says how to go on from the copy after the run's engine has failed; ok is false when there is none.
+func (r *run) fromBackup() (next, bool) {
+	at := r.dropBackup()
+	if at.ID == "" || r.events == 0 || r.g.Fleet.IsLeaving(at.ID) {
+		return next{}, false
+	}
+	size := r.size()
+	to, ok := r.g.Fleet.AcquireAt(at.ID, fleet.Need{Service: at.Service, Tokens: size.Tokens})
+	if !ok {
+		return next{}, false
+	}
+	return next{target: to, counted: fleet.Load{Tokens: size.Tokens}, copyFrom: to.Addr + "/" + r.c.id}, true
+}
+
+// backupAt returns the engine that holds the copy.
+func (r *run) backupAt() fleet.Info {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.copy.at
+}
+
+// held lists the memory that copies of this instance's runs take.
+func (g *Gateway) held() []*newspb.Held {
+	var out []*newspb.Held
+	for _, list := range g.runs.all() {
+		for _, r := range list {
+			r.mu.Lock()
+			if r.copy.at.ID != "" {
+				out = append(out, &newspb.Held{Target: r.copy.at.ID, Tokens: uint32(r.copy.tokens)})
+			}
+			r.mu.Unlock()
+		}
+	}
+	return out
+}
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -35,6 +35,7 @@
 	Tokens    string // tokens of the prompt and largest number of output tokens
 	Hint      string // the caller's guess of the output's tokens
 	Urgency   string // rank in an engine's queue
+	Backup    string // address of an engine that is sent the run's memory as it grows
 	CopyFrom  string // address and handle of a copy of a run to go on from
 
 	Reserved []string // headers that only the gateway may set; a caller's are dropped
--- a/lib/gateway/log.go
+++ b/lib/gateway/log.go
@@ -67,6 +67,11 @@
 	l.line(log.Warn(), "target_silent", e).Str("target", target).Int64("silent_ms", since.Milliseconds()).Msg("")
 }
 
+// FromBackup tells of a run that goes on from its copy after its engine failed.
+func (l Log) FromBackup(e entry, to string, events int) {
+	l.line(log.Warn(), "from_backup", e).Str("to", to).Int("events", events).Msg("")
+}
+
 // Moved tells how a move of a run ended.
 func (l Log) Moved(e entry, from, to string, took time.Duration, err error) {
 	logline.Cause(l.line(log.Info(), "moved", e).Str("from", from).Str("to", to).Int64("took_ms", took.Milliseconds()), err)
--- a/lib/gateway/news.go
+++ b/lib/gateway/news.go
@@ -24,7 +24,7 @@
 }
 
 // News lists the runs and open calls of this instance.
-func (g *Gateway) News() ([]*newspb.Run, []*newspb.Calls) {
+func (g *Gateway) News() ([]*newspb.Run, []*newspb.Calls, []*newspb.Held) {
 	var runs []*newspb.Run
 	engines := make(map[string]bool)
 	for target, list := range g.runs.all() {
@@ -46,7 +46,7 @@
 			calls = append(calls, &newspb.Calls{Target: id, Open: uint32(load.Runs)})
 		}
 	}
-	return runs, calls
+	return runs, calls, g.held()
 }
 
 // all returns the runs by target.
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -60,6 +60,7 @@
 	made    int       // tokens of output so far
 	last    time.Time // when its target was last heard on it
 	handoff chan next // the copy to go on from, once a move has stopped the run; nil when no move is in its last part
+	copy    backup    // the copy that its engine keeps up to date, if any
 	ended   bool
 }
 
@@ -67,6 +68,7 @@
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, c *call) {
 	r := &run{g: g, c: c, w: w, out: http.NewResponseController(w), lastID: c.lastEvent}
 	defer r.finish()
+	defer r.dropBackup()
 	var to next
 	dials := 0
 	for {
@@ -107,6 +109,14 @@
 			}
 			continue
 		}
+		if e == endBroken && !resumed {
+			if n, ok := r.fromBackup(); ok {
+				g.Log.FromBackup(c.entry(), n.target.ID, r.events)
+				g.Budget.Spend(time.Now(), c.service)
+				to = n
+				continue
+			}
+		}
 		c.sends++
 		c.mayRan = c.mayRan || e != endNotRun
 		if !r.onward(e, resumed) {
@@ -166,6 +176,11 @@
 	}
 	if to.copyFrom != "" {
 		req.Header.Set(r.g.Names.CopyFrom, to.copyFrom)
+	} else {
+		r.chooseBackup(to.target)
+		if b := r.backupAt(); b.ID != "" {
+			req.Header.Set(r.g.Names.Backup, b.Addr)
+		}
 	}
 	if err := conn.Send(req); err != nil {
 		x.err = err
--- a/lib/gateway/watch.go
+++ b/lib/gateway/watch.go
@@ -33,7 +33,8 @@
 
 func (r *run) watch(conn *wirehttp.Conn, target string) *watch {
 	w := &watch{r: r, conn: conn, target: target}
-	if !r.c.route.MayRepeat() || r.c.sends+1 >= r.c.route.MaxAttempts {
+	again := r.c.route.MayRepeat() && r.c.sends+1 < r.c.route.MaxAttempts
+	if !again && r.backupAt().ID == "" {
 		return w
 	}
 	w.mu.Lock()
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -83,13 +83,13 @@
 
 // gather makes this instance's news.
 func (p *Process) gather() *newspb.News {
-	runs, calls := p.gate.News()
+	runs, calls, held := p.gate.News()
 	p.mu.Lock()
 	leaving := p.stopped
 	p.mu.Unlock()
 	return &newspb.News{
 		Instance: p.cfg.Instance, Incarnation: p.born, FailureDomain: p.cfg.Domain, Leaving: leaving,
-		Settings: p.version(), Runs: runs, Calls: calls, Capacity: p.capacity(),
+		Settings: p.version(), Runs: runs, Calls: calls, Held: held, Capacity: p.capacity(),
 		ListLost:       p.listLost(),
 		LeavingTargets: p.fleet.LeftSince(time.Now().Add(-tellLeaving)),
 	}
@@ -114,6 +114,11 @@
 		l.Runs += int(c.Open)
 		loads[c.Target] = l
 	}
+	for _, h := range n.Held {
+		l := loads[h.Target]
+		l.Tokens += int(h.Tokens)
+		loads[h.Target] = l
+	}
 	for _, id := range n.LeavingTargets {
 		p.changed(p.fleet.Leave(now, id))
 	}
