Stop requests that kill workers, across instances; tests of the new packages

Cause: a request that crashes each worker comes again under new ids at any instance; nothing counted the deaths over instances.

--- /dev/null
+++ b/lib/feed/replica_test.go
@@ -0,0 +1,91 @@
+package feed
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func keys(rows []Row) []string {
+	var out []string
+	for _, r := range rows {
+		if !r.Removed {
+			out = append(out, r.Key)
+		}
+	}
+	return out
+}
+
+// A version in force never goes back, whichever way the older one comes: by a stale read, or from a peer that was cut
+// off. Nothing is shown and nothing held changes.
+func TestReplicaNeverGoesBack(t *testing.T) {
+	var shown []Update
+	r := NewReplica(func(u Update) { shown = append(shown, u) })
+	now := time.Now()
+	r.Take(Page{Version: 9, Rows: []Row{{Key: "a", Value: []byte("new"), Version: 9}}}, true, now)
+	r.Take(Page{Version: 8, Rows: []Row{{Key: "a", Value: []byte("old"), Version: 4}}}, true, now)
+	r.Take(Page{Version: 12, Rows: []Row{{Key: "a", Value: []byte("old"), Version: 4}}}, false, now)
+	must.Len(t, 1, shown)
+	page, _, _, _ := r.Since(0)
+	must.Eq(t, "new", string(page.Rows[0].Value))
+	version, known := r.Version()
+	must.True(t, known)
+	must.Eq(t, 12, version)
+}
+
+// Changes that came before anything was read whole are not a state to act on.
+func TestReplicaStartsWithAWholeTable(t *testing.T) {
+	r := NewReplica(func(Update) { t.Fatal("shown") })
+	r.Take(Page{Version: 3, Rows: []Row{{Key: "a", Version: 3}}}, false, time.Now())
+	_, known := r.Version()
+	must.False(t, known)
+}
+
+// A whole table shows what is missing from it as removed, and a peer can be told so.
+func TestRemovedRowsAreTold(t *testing.T) {
+	var last Update
+	r := NewReplica(func(u Update) { last = u })
+	now := time.Now()
+	r.Take(Page{Version: 5, Rows: []Row{{Key: "a", Version: 1}, {Key: "b", Version: 5}}}, true, now)
+	r.Take(Page{Version: 8, Rows: []Row{{Key: "b", Version: 5}}}, true, now)
+	must.Eq(t, []Row{{Key: "a", Version: 8, Removed: true}}, last.Rows)
+	page, whole, _, _ := r.Since(5)
+	must.False(t, whole)
+	must.Eq(t, []Row{{Key: "a", Version: 8, Removed: true}}, page.Rows)
+	page, whole, _, _ = r.Since(0)
+	must.True(t, whole)
+	must.Eq(t, []string{"b"}, keys(page.Rows))
+	_, whole, _, _ = r.Since(3) // it can't tell what was removed before it began
+	must.True(t, whole)
+}
+
+// A peer that asks after removed rows were forgotten gets the whole table, so that no removal is missed.
+func TestForgottenRemovals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := NewReplica(func(Update) {})
+		r.Take(Page{Version: 1, Rows: []Row{{Key: "a", Version: 1}}}, true, time.Now())
+		r.Take(Page{Version: 2, Rows: []Row{{Key: "a", Version: 2, Removed: true}}}, false, time.Now())
+		time.Sleep(keepRemoved + time.Second)
+		r.Take(Page{Version: 3, Rows: []Row{{Key: "b", Version: 3}}}, false, time.Now())
+		_, whole, _, _ := r.Since(1)
+		must.True(t, whole)
+		_, whole, _, _ = r.Since(2)
+		must.False(t, whole)
+	})
+}
+
+// The store was away: the first update after it says for how long, so that entries which lapsed meanwhile are believed
+// for a while. Time between two ordinary polls is no outage.
+func TestOutageIsTold(t *testing.T) {
+	var silent []time.Duration
+	r := NewReplica(func(u Update) { silent = append(silent, u.Silent) })
+	at := time.Now()
+	r.Take(Page{Version: 1}, true, at)
+	at = at.Add(DefaultOptions.Wait)
+	r.Take(Page{Version: 2, Rows: []Row{{Key: "a", Version: 2}}}, false, at)
+	at = at.Add(4 * time.Second)
+	r.Take(Page{Version: 3, Rows: []Row{{Key: "a", Version: 3, Removed: true}}}, false, at)
+	must.Eq(t, []time.Duration{0, 0, 4 * time.Second}, silent)
+}
--- /dev/null
+++ b/lib/fleet/fleet_test.go
@@ -0,0 +1,133 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var t0 = time.Unix(1_000_000, 0)
+
+func engines(n int) *Fleet {
+	f := New("z1")
+	f.SetSpecs(map[string]Spec{"engine": {KVTokens: 10_000, ConnCap: 100}, "plain": {ConnCap: 10}})
+	for i := range n {
+		f.Apply(t0, []Info{{ID: fmt.Sprintf("e%d", i), Service: "engine", Domain: "z1", Slots: 8}}, nil, 0)
+	}
+	return f
+}
+
+// Instances that each choose by their own sends alone all take the engine that looks idle. Told of each other's runs,
+// they spread.
+func TestPeersLoadCounts(t *testing.T) {
+	f := engines(2)
+	f.Tell(t0, "peer", map[string]Load{"e0": {Runs: 2, Tokens: 6000}})
+	for range 3 {
+		got, ok := f.Acquire(t0, Need{Service: "engine", Tokens: 1000})
+		must.True(t, ok)
+		must.Eq(t, "e1", got.ID)
+	}
+	f.Tick(t0.Add(peerLife + time.Second))
+	got, _ := f.Acquire(t0, Need{Service: "engine", Tokens: 1000})
+	must.Eq(t, "e0", got.ID) // old news is not believed
+}
+
+// A prompt that waits to be read delays a new one more than the same tokens at rest.
+func TestUnreadPromptsCount(t *testing.T) {
+	f := engines(2)
+	f.Tell(t0, "peer", map[string]Load{"e0": {Runs: 1, Tokens: 3000, Unread: 3000}, "e1": {Runs: 1, Tokens: 4000}})
+	got, _ := f.Acquire(t0, Need{Service: "engine", Tokens: 1000, Unread: 1000})
+	must.Eq(t, "e1", got.ID)
+}
+
+// A target that leaves gets nothing new. A stale entry that calls it ready again doesn't bring it back, and its leaving
+// is told once.
+func TestLeavingIsFinal(t *testing.T) {
+	f := engines(1)
+	e := Info{ID: "e0", Service: "engine", Leaving: true}
+	must.Len(t, 1, f.Apply(t0, []Info{e}, nil, 0).Leaving)
+	e.Leaving = false
+	must.Len(t, 0, f.Apply(t0, []Info{e}, nil, 0).Leaving)
+	_, ok := f.Acquire(t0, Need{Service: "engine"})
+	must.False(t, ok)
+	must.True(t, f.IsLeaving("e0"))
+	must.Eq(t, []string{"e0"}, f.LeftSince(t0.Add(-time.Second)))
+}
+
+// Entries lapse while the store is away. The targets are believed for a grace, are back unharmed when their entries
+// return, and are taken as gone when these don't.
+func TestLapsedEntries(t *testing.T) {
+	f := engines(2)
+	ch := f.Apply(t0, nil, []string{"e0", "e1"}, 5*time.Second)
+	must.Len(t, 0, ch.Leaving)
+	f.Apply(t0.Add(time.Second), []Info{{ID: "e0", Service: "engine"}}, nil, 0)
+	ch = f.Tick(t0.Add(OutageGrace + time.Millisecond))
+	must.Len(t, 1, ch.Leaving)
+	must.Eq(t, "e1", ch.Leaving[0].ID)
+	must.False(t, f.IsLeaving("e0"))
+	must.Len(t, 1, f.Apply(t0, nil, []string{"e0"}, 0).Leaving) // without an outage a removal counts at once
+}
+
+// One instance must not use up the connections that a target accepts from all.
+func TestConnectionsAreShared(t *testing.T) {
+	f := New("z1")
+	f.SetSpecs(map[string]Spec{"plain": {ConnCap: 10}})
+	f.SetShare(0.3)
+	f.Apply(t0, []Info{{ID: "p", Service: "plain", Slots: 100}}, nil, 0)
+	n := 0
+	for ; n < 20; n++ {
+		if _, ok := f.Acquire(t0, Need{Service: "plain"}); !ok {
+			break
+		}
+	}
+	must.Eq(t, 3, n)
+}
+
+// A target that can't be reached gets nothing for a while, but is better than a refusal when all are so.
+func TestUnreachableTargetsRest(t *testing.T) {
+	f := engines(2)
+	got, _ := f.Acquire(t0, Need{Service: "engine"})
+	f.Release(t0, got.ID, Load{}, Unreachable)
+	for range 5 {
+		other, ok := f.Acquire(t0, Need{Service: "engine"})
+		must.True(t, ok)
+		must.NotEq(t, got.ID, other.ID)
+	}
+	last, ok := f.Acquire(t0, Need{Service: "engine", Without: map[string]bool{"e0": got.ID != "e0", "e1": got.ID != "e1"}})
+	must.True(t, ok)
+	must.Eq(t, got.ID, last.ID)
+	_, ok = f.Acquire(t0, Need{Service: "engine", Must: true, Tokens: 20_000})
+	must.False(t, ok)
+}
+
+// A target that fails half of what it gets is avoided while others don't.
+func TestFailingTargetIsAvoided(t *testing.T) {
+	f := New("z1")
+	f.SetSpecs(map[string]Spec{"plain": {}})
+	f.Apply(t0, []Info{{ID: "bad", Service: "plain", Slots: 8}, {ID: "good", Service: "plain", Slots: 8}}, nil, 0)
+	for i := range 40 {
+		o := Served
+		if i%2 == 0 {
+			o = Failed
+		}
+		f.Grow("bad", Load{Runs: 1})
+		f.Release(t0, "bad", Load{}, o)
+	}
+	for range 3 {
+		got, _ := f.Acquire(t0, Need{Service: "plain"})
+		must.Eq(t, "good", got.ID)
+	}
+}
+
+// Copies of runs take memory that nobody else needs, or none.
+func TestSpareLeavesRoom(t *testing.T) {
+	f := engines(2)
+	f.Tell(t0, "peer", map[string]Load{"e0": {Tokens: 2000}, "e1": {Tokens: 5000}})
+	got, ok := f.Spare("engine", 1000, nil, 0.5)
+	must.True(t, ok)
+	must.Eq(t, "e0", got.ID)
+	_, ok = f.Spare("engine", 3000, nil, 0.5)
+	must.False(t, ok)
+}
--- a/lib/gateway/call.go
+++ b/lib/gateway/call.go
@@ -34,6 +34,7 @@
 	output    int       // expected tokens of the output
 	lastEvent string    // the last event that the caller had when it asked
 
+	print  uint64          // names what the call asks
 	sends  int             // targets that the call was sent to
 	mayRan bool            // a target may have run it
 	tried  map[string]bool // targets not to choose again
@@ -95,7 +96,7 @@
 	c.service = c.route.Choose(rand.Float64())
 	c.engine = t.Service(c.service).Engine
 	g.readHeaders(r, c)
-	return c, nil
+	return c, g.checkPoison(c)
 }
 
 // readBody reads the whole body: a request is sent only once it has arrived whole, with its length stated.
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/poison"
 	"anvilwick.example/anvilwick/lib/retry"
 	"anvilwick.example/anvilwick/lib/routes"
 	"anvilwick.example/anvilwick/lib/wirehttp"
@@ -84,6 +85,7 @@
 	cut      chan struct{} // closed when open answers are to be broken off
 	known    chan struct{} // closed when settings are first in force
 	runs     runTable
+	poison   *poison.Table
 	active   sync.WaitGroup
 }
 
@@ -96,7 +98,7 @@
 
 // New returns a Gateway that knows no settings yet.
 func New(cfg Config) *Gateway {
-	return &Gateway{Config: cfg, cut: make(chan struct{}), known: make(chan struct{}), runs: newRunTable()}
+	return &Gateway{Config: cfg, cut: make(chan struct{}), known: make(chan struct{}), runs: newRunTable(), poison: poison.New(poisonConfig)}
 }
 
 // Apply puts a table of routes in force. An older one than that in force is left out: a request handled by a state that
--- a/lib/gateway/plain.go
+++ b/lib/gateway/plain.go
@@ -41,7 +41,9 @@
 		if !ok {
 			break
 		}
+		run := g.poison.Started(target.ID, c.print)
 		x := g.send(ctx, c, target, c.route.MayRepeat() && c.sends+1 < c.route.MaxAttempts)
+		g.ended(run, target, x.verdict == verdictGood, x.sent && x.err != nil && ctx.Err() == nil)
 		c.tried[target.ID] = true
 		g.Fleet.Release(time.Now(), target.ID, fleet.Load{}, x.outcome(ctx))
 		g.Log.Sent(c.entry(), target.ID, x.statusCode(), x.verdict.String(), x.err)
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -144,7 +144,11 @@
 	x := &exchange{target: to.target}
 	r.enter(to)
 	e := endUnsent
-	defer func() { r.leave(e, x) }()
+	run := r.g.poison.Started(to.target.ID, r.c.print)
+	defer func() {
+		r.leave(e, x)
+		r.g.ended(run, to.target, e == endComplete, e == endBroken)
+	}()
 	conn, err := r.g.connect(ctx, to.target)
 	if err != nil {
 		x.err = err
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -90,6 +90,7 @@
 	return &newspb.News{
 		Instance: p.cfg.Instance, Incarnation: p.born, FailureDomain: p.cfg.Domain, Leaving: leaving,
 		Settings: p.version(), Runs: runs, Calls: calls, Held: held, Capacity: p.capacity(),
+		Blames:         p.gate.Blames(),
 		ListLost:       p.listLost(),
 		LeavingTargets: p.fleet.LeftSince(time.Now().Add(-tellLeaving)),
 	}
@@ -114,6 +115,7 @@
 		l.Runs += int(c.Open)
 		loads[c.Target] = l
 	}
+	p.gate.TakeBlames(n.Blames)
 	for _, h := range n.Held {
 		l := loads[h.Target]
 		l.Tokens += int(h.Tokens)
