Let an instance that is cut off from the store take its tables from a peer

Change: after 1.8 s without the store's word an instance takes the tables from the next in rank, of another domain in the end, and asks the store itself every 0.4 s if it is the one that should read. Test: TestCutOffReaderTakesFromAPeer (would have waited for the store before).

--- a/lib/feedlink/feedlink_test.go
+++ b/lib/feedlink/feedlink_test.go
@@ -149,6 +149,26 @@
 	must.Less(t, 4*time.Second, b.waitFor(t, "two"))
 }
 
+// The instance that should read is alone cut off from the store. It has changes from a peer that reaches the store, and
+// reads again once it can.
+func TestCutOffReaderTakesFromAPeer(t *testing.T) {
+	t.Parallel()
+	src, cut := &table{}, &table{}
+	src.set("one")
+	cut.set("one")
+	b := start(t, "b", src, self)
+	b.waitFor(t, "one")
+	a := start(t, "a", cut, func() []mesh.Peer { return []mesh.Peer{{}, {Instance: "b", Addr: b.addr}} })
+	a.waitFor(t, "one")
+	cut.mu.Lock()
+	cut.away = true
+	cut.mu.Unlock()
+	src.set("two")
+	must.Less(t, 4*time.Second, a.waitFor(t, "two"))
+	src.set("three")
+	must.Less(t, time.Second, a.waitFor(t, "three"))
+}
+
 // The reader dies: the other reads for itself.
 func TestReaderDies(t *testing.T) {
 	t.Parallel()
--- a/lib/feedlink/track.go
+++ b/lib/feedlink/track.go
@@ -31,8 +31,10 @@
 	grace = 500 * time.Millisecond
 	// avoidFor is how long a reader that failed is not asked again.
 	avoidFor = 5 * time.Second
-	// probeEvery is the pause between own calls to the store while a reader says that it has lost the store.
-	probeEvery = 1500 * time.Millisecond
+	// probeEvery is the pause between own calls to the store while the reader has lost it. The instance that should read
+	// probes more often: the others have the store's return from it.
+	probeEvery      = 1500 * time.Millisecond
+	probeEveryFirst = 400 * time.Millisecond
 	// reconsider is how often an instance that reads the store looks whether another should.
 	reconsider = time.Second
 )
@@ -63,6 +65,7 @@
 	Config
 	follower *feed.Follower
 	avoid    map[string]time.Time // by instance
+	cutOff   time.Time            // when this instance last gave up reading the store itself
 }
 
 // New returns a Track.
@@ -95,6 +98,9 @@
 	now := time.Now()
 	for _, p := range t.Readers() {
 		if p.Addr == "" {
+			if now.Sub(t.cutOff) < avoidFor {
+				continue
+			}
 			return mesh.Peer{}, true
 		}
 		if at, ok := t.avoid[p.Instance]; ok && now.Sub(at) < avoidFor {
@@ -105,6 +111,12 @@
 	return mesh.Peer{}, true
 }
 
+// first reports whether this instance is the one that should read.
+func (t *Track) first() bool {
+	r := t.Readers()
+	return len(r) > 0 && r[0].Addr == ""
+}
+
 // read follows the store itself until another instance should.
 func (t *Track) read(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -123,7 +135,12 @@
 			return
 		case <-tick.C:
 		}
-		if _, self := t.pick(); !self && t.settled() {
+		if time.Since(t.Replica.Contact()) > t.MaxAge+grace {
+			// Another may reach the store. Without this, an instance that alone is cut off from it would go on by old
+			// settings, with peers beside it that know the new ones.
+			t.cutOff = time.Now()
+		}
+		if _, self := t.pick(); !self {
 			cancel()
 			<-done
 			return
@@ -131,11 +148,6 @@
 	}
 }
 
-// settled reports whether the store has just been reached: an instance that can't reach it goes on trying.
-func (t *Track) settled() bool {
-	return time.Since(t.Replica.Contact()) < t.MaxAge
-}
-
 // subscribe takes the table from a reader until it fails.
 func (t *Track) subscribe(ctx context.Context, reader mesh.Peer) error {
 	open, cancel := context.WithTimeout(ctx, openTimeout)
@@ -161,11 +173,16 @@
 			return errChanged
 		}
 		now := time.Now()
-		if now.Sub(t.Replica.Contact()) < t.MaxAge || now.Sub(start) < grace || now.Sub(probed) < probeEvery {
+		every := probeEvery
+		if t.first() {
+			every = probeEveryFirst
+		}
+		if now.Sub(t.Replica.Contact()) < t.MaxAge || now.Sub(start) < grace || now.Sub(probed) < every {
 			continue
 		}
-		probed = now.Add(rand.N(probeEvery / 2))
+		probed = now.Add(rand.N(every / 2))
 		if t.follower.Step(ctx, 0) == nil {
+			t.cutOff = time.Time{}
 			return errTooOld
 		}
 	}
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -85,7 +85,7 @@
 	p.start(func() { t.Run(ctx) })
 }
 
-// readers ranks the instances of this failure domain that are heard, and this one. Those with half of the largest
+// readers ranks the instances of this failure domain that are heard, and this one, then those of others. Those with half of the largest
 // capacity or more come first: the reader sends each change to all others, and a link of a twentieth would take
 // seconds for a large one.
 func (p *Process) readers() []mesh.Peer {
@@ -93,6 +93,7 @@
 		peer     mesh.Peer
 		rank     uint64
 		capacity uint32
+		away     bool // in another failure domain
 	}
 	key := rendezvous.Hash(p.cfg.Domain)
 	list := []ranked{{rank: rendezvous.Rank(key, rendezvous.Hash(p.cfg.Instance)), capacity: p.capacity()}}
@@ -100,17 +101,26 @@
 	p.mu.Lock()
 	for _, n := range p.news.Latest(time.Now()) {
 		known, ok := p.peers[n.Instance]
-		if ok && known.Link != "" && n.FailureDomain == p.cfg.Domain && !n.Leaving {
+		if ok && known.Link != "" && !n.Leaving {
 			list = append(list, ranked{
 				peer:     mesh.Peer{Instance: n.Instance, Addr: known.Link},
 				rank:     rendezvous.Rank(key, rendezvous.Hash(n.Instance)),
 				capacity: n.Capacity,
+				away:     n.FailureDomain != p.cfg.Domain,
 			})
-			most = max(most, n.Capacity)
+			if n.FailureDomain == p.cfg.Domain {
+				most = max(most, n.Capacity)
+			}
 		}
 	}
 	p.mu.Unlock()
 	slices.SortFunc(list, func(a, b ranked) int {
+		if a.away != b.away {
+			if b.away {
+				return -1
+			}
+			return 1
+		}
 		if able := a.capacity >= most/2; able != (b.capacity >= most/2) {
 			if able {
 				return -1
