Wait a little for an engine with room

Change: up to 0.4 of the route's aim is waited for an engine whose memory holds the run; then it is sent as before.

--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -77,7 +77,7 @@
 			var ok bool
 			need := r.need()
 			to.counted = fleet.Load{Tokens: need.Tokens, Unread: need.Unread}
-			to.target, ok = g.Fleet.Acquire(time.Now(), need)
+			to.target, ok = r.place(ctx, need)
 			if !ok {
 				r.giveUp(ctx, "no_target")
 				return
@@ -133,6 +133,31 @@
 	return fleet.Need{Service: r.c.service, Tokens: r.c.prompt + r.c.output/2, Unread: r.c.prompt, Without: r.c.tried}
 }
 
+const (
+	// placeShare is the part of a route's aim that a stream waits for an engine with room.
+	placeShare = 0.4
+	// placePoll is the pause between two looks for one.
+	placePoll = 20 * time.Millisecond
+)
+
+// place chooses a target. While no engine has room for the run it waits for a part of the route's aim: one sent to
+// a full engine waits there although another has room first, or pushes a run out whose prompt is then read again.
+func (r *run) place(ctx context.Context, need fleet.Need) (fleet.Info, bool) {
+	if r.c.engine == nil || r.c.sends > 0 {
+		return r.g.Fleet.Acquire(time.Now(), need)
+	}
+	until := r.c.arrived.Add(time.Duration(placeShare * float64(r.c.route.Aim)))
+	must := need
+	must.Must = true
+	for ctx.Err() == nil && time.Now().Before(until) {
+		if target, ok := r.g.Fleet.Acquire(time.Now(), must); ok {
+			return target, true
+		}
+		time.Sleep(placePoll)
+	}
+	return r.g.Fleet.Acquire(time.Now(), need)
+}
+
 // onward decides whether the run goes to one more target from its prompt.
 func (r *run) onward(e end, resumed bool) bool {
 	if e == endNotRun && !resumed && !r.begun {
