--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -102,6 +102,7 @@
 	targets map[string]*Target
 	peers   map[string]*peer
 	specs   map[string]Spec // by service
+	born    time.Time       // when the list was first read
 	share   float64         // this instance's part of a target's connections
 }
 
@@ -125,6 +126,9 @@
 func (f *Fleet) Apply(now time.Time, entries []Info, removed []string, silent time.Duration) Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.born.IsZero() {
+		f.born = now
+	}
 	var ch Change
 	for _, e := range entries {
 		f.upsert(now, e, &ch)
@@ -236,6 +240,17 @@
 	return out
 }
 
+// settleTime is how long a list that was just read for the first time may lack targets that live: entries that lapsed
+// while the store was away come back within OutageGrace, by the targets' own writing.
+const settleTime = OutageGrace + 500*time.Millisecond
+
+// Settling reports whether targets that live may still be missing from the list.
+func (f *Fleet) Settling(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.born.IsZero() || now.Sub(f.born) < settleTime
+}
+
 // SetShare sets this instance's part of the connections that targets accept.
 func (f *Fleet) SetShare(share float64) {
 	f.mu.Lock()
--- a/lib/gateway/answer.go
+++ b/lib/gateway/answer.go
@@ -17,7 +17,7 @@
 // refuse answers on the gateway's own behalf.
 func (g *Gateway) refuse(w http.ResponseWriter, c *call, ref refusal) {
 	g.Log.Refused(c.entry(), ref.status, ref.reason, ref.after)
-	c.count("refused", "reason", ref.reason)
+	c.count(metricRefuse, "reason", ref.reason)
 	h := w.Header()
 	if c.id != "" {
 		h.Set(g.Names.RequestID, c.id)
--- a/lib/gateway/move.go
+++ b/lib/gateway/move.go
@@ -143,7 +143,7 @@
 		}
 		err := g.moveTo(r, from, to, need.Tokens, notice)
 		g.Log.Moved(r.c.entry(), from.ID, to.ID, time.Since(notice), err)
-		r.c.count("moves", "moved", strconv.FormatBool(err == nil))
+		r.c.count(metricMoves, "moved", strconv.FormatBool(err == nil))
 		switch {
 		case err == nil:
 			return
--- a/lib/gateway/plain.go
+++ b/lib/gateway/plain.go
@@ -37,7 +37,7 @@
 	var last *exchange
 	dials := 0
 	for {
-		target, ok := g.Fleet.Acquire(time.Now(), fleet.Need{Service: c.service, Without: c.tried})
+		target, ok := g.acquire(ctx, c, fleet.Need{Service: c.service, Without: c.tried})
 		if !ok {
 			break
 		}
@@ -47,7 +47,7 @@
 		c.tried[target.ID] = true
 		g.Fleet.Release(time.Now(), target.ID, fleet.Load{}, x.outcome(ctx))
 		g.Log.Sent(c.entry(), target.ID, x.statusCode(), x.verdict.String(), x.err)
-		c.count("sent", "outcome", x.verdict.String())
+		c.count(metricSent, "outcome", x.verdict.String())
 		if !x.sent {
 			if ctx.Err() != nil {
 				break
@@ -68,6 +68,26 @@
 	g.finishPlain(ctx, w, c, last)
 }
 
+const (
+	// listPoll is the pause between two looks at a list that is still filling.
+	listPoll = 20 * time.Millisecond
+	// listPart is the part of a call's time that it waits for one.
+	listPart = 0.5
+)
+
+// acquire chooses a target. An instance that has just been started may know a list that lacks every target of
+// a service, because their entries lapsed in an outage; a refusal would use up the caller's only repeat.
+func (g *Gateway) acquire(ctx context.Context, c *call, need fleet.Need) (fleet.Info, bool) {
+	until := time.Now().Add(time.Duration(listPart * float64(c.left(time.Now()))))
+	for {
+		target, ok := g.Fleet.Acquire(time.Now(), need)
+		if ok || c.sends > 0 || !g.Fleet.Settling(time.Now()) || time.Now().After(until) || ctx.Err() != nil {
+			return target, ok
+		}
+		time.Sleep(listPoll)
+	}
+}
+
 // onward decides whether a call goes to one more target after x.
 func (g *Gateway) onward(c *call, x *exchange) bool {
 	if x.verdict == verdictNotRun {
@@ -166,7 +186,7 @@
 // answer passes a whole answer on.
 func (g *Gateway) answer(w http.ResponseWriter, c *call, x *exchange) {
 	g.Log.Answered(c.entry(), x.target.ID, x.resp.Status, time.Since(c.arrived))
-	c.observe("answer")
+	c.observe(metricAnswer)
 	g.copyHead(w, x.resp.Header)
 	w.Header().Set("Content-Length", strconv.Itoa(len(x.body)))
 	w.WriteHeader(x.resp.Status)
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -88,7 +88,7 @@
 		}
 		e, x := r.runOn(ctx, to)
 		g.Log.Sent(c.entry(), to.target.ID, x.statusCode(), e.String(), x.err)
-		c.count("sent", "outcome", e.String())
+		c.count(metricSent, "outcome", e.String())
 		resumed := to.copyFrom != ""
 		to = next{}
 		switch e {
@@ -144,7 +144,7 @@
 // a full engine waits there although another has room first, or pushes a run out whose prompt is then read again.
 func (r *run) place(ctx context.Context, need fleet.Need) (fleet.Info, bool) {
 	if r.c.engine == nil || r.c.sends > 0 {
-		return r.g.Fleet.Acquire(time.Now(), need)
+		return r.g.acquire(ctx, r.c, need)
 	}
 	until := r.c.arrived.Add(time.Duration(placeShare * float64(r.c.route.Aim)))
 	must := need
@@ -155,7 +155,7 @@
 		}
 		time.Sleep(placePoll)
 	}
-	return r.g.Fleet.Acquire(time.Now(), need)
+	return r.g.acquire(ctx, r.c, need)
 }
 
 // onward decides whether the run goes to one more target from its prompt.
@@ -312,7 +312,7 @@
 		r.g.copyHead(r.w, resp.Header)
 		r.w.WriteHeader(resp.Status)
 		r.g.Log.Begun(r.c.entry(), r.at().ID, time.Since(r.c.arrived))
-		r.c.observe("first_event")
+		r.c.observe(metricFirst)
 	}
 	if _, err := r.w.Write(whole); err != nil {
 		return err
@@ -336,7 +336,7 @@
 func (r *run) conclude(ctx context.Context, e end) {
 	if e == endComplete {
 		r.g.Log.Answered(r.c.entry(), r.at().ID, http.StatusOK, time.Since(r.c.arrived))
-		r.c.observe("answer")
+		r.c.observe(metricAnswer)
 		return
 	}
 	if r.begun {
@@ -375,7 +375,7 @@
 // abort cuts the caller's connection, so that a stream that stopped short does not look complete.
 func (r *run) abort(reason string) {
 	r.g.Log.Cut(r.c.entry(), r.at().ID, reason, r.events)
-	r.c.count("cut", "reason", reason)
+	r.c.count(metricCut, "reason", reason)
 	panic(http.ErrAbortHandler)
 }
 
