--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -5,7 +5,6 @@
 package fleet
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -63,37 +62,6 @@
 	l.Unread += m.Unread
 }
 
-// Constants of the choice. Scores are in units of a full target.
-const (
-	// failStep is the weight of one outcome in the share of failures: about the last ten requests count.
-	failStep = 0.1
-	// failFree is the share of failures that is borne as the callers' own: some requests fail wherever they run.
-	failFree = 0.25
-	// failCost is the score of a target that fails everything, beyond failFree.
-	failCost = 3.0
-	// awayCost is the score of another failure domain: bytes between domains cost, but less than waiting.
-	awayCost = 0.04
-	// reportLife is how long a report of load is believed.
-	reportLife = 400 * time.Millisecond
-	// avoidFirst and avoidMax bound how long a target that could not be reached gets nothing.
-	avoidFirst = 250 * time.Millisecond
-	avoidMax   = 2 * time.Second
-	// OutageGrace is how long an entry that lapsed while the store was away is still believed: entries of targets that
-	// live are back within about two seconds of the store's return.
-	OutageGrace = 2 * time.Second
-	// peerLife is how long a peer's news of its sends is believed.
-	peerLife = 1500 * time.Millisecond
-	// jitter keeps instances that believe the same from choosing the same target.
-	jitter = 0.02
-	// minConns is the number of connections that an instance may hold to a target however many instances there are.
-	minConns = 2
-	// unreadWeight is what a token of a prompt that waits to be read costs, against one in memory: prompts are read one
-	// chunk between the tokens of others, so a second one doubles the time to the first token of both.
-	unreadWeight = 2.0
-	// runWeight is the score of one more run on an engine, beside its memory: each run slows the others' tokens.
-	runWeight = 0.01
-)
-
 // Fleet is safe for concurrent use.
 type Fleet struct {
 	domain string
@@ -309,154 +277,6 @@
 	return t == nil || t.state == Leaving
 }
 
-// Need is what a request asks of a target.
-type Need struct {
-	Service string
-	Tokens  int             // of engine memory; 0 for a plain service
-	Unread  int             // tokens of its prompt to read
-	Without map[string]bool // targets not to choose
-	Near    string          // failure domain to prefer; empty: the instance's own
-	Must    bool            // engine memory must hold Tokens: for copies, which are refused otherwise
-	Spread  float64         // weight of Near; 0: awayCost
-}
-
-// Acquire chooses a target and counts the request there until Release.
-func (f *Fleet) Acquire(now time.Time, n Need) (Info, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	best := f.choose(now, n)
-	if best == nil {
-		return Info{}, false
-	}
-	best.own.add(Load{Runs: 1, Tokens: n.Tokens, Unread: n.Unread})
-	return best.Info, true
-}
-
-// AcquireAt counts a request at one target, if it may be chosen.
-func (f *Fleet) AcquireAt(id string, n Need) (Info, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	t := f.targets[id]
-	if t == nil || !f.allowed(t, n) {
-		return Info{}, false
-	}
-	t.own.add(Load{Runs: 1, Tokens: n.Tokens, Unread: n.Unread})
-	return t.Info, true
-}
-
-// Spare chooses the engine with the most free memory for a copy of a run, and counts tokens there. It gives none where
-// less than the share free of an engine's memory would be left: copies must not push out runs.
-func (f *Fleet) Spare(service string, tokens int, without map[string]bool, free float64) (Info, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	kv := f.specs[service].KVTokens
-	var best *Target
-	most := int(free * float64(kv))
-	for _, t := range f.targets {
-		if t.Service != service || t.state != Ready || without[t.ID] {
-			continue
-		}
-		if left := kv - f.carried(t).Tokens - tokens; left > most {
-			best, most = t, left
-		}
-	}
-	if best == nil {
-		return Info{}, false
-	}
-	best.own.Tokens += tokens
-	return best.Info, true
-}
-
-// Room is a target of a service that takes requests, and the engine memory in tokens that nobody is known to use.
-type Room struct {
-	Info
-	Free int
-}
-
-// Rooms lists the engines of a service that take requests.
-func (f *Fleet) Rooms(service string) []Room {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []Room
-	for _, t := range f.targets {
-		if t.Service == service && t.state == Ready {
-			out = append(out, Room{Info: t.Info, Free: f.specs[service].KVTokens - f.carried(t).Tokens})
-		}
-	}
-	return out
-}
-
-func (f *Fleet) choose(now time.Time, n Need) *Target {
-	var best, last *Target
-	bestScore := 0.0
-	for _, t := range f.targets {
-		if !f.allowed(t, n) {
-			continue
-		}
-		if now.Before(t.avoidUntil) {
-			if last == nil || t.avoidUntil.Before(last.avoidUntil) {
-				last = t
-			}
-			continue
-		}
-		s := f.score(now, t, n)
-		if best == nil || s < bestScore {
-			best, bestScore = t, s
-		}
-	}
-	if best == nil && !n.Must {
-		// All were unreachable lately; the one that has rested longest is better than a refusal.
-		return last
-	}
-	return best
-}
-
-func (f *Fleet) allowed(t *Target, n Need) bool {
-	if t.Service != n.Service || t.state != Ready || n.Without[t.ID] {
-		return false
-	}
-	spec := f.specs[t.Service]
-	if spec.ConnCap > 0 && float64(t.own.Runs) >= max(minConns, f.share*float64(spec.ConnCap)) {
-		return false
-	}
-	if n.Must && spec.KVTokens > 0 {
-		return f.carried(t).Tokens+n.Tokens <= spec.KVTokens
-	}
-	return true
-}
-
-// carried is the load of all instances, as far as this one knows.
-func (f *Fleet) carried(t *Target) Load {
-	sum := t.own
-	for _, p := range f.peers {
-		sum.add(p.loads[t.ID])
-	}
-	return sum
-}
-
-func (f *Fleet) score(now time.Time, t *Target, n Need) float64 {
-	load := f.carried(t)
-	s := failCost*max(0, t.fails-failFree) + jitter*rand.Float64()
-	if kv := f.specs[t.Service].KVTokens; kv > 0 {
-		s += (float64(load.Tokens+n.Tokens) + unreadWeight*float64(load.Unread)) / float64(kv)
-		s += runWeight * float64(load.Runs)
-	} else {
-		busy := float64(load.Runs)
-		if now.Sub(t.reportedAt) < reportLife {
-			busy = max(busy, t.reported)
-		}
-		s += busy / float64(max(1, t.Slots))
-	}
-	near := n.Near
-	if near == "" {
-		near = f.domain
-	}
-	if t.Domain != near {
-		s += max(awayCost, n.Spread)
-	}
-	return s
-}
-
 // Grow changes what a request counts for at its target.
 func (f *Fleet) Grow(id string, by Load) {
 	f.mu.Lock()
@@ -466,40 +286,6 @@
 	}
 }
 
-// Outcome is how a request ended at a target.
-type Outcome uint8
-
-const (
-	Served      Outcome = iota // it answered
-	Failed                     // it answered with a failure of its own, or broke off
-	Unreachable                // no connection could be made
-	Refused                    // it was full, or another target has the address
-	Abandoned                  // the caller left, or the run went on elsewhere: says nothing of the target
-)
-
-// Release takes a request off a target and learns from its outcome.
-func (f *Fleet) Release(now time.Time, id string, l Load, o Outcome) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	t := f.targets[id]
-	if t == nil {
-		return
-	}
-	t.own.add(Load{Runs: -1, Tokens: -l.Tokens, Unread: -l.Unread})
-	switch o {
-	case Served:
-		t.fails -= failStep * t.fails
-		t.avoidStep = 0
-	case Failed:
-		t.fails += failStep * (1 - t.fails)
-	case Unreachable, Refused:
-		t.fails += failStep * (1 - t.fails)
-		t.avoidStep = min(max(2*t.avoidStep, avoidFirst), avoidMax)
-		t.avoidUntil = now.Add(t.avoidStep)
-	case Abandoned:
-	}
-}
-
 // Report takes in the load that a target told with an answer.
 func (f *Fleet) Report(now time.Time, id string, running, waiting int) {
 	f.mu.Lock()
--- /dev/null
+++ b/lib/gateway/run.go
@@ -0,0 +1,157 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/moveplan"
+	"anvilwick.example/anvilwick/lib/wirehttp"
+)
+
+// run is one stream to a caller, across the targets that it runs on.
+type run struct {
+	g      *Gateway
+	c      *call
+	w      http.ResponseWriter
+	out    *http.ResponseController
+	begun  bool   // the caller has the head of the answer
+	lastID string // of the last event that the caller has
+	events int
+	passed time.Time // when the last event went to the caller
+
+	mu      sync.Mutex
+	target  fleet.Info // where it runs now
+	counted fleet.Load // what it counts for there
+	conn    *wirehttp.Conn
+	made    int       // tokens of output so far
+	last    time.Time // when its target was last heard on it
+	handoff chan next // the copy to go on from, once a move has stopped the run; nil when no move is in its last part
+	copy    backup    // the copy that its engine keeps up to date, if any
+	ended   bool
+}
+
+// need is what the run asks of a target now.
+func (r *run) need() fleet.Need {
+	return fleet.Need{Service: r.c.service, Tokens: r.c.prompt + r.c.output/2, Unread: r.c.prompt, Without: r.c.tried}
+}
+
+const (
+	// placeShare is the part of a route's aim that a stream waits for an engine with room.
+	placeShare = 0.4
+	// placePoll is the pause between two looks for one.
+	placePoll = 20 * time.Millisecond
+)
+
+// place chooses a target. While no engine has room for the run it waits for a part of the route's aim: one sent to
+// a full engine waits there although another has room first, or pushes a run out whose prompt is then read again.
+func (r *run) place(ctx context.Context, need fleet.Need) (fleet.Info, bool) {
+	if r.c.engine == nil || r.c.sends > 0 {
+		return r.g.acquire(ctx, r.c, need)
+	}
+	until := r.c.arrived.Add(time.Duration(placeShare * float64(r.c.route.Aim)))
+	must := need
+	must.Must = true
+	for ctx.Err() == nil && time.Now().Before(until) {
+		if target, ok := r.g.Fleet.Acquire(time.Now(), must); ok {
+			return target, true
+		}
+		time.Sleep(placePoll)
+	}
+	return r.g.acquire(ctx, r.c, need)
+}
+
+// enter counts the run at a target and lets moves find it. The first target was counted when it was chosen.
+func (r *run) enter(to next) {
+	target := to.target
+	r.mu.Lock()
+	r.target = target
+	r.counted = to.counted
+	r.handoff = nil
+	r.mu.Unlock()
+	r.g.runs.add(target.ID, r)
+	r.g.Changed()
+	if r.c.engine != nil && r.c.engine.Moves && r.g.Fleet.IsLeaving(target.ID) {
+		go r.g.move(r, target, time.Now(), moveplan.Step{})
+	}
+}
+
+// leave takes the run off its target.
+func (r *run) leave(e end, x *exchange) {
+	r.g.runs.remove(x.target.ID, r)
+	r.mu.Lock()
+	counted := r.counted
+	r.conn = nil
+	r.mu.Unlock()
+	r.g.Fleet.Release(time.Now(), x.target.ID, counted, e.outcome())
+}
+
+// outcome is what a run's end says of its target.
+func (e end) outcome() fleet.Outcome {
+	switch e {
+	case endComplete:
+		return fleet.Served
+	case endUnsent:
+		return fleet.Unreachable
+	case endNotRun:
+		return fleet.Refused
+	case endFailure, endBroken:
+		return fleet.Failed
+	default:
+		return fleet.Abandoned
+	}
+}
+
+func (r *run) finish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
+}
+
+func (r *run) at() fleet.Info {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.target
+}
+
+func (r *run) setConn(conn *wirehttp.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.conn = conn
+}
+
+// grow counts tokens beyond what was expected of the run.
+func (r *run) grow(events int) {
+	if r.c.engine == nil {
+		return
+	}
+	tokens := events * max(1, r.c.engine.Stride)
+	r.mu.Lock()
+	r.made += tokens
+	by := fleet.Load{Tokens: min(tokens, max(0, r.made-r.c.output/2)), Unread: -r.counted.Unread}
+	r.counted.Tokens += by.Tokens
+	r.counted.Unread = 0
+	id := r.target.ID
+	r.mu.Unlock()
+	if by != (fleet.Load{}) {
+		r.g.Fleet.Grow(id, by)
+	}
+	if by.Unread != 0 {
+		r.g.Changed()
+	}
+}
+
+// taken waits for the copy that a move has made.
+func (r *run) taken() next {
+	r.mu.Lock()
+	ch := r.handoff
+	r.mu.Unlock()
+	select {
+	case n := <-ch:
+		return n
+	case <-time.After(handoffWait):
+		return next{}
+	}
+}
--- a/lib/peernews/peernews.go
+++ b/lib/peernews/peernews.go
@@ -47,7 +47,6 @@
 
 	mu    sync.Mutex
 	peers []*net.UDPAddr
-	names int
 	last  map[string]*newsState
 	seq   uint64
 	fails uint64
