--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -141,6 +141,11 @@
 	work, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	defer cancel()
+	// Callers come as soon as this instance says that it is ready, so it listens for them first.
+	ln, err := net.Listen("tcp", cfg.Front)
+	if err != nil {
+		return fmt.Errorf("gatewayproc: callers: %w", err)
+	}
 	if err := p.serveReady(); err != nil {
 		return err
 	}
@@ -150,7 +155,7 @@
 	p.follow(work)
 	p.start(func() { p.reloads(work) })
 	failed := make(chan error, 1)
-	go func() { failed <- p.serveFront() }()
+	go func() { failed <- p.serveFront(ln) }()
 	select {
 	case err := <-failed:
 		return err
@@ -212,12 +217,8 @@
 	w.WriteHeader(status)
 }
 
-// serveFront listens for callers.
-func (p *Process) serveFront() error {
-	ln, err := net.Listen("tcp", p.cfg.Front)
-	if err != nil {
-		return fmt.Errorf("gatewayproc: callers: %w", err)
-	}
+// serveFront serves callers.
+func (p *Process) serveFront(ln net.Listener) error {
 	guard := newIdleGuard(func() time.Duration {
 		if t := p.gate.Table(); t != nil {
 			return orDefault(t.Limits.IdleTimeout, defaultIdle)
