--- a/lib/feed/replica_test.go
+++ b/lib/feed/replica_test.go
@@ -89,3 +89,15 @@
 	r.Take(Page{Version: 3, Rows: []Row{{Key: "a", Version: 3, Removed: true}}}, false, at)
 	must.Eq(t, []time.Duration{0, 0, 4 * time.Second}, silent)
 }
+
+// A whole table from a peer or replica that lags lacks a row that came since. The row stays, and so does the version:
+// what is older removes nothing.
+func TestOlderWholeTableRemovesNothing(t *testing.T) {
+	r := NewReplica(func(Update) {})
+	now := time.Now()
+	r.Take(Page{Version: 9, Rows: []Row{{Key: "a", Version: 1}, {Key: "b", Version: 9}}}, true, now)
+	r.Take(Page{Version: 8, Rows: []Row{{Key: "a", Version: 1}}}, true, now)
+	page, _, _, _ := r.Since(0)
+	must.Len(t, 2, page.Rows)
+	must.Eq(t, 9, page.Version)
+}
