Read as a newcomer: clocks that are set back, a long loop, unused parts

Found by reading: an instance restarted after its clock was set back has a lower incarnation, and peers left its news out for good; now news that is no longer believed holds up none (test failed before). The budget's window followed the time of day; it counts from its first use now. A goroutine a request became a context. serveStream's decisions are a function of their own; fields and a method that nothing used are gone.

--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -38,13 +38,13 @@
 
 // Need is what a request asks of a target.
 type Need struct {
-	Service string
-	Tokens  int             // of engine memory; 0 for a plain service
-	Unread  int             // tokens of its prompt to read
-	Without map[string]bool // targets not to choose
-	Near    string          // failure domain to prefer; empty: the instance's own
-	Must    bool            // engine memory must hold Tokens: for copies, which are refused otherwise
-	Spread  float64         // weight of Near; 0: awayCost
+	Service  string
+	Tokens   int             // of engine memory; 0 for a plain service
+	Unread   int             // tokens of its prompt to read
+	Without  map[string]bool // targets not to choose
+	Near     string          // failure domain to prefer; empty: the instance's own
+	Must     bool            // engine memory must hold Tokens: for copies, which are refused otherwise
+	AwayCost float64         // score of another failure domain than Near; 0: the constant awayCost
 }
 
 // Acquire chooses a target and counts the request there until Release.
@@ -137,7 +137,7 @@
 		near = f.domain
 	}
 	if t.Domain != near {
-		s += max(awayCost, n.Spread)
+		s += max(awayCost, n.AwayCost)
 	}
 	return s
 }
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -11,7 +11,6 @@
 	"context"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,8 +43,7 @@
 
 // Moved is the answer to a copy of a run.
 type Moved struct {
-	Handle string
-	Events int // events that the run has made so far
+	Handle string // names the copy
 }
 
 // Report is what an engine tells of itself.
@@ -74,7 +72,6 @@
 	Log     Log
 	// OnChange is called when what runs here has changed; nil: nobody is told.
 	OnChange func()
-	Grace    time.Duration // from the order to stop until the process is killed
 }
 
 // Gateway serves callers. It is an http.Handler.
@@ -82,11 +79,11 @@
 	Config
 	table    atomic.Pointer[routes.Table]
 	stopping atomic.Bool
-	cut      chan struct{} // closed when open answers are to be broken off
+	open     context.Context // ends when open answers are to be broken off
+	cut      context.CancelFunc
 	known    chan struct{} // closed when settings are first in force
 	runs     runTable
 	poison   *poison.Table
-	active   sync.WaitGroup
 }
 
 // defaultHold bounds how long a request waits for the first settings; holdPart is the part of the caller's time that it
@@ -98,7 +95,10 @@
 
 // New returns a Gateway that knows no settings yet.
 func New(cfg Config) *Gateway {
-	return &Gateway{Config: cfg, cut: make(chan struct{}), known: make(chan struct{}), runs: newRunTable(), poison: poison.New(poisonConfig)}
+	open, cut := context.WithCancel(context.Background())
+	return &Gateway{
+		Config: cfg, open: open, cut: cut, known: make(chan struct{}), runs: newRunTable(), poison: poison.New(poisonConfig),
+	}
 }
 
 // Apply puts a table of routes in force. An older one than that in force is left out: a request handled by a state that
@@ -124,16 +124,11 @@
 // Stop makes answers ask callers to close their connections.
 func (g *Gateway) Stop() { g.stopping.Store(true) }
 
-// Cut breaks off what is still open. Call it once, after Stop.
-func (g *Gateway) Cut() { close(g.cut) }
-
-// Wait returns when no request is open.
-func (g *Gateway) Wait() { g.active.Wait() }
+// Cut breaks off what is still open. Call it after Stop.
+func (g *Gateway) Cut() { g.cut() }
 
 // ServeHTTP serves one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.active.Add(1)
-	defer g.active.Done()
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -145,7 +140,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.limit)
 	defer cancel()
-	stop := g.cutWith(cancel)
+	stop := context.AfterFunc(g.open, cancel)
 	defer stop()
 	g.Budget.Request(c.arrived, c.service)
 	if c.route.Kind == routes.Stream {
@@ -173,16 +168,3 @@
 	case <-r.Context().Done():
 	}
 }
-
-// cutWith calls cancel when the gateway is cut.
-func (g *Gateway) cutWith(cancel func()) (stop func()) {
-	done := make(chan struct{})
-	go func() {
-		select {
-		case <-g.cut:
-			cancel()
-		case <-done:
-		}
-	}()
-	return func() { close(done) }
-}
--- a/lib/gateway/move.go
+++ b/lib/gateway/move.go
@@ -128,7 +128,7 @@
 	first := step.To
 	for r.on(from.ID) && time.Since(notice) < moveGiveUp {
 		need := fleet.Need{
-			Service: from.Service, Tokens: r.size().Tokens, Without: without, Near: from.Domain, Spread: domainWeight, Must: true,
+			Service: from.Service, Tokens: r.size().Tokens, Without: without, Near: from.Domain, AwayCost: domainWeight, Must: true,
 		}
 		to, ok := g.Fleet.AcquireAt(first, need)
 		first = ""
--- a/lib/gateway/run.go
+++ b/lib/gateway/run.go
@@ -8,7 +8,6 @@
 
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/moveplan"
-	"anvilwick.example/anvilwick/lib/wirehttp"
 )
 
 // run is one stream to a caller, across the targets that it runs on.
@@ -25,11 +24,10 @@
 	mu      sync.Mutex
 	target  fleet.Info // where it runs now
 	counted fleet.Load // what it counts for there
-	conn    *wirehttp.Conn
-	made    int       // tokens of output so far
-	last    time.Time // when its target was last heard on it
-	handoff chan next // the copy to go on from, once a move has stopped the run; nil when no move is in its last part
-	copy    backup    // the copy that its engine keeps up to date, if any
+	made    int        // tokens of output so far
+	last    time.Time  // when its target was last heard on it
+	handoff chan next  // the copy to go on from, once a move has stopped the run; nil when no move is in its last part
+	copy    backup     // the copy that its engine keeps up to date, if any
 	ended   bool
 }
 
@@ -83,7 +81,6 @@
 	r.g.runs.remove(x.target.ID, r)
 	r.mu.Lock()
 	counted := r.counted
-	r.conn = nil
 	r.mu.Unlock()
 	r.g.Fleet.Release(time.Now(), x.target.ID, counted, e.outcome())
 }
@@ -116,12 +113,6 @@
 	return r.target
 }
 
-func (r *run) setConn(conn *wirehttp.Conn) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.conn = conn
-}
-
 // grow counts tokens beyond what was expected of the run.
 func (r *run) grow(events int) {
 	if r.c.engine == nil {
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -66,42 +66,54 @@
 		g.Log.Sent(c.entry(), to.target.ID, x.statusCode(), e.String(), x.err)
 		c.count(metricSent, "outcome", e.String())
 		resumed := to.copyFrom != ""
-		to = next{}
-		switch e {
-		case endComplete, endCaller:
-			r.conclude(ctx, e)
+		var done bool
+		to, done = r.follow(ctx, e, x, resumed)
+		if done {
 			return
-		case endMoved:
-			to = r.taken()
-			if to.target.ID == "" {
-				r.giveUp(ctx, "copy_lost")
-				return
-			}
-			g.Budget.Spend(time.Now(), c.service)
-			continue
-		case endUnsent:
-			dials++
-			if dials >= maxDials || resumed {
+		}
+		if e == endUnsent {
+			if dials++; dials >= maxDials || resumed {
 				r.giveUp(ctx, "unreachable")
 				return
 			}
-			continue
 		}
-		if e == endBroken && !resumed {
-			if n, ok := r.fromBackup(); ok {
-				g.Log.FromBackup(c.entry(), n.target.ID, r.events)
-				g.Budget.Spend(time.Now(), c.service)
-				to = n
-				continue
-			}
+	}
+}
+
+// follow decides what comes after the run has ended at a target: where it goes on, with an empty target for a new
+// choice, or that its answer is done.
+func (r *run) follow(ctx context.Context, e end, x *exchange, resumed bool) (to next, done bool) {
+	switch e {
+	case endComplete, endCaller:
+		r.conclude(ctx, e)
+		return next{}, true
+	case endUnsent:
+		return next{}, false
+	case endMoved:
+		to = r.taken()
+		if to.target.ID == "" {
+			r.giveUp(ctx, "copy_lost")
+			return next{}, true
 		}
-		c.sends++
-		c.mayRan = c.mayRan || e != endNotRun
-		if !r.onward(e, resumed) {
-			r.fail(ctx, e, x)
-			return
+		r.g.Budget.Spend(time.Now(), r.c.service)
+		return to, false
+	case endBroken:
+		if resumed {
+			break // the copy is of the run before it moved, and has not grown since
+		}
+		if n, ok := r.fromBackup(); ok {
+			r.g.Log.FromBackup(r.c.entry(), n.target.ID, r.events)
+			r.g.Budget.Spend(time.Now(), r.c.service)
+			return n, false
 		}
 	}
+	r.c.sends++
+	r.c.mayRan = r.c.mayRan || e != endNotRun
+	if !r.onward(e, resumed) {
+		r.fail(ctx, e, x)
+		return next{}, true
+	}
+	return next{}, false
 }
 
 // onward decides whether the run goes to one more target from its prompt.
@@ -130,7 +142,6 @@
 		}
 		return e, x
 	}
-	r.setConn(conn)
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
@@ -140,7 +151,6 @@
 	}
 	if e == endComplete && stop() {
 		r.g.Pool.Put(conn, x.resp)
-		r.setConn(nil)
 	}
 	return e, x
 }
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -76,7 +76,8 @@
 	if name == targetsTable {
 		fail = func(err error) {
 			lost(name)(err)
-			p.listFailed.Store(time.Now().UnixNano())
+			now := time.Now()
+			p.listFailed.Store(&now)
 		}
 	}
 	t := feedlink.New(feedlink.Config{
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -108,7 +108,7 @@
 	cancel       context.CancelFunc
 	work         sync.WaitGroup
 
-	listFailed atomic.Int64 // when a call for the list of targets last failed, in Unix nanoseconds
+	listFailed atomic.Pointer[time.Time] // when a call for the list of targets last failed
 
 	mu      sync.Mutex
 	peers   map[string]peernews.Peer
@@ -125,7 +125,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
 	p.share = retry.NewShare(cfg.RepeatRatio, cfg.RepeatFloor, cfg.RepeatWindow)
 	p.gate = gateway.New(gateway.Config{
-		Names: site.Names, Engines: site.Engines, Fleet: p.fleet, Pool: site.Pool, Budget: p.share, Grace: cfg.Grace,
+		Names: site.Names, Engines: site.Engines, Fleet: p.fleet, Pool: site.Pool, Budget: p.share,
 		Log: gateway.Log{Version: p.version}, OnChange: func() { p.news.Changed() },
 	})
 	news, err := peernews.New(cfg.Instance, cfg.Peer, p.gather, p.heard)
--- a/lib/gatewayproc/watch.go
+++ b/lib/gatewayproc/watch.go
@@ -46,7 +46,8 @@
 
 // listLost reports whether a call for the list has failed and none has succeeded since, here or at the reader.
 func (p *Process) listLost() bool {
-	return p.listFailed.Load() > p.feeds.targets.Contact().UnixNano()
+	failed := p.listFailed.Load()
+	return failed != nil && failed.After(p.feeds.targets.Contact())
 }
 
 // listAway reports whether the list of targets can't be relied on: it is old, or lost here or at a peer.
--- a/lib/peernews/peernews.go
+++ b/lib/peernews/peernews.go
@@ -197,7 +197,9 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	old := x.last[n.Instance]
-	if old != nil && (n.Incarnation < old.incarnation || n.Incarnation == old.incarnation && n.Seq <= old.seq) {
+	// An incarnation is a time of day, which may have been set back before a restart: news that is no longer believed
+	// holds up none.
+	if old != nil && now.Sub(old.at) <= life && (n.Incarnation < old.incarnation || n.Incarnation == old.incarnation && n.Seq <= old.seq) {
 		return false
 	}
 	x.last[n.Instance] = &newsState{incarnation: n.Incarnation, seq: n.Seq, news: n, at: now}
--- a/lib/peernews/peernews_test.go
+++ b/lib/peernews/peernews_test.go
@@ -64,6 +64,8 @@
 	must.True(t, x.accept(news(2, 1), now))
 	must.False(t, x.accept(news(1, 9), now))
 	must.False(t, x.accept(&newspb.News{Instance: "me", Seq: 1}, now))
+	// The clock was set back and the process started anew: its lower incarnation counts once the old one is silent.
+	must.True(t, x.accept(news(1, 1), now.Add(life+time.Millisecond)))
 	must.False(t, x.accept(&newspb.News{}, now))
 }
 
--- a/lib/retry/share.go
+++ b/lib/retry/share.go
@@ -100,11 +100,15 @@
 type ring struct {
 	slot   time.Duration
 	counts [shareSlots + 1]int
-	head   int64 // number of the newest slot
+	start  time.Time // of slot 0; differences to it don't follow a time of day that is set
+	head   int64     // number of the newest slot
 }
 
 func (r *ring) advance(now time.Time) {
-	n := now.UnixNano() / int64(r.slot)
+	if r.start.IsZero() {
+		r.start = now
+	}
+	n := int64(now.Sub(r.start) / r.slot)
 	if n-r.head > int64(len(r.counts)) {
 		r.counts = [shareSlots + 1]int{}
 		r.head = n
