--- /dev/null
+++ b/lib/gatewayproc/reload_test.go
@@ -0,0 +1,69 @@
+package gatewayproc
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/retry"
+)
+
+// Operators change the settings file and send SIGHUP. Left to the runtime the signal ends the process, with every
+// stream on it. Here the file is read again and its bounds hold from then on; a file that can't be read changes nothing.
+func TestHangupReloadsAndDoesNotEndTheProcess(t *testing.T) {
+	answers := make(chan struct {
+		cfg Config
+		err error
+	}, 2)
+	read := make(chan struct{}, 2)
+	p := &Process{share: retry.NewShare(0, 10, 10*time.Second)}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.site.Reload = func() (Config, error) {
+		select {
+		case a := <-answers:
+			read <- struct{}{}
+			return a.cfg, a.err
+		case <-ctx.Done():
+			return Config{}, ctx.Err()
+		}
+	}
+	caught := make(chan os.Signal, 1)
+	signal.Notify(caught, syscall.SIGHUP) // so that one which comes too early does not end this test
+	defer signal.Stop(caught)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.reloads(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	hangup := func(cfg Config, err error) {
+		answers <- struct {
+			cfg Config
+			err error
+		}{cfg, err}
+		for {
+			must.NoError(t, syscall.Kill(syscall.Getpid(), syscall.SIGHUP))
+			select {
+			case <-read:
+				return
+			case <-time.After(50 * time.Millisecond): // the process was not listening yet
+			}
+		}
+	}
+	hangup(Config{}, errors.New("no such file"))
+	must.Eq(t, 7, p.share.Left(time.Now(), "s"))
+	hangup(Config{RepeatFloor: 100}, nil)
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end) && p.share.Left(time.Now(), "s") != 70; {
+		time.Sleep(time.Millisecond)
+	}
+	must.Eq(t, 70, p.share.Left(time.Now(), "s"))
+}
