A fault soak of real gateway processes; a copy that was refused is gone on with at its source

The gateway falls back to a run's source when its copy was not taken, and drops a backup that a move made old.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SECONDS ?= 30
 APPS := $(notdir $(wildcard app/*))
 
-.PHONY: build test lint fmt proto bench demo site load prove capacity score hunt
+.PHONY: build test lint fmt proto bench demo site load prove soak soak-cases capacity score hunt
 
 build:
 	@mkdir -p bin
@@ -55,6 +55,19 @@
 	$(GO) build -o bin/ ./examples/prove
 	./bin/prove -seed $(SEED) -span $(SECONDS)s $(PROVEFLAGS)
 
+# soak runs gateway processes under seeded faults from outside them for MINUTES, in runs of a minute with one seed after
+# another from SEED on, and checks what callers and targets see. SOAKFLAGS adds flags. soak-cases replays the seeds that
+# once failed.
+MINUTES ?= 1
+soak: build
+	$(GO) build -o bin/ ./examples/soak
+	@for n in $$(seq 0 $$(($(MINUTES) - 1))); do ./bin/soak -seed $$(($(SEED) + n)) -span 60s $(SOAKFLAGS) || exit 1; done
+
+soak-cases: build
+	$(GO) build -o bin/ ./examples/soak
+	@grep -v '^#' platform/soak/cases.txt | while read -r seed span cause; do \
+		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span </dev/null || exit 1; done
+
 # capacity measures the slopes behind docs/CAPACITY.md; the last line is "capacity: ok ...". CAPACITYFLAGS adds flags.
 capacity: build
 	$(GO) build -o bin/ ./examples/capacity
--- a/lib/gateway/move.go
+++ b/lib/gateway/move.go
@@ -184,7 +184,7 @@
 	last, err := g.copyRun(from, to, r.c.id, true)
 	switch {
 	case err == nil:
-		ch <- next{target: to, counted: size, copyFrom: from.Addr + "/" + last.Handle}
+		ch <- next{target: to, counted: size, copyFrom: from.Addr + "/" + last.Handle, source: from}
 	case last.Handle != "":
 		// The run has stopped, and its memory is at the source only.
 		ch <- next{target: from, copyFrom: from.Addr + "/" + last.Handle}
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -39,6 +39,7 @@
 	target   fleet.Info
 	counted  fleet.Load // what the run counts for there already
 	copyFrom string     // address and handle of a copy; empty: from the prompt and the last event
+	source   fleet.Info // where the run has stopped, which keeps its memory; empty: not known, or target itself
 }
 
 // serveStream serves a call that is answered by events.
@@ -65,14 +66,13 @@
 		e, x := r.runOn(ctx, to)
 		g.Log.Sent(c.entry(), to.target.ID, x.statusCode(), e.String(), x.err)
 		c.count(metricSent, "outcome", e.String())
-		resumed := to.copyFrom != ""
 		var done bool
-		to, done = r.follow(ctx, e, x, resumed)
+		to, done = r.follow(ctx, e, x, to)
 		if done {
 			return
 		}
 		if e == endUnsent {
-			if dials++; dials >= maxDials || resumed {
+			if dials++; dials >= maxDials {
 				r.giveUp(ctx, "unreachable")
 				return
 			}
@@ -80,15 +80,23 @@
 	}
 }
 
-// follow decides what comes after the run has ended at a target: where it goes on, with an empty target for a new
-// choice, or that its answer is done.
-func (r *run) follow(ctx context.Context, e end, x *exchange, resumed bool) (to next, done bool) {
+// follow decides what comes after the run has ended at the target of at: where it goes on, with an empty target for a
+// new choice, or that its answer is done.
+func (r *run) follow(ctx context.Context, e end, x *exchange, at next) (to next, done bool) {
+	resumed := at.copyFrom != ""
+	if (e == endUnsent || e == endNotRun) && at.source.ID != "" {
+		// A copy that was not taken is still good, and so is what it was made of.
+		r.g.Budget.Spend(time.Now(), r.c.service)
+		return next{target: at.source, copyFrom: at.copyFrom}, false
+	}
 	switch e {
 	case endComplete, endCaller:
 		r.conclude(ctx, e)
 		return next{}, true
 	case endUnsent:
-		return next{}, false
+		if !resumed {
+			return next{}, false
+		}
 	case endMoved:
 		to = r.taken()
 		if to.target.ID == "" {
@@ -162,6 +170,7 @@
 		req.Header.Set(r.g.Names.LastEvent, r.lastID)
 	}
 	if to.copyFrom != "" {
+		r.dropBackup() // of the run before it went on here
 		req.Header.Set(r.g.Names.CopyFrom, to.copyFrom)
 	} else {
 		r.chooseBackup(to.target)
--- a/lib/proc/proc.go
+++ b/lib/proc/proc.go
@@ -96,6 +96,9 @@
 // Thaw sends SIGCONT.
 func (p *Proc) Thaw() error { return p.signal(syscall.SIGCONT) }
 
+// Hangup sends SIGHUP, which asks for the settings to be read again.
+func (p *Proc) Hangup() error { return p.signal(syscall.SIGHUP) }
+
 // Terminate sends SIGTERM, which asks for a graceful stop, and returns at once.
 func (p *Proc) Terminate() error { return p.signal(syscall.SIGTERM) }
 
--- a/lib/prove/inject.go
+++ b/lib/prove/inject.go
@@ -9,6 +9,7 @@
 
 	"anvilwick.example/anvilwick/lib/localsite"
 	"anvilwick.example/anvilwick/lib/proc"
+	"anvilwick.example/anvilwick/lib/relay"
 	"anvilwick.example/anvilwick/lib/standin/engine"
 	"anvilwick.example/anvilwick/lib/standin/plain"
 	"anvilwick.example/anvilwick/lib/standin/platform"
@@ -49,7 +50,7 @@
 
 // inject takes a fault through its life. An order that can't be given is a fault of this tool and is reported as such.
 func (r *run) inject(ctx context.Context, f fault) {
-	end := r.down.begin(f.subject, f.kind)
+	end := r.down.Begin(f.subject, f.kind)
 	defer end()
 	heal, err := r.start(ctx, f)
 	if err != nil {
@@ -67,9 +68,9 @@
 func (r *run) start(ctx context.Context, f fault) (healer, error) {
 	switch f.kind {
 	case faultCut:
-		return r.link(f.subject, linkCut)
+		return r.link(f.subject, relay.Cut)
 	case faultStall:
-		return r.link(f.subject, linkStalled)
+		return r.link(f.subject, relay.Stalled)
 	case faultPlatform:
 		return r.platformFault(ctx, f)
 	case faultEngine:
@@ -89,8 +90,8 @@
 	return nil, fmt.Errorf("unknown kind %q", f.kind)
 }
 
-func (r *run) link(name string, m linkMode) (healer, error) {
-	return func(context.Context) error { return r.relays.set(name, linkUp) }, r.relays.set(name, m)
+func (r *run) link(name string, m relay.Mode) (healer, error) {
+	return func(context.Context) error { return r.relays.Set(name, relay.Up) }, r.relays.Set(name, m)
 }
 
 func (r *run) node(name string) *localsite.Node {
--- a/lib/prove/measure.go
+++ b/lib/prove/measure.go
@@ -11,6 +11,7 @@
 	"anvilwick.example/anvilwick/lib/caller"
 	"anvilwick.example/anvilwick/lib/localsite"
 	"anvilwick.example/anvilwick/lib/proc"
+	"anvilwick.example/anvilwick/lib/relay"
 )
 
 const (
@@ -39,7 +40,7 @@
 type bench struct {
 	site   *localsite.Site
 	client *caller.Client
-	relays relays
+	relays relay.Set
 	round  int
 }
 
@@ -49,7 +50,7 @@
 	b := &bench{}
 	var via func(link, addr string) (string, error)
 	if relayed {
-		via = b.relays.via
+		via = b.relays.Via
 	}
 	site, err := localsite.Start(ctx, siteConfig(cfg.Binaries, via, nil))
 	if err != nil {
@@ -61,7 +62,7 @@
 
 func (b *bench) close() {
 	b.site.Close()
-	b.relays.close()
+	b.relays.Close()
 }
 
 // measureRecovery kills one kind of process after another, and measures how long its callers wait for full service.
@@ -282,7 +283,7 @@
 		return err
 	}
 	for _, n := range append(b.site.Entries[1:], b.site.Controls[1:]...) {
-		if err := b.relays.set("platform of "+n.Name, linkCut); err != nil {
+		if err := b.relays.Set("platform of "+n.Name, relay.Cut); err != nil {
 			return err
 		}
 	}
--- a/lib/prove/operate.go
+++ b/lib/prove/operate.go
@@ -131,9 +131,9 @@
 		r.violated("%s: %v", what, err)
 	case op.kind == opKeyed:
 		r.violated("no final answer for a keyed request: %s: %v", what, err)
-	case r.down.during(from, time.Now(), cutsCallers(entry)):
+	case r.down.During(from, time.Now(), cutsCallers(entry)):
 		r.count(op.kind, "cut with its entry")
-	case res.HTTP == 0 && r.down.during(from, time.Now(), stops(entry)):
+	case res.HTTP == 0 && r.down.During(from, time.Now(), stops(entry)):
 		r.count(op.kind, "not connected")
 	default:
 		r.violated("cut or silent without a fault: %s: %v", what, err)
@@ -204,11 +204,11 @@
 		r.count(op.kind, fmt.Sprintf("http_%d", res.HTTP))
 	case errors.As(err, &refused):
 		r.count(op.kind, string(refused.Detail.Type))
-	case r.down.during(from, time.Now(), cutsCallers(entry)):
+	case r.down.During(from, time.Now(), cutsCallers(entry)):
 		r.count(op.kind, "cut with its entry")
-	case res.HTTP == 0 && r.down.during(from, time.Now(), stops(entry)):
+	case res.HTTP == 0 && r.down.During(from, time.Now(), stops(entry)):
 		r.count(op.kind, "not connected")
-	case res.HTTP != 0 && r.down.during(from, time.Now(), plainCuts):
+	case res.HTTP != 0 && r.down.During(from, time.Now(), plainCuts):
 		r.count(op.kind, "cut with its service")
 	default:
 		r.violated("cut or silent without a fault: %s operation %d at %s, HTTP %d after %v: %v",
--- a/lib/prove/operators.go
+++ b/lib/prove/operators.go
@@ -171,8 +171,8 @@
 func (r *run) judgeLateWork(op operation, target string, asked time.Time, n int) {
 	recent := time.Now().Add(-drainLimit)
 	for _, e := range r.site.Entries {
-		if kind := r.down.which(recent, time.Now(), keepsDrains(e.Name)); kind != "" {
-			r.count(op.kind, "late work beside "+kind)
+		if subject, kind, on := r.down.First(recent, time.Now(), keepsDrains(e.Name)); on {
+			r.count(op.kind, "late work beside "+kind+" of "+class(subject))
 			return
 		}
 	}
--- a/lib/prove/run.go
+++ b/lib/prove/run.go
@@ -1,19 +1,20 @@
 package prove
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"time"
 
 	"anvilwick.example/anvilwick/lib/caller"
+	"anvilwick.example/anvilwick/lib/disturb"
 	"anvilwick.example/anvilwick/lib/history"
 	"anvilwick.example/anvilwick/lib/localsite"
+	"anvilwick.example/anvilwick/lib/proc"
+	"anvilwick.example/anvilwick/lib/relay"
 	"anvilwick.example/anvilwick/lib/workload"
 )
 
@@ -33,11 +34,11 @@
 type run struct {
 	cfg    Config
 	site   *localsite.Site
-	relays relays
+	relays relay.Set
 	client *caller.Client
 	began  time.Time
 	log    history.Log
-	down   disturbances
+	down   disturb.Log
 	faults map[string]int
 	kinds  map[string]int
 	out    io.Writer
@@ -47,7 +48,7 @@
 	outcomes   map[string]int
 	accepted   []acceptance
 	seen       []sighting
-	watcher    *breaches
+	watcher    *proc.Marks
 }
 
 // Run does what cfg says and writes a report to out. The error is not nil when a promise was broken.
@@ -73,7 +74,8 @@
 func (r *run) open(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
-	r.watcher = &breaches{}
+	r.watcher = &proc.Marks{Texts: breachMarks}
+	r.down.Slack = slack
 	var tee io.Writer = r.watcher
 	if r.cfg.Logs != "" {
 		f, err := os.Create(r.cfg.Logs)
@@ -83,7 +85,7 @@
 		tee = io.MultiWriter(f, r.watcher)
 	}
 	var err error
-	r.site, err = localsite.Start(ctx, siteConfig(r.cfg.Binaries, r.relays.via, tee))
+	r.site, err = localsite.Start(ctx, siteConfig(r.cfg.Binaries, r.relays.Via, tee))
 	if err != nil {
 		return err
 	}
@@ -112,7 +114,7 @@
 
 func (r *run) close() {
 	r.site.Close()
-	r.relays.close()
+	r.relays.Close()
 }
 
 // drive runs the plan and then waits until the site is whole again and every request has ended.
@@ -156,29 +158,5 @@
 	r.outcomes[kind+" "+outcome]++
 }
 
-// breaches looks for broken invariants and panics in the processes' output.
-type breaches struct {
-	mu    sync.Mutex
-	lines []string
-}
-
-var breachMarks = []string{"event=invariant_broken", "panic:", "fatal error:"}
-
-// Write implements io.Writer. Each process writes whole lines.
-func (b *breaches) Write(p []byte) (int, error) {
-	for _, mark := range breachMarks {
-		if i := bytes.Index(p, []byte(mark)); i >= 0 {
-			line, _, _ := strings.Cut(string(p[i:]), "\n")
-			b.mu.Lock()
-			b.lines = append(b.lines, line)
-			b.mu.Unlock()
-		}
-	}
-	return len(p), nil
-}
-
-func (b *breaches) all() []string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return append([]string(nil), b.lines...)
-}
+// breachMarks begin the lines of broken invariants and panics in the processes' output.
+var breachMarks = append([]string{"event=invariant_broken"}, proc.PanicMarks...)
--- a/lib/prove/settle.go
+++ b/lib/prove/settle.go
@@ -57,7 +57,7 @@
 	r.collectExecutions(ctx)
 	r.collectDigests(ctx)
 	r.checkInForce()
-	for _, line := range r.watcher.all() {
+	for _, line := range r.watcher.Lines() {
 		r.violated("process says: %s", line)
 	}
 }
@@ -132,7 +132,7 @@
 	for _, a := range accepted {
 		for _, e := range r.site.Entries {
 			due := a.at.Add(inForceLimit)
-			if r.down.during(a.at, due.Add(time.Second), delaysNews(e.Name)) {
+			if r.down.During(a.at, due.Add(time.Second), delaysNews(e.Name)) {
 				continue
 			}
 			if err := behind(seen, e.Name, a.revision, due); err != nil {
--- a/lib/prove/verify_test.go
+++ b/lib/prove/verify_test.go
@@ -12,6 +12,7 @@
 
 	"anvilwick.example/anvilwick/lib/caller"
 	"anvilwick.example/anvilwick/lib/history"
+	"anvilwick.example/anvilwick/lib/proc"
 	"anvilwick.example/anvilwick/lib/standin/engine"
 )
 
@@ -143,9 +144,9 @@
 }
 
 func TestBrokenInvariantInALogIsFound(t *testing.T) {
-	b := &breaches{}
+	b := &proc.Marks{Texts: breachMarks}
 	_, _ = b.Write([]byte("time=x level=info event=listening\n"))
-	must.SliceEmpty(t, b.all())
+	must.SliceEmpty(t, b.Lines())
 	_, _ = b.Write([]byte("time=x level=error event=invariant_broken name=claim_ended_twice\n"))
-	must.Len(t, 1, b.all())
+	must.Len(t, 1, b.Lines())
 }
--- a/lib/prove/relay_test.go
+++ b/lib/relay/relay_test.go
@@ -1,4 +1,4 @@
-package prove
+package relay
 
 import (
 	"io"
@@ -30,12 +30,12 @@
 	return ln.Addr().String()
 }
 
-func open(t *testing.T) (*relay, net.Conn) {
+func open(t *testing.T) (*Relay, net.Conn) {
 	t.Helper()
-	r, err := newRelay("link", echo(t))
+	r, err := New("link", echo(t))
 	must.NoError(t, err)
-	t.Cleanup(r.close)
-	c, err := net.Dial("tcp", r.addr())
+	t.Cleanup(r.Close)
+	c, err := net.Dial("tcp", r.Addr())
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
 	_, err = c.Write([]byte("a"))
@@ -47,13 +47,13 @@
 
 func TestStalledLinkHoldsAndGoesOn(t *testing.T) {
 	r, c := open(t)
-	r.set(linkStalled)
+	r.Set(Stalled)
 	_, err := c.Write([]byte("b"))
 	must.NoError(t, err)
 	must.NoError(t, c.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
 	_, err = c.Read(make([]byte, 1))
 	must.ErrorContains(t, err, "timeout")
-	r.set(linkUp)
+	r.Set(Up)
 	must.NoError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
 	_, err = io.ReadFull(c, make([]byte, 1))
 	must.NoError(t, err)
@@ -62,8 +62,39 @@
 // A cut must reach the reader as an error: an orderly end could be taken for the end of a whole answer.
 func TestCutLinkResets(t *testing.T) {
 	r, c := open(t)
-	r.set(linkCut)
+	r.Set(Cut)
 	_, err := c.Read(make([]byte, 1))
 	must.Error(t, err)
 	must.NotEq(t, io.EOF, err)
 }
+
+// A link that is deaf one way still carries the other: the target gets the request, and its answer waits.
+func TestDeafLinkCarriesOneWay(t *testing.T) {
+	r, c := open(t)
+	r.Set(DeafFrom)
+	_, err := c.Write([]byte("b"))
+	must.NoError(t, err)
+	must.NoError(t, c.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+	_, err = c.Read(make([]byte, 1))
+	must.ErrorContains(t, err, "timeout")
+	r.Set(DeafTo)
+	must.NoError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.ReadFull(c, make([]byte, 1))
+	must.NoError(t, err)
+}
+
+func TestDelayAndRetarget(t *testing.T) {
+	r, c := open(t)
+	const delay = 30 * time.Millisecond
+	r.Delay(delay)
+	start := time.Now()
+	_, err := c.Write([]byte("b"))
+	must.NoError(t, err)
+	_, err = io.ReadFull(c, make([]byte, 1))
+	must.NoError(t, err)
+	must.GreaterEq(t, 2*delay, time.Since(start))
+	r.Retarget(echo(t))
+	_, err = c.Read(make([]byte, 1))
+	must.Error(t, err)
+	must.NotEq(t, io.EOF, err)
+}
