anvilwick-ctl explain; what a choice rested on stands in the log; a lost feed is told once

Cause: an on-call engineer gathered a request's lines by hand and could not see why its target was chosen: sent told the outcome only. feed_failed came with each try, several a second and feed, which hid the line that mattered and used up the bounded volume. Change: explain (lib/explain, go-logfmt) puts a request's lines from all instances into a timeline, with what was said of its targets and of its instances' feeds, settings and stops, and says what to look at. sent bears the targets that were ready and the load that was believed, with the number and age of the news it came from. feed_failed comes once a loss. Ruled out: a line of its own for the choice; it would double the volume for the same content. Test: lib/explain.

--- a/lib/ctl/ctl.go
+++ b/lib/ctl/ctl.go
@@ -109,7 +109,7 @@
 		LongHelp:    "Flags may also be given in the environment (ANVILWICK_PLATFORM for -platform) or in a file (-config).\n\n" + exitHelp,
 		FlagSet:     fs,
 		Options:     []ff.Option{ff.WithEnvVarPrefix(envPrefix), ff.WithConfigFileFlag("config"), ff.WithConfigFileParser(ff.PlainParser)},
-		Subcommands: append(newOps(g), newSettings(g), newCodes(g)),
+		Subcommands: append(newOps(g), newSettings(g), newCodes(g), newExplainRequest(g)),
 		Exec:        g.root,
 	}
 }
--- /dev/null
+++ b/lib/explain/explain_test.go
@@ -0,0 +1,48 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+const logs = `  1.0 gw-2 time=2026-01-01T00:00:01.500Z level=info event=target_leaving target=e1 addr=10.0.0.1:1
+  1.0 gw-1 time=2026-01-01T00:00:01.200Z level=info event=first_event request=q1 target=e1 after_ms=200
+  not a log line
+  1.0 gw-1 time=2026-01-01T00:00:01.900Z level=warn event=cut request=q1 target=e1 reason=target_broken events=7
+  1.0 gw-1 time=2026-01-01T00:00:01.000Z level=warn event=feed_failed feed=targets cause="connection reset by peer"
+  1.0 gw-3 time=2026-01-01T00:00:01.000Z level=warn event=feed_failed feed=targets cause="of an instance that never had it"
+  1.0 gw-1 time=2026-01-01T00:00:01.300Z level=info event=sent request=q2 target=e1 status=200
+  1.0 gw-1 time=2026-01-01T00:01:00.000Z level=info event=stop instance=gw-1
+`
+
+// A stream was cut because its engine left. Its own lines, the engine's leaving as another instance saw it and the lost
+// store of its instance stand in order of time; other requests, other instances' feeds and far later lines are left out.
+func TestTimelineOfOneRequest(t *testing.T) {
+	var out strings.Builder
+	must.NoError(t, Request(&out, strings.NewReader(logs), "q1"))
+	var events []string
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	for _, l := range lines[:len(lines)-1] {
+		for f := range strings.FieldsSeq(l) {
+			if f == "cut" || f == "first_event" || f == "target_leaving" || f == "feed_failed" || f == "sent" || f == "stop" {
+				events = append(events, f)
+			}
+		}
+	}
+	must.Eq(t, []string{"feed_failed", "first_event", "target_leaving", "cut"}, events)
+	must.StrContains(t, lines[len(lines)-1], "ended: cut reason=target_broken events=7: the target broke off")
+	must.StrContains(t, out.String(), `cause="connection reset by peer"`)
+}
+
+func TestUnknownRequest(t *testing.T) {
+	must.ErrorIs(t, Request(&strings.Builder{}, strings.NewReader(logs), "q9"), ErrNoRequest)
+}
+
+// An instance that was killed tells no end.
+func TestRequestWithoutAnEnd(t *testing.T) {
+	var out strings.Builder
+	must.NoError(t, Request(&out, strings.NewReader(logs), "q2"))
+	must.StrContains(t, out.String(), "no line tells its end")
+}
--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -110,6 +110,34 @@
 	return true
 }
 
+// Belief is what a choice of a target rested on.
+type Belief struct {
+	Ready  int           // targets of the service that take requests
+	Load   Load          // of the target, with the request itself
+	Peers  int           // instances whose news are counted in the load
+	Oldest time.Duration // age of the oldest of these
+}
+
+// Believe tells what is believed of a target, for logs.
+func (f *Fleet) Believe(now time.Time, id string) Belief {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.targets[id]
+	if t == nil {
+		return Belief{}
+	}
+	b := Belief{Load: f.carried(t), Peers: len(f.peers)}
+	for _, p := range f.peers {
+		b.Oldest = max(b.Oldest, now.Sub(p.at))
+	}
+	for _, other := range f.targets {
+		if other.Service == t.Service && other.state == Ready {
+			b.Ready++
+		}
+	}
+	return b
+}
+
 // carried is the load of all instances, as far as this one knows.
 func (f *Fleet) carried(t *Target) Load {
 	sum := t.own
--- a/lib/gateway/log.go
+++ b/lib/gateway/log.go
@@ -5,6 +5,7 @@
 
 	"github.com/phuslu/log"
 
+	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/logline"
 )
 
@@ -42,9 +43,12 @@
 	l.line(log.Warn(), "refused", e).Int("status", status).Str("reason", reason).Int64("retry_after_ms", after.Milliseconds()).Msg("")
 }
 
-// Sent tells how a send to one target ended.
-func (l Log) Sent(e entry, target string, status int, outcome string, err error) {
-	logline.Cause(l.line(log.Info(), "sent", e).Str("target", target).Int("status", status).Str("outcome", outcome), err)
+// Sent tells how a send to one target ended, and what was believed of that target when it was chosen.
+func (l Log) Sent(e entry, target string, b fleet.Belief, status int, outcome string, err error) {
+	at := l.line(log.Info(), "sent", e).Str("target", target).Int("ready", b.Ready)
+	at = at.Int("runs", b.Load.Runs).Int("tokens", b.Load.Tokens).Int("unread", b.Load.Unread)
+	at = at.Int("peers", b.Peers).Int64("news_ms", b.Oldest.Milliseconds())
+	logline.Cause(at.Int("status", status).Str("outcome", outcome), err)
 }
 
 // Begun tells of a stream's first event.
--- a/lib/gateway/plain.go
+++ b/lib/gateway/plain.go
@@ -42,11 +42,12 @@
 			break
 		}
 		run := g.poison.Started(target.ID, c.print)
+		believed := g.Fleet.Believe(time.Now(), target.ID)
 		x := g.send(ctx, c, target, c.route.MayRepeat() && c.sends+1 < c.route.MaxAttempts)
 		g.ended(run, target, x.verdict == verdictGood, x.sent && x.err != nil && ctx.Err() == nil)
 		c.tried[target.ID] = true
 		g.Fleet.Release(time.Now(), target.ID, fleet.Load{}, x.outcome(ctx))
-		g.Log.Sent(c.entry(), target.ID, x.statusCode(), x.verdict.String(), x.err)
+		g.Log.Sent(c.entry(), target.ID, believed, x.statusCode(), x.verdict.String(), x.err)
 		c.count(metricSent, "outcome", x.verdict.String())
 		if !x.sent {
 			if ctx.Err() != nil {
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -63,8 +63,9 @@
 		if to.copyFrom == "" {
 			c.tried[to.target.ID] = true
 		}
+		believed := r.g.Fleet.Believe(time.Now(), to.target.ID)
 		e, x := r.runOn(ctx, to)
-		g.Log.Sent(c.entry(), to.target.ID, x.statusCode(), e.String(), x.err)
+		g.Log.Sent(c.entry(), to.target.ID, believed, x.statusCode(), e.String(), x.err)
 		c.count(metricSent, "outcome", e.String())
 		var done bool
 		to, done = r.follow(ctx, e, x, to)
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/phuslu/log"
@@ -72,10 +73,11 @@
 }
 
 func (p *Process) track(ctx context.Context, name string, src feed.Source, r *feed.Replica, o feed.Options, age time.Duration) {
-	fail := lost(name)
+	fail := lost(name, r)
 	if name == targetsTable {
+		tell := fail
 		fail = func(err error) {
-			lost(name)(err)
+			tell(err)
 			now := time.Now()
 			p.listFailed.Store(&now)
 		}
@@ -178,9 +180,21 @@
 	}
 }
 
-// lost logs the failures of a feed.
-func lost(name string) func(error) {
-	return func(err error) { logline.Cause(log.Warn().Str("event", "feed_failed").Str("feed", name), err) }
+// lost logs that a feed was lost, once until it has been heard again: it is tried several times a second.
+func lost(name string, r *feed.Replica) func(error) {
+	var mu sync.Mutex
+	var told time.Time // the contact before the failure that was last logged
+	logged := false
+	return func(err error) {
+		contact := r.Contact()
+		mu.Lock()
+		defer mu.Unlock()
+		if logged && contact.Equal(told) {
+			return
+		}
+		logged, told = true, contact
+		logline.Cause(log.Warn().Str("event", "feed_failed").Str("feed", name), err)
+	}
 }
 
 func (p *Process) applySettings(u feed.Update) {
