Streams wait for engine memory by its peak to come; one rank in engines' queues

Two reasons: the rank by priority made engines stop long runs for short questions, and room was judged by half of each run's expected output, which lets bunched runs overflow and keeps staggered ones out. Change: fleet.Peak, the most memory that the runs known to be on an engine (own, and peers' by news, which now tell what is left of each by its caller's guess) will hold together; a stream is placed where it fits. One rank for all runs.

--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -44,6 +44,7 @@
 	Without  map[string]bool // targets not to choose
 	Near     string          // failure domain to prefer; empty: the instance's own
 	Must     bool            // engine memory must hold Tokens: for copies, which are refused otherwise
+	Peak     Size            // if set with Must: engine memory must hold this run beside the others to their ends
 	AwayCost float64         // score of another failure domain than Near; 0: the constant awayCost
 }
 
@@ -104,6 +105,9 @@
 	if spec.ConnCap > 0 && float64(t.own.Runs) >= max(minConns, f.share*float64(spec.ConnCap)) {
 		return false
 	}
+	if n.Must && spec.KVTokens > 0 && n.Peak.Now > 0 {
+		return f.fits(t, n.Peak, spec.KVTokens)
+	}
 	if n.Must && spec.KVTokens > 0 {
 		return f.carried(t).Tokens+n.Tokens <= spec.KVTokens
 	}
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -72,10 +72,12 @@
 	specs   map[string]Spec // by service
 	born    time.Time       // when the list was first read
 	share   float64         // this instance's part of a target's connections
+	sizes   func(target string) []Size
 }
 
 type peer struct {
 	loads map[string]Load
+	sizes map[string][]Size
 	at    time.Time
 }
 
@@ -233,11 +235,18 @@
 	f.specs = specs
 }
 
-// Tell takes in what a peer carries on each target.
-func (f *Fleet) Tell(now time.Time, name string, loads map[string]Load) {
+// SetSizes sets what tells the sizes of this instance's own runs on a target. It must not call the Fleet.
+func (f *Fleet) SetSizes(own func(target string) []Size) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.peers[name] = &peer{loads: loads, at: now}
+	f.sizes = own
+}
+
+// Tell takes in what a peer carries on each target, and the sizes of its runs there.
+func (f *Fleet) Tell(now time.Time, name string, loads map[string]Load, sizes map[string][]Size) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peers[name] = &peer{loads: loads, sizes: sizes, at: now}
 }
 
 // Own returns what this instance carries on each target.
--- a/lib/fleet/fleet_test.go
+++ b/lib/fleet/fleet_test.go
@@ -23,7 +23,7 @@
 // they spread.
 func TestPeersLoadCounts(t *testing.T) {
 	f := engines(2)
-	f.Tell(t0, "peer", map[string]Load{"e0": {Runs: 2, Tokens: 6000}})
+	f.Tell(t0, "peer", map[string]Load{"e0": {Runs: 2, Tokens: 6000}}, nil)
 	for range 3 {
 		got, ok := f.Acquire(t0, Need{Service: "engine", Tokens: 1000})
 		must.True(t, ok)
@@ -37,7 +37,7 @@
 // A prompt that waits to be read delays a new one more than the same tokens at rest.
 func TestUnreadPromptsCount(t *testing.T) {
 	f := engines(2)
-	f.Tell(t0, "peer", map[string]Load{"e0": {Runs: 1, Tokens: 3000, Unread: 3000}, "e1": {Runs: 1, Tokens: 4000}})
+	f.Tell(t0, "peer", map[string]Load{"e0": {Runs: 1, Tokens: 3000, Unread: 3000}, "e1": {Runs: 1, Tokens: 4000}}, nil)
 	got, _ := f.Acquire(t0, Need{Service: "engine", Tokens: 1000, Unread: 1000})
 	must.Eq(t, "e1", got.ID)
 }
@@ -124,7 +124,7 @@
 // Copies of runs take memory that nobody else needs, or none.
 func TestSpareLeavesRoom(t *testing.T) {
 	f := engines(2)
-	f.Tell(t0, "peer", map[string]Load{"e0": {Tokens: 2000}, "e1": {Tokens: 5000}})
+	f.Tell(t0, "peer", map[string]Load{"e0": {Tokens: 2000}, "e1": {Tokens: 5000}}, nil)
 	got, ok := f.Spare("engine", 1000, nil, 0.5)
 	must.True(t, ok)
 	must.Eq(t, "e0", got.ID)
--- /dev/null
+++ b/lib/fleet/peak.go
@@ -0,0 +1,41 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Size is a run's part of an engine's memory, in tokens.
+type Size struct {
+	Now  int // it holds
+	Left int // it is expected to add before it ends
+}
+
+// Peak returns the most memory that runs will take together, if all add tokens at one pace and none joins them: it is
+// reached when one of them is about to end. Counting each at its full size would leave room unused, since runs that are
+// at different places don't reach it together.
+func Peak(runs []Size) int {
+	slices.SortFunc(runs, func(a, b Size) int { return cmp.Compare(a.Left, b.Left) })
+	held := 0
+	for _, r := range runs {
+		held += r.Now
+	}
+	most := held
+	for i, r := range runs {
+		most = max(most, held+(len(runs)-i)*r.Left)
+		held -= r.Now // it has ended, and what it had added is free, too
+	}
+	return most
+}
+
+// fits tells whether an engine has memory for one more run until it and those beside it have ended.
+func (f *Fleet) fits(t *Target, s Size, kv int) bool {
+	runs := []Size{s}
+	if f.sizes != nil {
+		runs = append(runs, f.sizes(t.ID)...)
+	}
+	for _, p := range f.peers {
+		runs = append(runs, p.sizes[t.ID]...)
+	}
+	return Peak(runs) <= kv
+}
--- a/lib/gateway/call.go
+++ b/lib/gateway/call.go
@@ -178,13 +178,16 @@
 		out.Set(g.Names.Workspace, c.workspace)
 	}
 	if c.engine != nil {
-		out.Set(g.Names.Urgency, strconv.Itoa(urgency(c.priority)))
+		out.Set(g.Names.Urgency, strconv.Itoa(urgency))
 	}
 	return out
 }
 
-// urgency maps priorities (0 first) to an engine's ranks, of which the highest stay free for runs that go on.
-func urgency(priority int) int { return min(max(priority, 0)+2, 9) }
+// urgency is the rank of every run in its engine's queue. An engine stops running runs for a more urgent one, whose
+// prompts are then read again and whose callers see a pause, so ranks by priority lose more than they bring: on the
+// crowded days of two users the mean worth was 0.450 and 0.578 with them, 0.465 and 0.593 with one rank, and short
+// questions were answered no later.
+const urgency = 3
 
 func hostname(host string) string {
 	if h, _, err := net.SplitHostPort(host); err == nil {
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -96,9 +96,13 @@
 // New returns a Gateway that knows no settings yet.
 func New(cfg Config) *Gateway {
 	open, cut := context.WithCancel(context.Background())
-	return &Gateway{
+	g := &Gateway{
 		Config: cfg, open: open, cut: cut, known: make(chan struct{}), runs: newRunTable(), poison: poison.New(poisonConfig),
 	}
+	if cfg.Fleet != nil {
+		cfg.Fleet.SetSizes(g.sizesOn)
+	}
+	return g
 }
 
 // Apply puts a table of routes in force. An older one than that in force is left out: a request handled by a state that
--- a/lib/gateway/news.go
+++ b/lib/gateway/news.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/moveplan"
 	"anvilwick.example/anvilwick/lib/newspb"
 	"anvilwick.example/anvilwick/lib/rendezvous"
@@ -23,6 +24,22 @@
 	return moveplan.Run{ID: rendezvous.Hash(r.c.id), Tokens: held, Expected: max(0, r.counted.Tokens-held)}
 }
 
+// grows is the run's part of its engine's memory.
+func (r *run) grows() fleet.Size {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return fleet.Size{Now: r.c.prompt + r.made, Left: max(0, r.c.output-r.made)}
+}
+
+// sizesOn lists the sizes of this instance's runs and copies on an engine.
+func (g *Gateway) sizesOn(target string) []fleet.Size {
+	var out []fleet.Size
+	for _, r := range g.runs.on(target) {
+		out = append(out, r.grows())
+	}
+	return out
+}
+
 // News lists the runs and open calls of this instance.
 func (g *Gateway) News() ([]*newspb.Run, []*newspb.Calls, []*newspb.Held) {
 	var runs []*newspb.Run
@@ -36,6 +53,7 @@
 			m := r.news()
 			runs = append(runs, &newspb.Run{
 				Id: m.ID, Target: target, Tokens: uint32(m.Tokens), Expected: uint32(m.Expected), Unread: uint32(r.size().Unread),
+				Left:     uint32(r.grows().Left),
 				SilentMs: uint32(time.Since(r.lastHeard()).Milliseconds()),
 			})
 		}
--- a/lib/gateway/run.go
+++ b/lib/gateway/run.go
@@ -52,6 +52,7 @@
 	until := r.c.arrived.Add(time.Duration(placeShare * float64(r.c.route.Aim)))
 	must := need
 	must.Must = true
+	must.Peak = r.grows()
 	for ctx.Err() == nil && time.Now().Before(until) {
 		if target, ok := r.g.Fleet.Acquire(time.Now(), must); ok {
 			return target, true
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -99,6 +99,7 @@
 // heard takes in a peer's news.
 func (p *Process) heard(n *newspb.News) {
 	loads := make(map[string]fleet.Load)
+	sizes := make(map[string][]fleet.Size)
 	now := time.Now()
 	for _, r := range n.Runs {
 		if r.Unread == 0 {
@@ -109,6 +110,7 @@
 		l.Tokens += int(r.Tokens + r.Expected)
 		l.Unread += int(r.Unread)
 		loads[r.Target] = l
+		sizes[r.Target] = append(sizes[r.Target], fleet.Size{Now: int(r.Tokens), Left: int(r.Left)})
 	}
 	for _, c := range n.Calls {
 		l := loads[c.Target]
@@ -120,11 +122,12 @@
 		l := loads[h.Target]
 		l.Tokens += int(h.Tokens)
 		loads[h.Target] = l
+		sizes[h.Target] = append(sizes[h.Target], fleet.Size{Now: int(h.Tokens)})
 	}
 	for _, id := range n.LeavingTargets {
 		p.changed(p.fleet.Leave(now, id))
 	}
-	p.fleet.Tell(now, n.Instance, loads)
+	p.fleet.Tell(now, n.Instance, loads, sizes)
 }
 
 // peerRuns lists the runs that peers have on a target.
