A run goes on from an early copy when its engine ends before the last part; callers' guesses are bounded

The earlier copy at the destination was still good. Some streams waited the whole time for room that could not be: their callers' guess of the output was over its stated bound. Change: a copy made while the run goes on is remembered; the run goes on from it when the engine ends, also in the middle of the last part. The wait for the last part is as long as the call. A guess is cut at the stated largest output. explain tells what all instances say of a target once.

--- a/lib/explain/explain.go
+++ b/lib/explain/explain.go
@@ -148,6 +148,15 @@
 	return s.sources[l.source] && ofInstance[l.event]
 }
 
+// news names what a line tells. Of a target every instance tells the same; the first to see it is enough.
+func (s *story) news(l *line) string {
+	target := l.get(fieldTarget) + l.get(fieldSubject)
+	if s.targets[target] {
+		return l.event + " " + target
+	}
+	return l.event + " " + l.source + l.at.String()
+}
+
 // Request reads logs from r and writes to w the timeline of one request, and what ended it.
 func Request(w io.Writer, r io.Reader, request string) error {
 	lines, err := read(r)
@@ -159,12 +168,14 @@
 	if s.first.IsZero() {
 		return ErrNoRequest
 	}
+	told := map[string]bool{}
 	for i := range lines {
 		l := &lines[i]
 		switch {
 		case l.get(fieldRequest) == request:
 			s.print(w, l, "*")
-		case s.concerns(l):
+		case s.concerns(l) && !told[s.news(l)]:
+			told[s.news(l)] = true
 			s.print(w, l, " ")
 		}
 	}
--- a/lib/gateway/call.go
+++ b/lib/gateway/call.go
@@ -147,6 +147,9 @@
 	output = atoi(most) / 2
 	if hint := atoi(h.Get(g.Names.Hint)); hint > 0 {
 		output = hint
+		if n := atoi(most); n > 0 {
+			output = min(output, n) // callers' guesses are often far off
+		}
 	}
 	return prompt, output
 }
--- a/lib/gateway/move.go
+++ b/lib/gateway/move.go
@@ -155,6 +155,41 @@
 	}
 }
 
+// earlyCopy is a copy of a run that goes on at its source.
+type earlyCopy struct {
+	from string // id of the source; empty: there is no copy
+	next next
+	used bool // the source has ended, and the run goes on from it
+}
+
+// keepCopy notes a copy in case that its source ends before the last part.
+func (r *run) keepCopy(from, to fleet.Info, handle string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.early = earlyCopy{from: from.ID, next: next{target: to, copyFrom: from.Addr + "/" + handle}}
+}
+
+// forgetCopy ends that, and reports whether the run goes on from the copy.
+func (r *run) forgetCopy() (used bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	used = r.early.used
+	r.early = earlyCopy{}
+	return used
+}
+
+// fromEarlyCopy says how to go on after an engine ended in the middle of a move. The copy lacks what was made since; that
+// is read again, a few tokens.
+func (r *run) fromEarlyCopy(from string) (next, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.early.from != from || r.early.used {
+		return next{}, false
+	}
+	r.early.used = true
+	return r.early.next, true
+}
+
 // moveTo moves a run to one engine, where the caller has counted it. On success the count passes to the run.
 func (g *Gateway) moveTo(r *run, from, to fleet.Info, tokens int, notice time.Time) (err error) {
 	size := fleet.Load{Tokens: tokens}
@@ -167,6 +202,12 @@
 	if err != nil {
 		return err
 	}
+	r.keepCopy(from, to, copied.Handle)
+	defer func() {
+		if err == nil || errors.Is(err, ErrNoRun) || errors.Is(err, ErrNoRoom) {
+			r.forgetCopy()
+		}
+	}()
 	for time.Since(notice) < moveBy {
 		start := time.Now()
 		if copied, err = g.copyRun(from, to, r.c.id, false); err != nil {
@@ -178,7 +219,9 @@
 	}
 	ch := r.stopFor(from.ID)
 	if ch == nil {
-		g.free(from, copied.Handle)
+		if !r.forgetCopy() {
+			g.free(from, copied.Handle)
+		}
 		return ErrNoRun
 	}
 	last, err := g.copyRun(from, to, r.c.id, true)
@@ -191,12 +234,12 @@
 	case errors.Is(err, ErrNoRun) || errors.Is(err, ErrNoRoom):
 		r.goOn()
 	default:
-		ch <- next{}
-	}
-	if err != nil {
-		return err
+		// The source ended before the last part. The run's connection has ended with it.
+		g.Log.Warn("last_part_lost", from.ID, err)
+		ch <- next{target: to, counted: size, copyFrom: from.Addr + "/" + copied.Handle}
+		return nil
 	}
-	return nil
+	return err
 }
 
 func (g *Gateway) copyRun(from, to fleet.Info, id string, last bool) (Moved, error) {
--- a/lib/gateway/run.go
+++ b/lib/gateway/run.go
@@ -27,6 +27,7 @@
 	made    int        // tokens of output so far
 	last    time.Time  // when its target was last heard on it
 	handoff chan next  // the copy to go on from, once a move has stopped the run; nil when no move is in its last part
+	early   earlyCopy  // what a move under way has copied already
 	copy    backup     // the copy that its engine keeps up to date, if any
 	ended   bool
 }
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -13,7 +13,7 @@
 
 const (
 	// handoffWait bounds the wait for the copy of a run whose stream has stopped for it.
-	handoffWait = 2 * time.Second
+	handoffWait = copyTimeout + 500*time.Millisecond
 )
 
 // end is how a run ended at one target.
@@ -107,6 +107,11 @@
 		r.g.Budget.Spend(time.Now(), r.c.service)
 		return to, false
 	case endBroken:
+		if n, ok := r.fromEarlyCopy(at.target.ID); ok {
+			r.g.Log.FromBackup(r.c.entry(), n.target.ID, r.events)
+			r.g.Budget.Spend(time.Now(), r.c.service)
+			return n, false
+		}
 		if resumed {
 			break // the copy is of the run before it moved, and has not grown since
 		}
