Room that frees up goes to the more urgent streams of an instance first

Cause: since one rank is sent to engines, the priorities of routes and workspaces were read and used nowhere. Change: streams that wait for engine memory at an instance take it by priority; nothing is preempted.

--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -83,6 +83,7 @@
 	cut      context.CancelFunc
 	known    chan struct{} // closed when settings are first in force
 	runs     runTable
+	waiting  waiting
 	poison   *poison.Table
 }
 
--- a/lib/gateway/run.go
+++ b/lib/gateway/run.go
@@ -54,9 +54,12 @@
 	must := need
 	must.Must = true
 	must.Peak = r.grows()
+	defer r.g.waiting.enter(r.c.priority)()
 	for ctx.Err() == nil && time.Now().Before(until) {
-		if target, ok := r.g.Fleet.Acquire(time.Now(), must); ok {
-			return target, true
+		if !r.g.waiting.before(r.c.priority) {
+			if target, ok := r.g.Fleet.Acquire(time.Now(), must); ok {
+				return target, true
+			}
 		}
 		time.Sleep(placePoll)
 	}
