--- a/lib/relay/relay.go
+++ b/lib/relay/relay.go
@@ -3,6 +3,7 @@
 package relay
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -36,7 +37,11 @@
 	fromTarget
 )
 
-const bufferSize = 32 << 10
+const (
+	bufferSize = 32 << 10
+	// acceptPause is the pause after a connection could not be accepted.
+	acceptPause = 20 * time.Millisecond
+)
 
 // Relay carries connections to one address.
 type Relay struct {
@@ -127,9 +132,15 @@
 func (r *Relay) accept() {
 	for {
 		c, err := r.ln.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			// Too many open files, for one. A relay that stopped here would be silent for good, which looks like a fault
+			// of what is tested.
+			time.Sleep(acceptPause)
+			continue
+		}
 		go r.carry(c)
 	}
 }
