A target that starts again under its id is a new life; entries of other writers name no target

An entry without a state was taken for a ready target. Ruled out: a compound id of id and start. It goes to the wire as the expected instance and into peers' news, logs and metrics. Change: fleet.Info.Born; a later one is a new life, an earlier one a stale entry; news of leaving names the life; connections open on an earlier life are closed at once, copies held there forgotten; an engine's own report tells a new life while the list is away. Entries are checked whole; one that can't be read keeps its target from new requests until it writes another, and is logged once.

--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -98,7 +98,7 @@
 }
 
 func (f *Fleet) allowed(t *Target, n Need) bool {
-	if t.Service != n.Service || t.state != Ready || n.Without[t.ID] {
+	if t.Service != n.Service || t.state != Ready || t.unreadable || n.Without[t.ID] {
 		return false
 	}
 	spec := f.specs[t.Service]
@@ -183,7 +183,7 @@
 	var best *Target
 	most := int(free * float64(kv))
 	for _, t := range f.targets {
-		if t.Service != service || t.state != Ready || without[t.ID] {
+		if t.Service != service || t.state != Ready || t.unreadable || without[t.ID] {
 			continue
 		}
 		if left := kv - f.carried(t).Tokens - tokens; left > most {
@@ -209,7 +209,7 @@
 	defer f.mu.Unlock()
 	var out []Room
 	for _, t := range f.targets {
-		if t.Service == service && t.state == Ready {
+		if t.Service == service && t.state == Ready && !t.unreadable {
 			out = append(out, Room{Info: t.Info, Free: f.specs[service].KVTokens - f.carried(t).Tokens})
 		}
 	}
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -19,7 +19,8 @@
 
 // Info is what the list says of a target.
 type Info struct {
-	ID      string // of one life of the target; a restart has another
+	ID      string // a restart has another id, or the same id and a later Born
+	Born    int64  // Unix milliseconds of the start of this life; 0: not told
 	Service string
 	Addr    string
 	Domain  string // failure domain
@@ -47,6 +48,7 @@
 	reportedAt time.Time
 	heard      time.Time // when anything last came from it, to this instance or a peer
 	missing    time.Time // since when a list read after an outage has not had it; zero: it is listed
+	unreadable bool      // its entry names no target; until it has written another
 }
 
 // Load is what a target carries.
@@ -89,6 +91,7 @@
 // Change is what an update of the list did.
 type Change struct {
 	Added, Leaving, Gone []Info
+	Restarted            []Info // a new life under an id that was known: what ran on the one before is broken
 }
 
 // Apply takes in entries of the list and the ids whose entries were removed. silent is how long the list could not be
@@ -111,18 +114,30 @@
 
 func (f *Fleet) upsert(now time.Time, e Info, ch *Change) {
 	t := f.targets[e.ID]
-	if t == nil {
+	switch {
+	case t == nil:
 		t = &Target{state: Ready}
 		f.targets[e.ID] = t
 		ch.Added = append(ch.Added, e)
+	case e.Born != 0 && e.Born < t.Born:
+		return // a stale entry of an earlier life
+	case t.Born != 0 && e.Born > t.Born:
+		t.restart()
+		ch.Restarted = append(ch.Restarted, e)
 	}
 	t.Info = e
 	t.missing = time.Time{}
+	t.unreadable = false
 	if e.Leaving {
 		f.leave(now, t, ch)
 	}
 }
 
+// restart forgets what was learnt of the life before. What this instance had sent there is released as it breaks.
+func (t *Target) restart() {
+	*t = Target{state: Ready, own: t.own}
+}
+
 // leave is final for one life of a target: a stale entry that says ready doesn't bring it back.
 func (f *Fleet) leave(now time.Time, t *Target, ch *Change) {
 	if t.state == Leaving {
@@ -173,25 +188,56 @@
 	return ch
 }
 
-// Leave marks a target that was seen to leave, although the list has not told.
-func (f *Fleet) Leave(now time.Time, id string) Change {
+// Leave marks a life of a target that was seen to leave, although the list has not told. News of an earlier life than
+// the one known is late and says nothing of it; news of a later one says that the one known has ended, too.
+func (f *Fleet) Leave(now time.Time, id string, born int64) Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var ch Change
-	if t := f.targets[id]; t != nil {
+	if t := f.targets[id]; t != nil && (born == 0 || born >= t.Born) {
 		f.leave(now, t, &ch)
 	}
 	return ch
 }
 
+// Restart takes in that a target answers as another life than the one listed. The list tells the rest of it later.
+func (f *Fleet) Restart(now time.Time, id string, born int64) Change {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var ch Change
+	if t := f.targets[id]; t != nil && t.Born != 0 && born > t.Born {
+		e := t.Info
+		e.Born, e.Leaving = born, false
+		f.upsert(now, e, &ch)
+	}
+	return ch
+}
+
+// Unreadable notes that the entries of targets name none. They get nothing new until they have written others.
+func (f *Fleet) Unreadable(ids []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range ids {
+		if t := f.targets[id]; t != nil {
+			t.unreadable = true
+		}
+	}
+}
+
+// Left is a life of a target that has left.
+type Left struct {
+	ID   string
+	Born int64 // as in Info
+}
+
 // LeftSince lists the targets that have left since a time.
-func (f *Fleet) LeftSince(at time.Time) []string {
+func (f *Fleet) LeftSince(at time.Time) []Left {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []string
+	var out []Left
 	for id, t := range f.targets {
 		if t.state == Leaving && t.leavingAt.After(at) {
-			out = append(out, id)
+			out = append(out, Left{ID: id, Born: t.Born})
 		}
 	}
 	return out
--- a/lib/fleet/fleet_test.go
+++ b/lib/fleet/fleet_test.go
@@ -53,7 +53,7 @@
 	_, ok := f.Acquire(t0, Need{Service: "engine"})
 	must.False(t, ok)
 	must.True(t, f.IsLeaving("e0"))
-	must.Eq(t, []string{"e0"}, f.LeftSince(t0.Add(-time.Second)))
+	must.Eq(t, []Left{{ID: "e0"}}, f.LeftSince(t0.Add(-time.Second)))
 }
 
 // Entries lapse while the store is away. The targets are believed for a grace, are back unharmed when their entries
@@ -131,3 +131,31 @@
 	_, ok = f.Spare("engine", 3000, nil, 0.5)
 	must.False(t, ok)
 }
+
+// A peer tells late that a target has left, when this instance has already read of its next life under the same id. The
+// news is of the earlier life; taken for the new one it would keep that out for as long as it lives.
+func TestLateNewsOfAnEarlierLife(t *testing.T) {
+	f := New("z1")
+	f.SetSpecs(map[string]Spec{"engine": {KVTokens: 10_000}})
+	entry := Info{ID: "e", Service: "engine", Born: 100}
+	f.Apply(t0, []Info{entry}, nil, 0)
+	must.Len(t, 1, f.Leave(t0, "e", 100).Leaving)
+	entry.Born = 200
+	must.Len(t, 1, f.Apply(t0, []Info{entry}, nil, 0).Restarted)
+	must.Len(t, 0, f.Leave(t0, "e", 100).Leaving)
+	_, ok := f.Acquire(t0, Need{Service: "engine"})
+	must.True(t, ok)
+	must.Len(t, 1, f.Leave(t0, "e", 200).Leaving)
+}
+
+// The list is away when an engine starts again. Its own report tells the new life: what ran on the one before is broken,
+// once, and a report that names the same life or none changes nothing.
+func TestReportOfANewLife(t *testing.T) {
+	f := New("z1")
+	f.Apply(t0, []Info{{ID: "e", Service: "engine", Born: 100}}, nil, 0)
+	must.Len(t, 0, f.Restart(t0, "e", 0).Restarted)
+	must.Len(t, 0, f.Restart(t0, "e", 100).Restarted)
+	must.Len(t, 1, f.Restart(t0, "e", 200).Restarted)
+	must.Len(t, 0, f.Restart(t0, "e", 200).Restarted)
+	must.Len(t, 0, f.Apply(t0, []Info{{ID: "e", Service: "engine", Born: 200}}, nil, 0).Restarted)
+}
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -48,7 +48,8 @@
 
 // Report is what an engine tells of itself.
 type Report struct {
-	Leaving bool // it was told to end, or is about to
+	Leaving bool  // it was told to end, or is about to
+	Born    int64 // of the life that answers, as in fleet.Info
 }
 
 // Engines makes calls to model engines beside the requests themselves.
@@ -84,6 +85,7 @@
 	known    chan struct{} // closed when settings are first in force
 	runs     runTable
 	waiting  waiting
+	sends    openSends
 	poison   *poison.Table
 }
 
@@ -98,7 +100,7 @@
 func New(cfg Config) *Gateway {
 	open, cut := context.WithCancel(context.Background())
 	g := &Gateway{
-		Config: cfg, open: open, cut: cut, known: make(chan struct{}), runs: newRunTable(), poison: poison.New(poisonConfig),
+		Config: cfg, open: open, cut: cut, known: make(chan struct{}), runs: newRunTable(), sends: newOpenSends(), poison: poison.New(poisonConfig),
 	}
 	if cfg.Fleet != nil {
 		cfg.Fleet.SetSizes(g.sizesOn)
--- a/lib/gateway/plain.go
+++ b/lib/gateway/plain.go
@@ -111,6 +111,7 @@
 		defer cancel()
 	}
 	stop := context.AfterFunc(ctx, conn.Close)
+	defer g.sends.add(target, conn.Close)()
 	x.resp, x.err = g.ask(conn, c, g.request(c, target.ID, time.Now()))
 	x.sent = x.err == nil || wirehttp.MaybeSent(x.err)
 	if x.err == nil {
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -159,6 +159,7 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
+	defer r.g.sends.add(to.target, conn.Close)()
 	e = r.exchange(ctx, conn, to, x)
 	if ctx.Err() != nil && e != endComplete {
 		e = endCaller
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -231,19 +231,25 @@
 func (p *Process) applyTargets(u feed.Update) {
 	logRegained("targets", u)
 	var entries []fleet.Info
-	var removed []string
+	var removed, unreadable []string
 	for _, row := range u.Rows {
 		if row.Removed {
 			removed = append(removed, row.Key)
+			p.refused.clear(row.Key)
 			continue
 		}
 		info, err := p.site.DecodeTarget(row)
 		if err != nil {
-			logline.Cause(log.Error().Str("event", "target_refused").Str("target", row.Key), err)
+			unreadable = append(unreadable, row.Key)
+			if p.refused.first(row.Key) {
+				logline.Cause(log.Error().Str("event", "target_refused").Str("target", row.Key), err)
+			}
 			continue
 		}
+		p.refused.clear(row.Key)
 		entries = append(entries, info)
 	}
+	p.fleet.Unreadable(unreadable)
 	p.changed(p.fleet.Apply(time.Now(), entries, removed, u.Silent))
 	p.mu.Lock()
 	p.listed = true
@@ -261,6 +267,10 @@
 	for _, t := range ch.Added {
 		log.Info().Str("event", "target_added").Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr).Msg("")
 	}
+	for _, t := range ch.Restarted {
+		log.Warn().Str("event", "target_restarted").Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr).Int64("born", t.Born).Msg("")
+		p.gate.Restarted(t)
+	}
 	for _, t := range ch.Leaving {
 		log.Info().Str("event", "target_leaving").Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr).Msg("")
 		p.gate.Evacuate(t, p.peerRuns(t.ID))
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -90,12 +90,21 @@
 	return &newspb.News{
 		Instance: p.cfg.Instance, Incarnation: p.born, FailureDomain: p.cfg.Domain, Leaving: leaving,
 		Settings: p.version(), Runs: runs, Calls: calls, Held: held, Capacity: p.capacity(),
-		Blames:         p.gate.Blames(),
-		ListLost:       p.listLost(),
-		LeavingTargets: p.fleet.LeftSince(time.Now().Add(-tellLeaving)),
+		Blames:   p.gate.Blames(),
+		ListLost: p.listLost(),
+		Left:     p.left(),
 	}
 }
 
+// left lists the targets that have left lately.
+func (p *Process) left() []*newspb.Left {
+	var out []*newspb.Left
+	for _, l := range p.fleet.LeftSince(time.Now().Add(-tellLeaving)) {
+		out = append(out, &newspb.Left{Target: l.ID, Born: l.Born})
+	}
+	return out
+}
+
 // heard takes in a peer's news.
 func (p *Process) heard(n *newspb.News) {
 	loads := make(map[string]fleet.Load)
@@ -124,8 +133,8 @@
 		loads[h.Target] = l
 		sizes[h.Target] = append(sizes[h.Target], fleet.Size{Now: int(h.Tokens)})
 	}
-	for _, id := range n.LeavingTargets {
-		p.changed(p.fleet.Leave(now, id))
+	for _, l := range n.Left {
+		p.changed(p.fleet.Leave(now, l.Target, l.Born))
 	}
 	p.fleet.Tell(now, n.Instance, loads, sizes)
 }
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -113,6 +113,7 @@
 	mu      sync.Mutex
 	peers   map[string]peernews.Peer
 	listed  bool // the list of targets was read
+	refused refusedEntries
 	stopped bool
 }
 
--- a/lib/gatewayproc/watch.go
+++ b/lib/gatewayproc/watch.go
@@ -84,7 +84,9 @@
 		logline.Cause(log.Info().Str("event", "engine_not_asked").Str("target", e.ID), err)
 		return
 	}
+	now := time.Now()
+	p.changed(p.fleet.Restart(now, e.ID, r.Born))
 	if r.Leaving {
-		p.changed(p.fleet.Leave(time.Now(), e.ID))
+		p.changed(p.fleet.Leave(now, e.ID, r.Born))
 	}
 }
