After an outage a follower reads the whole table, not each version since

Cause: the store's answer of changes holds every version of a row, up to 1 MB. Settings of 970 routes changed each half second while some instances were cut off from the store for 8 s; on a link of 10 Mbit/s one such answer takes over a second, the call is given up at 0.6 s, and the next asks for the same again. Ruled out: the choice of reader (b-3 stayed behind also when it read for itself); a longer time-out alone (an answer of changes grows with the outage, and a silent connection would be noticed later). Change: a follower whose last contact is over 1.5 s old asks for the whole table, once; for changes only where that comes from a replica that is behind. A page of changes read while behind does not count as the store's word that nothing is newer. Failed calls count also where a subscriber probes, so that the longer time-out applies there, too.

--- a/lib/feed/feed.go
+++ b/lib/feed/feed.go
@@ -71,6 +71,7 @@
 	fail func(error)
 
 	gone  bool // the store no longer has the changes after the version held
+	stale bool // the last snapshot came from a replica that is behind: changes are asked for instead
 	pause time.Duration
 	fails int // calls that failed one after another
 }
@@ -100,11 +101,9 @@
 		err := f.Step(ctx, f.opt.Wait)
 		if err == nil {
 			f.pause = f.opt.Retry
-			f.fails = 0
 			sleep(ctx, f.opt.Gap)
 			continue
 		}
-		f.fails++
 		if ctx.Err() == nil {
 			f.fail(err)
 			f.rest(ctx)
@@ -130,12 +129,25 @@
 	}
 }
 
-// Step makes one call: for the whole table when nothing is held, else for the changes within wait.
+// Step makes one call: for the whole table when nothing is held or much may have changed, else for the changes within
+// wait.
 func (f *Follower) Step(ctx context.Context, wait time.Duration) error {
+	err := f.step(ctx, wait)
+	if err == nil {
+		f.fails = 0
+	} else {
+		f.fails++
+	}
+	return err
+}
+
+func (f *Follower) step(ctx context.Context, wait time.Duration) error {
 	version, known := f.to.Version()
-	if !known || f.gone {
+	behind := f.behind()
+	if !known || f.gone || behind && !f.stale {
 		return f.snapshot(ctx)
 	}
+	f.stale = false
 	ctx, cancel := context.WithTimeout(ctx, wait+f.timeout())
 	defer cancel()
 	page, err := f.src.Changes(ctx, version, wait)
@@ -146,10 +158,22 @@
 	if err != nil {
 		return err
 	}
-	f.to.Take(page, false, time.Now())
+	contact := time.Now()
+	if behind && len(page.Rows) > 0 {
+		// An answer is bounded, so later changes may be missing: it doesn't confirm that this is the newest state.
+		contact = f.to.Contact()
+	}
+	f.to.Take(page, false, contact)
 	return nil
 }
 
+// behind reports whether the whole table is likely to be less to read than its changes. An answer of changes holds each
+// version of a row: after an outage in which large settings changed often it takes a slow link longer than any time-out,
+// at every try, and the instance would serve by old settings for good.
+func (f *Follower) behind() bool {
+	return time.Since(f.to.Contact()) > outage
+}
+
 var errStale = errors.New("feed: the store answered with an older state than shown")
 
 func (f *Follower) snapshot(ctx context.Context) error {
@@ -160,6 +184,7 @@
 		return err
 	}
 	if version, _ := f.to.Version(); page.Version < version {
+		f.stale = true
 		return errStale
 	}
 	f.gone = false
--- a/lib/feed/feed_test.go
+++ b/lib/feed/feed_test.go
@@ -117,3 +117,57 @@
 	must.Len(t, 3, got)
 	must.True(t, got[2].Rows[0].Removed)
 }
+
+// bulky is a table whose one row is large and changes often. An answer of changes holds every version since, and takes
+// as long as its bytes take on the link.
+type bulky struct {
+	start   time.Time
+	cutFrom time.Duration
+	cutTo   time.Duration
+}
+
+const (
+	bulkyEvery = 500 * time.Millisecond // a new version
+	bulkyTime  = 280 * time.Millisecond // of sending one version
+)
+
+func (s *bulky) version() int64 { return 1 + int64(time.Since(s.start)/bulkyEvery) }
+
+func (s *bulky) send(ctx context.Context, versions int64) (Page, error) {
+	if at := time.Since(s.start); at >= s.cutFrom && at < s.cutTo {
+		return Page{}, errors.New("away")
+	}
+	v := s.version()
+	select {
+	case <-ctx.Done():
+		return Page{}, ctx.Err()
+	case <-time.After(time.Duration(versions) * bulkyTime):
+		return Page{Version: v, Rows: []Row{{Key: "k", Version: v}}}, nil
+	}
+}
+
+func (s *bulky) Snapshot(ctx context.Context) (Page, error) { return s.send(ctx, 1) }
+
+func (s *bulky) Changes(ctx context.Context, after int64, _ time.Duration) (Page, error) {
+	time.Sleep(time.Duration(after)*bulkyEvery - time.Since(s.start)) // until there is a change
+	return s.send(ctx, s.version()-after)
+}
+
+// A caller is refused by settings that were replaced ten seconds ago, by an instance that was cut off from the store for
+// eight. Large settings changed all the while, and the store's answer holds each of those versions: more than the link
+// carries before the call is given up, at every try. The whole table, once, is one version.
+func TestCatchesUpAfterManyLargeChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(context.Background(), 14*time.Second)
+		defer cancel()
+		s := &bulky{start: time.Now(), cutFrom: 2 * time.Second, cutTo: 10 * time.Second}
+		var caught time.Duration
+		r := NewReplica(func(u Update) {
+			if at := time.Since(s.start); at > s.cutTo && caught == 0 {
+				caught = at
+			}
+		})
+		NewFollower(s, DefaultOptions, r, func(error) {}).Run(ctx)
+		must.Between(t, s.cutTo, caught, s.cutTo+time.Second)
+	})
+}
