Streams take turns over all instances, prompts are read in time, and what finds no room is told when to come back

Cause: on the grown site first events came late although the engine chosen had room by belief. On a third of it (24 instances, 21 engines, our own site file): of the streams placed after a short wait half were late; an engine that starts empty or gets room was seen by all instances at once and sent up to seven prompts, read one after another; runs that moved in, whose room was known to their own instance only, went before those that waited there; news of a placement took 15 ms and a whole datagram to each peer, tens of milliseconds on a 10 Mbit/s link. After 0.4 of the aim a stream was sent to a full engine: late itself, and in the way of others. Change: streams that wait are told to peers; the k-th in order (urgency, then arrival) takes the k-th best engine (lib/turn). An engine takes a stream only if the prompts waiting there are read within 0.8 of its aim, at a speed learnt from first events. One that finds no engine within 0.4 of its aim is refused with a time drawn from one second to all that callers keep to. Room of a move is booked when it is planned and told. A placement is told to peers at once in a small datagram of its own. An engine with nothing on it has room whatever a caller's guess says.

--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -45,6 +47,8 @@
 	Near     string          // failure domain to prefer; empty: the instance's own
 	Must     bool            // engine memory must hold Tokens: for copies, which are refused otherwise
 	Peak     Size            // if set with Must: engine memory must hold this run beside the others to their ends
+	Reading  int             // with Must: prompts that wait to be read there, with this one, hold no more tokens; 0: any
+	Ahead    int             // with Must: so many of the best targets are left to streams that go before this one
 	AwayCost float64         // score of another failure domain than Near; 0: the constant awayCost
 }
 
@@ -73,6 +77,9 @@
 }
 
 func (f *Fleet) choose(now time.Time, n Need) *Target {
+	if n.Must && n.Ahead > 0 {
+		return f.nth(now, n)
+	}
 	var best, last *Target
 	bestScore := 0.0
 	for _, t := range f.targets {
@@ -97,6 +104,25 @@
 	return best
 }
 
+// nth returns the best target after those that n.Ahead streams will take; nil when there are no more.
+func (f *Fleet) nth(now time.Time, n Need) *Target {
+	type candidate struct {
+		t     *Target
+		score float64
+	}
+	var list []candidate
+	for _, t := range f.targets {
+		if f.allowed(t, n) && !now.Before(t.avoidUntil) {
+			list = append(list, candidate{t, f.score(now, t, n)})
+		}
+	}
+	if len(list) <= n.Ahead {
+		return nil
+	}
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+	return list[n.Ahead].t
+}
+
 func (f *Fleet) allowed(t *Target, n Need) bool {
 	if t.Service != n.Service || t.state != Ready || t.unreadable || n.Without[t.ID] {
 		return false
@@ -105,6 +131,11 @@
 	if spec.ConnCap > 0 && float64(t.own.Runs) >= max(minConns, f.share*float64(spec.ConnCap)) {
 		return false
 	}
+	if n.Must && n.Reading > 0 {
+		if unread := f.carried(t).Unread; unread > 0 && unread+n.Unread > n.Reading {
+			return false
+		}
+	}
 	if n.Must && spec.KVTokens > 0 && n.Peak.Now > 0 {
 		return f.fits(t, n.Peak, spec.KVTokens)
 	}
--- a/lib/fleet/peak.go
+++ b/lib/fleet/peak.go
@@ -37,5 +37,6 @@
 	for _, p := range f.peers {
 		runs = append(runs, p.sizes[t.ID]...)
 	}
-	return Peak(runs) <= kv
+	// A guess of length may be absurd: an engine with nothing else on it has room, whatever the guess says.
+	return len(runs) == 1 || Peak(runs) <= kv
 }
--- a/lib/gateway/answer.go
+++ b/lib/gateway/answer.go
@@ -56,7 +56,7 @@
 	for _, name := range perAnswerHeaders {
 		h.Del(name)
 	}
-	if g.stopping.Load() {
+	if g.stopping() {
 		h.Set("Connection", "close")
 	}
 }
--- a/lib/gateway/backup.go
+++ b/lib/gateway/backup.go
@@ -73,6 +73,9 @@
 			if r.copy.at.ID != "" {
 				out = append(out, &newspb.Held{Target: r.copy.at.ID, Tokens: uint32(r.copy.tokens)})
 			}
+			if r.booked.at != "" {
+				out = append(out, &newspb.Held{Target: r.booked.at, Tokens: uint32(r.booked.tokens)})
+			}
 			r.mu.Unlock()
 		}
 	}
--- /dev/null
+++ b/lib/gateway/book.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"time"
+
+	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/newspb"
+)
+
+// booking is the room that a run which moves has at its destination. It counts there as one run until it is given up, or
+// passes to the run when that goes on there.
+type booking struct {
+	at     string // id of the destination; empty: none
+	tokens int
+}
+
+// bookAt books room for a run at one engine; an empty id books none.
+func (g *Gateway) bookAt(r *run, id string, need fleet.Need) (fleet.Info, bool) {
+	if id == "" {
+		return fleet.Info{}, false
+	}
+	to, ok := g.Fleet.AcquireAt(id, need)
+	if ok {
+		g.booked(r, booking{at: to.ID, tokens: need.Tokens})
+	}
+	return to, ok
+}
+
+func (g *Gateway) booked(r *run, b booking) {
+	r.setBooking(b)
+	g.added(&newspb.News{Held: []*newspb.Held{{Target: b.at, Tokens: uint32(b.tokens)}}})
+}
+
+// book books room at the best engine.
+func (g *Gateway) book(r *run, need fleet.Need) (fleet.Info, bool) {
+	to, ok := g.Fleet.Acquire(time.Now(), need)
+	if ok {
+		g.booked(r, booking{at: to.ID, tokens: need.Tokens})
+	}
+	return to, ok
+}
+
+// unbook gives the room up.
+func (g *Gateway) unbook(r *run) {
+	b := r.bookedAt()
+	r.setBooking(booking{})
+	if b.at != "" {
+		g.Fleet.Release(time.Now(), b.at, fleet.Load{Tokens: b.tokens}, fleet.Abandoned)
+	}
+}
+
+func (r *run) setBooking(b booking) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.booked = b
+}
+
+func (r *run) bookedAt() booking {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.booked
+}
+
+// holds returns the memory that copies of the run take on an engine: its backup's, and what is booked for a move.
+func (r *run) holds(target string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	if r.copy.at.ID == target {
+		n += r.copy.tokens
+	}
+	if r.booked.at == target {
+		n += r.booked.tokens
+	}
+	return n
+}
+
+// hasBegun reports whether the run has made output: before that there is nothing to copy.
+func (r *run) hasBegun() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.made > 0
+}
--- a/lib/gateway/call.go
+++ b/lib/gateway/call.go
@@ -53,6 +53,8 @@
 	againPlain = 150 * time.Millisecond
 	// againStream suits generations, whose targets are replaced within some seconds.
 	againStream = 900 * time.Millisecond
+	// againElsewhere is for requests that any other instance can serve now: this one stops.
+	againElsewhere = 20 * time.Millisecond
 	// againUnready is for requests that arrive before the instance knows its settings: the store is away, for seconds.
 	againUnready = 2500 * time.Millisecond
 )
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -15,9 +15,11 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/newspb"
 	"anvilwick.example/anvilwick/lib/poison"
 	"anvilwick.example/anvilwick/lib/retry"
 	"anvilwick.example/anvilwick/lib/routes"
+	"anvilwick.example/anvilwick/lib/turn"
 	"anvilwick.example/anvilwick/lib/wirehttp"
 )
 
@@ -73,20 +75,24 @@
 	Log     Log
 	// OnChange is called when what runs here has changed; nil: nobody is told.
 	OnChange func()
+	// OnAdd is called with what has been sent to an engine, or booked there, at that moment; nil: nobody is told.
+	OnAdd func(*newspb.News)
 }
 
 // Gateway serves callers. It is an http.Handler.
 type Gateway struct {
 	Config
-	table    atomic.Pointer[routes.Table]
-	stopping atomic.Bool
-	open     context.Context // ends when open answers are to be broken off
-	cut      context.CancelFunc
-	known    chan struct{} // closed when settings are first in force
-	runs     runTable
-	waiting  waiting
-	sends    openSends
-	poison   *poison.Table
+	table   atomic.Pointer[routes.Table]
+	stopBy  atomic.Pointer[time.Time] // when open answers will be cut; nil: the instance is not stopping
+	open    context.Context           // ends when open answers are to be broken off
+	cut     context.CancelFunc
+	known   chan struct{} // closed when settings are first in force
+	runs    runTable
+	waiting *turn.Queue // streams that wait for room on engines
+	reading readings
+	sends   openSends
+	paces   paces
+	poison  *poison.Table
 }
 
 // defaultHold bounds how long a request waits for the first settings; holdPart is the part of the caller's time that it
@@ -100,7 +106,7 @@
 func New(cfg Config) *Gateway {
 	open, cut := context.WithCancel(context.Background())
 	g := &Gateway{
-		Config: cfg, open: open, cut: cut, known: make(chan struct{}), runs: newRunTable(), sends: newOpenSends(), poison: poison.New(poisonConfig),
+		Config: cfg, open: open, cut: cut, known: make(chan struct{}), runs: newRunTable(), sends: newOpenSends(), waiting: turn.New(), poison: poison.New(poisonConfig),
 	}
 	if cfg.Fleet != nil {
 		cfg.Fleet.SetSizes(g.sizesOn)
@@ -128,15 +134,17 @@
 // Table returns the table in force, nil before the first.
 func (g *Gateway) Table() *routes.Table { return g.table.Load() }
 
-// Stop makes answers ask callers to close their connections.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
+// Stop makes answers ask callers to close their connections. What is still open at by will be broken off.
+func (g *Gateway) Stop(by time.Time) { g.stopBy.Store(&by) }
+
+func (g *Gateway) stopping() bool { return g.stopBy.Load() != nil }
 
 // Cut breaks off what is still open. Call it after Stop.
 func (g *Gateway) Cut() { g.cut() }
 
 // ServeHTTP serves one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.stopping.Load() {
+	if g.stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	g.awaitSettings(r)
--- a/lib/gateway/log.go
+++ b/lib/gateway/log.go
@@ -52,9 +52,10 @@
 	logline.Cause(at.Int("status", status).Str("outcome", outcome), err)
 }
 
-// Begun tells of a stream's first event.
-func (l Log) Begun(e entry, target string, after time.Duration) {
-	l.line(log.Info(), "first_event", e).Str("target", target).Int64("after_ms", after.Milliseconds()).Msg("")
+// Begun tells of a stream's first event, and how long the stream had waited for an engine before it was sent.
+func (l Log) Begun(e entry, target string, waited time.Duration) {
+	at := l.line(log.Info(), "first_event", e).Str("target", target).Int64("after_ms", e.age.Milliseconds())
+	at.Int64("waited_ms", waited.Milliseconds()).Msg("")
 }
 
 // Answered tells of an answer passed on whole.
--- a/lib/gateway/move.go
+++ b/lib/gateway/move.go
@@ -150,27 +150,29 @@
 
 // move copies a run to another engine while it goes on, stops it once little is left to copy, and hands the copy over.
 func (g *Gateway) move(r *run, from fleet.Info, notice time.Time, step moveplan.Step) {
+	without := map[string]bool{from.ID: true}
+	// The room is booked before the run's turn on the links, so that neither this instance nor its peers send new streams
+	// there meanwhile: a run that moves in goes before all that wait at an engine, and these would be late.
+	to, booked := g.bookAt(r, step.To, g.moveNeed(r, from, without))
 	if step.Start > 0 {
 		time.Sleep(min(step.Start, maxStart))
 	}
-	without := map[string]bool{from.ID: true}
-	first := step.To
 	for r.on(from.ID) && time.Since(notice) < moveGiveUp {
-		need := fleet.Need{
-			Service: from.Service, Tokens: r.size().Tokens, Without: without, Near: from.Domain, AwayCost: domainWeight, Must: true,
+		if !r.hasBegun() {
+			time.Sleep(runPoll)
+			continue
 		}
-		to, ok := g.Fleet.AcquireAt(first, need)
-		first = ""
-		if !ok {
-			to, ok = g.Fleet.Acquire(time.Now(), need)
+		if !booked {
+			to, booked = g.book(r, g.moveNeed(r, from, without))
 		}
-		if !ok {
+		if !booked {
 			clear(without)
 			without[from.ID] = true
 			time.Sleep(runPoll)
 			continue
 		}
-		err := g.moveTo(r, from, to, need.Tokens, notice)
+		err := g.moveTo(r, from, to, notice)
+		booked = false
 		g.Log.Moved(r.c.entry(), from.ID, to.ID, time.Since(notice), err)
 		r.c.count(metricMoves, "moved", strconv.FormatBool(err == nil))
 		switch {
@@ -182,9 +184,19 @@
 			without[to.ID] = true
 		}
 	}
+	if booked {
+		g.unbook(r)
+	}
+}
+
+// moveNeed is what a run asks of a destination.
+func (g *Gateway) moveNeed(r *run, from fleet.Info, without map[string]bool) fleet.Need {
+	return fleet.Need{
+		Service: from.Service, Tokens: r.size().Tokens, Without: without, Near: from.Domain, AwayCost: domainWeight, Must: true,
+	}
 }
 
-// earlyCopy is a copy of a run that goes on at its source. It holds the run's count at the destination.
+// earlyCopy is a copy of a run that goes on at its source.
 type earlyCopy struct {
 	from fleet.Info // the source; empty: there is no copy
 	next next
@@ -215,7 +227,7 @@
 	if !ok {
 		return
 	}
-	g.Fleet.Release(time.Now(), n.target.ID, n.counted, fleet.Abandoned)
+	g.unbook(r)
 	_, handle, _ := strings.Cut(n.copyFrom, "/")
 	go g.free(from, handle)
 }
@@ -232,11 +244,11 @@
 // The last part is sent only over an idle link: the run stands still for as long as that part queues. On a busy link the
 // run goes on at its source for as long as that lives, and then from the copy, which lacks what was made since it was
 // last brought up to date: some tens of tokens, read in one step.
-func (g *Gateway) moveTo(r *run, from, to fleet.Info, tokens int, notice time.Time) error {
-	size := fleet.Load{Tokens: tokens}
+func (g *Gateway) moveTo(r *run, from, to fleet.Info, notice time.Time) error {
+	size := fleet.Load{Tokens: r.bookedAt().tokens}
 	copied, err := g.copyRun(from, to, r.c.id, false)
 	if err != nil {
-		g.Fleet.Release(time.Now(), to.ID, size, fleet.Abandoned)
+		g.unbook(r)
 		return err
 	}
 	r.keepCopy(from, next{target: to, counted: size, copyFrom: from.Addr + "/" + copied.Handle})
@@ -282,7 +294,7 @@
 		ch <- early
 		return nil
 	}
-	g.Fleet.Release(time.Now(), to.ID, size, fleet.Abandoned)
+	g.unbook(r)
 	return err
 }
 
--- a/lib/gateway/news.go
+++ b/lib/gateway/news.go
@@ -7,6 +7,7 @@
 	"anvilwick.example/anvilwick/lib/moveplan"
 	"anvilwick.example/anvilwick/lib/newspb"
 	"anvilwick.example/anvilwick/lib/rendezvous"
+	"anvilwick.example/anvilwick/lib/turn"
 )
 
 // Changed tells that what runs here has changed, so that peers should hear of it.
@@ -16,6 +17,13 @@
 	}
 }
 
+// added tells peers at once of what has come to an engine, before others send theirs there.
+func (g *Gateway) added(n *newspb.News) {
+	if g.OnAdd != nil {
+		g.OnAdd(n)
+	}
+}
+
 // news is the run as moves and peers see it.
 func (r *run) news() moveplan.Run {
 	r.mu.Lock()
@@ -41,11 +49,36 @@
 	return fleet.Size{Now: r.c.prompt + r.made, Left: max(0, r.c.output-r.made)}
 }
 
+// Waiting lists the streams that wait here for room on engines.
+func (g *Gateway) Waiting(now time.Time) []*newspb.Waiting {
+	var out []*newspb.Waiting
+	for _, e := range g.waiting.Own() {
+		out = append(out, &newspb.Waiting{Id: e.ID, Priority: uint32(max(0, e.Priority)), AgeMs: uint32(now.Sub(e.Since).Milliseconds())})
+	}
+	return out
+}
+
+// TakeWaiting takes in what waits at a peer.
+func (g *Gateway) TakeWaiting(now time.Time, name string, list []*newspb.Waiting) {
+	entries := make([]turn.Entry, len(list))
+	for i, w := range list {
+		entries[i] = turn.Entry{ID: w.Id, Priority: int(w.Priority), Since: now.Add(-time.Duration(w.AgeMs) * time.Millisecond)}
+	}
+	g.waiting.Tell(now, name, entries)
+}
+
 // sizesOn lists the sizes of this instance's runs and copies on an engine.
 func (g *Gateway) sizesOn(target string) []fleet.Size {
 	var out []fleet.Size
-	for _, r := range g.runs.on(target) {
-		out = append(out, r.grows())
+	for at, runs := range g.runs.all() {
+		for _, r := range runs {
+			if at == target {
+				out = append(out, r.grows())
+			}
+			if n := r.holds(target); n > 0 {
+				out = append(out, fleet.Size{Now: n})
+			}
+		}
 	}
 	return out
 }
@@ -60,13 +93,7 @@
 				continue
 			}
 			engines[target] = true
-			m := r.news()
-			runs = append(runs, &newspb.Run{
-				Id: m.ID, Target: target, Tokens: uint32(m.Tokens), Expected: uint32(m.Expected), Unread: uint32(r.size().Unread),
-				Left:     uint32(r.grows().Left),
-				Stays:    r.stays(),
-				SilentMs: uint32(time.Since(r.lastHeard()).Milliseconds()),
-			})
+			runs = append(runs, r.told(target))
 		}
 	}
 	var calls []*newspb.Calls
@@ -78,6 +105,15 @@
 	return runs, calls, g.held()
 }
 
+// told is the run as it is told to peers.
+func (r *run) told(target string) *newspb.Run {
+	m := r.news()
+	return &newspb.Run{
+		Id: m.ID, Target: target, Tokens: uint32(m.Tokens), Expected: uint32(m.Expected), Unread: uint32(r.size().Unread),
+		Left: uint32(r.grows().Left), Stays: r.stays(), SilentMs: uint32(time.Since(r.lastHeard()).Milliseconds()),
+	}
+}
+
 // all returns the runs by target.
 func (t *runTable) all() map[string][]*run {
 	t.mu.Lock()
--- a/lib/gateway/run.go
+++ b/lib/gateway/run.go
@@ -1,26 +1,30 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"sync"
 	"time"
 
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/moveplan"
+	"anvilwick.example/anvilwick/lib/newspb"
 )
 
 // run is one stream to a caller, across the targets that it runs on.
 type run struct {
-	g      *Gateway
-	c      *call
-	w      http.ResponseWriter
-	out    *http.ResponseController
-	begun  bool   // the caller has the head of the answer
-	lastID string // of the last event that the caller has
-	events int
-	passed time.Time     // when the last event went to the caller
-	pause  time.Duration // longest time between two events
+	g       *Gateway
+	c       *call
+	w       http.ResponseWriter
+	out     *http.ResponseController
+	begun   bool   // the caller has the head of the answer
+	lastID  string // of the last event that the caller has
+	events  int
+	firstAt time.Time     // when the answer began
+	passed  time.Time     // when the last event went to the caller
+	unread  int           // tokens of prompts that waited at its target when it was chosen, its own included
+	sentAt  time.Time     // when it was last sent
+	waited  time.Duration // for an engine, before the first send
+	pause   time.Duration // longest time between two events
 
 	mu      sync.Mutex
 	target  fleet.Info // where it runs now
@@ -29,6 +33,7 @@
 	last    time.Time  // when its target was last heard on it
 	handoff chan next  // the copy to go on from, once a move has stopped the run; nil when no move is in its last part
 	early   earlyCopy  // what a move under way has copied already
+	booked  booking    // room at the destination of a move
 	copy    backup     // the copy that its engine keeps up to date, if any
 	ended   bool
 }
@@ -38,35 +43,6 @@
 	return fleet.Need{Service: r.c.service, Tokens: r.c.prompt + r.c.output/2, Unread: r.c.prompt, Without: r.c.tried}
 }
 
-const (
-	// placeShare is the part of a route's aim that a stream waits for an engine with room.
-	placeShare = 0.4
-	// placePoll is the pause between two looks for one.
-	placePoll = 20 * time.Millisecond
-)
-
-// place chooses a target. While no engine has room for the run it waits for a part of the route's aim: one sent to
-// a full engine waits there although another has room first, or pushes a run out whose prompt is then read again.
-func (r *run) place(ctx context.Context, need fleet.Need) (fleet.Info, bool) {
-	if r.c.engine == nil || r.c.sends > 0 {
-		return r.g.acquire(ctx, r.c, need)
-	}
-	until := r.c.arrived.Add(time.Duration(placeShare * float64(r.c.route.Aim)))
-	must := need
-	must.Must = true
-	must.Peak = r.grows()
-	defer r.g.waiting.enter(r.c.priority)()
-	for ctx.Err() == nil && time.Now().Before(until) {
-		if !r.g.waiting.before(r.c.priority) {
-			if target, ok := r.g.Fleet.Acquire(time.Now(), must); ok {
-				return target, true
-			}
-		}
-		time.Sleep(placePoll)
-	}
-	return r.g.acquire(ctx, r.c, need)
-}
-
 // enter counts the run at a target and lets moves find it. The first target was counted when it was chosen.
 func (r *run) enter(to next) {
 	target := to.target
@@ -74,9 +50,14 @@
 	r.target = target
 	r.counted = to.counted
 	r.handoff = nil
+	if r.booked.at == target.ID {
+		r.booked = booking{} // it has passed to the run
+	}
 	r.mu.Unlock()
 	r.g.runs.add(target.ID, r)
-	r.g.Changed()
+	if r.c.engine != nil {
+		r.g.added(&newspb.News{Runs: []*newspb.Run{r.told(target.ID)}})
+	}
 	if r.c.engine != nil && r.c.engine.Moves && !r.stays() && r.g.Fleet.IsLeaving(target.ID) {
 		go r.g.move(r, target, time.Now(), moveplan.Step{})
 	}
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -44,6 +44,10 @@
 
 // serveStream serves a call that is answered by events.
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, c *call) {
+	if g.endsTooSoon(c) {
+		g.refuse(w, c, refusal{status: http.StatusServiceUnavailable, after: c.wait(againElsewhere), reason: "stopping"})
+		return
+	}
 	r := &run{g: g, c: c, w: w, out: http.NewResponseController(w), lastID: c.lastEvent}
 	defer r.finish()
 	defer r.dropBackup()
@@ -55,7 +59,12 @@
 			var ok bool
 			need := r.need()
 			to.counted = fleet.Load{Tokens: need.Tokens, Unread: need.Unread}
-			to.target, ok = r.place(ctx, need)
+			var away time.Duration
+			to.target, ok, away = r.place(ctx, need)
+			if away > 0 {
+				g.refuse(w, c, refusal{status: http.StatusServiceUnavailable, after: away, reason: "no_room"})
+				return
+			}
 			if !ok {
 				r.giveUp(ctx, "no_target")
 				return
@@ -65,6 +74,7 @@
 			c.tried[to.target.ID] = true
 		}
 		believed := r.g.Fleet.Believe(time.Now(), to.target.ID)
+		r.unread = believed.Load.Unread
 		e, x := r.runOn(ctx, to)
 		g.Log.Sent(c.entry(), to.target.ID, believed, x.statusCode(), e.String(), x.err)
 		c.count(metricSent, "outcome", e.String())
@@ -82,6 +92,19 @@
 	}
 }
 
+// stopShare is the part of the time until this instance ends that a stream may be expected to take. Guesses of length are
+// often short by half, a stream that is cut is lost, and one that is refused at once begins elsewhere in time.
+const stopShare = 0.5
+
+// endsTooSoon reports whether this instance stops before a stream would end that can't be run again elsewhere.
+func (g *Gateway) endsTooSoon(c *call) bool {
+	by := g.stopBy.Load()
+	if by == nil || c.route.MayRepeat() {
+		return false
+	}
+	return g.paces.span(c.service, c.output) > time.Duration(stopShare*float64(time.Until(*by)))
+}
+
 // follow decides what comes after the run has ended at the target of at: where it goes on, with an empty target for a
 // new choice, or that its answer is done.
 func (r *run) follow(ctx context.Context, e end, x *exchange, at next) (to next, done bool) {
@@ -194,6 +217,7 @@
 		return endBroken
 	}
 	x.sent = true
+	r.sentAt = time.Now()
 	r.heard(to.target.ID)
 	watch := r.watch(conn, to.target.ID)
 	defer watch.stop()
@@ -284,7 +308,9 @@
 		r.begun = true
 		r.g.copyHead(r.w, resp.Header)
 		r.w.WriteHeader(resp.Status)
-		r.g.Log.Begun(r.c.entry(), r.at().ID, time.Since(r.c.arrived))
+		r.firstAt = time.Now()
+		r.g.reading.saw(r.c.service, r.unread, r.firstAt.Sub(r.sentAt))
+		r.g.Log.Begun(r.c.entry(), r.at().ID, r.waited)
 		r.c.observe(metricFirst)
 	}
 	if _, err := r.w.Write(whole); err != nil {
@@ -309,6 +335,7 @@
 // conclude ends the answer: whole, or visibly cut.
 func (r *run) conclude(ctx context.Context, e end) {
 	if e == endComplete {
+		r.g.paces.saw(r.c.service, r.made, r.passed.Sub(r.firstAt))
 		r.g.Log.Streamed(r.c.entry(), r.at().ID, r.events, r.pause)
 		r.c.observe(metricAnswer)
 		return
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -93,6 +93,7 @@
 		Blames:   p.gate.Blames(),
 		ListLost: p.listLost(),
 		Left:     p.left(),
+		Waiting:  p.gate.Waiting(time.Now()),
 	}
 }
 
@@ -105,6 +106,12 @@
 	return out
 }
 
+// added tells peers of what this instance has just sent to an engine.
+func (p *Process) added(n *newspb.News) {
+	n.Instance, n.Incarnation = p.cfg.Instance, p.born
+	p.news.Add(n)
+}
+
 // heard takes in a peer's news.
 func (p *Process) heard(n *newspb.News) {
 	loads := make(map[string]fleet.Load)
@@ -127,6 +134,7 @@
 		loads[c.Target] = l
 	}
 	p.gate.TakeBlames(n.Blames)
+	p.gate.TakeWaiting(now, n.Instance, n.Waiting)
 	for _, h := range n.Held {
 		l := loads[h.Target]
 		l.Tokens += int(h.Tokens)
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -127,7 +127,7 @@
 	p.share = retry.NewShare(cfg.RepeatRatio, cfg.RepeatFloor, cfg.RepeatWindow)
 	p.gate = gateway.New(gateway.Config{
 		Names: site.Names, Engines: site.Engines, Fleet: p.fleet, Pool: site.Pool, Budget: p.share,
-		Log: gateway.Log{Version: p.version}, OnChange: func() { p.news.Changed() },
+		Log: gateway.Log{Version: p.version}, OnChange: func() { p.news.Changed() }, OnAdd: p.added,
 	})
 	news, err := peernews.New(cfg.Instance, cfg.Peer, p.gather, p.heard)
 	if err != nil {
@@ -253,7 +253,7 @@
 	p.stopped = true
 	front := p.front
 	p.mu.Unlock()
-	p.gate.Stop()
+	p.gate.Stop(start.Add(p.cfg.Grace - cutMargin))
 	time.Sleep(min(outOfRotation, p.cfg.Grace/2))
 	cut := time.AfterFunc(p.cfg.Grace-time.Since(start)-cutMargin, p.gate.Cut)
 	defer cut.Stop()
--- a/lib/peernews/peernews.go
+++ b/lib/peernews/peernews.go
@@ -129,16 +129,30 @@
 	}
 	n := x.gather()
 	n.Seq = seq
-	b := encode(n)
+	x.sendTo(encode(n), some(peers))
+}
+
+// Add tells peers at once of runs and held memory that have come since the last news. It is a small datagram: a whole
+// one takes a slow link some tens of milliseconds to all peers, in which they choose the same engine.
+func (x *Exchange) Add(n *newspb.News) {
+	x.mu.Lock()
+	n.Seq = x.seq
+	peers := x.peers
+	x.mu.Unlock()
+	n.Addition = true
+	x.sendTo(encode(n), some(peers))
+}
+
+// some draws as many peers as are told at a time.
+func some(peers []*net.UDPAddr) []*net.UDPAddr {
 	if len(peers) <= fanout {
-		x.sendTo(b, peers)
-		return
+		return peers
 	}
-	some := make([]*net.UDPAddr, fanout)
+	out := make([]*net.UDPAddr, fanout)
 	for i, j := range rand.Perm(len(peers))[:fanout] {
-		some[i] = peers[j]
+		out[i] = peers[j]
 	}
-	x.sendTo(b, some)
+	return out
 }
 
 func (x *Exchange) sendTo(b []byte, peers []*net.UDPAddr) {
@@ -183,12 +197,38 @@
 		if proto.Unmarshal(b[:n], &news) != nil {
 			continue
 		}
-		if x.accept(&news, time.Now()) {
-			x.heard(&news)
+		if n := x.take(&news, time.Now()); n != nil {
+			x.heard(n)
 		}
 	}
 }
 
+// take returns what is now believed of the instance that sent a datagram; nil if the datagram changes nothing.
+func (x *Exchange) take(n *newspb.News, now time.Time) *newspb.News {
+	if n.Addition {
+		return x.add(n, now)
+	}
+	if !x.accept(n, now) {
+		return nil
+	}
+	return n
+}
+
+// add joins an addition to the news that it follows. One that is overtaken by a newer whole news is contained in that.
+func (x *Exchange) add(n *newspb.News, now time.Time) *newspb.News {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	old := x.last[n.Instance]
+	if old == nil || now.Sub(old.at) > life || n.Incarnation != old.incarnation || n.Seq < old.seq {
+		return nil
+	}
+	whole := proto.Clone(old.news).(*newspb.News)
+	whole.Runs = append(whole.Runs, n.Runs...)
+	whole.Held = append(whole.Held, n.Held...)
+	old.news = whole
+	return whole
+}
+
 // accept reports whether news is newer than what was heard of its instance.
 func (x *Exchange) accept(n *newspb.News, now time.Time) bool {
 	if n.Instance == x.self || n.Instance == "" {
