A route without an aim has no streams that are late

Cause: read as a newcomer, the decision took an aim of 0 for one that is over: such a route's streams would have been refused at once while no engine had room, and bounded to a token of reading. Change: without an aim prompts are not bounded, and without room any engine is taken, as before lib/admit. Tests of the decision's steps.

--- a/lib/admit/admit.go
+++ b/lib/admit/admit.go
@@ -34,7 +34,7 @@
 // Stream is what is known of a stream when it comes.
 type Stream struct {
 	Arrived time.Time
-	Aim     time.Duration // to its first event, from its arrival
+	Aim     time.Duration // to its first event, from its arrival; 0: none, it is never late
 	Keeps   time.Duration // longest time to stay away that its caller keeps to
 	Need    fleet.Need    // of an engine; Peak with the run's whole size
 }
@@ -47,7 +47,7 @@
 	Wait Action = iota // ask again after Poll
 	Go                 // to Target, where it is counted
 	Away               // it would be late anywhere: come back after After
-	None               // no engine of the service is known to take requests
+	None               // no engine is known to take requests, or none has room for a stream that can't be late: take any
 )
 
 // Decision is an Action with its object.
@@ -74,7 +74,9 @@
 func (p *Placer) Step(now time.Time, s Stream) Decision {
 	need := s.Need
 	need.Must = true
-	need.Reading = p.Reading.Within(need.Service, time.Duration(readShare*float64(s.Aim)))
+	if s.Aim > 0 {
+		need.Reading = p.Reading.Within(need.Service, time.Duration(readShare*float64(s.Aim)))
+	}
 	need.Rivals = p.Rivals.Others(now)
 	if target, ok := p.Fleet.Acquire(now, need); ok {
 		return Decision{Action: Go, Target: target}
@@ -82,7 +84,7 @@
 	if now.Before(s.Arrived.Add(time.Duration(waitShare * float64(s.Aim)))) {
 		return Decision{Action: Wait}
 	}
-	if ready, _ := p.Fleet.Counts(need.Service); ready == 0 {
+	if ready, _ := p.Fleet.Counts(need.Service); ready == 0 || s.Aim <= 0 {
 		return Decision{Action: None}
 	}
 	return Decision{Action: Away, After: p.away(s.Keeps)}
--- /dev/null
+++ b/lib/admit/admit_test.go
@@ -0,0 +1,66 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/fleet"
+)
+
+func placerOf(kv int, ids ...string) Placer {
+	f := fleet.New("z")
+	f.SetSpecs(map[string]fleet.Spec{service: {KVTokens: kv}})
+	for _, id := range ids {
+		f.Apply(start, []fleet.Info{{ID: id, Service: service, Domain: "z", Slots: 24}}, nil, 0)
+	}
+	return Placer{Fleet: f, Reading: new(Readings), Rivals: new(Rivals)}
+}
+
+func streamOf(aim time.Duration) Stream {
+	return Stream{Arrived: start, Aim: aim, Keeps: keeps, Need: fleet.Need{
+		Service: service, Tokens: 500, Unread: 500, Peak: fleet.Size{Now: 500},
+	}}
+}
+
+// A stream waits for room, then is told to come back within what its caller keeps to; it never waits its whole time out.
+func TestWaitsThenIsToldToComeBack(t *testing.T) {
+	p := placerOf(1000, "e")
+	p.Fleet.Tell(start, "peer", nil, map[string][]fleet.Size{"e": {{Now: 900}}})
+	s := streamOf(time.Second)
+	must.Eq(t, Wait, p.Step(start, s).Action)
+	must.Eq(t, Wait, p.Step(start.Add(299*time.Millisecond), s).Action)
+	for range 20 {
+		d := p.Step(start.Add(300*time.Millisecond), s)
+		must.Eq(t, Away, d.Action)
+		must.Between(t, awayMin, d.After, keeps)
+	}
+	s.Keeps = 400 * time.Millisecond
+	must.Eq(t, s.Keeps, p.Step(start.Add(time.Second), s).After)
+}
+
+// Engines stand free and fewer streams wait than that: each look takes room, and nothing is refused or left to chance.
+func TestFreeEnginesAreTakenAtOnce(t *testing.T) {
+	for range 20 {
+		p := placerOf(1000, "a", "b", "c")
+		p.Rivals.Tell(start, "peer", 2)
+		must.Eq(t, Go, p.Step(start, streamOf(time.Second)).Action)
+	}
+}
+
+// A route names no aim. Its streams can't be late: they are not refused for want of time, nor kept waiting for it.
+func TestNoAimIsNotAnAimOfZero(t *testing.T) {
+	p := placerOf(1000, "e")
+	p.Reading.Saw(service, 100, time.Second)
+	p.Fleet.Tell(start, "peer", map[string]fleet.Load{"e": {Runs: 1, Unread: 300}}, nil)
+	must.Eq(t, Go, p.Step(start, streamOf(0)).Action)
+	p.Fleet.Tell(start, "peer", nil, map[string][]fleet.Size{"e": {{Now: 900}}})
+	must.Eq(t, None, p.Step(start, streamOf(0)).Action)
+}
+
+// No engine is listed: an instance that was just started may know a list that still fills, and must not refuse.
+func TestNoEngineIsNotWantOfRoom(t *testing.T) {
+	p := placerOf(1000)
+	must.Eq(t, None, p.Step(start.Add(time.Second), streamOf(time.Second)).Action)
+}
