A copy whose try failed keeps no room at its engine

When bringing a copy up to date failed while the run went on at its source, the next try booked room at another engine over the first booking, whose count then stayed for as long as the process lives. Change: such a copy is given up after a pause in which a run whose source has ended takes it. Measured: TestFailedCopyKeepsNoRoom failed before (one engine still counted), passes.

--- a/lib/gateway/book_test.go
+++ b/lib/gateway/book_test.go
@@ -1,13 +1,17 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
 	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/moveplan"
 	"anvilwick.example/anvilwick/lib/newspb"
+	"anvilwick.example/anvilwick/lib/routes"
 )
 
 // A run is planned to move. Until it is there its room was known to its own instance only, and peers sent new streams
@@ -34,3 +38,34 @@
 	_, ok = g.Fleet.Acquire(time.Now(), other)
 	must.True(t, ok)
 }
+
+// failingCopies answers the first copy and fails those after it, as a link that is reset does.
+type failingCopies struct {
+	Engines
+	copies int
+}
+
+func (f *failingCopies) Copy(context.Context, fleet.Info, fleet.Info, string, bool) (Moved, error) {
+	if f.copies++; f.copies == 1 {
+		return Moved{Handle: "h"}, nil
+	}
+	return Moved{}, errors.New("reset")
+}
+
+func (f *failingCopies) Free(context.Context, fleet.Info, string) error { return nil }
+
+// A copy is being brought up to date when its call fails, and the run goes on at its source. The next try books room at
+// another engine; the room of the first would count for as long as the process lives.
+func TestFailedCopyKeepsNoRoom(t *testing.T) {
+	g := newTestGateway()
+	g.Engines = &failingCopies{}
+	g.Fleet.SetSpecs(map[string]fleet.Spec{"s": {KVTokens: 1000}})
+	g.Fleet.Apply(time.Now(), []fleet.Info{{ID: "from", Service: "s"}, {ID: "a", Service: "s"}, {ID: "b", Service: "s"}}, nil, 0)
+	r := &run{g: g, c: &call{id: "x", service: "s", route: &routes.Route{Name: "r"}}, target: fleet.Info{ID: "from", Service: "s"}, made: 4}
+	r.counted = fleet.Load{Tokens: 100}
+	g.runs.add("from", r)
+	g.move(r, r.target, time.Now().Add(500*time.Millisecond-moveGiveUp), moveplan.Step{})
+	r.finish()
+	g.dropCopy(r, r.copySource())
+	must.MapEmpty(t, g.Fleet.Own())
+}
--- a/lib/gateway/move.go
+++ b/lib/gateway/move.go
@@ -182,6 +182,7 @@
 			time.Sleep(runPoll)
 		default:
 			without[to.ID] = true
+			g.giveUpCopy(r, from)
 		}
 	}
 	if booked {
@@ -189,6 +190,18 @@
 	}
 }
 
+// giveUpCopy gives up what a failed try has left, if the run goes on at its source. If the source has ended, the run takes
+// the copy within the pause. A copy that was neither taken nor given up would count at its engine for good.
+func (g *Gateway) giveUpCopy(r *run, from fleet.Info) {
+	if r.copySource().ID == "" {
+		return
+	}
+	time.Sleep(runPoll)
+	if r.on(from.ID) {
+		g.dropCopy(r, from)
+	}
+}
+
 // moveNeed is what a run asks of a destination.
 func (g *Gateway) moveNeed(r *run, from fleet.Info, without map[string]bool) fleet.Need {
 	return fleet.Need{
