--- a/lib/admit/admit.go
+++ b/lib/admit/admit.go
@@ -37,9 +37,6 @@
 	Aim     time.Duration // to its first event, from its arrival; 0: none, it is never late
 	Keeps   time.Duration // longest time to stay away that its caller keeps to
 	Need    fleet.Need    // of an engine; Peak with the run's whole size
-	// CameBack says that its caller was told to come back before. It is not turned away again: large prompts seldom find
-	// room while small ones take what frees up, and half of the largest tenth were not served at all.
-	CameBack bool
 }
 
 // Action is what a stream does now.
@@ -50,7 +47,7 @@
 	Wait Action = iota // ask again after Poll
 	Go                 // to Target, where it is counted
 	Away               // it would be late anywhere: come back after After
-	None               // no engine is known to take requests, or none has room for a stream that must not be turned away: take any
+	None               // no engine is known to take requests, or none has room for a stream that can't be late: take any
 )
 
 // Decision is an Action with its object.
@@ -87,7 +84,7 @@
 	if now.Before(s.Arrived.Add(time.Duration(waitShare * float64(s.Aim)))) {
 		return Decision{Action: Wait}
 	}
-	if ready, _ := p.Fleet.Counts(need.Service); ready == 0 || s.Aim <= 0 || s.CameBack {
+	if ready, _ := p.Fleet.Counts(need.Service); ready == 0 || s.Aim <= 0 {
 		return Decision{Action: None}
 	}
 	return Decision{Action: Away, After: p.away(s.Keeps)}
--- a/lib/gateway/call.go
+++ b/lib/gateway/call.go
@@ -221,13 +221,3 @@
 func (g *Gateway) maySendAgain(c *call) bool {
 	return c.sends < c.route.MaxAttempts && g.Budget.Take(time.Now(), c.service)
 }
-
-// usedTime is how much less time than its route's limit a call has from which it is taken to have come before: callers
-// that were told to come back have lost a second or more by then.
-const usedTime = 500 * time.Millisecond
-
-// cameBack reports whether the call's caller seems to have been turned away before. One that always gives less time than
-// the limit is taken for such a caller, too, and is not turned away for want of room.
-func (c *call) cameBack() bool {
-	return c.route.Timeout > 0 && c.deadline.Sub(c.arrived) < c.route.Timeout-usedTime
-}
--- a/lib/gateway/place.go
+++ b/lib/gateway/place.go
@@ -31,7 +31,7 @@
 func (r *run) await(ctx context.Context, need fleet.Need) admit.Decision {
 	need.Peak = r.grows()
 	s := admit.Stream{
-		CameBack: r.c.cameBack(), Arrived: r.c.arrived, Aim: r.c.route.Aim, Keeps: r.c.wait(time.Until(r.c.deadline)), Need: need,
+		Arrived: r.c.arrived, Aim: r.c.route.Aim, Keeps: r.c.wait(time.Until(r.c.deadline)), Need: need,
 	}
 	d := r.g.placer.Step(time.Now(), s)
 	if d.Action != admit.Wait {
