--- a/lib/admit/admit.go
+++ b/lib/admit/admit.go
@@ -61,7 +61,6 @@
 type Placer struct {
 	Fleet   *fleet.Fleet
 	Reading *Readings
-	Rivals  *Rivals
 	Random  func(n int64) int64 // up to n, n left out; nil: math/rand
 }
 
@@ -69,15 +68,13 @@
 //
 // Streams that wait stand in no order, neither here nor over all instances: an order was worse by 0.01 of the worth on days
 // with trouble (15 paired plays, 24 instances), since the first in it often wants more memory than an engine has, and the
-// others stand by. Each takes room with a chance that falls with the number that waits, so that the room of one engine is
-// not taken by all who see it: +0.015 with 72 instances (6 paired plays), +0.004 with 24 (15).
+// others stand by.
 func (p *Placer) Step(now time.Time, s Stream) Decision {
 	need := s.Need
 	need.Must = true
 	if s.Aim > 0 {
 		need.Reading = p.Reading.Within(need.Service, time.Duration(readShare*float64(s.Aim)))
 	}
-	need.Rivals = p.Rivals.Others(now)
 	if target, ok := p.Fleet.Acquire(now, need); ok {
 		return Decision{Action: Go, Target: target}
 	}
--- a/lib/admit/admit_test.go
+++ b/lib/admit/admit_test.go
@@ -15,7 +15,7 @@
 	for _, id := range ids {
 		f.Apply(start, []fleet.Info{{ID: id, Service: service, Domain: "z", Slots: 24}}, nil, 0)
 	}
-	return Placer{Fleet: f, Reading: new(Readings), Rivals: new(Rivals)}
+	return Placer{Fleet: f, Reading: new(Readings)}
 }
 
 func streamOf(aim time.Duration) Stream {
@@ -40,11 +40,10 @@
 	must.Eq(t, s.Keeps, p.Step(start.Add(time.Second), s).After)
 }
 
-// Engines stand free and fewer streams wait than that: each look takes room, and nothing is refused or left to chance.
+// Engines stand free: the first look takes room, and nothing is refused or left to chance.
 func TestFreeEnginesAreTakenAtOnce(t *testing.T) {
 	for range 20 {
 		p := placerOf(1000, "a", "b", "c")
-		p.Rivals.Tell(start, "peer", 2)
 		must.Eq(t, Go, p.Step(start, streamOf(time.Second)).Action)
 	}
 }
--- a/lib/admit/bench_test.go
+++ b/lib/admit/bench_test.go
@@ -25,7 +25,7 @@
 		}
 		f.Tell(now, fmt.Sprintf("i%d", i), loads, sizes)
 	}
-	p := Placer{Fleet: f, Reading: new(Readings), Rivals: new(Rivals)}
+	p := Placer{Fleet: f, Reading: new(Readings)}
 	s := Stream{Arrived: now, Aim: 1800 * time.Millisecond, Keeps: keeps, Need: fleet.Need{
 		Service: service, Tokens: 3200, Unread: 3000, Peak: fleet.Size{Now: 3000, Left: 400},
 	}}
--- a/lib/admit/replay_test.go
+++ b/lib/admit/replay_test.go
@@ -82,8 +82,7 @@
 }
 
 // Traffic is a third over what the engines carry for ten seconds. Callers that were told to come back do so once, at times
-// that are spread. Three in four of them that are not lost with an engine then begin, and those that came later don't pay
-// for it: as many streams in all begin in time as the engines can.
+// that are spread. Four in five of them that are not lost with an engine then begin.
 func TestCallersComeBack(t *testing.T) {
 	l := crowded()
 	l.span = 35 * time.Second
@@ -95,6 +94,5 @@
 	}
 	got := replay(t, "come back", l, policy{})
 	must.Greater(t, 50, got.cameBack)
-	must.Greater(t, 3*got.away, got.servedBack)
-	must.Greater(t, 0.88, got.share())
+	must.Greater(t, 4*got.away, got.servedBack)
 }
--- a/lib/admit/site_test.go
+++ b/lib/admit/site_test.go
@@ -29,7 +29,6 @@
 type policy struct {
 	slowNews  bool // placements are told after 60 ms in place of 3
 	noReading bool // prompts that wait on an engine don't count
-	noRivals  bool // instances don't tell how many streams wait with them
 	force     bool // what finds no room is sent to the best engine
 }
 
@@ -76,7 +75,6 @@
 	length   int
 	guess    int
 	returned bool
-	leave    func()        // of those that wait
 	next     time.Duration // of its next step while it waits
 
 	engine *simEngine
@@ -155,7 +153,7 @@
 		return out
 	})
 	f.SetRandom(s.chance.Float64)
-	in.placer = Placer{Fleet: f, Reading: new(Readings), Rivals: new(Rivals), Random: s.chance.Int64N}
+	in.placer = Placer{Fleet: f, Reading: new(Readings), Random: s.chance.Int64N}
 	s.insts = append(s.insts, in)
 }
 
@@ -322,7 +320,6 @@
 	r.inst = s.insts[r.id%uint64(len(s.insts))]
 	r.arrived = s.now
 	if !s.decide(r) {
-		r.leave = r.inst.placer.Rivals.Enter()
 		r.inst.waiting = append(r.inst.waiting, r)
 		r.inst.changed = min(r.inst.changed, s.now+15*time.Millisecond)
 	}
@@ -346,11 +343,6 @@
 	default:
 		s.turnAway(r, d.After)
 	}
-	if r.leave != nil {
-		r.leave()
-		r.leave = nil
-		r.inst.changed = min(r.inst.changed, s.now+15*time.Millisecond)
-	}
 	return true
 }
 
@@ -469,15 +461,10 @@
 		loads[r.engine.id] = l
 		sizes[r.engine.id] = append(sizes[r.engine.id], r.size())
 	}
-	waiting := in.placer.Rivals.Own()
-	if s.pol.noRivals {
-		waiting = 0
-	}
 	s.mail = append(s.mail, message{at: s.now + delay, apply: func() {
 		for _, other := range s.insts {
 			if other != in {
 				other.placer.Fleet.Tell(s.clock(), in.name, loads, sizes)
-				other.placer.Rivals.Tell(s.clock(), in.name, waiting)
 			}
 		}
 	}})
--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -43,7 +43,6 @@
 	Must     bool            // engine memory must hold Tokens: for copies, which are refused otherwise
 	Peak     Size            // if set with Must: engine memory must hold this run beside the others to their ends
 	Reading  int             // with Must: prompts that wait to be read there, with this one, hold no more tokens; 0: any
-	Rivals   int             // with Must: other streams that are known to wait for room now
 	AwayCost float64         // score of another failure domain than Near; 0: the constant awayCost
 }
 
@@ -74,7 +73,6 @@
 func (f *Fleet) choose(now time.Time, n Need) *Target {
 	var best, last *Target
 	bestScore := 0.0
-	room := 0
 	for _, id := range f.order {
 		t := f.targets[id]
 		if !f.allowed(t, n) {
@@ -86,17 +84,11 @@
 			}
 			continue
 		}
-		room++
 		s := f.score(now, t, n)
 		if best == nil || s < bestScore {
 			best, bestScore = t, s
 		}
 	}
-	if n.Must && n.Rivals >= room && f.random()*float64(n.Rivals+1) >= float64(room) {
-		// Room that frees up is seen by all who wait within the age of their news. Each takes it with a chance that sends
-		// about one stream to each engine; the others look again.
-		return nil
-	}
 	if best == nil && !n.Must {
 		// All were unreachable lately; the one that has rested longest is better than a refusal.
 		return last
--- a/lib/gateway/news.go
+++ b/lib/gateway/news.go
@@ -48,12 +48,6 @@
 	return fleet.Size{Now: r.c.prompt + r.made, Left: max(0, r.c.output-r.made)}
 }
 
-// Waiting returns how many streams wait here for room on engines.
-func (g *Gateway) Waiting() int { return g.placer.Rivals.Own() }
-
-// TakeWaiting takes in how many wait at a peer.
-func (g *Gateway) TakeWaiting(now time.Time, name string, n int) { g.placer.Rivals.Tell(now, name, n) }
-
 // sizesOn lists the sizes of this instance's runs and copies on an engine.
 func (g *Gateway) sizesOn(target string) []fleet.Size {
 	var out []fleet.Size
--- a/lib/gateway/place.go
+++ b/lib/gateway/place.go
@@ -27,19 +27,13 @@
 	return target, ok, 0
 }
 
-// await lets the stream wait for an engine with room. Peers are told that one more waits, and when it does no longer.
+// await lets the stream wait for an engine with room.
 func (r *run) await(ctx context.Context, need fleet.Need) admit.Decision {
 	need.Peak = r.grows()
 	s := admit.Stream{
 		Arrived: r.c.arrived, Aim: r.c.route.Aim, Keeps: r.c.wait(time.Until(r.c.deadline)), Need: need,
 	}
 	d := r.g.placer.Step(time.Now(), s)
-	if d.Action != admit.Wait {
-		return d
-	}
-	defer r.g.Changed()
-	defer r.g.placer.Rivals.Enter()()
-	r.g.Changed()
 	for d.Action == admit.Wait && ctx.Err() == nil {
 		time.Sleep(admit.Poll)
 		d = r.g.placer.Step(time.Now(), s)
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -93,7 +93,6 @@
 		Blames:   p.gate.Blames(),
 		ListLost: p.listLost(),
 		Left:     p.left(),
-		Waiting:  uint32(p.gate.Waiting()),
 	}
 }
 
@@ -134,7 +133,6 @@
 		loads[c.Target] = l
 	}
 	p.gate.TakeBlames(n.Blames)
-	p.gate.TakeWaiting(now, n.Instance, int(n.Waiting))
 	for _, h := range n.Held {
 		l := loads[h.Target]
 		l.Tokens += int(h.Tokens)
