A stream that ended whole is not gone on with; a caller gets no event twice

Two faults together: (1) an answer in chunks with 'Connection: close', as engines that leave send, was taken for one that only the end of its connection ends, so its own end looked like the stop that the move had asked for; (2) lastPart then handed over the copy, or told the run nothing, and the run waited 3.5 s and cut a stream that was whole. Ruled out: late events of the source after the hand-over (the source's stream had ended), two moves of one run (stopFor allows one).

Whether an answer tells its own end is read from its framing. A run whose engine says that it had nothing to stop is told so at once and is complete if its stream ended between two events. What a move made ready for a run that has ended is given up: its room would have counted for good. Second line: events whose number the caller has are left out, logged and counted.

--- a/lib/gateway/events.go
+++ b/lib/gateway/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"strconv"
 )
 
 // eventLimit bounds, in bytes, one event of a stream.
@@ -43,6 +44,30 @@
 // rest reports whether the stream stopped within an event.
 func (e *eventBuffer) rest() bool { return len(e.buf) > 0 }
 
+// after leaves out the events up to and with the one named last, and returns how many these are. Ids grow within a
+// stream; where they are no numbers nothing is left out.
+//
+// Failure: a run that had ended whole was taken for one that a move had stopped, and the engine that it went on at
+// sent the last event a second time. The caller took it for more of the answer. Whatever a target sends, a caller gets no
+// event that it has.
+func after(events []byte, last string) (rest []byte, dropped int) {
+	n, err := strconv.ParseInt(last, 10, 64)
+	if err != nil {
+		return events, 0
+	}
+	for len(events) > 0 {
+		size := eventEnd(events)
+		id, _ := eventID(events[:size])
+		k, err := strconv.ParseInt(id, 10, 64)
+		if err != nil || k > n {
+			break
+		}
+		events = events[size:]
+		dropped++
+	}
+	return events, dropped
+}
+
 // eventEnd returns the size of the first whole event, which an empty line ends; 0 when there is none.
 func eventEnd(b []byte) int {
 	for i := 0; i < len(b); {
--- a/lib/gateway/events_test.go
+++ b/lib/gateway/events_test.go
@@ -52,3 +52,22 @@
 	_, _, _, err := e.add(make([]byte, eventLimit+1))
 	must.ErrorIs(t, err, errEventTooLong)
 }
+
+// A target sends events that the caller has already. They are left out, and none that follow; ids that are no numbers say
+// nothing of an order.
+func TestEventsThatTheCallerHasAreLeftOut(t *testing.T) {
+	all := "id: 4\ndata: a\n\nid: 5\ndata: b\n\nid: 6\ndata: c\n\n"
+	for _, c := range []struct {
+		last, rest string
+		dropped    int
+	}{
+		{"", all, 0}, {"3", all, 0}, {"4", all[len(all)/3:], 1}, {"6", "", 3}, {"9", "", 3}, {"x-5", all, 0},
+	} {
+		rest, dropped := after([]byte(all), c.last)
+		must.Eq(t, c.rest, string(rest), must.Sprint(c.last))
+		must.Eq(t, c.dropped, dropped, must.Sprint(c.last))
+	}
+	rest, dropped := after([]byte("id: a4\ndata: a\n\n"), "4")
+	must.Eq(t, "id: a4\ndata: a\n\n", string(rest))
+	must.Eq(t, 0, dropped)
+}
--- a/lib/gateway/log.go
+++ b/lib/gateway/log.go
@@ -74,6 +74,11 @@
 	l.line(log.Warn(), "cut", e).Str("target", target).Str("reason", reason).Int("events", events).Msg("")
 }
 
+// Repeated tells of events that were left out because the caller has them; last is the newest of those.
+func (l Log) Repeated(e entry, target, last string, n int) {
+	l.line(log.Warn(), "events_repeated", e).Str("target", target).Str("last_event", last).Int("events", n).Msg("")
+}
+
 // Silent tells of a target given up on because nothing comes from it.
 func (l Log) Silent(e entry, target string, since time.Duration) {
 	l.line(log.Warn(), "target_silent", e).Str("target", target).Int64("silent_ms", since.Milliseconds()).Msg("")
--- a/lib/gateway/metrics.go
+++ b/lib/gateway/metrics.go
@@ -11,12 +11,13 @@
 
 // Names of the metrics of calls.
 const (
-	metricAnswer = "anvilwick_gateway_answer_seconds"      // from a call's arrival to its whole answer
-	metricFirst  = "anvilwick_gateway_first_event_seconds" // to a stream's first event
-	metricSent   = "anvilwick_gateway_sent_total"          // exchanges with targets, by outcome
-	metricRefuse = "anvilwick_gateway_refused_total"       // answers of our own, by reason
-	metricCut    = "anvilwick_gateway_cut_total"           // streams broken off, by reason
-	metricMoves  = "anvilwick_gateway_moves_total"         // moves of runs, by whether they succeeded
+	metricAnswer = "anvilwick_gateway_answer_seconds"        // from a call's arrival to its whole answer
+	metricFirst  = "anvilwick_gateway_first_event_seconds"   // to a stream's first event
+	metricSent   = "anvilwick_gateway_sent_total"            // exchanges with targets, by outcome
+	metricRefuse = "anvilwick_gateway_refused_total"         // answers of our own, by reason
+	metricCut    = "anvilwick_gateway_cut_total"             // streams broken off, by reason
+	metricRepeat = "anvilwick_gateway_repeated_events_total" // sent by targets to callers that had them, and left out
+	metricMoves  = "anvilwick_gateway_moves_total"           // moves of runs, by whether they succeeded
 )
 
 // Metrics have a workspace and a kind of route as labels. Both come from settings, never from callers, so that the
--- a/lib/gateway/move.go
+++ b/lib/gateway/move.go
@@ -294,17 +294,17 @@
 	case !held:
 		return err // the run has gone on from the copy already
 	case err == nil:
-		ch <- next{target: to, counted: size, copyFrom: from.Addr + "/" + last.Handle, source: from}
+		r.handOver(ch, next{target: to, counted: size, copyFrom: from.Addr + "/" + last.Handle, source: from})
 		return nil
 	case last.Handle != "":
 		// The run has stopped, and its memory is at the source only.
-		ch <- next{target: from, copyFrom: from.Addr + "/" + last.Handle}
+		r.handOver(ch, next{target: from, copyFrom: from.Addr + "/" + last.Handle})
 	case errors.Is(err, ErrNoRun) || errors.Is(err, ErrNoRoom):
-		r.goOn()
+		r.goOn(ch)
 	default:
 		// The source ended before the last part. The run's connection has ended with it.
 		g.Log.Warn("last_part_lost", from.ID, err)
-		ch <- early
+		r.handOver(ch, early)
 		return nil
 	}
 	g.unbook(r)
@@ -341,7 +341,7 @@
 
 // stopFor tells the run that its stream is about to be stopped, and returns where the copy is to be handed over; nil
 // when the run is no longer there.
-func (r *run) stopFor(target string) chan<- next {
+func (r *run) stopFor(target string) chan next {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.ended || r.target.ID != target || r.handoff != nil {
@@ -351,9 +351,33 @@
 	return r.handoff
 }
 
-// goOn takes stopFor back: the engine says that it did not stop the run.
-func (r *run) goOn() {
+// goOn takes stopFor back: the engine says that it did not stop the run. A run whose stream has ended meanwhile is told
+// that there is nothing to go on from.
+func (r *run) goOn(ch chan<- next) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.handoff = nil
+	ch <- next{}
+}
+
+// handOver tells the run where it goes on. One that has ended by itself takes nothing: what the move had booked and
+// copied would count at the destination for as long as the process lives.
+func (r *run) handOver(ch chan<- next, n next) {
+	r.mu.Lock()
+	ended := r.ended
+	if !ended {
+		ch <- n
+	}
+	r.mu.Unlock()
+	if ended {
+		r.g.abandon(r, n)
+	}
+}
+
+// abandon gives up what a move has made ready for a run that has ended at its source.
+func (g *Gateway) abandon(r *run, n next) {
+	g.unbook(r)
+	if _, handle, ok := strings.Cut(n.copyFrom, "/"); ok {
+		go g.free(r.at(), handle)
+	}
 }
--- a/lib/gateway/plain.go
+++ b/lib/gateway/plain.go
@@ -30,6 +30,7 @@
 	body    []byte
 	err     error
 	sent    bool // a target may have seen the request
+	whole   bool // a stream that ended between two events, and not by an error
 }
 
 // servePlain serves a call with one answer, which is read whole before the caller sees any of it.
--- a/lib/gateway/run.go
+++ b/lib/gateway/run.go
@@ -26,6 +26,8 @@
 	waited  time.Duration // for an engine, before the first send
 	pause   time.Duration // longest time between two events
 
+	heardTwice bool // a target has sent events that the caller had
+
 	mu      sync.Mutex
 	target  fleet.Info // where it runs now
 	counted fleet.Load // what it counts for there
@@ -88,10 +90,17 @@
 	}
 }
 
+// finish ends the run for good, with what a move may have made ready for it.
 func (r *run) finish() {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.ended = true
+	ch := r.handoff
+	r.mu.Unlock()
+	select {
+	case n := <-ch:
+		r.g.abandon(r, n)
+	default:
+	}
 }
 
 func (r *run) at() fleet.Info {
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -124,6 +124,11 @@
 		}
 	case endMoved:
 		to = r.taken()
+		if to.target.ID == "" && x.whole {
+			// The stream ended by itself: its engine had no run left to stop.
+			r.conclude(ctx, endComplete)
+			return next{}, true
+		}
 		if to.target.ID == "" {
 			r.giveUp(ctx, "copy_lost")
 			return next{}, true
@@ -264,7 +269,11 @@
 		switch {
 		case err == nil:
 			continue
-		case errors.Is(err, io.EOF) && !events.rest() && !r.stopped(x.resp):
+		case errors.Is(err, io.EOF) && !events.rest():
+			x.whole = true
+			if r.stopped(x.resp) {
+				return endMoved
+			}
 			if !r.begun {
 				// An empty stream is an answer, too.
 				if werr := r.pass(x.resp, nil, 0, ""); werr != nil {
@@ -301,6 +310,13 @@
 
 // pass gives whole events to the caller. The head waits for the first one: until then another target can still answer.
 func (r *run) pass(resp *wirehttp.Response, whole []byte, count int, id string) error {
+	if r.lastID != "" {
+		var had int
+		if whole, had = after(whole, r.lastID); had > 0 {
+			r.repeated(had)
+			count -= had
+		}
+	}
 	if len(whole) == 0 && (r.begun || !resp.Ended()) {
 		return nil
 	}
@@ -332,6 +348,15 @@
 	return r.out.Flush()
 }
 
+// repeated tells of events that a target sent although the caller has them, once a stream.
+func (r *run) repeated(n int) {
+	if !r.heardTwice {
+		r.g.Log.Repeated(r.c.entry(), r.at().ID, r.lastID, n)
+	}
+	r.heardTwice = true
+	r.c.count(metricRepeat, "service", r.c.service)
+}
+
 // conclude ends the answer: whole, or visibly cut.
 func (r *run) conclude(ctx context.Context, e end) {
 	if e == endComplete {
--- a/lib/wirehttp/conn.go
+++ b/lib/wirehttp/conn.go
@@ -172,7 +172,10 @@
 	if r.StatusCode < 200 {
 		return nil, ErrStatus
 	}
-	return &Response{Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, body: r.Body, closes: r.Close}, nil
+	framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
+	return &Response{
+		Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, body: r.Body, closes: r.Close, framed: framed,
+	}, nil
 }
 
 // written reports whether the whole request has been written. It waits for a moment, since the last write may still
--- a/lib/wirehttp/response.go
+++ b/lib/wirehttp/response.go
@@ -17,6 +17,7 @@
 
 	body   io.Reader
 	closes bool
+	framed bool // the body tells its own end, by a length or by chunks
 	ended  bool
 }
 
@@ -55,8 +56,9 @@
 // reusable reports whether another exchange may follow on the connection.
 func (r *Response) reusable() bool { return r.ended && !r.closes }
 
-// EndsWithConn reports whether only the end of the connection ends the body.
-func (r *Response) EndsWithConn() bool { return r.Length < 0 && r.closes }
+// EndsWithConn reports whether only the end of the connection ends the body. An answer that asks for its connection to be
+// closed may tell its own end all the same.
+func (r *Response) EndsWithConn() bool { return !r.framed }
 
 // Ended reports whether the whole body has been read.
 func (r *Response) Ended() bool { return r.ended }
--- a/lib/wirehttp/wirehttp_test.go
+++ b/lib/wirehttp/wirehttp_test.go
@@ -266,3 +266,20 @@
 	must.NoError(t, err)
 	must.MapEmpty(t, p.idle)
 }
+
+// An answer in chunks that also asks for its connection to be closed tells its own end: taken for one that only the end
+// of its connection ends, a whole stream would look like one that was stopped.
+func TestWhetherAnAnswerTellsItsOwnEnd(t *testing.T) {
+	for head, own := range map[string]bool{
+		"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n": true,
+		"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n":                      true,
+		"Connection: close\r\nContent-Length: 1\r\n\r\nx":                            true,
+		"Connection: close\r\n\r\nx":                                                 false,
+		"\r\nx":                                                                      false,
+	} {
+		c := &Conn{rd: bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n" + head))}
+		r, err := c.receive("GET")
+		must.NoError(t, err)
+		must.Eq(t, !own, r.EndsWithConn(), must.Sprint(head))
+	}
+}
