--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 proto:
 	@mkdir -p bin/tools
 	GOBIN=$(CURDIR)/bin/tools $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go
-	PATH="$(CURDIR)/bin/tools:$$PATH" protoc --go_out=. --go_opt=paths=source_relative lib/meshpb/mesh.proto lib/newspb/news.proto
+	PATH="$(CURDIR)/bin/tools:$$PATH" protoc --go_out=. --go_opt=paths=source_relative lib/meshpb/mesh.proto lib/ownerpb/owner.proto
 
 # bench compares the scheduling policies in virtual time; the same figures each time for the same SEED.
 bench:
--- a/lib/admit/admit.go
+++ b/lib/admit/admit.go
@@ -62,6 +62,8 @@
 	Fleet   *fleet.Fleet
 	Reading *Readings
 	Random  func(n int64) int64 // up to n, n left out; nil: math/rand
+	// Take chooses a target and counts the stream there; nil: Fleet.Acquire.
+	Take func(now time.Time, need fleet.Need) (fleet.Info, bool)
 }
 
 // Step decides what a stream does at now.
@@ -75,7 +77,11 @@
 	if s.Aim > 0 {
 		need.Reading = p.Reading.Within(need.Service, time.Duration(readShare*float64(s.Aim)))
 	}
-	if target, ok := p.Fleet.Acquire(now, need); ok {
+	take := p.Take
+	if take == nil {
+		take = p.Fleet.Acquire
+	}
+	if target, ok := take(now, need); ok {
 		return Decision{Action: Go, Target: target}
 	}
 	if now.Before(s.Arrived.Add(time.Duration(waitShare * float64(s.Aim)))) {
--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -39,6 +39,7 @@
 	Tokens   int             // of engine memory; 0 for a plain service
 	Unread   int             // tokens of its prompt to read
 	Without  map[string]bool // targets not to choose
+	Among    []string        // ids of the targets to choose among, sorted; nil: all
 	Near     string          // failure domain to prefer; empty: the instance's own
 	Must     bool            // engine memory must hold Tokens: for copies, which are refused otherwise
 	Peak     Size            // if set with Must: engine memory must hold this run beside the others to their ends
@@ -58,6 +59,17 @@
 	return best.Info, true
 }
 
+// Choose chooses a target for a request of another instance, which counts it.
+func (f *Fleet) Choose(now time.Time, n Need) (Info, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	best := f.choose(now, n)
+	if best == nil {
+		return Info{}, false
+	}
+	return best.Info, true
+}
+
 // AcquireAt counts a request at one target, if it may be chosen.
 func (f *Fleet) AcquireAt(id string, n Need) (Info, bool) {
 	f.mu.Lock()
@@ -73,9 +85,13 @@
 func (f *Fleet) choose(now time.Time, n Need) *Target {
 	var best, last *Target
 	bestScore := 0.0
-	for _, id := range f.order {
+	among := n.Among
+	if among == nil {
+		among = f.order
+	}
+	for _, id := range among {
 		t := f.targets[id]
-		if !f.allowed(t, n) {
+		if t == nil || !f.allowed(t, n) {
 			continue
 		}
 		if now.Before(t.avoidUntil) {
@@ -176,16 +192,20 @@
 	return s
 }
 
-// Spare chooses the engine with the most free memory for a copy of a run, and counts tokens there. It gives none where
-// less than the share free of an engine's memory would be left: copies must not push out runs.
-func (f *Fleet) Spare(service string, tokens int, without map[string]bool, free float64) (Info, bool) {
+// Spare chooses the engine with the most free memory for a copy of a run, which the caller of Spare counts there. It gives
+// none where less than the share free of an engine's memory would be left: copies must not push out runs.
+func (f *Fleet) Spare(service string, tokens int, without string, among []string, free float64) (Info, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if among == nil {
+		among = f.order
+	}
 	kv := f.specs[service].KVTokens
 	var best *Target
 	most := int(free * float64(kv))
-	for _, t := range f.targets {
-		if t.Service != service || t.state != Ready || t.unreadable || without[t.ID] {
+	for _, id := range among {
+		t := f.targets[id]
+		if t == nil || t.Service != service || t.state != Ready || t.unreadable || id == without {
 			continue
 		}
 		if left := kv - f.carried(t).Tokens - tokens; left > most {
@@ -195,23 +215,47 @@
 	if best == nil {
 		return Info{}, false
 	}
-	best.own.Tokens += tokens
 	return best.Info, true
 }
 
+// Fill is the part of the memory of some engines that is spoken for, with prompts to read weighed as in a choice. It is
+// 1 and more where none takes requests.
+func (f *Fleet) Fill(among []string) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	used, room := 0.0, 0.0
+	for _, id := range among {
+		t := f.targets[id]
+		if t == nil || t.state != Ready || t.unreadable {
+			continue
+		}
+		load := f.carried(t)
+		used += float64(load.Tokens) + unreadWeight*float64(load.Unread)
+		room += float64(f.specs[t.Service].KVTokens)
+	}
+	if room == 0 {
+		return 1
+	}
+	return used / room
+}
+
 // Room is a target of a service that takes requests, and the engine memory in tokens that nobody is known to use.
 type Room struct {
 	Info
 	Free int
 }
 
-// Rooms lists the engines of a service that take requests.
-func (f *Fleet) Rooms(service string) []Room {
+// Rooms lists the engines of a service that take requests, among those named or, with nil, among all.
+func (f *Fleet) Rooms(service string, among []string) []Room {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if among == nil {
+		among = f.order
+	}
 	var out []Room
-	for _, t := range f.targets {
-		if t.Service == service && t.state == Ready && !t.unreadable {
+	for _, id := range among {
+		t := f.targets[id]
+		if t != nil && t.Service == service && t.state == Ready && !t.unreadable {
 			out = append(out, Room{Info: t.Info, Free: f.specs[service].KVTokens - f.carried(t).Tokens})
 		}
 	}
@@ -238,6 +282,19 @@
 		return
 	}
 	t.own.add(Load{Runs: -1, Tokens: -l.Tokens, Unread: -l.Unread})
+	t.learn(now, o)
+}
+
+// Learn takes in how a request of another instance ended.
+func (f *Fleet) Learn(now time.Time, id string, o Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t := f.targets[id]; t != nil {
+		t.learn(now, o)
+	}
+}
+
+func (t *Target) learn(now time.Time, o Outcome) {
 	switch o {
 	case Served:
 		t.fails -= failStep * t.fails
@@ -251,3 +308,16 @@
 	case Abandoned:
 	}
 }
+
+// Avoided lists the targets of a service that this instance could not reach, or that turned it away, lately.
+func (f *Fleet) Avoided(now time.Time, service string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for _, id := range f.order {
+		if t := f.targets[id]; t.Service == service && now.Before(t.avoidUntil) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -265,19 +265,30 @@
 	return out
 }
 
-// Engines lists the targets with engine memory that take requests.
-func (f *Fleet) Engines() []Info {
+// Engines lists the targets with engine memory that are in a state.
+func (f *Fleet) Engines(in State) []Info {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []Info
 	for _, t := range f.targets {
-		if t.state == Ready && f.specs[t.Service].KVTokens > 0 {
+		if t.state == in && f.specs[t.Service].KVTokens > 0 {
 			out = append(out, t.Info)
 		}
 	}
 	return out
 }
 
+// Info returns what the list says of a target.
+func (f *Fleet) Info(id string) (Info, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.targets[id]
+	if t == nil {
+		return Info{}, false
+	}
+	return t.Info, true
+}
+
 // settleTime is how long a list that was just read for the first time may lack targets that live: entries that lapsed
 // while the store was away come back within OutageGrace, by the targets' own writing.
 const settleTime = OutageGrace + 500*time.Millisecond
--- a/lib/gateway/backup.go
+++ b/lib/gateway/backup.go
@@ -2,7 +2,8 @@
 
 import (
 	"anvilwick.example/anvilwick/lib/fleet"
-	"anvilwick.example/anvilwick/lib/newspb"
+	"anvilwick.example/anvilwick/lib/owner"
+	"anvilwick.example/anvilwick/lib/rendezvous"
 )
 
 // backupFree is the share of an engine's memory that must stay free for it to hold a copy of another's run. With copies
@@ -15,17 +16,27 @@
 	tokens int        // counted there
 }
 
-// chooseBackup picks an engine for a copy of a run that can't be run again from its prompt. It is all that survives the
-// crash of the run's engine, and a notice too short for a move.
-func (r *run) chooseBackup(on fleet.Info) {
-	if r.c.engine == nil || !r.c.engine.Backups || r.c.route.MayRepeat() || r.g.Names.Backup == "" {
+// wantsBackup reports whether a copy of the run is to be kept: of one that can't be run again from its prompt. It is all
+// that survives the crash of the run's engine, and a notice too short for a move.
+func (r *run) wantsBackup() bool {
+	return r.c.engine != nil && r.c.engine.Backups && !r.c.route.MayRepeat() && r.g.Names.Backup != ""
+}
+
+// chooseBackup picks an engine for a copy of a run: the one that the owner has found with the run's own, or by what this
+// instance knows.
+func (r *run) chooseBackup(to next) {
+	if !r.wantsBackup() {
 		return
 	}
 	tokens := r.size().Tokens
-	at, ok := r.g.Fleet.Spare(on.Service, tokens, map[string]bool{on.ID: true}, backupFree)
+	at, ok := r.g.Fleet.Info(to.backup)
+	if !to.owned {
+		at, ok = r.g.Fleet.Spare(to.target.Service, tokens, to.target.ID, nil, backupFree)
+	}
 	if !ok {
 		return
 	}
+	r.g.Fleet.Grow(at.ID, fleet.Load{Tokens: tokens})
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.copy = backup{at: at, tokens: tokens}
@@ -64,17 +75,18 @@
 	return r.copy.at
 }
 
-// held lists the memory that copies of this instance's runs take.
-func (g *Gateway) held() []*newspb.Held {
-	var out []*newspb.Held
+// Held lists the memory that copies of this instance's runs take.
+func (g *Gateway) Held() []owner.Held {
+	var out []owner.Held
 	for _, list := range g.runs.all() {
 		for _, r := range list {
+			id := rendezvous.Hash(r.c.id)
 			r.mu.Lock()
 			if r.copy.at.ID != "" {
-				out = append(out, &newspb.Held{Target: r.copy.at.ID, Tokens: uint32(r.copy.tokens)})
+				out = append(out, owner.Held{Target: r.copy.at.ID, Tokens: r.copy.tokens, Run: id})
 			}
 			if r.booked.at != "" {
-				out = append(out, &newspb.Held{Target: r.booked.at, Tokens: uint32(r.booked.tokens)})
+				out = append(out, owner.Held{Target: r.booked.at, Tokens: r.booked.tokens, Run: id})
 			}
 			r.mu.Unlock()
 		}
--- a/lib/gateway/book.go
+++ b/lib/gateway/book.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/admit"
 	"anvilwick.example/anvilwick/lib/fleet"
-	"anvilwick.example/anvilwick/lib/newspb"
+	"anvilwick.example/anvilwick/lib/owner"
+	"anvilwick.example/anvilwick/lib/rendezvous"
 )
 
 // booking is the room that a run which moves has at its destination. It counts there as one run until it is given up, or
@@ -28,18 +31,39 @@
 
 func (g *Gateway) booked(r *run, b booking) {
 	r.setBooking(b)
-	g.added(&newspb.News{Held: []*newspb.Held{{Target: b.at, Tokens: uint32(b.tokens)}}})
+	g.changed()
 }
 
 // book books room at the best engine.
 func (g *Gateway) book(r *run, need fleet.Need) (fleet.Info, bool) {
-	to, ok := g.Fleet.Acquire(time.Now(), need)
+	to, ok := g.room(r, need)
 	if ok {
 		g.booked(r, booking{at: to.ID, tokens: need.Tokens})
 	}
 	return to, ok
 }
 
+// roomTimeout bounds the wait for an owner to find room for a run that moves: its engine is gone 1.5 s after the notice.
+const roomTimeout = 400 * time.Millisecond
+
+// room finds an engine with room for a run that moves, and counts the run there.
+func (g *Gateway) room(r *run, need fleet.Need) (fleet.Info, bool) {
+	if g.Owners == nil {
+		return g.Fleet.Acquire(time.Now(), need)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), roomTimeout)
+	defer cancel()
+	a, err := g.Owners.Place(ctx, owner.Ask{Run: rendezvous.Hash(r.c.id), Mode: owner.Room, Stream: admit.Stream{Need: need, Arrived: time.Now()}})
+	if err != nil {
+		return g.Fleet.Acquire(time.Now(), need)
+	}
+	if a.Action != admit.Go {
+		return fleet.Info{}, false
+	}
+	need.Must = false // by what this instance alone knows
+	return g.Fleet.AcquireAt(a.Target, need)
+}
+
 // unbook gives the room up.
 func (g *Gateway) unbook(r *run) {
 	b := r.bookedAt()
--- a/lib/gateway/book_test.go
+++ b/lib/gateway/book_test.go
@@ -10,31 +10,39 @@
 
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/moveplan"
-	"anvilwick.example/anvilwick/lib/newspb"
 	"anvilwick.example/anvilwick/lib/routes"
 )
 
+// toldOwners counts how often owners are to hear of a change.
+type toldOwners struct {
+	Owners
+	changes int
+}
+
+func (o *toldOwners) Changed() { o.changes++ }
+
 // A run is planned to move. Until it is there its room was known to its own instance only, and peers sent new streams
 // into it, which then waited behind the run for seconds. Its room counts from the plan on, here and at peers, and is
 // free again once it is given up.
 func TestRoomOfAMoveCountsEverywhere(t *testing.T) {
 	g := newTestGateway()
-	var told []*newspb.News
-	g.OnAdd = func(n *newspb.News) { told = append(told, n) }
+	owners := new(toldOwners)
+	g.Owners = owners
 	g.Fleet.SetSpecs(map[string]fleet.Spec{"s": {KVTokens: 1000}})
 	g.Fleet.Apply(time.Now(), []fleet.Info{{ID: "from", Service: "s"}, {ID: "to", Service: "s"}}, nil, 0)
 	r := &run{g: g, c: &call{id: "x", service: "s"}}
 	g.runs.add("from", r)
 	_, ok := g.bookAt(r, "to", fleet.Need{Service: "s", Tokens: 600, Must: true})
 	must.True(t, ok)
-	must.Eq(t, "to", told[0].Held[0].Target)
-	must.Eq(t, 600, told[0].Held[0].Tokens)
-	must.Len(t, 1, g.held())
+	must.Eq(t, 1, owners.changes)
+	must.Len(t, 1, g.Held())
+	must.Eq(t, "to", g.Held()[0].Target)
+	must.Eq(t, 600, g.Held()[0].Tokens)
 	other := fleet.Need{Service: "s", Tokens: 500, Must: true, Peak: fleet.Size{Now: 500}, Without: map[string]bool{"from": true}}
 	_, ok = g.Fleet.Acquire(time.Now(), other)
 	must.False(t, ok)
 	g.unbook(r)
-	must.SliceEmpty(t, g.held())
+	must.SliceEmpty(t, g.Held())
 	_, ok = g.Fleet.Acquire(time.Now(), other)
 	must.True(t, ok)
 }
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -16,7 +16,8 @@
 
 	"anvilwick.example/anvilwick/lib/admit"
 	"anvilwick.example/anvilwick/lib/fleet"
-	"anvilwick.example/anvilwick/lib/newspb"
+	"anvilwick.example/anvilwick/lib/moveplan"
+	"anvilwick.example/anvilwick/lib/owner"
 	"anvilwick.example/anvilwick/lib/poison"
 	"anvilwick.example/anvilwick/lib/retry"
 	"anvilwick.example/anvilwick/lib/routes"
@@ -73,10 +74,25 @@
 	Pool    *wirehttp.Pool
 	Budget  *retry.Share
 	Log     Log
-	// OnChange is called when what runs here has changed; nil: nobody is told.
-	OnChange func()
-	// OnAdd is called with what has been sent to an engine, or booked there, at that moment; nil: nobody is told.
-	OnAdd func(*newspb.News)
+	// Owners decides with others where streams go; nil: this instance decides alone.
+	Owners Owners
+}
+
+// Owners are the instances that decide where streams go on engines which many instances send to. An error says that none
+// of them answers: then this instance decides alone.
+type Owners interface {
+	// Place finds an engine for a run, or says when its caller should come back.
+	Place(ctx context.Context, a owner.Ask) (owner.Answer, error)
+	// Plan says where this instance's runs go that are on engines which leave.
+	Plan(ctx context.Context, engines []fleet.Info) ([]moveplan.Step, error)
+	// LastHeard returns when any instance last heard an engine.
+	LastHeard(ctx context.Context, engine string) (time.Time, error)
+	// Changed says that what runs here has changed.
+	Changed()
+	// Outcome tells how a run ended at an engine.
+	Outcome(engine string, o fleet.Outcome)
+	// Reading tells how long a first event took.
+	Reading(r owner.Reading)
 }
 
 // Gateway serves callers. It is an http.Handler.
@@ -130,6 +146,9 @@
 	}
 }
 
+// Readings returns what is learnt of how fast prompts are read.
+func (g *Gateway) Readings() *admit.Readings { return g.placer.Reading }
+
 // Table returns the table in force, nil before the first.
 func (g *Gateway) Table() *routes.Table { return g.table.Load() }
 
--- a/lib/gateway/move.go
+++ b/lib/gateway/move.go
@@ -78,10 +78,9 @@
 	return out
 }
 
-// Evacuate moves the runs of targets that are leaving to other engines. others are the runs that peers have there. It
-// returns at once. Targets of one service that leave together are planned together: their runs share the links of the
-// same destinations.
-func (g *Gateway) Evacuate(targets []fleet.Info, others []moveplan.Run) {
+// Evacuate moves the runs of targets that are leaving to other engines. It returns at once. Targets of one service that
+// leave together are planned together: their runs share the links of the same destinations.
+func (g *Gateway) Evacuate(targets []fleet.Info) {
 	t := g.table.Load()
 	if t == nil {
 		return
@@ -92,45 +91,91 @@
 	}
 	for name, leaving := range byService {
 		if svc := t.Service(name); svc != nil && svc.Engine != nil && svc.Engine.Moves {
-			g.evacuate(svc, leaving, others)
+			g.evacuate(svc, leaving)
 		}
 	}
 }
 
-func (g *Gateway) evacuate(svc *routes.Service, targets []fleet.Info, others []moveplan.Run) {
+func (g *Gateway) evacuate(svc *routes.Service, targets []fleet.Info) {
 	notice := time.Now()
 	from := make(map[string]fleet.Info)
 	own := make(map[uint64]*run)
-	var leaving []moveplan.Engine
 	var runs []moveplan.Run
 	for _, target := range targets {
 		from[target.ID] = target
-		leaving = append(leaving, moveplan.Engine{ID: target.ID, Domain: target.Domain})
 		for _, r := range g.runs.on(target.ID) {
 			if r.stays() {
 				continue
 			}
-			m := r.news()
+			m := r.moving()
 			own[m.ID] = r
 			runs = append(runs, m)
 		}
 	}
-	for _, r := range others {
-		if from[r.From].ID != "" {
-			runs = append(runs, r)
-		}
+	if len(runs) == 0 {
+		return
 	}
-	for _, step := range moveplan.Plan(runs, leaving, g.destinations(svc.Name, from), linkOf(svc.Engine)) {
-		if r := own[step.Run.ID]; r != nil {
-			go g.move(r, from[step.Run.From], notice, step)
+	go func() {
+		for _, step := range g.steps(svc, from, runs) {
+			if r := own[step.Run.ID]; r != nil {
+				go g.move(r, from[step.Run.From], notice, step)
+			}
 		}
+	}()
+}
+
+// planTimeout bounds the wait for the owners' plan. Engines may leave 1.5 s after their notice.
+const planTimeout = 250 * time.Millisecond
+
+// steps plans the moves of runs: as the owners say, which know of the other instances' runs there, or alone. A run that
+// the owners have not heard of yet goes at once, to where they find room.
+func (g *Gateway) steps(svc *routes.Service, from map[string]fleet.Info, runs []moveplan.Run) []moveplan.Step {
+	leaving := make([]fleet.Info, 0, len(from))
+	engines := make([]moveplan.Engine, 0, len(from))
+	for _, e := range from {
+		leaving = append(leaving, e)
+		engines = append(engines, moveplan.Engine{ID: e.ID, Domain: e.Domain})
+	}
+	if g.Owners == nil {
+		return moveplan.Plan(runs, engines, g.destinations(svc.Name, from), linkOf(svc.Engine))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), planTimeout)
+	defer cancel()
+	planned, err := g.Owners.Plan(ctx, leaving)
+	if err != nil {
+		g.Log.Warn("moves_planned_alone", svc.Name, err)
+		return moveplan.Plan(runs, engines, g.destinations(svc.Name, from), linkOf(svc.Engine))
+	}
+	told := make(map[uint64]moveplan.Step, len(planned))
+	for _, step := range planned {
+		told[step.Run.ID] = step
+	}
+	out := make([]moveplan.Step, len(runs))
+	for i, r := range runs {
+		step := told[r.ID]
+		step.Run = r
+		out[i] = step
+	}
+	return out
+}
+
+// MoveLink is what a service's engines' links carry; ok is false when its runs don't move.
+func (g *Gateway) MoveLink(service string) (link moveplan.Link, ok bool) {
+	t := g.table.Load()
+	if t == nil {
+		return moveplan.Link{}, false
+	}
+	svc := t.Service(service)
+	if svc == nil || svc.Engine == nil || !svc.Engine.Moves {
+		return moveplan.Link{}, false
 	}
+	return linkOf(svc.Engine), true
 }
 
 // destinations lists the engines that the runs of leaving ones can go to.
 func (g *Gateway) destinations(service string, leaving map[string]fleet.Info) []moveplan.Engine {
 	var out []moveplan.Engine
-	for _, room := range g.Fleet.Rooms(service) {
+	for _, room := range g.Fleet.Rooms(service, nil) {
 		if leaving[room.ID].ID == "" {
 			out = append(out, moveplan.Engine{ID: room.ID, Domain: room.Domain, Free: room.Free})
 		}
@@ -153,7 +198,9 @@
 	without := map[string]bool{from.ID: true}
 	// The room is booked before the run's turn on the links, so that neither this instance nor its peers send new streams
 	// there meanwhile: a run that moves in goes before all that wait at an engine, and these would be late.
-	to, booked := g.bookAt(r, step.To, g.moveNeed(r, from, without))
+	need := g.moveNeed(r, from, without)
+	need.Must = g.Owners == nil // an owner that has chosen the destination knows better what it holds
+	to, booked := g.bookAt(r, step.To, need)
 	if step.Start > 0 {
 		time.Sleep(min(step.Start, maxStart))
 	}
--- a/lib/gateway/news.go
+++ b/lib/gateway/news.go
@@ -5,26 +5,19 @@
 
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/moveplan"
-	"anvilwick.example/anvilwick/lib/newspb"
+	"anvilwick.example/anvilwick/lib/owner"
 	"anvilwick.example/anvilwick/lib/rendezvous"
 )
 
-// Changed tells that what runs here has changed, so that peers should hear of it.
-func (g *Gateway) Changed() {
-	if g.OnChange != nil {
-		g.OnChange()
+// changed tells that what runs here has changed, so that owners should hear of it.
+func (g *Gateway) changed() {
+	if g.Owners != nil {
+		g.Owners.Changed()
 	}
 }
 
-// added tells peers at once of what has come to an engine, before others send theirs there.
-func (g *Gateway) added(n *newspb.News) {
-	if g.OnAdd != nil {
-		g.OnAdd(n)
-	}
-}
-
-// news is the run as moves and peers see it.
-func (r *run) news() moveplan.Run {
+// moving is the run as plans of moves see it.
+func (r *run) moving() moveplan.Run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	held := r.c.prompt + r.made
@@ -64,34 +57,25 @@
 	return out
 }
 
-// News lists the runs and open calls of this instance.
-func (g *Gateway) News() ([]*newspb.Run, []*newspb.Calls, []*newspb.Held) {
-	var runs []*newspb.Run
-	engines := make(map[string]bool)
+// Runs lists this instance's runs on engines.
+func (g *Gateway) Runs() []owner.Run {
+	var out []owner.Run
 	for target, list := range g.runs.all() {
 		for _, r := range list {
-			if r.c.engine == nil {
-				continue
+			if r.c.engine != nil {
+				out = append(out, r.told(target))
 			}
-			engines[target] = true
-			runs = append(runs, r.told(target))
 		}
 	}
-	var calls []*newspb.Calls
-	for id, load := range g.Fleet.Own() {
-		if !engines[id] && load.Runs > 0 && load.Tokens == 0 {
-			calls = append(calls, &newspb.Calls{Target: id, Open: uint32(load.Runs)})
-		}
-	}
-	return runs, calls, g.held()
+	return out
 }
 
-// told is the run as it is told to peers.
-func (r *run) told(target string) *newspb.Run {
-	m := r.news()
-	return &newspb.Run{
-		Id: m.ID, Target: target, Tokens: uint32(m.Tokens), Expected: uint32(m.Expected), Unread: uint32(r.size().Unread),
-		Left: uint32(r.grows().Left), Stays: r.stays(), SilentMs: uint32(time.Since(r.lastHeard()).Milliseconds()),
+// told is the run as it is told to owners.
+func (r *run) told(target string) owner.Run {
+	m := r.moving()
+	return owner.Run{
+		ID: m.ID, Target: target, Tokens: m.Tokens, Expected: m.Expected, Unread: r.size().Unread, Left: r.grows().Left,
+		Stays: r.stays(), Silent: time.Since(r.lastHeard()),
 	}
 }
 
--- a/lib/gateway/place.go
+++ b/lib/gateway/place.go
@@ -6,33 +6,93 @@
 
 	"anvilwick.example/anvilwick/lib/admit"
 	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/owner"
+	"anvilwick.example/anvilwick/lib/rendezvous"
 )
 
-// place chooses a target for the run, or says after what time its caller should come back. A stream that a target has
-// turned back takes any target.
-func (r *run) place(ctx context.Context, need fleet.Need) (target fleet.Info, ok bool, away time.Duration) {
-	if r.c.engine == nil || r.c.sends > 0 {
-		target, ok = r.g.acquire(ctx, r.c, need)
-		return target, ok, 0
+// maxUnknown is how often an owner is asked again that has chosen a target which this instance does not know, or knows to
+// leave: lists reach instances some milliseconds apart.
+const maxUnknown = 2
+
+// place chooses a target for the run, where it is then counted, or says after what time its caller should come back. With
+// neither there is none to be had.
+func (r *run) place(ctx context.Context) (to next, away time.Duration) {
+	need := r.need()
+	to.counted = fleet.Load{Tokens: need.Tokens, Unread: need.Unread}
+	if r.c.engine == nil {
+		to.target, _ = r.g.acquire(ctx, r.c, need)
+		return to, 0
 	}
 	defer func() { r.waited = time.Since(r.c.arrived) }()
-	d := r.await(ctx, need)
-	switch d.Action {
-	case admit.Go:
-		return d.Target, true, 0
-	case admit.Away:
-		return fleet.Info{}, false, d.After
+	if r.g.Owners != nil {
+		if found, away, ok := r.placeByOwner(ctx, need); ok {
+			found.counted = to.counted
+			return found, away
+		}
 	}
-	target, ok = r.g.acquire(ctx, r.c, need)
-	return target, ok, 0
+	to.target, away = r.placeAlone(ctx, need)
+	return to, away
 }
 
-// await lets the stream wait for an engine with room.
-func (r *run) await(ctx context.Context, need fleet.Need) admit.Decision {
+// stream is the run as a stream that waits for an engine.
+func (r *run) stream(need fleet.Need) admit.Stream {
 	need.Peak = r.grows()
-	s := admit.Stream{
-		Arrived: r.c.arrived, Aim: r.c.route.Aim, Keeps: r.c.wait(time.Until(r.c.deadline)), Need: need,
+	return admit.Stream{Arrived: r.c.arrived, Aim: r.c.route.Aim, Keeps: r.c.wait(time.Until(r.c.deadline)), Need: need}
+}
+
+// placeByOwner lets the owner decide; ok is false when this instance has to. A stream that a target has turned back takes
+// any target.
+func (r *run) placeByOwner(ctx context.Context, need fleet.Need) (to next, away time.Duration, ok bool) {
+	without := make(map[string]bool, len(need.Without))
+	for id := range need.Without {
+		without[id] = true
+	}
+	for _, id := range r.g.Fleet.Avoided(time.Now(), need.Service) {
+		without[id] = true
+	}
+	for range maxUnknown {
+		need.Without = without
+		a := owner.Ask{Run: rendezvous.Hash(r.c.id), Stream: r.stream(need)}
+		if r.c.sends > 0 {
+			a.Mode = owner.Any
+		}
+		if r.wantsBackup() {
+			a.Backup = need.Tokens
+		}
+		answer, err := r.g.Owners.Place(ctx, a)
+		switch {
+		case err != nil || answer.Action == admit.None:
+			return next{}, 0, false
+		case answer.Action == admit.Away:
+			return next{}, max(answer.After, time.Millisecond), true
+		}
+		if target, known := r.g.Fleet.AcquireAt(answer.Target, need); known {
+			r.believed = answer.Belief
+			return next{target: target, owned: true, backup: answer.Backup}, 0, true
+		}
+		without[answer.Target] = true
 	}
+	return next{}, 0, false
+}
+
+// placeAlone decides by what this instance knows.
+func (r *run) placeAlone(ctx context.Context, need fleet.Need) (target fleet.Info, away time.Duration) {
+	if r.c.sends == 0 {
+		d := r.await(ctx, need)
+		switch d.Action {
+		case admit.Go:
+			return d.Target, 0
+		case admit.Away:
+			return fleet.Info{}, d.After
+		}
+	}
+	target, _ = r.g.acquire(ctx, r.c, need)
+	return target, 0
+}
+
+// await lets the stream wait for an engine with room.
+func (r *run) await(ctx context.Context, need fleet.Need) admit.Decision {
+	s := r.stream(need)
 	d := r.g.placer.Step(time.Now(), s)
 	for d.Action == admit.Wait && ctx.Err() == nil {
 		time.Sleep(admit.Poll)
--- a/lib/gateway/poison.go
+++ b/lib/gateway/poison.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/fleet"
-	"anvilwick.example/anvilwick/lib/newspb"
+	"anvilwick.example/anvilwick/lib/ownerpb"
 	"anvilwick.example/anvilwick/lib/poison"
 )
 
@@ -65,18 +65,20 @@
 	}
 	g.Log.Warn("target_died", target.ID, err)
 	g.poison.Lost(time.Now(), run, 1)
-	g.Changed()
 }
 
+// BlameNews has a value when there are blames that peers have not been told.
+func (g *Gateway) BlameNews() <-chan struct{} { return g.poison.News() }
+
 // Blames lists what peers should know of contents that were aboard dying targets.
-func (g *Gateway) Blames() []*newspb.Blame {
+func (g *Gateway) Blames() []*ownerpb.Blame {
 	recs, _ := g.poison.Since(time.Now(), 0)
 	if len(recs) > blamesTold {
 		recs = recs[len(recs)-blamesTold:]
 	}
-	out := make([]*newspb.Blame, len(recs))
+	out := make([]*ownerpb.Blame, len(recs))
 	for i, r := range recs {
-		out[i] = &newspb.Blame{
+		out[i] = &ownerpb.Blame{
 			Fingerprint: r.Fingerprint, Death: r.Death, Level: uint32(r.Level), Newest: r.Newest, AgeMs: uint32(r.Age.Milliseconds()),
 		}
 	}
@@ -84,7 +86,7 @@
 }
 
 // TakeBlames takes in what a peer tells.
-func (g *Gateway) TakeBlames(blames []*newspb.Blame) {
+func (g *Gateway) TakeBlames(blames []*ownerpb.Blame) {
 	if len(blames) == 0 {
 		return
 	}
--- a/lib/gateway/run.go
+++ b/lib/gateway/run.go
@@ -7,24 +7,23 @@
 
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/moveplan"
-	"anvilwick.example/anvilwick/lib/newspb"
 )
 
 // run is one stream to a caller, across the targets that it runs on.
 type run struct {
-	g       *Gateway
-	c       *call
-	w       http.ResponseWriter
-	out     *http.ResponseController
-	begun   bool   // the caller has the head of the answer
-	lastID  string // of the last event that the caller has
-	events  int
-	firstAt time.Time     // when the answer began
-	passed  time.Time     // when the last event went to the caller
-	unread  int           // tokens of prompts that waited at its target when it was chosen, its own included
-	sentAt  time.Time     // when it was last sent
-	waited  time.Duration // for an engine, before the first send
-	pause   time.Duration // longest time between two events
+	g        *Gateway
+	c        *call
+	w        http.ResponseWriter
+	out      *http.ResponseController
+	begun    bool   // the caller has the head of the answer
+	lastID   string // of the last event that the caller has
+	events   int
+	firstAt  time.Time     // when the answer began
+	passed   time.Time     // when the last event went to the caller
+	believed fleet.Belief  // what the choice of its target rested on
+	sentAt   time.Time     // when it was last sent
+	waited   time.Duration // for an engine, before the first send
+	pause    time.Duration // longest time between two events
 
 	heardTwice bool // a target has sent events that the caller had
 
@@ -57,9 +56,7 @@
 	}
 	r.mu.Unlock()
 	r.g.runs.add(target.ID, r)
-	if r.c.engine != nil {
-		r.g.added(&newspb.News{Runs: []*newspb.Run{r.told(target.ID)}})
-	}
+	r.g.changed()
 	if r.c.engine != nil && r.c.engine.Moves && !r.stays() && r.g.Fleet.IsLeaving(target.ID) {
 		go r.g.move(r, target, time.Now(), moveplan.Step{})
 	}
@@ -72,6 +69,10 @@
 	counted := r.counted
 	r.mu.Unlock()
 	r.g.Fleet.Release(time.Now(), x.target.ID, counted, e.outcome())
+	if r.g.Owners != nil {
+		r.g.Owners.Outcome(x.target.ID, e.outcome())
+	}
+	r.g.changed()
 }
 
 // outcome is what a run's end says of its target.
@@ -126,7 +127,7 @@
 		r.g.Fleet.Grow(id, by)
 	}
 	if by.Unread != 0 {
-		r.g.Changed()
+		r.g.changed()
 	}
 }
 
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/owner"
 	"anvilwick.example/anvilwick/lib/wirehttp"
 )
 
@@ -40,6 +41,8 @@
 	counted  fleet.Load // what the run counts for there already
 	copyFrom string     // address and handle of a copy; empty: from the prompt and the last event
 	source   fleet.Info // where the run has stopped, which keeps its memory; empty: not known, or target itself
+	owned    bool       // an owner has chosen the target
+	backup   string     // id of the engine that the owner has found for a copy; empty: none
 }
 
 // serveStream serves a call that is answered by events.
@@ -56,16 +59,13 @@
 	dials := 0
 	for {
 		if to.target.ID == "" {
-			var ok bool
-			need := r.need()
-			to.counted = fleet.Load{Tokens: need.Tokens, Unread: need.Unread}
 			var away time.Duration
-			to.target, ok, away = r.place(ctx, need)
+			to, away = r.place(ctx)
 			if away > 0 {
 				g.refuse(w, c, refusal{status: http.StatusServiceUnavailable, after: away, reason: "no_room"})
 				return
 			}
-			if !ok {
+			if to.target.ID == "" {
 				r.giveUp(ctx, "no_target")
 				return
 			}
@@ -73,10 +73,11 @@
 		if to.copyFrom == "" {
 			c.tried[to.target.ID] = true
 		}
-		believed := r.g.Fleet.Believe(time.Now(), to.target.ID)
-		r.unread = believed.Load.Unread
+		if !to.owned {
+			r.believed = g.Fleet.Believe(time.Now(), to.target.ID)
+		}
 		e, x := r.runOn(ctx, to)
-		g.Log.Sent(c.entry(), to.target.ID, believed, x.statusCode(), e.String(), x.err)
+		g.Log.Sent(c.entry(), to.target.ID, r.believed, x.statusCode(), e.String(), x.err)
 		c.count(metricSent, "outcome", e.String())
 		var done bool
 		to, done = r.follow(ctx, e, x, to)
@@ -92,6 +93,14 @@
 	}
 }
 
+// learnReading learns how fast prompts are read, here and at the owner.
+func (g *Gateway) learnReading(m owner.Reading) {
+	g.placer.Reading.Saw(m.Service, m.Unread, m.Took)
+	if g.Owners != nil {
+		g.Owners.Reading(m)
+	}
+}
+
 // stopShare is the part of the time until this instance ends that a stream may be expected to take. Guesses of length are
 // often short by half, a stream that is cut is lost, and one that is refused at once begins elsewhere in time.
 const stopShare = 0.5
@@ -209,7 +218,7 @@
 		r.dropBackup() // of the run before it went on here
 		req.Header.Set(r.g.Names.CopyFrom, to.copyFrom)
 	} else {
-		r.chooseBackup(to.target)
+		r.chooseBackup(to)
 		if b := r.backupAt(); b.ID != "" {
 			req.Header.Set(r.g.Names.Backup, b.Addr)
 		}
@@ -325,7 +334,7 @@
 		r.g.copyHead(r.w, resp.Header)
 		r.w.WriteHeader(resp.Status)
 		r.firstAt = time.Now()
-		r.g.placer.Reading.Saw(r.c.service, r.unread, r.firstAt.Sub(r.sentAt))
+		r.g.learnReading(owner.Reading{Service: r.c.service, Unread: r.believed.Load.Unread, Took: r.firstAt.Sub(r.sentAt)})
 		r.g.Log.Begun(r.c.entry(), r.at().ID, r.waited)
 		r.c.observe(metricFirst)
 	}
--- a/lib/gateway/watch.go
+++ b/lib/gateway/watch.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -55,6 +56,7 @@
 
 // look closes the connection of a silent target and comes back later to any other.
 func (w *watch) look() {
+	alive := w.alive()
 	now := time.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -62,7 +64,6 @@
 		return
 	}
 	left := w.r.patience() - now.Sub(w.r.lastHeard())
-	alive := now.Sub(w.r.g.Fleet.LastHeard(w.target)) < aliveFor
 	if left <= 0 && !alive && w.r.g.Budget.Left(now, w.r.c.service) >= 1 {
 		w.r.g.Log.Silent(w.r.c.entry(), w.target, now.Sub(w.r.lastHeard()))
 		w.conn.Close()
@@ -71,6 +72,25 @@
 	w.timer = time.AfterFunc(max(left, minPatience/4), w.look)
 }
 
+// heardTimeout bounds the wait for an owner's word of when an engine was last heard.
+const heardTimeout = 200 * time.Millisecond
+
+// alive reports whether the run's target is heard on some run, of this instance or, by what the owner was told, of another.
+func (w *watch) alive() bool {
+	g := w.r.g
+	at := g.Fleet.LastHeard(w.target)
+	silent := time.Since(w.r.lastHeard()) >= w.r.patience()
+	if silent && time.Since(at) >= aliveFor && g.Owners != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), heardTimeout)
+		defer cancel()
+		// Without an answer this instance goes by its own runs.
+		if told, err := g.Owners.LastHeard(ctx, w.target); err == nil && told.After(at) {
+			at = told
+		}
+	}
+	return time.Since(at) < aliveFor
+}
+
 func (w *watch) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -16,6 +16,7 @@
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/logline"
 	"anvilwick.example/anvilwick/lib/mesh"
+	"anvilwick.example/anvilwick/lib/owner"
 	"anvilwick.example/anvilwick/lib/rendezvous"
 	"anvilwick.example/anvilwick/lib/routes"
 )
@@ -67,7 +68,8 @@
 	p.track(ctx, instancesTable, p.site.Instances, p.feeds.instances, instanceOptions, instanceMaxAge)
 	p.start(func() { p.askSeeds(ctx) })
 	p.start(func() { p.register(ctx) })
-	p.start(func() { p.news.Run(ctx) })
+	p.start(func() { p.link.Run(ctx) })
+	p.start(func() { p.tellBlames(ctx) })
 	p.start(func() { p.tick(ctx) })
 	p.start(func() { p.watchEngines(ctx) })
 }
@@ -88,53 +90,37 @@
 	p.start(func() { t.Run(ctx) })
 }
 
-// readers ranks the instances of this failure domain that are heard, and this one, then those of others. Those with half of the largest
-// capacity or more come first: the reader sends each change to all others, and a link of a twentieth would take
-// seconds for a large one.
+// readers ranks the instances that may read the store for this one: those of its failure domain, this one among them,
+// then the others. Those with half of the largest capacity or more come first: the reader sends each change to all others,
+// and a link of a twentieth would take seconds for a large one.
 func (p *Process) readers() []mesh.Peer {
-	type ranked struct {
-		peer     mesh.Peer
-		rank     uint64
-		capacity uint32
-		away     bool // in another failure domain
-	}
 	key := rendezvous.Hash(p.cfg.Domain)
-	list := []ranked{{rank: rendezvous.Rank(key, rendezvous.Hash(p.cfg.Instance)), capacity: p.capacity()}}
-	most := p.capacity()
-	p.mu.Lock()
-	for _, n := range p.news.Latest(time.Now()) {
-		known, ok := p.peers[n.Instance]
-		if ok && known.Link != "" && !n.Leaving {
-			list = append(list, ranked{
-				peer:     mesh.Peer{Instance: n.Instance, Addr: known.Link},
-				rank:     rendezvous.Rank(key, rendezvous.Hash(n.Instance)),
-				capacity: n.Capacity,
-				away:     n.FailureDomain != p.cfg.Domain,
-			})
-			if n.FailureDomain == p.cfg.Domain {
-				most = max(most, n.Capacity)
-			}
+	list := p.listedInstances()
+	most := uint32(0)
+	for _, in := range list {
+		if in.Domain == p.cfg.Domain {
+			most = max(most, in.Capacity)
 		}
 	}
-	p.mu.Unlock()
-	slices.SortFunc(list, func(a, b ranked) int {
-		if a.away != b.away {
-			if b.away {
-				return -1
-			}
-			return 1
-		}
-		if able := a.capacity >= most/2; able != (b.capacity >= most/2) {
-			if able {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(b.rank, a.rank)
+	ranks := make(map[string]uint64, len(list))
+	for _, in := range list {
+		ranks[in.Name] = rendezvous.Rank(key, rendezvous.Hash(in.Name))
+	}
+	slices.SortFunc(list, func(a, b owner.Instance) int {
+		return cmp.Or(
+			owner.Before(a.Domain == p.cfg.Domain, b.Domain == p.cfg.Domain),
+			owner.Before(a.Capacity >= most/2, b.Capacity >= most/2),
+			cmp.Compare(ranks[b.Name], ranks[a.Name]),
+		)
 	})
-	out := make([]mesh.Peer, len(list))
-	for i, r := range list {
-		out[i] = r.peer
+	out := make([]mesh.Peer, 0, len(list))
+	for _, in := range list {
+		switch {
+		case in.Name == p.cfg.Instance:
+			out = append(out, mesh.Peer{})
+		case in.Link != "":
+			out = append(out, mesh.Peer{Instance: in.Name, Addr: in.Link})
+		}
 	}
 	return out
 }
@@ -224,6 +210,7 @@
 		specs[s.Name] = spec
 	})
 	p.fleet.SetSpecs(specs)
+	p.layOut()
 	p.gate.ExportBudget(table)
 	log.Info().Str("event", "settings").Int64("settings", rev.Version).Int("routes", len(rev.Routes)).Msg("")
 }
@@ -274,9 +261,12 @@
 	for _, t := range ch.Leaving {
 		log.Info().Str("event", "target_leaving").Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr).Msg("")
 	}
+	if len(ch.Added)+len(ch.Leaving)+len(ch.Gone) > 0 {
+		p.layOut()
+	}
 	if len(ch.Leaving) > 0 {
-		p.gate.Evacuate(ch.Leaving, p.peerRuns(ch.Leaving))
-		p.news.Changed()
+		p.link.Leaving(ch.Leaving)
+		p.gate.Evacuate(ch.Leaving)
 	}
 }
 
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -9,9 +9,8 @@
 	"anvilwick.example/anvilwick/lib/feed"
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/logline"
-	"anvilwick.example/anvilwick/lib/moveplan"
-	"anvilwick.example/anvilwick/lib/newspb"
-	"anvilwick.example/anvilwick/lib/peernews"
+	"anvilwick.example/anvilwick/lib/owner"
+	"anvilwick.example/anvilwick/lib/ownerlink"
 )
 
 // instanceOptions follow the instances: they change seldom, and late news of one costs only worse choices.
@@ -23,11 +22,18 @@
 // registerTimeout bounds one try to write this instance's row.
 const registerTimeout = 800 * time.Millisecond
 
+// self is this instance as others see it.
+func (p *Process) self() owner.Instance {
+	return owner.Instance{
+		Name: p.cfg.Instance, Domain: p.cfg.Domain, Addr: p.cfg.Peer, Link: p.cfg.Link, Capacity: p.capacity(),
+	}
+}
+
 // register writes this instance's row until the store has taken it.
 func (p *Process) register(ctx context.Context) {
 	for {
 		try, cancel := context.WithTimeout(ctx, registerTimeout)
-		err := p.site.Register(try, peernews.Peer{Instance: p.cfg.Instance, Addr: p.cfg.Peer, Link: p.cfg.Link})
+		err := p.site.Register(try, p.self())
 		cancel()
 		if err == nil {
 			return
@@ -41,7 +47,7 @@
 	}
 }
 
-// unregister takes the row away. One that stays costs peers a datagram a period.
+// unregister takes the row away. One that stays makes others ask in vain now and then.
 func (p *Process) unregister(ctx context.Context) {
 	try, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
@@ -54,114 +60,99 @@
 	p.mu.Lock()
 	for _, row := range u.Rows {
 		if row.Removed {
-			delete(p.peers, row.Key)
+			delete(p.instances, row.Key)
 			continue
 		}
-		peer, err := p.site.DecodeInstance(row)
+		in, err := p.site.DecodeInstance(row)
 		if err != nil {
 			logline.Cause(log.Error().Str("event", "instance_refused").Str("instance", row.Key), err)
 			continue
 		}
-		p.peers[row.Key] = peer
-	}
-	peers := make([]peernews.Peer, 0, len(p.peers))
-	for _, peer := range p.peers {
-		peers = append(peers, peer)
+		p.instances[row.Key] = in
 	}
+	n := max(1, len(p.instances))
 	p.mu.Unlock()
-	if err := p.news.SetPeers(peers); err != nil {
-		logline.Cause(log.Error().Str("event", "instance_refused"), err)
-	}
-	n := max(1, len(peers))
 	p.share.SetInstances(n)
 	p.fleet.SetShare(1 / float64(n))
 	log.Info().Str("event", "instances").Int("n", n).Msg("")
+	p.layOut()
 }
 
-// tellLeaving is how long peers are told of a target that leaves: until a lost datagram has been made up for.
-const tellLeaving = 2 * time.Second
-
-// gather makes this instance's news.
-func (p *Process) gather() *newspb.News {
-	runs, calls, held := p.gate.News()
+// listed lists the instances, with this one also before its row is there.
+func (p *Process) listedInstances() []owner.Instance {
 	p.mu.Lock()
-	leaving := p.stopped
-	p.mu.Unlock()
-	return &newspb.News{
-		Instance: p.cfg.Instance, Incarnation: p.born, FailureDomain: p.cfg.Domain, Leaving: leaving,
-		Settings: p.version(), Runs: runs, Calls: calls, Held: held, Capacity: p.capacity(),
-		Blames:   p.gate.Blames(),
-		ListLost: p.listLost(),
-		Left:     p.left(),
+	defer p.mu.Unlock()
+	out := make([]owner.Instance, 0, len(p.instances)+1)
+	for name, in := range p.instances {
+		if name != p.cfg.Instance {
+			out = append(out, in)
+		}
 	}
-}
-
-// left lists the targets that have left lately.
-func (p *Process) left() []*newspb.Left {
-	var out []*newspb.Left
-	for _, l := range p.fleet.LeftSince(time.Now().Add(-tellLeaving)) {
-		out = append(out, &newspb.Left{Target: l.ID, Born: l.Born})
+	if !p.stopped {
+		out = append(out, p.self())
 	}
 	return out
 }
 
-// added tells peers of what this instance has just sent to an engine.
-func (p *Process) added(n *newspb.News) {
-	n.Instance, n.Incarnation = p.cfg.Instance, p.born
-	p.news.Add(n)
+// layOut works out anew which instances own which engines.
+func (p *Process) layOut() {
+	instances := p.listedInstances()
+	layout := owner.NewLayout(p.fleet.Engines(fleet.Ready), p.fleet.Engines(fleet.Leaving), instances)
+	if err := p.link.SetLayout(layout, instances); err != nil {
+		logline.Cause(log.Error().Str("event", "instance_refused"), err)
+	}
 }
 
-// heard takes in a peer's news.
-func (p *Process) heard(n *newspb.News) {
-	loads := make(map[string]fleet.Load)
-	sizes := make(map[string][]fleet.Size)
-	now := time.Now()
-	for _, r := range n.Runs {
-		if r.Unread == 0 {
-			p.fleet.Heard(now.Add(-time.Duration(r.SilentMs)*time.Millisecond), r.Target)
-		}
-		l := loads[r.Target]
-		l.Runs++
-		l.Tokens += int(r.Tokens + r.Expected)
-		l.Unread += int(r.Unread)
-		loads[r.Target] = l
-		sizes[r.Target] = append(sizes[r.Target], fleet.Size{Now: int(r.Tokens), Left: int(r.Left)})
+// openOwners listens for what other instances tell and ask.
+func (p *Process) openOwners() error {
+	link, err := ownerlink.New(ownerlink.Config{
+		Self: p.self(), Incarnation: p.born, Fleet: p.fleet,
+		Book:  owner.NewBook(p.cfg.Instance, p.fleet, p.gate.Readings()),
+		Peers: owner.NewPeers(p.cfg.Instance, time.Now()),
+		Gather: func(l *owner.Layout) map[string]owner.Report {
+			return owner.ByShard(l, p.gate.Runs(), p.gate.Held())
+		},
+		Moves:  p.gate.MoveLink,
+		Left:   func(id string, born int64) { p.changed(p.fleet.Leave(time.Now(), id, born)) },
+		Blames: p.gate.TakeBlames,
+		Bad: func(cause string, err error) {
+			logline.Cause(log.Warn().Str("event", "bad_datagram").Str("cause", cause), err)
+		},
+	})
+	if err != nil {
+		return err
 	}
-	for _, c := range n.Calls {
-		l := loads[c.Target]
-		l.Runs += int(c.Open)
-		loads[c.Target] = l
-	}
-	p.gate.TakeBlames(n.Blames)
-	for _, h := range n.Held {
-		l := loads[h.Target]
-		l.Tokens += int(h.Tokens)
-		loads[h.Target] = l
-		sizes[h.Target] = append(sizes[h.Target], fleet.Size{Now: int(h.Tokens)})
-	}
-	for _, l := range n.Left {
-		p.changed(p.fleet.Leave(now, l.Target, l.Born))
-	}
-	p.fleet.Tell(now, n.Instance, loads, sizes)
+	p.link = link
+	p.gate.Owners = link
+	return nil
 }
 
-// peerRuns lists the runs that peers have on targets that leave, and that are to be moved.
-func (p *Process) peerRuns(leaving []fleet.Info) []moveplan.Run {
-	ids := make(map[string]bool)
-	for _, t := range leaving {
-		ids[t.ID] = true
-	}
-	var out []moveplan.Run
-	for _, n := range p.news.Latest(time.Now()) {
-		for _, r := range n.Runs {
-			if ids[r.Target] && !r.Stays {
-				out = append(out, moveplan.Run{
-					ID: r.Id, From: r.Target, Tokens: int(r.Tokens), Expected: int(r.Expected), Unread: r.Unread > 0,
-				})
+const (
+	// blamesGap is the least time between two tellings of blames: an engine that dies had several runs.
+	blamesGap = 100 * time.Millisecond
+	// blamesAgain is when blames are told a second time, for datagrams that were lost.
+	blamesAgain = 300 * time.Millisecond
+)
+
+// tellBlames tells all instances of contents that were on targets which died.
+func (p *Process) tellBlames(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.gate.BlameNews():
+		}
+		for _, pause := range []time.Duration{blamesGap, blamesAgain} {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(pause):
+			}
+			if blames := p.gate.Blames(); len(blames) > 0 {
+				p.link.TellBlames(blames)
 			}
 		}
 	}
-	return out
 }
 
 // capacityUnit makes the smallest instances' capacity a number that still compares.
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -24,7 +24,8 @@
 	"anvilwick.example/anvilwick/lib/gateway"
 	"anvilwick.example/anvilwick/lib/logline"
 	"anvilwick.example/anvilwick/lib/mesh"
-	"anvilwick.example/anvilwick/lib/peernews"
+	"anvilwick.example/anvilwick/lib/owner"
+	"anvilwick.example/anvilwick/lib/ownerlink"
 	"anvilwick.example/anvilwick/lib/retry"
 	"anvilwick.example/anvilwick/lib/routes"
 	"anvilwick.example/anvilwick/lib/wirehttp"
@@ -36,7 +37,7 @@
 	Domain   string   // failure domain
 	Front    string   // address for callers
 	Ready    string   // address for the balancer's readiness checks
-	Peer     string   // address for other instances' news, by datagram
+	Peer     string   // address for other instances' datagrams
 	Link     string   // address for other instances' streams
 	Metrics  string   // address for metrics, at /metrics; empty: none
 	Seeds    []string // links of some instances, which may be stale
@@ -63,10 +64,10 @@
 	Targets        feed.Source
 	DecodeTarget   func(feed.Row) (fleet.Info, error)
 
-	// Instances is the table in which each instance stands with the address at which peers tell it news.
+	// Instances is the table in which each instance stands with the addresses at which others reach it.
 	Instances      feed.Source
-	DecodeInstance func(feed.Row) (peernews.Peer, error)
-	Register       func(context.Context, peernews.Peer) error
+	DecodeInstance func(feed.Row) (owner.Instance, error)
+	Register       func(context.Context, owner.Instance) error
 	Unregister     func(context.Context, string) error
 
 	// Reload reads the instance's settings again, after SIGHUP.
@@ -99,7 +100,7 @@
 	fleet *fleet.Fleet
 	gate  *gateway.Gateway
 	share *retry.Share
-	news  *peernews.Exchange
+	link  *ownerlink.Link
 	born  uint64 // incarnation
 	node  *mesh.Node
 	feeds struct{ settings, targets, instances *feed.Replica }
@@ -110,30 +111,28 @@
 
 	listFailed atomic.Pointer[time.Time] // when a call for the list of targets last failed
 
-	mu      sync.Mutex
-	peers   map[string]peernews.Peer
-	listed  bool // the list of targets was read
-	refused refusedEntries
-	stopped bool
+	mu        sync.Mutex
+	instances map[string]owner.Instance // as listed
+	listed    bool                      // the list of targets was read
+	refused   refusedEntries
+	stopped   bool
 }
 
 // Run serves until ctx is done, then stops gracefully.
 func Run(ctx context.Context, cfg Config, site Site) error {
 	p := &Process{
 		cfg: cfg, site: site, fleet: fleet.New(cfg.Domain),
-		peers: make(map[string]peernews.Peer), born: uint64(time.Now().UnixNano()),
+		instances: make(map[string]owner.Instance), born: uint64(time.Now().UnixNano()),
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
 	p.share = retry.NewShare(cfg.RepeatRatio, cfg.RepeatFloor, cfg.RepeatWindow)
 	p.gate = gateway.New(gateway.Config{
 		Names: site.Names, Engines: site.Engines, Fleet: p.fleet, Pool: site.Pool, Budget: p.share,
-		Log: gateway.Log{Version: p.version}, OnChange: func() { p.news.Changed() }, OnAdd: p.added,
+		Log: gateway.Log{Version: p.version},
 	})
-	news, err := peernews.New(cfg.Instance, cfg.Peer, p.gather, p.heard)
-	if err != nil {
+	if err := p.openOwners(); err != nil {
 		return fmt.Errorf("gatewayproc: peers: %w", err)
 	}
-	p.news = news
 	if err := p.openLinks(); err != nil {
 		return err
 	}
@@ -254,6 +253,9 @@
 	front := p.front
 	p.mu.Unlock()
 	p.gate.Stop(start.Add(p.cfg.Grace - cutMargin))
+	// Others look for another owner and another reader now, while this one still answers them.
+	p.link.Peers.Leave()
+	p.start(func() { p.unregister(context.Background()) })
 	time.Sleep(min(outOfRotation, p.cfg.Grace/2))
 	cut := time.AfterFunc(p.cfg.Grace-time.Since(start)-cutMargin, p.gate.Cut)
 	defer cut.Stop()
@@ -263,7 +265,6 @@
 	if front != nil {
 		err = front.Shutdown(ctx)
 	}
-	p.unregister(ctx)
 	p.cancel()
 	log.Info().Str("event", "stopped").Int64("after_ms", time.Since(start).Milliseconds()).Msg("")
 	if err != nil {
--- a/lib/gatewayproc/watch.go
+++ b/lib/gatewayproc/watch.go
@@ -8,7 +8,6 @@
 
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/logline"
-	"anvilwick.example/anvilwick/lib/rendezvous"
 )
 
 const (
@@ -22,8 +21,8 @@
 	reportTimeout = 300 * time.Millisecond
 )
 
-// watchEngines asks engines themselves whether they leave, while the list can't tell. Each is asked by one instance,
-// chosen by rendezvous, which tells the others: questions delay an engine's work and are paid for.
+// watchEngines asks engines themselves whether they leave, while the list can't tell. Each is asked by the owner of its
+// shard, which tells those that have runs there: questions delay an engine's work and are paid for.
 func (p *Process) watchEngines(ctx context.Context) {
 	t := time.NewTicker(watchEvery)
 	defer t.Stop()
@@ -36,8 +35,8 @@
 		if !p.listAway() {
 			continue
 		}
-		for _, e := range p.fleet.Engines() {
-			if p.watches(e.ID) {
+		for _, e := range p.fleet.Engines(fleet.Ready) {
+			if p.link.Owns(e.ID) {
 				go p.ask(ctx, e)
 			}
 		}
@@ -50,30 +49,9 @@
 	return failed != nil && failed.After(p.feeds.targets.Contact())
 }
 
-// listAway reports whether the list of targets can't be relied on: it is old, or lost here or at a peer.
+// listAway reports whether the list of targets can't be relied on: it is old, or lost.
 func (p *Process) listAway() bool {
-	now := time.Now()
-	if now.Sub(p.feeds.targets.Contact()) >= listSilent || p.listLost() {
-		return true
-	}
-	for _, n := range p.news.Latest(now) {
-		if n.ListLost {
-			return true
-		}
-	}
-	return false
-}
-
-// watches reports whether this instance is the one to ask an engine.
-func (p *Process) watches(id string) bool {
-	key := rendezvous.Hash(id)
-	own := rendezvous.Rank(key, rendezvous.Hash(p.cfg.Instance))
-	for _, n := range p.news.Latest(time.Now()) {
-		if !n.Leaving && rendezvous.Rank(key, rendezvous.Hash(n.Instance)) > own {
-			return false
-		}
-	}
-	return true
+	return time.Since(p.feeds.targets.Contact()) >= listSilent || p.listLost()
 }
 
 func (p *Process) ask(ctx context.Context, e fleet.Info) {
--- /dev/null
+++ b/lib/owner/book.go
@@ -0,0 +1,366 @@
+package owner
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/admit"
+	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/moveplan"
+)
+
+// Mode is what an ask wants.
+type Mode uint8
+
+// Values of Mode.
+const (
+	Admit Mode = iota // for a new stream: an engine that has room and reads it in time, or a time to come back
+	Any               // for a run that an engine has turned back or lost: the best engine, however full
+	Room              // for a run that moves: an engine that holds it, or none
+)
+
+// Key names an ask. It is the same each time that it is sent.
+type Key struct {
+	Instance    string
+	Incarnation uint64
+	ID          uint64
+}
+
+// Ask is for an engine for one run.
+type Ask struct {
+	Key
+	Addr   string // where the instance is answered
+	Run    uint64 // hash of the request's id
+	Mode   Mode
+	Stream admit.Stream
+	Backup int // tokens of a copy that is wanted elsewhere; 0: none
+}
+
+// Answer is to an Ask.
+type Answer struct {
+	Key
+	Addr   string
+	Action admit.Action
+	Target string
+	After  time.Duration
+	Serial uint64 // of the grant
+	Backup string // engine for the copy; empty: none has room
+	Belief fleet.Belief
+}
+
+const (
+	// askLife is how long an ask waits that is not heard again: its caller has left, or another owner was found.
+	askLife = 500 * time.Millisecond
+	// answerLife is how long an answer is kept for an ask that comes again because the answer was lost.
+	answerLife = 3 * time.Second
+	// backupFree is the share of an engine's memory that must stay free for it to hold a copy of another's run. With copies
+	// of every run the engines' memory fills up and runs are preempted, which costs more than the copies save.
+	backupFree = 0.7
+	// waitingMax bounds the asks that wait. Each step looks at all of them, 50 times a second.
+	waitingMax = 2048
+)
+
+type waiting struct {
+	Ask
+	shard *Shard
+	heard time.Time
+}
+
+type answered struct {
+	Answer
+	at time.Time
+}
+
+// Book is an instance's account of the shards that it ranks to own. It is safe for concurrent use.
+type Book struct {
+	self    string // this instance, whose own runs the fleet counts without being told
+	fleet   *fleet.Fleet
+	reading *admit.Readings
+
+	mu      sync.Mutex
+	holders map[string]map[string]*holder // by shard, instance
+	asks    []*waiting                    // in order of arrival
+	done    map[Key]answered
+	serial  uint64
+	steps   map[uint64]planned // of moves, by run
+}
+
+// NewBook returns an empty Book of an instance that decides by what f believes. Reports go into f as its peers' loads.
+func NewBook(self string, f *fleet.Fleet, reading *admit.Readings) *Book {
+	return &Book{
+		self: self, fleet: f, reading: reading, holders: make(map[string]map[string]*holder), done: make(map[Key]answered),
+		steps: make(map[uint64]planned),
+	}
+}
+
+// Report takes in a report and reports whether it was newer than the last of its instance.
+func (b *Book) Report(now time.Time, r Report) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.holder(r.Shard, r.Instance)
+	if h == nil || !h.fresh(now, &r) {
+		return false
+	}
+	r.bounded()
+	h.take(now, &r)
+	b.tell(now, h)
+	b.learn(now, h, &r)
+	return true
+}
+
+// learn takes in what a report says of engines beside their load.
+func (b *Book) learn(now time.Time, h *holder, r *Report) {
+	for _, run := range r.Runs {
+		if run.Unread == 0 {
+			b.fleet.Heard(now.Add(-run.Silent), run.Target)
+		}
+	}
+	if h.own {
+		return // it has learnt from its own sends
+	}
+	for _, o := range r.Outcomes {
+		last := h.outcomes[o.Target]
+		h.outcomes[o.Target] = o
+		b.learnOutcome(now, o.Target, fleet.Served, o.Served-last.Served)
+		b.learnOutcome(now, o.Target, fleet.Failed, o.Failed-last.Failed)
+		b.learnOutcome(now, o.Target, fleet.Unreachable, o.Unreachable-last.Unreachable)
+	}
+	for _, m := range r.Readings {
+		b.reading.Saw(m.Service, m.Unread, m.Took)
+	}
+}
+
+// outcomesMax bounds what one report teaches of one target: more are hardly one instance's since its last report.
+const outcomesMax = 8
+
+func (b *Book) learnOutcome(now time.Time, target string, o fleet.Outcome, n uint32) {
+	for range min(n, outcomesMax) {
+		b.fleet.Learn(now, target, o)
+	}
+}
+
+// holder returns what is known of an instance on a shard; nil when too many are known already.
+func (b *Book) holder(shard, instance string) *holder {
+	if b.holders[shard] == nil {
+		b.holders[shard] = make(map[string]*holder)
+	}
+	h := b.holders[shard][instance]
+	if h == nil && len(b.holders[shard]) < holdersMax {
+		h = &holder{name: instance + " " + shard, own: instance == b.self, outcomes: make(map[string]Outcomes)}
+		b.holders[shard][instance] = h
+	}
+	return h
+}
+
+func (b *Book) tell(now time.Time, h *holder) {
+	if h.own {
+		return
+	}
+	loads, sizes := h.loads()
+	b.fleet.Tell(now, h.name, loads, sizes)
+}
+
+// Place decides an ask, or lets it wait: ok is false then, and Step decides it later. An ask that comes again is answered
+// as before.
+func (b *Book) Place(now time.Time, s *Shard, a Ask) (answer Answer, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if old, known := b.done[a.Key]; known {
+		return old.Answer, true
+	}
+	i := slices.IndexFunc(b.asks, func(w *waiting) bool { return w.Key == a.Key })
+	if i >= 0 {
+		b.asks[i].heard = now
+		return Answer{}, false
+	}
+	answer, ok = b.decide(now, s, &a)
+	if !ok && len(b.asks) < waitingMax {
+		b.asks = append(b.asks, &waiting{Ask: a, shard: s, heard: now})
+	}
+	return answer, ok
+}
+
+// Waits reports whether asks wait.
+func (b *Book) Waits() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.asks) > 0
+}
+
+// Step decides what it can of the asks that wait, in the order of their arrival, and returns the answers.
+func (b *Book) Step(now time.Time) []Answer {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Answer
+	b.asks = slices.DeleteFunc(b.asks, func(w *waiting) bool {
+		if now.Sub(w.heard) > askLife {
+			return true
+		}
+		answer, ok := b.decide(now, w.shard, &w.Ask)
+		if ok {
+			out = append(out, answer)
+		}
+		return ok
+	})
+	return out
+}
+
+// decide answers an ask, unless it should wait.
+func (b *Book) decide(now time.Time, s *Shard, a *Ask) (Answer, bool) {
+	d := b.choose(now, s, a)
+	if d.Action == admit.Wait {
+		return Answer{}, false
+	}
+	out := Answer{Key: a.Key, Addr: a.Addr, Action: d.Action, Target: d.Target.ID, After: d.After}
+	if d.Action == admit.Go {
+		b.grant(now, s, a, &out)
+	}
+	b.done[a.Key] = answered{Answer: out, at: now}
+	return out, true
+}
+
+func (b *Book) choose(now time.Time, s *Shard, a *Ask) admit.Decision {
+	need := a.Stream.Need
+	need.Among = s.Engines
+	if a.Mode == Admit {
+		p := admit.Placer{Fleet: b.fleet, Reading: b.reading, Take: b.fleet.Choose}
+		stream := a.Stream
+		stream.Need = need
+		if d := p.Step(now, stream); d.Action != admit.None {
+			return d
+		}
+	}
+	need.Must = a.Mode == Room
+	target, ok := b.fleet.Choose(now, need)
+	if !ok {
+		return admit.Decision{Action: admit.None}
+	}
+	return admit.Decision{Action: admit.Go, Target: target}
+}
+
+// grant counts the run at its engine until its instance tells of it.
+func (b *Book) grant(now time.Time, s *Shard, a *Ask, out *Answer) {
+	h := b.holder(s.Key, a.Instance)
+	if h == nil {
+		return
+	}
+	h.renew(a.Incarnation)
+	need := &a.Stream.Need
+	b.serial++
+	out.Serial = b.serial
+	size := need.Peak
+	if size.Now == 0 {
+		size = fleet.Size{Now: need.Tokens}
+	}
+	h.give(now, grant{
+		serial: b.serial, run: a.Run, target: out.Target, size: size, at: now,
+		load: fleet.Load{Runs: 1, Tokens: need.Tokens, Unread: need.Unread},
+	})
+	if a.Backup > 0 {
+		b.backup(now, s, a, out, h)
+	}
+	b.tell(now, h)
+	out.Belief = b.fleet.Believe(now, out.Target)
+}
+
+// backup finds an engine for a copy of the run.
+func (b *Book) backup(now time.Time, s *Shard, a *Ask, out *Answer, h *holder) {
+	at, ok := b.fleet.Spare(s.Service, a.Backup, out.Target, s.Engines, backupFree)
+	if !ok {
+		return
+	}
+	out.Backup = at.ID
+	h.give(now, grant{
+		serial: b.serial, run: a.Run, target: at.ID, at: now, load: fleet.Load{Tokens: a.Backup}, size: fleet.Size{Now: a.Backup},
+	})
+}
+
+// renew forgets what an earlier life of the instance had.
+func (h *holder) renew(incarnation uint64) {
+	if incarnation <= h.incarnation {
+		return
+	}
+	h.incarnation, h.seq = incarnation, 0
+	h.runs, h.held, h.grants = nil, nil, nil
+	h.outcomes = make(map[string]Outcomes)
+}
+
+func (h *holder) give(now time.Time, g grant) {
+	if h.at.IsZero() {
+		h.at = now
+	}
+	h.grants = append(h.grants, g)
+}
+
+// Tick forgets what is too old to be believed.
+func (b *Book) Tick(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for key, a := range b.done {
+		if now.Sub(a.at) > answerLife {
+			delete(b.done, key)
+		}
+	}
+	for id, p := range b.steps {
+		if now.Sub(p.at) > stepLife {
+			delete(b.steps, id)
+		}
+	}
+	for _, list := range b.holders {
+		for instance, h := range list {
+			b.age(now, list, instance, h)
+		}
+	}
+}
+
+func (b *Book) age(now time.Time, list map[string]*holder, instance string, h *holder) {
+	n := len(h.grants)
+	h.settle(now, 0)
+	switch {
+	case now.Sub(h.at) > reportLife && len(h.grants) == 0:
+		delete(list, instance)
+		h.runs, h.held = nil, nil
+		b.tell(now, h)
+	case len(h.grants) < n:
+		b.tell(now, h)
+	}
+}
+
+// Runs lists what instances have told of their runs on some engines.
+func (b *Book) runs(engines map[string]bool) []moveplan.Run {
+	var out []moveplan.Run
+	for _, list := range b.holders {
+		for _, h := range list {
+			for _, r := range h.runs {
+				if engines[r.Target] && !r.Stays {
+					out = append(out, r.moving())
+				}
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b moveplan.Run) int { return cmp.Compare(a.ID, b.ID) })
+	return slices.CompactFunc(out, func(a, b moveplan.Run) bool { return a.ID == b.ID })
+}
+
+// Users returns where instances are told that have runs on some engines of a shard, this one left out.
+func (b *Book) Users(shard string, engines map[string]bool) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for _, h := range b.holders[shard] {
+		if !h.own && slices.ContainsFunc(h.runs, func(r Run) bool { return engines[r.Target] }) {
+			out = append(out, h.addr)
+		}
+	}
+	return out
+}
+
+// Knows reports whether an ask has been decided here or waits here.
+func (b *Book) Knows(k Key) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, done := b.done[k]
+	return done || slices.ContainsFunc(b.asks, func(w *waiting) bool { return w.Key == k })
+}
--- /dev/null
+++ b/lib/owner/book_test.go
@@ -0,0 +1,276 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/admit"
+	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/moveplan"
+)
+
+var t0 = time.Unix(1_000_000, 0)
+
+const kv = 10_000
+
+// testBook is an owner's account of n engines of kv tokens.
+func testBook(n int) (*Book, *fleet.Fleet, *Shard) {
+	f := fleet.New("z0")
+	f.SetSpecs(map[string]fleet.Spec{"s": {KVTokens: kv}})
+	f.SetRandom(func() float64 { return 0 })
+	f.Apply(t0, engines(n, 1), nil, 0)
+	l := NewLayout(f.Engines(fleet.Ready), nil, instances(3, 1))
+	return NewBook("owner", f, new(admit.Readings)), f, l.Home("s", "z0", "owner")
+}
+
+func ask(instance string, id uint64, tokens int) Ask {
+	need := fleet.Need{Service: "s", Tokens: tokens, Unread: tokens, Peak: fleet.Size{Now: tokens}}
+	return Ask{
+		Key: Key{Instance: instance, Incarnation: 1, ID: id}, Run: 100 + id,
+		Stream: admit.Stream{Arrived: t0, Aim: time.Second, Keeps: 10 * time.Second, Need: need},
+	}
+}
+
+func report(s *Shard, instance string, seq uint64, runs ...Run) Report {
+	return Report{Shard: s.Key, Instance: instance, Incarnation: 1, Seq: seq, Runs: runs}
+}
+
+// Many instances ask within a millisecond, before any of them can tell what it was given. Each grant counts from the
+// moment it is given: the engines are filled evenly and the one too many waits.
+func TestGrantsCountAtOnce(t *testing.T) {
+	b, f, s := testBook(4)
+	given := make(map[string]int)
+	for i := range 8 {
+		a, ok := b.Place(t0, s, ask(fmt.Sprint("i", i), 1, 4500))
+		must.True(t, ok)
+		must.Eq(t, admit.Go, a.Action)
+		given[a.Target]++
+	}
+	for id, n := range given {
+		must.Eq(t, 2, n, must.Sprint(id))
+	}
+	_, ok := b.Place(t0, s, ask("late", 1, 4500))
+	must.False(t, ok)
+	must.True(t, b.Waits())
+	must.Greater(t, 0.8, f.Fill(s.Engines))
+}
+
+// An answer is lost and the ask comes again. It is answered as before: a second grant would count the run twice.
+func TestAskThatComesAgainIsAnsweredAsBefore(t *testing.T) {
+	b, f, s := testBook(4)
+	first, ok := b.Place(t0, s, ask("i", 1, 4000))
+	must.True(t, ok)
+	fill := f.Fill(s.Engines)
+	again, ok := b.Place(t0.Add(50*time.Millisecond), s, ask("i", 1, 4000))
+	must.True(t, ok)
+	must.Eq(t, first.Target, again.Target)
+	must.Eq(t, first.Serial, again.Serial)
+	must.Eq(t, fill, f.Fill(s.Engines))
+	must.True(t, b.Knows(Key{Instance: "i", Incarnation: 1, ID: 1}))
+}
+
+// A grant is counted until its instance tells of the run, and not beside it. One that its instance has and does not use,
+// or that was lost on the way, is free again.
+func TestGrantPassesToTheReport(t *testing.T) {
+	b, f, s := testBook(1)
+	e := s.Engines[0]
+	a, _ := b.Place(t0, s, ask("i", 1, 3000))
+	must.Eq(t, 1, f.Believe(t0, e).Load.Runs)
+	run := Run{ID: 101, Target: e, Tokens: 3000}
+	must.True(t, b.Report(t0, report(s, "i", 1, run)))
+	must.Eq(t, fleet.Load{Runs: 1, Tokens: 3000}, f.Believe(t0, e).Load)
+
+	a, _ = b.Place(t0, s, ask("i", 2, 2000))
+	r := report(s, "i", 2, run)
+	r.Seen = a.Serial
+	must.True(t, b.Report(t0.Add(10*time.Millisecond), r)) // the run is about to be entered
+	must.Eq(t, 2, f.Believe(t0, e).Load.Runs)
+	r.Seq = 3
+	must.True(t, b.Report(t0.Add(200*time.Millisecond), r))
+	must.Eq(t, 1, f.Believe(t0, e).Load.Runs)
+
+	_, ok := b.Place(t0.Add(200*time.Millisecond), s, ask("lost", 1, 2000))
+	must.True(t, ok)
+	b.Tick(t0.Add(200*time.Millisecond + grantLife))
+	must.Eq(t, 1, f.Believe(t0, e).Load.Runs)
+}
+
+// An engine is full and a stream waits. The runs there end, and the stream goes at the next look, without being asked again.
+// One whose caller has left is not heard again and gets nothing.
+func TestWaitingStreamTakesWhatFreesUp(t *testing.T) {
+	b, _, s := testBook(1)
+	b.Report(t0, report(s, "i", 1, Run{ID: 1, Target: s.Engines[0], Tokens: 9000}))
+	_, ok := b.Place(t0, s, ask("a", 1, 3000))
+	must.False(t, ok)
+	_, ok = b.Place(t0, s, ask("gone", 1, 3000))
+	must.False(t, ok)
+	must.SliceEmpty(t, b.Step(t0.Add(20*time.Millisecond)))
+	_, ok = b.Place(t0.Add(200*time.Millisecond), s, ask("a", 1, 3000))
+	must.False(t, ok)
+	b.Report(t0.Add(210*time.Millisecond), report(s, "i", 2))
+	got := b.Step(t0.Add(220 * time.Millisecond))
+	must.Len(t, 2, got) // both are still within the time in which they are heard again
+	must.Eq(t, "a", got[0].Instance)
+
+	b.Report(t0.Add(230*time.Millisecond), report(s, "i", 3, Run{ID: 1, Target: s.Engines[0], Tokens: 9900}))
+	late := ask("late", 1, 3000)
+	late.Stream.Arrived = t0.Add(240 * time.Millisecond)
+	_, ok = b.Place(t0.Add(240*time.Millisecond), s, late)
+	must.False(t, ok)
+	b.Report(t0.Add(800*time.Millisecond), report(s, "i", 4))
+	must.SliceEmpty(t, b.Step(t0.Add(800*time.Millisecond)))
+	must.False(t, b.Waits())
+}
+
+// What finds no room in its part of the aim is told to come back, with a time from one second to all that its caller keeps
+// to.
+func TestStreamWithoutRoomIsTurnedAway(t *testing.T) {
+	b, _, s := testBook(1)
+	b.Report(t0, report(s, "i", 1, Run{ID: 1, Target: s.Engines[0], Tokens: 9000}))
+	late := ask("a", 1, 3000)
+	late.Stream.Arrived = t0.Add(-time.Second)
+	a, ok := b.Place(t0, s, late)
+	must.True(t, ok)
+	must.Eq(t, admit.Away, a.Action)
+	must.GreaterEq(t, time.Second, a.After)
+	must.LessEq(t, 10*time.Second, a.After)
+	// A run that an engine has turned back takes the best one, however full; one that moves only one that holds it.
+	again := ask("a", 2, 3000)
+	again.Mode = Any
+	a, ok = b.Place(t0, s, again)
+	must.True(t, ok)
+	must.Eq(t, admit.Go, a.Action)
+	room := ask("a", 3, 3000)
+	room.Mode = Room
+	a, ok = b.Place(t0, s, room)
+	must.True(t, ok)
+	must.Eq(t, admit.None, a.Action)
+}
+
+// Reports overtake each other, come twice, or come late from a process that was replaced. Only a newer one counts; once an
+// instance is silent, any does: its clock may have been set back before it was started again.
+func TestOnlyNewerReportsCount(t *testing.T) {
+	b, f, s := testBook(1)
+	e := s.Engines[0]
+	must.True(t, b.Report(t0, report(s, "i", 5, Run{ID: 1, Target: e, Tokens: 500})))
+	must.False(t, b.Report(t0, report(s, "i", 5)))
+	must.False(t, b.Report(t0, report(s, "i", 4)))
+	newer := report(s, "i", 1)
+	newer.Incarnation = 2
+	must.True(t, b.Report(t0, newer))
+	must.False(t, b.Report(t0, report(s, "i", 9)))
+	must.Eq(t, 0, f.Believe(t0, e).Load.Runs)
+	must.True(t, b.Report(t0.Add(reportLife+time.Millisecond), report(s, "i", 1)))
+}
+
+// Reports that claim absurd sums, engines that nobody knows, or come from thousands of made-up instances make choices
+// worse; they overflow nothing, and what is kept of them is bounded.
+func TestAbsurdReportsAreBounded(t *testing.T) {
+	b, f, s := testBook(2)
+	e := s.Engines[0]
+	huge := Run{ID: 1, Target: e, Tokens: 1 << 62, Expected: 1 << 62, Unread: -5, Left: 1 << 62}
+	must.True(t, b.Report(t0, report(s, "liar", 1, huge, Run{ID: 2, Target: "nobody", Tokens: 5})))
+	load := f.Believe(t0, e).Load
+	must.Eq(t, 2*tokensMax, load.Tokens)
+	must.Eq(t, 0, load.Unread)
+	a, ok := b.Place(t0, s, ask("i", 1, 3000))
+	must.True(t, ok)
+	must.Eq(t, s.Engines[1], a.Target)
+	for i := range holdersMax + 10 {
+		b.Report(t0, report(s, fmt.Sprint("made up ", i), 1))
+	}
+	must.MapLen(t, holdersMax, b.holders[s.Key])
+	b.Tick(t0.Add(2 * reportLife))
+	must.MapEmpty(t, b.holders[s.Key])
+	must.Eq(t, 0, f.Believe(t0, e).Load.Runs)
+}
+
+// Hundreds of instances send a stream to one engine every minute each: none could learn alone that it fails what it is sent.
+// The owner learns from all of them, and sends less there after a few failures.
+func TestOwnerLearnsFromAllOutcomes(t *testing.T) {
+	b, _, s := testBook(2)
+	bad := s.Engines[0]
+	for i := range 12 {
+		r := report(s, fmt.Sprint("i", i), 1)
+		r.Outcomes = []Outcomes{{Target: bad, Failed: 1}}
+		must.True(t, b.Report(t0, r))
+		r.Seq = 2 // told again for a lost datagram, it counts no second time
+		must.True(t, b.Report(t0, r))
+	}
+	for i := range 3 {
+		a, _ := b.Place(t0, s, ask("i", uint64(i), 1000))
+		must.Eq(t, s.Engines[1], a.Target)
+	}
+}
+
+// Two instances have runs on an engine that leaves. The owner plans them together, so that no link carries two copies at a
+// time, and room counts where they go before they are there.
+func TestMovesArePlannedForAllInstances(t *testing.T) {
+	b, f, s := testBook(3)
+	e := s.Engines[0]
+	b.Report(t0, report(s, "a", 1, Run{ID: 1, Target: e, Tokens: 2000, Expected: 1000}, Run{ID: 3, Target: e, Tokens: 10, Stays: true}))
+	b.Report(t0, report(s, "b", 1, Run{ID: 2, Target: e, Tokens: 3000, Expected: 1000}))
+	leaving := f.Leave(t0, e, 0).Leaving
+	link := moveplan.Link{TokensPerSecond: 10_000, FarFactor: 2}
+	b.Plan(t0, s, leaving, link)
+	now := t0.Add(10 * time.Millisecond)
+	first := b.Moves(now, s, "a", []uint64{1, 3})
+	second := b.Moves(now, s, "b", []uint64{2, 77})
+	must.Len(t, 1, first)
+	must.Len(t, 1, second)
+	must.Eq(t, 0, first[0].Start)
+	must.Greater(t, 200*time.Millisecond, second[0].Start)
+	must.Eq(t, 3000, f.Believe(now, first[0].To).Load.Tokens)
+	must.Eq(t, first, b.Moves(now, s, "a", []uint64{1})) // asked again, it counts no second time
+	must.Eq(t, 3000, f.Believe(now, first[0].To).Load.Tokens)
+	must.Eq(t, []string{"addr"}, users(b, s, e))
+}
+
+func users(b *Book, s *Shard, engine string) []string {
+	r := report(s, "c", 1, Run{ID: 9, Target: engine})
+	r.Addr = "addr"
+	b.Report(t0, r)
+	var out []string
+	for _, addr := range b.Users(s.Key, map[string]bool{engine: true}) {
+		if addr != "" {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
+// An engine is heard by some instance's run although this one's are silent: it is busy, not dark.
+func TestEngineIsHeardByAnyInstance(t *testing.T) {
+	b, f, s := testBook(1)
+	e := s.Engines[0]
+	b.Report(t0, report(s, "a", 1, Run{ID: 1, Target: e, Silent: 900 * time.Millisecond}))
+	b.Report(t0, report(s, "b", 1, Run{ID: 2, Target: e, Silent: 20 * time.Millisecond}, Run{ID: 3, Target: e, Unread: 10}))
+	must.Eq(t, t0.Add(-20*time.Millisecond), f.LastHeard(e))
+}
+
+// BenchmarkPlace is one placement by the owner of 32 engines that 60 instances have five runs each on.
+func BenchmarkPlace(b *testing.B) {
+	book, f, s := testBook(32)
+	f.SetSpecs(map[string]fleet.Spec{"s": {KVTokens: 1 << 20}})
+	for i := range 60 {
+		var runs []Run
+		for j := range 5 {
+			runs = append(runs, Run{ID: uint64(10*i + j), Target: s.Engines[(i+j)%32], Tokens: 3000, Left: 300})
+		}
+		book.Report(t0, report(s, fmt.Sprint("i", i), 1, runs...))
+	}
+	b.ResetTimer()
+	id := uint64(1000)
+	for b.Loop() {
+		id++
+		a := ask("x", id, 3000)
+		a.Stream.Arrived = t0
+		book.Place(t0, s, a)
+		book.done = make(map[Key]answered)
+		book.holders[s.Key]["x"].grants = nil
+		book.tell(t0, book.holders[s.Key]["x"])
+	}
+}
--- /dev/null
+++ b/lib/owner/layout.go
@@ -0,0 +1,198 @@
+package owner
+
+import (
+	"cmp"
+	"slices"
+
+	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/rendezvous"
+	"anvilwick.example/anvilwick/lib/shard"
+)
+
+const (
+	// shardLimit is the most engines of a shard. An owner is told and asked some six datagrams of 100 bytes for each stream,
+	// and an engine begins 1.3 streams a second: 32 of them stay under 29 KB/s.
+	shardLimit = 32
+	// candidates is how many instances rank to own a shard: the owner, one that is told as much, and one more for when both
+	// are gone.
+	candidates = 3
+	// neighbours bounds the shards that an owner tells how full its own are, and passes streams on to.
+	neighbours = 8
+)
+
+// Instance is one that may own shards.
+type Instance struct {
+	Name     string
+	Domain   string // failure domain
+	Addr     string // for datagrams
+	Link     string // for streams between instances
+	Capacity uint32 // what it can carry for others, by its link and processor; to compare only
+}
+
+// Shard is a part of a service's engines. All of them are in one failure domain, unless the service has so few that one
+// owner decides for all.
+type Shard struct {
+	Key        string // names it, the same at every instance
+	Service    string
+	Domain     string   // of its engines; empty: all
+	Engines    []string // ids, sorted
+	Ranked     []Instance
+	Neighbours []*Shard // others of the service, the nearest first
+}
+
+// Layout says which shards there are and who ranks to own them. Every instance works it out from the lists of targets and
+// instances alone. Where lists differ for a moment, two instances may decide for one shard, which costs room that both
+// give away and no promise.
+type Layout struct {
+	shards   map[string]*Shard
+	of       map[string]*Shard // by engine
+	services map[string][]*Shard
+}
+
+// NewLayout splits engines that take requests among instances. Those that leave are in a shard for their runs' sake only.
+func NewLayout(engines, leaving []fleet.Info, instances []Instance) *Layout {
+	l := &Layout{shards: make(map[string]*Shard), of: make(map[string]*Shard), services: make(map[string][]*Shard)}
+	byService := make(map[string][]fleet.Info)
+	for _, e := range engines {
+		byService[e.Service] = append(byService[e.Service], e)
+	}
+	for service, list := range byService {
+		for _, s := range split(service, list) {
+			s.Ranked = rank(s, instances)
+			l.add(s)
+		}
+	}
+	for _, list := range l.services {
+		for _, s := range list {
+			s.Neighbours = nearest(s, list)
+		}
+	}
+	for _, e := range leaving {
+		if s := l.Home(e.Service, e.Domain, e.ID); s != nil {
+			l.of[e.ID] = s
+		}
+	}
+	return l
+}
+
+func (l *Layout) add(s *Shard) {
+	l.shards[s.Key] = s
+	l.services[s.Service] = append(l.services[s.Service], s)
+	for _, id := range s.Engines {
+		l.of[id] = s
+	}
+}
+
+// split makes one shard of a few engines, else shards that each lie in one failure domain: copies of runs take twice as
+// long between domains, and what a domain loses is then one owner's business.
+func split(service string, engines []fleet.Info) []*Shard {
+	if len(engines) <= shardLimit {
+		return splitDomain(service, "", engines)
+	}
+	byDomain := make(map[string][]fleet.Info)
+	for _, e := range engines {
+		byDomain[e.Domain] = append(byDomain[e.Domain], e)
+	}
+	var out []*Shard
+	for domain, list := range byDomain {
+		out = append(out, splitDomain(service, domain, list)...)
+	}
+	slices.SortFunc(out, func(a, b *Shard) int { return cmp.Compare(a.Key, b.Key) })
+	return out
+}
+
+func splitDomain(service, domain string, engines []fleet.Info) []*Shard {
+	names := make([]string, len(engines))
+	for i, e := range engines {
+		names[i] = e.ID
+	}
+	var out []*Shard
+	for _, s := range shard.Split(service+"@"+domain, names, shardLimit) {
+		out = append(out, &Shard{Key: s.ID.String(), Service: service, Domain: domain, Engines: s.Targets})
+	}
+	return out
+}
+
+// rank returns the first candidates for a shard: those of its failure domain first, then those with half of the largest
+// capacity or more, which many instances' asks do not slow down, then by rendezvous.
+func rank(s *Shard, instances []Instance) []Instance {
+	most := uint32(0)
+	for _, in := range instances {
+		if s.Domain == "" || in.Domain == s.Domain {
+			most = max(most, in.Capacity)
+		}
+	}
+	key := rendezvous.Hash(s.Key)
+	list := slices.Clone(instances)
+	slices.SortFunc(list, func(a, b Instance) int {
+		return cmp.Or(
+			Before(s.Domain == "" || a.Domain == s.Domain, s.Domain == "" || b.Domain == s.Domain),
+			Before(a.Capacity >= most/2, b.Capacity >= most/2),
+			cmp.Compare(rendezvous.Rank(key, rendezvous.Hash(b.Name)), rendezvous.Rank(key, rendezvous.Hash(a.Name))),
+		)
+	})
+	return list[:min(candidates, len(list))]
+}
+
+// Before orders true before false.
+func Before(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
+// nearest returns the other shards of a service that a shard looks to when it is full: all of a small service, and of a
+// large one the same few from each side as far as ranks allow.
+func nearest(s *Shard, list []*Shard) []*Shard {
+	key := rendezvous.Hash(s.Key)
+	out := make([]*Shard, 0, len(list))
+	for _, o := range list {
+		if o != s {
+			out = append(out, o)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Shard) int {
+		ra, rb := rendezvous.Rank(key, rendezvous.Hash(a.Key)), rendezvous.Rank(key, rendezvous.Hash(b.Key))
+		return cmp.Or(Before(a.Domain == s.Domain, b.Domain == s.Domain), cmp.Compare(rb, ra))
+	})
+	return out[:min(neighbours, len(out))]
+}
+
+// Shard returns a shard by its key; nil when there is none.
+func (l *Layout) Shard(key string) *Shard { return l.shards[key] }
+
+// Of returns the shard that an engine is in; nil when it is in none.
+func (l *Layout) Of(engine string) *Shard { return l.of[engine] }
+
+// All returns all shards.
+func (l *Layout) All() map[string]*Shard { return l.shards }
+
+// Home returns the shard that is the nearest to a name in a failure domain: what an instance asks first for a service. nil
+// when the service has no engines.
+func (l *Layout) Home(service, domain, name string) *Shard {
+	var best *Shard
+	key := rendezvous.Hash(name)
+	for _, s := range l.services[service] {
+		if best == nil {
+			best = s
+			continue
+		}
+		order := cmp.Or(
+			Before(s.Domain == domain, best.Domain == domain),
+			cmp.Compare(rendezvous.Rank(key, rendezvous.Hash(best.Key)), rendezvous.Rank(key, rendezvous.Hash(s.Key))),
+		)
+		if order < 0 {
+			best = s
+		}
+	}
+	return best
+}
+
+// IsCandidate reports whether an instance ranks to own a shard.
+func (s *Shard) IsCandidate(instance string) bool {
+	return slices.ContainsFunc(s.Ranked, func(in Instance) bool { return in.Name == instance })
+}
--- /dev/null
+++ b/lib/owner/peers.go
@@ -0,0 +1,203 @@
+package owner
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	// BeatEvery is the period at which owners tell each other that they live and how full their shards are.
+	BeatEvery = 100 * time.Millisecond
+	// beatLife is how long an owner without a beat is believed to live: three may be lost or late.
+	beatLife = 350 * time.Millisecond
+	// fillLife is how long a shard is believed to be as full as was told.
+	fillLife = 600 * time.Millisecond
+	// suspectFor is how long an owner that did not answer is asked after all others.
+	suspectFor = 2 * time.Second
+	// coldFor is how long an owner that has just started, woken or been cut off has been told too little to decide: what
+	// the others have on its engines comes with their next reports.
+	coldFor = ReportEvery + 200*time.Millisecond
+	// alone is the silence of all other candidates after which an owner takes itself to have been cut off.
+	aloneFor = time.Second
+	// passMargin is how much fuller than another shard, as a part of its memory, one must be for a stream to be passed on.
+	// Fills are told ten times a second, and a stream takes under a hundredth of a shard: with less of a margin streams
+	// would be passed to and fro.
+	passMargin = 0.08
+)
+
+// Beat is what an instance that ranks to own shards tells the others that do.
+type Beat struct {
+	Instance    string
+	Incarnation uint64
+	Cold        bool
+	Leaving     bool
+	Fills       map[string]float64 // of the shards that it owns, by key
+}
+
+type beat struct {
+	Beat
+	at time.Time
+}
+
+type fill struct {
+	owner string
+	part  float64
+	at    time.Time
+}
+
+// Peers is what an instance believes of the others that rank to own shards. It is safe for concurrent use.
+type Peers struct {
+	self   string
+	random func() float64
+
+	mu       sync.Mutex
+	beats    map[string]beat
+	fills    map[string]fill // by shard
+	suspects map[string]time.Time
+	cold     time.Time // until then this instance is cold
+	heard    time.Time // when any beat last came
+	leaving  bool
+}
+
+// NewPeers returns the beliefs of an instance that starts now.
+func NewPeers(self string, now time.Time) *Peers {
+	return &Peers{
+		self: self, random: rand.Float64, cold: now.Add(coldFor),
+		beats: make(map[string]beat), fills: make(map[string]fill), suspects: make(map[string]time.Time),
+	}
+}
+
+// Take takes in a beat.
+func (p *Peers) Take(now time.Time, b Beat) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old, known := p.beats[b.Instance]
+	if b.Instance == p.self || known && now.Sub(old.at) <= beatLife && b.Incarnation < old.Incarnation {
+		return
+	}
+	if now.Sub(p.heard) > aloneFor {
+		p.cold = now.Add(coldFor)
+	}
+	p.heard = now
+	p.beats[b.Instance] = beat{Beat: b, at: now}
+	delete(p.suspects, b.Instance)
+	for key, part := range b.Fills {
+		p.fills[key] = fill{owner: b.Instance, part: part, at: now}
+	}
+}
+
+// Woke says that this instance has stood still: what it was told is old.
+func (p *Peers) Woke(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cold = now.Add(coldFor)
+}
+
+// Leave says that this instance stops.
+func (p *Peers) Leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaving = true
+}
+
+// State tells whether this instance is cold, and whether it stops.
+func (p *Peers) State(now time.Time) (cold, leaving bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Before(p.cold), p.leaving
+}
+
+// Suspect notes that an instance did not answer.
+func (p *Peers) Suspect(now time.Time, name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.suspects[name] = now
+}
+
+// Heard notes that an instance has answered.
+func (p *Peers) Heard(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.suspects, name)
+}
+
+// Order returns the candidates of a shard in the order in which to ask them: those that did not answer lately come last.
+func (p *Peers) Order(now time.Time, s *Shard) []Instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]Instance, 0, len(s.Ranked))
+	var last []Instance
+	for _, in := range s.Ranked {
+		if at, ok := p.suspects[in.Name]; ok && now.Sub(at) < suspectFor {
+			last = append(last, in)
+			continue
+		}
+		out = append(out, in)
+	}
+	return append(out, last...)
+}
+
+// Acting returns the candidate that decides for a shard: the first in rank that lives, stays and is not cold; where all
+// are cold, the first that lives. An instance that is no candidate takes the first for it.
+func (p *Peers) Acting(now time.Time, s *Shard) (Instance, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	member := s.IsCandidate(p.self)
+	var cold *Instance
+	for i, in := range s.Ranked {
+		alive, isCold := p.alive(now, in.Name)
+		if !member {
+			alive = true
+		}
+		if !alive {
+			continue
+		}
+		if !isCold {
+			return in, true
+		}
+		if cold == nil {
+			cold = &s.Ranked[i]
+		}
+	}
+	if cold != nil {
+		return *cold, true
+	}
+	return Instance{}, false
+}
+
+func (p *Peers) alive(now time.Time, name string) (alive, cold bool) {
+	if name == p.self {
+		return !p.leaving, now.Before(p.cold)
+	}
+	b, ok := p.beats[name]
+	return ok && now.Sub(b.at) < beatLife && !b.Leaving, b.Cold
+}
+
+// PassOn returns the shard to which a stream is passed on from one that is full to part own, and its owner; ok is false when it
+// stays. It is drawn from the emptier ones, by how much emptier each is: they are told some tens of milliseconds late, and
+// all owners would else pass theirs to the same.
+func (p *Peers) PassOn(now time.Time, s *Shard, own float64) (to *Shard, owner string, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sum := 0.0
+	for _, n := range s.Neighbours {
+		f, known := p.fills[n.Key]
+		gap := own - passMargin - f.part
+		if !known || now.Sub(f.at) > fillLife || gap <= 0 {
+			continue
+		}
+		sum += gap
+		if p.random()*sum < gap {
+			to, owner, ok = n, f.owner, true
+		}
+	}
+	return to, owner, ok
+}
+
+// Filled notes how full a shard is that this instance owns.
+func (p *Peers) Filled(now time.Time, shard string, part float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fills[shard] = fill{owner: p.self, part: part, at: now}
+}
--- /dev/null
+++ b/lib/ownerlink/beat.go
@@ -0,0 +1,91 @@
+package ownerlink
+
+import (
+	"context"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/owner"
+	"anvilwick.example/anvilwick/lib/ownerpb"
+)
+
+// leftFor is how long owners are told of a target that was seen to leave: until a lost datagram has been made up for.
+const leftFor = 2 * time.Second
+
+// beat tells other owners that this instance lives, while it ranks to own a shard.
+func (l *Link) beat(ctx context.Context) {
+	t := time.NewTicker(owner.BeatEvery)
+	defer t.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		now := time.Now()
+		// A clock that does not count the time of a suspended machine shows it by the time of day.
+		if now.Sub(last) > stallTime || now.Round(0).Sub(last.Round(0)) > stallTime {
+			l.Peers.Woke(now)
+		}
+		last = now
+		l.sendBeat(now)
+	}
+}
+
+func (l *Link) sendBeat(now time.Time) {
+	to := make(map[string]string) // addresses by instance
+	b := new(ownerpb.Beat)
+	for key, s := range l.layout.Load().All() {
+		if !s.IsCandidate(l.Self.Name) {
+			continue
+		}
+		addAll(to, s)
+		if at, ok := l.Peers.Acting(now, s); !ok || at.Name != l.Self.Name {
+			continue
+		}
+		b.Fills = append(b.Fills, &ownerpb.Fill{Shard: key, Permille: uint32(permille * l.Fleet.Fill(s.Engines))})
+		for _, n := range s.Neighbours {
+			addAll(to, n)
+		}
+	}
+	delete(to, l.Self.Name)
+	if len(to) == 0 {
+		return
+	}
+	b.Cold, b.Leaving = l.Peers.State(now)
+	for _, e := range l.Fleet.LeftSince(now.Add(-leftFor)) {
+		if len(b.Left) < leftTold {
+			b.Left = append(b.Left, &ownerpb.Left{Target: e.ID, Born: e.Born})
+		}
+	}
+	for _, f := range b.Fills {
+		l.Peers.Filled(now, f.Shard, float64(f.Permille)/permille)
+	}
+	d := l.own()
+	d.Body = &ownerpb.Datagram_Beat{Beat: b}
+	for _, addr := range to {
+		l.send(addr, d)
+	}
+}
+
+// permille is the unit in which fills are told.
+const permille = 1000
+
+func addAll(to map[string]string, s *owner.Shard) {
+	for _, in := range s.Ranked {
+		to[in.Name] = in.Addr
+	}
+}
+
+func (l *Link) handleBeat(d *ownerpb.Datagram, b *ownerpb.Beat) {
+	fills := make(map[string]float64, len(b.Fills))
+	for _, f := range b.Fills {
+		fills[f.Shard] = float64(f.Permille) / permille
+	}
+	l.Peers.Take(time.Now(), owner.Beat{
+		Instance: d.Instance, Incarnation: d.Incarnation, Cold: b.Cold, Leaving: b.Leaving, Fills: fills,
+	})
+	for _, e := range b.Left {
+		l.Left(e.Target, e.Born)
+	}
+}
--- /dev/null
+++ b/lib/ownerlink/call.go
@@ -0,0 +1,181 @@
+package ownerlink
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/admit"
+	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/moveplan"
+	"anvilwick.example/anvilwick/lib/owner"
+	"anvilwick.example/anvilwick/lib/ownerpb"
+)
+
+// call is a question to the owner of a shard.
+type call struct {
+	l     *Link
+	id    uint64
+	shard *owner.Shard
+	body  *ownerpb.Datagram
+	got   chan *ownerpb.Datagram
+}
+
+// answersKept is the buffer of a call: answers to its first sends may all come late.
+const answersKept = 4
+
+func (l *Link) newCall(s *owner.Shard) *call {
+	c := &call{l: l, shard: s, body: l.own(), got: make(chan *ownerpb.Datagram, answersKept)}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastID++
+	c.id = l.lastID
+	l.calls[c.id] = c.got
+	return c
+}
+
+func (c *call) close() {
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	delete(c.l.calls, c.id)
+}
+
+// do asks one candidate after another until one answers.
+func (c *call) do(ctx context.Context) (*ownerpb.Datagram, error) {
+	for _, to := range c.l.Peers.Order(time.Now(), c.shard) {
+		d := c.try(ctx, to)
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		if d != nil {
+			return d, nil
+		}
+		c.l.Peers.Suspect(time.Now(), to.Name)
+	}
+	alone.Inc()
+	return nil, ErrAlone
+}
+
+// try asks one candidate; nil: it does not answer. One that says that the ask waits is asked again now and then.
+func (c *call) try(ctx context.Context, to owner.Instance) *ownerpb.Datagram {
+	pause := tryTimeout
+	t := time.NewTimer(pause)
+	defer t.Stop()
+	for left := tries; left > 0; left-- {
+		c.sendTo(to)
+		for again := false; !again; {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-t.C:
+				again = true
+			case d := <-c.got:
+				if !waits(d) {
+					return d
+				}
+				left, pause = tries, waitAgain
+			}
+		}
+		t.Reset(pause)
+	}
+	return nil
+}
+
+func waits(d *ownerpb.Datagram) bool {
+	a := d.GetAnswer()
+	return a != nil && a.Action == uint32(admit.Wait)
+}
+
+func (c *call) sendTo(to owner.Instance) {
+	if to.Name == c.l.Self.Name {
+		c.l.handle(c.body)
+		return
+	}
+	c.l.send(to.Addr, c.body)
+}
+
+// deliver hands an answer to the call that it is for.
+func (l *Link) deliver(id uint64, d *ownerpb.Datagram) bool {
+	l.mu.Lock()
+	got := l.calls[id]
+	l.mu.Unlock()
+	if got == nil {
+		return false
+	}
+	select {
+	case got <- d:
+	default:
+	}
+	return true
+}
+
+// Place asks for an engine for a run of a service. ErrAlone says that this instance decides by itself.
+func (l *Link) Place(ctx context.Context, a owner.Ask) (owner.Answer, error) {
+	s := l.layout.Load().Home(a.Stream.Need.Service, l.Self.Domain, l.Self.Name)
+	if s == nil {
+		return owner.Answer{}, ErrAlone
+	}
+	c := l.newCall(s)
+	defer c.close()
+	a.ID = c.id
+	c.body.Body = &ownerpb.Datagram_Ask{Ask: encodeAsk(&a, s.Key, time.Now())}
+	d, err := c.do(ctx)
+	if err != nil {
+		return owner.Answer{}, err
+	}
+	return decodeAnswer(d.GetAnswer()), nil
+}
+
+// Plan asks where this instance's runs go that are on engines which leave. Runs of which nothing is planned are left out;
+// an error says that some owner does not answer.
+func (l *Link) Plan(ctx context.Context, engines []fleet.Info) ([]moveplan.Step, error) {
+	layout := l.layout.Load()
+	left := make(map[*owner.Shard][]*ownerpb.Left)
+	for _, e := range engines {
+		if s := layout.Of(e.ID); s != nil {
+			left[s] = append(left[s], &ownerpb.Left{Target: e.ID, Born: e.Born})
+		}
+	}
+	reports := l.reports()
+	var steps []moveplan.Step
+	var failed error
+	for s, list := range left {
+		r, ok := reports[s.Key]
+		if !ok {
+			continue
+		}
+		some, err := l.planOf(ctx, s, list, &r)
+		steps = append(steps, some...)
+		failed = errors.Join(failed, err)
+	}
+	return steps, failed
+}
+
+func (l *Link) planOf(ctx context.Context, s *owner.Shard, left []*ownerpb.Left, r *owner.Report) ([]moveplan.Step, error) {
+	c := l.newCall(s)
+	defer c.close()
+	ask := &ownerpb.MovesAsk{Id: c.id, Left: left, Report: l.encodeReport(r, "")}
+	c.body.Body = &ownerpb.Datagram_MovesAsk{MovesAsk: ask}
+	fit(c.body, ask.Report)
+	d, err := c.do(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return decodeMoves(d.GetMoves()), nil
+}
+
+// LastHeard asks when any instance last heard an engine; the zero time: nobody has.
+func (l *Link) LastHeard(ctx context.Context, engine string) (time.Time, error) {
+	s := l.layout.Load().Of(engine)
+	if s == nil {
+		return time.Time{}, ErrAlone
+	}
+	c := l.newCall(s)
+	defer c.close()
+	c.body.Body = &ownerpb.Datagram_HeardAsk{HeardAsk: &ownerpb.HeardAsk{Id: c.id, Target: engine}}
+	d, err := c.do(ctx)
+	if err != nil || !d.GetHeard().GetKnown() {
+		return time.Time{}, err
+	}
+	return time.Now().Add(-time.Duration(d.GetHeard().AgoMs) * time.Millisecond), nil
+}
--- /dev/null
+++ b/lib/ownerlink/handle.go
@@ -0,0 +1,181 @@
+package ownerlink
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/admit"
+	"anvilwick.example/anvilwick/lib/owner"
+	"anvilwick.example/anvilwick/lib/ownerpb"
+)
+
+var errNoBody = errors.New("ownerlink: datagram of an unknown kind")
+
+func (l *Link) handle(d *ownerpb.Datagram) {
+	if d.Instance == "" {
+		l.tellBad("anonymous", errNoBody)
+		return
+	}
+	switch body := d.Body.(type) {
+	case *ownerpb.Datagram_Ask:
+		l.handleAsk(d, body.Ask)
+	case *ownerpb.Datagram_Answer:
+		l.handleAnswer(d, body.Answer)
+	case *ownerpb.Datagram_Report:
+		l.Book.Report(time.Now(), decodeReport(d, body.Report))
+	case *ownerpb.Datagram_Beat:
+		l.handleBeat(d, body.Beat)
+	case *ownerpb.Datagram_Blames:
+		l.Blames(body.Blames.Blames)
+	case *ownerpb.Datagram_LeftTold:
+		for _, e := range body.LeftTold.Left {
+			l.Left(e.Target, e.Born)
+		}
+	case *ownerpb.Datagram_MovesAsk:
+		l.handleMovesAsk(d, body.MovesAsk)
+	case *ownerpb.Datagram_Moves:
+		l.handleOther(d, body.Moves.Id)
+	case *ownerpb.Datagram_HeardAsk:
+		l.handleHeardAsk(d, body.HeardAsk)
+	case *ownerpb.Datagram_Heard:
+		l.handleOther(d, body.Heard.Id)
+	default:
+		l.tellBad("unknown", errNoBody)
+	}
+}
+
+// handleAsk decides an ask for a shard that this instance owns, and passes on one for another's.
+func (l *Link) handleAsk(d *ownerpb.Datagram, a *ownerpb.Ask) {
+	layout := l.layout.Load()
+	s := layout.Shard(a.Shard)
+	if s == nil {
+		// The asker's list of targets is a little older or newer.
+		s = layout.Home(a.Service, l.Self.Domain, d.Instance)
+	}
+	now := time.Now()
+	if s == nil {
+		l.answer(&owner.Answer{Key: owner.Key{Instance: d.Instance, ID: a.Id}, Addr: d.Addr, Action: admit.None})
+		return
+	}
+	ask := decodeAsk(d, now)
+	if !a.PassedOn && !l.Book.Knows(ask.Key) {
+		if to, ok := l.otherOwner(now, s); ok {
+			l.passOn(to, s, d)
+			return
+		}
+		if n, by, ok := l.Peers.PassOn(now, s, l.Fleet.Fill(s.Engines)); ok {
+			if to, known := candidate(n, by); known && by != l.Self.Name {
+				l.passOn(to, n, d)
+				return
+			}
+			s = n
+		}
+	}
+	answer, decided := l.Book.Place(now, s, ask)
+	if !decided {
+		answer = owner.Answer{Key: ask.Key, Addr: ask.Addr, Action: admit.Wait}
+		l.waiting()
+	}
+	l.answer(&answer)
+}
+
+// otherOwner returns the instance that decides for a shard, if it is another.
+func (l *Link) otherOwner(now time.Time, s *owner.Shard) (owner.Instance, bool) {
+	to, ok := l.Peers.Acting(now, s)
+	return to, ok && to.Name != l.Self.Name
+}
+
+func candidate(s *owner.Shard, name string) (owner.Instance, bool) {
+	for _, in := range s.Ranked {
+		if in.Name == name {
+			return in, true
+		}
+	}
+	return owner.Instance{}, false
+}
+
+// passOn sends an ask to the owner that should decide it, which answers the asker.
+func (l *Link) passOn(to owner.Instance, s *owner.Shard, d *ownerpb.Datagram) {
+	a := d.GetAsk()
+	l.send(to.Addr, &ownerpb.Datagram{
+		Instance: d.Instance, Incarnation: d.Incarnation, Addr: d.Addr,
+		Body: &ownerpb.Datagram_Ask{Ask: &ownerpb.Ask{
+			Id: a.Id, Shard: s.Key, PassedOn: true, Run: a.Run, Mode: a.Mode, Service: a.Service, Tokens: a.Tokens, Unread: a.Unread,
+			Now: a.Now, Left: a.Left, AimMs: a.AimMs, AgeMs: a.AgeMs, KeepsMs: a.KeepsMs, Without: a.Without, Near: a.Near,
+			BackupTokens: a.BackupTokens,
+		}},
+	})
+}
+
+func (l *Link) answer(a *owner.Answer) {
+	d := l.own()
+	d.Body = &ownerpb.Datagram_Answer{Answer: encodeAnswer(a)}
+	l.reply(a.Instance, a.Addr, a.ID, d)
+}
+
+// reply sends an answer, or hands it to this instance's own call.
+func (l *Link) reply(instance, addr string, id uint64, d *ownerpb.Datagram) {
+	if instance == l.Self.Name {
+		l.deliver(id, d)
+		return
+	}
+	l.send(addr, d)
+}
+
+func (l *Link) handleAnswer(d *ownerpb.Datagram, a *ownerpb.Answer) {
+	l.Peers.Heard(d.Instance)
+	l.mu.Lock()
+	l.seen[d.Instance] = max(l.seen[d.Instance], a.Serial)
+	l.mu.Unlock()
+	if !l.deliver(a.Id, d) && a.Serial > 0 {
+		l.Changed() // nobody uses what was granted: the next report says so
+	}
+}
+
+func (l *Link) handleOther(d *ownerpb.Datagram, id uint64) {
+	l.Peers.Heard(d.Instance)
+	l.deliver(id, d)
+}
+
+func (l *Link) handleHeardAsk(d *ownerpb.Datagram, a *ownerpb.HeardAsk) {
+	heard := &ownerpb.Heard{Id: a.Id}
+	if at := l.Fleet.LastHeard(a.Target); !at.IsZero() {
+		heard.Known, heard.AgoMs = true, ms(time.Since(at))
+	}
+	out := l.own()
+	out.Body = &ownerpb.Datagram_Heard{Heard: heard}
+	l.reply(d.Instance, d.Addr, a.Id, out)
+}
+
+func (l *Link) waiting() {
+	select {
+	case l.waits <- struct{}{}:
+	default:
+	}
+}
+
+// step looks at the asks that wait here for as long as there are any.
+func (l *Link) step(ctx context.Context) {
+	t := time.NewTicker(stepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.waits:
+		}
+		t.Reset(stepEvery)
+		for l.Book.Waits() {
+			select {
+			case <-ctx.Done():
+				return
+			case now := <-t.C:
+				for _, a := range l.Book.Step(now) {
+					l.answer(&a)
+				}
+			}
+		}
+		t.Stop()
+	}
+}
--- /dev/null
+++ b/lib/ownerlink/link.go
@@ -0,0 +1,238 @@
+package ownerlink
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"google.golang.org/protobuf/proto"
+
+	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/moveplan"
+	"anvilwick.example/anvilwick/lib/owner"
+	"anvilwick.example/anvilwick/lib/ownerpb"
+)
+
+var (
+	datagramsOut = metrics.NewCounter(`anvilwick_owner_datagrams_total{way="out"}`)
+	datagramsIn  = metrics.NewCounter(`anvilwick_owner_datagrams_total{way="in"}`)
+	bytesOut     = metrics.NewCounter(`anvilwick_owner_bytes_total{way="out"}`)
+	bytesIn      = metrics.NewCounter(`anvilwick_owner_bytes_total{way="in"}`)
+	badDatagrams = metrics.NewCounter(`anvilwick_owner_bad_datagrams_total`)
+	alone        = metrics.NewCounter(`anvilwick_owner_unanswered_total`)
+)
+
+const (
+	// tryTimeout is the wait for an answer to one datagram: some milliseconds on the way, and the rest for an instance whose
+	// processor is busy.
+	tryTimeout = 50 * time.Millisecond
+	// tries is how often an owner is asked before the next one is: of links that lose a fortieth of their datagrams one ask
+	// in ten thousand goes unanswered.
+	tries = 3
+	// waitAgain is the period at which an ask that waits is sent again, so that its owner knows that it is still wanted.
+	waitAgain = 200 * time.Millisecond
+	// stepEvery is the pause between two looks at the asks that wait here.
+	stepEvery = 10 * time.Millisecond
+	// reportGap keeps changes in quick succession to one report.
+	reportGap = 15 * time.Millisecond
+	// planWait is how long a plan of moves waits for other engines that leave with the first.
+	planWait = 15 * time.Millisecond
+	// stallTime is the lateness of a beat from which this instance takes itself to have stood still.
+	stallTime = 500 * time.Millisecond
+	// maxDatagram is the largest datagram in bytes. A longer report is cut by leaving runs out.
+	maxDatagram = 16 << 10
+	// leftTold bounds the targets that one beat names.
+	leftTold = 64
+)
+
+// ErrAlone says that no owner answers.
+var ErrAlone = errors.New("ownerlink: no owner answers")
+
+// Config is what a Link works with.
+type Config struct {
+	Self        owner.Instance
+	Incarnation uint64
+	Fleet       *fleet.Fleet
+	Book        *owner.Book
+	Peers       *owner.Peers
+
+	// Gather returns what this instance has on the engines of each shard; the link adds what is its own.
+	Gather func(*owner.Layout) map[string]owner.Report
+	// Moves tells how a service's engines copy runs; ok is false when they don't.
+	Moves func(service string) (link moveplan.Link, ok bool)
+	// Left is told of targets that an owner saw to leave.
+	Left func(id string, born int64)
+	// Blames is told what peers say of contents that killed targets.
+	Blames func([]*ownerpb.Blame)
+	// Bad is told once of each kind of datagram that could not be used.
+	Bad func(cause string, err error)
+}
+
+// Link sends and receives. Make it with New.
+type Link struct {
+	Config
+	conn   *net.UDPConn
+	layout atomic.Pointer[owner.Layout]
+	wake   chan struct{} // a report is due
+	waits  chan struct{} // asks wait here
+
+	mu       sync.Mutex
+	lastID   uint64
+	calls    map[uint64]chan *ownerpb.Datagram
+	addrs    map[string]netip.AddrPort
+	peers    []netip.AddrPort  // of all other instances
+	seen     map[string]uint64 // newest grant, by owner
+	bad      map[string]bool
+	plans    map[string]*plan // under way, by shard
+	outcomes map[string]*outcomes
+	readings []owner.Reading
+}
+
+// New listens on Config.Self.Addr.
+func New(cfg Config) (*Link, error) {
+	at, err := net.ResolveUDPAddr("udp4", cfg.Self.Addr)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := net.ListenUDP("udp4", at)
+	if err != nil {
+		return nil, err
+	}
+	if cfg.Self.Addr != conn.LocalAddr().String() {
+		cfg.Self.Addr = conn.LocalAddr().String() // the port was chosen by the system
+	}
+	l := &Link{
+		Config: cfg, conn: conn, wake: make(chan struct{}, 1), waits: make(chan struct{}, 1),
+		calls: make(map[uint64]chan *ownerpb.Datagram), addrs: make(map[string]netip.AddrPort),
+		seen: make(map[string]uint64), bad: make(map[string]bool), plans: make(map[string]*plan),
+		outcomes: make(map[string]*outcomes),
+	}
+	l.layout.Store(owner.NewLayout(nil, nil, nil))
+	return l, nil
+}
+
+// SetLayout puts a layout of shards in force.
+func (l *Link) SetLayout(layout *owner.Layout, instances []owner.Instance) error {
+	l.layout.Store(layout)
+	addrs := make(map[string]netip.AddrPort, len(instances))
+	peers := make([]netip.AddrPort, 0, len(instances))
+	var bad error
+	for _, in := range instances {
+		at, err := netip.ParseAddrPort(in.Addr)
+		if err != nil {
+			bad = fmt.Errorf("ownerlink: address of %s: %w", in.Name, err)
+			continue
+		}
+		addrs[in.Addr] = at
+		if in.Name != l.Self.Name {
+			peers = append(peers, at)
+		}
+	}
+	l.mu.Lock()
+	l.addrs, l.peers = addrs, peers
+	l.mu.Unlock()
+	l.Changed()
+	return bad
+}
+
+// Changed asks for a report to be sent soon.
+func (l *Link) Changed() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends and receives until ctx is done.
+func (l *Link) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = l.conn.Close() })
+	defer stop()
+	var work sync.WaitGroup
+	for _, f := range []func(context.Context){l.receive, l.report, l.beat, l.step} {
+		work.Go(func() { f(ctx) })
+	}
+	work.Wait()
+}
+
+// Close ends a Link that was never run.
+func (l *Link) Close() { _ = l.conn.Close() }
+
+func (l *Link) receive(ctx context.Context) {
+	b := make([]byte, 64<<10)
+	for ctx.Err() == nil {
+		n, _, err := l.conn.ReadFromUDPAddrPort(b)
+		if err != nil {
+			if ctx.Err() == nil {
+				time.Sleep(reportGap)
+			}
+			continue
+		}
+		datagramsIn.Inc()
+		bytesIn.Add(n)
+		var d ownerpb.Datagram
+		if err := proto.Unmarshal(b[:n], &d); err != nil {
+			l.tellBad("undecodable", err)
+			continue
+		}
+		l.handle(&d)
+	}
+}
+
+// tellBad tells of a kind of bad datagram once: a sender that is wrong is wrong many times a second.
+func (l *Link) tellBad(cause string, err error) {
+	badDatagrams.Inc()
+	l.mu.Lock()
+	told := l.bad[cause]
+	l.bad[cause] = true
+	l.mu.Unlock()
+	if !told && l.Bad != nil {
+		l.Bad(cause, err)
+	}
+}
+
+// send sends a datagram; a failure shows itself as a missing answer.
+func (l *Link) send(addr string, d *ownerpb.Datagram) {
+	at, ok := l.addr(addr)
+	if !ok {
+		return
+	}
+	b, err := proto.Marshal(d)
+	if err != nil {
+		l.tellBad("unencodable", err)
+		return
+	}
+	l.sendBytes(at, b)
+}
+
+func (l *Link) sendBytes(at netip.AddrPort, b []byte) {
+	if _, err := l.conn.WriteToUDPAddrPort(b, at); err == nil {
+		datagramsOut.Inc()
+		bytesOut.Add(len(b))
+	}
+}
+
+func (l *Link) addr(addr string) (netip.AddrPort, bool) {
+	l.mu.Lock()
+	at, ok := l.addrs[addr]
+	l.mu.Unlock()
+	if ok {
+		return at, true
+	}
+	at, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		l.tellBad("address", err)
+		return at, false
+	}
+	return at, true
+}
+
+// own is a datagram of this instance, without a body.
+func (l *Link) own() *ownerpb.Datagram {
+	return &ownerpb.Datagram{Instance: l.Self.Name, Incarnation: l.Incarnation, Addr: l.Self.Addr}
+}
--- /dev/null
+++ b/lib/ownerlink/link_test.go
@@ -0,0 +1,267 @@
+package ownerlink
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"anvilwick.example/anvilwick/lib/admit"
+	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/moveplan"
+	"anvilwick.example/anvilwick/lib/owner"
+	"anvilwick.example/anvilwick/lib/ownerpb"
+)
+
+const kv = 10_000
+
+// member is an instance with its link, on loopback.
+type member struct {
+	*Link
+	runs   atomic.Pointer[[]owner.Run]
+	left   chan string
+	blamed atomic.Int32
+	stop   context.CancelFunc
+	done   chan struct{}
+}
+
+// newMember makes an instance that is not run yet.
+func newMember(t *testing.T, name string) *member {
+	t.Helper()
+	f := fleet.New("z0")
+	f.SetSpecs(map[string]fleet.Spec{"s": {KVTokens: kv}})
+	m := &member{left: make(chan string, 100), done: make(chan struct{})}
+	m.runs.Store(new([]owner.Run))
+	link, err := New(Config{
+		Self: owner.Instance{Name: name, Domain: "z0", Addr: "127.0.0.1:0", Capacity: 1}, Incarnation: 1, Fleet: f,
+		Book: owner.NewBook(name, f, new(admit.Readings)), Peers: owner.NewPeers(name, time.Now()),
+		Gather: func(l *owner.Layout) map[string]owner.Report { return owner.ByShard(l, *m.runs.Load(), nil) },
+		Moves:  func(string) (moveplan.Link, bool) { return moveplan.Link{TokensPerSecond: 10_000, FarFactor: 2}, true },
+		Left:   func(id string, _ int64) { m.left <- id },
+		Blames: func([]*ownerpb.Blame) { m.blamed.Add(1) },
+	})
+	must.NoError(t, err)
+	m.Link = link
+	t.Cleanup(link.Close)
+	return m
+}
+
+func (m *member) start(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	go func() {
+		defer close(m.done)
+		m.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-m.done
+	})
+}
+
+// site is some instances before n engines; running tells which of them run.
+func site(t *testing.T, n int, running ...string) (map[string]*member, *owner.Shard) {
+	t.Helper()
+	members := make(map[string]*member)
+	var list []owner.Instance
+	for _, name := range []string{"a", "b", "c"} {
+		members[name] = newMember(t, name)
+		list = append(list, members[name].Self)
+	}
+	var engines []fleet.Info
+	for i := range n {
+		engines = append(engines, fleet.Info{ID: fmt.Sprint("e", i), Service: "s", Domain: "z0"})
+	}
+	layout := owner.NewLayout(engines, nil, list)
+	for _, m := range members {
+		m.Fleet.Apply(time.Now(), engines, nil, 0)
+		must.NoError(t, m.SetLayout(layout, list))
+	}
+	for _, name := range running {
+		members[name].start(t)
+	}
+	return members, layout.Home("s", "z0", "a")
+}
+
+func ask(tokens int) owner.Ask {
+	need := fleet.Need{Service: "s", Tokens: tokens, Unread: tokens, Peak: fleet.Size{Now: tokens}}
+	return owner.Ask{Run: 7, Stream: admit.Stream{Arrived: time.Now(), Aim: time.Second, Keeps: 10 * time.Second, Need: need}}
+}
+
+func eventually(t *testing.T, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	t.Fatal("condition not met in time")
+}
+
+// Streams of all instances are placed on one account: two that each hold most of an engine go to different ones, whoever
+// asks, and the third waits until a run ends.
+func TestAllInstancesPlaceOnOneAccount(t *testing.T) {
+	members, s := site(t, 2, "a", "b", "c")
+	used := make(map[string]bool)
+	for _, name := range []string{"a", "b"} {
+		got, err := members[name].Place(t.Context(), ask(8000))
+		must.NoError(t, err)
+		must.Eq(t, admit.Go, got.Action)
+		used[got.Target] = true
+		members[name].runs.Store(&[]owner.Run{{ID: 7, Target: got.Target, Tokens: 8000}})
+		members[name].Changed()
+	}
+	must.MapLen(t, 2, used)
+	first := members[s.Ranked[0].Name]
+	eventually(t, func() bool { return first.Fleet.Fill(s.Engines) >= 0.8 })
+	time.AfterFunc(100*time.Millisecond, func() {
+		members["a"].runs.Store(new([]owner.Run))
+		members["a"].Changed()
+	})
+	start := time.Now()
+	got, err := members["c"].Place(t.Context(), ask(8000))
+	must.NoError(t, err)
+	must.Eq(t, admit.Go, got.Action)
+	must.Greater(t, 90*time.Millisecond, time.Since(start))
+}
+
+// The owner dies without a word. Those who ask wait for three lost answers, once; the second in rank was told what runs
+// where and does not give the same room away again.
+func TestSecondInRankKnowsWhatRuns(t *testing.T) {
+	members, s := site(t, 2, "a", "b", "c")
+	first, third := members[s.Ranked[0].Name], members[s.Ranked[2].Name]
+	third.runs.Store(&[]owner.Run{{ID: 1, Target: "e0", Tokens: 8000}})
+	third.Changed()
+	second := members[s.Ranked[1].Name]
+	eventually(t, func() bool { return second.Fleet.Believe(time.Now(), "e0").Load.Tokens == 8000 })
+	first.stop()
+	<-first.done
+	start := time.Now()
+	got, err := third.Place(t.Context(), ask(8000))
+	must.NoError(t, err)
+	must.Eq(t, "e1", got.Target)
+	must.Less(t, 2*time.Second, time.Since(start))
+	start = time.Now()
+	_, err = third.Place(t.Context(), ask(100))
+	must.NoError(t, err)
+	must.Less(t, 150*time.Millisecond, time.Since(start))
+}
+
+// Nobody answers: the instance is told so within half a second, and decides alone.
+func TestNobodyAnswers(t *testing.T) {
+	members, s := site(t, 2)
+	last := members[s.Ranked[2].Name]
+	// Its own link does not run either, but it can ask itself: it is a candidate.
+	got, err := last.Place(t.Context(), ask(100))
+	must.NoError(t, err)
+	must.Eq(t, admit.Go, got.Action)
+	stranger := newMember(t, "x")
+	must.NoError(t, stranger.SetLayout(members["a"].layout.Load(), nil))
+	stranger.start(t)
+	start := time.Now()
+	_, err = stranger.Place(t.Context(), ask(100))
+	must.ErrorIs(t, err, ErrAlone)
+	must.Less(t, 3*time.Second, time.Since(start))
+}
+
+// An ask reaches an instance that does not own the shard, because its sender has lost the owner. It is passed on, and the
+// owner answers the sender.
+func TestAskIsPassedOnToTheOwner(t *testing.T) {
+	members, s := site(t, 2, "a", "b", "c")
+	first, second := s.Ranked[0].Name, members[s.Ranked[1].Name]
+	third := members[s.Ranked[2].Name]
+	eventually(t, func() bool {
+		to, other := second.otherOwner(time.Now(), s)
+		return other && to.Name == first
+	})
+	third.Peers.Suspect(time.Now(), first)
+	_, err := third.Place(t.Context(), ask(500))
+	must.NoError(t, err)
+	must.Eq(t, first, third.Peers.Order(time.Now(), s)[0].Name) // it has answered
+	must.Positive(t, members[first].Fleet.Fill(s.Engines))
+}
+
+// Two instances have runs on an engine that leaves, and only one of them has seen it. Both are told where their runs go.
+func TestMovesAreToldToAllThatHaveRunsThere(t *testing.T) {
+	members, s := site(t, 3, "a", "b", "c")
+	asks, other := members[s.Ranked[1].Name], members[s.Ranked[2].Name]
+	asks.runs.Store(&[]owner.Run{{ID: 1, Target: "e0", Tokens: 2000}})
+	other.runs.Store(&[]owner.Run{{ID: 2, Target: "e0", Tokens: 2000}})
+	for _, m := range []*member{asks, other} {
+		m.Changed()
+	}
+	first := members[s.Ranked[0].Name]
+	eventually(t, func() bool { return first.Fleet.Believe(time.Now(), "e0").Load.Runs == 2 })
+	e0, _ := first.Fleet.Info("e0")
+	first.Leaving([]fleet.Info{e0})
+	steps, err := asks.Plan(t.Context(), []fleet.Info{e0})
+	must.NoError(t, err)
+	must.Len(t, 1, steps)
+	must.Eq(t, 1, steps[0].Run.ID)
+	must.NotEq(t, "", steps[0].To)
+	must.Eq(t, "e0", <-other.left)
+	more, err := other.Plan(t.Context(), []fleet.Info{e0})
+	must.NoError(t, err)
+	must.Len(t, 1, more)
+	must.Positive(t, steps[0].Start+more[0].Start) // one after the other
+}
+
+// Blames reach everybody, also those who own nothing and ask nothing.
+func TestBlamesReachAll(t *testing.T) {
+	members, _ := site(t, 1, "a", "b", "c")
+	members["a"].TellBlames([]*ownerpb.Blame{{Fingerprint: 5}})
+	eventually(t, func() bool { return members["b"].blamed.Load()+members["c"].blamed.Load() == 2 })
+}
+
+// Whatever comes by datagram, the link goes on: garbage, kinds and shards that nobody knows, absent parts.
+func TestAnyDatagramIsSurvived(t *testing.T) {
+	members, s := site(t, 2, "a")
+	a := members["a"]
+	to := netip.MustParseAddrPort(a.Self.Addr)
+	conn, err := net.ListenUDP("udp4", nil)
+	must.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	rapid.Check(t, func(t *rapid.T) {
+		d := &ownerpb.Datagram{
+			Instance: rapid.SampledFrom([]string{"", "a", "b", "nobody"}).Draw(t, "instance"),
+			Addr:     rapid.SampledFrom([]string{"", "x", "127.0.0.1:1", a.Self.Addr}).Draw(t, "addr"),
+		}
+		shard := rapid.SampledFrom([]string{"", s.Key, "other"}).Draw(t, "shard")
+		n := rapid.Uint32().Draw(t, "n")
+		run := &ownerpb.Run{Target: "e0", Tokens: n, Left: n, Unread: n}
+		bodies := []func(){
+			func() { d.Body = &ownerpb.Datagram_Ask{Ask: &ownerpb.Ask{Shard: shard, Id: uint64(n), Mode: n % 5, AgeMs: n, Service: "s"}} },
+			func() { d.Body = &ownerpb.Datagram_Answer{Answer: &ownerpb.Answer{Id: uint64(n), Serial: uint64(n), Action: n}} },
+			func() { d.Body = &ownerpb.Datagram_Report{Report: &ownerpb.Report{Shard: shard, Seq: uint64(n), Runs: []*ownerpb.Run{run}}} },
+			func() { d.Body = &ownerpb.Datagram_Beat{Beat: &ownerpb.Beat{Fills: []*ownerpb.Fill{{Shard: shard, Permille: n}}}} },
+			func() { d.Body = &ownerpb.Datagram_MovesAsk{MovesAsk: &ownerpb.MovesAsk{Id: uint64(n)}} },
+			func() { d.Body = &ownerpb.Datagram_MovesAsk{MovesAsk: &ownerpb.MovesAsk{Report: &ownerpb.Report{Shard: shard}}} },
+			func() { d.Body = &ownerpb.Datagram_HeardAsk{HeardAsk: &ownerpb.HeardAsk{Target: "nobody"}} },
+			func() { d.Body = &ownerpb.Datagram_Heard{Heard: &ownerpb.Heard{Id: uint64(n)}} },
+			func() { d.Body = &ownerpb.Datagram_Moves{} },
+			func() { d.Body = &ownerpb.Datagram_Blames{} },
+			func() { d.Body = nil },
+		}
+		rapid.SampledFrom(bodies).Draw(t, "body")()
+		b, err := proto.Marshal(d)
+		must.NoError(t, err)
+		if rapid.Bool().Draw(t, "spoilt") && len(b) > 0 {
+			b[rapid.IntRange(0, len(b)-1).Draw(t, "at")] ^= byte(n)
+		}
+		_, err = conn.WriteToUDPAddrPort(b, to)
+		must.NoError(t, err)
+	})
+	// It still answers itself.
+	eventually(t, func() bool {
+		_, err := a.Place(t.Context(), ask(10))
+		return err == nil
+	})
+}
--- /dev/null
+++ b/lib/ownerlink/moves.go
@@ -0,0 +1,121 @@
+package ownerlink
+
+import (
+	"time"
+
+	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/owner"
+	"anvilwick.example/anvilwick/lib/ownerpb"
+)
+
+// plan is one of moves that is about to be made, with those who ask for it.
+type plan struct {
+	shard   *owner.Shard
+	engines []fleet.Info
+	asks    []*ownerpb.Datagram
+}
+
+// Leaving plans the moves of the runs on engines that leave, where this instance may be asked for them. Engines that leave
+// with the first, some milliseconds later, come into the same plan: their runs share the links of the same destinations.
+func (l *Link) Leaving(engines []fleet.Info) {
+	layout := l.layout.Load()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range engines {
+		s := layout.Of(e.ID)
+		if s == nil || !s.IsCandidate(l.Self.Name) {
+			continue
+		}
+		p := l.plans[s.Key]
+		if p == nil {
+			p = &plan{shard: s}
+			l.plans[s.Key] = p
+			time.AfterFunc(planWait, func() { l.makePlan(p) })
+		}
+		p.engines = append(p.engines, e)
+	}
+}
+
+func (l *Link) makePlan(p *plan) {
+	if link, ok := l.Moves(p.shard.Service); ok {
+		for _, r := range l.reports() {
+			l.Book.Report(time.Now(), r)
+		}
+		l.mu.Lock()
+		engines := p.engines
+		l.mu.Unlock()
+		l.Book.Plan(time.Now(), p.shard, engines, link)
+		l.tellLeaving(p.shard, engines)
+	}
+	l.mu.Lock()
+	if l.plans[p.shard.Key] == p {
+		delete(l.plans, p.shard.Key)
+	}
+	asks := p.asks
+	l.mu.Unlock()
+	for _, d := range asks {
+		l.tellMoves(p.shard, d)
+	}
+}
+
+// tellLeaving tells the instances that have runs on engines which leave. While the list of targets is away, they have it
+// from nobody else.
+func (l *Link) tellLeaving(s *owner.Shard, engines []fleet.Info) {
+	d := l.own()
+	b := new(ownerpb.LeftTold)
+	ids := make(map[string]bool, len(engines))
+	for _, e := range engines {
+		b.Left = append(b.Left, &ownerpb.Left{Target: e.ID, Born: e.Born})
+		ids[e.ID] = true
+	}
+	d.Body = &ownerpb.Datagram_LeftTold{LeftTold: b}
+	for _, addr := range l.Book.Users(s.Key, ids) {
+		l.send(addr, d)
+	}
+}
+
+func (l *Link) handleMovesAsk(d *ownerpb.Datagram, a *ownerpb.MovesAsk) {
+	if a.Report == nil {
+		l.tellBad("moves_ask", errNoBody)
+		return
+	}
+	now := time.Now()
+	s := l.layout.Load().Shard(a.Report.Shard)
+	if s == nil {
+		l.tellMoves(&owner.Shard{}, d)
+		return
+	}
+	if to, ok := l.otherOwner(now, s); ok && !a.PassedOn {
+		l.send(to.Addr, &ownerpb.Datagram{
+			Instance: d.Instance, Incarnation: d.Incarnation, Addr: d.Addr,
+			Body: &ownerpb.Datagram_MovesAsk{MovesAsk: &ownerpb.MovesAsk{Id: a.Id, Left: a.Left, Report: a.Report, PassedOn: true}},
+		})
+		return
+	}
+	l.Book.Report(now, decodeReport(d, a.Report))
+	for _, e := range a.Left {
+		l.Left(e.Target, e.Born)
+	}
+	l.mu.Lock()
+	p := l.plans[s.Key]
+	if p != nil {
+		p.asks = append(p.asks, d)
+	}
+	l.mu.Unlock()
+	if p == nil {
+		l.tellMoves(s, d)
+	}
+}
+
+func (l *Link) tellMoves(s *owner.Shard, d *ownerpb.Datagram) {
+	a := d.GetMovesAsk()
+	runs := make([]uint64, len(a.Report.Runs))
+	for i, r := range a.Report.Runs {
+		runs[i] = r.Id
+	}
+	out := l.own()
+	out.Body = &ownerpb.Datagram_Moves{Moves: &ownerpb.Moves{
+		Id: a.Id, Moves: encodeMoves(l.Book.Moves(time.Now(), s, d.Instance, runs)),
+	}}
+	l.reply(d.Instance, d.Addr, a.Id, out)
+}
--- /dev/null
+++ b/lib/ownerlink/seed_test.go
@@ -0,0 +1,3 @@
+package ownerlink
+
+import _ "anvilwick.example/anvilwick/lib/testseed" // fixed seeds
--- /dev/null
+++ b/lib/ownerlink/wire.go
@@ -0,0 +1,137 @@
+package ownerlink
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"anvilwick.example/anvilwick/lib/admit"
+	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/moveplan"
+	"anvilwick.example/anvilwick/lib/owner"
+	"anvilwick.example/anvilwick/lib/ownerpb"
+)
+
+func ms(d time.Duration) uint32 { return uint32(min(max(0, d.Milliseconds()), 1<<31)) }
+
+func duration(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+func tokens(n int) uint32 { return uint32(min(max(0, n), 1<<31)) }
+
+func encodeAsk(a *owner.Ask, shard string, now time.Time) *ownerpb.Ask {
+	n := &a.Stream.Need
+	out := &ownerpb.Ask{
+		Id: a.ID, Shard: shard, Run: a.Run, Mode: uint32(a.Mode), Service: n.Service, Tokens: tokens(n.Tokens),
+		Unread: tokens(n.Unread), Now: tokens(n.Peak.Now), Left: tokens(n.Peak.Left), AimMs: ms(a.Stream.Aim),
+		AgeMs: ms(now.Sub(a.Stream.Arrived)), KeepsMs: ms(a.Stream.Keeps), Near: n.Near, BackupTokens: tokens(a.Backup),
+	}
+	for id := range n.Without {
+		out.Without = append(out.Without, id)
+	}
+	slices.Sort(out.Without)
+	return out
+}
+
+func decodeAsk(d *ownerpb.Datagram, now time.Time) owner.Ask {
+	a := d.GetAsk()
+	need := fleet.Need{
+		Service: a.Service, Tokens: int(a.Tokens), Unread: int(a.Unread), Near: a.Near,
+		Peak: fleet.Size{Now: int(a.Now), Left: int(a.Left)},
+	}
+	if len(a.Without) > 0 {
+		need.Without = make(map[string]bool, len(a.Without))
+		for _, id := range a.Without {
+			need.Without[id] = true
+		}
+	}
+	return owner.Ask{
+		Key:  owner.Key{Instance: d.Instance, Incarnation: d.Incarnation, ID: a.Id},
+		Addr: d.Addr, Run: a.Run, Mode: owner.Mode(a.Mode), Backup: int(a.BackupTokens),
+		Stream: admit.Stream{Arrived: now.Add(-duration(a.AgeMs)), Aim: duration(a.AimMs), Keeps: duration(a.KeepsMs), Need: need},
+	}
+}
+
+func encodeAnswer(a *owner.Answer) *ownerpb.Answer {
+	return &ownerpb.Answer{
+		Id: a.ID, Action: uint32(a.Action), Target: a.Target, AfterMs: ms(a.After), Serial: a.Serial, Backup: a.Backup,
+		Ready: uint32(a.Belief.Ready), Runs: uint32(a.Belief.Load.Runs), Tokens: tokens(a.Belief.Load.Tokens),
+		Unread: tokens(a.Belief.Load.Unread), Peers: uint32(a.Belief.Peers), OldestMs: ms(a.Belief.Oldest),
+	}
+}
+
+func decodeAnswer(a *ownerpb.Answer) owner.Answer {
+	return owner.Answer{
+		Key: owner.Key{ID: a.GetId()}, Action: admit.Action(a.GetAction()), Target: a.GetTarget(), After: duration(a.GetAfterMs()),
+		Serial: a.GetSerial(), Backup: a.GetBackup(),
+		Belief: fleet.Belief{
+			Ready: int(a.GetReady()), Load: fleet.Load{Runs: int(a.GetRuns()), Tokens: int(a.GetTokens()), Unread: int(a.GetUnread())},
+			Peers: int(a.GetPeers()), Oldest: duration(a.GetOldestMs()),
+		},
+	}
+}
+
+func encodeReport(r *owner.Report) *ownerpb.Report {
+	out := &ownerpb.Report{Shard: r.Shard, Seq: r.Seq, Seen: r.Seen}
+	for _, m := range r.Runs {
+		out.Runs = append(out.Runs, &ownerpb.Run{
+			Id: m.ID, Target: m.Target, Tokens: tokens(m.Tokens), Expected: tokens(m.Expected), Unread: tokens(m.Unread),
+			Left: tokens(m.Left), Stays: m.Stays, SilentMs: ms(m.Silent),
+		})
+	}
+	for _, h := range r.Held {
+		out.Held = append(out.Held, &ownerpb.Held{Target: h.Target, Tokens: tokens(h.Tokens), Run: h.Run})
+	}
+	for _, o := range r.Outcomes {
+		out.Outcomes = append(out.Outcomes, &ownerpb.Outcomes{
+			Target: o.Target, Served: o.Served, Failed: o.Failed, Unreachable: o.Unreachable,
+		})
+	}
+	for _, m := range r.Readings {
+		out.Readings = append(out.Readings, &ownerpb.Reading{Service: m.Service, Unread: tokens(m.Unread), Ms: ms(m.Took)})
+	}
+	return out
+}
+
+func decodeReport(d *ownerpb.Datagram, r *ownerpb.Report) owner.Report {
+	out := owner.Report{Shard: r.Shard, Instance: d.Instance, Addr: d.Addr, Incarnation: d.Incarnation, Seq: r.Seq, Seen: r.Seen}
+	for _, m := range r.Runs {
+		out.Runs = append(out.Runs, owner.Run{
+			ID: m.Id, Target: m.Target, Tokens: int(m.Tokens), Expected: int(m.Expected), Unread: int(m.Unread),
+			Left: int(m.Left), Stays: m.Stays, Silent: duration(m.SilentMs),
+		})
+	}
+	for _, h := range r.Held {
+		out.Held = append(out.Held, owner.Held{Target: h.Target, Tokens: int(h.Tokens), Run: h.Run})
+	}
+	for _, o := range r.Outcomes {
+		out.Outcomes = append(out.Outcomes, owner.Outcomes{Target: o.Target, Served: o.Served, Failed: o.Failed, Unreachable: o.Unreachable})
+	}
+	for _, m := range r.Readings {
+		out.Readings = append(out.Readings, owner.Reading{Service: m.Service, Unread: int(m.Unread), Took: duration(m.Ms)})
+	}
+	return out
+}
+
+// fit cuts a report to a datagram by leaving runs out.
+func fit(d *ownerpb.Datagram, r *ownerpb.Report) {
+	for proto.Size(d) > maxDatagram && len(r.Runs) > 0 {
+		r.Runs = r.Runs[:len(r.Runs)/2]
+	}
+}
+
+func encodeMoves(steps []moveplan.Step) []*ownerpb.Move {
+	out := make([]*ownerpb.Move, len(steps))
+	for i, s := range steps {
+		out[i] = &ownerpb.Move{Run: s.Run.ID, To: s.To, StartMs: ms(s.Start)}
+	}
+	return out
+}
+
+func decodeMoves(m *ownerpb.Moves) []moveplan.Step {
+	out := make([]moveplan.Step, 0, len(m.GetMoves()))
+	for _, s := range m.GetMoves() {
+		out = append(out, moveplan.Step{Run: moveplan.Run{ID: s.Run}, To: s.To, Start: duration(s.StartMs)})
+	}
+	return out
+}
