--- a/lib/ownerlink/link_test.go
+++ b/lib/ownerlink/link_test.go
@@ -238,12 +238,22 @@
 		n := rapid.Uint32().Draw(t, "n")
 		run := &ownerpb.Run{Target: "e0", Tokens: n, Left: n, Unread: n}
 		bodies := []func(){
-			func() { d.Body = &ownerpb.Datagram_Ask{Ask: &ownerpb.Ask{Shard: shard, Id: uint64(n), Mode: n % 5, AgeMs: n, Service: "s"}} },
-			func() { d.Body = &ownerpb.Datagram_Answer{Answer: &ownerpb.Answer{Id: uint64(n), Serial: uint64(n), Action: n}} },
-			func() { d.Body = &ownerpb.Datagram_Report{Report: &ownerpb.Report{Shard: shard, Seq: uint64(n), Runs: []*ownerpb.Run{run}}} },
-			func() { d.Body = &ownerpb.Datagram_Beat{Beat: &ownerpb.Beat{Fills: []*ownerpb.Fill{{Shard: shard, Permille: n}}}} },
+			func() {
+				d.Body = &ownerpb.Datagram_Ask{Ask: &ownerpb.Ask{Shard: shard, Id: uint64(n), Mode: n % 5, AgeMs: n, Service: "s"}}
+			},
+			func() {
+				d.Body = &ownerpb.Datagram_Answer{Answer: &ownerpb.Answer{Id: uint64(n), Serial: uint64(n), Action: n}}
+			},
+			func() {
+				d.Body = &ownerpb.Datagram_Report{Report: &ownerpb.Report{Shard: shard, Seq: uint64(n), Runs: []*ownerpb.Run{run}}}
+			},
+			func() {
+				d.Body = &ownerpb.Datagram_Beat{Beat: &ownerpb.Beat{Fills: []*ownerpb.Fill{{Shard: shard, Permille: n}}}}
+			},
 			func() { d.Body = &ownerpb.Datagram_MovesAsk{MovesAsk: &ownerpb.MovesAsk{Id: uint64(n)}} },
-			func() { d.Body = &ownerpb.Datagram_MovesAsk{MovesAsk: &ownerpb.MovesAsk{Report: &ownerpb.Report{Shard: shard}}} },
+			func() {
+				d.Body = &ownerpb.Datagram_MovesAsk{MovesAsk: &ownerpb.MovesAsk{Report: &ownerpb.Report{Shard: shard}}}
+			},
 			func() { d.Body = &ownerpb.Datagram_HeardAsk{HeardAsk: &ownerpb.HeardAsk{Target: "nobody"}} },
 			func() { d.Body = &ownerpb.Datagram_Heard{Heard: &ownerpb.Heard{Id: uint64(n)}} },
 			func() { d.Body = &ownerpb.Datagram_Moves{} },
