One instance reads the store, one in each failure domain relays it, and a start costs two calls

While the store turned a reader away all its subscribers asked the store themselves. Ruled out: leaving out polls or making them longer (a change must be in force in two seconds on a link that falls silent).

A starting instance reads the list of instances once, writes its row only if it is not there, and has the rest from those that rank to read. Three instances rank to read for all, three in each domain to relay; a page says whether its sender has lost the store, and then only those look for it, one after the other. A subscriber changes to a reader that ranks higher only once that one has answered. One stream carries all three tables.

--- a/lib/feedlink/feedlink_test.go
+++ b/lib/feedlink/feedlink_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"strings"
 	"sync"
@@ -67,10 +68,11 @@
 	node    *mesh.Node
 	addr    string
 	replica *feed.Replica
+	track   *Track
 	value   atomic.Value
 }
 
-func start(t *testing.T, name string, src feed.Source, readers func() []mesh.Peer) *member {
+func start(t *testing.T, name string, src feed.Source, place func() Place) *member {
 	t.Helper()
 	m := &member{}
 	m.value.Store("")
@@ -78,17 +80,18 @@
 	node, err := mesh.New(mesh.Options{Self: mesh.Identity{Instance: name, Incarnation: 1}, Plain: true})
 	must.NoError(t, err)
 	m.node = node
-	Serve(node, map[string]*feed.Replica{"t": m.replica})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	m.addr = ln.Addr().String()
-	go func() { _ = node.Serve(ln) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	tr := New(Config{
-		Table: "t", Source: src, Replica: m.replica, Options: feed.DefaultOptions, MaxAge: time.Second, Node: node,
-		Readers: readers, Fail: func(error) {},
+		Tables: []Table{{Name: "t", Source: src, Replica: m.replica, Options: feed.DefaultOptions, Urgent: true}},
+		MaxAge: time.Second, Node: node, Place: place, Fail: func(string, error) {},
 	})
+	m.track = tr
+	Serve(node, map[string]*feed.Replica{"t": m.replica}, tr.Lost)
+	go func() { _ = node.Serve(ln) }()
 	go func() {
 		defer close(done)
 		tr.Run(ctx)
@@ -114,7 +117,12 @@
 	return 0
 }
 
-func self() []mesh.Peer { return []mesh.Peer{{}} }
+func self() Place { return Place{Readers: []mesh.Peer{{}}} }
+
+// second ranks to read after another.
+func second(first *member, name string) func() Place {
+	return func() Place { return Place{Rank: 1, Readers: []mesh.Peer{{Instance: name, Addr: first.addr}, {}}} }
+}
 
 // A change reaches an instance that does not read the store itself, also a large one, and costs it no call.
 func TestChangeIsPassedOn(t *testing.T) {
@@ -123,7 +131,7 @@
 	src.set("one")
 	a := start(t, "a", src, self)
 	a.waitFor(t, "one")
-	b := start(t, "b", unused, func() []mesh.Peer { return []mesh.Peer{{Instance: "a", Addr: a.addr}, {}} })
+	b := start(t, "b", unused, second(a, "a"))
 	b.waitFor(t, "one")
 	large := strings.Repeat("routes ", 20_000)
 	src.set(large)
@@ -140,7 +148,7 @@
 	src.set("one")
 	a := start(t, "a", cut, self)
 	a.waitFor(t, "one")
-	b := start(t, "b", src, func() []mesh.Peer { return []mesh.Peer{{Instance: "a", Addr: a.addr}, {}} })
+	b := start(t, "b", src, second(a, "a"))
 	b.waitFor(t, "one")
 	cut.mu.Lock()
 	cut.away = true
@@ -158,7 +166,7 @@
 	cut.set("one")
 	b := start(t, "b", src, self)
 	b.waitFor(t, "one")
-	a := start(t, "a", cut, func() []mesh.Peer { return []mesh.Peer{{}, {Instance: "b", Addr: b.addr}} })
+	a := start(t, "a", cut, func() Place { return Place{Readers: []mesh.Peer{{}, {Instance: "b", Addr: b.addr}}} })
 	a.waitFor(t, "one")
 	cut.mu.Lock()
 	cut.away = true
@@ -176,7 +184,7 @@
 	src.set("one")
 	a := start(t, "a", src, self)
 	a.waitFor(t, "one")
-	b := start(t, "b", src, func() []mesh.Peer { return []mesh.Peer{{Instance: "a", Addr: a.addr}, {}} })
+	b := start(t, "b", src, second(a, "a"))
 	b.waitFor(t, "one")
 	a.node.Close()
 	src.set("two")
@@ -192,7 +200,86 @@
 	a.waitFor(t, "one")
 	away := &table{away: true}
 	b := start(t, "b", away, self)
-	must.ErrorIs(t, Fetch(context.Background(), b.node, b.addr, "t", b.replica), errUnknown)
-	must.NoError(t, Fetch(context.Background(), b.node, a.addr, "t", b.replica))
+	must.ErrorIs(t, b.track.Fetch(context.Background(), b.addr), errUnknown)
+	must.NoError(t, b.track.Fetch(context.Background(), a.addr))
 	must.Eq(t, "one", b.value.Load())
 }
+
+// mayRead is how many instances of a group rank to read.
+const mayRead = 3
+
+// group starts instances that all rank the same way, each with a source of its own. It returns them and the sources, in
+// rank; delay holds the first back.
+func group(t *testing.T, n int, delay time.Duration) ([]*member, []*table) {
+	t.Helper()
+	members := make([]*member, n)
+	tables := make([]*table, n)
+	var mu sync.Mutex
+	ranks := func(self int) func() Place {
+		return func() Place {
+			mu.Lock()
+			defer mu.Unlock()
+			out := make([]mesh.Peer, n)
+			for i, m := range members {
+				switch {
+				case i == self:
+				case m == nil:
+					out[i] = mesh.Peer{Instance: fmt.Sprint("m", i), Addr: "127.0.0.1:1"} // not there yet
+				default:
+					out[i] = mesh.Peer{Instance: fmt.Sprint("m", i), Addr: m.addr}
+				}
+			}
+			if self < mayRead {
+				return Place{Rank: self, Readers: out}
+			}
+			return Place{Role: Follows, Readers: out}
+		}
+	}
+	for i := n - 1; i >= 0; i-- {
+		tables[i] = &table{}
+		tables[i].set("one")
+		if i == 0 {
+			time.Sleep(delay)
+		}
+		m := start(t, fmt.Sprint("m", i), tables[i], ranks(i))
+		mu.Lock()
+		members[i] = m
+		mu.Unlock()
+	}
+	return members, tables
+}
+
+// All instances start in one moment, and the one that is to read comes up last. Each other would read all tables itself and
+// cost the store ten calls; they wait for the first in rank instead, and have the tables from it.
+func TestStartOfAllIsReadByFew(t *testing.T) {
+	t.Parallel()
+	members, tables := group(t, 8, 100*time.Millisecond)
+	for _, m := range members {
+		m.waitFor(t, "one")
+	}
+	for i := mayRead; i < len(tables); i++ {
+		must.Eq(t, 0, tables[i].calls.Load(), must.Sprint(i))
+	}
+}
+
+// The store turns the reader away, and serves the others. The next in rank takes over at once, all have the next change in
+// time, and those that don't rank to read leave the store alone.
+func TestRejectedReaderIsReplacedByOne(t *testing.T) {
+	t.Parallel()
+	members, tables := group(t, 8, 0)
+	for _, m := range members {
+		m.waitFor(t, "one")
+	}
+	for i, s := range tables {
+		s.mu.Lock()
+		s.away = i == 0
+		s.mu.Unlock()
+		s.set("two")
+	}
+	for _, m := range members {
+		must.Less(t, 2*time.Second, m.waitFor(t, "two"))
+	}
+	for i := mayRead; i < len(tables); i++ {
+		must.Eq(t, 0, tables[i].calls.Load(), must.Sprint(i))
+	}
+}
--- a/lib/feedlink/serve.go
+++ b/lib/feedlink/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"sync"
 	"time"
 
@@ -12,43 +13,82 @@
 	"anvilwick.example/anvilwick/lib/meshpb"
 )
 
-// Serve passes the replicas on to whoever asks, by the name of the table.
-func Serve(node *mesh.Node, replicas map[string]*feed.Replica) {
-	packs := newPacker()
-	node.Handle(meshpb.StreamKind_STREAM_FEED, func(ctx context.Context, s *mesh.Stream) {
+// server passes tables on to those who ask.
+type server struct {
+	replicas map[string]*feed.Replica
+	lost     func() bool
+	packs    *packer
+}
+
+// Serve passes the replicas on by the names of their tables. lost tells whether the store can't be reached from here.
+func Serve(node *mesh.Node, replicas map[string]*feed.Replica, lost func() bool) {
+	s := &server{replicas: replicas, lost: lost, packs: newPacker()}
+	node.Handle(meshpb.StreamKind_STREAM_FEED, func(ctx context.Context, stream *mesh.Stream) {
 		var ask meshpb.FeedAsk
-		if err := s.Read(&ask); err != nil {
-			return
-		}
-		r := replicas[ask.Table]
-		if r == nil {
+		if err := stream.Read(&ask); err != nil {
 			return
 		}
-		pass(ctx, s, r, ask.After, packs)
+		s.pass(ctx, stream, &ask)
 	})
 }
 
+// passed is how far a subscriber has a table.
+type passed struct {
+	name    string
+	replica *feed.Replica
+	after   int64
+}
+
 // pass sends pages until the stream breaks, which ends the subscription at its other end, too.
-func pass(ctx context.Context, s *mesh.Stream, r *feed.Replica, after int64, packs *packer) {
+func (s *server) pass(ctx context.Context, stream *mesh.Stream, ask *meshpb.FeedAsk) {
+	var tables []*passed
+	for _, a := range ask.Tables {
+		if r := s.replicas[a.Table]; r != nil {
+			tables = append(tables, &passed{name: a.Table, replica: r, after: a.After})
+		}
+	}
 	t := time.NewTicker(beat)
 	defer t.Stop()
-	for {
-		changed := r.Changed()
-		page, whole, contact, known := r.Since(after)
-		if !known {
-			page.Version = 0
-		}
-		if err := s.Write(packs.message(page, whole, contact)); err != nil || !known {
+	for ctx.Err() == nil {
+		changed := anyChanged(tables)
+		if err := stream.Write(s.page(tables)); err != nil {
 			return
 		}
-		after = page.Version
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		case <-t.C:
+		wait(ctx, t.C, changed)
+	}
+}
+
+// anyChanged returns the channels that are closed at the tables' next changes.
+func anyChanged(tables []*passed) []<-chan struct{} {
+	out := make([]<-chan struct{}, len(tables))
+	for i, t := range tables {
+		out[i] = t.replica.Changed()
+	}
+	return out
+}
+
+func wait(ctx context.Context, tick <-chan time.Time, changed []<-chan struct{}) {
+	cases := []reflect.SelectCase{
+		{Dir: reflect.SelectRecv, Chan: reflect.ValueOf(ctx.Done())}, {Dir: reflect.SelectRecv, Chan: reflect.ValueOf(tick)},
+	}
+	for _, c := range changed {
+		cases = append(cases, reflect.SelectCase{Dir: reflect.SelectRecv, Chan: reflect.ValueOf(c)})
+	}
+	reflect.Select(cases)
+}
+
+// page is what has changed since the last, with the age of the store's word of each table.
+func (s *server) page(tables []*passed) *meshpb.FeedPage {
+	out := &meshpb.FeedPage{Lost: s.lost()}
+	for _, t := range tables {
+		page, whole, contact, known := t.replica.Since(t.after)
+		if !known {
+			page.Version = 0
 		}
+		out.Tables = append(out.Tables, s.packs.message(t.name, page, whole, contact))
+		t.after = page.Version
 	}
+	return out
 }
 
 // packMin is the size in bytes from which a value is compressed: settings of a thousand routes shrink to a tenth, and
@@ -79,8 +119,10 @@
 	return b
 }
 
-func (p *packer) message(page feed.Page, whole bool, contact time.Time) *meshpb.FeedPage {
-	m := &meshpb.FeedPage{Version: page.Version, Whole: whole, ContactAgeMs: uint32(time.Since(contact).Milliseconds())}
+func (p *packer) message(table string, page feed.Page, whole bool, contact time.Time) *meshpb.FeedTable {
+	m := &meshpb.FeedTable{
+		Table: table, Version: page.Version, Whole: whole, ContactAgeMs: uint32(time.Since(contact).Milliseconds()),
+	}
 	for _, r := range page.Rows {
 		row := &meshpb.FeedRow{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed}
 		if len(r.Value) >= packMin {
@@ -91,19 +133,3 @@
 	}
 	return m
 }
-
-// Fetch takes a table once from any of some addresses, for an instance that has read nothing and can't reach the store.
-func Fetch(ctx context.Context, node *mesh.Node, addr, table string, into *feed.Replica) error {
-	t := Track{Config: Config{Table: table, Replica: into, Node: node}}
-	open, cancel := context.WithTimeout(ctx, openTimeout)
-	defer cancel()
-	s, err := node.Open(open, mesh.Peer{Addr: addr}, meshpb.StreamKind_STREAM_FEED)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = s.Close() }()
-	if err := s.Write(&meshpb.FeedAsk{Table: table}); err != nil {
-		return err
-	}
-	return t.receive(s)
-}
--- /dev/null
+++ b/lib/feedlink/subscription.go
@@ -0,0 +1,113 @@
+package feedlink
+
+import (
+	"context"
+	"time"
+
+	"github.com/klauspost/compress/s2"
+
+	"anvilwick.example/anvilwick/lib/feed"
+	"anvilwick.example/anvilwick/lib/mesh"
+	"anvilwick.example/anvilwick/lib/meshpb"
+)
+
+// subscription is a stream of pages from a reader.
+type subscription struct {
+	t      *Track
+	reader mesh.Peer
+	stream *mesh.Stream
+	lost   bool // as its last page says
+	stop   func() bool
+}
+
+// open subscribes to a reader and takes its first page.
+func (t *Track) open(ctx context.Context, reader mesh.Peer) (*subscription, error) {
+	timeout := openTimeout
+	if !t.known() {
+		timeout = openFirst
+	}
+	open, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	stream, err := t.Node.Open(open, reader, meshpb.StreamKind_STREAM_FEED)
+	if err != nil {
+		return nil, err
+	}
+	s := &subscription{t: t, reader: reader, stream: stream}
+	s.stop = context.AfterFunc(ctx, func() { _ = stream.Close() })
+	ask := new(meshpb.FeedAsk)
+	for _, table := range t.Tables {
+		version, _ := table.Replica.Version()
+		ask.Tables = append(ask.Tables, &meshpb.FeedFrom{Table: table.Name, After: version})
+	}
+	if err := stream.Write(ask); err != nil {
+		s.close()
+		return nil, err
+	}
+	if err := s.receive(); err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *subscription) close() {
+	s.stop()
+	_ = s.stream.Close()
+}
+
+// receive takes in one page. It fails with errUnknown when the reader lacks a table that is urgent.
+func (s *subscription) receive() error {
+	if err := s.stream.SetReadDeadline(time.Now().Add(silence)); err != nil {
+		return err
+	}
+	var p meshpb.FeedPage
+	if err := s.stream.Read(&p); err != nil {
+		return err
+	}
+	s.lost = p.Lost
+	got := make(map[string]*meshpb.FeedTable, len(p.Tables))
+	for _, m := range p.Tables {
+		got[m.Table] = m
+	}
+	var missing error
+	for _, table := range s.t.Tables {
+		m := got[table.Name]
+		if m == nil || m.Version == 0 {
+			if table.Urgent {
+				missing = errUnknown
+			}
+			continue
+		}
+		if err := take(table.Replica, m); err != nil {
+			return err
+		}
+	}
+	return missing
+}
+
+func take(into *feed.Replica, m *meshpb.FeedTable) error {
+	rows := make([]feed.Row, len(m.Rows))
+	for i, r := range m.Rows {
+		if r.Packed {
+			b, err := s2.Decode(nil, r.Value)
+			if err != nil {
+				return err
+			}
+			r.Value = b
+		}
+		rows[i] = feed.Row{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed}
+	}
+	contact := time.Now().Add(-time.Duration(m.ContactAgeMs) * time.Millisecond)
+	into.Take(feed.Page{Rows: rows, Version: m.Version}, m.Whole, contact)
+	return nil
+}
+
+// Fetch takes the tables once from an address, for an instance that has read nothing and can't reach the store.
+func (t *Track) Fetch(ctx context.Context, addr string) error {
+	s, err := t.open(ctx, mesh.Peer{Addr: addr})
+	if err != nil {
+		return err
+	}
+	s.close()
+	return nil
+}
--- a/lib/feedlink/track.go
+++ b/lib/feedlink/track.go
@@ -1,9 +1,9 @@
-// Package feedlink keeps an instance's replica of a table up to date with few calls to the platform's store: one
-// instance in each failure domain reads the store, the others have it from that one.
+// Package feedlink keeps an instance's replicas of tables up to date with few calls to the platform's store: one
+// instance reads the store, one in each failure domain has it from that one, and the others from the one in their domain.
 //
-// The reader is chosen by rendezvous among the instances that are heard, without a message. Nobody depends on it: an
-// instance whose reader falls silent or loses the store tries the next, and reads the store itself in the end. A page
-// passed on says how long ago the store confirmed it, so that a reader that is cut off from the store is noticed
+// Who reads and who relays is worked out by rank among the instances that are listed, without a message. Nobody depends
+// on it: an instance whose reader falls silent or loses the store tries the next, and reads the store itself in the end. A
+// page passed on says how long ago the store confirmed it, so that a reader that is cut off from the store is noticed
 // before its settings are too old to act on.
 package feedlink
 
@@ -11,13 +11,12 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/klauspost/compress/s2"
-
 	"anvilwick.example/anvilwick/lib/feed"
 	"anvilwick.example/anvilwick/lib/mesh"
-	"anvilwick.example/anvilwick/lib/meshpb"
 )
 
 const (
@@ -25,193 +24,358 @@
 	beat = 300 * time.Millisecond
 	// silence is how long a reader may be silent. Its machine may be dark, and then nothing else tells.
 	silence = 800 * time.Millisecond
-	// openTimeout bounds opening a stream to a reader.
+	// openTimeout bounds opening a stream to a reader; openFirst while this instance knows nothing and can't serve.
 	openTimeout = 400 * time.Millisecond
-	// grace is how long a reader that has just been chosen may take to reach the store.
-	grace = 500 * time.Millisecond
-	// avoidFor is how long a reader that failed is not asked again.
-	avoidFor = 5 * time.Second
-	// probeEvery is the pause between own calls to the store while the reader has lost it. The instance that should read
-	// probes more often: the others have the store's return from it.
-	probeEvery      = 1500 * time.Millisecond
-	probeEveryFirst = 400 * time.Millisecond
-	// reconsider is how often an instance that reads the store looks whether another should.
-	reconsider = time.Second
+	openFirst   = 150 * time.Millisecond
+	// avoidFirst and avoidMax bound how long a reader that failed is not asked again: each time twice as long.
+	avoidFirst = 5 * time.Second
+	avoidMax   = 40 * time.Second
+	// avoidNew is how long a reader that has just started, and knows nothing, is not asked again.
+	avoidNew = 60 * time.Millisecond
+	// patience is how long an instance that has just started leaves the store to those that rank to read it. When all
+	// start in one moment each would else read all tables, ten calls an instance.
+	patience = 500 * time.Millisecond
+	// looks is the pause between two looks at the readers while they know nothing.
+	looks = 50 * time.Millisecond
+	// probeEvery is the pause between two calls of one that ranks to read while the reader has lost the store, by its rank.
+	probeEvery = 400 * time.Millisecond
+	// relayProbe is the pause between two calls of one that relays once the reader is doubted: all that rank to read may be
+	// cut off, and changes are to be in force in two seconds.
+	relayProbe = 800 * time.Millisecond
+	// lateProbe is when, after the age at which a reader is doubted, all others look for themselves, and how often: all that
+	// rank to relay to them may be cut off, too.
+	lateProbe = 2500 * time.Millisecond
+	// cutAfter is the age of the store's word at which a reader whose calls fail takes itself to be cut off: over the time
+	// of one long poll.
+	cutAfter = 900 * time.Millisecond
+	// reconsider is how often an instance looks whether it should read the store, or have it from another.
+	reconsider = 500 * time.Millisecond
 )
 
 // Errors that end a subscription.
 var (
 	errTooOld  = errors.New("feedlink: the store is within reach, but not of the reader")
 	errUnknown = errors.New("feedlink: the reader holds nothing yet")
-	errChanged = errors.New("feedlink: another reader is chosen")
 )
 
-// Config is what a Track works with.
-type Config struct {
-	Table   string
+// Table is one table to keep.
+type Table struct {
+	Name    string
 	Source  feed.Source
 	Replica *feed.Replica
 	Options feed.Options
-	MaxAge  time.Duration // age of the last contact with the store at which a reader is doubted
-	Node    *mesh.Node
-	// Readers ranks the instances that may read for this one, the best first. It contains this instance, as an empty
-	// address.
-	Readers func() []mesh.Peer
-	Fail    func(error) // told of each lost source
+	Urgent  bool // the age of its word matters, and it must be known to serve
 }
 
-// Track keeps one table.
+// Role is what an instance ranks for.
+type Role uint8
+
+// Values of Role.
+const (
+	Reads   Role = iota // the store, for all
+	Relays              // to its failure domain
+	Follows             // others only
+)
+
+// Place is an instance's place among those that read and relay.
+type Place struct {
+	Role    Role
+	Rank    int         // among those of the same role
+	Readers []mesh.Peer // whom it has the tables from, the best first; it contains the instance itself, as an empty address
+}
+
+// Config is what a Track works with.
+type Config struct {
+	Tables []Table
+	MaxAge time.Duration // age of the last contact with the store at which a reader is doubted
+	Node   *mesh.Node
+	Place  func() Place
+	// Fail is told of each source that is lost: of a table, or of all by an empty name.
+	Fail func(table string, err error)
+}
+
+// Track keeps the tables.
 type Track struct {
 	Config
-	follower *feed.Follower
-	avoid    map[string]time.Time // by instance
-	cutOff   time.Time            // when this instance last gave up reading the store itself
+	followers []*feed.Follower
+	started   time.Time
+	avoid     map[string]avoided // by instance
+	cutOff    avoided            // this instance itself, as a reader
+	better    *subscription      // to go on with, from a reader that ranks higher
+	lost      atomic.Bool
+
+	mu     sync.Mutex
+	failed map[string]bool // whether the last own call for a table failed
+}
+
+type avoided struct {
+	until time.Time
+	step  time.Duration
+}
+
+// again doubles the time.
+func (a avoided) again(now time.Time) avoided {
+	step := min(max(2*a.step, avoidFirst), avoidMax)
+	return avoided{until: now.Add(step), step: step}
 }
 
 // New returns a Track.
 func New(cfg Config) *Track {
-	return &Track{
-		Config: cfg, avoid: make(map[string]time.Time),
-		follower: feed.NewFollower(cfg.Source, cfg.Options, cfg.Replica, cfg.Fail),
+	t := &Track{Config: cfg, avoid: make(map[string]avoided), failed: make(map[string]bool), started: time.Now()}
+	for _, table := range cfg.Tables {
+		fail := func(err error) { t.callFailed(table.Name, err) }
+		t.followers = append(t.followers, feed.NewFollower(watched{table, t}, table.Options, table.Replica, fail))
 	}
+	return t
+}
+
+// Lost reports whether the store can't be reached from here: the last call failed, or the reader says so.
+func (t *Track) Lost() bool { return t.lost.Load() }
+
+func (t *Track) callFailed(table string, err error) {
+	t.called(table, err)
+	t.Fail(table, err)
 }
 
-// Run keeps the table until ctx is done.
+// called notes how a call ended. Only urgent tables tell whether the store is lost: the others are asked seldom.
+func (t *Track) called(table string, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.failed[table] = err != nil && !errors.Is(err, feed.ErrHistoryGone)
+	lost := false
+	for _, table := range t.Tables {
+		lost = lost || table.Urgent && t.failed[table.Name]
+	}
+	t.lost.Store(lost)
+}
+
+// watched is a source whose calls are noted.
+type watched struct {
+	Table
+	t *Track
+}
+
+func (w watched) Snapshot(ctx context.Context) (feed.Page, error) {
+	p, err := w.Source.Snapshot(ctx)
+	if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		w.t.called(w.Name, err)
+	}
+	return p, err
+}
+
+func (w watched) Changes(ctx context.Context, after int64, wait time.Duration) (feed.Page, error) {
+	p, err := w.Source.Changes(ctx, after, wait)
+	if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		w.t.called(w.Name, err)
+	}
+	return p, err
+}
+
+// known reports whether all urgent tables have been read.
+func (t *Track) known() bool {
+	for _, table := range t.Tables {
+		if _, known := table.Replica.Version(); table.Urgent && !known {
+			return false
+		}
+	}
+	return true
+}
+
+// age is the time since the store confirmed the urgent tables.
+func (t *Track) age(now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for _, table := range t.Tables {
+		if table.Urgent {
+			oldest = max(oldest, now.Sub(table.Replica.Contact()))
+		}
+	}
+	return oldest
+}
+
+// Run keeps the tables until ctx is done.
 func (t *Track) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		reader, self := t.pick()
-		if self {
-			t.read(ctx)
+		if s := t.better; s != nil {
+			t.better = nil
+			t.follow(ctx, s)
 			continue
 		}
-		err := t.subscribe(ctx, reader)
-		if ctx.Err() != nil || errors.Is(err, errChanged) {
-			continue
+		reader, self, pause := t.pick(time.Now())
+		switch {
+		case pause > 0:
+			sleep(ctx, pause)
+		case self:
+			t.read(ctx)
+		default:
+			s, err := t.open(ctx, reader)
+			if err != nil {
+				t.doubt(ctx, reader, err)
+				continue
+			}
+			t.follow(ctx, s)
 		}
-		t.Fail(err)
-		t.avoid[reader.Instance] = time.Now()
 	}
 }
 
-// pick returns the best reader that has not failed lately, or that this instance reads itself.
-func (t *Track) pick() (mesh.Peer, bool) {
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// doubt leaves a reader alone for a while.
+func (t *Track) doubt(ctx context.Context, reader mesh.Peer, err error) {
+	if ctx.Err() != nil {
+		return
+	}
 	now := time.Now()
-	for _, p := range t.Readers() {
-		if p.Addr == "" {
-			if now.Sub(t.cutOff) < avoidFor {
-				continue
+	if errors.Is(err, errUnknown) || !t.known() {
+		// It has just started, as this instance may have, too.
+		t.avoid[reader.Instance] = avoided{until: now.Add(avoidNew)}
+		return
+	}
+	t.Fail("", err)
+	t.avoid[reader.Instance] = t.avoid[reader.Instance].again(now)
+}
+
+// pick returns the best reader that has not failed lately, or that this instance reads itself, or a pause before it is to be
+// asked again.
+func (t *Track) pick(now time.Time) (reader mesh.Peer, self bool, pause time.Duration) {
+	place := t.Place()
+	early := !t.known() && now.Sub(t.started) < patience
+	for _, p := range place.Readers {
+		if p.Addr != "" {
+			if now.After(t.avoid[p.Instance].until) {
+				return p, false, 0
 			}
-			return mesh.Peer{}, true
-		}
-		if at, ok := t.avoid[p.Instance]; ok && now.Sub(at) < avoidFor {
 			continue
 		}
-		return p, false
+		switch {
+		case early && place.Role != Reads:
+			return mesh.Peer{}, false, looks
+		case now.After(t.cutOff.until):
+			return mesh.Peer{}, true, 0
+		}
 	}
-	return mesh.Peer{}, true
-}
-
-// first reports whether this instance is the one that should read.
-func (t *Track) first() bool {
-	r := t.Readers()
-	return len(r) > 0 && r[0].Addr == ""
+	return mesh.Peer{}, true, 0
 }
 
 // read follows the store itself until another instance should.
 func (t *Track) read(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
+	reading, cancel := context.WithCancel(ctx)
+	var work sync.WaitGroup
+	defer work.Wait()
 	defer cancel()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		t.follower.Run(ctx)
-	}()
+	for _, f := range t.followers {
+		work.Go(func() { f.Run(reading) })
+	}
 	tick := time.NewTicker(reconsider)
 	defer tick.Stop()
 	for {
+		changed := t.listChanged()
 		select {
 		case <-ctx.Done():
-			<-done
 			return
 		case <-tick.C:
+		case <-changed:
 		}
-		if time.Since(t.Replica.Contact()) > t.MaxAge+grace {
+		now := time.Now()
+		if t.Lost() && t.age(now) > cutAfter {
 			// Another may reach the store. Without this, an instance that alone is cut off from it would go on by old
 			// settings, with peers beside it that know the new ones.
-			t.cutOff = time.Now()
+			t.cutOff = t.cutOff.again(now)
 		}
-		if _, self := t.pick(); !self {
-			cancel()
-			<-done
+		if t.moveTo(ctx, now) {
 			return
 		}
 	}
 }
 
-// subscribe takes the table from a reader until it fails.
-func (t *Track) subscribe(ctx context.Context, reader mesh.Peer) error {
-	open, cancel := context.WithTimeout(ctx, openTimeout)
-	defer cancel()
-	s, err := t.Node.Open(open, reader, meshpb.StreamKind_STREAM_FEED)
-	if err != nil {
-		return err
+// listChanged returns a channel that is closed when a table changes that says who the readers are. It is the one that is not
+// urgent, if any.
+func (t *Track) listChanged() <-chan struct{} {
+	for _, table := range t.Tables {
+		if !table.Urgent {
+			return table.Replica.Changed()
+		}
+	}
+	return nil
+}
+
+// moveTo looks for a reader that ranks higher, and subscribes to it before this instance's own reading ends: one that is
+// dead, or has lost the store, is left alone without a gap.
+func (t *Track) moveTo(ctx context.Context, now time.Time) bool {
+	reader, self, _ := t.pick(now)
+	if self || reader.Addr == "" {
+		return false
 	}
-	defer func() { _ = s.Close() }()
-	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
-	defer stop()
-	version, _ := t.Replica.Version()
-	if err := s.Write(&meshpb.FeedAsk{Table: t.Table, After: version}); err != nil {
-		return err
+	s, err := t.open(ctx, reader)
+	if err == nil && (s.lost && !t.Lost()) {
+		s.close()
+		err = errTooOld
 	}
-	start := time.Now()
-	probed := start
+	if err != nil {
+		t.doubt(ctx, reader, err)
+		return false
+	}
+	t.better = s
+	return true
+}
+
+// follow takes the tables from a reader until it fails, or another is better.
+func (t *Track) follow(ctx context.Context, s *subscription) {
+	defer s.close()
+	probed := time.Now()
+	looked := probed
 	for {
-		if err := t.receive(s); err != nil {
-			return err
-		}
-		if r, self := t.pick(); self || r.Instance != reader.Instance {
-			return errChanged
+		t.lost.Store(s.lost)
+		if err := s.receive(); err != nil {
+			t.doubt(ctx, s.reader, err)
+			return
 		}
 		now := time.Now()
-		every := probeEvery
-		if t.first() {
-			every = probeEveryFirst
+		if now.Sub(looked) >= reconsider {
+			looked = now
+			if t.leaves(ctx, now, s) {
+				return
+			}
 		}
-		if now.Sub(t.Replica.Contact()) < t.MaxAge || now.Sub(start) < grace || now.Sub(probed) < every {
+		if !t.mayProbe(now, probed, s) {
 			continue
 		}
-		probed = now.Add(rand.N(every / 2))
-		if t.follower.Step(ctx, 0) == nil {
-			t.cutOff = time.Time{}
-			return errTooOld
+		probed = now.Add(rand.N(probeEvery / 2))
+		if t.followers[0].Step(ctx, 0) == nil {
+			t.cutOff = avoided{}
+			t.doubt(ctx, s.reader, errTooOld)
+			return
 		}
 	}
 }
 
-// receive takes in one page.
-func (t *Track) receive(s *mesh.Stream) error {
-	if err := s.SetReadDeadline(time.Now().Add(silence)); err != nil {
-		return err
+// leaves reports whether another reader, or this instance, should take over from the one followed.
+func (t *Track) leaves(ctx context.Context, now time.Time, s *subscription) bool {
+	reader, self, _ := t.pick(now)
+	if !self {
+		return reader.Instance != s.reader.Instance && t.moveTo(ctx, now)
 	}
-	var p meshpb.FeedPage
-	if err := s.Read(&p); err != nil {
-		return err
+	if t.followers[0].Step(ctx, 0) != nil {
+		t.cutOff = t.cutOff.again(now)
+		return false
 	}
-	if p.Version == 0 {
-		return errUnknown
-	}
-	rows := make([]feed.Row, len(p.Rows))
-	for i, r := range p.Rows {
-		if r.Packed {
-			b, err := s2.Decode(nil, r.Value)
-			if err != nil {
-				return err
-			}
-			r.Value = b
-		}
-		rows[i] = feed.Row{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed}
+	t.cutOff = avoided{}
+	return true
+}
+
+// mayProbe reports whether to look for the store although the reader has lost it. Those that rank to read do so at once, one
+// after the other; the others only when these seem to be cut off, too.
+func (t *Track) mayProbe(now, probed time.Time, s *subscription) bool {
+	place, age := t.Place(), t.age(now)
+	switch place.Role {
+	case Reads:
+		return (s.lost || age > t.MaxAge) && now.Sub(probed) > time.Duration(1+place.Rank)*probeEvery
+	case Relays:
+		return age > t.MaxAge && now.Sub(probed) > relayProbe
 	}
-	contact := time.Now().Add(-time.Duration(p.ContactAgeMs) * time.Millisecond)
-	t.Replica.Take(feed.Page{Rows: rows, Version: p.Version}, p.Whole, contact)
-	return nil
+	return age > t.MaxAge+lateProbe && now.Sub(probed) > lateProbe
 }
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -1,11 +1,9 @@
 package gatewayproc
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -16,8 +14,6 @@
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/logline"
 	"anvilwick.example/anvilwick/lib/mesh"
-	"anvilwick.example/anvilwick/lib/owner"
-	"anvilwick.example/anvilwick/lib/rendezvous"
 	"anvilwick.example/anvilwick/lib/routes"
 )
 
@@ -46,9 +42,15 @@
 	p.feeds.settings = feed.NewReplica(p.applySettings)
 	p.feeds.targets = feed.NewReplica(p.applyTargets)
 	p.feeds.instances = feed.NewReplica(p.applyInstances)
-	feedlink.Serve(node, map[string]*feed.Replica{
-		settingsTable: p.feeds.settings, targetsTable: p.feeds.targets, instancesTable: p.feeds.instances,
+	p.track = feedlink.New(feedlink.Config{
+		Tables: []feedlink.Table{
+			{Name: settingsTable, Source: p.site.Settings, Replica: p.feeds.settings, Options: feed.DefaultOptions, Urgent: true},
+			{Name: targetsTable, Source: p.site.Targets, Replica: p.feeds.targets, Options: feed.DefaultOptions, Urgent: true},
+			{Name: instancesTable, Source: p.site.Instances, Replica: p.feeds.instances, Options: instanceOptions},
+		},
+		MaxAge: maxAge, Node: node, Place: p.place, Fail: p.feedFailed(),
 	})
+	feedlink.Serve(node, p.replicas(), p.track.Lost)
 	ln, err := net.Listen("tcp", p.cfg.Link)
 	if err != nil {
 		return fmt.Errorf("gatewayproc: links: %w", err)
@@ -61,68 +63,46 @@
 	return nil
 }
 
+// replicas are the followed tables by name.
+func (p *Process) replicas() map[string]*feed.Replica {
+	return map[string]*feed.Replica{
+		settingsTable: p.feeds.settings, targetsTable: p.feeds.targets, instancesTable: p.feeds.instances,
+	}
+}
+
 // follow starts the feeds and the housekeeping.
 func (p *Process) follow(ctx context.Context) {
-	p.track(ctx, settingsTable, p.site.Settings, p.feeds.settings, feed.DefaultOptions, maxAge)
-	p.track(ctx, targetsTable, p.site.Targets, p.feeds.targets, feed.DefaultOptions, maxAge)
-	p.track(ctx, instancesTable, p.site.Instances, p.feeds.instances, instanceOptions, instanceMaxAge)
+	p.start(func() {
+		p.join(ctx)
+		p.track.Run(ctx)
+	})
 	p.start(func() { p.askSeeds(ctx) })
-	p.start(func() { p.register(ctx) })
 	p.start(func() { p.link.Run(ctx) })
 	p.start(func() { p.tellBlames(ctx) })
 	p.start(func() { p.tick(ctx) })
 	p.start(func() { p.watchEngines(ctx) })
 }
 
-func (p *Process) track(ctx context.Context, name string, src feed.Source, r *feed.Replica, o feed.Options, age time.Duration) {
-	fail := lost(name, r)
-	if name == targetsTable {
-		tell := fail
-		fail = func(err error) {
-			tell(err)
-			now := time.Now()
-			p.listFailed.Store(&now)
-		}
-	}
-	t := feedlink.New(feedlink.Config{
-		Table: name, Source: src, Replica: r, Options: o, MaxAge: age, Node: p.node, Readers: p.readers, Fail: fail,
-	})
-	p.start(func() { t.Run(ctx) })
-}
+// joinTimeout bounds the first read of the list of instances. Without it this instance reads all tables itself.
+const joinTimeout = 300 * time.Millisecond
 
-// readers ranks the instances that may read the store for this one: those of its failure domain, this one among them,
-// then the others. Those with half of the largest capacity or more come first: the reader sends each change to all others,
-// and a link of a twentieth would take seconds for a large one.
-func (p *Process) readers() []mesh.Peer {
-	key := rendezvous.Hash(p.cfg.Domain)
-	list := p.listedInstances()
-	most := uint32(0)
-	for _, in := range list {
-		if in.Domain == p.cfg.Domain {
-			most = max(most, in.Capacity)
-		}
-	}
-	ranks := make(map[string]uint64, len(list))
-	for _, in := range list {
-		ranks[in.Name] = rendezvous.Rank(key, rendezvous.Hash(in.Name))
+// join reads which instances there are, so that the rest comes from the one that reads for this failure domain, and sees to
+// it that this one is listed. An instance that is started again where it was is listed already.
+func (p *Process) join(ctx context.Context) {
+	try, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	page, err := p.site.Instances.Snapshot(try)
+	if err != nil {
+		logline.Cause(log.Info().Str("event", "join_failed"), err)
+	} else {
+		p.feeds.instances.Take(page, true, time.Now())
 	}
-	slices.SortFunc(list, func(a, b owner.Instance) int {
-		return cmp.Or(
-			owner.Before(a.Domain == p.cfg.Domain, b.Domain == p.cfg.Domain),
-			owner.Before(a.Capacity >= most/2, b.Capacity >= most/2),
-			cmp.Compare(ranks[b.Name], ranks[a.Name]),
-		)
-	})
-	out := make([]mesh.Peer, 0, len(list))
-	for _, in := range list {
-		switch {
-		case in.Name == p.cfg.Instance:
-			out = append(out, mesh.Peer{})
-		case in.Link != "":
-			out = append(out, mesh.Peer{Instance: in.Name, Addr: in.Link})
-		}
+	p.mu.Lock()
+	listed := p.instances[p.cfg.Instance] == p.self()
+	p.mu.Unlock()
+	if !listed {
+		p.start(func() { p.register(ctx) })
 	}
-	return out
 }
 
 // seedEvery is the pause between two rounds of asking seeds.
@@ -131,41 +111,60 @@
 // askSeeds takes the tables from instances that know them, while this one has read nothing: it may have been started
 // while the store is away.
 func (p *Process) askSeeds(ctx context.Context) {
-	tables := map[string]*feed.Replica{
-		settingsTable: p.feeds.settings, targetsTable: p.feeds.targets, instancesTable: p.feeds.instances,
-	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(seedEvery):
 		}
-		for name, r := range tables {
-			if _, known := r.Version(); known {
-				delete(tables, name)
-				continue
-			}
-			p.fetch(ctx, name, r)
-		}
-		if len(tables) == 0 {
+		if p.knowsAll() {
 			return
 		}
+		p.fetch(ctx)
+	}
+}
+
+func (p *Process) knowsAll() bool {
+	for _, r := range p.replicas() {
+		if _, known := r.Version(); !known {
+			return false
+		}
 	}
+	return true
 }
 
-func (p *Process) fetch(ctx context.Context, name string, r *feed.Replica) {
+func (p *Process) fetch(ctx context.Context) {
 	for _, addr := range p.cfg.Seeds {
 		if addr == p.cfg.Link {
 			continue
 		}
-		err := feedlink.Fetch(ctx, p.node, addr, name, r)
-		logline.Cause(log.Info().Str("event", "seed_asked").Str("feed", name).Str("addr", addr), err)
+		err := p.track.Fetch(ctx, addr)
+		logline.Cause(log.Info().Str("event", "seed_asked").Str("addr", addr), err)
 		if err == nil {
 			return
 		}
 	}
 }
 
+// feedFailed returns what is told of each table that is lost; an empty name stands for all.
+func (p *Process) feedFailed() func(table string, err error) {
+	logs := make(map[string]func(error))
+	for name, r := range p.replicas() {
+		logs[name] = lost(name, r)
+	}
+	return func(table string, err error) {
+		for name, tell := range logs {
+			if table == "" || table == name {
+				tell(err)
+			}
+		}
+		if table == "" || table == targetsTable {
+			now := time.Now()
+			p.listFailed.Store(&now)
+		}
+	}
+}
+
 // lost logs that a feed was lost, once until it has been heard again: it is tried several times a second.
 func lost(name string, r *feed.Replica) func(error) {
 	var mu sync.Mutex
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -16,9 +16,6 @@
 // instanceOptions follow the instances: they change seldom, and late news of one costs only worse choices.
 var instanceOptions = feed.Options{Wait: 5 * time.Second, Timeout: time.Second, Retry: 200 * time.Millisecond, RetryMax: 2 * time.Second, Gap: 500 * time.Millisecond}
 
-// instanceMaxAge is the age at which a reader of the instances is doubted.
-const instanceMaxAge = 12 * time.Second
-
 // registerTimeout bounds one try to write this instance's row.
 const registerTimeout = 800 * time.Millisecond
 
@@ -75,6 +72,8 @@
 	p.share.SetInstances(n)
 	p.fleet.SetShare(1 / float64(n))
 	log.Info().Str("event", "instances").Int("n", n).Msg("")
+	place := placeAmong(p.cfg.Instance, p.cfg.Domain, p.listedInstances())
+	p.placed.Store(&place)
 	p.layOut()
 }
 
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -20,6 +20,7 @@
 	"github.com/phuslu/log"
 
 	"anvilwick.example/anvilwick/lib/feed"
+	"anvilwick.example/anvilwick/lib/feedlink"
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/gateway"
 	"anvilwick.example/anvilwick/lib/logline"
@@ -104,12 +105,14 @@
 	born  uint64 // incarnation
 	node  *mesh.Node
 	feeds struct{ settings, targets, instances *feed.Replica }
+	track *feedlink.Track
 
 	front, ready *http.Server
 	cancel       context.CancelFunc
 	work         sync.WaitGroup
 
 	listFailed atomic.Pointer[time.Time] // when a call for the list of targets last failed
+	placed     atomic.Pointer[feedlink.Place]
 
 	mu        sync.Mutex
 	instances map[string]owner.Instance // as listed
--- /dev/null
+++ b/lib/gatewayproc/readers.go
@@ -0,0 +1,86 @@
+package gatewayproc
+
+import (
+	"cmp"
+	"slices"
+
+	"anvilwick.example/anvilwick/lib/feedlink"
+	"anvilwick.example/anvilwick/lib/mesh"
+	"anvilwick.example/anvilwick/lib/owner"
+	"anvilwick.example/anvilwick/lib/rendezvous"
+)
+
+// readersMax is how many instances rank to read the store for all, and how many to relay in each failure domain.
+const readersMax = 3
+
+// siteKey ranks the instances that read for all.
+const siteKey = "site"
+
+// place is this instance's place among those that read the store and relay it, as of the last list of instances.
+func (p *Process) place() feedlink.Place {
+	if at := p.placed.Load(); at != nil {
+		return *at
+	}
+	return feedlink.Place{Readers: []mesh.Peer{{}}}
+}
+
+// placeAmong works out an instance's place. The first in rank reads for all, the first of each failure domain has it from
+// that one and relays it, so that little goes between domains.
+func placeAmong(self string, domain string, list []owner.Instance) feedlink.Place {
+	readers := ranked(siteKey, list)
+	var near []owner.Instance
+	for _, in := range list {
+		if in.Domain == domain {
+			near = append(near, in)
+		}
+	}
+	relays := ranked(domain, near)
+	if i := indexOf(readers, self); i >= 0 {
+		return feedlink.Place{Role: feedlink.Reads, Rank: i, Readers: peers(self, readers, relays)}
+	}
+	if i := indexOf(relays, self); i >= 0 {
+		return feedlink.Place{Role: feedlink.Relays, Rank: i, Readers: peers(self, relays[:i], readers, relays[i:])}
+	}
+	return feedlink.Place{Role: feedlink.Follows, Readers: append(peers(self, relays, readers), mesh.Peer{})}
+}
+
+// ranked returns the first instances for a key: those with half of the largest capacity or more, since a reader sends each
+// change to many others and a link of a twentieth would take seconds for a large one, then by rendezvous.
+func ranked(key string, list []owner.Instance) []owner.Instance {
+	most := uint32(0)
+	for _, in := range list {
+		most = max(most, in.Capacity)
+	}
+	h := rendezvous.Hash(key)
+	list = slices.Clone(list)
+	slices.SortFunc(list, func(a, b owner.Instance) int {
+		return cmp.Or(
+			owner.Before(a.Capacity >= most/2, b.Capacity >= most/2),
+			cmp.Compare(rendezvous.Rank(h, rendezvous.Hash(b.Name)), rendezvous.Rank(h, rendezvous.Hash(a.Name))),
+		)
+	})
+	return list[:min(readersMax, len(list))]
+}
+
+func indexOf(list []owner.Instance, name string) int {
+	return slices.IndexFunc(list, func(in owner.Instance) bool { return in.Name == name })
+}
+
+// peers joins lists of instances, each of them once, with this one as an empty address.
+func peers(self string, lists ...[]owner.Instance) []mesh.Peer {
+	var out []mesh.Peer
+	known := make(map[string]bool)
+	for _, list := range lists {
+		for _, in := range list {
+			switch {
+			case known[in.Name]:
+			case in.Name == self:
+				out = append(out, mesh.Peer{})
+			case in.Link != "":
+				out = append(out, mesh.Peer{Instance: in.Name, Addr: in.Link})
+			}
+			known[in.Name] = true
+		}
+	}
+	return out
+}
--- a/lib/gatewayproc/watch.go
+++ b/lib/gatewayproc/watch.go
@@ -51,7 +51,7 @@
 
 // listAway reports whether the list of targets can't be relied on: it is old, or lost.
 func (p *Process) listAway() bool {
-	return time.Since(p.feeds.targets.Contact()) >= listSilent || p.listLost()
+	return time.Since(p.feeds.targets.Contact()) >= listSilent || p.listLost() || p.track.Lost()
 }
 
 func (p *Process) ask(ctx context.Context, e fleet.Info) {
