Ranks of instances are kept between layouts of engines

Change: names are hashed once for each list of instances, the first three are found in one pass, and kept by shard.

--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -72,9 +72,7 @@
 	p.share.SetInstances(n)
 	p.fleet.SetShare(1 / float64(n))
 	log.Info().Str("event", "instances").Int("n", n).Msg("")
-	place := placeAmong(p.cfg.Instance, p.cfg.Domain, p.listedInstances())
-	p.placed.Store(&place)
-	p.layOut()
+	p.rankInstances()
 }
 
 // listed lists the instances, with this one also before its row is there.
@@ -95,11 +93,24 @@
 
 // layOut works out anew which instances own which engines.
 func (p *Process) layOut() {
+	p.mu.Lock()
+	c := p.candidates
+	p.mu.Unlock()
+	p.link.SetLayout(c.Layout(p.fleet.Engines(fleet.Ready), p.fleet.Engines(fleet.Leaving)))
+}
+
+// rankInstances works out anew what each instance ranks for.
+func (p *Process) rankInstances() {
 	instances := p.listedInstances()
-	layout := owner.NewLayout(p.fleet.Engines(fleet.Ready), p.fleet.Engines(fleet.Leaving), instances)
-	if err := p.link.SetLayout(layout, instances); err != nil {
+	place := placeAmong(p.cfg.Instance, p.cfg.Domain, instances)
+	p.placed.Store(&place)
+	p.mu.Lock()
+	p.candidates = owner.NewCandidates(instances)
+	p.mu.Unlock()
+	if err := p.link.SetPeers(instances); err != nil {
 		logline.Cause(log.Error().Str("event", "instance_refused"), err)
 	}
+	p.layOut()
 }
 
 // openOwners listens for what other instances tell and ask.
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -114,18 +114,19 @@
 	listFailed atomic.Pointer[time.Time] // when a call for the list of targets last failed
 	placed     atomic.Pointer[feedlink.Place]
 
-	mu        sync.Mutex
-	instances map[string]owner.Instance // as listed
-	listed    bool                      // the list of targets was read
-	refused   refusedEntries
-	stopped   bool
+	mu         sync.Mutex
+	instances  map[string]owner.Instance // as listed
+	candidates *owner.Candidates
+	listed     bool // the list of targets was read
+	refused    refusedEntries
+	stopped    bool
 }
 
 // Run serves until ctx is done, then stops gracefully.
 func Run(ctx context.Context, cfg Config, site Site) error {
 	p := &Process{
 		cfg: cfg, site: site, fleet: fleet.New(cfg.Domain),
-		instances: make(map[string]owner.Instance), born: uint64(time.Now().UnixNano()),
+		instances: make(map[string]owner.Instance), candidates: owner.NewCandidates(nil), born: uint64(time.Now().UnixNano()),
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
 	p.share = retry.NewShare(cfg.RepeatRatio, cfg.RepeatFloor, cfg.RepeatWindow)
@@ -144,6 +145,7 @@
 	work, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	defer cancel()
+	p.rankInstances()
 	// Callers come as soon as this instance says that it is ready, so it listens for them first.
 	ln, err := net.Listen("tcp", cfg.Front)
 	if err != nil {
--- a/lib/owner/layout.go
+++ b/lib/owner/layout.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/rendezvous"
@@ -49,8 +50,32 @@
 	services map[string][]*Shard
 }
 
+// Candidates ranks instances for shards. It keeps what it has worked out: engines come and go many times a minute,
+// instances seldom. It is safe for concurrent use.
+type Candidates struct {
+	instances []Instance
+	hashes    []uint64
+
+	mu     sync.Mutex
+	ranked map[string][]Instance // by shard
+}
+
+// NewCandidates returns the ranking of some instances.
+func NewCandidates(instances []Instance) *Candidates {
+	c := &Candidates{instances: instances, hashes: make([]uint64, len(instances)), ranked: make(map[string][]Instance)}
+	for i, in := range instances {
+		c.hashes[i] = rendezvous.Hash(in.Name)
+	}
+	return c
+}
+
 // NewLayout splits engines that take requests among instances. Those that leave are in a shard for their runs' sake only.
 func NewLayout(engines, leaving []fleet.Info, instances []Instance) *Layout {
+	return NewCandidates(instances).Layout(engines, leaving)
+}
+
+// Layout splits engines as NewLayout does.
+func (c *Candidates) Layout(engines, leaving []fleet.Info) *Layout {
 	l := &Layout{shards: make(map[string]*Shard), of: make(map[string]*Shard), services: make(map[string][]*Shard)}
 	byService := make(map[string][]fleet.Info)
 	for _, e := range engines {
@@ -58,7 +83,7 @@
 	}
 	for service, list := range byService {
 		for _, s := range split(service, list) {
-			s.Ranked = rank(s, instances)
+			s.Ranked = c.rank(s)
 			l.add(s)
 		}
 	}
@@ -115,23 +140,47 @@
 
 // rank returns the first candidates for a shard: those of its failure domain first, then those with half of the largest
 // capacity or more, which many instances' asks do not slow down, then by rendezvous.
-func rank(s *Shard, instances []Instance) []Instance {
+func (c *Candidates) rank(s *Shard) []Instance {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r, ok := c.ranked[s.Key]; ok {
+		return r
+	}
+	near := func(in *Instance) bool { return s.Domain == "" || in.Domain == s.Domain }
 	most := uint32(0)
-	for _, in := range instances {
-		if s.Domain == "" || in.Domain == s.Domain {
-			most = max(most, in.Capacity)
+	for i := range c.instances {
+		if near(&c.instances[i]) {
+			most = max(most, c.instances[i].Capacity)
 		}
 	}
 	key := rendezvous.Hash(s.Key)
-	list := slices.Clone(instances)
-	slices.SortFunc(list, func(a, b Instance) int {
+	better := func(a, b int) int {
+		x, y := &c.instances[a], &c.instances[b]
 		return cmp.Or(
-			Before(s.Domain == "" || a.Domain == s.Domain, s.Domain == "" || b.Domain == s.Domain),
-			Before(a.Capacity >= most/2, b.Capacity >= most/2),
-			cmp.Compare(rendezvous.Rank(key, rendezvous.Hash(b.Name)), rendezvous.Rank(key, rendezvous.Hash(a.Name))),
+			Before(near(x), near(y)),
+			Before(x.Capacity >= most/2, y.Capacity >= most/2),
+			cmp.Compare(rendezvous.Rank(key, c.hashes[b]), rendezvous.Rank(key, c.hashes[a])),
 		)
-	})
-	return list[:min(candidates, len(list))]
+	}
+	out := make([]Instance, 0, candidates)
+	for _, i := range first(len(c.instances), candidates, better) {
+		out = append(out, c.instances[i])
+	}
+	c.ranked[s.Key] = out
+	return out
+}
+
+// first returns the k best of the numbers below n, in order.
+func first(n, k int, better func(a, b int) int) []int {
+	out := make([]int, 0, k+1)
+	for i := range n {
+		at, _ := slices.BinarySearchFunc(out, i, better)
+		if at < k {
+			out = slices.Insert(out, at, i)
+			out = out[:min(k, len(out))]
+		}
+	}
+	return out
 }
 
 // Before orders true before false.
--- a/lib/ownerlink/link.go
+++ b/lib/ownerlink/link.go
@@ -118,8 +118,13 @@
 }
 
 // SetLayout puts a layout of shards in force.
-func (l *Link) SetLayout(layout *owner.Layout, instances []owner.Instance) error {
+func (l *Link) SetLayout(layout *owner.Layout) {
 	l.layout.Store(layout)
+	l.Changed()
+}
+
+// SetPeers replaces the instances that are listed.
+func (l *Link) SetPeers(instances []owner.Instance) error {
 	addrs := make(map[string]netip.AddrPort, len(instances))
 	peers := make([]netip.AddrPort, 0, len(instances))
 	var bad error
@@ -137,7 +142,6 @@
 	l.mu.Lock()
 	l.addrs, l.peers = addrs, peers
 	l.mu.Unlock()
-	l.Changed()
 	return bad
 }
 
--- a/lib/ownerlink/link_test.go
+++ b/lib/ownerlink/link_test.go
@@ -83,7 +83,8 @@
 	layout := owner.NewLayout(engines, nil, list)
 	for _, m := range members {
 		m.Fleet.Apply(time.Now(), engines, nil, 0)
-		must.NoError(t, m.SetLayout(layout, list))
+		must.NoError(t, m.SetPeers(list))
+		m.SetLayout(layout)
 	}
 	for _, name := range running {
 		members[name].start(t)
@@ -164,7 +165,7 @@
 	must.NoError(t, err)
 	must.Eq(t, admit.Go, got.Action)
 	stranger := newMember(t, "x")
-	must.NoError(t, stranger.SetLayout(members["a"].layout.Load(), nil))
+	stranger.SetLayout(members["a"].layout.Load())
 	stranger.start(t)
 	start := time.Now()
 	_, err = stranger.Place(t.Context(), ask(100))
