Nobody follows a reader whose tables come through itself, or whose word of the store is older

Logs of the sources show it: an instance whose own look found the store went on to another reader instead of reading; readers followed each other in a circle of three, whose pages were fresh when sent on; a stale reader that had not lost the store was taken for a good one. Ruled out: the store's bounds (versions were acked in 65 ms), lost datagrams (tables go by streams).

One that the store has answered reads. A page says through whom it comes; a reader whose path holds this instance is not followed, nor one whose word is older than a reader may have. Those that rank to read or relay look for a reader with the store's word when theirs has none. Each change of source is logged.

--- a/lib/feedlink/feedlink_test.go
+++ b/lib/feedlink/feedlink_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 
 	"anvilwick.example/anvilwick/lib/feed"
 	"anvilwick.example/anvilwick/lib/mesh"
+	"anvilwick.example/anvilwick/lib/meshpb"
 )
 
 // table is a Source whose rows tests change.
@@ -86,11 +88,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	tr := New(Config{
+		Self:   name,
 		Tables: []Table{{Name: "t", Source: src, Replica: m.replica, Options: feed.DefaultOptions, Urgent: true}},
-		MaxAge: time.Second, Node: node, Place: place, Fail: func(string, error) {},
+		MaxAge: time.Second, Node: node, Place: place, Fail: func(string, error) {}, From: func(string) {},
 	})
 	m.track = tr
-	Serve(node, map[string]*feed.Replica{"t": m.replica}, tr.Lost)
+	Serve(node, tr)
 	go func() { _ = node.Serve(ln) }()
 	go func() {
 		defer close(done)
@@ -211,6 +214,17 @@
 // group starts instances that all rank the same way, each with a source of its own. It returns them and the sources, in
 // rank; delay holds the first back.
 func group(t *testing.T, n int, delay time.Duration) ([]*member, []*table) {
+	t.Helper()
+	return groupOf(t, n, delay, func(self int, all []mesh.Peer) Place {
+		if self < mayRead {
+			return Place{Rank: self, Readers: all}
+		}
+		return Place{Role: Follows, Readers: all}
+	})
+}
+
+// groupOf is group with the places that place gives; all are the instances in rank, this one with an empty address.
+func groupOf(t *testing.T, n int, delay time.Duration, place func(self int, all []mesh.Peer) Place) ([]*member, []*table) {
 	t.Helper()
 	members := make([]*member, n)
 	tables := make([]*table, n)
@@ -229,10 +243,7 @@
 					out[i] = mesh.Peer{Instance: fmt.Sprint("m", i), Addr: m.addr}
 				}
 			}
-			if self < mayRead {
-				return Place{Rank: self, Readers: out}
-			}
-			return Place{Role: Follows, Readers: out}
+			return place(self, out)
 		}
 	}
 	for i := n - 1; i >= 0; i-- {
@@ -283,3 +294,62 @@
 		must.Eq(t, 0, tables[i].calls.Load(), must.Sprint(i))
 	}
 }
+
+// The store turns away all three that rank to read, and serves the two that relay in a failure domain and those that follow
+// them. Each that relays was told by its own look that the store is there, and went on to another of the three, which is as
+// cut off: nobody read, and settings were four seconds old. One that the store answers reads; the others find it.
+func TestAllThatRankToReadAreRejected(t *testing.T) {
+	t.Parallel()
+	const relays, all = 5, 9
+	members, tables := groupOf(t, all, 0, func(self int, list []mesh.Peer) Place {
+		switch {
+		case self < mayRead:
+			return Place{Rank: self, Readers: list[:relays]}
+		case self == mayRead:
+			return Place{Role: Relays, Readers: append(slices.Clone(list[:mayRead]), list[mayRead:relays]...)}
+		case self < relays:
+			return Place{Role: Relays, Rank: 1, Readers: append([]mesh.Peer{list[mayRead]}, append(slices.Clone(list[:mayRead]), mesh.Peer{})...)}
+		}
+		return Place{Role: Follows, Readers: append(slices.Clone(list[mayRead:relays]), append(slices.Clone(list[:mayRead]), mesh.Peer{})...)}
+	})
+	for _, m := range members {
+		m.waitFor(t, "one")
+	}
+	for i, s := range tables {
+		s.mu.Lock()
+		s.away = i < mayRead
+		s.mu.Unlock()
+		s.set("two")
+	}
+	for i, m := range members {
+		must.Less(t, 3*time.Second, m.waitFor(t, "two"), must.Sprint(i))
+	}
+	for _, s := range tables {
+		s.set("three")
+	}
+	for i, m := range members {
+		must.Less(t, time.Second, m.waitFor(t, "three"), must.Sprint(i))
+	}
+	for i := relays; i < all; i++ {
+		must.Eq(t, 0, tables[i].calls.Load(), must.Sprint(i))
+	}
+}
+
+// Three instances that rank to read had each given up the reader before them, and went on to each other: a followed c, c
+// followed b, and b was about to follow a. Each page was fresh when it was sent on, and nobody read the store. One whose pages
+// come through this instance is not followed, however high it ranks; nor is one whose word of the store is older.
+func TestNobodyFollowsInACircle(t *testing.T) {
+	t.Parallel()
+	a := start(t, "a", &table{}, self)
+	tr := New(Config{Self: "b", MaxAge: time.Second, Node: a.node})
+	sub := func(age time.Duration, path ...string) *subscription {
+		stream, err := a.node.Open(t.Context(), mesh.Peer{Instance: "a", Addr: a.addr}, meshpb.StreamKind_STREAM_FEED)
+		must.NoError(t, err)
+		return &subscription{t: tr, stream: stream, stop: func() bool { return true }, age: age, path: path}
+	}
+	must.ErrorIs(t, tr.worse(sub(0, "a", "c", "b")), errCycle)
+	must.ErrorIs(t, tr.worse(sub(2*time.Second, "a", "x")), errTooOld)
+	must.NoError(t, tr.worse(sub(0, "a", "x")))
+	tr.comesBy([]string{"a", "x"})
+	must.Eq(t, []string{"b", "a", "x"}, tr.pathNow())
+}
--- a/lib/feedlink/serve.go
+++ b/lib/feedlink/serve.go
@@ -15,14 +15,17 @@
 
 // server passes tables on to those who ask.
 type server struct {
+	track    *Track
 	replicas map[string]*feed.Replica
-	lost     func() bool
 	packs    *packer
 }
 
-// Serve passes the replicas on by the names of their tables. lost tells whether the store can't be reached from here.
-func Serve(node *mesh.Node, replicas map[string]*feed.Replica, lost func() bool) {
-	s := &server{replicas: replicas, lost: lost, packs: newPacker()}
+// Serve passes the tables of a Track on.
+func Serve(node *mesh.Node, t *Track) {
+	s := &server{track: t, replicas: make(map[string]*feed.Replica), packs: newPacker()}
+	for _, table := range t.Tables {
+		s.replicas[table.Name] = table.Replica
+	}
 	node.Handle(meshpb.StreamKind_STREAM_FEED, func(ctx context.Context, stream *mesh.Stream) {
 		var ask meshpb.FeedAsk
 		if err := stream.Read(&ask); err != nil {
@@ -79,7 +82,7 @@
 
 // page is what has changed since the last, with the age of the store's word of each table.
 func (s *server) page(tables []*passed) *meshpb.FeedPage {
-	out := &meshpb.FeedPage{Lost: s.lost()}
+	out := &meshpb.FeedPage{Lost: s.track.Lost(), Path: s.track.pathNow()}
 	for _, t := range tables {
 		page, whole, contact, known := t.replica.Since(t.after)
 		if !known {
--- a/lib/feedlink/subscription.go
+++ b/lib/feedlink/subscription.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/klauspost/compress/s2"
@@ -16,7 +17,9 @@
 	t      *Track
 	reader mesh.Peer
 	stream *mesh.Stream
-	lost   bool // as its last page says
+	lost   bool          // as its last page says
+	path   []string      // instances that its tables come through, as its last page says
+	age    time.Duration // of the store's word on the urgent tables, as its last page says
 	stop   func() bool
 }
 
@@ -50,6 +53,12 @@
 	return s, nil
 }
 
+// behind reports whether the reader does not have the store's word itself: it has lost the store, or follows one that has.
+func (s *subscription) behind() bool { return s.lost || s.age > s.t.MaxAge }
+
+// circular reports whether the reader has the tables from this instance.
+func (s *subscription) circular() bool { return slices.Contains(s.path, s.t.Self) }
+
 func (s *subscription) close() {
 	s.stop()
 	_ = s.stream.Close()
@@ -64,12 +73,13 @@
 	if err := s.stream.Read(&p); err != nil {
 		return err
 	}
-	s.lost = p.Lost
+	s.lost, s.path = p.Lost, p.Path
 	got := make(map[string]*meshpb.FeedTable, len(p.Tables))
 	for _, m := range p.Tables {
 		got[m.Table] = m
 	}
 	var missing error
+	s.age = 0
 	for _, table := range s.t.Tables {
 		m := got[table.Name]
 		if m == nil || m.Version == 0 {
@@ -81,6 +91,9 @@
 		if err := take(table.Replica, m); err != nil {
 			return err
 		}
+		if table.Urgent {
+			s.age = max(s.age, time.Duration(m.ContactAgeMs)*time.Millisecond)
+		}
 	}
 	return missing
 }
--- a/lib/feedlink/track.go
+++ b/lib/feedlink/track.go
@@ -56,6 +56,7 @@
 var (
 	errTooOld  = errors.New("feedlink: the store is within reach, but not of the reader")
 	errUnknown = errors.New("feedlink: the reader holds nothing yet")
+	errCycle   = errors.New("feedlink: the reader has the tables from this instance")
 )
 
 // Table is one table to keep.
@@ -86,12 +87,15 @@
 
 // Config is what a Track works with.
 type Config struct {
+	Self   string // name of this instance
 	Tables []Table
 	MaxAge time.Duration // age of the last contact with the store at which a reader is doubted
 	Node   *mesh.Node
 	Place  func() Place
 	// Fail is told of each source that is lost: of a table, or of all by an empty name.
 	Fail func(table string, err error)
+	// From is told of each change of the instance that the tables are had from; empty: the store itself.
+	From func(instance string)
 }
 
 // Track keeps the tables.
@@ -103,6 +107,8 @@
 	cutOff    avoided            // this instance itself, as a reader
 	better    *subscription      // to go on with, from a reader that ranks higher
 	lost      atomic.Bool
+	path      atomic.Pointer[[]string] // instances that the tables come through, this one first
+	within    bool                     // the store has just answered this instance, and not its reader
 
 	mu     sync.Mutex
 	failed map[string]bool // whether the last own call for a table failed
@@ -132,6 +138,20 @@
 // Lost reports whether the store can't be reached from here: the last call failed, or the reader says so.
 func (t *Track) Lost() bool { return t.lost.Load() }
 
+// pathNow returns the instances that the tables come through, this one first.
+func (t *Track) pathNow() []string {
+	if p := t.path.Load(); p != nil {
+		return *p
+	}
+	return []string{t.Self}
+}
+
+// comesBy notes the instances behind this one that the tables come through.
+func (t *Track) comesBy(path []string) {
+	p := append([]string{t.Self}, path...)
+	t.path.Store(&p)
+}
+
 func (t *Track) callFailed(table string, err error) {
 	t.called(table, err)
 	t.Fail(table, err)
@@ -200,6 +220,11 @@
 			t.follow(ctx, s)
 			continue
 		}
+		if t.within {
+			t.within = false
+			t.read(ctx)
+			continue
+		}
 		reader, self, pause := t.pick(time.Now())
 		switch {
 		case pause > 0:
@@ -263,6 +288,8 @@
 
 // read follows the store itself until another instance should.
 func (t *Track) read(ctx context.Context) {
+	t.comesBy(nil)
+	t.From("")
 	reading, cancel := context.WithCancel(ctx)
 	var work sync.WaitGroup
 	defer work.Wait()
@@ -311,9 +338,8 @@
 		return false
 	}
 	s, err := t.open(ctx, reader)
-	if err == nil && (s.lost && !t.Lost()) {
-		s.close()
-		err = errTooOld
+	if err == nil {
+		err = t.worse(s)
 	}
 	if err != nil {
 		t.doubt(ctx, reader, err)
@@ -323,21 +349,46 @@
 	return true
 }
 
+// worse tells why a reader that ranks higher is not to be followed all the same, and closes the subscription then.
+//
+// Failure: three instances that ranked to read took the tables from each other in a circle, since each had given up the
+// reader that ranked before them. Nobody read the store, and settings were five seconds old although most could reach it.
+// Pages say through whom they come, so that none follows one that follows it.
+func (t *Track) worse(s *subscription) error {
+	var err error
+	switch {
+	case s.behind() && (!t.Lost() || s.age > t.age(time.Now())):
+		err = errTooOld
+	case s.circular():
+		err = errCycle
+	default:
+		return nil
+	}
+	s.close()
+	return err
+}
+
 // follow takes the tables from a reader until it fails, or another is better.
 func (t *Track) follow(ctx context.Context, s *subscription) {
 	defer s.close()
+	t.From(s.reader.Instance)
 	probed := time.Now()
 	looked := probed
 	for {
 		t.lost.Store(s.lost)
+		t.comesBy(s.path)
 		if err := s.receive(); err != nil {
 			t.doubt(ctx, s.reader, err)
 			return
 		}
+		if s.circular() {
+			t.doubt(ctx, s.reader, errCycle)
+			return
+		}
 		now := time.Now()
 		if now.Sub(looked) >= reconsider {
 			looked = now
-			if t.leaves(ctx, now, s) {
+			if t.leaves(ctx, now, s) || s.behind() && t.search(ctx, s) {
 				return
 			}
 		}
@@ -347,6 +398,7 @@
 		probed = now.Add(rand.N(probeEvery / 2))
 		if t.followers[0].Step(ctx, 0) == nil {
 			t.cutOff = avoided{}
+			t.within = true
 			t.doubt(ctx, s.reader, errTooOld)
 			return
 		}
@@ -367,6 +419,32 @@
 	return true
 }
 
+// search looks for a reader that has the store's word, in place of one that has not. Those that only follow leave it to the
+// one that relays to them.
+func (t *Track) search(ctx context.Context, s *subscription) bool {
+	place := t.Place()
+	if place.Role == Follows {
+		return false
+	}
+	now := time.Now()
+	for _, p := range place.Readers {
+		if p.Addr == "" || p.Instance == s.reader.Instance || now.Before(t.avoid[p.Instance].until) {
+			continue
+		}
+		other, err := t.open(ctx, p)
+		if err != nil {
+			t.doubt(ctx, p, err)
+			continue
+		}
+		if !other.behind() && !other.circular() {
+			t.better = other
+			return true
+		}
+		other.close()
+	}
+	return false
+}
+
 // mayProbe reports whether to look for the store although the reader has lost it. Those that rank to read do so at once, one
 // after the other; the others only when these seem to be cut off, too.
 func (t *Track) mayProbe(now, probed time.Time, s *subscription) bool {
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -43,14 +43,15 @@
 	p.feeds.targets = feed.NewReplica(p.applyTargets)
 	p.feeds.instances = feed.NewReplica(p.applyInstances)
 	p.track = feedlink.New(feedlink.Config{
+		Self: p.cfg.Instance,
 		Tables: []feedlink.Table{
 			{Name: settingsTable, Source: p.site.Settings, Replica: p.feeds.settings, Options: feed.DefaultOptions, Urgent: true},
 			{Name: targetsTable, Source: p.site.Targets, Replica: p.feeds.targets, Options: feed.DefaultOptions, Urgent: true},
 			{Name: instancesTable, Source: p.site.Instances, Replica: p.feeds.instances, Options: instanceOptions},
 		},
-		MaxAge: maxAge, Node: node, Place: p.place, Fail: p.feedFailed(),
+		MaxAge: maxAge, Node: node, Place: p.place, Fail: p.feedFailed(), From: p.feedFrom,
 	})
-	feedlink.Serve(node, p.replicas(), p.track.Lost)
+	feedlink.Serve(node, p.track)
 	ln, err := net.Listen("tcp", p.cfg.Link)
 	if err != nil {
 		return fmt.Errorf("gatewayproc: links: %w", err)
@@ -165,6 +166,15 @@
 	}
 }
 
+// feedFrom logs from where the tables come.
+func (p *Process) feedFrom(instance string) {
+	if instance == "" {
+		instance = "store"
+	}
+	at := p.place()
+	log.Info().Str("event", "feed_source").Str("source", instance).Int("role", int(at.Role)).Int("rank", at.Rank).Msg("")
+}
+
 // lost logs that a feed was lost, once until it has been heard again: it is tried several times a second.
 func lost(name string, r *feed.Replica) func(error) {
 	var mu sync.Mutex
