The replay is a package, and plays owners beside the ways that they replace

Cause: the replay lay in lib/admit's tests and knew one way for instances to hear of each other. Change: lib/replay plays named load patterns with owners (lib/owner itself), news of all to all, of a sample, of a failure domain, and with what engines report. Instances that decide may end, engines may fail, engines may leave a failure domain at a time. Messages of owners are a tenth of news'.

--- /dev/null
+++ b/lib/admit/common_test.go
@@ -0,0 +1,12 @@
+package admit
+
+import "time"
+
+const (
+	service = "engine"
+	kv      = 22_000
+	// keeps is the longest time to stay away that callers keep to.
+	keeps = 12 * time.Second
+)
+
+var start = time.Unix(1_000_000, 0)
--- /dev/null
+++ b/lib/replay/replay_test.go
@@ -0,0 +1,103 @@
+package replay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// replay plays a load with several seeds.
+func replay(t *testing.T, name string, l Load, p Policy) Tally {
+	t.Helper()
+	seeds := uint64(4)
+	if l.Instances > 100 {
+		seeds = 2
+	}
+	var sum Tally
+	for seed := range seeds {
+		sum.Add(Play(l, p, seed))
+	}
+	t.Logf("%-12s %+v: %.3f in time", name, sum, sum.Share())
+	return sum
+}
+
+// Engines leave in groups while memory is short. Callers get their first event in time, or are told at once to come
+// back; with any part of the decision taken out, clearly fewer do.
+func TestEnginesLeaveInGroups(t *testing.T) {
+	all := replay(t, "all", Crowded(), Policy{})
+	must.Greater(t, 0.82, all.Share())
+	for name, without := range map[string]Policy{
+		"slow news": {Way: News, SlowNews: true}, "no reading": {NoReading: true}, "force": {Force: true},
+	} {
+		must.Greater(t, replay(t, name, Crowded(), without).Share()+0.03, all.Share(), must.Sprint(name))
+	}
+}
+
+// Short urgent streams come in a burst, three times as many for 3 s, onto engines full of long runs. They are answered in
+// time, and the long ones that come meanwhile don't pay for it with more than they do.
+func TestBurstOfShortStreams(t *testing.T) {
+	got := replay(t, "burst", Bursts(), Policy{})
+	shorts := float64(got.InTime-got.LongsInTime) / float64(got.Streams-got.Longs)
+	longs := float64(got.LongsInTime) / float64(got.Longs)
+	must.Greater(t, 0.85, shorts)
+	must.Greater(t, 0.85, longs)
+}
+
+// Prompts come in bunches: all of two seconds' streams within 0.2 s. They spread over the engines and wait for each other,
+// and nearly all begin in time, although an engine has a second of reading to do at once.
+func TestPromptsInBunches(t *testing.T) {
+	must.Greater(t, 0.85, replay(t, "bunches", Bunches(), Policy{}).Share())
+}
+
+// Half of the instances end at once with what they serve. The others believe their last news for a while, then use the
+// room that has become free, and serve all that comes.
+func TestHalfOfTheInstancesGone(t *testing.T) {
+	got := replay(t, "half gone", HalfGone(), Policy{})
+	must.Greater(t, 0.9, got.Share())
+}
+
+// Traffic is a third over what the engines carry for ten seconds. Callers that were told to come back do so once, at times
+// that are spread. Four in five of them that are not lost with an engine then begin.
+func TestCallersComeBack(t *testing.T) {
+	got := replay(t, "come back", ComeBack(), Policy{})
+	must.Greater(t, 50, got.CameBack)
+	must.Greater(t, 4*got.Away, got.ServedBack)
+}
+
+// Engines leave a failure domain at a time, so that its shard is full while others have room. Streams that wait are passed on
+// to that room; where they stayed with their shard a tenth fewer began in time. All told of all do no better, with ten
+// times the messages.
+func TestFullShardPassesStreamsOn(t *testing.T) {
+	l := DomainsLeave()
+	owners := replay(t, "owners", l, Policy{})
+	for name, p := range map[string]Policy{"stay": {Stay: true}, "slices": {Way: Slices}} {
+		must.Greater(t, replay(t, name, l, p).Share()+0.08, owners.Share(), must.Sprint(name))
+	}
+	news := replay(t, "news", l, Policy{Way: News})
+	must.Greater(t, news.Share()-0.01, owners.Share())
+	must.Less(t, news.Messages/10, owners.Messages)
+}
+
+// Each instance has a stream now and then, and decides by what engines say of themselves: all see the same free engine for
+// 0.3 s, and the most of what they send there is late.
+func TestReportsOfEnginesAreTooLate(t *testing.T) {
+	l := Scaled(72)
+	l.Span = 10 * time.Second
+	must.Less(t, replay(t, "owners", l, Policy{}).Share()-0.2, replay(t, "reports", l, Policy{Way: Reports}).Share())
+}
+
+// The instances that decide end at 10 s with what they serve. Others ask in vain for 0.15 s, once; the second in rank was told
+// what runs where, so that fewer streams are sent to engines that are full than where it starts from nothing.
+func TestOwnersGone(t *testing.T) {
+	calm := replay(t, "nobody gone", Scaled(72), Policy{})
+	gone := replay(t, "owners gone", OwnersGone(), Policy{})
+	must.Greater(t, calm.Share()-0.03, gone.Share())
+}
+
+// A sixth of the engines fails half of what it is sent. No instance sends enough there to learn it alone; the owner hears of
+// all, and a part of the failures is left.
+func TestFaultyEnginesAreLeftAlone(t *testing.T) {
+	owners, news := replay(t, "owners", Faulty(), Policy{}), replay(t, "news", Faulty(), Policy{Way: News})
+	must.Less(t, news.Lost*3/4, owners.Lost)
+}
