One owner decides on most sites; streams wait at it for longer, and are passed on to room elsewhere

Ruled out: fill alone as a measure (adding what waits changed nothing there), late reports (an owner counts what it gives at once).

The number of shards follows the instances, which stay listed: one shard up to 160 instances and 256 engines, else one in each failure domain, halved from 64 engines on. What an instance does with an ask is lib/owner's Desk: decide, pass on to the owner, to an emptier shard, or, when it would wait, to one whose roomiest engine holds it; looked at again with each beat. Streams wait for 0.6 of their aim, since owners don't race for room, and prompts must be read in what is left of 0.9 of it.

--- a/lib/admit/admit.go
+++ b/lib/admit/admit.go
@@ -19,13 +19,16 @@
 const (
 	// Poll is the pause between two steps of a stream that waits: about the age of peers' news.
 	Poll = 20 * time.Millisecond
-	// waitShare is the part of a stream's aim that it waits for an engine with room. The rest must do for reading its
-	// prompt there.
-	waitShare = 0.3
+	// waitShare is the part of a stream's aim that it waits for an engine with room. With 0.3 a third more were told to come
+	// back, and 0.877 in place of 0.888 began in time (replay of engines that leave in groups, 12 seeds).
+	waitShare = 0.6
 	// readShare is the part of a stream's aim within which the prompts that wait on an engine must be read, with its own.
 	// Engines that started empty were sent six or seven prompts at once, read one after another, and nine in ten of the
 	// last were late.
 	readShare = 0.6
+	// leftShare is the part of the aim by which the prompts must be read, the wait included. The rest is for what is not
+	// foreseen.
+	leftShare = 0.9
 	// awayMin is the least time after which a stream that found no room is asked to come back. What frees up sooner goes
 	// to streams that wait already.
 	awayMin = time.Second
@@ -75,7 +78,7 @@
 	need := s.Need
 	need.Must = true
 	if s.Aim > 0 {
-		need.Reading = p.Reading.Within(need.Service, time.Duration(readShare*float64(s.Aim)))
+		need.Reading = p.Reading.Within(need.Service, s.readTime(now))
 	}
 	take := p.Take
 	if take == nil {
@@ -93,6 +96,13 @@
 	return Decision{Action: Away, After: p.away(s.Keeps)}
 }
 
+// readTime is how long the prompts on an engine may take that is chosen now: a part of the aim, and no more than is left
+// of it after the wait.
+func (s *Stream) readTime(now time.Time) time.Duration {
+	left := time.Duration(leftShare*float64(s.Aim)) - now.Sub(s.Arrived)
+	return max(1, min(time.Duration(readShare*float64(s.Aim)), left))
+}
+
 // away is how long a stream that found no room should stay away. Engines stay full for seconds, and callers must not all
 // come back at once: the time is drawn from all that they keep to.
 func (p *Placer) away(keeps time.Duration) time.Duration {
--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -218,12 +218,12 @@
 	return best.Info, true
 }
 
-// Fill is the part of the memory of some engines that is spoken for, with prompts to read weighed as in a choice. It is
-// 1 and more where none takes requests.
-func (f *Fleet) Fill(among []string) float64 {
+// Fill is the part of the memory of some engines that is spoken for, with prompts to read weighed as in a choice, and with
+// tokens that wait for room there. It is 1 and more where none takes requests.
+func (f *Fleet) Fill(among []string, waiting int) float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	used, room := 0.0, 0.0
+	used, room := float64(waiting), 0.0
 	for _, id := range among {
 		t := f.targets[id]
 		if t == nil || t.state != Ready || t.unreadable {
@@ -245,6 +245,22 @@
 	Free int
 }
 
+// Room is the largest memory, in tokens, that a run may take on one of some engines beside the runs there.
+func (f *Fleet) Room(among []string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	most := 0
+	for _, id := range among {
+		t := f.targets[id]
+		if t == nil || t.state != Ready || t.unreadable {
+			continue
+		}
+		kv := fillShare * float64(f.specs[t.Service].KVTokens)
+		most = max(most, int(kv)-Peak(f.sizesOn(t)))
+	}
+	return most
+}
+
 // Rooms lists the engines of a service that take requests, among those named or, with nil, among all.
 func (f *Fleet) Rooms(service string, among []string) []Room {
 	f.mu.Lock()
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -93,6 +93,9 @@
 	return &Fleet{domain: domain, random: rand.Float64, targets: make(map[string]*Target), peers: make(map[string]*peer), share: 1}
 }
 
+// Domain is the failure domain of the instance.
+func (f *Fleet) Domain() string { return f.domain }
+
 // Change is what an update of the list did.
 type Change struct {
 	Added, Leaving, Gone []Info
--- a/lib/fleet/peak.go
+++ b/lib/fleet/peak.go
@@ -34,13 +34,18 @@
 // 21 engines).
 const fillShare = 0.97
 
-// fits tells whether an engine has memory for one more run until it and those beside it have ended.
-func (f *Fleet) fits(t *Target, s Size, kv int) bool {
-	runs := []Size{s}
+// sizesOn lists the sizes of all runs on an engine, as far as this instance knows.
+func (f *Fleet) sizesOn(t *Target) []Size {
+	var out []Size
 	if f.sizes != nil {
-		runs = append(runs, f.sizes(t.ID)...)
+		out = append(out, f.sizes(t.ID)...)
 	}
-	runs = append(runs, f.toldOf(t).sizes...)
+	return append(out, f.toldOf(t).sizes...)
+}
+
+// fits tells whether an engine has memory for one more run until it and those beside it have ended.
+func (f *Fleet) fits(t *Target, s Size, kv int) bool {
+	runs := append(f.sizesOn(t), s)
 	// A guess of length may be absurd: an engine with nothing else on it has room, whatever the guess says.
 	return len(runs) == 1 || float64(Peak(runs)) <= fillShare*float64(kv)
 }
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -117,8 +117,7 @@
 func (p *Process) openOwners() error {
 	link, err := ownerlink.New(ownerlink.Config{
 		Self: p.self(), Incarnation: p.born, Fleet: p.fleet,
-		Book:  owner.NewBook(p.cfg.Instance, p.fleet, p.gate.Readings()),
-		Peers: owner.NewPeers(p.cfg.Instance, time.Now()),
+		Desk: owner.NewDesk(p.cfg.Instance, p.fleet, p.gate.Readings(), time.Now()),
 		Gather: func(l *owner.Layout) map[string]owner.Report {
 			return owner.ByShard(l, p.gate.Runs(), p.gate.Held())
 		},
--- a/lib/owner/book.go
+++ b/lib/owner/book.go
@@ -36,6 +36,7 @@
 	Mode   Mode
 	Stream admit.Stream
 	Backup int // tokens of a copy that is wanted elsewhere; 0: none
+	Hops   int // how often it was passed on
 }
 
 // Answer is to an Ask.
@@ -75,13 +76,15 @@
 
 // Book is an instance's account of the shards that it ranks to own. It is safe for concurrent use.
 type Book struct {
+	random func(n int64) int64 // up to n, n left out; nil: math/rand
+
 	self    string // this instance, whose own runs the fleet counts without being told
 	fleet   *fleet.Fleet
 	reading *admit.Readings
 
 	mu      sync.Mutex
 	holders map[string]map[string]*holder // by shard, instance
-	asks    []*waiting                    // in order of arrival
+	asks    []*waiting                    // in the order in which callers came
 	done    map[Key]answered
 	serial  uint64
 	steps   map[uint64]planned // of moves, by run
@@ -95,6 +98,13 @@
 	}
 }
 
+// setRandom replaces the source of chance.
+func (b *Book) setRandom(random func(n int64) int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.random = random
+}
+
 // Report takes in a report and reports whether it was newer than the last of its instance.
 func (b *Book) Report(now time.Time, r Report) bool {
 	b.mu.Lock()
@@ -177,11 +187,21 @@
 	}
 	answer, ok = b.decide(now, s, &a)
 	if !ok && len(b.asks) < waitingMax {
-		b.asks = append(b.asks, &waiting{Ask: a, shard: s, heard: now})
+		b.wait(&waiting{Ask: a, shard: s, heard: now})
 	}
 	return answer, ok
 }
 
+// wait puts an ask among those that wait, in the order in which callers came. One that was passed on comes later here than
+// it came to its instance.
+func (b *Book) wait(w *waiting) {
+	at, _ := slices.BinarySearchFunc(b.asks, w, func(x, y *waiting) int { return x.Stream.Arrived.Compare(y.Stream.Arrived) })
+	for at < len(b.asks) && b.asks[at].Stream.Arrived.Equal(w.Stream.Arrived) {
+		at++
+	}
+	b.asks = slices.Insert(b.asks, at, w)
+}
+
 // Waits reports whether asks wait.
 func (b *Book) Waits() bool {
 	b.mu.Lock()
@@ -189,7 +209,7 @@
 	return len(b.asks) > 0
 }
 
-// Step decides what it can of the asks that wait, in the order of their arrival, and returns the answers.
+// Step decides what it can of the asks that wait, in the order in which callers came, and returns the answers.
 func (b *Book) Step(now time.Time) []Answer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -225,7 +245,7 @@
 	need := a.Stream.Need
 	need.Among = s.Engines
 	if a.Mode == Admit {
-		p := admit.Placer{Fleet: b.fleet, Reading: b.reading, Take: b.fleet.Choose}
+		p := admit.Placer{Fleet: b.fleet, Reading: b.reading, Take: b.fleet.Choose, Random: b.random}
 		stream := a.Stream
 		stream.Need = need
 		if d := p.Step(now, stream); d.Action != admit.None {
@@ -357,6 +377,37 @@
 	return out
 }
 
+// drop forgets an ask that waits.
+func (b *Book) drop(k Key) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.asks = slices.DeleteFunc(b.asks, func(w *waiting) bool { return w.Key == k })
+}
+
+// waitingFor is how many tokens of engine memory the asks want that wait for a shard.
+func (b *Book) waitingFor(shard string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sum := 0
+	for _, w := range b.asks {
+		if w.shard.Key == shard {
+			sum += w.Stream.Need.Tokens
+		}
+	}
+	return sum
+}
+
+// waitingNow lists the asks that wait, with their shards.
+func (b *Book) waitingNow() []waiting {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]waiting, len(b.asks))
+	for i, w := range b.asks {
+		out[i] = *w
+	}
+	return out
+}
+
 // Knows reports whether an ask has been decided here or waits here.
 func (b *Book) Knows(k Key) bool {
 	b.mu.Lock()
--- a/lib/owner/layout.go
+++ b/lib/owner/layout.go
@@ -2,18 +2,24 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"sync"
 
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/rendezvous"
-	"anvilwick.example/anvilwick/lib/shard"
 )
 
 const (
-	// shardLimit is the most engines of a shard. An owner is told and asked some six datagrams of 100 bytes for each stream,
-	// and an engine begins 1.3 streams a second: 32 of them stay under 29 KB/s.
-	shardLimit = 32
+	// poolInstances and poolEngines are how many instances and engines one owner decides for. What it is told and asked grows
+	// with the streams, some six datagrams of 100 bytes each, and an instance has about one a second. The first is the
+	// narrower on most sites and changes seldom, since instances that are gone stay listed: a bound on engines that come and
+	// go by a third would change all owners each time that it is crossed, and with them what is known (worth 0.518 in place
+	// of 0.570 of crowded days, 6 paired plays, 48 engines about a bound of 32).
+	poolInstances = 160
+	poolEngines   = 256
+	// shardLimit is the most engines of a shard of a larger site.
+	shardLimit = 64
 	// candidates is how many instances rank to own a shard: the owner, one that is told as much, and one more for when both
 	// are gone.
 	candidates = 3
@@ -46,6 +52,7 @@
 // give away and no promise.
 type Layout struct {
 	shards   map[string]*Shard
+	all      []*Shard          // by key
 	of       map[string]*Shard // by engine
 	services map[string][]*Shard
 }
@@ -82,7 +89,7 @@
 		byService[e.Service] = append(byService[e.Service], e)
 	}
 	for service, list := range byService {
-		for _, s := range split(service, list) {
+		for _, s := range split(service, list, len(c.instances)) {
 			s.Ranked = c.rank(s)
 			l.add(s)
 		}
@@ -92,6 +99,7 @@
 			s.Neighbours = nearest(s, list)
 		}
 	}
+	slices.SortFunc(l.all, func(a, b *Shard) int { return cmp.Compare(a.Key, b.Key) })
 	for _, e := range leaving {
 		if s := l.Home(e.Service, e.Domain, e.ID); s != nil {
 			l.of[e.ID] = s
@@ -102,16 +110,17 @@
 
 func (l *Layout) add(s *Shard) {
 	l.shards[s.Key] = s
+	l.all = append(l.all, s)
 	l.services[s.Service] = append(l.services[s.Service], s)
 	for _, id := range s.Engines {
 		l.of[id] = s
 	}
 }
 
-// split makes one shard of a few engines, else shards that each lie in one failure domain: copies of runs take twice as
+// split makes one shard on a small site, else shards that each lie in one failure domain: copies of runs take twice as
 // long between domains, and what a domain loses is then one owner's business.
-func split(service string, engines []fleet.Info) []*Shard {
-	if len(engines) <= shardLimit {
+func split(service string, engines []fleet.Info, instances int) []*Shard {
+	if instances <= poolInstances && len(engines) <= poolEngines {
 		return splitDomain(service, "", engines)
 	}
 	byDomain := make(map[string][]fleet.Info)
@@ -126,14 +135,23 @@
 	return out
 }
 
+// splitDomain splits the engines of a domain by the hash of their names. The number of shards is a power of two, so that it
+// changes at few sizes.
 func splitDomain(service, domain string, engines []fleet.Info) []*Shard {
-	names := make([]string, len(engines))
-	for i, e := range engines {
-		names[i] = e.ID
+	n := 1
+	for domain != "" && n*shardLimit < len(engines) {
+		n *= 2
 	}
-	var out []*Shard
-	for _, s := range shard.Split(service+"@"+domain, names, shardLimit) {
-		out = append(out, &Shard{Key: s.ID.String(), Service: service, Domain: domain, Engines: s.Targets})
+	out := make([]*Shard, n)
+	for i := range out {
+		out[i] = &Shard{Key: fmt.Sprintf("%s@%s/%d.%d", service, domain, i, n), Service: service, Domain: domain}
+	}
+	for _, e := range engines {
+		s := out[rendezvous.Hash(e.ID)%uint64(n)]
+		s.Engines = append(s.Engines, e.ID)
+	}
+	for _, s := range out {
+		slices.Sort(s.Engines)
 	}
 	return out
 }
@@ -217,8 +235,8 @@
 // Of returns the shard that an engine is in; nil when it is in none.
 func (l *Layout) Of(engine string) *Shard { return l.of[engine] }
 
-// All returns all shards.
-func (l *Layout) All() map[string]*Shard { return l.shards }
+// All returns all shards, in the order of their keys.
+func (l *Layout) All() []*Shard { return l.all }
 
 // Home returns the shard that is the nearest to a name in a failure domain: what an instance asks first for a service. nil
 // when the service has no engines.
--- a/lib/owner/peers.go
+++ b/lib/owner/peers.go
@@ -32,7 +32,13 @@
 	Incarnation uint64
 	Cold        bool
 	Leaving     bool
-	Fills       map[string]float64 // of the shards that it owns, by key
+	Fills       map[string]Fill // of the shards that it owns, by key
+}
+
+// Fill is how full a shard is.
+type Fill struct {
+	Part float64 // of its memory that is spoken for, prompts to read weighed in
+	Room int     // tokens that a run may take on the roomiest of its engines
 }
 
 type beat struct {
@@ -41,8 +47,8 @@
 }
 
 type fill struct {
+	Fill
 	owner string
-	part  float64
 	at    time.Time
 }
 
@@ -68,8 +74,15 @@
 	}
 }
 
-// Take takes in a beat.
-func (p *Peers) Take(now time.Time, b Beat) {
+// setRandom replaces the source of chance, between 0 and 1.
+func (p *Peers) setRandom(random func() float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.random = random
+}
+
+// TakeBeat takes in a beat.
+func (p *Peers) TakeBeat(now time.Time, b Beat) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old, known := p.beats[b.Instance]
@@ -82,8 +95,8 @@
 	p.heard = now
 	p.beats[b.Instance] = beat{Beat: b, at: now}
 	delete(p.suspects, b.Instance)
-	for key, part := range b.Fills {
-		p.fills[key] = fill{owner: b.Instance, part: part, at: now}
+	for key, f := range b.Fills {
+		p.fills[key] = fill{Fill: f, owner: b.Instance, at: now}
 	}
 }
 
@@ -178,17 +191,45 @@
 // stays. It is drawn from the emptier ones, by how much emptier each is: they are told some tens of milliseconds late, and
 // all owners would else pass theirs to the same.
 func (p *Peers) PassOn(now time.Time, s *Shard, own float64) (to *Shard, owner string, ok bool) {
+	return p.draw(now, s, func(f *fill) float64 { return own - passMargin - f.Part })
+}
+
+// PassToRoom returns a shard with an engine that has room for a stream of some tokens, and its owner. Of several it is drawn by
+// how much room there is. The room is taken off what is believed, so that streams that wait here together are not all
+// passed on to the same.
+func (p *Peers) PassToRoom(now time.Time, s *Shard, tokens int) (to *Shard, owner string, ok bool) {
+	to, owner, ok = p.draw(now, s, func(f *fill) float64 {
+		if f.Room < tokens {
+			return 0
+		}
+		return float64(f.Room)
+	})
+	if ok {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		f := p.fills[to.Key]
+		f.Room -= tokens
+		p.fills[to.Key] = f
+	}
+	return to, owner, ok
+}
+
+// draw draws one of a shard's neighbours by weight; those that weigh nothing are left out.
+func (p *Peers) draw(now time.Time, s *Shard, weigh func(*fill) float64) (to *Shard, owner string, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	sum := 0.0
 	for _, n := range s.Neighbours {
 		f, known := p.fills[n.Key]
-		gap := own - passMargin - f.part
-		if !known || now.Sub(f.at) > fillLife || gap <= 0 {
+		if !known || now.Sub(f.at) > fillLife {
+			continue
+		}
+		weight := weigh(&f)
+		if weight <= 0 {
 			continue
 		}
-		sum += gap
-		if p.random()*sum < gap {
+		sum += weight
+		if p.random()*sum < weight {
 			to, owner, ok = n, f.owner, true
 		}
 	}
@@ -196,8 +237,8 @@
 }
 
 // Filled notes how full a shard is that this instance owns.
-func (p *Peers) Filled(now time.Time, shard string, part float64) {
+func (p *Peers) Filled(now time.Time, shard string, f Fill) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.fills[shard] = fill{owner: p.self, part: part, at: now}
+	p.fills[shard] = fill{Fill: f, owner: p.self, at: now}
 }
--- a/lib/ownerlink/beat.go
+++ b/lib/ownerlink/beat.go
@@ -25,7 +25,7 @@
 		now := time.Now()
 		// A clock that does not count the time of a suspended machine shows it by the time of day.
 		if now.Sub(last) > stallTime || now.Round(0).Sub(last.Round(0)) > stallTime {
-			l.Peers.Woke(now)
+			l.Desk.Woke(now)
 		}
 		last = now
 		l.sendBeat(now)
@@ -35,15 +35,16 @@
 func (l *Link) sendBeat(now time.Time) {
 	to := make(map[string]string) // addresses by instance
 	b := new(ownerpb.Beat)
-	for key, s := range l.layout.Load().All() {
+	for _, s := range l.layout.Load().All() {
 		if !s.IsCandidate(l.Self.Name) {
 			continue
 		}
 		addAll(to, s)
-		if at, ok := l.Peers.Acting(now, s); !ok || at.Name != l.Self.Name {
+		if at, ok := l.Desk.Acting(now, s); !ok || at.Name != l.Self.Name {
 			continue
 		}
-		b.Fills = append(b.Fills, &ownerpb.Fill{Shard: key, Permille: uint32(permille * l.Fleet.Fill(s.Engines))})
+		f := l.Desk.Fills(now, s)
+		b.Fills = append(b.Fills, &ownerpb.Fill{Shard: s.Key, Permille: uint32(permille * f.Part), Room: tokens(f.Room)})
 		for _, n := range s.Neighbours {
 			addAll(to, n)
 		}
@@ -52,15 +53,12 @@
 	if len(to) == 0 {
 		return
 	}
-	b.Cold, b.Leaving = l.Peers.State(now)
+	b.Cold, b.Leaving = l.Desk.State(now)
 	for _, e := range l.Fleet.LeftSince(now.Add(-leftFor)) {
 		if len(b.Left) < leftTold {
 			b.Left = append(b.Left, &ownerpb.Left{Target: e.ID, Born: e.Born})
 		}
 	}
-	for _, f := range b.Fills {
-		l.Peers.Filled(now, f.Shard, float64(f.Permille)/permille)
-	}
 	d := l.own()
 	d.Body = &ownerpb.Datagram_Beat{Beat: b}
 	for _, addr := range to {
@@ -78,11 +76,11 @@
 }
 
 func (l *Link) handleBeat(d *ownerpb.Datagram, b *ownerpb.Beat) {
-	fills := make(map[string]float64, len(b.Fills))
+	fills := make(map[string]owner.Fill, len(b.Fills))
 	for _, f := range b.Fills {
-		fills[f.Shard] = float64(f.Permille) / permille
+		fills[f.Shard] = owner.Fill{Part: float64(f.Permille) / permille, Room: int(f.Room)}
 	}
-	l.Peers.Take(time.Now(), owner.Beat{
+	l.Desk.TakeBeat(time.Now(), owner.Beat{
 		Instance: d.Instance, Incarnation: d.Incarnation, Cold: b.Cold, Leaving: b.Leaving, Fills: fills,
 	})
 	for _, e := range b.Left {
--- a/lib/ownerlink/call.go
+++ b/lib/ownerlink/call.go
@@ -42,7 +42,7 @@
 
 // do asks one candidate after another until one answers.
 func (c *call) do(ctx context.Context) (*ownerpb.Datagram, error) {
-	for _, to := range c.l.Peers.Order(time.Now(), c.shard) {
+	for _, to := range c.l.Desk.Order(time.Now(), c.shard) {
 		d := c.try(ctx, to)
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
@@ -50,7 +50,7 @@
 		if d != nil {
 			return d, nil
 		}
-		c.l.Peers.Suspect(time.Now(), to.Name)
+		c.l.Desk.Suspect(time.Now(), to.Name)
 	}
 	alone.Inc()
 	return nil, ErrAlone
--- a/lib/ownerlink/handle.go
+++ b/lib/ownerlink/handle.go
@@ -23,7 +23,7 @@
 	case *ownerpb.Datagram_Answer:
 		l.handleAnswer(d, body.Answer)
 	case *ownerpb.Datagram_Report:
-		l.Book.Report(time.Now(), decodeReport(d, body.Report))
+		l.Desk.Report(time.Now(), decodeReport(d, body.Report))
 	case *ownerpb.Datagram_Beat:
 		l.handleBeat(d, body.Beat)
 	case *ownerpb.Datagram_Blames:
@@ -58,53 +58,32 @@
 		l.answer(&owner.Answer{Key: owner.Key{Instance: d.Instance, ID: a.Id}, Addr: d.Addr, Action: admit.None})
 		return
 	}
-	ask := decodeAsk(d, now)
-	if !a.PassedOn && !l.Book.Knows(ask.Key) {
-		if to, ok := l.otherOwner(now, s); ok {
-			l.passOn(to, s, d)
-			return
-		}
-		if n, by, ok := l.Peers.PassOn(now, s, l.Fleet.Fill(s.Engines)); ok {
-			if to, known := candidate(n, by); known && by != l.Self.Name {
-				l.passOn(to, n, d)
-				return
-			}
-			s = n
-		}
+	l.settle(l.Desk.Take(now, s, decodeAsk(d, now)))
+}
+
+// settle answers an ask or passes it on.
+func (l *Link) settle(r owner.Reply) {
+	if r.PassOn {
+		l.passOn(r)
+		return
 	}
-	answer, decided := l.Book.Place(now, s, ask)
-	if !decided {
-		answer = owner.Answer{Key: ask.Key, Addr: ask.Addr, Action: admit.Wait}
+	if r.Answer.Action == admit.Wait {
 		l.waiting()
 	}
-	l.answer(&answer)
+	l.answer(&r.Answer)
 }
 
 // otherOwner returns the instance that decides for a shard, if it is another.
 func (l *Link) otherOwner(now time.Time, s *owner.Shard) (owner.Instance, bool) {
-	to, ok := l.Peers.Acting(now, s)
+	to, ok := l.Desk.Acting(now, s)
 	return to, ok && to.Name != l.Self.Name
 }
 
-func candidate(s *owner.Shard, name string) (owner.Instance, bool) {
-	for _, in := range s.Ranked {
-		if in.Name == name {
-			return in, true
-		}
-	}
-	return owner.Instance{}, false
-}
-
 // passOn sends an ask to the owner that should decide it, which answers the asker.
-func (l *Link) passOn(to owner.Instance, s *owner.Shard, d *ownerpb.Datagram) {
-	a := d.GetAsk()
-	l.send(to.Addr, &ownerpb.Datagram{
-		Instance: d.Instance, Incarnation: d.Incarnation, Addr: d.Addr,
-		Body: &ownerpb.Datagram_Ask{Ask: &ownerpb.Ask{
-			Id: a.Id, Shard: s.Key, PassedOn: true, Run: a.Run, Mode: a.Mode, Service: a.Service, Tokens: a.Tokens, Unread: a.Unread,
-			Now: a.Now, Left: a.Left, AimMs: a.AimMs, AgeMs: a.AgeMs, KeepsMs: a.KeepsMs, Without: a.Without, Near: a.Near,
-			BackupTokens: a.BackupTokens,
-		}},
+func (l *Link) passOn(r owner.Reply) {
+	l.send(r.To.Addr, &ownerpb.Datagram{
+		Instance: r.Ask.Instance, Incarnation: r.Ask.Incarnation, Addr: r.Ask.Addr,
+		Body: &ownerpb.Datagram_Ask{Ask: encodeAsk(&r.Ask, r.Shard.Key, time.Now())},
 	})
 }
 
@@ -124,7 +103,7 @@
 }
 
 func (l *Link) handleAnswer(d *ownerpb.Datagram, a *ownerpb.Answer) {
-	l.Peers.Heard(d.Instance)
+	l.Desk.Heard(d.Instance)
 	l.mu.Lock()
 	l.seen[d.Instance] = max(l.seen[d.Instance], a.Serial)
 	l.mu.Unlock()
@@ -134,7 +113,7 @@
 }
 
 func (l *Link) handleOther(d *ownerpb.Datagram, id uint64) {
-	l.Peers.Heard(d.Instance)
+	l.Desk.Heard(d.Instance)
 	l.deliver(id, d)
 }
 
@@ -159,6 +138,7 @@
 func (l *Link) step(ctx context.Context) {
 	t := time.NewTicker(stepEvery)
 	defer t.Stop()
+	var passed time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -166,16 +146,26 @@
 		case <-l.waits:
 		}
 		t.Reset(stepEvery)
-		for l.Book.Waits() {
+		for l.Desk.Waits() {
 			select {
 			case <-ctx.Done():
 				return
 			case now := <-t.C:
-				for _, a := range l.Book.Step(now) {
+				for _, a := range l.Desk.Step(now) {
 					l.answer(&a)
 				}
+				if now.Sub(passed) >= owner.PassEvery {
+					passed = now
+					l.passWaiting(now)
+				}
 			}
 		}
 		t.Stop()
 	}
 }
+
+func (l *Link) passWaiting(now time.Time) {
+	for _, r := range l.Desk.PassWaiting(now) {
+		l.passOn(r)
+	}
+}
--- a/lib/ownerlink/link.go
+++ b/lib/ownerlink/link.go
@@ -59,8 +59,7 @@
 	Self        owner.Instance
 	Incarnation uint64
 	Fleet       *fleet.Fleet
-	Book        *owner.Book
-	Peers       *owner.Peers
+	Desk        *owner.Desk
 
 	// Gather returns what this instance has on the engines of each shard; the link adds what is its own.
 	Gather func(*owner.Layout) map[string]owner.Report
--- a/lib/ownerlink/moves.go
+++ b/lib/ownerlink/moves.go
@@ -39,12 +39,12 @@
 func (l *Link) makePlan(p *plan) {
 	if link, ok := l.Moves(p.shard.Service); ok {
 		for _, r := range l.reports() {
-			l.Book.Report(time.Now(), r)
+			l.Desk.Report(time.Now(), r)
 		}
 		l.mu.Lock()
 		engines := p.engines
 		l.mu.Unlock()
-		l.Book.Plan(time.Now(), p.shard, engines, link)
+		l.Desk.Plan(time.Now(), p.shard, engines, link)
 		l.tellLeaving(p.shard, engines)
 	}
 	l.mu.Lock()
@@ -69,7 +69,7 @@
 		ids[e.ID] = true
 	}
 	d.Body = &ownerpb.Datagram_LeftTold{LeftTold: b}
-	for _, addr := range l.Book.Users(s.Key, ids) {
+	for _, addr := range l.Desk.Users(s.Key, ids) {
 		l.send(addr, d)
 	}
 }
@@ -92,7 +92,7 @@
 		})
 		return
 	}
-	l.Book.Report(now, decodeReport(d, a.Report))
+	l.Desk.Report(now, decodeReport(d, a.Report))
 	for _, e := range a.Left {
 		l.Left(e.Target, e.Born)
 	}
@@ -115,7 +115,7 @@
 	}
 	out := l.own()
 	out.Body = &ownerpb.Datagram_Moves{Moves: &ownerpb.Moves{
-		Id: a.Id, Moves: encodeMoves(l.Book.Moves(time.Now(), s, d.Instance, runs)),
+		Id: a.Id, Moves: encodeMoves(l.Desk.Moves(time.Now(), s, d.Instance, runs)),
 	}}
 	l.reply(d.Instance, d.Addr, a.Id, out)
 }
--- a/lib/ownerlink/report.go
+++ b/lib/ownerlink/report.go
@@ -114,7 +114,7 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			l.Book.Tick(time.Now())
+			l.Desk.Tick(time.Now())
 		case <-l.wake:
 			time.Sleep(reportGap)
 		}
@@ -160,7 +160,7 @@
 func (l *Link) sendReport(s *owner.Shard, r owner.Report) {
 	for _, to := range s.Ranked[:min(reportedTo, len(s.Ranked))] {
 		if to.Name == l.Self.Name {
-			l.Book.Report(time.Now(), r)
+			l.Desk.Report(time.Now(), r)
 			continue
 		}
 		d := l.own()
