anvilwick-bench site: policies of whole sites compared in pairs, with a page of plots

Cause: the replay could be played from its tests only, and each comparison was a scratch test. Change: lib/replay's Compare plays policies with the same seeds and gives means and paired standard errors; lib/replaypage draws them (gonum/plot) into one HTML file without outside parts; anvilwick-bench has the argument site. The page was looked at as a picture.

--- /dev/null
+++ b/lib/replay/compare.go
@@ -0,0 +1,122 @@
+package replay
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"sync"
+	"text/tabwriter"
+)
+
+// Measure is a figure of a play.
+type Measure struct {
+	Name string
+	Of   func(Tally) float64
+}
+
+// Measures are the figures that Compare gives, in order.
+var Measures = []Measure{
+	{"in time", Tally.Share},
+	{"work in time", Tally.WorkShare},
+	{"large in time", Tally.LargeShare},
+	{"late", func(t Tally) float64 { return part(t.Late, t.Streams) }},
+	{"sent away", func(t Tally) float64 { return part(t.Away, t.Streams) }},
+	{"lost", func(t Tally) float64 { return part(t.Lost, t.Streams) }},
+	{"preempted", func(t Tally) float64 { return part(t.Preempted, t.Streams) }},
+	{"messages a stream", func(t Tally) float64 { return part(t.Messages, t.Streams) }},
+}
+
+// Estimate is a mean over seeds with its standard error.
+type Estimate struct{ Mean, Err float64 }
+
+// Row is how a policy fared on a load.
+type Row struct {
+	Policy string
+	Means  []Estimate // by Measures
+	Diffs  []Estimate // to the first policy, seed by seed; zero for the first itself
+}
+
+// Compare plays a load under policies, named as in Policies, with the same seeds. workers bounds the plays at a time; the
+// figures don't depend on it.
+func Compare(l Load, policies []string, seeds []uint64, workers int) ([]Row, error) {
+	tallies := make([][]Tally, len(policies))
+	var work sync.WaitGroup
+	slots := make(chan struct{}, max(1, workers))
+	for i, name := range policies {
+		p, ok := Policies[name]
+		if !ok {
+			return nil, fmt.Errorf("replay: no policy %q", name)
+		}
+		tallies[i] = make([]Tally, len(seeds))
+		for j, seed := range seeds {
+			work.Go(func() {
+				slots <- struct{}{}
+				defer func() { <-slots }()
+				tallies[i][j] = Play(l, p, seed)
+			})
+		}
+	}
+	work.Wait()
+	rows := make([]Row, len(policies))
+	for i, name := range policies {
+		rows[i] = row(name, tallies[i], tallies[0])
+	}
+	return rows, nil
+}
+
+func row(name string, own, first []Tally) Row {
+	r := Row{Policy: name}
+	for _, m := range Measures {
+		values, diffs := make([]float64, len(own)), make([]float64, len(own))
+		for i := range own {
+			values[i] = m.Of(own[i])
+			diffs[i] = values[i] - m.Of(first[i])
+		}
+		r.Means = append(r.Means, estimate(values))
+		r.Diffs = append(r.Diffs, estimate(diffs))
+	}
+	return r
+}
+
+// estimate is the mean of values and its standard error; 0 for a single value.
+func estimate(values []float64) Estimate {
+	n := float64(len(values))
+	if n == 0 {
+		return Estimate{}
+	}
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	e := Estimate{Mean: sum / n}
+	if n < 2 {
+		return e
+	}
+	squares := 0.0
+	for _, v := range values {
+		squares += (v - e.Mean) * (v - e.Mean)
+	}
+	e.Err = math.Sqrt(squares / (n - 1) / n)
+	return e
+}
+
+// Print writes rows as a table: each measure's mean, and its difference to the first policy with the standard error.
+func Print(w io.Writer, rows []Row) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprint(tw, "policy")
+	for _, m := range Measures {
+		fmt.Fprintf(tw, "\t%s", m.Name)
+	}
+	fmt.Fprintln(tw)
+	for i, r := range rows {
+		fmt.Fprint(tw, r.Policy)
+		for j := range Measures {
+			fmt.Fprintf(tw, "\t%.4f", r.Means[j].Mean)
+			if i > 0 {
+				fmt.Fprintf(tw, " %+.4f (%.4f)", r.Diffs[j].Mean, r.Diffs[j].Err)
+			}
+		}
+		fmt.Fprintln(tw)
+	}
+	return tw.Flush()
+}
--- a/lib/replay/load.go
+++ b/lib/replay/load.go
@@ -35,13 +35,19 @@
 
 // Scaled is Crowded on a site of some instances, with engines and streams in proportion.
 func Scaled(instances int) Load {
-	l := Crowded()
+	l := Crowded().Resized(instances)
+	l.Domains = 5
+	return l
+}
+
+// Resized is the load on a site of some instances, with engines and streams in proportion.
+func (l Load) Resized(instances int) Load {
 	times := float64(instances) / float64(l.Instances)
 	l.Engines = max(6, int(float64(l.Engines)*times))
+	l.Faulty = int(float64(l.Faulty) * times)
 	l.Longs *= times
 	l.Shorts *= times
 	l.Instances = instances
-	l.Domains = 5
 	return l
 }
 
@@ -101,9 +107,9 @@
 
 // DomainsLeave is Crowded on a larger site whose engines leave a failure domain at a time.
 func DomainsLeave() Load {
-	l := Scaled(144)
+	l := Scaled(192)
 	l.LeaveByDomain = true
-	l.Span = 15 * time.Second
+	l.Span = 12 * time.Second
 	return l
 }
 
--- /dev/null
+++ b/lib/replaypage/page_test.go
@@ -0,0 +1,28 @@
+package replaypage
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/replay"
+)
+
+// The page holds a plot of each measure for each load, and names nothing outside itself.
+func TestPageHoldsItsPlots(t *testing.T) {
+	l := replay.Crowded()
+	l.Span = time.Second
+	rows, err := replay.Compare(l, []string{"owners", "news"}, []uint64{1, 2}, 2)
+	must.NoError(t, err)
+	var b bytes.Buffer
+	must.NoError(t, Write(&b, 2, []Section{{"crowded <>", rows}, {"again", rows}}))
+	page := b.String()
+	must.Eq(t, 2*len(replay.Measures), strings.Count(page, "<svg"))
+	must.StrContains(t, page, "crowded &lt;&gt;")
+	for _, outside := range []string{"src=", "href=", "<?xml"} {
+		must.StrNotContains(t, strings.ReplaceAll(page, "xlink:href=", ""), outside)
+	}
+}
