An owner that stays silent is asked less and less; a page without changes reads no rows

Cause: an instance that is gone for good stays listed, and each other one waited 0.15 s for it every two seconds. Change: the time for which a silent owner is asked last doubles, up to a minute. Replica.Since returns at once when nothing has changed.

--- a/lib/feed/replica.go
+++ b/lib/feed/replica.go
@@ -123,6 +123,9 @@
 	defer r.mu.Unlock()
 	whole = after == 0 || after < r.whole
 	page.Version = r.version
+	if !whole && after >= r.version {
+		return page, whole, r.contact, r.known // most of what is passed on: nothing has changed since the last
+	}
 	for _, row := range r.rows {
 		if whole && !row.Removed || !whole && row.Version > after {
 			page.Rows = append(page.Rows, row)
--- a/lib/owner/peers.go
+++ b/lib/owner/peers.go
@@ -13,8 +13,10 @@
 	beatLife = 350 * time.Millisecond
 	// fillLife is how long a shard is believed to be as full as was told.
 	fillLife = 600 * time.Millisecond
-	// suspectFor is how long an owner that did not answer is asked after all others.
+	// suspectFor and suspectMax bound how long an owner that did not answer is asked after all others: each time twice as
+	// long. One that is gone for good stays listed, and costs whoever asks it first 0.15 s.
 	suspectFor = 2 * time.Second
+	suspectMax = time.Minute
 	// coldFor is how long an owner that has just started, woken or been cut off has been told too little to decide: what
 	// the others have on its engines comes with their next reports.
 	coldFor = ReportEvery + 200*time.Millisecond
@@ -46,6 +48,11 @@
 	at time.Time
 }
 
+type suspect struct {
+	until time.Time
+	step  time.Duration
+}
+
 type fill struct {
 	Fill
 	owner string
@@ -60,7 +67,7 @@
 	mu       sync.Mutex
 	beats    map[string]beat
 	fills    map[string]fill // by shard
-	suspects map[string]time.Time
+	suspects map[string]suspect
 	cold     time.Time // until then this instance is cold
 	heard    time.Time // when any beat last came
 	leaving  bool
@@ -70,7 +77,7 @@
 func NewPeers(self string, now time.Time) *Peers {
 	return &Peers{
 		self: self, random: rand.Float64, cold: now.Add(coldFor),
-		beats: make(map[string]beat), fills: make(map[string]fill), suspects: make(map[string]time.Time),
+		beats: make(map[string]beat), fills: make(map[string]fill), suspects: make(map[string]suspect),
 	}
 }
 
@@ -125,7 +132,10 @@
 func (p *Peers) Suspect(now time.Time, name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.suspects[name] = now
+	s := p.suspects[name]
+	s.step = min(max(2*s.step, suspectFor), suspectMax)
+	s.until = now.Add(s.step)
+	p.suspects[name] = s
 }
 
 // Heard notes that an instance has answered.
@@ -142,7 +152,7 @@
 	out := make([]Instance, 0, len(s.Ranked))
 	var last []Instance
 	for _, in := range s.Ranked {
-		if at, ok := p.suspects[in.Name]; ok && now.Sub(at) < suspectFor {
+		if now.Before(p.suspects[in.Name].until) {
 			last = append(last, in)
 			continue
 		}
--- a/lib/owner/peers_test.go
+++ b/lib/owner/peers_test.go
@@ -88,9 +88,15 @@
 	p.Suspect(t0, "a")
 	must.Eq(t, "bca", names(t0))
 	must.Eq(t, "abc", names(t0.Add(suspectFor)))
-	p.Suspect(t0, "a")
+	again := t0.Add(suspectFor)
+	p.Suspect(again, "a") // twice as long: it may be gone for good
+	must.Eq(t, "bca", names(again.Add(2*suspectFor-1)))
+	must.Eq(t, "abc", names(again.Add(2*suspectFor)))
+	p.Suspect(again, "a")
 	p.Heard("a")
-	must.Eq(t, "abc", names(t0))
+	must.Eq(t, "abc", names(again))
+	p.Suspect(again, "a")
+	must.Eq(t, "abc", names(again.Add(suspectFor)))
 }
 
 // A shard is fuller than others. Its streams go to the emptier ones, to each by how much emptier it is, and to none that is
