Who comes back as told stands where it stood

Cause: a stream that was told to come back stood behind all that had come meanwhile, and one in twenty of these was refused a second time, with nothing in the end. Change: the owner remembers what it told to come back, by what was asked, and puts it where it first stood when it comes no sooner than told.

--- a/lib/gateway/place.go
+++ b/lib/gateway/place.go
@@ -53,7 +53,7 @@
 	for range maxUnknown {
 		need.Without = without
 		need.Near = r.g.Fleet.Domain()
-		a := owner.Ask{Run: rendezvous.Hash(r.c.id), Stream: r.stream(need)}
+		a := owner.Ask{Run: rendezvous.Hash(r.c.id), Print: r.c.print, Stream: r.stream(need)}
 		if r.c.sends > 0 {
 			a.Mode = owner.Any
 		}
--- a/lib/owner/book.go
+++ b/lib/owner/book.go
@@ -35,8 +35,11 @@
 	Run    uint64 // hash of the request's id
 	Mode   Mode
 	Stream admit.Stream
-	Backup int // tokens of a copy that is wanted elsewhere; 0: none
-	Hops   int // how often it was passed on
+	Backup int    // tokens of a copy that is wanted elsewhere; 0: none
+	Hops   int    // how often it was passed on
+	Print  uint64 // names what is asked, the same when its caller comes back; 0: not known
+
+	came time.Time // when its caller first came
 }
 
 // Answer is to an Ask.
@@ -87,6 +90,7 @@
 	asks    []*waiting                    // in the order in which callers came
 	kept    map[string]string             // by shard: the engine kept for the first that waits
 	done    map[Key]answered
+	turned  map[uint64]turned // streams that were told to come back, by print
 	serial  uint64
 	steps   map[uint64]planned // of moves, by run
 }
@@ -94,7 +98,7 @@
 // NewBook returns an empty Book of an instance that decides by what f believes. Reports go into f as its peers' loads.
 func NewBook(self string, f *fleet.Fleet, reading *admit.Readings) *Book {
 	return &Book{
-		self: self, fleet: f, reading: reading, holders: make(map[string]map[string]*holder), kept: make(map[string]string), done: make(map[Key]answered),
+		self: self, fleet: f, reading: reading, holders: make(map[string]map[string]*holder), kept: make(map[string]string), turned: make(map[uint64]turned), done: make(map[Key]answered),
 		steps: make(map[uint64]planned),
 	}
 }
@@ -186,6 +190,7 @@
 		b.asks[i].heard = now
 		return Answer{}, false
 	}
+	a.came = b.cameFirst(now, &a)
 	answer, ok = b.decide(now, s, &a)
 	if !ok && len(b.asks) < waitingMax {
 		b.wait(&waiting{Ask: a, shard: s, heard: now})
@@ -193,11 +198,11 @@
 	return answer, ok
 }
 
-// wait puts an ask among those that wait, in the order in which callers came. One that was passed on comes later here than
-// it came to its instance.
+// wait puts an ask among those that wait, in the order in which callers first came. One that was passed on comes later here
+// than it came to its instance.
 func (b *Book) wait(w *waiting) {
-	at, _ := slices.BinarySearchFunc(b.asks, w, func(x, y *waiting) int { return x.Stream.Arrived.Compare(y.Stream.Arrived) })
-	for at < len(b.asks) && b.asks[at].Stream.Arrived.Equal(w.Stream.Arrived) {
+	at, _ := slices.BinarySearchFunc(b.asks, w, func(x, y *waiting) int { return x.came.Compare(y.came) })
+	for at < len(b.asks) && b.asks[at].came.Equal(w.came) {
 		at++
 	}
 	b.asks = slices.Insert(b.asks, at, w)
@@ -244,8 +249,11 @@
 		return Answer{}, false
 	}
 	out := Answer{Key: a.Key, Addr: a.Addr, Action: d.Action, Target: d.Target.ID, After: d.After}
-	if d.Action == admit.Go {
+	switch d.Action {
+	case admit.Go:
 		b.grant(now, s, a, &out)
+	case admit.Away:
+		b.turnAway(now, a, d.After)
 	}
 	b.done[a.Key] = answered{Answer: out, at: now}
 	return out, true
@@ -334,6 +342,7 @@
 			delete(b.done, key)
 		}
 	}
+	b.forgetTurned(now)
 	for id, p := range b.steps {
 		if now.Sub(p.at) > stepLife {
 			delete(b.steps, id)
--- a/lib/owner/book_test.go
+++ b/lib/owner/book_test.go
@@ -296,3 +296,32 @@
 	must.Eq(t, "large", got[0].Instance)
 	must.Eq(t, roomy, got[0].Target)
 }
+
+// A stream was told to come back, and does so while others wait that came after it. It takes the room that frees up first. One
+// that comes back sooner than told stands where it comes: who asks again at once gains nothing by it.
+func TestWhoComesBackAsToldStandsWhereItStood(t *testing.T) {
+	for wait, want := range map[time.Duration]string{0: "back", -time.Second: "other"} {
+		b, _, s := testBook(1)
+		full := Run{ID: 1, Target: s.Engines[0], Tokens: 9000}
+		b.Report(t0, report(s, "i", 1, full))
+		first := ask("turned away", 1, 3000)
+		first.Print = 77
+		first.Stream.Arrived = t0.Add(-time.Second)
+		a, _ := b.Place(t0, s, first)
+		must.Eq(t, admit.Away, a.Action)
+		now := t0.Add(a.After + wait)
+		b.Report(now, report(s, "i", 2, full))
+		other := ask("other", 1, 3000)
+		other.Stream.Arrived = now.Add(-10 * time.Millisecond)
+		_, ok := b.Place(now, s, other)
+		must.False(t, ok)
+		back := ask("back", 1, 3000)
+		back.Print = 77
+		back.Stream.Arrived = now
+		_, ok = b.Place(now, s, back)
+		must.False(t, ok)
+		b.Report(now, report(s, "i", 3))
+		got := b.Step(now.Add(10 * time.Millisecond))
+		must.Eq(t, want, got[0].Instance, must.Sprint(wait))
+	}
+}
--- a/lib/replay/owned.go
+++ b/lib/replay/owned.go
@@ -152,7 +152,7 @@
 	if a.waits {
 		r.next = o.s.now + waitAgain
 	}
-	ask := owner.Ask{Key: a.key, Run: r.id, Stream: r.admitted()}
+	ask := owner.Ask{Key: a.key, Run: r.id, Print: r.id, Stream: r.admitted()}
 	o.s.tell(hop, func() { o.handle(a.to, a.shard, r, a, ask) })
 }
 
