Instances that start while the store is away wait for the few that ask it

Each of 295 instances that started and knew nothing asked the store for three tables several times a second, and all that were listed wrote their rows again at once.

Before the first list an instance's place is a guess by its seeds: a seed reads, the others are told the list of instances by seeds, and all tables only if the seed has lost the store. While one lives that has read nothing either, the others wait for it for up to six seconds. Rows are written over 1.5 s, and only where they are not listed. Many rows go compressed together. Readers are told apart by address: a seed has no name.

--- a/lib/feed/feed.go
+++ b/lib/feed/feed.go
@@ -83,11 +83,32 @@
 	patience     = 4
 )
 
+const (
+	// firstTimeout bounds a call while nothing is known. A store that was silent is found at most so long after its
+	// return, and an instance can serve nothing before; its tables are read in tens of milliseconds.
+	firstTimeout = 250 * time.Millisecond
+	// firstRetryMax bounds the pause between two calls then.
+	firstRetryMax = 200 * time.Millisecond
+	// firstRounds is how many patient calls fail at firstTimeout's multiple before they get the whole time: an answer that
+	// takes over a second over a slow link arrives after some ten seconds.
+	firstRounds = 4
+)
+
 func (f *Follower) timeout() time.Duration {
+	limit := f.opt.Timeout
+	if f.isNew() && f.fails < firstRounds*patientEvery {
+		limit = min(firstTimeout, limit)
+	}
 	if f.fails%patientEvery == patientEvery-1 {
-		return patience * f.opt.Timeout
+		return patience * limit
 	}
-	return f.opt.Timeout
+	return limit
+}
+
+// isNew reports whether nothing has been read yet.
+func (f *Follower) isNew() bool {
+	_, known := f.to.Version()
+	return !known
 }
 
 // NewFollower returns a Follower that tells of failed calls to fail.
@@ -116,6 +137,9 @@
 func (f *Follower) rest(ctx context.Context) {
 	d := f.pause/2 + rand.N(f.pause)
 	f.pause = min(2*f.pause, f.opt.RetryMax)
+	if f.isNew() {
+		f.pause = min(f.pause, firstRetryMax)
+	}
 	sleep(ctx, d)
 }
 
--- a/lib/feedlink/serve.go
+++ b/lib/feedlink/serve.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/klauspost/compress/s2"
+	"google.golang.org/protobuf/proto"
 
 	"anvilwick.example/anvilwick/lib/feed"
 	"anvilwick.example/anvilwick/lib/mesh"
@@ -134,5 +135,20 @@
 		}
 		m.Rows = append(m.Rows, row)
 	}
+	packRows(m)
 	return m
 }
+
+// packRows compresses many rows together: the lists of hundreds of targets and instances shrink to a third and less, and all
+// that start at once have them from a few.
+func packRows(m *meshpb.FeedTable) {
+	rows := &meshpb.FeedRows{Rows: m.Rows}
+	if len(m.Rows) < 2 || proto.Size(rows) < packMin {
+		return
+	}
+	b, err := proto.Marshal(rows)
+	if err != nil {
+		return // sent as they are, and refused there with the same cause
+	}
+	m.Packed, m.Rows = s2.Encode(nil, b), nil
+}
--- a/lib/feedlink/subscription.go
+++ b/lib/feedlink/subscription.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
 	"github.com/klauspost/compress/s2"
+	"google.golang.org/protobuf/proto"
 
 	"anvilwick.example/anvilwick/lib/feed"
 	"anvilwick.example/anvilwick/lib/mesh"
@@ -17,14 +19,31 @@
 	t      *Track
 	reader mesh.Peer
 	stream *mesh.Stream
+	tables []Table
 	lost   bool          // as its last page says
 	path   []string      // instances that its tables come through, as its last page says
 	age    time.Duration // of the store's word on the urgent tables, as its last page says
 	stop   func() bool
 }
 
-// open subscribes to a reader and takes its first page.
+// open subscribes to a reader and takes its first page. It fails with errUnknown when the reader lacks an urgent table.
 func (t *Track) open(ctx context.Context, reader mesh.Peer) (*subscription, error) {
+	return t.openFor(ctx, reader, t.Tables)
+}
+
+// openList subscribes to no more than the list of instances, which says whom to ask for the rest.
+func (t *Track) openList(ctx context.Context, reader mesh.Peer) (*subscription, error) {
+	var list []Table
+	for _, table := range t.Tables {
+		if !table.Urgent {
+			table.Urgent = true // there is no other that could be had
+			list = append(list, table)
+		}
+	}
+	return t.openFor(ctx, reader, list)
+}
+
+func (t *Track) openFor(ctx context.Context, reader mesh.Peer, tables []Table) (*subscription, error) {
 	timeout := openTimeout
 	if !t.known() {
 		timeout = openFirst
@@ -35,10 +54,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &subscription{t: t, reader: reader, stream: stream}
+	s := &subscription{t: t, reader: reader, stream: stream, tables: tables}
 	s.stop = context.AfterFunc(ctx, func() { _ = stream.Close() })
 	ask := new(meshpb.FeedAsk)
-	for _, table := range t.Tables {
+	for _, table := range tables {
 		version, _ := table.Replica.Version()
 		ask.Tables = append(ask.Tables, &meshpb.FeedFrom{Table: table.Name, After: version})
 	}
@@ -46,13 +65,27 @@
 		s.close()
 		return nil, err
 	}
-	if err := s.receive(); err != nil {
+	if err := s.first(); err != nil {
 		s.close()
 		return nil, err
 	}
 	return s, nil
 }
 
+// first takes the first page that holds something. From a reader that has read nothing yet it is waited for a while: it comes
+// the moment that the reader has it, and opening a stream again and again would find it half a second later at each of the
+// hops from the store.
+func (s *subscription) first() error {
+	err := s.receive()
+	for start := time.Now(); errors.Is(err, errUnknown) && time.Since(start) < waitNew; err = s.receive() {
+		s.t.unknown = time.Now()
+		if !s.t.early(s.t.unknown) {
+			return err
+		}
+	}
+	return err
+}
+
 // behind reports whether the reader does not have the store's word itself: it has lost the store, or follows one that has.
 func (s *subscription) behind() bool { return s.lost || s.age > s.t.MaxAge }
 
@@ -80,7 +113,7 @@
 	}
 	var missing error
 	s.age = 0
-	for _, table := range s.t.Tables {
+	for _, table := range s.tables {
 		m := got[table.Name]
 		if m == nil || m.Version == 0 {
 			if table.Urgent {
@@ -99,6 +132,11 @@
 }
 
 func take(into *feed.Replica, m *meshpb.FeedTable) error {
+	if len(m.Packed) > 0 {
+		if err := unpackRows(m); err != nil {
+			return err
+		}
+	}
 	rows := make([]feed.Row, len(m.Rows))
 	for i, r := range m.Rows {
 		if r.Packed {
@@ -115,12 +153,25 @@
 	return nil
 }
 
-// Fetch takes the tables once from an address, for an instance that has read nothing and can't reach the store.
-func (t *Track) Fetch(ctx context.Context, addr string) error {
-	s, err := t.open(ctx, mesh.Peer{Addr: addr})
+// rowsMax bounds, in bytes, the rows of a page: some thousands of targets.
+const rowsMax = 8 << 20
+
+func unpackRows(m *meshpb.FeedTable) error {
+	n, err := s2.DecodedLen(m.Packed)
 	if err != nil {
 		return err
 	}
-	s.close()
+	if n > rowsMax {
+		return errTooLong
+	}
+	b, err := s2.Decode(nil, m.Packed)
+	if err != nil {
+		return err
+	}
+	var rows meshpb.FeedRows
+	if err := proto.Unmarshal(b, &rows); err != nil {
+		return err
+	}
+	m.Rows = rows.Rows
 	return nil
 }
--- a/lib/feedlink/track.go
+++ b/lib/feedlink/track.go
@@ -30,11 +30,19 @@
 	// avoidFirst and avoidMax bound how long a reader that failed is not asked again: each time twice as long.
 	avoidFirst = 5 * time.Second
 	avoidMax   = 40 * time.Second
-	// avoidNew is how long a reader that has just started, and knows nothing, is not asked again.
-	avoidNew = 60 * time.Millisecond
+	// avoidNew and avoidNewMax bound how long a reader that has just started, and knows nothing, is not asked again.
+	avoidNew    = 60 * time.Millisecond
+	avoidNewMax = 500 * time.Millisecond
 	// patience is how long an instance that has just started leaves the store to those that rank to read it. When all
 	// start in one moment each would else read all tables, ten calls an instance.
 	patience = 500 * time.Millisecond
+	// waitNew is how long one waits for a reader that has read nothing before it asks another.
+	waitNew = time.Second
+	// longPatience is for how long it does so while one of those lives and has read nothing either: the store is away, and
+	// hundreds that ask it, too, would be hundreds of calls a second in vain.
+	longPatience = 6 * time.Second
+	// aliveFor is how long one that was heard is taken to live.
+	aliveFor = 2 * time.Second
 	// looks is the pause between two looks at the readers while they know nothing.
 	looks = 50 * time.Millisecond
 	// probeEvery is the pause between two calls of one that ranks to read while the reader has lost the store, by its rank.
@@ -56,6 +64,7 @@
 var (
 	errTooOld  = errors.New("feedlink: the store is within reach, but not of the reader")
 	errUnknown = errors.New("feedlink: the reader holds nothing yet")
+	errTooLong = errors.New("feedlink: page too long")
 	errCycle   = errors.New("feedlink: the reader has the tables from this instance")
 )
 
@@ -80,6 +89,9 @@
 
 // Place is an instance's place among those that read and relay.
 type Place struct {
+	// Guess says that the list of instances is not known yet: the readers are those that this instance was told of at its
+	// start, and are asked for the list only.
+	Guess   bool
 	Role    Role
 	Rank    int         // among those of the same role
 	Readers []mesh.Peer // whom it has the tables from, the best first; it contains the instance itself, as an empty address
@@ -103,7 +115,9 @@
 	Config
 	followers []*feed.Follower
 	started   time.Time
-	avoid     map[string]avoided // by instance
+	avoid     map[string]avoided // by address
+	unknown   time.Time          // when a reader last said that it has read nothing
+	late      time.Duration      // how much later than others of its role this instance looks for the store
 	cutOff    avoided            // this instance itself, as a reader
 	better    *subscription      // to go on with, from a reader that ranks higher
 	lost      atomic.Bool
@@ -127,7 +141,7 @@
 
 // New returns a Track.
 func New(cfg Config) *Track {
-	t := &Track{Config: cfg, avoid: make(map[string]avoided), failed: make(map[string]bool), started: time.Now()}
+	t := &Track{Config: cfg, avoid: make(map[string]avoided), failed: make(map[string]bool), started: time.Now(), late: rand.N(lateProbe)}
 	for _, table := range cfg.Tables {
 		fail := func(err error) { t.callFailed(table.Name, err) }
 		t.followers = append(t.followers, feed.NewFollower(watched{table, t}, table.Options, table.Replica, fail))
@@ -231,6 +245,8 @@
 			sleep(ctx, pause)
 		case self:
 			t.read(ctx)
+		case t.Place().Guess:
+			t.learn(ctx, reader)
 		default:
 			s, err := t.open(ctx, reader)
 			if err != nil {
@@ -242,6 +258,25 @@
 	}
 }
 
+// learn takes the list of instances from one that this instance was told of. While the store is away it takes all tables
+// there: those that rank to read may know nothing either.
+func (t *Track) learn(ctx context.Context, reader mesh.Peer) {
+	s, err := t.openList(ctx, reader)
+	if err != nil {
+		t.doubt(ctx, reader, err)
+		return
+	}
+	s.close()
+	if !s.lost {
+		return
+	}
+	if all, err := t.open(ctx, reader); err == nil {
+		t.better = all
+		return
+	}
+	t.doubt(ctx, reader, errUnknown)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -255,23 +290,36 @@
 		return
 	}
 	now := time.Now()
+	if errors.Is(err, errUnknown) {
+		t.unknown = now
+	}
 	if errors.Is(err, errUnknown) || !t.known() {
 		// It has just started, as this instance may have, too.
-		t.avoid[reader.Instance] = avoided{until: now.Add(avoidNew)}
+		step := min(max(2*t.avoid[reader.Addr].step, avoidNew), avoidNewMax)
+		t.avoid[reader.Addr] = avoided{until: now.Add(step), step: step}
 		return
 	}
 	t.Fail("", err)
-	t.avoid[reader.Instance] = t.avoid[reader.Instance].again(now)
+	t.avoid[reader.Addr] = t.avoid[reader.Addr].again(now)
+}
+
+// early reports whether this instance, which knows nothing, leaves the store to others for now.
+func (t *Track) early(now time.Time) bool {
+	if t.known() {
+		return false
+	}
+	since := now.Sub(t.started)
+	return since < patience || since < longPatience && now.Sub(t.unknown) < aliveFor
 }
 
 // pick returns the best reader that has not failed lately, or that this instance reads itself, or a pause before it is to be
 // asked again.
 func (t *Track) pick(now time.Time) (reader mesh.Peer, self bool, pause time.Duration) {
 	place := t.Place()
-	early := !t.known() && now.Sub(t.started) < patience
+	early := t.early(now)
 	for _, p := range place.Readers {
 		if p.Addr != "" {
-			if now.After(t.avoid[p.Instance].until) {
+			if now.After(t.avoid[p.Addr].until) {
 				return p, false, 0
 			}
 			continue
@@ -409,7 +457,7 @@
 func (t *Track) leaves(ctx context.Context, now time.Time, s *subscription) bool {
 	reader, self, _ := t.pick(now)
 	if !self {
-		return reader.Instance != s.reader.Instance && t.moveTo(ctx, now)
+		return reader.Addr != s.reader.Addr && t.moveTo(ctx, now)
 	}
 	if t.followers[0].Step(ctx, 0) != nil {
 		t.cutOff = t.cutOff.again(now)
@@ -428,7 +476,7 @@
 	}
 	now := time.Now()
 	for _, p := range place.Readers {
-		if p.Addr == "" || p.Instance == s.reader.Instance || now.Before(t.avoid[p.Instance].until) {
+		if p.Addr == "" || p.Addr == s.reader.Addr || now.Before(t.avoid[p.Addr].until) {
 			continue
 		}
 		other, err := t.open(ctx, p)
@@ -455,5 +503,5 @@
 	case Relays:
 		return age > t.MaxAge && now.Sub(probed) > relayProbe
 	}
-	return age > t.MaxAge+lateProbe && now.Sub(probed) > lateProbe
+	return age > t.MaxAge+lateProbe+t.late && now.Sub(probed) > lateProbe+t.late
 }
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -77,73 +78,58 @@
 		p.join(ctx)
 		p.track.Run(ctx)
 	})
-	p.start(func() { p.askSeeds(ctx) })
+	p.start(func() { p.beListed(ctx) })
 	p.start(func() { p.link.Run(ctx) })
 	p.start(func() { p.tellBlames(ctx) })
 	p.start(func() { p.tick(ctx) })
 	p.start(func() { p.watchEngines(ctx) })
 }
 
-// joinTimeout bounds the first read of the list of instances. Without it this instance reads all tables itself.
-const joinTimeout = 300 * time.Millisecond
+const (
+	// joinTimeout bounds the first read of the list of instances. Without it, those are asked for it that this instance was
+	// told of.
+	joinTimeout = 300 * time.Millisecond
+	// registerSpread is the time over which instances that start at once write their rows: the store takes 200 of them a
+	// second.
+	registerSpread = 1500 * time.Millisecond
+)
 
-// join reads which instances there are, so that the rest comes from the one that reads for this failure domain, and sees to
-// it that this one is listed. An instance that is started again where it was is listed already.
+// join reads which instances there are, so that the rest comes from the one that reads for this failure domain.
 func (p *Process) join(ctx context.Context) {
 	try, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	page, err := p.site.Instances.Snapshot(try)
 	if err != nil {
 		logline.Cause(log.Info().Str("event", "join_failed"), err)
-	} else {
-		p.feeds.instances.Take(page, true, time.Now())
-	}
-	p.mu.Lock()
-	listed := p.instances[p.cfg.Instance] == p.self()
-	p.mu.Unlock()
-	if !listed {
-		p.start(func() { p.register(ctx) })
+		return
 	}
+	p.feeds.instances.Take(page, true, time.Now())
 }
 
-// seedEvery is the pause between two rounds of asking seeds.
-const seedEvery = 300 * time.Millisecond
-
-// askSeeds takes the tables from instances that know them, while this one has read nothing: it may have been started
-// while the store is away.
-func (p *Process) askSeeds(ctx context.Context) {
+// beListed sees to it that this instance is listed, once the list is known. One that is started again where it was is listed
+// already.
+func (p *Process) beListed(ctx context.Context) {
 	for {
+		changed := p.feeds.instances.Changed()
+		if _, known := p.feeds.instances.Version(); known {
+			break
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(seedEvery):
+		case <-changed:
 		}
-		if p.knowsAll() {
-			return
-		}
-		p.fetch(ctx)
 	}
-}
-
-func (p *Process) knowsAll() bool {
-	for _, r := range p.replicas() {
-		if _, known := r.Version(); !known {
-			return false
-		}
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(rand.N(registerSpread)):
 	}
-	return true
-}
-
-func (p *Process) fetch(ctx context.Context) {
-	for _, addr := range p.cfg.Seeds {
-		if addr == p.cfg.Link {
-			continue
-		}
-		err := p.track.Fetch(ctx, addr)
-		logline.Cause(log.Info().Str("event", "seed_asked").Str("addr", addr), err)
-		if err == nil {
-			return
-		}
+	p.mu.Lock()
+	listed := p.instances[p.cfg.Instance] == p.self()
+	p.mu.Unlock()
+	if !listed {
+		p.register(ctx)
 	}
 }
 
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -72,6 +72,9 @@
 	p.share.SetInstances(n)
 	p.fleet.SetShare(1 / float64(n))
 	log.Info().Str("event", "instances").Int("n", n).Msg("")
+	place := placeAmong(p.cfg.Instance, p.cfg.Domain, p.listedInstances())
+	place.Readers = withSeeds(place.Readers, p.cfg.Link, p.cfg.Seeds)
+	p.placed.Store(&place)
 	p.rankInstances()
 }
 
@@ -102,8 +105,6 @@
 // rankInstances works out anew what each instance ranks for.
 func (p *Process) rankInstances() {
 	instances := p.listedInstances()
-	place := placeAmong(p.cfg.Instance, p.cfg.Domain, instances)
-	p.placed.Store(&place)
 	p.mu.Lock()
 	p.candidates = owner.NewCandidates(instances)
 	p.mu.Unlock()
--- a/lib/gatewayproc/readers.go
+++ b/lib/gatewayproc/readers.go
@@ -16,12 +16,39 @@
 // siteKey ranks the instances that read for all.
 const siteKey = "site"
 
-// place is this instance's place among those that read the store and relay it, as of the last list of instances.
+// place is this instance's place among those that read the store and relay it, as of the last list of instances. Before the
+// first list it is a guess by the seeds.
 func (p *Process) place() feedlink.Place {
 	if at := p.placed.Load(); at != nil {
 		return *at
 	}
-	return feedlink.Place{Readers: []mesh.Peer{{}}}
+	return placeBySeeds(p.cfg.Link, p.cfg.Seeds)
+}
+
+// placeBySeeds is the place of an instance that knows of no other than its seeds: seeds read the store, the others wait for
+// them. Otherwise hundreds that start while the store is away would each ask it several times a second.
+func placeBySeeds(own string, seeds []string) feedlink.Place {
+	at := feedlink.Place{Guess: true, Role: feedlink.Follows}
+	for i, addr := range seeds {
+		if addr == own {
+			return feedlink.Place{Role: feedlink.Reads, Rank: i, Readers: []mesh.Peer{{}}}
+		}
+		at.Readers = append(at.Readers, mesh.Peer{Addr: addr})
+	}
+	at.Readers = append(at.Readers, mesh.Peer{})
+	return at
+}
+
+// withSeeds adds the seeds to an instance's readers, as the last. A list that was read just before the store fell silent may
+// name nobody who knows the tables: a seed has not written its row yet, but has read them.
+func withSeeds(readers []mesh.Peer, own string, seeds []string) []mesh.Peer {
+	for _, addr := range seeds {
+		known := slices.ContainsFunc(readers, func(r mesh.Peer) bool { return r.Addr == addr })
+		if addr != own && !known {
+			readers = append(readers, mesh.Peer{Addr: addr})
+		}
+	}
+	return readers
 }
 
 // placeAmong works out an instance's place. The first in rank reads for all, the first of each failure domain has it from
--- a/lib/gatewayproc/readers_test.go
+++ b/lib/gatewayproc/readers_test.go
@@ -63,3 +63,20 @@
 	alone := placeAmong("me", "z", nil)
 	must.Eq(t, []mesh.Peer{{}}, alone.Readers)
 }
+
+// An instance knows of no other than its seeds yet. One that is a seed reads; the others ask the seeds, and read the store
+// themselves in the end.
+func TestSeedsReadBeforeTheListIsKnown(t *testing.T) {
+	seeds := []string{"a:1", "b:1"}
+	must.Eq(t, feedlink.Place{Role: feedlink.Reads, Rank: 1, Readers: []mesh.Peer{{}}}, placeBySeeds("b:1", seeds))
+	other := placeBySeeds("c:1", seeds)
+	must.True(t, other.Guess)
+	must.Eq(t, []mesh.Peer{{Addr: "a:1"}, {Addr: "b:1"}, {}}, other.Readers)
+	must.Eq(t, []mesh.Peer{{}}, placeBySeeds("c:1", nil).Readers)
+}
+
+// The list names nobody else, or names a seed already: seeds that are missing come last, each once, this instance left out.
+func TestSeedsComeLast(t *testing.T) {
+	got := withSeeds([]mesh.Peer{{}, {Instance: "a", Addr: "a:1"}}, "me:1", []string{"a:1", "me:1", "b:1"})
+	must.Eq(t, []mesh.Peer{{}, {Instance: "a", Addr: "a:1"}, {Addr: "b:1"}}, got)
+}
