Only the seeds read at a site's first start

All instances start in one moment, the list that each reads is empty, each took itself for the only one and read all tables: some nine calls each, 2,600 for 295 instances by that count. Ruled out: the reader's polls (4.5 calls a second for the whole site), more than one reader at a time after the start.

An instance whose row is not listed ranks for nothing: nobody else knows of it. It follows those that are listed and, before there are any, the seeds, each another one first. placeOf is pure; TestOnlySeedsReadAtTheFirstStart counts 3 that read of 295 (with the place as before, an instance always among the listed, all 295 did). Owners are ranked by the same list.

--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -72,25 +72,23 @@
 	p.share.SetInstances(n)
 	p.fleet.SetShare(1 / float64(n))
 	log.Info().Str("event", "instances").Int("n", n).Msg("")
-	place := placeAmong(p.cfg.Instance, p.cfg.Domain, p.listedInstances())
-	place.Readers = withSeeds(place.Readers, p.cfg.Link, p.cfg.Seeds)
+	place := placeOf(p.self(), p.listedInstances(), p.cfg.Seeds)
 	p.placed.Store(&place)
 	p.rankInstances()
 }
 
-// listed lists the instances, with this one also before its row is there.
+// listedInstances lists the instances. This one is among them only while its row says where it is: others would ask it
+// nothing, or somewhere else.
 func (p *Process) listedInstances() []owner.Instance {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := make([]owner.Instance, 0, len(p.instances)+1)
+	self := p.self()
+	out := make([]owner.Instance, 0, len(p.instances))
 	for name, in := range p.instances {
-		if name != p.cfg.Instance {
+		if name != self.Name || in == self && !p.stopped {
 			out = append(out, in)
 		}
 	}
-	if !p.stopped {
-		out = append(out, p.self())
-	}
 	return out
 }
 
@@ -105,6 +103,9 @@
 // rankInstances works out anew what each instance ranks for.
 func (p *Process) rankInstances() {
 	instances := p.listedInstances()
+	if len(instances) == 0 {
+		instances = append(instances, p.self())
+	}
 	p.mu.Lock()
 	p.candidates = owner.NewCandidates(instances)
 	p.mu.Unlock()
--- a/lib/gatewayproc/readers.go
+++ b/lib/gatewayproc/readers.go
@@ -26,19 +26,39 @@
 }
 
 // placeBySeeds is the place of an instance that knows of no other than its seeds: seeds read the store, the others wait for
-// them. Otherwise hundreds that start while the store is away would each ask it several times a second.
+// them, each for another one first. Otherwise hundreds that start while the store is away would each ask it several times a
+// second.
 func placeBySeeds(own string, seeds []string) feedlink.Place {
+	if i := slices.Index(seeds, own); i >= 0 {
+		return feedlink.Place{Role: feedlink.Reads, Rank: i, Readers: []mesh.Peer{{}}}
+	}
+	h := rendezvous.Hash(own)
+	rank := func(addr string) uint64 { return rendezvous.Rank(h, rendezvous.Hash(addr)) }
+	seeds = slices.SortedFunc(slices.Values(seeds), func(a, b string) int { return cmp.Compare(rank(b), rank(a)) })
 	at := feedlink.Place{Guess: true, Role: feedlink.Follows}
-	for i, addr := range seeds {
-		if addr == own {
-			return feedlink.Place{Role: feedlink.Reads, Rank: i, Readers: []mesh.Peer{{}}}
-		}
+	for _, addr := range seeds {
 		at.Readers = append(at.Readers, mesh.Peer{Addr: addr})
 	}
 	at.Readers = append(at.Readers, mesh.Peer{})
 	return at
 }
 
+// placeOf is the place of an instance by the list of instances.
+//
+// Load pattern: all instances of a new site start in one moment, before any has written its row. Each found nobody else in the
+// list, took itself for the one that reads, and read all tables: some nine calls each, 2,600 for 295 instances. One that is
+// not listed is known to nobody and reads for nobody, so it follows those that are, and before there are any the seeds.
+func placeOf(self owner.Instance, list []owner.Instance, seeds []string) feedlink.Place {
+	if len(list) == 0 {
+		at := placeBySeeds(self.Link, seeds)
+		at.Guess = false // the list is known: nobody is on it
+		return at
+	}
+	at := placeAmong(self.Name, self.Domain, list)
+	at.Readers = withSeeds(at.Readers, self.Link, seeds)
+	return at
+}
+
 // withSeeds adds the seeds to an instance's readers, as the last. A list that was read just before the store fell silent may
 // name nobody who knows the tables: a seed has not written its row yet, but has read them.
 func withSeeds(readers []mesh.Peer, own string, seeds []string) []mesh.Peer {
--- a/lib/gatewayproc/readers_test.go
+++ b/lib/gatewayproc/readers_test.go
@@ -80,3 +80,40 @@
 	got := withSeeds([]mesh.Peer{{}, {Instance: "a", Addr: "a:1"}}, "me:1", []string{"a:1", "me:1", "b:1"})
 	must.Eq(t, []mesh.Peer{{}, {Instance: "a", Addr: "a:1"}, {Addr: "b:1"}}, got)
 }
+
+// A site's instances start in one moment, and the list that each reads is empty. Each took itself for the only one, read all
+// tables from the store, and the store had thousands of calls. Only the seeds read; the others follow them, then those that
+// are listed first, and rank themselves once their own row is there.
+func TestOnlySeedsReadAtTheFirstStart(t *testing.T) {
+	list := siteOf(295, 5)
+	seeds := []string{list[200].Link, list[201].Link, list[202].Link}
+	reading := 0
+	firsts := make(map[string]int)
+	for _, in := range list {
+		at := placeOf(in, nil, seeds)
+		if at.Role == feedlink.Reads {
+			reading++
+			continue
+		}
+		must.False(t, at.Guess)
+		must.Len(t, len(seeds)+1, at.Readers)
+		must.Eq(t, mesh.Peer{}, at.Readers[len(seeds)])
+		firsts[at.Readers[0].Addr]++
+	}
+	must.Eq(t, len(seeds), reading)
+	for _, seed := range seeds {
+		must.Less(t, 3*len(list)/5, firsts[seed]) // one alone would send all tables to all
+	}
+
+	early := list[:2]
+	at := placeOf(list[100], early, seeds)
+	must.Eq(t, feedlink.Follows, at.Role)
+	must.SliceContains(t, []string{"i0", "i1"}, at.Readers[0].Instance)
+	must.Eq(t, feedlink.Reads, placeOf(list[0], early, seeds).Role)
+}
+
+// A single instance without seeds reads by itself.
+func TestAloneAtTheFirstStart(t *testing.T) {
+	at := placeOf(owner.Instance{Name: "me", Link: "me:1"}, nil, nil)
+	must.Eq(t, []mesh.Peer{{}}, at.Readers)
+}
