Histograms of how late owners are told and asked

Cause: nobody could say how old the news is that a choice rests on; the counters tell how many datagrams there are. TestAskArrivesWhole holds an ask to arriving with all its parts where it is passed on.

--- a/lib/ownerlink/call.go
+++ b/lib/ownerlink/call.go
@@ -19,13 +19,16 @@
 	shard *owner.Shard
 	body  *ownerpb.Datagram
 	got   chan *ownerpb.Datagram
+
+	start  time.Time
+	waited bool // an owner said that the ask waits
 }
 
 // answersKept is the buffer of a call: answers to its first sends may all come late.
 const answersKept = 4
 
 func (l *Link) newCall(s *owner.Shard) *call {
-	c := &call{l: l, shard: s, body: l.own(), got: make(chan *ownerpb.Datagram, answersKept)}
+	c := &call{l: l, shard: s, body: l.own(), got: make(chan *ownerpb.Datagram, answersKept), start: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lastID++
@@ -73,6 +76,7 @@
 				if !waits(d) {
 					return d
 				}
+				c.waited = true
 				left, pause = tries, waitAgain
 			}
 		}
@@ -86,6 +90,15 @@
 	return a != nil && a.Action == uint32(admit.Wait)
 }
 
+// observe counts how long the answer took.
+func (c *call) observe() {
+	h := answeredIn
+	if c.waited {
+		h = answeredLate
+	}
+	h.Update(time.Since(c.start).Seconds())
+}
+
 func (c *call) sendTo(to owner.Instance) {
 	if to.Name == c.l.Self.Name {
 		c.l.handle(c.body)
@@ -123,6 +136,7 @@
 	if err != nil {
 		return owner.Answer{}, err
 	}
+	c.observe()
 	return decodeAnswer(d.GetAnswer()), nil
 }
 
--- a/lib/ownerlink/link.go
+++ b/lib/ownerlink/link.go
@@ -26,6 +26,12 @@
 	bytesIn      = metrics.NewCounter(`anvilwick_owner_bytes_total{way="in"}`)
 	badDatagrams = metrics.NewCounter(`anvilwick_owner_bad_datagrams_total`)
 	alone        = metrics.NewCounter(`anvilwick_owner_unanswered_total`)
+
+	// Together they are the age of what a choice rests on: from a change until it is told, and the way of an ask and back,
+	// of which its owner decides in the middle.
+	reportDelay  = metrics.NewHistogram(`anvilwick_owner_report_delay_seconds`)
+	answeredIn   = metrics.NewHistogram(`anvilwick_owner_answer_seconds{waited="no"}`)
+	answeredLate = metrics.NewHistogram(`anvilwick_owner_answer_seconds{waited="yes"}`)
 )
 
 const (
@@ -80,6 +86,8 @@
 	layout atomic.Pointer[owner.Layout]
 	wake   chan struct{} // a report is due
 	waits  chan struct{} // asks wait here
+	// changedAt is the first change that has not been told yet.
+	changedAt atomic.Pointer[time.Time]
 
 	mu       sync.Mutex
 	lastID   uint64
@@ -146,6 +154,8 @@
 
 // Changed asks for a report to be sent soon.
 func (l *Link) Changed() {
+	now := time.Now()
+	l.changedAt.CompareAndSwap(nil, &now)
 	select {
 	case l.wake <- struct{}{}:
 	default:
--- a/lib/ownerlink/report.go
+++ b/lib/ownerlink/report.go
@@ -124,6 +124,9 @@
 
 // tell sends a report for each shard that this instance has something on, or had when it last told.
 func (l *Link) tell(told map[string]bool) {
+	if at := l.changedAt.Swap(nil); at != nil {
+		reportDelay.Update(time.Since(*at).Seconds())
+	}
 	reports := l.reports()
 	for key := range told {
 		if _, ok := reports[key]; !ok {
--- /dev/null
+++ b/lib/ownerlink/wire_test.go
@@ -0,0 +1,38 @@
+package ownerlink
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
+	"anvilwick.example/anvilwick/lib/admit"
+	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/owner"
+	"anvilwick.example/anvilwick/lib/ownerpb"
+)
+
+// An ask is passed on to an owner that has room. What decides there is all that was known here: a part that is lost on the way,
+// as that the caller came back, would have the stream refused a second time.
+func TestAskArrivesWhole(t *testing.T) {
+	now := time.Now()
+	sent := owner.Ask{
+		Key: owner.Key{Instance: "i", Incarnation: 7, ID: 9}, Addr: "127.0.0.1:1", Run: 11, Mode: owner.Room, Backup: 13, Hops: 2, Print: 17,
+		Stream: admit.Stream{
+			Arrived: now.Add(-40 * time.Millisecond), Aim: time.Second, Keeps: 2 * time.Second, Back: true,
+			Need: fleet.Need{
+				Service: "s", Tokens: 19, Unread: 23, Near: "z", Peak: fleet.Size{Now: 29, Left: 31},
+				Without: map[string]bool{"e": true},
+			},
+		},
+	}
+	b, err := proto.Marshal(&ownerpb.Datagram{
+		Instance: sent.Instance, Incarnation: sent.Incarnation, Addr: sent.Addr,
+		Body: &ownerpb.Datagram_Ask{Ask: encodeAsk(&sent, "shard", now)},
+	})
+	must.NoError(t, err)
+	var d ownerpb.Datagram
+	must.NoError(t, proto.Unmarshal(b, &d))
+	must.Eq(t, sent, decodeAsk(&d, now))
+}
