Who lost the store's word asks those that relay in other failure domains, all at once

Logs of the sources: 37 of 72 instances, the three that rank to read among them, lose power at 24.16 s while the store turns away a third, among these the ones that relay in two domains. They asked one dead reader after the other until 25.6, then the store, and then nobody: their lists ended. A relay in the third domain had the new version at 25.70. The domains had it when instances that only follow looked for themselves, at 28.0 to 28.3. Ruled out: the store (acked in 66 ms, served the third domain), lost pages (no source had it), the spread of late looks alone (it moved them from 3.8 s to up to 6.3 s after the last word; without it the bound of 3 s would be missed by less). Readers and relays know who relays elsewhere. One that has lost the word opens a subscription to all of these and takes the first that is fresh and does not come through itself; others are closed. Those that only follow ask as few as before. TestWordIsFoundInAnotherDomain failed before (not found within 10 s) and passes, also under -race.

--- a/lib/feedlink/feedlink_test.go
+++ b/lib/feedlink/feedlink_test.go
@@ -404,6 +404,45 @@
 	}
 }
 
+// The instances that rank to read are gone, and the store turns away those that relay in one failure domain, while it serves those
+// in another. The former had nobody left to ask, and their domain went on by old settings until those that only follow looked
+// for the store themselves, four seconds and more later. They ask the ones that relay elsewhere, all at once.
+func TestWordIsFoundInAnotherDomain(t *testing.T) {
+	t.Parallel()
+	const relayHere, relayThere, here, there, all = 3, 4, 5, 6, 7
+	members, tables := groupOf(t, all, 0, func(self int, list []mesh.Peer) Place {
+		readers := slices.Clone(list[:mayRead])
+		switch self {
+		case relayHere:
+			return Place{Role: Relays, Readers: append(readers, mesh.Peer{}), Others: list[relayThere : relayThere+1]}
+		case relayThere:
+			return Place{Role: Relays, Readers: append(readers, mesh.Peer{}), Others: list[relayHere : relayHere+1]}
+		case here:
+			return Place{Role: Follows, Readers: append([]mesh.Peer{list[relayHere]}, append(readers, mesh.Peer{})...)}
+		case there:
+			return Place{Role: Follows, Readers: append([]mesh.Peer{list[relayThere]}, append(readers, mesh.Peer{})...)}
+		}
+		return Place{Rank: self, Readers: readers}
+	})
+	for _, m := range members {
+		m.waitFor(t, "one")
+	}
+	for i, s := range tables {
+		s.mu.Lock()
+		s.away = i != relayThere
+		s.mu.Unlock()
+		if i < mayRead {
+			members[i].node.Close()
+			continue
+		}
+		s.set("two")
+	}
+	for _, i := range []int{relayThere, there, relayHere, here} {
+		must.Less(t, 3*time.Second, members[i].waitFor(t, "two"), must.Sprint(i))
+	}
+	must.Eq(t, 0, tables[here].calls.Load())
+}
+
 // Three instances that rank to read had each given up the reader before them, and went on to each other: a followed c, c
 // followed b, and b was about to follow a. Each page was fresh when it was sent on, and nobody read the store. One whose pages
 // come through this instance is not followed, however high it ranks; nor is one whose word of the store is older.
--- a/lib/feedlink/follow.go
+++ b/lib/feedlink/follow.go
@@ -78,7 +78,7 @@
 		now := time.Now()
 		if now.Sub(looked) >= reconsider {
 			looked = now
-			if t.leaves(ctx, now, s) || s.behind() && t.search(ctx, s) {
+			if t.leaves(ctx, now, s) || s.behind() && t.search(ctx, s.reader.Addr) {
 				return
 			}
 		}
@@ -109,32 +109,6 @@
 	return true
 }
 
-// search looks for a reader that has the store's word, in place of one that has not. Those that only follow leave it to the
-// one that relays to them.
-func (t *Track) search(ctx context.Context, s *subscription) bool {
-	place := t.Place()
-	if place.Role == Follows {
-		return false
-	}
-	now := time.Now()
-	for _, p := range place.Readers {
-		if p.Addr == "" || p.Addr == s.reader.Addr || now.Before(t.avoid[p.Addr].until) {
-			continue
-		}
-		other, err := t.open(ctx, p)
-		if err != nil {
-			t.doubt(ctx, p, err)
-			continue
-		}
-		if !other.behind() && !other.circular() {
-			t.better = other
-			return true
-		}
-		other.close()
-	}
-	return false
-}
-
 // mayProbe reports whether to look for the store although the reader has lost it. Those that rank to read do so at once, one
 // after the other; the others only when these seem to be cut off, too.
 func (t *Track) mayProbe(now, probed time.Time, s *subscription) bool {
--- a/lib/feedlink/start.go
+++ b/lib/feedlink/start.go
@@ -47,6 +47,16 @@
 	if t.known() {
 		return false
 	}
+	t.mu.Lock()
+	unknown := t.unknown
+	t.mu.Unlock()
 	since := now.Sub(t.started)
-	return since < patience || since < longPatience && now.Sub(t.unknown) < aliveFor
+	return since < patience || since < longPatience && now.Sub(unknown) < aliveFor
+}
+
+// toldUnknown notes that a reader lives that has read nothing.
+func (t *Track) toldUnknown(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unknown = now
 }
--- a/lib/feedlink/subscription.go
+++ b/lib/feedlink/subscription.go
@@ -78,8 +78,9 @@
 func (s *subscription) first() error {
 	err := s.receive()
 	for start := time.Now(); errors.Is(err, errUnknown) && time.Since(start) < waitNew; err = s.receive() {
-		s.t.unknown = time.Now()
-		if !s.t.early(s.t.unknown) {
+		now := time.Now()
+		s.t.toldUnknown(now)
+		if !s.t.early(now) {
 			return err
 		}
 	}
--- a/lib/feedlink/track.go
+++ b/lib/feedlink/track.go
@@ -73,6 +73,8 @@
 	Role    Role
 	Rank    int         // among those of the same role
 	Readers []mesh.Peer // whom it has the tables from, the best first; it contains the instance itself, as an empty address
+	// Others relay in other failure domains. They are asked only while nobody among Readers has the store's word.
+	Others []mesh.Peer
 }
 
 // Config is what a Track works with.
@@ -94,7 +96,6 @@
 	followers []*feed.Follower
 	started   time.Time
 	avoid     map[string]avoided // by address
-	unknown   time.Time          // when a reader last said that it has read nothing
 	late      time.Duration      // how much later than others of its role this instance looks for the store
 	cutOff    avoided            // this instance itself, as a reader
 	better    *subscription      // to go on with, from a reader that ranks higher
@@ -102,8 +103,9 @@
 	path      atomic.Pointer[[]string] // instances that the tables come through, this one first
 	within    bool                     // the store has just answered this instance, and not its reader
 
-	mu     sync.Mutex
-	failed map[string]bool // whether the last own call for a table failed
+	mu      sync.Mutex
+	failed  map[string]bool // whether the last own call for a table failed
+	unknown time.Time       // when a reader last said that it has read nothing
 }
 
 type avoided struct {
@@ -173,7 +175,7 @@
 	}
 	now := time.Now()
 	if errors.Is(err, errUnknown) {
-		t.unknown = now
+		t.toldUnknown(now)
 	}
 	if errors.Is(err, errUnknown) || !t.known() {
 		// It has just started, as this instance may have, too.
@@ -233,6 +235,9 @@
 			// Another may reach the store. Without this, an instance that alone is cut off from it would go on by old
 			// settings, with peers beside it that know the new ones.
 			t.cutOff = t.cutOff.again(now)
+			if t.search(ctx, "") {
+				return
+			}
 		}
 		if t.moveTo(ctx, now) {
 			return
--- a/lib/gatewayproc/readers.go
+++ b/lib/gatewayproc/readers.go
@@ -75,20 +75,47 @@
 // that one and relays it, so that little goes between domains.
 func placeAmong(self string, domain string, list []owner.Instance) feedlink.Place {
 	readers := ranked(siteKey, list)
-	var near []owner.Instance
+	relays := ranked(domain, inDomain(domain, list))
+	if i := indexOf(readers, self); i >= 0 {
+		at := feedlink.Place{Role: feedlink.Reads, Rank: i, Readers: peers(self, readers, relays)}
+		at.Others = relaysElsewhere(domain, list)
+		return at
+	}
+	if i := indexOf(relays, self); i >= 0 {
+		at := feedlink.Place{Role: feedlink.Relays, Rank: i, Readers: peers(self, relays[:i], readers, relays[i:])}
+		at.Others = relaysElsewhere(domain, list)
+		return at
+	}
+	return feedlink.Place{Role: feedlink.Follows, Readers: append(peers(self, relays, readers), mesh.Peer{})}
+}
+
+func inDomain(domain string, list []owner.Instance) []owner.Instance {
+	var out []owner.Instance
 	for _, in := range list {
 		if in.Domain == domain {
-			near = append(near, in)
+			out = append(out, in)
 		}
 	}
-	relays := ranked(domain, near)
-	if i := indexOf(readers, self); i >= 0 {
-		return feedlink.Place{Role: feedlink.Reads, Rank: i, Readers: peers(self, readers, relays)}
+	return out
+}
+
+// othersMax bounds the failure domains whose relays are asked when nobody near has the store's word.
+const othersMax = 8
+
+// relaysElsewhere are the instances that rank to relay in other failure domains.
+func relaysElsewhere(domain string, list []owner.Instance) []mesh.Peer {
+	var domains []string
+	for _, in := range list {
+		if in.Domain != domain && !slices.Contains(domains, in.Domain) {
+			domains = append(domains, in.Domain)
+		}
 	}
-	if i := indexOf(relays, self); i >= 0 {
-		return feedlink.Place{Role: feedlink.Relays, Rank: i, Readers: peers(self, relays[:i], readers, relays[i:])}
+	slices.Sort(domains)
+	var out []mesh.Peer
+	for _, d := range domains[:min(othersMax, len(domains))] {
+		out = append(out, peers("", ranked(d, inDomain(d, list)))...)
 	}
-	return feedlink.Place{Role: feedlink.Follows, Readers: append(peers(self, relays, readers), mesh.Peer{})}
+	return out
 }
 
 // ranked returns the first instances for a key: those with half of the largest capacity or more, since a reader sends each
--- a/lib/gatewayproc/readers_test.go
+++ b/lib/gatewayproc/readers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -48,6 +49,24 @@
 	must.MapLen(t, 5, firsts[feedlink.Follows])
 }
 
+// Those that read or relay know who relays elsewhere, for when nobody near has the store's word. The others, who are many, ask
+// only those near.
+func TestOnlyReadersAndRelaysLookElsewhere(t *testing.T) {
+	list := siteOf(295, 5)
+	for _, in := range list {
+		at := placeAmong(in.Name, in.Domain, list)
+		if at.Role == feedlink.Follows {
+			must.SliceEmpty(t, at.Others)
+			continue
+		}
+		must.Len(t, 4*readersMax, at.Others)
+		for _, p := range at.Others {
+			i := slices.IndexFunc(list, func(o owner.Instance) bool { return o.Name == p.Instance })
+			must.NotEq(t, in.Domain, list[i].Domain)
+		}
+	}
+}
+
 // On a small site each instance ranks for something, and the first in rank reads.
 func TestSmallSitesHaveAReader(t *testing.T) {
 	list := siteOf(2, 2)
