--- a/lib/feedlink/track.go
+++ b/lib/feedlink/track.go
@@ -42,7 +42,6 @@
 var (
 	errTooOld  = errors.New("feedlink: the store is within reach, but not of the reader")
 	errUnknown = errors.New("feedlink: the reader holds nothing yet")
-	errTooLong = errors.New("feedlink: page too long")
 	errCycle   = errors.New("feedlink: the reader has the tables from this instance")
 )
 
