--- a/lib/owner/book.go
+++ b/lib/owner/book.go
@@ -186,7 +186,7 @@
 		b.asks[i].heard = now
 		return Answer{}, false
 	}
-	b.welcome(now, &a)
+	b.cameBack(now, &a)
 	answer, ok = b.decide(now, s, &a)
 	if !ok && len(b.asks) < waitingMax {
 		b.wait(&waiting{Ask: a, shard: s, heard: now})
--- a/lib/owner/turned.go
+++ b/lib/owner/turned.go
@@ -19,8 +19,8 @@
 	b.turned[a.Print] = now.Add(after)
 }
 
-// welcome marks a stream whose caller was told to come back and does so as told.
-func (b *Book) welcome(now time.Time, a *Ask) {
+// cameBack marks a stream whose caller was told to come back and does so as told.
+func (b *Book) cameBack(now time.Time, a *Ask) {
 	due, ok := b.turned[a.Print]
 	if !ok || now.Before(due.Add(-turnedEarly)) {
 		return
