A lost store is looked for although readers change

Traced with prints on a scratch copy: the reader is turned away by the store; the next in rank searches, believes one whose page does not yet say that the store is lost (its path goes through the lost reader), follows it, is told a beat later, goes back to the lost reader, and so on. Each change of reader began the wait for its own look at the store anew (probed was a variable of follow), so that look came after 2.1 s in place of 0.8, and the rejected reader found it at its next half second.

Change: the time of the last look is kept by the Track, across readers; a search leaves out who has the tables through the one that lost the store.

--- a/lib/feedlink/follow.go
+++ b/lib/feedlink/follow.go
@@ -62,8 +62,7 @@
 func (t *Track) follow(ctx context.Context, s *subscription) {
 	defer s.close()
 	t.From(s.reader.Instance)
-	probed := time.Now()
-	looked := probed
+	looked := time.Now()
 	for {
 		t.lost.Store(s.lost)
 		t.comesBy(s.path)
@@ -78,14 +77,14 @@
 		now := time.Now()
 		if now.Sub(looked) >= reconsider {
 			looked = now
-			if t.leaves(ctx, now, s) || s.behind() && t.search(ctx, s.reader.Addr) {
+			if t.leaves(ctx, now, s) || s.behind() && t.search(ctx, s.reader) {
 				return
 			}
 		}
-		if !t.mayProbe(now, probed, s) {
+		if !t.mayProbe(now, s) {
 			continue
 		}
-		probed = now.Add(rand.N(probeEvery / 2))
+		t.probed = now.Add(rand.N(probeEvery / 2))
 		if t.followers[0].Step(ctx, 0) == nil {
 			t.cutOff = avoided{}
 			t.within = true
@@ -111,13 +110,13 @@
 
 // mayProbe reports whether to look for the store although the reader has lost it. Those that rank to read do so at once, one
 // after the other; the others only when these seem to be cut off, too.
-func (t *Track) mayProbe(now, probed time.Time, s *subscription) bool {
+func (t *Track) mayProbe(now time.Time, s *subscription) bool {
 	place, age := t.Place(), t.age(now)
 	switch place.Role {
 	case Reads:
-		return (s.lost || age > t.MaxAge) && now.Sub(probed) > time.Duration(1+place.Rank)*probeEvery
+		return (s.lost || age > t.MaxAge) && now.Sub(t.probed) > time.Duration(1+place.Rank)*probeEvery
 	case Relays:
-		return age > t.MaxAge && now.Sub(probed) > relayProbe
+		return age > t.MaxAge && now.Sub(t.probed) > relayProbe
 	}
-	return age > t.MaxAge+lateProbe+t.late && now.Sub(probed) > lateProbe+t.late
+	return age > t.MaxAge+lateProbe+t.late && now.Sub(t.probed) > lateProbe+t.late
 }
--- a/lib/feedlink/search.go
+++ b/lib/feedlink/search.go
@@ -16,13 +16,14 @@
 }
 
 // search looks for one that has the store's word among all that read or relay, in other failure domains, too, and
-// subscribes to it. not is the address of one to leave out. Those that only follow leave it to the one that relays to them.
+// subscribes to it. lost is the one that has lost the store; who has the tables through it knows nothing newer, although its last
+// page may not say so yet. Those that only follow leave it to the one that relays to them.
 //
 // Failure: the instances that read for all died with half of the others while the store turned away those that relay in two
 // failure domains. These asked one dead reader after the other, then the store, and their domains served by settings that
 // were 3.7 s old, although those that relay in a third domain had new ones. All are asked at once, since time-outs of dead
 // ones add up to more than the two seconds in which a change is to be in force.
-func (t *Track) search(ctx context.Context, not string) bool {
+func (t *Track) search(ctx context.Context, lost mesh.Peer) bool {
 	place := t.Place()
 	if place.Role == Follows {
 		return false
@@ -31,7 +32,7 @@
 	found := make(chan opened)
 	asked := 0
 	for _, p := range slices.Concat(place.Readers, place.Others) {
-		if p.Addr == "" || p.Addr == not || now.Before(t.avoid[p.Addr].until) {
+		if p.Addr == "" || p.Addr == lost.Addr || now.Before(t.avoid[p.Addr].until) {
 			continue
 		}
 		asked++
@@ -45,7 +46,7 @@
 		switch {
 		case o.err != nil:
 			t.doubt(ctx, o.reader, o.err)
-		case o.s.behind() || o.s.circular():
+		case o.s.behind() || o.s.circular() || slices.Contains(o.s.path, lost.Instance):
 			o.s.close()
 		default:
 			t.better = o.s
--- a/lib/feedlink/track.go
+++ b/lib/feedlink/track.go
@@ -94,13 +94,16 @@
 	Config
 	followers []*feed.Follower
 	started   time.Time
-	avoid     map[string]avoided // by address
-	late      time.Duration      // how much later than others of its role this instance looks for the store
-	cutOff    avoided            // this instance itself, as a reader
-	better    *subscription      // to go on with, from a reader that ranks higher
-	lost      atomic.Bool
-	path      atomic.Pointer[[]string] // instances that the tables come through, this one first
-	within    bool                     // the store has just answered this instance, and not its reader
+	// probed is when this instance last looked for the store although it has a reader. It outlives the reader: while news of a
+	// loss spreads, an instance may change readers several times, and with each it would begin to wait anew.
+	probed time.Time
+	avoid  map[string]avoided // by address
+	late   time.Duration      // how much later than others of its role this instance looks for the store
+	cutOff avoided            // this instance itself, as a reader
+	better *subscription      // to go on with, from a reader that ranks higher
+	lost   atomic.Bool
+	path   atomic.Pointer[[]string] // instances that the tables come through, this one first
+	within bool                     // the store has just answered this instance, and not its reader
 
 	mu      sync.Mutex
 	failed  map[string]bool // whether the last own call for a table failed
@@ -120,7 +123,9 @@
 
 // New returns a Track.
 func New(cfg Config) *Track {
-	t := &Track{Config: cfg, avoid: make(map[string]avoided), failed: make(map[string]bool), started: time.Now(), late: rand.N(lateProbe)}
+	t := &Track{Config: cfg, avoid: make(map[string]avoided), failed: make(map[string]bool), late: rand.N(lateProbe)}
+	t.started = time.Now()
+	t.probed = t.started
 	for _, table := range cfg.Tables {
 		fail := func(err error) { t.callFailed(table.Name, err) }
 		t.followers = append(t.followers, feed.NewFollower(watched{table, t}, table.Options, table.Replica, fail))
@@ -239,7 +244,7 @@
 			// Another may reach the store. Without this, an instance that alone is cut off from it would go on by old
 			// settings, with peers beside it that know the new ones.
 			t.cutOff = t.cutOff.again(now)
-			if t.search(ctx, "") {
+			if t.search(ctx, mesh.Peer{Instance: t.Self}) {
 				return
 			}
 		}
