Evacuations, regions and cold targets are kept to by whatever sends

Change, in the fleet, which all choices pass through: - an evacuated domain's targets take nothing, for new streams, plain calls, repeats, moves, copies and backups; connect, the one way to a target, looks once more, since a run that moves was placed seconds before. Runs there go on. A domain that is taken back counts as just started. The rows come with the table of settings, so whoever knows settings knows the evacuations of that moment; - a request is bound to the regions of its route and of its workspace, where both name some to those in both, by the settings in force when something is sent. Asks to owners carry them; - a cold target gets at most its rate and half of it again in any second, from all instances together: an owner gives three quarters of it, those that decide alone a quarter, which a few of them by rank share; plain targets, which nobody owns, get all of it that way; - what nothing can serve is refused at once, with the reason (evacuated, out_of_region, targets_cold) and a log line with counts. Ruled out: a limit at each instance of a share of the rate (a share under one request a second starves, and of one each lets 70 in at once); the owner alone (it does not see plain calls, nor instances that can't reach it). Tests fail without it: evacuation taken out of Fleet.takes, of Gateway.connect, regions out of Fleet.within (each taken out once).

--- a/lib/admit/admit.go
+++ b/lib/admit/admit.go
@@ -106,10 +106,13 @@
 	if target, ok := take(now, need); ok {
 		return Decision{Action: Go, Target: target}
 	}
+	if p.Fleet.Barred(need) {
+		return Decision{Action: None}
+	}
 	if now.Before(s.Due()) {
 		return Decision{Action: Wait}
 	}
-	if ready, _ := p.Fleet.Counts(need.Service); ready == 0 || s.Aim <= 0 {
+	if p.Fleet.Stand(now, need).Takes == 0 || s.Aim <= 0 {
 		return Decision{Action: None}
 	}
 	return Decision{Action: Away, After: p.away(s.Keeps)}
--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -46,6 +46,9 @@
 	Peak     Size            // if set with Must: engine memory must hold this run beside the others to their ends
 	Reading  int             // with Must: prompts that wait to be read there, with this one, hold no more tokens; 0: any
 	AwayCost float64         // score of another failure domain than Near; 0: the constant awayCost
+	Regions  []string        // regions that the request is bound to; nil: any
+	Granted  bool            // the target's owner has chosen it and counted the request there
+	asOwner  bool            // this instance chooses as the target's owner
 }
 
 // Acquire chooses a target and counts the request there until Release.
@@ -56,6 +59,7 @@
 	if best == nil {
 		return Info{}, false
 	}
+	f.count(now, best, &n)
 	best.own.add(Load{Runs: 1, Tokens: n.Tokens, Unread: n.Unread})
 	return best.Info, true
 }
@@ -64,21 +68,24 @@
 func (f *Fleet) Choose(now time.Time, n Need) (Info, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	n.asOwner = true
 	best := f.choose(now, n)
 	if best == nil {
 		return Info{}, false
 	}
+	f.count(now, best, &n)
 	return best.Info, true
 }
 
 // AcquireAt counts a request at one target, if it may be chosen.
-func (f *Fleet) AcquireAt(id string, n Need) (Info, bool) {
+func (f *Fleet) AcquireAt(now time.Time, id string, n Need) (Info, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := f.targets[id]
-	if t == nil || !f.allowed(t, n) {
+	if t == nil || !f.allowed(now, t, n) {
 		return Info{}, false
 	}
+	f.count(now, t, &n)
 	t.own.add(Load{Runs: 1, Tokens: n.Tokens, Unread: n.Unread})
 	return t.Info, true
 }
@@ -92,7 +99,7 @@
 	}
 	for _, id := range among {
 		t := f.targets[id]
-		if t == nil || n.Must && n.Kept[id] || !f.allowed(t, n) {
+		if t == nil || n.Must && n.Kept[id] || !f.allowed(now, t, n) {
 			continue
 		}
 		if now.Before(t.avoidUntil) {
@@ -113,8 +120,8 @@
 	return best
 }
 
-func (f *Fleet) allowed(t *Target, n Need) bool {
-	if t.Service != n.Service || t.state != Ready || t.unreadable || n.Without[t.ID] {
+func (f *Fleet) allowed(now time.Time, t *Target, n Need) bool {
+	if t.Service != n.Service || !f.takes(t) || n.Without[t.ID] || !f.within(t, n.Regions) || !f.open(now, t, &n) {
 		return false
 	}
 	spec := f.specs[t.Service]
@@ -156,7 +163,7 @@
 		b.Oldest = max(b.Oldest, now.Sub(p.at))
 	}
 	for _, other := range f.targets {
-		if other.Service == t.Service && other.state == Ready {
+		if other.Service == t.Service && f.takes(other) {
 			b.Ready++
 		}
 	}
@@ -194,22 +201,24 @@
 }
 
 // Spare chooses the engine with the most free memory for a copy of a run, which the caller of Spare counts there. It gives
-// none where less than the share free of an engine's memory would be left: copies must not push out runs.
-func (f *Fleet) Spare(service string, tokens int, without string, among []string, free float64) (Info, bool) {
+// none where less than the share free of an engine's memory would be left: copies must not push out runs. Engines that have just
+// started get none: a run that goes on from its copy can't wait for its turn there.
+func (f *Fleet) Spare(now time.Time, n Need, without string, free float64) (Info, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	among := n.Among
 	if among == nil {
 		among = f.order
 	}
-	kv := f.specs[service].KVTokens
+	kv := f.specs[n.Service].KVTokens
 	var best *Target
 	most := int(free * float64(kv))
 	for _, id := range among {
 		t := f.targets[id]
-		if t == nil || t.Service != service || t.state != Ready || t.unreadable || id == without {
+		if t == nil || t.Service != n.Service || !f.takes(t) || id == without || !f.within(t, n.Regions) || f.isCold(now, t) {
 			continue
 		}
-		if left := kv - f.carried(t).Tokens - tokens; left > most {
+		if left := kv - f.carried(t).Tokens - n.Tokens; left > most {
 			best, most = t, left
 		}
 	}
@@ -227,7 +236,7 @@
 	used, room := float64(waiting), 0.0
 	for _, id := range among {
 		t := f.targets[id]
-		if t == nil || t.state != Ready || t.unreadable {
+		if t == nil || !f.takes(t) {
 			continue
 		}
 		load := f.carried(t)
@@ -253,7 +262,7 @@
 	most := 0
 	for _, id := range among {
 		t := f.targets[id]
-		if t == nil || t.state != Ready || t.unreadable {
+		if t == nil || !f.takes(t) {
 			continue
 		}
 		kv := fillShare * float64(f.specs[t.Service].KVTokens)
@@ -270,7 +279,7 @@
 	best, most := "", 0
 	for _, id := range among {
 		t := f.targets[id]
-		if without[id] || t == nil || t.state != Ready || t.unreadable {
+		if without[id] || t == nil || !f.takes(t) {
 			continue
 		}
 		if room := f.specs[t.Service].KVTokens - Peak(f.sizesOn(t)); best == "" || room > most {
@@ -280,8 +289,9 @@
 	return best
 }
 
-// Rooms lists the engines of a service that take requests, among those named or, with nil, among all.
-func (f *Fleet) Rooms(service string, among []string) []Room {
+// Rooms lists the engines of a service that runs can move to, among those named or, with nil, among all. Engines that have just
+// started are left out: they take few requests, and a run that was stopped can't wait for its turn.
+func (f *Fleet) Rooms(now time.Time, service string, among []string) []Room {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if among == nil {
@@ -290,7 +300,7 @@
 	var out []Room
 	for _, id := range among {
 		t := f.targets[id]
-		if t != nil && t.Service == service && t.state == Ready && !t.unreadable {
+		if t != nil && t.Service == service && f.takes(t) && !f.isCold(now, t) {
 			out = append(out, Room{Info: t.Info, Free: f.specs[service].KVTokens - f.carried(t).Tokens})
 		}
 	}
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -33,8 +33,10 @@
 
 // Spec is what the settings say of a service's targets.
 type Spec struct {
-	KVTokens int // memory of an engine in tokens; 0 for a plain service
-	ConnCap  int // connections that a target accepts from all instances together
+	KVTokens int           // memory of an engine in tokens; 0 for a plain service
+	ConnCap  int           // connections that a target accepts from all instances together
+	ColdFor  time.Duration // after its start a target is slow for so long
+	ColdRate float64       // requests a second that it takes meanwhile, from all instances together; 0: as many as ever
 }
 
 // Target is one target. Its fields are the fleet's; read them through the methods of Fleet.
@@ -52,6 +54,8 @@
 	missing    time.Time // since when a list read after an outage has not had it; zero: it is listed
 	told       told      // what peers carry there
 	unreadable bool      // its entry names no target; until it has written another
+	coldUntil  time.Time // it is slow after its start until then
+	cold       *coldLimits
 }
 
 // Load is what a target carries.
@@ -80,6 +84,10 @@
 	born    time.Time       // when the list was first read
 	share   float64         // this instance's part of a target's connections
 	sizes   func(target string) []Size
+
+	evacuated map[string]bool   // failure domains whose targets get nothing new
+	regions   map[string]string // of failure domains
+	senders   func(target string, n int) bool
 }
 
 type peer struct {
@@ -136,6 +144,7 @@
 		ch.Restarted = append(ch.Restarted, e)
 	}
 	t.Info = e
+	f.startCold(now, t, e.ColdFor)
 	t.missing = time.Time{}
 	t.unreadable = false
 	if e.Leaving {
@@ -232,7 +241,7 @@
 	var ch Change
 	if t := f.targets[id]; t != nil && t.Born != 0 && born > t.Born {
 		e := t.Info
-		e.Born, e.Leaving = born, false
+		e.Born, e.Leaving, e.ColdFor = born, false, f.specs[t.Service].ColdFor
 		f.upsert(now, e, &ch)
 	}
 	return ch
@@ -347,20 +356,34 @@
 	return out
 }
 
-// Counts returns how many targets of a service are ready, and how many are listed.
-func (f *Fleet) Counts(service string) (ready, listed int) {
+// Standing counts the targets that a request might go to, and why others get none.
+type Standing struct {
+	Takes       int // take requests, cold ones among them
+	Cold        int // of these, have just started and take few
+	Evacuated   int // in a failure domain whose targets get nothing new
+	OutOfRegion int // outside the regions that the request is bound to
+}
+
+// Stand counts the targets for a request.
+func (f *Fleet) Stand(now time.Time, n Need) Standing {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	var out Standing
 	for _, t := range f.targets {
-		if t.Service != service {
-			continue
-		}
-		listed++
-		if t.state == Ready {
-			ready++
+		switch {
+		case t.Service != n.Service || t.state != Ready || t.unreadable:
+		case !f.within(t, n.Regions):
+			out.OutOfRegion++
+		case f.evacuated[t.Domain]:
+			out.Evacuated++
+		default:
+			out.Takes++
+			if f.isCold(now, t) {
+				out.Cold++
+			}
 		}
 	}
-	return ready, listed
+	return out
 }
 
 // IsLeaving reports whether a target takes no new requests.
--- a/lib/fleet/fleet_test.go
+++ b/lib/fleet/fleet_test.go
@@ -125,10 +125,10 @@
 func TestSpareLeavesRoom(t *testing.T) {
 	f := engines(2)
 	f.Tell(t0, "peer", map[string]Load{"e0": {Tokens: 2000}, "e1": {Tokens: 5000}}, nil)
-	got, ok := f.Spare("engine", 1000, "", nil, 0.5)
+	got, ok := f.Spare(t0, Need{Service: "engine", Tokens: 1000}, "", 0.5)
 	must.True(t, ok)
 	must.Eq(t, "e0", got.ID)
-	_, ok = f.Spare("engine", 3000, "", nil, 0.5)
+	_, ok = f.Spare(t0, Need{Service: "engine", Tokens: 3000}, "", 0.5)
 	must.False(t, ok)
 }
 
--- /dev/null
+++ b/lib/fleet/places.go
@@ -0,0 +1,46 @@
+package fleet
+
+import "slices"
+
+// SetRegions sets the region of each failure domain.
+func (f *Fleet) SetRegions(regions map[string]string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.regions = regions
+}
+
+// takes reports whether a target takes new requests at all.
+func (f *Fleet) takes(t *Target) bool {
+	return t.state == Ready && !t.unreadable && !f.evacuated[t.Domain]
+}
+
+// Barred reports whether targets of a service are there, and all of them are evacuated or outside the request's regions. Who waits
+// for room there waits in vain.
+func (f *Fleet) Barred(n Need) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.evacuated) == 0 && n.Regions == nil {
+		return false
+	}
+	barred := false
+	for _, t := range f.targets {
+		if t.Service != n.Service || t.state != Ready || t.unreadable {
+			continue
+		}
+		if f.takes(t) && f.within(t, n.Regions) {
+			return false
+		}
+		barred = true
+	}
+	return barred
+}
+
+// within reports whether a target lies in one of some regions; nil stands for all. A failure domain whose region is not known
+// lies in none: a request that is bound to regions must not leave them on a guess.
+func (f *Fleet) within(t *Target, regions []string) bool {
+	if regions == nil {
+		return true
+	}
+	region, known := f.regions[t.Domain]
+	return known && slices.Contains(regions, region)
+}
--- a/lib/gateway/answer.go
+++ b/lib/gateway/answer.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/wirehttp"
 )
 
@@ -39,6 +40,23 @@
 	return refusal{status: http.StatusServiceUnavailable, after: c.wait(after), reason: reason}
 }
 
+// unplaced is the refusal of a call that no target takes and none has run, with the reason why there is none.
+func (g *Gateway) unplaced(c *call) refusal {
+	stand := g.Fleet.Stand(time.Now(), fleet.Need{Service: c.service, Regions: g.regions(c)})
+	g.Log.Unplaced(c.entry(), stand)
+	switch {
+	case stand.Takes > 0 && stand.Cold == stand.Takes:
+		return c.again("targets_cold")
+	case stand.Takes > 0:
+		return c.again("no_target")
+	case stand.Evacuated > 0:
+		return c.again("evacuated")
+	case stand.OutOfRegion > 0:
+		return c.again("out_of_region")
+	}
+	return c.again("no_target")
+}
+
 // wait bounds a wait to what the caller keeps to.
 func (c *call) wait(after time.Duration) time.Duration {
 	return max(min(after, time.Duration(float64(time.Until(c.deadline))*waitPart)), time.Millisecond)
--- a/lib/gateway/backup.go
+++ b/lib/gateway/backup.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/owner"
 	"anvilwick.example/anvilwick/lib/rendezvous"
@@ -31,7 +33,8 @@
 	tokens := r.size().Tokens
 	at, ok := r.g.Fleet.Info(to.backup)
 	if !to.owned {
-		at, ok = r.g.Fleet.Spare(to.target.Service, tokens, to.target.ID, nil, backupFree)
+		need := fleet.Need{Service: to.target.Service, Tokens: tokens, Regions: r.g.regions(r.c)}
+		at, ok = r.g.Fleet.Spare(time.Now(), need, to.target.ID, backupFree)
 	}
 	if !ok {
 		return
@@ -61,7 +64,8 @@
 		return next{}, false
 	}
 	size := r.size()
-	to, ok := r.g.Fleet.AcquireAt(at.ID, fleet.Need{Service: at.Service, Tokens: size.Tokens})
+	need := fleet.Need{Service: at.Service, Tokens: size.Tokens, Regions: r.g.regions(r.c)}
+	to, ok := r.g.Fleet.AcquireAt(time.Now(), at.ID, need)
 	if !ok {
 		return next{}, false
 	}
--- a/lib/gateway/book.go
+++ b/lib/gateway/book.go
@@ -22,7 +22,7 @@
 	if id == "" {
 		return fleet.Info{}, false
 	}
-	to, ok := g.Fleet.AcquireAt(id, need)
+	to, ok := g.Fleet.AcquireAt(time.Now(), id, need)
 	if ok {
 		g.booked(r, booking{at: to.ID, tokens: need.Tokens})
 	}
@@ -61,7 +61,8 @@
 		return fleet.Info{}, false
 	}
 	need.Must = false // by what this instance alone knows
-	return g.Fleet.AcquireAt(a.Target, need)
+	need.Granted = true
+	return g.Fleet.AcquireAt(time.Now(), a.Target, need)
 }
 
 // unbook gives the room up.
--- a/lib/gateway/call.go
+++ b/lib/gateway/call.go
@@ -201,6 +201,21 @@
 	return host
 }
 
+// regions are those that the call is bound to by the settings in force now: an answer may take longer than a change of them may
+// take to be in force, and what is sent for it afterwards must keep to the change. nil: none.
+func (g *Gateway) regions(c *call) []string {
+	t := g.table.Load()
+	if t == nil {
+		return c.route.Regions
+	}
+	path, _, _ := strings.Cut(c.target, "?")
+	route := t.Match(hostname(c.host), path)
+	if route == nil {
+		route = c.route
+	}
+	return t.Regions(route, c.workspace)
+}
+
 // left is the time that a target has for the call. A target works no longer than the caller waits.
 func (c *call) left(now time.Time) time.Duration { return c.limit.Sub(now) }
 
--- a/lib/gateway/log.go
+++ b/lib/gateway/log.go
@@ -44,6 +44,12 @@
 	l.line(log.Warn(), "refused", e).Int("status", status).Str("reason", reason).Int64("retry_after_ms", after.Milliseconds()).Msg("")
 }
 
+// Unplaced tells why no target takes a call.
+func (l Log) Unplaced(e entry, s fleet.Standing) {
+	at := l.line(log.Info(), "no_target", e).Int("takes", s.Takes).Int("cold", s.Cold)
+	at.Int("evacuated", s.Evacuated).Int("out_of_region", s.OutOfRegion).Msg("")
+}
+
 // Sent tells how a send to one target ended, and what was believed of that target when it was chosen.
 func (l Log) Sent(e entry, target string, b fleet.Belief, status int, outcome string, err error) {
 	at := l.line(log.Info(), "sent", e).Str("target", target).Int("ready", b.Ready)
--- a/lib/gateway/move.go
+++ b/lib/gateway/move.go
@@ -40,9 +40,9 @@
 	domainWeight = 0.5
 )
 
-// Evacuate moves the runs of targets that are leaving to other engines. It returns at once. Targets of one service that
+// MoveOff moves the runs of targets that are leaving to other engines. It returns at once. Targets of one service that
 // leave together are planned together: their runs share the links of the same destinations.
-func (g *Gateway) Evacuate(targets []fleet.Info) {
+func (g *Gateway) MoveOff(targets []fleet.Info) {
 	t := g.table.Load()
 	if t == nil {
 		return
@@ -53,12 +53,12 @@
 	}
 	for name, leaving := range byService {
 		if svc := t.Service(name); svc != nil && svc.Engine != nil && svc.Engine.Moves {
-			g.evacuate(svc, leaving)
+			g.moveOff(svc, leaving)
 		}
 	}
 }
 
-func (g *Gateway) evacuate(svc *routes.Service, targets []fleet.Info) {
+func (g *Gateway) moveOff(svc *routes.Service, targets []fleet.Info) {
 	notice := time.Now()
 	from := make(map[string]fleet.Info)
 	own := make(map[uint64]*run)
@@ -137,7 +137,7 @@
 // destinations lists the engines that the runs of leaving ones can go to.
 func (g *Gateway) destinations(service string, leaving map[string]fleet.Info) []moveplan.Engine {
 	var out []moveplan.Engine
-	for _, room := range g.Fleet.Rooms(service, nil) {
+	for _, room := range g.Fleet.Rooms(time.Now(), service, nil) {
 		if leaving[room.ID].ID == "" {
 			out = append(out, moveplan.Engine{ID: room.ID, Domain: room.Domain, Free: room.Free})
 		}
@@ -203,6 +203,7 @@
 func (g *Gateway) moveNeed(r *run, from fleet.Info, without map[string]bool) fleet.Need {
 	return fleet.Need{
 		Service: from.Service, Tokens: r.size().Tokens, Without: without, Near: from.Domain, AwayCost: domainWeight, Must: true,
+		Regions: g.regions(r.c),
 	}
 }
 
--- a/lib/gateway/place.go
+++ b/lib/gateway/place.go
@@ -51,7 +51,7 @@
 		without[id] = true
 	}
 	for range maxUnknown {
-		need.Without = without
+		need.Without, need.Granted = without, false
 		need.Near = r.g.Fleet.Domain()
 		a := owner.Ask{Run: rendezvous.Hash(r.c.id), Print: r.c.print, Stream: r.stream(need)}
 		if r.c.sends > 0 {
@@ -67,7 +67,8 @@
 		case answer.Action == admit.Away:
 			return next{}, max(answer.After, time.Millisecond), true
 		}
-		if target, known := r.g.Fleet.AcquireAt(answer.Target, need); known {
+		need.Granted = true
+		if target, known := r.g.Fleet.AcquireAt(time.Now(), answer.Target, need); known {
 			r.believed = answer.Belief
 			return next{target: target, owned: true, backup: answer.Backup}, 0, true
 		}
--- /dev/null
+++ b/lib/gateway/places_test.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/routes"
+)
+
+// A run was placed, or its copy made, seconds before its engine's failure domain is emptied. What is sent then is sent to nobody
+// there: the choice was right when it was made, so only the last step before the send can see it.
+func TestNothingIsSentToAnEvacuatedDomain(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	g := newTestGateway()
+	to := fleet.Info{ID: "e", Service: "s", Domain: "z", Addr: ln.Addr().String()}
+	g.Fleet.Apply(time.Now(), []fleet.Info{to}, nil, 0)
+	r := &run{g: g, c: &call{id: "x", service: "s", route: &routes.Route{Name: "r"}}}
+	got, ok := g.Fleet.Acquire(time.Now(), fleet.Need{Service: "s"})
+	must.True(t, ok)
+	g.Fleet.Evacuate("z")
+	e, x := r.runOn(context.Background(), next{target: got, copyFrom: "10.0.0.1:1/h"})
+	must.Eq(t, endUnsent, e)
+	must.ErrorIs(t, x.err, errEvacuated)
+	g.Fleet.Return(time.Now(), "z")
+	conn, err := g.connect(context.Background(), got)
+	must.NoError(t, err)
+	conn.Close()
+}
+
+// Regions bind by the settings in force when something is sent, not by those of the request's arrival: a stream lasts longer than a
+// change of them may take to be in force.
+func TestRegionsFollowTheSettingsInForce(t *testing.T) {
+	g := newTestGateway()
+	apply := func(version int64, route, workspace []string) {
+		tab, err := routes.NewTable(&routes.Revision{
+			Version:    version,
+			Routes:     []routes.Route{{Name: "r", Host: "h", Prefix: "/", Kind: routes.Stream, Split: []routes.Share{{Service: "s"}}, Regions: route}},
+			Services:   []routes.Service{{Name: "s"}},
+			Workspaces: []routes.Workspace{{Name: "w", Regions: workspace}},
+		})
+		must.NoError(t, err)
+		must.True(t, g.Apply(tab))
+	}
+	apply(1, nil, nil)
+	c := &call{host: "h", target: "/x?y", workspace: "w", route: g.Table().Match("h", "/x")}
+	must.Nil(t, g.regions(c))
+	apply(2, []string{"a", "b"}, nil)
+	must.Eq(t, []string{"a", "b"}, g.regions(c))
+	apply(3, []string{"a", "b"}, []string{"b", "c"})
+	must.Eq(t, []string{"b"}, g.regions(c))
+	apply(4, []string{"a"}, []string{"c"})
+	must.NotNil(t, g.regions(c))
+	must.SliceEmpty(t, g.regions(c))
+}
--- a/lib/gateway/plain.go
+++ b/lib/gateway/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -38,7 +39,7 @@
 	var last *exchange
 	dials := 0
 	for {
-		target, ok := g.acquire(ctx, c, fleet.Need{Service: c.service, Without: c.tried})
+		target, ok := g.acquire(ctx, c, fleet.Need{Service: c.service, Without: c.tried, Regions: g.regions(c)})
 		if !ok {
 			break
 		}
@@ -132,8 +133,15 @@
 	return x
 }
 
-// connect opens or reuses a connection within dialTimeout.
+// errEvacuated says that a target was chosen just before its failure domain was evacuated.
+var errEvacuated = errors.New("gateway: the target's failure domain is evacuated")
+
+// connect opens or reuses a connection within dialTimeout. All that is sent to targets on callers' behalf passes here, whatever
+// has chosen its target: a run that moves or goes on from a copy was placed seconds ago.
 func (g *Gateway) connect(ctx context.Context, target fleet.Info) (*wirehttp.Conn, error) {
+	if g.Fleet.Evacuated(target.Domain) {
+		return nil, errEvacuated
+	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	return g.Pool.Get(ctx, target.Addr)
@@ -174,7 +182,7 @@
 func (g *Gateway) finishPlain(ctx context.Context, w http.ResponseWriter, c *call, x *exchange) {
 	switch {
 	case x == nil:
-		g.refuse(w, c, c.again("no_target"))
+		g.refuse(w, c, g.unplaced(c))
 	case x.err == nil && (x.verdict == verdictGood || x.verdict == verdictFailure):
 		g.answer(w, c, x)
 	case x.verdict == verdictNotRun && !c.mayRan:
--- a/lib/gateway/run.go
+++ b/lib/gateway/run.go
@@ -41,7 +41,9 @@
 
 // need is what the run asks of a target now.
 func (r *run) need() fleet.Need {
-	return fleet.Need{Service: r.c.service, Tokens: r.c.prompt + r.c.output/2, Unread: r.c.prompt, Without: r.c.tried}
+	return fleet.Need{
+		Service: r.c.service, Tokens: r.c.prompt + r.c.output/2, Unread: r.c.prompt, Without: r.c.tried, Regions: r.g.regions(r.c),
+	}
 }
 
 // enter counts the run at a target and lets moves find it. The first target was counted when it was chosen.
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -66,7 +66,7 @@
 				return
 			}
 			if to.target.ID == "" {
-				r.giveUp(ctx, "no_target")
+				r.unplaced(ctx)
 				return
 			}
 		}
@@ -398,6 +398,15 @@
 	}
 }
 
+// unplaced ends a run that finds no target.
+func (r *run) unplaced(ctx context.Context) {
+	if !r.begun && !r.c.mayRan && ctx.Err() == nil {
+		r.g.refuse(r.w, r.c, r.g.unplaced(r.c))
+		return
+	}
+	r.giveUp(ctx, "no_target")
+}
+
 // fail ends a run whose last target failed it.
 func (r *run) fail(ctx context.Context, e end, x *exchange) {
 	if e == endFailure && !r.begun {
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -180,6 +180,7 @@
 
 func (p *Process) applySettings(u feed.Update) {
 	logRegained("settings", u)
+	p.evacuate(u.Rows)
 	rev, err := p.site.DecodeSettings(u.Rows)
 	if err != nil {
 		logline.Cause(log.Error().Str("event", "settings_refused"), err)
@@ -198,7 +199,7 @@
 	}
 	specs := make(map[string]fleet.Spec)
 	table.Services(func(s *routes.Service) {
-		spec := fleet.Spec{ConnCap: s.MaxConns}
+		spec := fleet.Spec{ConnCap: s.MaxConns, ColdFor: s.ColdFor, ColdRate: s.ColdRate}
 		if s.Engine != nil {
 			spec.KVTokens = s.Engine.KVTokens
 		}
@@ -261,7 +262,7 @@
 	}
 	if len(ch.Leaving) > 0 {
 		p.link.Leaving(ch.Leaving)
-		p.gate.Evacuate(ch.Leaving)
+		p.gate.MoveOff(ch.Leaving)
 	}
 }
 
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -35,14 +35,15 @@
 // Config is what the instance is told at its start.
 type Config struct {
 	Instance string
-	Domain   string   // failure domain
-	Front    string   // address for callers
-	Ready    string   // address for the balancer's readiness checks
-	Peer     string   // address for other instances' datagrams
-	Link     string   // address for other instances' streams
-	Metrics  string   // address for metrics, at /metrics; empty: none
-	Seeds    []string // links of some instances, which may be stale
-	MemoryMB int      // over which the process is killed
+	Domain   string            // failure domain
+	Regions  map[string]string // region of each failure domain
+	Front    string            // address for callers
+	Ready    string            // address for the balancer's readiness checks
+	Peer     string            // address for other instances' datagrams
+	Link     string            // address for other instances' streams
+	Metrics  string            // address for metrics, at /metrics; empty: none
+	Seeds    []string          // links of some instances, which may be stale
+	MemoryMB int               // over which the process is killed
 	LinkMbps float64
 	CPUShare float64 // of a core
 
@@ -62,8 +63,10 @@
 
 	Settings       feed.Source
 	DecodeSettings func([]feed.Row) (*routes.Revision, error)
-	Targets        feed.Source
-	DecodeTarget   func(feed.Row) (fleet.Info, error)
+	// Evacuated returns the failure domain that a row of the table of settings evacuates while it is there.
+	Evacuated    func(feed.Row) (domain string, ok bool)
+	Targets      feed.Source
+	DecodeTarget func(feed.Row) (fleet.Info, error)
 
 	// Instances is the table in which each instance stands with the addresses at which others reach it.
 	Instances      feed.Source
@@ -129,6 +132,8 @@
 		instances: make(map[string]owner.Instance), candidates: owner.NewCandidates(nil), born: uint64(time.Now().UnixNano()),
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
+	p.fleet.SetRegions(cfg.Regions)
+	p.fleet.SetSenders(p.maySendAlone)
 	p.share = retry.NewShare(cfg.RepeatRatio, cfg.RepeatFloor, cfg.RepeatWindow)
 	p.gate = gateway.New(gateway.Config{
 		Names: site.Names, Engines: site.Engines, Fleet: p.fleet, Pool: site.Pool, Budget: p.share,
@@ -296,6 +301,7 @@
 			continue
 		}
 		p.share.SetBound(cfg.RepeatRatio, cfg.RepeatFloor)
+		p.fleet.SetRegions(cfg.Regions)
 		log.Info().Str("event", "reload").Str("instance", cfg.Instance).Msg("")
 	}
 }
--- a/lib/gatewayproc/reload_test.go
+++ b/lib/gatewayproc/reload_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/retry"
 )
 
@@ -22,7 +23,7 @@
 		err error
 	}, 2)
 	read := make(chan struct{}, 2)
-	p := &Process{share: retry.NewShare(0, 10, 10*time.Second)}
+	p := &Process{fleet: fleet.New("z"), share: retry.NewShare(0, 10, 10*time.Second)}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.site.Reload = func() (Config, error) {
 		select {
--- /dev/null
+++ b/lib/owner/places_test.go
@@ -0,0 +1,93 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/admit"
+	"anvilwick.example/anvilwick/lib/fleet"
+)
+
+// Twenty engines come back at once, cold and empty, beside two that are full. Hundreds of streams are asked for within two seconds: the
+// cold ones are used from the start, none gets more in any second than it bears, and what is too much waits.
+func TestReturnedEnginesAreNeitherStarvedNorTrampled(t *testing.T) {
+	const cold, rate = 20, 2.0
+	f := fleet.New("z0")
+	f.SetSpecs(map[string]fleet.Spec{"s": {KVTokens: kv, ColdFor: 5 * time.Second, ColdRate: rate}})
+	list := engines(cold+2, 1)
+	for i := range list[:cold] {
+		list[i].ColdFor = 5 * time.Second
+	}
+	f.Apply(t0, list, nil, 0)
+	f.Tell(t0, "peer", nil, map[string][]fleet.Size{list[cold].ID: {{Now: kv}}, list[cold+1].ID: {{Now: kv}}})
+	l := NewLayout(f.Engines(fleet.Ready), nil, instances(3, 1))
+	b, s := NewBook("owner", f, new(admit.Readings)), l.Home("s", "z0", "owner")
+
+	given := make(map[string][]time.Time)
+	take := func(now time.Time, a Answer, ok bool) {
+		if ok && a.Action == admit.Go {
+			given[a.Target] = append(given[a.Target], now)
+		}
+	}
+	id := uint64(0)
+	for at := time.Duration(0); at < 2*time.Second; at += 20 * time.Millisecond {
+		now := t0.Add(at)
+		for range 3 {
+			id++
+			q := ask(fmt.Sprint("i", id%70), id, 100)
+			q.Stream.Arrived = now
+			a, ok := b.Place(now, s, q)
+			take(now, a, ok)
+		}
+		for _, a := range b.Step(now) {
+			take(now, a, true)
+		}
+	}
+	must.MapLen(t, cold, given)
+	for engine, times := range given {
+		must.GreaterEq(t, 3, len(times), must.Sprint(engine))
+		for i, from := range times {
+			n := 0
+			for _, at := range times[i:] {
+				if at.Sub(from) < time.Second {
+					n++
+				}
+			}
+			must.LessEq(t, int(1.5*rate), n, must.Sprint(engine))
+		}
+	}
+}
+
+// A stream is bound to a region where engines are full, beside idle ones elsewhere. It waits for its own; a copy of it stays there,
+// too.
+func TestStreamsWaitInTheirRegion(t *testing.T) {
+	f := fleet.New("z0")
+	f.SetSpecs(map[string]fleet.Spec{"s": {KVTokens: kv}})
+	f.SetRegions(map[string]string{"z0": "north", "z1": "south"})
+	f.Apply(t0, []fleet.Info{
+		{ID: "n0", Service: "s", Domain: "z0", Slots: 8}, {ID: "n1", Service: "s", Domain: "z0", Slots: 8},
+		{ID: "s0", Service: "s", Domain: "z1", Slots: 8}, {ID: "s1", Service: "s", Domain: "z1", Slots: 8},
+	}, nil, 0)
+	l := NewLayout(f.Engines(fleet.Ready), nil, instances(3, 1))
+	b, s := NewBook("owner", f, new(admit.Readings)), l.Home("s", "z0", "owner")
+	bound := func(id uint64) Ask {
+		a := ask("i", id, 1000)
+		a.Stream.Need.Regions = []string{"south"}
+		a.Backup = 1000
+		return a
+	}
+	a, ok := b.Place(t0, s, bound(1))
+	must.True(t, ok)
+	must.StrHasPrefix(t, "s", a.Target)
+	must.StrHasPrefix(t, "s", a.Backup)
+	f.Tell(t0, "peer", nil, map[string][]fleet.Size{"s0": {{Now: kv}}, "s1": {{Now: kv}}})
+	_, ok = b.Place(t0, s, bound(2))
+	must.False(t, ok)
+	f.Evacuate("z1")
+	a, ok = b.Place(t0, s, bound(3))
+	must.True(t, ok) // in vain: it is not kept waiting
+	must.Eq(t, admit.None, a.Action)
+}
--- a/lib/ownerlink/wire.go
+++ b/lib/ownerlink/wire.go
@@ -25,7 +25,7 @@
 		Id: a.ID, Shard: shard, Hops: uint32(a.Hops), Run: a.Run, Mode: uint32(a.Mode), Service: n.Service, Tokens: tokens(n.Tokens),
 		Unread: tokens(n.Unread), Now: tokens(n.Peak.Now), Left: tokens(n.Peak.Left), AimMs: ms(a.Stream.Aim),
 		AgeMs: ms(now.Sub(a.Stream.Arrived)), KeepsMs: ms(a.Stream.Keeps), Near: n.Near, BackupTokens: tokens(a.Backup), Print: a.Print,
-		Back: a.Stream.Back,
+		Back: a.Stream.Back, Bound: n.Regions != nil, Regions: n.Regions,
 	}
 	for id := range n.Without {
 		out.Without = append(out.Without, id)
@@ -40,6 +40,9 @@
 		Service: a.Service, Tokens: int(a.Tokens), Unread: int(a.Unread), Near: a.Near,
 		Peak: fleet.Size{Now: int(a.Now), Left: int(a.Left)},
 	}
+	if a.Bound {
+		need.Regions = append([]string{}, a.Regions...)
+	}
 	if len(a.Without) > 0 {
 		need.Without = make(map[string]bool, len(a.Without))
 		for _, id := range a.Without {
--- a/lib/replay/stream.go
+++ b/lib/replay/stream.go
@@ -149,7 +149,7 @@
 // send hands a stream to an engine, which its instance counts.
 func (s *site) send(r *stream, id string, l fleet.Load) {
 	f := r.inst.fleet
-	if _, ok := f.AcquireAt(id, fleet.Need{Service: service, Tokens: l.Tokens, Unread: l.Unread}); !ok {
+	if _, ok := f.AcquireAt(s.clock(), id, fleet.Need{Service: service, Tokens: l.Tokens, Unread: l.Unread}); !ok {
 		s.tally.Lost++ // it left a moment ago
 		return
 	}
--- a/lib/routes/routes.go
+++ b/lib/routes/routes.go
@@ -50,6 +50,7 @@
 	Affinity           bool          // requests name the parts of their prompt
 	Resumable          bool          // a stream may go on at another target after its last event
 	Split              []Share
+	Regions            []string // where its requests may run; empty: anywhere
 }
 
 // MayRepeat reports whether a request that may have run can be sent once more.
@@ -73,7 +74,9 @@
 type Service struct {
 	Name       string
 	HealthPath string
-	MaxConns   int // connections a target accepts from all instances together
+	MaxConns   int           // connections a target accepts from all instances together
+	ColdFor    time.Duration // a target is slow for so long after it starts
+	ColdRate   float64       // requests a second that it takes meanwhile, from all instances together; 0: as many as ever
 	Engine     *Engine
 }
 
@@ -81,7 +84,8 @@
 type Workspace struct {
 	Name     string
 	Keys     []string
-	Priority *int // goes before the route's
+	Priority *int     // goes before the route's
+	Regions  []string // where its requests may run; empty: anywhere
 }
 
 // Limits bound what a caller may send. Zero means none.
@@ -107,6 +111,7 @@
 	Keyed    bool
 	hosts    map[string][]*Route // longest prefix first
 	keys     map[string]*Workspace
+	names    map[string]*Workspace
 	services map[string]*Service
 }
 
@@ -114,7 +119,8 @@
 func NewTable(rev *Revision) (*Table, error) {
 	t := &Table{
 		Version: rev.Version, Limits: rev.Limits, Keyed: rev.Keyed,
-		hosts: make(map[string][]*Route), keys: make(map[string]*Workspace), services: make(map[string]*Service),
+		hosts: make(map[string][]*Route), keys: make(map[string]*Workspace),
+		names: make(map[string]*Workspace), services: make(map[string]*Service),
 	}
 	for i := range rev.Services {
 		t.services[rev.Services[i].Name] = &rev.Services[i]
@@ -131,6 +137,7 @@
 	}
 	for i := range rev.Workspaces {
 		w := &rev.Workspaces[i]
+		t.names[w.Name] = w
 		for _, key := range w.Keys {
 			t.keys[key] = w
 		}
@@ -166,6 +173,28 @@
 // Holder returns the workspace that holds a key, nil when none does.
 func (t *Table) Holder(key string) *Workspace { return t.keys[key] }
 
+// Regions returns where a workspace's requests on a route may run. Where both name regions, both bind: the result is not nil then,
+// but may be empty. nil: anywhere.
+func (t *Table) Regions(r *Route, workspace string) []string {
+	w := t.names[workspace]
+	switch {
+	case w == nil || len(w.Regions) == 0:
+		if len(r.Regions) == 0 {
+			return nil
+		}
+		return r.Regions
+	case len(r.Regions) == 0:
+		return w.Regions
+	}
+	both := []string{}
+	for _, region := range r.Regions {
+		if slices.Contains(w.Regions, region) {
+			both = append(both, region)
+		}
+	}
+	return both
+}
+
 // Service returns a service by name, nil when there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
