--- a/lib/fleet/cold.go
+++ b/lib/fleet/cold.go
@@ -7,14 +7,12 @@
 )
 
 // What a target that has just started gets in any second is at most its rate and half as much again, from all instances together:
-// an owner gives out ownerPart of the rate and keeps a burst of burstPart, and instances that decide alone share alonePart in the same
-// way. Where nobody owns targets, those that decide alone share all of it.
+// an owner gives out the rate, with a burst of ownerBurst of it, and instances that decide alone share alonePart of it, with a
+// burst of as much. Where nobody owns targets, those that decide alone share the rate, with a burst of plainBurst of it.
 const (
-	ownerPart = 0.75
-	alonePart = 0.25
-	burstPart = 0.25
-	// plainBurstPart is the burst of instances that decide alone for targets that nobody owns.
-	plainBurstPart = 0.5
+	ownerBurst = 0.2
+	alonePart  = 0.15
+	plainBurst = 0.5
 )
 
 // coldLimits bound what this instance gives to a target that has just started.
@@ -72,13 +70,13 @@
 	}
 	if n.asOwner {
 		if t.cold.owner == nil {
-			t.cold.owner = newLimiter(ownerPart*spec.ColdRate, burstPart*spec.ColdRate)
+			t.cold.owner = newLimiter(spec.ColdRate, ownerBurst*spec.ColdRate)
 		}
 		return t.cold.owner
 	}
-	share, burst := spec.ColdRate, plainBurstPart*spec.ColdRate
+	share, burst := spec.ColdRate, plainBurst*spec.ColdRate
 	if spec.KVTokens > 0 {
-		share, burst = alonePart*spec.ColdRate, burstPart*spec.ColdRate
+		share, burst = alonePart*spec.ColdRate, alonePart*spec.ColdRate
 	}
 	senders := max(1, int(burst)) // each has a burst of one
 	if f.senders != nil && !f.senders(t.ID, senders) {
