Plain targets are judged by what all instances' requests show

Engines have owners that add outcomes up; nobody did so for plain targets. Ruled out: learning faster alone (each instance's first failures are 70 already); outcomes to all (instances squared).

Change: each instance tells its counts at plain targets to the two that rank to judge a service, every 0.3 s and only what is new. From three failures and a share of 0.3, twice that of the service's other targets, on, all are told whom to avoid; for 3 s, twice as long each time that it fails again when it is tried.

--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -179,7 +179,7 @@
 
 func (f *Fleet) score(now time.Time, t *Target, n Need) float64 {
 	load := f.carried(t)
-	s := failCost*max(0, t.fails-failFree) + jitter*f.random()
+	s := failCost*max(0, t.failing(now)-failFree) + jitter*f.random()
 	if kv := f.specs[t.Service].KVTokens; kv > 0 {
 		s += (float64(load.Tokens+n.Tokens) + unreadWeight*float64(load.Unread)) / float64(kv)
 		s += runWeight * float64(load.Runs)
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -56,6 +56,7 @@
 	unreadable bool      // its entry names no target; until it has written another
 	coldUntil  time.Time // it is slow after its start until then
 	cold       *coldLimits
+	suspect    suspicion
 }
 
 // Load is what a target carries.
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -91,6 +91,8 @@
 	Changed()
 	// Outcome tells how a run ended at an engine.
 	Outcome(engine string, o fleet.Outcome)
+	// PlainOutcome tells how a request ended at a target of a plain service.
+	PlainOutcome(service, target string, o fleet.Outcome)
 	// Reading tells how long a first event took.
 	Reading(r owner.Reading)
 }
--- a/lib/gateway/plain.go
+++ b/lib/gateway/plain.go
@@ -48,7 +48,11 @@
 		x := g.send(ctx, c, target, c.route.MayRepeat() && c.sends+1 < c.route.MaxAttempts)
 		g.ended(run, target, x.verdict == verdictGood, x.sent && x.err != nil && ctx.Err() == nil)
 		c.tried[target.ID] = true
-		g.Fleet.Release(time.Now(), target.ID, fleet.Load{}, x.outcome(ctx))
+		outcome := x.outcome(ctx)
+		g.Fleet.Release(time.Now(), target.ID, fleet.Load{}, outcome)
+		if g.Owners != nil {
+			g.Owners.PlainOutcome(c.service, target.ID, outcome)
+		}
 		g.Log.Sent(c.entry(), target.ID, believed, x.statusCode(), x.verdict.String(), x.err)
 		c.count(metricSent, "outcome", x.verdict.String())
 		if !x.sent {
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -126,6 +126,9 @@
 		Moves:  p.gate.MoveLink,
 		Left:   func(id string, born int64) { p.changed(p.fleet.Leave(time.Now(), id, born)) },
 		Blames: p.gate.TakeBlames,
+		Suspected: func(target string, permille uint32) {
+			log.Warn().Str("event", "target_suspected").Str("target", target).Uint32("failing_permille", permille).Msg("")
+		},
 		Bad: func(cause string, err error) {
 			logline.Cause(log.Warn().Str("event", "bad_datagram").Str("cause", cause), err)
 		},
--- a/lib/ownerlink/handle.go
+++ b/lib/ownerlink/handle.go
@@ -40,6 +40,10 @@
 		l.handleHeardAsk(d, body.HeardAsk)
 	case *ownerpb.Datagram_Heard:
 		l.handleOther(d, body.Heard.Id)
+	case *ownerpb.Datagram_Counts:
+		l.handleCounts(d, body.Counts)
+	case *ownerpb.Datagram_Suspects:
+		l.handleSuspects(body.Suspects)
 	default:
 		l.tellBad("unknown", errNoBody)
 	}
--- a/lib/ownerlink/link.go
+++ b/lib/ownerlink/link.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -75,6 +77,8 @@
 	Left func(id string, born int64)
 	// Blames is told what peers say of contents that killed targets.
 	Blames func([]*ownerpb.Blame)
+	// Suspected is told when this instance begins to avoid a target by what all instances saw there; permille of its requests fail.
+	Suspected func(target string, permille uint32)
 	// Bad is told once of each kind of datagram that could not be used.
 	Bad func(cause string, err error)
 }
@@ -99,6 +103,8 @@
 	plans    map[string]*plan // under way, by shard
 	outcomes map[string]*outcomes
 	readings []owner.Reading
+	named    map[string]string // addresses of all instances, this one too, by name
+	plain    plainOutcomes
 }
 
 // New listens on Config.Self.Addr.
@@ -118,7 +124,7 @@
 		Config: cfg, conn: conn, wake: make(chan struct{}, 1), waits: make(chan struct{}, 1),
 		calls: make(map[uint64]chan *ownerpb.Datagram), addrs: make(map[string]netip.AddrPort),
 		seen: make(map[string]uint64), bad: make(map[string]bool), plans: make(map[string]*plan),
-		outcomes: make(map[string]*outcomes),
+		outcomes: make(map[string]*outcomes), plain: newPlainOutcomes(),
 	}
 	l.layout.Store(owner.NewLayout(nil, nil, nil))
 	return l, nil
@@ -134,6 +140,7 @@
 func (l *Link) SetPeers(instances []owner.Instance) error {
 	addrs := make(map[string]netip.AddrPort, len(instances))
 	peers := make([]netip.AddrPort, 0, len(instances))
+	named := make(map[string]string, len(instances))
 	var bad error
 	for _, in := range instances {
 		at, err := netip.ParseAddrPort(in.Addr)
@@ -142,12 +149,13 @@
 			continue
 		}
 		addrs[in.Addr] = at
+		named[in.Name] = in.Addr
 		if in.Name != l.Self.Name {
 			peers = append(peers, at)
 		}
 	}
 	l.mu.Lock()
-	l.addrs, l.peers = addrs, peers
+	l.addrs, l.peers, l.named = addrs, peers, named
 	l.mu.Unlock()
 	return bad
 }
@@ -167,7 +175,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = l.conn.Close() })
 	defer stop()
 	var work sync.WaitGroup
-	for _, f := range []func(context.Context){l.receive, l.report, l.beat, l.step} {
+	for _, f := range []func(context.Context){l.receive, l.report, l.beat, l.step, l.judge} {
 		work.Go(func() { f(ctx) })
 	}
 	work.Wait()
@@ -245,6 +253,34 @@
 	return at, true
 }
 
+// names lists the instances.
+func (l *Link) names() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.named))
+}
+
+func (l *Link) addrOf(instance string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.named[instance]
+}
+
+// sendAll sends a datagram to all other instances.
+func (l *Link) sendAll(d *ownerpb.Datagram) {
+	b, err := proto.Marshal(d)
+	if err != nil {
+		l.tellBad("unencodable", err)
+		return
+	}
+	l.mu.Lock()
+	peers := l.peers
+	l.mu.Unlock()
+	for _, at := range peers {
+		l.sendBytes(at, b)
+	}
+}
+
 // own is a datagram of this instance, without a body.
 func (l *Link) own() *ownerpb.Datagram {
 	return &ownerpb.Datagram{Instance: l.Self.Name, Incarnation: l.Incarnation, Addr: l.Self.Addr}
--- a/lib/ownerlink/report.go
+++ b/lib/ownerlink/report.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/owner"
 	"anvilwick.example/anvilwick/lib/ownerpb"
@@ -187,15 +185,5 @@
 func (l *Link) TellBlames(blames []*ownerpb.Blame) {
 	d := l.own()
 	d.Body = &ownerpb.Datagram_Blames{Blames: &ownerpb.Blames{Blames: blames}}
-	b, err := proto.Marshal(d)
-	if err != nil {
-		l.tellBad("unencodable", err)
-		return
-	}
-	l.mu.Lock()
-	peers := l.peers
-	l.mu.Unlock()
-	for _, at := range peers {
-		l.sendBytes(at, b)
-	}
+	l.sendAll(d)
 }
--- /dev/null
+++ b/lib/ownerlink/suspects.go
@@ -0,0 +1,150 @@
+package ownerlink
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/ownerpb"
+	"anvilwick.example/anvilwick/lib/suspect"
+)
+
+// judgeEvery is the period at which outcomes at plain targets are told, and verdicts while there are any.
+const judgeEvery = 300 * time.Millisecond
+
+var suspectsTold = metrics.NewCounter(`anvilwick_owner_suspects_told_total`)
+
+// plainOutcomes counts how this instance's requests ended at plain targets, and judges those of the services that it ranks for.
+type plainOutcomes struct {
+	mu    sync.Mutex
+	of    map[string]map[string]*suspect.Count // by service, target
+	fresh map[string]bool                      // services with outcomes that are not told yet
+	judge *suspect.Judge
+}
+
+func newPlainOutcomes() plainOutcomes {
+	return plainOutcomes{of: make(map[string]map[string]*suspect.Count), fresh: make(map[string]bool), judge: suspect.NewJudge()}
+}
+
+func (p *plainOutcomes) saw(service, target string, o fleet.Outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.of[service] == nil {
+		p.of[service] = make(map[string]*suspect.Count)
+	}
+	c := p.of[service][target]
+	if c == nil {
+		c = &suspect.Count{Target: target}
+		p.of[service][target] = c
+	}
+	switch o {
+	case fleet.Served:
+		c.Served++
+	case fleet.Failed, fleet.Unreachable:
+		c.Failed++
+	default:
+		return
+	}
+	p.fresh[service] = true
+}
+
+// take returns the counts that are to be told, and forgets targets that are gone.
+func (p *plainOutcomes) take(gone func(target string) bool) map[string][]suspect.Count {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string][]suspect.Count)
+	for service := range p.fresh {
+		for target, c := range p.of[service] {
+			if gone(target) {
+				delete(p.of[service], target)
+				continue
+			}
+			out[service] = append(out[service], *c)
+		}
+	}
+	clear(p.fresh)
+	return out
+}
+
+// PlainOutcome counts how a request of this instance ended at a target that nobody owns.
+func (l *Link) PlainOutcome(service, target string, o fleet.Outcome) { l.plain.saw(service, target, o) }
+
+// judge tells outcomes to those that judge, and verdicts to all.
+func (l *Link) judge(ctx context.Context) {
+	t := time.NewTicker(judgeEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		for service, counts := range l.plain.take(l.Fleet.IsLeaving) {
+			l.tellCounts(service, counts)
+		}
+		l.tellSuspects(time.Now())
+	}
+}
+
+func (l *Link) tellCounts(service string, counts []suspect.Count) {
+	slices.SortFunc(counts, func(a, b suspect.Count) int { return int(b.Failed) - int(a.Failed) })
+	counts = counts[:min(countsMax, len(counts))]
+	d := l.own()
+	body := &ownerpb.Counts{Service: service}
+	for _, c := range counts {
+		body.Counts = append(body.Counts, &ownerpb.Outcomes{Target: c.Target, Served: c.Served, Failed: c.Failed})
+	}
+	d.Body = &ownerpb.Datagram_Counts{Counts: body}
+	for _, name := range suspect.Ranked(service, l.names()) {
+		if name == l.Self.Name {
+			l.handleCounts(d, body)
+			continue
+		}
+		l.send(l.addrOf(name), d)
+	}
+}
+
+// countsMax bounds the targets that one datagram names: those that have failed most.
+const countsMax = 128
+
+func (l *Link) handleCounts(d *ownerpb.Datagram, body *ownerpb.Counts) {
+	counts := make([]suspect.Count, 0, len(body.Counts))
+	for _, c := range body.Counts {
+		counts = append(counts, suspect.Count{Target: c.Target, Served: c.Served, Failed: c.Failed})
+	}
+	l.plain.mu.Lock()
+	defer l.plain.mu.Unlock()
+	l.plain.judge.Take(time.Now(), body.Service, d.Instance, d.Incarnation, counts)
+}
+
+// tellSuspects tells all instances of targets that fail. They are few, and seldom.
+func (l *Link) tellSuspects(now time.Time) {
+	l.plain.mu.Lock()
+	verdicts := l.plain.judge.Verdicts(now)
+	l.plain.mu.Unlock()
+	if len(verdicts) == 0 {
+		return
+	}
+	suspectsTold.Inc()
+	body := new(ownerpb.Suspects)
+	for _, v := range verdicts[:min(countsMax, len(verdicts))] {
+		body.Suspects = append(body.Suspects, &ownerpb.Suspect{Target: v.Target, Permille: uint32(permille * v.Share)})
+	}
+	l.handleSuspects(body)
+	d := l.own()
+	d.Body = &ownerpb.Datagram_Suspects{Suspects: body}
+	l.sendAll(d)
+}
+
+func (l *Link) handleSuspects(body *ownerpb.Suspects) {
+	now := time.Now()
+	for _, s := range body.Suspects {
+		if l.Fleet.Suspect(s.Target, float64(min(s.Permille, permille))/permille, now.Add(suspect.Life)) && l.Suspected != nil {
+			l.Suspected(s.Target, s.Permille)
+		}
+	}
+}
