--- a/lib/gateway/move.go
+++ b/lib/gateway/move.go
@@ -238,6 +238,11 @@
 
 // lastPart stops the run at its source and hands it over with what the copy lacks.
 func (g *Gateway) lastPart(r *run, from, to fleet.Info, size fleet.Load) error {
+	if g.Fleet.Evacuated(to.Domain) {
+		// Nothing may be sent there any more: a run that is stopped for it would be lost where its source may get nothing either.
+		g.dropCopy(r, from)
+		return ErrNoRoom
+	}
 	ch := r.stopFor(from.ID)
 	if ch == nil {
 		g.dropCopy(r, from)
