--- a/lib/admit/admit.go
+++ b/lib/admit/admit.go
@@ -19,12 +19,10 @@
 const (
 	// Poll is the pause between two steps of a stream that waits: about the age of peers' news.
 	Poll = 20 * time.Millisecond
-	// waitShare is the part of a stream's aim that it waits for an engine with room. With 0.3 a third more were told to come
-	// back, and 0.877 in place of 0.888 began in time (replay of engines that leave in groups, 12 seeds).
+	// waitShare is the part of a stream's aim that it waits for an engine with room.
 	waitShare = 0.6
-	// backShare is how many aims a stream waits that has come back. With 2 half as many again were refused a second time
-	// (0.0067 and 0.0051 in place of 0.0037 and 0.0041 of all; replay of engines that leave in groups, 8 and 24 instances,
-	// 16 seeds). Callers give up after 4.
+	// backShare is how many aims a stream waits that has come back: refused once more its caller has nothing. Callers give up
+	// after 4.
 	backShare = 3
 	// readShare is the part of a stream's aim within which the prompts that wait on an engine must be read, with its own.
 	// Engines that started empty were sent six or seven prompts at once, read one after another, and nine in ten of the
@@ -50,10 +48,9 @@
 // Due is until when the stream waits for room.
 //
 // Load pattern: memory is short for seconds, and streams that were told to come back do so while it still is. One that has come
-// back is past its aim, and refused a second time its caller has nothing. Placed before all others it was late all the same
-// and made those late, too; 0.803 of streams began in time, and 0.854 do since it waits for longer, behind those that can still
-// be in time (replay of hurried callers, 24 instances, 16 seeds; refused twice 0.008 and 0.007 of all). It waits for no more
-// than half of the time that its caller has left, of which Keeps is a third.
+// back is past its aim, and refused a second time its caller has nothing. Placed before all others it would be late all the same
+// and make those late, too. So it waits for longer, behind those that can still be in time, and for no more than half of the time
+// that its caller has left, of which Keeps is a third.
 func (s *Stream) Due() time.Time {
 	if s.Back {
 		return s.Arrived.Add(min(time.Duration(backShare*float64(s.Aim)), 3*s.Keeps/2))
@@ -90,9 +87,8 @@
 
 // Step decides what a stream does at now.
 //
-// Streams that wait at an instance that decides alone stand in no order: an order in which the others stand by while the first
-// finds no room was worse by 0.01 of the worth on days with trouble (15 paired plays, 24 instances). An owner has one in which
-// they don't (lib/owner).
+// Streams that wait at an instance that decides alone stand in no order: the first may find no room for long while the others would.
+// An owner has an order in which they don't stand by meanwhile (lib/owner).
 func (p *Placer) Step(now time.Time, s Stream) Decision {
 	need := s.Need
 	need.Must = true
--- a/lib/fleet/peak.go
+++ b/lib/fleet/peak.go
@@ -29,9 +29,7 @@
 }
 
 // fillShare is the part of an engine's memory that streams are sent to fill. News is some milliseconds old and guesses of
-// length are often short; an engine that runs out preempts a run, whose prompt is read again. With 1 in place of 0.97
-// twice as many runs were preempted, and the worth of days with trouble was lower by 0.016 (15 paired plays, 24 instances,
-// 21 engines).
+// length are often short; an engine that runs out preempts a run, whose prompt is read again.
 const fillShare = 0.97
 
 // sizesOn lists the sizes of all runs on an engine, as far as this instance knows.
--- a/lib/gateway/call.go
+++ b/lib/gateway/call.go
@@ -188,10 +188,8 @@
 	return out
 }
 
-// urgency is the rank of every run in its engine's queue. An engine stops running runs for a more urgent one, whose
-// prompts are then read again and whose callers see a pause, so ranks by priority lose more than they bring: on the
-// crowded days of two users the mean worth was 0.450 and 0.578 with them, 0.465 and 0.593 with one rank, and short
-// questions were answered no later.
+// urgency is the rank of every run in its engine's queue. An engine stops running runs for a more urgent one: their prompts are read
+// again and their callers see a pause, which costs more than the urgent one gains.
 const urgency = 3
 
 func hostname(host string) string {
--- a/lib/owner/desk.go
+++ b/lib/owner/desk.go
@@ -18,9 +18,8 @@
 
 // Desk is what an instance does with the asks that reach it. It is safe for concurrent use.
 //
-// Load pattern: engines leave in groups, and a shard has no room for seconds while another has. Streams that waited in their
-// shard until they were told to come back did so beside free engines: with 48 engines in three shards in place of one the worth
-// of crowded days was lower by 0.081 (0.008; 4 paired plays, 67 instances). So what waits is passed on to room elsewhere.
+// Load pattern: engines leave in groups, and a shard has no room for seconds while another has. Streams that waited in their shard
+// until they were told to come back would do so beside free engines. So what waits is passed on to room elsewhere.
 type Desk struct {
 	*Book
 	*Peers
--- a/lib/owner/layout.go
+++ b/lib/owner/layout.go
@@ -11,11 +11,9 @@
 )
 
 const (
-	// poolInstances and poolEngines are how many instances and engines one owner decides for. What it is told and asked grows
-	// with the streams, some six datagrams of 100 bytes each, and an instance has about one a second. The first is the
-	// narrower on most sites and changes seldom, since instances that are gone stay listed: a bound on engines that come and
-	// go by a third would change all owners each time that it is crossed, and with them what is known (worth 0.518 in place
-	// of 0.570 of crowded days, 6 paired plays, 48 engines about a bound of 32).
+	// poolInstances and poolEngines are how many instances and engines one owner decides for: what it is told and asked grows
+	// with the streams. The first is the narrower on most sites, since instances that are gone stay listed: a bound on engines
+	// that come and go by a third would change all owners each time that it is crossed, and with them what is known.
 	poolInstances = 160
 	poolEngines   = 256
 	// shardLimit is the most engines of a shard of a larger site.
--- a/lib/owner/wait.go
+++ b/lib/owner/wait.go
@@ -32,9 +32,7 @@
 // Step decides what it can of the asks that wait, in the order in which they stop waiting, and returns the answers.
 //
 // For the first of each shard that still wait the roomiest engines are kept. Without that, small streams take what frees up
-// as it frees up, and a large prompt, which needs the room of two at one engine, is turned away: of the largest tenth
-// 0.747 began in time in place of 0.794, where of all 0.888 did in place of 0.884 (replay of engines that leave in groups,
-// 12 seeds).
+// as it frees up, and a large prompt, which needs the room of two at one engine, is turned away.
 func (b *Book) Step(now time.Time) []Answer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -95,9 +93,7 @@
 	return done || slices.ContainsFunc(b.asks, func(w *waiting) bool { return w.Key == k })
 }
 
-// keepPer is how many engines of a shard there are for each that is kept. With a single one in a shard of some 45 engines 0.698
-// of the largest tenth began in time, with two 0.735, and of all 0.896 with both; with one in six engines 0.007 of all fewer
-// did (replay of engines that leave in groups, 72 instances, 8 and 4 seeds).
+// keepPer is how many engines of a shard there are for each that is kept: more serve large prompts sooner and others later.
 const keepPer = 16
 
 // keep keeps the roomiest engine that is left for a stream that waits, if its shard may have one more kept.
