--- a/lib/owner/book_test.go
+++ b/lib/owner/book_test.go
@@ -58,6 +58,23 @@
 	must.Greater(t, 0.8, f.Fill(s.Engines, 0))
 }
 
+// An answer is lost, and the housekeeping runs before the ask comes again: it is sent every 0.05 s, and after 0.2 s while it waits. A
+// second grant would count the run twice until its instance tells of it, and turn away as much as it takes.
+func TestAskThatComesAgainLaterIsAnsweredAsBefore(t *testing.T) {
+	b, f, s := testBook(1)
+	first, ok := b.Place(t0, s, ask("i", 1, 6000))
+	must.True(t, ok)
+	for _, later := range []time.Duration{50 * time.Millisecond, 200 * time.Millisecond, time.Second} {
+		now := t0.Add(later)
+		b.Tick(now)
+		again, ok := b.Place(now, s, ask("i", 1, 6000))
+		must.True(t, ok, must.Sprint(later))
+		must.Eq(t, first.Serial, again.Serial, must.Sprint(later))
+		must.Eq(t, first.Target, again.Target, must.Sprint(later))
+	}
+	must.LessEq(t, 0.61*2+0.61, f.Fill(s.Engines, 0)) // one run: its memory and its prompt to read
+}
+
 // An answer is lost and the ask comes again. It is answered as before: a second grant would count the run twice.
 func TestAskThatComesAgainIsAnsweredAsBefore(t *testing.T) {
 	b, f, s := testBook(4)
