--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -6,7 +6,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 )
@@ -105,117 +104,6 @@
 // Domain is the failure domain of the instance.
 func (f *Fleet) Domain() string { return f.domain }
 
-// Change is what an update of the list did.
-type Change struct {
-	Added, Leaving, Gone []Info
-	Restarted            []Info // a new life under an id that was known: what ran on the one before is broken
-}
-
-// Apply takes in entries of the list and the ids whose entries were removed. silent is how long the list could not be
-// read before. It returns what changed.
-func (f *Fleet) Apply(now time.Time, entries []Info, removed []string, silent time.Duration) Change {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.born.IsZero() {
-		f.born = now
-	}
-	var ch Change
-	for _, e := range entries {
-		f.upsert(now, e, &ch)
-	}
-	for _, id := range removed {
-		f.remove(now, id, silent, &ch)
-	}
-	return ch
-}
-
-func (f *Fleet) upsert(now time.Time, e Info, ch *Change) {
-	t := f.targets[e.ID]
-	switch {
-	case t == nil:
-		t = &Target{state: Ready}
-		f.targets[e.ID] = t
-		at, _ := slices.BinarySearch(f.order, e.ID)
-		f.order = slices.Insert(f.order, at, e.ID)
-		ch.Added = append(ch.Added, e)
-	case e.Born != 0 && e.Born < t.Born:
-		return // a stale entry of an earlier life
-	case t.Born != 0 && e.Born > t.Born:
-		t.restart()
-		ch.Restarted = append(ch.Restarted, e)
-	}
-	t.Info = e
-	f.startCold(now, t, e.ColdFor)
-	t.missing = time.Time{}
-	t.unreadable = false
-	if e.Leaving {
-		f.leave(now, t, ch)
-	}
-}
-
-// restart forgets what was learnt of the life before. What this instance had sent there is released as it breaks.
-func (t *Target) restart() {
-	*t = Target{state: Ready, own: t.own}
-}
-
-// leave is final for one life of a target: a stale entry that says ready doesn't bring it back.
-func (f *Fleet) leave(now time.Time, t *Target, ch *Change) {
-	if t.state == Leaving {
-		return
-	}
-	t.state = Leaving
-	t.leavingAt = now
-	ch.Leaving = append(ch.Leaving, t.Info)
-}
-
-func (f *Fleet) remove(now time.Time, id string, silent time.Duration, ch *Change) {
-	t := f.targets[id]
-	if t == nil {
-		return
-	}
-	if silent > 0 && t.state == Ready {
-		if t.missing.IsZero() {
-			t.missing = now
-		}
-		return
-	}
-	f.leave(now, t, ch)
-}
-
-// goneAfter is how long a target that left is remembered, for runs that still end there.
-const goneAfter = 30 * time.Second
-
-// Tick ends the grace of entries that have not come back and forgets targets that left long ago.
-func (f *Fleet) Tick(now time.Time) Change {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var ch Change
-	for id, t := range f.targets {
-		if !t.missing.IsZero() && now.Sub(t.missing) > OutageGrace {
-			t.missing = time.Time{}
-			f.leave(now, t, &ch)
-		}
-		if t.state == Leaving && now.Sub(t.leavingAt) > goneAfter && t.own.Runs == 0 {
-			f.forget(id)
-			ch.Gone = append(ch.Gone, t.Info)
-		}
-	}
-	for name, p := range f.peers {
-		if now.Sub(p.at) > peerLife {
-			p.forgetTold(f.targets)
-			delete(f.peers, name)
-		}
-	}
-	return ch
-}
-
-func (f *Fleet) forget(id string) {
-	delete(f.targets, id)
-	if at, ok := slices.BinarySearch(f.order, id); ok {
-		f.order = slices.Delete(f.order, at, at+1)
-	}
-}
-
 // SetRandom replaces the source of chance, between 0 and 1, so that a choice can be repeated.
 func (f *Fleet) SetRandom(random func() float64) {
 	f.mu.Lock()
@@ -223,61 +111,6 @@
 	f.random = random
 }
 
-// Leave marks a life of a target that was seen to leave, although the list has not told. News of an earlier life than
-// the one known is late and says nothing of it; news of a later one says that the one known has ended, too.
-func (f *Fleet) Leave(now time.Time, id string, born int64) Change {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var ch Change
-	if t := f.targets[id]; t != nil && (born == 0 || born >= t.Born) {
-		f.leave(now, t, &ch)
-	}
-	return ch
-}
-
-// Restart takes in that a target answers as another life than the one listed. The list tells the rest of it later.
-func (f *Fleet) Restart(now time.Time, id string, born int64) Change {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var ch Change
-	if t := f.targets[id]; t != nil && t.Born != 0 && born > t.Born {
-		e := t.Info
-		e.Born, e.Leaving, e.ColdFor = born, false, f.specs[t.Service].ColdFor
-		f.upsert(now, e, &ch)
-	}
-	return ch
-}
-
-// Unreadable notes that the entries of targets name none. They get nothing new until they have written others.
-func (f *Fleet) Unreadable(ids []string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, id := range ids {
-		if t := f.targets[id]; t != nil {
-			t.unreadable = true
-		}
-	}
-}
-
-// Left is a life of a target that has left.
-type Left struct {
-	ID   string
-	Born int64 // as in Info
-}
-
-// LeftSince lists the targets that have left since a time.
-func (f *Fleet) LeftSince(at time.Time) []Left {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []Left
-	for id, t := range f.targets {
-		if t.state == Leaving && t.leavingAt.After(at) {
-			out = append(out, Left{ID: id, Born: t.Born})
-		}
-	}
-	return out
-}
-
 // Engines lists the targets with engine memory that are in a state.
 func (f *Fleet) Engines(in State) []Info {
 	f.mu.Lock()
@@ -302,17 +135,6 @@
 	return t.Info, true
 }
 
-// settleTime is how long a list that was just read for the first time may lack targets that live: entries that lapsed
-// while the store was away come back within OutageGrace, by the targets' own writing.
-const settleTime = OutageGrace + 500*time.Millisecond
-
-// Settling reports whether targets that live may still be missing from the list.
-func (f *Fleet) Settling(now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.born.IsZero() || now.Sub(f.born) < settleTime
-}
-
 // SetShare sets this instance's part of the connections that targets accept.
 func (f *Fleet) SetShare(share float64) {
 	f.mu.Lock()
--- /dev/null
+++ b/lib/fleet/rooms.go
@@ -0,0 +1,117 @@
+package fleet
+
+import "time"
+
+// Spare chooses the engine with the most free memory for a copy of a run, which the caller of Spare counts there. It gives
+// none where less than the share free of an engine's memory would be left: copies must not push out runs. Engines that have just
+// started get none: a run that goes on from its copy can't wait for its turn there.
+func (f *Fleet) Spare(now time.Time, n Need, without string, free float64) (Info, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	among := n.Among
+	if among == nil {
+		among = f.order
+	}
+	kv := f.specs[n.Service].KVTokens
+	var best *Target
+	most := int(free * float64(kv))
+	for _, id := range among {
+		t := f.targets[id]
+		if t == nil || t.Service != n.Service || !f.takes(t) || id == without || !f.within(t, n.Regions) || f.isCold(now, t) {
+			continue
+		}
+		if left := kv - f.carried(t).Tokens - n.Tokens; left > most {
+			best, most = t, left
+		}
+	}
+	if best == nil {
+		return Info{}, false
+	}
+	return best.Info, true
+}
+
+// Fill is the part of the memory of some engines that is spoken for, with prompts to read weighed as in a choice, and with
+// tokens that wait for room there. It is 1 and more where none takes requests.
+func (f *Fleet) Fill(among []string, waiting int) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	used, room := float64(waiting), 0.0
+	for _, id := range among {
+		t := f.targets[id]
+		if t == nil || !f.takes(t) {
+			continue
+		}
+		load := f.carried(t)
+		used += float64(load.Tokens) + unreadWeight*float64(load.Unread)
+		room += float64(f.specs[t.Service].KVTokens)
+	}
+	if room == 0 {
+		return 1
+	}
+	return used / room
+}
+
+// Room is a target of a service that takes requests, and the engine memory in tokens that nobody is known to use.
+type Room struct {
+	Info
+	Free int
+}
+
+// Room is the largest memory, in tokens, that a run may take on one of some engines beside the runs there.
+func (f *Fleet) Room(among []string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	most := 0
+	for _, id := range among {
+		t := f.targets[id]
+		if t == nil || !f.takes(t) {
+			continue
+		}
+		kv := fillShare * float64(f.specs[t.Service].KVTokens)
+		most = max(most, int(kv)-Peak(f.sizesOn(t)))
+	}
+	return most
+}
+
+// Roomiest is the engine, of some without others, that has the most room for a run beside those there; empty: none takes
+// requests.
+func (f *Fleet) Roomiest(among []string, without map[string]bool) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	best, most := "", 0
+	for _, id := range among {
+		t := f.targets[id]
+		if without[id] || t == nil || !f.takes(t) {
+			continue
+		}
+		if room := f.specs[t.Service].KVTokens - Peak(f.sizesOn(t)); best == "" || room > most {
+			best, most = id, room
+		}
+	}
+	return best
+}
+
+// Rooms lists the engines of a service that runs can move to, among those named or, with nil, among all. Engines that have just
+// started are left out: they take few requests, and a run that was stopped can't wait for its turn.
+func (f *Fleet) Rooms(now time.Time, service string, among []string) []Room {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if among == nil {
+		among = f.order
+	}
+	var out []Room
+	for _, id := range among {
+		t := f.targets[id]
+		if t != nil && t.Service == service && f.takes(t) && !f.isCold(now, t) {
+			out = append(out, Room{Info: t.Info, Free: f.specs[service].KVTokens - f.carried(t).Tokens})
+		}
+	}
+	return out
+}
+
+// Memory is the memory, in tokens, of a service's engines; 0 for a plain service.
+func (f *Fleet) Memory(service string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.specs[service].KVTokens
+}
