Large streams that wait are looked at sooner

Cause: those that wait for an engine were looked at in the order in which they stop waiting. Change: half of an aim's head start for a stream that takes an engine's whole memory, in proportion to its part of it.

--- a/lib/owner/book.go
+++ b/lib/owner/book.go
@@ -79,7 +79,7 @@
 
 	mu      sync.Mutex
 	holders map[string]map[string]*holder // by shard, instance
-	asks    []*waiting                    // in the order in which they stop waiting
+	asks    []*waiting                    // in the order in which they are looked at
 	kept    map[string]map[string]bool    // by shard: the engines kept for the first that wait
 	done    map[Key]answered
 	turned  map[uint64]time.Time // when streams may come back that were told to, by print
--- a/lib/owner/wait.go
+++ b/lib/owner/wait.go
@@ -3,20 +3,41 @@
 import (
 	"slices"
 	"time"
+
+	"anvilwick.example/anvilwick/lib/admit"
 )
 
 type waiting struct {
 	Ask
 	shard *Shard
 	heard time.Time
+	turn  time.Time // the order in which those that wait are looked at
+}
+
+// largeShare is how many of its aims a stream that takes all of an engine's memory goes before a small one that stops waiting at the
+// same time.
+const largeShare = 0.5
+
+// turnOf is a stream's place in the order: when it stops waiting, large ones sooner. A stream that can still begin in time goes before
+// one that has come back, until that would be refused again.
+//
+// Load pattern: memory is short, and small streams fit into what frees up at once while a large one needs what two runs leave.
+// Looked at in the order of their ends alone, it finds its room taken at each look until its wait is over.
+func (b *Book) turnOf(s *admit.Stream) time.Time {
+	due := s.Due()
+	memory := b.fleet.Memory(s.Need.Service)
+	if memory <= 0 {
+		return due
+	}
+	part := min(1, float64(s.Need.Peak.Now)/float64(memory))
+	return due.Add(-time.Duration(largeShare * part * float64(s.Aim)))
 }
 
-// wait puts an ask among those that wait, in the order in which they stop waiting: a stream that can still begin in time
-// goes before one that has come back, until that would be refused again.
+// wait puts an ask among those that wait, in their order.
 func (b *Book) wait(w *waiting) {
-	due := w.Stream.Due()
-	at, _ := slices.BinarySearchFunc(b.asks, due, func(x *waiting, due time.Time) int { return x.Stream.Due().Compare(due) })
-	for at < len(b.asks) && b.asks[at].Stream.Due().Equal(due) {
+	w.turn = b.turnOf(&w.Stream)
+	at, _ := slices.BinarySearchFunc(b.asks, w.turn, func(x *waiting, turn time.Time) int { return x.turn.Compare(turn) })
+	for at < len(b.asks) && b.asks[at].turn.Equal(w.turn) {
 		at++
 	}
 	b.asks = slices.Insert(b.asks, at, w)
@@ -29,7 +50,7 @@
 	return len(b.asks) > 0
 }
 
-// Step decides what it can of the asks that wait, in the order in which they stop waiting, and returns the answers.
+// Step decides what it can of the asks that wait, in their order, and returns the answers.
 //
 // For the first of each shard that still wait the roomiest engines are kept. Without that, small streams take what frees up
 // as it frees up, and a large prompt, which needs the room of two at one engine, is turned away.
