Reports of plain outcomes are bounded for whoever judges, and go to instances that can carry them

At 300 instances each judge would get 1,000 reports a second, of some 90 bytes, and tell all of a suspect three times a second. Reports are now 200 a second for a service at most: each instance tells every 0.3 s up to 60 instances, every 1.5 s at 300, 2.2 s at 430; a verdict is told when it is new and once a second while it holds. Those with half of the largest capacity or more judge, as they own and read. By arithmetic at 430 nodes: 18 KB/s at each of two judges of a service.

--- a/lib/ownerlink/link.go
+++ b/lib/ownerlink/link.go
@@ -4,10 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -104,6 +102,7 @@
 	outcomes map[string]*outcomes
 	readings []owner.Reading
 	named    map[string]string // addresses of all instances, this one too, by name
+	strong   []string          // those with half of the largest capacity or more
 	plain    plainOutcomes
 }
 
@@ -141,6 +140,11 @@
 	addrs := make(map[string]netip.AddrPort, len(instances))
 	peers := make([]netip.AddrPort, 0, len(instances))
 	named := make(map[string]string, len(instances))
+	var strong []string
+	most := uint32(0)
+	for _, in := range instances {
+		most = max(most, in.Capacity)
+	}
 	var bad error
 	for _, in := range instances {
 		at, err := netip.ParseAddrPort(in.Addr)
@@ -150,12 +154,15 @@
 		}
 		addrs[in.Addr] = at
 		named[in.Name] = in.Addr
+		if in.Capacity >= most/2 {
+			strong = append(strong, in.Name)
+		}
 		if in.Name != l.Self.Name {
 			peers = append(peers, at)
 		}
 	}
 	l.mu.Lock()
-	l.addrs, l.peers, l.named = addrs, peers, named
+	l.addrs, l.peers, l.named, l.strong = addrs, peers, named, strong
 	l.mu.Unlock()
 	return bad
 }
@@ -253,11 +260,11 @@
 	return at, true
 }
 
-// names lists the instances.
-func (l *Link) names() []string {
+// able lists the instances with half of the largest capacity or more: others' reports do not slow them down.
+func (l *Link) able() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return slices.Collect(maps.Keys(l.named))
+	return l.strong
 }
 
 func (l *Link) addrOf(instance string) string {
--- a/lib/ownerlink/suspects.go
+++ b/lib/ownerlink/suspects.go
@@ -13,8 +13,14 @@
 	"anvilwick.example/anvilwick/lib/suspect"
 )
 
-// judgeEvery is the period at which outcomes at plain targets are told, and verdicts while there are any.
-const judgeEvery = 300 * time.Millisecond
+const (
+	// judgeEvery is the period at which outcomes at plain targets are told and judged on a small site.
+	judgeEvery = 300 * time.Millisecond
+	// reportsMost bounds the reports a second that one that judges gets for a service: on large sites each instance tells less often.
+	reportsMost = 200
+	// repeatEvery is how often a verdict that holds on is told again. It outlives one that is lost.
+	repeatEvery = suspect.Life * 2 / 3
+)
 
 var suspectsTold = metrics.NewCounter(`anvilwick_owner_suspects_told_total`)
 
@@ -24,10 +30,14 @@
 	of    map[string]map[string]*suspect.Count // by service, target
 	fresh map[string]bool                      // services with outcomes that are not told yet
 	judge *suspect.Judge
+	told  map[string]time.Time // suspects, when they were last told
 }
 
 func newPlainOutcomes() plainOutcomes {
-	return plainOutcomes{of: make(map[string]map[string]*suspect.Count), fresh: make(map[string]bool), judge: suspect.NewJudge()}
+	return plainOutcomes{
+		of: make(map[string]map[string]*suspect.Count), fresh: make(map[string]bool), judge: suspect.NewJudge(),
+		told: make(map[string]time.Time),
+	}
 }
 
 func (p *plainOutcomes) saw(service, target string, o fleet.Outcome) {
@@ -70,6 +80,24 @@
 	return out
 }
 
+// due returns the verdicts that are to be told now.
+func (p *plainOutcomes) due(now time.Time) []suspect.Verdict {
+	verdicts := p.judge.Verdicts(now)
+	out := verdicts[:0]
+	for _, v := range verdicts {
+		if now.Sub(p.told[v.Target]) >= repeatEvery {
+			p.told[v.Target] = now
+			out = append(out, v)
+		}
+	}
+	for target, at := range p.told {
+		if now.Sub(at) > 2*suspect.Life {
+			delete(p.told, target)
+		}
+	}
+	return out
+}
+
 // PlainOutcome counts how a request of this instance ended at a target that nobody owns.
 func (l *Link) PlainOutcome(service, target string, o fleet.Outcome) { l.plain.saw(service, target, o) }
 
@@ -77,19 +105,31 @@
 func (l *Link) judge(ctx context.Context) {
 	t := time.NewTicker(judgeEvery)
 	defer t.Stop()
+	var told time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
-		for service, counts := range l.plain.take(l.Fleet.IsLeaving) {
-			l.tellCounts(service, counts)
+		now := time.Now()
+		if now.Sub(told) >= l.reportEvery() {
+			told = now
+			for service, counts := range l.plain.take(l.Fleet.IsLeaving) {
+				l.tellCounts(service, counts)
+			}
 		}
-		l.tellSuspects(time.Now())
+		l.tellSuspects(now)
 	}
 }
 
+// reportEvery is how often this instance tells its counts.
+func (l *Link) reportEvery() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(judgeEvery, time.Duration(len(l.named))*time.Second/reportsMost)
+}
+
 func (l *Link) tellCounts(service string, counts []suspect.Count) {
 	slices.SortFunc(counts, func(a, b suspect.Count) int { return int(b.Failed) - int(a.Failed) })
 	counts = counts[:min(countsMax, len(counts))]
@@ -99,7 +139,7 @@
 		body.Counts = append(body.Counts, &ownerpb.Outcomes{Target: c.Target, Served: c.Served, Failed: c.Failed})
 	}
 	d.Body = &ownerpb.Datagram_Counts{Counts: body}
-	for _, name := range suspect.Ranked(service, l.names()) {
+	for _, name := range suspect.Ranked(service, l.able()) {
 		if name == l.Self.Name {
 			l.handleCounts(d, body)
 			continue
@@ -124,7 +164,7 @@
 // tellSuspects tells all instances of targets that fail. They are few, and seldom.
 func (l *Link) tellSuspects(now time.Time) {
 	l.plain.mu.Lock()
-	verdicts := l.plain.judge.Verdicts(now)
+	verdicts := l.plain.due(now)
 	l.plain.mu.Unlock()
 	if len(verdicts) == 0 {
 		return
