A relay gathers changes in quick succession for its followers

Thousands of targets write their entries one after the other; each change went to each of a hundred followers by itself and unpacked.

--- /dev/null
+++ b/lib/feedlink/gather_test.go
@@ -0,0 +1,65 @@
+package feedlink
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/feed"
+	"anvilwick.example/anvilwick/lib/mesh"
+)
+
+// Load pattern: hundreds of entries are written one after the other, and many follow one relay. Each follower gets them in a few pages,
+// the last of them soon; a single change among quiet ones goes at once.
+func TestChangesInQuickSuccessionAreGathered(t *testing.T) {
+	t.Parallel()
+	const followers, changes = 60, 300
+	relay := staged(t, "relay", false)
+	b := idle(t, "b", &table{}, self)
+	var pages atomic.Int32
+	for i := range followers {
+		s, err := b.track.open(t.Context(), mesh.Peer{Instance: "relay", Addr: relay.addr})
+		must.NoError(t, err)
+		t.Cleanup(s.close)
+		go func() {
+			for s.receive() == nil {
+				if i == 0 {
+					pages.Add(1)
+				}
+			}
+		}()
+	}
+	put := func(version int64) {
+		row := feed.Row{Key: fmt.Sprint("k", version), Value: []byte(fmt.Sprint("v", version)), Version: version}
+		relay.replica.Take(feed.Page{Version: version, Rows: []feed.Row{row}}, false, time.Now())
+	}
+	time.Sleep(beat / 2)
+	pages.Store(0)
+	begin := time.Now()
+	for v := range int64(changes) {
+		put(2 + v)
+		time.Sleep(time.Millisecond)
+	}
+	spread := time.Since(begin)
+	reaches(t, b, changes+1)
+	must.LessEq(t, int32(spread/(followers*passTime))+3, pages.Load())
+	time.Sleep(2 * followers * passTime)
+	begin = time.Now()
+	put(changes + 2)
+	reaches(t, b, changes+2)
+	must.Less(t, beat/2, time.Since(begin))
+}
+
+// reaches waits until a member holds a version.
+func reaches(t *testing.T, m *member, version int64) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if v, _ := m.replica.Version(); v >= version {
+			return
+		}
+	}
+	t.Fatalf("version %d did not come", version)
+}
--- a/lib/feedlink/serve.go
+++ b/lib/feedlink/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"reflect"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -19,8 +20,22 @@
 	track    *Track
 	replicas map[string]*feed.Replica
 	packs    *packer
+	open     atomic.Int32 // subscriptions
 }
 
+const (
+	// passTime is what one more follower adds to the least time between two pages with news.
+	passTime = time.Millisecond
+	// passMax bounds that time: changes are to be in force within two seconds, and take two hops.
+	passMax = 250 * time.Millisecond
+)
+
+// gap is the least time between two pages with news to one follower.
+//
+// Load pattern: thousands of targets write their entries one after the other when a site starts. Each would be passed on by itself to a
+// hundred followers, as it is and unpacked; gathered for as long as passing one on to all takes, they shrink to a tenth.
+func (s *server) gap() time.Duration { return min(time.Duration(s.open.Load())*passTime, passMax) }
+
 // Serve passes the tables of a Track on.
 func Serve(node *mesh.Node, t *Track) {
 	s := &server{track: t, replicas: make(map[string]*feed.Replica), packs: newPacker()}
@@ -51,6 +66,8 @@
 			tables = append(tables, &passed{name: a.Table, replica: r, after: a.After})
 		}
 	}
+	s.open.Add(1)
+	defer s.open.Add(-1)
 	t := time.NewTicker(beat)
 	defer t.Stop()
 	for ctx.Err() == nil {
@@ -58,7 +75,9 @@
 		if err := stream.Write(s.page(tables)); err != nil {
 			return
 		}
+		sent := time.Now()
 		wait(ctx, t.C, changed)
+		sleep(ctx, s.gap()-time.Since(sent))
 	}
 }
 
