--- a/lib/gateway/places_test.go
+++ b/lib/gateway/places_test.go
@@ -59,3 +59,38 @@
 	must.NotNil(t, g.regions(c))
 	must.SliceEmpty(t, g.regions(c))
 }
+
+// lastCopies counts the copies that stop a run.
+type lastCopies struct {
+	Engines
+	last int
+}
+
+func (c *lastCopies) Copy(_ context.Context, _, _ fleet.Info, _ string, last bool) (Moved, error) {
+	if last {
+		c.last++
+	}
+	return Moved{Handle: "h"}, nil
+}
+
+func (c *lastCopies) Free(context.Context, fleet.Info, string) error { return nil }
+
+// A run has a copy at an engine whose domain is emptied before the last part. Stopped for it, the run could go on at neither end where
+// its source may get nothing, too; it is not stopped, and its room there is given up.
+func TestRunIsNotStoppedForAnEvacuatedDestination(t *testing.T) {
+	g := newTestGateway()
+	engines := new(lastCopies)
+	g.Engines = engines
+	from, to := fleet.Info{ID: "from", Service: "s", Domain: "a"}, fleet.Info{ID: "to", Service: "s", Domain: "b"}
+	g.Fleet.Apply(time.Now(), []fleet.Info{from, to}, nil, 0)
+	r := &run{g: g, c: &call{id: "x", service: "s", route: &routes.Route{Name: "r"}}, target: from, made: 4}
+	g.runs.add("from", r)
+	_, ok := g.bookAt(r, "to", fleet.Need{Service: "s", Tokens: 10})
+	must.True(t, ok)
+	r.keepCopy(from, next{target: to, copyFrom: "addr/h"})
+	g.Fleet.Evacuate("b")
+	must.ErrorIs(t, g.lastPart(r, from, to, fleet.Load{Tokens: 10}), ErrNoRoom)
+	must.Eq(t, 0, engines.last)
+	must.MapEmpty(t, g.Fleet.Own())
+	must.True(t, r.on("from"))
+}
--- a/lib/suspect/suspect_test.go
+++ b/lib/suspect/suspect_test.go
@@ -39,7 +39,7 @@
 // Datagrams come twice, late and from instances that were started anew, and counters jump. Each outcome counts once.
 func TestCountsAreTakenOnce(t *testing.T) {
 	j := NewJudge()
-	for _, c := range []Count{{"t", 0, 1}, {"t", 0, 2}, {"t", 0, 2}, {"t", 0, 1}, {"t", 1 << 30, 2}} {
+	for _, c := range []Count{{"t", 0, 1}, {"t", 0, 2}, {"t", 0, 2}, {"t", 0, 1}, {"t", 0, 2}, {"t", 1 << 30, 2}} {
 		j.Take(t0, "s", "i", 1, []Count{c})
 	}
 	must.Len(t, 0, j.Verdicts(t0)) // two failures
