--- a/lib/feedlink/crossing_test.go
+++ b/lib/feedlink/crossing_test.go
@@ -1,7 +1,6 @@
 package feedlink
 
 import (
-	"context"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -72,23 +71,6 @@
 	must.False(t, misled.Load())
 }
 
-// run runs a member that was made idle, with what is to be told of its readers.
-func (m *member) run(t *testing.T, from func(instance string)) {
-	t.Helper()
-	m.track.From = from
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		m.track.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		m.node.Close()
-		<-done
-	})
-}
-
 // News of a lost store spreads: each instance that the next in rank turns to looks sound at first, and says a moment later that it
 // has lost the store, too, so it goes back to the first. The wait for its own look at the store goes on through all of these
 // changes of reader; begun anew with each it would last for as long as there are others to turn to.
--- a/lib/feedlink/feedlink_test.go
+++ b/lib/feedlink/feedlink_test.go
@@ -91,6 +91,14 @@
 func start(t *testing.T, name string, src feed.Source, place func() Place) *member {
 	t.Helper()
 	m := idle(t, name, src, place)
+	m.run(t, func(string) {})
+	return m
+}
+
+// run runs a member that was made idle, with what is to be told of its readers.
+func (m *member) run(t *testing.T, from func(instance string)) {
+	t.Helper()
+	m.track.From = from
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -102,7 +110,6 @@
 		m.node.Close()
 		<-done
 	})
-	return m
 }
 
 func (m *member) waitFor(t *testing.T, value string) time.Duration {
