--- a/lib/fleet/cold.go
+++ b/lib/fleet/cold.go
@@ -8,7 +8,8 @@
 
 // What a target that has just started gets in any second is at most its rate and half as much again, from all instances together:
 // an owner gives out the rate, with a burst of ownerBurst of it, and instances that decide alone share alonePart of it, with a
-// burst of as much. Where nobody owns targets, those that decide alone share the rate, with a burst of plainBurst of it.
+// burst of as much. Where nobody owns targets, those that decide alone share the rate, with a burst of plainBurst of it. No burst is
+// under one request, so a rate under ten a second is passed by one or two.
 const (
 	ownerBurst = 0.2
 	alonePart  = 0.15
--- a/lib/gateway/book.go
+++ b/lib/gateway/book.go
@@ -53,7 +53,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), roomTimeout)
 	defer cancel()
-	a, err := g.Owners.Place(ctx, owner.Ask{Run: rendezvous.Hash(r.c.id), Mode: owner.Room, Stream: admit.Stream{Need: need, Arrived: time.Now()}})
+	ask := owner.Ask{
+		Run: rendezvous.Hash(r.c.id), Mode: owner.Room, Stream: admit.Stream{Need: need, Arrived: time.Now()},
+	}
+	a, err := g.Owners.Place(ctx, ask)
 	if err != nil {
 		return g.Fleet.Acquire(time.Now(), need)
 	}
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -123,7 +123,8 @@
 func New(cfg Config) *Gateway {
 	open, cut := context.WithCancel(context.Background())
 	g := &Gateway{
-		Config: cfg, open: open, cut: cut, known: make(chan struct{}), runs: newRunTable(), sends: newOpenSends(), placer: admit.Placer{Fleet: cfg.Fleet, Reading: new(admit.Readings)}, poison: poison.New(poisonConfig),
+		Config: cfg, open: open, cut: cut, known: make(chan struct{}), runs: newRunTable(), sends: newOpenSends(),
+		placer: admit.Placer{Fleet: cfg.Fleet, Reading: new(admit.Readings)}, poison: poison.New(poisonConfig),
 	}
 	if cfg.Fleet != nil {
 		cfg.Fleet.SetSizes(g.sizesOn)
--- a/lib/gateway/places_test.go
+++ b/lib/gateway/places_test.go
@@ -40,8 +40,10 @@
 	g := newTestGateway()
 	apply := func(version int64, route, workspace []string) {
 		tab, err := routes.NewTable(&routes.Revision{
-			Version:    version,
-			Routes:     []routes.Route{{Name: "r", Host: "h", Prefix: "/", Kind: routes.Stream, Split: []routes.Share{{Service: "s"}}, Regions: route}},
+			Version: version,
+			Routes: []routes.Route{{
+				Name: "r", Host: "h", Prefix: "/", Kind: routes.Stream, Split: []routes.Share{{Service: "s"}}, Regions: route,
+			}},
 			Services:   []routes.Service{{Name: "s"}},
 			Workspaces: []routes.Workspace{{Name: "w", Regions: workspace}},
 		})
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -251,7 +251,8 @@
 		log.Info().Str("event", "target_added").Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr).Msg("")
 	}
 	for _, t := range ch.Restarted {
-		log.Warn().Str("event", "target_restarted").Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr).Int64("born", t.Born).Msg("")
+		at := log.Warn().Str("event", "target_restarted").Str("target", t.ID).Str("service", t.Service)
+		at.Str("addr", t.Addr).Int64("born", t.Born).Msg("")
 		p.gate.Restarted(t)
 	}
 	for _, t := range ch.Leaving {
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -14,7 +14,10 @@
 )
 
 // instanceOptions follow the instances: they change seldom, and late news of one costs only worse choices.
-var instanceOptions = feed.Options{Wait: 5 * time.Second, Timeout: time.Second, Retry: 200 * time.Millisecond, RetryMax: 2 * time.Second, Gap: 500 * time.Millisecond}
+var instanceOptions = feed.Options{
+	Wait: 5 * time.Second, Timeout: time.Second, Retry: 200 * time.Millisecond, RetryMax: 2 * time.Second,
+	Gap: 500 * time.Millisecond,
+}
 
 // registerTimeout bounds one try to write this instance's row.
 const registerTimeout = 800 * time.Millisecond
