What is kept of instances' counts is bounded by time, and a first count says little

Cause, found by reading: each start of an instance has counts of its own, kept for as long as their target lives, 4,096 at most in all. And a judge that is new, or has forgotten, took up to 64 failures of an instance's whole life for news. Change: counts that are not reported for a minute are forgotten; of the first of an instance no more than 16 are believed. TestRestartsDoNotFillTheJudge and TestOldCountsSayNothingOfNow fail without it.

--- a/lib/suspect/suspect.go
+++ b/lib/suspect/suspect.go
@@ -26,8 +26,10 @@
 	// worse is how many times the share of the service's other targets a suspect's is: where all fail alike, avoiding one helps
 	// nobody.
 	worse = 2
-	// mostNew bounds what one report adds for one target: a counter that jumps is not believed.
-	mostNew = 64
+	// mostNew bounds what one report adds for one target, and mostFirst what the first of an instance does: a counter that jumps, or
+	// has grown for long unseen, says nothing of now.
+	mostNew   = 64
+	mostFirst = 16
 	// Judges is how many instances are told, in rank: the one that judges and the one that takes over.
 	Judges = 2
 	// Life is how long a verdict holds that is not told again.
@@ -36,8 +38,10 @@
 	// is tried, twice as long.
 	holdFirst = 3 * time.Second
 	holdMax   = 24 * time.Second
-	// instancesMax bounds the instances whose counts are kept.
-	instancesMax = 4096
+	// countsLife is how long counts are kept that are not reported again: their instance is gone, or asks other targets.
+	countsLife = time.Minute
+	// countsMax bounds the counts that are kept.
+	countsMax = 1 << 16
 )
 
 // Count is how requests of one instance ended at a target since that instance was started.
@@ -54,10 +58,17 @@
 
 // Judge adds up what instances report. It is not safe for concurrent use.
 type Judge struct {
-	last    map[reporter]Count
+	last    map[reporter]counted
+	pruned  time.Time         // when counts were last forgotten
 	targets map[string]*tally // by target
 }
 
+// counted is the newest count of an instance at a target.
+type counted struct {
+	Count
+	at time.Time
+}
+
 type reporter struct {
 	instance    string
 	incarnation uint64
@@ -75,7 +86,7 @@
 
 // NewJudge returns a Judge that knows nothing.
 func NewJudge() *Judge {
-	return &Judge{last: make(map[reporter]Count), targets: make(map[string]*tally)}
+	return &Judge{last: make(map[reporter]counted), targets: make(map[string]*tally)}
 }
 
 // Take takes in an instance's counts for targets of a service.
@@ -83,15 +94,19 @@
 	for _, c := range counts {
 		key := reporter{instance, incarnation, c.Target}
 		last, known := j.last[key]
-		if !known && len(j.last) >= instancesMax {
+		if !known && len(j.last) >= countsMax {
 			continue
 		}
 		if c.Served < last.Served || c.Failed < last.Failed {
 			continue // it comes late
 		}
-		j.last[key] = c
+		j.last[key] = counted{Count: c, at: now}
 		served, failed := c.Served-last.Served, c.Failed-last.Failed
-		if served > mostNew || failed > mostNew {
+		most := uint32(mostNew)
+		if !known {
+			most = mostFirst
+		}
+		if served > most || failed > most {
 			continue
 		}
 		t := j.targets[c.Target]
@@ -124,9 +139,9 @@
 		t.decay(now)
 		if t.served+t.failed < 0.01 && now.Sub(t.until) > holdMax {
 			delete(j.targets, id)
-			j.forget(id)
 		}
 	}
+	j.prune(now)
 	for id, t := range j.targets {
 		if now.After(t.until) && j.fails(id, t) {
 			t.suspect(now)
@@ -166,9 +181,17 @@
 	return sum.share()
 }
 
-func (j *Judge) forget(target string) {
-	for key := range j.last {
-		if key.target == target {
+// prune forgets the counts of instances that are gone.
+//
+// Failure: each start of an instance has counts of its own. Kept for as long as their target lives they fill all the room there is within
+// days, and those of new instances are left out: nobody would be suspected any more.
+func (j *Judge) prune(now time.Time) {
+	if now.Sub(j.pruned) < countsLife/4 {
+		return
+	}
+	j.pruned = now
+	for key, c := range j.last {
+		if now.Sub(c.at) > countsLife {
 			delete(j.last, key)
 		}
 	}
--- a/lib/suspect/suspect_test.go
+++ b/lib/suspect/suspect_test.go
@@ -47,6 +47,34 @@
 	must.Len(t, 1, j.Verdicts(t0))
 }
 
+// Instances are started anew again and again, for days, while a target serves on. What is kept of them stays bounded, and those that
+// came last are heard: a target that fails is suspected then as on the first day.
+func TestRestartsDoNotFillTheJudge(t *testing.T) {
+	j := NewJudge()
+	now := t0
+	for incarnation := range uint64(2 * countsMax) {
+		now = now.Add(100 * time.Millisecond)
+		j.Take(now, "s", "i", incarnation, []Count{{Target: "a", Served: 1}})
+		if incarnation%50 == 0 {
+			j.Verdicts(now)
+		}
+	}
+	must.Less(t, 2*int(countsLife/(100*time.Millisecond)), len(j.last))
+	for i := range 4 {
+		j.Take(now, "s", fmt.Sprint("new", i), 1, []Count{{Target: "b", Failed: 1}})
+	}
+	must.Len(t, 1, j.Verdicts(now))
+}
+
+// An instance is heard of for the first time, or after long, with counts that have grown for hours. They say nothing of now.
+func TestOldCountsSayNothingOfNow(t *testing.T) {
+	j := NewJudge()
+	j.Take(t0, "s", "i", 1, []Count{{Target: "a", Served: 10, Failed: 40}})
+	must.Len(t, 0, j.Verdicts(t0))
+	j.Take(t0, "s", "i", 1, []Count{{Target: "a", Served: 10, Failed: 44}})
+	must.Len(t, 1, j.Verdicts(t0))
+}
+
 func TestRankIsTheSameForAll(t *testing.T) {
 	must.Eq(t, Ranked("s", []string{"a", "b", "c"}), Ranked("s", []string{"c", "a", "b"}))
 	must.Len(t, Judges, Ranked("s", []string{"a", "b", "c"}))
