A cold target's bound follows the settings

Cause, found by reading: what bounds a cold target was made once, by the rate of that moment, and kept for as long as the target lived. A change of the rate did nothing while it was cold, and nothing the next time that it was. It is made anew when the rate has changed, and only then: each makes a burst of its own. TestColdRateFollowsTheSettings fails without it.

--- a/lib/fleet/cold_test.go
+++ b/lib/fleet/cold_test.go
@@ -108,6 +108,28 @@
 	must.Eq(t, 0, stand(3*coldFor).Cold)
 }
 
+// The settings change what a cold target bears, while it is cold: from then on it gets that. A change that says the same gives nothing anew.
+func TestColdRateFollowsTheSettings(t *testing.T) {
+	f := coldFleet("plain", 0)
+	given := func(at time.Duration) int {
+		n := 0
+		for range 100 {
+			if _, ok := f.Acquire(t0.Add(at), Need{Service: "plain"}); ok {
+				n++
+			}
+		}
+		return n
+	}
+	must.Eq(t, 1, given(0))
+	f.SetSpecs(map[string]Spec{"plain": {ColdFor: coldFor, ColdRate: coldRate}})
+	must.Eq(t, 0, given(time.Millisecond))
+	f.SetSpecs(map[string]Spec{"plain": {ColdFor: coldFor, ColdRate: 1}})
+	must.Eq(t, 1, given(time.Second))
+	must.Eq(t, 0, given(1900*time.Millisecond))
+	f.SetSpecs(map[string]Spec{"plain": {ColdFor: coldFor}})
+	must.Eq(t, 100, given(2*time.Second))
+}
+
 // Engines that have just started are no place for runs that move or for copies: these can't wait for their turn there.
 func TestNoMovesToColdEngines(t *testing.T) {
 	f := coldFleet("engine", 10_000)
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -146,6 +146,11 @@
 func (f *Fleet) SetSpecs(specs map[string]Spec) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	for _, t := range f.targets {
+		if specs[t.Service].ColdRate != f.specs[t.Service].ColdRate {
+			t.cold = nil
+		}
+	}
 	f.specs = specs
 }
 
