--- a/lib/feedlink/serve.go
+++ b/lib/feedlink/serve.go
@@ -17,10 +17,10 @@
 
 // server passes tables on to those who ask.
 type server struct {
-	track    *Track
-	replicas map[string]*feed.Replica
-	packs    *packer
-	open     atomic.Int32 // subscriptions
+	track     *Track
+	replicas  map[string]*feed.Replica
+	packs     *packer
+	followers atomic.Int32 // subscriptions that are open
 }
 
 const (
@@ -34,7 +34,7 @@
 //
 // Load pattern: thousands of targets write their entries one after the other when a site starts. Each would be passed on by itself to a
 // hundred followers, as it is and unpacked; gathered for as long as passing one on to all takes, they shrink to a tenth.
-func (s *server) gap() time.Duration { return min(time.Duration(s.open.Load())*passTime, passMax) }
+func (s *server) gap() time.Duration { return min(time.Duration(s.followers.Load())*passTime, passMax) }
 
 // Serve passes the tables of a Track on.
 func Serve(node *mesh.Node, t *Track) {
@@ -66,8 +66,8 @@
 			tables = append(tables, &passed{name: a.Table, replica: r, after: a.After})
 		}
 	}
-	s.open.Add(1)
-	defer s.open.Add(-1)
+	s.followers.Add(1)
+	defer s.followers.Add(-1)
 	t := time.NewTicker(beat)
 	defer t.Stop()
 	for ctx.Err() == nil {
--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -59,7 +59,7 @@
 	if best == nil {
 		return Info{}, false
 	}
-	f.count(now, best, &n)
+	f.countCold(now, best, &n)
 	best.own.add(Load{Runs: 1, Tokens: n.Tokens, Unread: n.Unread})
 	return best.Info, true
 }
@@ -73,7 +73,7 @@
 	if best == nil {
 		return Info{}, false
 	}
-	f.count(now, best, &n)
+	f.countCold(now, best, &n)
 	return best.Info, true
 }
 
@@ -85,7 +85,7 @@
 	if t == nil || !f.allowed(now, t, n) {
 		return Info{}, false
 	}
-	f.count(now, t, &n)
+	f.countCold(now, t, &n)
 	t.own.add(Load{Runs: 1, Tokens: n.Tokens, Unread: n.Unread})
 	return t.Info, true
 }
@@ -121,7 +121,10 @@
 }
 
 func (f *Fleet) allowed(now time.Time, t *Target, n Need) bool {
-	if t.Service != n.Service || !f.takes(t) || n.Without[t.ID] || !f.within(t, n.Regions) || !f.open(now, t, &n) {
+	switch {
+	case t.Service != n.Service, n.Without[t.ID], !f.takes(t):
+		return false
+	case !f.within(t, n.Regions), !f.coldAllows(now, t, &n):
 		return false
 	}
 	spec := f.specs[t.Service]
--- a/lib/fleet/cold.go
+++ b/lib/fleet/cold.go
@@ -41,11 +41,11 @@
 	return now.Before(t.coldUntil) && f.specs[t.Service].ColdRate > 0
 }
 
-// open reports whether a target may get one more request now: always, unless it has just started.
+// coldAllows reports whether a target may get one more request now: always, unless it has just started.
 //
 // Failure: a group of engines comes back empty, so they look the roomiest of all, every instance sends there, and a cold engine that
 // gets more than it bears crashes with all that it runs.
-func (f *Fleet) open(now time.Time, t *Target, n *Need) bool {
+func (f *Fleet) coldAllows(now time.Time, t *Target, n *Need) bool {
 	if n.Granted || !f.isCold(now, t) {
 		return true
 	}
@@ -53,8 +53,8 @@
 	return l != nil && l.TokensAt(now) >= 1
 }
 
-// count takes one request off what a cold target may get.
-func (f *Fleet) count(now time.Time, t *Target, n *Need) {
+// countCold takes one request off what a cold target may get.
+func (f *Fleet) countCold(now time.Time, t *Target, n *Need) {
 	if n.Granted || !f.isCold(now, t) {
 		return
 	}
