Instances tell in their log and metrics when a target's limit begins, changes or ends

The record could not tell a limit that nobody reads from one that each instance keeps to by itself: no line and no metric said that an instance knew of one. Nothing is decided by it yet.

The record's instances send each target 1 to 4 requests/s, under its limit each by itself, so that keeping to it alone would not have helped either.

--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -56,6 +56,7 @@
 	coldUntil  time.Time // it is slow after its start until then
 	cold       *coldLimits
 	suspect    suspicion
+	limit      limitWord
 }
 
 // Load is what a target carries.
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -34,6 +34,7 @@
 	NotRun    string // in an answer: the target did not run the request
 	Seal      string // in an answer: the target's mark on it
 	Load      string // in an answer: requests running, waiting and slots, separated by commas
+	Limit     string // in an answer: the requests a second that the target takes from all instances together
 	LastEvent string // id of the last event that the caller has
 	Tokens    string // tokens of the prompt and largest number of output tokens
 	Hint      string // the caller's guess of the output's tokens
--- a/lib/gateway/log.go
+++ b/lib/gateway/log.go
@@ -100,6 +100,12 @@
 	logline.Cause(l.line(log.Info(), "moved", e).Str("from", from).Str("to", to).Int64("took_ms", took.Milliseconds()), err)
 }
 
+// Limited tells that a target's limit begins, changes or ends.
+func (l Log) Limited(t fleet.Info, limit fleet.Limit) {
+	at := log.Info().Str("event", "target_limit").Str("target", t.ID).Str("service", t.Service)
+	at.Bool("on", limit.On).Float64("per_second", limit.PerSecond).Msg("")
+}
+
 // Warn tells of something that touches no single request.
 func (l Log) Warn(event, subject string, err error) {
 	logline.Cause(log.Warn().Str("event", event).Str("subject", subject), err)
--- /dev/null
+++ b/lib/gateway/notice.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"anvilwick.example/anvilwick/lib/fleet"
+)
+
+// metricNotices counts what targets say of themselves in answers, when it begins, changes or ends.
+const metricNotices = "anvilwick_gateway_notices_total"
+
+// readNotices takes in what an answer says of its target, to a request that was sent at asked.
+func (g *Gateway) readNotices(target fleet.Info, h http.Header, asked time.Time) {
+	g.readLoad(target.ID, h)
+	limit, ok := readLimit(h.Values(g.Names.Limit))
+	if !limit.On && h.Get(g.Names.Seal) == "" {
+		ok = false // only a target's own answer says that it no longer has a limit
+	}
+	if !ok || !g.Fleet.TakeLimit(time.Now(), target.ID, limit, asked) {
+		return
+	}
+	g.Log.Limited(target, limit)
+	metrics.GetOrCreateCounter(metricNotices + `{notice="limit"}`).Inc()
+}
+
+// readLimit reads a limit; without a value there is none. Of several values the lowest counts. ok is false when none can be read.
+func readLimit(values []string) (limit fleet.Limit, ok bool) {
+	if len(values) == 0 {
+		return fleet.Limit{}, true
+	}
+	for _, v := range values {
+		perSecond, err := strconv.ParseFloat(strings.TrimSpace(v), 64)
+		l := fleet.Limit{On: true, PerSecond: perSecond}
+		if err != nil || !l.Valid() {
+			continue
+		}
+		if !limit.On || perSecond < limit.PerSecond {
+			limit, ok = l, true
+		}
+	}
+	return limit, ok
+}
--- a/lib/gateway/plain.go
+++ b/lib/gateway/plain.go
@@ -118,11 +118,12 @@
 	}
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer g.sends.add(target, conn.Close)()
-	x.resp, x.err = g.ask(conn, c, g.request(c, target.ID, time.Now()))
+	asked := time.Now()
+	x.resp, x.err = g.ask(conn, c, g.request(c, target.ID, asked))
 	x.sent = x.err == nil || wirehttp.MaybeSent(x.err)
 	if x.err == nil {
 		x.verdict = g.judge(x.resp)
-		g.readLoad(target.ID, x.resp.Header)
+		g.readNotices(target, x.resp.Header, asked)
 		x.body, x.err = x.resp.ReadAll(answerLimit)
 		if x.err != nil {
 			// A cut answer proves nothing, whatever its head says.
