A target's limit is kept by all instances together, by permits of its owner

Callers saw nothing; a target in need that had named 5.1 requests/s got 13 a second, as before it spoke.

Cause: nobody acted on the header. The class: a bound that is stated for all instances together, and no one place counts what all of them send (cold targets of plain services shared it out beforehand; limits are too small for that: 5/s is under one for each of seven).

Ruled out: each keeps to it alone (an instance sends 1 to 4 a second, under the limit by itself: it would have changed nothing); repeats (3 and 8 of 54).

What is sent to a target with a limit takes a permit of the target's owner: of its shard's for an engine, of the instance that ranks for the service for a plain target. The owner gives out the limit, with a burst of 0.4 s (two at least), and says when to ask again; until then the instance passes the target over. Streams that an owner places are counted there. Where no owner answers, ranked instances share 0.15 of it. What must be sent (a run goes on from a copy) is counted against what follows. Polls of engines keep to it, too. Requests for which all targets are limited are refused at once, with the time at which there may be a permit. A limit ends with the answer to a request sent after the last that named it, or with the target's life; a limit of nothing is tried every 5 s. Owners are told what answers say and tell everybody.

--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -59,7 +59,7 @@
 	if best == nil {
 		return Info{}, false
 	}
-	f.countCold(now, best, &n)
+	f.countPaced(now, best, &n)
 	best.own.add(Load{Runs: 1, Tokens: n.Tokens, Unread: n.Unread})
 	return best.Info, true
 }
@@ -73,7 +73,7 @@
 	if best == nil {
 		return Info{}, false
 	}
-	f.countCold(now, best, &n)
+	f.countPaced(now, best, &n)
 	return best.Info, true
 }
 
@@ -85,7 +85,7 @@
 	if t == nil || !f.allowed(now, t, n) {
 		return Info{}, false
 	}
-	f.countCold(now, t, &n)
+	f.countPaced(now, t, &n)
 	t.own.add(Load{Runs: 1, Tokens: n.Tokens, Unread: n.Unread})
 	return t.Info, true
 }
@@ -124,7 +124,7 @@
 	switch {
 	case t.Service != n.Service, n.Without[t.ID], !f.takes(t):
 		return false
-	case !f.within(t, n.Regions), !f.coldAllows(now, t, &n):
+	case !f.within(t, n.Regions), !f.paceAllows(now, t, &n):
 		return false
 	}
 	spec := f.specs[t.Service]
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -54,9 +54,9 @@
 	told       told      // what peers carry there
 	unreadable bool      // its entry names no target; until it has written another
 	coldUntil  time.Time // it is slow after its start until then
-	cold       *coldLimits
+	pacer      pacer
 	suspect    suspicion
-	limit      limitWord
+	limit      LimitWord
 }
 
 // Load is what a target carries.
@@ -125,6 +125,19 @@
 	return out
 }
 
+// PlainServices lists the services without engine memory.
+func (f *Fleet) PlainServices() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for service, spec := range f.specs {
+		if spec.KVTokens == 0 {
+			out = append(out, service)
+		}
+	}
+	return out
+}
+
 // Info returns what the list says of a target.
 func (f *Fleet) Info(id string) (Info, bool) {
 	f.mu.Lock()
@@ -147,11 +160,6 @@
 func (f *Fleet) SetSpecs(specs map[string]Spec) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, t := range f.targets {
-		if specs[t.Service].ColdRate != f.specs[t.Service].ColdRate {
-			t.cold = nil
-		}
-	}
 	f.specs = specs
 }
 
@@ -189,8 +197,11 @@
 type Standing struct {
 	Takes       int // take requests, cold ones among them
 	Cold        int // of these, have just started and take few
+	Limited     int // of these, have named a limit that leaves this instance nothing now
 	Evacuated   int // in a failure domain whose targets get nothing new
 	OutOfRegion int // outside the regions that the request is bound to
+
+	Soonest time.Duration // until the first of those that are limited may take one
 }
 
 // Stand counts the targets for a request.
@@ -210,6 +221,12 @@
 			if f.isCold(now, t) {
 				out.Cold++
 			}
+			if wait := t.pacer.holdOff.Sub(now); t.limit.On && wait > 0 {
+				if out.Limited == 0 || wait < out.Soonest {
+					out.Soonest = wait
+				}
+				out.Limited++
+			}
 		}
 	}
 	return out
--- a/lib/fleet/rooms.go
+++ b/lib/fleet/rooms.go
@@ -3,8 +3,8 @@
 import "time"
 
 // Spare chooses the engine with the most free memory for a copy of a run, which the caller of Spare counts there. It gives
-// none where less than the share free of an engine's memory would be left: copies must not push out runs. Engines that have just
-// started get none: a run that goes on from its copy can't wait for its turn there.
+// none where less than the share free of an engine's memory would be left: copies must not push out runs. Paced engines get none: a run
+// that goes on from its copy can't wait for its turn there.
 func (f *Fleet) Spare(now time.Time, n Need, without string, free float64) (Info, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -17,7 +17,7 @@
 	most := int(free * float64(kv))
 	for _, id := range among {
 		t := f.targets[id]
-		if t == nil || t.Service != n.Service || !f.takes(t) || id == without || !f.within(t, n.Regions) || f.isCold(now, t) {
+		if t == nil || t.Service != n.Service || !f.takes(t) || id == without || !f.within(t, n.Regions) || f.isPaced(now, t) {
 			continue
 		}
 		if left := kv - f.carried(t).Tokens - n.Tokens; left > most {
@@ -91,20 +91,29 @@
 	return best
 }
 
-// Rooms lists the engines of a service that runs can move to, among those named or, with nil, among all. Engines that have just
-// started are left out: they take few requests, and a run that was stopped can't wait for its turn.
+// Rooms lists the engines of a service that runs can move to, among those named or, with nil, among all. Paced engines are left out: a
+// run that was stopped can't wait for its turn. Those that have named a limit are listed where there are no others.
 func (f *Fleet) Rooms(now time.Time, service string, among []string) []Room {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if among == nil {
 		among = f.order
 	}
-	var out []Room
+	var out, limited []Room
 	for _, id := range among {
 		t := f.targets[id]
-		if t != nil && t.Service == service && f.takes(t) && !f.isCold(now, t) {
-			out = append(out, Room{Info: t.Info, Free: f.specs[service].KVTokens - f.carried(t).Tokens})
+		if t == nil || t.Service != service || !f.takes(t) || f.isCold(now, t) {
+			continue
+		}
+		room := Room{Info: t.Info, Free: f.specs[service].KVTokens - f.carried(t).Tokens}
+		if t.limit.On {
+			limited = append(limited, room)
+			continue
 		}
+		out = append(out, room)
+	}
+	if len(out) == 0 {
+		return limited
 	}
 	return out
 }
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -94,6 +94,10 @@
 	Outcome(engine string, o fleet.Outcome)
 	// PlainOutcome tells how a request ended at a target of a plain service.
 	PlainOutcome(service, target string, o fleet.Outcome)
+	// Permit asks for leave to send a request to a target that has named a limit. One that must be sent is only counted.
+	Permit(ctx context.Context, t fleet.Info, must bool) (fleet.Permit, error)
+	// Limited tells of the limit that an answer of a target named, or no longer named; changed says that it is news here.
+	Limited(t fleet.Info, changed bool)
 	// Reading tells how long a first event took.
 	Reading(r owner.Reading)
 }
--- a/lib/gateway/log.go
+++ b/lib/gateway/log.go
@@ -46,7 +46,7 @@
 
 // Unplaced tells why no target takes a call.
 func (l Log) Unplaced(e entry, s fleet.Standing) {
-	at := l.line(log.Info(), "no_target", e).Int("takes", s.Takes).Int("cold", s.Cold)
+	at := l.line(log.Info(), "no_target", e).Int("takes", s.Takes).Int("cold", s.Cold).Int("limited", s.Limited)
 	at.Int("evacuated", s.Evacuated).Int("out_of_region", s.OutOfRegion).Msg("")
 }
 
--- a/lib/gateway/notice.go
+++ b/lib/gateway/notice.go
@@ -21,7 +21,14 @@
 	if !limit.On && h.Get(g.Names.Seal) == "" {
 		ok = false // only a target's own answer says that it no longer has a limit
 	}
-	if !ok || !g.Fleet.TakeLimit(time.Now(), target.ID, limit, asked) {
+	if !ok {
+		return
+	}
+	changed := g.Fleet.TakeLimit(target.ID, fleet.LimitWord{Limit: limit, Asked: asked, Heard: time.Now()})
+	if g.Owners != nil && (limit.On || changed) {
+		g.Owners.Limited(target, changed)
+	}
+	if !changed {
 		return
 	}
 	g.Log.Limited(target, limit)
--- a/lib/gateway/place.go
+++ b/lib/gateway/place.go
@@ -95,10 +95,12 @@
 // await lets the stream wait for an engine with room.
 func (r *run) await(ctx context.Context, need fleet.Need) admit.Decision {
 	s := r.stream(need)
-	d := r.g.placer.Step(time.Now(), s)
+	p := r.g.placer
+	p.Take = func(_ time.Time, need fleet.Need) (fleet.Info, bool) { return r.g.take(ctx, need) }
+	d := p.Step(time.Now(), s)
 	for d.Action == admit.Wait && ctx.Err() == nil {
 		time.Sleep(admit.Poll)
-		d = r.g.placer.Step(time.Now(), s)
+		d = p.Step(time.Now(), s)
 	}
 	return d
 }
--- a/lib/gateway/plain.go
+++ b/lib/gateway/plain.go
@@ -87,10 +87,13 @@
 func (g *Gateway) acquire(ctx context.Context, c *call, need fleet.Need) (fleet.Info, bool) {
 	until := time.Now().Add(time.Duration(listPart * float64(c.left(time.Now()))))
 	for {
-		target, ok := g.Fleet.Acquire(time.Now(), need)
+		target, ok := g.take(ctx, need)
 		if ok || c.sends > 0 || !g.Fleet.Settling(time.Now()) || time.Now().After(until) || ctx.Err() != nil {
 			return target, ok
 		}
+		if g.Fleet.Stand(time.Now(), need).Limited > 0 {
+			return target, false // the list has targets, and no wait for others is worth the caller's time
+		}
 		time.Sleep(listPoll)
 	}
 }
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -204,6 +204,7 @@
 		req.Header.Set(r.g.Names.LastEvent, r.lastID)
 	}
 	if to.copyFrom != "" {
+		r.g.forced(to.target)
 		r.dropBackup() // of the run before it went on here
 		req.Header.Set(r.g.Names.CopyFrom, to.copyFrom)
 	} else {
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -100,7 +100,9 @@
 	p.mu.Lock()
 	c := p.candidates
 	p.mu.Unlock()
-	p.link.SetLayout(c.Layout(p.fleet.Engines(fleet.Ready), p.fleet.Engines(fleet.Leaving)))
+	layout := c.Layout(p.fleet.Engines(fleet.Ready), p.fleet.Engines(fleet.Leaving))
+	c.AddPlain(layout, p.fleet.PlainServices())
+	p.link.SetLayout(layout)
 }
 
 // rankInstances works out anew what each instance ranks for.
--- a/lib/gatewayproc/watch.go
+++ b/lib/gatewayproc/watch.go
@@ -17,6 +17,8 @@
 	// listSilent is the age of the list from which engines are asked, when no call for it has failed yet: over the time of
 	// one long poll and a page passed on.
 	listSilent = 1100 * time.Millisecond
+	// watchLimited is the period of asking an engine that has named a limit, which the questions use up, too.
+	watchLimited = time.Second
 	// reportTimeout bounds one question.
 	reportTimeout = 300 * time.Millisecond
 )
@@ -26,6 +28,7 @@
 func (p *Process) watchEngines(ctx context.Context) {
 	t := time.NewTicker(watchEvery)
 	defer t.Stop()
+	asked := make(map[string]time.Time) // engines with a limit
 	for {
 		select {
 		case <-ctx.Done():
@@ -33,16 +36,33 @@
 		case <-t.C:
 		}
 		if !p.listAway() {
+			clear(asked)
 			continue
 		}
+		now := time.Now()
 		for _, e := range p.fleet.Engines(fleet.Ready) {
-			if p.link.Owns(e.ID) {
+			if p.link.Owns(e.ID) && p.mayAsk(now, e.ID, asked) {
 				go p.ask(ctx, e)
 			}
 		}
 	}
 }
 
+// mayAsk reports whether an engine may be asked now. One that has named a limit is asked less often, and within its limit.
+func (p *Process) mayAsk(now time.Time, engine string, asked map[string]time.Time) bool {
+	if !p.fleet.LimitOf(engine).On {
+		return true
+	}
+	if now.Sub(asked[engine]) < watchLimited {
+		return false
+	}
+	permit, _ := p.fleet.Permit(now, engine, p.cfg.Instance, false)
+	if permit.Given {
+		asked[engine] = now
+	}
+	return permit.Given
+}
+
 // listLost reports whether a call for the list has failed and none has succeeded since, here or at the reader.
 func (p *Process) listLost() bool {
 	failed := p.listFailed.Load()
--- a/lib/owner/layout.go
+++ b/lib/owner/layout.go
@@ -53,6 +53,7 @@
 	all      []*Shard          // by key
 	of       map[string]*Shard // by engine
 	services map[string][]*Shard
+	plain    map[string]*Shard // by service
 }
 
 // Candidates ranks instances for shards. It keeps what it has worked out: engines come and go many times a minute,
@@ -227,6 +228,31 @@
 	return out[:min(neighbours, len(out))]
 }
 
+// AddPlain adds plain services. Their targets are chosen by each instance; who ranks first gives permits for those that take few
+// requests.
+func (c *Candidates) AddPlain(l *Layout, services []string) {
+	l.plain = make(map[string]*Shard, len(services))
+	for _, service := range services {
+		s := &Shard{Key: service + "@plain", Service: service}
+		s.Ranked = c.rank(s)
+		l.plain[service] = s
+	}
+}
+
+// Plain returns who ranks to own the targets of plain services, by service.
+func (l *Layout) Plain() map[string]*Shard { return l.plain }
+
+// Owning returns the shard whose owner gives permits for a target; nil when there is none.
+func (l *Layout) Owning(t fleet.Info) *Shard {
+	if s := l.of[t.ID]; s != nil {
+		return s
+	}
+	if s := l.plain[t.Service]; s != nil {
+		return s
+	}
+	return l.Home(t.Service, t.Domain, t.ID)
+}
+
 // Shard returns a shard by its key; nil when there is none.
 func (l *Layout) Shard(key string) *Shard { return l.shards[key] }
 
--- a/lib/ownerlink/beat.go
+++ b/lib/ownerlink/beat.go
@@ -11,7 +11,7 @@
 // leftFor is how long owners are told of a target that was seen to leave: until a lost datagram has been made up for.
 const leftFor = 2 * time.Second
 
-// beat tells other owners that this instance lives, while it ranks to own a shard.
+// beat tells other owners that this instance lives, while it ranks to own a shard or the targets of a plain service.
 func (l *Link) beat(ctx context.Context) {
 	t := time.NewTicker(owner.BeatEvery)
 	defer t.Stop()
@@ -49,6 +49,11 @@
 			addAll(to, n)
 		}
 	}
+	for _, s := range l.layout.Load().Plain() {
+		if s.IsCandidate(l.Self.Name) {
+			addAll(to, s)
+		}
+	}
 	delete(to, l.Self.Name)
 	if len(to) == 0 {
 		return
--- a/lib/ownerlink/handle.go
+++ b/lib/ownerlink/handle.go
@@ -44,6 +44,12 @@
 		l.handleCounts(d, body.Counts)
 	case *ownerpb.Datagram_Suspects:
 		l.handleSuspects(body.Suspects)
+	case *ownerpb.Datagram_PermitAsk:
+		l.handlePermitAsk(d, body.PermitAsk)
+	case *ownerpb.Datagram_Permit:
+		l.handleOther(d, body.Permit.Id)
+	case *ownerpb.Datagram_Limits:
+		l.handleLimits(body.Limits)
 	default:
 		l.tellBad("unknown", errNoBody)
 	}
--- a/lib/ownerlink/kinds.go
+++ b/lib/ownerlink/kinds.go
@@ -23,10 +23,14 @@
 	kindLeft
 	kindCounts
 	kindSuspects
+	kindPermit
+	kindLimits
 	kinds // how many there are
 )
 
-var kindNames = [kinds]string{"other", "ask", "answer", "report", "beat", "blames", "moves", "heard", "left", "counts", "suspects"}
+var kindNames = [kinds]string{
+	"other", "ask", "answer", "report", "beat", "blames", "moves", "heard", "left", "counts", "suspects", "permit", "limits",
+}
 
 // traffic counts datagrams of a kind and their bytes.
 type traffic struct{ datagrams, bytes *metrics.Counter }
@@ -74,6 +78,10 @@
 		return kindCounts
 	case *ownerpb.Datagram_Suspects:
 		return kindSuspects
+	case *ownerpb.Datagram_PermitAsk, *ownerpb.Datagram_Permit:
+		return kindPermit
+	case *ownerpb.Datagram_Limits:
+		return kindLimits
 	}
 	return kindOther
 }
--- a/lib/ownerlink/link.go
+++ b/lib/ownerlink/link.go
@@ -100,6 +100,7 @@
 	named    map[string]string // addresses of all instances, this one too, by name
 	strong   []string          // those with half of the largest capacity or more
 	plain    plainOutcomes
+	limits   map[string]toldLimit // by target
 }
 
 // New listens on Config.Self.Addr.
@@ -119,7 +120,7 @@
 		Config: cfg, conn: conn, wake: make(chan struct{}, 1), waits: make(chan struct{}, 1),
 		calls: make(map[uint64]chan *ownerpb.Datagram), addrs: make(map[string]netip.AddrPort),
 		seen: make(map[string]uint64), bad: make(map[string]bool), plans: make(map[string]*plan),
-		outcomes: make(map[string]*outcomes), plain: newPlainOutcomes(),
+		outcomes: make(map[string]*outcomes), plain: newPlainOutcomes(), limits: make(map[string]toldLimit),
 	}
 	l.layout.Store(owner.NewLayout(nil, nil, nil))
 	return l, nil
--- /dev/null
+++ b/lib/ownerlink/permits_test.go
@@ -0,0 +1,132 @@
+package ownerlink
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/owner"
+	"anvilwick.example/anvilwick/lib/ownerpb"
+)
+
+// limitedSite is a site before two plain targets, of which the first names a limit.
+func limitedSite(t *testing.T, running ...string) (map[string]*member, fleet.Info, *owner.Shard) {
+	t.Helper()
+	members, _ := site(t, 1, running...)
+	plain := []fleet.Info{{ID: "p1", Service: "p", Domain: "z0", Slots: 6}, {ID: "p2", Service: "p", Domain: "z0", Slots: 6}}
+	var list []owner.Instance
+	for _, name := range []string{"a", "b", "c"} {
+		list = append(list, members[name].Self)
+	}
+	c := owner.NewCandidates(list)
+	layout := c.Layout(nil, nil)
+	c.AddPlain(layout, []string{"p"})
+	for _, m := range members {
+		m.Fleet.Apply(time.Now(), plain, nil, 0)
+		m.SetLayout(layout)
+	}
+	return members, plain[0], layout.Owning(plain[0])
+}
+
+func hear(m *member, t fleet.Info, perSecond float64) bool {
+	now := time.Now()
+	w := fleet.LimitWord{Limit: fleet.Limit{On: true, PerSecond: perSecond}, Asked: now, Heard: now}
+	changed := m.Fleet.TakeLimit(t.ID, w)
+	m.Limited(t, changed)
+	return changed
+}
+
+// One instance hears a limit. All others know of it before they send anything there, and of its end.
+func TestAllAreToldOfALimitAndItsEnd(t *testing.T) {
+	members, p1, s := limitedSite(t, "a", "b", "c")
+	last := members[s.Ranked[2].Name]
+	must.True(t, hear(last, p1, 5))
+	for _, m := range members {
+		eventually(t, func() bool { return m.Fleet.LimitOf("p1").Limit == fleet.Limit{On: true, PerSecond: 5} })
+	}
+	time.Sleep(time.Millisecond)
+	now := time.Now()
+	must.True(t, last.Fleet.TakeLimit("p1", fleet.LimitWord{Asked: now, Heard: time.Now()}))
+	last.Limited(p1, true)
+	for _, m := range members {
+		eventually(t, func() bool { return !m.Fleet.LimitOf("p1").On })
+	}
+}
+
+// All three instances ask for as many permits as they can: together they get what the target takes. When the owner is gone the next in
+// rank gives them.
+func TestPermitsOfAllInstancesAreWithinALimit(t *testing.T) {
+	for name, running := range map[string][]int{"all": {0, 1, 2}, "owner gone": {1, 2}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			members, p1, s := limitedSite(t)
+			for _, i := range running {
+				members[s.Ranked[i].Name].start(t)
+			}
+			for _, i := range running {
+				hear(members[s.Ranked[i].Name], p1, 10)
+			}
+			given := 0
+			for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+				for _, i := range running {
+					p, err := members[s.Ranked[i].Name].Permit(t.Context(), p1, false)
+					if err == nil && p.Given {
+						given++
+					}
+				}
+			}
+			must.Between(t, 15, given, 24)
+		})
+	}
+}
+
+// An owner that was just started knows of no limit. It learns of it from those who ask.
+func TestOwnerLearnsOfALimitFromAsks(t *testing.T) {
+	members, p1, s := limitedSite(t, "a", "b", "c")
+	now := time.Now()
+	asker := members[s.Ranked[1].Name]
+	asker.Fleet.TakeLimit("p1", fleet.LimitWord{Limit: fleet.Limit{On: true, PerSecond: 1}, Asked: now, Heard: now})
+	given := 0
+	for range 10 {
+		p, err := asker.Permit(t.Context(), p1, false)
+		must.NoError(t, err)
+		if p.Given {
+			given++
+		}
+	}
+	must.LessEq(t, 3, given)
+	must.True(t, members[s.Ranked[0].Name].Fleet.LimitOf("p1").On)
+}
+
+// Senseless words of limits change nothing, and nothing breaks.
+func TestBadLimitsAreLeftOut(t *testing.T) {
+	members, p1, _ := limitedSite(t, "a")
+	m := members["a"]
+	hear(m, p1, 5)
+	for _, w := range []*ownerpb.LimitWord{
+		nil,
+		{},
+		{Target: "gone", On: true, PerSecond: 1},
+		{Target: "p1", On: true, PerSecond: math.NaN()},
+		{Target: "p1", On: true, PerSecond: -1},
+		{Target: "p1", On: true, PerSecond: math.Inf(1)},
+		{Target: "p1", AskedAgoUs: math.MaxUint64, HeardAgoUs: math.MaxUint64},
+	} {
+		d := m.own()
+		d.Instance = "b"
+		d.Body = &ownerpb.Datagram_Limits{Limits: &ownerpb.Limits{Words: []*ownerpb.LimitWord{w}}}
+		m.handle(d)
+		d.Body = &ownerpb.Datagram_PermitAsk{PermitAsk: &ownerpb.PermitAsk{Id: 1, Service: "p", Word: w}}
+		m.handle(d)
+		must.Eq(t, fleet.Limit{On: true, PerSecond: 5}, m.Fleet.LimitOf("p1").Limit)
+	}
+	d := m.own()
+	d.Instance = "b"
+	d.Body = &ownerpb.Datagram_Limits{}
+	m.handle(d)
+	d.Body = &ownerpb.Datagram_PermitAsk{}
+	m.handle(d)
+}
