A target that says in an answer that it leaves gets nothing new, and all instances are told

Cause: the list of targets was the only word of a plain target's leaving. The class: one source of truth for a state that its subject tells by two ways; while the store is away the other way is all there is. Engines are asked in that time, plain targets nobody asks, and what they say unasked was not read.

Evidence: no instance logs target_leaving before the store is back. Ruled out: a word that the list overrode (there was none), requests placed before (sent 3 and 5 ms before they arrived).

The header marks that life of the target as leaving, which is final for it, as the list's word is: moves begin, nothing is chosen there, older entries don't bring it back, a later start does. The instance tells the target's owner, which tells all; a datagram says whether its receiver is to tell all, since two instances may differ for a moment in whom they take for the owner (seen in the test: nobody told all). The same fault, found by reading: a target that left was forgotten after 30 s and taken for a new one when the list, which still had its old entry, was read again (an outage longer than that). It is remembered while the list has it.

--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -50,6 +50,7 @@
 	reported   float64 // requests running and waiting, as its last answer told
 	reportedAt time.Time
 	heard      time.Time // when anything last came from it, to this instance or a peer
+	listed     bool      // the list has an entry of it
 	missing    time.Time // since when a list read after an outage has not had it; zero: it is listed
 	told       told      // what peers carry there
 	unreadable bool      // its entry names no target; until it has written another
--- a/lib/fleet/fleet_test.go
+++ b/lib/fleet/fleet_test.go
@@ -176,3 +176,18 @@
 	f.Tick(t0.Add(peerLife + time.Second))
 	must.Eq(t, 0, tokens())
 }
+
+// A target has said that it leaves, and for longer than it is remembered otherwise the list can't be read, or goes on saying ready. Read
+// again, the old entry does not bring it back.
+func TestTargetThatLeftIsNotTakenForANewOne(t *testing.T) {
+	f := New("z1")
+	entry := []Info{{ID: "t", Service: "s", Slots: 6}}
+	f.Apply(t0, entry, nil, 0)
+	must.SliceNotEmpty(t, f.Leave(t0, "t", 0).Leaving)
+	f.Tick(t0.Add(2 * goneAfter))
+	f.Apply(t0.Add(2*goneAfter), entry, nil, 0)
+	_, ok := f.Acquire(t0.Add(2*goneAfter), Need{Service: "s"})
+	must.False(t, ok)
+	f.Apply(t0.Add(2*goneAfter), nil, []string{"t"}, 0)
+	must.SliceNotEmpty(t, f.Tick(t0.Add(2*goneAfter+time.Second)).Gone)
+}
--- a/lib/fleet/list.go
+++ b/lib/fleet/list.go
@@ -45,6 +45,7 @@
 		ch.Restarted = append(ch.Restarted, e)
 	}
 	t.Info = e
+	t.listed = true
 	f.startCold(now, t, e.ColdFor)
 	t.missing = time.Time{}
 	t.unreadable = false
@@ -73,6 +74,7 @@
 	if t == nil {
 		return
 	}
+	t.listed = false
 	if silent > 0 && t.state == Ready {
 		if t.missing.IsZero() {
 			t.missing = now
@@ -82,7 +84,8 @@
 	f.leave(now, t, ch)
 }
 
-// goneAfter is how long a target that left is remembered, for runs that still end there.
+// goneAfter is how long a target that left is remembered, for runs that still end there. One that the list still has is remembered for
+// as long: forgotten, it would be taken for a new one as soon as the list is read again.
 const goneAfter = 30 * time.Second
 
 // Tick ends the grace of entries that have not come back and forgets targets that left long ago.
@@ -95,7 +98,7 @@
 			t.missing = time.Time{}
 			f.leave(now, t, &ch)
 		}
-		if t.state == Leaving && now.Sub(t.leavingAt) > goneAfter && t.own.Runs == 0 {
+		if t.state == Leaving && !t.listed && now.Sub(t.leavingAt) > goneAfter && t.own.Runs == 0 {
 			f.forget(id)
 			ch.Gone = append(ch.Gone, t.Info)
 		}
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -35,6 +35,7 @@
 	Seal      string // in an answer: the target's mark on it
 	Load      string // in an answer: requests running, waiting and slots, separated by commas
 	Limit     string // in an answer: the requests a second that the target takes from all instances together
+	Leaving   string // in an answer: the target takes nothing new
 	LastEvent string // id of the last event that the caller has
 	Tokens    string // tokens of the prompt and largest number of output tokens
 	Hint      string // the caller's guess of the output's tokens
@@ -75,6 +76,8 @@
 	Pool    *wirehttp.Pool
 	Budget  *retry.Share
 	Log     Log
+	// Left is told of a target that says in an answer that it leaves; nil: nobody is.
+	Left func(t fleet.Info)
 	// Owners decides with others where streams go; nil: this instance decides alone.
 	Owners Owners
 }
--- a/lib/gateway/notice.go
+++ b/lib/gateway/notice.go
@@ -17,6 +17,24 @@
 // readNotices takes in what an answer says of its target, to a request that was sent at asked.
 func (g *Gateway) readNotices(target fleet.Info, h http.Header, asked time.Time) {
 	g.readLoad(target.ID, h)
+	g.readLeaving(target, h)
+	g.readLimit(target, h, asked)
+}
+
+// readLeaving takes in that a target says that it leaves. The list of targets may tell it much later: while the store is away, only
+// answers do.
+func (g *Gateway) readLeaving(target fleet.Info, h http.Header) {
+	if v := strings.TrimSpace(h.Get(g.Names.Leaving)); v == "" || v == "0" || g.Left == nil {
+		return
+	}
+	if g.Fleet.IsLeaving(target.ID) {
+		return
+	}
+	metrics.GetOrCreateCounter(metricNotices + `{notice="leaving"}`).Inc()
+	g.Left(target)
+}
+
+func (g *Gateway) readLimit(target fleet.Info, h http.Header, asked time.Time) {
 	limit, ok := readLimit(h.Values(g.Names.Limit))
 	if !limit.On && h.Get(g.Names.Seal) == "" {
 		ok = false // only a target's own answer says that it no longer has a limit
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -129,7 +129,7 @@
 			return owner.ByShard(l, p.gate.Runs(), p.gate.Held())
 		},
 		Moves:  p.gate.MoveLink,
-		Left:   func(id string, born int64) { p.changed(p.fleet.Leave(time.Now(), id, born)) },
+		Left:   p.left,
 		Blames: p.gate.TakeBlames,
 		Suspected: func(target string, permille uint32) {
 			log.Warn().Str("event", "target_suspected").Str("target", target).Uint32("failing_permille", permille).Msg("")
@@ -146,6 +146,21 @@
 	return nil
 }
 
+// left takes in that a life of a target was seen to leave, and reports whether that is news.
+func (p *Process) left(id string, born int64) bool {
+	ch := p.fleet.Leave(time.Now(), id, born)
+	p.changed(ch)
+	return len(ch.Leaving) > 0
+}
+
+// leftByAnswer takes in that a target has said so in an answer to this instance, which others have from nobody else while the store is
+// away.
+func (p *Process) leftByAnswer(t fleet.Info) {
+	if p.left(t.ID, t.Born) {
+		p.link.TellLeft(t)
+	}
+}
+
 const (
 	// blamesGap is the least time between two tellings of blames: an engine that dies had several runs.
 	blamesGap = 100 * time.Millisecond
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -137,7 +137,7 @@
 	p.share = retry.NewShare(cfg.RepeatRatio, cfg.RepeatFloor, cfg.RepeatWindow)
 	p.gate = gateway.New(gateway.Config{
 		Names: site.Names, Engines: site.Engines, Fleet: p.fleet, Pool: site.Pool, Budget: p.share,
-		Log: gateway.Log{Version: p.version},
+		Log: gateway.Log{Version: p.version}, Left: p.leftByAnswer,
 	})
 	if err := p.openOwners(); err != nil {
 		return fmt.Errorf("gatewayproc: peers: %w", err)
--- a/lib/ownerlink/handle.go
+++ b/lib/ownerlink/handle.go
@@ -29,9 +29,7 @@
 	case *ownerpb.Datagram_Blames:
 		l.Blames(body.Blames.Blames)
 	case *ownerpb.Datagram_LeftTold:
-		for _, e := range body.LeftTold.Left {
-			l.Left(e.Target, e.Born)
-		}
+		l.handleLeft(body.LeftTold)
 	case *ownerpb.Datagram_MovesAsk:
 		l.handleMovesAsk(d, body.MovesAsk)
 	case *ownerpb.Datagram_Moves:
--- a/lib/ownerlink/link.go
+++ b/lib/ownerlink/link.go
@@ -67,8 +67,8 @@
 	Gather func(*owner.Layout) map[string]owner.Report
 	// Moves tells how a service's engines copy runs; ok is false when they don't.
 	Moves func(service string) (link moveplan.Link, ok bool)
-	// Left is told of targets that an owner saw to leave.
-	Left func(id string, born int64)
+	// Left is told of targets that another instance saw to leave, and reports whether that is news.
+	Left func(id string, born int64) bool
 	// Blames is told what peers say of contents that killed targets.
 	Blames func([]*ownerpb.Blame)
 	// Suspected is told when this instance begins to avoid a target by what all instances saw there; permille of its requests fail.
--- a/lib/ownerlink/link_test.go
+++ b/lib/ownerlink/link_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -27,6 +28,7 @@
 	*Link
 	runs   atomic.Pointer[[]owner.Run]
 	left   chan string
+	known  sync.Map // targets that it was told of
 	blamed atomic.Int32
 	stop   context.CancelFunc
 	done   chan struct{}
@@ -52,7 +54,13 @@
 		Desk:   owner.NewDesk(name, f, new(admit.Readings), time.Now()),
 		Gather: func(l *owner.Layout) map[string]owner.Report { return owner.ByShard(l, *m.runs.Load(), nil) },
 		Moves:  func(string) (moveplan.Link, bool) { return moveplan.Link{TokensPerSecond: 10_000, FarFactor: 2}, true },
-		Left:   func(id string, _ int64) { m.left <- id },
+		Left: func(id string, _ int64) bool {
+			if _, known := m.known.LoadOrStore(id, true); known {
+				return false
+			}
+			m.left <- id
+			return true
+		},
 		Blames: func([]*ownerpb.Blame) { m.blamed.Add(1) },
 	})
 	must.NoError(t, err)
--- a/lib/ownerlink/moves.go
+++ b/lib/ownerlink/moves.go
@@ -61,14 +61,13 @@
 // tellLeaving tells the instances that have runs on engines which leave. While the list of targets is away, they have it
 // from nobody else.
 func (l *Link) tellLeaving(s *owner.Shard, engines []fleet.Info) {
-	d := l.own()
-	b := new(ownerpb.LeftTold)
+	var left []*ownerpb.Left
 	ids := make(map[string]bool, len(engines))
 	for _, e := range engines {
-		b.Left = append(b.Left, &ownerpb.Left{Target: e.ID, Born: e.Born})
+		left = append(left, &ownerpb.Left{Target: e.ID, Born: e.Born})
 		ids[e.ID] = true
 	}
-	d.Body = &ownerpb.Datagram_LeftTold{LeftTold: b}
+	d := l.leftTold(left...)
 	for _, addr := range l.Desk.Users(s.Key, ids) {
 		l.send(addr, d)
 	}
--- a/lib/ownerlink/permits.go
+++ b/lib/ownerlink/permits.go
@@ -102,9 +102,7 @@
 	word := l.Fleet.LimitOf(t.ID)
 	if to, other := l.otherOwner(now, s); other {
 		if changed || l.limitDue(now, t.ID, word.Limit) {
-			d := l.own()
-			d.Body = &ownerpb.Datagram_Limits{Limits: &ownerpb.Limits{Words: []*ownerpb.LimitWord{encodeLimit(t.ID, word, now)}}}
-			l.send(to.Addr, d)
+			l.send(to.Addr, l.limitsTold(encodeLimit(t.ID, word, now), true))
 		}
 		return
 	}
@@ -133,22 +131,20 @@
 	if !l.limitDue(now, target, word.Limit) {
 		return
 	}
+	l.sendAll(l.limitsTold(encodeLimit(target, word, now), false))
+}
+
+func (l *Link) limitsTold(w *ownerpb.LimitWord, passOn bool) *ownerpb.Datagram {
 	d := l.own()
-	d.Body = &ownerpb.Datagram_Limits{Limits: &ownerpb.Limits{Words: []*ownerpb.LimitWord{encodeLimit(target, word, now)}}}
-	l.sendAll(d)
+	d.Body = &ownerpb.Datagram_Limits{Limits: &ownerpb.Limits{Words: []*ownerpb.LimitWord{w}, PassOn: passOn}}
+	return d
 }
 
 func (l *Link) handleLimits(body *ownerpb.Limits) {
 	now := time.Now()
 	for _, w := range body.GetWords() {
-		if !l.takeLimit(now, w) {
-			continue
-		}
-		t, _ := l.Fleet.Info(w.Target)
-		if s := l.layout.Load().Owning(t); s != nil {
-			if _, other := l.otherOwner(now, s); !other {
-				l.spread(now, w.Target)
-			}
+		if l.takeLimit(now, w) && body.PassOn {
+			l.spread(now, w.Target)
 		}
 	}
 }
--- a/lib/ownerlink/permits_test.go
+++ b/lib/ownerlink/permits_test.go
@@ -130,3 +130,22 @@
 	d.Body = &ownerpb.Datagram_PermitAsk{}
 	m.handle(d)
 }
+
+// One instance hears from a plain target that it leaves. The others, which may not hear it for long, are told.
+func TestAllAreToldOfATargetThatSaysItLeaves(t *testing.T) {
+	for rank := range 3 {
+		members, p1, s := limitedSite(t, "a", "b", "c")
+		members[s.Ranked[rank].Name].TellLeft(p1)
+		for i := range 3 {
+			if i == rank {
+				continue // it knows
+			}
+			select {
+			case id := <-members[s.Ranked[i].Name].left:
+				must.Eq(t, "p1", id)
+			case <-time.After(5 * time.Second):
+				t.Fatal("not told")
+			}
+		}
+	}
+}
