A target that turns an instance away for a stated time gets nothing from it until then

Cause: what a target says of when to come back was not read; a refusal counted as a failure of the target, with a pause of this instance's own that grows from 0.25 to 2 s, and that gives way where no other target is left.

The time (seconds, fractions, a date; ten minutes at most; the latest of several) bars the target for this instance, whatever chooses it: plain calls, repeats, streams that an owner places (the ask names the targets that rest), moves, polls of engines. Where all targets rest, or have limits that leave nothing, a call is refused at once with the time at which the first of them takes requests; a stream waits for that if it is within its wait for room. A new life of the target ends it.

A rest of another target at the address, of an earlier life and of a 200 says nothing.

--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -124,6 +124,8 @@
 	switch {
 	case t.Service != n.Service, n.Without[t.ID], !f.takes(t):
 		return false
+	case !n.asOwner && now.Before(t.restUntil):
+		return false
 	case !f.within(t, n.Regions), !f.paceAllows(now, t, &n):
 		return false
 	}
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -50,6 +50,7 @@
 	reported   float64 // requests running and waiting, as its last answer told
 	reportedAt time.Time
 	heard      time.Time // when anything last came from it, to this instance or a peer
+	restUntil  time.Time // it wants nothing from this instance until then
 	listed     bool      // the list has an entry of it
 	missing    time.Time // since when a list read after an outage has not had it; zero: it is listed
 	told       told      // what peers carry there
@@ -199,10 +200,22 @@
 	Takes       int // take requests, cold ones among them
 	Cold        int // of these, have just started and take few
 	Limited     int // of these, have named a limit that leaves this instance nothing now
+	Resting     int // of these, want nothing from this instance now
 	Evacuated   int // in a failure domain whose targets get nothing new
 	OutOfRegion int // outside the regions that the request is bound to
 
-	Soonest time.Duration // until the first of those that are limited may take one
+	Soonest time.Duration // until the first of those that are limited or rest may take one
+}
+
+// Blocked reports whether targets are there, and each of them leaves this instance nothing now.
+func (s *Standing) Blocked() bool { return s.Takes > 0 && s.Limited+s.Resting == s.Takes }
+
+// block counts a target that takes requests, but none from this instance for some time.
+func (s *Standing) block(count *int, wait time.Duration) {
+	if s.Limited+s.Resting == 0 || wait < s.Soonest {
+		s.Soonest = wait
+	}
+	*count++
 }
 
 // Stand counts the targets for a request.
@@ -222,11 +235,12 @@
 			if f.isCold(now, t) {
 				out.Cold++
 			}
-			if wait := t.pacer.holdOff.Sub(now); t.limit.On && wait > 0 {
-				if out.Limited == 0 || wait < out.Soonest {
-					out.Soonest = wait
-				}
-				out.Limited++
+			rest, holdOff := t.restUntil.Sub(now), t.pacer.holdOff.Sub(now)
+			switch {
+			case rest > 0:
+				out.block(&out.Resting, rest)
+			case t.limit.On && holdOff > 0:
+				out.block(&out.Limited, holdOff)
 			}
 		}
 	}
--- a/lib/fleet/outcome.go
+++ b/lib/fleet/outcome.go
@@ -49,13 +49,13 @@
 	}
 }
 
-// Avoided lists the targets of a service that this instance could not reach, or that turned it away, lately.
+// Avoided lists the targets of a service that this instance could not reach lately, or that turned it away.
 func (f *Fleet) Avoided(now time.Time, service string) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []string
 	for _, id := range f.order {
-		if t := f.targets[id]; t.Service == service && now.Before(t.avoidUntil) {
+		if t := f.targets[id]; t.Service == service && (now.Before(t.avoidUntil) || now.Before(t.restUntil)) {
 			out = append(out, id)
 		}
 	}
--- /dev/null
+++ b/lib/fleet/rest.go
@@ -0,0 +1,27 @@
+package fleet
+
+import "time"
+
+// Rest notes that a life of a target wants nothing from this instance until a time, which others may be free of. Of several times the
+// latest holds. It reports whether the target did not rest before.
+func (f *Fleet) Rest(now time.Time, target Info, until time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.targets[target.ID]
+	if t == nil || t.Born != target.Born {
+		return false
+	}
+	begins := !now.Before(t.restUntil)
+	if until.After(t.restUntil) {
+		t.restUntil = until
+	}
+	return begins
+}
+
+// Resting reports whether a target wants nothing from this instance now.
+func (f *Fleet) Resting(now time.Time, id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.targets[id]
+	return t != nil && now.Before(t.restUntil)
+}
--- a/lib/fleet/rooms.go
+++ b/lib/fleet/rooms.go
@@ -102,7 +102,7 @@
 	var out, limited []Room
 	for _, id := range among {
 		t := f.targets[id]
-		if t == nil || t.Service != service || !f.takes(t) || f.isCold(now, t) {
+		if t == nil || t.Service != service || !f.takes(t) || f.isCold(now, t) || now.Before(t.restUntil) {
 			continue
 		}
 		room := Room{Info: t.Info, Free: f.specs[service].KVTokens - f.carried(t).Tokens}
--- a/lib/gateway/answer.go
+++ b/lib/gateway/answer.go
@@ -45,8 +45,10 @@
 	stand := g.Fleet.Stand(time.Now(), fleet.Need{Service: c.service, Regions: g.regions(c)})
 	g.Log.Unplaced(c.entry(), stand)
 	switch {
-	case stand.Takes > 0 && stand.Limited == stand.Takes:
+	case stand.Blocked() && stand.Limited > 0:
 		return refusal{status: http.StatusServiceUnavailable, after: c.wait(stand.Soonest), reason: "targets_limited"}
+	case stand.Blocked():
+		return refusal{status: http.StatusServiceUnavailable, after: c.wait(stand.Soonest), reason: "targets_resting"}
 	case stand.Takes > 0 && stand.Cold == stand.Takes:
 		return c.again("targets_cold")
 	case stand.Takes > 0:
--- a/lib/gateway/log.go
+++ b/lib/gateway/log.go
@@ -46,7 +46,7 @@
 
 // Unplaced tells why no target takes a call.
 func (l Log) Unplaced(e entry, s fleet.Standing) {
-	at := l.line(log.Info(), "no_target", e).Int("takes", s.Takes).Int("cold", s.Cold).Int("limited", s.Limited)
+	at := l.line(log.Info(), "no_target", e).Int("takes", s.Takes).Int("cold", s.Cold).Int("limited", s.Limited).Int("resting", s.Resting)
 	at.Int("evacuated", s.Evacuated).Int("out_of_region", s.OutOfRegion).Msg("")
 }
 
@@ -106,6 +106,12 @@
 	at.Bool("on", limit.On).Float64("per_second", limit.PerSecond).Msg("")
 }
 
+// Rests tells that a target wants nothing from this instance for some time.
+func (l Log) Rests(t fleet.Info, rest time.Duration) {
+	at := log.Info().Str("event", "target_rests").Str("target", t.ID).Str("service", t.Service)
+	at.Int64("for_ms", rest.Milliseconds()).Msg("")
+}
+
 // Warn tells of something that touches no single request.
 func (l Log) Warn(event, subject string, err error) {
 	logline.Cause(log.Warn().Str("event", event).Str("subject", subject), err)
--- a/lib/gateway/notice.go
+++ b/lib/gateway/notice.go
@@ -9,16 +9,58 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/wirehttp"
 )
 
 // metricNotices counts what targets say of themselves in answers, when it begins, changes or ends.
 const metricNotices = "anvilwick_gateway_notices_total"
 
 // readNotices takes in what an answer says of its target, to a request that was sent at asked.
-func (g *Gateway) readNotices(target fleet.Info, h http.Header, asked time.Time) {
-	g.readLoad(target.ID, h)
-	g.readLeaving(target, h)
-	g.readLimit(target, h, asked)
+func (g *Gateway) readNotices(target fleet.Info, resp *wirehttp.Response, asked time.Time) {
+	if resp.Status == http.StatusMisdirectedRequest {
+		return // another target has the address
+	}
+	g.readLoad(target.ID, resp.Header)
+	g.readLeaving(target, resp.Header)
+	g.readLimit(target, resp.Header, asked)
+	g.readRest(target, resp)
+}
+
+// restMax bounds the time for which a target is left alone: a senseless one must not take it away for good.
+const restMax = 10 * time.Minute
+
+// readRest takes in that a target which turns a request away wants no other from this instance for some time.
+func (g *Gateway) readRest(target fleet.Info, resp *wirehttp.Response) {
+	if resp.Status != http.StatusServiceUnavailable && resp.Status != http.StatusTooManyRequests {
+		return
+	}
+	now := time.Now()
+	rest := min(retryAfter(resp.Header, now), restMax)
+	if rest <= 0 || !g.Fleet.Rest(now, target, now.Add(rest)) {
+		return
+	}
+	g.Log.Rests(target, rest)
+	metrics.GetOrCreateCounter(metricNotices + `{notice="rest"}`).Inc()
+}
+
+// retryAfter reads a time to come back: seconds, also with a fraction, or a date, which is taken from the answer's own. 0 when there is
+// none that can be read.
+func retryAfter(h http.Header, now time.Time) time.Duration {
+	v := strings.TrimSpace(h.Get("Retry-After"))
+	if s, err := strconv.ParseFloat(v, 64); err == nil {
+		if !(s > 0) {
+			return 0
+		}
+		return time.Duration(min(s, restMax.Seconds()) * float64(time.Second))
+	}
+	at, err := http.ParseTime(v)
+	if err != nil {
+		return 0
+	}
+	if date, err := http.ParseTime(h.Get("Date")); err == nil {
+		now = date
+	}
+	return at.Sub(now)
 }
 
 // readLeaving takes in that a target says that it leaves. The list of targets may tell it much later: while the store is away, only
--- a/lib/gateway/notice_test.go
+++ b/lib/gateway/notice_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/wirehttp"
 )
 
 // What targets write as a limit. Of several the lowest holds, and what can't be read says nothing.
@@ -39,11 +40,57 @@
 	g := newTestGateway()
 	target := fleet.Info{ID: "t", Service: "s"}
 	g.Fleet.Apply(time.Now(), []fleet.Info{target}, nil, 0)
-	g.readNotices(target, http.Header{"Limit": {"3"}}, time.Now())
+	g.readNotices(target, &wirehttp.Response{Status: 200, Header: http.Header{"Limit": {"3"}}}, time.Now())
 	must.True(t, g.Fleet.LimitOf("t").On)
 	time.Sleep(time.Millisecond)
-	g.readNotices(target, http.Header{}, time.Now())
+	g.readNotices(target, &wirehttp.Response{Status: 200, Header: http.Header{}}, time.Now())
 	must.True(t, g.Fleet.LimitOf("t").On)
-	g.readNotices(target, http.Header{"Seal": {"s"}}, time.Now())
+	g.readNotices(target, &wirehttp.Response{Status: 200, Header: http.Header{"Seal": {"s"}}}, time.Now())
 	must.False(t, g.Fleet.LimitOf("t").On)
 }
+
+// What targets write as a time to come back.
+func TestReadRetryAfter(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	date := func(d time.Duration) string { return now.Add(d).UTC().Format(http.TimeFormat) }
+	for _, c := range []struct {
+		header http.Header
+		want   time.Duration
+	}{
+		{http.Header{}, 0},
+		{http.Header{"Retry-After": {"2"}}, 2 * time.Second},
+		{http.Header{"Retry-After": {"0.25"}}, 250 * time.Millisecond},
+		{http.Header{"Retry-After": {"0"}}, 0},
+		{http.Header{"Retry-After": {"-3"}}, 0},
+		{http.Header{"Retry-After": {"NaN"}}, 0},
+		{http.Header{"Retry-After": {"soon"}}, 0},
+		{http.Header{"Retry-After": {"1e300"}}, restMax},
+		{http.Header{"Retry-After": {date(3 * time.Second)}}, 3 * time.Second},
+		{http.Header{"Retry-After": {date(3 * time.Second)}, "Date": {date(time.Second)}}, 2 * time.Second},
+		{http.Header{"Retry-After": {date(-time.Second)}}, -time.Second},
+	} {
+		must.Eq(t, c.want, retryAfter(c.header, now), must.Sprint(c.header))
+	}
+}
+
+// Two answers name different times: the later one holds, whichever comes last. Another target at the address, and an answer to an
+// earlier life, say nothing of this one.
+func TestLongestRestHolds(t *testing.T) {
+	g := newTestGateway()
+	target := fleet.Info{ID: "t", Service: "s", Born: 2}
+	g.Fleet.Apply(time.Now(), []fleet.Info{target}, nil, 0)
+	turnsAway := func(from fleet.Info, status int, after string) {
+		g.readNotices(from, &wirehttp.Response{Status: status, Header: http.Header{"Retry-After": {after}}}, time.Now())
+	}
+	turnsAway(target, 421, "9")
+	turnsAway(target, 200, "9")
+	turnsAway(fleet.Info{ID: "t", Service: "s", Born: 1}, 503, "9")
+	must.False(t, g.Fleet.Resting(time.Now(), "t"))
+	turnsAway(target, 503, "9")
+	turnsAway(target, 503, "0.1")
+	must.True(t, g.Fleet.Resting(time.Now().Add(8*time.Second), "t"))
+	must.False(t, g.Fleet.Resting(time.Now().Add(9*time.Second), "t"))
+	target.Born = 3
+	g.Fleet.Apply(time.Now(), []fleet.Info{target}, nil, 0)
+	must.False(t, g.Fleet.Resting(time.Now(), "t"))
+}
--- a/lib/gateway/place.go
+++ b/lib/gateway/place.go
@@ -24,6 +24,9 @@
 		return to, 0
 	}
 	defer func() { r.waited = time.Since(r.c.arrived) }()
+	if !r.awaitRest(ctx, need) {
+		return next{}, 0
+	}
 	if r.g.Owners != nil {
 		if found, away, ok := r.placeByOwner(ctx, need); ok {
 			found.counted = to.counted
@@ -34,6 +37,25 @@
 	return to, away
 }
 
+// awaitRest waits while all engines rest, or have a limit that leaves this instance nothing. It reports false at once if that outlasts
+// the stream's wait for room.
+func (r *run) awaitRest(ctx context.Context, need fleet.Need) bool {
+	now := time.Now()
+	stand := r.g.Fleet.Stand(now, need)
+	if !stand.Blocked() {
+		return true
+	}
+	s := r.stream(need)
+	if now.Add(stand.Soonest).After(s.Due()) {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(stand.Soonest):
+	}
+	return true
+}
+
 // stream is the run as a stream that waits for an engine.
 func (r *run) stream(need fleet.Need) admit.Stream {
 	need.Peak = r.grows()
--- a/lib/gateway/plain.go
+++ b/lib/gateway/plain.go
@@ -91,7 +91,7 @@
 		if ok || c.sends > 0 || !g.Fleet.Settling(time.Now()) || time.Now().After(until) || ctx.Err() != nil {
 			return target, ok
 		}
-		if g.Fleet.Stand(time.Now(), need).Limited > 0 {
+		if stand := g.Fleet.Stand(time.Now(), need); stand.Blocked() {
 			return target, false // the list has targets, and no wait for others is worth the caller's time
 		}
 		time.Sleep(listPoll)
@@ -126,7 +126,7 @@
 	x.sent = x.err == nil || wirehttp.MaybeSent(x.err)
 	if x.err == nil {
 		x.verdict = g.judge(x.resp)
-		g.readNotices(target, x.resp.Header, asked)
+		g.readNotices(target, x.resp, asked)
 		x.body, x.err = x.resp.ReadAll(answerLimit)
 		if x.err != nil {
 			// A cut answer proves nothing, whatever its head says.
--- a/lib/gatewayproc/watch.go
+++ b/lib/gatewayproc/watch.go
@@ -48,8 +48,11 @@
 	}
 }
 
-// mayAsk reports whether an engine may be asked now. One that has named a limit is asked less often, and within its limit.
+// mayAsk reports whether an engine may be asked now. One that rests is not, and one that has named a limit is asked less often, and within its limit.
 func (p *Process) mayAsk(now time.Time, engine string, asked map[string]time.Time) bool {
+	if p.fleet.Resting(now, engine) {
+		return false
+	}
 	if !p.fleet.LimitOf(engine).On {
 		return true
 	}
