Logs and explain tell which targets were passed over by their own word, with age and source

A line of a send names up to six targets of the service that have a limit, rest or have just said that they leave; explain shows when they said so.

--- a/lib/explain/explain.go
+++ b/lib/explain/explain.go
@@ -33,6 +33,7 @@
 	fieldTo       = "to"
 	fieldSubject  = "subject"
 	fieldInstance = "instance"
+	fieldPassed   = "passed_over" // targets that the choice passed over, as id:reason:age:source, with blanks between
 )
 
 // ofInstance are events that touch whatever an instance is doing.
@@ -102,7 +103,7 @@
 // story is what one request went through.
 type story struct {
 	sources map[string]bool // instances that tell of it
-	targets map[string]bool // that it was sent or moved to
+	targets map[string]bool // that it was sent or moved to, or that were passed over for it
 	first   time.Time
 	last    time.Time
 	end     *line // the line that tells how it ended, if any
@@ -124,6 +125,10 @@
 				s.targets[t] = true
 			}
 		}
+		for _, passed := range strings.Fields(l.get(fieldPassed)) {
+			id, _, _ := strings.Cut(passed, ":")
+			s.targets[id] = true
+		}
 		if s.first.IsZero() || l.at.Before(s.first) {
 			s.first = l.at
 		}
--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -153,6 +153,35 @@
 	Load   Load          // of the target, with the request itself
 	Peers  int           // instances whose news are counted in the load
 	Oldest time.Duration // age of the oldest of these
+	Passed []Passed      // targets of the service that were passed over by their own word, some of them if there are many
+}
+
+// Passed is a target that gets nothing because of what it said of itself.
+type Passed struct {
+	ID   string
+	Why  string // limit, rests or leaves
+	Age  time.Duration
+	Told bool // another instance heard it
+}
+
+// passedMost bounds the targets that a Belief names.
+const passedMost = 6
+
+// passedFor is how long after its word a target that leaves is named.
+const passedFor = 5 * time.Second
+
+// passed tells whether a target gets nothing now because of what it said.
+func (t *Target) passed(now time.Time) (Passed, bool) {
+	p := Passed{ID: t.ID}
+	switch {
+	case t.state == Leaving && now.Sub(t.leavingAt) < passedFor:
+		p.Why, p.Age = "leaves", now.Sub(t.leavingAt)
+	case t.state != Leaving && now.Before(t.restUntil):
+		p.Why, p.Age = "rests", now.Sub(t.restFrom)
+	case t.state != Leaving && t.limit.On && now.Before(t.pacer.holdOff):
+		p.Why, p.Age, p.Told = "limit", now.Sub(t.limit.Heard), t.limit.Told
+	}
+	return p, p.Why != ""
 }
 
 // Believe tells what is believed of a target, for logs.
@@ -168,9 +197,15 @@
 		b.Oldest = max(b.Oldest, now.Sub(p.at))
 	}
 	for _, other := range f.targets {
-		if other.Service == t.Service && f.takes(other) {
+		if other.Service != t.Service {
+			continue
+		}
+		if f.takes(other) {
 			b.Ready++
 		}
+		if p, ok := other.passed(now); ok && len(b.Passed) < passedMost {
+			b.Passed = append(b.Passed, p)
+		}
 	}
 	return b
 }
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -50,6 +50,7 @@
 	reported   float64 // requests running and waiting, as its last answer told
 	reportedAt time.Time
 	heard      time.Time // when anything last came from it, to this instance or a peer
+	restFrom   time.Time // when it said so
 	restUntil  time.Time // it wants nothing from this instance until then
 	listed     bool      // the list has an entry of it
 	missing    time.Time // since when a list read after an outage has not had it; zero: it is listed
--- a/lib/fleet/limit.go
+++ b/lib/fleet/limit.go
@@ -21,6 +21,7 @@
 	Limit
 	Asked time.Time // when the request was sent, so that the answer was made later
 	Heard time.Time // when the answer came; the zero time: no answer has
+	Told  bool      // another instance got the answer
 }
 
 // after reports whether a word holds in place of another.
--- a/lib/fleet/rest.go
+++ b/lib/fleet/rest.go
@@ -13,7 +13,7 @@
 	}
 	begins := !now.Before(t.restUntil)
 	if until.After(t.restUntil) {
-		t.restUntil = until
+		t.restFrom, t.restUntil = now, until
 	}
 	return begins
 }
--- a/lib/gateway/log.go
+++ b/lib/gateway/log.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/phuslu/log"
@@ -55,9 +57,30 @@
 	at := l.line(log.Info(), "sent", e).Str("target", target).Int("ready", b.Ready)
 	at = at.Int("runs", b.Load.Runs).Int("tokens", b.Load.Tokens).Int("unread", b.Load.Unread)
 	at = at.Int("peers", b.Peers).Int64("news_ms", b.Oldest.Milliseconds())
+	if len(b.Passed) > 0 {
+		at = at.Str("passed_over", passedOver(b.Passed))
+	}
 	logline.Cause(at.Int("status", status).Str("outcome", outcome), err)
 }
 
+// passedOver writes targets with the reason, the age of their word in milliseconds and who heard it, as in w1:limit:120:told.
+func passedOver(list []fleet.Passed) string {
+	out := make([]string, len(list))
+	for i, p := range list {
+		source := "own"
+		if p.Told {
+			source = "told"
+		}
+		out[i] = fmt.Sprintf("%s:%s:%d:%s", p.ID, p.Why, p.Age.Milliseconds(), source)
+	}
+	return strings.Join(out, " ")
+}
+
+// SaysItLeaves tells that a target says in an answer that it leaves.
+func (l Log) SaysItLeaves(t fleet.Info) {
+	log.Info().Str("event", "target_says_it_leaves").Str("target", t.ID).Str("service", t.Service).Msg("")
+}
+
 // Begun tells of a stream's first event, and how long the stream had waited for an engine before it was sent.
 func (l Log) Begun(e entry, target string, waited time.Duration) {
 	at := l.line(log.Info(), "first_event", e).Str("target", target).Int64("after_ms", e.age.Milliseconds())
--- a/lib/gateway/notice.go
+++ b/lib/gateway/notice.go
@@ -72,6 +72,7 @@
 	if g.Fleet.IsLeaving(target.ID) {
 		return
 	}
+	g.Log.SaysItLeaves(target)
 	metrics.GetOrCreateCounter(metricNotices + `{notice="leaving"}`).Inc()
 	g.Left(target)
 }
--- a/lib/ownerlink/permits.go
+++ b/lib/ownerlink/permits.go
@@ -155,7 +155,7 @@
 		return false
 	}
 	return l.Fleet.TakeLimit(w.Target, fleet.LimitWord{
-		Limit: fleet.Limit{On: w.On, PerSecond: w.PerSecond}, Asked: before(now, w.AskedAgoUs), Heard: before(now, w.HeardAgoUs),
+		Limit: fleet.Limit{On: w.On, PerSecond: w.PerSecond}, Asked: before(now, w.AskedAgoUs), Heard: before(now, w.HeardAgoUs), Told: true,
 	})
 }
 
