--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -170,6 +170,9 @@
 // passedFor is how long after its word a target that leaves is named.
 const passedFor = 5 * time.Second
 
+// silent reports whether a target has said nothing of itself, as nearly all have.
+func (t *Target) silent() bool { return t.state == Ready && !t.limit.On && t.restUntil.IsZero() }
+
 // passed tells whether a target gets nothing now because of what it said.
 func (t *Target) passed(now time.Time) (Passed, bool) {
 	p := Passed{ID: t.ID}
@@ -203,7 +206,10 @@
 		if f.takes(other) {
 			b.Ready++
 		}
-		if p, ok := other.passed(now); ok && len(b.Passed) < passedMost {
+		if other.silent() || len(b.Passed) == passedMost {
+			continue
+		}
+		if p, ok := other.passed(now); ok {
 			b.Passed = append(b.Passed, p)
 		}
 	}
