--- a/lib/gateway/notice.go
+++ b/lib/gateway/notice.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/retry"
 	"anvilwick.example/anvilwick/lib/wirehttp"
 )
 
@@ -26,16 +27,13 @@
 	g.readRest(target, resp)
 }
 
-// restMax bounds the time for which a target is left alone: a senseless one must not take it away for good.
-const restMax = 10 * time.Minute
-
 // readRest takes in that a target which turns a request away wants no other from this instance for some time.
 func (g *Gateway) readRest(target fleet.Info, resp *wirehttp.Response) {
 	if resp.Status != http.StatusServiceUnavailable && resp.Status != http.StatusTooManyRequests {
 		return
 	}
 	now := time.Now()
-	rest := min(retryAfter(resp.Header, now), restMax)
+	rest := retry.After(resp.Header, now)
 	if rest <= 0 || !g.Fleet.Rest(now, target, now.Add(rest)) {
 		return
 	}
@@ -43,26 +41,6 @@
 	metrics.GetOrCreateCounter(metricNotices + `{notice="rest"}`).Inc()
 }
 
-// retryAfter reads a time to come back: seconds, also with a fraction, or a date, which is taken from the answer's own. 0 when there is
-// none that can be read.
-func retryAfter(h http.Header, now time.Time) time.Duration {
-	v := strings.TrimSpace(h.Get("Retry-After"))
-	if s, err := strconv.ParseFloat(v, 64); err == nil {
-		if !(s > 0) {
-			return 0
-		}
-		return time.Duration(min(s, restMax.Seconds()) * float64(time.Second))
-	}
-	at, err := http.ParseTime(v)
-	if err != nil {
-		return 0
-	}
-	if date, err := http.ParseTime(h.Get("Date")); err == nil {
-		now = date
-	}
-	return at.Sub(now)
-}
-
 // readLeaving takes in that a target says that it leaves. The list of targets may tell it much later: while the store is away, only
 // answers do.
 func (g *Gateway) readLeaving(target fleet.Info, h http.Header) {
--- a/lib/target/client.go
+++ b/lib/target/client.go
@@ -12,13 +12,13 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/dghubble/sling"
 
 	"anvilwick.example/anvilwick/lib/engineapi"
 	"anvilwick.example/anvilwick/lib/ids"
+	"anvilwick.example/anvilwick/lib/retry"
 )
 
 const (
@@ -155,22 +155,10 @@
 			e.Err = wrapped.Error
 		}
 	}
-	e.RetryAfter = RetryAfter(resp.Header)
+	e.RetryAfter = retry.After(resp.Header, time.Now())
 	return e
 }
 
-// maxRetryAfter bounds the time for which a target is left alone: a senseless one must not take it away for good.
-const maxRetryAfter = 10 * time.Minute
-
-// RetryAfter is the time in an answer after which its target wants to be asked again; 0 when none is given in seconds.
-func RetryAfter(h http.Header) time.Duration {
-	s, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
-	if err != nil || !(s > 0) {
-		return 0
-	}
-	return time.Duration(min(s, maxRetryAfter.Seconds()) * float64(time.Second))
-}
-
 // opaqueBody hides that a body could be read again, so that net/http never resends it.
 type opaqueBody struct{ io.Reader }
 
