--- a/lib/standin/engine/fault.go
+++ b/lib/standin/engine/fault.go
@@ -150,7 +150,7 @@
 		select {
 		case <-gone:
 			return false
-		case <-s.stop:
+		case <-s.Stopped():
 			return false
 		case <-time.After(min(left, stallPoll)):
 		}
--- a/lib/standin/engine/server.go
+++ b/lib/standin/engine/server.go
@@ -5,16 +5,14 @@
 package engine
 
 import (
-	"context"
-	"errors"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"time"
 
 	"anvilwick.example/anvilwick/lib/enginemodel"
 	"anvilwick.example/anvilwick/lib/ids"
+	"anvilwick.example/anvilwick/lib/standin/serving"
 )
 
 // Config is what the stand-in needs to know.
@@ -33,14 +31,10 @@
 
 // Server is one running stand-in.
 type Server struct {
+	serving.Server
 	cfg   Config
 	start time.Time
-	http  *http.Server
-	ln    net.Listener
 	wake  chan struct{}
-	stop  chan struct{}
-	done  sync.WaitGroup
-	once  sync.Once
 
 	mu      sync.Mutex
 	model   *enginemodel.Engine
@@ -62,16 +56,7 @@
 		return nil, err
 	}
 	s := newServer(cfg)
-	s.ln = ln
-	s.done.Add(2)
-	go func() {
-		defer s.done.Done()
-		s.run()
-	}()
-	go func() {
-		defer s.done.Done()
-		_ = s.http.Serve(ln)
-	}()
+	s.Open(ln, s.routes(), s.run)
 	return s, nil
 }
 
@@ -89,38 +74,14 @@
 		cfg:     cfg,
 		start:   time.Now(),
 		wake:    make(chan struct{}, 1),
-		stop:    make(chan struct{}),
 		model:   enginemodel.New(cfg.Engine),
 		streams: make(map[streamKey]*stream),
 		fences:  newFences(),
 		orders:  newOrderState(cfg),
 	}
-	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: 10 * time.Second}
 	return s
 }
 
-// Addr is the address it listens on.
-func (s *Server) Addr() string { return s.ln.Addr().String() }
-
-// Close ends gracefully: streams in progress may finish until ctx ends.
-func (s *Server) Close(ctx context.Context) error {
-	err := s.http.Shutdown(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
-		err = s.http.Close()
-	}
-	s.halt()
-	s.done.Wait()
-	return err
-}
-
-// Kill cuts every connection at once, as the death of the process would.
-func (s *Server) Kill() {
-	s.halt()
-	_ = s.http.Close()
-}
-
-func (s *Server) halt() { s.once.Do(func() { close(s.stop) }) }
-
 func (s *Server) now() time.Duration { return time.Since(s.start) }
 
 // run ends the model's steps when they are due.
@@ -130,7 +91,7 @@
 	for {
 		timer.Reset(s.stepDue())
 		select {
-		case <-s.stop:
+		case <-s.Stopped():
 			return
 		case <-s.wake:
 		case <-timer.C:
--- a/lib/standin/plain/call.go
+++ b/lib/standin/plain/call.go
@@ -62,7 +62,7 @@
 	ans := s.execute(r, string(body))
 	select {
 	case <-time.After(delay):
-	case <-s.stop:
+	case <-s.Stopped():
 		panic(http.ErrAbortHandler)
 	}
 	s.answer(w, r, fault, ans)
@@ -126,7 +126,7 @@
 	case FaultHang:
 		select {
 		case <-r.Context().Done():
-		case <-s.stop:
+		case <-s.Stopped():
 		}
 		panic(http.ErrAbortHandler)
 	}
--- a/lib/standin/plain/plain.go
+++ b/lib/standin/plain/plain.go
@@ -5,9 +5,7 @@
 package plain
 
 import (
-	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"maps"
 	"net"
@@ -17,6 +15,7 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/engineapi"
+	"anvilwick.example/anvilwick/lib/standin/serving"
 )
 
 // Paths of the stand-in itself; a real service has only engineapi.PathServiceLoad.
@@ -77,12 +76,8 @@
 
 // Server is one running stand-in.
 type Server struct {
-	cfg  Config
-	http *http.Server
-	ln   net.Listener
-	stop chan struct{}
-	once sync.Once
-	done sync.WaitGroup
+	serving.Server
+	cfg Config
 
 	mu      sync.Mutex
 	counts  map[string]int
@@ -109,42 +104,13 @@
 	}
 	s := &Server{
 		cfg:    cfg,
-		ln:     ln,
-		stop:   make(chan struct{}),
 		counts: make(map[string]int),
 		delay:  cfg.Delay,
 	}
-	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: 10 * time.Second}
-	s.done.Add(1)
-	go func() {
-		defer s.done.Done()
-		_ = s.http.Serve(ln)
-	}()
+	s.Open(ln, s.routes(), nil)
 	return s, nil
 }
 
-// Addr is the address it listens on.
-func (s *Server) Addr() string { return s.ln.Addr().String() }
-
-// Close ends gracefully: calls in progress may finish until ctx ends.
-func (s *Server) Close(ctx context.Context) error {
-	err := s.http.Shutdown(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
-		err = s.http.Close()
-	}
-	s.halt()
-	s.done.Wait()
-	return err
-}
-
-// Kill cuts every connection at once, as the death of the process would.
-func (s *Server) Kill() {
-	s.halt()
-	_ = s.http.Close()
-}
-
-func (s *Server) halt() { s.once.Do(func() { close(s.stop) }) }
-
 // Executions returns how often each id was executed.
 func (s *Server) Executions() map[string]int {
 	s.mu.Lock()
