--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -114,7 +114,7 @@
 		}
 	}
 	if best == nil && !n.Must {
-		// All were unreachable lately; the one that has rested longest is better than a refusal.
+		// All were unreachable lately; the one whose pause ends first is better than a refusal.
 		return last
 	}
 	return best
@@ -156,12 +156,22 @@
 	Passed []Passed      // targets of the service that were passed over by their own word, some of them if there are many
 }
 
+// Word is a kind of thing that a target says of itself in answers.
+type Word string
+
+// Values of Word, as they are written in logs.
+const (
+	WordLimit  Word = "limit"
+	WordRests  Word = "rests"
+	WordLeaves Word = "leaves"
+)
+
 // Passed is a target that gets nothing because of what it said of itself.
 type Passed struct {
 	ID   string
-	Why  string // limit, rests or leaves
-	Age  time.Duration
-	Told bool // another instance heard it
+	Word Word
+	Age  time.Duration // of the word
+	Told bool          // another instance heard it
 }
 
 // passedMost bounds the targets that a Belief names.
@@ -178,13 +188,13 @@
 	p := Passed{ID: t.ID}
 	switch {
 	case t.state == Leaving && now.Sub(t.leavingAt) < passedFor:
-		p.Why, p.Age = "leaves", now.Sub(t.leavingAt)
+		p.Word, p.Age = WordLeaves, now.Sub(t.leavingAt)
 	case t.state != Leaving && now.Before(t.restUntil):
-		p.Why, p.Age = "rests", now.Sub(t.restFrom)
+		p.Word, p.Age = WordRests, now.Sub(t.restFrom)
 	case t.state != Leaving && t.limit.On && now.Before(t.pacer.holdOff):
-		p.Why, p.Age, p.Told = "limit", now.Sub(t.limit.Heard), t.limit.Told
+		p.Word, p.Age, p.Told = WordLimit, now.Sub(t.limit.Heard), t.limit.Told
 	}
-	return p, p.Why != ""
+	return p, p.Word != ""
 }
 
 // Believe tells what is believed of a target, for logs.
--- a/lib/gateway/log.go
+++ b/lib/gateway/log.go
@@ -63,7 +63,7 @@
 	logline.Cause(at.Int("status", status).Str("outcome", outcome), err)
 }
 
-// passedOver writes targets with the reason, the age of their word in milliseconds and who heard it, as in w1:limit:120:told.
+// passedOver writes targets with what they said, its age in milliseconds and who heard it, as in w1:limit:120:told.
 func passedOver(list []fleet.Passed) string {
 	out := make([]string, len(list))
 	for i, p := range list {
@@ -71,7 +71,7 @@
 		if p.Told {
 			source = "told"
 		}
-		out[i] = fmt.Sprintf("%s:%s:%d:%s", p.ID, p.Why, p.Age.Milliseconds(), source)
+		out[i] = fmt.Sprintf("%s:%s:%d:%s", p.ID, p.Word, p.Age.Milliseconds(), source)
 	}
 	return strings.Join(out, " ")
 }
