Callers that are refused for a limit come back spread out

All that an instance refused in one moment were told the one time at which there might be a permit, and came back for it together.

--- a/lib/gateway/answer.go
+++ b/lib/gateway/answer.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -46,7 +47,9 @@
 	g.Log.Unplaced(c.entry(), stand)
 	switch {
 	case stand.Blocked() && stand.Limited > 0:
-		return refusal{status: http.StatusServiceUnavailable, after: c.wait(stand.Soonest), reason: "targets_limited"}
+		// Callers that are refused together and told the same time would find one permit between them.
+		after := stand.Soonest + rand.N(againPlain)
+		return refusal{status: http.StatusServiceUnavailable, after: c.wait(after), reason: "targets_limited"}
 	case stand.Blocked():
 		return refusal{status: http.StatusServiceUnavailable, after: c.wait(stand.Soonest), reason: "targets_resting"}
 	case stand.Takes > 0 && stand.Cold == stand.Takes:
--- /dev/null
+++ b/lib/gateway/permit_test.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/routes"
+)
+
+func limitedGateway(perSecond float64) (*Gateway, fleet.Info) {
+	g := newTestGateway()
+	target := fleet.Info{ID: "t", Service: "s", Slots: 6}
+	now := time.Now()
+	g.Fleet.Apply(now, []fleet.Info{target}, nil, 0)
+	g.Fleet.TakeLimit("t", fleet.LimitWord{Limit: fleet.Limit{On: true, PerSecond: perSecond}, Asked: now, Heard: now})
+	return g, target
+}
+
+// Many callers are refused in one moment, since the only target has a limit. Told one time they would all come back for one permit.
+func TestCallersRefusedForALimitAreToldDifferentTimes(t *testing.T) {
+	const holdOff = 100 * time.Millisecond
+	g, target := limitedGateway(5)
+	g.Fleet.HoldOff(time.Now(), target.ID, holdOff)
+	c := &call{service: "s", route: &routes.Route{}, deadline: time.Now().Add(5 * time.Second)}
+	least, most := time.Hour, time.Duration(0)
+	for range 200 {
+		ref := g.unplaced(c)
+		must.Eq(t, "targets_limited", ref.reason)
+		least, most = min(least, ref.after), max(most, ref.after)
+	}
+	must.Greater(t, holdOff/2, least)
+	must.Less(t, holdOff+againPlain, most)
+	must.Greater(t, againPlain/2, most-least)
+}
+
+// No owner answers: the instance sends its small share by its own choice, and passes the target over for the rest.
+func TestWithoutAnOwnerAnInstanceKeepsToItsShare(t *testing.T) {
+	g, _ := limitedGateway(10)
+	sent := 0
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if target, ok := g.take(context.Background(), fleet.Need{Service: "s"}); ok {
+			g.Fleet.Release(time.Now(), target.ID, fleet.Load{}, fleet.Served)
+			sent++
+		}
+	}
+	must.Between(t, 1, sent, 3)
+}
