--- a/lib/fleet/pace.go
+++ b/lib/fleet/pace.go
@@ -12,11 +12,11 @@
 // No burst is under one request. What a target with a limit has left for a moment may be sent a little later, two requests at least, or
 // much of it would go unused.
 const (
-	ownerBurst = 0.2
-	limitBurst = 0.4
-	limitLeast = 2
-	alonePart  = 0.15
-	plainBurst = 0.5
+	ownerBurst = 0.2  // seconds of the pace
+	limitBurst = 0.4  // seconds of the limit
+	limitLeast = 2    // requests
+	alonePart  = 0.15 // of the pace
+	plainBurst = 0.5  // seconds of the pace
 	// trialPace is the least pace, in requests a second: only an answer shows that a limit of none has ended.
 	trialPace = 0.2
 	// deniedFor is how long an instance that was denied a permit is taken to want one.
