Logs tell eras and versions where a feed is refused as older, and where it is regained

The lines of the incident can't tell a store that has come back older from reads that lag, nor changes that were passed over from a page that lost rows. The position that is held and the one that was answered stand in both lines now, with whether the whole table was read.

go test lib/feed lib/feedlink lib/gatewayproc platform: all pass.

--- a/lib/feed/feed.go
+++ b/lib/feed/feed.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 )
@@ -27,8 +28,12 @@
 type Page struct {
 	Rows    []Row
 	Version int64 // newest version that the page reflects
+	Era     int64 // of the store's history in which that version was given out
 }
 
+// At returns the newest position that the page reflects.
+func (p *Page) At() Position { return Position{Era: p.Era, Version: p.Version} }
+
 // Source is a table to follow. It calls Progress with the context of a call for each part of the answer that comes: a call is
 // given up when nothing comes for a while, however long the whole takes.
 type Source interface {
@@ -41,6 +46,8 @@
 type Update struct {
 	Page
 	Whole  bool          // the first state: Rows are the whole table
+	Read   bool          // the page was the whole table, not changes
+	Before Position      // what was held before
 	Silent time.Duration // how long the store was out of everybody's reach before this update; 0: it was not
 }
 
@@ -199,7 +206,12 @@
 	return time.Since(f.to.Contact()) > outage
 }
 
-var errStale = errors.New("feed: the store answered with an older state than shown")
+// StaleError says that the store answered with an older state than is held.
+type StaleError struct{ Held, Got Position }
+
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("feed: the store answered with an older state than shown: %v, held is %v", e.Got, e.Held)
+}
 
 func (f *Follower) snapshot(ctx context.Context) error {
 	ctx, cancel := withSilence(ctx, f.timeout())
@@ -210,7 +222,7 @@
 	}
 	if version, _ := f.to.Version(); page.Version < version {
 		f.stale = true
-		return errStale
+		return &StaleError{Held: f.to.At(), Got: page.At()}
 	}
 	f.gone = false
 	f.to.Take(page, true, time.Now())
--- a/lib/feed/replica.go
+++ b/lib/feed/replica.go
@@ -13,6 +13,7 @@
 	mu      sync.Mutex
 	rows    map[string]Row // removed rows stay for keepRemoved, so that peers can be told
 	version int64
+	era     int64 // in which version was given out
 	whole   int64 // rows are complete from this version on; removed ones before it are forgotten
 	known   bool
 	contact time.Time // when the store last confirmed version, to anybody
@@ -51,13 +52,16 @@
 		r.contact = contact
 	}
 	now := time.Now()
-	u := Update{Page: Page{Version: page.Version, Rows: r.merge(page, whole, now)}, Whole: !r.known, Silent: silent}
+	u := Update{
+		Page:  Page{Version: page.Version, Era: page.Era, Rows: r.merge(page, whole, now)},
+		Whole: !r.known, Silent: silent, Read: whole, Before: Position{Era: r.era, Version: r.version},
+	}
 	first := !r.known
 	if first {
 		r.whole = page.Version
 	}
 	r.known = true
-	r.version = page.Version
+	r.version, r.era = page.Version, page.Era
 	r.forget(now)
 	if first || len(u.Rows) > 0 || silent > 0 {
 		r.apply(u)
@@ -122,7 +126,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	whole = after == 0 || after < r.whole
-	page.Version = r.version
+	page.Version, page.Era = r.version, r.era
 	if !whole && after >= r.version {
 		return page, whole, r.contact, r.known // most of what is passed on: nothing has changed since the last
 	}
@@ -141,6 +145,13 @@
 	return r.version, r.known
 }
 
+// At returns the newest position held.
+func (r *Replica) At() Position {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Position{Era: r.era, Version: r.version}
+}
+
 // Contact returns when the store last confirmed what is held.
 func (r *Replica) Contact() time.Time {
 	r.mu.Lock()
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -241,7 +241,8 @@
 
 func logRegained(name string, u feed.Update) {
 	if u.Silent > 0 {
-		log.Info().Str("event", "feed_regained").Str("feed", name).Int64("silent_ms", u.Silent.Milliseconds()).Msg("")
+		at := log.Info().Str("event", "feed_regained").Str("feed", name).Int64("silent_ms", u.Silent.Milliseconds())
+		at.Str("before", u.Before.String()).Str("now", u.At().String()).Bool("read_whole", u.Read).Int("rows", len(u.Rows)).Msg("")
 	}
 }
 
