A state of the store is told by its era and its version, in that order, wherever one is kept, passed on or compared

Callers saw settings of before a change that the store had acknowledged: a revoked key was served, a target that had said it leaves got requests, 2.1 to 2.5 s after, at most instances, until each row was written again. The store had come back from a copy and gave versions out again. Cause: a version alone was taken for a state.

Now a position is (era, version). Pages between instances carry the era, compressed pages are kept by it. A lower era is an old connection's and is refused. What the copy must have lost can be held on to per table (lib/feed keep.go); no table uses that yet.

--- a/lib/feed/copy_test.go
+++ b/lib/feed/copy_test.go
@@ -85,7 +85,7 @@
 func (m *model) Changes(ctx context.Context, after int64, wait time.Duration) (Page, error) {
 	end := time.After(wait)
 	for asked := true; ; asked = false {
-		page, err, changed := m.since(after, asked)
+		page, changed, err := m.since(after, asked)
 		if err != nil || len(page.Rows) > 0 {
 			return page, err
 		}
@@ -99,17 +99,17 @@
 	}
 }
 
-func (m *model) since(after int64, asked bool) (Page, error, <-chan struct{}) {
+func (m *model) since(after int64, asked bool) (Page, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if asked {
 		m.calls++
 	}
 	if m.away {
-		return Page{}, errAway, m.changed
+		return Page{}, m.changed, errAway
 	}
 	if after > m.ver {
-		return Page{}, ErrHistoryGone, m.changed
+		return Page{}, m.changed, ErrHistoryGone
 	}
 	page := Page{Version: m.ver, Era: m.era}
 	for _, r := range m.log {
@@ -117,7 +117,7 @@
 			page.Rows = append(page.Rows, r)
 		}
 	}
-	return page, nil, m.changed
+	return page, m.changed, nil
 }
 
 // A key is revoked right after the store has come back from a copy. The change gets a version below the one that is held: it must be
@@ -178,3 +178,70 @@
 		t.Error("the change was never seen")
 	}
 }
+
+// era returns an answer of an era.
+func era(n int64, a answer) answer {
+	a.page.Era = n
+	return a
+}
+
+// A long poll began before the store came back from a copy and is answered after, by versions that have passed the one asked from. The
+// answer may lack what was written below: the whole table is read.
+func TestAnswerOfANewEraIsReadWhole(t *testing.T) {
+	s := &script{
+		snapshots: []answer{
+			era(1, page(5, Row{Key: "a", Value: []byte("old"), Version: 5})),
+			era(2, page(9, Row{Key: "a", Value: []byte("new"), Version: 4}, Row{Key: "b", Version: 9})),
+		},
+		changes: []answer{era(2, page(9, Row{Key: "b", Version: 9}))},
+	}
+	got := follow(t, s, time.Second)
+	must.Len(t, 2, got)
+	must.True(t, got[1].Restored)
+	must.Eq(t, Position{Era: 1, Version: 5}, got[1].Before)
+	must.Eq(t, Position{Era: 2, Version: 9}, got[1].At())
+	must.Eq(t, []string{"new"}, valuesOf(got[1].Rows, "a"))
+	must.Eq(t, []int64{5, 9}, s.after)
+}
+
+// An answer of the era before comes late, by another connection, with a larger version. Nothing goes back.
+func TestLateAnswerOfAnOldEraChangesNothing(t *testing.T) {
+	s := &script{
+		snapshots: []answer{era(2, page(5, Row{Key: "a", Value: []byte("new"), Version: 5}))},
+		changes: []answer{
+			era(1, page(90, Row{Key: "a", Value: []byte("old"), Version: 90})),
+			era(2, page(6, Row{Key: "b", Version: 6})),
+		},
+	}
+	got := follow(t, s, time.Second)
+	must.Len(t, 2, got)
+	must.Eq(t, []Row{{Key: "b", Version: 6}}, got[1].Rows)
+}
+
+// An instance was cut off while the store came back from a copy twice. It takes the newest state, and no change of an era beside it.
+func TestReplicaOverTwoEras(t *testing.T) {
+	r := NewReplica(func(Update) {})
+	now := time.Now()
+	r.Take(Page{Era: 1, Version: 50, Rows: []Row{{Key: "a", Value: []byte("one"), Version: 50}}}, true, now)
+	r.Take(Page{Era: 3, Version: 70, Rows: []Row{{Key: "a", Value: []byte("changes"), Version: 70}}}, false, now)
+	must.Eq(t, Position{Era: 1, Version: 50}, r.At())
+	r.Take(Page{Era: 3, Version: 20, Rows: []Row{{Key: "a", Value: []byte("three"), Version: 18}}}, true, now)
+	r.Take(Page{Era: 2, Version: 99, Rows: []Row{{Key: "a", Value: []byte("two"), Version: 99}}}, true, now)
+	must.Eq(t, Position{Era: 3, Version: 20}, r.At())
+	page, whole, _, _ := r.Since(Position{Era: 1, Version: 50})
+	must.True(t, whole)
+	must.Eq(t, []string{"three"}, valuesOf(page.Rows, "a"))
+	page, whole, _, _ = r.Since(Position{Era: 4, Version: 1})
+	must.False(t, whole)
+	must.SliceEmpty(t, page.Rows)
+}
+
+func valuesOf(rows []Row, key string) []string {
+	var out []string
+	for _, r := range rows {
+		if r.Key == key {
+			out = append(out, string(r.Value))
+		}
+	}
+	return out
+}
--- a/lib/feed/feed.go
+++ b/lib/feed/feed.go
@@ -29,6 +29,8 @@
 	Rows    []Row
 	Version int64 // newest version that the page reflects
 	Era     int64 // of the store's history in which that version was given out
+
+	Kept []Kept // what a peer goes on showing in place of the store's rows, where the page comes from one
 }
 
 // At returns the newest position that the page reflects.
@@ -45,10 +47,13 @@
 // Update is a change of a Replica.
 type Update struct {
 	Page
-	Whole  bool          // the first state: Rows are the whole table
-	Read   bool          // the page was the whole table, not changes
-	Before Position      // what was held before
-	Silent time.Duration // how long the store was out of everybody's reach before this update; 0: it was not
+	Whole  bool     // the first state: Rows are the whole table
+	Read   bool     // the page was the whole table, not changes
+	Before Position // what was held before
+	// Restored says that a new era has begun: Rows are what is shown otherwise than before, Held counts what is held on to.
+	Restored bool
+	Held     Held
+	Silent   time.Duration // how long the store was out of everybody's reach before this update; 0: it was not
 }
 
 // Options bound a follower's calls.
@@ -174,22 +179,26 @@
 }
 
 func (f *Follower) step(ctx context.Context, wait time.Duration) error {
-	version, known := f.to.Version()
+	held := f.to.At()
 	behind := f.behind()
-	if !known || f.gone || behind && !f.stale {
+	if f.isNew() || f.gone || behind && !f.stale {
 		return f.snapshot(ctx)
 	}
 	f.stale = false
 	ctx, cancel := withSilence(ctx, wait+f.timeout())
 	defer cancel()
-	page, err := f.src.Changes(ctx, version, wait)
-	if errors.Is(err, ErrHistoryGone) {
+	page, err := f.src.Changes(ctx, held.Version, wait)
+	if errors.Is(err, ErrHistoryGone) || err == nil && page.Era > held.Era {
+		// Versions of another era may name anything, so the answer may lack what was written below the one that is held.
 		f.gone = true
 		return f.snapshot(ctx)
 	}
 	if err != nil {
 		return err
 	}
+	if page.Era < held.Era {
+		return &StaleError{Held: held, Got: page.At()}
+	}
 	contact := time.Now()
 	if behind && len(page.Rows) > 0 {
 		// An answer is bounded, so later changes may be missing: it doesn't confirm that this is the newest state.
@@ -220,9 +229,9 @@
 	if err != nil {
 		return err
 	}
-	if version, _ := f.to.Version(); page.Version < version {
+	if held := f.to.At(); page.At().Before(held) {
 		f.stale = true
-		return &StaleError{Held: f.to.At(), Got: page.At()}
+		return &StaleError{Held: held, Got: page.At()}
 	}
 	f.gone = false
 	f.to.Take(page, true, time.Now())
--- /dev/null
+++ b/lib/feed/keep.go
@@ -0,0 +1,239 @@
+package feed
+
+import (
+	"bytes"
+	"cmp"
+	"time"
+)
+
+// Count is how a row's writer counts its own writes. It goes on when the store's versions go back.
+type Count struct {
+	Life int64 // of the writer: when it started; 0: it does not tell
+	N    int64 // of the write, within that life
+}
+
+func (c Count) compare(d Count) int {
+	return cmp.Or(cmp.Compare(c.Life, d.Life), cmp.Compare(c.N, d.N))
+}
+
+// Keep says what is believed of a table after the store has come back from a copy, until its writers have written again what the
+// copy lacks.
+type Keep struct {
+	// For is how long a row that the copy lacks stays, and one that had been removed stays away.
+	For time.Duration
+	// Count reads the writer's own count of a row: what is held stays for as long as the store has an older write of it. ok is false
+	// where the writer does not count; nil: none does.
+	Count func(Row) (c Count, ok bool)
+}
+
+// newer reports whether a was written after b by their writer's count.
+func (k Keep) newer(a, b Row) bool {
+	if k.Count == nil || bytes.Equal(a.Value, b.Value) {
+		return false
+	}
+	ca, oka := k.Count(a)
+	cb, okb := k.Count(b)
+	return oka && okb && ca.compare(cb) > 0
+}
+
+// Kept is a row that is shown in place of what the store has, with its last value also where it was removed.
+type Kept struct {
+	Row
+	Left time.Duration // until what the store has is shown; 0: until it has a newer write
+}
+
+// kept is a Kept as a Replica holds it.
+type kept struct {
+	Row
+	lost  loss
+	until time.Time // zero: until the store has a newer write
+}
+
+// loss is what a copy lacks of a row.
+type loss uint8
+
+const (
+	lostWrite   loss = iota + 1 // the store has an older write
+	lostRow                     // the store has none
+	lostRemoval                 // it had been removed, and the store has it again
+)
+
+// Held counts the rows that are kept, by what the copy lacks of them.
+type Held struct{ Writes, Rows, Removals int }
+
+// restore takes in the table of a new era and returns what is shown otherwise than before.
+func (r *Replica) restore(page Page, now time.Time) []Row {
+	before := r.all()
+	tombstones := r.removed
+	r.rows, r.removed, r.kept = make(map[string]Row, len(page.Rows)), make(map[string]tombstone), make(map[string]kept)
+	r.whole = page.Version
+	for _, row := range newest(page.Rows) {
+		r.rows[row.Key] = row
+	}
+	for _, old := range before {
+		if _, listed := r.rows[old.Key]; !listed && old.Removed {
+			// An older copy that comes next may have the row again.
+			r.rows[old.Key] = Row{Key: old.Key, Version: page.Version, Removed: true}
+			r.removed[old.Key] = tombstones[old.Key]
+			continue
+		}
+		r.keepRow(old, r.keep.For, now)
+	}
+	for _, k := range page.Kept {
+		r.keepRow(k.Row, k.Left, now)
+	}
+	return r.shownOtherwise(before)
+}
+
+// all returns the rows as they are shown, removed ones with their last value.
+func (r *Replica) all() map[string]Row {
+	out := make(map[string]Row, len(r.rows))
+	for key, row := range r.rows {
+		if row.Removed {
+			row.Value = r.removed[key].value
+		}
+		out[key] = row
+	}
+	for key, k := range r.kept {
+		out[key] = k.Row
+	}
+	return out
+}
+
+// shownOtherwise returns the rows that are shown otherwise than before.
+func (r *Replica) shownOtherwise(before map[string]Row) []Row {
+	var out []Row
+	now := r.all()
+	for key, row := range now {
+		if old, ok := before[key]; !ok && !row.Removed || ok && differs(old, row) {
+			out = append(out, r.told(row))
+		}
+	}
+	for key, old := range before {
+		if _, ok := now[key]; !ok && !old.Removed {
+			out = append(out, r.told(Row{Key: key, Removed: true}))
+		}
+	}
+	return out
+}
+
+// told is a row as it is told on: a removed one without its last value.
+func (r *Replica) told(row Row) Row {
+	if row.Removed {
+		return Row{Key: row.Key, Version: r.at.Version, Removed: true}
+	}
+	return row
+}
+
+// keepRow goes on showing a row for a time where the store has less of it.
+func (r *Replica) keepRow(old Row, left time.Duration, now time.Time) {
+	if k, ok := r.kept[old.Key]; ok && !r.keep.newer(old, k.Row) {
+		return
+	}
+	stored, listed := r.rows[old.Key]
+	k := kept{Row: old, until: now.Add(left)}
+	switch {
+	case !listed && !old.Removed:
+		k.lost = lostRow
+	case !listed || stored.Removed:
+		return
+	case old.Removed && !r.keep.newer(stored, old):
+		k.lost = lostRemoval
+	case !old.Removed && r.keep.newer(old, stored):
+		k.lost, k.until = lostWrite, time.Time{}
+	default:
+		return
+	}
+	r.kept[old.Key] = k
+}
+
+// release drops what is kept of a row that the store has changed, unless its writer counts the change as the older one.
+func (r *Replica) release(stored Row) {
+	k, ok := r.kept[stored.Key]
+	if ok && (stored.Removed || !r.keep.newer(k.Row, stored)) {
+		delete(r.kept, stored.Key)
+	}
+}
+
+// review takes in what a peer keeps, lets go of what was kept for long enough, and returns what is shown otherwise by that.
+func (r *Replica) review(peers []Kept, now time.Time) []Row {
+	var out []Row
+	for _, k := range peers {
+		before, known := r.shown(k.Key)
+		r.keepRow(k.Row, k.Left, now)
+		if after, _ := r.shown(k.Key); known && differs(before, after) || !known && !after.Removed {
+			out = append(out, r.told(after))
+		}
+	}
+	for key, k := range r.kept {
+		if k.until.IsZero() || now.Before(k.until) || now.Sub(r.contact) > outage {
+			continue
+		}
+		delete(r.kept, key)
+		after, known := r.shown(key)
+		if !known {
+			after = Row{Key: key, Removed: true}
+		}
+		if differs(k.Row, after) {
+			out = append(out, r.told(after))
+		}
+	}
+	return out
+}
+
+// shown is a row as it is shown.
+func (r *Replica) shown(key string) (row Row, ok bool) {
+	if k, ok := r.kept[key]; ok {
+		return k.Row, true
+	}
+	row, ok = r.rows[key]
+	return row, ok
+}
+
+// differs reports whether a row shows something else than before.
+func differs(a, b Row) bool {
+	return a.Removed != b.Removed || !a.Removed && !bytes.Equal(a.Value, b.Value)
+}
+
+func (r *Replica) held() Held {
+	var h Held
+	for _, k := range r.kept {
+		switch k.lost {
+		case lostWrite:
+			h.Writes++
+		case lostRow:
+			h.Rows++
+		case lostRemoval:
+			h.Removals++
+		}
+	}
+	return h
+}
+
+// Kept returns what is shown in place of what the store has.
+func (r *Replica) Kept(now time.Time) []Kept {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Kept
+	for _, k := range r.kept {
+		left := time.Duration(0)
+		if !k.until.IsZero() {
+			left = max(time.Millisecond, k.until.Sub(now))
+		}
+		out = append(out, Kept{Row: k.Row, Left: left})
+	}
+	return out
+}
+
+// Ghosts returns the rows that had been removed and that the store has again, as it has them.
+func (r *Replica) Ghosts() []Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Row
+	for key, k := range r.kept {
+		if k.lost == lostRemoval {
+			out = append(out, r.rows[key])
+		}
+	}
+	return out
+}
--- a/lib/feed/replica.go
+++ b/lib/feed/replica.go
@@ -5,20 +5,28 @@
 	"time"
 )
 
-// Replica holds a followed table as far as this instance knows it, from whichever source it came. It never goes back:
-// a page older than what is held changes nothing.
+// Replica holds a followed table as far as this instance knows it, from whichever source it came. It never goes back in an era:
+// a page older than what is held changes nothing. In a new era it takes the table as the store has it, and goes on showing what a
+// copy must have lost.
 type Replica struct {
 	apply func(Update)
+	keep  Keep
 
 	mu      sync.Mutex
-	rows    map[string]Row // removed rows stay for keepRemoved, so that peers can be told
-	version int64
-	era     int64 // in which version was given out
-	whole   int64 // rows are complete from this version on; removed ones before it are forgotten
+	rows    map[string]Row // as the store has them; removed rows stay for keepRemoved, so that peers can be told
+	at      Position
+	whole   int64 // rows are complete from this version of the era on; removed ones before it are forgotten
 	known   bool
-	contact time.Time // when the store last confirmed version, to anybody
-	removed map[string]time.Time
-	changed chan struct{} // closed and replaced at each change
+	contact time.Time // when the store last confirmed the position, to anybody
+	removed map[string]tombstone
+	kept    map[string]kept // shown in place of rows
+	changed chan struct{}   // closed and replaced at each change
+}
+
+// tombstone is what is remembered of a removed row.
+type tombstone struct {
+	at    time.Time
+	value []byte // its last
 }
 
 const (
@@ -33,46 +41,67 @@
 // NewReplica returns an empty Replica that shows each change to apply, one at a time and in order.
 func NewReplica(apply func(Update)) *Replica {
 	return &Replica{
-		apply: apply, rows: make(map[string]Row), removed: make(map[string]time.Time), changed: make(chan struct{}),
+		apply: apply, rows: make(map[string]Row), removed: make(map[string]tombstone), kept: make(map[string]kept),
+		changed: make(chan struct{}),
 	}
 }
 
+// Keeping sets what is believed after the store has come back from a copy, and returns the Replica.
+func (r *Replica) Keeping(k Keep) *Replica {
+	r.keep = k
+	return r
+}
+
 // Take merges a page that the store confirmed at contact.
 func (r *Replica) Take(page Page, whole bool, contact time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if page.Version < r.version || !r.known && !whole {
+	at := page.At()
+	// Changes say nothing beside the state that they are changes of.
+	if at.Before(r.at) || !whole && (!r.known || at.Era != r.at.Era) {
 		return
 	}
-	silent := time.Duration(0)
-	if r.known && contact.Sub(r.contact) > outage {
-		silent = contact.Sub(r.contact)
-	}
-	if contact.After(r.contact) {
-		r.contact = contact
-	}
 	now := time.Now()
-	u := Update{
-		Page:  Page{Version: page.Version, Era: page.Era, Rows: r.merge(page, whole, now)},
-		Whole: !r.known, Silent: silent, Read: whole, Before: Position{Era: r.era, Version: r.version},
+	u := Update{Whole: !r.known, Read: whole, Before: r.at, Silent: r.confirm(contact)}
+	u.Restored = r.known && at.Era != r.at.Era
+	r.at = at
+	if u.Restored {
+		u.Rows = r.restore(page, now)
+		u.Held = r.held()
+	} else {
+		u.Rows = r.merge(page, whole, now)
+		if kept := r.review(page.Kept, now); len(kept) > 0 {
+			u.Rows = newest(append(u.Rows, kept...))
+		}
 	}
-	first := !r.known
-	if first {
-		r.whole = page.Version
+	u.Version, u.Era = at.Version, at.Era
+	if u.Whole {
+		r.whole = at.Version
 	}
 	r.known = true
-	r.version, r.era = page.Version, page.Era
 	r.forget(now)
-	if first || len(u.Rows) > 0 || silent > 0 {
+	news := u.Whole || u.Restored || len(u.Rows) > 0
+	if news || u.Silent > 0 {
 		r.apply(u)
 	}
-	if first || len(u.Rows) > 0 {
+	if news {
 		close(r.changed)
 		r.changed = make(chan struct{})
 	}
 }
 
-// merge takes the rows in and returns those that changed something.
+// confirm notes that the store has confirmed a page, and returns for how long it was silent before, if that was an outage.
+func (r *Replica) confirm(contact time.Time) (silent time.Duration) {
+	if r.known && contact.Sub(r.contact) > outage {
+		silent = contact.Sub(r.contact)
+	}
+	if contact.After(r.contact) {
+		r.contact = contact
+	}
+	return silent
+}
+
+// merge takes in rows of the era that is held and returns those that changed what is shown.
 func (r *Replica) merge(page Page, whole bool, now time.Time) []Row {
 	var out []Row
 	listed := make(map[string]bool, len(page.Rows))
@@ -81,38 +110,54 @@
 		if row.Removed && row.Version == 0 {
 			row.Version = page.Version
 		}
+		_, kept := r.kept[row.Key]
 		old, held := r.rows[row.Key]
-		if held && row.Version <= old.Version || !held && row.Removed {
+		if held && row.Version <= old.Version || !held && !kept && row.Removed {
 			continue
 		}
-		r.put(row, now)
-		out = append(out, row)
+		if r.change(row, now) {
+			out = append(out, row)
+		}
 	}
 	if !whole {
 		return out
 	}
 	for key, old := range r.rows {
-		if !listed[key] && !old.Removed {
-			gone := Row{Key: key, Version: page.Version, Removed: true}
-			r.put(gone, now)
+		if listed[key] || old.Removed {
+			continue
+		}
+		gone := Row{Key: key, Version: page.Version, Removed: true}
+		if r.change(gone, now) {
 			out = append(out, gone)
 		}
 	}
 	return out
 }
 
+// change takes in a row as the store has it now, and reports whether that is to be shown.
+func (r *Replica) change(row Row, now time.Time) bool {
+	before, kept := r.kept[row.Key]
+	r.put(row, now)
+	r.release(row)
+	if !kept {
+		return true
+	}
+	after, _ := r.shown(row.Key)
+	return differs(before.Row, after)
+}
+
 func (r *Replica) put(row Row, now time.Time) {
-	r.rows[row.Key] = row
 	if row.Removed {
-		r.removed[row.Key] = now
+		r.removed[row.Key] = tombstone{at: now, value: r.rows[row.Key].Value}
 	} else {
 		delete(r.removed, row.Key)
 	}
+	r.rows[row.Key] = row
 }
 
 func (r *Replica) forget(now time.Time) {
-	for key, at := range r.removed {
-		if now.Sub(at) > keepRemoved {
+	for key, t := range r.removed {
+		if now.Sub(t.at) > keepRemoved {
 			r.whole = max(r.whole, r.rows[key].Version)
 			delete(r.rows, key)
 			delete(r.removed, key)
@@ -120,18 +165,18 @@
 	}
 }
 
-// Since returns what has changed after a version, the whole table when that can't be told, and when the store last
-// confirmed it. known is false when nothing has been read yet.
-func (r *Replica) Since(after int64) (page Page, whole bool, contact time.Time, known bool) {
+// Since returns what has changed after a position, the whole table when that can't be told, and when the store last
+// confirmed it. known is false when nothing has been read yet. To a position in a later era there is nothing to tell.
+func (r *Replica) Since(after Position) (page Page, whole bool, contact time.Time, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	whole = after == 0 || after < r.whole
-	page.Version, page.Era = r.version, r.era
-	if !whole && after >= r.version {
+	whole = after.Era < r.at.Era || after.Era == r.at.Era && (after.Version == 0 || after.Version < r.whole)
+	page.Version, page.Era = r.at.Version, r.at.Era
+	if !whole && !after.Before(r.at) {
 		return page, whole, r.contact, r.known // most of what is passed on: nothing has changed since the last
 	}
 	for _, row := range r.rows {
-		if whole && !row.Removed || !whole && row.Version > after {
+		if whole && !row.Removed || !whole && row.Version > after.Version {
 			page.Rows = append(page.Rows, row)
 		}
 	}
@@ -142,14 +187,22 @@
 func (r *Replica) Version() (version int64, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.version, r.known
+	return r.at.Version, r.known
 }
 
 // At returns the newest position held.
 func (r *Replica) At() Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return Position{Era: r.era, Version: r.version}
+	return r.at
+}
+
+// Stored returns a row as the store has it, as far as is known; ok is false where it has none.
+func (r *Replica) Stored(key string) (row Row, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	row, ok = r.rows[key]
+	return row, ok && !row.Removed
 }
 
 // Contact returns when the store last confirmed what is held.
--- a/lib/feedlink/follow.go
+++ b/lib/feedlink/follow.go
@@ -74,6 +74,10 @@
 			t.doubt(ctx, s.reader, errCycle)
 			return
 		}
+		if s.old {
+			t.doubt(ctx, s.reader, errOldEra)
+			return
+		}
 		now := time.Now()
 		if now.Sub(looked) >= reconsider {
 			looked = now
--- a/lib/feedlink/pack.go
+++ b/lib/feedlink/pack.go
@@ -52,24 +52,28 @@
 type packer struct {
 	mu     sync.Mutex
 	last   map[string]packed // values by key
+	kept   map[string]packed // values that are kept, by key
 	tables map[string]packed // whole tables by name
-	pages  map[string]packed // the last changes of a table, by its name and the version before them
+	pages  map[string]packed // the last changes of a table, by its name and the position before them
 }
 
 type packed struct {
-	version int64
-	value   []byte
+	at    feed.Position
+	value []byte
 }
 
 func newPacker() *packer {
-	return &packer{last: make(map[string]packed), tables: make(map[string]packed), pages: make(map[string]packed)}
+	return &packer{
+		last: make(map[string]packed), kept: make(map[string]packed),
+		tables: make(map[string]packed), pages: make(map[string]packed),
+	}
 }
 
-// once returns the compressed form of a version that was packed before, or packs it.
-func (p *packer) once(of map[string]packed, key string, version int64, plain func() ([]byte, error)) ([]byte, error) {
+// once returns the compressed form of a position that was packed before, or packs it.
+func (p *packer) once(of map[string]packed, key string, at feed.Position, plain func() ([]byte, error)) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if old, ok := of[key]; ok && old.version == version {
+	if old, ok := of[key]; ok && old.at == at {
 		return old.value, nil
 	}
 	b, err := plain()
@@ -78,15 +82,15 @@
 	}
 	b, err = pack(b)
 	if err == nil {
-		of[key] = packed{version: version, value: b}
+		of[key] = packed{at: at, value: b}
 	}
 	return b, err
 }
 
 // message is a page of a table as it is sent. What can't be packed goes as it is.
-func (p *packer) message(table string, after int64, page feed.Page, whole bool, contact time.Time) *meshpb.FeedTable {
+func (p *packer) message(table string, after feed.Position, page feed.Page, whole bool, contact time.Time) *meshpb.FeedTable {
 	m := &meshpb.FeedTable{
-		Table: table, Version: page.Version, Whole: whole, ContactAgeMs: uint32(time.Since(contact).Milliseconds()),
+		Table: table, Version: page.Version, Era: page.Era, Whole: whole, ContactAgeMs: uint32(time.Since(contact).Milliseconds()),
 	}
 	if len(page.Rows) > 1 && sizeOf(page.Rows) >= packMin {
 		if b, err := p.rows(table, after, page, whole); err == nil {
@@ -95,22 +99,37 @@
 		}
 	}
 	for _, r := range page.Rows {
-		row := rowOf(r)
-		if len(r.Value) >= packMin {
-			b, err := p.once(p.last, r.Key, r.Version, func() ([]byte, error) { return r.Value, nil })
-			if err == nil {
-				row.Value, row.Packed = b, true
-			}
-		}
-		m.Rows = append(m.Rows, row)
+		m.Rows = append(m.Rows, p.row(p.last, page.Era, r))
 	}
 	return m
 }
 
+// row is a row as it is sent, its value compressed where that is large.
+func (p *packer) row(of map[string]packed, era int64, r feed.Row) *meshpb.FeedRow {
+	row := rowOf(r)
+	if len(r.Value) < packMin {
+		return row
+	}
+	at := feed.Position{Era: era, Version: r.Version}
+	if b, err := p.once(of, r.Key, at, func() ([]byte, error) { return r.Value, nil }); err == nil {
+		row.Value, row.Packed = b, true
+	}
+	return row
+}
+
+// keptRows are the rows that a replica shows in place of the store's.
+func (p *packer) keptRows(era int64, kept []feed.Kept) []*meshpb.FeedKept {
+	var out []*meshpb.FeedKept
+	for _, k := range kept {
+		out = append(out, &meshpb.FeedKept{Row: p.row(p.kept, era, k.Row), LeftMs: uint32(k.Left.Milliseconds())})
+	}
+	return out
+}
+
 // rows packs many rows together: the lists of hundreds of targets and instances shrink to a tenth, and all that start at once
 // have them from a few. Whole tables are packed once for all that ask for the same version, and changes once for all that have the
-// same version before them: a relay passes each change on to a hundred others in one moment.
-func (p *packer) rows(table string, after int64, page feed.Page, whole bool) ([]byte, error) {
+// same position before them: a relay passes each change on to a hundred others in one moment.
+func (p *packer) rows(table string, after feed.Position, page feed.Page, whole bool) ([]byte, error) {
 	plain := func() ([]byte, error) {
 		var rows meshpb.FeedRows
 		for _, r := range page.Rows {
@@ -119,21 +138,21 @@
 		return proto.Marshal(&rows)
 	}
 	if whole {
-		return p.once(p.tables, table, page.Version, plain)
+		return p.once(p.tables, table, page.At(), plain)
 	}
-	return p.changes(table, after, page.Version, plain)
+	return p.changes(table, after, page.At(), plain)
 }
 
-// changes packs the changes of a table after a version, or returns them as they were packed before. Older ones of the table are
+// changes packs the changes of a table after a position, or returns them as they were packed before. Older ones of the table are
 // forgotten: hardly anybody is still to be sent them.
-func (p *packer) changes(table string, after, version int64, plain func() ([]byte, error)) ([]byte, error) {
+func (p *packer) changes(table string, after, at feed.Position, plain func() ([]byte, error)) ([]byte, error) {
 	key := fmt.Sprint(table, " ", after)
 	p.mu.Lock()
 	if _, known := p.pages[key]; !known {
 		maps.DeleteFunc(p.pages, func(old string, _ packed) bool { return strings.HasPrefix(old, table+" ") })
 	}
 	p.mu.Unlock()
-	return p.once(p.pages, key, version, plain)
+	return p.once(p.pages, key, at, plain)
 }
 
 func rowOf(r feed.Row) *meshpb.FeedRow {
--- a/lib/feedlink/pack_test.go
+++ b/lib/feedlink/pack_test.go
@@ -24,7 +24,7 @@
 func TestChangesArePackedOnceForAll(t *testing.T) {
 	p := newPacker()
 	pack := func(after, version int64, rows []feed.Row) []byte {
-		m := p.message("t", after, feed.Page{Rows: rows, Version: version}, false, time.Now())
+		m := p.message("t", feed.Position{Version: after}, feed.Page{Rows: rows, Version: version}, false, time.Now())
 		must.NotNil(t, m.Packed)
 		return m.Packed
 	}
--- a/lib/feedlink/serve.go
+++ b/lib/feedlink/serve.go
@@ -55,7 +55,8 @@
 type passed struct {
 	name    string
 	replica *feed.Replica
-	after   int64
+	after   feed.Position
+	kept    bool // it was told what is kept in the era of after
 }
 
 // pass sends pages until the stream breaks, which ends the subscription at its other end, too.
@@ -63,7 +64,7 @@
 	var tables []*passed
 	for _, a := range ask.Tables {
 		if r := s.replicas[a.Table]; r != nil {
-			tables = append(tables, &passed{name: a.Table, replica: r, after: a.After})
+			tables = append(tables, &passed{name: a.Table, replica: r, after: feed.Position{Era: a.Era, Version: a.After}})
 		}
 	}
 	s.followers.Add(1)
@@ -109,9 +110,12 @@
 			page.Version = 0
 		}
 		m := s.packs.message(t.name, t.after, page, whole, contact)
+		if !t.kept || t.after.Era != page.Era {
+			m.Kept, t.kept = s.packs.keptRows(page.Era, t.replica.Kept(time.Now())), true
+		}
 		metrics.GetOrCreateCounter(fmt.Sprintf(`anvilwick_feed_bytes_total{table=%q}`, t.name)).Add(proto.Size(m))
 		out.Tables = append(out.Tables, m)
-		t.after = page.Version
+		t.after = page.At()
 	}
 	return out
 }
--- a/lib/feedlink/start_test.go
+++ b/lib/feedlink/start_test.go
@@ -64,7 +64,7 @@
 	for i := range rows {
 		rows[i] = feed.Row{Key: fmt.Sprint("instance-", i), Value: fmt.Appendf(nil, `{"domain":"z%d","addr":"10.%d.0.%d:7200","link":"10.%d.0.%d:8522","capacity":384}`, i%5, i%5, i, i%5, i), Version: int64(i + 1)}
 	}
-	m := newPacker().message("list", 0, feed.Page{Rows: rows, Version: 300}, true, time.Now())
+	m := newPacker().message("list", feed.Position{}, feed.Page{Rows: rows, Version: 300}, true, time.Now())
 	must.SliceEmpty(t, m.Rows)
 	plain := 0
 	for _, r := range rows {
--- a/lib/feedlink/subscription.go
+++ b/lib/feedlink/subscription.go
@@ -22,6 +22,7 @@
 	lost   bool          // as its last page says
 	path   []string      // instances that its tables come through, as its last page says
 	age    time.Duration // of the store's word on the urgent tables, as its last page says
+	old    bool          // its last page is of an era before the one that this instance knows
 	stop   func() bool
 }
 
@@ -57,14 +58,18 @@
 	s.stop = context.AfterFunc(ctx, func() { _ = stream.Close() })
 	ask := new(meshpb.FeedAsk)
 	for _, table := range tables {
-		version, _ := table.Replica.Version()
-		ask.Tables = append(ask.Tables, &meshpb.FeedFrom{Table: table.Name, After: version})
+		at := table.Replica.At()
+		ask.Tables = append(ask.Tables, &meshpb.FeedFrom{Table: table.Name, After: at.Version, Era: at.Era})
 	}
 	if err := stream.Write(ask); err != nil {
 		s.close()
 		return nil, err
 	}
-	if err := s.first(); err != nil {
+	err = s.first()
+	if err == nil && s.old {
+		err = errOldEra
+	}
+	if err != nil {
 		s.close()
 		return nil, err
 	}
@@ -109,7 +114,7 @@
 		got[m.Table] = m
 	}
 	var missing error
-	s.age = 0
+	s.age, s.old = 0, false
 	for _, table := range s.tables {
 		m := got[table.Name]
 		if m == nil || m.Version == 0 {
@@ -118,6 +123,10 @@
 			}
 			continue
 		}
+		if m.Era < table.Replica.At().Era {
+			s.old = true
+			continue
+		}
 		if err := take(table.Replica, m); err != nil {
 			return err
 		}
@@ -134,22 +143,39 @@
 			return err
 		}
 	}
-	rows := make([]feed.Row, len(m.Rows))
+	page := feed.Page{Version: m.Version, Era: m.Era, Rows: make([]feed.Row, len(m.Rows))}
 	for i, r := range m.Rows {
-		if r.Packed {
-			b, err := unpack(r.Value)
-			if err != nil {
-				return err
-			}
-			r.Value = b
+		row, err := feedRow(r)
+		if err != nil {
+			return err
+		}
+		page.Rows[i] = row
+	}
+	for _, k := range m.Kept {
+		row, err := feedRow(k.Row)
+		if err != nil {
+			return err
+		}
+		if row.Key == "" {
+			continue
 		}
-		rows[i] = feed.Row{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed}
+		page.Kept = append(page.Kept, feed.Kept{Row: row, Left: time.Duration(k.LeftMs) * time.Millisecond})
 	}
 	contact := time.Now().Add(-time.Duration(m.ContactAgeMs) * time.Millisecond)
-	into.Take(feed.Page{Rows: rows, Version: m.Version}, m.Whole, contact)
+	into.Take(page, m.Whole, contact)
 	return nil
 }
 
+func feedRow(r *meshpb.FeedRow) (feed.Row, error) {
+	row := feed.Row{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Removed: r.GetRemoved()}
+	if !r.GetPacked() {
+		return row, nil
+	}
+	b, err := unpack(row.Value)
+	row.Value = b
+	return row, err
+}
+
 func unpackRows(m *meshpb.FeedTable) error {
 	b, err := unpack(m.Packed)
 	if err != nil {
--- a/lib/feedlink/track.go
+++ b/lib/feedlink/track.go
@@ -43,6 +43,7 @@
 	errTooOld  = errors.New("feedlink: the store is within reach, but not of the reader")
 	errUnknown = errors.New("feedlink: the reader holds nothing yet")
 	errCycle   = errors.New("feedlink: the reader has the tables from this instance")
+	errOldEra  = errors.New("feedlink: the reader has not heard that the store came back from a copy")
 )
 
 // Table is one table to keep.
@@ -187,8 +188,9 @@
 		t.avoid[reader.Addr] = avoided{until: now.Add(step), step: step}
 		return
 	}
-	if errors.Is(err, errCycle) {
-		// It is about to read itself, if it ranks before this one, and then both would for as long as it is left alone.
+	if errors.Is(err, errCycle) || errors.Is(err, errOldEra) {
+		// In a moment it reads itself, if it ranks before this one, or has heard of the new era. Left alone for longer, both would
+		// read.
 		t.avoid[reader.Addr] = avoided{until: now.Add(reconsider)}
 		return
 	}
