--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -85,14 +84,8 @@
 	p.start(func() { p.watchEngines(ctx) })
 }
 
-const (
-	// joinTimeout bounds the first read of the list of instances. Without it, those are asked for it that this instance was
-	// told of.
-	joinTimeout = 300 * time.Millisecond
-	// registerSpread is the time over which instances that start at once write their rows: the store takes 200 of them a
-	// second.
-	registerSpread = 1500 * time.Millisecond
-)
+// joinTimeout bounds the first read of the list of instances. Without it, those are asked for it that this instance was told of.
+const joinTimeout = 300 * time.Millisecond
 
 // join reads which instances there are, so that the rest comes from the one that reads for this failure domain.
 func (p *Process) join(ctx context.Context) {
@@ -106,33 +99,6 @@
 	p.feeds.instances.Take(page, true, time.Now())
 }
 
-// beListed sees to it that this instance is listed, once the list is known. One that is started again where it was is listed
-// already.
-func (p *Process) beListed(ctx context.Context) {
-	for {
-		changed := p.feeds.instances.Changed()
-		if _, known := p.feeds.instances.Version(); known {
-			break
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
-	}
-	select {
-	case <-ctx.Done():
-		return
-	case <-time.After(rand.N(registerSpread)):
-	}
-	p.mu.Lock()
-	listed := p.instances[p.cfg.Instance] == p.self()
-	p.mu.Unlock()
-	if !listed {
-		p.register(ctx)
-	}
-}
-
 // feedFailed returns what is told of each table that is lost; an empty name stands for all.
 func (p *Process) feedFailed() func(table string, err error) {
 	logs := make(map[string]func(error))
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -19,43 +19,6 @@
 	Gap: 500 * time.Millisecond,
 }
 
-// registerTimeout bounds one try to write this instance's row.
-const registerTimeout = 800 * time.Millisecond
-
-// self is this instance as others see it.
-func (p *Process) self() owner.Instance {
-	return owner.Instance{
-		Name: p.cfg.Instance, Domain: p.cfg.Domain, Addr: p.cfg.Peer, Link: p.cfg.Link, Capacity: p.capacity(),
-	}
-}
-
-// register writes this instance's row until the store has taken it.
-func (p *Process) register(ctx context.Context) {
-	for {
-		try, cancel := context.WithTimeout(ctx, registerTimeout)
-		err := p.site.Register(try, p.self())
-		cancel()
-		if err == nil {
-			return
-		}
-		logline.Cause(log.Warn().Str("event", "register_failed"), err)
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(instanceOptions.RetryMax):
-		}
-	}
-}
-
-// unregister takes the row away. One that stays makes others ask in vain now and then.
-func (p *Process) unregister(ctx context.Context) {
-	try, cancel := context.WithTimeout(ctx, registerTimeout)
-	defer cancel()
-	if err := p.site.Unregister(try, p.cfg.Instance); err != nil {
-		logline.Cause(log.Warn().Str("event", "unregister_failed"), err)
-	}
-}
-
 func (p *Process) applyInstances(u feed.Update) {
 	p.mu.Lock()
 	for _, row := range u.Rows {
