What a copy of the store lacks holds until its writers have written again

Callers of an evacuated domain, or with a revoked key, saw what nobody had taken back: between the store's return and the operators' and targets' writing again its rows were taken for their word. Now a row that the copy lacks stays for a while (5 s for the operators' rows, 2 s for targets as after an outage, 10 s for instances), one that had been removed stays away as long, and one that its writer counts as newer than the store's (settings by their Version, targets by born and Sequence) stays until a write that is not older comes, through older ones that come again. An explicit removal in the new era counts at once, and nothing expires while the store is silent. Pages between instances carry what is held on to, once in an era, with the time that is left: an instance that starts in the gap serves by what its peers know, not by the copy, and none holds it longer than they.

--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -28,6 +28,14 @@
 // two seconds, a reader's poll takes up to 0.7 s, and the way around it some tens of milliseconds.
 const maxAge = 1300 * time.Millisecond
 
+// How long what a copy lacks is held on to, where the store has come back from one.
+const (
+	// keepSettings is for operators to write evacuations again, or to take them back again.
+	keepSettings = 5 * time.Second
+	// keepInstances is for instances to find that their rows are missing, and to write them over registerSpread.
+	keepInstances = 10 * time.Second
+)
+
 // openLinks listens for peers and passes the replicas on to them.
 func (p *Process) openLinks() error {
 	node, err := mesh.New(mesh.Options{
@@ -39,9 +47,9 @@
 		return fmt.Errorf("gatewayproc: links: %w", err)
 	}
 	p.node = node
-	p.feeds.settings = feed.NewReplica(p.applySettings)
-	p.feeds.targets = feed.NewReplica(p.applyTargets)
-	p.feeds.instances = feed.NewReplica(p.applyInstances)
+	p.feeds.settings = feed.NewReplica(p.applySettings).Keeping(feed.Keep{For: keepSettings, Count: p.site.CountSettings})
+	p.feeds.targets = feed.NewReplica(p.applyTargets).Keeping(feed.Keep{For: fleet.OutageGrace, Count: p.site.CountTarget})
+	p.feeds.instances = feed.NewReplica(p.applyInstances).Keeping(feed.Keep{For: keepInstances})
 	p.track = feedlink.New(feedlink.Config{
 		Self: p.cfg.Instance,
 		Tables: []feedlink.Table{
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -63,6 +63,8 @@
 
 	Settings       feed.Source
 	DecodeSettings func([]feed.Row) (*routes.Revision, error)
+	// CountSettings and CountTarget return the writer's own count of a row, which goes on when the store comes back from a copy.
+	CountSettings, CountTarget func(feed.Row) (feed.Count, bool)
 	// Evacuated returns the failure domain that a row of the table of settings evacuates while it is there.
 	Evacuated    func(feed.Row) (domain string, ok bool)
 	Targets      feed.Source
