On call: a line and a counter when the store comes back from a copy, its era in request lines, explain and metrics

event=feed_era tells for each table both positions, the rows that are shown otherwise, and how many are held on to and why. Lines of requests name the era beside the version of the settings, and explain prints both with the era's line. On the metrics address: age of the store's word, era and version by table, and how often an era began.

--- a/lib/explain/explain.go
+++ b/lib/explain/explain.go
@@ -39,7 +39,7 @@
 // ofInstance are events that touch whatever an instance is doing.
 var ofInstance = map[string]bool{
 	"start": true, "stop": true, "stopped": true, "reload": true, "reload_refused": true, "settings": true,
-	"feed_failed": true, "feed_regained": true, "log_dropped": true,
+	"feed_failed": true, "feed_regained": true, "feed_era": true, "log_dropped": true,
 }
 
 // line is one line of a log.
--- a/lib/explain/explain_test.go
+++ b/lib/explain/explain_test.go
@@ -63,3 +63,18 @@
 	must.StrContains(t, out.String(), `target_rests target="p2"`)
 	must.StrNotContains(t, out.String(), "p9")
 }
+
+const eraLogs = `  1.0 gw-1 time=2026-01-01T00:00:00.300Z level=warn event=feed_era feed=settings before=1/64 now=2/30 rows=0 kept_writes=1
+  1.0 gw-2 time=2026-01-01T00:00:00.300Z level=warn event=feed_era feed=settings before=1/64 now=2/30 rows=0 kept_writes=1
+  1.0 gw-1 time=2026-01-01T00:00:01.400Z level=info event=sent request=q1 settings=28 era=2 target=p3 status=200
+`
+
+// The store came back from a copy before a request. Its timeline says so, and which era the settings were read in that it was
+// served by.
+func TestTimelineNamesTheEra(t *testing.T) {
+	var out strings.Builder
+	must.NoError(t, Request(&out, strings.NewReader(eraLogs), "q1"))
+	must.StrContains(t, out.String(), `gw-1 feed_era feed="settings" before="1/64" now="2/30"`)
+	must.StrContains(t, out.String(), `settings="28" era="2"`)
+	must.StrNotContains(t, out.String(), "gw-2")
+}
--- a/lib/gateway/log.go
+++ b/lib/gateway/log.go
@@ -15,6 +15,7 @@
 // Log writes one line for each decision about a request. Lines carry no key and no body.
 type Log struct {
 	Version func() int64 // of the settings in force
+	Era     func() int64 // of the store's history that these were last read in; nil: not told
 }
 
 // entry is what each line about a call says of it.
@@ -38,6 +39,9 @@
 	if l.Version != nil {
 		at = at.Int64("settings", l.Version())
 	}
+	if l.Era != nil {
+		at = at.Int64("era", l.Era())
+	}
 	return at
 }
 
--- /dev/null
+++ b/lib/gatewayproc/feedlog.go
@@ -0,0 +1,94 @@
+package gatewayproc
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+
+	"anvilwick.example/anvilwick/lib/feed"
+	"anvilwick.example/anvilwick/lib/logline"
+)
+
+// replica returns the replica of a table, which logs and counts what happens to it.
+func (p *Process) replica(table string, apply func(feed.Update)) *feed.Replica {
+	eras := metrics.GetOrCreateCounter(fmt.Sprintf(`anvilwick_feed_eras_total{table=%q}`, table))
+	r := feed.NewReplica(func(u feed.Update) {
+		if u.Silent > 0 && table != instancesTable {
+			logRegained(table, u)
+		}
+		if u.Restored {
+			eras.Inc()
+			logEra(table, u)
+		}
+		apply(u)
+	})
+	metrics.GetOrCreateGauge(fmt.Sprintf(`anvilwick_feed_age_seconds{table=%q}`, table), func() float64 {
+		return time.Since(r.Contact()).Seconds()
+	})
+	metrics.GetOrCreateGauge(fmt.Sprintf(`anvilwick_feed_era{table=%q}`, table), func() float64 { return float64(r.At().Era) })
+	metrics.GetOrCreateGauge(fmt.Sprintf(`anvilwick_feed_version{table=%q}`, table), func() float64 { return float64(r.At().Version) })
+	return r
+}
+
+// logEra tells that the store has come back from a copy, and what is held on to although the copy lacks it.
+func logEra(table string, u feed.Update) {
+	at := log.Warn().Str("event", "feed_era").Str("feed", table).Str("before", u.Before.String()).Str("now", u.At().String())
+	at = at.Int("rows", len(u.Rows)).Int("kept_writes", u.Held.Writes).Int("kept_rows", u.Held.Rows)
+	at.Int("kept_removals", u.Held.Removals).Msg("")
+}
+
+// logRegained tells that a table is heard again after an outage.
+func logRegained(name string, u feed.Update) {
+	if u.Silent > 0 {
+		at := log.Info().Str("event", "feed_regained").Str("feed", name).Int64("silent_ms", u.Silent.Milliseconds())
+		at.Str("before", u.Before.String()).Str("now", u.At().String()).Bool("read_whole", u.Read).Int("rows", len(u.Rows)).Msg("")
+	}
+}
+
+// feedFailed returns what is told of each table that is lost; an empty name stands for all.
+func (p *Process) feedFailed() func(table string, err error) {
+	logs := make(map[string]func(error))
+	for name, r := range p.replicas() {
+		logs[name] = lost(name, r)
+	}
+	return func(table string, err error) {
+		for name, tell := range logs {
+			if table == "" || table == name {
+				tell(err)
+			}
+		}
+		if table == "" || table == targetsTable {
+			now := time.Now()
+			p.listFailed.Store(&now)
+		}
+	}
+}
+
+// feedFrom logs from where the tables come.
+func (p *Process) feedFrom(instance string) {
+	if instance == "" {
+		instance = "store"
+	}
+	at := p.place()
+	log.Info().Str("event", "feed_source").Str("source", instance).Int("role", int(at.Role)).Int("rank", at.Rank).Msg("")
+}
+
+// lost logs that a feed was lost, once until it has been heard again: it is tried several times a second.
+func lost(name string, r *feed.Replica) func(error) {
+	var mu sync.Mutex
+	var told time.Time // the contact before the failure that was last logged
+	logged := false
+	return func(err error) {
+		contact := r.Contact()
+		mu.Lock()
+		defer mu.Unlock()
+		if logged && contact.Equal(told) {
+			return
+		}
+		logged, told = true, contact
+		logline.Cause(log.Warn().Str("event", "feed_failed").Str("feed", name), err)
+	}
+}
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/phuslu/log"
@@ -47,9 +46,9 @@
 		return fmt.Errorf("gatewayproc: links: %w", err)
 	}
 	p.node = node
-	p.feeds.settings = feed.NewReplica(p.applySettings).Keeping(feed.Keep{For: keepSettings, Count: p.site.CountSettings})
-	p.feeds.targets = feed.NewReplica(p.applyTargets).Keeping(feed.Keep{For: fleet.OutageGrace, Count: p.site.CountTarget})
-	p.feeds.instances = feed.NewReplica(p.applyInstances).Keeping(feed.Keep{For: keepInstances})
+	p.feeds.settings = p.replica(settingsTable, p.applySettings).Keeping(feed.Keep{For: keepSettings, Count: p.site.CountSettings})
+	p.feeds.targets = p.replica(targetsTable, p.applyTargets).Keeping(feed.Keep{For: fleet.OutageGrace, Count: p.site.CountTarget})
+	p.feeds.instances = p.replica(instancesTable, p.applyInstances).Keeping(feed.Keep{For: keepInstances})
 	p.track = feedlink.New(feedlink.Config{
 		Self: p.cfg.Instance,
 		Tables: []feedlink.Table{
@@ -107,53 +106,8 @@
 	p.feeds.instances.Take(page, true, time.Now())
 }
 
-// feedFailed returns what is told of each table that is lost; an empty name stands for all.
-func (p *Process) feedFailed() func(table string, err error) {
-	logs := make(map[string]func(error))
-	for name, r := range p.replicas() {
-		logs[name] = lost(name, r)
-	}
-	return func(table string, err error) {
-		for name, tell := range logs {
-			if table == "" || table == name {
-				tell(err)
-			}
-		}
-		if table == "" || table == targetsTable {
-			now := time.Now()
-			p.listFailed.Store(&now)
-		}
-	}
-}
-
-// feedFrom logs from where the tables come.
-func (p *Process) feedFrom(instance string) {
-	if instance == "" {
-		instance = "store"
-	}
-	at := p.place()
-	log.Info().Str("event", "feed_source").Str("source", instance).Int("role", int(at.Role)).Int("rank", at.Rank).Msg("")
-}
-
-// lost logs that a feed was lost, once until it has been heard again: it is tried several times a second.
-func lost(name string, r *feed.Replica) func(error) {
-	var mu sync.Mutex
-	var told time.Time // the contact before the failure that was last logged
-	logged := false
-	return func(err error) {
-		contact := r.Contact()
-		mu.Lock()
-		defer mu.Unlock()
-		if logged && contact.Equal(told) {
-			return
-		}
-		logged, told = true, contact
-		logline.Cause(log.Warn().Str("event", "feed_failed").Str("feed", name), err)
-	}
-}
-
 func (p *Process) applySettings(u feed.Update) {
-	logRegained("settings", u)
+	p.era.Store(u.Era)
 	p.evacuate(u.Rows)
 	rev, err := p.site.DecodeSettings(u.Rows)
 	if err != nil {
@@ -186,7 +140,6 @@
 }
 
 func (p *Process) applyTargets(u feed.Update) {
-	logRegained("targets", u)
 	var entries []fleet.Info
 	var removed, unreadable []string
 	for _, row := range u.Rows {
@@ -213,13 +166,6 @@
 	p.mu.Unlock()
 }
 
-func logRegained(name string, u feed.Update) {
-	if u.Silent > 0 {
-		at := log.Info().Str("event", "feed_regained").Str("feed", name).Int64("silent_ms", u.Silent.Milliseconds())
-		at.Str("before", u.Before.String()).Str("now", u.At().String()).Bool("read_whole", u.Read).Int("rows", len(u.Rows)).Msg("")
-	}
-}
-
 // changed acts on what the list shows.
 func (p *Process) changed(ch fleet.Change) {
 	for _, t := range ch.Added {
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -116,6 +116,7 @@
 	cancel       context.CancelFunc
 	work         sync.WaitGroup
 
+	era        atomic.Int64              // of the store's history that the settings were last read in
 	listFailed atomic.Pointer[time.Time] // when a call for the list of targets last failed
 	placed     atomic.Pointer[feedlink.Place]
 
@@ -139,7 +140,7 @@
 	p.share = retry.NewShare(cfg.RepeatRatio, cfg.RepeatFloor, cfg.RepeatWindow)
 	p.gate = gateway.New(gateway.Config{
 		Names: site.Names, Engines: site.Engines, Fleet: p.fleet, Pool: site.Pool, Budget: p.share,
-		Log: gateway.Log{Version: p.version}, Left: p.leftByAnswer,
+		Log: gateway.Log{Version: p.version, Era: p.era.Load}, Left: p.leftByAnswer,
 	})
 	if err := p.openOwners(); err != nil {
 		return fmt.Errorf("gatewayproc: peers: %w", err)
