Rows of instances that were removed are taken away again where a copy of the store has them

An instance takes its row away when it stops; a store that comes back from a copy of before has it again, and nobody would take it away: others count that instance among owners and readers and ask it in vain, for good. The one that reads the store removes such rows, under the condition that they are as the copy has them, so that an instance that starts again under the name keeps what it has written. Found by looking for the same cause in what we write.

--- a/lib/feedlink/word.go
+++ b/lib/feedlink/word.go
@@ -19,6 +19,9 @@
 	return []string{t.Self}
 }
 
+// Reads reports whether this instance reads the store itself.
+func (t *Track) Reads() bool { return len(t.pathNow()) == 1 }
+
 // comesBy notes the instances behind this one that the tables come through.
 func (t *Track) comesBy(path []string) {
 	p := append([]string{t.Self}, path...)
--- a/lib/gatewayproc/listed.go
+++ b/lib/gatewayproc/listed.go
@@ -45,6 +45,9 @@
 				row = ownRow{written: time.Now()}
 			}
 		}
+		if p.track.Reads() {
+			p.removeGhosts(ctx)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -103,11 +106,33 @@
 	}
 }
 
+// anyVersion stands for a row as it is.
+const anyVersion = 0
+
+// removeGhosts takes rows away of instances that had been removed, and that a copy of the store has again: nobody else would, and
+// the others would ask those instances in vain for good. One that has written its row meanwhile keeps it.
+func (p *Process) removeGhosts(ctx context.Context) {
+	for _, row := range p.feeds.instances.Ghosts() {
+		if row.Key == p.cfg.Instance {
+			continue
+		}
+		try, cancel := context.WithTimeout(ctx, registerTimeout)
+		err := p.site.Unregister(try, row.Key, row.Version)
+		cancel()
+		at := log.Info().Str("event", "ghost_removed").Str("instance", row.Key).Int64("version", row.Version)
+		if err != nil {
+			logline.Cause(at, err)
+			continue
+		}
+		at.Msg("")
+	}
+}
+
 // unregister takes the row away. One that stays makes others ask in vain now and then.
 func (p *Process) unregister(ctx context.Context) {
 	try, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	if err := p.site.Unregister(try, p.cfg.Instance); err != nil {
+	if err := p.site.Unregister(try, p.cfg.Instance, anyVersion); err != nil {
 		logline.Cause(log.Warn().Str("event", "unregister_failed"), err)
 	}
 }
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -74,7 +74,8 @@
 	Instances      feed.Source
 	DecodeInstance func(feed.Row) (owner.Instance, error)
 	Register       func(context.Context, owner.Instance) error
-	Unregister     func(context.Context, string) error
+	// Unregister takes an instance's row away: of any version, or only as it was written at one.
+	Unregister func(ctx context.Context, instance string, version int64) error
 
 	// Reload reads the instance's settings again, after SIGHUP.
 	Reload func() (Config, error)
