--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -1,6 +1,7 @@
 package gatewayproc
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -59,7 +60,7 @@
 		MaxAge: maxAge, Node: node, Place: p.place, Fail: p.feedFailed(), From: p.feedFrom,
 	})
 	feedlink.Serve(node, p.track)
-	ln, err := net.Listen("tcp", p.cfg.Link)
+	ln, err := net.Listen("tcp", cmp.Or(p.cfg.LinkBind, p.cfg.Link))
 	if err != nil {
 		return fmt.Errorf("gatewayproc: links: %w", err)
 	}
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -41,6 +41,7 @@
 	Ready    string            // address for the balancer's readiness checks
 	Peer     string            // address for other instances' datagrams
 	Link     string            // address for other instances' streams
+	LinkBind string            // where to listen for them; empty: at Link
 	Metrics  string            // address for metrics, at /metrics; empty: none
 	Seeds    []string          // links of some instances, which may be stale
 	MemoryMB int               // over which the process is killed
