--- a/lib/platformapi/platformapi.go
+++ b/lib/platformapi/platformapi.go
@@ -13,6 +13,28 @@
 	PathWeights   = "/weights/"    // GET {model}/{version}: 200 when a transfer may start, 429 with Retry-After
 )
 
+// HeaderEra, in every answer about the table, numbers its history, from 1 on. A table that comes back from a copy loses what it had
+// acknowledged since, begins a new era, and gives revisions out again. An answer without it is of the highest era told before.
+const HeaderEra = "Table-Era"
+
+// eraShift leaves room for a million million revisions in an era.
+const eraShift = 40
+
+// Order joins an era and a revision given out in it to one number that orders them, the era first. Revision 0, of what is absent, is
+// 0 in every era.
+func Order(era, rev uint64) uint64 {
+	if rev == 0 {
+		return 0
+	}
+	return era<<eraShift | rev
+}
+
+// EraOf returns the era of an ordered revision.
+func EraOf(ordered uint64) uint64 { return ordered >> eraShift }
+
+// RevOf returns the revision that the table knows.
+func RevOf(ordered uint64) uint64 { return ordered & (1<<eraShift - 1) }
+
 // Cond holds when the key's revision equals Rev. Rev 0 means that the key is absent.
 type Cond struct {
 	Key string `json:"key"`
--- a/lib/standin/platform/fault.go
+++ b/lib/standin/platform/fault.go
@@ -13,6 +13,7 @@
 	FaultLoseAnswer = "lose_answer" // the request takes effect, then its connection is closed without an answer
 	FaultStaleReads = "stale_reads" // reads of the table see the state of DelayMS ago; transactions do not
 	FaultListLag    = "list_lag"    // the instance list is DelayMS behind instead of Config.ListLag
+	FaultRestore    = "restore"     // the table comes back, at once, from a copy of DelayMS ago; nothing of it lasts
 	FaultClear      = "clear"       // ends every fault
 )
 
--- a/lib/standin/platform/handlers.go
+++ b/lib/standin/platform/handlers.go
@@ -24,11 +24,13 @@
 		http.Error(w, "too many keys", http.StatusRequestEntityTooLarge)
 		return
 	}
-	answer(w, s.table.apply(txn, time.Now()))
+	res, era := s.table.apply(txn, time.Now())
+	answerOf(w, era, res)
 }
 
 func (s *Server) op(w http.ResponseWriter, r *http.Request) {
-	res, ok := s.table.op(r.PathValue("id"))
+	res, era, ok := s.table.op(r.PathValue("id"))
+	tellEra(w, era)
 	if !ok {
 		http.NotFound(w, r)
 		return
@@ -37,7 +39,8 @@
 }
 
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
-	it, ok := s.table.get(r.URL.Query().Get("key"), s.asOf())
+	it, era, ok := s.table.get(r.URL.Query().Get("key"), s.asOf())
+	tellEra(w, era)
 	if !ok {
 		http.NotFound(w, r)
 		return
@@ -49,7 +52,18 @@
 	q := r.URL.Query()
 	after, _ := strconv.ParseUint(q.Get("after_rev"), 10, 64) // absent or bad: from the start
 	limit, _ := strconv.Atoi(q.Get("limit"))                  // absent or bad: the default
-	answer(w, s.table.scan(q.Get("prefix"), after, limit, s.asOf()))
+	res, era := s.table.scan(q.Get("prefix"), after, limit, s.asOf())
+	answerOf(w, era, res)
+}
+
+// answerOf answers with what the table holds in an era.
+func answerOf(w http.ResponseWriter, era uint64, v any) {
+	tellEra(w, era)
+	answer(w, v)
+}
+
+func tellEra(w http.ResponseWriter, era uint64) {
+	w.Header().Set(platformapi.HeaderEra, strconv.FormatUint(era, 10))
 }
 
 func (s *Server) object(w http.ResponseWriter, r *http.Request) {
--- a/lib/standin/platform/server.go
+++ b/lib/standin/platform/server.go
@@ -93,7 +93,13 @@
 }
 
 // SetFault orders a fault; it reports false for an unknown kind.
-func (s *Server) SetFault(f Fault) bool { return s.faults.set(f, time.Now()) }
+func (s *Server) SetFault(f Fault) bool {
+	if f.Kind == FaultRestore {
+		s.table.restore(time.Now().Add(-time.Duration(f.DelayMS) * time.Millisecond))
+		return true
+	}
+	return s.faults.set(f, time.Now())
+}
 
 // PutInstance adds or replaces an instance on the list.
 func (s *Server) PutInstance(in platformapi.Instance) { s.instances.put(in, time.Now()) }
@@ -102,7 +108,10 @@
 func (s *Server) RemoveInstance(id string) { s.instances.remove(id, time.Now()) }
 
 // Item returns the newest state of a key, past all faults and limits.
-func (s *Server) Item(key string) (platformapi.Item, bool) { return s.table.get(key, time.Time{}) }
+func (s *Server) Item(key string) (platformapi.Item, bool) {
+	it, _, ok := s.table.get(key, time.Time{})
+	return it, ok
+}
 
 // Handler serves the platform's interface and the stand-in's own.
 func (s *Server) Handler() http.Handler {
--- a/lib/standin/platform/table.go
+++ b/lib/standin/platform/table.go
@@ -30,6 +30,7 @@
 // reads can be asked to see the state of an earlier moment.
 type table struct {
 	mu       sync.Mutex
+	era      uint64
 	rev      uint64
 	keys     map[string][]version // oldest first
 	ops      map[string]platformapi.TxnResult
@@ -38,23 +39,23 @@
 }
 
 func newTable() *table {
-	return &table{keys: map[string][]version{}, ops: map[string]platformapi.TxnResult{}}
+	return &table{era: 1, keys: map[string][]version{}, ops: map[string]platformapi.TxnResult{}}
 }
 
 // apply runs a transaction. The same operation id again answers the first result and writes nothing.
-func (t *table) apply(txn platformapi.Txn, now time.Time) platformapi.TxnResult {
+func (t *table) apply(txn platformapi.Txn, now time.Time) (res platformapi.TxnResult, era uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if res, ok := t.ops[txn.OpID]; ok {
-		return res
+		return res, t.era
 	}
-	res := platformapi.TxnResult{Rev: t.rev, Failed: t.failed(txn.Conds)}
+	res = platformapi.TxnResult{Rev: t.rev, Failed: t.failed(txn.Conds)}
 	if len(res.Failed) == 0 {
 		t.write(txn, now)
 		res = platformapi.TxnResult{Committed: true, Rev: t.rev}
 	}
 	t.remember(txn.OpID, res)
-	return res
+	return res, t.era
 }
 
 // failed lists current items of the conditions that do not hold.
@@ -112,11 +113,38 @@
 }
 
 // op returns the result of a transaction that took effect.
-func (t *table) op(id string) (platformapi.TxnResult, bool) {
+func (t *table) op(id string) (res platformapi.TxnResult, era uint64, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	res, ok := t.ops[id]
-	return res, ok && res.Committed
+	res, ok = t.ops[id]
+	return res, t.era, ok && res.Committed
+}
+
+// restore puts the table back to its state of a moment: what was written since is gone, and its revisions are given out again.
+func (t *table) restore(to time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.era++
+	t.rev = t.revAt(to)
+	for key, vs := range t.keys {
+		n := len(vs)
+		for n > 0 && vs[n-1].rev > t.rev {
+			n--
+		}
+		if n == 0 {
+			delete(t.keys, key)
+			continue
+		}
+		t.keys[key] = vs[:n:n]
+	}
+	for len(t.revTimes) > 0 && t.revTimes[len(t.revTimes)-1].rev > t.rev {
+		t.revTimes = t.revTimes[:len(t.revTimes)-1]
+	}
+	for id, res := range t.ops {
+		if res.Rev > t.rev || !res.Committed {
+			delete(t.ops, id)
+		}
+	}
 }
 
 // item returns the state of a key; a zero asOf means the newest. An absent key has revision 0.
@@ -134,14 +162,15 @@
 	return platformapi.Item{Key: key}, false
 }
 
-func (t *table) get(key string, asOf time.Time) (platformapi.Item, bool) {
+func (t *table) get(key string, asOf time.Time) (it platformapi.Item, era uint64, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.item(key, asOf)
+	it, ok = t.item(key, asOf)
+	return it, t.era, ok
 }
 
 // scan returns items under prefix written after a revision, in order of revision.
-func (t *table) scan(prefix string, after uint64, limit int, asOf time.Time) platformapi.RangeResult {
+func (t *table) scan(prefix string, after uint64, limit int, asOf time.Time) (res platformapi.RangeResult, era uint64) {
 	if limit <= 0 {
 		limit = defaultRangeLimit
 	}
@@ -163,7 +192,7 @@
 		}
 		return a.Key < b.Key
 	})
-	return page(out, limit)
+	return page(out, limit), t.era
 }
 
 // page cuts a result to limit items, but never between items of one revision: a caller that goes on after the
