Leases and conditions keep to the era of the platform's table

The client orders revisions over the eras of the table: the era stands above the revision in one number, so that all that keeps or compares one (fencing numbers, the last one seen, where a reader goes on) keeps the order without knowing of it; in the first era it is the revision, as before. A condition of an era before is not sent (other_era, not committed): the table may have given its revision to another write. A write that crosses the table's return is unknown. A range after a revision of an era before begins anew.

Leases: a record that was written before the copy is waited out for the whole TTL even where it is free in it, since a term may be lost; a holder goes on where the copy has its own record, and its term's condition is read again; where the copy has another's it stops.

--- a/lib/lease/campaign.go
+++ b/lib/lease/campaign.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/platform"
 	"anvilwick.example/anvilwick/lib/platformapi"
 )
 
@@ -51,28 +52,41 @@
 	if err != nil {
 		return nil
 	}
-	if last.seen && it.Rev < last.rev {
+	at := it.Rev
+	if !found {
+		at = platformapi.Start(s.Era())
+	}
+	if last.seen && at < last.rev {
 		return nil // an old read: it tells nothing that was not known
 	}
-	if !last.seen || last.rev != it.Rev {
-		*last = sighting{seen: true, rev: it.Rev, since: time.Now()}
+	if !last.seen || last.rev != at {
+		*last = sighting{seen: true, rev: at, since: time.Now()}
 	}
-	if found && !expired(decode(it), cfg, *last) {
+	if !free(it, found, at) && !expired(decode(it), cfg, *last) {
 		return nil
 	}
 	return take(ctx, s, cfg, it.Rev)
 }
 
+// free reports whether nobody holds the lease for certain. In a copy it may be free only because a term was lost.
+func free(it platformapi.Item, found bool, at uint64) bool {
+	if !found {
+		return at == platformapi.Start(platformapi.FirstEra)
+	}
+	r := decode(it)
+	return r.Released && !r.outlived(it)
+}
+
 // expired counts the longer of the holder's TTL and our own, in case the setting was changed. Only the monotonic
 // clock counts here: a wall clock set forward would end another's term early.
 func expired(r record, cfg Config, last sighting) bool {
-	return r.Released || time.Since(last.since) > max(r.ttl(), cfg.TTL)
+	return time.Since(last.since) > max(r.ttl(), cfg.TTL)
 }
 
 // take writes a new term over revision rev of the record.
 func take(ctx context.Context, s Store, cfg Config, rev uint64) *Held {
 	sent := time.Now()
-	r := record{Holder: cfg.Holder, Nonce: newNonce(), TTLMS: cfg.TTL.Milliseconds()}
+	r := record{Holder: cfg.Holder, Nonce: newNonce(), TTLMS: cfg.TTL.Milliseconds(), Era: s.Era()}
 	res, err := s.Txn(ctx, platformapi.Txn{
 		Conds: []platformapi.Cond{{Key: key(cfg.Name), Rev: rev}},
 		Puts: []platformapi.Put{
@@ -83,7 +97,7 @@
 	if err != nil || !res.Committed {
 		return nil // an unknown outcome leaves at worst a term that nobody uses, which expires
 	}
-	h := &Held{name: cfg.Name, nonce: r.Nonce, fence: res.Rev, ttl: cfg.TTL, rev: res.Rev, renewed: sent}
+	h := &Held{name: cfg.Name, nonce: r.Nonce, fence: res.Rev, ttl: cfg.TTL, rev: res.Rev, cond: res.Rev, renewed: sent}
 	h.cancel = func() {}
 	return h
 }
@@ -123,12 +137,15 @@
 	defer cancel()
 	for range 2 {
 		sent := time.Now()
-		res, err := s.Txn(ctx, h.write(cfg, false))
+		res, err := s.Txn(ctx, h.write(cfg, s.Era(), false))
+		if platform.IsOtherEra(err) {
+			res.Failed, err = reread(ctx, s, h)
+		}
 		if err != nil {
 			return unanswered
 		}
 		if res.Committed && h.renewedAt(res.Rev, sent) {
-			return renewed
+			return h.confirm(ctx, s)
 		}
 		if res.Committed || !h.adopt(res.Failed) {
 			return lost
@@ -137,6 +154,27 @@
 	return unanswered
 }
 
+// reread returns the record as it stands after the table came back from a copy.
+func reread(ctx context.Context, s Store, h *Held) ([]platformapi.Item, error) {
+	it, _, err := s.Get(ctx, key(h.name))
+	return []platformapi.Item{it}, err
+}
+
+// confirm makes Cond hold in the era that the table is in.
+func (h *Held) confirm(ctx context.Context, s Store) renewal {
+	if platformapi.EraOf(h.Cond().Rev) == s.Era() {
+		return renewed
+	}
+	it, _, err := s.Get(ctx, fenceKey(h.name))
+	switch {
+	case err != nil:
+		return renewed // what is written under the term is refused until the next renewal
+	case !h.rebase(it):
+		return lost
+	}
+	return renewed
+}
+
 // adopt takes over the revision of a record that is this term's own.
 func (h *Held) adopt(failed []platformapi.Item) bool {
 	for _, it := range failed {
@@ -150,8 +188,8 @@
 	return false
 }
 
-func (h *Held) write(cfg Config, released bool) platformapi.Txn {
-	r := record{Holder: cfg.Holder, Nonce: h.nonce, TTLMS: cfg.TTL.Milliseconds(), Fence: h.fence, Released: released}
+func (h *Held) write(cfg Config, era uint64, released bool) platformapi.Txn {
+	r := record{Holder: cfg.Holder, Nonce: h.nonce, TTLMS: cfg.TTL.Milliseconds(), Fence: h.fence, Released: released, Era: era}
 	txn := platformapi.Txn{
 		Conds: []platformapi.Cond{{Key: key(h.name), Rev: h.revision()}},
 		Puts:  []platformapi.Put{{Key: key(h.name), Value: encode(r)}},
@@ -167,7 +205,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
 	for range 2 {
-		res, err := s.Txn(ctx, h.write(cfg, true))
+		res, err := s.Txn(ctx, h.write(cfg, s.Era(), true))
 		if err != nil || res.Committed || !h.adopt(res.Failed) {
 			return
 		}
--- a/lib/lease/copy_test.go
+++ b/lib/lease/copy_test.go
@@ -1,12 +1,15 @@
 package lease_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"anvilwick.example/anvilwick/lib/lease"
+	"anvilwick.example/anvilwick/lib/platform"
 	"anvilwick.example/anvilwick/lib/platformapi"
 	standin "anvilwick.example/anvilwick/lib/standin/platform"
 )
@@ -74,13 +77,31 @@
 func TestTermOutlivesACopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCampaign(t, 0)
-		c.enter(c.ctx, newLink(c.s), "a")
-		time.Sleep(time.Second)
+		a := newLink(c.s)
+		held := make(chan *lease.Held, 1)
+		c.wg.Go(func() {
+			lease.Run(c.ctx, a, lease.Config{Name: "r", Holder: "a", TTL: ttl}, func(ctx context.Context, h *lease.Held) {
+				held <- h
+				<-ctx.Done()
+			})
+		})
+		h := <-held
 		c.enter(c.ctx, newLink(c.s), "b")
 		time.Sleep(20 * time.Second)
 		c.comesBack(5 * time.Second)
+		_, _, err := a.Get(t.Context(), "other") // the holder hears of the new era before it renews
+		must.NoError(t, err)
+		under := platformapi.Txn{Conds: []platformapi.Cond{h.Cond()}, Puts: []platformapi.Put{{Key: "work"}}}
+		_, err = a.Txn(t.Context(), under)
+		must.True(t, platform.IsOtherEra(err))
+		time.Sleep(ttl / 2)
+		under.Conds = []platformapi.Cond{h.Cond()}
+		res, err := a.Txn(t.Context(), under)
+		must.NoError(t, err)
+		must.True(t, res.Committed)
 		time.Sleep(30 * time.Second)
-		must.Len(t, 1, c.end())
+		must.True(t, h.Valid())
+		must.SliceEmpty(t, c.end())
 	})
 }
 
--- a/lib/lease/lease.go
+++ b/lib/lease/lease.go
@@ -12,6 +12,10 @@
 //   - A holder that is paused between its check of Valid and its order can still give that one order late. Only a
 //     fencing number stops that; package placement bounds what follows where targets ignore numbers.
 //
+// A table that comes back from a copy may lack a term, or show one that was given back. Whoever finds a record that was written
+// before counts the whole TTL, also over a lease that is free in it; a holder goes on where the copy has its own record, and
+// stops where it has another's. Fencing numbers are ordered over the eras of the table, so none is given out twice.
+//
 // During an outage of the table nobody can renew: leases lapse, and changes wait.
 package lease
 
@@ -43,6 +47,8 @@
 type Store interface {
 	Txn(ctx context.Context, txn platformapi.Txn) (platformapi.TxnResult, error)
 	Get(ctx context.Context, key string) (platformapi.Item, bool, error)
+	// Era returns the highest era of the table that an answer has told.
+	Era() uint64
 }
 
 // Config names a lease and its would-be holder.
@@ -64,6 +70,7 @@
 
 	mu      sync.Mutex
 	rev     uint64    // of the record, as last seen
+	cond    uint64    // revision of the term's own item, in the era that the table is in
 	renewed time.Time // when the last successful renewal was sent
 	ended   bool
 	cancel  context.CancelFunc
@@ -76,7 +83,11 @@
 func (h *Held) Name() string { return h.name }
 
 // Cond holds while this holder's term lasts. Put it into every transaction made under the lease.
-func (h *Held) Cond() platformapi.Cond { return platformapi.Cond{Key: fenceKey(h.name), Rev: h.fence} }
+func (h *Held) Cond() platformapi.Cond {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return platformapi.Cond{Key: fenceKey(h.name), Rev: h.cond}
+}
 
 // Valid reports whether the holder may act. Ask right before each order: after a pause, the context's end is late.
 func (h *Held) Valid() bool { return h.Left() > 0 }
@@ -107,6 +118,18 @@
 	h.cancel()
 }
 
+// rebase takes over the revision of the term's own item after the table came back from a copy; it reports false when the copy has
+// another's.
+func (h *Held) rebase(it platformapi.Item) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if decode(it).Nonce != h.nonce {
+		return false
+	}
+	h.cond = it.Rev
+	return true
+}
+
 // renewedAt starts a new span; it reports false when the term ended meanwhile.
 func (h *Held) renewedAt(rev uint64, sent time.Time) bool {
 	h.mu.Lock()
--- a/lib/lease/record.go
+++ b/lib/lease/record.go
@@ -16,6 +16,12 @@
 	TTLMS    int64  `json:"ttl_ms"`
 	Fence    uint64 `json:"fence,omitempty"` // 0 in the first write, whose own revision is the number
 	Released bool   `json:"released,omitempty"`
+	Era      uint64 `json:"era,omitempty"` // of the table, as its holder knew it; 0: the first
+}
+
+// outlived reports whether an item was written before the table came back from a copy: what came after it may be lost.
+func (r record) outlived(it platformapi.Item) bool {
+	return max(platformapi.FirstEra, r.Era) < platformapi.EraOf(it.Rev)
 }
 
 func (r record) ttl() time.Duration { return time.Duration(r.TTLMS) * time.Millisecond }
--- a/lib/platform/client.go
+++ b/lib/platform/client.go
@@ -4,6 +4,9 @@
 // whether its conditions held), NotCommitted or Refused (nothing was written and nothing will be), Unknown. Lost
 // answers are settled inside by the transaction's operation id before Unknown is returned.
 //
+// Revisions are ordered over the eras of the table (platformapi.Order), so that one may be compared with another whenever it was
+// read. Conditions of an era before are not sent: see OtherEra.
+//
 // Reads and writes take from a token bucket each, whose rate is this client's share of the site's budget. What the
 // budget or the open breaker holds up is refused at once, with a time to come back: a caller must never wait for a
 // store that is down.
@@ -110,6 +113,7 @@
 	breaker *gobreaker.CircuitBreaker[response]
 	budget  *budget
 	group   grouper
+	era     eraSeen
 }
 
 // New returns a Client. It does not contact the platform.
@@ -144,6 +148,7 @@
 
 type response struct {
 	status int
+	era    uint64 // of the table
 	after  time.Duration
 	body   []byte
 }
@@ -205,7 +210,7 @@
 	if err != nil {
 		return response{}, err
 	}
-	out := response{status: res.StatusCode, after: parseAfter(res.Header), body: body}
+	out := response{status: res.StatusCode, era: c.era.of(res.Header), after: parseAfter(res.Header), body: body}
 	if res.StatusCode >= 500 {
 		return out, errors.New(strconv.Itoa(res.StatusCode) + " " + string(bytes.TrimSpace(body)))
 	}
--- a/lib/platform/errors.go
+++ b/lib/platform/errors.go
@@ -49,6 +49,8 @@
 	fateNotSent              // proved: the platform executed nothing
 	fateRefused              // proved, and sending it again changes nothing
 	fateLost                 // it may have been executed, or may yet be
+	fateOtherEra             // not sent: its conditions are of an era before
+	fateCrossed              // executed under conditions of an era before, in which they may have meant something else
 )
 
 // exchangeError is the failure of one exchange with the platform.
@@ -74,6 +76,8 @@
 func writeError(err *exchangeError, op string) error {
 	t := Unknown
 	switch err.fate {
+	case fateOtherEra:
+		t = OtherEra
 	case fateNotSent:
 		t = NotCommitted
 	case fateRefused:
--- a/lib/platform/group.go
+++ b/lib/platform/group.go
@@ -53,6 +53,10 @@
 // one key never share a group, so none can see, or be failed by, another's write. An unknown outcome of a group is
 // an unknown outcome of each member. txn.OpID is not used: the group has its own.
 func (c *Client) GroupTxn(ctx context.Context, txn platformapi.Txn) (platformapi.TxnResult, error) {
+	if c.isOld(txn) {
+		// Alone: with it, the others of its group would not be sent either.
+		return platformapi.TxnResult{}, writeError(&exchangeError{fate: fateOtherEra, cause: errOtherEra}, "group")
+	}
 	m := &member{txn: txn, ctx: ctx, done: make(chan memberResult, 1)}
 	c.group.add(m)
 	select {
--- a/lib/platform/read.go
+++ b/lib/platform/read.go
@@ -17,29 +17,46 @@
 // writes conditional on the revision read.
 func (c *Client) Get(ctx context.Context, key string) (platformapi.Item, bool, error) {
 	var out platformapi.Item
-	found, err := c.read(ctx, useGet, platformapi.PathGet+"?"+url.Values{"key": {key}}.Encode(), &out)
+	era, found, err := c.read(ctx, useGet, platformapi.PathGet+"?"+url.Values{"key": {key}}.Encode(), &out)
 	if !found {
 		out = platformapi.Item{Key: key}
 	}
+	out.Rev = platformapi.Order(era, out.Rev)
 	return out, found, err
 }
 
 // Range reads one page of items under prefix that were written after a revision, in order of revision. limit 0
-// leaves the page size to the platform. Go on after the last item's revision while More is set.
+// leaves the page size to the platform. Go on after the last item's revision while More is set. After a revision of an era before it
+// returns the first page of all.
 func (c *Client) Range(ctx context.Context, prefix string, after uint64, limit int) (platformapi.RangeResult, error) {
-	q := url.Values{"prefix": {prefix}, "after_rev": {strconv.FormatUint(after, 10)}}
+	for {
+		from := after
+		if platformapi.EraOf(after) != c.Era() {
+			from = 0
+		}
+		out, era, err := c.page(ctx, prefix, from, limit)
+		if err != nil || from == 0 || era == platformapi.EraOf(from) {
+			return out, err
+		}
+	}
+}
+
+// page reads one page of items in the era that the table is in, whichever that is.
+func (c *Client) page(ctx context.Context, prefix string, after uint64, limit int) (platformapi.RangeResult, uint64, error) {
+	q := url.Values{"prefix": {prefix}, "after_rev": {strconv.FormatUint(platformapi.RevOf(after), 10)}}
 	if limit > 0 {
 		q.Set("limit", strconv.Itoa(limit))
 	}
 	var out platformapi.RangeResult
-	_, err := c.read(ctx, useRange, platformapi.PathRange+"?"+q.Encode(), &out)
-	return out, err
+	era, _, err := c.read(ctx, useRange, platformapi.PathRange+"?"+q.Encode(), &out)
+	orderRange(&out, era)
+	return out, era, err
 }
 
 // Instances reads the platform's instance list, which lags by seconds.
 func (c *Client) Instances(ctx context.Context) (platformapi.InstanceList, error) {
 	var out platformapi.InstanceList
-	_, err := c.read(ctx, useInstances, platformapi.PathInstances, &out)
+	_, _, err := c.read(ctx, useInstances, platformapi.PathInstances, &out)
 	return out, err
 }
 
@@ -85,19 +102,19 @@
 
 func objectPath(name string) string { return platformapi.PathObjects + url.PathEscape(name) }
 
-// read asks for a JSON answer; it reports false for 404.
-func (c *Client) read(ctx context.Context, u use, path string, into any) (bool, error) {
-	res, err := c.ask(ctx, u, c.base.New().Get(path))
-	if err != nil {
-		return false, readError(err, path)
+// read asks for a JSON answer and returns the table's era; found is false for 404.
+func (c *Client) read(ctx context.Context, u use, path string, into any) (era uint64, found bool, err error) {
+	res, failed := c.ask(ctx, u, c.base.New().Get(path))
+	if failed != nil {
+		return 0, false, readError(failed, path)
 	}
 	if res.status == http.StatusNotFound {
-		return false, nil
+		return res.era, false, nil
 	}
 	if err := decode(res, into); err != nil {
-		return false, readError(err, path)
+		return 0, false, readError(err, path)
 	}
-	return true, nil
+	return res.era, true, nil
 }
 
 // ask makes one exchange out of the budget for reads.
--- a/lib/platform/txn.go
+++ b/lib/platform/txn.go
@@ -51,11 +51,23 @@
 // post is send for a caller that has taken its token.
 func (c *Client) post(ctx context.Context, txn platformapi.Txn) (platformapi.TxnResult, *exchangeError) {
 	var out platformapi.TxnResult
-	res, err := c.exchange(ctx, useTxn, c.base.New().Post(platformapi.PathTxn).BodyJSON(txn))
+	raw, err := c.rawTxn(txn)
 	if err != nil {
 		return out, err
 	}
-	return out, decode(res, &out)
+	res, err := c.exchange(ctx, useTxn, c.base.New().Post(platformapi.PathTxn).BodyJSON(raw))
+	if err != nil {
+		return out, err
+	}
+	return out, decodeTxn(txn, res, &out)
+}
+
+// decodeTxn reads the result of a transaction.
+func decodeTxn(txn platformapi.Txn, res response, into *platformapi.TxnResult) *exchangeError {
+	if err := decode(res, into); err != nil {
+		return err
+	}
+	return orderTxn(txn, into, res.era)
 }
 
 // decode reads an answer; an answer that can't be read is a lost one.
@@ -92,7 +104,7 @@
 		return out, false
 	}
 	if res.status != http.StatusNotFound {
-		return out, decode(res, &out) == nil
+		return out, decodeTxn(txn, res, &out) == nil
 	}
 	out, err = c.send(ctx, txn)
 	return out, err == nil
--- a/lib/platformapi/platformapi.go
+++ b/lib/platformapi/platformapi.go
@@ -13,24 +13,30 @@
 	PathWeights   = "/weights/"    // GET {model}/{version}: 200 when a transfer may start, 429 with Retry-After
 )
 
-// HeaderEra, in every answer about the table, numbers its history, from 1 on. A table that comes back from a copy loses what it had
-// acknowledged since, begins a new era, and gives revisions out again. An answer without it is of the highest era told before.
+// HeaderEra, in every answer about the table, numbers its history, from FirstEra on. A table that comes back from a copy loses what it
+// had acknowledged since, begins a new era, and gives revisions out again. An answer without it is of the highest era told before.
 const HeaderEra = "Table-Era"
 
+// FirstEra is the era of a table that never came back from a copy.
+const FirstEra = 1
+
 // eraShift leaves room for a million million revisions in an era.
 const eraShift = 40
 
-// Order joins an era and a revision given out in it to one number that orders them, the era first. Revision 0, of what is absent, is
-// 0 in every era.
+// Order joins an era and a revision given out in it to one number that orders them, the era first; in the first era it is the
+// revision. Revision 0, of what is absent, is 0 in every era.
 func Order(era, rev uint64) uint64 {
 	if rev == 0 {
 		return 0
 	}
-	return era<<eraShift | rev
+	return (era-FirstEra)<<eraShift | rev
 }
 
+// Start returns what is before every ordered revision of an era, and after those of the eras before.
+func Start(era uint64) uint64 { return (era - FirstEra) << eraShift }
+
 // EraOf returns the era of an ordered revision.
-func EraOf(ordered uint64) uint64 { return ordered >> eraShift }
+func EraOf(ordered uint64) uint64 { return ordered>>eraShift + FirstEra }
 
 // RevOf returns the revision that the table knows.
 func RevOf(ordered uint64) uint64 { return ordered & (1<<eraShift - 1) }
