A revision number of settings that a copy of the table lacks is not given out again

An accepted revision that the table lost stayed in force at instances, and the next one committed got its number: with another text under one number they kept the first, and a committed change was in force nowhere. Records name the one before them, so that the history goes on over the gap; the text that the copy's head has may be committed again, since another may be in force; a commit whose conditions are of an era before reads the head again.

--- a/lib/settingsync/commit.go
+++ b/lib/settingsync/commit.go
@@ -51,10 +51,13 @@
 		if head.Revision > c.Base {
 			return nil, conflict(ctx, t, c.Base, head.Revision)
 		}
-		if head.Digest == Digest(c.Text) {
+		if head.Digest == Digest(c.Text) && !head.outlived(t.Era()) {
 			return nil, Unchanged.New("revision %d holds the same text", head.Revision)
 		}
 		rec, res, err := tryCommit(ctx, t, c, head, item)
+		if platform.IsOtherEra(err) {
+			err = nil // what was read is of before the table's return: it is read again
+		}
 		if err != nil || res.Committed {
 			return rec, err
 		}
@@ -89,7 +92,7 @@
 	if err != nil {
 		return nil, platformapi.TxnResult{}, err
 	}
-	txn, err := commitTxn(rec, item)
+	txn, err := commitTxn(rec, item, t.Era())
 	if err != nil {
 		return nil, platformapi.TxnResult{}, err
 	}
@@ -107,6 +110,9 @@
 		if err == nil || !unsure {
 			return res, err
 		}
+		if platform.IsOtherEra(err) {
+			return res, Unknown.Wrap(err, "operation %s", txn.OpID)
+		}
 		if !pause(ctx, settlePause) {
 			return res, Unknown.Wrap(err, "operation %s", txn.OpID)
 		}
@@ -125,9 +131,11 @@
 }
 
 func newRecord(ctx context.Context, t Table, c Change, head Head) (*Record, error) {
+	next := head.next(t.Era())
 	rec := &Record{
-		Revision: head.Revision + 1,
-		Whole:    head.Revision + 1,
+		Revision: next,
+		Before:   head.Revision,
+		Whole:    next,
 		OpID:     ids.New().String(),
 		Operator: clip(c.Operator, maxNote),
 		Time:     c.Time.UTC().Round(time.Millisecond),
@@ -164,8 +172,8 @@
 	return s
 }
 
-func commitTxn(rec *Record, head platformapi.Item) (platformapi.Txn, error) {
-	headValue, err := json.Marshal(Head{Revision: rec.Revision, Whole: rec.Whole, Digest: rec.Digest})
+func commitTxn(rec *Record, head platformapi.Item, era uint64) (platformapi.Txn, error) {
+	headValue, err := json.Marshal(Head{Revision: rec.Revision, Whole: rec.Whole, Digest: rec.Digest, Era: era})
 	if err != nil {
 		return platformapi.Txn{}, err
 	}
@@ -222,7 +230,7 @@
 		return nil, err
 	}
 	var out []Record
-	for r := head.Revision; r > 0 && len(out) < limit; r-- {
+	for r := head.Revision; r > 0 && len(out) < limit; {
 		rec, err := ReadRecord(ctx, t, r)
 		if errorx.IsOfType(err, Absent) {
 			break
@@ -232,6 +240,15 @@
 		}
 		rec.Body = nil
 		out = append(out, *rec)
+		r = rec.before()
 	}
 	return out, nil
 }
+
+// before is the number of the revision that a record follows.
+func (r *Record) before() uint64 {
+	if r.Before > 0 {
+		return r.Before
+	}
+	return r.Revision - 1
+}
--- a/lib/settingsync/record.go
+++ b/lib/settingsync/record.go
@@ -32,6 +32,8 @@
 	Get(ctx context.Context, key string) (platformapi.Item, bool, error)
 	Range(ctx context.Context, prefix string, afterRev uint64, limit int) (platformapi.RangeResult, error)
 	Txn(ctx context.Context, txn platformapi.Txn) (platformapi.TxnResult, error)
+	// Era returns the highest era of the table that an answer has told.
+	Era() uint64
 }
 
 // Head names the newest revision.
@@ -39,12 +41,32 @@
 	Revision uint64 `json:"revision"`
 	Whole    uint64 `json:"whole"` // newest revision whose text was written whole
 	Digest   string `json:"digest"`
+	Era      uint64 `json:"era,omitempty"` // of the table, as the one who committed it knew it; 0: the first
+}
+
+// outlived reports whether the head was written before the table came back from a copy: revisions after it may be lost, and in
+// force all the same.
+func (h Head) outlived(era uint64) bool {
+	return h.Revision > 0 && max(platformapi.FirstEra, h.Era) < era
+}
+
+// eraGap is how many numbers are left out after a copy: more revisions than are committed in the seconds that one lacks.
+const eraGap = 1000
+
+// next is the number of the revision after the head. One that was lost is not given out again: instances that hold it would take the
+// second for the first.
+func (h Head) next(era uint64) uint64 {
+	if h.outlived(era) {
+		return h.Revision + eraGap + 1
+	}
+	return h.Revision + 1
 }
 
 // Record is one committed revision.
 type Record struct {
 	Revision uint64    `json:"revision"`
-	Whole    uint64    `json:"whole"` // Body is a difference from this revision's text; Revision itself: Body is whole
+	Before   uint64    `json:"before,omitempty"` // the revision that it follows; 0: the number before its own
+	Whole    uint64    `json:"whole"`            // Body is a difference from this revision's text; Revision itself: Body is whole
 	OpID     string    `json:"op_id"`
 	Operator string    `json:"operator"`
 	Time     time.Time `json:"time"` // by the operator's clock
