The first revision of settings is not given out twice either

A copy without any revision has no head that could name an era; the first number was given out again, and the change committed under it was not in force where the lost one was.

--- a/lib/settingsync/copy_test.go
+++ b/lib/settingsync/copy_test.go
@@ -40,3 +40,24 @@
 		must.Len(t, 2, records)
 	})
 }
+
+// All revisions are lost with the copy, and the first is committed again. It gets a number of its own, and comes into force where the lost
+// one is.
+func TestFirstRevisionIsNotGivenOutTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		srv, table := newTable(standin.Config{})
+		f := newFleet()
+		defer f.stopAll()
+		s := f.start(t.Context(), "one", table)
+		time.Sleep(time.Second)
+		lost := commit(t, table, 0, tree(1))
+		time.Sleep(5 * time.Second)
+		must.Eq(t, lost.Revision, inForce(s))
+		srv.SetFault(standin.Fault{Kind: standin.FaultRestore, DelayMS: 5500})
+		time.Sleep(2 * time.Second)
+		after := commit(t, table, 0, tree(2))
+		time.Sleep(5 * time.Second)
+		must.Eq(t, after.Revision, inForce(s))
+		must.Greater(t, lost.Revision, after.Revision)
+	})
+}
--- a/lib/settingsync/record.go
+++ b/lib/settingsync/record.go
@@ -45,10 +45,8 @@
 }
 
 // outlived reports whether the head was written before the table came back from a copy: revisions after it may be lost, and in
-// force all the same.
-func (h Head) outlived(era uint64) bool {
-	return h.Revision > 0 && max(platformapi.FirstEra, h.Era) < era
-}
+// force all the same. So may the first, where there is no head.
+func (h Head) outlived(era uint64) bool { return max(platformapi.FirstEra, h.Era) < era }
 
 // eraGap is how many numbers are left out after a copy: more revisions than are committed in the seconds that one lacks.
 const eraGap = 1000
