Operators' drains outlive a copy of the platform's table

A target that an operator had taken out got work again where the table came back from a copy with the record before it, and control processes that started later never heard of a drain that the copy lacked. A drain that is known stays over one that the copy has, by the time of the order, and the instance that took the order writes it again. A drain under a condition of an era before reads the record again.

TestDrainThatACopyLacksHolds failed before in both cases (told nothing, never written) and passes; lib/control passes.

--- a/lib/control/control_test.go
+++ b/lib/control/control_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -303,3 +304,45 @@
 		until(t, name+" bytes", func() bool { return c.Get() > 0 })
 	}
 }
+
+// The table comes back from a copy that lacks an operator's drain, or has the one before it. The drain stays in force everywhere, is written
+// again by the instance that took the order, and a control process that starts later hears of it.
+func TestDrainThatACopyLacksHolds(t *testing.T) {
+	for name, before := range map[string]bool{"never drained before": false, "drained and ended before": true} {
+		t.Run(name, func(t *testing.T) {
+			s := standin.New(standin.Config{})
+			commit(t, s, someSettings, 0)
+			p1, down1 := start(t, s, "i1")
+			p2, down2 := start(t, s, "i2")
+			until(t, "settings", func() bool { return p1.Snapshot() != nil && p2.Snapshot() != nil })
+			if before {
+				for _, on := range []bool{true, false} {
+					_, err := p1.Drain(t.Context(), opsapi.DrainRequest{Target: "t1", On: on, Operator: "ann"})
+					must.NoError(t, err)
+					told(t, down2, drained("t1", on))
+				}
+			}
+			time.Sleep(200 * time.Millisecond)
+			copied := time.Now()
+			rep, err := p1.Drain(t.Context(), opsapi.DrainRequest{Target: "t1", On: true, Operator: "ann"})
+			must.NoError(t, err)
+			must.True(t, rep.Durable)
+			told(t, down1, drained("t1", true))
+			told(t, down2, drained("t1", true))
+			s.SetFault(standin.Fault{Kind: standin.FaultRestore, DelayMS: time.Since(copied).Milliseconds() + 50})
+			it, _ := s.Item(drainKey("t1", byOperator))
+			must.StrNotContains(t, string(it.Value), `"on":true`)
+			until(t, "the drain in the table again", func() bool {
+				it, _ := s.Item(drainKey("t1", byOperator))
+				return strings.Contains(string(it.Value), `"on":true`)
+			})
+			must.True(t, p1.tables.draining("t1"))
+			must.True(t, p2.tables.draining("t1"))
+			_, down3 := start(t, s, "i3")
+			told(t, down3, drained("t1", true))
+			_, err = p2.Drain(t.Context(), opsapi.DrainRequest{Target: "t1", On: false, Operator: "ben"})
+			must.NoError(t, err)
+			told(t, down1, drained("t1", false))
+		})
+	}
+}
--- a/lib/control/drains.go
+++ b/lib/control/drains.go
@@ -58,10 +58,23 @@
 			}
 			more = page.More && len(page.Items) > 0
 		}
+		p.drainAgain(ctx)
 		return nil
 	})
 }
 
+// drainAgain writes operators' drains again that the table has lost. Whoever reads the table later would else not know of them.
+func (p *Process) drainAgain(ctx context.Context) {
+	for target, rec := range p.tables.lostDrains(p.store.Era()) {
+		err := p.recordOperators(ctx, target, rec)
+		at := log.Warn().Str("event", "drain_written_again").Str("target", target).Bool("on", rec.On)
+		if err != nil {
+			at = at.Str("cause", err.Error())
+		}
+		at.Msg("")
+	}
+}
+
 func (p *Process) readDrain(it platformapi.Item) {
 	target, by, ok := strings.Cut(strings.TrimPrefix(it.Key, platformapi.KeyDrain), "/")
 	var rec drainRecord
@@ -69,17 +82,17 @@
 		log.Error().Str("event", "drain_unreadable").Str("key", it.Key).Msg("")
 		return
 	}
-	p.applyDrain(target, by, rec.On, it.Rev)
+	p.applyDrain(target, by, rec, it.Rev)
 }
 
 // applyDrain puts a drain in force here and tells the entry when that changes anything for it.
-func (p *Process) applyDrain(target, by string, on bool, rev uint64) {
-	changed := p.tables.setDrain(target, by, drainState{on: on, rev: rev, since: time.Now()})
+func (p *Process) applyDrain(target, by string, rec drainRecord, rev uint64) {
+	changed := p.tables.setDrain(target, by, drainState{on: rec.On, rev: rev, made: rec.Time, since: time.Now()})
 	if !changed {
 		return
 	}
 	effective := p.tables.draining(target)
-	log.Info().Str("event", "drain").Str("target", target).Str("by", by).Bool("on", on).Bool("effective", effective).Msg("")
+	log.Info().Str("event", "drain").Str("target", target).Str("by", by).Bool("on", rec.On).Bool("effective", effective).Msg("")
 	d := &meshpb.Drain{Target: target, On: effective}
 	p.link.Set(&meshpb.LocalDown{Msg: &meshpb.LocalDown_Drain{Drain: d}})
 }
@@ -105,7 +118,7 @@
 		Puts:  []platformapi.Put{{Key: drainKey(target, by), Value: value}},
 	})
 	if err == nil && res.Committed {
-		p.applyDrain(target, by, rec.On, res.Rev)
+		p.applyDrain(target, by, rec, res.Rev)
 	}
 	return res, err
 }
@@ -119,8 +132,8 @@
 	if snap := p.Snapshot(); snap == nil || findTarget(snap, r.Target) == nil {
 		return opsapi.DrainReply{}, ErrNoTarget.New("no target %q in the settings in force", r.Target)
 	}
-	p.applyDrain(r.Target, byOperator, r.On, p.tables.drainRev(r.Target, byOperator))
 	rec := drainRecord{On: r.On, Operator: r.Operator, Time: time.Now().UTC()}
+	p.applyDrain(r.Target, byOperator, rec, p.tables.drainRev(r.Target, byOperator))
 	if err := p.recordOperators(ctx, r.Target, rec); err != nil {
 		return opsapi.DrainReply{Applied: true, Detail: notRecorded(err)}, nil
 	}
@@ -143,6 +156,13 @@
 	over := platformapi.Cond{Key: drainKey(target, byOperator), Rev: p.tables.drainRev(target, byOperator)}
 	for range drainTries {
 		res, err := p.writeDrain(ctx, target, byOperator, rec, over)
+		if platform.IsOtherEra(err) {
+			it, _, failed := p.store.Get(ctx, over.Key)
+			res.Failed, err = []platformapi.Item{it}, failed
+		}
+		if err == nil && res.Committed {
+			p.tables.noteOrdered(target, rec)
+		}
 		if err != nil || res.Committed {
 			return err
 		}
--- a/lib/control/tables.go
+++ b/lib/control/tables.go
@@ -19,7 +19,14 @@
 type drainState struct {
 	on    bool
 	rev   uint64    // of the table, that it was read at
+	made  time.Time // by the clock of the instance that took the order
 	since time.Time // when this process learnt of it
+	lost  bool      // a copy of the table has an older one
+}
+
+// outlives reports whether a drain stays in force over one that the table shows after it came back from a copy.
+func (d drainState) outlives(read drainState) bool {
+	return platformapi.EraOf(read.rev) > platformapi.EraOf(d.rev) && read.made.Before(d.made)
 }
 
 // report is what the entry said of a target, dated on this process's clock.
@@ -33,6 +40,7 @@
 	mu        sync.Mutex
 	instances []platformapi.Instance
 	drains    map[drainID]drainState
+	ordered   map[string]drainRecord // operators' drains that this process has written, by target
 	entry     *meshpb.EntryStatus
 	reports   map[string]report
 	leases    map[string]*lease.Held
@@ -46,7 +54,7 @@
 }
 
 func newTables() tables {
-	return tables{drains: map[drainID]drainState{}, reports: map[string]report{}, leases: map[string]*lease.Held{}}
+	return tables{drains: map[drainID]drainState{}, ordered: map[string]drainRecord{}, reports: map[string]report{}, leases: map[string]*lease.Held{}}
 }
 
 // hear takes a message from the entry.
@@ -91,6 +99,11 @@
 	if known && d.rev < old.rev {
 		return false
 	}
+	if known && old.outlives(d) {
+		old.rev, old.lost = d.rev, true
+		t.drains[k] = old
+		return false
+	}
 	if known && old.on == d.on {
 		d.since = old.since
 	}
@@ -98,6 +111,28 @@
 	return !known || old.on != d.on
 }
 
+// noteOrdered remembers an operator's drain that the table has from this process.
+func (t *tables) noteOrdered(target string, rec drainRecord) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ordered[target] = rec
+}
+
+// lostDrains returns the operators' drains that this process has written and that the table lacks in an era, or has an older one of. One that
+// another has written since is that one's.
+func (t *tables) lostDrains(era uint64) map[string]drainRecord {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]drainRecord)
+	for target, rec := range t.ordered {
+		d := t.drains[drainID{target, byOperator}]
+		if d.made.Equal(rec.Time) && (d.lost || platformapi.EraOf(d.rev) < era) {
+			out[target] = rec
+		}
+	}
+	return out
+}
+
 func (t *tables) drainRev(target, by string) uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
