--- a/lib/claim/again.go
+++ b/lib/claim/again.go
@@ -36,10 +36,14 @@
 	at    time.Time
 }
 
-// note remembers a record that the table has taken.
+// note remembers a record that the table has taken, from when on its request may have been sent. What was never sent needs no
+// record, and a resend that is turned away must not take the place of the claim that was.
 func (t *Table) note(c *Claim, value []byte) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if (c.rec.State == Started || c.rec.State == Released) && t.kept[c.key].id != c.rec.ID {
+		return
+	}
 	t.kept[c.key] = kept{id: c.rec.ID, value: value, at: time.Now()}
 	if len(t.kept) > keptMax {
 		t.dropOldest()
--- a/lib/claim/copy_test.go
+++ b/lib/claim/copy_test.go
@@ -34,7 +34,7 @@
 		c.Finish(Summary{Code: result.OK, Status: 200, Body: []byte("done"), Kept: true})
 		settled(t, a)
 		comesBack(s, 2*time.Second)
-		time.Sleep(10 * time.Second)
+		time.Sleep(lookSeldom + settleFor + time.Second) // b has nothing to write again, and looks seldom
 		_, sum, err := b.Begin(t.Context(), request("x"))
 		must.Nil(t, err)
 		must.Eq(t, "done", string(sum.Body))
@@ -87,3 +87,44 @@
 		must.False(t, ok)
 	})
 }
+
+// A request was sent, and its key is sent again to the same entry right after the table came back without the claim. Turning that one away
+// must not make the entry forget that the first was sent.
+func TestResendAtTheSameEntryDoesNotHideTheClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Config{})
+		a, b := entry(s, "a"), entry(s, "b")
+		go a.Run(t.Context())
+		go b.Run(t.Context())
+		time.Sleep(time.Second)
+		c := mustBegin(t, a, request("x"))
+		must.Nil(t, c.Sent(t.Context(), "svc", c.FirstAttempt()))
+		c.Finish(Summary{Code: result.OK, Status: 200, Body: []byte("done"), Kept: true})
+		settled(t, a)
+		comesBack(s, 500*time.Millisecond)
+		must.Eq(t, result.StoreDown, refusal(t, a, request("x")))
+		time.Sleep(lookSeldom + settleFor + time.Second)
+		_, sum, err := b.Begin(t.Context(), request("x"))
+		must.Nil(t, err)
+		must.Eq(t, "done", string(sum.Body))
+	})
+}
+
+// The outcome of a run is on its way to the table as that comes back from a copy without the claim. It is written all the same: resends
+// would else hear for as long as the entry lives that the request is in progress.
+func TestOutcomeThatCrossesACopyIsWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Config{})
+		a := entry(s, "a")
+		c := mustBegin(t, a, request("x"))
+		must.Nil(t, c.Sent(t.Context(), "svc", c.FirstAttempt()))
+		comesBack(s, time.Hour)
+		c.Finish(Summary{Code: result.OK, Status: 200, Body: []byte("done"), Kept: true})
+		settled(t, a)
+		it, ok := s.Item(c.key)
+		must.True(t, ok)
+		r, err := decode(it)
+		must.NoError(t, err)
+		must.Eq(t, Finished, r.State)
+	})
+}
--- /dev/null
+++ b/lib/e2e/copy_test.go
@@ -0,0 +1,41 @@
+package e2e
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/standin/platform"
+)
+
+// The platform's table comes back from a copy while bookings are under way, with entries that live. Each booking is asked for with a key
+// until its answer is final, through one entry after another: it stands exactly once, whether the copy has its claim or not.
+func TestBookingsThroughACopyOfTheTable(t *testing.T) {
+	site, ctx := siteOf(t, 1, 3)
+	c := clientOf(site)
+	const bookings = 24
+	var wg sync.WaitGroup
+	errs := make([]error, bookings)
+	for i := range bookings {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+			key := fmt.Sprintf("copied-%d", i)
+			if _, errs[i] = insist(ctx, c, key, i); errs[i] == nil {
+				_, errs[i] = insist(ctx, c, key, i+1) // a resend through another entry
+			}
+		})
+	}
+	time.Sleep(1200 * time.Millisecond)
+	must.NoError(t, site.PlatformFault(ctx, platform.Fault{Kind: platform.FaultRestore, DelayMS: 1000}))
+	wg.Wait()
+	must.NoError(t, errors.Join(errs...))
+	for i := range bookings {
+		n, err := executions(ctx, site, fmt.Sprintf("copied-%d", i))
+		must.NoError(t, err)
+		must.Eq(t, 1, n, must.Sprintf("copied-%d", i))
+	}
+}
