--- a/lib/feedlink/era_test.go
+++ b/lib/feedlink/era_test.go
@@ -1,6 +1,7 @@
 package feedlink
 
 import (
+	"bytes"
 	"testing"
 	"time"
 
@@ -44,3 +45,56 @@
 	time.Sleep(time.Second)
 	must.Eq(t, "new", follower.value.Load().(string))
 }
+
+// A reader that has not heard of the new era is left at once, for one that has or for the store itself: it would else hold changes back until
+// its word is old.
+func TestReaderInAnOlderEraIsLeft(t *testing.T) {
+	t.Parallel()
+	src := &table{era: 2}
+	src.set("newer")
+	reader := idle(t, "a", &table{away: true}, self)
+	follower := idle(t, "b", src, second(reader, "a"))
+	reader.holds(feed.Position{Era: 1, Version: 90}, rowOfValue(80, "old"))
+	follower.holds(feed.Position{Era: 2}, rowOfValue(0, "new"))
+	follower.run(t, func(string) {})
+	must.Less(t, 500*time.Millisecond, follower.waitFor(t, "newer"))
+}
+
+// Compressed values and tables are kept for the next who asks. What has the same version in another era is another value.
+func TestPackedValuesAreOfTheirEra(t *testing.T) {
+	t.Parallel()
+	p := newPacker()
+	large := func(fill byte) []feed.Row {
+		return []feed.Row{{Key: "k", Value: bytes.Repeat([]byte{fill, fill + 1}, packMin), Version: 7}}
+	}
+	many := func(fill byte) []feed.Row { return append(large(fill), feed.Row{Key: "l", Version: 7}) }
+	for _, rows := range []func(byte) []feed.Row{large, many} {
+		for _, whole := range []bool{true, false} {
+			var got []feed.Row
+			r := feed.NewReplica(func(u feed.Update) { got = append(got, u.Rows...) })
+			for era := range int64(2) {
+				m := p.message("t", feed.Position{}, feed.Page{Era: era, Version: 7, Rows: rows('a' + byte(era))}, whole, time.Now())
+				m.Whole = true
+				must.NoError(t, take(r, m))
+			}
+			must.Eq(t, 'b', got[len(got)-1].Value[0])
+		}
+	}
+}
+
+// What is kept although the copy lacks it is told once to each follower in an era, not with each page.
+func TestKeptRowsAreToldOnce(t *testing.T) {
+	t.Parallel()
+	m := idle(t, "a", nil, self)
+	r := feed.NewReplica(func(feed.Update) {}).Keeping(feed.Keep{For: time.Minute})
+	s := &server{track: m.track, replicas: map[string]*feed.Replica{"t": r}, packs: newPacker()}
+	r.Take(feed.Page{Era: 1, Version: 9, Rows: []feed.Row{rowOfValue(9, "lost")}}, true, time.Now())
+	follower := []*passed{{name: "t", replica: r, after: feed.Position{Era: 1, Version: 9}}}
+	must.SliceEmpty(t, s.page(follower).Tables[0].Kept)
+	r.Take(feed.Page{Era: 2, Version: 3}, true, time.Now())
+	must.Len(t, 1, s.page(follower).Tables[0].Kept)
+	must.SliceEmpty(t, s.page(follower).Tables[0].Kept)
+	newcomer := []*passed{{name: "t", replica: r}}
+	must.Len(t, 1, s.page(newcomer).Tables[0].Kept)
+	must.SliceEmpty(t, s.page(newcomer).Tables[0].Kept)
+}
--- a/lib/feedlink/feedlink_test.go
+++ b/lib/feedlink/feedlink_test.go
@@ -21,6 +21,7 @@
 type table struct {
 	mu      sync.Mutex
 	version int64
+	era     int64
 	value   string
 	away    bool
 	calls   atomic.Int32
@@ -42,7 +43,7 @@
 	if s.away {
 		return feed.Page{}, errAway
 	}
-	return feed.Page{Version: s.version, Rows: []feed.Row{{Key: "k", Value: []byte(s.value), Version: s.version}}}, nil
+	return feed.Page{Era: s.era, Version: s.version, Rows: []feed.Row{{Key: "k", Value: []byte(s.value), Version: s.version}}}, nil
 }
 
 func (s *table) Changes(ctx context.Context, after int64, wait time.Duration) (feed.Page, error) {
