The entry keeps to the time that a full engine names

The entry read the time and used it for nothing; the scheduler places by load alone. An engine rests for this entry until then: attempts granted there are not sent, cost no retry, and go to another.

TestEngineThatNamesATimeIsLeftAloneForIt failed before (1,016 attempts, 1 allowed) and passes (three runs); lib/entry and lib/e2e pass.

--- a/lib/entry/run.go
+++ b/lib/entry/run.go
@@ -173,6 +173,9 @@
 	if c == nil {
 		return attemptEnd{reason: sched.EndTargetRefused, cause: errNoClient, settled: true}
 	}
+	if s.rests.on(s.now(), grant.Target) {
+		return attemptEnd{reason: sched.EndTargetRefused, cause: errResting, settled: true}
+	}
 	ticket, _, ok := s.opts.Breakers.Allow(s.now(), grant.Target)
 	if !ok {
 		return attemptEnd{reason: sched.EndTargetRefused, cause: errOpen, settled: true}
@@ -187,6 +190,7 @@
 	r := &run{server: s, g: g, client: c, number: number, priority: grant.Priority, ticket: ticket}
 	end := r.do()
 	g.stop()
+	s.rests.note(s.now(), grant.Target, end.cause)
 	if r.tokens == 0 {
 		ticket.Done(s.now(), outcomeOf(end.reason))
 	}
--- a/lib/entry/scripted_test.go
+++ b/lib/entry/scripted_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -300,3 +301,38 @@
 	}
 	must.LessEq(t, requests+requests/10+1, len(e.attempts()))
 }
+
+// An engine that is full names the time for which it wants nothing more. It gets nothing from this entry for as long, and is asked again
+// afterwards; the requests run at the other engine, and cost no retries.
+func TestEngineThatNamesATimeIsLeftAloneForIt(t *testing.T) {
+	const rest = time.Second
+	full := newScripted(t, func(s *script, n int) {
+		if n == 1 {
+			s.w.Header().Set("Retry-After", fmt.Sprint(rest.Seconds()))
+			s.refuse(http.StatusServiceUnavailable, engineapi.Error{Type: engineapi.ErrOverloaded, NotRun: true})
+			return
+		}
+		s.rest()
+	})
+	other := newScripted(t, func(s *script, _ int) { s.rest() })
+	r := newRig(t, siteText("  max_wait: 2s\n", true, []string{full.addr(), other.addr()}, nil), nil)
+	send := func() {
+		resp := r.send(context.Background(), ask{prompt: "rests", stream: true})
+		must.Eq(t, http.StatusOK, resp.StatusCode)
+		_, err := io.Copy(io.Discard, resp.Body)
+		must.NoError(t, err)
+		_ = resp.Body.Close()
+	}
+	for len(full.attempts()) == 0 {
+		send()
+	}
+	told := time.Now()
+	for time.Since(told) < rest*8/10 {
+		send()
+	}
+	must.Len(t, 1, full.attempts())
+	for time.Since(told) < 5*rest && len(full.attempts()) == 1 {
+		send()
+	}
+	must.Greater(t, 1, len(full.attempts()))
+}
--- a/lib/entry/server.go
+++ b/lib/entry/server.go
@@ -74,6 +74,7 @@
 	watches    *watches
 	lives      *lives
 	picks      *picks
+	rests      *rests
 	view       atomic.Pointer[view]
 	applying   sync.Mutex
 	leaving    atomic.Bool
@@ -92,6 +93,7 @@
 		watches: newWatches(opts.Stalls),
 		lives:   newLives(),
 		picks:   newPicks(),
+		rests:   newRests(),
 	}
 	s.metrics.Gauge("requests_in_progress", func() float64 { n, _ := s.table.counts(); return float64(n) })
 	s.metrics.Gauge("generations_in_progress", func() float64 { _, n := s.table.counts(); return float64(n) })
