What targets say of themselves is read from answers to polls and moves, too

Answers to polls, moves and copies go the same way as those to requests: leaving, limits, rests, load.

--- a/lib/gateway/notice.go
+++ b/lib/gateway/notice.go
@@ -16,8 +16,11 @@
 // metricNotices counts what targets say of themselves in answers, when it begins, changes or ends.
 const metricNotices = "anvilwick_gateway_notices_total"
 
-// readNotices takes in what an answer says of its target, to a request that was sent at asked.
-func (g *Gateway) readNotices(target fleet.Info, resp *wirehttp.Response, asked time.Time) {
+// AnswerReader is told of an answer of a target, to a request or call that was sent at asked.
+type AnswerReader func(target fleet.Info, resp *wirehttp.Response, asked time.Time)
+
+// ReadNotices takes in what an answer says of its target, to a request or call that was sent at asked.
+func (g *Gateway) ReadNotices(target fleet.Info, resp *wirehttp.Response, asked time.Time) {
 	if resp.Status == http.StatusMisdirectedRequest {
 		return // another target has the address
 	}
--- a/lib/gateway/notice_test.go
+++ b/lib/gateway/notice_test.go
@@ -40,14 +40,14 @@
 	g := newTestGateway()
 	target := fleet.Info{ID: "t", Service: "s"}
 	g.Fleet.Apply(time.Now(), []fleet.Info{target}, nil, 0)
-	g.readNotices(target, &wirehttp.Response{Status: 421, Header: http.Header{"Limit": {"3"}}}, time.Now())
+	g.ReadNotices(target, &wirehttp.Response{Status: 421, Header: http.Header{"Limit": {"3"}}}, time.Now())
 	must.False(t, g.Fleet.LimitOf("t").On)
-	g.readNotices(target, &wirehttp.Response{Status: 200, Header: http.Header{"Limit": {"3"}}}, time.Now())
+	g.ReadNotices(target, &wirehttp.Response{Status: 200, Header: http.Header{"Limit": {"3"}}}, time.Now())
 	must.True(t, g.Fleet.LimitOf("t").On)
 	time.Sleep(time.Millisecond)
-	g.readNotices(target, &wirehttp.Response{Status: 200, Header: http.Header{}}, time.Now())
+	g.ReadNotices(target, &wirehttp.Response{Status: 200, Header: http.Header{}}, time.Now())
 	must.True(t, g.Fleet.LimitOf("t").On)
-	g.readNotices(target, &wirehttp.Response{Status: 200, Header: http.Header{"Seal": {"s"}}}, time.Now())
+	g.ReadNotices(target, &wirehttp.Response{Status: 200, Header: http.Header{"Seal": {"s"}}}, time.Now())
 	must.False(t, g.Fleet.LimitOf("t").On)
 }
 
@@ -58,7 +58,7 @@
 	target := fleet.Info{ID: "t", Service: "s", Born: 2}
 	g.Fleet.Apply(time.Now(), []fleet.Info{target}, nil, 0)
 	turnsAway := func(from fleet.Info, status int, after string) {
-		g.readNotices(from, &wirehttp.Response{Status: status, Header: http.Header{"Retry-After": {after}}}, time.Now())
+		g.ReadNotices(from, &wirehttp.Response{Status: status, Header: http.Header{"Retry-After": {after}}}, time.Now())
 	}
 	turnsAway(target, 421, "9")
 	turnsAway(target, 200, "9")
--- a/lib/gateway/plain.go
+++ b/lib/gateway/plain.go
@@ -126,7 +126,7 @@
 	x.sent = x.err == nil || wirehttp.MaybeSent(x.err)
 	if x.err == nil {
 		x.verdict = g.judge(x.resp)
-		g.readNotices(target, x.resp, asked)
+		g.ReadNotices(target, x.resp, asked)
 		x.body, x.err = x.resp.ReadAll(answerLimit)
 		if x.err != nil {
 			// A cut answer proves nothing, whatever its head says.
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -230,7 +230,7 @@
 		return r.broken()
 	}
 	x.verdict = r.g.judge(x.resp)
-	r.g.readNotices(to.target, x.resp, r.sentAt)
+	r.g.ReadNotices(to.target, x.resp, r.sentAt)
 	r.g.Fleet.Heard(time.Now(), to.target.ID)
 	switch x.verdict {
 	case verdictGood:
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -61,6 +61,8 @@
 	Names   gateway.Names
 	Pool    *wirehttp.Pool
 	Engines gateway.Engines
+	// HearEngines sets who is told of each answer to the calls of Engines.
+	HearEngines func(gateway.AnswerReader)
 
 	Settings       feed.Source
 	DecodeSettings func([]feed.Row) (*routes.Revision, error)
@@ -144,6 +146,7 @@
 		Names: site.Names, Engines: site.Engines, Fleet: p.fleet, Pool: site.Pool, Budget: p.share,
 		Log: gateway.Log{Version: p.version, Era: p.era.Load}, Left: p.leftByAnswer,
 	})
+	site.HearEngines(p.gate.ReadNotices)
 	if err := p.openOwners(); err != nil {
 		return fmt.Errorf("gatewayproc: peers: %w", err)
 	}
