A target that was taken as gone since its entry was missing is used again when its entry comes back

Entries that an outage or a copy of the store lacks are believed for two seconds; then the target counted as one that had left, which is final for its life, and others were told so. A target that was late to write again (a heartbeat is 1.2 s, its way to the store and ours to it come on top) got nothing until it was started anew: a service whose targets are all some tenths late would be gone. Found by reading what the copy's two seconds lead to. What is only presumed is remembered as that: no other instance is told of it as the target's own word, and an entry that says ready takes it back. One that has said that it leaves, or whose entry was removed while the store could be read, stays so.

--- a/lib/feed/feed.go
+++ b/lib/feed/feed.go
@@ -22,6 +22,8 @@
 	Value   []byte
 	Version int64
 	Removed bool
+	// Presumed says of a removed row that nobody removed it: the store came back from a copy without it, and it was not written again.
+	Presumed bool
 }
 
 // Page is an answer of the store.
--- a/lib/feed/keep.go
+++ b/lib/feed/keep.go
@@ -120,7 +120,7 @@
 // told is a row as it is told on: a removed one without its last value.
 func (r *Replica) told(row Row) Row {
 	if row.Removed {
-		return Row{Key: row.Key, Version: r.at.Version, Removed: true}
+		return Row{Key: row.Key, Version: r.at.Version, Removed: true, Presumed: row.Presumed}
 	}
 	return row
 }
@@ -172,7 +172,7 @@
 		delete(r.kept, key)
 		after, known := r.shown(key)
 		if !known {
-			after = Row{Key: key, Removed: true}
+			after = Row{Key: key, Removed: true, Presumed: true}
 		}
 		if differs(k.Row, after) {
 			out = append(out, r.told(after))
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -43,6 +43,7 @@
 	Info
 	state      State
 	leavingAt  time.Time
+	presumed   bool // it is taken as gone since its entry was missing: nobody has said that it leaves
 	own        Load
 	fails      float64 // decayed share of this instance's requests that the target failed
 	avoidUntil time.Time
@@ -256,6 +257,14 @@
 	return t == nil || t.state == Leaving
 }
 
+// IsPresumedGone reports whether a target gets no new requests only because its entry is missing.
+func (f *Fleet) IsPresumedGone(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.targets[id]
+	return t != nil && t.presumed
+}
+
 // Grow changes what a request counts for at its target.
 func (f *Fleet) Grow(id string, by Load) {
 	f.mu.Lock()
--- a/lib/fleet/fleet_test.go
+++ b/lib/fleet/fleet_test.go
@@ -70,6 +70,32 @@
 	must.Len(t, 1, f.Apply(t0, nil, []string{"e0"}, 0).Leaving) // without an outage a removal counts at once
 }
 
+// A target was taken as gone since its entry was missing for too long. Its entry comes back, so it lives and is used again; others are not
+// told that it left. One that has said that it leaves stays so.
+func TestTargetThatWasPresumedGoneComesBack(t *testing.T) {
+	for name, gone := range map[string]func(f *Fleet) Change{
+		"after an outage": func(f *Fleet) Change {
+			f.Apply(t0, nil, []string{"e0"}, 5*time.Second)
+			return f.Tick(t0.Add(OutageGrace + time.Millisecond))
+		},
+		"after a copy": func(f *Fleet) Change { return f.Lapse(t0, []string{"e0"}) },
+	} {
+		f := engines(1)
+		ch := gone(f)
+		must.Len(t, 1, ch.Leaving, must.Sprint(name))
+		must.SliceEmpty(t, f.LeftSince(t0.Add(-time.Second)))
+		e := Info{ID: "e0", Service: "engine"}
+		must.Len(t, 1, f.Apply(t0.Add(time.Minute), []Info{e}, nil, 0).Added)
+		must.False(t, f.IsLeaving("e0"))
+		gone(f)
+		e.Leaving = true
+		f.Apply(t0.Add(time.Minute), []Info{e}, nil, 0)
+		e.Leaving = false
+		f.Apply(t0.Add(time.Minute), []Info{e}, nil, 0)
+		must.True(t, f.IsLeaving("e0"), must.Sprint(name))
+	}
+}
+
 // One instance must not use up the connections that a target accepts from all.
 func TestConnectionsAreShared(t *testing.T) {
 	f := New("z1")
--- a/lib/fleet/list.go
+++ b/lib/fleet/list.go
@@ -43,6 +43,9 @@
 	case t.Born != 0 && e.Born > t.Born:
 		t.restart()
 		ch.Restarted = append(ch.Restarted, e)
+	case t.presumed && !e.Leaving:
+		t.state, t.presumed = Ready, false // it lives, and was late to write
+		ch.Added = append(ch.Added, e)
 	}
 	t.Info = e
 	t.listed = true
@@ -61,6 +64,7 @@
 
 // leave is final for one life of a target: a stale entry that says ready doesn't bring it back.
 func (f *Fleet) leave(now time.Time, t *Target, ch *Change) {
+	t.presumed = false
 	if t.state == Leaving {
 		return
 	}
@@ -84,6 +88,29 @@
 	f.leave(now, t, ch)
 }
 
+// Lapse takes targets as gone whose entries are missing, although nobody has said that they leave. One whose entry comes back is used
+// again.
+func (f *Fleet) Lapse(now time.Time, ids []string) Change {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var ch Change
+	for _, id := range ids {
+		if t := f.targets[id]; t != nil {
+			t.listed = false
+			f.lapse(now, t, &ch)
+		}
+	}
+	return ch
+}
+
+func (f *Fleet) lapse(now time.Time, t *Target, ch *Change) {
+	t.missing = time.Time{}
+	if t.state == Ready {
+		f.leave(now, t, ch)
+		t.presumed = true
+	}
+}
+
 // goneAfter is how long a target that left is remembered, for runs that still end there. One that the list still has is remembered for
 // as long: forgotten, it would be taken for a new one as soon as the list is read again.
 const goneAfter = 30 * time.Second
@@ -95,8 +122,7 @@
 	var ch Change
 	for id, t := range f.targets {
 		if !t.missing.IsZero() && now.Sub(t.missing) > OutageGrace {
-			t.missing = time.Time{}
-			f.leave(now, t, &ch)
+			f.lapse(now, t, &ch)
 		}
 		if t.state == Leaving && !t.listed && now.Sub(t.leavingAt) > goneAfter && t.own.Runs == 0 {
 			f.forget(id)
@@ -167,7 +193,7 @@
 	defer f.mu.Unlock()
 	var out []Left
 	for id, t := range f.targets {
-		if t.state == Leaving && t.leavingAt.After(at) {
+		if t.state == Leaving && !t.presumed && t.leavingAt.After(at) {
 			out = append(out, Left{ID: id, Born: t.Born})
 		}
 	}
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -142,8 +142,12 @@
 
 func (p *Process) applyTargets(u feed.Update) {
 	var entries []fleet.Info
-	var removed, unreadable []string
+	var removed, lapsed, unreadable []string
 	for _, row := range u.Rows {
+		if row.Removed && row.Presumed {
+			lapsed = append(lapsed, row.Key)
+			continue
+		}
 		if row.Removed {
 			removed = append(removed, row.Key)
 			p.refused.clear(row.Key)
@@ -161,7 +165,9 @@
 		entries = append(entries, info)
 	}
 	p.fleet.Unreadable(unreadable)
-	p.changed(p.fleet.Apply(time.Now(), entries, removed, u.Silent))
+	now := time.Now()
+	p.changed(p.fleet.Lapse(now, lapsed))
+	p.changed(p.fleet.Apply(now, entries, removed, u.Silent))
 	p.mu.Lock()
 	p.listed = true
 	p.mu.Unlock()
--- a/lib/ownerlink/moves.go
+++ b/lib/ownerlink/moves.go
@@ -64,9 +64,15 @@
 	var left []*ownerpb.Left
 	ids := make(map[string]bool, len(engines))
 	for _, e := range engines {
+		if l.Fleet.IsPresumedGone(e.ID) {
+			continue // others judge the missing entry by themselves, and would take this for the engine's own word
+		}
 		left = append(left, &ownerpb.Left{Target: e.ID, Born: e.Born})
 		ids[e.ID] = true
 	}
+	if len(left) == 0 {
+		return
+	}
 	d := l.leftTold(left...)
 	for _, addr := range l.Desk.Users(s.Key, ids) {
 		l.send(addr, d)
