--- a/lib/platform/client.go
+++ b/lib/platform/client.go
@@ -24,6 +24,9 @@
 	"github.com/dghubble/sling"
 	"github.com/sony/gobreaker/v2"
 	"golang.org/x/time/rate"
+
+	"anvilwick.example/anvilwick/lib/era"
+	"anvilwick.example/anvilwick/lib/platformapi"
 )
 
 // Defaults of Config.
@@ -113,7 +116,7 @@
 	breaker *gobreaker.CircuitBreaker[response]
 	budget  *budget
 	group   grouper
-	era     eraSeen
+	eras    era.Seen
 }
 
 // New returns a Client. It does not contact the platform.
@@ -210,13 +213,18 @@
 	if err != nil {
 		return response{}, err
 	}
-	out := response{status: res.StatusCode, era: c.era.of(res.Header), after: parseAfter(res.Header), body: body}
+	out := response{status: res.StatusCode, era: c.eraOf(res.Header), after: parseAfter(res.Header), body: body}
 	if res.StatusCode >= 500 {
 		return out, errors.New(strconv.Itoa(res.StatusCode) + " " + string(bytes.TrimSpace(body)))
 	}
 	return out, nil
 }
 
+// eraOf returns the era of the table that an answer is of.
+func (c *Client) eraOf(h http.Header) uint64 {
+	return max(platformapi.FirstEra, uint64(c.eras.Of(h.Get(platformapi.HeaderEra))))
+}
+
 func parseAfter(h http.Header) time.Duration {
 	sec, err := strconv.Atoi(h.Get("Retry-After"))
 	if err != nil {
--- a/lib/platform/era.go
+++ b/lib/platform/era.go
@@ -2,9 +2,6 @@
 
 import (
 	"errors"
-	"net/http"
-	"strconv"
-	"sync/atomic"
 
 	"github.com/joomcode/errorx"
 
@@ -20,24 +17,8 @@
 // IsOtherEra reports whether a write was not made because its conditions are of an era before.
 func IsOtherEra(err error) bool { return errorx.IsOfType(err, OtherEra) }
 
-// eraSeen is the highest era that an answer has told.
-type eraSeen struct{ atomic.Uint64 }
-
-func (e *eraSeen) highest() uint64 { return max(platformapi.FirstEra, e.Load()) }
-
-// of returns the era of an answer; one that tells none is of the highest told before.
-func (e *eraSeen) of(h http.Header) uint64 {
-	era, err := strconv.ParseUint(h.Get(platformapi.HeaderEra), 10, 64)
-	if err != nil || era < platformapi.FirstEra {
-		return e.highest()
-	}
-	for seen := e.Load(); era > seen && !e.CompareAndSwap(seen, era); seen = e.Load() {
-	}
-	return era
-}
-
 // Era returns the highest era of the table that an answer has told.
-func (c *Client) Era() uint64 { return c.era.highest() }
+func (c *Client) Era() uint64 { return max(platformapi.FirstEra, uint64(c.eras.Highest())) }
 
 // rawTxn is a transaction as the table takes it. It fails where a condition is of an era before: the table would compare it with
 // revisions that it has given out again.
