A row that was written anew under a removed name is no ghost; names and one check of the diff read again

Where an instance that had taken its row away wrote another one before anything of the new era was read, the new one was kept away for ten seconds and removed by the reader. A row is a ghost only if it says what had been removed, or if its writer's count says that it is no later. TestRowWrittenAnewIsNoGhost failed before and passes. isUnlisted noted what it saw and is mustRegister now; logRegained asked twice whether there was an outage.

--- a/lib/feed/keep.go
+++ b/lib/feed/keep.go
@@ -26,14 +26,29 @@
 	Count func(Row) (c Count, ok bool)
 }
 
-// newer reports whether a was written after b by their writer's count.
-func (k Keep) newer(a, b Row) bool {
-	if k.Count == nil || bytes.Equal(a.Value, b.Value) {
-		return false
+// compare orders two rows by their writer's count; ok is false where that does not tell.
+func (k Keep) compare(a, b Row) (order int, ok bool) {
+	if bytes.Equal(a.Value, b.Value) {
+		return 0, true
+	}
+	if k.Count == nil {
+		return 0, false
 	}
 	ca, oka := k.Count(a)
 	cb, okb := k.Count(b)
-	return oka && okb && ca.compare(cb) > 0
+	return ca.compare(cb), oka && okb
+}
+
+// newer reports whether a was written after b for certain.
+func (k Keep) newer(a, b Row) bool {
+	order, ok := k.compare(a, b)
+	return ok && order > 0
+}
+
+// ghost reports whether what the store has is no more than what had been removed.
+func (k Keep) ghost(stored, removed Row) bool {
+	order, ok := k.compare(stored, removed)
+	return ok && order <= 0
 }
 
 // Kept is a row that is shown in place of what the store has, with its last value also where it was removed.
@@ -137,7 +152,7 @@
 		k.lost = lostRow
 	case !listed || stored.Removed:
 		return
-	case old.Removed && !r.keep.newer(stored, old):
+	case old.Removed && r.keep.ghost(stored, old):
 		k.lost = lostRemoval
 	case !old.Removed && r.keep.newer(old, stored):
 		k.lost, k.until = lostWrite, time.Time{}
--- a/lib/feed/keep_test.go
+++ b/lib/feed/keep_test.go
@@ -128,6 +128,17 @@
 	})
 }
 
+// A row was removed and written anew by one who does not count, before anything of the new era was read. It says something else than before, so
+// it is no ghost.
+func TestRowWrittenAnewIsNoGhost(t *testing.T) {
+	c := newCopied()
+	c.state(Position{1, 10}, "a", "before", "b", "before")
+	c.changes(Position{1, 12}, "a", "", "b", "")
+	c.state(Position{2, 9}, "a", "anew", "b", "before")
+	must.Eq(t, map[string]string{"a": "anew"}, c.shown)
+	must.Eq(t, Held{Removals: 1}, c.last.Held)
+}
+
 // A removed row is missing from the first copy, and back in the next, which is older.
 func TestRemovedRowIsNoGhostOfASecondCopy(t *testing.T) {
 	c := newCopied()
--- a/lib/gatewayproc/feedlog.go
+++ b/lib/gatewayproc/feedlog.go
@@ -42,10 +42,8 @@
 
 // logRegained tells that a table is heard again after an outage.
 func logRegained(name string, u feed.Update) {
-	if u.Silent > 0 {
-		at := log.Info().Str("event", "feed_regained").Str("feed", name).Int64("silent_ms", u.Silent.Milliseconds())
-		at.Str("before", u.Before.String()).Str("now", u.At().String()).Bool("read_whole", u.Read).Int("rows", len(u.Rows)).Msg("")
-	}
+	at := log.Info().Str("event", "feed_regained").Str("feed", name).Int64("silent_ms", u.Silent.Milliseconds())
+	at.Str("before", u.Before.String()).Str("now", u.At().String()).Bool("read_whole", u.Read).Int("rows", len(u.Rows)).Msg("")
 }
 
 // feedFailed returns what is told of each table that is lost; an empty name stands for all.
--- a/lib/gatewayproc/listed.go
+++ b/lib/gatewayproc/listed.go
@@ -34,13 +34,13 @@
 	var row ownRow
 	for {
 		changed := p.feeds.instances.Changed()
-		if p.isUnlisted(&row) {
+		if p.mustRegister(&row) {
 			select {
 			case <-ctx.Done():
 				return
 			case <-time.After(rand.N(registerSpread)):
 			}
-			if p.isUnlisted(&row) {
+			if p.mustRegister(&row) {
 				p.register(ctx)
 				row = ownRow{written: time.Now()}
 			}
@@ -63,9 +63,9 @@
 	seen    bool      // the store had it since
 }
 
-// isUnlisted reports whether the store lacks this instance's row. What a row says that this process has not written is looked at, too:
-// the instance may be started again elsewhere.
-func (p *Process) isUnlisted(own *ownRow) bool {
+// mustRegister looks whether the store lacks this instance's row, and notes in own that it was seen. What a row says that this process
+// has not written is looked at, too: the instance may be started again elsewhere.
+func (p *Process) mustRegister(own *ownRow) bool {
 	if _, known := p.feeds.instances.Version(); !known || p.stops() {
 		return false
 	}
