--- a/lib/claim/claim_test.go
+++ b/lib/claim/claim_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -25,14 +26,7 @@
 func entry(s *standin.Server, name string, gone ...string) *Table {
 	return New(client(s), Config{
 		Holder: Holder{Instance: name, Incarnation: 1},
-		Gone: func(h Holder) bool {
-			for _, g := range gone {
-				if g == h.Instance {
-					return true
-				}
-			}
-			return false
-		},
+		Gone:   func(h Holder) bool { return slices.Contains(gone, h.Instance) },
 	})
 }
 
@@ -62,6 +56,29 @@
 	return err.Code
 }
 
+// mustSend begins a claim whose request is sent.
+func mustSend(t *testing.T, tab *Table, req Request) *Claim {
+	t.Helper()
+	c := mustBegin(t, tab, req)
+	must.Nil(t, c.Sent(t.Context(), "svc", c.FirstAttempt()))
+	return c
+}
+
+// finishes ends a claim's run with an answer, which the table has then.
+func finishes(t *testing.T, tab *Table, c *Claim) {
+	t.Helper()
+	c.Finish(Summary{Code: result.OK, Status: 200, Body: []byte("done"), Kept: true})
+	settled(t, tab)
+}
+
+// mustReplay begins a claim whose run has ended as in finishes.
+func mustReplay(t *testing.T, tab *Table, req Request) {
+	t.Helper()
+	_, sum, err := tab.Begin(t.Context(), req)
+	must.Nil(t, err)
+	must.Eq(t, "done", string(sum.Body))
+}
+
 func settled(t *testing.T, tab *Table) {
 	t.Helper()
 	must.NoError(t, tab.Flush(t.Context()))
@@ -72,8 +89,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := standin.New(standin.Config{AnswerDelay: 10 * time.Millisecond})
 		a, b := entry(s, "a"), entry(s, "b")
-		c := mustBegin(t, a, request("x"))
-		must.Nil(t, c.Sent(t.Context(), "svc", c.FirstAttempt()))
+		c := mustSend(t, a, request("x"))
 		c.Finish(Summary{Code: result.OK, Status: 200, Body: []byte("done"), Kept: true})
 		_, sum, err := a.Begin(t.Context(), request("x"))
 		must.Nil(t, err)
@@ -91,8 +107,7 @@
 func TestLongAnswerIsNotKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := entry(standin.New(standin.Config{}), "a")
-		c := mustBegin(t, a, request("x"))
-		must.Nil(t, c.Sent(t.Context(), "svc", 1))
+		c := mustSend(t, a, request("x"))
 		c.Finish(Summary{Code: result.OK, Status: 200, Body: make([]byte, DefaultMaxBody+1), Kept: true})
 		settled(t, a)
 		_, sum, err := a.Begin(t.Context(), request("x"))
@@ -124,8 +139,7 @@
 		s := standin.New(standin.Config{})
 		a, b := entry(s, "a"), entry(s, "b", "a")
 		paused := mustBegin(t, a, request("x"))
-		c := mustBegin(t, b, request("x"))
-		must.Nil(t, c.Sent(t.Context(), "svc", c.FirstAttempt()))
+		mustSend(t, b, request("x"))
 		err := paused.Sent(t.Context(), "svc", 1)
 		must.NotNil(t, err)
 		must.Eq(t, result.AlreadyRunning, err.Code)
@@ -139,8 +153,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := standin.New(standin.Config{})
 		a, b := entry(s, "a"), entry(s, "b", "a")
-		c := mustBegin(t, a, request("x"))
-		must.Nil(t, c.Sent(t.Context(), "svc", 1))
+		mustSend(t, a, request("x"))
 		must.Eq(t, result.ClaimOrphan, refusal(t, b, request("x")))
 		must.Eq(t, result.ClaimOrphan, refusal(t, b, request("x")))
 	})
@@ -191,8 +204,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := standin.New(standin.Config{})
 		a, b := entry(s, "a"), entry(s, "b", "a")
-		c := mustBegin(t, a, request("x"))
-		must.Nil(t, c.Sent(t.Context(), "svc", 1))
+		c := mustSend(t, a, request("x"))
 		s.SetFault(standin.Fault{Kind: standin.FaultOutage, DurationMS: (3 * time.Hour).Milliseconds()})
 		c.Finish(Summary{Code: result.OK, Status: 200, Body: []byte("done"), Kept: true})
 		for i := range 20 {
--- a/lib/claim/send.go
+++ b/lib/claim/send.go
@@ -14,19 +14,13 @@
 	if err := c.maySend(attempt); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.table.cfg.Timeout)
-	defer cancel()
-	c.rec.State, c.rec.Target, c.rec.Attempt = Sent, target, attempt
-	_, err := c.write(ctx)
-	switch {
-	case err == nil:
-		return nil
-	case errors.Is(err, errTaken):
-		c.leave()
-		return busy("taken over by another entry")
+	c.rec.State = Sent
+	refused, err := c.writeSend(ctx, target, attempt)
+	if err != nil {
+		c.abandon(true)
+		return storeDown(err)
 	}
-	c.abandon(true)
-	return storeDown(err)
+	return refused
 }
 
 // Resent is Sent for a further attempt after one that may have run, without proof that it did not. The record must name the
@@ -38,18 +32,24 @@
 	if err := c.maySend(attempt); err != nil {
 		return err
 	}
+	refused, err := c.writeSend(ctx, target, attempt)
+	if err != nil {
+		return storeDown(err)
+	}
+	return refused
+}
+
+// writeSend writes where the next attempt goes. It refuses where another holds the claim, and fails where the store does not answer.
+func (c *Claim) writeSend(ctx context.Context, target string, attempt uint32) (refused *result.Error, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.table.cfg.Timeout)
 	defer cancel()
 	c.rec.Target, c.rec.Attempt = target, attempt
-	_, err := c.write(ctx)
-	switch {
-	case err == nil:
-		return nil
-	case errors.Is(err, errTaken):
+	_, err = c.write(ctx)
+	if errors.Is(err, errTaken) {
 		c.leave()
-		return busy("taken over by another entry")
+		return busy("taken over by another entry"), nil
 	}
-	return storeDown(err)
+	return nil, err
 }
 
 // maySend stops a send that its entry must not ask for: after the claim has ended, another may run it; under a number
