A peer's word without an era counts as of the first: while builds are mixed, new instances follow a reader of before eras

Their pages name no era, which an instance that had read era 1 from the store took for an older one: it left that reader, read the store itself, tried the reader again half a second later, and so on, and took none of its news.

A position's era is 1 now where none was told, by a store without eras, by a peer, or in what a peer asks for: a store's answers begin their count there, and a build of before eras can hold no other that it could tell. An instance in era 2 or later still leaves such a reader. An era of 0 is told by nothing any more; three tests that wrote positions by hand, and one that expected 0 from a store that tells none, name the first era instead.

--- a/lib/feed/feed.go
+++ b/lib/feed/feed.go
@@ -30,13 +30,13 @@
 type Page struct {
 	Rows    []Row
 	Version int64 // newest version that the page reflects
-	Era     int64 // of the store's history in which that version was given out
+	Era     int64 // of the store's history in which that version was given out; 0: it was not told
 
 	Kept []Kept // what a peer goes on showing in place of the store's rows, where the page comes from one
 }
 
 // At returns the newest position that the page reflects.
-func (p *Page) At() Position { return Position{Era: p.Era, Version: p.Version} }
+func (p *Page) At() Position { return At(p.Era, p.Version) }
 
 // Source is a table to follow. It calls Progress with the context of a call for each part of the answer that comes: a call is
 // given up when nothing comes for a while, however long the whole takes.
@@ -190,7 +190,7 @@
 	ctx, cancel := withSilence(ctx, wait+f.timeout())
 	defer cancel()
 	page, err := f.src.Changes(ctx, held.Version, wait)
-	if errors.Is(err, ErrHistoryGone) || err == nil && page.Era > held.Era {
+	if errors.Is(err, ErrHistoryGone) || err == nil && page.At().Era > held.Era {
 		// Versions of another era may name anything, so the answer may lack what was written below the one that is held.
 		f.gone = true
 		return f.snapshot(ctx)
@@ -198,7 +198,7 @@
 	if err != nil {
 		return err
 	}
-	if page.Era < held.Era {
+	if page.At().Era < held.Era {
 		return &StaleError{Held: held, Got: page.At()}
 	}
 	contact := time.Now()
--- a/lib/feed/position.go
+++ b/lib/feed/position.go
@@ -8,10 +8,17 @@
 // Position is a place in the store's history. A store that comes back from a copy begins a new era and gives versions out again,
 // so a version alone names no state.
 type Position struct {
-	Era     int64 // 0: the store tells none
+	Era     int64 // 0: of none, nothing has been read
 	Version int64
 }
 
+// FirstEra is the era of a store that has never come back from a copy, and of whoever tells none: a store without eras, or an instance of a
+// build that did not know them.
+const FirstEra = 1
+
+// At returns the position of a version in an era as it was told; 0: none was.
+func At(era, version int64) Position { return Position{Era: max(FirstEra, era), Version: version} }
+
 // Compare orders positions by era, then by version.
 func (p Position) Compare(q Position) int {
 	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Version, q.Version))
--- a/lib/feed/replica_test.go
+++ b/lib/feed/replica_test.go
@@ -28,7 +28,7 @@
 	r.Take(Page{Version: 8, Rows: []Row{{Key: "a", Value: []byte("old"), Version: 4}}}, true, now)
 	r.Take(Page{Version: 12, Rows: []Row{{Key: "a", Value: []byte("old"), Version: 4}}}, false, now)
 	must.Len(t, 1, shown)
-	page, _, _, _ := r.Since(Position{Version: 0})
+	page, _, _, _ := r.Since(At(0, 0))
 	must.Eq(t, "new", string(page.Rows[0].Value))
 	version, known := r.Version()
 	must.True(t, known)
@@ -51,13 +51,13 @@
 	r.Take(Page{Version: 5, Rows: []Row{{Key: "a", Version: 1}, {Key: "b", Version: 5}}}, true, now)
 	r.Take(Page{Version: 8, Rows: []Row{{Key: "b", Version: 5}}}, true, now)
 	must.Eq(t, []Row{{Key: "a", Version: 8, Removed: true}}, last.Rows)
-	page, whole, _, _ := r.Since(Position{Version: 5})
+	page, whole, _, _ := r.Since(At(0, 5))
 	must.False(t, whole)
 	must.Eq(t, []Row{{Key: "a", Version: 8, Removed: true}}, page.Rows)
-	page, whole, _, _ = r.Since(Position{Version: 0})
+	page, whole, _, _ = r.Since(At(0, 0))
 	must.True(t, whole)
 	must.Eq(t, []string{"b"}, keys(page.Rows))
-	_, whole, _, _ = r.Since(Position{Version: 3}) // it can't tell what was removed before it began
+	_, whole, _, _ = r.Since(At(0, 3)) // it can't tell what was removed before it began
 	must.True(t, whole)
 }
 
@@ -69,9 +69,9 @@
 		r.Take(Page{Version: 2, Rows: []Row{{Key: "a", Version: 2, Removed: true}}}, false, time.Now())
 		time.Sleep(keepRemoved + time.Second)
 		r.Take(Page{Version: 3, Rows: []Row{{Key: "b", Version: 3}}}, false, time.Now())
-		_, whole, _, _ := r.Since(Position{Version: 1})
+		_, whole, _, _ := r.Since(At(0, 1))
 		must.True(t, whole)
-		_, whole, _, _ = r.Since(Position{Version: 2})
+		_, whole, _, _ = r.Since(At(0, 2))
 		must.False(t, whole)
 	})
 }
@@ -97,7 +97,7 @@
 	now := time.Now()
 	r.Take(Page{Version: 9, Rows: []Row{{Key: "a", Version: 1}, {Key: "b", Version: 9}}}, true, now)
 	r.Take(Page{Version: 8, Rows: []Row{{Key: "a", Version: 1}}}, true, now)
-	page, _, _, _ := r.Since(Position{Version: 0})
+	page, _, _, _ := r.Since(At(0, 0))
 	must.Len(t, 2, page.Rows)
 	must.Eq(t, 9, page.Version)
 }
--- a/lib/feedlink/era_test.go
+++ b/lib/feedlink/era_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"context"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
 	"anvilwick.example/anvilwick/lib/feed"
+	"anvilwick.example/anvilwick/lib/mesh"
+	"anvilwick.example/anvilwick/lib/meshpb"
 )
 
 // holds gives a member a table at a position, as if the store had just confirmed it.
@@ -72,12 +75,12 @@
 		for _, whole := range []bool{true, false} {
 			var got []feed.Row
 			r := feed.NewReplica(func(u feed.Update) { got = append(got, u.Rows...) })
-			for era := range int64(2) {
+			for _, era := range []int64{1, 2} {
 				m := p.message("t", feed.Position{}, feed.Page{Era: era, Version: 7, Rows: rows('a' + byte(era))}, whole, time.Now())
 				m.Whole = true
 				must.NoError(t, take(r, m))
 			}
-			must.Eq(t, 'b', got[len(got)-1].Value[0])
+			must.Eq(t, 'c', got[len(got)-1].Value[0])
 		}
 	}
 }
@@ -98,3 +101,33 @@
 	must.Len(t, 1, s.page(newcomer).Tables[0].Kept)
 	must.SliceEmpty(t, s.page(newcomer).Tables[0].Kept)
 }
+
+// servesWithoutEra passes a table on as instances do that were built before the store told eras: one change of it after the other.
+func (m *member) servesWithoutEra(t *testing.T, from int64) {
+	t.Helper()
+	m.node.Handle(meshpb.StreamKind_STREAM_FEED, func(ctx context.Context, stream *mesh.Stream) {
+		for v := from; ctx.Err() == nil; v++ {
+			rows := []*meshpb.FeedRow{{Key: "k", Value: []byte("news"), Version: v}}
+			page := &meshpb.FeedPage{Path: []string{"a"}, Tables: []*meshpb.FeedTable{{Table: "t", Version: v, Rows: rows}}}
+			if stream.Write(page) != nil {
+				return
+			}
+			time.Sleep(beat)
+		}
+	})
+}
+
+// While instances are replaced by ones of a later build, those that read for others may tell no era. Each new one that read the store by
+// itself for that time would be more than the store takes.
+func TestReaderOfABuildBeforeErasIsFollowed(t *testing.T) {
+	t.Parallel()
+	src := &table{era: 1}
+	reader := idle(t, "a", &table{away: true}, self)
+	reader.servesWithoutEra(t, 65)
+	follower := idle(t, "b", src, second(reader, "a"))
+	follower.holds(feed.Position{Era: 1, Version: 64}, rowOfValue(64, "held"))
+	follower.run(t, func(string) {})
+	must.Less(t, time.Second, follower.waitFor(t, "news"))
+	time.Sleep(2 * time.Second)
+	must.Eq(t, 0, src.calls.Load())
+}
--- a/lib/feedlink/serve.go
+++ b/lib/feedlink/serve.go
@@ -64,7 +64,7 @@
 	var tables []*passed
 	for _, a := range ask.Tables {
 		if r := s.replicas[a.Table]; r != nil {
-			tables = append(tables, &passed{name: a.Table, replica: r, after: feed.Position{Era: a.Era, Version: a.After}})
+			tables = append(tables, &passed{name: a.Table, replica: r, after: feed.At(a.Era, a.After)})
 		}
 	}
 	s.followers.Add(1)
--- a/lib/feedlink/subscription.go
+++ b/lib/feedlink/subscription.go
@@ -123,7 +123,7 @@
 			}
 			continue
 		}
-		if m.Era < table.Replica.At().Era {
+		if feed.At(m.Era, m.Version).Era < table.Replica.At().Era {
 			s.old = true
 			continue
 		}
