Entry: engines whose rest is over are dropped, also those that nobody asks for again

Read again as a newcomer: an engine that turned attempts away and came back under another name stayed in the table of those that rest for the entry's life, some 60 bytes each.

--- a/lib/entry/rest.go
+++ b/lib/entry/rest.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -15,8 +16,12 @@
 type rests struct {
 	mu    sync.Mutex
 	until map[string]time.Time
+	swept time.Time
 }
 
+// restsSweep is how often engines whose time is over are dropped, of which many never come back under their name.
+const restsSweep = time.Second
+
 func newRests() *rests { return &rests{until: make(map[string]time.Time)} }
 
 // note takes in how an attempt on an engine failed.
@@ -27,6 +32,10 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if now.Sub(r.swept) > restsSweep {
+		maps.DeleteFunc(r.until, func(_ string, until time.Time) bool { return !now.Before(until) })
+		r.swept = now
+	}
 	r.until[engine] = now.Add(refusal.RetryAfter)
 }
 
@@ -34,9 +43,5 @@
 func (r *rests) on(now time.Time, engine string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	until, ok := r.until[engine]
-	if ok && !now.Before(until) {
-		delete(r.until, engine)
-	}
-	return ok && now.Before(until)
+	return now.Before(r.until[engine])
 }
