--- a/lib/feed/keep.go
+++ b/lib/feed/keep.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -82,6 +83,8 @@
 	tombstones := r.removed
 	r.rows, r.removed, r.kept = make(map[string]Row, len(page.Rows)), make(map[string]tombstone), make(map[string]kept)
 	r.whole = page.Version
+	r.buried = nil
+	r.recent.restart(page.Version)
 	for _, row := range newest(page.Rows) {
 		r.rows[row.Key] = row
 	}
@@ -90,10 +93,12 @@
 			// An older copy that comes next may have the row again.
 			r.rows[old.Key] = Row{Key: old.Key, Version: page.Version, Removed: true}
 			r.removed[old.Key] = tombstones[old.Key]
+			r.buried = append(r.buried, burial{key: old.Key, at: tombstones[old.Key].at})
 			continue
 		}
 		r.keepRow(old, r.keep.For, now)
 	}
+	slices.SortFunc(r.buried, func(a, b burial) int { return a.at.Compare(b.at) })
 	for _, k := range page.Kept {
 		r.keepRow(k.Row, k.Left, now)
 	}
--- a/lib/feed/replica.go
+++ b/lib/feed/replica.go
@@ -19,6 +19,8 @@
 	known   bool
 	contact time.Time // when the store last confirmed the position, to anybody
 	removed map[string]tombstone
+	buried  []burial // of removed rows, the oldest first
+	recent  changeLog
 	kept    map[string]kept // shown in place of rows
 	changed chan struct{}   // closed and replaced at each change
 }
@@ -94,6 +96,9 @@
 		return u
 	}
 	u.Rows = r.merge(page, whole, now)
+	if u.Whole {
+		r.recent.restart(at.Version)
+	}
 	if kept := r.review(page.Kept, now); len(kept) > 0 {
 		u.Rows = newest(append(u.Rows, kept...))
 	}
@@ -162,20 +167,32 @@
 func (r *Replica) put(row Row, now time.Time) {
 	if row.Removed {
 		r.removed[row.Key] = tombstone{at: now, value: r.rows[row.Key].Value}
+		r.buried = append(r.buried, burial{key: row.Key, at: now})
 	} else {
 		delete(r.removed, row.Key)
 	}
 	r.rows[row.Key] = row
+	r.recent.add(row)
+}
+
+// burial is when a row was removed.
+type burial struct {
+	key string
+	at  time.Time
 }
 
 func (r *Replica) forget(now time.Time) {
-	for key, t := range r.removed {
-		if now.Sub(t.at) > keepRemoved {
-			r.whole = max(r.whole, r.rows[key].Version)
-			delete(r.rows, key)
-			delete(r.removed, key)
+	n := 0
+	for ; n < len(r.buried) && now.Sub(r.buried[n].at) > keepRemoved; n++ {
+		b := r.buried[n]
+		if t, removed := r.removed[b.key]; !removed || !t.at.Equal(b.at) {
+			continue // it has come back, or was removed again
 		}
+		r.whole = max(r.whole, r.rows[b.key].Version)
+		delete(r.rows, b.key)
+		delete(r.removed, b.key)
 	}
+	r.buried = r.buried[n:]
 }
 
 // Since returns what has changed after a position, the whole table when that can't be told, and when the store last
@@ -188,6 +205,10 @@
 	if !whole && !after.Before(r.at) {
 		return page, whole, r.contact, r.known // most of what is passed on: nothing has changed since the last
 	}
+	if rows, told := r.recent.since(after.Version, r.rows); told && !whole {
+		page.Rows = rows
+		return page, whole, r.contact, r.known
+	}
 	for _, row := range r.rows {
 		if whole && !row.Removed || !whole && row.Version > after.Version {
 			page.Rows = append(page.Rows, row)
--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -93,13 +93,8 @@
 func (f *Fleet) choose(now time.Time, n Need) *Target {
 	var best, last *Target
 	bestScore := 0.0
-	among := n.Among
-	if among == nil {
-		among = f.order
-	}
-	for _, id := range among {
-		t := f.targets[id]
-		if t == nil || n.Must && n.Kept[id] || !f.allowed(now, t, n) {
+	for _, t := range f.among(n.Service, n.Among) {
+		if n.Must && n.Kept[t.ID] || !f.allowed(now, t, n) {
 			continue
 		}
 		if now.Before(t.avoidUntil) {
@@ -120,6 +115,21 @@
 	return best
 }
 
+// among returns the targets of some ids, or with nil all of a service, in the order of their ids. The list is valid until the next
+// call.
+func (f *Fleet) among(service string, ids []string) []*Target {
+	if ids == nil {
+		return f.index.of(service)
+	}
+	f.named = f.named[:0]
+	for _, id := range ids {
+		if t := f.targets[id]; t != nil {
+			f.named = append(f.named, t)
+		}
+	}
+	return f.named
+}
+
 func (f *Fleet) allowed(now time.Time, t *Target, n Need) bool {
 	switch {
 	case t.Service != n.Service, n.Without[t.ID], !f.takes(t):
@@ -180,9 +190,6 @@
 // passedFor is how long after its word a target that leaves is named.
 const passedFor = 5 * time.Second
 
-// silent reports whether a target has said nothing of itself, as nearly all have.
-func (t *Target) silent() bool { return t.state == Ready && !t.limit.On && t.restUntil.IsZero() }
-
 // passed tells whether a target gets nothing now because of what it said.
 func (t *Target) passed(now time.Time) (Passed, bool) {
 	p := Passed{ID: t.ID}
@@ -209,19 +216,22 @@
 	for _, p := range f.peers {
 		b.Oldest = max(b.Oldest, now.Sub(p.at))
 	}
-	for _, other := range f.targets {
-		if other.Service != t.Service {
-			continue
-		}
-		if f.takes(other) {
-			b.Ready++
-		}
-		if other.silent() || len(b.Passed) == passedMost {
-			continue
+	for domain, n := range f.index.services[t.Service].ready {
+		if !f.evacuated[domain] {
+			b.Ready += n
 		}
-		if p, ok := other.passed(now); ok {
+	}
+	pass := func(other *Target) bool {
+		if p, ok := other.passed(now); ok && other.Service == t.Service {
 			b.Passed = append(b.Passed, p)
 		}
+		return len(b.Passed) < passedMost
+	}
+	f.index.leftSince(now.Add(-passedFor), pass)
+	for _, other := range f.index.worded {
+		if len(b.Passed) >= passedMost || !pass(other) {
+			break
+		}
 	}
 	return b
 }
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -61,6 +61,7 @@
 	pacer      pacer
 	suspect    suspicion
 	limit      LimitWord
+	seat       seat
 }
 
 // Load is what a target carries.
@@ -82,7 +83,7 @@
 
 	mu      sync.Mutex
 	targets map[string]*Target
-	order   []string // ids of targets, sorted: the same choice for the same state
+	index   index
 	random  func() float64
 	peers   map[string]*peer
 	specs   map[string]Spec // by service
@@ -93,6 +94,8 @@
 	evacuated map[string]bool   // failure domains whose targets get nothing new
 	regions   map[string]string // of failure domains
 	senders   func(target string, n int) bool
+
+	named []*Target // of the last call of among
 }
 
 type peer struct {
@@ -103,7 +106,9 @@
 
 // New returns an empty fleet of an instance in domain.
 func New(domain string) *Fleet {
-	return &Fleet{domain: domain, random: rand.Float64, targets: make(map[string]*Target), peers: make(map[string]*peer), share: 1}
+	return &Fleet{
+		domain: domain, random: rand.Float64, targets: make(map[string]*Target), index: newIndex(), peers: make(map[string]*peer), share: 1,
+	}
 }
 
 // Domain is the failure domain of the instance.
@@ -121,22 +126,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []Info
-	for _, t := range f.targets {
-		if t.state == in && f.specs[t.Service].KVTokens > 0 {
-			out = append(out, t.Info)
-		}
-	}
-	return out
-}
-
-// PlainServices lists the services without engine memory.
-func (f *Fleet) PlainServices() []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []string
 	for service, spec := range f.specs {
 		if spec.KVTokens == 0 {
-			out = append(out, service)
+			continue
+		}
+		for _, t := range f.index.of(service) {
+			if t.state == in {
+				out = append(out, t.Info)
+			}
 		}
 	}
 	return out
@@ -225,9 +222,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out Standing
-	for _, t := range f.targets {
+	for _, t := range f.index.of(n.Service) {
 		switch {
-		case t.Service != n.Service || t.state != Ready || t.unreadable:
+		case t.state != Ready || t.unreadable:
 		case !f.within(t, n.Regions):
 			out.OutOfRegion++
 		case f.evacuated[t.Domain]:
--- a/lib/fleet/limit.go
+++ b/lib/fleet/limit.go
@@ -48,6 +48,9 @@
 		t.pacer.holdOff = time.Time{}
 	}
 	t.limit = w
+	if w.On {
+		f.index.worded[t.ID] = t
+	}
 	return changed
 }
 
--- a/lib/fleet/list.go
+++ b/lib/fleet/list.go
@@ -1,9 +1,6 @@
 package fleet
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Change is what an update of the list did.
 type Change struct {
@@ -35,8 +32,6 @@
 	case t == nil:
 		t = &Target{state: Ready}
 		f.targets[e.ID] = t
-		at, _ := slices.BinarySearch(f.order, e.ID)
-		f.order = slices.Insert(f.order, at, e.ID)
 		ch.Added = append(ch.Added, e)
 	case e.Born != 0 && e.Born < t.Born:
 		return // a stale entry of an earlier life
@@ -55,11 +50,12 @@
 	if e.Leaving {
 		f.leave(now, t, ch)
 	}
+	f.index.place(t)
 }
 
 // restart forgets what was learnt of the life before. What this instance had sent there is released as it breaks.
 func (t *Target) restart() {
-	*t = Target{state: Ready, own: t.own}
+	*t = Target{Info: t.Info, state: Ready, own: t.own, seat: t.seat}
 }
 
 // leave is final for one life of a target: a stale entry that says ready doesn't bring it back.
@@ -71,6 +67,7 @@
 	t.state = Leaving
 	t.leavingAt = now
 	ch.Leaving = append(ch.Leaving, t.Info)
+	f.index.place(t)
 }
 
 func (f *Fleet) remove(now time.Time, id string, silent time.Duration, ch *Change) {
@@ -82,6 +79,7 @@
 	if silent > 0 && t.state == Ready {
 		if t.missing.IsZero() {
 			t.missing = now
+			f.index.place(t)
 		}
 		return
 	}
@@ -109,6 +107,7 @@
 		f.leave(now, t, ch)
 		t.presumed = true
 	}
+	f.index.place(t)
 }
 
 // goneAfter is how long a target that left is remembered, for runs that still end there. One that the list still has is remembered for
@@ -120,13 +119,22 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var ch Change
-	for id, t := range f.targets {
-		if !t.missing.IsZero() && now.Sub(t.missing) > OutageGrace {
+	for _, t := range f.index.missing {
+		if now.Sub(t.missing) > OutageGrace {
 			f.lapse(now, t, &ch)
 		}
-		if t.state == Leaving && !t.listed && now.Sub(t.leavingAt) > goneAfter && t.own.Runs == 0 {
-			f.forget(id)
-			ch.Gone = append(ch.Gone, t.Info)
+	}
+	f.index.leftBefore(now.Add(-goneAfter), func(t *Target) bool {
+		if t.listed || t.own.Runs > 0 {
+			return false
+		}
+		f.forget(t)
+		ch.Gone = append(ch.Gone, t.Info)
+		return true
+	})
+	for id, t := range f.index.worded {
+		if !t.limit.On && !now.Before(t.restUntil) {
+			delete(f.index.worded, id)
 		}
 	}
 	for name, p := range f.peers {
@@ -138,11 +146,9 @@
 	return ch
 }
 
-func (f *Fleet) forget(id string) {
-	delete(f.targets, id)
-	if at, ok := slices.BinarySearch(f.order, id); ok {
-		f.order = slices.Delete(f.order, at, at+1)
-	}
+func (f *Fleet) forget(t *Target) {
+	delete(f.targets, t.ID)
+	f.index.remove(t)
 }
 
 // Leave marks a life of a target that was seen to leave, although the list has not told. News of an earlier life than
@@ -177,6 +183,7 @@
 	for _, id := range ids {
 		if t := f.targets[id]; t != nil {
 			t.unreadable = true
+			f.index.place(t)
 		}
 	}
 }
@@ -192,11 +199,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []Left
-	for id, t := range f.targets {
-		if t.state == Leaving && !t.presumed && t.leavingAt.After(at) {
-			out = append(out, Left{ID: id, Born: t.Born})
+	f.index.leftSince(at, func(t *Target) bool {
+		if !t.presumed {
+			out = append(out, Left{ID: t.ID, Born: t.Born})
 		}
-	}
+		return true
+	})
 	return out
 }
 
--- a/lib/fleet/outcome.go
+++ b/lib/fleet/outcome.go
@@ -54,9 +54,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []string
-	for _, id := range f.order {
-		if t := f.targets[id]; t.Service == service && (now.Before(t.avoidUntil) || now.Before(t.restUntil)) {
-			out = append(out, id)
+	for _, t := range f.index.of(service) {
+		if now.Before(t.avoidUntil) || now.Before(t.restUntil) {
+			out = append(out, t.ID)
 		}
 	}
 	return out
--- a/lib/fleet/places.go
+++ b/lib/fleet/places.go
@@ -23,8 +23,8 @@
 		return false
 	}
 	barred := false
-	for _, t := range f.targets {
-		if t.Service != n.Service || t.state != Ready || t.unreadable {
+	for _, t := range f.index.of(n.Service) {
+		if t.state != Ready || t.unreadable {
 			continue
 		}
 		if f.takes(t) && f.within(t, n.Regions) {
--- a/lib/fleet/rest.go
+++ b/lib/fleet/rest.go
@@ -14,6 +14,7 @@
 	begins := !now.Before(t.restUntil)
 	if until.After(t.restUntil) {
 		t.restFrom, t.restUntil = now, until
+		f.index.worded[t.ID] = t
 	}
 	return begins
 }
--- a/lib/fleet/rooms.go
+++ b/lib/fleet/rooms.go
@@ -8,16 +8,11 @@
 func (f *Fleet) Spare(now time.Time, n Need, without string, free float64) (Info, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	among := n.Among
-	if among == nil {
-		among = f.order
-	}
 	kv := f.specs[n.Service].KVTokens
 	var best *Target
 	most := int(free * float64(kv))
-	for _, id := range among {
-		t := f.targets[id]
-		if t == nil || t.Service != n.Service || !f.takes(t) || id == without || !f.within(t, n.Regions) || f.isPaced(now, t) {
+	for _, t := range f.among(n.Service, n.Among) {
+		if t.Service != n.Service || !f.takes(t) || t.ID == without || !f.within(t, n.Regions) || f.isPaced(now, t) {
 			continue
 		}
 		if left := kv - f.carried(t).Tokens - n.Tokens; left > most {
@@ -96,13 +91,9 @@
 func (f *Fleet) Rooms(now time.Time, service string, among []string) []Room {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if among == nil {
-		among = f.order
-	}
 	var out, limited []Room
-	for _, id := range among {
-		t := f.targets[id]
-		if t == nil || t.Service != service || !f.takes(t) || f.isCold(now, t) || now.Before(t.restUntil) {
+	for _, t := range f.among(service, among) {
+		if t.Service != service || !f.takes(t) || f.isCold(now, t) || now.Before(t.restUntil) {
 			continue
 		}
 		room := Room{Info: t.Info, Free: f.specs[service].KVTokens - f.carried(t).Tokens}
--- a/lib/gatewayproc/feedlog.go
+++ b/lib/gatewayproc/feedlog.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"anvilwick.example/anvilwick/lib/feed"
+	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/logline"
 )
 
@@ -46,6 +47,21 @@
 	at.Str("before", u.Before.String()).Str("now", u.At().String()).Bool("read_whole", u.Read).Int("rows", len(u.Rows)).Msg("")
 }
 
+// targetsLogged bounds the lines about targets of one change of their list. Of more only the number is told: a site's start would
+// fill the log with a line a target.
+const targetsLogged = 16
+
+// logTargets tells of targets that a change of the list names.
+func logTargets(level log.Level, event string, targets []fleet.Info) {
+	for _, t := range targets[:min(targetsLogged, len(targets))] {
+		at := log.DefaultLogger.WithLevel(level).Str("event", event).Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr)
+		at.Int64("born", t.Born).Msg("")
+	}
+	if more := len(targets) - targetsLogged; more > 0 {
+		log.DefaultLogger.WithLevel(level).Str("event", event).Int("more", more).Msg("")
+	}
+}
+
 // feedFailed returns what is told of each table that is lost; an empty name stands for all.
 func (p *Process) feedFailed() func(table string, err error) {
 	logs := make(map[string]func(error))
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -135,7 +135,7 @@
 		specs[s.Name] = spec
 	})
 	p.fleet.SetSpecs(specs)
-	p.layOut()
+	p.setServices(specs)
 	p.gate.ExportBudget(table)
 	log.Info().Str("event", "settings").Int64("settings", rev.Version).Int("routes", len(rev.Routes)).Msg("")
 }
@@ -175,20 +175,13 @@
 
 // changed acts on what the list shows.
 func (p *Process) changed(ch fleet.Change) {
-	for _, t := range ch.Added {
-		log.Info().Str("event", "target_added").Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr).Msg("")
-	}
+	logTargets(log.InfoLevel, "target_added", ch.Added)
+	logTargets(log.WarnLevel, "target_restarted", ch.Restarted)
+	logTargets(log.InfoLevel, "target_leaving", ch.Leaving)
 	for _, t := range ch.Restarted {
-		at := log.Warn().Str("event", "target_restarted").Str("target", t.ID).Str("service", t.Service)
-		at.Str("addr", t.Addr).Int64("born", t.Born).Msg("")
 		p.gate.Restarted(t)
 	}
-	for _, t := range ch.Leaving {
-		log.Info().Str("event", "target_leaving").Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr).Msg("")
-	}
-	if len(ch.Added)+len(ch.Leaving)+len(ch.Gone) > 0 {
-		p.layOut()
-	}
+	p.divide(ch)
 	if len(ch.Leaving) > 0 {
 		p.link.Leaving(ch.Leaving)
 		p.gate.MoveOff(ch.Leaving)
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -58,29 +58,16 @@
 	return out
 }
 
-// layOut works out anew which instances own which engines.
-func (p *Process) layOut() {
-	p.mu.Lock()
-	c := p.candidates
-	p.mu.Unlock()
-	layout := c.Layout(p.fleet.Engines(fleet.Ready), p.fleet.Engines(fleet.Leaving))
-	c.AddPlain(layout, p.fleet.PlainServices())
-	p.link.SetLayout(layout)
-}
-
 // rankInstances works out anew what each instance ranks for.
 func (p *Process) rankInstances() {
 	instances := p.listedInstances()
 	if len(instances) == 0 {
 		instances = append(instances, p.self())
 	}
-	p.mu.Lock()
-	p.candidates = owner.NewCandidates(instances)
-	p.mu.Unlock()
 	if err := p.link.SetPeers(instances); err != nil {
 		logline.Cause(log.Error().Str("event", "instance_refused"), err)
 	}
-	p.layOut()
+	p.shards.setInstances(instances)
 }
 
 // openOwners listens for what other instances tell and ask.
@@ -88,8 +75,8 @@
 	link, err := ownerlink.New(ownerlink.Config{
 		Self: p.self(), Incarnation: p.born, Fleet: p.fleet,
 		Desk: owner.NewDesk(p.cfg.Instance, p.fleet, p.gate.Readings(), time.Now()),
-		Gather: func(l *owner.Layout) map[string]owner.Report {
-			return owner.ByShard(l, p.gate.Runs(), p.gate.Held())
+		Gather: func(shardOf func(string) *owner.Shard) map[string]owner.Report {
+			return owner.ByShard(shardOf, p.gate.Runs(), p.gate.Held())
 		},
 		Moves:  p.gate.MoveLink,
 		Left:   p.left,
@@ -105,6 +92,7 @@
 		return err
 	}
 	p.link = link
+	p.shards = newShards(link)
 	p.gate.Owners = link
 	return nil
 }
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -111,10 +111,12 @@
 	gate  *gateway.Gateway
 	share *retry.Share
 	link  *ownerlink.Link
-	born  uint64 // incarnation
-	node  *mesh.Node
-	feeds struct{ settings, targets, instances *feed.Replica }
-	track *feedlink.Track
+
+	shards *shards
+	born   uint64 // incarnation
+	node   *mesh.Node
+	feeds  struct{ settings, targets, instances *feed.Replica }
+	track  *feedlink.Track
 
 	front, ready *http.Server
 	cancel       context.CancelFunc
@@ -124,19 +126,18 @@
 	listFailed atomic.Pointer[time.Time] // when a call for the list of targets last failed
 	placed     atomic.Pointer[feedlink.Place]
 
-	mu         sync.Mutex
-	instances  map[string]owner.Instance // as listed
-	candidates *owner.Candidates
-	listed     bool // the list of targets was read
-	refused    refusedEntries
-	stopped    bool
+	mu        sync.Mutex
+	instances map[string]owner.Instance // as listed
+	listed    bool                      // the list of targets was read
+	refused   refusedEntries
+	stopped   bool
 }
 
 // Run serves until ctx is done, then stops gracefully.
 func Run(ctx context.Context, cfg Config, site Site) error {
 	p := &Process{
 		cfg: cfg, site: site, fleet: fleet.New(cfg.Domain),
-		instances: make(map[string]owner.Instance), candidates: owner.NewCandidates(nil), born: uint64(time.Now().UnixNano()),
+		instances: make(map[string]owner.Instance), born: uint64(time.Now().UnixNano()),
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
 	p.fleet.SetRegions(cfg.Regions)
--- a/lib/gatewayproc/watch.go
+++ b/lib/gatewayproc/watch.go
@@ -40,8 +40,8 @@
 			continue
 		}
 		now := time.Now()
-		for _, e := range p.fleet.Engines(fleet.Ready) {
-			if p.link.Owns(e.ID) && p.mayAsk(now, e.ID, asked) {
+		for _, id := range p.link.Owned() {
+			if e, known := p.fleet.Info(id); known && !p.fleet.IsLeaving(id) && p.mayAsk(now, id, asked) {
 				go p.ask(ctx, e)
 			}
 		}
--- a/lib/owner/book.go
+++ b/lib/owner/book.go
@@ -225,7 +225,7 @@
 
 func (b *Book) choose(now time.Time, s *Shard, a *Ask) admit.Decision {
 	need := a.Stream.Need
-	need.Among = s.Engines
+	need.Among = s.Engines()
 	need.Kept = b.kept[s.Key]
 	if a.Mode == Admit {
 		p := b.placer()
--- a/lib/owner/book_test.go
+++ b/lib/owner/book_test.go
@@ -22,7 +22,7 @@
 	f.SetSpecs(map[string]fleet.Spec{"s": {KVTokens: kv}})
 	f.SetRandom(func() float64 { return 0 })
 	f.Apply(t0, engines(n, 1), nil, 0)
-	l := NewLayout(f.Engines(fleet.Ready), nil, instances(3, 1))
+	l := NewLayout(f.Engines(fleet.Ready), instances(3, 1))
 	return NewBook("owner", f, new(admit.Readings)), f, l.Home("s", "z0", "owner")
 }
 
@@ -55,7 +55,7 @@
 	_, ok := b.Place(t0, s, ask("late", 1, 4500))
 	must.False(t, ok)
 	must.True(t, b.Waits())
-	must.Greater(t, 0.8, f.Fill(s.Engines, 0))
+	must.Greater(t, 0.8, f.Fill(s.Engines(), 0))
 }
 
 // An answer is lost, and the housekeeping runs before the ask comes again: it is sent every 0.05 s, and after 0.2 s while it waits. A
@@ -72,7 +72,7 @@
 		must.Eq(t, first.Serial, again.Serial, must.Sprint(later))
 		must.Eq(t, first.Target, again.Target, must.Sprint(later))
 	}
-	must.LessEq(t, 0.61*2+0.61, f.Fill(s.Engines, 0)) // one run: its memory and its prompt to read
+	must.LessEq(t, 0.61*2+0.61, f.Fill(s.Engines(), 0)) // one run: its memory and its prompt to read
 }
 
 // An answer is lost and the ask comes again. It is answered as before: a second grant would count the run twice.
@@ -80,12 +80,12 @@
 	b, f, s := testBook(4)
 	first, ok := b.Place(t0, s, ask("i", 1, 4000))
 	must.True(t, ok)
-	fill := f.Fill(s.Engines, 0)
+	fill := f.Fill(s.Engines(), 0)
 	again, ok := b.Place(t0.Add(50*time.Millisecond), s, ask("i", 1, 4000))
 	must.True(t, ok)
 	must.Eq(t, first.Target, again.Target)
 	must.Eq(t, first.Serial, again.Serial)
-	must.Eq(t, fill, f.Fill(s.Engines, 0))
+	must.Eq(t, fill, f.Fill(s.Engines(), 0))
 	must.True(t, b.Knows(Key{Instance: "i", Incarnation: 1, ID: 1}))
 }
 
@@ -93,7 +93,7 @@
 // or that was lost on the way, is free again.
 func TestGrantPassesToTheReport(t *testing.T) {
 	b, f, s := testBook(1)
-	e := s.Engines[0]
+	e := s.Engines()[0]
 	a, _ := b.Place(t0, s, ask("i", 1, 3000))
 	must.Eq(t, 1, f.Believe(t0, e).Load.Runs)
 	run := Run{ID: 101, Target: e, Tokens: 3000}
@@ -119,7 +119,7 @@
 // One whose caller has left is not heard again and gets nothing.
 func TestWaitingStreamTakesWhatFreesUp(t *testing.T) {
 	b, _, s := testBook(1)
-	b.Report(t0, report(s, "i", 1, Run{ID: 1, Target: s.Engines[0], Tokens: 9000}))
+	b.Report(t0, report(s, "i", 1, Run{ID: 1, Target: s.Engines()[0], Tokens: 9000}))
 	_, ok := b.Place(t0, s, ask("a", 1, 3000))
 	must.False(t, ok)
 	_, ok = b.Place(t0, s, ask("gone", 1, 3000))
@@ -132,7 +132,7 @@
 	must.Len(t, 2, got) // both are still within the time in which they are heard again
 	must.Eq(t, "a", got[0].Instance)
 
-	b.Report(t0.Add(230*time.Millisecond), report(s, "i", 3, Run{ID: 1, Target: s.Engines[0], Tokens: 9900}))
+	b.Report(t0.Add(230*time.Millisecond), report(s, "i", 3, Run{ID: 1, Target: s.Engines()[0], Tokens: 9900}))
 	late := ask("late", 1, 3000)
 	late.Stream.Arrived = t0.Add(240 * time.Millisecond)
 	_, ok = b.Place(t0.Add(240*time.Millisecond), s, late)
@@ -146,7 +146,7 @@
 // to.
 func TestStreamWithoutRoomIsTurnedAway(t *testing.T) {
 	b, _, s := testBook(1)
-	b.Report(t0, report(s, "i", 1, Run{ID: 1, Target: s.Engines[0], Tokens: 9000}))
+	b.Report(t0, report(s, "i", 1, Run{ID: 1, Target: s.Engines()[0], Tokens: 9000}))
 	late := ask("a", 1, 3000)
 	late.Stream.Arrived = t0.Add(-time.Second)
 	a, ok := b.Place(t0, s, late)
@@ -171,7 +171,7 @@
 // instance is silent, any does: its clock may have been set back before it was started again.
 func TestOnlyNewerReportsCount(t *testing.T) {
 	b, f, s := testBook(1)
-	e := s.Engines[0]
+	e := s.Engines()[0]
 	must.True(t, b.Report(t0, report(s, "i", 5, Run{ID: 1, Target: e, Tokens: 500})))
 	must.False(t, b.Report(t0, report(s, "i", 5)))
 	must.False(t, b.Report(t0, report(s, "i", 4)))
@@ -187,7 +187,7 @@
 // worse; they overflow nothing, and what is kept of them is bounded.
 func TestAbsurdReportsAreBounded(t *testing.T) {
 	b, f, s := testBook(2)
-	e := s.Engines[0]
+	e := s.Engines()[0]
 	huge := Run{ID: 1, Target: e, Tokens: 1 << 62, Expected: 1 << 62, Unread: -5, Left: 1 << 62}
 	must.True(t, b.Report(t0, report(s, "liar", 1, huge, Run{ID: 2, Target: "nobody", Tokens: 5})))
 	load := f.Believe(t0, e).Load
@@ -195,7 +195,7 @@
 	must.Eq(t, 0, load.Unread)
 	a, ok := b.Place(t0, s, ask("i", 1, 3000))
 	must.True(t, ok)
-	must.Eq(t, s.Engines[1], a.Target)
+	must.Eq(t, s.Engines()[1], a.Target)
 	for i := range holdersMax + 10 {
 		b.Report(t0, report(s, fmt.Sprint("made up ", i), 1))
 	}
@@ -209,7 +209,7 @@
 // The owner learns from all of them, and sends less there after a few failures.
 func TestOwnerLearnsFromAllOutcomes(t *testing.T) {
 	b, _, s := testBook(2)
-	bad := s.Engines[0]
+	bad := s.Engines()[0]
 	for i := range 12 {
 		r := report(s, fmt.Sprint("i", i), 1)
 		r.Outcomes = []Outcomes{{Target: bad, Failed: 1}}
@@ -219,7 +219,7 @@
 	}
 	for i := range 3 {
 		a, _ := b.Place(t0, s, ask("i", uint64(i), 1000))
-		must.Eq(t, s.Engines[1], a.Target)
+		must.Eq(t, s.Engines()[1], a.Target)
 	}
 }
 
@@ -227,7 +227,7 @@
 // time, and room counts where they go before they are there.
 func TestMovesArePlannedForAllInstances(t *testing.T) {
 	b, f, s := testBook(3)
-	e := s.Engines[0]
+	e := s.Engines()[0]
 	b.Report(t0, report(s, "a", 1, Run{ID: 1, Target: e, Tokens: 2000, Expected: 1000}, Run{ID: 3, Target: e, Tokens: 10, Stays: true}))
 	b.Report(t0, report(s, "b", 1, Run{ID: 2, Target: e, Tokens: 3000, Expected: 1000}))
 	leaving := f.Leave(t0, e, 0).Leaving
@@ -262,7 +262,7 @@
 // An engine is heard by some instance's run although this one's are silent: it is busy, not dark.
 func TestEngineIsHeardByAnyInstance(t *testing.T) {
 	b, f, s := testBook(1)
-	e := s.Engines[0]
+	e := s.Engines()[0]
 	b.Report(t0, report(s, "a", 1, Run{ID: 1, Target: e, Silent: 900 * time.Millisecond}))
 	b.Report(t0, report(s, "b", 1, Run{ID: 2, Target: e, Silent: 20 * time.Millisecond}, Run{ID: 3, Target: e, Unread: 10}))
 	must.Eq(t, t0.Add(-20*time.Millisecond), f.LastHeard(e))
@@ -275,7 +275,7 @@
 	for i := range 60 {
 		var runs []Run
 		for j := range 5 {
-			runs = append(runs, Run{ID: uint64(10*i + j), Target: s.Engines[(i+j)%32], Tokens: 3000, Left: 300})
+			runs = append(runs, Run{ID: uint64(10*i + j), Target: s.Engines()[(i+j)%32], Tokens: 3000, Left: 300})
 		}
 		book.Report(t0, report(s, fmt.Sprint("i", i), 1, runs...))
 	}
@@ -296,7 +296,7 @@
 // each piece of room as it frees up. One engine is kept for the large one until it fits; the small ones take the others.
 func TestRoomIsKeptForTheFirstThatWaits(t *testing.T) {
 	b, _, s := testBook(2)
-	roomy, other := s.Engines[0], s.Engines[1]
+	roomy, other := s.Engines()[0], s.Engines()[1]
 	runs := []Run{{ID: 1, Target: roomy, Tokens: 3000}, {ID: 2, Target: roomy, Tokens: 3000}, {ID: 3, Target: other, Tokens: 7000}}
 	b.Report(t0, report(s, "i", 1, runs...))
 	_, ok := b.Place(t0, s, ask("large", 1, 6000))
@@ -320,7 +320,7 @@
 	for engines, left := range map[int]int{2 * keepPer: 2, 2*keepPer - 1: 1} {
 		b, _, s := testBook(engines)
 		var full []Run
-		for i, id := range s.Engines {
+		for i, id := range s.Engines() {
 			full = append(full, Run{ID: uint64(i + 1), Target: id, Tokens: 6000})
 		}
 		b.Report(t0, report(s, "i", 1, full...))
@@ -344,7 +344,7 @@
 // the one that stops waiting sooner goes first.
 func TestLargeStreamsAreLookedAtSooner(t *testing.T) {
 	b, _, s := testBook(1)
-	b.Report(t0, report(s, "i", 1, Run{ID: 1, Target: s.Engines[0], Tokens: 9000}))
+	b.Report(t0, report(s, "i", 1, Run{ID: 1, Target: s.Engines()[0], Tokens: 9000}))
 	for i, tokens := range []int{1000, 1000, 9000} {
 		a := ask(fmt.Sprint("s", i), 1, tokens)
 		a.Stream.Arrived = t0.Add(time.Duration(i) * 100 * time.Millisecond)
@@ -356,7 +356,7 @@
 	got := b.Step(now)
 	must.Len(t, 1, got)
 	must.Eq(t, "s2", got[0].Instance)
-	b.Report(now, report(s, "s2", 1, Run{ID: 101, Target: s.Engines[0], Tokens: 8000}))
+	b.Report(now, report(s, "s2", 1, Run{ID: 101, Target: s.Engines()[0], Tokens: 8000}))
 	b.Tick(now)
 	b.Report(now.Add(time.Millisecond), report(s, "s2", 2))
 	got = b.Step(now.Add(2 * time.Second / 10))
@@ -369,7 +369,7 @@
 func TestWhoComesBackAsToldWaitsForLonger(t *testing.T) {
 	for wait, asTold := range map[time.Duration]bool{0: true, -time.Second: false} {
 		b, _, s := testBook(1)
-		full := Run{ID: 1, Target: s.Engines[0], Tokens: 9000}
+		full := Run{ID: 1, Target: s.Engines()[0], Tokens: 9000}
 		b.Report(t0, report(s, "i", 1, full))
 		first := ask("turned away", 1, 5000)
 		first.Print = 77
@@ -418,7 +418,7 @@
 // for the first.
 func TestWhoIsRefusedSoonerGoesFirst(t *testing.T) {
 	b, _, s := testBook(1)
-	b.Report(t0, report(s, "i", 1, Run{ID: 1, Target: s.Engines[0], Tokens: 9000}))
+	b.Report(t0, report(s, "i", 1, Run{ID: 1, Target: s.Engines()[0], Tokens: 9000}))
 	fresh := ask("fresh", 1, 6000)
 	_, ok := b.Place(t0, s, fresh)
 	must.False(t, ok)
--- a/lib/owner/desk.go
+++ b/lib/owner/desk.go
@@ -174,11 +174,11 @@
 
 // part is how full a shard is, with what waits for it. Without that, two full shards look alike though twice as much waits
 // for one.
-func (d *Desk) part(s *Shard) float64 { return d.fleet.Fill(s.Engines, d.waitingFor(s.Key)) }
+func (d *Desk) part(s *Shard) float64 { return d.fleet.Fill(s.Engines(), d.waitingFor(s.Key)) }
 
 // Fills tells how full a shard is that this instance owns, to others and to itself.
 func (d *Desk) Fills(now time.Time, s *Shard) Fill {
-	f := Fill{Part: d.part(s), Room: d.fleet.Room(s.Engines)}
+	f := Fill{Part: d.part(s), Room: d.fleet.Room(s.Engines())}
 	d.Filled(now, s.Key, f)
 	return f
 }
--- a/lib/owner/desk_test.go
+++ b/lib/owner/desk_test.go
@@ -13,9 +13,9 @@
 // desks are the owners of two shards of one engine each, in two failure domains.
 func desks() (a, b *Desk, ofA, ofB *Shard) {
 	es := []fleet.Info{{ID: "ea", Service: "s", Domain: "za"}, {ID: "eb", Service: "s", Domain: "zb"}}
-	ofA = &Shard{Key: "a", Service: "s", Engines: []string{"ea"}, Ranked: []Instance{{Name: "a"}}}
-	ofB = &Shard{Key: "b", Service: "s", Engines: []string{"eb"}, Ranked: []Instance{{Name: "b"}}}
-	ofA.Neighbours, ofB.Neighbours = []*Shard{ofB}, []*Shard{ofA}
+	ofA = &Shard{Key: "a", Service: "s", members: newMembers([]string{"ea"}), Ranked: []Instance{{Name: "a"}}}
+	ofB = &Shard{Key: "b", Service: "s", members: newMembers([]string{"eb"}), Ranked: []Instance{{Name: "b"}}}
+	ofA.nearest, ofB.nearest = []*Shard{ofB}, []*Shard{ofA}
 	desk := func(name string) *Desk {
 		f := fleet.New("z" + name)
 		f.SetSpecs(map[string]fleet.Spec{"s": {KVTokens: kv}})
--- a/lib/owner/grant.go
+++ b/lib/owner/grant.go
@@ -33,7 +33,7 @@
 
 // backup finds an engine for a copy of the run.
 func (b *Book) backup(now time.Time, s *Shard, a *Ask, out *Answer, h *holder) {
-	need := fleet.Need{Service: s.Service, Tokens: a.Backup, Among: s.Engines, Regions: a.Stream.Need.Regions}
+	need := fleet.Need{Service: s.Service, Tokens: a.Backup, Among: s.Engines(), Regions: a.Stream.Need.Regions}
 	at, ok := b.fleet.Spare(now, need, out.Target, backupFree)
 	if !ok {
 		return
--- a/lib/owner/layout_test.go
+++ b/lib/owner/layout_test.go
@@ -34,15 +34,15 @@
 // same room away twice.
 func TestLayoutDependsOnTheSetsAlone(t *testing.T) {
 	es, ins := engines(128, 5), instances(295, 5)
-	want := NewLayout(es, nil, ins)
+	want := NewLayout(es, ins)
 	rng := rand.New(rand.NewPCG(1, 2))
 	rng.Shuffle(len(es), func(i, j int) { es[i], es[j] = es[j], es[i] })
 	rng.Shuffle(len(ins), func(i, j int) { ins[i], ins[j] = ins[j], ins[i] })
-	got := NewLayout(es, nil, ins)
+	got := NewLayout(es, ins)
 	must.SliceLen(t, len(want.All()), got.All())
 	for _, s := range want.All() {
 		o := got.Shard(s.Key)
-		must.Eq(t, s.Engines, o.Engines)
+		must.Eq(t, s.Engines(), o.Engines())
 		must.Eq(t, s.Ranked, o.Ranked)
 	}
 }
@@ -50,27 +50,27 @@
 // A few engines have one owner, which sees all of them. Of many each shard lies in one failure domain and is owned there, by
 // an instance that can carry it; it has neighbours to pass streams on to.
 func TestShardsFollowDomainsAndCapacity(t *testing.T) {
-	few := NewLayout(engines(12, 3), nil, instances(8, 3))
+	few := NewLayout(engines(12, 3), instances(8, 3))
 	must.SliceLen(t, 1, few.All())
-	must.Len(t, 12, few.Home("s", "z1", "i001").Engines)
-	must.SliceLen(t, 1, NewLayout(engines(60, 3), nil, instances(72, 3)).All())
+	must.Len(t, 12, few.Home("s", "z1", "i001").Engines())
+	must.SliceLen(t, 1, NewLayout(engines(60, 3), instances(72, 3)).All())
 
-	l := NewLayout(engines(128, 5), nil, instances(295, 5))
+	l := NewLayout(engines(128, 5), instances(295, 5))
 	must.SliceLen(t, 5, l.All())
 	for _, s := range l.All() {
-		must.LessEq(t, shardLimit, len(s.Engines))
+		must.LessEq(t, shardLimit, len(s.Engines()))
 		must.Len(t, candidates, s.Ranked)
-		must.Len(t, 4, s.Neighbours)
+		must.Len(t, 4, s.Neighbours())
 		for _, in := range s.Ranked {
 			must.Eq(t, s.Domain, in.Domain)
 			must.Eq(t, 16000, in.Capacity)
 			must.True(t, s.IsCandidate(in.Name))
 		}
-		must.Eq(t, s, l.Home("s", s.Domain, "anyone"))
-		must.Eq(t, s, l.Of(s.Engines[0]))
+		must.True(t, s == l.Home("s", s.Domain, "anyone"))
+		must.True(t, s == l.Of(fleet.Info{ID: s.Engines()[0], Service: "s", Domain: s.Domain}))
 	}
 	must.Nil(t, l.Home("other", "z1", "i001"))
-	must.Nil(t, l.Of("nobody"))
+	must.Nil(t, l.Of(fleet.Info{ID: "nobody", Service: "other"}))
 	// A domain without engines asks some shard all the same.
 	must.NotNil(t, l.Home("s", "z9", "i001"))
 }
@@ -78,21 +78,21 @@
 // An engine that leaves is in a shard for its runs' sake, and is not chosen from it.
 func TestLeavingEnginesStayInAShard(t *testing.T) {
 	es := engines(128, 5)
-	l := NewLayout(es[1:], es[:1], instances(295, 5))
-	s := l.Of(es[0].ID)
+	l := NewLayout(es[1:], instances(295, 5))
+	s := l.Of(es[0])
 	must.NotNil(t, s)
 	must.Eq(t, es[0].Domain, s.Domain)
-	must.SliceNotContains(t, s.Engines, es[0].ID)
+	must.SliceNotContains(t, s.Engines(), es[0].ID)
 }
 
 // At the size that is designed for no instance owns many shards, and none looks to more than a few others.
 func TestLayoutOfManyEngines(t *testing.T) {
-	l := NewLayout(engines(12_000, 21), nil, instances(430, 21))
+	l := NewLayout(engines(12_000, 21), instances(430, 21))
 	owned := make(map[string]int)
 	most := 0
 	for _, s := range l.All() {
-		must.LessEq(t, 2*shardLimit, len(s.Engines)) // by hash, some have more than the mean
-		must.LessEq(t, neighbours, len(s.Neighbours))
+		must.LessEq(t, 2*shardLimit, len(s.Engines())) // by hash, some have more than the mean
+		must.LessEq(t, neighbours, len(s.Neighbours()))
 		owned[s.Ranked[0].Name]++
 		most = max(most, owned[s.Ranked[0].Name])
 	}
@@ -103,7 +103,7 @@
 func BenchmarkNewLayout(b *testing.B) {
 	es, ins := engines(128, 5), instances(295, 5)
 	for b.Loop() {
-		NewLayout(es, nil, ins)
+		NewLayout(es, ins)
 	}
 }
 
@@ -112,16 +112,16 @@
 func TestShardsStayWhileEnginesComeAndGo(t *testing.T) {
 	for _, n := range []int{8, 72, 295} {
 		all := engines(max(12, n/2), 5)
-		want := NewLayout(all, nil, instances(n, 5))
+		want := NewLayout(all, instances(n, 5))
 		for _, left := range []int{len(all) * 5 / 6, len(all) * 4 / 6, len(all) / 2} {
-			got := NewLayout(all[:left], all[left:], instances(n, 5))
+			got := NewLayout(all[:left], instances(n, 5))
 			must.SliceLen(t, len(want.All()), got.All())
 			for i, s := range want.All() {
 				must.Eq(t, s.Key, got.All()[i].Key)
 				must.Eq(t, s.Ranked, got.All()[i].Ranked)
 			}
 			for _, e := range all {
-				must.Eq(t, want.Of(e.ID).Key, got.Of(e.ID).Key)
+				must.Eq(t, want.Of(e).Key, got.Of(e).Key)
 			}
 		}
 	}
--- a/lib/owner/limit_test.go
+++ b/lib/owner/limit_test.go
@@ -15,7 +15,7 @@
 func TestStreamsThatLimitsLeaveNoTurnAreRefusedAtOnce(t *testing.T) {
 	const n, perSecond, asked = 3, 2.0, 30
 	b, f, s := testBook(n)
-	for _, id := range s.Engines {
+	for _, id := range s.Engines() {
 		f.TakeLimit(id, fleet.LimitWord{Limit: fleet.Limit{On: true, PerSecond: perSecond}, Asked: t0, Heard: t0})
 	}
 	began, refused := 0, 0
@@ -51,7 +51,7 @@
 // One engine of a shard has no limit: streams wait for room as always.
 func TestStreamsWaitWhereAnEngineHasNoLimit(t *testing.T) {
 	b, f, s := testBook(2)
-	f.TakeLimit(s.Engines[0], fleet.LimitWord{Limit: fleet.Limit{On: true}, Asked: t0, Heard: t0})
+	f.TakeLimit(s.Engines()[0], fleet.LimitWord{Limit: fleet.Limit{On: true}, Asked: t0, Heard: t0})
 	for id := range uint64(6) {
 		a, ok := b.Place(t0, s, ask("i", id, 9000))
 		if ok {
--- a/lib/owner/moves.go
+++ b/lib/owner/moves.go
@@ -28,7 +28,7 @@
 		engines[i] = moveplan.Engine{ID: e.ID, Domain: e.Domain}
 	}
 	var rooms []moveplan.Engine
-	for _, r := range b.fleet.Rooms(now, s.Service, s.Engines) {
+	for _, r := range b.fleet.Rooms(now, s.Service, s.Engines()) {
 		if !ids[r.ID] {
 			rooms = append(rooms, moveplan.Engine{ID: r.ID, Domain: r.Domain, Free: r.Free})
 		}
--- a/lib/owner/peers.go
+++ b/lib/owner/peers.go
@@ -229,7 +229,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	sum := 0.0
-	for _, n := range s.Neighbours {
+	for _, n := range s.Neighbours() {
 		f, known := p.fills[n.Key]
 		if !known || now.Sub(f.at) > fillLife {
 			continue
--- a/lib/owner/peers_test.go
+++ b/lib/owner/peers_test.go
@@ -104,7 +104,7 @@
 func TestStreamsArePassedToEmptierShards(t *testing.T) {
 	s := shardOf("a")
 	near, far, full, silent := &Shard{Key: "near"}, &Shard{Key: "far"}, &Shard{Key: "full"}, &Shard{Key: "silent"}
-	s.Neighbours = []*Shard{near, far, full, silent}
+	s.nearest = []*Shard{near, far, full, silent}
 	p := NewPeers("a", t0)
 	p.TakeBeat(t0, Beat{Instance: "b", Fills: map[string]Fill{"near": {Part: 0.5}, "far": {Part: 0.2}, "full": {Part: 0.78}}})
 	got := make(map[string]int)
--- a/lib/owner/places_test.go
+++ b/lib/owner/places_test.go
@@ -23,7 +23,7 @@
 	}
 	f.Apply(t0, list, nil, 0)
 	f.Tell(t0, "peer", nil, map[string][]fleet.Size{list[cold].ID: {{Now: kv}}, list[cold+1].ID: {{Now: kv}}})
-	l := NewLayout(f.Engines(fleet.Ready), nil, instances(3, 1))
+	l := NewLayout(f.Engines(fleet.Ready), instances(3, 1))
 	b, s := NewBook("owner", f, new(admit.Readings)), l.Home("s", "z0", "owner")
 
 	given := make(map[string][]time.Time)
@@ -71,7 +71,7 @@
 		{ID: "n0", Service: "s", Domain: "z0", Slots: 8}, {ID: "n1", Service: "s", Domain: "z0", Slots: 8},
 		{ID: "s0", Service: "s", Domain: "z1", Slots: 8}, {ID: "s1", Service: "s", Domain: "z1", Slots: 8},
 	}, nil, 0)
-	l := NewLayout(f.Engines(fleet.Ready), nil, instances(3, 1))
+	l := NewLayout(f.Engines(fleet.Ready), instances(3, 1))
 	b, s := NewBook("owner", f, new(admit.Readings)), l.Home("s", "z0", "owner")
 	bound := func(id uint64) Ask {
 		a := ask("i", id, 1000)
--- a/lib/owner/report.go
+++ b/lib/owner/report.go
@@ -174,18 +174,18 @@
 	return moveplan.Run{ID: r.ID, From: r.Target, Tokens: r.Tokens, Expected: r.Expected, Unread: r.Unread > 0}
 }
 
-// ByShard sorts what an instance has by shards. What is on no shard's engines is left out.
-func ByShard(l *Layout, runs []Run, held []Held) map[string]Report {
+// ByShard sorts what an instance has by shards, as of tells them. What is on no shard's engines is left out.
+func ByShard(of func(engine string) *Shard, runs []Run, held []Held) map[string]Report {
 	out := make(map[string]Report)
 	for _, r := range runs {
-		if s := l.Of(r.Target); s != nil {
+		if s := of(r.Target); s != nil {
 			rep := out[s.Key]
 			rep.Runs = append(rep.Runs, r)
 			out[s.Key] = rep
 		}
 	}
 	for _, h := range held {
-		if s := l.Of(h.Target); s != nil {
+		if s := of(h.Target); s != nil {
 			rep := out[s.Key]
 			rep.Held = append(rep.Held, h)
 			out[s.Key] = rep
--- a/lib/owner/wait.go
+++ b/lib/owner/wait.go
@@ -38,7 +38,7 @@
 //
 // Load pattern: a whole service is in need and more streams come than it takes. Each that waits in vain could have come back sooner.
 func (b *Book) hasNoTurn(now time.Time, s *Shard, a *Ask) bool {
-	perSecond, limited := b.fleet.LimitsOf(s.Engines)
+	perSecond, limited := b.fleet.LimitsOf(s.Engines())
 	if !limited || a.Mode != Admit {
 		return false
 	}
@@ -138,10 +138,10 @@
 // keep keeps the roomiest engine that is left for a stream that waits, if its shard may have one more kept.
 func (b *Book) keep(s *Shard) {
 	kept := b.kept[s.Key]
-	if len(kept) >= max(1, len(s.Engines)/keepPer) {
+	if len(kept) >= max(1, len(s.Engines())/keepPer) {
 		return
 	}
-	id := b.fleet.Roomiest(s.Engines, kept)
+	id := b.fleet.Roomiest(s.Engines(), kept)
 	if id == "" {
 		return
 	}
--- a/lib/ownerlink/beat.go
+++ b/lib/ownerlink/beat.go
@@ -35,17 +35,14 @@
 func (l *Link) sendBeat(now time.Time) {
 	to := make(map[string]string) // addresses by instance
 	b := new(ownerpb.Beat)
-	for _, s := range l.layout.Load().All() {
-		if !s.IsCandidate(l.Self.Name) {
-			continue
-		}
+	for _, s := range l.layout.Load().RankedBy(l.Self.Name) {
 		addAll(to, s)
 		if at, ok := l.Desk.Acting(now, s); !ok || at.Name != l.Self.Name {
 			continue
 		}
 		f := l.Desk.Fills(now, s)
 		b.Fills = append(b.Fills, &ownerpb.Fill{Shard: s.Key, Permille: uint32(permille * f.Part), Room: tokens(f.Room)})
-		for _, n := range s.Neighbours {
+		for _, n := range s.Neighbours() {
 			addAll(to, n)
 		}
 	}
--- a/lib/ownerlink/call.go
+++ b/lib/ownerlink/call.go
@@ -146,7 +146,7 @@
 	layout := l.layout.Load()
 	left := make(map[*owner.Shard][]*ownerpb.Left)
 	for _, e := range engines {
-		if s := layout.Of(e.ID); s != nil {
+		if s := layout.Of(e); s != nil {
 			left[s] = append(left[s], &ownerpb.Left{Target: e.ID, Born: e.Born})
 		}
 	}
@@ -180,7 +180,7 @@
 
 // LastHeard asks when any instance last heard an engine; the zero time: nobody has.
 func (l *Link) LastHeard(ctx context.Context, engine string) (time.Time, error) {
-	s := l.layout.Load().Of(engine)
+	s := l.shardOf(engine)
 	if s == nil {
 		return time.Time{}, ErrAlone
 	}
--- a/lib/ownerlink/link.go
+++ b/lib/ownerlink/link.go
@@ -63,8 +63,8 @@
 	Fleet       *fleet.Fleet
 	Desk        *owner.Desk
 
-	// Gather returns what this instance has on the engines of each shard; the link adds what is its own.
-	Gather func(*owner.Layout) map[string]owner.Report
+	// Gather returns what this instance has on the engines of each shard, as shardOf tells them; the link adds what is its own.
+	Gather func(shardOf func(engine string) *owner.Shard) map[string]owner.Report
 	// Moves tells how a service's engines copy runs; ok is false when they don't.
 	Moves func(service string) (link moveplan.Link, ok bool)
 	// Left is told of targets that another instance saw to leave, and reports whether that is news.
@@ -122,14 +122,15 @@
 		seen: make(map[string]uint64), bad: make(map[string]bool), plans: make(map[string]*plan),
 		outcomes: make(map[string]*outcomes), plain: newPlainOutcomes(), limits: make(map[string]toldLimit),
 	}
-	l.layout.Store(owner.NewLayout(nil, nil, nil))
+	l.layout.Store(owner.NewPartition().Layout())
 	return l, nil
 }
 
 // SetLayout puts a layout of shards in force.
 func (l *Link) SetLayout(layout *owner.Layout) {
-	l.layout.Store(layout)
-	l.Changed()
+	if l.layout.Swap(layout) != layout {
+		l.Changed()
+	}
 }
 
 // SetPeers replaces the instances that are listed.
--- a/lib/ownerlink/link_test.go
+++ b/lib/ownerlink/link_test.go
@@ -51,9 +51,11 @@
 	})
 	link, err := New(Config{
 		Self: owner.Instance{Name: name, Domain: "z0", Addr: "127.0.0.1:0", Capacity: 1}, Incarnation: 1, Fleet: f,
-		Desk:   owner.NewDesk(name, f, new(admit.Readings), time.Now()),
-		Gather: func(l *owner.Layout) map[string]owner.Report { return owner.ByShard(l, *m.runs.Load(), nil) },
-		Moves:  func(string) (moveplan.Link, bool) { return moveplan.Link{TokensPerSecond: 10_000, FarFactor: 2}, true },
+		Desk: owner.NewDesk(name, f, new(admit.Readings), time.Now()),
+		Gather: func(of func(string) *owner.Shard) map[string]owner.Report {
+			return owner.ByShard(of, *m.runs.Load(), nil)
+		},
+		Moves: func(string) (moveplan.Link, bool) { return moveplan.Link{TokensPerSecond: 10_000, FarFactor: 2}, true },
 		Left: func(id string, _ int64) bool {
 			if _, known := m.known.LoadOrStore(id, true); known {
 				return false
@@ -96,7 +98,7 @@
 	for i := range n {
 		engines = append(engines, fleet.Info{ID: fmt.Sprint("e", i), Service: "s", Domain: "z0"})
 	}
-	layout := owner.NewLayout(engines, nil, list)
+	layout := owner.NewLayout(engines, list)
 	for _, m := range members {
 		m.Fleet.Apply(time.Now(), engines, nil, 0)
 		must.NoError(t, m.SetPeers(list))
@@ -138,7 +140,7 @@
 	}
 	must.MapLen(t, 2, used)
 	first := members[s.Ranked[0].Name]
-	eventually(t, func() bool { return first.Fleet.Room(s.Engines) < 2000 })
+	eventually(t, func() bool { return first.Fleet.Room(s.Engines()) < 2000 })
 	time.AfterFunc(100*time.Millisecond, func() {
 		members["a"].runs.Store(new([]owner.Run))
 		members["a"].Changed()
@@ -203,7 +205,7 @@
 	_, err := third.Place(t.Context(), ask(500))
 	must.NoError(t, err)
 	must.Eq(t, first, third.Desk.Order(time.Now(), s)[0].Name) // it has answered
-	must.Positive(t, members[first].Fleet.Fill(s.Engines, 0))
+	must.Positive(t, members[first].Fleet.Fill(s.Engines(), 0))
 }
 
 // Two instances have runs on an engine that leaves, and only one of them has seen it. Both are told where their runs go.
--- a/lib/ownerlink/moves.go
+++ b/lib/ownerlink/moves.go
@@ -22,7 +22,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, e := range engines {
-		s := layout.Of(e.ID)
+		s := layout.Of(e)
 		if s == nil || !s.IsCandidate(l.Self.Name) {
 			continue
 		}
--- a/lib/ownerlink/permits_test.go
+++ b/lib/ownerlink/permits_test.go
@@ -32,9 +32,9 @@
 	for _, name := range []string{"a", "b", "c"} {
 		list = append(list, members[name].Self)
 	}
-	c := owner.NewCandidates(list)
-	layout := c.Layout(nil, nil)
-	c.AddPlain(layout, []string{"p"})
+	p := owner.NewPartition()
+	p.SetInstances(list)
+	layout := p.SetServices(nil, []string{"p"}, nil)
 	for _, m := range members {
 		m.Fleet.Apply(time.Now(), plain, nil, 0)
 		m.SetLayout(layout)
--- a/lib/ownerlink/report.go
+++ b/lib/ownerlink/report.go
@@ -22,7 +22,7 @@
 
 // Outcome counts how a request of this instance ended at a target.
 func (l *Link) Outcome(target string, o fleet.Outcome) {
-	if l.layout.Load().Of(target) == nil {
+	if l.shardOf(target) == nil {
 		return
 	}
 	l.mu.Lock()
@@ -57,26 +57,36 @@
 // readingsMax bounds the readings of one report.
 const readingsMax = 32
 
-// Owns reports whether this instance decides for an engine's shard.
-func (l *Link) Owns(engine string) bool {
-	s := l.layout.Load().Of(engine)
-	if s == nil {
-		return false
+// shardOf returns the shard that an engine is in; nil when there is none.
+func (l *Link) shardOf(engine string) *owner.Shard {
+	t, known := l.Fleet.Info(engine)
+	if !known {
+		return nil
 	}
-	_, other := l.otherOwner(time.Now(), s)
-	return !other
+	return l.layout.Load().Of(t)
+}
+
+// Owned lists the engines that this instance decides for.
+func (l *Link) Owned() []string {
+	var out []string
+	now := time.Now()
+	for _, s := range l.layout.Load().RankedBy(l.Self.Name) {
+		if _, other := l.otherOwner(now, s); !other {
+			out = append(out, s.Engines()...)
+		}
+	}
+	return out
 }
 
 // reports returns what this instance has on each shard now.
 func (l *Link) reports() map[string]owner.Report {
-	layout := l.layout.Load()
-	out := l.Gather(layout)
+	out := l.Gather(l.shardOf)
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lastID++
 	for target, c := range l.outcomes {
-		s := layout.Of(target)
+		s := l.shardOf(target)
 		if s == nil || now.Sub(c.changed) > outcomesTold {
 			delete(l.outcomes, target)
 			continue
--- a/lib/replay/owned.go
+++ b/lib/replay/owned.go
@@ -51,7 +51,6 @@
 	s      *site
 	layout *owner.Layout
 	all    []owner.Instance
-	cands  *owner.Candidates
 	byName map[string]*instance
 	lastID uint64
 }
@@ -61,7 +60,7 @@
 // listed lays the shards out anew. Instances that are gone stay listed.
 func (o *owned) listed() {
 	s := o.s
-	if o.cands == nil {
+	if o.all == nil {
 		for i, in := range s.instances {
 			in.desk = &desk{
 				Desk: owner.NewDesk(in.name, in.fleet, in.reading, s.clock()),
@@ -75,11 +74,10 @@
 			o.all = append(o.all, owner.Instance{Name: in.name, Domain: in.domain, Capacity: capacity})
 			o.byName[in.name] = in
 		}
-		o.cands = owner.NewCandidates(o.all)
 	}
 	if len(s.instances) > 0 {
 		in := s.instances[0].fleet
-		o.layout = o.cands.Layout(in.Engines(fleet.Ready), in.Engines(fleet.Leaving))
+		o.layout = owner.NewLayout(in.Engines(fleet.Ready), o.all)
 	}
 }
 
@@ -288,7 +286,7 @@
 			continue
 		}
 		b.Fills[sh.Key] = in.desk.Fills(now, sh)
-		for _, n := range sh.Neighbours {
+		for _, n := range sh.Neighbours() {
 			addNames(to, n)
 		}
 	}
@@ -315,13 +313,14 @@
 			Unread: r.load.Unread, Left: r.size().Left,
 		})
 	}
-	reports := owner.ByShard(o.layout, runs, nil)
+	shardOf := o.shardOf(in)
+	reports := owner.ByShard(shardOf, runs, nil)
 	d.seq++
 	for _, sh := range o.layout.All() {
 		rep, has := reports[sh.Key]
 		for _, target := range slices.Sorted(maps.Keys(d.outcomes)) {
 			c := d.outcomes[target]
-			if o.layout.Of(target) == sh && o.s.now-c.changed < outcomesTold {
+			if shardOf(target) == sh && o.s.now-c.changed < outcomesTold {
 				rep.Outcomes = append(rep.Outcomes, c.Outcomes)
 				has = true
 			}
@@ -337,6 +336,17 @@
 	d.readings = nil
 }
 
+// shardOf returns what tells an instance the shards of engines.
+func (o *owned) shardOf(in *instance) func(engine string) *owner.Shard {
+	return func(engine string) *owner.Shard {
+		t, known := in.fleet.Info(engine)
+		if !known {
+			return nil
+		}
+		return o.layout.Of(t)
+	}
+}
+
 func (o *owned) sendReport(in *instance, sh *owner.Shard, rep owner.Report) {
 	to := sh.Ranked[:min(2, len(sh.Ranked))]
 	if o.s.pol.Forget {
