--- a/lib/feed/feed.go
+++ b/lib/feed/feed.go
@@ -33,6 +33,7 @@
 	Era     int64 // of the store's history in which that version was given out; 0: it was not told
 
 	Kept []Kept // what a peer goes on showing in place of the store's rows, where the page comes from one
+	Part bool   // Rows are those that this instance needs: of a whole table others than these are dropped, not removed
 }
 
 // At returns the newest position that the page reflects.
@@ -55,6 +56,7 @@
 	// Restored says that a new era has begun: Rows are what is shown otherwise than before, Held counts what is held on to.
 	Restored bool
 	Held     Held
+	Dropped  []string      // keys of rows that this instance no longer needs and is not told of any more
 	Silent   time.Duration // how long the store was out of everybody's reach before this update; 0: it was not
 }
 
@@ -183,7 +185,7 @@
 func (f *Follower) step(ctx context.Context, wait time.Duration) error {
 	held := f.to.At()
 	behind := f.behind()
-	if f.isNew() || f.gone || behind && !f.stale {
+	if f.isNew() || f.gone || f.to.Part() || behind && !f.stale {
 		return f.snapshot(ctx)
 	}
 	f.stale = false
--- a/lib/feed/replica.go
+++ b/lib/feed/replica.go
@@ -17,6 +17,7 @@
 	at      Position
 	whole   int64 // rows are complete from this version of the era on; removed ones before it are forgotten
 	known   bool
+	part    bool // rows are those that this instance needs
 	contact time.Time // when the store last confirmed the position, to anybody
 	removed map[string]tombstone
 	buried  []burial // of removed rows, the oldest first
@@ -60,7 +61,7 @@
 	defer r.mu.Unlock()
 	at := page.At()
 	// Changes say nothing beside the state that they are changes of.
-	if at.Before(r.at) || !whole && (!r.known || at.Era != r.at.Era) {
+	if at.Before(r.at) && !r.followsAnother(page) || !whole && (!r.known || at.Era != r.at.Era) {
 		return
 	}
 	silent := r.confirm(contact)
@@ -74,7 +75,7 @@
 	u.Silent = silent
 	r.known = true
 	r.forget(now)
-	news := u.Whole || u.Restored || len(u.Rows) > 0
+	news := u.Whole || u.Restored || len(u.Rows)+len(u.Dropped) > 0
 	if news || u.Silent > 0 {
 		r.apply(u)
 	}
@@ -84,6 +85,12 @@
 	}
 }
 
+// followsAnother reports whether a page of rows that this instance needs counts although it is older than what is held. Another peer than
+// before may tell it, which is a little behind, and needs differ from one to the other; each row has its own version.
+func (r *Replica) followsAnother(page Page) bool {
+	return (page.Part || r.part) && page.At().Era == r.at.Era
+}
+
 // update takes a page in, and returns what that changes.
 func (r *Replica) update(page Page, whole bool, now time.Time) Update {
 	at := page.At()
@@ -93,9 +100,16 @@
 	if u.Restored {
 		u.Rows = r.restore(page, now)
 		u.Held = r.held()
+		r.part = page.Part
 		return u
 	}
-	u.Rows = r.merge(page, whole, now)
+	u.Rows = r.merge(page, whole && !page.Part, now)
+	if whole && page.Part {
+		u.Dropped = r.drop(page)
+	}
+	if whole {
+		r.part = page.Part
+	}
 	if u.Whole {
 		r.recent.restart(at.Version)
 	}
@@ -152,6 +166,24 @@
 	return out
 }
 
+// drop forgets the rows that a page does not list of those that this instance needs.
+func (r *Replica) drop(page Page) []string {
+	listed := make(map[string]bool, len(page.Rows))
+	for _, row := range page.Rows {
+		listed[row.Key] = true
+	}
+	var out []string
+	for key, row := range r.rows {
+		if listed[key] || row.Removed {
+			continue
+		}
+		delete(r.rows, key)
+		delete(r.kept, key)
+		out = append(out, key)
+	}
+	return out
+}
+
 // change takes in a row as the store has it now, and reports whether that is to be shown.
 func (r *Replica) change(row Row, now time.Time) bool {
 	before, kept := r.kept[row.Key]
@@ -224,6 +256,20 @@
 	return r.at.Version, r.known
 }
 
+// Part reports whether only those rows are held that this instance needs.
+func (r *Replica) Part() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.part
+}
+
+// Len returns how many rows are held.
+func (r *Replica) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.rows) - len(r.removed)
+}
+
 // At returns the newest position held.
 func (r *Replica) At() Position {
 	r.mu.Lock()
--- a/lib/feedlink/era_test.go
+++ b/lib/feedlink/era_test.go
@@ -90,7 +90,7 @@
 	t.Parallel()
 	m := idle(t, "a", nil, self)
 	r := feed.NewReplica(func(feed.Update) {}).Keeping(feed.Keep{For: time.Minute})
-	s := &server{track: m.track, replicas: map[string]*feed.Replica{"t": r}, packs: newPacker()}
+	s := &server{track: m.track, tables: map[string]Table{"t": {Name: "t", Replica: r}}, packs: newPacker()}
 	r.Take(feed.Page{Era: 1, Version: 9, Rows: []feed.Row{rowOfValue(9, "lost")}}, true, time.Now())
 	follower := []*passed{{name: "t", replica: r, after: feed.Position{Era: 1, Version: 9}}}
 	must.SliceEmpty(t, s.page(follower).Tables[0].Kept)
--- a/lib/feedlink/follow.go
+++ b/lib/feedlink/follow.go
@@ -16,6 +16,8 @@
 	// lateProbe is when, after the age at which a reader is doubted, all others look for themselves, and how often: all that
 	// rank to relay to them may be cut off, too.
 	lateProbe = 2500 * time.Millisecond
+	// probing is how many that relay in a failure domain look for the store as soon as the reader is doubted.
+	probing = 3
 	// reconsider is how often an instance looks whether it should read the store, or have it from another.
 	reconsider = 500 * time.Millisecond
 )
@@ -60,6 +62,7 @@
 
 // follow takes the tables from a reader until it fails, or another is better.
 func (t *Track) follow(ctx context.Context, s *subscription) {
+	defer t.tellUp(s)()
 	defer s.close()
 	t.From(s.reader.Instance)
 	looked := time.Now()
@@ -78,6 +81,9 @@
 			t.doubt(ctx, s.reader, errOldEra)
 			return
 		}
+		if s.part != t.wantsPart() {
+			return // as another kind of holder it asks for more, or for less
+		}
 		now := time.Now()
 		if now.Sub(looked) >= reconsider {
 			looked = now
@@ -112,6 +118,16 @@
 	return true
 }
 
+// wantsPart reports whether this instance holds a part of some table only.
+func (t *Track) wantsPart() bool {
+	for i := range t.Tables {
+		if t.Tables[i].wantsPart() {
+			return true
+		}
+	}
+	return false
+}
+
 // mayProbe reports whether to look for the store although the reader has lost it. Those that rank to read do so at once, one
 // after the other; the others only when these seem to be cut off, too.
 func (t *Track) mayProbe(now time.Time, s *subscription) bool {
@@ -120,6 +136,9 @@
 	case Reads:
 		return (s.lost || age > t.MaxAge) && now.Sub(t.probed) > time.Duration(1+place.Rank)*probeEvery
 	case Relays:
+		if place.Rank >= probing {
+			break
+		}
 		return age > t.MaxAge && now.Sub(t.probed) > relayProbe
 	}
 	return age > t.MaxAge+lateProbe+t.late && now.Sub(t.probed) > lateProbe+t.late
--- a/lib/feedlink/pack.go
+++ b/lib/feedlink/pack.go
@@ -91,6 +91,7 @@
 func (p *packer) message(table string, after feed.Position, page feed.Page, whole bool, contact time.Time) *meshpb.FeedTable {
 	m := &meshpb.FeedTable{
 		Table: table, Version: page.Version, Era: page.Era, Whole: whole, ContactAgeMs: uint32(time.Since(contact).Milliseconds()),
+		Part: page.Part,
 	}
 	if len(page.Rows) > 1 && sizeOf(page.Rows) >= packMin {
 		if b, err := p.rows(table, after, page, whole); err == nil {
@@ -137,6 +138,14 @@
 		}
 		return proto.Marshal(&rows)
 	}
+	if page.Part {
+		// Few need the same.
+		b, err := plain()
+		if err != nil {
+			return nil, err
+		}
+		return pack(b)
+	}
 	if whole {
 		return p.once(p.tables, table, page.At(), plain)
 	}
--- a/lib/feedlink/serve.go
+++ b/lib/feedlink/serve.go
@@ -18,7 +18,7 @@
 // server passes tables on to those who ask.
 type server struct {
 	track     *Track
-	replicas  map[string]*feed.Replica
+	tables    map[string]Table
 	packs     *packer
 	followers atomic.Int32 // subscriptions that are open
 }
@@ -38,42 +38,70 @@
 
 // Serve passes the tables of a Track on.
 func Serve(node *mesh.Node, t *Track) {
-	s := &server{track: t, replicas: make(map[string]*feed.Replica), packs: newPacker()}
+	s := &server{track: t, tables: make(map[string]Table), packs: newPacker()}
 	for _, table := range t.Tables {
-		s.replicas[table.Name] = table.Replica
+		s.tables[table.Name] = table
 	}
 	node.Handle(meshpb.StreamKind_STREAM_FEED, func(ctx context.Context, stream *mesh.Stream) {
 		var ask meshpb.FeedAsk
 		if err := stream.Read(&ask); err != nil {
 			return
 		}
+		if len(ask.Tables) == 0 {
+			s.refer(stream, ask.Domain)
+			return
+		}
+		go s.track.hearBelow(stream)
 		s.pass(ctx, stream, &ask)
 	})
 }
 
+// refer tells one that knows nobody whom it should have the tables from.
+func (s *server) refer(stream *mesh.Stream, domain string) {
+	page := &meshpb.FeedPage{Lost: s.track.Lost()}
+	if s.track.Refer != nil {
+		for _, p := range s.track.Refer(stream.Peer().Instance, domain) {
+			page.Readers = append(page.Readers, &meshpb.FeedReader{Instance: p.Instance, Addr: p.Addr})
+		}
+	}
+	_ = stream.Write(page) // whoever has gone asks again elsewhere
+}
+
 // passed is how far a subscriber has a table.
 type passed struct {
 	name    string
 	replica *feed.Replica
 	after   feed.Position
 	kept    bool // it was told what is kept in the era of after
+
+	part             bool // it asks for no more than it needs
+	parts            Parts
+	instance, domain string
+	needed           string // name of what it was told
+	told             string // digest
 }
 
 // pass sends pages until the stream breaks, which ends the subscription at its other end, too.
 func (s *server) pass(ctx context.Context, stream *mesh.Stream, ask *meshpb.FeedAsk) {
 	var tables []*passed
 	for _, a := range ask.Tables {
-		if r := s.replicas[a.Table]; r != nil {
-			tables = append(tables, &passed{name: a.Table, replica: r, after: feed.At(a.Era, a.After)})
+		if table, ok := s.tables[a.Table]; ok {
+			tables = append(tables, &passed{
+				name: a.Table, replica: table.Replica, after: feed.At(a.Era, a.After),
+				part: a.Part && table.Parts != nil, parts: table.Parts, instance: stream.Peer().Instance, domain: ask.Domain,
+			})
 		}
 	}
+	news := s.track.news.reader(stream.Peer().Instance)
 	s.followers.Add(1)
 	defer s.followers.Add(-1)
 	t := time.NewTicker(beat)
 	defer t.Stop()
 	for ctx.Err() == nil {
-		changed := anyChanged(tables)
-		if err := stream.Write(s.page(tables)); err != nil {
+		changed := append(anyChanged(tables), s.track.news.changed())
+		page := s.page(tables)
+		page.News = news.next(time.Now())
+		if err := stream.Write(page); err != nil {
 			return
 		}
 		sent := time.Now()
@@ -105,11 +133,13 @@
 func (s *server) page(tables []*passed) *meshpb.FeedPage {
 	out := &meshpb.FeedPage{Lost: s.track.Lost(), Path: s.track.pathNow()}
 	for _, t := range tables {
-		page, whole, contact, known := t.replica.Since(t.after)
-		if !known {
-			page.Version = 0
+		after := t.after
+		page, whole, known, contact := t.next()
+		if !known || t.hasPart() {
+			page = feed.Page{Era: page.Era} // it can't tell what it does not hold
 		}
-		m := s.packs.message(t.name, t.after, page, whole, contact)
+		m := s.packs.message(t.name, after, page, whole, contact)
+		m.Digest = t.digest()
 		if !t.kept || t.after.Era != page.Era {
 			m.Kept, t.kept = s.packs.keptRows(page.Era, t.replica.Kept(time.Now())), true
 		}
--- a/lib/feedlink/start.go
+++ b/lib/feedlink/start.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/mesh"
+	"anvilwick.example/anvilwick/lib/meshpb"
 )
 
 // Times of an instance that knows nothing yet.
@@ -26,6 +27,21 @@
 // learn takes the list of instances from one that this instance was told of. While the store is away it takes all tables
 // there: those that rank to read may know nothing either.
 func (t *Track) learn(ctx context.Context, reader mesh.Peer) {
+	referred, err := t.referred(ctx, reader)
+	if err != nil {
+		t.doubt(ctx, reader, err)
+		return
+	}
+	for _, p := range referred {
+		if s, err := t.open(ctx, p); err == nil {
+			t.better = s
+			return
+		}
+	}
+	if len(referred) > 0 {
+		t.doubt(ctx, reader, errUnknown) // those that it names may have just started, too
+		return
+	}
 	s, err := t.openList(ctx, reader)
 	if err != nil {
 		t.doubt(ctx, reader, err)
@@ -42,6 +58,47 @@
 	t.doubt(ctx, reader, errUnknown)
 }
 
+// referred asks an instance that this one was told of whom it should have the tables from. The list of a site's instances would be a
+// hundred times as large, and all ask that start at once.
+func (t *Track) referred(ctx context.Context, reader mesh.Peer) ([]mesh.Peer, error) {
+	open, cancel := context.WithTimeout(ctx, openFirst)
+	defer cancel()
+	stream, err := t.Node.Open(open, reader, meshpb.StreamKind_STREAM_FEED)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = stream.Close() }()
+	if err := stream.Write(&meshpb.FeedAsk{Domain: t.Domain}); err != nil {
+		return nil, err
+	}
+	var page meshpb.FeedPage
+	if err := stream.ReadWithin(openFirst, &page); err != nil {
+		return nil, err
+	}
+	var out []mesh.Peer
+	for _, r := range page.Readers {
+		if r.Instance != t.Self {
+			out = append(out, mesh.Peer{Instance: r.Instance, Addr: r.Addr})
+		}
+	}
+	return out, nil
+}
+
+// mayJoin reports whether to read the list of instances from the store: nobody answers that this instance was told of.
+func (t *Track) mayJoin() bool {
+	place := t.Place()
+	if !place.Guess || t.Join == nil {
+		return false
+	}
+	for _, p := range place.Readers {
+		if p.Addr != "" && !t.silent[p.Addr] {
+			return false
+		}
+	}
+	clear(t.silent)
+	return true
+}
+
 // early reports whether this instance, which knows nothing, leaves the store to others for now.
 func (t *Track) early(now time.Time) bool {
 	if t.known() {
--- a/lib/feedlink/subscription.go
+++ b/lib/feedlink/subscription.go
@@ -23,6 +23,7 @@
 	path   []string      // instances that its tables come through, as its last page says
 	age    time.Duration // of the store's word on the urgent tables, as its last page says
 	old    bool          // its last page is of an era before the one that this instance knows
+	part   bool          // no more than a part was asked for of some table
 	stop   func() bool
 }
 
@@ -56,10 +57,11 @@
 	}
 	s := &subscription{t: t, reader: reader, stream: stream, tables: tables}
 	s.stop = context.AfterFunc(ctx, func() { _ = stream.Close() })
-	ask := new(meshpb.FeedAsk)
+	ask := &meshpb.FeedAsk{Domain: t.Domain}
 	for _, table := range tables {
-		at := table.Replica.At()
-		ask.Tables = append(ask.Tables, &meshpb.FeedFrom{Table: table.Name, After: at.Version, Era: at.Era})
+		from := table.from()
+		s.part = s.part || from.Part
+		ask.Tables = append(ask.Tables, from)
 	}
 	if err := stream.Write(ask); err != nil {
 		s.close()
@@ -76,6 +78,16 @@
 	return s, nil
 }
 
+// from is from where on a table is asked for.
+func (t *Table) from() *meshpb.FeedFrom {
+	at := t.Replica.At()
+	from := &meshpb.FeedFrom{Table: t.Name, After: at.Version, Era: at.Era, Part: t.wantsPart()}
+	if from.Part || t.Replica.Part() {
+		from.After = 0 // what is needed differs with whoever is asked
+	}
+	return from
+}
+
 // first takes the first page that holds something. From a reader that has read nothing yet it is waited for a while: it comes
 // the moment that the reader has it, and opening a stream again and again would find it half a second later at each of the
 // hops from the store.
@@ -109,6 +121,7 @@
 		return err
 	}
 	s.lost, s.path = p.Lost, p.Path
+	s.t.takeNews(p.News, s.stream.Peer().Instance)
 	got := make(map[string]*meshpb.FeedTable, len(p.Tables))
 	for _, m := range p.Tables {
 		got[m.Table] = m
@@ -127,7 +140,7 @@
 			s.old = true
 			continue
 		}
-		if err := take(table.Replica, m); err != nil {
+		if err := table.take(m); err != nil {
 			return err
 		}
 		if table.Urgent {
@@ -137,13 +150,23 @@
 	return missing
 }
 
+// take takes in what a page says of the table.
+func (t *Table) take(m *meshpb.FeedTable) error {
+	if t.Parts != nil && len(m.Digest) > 0 {
+		if err := t.Parts.TakeDigest(m.Digest); err != nil {
+			return err
+		}
+	}
+	return take(t.Replica, m)
+}
+
 func take(into *feed.Replica, m *meshpb.FeedTable) error {
 	if len(m.Packed) > 0 {
 		if err := unpackRows(m); err != nil {
 			return err
 		}
 	}
-	page := feed.Page{Version: m.Version, Era: m.Era, Rows: make([]feed.Row, len(m.Rows))}
+	page := feed.Page{Version: m.Version, Era: m.Era, Part: m.Part, Rows: make([]feed.Row, len(m.Rows))}
 	for i, r := range m.Rows {
 		row, err := feedRow(r)
 		if err != nil {
--- a/lib/feedlink/track.go
+++ b/lib/feedlink/track.go
@@ -52,7 +52,8 @@
 	Source  feed.Source
 	Replica *feed.Replica
 	Options feed.Options
-	Urgent  bool // the age of its word matters, and it must be known to serve
+	Urgent  bool  // the age of its word matters, and it must be known to serve
+	Parts   Parts // of which an instance may hold some; nil: all hold the whole table
 }
 
 // Role is what an instance ranks for.
@@ -80,6 +81,7 @@
 // Config is what a Track works with.
 type Config struct {
 	Self   string // name of this instance
+	Domain string // its failure domain
 	Tables []Table
 	MaxAge time.Duration // age of the last contact with the store at which a reader is doubted
 	Node   *mesh.Node
@@ -88,6 +90,12 @@
 	Fail func(table string, err error)
 	// From is told of each change of the instance that the tables are had from; empty: the store itself.
 	From func(instance string)
+	// Refer returns whom another instance should have the tables from, the best first; empty: that is not known yet.
+	Refer func(instance, domain string) []mesh.Peer
+	// Join reads the list of instances from the store, once none of those answers that this instance was told of; nil: it does not.
+	Join func(context.Context)
+	// News is told what another instance tells all, once; nil: nobody is.
+	News func(body []byte)
 }
 
 // Track keeps the tables.
@@ -101,8 +109,10 @@
 	avoid  map[string]avoided // by address
 	late   time.Duration      // how much later than others of its role this instance looks for the store
 	cutOff avoided            // this instance itself, as a reader
+	silent map[string]bool    // addresses that did not answer while the list of instances was not known
 	better *subscription      // to go on with, from a reader that ranks higher
 	lost   atomic.Bool
+	news   *newsLog
 	path   atomic.Pointer[[]string] // instances that the tables come through, this one first
 	within bool                     // the store has just answered this instance, and not its reader
 
@@ -124,7 +134,10 @@
 
 // New returns a Track.
 func New(cfg Config) *Track {
-	t := &Track{Config: cfg, avoid: make(map[string]avoided), failed: make(map[string]bool), late: rand.N(lateProbe)}
+	t := &Track{
+		Config: cfg, avoid: make(map[string]avoided), silent: make(map[string]bool), failed: make(map[string]bool), late: rand.N(lateProbe),
+		news: newNewsLog(cfg.Self, uint64(time.Now().UnixNano())),
+	}
 	t.started = time.Now()
 	t.probed = t.started
 	for _, table := range cfg.Tables {
@@ -149,6 +162,8 @@
 		}
 		reader, self, pause := t.pick(time.Now())
 		switch {
+		case t.mayJoin():
+			t.Join(ctx)
 		case pause > 0:
 			sleep(ctx, pause)
 		case self:
@@ -181,6 +196,8 @@
 	now := time.Now()
 	if errors.Is(err, errUnknown) {
 		t.toldUnknown(now)
+	} else if t.Place().Guess {
+		t.silent[reader.Addr] = true
 	}
 	if errors.Is(err, errUnknown) || !t.known() {
 		// It has just started, as this instance may have, too.
--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -48,6 +48,7 @@
 	AwayCost float64         // score of another failure domain than Near; 0: the constant awayCost
 	Regions  []string        // regions that the request is bound to; nil: any
 	Granted  bool            // the target's owner has chosen it and counted the request there
+	Found    bool            // the target was found by an owner: it may be one that this instance does not list
 	asOwner  bool            // this instance chooses as the target's owner
 }
 
@@ -132,7 +133,7 @@
 
 func (f *Fleet) allowed(now time.Time, t *Target, n Need) bool {
 	switch {
-	case t.Service != n.Service, n.Without[t.ID], !f.takes(t):
+	case t.Service != n.Service, n.Without[t.ID], !f.takes(t), t.isGranted() && !n.Granted && !n.Found:
 		return false
 	case !n.asOwner && now.Before(t.restUntil):
 		return false
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -5,6 +5,7 @@
 package fleet
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -57,6 +58,7 @@
 	missing    time.Time // since when a list read after an outage has not had it; zero: it is listed
 	told       told      // what peers carry there
 	unreadable bool      // its entry names no target; until it has written another
+	grantedAt  time.Time // when an owner last named it; zero: it is one of those that this instance holds
 	coldUntil  time.Time // it is slow after its start until then
 	pacer      pacer
 	suspect    suspicion
@@ -91,6 +93,7 @@
 	share   float64         // this instance's part of a target's connections
 	sizes   func(target string) []Size
 
+	part      bool              // it knows a part of the list only
 	evacuated map[string]bool   // failure domains whose targets get nothing new
 	regions   map[string]string // of failure domains
 	senders   func(target string, n int) bool
@@ -139,6 +142,16 @@
 	return out
 }
 
+// Ready counts the targets of a service that take requests, evacuations aside, by failure domain.
+func (f *Fleet) Ready(service string) map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r := f.index.services[service]; r != nil {
+		return maps.Clone(r.ready)
+	}
+	return nil
+}
+
 // Info returns what the list says of a target.
 func (f *Fleet) Info(id string) (Info, bool) {
 	f.mu.Lock()
@@ -204,10 +217,11 @@
 	OutOfRegion int // outside the regions that the request is bound to
 
 	Soonest time.Duration // until the first of those that are limited or rest may take one
+	Part    bool          // others may be there that this instance does not know
 }
 
 // Blocked reports whether targets are there, and each of them leaves this instance nothing now.
-func (s *Standing) Blocked() bool { return s.Takes > 0 && s.Limited+s.Resting == s.Takes }
+func (s *Standing) Blocked() bool { return s.Takes > 0 && s.Limited+s.Resting == s.Takes && !s.Part }
 
 // block counts a target that takes requests, but none from this instance for some time.
 func (s *Standing) block(count *int, wait time.Duration) {
@@ -221,7 +235,7 @@
 func (f *Fleet) Stand(now time.Time, n Need) Standing {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out Standing
+	out := Standing{Part: f.part && f.specs[n.Service].KVTokens > 0}
 	for _, t := range f.index.of(n.Service) {
 		switch {
 		case t.state != Ready || t.unreadable:
--- a/lib/fleet/index.go
+++ b/lib/fleet/index.go
@@ -11,6 +11,7 @@
 	services map[string]*roster
 	missing  map[string]*Target // whose entries a list read after an outage has not had
 	worded   map[string]*Target // that have named a limit or want to rest
+	granted  map[string]*Target // that are held for what owners sent there
 	left     []leaver           // in the order in which they left
 }
 
@@ -38,7 +39,7 @@
 }
 
 func newIndex() index {
-	return index{services: make(map[string]*roster), missing: make(map[string]*Target), worded: make(map[string]*Target)}
+	return index{services: make(map[string]*roster), missing: make(map[string]*Target), worded: make(map[string]*Target), granted: make(map[string]*Target)}
 }
 
 // of returns a service's targets in the order of their ids: the same choice for the same state.
@@ -71,9 +72,11 @@
 
 // place brings the index up to date with a target.
 func (x *index) place(t *Target) {
-	ready := t.state == Ready && !t.unreadable
-	if s := t.seat; s.service != t.Service || s.domain != t.Domain || s.ready != ready {
-		x.reseat(t, ready)
+	if t.isGranted() {
+		x.granted[t.ID] = t
+	} else {
+		delete(x.granted, t.ID)
+		x.seat(t)
 	}
 	if t.missing.IsZero() {
 		delete(x.missing, t.ID)
@@ -86,6 +89,14 @@
 	}
 }
 
+// seat lists a target among those of its service.
+func (x *index) seat(t *Target) {
+	ready := t.state == Ready && !t.unreadable
+	if s := t.seat; s.service != t.Service || s.domain != t.Domain || s.ready != ready {
+		x.reseat(t, ready)
+	}
+}
+
 func (x *index) reseat(t *Target, ready bool) {
 	if t.seat.service != t.Service {
 		x.unlist(t)
@@ -125,6 +136,7 @@
 	if at := slices.Index(r.targets, t); at >= 0 {
 		r.targets = slices.Delete(r.targets, at, at+1)
 	}
+	t.seat.service = ""
 }
 
 // remove forgets a target.
@@ -132,6 +144,7 @@
 	x.unlist(t)
 	delete(x.missing, t.ID)
 	delete(x.worded, t.ID)
+	delete(x.granted, t.ID)
 }
 
 // leftSince calls visit for the targets that have left since a time, the last first, until that returns false.
--- a/lib/fleet/list.go
+++ b/lib/fleet/list.go
@@ -6,6 +6,7 @@
 type Change struct {
 	Added, Leaving, Gone []Info
 	Restarted            []Info // a new life under an id that was known: what ran on the one before is broken
+	Dropped              []Info // targets that this instance no longer needs to know, whatever becomes of them
 }
 
 // Apply takes in entries of the list and the ids whose entries were removed. silent is how long the list could not be
@@ -42,6 +43,10 @@
 		t.state, t.presumed = Ready, false // it lives, and was late to write
 		ch.Added = append(ch.Added, e)
 	}
+	if t.isGranted() {
+		t.grantedAt = time.Time{}
+		ch.Added = append(ch.Added, e)
+	}
 	t.Info = e
 	t.listed = true
 	f.startCold(now, t, e.ColdFor)
@@ -55,7 +60,7 @@
 
 // restart forgets what was learnt of the life before. What this instance had sent there is released as it breaks.
 func (t *Target) restart() {
-	*t = Target{Info: t.Info, state: Ready, own: t.own, seat: t.seat}
+	*t = Target{Info: t.Info, state: Ready, own: t.own, grantedAt: t.grantedAt, seat: t.seat}
 }
 
 // leave is final for one life of a target: a stale entry that says ready doesn't bring it back.
@@ -124,6 +129,7 @@
 			f.lapse(now, t, &ch)
 		}
 	}
+	f.forgetGranted(now)
 	f.index.leftBefore(now.Add(-goneAfter), func(t *Target) bool {
 		if t.listed || t.own.Runs > 0 {
 			return false
@@ -146,6 +152,13 @@
 	return ch
 }
 
+// Lacks reports whether entries of targets are missing that are believed for a grace: Tick is to be called often.
+func (f *Fleet) Lacks() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.index.missing) > 0
+}
+
 func (f *Fleet) forget(t *Target) {
 	delete(f.targets, t.ID)
 	f.index.remove(t)
--- a/lib/fleet/outcome.go
+++ b/lib/fleet/outcome.go
@@ -59,5 +59,10 @@
 			out = append(out, t.ID)
 		}
 	}
+	for _, t := range f.index.granted {
+		if t.Service == service && (now.Before(t.avoidUntil) || now.Before(t.restUntil)) {
+			out = append(out, t.ID)
+		}
+	}
 	return out
 }
--- a/lib/fleet/places.go
+++ b/lib/fleet/places.go
@@ -35,12 +35,21 @@
 	return barred
 }
 
+// Open reports whether requests that are bound to some regions may go to a failure domain; nil stands for all regions.
+func (f *Fleet) Open(domain string, regions []string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.evacuated[domain] && f.inRegions(domain, regions)
+}
+
 // within reports whether a target lies in one of some regions; nil stands for all. A failure domain whose region is not known
 // lies in none: a request that is bound to regions must not leave them on a guess.
-func (f *Fleet) within(t *Target, regions []string) bool {
+func (f *Fleet) within(t *Target, regions []string) bool { return f.inRegions(t.Domain, regions) }
+
+func (f *Fleet) inRegions(domain string, regions []string) bool {
 	if regions == nil {
 		return true
 	}
-	region, known := f.regions[t.Domain]
+	region, known := f.regions[domain]
 	return known && slices.Contains(regions, region)
 }
--- a/lib/gateway/backup.go
+++ b/lib/gateway/backup.go
@@ -64,7 +64,7 @@
 		return next{}, false
 	}
 	size := r.size()
-	need := fleet.Need{Service: at.Service, Tokens: size.Tokens, Regions: r.g.regions(r.c)}
+	need := fleet.Need{Service: at.Service, Tokens: size.Tokens, Regions: r.g.regions(r.c), Found: true}
 	to, ok := r.g.Fleet.AcquireAt(time.Now(), at.ID, need)
 	if !ok {
 		return next{}, false
--- a/lib/gateway/move.go
+++ b/lib/gateway/move.go
@@ -161,7 +161,7 @@
 	// The room is booked before the run's turn on the links, so that neither this instance nor its peers send new streams
 	// there meanwhile: a run that moves in goes before all that wait at an engine, and these would be late.
 	need := g.moveNeed(r, from, without)
-	need.Must = g.Owners == nil // an owner that has chosen the destination knows better what it holds
+	need.Must, need.Found = g.Owners == nil, true // an owner that has chosen the destination knows better what it holds
 	to, booked := g.bookAt(r, step.To, need)
 	if step.Start > 0 {
 		time.Sleep(min(step.Start, maxStart))
--- a/lib/gateway/news.go
+++ b/lib/gateway/news.go
@@ -44,16 +44,14 @@
 // sizesOn lists the sizes of this instance's runs and copies on an engine.
 func (g *Gateway) sizesOn(target string) []fleet.Size {
 	var out []fleet.Size
-	for at, runs := range g.runs.all() {
-		for _, r := range runs {
-			if at == target {
-				out = append(out, r.grows())
-			}
-			if n := r.holds(target); n > 0 {
-				out = append(out, fleet.Size{Now: n})
-			}
+	g.runs.each(func(at string, r *run) {
+		if at == target {
+			out = append(out, r.grows())
 		}
-	}
+		if n := r.holds(target); n > 0 {
+			out = append(out, fleet.Size{Now: n})
+		}
+	})
 	return out
 }
 
@@ -79,6 +77,17 @@
 	}
 }
 
+// each calls visit for each run and its target, which must not change the table.
+func (t *runTable) each(visit func(target string, r *run)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for target, runs := range t.runs {
+		for r := range runs {
+			visit(target, r)
+		}
+	}
+}
+
 // all returns the runs by target.
 func (t *runTable) all() map[string][]*run {
 	t.mu.Lock()
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -17,6 +17,9 @@
 	"anvilwick.example/anvilwick/lib/routes"
 )
 
+// linkKeepAlive is the period of the links' own pings.
+const linkKeepAlive = 5 * time.Second
+
 // Names of the tables towards peers.
 const (
 	settingsTable  = "settings"
@@ -36,31 +39,42 @@
 	keepInstances = 10 * time.Second
 )
 
+func (p *Process) newReplicas() {
+	p.feeds.settings = p.replica(settingsTable, p.applySettings).Keeping(feed.Keep{For: keepSettings, Count: p.site.CountSettings})
+	p.feeds.targets = p.replica(targetsTable, p.applyTargets).Keeping(feed.Keep{For: fleet.OutageGrace, Count: p.site.CountTarget})
+	p.feeds.instances = p.replica(instancesTable, p.applyInstances).Keeping(feed.Keep{For: keepInstances})
+}
+
 // openLinks listens for peers and passes the replicas on to them.
 func (p *Process) openLinks() error {
 	node, err := mesh.New(mesh.Options{
 		Self: mesh.Identity{Instance: p.cfg.Instance, Incarnation: p.born},
 		// The platform's network is the instances' own, and it hands out no certificates.
 		Plain: true,
+		// What goes over a link that matters has beats of its own.
+		KeepAlive: linkKeepAlive,
+		Dial:      p.cfg.Network.Dial,
 	})
 	if err != nil {
 		return fmt.Errorf("gatewayproc: links: %w", err)
 	}
 	p.node = node
-	p.feeds.settings = p.replica(settingsTable, p.applySettings).Keeping(feed.Keep{For: keepSettings, Count: p.site.CountSettings})
-	p.feeds.targets = p.replica(targetsTable, p.applyTargets).Keeping(feed.Keep{For: fleet.OutageGrace, Count: p.site.CountTarget})
-	p.feeds.instances = p.replica(instancesTable, p.applyInstances).Keeping(feed.Keep{For: keepInstances})
 	p.track = feedlink.New(feedlink.Config{
-		Self: p.cfg.Instance,
+		Self: p.cfg.Instance, Domain: p.cfg.Domain,
 		Tables: []feedlink.Table{
 			{Name: settingsTable, Source: p.site.Settings, Replica: p.feeds.settings, Options: feed.DefaultOptions, Urgent: true},
-			{Name: targetsTable, Source: p.site.Targets, Replica: p.feeds.targets, Options: feed.DefaultOptions, Urgent: true},
+			{Name: targetsTable, Source: p.site.Targets, Replica: p.feeds.targets, Options: feed.DefaultOptions, Urgent: true, Parts: p},
 			{Name: instancesTable, Source: p.site.Instances, Replica: p.feeds.instances, Options: instanceOptions},
 		},
 		MaxAge: maxAge, Node: node, Place: p.place, Fail: p.feedFailed(), From: p.feedFrom,
+		Refer: p.refer, Join: p.join, News: p.link.TakeSpread,
 	})
 	feedlink.Serve(node, p.track)
-	ln, err := net.Listen("tcp", cmp.Or(p.cfg.LinkBind, p.cfg.Link))
+	listen := p.cfg.Network.Listen
+	if listen == nil {
+		listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+	}
+	ln, err := listen(cmp.Or(p.cfg.LinkBind, p.cfg.Link))
 	if err != nil {
 		return fmt.Errorf("gatewayproc: links: %w", err)
 	}
@@ -81,10 +95,7 @@
 
 // follow starts the feeds and the housekeeping.
 func (p *Process) follow(ctx context.Context) {
-	p.start(func() {
-		p.join(ctx)
-		p.track.Run(ctx)
-	})
+	p.start(func() { p.track.Run(ctx) })
 	p.start(func() { p.beListed(ctx) })
 	p.start(func() { p.link.Run(ctx) })
 	p.start(func() { p.tellBlames(ctx) })
@@ -92,10 +103,10 @@
 	p.start(func() { p.watchEngines(ctx) })
 }
 
-// joinTimeout bounds the first read of the list of instances. Without it, those are asked for it that this instance was told of.
+// joinTimeout bounds the read of the list of instances at the start.
 const joinTimeout = 300 * time.Millisecond
 
-// join reads which instances there are, so that the rest comes from the one that reads for this failure domain.
+// join reads which instances there are, so that the rest comes from those that relay in this failure domain.
 func (p *Process) join(ctx context.Context) {
 	try, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
@@ -141,6 +152,9 @@
 }
 
 func (p *Process) applyTargets(u feed.Update) {
+	if u.Whole || u.Read {
+		p.holdsPart(u.Part)
+	}
 	var entries []fleet.Info
 	var removed, lapsed, unreadable []string
 	for _, row := range u.Rows {
@@ -168,6 +182,7 @@
 	now := time.Now()
 	p.changed(p.fleet.Lapse(now, lapsed))
 	p.changed(p.fleet.Apply(now, entries, removed, u.Silent))
+	p.changed(p.fleet.Drop(now, u.Dropped))
 	p.mu.Lock()
 	p.listed = true
 	p.mu.Unlock()
@@ -181,6 +196,7 @@
 	for _, t := range ch.Restarted {
 		p.gate.Restarted(t)
 	}
+	p.link.TellRestarted(ch.Restarted)
 	p.divide(ch)
 	if len(ch.Leaving) > 0 {
 		p.link.Leaving(ch.Leaving)
@@ -199,6 +215,11 @@
 		case now := <-t.C:
 			p.changed(p.fleet.Tick(now))
 			p.site.Pool.Sweep(now)
+			if p.fleet.Lacks() {
+				t.Reset(tickEvery)
+			} else {
+				t.Reset(tickIdle)
+			}
 		}
 	}
 }
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -38,9 +38,10 @@
 	p.share.SetInstances(n)
 	p.fleet.SetShare(1 / float64(n))
 	log.Info().Str("event", "instances").Int("n", n).Msg("")
-	place := placeOf(p.self(), p.listedInstances(), p.cfg.Seeds)
+	list := p.listedInstances()
+	place := placeOf(p.self(), list, p.cfg.Seeds)
 	p.placed.Store(&place)
-	p.rankInstances()
+	p.rankInstances(list)
 }
 
 // listedInstances lists the instances. This one is among them only while its row says where it is: others would ask it
@@ -59,8 +60,7 @@
 }
 
 // rankInstances works out anew what each instance ranks for.
-func (p *Process) rankInstances() {
-	instances := p.listedInstances()
+func (p *Process) rankInstances(instances []owner.Instance) {
 	if len(instances) == 0 {
 		instances = append(instances, p.self())
 	}
@@ -72,15 +72,27 @@
 
 // openOwners listens for what other instances tell and ask.
 func (p *Process) openOwners() error {
+	var conn ownerlink.PacketConn
+	if listen := p.cfg.Network.Packet; listen != nil {
+		var err error
+		if conn, err = listen(p.cfg.Peer); err != nil {
+			return err
+		}
+	}
 	link, err := ownerlink.New(ownerlink.Config{
-		Self: p.self(), Incarnation: p.born, Fleet: p.fleet,
+		Self: p.self(), Incarnation: p.born, Fleet: p.fleet, Conn: conn,
 		Desk: owner.NewDesk(p.cfg.Instance, p.fleet, p.gate.Readings(), time.Now()),
 		Gather: func(shardOf func(string) *owner.Shard) map[string]owner.Report {
 			return owner.ByShard(shardOf, p.gate.Runs(), p.gate.Held())
 		},
-		Moves:  p.gate.MoveLink,
-		Left:   p.left,
-		Blames: p.gate.TakeBlames,
+		Moves: p.gate.MoveLink,
+		Left:  p.left,
+
+		Restarted: func(id string, born int64) { p.changed(p.fleet.Restart(time.Now(), id, born)) },
+		Granted:   func(t fleet.Info) { p.changed(p.fleet.Grant(time.Now(), t)) },
+		Part:      p.feeds.targets.Part,
+		Spread:    func(b []byte) { p.track.Tell(b) },
+		Blames:    p.gate.TakeBlames,
 		Suspected: func(target string, permille uint32) {
 			log.Warn().Str("event", "target_suspected").Str("target", target).Uint32("failing_permille", permille).Msg("")
 		},
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -50,12 +50,21 @@
 
 	Grace time.Duration // from SIGTERM to the kill
 
+	Network Network // by which other instances are reached
+
 	// All instances together may repeat RepeatRatio of a service's requests and RepeatFloor more in each RepeatWindow.
 	RepeatRatio  float64
 	RepeatFloor  float64
 	RepeatWindow time.Duration
 }
 
+// Network is what an instance reaches others by. What is nil is the machine's own.
+type Network struct {
+	Listen func(addr string) (net.Listener, error)
+	Dial   func(ctx context.Context, addr string) (net.Conn, error)
+	Packet func(addr string) (ownerlink.PacketConn, error)
+}
+
 // Site is where the instance runs: what is spoken there.
 type Site struct {
 	Names   gateway.Names
@@ -92,8 +101,9 @@
 	defaultHeader = 5 * time.Second
 	// maxHeader is net/http's bound on a request's head, in bytes.
 	maxHeader = 64 << 10
-	// tickEvery is the period of housekeeping.
+	// tickEvery is the period of housekeeping while entries of targets are missing; tickIdle otherwise.
 	tickEvery = 200 * time.Millisecond
+	tickIdle  = time.Second
 	// outOfRotation is how long after SIGTERM the balancer may still send new connections: it asks once a second and
 	// takes an instance out after two misses.
 	outOfRotation = 2500 * time.Millisecond
@@ -125,6 +135,8 @@
 	era        atomic.Int64              // of the store's history that the settings were last read in
 	listFailed atomic.Pointer[time.Time] // when a call for the list of targets last failed
 	placed     atomic.Pointer[feedlink.Place]
+	passedOn   atomic.Pointer[time.Time] // when this instance last read or relayed
+	divided    atomic.Bool               // most instances hold a part of the targets
 
 	mu        sync.Mutex
 	instances map[string]owner.Instance // as listed
@@ -133,15 +145,15 @@
 	stopped   bool
 }
 
-// Run serves until ctx is done, then stops gracefully.
-func Run(ctx context.Context, cfg Config, site Site) error {
+// newProcess returns an instance that listens for others and does nothing yet.
+func newProcess(cfg Config, site Site) (*Process, error) {
 	p := &Process{
 		cfg: cfg, site: site, fleet: fleet.New(cfg.Domain),
 		instances: make(map[string]owner.Instance), born: uint64(time.Now().UnixNano()),
 	}
-	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
 	p.fleet.SetRegions(cfg.Regions)
 	p.fleet.SetSenders(p.maySendAlone)
+	p.newReplicas()
 	p.share = retry.NewShare(cfg.RepeatRatio, cfg.RepeatFloor, cfg.RepeatWindow)
 	p.gate = gateway.New(gateway.Config{
 		Names: site.Names, Engines: site.Engines, Fleet: p.fleet, Pool: site.Pool, Budget: p.share,
@@ -149,9 +161,20 @@
 	})
 	site.HearEngines(p.gate.ReadNotices)
 	if err := p.openOwners(); err != nil {
-		return fmt.Errorf("gatewayproc: peers: %w", err)
+		return nil, fmt.Errorf("gatewayproc: peers: %w", err)
 	}
 	if err := p.openLinks(); err != nil {
+		return nil, err
+	}
+	p.rankInstances(nil)
+	return p, nil
+}
+
+// Run serves until ctx is done, then stops gracefully.
+func Run(ctx context.Context, cfg Config, site Site) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
+	p, err := newProcess(cfg, site)
+	if err != nil {
 		return err
 	}
 	defer p.node.Close()
@@ -159,7 +182,6 @@
 	work, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	defer cancel()
-	p.rankInstances()
 	// Callers come as soon as this instance says that it is ready, so it listens for them first.
 	ln, err := net.Listen("tcp", cfg.Front)
 	if err != nil {
--- a/lib/gatewayproc/readers.go
+++ b/lib/gatewayproc/readers.go
@@ -10,8 +10,13 @@
 	"anvilwick.example/anvilwick/lib/rendezvous"
 )
 
-// readersMax is how many instances rank to read the store for all, and how many to relay in each failure domain.
-const readersMax = 3
+const (
+	// readersMax is how many instances rank to read the store for all, and how many at least to relay in each failure domain.
+	readersMax = 3
+	// followersMost is about how many instances follow one that relays. A domain with more has more that relay, which have the tables
+	// from the first.
+	followersMost = 24
+)
 
 // siteKey ranks the instances that read for all.
 const siteKey = "site"
@@ -25,6 +30,17 @@
 	return placeBySeeds(p.cfg.Link, p.cfg.Seeds)
 }
 
+// refer returns whom another instance should have the tables from, by the list of instances; nil while there is none.
+func (p *Process) refer(instance, domain string) []mesh.Peer {
+	list := p.listedInstances()
+	if len(list) == 0 {
+		return nil
+	}
+	c := owner.NewCandidates(list)
+	relays := preferred(instance, relaysIn(c, domain), serving(c.Count(domain)))
+	return peers("", relays, c.First("", rendezvous.Hash(siteKey), readersMax))
+}
+
 // placeBySeeds is the place of an instance that knows of no other than its seeds: seeds read the store, the others wait for
 // them, each for another one first. Otherwise hundreds that start while the store is away would each ask it several times a
 // second.
@@ -74,68 +90,61 @@
 // placeAmong works out an instance's place. The first in rank reads for all, the first of each failure domain has it from
 // that one and relays it, so that little goes between domains.
 func placeAmong(self string, domain string, list []owner.Instance) feedlink.Place {
-	readers := ranked(siteKey, list)
-	relays := ranked(domain, inDomain(domain, list))
+	c := owner.NewCandidates(list)
+	readers := c.First("", rendezvous.Hash(siteKey), readersMax)
+	relays := relaysIn(c, domain)
 	if i := indexOf(readers, self); i >= 0 {
-		at := feedlink.Place{Role: feedlink.Reads, Rank: i, Readers: peers(self, readers, relays)}
-		at.Others = relaysElsewhere(domain, list)
+		at := feedlink.Place{Role: feedlink.Reads, Rank: i, Readers: peers(self, readers, relays[:min(readersMax, len(relays))])}
+		at.Others = relaysElsewhere(c, domain)
 		return at
 	}
 	if i := indexOf(relays, self); i >= 0 {
-		at := feedlink.Place{Role: feedlink.Relays, Rank: i, Readers: peers(self, relays[:i], readers, relays[i:])}
-		at.Others = relaysElsewhere(domain, list)
+		at := feedlink.Place{Role: feedlink.Relays, Rank: i, Readers: peers(self, relays[:min(i, before)], readers, relays[i:min(i+1, len(relays))])}
+		at.Others = relaysElsewhere(c, domain)
 		return at
 	}
-	return feedlink.Place{Role: feedlink.Follows, Readers: append(peers(self, relays, readers), mesh.Peer{})}
+	return feedlink.Place{Role: feedlink.Follows, Readers: append(peers(self, preferred(self, relays, serving(c.Count(domain))), readers), mesh.Peer{})}
 }
 
-func inDomain(domain string, list []owner.Instance) []owner.Instance {
-	var out []owner.Instance
-	for _, in := range list {
-		if in.Domain == domain {
-			out = append(out, in)
-		}
+// before is how many of those that relay and rank before another are asked by it.
+const before = 2
+
+// relaysIn are the instances that relay in a failure domain, by rank: as many as it takes for its followers, and some that stand by.
+func relaysIn(c *owner.Candidates, domain string) []owner.Instance {
+	return c.First(domain, rendezvous.Hash(domain), max(readersMax, serving(c.Count(domain))))
+}
+
+// serving is how many instances relay to so many in a failure domain: one, while those that stand by for it would do for all.
+func serving(instances int) int {
+	n := (instances + followersMost - 1) / followersMost
+	if n <= readersMax {
+		return 1
 	}
-	return out
+	return n
+}
+
+// preferred are the instances that a follower has the tables from: those that serve, by its own rank of them, then those that stand by.
+func preferred(self string, relays []owner.Instance, serve int) []owner.Instance {
+	own := rendezvous.Hash(self)
+	rank := func(in owner.Instance) uint64 { return rendezvous.Rank(own, rendezvous.Hash(in.Name)) }
+	out := slices.Clone(relays)
+	slices.SortFunc(out[:min(serve, len(out))], func(a, b owner.Instance) int { return cmp.Compare(rank(b), rank(a)) })
+	return out[:min(readersMax, len(out))]
 }
 
 // othersMax bounds the failure domains whose relays are asked when nobody near has the store's word.
 const othersMax = 8
 
-// relaysElsewhere are the instances that rank to relay in other failure domains.
-func relaysElsewhere(domain string, list []owner.Instance) []mesh.Peer {
-	var domains []string
-	for _, in := range list {
-		if in.Domain != domain && !slices.Contains(domains, in.Domain) {
-			domains = append(domains, in.Domain)
-		}
-	}
-	slices.Sort(domains)
+// relaysElsewhere are the first instances that rank to relay in other failure domains.
+func relaysElsewhere(c *owner.Candidates, domain string) []mesh.Peer {
+	domains := slices.DeleteFunc(c.Domains(), func(d string) bool { return d == domain })
 	var out []mesh.Peer
 	for _, d := range domains[:min(othersMax, len(domains))] {
-		out = append(out, peers("", ranked(d, inDomain(d, list)))...)
+		out = append(out, peers("", c.First(d, rendezvous.Hash(d), readersMax))...)
 	}
 	return out
 }
 
-// ranked returns the first instances for a key: those with half of the largest capacity or more, since a reader sends each
-// change to many others and a link of a twentieth would take seconds for a large one, then by rendezvous.
-func ranked(key string, list []owner.Instance) []owner.Instance {
-	most := uint32(0)
-	for _, in := range list {
-		most = max(most, in.Capacity)
-	}
-	h := rendezvous.Hash(key)
-	list = slices.Clone(list)
-	slices.SortFunc(list, func(a, b owner.Instance) int {
-		return cmp.Or(
-			owner.Before(a.Capacity >= most/2, b.Capacity >= most/2),
-			cmp.Compare(rendezvous.Rank(h, rendezvous.Hash(b.Name)), rendezvous.Rank(h, rendezvous.Hash(a.Name))),
-		)
-	})
-	return list[:min(readersMax, len(list))]
-}
-
 func indexOf(list []owner.Instance, name string) int {
 	return slices.IndexFunc(list, func(in owner.Instance) bool { return in.Name == name })
 }
--- a/lib/gatewayproc/shards.go
+++ b/lib/gatewayproc/shards.go
@@ -41,6 +41,16 @@
 	s.link.SetLayout(s.partition.SetServices(engines, plain, ready()))
 }
 
+// setDivision takes in how one divides the engines that knows all of them; nil: this instance does.
+func (s *shards) setDivision(told owner.Division) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.link.SetLayout(s.partition.SetDivision(told))
+}
+
+// layout returns the layout in force.
+func (s *shards) layout() *owner.Layout { return s.partition.Layout() }
+
 // update takes in engines that have come and gone.
 func (s *shards) update(added, removed []fleet.Info) {
 	s.mu.Lock()
@@ -63,7 +73,7 @@
 
 // divide takes in what has changed in the list of targets.
 func (p *Process) divide(ch fleet.Change) {
-	if len(ch.Added)+len(ch.Restarted)+len(ch.Leaving) > 0 {
-		p.shards.update(slices.Concat(ch.Added, ch.Restarted), ch.Leaving)
+	if len(ch.Added)+len(ch.Restarted)+len(ch.Leaving)+len(ch.Dropped) > 0 {
+		p.shards.update(slices.Concat(ch.Added, ch.Restarted), slices.Concat(ch.Leaving, ch.Dropped))
 	}
 }
--- a/lib/gatewayproc/watch.go
+++ b/lib/gatewayproc/watch.go
@@ -14,6 +14,8 @@
 	// watchEvery is the period of asking engines while the list of targets is out of reach: an engine leaves within two
 	// seconds of its notice, and a move takes a good part of them.
 	watchEvery = 300 * time.Millisecond
+	// watchIdle is how often an instance that owns no engines looks whether it does now.
+	watchIdle = time.Second
 	// listSilent is the age of the list from which engines are asked, when no call for it has failed yet: over the time of
 	// one long poll and a page passed on.
 	listSilent = 1100 * time.Millisecond
@@ -35,12 +37,18 @@
 			return
 		case <-t.C:
 		}
+		owned := p.link.Owned()
+		if len(owned) == 0 {
+			t.Reset(watchIdle)
+			continue
+		}
+		t.Reset(watchEvery)
 		if !p.listAway() {
 			clear(asked)
 			continue
 		}
 		now := time.Now()
-		for _, id := range p.link.Owned() {
+		for _, id := range owned {
 			if e, known := p.fleet.Info(id); known && !p.fleet.IsLeaving(id) && p.mayAsk(now, id, asked) {
 				go p.ask(ctx, e)
 			}
--- a/lib/owner/book.go
+++ b/lib/owner/book.go
@@ -38,6 +38,8 @@
 	Backup int    // tokens of a copy that is wanted elsewhere; 0: none
 	Hops   int    // how often it was passed on
 	Print  uint64 // names what is asked, the same when its caller comes back; 0: not known
+
+	Describe bool // the asker holds a part of the list of targets
 }
 
 // Answer is to an Ask.
@@ -50,6 +52,9 @@
 	Serial uint64 // of the grant
 	Backup string // engine for the copy; empty: none has room
 	Belief fleet.Belief
+
+	Describe               bool       // as in the ask
+	TargetInfo, BackupInfo fleet.Info // as the list has them, where the ask wants that
 }
 
 const (
@@ -208,7 +213,7 @@
 
 // settle makes a decision the answer to an ask, and counts what it gives away.
 func (b *Book) settle(now time.Time, s *Shard, a *Ask, d admit.Decision) Answer {
-	out := Answer{Key: a.Key, Addr: a.Addr, Action: d.Action, Target: d.Target.ID, After: d.After}
+	out := Answer{Key: a.Key, Addr: a.Addr, Describe: a.Describe, Action: d.Action, Target: d.Target.ID, After: d.After}
 	switch d.Action {
 	case admit.Go:
 		b.grant(now, s, a, &out)
@@ -294,15 +299,21 @@
 	return slices.CompactFunc(out, func(a, b moveplan.Run) bool { return a.ID == b.ID })
 }
 
-// Users returns where instances are told that have runs on some engines of a shard, this one left out.
+// Users returns where instances are told that have runs or copies on some engines of a shard, this one left out.
 func (b *Book) Users(shard string, engines map[string]bool) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []string
 	for _, h := range b.holders[shard] {
-		if !h.own && slices.ContainsFunc(h.runs, func(r Run) bool { return engines[r.Target] }) {
+		if !h.own && h.uses(engines) {
 			out = append(out, h.addr)
 		}
 	}
 	return out
 }
+
+// uses reports whether the instance has runs or copies on some engines.
+func (h *holder) uses(engines map[string]bool) bool {
+	return slices.ContainsFunc(h.runs, func(r Run) bool { return engines[r.Target] }) ||
+		slices.ContainsFunc(h.held, func(m Held) bool { return engines[m.Target] })
+}
--- a/lib/owner/candidates.go
+++ b/lib/owner/candidates.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"anvilwick.example/anvilwick/lib/rendezvous"
@@ -59,16 +60,39 @@
 	if near == nil {
 		near = new(tiers)
 	}
-	out := c.best(nil, near.strong, key)
-	out = c.best(out, near.weak, key)
+	out := c.First(domain, key, candidates)
 	if domain != "" && len(out) < candidates {
 		far := c.beyond(domain, near.most)
-		out = c.best(out, far.strong, key)
-		out = c.best(out, far.weak, key)
+		out = c.best(out, candidates, far.strong, key)
+		out = c.best(out, candidates, far.weak, key)
 	}
 	return out
 }
 
+// First returns the first n instances of a failure domain for a key, of all by the empty name: those with half of the largest capacity
+// there or more, then by rendezvous.
+func (c *Candidates) First(domain string, key uint64, n int) []Instance {
+	near := c.domains[domain]
+	if near == nil {
+		return nil
+	}
+	return c.best(c.best(nil, n, near.strong, key), n, near.weak, key)
+}
+
+// Count returns how many instances are in a failure domain.
+func (c *Candidates) Count(domain string) int {
+	if t := c.domains[domain]; t != nil {
+		return len(t.strong) + len(t.weak)
+	}
+	return 0
+}
+
+// Domains returns the failure domains that have instances, sorted.
+func (c *Candidates) Domains() []string {
+	out := slices.Sorted(maps.Keys(c.domains))
+	return slices.DeleteFunc(out, func(d string) bool { return d == "" })
+}
+
 // beyond are the instances of other domains, against the largest capacity of one.
 func (c *Candidates) beyond(domain string, most uint32) *tiers {
 	far := &tiers{most: most}
@@ -80,12 +104,12 @@
 	return far
 }
 
-// best appends the first in rank of some instances until there are enough candidates.
-func (c *Candidates) best(out []Instance, among []int, key uint64) []Instance {
+// best appends the first in rank of some instances until there are n.
+func (c *Candidates) best(out []Instance, n int, among []int, key uint64) []Instance {
 	better := func(a, b int) int {
 		return cmp.Compare(rendezvous.Rank(key, c.hashes[among[b]]), rendezvous.Rank(key, c.hashes[among[a]]))
 	}
-	for _, i := range first(len(among), candidates-len(out), better) {
+	for _, i := range first(len(among), n-len(out), better) {
 		out = append(out, c.instances[among[i]])
 	}
 	return out
--- a/lib/owner/desk.go
+++ b/lib/owner/desk.go
@@ -57,7 +57,7 @@
 
 // Take takes an ask for a shard.
 func (d *Desk) Take(now time.Time, s *Shard, a Ask) Reply {
-	if p, ok := d.wentTo(&a); ok {
+	if p, ok := d.wentTo(now, &a); ok {
 		return passTo(a, p.shard, p.to)
 	}
 	if !d.Knows(a.Key) && a.Hops < maxHops {
@@ -137,12 +137,12 @@
 }
 
 // wentTo tells where an ask was passed on that has come again. One that has come back from there, after more hops, stays: two
-// owners would else pass it to and fro.
-func (d *Desk) wentTo(a *Ask) (passedOn, bool) {
+// owners would else pass it to and fro. Where it went to an owner that has fallen silent since, it is decided anew.
+func (d *Desk) wentTo(now time.Time, a *Ask) (passedOn, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p, ok := d.passed[a.Key]
-	if ok && a.Hops > p.hops {
+	if ok && (a.Hops > p.hops || d.Silent(now, p.to.Name)) {
 		delete(d.passed, a.Key)
 		return passedOn{}, false
 	}
--- a/lib/owner/desk_test.go
+++ b/lib/owner/desk_test.go
@@ -82,3 +82,21 @@
 	must.SliceEmpty(t, a.PassWaiting(t0))
 	must.SliceEmpty(t, b.PassWaiting(t0))
 }
+
+// An ask was passed on to the owner, which dies. When it comes again, the next in rank decides it: sent to the same one for as long as it is
+// remembered, it would go unanswered at every candidate, and its instance would decide alone.
+func TestAskThatWentToADeadOwnerIsDecided(t *testing.T) {
+	es := []fleet.Info{{ID: "e", Service: "s", Domain: "z"}}
+	s := &Shard{Key: "s", Service: "s", members: newMembers([]string{"e"}), Ranked: []Instance{{Name: "first"}, {Name: "second"}}}
+	f := fleet.New("z")
+	f.SetSpecs(map[string]fleet.Spec{"s": {KVTokens: kv}})
+	f.Apply(t0, es, nil, 0)
+	second := NewDesk("second", f, new(admit.Readings), t0)
+	second.TakeBeat(t0, Beat{Instance: "first"})
+	now := t0.Add(beatLife / 2)
+	must.Eq(t, "first", second.Take(now, s, ask("i", 1, 3000)).To.Name)
+	now = t0.Add(beatLife)
+	again := second.Take(now, s, ask("i", 1, 3000))
+	must.False(t, again.PassOn)
+	must.Eq(t, "e", again.Answer.Target)
+}
--- a/lib/owner/layout.go
+++ b/lib/owner/layout.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 
 	"slices"
 	"sync"
@@ -131,6 +132,17 @@
 	return best
 }
 
+// Services returns the services with shards, sorted.
+func (l *Layout) Services() []string { return slices.Sorted(maps.Keys(l.services)) }
+
+// Domains returns the failure domains in which a service has shards, sorted; an empty one, if one shard is for all.
+func (l *Layout) Domains(service string) []string {
+	if d := l.services[service]; d != nil {
+		return slices.Sorted(maps.Keys(d.domains))
+	}
+	return nil
+}
+
 // RankedBy returns the shards that an instance ranks to own, in the order of their keys.
 func (l *Layout) RankedBy(instance string) []*Shard {
 	l.mu.Lock()
@@ -149,24 +161,31 @@
 }
 
 // nearest returns the other shards of a service that a shard looks to when it is full: all of a small service, and of a
-// large one the same few from each side as far as ranks allow.
+// large one the same few from each side as far as ranks allow. At most half of these are of its own failure domain, which may be full,
+// evacuated or lost as a whole.
 func nearest(s *Shard, list []*Shard) []*Shard {
-	var others []*Shard
+	var same, others []*Shard
 	for _, o := range list {
-		if o != s {
+		switch {
+		case o == s:
+		case o.Domain == s.Domain:
+			same = append(same, o)
+		default:
 			others = append(others, o)
 		}
 	}
+	far := min(len(others), max(neighbours/2, neighbours-len(same)))
+	return append(s.best(same, neighbours-far), s.best(others, far)...)
+}
+
+// best returns the first n in rank of some shards.
+func (s *Shard) best(among []*Shard, n int) []*Shard {
 	better := func(a, b int) int {
-		x, y := others[a], others[b]
-		return cmp.Or(
-			Before(x.Domain == s.Domain, y.Domain == s.Domain),
-			cmp.Compare(rendezvous.Rank(s.hash, y.hash), rendezvous.Rank(s.hash, x.hash)),
-		)
+		return cmp.Compare(rendezvous.Rank(s.hash, among[b].hash), rendezvous.Rank(s.hash, among[a].hash))
 	}
 	out := make([]*Shard, 0, neighbours)
-	for _, i := range first(len(others), neighbours, better) {
-		out = append(out, others[i])
+	for _, i := range first(len(among), n, better) {
+		out = append(out, among[i])
 	}
 	return out
 }
--- a/lib/owner/partition.go
+++ b/lib/owner/partition.go
@@ -29,9 +29,13 @@
 	cands    *Candidates
 	services map[string]*parts // of engines, by service
 	plain    []string          // services without engines
+	told     Division          // by one that knows all engines; nil: this instance does
 	layout   *Layout
 }
 
+// Division is the number of shards of each service and failure domain; of the empty domain, if one shard is for all.
+type Division map[string]map[string]int
+
 // parts are a service's engines as they are divided.
 type parts struct {
 	domainOf map[string]string     // by engine
@@ -70,12 +74,43 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cands = NewCandidates(instances)
-	for _, s := range p.services {
-		p.divide(s)
+	for service, s := range p.services {
+		p.divide(service, s)
 	}
 	return p.rank()
 }
 
+// SetDivision takes in how one divides the engines that knows all of them, while this instance holds a part; nil: it holds all itself. It
+// returns the layout that is in force then.
+func (p *Partition) SetDivision(told Division) *Layout {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if told == nil && p.told == nil {
+		return p.layout
+	}
+	p.told = told
+	changed := false
+	for service, s := range p.services {
+		changed = p.divide(service, s) || changed
+	}
+	if changed {
+		p.rank()
+	}
+	return p.layout
+}
+
+// Division returns the number of shards of each service and failure domain.
+func (l *Layout) Division() Division {
+	out := make(Division, len(l.services))
+	for service, d := range l.services {
+		out[service] = make(map[string]int, len(d.domains))
+		for domain, list := range d.domains {
+			out[service][domain] = len(list)
+		}
+	}
+	return out
+}
+
 // SetServices replaces the services with engines, those without, and all engines that take requests. It returns the layout that is in
 // force then.
 func (p *Partition) SetServices(engines, plain []string, ready []fleet.Info) *Layout {
@@ -94,8 +129,8 @@
 			s.counts[e.Domain]++
 		}
 	}
-	for _, s := range p.services {
-		p.redivide(s)
+	for service, s := range p.services {
+		p.redivide(service, s)
 	}
 	return p.rank()
 }
@@ -122,7 +157,7 @@
 	}
 	changed := false
 	for service, s := range p.services {
-		changed = p.divide(s) || changed || (len(s.domainOf) > 0) != (p.layout.services[service] != nil)
+		changed = p.divide(service, s) || changed || p.empty(service, s) == (p.layout.services[service] != nil)
 	}
 	if changed {
 		p.rank()
@@ -168,9 +203,12 @@
 
 // divide makes one shard on a small site, else shards that each lie in one failure domain: copies of runs take twice as
 // long between domains, and what a domain loses is then one owner's business. It reports whether that changes the shards.
-func (p *Partition) divide(s *parts) bool {
+func (p *Partition) divide(service string, s *parts) bool {
+	if told := p.told[service]; told != nil {
+		return s.divideAs(told)
+	}
 	if p.pools(s) != s.pooled || s.pooled && len(s.split[""]) == 0 {
-		p.redivide(s)
+		p.redivide(service, s)
 		return true
 	}
 	if s.pooled {
@@ -197,7 +235,11 @@
 }
 
 // redivide divides all engines of a service anew.
-func (p *Partition) redivide(s *parts) {
+func (p *Partition) redivide(service string, s *parts) {
+	if told := p.told[service]; told != nil {
+		s.divideAs(told)
+		return
+	}
 	s.pooled = p.pools(s)
 	clear(s.split)
 	if s.pooled {
@@ -209,11 +251,35 @@
 	}
 }
 
-// in lists the engines of a failure domain.
+// divideAs divides the engines into as many shards as are told, and reports whether that changes them.
+func (s *parts) divideAs(told map[string]int) bool {
+	changed := s.pooled != (told[""] > 0)
+	s.pooled = told[""] > 0
+	for domain := range s.split {
+		if told[domain] == 0 {
+			delete(s.split, domain)
+			changed = true
+		}
+	}
+	for domain, n := range told {
+		if n != len(s.split[domain]) {
+			s.split[domain] = splitInto(n, s.in(domain))
+			changed = true
+		}
+	}
+	return changed
+}
+
+// empty reports whether a service has no engines that take requests.
+func (p *Partition) empty(service string, s *parts) bool {
+	return len(s.domainOf) == 0 && p.told[service] == nil
+}
+
+// in lists the engines of a failure domain; all, where one shard is for all.
 func (s *parts) in(domain string) []string {
 	out := make([]string, 0, s.counts[domain])
 	for id, at := range s.domainOf {
-		if at == domain {
+		if at == domain || s.pooled {
 			out = append(out, id)
 		}
 	}
@@ -250,7 +316,7 @@
 		ranked: make(map[string][]*Shard),
 	}
 	for service, s := range p.services {
-		if len(s.domainOf) > 0 {
+		if !p.empty(service, s) {
 			l.services[service] = p.division(service, s)
 			l.all = append(l.all, l.services[service].shards...)
 		}
--- a/lib/owner/peers.go
+++ b/lib/owner/peers.go
@@ -197,6 +197,30 @@
 	return ok && now.Sub(b.at) < beatLife && !b.Leaving, b.Cold
 }
 
+// OwnerOf returns the candidate of a shard that last told how full it is; ok is false if none has lately.
+func (p *Peers) OwnerOf(now time.Time, s *Shard) (by Instance, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f, known := p.fills[s.Key]
+	if !known || now.Sub(f.at) > fillLife {
+		return Instance{}, false
+	}
+	for _, in := range s.Ranked {
+		if in.Name == f.owner {
+			return in, true
+		}
+	}
+	return Instance{}, false
+}
+
+// Silent reports whether an instance has been heard, and is not any more or stops.
+func (p *Peers) Silent(now time.Time, name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b, heard := p.beats[name]
+	return heard && (now.Sub(b.at) >= beatLife || b.Leaving)
+}
+
 // PassOn returns the shard to which a stream is passed on from one that is full to part own, and its owner; ok is false when it
 // stays. It is drawn from the emptier ones, by how much emptier each is: they are told some tens of milliseconds late, and
 // all owners would else pass theirs to the same.
--- a/lib/owner/report.go
+++ b/lib/owner/report.go
@@ -51,6 +51,7 @@
 	Held        []Held
 	Outcomes    []Outcomes
 	Readings    []Reading
+	Describe    bool // as in Ask
 }
 
 const (
--- a/lib/ownerlink/beat.go
+++ b/lib/ownerlink/beat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"anvilwick.example/anvilwick/lib/owner"
@@ -11,72 +12,142 @@
 // leftFor is how long owners are told of a target that was seen to leave: until a lost datagram has been made up for.
 const leftFor = 2 * time.Second
 
+// leftEvery is how often within that time: hundreds leave each second of a release.
+const leftEvery = 500 * time.Millisecond
+
 // beat tells other owners that this instance lives, while it ranks to own a shard or the targets of a plain service.
 func (l *Link) beat(ctx context.Context) {
 	t := time.NewTicker(owner.BeatEvery)
 	defer t.Stop()
-	last := time.Now()
+	last, period := time.Now(), owner.BeatEvery
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
+		case <-l.laid:
 		}
 		now := time.Now()
 		// A clock that does not count the time of a suspended machine shows it by the time of day.
-		if now.Sub(last) > stallTime || now.Round(0).Sub(last.Round(0)) > stallTime {
+		if now.Sub(last) > period+stallTime || now.Round(0).Sub(last.Round(0)) > period+stallTime {
 			l.Desk.Woke(now)
 		}
 		last = now
-		l.sendBeat(now)
+		period = idleEvery
+		if l.sendBeats(now) {
+			period = owner.BeatEvery
+		}
+		t.Reset(period)
 	}
 }
 
-func (l *Link) sendBeat(now time.Time) {
-	to := make(map[string]string) // addresses by instance
-	b := new(ownerpb.Beat)
-	for _, s := range l.layout.Load().RankedBy(l.Self.Name) {
-		addAll(to, s)
-		if at, ok := l.Desk.Acting(now, s); !ok || at.Name != l.Self.Name {
-			continue
-		}
-		f := l.Desk.Fills(now, s)
-		b.Fills = append(b.Fills, &ownerpb.Fill{Shard: s.Key, Permille: uint32(permille * f.Part), Room: tokens(f.Room)})
-		for _, n := range s.Neighbours() {
-			addAll(to, n)
+// idleEvery is the period at which an instance that ranks to own nothing looks whether it does now.
+const idleEvery = time.Second
+
+// beats are those that an instance sends at one time, by receiver.
+type beats struct {
+	addrs map[string]string // by instance
+	fills map[string][]*ownerpb.Fill
+}
+
+// sendBeats tells those that rank with this instance that it lives, and the owners of neighbouring shards how full its own are. It
+// reports whether there are any to tell.
+func (l *Link) sendBeats(now time.Time) bool {
+	out := beats{addrs: make(map[string]string), fills: make(map[string][]*ownerpb.Fill)}
+	layout := l.layout.Load()
+	for _, s := range layout.RankedBy(l.Self.Name) {
+		out.addAll(s.Ranked)
+		if at, ok := l.Desk.Acting(now, s); ok && at.Name == l.Self.Name {
+			l.addFill(now, &out, s)
 		}
 	}
-	for _, s := range l.layout.Load().Plain() {
+	for _, s := range layout.Plain() {
 		if s.IsCandidate(l.Self.Name) {
-			addAll(to, s)
+			out.addAll(s.Ranked)
 		}
 	}
-	delete(to, l.Self.Name)
-	if len(to) == 0 {
+	delete(out.addrs, l.Self.Name)
+	if len(out.addrs) == 0 {
+		return false
+	}
+	own := new(ownerpb.Beat)
+	own.Cold, own.Leaving = l.Desk.State(now)
+	own.Left = l.leftNow(now)
+	for name, addr := range out.addrs {
+		b := &ownerpb.Beat{Cold: own.Cold, Leaving: own.Leaving, Left: own.Left, Fills: out.fills[name]}
+		d := l.own()
+		d.Body = &ownerpb.Datagram_Beat{Beat: b}
+		l.send(addr, d)
+	}
+	return true
+}
+
+// leftNow lists the targets that others are told of now because they have left lately.
+func (l *Link) leftNow(now time.Time) []*ownerpb.Left {
+	if now.Sub(l.leftAt) < leftEvery {
+		return nil
+	}
+	l.leftAt = now
+	left := l.Fleet.LeftSince(now.Add(-leftFor))
+	out := make([]*ownerpb.Left, min(leftTold, len(left)))
+	for i := range out {
+		out[i] = &ownerpb.Left{Target: left[i].ID, Born: left[i].Born}
+	}
+	return out
+}
+
+// addFill adds how full a shard is that this instance owns, for the owners of its neighbours: when it changes, and now and then.
+func (l *Link) addFill(now time.Time, out *beats, s *owner.Shard) {
+	f := l.Desk.Fills(now, s)
+	if !l.fills[s.Key].due(now, f) {
 		return
 	}
-	b.Cold, b.Leaving = l.Desk.State(now)
-	for _, e := range l.Fleet.LeftSince(now.Add(-leftFor)) {
-		if len(b.Left) < leftTold {
-			b.Left = append(b.Left, &ownerpb.Left{Target: e.ID, Born: e.Born})
+	l.fills[s.Key] = toldFill{Fill: f, at: now}
+	told := &ownerpb.Fill{Shard: s.Key, Permille: uint32(permille * f.Part), Room: tokens(f.Room)}
+	for _, n := range s.Neighbours() {
+		to := n.Ranked
+		if by, known := l.Desk.OwnerOf(now, n); known {
+			to = []owner.Instance{by}
+		}
+		out.addAll(to)
+		for _, in := range to {
+			out.fills[in.Name] = append(out.fills[in.Name], told)
 		}
-	}
-	d := l.own()
-	d.Body = &ownerpb.Datagram_Beat{Beat: b}
-	for _, addr := range to {
-		l.send(addr, d)
 	}
 }
 
-// permille is the unit in which fills are told.
-const permille = 1000
+// toldFill is what was last told of a shard.
+type toldFill struct {
+	owner.Fill
+	at time.Time
+}
+
+const (
+	// fillEvery is how often a fill is told that does not change: it is believed for somewhat longer.
+	fillEvery = 400 * time.Millisecond
+	// fillStep is the change of a fill that is told at once, as a part of a shard's memory.
+	fillStep = 0.02
+	// roomStep is the change of the room on the roomiest engine that is told at once, as a part of it.
+	roomStep = 0.1
+)
+
+// due reports whether a fill is to be told now.
+func (t toldFill) due(now time.Time, f owner.Fill) bool {
+	if now.Sub(t.at) >= fillEvery || math.Abs(f.Part-t.Part) >= fillStep {
+		return true
+	}
+	return math.Abs(float64(f.Room-t.Room)) >= roomStep*float64(t.Room)
+}
 
-func addAll(to map[string]string, s *owner.Shard) {
-	for _, in := range s.Ranked {
-		to[in.Name] = in.Addr
+func (b *beats) addAll(list []owner.Instance) {
+	for _, in := range list {
+		b.addrs[in.Name] = in.Addr
 	}
 }
 
+// permille is the unit in which fills are told.
+const permille = 1000
+
 func (l *Link) handleBeat(d *ownerpb.Datagram, b *ownerpb.Beat) {
 	fills := make(map[string]owner.Fill, len(b.Fills))
 	for _, f := range b.Fills {
--- a/lib/ownerlink/call.go
+++ b/lib/ownerlink/call.go
@@ -10,6 +10,7 @@
 	"anvilwick.example/anvilwick/lib/moveplan"
 	"anvilwick.example/anvilwick/lib/owner"
 	"anvilwick.example/anvilwick/lib/ownerpb"
+	"anvilwick.example/anvilwick/lib/rendezvous"
 )
 
 // call is a question to the owner of a shard.
@@ -124,20 +125,45 @@
 
 // Place asks for an engine for a run of a service. ErrAlone says that this instance decides by itself.
 func (l *Link) Place(ctx context.Context, a owner.Ask) (owner.Answer, error) {
-	s := l.layout.Load().Home(a.Stream.Need.Service, l.Self.Domain, l.Self.Name)
+	s := l.home(&a.Stream.Need)
 	if s == nil {
 		return owner.Answer{}, ErrAlone
 	}
 	c := l.newCall(s)
 	defer c.close()
-	a.ID = c.id
+	a.ID, a.Describe = c.id, l.Part()
 	c.body.Body = &ownerpb.Datagram_Ask{Ask: encodeAsk(&a, s.Key, time.Now())}
 	d, err := c.do(ctx)
 	if err != nil {
 		return owner.Answer{}, err
 	}
 	c.observe()
-	return decodeAnswer(d.GetAnswer()), nil
+	answer := decodeAnswer(d.GetAnswer(), s.Service)
+	l.granted(answer.TargetInfo, answer.BackupInfo)
+	return answer, nil
+}
+
+// granted hands on what owners say of targets that this instance may not know.
+func (l *Link) granted(targets ...fleet.Info) {
+	for _, t := range targets {
+		if t.Addr != "" && l.Part() {
+			l.Granted(t)
+		}
+	}
+}
+
+// home returns the shard that this instance asks first for a request: one of its own failure domain, unless the request may not go there.
+func (l *Link) home(need *fleet.Need) *owner.Shard {
+	layout := l.layout.Load()
+	domain, own, most := l.Self.Domain, rendezvous.Hash(l.Self.Name), uint64(0)
+	if !l.Fleet.Open(domain, need.Regions) {
+		for _, other := range layout.Domains(need.Service) {
+			if rank := rendezvous.Rank(own, rendezvous.Hash(other)); rank > most && l.Fleet.Open(other, need.Regions) {
+				domain, most = other, rank
+			}
+		}
+	}
+	return layout.Home(need.Service, domain, l.Self.Name)
 }
 
 // Plan asks where this instance's runs go that are on engines which leave. Runs of which nothing is planned are left out;
@@ -175,6 +201,9 @@
 	if err != nil {
 		return nil, err
 	}
+	for _, m := range d.GetMoves().GetMoves() {
+		l.granted(decodeTarget(m.To, s.Service, m.ToInfo))
+	}
 	return decodeMoves(d.GetMoves()), nil
 }
 
--- a/lib/ownerlink/handle.go
+++ b/lib/ownerlink/handle.go
@@ -23,7 +23,7 @@
 	case *ownerpb.Datagram_Answer:
 		l.handleAnswer(d, body.Answer)
 	case *ownerpb.Datagram_Report:
-		l.Desk.Report(time.Now(), decodeReport(d, body.Report))
+		l.handleReport(d, body.Report)
 	case *ownerpb.Datagram_Beat:
 		l.handleBeat(d, body.Beat)
 	case *ownerpb.Datagram_Blames:
@@ -96,6 +96,10 @@
 }
 
 func (l *Link) answer(a *owner.Answer) {
+	if a.Describe {
+		a.TargetInfo, _ = l.Fleet.Info(a.Target)
+		a.BackupInfo, _ = l.Fleet.Info(a.Backup)
+	}
 	d := l.own()
 	d.Body = &ownerpb.Datagram_Answer{Answer: encodeAnswer(a)}
 	l.reply(a.Instance, a.Addr, a.ID, d)
@@ -135,12 +139,7 @@
 	l.reply(d.Instance, d.Addr, a.Id, out)
 }
 
-func (l *Link) waiting() {
-	select {
-	case l.waits <- struct{}{}:
-	default:
-	}
-}
+func (l *Link) waiting() { notify(l.waits) }
 
 // step looks at the asks that wait here for as long as there are any.
 func (l *Link) step(ctx context.Context) {
--- a/lib/ownerlink/kinds.go
+++ b/lib/ownerlink/kinds.go
@@ -43,6 +43,7 @@
 var (
 	sent     = newTraffic("out")
 	received = newTraffic("in")
+	spread   = newTraffic("spread") // to all others, by way of neighbours
 )
 
 func newTraffic(way string) (out [kinds]traffic) {
--- a/lib/ownerlink/link.go
+++ b/lib/ownerlink/link.go
@@ -46,7 +46,7 @@
 	// planWait is how long a plan of moves waits for other engines that leave with the first.
 	planWait = 15 * time.Millisecond
 	// stallTime is the lateness of a beat from which this instance takes itself to have stood still.
-	stallTime = 500 * time.Millisecond
+	stallTime = 400 * time.Millisecond
 	// maxDatagram is the largest datagram in bytes. A longer report is cut by leaving runs out.
 	maxDatagram = 16 << 10
 	// leftTold bounds the targets that one beat names.
@@ -62,6 +62,8 @@
 	Incarnation uint64
 	Fleet       *fleet.Fleet
 	Desk        *owner.Desk
+	// Conn carries the datagrams; nil: a socket on Self.Addr.
+	Conn PacketConn
 
 	// Gather returns what this instance has on the engines of each shard, as shardOf tells them; the link adds what is its own.
 	Gather func(shardOf func(engine string) *owner.Shard) map[string]owner.Report
@@ -69,6 +71,14 @@
 	Moves func(service string) (link moveplan.Link, ok bool)
 	// Left is told of targets that another instance saw to leave, and reports whether that is news.
 	Left func(id string, born int64) bool
+	// Restarted is told of targets that another instance saw to have started again.
+	Restarted func(id string, born int64)
+	// Granted is told of targets that owners have found for this instance, where it holds a part of the list.
+	Granted func(fleet.Info)
+	// Part reports whether this instance holds no more than a part of the list of targets.
+	Part func() bool
+	// Spread tells all other instances, which hand what it is given to TakeSpread.
+	Spread func(datagram []byte)
 	// Blames is told what peers say of contents that killed targets.
 	Blames func([]*ownerpb.Blame)
 	// Suspected is told when this instance begins to avoid a target by what all instances saw there; permille of its requests fail.
@@ -80,10 +90,11 @@
 // Link sends and receives. Make it with New.
 type Link struct {
 	Config
-	conn   *net.UDPConn
+	conn   PacketConn
 	layout atomic.Pointer[owner.Layout]
 	wake   chan struct{} // a report is due
 	waits  chan struct{} // asks wait here
+	laid   chan struct{} // a layout was put in force
 	// changedAt is the first change that has not been told yet.
 	changedAt atomic.Pointer[time.Time]
 
@@ -91,7 +102,6 @@
 	lastID   uint64
 	calls    map[uint64]chan *ownerpb.Datagram
 	addrs    map[string]netip.AddrPort
-	peers    []netip.AddrPort  // of all other instances
 	seen     map[string]uint64 // newest grant, by owner
 	bad      map[string]bool
 	plans    map[string]*plan // under way, by shard
@@ -101,26 +111,45 @@
 	strong   []string          // those with half of the largest capacity or more
 	plain    plainOutcomes
 	limits   map[string]toldLimit // by target
+
+	// Of the goroutine that beats:
+	fills  map[string]toldFill // of the shards that it owns
+	leftAt time.Time           // when it last told of targets that have left
 }
 
-// New listens on Config.Self.Addr.
-func New(cfg Config) (*Link, error) {
-	at, err := net.ResolveUDPAddr("udp4", cfg.Self.Addr)
+// PacketConn sends and receives datagrams, as *net.UDPConn does.
+type PacketConn interface {
+	ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error)
+	LocalAddr() net.Addr
+	Close() error
+}
+
+func listen(addr string) (PacketConn, error) {
+	at, err := net.ResolveUDPAddr("udp4", addr)
 	if err != nil {
 		return nil, err
 	}
-	conn, err := net.ListenUDP("udp4", at)
-	if err != nil {
-		return nil, err
+	return net.ListenUDP("udp4", at)
+}
+
+// New listens on Config.Self.Addr.
+func New(cfg Config) (*Link, error) {
+	conn := cfg.Conn
+	if conn == nil {
+		var err error
+		if conn, err = listen(cfg.Self.Addr); err != nil {
+			return nil, err
+		}
 	}
 	if cfg.Self.Addr != conn.LocalAddr().String() {
 		cfg.Self.Addr = conn.LocalAddr().String() // the port was chosen by the system
 	}
 	l := &Link{
-		Config: cfg, conn: conn, wake: make(chan struct{}, 1), waits: make(chan struct{}, 1),
+		Config: cfg, conn: conn, wake: make(chan struct{}, 1), waits: make(chan struct{}, 1), laid: make(chan struct{}, 1),
 		calls: make(map[uint64]chan *ownerpb.Datagram), addrs: make(map[string]netip.AddrPort),
 		seen: make(map[string]uint64), bad: make(map[string]bool), plans: make(map[string]*plan),
-		outcomes: make(map[string]*outcomes), plain: newPlainOutcomes(), limits: make(map[string]toldLimit),
+		outcomes: make(map[string]*outcomes), plain: newPlainOutcomes(), limits: make(map[string]toldLimit), fills: make(map[string]toldFill),
 	}
 	l.layout.Store(owner.NewPartition().Layout())
 	return l, nil
@@ -130,13 +159,21 @@
 func (l *Link) SetLayout(layout *owner.Layout) {
 	if l.layout.Swap(layout) != layout {
 		l.Changed()
+		notify(l.laid)
+	}
+}
+
+// notify leaves a note in a channel that holds one.
+func notify(ch chan<- struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
 	}
 }
 
 // SetPeers replaces the instances that are listed.
 func (l *Link) SetPeers(instances []owner.Instance) error {
 	addrs := make(map[string]netip.AddrPort, len(instances))
-	peers := make([]netip.AddrPort, 0, len(instances))
 	named := make(map[string]string, len(instances))
 	var strong []string
 	most := uint32(0)
@@ -155,12 +192,9 @@
 		if in.Capacity >= most/2 {
 			strong = append(strong, in.Name)
 		}
-		if in.Name != l.Self.Name {
-			peers = append(peers, at)
-		}
 	}
 	l.mu.Lock()
-	l.addrs, l.peers, l.named, l.strong = addrs, peers, named, strong
+	l.addrs, l.named, l.strong = addrs, named, strong
 	l.mu.Unlock()
 	return bad
 }
@@ -169,10 +203,7 @@
 func (l *Link) Changed() {
 	now := time.Now()
 	l.changedAt.CompareAndSwap(nil, &now)
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
+	notify(l.wake)
 }
 
 // Run sends and receives until ctx is done.
@@ -199,14 +230,7 @@
 			}
 			continue
 		}
-		var d ownerpb.Datagram
-		if err := proto.Unmarshal(b[:n], &d); err != nil {
-			received[kindOther].add(n)
-			l.tellBad("undecodable", err)
-			continue
-		}
-		received[kindOf(&d)].add(n)
-		l.handle(&d)
+		l.take(b[:n])
 	}
 }
 
@@ -270,19 +294,30 @@
 	return l.named[instance]
 }
 
-// sendAll sends a datagram to all other instances.
-func (l *Link) sendAll(d *ownerpb.Datagram) {
+// tellAll tells all other instances.
+func (l *Link) tellAll(d *ownerpb.Datagram) {
 	b, err := proto.Marshal(d)
 	if err != nil {
 		l.tellBad("unencodable", err)
 		return
 	}
-	l.mu.Lock()
-	peers := l.peers
-	l.mu.Unlock()
-	for _, at := range peers {
-		l.sendBytes(at, kindOf(d), b)
+	spread[kindOf(d)].add(len(b))
+	l.Spread(b)
+}
+
+// TakeSpread takes in what another instance tells all.
+func (l *Link) TakeSpread(b []byte) { l.take(b) }
+
+// take takes in a datagram.
+func (l *Link) take(b []byte) {
+	var d ownerpb.Datagram
+	if err := proto.Unmarshal(b, &d); err != nil {
+		received[kindOther].add(len(b))
+		l.tellBad("undecodable", err)
+		return
 	}
+	received[kindOf(&d)].add(len(b))
+	l.handle(&d)
 }
 
 // own is a datagram of this instance, without a body.
--- a/lib/ownerlink/link_test.go
+++ b/lib/ownerlink/link_test.go
@@ -30,8 +30,12 @@
 	left   chan string
 	known  sync.Map // targets that it was told of
 	blamed atomic.Int32
-	stop   context.CancelFunc
-	done   chan struct{}
+
+	restarted chan string
+	stop      context.CancelFunc
+	done      chan struct{}
+
+	running atomic.Bool
 }
 
 // newMember makes an instance that is not run yet.
@@ -39,7 +43,7 @@
 	t.Helper()
 	f := fleet.New("z0")
 	f.SetSpecs(map[string]fleet.Spec{"s": {KVTokens: kv}})
-	m := &member{left: make(chan string, 100), done: make(chan struct{})}
+	m := &member{left: make(chan string, 100), restarted: make(chan string, 100), done: make(chan struct{})}
 	m.runs.Store(new([]owner.Run))
 	f.SetSizes(func(target string) (out []fleet.Size) {
 		for _, r := range *m.runs.Load() {
@@ -64,6 +68,11 @@
 			return true
 		},
 		Blames: func([]*ownerpb.Blame) { m.blamed.Add(1) },
+
+		Restarted: func(id string, born int64) { m.restarted <- id },
+		Granted:   func(fleet.Info) {},
+		Part:      func() bool { return false },
+		Spread:    func([]byte) {},
 	})
 	must.NoError(t, err)
 	m.Link = link
@@ -75,6 +84,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
+	m.running.Store(true)
 	go func() {
 		defer close(m.done)
 		m.Run(ctx)
@@ -104,12 +114,24 @@
 		must.NoError(t, m.SetPeers(list))
 		m.SetLayout(layout)
 	}
+	for _, m := range members {
+		m.Spread = func(b []byte) { spreadAmong(members, m, b) }
+	}
 	for _, name := range running {
 		members[name].start(t)
 	}
 	return members, layout.Home("s", "z0", "a")
 }
 
+// spreadAmong hands what one member tells all to the others that run.
+func spreadAmong(members map[string]*member, from *member, b []byte) {
+	for _, m := range members {
+		if m != from && m.running.Load() {
+			m.TakeSpread(b)
+		}
+	}
+}
+
 func ask(tokens int) owner.Ask {
 	need := fleet.Need{Service: "s", Tokens: tokens, Unread: tokens, Peak: fleet.Size{Now: tokens}}
 	return owner.Ask{Run: 7, Stream: admit.Stream{Arrived: time.Now(), Aim: time.Second, Keeps: 10 * time.Second, Need: need}}
--- a/lib/ownerlink/moves.go
+++ b/lib/ownerlink/moves.go
@@ -119,8 +119,13 @@
 		runs[i] = r.Id
 	}
 	out := l.own()
-	out.Body = &ownerpb.Datagram_Moves{Moves: &ownerpb.Moves{
-		Id: a.Id, Moves: encodeMoves(l.Desk.Moves(time.Now(), s, d.Instance, runs)),
-	}}
+	moves := encodeMoves(l.Desk.Moves(time.Now(), s, d.Instance, runs))
+	if a.Report.Describe {
+		for _, m := range moves {
+			to, _ := l.Fleet.Info(m.To)
+			m.ToInfo = encodeTarget(&to)
+		}
+	}
+	out.Body = &ownerpb.Datagram_Moves{Moves: &ownerpb.Moves{Id: a.Id, Moves: moves}}
 	l.reply(d.Instance, d.Addr, a.Id, out)
 }
--- a/lib/ownerlink/permits.go
+++ b/lib/ownerlink/permits.go
@@ -131,7 +131,7 @@
 	if !l.limitDue(now, target, word.Limit) {
 		return
 	}
-	l.sendAll(l.limitsTold(encodeLimit(target, word, now), false))
+	l.tellAll(l.limitsTold(encodeLimit(target, word, now), false))
 }
 
 func (l *Link) limitsTold(w *ownerpb.LimitWord, passOn bool) *ownerpb.Datagram {
--- a/lib/ownerlink/report.go
+++ b/lib/ownerlink/report.go
@@ -82,6 +82,7 @@
 func (l *Link) reports() map[string]owner.Report {
 	out := l.Gather(l.shardOf)
 	now := time.Now()
+	part := l.Part()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lastID++
@@ -96,7 +97,7 @@
 		out[s.Key] = r
 	}
 	for key, r := range out {
-		r.Shard, r.Instance, r.Incarnation, r.Seq = key, l.Self.Name, l.Incarnation, l.lastID
+		r.Shard, r.Instance, r.Incarnation, r.Seq, r.Describe = key, l.Self.Name, l.Incarnation, l.lastID, part
 		out[key] = r
 	}
 	return out
@@ -195,5 +196,5 @@
 func (l *Link) TellBlames(blames []*ownerpb.Blame) {
 	d := l.own()
 	d.Body = &ownerpb.Datagram_Blames{Blames: &ownerpb.Blames{Blames: blames}}
-	l.sendAll(d)
+	l.tellAll(d)
 }
--- a/lib/ownerlink/suspects.go
+++ b/lib/ownerlink/suspects.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/time/rate"
 
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/ownerpb"
@@ -16,8 +17,10 @@
 const (
 	// judgeEvery is the period at which outcomes at plain targets are told and judged on a small site.
 	judgeEvery = 300 * time.Millisecond
-	// reportsMost bounds the reports a second that one that judges gets for a service: on large sites each instance tells less often.
-	reportsMost = 200
+	// reportsMost bounds the reports a second that one that judges gets for a service, but for a burst of reportsBurst of each instance.
+	// Where many instances have few requests each, all that they see is told at once.
+	reportsMost  = 200
+	reportsBurst = 3
 	// repeatEvery is how often a verdict that holds on is told again. It outlives one that is lost.
 	repeatEvery = suspect.Life * 2 / 3
 )
@@ -31,12 +34,14 @@
 	fresh map[string]bool                      // services with outcomes that are not told yet
 	judge *suspect.Judge
 	told  map[string]time.Time // suspects, when they were last told
+	tells *rate.Limiter        // of this instance's counts
+	wake  chan struct{}        // there is something to tell or to judge
 }
 
 func newPlainOutcomes() plainOutcomes {
 	return plainOutcomes{
 		of: make(map[string]map[string]*suspect.Count), fresh: make(map[string]bool), judge: suspect.NewJudge(),
-		told: make(map[string]time.Time),
+		told: make(map[string]time.Time), tells: rate.NewLimiter(rate.Every(judgeEvery), reportsBurst), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -60,6 +65,14 @@
 		return
 	}
 	p.fresh[service] = true
+	notify(p.wake)
+}
+
+// busy reports whether there is something to tell or to judge.
+func (p *plainOutcomes) busy() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.fresh)+len(p.told) > 0 || p.judge.Busy()
 }
 
 // take returns the counts that are to be told, and forgets targets that are gone.
@@ -101,29 +114,36 @@
 // PlainOutcome counts how a request of this instance ended at a target that nobody owns.
 func (l *Link) PlainOutcome(service, target string, o fleet.Outcome) { l.plain.saw(service, target, o) }
 
-// judge tells outcomes to those that judge, and verdicts to all.
+// judge tells outcomes to those that judge, and verdicts to all. It rests while there is nothing to tell or to judge.
 func (l *Link) judge(ctx context.Context) {
-	t := time.NewTicker(judgeEvery)
-	defer t.Stop()
-	var told time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.C:
+		case <-l.plain.wake:
 		}
-		now := time.Now()
-		if now.Sub(told) >= l.reportEvery() {
-			told = now
-			for service, counts := range l.plain.take(l.Fleet.IsLeaving) {
-				l.tellCounts(service, counts)
+		for busy := true; busy; busy = l.plain.busy() {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(judgeEvery):
 			}
+			l.judgeOnce(time.Now())
+		}
+	}
+}
+
+func (l *Link) judgeOnce(now time.Time) {
+	l.plain.tells.SetLimitAt(now, rate.Every(l.reportEvery()))
+	if l.plain.tells.AllowN(now, 1) {
+		for service, counts := range l.plain.take(l.Fleet.IsLeaving) {
+			l.tellCounts(service, counts)
 		}
-		l.tellSuspects(now)
 	}
+	l.tellSuspects(now)
 }
 
-// reportEvery is how often this instance tells its counts.
+// reportEvery is how often this instance tells its counts when it always has some.
 func (l *Link) reportEvery() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -159,6 +179,7 @@
 	l.plain.mu.Lock()
 	defer l.plain.mu.Unlock()
 	l.plain.judge.Take(time.Now(), body.Service, d.Instance, d.Incarnation, counts)
+	notify(l.plain.wake)
 }
 
 // tellSuspects tells all instances of targets that fail. They are few, and seldom.
@@ -177,7 +198,7 @@
 	l.handleSuspects(body)
 	d := l.own()
 	d.Body = &ownerpb.Datagram_Suspects{Suspects: body}
-	l.sendAll(d)
+	l.tellAll(d)
 }
 
 func (l *Link) handleSuspects(body *ownerpb.Suspects) {
--- a/lib/ownerlink/wire.go
+++ b/lib/ownerlink/wire.go
@@ -25,7 +25,7 @@
 		Id: a.ID, Shard: shard, Hops: uint32(a.Hops), Run: a.Run, Mode: uint32(a.Mode), Service: n.Service, Tokens: tokens(n.Tokens),
 		Unread: tokens(n.Unread), Now: tokens(n.Peak.Now), Left: tokens(n.Peak.Left), AimMs: ms(a.Stream.Aim),
 		AgeMs: ms(now.Sub(a.Stream.Arrived)), KeepsMs: ms(a.Stream.Keeps), Near: n.Near, BackupTokens: tokens(a.Backup), Print: a.Print,
-		Back: a.Stream.Back, Bound: n.Regions != nil, Regions: n.Regions,
+		Back: a.Stream.Back, Bound: n.Regions != nil, Regions: n.Regions, Describe: a.Describe,
 	}
 	for id := range n.Without {
 		out.Without = append(out.Without, id)
@@ -51,7 +51,7 @@
 	}
 	return owner.Ask{
 		Key:  owner.Key{Instance: d.Instance, Incarnation: d.Incarnation, ID: a.Id},
-		Addr: d.Addr, Run: a.Run, Mode: owner.Mode(a.Mode), Backup: int(a.BackupTokens), Hops: int(a.Hops), Print: a.Print,
+		Addr: d.Addr, Run: a.Run, Mode: owner.Mode(a.Mode), Backup: int(a.BackupTokens), Hops: int(a.Hops), Print: a.Print, Describe: a.Describe,
 		Stream: admit.Stream{Arrived: now.Add(-duration(a.AgeMs)), Aim: duration(a.AimMs), Keeps: duration(a.KeepsMs), Back: a.Back, Need: need},
 	}
 }
@@ -61,13 +61,30 @@
 		Id: a.ID, Action: uint32(a.Action), Target: a.Target, AfterMs: ms(a.After), Serial: a.Serial, Backup: a.Backup,
 		Ready: uint32(a.Belief.Ready), Runs: uint32(a.Belief.Load.Runs), Tokens: tokens(a.Belief.Load.Tokens),
 		Unread: tokens(a.Belief.Load.Unread), Peers: uint32(a.Belief.Peers), OldestMs: ms(a.Belief.Oldest),
+		TargetInfo: encodeTarget(&a.TargetInfo), BackupInfo: encodeTarget(&a.BackupInfo),
 	}
 }
 
-func decodeAnswer(a *ownerpb.Answer) owner.Answer {
+// encodeTarget writes what the list says of a target; nil: nothing.
+func encodeTarget(t *fleet.Info) *ownerpb.Target {
+	if t.Addr == "" {
+		return nil
+	}
+	return &ownerpb.Target{Addr: t.Addr, Domain: t.Domain, Born: t.Born, Slots: uint32(max(0, t.Slots))}
+}
+
+func decodeTarget(id, service string, t *ownerpb.Target) fleet.Info {
+	if t == nil || id == "" {
+		return fleet.Info{}
+	}
+	return fleet.Info{ID: id, Service: service, Addr: t.Addr, Domain: t.Domain, Born: t.Born, Slots: int(t.Slots)}
+}
+
+func decodeAnswer(a *ownerpb.Answer, service string) owner.Answer {
 	return owner.Answer{
 		Key: owner.Key{ID: a.GetId()}, Action: admit.Action(a.GetAction()), Target: a.GetTarget(), After: duration(a.GetAfterMs()),
 		Serial: a.GetSerial(), Backup: a.GetBackup(),
+		TargetInfo: decodeTarget(a.GetTarget(), service, a.GetTargetInfo()), BackupInfo: decodeTarget(a.GetBackup(), service, a.GetBackupInfo()),
 		Belief: fleet.Belief{
 			Ready: int(a.GetReady()), Load: fleet.Load{Runs: int(a.GetRuns()), Tokens: int(a.GetTokens()), Unread: int(a.GetUnread())},
 			Peers: int(a.GetPeers()), Oldest: duration(a.GetOldestMs()),
@@ -76,7 +93,7 @@
 }
 
 func encodeReport(r *owner.Report) *ownerpb.Report {
-	out := &ownerpb.Report{Shard: r.Shard, Seq: r.Seq, Seen: r.Seen}
+	out := &ownerpb.Report{Shard: r.Shard, Seq: r.Seq, Seen: r.Seen, Describe: r.Describe}
 	for _, m := range r.Runs {
 		out.Runs = append(out.Runs, &ownerpb.Run{
 			Id: m.ID, Target: m.Target, Tokens: tokens(m.Tokens), Expected: tokens(m.Expected), Unread: tokens(m.Unread),
@@ -98,7 +115,7 @@
 }
 
 func decodeReport(d *ownerpb.Datagram, r *ownerpb.Report) owner.Report {
-	out := owner.Report{Shard: r.Shard, Instance: d.Instance, Addr: d.Addr, Incarnation: d.Incarnation, Seq: r.Seq, Seen: r.Seen}
+	out := owner.Report{Shard: r.Shard, Instance: d.Instance, Addr: d.Addr, Incarnation: d.Incarnation, Seq: r.Seq, Seen: r.Seen, Describe: r.Describe}
 	for _, m := range r.Runs {
 		out.Runs = append(out.Runs, owner.Run{
 			ID: m.Id, Target: m.Target, Tokens: int(m.Tokens), Expected: int(m.Expected), Unread: int(m.Unread),
--- a/lib/suspect/suspect.go
+++ b/lib/suspect/suspect.go
@@ -120,6 +120,9 @@
 	}
 }
 
+// Busy reports whether there is something to judge.
+func (j *Judge) Busy() bool { return len(j.targets) > 0 }
+
 func (t *tally) decay(now time.Time) {
 	keep := math.Exp(-now.Sub(t.at).Seconds() / memory.Seconds())
 	t.served, t.failed, t.at = t.served*keep, t.failed*keep, now
