--- a/lib/feed/replica.go
+++ b/lib/feed/replica.go
@@ -17,7 +17,7 @@
 	at      Position
 	whole   int64 // rows are complete from this version of the era on; removed ones before it are forgotten
 	known   bool
-	part    bool // rows are those that this instance needs
+	part    bool      // rows are those that this instance needs
 	contact time.Time // when the store last confirmed the position, to anybody
 	removed map[string]tombstone
 	buried  []burial // of removed rows, the oldest first
