Starts and the store: rows of instances are written together, the store's word goes down at once, starters are referred

Causes: (1) 985 instances wrote 985 rows within 1.5 s into a table that takes 200 transactions a second; most were turned away and came again. (2) The store's word was passed on with the next beat of 0.3 s at each of three hops: at the last it was older than 1.1 s, so owners asked all their engines whether they leave, and relays asked the store. (3) The one that ranks to read waited for up to a second for others that waited for it. (4) Seeds that did not know the list yet sent all of it to all later. (5) An owner of hundreds of engines asked all of them each 0.3 s. (6) Hundreds of parts of a table were made at once at a seed: 542 MB at the peak.

Change: rows go up the subscriptions and are written up to 100 a transaction; a newer word of the store is passed on when it comes; one that ranks first to read stops waiting; a seed waits for the list before it refers; engines with runs are asked each time, 64 others in turn; four pages are made at once, and rows that nobody needs are not copied.

--- a/lib/feed/replica.go
+++ b/lib/feed/replica.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -24,6 +25,9 @@
 	recent  changeLog
 	kept    map[string]kept // shown in place of rows
 	changed chan struct{}   // closed and replaced at each change
+
+	confirmed   chan struct{} // closed and replaced when the store has confirmed the position again
+	confirmedAt time.Time     // contact when it was last closed
 }
 
 // tombstone is what is remembered of a removed row.
@@ -39,13 +43,15 @@
 	// outage is the age of the last contact from which the store is taken to have been away: longer than a poll takes,
 	// shorter than entries take to lapse.
 	outage = 1500 * time.Millisecond
+	// confirmStep is by how much newer a contact is that is told as such.
+	confirmStep = 200 * time.Millisecond
 )
 
 // NewReplica returns an empty Replica that shows each change to apply, one at a time and in order.
 func NewReplica(apply func(Update)) *Replica {
 	return &Replica{
 		apply: apply, rows: make(map[string]Row), removed: make(map[string]tombstone), kept: make(map[string]kept),
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), confirmed: make(chan struct{}),
 	}
 }
 
@@ -130,6 +136,11 @@
 	if contact.After(r.contact) {
 		r.contact = contact
 	}
+	if r.contact.Sub(r.confirmedAt) >= confirmStep {
+		r.confirmedAt = r.contact
+		close(r.confirmed)
+		r.confirmed = make(chan struct{})
+	}
 	return silent
 }
 
@@ -230,6 +241,11 @@
 // Since returns what has changed after a position, the whole table when that can't be told, and when the store last
 // confirmed it. known is false when nothing has been read yet. To a position in a later era there is nothing to tell.
 func (r *Replica) Since(after Position) (page Page, whole bool, contact time.Time, known bool) {
+	return r.SinceOf(after, func(Row) bool { return true })
+}
+
+// SinceOf is Since for the rows that are needed; it is called for each of them while the Replica does not change.
+func (r *Replica) SinceOf(after Position, needed func(Row) bool) (page Page, whole bool, contact time.Time, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	whole = after.Era < r.at.Era || after.Era == r.at.Era && (after.Version == 0 || after.Version < r.whole)
@@ -238,11 +254,11 @@
 		return page, whole, r.contact, r.known // most of what is passed on: nothing has changed since the last
 	}
 	if rows, told := r.recent.since(after.Version, r.rows); told && !whole {
-		page.Rows = rows
+		page.Rows = slices.DeleteFunc(rows, func(row Row) bool { return !needed(row) })
 		return page, whole, r.contact, r.known
 	}
 	for _, row := range r.rows {
-		if whole && !row.Removed || !whole && row.Version > after.Version {
+		if (whole && !row.Removed || !whole && row.Version > after.Version) && needed(row) {
 			page.Rows = append(page.Rows, row)
 		}
 	}
@@ -292,6 +308,13 @@
 	return r.contact
 }
 
+// Confirmed returns a channel that is closed when the store has confirmed the position again.
+func (r *Replica) Confirmed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.confirmed
+}
+
 // Changed returns a channel that is closed at the next change.
 func (r *Replica) Changed() <-chan struct{} {
 	r.mu.Lock()
--- a/lib/feedlink/news.go
+++ b/lib/feedlink/news.go
@@ -179,6 +179,7 @@
 			return
 		}
 		t.takeNews(up.News, stream.Peer().Instance)
+		t.takeWrites(up.Writes)
 	}
 }
 
@@ -203,6 +204,7 @@
 			}
 		}
 	})
+	work.Go(func() { t.passWrites(ctx, s.writeUp) })
 	return func() {
 		cancel()
 		work.Wait()
--- a/lib/feedlink/parts.go
+++ b/lib/feedlink/parts.go
@@ -44,9 +44,10 @@
 	if need.name() != p.needed {
 		p.after.Version = 0 // it has too little or too much
 	}
-	page, whole, contact, known = p.replica.Since(p.after)
-	if need != nil {
-		page.Rows = need.filter(page.Rows)
+	if need == nil {
+		page, whole, contact, known = p.replica.Since(p.after)
+	} else {
+		page, whole, contact, known = p.replica.SinceOf(p.after, need.Has)
 		page.Part = true
 	}
 	if known {
@@ -62,16 +63,6 @@
 	return n.Name
 }
 
-func (n *Need) filter(rows []feed.Row) []feed.Row {
-	kept := rows[:0]
-	for _, row := range rows {
-		if n.Has(row) {
-			kept = append(kept, row)
-		}
-	}
-	return kept
-}
-
 // digest returns what the asker is to be told of the rest of a table; nil: nothing that it does not know.
 func (p *passed) digest() []byte {
 	if p.needed == "" {
--- a/lib/feedlink/serve.go
+++ b/lib/feedlink/serve.go
@@ -20,7 +20,8 @@
 	track     *Track
 	tables    map[string]Table
 	packs     *packer
-	followers atomic.Int32 // subscriptions that are open
+	making    chan struct{} // pages that are made now, from whole tables most likely
+	followers atomic.Int32  // subscriptions that are open
 }
 
 const (
@@ -30,6 +31,16 @@
 	passMax = 250 * time.Millisecond
 )
 
+// pagesAtOnce bounds the pages that are made at once. Hundreds that start ask for their parts of a large table in one moment, and all
+// that is made for them would be held together.
+const pagesAtOnce = 4
+
+func (s *server) pageInTurn(tables []*passed) *meshpb.FeedPage {
+	s.making <- struct{}{}
+	defer func() { <-s.making }()
+	return s.page(tables)
+}
+
 // gap is the least time between two pages with news to one follower.
 //
 // Load pattern: thousands of targets write their entries one after the other when a site starts. Each would be passed on by itself to a
@@ -38,7 +49,7 @@
 
 // Serve passes the tables of a Track on.
 func Serve(node *mesh.Node, t *Track) {
-	s := &server{track: t, tables: make(map[string]Table), packs: newPacker()}
+	s := &server{track: t, tables: make(map[string]Table), packs: newPacker(), making: make(chan struct{}, pagesAtOnce)}
 	for _, table := range t.Tables {
 		s.tables[table.Name] = table
 	}
@@ -58,6 +69,7 @@
 
 // refer tells one that knows nobody whom it should have the tables from.
 func (s *server) refer(stream *mesh.Stream, domain string) {
+	s.track.awaitList(referWait)
 	page := &meshpb.FeedPage{Lost: s.track.Lost()}
 	if s.track.Refer != nil {
 		for _, p := range s.track.Refer(stream.Peer().Instance, domain) {
@@ -67,6 +79,29 @@
 	_ = stream.Write(page) // whoever has gone asks again elsewhere
 }
 
+// referWait bounds the wait for the list of instances on behalf of one that knows nobody.
+const referWait = waitNew - 100*time.Millisecond
+
+// awaitList waits until the list of instances is known.
+func (t *Track) awaitList(most time.Duration) {
+	end := time.NewTimer(most)
+	defer end.Stop()
+	for _, table := range t.Tables {
+		if table.Urgent {
+			continue
+		}
+		changed := table.Replica.Changed()
+		if _, known := table.Replica.Version(); known {
+			continue
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			return
+		}
+	}
+}
+
 // passed is how far a subscriber has a table.
 type passed struct {
 	name    string
@@ -74,6 +109,7 @@
 	after   feed.Position
 	kept    bool // it was told what is kept in the era of after
 
+	urgent           bool
 	part             bool // it asks for no more than it needs
 	parts            Parts
 	instance, domain string
@@ -87,7 +123,7 @@
 	for _, a := range ask.Tables {
 		if table, ok := s.tables[a.Table]; ok {
 			tables = append(tables, &passed{
-				name: a.Table, replica: table.Replica, after: feed.At(a.Era, a.After),
+				name: a.Table, replica: table.Replica, after: feed.At(a.Era, a.After), urgent: table.Urgent,
 				part: a.Part && table.Parts != nil, parts: table.Parts, instance: stream.Peer().Instance, domain: ask.Domain,
 			})
 		}
@@ -95,26 +131,33 @@
 	news := s.track.news.reader(stream.Peer().Instance)
 	s.followers.Add(1)
 	defer s.followers.Add(-1)
-	t := time.NewTicker(beat)
+	t := time.NewTimer(beat)
 	defer t.Stop()
 	for ctx.Err() == nil {
 		changed := append(anyChanged(tables), s.track.news.changed())
-		page := s.page(tables)
+		page := s.pageInTurn(tables)
 		page.News = news.next(time.Now())
 		if err := stream.Write(page); err != nil {
 			return
 		}
 		sent := time.Now()
+		t.Reset(beat)
 		wait(ctx, t.C, changed)
 		sleep(ctx, s.gap()-time.Since(sent))
 	}
 }
 
-// anyChanged returns the channels that are closed at the tables' next changes.
+// anyChanged returns the channels that are closed at the tables' next changes, and when the store confirms one that is urgent.
+//
+// Failure: the store's word was passed on with the next beat, at each of three hops from the reader of a large site. At the last it was
+// so old by then that instances took the reader to have lost the store, asked it themselves, and asked their engines whether they left.
 func anyChanged(tables []*passed) []<-chan struct{} {
-	out := make([]<-chan struct{}, len(tables))
-	for i, t := range tables {
-		out[i] = t.replica.Changed()
+	var out []<-chan struct{}
+	for _, t := range tables {
+		out = append(out, t.replica.Changed())
+		if t.urgent {
+			out = append(out, t.replica.Confirmed())
+		}
 	}
 	return out
 }
--- a/lib/feedlink/start.go
+++ b/lib/feedlink/start.go
@@ -33,6 +33,9 @@
 		return
 	}
 	for _, p := range referred {
+		if !t.Place().Guess {
+			return // the list came from one of them
+		}
 		if s, err := t.open(ctx, p); err == nil {
 			t.better = s
 			return
@@ -72,8 +75,8 @@
 		return nil, err
 	}
 	var page meshpb.FeedPage
-	if err := stream.ReadWithin(openFirst, &page); err != nil {
-		return nil, err
+	if err := stream.ReadWithin(waitNew, &page); err != nil {
+		return nil, errUnknown // it lives, and does not know the list yet
 	}
 	var out []mesh.Peer
 	for _, r := range page.Readers {
--- a/lib/feedlink/subscription.go
+++ b/lib/feedlink/subscription.go
@@ -96,13 +96,19 @@
 	for start := time.Now(); errors.Is(err, errUnknown) && time.Since(start) < waitNew; err = s.receive() {
 		now := time.Now()
 		s.t.toldUnknown(now)
-		if !s.t.early(now) {
+		if !s.t.early(now) || s.t.ranksFirst() {
 			return err
 		}
 	}
 	return err
 }
 
+// ranksFirst reports whether this instance is the one that should read the store: others wait for it in turn.
+func (t *Track) ranksFirst() bool {
+	readers := t.Place().Readers
+	return len(readers) > 0 && readers[0].Addr == ""
+}
+
 // behind reports whether the reader does not have the store's word itself: it has lost the store, or follows one that has.
 func (s *subscription) behind() bool { return s.lost || s.age > s.t.MaxAge }
 
--- a/lib/feedlink/track.go
+++ b/lib/feedlink/track.go
@@ -94,6 +94,9 @@
 	Refer func(instance, domain string) []mesh.Peer
 	// Join reads the list of instances from the store, once none of those answers that this instance was told of; nil: it does not.
 	Join func(context.Context)
+	// Write writes rows that instances want to be written for themselves, together: their own rows of the list of instances. What fails is
+	// not tried again: each sees to its own row. nil: nothing is written.
+	Write func(ctx context.Context, rows []feed.Row)
 	// News is told what another instance tells all, once; nil: nobody is.
 	News func(body []byte)
 }
@@ -113,6 +116,7 @@
 	better *subscription      // to go on with, from a reader that ranks higher
 	lost   atomic.Bool
 	news   *newsLog
+	writes *writeQueue
 	path   atomic.Pointer[[]string] // instances that the tables come through, this one first
 	within bool                     // the store has just answered this instance, and not its reader
 
@@ -136,7 +140,7 @@
 func New(cfg Config) *Track {
 	t := &Track{
 		Config: cfg, avoid: make(map[string]avoided), silent: make(map[string]bool), failed: make(map[string]bool), late: rand.N(lateProbe),
-		news: newNewsLog(cfg.Self, uint64(time.Now().UnixNano())),
+		news: newNewsLog(cfg.Self, uint64(time.Now().UnixNano())), writes: newWriteQueue(),
 	}
 	t.started = time.Now()
 	t.probed = t.started
@@ -248,6 +252,9 @@
 	for _, f := range t.followers {
 		work.Go(func() { f.Run(reading) })
 	}
+	if t.Write != nil {
+		work.Go(func() { t.passWrites(reading, func(rows []feed.Row) { t.Write(reading, rows) }) })
+	}
 	tick := time.NewTicker(reconsider)
 	defer tick.Stop()
 	for {
--- a/lib/fleet/rooms.go
+++ b/lib/fleet/rooms.go
@@ -109,6 +109,20 @@
 	return out
 }
 
+// Busy divides targets into those that carry runs of any instance, as far as is known, and others.
+func (f *Fleet) Busy(ids []string) (busy, idle []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range ids {
+		if t := f.targets[id]; t != nil && f.carried(t).Runs > 0 {
+			busy = append(busy, id)
+		} else {
+			idle = append(idle, id)
+		}
+	}
+	return busy, idle
+}
+
 // Memory is the memory, in tokens, of a service's engines; 0 for a plain service.
 func (f *Fleet) Memory(service string) int {
 	f.mu.Lock()
--- a/lib/fleetsim/site.go
+++ b/lib/fleetsim/site.go
@@ -170,17 +170,22 @@
 		CountTarget:   func(feed.Row) (feed.Count, bool) { return feed.Count{}, false },
 		Targets:       table(targets), DecodeTarget: decodeTarget,
 		Instances: table(instances), DecodeInstance: decodeInstance,
-		Register: func(_ context.Context, in owner.Instance) error {
+		EncodeInstance: encodeInstance,
+		Register: func(_ context.Context, rows []feed.Row) error {
 			time.Sleep(answerTime)
 			m.cost.call(0)
-			b, err := json.Marshal(in)
-			s.store.put(instances, feed.Row{Key: in.Name, Value: b})
-			return err
+			s.store.put(instances, rows...)
+			return nil
 		},
 		Unregister: func(context.Context, string, int64) error { return nil },
 	}
 }
 
+func encodeInstance(in owner.Instance) (feed.Row, error) {
+	b, err := json.Marshal(in)
+	return feed.Row{Key: in.Name, Value: b}, err
+}
+
 func decodeInstance(row feed.Row) (owner.Instance, error) {
 	var in owner.Instance
 	err := json.Unmarshal(row.Value, &in)
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -67,7 +67,7 @@
 			{Name: instancesTable, Source: p.site.Instances, Replica: p.feeds.instances, Options: instanceOptions},
 		},
 		MaxAge: maxAge, Node: node, Place: p.place, Fail: p.feedFailed(), From: p.feedFrom,
-		Refer: p.refer, Join: p.join, News: p.link.TakeSpread,
+		Refer: p.refer, Join: p.join, Write: p.writeRows, News: p.link.TakeSpread,
 	})
 	feedlink.Serve(node, p.track)
 	listen := p.cfg.Network.Listen
--- a/lib/gatewayproc/listed.go
+++ b/lib/gatewayproc/listed.go
@@ -2,22 +2,19 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/phuslu/log"
 
+	"anvilwick.example/anvilwick/lib/feed"
 	"anvilwick.example/anvilwick/lib/logline"
 	"anvilwick.example/anvilwick/lib/owner"
 )
 
 const (
-	// registerTimeout bounds one try to write this instance's row.
+	// registerTimeout bounds one try to write rows.
 	registerTimeout = 800 * time.Millisecond
-	// registerSpread is the time over which instances write their rows that start at once, or that a copy lacks at once: the store
-	// takes 200 of them a second.
-	registerSpread = 1500 * time.Millisecond
-	// registerAgain is how long a row that was written may stay unseen: the list comes late.
+	// registerAgain is how long a row that was handed on may stay unseen: the list comes late.
 	registerAgain = 4 * time.Second
 )
 
@@ -35,15 +32,8 @@
 	for {
 		changed := p.feeds.instances.Changed()
 		if p.mustRegister(&row) {
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(rand.N(registerSpread)):
-			}
-			if p.mustRegister(&row) {
-				p.register(ctx)
-				row = ownRow{written: time.Now()}
-			}
+			p.handOnRow()
+			row = ownRow{written: time.Now()}
 		}
 		if p.track.Reads() {
 			p.removeGhosts(ctx)
@@ -88,22 +78,26 @@
 	return p.stopped
 }
 
-// register writes this instance's row until the store has taken it.
-func (p *Process) register(ctx context.Context) {
-	for !p.stops() {
-		try, cancel := context.WithTimeout(ctx, registerTimeout)
-		err := p.site.Register(try, p.self())
-		cancel()
-		if err == nil {
-			return
-		}
-		logline.Cause(log.Warn().Str("event", "register_failed"), err)
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(instanceOptions.RetryMax):
-		}
+// handOnRow has this instance's row written by the one that reads the store for all.
+func (p *Process) handOnRow() {
+	row, err := p.site.EncodeInstance(p.self())
+	if err != nil {
+		logline.Cause(log.Error().Str("event", "register_failed"), err)
+		return
+	}
+	p.track.WriteOwn(row)
+}
+
+// writeRows writes the rows of instances that have handed them on. What fails they hand on again.
+func (p *Process) writeRows(ctx context.Context, rows []feed.Row) {
+	try, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	err := p.site.Register(try, rows)
+	at := log.Info().Str("event", "registered").Int("rows", len(rows))
+	if err != nil {
+		at = log.Warn().Str("event", "register_failed").Int("rows", len(rows))
 	}
+	logline.Cause(at, err)
 }
 
 // anyVersion stands for a row as it is.
--- a/lib/gatewayproc/parts.go
+++ b/lib/gatewayproc/parts.go
@@ -55,8 +55,13 @@
 	if !p.divides() {
 		return nil
 	}
-	layout := p.shards.layout()
-	n := &need{fleet: p.fleet, layout: layout, shards: make(map[*owner.Shard]bool), plain: make(map[string]map[string]part)}
+	n := needOf(p.fleet, p.shards.layout(), instance, domain)
+	return &feedlink.Need{Name: n.name(), Has: n.has}
+}
+
+// needOf is what an instance needs of the targets of a layout.
+func needOf(f *fleet.Fleet, layout *owner.Layout, instance, domain string) *need {
+	n := &need{fleet: f, layout: layout, shards: make(map[*owner.Shard]bool), plain: make(map[string]map[string]part)}
 	for _, s := range layout.RankedBy(instance) {
 		n.shards[s] = true
 	}
@@ -64,11 +69,11 @@
 		n.shards[layout.Home(service, domain, instance)] = true
 	}
 	for service := range layout.Plain() {
-		if ready := p.fleet.Ready(service); sum(ready) > plainMost {
+		if ready := f.Ready(service); sum(ready) > plainMost {
 			n.plain[service] = partOf(instance, domain, ready)
 		}
 	}
-	return &feedlink.Need{Name: n.name(), Has: n.has}
+	return n
 }
 
 // divides reports whether there are so many targets that most instances hold a part. Around the bound it stays as it was: whoever
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -85,7 +85,9 @@
 	// Instances is the table in which each instance stands with the addresses at which others reach it.
 	Instances      feed.Source
 	DecodeInstance func(feed.Row) (owner.Instance, error)
-	Register       func(context.Context, owner.Instance) error
+	EncodeInstance func(owner.Instance) (feed.Row, error)
+	// Register writes rows of instances, at most 100.
+	Register func(context.Context, []feed.Row) error
 	// Unregister takes an instance's row away: of any version, or only as it was written at one.
 	Unregister func(ctx context.Context, instance string, version int64) error
 
--- a/lib/gatewayproc/watch.go
+++ b/lib/gatewayproc/watch.go
@@ -23,14 +23,31 @@
 	watchLimited = time.Second
 	// reportTimeout bounds one question.
 	reportTimeout = 300 * time.Millisecond
+	// idleAsked bounds the engines without runs that are asked in one period. A stream that is sent to one that leaves is told so, and
+	// an owner of hundreds would ask thousands a second.
+	idleAsked = 64
 )
 
+// askRound goes round the engines without runs.
+type askRound struct{ at int }
+
+// next returns the engines to ask now: all that have runs, which are lost with them, and some others.
+func (r *askRound) next(busy, idle []string) []string {
+	n := min(idleAsked, len(idle))
+	for range n {
+		r.at++
+		busy = append(busy, idle[r.at%len(idle)])
+	}
+	return busy
+}
+
 // watchEngines asks engines themselves whether they leave, while the list can't tell. Each is asked by the owner of its
 // shard, which tells those that have runs there: questions delay an engine's work and are paid for.
 func (p *Process) watchEngines(ctx context.Context) {
 	t := time.NewTicker(watchEvery)
 	defer t.Stop()
 	asked := make(map[string]time.Time) // engines with a limit
+	var round askRound
 	for {
 		select {
 		case <-ctx.Done():
@@ -48,7 +65,7 @@
 			continue
 		}
 		now := time.Now()
-		for _, id := range owned {
+		for _, id := range round.next(p.fleet.Busy(owned)) {
 			if e, known := p.fleet.Info(id); known && !p.fleet.IsLeaving(id) && p.mayAsk(now, id, asked) {
 				go p.ask(ctx, e)
 			}
