Owners: fills go to other failure domains a fifth as often

Change: to owners in other domains a fill is told each 2 s or when it has changed five times as much, and believed for 3 s.

--- a/lib/fleetsim/cost.go
+++ b/lib/fleetsim/cost.go
@@ -19,10 +19,18 @@
 	StreamOut, StreamIn int // bytes
 	PacketOut, PacketIn int // bytes
 	Packets             int // datagrams, both ways
+	Far                 int // bytes sent to other failure domains
 	Calls, Rows         int // of the store
 	Kinds               map[string]int
 }
 
+// far counts bytes that are sent to another failure domain.
+func (c *cost) far(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now.Far += n + headers
+}
+
 func (c *cost) stream(n int, out bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -75,7 +83,7 @@
 func (f figures) less(before figures) figures {
 	out := figures{
 		StreamOut: f.StreamOut - before.StreamOut, StreamIn: f.StreamIn - before.StreamIn, PacketOut: f.PacketOut - before.PacketOut,
-		PacketIn: f.PacketIn - before.PacketIn, Packets: f.Packets - before.Packets, Calls: f.Calls - before.Calls,
+		PacketIn: f.PacketIn - before.PacketIn, Packets: f.Packets - before.Packets, Far: f.Far - before.Far, Calls: f.Calls - before.Calls,
 		Rows: f.Rows - before.Rows, Kinds: make(map[string]int),
 	}
 	for k, v := range f.Kinds {
--- a/lib/fleetsim/network.go
+++ b/lib/fleetsim/network.go
@@ -81,6 +81,7 @@
 	delay := nearDelay
 	if from.domain != to.domain {
 		delay = farDelay
+		from.cost.far(bytes)
 	}
 	return to.down.reserve(from.up.reserve(time.Now(), bytes).Add(delay), bytes)
 }
--- a/lib/fleetsim/scenario.go
+++ b/lib/fleetsim/scenario.go
@@ -31,6 +31,7 @@
 	P99    time.Duration // until 99 in 100 did
 	Role   map[string]Load
 	Calls  int // of the store
+	Far    int // bytes a second between failure domains
 	Asked  int
 	Placed int
 }
@@ -142,11 +143,13 @@
 	for i, m := range s.members {
 		d := after[i].less(before[i])
 		res.Calls += d.Calls
+		res.Far += d.Far
 		role := m.role()
 		l := res.Role[role]
 		l.add(&d, worst[i], m.Known().Targets, res.Span.Seconds())
 		res.Role[role] = l
 	}
+	res.Far = int(float64(res.Far) / res.Span.Seconds())
 	for role, l := range res.Role {
 		l.Bytes /= float64(l.Instances)
 		l.Datagrams /= float64(l.Instances)
@@ -177,12 +180,12 @@
 func write(w io.Writer, size Size, results []Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(t, "%d instances before %d targets\n", size.Instances, size.Targets)
-	fmt.Fprintln(t, "phase\tknown p99\tknown last\tcalls\trole\tn\ttargets\tKB/s mean\tbusiest\tworst second\tdatagrams/s\tbusiest\tits datagrams by kind, KB/s")
+	fmt.Fprintln(t, "phase\tknown p99\tknown last\tcalls\tfar KB/s\trole\tn\ttargets\tKB/s mean\tbusiest\tworst second\tdatagrams/s\tbusiest\tits datagrams by kind, KB/s")
 	for _, r := range results {
 		for _, role := range slices.Sorted(maps.Keys(r.Role)) {
 			l := r.Role[role]
-			fmt.Fprintf(t, "%s\t%v\t%v\t%d\t%s\t%d\t%d\t%.1f\t%.1f\t%.0f\t%.1f\t%.0f\t%s\n", r.Phase, r.P99.Round(time.Millisecond),
-				r.Last.Round(time.Millisecond), r.Calls, role, l.Instances, l.Targets, l.Bytes/1000, l.MostBytes/1000, l.WorstBytes/1000,
+			fmt.Fprintf(t, "%s\t%v\t%v\t%d\t%.0f\t%s\t%d\t%d\t%.1f\t%.1f\t%.0f\t%.1f\t%.0f\t%s\n", r.Phase, r.P99.Round(time.Millisecond),
+				r.Last.Round(time.Millisecond), r.Calls, float64(r.Far)/1000, role, l.Instances, l.Targets, l.Bytes/1000, l.MostBytes/1000, l.WorstBytes/1000,
 				l.Datagrams, l.MostDatagrams, kinds(l.Kinds))
 		}
 	}
--- a/lib/owner/peers.go
+++ b/lib/owner/peers.go
@@ -13,6 +13,9 @@
 	beatLife = 350 * time.Millisecond
 	// fillLife is how long a shard is believed to be as full as was told.
 	fillLife = 600 * time.Millisecond
+	// FarFactor is how many times more seldom a fill is told to other failure domains, and how many times longer it is believed there:
+	// bytes between domains cost, and few streams go there.
+	FarFactor = 5
 	// suspectFor and suspectMax bound how long an owner that did not answer is asked after all others: each time twice as
 	// long. One that is gone for good stays listed, and costs whoever asks it first 0.15 s.
 	suspectFor = 2 * time.Second
@@ -202,7 +205,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	f, known := p.fills[s.Key]
-	if !known || now.Sub(f.at) > fillLife {
+	if !known || now.Sub(f.at) > FarFactor*fillLife {
 		return Instance{}, false
 	}
 	for _, in := range s.Ranked {
@@ -255,7 +258,7 @@
 	sum := 0.0
 	for _, n := range s.Neighbours() {
 		f, known := p.fills[n.Key]
-		if !known || now.Sub(f.at) > fillLife {
+		if !known || now.Sub(f.at) > fillLifeAt(s, n) {
 			continue
 		}
 		weight := weigh(&f)
@@ -270,6 +273,14 @@
 	return to, owner, ok
 }
 
+// fillLifeAt is how long a shard's owner believes what it was told of another.
+func fillLifeAt(s, other *Shard) time.Duration {
+	if other.Domain != s.Domain {
+		return FarFactor * fillLife
+	}
+	return fillLife
+}
+
 // Filled notes how full a shard is that this instance owns.
 func (p *Peers) Filled(now time.Time, shard string, f Fill) {
 	p.mu.Lock()
--- a/lib/ownerlink/beat.go
+++ b/lib/ownerlink/beat.go
@@ -99,12 +99,13 @@
 // addFill adds how full a shard is that this instance owns, for the owners of its neighbours: when it changes, and now and then.
 func (l *Link) addFill(now time.Time, out *beats, s *owner.Shard) {
 	f := l.Desk.Fills(now, s)
-	if !l.fills[s.Key].due(now, f) {
-		return
-	}
-	l.fills[s.Key] = toldFill{Fill: f, at: now}
+	near := l.tellsFill(now, s.Key, f, 1)
+	far := l.tellsFill(now, s.Key+" far", f, owner.FarFactor)
 	told := &ownerpb.Fill{Shard: s.Key, Permille: uint32(permille * f.Part), Room: tokens(f.Room)}
 	for _, n := range s.Neighbours() {
+		if isFar := n.Domain != s.Domain; isFar && !far || !isFar && !near {
+			continue
+		}
 		to := n.Ranked
 		if by, known := l.Desk.OwnerOf(now, n); known {
 			to = []owner.Instance{by}
@@ -116,6 +117,15 @@
 	}
 }
 
+// tellsFill reports whether a fill is to be told now, where it is told so many times more seldom, and notes that it is.
+func (l *Link) tellsFill(now time.Time, key string, f owner.Fill, seldom int) bool {
+	if !l.fills[key].due(now, f, seldom) {
+		return false
+	}
+	l.fills[key] = toldFill{Fill: f, at: now}
+	return true
+}
+
 // toldFill is what was last told of a shard.
 type toldFill struct {
 	owner.Fill
@@ -132,11 +142,12 @@
 )
 
 // due reports whether a fill is to be told now.
-func (t toldFill) due(now time.Time, f owner.Fill) bool {
-	if now.Sub(t.at) >= fillEvery || math.Abs(f.Part-t.Part) >= fillStep {
+func (t toldFill) due(now time.Time, f owner.Fill, seldom int) bool {
+	times := float64(seldom)
+	if now.Sub(t.at) >= time.Duration(seldom)*fillEvery || math.Abs(f.Part-t.Part) >= times*fillStep {
 		return true
 	}
-	return math.Abs(float64(f.Room-t.Room)) >= roomStep*float64(t.Room)
+	return math.Abs(float64(f.Room-t.Room)) >= min(0.5, times*roomStep)*float64(t.Room)
 }
 
 func (b *beats) addAll(list []owner.Instance) {
