Starts: a small row in the store says who reads and relays; the list heard again is not ranked again

Change: the one that reads keeps a row for each failure domain: who reads, who relays, how many of these have followers. One that starts reads its row with one call, unless the site starts for the first time; seeds tell the same. The list of instances, heard again each 5.5 s without news, was ranked anew by every instance each time: it isn't.

--- a/lib/feedlink/serve.go
+++ b/lib/feedlink/serve.go
@@ -71,10 +71,8 @@
 func (s *server) refer(stream *mesh.Stream, domain string) {
 	s.track.awaitList(referWait)
 	page := &meshpb.FeedPage{Lost: s.track.Lost()}
-	if s.track.Refer != nil {
-		for _, p := range s.track.Refer(stream.Peer().Instance, domain) {
-			page.Readers = append(page.Readers, &meshpb.FeedReader{Instance: p.Instance, Addr: p.Addr})
-		}
+	if s.track.Ranks != nil {
+		page.Ranks = s.track.Ranks(domain)
 	}
 	_ = stream.Write(page) // whoever has gone asks again elsewhere
 }
--- a/lib/feedlink/start.go
+++ b/lib/feedlink/start.go
@@ -27,22 +27,12 @@
 // learn takes the list of instances from one that this instance was told of. While the store is away it takes all tables
 // there: those that rank to read may know nothing either.
 func (t *Track) learn(ctx context.Context, reader mesh.Peer) {
-	referred, err := t.referred(ctx, reader)
+	ranks, err := t.ranksOf(ctx, reader)
 	if err != nil {
 		t.doubt(ctx, reader, err)
 		return
 	}
-	for _, p := range referred {
-		if !t.Place().Guess {
-			return // the list came from one of them
-		}
-		if s, err := t.open(ctx, p); err == nil {
-			t.better = s
-			return
-		}
-	}
-	if len(referred) > 0 {
-		t.doubt(ctx, reader, errUnknown) // those that it names may have just started, too
+	if len(ranks) > 0 && t.TakeRanks != nil && t.TakeRanks(ranks) {
 		return
 	}
 	s, err := t.openList(ctx, reader)
@@ -61,9 +51,9 @@
 	t.doubt(ctx, reader, errUnknown)
 }
 
-// referred asks an instance that this one was told of whom it should have the tables from. The list of a site's instances would be a
-// hundred times as large, and all ask that start at once.
-func (t *Track) referred(ctx context.Context, reader mesh.Peer) ([]mesh.Peer, error) {
+// ranksOf asks an instance that this one was told of who reads and relays. The list of a site's instances would be a hundred times as
+// large, and all ask that start at once.
+func (t *Track) ranksOf(ctx context.Context, reader mesh.Peer) ([]byte, error) {
 	open, cancel := context.WithTimeout(ctx, openFirst)
 	defer cancel()
 	stream, err := t.Node.Open(open, reader, meshpb.StreamKind_STREAM_FEED)
@@ -78,28 +68,7 @@
 	if err := stream.ReadWithin(waitNew, &page); err != nil {
 		return nil, errUnknown // it lives, and does not know the list yet
 	}
-	var out []mesh.Peer
-	for _, r := range page.Readers {
-		if r.Instance != t.Self {
-			out = append(out, mesh.Peer{Instance: r.Instance, Addr: r.Addr})
-		}
-	}
-	return out, nil
-}
-
-// mayJoin reports whether to read the list of instances from the store: nobody answers that this instance was told of.
-func (t *Track) mayJoin() bool {
-	place := t.Place()
-	if !place.Guess || t.Join == nil {
-		return false
-	}
-	for _, p := range place.Readers {
-		if p.Addr != "" && !t.silent[p.Addr] {
-			return false
-		}
-	}
-	clear(t.silent)
-	return true
+	return page.Ranks, nil
 }
 
 // early reports whether this instance, which knows nothing, leaves the store to others for now.
--- a/lib/feedlink/track.go
+++ b/lib/feedlink/track.go
@@ -90,10 +90,10 @@
 	Fail func(table string, err error)
 	// From is told of each change of the instance that the tables are had from; empty: the store itself.
 	From func(instance string)
-	// Refer returns whom another instance should have the tables from, the best first; empty: that is not known yet.
-	Refer func(instance, domain string) []mesh.Peer
-	// Join reads the list of instances from the store, once none of those answers that this instance was told of; nil: it does not.
-	Join func(context.Context)
+	// Ranks says who reads and who relays in a failure domain, for an instance that knows nobody; empty: that is not known yet.
+	Ranks func(domain string) []byte
+	// TakeRanks takes in what another instance says of that, and reports whether this one knows its Place by it.
+	TakeRanks func([]byte) bool
 	// Write writes rows that instances want to be written for themselves, together: their own rows of the list of instances. What fails is
 	// not tried again: each sees to its own row. nil: nothing is written.
 	Write func(ctx context.Context, rows []feed.Row)
@@ -112,7 +112,6 @@
 	avoid  map[string]avoided // by address
 	late   time.Duration      // how much later than others of its role this instance looks for the store
 	cutOff avoided            // this instance itself, as a reader
-	silent map[string]bool    // addresses that did not answer while the list of instances was not known
 	better *subscription      // to go on with, from a reader that ranks higher
 	lost   atomic.Bool
 	news   *newsLog
@@ -139,7 +138,7 @@
 // New returns a Track.
 func New(cfg Config) *Track {
 	t := &Track{
-		Config: cfg, avoid: make(map[string]avoided), silent: make(map[string]bool), failed: make(map[string]bool), late: rand.N(lateProbe),
+		Config: cfg, avoid: make(map[string]avoided), failed: make(map[string]bool), late: rand.N(lateProbe),
 		news: newNewsLog(cfg.Self, uint64(time.Now().UnixNano())), writes: newWriteQueue(),
 	}
 	t.started = time.Now()
@@ -166,8 +165,6 @@
 		}
 		reader, self, pause := t.pick(time.Now())
 		switch {
-		case t.mayJoin():
-			t.Join(ctx)
 		case pause > 0:
 			sleep(ctx, pause)
 		case self:
@@ -200,8 +197,6 @@
 	now := time.Now()
 	if errors.Is(err, errUnknown) {
 		t.toldUnknown(now)
-	} else if t.Place().Guess {
-		t.silent[reader.Addr] = true
 	}
 	if errors.Is(err, errUnknown) || !t.known() {
 		// It has just started, as this instance may have, too.
--- a/lib/fleetsim/scenario.go
+++ b/lib/fleetsim/scenario.go
@@ -236,6 +236,7 @@
 		{Name: "all killed", Span: 8 * time.Second, act: func(s *site) func(*member) bool {
 			s.store.turnAway(nil)
 			s.killAll()
+			s.first = false
 			if err := s.start(context.Background()); err != nil {
 				panic(err) // the addresses are free
 			}
--- a/lib/fleetsim/store.go
+++ b/lib/fleetsim/store.go
@@ -50,6 +50,13 @@
 	s.changed = make(chan struct{})
 }
 
+// value returns a row's value; nil where there is none.
+func (s *store) value(table, key string) ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tables[table][key].Value, nil
+}
+
 // turnAway makes the store turn some instances away, and no others.
 func (s *store) turnAway(instances []string) {
 	s.mu.Lock()
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -67,7 +67,7 @@
 			{Name: instancesTable, Source: p.site.Instances, Replica: p.feeds.instances, Options: instanceOptions},
 		},
 		MaxAge: maxAge, Node: node, Place: p.place, Fail: p.feedFailed(), From: p.feedFrom,
-		Refer: p.refer, Join: p.join, Write: p.writeRows, News: p.link.TakeSpread,
+		Ranks: p.ranksOf, TakeRanks: p.takeRanks, Write: p.writeRows, News: p.link.TakeSpread,
 	})
 	feedlink.Serve(node, p.track)
 	listen := p.cfg.Network.Listen
@@ -95,7 +95,12 @@
 
 // follow starts the feeds and the housekeeping.
 func (p *Process) follow(ctx context.Context) {
-	p.start(func() { p.track.Run(ctx) })
+	p.start(func() {
+		if !p.cfg.First {
+			p.join(ctx)
+		}
+		p.track.Run(ctx)
+	})
 	p.start(func() { p.beListed(ctx) })
 	p.start(func() { p.link.Run(ctx) })
 	p.start(func() { p.tellBlames(ctx) })
@@ -103,21 +108,6 @@
 	p.start(func() { p.watchEngines(ctx) })
 }
 
-// joinTimeout bounds the read of the list of instances at the start.
-const joinTimeout = 300 * time.Millisecond
-
-// join reads which instances there are, so that the rest comes from those that relay in this failure domain.
-func (p *Process) join(ctx context.Context) {
-	try, cancel := context.WithTimeout(ctx, joinTimeout)
-	defer cancel()
-	page, err := p.site.Instances.Snapshot(try)
-	if err != nil {
-		logline.Cause(log.Info().Str("event", "join_failed"), err)
-		return
-	}
-	p.feeds.instances.Take(page, true, time.Now())
-}
-
 func (p *Process) applySettings(u feed.Update) {
 	p.era.Store(u.Era)
 	p.evacuate(u.Rows)
--- a/lib/gatewayproc/listed.go
+++ b/lib/gatewayproc/listed.go
@@ -29,6 +29,7 @@
 // the store has come back from a copy without it. Others would else never tell it anything, or let it decide.
 func (p *Process) beListed(ctx context.Context) {
 	var row ownRow
+	ranks := make(map[string][]byte) // as written, by failure domain
 	for {
 		changed := p.feeds.instances.Changed()
 		if p.mustRegister(&row) {
@@ -37,6 +38,7 @@
 		}
 		if p.track.Reads() {
 			p.removeGhosts(ctx)
+			p.keepRanks(ctx, ranks)
 		}
 		select {
 		case <-ctx.Done():
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -20,6 +20,9 @@
 }
 
 func (p *Process) applyInstances(u feed.Update) {
+	if len(u.Rows) == 0 && !u.Whole {
+		return // it was heard again, and says nothing new
+	}
 	p.mu.Lock()
 	for _, row := range u.Rows {
 		if row.Removed {
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -44,6 +44,7 @@
 	LinkBind string            // where to listen for them; empty: at Link
 	Metrics  string            // address for metrics, at /metrics; empty: none
 	Seeds    []string          // links of some instances, which may be stale
+	First    bool              // the site starts for the first time
 	MemoryMB int               // over which the process is killed
 	LinkMbps float64
 	CPUShare float64 // of a core
@@ -91,6 +92,10 @@
 	// Unregister takes an instance's row away: of any version, or only as it was written at one.
 	Unregister func(ctx context.Context, instance string, version int64) error
 
+	// ReadRanks and WriteRanks keep a small row for each failure domain: who reads and relays there.
+	ReadRanks  func(ctx context.Context, domain string) ([]byte, error)
+	WriteRanks func(ctx context.Context, rows map[string][]byte) error
+
 	// Reload reads the instance's settings again, after SIGHUP.
 	Reload func() (Config, error)
 }
--- /dev/null
+++ b/lib/gatewayproc/ranks_test.go
@@ -0,0 +1,61 @@
+package gatewayproc
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/feedlink"
+	"anvilwick.example/anvilwick/lib/owner"
+)
+
+// All machines of a site lose power. Each instance finds its place by one small row as it would by the list of all: the one that reads
+// for all begins at once, and nobody waits for seeds that start later.
+func TestPlaceByRanksIsThatByTheList(t *testing.T) {
+	for _, n := range []int{3, 20, 295, 985} {
+		list := siteOf(n, 5)
+		rows := make(map[string][]byte)
+		p := &Process{}
+		p.site.WriteRanks = func(_ context.Context, written map[string][]byte) error {
+			for domain, b := range written {
+				rows[domain] = b
+			}
+			return nil
+		}
+		p.instances = make(map[string]owner.Instance)
+		for _, in := range list {
+			p.instances[in.Name] = in
+		}
+		written := make(map[string][]byte)
+		p.keepRanks(t.Context(), written)
+		for _, in := range list {
+			starts := &Process{cfg: Config{Instance: in.Name, Domain: in.Domain}}
+			starts.site.ReadRanks = func(_ context.Context, domain string) ([]byte, error) { return rows[domain], nil }
+			starts.join(t.Context())
+			want := placeAmong(in.Name, in.Domain, list)
+			want.Others = nil // these come with the list
+			must.Eq(t, want, starts.place())
+		}
+		p.site.WriteRanks = func(context.Context, map[string][]byte) error { return errors.New("nothing has changed") }
+		p.keepRanks(t.Context(), written)
+	}
+}
+
+// The row is missing, was cut, or says nothing of use, or the store does not answer: seeds are asked.
+func TestBadRanksAreLeftOut(t *testing.T) {
+	seeds := []string{"a:1", "b:1"}
+	for _, row := range []string{"", "{", "[]", "{}", `{"readers":[{"Name":"x"}]}`, `{"relays":[{"Name":"x"}],"serving":9}`} {
+		p := &Process{cfg: Config{Instance: "me", Link: "me:1", Domain: "z", Seeds: seeds}}
+		p.site.ReadRanks = func(context.Context, string) ([]byte, error) { return []byte(row), nil }
+		p.join(t.Context())
+		must.True(t, p.place().Guess, must.Sprint(row))
+	}
+	p := &Process{cfg: Config{Instance: "me", Link: "me:1", Seeds: seeds}}
+	p.site.ReadRanks = func(context.Context, string) ([]byte, error) { return nil, errors.New("away") }
+	p.join(t.Context())
+	must.True(t, p.place().Guess)
+	must.True(t, p.takeRanks([]byte(`{"readers":[{"Name":"x","Link":"x:1"}],"relays":[{"Name":"y","Link":"y:1"}],"serving":-5}`)))
+	must.Eq(t, feedlink.Follows, p.place().Role)
+}
--- a/lib/gatewayproc/readers.go
+++ b/lib/gatewayproc/readers.go
@@ -30,17 +30,6 @@
 	return placeBySeeds(p.cfg.Link, p.cfg.Seeds)
 }
 
-// refer returns whom another instance should have the tables from, by the list of instances; nil while there is none.
-func (p *Process) refer(instance, domain string) []mesh.Peer {
-	list := p.listedInstances()
-	if len(list) == 0 {
-		return nil
-	}
-	c := owner.NewCandidates(list)
-	relays := preferred(instance, relaysIn(c, domain), serving(c.Count(domain)))
-	return peers("", relays, c.First("", rendezvous.Hash(siteKey), readersMax))
-}
-
 // placeBySeeds is the place of an instance that knows of no other than its seeds: seeds read the store, the others wait for
 // them, each for another one first. Otherwise hundreds that start while the store is away would each ask it several times a
 // second.
@@ -91,19 +80,35 @@
 // that one and relays it, so that little goes between domains.
 func placeAmong(self string, domain string, list []owner.Instance) feedlink.Place {
 	c := owner.NewCandidates(list)
-	readers := c.First("", rendezvous.Hash(siteKey), readersMax)
-	relays := relaysIn(c, domain)
-	if i := indexOf(readers, self); i >= 0 {
-		at := feedlink.Place{Role: feedlink.Reads, Rank: i, Readers: peers(self, readers, relays[:min(readersMax, len(relays))])}
+	at := ranksIn(c, domain).place(self)
+	if at.Role != feedlink.Follows {
 		at.Others = relaysElsewhere(c, domain)
-		return at
 	}
-	if i := indexOf(relays, self); i >= 0 {
-		at := feedlink.Place{Role: feedlink.Relays, Rank: i, Readers: peers(self, relays[:min(i, before)], readers, relays[i:min(i+1, len(relays))])}
-		at.Others = relaysElsewhere(c, domain)
-		return at
+	return at
+}
+
+// ranks says who reads the store for all, and who relays in a failure domain.
+type ranks struct {
+	Readers []owner.Instance `json:"readers"`
+	Relays  []owner.Instance `json:"relays"`
+	Serving int              `json:"serving"` // how many of Relays have followers
+}
+
+func ranksIn(c *owner.Candidates, domain string) ranks {
+	return ranks{Readers: c.First("", rendezvous.Hash(siteKey), readersMax), Relays: relaysIn(c, domain), Serving: serving(c.Count(domain))}
+}
+
+// place is an instance's place by the ranks in its failure domain.
+func (r ranks) place(self string) feedlink.Place {
+	if i := indexOf(r.Readers, self); i >= 0 {
+		return feedlink.Place{Role: feedlink.Reads, Rank: i, Readers: peers(self, r.Readers, r.Relays[:min(readersMax, len(r.Relays))])}
+	}
+	if i := indexOf(r.Relays, self); i >= 0 {
+		readers := peers(self, r.Relays[:min(i, before)], r.Readers, r.Relays[i:i+1])
+		return feedlink.Place{Role: feedlink.Relays, Rank: i, Readers: readers}
 	}
-	return feedlink.Place{Role: feedlink.Follows, Readers: append(peers(self, preferred(self, relays, serving(c.Count(domain))), readers), mesh.Peer{})}
+	readers := append(peers(self, preferred(self, r.Relays, r.Serving), r.Readers), mesh.Peer{})
+	return feedlink.Place{Role: feedlink.Follows, Readers: readers}
 }
 
 // before is how many of those that relay and rank before another are asked by it.
