--- a/lib/feedlink/parts_test.go
+++ b/lib/feedlink/parts_test.go
@@ -34,13 +34,6 @@
 	}
 }
 
-func (s *rows) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version++
-	delete(s.held, key)
-}
-
 func (s *rows) Snapshot(context.Context) (feed.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -51,7 +44,7 @@
 	return page, nil
 }
 
-// Changes tells what has come; what has gone shows in the next Snapshot only.
+// Changes tells what has come.
 func (s *rows) Changes(ctx context.Context, after int64, wait time.Duration) (feed.Page, error) {
 	for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		s.mu.Lock()
--- a/lib/fleetsim/site.go
+++ b/lib/fleetsim/site.go
@@ -50,7 +50,6 @@
 	net     *network
 	store   *store
 	members []*member
-	work    sync.WaitGroup
 	rng     *rand.Rand
 	first   bool // it starts for the first time
 }
@@ -106,14 +105,14 @@
 }
 
 func decodeSettings(rows []feed.Row) (*routes.Revision, error) {
-	for _, row := range rows {
-		rev := &routes.Revision{Services: []routes.Service{{Name: engines, Engine: &routes.Engine{KVTokens: 33_000, Slots: 24}}, {Name: plain}}}
-		if _, err := fmt.Sscan(string(row.Value), &rev.Version); err != nil {
-			return nil, err
-		}
-		return rev, nil
+	if len(rows) == 0 {
+		return nil, nil
+	}
+	rev := &routes.Revision{Services: []routes.Service{{Name: engines, Engine: &routes.Engine{KVTokens: 33_000, Slots: 24}}, {Name: plain}}}
+	if _, err := fmt.Sscan(string(rows[0].Value), &rev.Version); err != nil {
+		return nil, err
 	}
-	return nil, nil
+	return rev, nil
 }
 
 // newSite makes a site whose targets are listed, and no instance runs.
