Starts: an instance whose row is not written for it writes it itself

Cause, found by reading: an instance hands its row up the subscriptions. Behind one of an older build, which does not read what comes up, it would never be listed, and others would never ask or tell it anything.

Change: after two tries (8 s) it writes the row itself.

--- a/lib/gatewayproc/listed.go
+++ b/lib/gatewayproc/listed.go
@@ -16,6 +16,8 @@
 	registerTimeout = 800 * time.Millisecond
 	// registerAgain is how long a row that was handed on may stay unseen: the list comes late.
 	registerAgain = 4 * time.Second
+	// handedOn is how often an instance hands its row on before it writes it itself.
+	handedOn = 2
 )
 
 // self is this instance as others see it.
@@ -33,8 +35,8 @@
 	for {
 		changed := p.feeds.instances.Changed()
 		if p.mustRegister(&row) {
-			p.handOnRow()
-			row = ownRow{written: time.Now()}
+			p.haveRowWritten(ctx, row.tries >= handedOn)
+			row = ownRow{written: time.Now(), tries: row.tries + 1}
 		}
 		if p.track.Reads() {
 			p.removeGhosts(ctx)
@@ -51,8 +53,9 @@
 
 // ownRow is what this process knows of its own row.
 type ownRow struct {
-	written time.Time // zero: it has not written it
+	written time.Time // zero: it has not had it written
 	seen    bool      // the store had it since
+	tries   int       // to have it written
 }
 
 // mustRegister looks whether the store lacks this instance's row, and notes in own that it was seen. What a row says that this process
@@ -80,14 +83,18 @@
 	return p.stopped
 }
 
-// handOnRow has this instance's row written by the one that reads the store for all.
-func (p *Process) handOnRow() {
+// haveRowWritten has this instance's row written by the one that reads the store for all, or writes it itself: while builds are mixed, that
+// one may not know of the rows of others.
+func (p *Process) haveRowWritten(ctx context.Context, itself bool) {
 	row, err := p.site.EncodeInstance(p.self())
-	if err != nil {
+	switch {
+	case err != nil:
 		logline.Cause(log.Error().Str("event", "register_failed"), err)
-		return
+	case itself:
+		p.writeRows(ctx, []feed.Row{row})
+	default:
+		p.track.WriteOwn(row)
 	}
-	p.track.WriteOwn(row)
 }
 
 // writeRows writes the rows of instances that have handed them on. What fails they hand on again.
