Starts: the ranks are asked for again by one that was turned away, beside the seeds

Trace of eleven instances: four of them had 'connection refused' from the store for the ranks: a thousand asked within 0.2 s, the one that is to read for all among them, which then waited for seeds like the others.

--- a/lib/feedlink/serve.go
+++ b/lib/feedlink/serve.go
@@ -78,7 +78,7 @@
 }
 
 // referWait bounds the wait for the list of instances on behalf of one that knows nobody.
-const referWait = waitNew - 100*time.Millisecond
+const referWait = openFirst - 50*time.Millisecond
 
 // awaitList waits until the list of instances is known.
 func (t *Track) awaitList(most time.Duration) {
--- a/lib/feedlink/start.go
+++ b/lib/feedlink/start.go
@@ -68,7 +68,7 @@
 		return nil, err
 	}
 	var page meshpb.FeedPage
-	if err := stream.ReadWithin(waitNew, &page); err != nil {
+	if err := stream.ReadWithin(openFirst, &page); err != nil {
 		return nil, errUnknown // it lives, and does not know the list yet
 	}
 	return page.Ranks, nil
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -103,12 +103,10 @@
 
 // follow starts the feeds and the housekeeping.
 func (p *Process) follow(ctx context.Context) {
-	p.start(func() {
-		if !p.cfg.First {
-			p.join(ctx)
-		}
-		p.track.Run(ctx)
-	})
+	if !p.cfg.First {
+		p.start(func() { p.join(ctx) })
+	}
+	p.start(func() { p.track.Run(ctx) })
 	p.start(func() { p.beListed(ctx) })
 	p.start(func() { p.link.Run(ctx) })
 	p.start(func() { p.tellBlames(ctx) })
--- a/lib/gatewayproc/ranks.go
+++ b/lib/gatewayproc/ranks.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/phuslu/log"
@@ -18,19 +19,40 @@
 // Load pattern: all instances of a large site start again at once. Each that reads the list of all of them to find its place has a
 // thousand rows sent, a million together; told by a seed, it waits until seeds have started and read the list.
 
-// joinTimeout bounds the call for the ranks at the start.
-const joinTimeout = 300 * time.Millisecond
+const (
+	// joinTimeout bounds the call for the ranks at the start.
+	joinTimeout = 300 * time.Millisecond
+	// joinTries and joinSpread bound the tries, and the pause before each: the store takes so many new connections at once, and the one that
+	// is to read for all must not be turned away with a thousand others.
+	joinTries  = 6
+	joinSpread = 100 * time.Millisecond
+)
 
-// join finds this instance's place by the ranks that the store has.
+// join finds this instance's place by the ranks that the store has, beside the seeds that may tell it sooner.
 func (p *Process) join(ctx context.Context) {
+	for range joinTries {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(rand.N(joinSpread)):
+		}
+		if p.placed.Load() != nil || p.readRanks(ctx) {
+			return
+		}
+	}
+}
+
+// readRanks makes one call for the ranks, and reports whether the store has answered.
+func (p *Process) readRanks(ctx context.Context) bool {
 	try, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	b, err := p.site.ReadRanks(try, p.cfg.Domain)
 	if err != nil {
 		logline.Cause(log.Info().Str("event", "join_failed"), err)
-		return
+		return false
 	}
 	p.takeRanks(b)
+	return true
 }
 
 // takeRanks takes in what the store or a peer says of who reads and relays, and reports whether this instance knows its place by it. The
--- a/lib/gatewayproc/ranks_test.go
+++ b/lib/gatewayproc/ranks_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -33,7 +35,7 @@
 		for _, in := range list {
 			starts := &Process{cfg: Config{Instance: in.Name, Domain: in.Domain}}
 			starts.site.ReadRanks = func(_ context.Context, domain string) ([]byte, error) { return rows[domain], nil }
-			starts.join(t.Context())
+			must.True(t, starts.readRanks(t.Context()))
 			want := placeAmong(in.Name, in.Domain, list)
 			want.Others = nil // these come with the list
 			must.Eq(t, want, starts.place())
@@ -49,13 +51,33 @@
 	for _, row := range []string{"", "{", "[]", "{}", `{"readers":[{"Name":"x"}]}`, `{"relays":[{"Name":"x"}],"serving":9}`} {
 		p := &Process{cfg: Config{Instance: "me", Link: "me:1", Domain: "z", Seeds: seeds}}
 		p.site.ReadRanks = func(context.Context, string) ([]byte, error) { return []byte(row), nil }
-		p.join(t.Context())
+		p.readRanks(t.Context())
 		must.True(t, p.place().Guess, must.Sprint(row))
 	}
 	p := &Process{cfg: Config{Instance: "me", Link: "me:1", Seeds: seeds}}
 	p.site.ReadRanks = func(context.Context, string) ([]byte, error) { return nil, errors.New("away") }
-	p.join(t.Context())
+	must.False(t, p.readRanks(t.Context()))
 	must.True(t, p.place().Guess)
 	must.True(t, p.takeRanks([]byte(`{"readers":[{"Name":"x","Link":"x:1"}],"relays":[{"Name":"y","Link":"y:1"}],"serving":-5}`)))
 	must.Eq(t, feedlink.Follows, p.place().Role)
 }
+
+// A thousand instances start at once, and the store turns many calls away. One that was turned away asks again: it may be the one that all
+// others wait for.
+func TestRanksAreAskedForAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := 0
+		p := &Process{cfg: Config{Instance: "me"}}
+		p.site.ReadRanks = func(context.Context, string) ([]byte, error) {
+			if calls++; calls < 3 {
+				return nil, errors.New("turned away")
+			}
+			return []byte(`{"readers":[{"Name":"me"}],"relays":[{"Name":"me"}],"serving":1}`), nil
+		}
+		start := time.Now()
+		p.join(t.Context())
+		must.Eq(t, 3, calls)
+		must.Eq(t, feedlink.Reads, p.place().Role)
+		must.LessEq(t, 3*joinSpread, time.Since(start))
+	})
+}
