--- a/lib/feed/part_test.go
+++ b/lib/feed/part_test.go
@@ -85,3 +85,17 @@
 	must.True(t, whole)
 	must.Len(t, 3, page.Rows)
 }
+
+// A change that the log has dropped since still reaches whoever is that far behind.
+func TestChangeBeforeTheLogIsTold(t *testing.T) {
+	r := NewReplica(func(Update) {})
+	now := time.Now()
+	r.Take(Page{Version: 1, Rows: []Row{row("a", 1)}}, true, now)
+	r.Take(Page{Version: 2, Rows: []Row{row("seldom", 2)}}, false, now)
+	for version := int64(3); version < 3*changesMost; version++ {
+		r.Take(Page{Version: version, Rows: []Row{row("a", version)}}, false, now)
+	}
+	page, whole, _, _ := r.Since(At(1, 1))
+	must.False(t, whole)
+	must.Len(t, 2, page.Rows)
+}
