--- a/lib/feedlink/start.go
+++ b/lib/feedlink/start.go
@@ -18,6 +18,9 @@
 	// longPatience is for how long it does so while one of those lives and has read nothing either: the store is away, and
 	// hundreds that ask it, too, would be hundreds of calls a second in vain.
 	longPatience = 6 * time.Second
+	// largePatience is patience on a large site, where several relay in each failure domain, and all tables are much to read for one that
+	// needs few of their rows.
+	largePatience = 2 * time.Second
 	// aliveFor is how long one that was heard is taken to live.
 	aliveFor = 2 * time.Second
 	// looks is the pause between two looks at the readers while they know nothing.
@@ -79,8 +82,11 @@
 	t.mu.Lock()
 	unknown := t.unknown
 	t.mu.Unlock()
-	since := now.Sub(t.started)
-	return since < patience || since < longPatience && now.Sub(unknown) < aliveFor
+	since, most := now.Sub(t.started), patience
+	if t.Place().Large {
+		most = largePatience
+	}
+	return since < most || since < longPatience && now.Sub(unknown) < aliveFor
 }
 
 // toldUnknown notes that a reader lives that has read nothing.
--- a/lib/feedlink/track.go
+++ b/lib/feedlink/track.go
@@ -72,6 +72,7 @@
 	// start, and are asked for the list only.
 	Guess   bool
 	Role    Role
+	Large   bool        // several instances relay in each failure domain
 	Rank    int         // among those of the same role
 	Readers []mesh.Peer // whom it has the tables from, the best first; it contains the instance itself, as an empty address
 	// Others relay in other failure domains. They are asked only while nobody among Readers has the store's word.
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -20,6 +20,13 @@
 // linkKeepAlive is the period of the links' own pings.
 const linkKeepAlive = 5 * time.Second
 
+// linkBackoffMin and linkBackoffMax bound the pause before an instance is dialed again that did not answer: when all start at once, the
+// one that another waits for may start some tens of milliseconds later.
+const (
+	linkBackoffMin = 40 * time.Millisecond
+	linkBackoffMax = time.Second
+)
+
 // Names of the tables towards peers.
 const (
 	settingsTable  = "settings"
@@ -52,8 +59,9 @@
 		// The platform's network is the instances' own, and it hands out no certificates.
 		Plain: true,
 		// What goes over a link that matters has beats of its own.
-		KeepAlive: linkKeepAlive,
-		Dial:      p.cfg.Network.Dial,
+		KeepAlive:  linkKeepAlive,
+		BackoffMin: linkBackoffMin, BackoffMax: linkBackoffMax,
+		Dial: p.cfg.Network.Dial,
 	})
 	if err != nil {
 		return fmt.Errorf("gatewayproc: links: %w", err)
--- a/lib/gatewayproc/readers.go
+++ b/lib/gatewayproc/readers.go
@@ -108,7 +108,7 @@
 		return feedlink.Place{Role: feedlink.Relays, Rank: i, Readers: readers}
 	}
 	readers := append(peers(self, preferred(self, r.Relays, r.Serving), r.Readers), mesh.Peer{})
-	return feedlink.Place{Role: feedlink.Follows, Readers: readers}
+	return feedlink.Place{Role: feedlink.Follows, Readers: readers, Large: r.Serving > 1}
 }
 
 // before is how many of those that relay and rank before another are asked by it.
