Interfaces for hard load: rates of engines in reports, workspace, priority and pause objective in placement requests

Cause: owners place streams by memory and pending prompts alone; they learn neither how fast an engine is nor whose request it is. No decision uses them yet, so that parts can be built side by side.

--- a/lib/admit/admit.go
+++ b/lib/admit/admit.go
@@ -41,6 +41,9 @@
 	Objective     time.Duration // from arrival to the first event; 0: none, the stream is never late
 	MaxRetryAfter time.Duration // longest retry time that the caller respects
 	IsRetry       bool          // the caller has retried after a rejection
+	Workspace     uint64        // hash of the workspace's name; 0: unknown
+	Priority      int           // 0 is the most urgent
+	GapObjective  time.Duration // longest pause between events that counts as fully useful; 0: none
 	Need          fleet.Need    // requirements on the engine; Peak with the run's whole size
 }
 
--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -49,7 +49,10 @@
 	Regions         []string        // regions that the request is restricted to; nil: any
 	Granted         bool            // the target's owner chose it and has counted the request there
 	FoundByOwner    bool            // an owner found the target, which this instance's list may not contain
-	asOwner         bool            // this instance chooses as the target's owner
+	// Penalty returns what a choice of an engine costs beyond its load, in units of one fully loaded target. load and runs are those
+	// already there. It must not call the Fleet. nil: nothing.
+	Penalty func(t Info, load Load, runs []Size) float64
+	asOwner bool // this instance chooses as the target's owner
 }
 
 // Acquire chooses a target and counts the request there until it is released.
@@ -250,6 +253,9 @@
 	if memory := f.specs[t.Service].KVTokens; memory > 0 {
 		score += (float64(load.Tokens+n.Tokens) + unreadWeight*float64(load.Unread)) / float64(memory)
 		score += runWeight * float64(load.Runs)
+		if n.Penalty != nil {
+			score += n.Penalty(t.Info, load, f.sizesOn(t))
+		}
 	} else {
 		busy := float64(load.Runs)
 		if now.Sub(t.reportedAt) < reportTTL {
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -37,6 +37,9 @@
 	ConnCap  int           // connections that a target accepts from all instances together
 	ColdFor  time.Duration // how long a target is cold after its start
 	ColdRate float64       // requests per second that a cold target takes from all instances together; 0: no limit
+
+	GapObjective   time.Duration // tightest objective for pauses between events among the service's routes; 0: none
+	TokensPerEvent int           // of the service's streams; 0: plain service
 }
 
 // Target is one target. Its fields are protected by the Fleet's lock; access them through the methods of Fleet.
--- a/lib/gateway/call.go
+++ b/lib/gateway/call.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/rendezvous"
 	"anvilwick.example/anvilwick/lib/routes"
 	"anvilwick.example/anvilwick/lib/wirehttp"
 )
@@ -217,6 +218,14 @@
 // timeLeft returns the time that a target has for the call; it ends when the caller stops waiting.
 func (c *call) timeLeft(now time.Time) time.Duration { return c.limit.Sub(now) }
 
+// workspaceHash identifies the call's workspace to owners; 0 if it has none.
+func (c *call) workspaceHash() uint64 {
+	if c.workspace == "" {
+		return 0
+	}
+	return rendezvous.Hash(c.workspace)
+}
+
 // request builds the request to one target.
 func (g *Gateway) request(c *call, target string, now time.Time) *wirehttp.Request {
 	h := c.header.Clone()
--- a/lib/gateway/place.go
+++ b/lib/gateway/place.go
@@ -59,7 +59,10 @@
 // admitStream describes the run to admission control.
 func (r *run) admitStream(need fleet.Need) admit.Stream {
 	need.Peak = r.kvSize()
-	return admit.Stream{Arrived: r.c.arrived, Objective: r.c.route.LatencyObjective, MaxRetryAfter: r.c.boundWait(time.Until(r.c.deadline)), Need: need}
+	return admit.Stream{
+		Arrived: r.c.arrived, Objective: r.c.route.LatencyObjective, MaxRetryAfter: r.c.boundWait(time.Until(r.c.deadline)), Need: need,
+		Workspace: r.c.workspaceHash(), Priority: r.c.priority, GapObjective: r.c.route.GapObjective,
+	}
 }
 
 // placeByOwner lets the owner choose; ok is false when this instance has to. A stream that a target has rejected accepts any
--- a/lib/gateway/relay.go
+++ b/lib/gateway/relay.go
@@ -94,7 +94,9 @@
 		r.g.copyHead(r.w, resp.Header)
 		r.w.WriteHeader(resp.Status)
 		r.firstAt = time.Now()
-		r.g.recordPrefill(owner.PrefillSample{Service: r.c.service, Unread: r.lastKnown.Load.Unread, Took: r.firstAt.Sub(r.sentAt)})
+		r.g.recordPrefill(owner.PrefillSample{
+			Service: r.c.service, Target: r.currentTarget().ID, Unread: r.lastKnown.Load.Unread, Took: r.firstAt.Sub(r.sentAt),
+		})
 		r.g.Log.FirstEvent(r.c.entry(), r.currentTarget().ID, r.waited)
 		r.c.observe(metricFirst)
 	}
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -140,6 +140,8 @@
 		spec := fleet.Spec{ConnCap: s.MaxConns, ColdFor: s.WarmupTime, ColdRate: s.WarmupRate}
 		if s.Engine != nil {
 			spec.KVTokens = s.Engine.KVTokens
+			spec.TokensPerEvent = max(1, s.Engine.TokensPerEvent)
+			spec.GapObjective = table.TightestGap(s.Name)
 		}
 		specs[s.Name] = spec
 	})
--- a/lib/owner/report.go
+++ b/lib/owner/report.go
@@ -35,10 +35,20 @@
 // PrefillSample is the time until a first event, and the prompt tokens assumed to be prefilled before it.
 type PrefillSample struct {
 	Service string
+	Target  string
 	Unread  int
 	Took    time.Duration
 }
 
+// Pace is how fast an engine worked in the last report interval, as the streams and responses of one instance showed.
+type Pace struct {
+	Target      string
+	Shortest    time.Duration // shortest time between two events of a stream; 0: none was observed
+	Longest     time.Duration // longest time between two events of a stream
+	Slowdown    float64       // factor on the engine's normal step time, from its newest response; 0: not given
+	SlowdownAge time.Duration // since that response
+}
+
 // Report is what an instance has on the engines of a shard.
 type Report struct {
 	Shard          string
@@ -51,6 +61,7 @@
 	Copies         []Copy
 	Outcomes       []Outcomes
 	PrefillSamples []PrefillSample
+	Paces          []Pace
 	Describe       bool // as in PlaceRequest
 }
 
--- a/lib/ownerlink/wire.go
+++ b/lib/ownerlink/wire.go
@@ -17,6 +17,11 @@
 
 func duration(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 
+func micros(d time.Duration) uint32 { return uint32(min(max(0, d.Microseconds()), 1<<31)) }
+
+// maxSlowdown bounds the slowdown of an engine that a report can name.
+const maxSlowdown = 100
+
 func tokens(n int) uint32 { return uint32(min(max(0, n), 1<<31)) }
 
 func encodePlaceRequest(req *owner.PlaceRequest, shard string, now time.Time) *ownerpb.Ask {
@@ -27,6 +32,7 @@
 		AgeMs: ms(now.Sub(req.Stream.Arrived)), KeepsMs: ms(req.Stream.MaxRetryAfter), Near: n.PreferredDomain,
 		BackupTokens: tokens(req.Backup), Print: req.Fingerprint,
 		Back: req.Stream.IsRetry, Bound: n.Regions != nil, Regions: n.Regions, Describe: req.Describe,
+		Workspace: req.Stream.Workspace, Rank: uint32(max(0, req.Stream.Priority)), GapMs: ms(req.Stream.GapObjective),
 	}
 	for id := range n.Exclude {
 		out.Without = append(out.Without, id)
@@ -56,7 +62,7 @@
 		Fingerprint: req.Print, Describe: req.Describe,
 		Stream: admit.Stream{
 			Arrived: now.Add(-duration(req.AgeMs)), Objective: duration(req.AimMs), MaxRetryAfter: duration(req.KeepsMs),
-			IsRetry: req.Back, Need: need,
+			IsRetry: req.Back, Need: need, Workspace: req.Workspace, Priority: int(req.Rank), GapObjective: duration(req.GapMs),
 		},
 	}
 }
@@ -114,7 +120,13 @@
 		})
 	}
 	for _, m := range r.PrefillSamples {
-		out.Readings = append(out.Readings, &ownerpb.Reading{Service: m.Service, Unread: tokens(m.Unread), Ms: ms(m.Took)})
+		out.Readings = append(out.Readings, &ownerpb.Reading{Service: m.Service, Target: m.Target, Unread: tokens(m.Unread), Ms: ms(m.Took)})
+	}
+	for _, m := range r.Paces {
+		out.Paces = append(out.Paces, &ownerpb.Pace{
+			Target: m.Target, ShortestUs: micros(m.Shortest), LongestUs: micros(m.Longest),
+			SlowdownPermille: uint32(min(max(0, m.Slowdown), maxSlowdown) * 1000), SlowdownAgeMs: ms(m.SlowdownAge),
+		})
 	}
 	return out
 }
@@ -137,7 +149,15 @@
 		out.Outcomes = append(out.Outcomes, owner.Outcomes{Target: o.Target, Served: o.Served, Failed: o.Failed, Unreachable: o.Unreachable})
 	}
 	for _, m := range r.Readings {
-		out.PrefillSamples = append(out.PrefillSamples, owner.PrefillSample{Service: m.Service, Unread: int(m.Unread), Took: duration(m.Ms)})
+		out.PrefillSamples = append(out.PrefillSamples, owner.PrefillSample{
+			Service: m.Service, Target: m.Target, Unread: int(m.Unread), Took: duration(m.Ms),
+		})
+	}
+	for _, m := range r.Paces {
+		out.Paces = append(out.Paces, owner.Pace{
+			Target: m.Target, Shortest: time.Duration(m.ShortestUs) * time.Microsecond, Longest: time.Duration(m.LongestUs) * time.Microsecond,
+			Slowdown: min(float64(m.SlowdownPermille)/1000, maxSlowdown), SlowdownAge: duration(m.SlowdownAgeMs),
+		})
 	}
 	return out
 }
--- a/lib/routes/routes.go
+++ b/lib/routes/routes.go
@@ -205,6 +205,20 @@
 	}
 }
 
+// TightestGap returns the tightest objective for pauses between events among the routes that lead to a service; 0 if none has one.
+func (t *Table) TightestGap(service string) time.Duration {
+	tightest := time.Duration(0)
+	for _, list := range t.hosts {
+		for _, r := range list {
+			leads := slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == service })
+			if leads && r.GapObjective > 0 && (tightest == 0 || r.GapObjective < tightest) {
+				tightest = r.GapObjective
+			}
+		}
+	}
+	return tightest
+}
+
 // PickService picks the service of a request by the weights of the route's split; u is uniform in [0, 1).
 func (r *Route) PickService(u float64) string {
 	total := 0.0
