Claims: the resend after a restore waits for the settle period in its test

Change: the test expects 3004 first, and 3009 after the settle period. Result: go test ./lib/claim -run 'TestOutcomeDoesNotReplaceLaterSend|Bounded' passes without a change of the code.

--- a/lib/claim/outcome_restore_test.go
+++ b/lib/claim/outcome_restore_test.go
@@ -161,6 +161,7 @@
 		mustFinish(t, a, c)
 		must.Zero(t, a.Unsettled())
 		must.Eq(t, Sent, storedState(t, s, c.key))
+		must.Eq(t, result.StoreDown, refusal(t, a, request("x"))) // the first since the restore
 		time.Sleep(settlePeriod)
 		must.Eq(t, result.AlreadyRunning, refusal(t, a, request("x")))
 	})
