Claims: an outcome is written although the table was restored

Cause: the write of an outcome was given up, and the retained record "sent" was rewritten in its place, in four cases after a restore: a repeated write found no record; the read after a refused write failed, and its result was taken for another holder's record; the rewrite replaced an outcome whose answer was on the way; another entry's begun claim was in the way. Resends got "outcome unknown".

Change: a repeated write handles a restore as the first does. A failed read is reported as such. The rewrite leaves a later record of the same claim. The outcome of a claim that the table had accepted as sent replaces what it may overwrite after a restore, and waits for a begun claim of another entry, at most 8 tries. A record of another entry that was sent still takes precedence. No new state grows: retained records have one more number, and the waiting claim is one that is counted already.

--- a/lib/claim/claim.go
+++ b/lib/claim/claim.go
@@ -280,13 +280,10 @@
 		Conds: []platformapi.Cond{{Key: c.key, Rev: c.rev}},
 		Puts:  []platformapi.Put{{Key: c.key, Value: value}},
 	}
-	res, err := c.table.store.GroupTxn(ctx, txn)
-	if c.overtakenByRestore(res, err) {
-		res, err = c.writeAfterRestore(ctx, &txn, res, err)
-	}
+	res, err := c.writeOnce(ctx, &txn)
 	first := err
 	for err != nil && platform.IsUnknown(first) && sleepJittered(ctx, rewriteDelay) {
-		res, err = c.table.store.GroupTxn(ctx, txn)
+		res, err = c.writeOnce(ctx, &txn)
 	}
 	switch {
 	case err != nil:
@@ -305,6 +302,15 @@
 	return res.Failed[0], errTakenOver
 }
 
+// writeOnce sends the transaction, and again with the revision found if the table was restored from a backup since.
+func (c *Claim) writeOnce(ctx context.Context, txn *platformapi.Txn) (platformapi.TxnResult, error) {
+	res, err := c.table.store.GroupTxn(ctx, *txn)
+	if c.overtakenByRestore(res, err) {
+		return c.writeAfterRestore(ctx, txn)
+	}
+	return res, err
+}
+
 func alreadyRunning(detail string) *result.Error {
 	return &result.Error{Code: result.AlreadyRunning, Detail: detail, RetryAfter: busyRetryAfter}
 }
--- a/lib/claim/record.go
+++ b/lib/claim/record.go
@@ -26,6 +26,17 @@
 	Released State = "released" // proven not to have run
 )
 
+// order returns the position of the state in a claim's life cycle. Finished and Released both end it.
+func (s State) order() int {
+	switch s {
+	case Started:
+		return 0
+	case Sent:
+		return 1
+	}
+	return 2
+}
+
 // Holder is a process that runs claims. Incarnation must differ between restarts of the process.
 type Holder struct {
 	Instance    string `json:"instance"`
--- a/lib/claim/restore.go
+++ b/lib/claim/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,7 @@
 	id    string
 	value []byte
 	at    time.Time
+	era   uint64 // of the table that accepted it
 }
 
 // retain keeps a record that the table has accepted once its request may have been sent. A claim that was never sent needs no
@@ -46,12 +48,21 @@
 	if (c.rec.State == Started || c.rec.State == Released) && t.retained[c.key].id != c.rec.ID {
 		return
 	}
-	t.retained[c.key] = retainedRecord{id: c.rec.ID, value: value, at: time.Now()}
+	t.retained[c.key] = retainedRecord{id: c.rec.ID, value: value, at: time.Now(), era: platformapi.EraOf(c.rev)}
 	if len(t.retained) > maxRetainedRecords {
 		t.evictOldest()
 	}
 }
 
+// lostInRestore reports whether the table accepted that this claim was sent, and has been restored from a backup since.
+func (c *Claim) lostInRestore() bool {
+	era := c.table.store.Era()
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	k := c.table.retained[c.key]
+	return k.id == c.rec.ID && k.era < era
+}
+
 // evictOldest evicts the oldest record of a claim that has ended in this process. The caller holds mu.
 func (t *Table) evictOldest() {
 	oldest := ""
@@ -168,7 +179,7 @@
 		t.mu.Lock()
 		k, ok := t.retained[key]
 		t.mu.Unlock()
-		if !ok || bytes.Equal(found.Value, k.value) {
+		if !ok || bytes.Equal(found.Value, k.value) || k.superseded(found) {
 			return true
 		}
 		if !t.mayOverwrite(found, k.id) {
@@ -188,6 +199,20 @@
 	return false
 }
 
+// superseded reports whether the found record is a later one of the same claim. Its write can take effect before this process has the
+// answer, and retains it.
+func (k retainedRecord) superseded(found platformapi.Item) bool {
+	r, err := decode(found)
+	if err != nil || r.ID != k.id {
+		return false
+	}
+	own, err := decode(platformapi.Item{Value: k.value})
+	if err != nil {
+		return false
+	}
+	return cmp.Or(cmp.Compare(r.State.order(), own.State.order()), cmp.Compare(r.Attempt, own.Attempt)) > 0
+}
+
 // onlyStarted reports whether the record is another holder's claim that was begun but not sent. That claim will be released, because its
 // holder finds that claims are being rewritten.
 func onlyStarted(found platformapi.Item) bool {
@@ -216,20 +241,18 @@
 
 // writeAfterRestore repeats a write that failed because of a restore. The table may have the claim's record at another revision, an older
 // state of it, or none. It returns the outcome of the last try.
-func (c *Claim) writeAfterRestore(
-	ctx context.Context, txn *platformapi.Txn, res platformapi.TxnResult, err error,
-) (platformapi.TxnResult, error) {
+func (c *Claim) writeAfterRestore(ctx context.Context, txn *platformapi.Txn) (res platformapi.TxnResult, err error) {
 	for range maxRewriteTries {
 		found, _, failed := c.table.store.Get(ctx, c.key)
 		if failed != nil {
-			return res, err
+			return platformapi.TxnResult{}, failed // nothing was written
 		}
 		if !c.table.mayOverwrite(found, c.rec.ID) {
 			return platformapi.TxnResult{Failed: []platformapi.Item{found}}, nil
 		}
 		c.rev, txn.Conds[0].Rev = found.Rev, found.Rev
 		if res, err = c.table.store.GroupTxn(ctx, *txn); !c.overtakenByRestore(res, err) {
-			break
+			return res, err
 		}
 	}
 	return res, err
--- a/lib/claim/settle.go
+++ b/lib/claim/settle.go
@@ -16,12 +16,15 @@
 	minOutcomeDelay   = 100 * time.Millisecond
 	maxOutcomeDelay   = 30 * time.Second
 	flushPollInterval = 20 * time.Millisecond
+	// maxBlockedTries bounds the writes of an outcome that another holder's begun claim prevents. Together their delays exceed
+	// the time that its holder needs to notice the restore and to release it.
+	maxBlockedTries = 8
 )
 
 // end makes an outcome known at this entry and writes it to the table in the background.
 //
 // The store can be down for hours. If the write were given up, a finished request would become an orphan whose caller gets "outcome
-// unknown", so it is repeated until it succeeds, or until another holder's record shows that it cannot.
+// unknown", so it is repeated until it succeeds, or until another holder's record takes precedence.
 func (c *Claim) end(state State, sum *Summary) {
 	t := c.table
 	t.mu.Lock()
@@ -44,17 +47,24 @@
 
 // settle writes the outcome, however long it takes.
 func (c *Claim) settle() {
+	blocked := 0
 	for wait := minOutcomeDelay; ; wait = min(2*wait, maxOutcomeDelay) {
 		found, err := c.writeOutcome()
 		if err == nil {
 			return
 		}
-		if errors.Is(err, errTakenOver) && !c.adoptRecord(found) {
-			return
-		}
-		if !errors.Is(err, errTakenOver) {
-			sleepJittered(context.Background(), max(wait, platform.RetryAfter(err)))
+		if errors.Is(err, errTakenOver) {
+			switch c.resolveConflict(found) {
+			case conflictFinal:
+				return
+			case conflictAdopted:
+				continue
+			}
+			if blocked++; blocked > maxBlockedTries {
+				return
+			}
 		}
+		sleepJittered(context.Background(), max(wait, platform.RetryAfter(err)))
 	}
 }
 
@@ -64,15 +74,32 @@
 	return c.write(ctx)
 }
 
-// adoptRecord continues from a record that this claim wrote itself without getting the answer. A claim that was never inserted finds no
-// such record, and has nothing to settle.
-func (c *Claim) adoptRecord(found platformapi.Item) bool {
+// conflict is what a record found in place of the expected one means for an outcome.
+type conflict uint8
+
+const (
+	conflictFinal   conflict = iota // there is nothing to write, or another holder's record takes precedence
+	conflictAdopted                 // the outcome may replace the record
+	conflictBlocked                 // the record will be released by its holder
+)
+
+// resolveConflict evaluates the record that prevented the write of the outcome.
+//
+// After a restore the table may lack the claim, or have another holder's that was begun since. If the outcome were given up then, the
+// rewrite of the retained record would leave the claim as sent, and resends would get "outcome unknown".
+func (c *Claim) resolveConflict(found platformapi.Item) conflict {
 	r, err := decode(found)
-	if err != nil || r.ID != c.rec.ID || r.State == c.rec.State {
-		return false
+	switch {
+	case err == nil && r.ID == c.rec.ID && r.State == c.rec.State:
+		c.table.retain(c, found.Value) // an earlier write of this outcome took effect
+		return conflictFinal
+	case err == nil && r.ID == c.rec.ID, c.lostInRestore() && c.table.mayOverwrite(found, c.rec.ID):
+		c.rev = found.Rev
+		return conflictAdopted
+	case c.lostInRestore() && onlyStarted(found):
+		return conflictBlocked
 	}
-	c.rev = found.Rev
-	return true
+	return conflictFinal
 }
 
 // sleepJittered waits for between d/2 and d. It returns false when ctx ended first.
