Claims: no free key over a claim that may have run, after a restore

Cause, found beside the lost outcomes: three orders after a restore freed a key whose request may have run, so that it ran twice. - A claim that is released replaced the "sent" of another entry that had ended. - A claim that was only begun did so too, when it was marked as sent. - The table came back in a state where a claim, released since, is still "sent". The entry that had sent the key afterwards took this record for a later one and did not rewrite its own; then the first holder rewrote its "released".

Change: after a restore only a claim whose request the table has accepted as sent replaces the unfinished or finished claim of a holder that has ended, and not to release it. While claims are being rewritten, a live holder's unfinished claim is not final, neither for the rewrite nor for the write of an outcome. Both are bounded: by the settle period, and by 8 tries.

Result, go test ./lib/claim -run <each>, before: --- FAIL: TestReleaseAfterRestoreDoesNotFreeLaterSend: the key is begun again --- FAIL: TestSendAfterReleaseSurvivesRestore: the key is begun again --- FAIL: TestBegunClaimIsNotSentOverLaterSend: MarkSent permits the send After: go test -count=5 ./lib/claim passes.

--- a/lib/claim/outcome_restore_test.go
+++ b/lib/claim/outcome_restore_test.go
@@ -183,3 +183,65 @@
 		must.Zero(t, a.Unsettled())
 	})
 }
+
+// The table is restored from a backup without a claim, and another entry sends the same key and dies. When the first claim is released,
+// the key must not become free: the other's request may have run.
+func TestReleaseAfterRestoreDoesNotFreeLaterSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Config{})
+		a, b, other := entry(s, "a", "c"), entry(s, "b", "a", "c"), entry(s, "c")
+		c := mustSend(t, a, request("x"))
+		restoreBackup(s, time.Hour)
+		a.probeEra(t.Context())
+		other.probeEra(t.Context())
+		mustSend(t, other, request("x"))
+		c.Release()
+		mustFlush(t, a)
+		rewriteAfterRestore(t, a)
+		b.probeEra(t.Context())
+		must.Eq(t, result.ClaimOrphan, refusal(t, b, request("x")))
+	})
+}
+
+// A claim was released, and its key was sent by another entry; the table is restored to a state in which the first claim is still sent.
+// If the other entry took that record for a later one, the first would release it again, and the key would be free to run twice.
+func TestSendAfterReleaseSurvivesRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Config{})
+		a, b, other := entry(s, "a"), entry(s, "b"), entry(s, "c")
+		go other.Run(t.Context()) // before the first holder, so that it finds the record of the backup
+		time.Sleep(time.Millisecond)
+		go a.Run(t.Context())
+		time.Sleep(time.Second)
+		released := mustSend(t, a, request("x"))
+		time.Sleep(500 * time.Millisecond)
+		released.Release()
+		mustFlush(t, a)
+		c := mustSend(t, other, request("x"))
+		restoreBackup(s, 200*time.Millisecond)
+		must.Eq(t, Sent, storedState(t, s, c.key))
+		time.Sleep(10 * time.Second)
+		b.probeEra(t.Context())
+		must.Eq(t, result.AlreadyRunning, refusal(t, b, request("x")))
+		mustFinish(t, other, c)
+		mustReplay(t, b, request("x"))
+	})
+}
+
+// The table is restored from a backup without a claim that was begun, and another entry sends the same key and dies. The first claim must
+// not be sent then: the other's request may have run.
+func TestBegunClaimIsNotSentOverLaterSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Config{})
+		a, other := entry(s, "a", "c"), entry(s, "c")
+		c := mustBegin(t, a, request("x"))
+		restoreBackup(s, time.Hour)
+		a.probeEra(t.Context())
+		other.probeEra(t.Context())
+		mustSend(t, other, request("x"))
+		err := c.MarkSent(t.Context(), "svc", 1)
+		must.NotNil(t, err)
+		must.Eq(t, result.AlreadyRunning, err.Code)
+		must.Eq(t, Sent, storedState(t, s, c.key))
+	})
+}
--- a/lib/claim/restore.go
+++ b/lib/claim/restore.go
@@ -182,8 +182,12 @@
 		if !ok || bytes.Equal(found.Value, k.value) || k.superseded(found) {
 			return true
 		}
-		if !t.mayOverwrite(found, k.id) {
-			return !onlyStarted(found)
+		own, err := decode(platformapi.Item{Value: k.value})
+		if err != nil {
+			return true // cannot happen: this process encoded it
+		}
+		if !t.mayOverwrite(key, found, own) {
+			return !onlyStarted(found) && !(isUnfinished(found) && t.isSettling(time.Now()))
 		}
 		res, err := t.store.GroupTxn(ctx, platformapi.Txn{
 			Conds: []platformapi.Cond{{Key: key, Rev: found.Rev}},
@@ -220,14 +224,37 @@
 	return err == nil && r.State == Started
 }
 
-// mayOverwrite reports whether a later record of claim id may replace the found one: an earlier state of the same claim, a released
-// claim, the claim of a holder that has ended, or no record.
-func (t *Table) mayOverwrite(found platformapi.Item, id string) bool {
+// isUnfinished reports whether the record is a claim that was not yet finished or released. In a table restored from a backup it can be
+// one that its holder has released since, and will rewrite as released.
+func isUnfinished(found platformapi.Item) bool {
+	r, err := decode(found)
+	return err == nil && (r.State == Started || r.State == Sent)
+}
+
+// mayOverwrite reports whether a record of own's claim may replace the one found at the key: an earlier state of the same claim, a
+// released claim, the claim of a holder that has ended, or no record. A claim whose request was not sent, or is proven not to have run,
+// must not replace another that may have run.
+func (t *Table) mayOverwrite(key string, found platformapi.Item, own record) bool {
 	if found.Rev == 0 {
 		return true
 	}
 	r, err := decode(found)
-	return err == nil && (r.ID == id || r.State == Released || t.cfg.HolderGone(r.Holder))
+	switch {
+	case err != nil:
+		return false
+	case r.ID == own.ID, r.State == Released:
+		return true
+	case !t.cfg.HolderGone(r.Holder):
+		return false
+	}
+	return r.State == Started || own.State != Released && t.isRetained(key, own.ID)
+}
+
+// isRetained reports whether the table has accepted that the claim's request was sent.
+func (t *Table) isRetained(key, id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.retained[key].id == id
 }
 
 // overtakenByRestore reports whether a write over an earlier one of this claim failed because the table has been restored from a backup
@@ -247,7 +274,7 @@
 		if failed != nil {
 			return platformapi.TxnResult{}, failed // nothing was written
 		}
-		if !c.table.mayOverwrite(found, c.rec.ID) {
+		if !c.table.mayOverwrite(c.key, found, c.rec) {
 			return platformapi.TxnResult{Failed: []platformapi.Item{found}}, nil
 		}
 		c.rev, txn.Conds[0].Rev = found.Rev, found.Rev
--- a/lib/claim/settle.go
+++ b/lib/claim/settle.go
@@ -16,8 +16,8 @@
 	minOutcomeDelay   = 100 * time.Millisecond
 	maxOutcomeDelay   = 30 * time.Second
 	flushPollInterval = 20 * time.Millisecond
-	// maxBlockedTries bounds the writes of an outcome that another holder's begun claim prevents. Together their delays exceed
-	// the time that its holder needs to notice the restore and to release it.
+	// maxBlockedTries bounds the writes of an outcome that another holder's unfinished claim prevents. Together their delays exceed
+	// the time that its holder needs to notice the restore, and to release the claim or to rewrite it as released.
 	maxBlockedTries = 8
 )
 
@@ -80,23 +80,24 @@
 const (
 	conflictFinal   conflict = iota // there is nothing to write, or another holder's record takes precedence
 	conflictAdopted                 // the outcome may replace the record
-	conflictBlocked                 // the record will be released by its holder
+	conflictBlocked                 // its holder may release it
 )
 
 // resolveConflict evaluates the record that prevented the write of the outcome.
 //
-// After a restore the table may lack the claim, or have another holder's that was begun since. If the outcome were given up then, the
+// After a restore the table may lack the claim, or have another holder's that was begun since, or released before. If the outcome were given up then, the
 // rewrite of the retained record would leave the claim as sent, and resends would get "outcome unknown".
 func (c *Claim) resolveConflict(found platformapi.Item) conflict {
 	r, err := decode(found)
 	switch {
 	case err == nil && r.ID == c.rec.ID && r.State == c.rec.State:
+		c.rev = found.Rev
 		c.table.retain(c, found.Value) // an earlier write of this outcome took effect
 		return conflictFinal
-	case err == nil && r.ID == c.rec.ID, c.lostInRestore() && c.table.mayOverwrite(found, c.rec.ID):
+	case err == nil && r.ID == c.rec.ID, c.lostInRestore() && c.table.mayOverwrite(c.key, found, c.rec):
 		c.rev = found.Rev
 		return conflictAdopted
-	case c.lostInRestore() && onlyStarted(found):
+	case c.lostInRestore() && isUnfinished(found):
 		return conflictBlocked
 	}
 	return conflictFinal
