Entry: the silence bound between parts of an answer is tested in fake time

Cause: TestSilenceWithinAnswer let its target pause 30 ms of real time under a bound of 150 ms. A machine that stretches one pause beyond the bound makes the entry break the answer, as it should, and the test fails.

Change: the test is replaced by two, which run in a synctest bubble with connections in memory, from caller to entry and from entry to target. They check both sides of the bound: ten pauses of the bound less 1 ms are tolerated; a pause of the bound and 1 ms, or of an hour, breaks the connection after the first part, exactly one bound later. The old test had 30 ms and no end, and did not check when it broke. target.NewClientsWithDial lets the entry's clients use such connections. The rig can serve on a given listener.

--- a/lib/entry/rig_test.go
+++ b/lib/entry/rig_test.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -82,6 +83,14 @@
 
 // newRig starts an entry. change may modify its options.
 func newRig(t testing.TB, text string, change func(*Options)) *rig {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	return newRigOn(t, listener, text, change)
+}
+
+// newRigOn starts an entry that serves callers on a listener. change may modify its options.
+func newRigOn(t testing.TB, listener net.Listener, text string, change func(*Options)) *rig {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	local := placer.NewLocal(ctx, func(service string) sched.Policy {
@@ -103,8 +112,7 @@
 	s.Apply(snapshot(t, text, 1))
 	done := make(chan struct{})
 	go func() { defer close(done); s.Run(ctx) }()
-	r := &rig{t: t, server: s, http: httptest.NewUnstartedServer(s.Handler())}
-	r.http.Config = s.HTTPServer()
+	r := &rig{t: t, server: s, http: &httptest.Server{Listener: listener, Config: s.HTTPServer()}}
 	r.http.Start()
 	t.Cleanup(func() {
 		r.http.CloseClientConnections()
--- a/lib/entry/silence_test.go
+++ b/lib/entry/silence_test.go
@@ -6,9 +6,12 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
+	"net/netip"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -16,9 +19,13 @@
 	"anvilwick.example/anvilwick/lib/callerapi"
 	"anvilwick.example/anvilwick/lib/result"
 	"anvilwick.example/anvilwick/lib/standin/plain"
+	"anvilwick.example/anvilwick/lib/target"
 )
 
-const maxSilencePolicy = "  max_silence: 150ms\n"
+const (
+	maxSilence       = 150 * time.Millisecond
+	maxSilencePolicy = "  max_silence: 150ms\n"
+)
 
 // callWithTimeout makes a call with a timeout far below the time that a silent target would take.
 func (r *rig) callWithTimeout(method, path, key string) *http.Response {
@@ -79,33 +86,110 @@
 }
 
 // A target that sends its answer in parts, together for longer than the bound but never silent for that long, must not be cut.
-// When a target falls silent mid-answer, the connection must be broken, so that the part isn't taken for the whole.
-func TestSilenceWithinAnswer(t *testing.T) {
-	r := newRig(t, siteText(maxSilencePolicy, true, nil, []string{startSlowTarget(t)}), nil)
-	body, err := io.ReadAll(r.callWithTimeout(http.MethodPost, "/dispatch/parts", "").Body)
-	must.NoError(t, err)
-	must.Eq(t, strings.Repeat("part ", 10), string(body))
-	_, err = io.ReadAll(r.callWithTimeout(http.MethodPost, "/dispatch/silent", "").Body)
-	must.ErrorIs(t, err, io.ErrUnexpectedEOF)
+func TestSilenceWithinBoundBetweenParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		body, took, err := readParts(t, maxSilence-time.Millisecond)
+		must.NoError(t, err)
+		must.Eq(t, strings.Repeat("part ", slowParts), body)
+		must.Greater(t, 2*maxSilence, took)
+	})
 }
 
-// startSlowTarget starts a target that answers in ten parts; on /dispatch/silent it sends only the first and never ends.
-func startSlowTarget(t *testing.T) string {
-	t.Helper()
-	quit := make(chan struct{})
-	ts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		for range 10 {
+// A target falls silent mid-answer, for good or for longer than the bound. The connection must be broken as soon as the bound is exceeded,
+// so that the part isn't taken for the whole.
+func TestSilenceBeyondBoundBetweenParts(t *testing.T) {
+	for _, pause := range []time.Duration{maxSilence + time.Millisecond, time.Hour} {
+		synctest.Test(t, func(t *testing.T) {
+			body, took, err := readParts(t, pause)
+			must.ErrorIs(t, err, io.ErrUnexpectedEOF)
+			must.Eq(t, "part ", body)
+			must.Eq(t, maxSilence, took)
+		})
+	}
+}
+
+const slowParts = 10
+
+// readParts calls a target that pauses between the parts of its answer, through an entry. All connections are in memory, so that a test
+// in a synctest bubble does not depend on the speed of the machine. It returns the answer, and the time from its head to its end.
+func readParts(t *testing.T, pause time.Duration) (body string, took time.Duration, err error) {
+	const callerAddr, targetAddr = "127.0.0.1:8000", "127.0.0.1:9000"
+	network := memoryNetwork{callerAddr: newMemoryListener(callerAddr), targetAddr: newMemoryListener(targetAddr)}
+	slow := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for range slowParts {
 			_, _ = io.WriteString(w, "part ")
 			_ = http.NewResponseController(w).Flush()
-			if r.URL.Path == "/dispatch/silent" {
-				<-quit
+			select {
+			case <-time.After(pause):
+			case <-r.Context().Done():
 				return
 			}
-			time.Sleep(30 * time.Millisecond)
 		}
-	}))
-	t.Cleanup(ts.Close)
-	t.Cleanup(func() { close(quit) })
-	addr := ts.Listener.Addr().(*net.TCPAddr)
-	return addr.String()
+	})}
+	go func() { _ = slow.Serve(network[targetAddr]) }()
+	t.Cleanup(func() { must.NoError(t, slow.Close()) })
+	text := siteText(fmt.Sprintf("  max_silence: %v\n", maxSilence), true, nil, []string{targetAddr})
+	newRigOn(t, network[callerAddr], text, func(o *Options) { o.Clients = target.NewClientsWithDial(network.dial) })
+
+	caller := &http.Client{Transport: &http.Transport{DialContext: network.dial, DisableKeepAlives: true}}
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+callerAddr+"/dispatch/parts", http.NoBody)
+	must.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := caller.Do(req)
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	must.Eq(t, http.StatusOK, resp.StatusCode)
+	start := time.Now()
+	b, err := io.ReadAll(resp.Body)
+	return string(b), time.Since(start), err
+}
+
+// memoryNetwork connects to listeners in memory, by address.
+type memoryNetwork map[string]*memoryListener
+
+func (n memoryNetwork) dial(ctx context.Context, _, addr string) (net.Conn, error) {
+	l, ok := n[addr]
+	if !ok {
+		return nil, syscall.ECONNREFUSED
+	}
+	near, far := net.Pipe()
+	select {
+	case l.accepted <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, syscall.ECONNREFUSED
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	}
+}
+
+type memoryListener struct {
+	addr     net.Addr
+	accepted chan net.Conn
+	closed   chan struct{}
+	close    sync.Once
+}
+
+func newMemoryListener(addr string) *memoryListener {
+	return &memoryListener{
+		addr:     net.TCPAddrFromAddrPort(netip.MustParseAddrPort(addr)),
+		accepted: make(chan net.Conn),
+		closed:   make(chan struct{}),
+	}
 }
+
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accepted:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memoryListener) Close() error {
+	l.close.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *memoryListener) Addr() net.Addr { return l.addr }
--- a/lib/target/client.go
+++ b/lib/target/client.go
@@ -53,10 +53,13 @@
 }
 
 // NewClients returns the shared clients; a process needs only one.
-func NewClients() *Clients {
+func NewClients() *Clients { return NewClientsWithDial(dialer.DialContext) }
+
+// NewClientsWithDial returns shared clients that open their connections with dial, such as in-memory ones.
+func NewClientsWithDial(dial Dial) *Clients {
 	return &Clients{
-		singleUse: &http.Client{Transport: newSingleUseTransport(), CheckRedirect: noRedirect},
-		pooled:    &http.Client{Transport: newPooledTransport(), CheckRedirect: noRedirect},
+		singleUse: &http.Client{Transport: newSingleUseTransport(dial), CheckRedirect: noRedirect},
+		pooled:    &http.Client{Transport: newPooledTransport(dial), CheckRedirect: noRedirect},
 	}
 }
 
--- a/lib/target/conn.go
+++ b/lib/target/conn.go
@@ -40,8 +40,12 @@
 
 var dialer = &net.Dialer{Timeout: dialTimeout, KeepAlive: 10 * time.Second}
 
-func dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	c, err := dialer.DialContext(ctx, network, addr)
+// Dial opens a connection to a target.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// recordSent opens a connection that sets the sentFlag of its context.
+func (dial Dial) recordSent(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := dial(ctx, network, addr)
 	if err != nil {
 		return nil, err
 	}
@@ -56,9 +60,9 @@
 // net/http resends a request by itself when a reused connection breaks before the response, if it considers the request
 // replayable; an Idempotency-Key header suffices for that. A call that must not run twice would then run twice. On a new
 // connection net/http never resends, and any failure belongs to this request alone.
-func newSingleUseTransport() *http.Transport {
+func newSingleUseTransport(dial Dial) *http.Transport {
 	return &http.Transport{
-		DialContext:            dial,
+		DialContext:            dial.recordSent,
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeader,
@@ -66,9 +70,9 @@
 }
 
 // newPooledTransport returns a transport that reuses connections, for requests that may be repeated.
-func newPooledTransport() *http.Transport {
+func newPooledTransport(dial Dial) *http.Transport {
 	return &http.Transport{
-		DialContext:            dial,
+		DialContext:            dial.recordSent,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerTarget,
 		IdleConnTimeout:        idleConnTimeout,
