Claims: a takeover survives a restore

Cause, of the same kind as the lost outcomes: after a restore the record of the entry that ran a generation before counted as a later one as long as that entry lived, so that the takeover was not rewritten, and a third entry could continue the generation too. And a takeover whose own answer was the first of the new era was kept, although an earlier one may have been lost, unlike a claim that is begun.

Change: a claim that the table has accepted replaces a record of the same generation with a lower attempt, as attempts increase with each takeover. TakeOver gives its claim back when it notices a restore, as Begin does.

Result, go test ./lib/claim -run 'TestTakeOver(Surv|During)', before: --- FAIL: TestTakeOverSurvivesRestore: the generation can be taken over again --- FAIL: TestTakeOverDuringRestoreIsRefused: the second takeover is granted After: go test -count=5 ./lib/claim passes.

--- a/lib/claim/outcome_restore_test.go
+++ b/lib/claim/outcome_restore_test.go
@@ -245,3 +245,62 @@
 		must.Eq(t, Sent, storedState(t, s, c.key))
 	})
 }
+
+// mustBeHeld expects that a generation can't be taken over by a further entry, and that the outcome of its runner is kept.
+func mustBeHeld(t *testing.T, s *standin.Server, req Request, used uint32, runner *Table, c *Claim) {
+	t.Helper()
+	further := entry(s, "d", "x")
+	further.probeEra(t.Context())
+	_, sum, err := further.TakeOver(t.Context(), req, used)
+	must.Nil(t, sum)
+	must.NotNil(t, err)
+	must.Eq(t, result.AlreadyRunning, err.Code)
+	mustFinish(t, runner, c)
+	mustReplay(t, further, request("x"))
+}
+
+// An entry continues a generation whose first entry is alive and had stopped it. The table is restored to the state before. If the first
+// entry's record counted as the later one, a third entry would continue the generation too.
+func TestTakeOverSurvivesRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Config{})
+		a, b := entry(s, "a"), entry(s, "b")
+		go a.Run(t.Context())
+		go b.Run(t.Context())
+		time.Sleep(time.Second)
+		req := request("x")
+		req.Owner = a.cfg.Holder
+		stopped := mustBegin(t, a, req)
+		must.Nil(t, stopped.MarkSent(t.Context(), "engine-1", 1))
+		stopped.Finish(Summary{Code: result.CallerGone, Status: 499})
+		mustFlush(t, a)
+		time.Sleep(500 * time.Millisecond)
+		c, _, err := b.TakeOver(t.Context(), req, 17)
+		must.Nil(t, err)
+		restoreBackup(s, 200*time.Millisecond)
+		time.Sleep(10 * time.Second)
+		mustBeHeld(t, s, req, 17, b, c)
+	})
+}
+
+// A takeover is lost in a restore, and another entry, which has not noticed the restore, takes over the same record. It must give it back:
+// two entries would continue the generation.
+func TestTakeOverDuringRestoreIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Config{})
+		a, b := entry(s, "a", "x"), entry(s, "b", "x")
+		go a.Run(t.Context())
+		go b.Run(t.Context())
+		time.Sleep(time.Second)
+		req := sentBy(t, entry(s, "x"), 1)
+		time.Sleep(500 * time.Millisecond)
+		c, _, err := a.TakeOver(t.Context(), req, 17)
+		must.Nil(t, err)
+		restoreBackup(s, 200*time.Millisecond)
+		_, _, err = b.TakeOver(t.Context(), req, 17)
+		must.NotNil(t, err)
+		must.Eq(t, result.StoreDown, err.Code)
+		time.Sleep(10 * time.Second)
+		mustBeHeld(t, s, req, 17, a, c)
+	})
+}
--- a/lib/claim/restore.go
+++ b/lib/claim/restore.go
@@ -232,8 +232,8 @@
 }
 
 // mayOverwrite reports whether a record of own's claim may replace the one found at the key: an earlier state of the same claim, a
-// released claim, the claim of a holder that has ended, or no record. A claim whose request was not sent, or is proven not to have run,
-// must not replace another that may have run.
+// released claim, the claim of a holder that has ended, one from which own's was taken over, or no record. A claim whose request was not
+// sent, or is proven not to have run, must not replace another that may have run.
 func (t *Table) mayOverwrite(key string, found platformapi.Item, own record) bool {
 	if found.Rev == 0 {
 		return true
@@ -244,6 +244,8 @@
 		return false
 	case r.ID == own.ID, r.State == Released:
 		return true
+	case r.Generation == own.Generation && r.Attempt < own.Attempt && own.State != Released && t.isRetained(key, own.ID):
+		return true
 	case !t.cfg.HolderGone(r.Holder):
 		return false
 	}
--- a/lib/claim/settle.go
+++ b/lib/claim/settle.go
@@ -94,7 +94,8 @@
 		c.rev = found.Rev
 		c.table.retain(c, found.Value) // an earlier write of this outcome took effect
 		return conflictFinal
-	case err == nil && r.ID == c.rec.ID, c.lostInRestore() && c.table.mayOverwrite(c.key, found, c.rec):
+	case err == nil && r.ID == c.rec.ID,
+		c.lostInRestore() && c.table.mayOverwrite(c.key, found, c.rec):
 		c.rev = found.Rev
 		return conflictAdopted
 	case c.lostInRestore() && isUnfinished(found):
--- a/lib/claim/takeover.go
+++ b/lib/claim/takeover.go
@@ -50,6 +50,11 @@
 	if sum != nil || err != nil {
 		return nil, sum, err
 	}
+	if t.isSettling(time.Now()) {
+		// The answer to this takeover was the first one in a new era: an earlier takeover may be lost, and will be rewritten.
+		c.abandonTakeOver(true)
+		return nil, nil, settlingRefusal()
+	}
 	return c, nil, nil
 }
 
