--- a/lib/claim/restore.go
+++ b/lib/claim/restore.go
@@ -244,7 +244,7 @@
 		return false
 	case r.ID == own.ID, r.State == Released:
 		return true
-	case r.Generation == own.Generation && r.Attempt < own.Attempt && own.State != Released && t.isRetained(key, own.ID):
+	case own.Resumed && own.State != Released && r.Generation == own.Generation && r.Attempt < own.Attempt && t.isRetained(key, own.ID):
 		return true
 	case !t.cfg.HolderGone(r.Holder):
 		return false
--- a/lib/claim/settle.go
+++ b/lib/claim/settle.go
@@ -85,8 +85,8 @@
 
 // resolveConflict evaluates the record that prevented the write of the outcome.
 //
-// After a restore the table may lack the claim, or have another holder's that was begun since, or released before. If the outcome were given up then, the
-// rewrite of the retained record would leave the claim as sent, and resends would get "outcome unknown".
+// After a restore the table may lack the claim, or have another holder's that was begun since, or released before. If the outcome were
+// given up then, the rewrite of the retained record would leave the claim as sent, and resends would get "outcome unknown".
 func (c *Claim) resolveConflict(found platformapi.Item) conflict {
 	r, err := decode(found)
 	switch {
