--- a/lib/claim/restore.go
+++ b/lib/claim/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,7 @@
 	id    string
 	value []byte
 	at    time.Time
+	era   uint64 // of the table that accepted it
 }
 
 // retain keeps a record that the table has accepted once its request may have been sent. A claim that was never sent needs no
@@ -46,12 +48,21 @@
 	if (c.rec.State == Started || c.rec.State == Released) && t.retained[c.key].id != c.rec.ID {
 		return
 	}
-	t.retained[c.key] = retainedRecord{id: c.rec.ID, value: value, at: time.Now()}
+	t.retained[c.key] = retainedRecord{id: c.rec.ID, value: value, at: time.Now(), era: platformapi.EraOf(c.rev)}
 	if len(t.retained) > maxRetainedRecords {
 		t.evictOldest()
 	}
 }
 
+// lostInRestore reports whether the table accepted that this claim was sent, and has been restored from a backup since.
+func (c *Claim) lostInRestore() bool {
+	era := c.table.store.Era()
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	k := c.table.retained[c.key]
+	return k.id == c.rec.ID && k.era < era
+}
+
 // evictOldest evicts the oldest record of a claim that has ended in this process. The caller holds mu.
 func (t *Table) evictOldest() {
 	oldest := ""
@@ -168,11 +179,15 @@
 		t.mu.Lock()
 		k, ok := t.retained[key]
 		t.mu.Unlock()
-		if !ok || bytes.Equal(found.Value, k.value) {
+		if !ok || bytes.Equal(found.Value, k.value) || k.superseded(found) {
 			return true
 		}
-		if !t.mayOverwrite(found, k.id) {
-			return !onlyStarted(found)
+		own, err := decode(platformapi.Item{Value: k.value})
+		if err != nil {
+			return true // cannot happen: this process encoded it
+		}
+		if !t.mayOverwrite(key, found, own) {
+			return !onlyStarted(found) && !(isUnfinished(found) && t.isSettling(time.Now()))
 		}
 		res, err := t.store.GroupTxn(ctx, platformapi.Txn{
 			Conds: []platformapi.Cond{{Key: key, Rev: found.Rev}},
@@ -188,6 +203,20 @@
 	return false
 }
 
+// superseded reports whether the found record is a later one of the same claim. Its write can take effect before this process has the
+// answer, and retains it.
+func (k retainedRecord) superseded(found platformapi.Item) bool {
+	r, err := decode(found)
+	if err != nil || r.ID != k.id {
+		return false
+	}
+	own, err := decode(platformapi.Item{Value: k.value})
+	if err != nil {
+		return false
+	}
+	return cmp.Or(cmp.Compare(r.State.order(), own.State.order()), cmp.Compare(r.Attempt, own.Attempt)) > 0
+}
+
 // onlyStarted reports whether the record is another holder's claim that was begun but not sent. That claim will be released, because its
 // holder finds that claims are being rewritten.
 func onlyStarted(found platformapi.Item) bool {
@@ -195,14 +224,39 @@
 	return err == nil && r.State == Started
 }
 
-// mayOverwrite reports whether a later record of claim id may replace the found one: an earlier state of the same claim, a released
-// claim, the claim of a holder that has ended, or no record.
-func (t *Table) mayOverwrite(found platformapi.Item, id string) bool {
+// isUnfinished reports whether the record is a claim that was not yet finished or released. In a table restored from a backup it can be
+// one that its holder has released since, and will rewrite as released.
+func isUnfinished(found platformapi.Item) bool {
+	r, err := decode(found)
+	return err == nil && (r.State == Started || r.State == Sent)
+}
+
+// mayOverwrite reports whether a record of own's claim may replace the one found at the key: an earlier state of the same claim, a
+// released claim, the claim of a holder that has ended, one from which own's was taken over, or no record. A claim whose request was not
+// sent, or is proven not to have run, must not replace another that may have run.
+func (t *Table) mayOverwrite(key string, found platformapi.Item, own record) bool {
 	if found.Rev == 0 {
 		return true
 	}
 	r, err := decode(found)
-	return err == nil && (r.ID == id || r.State == Released || t.cfg.HolderGone(r.Holder))
+	switch {
+	case err != nil:
+		return false
+	case r.ID == own.ID, r.State == Released:
+		return true
+	case own.Resumed && own.State != Released && r.Generation == own.Generation && r.Attempt < own.Attempt && t.isRetained(key, own.ID):
+		return true
+	case !t.cfg.HolderGone(r.Holder):
+		return false
+	}
+	return r.State == Started || own.State != Released && t.isRetained(key, own.ID)
+}
+
+// isRetained reports whether the table has accepted that the claim's request was sent.
+func (t *Table) isRetained(key, id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.retained[key].id == id
 }
 
 // overtakenByRestore reports whether a write over an earlier one of this claim failed because the table has been restored from a backup
@@ -216,20 +270,18 @@
 
 // writeAfterRestore repeats a write that failed because of a restore. The table may have the claim's record at another revision, an older
 // state of it, or none. It returns the outcome of the last try.
-func (c *Claim) writeAfterRestore(
-	ctx context.Context, txn *platformapi.Txn, res platformapi.TxnResult, err error,
-) (platformapi.TxnResult, error) {
+func (c *Claim) writeAfterRestore(ctx context.Context, txn *platformapi.Txn) (res platformapi.TxnResult, err error) {
 	for range maxRewriteTries {
 		found, _, failed := c.table.store.Get(ctx, c.key)
 		if failed != nil {
-			return res, err
+			return platformapi.TxnResult{}, failed // nothing was written
 		}
-		if !c.table.mayOverwrite(found, c.rec.ID) {
+		if !c.table.mayOverwrite(c.key, found, c.rec) {
 			return platformapi.TxnResult{Failed: []platformapi.Item{found}}, nil
 		}
 		c.rev, txn.Conds[0].Rev = found.Rev, found.Rev
 		if res, err = c.table.store.GroupTxn(ctx, *txn); !c.overtakenByRestore(res, err) {
-			break
+			return res, err
 		}
 	}
 	return res, err
