owner: engine rates from reports; gateway and link: observe and report paces

Cause: an owner could not know how fast an engine works; the slowdown in a load header was dropped, event times were used for the stall watch only. Change: each stream measures the times between events of one target (eventClock: the short ones from two nearly equal gaps, so that bunched or last events don't look fast); the link merges them by engine and adds them to its regular reports, and a slowdown that has changed by a quarter to the next report; the ledger applies them to enginerate.Table, with prompts of all instances explaining pauses. A load header that is torn, out of range, or lacks a slowdown that its target named before is ignored, counted and logged once a target; one with invalid counts of requests no longer sets a load of 0. A slowdown beyond 100 in a datagram is no longer cut to 100 but ignored.

--- a/lib/fleet/peertotal.go
+++ b/lib/fleet/peertotal.go
@@ -37,3 +37,14 @@
 	}
 	return &t.peers
 }
+
+// Unread returns the prompt tokens that all instances' runs on a target have left to prefill, as far as known.
+func (f *Fleet) Unread(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.targets[id]
+	if t == nil {
+		return 0
+	}
+	return f.totalLoad(t).Unread
+}
--- a/lib/gateway/answer.go
+++ b/lib/gateway/answer.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"anvilwick.example/anvilwick/lib/fleet"
@@ -121,12 +120,3 @@
 	}
 	return verdictGood
 }
-
-// readLoad reports the load named in a response to the fleet.
-func (g *Gateway) readLoad(id string, h http.Header) {
-	parts := strings.SplitN(h.Get(g.Names.Load), ",", 3)
-	if len(parts) < 2 {
-		return
-	}
-	g.Fleet.SetReportedLoad(time.Now(), id, atoi(parts[0]), atoi(parts[1]))
-}
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -103,6 +103,8 @@
 	ReportLimit(t fleet.Info, changed bool)
 	// RecordPrefill reports the time to a first event.
 	RecordPrefill(r owner.PrefillSample)
+	// RecordPace reports how fast an engine works, as a stream or a response has just shown; unknown fields are zero.
+	RecordPace(p owner.Pace)
 }
 
 // Gateway serves callers' requests. It is an http.Handler.
@@ -118,6 +120,7 @@
 	conns         openConns
 	pace          tokenPace
 	poison        *poison.Table
+	loadHeaders   loadHeaders
 }
 
 // maxSettingsWait bounds how long a request waits for the first settings; the wait is also at most one settingsWaitPart-th of
--- a/lib/gateway/log.go
+++ b/lib/gateway/log.go
@@ -134,6 +134,15 @@
 	ev.Bool("on", limit.On).Float64("per_second", limit.PerSecond).Msg("")
 }
 
+// LoadFault logs that a target's response named a load that is ignored.
+func (l Log) LoadFault(t fleet.Info, fault, value string) {
+	ev := log.Warn().Str("event", "load_fault").Str("target", t.ID).Str("service", t.Service)
+	ev.Str("fault", fault).Str("value", value[:min(len(value), maxLoggedValue)]).Msg("")
+}
+
+// maxLoggedValue bounds a value from a target in a log line, in bytes.
+const maxLoggedValue = 64
+
 // TargetResting logs that a target accepts nothing from this instance for some time.
 func (l Log) TargetResting(t fleet.Info, wait time.Duration) {
 	ev := log.Info().Str("event", "target_rests").Str("target", t.ID).Str("service", t.Service)
--- a/lib/gateway/notice.go
+++ b/lib/gateway/notice.go
@@ -24,7 +24,7 @@
 	if resp.Status == http.StatusMisdirectedRequest {
 		return // the address belongs to another target
 	}
-	g.readLoad(target.ID, resp.Header)
+	g.readLoad(target, resp.Header)
 	g.readLeaving(target, resp.Header)
 	g.readLimit(target, resp.Header, sentAt)
 	g.readRetryAfter(target, resp)
--- a/lib/gateway/relay.go
+++ b/lib/gateway/relay.go
@@ -17,9 +17,21 @@
 	}
 }
 
+// recordPace records the time since the previous events of a stream from a target, of which count have just arrived.
+func (g *Gateway) recordPace(clock *eventClock, target string, count int, cut bool) {
+	if g.Owners == nil {
+		return
+	}
+	shortest, gap := clock.arrive(time.Now(), count, cut)
+	if gap > 0 {
+		g.Owners.RecordPace(owner.Pace{Target: target, Shortest: shortest, Longest: gap})
+	}
+}
+
 // relay forwards complete events as they arrive.
 func (r *run) relay(x *exchange) end {
 	var events eventBuffer
+	var clock eventClock
 	p := make([]byte, 4<<10)
 	for {
 		n, err := x.resp.Read(p)
@@ -30,6 +42,7 @@
 				x.err = eerr
 				return endBroken
 			}
+			r.g.recordPace(&clock, x.target.ID, count, n == len(p))
 			if werr := r.forward(x.resp, whole, count, id); werr != nil {
 				x.err = werr
 				return endCaller
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -6,6 +6,7 @@
 
 	"github.com/phuslu/log"
 
+	"anvilwick.example/anvilwick/lib/enginerate"
 	"anvilwick.example/anvilwick/lib/feed"
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/logline"
@@ -99,6 +100,7 @@
 		OnSuspected: func(target string, permille uint32) {
 			log.Warn().Str("event", "target_suspected").Str("target", target).Uint32("failing_permille", permille).Msg("")
 		},
+		OnRateChanged: logRateChange,
 		OnBadDatagram: func(cause string, err error) {
 			logline.Send(log.Warn().Str("event", "bad_datagram").Str("cause", cause), err)
 		},
@@ -162,3 +164,10 @@
 func (p *Process) capacity() uint32 {
 	return uint32(max(1, capacityUnit*p.cfg.LinkMbps*p.cfg.CPUShare))
 }
+
+// logRateChange logs that an engine's estimated event time has changed a lot.
+func logRateChange(c enginerate.Change) {
+	ev := log.Info().Str("event", "engine_rate").Str("target", c.Target).Str("service", c.Service)
+	ev = ev.Int64("event_ms", c.Rate.EventTime.Milliseconds()).Int64("previous_ms", c.Previous.Milliseconds())
+	ev.Int64("prefill_us", c.Rate.PrefillTime.Microseconds()).Float64("slowdown", c.Rate.Slowdown).Msg("")
+}
--- a/lib/owner/ledger.go
+++ b/lib/owner/ledger.go
@@ -90,6 +90,7 @@
 	rejected map[uint64]time.Time // earliest time of a retry, by fingerprint
 	serial   uint64
 	moves    map[uint64]plannedMove // by run
+	rates    rateFeed
 }
 
 // NewLedger returns an empty Ledger that decides by the state of f. Reports are entered into f as the loads of its peers.
@@ -101,6 +102,7 @@
 		answers:  make(map[Key]sentAnswer),
 		rejected: make(map[uint64]time.Time),
 		moves:    make(map[uint64]plannedMove),
+		rates:    newRateFeed(f),
 	}
 }
 
@@ -120,6 +122,8 @@
 		return false
 	}
 	r.clamp()
+	l.rates.markUnread(now, h.runs)
+	l.rates.markGrants(now, h.grants)
 	h.apply(now, &r)
 	l.publish(now, h)
 	l.applyObservations(now, h, &r)
@@ -133,6 +137,8 @@
 			l.fleet.RecordContact(now.Add(-run.SinceContact), run.Target)
 		}
 	}
+	l.rates.markUnread(now, r.Runs)
+	l.rates.observe(now, r)
 	if h.local {
 		return // local outcomes are recorded when they occur
 	}
@@ -258,6 +264,7 @@
 		}
 	}
 	l.expireRejections(now)
+	l.rates.tick(now)
 	for id, p := range l.moves {
 		if now.Sub(p.at) > moveTTL {
 			delete(l.moves, id)
--- a/lib/ownerlink/link.go
+++ b/lib/ownerlink/link.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/protobuf/proto"
 
+	"anvilwick.example/anvilwick/lib/enginerate"
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/moveplan"
 	"anvilwick.example/anvilwick/lib/owner"
@@ -84,6 +85,8 @@
 	// OnSuspected is called when this instance begins to avoid a target because of the outcomes of all instances; permille of its
 	// requests fail.
 	OnSuspected func(target string, permille uint32)
+	// OnRateChanged is called for an engine whose estimated speed has changed a lot; may be nil.
+	OnRateChanged func(enginerate.Change)
 	// OnBadDatagram is called once for each kind of datagram that could not be used.
 	OnBadDatagram func(cause string, err error)
 }
@@ -111,6 +114,7 @@
 	addrByName     map[string]string // addresses of all instances including this one, by name
 	highCapacity   []string          // names of the instances with at least half of the largest capacity
 	plain          plainOutcomes
+	paces          paceCollector
 	sentLimits     map[string]sentLimit // by target
 
 	// Used by heartbeatLoop only:
@@ -150,7 +154,7 @@
 		Config: cfg, conn: conn, reportDue: make(chan struct{}, 1), waitingAdded: make(chan struct{}, 1), layoutChanged: make(chan struct{}, 1),
 		calls: make(map[uint64]chan *ownerpb.Datagram), addrs: make(map[string]netip.AddrPort),
 		lastGrants: make(map[string]uint64), reportedBad: make(map[string]bool), plans: make(map[string]*plan),
-		outcomes: make(map[string]*outcomes), plain: newPlainOutcomes(), sentLimits: make(map[string]sentLimit),
+		outcomes: make(map[string]*outcomes), plain: newPlainOutcomes(), paces: newPaceCollector(), sentLimits: make(map[string]sentLimit),
 		sentFills: make(map[string]sentFill),
 	}
 	l.layout.Store(owner.NewPartition().Layout())
--- a/lib/ownerlink/report.go
+++ b/lib/ownerlink/report.go
@@ -119,20 +119,24 @@
 	defer t.Stop()
 	reported := make(map[string]bool)
 	for {
+		regular := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
+			regular = true
 			l.Coordinator.Tick(time.Now())
+			l.reportRateChanges(time.Now())
 		case <-l.reportDue:
 			time.Sleep(reportDelayMin)
 		}
-		l.sendReports(reported)
+		l.sendReports(reported, regular)
 	}
 }
 
-// sendReports sends a report for each shard that this instance has something on, or had in the last report.
-func (l *Link) sendReports(reported map[string]bool) {
+// sendReports sends a report for each shard that this instance has something on, or had in the last report. A regular report is one that
+// no change has caused.
+func (l *Link) sendReports(reported map[string]bool, regular bool) {
 	if at := l.changedAt.Swap(nil); at != nil {
 		reportDelay.Update(time.Since(*at).Seconds())
 	}
@@ -145,6 +149,7 @@
 	clear(reported)
 	layout := l.layout.Load()
 	samples := l.takePrefillSamples()
+	paces := l.paces.take(time.Now(), regular, l.shardOf)
 	for key, r := range reports {
 		if len(r.Runs)+len(r.Copies)+len(r.Outcomes) > 0 {
 			reported[key] = true
@@ -158,6 +163,7 @@
 				r.PrefillSamples = append(r.PrefillSamples, m)
 			}
 		}
+		r.Paces = paces[key]
 		l.sendReport(s, r)
 	}
 }
--- a/lib/ownerlink/wire.go
+++ b/lib/ownerlink/wire.go
@@ -156,7 +156,7 @@
 	for _, m := range r.Paces {
 		out.Paces = append(out.Paces, owner.Pace{
 			Target: m.Target, Shortest: time.Duration(m.ShortestUs) * time.Microsecond, Longest: time.Duration(m.LongestUs) * time.Microsecond,
-			Slowdown: min(float64(m.SlowdownPermille)/1000, maxSlowdown), SlowdownAge: duration(m.SlowdownAgeMs),
+			Slowdown: float64(m.SlowdownPermille) / permille, SlowdownAge: duration(m.SlowdownAgeMs),
 		})
 	}
 	return out
