--- a/lib/enginerate/estimate.go
+++ b/lib/enginerate/estimate.go
@@ -22,10 +22,13 @@
 	// disturbedUpGain is the same share for an engine that prefilled a prompt in the interval. An engine that always does so still recovers
 	// from an estimate that is too short.
 	disturbedUpGain = 0.02
-	// prefillStep is the relative step by which an observation moves a prefill time, as in admit.PrefillRates.
+	// prefillStep is the largest step, in logarithms, by which an observation moves a prefill time, as in admit.PrefillRates.
 	prefillStep = 0.05
-	// firstPrefillStep is the step of the first observation after the one that a prefill time starts from; later steps are shorter.
-	firstPrefillStep = 0.25
+	// firstPrefillStep is the largest step of the first observation after the one that a prefill time starts from. Each later one is
+	// firstStepDecay times the one before.
+	firstPrefillStep, firstStepDecay = 0.25, 0.8
+	// nearGain is the share of the distance to an observation that is not too far away by which a prefill time follows it.
+	nearGain = 0.5
 )
 
 // plausible reports whether a duration may have been observed on an engine.
@@ -90,7 +93,7 @@
 type medianTracker struct {
 	ns   float64
 	n    int     // observations; counts up to minSamples
-	step float64 // relative step of the next observation
+	step float64 // largest step, in logarithms, of the next observation
 }
 
 func (m *medianTracker) known() bool          { return m.n >= minSamples }
@@ -102,10 +105,7 @@
 		return
 	}
 	m.n = min(m.n+1, minSamples)
-	if ns > m.ns {
-		m.ns *= 1 + m.step
-	} else {
-		m.ns /= 1 + m.step
-	}
-	m.step = max(prefillStep, 0.8*m.step)
+	move := nearGain * math.Log(ns/m.ns)
+	m.ns *= math.Exp(min(max(move, -m.step), m.step))
+	m.step = max(prefillStep, firstStepDecay*m.step)
 }
--- a/lib/enginerate/table_test.go
+++ b/lib/enginerate/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -24,20 +25,25 @@
 	model      *enginemodel.Engine
 	events     Events
 	lastEvent  map[uint64]time.Duration
+	lastGap    map[uint64]time.Duration
 	sentAt     map[uint64]time.Duration
 	prompt     map[uint64]int
 	decoding   int // sum over the undisturbed steps of the sequences that were decoded
 	steps      int // undisturbed steps
 	unread     int
 	intervalAt time.Duration
+	factor     float64 // on the duration of steps
+	noise      float64 // largest relative deviation of a step's duration
+	random     *rand.Rand
 }
 
-func newEngineRun(table *Table, name string, factor float64) *engineRun {
+func newEngineRun(table *Table, name string, factor, noise float64) *engineRun {
 	cfg := enginemodel.Default()
 	cfg.CacheTokens = 0
 	r := &engineRun{
 		table: table, name: name, model: enginemodel.New(cfg), lastEvent: make(map[uint64]time.Duration),
-		sentAt: make(map[uint64]time.Duration), prompt: make(map[uint64]int),
+		lastGap: make(map[uint64]time.Duration), sentAt: make(map[uint64]time.Duration), prompt: make(map[uint64]int),
+		factor: factor, noise: noise, random: rand.New(rand.NewPCG(1, 2)),
 	}
 	r.model.SetStepFactor(factor)
 	return r
@@ -75,6 +81,7 @@
 		r.events, r.intervalAt = Events{}, now
 	}
 	r.events.Prefilling = r.events.Prefilling || r.unread > 0
+	r.model.SetStepFactor(r.factor * (1 + r.noise*(2*r.random.Float64()-1)))
 	evs := r.model.Step(now, nil)
 	if n := len(evs); r.unread == 0 && n > 0 {
 		r.steps, r.decoding = r.steps+1, r.decoding+n
@@ -96,10 +103,11 @@
 	}
 	if last, ok := r.lastEvent[id]; ok {
 		gap := now - last
-		if r.events.Shortest == 0 || gap < r.events.Shortest {
-			r.events.Shortest = gap
-		}
 		r.events.Longest = max(r.events.Longest, gap)
+		if mean := (gap + r.lastGap[id]) / 2; r.lastGap[id] > 0 && (r.events.Shortest == 0 || mean < r.events.Shortest) {
+			r.events.Shortest = mean
+		}
+		r.lastGap[id] = gap
 	}
 	r.lastEvent[id] = now
 }
@@ -112,16 +120,21 @@
 	return time.Duration(step * factor * tokensPerEvent)
 }
 
-// Engines of one service differ in speed, and prompts join running streams. After ten streams, the estimates must be the true ones.
+// Engines of one service differ in speed, their steps vary, and prompts join running streams. After ten streams, the estimates must be the
+// true ones.
 func TestEstimatesAfterTenStreams(t *testing.T) {
-	for name, factors := range map[string][]float64{
-		"equal": {1, 1, 1, 1}, "two speeds": {1, 2, 1, 2}, "four speeds": {0.5, 1, 1.7, 3},
+	for name, c := range map[string]struct {
+		noise   float64
+		factors []float64
+	}{
+		"equal": {0, []float64{1, 1, 1, 1}}, "two speeds": {0, []float64{1, 2, 1, 2}}, "four speeds": {0, []float64{0.5, 1, 1.7, 3}},
+		"four noisy speeds": {0.3, []float64{0.5, 1, 1.7, 3}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var table Table
-			for i, f := range factors {
+			for i, f := range c.factors {
 				engine := fmt.Sprint("e", i)
-				r := newEngineRun(&table, engine, f)
+				r := newEngineRun(&table, engine, f, c.noise)
 				r.streams(t, 10, time.Duration(f*float64(1200*time.Millisecond)))
 				got := table.Rate(start.Add(20*time.Second), "s", engine)
 				must.True(t, got.Own)
@@ -135,6 +148,19 @@
 	}
 }
 
+// One first event in four waits seconds for memory. The prefill time must not be raised by such outliers.
+func TestPrefillTimeFollowsMedian(t *testing.T) {
+	var table Table
+	for i := range 400 {
+		d := 300 * time.Millisecond
+		if i%4 == 3 {
+			d = 4 * time.Second
+		}
+		table.ObservePrefill(start, "s", "e", 2000, d)
+	}
+	must.Between(t, 140*time.Microsecond, table.Rate(start, "s", "e").PrefillTime, 165*time.Microsecond)
+}
+
 // observeSteady gives a target n intervals with the same event time.
 func observeSteady(table *Table, target string, n int, event time.Duration) {
 	for range n {
