--- a/lib/enginerate/sweep.go
+++ b/lib/enginerate/sweep.go
@@ -69,7 +69,8 @@
 	Rate            Rate
 }
 
-// Changes returns the targets whose event time has changed by half or more since it was last returned for them, or since it was first known.
+// Changes returns the targets whose event time has changed by half or more since it was last returned for them, or since it was first
+// known.
 func (t *Table) Changes(now time.Time) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
