One Sleep for all, one listener in memory

Cause: ten packages had their own wait that a context cuts short, three with the same jitter; three had the same listener in memory.

--- a/lib/caller/caller.go
+++ b/lib/caller/caller.go
@@ -15,6 +15,7 @@
 	"github.com/dghubble/sling"
 
 	"anvilwick.example/anvilwick/lib/callerapi"
+	"anvilwick.example/anvilwick/lib/ctxtime"
 	"anvilwick.example/anvilwick/lib/engineapi"
 	"anvilwick.example/anvilwick/lib/result"
 )
@@ -82,7 +83,7 @@
 		if err == nil || ctx.Err() != nil || !s.canResume(err, try) {
 			return s.res, err
 		}
-		if !sleep(ctx, s.retryDelay()) {
+		if !ctxtime.Sleep(ctx, s.retryDelay()) {
 			return s.res, ctx.Err()
 		}
 	}
@@ -273,12 +274,3 @@
 	s.res.Tokens++
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/lib/claim/claim.go
+++ b/lib/claim/claim.go
@@ -26,6 +26,7 @@
 	"sync"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/ctxtime"
 	"anvilwick.example/anvilwick/lib/ids"
 	"anvilwick.example/anvilwick/lib/platform"
 	"anvilwick.example/anvilwick/lib/platformapi"
@@ -282,7 +283,7 @@
 	}
 	res, err := c.writeOnce(ctx, &txn)
 	first := err
-	for err != nil && platform.IsUnknown(first) && sleepJittered(ctx, rewriteDelay) {
+	for err != nil && platform.IsUnknown(first) && ctxtime.SleepJittered(ctx, rewriteDelay) {
 		res, err = c.writeOnce(ctx, &txn)
 	}
 	switch {
--- a/lib/claim/settle.go
+++ b/lib/claim/settle.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/ctxtime"
 	"anvilwick.example/anvilwick/lib/invariant"
 	"anvilwick.example/anvilwick/lib/platform"
 	"anvilwick.example/anvilwick/lib/platformapi"
@@ -64,7 +64,7 @@
 				return
 			}
 		}
-		sleepJittered(context.Background(), max(wait, platform.RetryAfter(err)))
+		ctxtime.SleepJittered(context.Background(), max(wait, platform.RetryAfter(err)))
 	}
 }
 
@@ -104,18 +104,6 @@
 	return conflictFinal
 }
 
-// sleepJittered waits for between d/2 and d. It returns false when ctx ended first.
-func sleepJittered(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d/2 + rand.N(d/2+1))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // Flush waits until every outcome is in the table, or until ctx ends. A planned shutdown calls it after its last request, so that none
 // of its finished requests becomes an orphan.
 func (t *Table) Flush(ctx context.Context) error {
--- a/lib/claim/takeover.go
+++ b/lib/claim/takeover.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/ctxtime"
 	"anvilwick.example/anvilwick/lib/ids"
 	"anvilwick.example/anvilwick/lib/platform"
 	"anvilwick.example/anvilwick/lib/platformapi"
@@ -74,7 +75,7 @@
 		if !done {
 			return alreadyRunning("in progress at this entry")
 		}
-		if !sleepJittered(ctx, settlePollInterval) {
+		if !ctxtime.SleepJittered(ctx, settlePollInterval) {
 			return storeDown(errOutcomePending)
 		}
 	}
--- a/lib/control/poll.go
+++ b/lib/control/poll.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/ctxtime"
 	"anvilwick.example/anvilwick/lib/lease"
 )
 
@@ -61,7 +62,7 @@
 			wait = min(retry, wait)
 			retry = 2 * wait
 		}
-		if !sleep(ctx, withJitter(wait)) {
+		if !ctxtime.Sleep(ctx, withJitter(wait)) {
 			return
 		}
 	}
@@ -69,15 +70,3 @@
 
 // withJitter shortens d by up to a quarter, so that instances started together don't poll in lockstep.
 func withJitter(d time.Duration) time.Duration { return d - rand.N(d/4+1) }
-
-// sleep waits for d or until ctx ends, and reports whether ctx is still active.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/lib/entry/silence_test.go
+++ b/lib/entry/silence_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/netip"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -17,6 +16,7 @@
 	"github.com/shoenig/test/must"
 
 	"anvilwick.example/anvilwick/lib/callerapi"
+	"anvilwick.example/anvilwick/lib/memnet"
 	"anvilwick.example/anvilwick/lib/result"
 	"anvilwick.example/anvilwick/lib/standin/plain"
 	"anvilwick.example/anvilwick/lib/target"
@@ -114,7 +114,7 @@
 // in a synctest bubble does not depend on the speed of the machine. It returns the answer, and the time from its head to its end.
 func readParts(t *testing.T, pause time.Duration) (body string, took time.Duration, err error) {
 	const callerAddr, targetAddr = "127.0.0.1:8000", "127.0.0.1:9000"
-	network := memoryNetwork{callerAddr: newMemoryListener(callerAddr), targetAddr: newMemoryListener(targetAddr)}
+	network := newMemoryNetwork(callerAddr, targetAddr)
 	slow := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		for range slowParts {
 			_, _ = io.WriteString(w, "part ")
@@ -145,51 +145,20 @@
 }
 
 // memoryNetwork connects to listeners in memory, by address.
-type memoryNetwork map[string]*memoryListener
+type memoryNetwork map[string]*memnet.Listener
+
+func newMemoryNetwork(addrs ...string) memoryNetwork {
+	n := make(memoryNetwork)
+	for _, addr := range addrs {
+		n[addr] = memnet.Listen(net.TCPAddrFromAddrPort(netip.MustParseAddrPort(addr)), 0)
+	}
+	return n
+}
 
 func (n memoryNetwork) dial(ctx context.Context, _, addr string) (net.Conn, error) {
 	l, ok := n[addr]
 	if !ok {
 		return nil, syscall.ECONNREFUSED
 	}
-	near, far := net.Pipe()
-	select {
-	case l.accepted <- far:
-		return near, nil
-	case <-l.closed:
-		return nil, syscall.ECONNREFUSED
-	case <-ctx.Done():
-		return nil, context.Cause(ctx)
-	}
-}
-
-type memoryListener struct {
-	addr     net.Addr
-	accepted chan net.Conn
-	closed   chan struct{}
-	close    sync.Once
-}
-
-func newMemoryListener(addr string) *memoryListener {
-	return &memoryListener{
-		addr:     net.TCPAddrFromAddrPort(netip.MustParseAddrPort(addr)),
-		accepted: make(chan net.Conn),
-		closed:   make(chan struct{}),
-	}
-}
-
-func (l *memoryListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.accepted:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *memoryListener) Close() error {
-	l.close.Do(func() { close(l.closed) })
-	return nil
+	return l.Dial(ctx)
 }
-
-func (l *memoryListener) Addr() net.Addr { return l.addr }
--- a/lib/feed/feed.go
+++ b/lib/feed/feed.go
@@ -11,6 +11,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"anvilwick.example/anvilwick/lib/ctxtime"
 )
 
 // ErrHistoryGone is returned by a Source that no longer has the requested changes.
@@ -140,7 +142,7 @@
 		err := f.Poll(ctx, f.opt.Wait)
 		if err == nil {
 			f.retryDelay = f.opt.Retry
-			sleep(ctx, f.opt.MinInterval)
+			ctxtime.Sleep(ctx, f.opt.MinInterval)
 			continue
 		}
 		if ctx.Err() == nil {
@@ -158,17 +160,7 @@
 	if f.isEmpty() {
 		f.retryDelay = min(f.retryDelay, initialRetryMax)
 	}
-	sleep(ctx, d)
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
+	ctxtime.Sleep(ctx, d)
 }
 
 // Poll makes one call: for the whole table when nothing is held or many changes are likely, else for the changes, which the
--- a/lib/feedlink/broadcast.go
+++ b/lib/feedlink/broadcast.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"anvilwick.example/anvilwick/lib/ctxtime"
 	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/meshpb"
 )
@@ -195,7 +196,7 @@
 				if s.stream.Write(&meshpb.FeedUp{News: batch}) != nil {
 					return
 				}
-				sleep(ctx, upstreamBatchInterval)
+				ctxtime.Sleep(ctx, upstreamBatchInterval)
 				continue
 			}
 			select {
--- a/lib/feedlink/serve.go
+++ b/lib/feedlink/serve.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/protobuf/proto"
 
+	"anvilwick.example/anvilwick/lib/ctxtime"
 	"anvilwick.example/anvilwick/lib/feed"
 	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/meshpb"
@@ -144,7 +145,7 @@
 		sent := time.Now()
 		t.Reset(pageInterval)
 		waitAny(ctx, t.C, changed)
-		sleep(ctx, s.pageGap()-time.Since(sent))
+		ctxtime.Sleep(ctx, s.pageGap()-time.Since(sent))
 	}
 }
 
--- a/lib/feedlink/syncer.go
+++ b/lib/feedlink/syncer.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/ctxtime"
 	"anvilwick.example/anvilwick/lib/feed"
 	"anvilwick.example/anvilwick/lib/mesh"
 )
@@ -168,7 +169,7 @@
 		upstream, readSelf, pause := t.pickUpstream(time.Now())
 		switch {
 		case pause > 0:
-			sleep(ctx, pause)
+			ctxtime.Sleep(ctx, pause)
 		case readSelf:
 			t.readStore(ctx)
 		case t.Assignment().Bootstrap:
@@ -184,13 +185,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // avoidUpstream avoids an upstream for a while after a failure.
 func (t *Syncer) avoidUpstream(ctx context.Context, upstream mesh.Peer, err error) {
 	if ctx.Err() != nil {
--- a/lib/feedlink/write.go
+++ b/lib/feedlink/write.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/ctxtime"
 	"anvilwick.example/anvilwick/lib/feed"
 	"anvilwick.example/anvilwick/lib/meshpb"
 )
@@ -72,7 +73,7 @@
 			return
 		case <-t.writes.wake:
 		}
-		sleep(ctx, writeBatchDelay)
+		ctxtime.Sleep(ctx, writeBatchDelay)
 		for rows := t.writes.nextBatch(); len(rows) > 0 && ctx.Err() == nil; rows = t.writes.nextBatch() {
 			write(rows)
 		}
--- a/lib/fleetsim/network.go
+++ b/lib/fleetsim/network.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/memnet"
 	"anvilwick.example/anvilwick/lib/ownerlink"
 )
 
@@ -26,9 +27,9 @@
 // network connects the instances. Each has its own link, which its streams and datagrams share.
 type network struct {
 	mu        sync.Mutex
-	ends      map[string]*endpoint     // by host
-	listeners map[string]*listener     // by address
-	packets   map[string]*datagramConn // by address
+	ends      map[string]*endpoint        // by host
+	listeners map[string]*memnet.Listener // by address
+	packets   map[string]*datagramConn    // by address
 	pipes     []net.Conn
 }
 
@@ -59,7 +60,7 @@
 }
 
 func newNetwork() *network {
-	return &network{ends: make(map[string]*endpoint), listeners: make(map[string]*listener), packets: make(map[string]*datagramConn)}
+	return &network{ends: make(map[string]*endpoint), listeners: make(map[string]*memnet.Listener), packets: make(map[string]*datagramConn)}
 }
 
 func (n *network) add(host, domain string, mbps float64, c *trafficMeter) {
@@ -103,31 +104,8 @@
 	n.pipes = nil
 }
 
-// listener accepts streams to one address.
-type listener struct {
-	conns chan net.Conn
-	done  chan struct{}
-	once  sync.Once
-}
-
-func (l *listener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *listener) Close() error {
-	l.once.Do(func() { close(l.done) })
-	return nil
-}
-
-func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
-
 func (n *network) listen(addr string) (net.Listener, error) {
-	l := &listener{conns: make(chan net.Conn, receiveQueue), done: make(chan struct{})}
+	l := memnet.Listen(&net.TCPAddr{}, receiveQueue)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.listeners[addr] = l
@@ -152,16 +130,12 @@
 		n.mu.Unlock()
 		go forward(from, to, remotePeer, localPeer)
 		go forward(to, from, localPeer, remotePeer)
-		select {
-		case l.conns <- remote:
-			return local, nil
-		case <-l.done:
+		if err := l.Deliver(ctx, remote); err != nil {
 			_ = localPeer.Close()
 			_ = remotePeer.Close()
-			return nil, net.ErrClosed
-		case <-ctx.Done():
-			return nil, ctx.Err()
+			return nil, err
 		}
+		return local, nil
 	}
 }
 
--- a/lib/gatewayproc/era_test.go
+++ b/lib/gatewayproc/era_test.go
@@ -15,6 +15,7 @@
 
 	"anvilwick.example/anvilwick/lib/feed"
 	"anvilwick.example/anvilwick/lib/feedlink"
+	"anvilwick.example/anvilwick/lib/memnet"
 	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/owner"
 )
@@ -142,50 +143,25 @@
 // network connects the nodes of a test by pipes.
 type network struct {
 	mu    sync.Mutex
-	nodes map[string]chan net.Conn
+	nodes map[string]*memnet.Listener
 }
 
-// listener accepts connections to one node.
-type listener struct {
-	conns chan net.Conn
-	done  chan struct{}
-	once  sync.Once
-}
-
-func (l *listener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *listener) Close() error {
-	l.once.Do(func() { close(l.done) })
-	return nil
-}
-
-func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
-
 func (n *network) listen(addr string) net.Listener {
-	l := &listener{conns: make(chan net.Conn, 300), done: make(chan struct{})}
+	l := memnet.Listen(&net.TCPAddr{}, 300)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.nodes[addr] = l.conns
+	n.nodes[addr] = l
 	return l
 }
 
-func (n *network) dial(_ context.Context, addr string) (net.Conn, error) {
+func (n *network) dial(ctx context.Context, addr string) (net.Conn, error) {
 	n.mu.Lock()
 	to := n.nodes[addr]
 	n.mu.Unlock()
 	if to == nil {
 		return nil, net.ErrClosed
 	}
-	local, remote := net.Pipe()
-	to <- remote
-	return local, nil
+	return to.Dial(ctx)
 }
 
 // replicator is the part of an instance that replicates tables.
@@ -217,7 +193,7 @@
 // startReplicators starts the replication at all instances of a site.
 func startReplicators(t *testing.T, ctx context.Context, work *sync.WaitGroup, h *fakeStore, list []owner.Instance) []*replicator {
 	t.Helper()
-	n := &network{nodes: make(map[string]chan net.Conn)}
+	n := &network{nodes: make(map[string]*memnet.Listener)}
 	var out []*replicator
 	for _, in := range list {
 		node, err := mesh.New(mesh.Options{Self: mesh.Identity{Instance: in.Name, Incarnation: 1}, Plaintext: true, Dial: n.dial})
--- a/lib/lease/campaign.go
+++ b/lib/lease/campaign.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/ctxtime"
 	"anvilwick.example/anvilwick/lib/platform"
 	"anvilwick.example/anvilwick/lib/platformapi"
 )
@@ -29,7 +29,7 @@
 		if h := tryAcquire(ctx, s, cfg, &last); h != nil {
 			return h
 		}
-		if !sleepJittered(ctx, cfg.pollPeriod()) {
+		if !ctxtime.SleepJittered(ctx, cfg.pollPeriod()) {
 			return nil
 		}
 	}
@@ -108,7 +108,7 @@
 	expiry := time.AfterFunc(h.Remaining(), h.end)
 	defer expiry.Stop()
 	wait := fraction(cfg.TTL, RenewFraction)
-	for sleepJittered(ctx, wait) {
+	for ctxtime.SleepJittered(ctx, wait) {
 		wait = fraction(cfg.TTL, RenewFraction)
 		switch renew(ctx, s, cfg, h) {
 		case lost:
@@ -212,15 +212,3 @@
 		}
 	}
 }
-
-// sleepJittered waits for about d, with jitter, so that challengers do not synchronize. It returns false when ctx ended.
-func sleepJittered(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d/2 + rand.N(d/2+1))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/lib/locallink/client.go
+++ b/lib/locallink/client.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"anvilwick.example/anvilwick/lib/ctxtime"
 	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/meshpb"
 )
@@ -96,7 +97,7 @@
 		if time.Since(start) > reconnectMax {
 			backoff = reconnectMin
 		}
-		if !sleep(ctx, backoff) {
+		if !ctxtime.Sleep(ctx, backoff) {
 			return
 		}
 		backoff = min(2*backoff, reconnectMax)
--- a/lib/locallink/server.go
+++ b/lib/locallink/server.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/ctxtime"
 	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/meshpb"
 )
@@ -100,18 +101,8 @@
 				return
 			}
 		}
-		if !sleep(ctx, s.Interval) {
+		if !ctxtime.Sleep(ctx, s.Interval) {
 			return
 		}
 	}
 }
-
-// sleep waits for d or until ctx is done; it reports whether ctx is still active.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/lib/platform/txn.go
+++ b/lib/platform/txn.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/ctxtime"
 	"anvilwick.example/anvilwick/lib/ids"
 	"anvilwick.example/anvilwick/lib/platformapi"
 )
@@ -86,7 +87,7 @@
 		if res, ok := c.readBack(ctx, txn); ok {
 			return res, nil
 		}
-		if !sleep(ctx, jitter(wait)) {
+		if !ctxtime.Sleep(ctx, jitter(wait)) {
 			return platformapi.TxnResult{}, writeError(first, txn.OpID)
 		}
 	}
@@ -110,18 +111,6 @@
 	return out, err == nil
 }
 
-// sleep waits for d; it reports false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // jitter returns a random duration in the upper half of d, so that clients that lost contact together do not retry together.
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d/2+1)
--- a/lib/schedlink/conn.go
+++ b/lib/schedlink/conn.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/ctxtime"
 	"anvilwick.example/anvilwick/lib/member"
 	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/meshpb"
@@ -95,7 +95,7 @@
 			if err == nil {
 				c.runStream(ctx, c.openRemote(s))
 			}
-			if !sleepJittered(ctx, reconnectDelay) {
+			if !ctxtime.SleepJittered(ctx, reconnectDelay) {
 				return
 			}
 		}
@@ -106,17 +106,6 @@
 // random, so that entries that lost the same owner at the same moment don't reconnect in step.
 const reconnectDelay = 50 * time.Millisecond
 
-func sleepJittered(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d/2 + rand.N(d/2))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // transport is an open stream to an owner, over the mesh or inside the process.
 type transport struct {
 	write  func(*meshpb.SchedUp) error
--- a/lib/settingsync/commit.go
+++ b/lib/settingsync/commit.go
@@ -7,6 +7,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"anvilwick.example/anvilwick/lib/ctxtime"
 	"anvilwick.example/anvilwick/lib/ids"
 	"anvilwick.example/anvilwick/lib/platform"
 	"anvilwick.example/anvilwick/lib/platformapi"
@@ -114,23 +115,12 @@
 		if platform.IsStaleEra(err) {
 			return res, Unknown.Wrap(err, "operation %s", txn.OpID)
 		}
-		if !sleep(ctx, outcomeRetryInterval) {
+		if !ctxtime.Sleep(ctx, outcomeRetryInterval) {
 			return res, Unknown.Wrap(err, "operation %s", txn.OpID)
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func newRecord(ctx context.Context, t Table, c Change, head Head) (*Record, error) {
 	next := head.nextRevision(t.Era())
 	rec := &Record{
--- a/lib/settingsync/help_test.go
+++ b/lib/settingsync/help_test.go
@@ -12,6 +12,7 @@
 	"github.com/phuslu/log"
 	"github.com/shoenig/test/must"
 
+	"anvilwick.example/anvilwick/lib/ctxtime"
 	"anvilwick.example/anvilwick/lib/meshpb"
 	"anvilwick.example/anvilwick/lib/platform"
 	"anvilwick.example/anvilwick/lib/proc"
@@ -88,7 +89,7 @@
 }
 
 func (f *fleet) heartbeats(ctx context.Context, name string, s *Sync) {
-	for sleep(ctx, 250*time.Millisecond) {
+	for ctxtime.Sleep(ctx, 250*time.Millisecond) {
 		revisions := map[string]uint64{}
 		f.mu.Lock()
 		for other, peer := range f.syncs {
--- a/lib/settingsync/peers.go
+++ b/lib/settingsync/peers.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/ctxtime"
 	"anvilwick.example/anvilwick/lib/meshpb"
 )
 
@@ -33,7 +34,7 @@
 		if instance, ok := s.pickNewerPeer(time.Now()); ok {
 			s.fetch(ctx, instance)
 		}
-		if !sleep(ctx, withJitter(peerCheckInterval)) {
+		if !ctxtime.Sleep(ctx, withJitter(peerCheckInterval)) {
 			return
 		}
 	}
@@ -105,7 +106,7 @@
 			peersSeen = true
 			deadline = earlierOf(deadline, time.Now().Add(s.cfg.TableGrace))
 		}
-		if !sleep(ctx, peerCheckInterval/10) {
+		if !ctxtime.Sleep(ctx, peerCheckInterval/10) {
 			return false
 		}
 	}
--- a/lib/settingsync/poll.go
+++ b/lib/settingsync/poll.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"anvilwick.example/anvilwick/lib/ctxtime"
 )
 
 // pollReadShare is the share of the site's read budget that polling may use.
@@ -26,7 +28,7 @@
 	var base baseText
 	for {
 		base = s.poll(ctx, base)
-		if !sleep(ctx, withJitter(s.pollInterval())) {
+		if !ctxtime.Sleep(ctx, withJitter(s.pollInterval())) {
 			return
 		}
 	}
--- a/lib/settingsync/swap.go
+++ b/lib/settingsync/swap.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/ctxtime"
 	"anvilwick.example/anvilwick/lib/settings"
 )
 
@@ -21,7 +22,7 @@
 		}
 		start := time.Now()
 		s.swap()
-		if !sleep(ctx, s.swapDelay(time.Since(start))) {
+		if !ctxtime.Sleep(ctx, s.swapDelay(time.Since(start))) {
 			return
 		}
 	}
