owner: cheaper application of paces; random datagrams with paces

Cause: a report with 10 paces made a map for each report; the random test of datagrams had none with a pace. Change: duplicates in one report are recognised by the number of the report. TestInvalidDatagramsDoNotBreakLink draws paces, too.

--- a/lib/owner/rates.go
+++ b/lib/owner/rates.go
@@ -19,6 +19,7 @@
 	table   enginerate.Table
 	fleet   *fleet.Fleet
 	targets map[string]*ratedTarget // of the fleet's targets
+	reports uint64                  // number of reports applied
 }
 
 // ratedTarget is what is needed beside a Pace to interpret it.
@@ -26,6 +27,7 @@
 	service    string
 	born       int64
 	lastUnread time.Time // when it last had prompt tokens to prefill
+	lastReport uint64    // number of the last report with its pace
 	seen       time.Time
 }
 
@@ -91,14 +93,13 @@
 
 // observe applies what a report says of the speed of engines. Slowdowns come first: they apply to the events of the same interval.
 func (f *rateFeed) observe(now time.Time, r *Report) {
-	paces := r.Paces[:min(len(r.Paces), maxPaces)]
-	done := make(map[string]bool, len(paces)) // a faulty report that repeats a target must not move its estimate far
-	for _, p := range paces {
+	f.reports++
+	for _, p := range r.Paces[:min(len(r.Paces), maxPaces)] {
 		g := f.target(now, p.Target)
-		if g == nil || done[p.Target] {
-			continue
+		if g == nil || g.lastReport == f.reports {
+			continue // a faulty report that repeats a target must not move its estimate far
 		}
-		done[p.Target] = true
+		g.lastReport = f.reports
 		f.table.ObserveSlowdown(now.Add(-max(0, p.SlowdownAge)), g.service, p.Target, p.Slowdown)
 		f.table.ObserveEvents(now, g.service, p.Target, enginerate.Events{
 			Shortest: p.Shortest, Longest: p.Longest, Prefilling: f.prefilling(now, p.Target, g),
--- a/lib/ownerlink/link_test.go
+++ b/lib/ownerlink/link_test.go
@@ -283,6 +283,7 @@
 		shard := rapid.SampledFrom([]string{"", s.Key, "other"}).Draw(t, "shard")
 		n := rapid.Uint32().Draw(t, "n")
 		run := &ownerpb.Run{Target: "e0", Tokens: n, Left: n, Unread: n}
+		pace := &ownerpb.Pace{Target: "e0", ShortestUs: n, LongestUs: n, SlowdownPermille: n, SlowdownAgeMs: n}
 		bodies := []func(){
 			func() {
 				d.Body = &ownerpb.Datagram_Ask{Ask: &ownerpb.Ask{Shard: shard, Id: uint64(n), Mode: n % 5, AgeMs: n, Service: "s"}}
@@ -291,7 +292,8 @@
 				d.Body = &ownerpb.Datagram_Answer{Answer: &ownerpb.Answer{Id: uint64(n), Serial: uint64(n), Action: n}}
 			},
 			func() {
-				d.Body = &ownerpb.Datagram_Report{Report: &ownerpb.Report{Shard: shard, Seq: uint64(n), Runs: []*ownerpb.Run{run}}}
+				r := &ownerpb.Report{Shard: shard, Seq: uint64(n), Runs: []*ownerpb.Run{run}, Paces: []*ownerpb.Pace{pace, pace}}
+				d.Body = &ownerpb.Datagram_Report{Report: r}
 			},
 			func() {
 				d.Body = &ownerpb.Datagram_Beat{Beat: &ownerpb.Beat{Fills: []*ownerpb.Fill{{Shard: shard, Permille: n}}}}
