Mesh: sessions shut down only after their receiving goroutine has ended

Cause: between the shutdown of a yamux session and the end of its receiving goroutine, or while its connection is still being closed, a blocked Stream.Read loops (its select has a closed channel). Ways there: Session.Close by us, by the library's keep-alive or open time-out, and a failed write. With real time a reader uses a core until the connection is closed, under TLS up to 5 s. Change: sessionConn. Sessions end by closing their connection; keep-alive pings are ours; a failed write returns once reading has failed. The library's time-out for opening streams is off; the exchange of Hello has its own.

--- a/lib/mesh/link.go
+++ b/lib/mesh/link.go
@@ -29,14 +29,14 @@
 		// Wrap the cause: Refused must recognize a peer whose address refuses connections during backoff as well.
 		return nil, ErrBackoff.Wrap(l.lastErr, "%s failed %d times", l.addr, l.backoff.failures)
 	}
-	mux, err := n.dial(ctx, l.addr)
+	sess, err := n.dial(ctx, l.addr)
 	if err != nil {
 		l.backoff.failed(time.Now())
 		l.lastErr = err
 		return nil, ErrDial.Wrap(err, "%s", l.addr)
 	}
 	l.backoff.succeeded()
-	l.current = newSession(mux)
+	l.current = sess
 	return l.current, nil
 }
 
@@ -69,7 +69,7 @@
 }
 
 // dial opens a session within DialTimeout.
-func (n *Node) dial(ctx context.Context, addr string) (*yamux.Session, error) {
+func (n *Node) dial(ctx context.Context, addr string) (*session, error) {
 	ctx, cancel := context.WithTimeout(ctx, n.opts.DialTimeout)
 	defer cancel()
 	stop := context.AfterFunc(n.ctx, cancel)
@@ -85,5 +85,5 @@
 		dialFailures.Inc()
 		return nil, err
 	}
-	return yamux.Client(&coalescingConn{Conn: conn}, yamuxConfig(&n.opts))
+	return newSession(conn, &n.opts, yamux.Client)
 }
--- a/lib/mesh/serve.go
+++ b/lib/mesh/serve.go
@@ -41,13 +41,11 @@
 	if err != nil {
 		return
 	}
-	mux, err := yamux.Server(&coalescingConn{Conn: conn}, yamuxConfig(&n.opts))
+	sess, err := newSession(conn, &n.opts, yamux.Server)
 	if err != nil {
-		conn.Close()
 		return
 	}
-	defer mux.Close()
-	sess := newSession(mux)
+	defer sess.close()
 	if !n.addAccepted(sess) {
 		return
 	}
@@ -160,20 +158,20 @@
 	n.stopping = true
 	links := n.links
 	n.links = make(map[string]*link)
-	muxes := make([]*yamux.Session, 0, len(n.accepted))
+	sessions := make([]*session, 0, len(n.accepted))
 	for s := range n.accepted {
-		muxes = append(muxes, s.mux)
+		sessions = append(sessions, s)
 	}
 	n.mu.Unlock()
 	for _, l := range links {
 		l.mu.Lock()
 		if l.current != nil {
-			muxes = append(muxes, l.current.mux)
+			sessions = append(sessions, l.current)
 		}
 		l.mu.Unlock()
 	}
-	for _, m := range muxes {
-		m.Close()
+	for _, s := range sessions {
+		s.close()
 	}
 	n.handling.Wait()
 }
--- a/lib/mesh/session.go
+++ b/lib/mesh/session.go
@@ -12,14 +12,24 @@
 // session counts its streams, so that a retired one can be closed when its last stream has ended.
 type session struct {
 	mux       *yamux.Session
+	conn      *sessionConn
 	mu        sync.Mutex
 	streams   int
 	retired   bool
 	idleSince time.Time
 }
 
-func newSession(mux *yamux.Session) *session {
-	return &session{mux: mux, idleSince: time.Now()}
+// newSession starts a session on a connection, with the library's function for this end.
+func newSession(conn net.Conn, o *Options, start func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error)) (*session, error) {
+	c := newSessionConn(conn)
+	mux, err := start(&coalescingConn{Conn: c}, yamuxConfig(o))
+	if err != nil {
+		c.abort()
+		return nil, err
+	}
+	s := &session{mux: mux, conn: c, idleSince: time.Now()}
+	go s.keepAlive(o.KeepAlive)
+	return s, nil
 }
 
 // yamuxConfig converts the options to the limits of one session. The library's own log is discarded: each relevant event shows as an
@@ -27,9 +37,9 @@
 func yamuxConfig(o *Options) *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.AcceptBacklog = o.MaxStreams
-	c.KeepAliveInterval = o.KeepAlive
+	c.EnableKeepAlive = false // see sessionConn
 	c.ConnectionWriteTimeout = o.WriteTimeout
-	c.StreamOpenTimeout = o.DialTimeout + o.WriteTimeout
+	c.StreamOpenTimeout = 0 // see sessionConn; the exchange of Hello has a time limit
 	c.StreamCloseTimeout = streamCloseTimeout
 	c.LogOutput = io.Discard
 	return c
@@ -37,6 +47,29 @@
 
 const streamCloseTimeout = 10 * time.Second
 
+// keepAlive pings the peer, and ends the session if it does not answer.
+func (s *session) keepAlive(interval time.Duration) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-s.mux.CloseChan():
+			return
+		case <-t.C:
+		}
+		if _, err := s.mux.Ping(); err != nil {
+			s.conn.abort()
+			return
+		}
+	}
+}
+
+// close ends the session and waits until it has shut down.
+func (s *session) close() {
+	s.conn.abort()
+	<-s.mux.CloseChan()
+}
+
 // open opens a raw stream, or fails if the session accepts no more.
 func (s *session) open() (net.Conn, error) {
 	s.mu.Lock()
@@ -98,7 +131,7 @@
 // closeLater closes the session after a short delay. Closing it at once could cut off the last frames of a stream that has just ended:
 // the peer would miss its end and see a broken stream instead of a finished one.
 func (s *session) closeLater() {
-	time.AfterFunc(lingerTime, func() { s.mux.Close() })
+	time.AfterFunc(lingerTime, s.close)
 }
 
 const lingerTime = 200 * time.Millisecond
