Owners order waiting streams fairly between workspaces, urgencies and sizes

Cause: waiting streams were ordered by deadline alone. While engines are full, a workspace that sends many takes capacity in proportion to what it sends, and what is released between two passes goes to whoever arrives in the gap. Change: lib/fairqueue keeps decayed accounts of granted tokens by workspace and moves streams in the order of deadlines: by usage relative to an equal share, by urgency, and large ones further ahead while workspaces are unequal; bounded by the time that a stream can wait. A newcomer is decided in its turn behind waiting streams of others. Replay learns workspaces and the pattern unequal.

--- a/lib/owner/ledger.go
+++ b/lib/owner/ledger.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/admit"
+	"anvilwick.example/anvilwick/lib/fairqueue"
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/moveplan"
 )
@@ -53,6 +54,10 @@
 	Backup    string // engine for the backup copy; empty: no engine has capacity
 	Estimate  fleet.KnownState
 
+	Waited   time.Duration  // until the decision, if the request waited
+	Move     fairqueue.Move // how fairness and urgency moved the request in the order of deadlines while it waited
+	KeptTurn bool           // its deadline kept it ahead of a request that fairness or urgency moved further ahead
+
 	Describe               bool       // as in the request
 	TargetInfo, BackupInfo fleet.Info // target list entries, if the request asks for them
 }
@@ -90,6 +95,7 @@
 	rejected map[uint64]time.Time // earliest time of a retry, by fingerprint
 	serial   uint64
 	moves    map[uint64]plannedMove // by run
+	fairness map[string]*fairness   // by shard
 }
 
 // NewLedger returns an empty Ledger that decides by the state of f. Reports are entered into f as the loads of its peers.
@@ -101,6 +107,7 @@
 		answers:  make(map[Key]sentAnswer),
 		rejected: make(map[uint64]time.Time),
 		moves:    make(map[uint64]plannedMove),
+		fairness: make(map[string]*fairness),
 	}
 }
 
@@ -192,7 +199,9 @@
 		return Answer{}, false
 	}
 	l.markRetry(now, &req)
-	answer, ok = l.decide(now, s, &req)
+	if !l.mustQueue(s, &req) {
+		answer, ok = l.decide(now, s, &req)
+	}
 	if !ok && l.cannotStartInTime(now, s, &req) {
 		return l.recordDecision(now, s, &req, l.placer().Reject(req.Stream)), true
 	}
@@ -217,6 +226,7 @@
 	switch d.Action {
 	case admit.Admit:
 		l.grant(now, s, req, &out)
+		l.charge(now, s, req)
 	case admit.RetryLater:
 		l.rememberRejection(now, req, d.RetryAfter)
 	}
@@ -258,6 +268,7 @@
 		}
 	}
 	l.expireRejections(now)
+	l.expireFairness(now)
 	for id, p := range l.moves {
 		if now.Sub(p.at) > moveTTL {
 			delete(l.moves, id)
--- a/lib/owner/wait.go
+++ b/lib/owner/wait.go
@@ -11,26 +11,30 @@
 	PlaceRequest
 	shard    *Shard
 	lastSeen time.Time
-	order    time.Time // position in the queue
+	order    time.Time     // position in the queue
+	shift    time.Duration // by which fairness and urgency moved it there
 }
 
 // largeHeadStart is the head start in the queue, as a share of its latency objective, of a stream that takes all of an engine's memory over
 // a small one that stops waiting at the same time.
 const largeHeadStart = 0.5
 
-// orderOf returns a stream's position in the queue: the time at which it stops waiting, earlier for large streams. Streams that can still
+// orderOf returns a stream's position in the queue before fairness and urgency move it: the time at which it stops waiting, earlier for large streams. Streams that can still
 // start in time go before a retried one, until that would be rejected again.
 //
 // When memory is short, small streams fit at once into what is released, while a large one needs the memory of two runs. Ordered
 // by deadline alone, a large stream would find its capacity taken each time until its wait is over.
 func (l *Ledger) orderOf(s *admit.Stream) time.Time {
-	due := s.WaitDeadline()
+	return s.WaitDeadline().Add(-time.Duration(largeHeadStart * l.memoryShare(s) * float64(s.Objective)))
+}
+
+// memoryShare returns the share of an engine's memory that a stream takes; 0 if the memory is unknown.
+func (l *Ledger) memoryShare(s *admit.Stream) float64 {
 	memory := l.fleet.Memory(s.Need.Service)
 	if memory <= 0 {
-		return due
+		return 0
 	}
-	part := min(1, float64(s.Need.Peak.Held)/float64(memory))
-	return due.Add(-time.Duration(largeHeadStart * part * float64(s.Objective)))
+	return min(1, float64(s.Need.Peak.Held)/float64(memory))
 }
 
 // cannotStartInTime reports whether a stream that would wait can't start before its wait is over: all engines of its shard have rate
@@ -42,7 +46,7 @@
 	if !limited || req.Mode != Admit {
 		return false
 	}
-	order, ahead := l.orderOf(&req.Stream), 0
+	order, ahead := l.orderOf(&req.Stream).Add(l.shift(s, &req.Stream)), 0
 	for _, w := range l.waiting {
 		if w.shard.Key == s.Key && !w.order.After(order) {
 			ahead++
@@ -53,7 +57,9 @@
 
 // enqueue inserts a request into the queue.
 func (l *Ledger) enqueue(w *waitingRequest) {
-	w.order = l.orderOf(&w.Stream)
+	l.fairnessOf(w.shard.Key).urgencies.Include(w.Stream.Priority)
+	w.shift = l.shift(w.shard, &w.Stream)
+	w.order = l.orderOf(&w.Stream).Add(w.shift)
 	at, _ := slices.BinarySearchFunc(l.waiting, w.order, func(x *waitingRequest, order time.Time) int { return x.order.Compare(order) })
 	for at < len(l.waiting) && l.waiting[at].order.Equal(w.order) {
 		at++
@@ -76,6 +82,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	clear(l.reserved)
+	l.sortWaiting()
 	var out []Answer
 	l.waiting = slices.DeleteFunc(l.waiting, func(w *waitingRequest) bool {
 		if now.Sub(w.lastSeen) > requestTTL {
@@ -84,6 +91,7 @@
 		answer, ok := l.decide(now, w.shard, &w.PlaceRequest)
 		switch {
 		case ok:
+			l.describeWait(now, w, &answer)
 			out = append(out, answer)
 		default:
 			l.reserveEngine(w.shard)
--- a/lib/replay/compare.go
+++ b/lib/replay/compare.go
@@ -19,6 +19,7 @@
 	{"in time", Tally.Share},
 	{"work in time", Tally.WorkShare},
 	{"large in time", Tally.LargeShare},
+	{"small senders in time", func(t Tally) float64 { return t.SmallShare() }},
 	{"late", func(t Tally) float64 { return ratio(t.Late, t.Streams) }},
 	{"sent away", func(t Tally) float64 { return ratio(t.Refused, t.Streams) }},
 	{"lost", func(t Tally) float64 { return ratio(t.Lost, t.Streams) }},
--- a/lib/replay/load.go
+++ b/lib/replay/load.go
@@ -3,7 +3,7 @@
 // placement decisions behaves under heavy load.
 //
 // A seed yields the same streams under every policy, so policies are compared in pairs. The model has no migration of runs,
-// no store and no workspaces; its results say nothing about those.
+// and no store; its results say nothing about those.
 package replay
 
 import "time"
@@ -22,6 +22,7 @@
 	OwnersFailAt        time.Duration                  // the first-ranked instance of each shard fails with its streams; 0: never
 	FaultyEngines       int                            // engines that fail half of their streams
 	ShortTimeout        time.Duration                  // after which callers of short streams give up; 0: as callers of long ones
+	Workspaces          Workspaces
 	Duration            time.Duration
 }
 
@@ -136,4 +137,5 @@
 	"crowded": Saturated, "hurried": ShortTimeouts, "bursts": Bursts, "bunches": ArrivalSpikes,
 	"half-gone": HalfInstancesFail, "come-back": TransientOverload,
 	"owners-gone": OwnersFail, "faulty": FaultyEngines, "domains-leave": DomainsLeaveInTurn,
+	"unequal": UnequalWorkspaces,
 }
--- a/lib/replay/owners.go
+++ b/lib/replay/owners.go
@@ -152,7 +152,11 @@
 	if p.queued {
 		r.next = o.s.now + queuedTimeout
 	}
-	req := owner.PlaceRequest{Key: p.key, Run: r.id, Fingerprint: r.id, Stream: r.admitted()}
+	st := r.admitted()
+	if o.s.policy.Unfair {
+		st.Workspace, st.Priority = 0, 0
+	}
+	req := owner.PlaceRequest{Key: p.key, Run: r.id, Fingerprint: r.id, Stream: st}
 	o.s.sendMessage(messageDelay, func() { o.handleRequest(p.candidate, p.shard, r, p, req) })
 }
 
--- a/lib/replay/site.go
+++ b/lib/replay/site.go
@@ -56,6 +56,7 @@
 	engineCount int // engines created so far
 	tally       Tally
 	decider     decider
+	sender      *sender
 }
 
 // decider places streams according to a Strategy and keeps the state shared by instances up to date.
@@ -82,6 +83,7 @@
 func Simulate(pattern Pattern, policy Policy, seed uint64) Tally {
 	pattern.Domains = max(1, pattern.Domains)
 	s := &site{pattern: pattern, policy: policy, loadRNG: rand.New(rand.NewPCG(seed, 7)), decisionRNG: rand.New(rand.NewPCG(seed, 8))}
+	s.sender = newSender(pattern.Workspaces, seed)
 	if policy.Strategy == Owners {
 		s.decider = newOwnerDecider(s)
 	} else {
@@ -157,6 +159,8 @@
 	}
 	s.arrivals(true, s.pattern.LongRate*factor)
 	s.arrivals(false, s.pattern.ShortRate*factor*short)
+	s.burst(true, s.pattern.LongRate*factor)
+	s.burst(false, s.pattern.ShortRate*factor*short)
 	for _, in := range s.instances {
 		in.waiting = slices.DeleteFunc(in.waiting, func(r *stream) bool { return s.now >= r.next && s.decider.decide(r) })
 	}
--- a/lib/replay/stream.go
+++ b/lib/replay/stream.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"anvilwick.example/anvilwick/lib/admit"
@@ -12,6 +13,7 @@
 	id             uint64
 	instance       *instance
 	long           bool
+	workspace      int           // rank of its sender by size, from 1; 0: unknown
 	first          time.Duration // time of the caller's first request
 	arrived        time.Duration // time of the caller's latest request
 	prompt         int
@@ -32,26 +34,30 @@
 func (s *site) arrivals(long bool, rate float64) {
 	for p := rate * tick.Seconds(); p > 0; p-- {
 		if s.loadRNG.Float64() < p {
-			s.arrive(s.draw(long))
+			s.arrive(s.draw(s.loadRNG, long, s.sender.draw()))
 		}
 	}
 }
 
 // draw creates a stream like those of users: long ones have about 3,000 prompt and 600 output tokens, short ones about 2,500
 // and 10. The length estimate is right at the median and typically off by a factor of three.
-func (s *site) draw(long bool) *stream {
+func (s *site) draw(rng *rand.Rand, long bool, workspace int) *stream {
 	s.tally.Streams++
 	r := &stream{
-		id: uint64(s.tally.Streams), long: long, first: s.now, prompt: 1500 + s.loadRNG.IntN(3000), length: 60 + int(s.loadRNG.ExpFloat64()*540),
+		id: uint64(s.tally.Streams), long: long, first: s.now, prompt: 1500 + rng.IntN(3000), length: 60 + int(rng.ExpFloat64()*540),
 	}
 	if !long {
-		r.prompt, r.length = 800+s.loadRNG.IntN(3400), 4+s.loadRNG.IntN(12)
+		r.prompt, r.length = 800+rng.IntN(3400), 4+rng.IntN(12)
 		r.timeout = s.pattern.ShortTimeout
 	}
 	r.length = min(r.length, 1500)
-	deviation := s.loadRNG.NormFloat64()
+	deviation := rng.NormFloat64()
 	r.expectedLength = max(1, int(float64(r.length)*pow3(deviation)))
+	r.workspace = workspace
 	s.tally.Work += r.work()
+	if s.sender.isSmall(r.workspace) {
+		s.tally.Small++
+	}
 	if r.prompt > largePrompt {
 		s.tally.Large++
 	}
@@ -102,7 +108,8 @@
 
 // admitted converts the stream for lib/admit.
 func (r *stream) admitted() admit.Stream {
-	return admit.Stream{Arrived: start.Add(r.arrived), Objective: r.objective(), MaxRetryAfter: r.maxRetryAfter(), Need: r.need()}
+	return admit.Stream{Arrived: start.Add(r.arrived), Objective: r.objective(), MaxRetryAfter: r.maxRetryAfter(), Need: r.need(),
+		Workspace: uint64(r.workspace)}
 }
 
 func (s *site) arrive(r *stream) {
@@ -203,6 +210,9 @@
 func (s *site) inTime(r *stream) {
 	s.tally.InTime++
 	s.tally.WorkInTime += r.work()
+	if s.sender.isSmall(r.workspace) {
+		s.tally.SmallInTime++
+	}
 	if r.long {
 		s.tally.LongsInTime++
 	}
