--- a/lib/ownerlink/handle.go
+++ b/lib/ownerlink/handle.go
@@ -159,6 +159,7 @@
 				return
 			case now := <-t.C:
 				for _, a := range l.Coordinator.DecideWaiting(now) {
+					observeWait(&a)
 					l.answer(&a)
 				}
 				if now.Sub(lastForward) >= owner.ForwardInterval {
