--- a/lib/fairqueue/shift.go
+++ b/lib/fairqueue/shift.go
@@ -1,9 +1,9 @@
 // Package fairqueue orders streams that wait for engines, so that a few workspaces that send many do not take the capacity of the others.
 //
 // The load it answers: for seconds at a time more streams wait than engines have room for, and most of them are from a few workspaces.
-// Ordered by deadline alone, each workspace gets capacity in proportion to what it sends. Streams therefore move ahead or back in that order:
-// those of workspaces that were granted less than their share lately go ahead, and of about equal ones the more urgent. The moves are
-// bounded by the time that a stream can wait, so that nobody is overtaken until that time is over.
+// Ordered by deadline alone, each workspace gets capacity in proportion to what it sends. Streams therefore move in that order: those of
+// workspaces that were granted less than their share lately go ahead, and of about equal ones the more urgent. The moves are bounded by a
+// part of the time that a stream can wait, so that nobody is overtaken until that time is over.
 //
 // The package is pure: the caller passes the time in.
 package fairqueue
@@ -77,8 +77,9 @@
 // IsUnequal reports whether the usage of a stream's workspace moves it.
 func IsUnequal(a *Accounts, w Waiter) bool { return Shift(a, Urgencies{}, w) != 0 }
 
-// SizeShift returns by how much a large stream moves in addition while workspaces are unequal. Small streams that go ahead take the capacity
-// that a large one needs at once, in pieces; the large ones of all workspaces would be refused for it.
+// SizeShift returns by how much a large stream moves in addition while workspaces are unequal.
+//
+// Small streams that go ahead take in pieces the capacity that a large one needs at once; large ones of all workspaces would be refused.
 func SizeShift(w Waiter) time.Duration {
 	if w.IsRetry {
 		return 0
--- a/lib/owner/wait.go
+++ b/lib/owner/wait.go
@@ -19,8 +19,8 @@
 // a small one that stops waiting at the same time.
 const largeHeadStart = 0.5
 
-// orderOf returns a stream's position in the queue before fairness and urgency move it: the time at which it stops waiting, earlier for large streams. Streams that can still
-// start in time go before a retried one, until that would be rejected again.
+// orderOf returns a stream's position in the queue before fairness and urgency move it: the time at which it stops waiting, earlier for
+// large streams. Streams that can still start in time go before a retried one, until that would be rejected again.
 //
 // When memory is short, small streams fit at once into what is released, while a large one needs the memory of two runs. Ordered
 // by deadline alone, a large stream would find its capacity taken each time until its wait is over.
--- a/lib/replay/workspaces_test.go
+++ b/lib/replay/workspaces_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -69,3 +70,20 @@
 	must.Positive(t, with.Small)
 	must.Greater(t, without.Streams*3/2, with.Streams)
 }
+
+// The owners fail during a burst of large workspaces. The next ones have no accounts and decide by deadlines until they have some: no more
+// callers are refused for good than by deadlines alone, and the smaller half of the workspaces is still served better.
+func TestOwnersFailDuringBurst(t *testing.T) {
+	load := UnequalWorkspaces()
+	load.OwnersFailAt = 11 * time.Second
+	got := simulateAll(map[string]func(uint64) Tally{
+		"fair":   func(seed uint64) Tally { return Simulate(load, Policy{}, seed) },
+		"unfair": func(seed uint64) Tally { return Simulate(load, Policy{Unfair: true}, seed) },
+	}, 24)
+	for name, tally := range got {
+		t.Logf("%-7s all %.4f small workspaces %.4f refused %d", name, tally.Share(), tally.SmallShare(), tally.Refused)
+	}
+	must.LessEq(t, got["unfair"].Refused, got["fair"].Refused)
+	must.Greater(t, got["unfair"].SmallShare(), got["fair"].SmallShare())
+	must.Greater(t, got["unfair"].Share()-0.01, got["fair"].Share())
+}
