--- a/lib/enginemodel/config.go
+++ b/lib/enginemodel/config.go
@@ -8,6 +8,8 @@
 //
 //	StepBase + StepPerSeq*decoding + StepPerContext*context tokens + StepPerPrefill*prefilled tokens
 //
+// times the engine's own Speed, the momentary slowdown of Noise when it starts, and the factor set by SetStepFactor.
+//
 // Memory is counted in tokens: a sequence holds its prompt and all emitted tokens. If the next step would exceed the memory,
 // the engine preempts, among the sequences of lowest priority, the one that arrived last; it returns to the waiting queue and
 // its prompt and emitted tokens are prefilled again.
@@ -36,6 +38,8 @@
 	IdleWatts      float64
 	SeqWatts       float64 // added for each sequence in the batch
 	DropPreempted  bool    // preempted sequences leave the engine instead of waiting in its queue
+	Speed          float64 // factor on the duration of all steps, for engines that differ; 0: 1
+	Noise          Noise   // momentary slowdowns
 }
 
 // Default returns a medium-sized engine whose steps take about 30 ms when the batch is full.
--- a/lib/enginemodel/engine.go
+++ b/lib/enginemodel/engine.go
@@ -198,7 +198,7 @@
 		return evs
 	}
 	e.busy = true
-	e.stepEnd = now + e.plan()
+	e.stepEnd = now + time.Duration(float64(e.plan())*e.factor(now))
 	return evs
 }
 
@@ -251,7 +251,7 @@
 	e.waiting = slices.Delete(e.waiting, 0, n)
 }
 
-// plan distributes the prefill chunk and returns the duration of the step.
+// plan distributes the prefill chunk and returns the duration of the step at normal speed.
 func (e *Engine) plan() time.Duration {
 	left := e.cfg.PrefillChunk
 	decoding, context, prefilled := 0, 0, 0
@@ -269,14 +269,22 @@
 		left -= n
 		prefilled += n
 	}
-	d := e.cfg.StepBase +
+	return e.cfg.StepBase +
 		time.Duration(decoding)*e.cfg.StepPerSeq +
 		time.Duration(context)*e.cfg.StepPerContext +
 		time.Duration(prefilled)*e.cfg.StepPerPrefill
-	return time.Duration(float64(d) * e.stepFactor)
 }
 
-// SetStepFactor multiplies the duration of later steps; 1 is normal speed.
+// factor returns the factor on the duration of a step that starts now.
+func (e *Engine) factor(now time.Duration) float64 {
+	f := e.stepFactor * e.Slowdown(now)
+	if e.cfg.Speed > 0 {
+		f *= e.cfg.Speed
+	}
+	return f
+}
+
+// SetStepFactor multiplies the duration of later steps, besides Config.Speed and Config.Noise; 1 is normal speed.
 func (e *Engine) SetStepFactor(factor float64) { e.stepFactor = factor }
 
 // SetLeaving makes Add refuse new sequences; running ones continue.
