Owner: cost of long pauses in placement decisions; replay: engines of two speeds with momentary slowdowns

Cause: long streams and prompts meet on engines that exceed the objective for pauses while they prefill.

--- a/lib/admit/admit.go
+++ b/lib/admit/admit.go
@@ -84,6 +84,9 @@
 	Random  func(n int64) int64 // in [0, n); nil: math/rand
 	// Acquire chooses a target and counts the stream there; nil: Fleet.Acquire.
 	Acquire func(now time.Time, need fleet.Need) (fleet.Info, bool)
+	// PrefillTime returns the time that a target takes to prefill a prompt token at this moment; 0: as Prefill estimates for the service. It
+	// must not call the Fleet. nil: that applies to all targets.
+	PrefillTime func(target string) time.Duration
 }
 
 // Step decides on a stream at the given time.
@@ -94,7 +97,9 @@
 	need := s.Need
 	need.RequireMemory = true
 	if s.Objective > 0 {
-		need.MaxUnread = p.Prefill.TokensWithin(need.Service, s.prefillBudget(now))
+		budget := s.prefillBudget(now)
+		need.MaxUnread = p.Prefill.TokensWithin(need.Service, budget)
+		need.MaxUnreadOf = p.maxUnreadOf(budget)
 	}
 	acquire := p.Acquire
 	if acquire == nil {
@@ -115,6 +120,20 @@
 	return p.Reject(s)
 }
 
+// maxUnreadOf returns a function that limits the prompt tokens waiting on a target to what it prefills within a time.
+func (p *Placer) maxUnreadOf(budget time.Duration) func(target string) int {
+	if p.PrefillTime == nil {
+		return nil
+	}
+	return func(target string) int {
+		perToken := p.PrefillTime(target)
+		if perToken <= 0 {
+			return 0
+		}
+		return max(1, int(budget/perToken))
+	}
+}
+
 // Reject returns a decision that rejects a stream, with a time to retry.
 func (p *Placer) Reject(s Stream) Decision {
 	return Decision{Action: RetryLater, RetryAfter: p.retryAfter(s.MaxRetryAfter)}
--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -45,14 +45,33 @@
 	RequireMemory   bool            // refuse unless engine memory holds Tokens; set for copies
 	Peak            Size            // if set, with RequireMemory: engine memory must hold this run beside the others until they end
 	MaxUnread       int             // with RequireMemory: limit on prompt tokens waiting for prefill there, this request's included; 0: none
-	CrossDomainCost float64         // penalty for a domain other than PreferredDomain, if above the default
-	Regions         []string        // regions that the request is restricted to; nil: any
-	Granted         bool            // the target's owner chose it and has counted the request there
-	FoundByOwner    bool            // an owner found the target, which this instance's list may not contain
+	// MaxUnreadOf returns MaxUnread for a target; 0: MaxUnread applies. It must not call the Fleet. nil: MaxUnread applies to all.
+	MaxUnreadOf     func(id string) int
+	CrossDomainCost float64  // penalty for a domain other than PreferredDomain, if above the default
+	Regions         []string // regions that the request is restricted to; nil: any
+	Granted         bool     // the target's owner chose it and has counted the request there
+	FoundByOwner    bool     // an owner found the target, which this instance's list may not contain
 	// Penalty returns what a choice of an engine costs beyond its load, in units of one fully loaded target. load and runs are those
 	// already there. It must not call the Fleet. nil: nothing.
 	Penalty func(t Info, load Load, runs []Size) float64
-	asOwner bool // this instance chooses as the target's owner
+	Choice  *Choice // if set, with Penalty, receives how the penalty influenced the choice
+	asOwner bool    // this instance chooses as the target's owner
+}
+
+// Choice describes how Need.Penalty influenced a choice.
+type Choice struct {
+	Penalty float64 // of the chosen target
+	Changed bool    // without penalties, another target would have been chosen
+}
+
+// maxUnreadAt returns the limit on prompt tokens waiting for prefill at a target; 0: none.
+func (n *Need) maxUnreadAt(id string) int {
+	if n.MaxUnreadOf != nil {
+		if limit := n.MaxUnreadOf(id); limit > 0 {
+			return limit
+		}
+	}
+	return n.MaxUnread
 }
 
 // Acquire chooses a target and counts the request there until it is released.
@@ -96,7 +115,8 @@
 
 func (f *Fleet) choose(now time.Time, n Need) *Target {
 	var best, last *Target
-	bestScore := 0.0
+	var bestScore float64
+	var plain plainChoice
 	for _, t := range f.among(n.Service, n.Among) {
 		if n.RequireMemory && n.Reserved[t.ID] || !f.allowed(now, t, n) {
 			continue
@@ -108,10 +128,18 @@
 			continue
 		}
 		s := f.score(now, t, n)
-		if best == nil || s < bestScore {
+		penalty := f.penalty(t, &n)
+		plain.offer(t, s)
+		if s += penalty; best == nil || s < bestScore {
 			best, bestScore = t, s
+			if n.Choice != nil {
+				n.Choice.Penalty = penalty
+			}
 		}
 	}
+	if n.Choice != nil {
+		n.Choice.Changed = best != plain.best
+	}
 	if best == nil && !n.RequireMemory {
 		// All were unreachable recently: the one whose backoff ends first is better than refusing the request.
 		return last
@@ -119,6 +147,26 @@
 	return best
 }
 
+// plainChoice is the target of lowest score without penalties.
+type plainChoice struct {
+	best  *Target
+	score float64
+}
+
+func (c *plainChoice) offer(t *Target, score float64) {
+	if c.best == nil || score < c.score {
+		c.best, c.score = t, score
+	}
+}
+
+// penalty returns what the choice of an engine costs beyond its load.
+func (f *Fleet) penalty(t *Target, n *Need) float64 {
+	if n.Penalty == nil || f.specs[t.Service].KVTokens <= 0 {
+		return 0
+	}
+	return n.Penalty(t.Info, f.totalLoad(t), f.sizesOn(t))
+}
+
 // among returns the targets with the given ids, or all targets of the service if ids is nil, ordered by id. The result is valid until
 // the next call.
 func (f *Fleet) among(service string, ids []string) []*Target {
@@ -147,9 +195,11 @@
 	if spec.ConnCap > 0 && float64(t.local.Runs) >= max(minConns, f.share*float64(spec.ConnCap)) {
 		return false
 	}
-	if n.RequireMemory && n.MaxUnread > 0 {
-		if unread := f.totalLoad(t).Unread; unread > 0 && unread+n.Unread > n.MaxUnread {
-			return false
+	if n.RequireMemory {
+		if unread := f.totalLoad(t).Unread; unread > 0 {
+			if limit := n.maxUnreadAt(t.ID); limit > 0 && unread+n.Unread > limit {
+				return false
+			}
 		}
 	}
 	if n.RequireMemory && spec.KVTokens > 0 && n.Peak.Held > 0 {
@@ -253,9 +303,6 @@
 	if memory := f.specs[t.Service].KVTokens; memory > 0 {
 		score += (float64(load.Tokens+n.Tokens) + unreadWeight*float64(load.Unread)) / float64(memory)
 		score += runWeight * float64(load.Runs)
-		if n.Penalty != nil {
-			score += n.Penalty(t.Info, load, f.sizesOn(t))
-		}
 	} else {
 		busy := float64(load.Runs)
 		if now.Sub(t.reportedAt) < reportTTL {
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -180,6 +180,13 @@
 	f.specs = specs
 }
 
+// Spec returns the settings of a service's targets.
+func (f *Fleet) Spec(service string) Spec {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.specs[service]
+}
+
 // SetSizes sets the function that returns the sizes of this instance's own runs on a target. It must not call the Fleet.
 func (f *Fleet) SetSizes(own func(target string) []Size) {
 	f.mu.Lock()
--- a/lib/owner/ledger.go
+++ b/lib/owner/ledger.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/admit"
+	"anvilwick.example/anvilwick/lib/enginerate"
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/moveplan"
 )
@@ -90,6 +91,7 @@
 	rejected map[uint64]time.Time // earliest time of a retry, by fingerprint
 	serial   uint64
 	moves    map[uint64]plannedMove // by run
+	pauses   pauseCosts
 }
 
 // NewLedger returns an empty Ledger that decides by the state of f. Reports are entered into f as the loads of its peers.
@@ -104,6 +106,13 @@
 	}
 }
 
+// SetRates sets the estimates of engines' rates that decisions on streams with an objective for pauses use.
+func (l *Ledger) SetRates(t *enginerate.Table) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pauses = newPauseCosts(t)
+}
+
 // setRandom replaces the random source.
 func (l *Ledger) setRandom(random func(n int64) int64) {
 	l.mu.Lock()
@@ -232,8 +241,20 @@
 	need := req.Stream.Need
 	need.Among = s.Engines()
 	need.Reserved = l.reserved[s.Key]
+	p := l.placer()
+	if l.pauses.applies(req) {
+		pauses := l.pauses.decision(now, s.Key, len(need.Among), l.fleet.Spec(need.Service), req)
+		p.PrefillTime, need.Penalty, need.Choice = pauses.prefillTime, pauses.penalty, new(fleet.Choice)
+	}
+	d := l.chooseWith(now, p, need, req)
+	if d.Action == admit.Admit && need.Choice != nil {
+		countChoice(need.Choice)
+	}
+	return d
+}
+
+func (l *Ledger) chooseWith(now time.Time, p *admit.Placer, need fleet.Need, req *PlaceRequest) admit.Decision {
 	if req.Mode == Admit {
-		p := l.placer()
 		stream := req.Stream
 		stream.Need = need
 		if d := p.Step(now, stream); d.Action != admit.Fallback {
@@ -258,6 +279,7 @@
 		}
 	}
 	l.expireRejections(now)
+	l.pauses.tick(now)
 	for id, p := range l.moves {
 		if now.Sub(p.at) > moveTTL {
 			delete(l.moves, id)
--- a/lib/replay/compare.go
+++ b/lib/replay/compare.go
@@ -20,6 +20,7 @@
 	{"work in time", Tally.WorkShare},
 	{"large in time", Tally.LargeShare},
 	{"late", func(t Tally) float64 { return ratio(t.Late, t.Streams) }},
+	{"long pause", Tally.PauseShare},
 	{"sent away", func(t Tally) float64 { return ratio(t.Refused, t.Streams) }},
 	{"lost", func(t Tally) float64 { return ratio(t.Lost, t.Streams) }},
 	{"preempted", func(t Tally) float64 { return ratio(t.Preempted, t.Streams) }},
--- a/lib/replay/load.go
+++ b/lib/replay/load.go
@@ -6,7 +6,11 @@
 // no store and no workspaces; its results say nothing about those.
 package replay
 
-import "time"
+import (
+	"time"
+
+	"anvilwick.example/anvilwick/lib/enginemodel"
+)
 
 // Pattern describes the traffic of a simulation and the failures of its engines and instances.
 type Pattern struct {
@@ -23,6 +27,37 @@
 	FaultyEngines       int                            // engines that fail half of their streams
 	ShortTimeout        time.Duration                  // after which callers of short streams give up; 0: as callers of long ones
 	Duration            time.Duration
+
+	Speed          func(i int) float64 // factor on the duration of the steps of engine i; nil: 1
+	Noise          enginemodel.Noise   // momentary slowdowns of all engines
+	TokensPerEvent int                 // of streams; 0: 1
+	GapObjective   time.Duration       // of streams; 0: none
+	EventLengths   bool                // streams have as many events as Uneven describes
+	EngineTokens   int                 // KV memory of an engine in tokens; 0: kvTokens
+}
+
+// Uneven is a moderate load on engines of two speeds, each slowed down by 2.5 for 15 % of the time. A slower engine that prefills a prompt
+// while it is slowed down exceeds the objective for pauses of the streams there by some percent; the faster quarter never does. Long streams
+// have about 190 events of four tokens, with a heavy spread, short ones two or three.
+func Uneven() Pattern {
+	return Pattern{
+		Engines: 44, Instances: 24, LongRate: 21, ShortRate: 24, Domains: 3, Duration: 40 * time.Second,
+		Speed: func(i int) float64 {
+			if i%4 == 0 {
+				return 0.55
+			}
+			return 1.2
+		},
+		Noise:          enginemodel.Noise{Share: 0.15, Factor: 2.5, Window: 600 * time.Millisecond},
+		TokensPerEvent: 4, GapObjective: 180 * time.Millisecond, EventLengths: true, EngineTokens: 26_000,
+	}
+}
+
+// EqualEngines is the load of Uneven on engines of one speed without slowdowns.
+func EqualEngines() Pattern {
+	p := Uneven()
+	p.Speed, p.Noise = nil, enginemodel.Noise{}
+	return p
 }
 
 // Saturated is the overload that placement is designed for: a sixth of the engines leaves every 3.3 s and as many join empty
@@ -136,4 +171,5 @@
 	"crowded": Saturated, "hurried": ShortTimeouts, "bursts": Bursts, "bunches": ArrivalSpikes,
 	"half-gone": HalfInstancesFail, "come-back": TransientOverload,
 	"owners-gone": OwnersFail, "faulty": FaultyEngines, "domains-leave": DomainsLeaveInTurn,
+	"uneven": Uneven, "equal": EqualEngines,
 }
--- a/lib/replay/local.go
+++ b/lib/replay/local.go
@@ -18,10 +18,12 @@
 
 func (d *localDecider) firstEvent(*stream) {}
 
+func (d *localDecider) event(*stream, time.Duration) {}
+
 func (d *localDecider) decide(r *stream) bool {
 	in := r.instance
 	p := admit.Placer{Fleet: in.fleet, Prefill: in.prefillRates, Random: d.s.decisionRNG.Int64N, Acquire: in.fleet.Choose}
-	st := r.admitted()
+	st := d.s.admitted(r)
 	if d.s.policy.Strategy == DomainBroadcast {
 		st.Need.Among = d.domainEngines(in)
 	}
--- a/lib/replay/owners.go
+++ b/lib/replay/owners.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/admit"
+	"anvilwick.example/anvilwick/lib/enginerate"
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/owner"
 )
@@ -29,6 +30,9 @@
 
 	outcomes       map[string]*targetOutcomes
 	prefillSamples []owner.PrefillSample
+	rates          enginerate.Table
+	paces          map[string]*owner.Pace // observed since the last reports of paces, by engine
+	pacesReported  time.Duration          // time of these reports
 }
 
 type targetOutcomes struct {
@@ -66,8 +70,9 @@
 		for i, in := range s.instances {
 			in.coordinator = &coordinator{
 				Coordinator: owner.NewCoordinator(in.name, in.fleet, in.prefillRates, s.clock()),
-				lastGrants:  make(map[string]uint64), outcomes: make(map[string]*targetOutcomes),
+				lastGrants:  make(map[string]uint64), outcomes: make(map[string]*targetOutcomes), paces: make(map[string]*owner.Pace),
 			}
+			in.coordinator.SetRates(&in.coordinator.rates)
 			in.coordinator.SetRandom(s.decisionRNG)
 			capacity := uint32(1)
 			if i < 3*s.pattern.Domains {
@@ -152,7 +157,7 @@
 	if p.queued {
 		r.next = o.s.now + queuedTimeout
 	}
-	req := owner.PlaceRequest{Key: p.key, Run: r.id, Fingerprint: r.id, Stream: r.admitted()}
+	req := owner.PlaceRequest{Key: p.key, Run: r.id, Fingerprint: r.id, Stream: o.s.admitted(r)}
 	o.s.sendMessage(messageDelay, func() { o.handleRequest(p.candidate, p.shard, r, p, req) })
 }
 
@@ -226,7 +231,8 @@
 
 func (o *ownerDecider) firstEvent(r *stream) {
 	d := r.instance.coordinator
-	d.prefillSamples = append(d.prefillSamples, owner.PrefillSample{Service: service, Unread: r.unread, Took: o.s.now - r.sent})
+	o.recordSlowdown(r)
+	d.prefillSamples = append(d.prefillSamples, owner.PrefillSample{Service: service, Target: r.engine.ID, Unread: r.unread, Took: o.s.now - r.sent})
 }
 
 func (o *ownerDecider) step() {
@@ -317,6 +323,7 @@
 	}
 	shardOf := o.shardOf(in)
 	reports := owner.ByShard(shardOf, runs, nil)
+	paces := o.takePaces(in, shardOf)
 	d.seq++
 	for _, sh := range o.layout.All() {
 		rep, has := reports[sh.Key]
@@ -327,6 +334,9 @@
 				has = true
 			}
 		}
+		if len(paces[sh.Key]) > 0 {
+			rep.Paces, has = paces[sh.Key], true
+		}
 		if !has && !d.reportedRuns {
 			continue
 		}
@@ -362,12 +372,12 @@
 		rep := rep
 		rep.LastGrant = in.coordinator.lastGrants[c.Name]
 		if other == in {
-			in.coordinator.Report(o.s.clock(), rep)
+			o.receiveReport(in, rep)
 			continue
 		}
 		o.s.sendMessage(messageDelay, func() {
 			if !other.failed {
-				other.coordinator.Report(o.s.clock(), rep)
+				o.receiveReport(other, rep)
 			}
 		})
 	}
--- a/lib/replay/policy.go
+++ b/lib/replay/policy.go
@@ -28,6 +28,7 @@
 	ForceAdmit    bool // streams without a free target are sent to the best engine instead of being refused
 	ColdStandby   bool // with Owners: the second-ranked instance receives no reports until it takes over
 	NoForwarding  bool // with Owners: streams are not forwarded to other shards
+	IgnorePauses  bool // with Owners: placement ignores the objective for pauses
 }
 
 // Policies maps the names used on command lines to policies.
@@ -35,7 +36,7 @@
 	"owners": {}, "news": {Strategy: Broadcast}, "sampled": {Strategy: SampledBroadcast},
 	"slices": {Strategy: DomainBroadcast}, "reports": {Strategy: EngineReports},
 	"force": {ForceAdmit: true}, "no-reading": {IgnorePrefill: true}, "slow-news": {Strategy: Broadcast, SlowUpdates: true},
-	"forget": {ColdStandby: true}, "stay": {NoForwarding: true},
+	"forget": {ColdStandby: true}, "stay": {NoForwarding: true}, "no-pauses": {IgnorePauses: true},
 }
 
 // Delays and intervals of messages.
@@ -57,6 +58,7 @@
 	Large, LargeInTime                   int // streams whose prompt is among the largest tenth
 	Preempted                            int
 	Work, WorkInTime                     int // in tokens: prompt tokens plus ten times the output tokens
+	PauseLate, ShortPauseLate            int // long, and short, streams with a pause between events beyond Pattern.GapObjective
 	Messages                             int // between instances
 }
 
@@ -76,6 +78,8 @@
 	t.Preempted += o.Preempted
 	t.Work += o.Work
 	t.WorkInTime += o.WorkInTime
+	t.PauseLate += o.PauseLate
+	t.ShortPauseLate += o.ShortPauseLate
 	t.Messages += o.Messages
 }
 
@@ -88,4 +92,7 @@
 // LargeShare returns the fraction of the streams with the largest prompts that met their objective.
 func (t Tally) LargeShare() float64 { return ratio(t.LargeInTime, t.Large) }
 
+// PauseShare returns the fraction of the long streams that had a pause between events beyond the objective.
+func (t Tally) PauseShare() float64 { return ratio(t.PauseLate, t.Longs) }
+
 func ratio(n, total int) float64 { return float64(n) / float64(max(1, total)) }
--- a/lib/replay/site.go
+++ b/lib/replay/site.go
@@ -29,6 +29,8 @@
 	runs   map[uint64]*stream
 	byGen  map[ids.Generation]*stream
 	faulty bool
+
+	prefilledAt time.Duration // when a prompt there was last prefilled
 }
 
 type instance struct {
@@ -70,6 +72,8 @@
 	step()
 	// firstEvent is called when a stream produces its first event.
 	firstEvent(r *stream)
+	// event is called when a stream produces a further event, after a pause.
+	event(r *stream, pause time.Duration)
 	// streamEnded is called with the outcome of a stream at its engine.
 	streamEnded(r *stream, o fleet.Outcome)
 }
@@ -104,7 +108,9 @@
 func (s *site) addInstance(i int) {
 	in := &instance{name: fmt.Sprint("i", i), domain: s.domain(i), runs: make(map[uint64]*stream), prefillRates: new(admit.PrefillRates)}
 	f := fleet.New(in.domain)
-	f.SetSpecs(map[string]fleet.Spec{service: {KVTokens: kvTokens}})
+	f.SetSpecs(map[string]fleet.Spec{service: {
+		KVTokens: s.pattern.engineTokens(), GapObjective: s.pattern.GapObjective, TokensPerEvent: s.pattern.tokensPerEvent(),
+	}})
 	f.SetSizes(in.sizesOn)
 	f.SetRandom(s.decisionRNG.Float64)
 	in.fleet = f
@@ -128,9 +134,14 @@
 		Info: info, runs: make(map[uint64]*stream), byGen: make(map[ids.Generation]*stream),
 		faulty: s.engineCount <= s.pattern.FaultyEngines,
 	}
+	speed := 1.0
+	if s.pattern.Speed != nil {
+		speed = s.pattern.Speed(s.engineCount)
+	}
 	e.model = enginemodel.New(enginemodel.Config{
+		Speed: speed, Noise: s.pattern.Noise,
 		Seed: uint64(s.engineCount), StepBase: 7 * time.Millisecond, StepPerSeq: 120 * time.Microsecond, StepPerContext: 4 * time.Nanosecond,
-		StepPerPrefill: time.Millisecond / 14, PrefillChunk: 112, MaxBatch: 24, QueueBound: 72, KVTokens: kvTokens,
+		StepPerPrefill: time.Millisecond / 14, PrefillChunk: 112, MaxBatch: 24, QueueBound: 72, KVTokens: s.pattern.engineTokens(),
 	})
 	s.engines = append(s.engines, e)
 	for _, in := range s.instances {
@@ -166,15 +177,15 @@
 	}
 }
 
-// event is a callback due at a virtual time.
-type event struct {
+// callback is a function to call at a virtual time.
+type callback struct {
 	at    time.Duration
 	order uint64
 	apply func()
 }
 
-// eventQueue is a heap of events ordered by due time, then by creation.
-type eventQueue []event
+// eventQueue is a heap of callbacks ordered by due time, then by creation.
+type eventQueue []callback
 
 func (q eventQueue) Len() int { return len(q) }
 func (q eventQueue) Less(i, j int) bool {
@@ -183,7 +194,7 @@
 func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
 
 // Push implements heap.Interface.
-func (q *eventQueue) Push(x any) { *q = append(*q, x.(event)) }
+func (q *eventQueue) Push(x any) { *q = append(*q, x.(callback)) }
 
 // Pop implements heap.Interface.
 func (q *eventQueue) Pop() any {
@@ -196,7 +207,7 @@
 // after schedules a callback after a delay.
 func (s *site) after(d time.Duration, apply func()) {
 	s.serial++
-	heap.Push(&s.queue, event{at: s.now + d, order: s.serial, apply: apply})
+	heap.Push(&s.queue, callback{at: s.now + d, order: s.serial, apply: apply})
 }
 
 // sendMessage schedules the delivery of a message between instances and counts it.
@@ -207,7 +218,7 @@
 
 func (s *site) deliver() {
 	for len(s.queue) > 0 && s.queue[0].at <= s.now {
-		heap.Pop(&s.queue).(event).apply()
+		heap.Pop(&s.queue).(callback).apply()
 	}
 }
 
@@ -278,19 +289,19 @@
 			return
 		}
 		for _, ev := range e.model.Step(at, nil) {
-			s.handleEvent(e, ev)
+			s.handleEvent(e, ev, at)
 		}
 	}
 }
 
-func (s *site) handleEvent(e *engine, ev enginemodel.Event) {
+func (s *site) handleEvent(e *engine, ev enginemodel.Event, at time.Duration) {
 	r := e.byGen[ev.Gen]
 	if r == nil {
 		return
 	}
 	switch ev.Kind {
 	case enginemodel.EvToken:
-		s.token(r)
+		s.token(r, at)
 	case enginemodel.EvFinished:
 		s.end(r, fleet.Served)
 	case enginemodel.EvPreempted:
--- a/lib/replay/stream.go
+++ b/lib/replay/stream.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"cmp"
 	"time"
 
 	"anvilwick.example/anvilwick/lib/admit"
@@ -27,6 +28,9 @@
 	unread  int
 	emitted int
 	load    fleet.Load
+
+	lastEvent time.Duration // exact time of the newest event
+	longPause bool          // it had a pause beyond the objective
 }
 
 func (s *site) arrivals(long bool, rate float64) {
@@ -49,6 +53,9 @@
 		r.timeout = s.pattern.ShortTimeout
 	}
 	r.length = min(r.length, 1500)
+	if s.pattern.EventLengths {
+		s.drawEvents(r)
+	}
 	deviation := s.loadRNG.NormFloat64()
 	r.expectedLength = max(1, int(float64(r.length)*pow3(deviation)))
 	s.tally.Work += r.work()
@@ -61,6 +68,19 @@
 	return r
 }
 
+// drawEvents gives a stream a length in events: about 190 with a heavy spread, or two or three.
+func (s *site) drawEvents(r *stream) {
+	events := 2 + s.loadRNG.IntN(2)
+	if r.long {
+		events = min(16+int(s.loadRNG.ExpFloat64()*174), 800)
+	}
+	r.length = events * s.pattern.tokensPerEvent()
+}
+
+func (p *Pattern) tokensPerEvent() int { return max(1, p.TokensPerEvent) }
+
+func (p *Pattern) engineTokens() int { return cmp.Or(p.EngineTokens, kvTokens) }
+
 // largePrompt is exceeded by about a tenth of the prompts.
 const largePrompt = 4100
 
@@ -101,8 +121,12 @@
 }
 
 // admitted converts the stream for lib/admit.
-func (r *stream) admitted() admit.Stream {
-	return admit.Stream{Arrived: start.Add(r.arrived), Objective: r.objective(), MaxRetryAfter: r.maxRetryAfter(), Need: r.need()}
+func (s *site) admitted(r *stream) admit.Stream {
+	out := admit.Stream{Arrived: start.Add(r.arrived), Objective: r.objective(), MaxRetryAfter: r.maxRetryAfter(), Need: r.need()}
+	if !s.policy.IgnorePauses {
+		out.GapObjective = s.pattern.GapObjective
+	}
+	return out
 }
 
 func (s *site) arrive(r *stream) {
@@ -175,9 +199,17 @@
 	s.tally.Lost++
 }
 
-func (s *site) token(r *stream) {
+// token handles a token that an engine has emitted at the given time.
+func (s *site) token(r *stream, at time.Duration) {
 	r.emitted++
-	if r.emitted > 1 {
+	per := s.pattern.tokensPerEvent()
+	if r.emitted%per != 0 && r.emitted < r.length {
+		return
+	}
+	last := r.lastEvent
+	r.lastEvent = at
+	if last > 0 {
+		s.laterEvent(r, at-last)
 		return
 	}
 	if r.retried {
@@ -191,6 +223,7 @@
 	default:
 		s.tally.Late++
 	}
+	r.engine.prefilledAt = s.now
 	r.instance.fleet.AddLoad(r.engine.ID, fleet.Load{Unread: -r.load.Unread})
 	r.load.Unread = 0
 	if !s.policy.IgnorePrefill {
@@ -200,6 +233,20 @@
 	s.scheduleUpdate(r.instance)
 }
 
+// laterEvent handles an event after the first, and the pause before it.
+func (s *site) laterEvent(r *stream, pause time.Duration) {
+	s.decider.event(r, pause)
+	if s.pattern.GapObjective == 0 || pause <= s.pattern.GapObjective || r.longPause {
+		return
+	}
+	r.longPause = true
+	if r.long {
+		s.tally.PauseLate++
+	} else {
+		s.tally.ShortPauseLate++
+	}
+}
+
 func (s *site) inTime(r *stream) {
 	s.tally.InTime++
 	s.tally.WorkInTime += r.work()
