--- a/lib/owner/ledger.go
+++ b/lib/owner/ledger.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/admit"
-	"anvilwick.example/anvilwick/lib/enginerate"
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/moveplan"
 )
@@ -92,6 +91,7 @@
 	serial   uint64
 	moves    map[uint64]plannedMove // by run
 	pauses   pauseCosts
+	rates    rateFeed
 }
 
 // NewLedger returns an empty Ledger that decides by the state of f. Reports are entered into f as the loads of its peers.
@@ -103,16 +103,11 @@
 		answers:  make(map[Key]sentAnswer),
 		rejected: make(map[uint64]time.Time),
 		moves:    make(map[uint64]plannedMove),
+		rates:    newRateFeed(f),
+		pauses:   newPauseCosts(),
 	}
 }
 
-// SetRates sets the estimates of engines' rates that decisions on streams with an objective for pauses use.
-func (l *Ledger) SetRates(t *enginerate.Table) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.pauses = newPauseCosts(t)
-}
-
 // setRandom replaces the random source.
 func (l *Ledger) setRandom(random func(n int64) int64) {
 	l.mu.Lock()
@@ -129,6 +124,8 @@
 		return false
 	}
 	r.clamp()
+	l.rates.markUnread(now, h.runs)
+	l.rates.markGrants(now, h.grants)
 	h.apply(now, &r)
 	l.publish(now, h)
 	l.applyObservations(now, h, &r)
@@ -142,6 +139,8 @@
 			l.fleet.RecordContact(now.Add(-run.SinceContact), run.Target)
 		}
 	}
+	l.rates.markUnread(now, r.Runs)
+	l.rates.observe(now, r)
 	if h.local {
 		return // local outcomes are recorded when they occur
 	}
@@ -243,7 +242,7 @@
 	need.Reserved = l.reserved[s.Key]
 	p := l.placer()
 	if l.pauses.applies(req) {
-		pauses := l.pauses.decision(now, s.Key, len(need.Among), l.fleet.Spec(need.Service), req)
+		pauses := l.pauses.decision(now, l.Rates(), l.fleet.Spec(need.Service), req)
 		p.PrefillTime, need.Penalty, need.Choice = pauses.prefillTime, pauses.penalty, new(fleet.Choice)
 	}
 	d := l.chooseWith(now, p, need, req)
@@ -280,6 +279,7 @@
 	}
 	l.expireRejections(now)
 	l.pauses.tick(now)
+	l.rates.tick(now)
 	for id, p := range l.moves {
 		if now.Sub(p.at) > moveTTL {
 			delete(l.moves, id)
--- a/lib/owner/pauses.go
+++ b/lib/owner/pauses.go
@@ -16,11 +16,11 @@
 	// estimateTTL is how long the estimates of an engine are used for decisions before they are read again: waiting requests are decided as
 	// often.
 	estimateTTL = 20 * time.Millisecond
-	// maxEstimates bounds the cached estimates; beyond it they are all read again.
-	maxEstimates = 4096
-	// joiningWindow is the period over which granted prompts count in the rate at which prompts join the runs of a shard: about as long
+	// joiningWindow is the period over which granted prompts count in the rate at which prompts join the runs of an engine: about as long
 	// as a long run takes.
 	joiningWindow = 10 * time.Second
+	// maxPausedEngines bounds the engines that estimates and rates of joining prompts are kept for.
+	maxPausedEngines = 4096
 )
 
 var (
@@ -29,20 +29,19 @@
 	sameChoices    = metrics.NewCounter(`anvilwick_owner_pause_choices_total{changed="no"}`)
 )
 
-// pauseCosts provides the cost of long pauses for the decisions of a Ledger, under whose lock it is used.
+// pauseCosts keeps what the cost of long pauses needs between the decisions of a Ledger, under whose lock it is used.
 //
 // Where engines differ in speed and are slowed down for moments, a prompt that is prefilled on a slow engine makes the streams there exceed
 // the objective for pauses. Long streams go to engines that keep it, as long as these have room, and prompts to engines where they endanger
 // the fewest streams. The cost only orders the engines that may be chosen; it excludes none.
 type pauseCosts struct {
-	rates     *enginerate.Table
 	estimates map[estimateKey]estimate
-	joining   map[string]*tokenRate // by shard
+	joining   map[string]*tokenRate // by engine
 }
 
 type estimateKey struct {
 	target      string
-	own, others time.Duration // objectives
+	own, others time.Duration // objectives of the new stream and of those that run there
 }
 
 type estimate struct {
@@ -50,42 +49,44 @@
 	at time.Time
 }
 
-func newPauseCosts(rates *enginerate.Table) pauseCosts {
-	return pauseCosts{rates: rates, estimates: make(map[estimateKey]estimate), joining: make(map[string]*tokenRate)}
+func newPauseCosts() pauseCosts {
+	return pauseCosts{estimates: make(map[estimateKey]estimate), joining: make(map[string]*tokenRate)}
 }
 
 // applies reports whether a placement takes long pauses into account.
 func (c *pauseCosts) applies(req *PlaceRequest) bool {
-	return c.rates != nil && req.Mode != MustFit && req.Stream.GapObjective > 0
+	return req.Mode != MustFit && req.Stream.GapObjective > 0
 }
 
 // pauseDecision is the cost of long pauses in one placement decision.
 type pauseDecision struct {
-	costs  *pauseCosts
-	now    time.Time
-	spec   fleet.Spec
-	stream streamcost.Stream
-	load   streamcost.Load
-	own    time.Duration // the stream's objective
-	need   *fleet.Need
+	costs   *pauseCosts
+	rates   *enginerate.Table
+	now     time.Time
+	service string
+	key     estimateKey // without the target
+	stream  streamcost.Stream
+	load    streamcost.Load // without the runs
 }
 
-// decision returns the cost for a placement on one of n engines of a shard.
-func (c *pauseCosts) decision(now time.Time, shard string, n int, spec fleet.Spec, req *PlaceRequest) *pauseDecision {
+// decision returns the cost for the placement of a stream on engines with the given spec.
+func (c *pauseCosts) decision(now time.Time, rates *enginerate.Table, spec fleet.Spec, req *PlaceRequest) *pauseDecision {
 	need := &req.Stream.Need
-	d := &pauseDecision{costs: c, now: now, spec: spec, own: req.Stream.GapObjective, need: need}
-	d.stream = streamcost.Stream{Unread: need.Unread, Remaining: need.Peak.Remaining}
-	d.load = streamcost.Load{TokensPerEvent: spec.TokensPerEvent}
-	if r := c.joining[shard]; r != nil && n > 0 {
-		d.load.JoiningTokens = r.perSecond(now) / float64(n)
+	own := req.Stream.GapObjective
+	return &pauseDecision{
+		costs: c, rates: rates, now: now, service: need.Service, key: estimateKey{own: own, others: cmp.Or(spec.GapObjective, own)},
+		stream: streamcost.Stream{Unread: need.Unread, Remaining: need.Peak.Remaining},
+		load:   streamcost.Load{TokensPerEvent: spec.TokensPerEvent},
 	}
-	return d
 }
 
 // penalty implements fleet.Need.Penalty.
 func (d *pauseDecision) penalty(t fleet.Info, _ fleet.Load, runs []fleet.Size) float64 {
 	load := d.load
 	load.Runs = runs
+	if r := d.costs.joining[t.ID]; r != nil {
+		load.JoiningTokens = r.perSecond(d.now)
+	}
 	return streamcost.Penalty(d.engine(t.ID), d.stream, load)
 }
 
@@ -95,37 +96,35 @@
 	return time.Duration(float64(rate.PrefillTime) * max(1, rate.Slowdown))
 }
 
-func (d *pauseDecision) engine(target string) streamcost.Engine {
-	return d.costs.engine(d.now, estimateKey{target: target, own: d.own, others: d.spec.GapObjective}, d.need.Service)
-}
-
 // engine returns what is known of an engine.
-func (c *pauseCosts) engine(now time.Time, k estimateKey, service string) streamcost.Engine {
-	if e, ok := c.estimates[k]; ok && now.Sub(e.at) < estimateTTL {
+func (d *pauseDecision) engine(target string) streamcost.Engine {
+	k := d.key
+	k.target = target
+	if e, ok := d.costs.estimates[k]; ok && d.now.Sub(e.at) < estimateTTL {
 		return e.Engine
 	}
-	if len(c.estimates) >= maxEstimates {
-		clear(c.estimates)
+	if len(d.costs.estimates) >= maxPausedEngines {
+		clear(d.costs.estimates)
 	}
-	e := estimate{at: now}
-	e.Rate = c.rates.Rate(now, service, k.target)
-	e.Others = c.rates.Risk(service, e.Rate, streamcost.Limit(cmp.Or(k.others, k.own)))
+	e := estimate{at: d.now}
+	e.Rate = d.rates.Rate(d.now, d.service, target)
+	e.Others = d.rates.Risk(d.service, e.Rate, streamcost.Limit(k.others))
 	later := e.Rate
 	later.Slowdown = 1 // it ends long before the stream does
-	e.Own = c.rates.Risk(service, later, streamcost.Limit(k.own))
-	c.estimates[k] = e
+	e.Own = d.rates.Risk(d.service, later, streamcost.Limit(k.own))
+	d.costs.estimates[k] = e
 	return e.Engine
 }
 
-// granted records the prompt of a grant on a shard.
-func (c *pauseCosts) granted(now time.Time, shard string, unread int) {
-	if c.rates == nil {
-		return
-	}
-	r := c.joining[shard]
+// granted records the prompt of a grant.
+func (c *pauseCosts) granted(now time.Time, target string, unread int) {
+	r := c.joining[target]
 	if r == nil {
+		if len(c.joining) >= maxPausedEngines {
+			return
+		}
 		r = new(tokenRate)
-		c.joining[shard] = r
+		c.joining[target] = r
 	}
 	r.add(now, unread)
 }
@@ -133,13 +132,13 @@
 // tick drops what is no longer in use.
 func (c *pauseCosts) tick(now time.Time) {
 	for k, e := range c.estimates {
-		if now.Sub(e.at) > joiningWindow {
+		if now.Sub(e.at) > estimateTTL {
 			delete(c.estimates, k)
 		}
 	}
-	for shard, r := range c.joining {
+	for target, r := range c.joining {
 		if now.Sub(r.at) > 4*joiningWindow {
-			delete(c.joining, shard)
+			delete(c.joining, target)
 		}
 	}
 }
--- a/lib/replay/owners.go
+++ b/lib/replay/owners.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/admit"
-	"anvilwick.example/anvilwick/lib/enginerate"
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/owner"
 )
@@ -30,9 +29,8 @@
 
 	outcomes       map[string]*targetOutcomes
 	prefillSamples []owner.PrefillSample
-	rates          enginerate.Table
-	paces          map[string]*owner.Pace // observed since the last reports of paces, by engine
-	pacesReported  time.Duration          // time of these reports
+	paces          map[string]*observedPace // by engine
+	pacesReported  time.Duration            // time of the last regular report of paces
 }
 
 type targetOutcomes struct {
@@ -70,9 +68,8 @@
 		for i, in := range s.instances {
 			in.coordinator = &coordinator{
 				Coordinator: owner.NewCoordinator(in.name, in.fleet, in.prefillRates, s.clock()),
-				lastGrants:  make(map[string]uint64), outcomes: make(map[string]*targetOutcomes), paces: make(map[string]*owner.Pace),
+				lastGrants:  make(map[string]uint64), outcomes: make(map[string]*targetOutcomes), paces: make(map[string]*observedPace),
 			}
-			in.coordinator.SetRates(&in.coordinator.rates)
 			in.coordinator.SetRandom(s.decisionRNG)
 			capacity := uint32(1)
 			if i < 3*s.pattern.Domains {
@@ -372,12 +369,12 @@
 		rep := rep
 		rep.LastGrant = in.coordinator.lastGrants[c.Name]
 		if other == in {
-			o.receiveReport(in, rep)
+			in.coordinator.Report(o.s.clock(), rep)
 			continue
 		}
 		o.s.sendMessage(messageDelay, func() {
 			if !other.failed {
-				o.receiveReport(other, rep)
+				other.coordinator.Report(o.s.clock(), rep)
 			}
 		})
 	}
--- a/lib/replay/site.go
+++ b/lib/replay/site.go
@@ -29,8 +29,6 @@
 	runs   map[uint64]*stream
 	byGen  map[ids.Generation]*stream
 	faulty bool
-
-	prefilledAt time.Duration // when a prompt there was last prefilled
 }
 
 type instance struct {
--- a/lib/replay/stream.go
+++ b/lib/replay/stream.go
@@ -223,7 +223,6 @@
 	default:
 		s.tally.Late++
 	}
-	r.engine.prefilledAt = s.now
 	r.instance.fleet.AddLoad(r.engine.ID, fleet.Load{Unread: -r.load.Unread})
 	r.load.Unread = 0
 	if !s.policy.IgnorePrefill {
