streamcost: a bounded, steep cost of late streams

Cause: with a cost proportional to the expected number of late streams, load outweighed small risks; without a bound, packed engines. Change: the cost grows steeply and is bounded by that of one fully loaded target.

--- a/lib/streamcost/streamcost.go
+++ b/lib/streamcost/streamcost.go
@@ -19,10 +19,12 @@
 	// margin is the share of the objective that is kept free: the time between events of an engine is estimated within this bound, and the
 	// risk falls off steeply at the longest pause that slowdowns cause.
 	margin = 0.15
-	// lateCost is the cost of one late stream, in units of one fully loaded target.
-	lateCost = 1.0
-	// maxCost bounds the cost, which orders engines and must not outweigh all else: an engine that fails every request costs less than this.
-	maxCost = 4.0
+	// maxCost is the cost of a placement that makes streams late for sure, in units of one fully loaded target: less than that of an engine
+	// that fails every request.
+	maxCost = 1.0
+	// lateScale is the expected number of late streams at which the cost reaches 63 % of its bound. Below, load decides between engines;
+	// far above, all are bad, and load decides again.
+	lateScale = 0.025
 )
 
 // Limit returns the longest pause that is planned for under an objective.
@@ -50,13 +52,15 @@
 	JoiningTokens  float64 // prompt tokens a second that are expected to join the runs there
 }
 
-// Penalty returns the expected number of streams that become late if the stream is placed on the engine, in units of one fully loaded
-// target and bounded. It is 0 where the rates or the risk are not known.
+// Penalty returns the cost of placing the stream on the engine, in units of one fully loaded target: it grows with the expected number of
+// streams that become late, and is bounded. It is 0 where the rates or the risk are not known.
 func Penalty(e Engine, s Stream, l Load) float64 {
-	late := e.others(s, l) + e.own(s, l)
-	return min(maxCost, lateCost*late)
+	return maxCost * (1 - math.Exp(-Late(e, s, l)/lateScale))
 }
 
+// Late returns the expected number of streams that become late if the stream is placed on the engine.
+func Late(e Engine, s Stream, l Load) float64 { return e.others(s, l) + e.own(s, l) }
+
 // others returns the expected number of runs that become late while the stream's prompt is prefilled beside them.
 func (e *Engine) others(s Stream, l Load) float64 {
 	if e.Others.Prefilling <= 0 {
--- a/lib/streamcost/streamcost_test.go
+++ b/lib/streamcost/streamcost_test.go
@@ -28,26 +28,26 @@
 // their chance, and costs nothing beside a run that is about to end or on a fast engine.
 func TestPromptEndangersRunsBeside(t *testing.T) {
 	const once = 0.1635 // 1-0.8^(0.4 s/0.5 s)
-	must.InDelta(t, 2*once, Penalty(slow, short, busy), 0.001)
-	must.Zero(t, Penalty(slow, short, empty))
-	must.Zero(t, Penalty(slow, short, Load{TokensPerEvent: 4, JoiningTokens: 2000, Runs: []fleet.Size{{Held: 2500, Remaining: 4}}}))
-	must.Zero(t, Penalty(fast, short, busy))
-	must.Zero(t, Penalty(fast, long, busy))
+	must.InDelta(t, 2*once, Late(slow, short, busy), 0.001)
+	must.Zero(t, Late(slow, short, empty))
+	must.Zero(t, Late(slow, short, Load{TokensPerEvent: 4, JoiningTokens: 2000, Runs: []fleet.Size{{Held: 2500, Remaining: 4}}}))
+	must.Zero(t, Late(fast, short, busy))
+	must.Zero(t, Late(fast, long, busy))
 }
 
 // A long stream is placed alone on a slow engine where prompts keep joining: it is likely to be late itself. Where none join, only
 // the pauses of undisturbed decoding count.
 func TestLongStreamMeetsJoiningPrompts(t *testing.T) {
-	joined := Penalty(slow, long, Load{TokensPerEvent: 4, JoiningTokens: 2000})
+	joined := Late(slow, long, Load{TokensPerEvent: 4, JoiningTokens: 2000})
 	must.Between(t, 0.6, joined, 0.7)
-	must.Between(t, 0.1, Penalty(slow, long, empty), 0.15)
-	must.Greater(t, joined, Penalty(slow, long, busy))
+	must.Between(t, 0.1, Late(slow, long, empty), 0.15)
+	must.Greater(t, joined, Late(slow, long, busy))
 }
 
 // No rate, no risk: the order of engines stays as without the cost.
 func TestNothingKnownCostsNothing(t *testing.T) {
-	must.Zero(t, Penalty(Engine{Rate: slow.Rate}, long, busy))
-	must.Zero(t, Penalty(Engine{Rate: enginerate.Rate{Slowdown: 1}, Own: slowRisk, Others: slowRisk}, long, busy))
+	must.Zero(t, Late(Engine{Rate: slow.Rate}, long, busy))
+	must.Zero(t, Late(Engine{Rate: enginerate.Rate{Slowdown: 1}, Own: slowRisk, Others: slowRisk}, long, busy))
 }
 
 // Reports of other instances and estimates may hold any figure. The cost must stay a finite bounded number; otherwise one engine
