--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -105,7 +105,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := f.targets[id]
-	if t == nil || !f.allowed(now, t, n) {
+	if t == nil || !f.allowed(now, t, &n) {
 		return Info{}, false
 	}
 	f.countPaced(now, t, &n)
@@ -118,7 +118,7 @@
 	var bestScore float64
 	var plain plainChoice
 	for _, t := range f.among(n.Service, n.Among) {
-		if n.RequireMemory && n.Reserved[t.ID] || !f.allowed(now, t, n) {
+		if n.RequireMemory && n.Reserved[t.ID] || !f.allowed(now, t, &n) {
 			continue
 		}
 		if now.Before(t.avoidUntil) {
@@ -127,7 +127,7 @@
 			}
 			continue
 		}
-		s := f.score(now, t, n)
+		s := f.score(now, t, &n)
 		penalty := f.penalty(t, &n)
 		plain.offer(t, s)
 		if s += penalty; best == nil || s < bestScore {
@@ -182,13 +182,13 @@
 	return f.amongBuf
 }
 
-func (f *Fleet) allowed(now time.Time, t *Target, n Need) bool {
+func (f *Fleet) allowed(now time.Time, t *Target, n *Need) bool {
 	switch {
 	case t.Service != n.Service, n.Exclude[t.ID], !f.accepts(t), t.isGranted() && !n.Granted && !n.FoundByOwner:
 		return false
 	case !n.asOwner && now.Before(t.backoffUntil):
 		return false
-	case !f.inRegions(t, n.Regions), !f.paceAllows(now, t, &n):
+	case !f.inRegions(t, n.Regions), !f.paceAllows(now, t, n):
 		return false
 	}
 	spec := f.specs[t.Service]
@@ -297,7 +297,7 @@
 	return sum
 }
 
-func (f *Fleet) score(now time.Time, t *Target, n Need) float64 {
+func (f *Fleet) score(now time.Time, t *Target, n *Need) float64 {
 	load := f.totalLoad(t)
 	score := failureCost*max(0, t.failureEstimate(now)-toleratedFailures) + jitter*f.random()
 	if memory := f.specs[t.Service].KVTokens; memory > 0 {
--- a/lib/owner/grant.go
+++ b/lib/owner/grant.go
@@ -24,7 +24,7 @@
 		serial: l.serial, run: req.Run, target: out.Target, size: size, at: now,
 		load: fleet.Load{Runs: 1, Tokens: need.Tokens, Unread: need.Unread},
 	})
-	l.pauses.granted(now, out.Target, need.Unread)
+	l.pauses.granted(now, s.Key, out.Target, need.Unread)
 	if req.Backup > 0 {
 		l.backup(now, s, req, out, h)
 	}
--- a/lib/owner/ledger.go
+++ b/lib/owner/ledger.go
@@ -242,7 +242,7 @@
 	need.Reserved = l.reserved[s.Key]
 	p := l.placer()
 	if l.pauses.applies(req) {
-		pauses := l.pauses.decision(now, l.Rates(), l.fleet.Spec(need.Service), req)
+		pauses := l.pauses.decision(now, l.Rates(), s, l.fleet.Spec(need.Service), req)
 		p.PrefillTime, need.Penalty, need.Choice = pauses.prefillTime, pauses.penalty, new(fleet.Choice)
 	}
 	d := l.chooseWith(now, p, need, req)
--- a/lib/owner/pauses.go
+++ b/lib/owner/pauses.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"time"
 
@@ -21,6 +22,8 @@
 	joiningWindow = 10 * time.Second
 	// maxPausedEngines bounds the engines that estimates and rates of joining prompts are kept for.
 	maxPausedEngines = 4096
+	// maxObjectives bounds the combinations of objectives that estimates are kept for.
+	maxObjectives = 64
 )
 
 var (
@@ -35,14 +38,13 @@
 // the objective for pauses. Long streams go to engines that keep it, as long as these have room, and prompts to engines where they endanger
 // the fewest streams. The cost only orders the engines that may be chosen; it excludes none.
 type pauseCosts struct {
-	estimates map[estimateKey]estimate
-	joining   map[string]*tokenRate // by engine
+	estimates map[objectives]map[string]*estimate // by engine
+	joining   map[string]*tokenRate               // by engine
+	shards    map[string]*tokenRate               // the same, summed over the engines of a shard
 }
 
-type estimateKey struct {
-	target      string
-	own, others time.Duration // objectives of the new stream and of those that run there
-}
+// objectives are the limits on pauses of a new stream and of those that run beside it.
+type objectives struct{ own, others time.Duration }
 
 type estimate struct {
 	streamcost.Engine
@@ -50,7 +52,9 @@
 }
 
 func newPauseCosts() pauseCosts {
-	return pauseCosts{estimates: make(map[estimateKey]estimate), joining: make(map[string]*tokenRate)}
+	return pauseCosts{
+		estimates: make(map[objectives]map[string]*estimate), joining: make(map[string]*tokenRate), shards: make(map[string]*tokenRate),
+	}
 }
 
 // applies reports whether a placement takes long pauses into account.
@@ -60,21 +64,27 @@
 
 // pauseDecision is the cost of long pauses in one placement decision.
 type pauseDecision struct {
-	costs   *pauseCosts
-	rates   *enginerate.Table
-	now     time.Time
-	service string
-	key     estimateKey // without the target
-	stream  streamcost.Stream
-	load    streamcost.Load // without the runs
-}
-
-// decision returns the cost for the placement of a stream on engines with the given spec.
-func (c *pauseCosts) decision(now time.Time, rates *enginerate.Table, spec fleet.Spec, req *PlaceRequest) *pauseDecision {
+	costs      *pauseCosts
+	rates      *enginerate.Table
+	now        time.Time
+	service    string
+	objectives objectives
+	estimates  map[string]*estimate
+	stream     streamcost.Stream
+	load       streamcost.Load // without the runs
+	joining    float64         // mean of the shard's engines, in prompt tokens a second
+}
+
+// decision returns the cost for the placement of a stream on engines of a shard with the given spec.
+func (c *pauseCosts) decision(now time.Time, rates *enginerate.Table, s *Shard, spec fleet.Spec, req *PlaceRequest) *pauseDecision {
 	need := &req.Stream.Need
-	own := req.Stream.GapObjective
+	k := objectives{own: req.Stream.GapObjective, others: cmp.Or(spec.GapObjective, req.Stream.GapObjective)}
+	joining := 0.0
+	if r := c.shards[s.Key]; r != nil {
+		joining = r.perSecond(now) / float64(max(1, len(s.Engines())))
+	}
 	return &pauseDecision{
-		costs: c, rates: rates, now: now, service: need.Service, key: estimateKey{own: own, others: cmp.Or(spec.GapObjective, own)},
+		costs: c, rates: rates, now: now, service: need.Service, objectives: k, estimates: c.estimatesFor(k), joining: joining,
 		stream: streamcost.Stream{Unread: need.Unread, Remaining: need.Peak.Remaining},
 		load:   streamcost.Load{TokensPerEvent: spec.TokensPerEvent},
 	}
@@ -84,10 +94,18 @@
 func (d *pauseDecision) penalty(t fleet.Info, _ fleet.Load, runs []fleet.Size) float64 {
 	load := d.load
 	load.Runs = runs
-	if r := d.costs.joining[t.ID]; r != nil {
-		load.JoiningTokens = r.perSecond(d.now)
+	load.JoiningTokens = d.joiningTokens(t.ID)
+	return streamcost.Penalty(*d.engine(t.ID), d.stream, load)
+}
+
+// joiningTokens returns the rate at which prompts are expected to join the runs of an engine: halfway between its own rate and the mean of
+// the shard, since an engine that none has joined for a while attracts the next ones.
+func (d *pauseDecision) joiningTokens(target string) float64 {
+	own := 0.0
+	if r := d.costs.joining[target]; r != nil {
+		own = r.perSecond(d.now)
 	}
-	return streamcost.Penalty(d.engine(t.ID), d.stream, load)
+	return (own + d.joining) / 2
 }
 
 // prefillTime implements admit.Placer.PrefillTime.
@@ -97,50 +115,64 @@
 }
 
 // engine returns what is known of an engine.
-func (d *pauseDecision) engine(target string) streamcost.Engine {
-	k := d.key
-	k.target = target
-	if e, ok := d.costs.estimates[k]; ok && d.now.Sub(e.at) < estimateTTL {
-		return e.Engine
+func (d *pauseDecision) engine(target string) *streamcost.Engine {
+	e := d.estimates[target]
+	if e != nil && d.now.Sub(e.at) < estimateTTL {
+		return &e.Engine
 	}
-	if len(d.costs.estimates) >= maxPausedEngines {
-		clear(d.costs.estimates)
+	if e == nil {
+		if len(d.estimates) >= maxPausedEngines {
+			clear(d.estimates)
+		}
+		e = new(estimate)
+		d.estimates[target] = e
 	}
-	e := estimate{at: d.now}
+	e.at = d.now
 	e.Rate = d.rates.Rate(d.now, d.service, target)
-	e.Others = d.rates.Risk(d.service, e.Rate, streamcost.Limit(k.others))
+	e.Others = d.rates.Risk(d.service, e.Rate, streamcost.Limit(d.objectives.others))
 	later := e.Rate
 	later.Slowdown = 1 // it ends long before the stream does
-	e.Own = d.rates.Risk(d.service, later, streamcost.Limit(k.own))
-	d.costs.estimates[k] = e
-	return e.Engine
+	e.Own = d.rates.Risk(d.service, later, streamcost.Limit(d.objectives.own))
+	return &e.Engine
+}
+
+// estimatesFor returns the estimates under some objectives.
+func (c *pauseCosts) estimatesFor(k objectives) map[string]*estimate {
+	out := c.estimates[k]
+	if out == nil {
+		if len(c.estimates) >= maxObjectives {
+			clear(c.estimates)
+		}
+		out = make(map[string]*estimate)
+		c.estimates[k] = out
+	}
+	return out
 }
 
 // granted records the prompt of a grant.
-func (c *pauseCosts) granted(now time.Time, target string, unread int) {
-	r := c.joining[target]
+func (c *pauseCosts) granted(now time.Time, shard, target string, unread int) {
+	addTokens(c.joining, now, target, unread)
+	addTokens(c.shards, now, shard, unread)
+}
+
+func addTokens(rates map[string]*tokenRate, now time.Time, key string, tokens int) {
+	r := rates[key]
 	if r == nil {
-		if len(c.joining) >= maxPausedEngines {
+		if len(rates) >= maxPausedEngines {
 			return
 		}
 		r = new(tokenRate)
-		c.joining[target] = r
+		rates[key] = r
 	}
-	r.add(now, unread)
+	r.add(now, tokens)
 }
 
 // tick drops what is no longer in use.
 func (c *pauseCosts) tick(now time.Time) {
-	for k, e := range c.estimates {
-		if now.Sub(e.at) > estimateTTL {
-			delete(c.estimates, k)
-		}
-	}
-	for target, r := range c.joining {
-		if now.Sub(r.at) > 4*joiningWindow {
-			delete(c.joining, target)
-		}
-	}
+	clear(c.estimates)
+	expired := func(_ string, r *tokenRate) bool { return now.Sub(r.at) > 4*joiningWindow }
+	maps.DeleteFunc(c.joining, expired)
+	maps.DeleteFunc(c.shards, expired)
 }
 
 // countChoice counts a decision that took long pauses into account.
