--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -52,10 +52,11 @@
 	Granted         bool     // the target's owner chose it and has counted the request there
 	FoundByOwner    bool     // an owner found the target, which this instance's list may not contain
 	// Penalty returns what a choice of an engine costs beyond its load, in units of one fully loaded target. load and runs are those
-	// already there. It must not call the Fleet. nil: nothing.
+	// already there, runs for the time of the call. It must not call the Fleet. nil: nothing.
 	Penalty func(t Info, load Load, runs []Size) float64
 	Choice  *Choice // if set, with Penalty, receives how the penalty influenced the choice
 	asOwner bool    // this instance chooses as the target's owner
+	spec    *Spec   // of the service's targets, during a choice among many; nil: not looked up
 }
 
 // Choice describes how Need.Penalty influenced a choice.
@@ -117,6 +118,8 @@
 	var best, last *Target
 	var bestScore float64
 	var plain plainChoice
+	spec := f.specs[n.Service]
+	n.spec = &spec
 	for _, t := range f.among(n.Service, n.Among) {
 		if n.RequireMemory && n.Reserved[t.ID] || !f.allowed(now, t, &n) {
 			continue
@@ -161,10 +164,11 @@
 
 // penalty returns what the choice of an engine costs beyond its load.
 func (f *Fleet) penalty(t *Target, n *Need) float64 {
-	if n.Penalty == nil || f.specs[t.Service].KVTokens <= 0 {
+	if n.Penalty == nil || n.spec.KVTokens <= 0 {
 		return 0
 	}
-	return n.Penalty(t.Info, f.totalLoad(t), f.sizesOn(t))
+	f.sizesBuf = f.appendSizes(f.sizesBuf[:0], t)
+	return n.Penalty(t.Info, f.totalLoad(t), f.sizesBuf)
 }
 
 // among returns the targets with the given ids, or all targets of the service if ids is nil, ordered by id. The result is valid until
@@ -191,7 +195,11 @@
 	case !f.inRegions(t, n.Regions), !f.paceAllows(now, t, n):
 		return false
 	}
-	spec := f.specs[t.Service]
+	spec := n.spec
+	if spec == nil {
+		looked := f.specs[t.Service]
+		spec = &looked
+	}
 	if spec.ConnCap > 0 && float64(t.local.Runs) >= max(minConns, f.share*float64(spec.ConnCap)) {
 		return false
 	}
@@ -300,7 +308,7 @@
 func (f *Fleet) score(now time.Time, t *Target, n *Need) float64 {
 	load := f.totalLoad(t)
 	score := failureCost*max(0, t.failureEstimate(now)-toleratedFailures) + jitter*f.random()
-	if memory := f.specs[t.Service].KVTokens; memory > 0 {
+	if memory := n.spec.KVTokens; memory > 0 {
 		score += (float64(load.Tokens+n.Tokens) + unreadWeight*float64(load.Unread)) / float64(memory)
 		score += runWeight * float64(load.Runs)
 	} else {
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -102,6 +102,7 @@
 	senders   func(target string, n int) bool
 
 	amongBuf []*Target // result of the last call of among
+	sizesBuf []Size    // sizes of the runs on the engine that is being considered
 }
 
 type peer struct {
--- a/lib/fleet/peak.go
+++ b/lib/fleet/peak.go
@@ -33,8 +33,10 @@
 const maxFill = 0.97
 
 // sizesOn lists the sizes of all runs on an engine, as far as known.
-func (f *Fleet) sizesOn(t *Target) []Size {
-	var out []Size
+func (f *Fleet) sizesOn(t *Target) []Size { return f.appendSizes(nil, t) }
+
+// appendSizes appends the sizes of all runs on an engine.
+func (f *Fleet) appendSizes(out []Size, t *Target) []Size {
 	if f.sizes != nil {
 		out = append(out, f.sizes(t.ID)...)
 	}
@@ -43,7 +45,8 @@
 
 // fits reports whether an engine has memory for one more run until it and the runs beside it have ended.
 func (f *Fleet) fits(t *Target, size Size, memory int) bool {
-	runs := append(f.sizesOn(t), size)
+	runs := append(f.appendSizes(f.sizesBuf[:0], t), size)
+	f.sizesBuf = runs[:0]
 	// The length estimate may be absurdly high: an otherwise empty engine takes the run whatever the estimate.
 	return len(runs) == 1 || float64(Peak(runs)) <= maxFill*float64(memory)
 }
