--- a/lib/owner/fairness_test.go
+++ b/lib/owner/fairness_test.go
@@ -126,8 +126,8 @@
 	must.MapEmpty(t, l.fairness)
 }
 
-// BenchmarkDecideWaiting measures a pass over 64 or the most waiting streams of 24 workspaces, for 32 full engines.
-func BenchmarkDecideWaiting(b *testing.B) {
+// BenchmarkDecideWaitingOfWorkspaces measures a pass over 64 or the most waiting streams of 24 workspaces, for 32 full engines.
+func BenchmarkDecideWaitingOfWorkspaces(b *testing.B) {
 	for _, waiting := range []int{64, maxWaiting} {
 		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
 			l, _, s := newTestLedger(32)
--- a/lib/owner/ledger.go
+++ b/lib/owner/ledger.go
@@ -95,6 +95,7 @@
 	rejected map[uint64]time.Time // earliest time of a retry, by fingerprint
 	serial   uint64
 	moves    map[uint64]plannedMove // by run
+	pauses   pauseCosts
 	rates    rateFeed
 	fairness map[string]*fairness // by shard
 }
@@ -110,6 +111,7 @@
 		moves:    make(map[uint64]plannedMove),
 		rates:    newRateFeed(f),
 		fairness: make(map[string]*fairness),
+		pauses:   newPauseCosts(),
 	}
 }
 
@@ -248,8 +250,20 @@
 	need := req.Stream.Need
 	need.Among = s.Engines()
 	need.Reserved = l.reserved[s.Key]
+	p := l.placer()
+	if l.pauses.applies(req) {
+		pauses := l.pauses.decision(now, l.Rates(), s, l.fleet.Spec(need.Service), req)
+		p.PrefillTime, need.Penalty, need.Choice = pauses.prefillTime, pauses.penalty, new(fleet.Choice)
+	}
+	d := l.chooseWith(now, p, need, req)
+	if d.Action == admit.Admit && need.Choice != nil {
+		countChoice(need.Choice)
+	}
+	return d
+}
+
+func (l *Ledger) chooseWith(now time.Time, p *admit.Placer, need fleet.Need, req *PlaceRequest) admit.Decision {
 	if req.Mode == Admit {
-		p := l.placer()
 		stream := req.Stream
 		stream.Need = need
 		if d := p.Step(now, stream); d.Action != admit.Fallback {
@@ -274,6 +288,7 @@
 		}
 	}
 	l.expireRejections(now)
+	l.pauses.tick(now)
 	l.rates.tick(now)
 	l.expireFairness(now)
 	for id, p := range l.moves {
--- a/lib/replay/compare.go
+++ b/lib/replay/compare.go
@@ -21,6 +21,7 @@
 	{"large in time", Tally.LargeShare},
 	{"small senders in time", func(t Tally) float64 { return t.SmallShare() }},
 	{"late", func(t Tally) float64 { return ratio(t.Late, t.Streams) }},
+	{"long pause", Tally.PauseShare},
 	{"sent away", func(t Tally) float64 { return ratio(t.Refused, t.Streams) }},
 	{"lost", func(t Tally) float64 { return ratio(t.Lost, t.Streams) }},
 	{"preempted", func(t Tally) float64 { return ratio(t.Preempted, t.Streams) }},
--- a/lib/replay/stream.go
+++ b/lib/replay/stream.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -29,6 +30,9 @@
 	unread  int
 	emitted int
 	load    fleet.Load
+
+	lastEvent time.Duration // exact time of the newest event
+	longPause bool          // it had a pause beyond the objective
 }
 
 func (s *site) arrivals(long bool, rate float64) {
@@ -51,6 +55,9 @@
 		r.timeout = s.pattern.ShortTimeout
 	}
 	r.length = min(r.length, 1500)
+	if s.pattern.EventLengths {
+		s.drawEvents(rng, r)
+	}
 	deviation := rng.NormFloat64()
 	r.expectedLength = max(1, int(float64(r.length)*pow3(deviation)))
 	r.workspace = workspace
@@ -67,6 +74,19 @@
 	return r
 }
 
+// drawEvents gives a stream a length in events: about 190 with a heavy spread, or two or three.
+func (s *site) drawEvents(rng *rand.Rand, r *stream) {
+	events := 2 + rng.IntN(2)
+	if r.long {
+		events = min(16+int(rng.ExpFloat64()*174), 800)
+	}
+	r.length = events * s.pattern.tokensPerEvent()
+}
+
+func (p *Pattern) tokensPerEvent() int { return max(1, p.TokensPerEvent) }
+
+func (p *Pattern) engineTokens() int { return cmp.Or(p.EngineTokens, kvTokens) }
+
 // largePrompt is exceeded by about a tenth of the prompts.
 const largePrompt = 4100
 
@@ -107,9 +127,15 @@
 }
 
 // admitted converts the stream for lib/admit.
-func (r *stream) admitted() admit.Stream {
-	return admit.Stream{Arrived: start.Add(r.arrived), Objective: r.objective(), MaxRetryAfter: r.maxRetryAfter(), Need: r.need(),
-		Workspace: uint64(r.workspace)}
+func (s *site) admitted(r *stream) admit.Stream {
+	out := admit.Stream{Arrived: start.Add(r.arrived), Objective: r.objective(), MaxRetryAfter: r.maxRetryAfter(), Need: r.need()}
+	if !s.policy.IgnorePauses {
+		out.GapObjective = s.pattern.GapObjective
+	}
+	if !s.policy.Unfair {
+		out.Workspace = uint64(r.workspace)
+	}
+	return out
 }
 
 func (s *site) arrive(r *stream) {
@@ -182,9 +208,17 @@
 	s.tally.Lost++
 }
 
-func (s *site) token(r *stream) {
+// token handles a token that an engine has emitted at the given time.
+func (s *site) token(r *stream, at time.Duration) {
 	r.emitted++
-	if r.emitted > 1 {
+	per := s.pattern.tokensPerEvent()
+	if r.emitted%per != 0 && r.emitted < r.length {
+		return
+	}
+	last := r.lastEvent
+	r.lastEvent = at
+	if last > 0 {
+		s.laterEvent(r, at-last)
 		return
 	}
 	if r.retried {
@@ -207,6 +241,20 @@
 	s.scheduleUpdate(r.instance)
 }
 
+// laterEvent handles an event after the first, and the pause before it.
+func (s *site) laterEvent(r *stream, pause time.Duration) {
+	s.decider.event(r, pause)
+	if s.pattern.GapObjective == 0 || pause <= s.pattern.GapObjective || r.longPause {
+		return
+	}
+	r.longPause = true
+	if r.long {
+		s.tally.PauseLate++
+	} else {
+		s.tally.ShortPauseLate++
+	}
+}
+
 func (s *site) inTime(r *stream) {
 	s.tally.InTime++
 	s.tally.WorkInTime += r.work()
