Plain targets: choose by named load and slowdown; peers are informed of slowdowns

Cause: an instance receives a response of a given plain target every second or two; a named load was dropped after 0.4 s and a named slowdown used for engines only, so that calls went to targets that all others knew to be slow. Change: lib/plainload estimates a target's load (a report decays to the service's mean) and the delay that its slowdown adds; a slowdown seen first goes to all instances in the Suspects message, at most 20 a second in all. Calls leave slowed targets only as far as the others have room.

--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -12,8 +12,6 @@
 	failureCost = 3.0
 	// crossDomainCost is the penalty for another failure domain: traffic between domains costs, but less than waiting does.
 	crossDomainCost = 0.04
-	// reportTTL is how long a load report is used.
-	reportTTL = 400 * time.Millisecond
 	// avoidMin and avoidMax bound the exponential backoff of a target that could not be reached.
 	avoidMin = 250 * time.Millisecond
 	avoidMax = 2 * time.Second
@@ -53,6 +51,7 @@
 	// already there. It must not call the Fleet. nil: nothing.
 	Penalty func(t Info, load Load, runs []Size) float64
 	asOwner bool // this instance chooses as the target's owner
+	plain   plainView
 }
 
 // Acquire chooses a target and counts the request there until it is released.
@@ -97,6 +96,9 @@
 func (f *Fleet) choose(now time.Time, n Need) *Target {
 	var best, last *Target
 	bestScore := 0.0
+	if f.specs[n.Service].KVTokens == 0 {
+		n.plain = f.plainView(now, n.Service)
+	}
 	for _, t := range f.among(n.Service, n.Among) {
 		if n.RequireMemory && n.Reserved[t.ID] || !f.allowed(now, t, n) {
 			continue
@@ -167,6 +169,7 @@
 	Load         Load            // of the target, including the request itself
 	Peers        int             // instances whose updates the load includes
 	OldestUpdate time.Duration   // age of the oldest of these updates
+	Plain        PlainState      // load that a plain target named
 	Skipped      []SkippedTarget // targets of the service that their own notices excluded, at most maxSkipped
 }
 
@@ -217,6 +220,9 @@
 		return KnownState{}
 	}
 	state := KnownState{Load: f.totalLoad(t), Peers: len(f.peers)}
+	if f.specs[t.Service].KVTokens == 0 {
+		state.Plain = t.plainState(now)
+	}
 	for _, p := range f.peers {
 		state.OldestUpdate = max(state.OldestUpdate, now.Sub(p.receivedAt))
 	}
@@ -257,11 +263,7 @@
 			score += n.Penalty(t.Info, load, f.sizesOn(t))
 		}
 	} else {
-		busy := float64(load.Runs)
-		if now.Sub(t.reportedAt) < reportTTL {
-			busy = max(busy, t.reportedLoad)
-		}
-		score += busy / float64(max(1, t.Slots))
+		score += n.plain.plainCost(now, t, load.Runs)
 	}
 	preferred := n.PreferredDomain
 	if preferred == "" {
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -9,6 +9,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"anvilwick.example/anvilwick/lib/plainload"
 )
 
 // State is the lifecycle state of a target.
@@ -52,17 +54,16 @@
 	failureShare float64 // decayed share of this instance's requests that the target failed
 	avoidUntil   time.Time
 	avoidStep    time.Duration
-	reportedLoad float64 // running and waiting requests, from its last response
-	reportedAt   time.Time
-	lastContact  time.Time // when this instance or a peer last received anything from it
-	backoffSince time.Time // when it last asked for backoff
-	backoffUntil time.Time // it accepts nothing from this instance until then
-	listed       bool      // the list has an entry for it
-	missingSince time.Time // since when a list read after an outage has lacked it; zero: it is listed
-	peers        peerTotal // load of the peers there
-	unreadable   bool      // its entry could not be decoded; reset by the next valid entry
-	grantedAt    time.Time // when an owner last granted it; zero: it is on this instance's own list
-	coldUntil    time.Time // it is cold until then
+	plain        plainload.Target // load that it named, if it is a plain target
+	lastContact  time.Time        // when this instance or a peer last received anything from it
+	backoffSince time.Time        // when it last asked for backoff
+	backoffUntil time.Time        // it accepts nothing from this instance until then
+	listed       bool             // the list has an entry for it
+	missingSince time.Time        // since when a list read after an outage has lacked it; zero: it is listed
+	peers        peerTotal        // load of the peers there
+	unreadable   bool             // its entry could not be decoded; reset by the next valid entry
+	grantedAt    time.Time        // when an owner last granted it; zero: it is on this instance's own list
+	coldUntil    time.Time        // it is cold until then
 	pacer        pacer
 	suspicion    suspicion
 	limit        LimitNotice
@@ -101,7 +102,8 @@
 	regions   map[string]string // by failure domain
 	senders   func(target string, n int) bool
 
-	amongBuf []*Target // result of the last call of among
+	amongBuf []*Target         // result of the last call of among
+	sizedBuf []plainload.Sized // of the last call of plainView
 }
 
 type peer struct {
@@ -290,16 +292,6 @@
 	}
 }
 
-// SetReportedLoad records the load that a target reported with a response.
-func (f *Fleet) SetReportedLoad(now time.Time, id string, running, waiting int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if t := f.targets[id]; t != nil {
-		t.reportedLoad = float64(running + waiting)
-		t.reportedAt = now
-	}
-}
-
 // RecordContact records that something was received from a target.
 func (f *Fleet) RecordContact(at time.Time, id string) {
 	f.mu.Lock()
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -105,6 +105,8 @@
 	RecordPrefill(r owner.PrefillSample)
 	// RecordPace reports how fast an engine works, as a stream or a response has just shown; unknown fields are zero.
 	RecordPace(p owner.Pace)
+	// AnnounceSlowdown informs all instances that a plain target has named a slowdown: a factor on its usual service time.
+	AnnounceSlowdown(t fleet.Info, factor float64)
 }
 
 // Gateway serves callers' requests. It is an http.Handler.
--- a/lib/gateway/load.go
+++ b/lib/gateway/load.go
@@ -13,6 +13,7 @@
 	"anvilwick.example/anvilwick/lib/enginerate"
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/owner"
+	"anvilwick.example/anvilwick/lib/plainload"
 )
 
 // metricLoadFaults counts responses whose load was ignored, by fault.
@@ -75,7 +76,8 @@
 	return n, err == nil && n >= 0 && n <= maxReportedRequests
 }
 
-// readLoad applies the load named in a response: the requests for this instance's choices, the slowdown for the owners'.
+// readLoad applies the load named in a response: the requests and the slowdown for this instance's choices, the slowdown for those of
+// owners and, if the target is plain, of peers.
 func (g *Gateway) readLoad(target fleet.Info, h http.Header) {
 	value := h.Get(g.Names.Load)
 	l := parseLoad(value)
@@ -87,7 +89,10 @@
 		g.Log.LoadFault(target, fault, value)
 	}
 	if l.known {
-		g.Fleet.SetReportedLoad(time.Now(), target.ID, l.running, l.waiting)
+		report := plainload.Report{Running: l.running, Waiting: l.waiting, Slowdown: l.slowdown}
+		if g.Fleet.ObserveLoad(time.Now(), target.ID, report) && g.Owners != nil {
+			g.Owners.AnnounceSlowdown(target, l.slowdown)
+		}
 	}
 	if l.slowdown > 0 && g.Owners != nil {
 		g.Owners.RecordPace(owner.Pace{Target: target.ID, Slowdown: l.slowdown})
--- a/lib/ownerlink/suspects.go
+++ b/lib/ownerlink/suspects.go
@@ -35,13 +35,15 @@
 	judge       *suspect.Detector
 	announced   map[string]time.Time // when each suspect was last announced
 	sendLimiter *rate.Limiter        // limits the messages with this instance's counts
+	slowdowns   *rate.Limiter        // limits the notices of slowdowns
 	wake        chan struct{}        // there are counts to send or verdicts to reach
 }
 
 func newPlainOutcomes() plainOutcomes {
 	return plainOutcomes{
 		counts: make(map[string]map[string]*suspect.Count), unsent: make(map[string]bool), judge: suspect.NewDetector(),
-		announced: make(map[string]time.Time), sendLimiter: rate.NewLimiter(rate.Every(judgeInterval), reportBurst), wake: make(chan struct{}, 1),
+		announced: make(map[string]time.Time), sendLimiter: rate.NewLimiter(rate.Every(judgeInterval), reportBurst),
+		slowdowns: rate.NewLimiter(maxSlowdownRate, slowdownBurst), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -198,6 +200,10 @@
 		body.Suspects = append(body.Suspects, &ownerpb.Suspect{Target: v.Target, Permille: uint32(permille * v.Share)})
 	}
 	l.handleSuspects(body)
+	l.broadcastSuspects(body)
+}
+
+func (l *Link) broadcastSuspects(body *ownerpb.Suspects) {
 	d := l.newDatagram()
 	d.Body = &ownerpb.Datagram_Suspects{Suspects: body}
 	l.broadcast(d)
@@ -205,6 +211,7 @@
 
 func (l *Link) handleSuspects(body *ownerpb.Suspects) {
 	now := time.Now()
+	l.applySlowed(now, body.Slowed)
 	for _, s := range body.Suspects {
 		if l.Fleet.Suspect(s.Target, float64(min(s.Permille, permille))/permille, now.Add(suspect.VerdictTTL)) && l.OnSuspected != nil {
 			l.OnSuspected(s.Target, s.Permille)
