--- a/lib/fleet/plainload.go
+++ b/lib/fleet/plainload.go
@@ -65,15 +65,16 @@
 
 // PlainState is the load of a plain target on which a choice was based.
 type PlainState struct {
-	Known    bool          // the target has named a load
+	Reported bool          // the target has named a load to this instance
 	Others   int           // calls of other instances that it named last
 	Age      time.Duration // of the load that it named last
 	Slowdown float64       // in force; 1: none known
 }
 
 func (t *Target) plainState(now time.Time) PlainState {
-	if !t.plain.Known() {
-		return PlainState{}
+	s := PlainState{Slowdown: t.plain.Slowdown(now)}
+	if t.plain.Reported() {
+		s.Reported, s.Others, s.Age = true, t.plain.Others(), t.plain.Age(now)
 	}
-	return PlainState{Known: true, Others: t.plain.Others(), Age: t.plain.Age(now), Slowdown: t.plain.Slowdown(now)}
+	return s
 }
--- a/lib/gateway/load_test.go
+++ b/lib/gateway/load_test.go
@@ -39,7 +39,8 @@
 // paceOwners collects the paces reported to owners.
 type paceOwners struct {
 	Owners
-	paces []owner.Pace
+	paces     []owner.Pace
+	announced []owner.Pace // slowdowns announced to all instances
 }
 
 func (o *paceOwners) RecordPace(p owner.Pace) { o.paces = append(o.paces, p) }
@@ -83,3 +84,23 @@
 	}
 	must.LessEq(t, maxLoadHeaders, len(m.byTarget))
 }
+
+func (o *paceOwners) AnnounceSlowdown(t fleet.Info, factor float64) {
+	o.announced = append(o.announced, owner.Pace{Target: t.ID, Slowdown: factor})
+}
+
+// A plain target is slowed down, and so is an engine. Peers choose among plain targets for themselves and must be informed, once.
+func TestSlowdownOfPlainTargetIsAnnounced(t *testing.T) {
+	g := newTestGateway()
+	owners := new(paceOwners)
+	g.Owners = owners
+	g.Fleet.SetSpecs(map[string]fleet.Spec{"plain": {}, "engine": {KVTokens: 1000}})
+	list := []fleet.Info{{ID: "p", Service: "plain"}, {ID: "e", Service: "engine"}}
+	g.Fleet.Apply(time.Now(), list, nil, 0)
+	for _, value := range []string{"3,1,6,100", "3,1,6,250", "3,1,6,250"} {
+		for _, target := range list {
+			g.ReadNotices(target, &wirehttp.Response{Status: 200, Header: http.Header{"Load": {value}}}, time.Now())
+		}
+	}
+	must.Eq(t, []owner.Pace{{Target: "p", Slowdown: 2.5}}, owners.announced)
+}
--- a/lib/gateway/log.go
+++ b/lib/gateway/log.go
@@ -62,8 +62,11 @@
 	ev := l.line(log.Info(), "sent", e).Str("target", target).Int("ready", known.ReadyTargets)
 	ev = ev.Int("runs", known.Load.Runs).Int("tokens", known.Load.Tokens).Int("unread", known.Load.Unread)
 	ev = ev.Int("peers", known.Peers).Int64("news_ms", known.OldestUpdate.Milliseconds())
-	if p := known.Plain; p.Known {
-		ev = ev.Int("others", p.Others).Int64("load_ms", p.Age.Milliseconds()).Float64("slowdown", p.Slowdown)
+	if p := known.Plain; p.Reported {
+		ev = ev.Int("others", p.Others).Int64("load_ms", p.Age.Milliseconds())
+	}
+	if p := known.Plain; p.Slowdown > 1 {
+		ev = ev.Float64("slowdown", p.Slowdown)
 	}
 	if len(known.Skipped) > 0 {
 		ev = ev.Str("passed_over", passedOver(known.Skipped))
--- a/lib/plainload/plainload.go
+++ b/lib/plainload/plainload.go
@@ -70,8 +70,11 @@
 	}
 }
 
-// Known reports whether the target has ever named a load.
-func (t *Target) Known() bool { return !t.reportAt.IsZero() }
+// Reported reports whether the target has ever named a load to this instance.
+func (t *Target) Reported() bool { return !t.reportAt.IsZero() }
+
+// Known reports whether anything is known: from the target or from a peer.
+func (t *Target) Known() bool { return t.Reported() || !t.slowAt.IsZero() }
 
 // Others returns the calls of other instances that the target named last.
 func (t *Target) Others() int { return int(t.others) }
@@ -99,7 +102,9 @@
 
 // Outlook is the load of a service's targets together, as far as an instance knows it.
 type Outlook struct {
-	Share float64 // mean share of slots that calls of other instances hold
+	// Share is the mean share of slots that calls of other instances hold. Targets that have named no load lately count as idle: else a
+	// single full target would make all others pass for full.
+	Share float64
 	// Shift is the share of calls that are placed with regard to slowdowns: what would leave the slowed targets must find room on the
 	// others, since all instances that know of a slowdown leave at once.
 	Shift float64
@@ -110,10 +115,10 @@
 	var held, slots, slowed, usual float64
 	for _, t := range targets {
 		size := float64(max(1, t.Slots))
-		if t.Known() && t.Age(now) < meanTTL {
+		if t.Reported() && t.Age(now) < meanTTL {
 			held += min(t.others, maxQueue*size)
-			slots += size
 		}
+		slots += size
 		if t.Slowdown(now) > 1 {
 			slowed += size
 		} else {
@@ -139,7 +144,7 @@
 // decays to the mean of the service's targets.
 func (t Sized) Busy(now time.Time, own int, o Outlook) float64 {
 	weight := 0.0
-	if t.Known() {
+	if t.Reported() {
 		weight = math.Exp(-float64(max(0, t.Age(now))) / float64(loadMemory))
 	}
 	size := float64(max(1, t.Slots))
