Fleet: loads of plain targets are kept apart from targets

Cause: the load in each Target and the view in each Need made a choice among engines larger. Change: the load is allocated at a plain target's first report, and the view is a field of the Fleet.

--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -51,7 +51,6 @@
 	// already there. It must not call the Fleet. nil: nothing.
 	Penalty func(t Info, load Load, runs []Size) float64
 	asOwner bool // this instance chooses as the target's owner
-	plain   plainView
 }
 
 // Acquire chooses a target and counts the request there until it is released.
@@ -97,7 +96,7 @@
 	var best, last *Target
 	bestScore := 0.0
 	if f.specs[n.Service].KVTokens == 0 {
-		n.plain = f.plainView(now, n.Service)
+		f.surveyPlain(now, n.Service)
 	}
 	for _, t := range f.among(n.Service, n.Among) {
 		if n.RequireMemory && n.Reserved[t.ID] || !f.allowed(now, t, n) {
@@ -263,7 +262,7 @@
 			score += n.Penalty(t.Info, load, f.sizesOn(t))
 		}
 	} else {
-		score += n.plain.plainCost(now, t, load.Runs)
+		score += f.plainView.cost(now, t, load.Runs)
 	}
 	preferred := n.PreferredDomain
 	if preferred == "" {
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -54,16 +54,16 @@
 	failureShare float64 // decayed share of this instance's requests that the target failed
 	avoidUntil   time.Time
 	avoidStep    time.Duration
-	plain        plainload.Target // load that it named, if it is a plain target
-	lastContact  time.Time        // when this instance or a peer last received anything from it
-	backoffSince time.Time        // when it last asked for backoff
-	backoffUntil time.Time        // it accepts nothing from this instance until then
-	listed       bool             // the list has an entry for it
-	missingSince time.Time        // since when a list read after an outage has lacked it; zero: it is listed
-	peers        peerTotal        // load of the peers there
-	unreadable   bool             // its entry could not be decoded; reset by the next valid entry
-	grantedAt    time.Time        // when an owner last granted it; zero: it is on this instance's own list
-	coldUntil    time.Time        // it is cold until then
+	plain        *plainload.Target // load of a plain target; nil: none known
+	lastContact  time.Time         // when this instance or a peer last received anything from it
+	backoffSince time.Time         // when it last asked for backoff
+	backoffUntil time.Time         // it accepts nothing from this instance until then
+	listed       bool              // the list has an entry for it
+	missingSince time.Time         // since when a list read after an outage has lacked it; zero: it is listed
+	peers        peerTotal         // load of the peers there
+	unreadable   bool              // its entry could not be decoded; reset by the next valid entry
+	grantedAt    time.Time         // when an owner last granted it; zero: it is on this instance's own list
+	coldUntil    time.Time         // it is cold until then
 	pacer        pacer
 	suspicion    suspicion
 	limit        LimitNotice
@@ -103,7 +103,9 @@
 	senders   func(target string, n int) bool
 
 	amongBuf []*Target         // result of the last call of among
-	sizedBuf []plainload.Sized // of the last call of plainView
+	sizedBuf []plainload.Sized // of the last call of surveyPlain
+
+	plainView plainView // of the current choice among a plain service's targets
 }
 
 type peer struct {
--- a/lib/fleet/plainload.go
+++ b/lib/fleet/plainload.go
@@ -13,18 +13,42 @@
 	regardSlowdown bool
 }
 
-// ObserveLoad records the load that a target named in a response to this instance, whose call still counts there. It reports whether
-// peers should be informed that the target is slowed down.
+// noLoad is the load of targets that have named none.
+var noLoad plainload.Target
+
+func (t *Target) plainLoad() *plainload.Target {
+	if t.plain == nil {
+		return &noLoad
+	}
+	return t.plain
+}
+
+// observedPlain returns the load of a known plain target, to be changed; nil if there is none by that id.
+func (f *Fleet) observedPlain(id string) (*Target, *plainload.Target) {
+	t := f.targets[id]
+	if t == nil {
+		return nil, nil
+	}
+	if spec, ok := f.specs[t.Service]; !ok || spec.KVTokens > 0 {
+		return nil, nil
+	}
+	if t.plain == nil {
+		t.plain = new(plainload.Target)
+	}
+	return t, t.plain
+}
+
+// ObserveLoad records the load that a plain target named in a response to this instance, whose call still counts there. It reports whether
+// peers should be informed that the target is slowed down. Loads of engines are not recorded: choices use their memory.
 func (f *Fleet) ObserveLoad(now time.Time, id string, r plainload.Report) (inform bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	t := f.targets[id]
-	if t == nil {
+	t, load := f.observedPlain(id)
+	if load == nil {
 		return false
 	}
-	t.plain.Observe(now, r, t.local.Runs)
-	spec, ok := f.specs[t.Service]
-	return ok && spec.KVTokens == 0 && t.plain.NoticeDue(now, r)
+	load.Observe(now, r, t.local.Runs)
+	return load.NoticeDue(now, r)
 }
 
 // ObservePeerSlowdown records the slowdown that a peer received at a time from an incarnation of a plain target. One of another
@@ -32,35 +56,35 @@
 func (f *Fleet) ObservePeerSlowdown(at time.Time, id string, born int64, factor float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if t := f.targets[id]; t != nil && t.Born == born {
-		t.plain.ObservePeer(at, factor)
+	if t, load := f.observedPlain(id); load != nil && t.Born == born {
+		load.ObservePeer(at, factor)
 	}
 }
 
-// plainView returns the view for one choice among a plain service's targets.
-func (f *Fleet) plainView(now time.Time, service string) plainView {
+// surveyPlain sets the view for one choice among a plain service's targets.
+func (f *Fleet) surveyPlain(now time.Time, service string) {
 	f.sizedBuf = f.sizedBuf[:0]
-	var v plainView
+	f.plainView = plainView{}
+	v := &f.plainView
 	for _, t := range f.index.targetsOf(service) {
 		if f.accepts(t) {
-			f.sizedBuf = append(f.sizedBuf, plainload.Sized{Target: &t.plain, Slots: t.Slots})
-			v.known = v.known || t.plain.Known()
+			f.sizedBuf = append(f.sizedBuf, plainload.Sized{Target: t.plainLoad(), Slots: t.Slots})
+			v.known = v.known || t.plain != nil
 		}
 	}
 	if !v.known {
-		return v
+		return
 	}
 	v.outlook = plainload.Survey(now, f.sizedBuf)
 	v.regardSlowdown = v.outlook.Shift >= 1 || v.outlook.Shift > 0 && f.random() < v.outlook.Shift
-	return v
 }
 
-// plainCost returns the cost of one more call on a plain target, in units of one fully loaded target.
-func (v *plainView) plainCost(now time.Time, t *Target, own int) float64 {
+// cost returns the cost of one more call on a plain target, in units of one fully loaded target.
+func (v *plainView) cost(now time.Time, t *Target, own int) float64 {
 	if !v.known {
 		return float64(own) / float64(max(1, t.Slots))
 	}
-	return plainload.Sized{Target: &t.plain, Slots: t.Slots}.Cost(now, own, v.outlook, v.regardSlowdown)
+	return plainload.Sized{Target: t.plainLoad(), Slots: t.Slots}.Cost(now, own, v.outlook, v.regardSlowdown)
 }
 
 // PlainState is the load of a plain target on which a choice was based.
@@ -72,9 +96,10 @@
 }
 
 func (t *Target) plainState(now time.Time) PlainState {
-	s := PlainState{Slowdown: t.plain.Slowdown(now)}
-	if t.plain.Reported() {
-		s.Reported, s.Others, s.Age = true, t.plain.Others(), t.plain.Age(now)
+	load := t.plainLoad()
+	s := PlainState{Slowdown: load.Slowdown(now)}
+	if load.Reported() {
+		s.Reported, s.Others, s.Age = true, load.Others(), load.Age(now)
 	}
 	return s
 }
--- a/lib/fleet/plainload_test.go
+++ b/lib/fleet/plainload_test.go
@@ -31,7 +31,8 @@
 // No target names a load: own calls and the failure domain decide, as they do without this package.
 func TestTargetsWithoutLoadAreChosenByOwnCalls(t *testing.T) {
 	f := newPlainFleet()
-	must.Eq(t, plainView{}, f.plainView(t0, "plain"))
+	f.surveyPlain(t0, "plain")
+	must.Eq(t, plainView{}, f.plainView)
 	for _, want := range []string{"a", "b", "a", "b"} {
 		got, _ := f.Acquire(t0, Need{Service: "plain"})
 		must.Eq(t, want, got.ID)
--- a/lib/ownerlink/slowdowns_test.go
+++ b/lib/ownerlink/slowdowns_test.go
@@ -18,6 +18,7 @@
 	target := fleet.Info{ID: "p", Born: 7, Service: "plain", Domain: "z0", Slots: 6}
 	before := time.Now()
 	for _, m := range members {
+		m.Fleet.SetSpecs(map[string]fleet.Spec{"plain": {}})
 		m.Fleet.Apply(before, []fleet.Info{target}, nil, 0)
 	}
 	members["a"].AnnounceSlowdown(fleet.Info{ID: "p", Born: 6}, 4) // of an earlier incarnation
@@ -32,6 +33,7 @@
 func TestInvalidSlowdownNoticeIsIgnored(t *testing.T) {
 	m := newMember(t, "a")
 	now := time.Now()
+	m.Fleet.SetSpecs(map[string]fleet.Spec{"plain": {}})
 	m.Fleet.Apply(now, []fleet.Info{{ID: "p", Service: "plain"}}, nil, 0)
 	for _, s := range []*ownerpb.Slowed{{}, {Target: "x", Percent: 250}, {Target: "p"}, {Target: "p", Percent: 1 << 31}} {
 		m.handleSuspects(&ownerpb.Suspects{Slowed: []*ownerpb.Slowed{s}})
--- a/lib/plainload/plainload.go
+++ b/lib/plainload/plainload.go
@@ -73,9 +73,6 @@
 // Reported reports whether the target has ever named a load to this instance.
 func (t *Target) Reported() bool { return !t.reportAt.IsZero() }
 
-// Known reports whether anything is known: from the target or from a peer.
-func (t *Target) Known() bool { return t.Reported() || !t.slowAt.IsZero() }
-
 // Others returns the calls of other instances that the target named last.
 func (t *Target) Others() int { return int(t.others) }
 
