Plain targets: services without slowdowns are chosen as before

Cause: a service whose targets name running and waiting calls, but no slowdown, was chosen by the new cost as well, though nothing calls for it there. Change: the new cost applies once a target of the service has named a slowdown; else the busy share of before.

--- a/lib/fleet/plainload.go
+++ b/lib/fleet/plainload.go
@@ -6,9 +6,10 @@
 	"anvilwick.example/anvilwick/lib/plainload"
 )
 
-// plainView is what a choice among a plain service's targets knows of their load. The zero value is used where no target names a load.
+// plainView is what a choice among a plain service's targets knows of their load. The zero value is used where no target has named a
+// slowdown: such a service's targets are chosen by their busy share.
 type plainView struct {
-	known          bool
+	slowdowns      bool // targets of the service name slowdowns
 	outlook        plainload.Outlook
 	regardSlowdown bool
 }
@@ -69,10 +70,10 @@
 	for _, t := range f.index.targetsOf(service) {
 		if f.accepts(t) {
 			f.sizedBuf = append(f.sizedBuf, plainload.Sized{Target: t.plainLoad(), Slots: t.Slots})
-			v.known = v.known || t.plain != nil
+			v.slowdowns = v.slowdowns || t.plainLoad().NamesSlowdown()
 		}
 	}
-	if !v.known {
+	if !v.slowdowns {
 		return
 	}
 	v.outlook = plainload.Survey(now, f.sizedBuf)
@@ -81,10 +82,11 @@
 
 // cost returns the cost of one more call on a plain target, in units of one fully loaded target.
 func (v *plainView) cost(now time.Time, t *Target, own int) float64 {
-	if !v.known {
-		return float64(own) / float64(max(1, t.Slots))
+	sized := plainload.Sized{Target: t.plainLoad(), Slots: t.Slots}
+	if !v.slowdowns {
+		return sized.BusyShare(now, own)
 	}
-	return plainload.Sized{Target: t.plainLoad(), Slots: t.Slots}.Cost(now, own, v.outlook, v.regardSlowdown)
+	return sized.Cost(now, own, v.outlook, v.regardSlowdown)
 }
 
 // PlainState is the load of a plain target on which a choice was based.
--- a/lib/plainload/plainload.go
+++ b/lib/plainload/plainload.go
@@ -17,6 +17,8 @@
 	loadMemory = 100 * time.Millisecond
 	// slowdownTTL is how long a reported slowdown is used: other work on a target's machine lasts for some hundred milliseconds.
 	slowdownTTL = 400 * time.Millisecond
+	// loadTTL is how long a reported load is used if no target of the service names slowdowns.
+	loadTTL = 400 * time.Millisecond
 	// meanTTL is how long a report counts for the mean of its service.
 	meanTTL = 5 * time.Second
 	// noticeInterval is the time within which a second notice of a target's state is not sent.
@@ -39,7 +41,8 @@
 
 // Target is what an instance knows of the load of one incarnation of a target. The zero value knows nothing.
 type Target struct {
-	others   float64 // calls of other instances, running and waiting, at reportAt
+	calls    float64 // running and waiting at reportAt
+	others   float64 // of these, calls of other instances
 	reportAt time.Time
 	slowdown float64
 	slowAt   time.Time
@@ -50,7 +53,8 @@
 // An older load than the known one is ignored.
 func (t *Target) Observe(at time.Time, r Report, own int) {
 	if !at.Before(t.reportAt) {
-		t.others = float64(max(0, r.Running+r.Waiting-own))
+		t.calls = float64(r.Running + r.Waiting)
+		t.others = max(0, t.calls-float64(own))
 		t.reportAt = at
 	}
 	t.observeSlowdown(at, r.Slowdown)
@@ -73,6 +77,9 @@
 // Reported reports whether the target has ever named a load to this instance.
 func (t *Target) Reported() bool { return !t.reportAt.IsZero() }
 
+// NamesSlowdown reports whether the target has ever named a slowdown, to this instance or a peer.
+func (t *Target) NamesSlowdown() bool { return !t.slowAt.IsZero() }
+
 // Others returns the calls of other instances that the target named last.
 func (t *Target) Others() int { return int(t.others) }
 
@@ -160,3 +167,13 @@
 	}
 	return busy/size + slowdown*(1+queue) - 1
 }
+
+// BusyShare returns the cost of one more call on a target of a service without slowdowns, in units of one fully loaded target: the own
+// calls there, or those that it named lately if they are more.
+func (t Sized) BusyShare(now time.Time, own int) float64 {
+	busy := float64(own)
+	if t.Reported() && t.Age(now) < loadTTL {
+		busy = max(busy, t.calls)
+	}
+	return busy / float64(max(1, t.Slots))
+}
