Plain targets: a late report of an earlier incarnation is ignored

Cause: a response of the previous incarnation may arrive after the list named the new one. Change: a report is recorded only for the incarnation that the call was sent to. Result: TestReportOfPreviousIncarnationIsDropped; go test ./lib/fleet ./lib/gateway ./lib/ownerlink ./lib/doctest ./lib/plainload pass.

--- a/lib/fleet/plainload.go
+++ b/lib/fleet/plainload.go
@@ -24,10 +24,10 @@
 	return t.plain
 }
 
-// observedPlain returns the load of a known plain target, to be changed; nil if there is none by that id.
-func (f *Fleet) observedPlain(id string) (*Target, *plainload.Target) {
+// observedPlain returns an incarnation of a plain target, and its load to be changed; nil if it isn't the known one, or no plain target.
+func (f *Fleet) observedPlain(id string, born int64) (*Target, *plainload.Target) {
 	t := f.targets[id]
-	if t == nil {
+	if t == nil || t.Born != born {
 		return nil, nil
 	}
 	if spec, ok := f.specs[t.Service]; !ok || spec.KVTokens > 0 {
@@ -39,12 +39,12 @@
 	return t, t.plain
 }
 
-// ObserveLoad records the load that a plain target named in a response to this instance, whose call still counts there. It reports whether
-// peers should be informed that the target is slowed down. Loads of engines are not recorded: choices use their memory.
-func (f *Fleet) ObserveLoad(now time.Time, id string, r plainload.Report) (inform bool) {
+// ObserveLoad records the load that an incarnation of a plain target named in a response to this instance, whose call still counts there.
+// It reports whether peers should be informed that the target is slowed down. Loads of engines are not recorded: choices use their memory.
+func (f *Fleet) ObserveLoad(now time.Time, id string, born int64, r plainload.Report) (inform bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	t, load := f.observedPlain(id)
+	t, load := f.observedPlain(id, born)
 	if load == nil {
 		return false
 	}
@@ -57,7 +57,7 @@
 func (f *Fleet) ObservePeerSlowdown(at time.Time, id string, born int64, factor float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if t, load := f.observedPlain(id); load != nil && t.Born == born {
+	if _, load := f.observedPlain(id, born); load != nil {
 		load.ObservePeer(at, factor)
 	}
 }
--- a/lib/fleet/plainload_test.go
+++ b/lib/fleet/plainload_test.go
@@ -42,7 +42,7 @@
 // Targets that name their load but no slowdown: the load counts beside own calls, for a moment.
 func TestTargetsWithoutSlowdownAreChosenByBusyShare(t *testing.T) {
 	f := newPlainFleet()
-	must.False(t, f.ObserveLoad(t0, "a", plainload.Report{Running: 1, Waiting: 1}))
+	must.False(t, f.ObserveLoad(t0, "a", 1, plainload.Report{Running: 1, Waiting: 1}))
 	must.Eq(t, "b", f.chosen(t, t0.Add(399*time.Millisecond)))
 	must.Eq(t, "a", f.chosen(t, t0.Add(400*time.Millisecond)))
 	must.Eq(t, plainView{}, f.plainView)
@@ -51,21 +51,23 @@
 // Some targets of a service name no load. A report of another target, busy or idle, must not make them get all calls or none.
 func TestTargetWithoutLoadBesideOthers(t *testing.T) {
 	f := newPlainFleet()
-	f.ObserveLoad(t0, "b", plainload.Report{Running: 4, Slowdown: 1})
+	f.ObserveLoad(t0, "b", 1, plainload.Report{Running: 4, Slowdown: 1})
 	must.Eq(t, "a", f.chosen(t, t0))
-	f.ObserveLoad(t0.Add(time.Millisecond), "b", plainload.Report{Slowdown: 1})
+	f.ObserveLoad(t0.Add(time.Millisecond), "b", 1, plainload.Report{Slowdown: 1})
 	must.Eq(t, "a", f.chosen(t, t0.Add(time.Millisecond)))
 	f.AddLoad("a", Load{Runs: 1})
 	must.Eq(t, "b", f.chosen(t, t0.Add(time.Millisecond)))
 }
 
-// A target with a queue restarts. The report of its previous incarnation must not keep calls away, nor may one of a peer.
+// A target with a queue restarts. The report of its previous incarnation must not keep calls away, nor may one of a peer
+// or one that arrives late.
 func TestReportOfPreviousIncarnationIsDropped(t *testing.T) {
 	f := newPlainFleet()
-	f.ObserveLoad(t0, "a", plainload.Report{Running: 6, Waiting: 6, Slowdown: 2.5})
+	f.ObserveLoad(t0, "a", 1, plainload.Report{Running: 6, Waiting: 6, Slowdown: 2.5})
 	must.Eq(t, "b", f.chosen(t, t0))
 	f.Apply(t0, []Info{{ID: "a", Born: 2, Service: "plain", Domain: "z1", Slots: 6}}, nil, 0)
 	f.ObservePeerSlowdown(t0, "a", 1, 2.5)
+	must.False(t, f.ObserveLoad(t0, "a", 1, plainload.Report{Running: 6, Waiting: 6, Slowdown: 2.5})) // arrives late
 	must.Eq(t, "a", f.chosen(t, t0))
 }
 
@@ -82,7 +84,7 @@
 func TestSlowedTargetsAreUsedWhenAllAre(t *testing.T) {
 	f := newPlainFleet()
 	for _, id := range []string{"a", "b"} {
-		f.ObserveLoad(t0, id, plainload.Report{Running: 1 << 20, Waiting: 1 << 20, Slowdown: 100})
+		f.ObserveLoad(t0, id, 1, plainload.Report{Running: 1 << 20, Waiting: 1 << 20, Slowdown: 100})
 	}
 	must.Eq(t, "a", f.chosen(t, t0))
 }
@@ -91,9 +93,9 @@
 func TestNoticesAreOnlyDueForPlainTargets(t *testing.T) {
 	f := newPlainFleet()
 	slow := plainload.Report{Running: 1, Slowdown: 2.5}
-	must.False(t, f.ObserveLoad(t0, "e", slow))
-	must.False(t, f.ObserveLoad(t0, "unknown", slow))
-	must.True(t, f.ObserveLoad(t0, "a", slow))
-	must.False(t, f.ObserveLoad(t0, "a", slow))
-	must.True(t, f.ObserveLoad(t0, "b", slow))
+	must.False(t, f.ObserveLoad(t0, "e", 1, slow))
+	must.False(t, f.ObserveLoad(t0, "unknown", 1, slow))
+	must.True(t, f.ObserveLoad(t0, "a", 1, slow))
+	must.False(t, f.ObserveLoad(t0, "a", 1, slow))
+	must.True(t, f.ObserveLoad(t0, "b", 1, slow))
 }
--- a/lib/gateway/load.go
+++ b/lib/gateway/load.go
@@ -90,7 +90,7 @@
 	}
 	if l.known {
 		report := plainload.Report{Running: l.running, Waiting: l.waiting, Slowdown: l.slowdown}
-		if g.Fleet.ObserveLoad(time.Now(), target.ID, report) && g.Owners != nil {
+		if g.Fleet.ObserveLoad(time.Now(), target.ID, target.Born, report) && g.Owners != nil {
 			g.Owners.AnnounceSlowdown(target, l.slowdown)
 		}
 	}
