--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -12,8 +12,6 @@
 	failureCost = 3.0
 	// crossDomainCost is the penalty for another failure domain: traffic between domains costs, but less than waiting does.
 	crossDomainCost = 0.04
-	// reportTTL is how long a load report is used.
-	reportTTL = 400 * time.Millisecond
 	// avoidMin and avoidMax bound the exponential backoff of a target that could not be reached.
 	avoidMin = 250 * time.Millisecond
 	avoidMax = 2 * time.Second
@@ -120,6 +118,9 @@
 	var plain plainChoice
 	spec := f.specs[n.Service]
 	n.spec = &spec
+	if spec.KVTokens == 0 {
+		f.surveyPlain(now, n.Service)
+	}
 	for _, t := range f.among(n.Service, n.Among) {
 		if n.RequireMemory && n.Reserved[t.ID] || !f.allowed(now, t, &n) {
 			continue
@@ -225,6 +226,7 @@
 	Load         Load            // of the target, including the request itself
 	Peers        int             // instances whose updates the load includes
 	OldestUpdate time.Duration   // age of the oldest of these updates
+	Plain        PlainState      // load that a plain target named
 	Skipped      []SkippedTarget // targets of the service that their own notices excluded, at most maxSkipped
 }
 
@@ -275,6 +277,9 @@
 		return KnownState{}
 	}
 	state := KnownState{Load: f.totalLoad(t), Peers: len(f.peers)}
+	if f.specs[t.Service].KVTokens == 0 {
+		state.Plain = t.plainState(now)
+	}
 	for _, p := range f.peers {
 		state.OldestUpdate = max(state.OldestUpdate, now.Sub(p.receivedAt))
 	}
@@ -312,11 +317,7 @@
 		score += (float64(load.Tokens+n.Tokens) + unreadWeight*float64(load.Unread)) / float64(memory)
 		score += runWeight * float64(load.Runs)
 	} else {
-		busy := float64(load.Runs)
-		if now.Sub(t.reportedAt) < reportTTL {
-			busy = max(busy, t.reportedLoad)
-		}
-		score += busy / float64(max(1, t.Slots))
+		score += f.plainView.cost(now, t, load.Runs)
 	}
 	preferred := n.PreferredDomain
 	if preferred == "" {
