Forecast of room at the owner: package, refusal at once, retry times (first form)

Cause: a stream that finds no room waits 0.6 of its objective and is refused with a random retry time. Change: lib/roomforecast, learnt progress of runs at the owner, refusal when even the fast quarter of outcomes leaves no room, retry times by the forecast, policy no-forecast and tallies of refusals in lib/replay. Not yet tuned or tested.

--- a/lib/admit/admit.go
+++ b/lib/admit/admit.go
@@ -30,9 +30,9 @@
 	// prefillDeadlineShare is the share of the objective by which prefill must be done, counted from arrival. The rest is a reserve for
 	// unforeseen delays.
 	prefillDeadlineShare = 0.9
-	// minRetryAfter is the shortest retry time given to rejected streams. Capacity that frees up sooner goes to streams that already
+	// MinRetryAfter is the shortest retry time given to rejected streams. Capacity that frees up sooner goes to streams that already
 	// wait.
-	minRetryAfter = time.Second
+	MinRetryAfter = time.Second
 )
 
 // Stream describes an arriving stream.
@@ -133,12 +133,12 @@
 // retryAfter returns when a rejected stream should retry. Engines stay full for seconds and callers must not all return at once, so the
 // time is random over the range that callers respect.
 func (p *Placer) retryAfter(maxRetryAfter time.Duration) time.Duration {
-	if maxRetryAfter <= minRetryAfter {
+	if maxRetryAfter <= MinRetryAfter {
 		return maxRetryAfter
 	}
 	random := p.Random
 	if random == nil {
 		random = rand.Int64N
 	}
-	return minRetryAfter + time.Duration(random(int64(maxRetryAfter-minRetryAfter)))
+	return MinRetryAfter + time.Duration(random(int64(maxRetryAfter-MinRetryAfter)))
 }
--- a/lib/admit/admit_test.go
+++ b/lib/admit/admit_test.go
@@ -34,7 +34,7 @@
 	for range 20 {
 		d := p.Step(start.Add(600*time.Millisecond), s)
 		must.Eq(t, RetryLater, d.Action)
-		must.Between(t, minRetryAfter, d.RetryAfter, maxRetryAfter)
+		must.Between(t, MinRetryAfter, d.RetryAfter, maxRetryAfter)
 	}
 	s.MaxRetryAfter = 400 * time.Millisecond
 	must.Eq(t, s.MaxRetryAfter, p.Step(start.Add(time.Second), s).RetryAfter)
--- a/lib/admit/reading.go
+++ b/lib/admit/reading.go
@@ -48,3 +48,10 @@
 	}
 	return max(1, int(float64(d)/perToken))
 }
+
+// Duration returns how long the given prompt tokens take to prefill; 0 if there is no estimate yet.
+func (s *PrefillRates) Duration(service string, tokens int) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.nsPerToken[service] * float64(tokens))
+}
--- /dev/null
+++ b/lib/fleet/room.go
@@ -0,0 +1,20 @@
+package fleet
+
+// Accepting appends to out the given targets that accept requests.
+func (f *Fleet) Accepting(among, out []string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range among {
+		if t := f.targets[id]; t != nil && f.accepts(t) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// UsableMemory returns the memory, in tokens, that runs may fill on each of a service's engines; 0 for a plain service.
+func (f *Fleet) UsableMemory(service string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return int(maxFill * float64(f.specs[service].KVTokens))
+}
--- /dev/null
+++ b/lib/owner/inflow.go
@@ -0,0 +1,59 @@
+package owner
+
+import (
+	"math"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/roomforecast"
+)
+
+const (
+	// inflowMemory is the time over which the rate of arriving streams is averaged.
+	inflowMemory = 10 * time.Second
+	// shortRun separates streams that hold memory for less from others: a mean over both would stand for neither.
+	shortRun = time.Second
+)
+
+// inflow estimates how much memory arriving streams take, short ones and others.
+type inflow struct{ short, long flow }
+
+// flow is a decayed sum over recent arrivals.
+type flow struct {
+	tokens       float64
+	tokenSeconds float64
+	since, at    time.Time
+}
+
+func (f *flow) add(now time.Time, tokens int, lasts time.Duration) {
+	if f.at.IsZero() {
+		f.since, f.at = now, now
+	}
+	decay := math.Exp(-float64(now.Sub(f.at)) / float64(inflowMemory))
+	f.tokens = f.tokens*decay + float64(tokens)
+	f.tokenSeconds = f.tokenSeconds*decay + float64(tokens)*lasts.Seconds()
+	f.at = now
+}
+
+// addTo adds the streams that will arrive at the observed rate.
+func (f *flow) addTo(now time.Time, d *roomforecast.Demand) {
+	if f.tokens <= 0 {
+		return
+	}
+	decay := math.Exp(-float64(now.Sub(f.at)) / float64(inflowMemory))
+	observed := float64(inflowMemory) * (1 - math.Exp(-float64(now.Sub(f.since))/float64(inflowMemory)))
+	perSecond := f.tokens * decay / max(1, observed/float64(time.Second))
+	d.AddInflow(perSecond, time.Duration(f.tokenSeconds/f.tokens*float64(time.Second)))
+}
+
+func (i *inflow) add(now time.Time, tokens int, lasts time.Duration) {
+	if lasts < shortRun {
+		i.short.add(now, tokens, lasts)
+		return
+	}
+	i.long.add(now, tokens, lasts)
+}
+
+func (i *inflow) addTo(now time.Time, d *roomforecast.Demand) {
+	i.short.addTo(now, d)
+	i.long.addTo(now, d)
+}
--- a/lib/owner/ledger.go
+++ b/lib/owner/ledger.go
@@ -52,6 +52,9 @@
 	Serial    uint64 // of the grant
 	Backup    string // engine for the backup copy; empty: no engine has capacity
 	Estimate  fleet.KnownState
+	Cause     RefusalCause  // with RetryLater; only in the first answer to a request, as RoomError
+	RoomError time.Duration // if Returned: from the promised retry time until the stream was placed
+	Returned  bool          // the request is a retry at its promised time, and was placed
 
 	Describe               bool       // as in the request
 	TargetInfo, BackupInfo fleet.Info // target list entries, if the request asks for them
@@ -90,6 +93,9 @@
 	rejected map[uint64]time.Time // earliest time of a retry, by fingerprint
 	serial   uint64
 	moves    map[uint64]plannedMove // by run
+
+	room       map[string]*shardRoom // by shard
+	noForecast bool
 }
 
 // NewLedger returns an empty Ledger that decides by the state of f. Reports are entered into f as the loads of its peers.
@@ -101,6 +107,7 @@
 		answers:  make(map[Key]sentAnswer),
 		rejected: make(map[uint64]time.Time),
 		moves:    make(map[uint64]plannedMove),
+		room:     make(map[string]*shardRoom),
 	}
 }
 
@@ -120,6 +127,7 @@
 		return false
 	}
 	r.clamp()
+	l.observeProgress(now, h, &r)
 	h.apply(now, &r)
 	l.publish(now, h)
 	l.applyObservations(now, h, &r)
@@ -164,7 +172,7 @@
 	}
 	h := l.holders[shard][instance]
 	if h == nil && len(l.holders[shard]) < maxHolders {
-		h = &holder{name: instance + " " + shard, local: instance == l.self, outcomes: make(map[string]Outcomes)}
+		h = &holder{name: instance + " " + shard, shard: shard, local: instance == l.self, outcomes: make(map[string]Outcomes)}
 		l.holders[shard][instance] = h
 	}
 	return h
@@ -192,9 +200,10 @@
 		return Answer{}, false
 	}
 	l.markRetry(now, &req)
+	l.observeArrival(now, s, &req)
 	answer, ok = l.decide(now, s, &req)
-	if !ok && l.cannotStartInTime(now, s, &req) {
-		return l.recordDecision(now, s, &req, l.placer().Reject(req.Stream)), true
+	if !ok {
+		answer, ok = l.refuseOnArrival(now, s, &req)
 	}
 	if !ok && len(l.waiting) < maxWaiting {
 		l.enqueue(&waitingRequest{PlaceRequest: req, shard: s, lastSeen: now})
@@ -217,10 +226,15 @@
 	switch d.Action {
 	case admit.Admit:
 		l.grant(now, s, req, &out)
+		l.observeGrant(now, s, req)
 	case admit.RetryLater:
-		l.rememberRejection(now, req, d.RetryAfter)
+		out.After = l.retryAfter(now, s, req, d.RetryAfter)
+		l.rememberRejection(now, req, out.After)
 	}
 	l.answers[req.Key] = sentAnswer{Answer: out, at: now}
+	if d.Action == admit.RetryLater {
+		out.Cause = Waited
+	}
 	return out
 }
 
@@ -276,6 +290,7 @@
 	switch {
 	case now.Sub(h.lastReport) > reportTTL && len(h.grants) == 0:
 		delete(list, instance)
+		l.forgetProgress(h)
 		h.runs, h.copies = nil, nil
 		l.publish(now, h)
 	case len(h.grants) < n:
--- /dev/null
+++ b/lib/owner/refuse.go
@@ -0,0 +1,145 @@
+package owner
+
+import (
+	"time"
+
+	"anvilwick.example/anvilwick/lib/admit"
+	"anvilwick.example/anvilwick/lib/roomforecast"
+)
+
+// RefusalCause is why a stream was refused.
+type RefusalCause uint8
+
+// Values of RefusalCause.
+const (
+	NotRefused RefusalCause = iota
+	Waited                  // it found no room within its wait
+	Forecast                // its wait would certainly have been in vain, according to the forecast of room
+	OverLimit               // the rate limits of all engines are used up by requests ahead of it
+)
+
+// cannotStartInTime reports whether a stream that would wait can't start before its wait is over: all engines of its shard have rate
+// limits, and the requests that wait ahead of it use them up.
+//
+// When a whole service is overloaded, more streams arrive than it accepts. A stream that waits in vain could have been retried sooner.
+func (l *Ledger) cannotStartInTime(now time.Time, s *Shard, req *PlaceRequest) bool {
+	perSecond, limited := l.fleet.TotalLimit(s.Engines())
+	if !limited || req.Mode != Admit {
+		return false
+	}
+	order, ahead := l.orderOf(&req.Stream), 0
+	for _, w := range l.waiting {
+		if w.shard.Key == s.Key && !w.order.After(order) {
+			ahead++
+		}
+	}
+	return float64(ahead+1) > perSecond*req.Stream.WaitDeadline().Sub(now).Seconds()
+}
+
+// refuseOnArrival refuses a request that would wait in vain.
+func (l *Ledger) refuseOnArrival(now time.Time, s *Shard, req *PlaceRequest) (Answer, bool) {
+	if l.cannotStartInTime(now, s, req) {
+		return l.refuse(now, s, req, OverLimit), true
+	}
+	if !mayRefuseEarly(s, req) {
+		return Answer{}, false
+	}
+	r := l.roomOf(s.Key)
+	if r == nil || l.currentForecast(now, s, r) == nil {
+		return Answer{}, false
+	}
+	demand := l.ahead(s, r, l.orderOf(&req.Stream))
+	if !r.waitsInVain(now, req, &demand) {
+		return Answer{}, false
+	}
+	return l.refuse(now, s, req, Forecast), true
+}
+
+func (l *Ledger) refuse(now time.Time, s *Shard, req *PlaceRequest, cause RefusalCause) Answer {
+	answer := l.recordDecision(now, s, req, l.placer().Reject(req.Stream))
+	answer.Cause = cause
+	if r := l.roomOf(s.Key); r != nil && cause == Forecast {
+		r.margin.watch(now, l.orderOf(&req.Stream), &req.Stream)
+	}
+	return answer
+}
+
+// mayRefuseEarly reports whether a request may be refused before its wait is over. Room elsewhere is not forecast: a stream whose shard has
+// neighbours may still be forwarded to one. A retried stream waits to the end: if refused again, its caller is left with nothing.
+func mayRefuseEarly(s *Shard, req *PlaceRequest) bool {
+	return req.Mode == Admit && req.Stream.Objective > 0 && !req.Stream.IsRetry && len(s.Neighbours()) == 0
+}
+
+// waitsInVain reports whether even if lengths turn out as in the fast quarter of outcomes, room comes after the request's wait.
+func (r *shardRoom) waitsInVain(now time.Time, req *PlaceRequest, ahead *roomforecast.Demand) bool {
+	left := req.Stream.WaitDeadline().Sub(now)
+	at, ok := r.forecast.Time(heldTokens(&req.Stream), ahead, roomforecast.Fast)
+	return left > 0 && (!ok || r.margin.applyTo(at) > left)
+}
+
+// waitingPass is the state of one pass over the waiting requests.
+type waitingPass struct {
+	l      *Ledger
+	now    time.Time
+	shards map[string]*shardPass
+}
+
+type shardPass struct {
+	*shardRoom
+	ahead roomforecast.Demand
+}
+
+func (l *Ledger) newWaitingPass(now time.Time) waitingPass {
+	return waitingPass{l: l, now: now, shards: make(map[string]*shardPass)}
+}
+
+// shard returns the state of a shard in this pass; nil if there is no forecast.
+func (p *waitingPass) shard(s *Shard) *shardPass {
+	sp, known := p.shards[s.Key]
+	if known {
+		return sp
+	}
+	if r := p.l.roomOf(s.Key); r != nil && p.l.currentForecast(p.now, s, r) != nil {
+		sp = &shardPass{shardRoom: r}
+	}
+	p.shards[s.Key] = sp
+	return sp
+}
+
+// refuse refuses a request that still waits, if the forecast has become such that it waits in vain.
+func (p *waitingPass) refuse(w *waitingRequest) (Answer, bool) {
+	sp := p.shard(w.shard)
+	if sp == nil {
+		return Answer{}, false
+	}
+	if mayRefuseEarly(w.shard, &w.PlaceRequest) && sp.waitsInVain(p.now, &w.PlaceRequest, &sp.ahead) {
+		return p.l.refuse(p.now, w.shard, &w.PlaceRequest, Forecast), true
+	}
+	sp.ahead.AddWaiting(heldTokens(&w.Stream), p.l.lasts(sp.shardRoom, &w.Stream))
+	return Answer{}, false
+}
+
+// lateShare is the part of the time that a caller respects, at its end, over which retries are spread when no room is expected before.
+const lateShare = 0.25
+
+// retryAfter returns the retry time of a refused stream: when room for it is expected, behind what waits and the retries promised before, so
+// that callers return in order along the time in which room is released. Without a forecast it is the given time.
+func (l *Ledger) retryAfter(now time.Time, s *Shard, req *PlaceRequest, otherwise time.Duration) time.Duration {
+	longest := req.Stream.MaxRetryAfter
+	r := l.roomOf(s.Key)
+	if r == nil || l.currentForecast(now, s, r) == nil || longest <= admit.MinRetryAfter {
+		return otherwise
+	}
+	after, ok := l.promisedTime(now, s, req)
+	if !ok || after > longest {
+		// otherwise is spread over the whole time; the same draw spreads the retry over the last part.
+		span := float64(longest - admit.MinRetryAfter)
+		drawn := float64(otherwise-admit.MinRetryAfter) / span
+		after = longest - time.Duration(lateShare*(1-drawn)*span)
+	}
+	after = max(after, admit.MinRetryAfter)
+	r.promise(now, promise{
+		fingerprint: req.Fingerprint, at: now.Add(after), tokens: expectedTokens(&req.Stream), lasts: l.lasts(r, &req.Stream),
+	})
+	return after
+}
--- a/lib/owner/report.go
+++ b/lib/owner/report.go
@@ -95,7 +95,8 @@
 // holder is the known state of one instance that holds load on a shard.
 type holder struct {
 	name        string // its name in the fleet
-	local       bool   // this instance
+	shard       string
+	local       bool // this instance
 	incarnation uint64
 	seq         uint64
 	lastReport  time.Time
--- /dev/null
+++ b/lib/owner/room.go
@@ -0,0 +1,217 @@
+package owner
+
+import (
+	"slices"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/admit"
+	"anvilwick.example/anvilwick/lib/roomforecast"
+)
+
+const (
+	// forecastAge is how long a forecast is used while the number of engines stays the same.
+	forecastAge = 50 * time.Millisecond
+	// maxRoomShards bounds the shards for which room is forecast.
+	maxRoomShards = 256
+	// maxPromises bounds the promised retries that a shard's forecast takes into account.
+	maxPromises = 512
+	// promiseTTL is how long a promised retry is taken into account beyond its time, if its caller does not come.
+	promiseTTL = time.Second
+)
+
+// promise is a retry time that was given to a caller.
+type promise struct {
+	fingerprint uint64
+	at          time.Time
+	tokens      int
+	lasts       time.Duration
+}
+
+// shardRoom is what the owner of a shard knows of the room there.
+type shardRoom struct {
+	*progress
+	promises []promise
+	inflow   inflow
+	margin   margin
+
+	forecast  *roomforecast.Forecast
+	at        time.Time // of the forecast
+	accepting []string  // engines of the forecast
+}
+
+// room returns the state of a shard; nil if there are too many.
+func (l *Ledger) roomOf(shard string) *shardRoom {
+	r := l.room[shard]
+	if r == nil && len(l.room) < maxRoomShards && !l.noForecast {
+		r = &shardRoom{progress: newProgress()}
+		l.room[shard] = r
+	}
+	return r
+}
+
+// DisableForecast makes streams wait without a forecast of room, for comparisons.
+func (l *Ledger) DisableForecast() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.noForecast = true
+}
+
+// currentForecast returns a shard's forecast; nil if too little is known.
+func (l *Ledger) currentForecast(now time.Time, s *Shard, r *shardRoom) *roomforecast.Forecast {
+	n := len(r.accepting)
+	r.accepting = l.fleet.Accepting(s.Engines(), r.accepting[:0])
+	if r.at.IsZero() || now.Sub(r.at) >= forecastAge || len(r.accepting) != n {
+		r.at, r.forecast = now, l.computeForecast(s, r)
+	}
+	return r.forecast
+}
+
+func (l *Ledger) computeForecast(s *Shard, r *shardRoom) *roomforecast.Forecast {
+	memory := l.fleet.UsableMemory(s.Service)
+	engines := make([]roomforecast.Engine, len(r.accepting))
+	index := make(map[string]*roomforecast.Engine, len(engines))
+	for i, id := range r.accepting {
+		engines[i] = roomforecast.Engine{Memory: memory, TokenTime: r.tokenTime(id)}
+		index[id] = &engines[i]
+	}
+	for _, h := range l.holders[s.Key] {
+		h.addTo(index, r.progress)
+	}
+	return roomforecast.New(engines, r.lengths)
+}
+
+// addTo adds an instance's runs, copies and grants to the engines that they occupy.
+func (h *holder) addTo(engines map[string]*roomforecast.Engine, p *progress) {
+	for i := range h.runs {
+		if e := engines[h.runs[i].Target]; e != nil {
+			e.Runs = append(e.Runs, p.toForecast(&h.runs[i]))
+		}
+	}
+	for _, c := range h.copies {
+		if e := engines[c.Target]; e != nil {
+			e.Copies += c.Tokens
+		}
+	}
+	for _, g := range h.grants {
+		if e := engines[g.target]; e != nil {
+			e.Runs = append(e.Runs, roomforecast.Run{Held: g.size.Held, Hint: g.size.Remaining})
+		}
+	}
+}
+
+// lasts returns how long a stream is expected to hold memory.
+func (l *Ledger) lasts(r *shardRoom, s *admit.Stream) time.Duration {
+	return l.prefillRates.Duration(s.Need.Service, s.Need.Unread) + time.Duration(s.Need.Peak.Remaining)*r.pace
+}
+
+// heldTokens returns the memory that a stream takes at first, and expectedTokens what it takes on average.
+func heldTokens(s *admit.Stream) int {
+	if s.Need.Peak.Held > 0 {
+		return s.Need.Peak.Held
+	}
+	return s.Need.Tokens
+}
+
+func expectedTokens(s *admit.Stream) int { return heldTokens(s) + s.Need.Peak.Remaining/2 }
+
+// ahead returns the demand of the requests that wait for a shard before the given one; nil stands for a new one at a position.
+func (l *Ledger) ahead(s *Shard, r *shardRoom, before time.Time) roomforecast.Demand {
+	var d roomforecast.Demand
+	for _, w := range l.waiting {
+		if w.order.After(before) {
+			break
+		}
+		if w.shard.Key == s.Key {
+			d.AddWaiting(heldTokens(&w.Stream), l.lasts(r, &w.Stream))
+		}
+	}
+	return d
+}
+
+// promisedTime returns when a stream that is refused now is expected to find room: behind what waits, what was promised before and what is yet
+// to arrive. ok is false if there is no forecast, or no room within the time that its caller respects.
+func (l *Ledger) promisedTime(now time.Time, s *Shard, req *PlaceRequest) (d time.Duration, ok bool) {
+	r := l.roomOf(s.Key)
+	if r == nil {
+		return 0, false
+	}
+	f := l.currentForecast(now, s, r)
+	if f == nil {
+		return 0, false
+	}
+	var demand roomforecast.Demand
+	for _, w := range l.waiting {
+		if w.shard.Key == s.Key && w.Key != req.Key {
+			demand.AddWaiting(expectedTokens(&w.Stream), l.lasts(r, &w.Stream))
+		}
+	}
+	for _, p := range r.promises {
+		demand.AddPromised(p.at.Sub(now), p.tokens, p.lasts)
+	}
+	r.inflow.addTo(now, &demand)
+	return f.Time(expectedTokens(&req.Stream), &demand, retryConfidence)
+}
+
+// retryConfidence is the confidence with which room is expected at the retry time.
+const retryConfidence = roomforecast.Likely
+
+// promise records a retry time that was given.
+func (r *shardRoom) promise(now time.Time, p promise) {
+	r.promises = slices.DeleteFunc(r.promises, func(old promise) bool { return now.Sub(old.at) > promiseTTL })
+	if len(r.promises) < maxPromises {
+		r.promises = append(r.promises, p)
+	}
+}
+
+// keep removes the promise to a stream that has returned.
+func (r *shardRoom) keep(fingerprint uint64) {
+	r.promises = slices.DeleteFunc(r.promises, func(p promise) bool { return p.fingerprint == fingerprint })
+}
+
+// observeProgress learns from a report on the runs of an instance, before it is applied.
+func (l *Ledger) observeProgress(now time.Time, h *holder, rep *Report) {
+	r := l.roomOf(rep.Shard)
+	if r == nil {
+		return
+	}
+	if rep.Incarnation != h.incarnation {
+		r.forget(h.runs)
+	}
+	r.observe(now, h.runs, rep.Runs, l.fleet.IsLeaving)
+}
+
+// forgetProgress drops what is tracked of the runs of an instance that reports no more.
+func (l *Ledger) forgetProgress(h *holder) {
+	if r := l.room[h.shard]; r != nil {
+		r.forget(h.runs)
+	}
+}
+
+// observeArrival counts a new request.
+func (l *Ledger) observeArrival(now time.Time, s *Shard, req *PlaceRequest) {
+	r := l.roomOf(s.Key)
+	if r == nil || req.Mode != Admit {
+		return
+	}
+	if req.Stream.IsRetry {
+		r.keep(req.Fingerprint)
+		return
+	}
+	r.inflow.add(now, expectedTokens(&req.Stream), l.lasts(r, &req.Stream))
+}
+
+// observeGrant checks the refusals that are watched against the placement of a request.
+func (l *Ledger) observeGrant(now time.Time, s *Shard, req *PlaceRequest) {
+	if r := l.room[s.Key]; r != nil && req.Mode == Admit && len(r.margin.watched) > 0 {
+		r.margin.granted(now, l.orderOf(&req.Stream), &req.Stream)
+	}
+}
+
+// checkRefusals checks the refusals that are watched against the room that is left once the waiting requests are decided.
+func (p *waitingPass) checkRefusals() {
+	for _, sp := range p.shards {
+		if sp != nil && len(sp.margin.watched) > 0 {
+			sp.margin.roomLeft(p.now, p.l.fleet.MaxFreeTokens(sp.accepting))
+		}
+	}
+}
--- a/lib/owner/wait.go
+++ b/lib/owner/wait.go
@@ -33,24 +33,6 @@
 	return due.Add(-time.Duration(largeHeadStart * part * float64(s.Objective)))
 }
 
-// cannotStartInTime reports whether a stream that would wait can't start before its wait is over: all engines of its shard have rate
-// limits, and the requests that wait ahead of it use them up.
-//
-// When a whole service is overloaded, more streams arrive than it accepts. A stream that waits in vain could have been retried sooner.
-func (l *Ledger) cannotStartInTime(now time.Time, s *Shard, req *PlaceRequest) bool {
-	perSecond, limited := l.fleet.TotalLimit(s.Engines())
-	if !limited || req.Mode != Admit {
-		return false
-	}
-	order, ahead := l.orderOf(&req.Stream), 0
-	for _, w := range l.waiting {
-		if w.shard.Key == s.Key && !w.order.After(order) {
-			ahead++
-		}
-	}
-	return float64(ahead+1) > perSecond*req.Stream.WaitDeadline().Sub(now).Seconds()
-}
-
 // enqueue inserts a request into the queue.
 func (l *Ledger) enqueue(w *waitingRequest) {
 	w.order = l.orderOf(&w.Stream)
@@ -76,12 +58,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	clear(l.reserved)
+	pass := l.newWaitingPass(now)
 	var out []Answer
 	l.waiting = slices.DeleteFunc(l.waiting, func(w *waitingRequest) bool {
 		if now.Sub(w.lastSeen) > requestTTL {
 			return true
 		}
 		answer, ok := l.decide(now, w.shard, &w.PlaceRequest)
+		if !ok {
+			answer, ok = pass.refuse(w)
+		}
 		switch {
 		case ok:
 			out = append(out, answer)
@@ -90,6 +76,7 @@
 		}
 		return ok
 	})
+	pass.checkRefusals()
 	return out
 }
 
--- a/lib/replay/compare.go
+++ b/lib/replay/compare.go
@@ -23,6 +23,13 @@
 	{"sent away", func(t Tally) float64 { return ratio(t.Refused, t.Streams) }},
 	{"lost", func(t Tally) float64 { return ratio(t.Lost, t.Streams) }},
 	{"preempted", func(t Tally) float64 { return ratio(t.Preempted, t.Streams) }},
+	{"served", Tally.served},
+	{"retried", func(t Tally) float64 { return ratio(t.Retried, t.Streams) }},
+	{"refused at once", func(t Tally) float64 { return ratio(t.Refusals.AtOnce, t.Retried) }},
+	{"s to refusal", Tally.refusalTime},
+	{"s to retry", Tally.retryTime},
+	{"retry found room", Tally.roomShare},
+	{"room at once", func(t Tally) float64 { return ratio(t.Refusals.RoomAtOnce, t.Refusals.Returned) }},
 	{"messages a stream", func(t Tally) float64 { return ratio(t.Messages, t.Streams) }},
 }
 
--- a/lib/replay/owners.go
+++ b/lib/replay/owners.go
@@ -69,6 +69,9 @@
 				lastGrants:  make(map[string]uint64), outcomes: make(map[string]*targetOutcomes),
 			}
 			in.coordinator.SetRandom(s.decisionRNG)
+			if s.policy.NoForecast {
+				in.coordinator.DisableForecast()
+			}
 			capacity := uint32(1)
 			if i < 3*s.pattern.Domains {
 				capacity = 16
--- a/lib/replay/policy.go
+++ b/lib/replay/policy.go
@@ -28,6 +28,7 @@
 	ForceAdmit    bool // streams without a free target are sent to the best engine instead of being refused
 	ColdStandby   bool // with Owners: the second-ranked instance receives no reports until it takes over
 	NoForwarding  bool // with Owners: streams are not forwarded to other shards
+	NoForecast    bool // with Owners: streams wait for room without a forecast, and retry times are random
 }
 
 // Policies maps the names used on command lines to policies.
@@ -36,6 +37,7 @@
 	"slices": {Strategy: DomainBroadcast}, "reports": {Strategy: EngineReports},
 	"force": {ForceAdmit: true}, "no-reading": {IgnorePrefill: true}, "slow-news": {Strategy: Broadcast, SlowUpdates: true},
 	"forget": {ColdStandby: true}, "stay": {NoForwarding: true},
+	"no-forecast": {NoForecast: true},
 }
 
 // Delays and intervals of messages.
@@ -58,6 +60,7 @@
 	Preempted                            int
 	Work, WorkInTime                     int // in tokens: prompt tokens plus ten times the output tokens
 	Messages                             int // between instances
+	Refusals                             Refusals
 }
 
 // Add adds the counts of another simulation.
@@ -77,6 +80,7 @@
 	t.Work += o.Work
 	t.WorkInTime += o.WorkInTime
 	t.Messages += o.Messages
+	t.Refusals.add(o.Refusals)
 }
 
 // Share returns the fraction of streams whose first token met its latency objective.
--- a/lib/replay/stream.go
+++ b/lib/replay/stream.go
@@ -110,6 +110,7 @@
 	r.arrived = s.now
 	r.next = s.now
 	r.request = nil
+	s.countRetry(r)
 	if !s.decider.decide(r) {
 		r.instance.waiting = append(r.instance.waiting, r)
 	}
@@ -128,6 +129,7 @@
 		r.next = s.now + admit.PollInterval
 		return false
 	case admit.Admit:
+		s.countPlaced(r)
 		s.send(r, d.Target.ID, fleet.Load{Tokens: need.Tokens, Unread: need.Unread})
 	default:
 		s.refuse(r, d.RetryAfter)
@@ -143,6 +145,7 @@
 	}
 	r.retried = true
 	s.tally.Retried++
+	s.countRefusal(r, after)
 	s.after(after, func() { s.arrive(r) })
 }
 
--- /dev/null
+++ b/lib/roomforecast/forecast.go
@@ -0,0 +1,195 @@
+// Package roomforecast forecasts when the engines of a shard will have memory for one more stream.
+//
+// Runs release their memory when they end, and their lengths are only estimates. The package combines what is known of each run, how
+// outputs of the service compare with their expected lengths, and the streams that will take memory first, into the probability that a
+// stream of a given size fits on some engine at a given time from now.
+//
+// The load that it answers is a shortage that outlasts the time for which a stream may wait: a stream that certainly finds no room is
+// refused at once, and its retry time is the one at which room is expected.
+//
+// The package does no I/O and reads no clock.
+package roomforecast
+
+import (
+	"math"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/forecast"
+)
+
+// Run is a run on an engine, in tokens.
+type Run struct {
+	Held   int // memory held now
+	Output int // output so far
+	Hint   int // expected total output
+}
+
+// Engine is the state of one engine.
+type Engine struct {
+	Memory    int           // tokens that runs may take
+	TokenTime time.Duration // time per output token
+	Runs      []Run
+	Copies    int // tokens taken by copies of other engines' runs
+}
+
+// points are the times from now for which room is forecast. Retry times beyond the last are not respected by callers.
+var points = [...]time.Duration{
+	0, 100 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond, 450 * time.Millisecond, 600 * time.Millisecond,
+	800 * time.Millisecond, time.Second, 1300 * time.Millisecond, 1700 * time.Millisecond, 2200 * time.Millisecond,
+	2800 * time.Millisecond, 3600 * time.Millisecond, 4600 * time.Millisecond, 6 * time.Second, 8 * time.Second, 10 * time.Second,
+	13 * time.Second, 17 * time.Second,
+}
+
+// Horizon is the latest time from now for which room is forecast.
+const Horizon = 17 * time.Second
+
+const numPoints = len(points)
+
+// Confidence is the number of standard deviations by which the expected room must exceed what is needed.
+type Confidence float64
+
+// Values of Confidence.
+const (
+	Fast   Confidence = -0.674 // room comes with probability 1/4: the fast quarter of the outcomes
+	Even   Confidence = 0      // as likely as not
+	Likely Confidence = 0.842  // room comes with probability 4/5
+)
+
+// moments are the mean and variance of a number of tokens or streams.
+type moments struct{ mean, variance float64 }
+
+// sizeClasses is the number of sizes, as parts of an engine's memory, that a Forecast distinguishes.
+const sizeClasses = 32
+
+// Forecast is the room on the engines of a shard as forecast at one moment.
+type Forecast struct {
+	memory int
+	used   [][numPoints]moments // by engine
+	room   [sizeClasses + 1]*[numPoints]moments
+}
+
+// New forecasts the room on some engines of the same memory. It returns nil if nothing is known of how fast one of them works, or if there
+// is no engine.
+func New(engines []Engine, lengths *Lengths) *Forecast {
+	if len(engines) == 0 {
+		return nil
+	}
+	f := &Forecast{memory: engines[0].Memory, used: make([][numPoints]moments, len(engines))}
+	for i := range engines {
+		e := &engines[i]
+		if len(e.Runs) > 0 && e.TokenTime <= 0 || e.Memory <= 0 {
+			return nil
+		}
+		f.used[i] = e.forecast(lengths)
+	}
+	return f
+}
+
+// forecast returns the memory in use at each of points.
+func (e *Engine) forecast(lengths *Lengths) (out [numPoints]moments) {
+	var load forecast.Load
+	for _, r := range e.Runs {
+		load.Add(forecast.Generation{Held: r.Held, Output: r.Output}, lengths.survival(r.Hint))
+	}
+	load.AddConstant(float64(e.Copies))
+	at := 0
+	for i, d := range points {
+		steps := float64(d) / float64(max(1, e.TokenTime))
+		for at < forecast.Steps-2 && float64(forecast.Grid[at+1]) <= steps {
+			at++
+		}
+		from, to := float64(forecast.Grid[at]), float64(forecast.Grid[at+1])
+		part := min(1, (steps-from)/(to-from))
+		out[i] = moments{
+			mean:     load.Mean[at] + part*(load.Mean[at+1]-load.Mean[at]),
+			variance: load.Var[at] + part*(load.Var[at+1]-load.Var[at]),
+		}
+	}
+	return out
+}
+
+// classOf returns the size class of a stream, rounded down.
+func (f *Forecast) classOf(tokens int) int {
+	return min(max(1, sizeClasses*tokens/f.memory), sizeClasses)
+}
+
+// roomFor returns, at each of points, how many streams of a size class fit on all engines together.
+func (f *Forecast) roomFor(class int) *[numPoints]moments {
+	if f.room[class] == nil {
+		f.room[class] = f.computeRoom(float64(f.memory) * float64(class) / sizeClasses)
+	}
+	return f.room[class]
+}
+
+// maxPerEngine bounds the streams of one size that are counted as fitting on an engine: prompts are prefilled one after another.
+const maxPerEngine = 4
+
+func (f *Forecast) computeRoom(tokens float64) *[numPoints]moments {
+	out := new([numPoints]moments)
+	for _, used := range f.used {
+		for i, u := range used {
+			deviation := math.Sqrt(u.variance)
+			for n := 1; n <= maxPerEngine; n++ {
+				p := exceeds(float64(f.memory)-u.mean-float64(n)*tokens, deviation)
+				if p < negligible {
+					break
+				}
+				out[i].mean += p
+				out[i].variance += p * (1 - p)
+			}
+		}
+	}
+	return out
+}
+
+const (
+	// negligible is a probability of room that is ignored.
+	negligible = 0.005
+	// logisticScale makes the logistic function approximate the normal distribution, within 0.01.
+	logisticScale = 1.702
+)
+
+// exceeds returns the probability that a normal variable with mean 0 is below margin.
+func exceeds(margin, deviation float64) float64 {
+	if deviation < 1 {
+		if margin >= 0 {
+			return 1
+		}
+		return 0
+	}
+	return 1 / (1 + math.Exp(-logisticScale*margin/deviation))
+}
+
+// half is the continuity correction: a normal variable stands for a number of streams.
+const half = 0.5
+
+// ComesWithin reports whether room for a stream of the given tokens comes within d, with the given confidence, when demand takes room first.
+func (f *Forecast) ComesWithin(d time.Duration, tokens int, demand *Demand, confidence Confidence) bool {
+	at, ok := f.Time(tokens, demand, confidence)
+	return ok && at <= d
+}
+
+// Time returns the earliest time from now at which a stream of the given tokens has room, with the given confidence, when demand takes room
+// first; ok is false if that is beyond Horizon.
+func (f *Forecast) Time(tokens int, demand *Demand, confidence Confidence) (d time.Duration, ok bool) {
+	room := f.roomFor(f.classOf(tokens))
+	size := float64(max(tokens, 1))
+	before := 0.0
+	for i, m := range room {
+		surplus := m.mean - float64(confidence)*math.Sqrt(m.variance) - demand.tokens[i]/size - half
+		if surplus >= 0 {
+			return interpolate(i, before, surplus), true
+		}
+		before = surplus
+	}
+	return 0, false
+}
+
+// interpolate returns where the surplus becomes positive between the point before i and i.
+func interpolate(i int, before, surplus float64) time.Duration {
+	if i == 0 {
+		return 0
+	}
+	part := before / (before - surplus)
+	return points[i-1] + time.Duration(part*float64(points[i]-points[i-1]))
+}
