Forecast of room: prefill capacity, requests that will leave the queue, margin from room left over; counters at owners

Change: the forecast includes pending prompts; demand counts only requests that probably start in time; a refusal counts as wrong if room is left over beside all that waits.

--- a/lib/admit/admit.go
+++ b/lib/admit/admit.go
@@ -91,11 +91,7 @@
 // Without an owner, waiting streams of an instance have no order: the first may find no capacity for long while others would. An
 // owner keeps an order that avoids idle capacity (lib/owner).
 func (p *Placer) Step(now time.Time, s Stream) Decision {
-	need := s.Need
-	need.RequireMemory = true
-	if s.Objective > 0 {
-		need.MaxUnread = p.Prefill.TokensWithin(need.Service, s.prefillBudget(now))
-	}
+	need := p.needNow(now, s)
 	acquire := p.Acquire
 	if acquire == nil {
 		acquire = p.Fleet.Acquire
@@ -115,14 +111,27 @@
 	return p.Reject(s)
 }
 
+// needNow returns what a stream requires of an engine that is chosen now.
+func (p *Placer) needNow(now time.Time, s Stream) fleet.Need {
+	need := s.Need
+	need.RequireMemory = true
+	if s.Objective > 0 {
+		need.MaxUnread = p.Prefill.TokensWithin(need.Service, s.PrefillBudget(now))
+	}
+	return need
+}
+
+// HasRoom reports whether Step would admit a stream, without choosing a target.
+func (p *Placer) HasRoom(now time.Time, s Stream) bool { return p.Fleet.HasRoom(now, p.needNow(now, s)) }
+
 // Reject returns a decision that rejects a stream, with a time to retry.
 func (p *Placer) Reject(s Stream) Decision {
 	return Decision{Action: RetryLater, RetryAfter: p.retryAfter(s.MaxRetryAfter)}
 }
 
-// prefillBudget returns how long the pending prompts on an engine chosen now may take: a share of the objective, and no more than is
+// PrefillBudget returns how long the pending prompts on an engine chosen now may take: a share of the objective, and no more than is
 // left of it after the wait.
-func (s *Stream) prefillBudget(now time.Time) time.Duration {
+func (s *Stream) PrefillBudget(now time.Time) time.Duration {
 	if s.IsRetry {
 		return time.Duration(prefillShare * float64(s.Objective))
 	}
--- a/lib/owner/inflow.go
+++ b/lib/owner/inflow.go
@@ -20,17 +20,19 @@
 // flow is a decayed sum over recent arrivals.
 type flow struct {
 	tokens       float64
+	unread       float64
 	tokenSeconds float64
 	since, at    time.Time
 }
 
-func (f *flow) add(now time.Time, tokens int, lasts time.Duration) {
+func (f *flow) add(now time.Time, s *roomforecast.Stream) {
 	if f.at.IsZero() {
 		f.since, f.at = now, now
 	}
 	decay := math.Exp(-float64(now.Sub(f.at)) / float64(inflowMemory))
-	f.tokens = f.tokens*decay + float64(tokens)
-	f.tokenSeconds = f.tokenSeconds*decay + float64(tokens)*lasts.Seconds()
+	f.tokens = f.tokens*decay + float64(s.Tokens)
+	f.unread = f.unread*decay + float64(s.Unread)
+	f.tokenSeconds = f.tokenSeconds*decay + float64(s.Tokens)*s.Lasts.Seconds()
 	f.at = now
 }
 
@@ -41,16 +43,16 @@
 	}
 	decay := math.Exp(-float64(now.Sub(f.at)) / float64(inflowMemory))
 	observed := float64(inflowMemory) * (1 - math.Exp(-float64(now.Sub(f.since))/float64(inflowMemory)))
-	perSecond := f.tokens * decay / max(1, observed/float64(time.Second))
-	d.AddInflow(perSecond, time.Duration(f.tokenSeconds/f.tokens*float64(time.Second)))
+	perSecond := decay / max(1, observed/float64(time.Second))
+	d.AddInflow(perSecond*f.tokens, time.Duration(f.tokenSeconds/f.tokens*float64(time.Second)), perSecond*f.unread)
 }
 
-func (i *inflow) add(now time.Time, tokens int, lasts time.Duration) {
-	if lasts < shortRun {
-		i.short.add(now, tokens, lasts)
+func (i *inflow) add(now time.Time, s *roomforecast.Stream) {
+	if s.Lasts < shortRun {
+		i.short.add(now, s)
 		return
 	}
-	i.long.add(now, tokens, lasts)
+	i.long.add(now, s)
 }
 
 func (i *inflow) addTo(now time.Time, d *roomforecast.Demand) {
--- a/lib/owner/ledger.go
+++ b/lib/owner/ledger.go
@@ -40,6 +40,8 @@
 	Fingerprint uint64 // identifies the caller's request across retries; 0: unknown
 
 	Describe bool // the requesting instance holds only a part of the target list
+
+	promisedAt time.Time // of a retry: the time that its caller was given
 }
 
 // Answer is the response to a PlaceRequest.
@@ -226,15 +228,12 @@
 	switch d.Action {
 	case admit.Admit:
 		l.grant(now, s, req, &out)
-		l.observeGrant(now, s, req)
 	case admit.RetryLater:
 		out.After = l.retryAfter(now, s, req, d.RetryAfter)
 		l.rememberRejection(now, req, out.After)
 	}
 	l.answers[req.Key] = sentAnswer{Answer: out, at: now}
-	if d.Action == admit.RetryLater {
-		out.Cause = Waited
-	}
+	out.annotate(now, req)
 	return out
 }
 
--- a/lib/owner/margin.go
+++ b/lib/owner/margin.go
@@ -9,10 +9,10 @@
 const (
 	// maxWatched bounds the refused streams of a shard that are watched.
 	maxWatched = 64
-	// marginWrong and marginRight are the factors on the margin after a wrong and a right refusal. In equilibrium three in a hundred are
+	// marginWrong and marginRight are the factors on the margin after a wrong and a right refusal. In equilibrium five in a hundred are
 	// wrong.
-	marginWrong = 0.8
-	marginRight = 1.007
+	marginWrong = 0.9
+	marginRight = 1.0055
 	// marginMin bounds the margin: a forecast that is so often wrong refuses nothing at once.
 	marginMin = 0.05
 )
@@ -27,11 +27,11 @@
 
 // watchedRefusal is a stream that was refused early, until its wait would have ended.
 type watchedRefusal struct {
-	until  time.Time
-	order  time.Time
-	tokens int
+	stream admit.Stream
 }
 
+func (w *watchedRefusal) tokens() int { return w.stream.Need.Peak.Held + w.stream.Need.Peak.Remaining }
+
 // applyTo reduces a forecast time by the margin.
 func (m *margin) applyTo(d time.Duration) time.Duration {
 	if m.factor == 0 {
@@ -41,48 +41,42 @@
 }
 
 // watch remembers a stream that is refused early.
-func (m *margin) watch(now, order time.Time, s *admit.Stream) {
+func (m *margin) watch(now time.Time, s *admit.Stream) {
 	m.expire(now)
 	if len(m.watched) < maxWatched {
-		m.watched = append(m.watched, watchedRefusal{
-			until: s.WaitDeadline(), order: order, tokens: s.Need.Peak.Held + s.Need.Peak.Remaining,
-		})
+		m.watched = append(m.watched, watchedRefusal{stream: *s})
 	}
 }
 
-// roomLeft records that an engine has room for a number of tokens beside all that waits.
-func (m *margin) roomLeft(now time.Time, tokens int) {
-	m.expire(now)
-	m.remove(func(w *watchedRefusal) bool { return w.tokens <= tokens })
-}
-
-// granted records that a stream that would have been behind the watched ones was placed.
-func (m *margin) granted(now, order time.Time, s *admit.Stream) {
+// check checks whether the smallest watched stream has room now. Others would have to share that room with it.
+func (m *margin) check(now time.Time, hasRoom func(admit.Stream) bool) {
 	m.expire(now)
-	m.remove(func(w *watchedRefusal) bool {
-		return w.order.Before(order) && w.tokens <= s.Need.Peak.Held+s.Need.Peak.Remaining
-	})
-}
-
-// remove drops the watched streams for which room came.
-func (m *margin) remove(hadRoom func(*watchedRefusal) bool) {
-	kept := m.watched[:0]
+	if len(m.watched) == 0 {
+		return
+	}
+	smallest := 0
 	for i := range m.watched {
-		if hadRoom(&m.watched[i]) {
-			m.wrong++
-			m.scale(marginWrong)
-			continue
+		if m.watched[i].tokens() < m.watched[smallest].tokens() {
+			smallest = i
 		}
-		kept = append(kept, m.watched[i])
 	}
-	m.watched = kept
+	if hasRoom(m.watched[smallest].stream) {
+		m.remove(smallest)
+	}
+}
+
+// remove drops a watched stream for which room came.
+func (m *margin) remove(i int) {
+	m.watched = append(m.watched[:i], m.watched[i+1:]...)
+	m.wrong++
+	m.scale(marginWrong)
 }
 
 // expire drops the watched streams whose wait would be over.
 func (m *margin) expire(now time.Time) {
 	kept := m.watched[:0]
 	for _, w := range m.watched {
-		if now.Before(w.until) {
+		if now.Before(w.stream.WaitDeadline()) {
 			kept = append(kept, w)
 			continue
 		}
--- a/lib/owner/refuse.go
+++ b/lib/owner/refuse.go
@@ -49,17 +49,28 @@
 		return Answer{}, false
 	}
 	demand := l.ahead(s, r, l.orderOf(&req.Stream))
-	if !r.waitsInVain(now, req, &demand) {
+	if !l.waitsInVain(now, r, req, &demand) {
 		return Answer{}, false
 	}
 	return l.refuse(now, s, req, Forecast), true
 }
 
+// annotate adds what is counted once for a request to its first answer.
+func (a *Answer) annotate(now time.Time, req *PlaceRequest) {
+	switch {
+	case a.Action == admit.RetryLater:
+		a.Cause = Waited
+	case a.Action == admit.Admit && !req.promisedAt.IsZero():
+		a.Returned, a.RoomError = true, now.Sub(req.promisedAt)
+	}
+}
+
+// refuse refuses a request before its wait is over.
 func (l *Ledger) refuse(now time.Time, s *Shard, req *PlaceRequest, cause RefusalCause) Answer {
 	answer := l.recordDecision(now, s, req, l.placer().Reject(req.Stream))
 	answer.Cause = cause
-	if r := l.roomOf(s.Key); r != nil && cause == Forecast {
-		r.margin.watch(now, l.orderOf(&req.Stream), &req.Stream)
+	if r := l.room[s.Key]; r != nil && cause == Forecast {
+		r.margin.watch(now, &req.Stream)
 	}
 	return answer
 }
@@ -71,10 +82,24 @@
 }
 
 // waitsInVain reports whether even if lengths turn out as in the fast quarter of outcomes, room comes after the request's wait.
-func (r *shardRoom) waitsInVain(now time.Time, req *PlaceRequest, ahead *roomforecast.Demand) bool {
+func (l *Ledger) waitsInVain(now time.Time, r *shardRoom, req *PlaceRequest, ahead *roomforecast.Demand) bool {
 	left := req.Stream.WaitDeadline().Sub(now)
-	at, ok := r.forecast.Time(heldTokens(&req.Stream), ahead, roomforecast.Fast)
-	return left > 0 && (!ok || r.margin.applyTo(at) > left)
+	stream := l.atFirst(r, &req.Stream)
+	stream.Budget = func(d time.Duration) time.Duration { return req.Stream.PrefillBudget(now.Add(d)) }
+	at, ok := r.forecast.Time(&stream, ahead, roomforecast.Fast)
+	return left > minSaved && (!ok || r.margin.applyTo(at) > left+minSaved)
+}
+
+// minSaved is the least time that a refusal must save its caller. It covers what the forecast doesn't resolve.
+const minSaved = 100 * time.Millisecond
+
+// startsInTime reports whether a waiting request is more likely than not to be placed within its wait. Others leave the queue without taking
+// room from those behind them.
+func (l *Ledger) startsInTime(now time.Time, sp *shardPass, w *waitingRequest) bool {
+	stream := l.atFirst(sp.shardRoom, &w.Stream)
+	stream.Budget = func(d time.Duration) time.Duration { return w.Stream.PrefillBudget(now.Add(d)) }
+	at, ok := sp.forecast.Time(&stream, &sp.ahead, roomforecast.Even)
+	return ok && at <= w.Stream.WaitDeadline().Sub(now)
 }
 
 // waitingPass is the state of one pass over the waiting requests.
@@ -112,10 +137,13 @@
 	if sp == nil {
 		return Answer{}, false
 	}
-	if mayRefuseEarly(w.shard, &w.PlaceRequest) && sp.waitsInVain(p.now, &w.PlaceRequest, &sp.ahead) {
+	if mayRefuseEarly(w.shard, &w.PlaceRequest) && p.l.waitsInVain(p.now, sp.shardRoom, &w.PlaceRequest, &sp.ahead) {
 		return p.l.refuse(p.now, w.shard, &w.PlaceRequest, Forecast), true
 	}
-	sp.ahead.AddWaiting(heldTokens(&w.Stream), p.l.lasts(sp.shardRoom, &w.Stream))
+	if w.likely = p.l.startsInTime(p.now, sp, w); w.likely {
+		stream := p.l.atFirst(sp.shardRoom, &w.Stream)
+		sp.ahead.AddWaiting(&stream)
+	}
 	return Answer{}, false
 }
 
@@ -138,8 +166,6 @@
 		after = longest - time.Duration(lateShare*(1-drawn)*span)
 	}
 	after = max(after, admit.MinRetryAfter)
-	r.promise(now, promise{
-		fingerprint: req.Fingerprint, at: now.Add(after), tokens: expectedTokens(&req.Stream), lasts: l.lasts(r, &req.Stream),
-	})
+	r.promise(now, promise{fingerprint: req.Fingerprint, at: now.Add(after), stream: l.expected(r, &req.Stream)})
 	return after
 }
--- a/lib/owner/rejections.go
+++ b/lib/owner/rejections.go
@@ -26,7 +26,7 @@
 		return
 	}
 	delete(l.rejected, req.Fingerprint)
-	req.Stream.IsRetry = true
+	req.Stream.IsRetry, req.promisedAt = true, due
 }
 
 func (l *Ledger) expireRejections(now time.Time) {
--- a/lib/owner/room.go
+++ b/lib/owner/room.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -23,13 +24,13 @@
 type promise struct {
 	fingerprint uint64
 	at          time.Time
-	tokens      int
-	lasts       time.Duration
+	stream      roomforecast.Stream
 }
 
 // shardRoom is what the owner of a shard knows of the room there.
 type shardRoom struct {
 	*progress
+	key      string
 	promises []promise
 	inflow   inflow
 	margin   margin
@@ -39,11 +40,11 @@
 	accepting []string  // engines of the forecast
 }
 
-// room returns the state of a shard; nil if there are too many.
+// roomOf returns the state of a shard; nil if there are too many.
 func (l *Ledger) roomOf(shard string) *shardRoom {
 	r := l.room[shard]
 	if r == nil && len(l.room) < maxRoomShards && !l.noForecast {
-		r = &shardRoom{progress: newProgress()}
+		r = &shardRoom{progress: newProgress(), key: shard}
 		l.room[shard] = r
 	}
 	return r
@@ -58,6 +59,9 @@
 
 // currentForecast returns a shard's forecast; nil if too little is known.
 func (l *Ledger) currentForecast(now time.Time, s *Shard, r *shardRoom) *roomforecast.Forecast {
+	if r.pace == 0 {
+		return nil // no run has been observed long enough
+	}
 	n := len(r.accepting)
 	r.accepting = l.fleet.Accepting(s.Engines(), r.accepting[:0])
 	if r.at.IsZero() || now.Sub(r.at) >= forecastAge || len(r.accepting) != n {
@@ -77,7 +81,13 @@
 	for _, h := range l.holders[s.Key] {
 		h.addTo(index, r.progress)
 	}
-	return roomforecast.New(engines, r.lengths)
+	for i := range engines {
+		// Sums must not depend on the order of a map, so that a simulation can be repeated.
+		slices.SortFunc(engines[i].Runs, func(a, b roomforecast.Run) int {
+			return cmp.Or(cmp.Compare(a.Held, b.Held), cmp.Compare(a.Output, b.Output), cmp.Compare(a.Hint, b.Hint))
+		})
+	}
+	return roomforecast.New(engines, l.prefillRates.Duration(s.Service, 1), r.lengths)
 }
 
 // addTo adds an instance's runs, copies and grants to the engines that they occupy.
@@ -85,6 +95,7 @@
 	for i := range h.runs {
 		if e := engines[h.runs[i].Target]; e != nil {
 			e.Runs = append(e.Runs, p.toForecast(&h.runs[i]))
+			e.Unread += h.runs[i].Unread
 		}
 	}
 	for _, c := range h.copies {
@@ -95,34 +106,38 @@
 	for _, g := range h.grants {
 		if e := engines[g.target]; e != nil {
 			e.Runs = append(e.Runs, roomforecast.Run{Held: g.size.Held, Hint: g.size.Remaining})
+			e.Unread += g.load.Unread
 		}
 	}
 }
 
-// lasts returns how long a stream is expected to hold memory.
-func (l *Ledger) lasts(r *shardRoom, s *admit.Stream) time.Duration {
-	return l.prefillRates.Duration(s.Need.Service, s.Need.Unread) + time.Duration(s.Need.Peak.Remaining)*r.pace
-}
-
-// heldTokens returns the memory that a stream takes at first, and expectedTokens what it takes on average.
-func heldTokens(s *admit.Stream) int {
-	if s.Need.Peak.Held > 0 {
-		return s.Need.Peak.Held
+// atFirst describes a stream with the memory that it takes at first, and expected with what it takes on average.
+func (l *Ledger) atFirst(r *shardRoom, s *admit.Stream) roomforecast.Stream {
+	n := &s.Need
+	out := roomforecast.Stream{Tokens: n.Peak.Held, Unread: n.Unread}
+	if out.Tokens == 0 {
+		out.Tokens = n.Tokens
 	}
-	return s.Need.Tokens
+	out.Lasts = l.prefillRates.Duration(n.Service, n.Unread) + time.Duration(n.Peak.Remaining)*r.pace
+	return out
 }
 
-func expectedTokens(s *admit.Stream) int { return heldTokens(s) + s.Need.Peak.Remaining/2 }
+func (l *Ledger) expected(r *shardRoom, s *admit.Stream) roomforecast.Stream {
+	out := l.atFirst(r, s)
+	out.Tokens += s.Need.Peak.Remaining / 2
+	return out
+}
 
-// ahead returns the demand of the requests that wait for a shard before the given one; nil stands for a new one at a position.
+// ahead returns the demand of the requests that wait for a shard and go before a new one with the given order.
 func (l *Ledger) ahead(s *Shard, r *shardRoom, before time.Time) roomforecast.Demand {
 	var d roomforecast.Demand
 	for _, w := range l.waiting {
 		if w.order.After(before) {
 			break
 		}
-		if w.shard.Key == s.Key {
-			d.AddWaiting(heldTokens(&w.Stream), l.lasts(r, &w.Stream))
+		if w.shard.Key == s.Key && w.likely {
+			stream := l.atFirst(r, &w.Stream)
+			d.AddWaiting(&stream)
 		}
 	}
 	return d
@@ -141,15 +156,19 @@
 	}
 	var demand roomforecast.Demand
 	for _, w := range l.waiting {
-		if w.shard.Key == s.Key && w.Key != req.Key {
-			demand.AddWaiting(expectedTokens(&w.Stream), l.lasts(r, &w.Stream))
+		if w.shard.Key == s.Key && w.likely && w.Key != req.Key {
+			stream := l.expected(r, &w.Stream)
+			demand.AddWaiting(&stream)
 		}
 	}
-	for _, p := range r.promises {
-		demand.AddPromised(p.at.Sub(now), p.tokens, p.lasts)
+	for i := range r.promises {
+		demand.AddPromised(r.promises[i].at.Sub(now), &r.promises[i].stream)
 	}
 	r.inflow.addTo(now, &demand)
-	return f.Time(expectedTokens(&req.Stream), &demand, retryConfidence)
+	stream, again := l.expected(r, &req.Stream), req.Stream
+	again.IsRetry = true
+	stream.Budget = func(time.Duration) time.Duration { return again.PrefillBudget(now) }
+	return f.Time(&stream, &demand, retryConfidence)
 }
 
 // retryConfidence is the confidence with which room is expected at the retry time.
@@ -197,21 +216,18 @@
 		r.keep(req.Fingerprint)
 		return
 	}
-	r.inflow.add(now, expectedTokens(&req.Stream), l.lasts(r, &req.Stream))
-}
-
-// observeGrant checks the refusals that are watched against the placement of a request.
-func (l *Ledger) observeGrant(now time.Time, s *Shard, req *PlaceRequest) {
-	if r := l.room[s.Key]; r != nil && req.Mode == Admit && len(r.margin.watched) > 0 {
-		r.margin.granted(now, l.orderOf(&req.Stream), &req.Stream)
-	}
+	stream := l.expected(r, &req.Stream)
+	r.inflow.add(now, &stream)
 }
 
 // checkRefusals checks the refusals that are watched against the room that is left once the waiting requests are decided.
 func (p *waitingPass) checkRefusals() {
 	for _, sp := range p.shards {
-		if sp != nil && len(sp.margin.watched) > 0 {
-			sp.margin.roomLeft(p.now, p.l.fleet.MaxFreeTokens(sp.accepting))
+		if sp != nil {
+			sp.margin.check(p.now, func(s admit.Stream) bool {
+				s.Need.Among, s.Need.Reserved = sp.accepting, p.l.reserved[sp.key]
+				return p.l.placer().HasRoom(p.now, s)
+			})
 		}
 	}
 }
--- a/lib/owner/wait.go
+++ b/lib/owner/wait.go
@@ -12,6 +12,7 @@
 	shard    *Shard
 	lastSeen time.Time
 	order    time.Time // position in the queue
+	likely   bool      // it probably starts in time, as of the last pass
 }
 
 // largeHeadStart is the head start in the queue, as a share of its latency objective, of a stream that takes all of an engine's memory over
--- a/lib/ownerlink/handle.go
+++ b/lib/ownerlink/handle.go
@@ -96,6 +96,7 @@
 }
 
 func (l *Link) answer(a *owner.Answer) {
+	countRoom(a)
 	if a.Describe {
 		a.TargetInfo, _ = l.Fleet.Info(a.Target)
 		a.BackupInfo, _ = l.Fleet.Info(a.Backup)
--- a/lib/roomforecast/demand.go
+++ b/lib/roomforecast/demand.go
@@ -2,38 +2,35 @@
 
 import "time"
 
-// Demand is the memory that other streams take before a stream's turn, at each point of the forecast. The zero value is no demand.
-type Demand struct{ tokens [numPoints]float64 }
-
-// AddWaiting adds a stream that waits and then runs for a duration. One that is much shorter than the time until a point has passed by then:
-// it takes part of an engine's time, not its memory for good.
-func (d *Demand) AddWaiting(tokens int, lasts time.Duration) {
-	for i, at := range points {
-		part := 1.0
-		if at > lasts {
-			part = float64(lasts) / float64(at)
-		}
-		d.tokens[i] += part * float64(tokens)
-	}
+// Demand is what other streams take before a stream's turn, at each point of the forecast. The zero value is no demand.
+type Demand struct {
+	tokens [numPoints]float64 // memory held at the point
+	unread [numPoints]float64 // prompt tokens to be prefilled until the point
 }
 
-// AddPromised adds a stream that is expected after a time, and then runs for a duration.
-func (d *Demand) AddPromised(after time.Duration, tokens int, lasts time.Duration) {
+// AddWaiting adds a stream that waits. One that holds memory for much less than the time until a point has passed by then: it takes part of
+// an engine's time, not its memory for good.
+func (d *Demand) AddWaiting(s *Stream) { d.AddPromised(0, s) }
+
+// AddPromised adds a stream that is expected after a time.
+func (d *Demand) AddPromised(after time.Duration, s *Stream) {
 	for i, at := range points {
 		if at < after {
 			continue
 		}
 		part := 1.0
-		if since := at - after; since > lasts {
-			part = float64(lasts) / float64(since)
+		if since := at - after; since > s.Lasts {
+			part = float64(s.Lasts) / float64(since)
 		}
-		d.tokens[i] += part * float64(tokens)
+		d.tokens[i] += part * float64(s.Tokens)
+		d.unread[i] += float64(s.Unread)
 	}
 }
 
-// AddInflow adds streams that are yet to arrive: tokens a second, each of which is held for a duration.
-func (d *Demand) AddInflow(tokensPerSecond float64, lasts time.Duration) {
+// AddInflow adds streams that are yet to arrive: tokens of memory a second, each of which is held for a duration, and prompt tokens a second.
+func (d *Demand) AddInflow(tokensPerSecond float64, lasts time.Duration, unreadPerSecond float64) {
 	for i, at := range points {
 		d.tokens[i] += tokensPerSecond * min(at, lasts).Seconds()
+		d.unread[i] += unreadPerSecond * at.Seconds()
 	}
 }
--- a/lib/roomforecast/forecast.go
+++ b/lib/roomforecast/forecast.go
@@ -30,6 +30,16 @@
 	TokenTime time.Duration // time per output token
 	Runs      []Run
 	Copies    int // tokens taken by copies of other engines' runs
+	Unread    int // prompt tokens to be prefilled
+}
+
+// Stream is a stream that needs room.
+type Stream struct {
+	Tokens int           // of memory
+	Unread int           // prompt tokens to be prefilled
+	Lasts  time.Duration // how long it holds memory
+	// Budget returns how long the prompts pending on its engine, its own included, may take if it is placed d from now; nil: any time.
+	Budget func(d time.Duration) time.Duration
 }
 
 // points are the times from now for which room is forecast. Retry times beyond the last are not respected by callers.
@@ -63,24 +73,28 @@
 
 // Forecast is the room on the engines of a shard as forecast at one moment.
 type Forecast struct {
-	memory int
-	used   [][numPoints]moments // by engine
-	room   [sizeClasses + 1]*[numPoints]moments
+	memory  int
+	prefill time.Duration        // time per prompt token; 0: unknown
+	unread  []int                // by engine
+	used    [][numPoints]moments // by engine
+	room    [sizeClasses + 1]*[numPoints]moments
 }
 
-// New forecasts the room on some engines of the same memory. It returns nil if nothing is known of how fast one of them works, or if there
+// New forecasts the room on some engines of the same memory that take prefill to prefill a prompt token (0: unknown). It returns nil if nothing is known of how fast one of them works, or if there
 // is no engine.
-func New(engines []Engine, lengths *Lengths) *Forecast {
+func New(engines []Engine, prefill time.Duration, lengths *Lengths) *Forecast {
 	if len(engines) == 0 {
 		return nil
 	}
-	f := &Forecast{memory: engines[0].Memory, used: make([][numPoints]moments, len(engines))}
+	f := &Forecast{
+		memory: engines[0].Memory, prefill: prefill, unread: make([]int, len(engines)), used: make([][numPoints]moments, len(engines)),
+	}
 	for i := range engines {
 		e := &engines[i]
 		if len(e.Runs) > 0 && e.TokenTime <= 0 || e.Memory <= 0 {
 			return nil
 		}
-		f.used[i] = e.forecast(lengths)
+		f.used[i], f.unread[i] = e.forecast(lengths), e.Unread
 	}
 	return f
 }
@@ -160,23 +174,23 @@
 	return 1 / (1 + math.Exp(-logisticScale*margin/deviation))
 }
 
-// half is the continuity correction: a normal variable stands for a number of streams.
-const half = 0.5
-
-// ComesWithin reports whether room for a stream of the given tokens comes within d, with the given confidence, when demand takes room first.
-func (f *Forecast) ComesWithin(d time.Duration, tokens int, demand *Demand, confidence Confidence) bool {
-	at, ok := f.Time(tokens, demand, confidence)
-	return ok && at <= d
-}
+const (
+	// half is the continuity correction: a normal variable stands for a number of streams.
+	half = 0.5
+	// prefillSpread is the relative standard deviation of the prompt tokens that the engines prefill in a given time.
+	prefillSpread = 0.3
+)
 
-// Time returns the earliest time from now at which a stream of the given tokens has room, with the given confidence, when demand takes room
-// first; ok is false if that is beyond Horizon.
-func (f *Forecast) Time(tokens int, demand *Demand, confidence Confidence) (d time.Duration, ok bool) {
-	room := f.roomFor(f.classOf(tokens))
-	size := float64(max(tokens, 1))
+// Time returns the earliest time from now at which a stream has room, with the given confidence, when demand takes room first; ok is false
+// if that is beyond Horizon.
+func (f *Forecast) Time(s *Stream, demand *Demand, confidence Confidence) (d time.Duration, ok bool) {
+	size := float64(max(s.Tokens, 1))
 	before := 0.0
-	for i, m := range room {
+	for i, m := range f.roomFor(f.classOf(s.Tokens)) {
 		surplus := m.mean - float64(confidence)*math.Sqrt(m.variance) - demand.tokens[i]/size - half
+		if surplus >= 0 {
+			surplus = min(surplus, f.prefillSurplus(i, s, demand, confidence))
+		}
 		if surplus >= 0 {
 			return interpolate(i, before, surplus), true
 		}
@@ -185,11 +199,30 @@
 	return 0, false
 }
 
+// prefillSurplus returns for how many more streams, beyond the given one, the engines can prefill prompts in time by a point.
+func (f *Forecast) prefillSurplus(i int, s *Stream, demand *Demand, confidence Confidence) float64 {
+	if f.prefill <= 0 || s.Unread <= 0 || s.Budget == nil {
+		return math.Inf(1)
+	}
+	unread := float64(s.Unread)
+	done := float64(points[i]) / float64(f.prefill) * (1 - prefillSpread*float64(confidence))
+	// An engine without pending prompts takes a prompt of any length.
+	pending := max(float64(s.Budget(points[i]))/float64(f.prefill), unread)
+	streams := 0.0
+	for _, before := range f.unread {
+		streams += math.Floor(max(0, done+pending-float64(before)) / unread)
+	}
+	return streams - demand.unread[i]/unread - 1
+}
+
 // interpolate returns where the surplus becomes positive between the point before i and i.
 func interpolate(i int, before, surplus float64) time.Duration {
 	if i == 0 {
 		return 0
 	}
-	part := before / (before - surplus)
+	part := 1.0
+	if !math.IsInf(surplus, 1) {
+		part = before / (before - surplus)
+	}
 	return points[i-1] + time.Duration(part*float64(points[i]-points[i-1]))
 }
