--- a/lib/owner/inflow.go
+++ b/lib/owner/inflow.go
@@ -17,18 +17,15 @@
 // inflow estimates how much memory arriving streams take, short ones and others.
 type inflow struct{ short, long flow }
 
-// flow is a decayed sum over recent arrivals.
+// flow is a decayed sum over recent arrivals. It is too low at first: a few arrivals show no rate.
 type flow struct {
 	tokens       float64
 	unread       float64
 	tokenSeconds float64
-	since, at    time.Time
+	at           time.Time
 }
 
 func (f *flow) add(now time.Time, s *roomforecast.Stream) {
-	if f.at.IsZero() {
-		f.since, f.at = now, now
-	}
 	decay := math.Exp(-float64(now.Sub(f.at)) / float64(inflowMemory))
 	f.tokens = f.tokens*decay + float64(s.Tokens)
 	f.unread = f.unread*decay + float64(s.Unread)
@@ -42,8 +39,7 @@
 		return
 	}
 	decay := math.Exp(-float64(now.Sub(f.at)) / float64(inflowMemory))
-	observed := float64(inflowMemory) * (1 - math.Exp(-float64(now.Sub(f.since))/float64(inflowMemory)))
-	perSecond := decay / max(1, observed/float64(time.Second))
+	perSecond := decay / inflowMemory.Seconds()
 	d.AddInflow(perSecond*f.tokens, time.Duration(f.tokenSeconds/f.tokens*float64(time.Second)), perSecond*f.unread)
 }
 
--- a/lib/owner/refuse.go
+++ b/lib/owner/refuse.go
@@ -165,7 +165,8 @@
 		drawn := float64(otherwise-admit.MinRetryAfter) / span
 		after = longest - time.Duration(lateShare*(1-drawn)*span)
 	}
+	room := now.Add(after)
 	after = max(after, admit.MinRetryAfter)
-	r.promise(now, promise{fingerprint: req.Fingerprint, at: now.Add(after), stream: l.expected(r, &req.Stream)})
+	r.promise(now, promise{fingerprint: req.Fingerprint, at: now.Add(after), room: room, stream: l.expected(r, &req.Stream)})
 	return after
 }
--- a/lib/owner/room.go
+++ b/lib/owner/room.go
@@ -23,7 +23,8 @@
 // promise is a retry time that was given to a caller.
 type promise struct {
 	fingerprint uint64
-	at          time.Time
+	at          time.Time // that the caller was given
+	room        time.Time // from which room is kept for it; no later than at
 	stream      roomforecast.Stream
 }
 
@@ -162,7 +163,7 @@
 		}
 	}
 	for i := range r.promises {
-		demand.AddPromised(r.promises[i].at.Sub(now), &r.promises[i].stream)
+		demand.AddPromised(r.promises[i].room.Sub(now), &r.promises[i].stream)
 	}
 	r.inflow.addTo(now, &demand)
 	stream, again := l.expected(r, &req.Stream), req.Stream
--- a/lib/roomforecast/forecast.go
+++ b/lib/roomforecast/forecast.go
@@ -13,8 +13,6 @@
 import (
 	"math"
 	"time"
-
-	"anvilwick.example/anvilwick/lib/forecast"
 )
 
 // Run is a run on an engine, in tokens.
@@ -74,9 +72,9 @@
 // Forecast is the room on the engines of a shard as forecast at one moment.
 type Forecast struct {
 	memory  int
-	prefill time.Duration        // time per prompt token; 0: unknown
-	unread  []int                // by engine
-	used    [][numPoints]moments // by engine
+	prefill time.Duration      // time per prompt token; 0: unknown
+	unread  []int              // by engine
+	used    [][numPoints]usage // by engine
 	room    [sizeClasses + 1]*[numPoints]moments
 }
 
@@ -87,7 +85,7 @@
 		return nil
 	}
 	f := &Forecast{
-		memory: engines[0].Memory, prefill: prefill, unread: make([]int, len(engines)), used: make([][numPoints]moments, len(engines)),
+		memory: engines[0].Memory, prefill: prefill, unread: make([]int, len(engines)), used: make([][numPoints]usage, len(engines)),
 	}
 	for i := range engines {
 		e := &engines[i]
@@ -99,24 +97,35 @@
 	return f
 }
 
+// usage is the memory in use on an engine at one of points.
+type usage struct {
+	moments
+	unchanged float64 // probability that no run has ended
+	grown     float64 // memory in use if none has
+}
+
 // forecast returns the memory in use at each of points.
-func (e *Engine) forecast(lengths *Lengths) (out [numPoints]moments) {
-	var load forecast.Load
-	for _, r := range e.Runs {
-		load.Add(forecast.Generation{Held: r.Held, Output: r.Output}, lengths.survival(r.Hint))
+func (e *Engine) forecast(lengths *Lengths) (out [numPoints]usage) {
+	for i := range out {
+		out[i] = usage{moments: moments{mean: float64(e.Copies)}, unchanged: 1, grown: float64(e.Copies)}
 	}
-	load.AddConstant(float64(e.Copies))
-	at := 0
-	for i, d := range points {
-		steps := float64(d) / float64(max(1, e.TokenTime))
-		for at < forecast.Steps-2 && float64(forecast.Grid[at+1]) <= steps {
-			at++
-		}
-		from, to := float64(forecast.Grid[at]), float64(forecast.Grid[at+1])
-		part := min(1, (steps-from)/(to-from))
-		out[i] = moments{
-			mean:     load.Mean[at] + part*(load.Mean[at+1]-load.Mean[at]),
-			variance: load.Var[at] + part*(load.Var[at+1]-load.Var[at]),
+	for _, r := range e.Runs {
+		length := lengths.survival(r.Hint)
+		given := length.Reach(r.Output - 1)
+		for i, d := range points {
+			steps, p := int(d/max(1, e.TokenTime)), 1.0
+			switch {
+			case i == 0:
+			case given <= 0:
+				p = 0 // longer than any output before: it may end at any moment
+			default:
+				p = min(1, length.Reach(r.Output+steps)/given)
+			}
+			held := float64(r.Held + steps)
+			out[i].mean += p * held
+			out[i].variance += p * (1 - p) * held * held
+			out[i].unchanged *= p
+			out[i].grown += held
 		}
 	}
 	return out
@@ -144,7 +153,11 @@
 		for i, u := range used {
 			deviation := math.Sqrt(u.variance)
 			for n := 1; n <= maxPerEngine; n++ {
-				p := exceeds(float64(f.memory)-u.mean-float64(n)*tokens, deviation)
+				needed := float64(n) * tokens
+				p := exceeds(float64(f.memory)-u.mean-needed, deviation)
+				if u.grown+needed > float64(f.memory) {
+					p = min(p, 1-u.unchanged) // some run must end; the sum of a few is not normal
+				}
 				if p < negligible {
 					break
 				}
--- a/lib/roomforecast/lengths.go
+++ b/lib/roomforecast/lengths.go
@@ -3,7 +3,6 @@
 import (
 	"math/bits"
 
-	"anvilwick.example/anvilwick/lib/forecast"
 	"anvilwick.example/anvilwick/lib/length"
 )
 
@@ -59,9 +58,9 @@
 	hint  int
 }
 
-// Reach implements forecast.Survival.
+// Reach returns the probability that an output has more than n tokens.
 func (s scaled) Reach(n int) float64 { return s.curve.Reach(units(s.hint, n)) }
 
-func (l *Lengths) survival(hint int) forecast.Survival {
+func (l *Lengths) survival(hint int) scaled {
 	return scaled{curve: l.estimator.Curve(l.groupOf(hint)), hint: hint}
 }
