--- a/lib/owner/refuse.go
+++ b/lib/owner/refuse.go
@@ -45,10 +45,13 @@
 		return Answer{}, false
 	}
 	r := l.roomOf(s.Key)
-	if r == nil || l.currentForecast(now, s, r) == nil {
+	if r == nil || len(l.waiting) > 0 && now.Sub(r.at) >= forecastAge {
+		return Answer{}, false // the next pass over the waiting requests, which is due, computes the forecast once for all
+	}
+	if l.currentForecast(now, s, r) == nil {
 		return Answer{}, false
 	}
-	demand := l.ahead(s, r, l.orderOf(&req.Stream))
+	demand := l.ahead(now, s, r, l.orderOf(&req.Stream))
 	if !l.waitsInVain(now, r, req, &demand) {
 		return Answer{}, false
 	}
@@ -96,9 +99,9 @@
 // startsInTime reports whether a waiting request is more likely than not to be placed within its wait. Others leave the queue without taking
 // room from those behind them.
 func (l *Ledger) startsInTime(now time.Time, sp *shardPass, w *waitingRequest) bool {
-	stream := l.atFirst(sp.shardRoom, &w.Stream)
-	stream.Budget = func(d time.Duration) time.Duration { return w.Stream.PrefillBudget(now.Add(d)) }
-	at, ok := sp.forecast.Time(&stream, &sp.ahead, roomforecast.Even)
+	w.stream = l.atFirst(sp.shardRoom, &w.Stream)
+	w.stream.Budget = func(d time.Duration) time.Duration { return w.Stream.PrefillBudget(now.Add(d)) }
+	at, ok := sp.forecast.Time(&w.stream, &sp.ahead, roomforecast.Even)
 	return ok && at <= w.Stream.WaitDeadline().Sub(now)
 }
 
@@ -141,8 +144,7 @@
 		return p.l.refuse(p.now, w.shard, &w.PlaceRequest, Forecast), true
 	}
 	if w.likely = p.l.startsInTime(p.now, sp, w); w.likely {
-		stream := p.l.atFirst(sp.shardRoom, &w.Stream)
-		sp.ahead.AddWaiting(&stream)
+		sp.ahead.AddWaiting(&w.stream)
 	}
 	return Answer{}, false
 }
--- a/lib/owner/room.go
+++ b/lib/owner/room.go
@@ -36,6 +36,9 @@
 	inflow   inflow
 	margin   margin
 
+	waitingDemand roomforecast.Demand // of the waiting requests that probably start in time, as of the last pass over them
+	demandAt      time.Time           // of that pass
+
 	forecast  *roomforecast.Forecast
 	at        time.Time // of the forecast
 	accepting []string  // engines of the forecast
@@ -129,16 +132,19 @@
 	return out
 }
 
-// ahead returns the demand of the requests that wait for a shard and go before a new one with the given order.
-func (l *Ledger) ahead(s *Shard, r *shardRoom, before time.Time) roomforecast.Demand {
-	var d roomforecast.Demand
-	for _, w := range l.waiting {
-		if w.order.After(before) {
+// ahead returns the demand of the requests that wait for a shard, probably start in time and go before a new one with the given order, as of
+// the last pass over them. Most requests arrive in about their order, so that few are to be subtracted.
+func (l *Ledger) ahead(now time.Time, s *Shard, r *shardRoom, before time.Time) roomforecast.Demand {
+	if now.Sub(r.demandAt) >= forecastAge {
+		return roomforecast.Demand{} // nothing has waited lately
+	}
+	d := r.waitingDemand
+	for _, w := range slices.Backward(l.waiting) {
+		if !w.order.After(before) {
 			break
 		}
 		if w.shard.Key == s.Key && w.likely {
-			stream := l.atFirst(r, &w.Stream)
-			d.AddWaiting(&stream)
+			d.Remove(&w.stream)
 		}
 	}
 	return d
@@ -221,10 +227,12 @@
 	r.inflow.add(now, &stream)
 }
 
-// checkRefusals checks the refusals that are watched against the room that is left once the waiting requests are decided.
-func (p *waitingPass) checkRefusals() {
+// finish keeps the demand for requests that arrive until the next pass, and checks the refusals that are watched against the room that is
+// left once the waiting requests are decided.
+func (p *waitingPass) finish() {
 	for _, sp := range p.shards {
 		if sp != nil {
+			sp.waitingDemand, sp.demandAt = sp.ahead, p.now
 			sp.margin.check(p.now, func(s admit.Stream) bool {
 				s.Need.Among, s.Need.Reserved = sp.accepting, p.l.reserved[sp.key]
 				return p.l.placer().HasRoom(p.now, s)
--- a/lib/owner/wait.go
+++ b/lib/owner/wait.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/admit"
+	"anvilwick.example/anvilwick/lib/roomforecast"
 )
 
 type waitingRequest struct {
@@ -12,7 +13,9 @@
 	shard    *Shard
 	lastSeen time.Time
 	order    time.Time // position in the queue
-	likely   bool      // it probably starts in time, as of the last pass
+
+	likely bool                // it probably starts in time, as of the last pass
+	stream roomforecast.Stream // as counted in that pass
 }
 
 // largeHeadStart is the head start in the queue, as a share of its latency objective, of a stream that takes all of an engine's memory over
@@ -77,7 +80,7 @@
 		}
 		return ok
 	})
-	pass.checkRefusals()
+	pass.finish()
 	return out
 }
 
--- a/lib/roomforecast/demand.go
+++ b/lib/roomforecast/demand.go
@@ -12,6 +12,11 @@
 // an engine's time, not its memory for good.
 func (d *Demand) AddWaiting(s *Stream) { d.AddPromised(0, s) }
 
+// Remove removes a stream that AddWaiting added.
+func (d *Demand) Remove(s *Stream) {
+	d.AddWaiting(&Stream{Tokens: -s.Tokens, Unread: -s.Unread, Lasts: s.Lasts})
+}
+
 // AddPromised adds a stream that is expected after a time.
 func (d *Demand) AddPromised(after time.Duration, s *Stream) {
 	for i, at := range points {
