--- a/lib/admit/admit.go
+++ b/lib/admit/admit.go
@@ -122,7 +122,9 @@
 }
 
 // HasRoom reports whether Step would admit a stream, without choosing a target.
-func (p *Placer) HasRoom(now time.Time, s Stream) bool { return p.Fleet.HasRoom(now, p.needNow(now, s)) }
+func (p *Placer) HasRoom(now time.Time, s Stream) bool {
+	return p.Fleet.HasRoom(now, p.needNow(now, s))
+}
 
 // Reject returns a decision that rejects a stream, with a time to retry.
 func (p *Placer) Reject(s Stream) Decision {
