--- a/lib/owner/refuse_test.go
+++ b/lib/owner/refuse_test.go
@@ -176,6 +176,12 @@
 	}
 	r.observe(t0, nil, runs, func(string) bool { return false })
 	must.MapLen(t, maxTrackedRuns, r.runs)
+	for i := range 100 {
+		r.paces[fmt.Sprint("gone ", i)] = time.Millisecond
+	}
+	r.paces["here"] = time.Millisecond
+	r.expire([]string{"here"})
+	must.MapLen(t, 1, r.paces)
 	for i := range uint64(maxPromises + 10) {
 		r.promise(t0, promise{fingerprint: i, at: t0.Add(time.Second)})
 	}
--- a/lib/owner/room.go
+++ b/lib/owner/room.go
@@ -75,6 +75,7 @@
 }
 
 func (l *Ledger) computeForecast(s *Shard, r *shardRoom) *roomforecast.Forecast {
+	r.expire(r.accepting)
 	memory := l.fleet.UsableMemory(s.Service)
 	engines := make([]roomforecast.Engine, len(r.accepting))
 	index := make(map[string]*roomforecast.Engine, len(engines))
--- a/lib/replay/refusals.go
+++ b/lib/replay/refusals.go
@@ -76,8 +76,10 @@
 	}
 }
 
-// served returns the streams whose first event came.
-func (t Tally) served() float64 { return ratio(t.InTime+t.Late, t.Streams) }
+// served returns the fraction of streams whose first event came, without those whose callers would return after the end.
+func (t Tally) served() float64 {
+	return ratio(t.InTime+t.Late, t.Streams-t.Retried+t.Refusals.Returned)
+}
 
 // refusalTime returns the mean time from a request until its first refusal, in seconds.
 func (t Tally) refusalTime() float64 {
--- a/lib/replay/refusals_test.go
+++ b/lib/replay/refusals_test.go
@@ -16,16 +16,11 @@
 	}
 	for label, got := range map[string]Tally{"with": with, "without": without} {
 		t.Logf("%s %s: in time %.4f, served %.4f, refused at once %.3f, %.2f s to refusal, retries that found room %.3f",
-			name, label, got.Share(), got.servedOfReturned(), ratio(got.Refusals.AtOnce, got.Retried), got.refusalTime(), got.roomShare())
+			name, label, got.Share(), got.served(), ratio(got.Refusals.AtOnce, got.Retried), got.refusalTime(), got.roomShare())
 	}
 	return with, without
 }
 
-// servedOfReturned is the fraction of streams whose first event came, without those whose callers would return after the end.
-func (t Tally) servedOfReturned() float64 {
-	return ratio(t.InTime+t.Late, t.Streams-t.Retried+t.Refusals.Returned)
-}
-
 // There is less room than streams need for seconds, and callers come back. Refusing at once what waits in vain must cost no stream its
 // start, and refusals must come sooner.
 func TestRefusedSoonerAndNoFewerServed(t *testing.T) {
@@ -33,7 +28,7 @@
 		p.Duration = 40 * time.Second
 		with, without := withAndWithout(t, name, p)
 		must.Greater(t, without.Share()-0.01, with.Share(), must.Sprint(name))
-		must.Greater(t, without.servedOfReturned()-0.005, with.servedOfReturned(), must.Sprint(name))
+		must.Greater(t, without.served()-0.005, with.served(), must.Sprint(name))
 		must.Less(t, 0.95*without.refusalTime(), with.refusalTime(), must.Sprint(name))
 		must.Positive(t, with.Refusals.AtOnce, must.Sprint(name))
 	}
