--- a/lib/owner/refuse.go
+++ b/lib/owner/refuse.go
@@ -96,8 +96,8 @@
 // minSaved is the least time that a refusal must save its caller. It covers what the forecast doesn't resolve.
 const minSaved = 100 * time.Millisecond
 
-// startsInTime reports whether a waiting request is more likely than not to be placed within its wait. Others leave the queue without taking
-// room from those behind them.
+// startsInTime reports whether a waiting request is more likely than not to be placed within its wait. Others leave the queue without
+// taking room from those behind them.
 func (l *Ledger) startsInTime(now time.Time, sp *shardPass, w *waitingRequest) bool {
 	w.stream = l.atFirst(sp.shardRoom, &w.Stream)
 	w.stream.Budget = func(d time.Duration) time.Duration { return w.Stream.PrefillBudget(now.Add(d)) }
@@ -152,8 +152,8 @@
 // lateShare is the part of the time that a caller respects, at its end, over which retries are spread when no room is expected before.
 const lateShare = 0.25
 
-// retryAfter returns the retry time of a refused stream: when room for it is expected, behind what waits and the retries promised before, so
-// that callers return in order along the time in which room is released. Without a forecast it is the given time.
+// retryAfter returns the retry time of a refused stream: when room for it is expected, behind what waits and the retries promised before,
+// so that callers return in order along the time in which room is released. Without a forecast it is the given time.
 func (l *Ledger) retryAfter(now time.Time, s *Shard, req *PlaceRequest, otherwise time.Duration) time.Duration {
 	longest := req.Stream.MaxRetryAfter
 	r := l.roomOf(s.Key)
--- a/lib/owner/refuse_bench_test.go
+++ b/lib/owner/refuse_bench_test.go
@@ -70,3 +70,20 @@
 		must.Len(b, 64, l.waiting)
 	})
 }
+
+// BenchmarkReport measures a report of twelve runs.
+func BenchmarkReport(b *testing.B) {
+	benchmarkBoth(b, func(b *testing.B, noForecast bool) {
+		l, _, s := newTestLedger(12)
+		l.noForecast = noForecast
+		now, seq := t0, uint64(0)
+		for b.Loop() {
+			now, seq = now.Add(20*time.Millisecond), seq+1
+			runs := make([]Run, 0, 12)
+			for i, e := range s.Engines() {
+				runs = append(runs, Run{ID: uint64(i), Target: e, Tokens: 1000 + 2*int(seq%1000), Remaining: 500})
+			}
+			l.Report(now, report(s, "i", seq, runs...))
+		}
+	})
+}
--- a/lib/owner/refuse_test.go
+++ b/lib/owner/refuse_test.go
@@ -71,8 +71,8 @@
 	must.Eq(t, admit.Admit, a.Action)
 }
 
-// A stream waits for an engine whose run is about to end, and that engine leaves. The stream is refused by the next decision, not when its wait
-// ends.
+// A stream waits for an engine whose run is about to end, and that engine leaves. The stream is refused by the next decision, not when its
+// wait ends.
 func TestWaitingStreamIsRefusedWhenItsEngineLeaves(t *testing.T) {
 	l, f, s := newTestLedger(2)
 	now := t0
--- a/lib/owner/room.go
+++ b/lib/owner/room.go
@@ -133,8 +133,8 @@
 	return out
 }
 
-// ahead returns the demand of the requests that wait for a shard, probably start in time and go before a new one with the given order, as of
-// the last pass over them. Most requests arrive in about their order, so that few are to be subtracted.
+// ahead returns the demand of the requests that wait for a shard, probably start in time and go before a new one with the given order, as
+// of the last pass over them. Most requests arrive in about their order, so that few are to be subtracted.
 func (l *Ledger) ahead(now time.Time, s *Shard, r *shardRoom, before time.Time) roomforecast.Demand {
 	if now.Sub(r.demandAt) >= forecastAge {
 		return roomforecast.Demand{} // nothing has waited lately
@@ -151,8 +151,8 @@
 	return d
 }
 
-// promisedTime returns when a stream that is refused now is expected to find room: behind what waits, what was promised before and what is yet
-// to arrive. ok is false if there is no forecast, or no room within the time that its caller respects.
+// promisedTime returns when a stream that is refused now is expected to find room: behind what waits, what was promised before and what is
+// yet to arrive. ok is false if there is no forecast, or no room within the time that its caller respects.
 func (l *Ledger) promisedTime(now time.Time, s *Shard, req *PlaceRequest) (d time.Duration, ok bool) {
 	r := l.roomOf(s.Key)
 	if r == nil {
--- a/lib/replay/refusals.go
+++ b/lib/replay/refusals.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// atOnce is the longest time from a request until its refusal that counts as at once: the messages to the owner and back, and some forwarding.
+// atOnce is the longest time from a request until its refusal that counts as at once: the messages to the owner and back, and some
+// forwarding.
 const atOnce = 30 * time.Millisecond
 
 // roomWithin is the longest time until a retried stream is placed that counts as having found room: the share of its objective that any new
--- a/lib/roomforecast/demand.go
+++ b/lib/roomforecast/demand.go
@@ -32,7 +32,8 @@
 	}
 }
 
-// AddInflow adds streams that are yet to arrive: tokens of memory a second, each of which is held for a duration, and prompt tokens a second.
+// AddInflow adds streams that are yet to arrive: tokens of memory a second, each of which is held for a duration, and prompt tokens a
+// second.
 func (d *Demand) AddInflow(tokensPerSecond float64, lasts time.Duration, unreadPerSecond float64) {
 	for i, at := range points {
 		d.tokens[i] += tokensPerSecond * min(at, lasts).Seconds()
--- a/lib/roomforecast/forecast.go
+++ b/lib/roomforecast/forecast.go
@@ -78,8 +78,8 @@
 	room    [sizeClasses + 1]*[numPoints]moments
 }
 
-// New forecasts the room on some engines of the same memory that take prefill to prefill a prompt token (0: unknown). It returns nil if nothing is known of how fast one of them works, or if there
-// is no engine.
+// New forecasts the room on some engines of the same memory that take prefill to prefill a prompt token (0: unknown). It returns nil if
+// nothing is known of how fast one of them works, or if there is no engine.
 func New(engines []Engine, prefill time.Duration, lengths *Lengths) *Forecast {
 	if len(engines) == 0 {
 		return nil
