--- a/lib/claim/takeover.go
+++ b/lib/claim/takeover.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/ctxtime"
 	"anvilwick.example/anvilwick/lib/ids"
 	"anvilwick.example/anvilwick/lib/platform"
 	"anvilwick.example/anvilwick/lib/platformapi"
@@ -50,6 +51,11 @@
 	if sum != nil || err != nil {
 		return nil, sum, err
 	}
+	if t.isSettling(time.Now()) {
+		// The answer to this takeover was the first one in a new era: an earlier takeover may be lost, and will be rewritten.
+		c.abandonTakeOver(true)
+		return nil, nil, settlingRefusal()
+	}
 	return c, nil, nil
 }
 
@@ -69,7 +75,7 @@
 		if !done {
 			return alreadyRunning("in progress at this entry")
 		}
-		if !sleepJittered(ctx, settlePollInterval) {
+		if !ctxtime.SleepJittered(ctx, settlePollInterval) {
 			return storeDown(errOutcomePending)
 		}
 	}
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -9,6 +9,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"anvilwick.example/anvilwick/lib/plainload"
 )
 
 // State is the lifecycle state of a target.
@@ -52,17 +54,16 @@
 	failureShare float64 // decayed share of this instance's requests that the target failed
 	avoidUntil   time.Time
 	avoidStep    time.Duration
-	reportedLoad float64 // running and waiting requests, from its last response
-	reportedAt   time.Time
-	lastContact  time.Time // when this instance or a peer last received anything from it
-	backoffSince time.Time // when it last asked for backoff
-	backoffUntil time.Time // it accepts nothing from this instance until then
-	listed       bool      // the list has an entry for it
-	missingSince time.Time // since when a list read after an outage has lacked it; zero: it is listed
-	peers        peerTotal // load of the peers there
-	unreadable   bool      // its entry could not be decoded; reset by the next valid entry
-	grantedAt    time.Time // when an owner last granted it; zero: it is on this instance's own list
-	coldUntil    time.Time // it is cold until then
+	plain        *plainload.Target // load of a plain target; nil: none known
+	lastContact  time.Time         // when this instance or a peer last received anything from it
+	backoffSince time.Time         // when it last asked for backoff
+	backoffUntil time.Time         // it accepts nothing from this instance until then
+	listed       bool              // the list has an entry for it
+	missingSince time.Time         // since when a list read after an outage has lacked it; zero: it is listed
+	peers        peerTotal         // load of the peers there
+	unreadable   bool              // its entry could not be decoded; reset by the next valid entry
+	grantedAt    time.Time         // when an owner last granted it; zero: it is on this instance's own list
+	coldUntil    time.Time         // it is cold until then
 	pacer        pacer
 	suspicion    suspicion
 	limit        LimitNotice
@@ -101,7 +102,11 @@
 	regions   map[string]string // by failure domain
 	senders   func(target string, n int) bool
 
-	amongBuf []*Target // result of the last call of among
+	amongBuf []*Target         // result of the last call of among
+	sizesBuf []Size            // sizes of the runs on the engine that is being considered
+	sizedBuf []plainload.Sized // of the last call of surveyPlain
+
+	plainView plainView // of the current choice among a plain service's targets
 }
 
 type peer struct {
@@ -180,6 +185,13 @@
 	f.specs = specs
 }
 
+// Spec returns the settings of a service's targets.
+func (f *Fleet) Spec(service string) Spec {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.specs[service]
+}
+
 // SetSizes sets the function that returns the sizes of this instance's own runs on a target. It must not call the Fleet.
 func (f *Fleet) SetSizes(own func(target string) []Size) {
 	f.mu.Lock()
@@ -290,16 +302,6 @@
 	}
 }
 
-// SetReportedLoad records the load that a target reported with a response.
-func (f *Fleet) SetReportedLoad(now time.Time, id string, running, waiting int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if t := f.targets[id]; t != nil {
-		t.reportedLoad = float64(running + waiting)
-		t.reportedAt = now
-	}
-}
-
 // RecordContact records that something was received from a target.
 func (f *Fleet) RecordContact(at time.Time, id string) {
 	f.mu.Lock()
--- a/lib/fleet/room.go
+++ b/lib/fleet/room.go
@@ -27,7 +27,7 @@
 	defer f.mu.Unlock()
 	n.asOwner = true
 	for _, t := range f.among(n.Service, n.Among) {
-		if !n.Reserved[t.ID] && !now.Before(t.avoidUntil) && f.allowed(now, t, n) {
+		if !n.Reserved[t.ID] && !now.Before(t.avoidUntil) && f.allowed(now, t, &n) {
 			return true
 		}
 	}
--- a/lib/gateway/log.go
+++ b/lib/gateway/log.go
@@ -62,6 +62,12 @@
 	ev := l.line(log.Info(), "sent", e).Str("target", target).Int("ready", known.ReadyTargets)
 	ev = ev.Int("runs", known.Load.Runs).Int("tokens", known.Load.Tokens).Int("unread", known.Load.Unread)
 	ev = ev.Int("peers", known.Peers).Int64("news_ms", known.OldestUpdate.Milliseconds())
+	if p := known.Plain; p.Reported {
+		ev = ev.Int("others", p.Others).Int64("load_ms", p.Age.Milliseconds())
+	}
+	if p := known.Plain; p.Slowdown > 1 {
+		ev = ev.Float64("slowdown", p.Slowdown)
+	}
 	if len(known.Skipped) > 0 {
 		ev = ev.Str("passed_over", passedOver(known.Skipped))
 	}
@@ -134,6 +140,15 @@
 	ev.Bool("on", limit.On).Float64("per_second", limit.PerSecond).Msg("")
 }
 
+// LoadFault logs that a target's response named a load that is ignored.
+func (l Log) LoadFault(t fleet.Info, fault, value string) {
+	ev := log.Warn().Str("event", "load_fault").Str("target", t.ID).Str("service", t.Service)
+	ev.Str("fault", fault).Str("value", value[:min(len(value), maxLoggedValue)]).Msg("")
+}
+
+// maxLoggedValue bounds a value from a target in a log line, in bytes.
+const maxLoggedValue = 64
+
 // TargetResting logs that a target accepts nothing from this instance for some time.
 func (l Log) TargetResting(t fleet.Info, wait time.Duration) {
 	ev := log.Info().Str("event", "target_rests").Str("target", t.ID).Str("service", t.Service)
--- a/lib/owner/ledger.go
+++ b/lib/owner/ledger.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/admit"
+	"anvilwick.example/anvilwick/lib/fairqueue"
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/moveplan"
 )
@@ -58,6 +59,10 @@
 	RoomError time.Duration // if Returned: from the promised retry time until the stream was placed
 	Returned  bool          // the request is a retry at its promised time, and was placed
 
+	Waited   time.Duration  // until the decision, if the request waited
+	Move     fairqueue.Move // how fairness and urgency moved the request in the order of deadlines while it waited
+	KeptTurn bool           // its deadline kept it ahead of a request that fairness or urgency moved further ahead
+
 	Describe               bool       // as in the request
 	TargetInfo, BackupInfo fleet.Info // target list entries, if the request asks for them
 }
@@ -95,6 +100,9 @@
 	rejected map[uint64]time.Time // earliest time of a retry, by fingerprint
 	serial   uint64
 	moves    map[uint64]plannedMove // by run
+	pauses   pauseCosts
+	rates    rateFeed
+	fairness map[string]*fairness // by shard
 
 	room       map[string]*shardRoom // by shard
 	noForecast bool
@@ -110,6 +118,9 @@
 		rejected: make(map[uint64]time.Time),
 		moves:    make(map[uint64]plannedMove),
 		room:     make(map[string]*shardRoom),
+		rates:    newRateFeed(f),
+		fairness: make(map[string]*fairness),
+		pauses:   newPauseCosts(),
 	}
 }
 
@@ -130,6 +141,8 @@
 	}
 	r.clamp()
 	l.observeProgress(now, h, &r)
+	l.rates.markUnread(now, h.runs)
+	l.rates.markGrants(now, h.grants)
 	h.apply(now, &r)
 	l.publish(now, h)
 	l.applyObservations(now, h, &r)
@@ -143,6 +156,8 @@
 			l.fleet.RecordContact(now.Add(-run.SinceContact), run.Target)
 		}
 	}
+	l.rates.markUnread(now, r.Runs)
+	l.rates.observe(now, r)
 	if h.local {
 		return // local outcomes are recorded when they occur
 	}
@@ -203,7 +218,9 @@
 	}
 	l.markRetry(now, &req)
 	l.observeArrival(now, s, &req)
-	answer, ok = l.decide(now, s, &req)
+	if !l.mustQueue(s, &req) {
+		answer, ok = l.decide(now, s, &req)
+	}
 	if !ok {
 		answer, ok = l.refuseOnArrival(now, s, &req)
 	}
@@ -228,6 +245,7 @@
 	switch d.Action {
 	case admit.Admit:
 		l.grant(now, s, req, &out)
+		l.charge(now, s, req)
 	case admit.RetryLater:
 		out.After = l.retryAfter(now, s, req, d.RetryAfter)
 		l.rememberRejection(now, req, out.After)
@@ -245,8 +263,20 @@
 	need := req.Stream.Need
 	need.Among = s.Engines()
 	need.Reserved = l.reserved[s.Key]
+	p := l.placer()
+	if l.pauses.applies(req) {
+		pauses := l.pauses.decision(now, l.Rates(), s, l.fleet.Spec(need.Service), req)
+		p.PrefillTime, need.Penalty, need.Choice = pauses.prefillTime, pauses.penalty, new(fleet.Choice)
+	}
+	d := l.chooseWith(now, p, need, req)
+	if d.Action == admit.Admit && need.Choice != nil {
+		countChoice(need.Choice)
+	}
+	return d
+}
+
+func (l *Ledger) chooseWith(now time.Time, p *admit.Placer, need fleet.Need, req *PlaceRequest) admit.Decision {
 	if req.Mode == Admit {
-		p := l.placer()
 		stream := req.Stream
 		stream.Need = need
 		if d := p.Step(now, stream); d.Action != admit.Fallback {
@@ -271,6 +301,9 @@
 		}
 	}
 	l.expireRejections(now)
+	l.pauses.tick(now)
+	l.rates.tick(now)
+	l.expireFairness(now)
 	for id, p := range l.moves {
 		if now.Sub(p.at) > moveTTL {
 			delete(l.moves, id)
--- a/lib/owner/refuse.go
+++ b/lib/owner/refuse.go
@@ -27,7 +27,7 @@
 	if !limited || req.Mode != Admit {
 		return false
 	}
-	order, ahead := l.orderOf(&req.Stream), 0
+	order, ahead := l.positionOf(s, &req.Stream), 0
 	for _, w := range l.waiting {
 		if w.shard.Key == s.Key && !w.order.After(order) {
 			ahead++
@@ -51,7 +51,7 @@
 	if l.currentForecast(now, s, r) == nil {
 		return Answer{}, false
 	}
-	demand := l.ahead(now, s, r, l.orderOf(&req.Stream))
+	demand := l.ahead(now, s, r, l.positionOf(s, &req.Stream))
 	if !l.waitsInVain(now, r, req, &demand) {
 		return Answer{}, false
 	}
--- a/lib/replay/owners.go
+++ b/lib/replay/owners.go
@@ -29,6 +29,8 @@
 
 	outcomes       map[string]*targetOutcomes
 	prefillSamples []owner.PrefillSample
+	paces          map[string]*observedPace // by engine
+	pacesReported  time.Duration            // time of the last regular report of paces
 }
 
 type targetOutcomes struct {
@@ -66,7 +68,7 @@
 		for i, in := range s.instances {
 			in.coordinator = &coordinator{
 				Coordinator: owner.NewCoordinator(in.name, in.fleet, in.prefillRates, s.clock()),
-				lastGrants:  make(map[string]uint64), outcomes: make(map[string]*targetOutcomes),
+				lastGrants:  make(map[string]uint64), outcomes: make(map[string]*targetOutcomes), paces: make(map[string]*observedPace),
 			}
 			in.coordinator.SetRandom(s.decisionRNG)
 			if s.policy.NoForecast {
@@ -155,7 +157,7 @@
 	if p.queued {
 		r.next = o.s.now + queuedTimeout
 	}
-	req := owner.PlaceRequest{Key: p.key, Run: r.id, Fingerprint: r.id, Stream: r.admitted()}
+	req := owner.PlaceRequest{Key: p.key, Run: r.id, Fingerprint: r.id, Stream: o.s.admitted(r)}
 	o.s.sendMessage(messageDelay, func() { o.handleRequest(p.candidate, p.shard, r, p, req) })
 }
 
@@ -229,7 +231,8 @@
 
 func (o *ownerDecider) firstEvent(r *stream) {
 	d := r.instance.coordinator
-	d.prefillSamples = append(d.prefillSamples, owner.PrefillSample{Service: service, Unread: r.unread, Took: o.s.now - r.sent})
+	o.recordSlowdown(r)
+	d.prefillSamples = append(d.prefillSamples, owner.PrefillSample{Service: service, Target: r.engine.ID, Unread: r.unread, Took: o.s.now - r.sent})
 }
 
 func (o *ownerDecider) step() {
@@ -320,6 +323,7 @@
 	}
 	shardOf := o.shardOf(in)
 	reports := owner.ByShard(shardOf, runs, nil)
+	paces := o.takePaces(in, shardOf)
 	d.seq++
 	for _, sh := range o.layout.All() {
 		rep, has := reports[sh.Key]
@@ -330,6 +334,9 @@
 				has = true
 			}
 		}
+		if len(paces[sh.Key]) > 0 {
+			rep.Paces, has = paces[sh.Key], true
+		}
 		if !has && !d.reportedRuns {
 			continue
 		}
--- a/lib/replay/stream.go
+++ b/lib/replay/stream.go
@@ -1,6 +1,8 @@
 package replay
 
 import (
+	"cmp"
+	"math/rand/v2"
 	"time"
 
 	"anvilwick.example/anvilwick/lib/admit"
@@ -12,6 +14,7 @@
 	id             uint64
 	instance       *instance
 	long           bool
+	workspace      int           // rank of its sender by size, from 1; 0: unknown
 	first          time.Duration // time of the caller's first request
 	arrived        time.Duration // time of the caller's latest request
 	prompt         int
@@ -27,31 +30,41 @@
 	unread  int
 	emitted int
 	load    fleet.Load
+
+	lastEvent time.Duration // exact time of the newest event
+	longPause bool          // it had a pause beyond the objective
 }
 
 func (s *site) arrivals(long bool, rate float64) {
 	for p := rate * tick.Seconds(); p > 0; p-- {
 		if s.loadRNG.Float64() < p {
-			s.arrive(s.draw(long))
+			s.arrive(s.draw(s.loadRNG, long, s.sender.draw()))
 		}
 	}
 }
 
 // draw creates a stream like those of users: long ones have about 3,000 prompt and 600 output tokens, short ones about 2,500
 // and 10. The length estimate is right at the median and typically off by a factor of three.
-func (s *site) draw(long bool) *stream {
+func (s *site) draw(rng *rand.Rand, long bool, workspace int) *stream {
 	s.tally.Streams++
 	r := &stream{
-		id: uint64(s.tally.Streams), long: long, first: s.now, prompt: 1500 + s.loadRNG.IntN(3000), length: 60 + int(s.loadRNG.ExpFloat64()*540),
+		id: uint64(s.tally.Streams), long: long, first: s.now, prompt: 1500 + rng.IntN(3000), length: 60 + int(rng.ExpFloat64()*540),
 	}
 	if !long {
-		r.prompt, r.length = 800+s.loadRNG.IntN(3400), 4+s.loadRNG.IntN(12)
+		r.prompt, r.length = 800+rng.IntN(3400), 4+rng.IntN(12)
 		r.timeout = s.pattern.ShortTimeout
 	}
 	r.length = min(r.length, 1500)
-	deviation := s.loadRNG.NormFloat64()
+	if s.pattern.EventLengths {
+		s.drawEvents(rng, r)
+	}
+	deviation := rng.NormFloat64()
 	r.expectedLength = max(1, int(float64(r.length)*pow3(deviation)))
+	r.workspace = workspace
 	s.tally.Work += r.work()
+	if s.sender.isSmall(r.workspace) {
+		s.tally.Small++
+	}
 	if r.prompt > largePrompt {
 		s.tally.Large++
 	}
@@ -61,6 +74,19 @@
 	return r
 }
 
+// drawEvents gives a stream a length in events: about 190 with a heavy spread, or two or three.
+func (s *site) drawEvents(rng *rand.Rand, r *stream) {
+	events := 2 + rng.IntN(2)
+	if r.long {
+		events = min(16+int(rng.ExpFloat64()*174), 800)
+	}
+	r.length = events * s.pattern.tokensPerEvent()
+}
+
+func (p *Pattern) tokensPerEvent() int { return max(1, p.TokensPerEvent) }
+
+func (p *Pattern) engineTokens() int { return cmp.Or(p.EngineTokens, kvTokens) }
+
 // largePrompt is exceeded by about a tenth of the prompts.
 const largePrompt = 4100
 
@@ -101,8 +127,15 @@
 }
 
 // admitted converts the stream for lib/admit.
-func (r *stream) admitted() admit.Stream {
-	return admit.Stream{Arrived: start.Add(r.arrived), Objective: r.objective(), MaxRetryAfter: r.maxRetryAfter(), Need: r.need()}
+func (s *site) admitted(r *stream) admit.Stream {
+	out := admit.Stream{Arrived: start.Add(r.arrived), Objective: r.objective(), MaxRetryAfter: r.maxRetryAfter(), Need: r.need()}
+	if !s.policy.IgnorePauses {
+		out.GapObjective = s.pattern.GapObjective
+	}
+	if !s.policy.Unfair {
+		out.Workspace = uint64(r.workspace)
+	}
+	return out
 }
 
 func (s *site) arrive(r *stream) {
@@ -178,9 +211,17 @@
 	s.tally.Lost++
 }
 
-func (s *site) token(r *stream) {
+// token handles a token that an engine has emitted at the given time.
+func (s *site) token(r *stream, at time.Duration) {
 	r.emitted++
-	if r.emitted > 1 {
+	per := s.pattern.tokensPerEvent()
+	if r.emitted%per != 0 && r.emitted < r.length {
+		return
+	}
+	last := r.lastEvent
+	r.lastEvent = at
+	if last > 0 {
+		s.laterEvent(r, at-last)
 		return
 	}
 	if r.retried {
@@ -203,9 +244,26 @@
 	s.scheduleUpdate(r.instance)
 }
 
+// laterEvent handles an event after the first, and the pause before it.
+func (s *site) laterEvent(r *stream, pause time.Duration) {
+	s.decider.event(r, pause)
+	if s.pattern.GapObjective == 0 || pause <= s.pattern.GapObjective || r.longPause {
+		return
+	}
+	r.longPause = true
+	if r.long {
+		s.tally.PauseLate++
+	} else {
+		s.tally.ShortPauseLate++
+	}
+}
+
 func (s *site) inTime(r *stream) {
 	s.tally.InTime++
 	s.tally.WorkInTime += r.work()
+	if s.sender.isSmall(r.workspace) {
+		s.tally.SmallInTime++
+	}
 	if r.long {
 		s.tally.LongsInTime++
 	}
