--- a/lib/admit/admit.go
+++ b/lib/admit/admit.go
@@ -30,9 +30,9 @@
 	// prefillDeadlineShare is the share of the objective by which prefill must be done, counted from arrival. The rest is a reserve for
 	// unforeseen delays.
 	prefillDeadlineShare = 0.9
-	// minRetryAfter is the shortest retry time given to rejected streams. Capacity that frees up sooner goes to streams that already
+	// MinRetryAfter is the shortest retry time given to rejected streams. Capacity that frees up sooner goes to streams that already
 	// wait.
-	minRetryAfter = time.Second
+	MinRetryAfter = time.Second
 )
 
 // Stream describes an arriving stream.
@@ -94,13 +94,7 @@
 // Without an owner, waiting streams of an instance have no order: the first may find no capacity for long while others would. An
 // owner keeps an order that avoids idle capacity (lib/owner).
 func (p *Placer) Step(now time.Time, s Stream) Decision {
-	need := s.Need
-	need.RequireMemory = true
-	if s.Objective > 0 {
-		budget := s.prefillBudget(now)
-		need.MaxUnread = p.Prefill.TokensWithin(need.Service, budget)
-		need.MaxUnreadOf = p.maxUnreadOf(budget)
-	}
+	need := p.needNow(now, s)
 	acquire := p.Acquire
 	if acquire == nil {
 		acquire = p.Fleet.Acquire
@@ -120,6 +114,23 @@
 	return p.Reject(s)
 }
 
+// needNow returns what a stream requires of an engine that is chosen now.
+func (p *Placer) needNow(now time.Time, s Stream) fleet.Need {
+	need := s.Need
+	need.RequireMemory = true
+	if s.Objective > 0 {
+		budget := s.PrefillBudget(now)
+		need.MaxUnread = p.Prefill.TokensWithin(need.Service, budget)
+		need.MaxUnreadOf = p.maxUnreadOf(budget)
+	}
+	return need
+}
+
+// HasRoom reports whether Step would admit a stream, without choosing a target.
+func (p *Placer) HasRoom(now time.Time, s Stream) bool {
+	return p.Fleet.HasRoom(now, p.needNow(now, s))
+}
+
 // maxUnreadOf returns a function that limits the prompt tokens waiting on a target to what it prefills within a time.
 func (p *Placer) maxUnreadOf(budget time.Duration) func(target string) int {
 	if p.PrefillTime == nil {
@@ -139,9 +150,9 @@
 	return Decision{Action: RetryLater, RetryAfter: p.retryAfter(s.MaxRetryAfter)}
 }
 
-// prefillBudget returns how long the pending prompts on an engine chosen now may take: a share of the objective, and no more than is
+// PrefillBudget returns how long the pending prompts on an engine chosen now may take: a share of the objective, and no more than is
 // left of it after the wait.
-func (s *Stream) prefillBudget(now time.Time) time.Duration {
+func (s *Stream) PrefillBudget(now time.Time) time.Duration {
 	if s.IsRetry {
 		return time.Duration(prefillShare * float64(s.Objective))
 	}
@@ -152,12 +163,12 @@
 // retryAfter returns when a rejected stream should retry. Engines stay full for seconds and callers must not all return at once, so the
 // time is random over the range that callers respect.
 func (p *Placer) retryAfter(maxRetryAfter time.Duration) time.Duration {
-	if maxRetryAfter <= minRetryAfter {
+	if maxRetryAfter <= MinRetryAfter {
 		return maxRetryAfter
 	}
 	random := p.Random
 	if random == nil {
 		random = rand.Int64N
 	}
-	return minRetryAfter + time.Duration(random(int64(maxRetryAfter-minRetryAfter)))
+	return MinRetryAfter + time.Duration(random(int64(maxRetryAfter-MinRetryAfter)))
 }
--- a/lib/owner/fairness.go
+++ b/lib/owner/fairness.go
@@ -58,6 +58,11 @@
 	return shift
 }
 
+// positionOf returns the position that a stream would take in the queue.
+func (l *Ledger) positionOf(s *Shard, stream *admit.Stream) time.Time {
+	return l.orderOf(stream).Add(l.shift(s, stream))
+}
+
 func (l *Ledger) waiterOf(s *admit.Stream) fairqueue.Waiter {
 	return fairqueue.Waiter{
 		Workspace: s.Workspace, Priority: s.Priority, Wait: s.WaitDeadline().Sub(s.Arrived), Size: l.memoryShare(s), IsRetry: s.IsRetry,
@@ -94,7 +99,7 @@
 	if len(l.waiting) == 0 || req.Mode != Admit || req.Stream.Objective <= 0 || len(l.waiting) >= maxWaiting {
 		return false
 	}
-	order := l.orderOf(&req.Stream).Add(l.shift(s, &req.Stream))
+	order := l.positionOf(s, &req.Stream)
 	for _, w := range l.waiting {
 		if !w.order.Before(order) {
 			return false
--- a/lib/owner/ledger.go
+++ b/lib/owner/ledger.go
@@ -41,6 +41,8 @@
 	Fingerprint uint64 // identifies the caller's request across retries; 0: unknown
 
 	Describe bool // the requesting instance holds only a part of the target list
+
+	promisedAt time.Time // of a retry: the time that its caller was given
 }
 
 // Answer is the response to a PlaceRequest.
@@ -53,6 +55,9 @@
 	Serial    uint64 // of the grant
 	Backup    string // engine for the backup copy; empty: no engine has capacity
 	Estimate  fleet.KnownState
+	Cause     RefusalCause  // with RetryLater; only in the first answer to a request, as RoomError
+	RoomError time.Duration // if Returned: from the promised retry time until the stream was placed
+	Returned  bool          // the request is a retry at its promised time, and was placed
 
 	Waited   time.Duration  // until the decision, if the request waited
 	Move     fairqueue.Move // how fairness and urgency moved the request in the order of deadlines while it waited
@@ -98,6 +103,9 @@
 	pauses   pauseCosts
 	rates    rateFeed
 	fairness map[string]*fairness // by shard
+
+	room       map[string]*shardRoom // by shard
+	noForecast bool
 }
 
 // NewLedger returns an empty Ledger that decides by the state of f. Reports are entered into f as the loads of its peers.
@@ -109,6 +117,7 @@
 		answers:  make(map[Key]sentAnswer),
 		rejected: make(map[uint64]time.Time),
 		moves:    make(map[uint64]plannedMove),
+		room:     make(map[string]*shardRoom),
 		rates:    newRateFeed(f),
 		fairness: make(map[string]*fairness),
 		pauses:   newPauseCosts(),
@@ -131,6 +140,7 @@
 		return false
 	}
 	r.clamp()
+	l.observeProgress(now, h, &r)
 	l.rates.markUnread(now, h.runs)
 	l.rates.markGrants(now, h.grants)
 	h.apply(now, &r)
@@ -179,7 +189,7 @@
 	}
 	h := l.holders[shard][instance]
 	if h == nil && len(l.holders[shard]) < maxHolders {
-		h = &holder{name: instance + " " + shard, local: instance == l.self, outcomes: make(map[string]Outcomes)}
+		h = &holder{name: instance + " " + shard, shard: shard, local: instance == l.self, outcomes: make(map[string]Outcomes)}
 		l.holders[shard][instance] = h
 	}
 	return h
@@ -207,11 +217,12 @@
 		return Answer{}, false
 	}
 	l.markRetry(now, &req)
+	l.observeArrival(now, s, &req)
 	if !l.mustQueue(s, &req) {
 		answer, ok = l.decide(now, s, &req)
 	}
-	if !ok && l.cannotStartInTime(now, s, &req) {
-		return l.recordDecision(now, s, &req, l.placer().Reject(req.Stream)), true
+	if !ok {
+		answer, ok = l.refuseOnArrival(now, s, &req)
 	}
 	if !ok && len(l.waiting) < maxWaiting {
 		l.enqueue(&waitingRequest{PlaceRequest: req, shard: s, lastSeen: now})
@@ -236,9 +247,11 @@
 		l.grant(now, s, req, &out)
 		l.charge(now, s, req)
 	case admit.RetryLater:
-		l.rememberRejection(now, req, d.RetryAfter)
+		out.After = l.retryAfter(now, s, req, d.RetryAfter)
+		l.rememberRejection(now, req, out.After)
 	}
 	l.answers[req.Key] = sentAnswer{Answer: out, at: now}
+	out.annotate(now, req)
 	return out
 }
 
@@ -309,6 +322,7 @@
 	switch {
 	case now.Sub(h.lastReport) > reportTTL && len(h.grants) == 0:
 		delete(list, instance)
+		l.forgetProgress(h)
 		h.runs, h.copies = nil, nil
 		l.publish(now, h)
 	case len(h.grants) < n:
--- /dev/null
+++ b/lib/owner/margin.go
@@ -0,0 +1,94 @@
+package owner
+
+import (
+	"time"
+
+	"anvilwick.example/anvilwick/lib/admit"
+)
+
+const (
+	// maxWatched bounds the refused streams of a shard that are watched.
+	maxWatched = 64
+	// marginWrong and marginRight are the factors on the margin after a wrong and a right refusal. In equilibrium five in a hundred are
+	// wrong.
+	marginWrong = 0.9
+	marginRight = 1.0055
+	// marginMin bounds the margin: a forecast that is so often wrong refuses nothing at once.
+	marginMin = 0.05
+)
+
+// margin counts how often room came for a refused stream before its wait would have ended, and adapts the forecast times that refusals are
+// based on. The zero value has no margin.
+type margin struct {
+	factor       float64 // on forecast times; 0: 1
+	watched      []watchedRefusal
+	right, wrong uint64
+}
+
+// watchedRefusal is a stream that was refused early, until its wait would have ended.
+type watchedRefusal struct {
+	stream admit.Stream
+}
+
+func (w *watchedRefusal) tokens() int { return w.stream.Need.Peak.Held + w.stream.Need.Peak.Remaining }
+
+// applyTo reduces a forecast time by the margin.
+func (m *margin) applyTo(d time.Duration) time.Duration {
+	if m.factor == 0 {
+		return d
+	}
+	return time.Duration(m.factor * float64(d))
+}
+
+// watch remembers a stream that is refused early.
+func (m *margin) watch(now time.Time, s *admit.Stream) {
+	m.expire(now)
+	if len(m.watched) < maxWatched {
+		m.watched = append(m.watched, watchedRefusal{stream: *s})
+	}
+}
+
+// check checks whether the smallest watched stream has room now. Others would have to share that room with it.
+func (m *margin) check(now time.Time, hasRoom func(admit.Stream) bool) {
+	m.expire(now)
+	if len(m.watched) == 0 {
+		return
+	}
+	smallest := 0
+	for i := range m.watched {
+		if m.watched[i].tokens() < m.watched[smallest].tokens() {
+			smallest = i
+		}
+	}
+	if hasRoom(m.watched[smallest].stream) {
+		m.remove(smallest)
+	}
+}
+
+// remove drops a watched stream for which room came.
+func (m *margin) remove(i int) {
+	m.watched = append(m.watched[:i], m.watched[i+1:]...)
+	m.wrong++
+	m.scale(marginWrong)
+}
+
+// expire drops the watched streams whose wait would be over.
+func (m *margin) expire(now time.Time) {
+	kept := m.watched[:0]
+	for _, w := range m.watched {
+		if now.Before(w.stream.WaitDeadline()) {
+			kept = append(kept, w)
+			continue
+		}
+		m.right++
+		m.scale(marginRight)
+	}
+	m.watched = kept
+}
+
+func (m *margin) scale(by float64) {
+	if m.factor == 0 {
+		m.factor = 1
+	}
+	m.factor = min(max(m.factor*by, marginMin), 1)
+}
--- a/lib/owner/wait.go
+++ b/lib/owner/wait.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/admit"
+	"anvilwick.example/anvilwick/lib/roomforecast"
 )
 
 type waitingRequest struct {
@@ -13,6 +14,9 @@
 	lastSeen time.Time
 	order    time.Time     // position in the queue
 	shift    time.Duration // by which fairness and urgency moved it there
+
+	likely bool                // it probably starts in time, as of the last pass
+	stream roomforecast.Stream // as counted in that pass
 }
 
 // largeHeadStart is the head start in the queue, as a share of its latency objective, of a stream that takes all of an engine's memory over
@@ -37,24 +41,6 @@
 	return min(1, float64(s.Need.Peak.Held)/float64(memory))
 }
 
-// cannotStartInTime reports whether a stream that would wait can't start before its wait is over: all engines of its shard have rate
-// limits, and the requests that wait ahead of it use them up.
-//
-// When a whole service is overloaded, more streams arrive than it accepts. A stream that waits in vain could have been retried sooner.
-func (l *Ledger) cannotStartInTime(now time.Time, s *Shard, req *PlaceRequest) bool {
-	perSecond, limited := l.fleet.TotalLimit(s.Engines())
-	if !limited || req.Mode != Admit {
-		return false
-	}
-	order, ahead := l.orderOf(&req.Stream).Add(l.shift(s, &req.Stream)), 0
-	for _, w := range l.waiting {
-		if w.shard.Key == s.Key && !w.order.After(order) {
-			ahead++
-		}
-	}
-	return float64(ahead+1) > perSecond*req.Stream.WaitDeadline().Sub(now).Seconds()
-}
-
 // enqueue inserts a request into the queue.
 func (l *Ledger) enqueue(w *waitingRequest) {
 	l.fairnessOf(w.shard.Key).urgencies.Include(w.Stream.Priority)
@@ -83,12 +69,16 @@
 	defer l.mu.Unlock()
 	clear(l.reserved)
 	l.sortWaiting()
+	pass := l.newWaitingPass(now)
 	var out []Answer
 	l.waiting = slices.DeleteFunc(l.waiting, func(w *waitingRequest) bool {
 		if now.Sub(w.lastSeen) > requestTTL {
 			return true
 		}
 		answer, ok := l.decide(now, w.shard, &w.PlaceRequest)
+		if !ok {
+			answer, ok = pass.refuse(w)
+		}
 		switch {
 		case ok:
 			l.describeWait(now, w, &answer)
@@ -98,6 +88,7 @@
 		}
 		return ok
 	})
+	pass.finish()
 	return out
 }
 
--- a/lib/replay/owners.go
+++ b/lib/replay/owners.go
@@ -71,6 +71,9 @@
 				lastGrants:  make(map[string]uint64), outcomes: make(map[string]*targetOutcomes), paces: make(map[string]*observedPace),
 			}
 			in.coordinator.SetRandom(s.decisionRNG)
+			if s.policy.NoForecast {
+				in.coordinator.DisableForecast()
+			}
 			capacity := uint32(1)
 			if i < 3*s.pattern.Domains {
 				capacity = 16
--- a/lib/replay/policy.go
+++ b/lib/replay/policy.go
@@ -28,6 +28,7 @@
 	ForceAdmit    bool // streams without a free target are sent to the best engine instead of being refused
 	ColdStandby   bool // with Owners: the second-ranked instance receives no reports until it takes over
 	NoForwarding  bool // with Owners: streams are not forwarded to other shards
+	NoForecast    bool // with Owners: streams wait for room without a forecast, and retry times are random
 	Unfair        bool // with Owners: waiting streams are ordered by deadline alone
 	IgnorePauses  bool // with Owners: placement ignores the objective for pauses
 }
@@ -38,7 +39,7 @@
 	"slices": {Strategy: DomainBroadcast}, "reports": {Strategy: EngineReports},
 	"force": {ForceAdmit: true}, "no-reading": {IgnorePrefill: true}, "slow-news": {Strategy: Broadcast, SlowUpdates: true},
 	"forget": {ColdStandby: true}, "stay": {NoForwarding: true}, "no-pauses": {IgnorePauses: true},
-	"unfair": {Unfair: true},
+	"unfair": {Unfair: true}, "no-forecast": {NoForecast: true},
 }
 
 // Delays and intervals of messages.
@@ -63,6 +64,7 @@
 	PauseLate, ShortPauseLate            int // long, and short, streams with a pause between events beyond Pattern.GapObjective
 	Messages                             int // between instances
 	WorkspaceTally
+	Refusals Refusals
 }
 
 // Add adds the counts of another simulation.
@@ -85,6 +87,7 @@
 	t.ShortPauseLate += o.ShortPauseLate
 	t.Messages += o.Messages
 	t.WorkspaceTally.add(o.WorkspaceTally)
+	t.Refusals.add(o.Refusals)
 }
 
 // Share returns the fraction of streams whose first token met its latency objective.
