Owner: a benchmark's name that two parts had

Cause: part-room and part-pauses each had BenchmarkDecideWaiting. Change: renamed after what differs, the forecast.

--- a/lib/owner/refuse_bench_test.go
+++ b/lib/owner/refuse_bench_test.go
@@ -35,8 +35,8 @@
 	b.Run("no-forecast", func(b *testing.B) { run(b, true) })
 }
 
-// BenchmarkDecideWaiting measures a pass over the waiting requests, 10 ms after the last.
-func BenchmarkDecideWaiting(b *testing.B) {
+// BenchmarkDecideWaitingWithForecast measures a pass over the waiting requests, 10 ms after the last.
+func BenchmarkDecideWaitingWithForecast(b *testing.B) {
 	benchmarkBoth(b, func(b *testing.B, noForecast bool) {
 		l, _, now := crowdedLedger(b, noForecast)
 		for b.Loop() {
