Owner: a pass over the waiting requests keeps its forecast

Cause: a pass used the forecast stored with the shard. The retry time of one request computes it anew when the number of accepting engines has changed; if the last one has just left, there is none, and the next request of the pass dereferenced nil. The instance would have crashed. The test failed with that panic.

Change: shardPass holds the forecast that the pass began with.

--- a/lib/owner/refuse.go
+++ b/lib/owner/refuse.go
@@ -48,11 +48,12 @@
 	if r == nil || len(l.waiting) > 0 && now.Sub(r.at) >= forecastAge {
 		return Answer{}, false // the next pass over the waiting requests, which is due, computes the forecast once for all
 	}
-	if l.currentForecast(now, s, r) == nil {
+	f := l.currentForecast(now, s, r)
+	if f == nil {
 		return Answer{}, false
 	}
-	demand := l.ahead(now, s, r, l.positionOf(s, &req.Stream))
-	if !l.waitsInVain(now, r, req, &demand) {
+	pass := shardPass{shardRoom: r, forecast: f, ahead: l.ahead(now, s, r, l.positionOf(s, &req.Stream))}
+	if !l.waitsInVain(now, &pass, req) {
 		return Answer{}, false
 	}
 	return l.refuse(now, s, req, Forecast), true
@@ -85,12 +86,12 @@
 }
 
 // waitsInVain reports whether even if lengths turn out as in the fast quarter of outcomes, room comes after the request's wait.
-func (l *Ledger) waitsInVain(now time.Time, r *shardRoom, req *PlaceRequest, ahead *roomforecast.Demand) bool {
+func (l *Ledger) waitsInVain(now time.Time, sp *shardPass, req *PlaceRequest) bool {
 	left := req.Stream.WaitDeadline().Sub(now)
-	stream := l.atFirst(r, &req.Stream)
+	stream := l.atFirst(sp.shardRoom, &req.Stream)
 	stream.Budget = func(d time.Duration) time.Duration { return req.Stream.PrefillBudget(now.Add(d)) }
-	at, ok := r.forecast.Time(&stream, ahead, roomforecast.Fast)
-	return left > minSaved && (!ok || r.margin.applyTo(at) > left+minSaved)
+	at, ok := sp.forecast.Time(&stream, &sp.ahead, roomforecast.Fast)
+	return left > minSaved && (!ok || sp.margin.applyTo(at) > left+minSaved)
 }
 
 // minSaved is the least time that a refusal must save its caller. It covers what the forecast doesn't resolve.
@@ -112,9 +113,11 @@
 	shards map[string]*shardPass
 }
 
+// shardPass is the state of a shard during one pass.
 type shardPass struct {
 	*shardRoom
-	ahead roomforecast.Demand
+	forecast *roomforecast.Forecast // that of the shard may be replaced during the pass, and be missing then
+	ahead    roomforecast.Demand    // of the requests decided so far that still wait
 }
 
 func (l *Ledger) newWaitingPass(now time.Time) waitingPass {
@@ -127,8 +130,10 @@
 	if known {
 		return sp
 	}
-	if r := p.l.roomOf(s.Key); r != nil && p.l.currentForecast(p.now, s, r) != nil {
-		sp = &shardPass{shardRoom: r}
+	if r := p.l.roomOf(s.Key); r != nil {
+		if f := p.l.currentForecast(p.now, s, r); f != nil {
+			sp = &shardPass{shardRoom: r, forecast: f}
+		}
 	}
 	p.shards[s.Key] = sp
 	return sp
@@ -140,7 +145,7 @@
 	if sp == nil {
 		return Answer{}, false
 	}
-	if mayRefuseEarly(w.shard, &w.PlaceRequest) && p.l.waitsInVain(p.now, sp.shardRoom, &w.PlaceRequest, &sp.ahead) {
+	if mayRefuseEarly(w.shard, &w.PlaceRequest) && p.l.waitsInVain(p.now, sp, &w.PlaceRequest) {
 		return p.l.refuse(p.now, w.shard, &w.PlaceRequest, Forecast), true
 	}
 	if w.likely = p.l.startsInTime(p.now, sp, w); w.likely {
--- a/lib/owner/refuse_test.go
+++ b/lib/owner/refuse_test.go
@@ -189,3 +189,19 @@
 	r.promise(t0.Add(time.Second+promiseTTL+1), promise{at: t0.Add(time.Minute)})
 	must.Len(t, 1, r.promises)
 }
+
+// The last engine of a shard leaves during a pass over the waiting requests, after the forecast for the pass was computed. The retry time
+// of one request notices that no engine is left to forecast; the next request is still decided.
+func TestPassOutlastsItsForecast(t *testing.T) {
+	l, f, s := newTestLedger(1)
+	now := fillEngines(l, s, "i")
+	pass := l.newWaitingPass(now)
+	must.NotNil(t, pass.shard(s))
+	f.MarkLeaving(now, s.Engines()[0], 0)
+	req := requestAt(now, 1, 3000)
+	l.retryAfter(now, s, &req, admit.MinRetryAfter)
+	must.Nil(t, l.room[s.Key].forecast)
+	a, ok := pass.refuse(&waitingRequest{PlaceRequest: requestAt(now, 2, 3000), shard: s})
+	must.True(t, ok)
+	must.Eq(t, admit.RetryLater, a.Action)
+}
