Owner: runs of an instance's earlier incarnation are no longer tracked

Cause: the first request of a new incarnation dropped the instance's runs, but not their progress. The next report has the incarnation already known, so nothing removed them: each restart kept entries of the table of 8192 runs, and once it is full no progress is observed.

Change: a grant to a new incarnation forgets the progress of the earlier one first, as a report does.

--- a/lib/owner/grant.go
+++ b/lib/owner/grant.go
@@ -12,7 +12,10 @@
 	if h == nil {
 		return
 	}
-	h.startIncarnation(req.Incarnation)
+	if req.Incarnation > h.incarnation {
+		l.forgetProgress(h)
+		h.startIncarnation(req.Incarnation)
+	}
 	need := &req.Stream.Need
 	l.serial++
 	out.Serial = l.serial
@@ -45,11 +48,8 @@
 	})
 }
 
-// startIncarnation drops the state of an earlier incarnation of the instance.
+// startIncarnation drops the state of the instance's incarnation so far.
 func (h *holder) startIncarnation(incarnation uint64) {
-	if incarnation <= h.incarnation {
-		return
-	}
 	h.incarnation, h.seq = incarnation, 0
 	h.runs, h.copies, h.grants = nil, nil, nil
 	h.outcomes = make(map[string]Outcomes)
--- a/lib/owner/refuse_test.go
+++ b/lib/owner/refuse_test.go
@@ -205,3 +205,17 @@
 	must.True(t, ok)
 	must.Eq(t, admit.RetryLater, a.Action)
 }
+
+// An instance starts anew and requests a placement before its first report. Its earlier runs are no longer tracked: with each start they
+// would take more of the bounded table, until the progress of no run is observed.
+func TestRunsOfEarlierIncarnationAreNotTracked(t *testing.T) {
+	l, _, s := newTestLedger(2)
+	l.Report(t0, report(s, "i", 1, Run{ID: 1, Target: s.Engines()[0], Tokens: 10}, Run{ID: 2, Target: s.Engines()[1], Tokens: 10}))
+	must.MapLen(t, 2, l.room[s.Key].runs)
+	req := requestAt(t0, 1, 10)
+	req.Incarnation = 2
+	a, ok := l.Place(t0, s, req)
+	must.True(t, ok)
+	must.Eq(t, admit.Admit, a.Action)
+	must.MapEmpty(t, l.room[s.Key].runs)
+}
