Owner: room is kept once for a caller that is refused repeatedly

Cause: each refusal added a promised retry, also for a caller that ignores its retry time and comes again at once. Ten refusals of one caller counted as ten streams, which moved the retry times of all others back; promises for streams that are unknown were all removed when one returned. The test failed with 10 promises.

Change: the earlier promise of a caller is removed before its new retry time is computed.

--- a/lib/owner/refuse.go
+++ b/lib/owner/refuse.go
@@ -165,6 +165,7 @@
 	if r == nil || l.currentForecast(now, s, r) == nil || longest <= admit.MinRetryAfter {
 		return otherwise
 	}
+	r.keep(req.Fingerprint) // a caller that comes too early gets a new time
 	after, ok := l.promisedTime(now, s, req)
 	if !ok || after > longest {
 		// otherwise is spread over the whole time; the same draw spreads the retry over the last part.
--- a/lib/owner/refuse_test.go
+++ b/lib/owner/refuse_test.go
@@ -219,3 +219,17 @@
 	must.Eq(t, admit.Admit, a.Action)
 	must.MapEmpty(t, l.room[s.Key].runs)
 }
+
+// A caller ignores its retry time and comes again at once, many times. Room is kept for it once, not for each refusal.
+func TestRepeatedRefusalsOfACallerKeepRoomOnce(t *testing.T) {
+	l, _, s := newTestLedger(2)
+	now := fillEngines(l, s, "i")
+	for id := range uint64(10) {
+		req := requestAt(now, id+1, 3000)
+		req.Fingerprint = 7
+		a, ok := l.Place(now, s, req)
+		must.True(t, ok)
+		must.Eq(t, Forecast, a.Cause)
+	}
+	must.Len(t, 1, l.room[s.Key].promises)
+}
--- a/lib/owner/room.go
+++ b/lib/owner/room.go
@@ -192,6 +192,9 @@
 
 // keep removes the promise to a stream that has returned.
 func (r *shardRoom) keep(fingerprint uint64) {
+	if fingerprint == 0 {
+		return // unknown
+	}
 	r.promises = slices.DeleteFunc(r.promises, func(p promise) bool { return p.fingerprint == fingerprint })
 }
 
