Owner: refusals are checked against room also while nothing waits

Cause: whether room came for a refused stream was looked at only by passes over waiting requests of the shard. When every stream is refused on arrival none waits, no pass looks, and each refusal counted as right once its wait was over, however wrong the forecast was. The margin that is to correct the forecast grew instead. The test failed with no wrong refusal.

Change: an arriving stream has them checked, at most once in forecastAge.

--- a/lib/owner/ledger.go
+++ b/lib/owner/ledger.go
@@ -218,6 +218,7 @@
 	}
 	l.markRetry(now, &req)
 	l.observeArrival(now, s, &req)
+	l.checkRefusals(now, s)
 	if !l.mustQueue(s, &req) {
 		answer, ok = l.decide(now, s, &req)
 	}
--- a/lib/owner/margin.go
+++ b/lib/owner/margin.go
@@ -22,6 +22,7 @@
 type margin struct {
 	factor       float64 // on forecast times; 0: 1
 	watched      []watchedRefusal
+	checkedAt    time.Time
 	right, wrong uint64
 }
 
@@ -51,6 +52,7 @@
 // check checks whether the smallest watched stream has room now. Others would have to share that room with it.
 func (m *margin) check(now time.Time, hasRoom func(admit.Stream) bool) {
 	m.expire(now)
+	m.checkedAt = now
 	if len(m.watched) == 0 {
 		return
 	}
@@ -65,6 +67,11 @@
 	}
 }
 
+// checkDue reports whether streams are watched that were not checked lately.
+func (m *margin) checkDue(now time.Time) bool {
+	return len(m.watched) > 0 && now.Sub(m.checkedAt) >= forecastAge
+}
+
 // remove drops a watched stream for which room came.
 func (m *margin) remove(i int) {
 	m.watched = append(m.watched[:i], m.watched[i+1:]...)
--- a/lib/owner/refuse.go
+++ b/lib/owner/refuse.go
@@ -59,6 +59,22 @@
 	return l.refuse(now, s, req, Forecast), true
 }
 
+// checkRefusals checks the refusals that are watched against the room that an arriving stream finds. While all streams are refused on
+// arrival, none waits and no pass does so; each refusal would count as right.
+func (l *Ledger) checkRefusals(now time.Time, s *Shard) {
+	if r := l.room[s.Key]; r != nil && r.margin.checkDue(now) {
+		l.checkMargin(now, r, s.Engines())
+	}
+}
+
+// checkMargin checks the refusals that are watched against the room on some engines.
+func (l *Ledger) checkMargin(now time.Time, r *shardRoom, engines []string) {
+	r.margin.check(now, func(s admit.Stream) bool {
+		s.Need.Among, s.Need.Reserved = engines, l.reserved[r.key]
+		return l.placer().HasRoom(now, s)
+	})
+}
+
 // annotate adds what is counted once for a request to its first answer.
 func (a *Answer) annotate(now time.Time, req *PlaceRequest) {
 	switch {
--- a/lib/owner/refuse_test.go
+++ b/lib/owner/refuse_test.go
@@ -233,3 +233,19 @@
 	}
 	must.Len(t, 1, l.room[s.Key].promises)
 }
+
+// Every stream is refused on arrival, so that none waits and no pass looks for room. Room comes before the wait of a refused stream would
+// have ended, and a smaller stream takes a part of it: the refusal counts as wrong.
+func TestRefusalIsCheckedWhileNothingWaits(t *testing.T) {
+	l, _, s := newTestLedger(2)
+	now := fillEngines(l, s, "i")
+	a, _ := l.Place(now, s, requestAt(now, 1, 3000))
+	must.Eq(t, Forecast, a.Cause)
+	must.False(t, l.HasWaiting())
+	now = now.Add(200 * time.Millisecond)
+	l.Report(now, report(s, "i", 9)) // all runs have ended
+	a, _ = l.Place(now, s, requestAt(now, 2, 3000))
+	must.Eq(t, admit.Admit, a.Action)
+	must.Eq(t, 1, l.room[s.Key].margin.wrong)
+	must.Eq(t, 0, l.room[s.Key].margin.right)
+}
--- a/lib/owner/room.go
+++ b/lib/owner/room.go
@@ -237,10 +237,7 @@
 	for _, sp := range p.shards {
 		if sp != nil {
 			sp.waitingDemand, sp.demandAt = sp.ahead, p.now
-			sp.margin.check(p.now, func(s admit.Stream) bool {
-				s.Need.Among, s.Need.Reserved = sp.accepting, p.l.reserved[sp.key]
-				return p.l.placer().HasRoom(p.now, s)
-			})
+			p.l.checkMargin(p.now, sp.shardRoom, sp.accepting)
 		}
 	}
 }
