Owner: state of unused shards is dropped

Cause: a shard's key contains the number of the service's shards, so that each new division gives new keys. The state that forecasts need was kept for all of them; after 256 keys, room was forecast for no further shard. The lists of instances by shard were never dropped either, for any name that a report contained. The test failed with 256 shards left.

Change: Tick drops the forecast state of a shard without requests and reports for 10 minutes, and empty lists of instances.

--- a/lib/owner/ledger.go
+++ b/lib/owner/ledger.go
@@ -305,15 +305,19 @@
 	l.pauses.tick(now)
 	l.rates.tick(now)
 	l.expireFairness(now)
+	l.expireRoom(now)
 	for id, p := range l.moves {
 		if now.Sub(p.at) > moveTTL {
 			delete(l.moves, id)
 		}
 	}
-	for _, list := range l.holders {
+	for shard, list := range l.holders {
 		for instance, h := range list {
 			l.expire(now, list, instance, h)
 		}
+		if len(list) == 0 {
+			delete(l.holders, shard)
+		}
 	}
 }
 
--- a/lib/owner/refuse_test.go
+++ b/lib/owner/refuse_test.go
@@ -249,3 +249,20 @@
 	must.Eq(t, 1, l.room[s.Key].margin.wrong)
 	must.Eq(t, 0, l.room[s.Key].margin.right)
 }
+
+// Shards that this instance was a candidate for have filled the table of those that room is forecast for. Those without requests and reports
+// are dropped, so that new shards are observed.
+func TestUnusedShardsAreDropped(t *testing.T) {
+	l, _, s := newTestLedger(2)
+	for i := range maxRoomShards {
+		l.Report(t0, Report{Shard: fmt.Sprint("earlier ", i), Instance: "i", Incarnation: 1, Seq: 1})
+	}
+	l.Tick(t0.Add(roomTTL))
+	must.MapLen(t, maxRoomShards, l.room)
+	now := t0.Add(roomTTL + time.Second)
+	l.Tick(now)
+	l.Report(now, report(s, "i", 1, longRun(1, s.Engines()[0], 0)))
+	must.MapLen(t, 1, l.room)
+	must.MapLen(t, 1, l.holders)
+	must.MapLen(t, 1, l.room[s.Key].runs)
+}
--- a/lib/owner/room.go
+++ b/lib/owner/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -18,6 +19,8 @@
 	maxPromises = 512
 	// promiseTTL is how long a promised retry is taken into account beyond its time, if its caller does not come.
 	promiseTTL = time.Second
+	// roomTTL is how long the state of a shard is kept without requests and reports: a service may be idle for some time.
+	roomTTL = 10 * time.Minute
 )
 
 // promise is a retry time that was given to a caller.
@@ -32,6 +35,7 @@
 type shardRoom struct {
 	*progress
 	key      string
+	usedAt   time.Time // time of the newest request or report
 	promises []promise
 	inflow   inflow
 	margin   margin
@@ -198,12 +202,18 @@
 	r.promises = slices.DeleteFunc(r.promises, func(p promise) bool { return p.fingerprint == fingerprint })
 }
 
+// expireRoom drops the state of shards without requests and reports.
+func (l *Ledger) expireRoom(now time.Time) {
+	maps.DeleteFunc(l.room, func(_ string, r *shardRoom) bool { return now.Sub(r.usedAt) > roomTTL })
+}
+
 // observeProgress learns from a report on the runs of an instance, before it is applied.
 func (l *Ledger) observeProgress(now time.Time, h *holder, rep *Report) {
 	r := l.roomOf(rep.Shard)
 	if r == nil {
 		return
 	}
+	r.usedAt = now
 	if rep.Incarnation != h.incarnation {
 		r.forget(h.runs)
 	}
@@ -223,6 +233,7 @@
 	if r == nil || req.Mode != Admit {
 		return
 	}
+	r.usedAt = now
 	if req.Stream.IsRetry {
 		r.keep(req.Fingerprint)
 		return
