Owner: an implausible output length keeps the demand of a stream positive

Cause: a placement request may name up to 2^31 output tokens. Multiplied by a slow engine's time per token the time for which the stream takes memory overflowed and became negative, so that it counted as room for the streams behind it. The test failed with a negative time.

Change: the length is limited as in reports.

--- a/lib/owner/refuse_test.go
+++ b/lib/owner/refuse_test.go
@@ -266,3 +266,14 @@
 	must.MapLen(t, 1, l.holders)
 	must.MapLen(t, 1, l.room[s.Key].runs)
 }
+
+// A request names an implausibly long output while engines are slow. The time for which it takes memory stays positive: otherwise it would
+// count as room for others.
+func TestImplausibleLengthKeepsDemandPositive(t *testing.T) {
+	l, _, s := newTestLedger(1)
+	r := l.roomOf(s.Key)
+	r.pace = 5 * time.Second
+	req := requestAt(t0, 1, 3000)
+	req.Stream.Need.Peak.Remaining = 1 << 31
+	must.Positive(t, l.expected(r, &req.Stream).Lasts)
+}
--- a/lib/owner/room.go
+++ b/lib/owner/room.go
@@ -127,7 +127,7 @@
 	if out.Tokens == 0 {
 		out.Tokens = n.Tokens
 	}
-	out.Lasts = l.prefillRates.Duration(n.Service, n.Unread) + time.Duration(n.Peak.Remaining)*r.pace
+	out.Lasts = l.prefillRates.Duration(n.Service, n.Unread) + time.Duration(clampTokens(n.Peak.Remaining))*r.pace
 	return out
 }
 
