--- a/lib/fairqueue/accounts.go
+++ b/lib/fairqueue/accounts.go
@@ -1,7 +1,9 @@
 package fairqueue
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -67,7 +69,9 @@
 func (a *Accounts) Expire(now time.Time) (empty bool) {
 	least := minTokens * a.scale(now)
 	a.total, a.weights = 0, 0
-	for workspace, used := range a.used {
+	// Sums must not depend on the order of a map, so that a simulation can be repeated.
+	for _, workspace := range slices.Sorted(maps.Keys(a.used)) {
+		used := a.used[workspace]
 		if used < least {
 			delete(a.used, workspace)
 			continue
--- a/lib/fairqueue/fairqueue_test.go
+++ b/lib/fairqueue/fairqueue_test.go
@@ -169,3 +169,20 @@
 	must.Less(t, shift(0.1), shift(0.2))
 	must.Eq(t, -500*time.Millisecond, shift(1))
 }
+
+// Sums of many accounts are taken anew. They are the same in each run of a program, in whatever order a map lists the accounts: otherwise
+// a simulation could not be repeated.
+func TestSumsDoNotDependOnMapOrder(t *testing.T) {
+	sum := func() float64 {
+		var a Accounts
+		for w := range uint64(100) {
+			a.Charge(t0.Add(time.Duration(w)*77*time.Millisecond), w, 100_003+int(w))
+		}
+		a.Expire(t0.Add(10 * time.Second))
+		return a.total
+	}
+	first := sum()
+	for range 20 {
+		must.Eq(t, first, sum())
+	}
+}
