Gateway: faults of load headers are judged by incarnation of a target

Cause: a target that had named a slowdown was remembered by name. One of the same name that is started anew and names none, as most services' targets, counted a fault with each response.

Change: the key is the name and the start of the incarnation.

--- a/lib/gateway/load.go
+++ b/lib/gateway/load.go
@@ -81,7 +81,7 @@
 func (g *Gateway) readLoad(target fleet.Info, h http.Header) {
 	value := h.Get(g.Names.Load)
 	l := parseLoad(value)
-	fault, first := g.loadHeaders.judge(target.ID, l)
+	fault, first := g.loadHeaders.judge(target, l)
 	if fault != "" {
 		metrics.GetOrCreateCounter(fmt.Sprintf("%s{fault=%q}", metricLoadFaults, fault)).Inc()
 	}
@@ -99,10 +99,16 @@
 	}
 }
 
-// loadHeaders remembers which targets name a slowdown, and of which a fault was logged. The zero value is ready for use.
+// loadHeaders remembers which incarnations of targets name a slowdown, and of which a fault was logged. The zero value is ready for use.
 type loadHeaders struct {
 	mu       sync.Mutex
-	byTarget map[string]loadHeader
+	byTarget map[loadTarget]loadHeader
+}
+
+// loadTarget identifies an incarnation of a target.
+type loadTarget struct {
+	id   string
+	born int64
 }
 
 type loadHeader struct {
@@ -111,7 +117,8 @@
 
 // judge returns the fault of a load, and whether it is the first of its target. Targets of most services name no load or no slowdown; this
 // is a fault only if the target has named one before.
-func (m *loadHeaders) judge(target string, l load) (fault string, first bool) {
+func (m *loadHeaders) judge(t fleet.Info, l load) (fault string, first bool) {
+	target := loadTarget{id: t.ID, born: t.Born}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	old := m.byTarget[target]
@@ -128,9 +135,9 @@
 	return fault, is.logged && !old.logged
 }
 
-func (m *loadHeaders) set(target string, h loadHeader) {
+func (m *loadHeaders) set(target loadTarget, h loadHeader) {
 	if m.byTarget == nil || len(m.byTarget) >= maxLoadHeaders {
-		m.byTarget = make(map[string]loadHeader)
+		m.byTarget = make(map[loadTarget]loadHeader)
 	}
 	m.byTarget[target] = h
 }
--- a/lib/gateway/load_test.go
+++ b/lib/gateway/load_test.go
@@ -66,7 +66,7 @@
 // A target repeats its fault with each response. Only the first is logged. Targets of services without a slowdown have no fault.
 func TestLoadFaultIsLoggedOnceForEachTarget(t *testing.T) {
 	var m loadHeaders
-	judge := func(target, value string) (string, bool) { return m.judge(target, parseLoad(value)) }
+	judge := func(target, value string) (string, bool) { return m.judge(fleet.Info{ID: target}, parseLoad(value)) }
 	fault, first := judge("plain", "3,1,8")
 	must.Eq(t, "", fault)
 	must.False(t, first)
@@ -85,6 +85,15 @@
 	must.LessEq(t, maxLoadHeaders, len(m.byTarget))
 }
 
+// A target that named slowdowns is replaced by one of the same name that names none, as targets of most services do. That is no fault.
+func TestNewIncarnationNeedNotNameSlowdowns(t *testing.T) {
+	var m loadHeaders
+	_, _ = m.judge(fleet.Info{ID: "a", Born: 1}, parseLoad("3,1,8,100"))
+	fault, first := m.judge(fleet.Info{ID: "a", Born: 2}, parseLoad("3,1,8"))
+	must.Eq(t, "", fault)
+	must.False(t, first)
+}
+
 func (o *paceOwners) AnnounceSlowdown(t fleet.Info, factor float64) {
 	o.announced = append(o.announced, owner.Pace{Target: t.ID, Slowdown: factor})
 }
