Owner: estimates of engines are kept by shard

Cause: estimates for the cost of long pauses were kept by objectives alone. An instance that owns two shards whose streams have the same objectives read those of all engines anew with each decision when it decided for them in turn. The test failed: the first shard's estimates were replaced.

Change: the key is the shard and the objectives.

--- a/lib/owner/pauses.go
+++ b/lib/owner/pauses.go
@@ -23,8 +23,8 @@
 	joiningWindow = 10 * time.Second
 	// maxPausedEngines bounds the engines that estimates and rates of joining prompts are kept for.
 	maxPausedEngines = 4096
-	// maxObjectives bounds the combinations of objectives that estimates are kept for.
-	maxObjectives = 64
+	// maxEstimates bounds the shards and combinations of objectives that estimates are kept for.
+	maxEstimates = 64
 )
 
 var (
@@ -39,7 +39,7 @@
 // the objective for pauses. Long streams go to engines that keep it, as long as these have room, and prompts to engines where they endanger
 // the fewest streams. The cost only orders the engines that may be chosen; it excludes none.
 type pauseCosts struct {
-	estimates map[objectives]*estimates
+	estimates map[estimatesKey]*estimates
 	joining   map[string]*tokenRate // by engine
 	shards    map[string]*tokenRate // the same, summed over the engines of a shard
 }
@@ -47,6 +47,12 @@
 // objectives are the limits on pauses of a new stream and of those that run beside it.
 type objectives struct{ own, others time.Duration }
 
+// estimatesKey identifies what estimates are kept for.
+type estimatesKey struct {
+	shard string
+	objectives
+}
+
 type estimate struct {
 	streamcost.Engine
 	prefillTime time.Duration // per prompt token at this moment; 0: unknown
@@ -78,7 +84,7 @@
 
 func newPauseCosts() pauseCosts {
 	return pauseCosts{
-		estimates: make(map[objectives]*estimates), joining: make(map[string]*tokenRate), shards: make(map[string]*tokenRate),
+		estimates: make(map[estimatesKey]*estimates), joining: make(map[string]*tokenRate), shards: make(map[string]*tokenRate),
 	}
 }
 
@@ -109,7 +115,8 @@
 		joining = r.perSecond(now) / float64(max(1, len(s.Engines())))
 	}
 	return &pauseDecision{
-		costs: c, rates: rates, now: now, service: need.Service, objectives: k, estimates: c.estimatesFor(now, k, s.Engines()), joining: joining,
+		costs: c, rates: rates, now: now, service: need.Service, objectives: k,
+		estimates: c.estimatesFor(now, s.Key, k, s.Engines()), joining: joining,
 		stream: streamcost.Stream{Unread: need.Unread, Remaining: need.Peak.Remaining},
 		load:   streamcost.Load{TokensPerEvent: spec.TokensPerEvent},
 	}
@@ -157,11 +164,12 @@
 	return e
 }
 
-// estimatesFor returns the estimates of engines under some objectives.
-func (c *pauseCosts) estimatesFor(now time.Time, k objectives, engines []string) *estimates {
+// estimatesFor returns the estimates of a shard's engines under some objectives.
+func (c *pauseCosts) estimatesFor(now time.Time, shard string, o objectives, engines []string) *estimates {
+	k := estimatesKey{shard: shard, objectives: o}
 	out := c.estimates[k]
 	if out == nil || !sameList(out.engines, engines) {
-		if len(c.estimates) >= maxObjectives {
+		if len(c.estimates) >= maxEstimates {
 			clear(c.estimates)
 		}
 		out = &estimates{engines: engines, list: make([]estimate, len(engines))}
--- a/lib/owner/pauses_test.go
+++ b/lib/owner/pauses_test.go
@@ -142,3 +142,14 @@
 	must.MapLen(t, 0, c.joining)
 	must.MapLen(t, 0, c.shards)
 }
+
+// An instance owns two shards whose streams have the same objectives, and decides for them in turn. The estimates of both are kept: reading
+// those of all engines for each decision takes longer than the decision.
+func TestEstimatesOfTwoShardsAreKept(t *testing.T) {
+	c := newPauseCosts()
+	k := objectives{own: gapObjective, others: gapObjective}
+	one, other := []string{"a"}, []string{"b"}
+	first := c.estimatesFor(t0, "one", k, one)
+	c.estimatesFor(t0, "other", k, other)
+	must.True(t, first == c.estimatesFor(t0, "one", k, one))
+}
