Owner: averages of rates share their decay, also when times are out of order

Cause: the rate of arriving streams and that of joining prompts each had its own decay; the first grew exponentially if a time was earlier than the one before.

Change: one function, decay, for both. The accounts of lib/fairqueue and the histogram of lib/enginerate stay as they are: they scale new values up, so that not all entries need to be updated, and the latter counts intervals, not time.

--- a/lib/owner/inflow.go
+++ b/lib/owner/inflow.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"math"
 	"time"
 
 	"anvilwick.example/anvilwick/lib/roomforecast"
@@ -26,10 +25,10 @@
 }
 
 func (f *flow) add(now time.Time, s *roomforecast.Stream) {
-	decay := math.Exp(-float64(now.Sub(f.at)) / float64(inflowMemory))
-	f.tokens = f.tokens*decay + float64(s.Tokens)
-	f.unread = f.unread*decay + float64(s.Unread)
-	f.tokenSeconds = f.tokenSeconds*decay + float64(s.Tokens)*s.Lasts.Seconds()
+	left := decay(f.at, now, inflowMemory)
+	f.tokens = f.tokens*left + float64(s.Tokens)
+	f.unread = f.unread*left + float64(s.Unread)
+	f.tokenSeconds = f.tokenSeconds*left + float64(s.Tokens)*s.Lasts.Seconds()
 	f.at = now
 }
 
@@ -38,8 +37,7 @@
 	if f.tokens <= 0 {
 		return
 	}
-	decay := math.Exp(-float64(now.Sub(f.at)) / float64(inflowMemory))
-	perSecond := decay / inflowMemory.Seconds()
+	perSecond := decay(f.at, now, inflowMemory) / inflowMemory.Seconds()
 	d.AddInflow(perSecond*f.tokens, time.Duration(f.tokenSeconds/f.tokens*float64(time.Second)), perSecond*f.unread)
 }
 
--- a/lib/owner/pauses.go
+++ b/lib/owner/pauses.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -227,8 +226,7 @@
 }
 
 func (r *tokenRate) decayed(now time.Time) float64 {
-	age := max(0, now.Sub(r.at))
-	return r.sum * math.Exp(-age.Seconds()/joiningWindow.Seconds())
+	return r.sum * decay(r.at, now, joiningWindow)
 }
 
 func (r *tokenRate) add(now time.Time, tokens int) {
