Names: lowest score, promises, watched streams; one bound of slowdowns

Cause: plainChoice had nothing to do with plain targets; keep removed a promise; watchedRefusal held one stream and nothing else; the comment of expected stood with atFirst; the largest slowdown stood in two packages.

Change: lowestScore, addPromise, removePromise, a list of streams, a comment of its own, enginerate.MaxSlowdown. No behaviour changed.

--- a/lib/enginerate/estimate.go
+++ b/lib/enginerate/estimate.go
@@ -8,8 +8,8 @@
 const (
 	// maxPlausible is the longest time between events, and to a first event, that counts as an observation.
 	maxPlausible = time.Minute
-	// maxSlowdown is the largest slowdown that counts as one.
-	maxSlowdown = 100
+	// MaxSlowdown is the largest slowdown that counts as one.
+	MaxSlowdown = 100
 	// minSamples is the number of observations from which an estimate is used.
 	minSamples = 3
 	// maxStep bounds the factor by which an observation is taken to differ from the estimate, so that no single one moves it far.
@@ -35,7 +35,7 @@
 func plausible(d time.Duration) bool { return d > 0 && d <= maxPlausible }
 
 // ValidSlowdown reports whether an engine may be slowed down by a factor; others are ignored.
-func ValidSlowdown(factor float64) bool { return factor > 0 && factor <= maxSlowdown }
+func ValidSlowdown(factor float64) bool { return factor > 0 && factor <= MaxSlowdown }
 
 // target holds the estimates of one target.
 type target struct {
--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -115,7 +115,7 @@
 func (f *Fleet) choose(now time.Time, n Need) *Target {
 	var best, last *Target
 	var bestScore float64
-	var plain plainChoice
+	var unpenalized lowestScore
 	spec := f.specs[n.Service]
 	n.spec = &spec
 	if spec.KVTokens == 0 {
@@ -133,7 +133,7 @@
 		}
 		s := f.score(now, t, &n)
 		penalty := f.penalty(t, &n)
-		plain.offer(t, s)
+		unpenalized.offer(t, s)
 		if s += penalty; best == nil || s < bestScore {
 			best, bestScore = t, s
 			if n.Choice != nil {
@@ -142,7 +142,7 @@
 		}
 	}
 	if n.Choice != nil {
-		n.Choice.Changed = best != plain.best
+		n.Choice.Changed = best != unpenalized.target
 	}
 	if best == nil && !n.RequireMemory {
 		// All were unreachable recently: the one whose backoff ends first is better than refusing the request.
@@ -151,15 +151,15 @@
 	return best
 }
 
-// plainChoice is the target of lowest score without penalties.
-type plainChoice struct {
-	best  *Target
-	score float64
+// lowestScore is the target of lowest score among those offered.
+type lowestScore struct {
+	target *Target
+	score  float64
 }
 
-func (c *plainChoice) offer(t *Target, score float64) {
-	if c.best == nil || score < c.score {
-		c.best, c.score = t, score
+func (l *lowestScore) offer(t *Target, score float64) {
+	if l.target == nil || score < l.score {
+		l.target, l.score = t, score
 	}
 }
 
--- a/lib/owner/margin.go
+++ b/lib/owner/margin.go
@@ -20,19 +20,12 @@
 // margin counts how often room came for a refused stream before its wait would have ended, and adapts the forecast times that refusals are
 // based on. The zero value has no margin.
 type margin struct {
-	factor       float64 // on forecast times; 0: 1
-	watched      []watchedRefusal
+	factor       float64        // on forecast times; 0: 1
+	watched      []admit.Stream // refused early, until their waits would have ended
 	checkedAt    time.Time
 	right, wrong uint64
 }
 
-// watchedRefusal is a stream that was refused early, until its wait would have ended.
-type watchedRefusal struct {
-	stream admit.Stream
-}
-
-func (w *watchedRefusal) tokens() int { return w.stream.Need.Peak.Held + w.stream.Need.Peak.Remaining }
-
 // applyTo reduces a forecast time by the margin.
 func (m *margin) applyTo(d time.Duration) time.Duration {
 	if m.factor == 0 {
@@ -45,7 +38,7 @@
 func (m *margin) watch(now time.Time, s *admit.Stream) {
 	m.expire(now)
 	if len(m.watched) < maxWatched {
-		m.watched = append(m.watched, watchedRefusal{stream: *s})
+		m.watched = append(m.watched, *s)
 	}
 }
 
@@ -58,15 +51,18 @@
 	}
 	smallest := 0
 	for i := range m.watched {
-		if m.watched[i].tokens() < m.watched[smallest].tokens() {
+		if peakTokens(&m.watched[i]) < peakTokens(&m.watched[smallest]) {
 			smallest = i
 		}
 	}
-	if hasRoom(m.watched[smallest].stream) {
+	if hasRoom(m.watched[smallest]) {
 		m.remove(smallest)
 	}
 }
 
+// peakTokens returns the memory that a stream takes at its end.
+func peakTokens(s *admit.Stream) int { return s.Need.Peak.Held + s.Need.Peak.Remaining }
+
 // checkDue reports whether streams are watched that were not checked lately.
 func (m *margin) checkDue(now time.Time) bool {
 	return len(m.watched) > 0 && now.Sub(m.checkedAt) >= forecastAge
@@ -83,7 +79,7 @@
 func (m *margin) expire(now time.Time) {
 	kept := m.watched[:0]
 	for _, w := range m.watched {
-		if now.Before(w.stream.WaitDeadline()) {
+		if now.Before(w.WaitDeadline()) {
 			kept = append(kept, w)
 			continue
 		}
--- a/lib/owner/refuse.go
+++ b/lib/owner/refuse.go
@@ -181,7 +181,7 @@
 	if r == nil || l.currentForecast(now, s, r) == nil || longest <= admit.MinRetryAfter {
 		return otherwise
 	}
-	r.keep(req.Fingerprint) // a caller that comes too early gets a new time
+	r.removePromise(req.Fingerprint) // a caller that comes too early gets a new time
 	after, ok := l.promisedTime(now, s, req)
 	if !ok || after > longest {
 		// otherwise is spread over the whole time; the same draw spreads the retry over the last part.
@@ -191,6 +191,6 @@
 	}
 	room := now.Add(after)
 	after = max(after, admit.MinRetryAfter)
-	r.promise(now, promise{fingerprint: req.Fingerprint, at: now.Add(after), room: room, stream: l.expected(r, &req.Stream)})
+	r.addPromise(now, promise{fingerprint: req.Fingerprint, at: now.Add(after), room: room, stream: l.expected(r, &req.Stream)})
 	return after
 }
--- a/lib/owner/refuse_test.go
+++ b/lib/owner/refuse_test.go
@@ -183,10 +183,10 @@
 	r.expire([]string{"here"})
 	must.MapLen(t, 1, r.paces)
 	for i := range uint64(maxPromises + 10) {
-		r.promise(t0, promise{fingerprint: i, at: t0.Add(time.Second)})
+		r.addPromise(t0, promise{fingerprint: i, at: t0.Add(time.Second)})
 	}
 	must.Len(t, maxPromises, r.promises)
-	r.promise(t0.Add(time.Second+promiseTTL+1), promise{at: t0.Add(time.Minute)})
+	r.addPromise(t0.Add(time.Second+promiseTTL+1), promise{at: t0.Add(time.Minute)})
 	must.Len(t, 1, r.promises)
 }
 
--- a/lib/owner/room.go
+++ b/lib/owner/room.go
@@ -120,7 +120,7 @@
 	}
 }
 
-// atFirst describes a stream with the memory that it takes at first, and expected with what it takes on average.
+// atFirst describes a stream with the memory that it takes at first.
 func (l *Ledger) atFirst(r *shardRoom, s *admit.Stream) roomforecast.Stream {
 	n := &s.Need
 	out := roomforecast.Stream{Tokens: n.Peak.Held, Unread: n.Unread}
@@ -131,6 +131,7 @@
 	return out
 }
 
+// expected describes a stream with the memory that it takes on average.
 func (l *Ledger) expected(r *shardRoom, s *admit.Stream) roomforecast.Stream {
 	out := l.atFirst(r, s)
 	out.Tokens += s.Need.Peak.Remaining / 2
@@ -186,16 +187,16 @@
 // retryConfidence is the confidence with which room is expected at the retry time.
 const retryConfidence = roomforecast.Likely
 
-// promise records a retry time that was given.
-func (r *shardRoom) promise(now time.Time, p promise) {
+// addPromise records a retry time that was given.
+func (r *shardRoom) addPromise(now time.Time, p promise) {
 	r.promises = slices.DeleteFunc(r.promises, func(old promise) bool { return now.Sub(old.at) > promiseTTL })
 	if len(r.promises) < maxPromises {
 		r.promises = append(r.promises, p)
 	}
 }
 
-// keep removes the promise to a stream that has returned.
-func (r *shardRoom) keep(fingerprint uint64) {
+// removePromise removes the promise to a stream that has returned.
+func (r *shardRoom) removePromise(fingerprint uint64) {
 	if fingerprint == 0 {
 		return // unknown
 	}
@@ -235,7 +236,7 @@
 	}
 	r.usedAt = now
 	if req.Stream.IsRetry {
-		r.keep(req.Fingerprint)
+		r.removePromise(req.Fingerprint)
 		return
 	}
 	stream := l.expected(r, &req.Stream)
--- a/lib/ownerlink/wire.go
+++ b/lib/ownerlink/wire.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"anvilwick.example/anvilwick/lib/admit"
+	"anvilwick.example/anvilwick/lib/enginerate"
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/moveplan"
 	"anvilwick.example/anvilwick/lib/owner"
@@ -19,9 +20,6 @@
 
 func micros(d time.Duration) uint32 { return uint32(min(max(0, d.Microseconds()), 1<<31)) }
 
-// maxSlowdown bounds the slowdown of an engine that a report can name.
-const maxSlowdown = 100
-
 func tokens(n int) uint32 { return uint32(min(max(0, n), 1<<31)) }
 
 func encodePlaceRequest(req *owner.PlaceRequest, shard string, now time.Time) *ownerpb.Ask {
@@ -125,7 +123,7 @@
 	for _, m := range r.Paces {
 		out.Paces = append(out.Paces, &ownerpb.Pace{
 			Target: m.Target, ShortestUs: micros(m.Shortest), LongestUs: micros(m.Longest),
-			SlowdownPermille: uint32(min(max(0, m.Slowdown), maxSlowdown) * 1000), SlowdownAgeMs: ms(m.SlowdownAge),
+			SlowdownPermille: uint32(min(max(0, m.Slowdown), enginerate.MaxSlowdown) * permille), SlowdownAgeMs: ms(m.SlowdownAge),
 		})
 	}
 	return out
