--- a/lib/owner/refuse_test.go
+++ b/lib/owner/refuse_test.go
@@ -183,9 +183,97 @@
 	r.expire([]string{"here"})
 	must.MapLen(t, 1, r.paces)
 	for i := range uint64(maxPromises + 10) {
-		r.promise(t0, promise{fingerprint: i, at: t0.Add(time.Second)})
+		r.addPromise(t0, promise{fingerprint: i, at: t0.Add(time.Second)})
 	}
 	must.Len(t, maxPromises, r.promises)
-	r.promise(t0.Add(time.Second+promiseTTL+1), promise{at: t0.Add(time.Minute)})
+	r.addPromise(t0.Add(time.Second+promiseTTL+1), promise{at: t0.Add(time.Minute)})
 	must.Len(t, 1, r.promises)
 }
+
+// The last engine of a shard leaves during a pass over the waiting requests, after the forecast for the pass was computed. The retry time
+// of one request notices that no engine is left to forecast; the next request is still decided.
+func TestPassOutlastsItsForecast(t *testing.T) {
+	l, f, s := newTestLedger(1)
+	now := fillEngines(l, s, "i")
+	pass := l.newWaitingPass(now)
+	must.NotNil(t, pass.shard(s))
+	f.MarkLeaving(now, s.Engines()[0], 0)
+	req := requestAt(now, 1, 3000)
+	l.retryAfter(now, s, &req, admit.MinRetryAfter)
+	must.Nil(t, l.room[s.Key].forecast)
+	a, ok := pass.refuse(&waitingRequest{PlaceRequest: requestAt(now, 2, 3000), shard: s})
+	must.True(t, ok)
+	must.Eq(t, admit.RetryLater, a.Action)
+}
+
+// An instance starts anew and requests a placement before its first report. Its earlier runs are no longer tracked: with each start they
+// would take more of the bounded table, until the progress of no run is observed.
+func TestRunsOfEarlierIncarnationAreNotTracked(t *testing.T) {
+	l, _, s := newTestLedger(2)
+	l.Report(t0, report(s, "i", 1, Run{ID: 1, Target: s.Engines()[0], Tokens: 10}, Run{ID: 2, Target: s.Engines()[1], Tokens: 10}))
+	must.MapLen(t, 2, l.room[s.Key].runs)
+	req := requestAt(t0, 1, 10)
+	req.Incarnation = 2
+	a, ok := l.Place(t0, s, req)
+	must.True(t, ok)
+	must.Eq(t, admit.Admit, a.Action)
+	must.MapEmpty(t, l.room[s.Key].runs)
+}
+
+// A caller ignores its retry time and comes again at once, many times. Room is kept for it once, not for each refusal.
+func TestRepeatedRefusalsOfACallerKeepRoomOnce(t *testing.T) {
+	l, _, s := newTestLedger(2)
+	now := fillEngines(l, s, "i")
+	for id := range uint64(10) {
+		req := requestAt(now, id+1, 3000)
+		req.Fingerprint = 7
+		a, ok := l.Place(now, s, req)
+		must.True(t, ok)
+		must.Eq(t, Forecast, a.Cause)
+	}
+	must.Len(t, 1, l.room[s.Key].promises)
+}
+
+// Every stream is refused on arrival, so that none waits and no pass looks for room. Room comes before the wait of a refused stream would
+// have ended, and a smaller stream takes a part of it: the refusal counts as wrong.
+func TestRefusalIsCheckedWhileNothingWaits(t *testing.T) {
+	l, _, s := newTestLedger(2)
+	now := fillEngines(l, s, "i")
+	a, _ := l.Place(now, s, requestAt(now, 1, 3000))
+	must.Eq(t, Forecast, a.Cause)
+	must.False(t, l.HasWaiting())
+	now = now.Add(200 * time.Millisecond)
+	l.Report(now, report(s, "i", 9)) // all runs have ended
+	a, _ = l.Place(now, s, requestAt(now, 2, 3000))
+	must.Eq(t, admit.Admit, a.Action)
+	must.Eq(t, 1, l.room[s.Key].margin.wrong)
+	must.Eq(t, 0, l.room[s.Key].margin.right)
+}
+
+// Shards that this instance was a candidate for have filled the table of those that room is forecast for. Those without requests and reports
+// are dropped, so that new shards are observed.
+func TestUnusedShardsAreDropped(t *testing.T) {
+	l, _, s := newTestLedger(2)
+	for i := range maxRoomShards {
+		l.Report(t0, Report{Shard: fmt.Sprint("earlier ", i), Instance: "i", Incarnation: 1, Seq: 1})
+	}
+	l.Tick(t0.Add(roomTTL))
+	must.MapLen(t, maxRoomShards, l.room)
+	now := t0.Add(roomTTL + time.Second)
+	l.Tick(now)
+	l.Report(now, report(s, "i", 1, longRun(1, s.Engines()[0], 0)))
+	must.MapLen(t, 1, l.room)
+	must.MapLen(t, 1, l.holders)
+	must.MapLen(t, 1, l.room[s.Key].runs)
+}
+
+// A request names an implausibly long output while engines are slow. The time for which it takes memory stays positive: otherwise it would
+// count as room for others.
+func TestImplausibleLengthKeepsDemandPositive(t *testing.T) {
+	l, _, s := newTestLedger(1)
+	r := l.roomOf(s.Key)
+	r.pace = 5 * time.Second
+	req := requestAt(t0, 1, 3000)
+	req.Stream.Need.Peak.Remaining = 1 << 31
+	must.Positive(t, l.expected(r, &req.Stream).Lasts)
+}
--- a/lib/owner/room.go
+++ b/lib/owner/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -18,6 +19,8 @@
 	maxPromises = 512
 	// promiseTTL is how long a promised retry is taken into account beyond its time, if its caller does not come.
 	promiseTTL = time.Second
+	// roomTTL is how long the state of a shard is kept without requests and reports: a service may be idle for some time.
+	roomTTL = 10 * time.Minute
 )
 
 // promise is a retry time that was given to a caller.
@@ -32,6 +35,7 @@
 type shardRoom struct {
 	*progress
 	key      string
+	usedAt   time.Time // time of the newest request or report
 	promises []promise
 	inflow   inflow
 	margin   margin
@@ -116,17 +120,18 @@
 	}
 }
 
-// atFirst describes a stream with the memory that it takes at first, and expected with what it takes on average.
+// atFirst describes a stream with the memory that it takes at first.
 func (l *Ledger) atFirst(r *shardRoom, s *admit.Stream) roomforecast.Stream {
 	n := &s.Need
 	out := roomforecast.Stream{Tokens: n.Peak.Held, Unread: n.Unread}
 	if out.Tokens == 0 {
 		out.Tokens = n.Tokens
 	}
-	out.Lasts = l.prefillRates.Duration(n.Service, n.Unread) + time.Duration(n.Peak.Remaining)*r.pace
+	out.Lasts = l.prefillRates.Duration(n.Service, n.Unread) + time.Duration(clampTokens(n.Peak.Remaining))*r.pace
 	return out
 }
 
+// expected describes a stream with the memory that it takes on average.
 func (l *Ledger) expected(r *shardRoom, s *admit.Stream) roomforecast.Stream {
 	out := l.atFirst(r, s)
 	out.Tokens += s.Need.Peak.Remaining / 2
@@ -182,25 +187,34 @@
 // retryConfidence is the confidence with which room is expected at the retry time.
 const retryConfidence = roomforecast.Likely
 
-// promise records a retry time that was given.
-func (r *shardRoom) promise(now time.Time, p promise) {
+// addPromise records a retry time that was given.
+func (r *shardRoom) addPromise(now time.Time, p promise) {
 	r.promises = slices.DeleteFunc(r.promises, func(old promise) bool { return now.Sub(old.at) > promiseTTL })
 	if len(r.promises) < maxPromises {
 		r.promises = append(r.promises, p)
 	}
 }
 
-// keep removes the promise to a stream that has returned.
-func (r *shardRoom) keep(fingerprint uint64) {
+// removePromise removes the promise to a stream that has returned.
+func (r *shardRoom) removePromise(fingerprint uint64) {
+	if fingerprint == 0 {
+		return // unknown
+	}
 	r.promises = slices.DeleteFunc(r.promises, func(p promise) bool { return p.fingerprint == fingerprint })
 }
 
+// expireRoom drops the state of shards without requests and reports.
+func (l *Ledger) expireRoom(now time.Time) {
+	maps.DeleteFunc(l.room, func(_ string, r *shardRoom) bool { return now.Sub(r.usedAt) > roomTTL })
+}
+
 // observeProgress learns from a report on the runs of an instance, before it is applied.
 func (l *Ledger) observeProgress(now time.Time, h *holder, rep *Report) {
 	r := l.roomOf(rep.Shard)
 	if r == nil {
 		return
 	}
+	r.usedAt = now
 	if rep.Incarnation != h.incarnation {
 		r.forget(h.runs)
 	}
@@ -220,8 +234,9 @@
 	if r == nil || req.Mode != Admit {
 		return
 	}
+	r.usedAt = now
 	if req.Stream.IsRetry {
-		r.keep(req.Fingerprint)
+		r.removePromise(req.Fingerprint)
 		return
 	}
 	stream := l.expected(r, &req.Stream)
@@ -234,10 +249,7 @@
 	for _, sp := range p.shards {
 		if sp != nil {
 			sp.waitingDemand, sp.demandAt = sp.ahead, p.now
-			sp.margin.check(p.now, func(s admit.Stream) bool {
-				s.Need.Among, s.Need.Reserved = sp.accepting, p.l.reserved[sp.key]
-				return p.l.placer().HasRoom(p.now, s)
-			})
+			p.l.checkMargin(p.now, sp.shardRoom, sp.accepting)
 		}
 	}
 }
