Owner: nobody is refused early until refused callers would have returned

Cause: TestOwnersFailDuringBurst failed on the merged code: 36 callers refused for good in fair order, 29 by deadlines. Change: a shard's owner refuses early only once it has decided without a gap of 2 s for as long as the caller in question would stay away. Four tests of early refusal now say that their owner has decided for long, and TestNewOwnerRefusesNobodyEarly is new.

--- a/lib/owner/refuse.go
+++ b/lib/owner/refuse.go
@@ -45,7 +45,7 @@
 		return Answer{}, false
 	}
 	r := l.roomOf(s.Key)
-	if r == nil || len(l.waiting) > 0 && now.Sub(r.at) >= forecastAge {
+	if r == nil || !r.recognizesRetries(now, &req.Stream) || len(l.waiting) > 0 && now.Sub(r.at) >= forecastAge {
 		return Answer{}, false // the next pass over the waiting requests, which is due, computes the forecast once for all
 	}
 	f := l.currentForecast(now, s, r)
@@ -161,7 +161,8 @@
 	if sp == nil {
 		return Answer{}, false
 	}
-	if mayRefuseEarly(w.shard, &w.PlaceRequest) && p.l.waitsInVain(p.now, sp, &w.PlaceRequest) {
+	early := mayRefuseEarly(w.shard, &w.PlaceRequest) && sp.recognizesRetries(p.now, &w.Stream)
+	if early && p.l.waitsInVain(p.now, sp, &w.PlaceRequest) {
 		return p.l.refuse(p.now, w.shard, &w.PlaceRequest, Forecast), true
 	}
 	if w.likely = p.l.startsInTime(p.now, sp, w); w.likely {
--- a/lib/owner/refuse_test.go
+++ b/lib/owner/refuse_test.go
@@ -16,7 +16,8 @@
 	return Run{ID: id, Target: target, Tokens: 8000 + 25*n, Remaining: 5000 - 25*n}
 }
 
-// fillEngines reports a long run on each engine until their pace is known, and returns the time after the last report.
+// fillEngines reports a long run on each engine until their pace is known, to an owner that has decided for long. It returns the time of the
+// last report.
 func fillEngines(l *Ledger, s *Shard, instance string) time.Time {
 	now := t0
 	for n := range 5 {
@@ -27,9 +28,16 @@
 		now = t0.Add(time.Duration(n) * 250 * time.Millisecond)
 		l.Report(now, report(s, instance, uint64(n+1), runs...))
 	}
+	decideForLong(l, s, now)
 	return now
 }
 
+// decideForLong makes an instance the owner of a shard that has decided its requests until now, for longer than refused callers stay away.
+func decideForLong(l *Ledger, s *Shard, now time.Time) {
+	r := l.roomOf(s.Key)
+	r.decidingSince, r.arrivedAt = now.Add(-time.Minute), now
+}
+
 func requestAt(now time.Time, id uint64, tokens int) PlaceRequest {
 	req := placeRequest("i", id, tokens)
 	req.Stream.Arrived, req.Fingerprint = now, id
@@ -60,6 +68,22 @@
 	must.SliceEmpty(t, l.DecideWaiting(t0.Add(500*time.Millisecond)))
 }
 
+// An owner takes over with the reports that the second candidate receives, and without the refusals of the one before. A caller that
+// returns looks as if it came first. Refused early it would be left with nothing, so nobody is until all of them have returned.
+func TestNewOwnerRefusesNobodyEarly(t *testing.T) {
+	l, _, s := newTestLedger(2)
+	now := fillEngines(l, s, "i")
+	l.room[s.Key].arrivedAt = now.Add(-decisionGap - time.Millisecond)
+	_, ok := l.Place(now, s, requestAt(now, 1, 3000))
+	must.False(t, ok)
+	must.SliceEmpty(t, l.DecideWaiting(now.Add(10*time.Millisecond)))
+	l.dropWaiting(requestAt(now, 1, 3000).Key)
+	l.room[s.Key].decidingSince = now.Add(-requestAt(now, 2, 3000).Stream.MaxRetryAfter)
+	a, ok := l.Place(now, s, requestAt(now, 2, 3000))
+	must.True(t, ok)
+	must.Eq(t, Forecast, a.Cause)
+}
+
 // An instance's reports are lost from some time on. What it had counts as ended, so nothing is refused because of it.
 func TestLostReportsRefuseNothing(t *testing.T) {
 	l, _, s := newTestLedger(2)
@@ -82,6 +106,7 @@
 		now = t0.Add(time.Duration(n) * 250 * time.Millisecond)
 		l.Report(now, report(s, "i", uint64(n+1), soon, longRun(2, s.Engines()[1], n)))
 	}
+	decideForLong(l, s, now)
 	_, ok := l.Place(now, s, requestAt(now, 1, 3000))
 	must.False(t, ok)
 	must.SliceEmpty(t, l.DecideWaiting(now.Add(10*time.Millisecond)))
--- a/lib/owner/room.go
+++ b/lib/owner/room.go
@@ -19,6 +19,8 @@
 	maxPromises = 512
 	// promiseTTL is how long a promised retry is taken into account beyond its time, if its caller does not come.
 	promiseTTL = time.Second
+	// decisionGap is the time without requests after which another owner may have decided meanwhile.
+	decisionGap = 2 * time.Second
 	// roomTTL is how long the state of a shard is kept without requests and reports: a service may be idle for some time.
 	roomTTL = 10 * time.Minute
 )
@@ -36,6 +38,9 @@
 	*progress
 	key      string
 	usedAt   time.Time // time of the newest request or report
+	// decidingSince is the time from which this instance has decided the shard's requests without a gap of decisionGap, arrivedAt that of the
+	// newest request.
+	decidingSince, arrivedAt time.Time
 	promises []promise
 	inflow   inflow
 	margin   margin
@@ -228,6 +233,12 @@
 	}
 }
 
+// recognizesRetries reports whether this instance has decided for as long as a refused caller stays away. A new owner doesn't know whom the
+// one before refused. If it refused a returning caller early, like one who comes first, that caller would be left with nothing.
+func (r *shardRoom) recognizesRetries(now time.Time, s *admit.Stream) bool {
+	return now.Sub(r.decidingSince) >= s.MaxRetryAfter
+}
+
 // observeArrival counts a new request.
 func (l *Ledger) observeArrival(now time.Time, s *Shard, req *PlaceRequest) {
 	r := l.roomOf(s.Key)
@@ -235,6 +246,10 @@
 		return
 	}
 	r.usedAt = now
+	if now.Sub(r.arrivedAt) > decisionGap {
+		r.decidingSince = now
+	}
+	r.arrivedAt = now
 	if req.Stream.IsRetry {
 		r.removePromise(req.Fingerprint)
 		return
