Gateway: a run that returns to its source is counted there again

Cause: a move stops a run, and its load is released at the source. If the destination refuses it, or the final copy finds no room, it returns to the source without being counted; when it ends, its load is subtracted once more, from that of other runs. Change: such a placement is marked; start counts it. Result: TestReturnedRunCountsAtItsSource had 1 run and 200 tokens where 2 and 300 were, passes now; lib/gateway passes.

--- a/lib/gateway/move.go
+++ b/lib/gateway/move.go
@@ -258,7 +258,7 @@
 		return nil
 	case last.Handle != "":
 		// The run has stopped, and its memory exists at the source only.
-		r.completeHandoff(ch, placement{target: from, copyFrom: from.Addr + "/" + last.Handle})
+		r.completeHandoff(ch, placement{target: from, copyFrom: from.Addr + "/" + last.Handle, returns: true})
 	case errors.Is(err, ErrNoRun) || errors.Is(err, ErrNoCapacity):
 		r.cancelHandoff(ch)
 	default:
--- a/lib/gateway/run.go
+++ b/lib/gateway/run.go
@@ -51,6 +51,10 @@
 	target := to.target
 	r.mu.Lock()
 	r.target = target
+	if to.returns {
+		to.load = fleet.Load{Tokens: r.load.Tokens}
+		r.g.Fleet.AddLoad(target.ID, fleet.Load{Runs: 1, Tokens: r.load.Tokens})
+	}
 	r.load = to.load
 	r.handoff = nil
 	if r.reserved.target == target.ID {
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -38,6 +38,7 @@
 	load     fleet.Load // already counted for the run there
 	copyFrom string     // address and handle of a copy; empty: start from the prompt and the last event
 	source   fleet.Info // where a move has stopped the run, which keeps its memory; empty: unknown, or target itself
+	returns  bool       // the run returns to its source, where it is not counted any more
 	byOwner  bool       // the target was chosen by an owner
 	backup   string     // id of the engine that the owner found for the backup; empty: none
 }
@@ -110,7 +111,7 @@
 	if (e == endUnsent || e == endNotRun) && prev.source.ID != "" {
 		// The copy was not taken, so it is still valid, and so is the run's memory at its source.
 		r.g.Budget.ForceTake(time.Now(), r.c.service)
-		return placement{target: prev.source, copyFrom: prev.copyFrom}, false
+		return placement{target: prev.source, copyFrom: prev.copyFrom, returns: true}, false
 	}
 	switch e {
 	case endComplete, endCaller:
