--- a/lib/owner/room.go
+++ b/lib/owner/room.go
@@ -36,14 +36,14 @@
 // shardRoom is what the owner of a shard knows of the room there.
 type shardRoom struct {
 	*progress
-	key      string
-	usedAt   time.Time // time of the newest request or report
+	key    string
+	usedAt time.Time // time of the newest request or report
 	// decidingSince is the time from which this instance has decided the shard's requests without a gap of decisionGap, arrivedAt that of the
 	// newest request.
 	decidingSince, arrivedAt time.Time
-	promises []promise
-	inflow   inflow
-	margin   margin
+	promises                 []promise
+	inflow                   inflow
+	margin                   margin
 
 	waitingDemand roomforecast.Demand // of the waiting requests that probably start in time, as of the last pass over them
 	demandAt      time.Time           // of that pass
