--- a/lib/owner/refuse_test.go
+++ b/lib/owner/refuse_test.go
@@ -16,8 +16,8 @@
 	return Run{ID: id, Target: target, Tokens: 8000 + 25*n, Remaining: 5000 - 25*n}
 }
 
-// fillEngines reports a long run on each engine until their pace is known, to an owner that has decided for long. It returns the time of the
-// last report.
+// fillEngines reports a long run on each engine until their pace is known, to an owner that has decided for long. It returns the time of
+// the last report.
 func fillEngines(l *Ledger, s *Shard, instance string) time.Time {
 	now := t0
 	for n := range 5 {
@@ -275,8 +275,8 @@
 	must.Eq(t, 0, l.room[s.Key].margin.right)
 }
 
-// Shards that this instance was a candidate for have filled the table of those that room is forecast for. Those without requests and reports
-// are dropped, so that new shards are observed.
+// Shards that this instance was a candidate for have filled the table of those that room is forecast for. Those without requests and
+// reports are dropped, so that new shards are observed.
 func TestUnusedShardsAreDropped(t *testing.T) {
 	l, _, s := newTestLedger(2)
 	for i := range maxRoomShards {
--- a/lib/replay/owners.go
+++ b/lib/replay/owners.go
@@ -232,7 +232,9 @@
 func (o *ownerDecider) firstEvent(r *stream) {
 	d := r.instance.coordinator
 	o.recordSlowdown(r)
-	d.prefillSamples = append(d.prefillSamples, owner.PrefillSample{Service: service, Target: r.engine.ID, Unread: r.unread, Took: o.s.now - r.sent})
+	d.prefillSamples = append(d.prefillSamples, owner.PrefillSample{
+		Service: service, Target: r.engine.ID, Unread: r.unread, Took: o.s.now - r.sent,
+	})
 }
 
 func (o *ownerDecider) step() {
--- a/lib/streamcost/streamcost_test.go
+++ b/lib/streamcost/streamcost_test.go
@@ -21,7 +21,10 @@
 	long  = Stream{Unread: 3000, Remaining: 760}
 	short = Stream{Unread: 2500, Remaining: 4}
 	empty = Load{TokensPerEvent: 4}
-	busy  = Load{TokensPerEvent: 4, JoiningTokens: 2000, Runs: []fleet.Size{{Held: 3000, Remaining: 700}, {Held: 2500}, {Held: 3000, Remaining: 90}}}
+	busy  = Load{
+		TokensPerEvent: 4, JoiningTokens: 2000,
+		Runs: []fleet.Size{{Held: 3000, Remaining: 700}, {Held: 2500}, {Held: 3000, Remaining: 90}},
+	}
 )
 
 // A prompt is placed beside two long runs on an engine that exceeds the objective while it prefills: it costs both of them a part of
