--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -171,6 +171,22 @@
 	return t.Info, true
 }
 
+// At returns the known target at an address; of several, one that accepts requests.
+func (f *Fleet) At(addr string) (Info, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var found *Target
+	for _, t := range f.targets {
+		if t.Addr == addr && (found == nil || t.state == Ready) {
+			found = t
+		}
+	}
+	if found == nil {
+		return Info{}, false
+	}
+	return found.Info, true
+}
+
 // SetShare sets this instance's share of the connections that targets accept.
 func (f *Fleet) SetShare(share float64) {
 	f.mu.Lock()
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -78,6 +78,8 @@
 	Log     Log
 	// OnLeaving is called for a target whose response says that it is leaving; may be nil.
 	OnLeaving func(t fleet.Info)
+	// Links knows which of this instance's own links to targets are lost; nil: none is.
+	Links Links
 	// Owners coordinates placement with other instances; nil: this instance decides alone.
 	Owners Owners
 }
@@ -109,6 +111,16 @@
 	AnnounceSlowdown(t fleet.Info, factor float64)
 }
 
+// Links knows which of this instance's own links to targets are lost, although peers reach the targets.
+type Links interface {
+	// Lost reports whether the own link to a target is lost.
+	Lost(addr string) bool
+	// Silent reports whether open connections over the own link to a target carry nothing any more.
+	Silent(addr string) bool
+	// Check finds out whether the own link to a target is lost. It may take half a second.
+	Check(addr string) bool
+}
+
 // Gateway serves callers' requests. It is an http.Handler.
 type Gateway struct {
 	Config
--- a/lib/gateway/log.go
+++ b/lib/gateway/log.go
@@ -57,9 +57,13 @@
 	ev.Int("evacuated", a.Evacuated).Int("out_of_region", a.OutOfRegion).Msg("")
 }
 
-// Sent logs how an exchange with a target ended, and the state of the target assumed when it was chosen.
-func (l Log) Sent(e entry, target string, known fleet.KnownState, status int, outcome string, err error) {
+// Sent logs how an exchange with a target ended, and the state of the target assumed when it was chosen. via is the peer by way of which
+// it went; empty: none.
+func (l Log) Sent(e entry, target string, known fleet.KnownState, via string, status int, outcome string, err error) {
 	ev := l.line(log.Info(), "sent", e).Str("target", target).Int("ready", known.ReadyTargets)
+	if via != "" {
+		ev = ev.Str("via", via)
+	}
 	ev = ev.Int("runs", known.Load.Runs).Int("tokens", known.Load.Tokens).Int("unread", known.Load.Unread)
 	ev = ev.Int("peers", known.Peers).Int64("news_ms", known.OldestUpdate.Milliseconds())
 	if p := known.Plain; p.Reported {
--- a/lib/gateway/notice.go
+++ b/lib/gateway/notice.go
@@ -37,7 +37,13 @@
 	}
 	now := time.Now()
 	wait := retry.ParseRetryAfter(resp.Header, now)
-	if wait <= 0 || !g.Fleet.BackOff(now, target, now.Add(wait)) {
+	if wait <= 0 {
+		return
+	}
+	if t, ok := resp.NetConn().(backoffReporter); ok {
+		t.ReportBackoff(wait)
+	}
+	if !g.Fleet.BackOff(now, target, now.Add(wait)) {
 		return
 	}
 	g.Log.TargetResting(target, wait)
--- a/lib/gateway/plain.go
+++ b/lib/gateway/plain.go
@@ -30,8 +30,10 @@
 	resp    *wirehttp.Response
 	body    []byte
 	err     error
-	sent    bool // a target may have seen the request
-	whole   bool // the stream ended between two events and without an error
+	sent    bool   // a target may have seen the request
+	direct  bool   // it went over this instance's own link, not by way of a peer
+	via     string // peer by way of which it went
+	whole   bool   // the stream ended between two events and without an error
 }
 
 // servePlain serves a call with a single response, which is read completely before any of it is forwarded.
@@ -48,12 +50,12 @@
 		x := g.send(ctx, c, target, c.route.MayRepeat() && c.sends+1 < c.route.MaxAttempts)
 		g.recordRunEnd(run, target, x.verdict == verdictGood, x.sent && x.err != nil && ctx.Err() == nil)
 		c.tried[target.ID] = true
-		outcome := x.outcome(ctx)
+		outcome := g.judge(target, x.outcome(ctx), x.direct)
 		g.Fleet.Release(time.Now(), target.ID, fleet.Load{}, outcome)
 		if g.Owners != nil {
 			g.Owners.RecordPlainOutcome(c.service, target.ID, outcome)
 		}
-		g.Log.Sent(c.entry(), target.ID, lastKnown, x.statusCode(), x.verdict.String(), x.err)
+		g.Log.Sent(c.entry(), target.ID, lastKnown, x.via, x.statusCode(), x.verdict.String(), x.err)
 		c.count(metricSent, "outcome", x.verdict.String())
 		if !x.sent {
 			if ctx.Err() != nil {
@@ -114,11 +116,15 @@
 		x.err = err
 		return x
 	}
+	x.direct, x.via = isDirect(conn), viaOf(conn)
+	abandon := func() {}
 	if keepTime {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(firstAttemptShare*float64(c.timeLeft(time.Now()))))
 		defer cancel()
+		abandon = cancel
 	}
+	defer g.checkSlowResponse(conn, target, abandon)()
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer g.conns.add(target, conn.Close)()
 	sentAt := time.Now()
--- a/lib/gateway/run.go
+++ b/lib/gateway/run.go
@@ -74,9 +74,10 @@
 	r.mu.Lock()
 	counted := r.load
 	r.mu.Unlock()
-	r.g.Fleet.Release(time.Now(), x.target.ID, counted, e.outcome())
+	outcome := r.g.judge(x.target, e.outcome(), x.direct)
+	r.g.Fleet.Release(time.Now(), x.target.ID, counted, outcome)
 	if r.g.Owners != nil {
-		r.g.Owners.RecordOutcome(x.target.ID, e.outcome())
+		r.g.Owners.RecordOutcome(x.target.ID, outcome)
 	}
 	r.g.notifyOwners()
 }
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -75,7 +75,7 @@
 			r.lastKnown = g.Fleet.KnownState(time.Now(), to.target.ID)
 		}
 		e, x := r.runOn(ctx, to)
-		g.Log.Sent(c.entry(), to.target.ID, r.lastKnown, x.statusCode(), e.String(), x.err)
+		g.Log.Sent(c.entry(), to.target.ID, r.lastKnown, x.via, x.statusCode(), e.String(), x.err)
 		c.count(metricSent, "outcome", e.String())
 		var done bool
 		to, done = r.decideNext(ctx, e, x, to)
@@ -184,6 +184,7 @@
 		}
 		return e, x
 	}
+	x.direct, x.via = isDirect(conn), viaOf(conn)
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
@@ -224,7 +225,7 @@
 	x.sent = true
 	r.sentAt = time.Now()
 	r.recordContact(to.target.ID)
-	watch := r.watch(conn, to.target.ID)
+	watch := r.watch(conn, to.target)
 	defer watch.stop()
 	x.resp, x.err = conn.Receive(r.c.method, r.g.Names.RequestID, r.c.id)
 	if x.err != nil {
--- a/lib/gateway/watch.go
+++ b/lib/gateway/watch.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/wirehttp"
 )
 
@@ -26,14 +27,15 @@
 	r      *run
 	conn   *wirehttp.Conn
 	target string
+	addr   string // of the target
 
 	mu      sync.Mutex
 	timer   *time.Timer
 	stopped bool
 }
 
-func (r *run) watch(conn *wirehttp.Conn, target string) *watch {
-	w := &watch{r: r, conn: conn, target: target}
+func (r *run) watch(conn *wirehttp.Conn, target fleet.Info) *watch {
+	w := &watch{r: r, conn: conn, target: target.ID, addr: target.Addr}
 	repeatable := r.c.route.MayRepeat() && r.c.sends+1 < r.c.route.MaxAttempts
 	if !repeatable && r.backupTarget().ID == "" {
 		return w
@@ -75,11 +77,15 @@
 // lastContactTimeout bounds the request to an owner for an engine's last contact.
 const lastContactTimeout = 200 * time.Millisecond
 
-// alive reports whether the run's target was heard from recently, on a run of this instance or, as the owner knows, of another.
+// alive reports whether the run's target was heard from recently, on a run of this instance or, as the owner knows, of another. A target
+// that serves other instances is not alive for this one if its own link there is lost.
 func (w *watch) alive() bool {
 	g := w.r.g
 	contact := g.Fleet.LastContact(w.target)
 	silent := time.Since(w.r.lastContactAt()) >= w.r.silenceLimit()
+	if silent && g.Links != nil && isDirect(w.conn) && g.Links.Check(w.addr) && g.Links.Silent(w.addr) {
+		return false
+	}
 	if silent && time.Since(contact) >= aliveWindow && g.Owners != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), lastContactTimeout)
 		defer cancel()
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -80,6 +80,7 @@
 		Ranks: p.ranksOf, ApplyRanks: p.applyRanks, WriteRows: p.writeRows, OnBroadcast: p.link.ReceiveBroadcast,
 	})
 	feedlink.Serve(node, p.syncer)
+	p.openTunnels()
 	listen := p.cfg.Network.Listen
 	if listen == nil {
 		listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
@@ -215,6 +216,7 @@
 		case now := <-t.C:
 			p.onFleetChange(p.fleet.Tick(now))
 			p.site.Pool.CloseExpired(now)
+			p.dialer.Paths.Prune(now)
 			if p.fleet.HasMissing() {
 				t.Reset(tickInterval)
 			} else {
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -72,6 +72,7 @@
 		logline.Send(log.Error().Str("event", "instance_refused"), err)
 	}
 	p.shards.setInstances(instances)
+	p.tunnels.SetPeers(tunnelPeers(instances))
 }
 
 // openOwnerLink listens for datagrams of other instances: notifications and placement requests.
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -29,6 +29,8 @@
 	"anvilwick.example/anvilwick/lib/ownerlink"
 	"anvilwick.example/anvilwick/lib/retry"
 	"anvilwick.example/anvilwick/lib/routes"
+	"anvilwick.example/anvilwick/lib/targetdial"
+	"anvilwick.example/anvilwick/lib/tunnel"
 	"anvilwick.example/anvilwick/lib/wirehttp"
 )
 
@@ -133,6 +135,9 @@
 	shards      *shards
 	incarnation uint64 // incarnation
 	node        *mesh.Node
+	dialer      *targetdial.Dialer // opens connections to targets
+	tunnels     *tunnel.Client     // opens them by way of peers
+	carrier     *tunnel.Server     // opens them for peers
 	feeds       struct{ settings, targets, instances *feed.Replica }
 	syncer      *feedlink.Syncer
 
@@ -162,10 +167,11 @@
 	p.fleet.SetRegions(cfg.Regions)
 	p.fleet.SetSenders(p.maySendDirectly)
 	p.newReplicas()
+	p.dialer = newTargetDialer(site.Pool)
 	p.retryBudget = retry.NewInstanceBudget(cfg.RetryRatio, cfg.RetryFloor, cfg.RetryWindow)
 	p.gate = gateway.New(gateway.Config{
 		Names: site.Names, Engines: site.Engines, Fleet: p.fleet, Pool: site.Pool, Budget: p.retryBudget,
-		Log: gateway.Log{Version: p.version, Era: p.era.Load}, OnLeaving: p.onTargetLeaving,
+		Log: gateway.Log{Version: p.version, Era: p.era.Load}, OnLeaving: p.onTargetLeaving, Links: p.dialer,
 	})
 	site.SetResponseHook(p.gate.ReadNotices)
 	if err := p.openOwnerLink(); err != nil {
@@ -302,6 +308,7 @@
 	front := p.front
 	p.mu.Unlock()
 	p.gate.Stop(start.Add(p.cfg.Grace - abortMargin))
+	p.carrier.Stop()
 	// Other instances switch to another owner and another reader now, while this one still answers.
 	p.link.Coordinator.Leave()
 	p.goWork(func() { p.unregister(context.Background()) })
--- /dev/null
+++ b/lib/targetdial/dialer.go
@@ -0,0 +1,256 @@
+package targetdial
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+)
+
+const (
+	// directTimeout bounds a connection attempt over the own link. Targets are milliseconds away; an unreachable one never answers.
+	directTimeout = 250 * time.Millisecond
+	// tunnelDelay is the time without an answer over the own link after which a peer is tried as well.
+	tunnelDelay = 100 * time.Millisecond
+)
+
+// ErrTunneledOnly reports that no connection was tried over the own link, since that is lost, and that no peer could help.
+var ErrTunneledOnly = errors.New("targetdial: own link lost")
+
+// DialFunc opens a connection.
+type DialFunc = func(ctx context.Context, addr string) (net.Conn, error)
+
+// Dialer opens connections to targets. It is safe for concurrent use.
+type Dialer struct {
+	Paths  *Paths
+	Direct DialFunc // over the own link
+	Tunnel DialFunc // by way of a peer
+	// KeepIdle takes a connection that succeeded when it was no longer needed.
+	KeepIdle func(addr string, nc net.Conn)
+	// OnLost is called when a link, or all of them, is newly lost, and OnRegained when a lost one works again.
+	OnLost     func(addr string, all bool, err error)
+	OnRegained func(addr string)
+}
+
+// dialed is the outcome of one attempt.
+type dialed struct {
+	conn net.Conn
+	err  error
+}
+
+// Dial opens a connection to a target.
+func (d *Dialer) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	now := time.Now()
+	if !d.Paths.Lost(now, addr) {
+		return d.race(ctx, addr, tunnelDelay)
+	}
+	if d.Paths.TakeProbe(now, addr) {
+		return d.race(ctx, addr, 0)
+	}
+	conn, err := d.Tunnel(ctx, addr)
+	if err != nil {
+		return nil, errors.Join(ErrTunneledOnly, err)
+	}
+	return conn, nil
+}
+
+// race tries the own link, and a peer after a delay or when the own link has failed. The first to succeed is used.
+func (d *Dialer) race(ctx context.Context, addr string, delay time.Duration) (net.Conn, error) {
+	direct := make(chan dialed, 1)
+	tunnel := make(chan dialed, 1)
+	started := time.Now()
+	// The attempt goes on without the call, since its outcome shows whether the link is lost.
+	go func() { direct <- d.dialDirect(addr) }()
+	startTunnel := func() {
+		go func() {
+			conn, err := d.Tunnel(ctx, addr)
+			tunnel <- dialed{conn, err}
+		}()
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	tunnelStarted := false
+	var directErr error
+	for {
+		select {
+		case r := <-direct:
+			if r.err == nil {
+				if tunnelStarted {
+					go d.discard(tunnel)
+				}
+				return r.conn, nil
+			}
+			if directErr = r.err; !tunnelStarted {
+				tunnelStarted = true
+				startTunnel()
+			}
+			direct = nil
+		case <-timer.C:
+			if !tunnelStarted {
+				tunnelStarted = true
+				startTunnel()
+			}
+		case r := <-tunnel:
+			if r.err == nil {
+				go d.settle(addr, started, direct, directErr)
+				return r.conn, nil
+			}
+			if direct == nil {
+				return nil, errors.Join(directErr, r.err)
+			}
+			tunnel = nil
+		case <-ctx.Done():
+			d.abandon(addr, started, direct, tunnel, tunnelStarted, directErr)
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// abandon lets the attempts of a call that has ended finish.
+func (d *Dialer) abandon(addr string, started time.Time, direct, tunnel chan dialed, tunnelStarted bool, directErr error) {
+	go func() {
+		reached := false
+		if tunnelStarted && tunnel != nil {
+			r := <-tunnel
+			if reached = r.err == nil; reached {
+				_ = r.conn.Close()
+			}
+		}
+		if reached {
+			d.settle(addr, started, direct, directErr)
+			return
+		}
+		if direct != nil {
+			d.keep(addr, <-direct)
+		}
+	}()
+}
+
+// discard closes the connection of an attempt by way of a peer that is not needed.
+func (d *Dialer) discard(tunnel <-chan dialed) {
+	if r := <-tunnel; r.err == nil {
+		_ = r.conn.Close()
+	}
+}
+
+// settle waits for the attempt over the own link to a target that a peer has reached, and records its outcome.
+func (d *Dialer) settle(addr string, started time.Time, direct <-chan dialed, err error) {
+	if direct != nil {
+		r := <-direct
+		if r.err == nil {
+			d.keep(addr, r)
+			return
+		}
+		err = r.err
+	}
+	d.recordLost(addr, started, err)
+}
+
+func (d *Dialer) keep(addr string, r dialed) {
+	if r.err == nil {
+		d.KeepIdle(addr, r.conn)
+	}
+}
+
+func (d *Dialer) recordLost(addr string, started time.Time, err error) {
+	lost, all := d.Paths.Failed(time.Now(), started, addr, errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET))
+	if d.OnLost != nil && (lost || all) {
+		d.OnLost(addr, all, err)
+	}
+}
+
+func (d *Dialer) dialDirect(addr string) dialed {
+	ctx, cancel := context.WithTimeout(context.Background(), directTimeout)
+	defer cancel()
+	conn, err := d.Direct(ctx, addr)
+	if err != nil {
+		return dialed{err: err}
+	}
+	if d.Paths.Reached(time.Now(), addr) && d.OnRegained != nil {
+		d.OnRegained(addr)
+	}
+	return dialed{conn: &directConn{Conn: conn, paths: d.Paths}}
+}
+
+// DialDirect opens a connection over the own link only.
+func (d *Dialer) DialDirect(ctx context.Context, addr string) (net.Conn, error) {
+	started := make(chan dialed, 1)
+	go func() { started <- d.dialDirect(addr) }()
+	select {
+	case r := <-started:
+		return r.conn, r.err
+	case <-ctx.Done():
+		go d.discard(started)
+		return nil, ctx.Err()
+	}
+}
+
+// Check finds out whether the own link to a target is lost, because a response on it takes long. It returns whether the link is lost.
+func (d *Dialer) Check(addr string) bool {
+	now := time.Now()
+	if d.Paths.Lost(now, addr) {
+		return true
+	}
+	if !d.Paths.TakeCheck(now, addr) {
+		return false
+	}
+	r := d.dialDirect(addr)
+	if r.err == nil {
+		d.keep(addr, r)
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), directTimeout)
+	defer cancel()
+	conn, err := d.Tunnel(ctx, addr)
+	if err != nil {
+		return false
+	}
+	d.recordLost(addr, now, r.err)
+	d.KeepIdle(addr, conn)
+	return true
+}
+
+// Lost reports whether the own link to a target is lost.
+func (d *Dialer) Lost(addr string) bool { return d.Paths.Lost(time.Now(), addr) }
+
+// Silent reports whether open connections over the own link to a target carry nothing any more.
+func (d *Dialer) Silent(addr string) bool { return d.Paths.Silent(time.Now(), addr) }
+
+// Usable reports whether an idle connection may be used: one over the own link unless that is silent, one by way of a peer only
+// while the own link is lost.
+func (d *Dialer) Usable(addr string, nc net.Conn) bool {
+	if IsDirect(nc) {
+		return !d.Silent(addr)
+	}
+	return d.Lost(addr)
+}
+
+// IsDirect reports whether a connection that a Dialer has opened uses the own link.
+func IsDirect(nc net.Conn) bool {
+	_, ok := nc.(*directConn)
+	return ok
+}
+
+// directConn is a connection over the own link.
+type directConn struct {
+	net.Conn
+	paths *Paths
+}
+
+// Read implements net.Conn.
+func (c *directConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.paths.Contact(time.Now())
+	}
+	return n, err
+}
+
+// SyscallConn implements syscall.Conn, by which idle connections are checked.
+func (c *directConn) SyscallConn() (syscall.RawConn, error) {
+	if sc, ok := c.Conn.(syscall.Conn); ok {
+		return sc.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
--- /dev/null
+++ b/lib/tunnel/client.go
@@ -0,0 +1,236 @@
+package tunnel
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"anvilwick.example/anvilwick/lib/mesh"
+	"anvilwick.example/anvilwick/lib/meshpb"
+	"anvilwick.example/anvilwick/lib/rendezvous"
+)
+
+const (
+	// dialTimeout bounds the peer's attempt to connect to a target.
+	dialTimeout = 150 * time.Millisecond
+	// peerTimeout bounds one peer's answer, beyond which the next is tried as well.
+	peerTimeout = 60 * time.Millisecond
+	// maxPeers is the number of peers tried for one connection.
+	maxPeers = 4
+	// maxUnreachable is the number of peers that have to find a target unreachable before the target is taken to be so.
+	maxUnreachable = 2
+	// candidatesPerSide bounds the peers of the own failure domain, and those of other domains, that an instance uses.
+	candidatesPerSide = 6
+	// backoffMin and backoffMax bound the time for which a peer that could not help is tried after all others.
+	backoffMin = 250 * time.Millisecond
+	backoffMax = 2 * time.Second
+)
+
+// Errors of Client.Dial.
+var (
+	// ErrUnreachable: peers could not connect to the target either.
+	ErrUnreachable = errors.New("tunnel: the target is unreachable for peers, too")
+	// ErrNoPeer: no peer could be used.
+	ErrNoPeer = errors.New("tunnel: no peer carries the connection")
+)
+
+var (
+	opened = metrics.NewCounter(`anvilwick_tunnel_opened_total`)
+	failed = metrics.NewCounter(`anvilwick_tunnel_failed_total`)
+)
+
+// Peer is another instance.
+type Peer struct {
+	Name   string
+	Domain string // failure domain
+	Addr   string // of its mesh node
+}
+
+// Client opens connections to targets by way of peers. It is safe for concurrent use.
+type Client struct {
+	node         *mesh.Node
+	self, domain string
+
+	mu         sync.Mutex
+	candidates []*candidate // in order of preference while none has failed
+}
+
+// candidate is a peer and what is known of its usefulness.
+type candidate struct {
+	Peer
+	open       int // connections that it carries for this instance
+	backoff    time.Duration
+	avoidUntil time.Time
+}
+
+// NewClient returns a client without peers. domain is the instance's own failure domain.
+func NewClient(node *mesh.Node, self, domain string) *Client {
+	return &Client{node: node, self: self, domain: domain}
+}
+
+// SetPeers replaces the list of instances. The client uses some of its own failure domain and some of others, since a whole domain may
+// lose its links at once. Each instance uses others, by rendezvous hashing, so that the load is spread.
+func (c *Client) SetPeers(list []Peer) {
+	hash := rendezvous.Hash("tunnel " + c.self)
+	ranked := slices.Clone(list)
+	slices.SortFunc(ranked, func(a, b Peer) int {
+		return cmp.Or(cmp.Compare(rendezvous.Rank(hash, rendezvous.Hash(b.Name)), rendezvous.Rank(hash, rendezvous.Hash(a.Name))), cmp.Compare(a.Name, b.Name))
+	})
+	var own, other []Peer
+	for _, p := range ranked {
+		switch {
+		case p.Name == c.self:
+		case p.Domain == c.domain && len(own) < candidatesPerSide:
+			own = append(own, p)
+		case p.Domain != c.domain && len(other) < candidatesPerSide:
+			other = append(other, p)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := make(map[Peer]*candidate, len(c.candidates))
+	for _, k := range c.candidates {
+		known[k.Peer] = k
+	}
+	c.candidates = c.candidates[:0:0]
+	for i := range max(len(own), len(other)) {
+		for _, side := range [][]Peer{own, other} {
+			if i >= len(side) {
+				continue
+			}
+			k := known[side[i]]
+			if k == nil {
+				k = &candidate{Peer: side[i]}
+			}
+			c.candidates = append(c.candidates, k)
+		}
+	}
+}
+
+// choose returns the peers to try, the most promising first: those that did not fail lately, then those that carry least.
+func (c *Client) choose(now time.Time) []*candidate {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := slices.Clone(c.candidates)
+	slices.SortStableFunc(out, func(a, b *candidate) int {
+		return cmp.Or(cmp.Compare(a.avoidedFor(now), b.avoidedFor(now)), cmp.Compare(a.open, b.open))
+	})
+	return out[:min(maxPeers, len(out))]
+}
+
+// avoidedFor returns how much longer the peer is tried after all others.
+func (p *candidate) avoidedFor(now time.Time) time.Duration { return max(0, p.avoidUntil.Sub(now)) }
+
+// attempt is the outcome of one peer's attempt.
+type attempt struct {
+	conn   *Conn
+	status meshpb.TunnelStatus // TUNNEL_UNSPECIFIED: the peer did not answer
+}
+
+// Dial opens a connection to the target at addr by way of a peer.
+func (c *Client) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	peers := c.choose(time.Now())
+	results := make(chan attempt, len(peers))
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout+peerTimeout)
+	pending, unreachable := 0, 0
+	defer func() {
+		cancel()
+		go closeUnused(results, pending)
+	}()
+	for len(peers) > 0 || pending > 0 {
+		var next <-chan time.Time
+		if len(peers) > 0 {
+			p := peers[0]
+			peers = peers[1:]
+			pending++
+			go func() { results <- c.try(ctx, p, addr) }()
+			next = time.After(peerTimeout)
+		}
+		select {
+		case a := <-results:
+			pending--
+			if a.conn != nil {
+				opened.Inc()
+				return a.conn, nil
+			}
+			if a.status == meshpb.TunnelStatus_TUNNEL_UNREACHABLE {
+				unreachable++
+			}
+		case <-next:
+		case <-ctx.Done():
+			failed.Inc()
+			return nil, ErrNoPeer
+		}
+		if unreachable >= maxUnreachable {
+			break
+		}
+	}
+	failed.Inc()
+	if unreachable > 0 {
+		return nil, ErrUnreachable
+	}
+	return nil, ErrNoPeer
+}
+
+// closeUnused closes the connections of attempts that are still pending.
+func closeUnused(results <-chan attempt, pending int) {
+	for range pending {
+		if a := <-results; a.conn != nil {
+			_ = a.conn.Close()
+		}
+	}
+}
+
+// try requests a connection from one peer.
+func (c *Client) try(ctx context.Context, p *candidate, addr string) attempt {
+	conn, status := c.open(ctx, p, addr)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch status {
+	case meshpb.TunnelStatus_TUNNEL_OPEN:
+		p.open++
+		p.backoff, p.avoidUntil = 0, time.Time{}
+	case meshpb.TunnelStatus_TUNNEL_DENIED:
+		// This concerns the target, and not the peer.
+	case meshpb.TunnelStatus_TUNNEL_UNREACHABLE:
+		// The target is down, or the peer has lost its links and does not know yet.
+		p.avoidUntil = time.Now().Add(backoffMin)
+	default:
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			p.backoff = min(max(2*p.backoff, backoffMin), backoffMax)
+			p.avoidUntil = time.Now().Add(p.backoff)
+		}
+	}
+	return attempt{conn: conn, status: status}
+}
+
+func (c *Client) open(ctx context.Context, p *candidate, addr string) (*Conn, meshpb.TunnelStatus) {
+	const unanswered = meshpb.TunnelStatus_TUNNEL_UNSPECIFIED
+	stream, err := c.node.Open(ctx, mesh.Peer{Instance: p.Name, Addr: p.Addr}, meshpb.StreamKind_STREAM_TUNNEL)
+	if err != nil {
+		return nil, unanswered
+	}
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	var answer meshpb.TunnelOpened
+	if stream.Write(&meshpb.TunnelOpen{Addr: addr}) != nil || stream.Read(&answer) != nil {
+		answer.Status = unanswered
+	}
+	if !stop() || answer.Status != meshpb.TunnelStatus_TUNNEL_OPEN {
+		_ = stream.Close()
+		if answer.Status == meshpb.TunnelStatus_TUNNEL_OPEN {
+			return nil, unanswered
+		}
+		return nil, answer.Status
+	}
+	return newConn(stream, addr, p.Name, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		p.open--
+	}), answer.Status
+}
--- /dev/null
+++ b/lib/tunnel/conn.go
@@ -0,0 +1,163 @@
+package tunnel
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/mesh"
+	"anvilwick.example/anvilwick/lib/meshpb"
+)
+
+// maxFrameData is the most data in one frame, in bytes.
+const maxFrameData = 16 << 10
+
+// errReset reports a tunnel that ended without the target closing the connection. It must not be taken for the end of a response
+// that is framed by the end of its connection.
+var errReset = errors.New("tunnel: connection reset")
+
+// Conn is a connection to a target by way of a peer.
+type Conn struct {
+	stream *mesh.Stream
+	addr   string
+	peer   string
+	onDone func()
+	closed atomic.Bool
+	once   sync.Once
+
+	frames   chan []byte   // data of one frame at a time; closed when no more follows
+	quit     chan struct{} // closed by Close
+	finalErr error         // why no more data follows; valid once frames is closed
+	pending  []byte        // received and not read yet; used by Read only
+}
+
+func newConn(stream *mesh.Stream, addr, peer string, onDone func()) *Conn {
+	c := &Conn{stream: stream, addr: addr, peer: peer, onDone: onDone, frames: make(chan []byte), quit: make(chan struct{})}
+	go c.receive()
+	return c
+}
+
+// receive reads frames ahead, one at a time, so that Idle notices the end of a connection that nobody reads.
+func (c *Conn) receive() {
+	defer close(c.frames)
+	for {
+		var f meshpb.TunnelFrame
+		if err := c.stream.Read(&f); err != nil {
+			c.finalErr = c.readError(err)
+			return
+		}
+		if len(f.Data) > 0 {
+			select {
+			case c.frames <- f.Data:
+			case <-c.quit:
+				c.finalErr = net.ErrClosed
+				return
+			}
+		}
+		if f.EndOfData {
+			c.finalErr = io.EOF
+			return
+		}
+	}
+}
+
+func (c *Conn) readError(err error) error {
+	if c.closed.Load() {
+		return net.ErrClosed
+	}
+	if errors.Is(err, io.EOF) {
+		return errReset
+	}
+	return err
+}
+
+// Peer returns the name of the instance that holds the connection to the target.
+func (c *Conn) Peer() string { return c.peer }
+
+// Idle reports whether the connection is open and has no unread data.
+func (c *Conn) Idle() bool {
+	if len(c.pending) > 0 || c.closed.Load() {
+		return false
+	}
+	select {
+	case <-c.frames: // data that belongs to no request, or the end
+		return false
+	default:
+		return true
+	}
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(b []byte) (int, error) {
+	if len(c.pending) == 0 {
+		data, ok := <-c.frames
+		if !ok {
+			return 0, c.finalErr
+		}
+		c.pending = data
+	}
+	n := copy(b, c.pending)
+	c.pending = c.pending[n:]
+	return n, nil
+}
+
+// Write implements net.Conn. Data counts as written when the link to the peer has accepted it.
+func (c *Conn) Write(b []byte) (int, error) {
+	return writeFrames(c.stream, b)
+}
+
+// writeFrames sends data in frames. The returned count includes the frame whose write failed, since part of it may have arrived.
+func writeFrames(s *mesh.Stream, b []byte) (int, error) {
+	n := 0
+	for n < len(b) {
+		part := b[n:min(n+maxFrameData, len(b))]
+		n += len(part)
+		if err := s.Write(&meshpb.TunnelFrame{Data: part}); err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
+// ReportBackoff informs the peer that the target wants no requests from the sender of the connection's request for a time: to the target,
+// that is the peer.
+func (c *Conn) ReportBackoff(d time.Duration) {
+	// On failure the peer learns of the backoff with its own next request.
+	_ = c.stream.Write(&meshpb.TunnelFrame{BackoffMs: uint32(max(1, d.Milliseconds()))})
+}
+
+// Close implements net.Conn. The peer closes its connection to the target.
+func (c *Conn) Close() error {
+	var err error
+	c.once.Do(func() {
+		c.closed.Store(true)
+		close(c.quit)
+		c.onDone()
+		err = c.stream.Close()
+	})
+	return err
+}
+
+// LocalAddr and RemoteAddr implement net.Conn.
+func (c *Conn) LocalAddr() net.Addr  { return addr("tunnel") }
+func (c *Conn) RemoteAddr() net.Addr { return addr(c.addr) }
+
+// SetDeadline implements net.Conn for reads. Writes are bounded by the mesh's own time-out.
+func (c *Conn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
+
+// SetReadDeadline implements net.Conn.
+func (c *Conn) SetReadDeadline(t time.Time) error { return c.stream.SetReadDeadline(t) }
+
+// SetWriteDeadline implements net.Conn; it has no effect.
+func (c *Conn) SetWriteDeadline(time.Time) error { return nil }
+
+type addr string
+
+// Network implements net.Addr.
+func (addr) Network() string { return "tunnel" }
+
+// String implements net.Addr.
+func (a addr) String() string { return string(a) }
--- /dev/null
+++ b/lib/tunnel/server.go
@@ -0,0 +1,145 @@
+package tunnel
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"anvilwick.example/anvilwick/lib/mesh"
+	"anvilwick.example/anvilwick/lib/meshpb"
+)
+
+const (
+	// maxCarried bounds the connections that an instance carries for its peers; each takes two goroutines and some KB.
+	maxCarried = 512
+	// readBuffer is the size in bytes of the buffer for a target's data: single events and short responses.
+	readBuffer = 4 << 10
+	// openTimeout bounds reading the request for a connection, once the stream is open.
+	openTimeout = 2 * time.Second
+)
+
+var (
+	carriedTotal = metrics.NewCounter(`anvilwick_tunnel_carried_total`)
+	deniedTotal  = metrics.NewCounter(`anvilwick_tunnel_denied_total`)
+)
+
+// errClosed ends the copying of a connection that the peer has closed.
+var errClosed = errors.New("tunnel: closed by the peer")
+
+// Server carries connections to targets for peers.
+type Server struct {
+	// Dial opens a connection to a target over this instance's own links.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// LinksLost reports whether this instance has lost its own links to the targets.
+	LinksLost func() bool
+	// Permitted reports whether this instance may connect to a target now.
+	Permitted func(addr string) bool
+	// OnBackoff is called when a target has asked this instance for a backoff, in a response to a peer's request.
+	OnBackoff func(addr string, d time.Duration)
+
+	carried  atomic.Int32
+	stopping atomic.Bool
+}
+
+// Serve registers the server's handler at a node.
+func (s *Server) Serve(node *mesh.Node) { node.Handle(meshpb.StreamKind_STREAM_TUNNEL, s.handle) }
+
+// Stop makes the server accept no more connections. Those it carries go on.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// Carried returns the number of connections that are carried now.
+func (s *Server) Carried() int { return int(s.carried.Load()) }
+
+func (s *Server) handle(ctx context.Context, stream *mesh.Stream) {
+	var open meshpb.TunnelOpen
+	if stream.SetReadDeadline(time.Now().Add(openTimeout)) != nil || stream.Read(&open) != nil || stream.SetReadDeadline(time.Time{}) != nil {
+		return
+	}
+	defer s.carried.Add(-1)
+	if s.carried.Add(1) > maxCarried || s.stopping.Load() {
+		s.refuse(stream, meshpb.TunnelStatus_TUNNEL_BUSY)
+		return
+	}
+	conn, status := s.connect(ctx, open.Addr)
+	if status != meshpb.TunnelStatus_TUNNEL_OPEN {
+		s.refuse(stream, status)
+		return
+	}
+	defer conn.Close()
+	if stream.Write(&meshpb.TunnelOpened{Status: status}) != nil {
+		return
+	}
+	carriedTotal.Inc()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	s.copy(stream, conn, open.Addr)
+}
+
+func (s *Server) refuse(stream *mesh.Stream, status meshpb.TunnelStatus) {
+	deniedTotal.Inc()
+	_ = stream.Write(&meshpb.TunnelOpened{Status: status}) // on failure the peer tries another instance
+}
+
+func (s *Server) connect(ctx context.Context, addr string) (net.Conn, meshpb.TunnelStatus) {
+	if !s.Permitted(addr) {
+		return nil, meshpb.TunnelStatus_TUNNEL_DENIED
+	}
+	if s.LinksLost() {
+		return nil, meshpb.TunnelStatus_TUNNEL_NO_LINKS
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := s.Dial(ctx, addr)
+	switch {
+	case err == nil:
+		return conn, meshpb.TunnelStatus_TUNNEL_OPEN
+	case s.LinksLost():
+		return nil, meshpb.TunnelStatus_TUNNEL_NO_LINKS
+	default:
+		return nil, meshpb.TunnelStatus_TUNNEL_UNREACHABLE
+	}
+}
+
+// copy copies both directions until either end closes.
+func (s *Server) copy(stream *mesh.Stream, conn net.Conn, addr string) {
+	go func() {
+		defer conn.Close() // the caller has left, or the link to the peer is lost: the target must not go on working
+		for {
+			if err := s.copyFrame(stream, conn, addr); err != nil {
+				return
+			}
+		}
+	}()
+	buf := make([]byte, readBuffer)
+	for {
+		n, err := conn.Read(buf)
+		if n > 0 {
+			if _, werr := writeFrames(stream, buf[:n]); werr != nil {
+				return
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			_ = stream.Write(&meshpb.TunnelFrame{EndOfData: true}) // on failure the peer sees a reset
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (s *Server) copyFrame(stream *mesh.Stream, conn net.Conn, addr string) error {
+	var f meshpb.TunnelFrame
+	if err := stream.Read(&f); err != nil {
+		return errClosed
+	}
+	if f.BackoffMs > 0 {
+		s.OnBackoff(addr, time.Duration(f.BackoffMs)*time.Millisecond)
+	}
+	_, err := conn.Write(f.Data)
+	return err
+}
--- a/lib/wirehttp/conn.go
+++ b/lib/wirehttp/conn.go
@@ -107,6 +107,9 @@
 	_ = c.nc.SetDeadline(t)
 }
 
+// NetConn returns the connection that carries the exchanges.
+func (c *Conn) NetConn() net.Conn { return c.nc }
+
 // Close closes the connection. To the target it looks like the caller disconnecting.
 func (c *Conn) Close() {
 	c.unusable.Store(true)
@@ -174,7 +177,7 @@
 	}
 	framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 	return &Response{
-		Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, body: r.Body, connectionClose: r.Close, framed: framed,
+		Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, conn: c, body: r.Body, connectionClose: r.Close, framed: framed,
 	}, nil
 }
 
--- a/lib/wirehttp/pool.go
+++ b/lib/wirehttp/pool.go
@@ -28,9 +28,13 @@
 // ErrClosed reports that the pool was closed.
 var ErrClosed = errors.New("wirehttp: pool closed")
 
+// DialFunc opens a connection.
+type DialFunc = func(ctx context.Context, addr string) (net.Conn, error)
+
 // Pool keeps idle connections by address. It is safe for concurrent use.
 type Pool struct {
-	dial func(ctx context.Context, addr string) (net.Conn, error)
+	dial   DialFunc
+	usable func(addr string, nc net.Conn) bool // nil: all are
 
 	mu     sync.Mutex
 	idle   map[string][]*Conn
@@ -39,7 +43,7 @@
 }
 
 // NewPool returns a pool that opens connections with dial; nil means a net.Dialer.
-func NewPool(dial func(ctx context.Context, addr string) (net.Conn, error)) *Pool {
+func NewPool(dial DialFunc) *Pool {
 	if dial == nil {
 		d := net.Dialer{KeepAlive: -1}
 		dial = func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
@@ -47,6 +51,12 @@
 	return &Pool{dial: dial, idle: make(map[string][]*Conn)}
 }
 
+// WrapDial replaces the function that opens connections by the one that wrap returns for it. usable reports whether an idle connection may
+// still be used; others are closed. Call it before any other method.
+func (p *Pool) WrapDial(wrap func(DialFunc) DialFunc, usable func(addr string, nc net.Conn) bool) {
+	p.dial, p.usable = wrap(p.dial), usable
+}
+
 // Get returns a usable idle connection to addr, or else a new one.
 func (p *Pool) Get(ctx context.Context, addr string) (*Conn, error) {
 	for {
@@ -54,7 +64,7 @@
 		if c == nil {
 			return p.Dial(ctx, addr)
 		}
-		if time.Now().Before(c.idleUntil) && c.idleAndOpen() {
+		if time.Now().Before(c.idleUntil) && (p.usable == nil || p.usable(addr, c.nc)) && c.idleAndOpen() {
 			c.SetDeadline(time.Time{})
 			return c, nil
 		}
@@ -102,6 +112,17 @@
 	}
 	c.used = true
 	c.idleUntil = time.Now().Add(idleLimit(resp.Header))
+	p.addIdle(c)
+}
+
+// AddIdle adds a connection that has carried no exchange yet.
+func (p *Pool) AddIdle(addr string, nc net.Conn) {
+	c := newConn(nc, addr)
+	c.idleUntil = time.Now().Add(idleDefault)
+	p.addIdle(c)
+}
+
+func (p *Pool) addIdle(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || len(p.idle[c.addr]) >= idlePerTarget {
@@ -174,11 +195,17 @@
 // idleAndOpen reports whether an idle connection is open and has no unread bytes, which would belong to no request. Without this
 // check a request could be sent on a connection that the target has closed, and whether it ran would be unknown.
 func (c *Conn) idleAndOpen() bool {
+	if i, ok := c.nc.(interface{ Idle() bool }); ok {
+		return i.Idle()
+	}
 	sc, ok := c.nc.(syscall.Conn)
 	if !ok {
 		return true
 	}
 	raw, err := sc.SyscallConn()
+	if errors.Is(err, errors.ErrUnsupported) {
+		return true
+	}
 	if err != nil {
 		return false
 	}
--- a/lib/wirehttp/response.go
+++ b/lib/wirehttp/response.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 )
 
@@ -16,12 +17,21 @@
 	Length int64  // of the body in bytes; -1 if not stated
 	OnRead func() // called for each part of the body that is read; may be nil
 
+	conn            *Conn // that it arrives on
 	body            io.Reader
 	connectionClose bool
 	framed          bool // the body's end is marked by a length or by chunked encoding
 	bodyEnded       bool
 }
 
+// NetConn returns the connection that the response arrives on; nil if it was not received on one.
+func (r *Response) NetConn() net.Conn {
+	if r.conn == nil {
+		return nil
+	}
+	return r.conn.nc
+}
+
 // Read reads the body. It returns io.EOF only after a whole body; a truncated body gives another error.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
