--- a/app/anvilwick-gateway/main.go
+++ b/app/anvilwick-gateway/main.go
@@ -15,6 +15,7 @@
 	"anvilwick.example/anvilwick/lib/cmdline"
 	"anvilwick.example/anvilwick/lib/gatewayproc"
 	"anvilwick.example/anvilwick/lib/logline"
+	"anvilwick.example/anvilwick/lib/wirehttp"
 	"anvilwick.example/anvilwick/platform"
 )
 
@@ -47,11 +48,13 @@
 type options struct {
 	level       string
 	metricsPort int
+	targetProxy string
 }
 
 func (o *options) register(fs *flag.FlagSet) {
 	fs.StringVar(&o.level, "log-level", "info", "lowest level that is logged: "+logline.Levels)
 	fs.IntVar(&o.metricsPort, "metrics-port", 0, "port on the instance's address that serves /metrics; 0: none")
+	fs.StringVar(&o.targetProxy, "target-proxy", "", "address of an HTTP proxy (CONNECT) for the connections to targets; empty: none")
 }
 
 func run(ctx context.Context, o options) error {
@@ -67,5 +70,8 @@
 	if o.metricsPort != 0 {
 		s.Process.Metrics = net.JoinHostPort(s.IP, strconv.Itoa(o.metricsPort))
 	}
+	if o.targetProxy != "" {
+		s.DialTarget = wirehttp.DialThrough(o.targetProxy)
+	}
 	return gatewayproc.Run(ctx, s.Process, s.Site())
 }
--- a/lib/faultproxy/proxy.go
+++ b/lib/faultproxy/proxy.go
@@ -58,6 +58,17 @@
 
 // New listens on a free loopback address and proxies connections to target.
 func New(name, target string) (*Proxy, error) {
+	p, err := listen(name)
+	if err != nil {
+		return nil, err
+	}
+	p.target = target
+	go p.accept(p.serve)
+	return p, nil
+}
+
+// listen returns a proxy that does not accept connections yet.
+func listen(name string) (*Proxy, error) {
 	addrs, err := proc.Addrs(1)
 	if err != nil {
 		return nil, err
@@ -66,9 +77,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("faultproxy: %s: %w", name, err)
 	}
-	p := &Proxy{name: name, target: target, ln: ln, modeChanged: make(chan struct{}), conns: map[net.Conn]struct{}{}}
-	go p.accept()
-	return p, nil
+	return &Proxy{name: name, ln: ln, modeChanged: make(chan struct{}), conns: map[net.Conn]struct{}{}}, nil
 }
 
 // Addr returns the address on which the proxy listens.
@@ -129,7 +138,7 @@
 	_ = c.Close()
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(serve func(net.Conn)) {
 	for {
 		c, err := p.ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -140,7 +149,7 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		go p.serve(c)
+		go serve(c)
 	}
 }
 
@@ -157,6 +166,11 @@
 		reset(client)
 		return
 	}
+	p.join(client, server)
+}
+
+// join copies both directions of a connection until it ends.
+func (p *Proxy) join(client, server net.Conn) {
 	if !p.register(client, server) {
 		return
 	}
