Brittle targets: rejections are bounded for all instances together (LIMIT, Server-Brittle)

What callers would see: a target that says it is brittle falls over, with all that it holds, when instances go on sending while it has no room and send each rejected request to the next target. Cause: nothing read Server-Brittle, and a rejection kept an instance from a target only for itself, for 250 ms. Change: a brittle target that rejects a request gets a limit, which the owner of its permits keeps for all instances, as one that it announces: a quarter of the rejections that it bears, without a burst, doubled each 0.2 s up to four times of these, then 1.15 times, and 0.85 times with each rejection of a request that was sent under it. Until it rejects, an instance holds its share of twice the slots of a plain one. Invalid numbers are ignored, logged once a target.

--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -201,6 +201,9 @@
 		looked := f.specs[t.Service]
 		spec = &looked
 	}
+	if !f.hasRoom(t, spec) {
+		return false
+	}
 	if spec.ConnCap > 0 && float64(t.local.Runs) >= max(minConns, f.share*float64(spec.ConnCap)) {
 		return false
 	}
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -67,6 +67,8 @@
 	pacer        pacer
 	suspicion    suspicion
 	limit        LimitNotice
+	brittle      Brittle
+	brittleFault bool // it has named an invalid number
 	listing      indexEntry
 }
 
--- a/lib/fleet/limit.go
+++ b/lib/fleet/limit.go
@@ -22,6 +22,7 @@
 	RequestedAt time.Time // when the request was sent, which is before the response was made
 	ReceivedAt  time.Time // when the response arrived; zero: there was none
 	Relayed     bool      // another instance received the response
+	Brittle     bool      // the target is brittle, and the limit follows from its rejections (RoomLimit)
 }
 
 // supersedes reports whether a notice replaces an earlier one.
--- a/lib/fleet/pace.go
+++ b/lib/fleet/pace.go
@@ -108,7 +108,11 @@
 
 func (f *Fleet) ownerLimiter(now time.Time, t *Target, pace float64) *rate.Limiter {
 	burst := ownerBurst * pace
-	if t.limit.On && !f.isCold(now, t) {
+	switch {
+	case f.isCold(now, t) || !t.limit.On:
+	case t.limit.Brittle:
+		burst = limitMinBurst // requests that arrive together are rejected together
+	default:
 		burst = max(limitMinBurst, limitBurst*pace)
 	}
 	return adjust(&t.pacer.owner, now, pace, burst)
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -35,6 +35,7 @@
 	Seal      string // in a response: set by the target on its own responses
 	Load      string // in a response: running requests, waiting requests and slots, separated by commas
 	Limit     string // in a response: requests a second that the target accepts from all instances together
+	Brittle   string // in a response: requests a second that the target may reject for want of room, from all instances, before it falls over
 	Leaving   string // in a response: the target accepts nothing new
 	LastEvent string // id of the last event that the caller has
 	Tokens    string // prompt tokens and maximum output tokens
--- a/lib/gateway/log.go
+++ b/lib/gateway/log.go
@@ -144,6 +144,18 @@
 	ev.Bool("on", limit.On).Float64("per_second", limit.PerSecond).Msg("")
 }
 
+// BrittleChanged logs that a target begins or ceases to be brittle.
+func (l Log) BrittleChanged(t fleet.Info, b fleet.Brittle) {
+	ev := log.Info().Str("event", "target_brittle").Str("target", t.ID).Str("service", t.Service)
+	ev.Bool("on", b.On).Float64("max_rejected", b.MaxRejected).Msg("")
+}
+
+// BrittleInvalid logs that a target named a number of rejections that is ignored.
+func (l Log) BrittleInvalid(t fleet.Info, value string) {
+	ev := log.Warn().Str("event", "brittle_fault").Str("target", t.ID).Str("service", t.Service)
+	ev.Str("value", value[:min(len(value), maxLoggedValue)]).Msg("")
+}
+
 // LoadFault logs that a target's response named a load that is ignored.
 func (l Log) LoadFault(t fleet.Info, fault, value string) {
 	ev := log.Warn().Str("event", "load_fault").Str("target", t.ID).Str("service", t.Service)
--- a/lib/gateway/notice.go
+++ b/lib/gateway/notice.go
@@ -26,7 +26,7 @@
 	}
 	g.readLoad(target, resp.Header)
 	g.readLeaving(target, resp.Header)
-	g.readLimit(target, resp.Header, sentAt)
+	g.readLimit(target, resp, sentAt)
 	g.readRetryAfter(target, resp)
 }
 
@@ -64,15 +64,26 @@
 	g.OnLeaving(target)
 }
 
-func (g *Gateway) readLimit(target fleet.Info, h http.Header, sentAt time.Time) {
+func (g *Gateway) readLimit(target fleet.Info, resp *wirehttp.Response, sentAt time.Time) {
+	h := resp.Header
 	limit, ok := readLimit(h.Values(g.Names.Limit))
-	if !limit.On && h.Get(g.Names.Seal) == "" {
-		ok = false // only the target's own response proves that its limit has ended
+	rejected := resp.Status == http.StatusServiceUnavailable && h.Get(g.Names.NotRun) != ""
+	if h.Get(g.Names.Seal) == "" && !limit.On && !rejected {
+		return // only the target's own response proves that its limit has ended
+	}
+	brittle := g.readBrittle(target, h)
+	if brittle.On {
+		if !ok {
+			limit = fleet.Limit{}
+		}
+		limit, ok = brittle.RoomLimit(time.Now(), sentAt, g.Fleet.LimitOf(target.ID), limit, rejected)
+	} else if !limit.On && rejected {
+		ok = false
 	}
 	if !ok {
 		return
 	}
-	changed := g.Fleet.ApplyLimit(target.ID, fleet.LimitNotice{Limit: limit, RequestedAt: sentAt, ReceivedAt: time.Now()})
+	changed := g.Fleet.ApplyLimit(target.ID, fleet.LimitNotice{Limit: limit, RequestedAt: sentAt, ReceivedAt: time.Now(), Brittle: brittle.On})
 	if g.Owners != nil && (limit.On || changed) {
 		g.Owners.ReportLimit(target, changed)
 	}
@@ -83,6 +94,38 @@
 	metrics.GetOrCreateCounter(metricNotices + `{notice="limit"}`).Inc()
 }
 
+// readBrittle reads how many rejections a second its target bears, and records it.
+func (g *Gateway) readBrittle(target fleet.Info, h http.Header) fleet.Brittle {
+	b, ok := readBrittle(h.Values(g.Names.Brittle))
+	if !ok && g.Fleet.FirstInvalidBrittle(target.ID) {
+		g.Log.BrittleInvalid(target, h.Get(g.Names.Brittle))
+	}
+	if g.Fleet.MarkBrittle(target.ID, b) {
+		g.Log.BrittleChanged(target, b)
+		metrics.GetOrCreateCounter(metricNotices + `{notice="brittle"}`).Inc()
+	}
+	return b
+}
+
+// readBrittle parses the rejections that a target bears; no value means that it is not brittle, and the lowest of several counts. ok is
+// false when none is valid.
+func readBrittle(values []string) (b fleet.Brittle, ok bool) {
+	if len(values) == 0 {
+		return fleet.Brittle{}, true
+	}
+	for _, v := range values {
+		n, err := strconv.ParseFloat(strings.TrimSpace(v), 64)
+		one := fleet.Brittle{On: true, MaxRejected: n}
+		if err != nil || !one.Valid() {
+			continue
+		}
+		if !b.On || n < b.MaxRejected {
+			b, ok = one, true
+		}
+	}
+	return b, ok
+}
+
 // readLimit parses a limit; no value means no limit, and the lowest of several counts. ok is false when none is valid.
 func readLimit(values []string) (limit fleet.Limit, ok bool) {
 	if len(values) == 0 {
--- a/lib/gateway/notice_test.go
+++ b/lib/gateway/notice_test.go
@@ -35,6 +35,47 @@
 	}
 }
 
+// Numbers of rejections as targets write them. The lowest of several applies; an invalid one is ignored.
+func TestReadBrittle(t *testing.T) {
+	for _, c := range []struct {
+		values []string
+		want   fleet.Brittle
+		ok     bool
+	}{
+		{nil, fleet.Brittle{}, true},
+		{[]string{"5"}, fleet.Brittle{On: true, MaxRejected: 5}, true},
+		{[]string{" 7 ", "3", "x"}, fleet.Brittle{On: true, MaxRejected: 3}, true},
+		{[]string{"0"}, fleet.Brittle{On: true}, true},
+		{[]string{"-2"}, fleet.Brittle{}, false},
+		{[]string{"1e300"}, fleet.Brittle{}, false},
+		{[]string{"NaN"}, fleet.Brittle{}, false},
+		{[]string{""}, fleet.Brittle{}, false},
+	} {
+		got, ok := readBrittle(c.values)
+		must.Eq(t, c.ok, ok, must.Sprint(c.values))
+		must.Eq(t, c.want, got, must.Sprint(c.values))
+	}
+}
+
+// A target is brittle and rejects a request: it is limited at once, until it says that it is not brittle any more. A rejection by a target
+// that is not brittle limits nothing.
+func TestRejectionLimitsBrittleTarget(t *testing.T) {
+	g := newTestGateway()
+	target := fleet.Info{ID: "t", Service: "s"}
+	g.Fleet.Apply(time.Now(), []fleet.Info{target}, nil, 0)
+	rejection := http.Header{"Not-Run": {"1"}}
+	g.ReadNotices(target, &wirehttp.Response{Status: 503, Header: rejection}, time.Now())
+	must.False(t, g.Fleet.LimitOf("t").On)
+	rejection.Set("Brittle", "4")
+	g.ReadNotices(target, &wirehttp.Response{Status: 503, Header: rejection}, time.Now())
+	must.Eq(t, fleet.Limit{On: true, PerSecond: 1}, g.Fleet.LimitOf("t").Limit)
+	time.Sleep(time.Millisecond)
+	g.ReadNotices(target, &wirehttp.Response{Status: 200, Header: http.Header{"Seal": {"s"}, "Brittle": {"4"}}}, time.Now())
+	must.True(t, g.Fleet.LimitOf("t").On)
+	g.ReadNotices(target, &wirehttp.Response{Status: 200, Header: http.Header{"Seal": {"s"}}}, time.Now())
+	must.False(t, g.Fleet.LimitOf("t").On)
+}
+
 // A response from another target that now has the address neither begins nor ends a limit.
 func TestLimitFromAnotherTargetIsIgnored(t *testing.T) {
 	g := newTestGateway()
--- a/lib/ownerlink/permits.go
+++ b/lib/ownerlink/permits.go
@@ -156,7 +156,7 @@
 	}
 	return l.Fleet.ApplyLimit(w.Target, fleet.LimitNotice{
 		Limit:       fleet.Limit{On: w.On, PerSecond: w.PerSecond},
-		RequestedAt: timeBefore(now, w.AskedAgoUs), ReceivedAt: timeBefore(now, w.HeardAgoUs), Relayed: true,
+		RequestedAt: timeBefore(now, w.AskedAgoUs), ReceivedAt: timeBefore(now, w.HeardAgoUs), Relayed: true, Brittle: w.Brittle,
 	})
 }
 
@@ -175,5 +175,6 @@
 func encodeLimit(target string, w fleet.LimitNotice, now time.Time) *ownerpb.LimitWord {
 	return &ownerpb.LimitWord{
 		Target: target, On: w.On, PerSecond: w.PerSecond, AskedAgoUs: ageMicros(now, w.RequestedAt), HeardAgoUs: ageMicros(now, w.ReceivedAt),
+		Brittle: w.Brittle,
 	}
 }
