Streams: a silent engine that accepts connections is not taken for dead

What callers would see: an engine that pauses for a second and goes on has its streams resumed on another engine after 0.72 s, so that two generations of one request run at once; a stream that may not be repeated, too, from its copy. Cause: silence of all runs on an engine counted as its death. Change: before a silent engine is given up, it is probed by a connection (shared by all runs on it, kept for later requests). One that accepts it is given 1.5 s of silence; one that does not, or whose link is lost, is given up as before.

--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"anvilwick.example/anvilwick/lib/poison"
 	"anvilwick.example/anvilwick/lib/retry"
 	"anvilwick.example/anvilwick/lib/routes"
+	"anvilwick.example/anvilwick/lib/targetdial"
 	"anvilwick.example/anvilwick/lib/wirehttp"
 )
 
@@ -118,8 +119,8 @@
 	Lost(addr string) bool
 	// Silent reports whether open connections over the own link to a target carry nothing any more.
 	Silent(addr string) bool
-	// Check finds out whether the own link to a target is lost. It may take half a second.
-	Check(addr string) bool
+	// Probe finds out whether a target accepts connections, unless that was found out at most maxAge ago. It may take half a second.
+	Probe(addr string, maxAge time.Duration) targetdial.Reach
 }
 
 // Gateway serves callers' requests. It is an http.Handler.
--- a/lib/gateway/links.go
+++ b/lib/gateway/links.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/targetdial"
 	"anvilwick.example/anvilwick/lib/wirehttp"
 )
 
@@ -11,6 +12,9 @@
 // response when the link is lost, and nothing else may show that.
 const slowResponse = 150 * time.Millisecond
 
+// slowProbeMaxAge is the age up to which a probe of a target is used again for one that is slow, but serves others.
+const slowProbeMaxAge = time.Second
+
 // isDirect reports whether a connection uses this instance's own link to its target.
 func isDirect(conn *wirehttp.Conn) bool {
 	_, tunneled := conn.NetConn().(backoffReporter)
@@ -47,7 +51,7 @@
 		return func() bool { return true }
 	}
 	return time.AfterFunc(slowResponse, func() {
-		if g.Links.Check(target.Addr) && g.Links.Silent(target.Addr) {
+		if g.Links.Probe(target.Addr, slowProbeMaxAge) == targetdial.ReachByPeer && g.Links.Silent(target.Addr) {
 			abandon()
 		}
 	}).Stop
--- a/lib/gateway/watch.go
+++ b/lib/gateway/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/targetdial"
 	"anvilwick.example/anvilwick/lib/wirehttp"
 )
 
@@ -19,6 +20,9 @@
 	// aliveWindow is how long a target counts as alive after it was last heard from on any run. An engine under load is silent
 	// on one run for long, but not on all; an unreachable one is.
 	aliveWindow = 600 * time.Millisecond
+	// pausedLimit is the silence after which a target that accepts connections is given up, too. Pauses of sound targets are shorter, and
+	// callers give up soon after.
+	pausedLimit = 1500 * time.Millisecond
 )
 
 // watch closes the connection of a resumable stream whose target has become unreachable, so that the run continues elsewhere.
@@ -58,7 +62,7 @@
 
 // check closes the connection if the target is unreachable, and otherwise schedules the next check.
 func (w *watch) check() {
-	alive := w.alive()
+	gone := w.gone()
 	now := time.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -66,7 +70,7 @@
 		return
 	}
 	left := w.r.silenceLimit() - now.Sub(w.r.lastContactAt())
-	if left <= 0 && !alive && w.r.g.Budget.Remaining(now, w.r.c.service) >= 1 {
+	if left <= 0 && gone && w.r.g.Budget.Remaining(now, w.r.c.service) >= 1 {
 		w.r.g.Log.TargetSilent(w.r.c.entry(), w.target, now.Sub(w.r.lastContactAt()))
 		w.conn.Close()
 		return
@@ -74,18 +78,38 @@
 	w.timer = time.AfterFunc(max(left, minSilence/4), w.check)
 }
 
+// gone reports whether the run has no chance to continue on its target: nothing comes from there, and it accepts no connections or this
+// instance's own link to it is lost. A target that is silent and accepts connections is given pausedLimit: its process may only pause, and
+// would go on with the run while another target does, too.
+func (w *watch) gone() bool {
+	g := w.r.g
+	silence := time.Since(w.r.lastContactAt())
+	if silence < w.r.silenceLimit() {
+		return false
+	}
+	alive := w.alive()
+	if g.Links == nil {
+		return !alive
+	}
+	maxAge := slowProbeMaxAge
+	if !alive {
+		maxAge = minSilence / 4
+	}
+	reach := g.Links.Probe(w.addr, maxAge)
+	if reach == targetdial.ReachByPeer && isDirect(w.conn) && g.Links.Silent(w.addr) {
+		return true
+	}
+	return !alive && (reach == targetdial.ReachNone || silence >= pausedLimit)
+}
+
 // lastContactTimeout bounds the request to an owner for an engine's last contact.
 const lastContactTimeout = 200 * time.Millisecond
 
-// alive reports whether the run's target was heard from recently, on a run of this instance or, as the owner knows, of another. A target
-// that serves other instances is not alive for this one if its own link there is lost.
+// alive reports whether the run's target was heard from recently, on a run of this instance or, as the owner knows, of another.
 func (w *watch) alive() bool {
 	g := w.r.g
 	contact := g.Fleet.LastContact(w.target)
 	silent := time.Since(w.r.lastContactAt()) >= w.r.silenceLimit()
-	if silent && g.Links != nil && isDirect(w.conn) && g.Links.Check(w.addr) && g.Links.Silent(w.addr) {
-		return false
-	}
 	if silent && time.Since(contact) >= aliveWindow && g.Owners != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), lastContactTimeout)
 		defer cancel()
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -216,7 +216,7 @@
 		case now := <-t.C:
 			p.onFleetChange(p.fleet.Tick(now))
 			p.site.Pool.CloseExpired(now)
-			p.dialer.Paths.Prune(now)
+			p.dialer.Prune(now)
 			if p.fleet.HasMissing() {
 				t.Reset(tickInterval)
 			} else {
--- a/lib/gatewayproc/tunnels.go
+++ b/lib/gatewayproc/tunnels.go
@@ -14,6 +14,9 @@
 	"anvilwick.example/anvilwick/lib/wirehttp"
 )
 
+// probeMaxAge is the age up to which a probe of a target is used again when a connection for a peer has failed.
+const probeMaxAge = time.Second
+
 // newTargetDialer makes a pool open its connections by way of peers where this instance's own links to targets are lost.
 func newTargetDialer(pool *wirehttp.Pool) *targetdial.Dialer {
 	d := &targetdial.Dialer{Paths: targetdial.NewPaths(), KeepIdle: pool.AddIdle, OnLost: logLinkLost, OnRegained: logLinkRegained}
@@ -47,7 +50,7 @@
 func (p *Process) dialForPeer(ctx context.Context, addr string) (net.Conn, error) {
 	conn, err := p.dialer.DialDirect(ctx, addr)
 	if err != nil {
-		go p.dialer.Check(addr)
+		go p.dialer.Probe(addr, probeMaxAge)
 	}
 	return conn, err
 }
--- a/lib/targetdial/dialer.go
+++ b/lib/targetdial/dialer.go
@@ -31,6 +31,8 @@
 	// OnLost is called when a link, or all of them, is newly lost, and OnRegained when a lost one works again.
 	OnLost     func(addr string, all bool, err error)
 	OnRegained func(addr string)
+
+	probes probes
 }
 
 // dialed is the outcome of one attempt.
@@ -186,31 +188,6 @@
 	}
 }
 
-// Check finds out whether the own link to a target is lost, because a response on it takes long. It returns whether the link is lost.
-func (d *Dialer) Check(addr string) bool {
-	now := time.Now()
-	if d.Paths.Lost(now, addr) {
-		return true
-	}
-	if !d.Paths.TakeCheck(now, addr) {
-		return false
-	}
-	r := d.dialDirect(addr)
-	if r.err == nil {
-		d.keep(addr, r)
-		return false
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), directTimeout)
-	defer cancel()
-	conn, err := d.Tunnel(ctx, addr)
-	if err != nil {
-		return false
-	}
-	d.recordLost(addr, now, r.err)
-	d.KeepIdle(addr, conn)
-	return true
-}
-
 // Lost reports whether the own link to a target is lost.
 func (d *Dialer) Lost(addr string) bool { return d.Paths.Lost(time.Now(), addr) }
 
--- a/lib/targetdial/dialer_test.go
+++ b/lib/targetdial/dialer_test.go
@@ -213,17 +213,34 @@
 	})
 }
 
-// Guards against a lost link that no dial shows, because all requests use open connections: a slow response leads to a check.
-func TestCheckFindsLostLink(t *testing.T) {
+// Guards against a lost link that no dial shows, because all requests use open connections: a slow response leads to a probe.
+func TestProbeFindsLostLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig()
-		must.False(t, r.Check(target))
+		must.Eq(t, ReachDirect, r.Probe(target, time.Second))
 		must.Eq(t, 1, r.idle.Load())
 		r.direct.hangs.Store(true)
-		must.False(t, r.Check(target)) // too soon after the last check
-		time.Sleep(checkInterval)
-		must.True(t, r.Check(target))
+		must.Eq(t, ReachDirect, r.Probe(target, time.Second)) // too soon after the last one
+		must.Eq(t, ReachByPeer, r.Probe(target, 0))
 		must.True(t, r.Silent(target))
+		r.tunnel.err = errors.New("unreachable")
+		time.Sleep(time.Second)
+		must.Eq(t, ReachNone, r.Probe(target, 0))
+	})
+}
+
+// Guards against a probe for each of many requests on one target: they share one.
+func TestProbesAreShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig()
+		r.direct.hangs.Store(true)
+		for range 50 {
+			go r.Probe(target, 100*time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		must.Eq(t, 1, r.direct.dials.Load())
+		r.Prune(time.Now().Add(2 * forgetAfter))
+		must.MapEmpty(t, r.probes.byAddr)
 	})
 }
 
--- a/lib/targetdial/paths.go
+++ b/lib/targetdial/paths.go
@@ -13,8 +13,8 @@
 	probeSpacing = 60 * time.Millisecond
 	// lostFor bounds how long a target counts as lost without an attempt to reach it: without calls nothing is known of its link.
 	lostFor = 5 * time.Second
-	// checkInterval is the pause between two checks of a target's link because of a slow response.
-	checkInterval = time.Second
+	// forgetAfter is how long the times of attempts are kept; longer than any interval between them.
+	forgetAfter = 5 * time.Second
 )
 
 // Paths holds what is known of this instance's own links to targets, by address. A link is lost when the target did not accept a
@@ -25,7 +25,6 @@
 type Paths struct {
 	mu          sync.Mutex
 	lost        map[string]*lostPath
-	checked     map[string]time.Time // last checks because of slow responses
 	lastContact time.Time            // when something last arrived from a target over an own link
 	allSince    time.Time            // since when all links are lost; zero: they are not
 	allSeen     time.Time            // last evidence of it
@@ -41,7 +40,7 @@
 
 // NewPaths returns Paths without lost links.
 func NewPaths() *Paths {
-	return &Paths{lost: make(map[string]*lostPath), checked: make(map[string]time.Time), probed: make(map[string]time.Time)}
+	return &Paths{lost: make(map[string]*lostPath), probed: make(map[string]time.Time)}
 }
 
 // Contact records that something arrived from a target over an own link, or that the target accepted a connection.
@@ -138,17 +137,6 @@
 	return true
 }
 
-// TakeCheck reports whether the link to a target is to be checked because of a slow response, and counts the check.
-func (p *Paths) TakeCheck(now time.Time, addr string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if now.Sub(p.checked[addr]) < checkInterval {
-		return false
-	}
-	p.checked[addr] = now
-	return true
-}
-
 // Prune forgets addresses without recent news. Call it periodically.
 func (p *Paths) Prune(now time.Time) {
 	p.mu.Lock()
@@ -158,7 +146,5 @@
 			delete(p.lost, addr)
 		}
 	}
-	for _, times := range []map[string]time.Time{p.checked, p.probed} {
-		maps.DeleteFunc(times, func(_ string, at time.Time) bool { return now.Sub(at) > checkInterval })
-	}
+	maps.DeleteFunc(p.probed, func(_ string, at time.Time) bool { return now.Sub(at) > forgetAfter })
 }
