--- a/lib/e2e/copy_test.go
+++ b/lib/e2e/copy_test.go
@@ -12,18 +12,19 @@
 	"anvilwick.example/anvilwick/lib/standin/platform"
 )
 
-// The platform's table is restored from a copy while bookings are in progress and the entries keep running. Each booking is
-// retried with its key until the answer is final, through one entry after another: it must be executed exactly once, whether
-// or not the copy contains its claim.
+// Guards against a booking whose outcome is lost when the platform's table is restored from a copy: the caller is told for good that the
+// outcome is unknown. Bookings are in progress during the restore, and the entries keep running. Each booking is retried with its key until
+// the answer is final, through one entry after another: it must be executed exactly once, whether or not the copy contains its claim.
 func TestBookingsThroughACopyOfTheTable(t *testing.T) {
 	site, ctx := startSite(t, 1, 3)
 	c := newClient(site)
-	const bookings = 24
+	// So dense that the outcomes of several are on the way at any moment of the restore.
+	const bookings, spacing = 240, 10 * time.Millisecond
 	var wg sync.WaitGroup
 	errs := make([]error, bookings)
 	for i := range bookings {
 		wg.Go(func() {
-			time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+			time.Sleep(time.Duration(i) * spacing)
 			key := fmt.Sprintf("copied-%d", i)
 			if _, errs[i] = bookUntilFinal(ctx, c, key, i); errs[i] == nil {
 				_, errs[i] = bookUntilFinal(ctx, c, key, i+1) // a resend through another entry
