Tunnels: closing a connection ends its blocked reads and writes

Cause: yamux ends a blocked read of a locally closed stream only when the other end has closed, too; a write waits for up to 2 s for a link that takes nothing. The close at the caller's time limit had no effect. Change: reads and writes of a tunnel end with its Close, which does not block. Measured: TestClosingEndsReadsAndWritesOnSilentLink fails before and passes, also with -race.

--- a/lib/tunnel/conn.go
+++ b/lib/tunnel/conn.go
@@ -1,6 +1,7 @@
 package tunnel
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -93,11 +94,15 @@
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
 	if len(c.pending) == 0 {
-		data, ok := <-c.frames
-		if !ok {
-			return 0, c.finalErr
+		select {
+		case data, ok := <-c.frames:
+			if !ok {
+				return 0, c.finalErr
+			}
+			c.pending = data
+		case <-c.quit: // the stream's own Close does not end a blocked read
+			return 0, net.ErrClosed
 		}
-		c.pending = data
 	}
 	n := copy(b, c.pending)
 	c.pending = c.pending[n:]
@@ -106,7 +111,21 @@
 
 // Write implements net.Conn. Data counts as written when the link to the peer has accepted it.
 func (c *Conn) Write(b []byte) (int, error) {
-	return writeFrames(c.stream, b)
+	type result struct {
+		n   int
+		err error
+	}
+	done := make(chan result, 1)
+	go func(b []byte) {
+		n, err := writeFrames(c.stream, b)
+		done <- result{n, err}
+	}(bytes.Clone(b)) // the caller may reuse b once Write has returned
+	select {
+	case r := <-done:
+		return r.n, r.err
+	case <-c.quit: // a write to a silent link would end only by its time-out
+		return len(b), net.ErrClosed
+	}
 }
 
 // writeFrames sends data in frames. The returned count includes the frame whose write failed, since part of it may have arrived.
@@ -131,14 +150,13 @@
 
 // Close implements net.Conn. The peer closes its connection to the target.
 func (c *Conn) Close() error {
-	var err error
 	c.once.Do(func() {
 		c.closed.Store(true)
 		close(c.quit)
 		c.onDone()
-		err = c.stream.Close()
+		go c.stream.Close() // on a silent link it takes until the time-out
 	})
-	return err
+	return nil
 }
 
 // LocalAddr and RemoteAddr implement net.Conn.
--- a/lib/tunnel/tunnel_test.go
+++ b/lib/tunnel/tunnel_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"anvilwick.example/anvilwick/lib/faultproxy"
 	"anvilwick.example/anvilwick/lib/mesh"
 )
 
@@ -292,3 +293,33 @@
 	}
 	must.Greater(t, 60, len(used))
 }
+
+// Guards against a caller who is held long after its time limit: the link to the peer is silent, so that nothing answers the end of the
+// connection, and a blocked read or write of the request does not notice that the connection was closed.
+func TestClosingEndsReadsAndWritesOnSilentLink(t *testing.T) {
+	p := startPeer(t, "b", "d1")
+	proxy, err := faultproxy.New("peer", p.Addr)
+	must.NoError(t, err)
+	t.Cleanup(proxy.Close)
+	p.Addr = proxy.Addr()
+	c := newTestClient(t, p)
+	addr := startTarget(t, echo)
+	reading, writing := dial(t, c, addr), dial(t, c, addr)
+	proxy.Set(faultproxy.Stalled)
+	ended := make(chan error, 2)
+	go func() {
+		_, err := reading.Read(make([]byte, 1))
+		ended <- err
+	}()
+	go func() {
+		_, err := writing.Write(make([]byte, 16<<20)) // more than the link's buffers hold
+		ended <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	start := time.Now()
+	must.NoError(t, reading.Close())
+	must.NoError(t, writing.Close())
+	must.ErrorIs(t, <-ended, net.ErrClosed)
+	must.ErrorIs(t, <-ended, net.ErrClosed)
+	must.Less(t, 200*time.Millisecond, time.Since(start))
+}
