Dialing targets: one type for the race of the two ways

Change: race, abandon, settle and discard passed six values around; a struct holds them, and settle serves all ends. ErrLinkLost is the name of the error without any way.

--- a/lib/targetdial/dialer.go
+++ b/lib/targetdial/dialer.go
@@ -15,8 +15,8 @@
 	tunnelDelay = 100 * time.Millisecond
 )
 
-// ErrTunneledOnly reports that no connection was tried over the own link, since that is lost, and that no peer could help.
-var ErrTunneledOnly = errors.New("targetdial: own link lost")
+// ErrLinkLost reports that no connection was tried over the own link, since that is lost, and that no peer could help.
+var ErrLinkLost = errors.New("targetdial: own link lost")
 
 // DialFunc opens a connection.
 type DialFunc = func(ctx context.Context, addr string) (net.Conn, error)
@@ -52,101 +52,88 @@
 	}
 	conn, err := d.Tunnel(ctx, addr)
 	if err != nil {
-		return nil, errors.Join(ErrTunneledOnly, err)
+		return nil, errors.Join(ErrLinkLost, err)
 	}
 	return conn, nil
 }
 
 // race tries the own link, and a peer after a delay or when the own link has failed. The first to succeed is used.
 func (d *Dialer) race(ctx context.Context, addr string, delay time.Duration) (net.Conn, error) {
-	direct := make(chan dialed, 1)
-	tunnel := make(chan dialed, 1)
-	started := time.Now()
-	// The attempt goes on without the call, since its outcome shows whether the link is lost.
-	go func() { direct <- d.dialDirect(addr) }()
-	startTunnel := func() {
-		go func() {
-			conn, err := d.Tunnel(ctx, addr)
-			tunnel <- dialed{conn, err}
-		}()
-	}
+	r := newRace(d, addr)
+	// However it ends, the attempts under way go on without the call, since their outcomes show whether the link is lost.
+	defer func() { go r.settle() }()
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
-	tunnelStarted := false
-	var directErr error
-	for {
+	for r.direct != nil || r.tunnel != nil {
 		select {
-		case r := <-direct:
-			if r.err == nil {
-				if tunnelStarted {
-					go d.discard(tunnel)
-				}
-				return r.conn, nil
-			}
-			if directErr = r.err; !tunnelStarted {
-				tunnelStarted = true
-				startTunnel()
+		case out := <-r.direct:
+			r.direct, r.directErr = nil, out.err
+			if out.err == nil {
+				return out.conn, nil
 			}
-			direct = nil
+			r.startTunnel(ctx)
 		case <-timer.C:
-			if !tunnelStarted {
-				tunnelStarted = true
-				startTunnel()
-			}
-		case r := <-tunnel:
-			if r.err == nil {
-				go d.settle(addr, started, direct, directErr)
-				return r.conn, nil
+			r.startTunnel(ctx)
+		case out := <-r.tunnel:
+			r.tunnel, r.reached = nil, out.err == nil
+			if out.err == nil {
+				return out.conn, nil
 			}
-			if direct == nil {
-				return nil, errors.Join(directErr, r.err)
-			}
-			tunnel = nil
+			r.tunnelErr = out.err
 		case <-ctx.Done():
-			d.abandon(addr, started, direct, tunnel, tunnelStarted, directErr)
 			return nil, ctx.Err()
 		}
 	}
+	return nil, errors.Join(r.directErr, r.tunnelErr)
 }
 
-// abandon lets the attempts of a call that has ended finish.
-func (d *Dialer) abandon(addr string, started time.Time, direct, tunnel chan dialed, tunnelStarted bool, directErr error) {
-	go func() {
-		reached := false
-		if tunnelStarted && tunnel != nil {
-			r := <-tunnel
-			if reached = r.err == nil; reached {
-				_ = r.conn.Close()
-			}
-		}
-		if reached {
-			d.settle(addr, started, direct, directErr)
-			return
-		}
-		if direct != nil {
-			d.keep(addr, <-direct)
-		}
-	}()
+// race is an attempt over the own link to a target and one by way of a peer.
+type race struct {
+	d             *Dialer
+	addr          string
+	started       time.Time
+	direct        chan dialed // nil: it has ended
+	tunnel        chan dialed // nil: it was not started or has ended
+	tunnelStarted bool
+	reached       bool // a peer has connected
+	directErr     error
+	tunnelErr     error
+}
+
+func newRace(d *Dialer, addr string) *race {
+	direct := make(chan dialed, 1)
+	go func() { direct <- d.dialDirect(addr) }()
+	return &race{d: d, addr: addr, started: time.Now(), direct: direct}
 }
 
-// discard closes the connection of an attempt by way of a peer that is not needed.
-func (d *Dialer) discard(tunnel <-chan dialed) {
-	if r := <-tunnel; r.err == nil {
-		_ = r.conn.Close()
+func (r *race) startTunnel(ctx context.Context) {
+	if r.tunnelStarted {
+		return
 	}
+	tunnel := make(chan dialed, 1)
+	r.tunnel, r.tunnelStarted = tunnel, true
+	go func() {
+		conn, err := r.d.Tunnel(ctx, r.addr)
+		tunnel <- dialed{conn, err}
+	}()
 }
 
-// settle waits for the attempt over the own link to a target that a peer has reached, and records its outcome.
-func (d *Dialer) settle(addr string, started time.Time, direct <-chan dialed, err error) {
-	if direct != nil {
-		r := <-direct
-		if r.err == nil {
-			d.keep(addr, r)
-			return
+// settle waits for the attempts under way and records whether the own link is lost.
+func (r *race) settle() {
+	if r.tunnel != nil {
+		if out := <-r.tunnel; out.err == nil {
+			r.reached = true
+			_ = out.conn.Close()
 		}
-		err = r.err
 	}
-	d.recordLost(addr, started, err)
+	if r.direct != nil {
+		out := <-r.direct
+		r.directErr = out.err
+		r.d.keep(r.addr, out)
+	}
+	if r.reached && r.directErr != nil {
+		r.d.recordLost(r.addr, r.started, r.directErr)
+	}
 }
 
 func (d *Dialer) keep(addr string, r dialed) {
@@ -183,7 +170,7 @@
 	case r := <-started:
 		return r.conn, r.err
 	case <-ctx.Done():
-		go d.discard(started)
+		go func() { d.keep(addr, <-started) }()
 		return nil, ctx.Err()
 	}
 }
--- a/lib/targetdial/dialer_test.go
+++ b/lib/targetdial/dialer_test.go
@@ -189,7 +189,7 @@
 		defer cancel()
 		start := time.Now()
 		_, err := r.Dial(ctx, target)
-		must.ErrorIs(t, err, ErrTunneledOnly)
+		must.ErrorIs(t, err, ErrLinkLost)
 		must.Eq(t, 5*time.Millisecond, time.Since(start))
 		time.Sleep(directTimeout)
 	})
