Tunnels: an instance that stops lets the connections that it carries end

What callers would see: requests of instances without links break off when the peer that carries them is stopped for planned work, within its grace period, and those on idle connections through it get 502. Cause: a stopping instance waited for its own callers only, and told nobody that its connections take no further request. Change: it says so on each (go_away), peers drop these connections when idle, and it waits for the rest within its grace period. Measured: TestStoppingPeerDrains; platform tests of partitions pass.

--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -321,6 +321,7 @@
 	if front != nil {
 		err = front.Shutdown(ctx)
 	}
+	p.carrier.Drain(ctx)
 	p.cancel()
 	log.Info().Str("event", "stopped").Int64("after_ms", time.Since(start).Milliseconds()).Msg("")
 	if err != nil {
--- a/lib/tunnel/conn.go
+++ b/lib/tunnel/conn.go
@@ -28,6 +28,7 @@
 	onDone func()
 	closed atomic.Bool
 	once   sync.Once
+	goAway atomic.Bool // the peer is stopping
 
 	frames   chan []byte   // data of one frame at a time; closed when no more follows
 	quit     chan struct{} // closed by Close
@@ -50,6 +51,9 @@
 			c.finalErr = c.readError(err)
 			return
 		}
+		if f.GoAway {
+			c.goAway.Store(true)
+		}
 		if len(f.Data) > 0 {
 			select {
 			case c.frames <- f.Data:
@@ -78,9 +82,9 @@
 // Peer returns the name of the instance that holds the connection to the target.
 func (c *Conn) Peer() string { return c.peer }
 
-// Idle reports whether the connection is open and has no unread data.
+// Idle reports whether the connection may carry another request: it is open, has no unread data, and its peer is not stopping.
 func (c *Conn) Idle() bool {
-	if len(c.pending) > 0 || c.closed.Load() {
+	if len(c.pending) > 0 || c.closed.Load() || c.goAway.Load() {
 		return false
 	}
 	select {
--- a/lib/tunnel/server.go
+++ b/lib/tunnel/server.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
-	"sync/atomic"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -42,29 +44,73 @@
 	// OnBackoff is called when a target has asked this instance for a backoff, in a response to a peer's request.
 	OnBackoff func(addr string, d time.Duration)
 
-	carried  atomic.Int32
-	stopping atomic.Bool
+	mu       sync.Mutex
+	carried  map[*mesh.Stream]bool // requested connections, open or being opened
+	stopping bool
 }
 
 // Serve registers the server's handler at a node.
 func (s *Server) Serve(node *mesh.Node) { node.Handle(meshpb.StreamKind_STREAM_TUNNEL, s.handle) }
 
-// Stop makes the server accept no more connections. Those it carries go on.
-func (s *Server) Stop() { s.stopping.Store(true) }
+// Stop makes the server accept no more connections, and tells peers to send no further requests on those that it carries.
+func (s *Server) Stop() {
+	s.mu.Lock()
+	s.stopping = true
+	open := slices.Collect(maps.Keys(s.carried))
+	s.mu.Unlock()
+	for _, stream := range open {
+		// A peer that does not receive this sees its connection reset when this process exits.
+		go func() { _ = stream.Write(&meshpb.TunnelFrame{GoAway: true}) }()
+	}
+}
+
+// drainPoll is the interval at which Drain checks for the end of the last connection.
+const drainPoll = 20 * time.Millisecond
+
+// Drain waits until no connection is carried any more, or until ctx ends. Call it after Stop.
+func (s *Server) Drain(ctx context.Context) {
+	for s.Carried() > 0 && ctx.Err() == nil {
+		time.Sleep(drainPoll)
+	}
+}
 
 // Carried returns the number of connections that are carried now.
-func (s *Server) Carried() int { return int(s.carried.Load()) }
+func (s *Server) Carried() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.carried)
+}
+
+// add counts a connection; it returns false if no more are accepted.
+func (s *Server) add(stream *mesh.Stream) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping || len(s.carried) >= maxCarried {
+		return false
+	}
+	if s.carried == nil {
+		s.carried = make(map[*mesh.Stream]bool)
+	}
+	s.carried[stream] = true
+	return true
+}
+
+func (s *Server) remove(stream *mesh.Stream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.carried, stream)
+}
 
 func (s *Server) handle(ctx context.Context, stream *mesh.Stream) {
 	var open meshpb.TunnelOpen
 	if stream.SetReadDeadline(time.Now().Add(openTimeout)) != nil || stream.Read(&open) != nil || stream.SetReadDeadline(time.Time{}) != nil {
 		return
 	}
-	defer s.carried.Add(-1)
-	if s.carried.Add(1) > maxCarried || s.stopping.Load() {
+	if !s.add(stream) {
 		s.refuse(stream, meshpb.TunnelStatus_TUNNEL_BUSY)
 		return
 	}
+	defer s.remove(stream)
 	conn, status := s.connect(ctx, open.Addr)
 	if status != meshpb.TunnelStatus_TUNNEL_OPEN {
 		s.refuse(stream, status)
--- a/lib/tunnel/tunnel_test.go
+++ b/lib/tunnel/tunnel_test.go
@@ -258,6 +258,39 @@
 	must.NoError(t, err)
 }
 
+// Guards against a request that is sent on an idle connection whose peer is about to exit, and against a peer that exits while it carries
+// a response.
+func TestStoppingPeerDrains(t *testing.T) {
+	p := startPeer(t, "b", "d1")
+	c := newTestClient(t, p)
+	addr := startTarget(t, echo)
+	idle, busy := dial(t, c, addr), dial(t, c, addr)
+	p.Stop()
+	eventually(t, "no further request", func() bool { return !idle.Idle() })
+	must.NoError(t, idle.Close())
+	drained := make(chan struct{})
+	go func() {
+		p.Drain(t.Context())
+		close(drained)
+	}()
+	time.Sleep(100 * time.Millisecond)
+	select {
+	case <-drained:
+		t.Fatal("drained while a connection is open")
+	default:
+	}
+	_, err := busy.Write([]byte("x"))
+	must.NoError(t, err)
+	_, err = io.ReadFull(busy, make([]byte, 1))
+	must.NoError(t, err)
+	must.NoError(t, busy.Close())
+	<-drained
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	dial(t, newTestClient(t, startPeer(t, "c", "d1")), addr)
+	p.Drain(ctx) // returns
+}
+
 // Guards against a peer that sends to a target during the back-off which that has asked of it, in a response that only the other
 // instance could read.
 func TestBackoffReachesThePeer(t *testing.T) {
--- a/lib/wirehttp/pool.go
+++ b/lib/wirehttp/pool.go
@@ -148,14 +148,14 @@
 	return idleDefault
 }
 
-// CloseExpired closes idle connections that have expired. Call it periodically.
+// CloseExpired closes idle connections that have expired, or report that they carry no further request. Call it periodically.
 func (p *Pool) CloseExpired(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for addr, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Before(c.idleUntil) {
+			if now.Before(c.idleUntil) && c.reportsIdle() {
 				kept = append(kept, c)
 			} else {
 				c.Close()
@@ -192,11 +192,20 @@
 	}
 }
 
+// idler is a connection that knows by itself whether it may carry another exchange.
+type idler interface{ Idle() bool }
+
+// reportsIdle reports whether a connection may carry another exchange as far as it knows by itself; most don't.
+func (c *Conn) reportsIdle() bool {
+	i, ok := c.nc.(idler)
+	return !ok || i.Idle()
+}
+
 // idleAndOpen reports whether an idle connection is open and has no unread bytes, which would belong to no request. Without this
 // check a request could be sent on a connection that the target has closed, and whether it ran would be unknown.
 func (c *Conn) idleAndOpen() bool {
-	if i, ok := c.nc.(interface{ Idle() bool }); ok {
-		return i.Idle()
+	if _, ok := c.nc.(idler); ok {
+		return c.reportsIdle()
 	}
 	sc, ok := c.nc.(syscall.Conn)
 	if !ok {
