Connections in the middle of an exchange are reset, not closed

Cause: close leaves unsent and unacknowledged data to the operating system, which goes on delivering it. Targets may have been evacuated, or have left, since; what must not run late, runs. Change: a connection whose exchange has not ended is reset on close (linger 0), at the peer that carries it, too. The fault proxy drops what it holds for a sender that has reset, as across a broken link.

--- a/lib/faultproxy/proxy.go
+++ b/lib/faultproxy/proxy.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"anvilwick.example/anvilwick/lib/proc"
@@ -212,6 +213,11 @@
 		if !p.waitOpen(dir) {
 			return
 		}
+		if wasReset(src) {
+			// Across a broken link the data would still be at its sender, which has discarded it.
+			reset(dst)
+			return
+		}
 		if n > 0 {
 			if _, werr := dst.Write(buf[:n]); werr != nil {
 				reset(src)
@@ -231,6 +237,26 @@
 	}
 }
 
+// wasReset reports whether a connection has been reset, without reading from it.
+func wasReset(c net.Conn) bool {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	found := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, rerr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		found = errors.Is(rerr, syscall.ECONNRESET)
+		return true
+	})
+	return err == nil && found
+}
+
 // waitOpen waits while the direction is blocked, then for the delay, and returns false if the link is cut.
 func (p *Proxy) waitOpen(dir direction) bool {
 	for {
--- a/lib/targetdial/dialer.go
+++ b/lib/targetdial/dialer.go
@@ -211,6 +211,14 @@
 	return n, err
 }
 
+// SetLinger sets how Close treats unsent data, as net.TCPConn.SetLinger.
+func (c *directConn) SetLinger(sec int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		return l.SetLinger(sec)
+	}
+	return errors.ErrUnsupported
+}
+
 // SyscallConn implements syscall.Conn, by which idle connections are checked.
 func (c *directConn) SyscallConn() (syscall.RawConn, error) {
 	if sc, ok := c.Conn.(syscall.Conn); ok {
--- a/lib/tunnel/server.go
+++ b/lib/tunnel/server.go
@@ -154,7 +154,8 @@
 // copy copies both directions until either end closes.
 func (s *Server) copy(stream *mesh.Stream, conn net.Conn, addr string) {
 	go func() {
-		defer conn.Close() // the caller has left, or the link to the peer is lost: the target must not go on working
+		// The caller has left, or the link to the peer is lost: the target must not go on working, nor receive the rest of a request later.
+		defer abort(conn)
 		for {
 			if err := s.copyFrame(stream, conn, addr); err != nil {
 				return
@@ -178,6 +179,14 @@
 	}
 }
 
+// abort resets a connection, so that what the target has not received is discarded.
+func abort(conn net.Conn) {
+	if l, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = l.SetLinger(0) // on failure it is closed as usual
+	}
+	_ = conn.Close()
+}
+
 func (s *Server) copyFrame(stream *mesh.Stream, conn net.Conn, addr string) error {
 	var f meshpb.TunnelFrame
 	if err := stream.Read(&f); err != nil {
--- a/lib/wirehttp/conn.go
+++ b/lib/wirehttp/conn.go
@@ -93,6 +93,7 @@
 	addr         string
 	used         bool        // it has carried an exchange before
 	unusable     atomic.Bool // it must not carry another exchange; set concurrently by a cancelled request
+	exchanging   atomic.Bool // a request was sent and its exchange has not ended
 	idleUntil    time.Time   // it must not be taken from the pool after this time
 	pendingWrite chan error  // result of a write in progress concurrently with reading; nil when there is none
 }
@@ -111,13 +112,23 @@
 func (c *Conn) NetConn() net.Conn { return c.nc }
 
 // Close closes the connection. To the target it looks like the caller disconnecting.
+//
+// In the middle of an exchange the connection is reset. A close would leave what the target has not received to the operating system,
+// which delivers it when a broken link works again: the target would run a request seconds after its caller was answered.
 func (c *Conn) Close() {
 	c.unusable.Store(true)
+	if l, ok := c.nc.(lingerer); ok && c.exchanging.Load() {
+		_ = l.SetLinger(0) // on failure the connection is closed as usual
+	}
 	_ = c.nc.Close()
 }
 
+// lingerer is a connection that can discard unsent data on Close, as *net.TCPConn.
+type lingerer interface{ SetLinger(sec int) error }
+
 // Send writes the request. An error is a *SendError.
 func (c *Conn) Send(req *Request) error {
+	c.exchanging.Store(true)
 	head := req.encode()
 	if len(head)+len(req.Body) <= inlineWriteLimit {
 		return c.write(append(head, req.Body...))
--- a/lib/wirehttp/pool.go
+++ b/lib/wirehttp/pool.go
@@ -106,6 +106,7 @@
 // Put returns a connection to the pool after the exchange of resp. It is closed instead unless no data of that exchange can
 // remain on it: the response was read whole, the request was written whole, and no further byte is buffered.
 func (p *Pool) Put(c *Conn, resp *Response) {
+	c.exchanging.Store(false)
 	if c.unusable.Load() || resp == nil || !resp.reusable() || !c.requestWritten() || c.rd.Buffered() > 0 {
 		c.Close()
 		return
