--- a/lib/e2e/copy_test.go
+++ b/lib/e2e/copy_test.go
@@ -12,8 +12,8 @@
 	"anvilwick.example/anvilwick/lib/standin/platform"
 )
 
-// Guards against a booking whose outcome is lost when the platform's table is restored from a copy: the caller is told for good that the
-// outcome is unknown. Bookings are in progress during the restore, and the entries keep running. Each booking is retried with its key until
+// Guards against a booking whose outcome is lost when the platform's table is restored from a copy: the caller gets "outcome
+// unknown" for good. Bookings are in progress during the restore, and the entries keep running. Each booking is retried with its key until
 // the answer is final, through one entry after another: it must be executed exactly once, whether or not the copy contains its claim.
 func TestBookingsThroughACopyOfTheTable(t *testing.T) {
 	site, ctx := startSite(t, 1, 3)
--- a/lib/gatewayproc/tunnels.go
+++ b/lib/gatewayproc/tunnels.go
@@ -46,7 +46,7 @@
 func (p *Process) linksLost() bool { return p.dialer.Paths.AllLost(time.Now()) }
 
 // dialForPeer opens a connection over this instance's own link. If that fails, the link may be lost, which this instance's own calls
-// have not shown yet: found out now, the next peer is told so at once.
+// may not have shown yet. With a probe now, the next requests of peers are refused at once.
 func (p *Process) dialForPeer(ctx context.Context, addr string) (net.Conn, error) {
 	conn, err := p.dialer.DialDirect(ctx, addr)
 	if err != nil {
@@ -64,7 +64,7 @@
 	return !p.fleet.Evacuated(t.Domain) && !p.fleet.InBackoff(time.Now(), t.ID)
 }
 
-// backOffForPeer records a back-off that a target has asked for in its response to a peer's request.
+// backOffForPeer records a back-off that a target has requested in its response to a peer's request.
 func (p *Process) backOffForPeer(addr string, d time.Duration) {
 	if t, known := p.fleet.At(addr); known {
 		now := time.Now()
--- a/lib/tunnel/server.go
+++ b/lib/tunnel/server.go
@@ -41,7 +41,7 @@
 	LinksLost func() bool
 	// Permitted reports whether this instance may connect to a target now.
 	Permitted func(addr string) bool
-	// OnBackoff is called when a target has asked this instance for a backoff, in a response to a peer's request.
+	// OnBackoff is called when a target has requested a backoff of this instance, in a response to a peer's request.
 	OnBackoff func(addr string, d time.Duration)
 
 	mu       sync.Mutex
