Logs: software version of targets, and streams that callers resume

The entry's version is decoded (fleet.Software) and decides nothing yet.

Measured: tests of lib/gateway, lib/gatewayproc, lib/fleet and platform pass.

--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -31,6 +31,8 @@
 	Slots   int
 	Leaving bool
 	ColdFor time.Duration // remaining time that the target is cold (slow after its start)
+
+	Software Software
 }
 
 // Spec holds the settings of a service's targets.
--- a/lib/gateway/call.go
+++ b/lib/gateway/call.go
@@ -34,6 +34,7 @@
 	prompt    int       // tokens of the prompt
 	output    int       // expected tokens of the output
 	lastEvent string    // id of the last event that the caller has
+	resumes   string    // id of the attempt that brought the first event of the stream that the caller resumes
 
 	contentHash uint64          // fingerprint of the request's content
 	sends       int             // number of targets that the call was sent to
@@ -131,6 +132,7 @@
 	}
 	c.prompt, c.output = g.tokens(r.Header)
 	c.lastEvent = r.Header.Get(g.Names.LastEvent)
+	c.resumes = r.Header.Get(g.Names.Resumes)
 	c.header = g.forwardHeaders(r.Header, c)
 	c.tried = make(map[string]bool)
 }
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -39,6 +39,7 @@
 	Brittle   string // in a response: requests a second that the target may reject for want of room, from all instances, before it falls over
 	Leaving   string // in a response: the target accepts nothing new
 	LastEvent string // id of the last event that the caller has
+	Resumes   string // id of the request attempt that brought the first event of the stream that the caller resumes
 	Tokens    string // prompt tokens and maximum output tokens
 	Hint      string // the caller's estimate of the output tokens
 	Urgency   string // rank in an engine's queue
--- a/lib/gateway/log.go
+++ b/lib/gateway/log.go
@@ -22,10 +22,11 @@
 type entry struct {
 	id, route, kind, service string
 	age                      time.Duration
+	resumes, lastEvent       string // of a stream that its caller resumes
 }
 
 func (c *call) entry() entry {
-	e := entry{id: c.id, service: c.service, age: time.Since(c.arrived)}
+	e := entry{id: c.id, service: c.service, age: time.Since(c.arrived), resumes: c.resumes, lastEvent: c.lastEvent}
 	if c.route != nil {
 		e.route = c.route.Name
 		e.kind = c.route.Kind.String()
@@ -42,6 +43,9 @@
 	if l.Era != nil {
 		ev = ev.Int64("era", l.Era())
 	}
+	if e.resumes != "" || e.lastEvent != "" {
+		ev = ev.Str("resumes", shorten(e.resumes)).Str("last_event", shorten(e.lastEvent))
+	}
 	return ev
 }
 
@@ -59,8 +63,8 @@
 
 // Sent logs how an exchange with a target ended, and the state of the target assumed when it was chosen. via is the peer by way of which
 // it went; empty: none.
-func (l Log) Sent(e entry, target string, known fleet.KnownState, via string, status int, outcome string, err error) {
-	ev := l.line(log.Info(), "sent", e).Str("target", target).Int("ready", known.ReadyTargets)
+func (l Log) Sent(e entry, target fleet.Info, known fleet.KnownState, via string, status int, outcome string, err error) {
+	ev := l.line(log.Info(), "sent", e).Str("target", target.ID).Str("software", target.Software.Name).Int("ready", known.ReadyTargets)
 	if via != "" {
 		ev = ev.Str("via", via)
 	}
@@ -129,13 +133,15 @@
 }
 
 // ResumedFromBackup logs a run that resumes from a copy after its engine failed.
-func (l Log) ResumedFromBackup(e entry, to string, events int) {
-	l.line(log.Warn(), "from_backup", e).Str("to", to).Int("events", events).Msg("")
+func (l Log) ResumedFromBackup(e entry, to fleet.Info, events int) {
+	l.line(log.Warn(), "from_backup", e).Str("to", to.ID).Str("software", to.Software.Name).Int("events", events).Msg("")
 }
 
 // Moved logs how a move of a run ended.
-func (l Log) Moved(e entry, from, to string, took time.Duration, err error) {
-	logline.Send(l.line(log.Info(), "moved", e).Str("from", from).Str("to", to).Int64("took_ms", took.Milliseconds()), err)
+func (l Log) Moved(e entry, from, to fleet.Info, took time.Duration, err error) {
+	ev := l.line(log.Info(), "moved", e).Str("from", from.ID).Str("software", from.Software.Name)
+	ev = ev.Str("to", to.ID).Str("to_software", to.Software.Name)
+	logline.Send(ev.Int64("took_ms", took.Milliseconds()), err)
 }
 
 // LimitChanged logs that a target's limit begins, changes or ends.
@@ -153,18 +159,20 @@
 // BrittleInvalid logs that a target named a number of rejections that is ignored.
 func (l Log) BrittleInvalid(t fleet.Info, value string) {
 	ev := log.Warn().Str("event", "brittle_fault").Str("target", t.ID).Str("service", t.Service)
-	ev.Str("value", value[:min(len(value), maxLoggedValue)]).Msg("")
+	ev.Str("value", shorten(value)).Msg("")
 }
 
 // LoadFault logs that a target's response named a load that is ignored.
 func (l Log) LoadFault(t fleet.Info, fault, value string) {
 	ev := log.Warn().Str("event", "load_fault").Str("target", t.ID).Str("service", t.Service)
-	ev.Str("fault", fault).Str("value", value[:min(len(value), maxLoggedValue)]).Msg("")
+	ev.Str("fault", fault).Str("value", shorten(value)).Msg("")
 }
 
-// maxLoggedValue bounds a value from a target in a log line, in bytes.
+// maxLoggedValue bounds a value from a target or a caller in a log line, in bytes.
 const maxLoggedValue = 64
 
+func shorten(value string) string { return value[:min(len(value), maxLoggedValue)] }
+
 // TargetResting logs that a target accepts nothing from this instance for some time.
 func (l Log) TargetResting(t fleet.Info, wait time.Duration) {
 	ev := log.Info().Str("event", "target_rests").Str("target", t.ID).Str("service", t.Service)
--- a/lib/gateway/move.go
+++ b/lib/gateway/move.go
@@ -182,7 +182,7 @@
 		}
 		err := g.moveTo(r, from, to, notice)
 		reserved = false
-		g.Log.Moved(r.c.entry(), from.ID, to.ID, time.Since(notice), err)
+		g.Log.Moved(r.c.entry(), from, to, time.Since(notice), err)
 		r.c.count(metricMoves, "moved", strconv.FormatBool(err == nil))
 		switch {
 		case err == nil:
--- a/lib/gateway/plain.go
+++ b/lib/gateway/plain.go
@@ -55,7 +55,7 @@
 		if g.Owners != nil {
 			g.Owners.RecordPlainOutcome(c.service, target.ID, outcome)
 		}
-		g.Log.Sent(c.entry(), target.ID, lastKnown, x.via, x.statusCode(), x.verdict.String(), x.err)
+		g.Log.Sent(c.entry(), target, lastKnown, x.via, x.statusCode(), x.verdict.String(), x.err)
 		c.count(metricSent, "outcome", x.verdict.String())
 		if !x.sent {
 			if ctx.Err() != nil {
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -75,7 +75,7 @@
 			r.lastKnown = g.Fleet.KnownState(time.Now(), to.target.ID)
 		}
 		e, x := r.runOn(ctx, to)
-		g.Log.Sent(c.entry(), to.target.ID, r.lastKnown, x.via, x.statusCode(), e.String(), x.err)
+		g.Log.Sent(c.entry(), to.target, r.lastKnown, x.via, x.statusCode(), e.String(), x.err)
 		c.count(metricSent, "outcome", e.String())
 		var done bool
 		to, done = r.decideNext(ctx, e, x, to)
@@ -136,7 +136,7 @@
 		return to, false
 	case endBroken:
 		if n, ok := r.takePartialCopy(prev.target.ID); ok {
-			r.g.Log.ResumedFromBackup(r.c.entry(), n.target.ID, r.events)
+			r.g.Log.ResumedFromBackup(r.c.entry(), n.target, r.events)
 			r.g.Budget.ForceTake(time.Now(), r.c.service)
 			return n, false
 		}
@@ -144,7 +144,7 @@
 			break // the backup is of the run before it moved, and has not been updated since
 		}
 		if n, ok := r.resumeFromBackup(); ok {
-			r.g.Log.ResumedFromBackup(r.c.entry(), n.target.ID, r.events)
+			r.g.Log.ResumedFromBackup(r.c.entry(), n.target, r.events)
 			r.g.Budget.ForceTake(time.Now(), r.c.service)
 			return n, false
 		}
--- a/lib/gatewayproc/feedlog.go
+++ b/lib/gatewayproc/feedlog.go
@@ -55,7 +55,7 @@
 func logTargets(level log.Level, event string, targets []fleet.Info) {
 	for _, t := range targets[:min(targetsLogged, len(targets))] {
 		ev := log.DefaultLogger.WithLevel(level).Str("event", event).Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr)
-		ev.Int64("born", t.Born).Msg("")
+		ev.Str("software", t.Software.Name).Int64("born", t.Born).Msg("")
 	}
 	if more := len(targets) - targetsLogged; more > 0 {
 		log.DefaultLogger.WithLevel(level).Str("event", event).Int("more", more).Msg("")
