--- a/lib/fleet/capacity.go
+++ b/lib/fleet/capacity.go
@@ -12,7 +12,7 @@
 	var best *Target
 	mostFree := int(minFree * float64(memory))
 	for _, t := range f.among(n.Service, n.Among) {
-		if t.Service != n.Service || !f.accepts(t) || t.ID == exclude || !f.inRegions(t, n.Regions) || f.isPaced(now, t) {
+		if t.Service != n.Service || !f.accepts(t) || t.ID == exclude || !t.runs(n.Software) || !f.inRegions(t, n.Regions) || f.isPaced(now, t) {
 			continue
 		}
 		if free := memory - f.totalLoad(t).Tokens - n.Tokens; free > mostFree {
--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -47,6 +47,7 @@
 	MaxUnreadOf     func(id string) int
 	CrossDomainCost float64  // penalty for a domain other than PreferredDomain, if above the default
 	Regions         []string // regions that the request is restricted to; nil: any
+	Software        uint64   // Software.ID of the version that has begun the stream, and that alone may continue it; 0: any
 	Granted         bool     // the target's owner chose it and has counted the request there
 	FoundByOwner    bool     // an owner found the target, which this instance's list may not contain
 	// Penalty returns what a choice of an engine costs beyond its load, in units of one fully loaded target. load and runs are those
@@ -193,7 +194,7 @@
 		return false
 	case !n.asOwner && now.Before(t.backoffUntil):
 		return false
-	case !f.inRegions(t, n.Regions), !f.paceAllows(now, t, n):
+	case !t.runs(n.Software), !f.inRegions(t, n.Regions), !f.paceAllows(now, t, n):
 		return false
 	}
 	spec := n.spec
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -244,12 +244,13 @@
 
 // Availability counts the targets that a request could go to, and the reasons why others can't take it.
 type Availability struct {
-	Accepting   int // targets that accept requests, including cold ones
-	Cold        int // of the accepting: just started, at a reduced rate
-	Limited     int // of the accepting: announced a limit that leaves no request to this instance now
-	InBackoff   int // of the accepting: asked this instance to back off
-	Evacuated   int // in an evacuated failure domain
-	OutOfRegion int // outside the regions that the request is restricted to
+	Accepting     int // targets that accept requests, including cold ones
+	Cold          int // of the accepting: just started, at a reduced rate
+	Limited       int // of the accepting: announced a limit that leaves no request to this instance now
+	InBackoff     int // of the accepting: asked this instance to back off
+	Evacuated     int // in an evacuated failure domain
+	OutOfRegion   int // outside the regions that the request is restricted to
+	OtherSoftware int // of another version than the one that may continue the stream
 
 	RetryAfter time.Duration // until the first limited or backing-off target may accept a request
 	Partial    bool          // there may be targets that this instance does not know
@@ -276,6 +277,8 @@
 	for _, t := range f.index.targetsOf(n.Service) {
 		switch {
 		case t.state != Ready || t.unreadable:
+		case !t.runs(n.Software):
+			out.OtherSoftware++
 		case !f.inRegions(t, n.Regions):
 			out.OutOfRegion++
 		case f.evacuated[t.Domain]:
--- a/lib/fleet/software.go
+++ b/lib/fleet/software.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"anvilwick.example/anvilwick/lib/rendezvous"
 )
@@ -30,3 +31,35 @@
 
 // softwareID returns a hash that is never 0.
 func softwareID(s string) uint64 { return max(1, rendezvous.Hash(s)) }
+
+// runs reports whether a target runs a version; 0 stands for any.
+func (t *Target) runs(software uint64) bool { return software == 0 || t.Software.ID == software }
+
+// RunsSoftware reports whether one of the given targets runs a version and accepts requests.
+func (f *Fleet) RunsSoftware(among []string, software uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range among {
+		if t := f.targets[id]; t != nil && f.accepts(t) && t.runs(software) {
+			return true
+		}
+	}
+	return false
+}
+
+// SoftwareOf lists the versions of those of the given targets that accept requests, at most limit, in ascending order of their ids.
+func (f *Fleet) SoftwareOf(among []string, limit int) []uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []uint64
+	for _, id := range among {
+		t := f.targets[id]
+		if t == nil || !f.accepts(t) {
+			continue
+		}
+		if at, found := slices.BinarySearch(out, t.Software.ID); !found && len(out) < limit {
+			out = slices.Insert(out, at, t.Software.ID)
+		}
+	}
+	return out
+}
--- a/lib/gateway/answer.go
+++ b/lib/gateway/answer.go
@@ -42,7 +42,7 @@
 
 // noTargetRefusal returns the refusal for a call that no target accepts and none has executed, with the reason.
 func (g *Gateway) noTargetRefusal(c *call) refusal {
-	avail := g.Fleet.Availability(time.Now(), fleet.Need{Service: c.service, Regions: g.regions(c)})
+	avail := g.Fleet.Availability(time.Now(), fleet.Need{Service: c.service, Regions: g.regions(c), Software: c.software.ID})
 	g.Log.NoTarget(c.entry(), avail)
 	switch {
 	case avail.Blocked() && avail.Limited > 0:
@@ -59,6 +59,9 @@
 		return c.unavailable("evacuated")
 	case avail.OutOfRegion > 0:
 		return c.unavailable("out_of_region")
+	case avail.OtherSoftware > 0:
+		// Without Retry-After: nothing says that a target of the version will ever be back.
+		return refusal{status: http.StatusServiceUnavailable, reason: "no_software"}
 	}
 	return c.unavailable("no_target")
 }
--- a/lib/gateway/backup.go
+++ b/lib/gateway/backup.go
@@ -32,8 +32,9 @@
 	}
 	tokens := r.currentLoad().Tokens
 	engine, ok := r.g.Fleet.Info(to.backup)
+	ok = ok && engine.Software.ID == to.target.Software.ID
 	if !to.byOwner {
-		need := fleet.Need{Service: to.target.Service, Tokens: tokens, Regions: r.g.regions(r.c)}
+		need := fleet.Need{Service: to.target.Service, Tokens: tokens, Regions: r.g.regions(r.c), Software: to.target.Software.ID}
 		engine, ok = r.g.Fleet.ChooseForCopy(time.Now(), need, to.target.ID, minBackupFree)
 	}
 	if !ok {
@@ -64,7 +65,9 @@
 		return placement{}, false
 	}
 	size := r.currentLoad()
-	need := fleet.Need{Service: target.Service, Tokens: size.Tokens, Regions: r.g.regions(r.c), FoundByOwner: true}
+	need := fleet.Need{
+		Service: target.Service, Tokens: size.Tokens, Regions: r.g.regions(r.c), FoundByOwner: true, Software: r.c.software.ID,
+	}
 	engine, ok := r.g.Fleet.AcquireAt(time.Now(), target.ID, need)
 	if !ok {
 		return placement{}, false
--- a/lib/gateway/call.go
+++ b/lib/gateway/call.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/rendezvous"
 	"anvilwick.example/anvilwick/lib/routes"
 	"anvilwick.example/anvilwick/lib/wirehttp"
@@ -36,6 +37,7 @@
 	lastEvent string    // id of the last event that the caller has
 	resumes   string    // id of the attempt that brought the first event of the stream that the caller resumes
 
+	software    fleet.Software  // that began the stream, and that alone may continue it; zero: none has
 	contentHash uint64          // fingerprint of the request's content
 	sends       int             // number of targets that the call was sent to
 	mayHaveRun  bool            // a target may have executed it
@@ -103,6 +105,10 @@
 	return c, g.checkPoison(c)
 }
 
+// continues reports whether the call continues a stream. Such a stream is placed ahead of new ones, which have no engine to lose: only those of
+// one software version accept it, and its caller has waited already.
+func (c *call) continues() bool { return c.software.ID != 0 }
+
 // readBody reads the whole body: a request is forwarded only once it is complete, with its Content-Length.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, c *call, limit int64) *refusal {
 	if r.Body == nil || r.Body == http.NoBody {
--- a/lib/gateway/log.go
+++ b/lib/gateway/log.go
@@ -58,7 +58,7 @@
 func (l Log) NoTarget(e entry, a fleet.Availability) {
 	ev := l.line(log.Info(), "no_target", e).Int("takes", a.Accepting).Int("cold", a.Cold).Int("limited", a.Limited).
 		Int("resting", a.InBackoff)
-	ev.Int("evacuated", a.Evacuated).Int("out_of_region", a.OutOfRegion).Msg("")
+	ev.Int("evacuated", a.Evacuated).Int("out_of_region", a.OutOfRegion).Int("other_software", a.OtherSoftware).Msg("")
 }
 
 // Sent logs how an exchange with a target ended, and the state of the target assumed when it was chosen. via is the peer by way of which
--- a/lib/gateway/move.go
+++ b/lib/gateway/move.go
@@ -96,7 +96,7 @@
 	engines := make([]moveplan.Engine, 0, len(from))
 	for _, e := range from {
 		leaving = append(leaving, e)
-		engines = append(engines, moveplan.Engine{ID: e.ID, Domain: e.Domain})
+		engines = append(engines, moveplan.Engine{ID: e.ID, Domain: e.Domain, Software: e.Software.ID})
 	}
 	if g.Owners == nil {
 		return moveplan.Plan(runs, engines, g.destinations(svc.Name, from), linkOf(svc.Engine))
@@ -139,7 +139,7 @@
 	var out []moveplan.Engine
 	for _, candidate := range g.Fleet.MoveCandidates(time.Now(), service, nil) {
 		if leaving[candidate.ID].ID == "" {
-			out = append(out, moveplan.Engine{ID: candidate.ID, Domain: candidate.Domain, Free: candidate.Free})
+			out = append(out, moveplan.Engine{ID: candidate.ID, Domain: candidate.Domain, Free: candidate.Free, Software: candidate.Software.ID})
 		}
 	}
 	return out
@@ -203,7 +203,7 @@
 func (g *Gateway) moveNeed(r *run, from fleet.Info, excluded map[string]bool) fleet.Need {
 	return fleet.Need{
 		Service: from.Service, Tokens: r.currentLoad().Tokens, Exclude: excluded, PreferredDomain: from.Domain,
-		CrossDomainCost: remoteDomainCost, RequireMemory: true, Regions: g.regions(r.c),
+		CrossDomainCost: remoteDomainCost, RequireMemory: true, Regions: g.regions(r.c), Software: r.currentTarget().Software.ID,
 	}
 }
 
--- a/lib/gateway/place.go
+++ b/lib/gateway/place.go
@@ -79,7 +79,7 @@
 		need.Exclude, need.Granted = excluded, false
 		need.PreferredDomain = r.g.Fleet.Domain()
 		req := owner.PlaceRequest{Run: rendezvous.Hash(r.c.id), Fingerprint: r.c.contentHash, Stream: r.admitStream(need)}
-		if r.c.sends > 0 {
+		if r.c.sends > 0 || r.c.continues() {
 			req.Mode = owner.Any
 		}
 		if r.wantsBackup() {
@@ -104,7 +104,7 @@
 
 // placeLocally chooses a target from this instance's own state.
 func (r *run) placeLocally(ctx context.Context, need fleet.Need) (target fleet.Info, retryAfter time.Duration) {
-	if r.c.sends == 0 {
+	if r.c.sends == 0 && !r.c.continues() {
 		d := r.awaitCapacity(ctx, need)
 		switch d.Action {
 		case admit.Admit:
--- a/lib/moveplan/plan.go
+++ b/lib/moveplan/plan.go
@@ -26,6 +26,8 @@
 	ID     string
 	Domain string // failure domain
 	Free   int    // unreserved memory in tokens; destinations only
+
+	Software uint64 // identifies the version of its software; a run moves only to an engine of the same one
 }
 
 // Link is the capacity of the engines' links.
@@ -55,9 +57,9 @@
 // well as at the destination. Small runs go first: each run is worth about the same to its caller, and more small ones fit before the
 // engine is gone.
 func Plan(runs []Run, leaving, engines []Engine, link Link) []Step {
-	p := planner{link: link, linkFreeAt: make(map[string]time.Duration), domain: make(map[string]string)}
+	p := planner{link: link, linkFreeAt: make(map[string]time.Duration), source: make(map[string]Engine)}
 	for _, e := range leaving {
-		p.domain[e.ID] = e.Domain
+		p.source[e.ID] = e
 	}
 	p.engines = slices.Clone(engines)
 	slices.SortFunc(p.engines, func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
@@ -86,7 +88,7 @@
 type planner struct {
 	link       Link
 	engines    []Engine
-	domain     map[string]string        // of the leaving engines
+	source     map[string]Engine        // the leaving engines
 	linkFreeAt map[string]time.Duration // when an engine's link becomes free
 }
 
@@ -104,13 +106,14 @@
 func (p *planner) place(r Run) Step {
 	var to *Engine
 	var start, end, bestCost time.Duration
+	source := p.source[r.From]
 	for i := range p.engines {
 		e := &p.engines[i]
-		if e.Free < r.Tokens+r.Expected {
+		if e.Software != source.Software || e.Free < r.Tokens+r.Expected {
 			continue
 		}
 		s := max(p.linkFreeAt[r.From], p.linkFreeAt[e.ID])
-		finish := s + p.link.transferTime(r.Tokens, e.Domain == p.domain[r.From])
+		finish := s + p.link.transferTime(r.Tokens, e.Domain == source.Domain)
 		cost := finish - p.link.transferTime(int(freeWeight*float64(e.Free)), true)
 		if to == nil || cost < bestCost {
 			to, start, end, bestCost = e, s, finish, cost
--- a/lib/moveplan/plan_test.go
+++ b/lib/moveplan/plan_test.go
@@ -86,3 +86,11 @@
 		}
 	})
 }
+
+// Engines of two software versions share a service. The memory of a run fits only engines of its own version, however much others have free.
+func TestRunMovesOnlyToItsSoftware(t *testing.T) {
+	from := []Engine{{ID: "x", Domain: "z1", Software: 1}, {ID: "y", Domain: "z1", Software: 3}}
+	dests := []Engine{{ID: "a", Free: 90_000, Domain: "z1", Software: 2}, {ID: "b", Free: 9000, Domain: "z2", Software: 1}}
+	got := Plan([]Run{{ID: 1, From: "x", Tokens: 1000}, {ID: 2, From: "y", Tokens: 1000}}, from, dests, link)
+	must.Eq(t, map[uint64]string{1: "b", 2: ""}, map[uint64]string{got[0].Run.ID: got[0].To, got[1].Run.ID: got[1].To})
+}
--- a/lib/owner/coordinator.go
+++ b/lib/owner/coordinator.go
@@ -89,6 +89,9 @@
 	if req.Hops > 1 {
 		return s, nil // already forwarded by another shard
 	}
+	if software := req.Stream.Need.Software; software != 0 {
+		return c.routeBySoftware(now, s, software)
+	}
 	n, by, ok := c.PickLessLoaded(now, s, c.used(s))
 	if !ok {
 		return s, nil
@@ -96,6 +99,19 @@
 	return n, c.otherInstance(n, by)
 }
 
+// routeBySoftware is route for a stream that only one version of the engines' software may continue: the shard itself while it has such an
+// engine, or a shard that is known to have one.
+func (c *Coordinator) routeBySoftware(now time.Time, s *Shard, software uint64) (*Shard, *Instance) {
+	if c.fleet.RunsSoftware(s.Engines(), software) {
+		return s, nil
+	}
+	n, by, ok := c.PickWithSoftware(now, s, software)
+	if !ok {
+		return s, nil
+	}
+	return n, c.otherInstance(n, by)
+}
+
 // otherInstance returns the candidate of a shard with a name; nil if it is this instance.
 func (c *Coordinator) otherInstance(s *Shard, name string) *Instance {
 	for i, in := range s.Ranked {
@@ -112,7 +128,7 @@
 		return Disposition{}, false
 	}
 	size := req.Stream.Need.Peak
-	n, by, ok := c.PickWithCapacity(now, s, size.Held+size.Remaining)
+	n, by, ok := c.PickWithCapacity(now, s, size.Held+size.Remaining, req.Stream.Need.Software)
 	if !ok {
 		return Disposition{}, false
 	}
@@ -180,7 +196,8 @@
 
 // UpdateFill measures the fill level of a shard that this instance owns, records it and returns it for publication.
 func (c *Coordinator) UpdateFill(now time.Time, s *Shard) Fill {
-	f := Fill{Used: c.used(s), LargestFree: c.fleet.MaxFreeTokens(s.Engines())}
+	engines := s.Engines()
+	f := Fill{Used: c.used(s), LargestFree: c.fleet.MaxFreeTokens(engines), Software: c.fleet.SoftwareOf(engines, maxFillSoftware)}
 	c.SetFill(now, s.Key, f)
 	return f
 }
--- a/lib/owner/coordinator_test.go
+++ b/lib/owner/coordinator_test.go
@@ -100,3 +100,38 @@
 	must.False(t, again.Forward)
 	must.Eq(t, "e", again.Answer.Target)
 }
+
+// A stream goes on at one version of the engines' software, of which the shard it arrives at has no engine, and another has a full one. It is
+// forwarded there, and never granted an engine of another version.
+func TestStreamIsForwardedToItsSoftware(t *testing.T) {
+	a, b, ofA, ofB := twoCoordinators()
+	v1, v2 := fleet.NewSoftware("s", "v1"), fleet.NewSoftware("s", "v2")
+	for _, c := range []*Coordinator{a, b} {
+		c.fleet.Apply(t0, []fleet.Info{
+			{ID: "ea", Service: "s", Domain: "za", Software: v1}, {ID: "eb", Service: "s", Domain: "zb", Software: v2},
+		}, nil, 0)
+	}
+	b.Report(t0, Report{Shard: "b", Instance: "i", Incarnation: 1, Seq: 1, Runs: []Run{{ID: 2, Target: "eb", Tokens: 9900}}})
+	exchangeHeartbeats(t0, a, b, ofA, ofB)
+	req := placeRequest("i", 1, 3000)
+	req.Mode, req.Stream.Need.Software = Any, v2.ID
+	r := a.Handle(t0, ofA, req)
+	must.True(t, r.Forward)
+	must.Eq(t, "eb", b.Handle(t0, r.Shard, r.Request).Answer.Target)
+	req = placeRequest("i", 2, 3000)
+	req.Mode, req.Stream.Need.Software = Any, fleet.NewSoftware("s", "v3").ID
+	must.Eq(t, admit.Fallback, a.Handle(t0, ofA, req).Answer.Action)
+}
+
+// A run is granted with a backup copy: it must be at an engine of the run's version.
+func TestBackupIsGrantedAtTheSameSoftware(t *testing.T) {
+	a, _, ofA, _ := twoCoordinators()
+	v1, v2 := fleet.NewSoftware("s", "v1"), fleet.NewSoftware("s", "v2")
+	ofA.members = newMembers([]string{"ea", "eb"})
+	a.fleet.Apply(t0, []fleet.Info{{ID: "ea", Service: "s", Software: v1}, {ID: "eb", Service: "s", Software: v2}}, nil, 0)
+	req := placeRequest("i", 1, 100)
+	req.Backup = 100
+	got := a.Handle(t0, ofA, req).Answer
+	must.NotEq(t, "", got.Target)
+	must.Eq(t, "", got.Backup)
+}
--- a/lib/owner/grant.go
+++ b/lib/owner/grant.go
@@ -37,7 +37,13 @@
 
 // backup selects an engine for a backup copy of the run.
 func (l *Ledger) backup(now time.Time, s *Shard, req *PlaceRequest, out *Answer, h *holder) {
-	need := fleet.Need{Service: s.Service, Tokens: req.Backup, Among: s.Engines(), Regions: req.Stream.Need.Regions}
+	target, ok := l.fleet.Info(out.Target)
+	if !ok {
+		return
+	}
+	need := fleet.Need{
+		Service: s.Service, Tokens: req.Backup, Among: s.Engines(), Regions: req.Stream.Need.Regions, Software: target.Software.ID,
+	}
 	engine, ok := l.fleet.ChooseForCopy(now, need, out.Target, backupMinFree)
 	if !ok {
 		return
--- a/lib/owner/moves.go
+++ b/lib/owner/moves.go
@@ -25,12 +25,12 @@
 	engines := make([]moveplan.Engine, len(leaving))
 	for i, e := range leaving {
 		ids[e.ID] = true
-		engines[i] = moveplan.Engine{ID: e.ID, Domain: e.Domain}
+		engines[i] = moveplan.Engine{ID: e.ID, Domain: e.Domain, Software: e.Software.ID}
 	}
 	var destinations []moveplan.Engine
 	for _, r := range l.fleet.MoveCandidates(now, s.Service, s.Engines()) {
 		if !ids[r.ID] {
-			destinations = append(destinations, moveplan.Engine{ID: r.ID, Domain: r.Domain, Free: r.Free})
+			destinations = append(destinations, moveplan.Engine{ID: r.ID, Domain: r.Domain, Free: r.Free, Software: r.Software.ID})
 		}
 	}
 	runs := slices.DeleteFunc(l.runsOn(ids), func(r moveplan.Run) bool {
--- a/lib/owner/peers.go
+++ b/lib/owner/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -44,8 +45,13 @@
 type Fill struct {
 	Used        float64 // share of its memory in use or reserved, with pending prefill weighed in
 	LargestFree int     // tokens that a run may take on the engine with the most free memory
+
+	Software []uint64 // versions of its engines' software, at most maxFillSoftware
 }
 
+// maxFillSoftware bounds the versions published for a shard: during a release a service has two or three.
+const maxFillSoftware = 4
+
 type receivedHeartbeat struct {
 	Heartbeat
 	at time.Time
@@ -232,11 +238,11 @@
 }
 
 // PickWithCapacity returns a shard with an engine that has capacity for a number of tokens, and its owner. It is chosen at random,
-// weighted by free capacity. The tokens are deducted from the last known fill level, so that streams that wait here together are not
+// weighted by free capacity; with software, an engine of that version. The tokens are deducted from the last known fill level, so that streams that wait here together are not
 // all forwarded to the same shard.
-func (p *Peers) PickWithCapacity(now time.Time, s *Shard, tokens int) (to *Shard, owner string, ok bool) {
+func (p *Peers) PickWithCapacity(now time.Time, s *Shard, tokens int, software uint64) (to *Shard, owner string, ok bool) {
 	to, owner, ok = p.pickWeighted(now, s, func(f *receivedFill) float64 {
-		if f.LargestFree < tokens {
+		if f.LargestFree < tokens || software != 0 && !slices.Contains(f.Software, software) {
 			return 0
 		}
 		return float64(f.LargestFree)
@@ -251,6 +257,19 @@
 	return to, owner, ok
 }
 
+// PickWithSoftware returns a shard that has engines of a software version, and its owner. Less loaded shards are more likely.
+func (p *Peers) PickWithSoftware(now time.Time, s *Shard, software uint64) (to *Shard, owner string, ok bool) {
+	return p.pickWeighted(now, s, func(f *receivedFill) float64 {
+		if !slices.Contains(f.Software, software) {
+			return 0
+		}
+		return max(minSoftwareWeight, 1-f.Used)
+	})
+}
+
+// minSoftwareWeight is the weight of a full shard that has the only engines of a version.
+const minSoftwareWeight = 0.01
+
 // pickWeighted chooses one of a shard's neighbours at random by weight; those without a positive weight are left out.
 func (p *Peers) pickWeighted(now time.Time, s *Shard, weightOf func(*receivedFill) float64) (to *Shard, owner string, ok bool) {
 	p.mu.Lock()
--- a/lib/ownerlink/heartbeat.go
+++ b/lib/ownerlink/heartbeat.go
@@ -101,7 +101,7 @@
 	f := l.Coordinator.UpdateFill(now, s)
 	sendNear := l.fillDue(now, s.Key, f, 1)
 	sendFar := l.fillDue(now, s.Key+" far", f, owner.RemoteDomainFactor)
-	sent := &ownerpb.Fill{Shard: s.Key, Permille: uint32(permille * f.Used), Room: tokens(f.LargestFree)}
+	sent := &ownerpb.Fill{Shard: s.Key, Permille: uint32(permille * f.Used), Room: tokens(f.LargestFree), Software: f.Software}
 	for _, n := range s.Neighbours() {
 		if isFar := n.Domain != s.Domain; isFar && !sendFar || !isFar && !sendNear {
 			continue
@@ -162,7 +162,7 @@
 func (l *Link) handleHeartbeat(d *ownerpb.Datagram, b *ownerpb.Beat) {
 	fills := make(map[string]owner.Fill, len(b.Fills))
 	for _, f := range b.Fills {
-		fills[f.Shard] = owner.Fill{Used: float64(f.Permille) / permille, LargestFree: int(f.Room)}
+		fills[f.Shard] = owner.Fill{Used: float64(f.Permille) / permille, LargestFree: int(f.Room), Software: f.Software}
 	}
 	l.Coordinator.ReceiveHeartbeat(time.Now(), owner.Heartbeat{
 		Instance: d.Instance, Incarnation: d.Incarnation, Cold: b.Cold, Leaving: b.Leaving, Fills: fills,
--- a/lib/ownerlink/wire.go
+++ b/lib/ownerlink/wire.go
@@ -30,7 +30,7 @@
 		AgeMs: ms(now.Sub(req.Stream.Arrived)), KeepsMs: ms(req.Stream.MaxRetryAfter), Near: n.PreferredDomain,
 		BackupTokens: tokens(req.Backup), Print: req.Fingerprint,
 		Back: req.Stream.IsRetry, Bound: n.Regions != nil, Regions: n.Regions, Describe: req.Describe,
-		Workspace: req.Stream.Workspace, Rank: uint32(max(0, req.Stream.Priority)), GapMs: ms(req.Stream.GapObjective),
+		Workspace: req.Stream.Workspace, Rank: uint32(max(0, req.Stream.Priority)), GapMs: ms(req.Stream.GapObjective), Software: n.Software,
 	}
 	for id := range n.Exclude {
 		out.Without = append(out.Without, id)
@@ -44,6 +44,7 @@
 	need := fleet.Need{
 		Service: req.Service, Tokens: int(req.Tokens), Unread: int(req.Unread), PreferredDomain: req.Near,
 		Peak: fleet.Size{Held: int(req.Now), Remaining: int(req.Left)},
+		Software: req.Software,
 	}
 	if req.Bound {
 		need.Regions = append([]string{}, req.Regions...)
@@ -79,14 +80,18 @@
 	if t.Addr == "" {
 		return nil
 	}
-	return &ownerpb.Target{Addr: t.Addr, Domain: t.Domain, Born: t.Born, Slots: uint32(max(0, t.Slots))}
+	return &ownerpb.Target{Addr: t.Addr, Domain: t.Domain, Born: t.Born, Slots: uint32(max(0, t.Slots)), Software: t.Software.ID, SoftwareName: t.Software.Name}
 }
 
 func decodeTarget(id, service string, t *ownerpb.Target) fleet.Info {
 	if t == nil || id == "" {
 		return fleet.Info{}
 	}
-	return fleet.Info{ID: id, Service: service, Addr: t.Addr, Domain: t.Domain, Born: t.Born, Slots: int(t.Slots)}
+	software := fleet.Software{ID: t.Software, Name: t.SoftwareName}
+	if software.ID == 0 {
+		software = fleet.UnnamedSoftware(service, id, t.Born) // the sender does not know versions
+	}
+	return fleet.Info{ID: id, Service: service, Addr: t.Addr, Domain: t.Domain, Born: t.Born, Slots: int(t.Slots), Software: software}
 }
 
 func decodeAnswer(a *ownerpb.Answer, service string) owner.Answer {
