Callers resume streams at the version that began them, at any instance (ORDER over attempts)

Callers got the rest of a stream from another software version when they took it up at another instance, or at any instance after a restart. Cause: Resumes was read by nobody, and what began a stream was known only to the instance that ran it. The class: state that a promise over several attempts needs lives in the one process that the attempts exist to survive.

Design (lib/resume): the version is recorded at two peers in different failure domains, found by rendezvous hashing of workspace and attempt, before the first event leaves; the event waits 80 ms at most. An instance that stops hands over what it holds. While a service has several versions, records also go to the store, in groups of 250 ms, written by one instance of each failure domain. The store also has a row per service with the versions of the last ten minutes: a stream that nobody knows goes on if there was one only, and is refused (503 stream_unknown) if there were several, if the row is in doubt after a restore, or if the store can't be asked. Nothing is guessed.

Tests of lib/gatewayproc, lib/ownerlink, lib/fleetsim pass.

--- a/lib/fleet/software.go
+++ b/lib/fleet/software.go
@@ -63,3 +63,16 @@
 	}
 	return out
 }
+
+// ServiceSoftware lists the versions of a service's known targets, those that leave included, in ascending order of their ids.
+func (f *Fleet) ServiceSoftware(service string) []uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []uint64
+	for _, t := range f.index.targetsOf(service) {
+		if at, found := slices.BinarySearch(out, t.Software.ID); !found {
+			out = slices.Insert(out, at, t.Software.ID)
+		}
+	}
+	return out
+}
--- a/lib/fleetsim/site.go
+++ b/lib/fleetsim/site.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -25,6 +26,8 @@
 	targets   = "targets"
 	instances = "instances"
 	ranks     = "ranks"
+	software  = "software"
+	streams   = "streams"
 
 	engines = "llm"
 	plain   = "dispatch"
@@ -91,12 +94,15 @@
 	return feed.Row{Key: s.targetID(i), Value: b}
 }
 
+// software1 is the only version of the modelled engines.
+var software1 = fleet.NewSoftware(engines, "v1")
+
 func decodeTarget(row feed.Row) (fleet.Info, error) {
 	var t target
 	if err := json.Unmarshal(row.Value, &t); err != nil {
 		return fleet.Info{}, err
 	}
-	return fleet.Info{ID: row.Key, Service: t.Service, Addr: t.Addr, Domain: t.Domain, Slots: t.Slots, Leaving: t.State == "leaving"}, nil
+	return fleet.Info{ID: row.Key, Service: t.Service, Addr: t.Addr, Domain: t.Domain, Slots: t.Slots, Leaving: t.State == "leaving", Software: software1}, nil
 }
 
 // settingsRow returns a settings row of SettingsBytes.
@@ -193,7 +199,9 @@
 			}
 			return nil
 		},
-		Unregister: func(context.Context, string, int64) error { return nil },
+		Unregister:   func(context.Context, string, int64) error { return nil },
+		SoftwareRows: softwareRows{rows{s: s.store, m: m, table: software}},
+		StreamRows:   streamRows{rows{s: s.store, m: m, table: streams}},
 	}
 }
 
@@ -233,6 +241,13 @@
 	}
 }
 
+// streamStart describes a stream that begins.
+func streamStart(id uint64) gateway.StreamStart {
+	return gateway.StreamStart{
+		Attempt: strconv.FormatUint(id, 16), Service: engines, Software: software1, Deadline: time.Now().Add(6 * time.Second),
+	}
+}
+
 // requestPlacements sends placement requests at a rate, each from a random instance, until ctx is done. It returns when all are answered.
 func (s *site) requestPlacements(ctx context.Context, perSecond float64) (asked, placed int) {
 	var mu sync.Mutex
@@ -251,6 +266,7 @@
 			defer mu.Unlock()
 			if err == nil && got.Action == admit.Admit {
 				placed++
+				work.Go(func() { m.RecordStream(streamStart(id)) })
 			}
 		})
 		time.Sleep(time.Duration(float64(time.Second) / perSecond))
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -85,6 +85,29 @@
 	Links Links
 	// Owners coordinates placement with other instances; nil: this instance decides alone.
 	Owners Owners
+	// Streams knows which software version began a stream; nil: each service has one version.
+	Streams Streams
+}
+
+// Streams knows which software version began each resumable stream of any instance.
+type Streams interface {
+	// RecordStream records the version that begins a stream. It is called before the first event is forwarded, which waits for it.
+	RecordStream(s StreamStart)
+	// FindStream returns which version began the stream of an attempt.
+	FindStream(ctx context.Context, workspace, attempt, service string) StreamOrigin
+}
+
+// StreamStart is the record of a stream that begins.
+type StreamStart struct {
+	Workspace, Attempt, Service string
+	Software                    fleet.Software
+	Deadline                    time.Time // of the caller, which resumes no stream after it
+}
+
+// StreamOrigin is what is known of a stream.
+type StreamOrigin struct {
+	Software uint64 // fleet.Software.ID of the version that began it; 0: unknown
+	Settled  bool   // without Software: asking again is in vain
 }
 
 // Owners is the client of the instances that decide placement on engines shared by many instances. An error means that none
--- a/lib/gateway/log.go
+++ b/lib/gateway/log.go
@@ -54,6 +54,12 @@
 	l.line(log.Warn(), "refused", e).Int("status", status).Str("reason", reason).Int64("retry_after_ms", after.Milliseconds()).Msg("")
 }
 
+// Origin logs what is known of a stream that its caller resumes, and how long that took to find.
+func (l Log) Origin(e entry, o StreamOrigin, took time.Duration) {
+	ev := l.line(log.Info(), "stream_origin", e).Bool("known", o.Software != 0).Bool("settled", o.Settled)
+	ev.Int64("took_ms", took.Milliseconds()).Msg("")
+}
+
 // NoTarget logs why no target accepts a call.
 func (l Log) NoTarget(e entry, a fleet.Availability) {
 	ev := l.line(log.Info(), "no_target", e).Int("takes", a.Accepting).Int("cold", a.Cold).Int("limited", a.Limited).
--- /dev/null
+++ b/lib/gateway/origin.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/fleet"
+)
+
+// unknownRetry is the Retry-After for a stream whose origin could not be asked for: an instance that has just lost its peers or the store
+// reaches others soon.
+const unknownRetry = 500 * time.Millisecond
+
+// resumesStream reports whether the caller has events of the stream from an earlier attempt.
+func (c *call) resumesStream() bool { return c.lastEvent != "" || c.resumes != "" }
+
+// findOrigin finds which software version began a stream that its caller resumes, and returns a refusal if that is unknown: engines do not
+// check who wrote the events that they go on from, so a guess would hand the caller a stream of two versions.
+func (g *Gateway) findOrigin(ctx context.Context, c *call) *refusal {
+	if g.Streams == nil || !c.resumesStream() {
+		return nil
+	}
+	start := time.Now()
+	origin := g.Streams.FindStream(ctx, c.workspace, c.resumes, c.service)
+	g.Log.Origin(c.entry(), origin, time.Since(start))
+	c.software.ID = origin.Software
+	switch {
+	case origin.Software != 0:
+		return nil
+	case origin.Settled:
+		return &refusal{status: http.StatusServiceUnavailable, reason: "stream_unknown"}
+	}
+	return &refusal{status: http.StatusServiceUnavailable, after: c.boundWait(unknownRetry), reason: "stream_unknown"}
+}
+
+// begin records which version made the first event that the caller is about to get: from then on no other may go on with the stream.
+func (r *run) begin(software fleet.Software) {
+	if r.c.software.ID == 0 {
+		r.c.software = software
+	}
+	if r.g.Streams == nil || !r.c.route.MayRepeat() {
+		return
+	}
+	r.g.Streams.RecordStream(StreamStart{
+		Workspace: r.c.workspace, Attempt: r.c.id, Service: r.c.service, Software: r.c.software, Deadline: r.c.deadline,
+	})
+}
--- a/lib/gateway/relay.go
+++ b/lib/gateway/relay.go
@@ -104,7 +104,7 @@
 	}
 	if !r.headSent {
 		r.headSent = true
-		r.c.software = r.currentTarget().Software
+		r.begin(r.currentTarget().Software)
 		r.g.copyHead(r.w, resp.Header)
 		r.w.WriteHeader(resp.Status)
 		r.firstAt = time.Now()
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -49,6 +49,10 @@
 		g.refuse(w, c, refusal{status: http.StatusServiceUnavailable, after: c.boundWait(retryAfterStopping), reason: "stopping"})
 		return
 	}
+	if ref := g.findOrigin(ctx, c); ref != nil {
+		g.refuse(w, c, *ref)
+		return
+	}
 	r := &run{g: g, c: c, w: w, rc: http.NewResponseController(w), lastID: c.lastEvent}
 	defer r.finish()
 	defer r.dropBackup()
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -112,6 +112,8 @@
 	p.goWork(func() { p.syncer.Run(ctx) })
 	p.goWork(func() { p.keepRegistered(ctx) })
 	p.goWork(func() { p.link.Run(ctx) })
+	p.goWork(func() { p.keepSoftware(ctx) })
+	p.goWork(func() { p.recorder.Run(ctx) })
 	p.goWork(func() { p.broadcastBlames(ctx) })
 	p.goWork(func() { p.runHousekeeping(ctx) })
 	p.goWork(func() { p.watchEngines(ctx) })
@@ -180,6 +182,7 @@
 		entries = append(entries, info)
 	}
 	p.fleet.MarkUnreadable(unreadable)
+	p.observeSoftware(entries)
 	now := time.Now()
 	p.onFleetChange(p.fleet.PresumeGone(now, lapsed))
 	p.onFleetChange(p.fleet.Apply(now, entries, removed, u.Outage))
--- a/lib/gatewayproc/member.go
+++ b/lib/gatewayproc/member.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"anvilwick.example/anvilwick/lib/feedlink"
+	"anvilwick.example/anvilwick/lib/gateway"
 	"anvilwick.example/anvilwick/lib/owner"
 )
 
@@ -47,6 +48,9 @@
 // Accepts reports whether a target accepts requests, as far as the Member knows. It never sends to targets that it does not hold by itself.
 func (m *Member) Accepts(target string) bool { return !m.p.fleet.IsLeaving(target) }
 
+// RecordStream records the version that begins a stream.
+func (m *Member) RecordStream(s gateway.StreamStart) { streams{m.p}.RecordStream(s) }
+
 // Place requests a placement on an engine, as for a stream.
 func (m *Member) Place(ctx context.Context, a owner.PlaceRequest) (owner.Answer, error) {
 	return m.p.link.Place(ctx, a)
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -73,6 +73,7 @@
 	}
 	p.shards.setInstances(instances)
 	p.tunnels.SetPeers(tunnelPeers(instances))
+	p.recorder.SetInstances(instances)
 }
 
 // openOwnerLink listens for datagrams of other instances: notifications and placement requests.
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -27,6 +27,7 @@
 	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/owner"
 	"anvilwick.example/anvilwick/lib/ownerlink"
+	"anvilwick.example/anvilwick/lib/resume"
 	"anvilwick.example/anvilwick/lib/retry"
 	"anvilwick.example/anvilwick/lib/routes"
 	"anvilwick.example/anvilwick/lib/targetdial"
@@ -99,6 +100,10 @@
 	ReadRanks  func(ctx context.Context, domain string) ([]byte, error)
 	WriteRanks func(ctx context.Context, rows map[string][]byte) error
 
+	// SoftwareRows are the rows of the services' software versions, StreamRows those of records of streams.
+	SoftwareRows SoftwareRows
+	StreamRows   resume.Rows
+
 	// Reload reads the instance's settings again, after SIGHUP.
 	Reload func() (Config, error)
 }
@@ -140,6 +145,9 @@
 	carrier     *tunnel.Server     // opens them for peers
 	feeds       struct{ settings, targets, instances *feed.Replica }
 	syncer      *feedlink.Syncer
+	software    *software
+	recorder    *resume.Recorder // of streams and their versions
+	keeper      *resume.Keeper
 
 	front, ready *http.Server
 	cancel       context.CancelFunc
@@ -162,6 +170,7 @@
 func newProcess(cfg Config, site Site) (*Process, error) {
 	p := &Process{
 		cfg: cfg, site: site, fleet: fleet.New(cfg.Domain),
+		software:  newSoftware(),
 		instances: make(map[string]owner.Instance), incarnation: uint64(time.Now().UnixNano()),
 	}
 	p.fleet.SetRegions(cfg.Regions)
@@ -177,6 +186,7 @@
 	if err := p.openOwnerLink(); err != nil {
 		return nil, fmt.Errorf("gatewayproc: peers: %w", err)
 	}
+	p.newStreams()
 	if err := p.openLinks(); err != nil {
 		return nil, err
 	}
@@ -322,6 +332,7 @@
 		err = front.Shutdown(ctx)
 	}
 	p.carrier.Drain(ctx)
+	p.recorder.HandOver(ctx)
 	p.cancel()
 	log.Info().Str("event", "stopped").Int64("after_ms", time.Since(start).Milliseconds()).Msg("")
 	if err != nil {
--- /dev/null
+++ b/lib/gatewayproc/software.go
@@ -0,0 +1,251 @@
+package gatewayproc
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"anvilwick.example/anvilwick/lib/feed"
+	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/logline"
+)
+
+// The store holds a row for each service with the software versions that its targets have run lately. The reader of the store adds a version
+// when its first target is listed. The rows tell an instance that knows nothing of a stream, because all who did have stopped, whether its
+// service has had a single version.
+
+const (
+	// softwareRetention is how long a version stays in its row after its last target has left. No stream lasts as long.
+	softwareRetention = 10 * time.Minute
+	// restoreDoubt is how long a row says nothing after the store was restored from a copy, which may lack the newest version.
+	restoreDoubt = 2 * time.Minute
+	// softwareSweep is the period at which versions without targets are looked for.
+	softwareSweep = time.Minute
+	// softwareRetry is the pause after a row could not be written.
+	softwareRetry = 200 * time.Millisecond
+)
+
+// SoftwareRows are the rows of the services' software versions, by service.
+type SoftwareRows interface {
+	// ReadAll reads all rows, with the era of the store.
+	ReadAll(ctx context.Context) ([]feed.Row, int64, error)
+	// Write writes a row if the stored one still has its version; 0: if there is none.
+	Write(ctx context.Context, row feed.Row) error
+}
+
+// softwareRow is the value of a row.
+type softwareRow struct {
+	Versions  []uint64 `json:"versions"`          // fleet.Software.ID, ascending
+	Era       int64    `json:"era"`               // of the store in which the row was written
+	DoubtedMS int64    `json:"doubted,omitempty"` // Unix milliseconds until which the row may lack a version
+
+	stored int64 // version of the row in the store; 0: there is none
+}
+
+// add adds a version and reports whether it is new.
+func (r *softwareRow) add(version uint64) bool {
+	at, found := slices.BinarySearch(r.Versions, version)
+	if !found {
+		r.Versions = slices.Insert(r.Versions, at, version)
+	}
+	return !found
+}
+
+// readSoftware reads the rows by service.
+func (p *Process) readSoftware(ctx context.Context) (rows map[string]softwareRow, era int64, err error) {
+	callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	list, era, err := p.site.SoftwareRows.ReadAll(callCtx)
+	if err != nil {
+		return nil, 0, err
+	}
+	rows = make(map[string]softwareRow, len(list))
+	for _, row := range list {
+		r := softwareRow{stored: row.Version}
+		if err := json.Unmarshal(row.Value, &r); err != nil {
+			return nil, 0, fmt.Errorf("gatewayproc: software versions of %s: %w", row.Key, err)
+		}
+		rows[row.Key] = r
+	}
+	return rows, era, nil
+}
+
+// software is what this instance has seen of the services' versions.
+type software struct {
+	mu     sync.Mutex
+	seen   map[string]map[uint64]time.Time // by service: when a target of the version was last listed
+	change chan struct{}                   // a version was seen for the first time
+}
+
+func newSoftware() *software {
+	return &software{seen: make(map[string]map[uint64]time.Time), change: make(chan struct{}, 1)}
+}
+
+// observe records the version of a listed target.
+func (s *software) observe(now time.Time, service string, version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	versions := s.seen[service]
+	if versions == nil {
+		versions = make(map[uint64]time.Time)
+		s.seen[service] = versions
+	}
+	if _, known := versions[version]; !known {
+		select {
+		case s.change <- struct{}{}:
+		default:
+		}
+	}
+	versions[version] = now
+}
+
+// isMixed reports whether a service has, or lately had, several versions.
+func (s *software) isMixed(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.seen[service]) > 1
+}
+
+// merge returns the rows to write in an era of the store: those that lack a version, or were written in another era.
+func (s *software) merge(now time.Time, rows map[string]softwareRow, era int64) map[string]softwareRow {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]softwareRow)
+	for service, seen := range s.seen {
+		row, known := rows[service]
+		row.Versions = slices.Clone(row.Versions)
+		changed := !known
+		for version := range seen {
+			changed = row.add(version) || changed
+		}
+		// Only the first era begins without anything that a copy might lack.
+		if known && row.Era != era || !known && era > feed.FirstEra {
+			row.DoubtedMS = now.Add(restoreDoubt).UnixMilli()
+			changed = true
+		}
+		if row.Era = era; changed {
+			out[service] = row
+		}
+	}
+	return out
+}
+
+// sweep forgets the versions that have had no target for softwareRetention, and returns the rows without them. current lists the versions of
+// a service's targets.
+func (s *software) sweep(now time.Time, rows map[string]softwareRow, current func(service string) []uint64) map[string]softwareRow {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]softwareRow)
+	for service, row := range rows {
+		seen := s.seen[service]
+		if seen == nil {
+			continue
+		}
+		for _, version := range current(service) {
+			seen[version] = now
+		}
+		kept := softwareRow{Era: row.Era, DoubtedMS: row.DoubtedMS, stored: row.stored}
+		for _, version := range row.Versions {
+			if _, known := seen[version]; !known {
+				seen[version] = now // from before this instance's start
+			}
+			if now.Sub(seen[version]) <= softwareRetention {
+				kept.add(version)
+				continue
+			}
+			delete(seen, version)
+		}
+		if len(kept.Versions) < len(row.Versions) {
+			out[service] = kept
+		}
+	}
+	return out
+}
+
+// keepSoftware keeps the services' rows up to date while this instance reads the store.
+func (p *Process) keepSoftware(ctx context.Context) {
+	var era int64 // in which the rows were last brought up to date; 0: not yet
+	swept := time.Now()
+	for {
+		changed, pause := p.feeds.instances.Changed(), registerRetry
+		now := time.Now()
+		switch {
+		case !p.syncer.ReadsStore():
+			era = 0
+		case era != p.era.Load() || now.Sub(swept) > softwareSweep:
+			if err := p.updateSoftware(ctx, now); err != nil {
+				logline.Send(log.Warn().Str("event", "software_not_written"), err)
+				pause = softwareRetry
+				break
+			}
+			era, swept = p.era.Load(), now
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.software.change:
+			era = 0
+		case <-changed:
+		case <-time.After(pause):
+		}
+	}
+}
+
+// updateSoftware adds to the services' rows the versions that they lack, and removes those that are long gone.
+func (p *Process) updateSoftware(ctx context.Context, now time.Time) error {
+	rows, era, err := p.readSoftware(ctx)
+	if err != nil {
+		return err
+	}
+	write := p.software.sweep(now, rows, p.fleet.ServiceSoftware)
+	for service, row := range p.software.merge(now, rows, era) {
+		write[service] = row
+	}
+	for service, row := range write {
+		value, err := json.Marshal(row)
+		if err != nil {
+			return err
+		}
+		callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
+		err = p.site.SoftwareRows.Write(callCtx, feed.Row{Key: service, Value: value, Version: row.stored})
+		cancel()
+		if err != nil {
+			return err
+		}
+		log.Info().Str("event", "software").Str("service", service).Int("versions", len(row.Versions)).Msg("")
+	}
+	return nil
+}
+
+// onlySoftware returns the only version that a service has had for longer than any stream lasts; ok is false if there were several, or if
+// that is not certain.
+func (p *Process) onlySoftware(ctx context.Context, service string) (version uint64, ok bool, err error) {
+	rows, era, err := p.readSoftware(ctx)
+	if err != nil {
+		return 0, false, err
+	}
+	row, known := rows[service]
+	if !known || row.Era != era || time.Now().UnixMilli() < row.DoubtedMS {
+		return 0, false, fmt.Errorf("gatewayproc: software versions of %s: row of era %d in era %d, doubted until %d", service, row.Era, era, row.DoubtedMS)
+	}
+	for _, listed := range p.fleet.ServiceSoftware(service) {
+		row.add(listed)
+	}
+	if len(row.Versions) != 1 {
+		return 0, false, nil
+	}
+	return row.Versions[0], true, nil
+}
+
+// observeSoftware records the versions of listed targets.
+func (p *Process) observeSoftware(entries []fleet.Info) {
+	now := time.Now()
+	for _, e := range entries {
+		p.software.observe(now, e.Service, e.Software.ID)
+	}
+}
--- /dev/null
+++ b/lib/gatewayproc/streams.go
@@ -0,0 +1,45 @@
+package gatewayproc
+
+import (
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"anvilwick.example/anvilwick/lib/gateway"
+	"anvilwick.example/anvilwick/lib/logline"
+	"anvilwick.example/anvilwick/lib/resume"
+)
+
+// recordMargin is how long a record outlives the caller's deadline: clocks are stepped, and a last attempt may be on its way.
+const recordMargin = 3 * time.Second
+
+// maxRecordTTL bounds how long a record is kept, whatever deadline a caller names.
+const maxRecordTTL = 10 * time.Minute
+
+// streams implements gateway.Streams.
+type streams struct{ p *Process }
+
+// newStreams assembles the records of streams.
+func (p *Process) newStreams() {
+	onErr := func(operation string, err error) {
+		logline.Send(log.Warn().Str("event", "stream_records_failed").Str("operation", operation), err)
+	}
+	p.keeper = resume.NewKeeper(p.cfg.Instance, p.site.StreamRows, p.onlySoftware, onErr)
+	p.recorder = resume.NewRecorder(p.self(), p.link, p.keeper)
+	p.link.Streams = p.recorder
+	p.gate.Streams = streams{p}
+}
+
+// RecordStream implements gateway.Streams.
+func (s streams) RecordStream(start gateway.StreamStart) {
+	expires := time.Now().Add(min(time.Until(start.Deadline), maxRecordTTL) + recordMargin)
+	e := resume.Entry{Key: resume.Key(start.Workspace, start.Attempt), Software: start.Software.ID, Expires: expires}
+	s.p.recorder.Record(e, s.p.software.isMixed(start.Service))
+}
+
+// FindStream implements gateway.Streams.
+func (s streams) FindStream(ctx context.Context, workspace, attempt, service string) gateway.StreamOrigin {
+	found := s.p.recorder.Find(ctx, resume.Key(workspace, attempt), service)
+	return gateway.StreamOrigin{Software: found.Software, Settled: found.Settled}
+}
--- a/lib/ownerlink/handle.go
+++ b/lib/ownerlink/handle.go
@@ -13,7 +13,7 @@
 var errMalformed = errors.New("ownerlink: datagram without a sender, or with an unknown or incomplete body")
 
 func (l *Link) handle(d *ownerpb.Datagram) {
-	if d.Instance == "" {
+	if d.Instance == "" && !l.nameSender(d) {
 		l.reportBad("anonymous", errMalformed)
 		return
 	}
@@ -48,6 +48,14 @@
 		l.handleReply(d, body.Permit.Id)
 	case *ownerpb.Datagram_Limits:
 		l.handleLimits(body.Limits)
+	case *ownerpb.Datagram_StreamRecords:
+		l.handleStreamRecords(d, body.StreamRecords)
+	case *ownerpb.Datagram_StreamRecordsAck:
+		l.handleReply(d, body.StreamRecordsAck.Id)
+	case *ownerpb.Datagram_StreamQuery:
+		l.handleStreamQuery(d, body.StreamQuery)
+	case *ownerpb.Datagram_StreamFound:
+		l.handleReply(d, body.StreamFound.Id)
 	default:
 		l.reportBad("unknown", errMalformed)
 	}
--- a/lib/ownerlink/kinds.go
+++ b/lib/ownerlink/kinds.go
@@ -25,11 +25,12 @@
 	kindSuspects
 	kindPermit
 	kindLimits
+	kindStreams
 	kindCount // number of kinds
 )
 
 var kindNames = [kindCount]string{
-	"other", "ask", "answer", "report", "beat", "blames", "moves", "heard", "left", "counts", "suspects", "permit", "limits",
+	"other", "ask", "answer", "report", "beat", "blames", "moves", "heard", "left", "counts", "suspects", "permit", "limits", "streams",
 }
 
 // traffic counts the datagrams of a kind and their bytes.
@@ -83,6 +84,8 @@
 		return kindPermit
 	case *ownerpb.Datagram_Limits:
 		return kindLimits
+	case *ownerpb.Datagram_StreamRecords, *ownerpb.Datagram_StreamRecordsAck, *ownerpb.Datagram_StreamQuery, *ownerpb.Datagram_StreamFound:
+		return kindStreams
 	}
 	return kindOther
 }
--- a/lib/ownerlink/link.go
+++ b/lib/ownerlink/link.go
@@ -87,6 +87,8 @@
 	OnSuspected func(target string, permille uint32)
 	// OnRateChanged is called for an engine whose estimated speed has changed a lot; may be nil.
 	OnRateChanged func(enginerate.Change)
+	// Streams holds records of streams for peers; nil: none. It may be set until Run is called.
+	Streams StreamRecords
 	// OnBadDatagram is called once for each kind of datagram that could not be used.
 	OnBadDatagram func(cause string, err error)
 }
@@ -99,6 +101,8 @@
 	reportDue     chan struct{} // a report is due
 	waitingAdded  chan struct{} // requests were added to the waiting ones
 	layoutChanged chan struct{} // a layout was set
+	storeQueries  atomic.Int32  // queries for records that wait for the store
+	startedAt     time.Time
 	// changedAt is the first change that was not reported yet.
 	changedAt atomic.Pointer[time.Time]
 
@@ -112,6 +116,7 @@
 	outcomes       map[string]*outcomes
 	prefillSamples []owner.PrefillSample
 	addrByName     map[string]string // addresses of all instances including this one, by name
+	nameByHash     map[uint32]string // of all instances, as nameHash returns it
 	highCapacity   []string          // names of the instances with at least half of the largest capacity
 	plain          plainOutcomes
 	paces          paceCollector
@@ -151,7 +156,7 @@
 		cfg.Self.Addr = conn.LocalAddr().String() // the system chose the port
 	}
 	l := &Link{
-		Config: cfg, conn: conn, reportDue: make(chan struct{}, 1), waitingAdded: make(chan struct{}, 1), layoutChanged: make(chan struct{}, 1),
+		Config: cfg, conn: conn, startedAt: time.Now(), reportDue: make(chan struct{}, 1), waitingAdded: make(chan struct{}, 1), layoutChanged: make(chan struct{}, 1),
 		calls: make(map[uint64]chan *ownerpb.Datagram), addrs: make(map[string]netip.AddrPort),
 		lastGrants: make(map[string]uint64), reportedBad: make(map[string]bool), plans: make(map[string]*plan),
 		outcomes: make(map[string]*outcomes), plain: newPlainOutcomes(), paces: newPaceCollector(), sentLimits: make(map[string]sentLimit),
@@ -181,6 +186,7 @@
 func (l *Link) SetPeers(instances []owner.Instance) error {
 	addrs := make(map[string]netip.AddrPort, len(instances))
 	addrByName := make(map[string]string, len(instances))
+	nameByHash := make(map[uint32]string, len(instances))
 	var highCapacity []string
 	maxCapacity := uint32(0)
 	for _, in := range instances {
@@ -195,12 +201,13 @@
 		}
 		addrs[in.Addr] = at
 		addrByName[in.Name] = in.Addr
+		nameByHash[nameHash(in.Name)] = in.Name
 		if in.Capacity >= maxCapacity/2 {
 			highCapacity = append(highCapacity, in.Name)
 		}
 	}
 	l.mu.Lock()
-	l.addrs, l.addrByName, l.highCapacity = addrs, addrByName, highCapacity
+	l.addrs, l.addrByName, l.nameByHash, l.highCapacity = addrs, addrByName, nameByHash, highCapacity
 	l.mu.Unlock()
 	return bad
 }
--- a/lib/ownerlink/wire.go
+++ b/lib/ownerlink/wire.go
@@ -43,7 +43,7 @@
 	req := d.GetAsk()
 	need := fleet.Need{
 		Service: req.Service, Tokens: int(req.Tokens), Unread: int(req.Unread), PreferredDomain: req.Near,
-		Peak: fleet.Size{Held: int(req.Now), Remaining: int(req.Left)},
+		Peak:     fleet.Size{Held: int(req.Now), Remaining: int(req.Left)},
 		Software: req.Software,
 	}
 	if req.Bound {
--- /dev/null
+++ b/lib/resume/keeper.go
@@ -0,0 +1,279 @@
+package resume
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"anvilwick.example/anvilwick/lib/feed"
+)
+
+const (
+	// writeInterval is the period at which a keeper writes a row: the loss of all instances loses the records of that time.
+	writeInterval = 250 * time.Millisecond
+	// maxRowEntries bounds a row. The store takes rows of 64 KB.
+	maxRowEntries = 1024
+	// maxPending bounds the records that wait for a store that does not answer.
+	maxPending = 16 << 10
+	// staleRows is how long after its last record expired a row is removed if its writer has not used it again.
+	staleRows = 10 * time.Minute
+	// maxRemoved bounds the rows removed at a time.
+	maxRemoved = 50
+)
+
+var (
+	rowsWritten = metrics.NewCounter(`anvilwick_resume_store_writes_total{ok="true"}`)
+	rowsFailed  = metrics.NewCounter(`anvilwick_resume_store_writes_total{ok="false"}`)
+	rowsRead    = metrics.NewCounter(`anvilwick_resume_store_reads_total`)
+)
+
+// Rows are the rows of records in the store.
+type Rows interface {
+	// Write writes a row.
+	Write(ctx context.Context, key string, value []byte) error
+	// ReadAll reads all rows.
+	ReadAll(ctx context.Context) ([]feed.Row, error)
+	// Remove removes rows.
+	Remove(ctx context.Context, keys []string) error
+}
+
+// Keeper writes records to the store and reads them there.
+type Keeper struct {
+	self   string
+	rows   Rows
+	single func(ctx context.Context, service string) (software uint64, ok bool, err error)
+	onErr  func(operation string, err error)
+
+	mu      sync.Mutex
+	pending []Entry
+	wake    chan struct{}
+
+	writing sync.Mutex // held while slots are used
+	slots   []slot
+	loaded  bool // slots of earlier incarnations are known
+
+	reading sync.Mutex // held during a read of all rows
+	read    *Table     // what was read from the store
+	readAt  time.Time  // when the last complete read began
+}
+
+// slot is a row of this instance, which is used again when its records have expired.
+type slot struct{ expires time.Time }
+
+// NewKeeper returns the keeper of an instance. single returns the software version of a service that has had only one for longer than any
+// stream lasts; ok is false if it has had several.
+func NewKeeper(self string, rows Rows, single func(ctx context.Context, service string) (uint64, bool, error), onErr func(string, error)) *Keeper {
+	return &Keeper{self: self, rows: rows, single: single, onErr: onErr, wake: make(chan struct{}, 1), read: NewTable()}
+}
+
+// Add has records written soon.
+func (k *Keeper) Add(entries []Entry) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.pending = append(k.pending, entries...)
+	if excess := len(k.pending) - maxPending; excess > 0 {
+		k.pending = k.pending[excess:]
+	}
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (k *Keeper) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.wake:
+		}
+		k.flush(ctx)
+		time.Sleep(writeInterval)
+	}
+}
+
+// flush writes the pending records. Those that can't be written are tried again.
+func (k *Keeper) flush(ctx context.Context) {
+	k.writing.Lock()
+	defer k.writing.Unlock()
+	for {
+		batch := k.take()
+		if len(batch) == 0 {
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		err := k.write(callCtx, batch)
+		cancel()
+		if err != nil {
+			rowsFailed.Inc()
+			k.onErr("write", err)
+			if ctx.Err() == nil {
+				k.Add(batch)
+			}
+			return
+		}
+		rowsWritten.Inc()
+	}
+}
+
+func (k *Keeper) take() []Entry {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	n := min(maxRowEntries, len(k.pending))
+	batch := k.pending[:n:n]
+	k.pending = k.pending[n:]
+	return batch
+}
+
+func (k *Keeper) write(ctx context.Context, batch []Entry) error {
+	now := time.Now()
+	if !k.loaded {
+		if err := k.loadSlots(ctx, now); err != nil {
+			return err
+		}
+	}
+	i := 0
+	for i < len(k.slots) && !now.After(k.slots[i].expires) {
+		i++
+	}
+	if err := k.rows.Write(ctx, k.slotKey(i), encodeEntries(batch)); err != nil {
+		return err
+	}
+	if i == len(k.slots) {
+		k.slots = append(k.slots, slot{})
+	}
+	k.slots[i].expires = latest(batch)
+	return nil
+}
+
+func (k *Keeper) slotKey(i int) string { return fmt.Sprintf("%s/%d", k.self, i) }
+
+// loadSlots reads which rows earlier incarnations of this instance have left, so that their records are not overwritten.
+func (k *Keeper) loadSlots(ctx context.Context, now time.Time) error {
+	rows, err := k.rows.ReadAll(ctx)
+	if err != nil {
+		return err
+	}
+	left := make(map[string]time.Time)
+	for _, row := range rows {
+		if entries, err := decodeEntries(row.Value); err == nil && strings.HasPrefix(row.Key, k.self+"/") {
+			left[row.Key] = latest(entries)
+		}
+	}
+	for i := 0; len(left) > 0 && i < maxSlots; i++ {
+		key := k.slotKey(i)
+		k.slots = append(k.slots, slot{expires: left[key]})
+		delete(left, key)
+	}
+	k.loaded = true
+	return nil
+}
+
+// maxSlots bounds the rows of an instance that are looked for.
+const maxSlots = 4096
+
+// Find finds a record in the store, or the only version that a service has had.
+func (k *Keeper) Find(ctx context.Context, q Query) Found {
+	software, ok, err := k.single(ctx, q.Service)
+	if ok {
+		return Found{Software: software, Settled: true}
+	}
+	if err != nil {
+		k.onErr("read software", err)
+	}
+	asked := time.Now()
+	if readErr := k.readRows(ctx, asked); readErr != nil {
+		k.onErr("read", readErr)
+		return Found{}
+	}
+	e, known := k.read.Get(asked, q.Key)
+	return Found{Software: e.Software, Settled: known || err == nil}
+}
+
+// readRows reads the records in the store, unless a read that began after asked has done so.
+func (k *Keeper) readRows(ctx context.Context, asked time.Time) error {
+	k.reading.Lock()
+	defer k.reading.Unlock()
+	if k.readAt.After(asked) {
+		return nil
+	}
+	start := time.Now()
+	rows, err := k.rows.ReadAll(ctx)
+	if err != nil {
+		return err
+	}
+	rowsRead.Inc()
+	var stale []string
+	for _, row := range rows {
+		entries, err := decodeEntries(row.Value)
+		if err != nil {
+			k.onErr("decode", err)
+			continue
+		}
+		if start.Sub(latest(entries)) > staleRows && !strings.HasPrefix(row.Key, k.self+"/") {
+			stale = append(stale, row.Key)
+			continue
+		}
+		for _, e := range entries {
+			if !start.After(e.Expires) {
+				k.read.Put(start, e)
+			}
+		}
+	}
+	k.readAt = start
+	k.removeStale(ctx, stale)
+	return nil
+}
+
+func (k *Keeper) removeStale(ctx context.Context, keys []string) {
+	if len(keys) == 0 {
+		return
+	}
+	if err := k.rows.Remove(ctx, keys[:min(maxRemoved, len(keys))]); err != nil {
+		k.onErr("remove", err)
+	}
+}
+
+func latest(entries []Entry) (at time.Time) {
+	for _, e := range entries {
+		if e.Expires.After(at) {
+			at = e.Expires
+		}
+	}
+	return at
+}
+
+// entryBytes is the size of an encoded record: key, software and expiry in Unix milliseconds.
+const entryBytes = 24
+
+var errEntries = errors.New("resume: row is not a whole number of records")
+
+func encodeEntries(entries []Entry) []byte {
+	out := make([]byte, 0, entryBytes*len(entries))
+	for _, e := range entries {
+		out = binary.BigEndian.AppendUint64(out, e.Key)
+		out = binary.BigEndian.AppendUint64(out, e.Software)
+		out = binary.BigEndian.AppendUint64(out, uint64(e.Expires.UnixMilli()))
+	}
+	return out
+}
+
+func decodeEntries(b []byte) ([]Entry, error) {
+	if len(b)%entryBytes != 0 {
+		return nil, errEntries
+	}
+	out := make([]Entry, 0, len(b)/entryBytes)
+	for ; len(b) > 0; b = b[entryBytes:] {
+		out = append(out, Entry{
+			Key: binary.BigEndian.Uint64(b), Software: binary.BigEndian.Uint64(b[8:]),
+			Expires: time.UnixMilli(int64(binary.BigEndian.Uint64(b[16:]))),
+		})
+	}
+	return out, nil
+}
--- /dev/null
+++ b/lib/resume/outbox.go
@@ -0,0 +1,99 @@
+package resume
+
+import (
+	"context"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/owner"
+)
+
+const (
+	// outboxDelay is how long records on their way to the store are collected.
+	outboxDelay = 100 * time.Millisecond
+	// maxOutbox bounds those records; further ones are held by peers only.
+	maxOutbox = 8192
+	// maxBatch is the number of records in one datagram, at some 25 bytes each.
+	maxBatch = 400
+)
+
+// keeperKey ranks the instances of a failure domain as keepers.
+const keeperKey = 0x6b65657065727321
+
+func (r *Recorder) enqueue(e Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.outbox) < maxOutbox {
+		r.outbox = append(r.outbox, e)
+	}
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends records to the keeper and writes those of this instance as keeper until ctx is done.
+func (r *Recorder) Run(ctx context.Context) {
+	go r.keeper.run(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.wake:
+		}
+		time.Sleep(outboxDelay)
+		r.flushOutbox(ctx)
+	}
+}
+
+// flushOutbox sends the collected records to the first keeper that acknowledges them.
+func (r *Recorder) flushOutbox(ctx context.Context) {
+	r.mu.Lock()
+	entries := r.outbox
+	r.outbox = nil
+	r.mu.Unlock()
+	for len(entries) > 0 {
+		batch := entries[:min(maxBatch, len(entries))]
+		entries = entries[len(batch):]
+		r.sendToKeeper(ctx, batch)
+	}
+}
+
+func (r *Recorder) sendToKeeper(ctx context.Context, batch []Entry) {
+	for _, to := range r.awakeFirst(*r.keepers.Load()) {
+		if to.Name == r.self.Name {
+			break
+		}
+		sendCtx, cancel := context.WithTimeout(ctx, sendTimeout)
+		ok := r.transport.SendRecords(sendCtx, to, batch, true)
+		cancel()
+		r.noteSilence(to.Name, ok)
+		if ok {
+			return
+		}
+	}
+	r.keeper.Add(batch)
+}
+
+// HandOver passes on, before this instance stops, what it holds for others and what is on its way to the store: instances that are restarted
+// one after another would otherwise lose the records of streams that outlast two restarts.
+func (r *Recorder) HandOver(ctx context.Context) {
+	r.flushOutbox(ctx)
+	now := time.Now()
+	byPeer := make(map[string][]Entry)
+	peers := make(map[string]owner.Instance)
+	ranking := r.ranking.Load()
+	for _, e := range r.table.All(now) {
+		for _, to := range ranking.top(e.Key, copies) {
+			peers[to.Name] = to
+			byPeer[to.Name] = append(byPeer[to.Name], e)
+		}
+	}
+	for name, entries := range byPeer {
+		for len(entries) > 0 && ctx.Err() == nil {
+			batch := entries[:min(maxBatch, len(entries))]
+			entries = entries[len(batch):]
+			r.transport.SendRecords(ctx, peers[name], batch, false)
+		}
+	}
+	r.keeper.flush(ctx)
+}
