--- a/Makefile
+++ b/Makefile
@@ -69,11 +69,11 @@
 soak-cases: build
 	$(GO) build -o bin/ ./examples/soak
 	@grep -v '^#' platform/soak/cases.txt | while read -r seed span cause; do \
-		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -evacuate=false -words=false -copies=false -loads=false -partitions=false -brittle=false </dev/null || exit 1; done
+		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -evacuate=false -words=false -copies=false -loads=false -partitions=false -brittle=false -software=false </dev/null || exit 1; done
 	@grep -v '^#' platform/soak/cases-copies.txt | while read -r seed span cause; do \
-		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -loads=false -partitions=false -brittle=false </dev/null || exit 1; done
+		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -loads=false -partitions=false -brittle=false -software=false </dev/null || exit 1; done
 	@grep -v '^#' platform/soak/cases-loads.txt | while read -r seed span cause; do \
-		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -partitions=false -brittle=false </dev/null || exit 1; done
+		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -partitions=false -brittle=false -software=false </dev/null || exit 1; done
 
 # capacity measures the slopes behind docs/CAPACITY.md; the last line is "capacity: ok ...". CAPACITYFLAGS adds flags.
 capacity: build
