Entry: streams continue only at the software version that began them

Callers got tokens of two versions in one answer.

A target names its version in the settings (software). It is a condition of the scheduler on a generation that has tokens (owner, and entries that place without one, which choose the shard by it, too), of moves off leaving and silent targets, and a field of the record that another entry takes over from. No target of the version in the settings: cannot_resume at once.

Stand-in engines name their version in each token (-software), CheckAnswer checks that a whole answer has one, and localsite and prove run engines of two.

Tests of lib/sched, lib/schedlink, lib/entry, lib/record, lib/settings, lib/standin pass.

--- a/app/anvilwick-standin/engine.go
+++ b/app/anvilwick-standin/engine.go
@@ -18,6 +18,7 @@
 	fs.StringVar(&cfg.Addr, "addr", "127.0.0.1:0", "address to listen on, IP:port; port 0 picks one")
 	fs.StringVar(&cfg.Model, "model", "planner-70b", "loaded model")
 	fs.StringVar(&cfg.ModelVersion, "model-version", "1", "version of the model")
+	fs.StringVar(&cfg.Software, "software", "", "version of its software, named in each token; empty: none")
 	fs.StringVar(&cfg.Role, "role", "mixed", "mixed, prefill or decode")
 	fs.BoolVar(&cfg.Fencing, "fencing", false, "reject commands with an old fencing number")
 	fs.BoolVar(&cfg.NoResume, "no-resume", false, "reject requests that start beyond token 0")
--- a/lib/entry/attempt.go
+++ b/lib/entry/attempt.go
@@ -63,7 +63,7 @@
 		return attemptEnd{reason: sched.EndTargetRefused, final: result.Wrap(result.BadRequest, err, "encode the request")}
 	}
 	now := r.server.now()
-	g.startAttempt(r.client.Name(), now, cancel)
+	g.startAttempt(r.client.Name(), r.server.view.Load().softwareOf(g.service.Name, r.client.Name()), now, cancel)
 	r.watch = r.server.watches.start(now, g, r.client.Name())
 	defer r.server.watches.end(r.watch)
 	st, err := r.client.Open(ctx, g.completion.Path(), body)
--- a/lib/entry/bench_test.go
+++ b/lib/entry/bench_test.go
@@ -85,7 +85,7 @@
 	sk := a.newSink()
 	_ = g.attach(time.Now(), sk, true)
 	_, _ = g.beginAttempt()
-	g.startAttempt("planner-1", time.Now(), func(error) {})
+	g.startAttempt("planner-1", "", time.Now(), func(error) {})
 	return g, sk
 }
 
--- a/lib/entry/complete.go
+++ b/lib/entry/complete.go
@@ -270,6 +270,7 @@
 	for _, token := range rec.Tokens {
 		g.text.Append([]byte(token))
 	}
+	g.software = rec.Software
 	g.finishReason = rec.FinishReason
 	g.mayHaveRun = true
 	g.lastToken = g.accepted
--- a/lib/entry/generation.go
+++ b/lib/entry/generation.go
@@ -57,6 +57,7 @@
 	mu             sync.Mutex
 	state          *stream.State
 	text           stream.Text
+	software       string    // version that made the first token
 	sink           *sink     // nil while no caller is attached
 	detachedAt     time.Time // when a keyed generation lost its caller; zero while one is attached
 	attempt        attempt
@@ -79,6 +80,7 @@
 type attempt struct {
 	number       uint32
 	target       string
+	software     string // version of the target when the attempt was sent
 	decisions    chan sched.Action
 	cancel       context.CancelCauseFunc // nil while no target runs it
 	lastActivity time.Time               // when it was sent, or its last token arrived
@@ -145,10 +147,10 @@
 }
 
 // startAttempt notes that the attempt is about to be sent to a target.
-func (g *generation) startAttempt(target string, now time.Time, cancel context.CancelCauseFunc) {
+func (g *generation) startAttempt(target, software string, now time.Time, cancel context.CancelCauseFunc) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.attempt.target = target
+	g.attempt.target, g.attempt.software = target, software
 	g.attempt.cancel = cancel
 	g.attempt.lastActivity = now
 	if g.lastToken.IsZero() {
@@ -156,6 +158,13 @@
 	}
 }
 
+// startedBy returns the version of the software that made the first token.
+func (g *generation) startedBy() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.software
+}
+
 // fenceAttempt fences the current attempt: no later frame of it is delivered.
 func (g *generation) fenceAttempt() {
 	g.mu.Lock()
@@ -186,6 +195,9 @@
 	if v != stream.Deliver {
 		return v, 0
 	}
+	if f.Index == 0 {
+		g.software = g.attempt.software
+	}
 	g.text.Append(f.Text)
 	g.appendToSink(now, f.Index, f.Raw)
 	gap := now.Sub(g.lastToken)
--- a/lib/entry/interfaces.go
+++ b/lib/entry/interfaces.go
@@ -81,6 +81,7 @@
 	Path         string
 	Request      []byte       // body as accepted
 	Tokens       []string     // delivered so far, from index 0
+	Software     string       // version of the engine's software that made them
 	Finished     bool         // it ended and won't be resumed; without FinishReason it failed
 	FinishReason string       // finish reason from the finish frame
 	Owner        claim.Holder // the entry that put it; zero: this entry
--- a/lib/entry/run.go
+++ b/lib/entry/run.go
@@ -87,6 +87,8 @@
 		return result.New(result.TargetFailed, "%d attempts in a row gave no token", rs.emptyAttempts)
 	case next > 0 && !g.service.Resumes:
 		return result.New(result.CannotResume, "the service's engines start at the first token only")
+	case next > 0 && !s.view.Load().hasSoftware(g.service.Name, g.startedBy()):
+		return result.New(result.CannotResume, "no engine of the service runs software %q, which began the stream", g.startedBy())
 	}
 	return s.checkPoison(g.ctx, g.subject.Fingerprint)
 }
@@ -94,7 +96,7 @@
 // place submits the attempt to the scheduler and waits for the decision.
 func (s *Server) place(g *generation, rs *runState, number uint32) (sched.Action, *result.Error) {
 	g.mu.Lock()
-	emitted, decisions := int(g.state.Next()), g.attempt.decisions
+	emitted, decisions, software := int(g.state.Next()), g.attempt.decisions, g.software
 	g.mu.Unlock()
 	submitted := s.now()
 	avoid := s.avoidForAttempt(g, rs)
@@ -106,6 +108,7 @@
 		PromptTokens: g.completion.PromptTokens(),
 		MaxTokens:    g.completion.MaxTokens,
 		Emitted:      emitted,
+		Software:     software,
 		Preemptions:  rs.preemptions,
 		Prefixes:     g.prefixes,
 		Deadline:     s.schedDeadline(g, submitted),
--- a/lib/entry/tick.go
+++ b/lib/entry/tick.go
@@ -102,6 +102,7 @@
 		Path:         g.completion.Path(),
 		Request:      g.body,
 		Tokens:       g.text.Tokens(from),
+		Software:     g.software,
 		Finished:     g.ended && !g.resumableLocked(),
 		FinishReason: g.finishReason,
 		Released:     g.resumableLocked(),
@@ -123,6 +124,7 @@
 		Path:       g.completion.Path(),
 		Request:    g.body,
 		Tokens:     g.text.Tokens(0),
+		Software:   g.software,
 		Released:   true,
 	}
 }
--- a/lib/entry/view.go
+++ b/lib/entry/view.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"slices"
+
 	"anvilwick.example/anvilwick/lib/sched"
 	"anvilwick.example/anvilwick/lib/settings"
 	"anvilwick.example/anvilwick/lib/target"
@@ -23,6 +25,24 @@
 	return v
 }
 
+// softwareOf returns the version of a target's software.
+func (v *view) softwareOf(service, name string) string {
+	if svc := v.snapshot.Services[service]; svc != nil {
+		for i := range svc.Targets {
+			if svc.Targets[i].Name == name {
+				return svc.Targets[i].Software
+			}
+		}
+	}
+	return ""
+}
+
+// hasSoftware reports whether a target of a service runs a version.
+func (v *view) hasSoftware(service, software string) bool {
+	svc := v.snapshot.Services[service]
+	return svc != nil && slices.ContainsFunc(svc.Targets, func(t settings.Target) bool { return t.Software == software })
+}
+
 // clientsOf returns the clients of a service's targets.
 func (v *view) clientsOf(svc *settings.Service) []*target.Client {
 	out := make([]*target.Client, 0, len(svc.Targets))
@@ -49,6 +69,7 @@
 			IdleWatts:     t.IdleWatts,
 			SeqWatts:      t.SeqWatts,
 			Resumes:       svc.Resumes,
+			Software:      t.Software,
 		})
 	}
 	return specs
--- a/lib/localsite/settings.go
+++ b/lib/localsite/settings.go
@@ -95,6 +95,9 @@
 	for _, n := range nodes {
 		fmt.Fprintf(b, "      %s:\n        addr: %s\n        failure_domain: %s\n        instance: %s\n%s",
 			n.Name, n.DialAddr, n.Domain, n.Name, more)
+		if n.Software != "" {
+			fmt.Fprintf(b, "        software: %s\n", n.Software)
+		}
 	}
 }
 
--- a/lib/localsite/site.go
+++ b/lib/localsite/site.go
@@ -31,11 +31,13 @@
 	Binaries    string // directory of the programs
 	Engines     int
 	Plains      int
-	Entries     int       // each with a control process
-	EngineFlags []string  // added for every engine
-	EntryFlags  []string  // added for every entry
-	Settings    Settings  // the targets are filled in by Start
-	Output      io.Writer // receives the output of all processes; nil: each process's output is only kept with it
+	Entries     int      // each with a control process
+	EngineFlags []string // added for every engine
+	// EngineSoftware are the versions of the engines' software, in turn; empty: engines name none.
+	EngineSoftware []string
+	EntryFlags     []string  // added for every entry
+	Settings       Settings  // the targets are filled in by Start
+	Output         io.Writer // receives the output of all processes; nil: each process's output is only kept with it
 
 	// LinkProxy returns the address to configure instead of addr for one link; nil: links are direct. It serves to route links
 	// through a relay that injects faults. The link "mesh of" an entry carries the connections other entries open to it.
@@ -51,6 +53,7 @@
 	DialAddr   string // address at which other processes of the site reach Addr
 	OpsAddr    string // operator port of an entry or control process
 	MeshListen string // address at which an entry listens for other entries and its control process
+	Software   string // version of an engine's software; empty: it names none
 
 	meshDialAddr string // address at which other entries reach MeshListen
 
@@ -162,9 +165,14 @@
 	if n := s.cfg.Settings.MaxBatch; n > 0 {
 		args = append(args, "-max-batch", fmt.Sprint(n))
 	}
+	software := ""
+	if versions := s.cfg.EngineSoftware; len(versions) > 0 {
+		software = versions[i%len(versions)]
+		args = append(args, "-software", software)
+	}
 	return &Node{
 		Name: name, Domain: domain(i), Addr: addr, DialAddr: s.proxiedAddr(targetLink(name), addr), binary: "anvilwick-standin",
-		args: append(args, s.cfg.EngineFlags...),
+		Software: software, args: append(args, s.cfg.EngineFlags...),
 	}
 }
 
--- a/lib/prove/operate.go
+++ b/lib/prove/operate.go
@@ -145,6 +145,7 @@
 	object string
 	want   string // first part of each token's text: identifies the prompt
 	gen    string // second part: identifies the generation
+	made   string // last part: the software that made the first token
 	ops    []history.Op
 }
 
@@ -167,16 +168,17 @@
 	var gen string
 	var index uint64
 	prompt, rest, _ := strings.Cut(strings.TrimSpace(tok.Text), "-")
-	gen, number, _ := strings.Cut(rest, "-")
+	gen, rest, _ = strings.Cut(rest, "-")
+	number, made, _ := strings.Cut(rest, "-")
 	if _, err := fmt.Sscan(number, &index); err != nil {
 		prompt = tok.Text
 	}
 	if s.gen == "" {
-		s.gen = gen
+		s.gen, s.made = gen, made
 	}
 	value := s.object
-	if prompt != s.want || gen != s.gen {
-		value = tok.Text // of another prompt or generation
+	if prompt != s.want || gen != s.gen || made != s.made {
+		value = tok.Text // of another prompt, generation or software
 	}
 	s.add(history.Op{Action: history.Token, Number: index, Value: value})
 }
--- a/lib/prove/run.go
+++ b/lib/prove/run.go
@@ -97,7 +97,7 @@
 func siteConfig(bin string, via func(link, addr string) (string, error), tee io.Writer) localsite.Config {
 	return localsite.Config{
 		Binaries: bin, Engines: siteEngines, Plains: sitePlains, Entries: siteEntries, Output: tee, LinkProxy: via,
-		EngineFlags: []string{"-report-lag", "100ms", "-step-base", "8ms"},
+		EngineFlags: []string{"-report-lag", "100ms", "-step-base", "8ms"}, EngineSoftware: []string{"v1", "v2"},
 		Settings: localsite.Settings{
 			Model: model, Service: service, Route: route, Deadline: deadline, Workspaces: []string{workspace},
 			Classes: []workload.Class{{Name: requestClass, Priority: 50, MaxWait: maxWait, QueueBound: 200, MaxPreemptions: 2}},
--- a/lib/record/sender.go
+++ b/lib/record/sender.go
@@ -165,6 +165,7 @@
 		FinishReason: rec.FinishReason,
 		Released:     rec.Released,
 		TokensFrom:   uint32(from),
+		Software:     rec.Software,
 		Tokens:       rec.Tokens[from:],
 	}
 	if !known {
--- a/lib/sched/api.go
+++ b/lib/sched/api.go
@@ -35,6 +35,7 @@
 	Deadline     Time     // 0: none
 	Avoid        []string // targets on which earlier attempts failed
 	Fingerprint  uint64
+	Software     string // with Emitted: version of the software that began it
 	RunningOn    string // target, when a generation that already runs is reported to a new owner
 	KnownTokens  int    // total output length when known in advance (oracle runs only); 0: unknown
 }
@@ -77,6 +78,7 @@
 	IdleWatts     float64
 	SeqWatts      float64 // added for each active sequence
 	Resumes       bool
+	Software      string // version of its software; a generation continues only at the version that began it
 }
 
 // ActionKind is the kind of an Action.
--- a/lib/sched/health.go
+++ b/lib/sched/health.go
@@ -76,7 +76,7 @@
 func (o *Owner) moveAll(now Time, t *target, acts []Action, ifFits bool) []Action {
 	for i := t.run.head; i != none; i = o.gens[i].next {
 		g := &o.gens[i]
-		if g.state != stateRunning || g.started && !t.spec.Resumes && !t.gone {
+		if g.state != stateRunning || !t.gone && !o.mayContinueElsewhere(t, g) {
 			continue
 		}
 		if !ifFits {
--- a/lib/sched/inputs.go
+++ b/lib/sched/inputs.go
@@ -25,6 +25,7 @@
 	g.emitted = r.Emitted
 	g.tokens = r.Emitted
 	g.moves = r.Preemptions
+	g.software = r.Software
 	g.prefixes = r.Prefixes
 	g.deadline = r.Deadline
 	g.queued = now
@@ -268,6 +269,9 @@
 	g.lastProgress = now
 	g.lastUpdate = now
 	g.cached = o.cachedTokens(t, g)
+	if g.emitted == 0 {
+		g.software = t.spec.Software
+	}
 	o.pushBack(&t.run, i)
 	t.prefilling++
 	t.prefillLeft += g.prefillTokens()
--- a/lib/sched/place.go
+++ b/lib/sched/place.go
@@ -63,6 +63,7 @@
 	t := &o.targets[ti]
 	return o.eligible(now, t) &&
 		!o.gens[o.cand.gen].avoids(ti) &&
+		(!o.cand.resumed || t.spec.Software == o.gens[o.cand.gen].software) &&
 		o.fitsBatch(t) &&
 		o.fitsCache(t) &&
 		o.fitsPrefill(t) &&
@@ -87,6 +88,23 @@
 	return o.acceptsWork(t)
 }
 
+// mayContinueElsewhere reports whether a target other than its own could continue a generation. One that has tokens is not taken off the last
+// target of its software: it could go nowhere.
+func (o *Owner) mayContinueElsewhere(t *target, g *gen) bool {
+	if !g.started && g.emitted == 0 {
+		return true
+	}
+	if !t.spec.Resumes {
+		return false
+	}
+	for i := range o.targets {
+		if other := &o.targets[i]; other != t && o.acceptsWork(other) && other.spec.Software == g.software {
+			return true
+		}
+	}
+	return false
+}
+
 // maxCachedTokens returns the largest number of prompt tokens of g that any target has cached.
 func (o *Owner) maxCachedTokens(g *gen) int {
 	most := 0
--- a/lib/sched/queue.go
+++ b/lib/sched/queue.go
@@ -168,7 +168,7 @@
 	var bestFree float64
 	for ti := range o.targets {
 		t := &o.targets[ti]
-		if t.reserved || !o.acceptsWork(t) || g.avoids(int32(ti)) {
+		if t.reserved || !o.acceptsWork(t) || g.avoids(int32(ti)) || g.emitted > 0 && t.spec.Software != g.software {
 			continue
 		}
 		free := float64(t.kvTotal) - t.load.Peak(0, o.steps)
--- a/lib/sched/tables.go
+++ b/lib/sched/tables.go
@@ -41,6 +41,7 @@
 	moves        int
 	charged      float64 // work charged to its group at the grant
 	prefixes     []uint64
+	software     string  // version that began it, once it has tokens
 	avoid        []int32 // not allocated in steady state: most requests avoid no target
 	deadline     Time
 	queued       Time // when it was submitted
--- a/lib/schedlink/autonomous.go
+++ b/lib/schedlink/autonomous.go
@@ -137,7 +137,7 @@
 
 // selfPlace grants an item a target of its shard without the owner. The Submit sent to the owner reports the target.
 func (l *Link) selfPlace(it *item) {
-	targets := l.targetsOf(it.id)
+	targets := l.targetsFor(&it.req, it.id)
 	if len(targets) == 0 {
 		l.remove(it.req.Gen)
 		it.notify(refuseNoTarget(&it.req))
@@ -172,6 +172,17 @@
 	return slices.DeleteFunc(slices.Clone(s.Targets), func(t string) bool { return slices.Contains(leaving, t) })
 }
 
+// targetsFor returns the targets of a shard that may run a request. One that continues a generation may go only to the software version that
+// began it.
+func (l *Link) targetsFor(r *sched.Request, id shard.ID) []string {
+	targets := l.targetsOf(id)
+	if r.Emitted == 0 {
+		return targets
+	}
+	specs := l.plan[id.Service].specs
+	return slices.DeleteFunc(targets, func(t string) bool { return specs[t].Software != r.Software })
+}
+
 func refuseNoTarget(r *sched.Request) sched.Action {
 	return sched.Action{
 		Kind:       sched.ActRefuse,
--- a/lib/schedlink/choose.go
+++ b/lib/schedlink/choose.go
@@ -53,6 +53,9 @@
 // chooseShard assigns an item to the less loaded of two random shards of its service. It returns false if there is none.
 func (l *Link) chooseShard(it *item) (ok bool) {
 	ids := l.candidates[it.id.Service]
+	if it.req.Emitted > 0 {
+		ids = l.shardsWithSoftware(it)
+	}
 	if len(ids) == 0 {
 		return false
 	}
@@ -64,6 +67,21 @@
 	return true
 }
 
+// shardsWithSoftware returns the shards of an item's service that have a target of the software version that began it.
+func (l *Link) shardsWithSoftware(it *item) []shard.ID {
+	sp := l.plan[it.id.Service]
+	if sp == nil {
+		return nil
+	}
+	var ids []shard.ID
+	for _, s := range sp.shards {
+		if len(l.targetsFor(&it.req, s.ID)) > 0 {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
 // preferred reports whether shard a is preferred over b, by silence of the owner, expected wait, queue length and running
 // generations. A shard without a digest counts as empty, as some entry must be the first to use it.
 func (l *Link) preferred(a, b shard.ID) bool {
--- a/lib/schedlink/schedlink_test.go
+++ b/lib/schedlink/schedlink_test.go
@@ -284,3 +284,29 @@
 	must.Eq(t, "t00", l.selfPlacer.pick([]string{"t00"}, nil, anyRoom, now))
 	must.Eq(t, "", l.selfPlacer.pick(nil, nil, anyRoom, now))
 }
+
+// The owner is silent, and engines of two software versions serve. A generation that has tokens must be placed without the owner only at the
+// version that began it, in a shard that has one.
+func TestSelfPlacementKeepsSoftware(t *testing.T) {
+	site := siteOf(8, 4, 4)
+	for i := range site.Services[0].Targets {
+		site.Services[0].Targets[i].Software = map[bool]string{true: "v1", false: "v2"}[i < 4]
+	}
+	r := newRig(t, 1, site)
+	l := r.procs[0].Link
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for range 50 {
+		it := &item{id: shard.ID{Service: svc}, req: sched.Request{Emitted: 3, Software: "v2"}}
+		must.True(t, l.chooseShard(it))
+		targets := l.targetsFor(&it.req, it.id)
+		must.SliceNotEmpty(t, targets)
+		for _, name := range targets {
+			must.Eq(t, "v2", l.plan[svc].specs[name].Software)
+		}
+		it.req.Software = "v3"
+		must.False(t, l.chooseShard(it))
+		it.req.Emitted = 0
+		must.True(t, l.chooseShard(it))
+	}
+}
--- a/lib/schedlink/wire.go
+++ b/lib/schedlink/wire.go
@@ -26,6 +26,7 @@
 		Preemptions:  uint32(r.Preemptions),
 		Avoid:        r.Avoid,
 		Fingerprint:  r.Fingerprint,
+		Software:     r.Software,
 		RunningOn:    runningOn,
 		Handle:       handle,
 	}
@@ -53,6 +54,7 @@
 		Prefixes:     m.GetPrefixes(),
 		Avoid:        m.GetAvoid(),
 		Fingerprint:  m.GetFingerprint(),
+		Software:     m.GetSoftware(),
 		RunningOn:    m.GetRunningOn(),
 	}
 	if m.GetDeadlineMs() != 0 {
--- a/lib/settings/fields.go
+++ b/lib/settings/fields.go
@@ -37,6 +37,7 @@
 	required(bind("addr", kindAddr, "", "address on which the target listens", func(t *Target) *string { return &t.Addr })),
 	required(bind("failure_domain", kindName, "", "failure domain of the target, one of site.failure_domains", func(t *Target) *string { return &t.FailureDomain })),
 	bind("instance", kindName, "", "machine that runs the target", func(t *Target) *string { return &t.Instance }),
+	bind("software", kindLabel, "", "version of its software; a stream continues only at a target of the version that began it", func(t *Target) *string { return &t.Software }),
 	bind("kv_tokens", intKind("tokens", 0, maxCount), "0", "capacity of the key-value cache; 0: taken from load reports", func(t *Target) *int { return &t.KVTokens }),
 	bind("max_batch", intKind("sequences", 0, 65536), "0", "maximum number of concurrent sequences; 0: taken from load reports", func(t *Target) *int { return &t.MaxBatch }),
 	bind("idle_power", kindWatts, "0W", "power when idle", func(t *Target) *float64 { return &t.IdleWatts }),
--- a/lib/settings/types.go
+++ b/lib/settings/types.go
@@ -23,6 +23,7 @@
 	Addr          string // IP:port
 	FailureDomain string
 	Instance      string // machine that runs it
+	Software      string // version of the target's software; a stream continues only at the version that began it
 	KVTokens      int    // key-value cache in tokens; 0: taken from load reports
 	MaxBatch      int    // concurrent sequences; 0: taken from load reports
 	IdleWatts     float64
--- a/lib/standin/engine/handlers.go
+++ b/lib/standin/engine/handlers.go
@@ -44,6 +44,7 @@
 	seq       enginemodel.Seq
 	prompt    string
 	id        string // text form of the generation id
+	software  string // of the engine
 	truncated bool   // the answer is truncated by max_tokens
 	chat      bool
 }
@@ -54,6 +55,7 @@
 		writeError(w, http.StatusBadRequest, engineapi.ErrBad, err.Error(), true)
 		return
 	}
+	j.software = s.cfg.Software
 	st, ok := s.accept(w, j)
 	if !ok {
 		return
@@ -117,14 +119,24 @@
 	return nil
 }
 
+// token returns token i of the answer, with the version of the software that makes it.
+func (j *job) token(i int) string {
+	text := TokenText(j.prompt, j.id, i)
+	if j.software != "" {
+		text += "-" + j.software
+	}
+	return text
+}
+
 // resumeMatches checks that the tokens to resume from are those of this answer. A real engine would continue from any
-// tokens; this check detects a token that was dropped, repeated or taken from another stream on the way.
+// tokens; this check detects a token that was dropped, repeated or taken from another stream on the way. Which software made them is not
+// checked, as real engines don't.
 func (j *job) resumeMatches() bool {
 	if j.req.Ext == nil {
 		return true
 	}
 	for i, tok := range j.req.Ext.Resume {
-		if tok != TokenText(j.prompt, j.id, i) {
+		if want := TokenText(j.prompt, j.id, i); tok != want && !strings.HasPrefix(tok, want+"-") {
 			return false
 		}
 	}
--- a/lib/standin/engine/send.go
+++ b/lib/standin/engine/send.go
@@ -89,7 +89,7 @@
 	}
 	switch ev.Kind {
 	case enginemodel.EvToken:
-		f.Choices = []engineapi.Choice{j.choice(TokenText(j.prompt, j.id, ev.Index))}
+		f.Choices = []engineapi.Choice{j.choice(j.token(ev.Index))}
 	case enginemodel.EvFinished:
 		c := j.choice("")
 		reason := j.finishReason()
@@ -146,7 +146,7 @@
 			s.dieIfPoisoned(j)
 			switch ev.Kind {
 			case enginemodel.EvToken:
-				b.WriteString(TokenText(j.prompt, j.id, ev.Index))
+				b.WriteString(j.token(ev.Index))
 			case enginemodel.EvDropped:
 				writeError(w, http.StatusServiceUnavailable, engineapi.ErrPreempted, "the memory was given away", false)
 				return
--- a/lib/standin/engine/server.go
+++ b/lib/standin/engine/server.go
@@ -21,6 +21,7 @@
 	Engine       enginemodel.Config
 	Model        string // model loaded at start; requests for another are rejected
 	ModelVersion string
+	Software     string // version of its software, which each token names; empty: none
 	Role         string
 	Fencing      bool // reject orders with an old fencing number
 	NoResume     bool // reject requests that start beyond token 0
--- a/lib/standin/engine/text.go
+++ b/lib/standin/engine/text.go
@@ -39,19 +39,25 @@
 }
 
 // CheckAnswer checks the text of a whole answer of n tokens to a prompt and returns the first error: a token of another
-// prompt, a change of generation, a gap, a duplicate or a missing end. n < 0 accepts any length.
+// prompt, a change of generation or of software, a gap, a duplicate or a missing end. n < 0 accepts any length.
 func CheckAnswer(prompt, text string, n int) error {
 	tokens := strings.Fields(text)
 	if n >= 0 && len(tokens) != n {
 		return fmt.Errorf("the answer has %d tokens, want %d", len(tokens), n)
 	}
 	want := fmt.Sprintf("%08x", uint32(xxhash.Sum64String(prompt)))
-	generation := ""
+	generation, software := "", ""
 	for i, tok := range tokens {
 		part := strings.Split(tok, "-")
-		if len(part) != 3 {
+		if len(part) == 3 {
+			part = append(part, "")
+		}
+		if len(part) != 4 {
 			return fmt.Errorf("token %d reads %q", i, tok)
 		}
+		if i == 0 {
+			software = part[3]
+		}
 		if generation == "" {
 			generation = part[1]
 		}
@@ -60,6 +66,8 @@
 			return fmt.Errorf("token %d belongs to another prompt: %q", i, tok)
 		case part[1] != generation:
 			return fmt.Errorf("token %d belongs to another generation: %q", i, tok)
+		case part[3] != software:
+			return fmt.Errorf("token %d was made by software %q, the first by %q", i, part[3], software)
 		case part[2] != strconv.Itoa(i):
 			return fmt.Errorf("token %d has index %s", i, part[2])
 		}
