Records of streams: versions out of use, one read for many, hand-over at the start of a stop

Read over as a newcomer, four things that tests had not asked: a version stayed 'in use' for the life of an instance that does not read the store, so that its records went to the store for good after a first release; each query read the row of versions by itself after the loss of all instances; a graceful stop that lasts its whole grace had no time left to hand records over, and one dead peer held up all others; failed writes were retried four times a second for as long as an outage.

--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -322,6 +322,7 @@
 	// Other instances switch to another owner and another reader now, while this one still answers.
 	p.link.Coordinator.Leave()
 	p.goWork(func() { p.unregister(context.Background()) })
+	p.goWork(func() { p.handOver(context.Background()) })
 	time.Sleep(min(outOfRotation, p.cfg.Grace/2))
 	abort := time.AfterFunc(p.cfg.Grace-time.Since(start)-abortMargin, p.gate.AbortOpen)
 	defer abort.Stop()
@@ -332,7 +333,7 @@
 		err = front.Shutdown(ctx)
 	}
 	p.carrier.Drain(ctx)
-	p.recorder.HandOver(ctx)
+	p.handOver(context.Background())
 	p.cancel()
 	log.Info().Str("event", "stopped").Int64("after_ms", time.Since(start).Milliseconds()).Msg("")
 	if err != nil {
--- a/lib/gatewayproc/software.go
+++ b/lib/gatewayproc/software.go
@@ -105,10 +105,27 @@
 }
 
 // isMixed reports whether a service has, or lately had, several versions.
-func (s *software) isMixed(service string) bool {
+func (s *software) isMixed(now time.Time, service string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.seen[service]) > 1
+	n := 0
+	for _, at := range s.seen[service] {
+		if now.Sub(at) <= softwareRetention {
+			n++
+		}
+	}
+	return n > 1
+}
+
+// refresh records that the versions of the listed targets are still in use. current lists those of a service.
+func (s *software) refresh(now time.Time, current func(service string) []uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for service, seen := range s.seen {
+		for _, version := range current(service) {
+			seen[version] = now
+		}
+	}
 }
 
 // merge returns the rows to write in an era of the store: those that lack a version, or were written in another era.
@@ -135,9 +152,8 @@
 	return out
 }
 
-// sweep forgets the versions that have had no target for softwareRetention, and returns the rows without them. current lists the versions of
-// a service's targets.
-func (s *software) sweep(now time.Time, rows map[string]softwareRow, current func(service string) []uint64) map[string]softwareRow {
+// sweep forgets the versions that have had no target for softwareRetention, and returns the rows without them.
+func (s *software) sweep(now time.Time, rows map[string]softwareRow) map[string]softwareRow {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := make(map[string]softwareRow)
@@ -146,9 +162,6 @@
 		if seen == nil {
 			continue
 		}
-		for _, version := range current(service) {
-			seen[version] = now
-		}
 		kept := softwareRow{Era: row.Era, DoubtedMS: row.DoubtedMS, stored: row.stored}
 		for _, version := range row.Versions {
 			if _, known := seen[version]; !known {
@@ -170,10 +183,14 @@
 // keepSoftware keeps the services' rows up to date while this instance reads the store.
 func (p *Process) keepSoftware(ctx context.Context) {
 	var era int64 // in which the rows were last brought up to date; 0: not yet
-	swept := time.Now()
+	swept, refreshed := time.Now(), time.Now()
 	for {
 		changed, pause := p.feeds.instances.Changed(), registerRetry
 		now := time.Now()
+		if now.Sub(refreshed) > softwareSweep {
+			p.software.refresh(now, p.fleet.ServiceSoftware)
+			refreshed = now
+		}
 		switch {
 		case !p.syncer.ReadsStore():
 			era = 0
@@ -202,7 +219,8 @@
 	if err != nil {
 		return err
 	}
-	write := p.software.sweep(now, rows, p.fleet.ServiceSoftware)
+	p.software.refresh(now, p.fleet.ServiceSoftware) // before the sweep, which would remove the versions of listed targets
+	write := p.software.sweep(now, rows)
 	for service, row := range p.software.merge(now, rows, era) {
 		write[service] = row
 	}
--- a/lib/gatewayproc/streams.go
+++ b/lib/gatewayproc/streams.go
@@ -35,7 +35,7 @@
 func (s streams) RecordStream(start gateway.StreamStart) {
 	expires := time.Now().Add(min(time.Until(start.Deadline), maxRecordTTL) + recordMargin)
 	e := resume.Entry{Key: resume.Key(start.Workspace, start.Attempt), Software: start.Software.ID, Expires: expires}
-	s.p.recorder.Record(e, s.p.software.isMixed(start.Service))
+	s.p.recorder.Record(e, s.p.software.isMixed(time.Now(), start.Service))
 }
 
 // FindStream implements gateway.Streams.
@@ -43,3 +43,14 @@
 	found := s.p.recorder.Find(ctx, resume.Key(workspace, attempt), service)
 	return gateway.StreamOrigin{Software: found.Software, Settled: found.Settled}
 }
+
+// handOverTimeout bounds the hand-over of records when this instance stops. It is short enough to end before the kill.
+const handOverTimeout = 120 * time.Millisecond
+
+// handOver passes the records that this instance holds on to its peers: at the start of a graceful stop, and at its end for those of the streams
+// that began meanwhile.
+func (p *Process) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	p.recorder.HandOver(ctx)
+}
--- a/lib/resume/keeper.go
+++ b/lib/resume/keeper.go
@@ -17,6 +17,8 @@
 const (
 	// writeInterval is the period at which a keeper writes a row: the loss of all instances loses the records of that time.
 	writeInterval = 250 * time.Millisecond
+	// retryMax bounds the pause after failed writes, which doubles with each.
+	retryMax = 4 * time.Second
 	// maxRowEntries bounds a row. The store takes rows of 64 KB.
 	maxRowEntries = 1024
 	// maxPending bounds the records that wait for a store that does not answer.
@@ -58,9 +60,10 @@
 	slots   []slot
 	loaded  bool // slots of earlier incarnations are known
 
-	reading sync.Mutex // held during a read of all rows
-	read    *Table     // what was read from the store
-	readAt  time.Time  // when the last complete read began
+	reading sync.Mutex             // held during a read of all rows
+	read    *Table                 // what was read from the store
+	readAt  time.Time              // when the last complete read began
+	singles map[string]onlyVersion // by service
 }
 
 // slot is a row of this instance, which is used again when its records have expired.
@@ -69,7 +72,29 @@
 // NewKeeper returns the keeper of an instance. single returns the software version of a service that has had only one for longer than any
 // stream lasts; ok is false if it has had several.
 func NewKeeper(self string, rows Rows, single func(ctx context.Context, service string) (uint64, bool, error), onErr func(string, error)) *Keeper {
-	return &Keeper{self: self, rows: rows, single: single, onErr: onErr, wake: make(chan struct{}, 1), read: NewTable()}
+	return &Keeper{self: self, rows: rows, single: single, onErr: onErr, wake: make(chan struct{}, 1), read: NewTable(), singles: make(map[string]onlyVersion)}
+}
+
+// onlyVersion is the result of Keeper.single.
+type onlyVersion struct {
+	askedAt  time.Time
+	software uint64
+	ok       bool
+	err      error
+}
+
+// onlyVersionOf returns the only version of a service. Queries that wait while it is read share the next read: after the loss of all instances
+// there are many.
+func (k *Keeper) onlyVersionOf(ctx context.Context, service string, asked time.Time) onlyVersion {
+	k.reading.Lock()
+	defer k.reading.Unlock()
+	if v := k.singles[service]; v.askedAt.After(asked) {
+		return v
+	}
+	v := onlyVersion{askedAt: time.Now()}
+	v.software, v.ok, v.err = k.single(ctx, service)
+	k.singles[service] = v
+	return v
 }
 
 // Add has records written soon.
@@ -93,19 +118,25 @@
 			return
 		case <-k.wake:
 		}
-		k.flush(ctx)
+		pause := writeInterval
+		for k.flush(ctx) != nil && ctx.Err() == nil {
+			time.Sleep(pause)
+			pause = min(2*pause, retryMax)
+		}
 		time.Sleep(writeInterval)
 	}
 }
 
-// flush writes the pending records. Those that can't be written are tried again.
-func (k *Keeper) flush(ctx context.Context) {
-	k.writing.Lock()
+// flush writes the pending records. Those that can't be written are kept.
+func (k *Keeper) flush(ctx context.Context) error {
+	if !k.writing.TryLock() {
+		return nil // a write is in progress, and the rest follows it
+	}
 	defer k.writing.Unlock()
 	for {
 		batch := k.take()
 		if len(batch) == 0 {
-			return
+			return nil
 		}
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		err := k.write(callCtx, batch)
@@ -113,10 +144,8 @@
 		if err != nil {
 			rowsFailed.Inc()
 			k.onErr("write", err)
-			if ctx.Err() == nil {
-				k.Add(batch)
-			}
-			return
+			k.Add(batch)
+			return err
 		}
 		rowsWritten.Inc()
 	}
@@ -180,20 +209,20 @@
 
 // Find finds a record in the store, or the only version that a service has had.
 func (k *Keeper) Find(ctx context.Context, q Query) Found {
-	software, ok, err := k.single(ctx, q.Service)
-	if ok {
-		return Found{Software: software, Settled: true}
+	asked := time.Now()
+	only := k.onlyVersionOf(ctx, q.Service, asked)
+	if only.ok {
+		return Found{Software: only.software, Settled: true}
 	}
-	if err != nil {
-		k.onErr("read software", err)
+	if only.err != nil {
+		k.onErr("read software", only.err)
 	}
-	asked := time.Now()
 	if readErr := k.readRows(ctx, asked); readErr != nil {
 		k.onErr("read", readErr)
 		return Found{}
 	}
 	e, known := k.read.Get(asked, q.Key)
-	return Found{Software: e.Software, Settled: known || err == nil}
+	return Found{Software: e.Software, Settled: known || only.err == nil}
 }
 
 // readRows reads the records in the store, unless a read that began after asked has done so.
--- a/lib/resume/outbox.go
+++ b/lib/resume/outbox.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"anvilwick.example/anvilwick/lib/owner"
@@ -88,12 +89,21 @@
 			byPeer[to.Name] = append(byPeer[to.Name], e)
 		}
 	}
+	var work sync.WaitGroup
 	for name, entries := range byPeer {
-		for len(entries) > 0 && ctx.Err() == nil {
-			batch := entries[:min(maxBatch, len(entries))]
-			entries = entries[len(batch):]
-			r.transport.SendRecords(ctx, peers[name], batch, false)
+		work.Go(func() { r.sendAll(ctx, peers[name], entries) })
+	}
+	work.Go(func() { r.keeper.flush(ctx) })
+	work.Wait()
+}
+
+// sendAll sends records to one peer until it no longer acknowledges them.
+func (r *Recorder) sendAll(ctx context.Context, to owner.Instance, entries []Entry) {
+	for len(entries) > 0 {
+		batch := entries[:min(maxBatch, len(entries))]
+		entries = entries[len(batch):]
+		if !r.transport.SendRecords(ctx, to, batch, false) {
+			return
 		}
 	}
-	r.keeper.flush(ctx)
 }
--- a/lib/resume/recorder_test.go
+++ b/lib/resume/recorder_test.go
@@ -264,7 +264,7 @@
 		write := func(key uint64) {
 			k := NewKeeper("i0", s, s.only, func(string, error) {})
 			k.Add([]Entry{entry(key)})
-			k.flush(ctx)
+			must.NoError(t, k.flush(ctx))
 		}
 		write(1)
 		write(2)
