Feeds: rows written since a restore are not taken for those that it brought back (EVAC)

Callers' requests reached an evacuated domain for up to 9 s after a restore of the store. The new row has the value of the one that had been removed before, and was taken for one that the restore had brought back; it stayed hidden for 5 s from when the instance learnt of the restore.

A page of a peer that begins an era says at which version the era was first read, and how long ago. A row of a later version was written since, and what is hidden is hidden for the period from the restore.

Measured: two new tests in lib/feed fail without the two conditions and pass with them.

--- a/lib/feed/feed.go
+++ b/lib/feed/feed.go
@@ -35,10 +35,17 @@
 	Version int64 // newest version that the page reflects
 	Era     int64 // era of the store's history that Version belongs to; 0: the response did not say
 
+	Restore  Restore       // of the era, as the responding peer knows it; zero in responses of the store
 	Retained []RetainedRow // rows that the responding peer shows in place of the store's; empty in responses of the store
 	Partial  bool          // Rows are only those that this instance needs: other rows are dropped, not removed
 }
 
+// Restore is what is known of the restore of the store with which an era began.
+type Restore struct {
+	Version int64         // newest version when the first instance read the era; later ones were written since; 0: unknown
+	Age     time.Duration // since then
+}
+
 // Position returns the newest position that the page reflects.
 func (p *Page) Position() Position { return PositionOf(p.Era, p.Version) }
 
--- a/lib/feed/replica.go
+++ b/lib/feed/replica.go
@@ -24,6 +24,8 @@
 	removals      []removal // oldest first
 	changes       changeLog
 	retained      map[string]retainedEntry // shown in place of rows
+	restore       Restore                  // with which the era began
+	restoredAt    time.Time                // since when restore.Age counts
 	changed       chan struct{}            // closed and replaced at each change
 
 	confirmed        chan struct{} // closed and replaced when the store has confirmed the position again
--- a/lib/feed/retention.go
+++ b/lib/feed/retention.go
@@ -80,6 +80,7 @@
 // applyRestore replaces the table by the page of a new era and returns the rows whose visible state changed.
 func (r *Replica) applyRestore(page Page, now time.Time) []Row {
 	before := r.visibleRows()
+	r.setRestore(&page, now)
 	tombstones := r.tombstones
 	r.rows, r.tombstones, r.retained = make(map[string]Row, len(page.Rows)), make(map[string]tombstone), make(map[string]retainedEntry)
 	r.completeSince = page.Version
@@ -96,7 +97,10 @@
 			r.removals = append(r.removals, removal{key: old.Key, at: tombstones[old.Key].at})
 			continue
 		}
-		r.retainRow(old, r.retention.Period, now)
+		if stored, listed := r.rows[old.Key]; old.Removed && listed && stored.Version > r.restore.Version {
+			continue // written since the restore
+		}
+		r.retainRow(old, r.retention.Period-now.Sub(r.restoredAt), now)
 	}
 	slices.SortFunc(r.removals, func(a, b removal) int { return a.at.Compare(b.at) })
 	for _, k := range page.Retained {
@@ -105,6 +109,26 @@
 	return r.visibleChanges(before)
 }
 
+// setRestore records the restore with which the era of a page began. An instance that was frozen or cut off learns of it from a peer later, when
+// rows have been written since: a row that was removed and is written again then looks like one that the restore has brought back.
+func (r *Replica) setRestore(page *Page, now time.Time) {
+	r.restore = page.Restore
+	if r.restore.Version == 0 {
+		r.restore = Restore{Version: page.Version}
+	}
+	r.restoredAt = now.Add(-r.restore.Age)
+}
+
+// Restore returns what is known of the restore with which the current era began; ok is false if this replica has seen none.
+func (r *Replica) Restore(now time.Time) (restore Restore, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.restoredAt.IsZero() {
+		return Restore{}, false
+	}
+	return Restore{Version: r.restore.Version, Age: now.Sub(r.restoredAt)}, true
+}
+
 // visibleRows returns the rows as they are shown; removed rows carry their last value.
 func (r *Replica) visibleRows() map[string]Row {
 	out := make(map[string]Row, len(r.rows))
--- a/lib/feed/retention_test.go
+++ b/lib/feed/retention_test.go
@@ -192,3 +192,46 @@
 	must.True(t, c.last.Restored)
 	must.SliceEmpty(t, c.last.Rows)
 }
+
+// An evacuation is lifted, the store comes back from a copy that still has it, and the operators evacuate again. An instance that was frozen
+// meanwhile learns of all this from a peer at once, and must not take the new row for the one that the restore brought back: it would go on
+// sending to the domain for the retention period.
+func TestRowWrittenAgainAfterRestoreIsShown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peer, frozen := newRestoredReplica(), newRestoredReplica()
+		for _, c := range []*restoredReplica{peer, frozen} {
+			c.snapshot(Position{1, 10}, "evacuated", "x", "other", "y")
+			c.changes(Position{1, 12}, "evacuated", "")
+		}
+		peer.snapshot(Position{2, 11}, "evacuated", "x", "other", "y")
+		must.MapLen(t, 1, peer.visible)
+		time.Sleep(time.Second)
+		peer.changes(Position{2, 12}, "evacuated", "x")
+		must.MapLen(t, 2, peer.visible)
+		page, whole, contact, _ := peer.r.Since(frozen.r.Position())
+		page.Retained = peer.r.Retained(time.Now())
+		page.Restore, _ = peer.r.Restore(time.Now())
+		frozen.r.Merge(page, whole, contact)
+		must.MapLen(t, 2, frozen.visible)
+	})
+}
+
+// An instance learns of a restore late. A removed row that is back stays hidden for the period from the restore, not from then on.
+func TestRetentionCountsFromTheRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peer, late := newRestoredReplica(), newRestoredReplica()
+		for _, c := range []*restoredReplica{peer, late} {
+			c.snapshot(Position{1, 10}, "a", "x")
+			c.changes(Position{1, 12}, "a", "")
+		}
+		peer.snapshot(Position{2, 11}, "a", "x")
+		time.Sleep(retentionPeriod - time.Second)
+		page, whole, contact, _ := peer.r.Since(late.r.Position())
+		page.Restore, _ = peer.r.Restore(time.Now())
+		late.r.Merge(page, whole, contact)
+		must.MapEmpty(t, late.visible)
+		time.Sleep(time.Second + time.Millisecond)
+		late.changes(Position{2, 11})
+		must.Eq(t, map[string]string{"a": "x"}, late.visible)
+	})
+}
--- a/lib/feedlink/serve.go
+++ b/lib/feedlink/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"reflect"
 	"sync/atomic"
 	"time"
@@ -187,7 +188,11 @@
 		m := s.packer.tableMessage(t.name, after, page, whole, contact)
 		m.Digest = t.nextDigest()
 		if !t.retainedSent || t.after.Era != page.Era {
-			m.Kept, t.retainedSent = s.packer.retainedMessages(page.Era, t.replica.Retained(time.Now())), true
+			now := time.Now()
+			m.Kept, t.retainedSent = s.packer.retainedMessages(page.Era, t.replica.Retained(now)), true
+			if restore, ok := t.replica.Restore(now); ok {
+				m.RestoreVersion, m.RestoreAgeMs = restore.Version, uint32(min(restore.Age.Milliseconds(), math.MaxUint32))
+			}
 		}
 		metrics.GetOrCreateCounter(fmt.Sprintf(`anvilwick_feed_bytes_total{table=%q}`, t.name)).Add(proto.Size(m))
 		out.Tables = append(out.Tables, m)
--- a/lib/feedlink/subscription.go
+++ b/lib/feedlink/subscription.go
@@ -173,6 +173,7 @@
 		}
 	}
 	page := feed.Page{Version: m.Version, Era: m.Era, Partial: m.Part, Rows: make([]feed.Row, len(m.Rows))}
+	page.Restore = feed.Restore{Version: m.RestoreVersion, Age: time.Duration(m.RestoreAgeMs) * time.Millisecond}
 	for i, r := range m.Rows {
 		row, err := rowFromProto(r)
 		if err != nil {
