Feeds: a second restore doesn't hide a row for another period (EVAC)

Each restore hid the row for 5 s anew, since it equals the removed one: 7.2 s after the evacuation was stored requests still reached the domain.

A row that is hidden keeps the time at which it will be shown.

--- a/lib/feed/retention.go
+++ b/lib/feed/retention.go
@@ -81,7 +81,7 @@
 func (r *Replica) applyRestore(page Page, now time.Time) []Row {
 	before := r.visibleRows()
 	r.setRestore(&page, now)
-	tombstones := r.tombstones
+	tombstones, retained := r.tombstones, r.retained
 	r.rows, r.tombstones, r.retained = make(map[string]Row, len(page.Rows)), make(map[string]tombstone), make(map[string]retainedEntry)
 	r.completeSince = page.Version
 	r.removals = nil
@@ -100,7 +100,13 @@
 		if stored, listed := r.rows[old.Key]; old.Removed && listed && stored.Version > r.restore.Version {
 			continue // written since the restore
 		}
-		r.retainRow(old, r.retention.Period-now.Sub(r.restoredAt), now)
+		left := r.retention.Period - now.Sub(r.restoredAt)
+		if k := retained[old.Key]; k.lost == lostRemoval {
+			// The store was restored before, too. Hidden anew each time, a row that was written again would stay hidden for as long as that
+			// goes on.
+			left = min(left, k.until.Sub(now))
+		}
+		r.retainRow(old, left, now)
 	}
 	slices.SortFunc(r.removals, func(a, b removal) int { return a.at.Compare(b.at) })
 	for _, k := range page.Retained {
--- a/lib/feed/retention_test.go
+++ b/lib/feed/retention_test.go
@@ -235,3 +235,21 @@
 		must.Eq(t, map[string]string{"a": "x"}, late.visible)
 	})
 }
+
+// The store is restored twice within the period, and operators write a removed row again right after the first restore, before it is read. It
+// can't be told from one that the restore brought back, and must not stay hidden longer than the period from the first restore.
+func TestSecondRestoreDoesNotHideRowsLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newRestoredReplica()
+		c.snapshot(Position{1, 10}, "evacuated", "x")
+		c.changes(Position{1, 12}, "evacuated", "")
+		c.snapshot(Position{2, 13}, "evacuated", "x")
+		must.MapEmpty(t, c.visible)
+		time.Sleep(2 * time.Second)
+		c.snapshot(Position{3, 13}, "evacuated", "x")
+		must.MapEmpty(t, c.visible)
+		time.Sleep(retentionPeriod - 2*time.Second + time.Millisecond)
+		c.changes(Position{3, 13})
+		must.MapLen(t, 1, c.visible)
+	})
+}
