Tunnels: a test that abandoned requests are reset, in fixed order

The request is written to a link that hangs, its caller leaves, and the link works again: it must not arrive.

--- a/lib/tunnel/tunnel_test.go
+++ b/lib/tunnel/tunnel_test.go
@@ -356,3 +356,47 @@
 	must.ErrorIs(t, <-ended, net.ErrClosed)
 	must.Less(t, 200*time.Millisecond, time.Since(start))
 }
+
+// countingConn counts the bytes written to a connection.
+type countingConn struct {
+	*net.TCPConn
+	written *atomic.Int64
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.TCPConn.Write(b)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// A caller leaves when its request has been written to the target's connection, which hangs. The request must not arrive when the link works
+// again: it would run for nobody.
+func TestAbandonedRequestDoesNotArriveLater(t *testing.T) {
+	var received, written atomic.Int64
+	target := startTarget(t, func(c *net.TCPConn) {
+		n, _ := io.Copy(io.Discard, c)
+		received.Add(n)
+	})
+	link, err := faultproxy.New("target", target)
+	must.NoError(t, err)
+	t.Cleanup(link.Close)
+	p := startPeer(t, "b", "d2")
+	p.Server.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		c, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return nil, err
+		}
+		return countingConn{TCPConn: c.(*net.TCPConn), written: &written}, nil
+	}
+	conn := dial(t, newTestClient(t, p), link.Addr())
+	link.Set(faultproxy.Stalled)
+	request := []byte("POST / HTTP/1.1\r\n\r\n")
+	_, err = conn.Write(request)
+	must.NoError(t, err)
+	eventually(t, "written to the link", func() bool { return written.Load() == int64(len(request)) })
+	must.NoError(t, conn.Close())
+	eventually(t, "carried no longer", func() bool { return p.Carried() == 0 })
+	link.Set(faultproxy.Up)
+	time.Sleep(300 * time.Millisecond)
+	must.Eq(t, 0, received.Load())
+}
