Entry: targets are reached by way of other entries where its own links are lost

Callers of an entry without links to the targets were refused or held while other entries served the same targets. The gateway's parts do it (lib/targetdial, lib/tunnel): connections to targets race the own link and another entry; entries carry only to targets of the settings in force, and drain what they carry when they stop. -target-proxy and localsite's TargetProxy cut one entry off from all targets.

Not shown: streams that hang on a lost link when the entry is cut, beyond what stall detection does; slow callers.

--- a/lib/entryproc/config.go
+++ b/lib/entryproc/config.go
@@ -25,6 +25,7 @@
 	Operators    procflags.OperatorTokens
 	StopNotice   time.Duration // from the end of readiness until new requests are refused
 	StopLimit    time.Duration // longest wait for requests in progress; 0: unlimited
+	TargetProxy  string        // address of an HTTP proxy (CONNECT) for the connections to targets; empty: none
 	MaxStreams   int
 	Scheduler    string // scheduling policy of a shard; all but SchedulerOwner are for experiments
 	LogLevel     string
@@ -47,6 +48,7 @@
 		"after SIGTERM, time in which requests are still accepted while balancers notice")
 	fs.DurationVar(&c.StopLimit, "stop-limit", 0, "after SIGTERM, longest wait for requests in progress; 0: unlimited")
 	fs.IntVar(&c.MaxStreams, "max-streams", 4096, "requests in progress at most")
+	fs.StringVar(&c.TargetProxy, "target-proxy", "", "address of an HTTP proxy (CONNECT) for the connections to targets; empty: none")
 	fs.StringVar(&c.Scheduler, "scheduler", SchedulerOwner,
 		"policy of a shard: owner; for experiments only: least-loaded or round-robin, which ignore future memory use")
 	fs.StringVar(&c.LogLevel, "log-level", "info", "debug, info, warn or error")
--- a/lib/entryproc/process.go
+++ b/lib/entryproc/process.go
@@ -35,6 +35,7 @@
 	guard   *guardlink.Link // nil without links
 	claims  *claims         // nil without a platform
 	links   *links          // nil without a mesh address
+	tunnels *tunnels
 
 	hashes    []opsapi.Hash
 	callers   net.Listener
@@ -58,11 +59,13 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &Process{cfg: cfg, metrics: entrymetrics.New(), clients: target.NewClients(), failed: make(chan error, 2), cancel: cancel}
+	p := &Process{cfg: cfg, metrics: entrymetrics.New(), failed: make(chan error, 2), cancel: cancel}
+	p.tunnels = newTunnels(cfg)
 	if err := p.listen(); err != nil {
 		cancel()
 		return nil, err
 	}
+	p.clients = p.tunnels.clients(p.links != nil)
 	p.assemble(ctx)
 	if snap != nil {
 		p.server.Apply(snap)
@@ -75,6 +78,7 @@
 	}
 	if p.links != nil {
 		p.links.run(ctx)
+		go p.tunnels.run(ctx, p.view)
 	}
 	p.serve()
 	return p, nil
@@ -161,6 +165,7 @@
 	p.server.BeginShutdown()
 	if p.links != nil {
 		p.links.members.Leave()
+		p.tunnels.carrier.Stop()
 	}
 	time.Sleep(p.cfg.StopNotice)
 	ctx, cancel := p.stopContext()
@@ -168,6 +173,9 @@
 	stopErr := errors.Join(p.server.Stop(ctx), p.claims.flush())
 	cctx, ccancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer ccancel()
+	if p.links != nil {
+		p.tunnels.carrier.Drain(cctx) // what other entries have open through this one
+	}
 	err := errors.Join(stopErr, p.callerSrv.Shutdown(cctx), p.opsSrv.Shutdown(cctx))
 	p.cancel()
 	if p.links != nil {
--- a/lib/localsite/site.go
+++ b/lib/localsite/site.go
@@ -39,6 +39,8 @@
 	Settings       Settings  // the targets are filled in by Start
 	Output         io.Writer // receives the output of all processes; nil: each process's output is only kept with it
 
+	// TargetProxy returns the address of the HTTP proxy through which an entry reaches the targets, to cut it off from all of them; nil: none.
+	TargetProxy func(entry string) string
 	// LinkProxy returns the address to configure instead of addr for one link; nil: links are direct. It serves to route links
 	// through a relay that injects faults. The link "mesh of" an entry carries the connections other entries open to it.
 	LinkProxy func(link, addr string) (string, error)
@@ -194,6 +196,9 @@
 		"-platform", s.proxiedAddr(platformLink(name), s.Platform.Addr),
 	}
 	args = append(args, s.linkFlags()...)
+	if s.cfg.TargetProxy != nil {
+		args = append(args, "-target-proxy", s.cfg.TargetProxy(name))
+	}
 	return &Node{
 		Name: name, Domain: domain(i), Addr: addr, DialAddr: s.proxiedAddr(callerLink(name), addr),
 		OpsAddr: ops, MeshListen: mesh, meshDialAddr: meshDialAddr, binary: "anvilwick-entry",
