--- a/lib/resume/recorder.go
+++ b/lib/resume/recorder.go
@@ -28,14 +28,14 @@
 )
 
 var (
-	recorded       = metrics.NewCounter(`anvilwick_resume_records_total{holders="2"}`)
-	recordedOnce   = metrics.NewCounter(`anvilwick_resume_records_total{holders="1"}`)
-	recordedNowere = metrics.NewCounter(`anvilwick_resume_records_total{holders="0"}`)
-	recordTime     = metrics.NewHistogram(`anvilwick_resume_record_seconds`)
-	foundHere      = metrics.NewCounter(`anvilwick_resume_found_total{where="here"}`)
-	foundAtPeer    = metrics.NewCounter(`anvilwick_resume_found_total{where="peer"}`)
-	foundInStore   = metrics.NewCounter(`anvilwick_resume_found_total{where="store"}`)
-	notFound       = metrics.NewCounter(`anvilwick_resume_found_total{where="nowhere"}`)
+	recorded        = metrics.NewCounter(`anvilwick_resume_records_total{holders="2"}`)
+	recordedOnce    = metrics.NewCounter(`anvilwick_resume_records_total{holders="1"}`)
+	recordedNowhere = metrics.NewCounter(`anvilwick_resume_records_total{holders="0"}`)
+	recordTime      = metrics.NewHistogram(`anvilwick_resume_record_seconds`)
+	foundHere       = metrics.NewCounter(`anvilwick_resume_found_total{where="here"}`)
+	foundAtPeer     = metrics.NewCounter(`anvilwick_resume_found_total{where="peer"}`)
+	foundInStore    = metrics.NewCounter(`anvilwick_resume_found_total{where="store"}`)
+	notFound        = metrics.NewCounter(`anvilwick_resume_found_total{where="nowhere"}`)
 )
 
 // Query asks for the record of a stream.
@@ -156,7 +156,7 @@
 			send()
 		}
 	}
-	[]*metrics.Counter{recordedNowere, recordedOnce, recorded}[min(held, copies)].Inc()
+	[]*metrics.Counter{recordedNowhere, recordedOnce, recorded}[min(held, copies)].Inc()
 }
 
 // noteSilence records whether a peer has acknowledged a record.
