Names and comments in the field's words; lint clean

No behaviour changed; tests of lib/resume, lib/feed, lib/sched, lib/gateway, platform (software, copies) and platform/soak (violations) pass.

--- a/lib/e2e/partition_test.go
+++ b/lib/e2e/partition_test.go
@@ -15,7 +15,7 @@
 )
 
 // An entry loses its links to all targets, while callers and the other entries still reach it. Its callers must be served by way of those: the
-// balancer goes on sending them there.
+// balancer still sends them there.
 func TestCallersOfEntryWithoutLinksToTargetsAreServed(t *testing.T) {
 	for _, kind := range []faultproxy.Partition{faultproxy.PartitionHangs, faultproxy.PartitionResets, faultproxy.PartitionClosed} {
 		t.Run(kind.String(), func(t *testing.T) { checkPartitionedEntry(t, kind) })
--- a/lib/entry/software_test.go
+++ b/lib/entry/software_test.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// The only engine of a version dies in the middle of a stream. The caller is told that the stream can't be resumed, and gets nothing of
+// The only engine of a version dies in the middle of a stream. The caller gets an error that the stream can't be resumed, and nothing of
 // another version.
 func TestStreamWithoutItsSoftwareIsNotResumed(t *testing.T) {
 	engines, text := mixedEngines(t, "v1")
--- a/lib/feed/retention.go
+++ b/lib/feed/retention.go
@@ -102,8 +102,8 @@
 		}
 		left := r.retention.Period - now.Sub(r.restoredAt)
 		if k := retained[old.Key]; k.lost == lostRemoval {
-			// The store was restored before, too. Hidden anew each time, a row that was written again would stay hidden for as long as that
-			// goes on.
+			// The store was restored before, too. Hidden anew each time, a row that was written again would stay hidden for as long as
+			// restores follow each other.
 			left = min(left, k.until.Sub(now))
 		}
 		r.retainRow(old, left, now)
--- a/lib/feed/retention_test.go
+++ b/lib/feed/retention_test.go
@@ -194,8 +194,8 @@
 }
 
 // An evacuation is lifted, the store comes back from a copy that still has it, and the operators evacuate again. An instance that was frozen
-// meanwhile learns of all this from a peer at once, and must not take the new row for the one that the restore brought back: it would go on
-// sending to the domain for the retention period.
+// meanwhile learns of all this from a peer at once, and must not take the new row for the one that the restore brought back: it would
+// send to the domain for the retention period.
 func TestRowWrittenAgainAfterRestoreIsShown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		peer, frozen := newRestoredReplica(), newRestoredReplica()
@@ -237,7 +237,7 @@
 }
 
 // The store is restored twice within the period, and operators write a removed row again right after the first restore, before it is read. It
-// can't be told from one that the restore brought back, and must not stay hidden longer than the period from the first restore.
+// can't be distinguished from one that the restore brought back, and must not stay hidden longer than the period from the first restore.
 func TestSecondRestoreDoesNotHideRowsLonger(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newRestoredReplica()
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -107,7 +107,7 @@
 // StreamOrigin is what is known of a stream.
 type StreamOrigin struct {
 	Software uint64 // fleet.Software.ID of the version that began it; 0: unknown
-	Settled  bool   // without Software: asking again is in vain
+	Settled  bool   // without Software: another query is in vain
 }
 
 // Owners is the client of the instances that decide placement on engines shared by many instances. An error means that none
--- a/lib/gateway/origin.go
+++ b/lib/gateway/origin.go
@@ -8,7 +8,7 @@
 	"anvilwick.example/anvilwick/lib/fleet"
 )
 
-// unknownRetry is the Retry-After for a stream whose origin could not be asked for: an instance that has just lost its peers or the store
+// unknownRetry is the Retry-After for a stream whose origin could not be looked up: an instance that has just lost its peers or the store
 // reaches others soon.
 const unknownRetry = 500 * time.Millisecond
 
@@ -16,7 +16,7 @@
 func (c *call) resumesStream() bool { return c.lastEvent != "" || c.resumes != "" }
 
 // findOrigin finds which software version began a stream that its caller resumes, and returns a refusal if that is unknown: engines do not
-// check who wrote the events that they go on from, so a guess would hand the caller a stream of two versions.
+// check who wrote the events that they continue from, so a guess would hand the caller a stream of two versions.
 func (g *Gateway) findOrigin(ctx context.Context, c *call) *refusal {
 	if g.Streams == nil || !c.resumesStream() {
 		return nil
@@ -34,7 +34,7 @@
 	return &refusal{status: http.StatusServiceUnavailable, after: c.boundWait(unknownRetry), reason: "stream_unknown"}
 }
 
-// begin records which version made the first event that the caller is about to get: from then on no other may go on with the stream.
+// begin records which version made the first event that the caller is about to get: from then on no other may continue the stream.
 func (r *run) begin(software fleet.Software) {
 	if r.c.software.ID == 0 {
 		r.c.software = software
--- a/lib/gatewayproc/software.go
+++ b/lib/gatewayproc/software.go
@@ -16,8 +16,8 @@
 )
 
 // The store holds a row for each service with the software versions that its targets have run lately. The reader of the store adds a version
-// when its first target is listed. The rows tell an instance that knows nothing of a stream, because all who did have stopped, whether its
-// service has had a single version.
+// when its first target is listed. An instance that knows nothing of a stream, because all who did have stopped, learns from
+// the rows whether its service has had a single version.
 
 const (
 	// softwareRetention is how long a version stays in its row after its last target has left. No stream lasts as long.
--- a/lib/owner/coordinator_test.go
+++ b/lib/owner/coordinator_test.go
@@ -101,7 +101,7 @@
 	must.Eq(t, "e", again.Answer.Target)
 }
 
-// A stream goes on at one version of the engines' software, of which the shard it arrives at has no engine, and another has a full one. It is
+// A stream may continue at one version of the engines' software, of which the shard it arrives at has no engine, and another has a full one. It is
 // forwarded there, and never granted an engine of another version.
 func TestStreamIsForwardedToItsSoftware(t *testing.T) {
 	a, b, ofA, ofB := twoCoordinators()
--- a/lib/resume/holders.go
+++ b/lib/resume/holders.go
@@ -11,9 +11,9 @@
 const (
 	// copies is the number of peers that hold a record.
 	copies = 2
-	// askedPeers is the number of peers that are asked for a record: two in each of three failure domains. The holders are among them also if
+	// queriedPeers is the number of peers that are queried for a record: two in each of three failure domains. The holders are among them also if
 	// one of the two instances that rank is the one that began the stream, or one that the other's list of instances lacks.
-	askedPeers = 6
+	queriedPeers = 6
 )
 
 // ranking finds the peers that hold a record. It is immutable.
--- a/lib/resume/keeper.go
+++ b/lib/resume/keeper.go
@@ -77,7 +77,7 @@
 
 // onlyVersion is the result of Keeper.single.
 type onlyVersion struct {
-	askedAt  time.Time
+	readAt   time.Time
 	software uint64
 	ok       bool
 	err      error
@@ -85,13 +85,13 @@
 
 // onlyVersionOf returns the only version of a service. Queries that wait while it is read share the next read: after the loss of all instances
 // there are many.
-func (k *Keeper) onlyVersionOf(ctx context.Context, service string, asked time.Time) onlyVersion {
+func (k *Keeper) onlyVersionOf(ctx context.Context, service string, requested time.Time) onlyVersion {
 	k.reading.Lock()
 	defer k.reading.Unlock()
-	if v := k.singles[service]; v.askedAt.After(asked) {
+	if v := k.singles[service]; v.readAt.After(requested) {
 		return v
 	}
-	v := onlyVersion{askedAt: time.Now()}
+	v := onlyVersion{readAt: time.Now()}
 	v.software, v.ok, v.err = k.single(ctx, service)
 	k.singles[service] = v
 	return v
@@ -209,27 +209,27 @@
 
 // Find finds a record in the store, or the only version that a service has had.
 func (k *Keeper) Find(ctx context.Context, q Query) Found {
-	asked := time.Now()
-	only := k.onlyVersionOf(ctx, q.Service, asked)
+	requested := time.Now()
+	only := k.onlyVersionOf(ctx, q.Service, requested)
 	if only.ok {
 		return Found{Software: only.software, Settled: true}
 	}
 	if only.err != nil {
 		k.onErr("read software", only.err)
 	}
-	if readErr := k.readRows(ctx, asked); readErr != nil {
+	if readErr := k.readRows(ctx, requested); readErr != nil {
 		k.onErr("read", readErr)
 		return Found{}
 	}
-	e, known := k.read.Get(asked, q.Key)
+	e, known := k.read.Get(requested, q.Key)
 	return Found{Software: e.Software, Settled: known || only.err == nil}
 }
 
-// readRows reads the records in the store, unless a read that began after asked has done so.
-func (k *Keeper) readRows(ctx context.Context, asked time.Time) error {
+// readRows reads the records in the store, unless a read that began after requested has done so.
+func (k *Keeper) readRows(ctx context.Context, requested time.Time) error {
 	k.reading.Lock()
 	defer k.reading.Unlock()
-	if k.readAt.After(asked) {
+	if k.readAt.After(requested) {
 		return nil
 	}
 	start := time.Now()
--- a/lib/resume/recorder.go
+++ b/lib/resume/recorder.go
@@ -20,8 +20,8 @@
 	sendTimeout = 400 * time.Millisecond
 	// silentFor is how long a peer that has not acknowledged a record gets no others, if there are enough peers.
 	silentFor = 2 * time.Second
-	// askTimeout bounds the search for a record among peers, and storeTimeout that in the store.
-	askTimeout   = 160 * time.Millisecond
+	// queryTimeout bounds the search for a record among peers, and storeTimeout that in the store.
+	queryTimeout = 160 * time.Millisecond
 	storeTimeout = 600 * time.Millisecond
 	// keeperTimeout bounds the wait for one keeper: one that has stopped may still be listed.
 	keeperTimeout = 150 * time.Millisecond
@@ -38,24 +38,24 @@
 	notFound        = metrics.NewCounter(`anvilwick_resume_found_total{where="nowhere"}`)
 )
 
-// Query asks for the record of a stream.
+// Query requests the record of a stream.
 type Query struct {
 	Key     uint64
 	Service string
-	Store   bool // also in the store, by the instance that is asked
+	Store   bool // also in the store, by the instance that receives it
 }
 
 // Found is the answer to a Query.
 type Found struct {
 	Software uint64 // that began the stream; 0: unknown
-	Settled  bool   // without Software: the store was read, so that asking again is in vain
+	Settled  bool   // without Software: the store was read, so that another query is in vain
 }
 
 // Transport exchanges records with peers.
 type Transport interface {
 	// SendRecords has a peer hold records, or with store write them to the store. It reports whether the peer has acknowledged them.
 	SendRecords(ctx context.Context, to owner.Instance, entries []Entry, store bool) bool
-	// FindRecord asks a peer for a record; ok is false without an answer.
+	// FindRecord queries a peer for a record; ok is false without an answer.
 	FindRecord(ctx context.Context, to owner.Instance, q Query) (f Found, ok bool)
 }
 
@@ -96,7 +96,7 @@
 	r.keepers.Store(&keepers)
 }
 
-// Record records a stream at peers. It returns once two hold the record, or after recordTimeout; further attempts go on in the background.
+// Record records a stream at peers. It returns once two hold the record, or after recordTimeout; further attempts follow in the background.
 // With store the record is also written to the store, in the background.
 func (r *Recorder) Record(e Entry, store bool) {
 	start := time.Now()
@@ -120,7 +120,7 @@
 
 // replicate sends a record to peers until two hold it. A peer that is silent for a moment is substituted by the next in rank.
 func (r *Recorder) replicate(e Entry) {
-	peers := r.awakeFirst(r.ranking.Load().top(e.Key, askedPeers))
+	peers := r.awakeFirst(r.ranking.Load().top(e.Key, queriedPeers))
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 	defer cancel()
 	acks := make(chan bool, len(peers))
@@ -214,11 +214,11 @@
 		foundHere.Inc()
 		return Found{Software: e.Software, Settled: true}
 	}
-	if f, ok := r.askPeers(ctx, q); ok {
+	if f, ok := r.queryPeers(ctx, q); ok {
 		foundAtPeer.Inc()
 		return f
 	}
-	f := r.askKeepers(ctx, q)
+	f := r.queryKeepers(ctx, q)
 	if f.Software != 0 {
 		foundInStore.Inc()
 	} else {
@@ -227,11 +227,11 @@
 	return f
 }
 
-// askPeers asks the peers that may hold a record; ok is false if none does.
-func (r *Recorder) askPeers(ctx context.Context, q Query) (f Found, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+// queryPeers queries the peers that may hold a record; ok is false if none does.
+func (r *Recorder) queryPeers(ctx context.Context, q Query) (f Found, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	peers := r.ranking.Load().top(q.Key, askedPeers)
+	peers := r.ranking.Load().top(q.Key, queriedPeers)
 	answers := make(chan Found, len(peers))
 	for _, to := range peers {
 		go func() {
@@ -247,15 +247,15 @@
 	return Found{}, false
 }
 
-// askKeepers asks the instances of the own failure domain that read the store, in turn until one answers.
-func (r *Recorder) askKeepers(ctx context.Context, q Query) Found {
+// queryKeepers queries the instances of the own failure domain that read the store, in turn until one answers.
+func (r *Recorder) queryKeepers(ctx context.Context, q Query) Found {
 	q.Store = true
 	for _, to := range r.awakeFirst(*r.keepers.Load()) {
 		if to.Name == r.self.Name {
 			break
 		}
-		askCtx, cancel := context.WithTimeout(ctx, keeperTimeout)
-		f, ok := r.transport.FindRecord(askCtx, to, q)
+		queryCtx, cancel := context.WithTimeout(ctx, keeperTimeout)
+		f, ok := r.transport.FindRecord(queryCtx, to, q)
 		cancel()
 		r.noteSilence(to.Name, ok || ctx.Err() != nil)
 		if ok {
--- a/lib/resume/recorder_test.go
+++ b/lib/resume/recorder_test.go
@@ -283,15 +283,15 @@
 func TestHoldersAreInTwoDomains(t *testing.T) {
 	s := newSite(t.Context(), 9)
 	for key := range uint64(100) {
-		top := s.recorders["i0"].ranking.Load().top(key, askedPeers)
-		must.Len(t, askedPeers, top)
+		top := s.recorders["i0"].ranking.Load().top(key, queriedPeers)
+		must.Len(t, queriedPeers, top)
 		must.NotEq(t, top[0].Domain, top[1].Domain)
 		must.Eq(t, top[:copies], s.recorders["i0"].ranking.Load().top(key, copies))
 		names := map[string]bool{}
 		for _, in := range top {
 			names[in.Name] = true
 		}
-		must.MapLen(t, askedPeers, names)
+		must.MapLen(t, queriedPeers, names)
 	}
 	must.SliceEmpty(t, newRanking("a", nil).top(1, copies))
 }
--- a/lib/resume/table_test.go
+++ b/lib/resume/table_test.go
@@ -29,7 +29,7 @@
 	must.Len(t, 1, table.order)
 }
 
-// A caller uses one id for two streams of different versions. Its stream must not go on at either: the id doesn't tell which is meant.
+// A caller uses one id for two streams of different versions. Its stream must not continue at either: the id doesn't say which is meant.
 func TestRecordOfTwoVersionsIsUseless(t *testing.T) {
 	table := NewTable()
 	for _, software := range []uint64{7, 7, 8, 7} {
--- a/lib/sched/software_test.go
+++ b/lib/sched/software_test.go
@@ -19,7 +19,7 @@
 	return func(q *Request) { q.Emitted, q.Attempt, q.Software = 5, 2, software }
 }
 
-// Targets of two software versions serve side by side. A generation that has tokens goes on only at the version that began it, however full its
+// Targets of two software versions serve side by side. A generation that has tokens continues only at the version that began it, however full its
 // targets are.
 func TestGenerationContinuesAtItsSoftware(t *testing.T) {
 	r := newRig(t, Options{}, twoSoftware()...)
