--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -115,7 +115,7 @@
 	if (e == endUnsent || e == endNotRun) && prev.source.ID != "" {
 		// The copy was not taken, so it is still valid, and so is the run's memory at its source.
 		r.g.Budget.ForceTake(time.Now(), r.c.service)
-		return placement{target: prev.source, copyFrom: prev.copyFrom, returns: true}, false
+		return r.afterRejectedCopy(ctx, prev)
 	}
 	switch e {
 	case endComplete, endCaller:
