--- a/lib/tunnel/client.go
+++ b/lib/tunnel/client.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"slices"
 	"sync"
@@ -43,6 +44,8 @@
 	ErrUnreachable = errors.New("tunnel: the target is unreachable for peers, too")
 	// ErrNoPeer: no peer could be used.
 	ErrNoPeer = errors.New("tunnel: no peer carries the connection")
+	// errSlowPeers: peers have not answered yet.
+	errSlowPeers = fmt.Errorf("%w: not in time", ErrNoPeer)
 )
 
 var (
@@ -146,62 +149,95 @@
 
 // Dial opens a connection to the target at addr by way of a peer.
 func (c *Client) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	d := c.newDialing(ctx, addr)
+	conn, err := d.run(ctx)
+	if !errors.Is(err, errSlowPeers) {
+		d.cancel()
+	}
+	go d.closeUnused()
+	if err != nil {
+		failed.Inc()
+		return nil, err
+	}
+	opened.Inc()
+	return conn, nil
+}
+
+// dialing is one call of Dial: attempts with several peers, each begun when those before it have failed or are slow.
+type dialing struct {
+	client   *Client
+	addr     string
+	peers    []*candidate    // not tried yet
+	timeouts []time.Duration // of peers
+	limit    time.Duration   // of the call
+	results  chan attempt
+	pending  int // attempts without a result
+	failures int // peers that found the target unreachable
+
+	ctx    context.Context // of the attempts, which outlast a call that stops waiting for slow peers
+	cancel context.CancelFunc
+}
+
+func (c *Client) newDialing(ctx context.Context, addr string) *dialing {
 	peers := c.choose(time.Now())
-	results := make(chan attempt, len(peers))
-	timeouts := c.timeouts(peers)
-	// Attempts outlast a call that stops waiting, but not one that ends otherwise.
-	attemptCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), attemptTimeout)
-	pending, unreachable := 0, 0
-	limit := time.NewTimer(dialTimeout + slices.Max(append(timeouts, peerTimeout)))
+	d := &dialing{client: c, addr: addr, peers: peers, timeouts: c.timeouts(peers), results: make(chan attempt, len(peers))}
+	d.limit = dialTimeout + slices.Max(append(d.timeouts, peerTimeout))
+	d.ctx, d.cancel = context.WithTimeout(context.WithoutCancel(ctx), attemptTimeout)
+	return d
+}
+
+// run returns the first connection that a peer opens.
+func (d *dialing) run(ctx context.Context) (net.Conn, error) {
+	limit := time.NewTimer(d.limit)
 	defer limit.Stop()
-	stopWaiting := func() { go closeUnused(results, pending, cancel) }
-	finish := func() {
-		cancel()
-		stopWaiting()
-	}
-	for len(peers) > 0 || pending > 0 {
-		var next <-chan time.Time
-		if len(peers) > 0 {
-			p := peers[0]
-			peers = peers[1:]
-			pending++
-			go func() { results <- c.try(attemptCtx, p, addr) }()
-			next = time.After(timeouts[0])
-			timeouts = timeouts[1:]
-		}
+	for len(d.peers) > 0 || d.pending > 0 {
 		select {
-		case a := <-results:
-			pending--
+		case a := <-d.results:
+			d.pending--
 			if a.conn != nil {
-				opened.Inc()
-				finish()
 				return a.conn, nil
 			}
 			if a.status == meshpb.TunnelStatus_TUNNEL_UNREACHABLE {
-				unreachable++
+				d.failures++
 			}
-		case <-next:
+		case <-d.tryNext():
 		case <-limit.C:
-			failed.Inc()
-			stopWaiting()
-			return nil, ErrNoPeer
+			return nil, errSlowPeers
 		case <-ctx.Done():
-			failed.Inc()
-			finish()
 			return nil, ErrNoPeer
 		}
-		if unreachable >= maxUnreachable {
+		if d.failures >= maxUnreachable {
 			break
 		}
 	}
-	failed.Inc()
-	finish()
-	if unreachable > 0 {
+	if d.failures > 0 {
 		return nil, ErrUnreachable
 	}
 	return nil, ErrNoPeer
 }
 
+// tryNext begins an attempt with the next peer, if there is one, and returns a channel that receives when the one after it may be tried.
+func (d *dialing) tryNext() <-chan time.Time {
+	if len(d.peers) == 0 {
+		return nil
+	}
+	p, timeout := d.peers[0], d.timeouts[0]
+	d.peers, d.timeouts = d.peers[1:], d.timeouts[1:]
+	d.pending++
+	go func() { d.results <- d.client.try(d.ctx, p, d.addr) }()
+	return time.After(timeout)
+}
+
+// closeUnused closes the connections of attempts that are still pending.
+func (d *dialing) closeUnused() {
+	defer d.cancel()
+	for range d.pending {
+		if a := <-d.results; a.conn != nil {
+			_ = a.conn.Close()
+		}
+	}
+}
+
 // timeouts returns how long to wait for each peer before the next is tried as well.
 func (c *Client) timeouts(peers []*candidate) []time.Duration {
 	c.mu.Lock()
@@ -213,16 +249,6 @@
 	return out
 }
 
-// closeUnused closes the connections of attempts that are still pending, and calls done when all have ended.
-func closeUnused(results <-chan attempt, pending int, done func()) {
-	defer done()
-	for range pending {
-		if a := <-results; a.conn != nil {
-			_ = a.conn.Close()
-		}
-	}
-}
-
 // try requests a connection from one peer.
 func (c *Client) try(ctx context.Context, p *candidate, addr string) attempt {
 	start := time.Now()
