A caller who resumes a stream waits for the row of a service that is just listed

Cause: where no record of a stream is found, the service's row says whether it has had one version only. For some tens of milliseconds after a service's first target is listed the row is not written yet, and the caller was refused with stream_unknown.

A store that does not answer, or a service without targets, is not waited for.

--- a/lib/gatewayproc/software.go
+++ b/lib/gatewayproc/software.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -28,6 +29,8 @@
 	softwareSweep = time.Minute
 	// softwareRetry is the pause after a row could not be written.
 	softwareRetry = 200 * time.Millisecond
+	// softwareReread is the pause between two reads of a row that is about to be written.
+	softwareReread = 50 * time.Millisecond
 )
 
 // SoftwareRows are the rows of the services' software versions, by service.
@@ -240,15 +243,46 @@
 	return nil
 }
 
+// errNoRow: a service has no row yet.
+var errNoRow = errors.New("gatewayproc: no row of software versions")
+
 // onlySoftware returns the only version that a service has had for longer than any stream lasts; ok is false if there were several, or if
-// that is not certain.
+// that is not certain. For the row of a service whose first targets have just been listed it waits: the caller would only return.
 func (p *Process) onlySoftware(ctx context.Context, service string) (version uint64, ok bool, err error) {
+	return awaitRow(ctx, func() (uint64, bool, error) {
+		version, ok, err := p.readOnlySoftware(ctx, service)
+		if errors.Is(err, errNoRow) && len(p.fleet.ServiceSoftware(service)) == 0 {
+			err = fmt.Errorf("gatewayproc: software versions of %s: no target is listed", service)
+		}
+		return version, ok, err
+	})
+}
+
+// awaitRow repeats a read until it finds a row, fails otherwise, or ctx is done.
+func awaitRow(ctx context.Context, read func() (uint64, bool, error)) (version uint64, ok bool, err error) {
+	for {
+		version, ok, err = read()
+		if !errors.Is(err, errNoRow) {
+			return version, ok, err
+		}
+		select {
+		case <-ctx.Done():
+			return 0, false, err
+		case <-time.After(softwareReread):
+		}
+	}
+}
+
+func (p *Process) readOnlySoftware(ctx context.Context, service string) (version uint64, ok bool, err error) {
 	rows, era, err := p.readSoftware(ctx)
 	if err != nil {
 		return 0, false, err
 	}
 	row, known := rows[service]
-	if !known || row.Era != era || time.Now().UnixMilli() < row.DoubtedMS {
+	if !known {
+		return 0, false, fmt.Errorf("%w: service %s", errNoRow, service)
+	}
+	if row.Era != era || time.Now().UnixMilli() < row.DoubtedMS {
 		return 0, false, fmt.Errorf("gatewayproc: software versions of %s: row of era %d in era %d, doubted until %d", service, row.Era, era, row.DoubtedMS)
 	}
 	for _, listed := range p.fleet.ServiceSoftware(service) {
