Logs: who told an instance of a restore, and which rows it hides

The log can't tell why the whole period began there, as these look the same: it read the era at the store; a peer that was restarted in this era, and knows of no restore, told it; a peer told it of a wrong time; what the row's versions were.

feed_era names the peer, the first version and the age of the restore, as applied; a line for each hidden row has the versions of the stored row, of the removal, and of the last write before it. No decision changes.

Measured: tests of lib/feed, lib/feedlink, lib/explain pass.

--- a/lib/feed/feed.go
+++ b/lib/feed/feed.go
@@ -24,6 +24,8 @@
 	Value   []byte
 	Version int64
 	Removed bool
+	// PriorVersion is the version of a removed row's last write before its removal, as far as this instance has seen; 0: unknown.
+	PriorVersion int64
 	// LostInRestore is set on a removed row that nobody removed: the store was restored from a backup without it, and it was not
 	// written again.
 	LostInRestore bool
@@ -35,6 +37,7 @@
 	Version int64 // newest version that the page reflects
 	Era     int64 // era of the store's history that Version belongs to; 0: the response did not say
 
+	Peer     string        // instance that responded; empty: the store
 	Restore  Restore       // of the era, as the responding peer knows it; zero in responses of the store
 	Retained []RetainedRow // rows that the responding peer shows in place of the store's; empty in responses of the store
 	Partial  bool          // Rows are only those that this instance needs: other rows are dropped, not removed
@@ -66,6 +69,7 @@
 	// Restored says that a new era has begun: Rows are those whose visible state changed, RetainedCounts counts the retained rows.
 	Restored       bool
 	RetainedCounts RetainedCounts
+	Hidden         []HiddenRow   // rows that are not shown because the restore seems to have brought them back
 	Dropped        []string      // keys of rows that this instance no longer needs and gets no more updates of
 	Outage         time.Duration // how long no instance could reach the store before this update; 0: no outage
 }
--- a/lib/feed/replica.go
+++ b/lib/feed/replica.go
@@ -34,8 +34,9 @@
 
 // tombstone records a removed row.
 type tombstone struct {
-	at    time.Time
-	value []byte // last value before the removal
+	at      time.Time
+	value   []byte // last value before the removal
+	version int64  // of the write of that value
 }
 
 const (
@@ -103,11 +104,12 @@
 func (r *Replica) applyPage(page Page, whole bool, now time.Time) Update {
 	position := page.Position()
 	u := Update{Initial: !r.initialized, Snapshot: whole, Previous: r.position, Restored: r.initialized && position.Era != r.position.Era}
-	u.Version, u.Era = position.Version, position.Era
+	u.Version, u.Era, u.Peer = position.Version, position.Era, page.Peer
 	r.position = position
 	if u.Restored {
 		u.Rows = r.applyRestore(page, now)
-		u.RetainedCounts = r.countRetained()
+		u.RetainedCounts, u.Hidden = r.countRetained(), r.hidden(now)
+		u.Restore = Restore{Version: r.restore.Version, Age: now.Sub(r.restoredAt)}
 		r.partial = page.Partial
 		return u
 	}
@@ -211,7 +213,7 @@
 
 func (r *Replica) storeRow(row Row, now time.Time) {
 	if row.Removed {
-		r.tombstones[row.Key] = tombstone{at: now, value: r.rows[row.Key].Value}
+		r.tombstones[row.Key] = tombstone{at: now, value: r.rows[row.Key].Value, version: r.rows[row.Key].Version}
 		r.removals = append(r.removals, removal{key: row.Key, at: now})
 	} else {
 		delete(r.tombstones, row.Key)
--- a/lib/feed/retention.go
+++ b/lib/feed/retention.go
@@ -74,6 +74,13 @@
 	lostRemoval                     // the row had been removed, and the store has it again
 )
 
+// HiddenRow is a row of the store that is not shown, since it had been removed.
+type HiddenRow struct {
+	Removed   Row   // the removal
+	Stored    int64 // version of the row in the store
+	Remaining time.Duration
+}
+
 // RetainedCounts counts the retained rows by what the backup lacks of them.
 type RetainedCounts struct{ Writes, Rows, Removals int }
 
@@ -140,7 +147,7 @@
 	out := make(map[string]Row, len(r.rows))
 	for key, row := range r.rows {
 		if row.Removed {
-			row.Value = r.tombstones[key].value
+			row.Value, row.PriorVersion = r.tombstones[key].value, r.tombstones[key].version
 		}
 		out[key] = row
 	}
@@ -261,6 +268,17 @@
 	return h
 }
 
+// hidden lists the rows that are not shown because they had been removed.
+func (r *Replica) hidden(now time.Time) []HiddenRow {
+	var out []HiddenRow
+	for key, k := range r.retained {
+		if k.lost == lostRemoval {
+			out = append(out, HiddenRow{Removed: k.Row, Stored: r.rows[key].Version, Remaining: k.until.Sub(now)})
+		}
+	}
+	return out
+}
+
 // Retained returns the rows that are shown in place of the store's.
 func (r *Replica) Retained(now time.Time) []RetainedRow {
 	r.mu.Lock()
--- a/lib/feedlink/era_test.go
+++ b/lib/feedlink/era_test.go
@@ -78,7 +78,7 @@
 			for _, era := range []int64{1, 2} {
 				m := p.tableMessage("t", feed.Position{}, feed.Page{Era: era, Version: 7, Rows: rows('a' + byte(era))}, whole, time.Now())
 				m.Whole = true
-				must.NoError(t, applyPage(r, m))
+				must.NoError(t, applyPage(r, m, "peer"))
 			}
 			must.Eq(t, 'c', got[len(got)-1].Value[0])
 		}
--- a/lib/feedlink/start_test.go
+++ b/lib/feedlink/start_test.go
@@ -73,9 +73,9 @@
 	}
 	must.Less(t, plain/3, len(m.Packed))
 	got := feed.NewReplica(func(u feed.Update) { must.Len(t, 300, u.Rows) })
-	must.NoError(t, applyPage(got, m))
-	must.Error(t, applyPage(got, &meshpb.FeedTable{Packed: []byte{0xff, 0xff, 0xff, 0xff, 0x7f}}))
-	must.Error(t, applyPage(got, &meshpb.FeedTable{Packed: []byte("rubbish")}))
+	must.NoError(t, applyPage(got, m, "peer"))
+	must.Error(t, applyPage(got, &meshpb.FeedTable{Packed: []byte{0xff, 0xff, 0xff, 0xff, 0x7f}}, "peer"))
+	must.Error(t, applyPage(got, &meshpb.FeedTable{Packed: []byte("rubbish")}, "peer"))
 }
 
 // All instances start at the same moment, and the reader starts last. The others must wait for it instead of reading all tables
--- a/lib/feedlink/subscription.go
+++ b/lib/feedlink/subscription.go
@@ -146,7 +146,7 @@
 			s.oldEra = true
 			continue
 		}
-		if err := table.apply(m); err != nil {
+		if err := table.apply(m, s.stream.Peer().Instance); err != nil {
 			return err
 		}
 		if table.Critical {
@@ -156,23 +156,23 @@
 	return missing
 }
 
-// apply applies the table's part of a page.
-func (t *Table) apply(m *meshpb.FeedTable) error {
+// apply applies the table's part of a page from a peer.
+func (t *Table) apply(m *meshpb.FeedTable, peer string) error {
 	if t.Partitioner != nil && len(m.Digest) > 0 {
 		if err := t.Partitioner.ApplyDigest(m.Digest); err != nil {
 			return err
 		}
 	}
-	return applyPage(t.Replica, m)
+	return applyPage(t.Replica, m, peer)
 }
 
-func applyPage(into *feed.Replica, m *meshpb.FeedTable) error {
+func applyPage(into *feed.Replica, m *meshpb.FeedTable, peer string) error {
 	if len(m.Packed) > 0 {
 		if err := unpackRows(m); err != nil {
 			return err
 		}
 	}
-	page := feed.Page{Version: m.Version, Era: m.Era, Partial: m.Part, Rows: make([]feed.Row, len(m.Rows))}
+	page := feed.Page{Version: m.Version, Era: m.Era, Peer: peer, Partial: m.Part, Rows: make([]feed.Row, len(m.Rows))}
 	page.Restore = feed.Restore{Version: m.RestoreVersion, Age: time.Duration(m.RestoreAgeMs) * time.Millisecond}
 	for i, r := range m.Rows {
 		row, err := rowFromProto(r)
--- a/lib/gatewayproc/feedlog.go
+++ b/lib/gatewayproc/feedlog.go
@@ -38,9 +38,18 @@
 func logEra(table string, u feed.Update) {
 	ev := log.Warn().Str("event", "feed_era").Str("feed", table).Str("before", u.Previous.String()).Str("now", u.Position().String())
 	ev = ev.Int("rows", len(u.Rows)).Int("kept_writes", u.RetainedCounts.Writes).Int("kept_rows", u.RetainedCounts.Rows)
-	ev.Int("kept_removals", u.RetainedCounts.Removals).Msg("")
+	ev = ev.Int("kept_removals", u.RetainedCounts.Removals).Str("peer", u.Peer)
+	ev.Int64("restore_version", u.Restore.Version).Int64("restore_age_ms", u.Restore.Age.Milliseconds()).Msg("")
+	for _, h := range u.Hidden[:min(hiddenLogged, len(u.Hidden))] {
+		ev := log.Warn().Str("event", "row_hidden").Str("feed", table).Str("key", h.Removed.Key).Int64("stored", h.Stored)
+		ev = ev.Int64("removed", h.Removed.Version).Int64("prior", h.Removed.PriorVersion)
+		ev.Int64("left_ms", h.Remaining.Milliseconds()).Msg("")
+	}
 }
 
+// hiddenLogged bounds the log lines about hidden rows per restore.
+const hiddenLogged = 16
+
 // logRegained logs that contact with a table is back after an outage.
 func logRegained(name string, u feed.Update) {
 	ev := log.Info().Str("event", "feed_regained").Str("feed", name).Int64("silent_ms", u.Outage.Milliseconds())
