--- a/lib/feed/retention.go
+++ b/lib/feed/retention.go
@@ -27,11 +27,8 @@
 	WriteSeq func(Row) (c WriteSeq, ok bool)
 }
 
-// compare orders two rows by their writer's sequence number; ok is false if they can't be ordered.
+// compare orders two rows by their writer's sequence number; ok is false if the writer gives none.
 func (k Retention) compare(a, b Row) (order int, ok bool) {
-	if bytes.Equal(a.Value, b.Value) {
-		return 0, true
-	}
 	if k.WriteSeq == nil {
 		return 0, false
 	}
@@ -46,10 +43,17 @@
 	return ok && order > 0
 }
 
-// resurrected reports whether the stored row is certainly no newer than the removed one, so that the restore brought it back.
+// resurrected reports whether the stored row is a write from before the removal, which the restore brought back. Without sequence numbers
+// it must be the last write that was removed: a backup keeps the versions of its rows, whereas the same value written again, as when
+// operators evacuate a failure domain twice, has another version.
 func (k Retention) resurrected(stored, removed Row) bool {
-	order, ok := k.compare(stored, removed)
-	return ok && order <= 0
+	if order, ok := k.compare(stored, removed); ok {
+		return order <= 0
+	}
+	if !bytes.Equal(stored.Value, removed.Value) {
+		return false
+	}
+	return removed.PriorVersion == 0 || stored.Version == removed.PriorVersion
 }
 
 // RetainedRow is a row shown in place of the store's row. If it was removed it carries its last value.
--- a/lib/feed/retention_test.go
+++ b/lib/feed/retention_test.go
@@ -10,6 +10,9 @@
 	"github.com/shoenig/test/must"
 )
 
+// firstVersion is the version of rows that were written before a test begins.
+const firstVersion = 1
+
 // retentionPeriod is the retention period in these tests.
 const retentionPeriod = 5 * time.Second
 
@@ -33,10 +36,11 @@
 	r       *Replica
 	visible map[string]string
 	last    Update
+	written map[string]Row // last write of each row
 }
 
 func newRestoredReplica() *restoredReplica {
-	c := &restoredReplica{visible: make(map[string]string)}
+	c := &restoredReplica{visible: make(map[string]string), written: make(map[string]Row)}
 	c.r = NewReplica(func(u Update) {
 		c.last = u
 		for _, row := range u.Rows {
@@ -50,17 +54,37 @@
 	return c
 }
 
-// snapshot merges a whole table given as alternating keys and values.
-func (c *restoredReplica) snapshot(at Position, rows ...string) { c.merge(at, true, rows...) }
-
-// changes merges changes; an empty value is a removal.
-func (c *restoredReplica) changes(at Position, rows ...string) { c.merge(at, false, rows...) }
+// snapshot merges a whole table given as alternating keys and values. Backups keep the versions of rows: a row with the value of its last
+// write is that write, with the version that it had. A row that is new here was written when the history began, before all backups.
+func (c *restoredReplica) snapshot(at Position, rows ...string) {
+	page := Page{Era: at.Era, Version: at.Version}
+	for i := 0; i < len(rows); i += 2 {
+		row := Row{Key: rows[i], Value: []byte(rows[i+1]), Version: at.Version}
+		if last, known := c.written[row.Key]; !known {
+			row.Version = firstVersion
+		} else if string(last.Value) == rows[i+1] {
+			row.Version = last.Version
+		}
+		page.Rows = append(page.Rows, row)
+	}
+	c.merge(page, true)
+}
 
-func (c *restoredReplica) merge(at Position, whole bool, rows ...string) {
+// changes merges changes, each a new write; an empty value is a removal.
+func (c *restoredReplica) changes(at Position, rows ...string) {
 	page := Page{Era: at.Era, Version: at.Version}
 	for i := 0; i < len(rows); i += 2 {
 		page.Rows = append(page.Rows, Row{Key: rows[i], Value: []byte(rows[i+1]), Version: at.Version, Removed: rows[i+1] == ""})
 	}
+	c.merge(page, false)
+}
+
+func (c *restoredReplica) merge(page Page, whole bool) {
+	for _, row := range page.Rows {
+		if !row.Removed {
+			c.written[row.Key] = row
+		}
+	}
 	c.r.Merge(page, whole, time.Now())
 }
 
@@ -236,8 +260,8 @@
 	})
 }
 
-// The store is restored twice within the period, and operators write a removed row again right after the first restore, before it is read. It
-// can't be distinguished from one that the restore brought back, and must not stay hidden longer than the period from the first restore.
+// The store is restored twice within the period, each time from a backup that has a removed row. The row must not stay hidden longer than the
+// period from the first restore: operators have had that time to remove it again.
 func TestSecondRestoreDoesNotHideRowsLonger(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newRestoredReplica()
@@ -253,3 +277,60 @@
 		must.MapLen(t, 1, c.visible)
 	})
 }
+
+// An evacuation is lifted, the store is restored from a backup that still has it, and the operators evacuate the domain again. An instance
+// that was frozen meanwhile reads the new era from the store, or from a peer that was started in it: nobody tells when the restore was. It
+// must not hide the new row, which has the value of the removed one: it would send to an evacuated domain.
+func TestRowWrittenAgainIsShownAlthoughTheRestoreIsUnknown(t *testing.T) {
+	sources := map[string]func() Page{
+		"read from the store": func() Page {
+			return Page{Era: 2, Version: 40, Rows: []Row{{Key: "evacuated", Value: []byte("x"), Version: 25}}}
+		},
+		"from a peer started in the era": func() Page {
+			peer := newRestoredReplica()
+			peer.merge(Page{Era: 2, Version: 22, Rows: []Row{{Key: "other", Value: []byte("y"), Version: 5}}}, true)
+			peer.changes(Position{2, 25}, "evacuated", "x")
+			page, whole, _, _ := peer.r.Since(Position{1, 30})
+			must.True(t, whole)
+			page.Retained = peer.r.Retained(time.Now())
+			page.Restore, _ = peer.r.Restore(time.Now())
+			return page
+		},
+	}
+	for name, read := range sources {
+		t.Run(name, func(t *testing.T) {
+			c := newRestoredReplica()
+			c.snapshot(Position{1, 10}, "evacuated", "x")
+			c.changes(Position{1, 30}, "evacuated", "")
+			must.MapEmpty(t, c.visible)
+			c.merge(read(), true)
+			must.MapContainsKey(t, c.visible, "evacuated")
+		})
+	}
+}
+
+// The operators write a removed row again after a restore, before any instance has read the new era, and the store is restored once more.
+// The row is shown from the first read on. Its version may be below that of the removed write, if the backup is from before that.
+func TestRowWrittenAgainBeforeTheFirstReadIsShown(t *testing.T) {
+	for _, version := range []int64{9, 11} {
+		c := newRestoredReplica()
+		c.snapshot(Position{1, 10}, "evacuated", "x")
+		c.changes(Position{1, 12}, "evacuated", "")
+		rewritten := []Row{{Key: "evacuated", Value: []byte("x"), Version: version}}
+		c.merge(Page{Era: 2, Version: 13, Rows: rewritten}, true)
+		must.MapLen(t, 1, c.visible)
+		c.merge(Page{Era: 3, Version: 13, Rows: rewritten}, true)
+		must.MapLen(t, 1, c.visible)
+	}
+}
+
+// An instance that starts in the new era takes the removed rows from a peer, and is told by another peer, which still hides the row, that it
+// is retained. It goes on showing a row that was written again.
+func TestPeerDoesNotHideRowWrittenAgain(t *testing.T) {
+	c := newRestoredReplica()
+	c.snapshot(Position{2, 40}, "other", "y")
+	c.changes(Position{2, 41}, "evacuated", "x")
+	removed := Row{Key: "evacuated", Value: []byte("x"), Version: 30, Removed: true, PriorVersion: 10}
+	c.r.Merge(Page{Era: 2, Version: 41, Retained: []RetainedRow{{Row: removed, Remaining: time.Second}}}, false, time.Now())
+	must.MapContainsKey(t, c.visible, "evacuated")
+}
--- a/lib/feedlink/era_test.go
+++ b/lib/feedlink/era_test.go
@@ -102,6 +102,20 @@
 	must.SliceEmpty(t, s.buildPage(newcomer).Tables[0].Kept)
 }
 
+// An instance that starts in an era takes hidden rows from a peer, with the version of the removed write: without it the same value written
+// again by operators would be hidden, too.
+func TestVersionOfRemovedWriteIsSent(t *testing.T) {
+	t.Parallel()
+	removed := feed.Row{Key: "k", Value: []byte("x"), Version: 30, Removed: true, PriorVersion: 10}
+	for stored, hidden := range map[int64]int{10: 1, 25: 0} {
+		m := newPacker().tableMessage("t", feed.Position{}, feed.Page{Era: 2, Version: 40, Rows: []feed.Row{newRow(stored, "x")}}, true, time.Now())
+		m.Kept = newPacker().retainedMessages(2, []feed.RetainedRow{{Row: removed, Remaining: time.Second}})
+		r := feed.NewReplica(func(feed.Update) {}).WithRetention(feed.Retention{Period: time.Minute})
+		must.NoError(t, applyPage(r, m, "peer"))
+		must.Len(t, hidden, r.Retained(time.Now()))
+	}
+}
+
 // serveWithoutEra serves a table as instances do that were built before the store had eras: one change after the other.
 func (m *member) serveWithoutEra(t *testing.T, firstVersion int64) {
 	t.Helper()
--- a/lib/feedlink/pack.go
+++ b/lib/feedlink/pack.go
@@ -122,7 +122,9 @@
 func (p *packer) retainedMessages(era int64, retained []feed.RetainedRow) []*meshpb.FeedKept {
 	var out []*meshpb.FeedKept
 	for _, k := range retained {
-		out = append(out, &meshpb.FeedKept{Row: p.rowMessage(p.retained, era, k.Row), LeftMs: uint32(k.Remaining.Milliseconds())})
+		out = append(out, &meshpb.FeedKept{
+			Row: p.rowMessage(p.retained, era, k.Row), LeftMs: uint32(k.Remaining.Milliseconds()), PriorVersion: k.PriorVersion,
+		})
 	}
 	return out
 }
--- a/lib/feedlink/subscription.go
+++ b/lib/feedlink/subscription.go
@@ -189,6 +189,7 @@
 		if row.Key == "" {
 			continue
 		}
+		row.PriorVersion = k.PriorVersion
 		page.Retained = append(page.Retained, feed.RetainedRow{Row: row, Remaining: time.Duration(k.LeftMs) * time.Millisecond})
 	}
 	contact := time.Now().Add(-time.Duration(m.ContactAgeMs) * time.Millisecond)
