--- a/lib/feed/feed.go
+++ b/lib/feed/feed.go
@@ -74,6 +74,11 @@
 	Outage         time.Duration // how long no instance could reach the store before this update; 0: no outage
 }
 
+// IsNews reports whether a row of the update was written while this instance followed the table, so that it has arrived soon after.
+func (u *Update) IsNews(row Row) bool {
+	return !u.Initial && !u.Restored && u.Outage == 0 && row.Version > u.Previous.Version
+}
+
 // Options bound a Follower's calls.
 type Options struct {
 	Wait    time.Duration // of one long poll
--- a/lib/fleet/backoff.go
+++ b/lib/fleet/backoff.go
@@ -20,9 +20,15 @@
 }
 
 // InBackoff reports whether a target accepts nothing from this instance now.
-func (f *Fleet) InBackoff(now time.Time, id string) bool {
+func (f *Fleet) InBackoff(now time.Time, id string) bool { return now.Before(f.BackoffUntil(id)) }
+
+// BackoffUntil returns until when a target accepts nothing from this instance; a time in the past if it is in no back-off.
+func (f *Fleet) BackoffUntil(id string) time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := f.targets[id]
-	return t != nil && now.Before(t.backoffUntil)
+	if t == nil {
+		return time.Time{}
+	}
+	return t.backoffUntil
 }
--- a/lib/fleet/choose.go
+++ b/lib/fleet/choose.go
@@ -288,7 +288,7 @@
 		state.OldestUpdate = max(state.OldestUpdate, now.Sub(p.receivedAt))
 	}
 	for domain, n := range f.index.services[t.Service].ready {
-		if !f.evacuated[domain] {
+		if !f.isEvacuated(domain) {
 			state.ReadyTargets += n
 		}
 	}
--- a/lib/fleet/evacuate.go
+++ b/lib/fleet/evacuate.go
@@ -1,15 +1,24 @@
 package fleet
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// Evacuate stops new requests to the targets of a failure domain. Running requests continue.
-func (f *Fleet) Evacuate(domain string) {
+// Evacuate stops new requests to the targets of a failure domain. Running requests continue. It is not known for how long the domain has been
+// evacuated.
+func (f *Fleet) Evacuate(domain string) { f.EvacuateAt(time.Time{}, domain) }
+
+// EvacuateAt is Evacuate for an evacuation that begins at a time. Of several times the first holds.
+func (f *Fleet) EvacuateAt(now time.Time, domain string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.evacuated == nil {
-		f.evacuated = make(map[string]bool)
+		f.evacuated = make(map[string]time.Time)
+	}
+	if !f.isEvacuated(domain) {
+		f.evacuated[domain] = now
 	}
-	f.evacuated[domain] = true
 }
 
 // EndEvacuation reverses Evacuate. The targets of the domain count as just started: they may have been restarted meanwhile, and entries
@@ -29,5 +38,24 @@
 func (f *Fleet) Evacuated(domain string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.evacuated[domain]
+	return f.isEvacuated(domain)
+}
+
+// EvacuatedFor returns for how long a failure domain has been evacuated, a very long time if that is not known; ok is false if it is not.
+func (f *Fleet) EvacuatedFor(now time.Time, domain string) (d time.Duration, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	began, ok := f.evacuated[domain]
+	switch {
+	case !ok:
+		return 0, false
+	case began.IsZero():
+		return math.MaxInt64, true
+	}
+	return now.Sub(began), true
+}
+
+func (f *Fleet) isEvacuated(domain string) bool {
+	_, ok := f.evacuated[domain]
+	return ok
 }
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -102,9 +102,9 @@
 	share        float64         // this instance's share of a target's connections
 	sizes        func(target string) []Size
 
-	partial   bool              // the instance holds only a part of the list
-	evacuated map[string]bool   // failure domains whose targets get no new requests
-	regions   map[string]string // by failure domain
+	partial   bool                 // the instance holds only a part of the list
+	evacuated map[string]time.Time // failure domains whose targets get no new requests, and since when; zero: unknown
+	regions   map[string]string    // by failure domain
 	senders   func(target string, n int) bool
 
 	amongBuf []*Target         // result of the last call of among
@@ -282,7 +282,7 @@
 			out.OtherSoftware++
 		case !f.inRegions(t, n.Regions):
 			out.OutOfRegion++
-		case f.evacuated[t.Domain]:
+		case f.isEvacuated(t.Domain):
 			out.Evacuated++
 		default:
 			out.Accepting++
--- a/lib/fleet/places.go
+++ b/lib/fleet/places.go
@@ -11,7 +11,7 @@
 
 // accepts reports whether a target accepts new requests at all.
 func (f *Fleet) accepts(t *Target) bool {
-	return t.state == Ready && !t.unreadable && !f.evacuated[t.Domain]
+	return t.state == Ready && !t.unreadable && !f.isEvacuated(t.Domain)
 }
 
 // AllExcluded reports whether a service has targets and all of them are evacuated or outside the request's regions, so that waiting for
@@ -39,7 +39,14 @@
 func (f *Fleet) DomainAllowed(domain string, regions []string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.evacuated[domain] && f.domainInRegions(domain, regions)
+	return !f.isEvacuated(domain) && f.domainInRegions(domain, regions)
+}
+
+// DomainInRegions is DomainAllowed without regard to evacuations.
+func (f *Fleet) DomainInRegions(domain string, regions []string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.domainInRegions(domain, regions)
 }
 
 // inRegions reports whether a target is in one of the given regions; nil means all. A failure domain of unknown region is in none: a
--- a/lib/gateway/kept.go
+++ b/lib/gateway/kept.go
@@ -24,15 +24,21 @@
 	// leavingWindow is how long after its notice a leaving engine is tried again. It serves for some seconds more, but operators are promised
 	// that it gets no requests then.
 	leavingWindow = 1500 * time.Millisecond
+	// evacuationGrace is how long after an evacuation is known a kept run may still continue in the failure domain, where it is not new work. An
+	// evacuation has to be in force 5 s after it was stored, and reaches an instance in touch with the store within 2 s.
+	evacuationGrace = 1500 * time.Millisecond
+	// evacuationPatience is how long a run waits for an engine elsewhere before it makes use of that: longer pauses make streams late.
+	evacuationPatience = time.Second
 )
 
 // keptRun is a run that executes nowhere, whose memory engines keep until it continues at one of them or the copies expire. An engine that
 // rejects the run, or can't be reached, leaves the copies as they were.
 type keptRun struct {
-	copyFrom string // address and handle of the copy
-	updated  time.Time
-	ttl      time.Duration // how long engines keep the copy after its last update
-	holders  []*holder     // in order of preference
+	copyFrom   string // address and handle of the copy
+	updated    time.Time
+	ttl        time.Duration // how long engines keep the copy after its last update
+	holders    []*holder     // in order of preference
+	rejectedAt time.Time     // for the first time
 }
 
 // holder is an engine that keeps a run's memory.
@@ -61,6 +67,9 @@
 
 // recordRejection records that an engine did not execute the run. gone says that the engine has ended, and its copy with it.
 func (k *keptRun) recordRejection(now time.Time, target string, gone bool) {
+	if k.rejectedAt.IsZero() {
+		k.rejectedAt = now
+	}
 	i := slices.IndexFunc(k.holders, func(h *holder) bool { return h.target.ID == target })
 	if i < 0 {
 		return
@@ -74,23 +83,58 @@
 	h.tries++
 }
 
-// mayTry reports whether an engine may be asked now to continue a run that is restricted to some regions.
-func (h *holder) mayTry(now time.Time, f *fleet.Fleet, regions []string) bool {
-	if now.Before(h.nextTry) || f.InBackoff(now, h.target.ID) || !f.DomainAllowed(h.target.Domain, regions) {
-		return false
+// availableAt returns when the engine may be asked again, as far as its own rejections say.
+func (h *holder) availableAt(f *fleet.Fleet) time.Time {
+	if until := f.BackoffUntil(h.target.ID); until.After(h.nextTry) {
+		return until
 	}
-	return h.tries == 0 || f.LeavingFor(now, h.target.ID) <= leavingWindow
+	return h.nextTry
+}
+
+// leaves reports whether the engine has been leaving for too long to be asked again.
+func (h *holder) leaves(now time.Time, f *fleet.Fleet) bool {
+	return h.tries > 0 && f.LeavingFor(now, h.target.ID) > leavingWindow
 }
 
-// nextHolder returns the first engine that may be asked now to continue the run.
-func (r *run) nextHolder(now time.Time, k *keptRun) (fleet.Info, bool) {
-	regions := r.g.regions(r.c)
+// nextHolder returns the first engine that may be asked now to continue the run; nil if there is none. inGrace says that its failure domain is
+// evacuated, and that the run may continue there all the same.
+func (r *run) nextHolder(now time.Time, k *keptRun) (h *holder, inGrace bool) {
 	for _, h := range k.holders {
-		if h.mayTry(now, r.g.Fleet, regions) {
-			return h.target, true
+		if !now.Before(h.availableAt(r.g.Fleet)) && r.mayContinueAt(now, h) {
+			return h, false
 		}
 	}
-	return fleet.Info{}, false
+	for _, h := range k.holders {
+		if !now.Before(h.availableAt(r.g.Fleet)) && r.mayContinueInGrace(now, k, h) {
+			return h, true
+		}
+	}
+	return nil, false
+}
+
+// mayContinueAt reports whether the run may be sent to an engine, once that is available.
+func (r *run) mayContinueAt(now time.Time, h *holder) bool {
+	return r.g.Fleet.DomainAllowed(h.target.Domain, r.g.regions(r.c)) && !h.leaves(now, r.g.Fleet)
+}
+
+// mayContinueInGrace reports whether the run continues at an engine although the failure domain there has just been evacuated, since it would
+// be lost otherwise: no other engine that keeps it is about to be available.
+func (r *run) mayContinueInGrace(now time.Time, k *keptRun, h *holder) bool {
+	f := r.g.Fleet
+	evacuated, ok := f.EvacuatedFor(now, h.target.Domain)
+	if r.c.route.MayRepeat() || !ok || evacuated > evacuationGrace {
+		return false
+	}
+	if !f.DomainInRegions(h.target.Domain, r.g.regions(r.c)) || h.leaves(now, f) {
+		return false
+	}
+	patience := now.Add(evacuationGrace - evacuated - 2*keptPoll)
+	if until := k.rejectedAt.Add(evacuationPatience); until.Before(patience) {
+		patience = until
+	}
+	return !slices.ContainsFunc(k.holders, func(other *holder) bool {
+		return r.mayContinueAt(now, other) && other.availableAt(f).Before(patience)
+	})
 }
 
 // awaitHolder waits until the run may continue at an engine that keeps it. A run that may be repeated does not wait, since it can begin again
@@ -102,9 +146,9 @@
 		if k.expired(now) {
 			return placement{}, false
 		}
-		if target, ok := r.nextHolder(now, k); ok {
+		if h, inGrace := r.nextHolder(now, k); h != nil {
 			r.g.Budget.ForceTake(now, r.c.service)
-			return placement{target: target, copyFrom: k.copyFrom, kept: k, recounted: true}, true
+			return placement{target: h.target, copyFrom: k.copyFrom, kept: k, recounted: true, inGrace: inGrace}, true
 		}
 		if r.c.route.MayRepeat() {
 			return placement{}, false
--- a/lib/gateway/kept_test.go
+++ b/lib/gateway/kept_test.go
@@ -31,8 +31,11 @@
 
 // next returns the engine at which the run may continue after some time.
 func (f *keptFixture) next(after time.Duration) string {
-	target, _ := f.r.nextHolder(f.now.Add(after), f.k)
-	return target.ID
+	h, _ := f.r.nextHolder(f.now.Add(after), f.k)
+	if h == nil {
+		return ""
+	}
+	return h.target.ID
 }
 
 // reject records that an engine rejected the run after some time.
@@ -132,3 +135,41 @@
 	must.False(t, ok)
 	must.Less(t, time.Second, time.Since(f.now))
 }
+
+// A run may continue at an engine whose failure domain has just been evacuated, if no other engine is about to accept it.
+func TestKeptRunContinuesSoonAfterAnEvacuation(t *testing.T) {
+	evacuated := func(since time.Duration) *keptFixture {
+		f := newKeptFixture()
+		f.r.g.Fleet.EvacuateAt(f.now.Add(-since), "a")
+		f.reject("to", 0)
+		return f
+	}
+	f := evacuated(0)
+	f.backOff(f.to, time.Minute)
+	must.Eq(t, "from", f.next(0))
+	must.Eq(t, "from", f.next(evacuationGrace))
+	must.Eq(t, "", f.next(evacuationGrace+time.Millisecond))
+
+	f = evacuated(0)
+	f.backOff(f.to, evacuationPatience/2)
+	must.Eq(t, "", f.next(0))
+	must.Eq(t, "to", f.next(evacuationPatience/2))
+
+	f = evacuated(evacuationGrace / 2)
+	f.backOff(f.to, evacuationPatience*3/4) // later than the source may be used
+	must.Eq(t, "from", f.next(0))
+
+	f = newKeptFixture()
+	f.r.g.Fleet.Evacuate("a") // it is not known since when
+	f.backOff(f.to, time.Minute)
+	must.Eq(t, "", f.next(0))
+}
+
+// A run that may be repeated has no need of an evacuated engine.
+func TestRepeatableRunObeysEvacuationsAtOnce(t *testing.T) {
+	f := newKeptFixture()
+	f.r.c.route.Resumable = true
+	f.r.g.Fleet.EvacuateAt(f.now, "a")
+	f.backOff(f.to, time.Minute)
+	must.Eq(t, "", f.next(0))
+}
--- a/lib/gateway/move.go
+++ b/lib/gateway/move.go
@@ -209,9 +209,9 @@
 
 // moveTo moves a run to an engine on which the caller has reserved memory. On success the reservation passes to the run.
 //
-// The final copy is made only over an idle link, because the run is paused while that copy queues. On a congested link the
-// run continues at its source until that terminates, and then resumes from the copy, which lacks the output produced since
-// it was last brought up to date: some tens of tokens, read in one step.
+// The final copy is made only over an idle link, because the run is paused while that copy queues, and only from a source that may take the
+// run back if the destination rejects it. Otherwise the run continues at its source until that terminates, and then resumes from the
+// copy, which lacks the output produced since it was last brought up to date: some tens of tokens, read in one step.
 func (g *Gateway) moveTo(r *run, from, to fleet.Info, notice time.Time) error {
 	size := fleet.Load{Tokens: r.currentReservation().tokens}
 	start := time.Now()
@@ -222,7 +222,7 @@
 	}
 	copyFrom := from.Addr + "/" + copied.Handle
 	r.setPartialCopy(from, placement{target: to, load: size, copyFrom: copyFrom, kept: r.keep(copyFrom, start, to)})
-	for idle := false; !idle && time.Since(notice) < maxCatchUp; {
+	for idle := false; (!idle || g.Fleet.Evacuated(from.Domain)) && time.Since(notice) < maxCatchUp; {
 		start = time.Now()
 		if _, err = g.copyRun(from, to, r.c.id, false); err != nil {
 			if errors.Is(err, ErrNoRun) || errors.Is(err, ErrNoCapacity) {
@@ -232,7 +232,7 @@
 		}
 		r.markPartialCopyUpdated(start)
 		idle = time.Since(start) < idleCopyTime
-		if !idle {
+		if !idle || g.Fleet.Evacuated(from.Domain) {
 			time.Sleep(catchUpPause)
 		}
 	}
--- a/lib/gateway/plain.go
+++ b/lib/gateway/plain.go
@@ -150,12 +150,17 @@
 // errEvacuated means that a target was chosen just before its failure domain was evacuated.
 var errEvacuated = errors.New("gateway: the target's failure domain is evacuated")
 
-// connect opens or reuses a connection within dialTimeout. All requests on callers' behalf pass through here, so it checks for
-// evacuation: a run that is moved or resumed from a copy may have been placed seconds ago.
+// connect is dial unless the target's failure domain is evacuated. All requests on callers' behalf pass through here, except those of runs
+// that may continue at an evacuated engine: a run that is moved or resumed from a copy may have been placed seconds ago.
 func (g *Gateway) connect(ctx context.Context, target fleet.Info) (*wirehttp.Conn, error) {
 	if g.Fleet.Evacuated(target.Domain) {
 		return nil, errEvacuated
 	}
+	return g.dial(ctx, target)
+}
+
+// dial opens or reuses a connection within dialTimeout.
+func (g *Gateway) dial(ctx context.Context, target fleet.Info) (*wirehttp.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	return g.Pool.Get(ctx, target.Addr)
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -39,6 +39,7 @@
 	copyFrom  string     // address and handle of a copy; empty: start from the prompt and the last event
 	kept      *keptRun   // where else the run may continue, if target doesn't execute it; nil: nowhere
 	recounted bool       // the run was counted at target before and is not any more
+	inGrace   bool       // target's failure domain is evacuated, and the run may continue there all the same
 	byOwner   bool       // the target was chosen by an owner
 	backup    string     // id of the engine that the owner found for the backup; empty: none
 }
@@ -184,7 +185,7 @@
 		r.leave(e, x)
 		r.g.recordRunEnd(run, to.target, e == endComplete, e == endBroken)
 	}()
-	conn, err := r.g.connect(ctx, to.target)
+	conn, err := r.connect(ctx, to)
 	if err != nil {
 		x.err = err
 		if ctx.Err() != nil {
@@ -207,6 +208,14 @@
 	return e, x
 }
 
+// connect opens or reuses a connection for the run's request.
+func (r *run) connect(ctx context.Context, to placement) (*wirehttp.Conn, error) {
+	if to.inGrace {
+		return r.g.dial(ctx, to.target)
+	}
+	return r.g.connect(ctx, to.target)
+}
+
 // exchange sends the request and forwards the events.
 func (r *run) exchange(ctx context.Context, conn *wirehttp.Conn, to placement, x *exchange) end {
 	req := r.g.request(r.c, to.target.ID, time.Now())
--- a/lib/gatewayproc/evacuate.go
+++ b/lib/gatewayproc/evacuate.go
@@ -11,8 +11,9 @@
 
 // evacuate applies the evacuations of failure domains found in rows of the settings table. They arrive with the settings, through the
 // same feed and as fast, so an instance that has any settings also has the evacuations that were in force with them.
-func (p *Process) evacuate(rows []feed.Row) {
-	for _, row := range rows {
+func (p *Process) evacuate(u feed.Update) {
+	now := time.Now()
+	for _, row := range u.Rows {
 		domain, ok := p.site.Evacuated(row)
 		if !ok {
 			continue
@@ -22,10 +23,13 @@
 			// Applied all the same: targets may be listed there.
 			ev = log.Warn().Bool("unknown_domain", true)
 		}
-		if row.Removed {
-			p.fleet.EndEvacuation(time.Now(), domain)
-		} else {
-			p.fleet.Evacuate(domain)
+		switch {
+		case row.Removed:
+			p.fleet.EndEvacuation(now, domain)
+		case u.IsNews(row):
+			p.fleet.EvacuateAt(now, domain)
+		default:
+			p.fleet.Evacuate(domain) // it may have been stored long ago
 		}
 		ev.Str("event", "evacuation").Str("domain", domain).Bool("on", !row.Removed).Int64("version", row.Version).Msg("")
 	}
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -121,7 +121,7 @@
 
 func (p *Process) applySettings(u feed.Update) {
 	p.era.Store(u.Era)
-	p.evacuate(u.Rows)
+	p.evacuate(u)
 	rev, err := p.site.DecodeSettings(u.Rows)
 	if err != nil {
 		logline.Send(log.Error().Str("event", "settings_refused"), err)
