--- a/lib/gateway/kept.go
+++ b/lib/gateway/kept.go
@@ -96,6 +96,14 @@
 	return h.tries > 0 && f.LeavingFor(now, h.target.ID) > leavingWindow
 }
 
+// dropEnded drops the engines that have rejected the run and are not listed any more, or have been restarted: their copies are gone.
+func (k *keptRun) dropEnded(f *fleet.Fleet) {
+	k.holders = slices.DeleteFunc(k.holders, func(h *holder) bool {
+		listed, ok := f.Info(h.target.ID)
+		return h.tries > 0 && (!ok || listed.Born != h.target.Born)
+	})
+}
+
 // nextHolder returns the first engine that may be asked now to continue the run; nil if there is none. inGrace says that its failure domain is
 // evacuated, and that the run may continue there all the same.
 func (r *run) nextHolder(now time.Time, k *keptRun) (h *holder, inGrace bool) {
@@ -143,6 +151,7 @@
 	logged := false
 	for ctx.Err() == nil {
 		now := time.Now()
+		k.dropEnded(r.g.Fleet)
 		if k.expired(now) {
 			return placement{}, false
 		}
--- a/lib/gateway/kept_test.go
+++ b/lib/gateway/kept_test.go
@@ -105,6 +105,21 @@
 	must.True(t, f.k.expired(f.now))
 }
 
+// Guards against waiting for engines that have been restarted: their copies are gone.
+func TestKeptRunEndsWithItsEngines(t *testing.T) {
+	f := newKeptFixture()
+	to, from := f.to, f.from
+	to.Born, from.Born = 7, 7
+	f.r.g.Fleet.Apply(f.now, []fleet.Info{to, from}, nil, 0)
+	f.k.dropEnded(f.r.g.Fleet)
+	must.Len(t, 2, f.k.holders) // neither was asked yet
+	f.reject("to", 0)
+	f.reject("from", 0)
+	_, ok := f.r.awaitHolder(context.Background(), f.k)
+	must.False(t, ok)
+	must.Less(t, time.Second, time.Since(f.now))
+}
+
 // Guards against a stream cut although its memory is kept: its engine crashes while the engine of its backup accepts nothing for a moment.
 func TestRunWaitsForTheEngineOfItsBackup(t *testing.T) {
 	f := newKeptFixture()
