--- a/lib/feed/retention_test.go
+++ b/lib/feed/retention_test.go
@@ -260,8 +260,8 @@
 	})
 }
 
-// The store is restored twice within the period, each time from a backup that has a removed row. The row must not stay hidden longer than the
-// period from the first restore: operators have had that time to remove it again.
+// The store is restored twice within the period, each time from a backup that has a removed row. The row must not stay hidden longer than
+// the period from the first restore: operators have had that time to remove it again.
 func TestSecondRestoreDoesNotHideRowsLonger(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newRestoredReplica()
--- a/lib/feedlink/era_test.go
+++ b/lib/feedlink/era_test.go
@@ -108,7 +108,8 @@
 	t.Parallel()
 	removed := feed.Row{Key: "k", Value: []byte("x"), Version: 30, Removed: true, PriorVersion: 10}
 	for stored, hidden := range map[int64]int{10: 1, 25: 0} {
-		m := newPacker().tableMessage("t", feed.Position{}, feed.Page{Era: 2, Version: 40, Rows: []feed.Row{newRow(stored, "x")}}, true, time.Now())
+		page := feed.Page{Era: 2, Version: 40, Rows: []feed.Row{newRow(stored, "x")}}
+		m := newPacker().tableMessage("t", feed.Position{}, page, true, time.Now())
 		m.Kept = newPacker().retainedMessages(2, []feed.RetainedRow{{Row: removed, Remaining: time.Second}})
 		r := feed.NewReplica(func(feed.Update) {}).WithRetention(feed.Retention{Period: time.Minute})
 		must.NoError(t, applyPage(r, m, "peer"))
--- a/lib/fleet/evacuate.go
+++ b/lib/fleet/evacuate.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Evacuate stops new requests to the targets of a failure domain. Running requests continue. It is not known for how long the domain has been
-// evacuated.
+// Evacuate stops new requests to the targets of a failure domain. Running requests continue. It is not known for how long the domain has
+// been evacuated.
 func (f *Fleet) Evacuate(domain string) { f.EvacuateAt(time.Time{}, domain) }
 
 // EvacuateAt is Evacuate for an evacuation that begins at a time. Of several times the first holds.
--- a/lib/gateway/kept.go
+++ b/lib/gateway/kept.go
@@ -24,8 +24,8 @@
 	// leavingWindow is how long after its notice a leaving engine is tried again. It serves for some seconds more, but operators are promised
 	// that it gets no requests then.
 	leavingWindow = 1500 * time.Millisecond
-	// evacuationGrace is how long after an evacuation is known a kept run may still continue in the failure domain, where it is not new work. An
-	// evacuation has to be in force 5 s after it was stored, and reaches an instance in touch with the store within 2 s.
+	// evacuationGrace is how long after an evacuation is known a kept run may still continue in the failure domain, where it is not new
+	// work. An evacuation has to be in force 5 s after it was stored, and reaches an instance in touch with the store within 2 s.
 	evacuationGrace = 1500 * time.Millisecond
 	// evacuationPatience is how long a run waits for an engine elsewhere before it makes use of that: longer pauses make streams late.
 	evacuationPatience = time.Second
@@ -104,8 +104,8 @@
 	})
 }
 
-// nextHolder returns the first engine that may be asked now to continue the run; nil if there is none. inGrace says that its failure domain is
-// evacuated, and that the run may continue there all the same.
+// nextHolder returns the first engine that may be asked now to continue the run; nil if there is none. inGrace says that its failure domain
+// is evacuated, and that the run may continue there all the same.
 func (r *run) nextHolder(now time.Time, k *keptRun) (h *holder, inGrace bool) {
 	for _, h := range k.holders {
 		if !now.Before(h.availableAt(r.g.Fleet)) && r.mayContinueAt(now, h) {
@@ -125,8 +125,8 @@
 	return r.g.Fleet.DomainAllowed(h.target.Domain, r.g.regions(r.c)) && !h.leaves(now, r.g.Fleet)
 }
 
-// mayContinueInGrace reports whether the run continues at an engine although the failure domain there has just been evacuated, since it would
-// be lost otherwise: no other engine that keeps it is about to be available.
+// mayContinueInGrace reports whether the run continues at an engine although the failure domain there has just been evacuated, since it
+// would be lost otherwise: no other engine that keeps it is about to be available.
 func (r *run) mayContinueInGrace(now time.Time, k *keptRun, h *holder) bool {
 	f := r.g.Fleet
 	evacuated, ok := f.EvacuatedFor(now, h.target.Domain)
@@ -145,8 +145,8 @@
 	})
 }
 
-// awaitHolder waits until the run may continue at an engine that keeps it. A run that may be repeated does not wait, since it can begin again
-// elsewhere. ok is false if the run can't continue.
+// awaitHolder waits until the run may continue at an engine that keeps it. A run that may be repeated does not wait, since it can begin
+// again elsewhere. ok is false if the run can't continue.
 func (r *run) awaitHolder(ctx context.Context, k *keptRun) (to placement, ok bool) {
 	logged := false
 	for ctx.Err() == nil {
--- a/lib/gateway/kept_test.go
+++ b/lib/gateway/kept_test.go
@@ -21,7 +21,8 @@
 
 func newKeptFixture() *keptFixture {
 	g := newTestGateway()
-	f := &keptFixture{from: fleet.Info{ID: "from", Service: "s", Domain: "a"}, to: fleet.Info{ID: "to", Service: "s", Domain: "b"}, now: time.Now()}
+	f := &keptFixture{now: time.Now()}
+	f.from, f.to = fleet.Info{ID: "from", Service: "s", Domain: "a"}, fleet.Info{ID: "to", Service: "s", Domain: "b"}
 	g.Fleet.Apply(f.now, []fleet.Info{f.from, f.to}, nil, 0)
 	route := &routes.Route{Name: "r", Kind: routes.Stream}
 	f.r = &run{g: g, c: &call{id: "x", service: "s", route: route, engine: &routes.Engine{HandleTTL: 2 * time.Second}}}
