--- a/lib/feed/retention_test.go
+++ b/lib/feed/retention_test.go
@@ -279,7 +279,7 @@
 }
 
 // An evacuation is lifted, the store is restored from a backup that still has it, and the operators evacuate the domain again. An instance
-// that was frozen meanwhile reads the new era from the store, or from a peer that was started in it: nobody tells when the restore was. It
+// that was frozen meanwhile reads the new era from the store, or from a peer that started in it: neither knows when the restore was. It
 // must not hide the new row, which has the value of the removed one: it would send to an evacuated domain.
 func TestRowWrittenAgainIsShownAlthoughTheRestoreIsUnknown(t *testing.T) {
 	sources := map[string]func() Page{
@@ -324,8 +324,8 @@
 	}
 }
 
-// An instance that starts in the new era takes the removed rows from a peer, and is told by another peer, which still hides the row, that it
-// is retained. It goes on showing a row that was written again.
+// An instance that started in the new era shows a row that was written again. It then receives a page from a peer that still hides the row,
+// and must continue to show it.
 func TestPeerDoesNotHideRowWrittenAgain(t *testing.T) {
 	c := newRestoredReplica()
 	c.snapshot(Position{2, 40}, "other", "y")
--- a/lib/gateway/kept.go
+++ b/lib/gateway/kept.go
@@ -83,7 +83,7 @@
 	h.tries++
 }
 
-// availableAt returns when the engine may be asked again, as far as its own rejections say.
+// availableAt returns when the next request may be sent to the engine, according to its own rejections.
 func (h *holder) availableAt(f *fleet.Fleet) time.Time {
 	if until := f.BackoffUntil(h.target.ID); until.After(h.nextTry) {
 		return until
@@ -91,7 +91,7 @@
 	return h.nextTry
 }
 
-// leaves reports whether the engine has been leaving for too long to be asked again.
+// leaves reports whether the engine has been leaving for too long to get another request.
 func (h *holder) leaves(now time.Time, f *fleet.Fleet) bool {
 	return h.tries > 0 && f.LeavingFor(now, h.target.ID) > leavingWindow
 }
@@ -104,7 +104,7 @@
 	})
 }
 
-// nextHolder returns the first engine that may be asked now to continue the run; nil if there is none. inGrace says that its failure domain
+// nextHolder returns the first engine that may now be sent the run; nil if there is none. inGrace says that its failure domain
 // is evacuated, and that the run may continue there all the same.
 func (r *run) nextHolder(now time.Time, k *keptRun) (h *holder, inGrace bool) {
 	for _, h := range k.holders {
