--- /dev/null
+++ b/review/_rig/stream.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// attempt is one consumer attempt at a stream.
+type attempt struct {
+	id       string
+	at       *gateway
+	status   int    // 0: no answer
+	events   int    // id of the last event that came
+	version  string // of the software that wrote its first event
+	mixed    bool   // its events are of two versions
+	foreign  int    // events that were written for another request
+	complete bool
+	err      error
+	inTouch  bool // the machine was in touch when the attempt was sent
+}
+
+// stream sends one attempt and reads events until the stream ends, breaks or ctx is done. begun, if set, is called with the first event.
+func (s *site) stream(ctx context.Context, at *gateway, path, id string, left time.Duration, headers map[string]string, begun func()) *attempt {
+	a := &attempt{id: id, at: at, inTouch: at.inTouch()}
+	d := net.Dialer{Timeout: time.Second}
+	c := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: d.DialContext}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at.front()+path, strings.NewReader("prompt of "+path))
+	if err != nil {
+		a.err = err
+		return a
+	}
+	req.Host = host
+	for name, value := range map[string]string{
+		"Attempt-Id": id, "X-Api-Key": key, "Deadline-Ms": fmt.Sprint(left.Milliseconds()), "Model": "m", "Token-Usage": fmt.Sprintf("%d,%d", promptTokens, tokensPerEvent*eventsOfOne),
+		"Prompt-Prefix": "f0:79," + fmt.Sprintf("%x", path) + ":2921",
+	} {
+		req.Header.Set(name, value)
+	}
+	for name, value := range headers {
+		req.Header.Set(name, value)
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	defer resp.Body.Close()
+	a.status = resp.StatusCode
+	if a.status != http.StatusOK {
+		return a
+	}
+	var last int
+	var version string
+	rd := bufio.NewScanner(resp.Body)
+	for rd.Scan() {
+		line := rd.Text()
+		switch {
+		case strings.HasPrefix(line, "id: "):
+			_, a.err = fmt.Sscanf(line, "id: %d", &last)
+		case strings.HasPrefix(line, "data: ") && path[:6] == "/long/" && !strings.HasSuffix(line, " of "+id):
+			a.foreign++
+		case strings.HasPrefix(line, "software: "):
+			version = strings.TrimPrefix(line, "software: ")
+		case line == "" && last > 0:
+			a.events = last
+			if a.version == "" {
+				a.version = version
+				if begun != nil {
+					begun()
+				}
+			}
+			a.mixed = a.mixed || version != a.version
+		}
+	}
+	a.err = rd.Err()
+	a.complete = a.err == nil
+	return a
+}
