--- a/review/_rig/engine.go
+++ b/review/_rig/engine.go
@@ -132,13 +132,13 @@
 			}
 			continue
 		}
-		answer := e.control(req, body.Bytes())
-		if _, err := c.Write(answer); err != nil {
+		reply := e.control(req, body.Bytes())
+		if _, err := c.Write(reply); err != nil {
 			return
 		}
 		if e.givesTwice() {
-			extra = answer
-			e.site.add("trouble: %s will give its answer to %s %s a second time: %s", e.id, req.Method, req.URL.Path, bytes.TrimSpace(answer[bytes.Index(answer, []byte("\r\n\r\n")):]))
+			extra = reply
+			e.site.add("trouble: %s will give its answer to %s %s a second time: %q", e.id, req.Method, req.URL.Path, reply)
 		}
 	}
 }
@@ -163,28 +163,33 @@
 	e.garbles = on
 }
 
-func answer(status int, body any) []byte {
+// answer returns an answer to a control call. It names the request that the call is about, if any.
+func answer(status int, id string, body any) []byte {
 	var b []byte
 	if body != nil {
 		b, _ = json.Marshal(body)
 	}
-	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), len(b), b)
+	out := fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	if id != "" {
+		out = fmt.Appendf(out, "Attempt-Id: %s\r\n", id)
+	}
+	return fmt.Appendf(out, "Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(b), b)
 }
 
 // control answers a control call.
 func (e *engineServer) control(req *http.Request, body []byte) []byte {
 	switch {
 	case req.URL.Path == "/api/report":
-		return answer(200, map[string]any{"Stage": "both", "State": "ready", "Busy": false, "Sequence": 1, "Waiting": 0, "Running": 0, "KvUsed": 0, "KvTotal": 500000, "Handles": 0})
+		return answer(200, "", map[string]any{"Stage": "both", "State": "ready", "Busy": false, "Sequence": 1, "Waiting": 0, "Running": 0, "KvUsed": 0, "KvTotal": 500000, "Handles": 0})
 	case strings.HasPrefix(req.URL.Path, "/api/kv-handle/"):
 		e.copies.mu.Lock()
 		defer e.copies.mu.Unlock()
 		delete(e.copies.byKey, e.addr+"/"+strings.TrimPrefix(req.URL.Path, "/api/kv-handle/"))
-		return answer(200, map[string]any{})
+		return answer(200, "", map[string]any{})
 	case req.URL.Path == "/api/kv-move":
 		return e.move(body)
 	}
-	return answer(404, nil)
+	return answer(404, "", nil)
 }
 
 // move copies a run's memory to another engine, and stops the run first if the last part is asked for.
@@ -195,13 +200,13 @@
 		Last bool
 	}
 	if json.Unmarshal(body, &m) != nil {
-		return answer(400, nil)
+		return answer(400, "", nil)
 	}
 	e.mu.Lock()
 	r := e.runs[m.ID]
 	if r == nil {
 		e.mu.Unlock()
-		return answer(404, nil)
+		return answer(404, m.ID, nil)
 	}
 	if r.handle == "" {
 		e.handles++
@@ -227,7 +232,7 @@
 	if m.Last {
 		e.site.add("%s: run of %s is stopped after event %d, its memory is copied to %s as %s", e.id, m.ID, events, m.To, handle)
 	}
-	return answer(200, map[string]any{"Handle": handle, "CreateRevision": events})
+	return answer(200, m.ID, map[string]any{"Handle": handle, "CreateRevision": events})
 }
 
 // take uses a copy once.
