--- a/review/_rig/crash.go
+++ b/review/_rig/crash.go
@@ -152,6 +152,7 @@
 		return
 	}
 	last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	e.c.add("%s: runs %s from event %d on", e.entry.id, id, last+1)
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: seal-%s\r\nContent-Type: text/event-stream\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n", id, e.entry.id)
 	for n := last + 1; n <= soundEvents; n++ {
 		time.Sleep(eventPause)
@@ -231,7 +232,9 @@
 					t = &during
 				}
 				name := fmt.Sprintf("s%04d", i)
-				t.count(c.send(i, name, fmt.Sprintf("d%x", i%documents+1)))
+				a := c.send(i, name, fmt.Sprintf("d%x", i%documents+1))
+				t.count(a)
+				s.add("consumer: sound stream %s sent to %s: status %d, ends after event %d of %d, error %v", name, a.at.name, a.status, a.events, soundEvents, a.err)
 			})
 			time.Sleep(soundPause)
 		}
@@ -242,7 +245,7 @@
 		work.Go(func() {
 			name := fmt.Sprintf("b%04d", i)
 			a := c.send(i, name, badPart)
-			s.add("consumer: request %s with the part at %s: status %d %v", name, a.at.name, a.status, a.err)
+			s.add("consumer: request %s with the part sent to %s: status %d, error %v", name, a.at.name, a.status, a.err)
 		})
 		time.Sleep(badPause)
 	}
--- a/review/_rig/engine.go
+++ b/review/_rig/engine.go
@@ -276,6 +276,7 @@
 	if v := req.Header.Get("Last-Event-Id"); v != "" {
 		last, _ = strconv.Atoi(v)
 	}
+	e.site.add("%s: runs %s from event %d on", e.id, id, last+1)
 	r := &run{events: last, stop: make(chan struct{}), done: make(chan struct{})}
 	e.mu.Lock()
 	e.runs[id] = r
--- a/review/_rig/lapse.go
+++ b/review/_rig/lapse.go
@@ -37,7 +37,12 @@
 	routes := []map[string]any{route("first-d", "dispatch"), route("first-l", "ledger")}
 	s.configure(routes, services)
 	for i := range 6 {
-		s.addWorker(fmt.Sprintf("i-%d", i+1), services[i/3]["Name"].(string), i, 6, "v1", func(*standin.Worker) {})
+		s.addWorker(fmt.Sprintf("i-%d", i+1), services[i/3]["Name"].(string), i, 6, "v1", func(w *standin.Worker) {
+			w.Handler = func(rw http.ResponseWriter, r *http.Request) {
+				s.add("worker %s runs %s %s (%s)", w.ID, r.Method, r.RequestURI, r.Header.Get("Attempt-Id"))
+				w.Echo(rw, r)
+			}
+		})
 	}
 	if err := s.startGateways(3); err != nil {
 		return false, err
@@ -79,7 +84,7 @@
 	for i := range asked {
 		g, name := s.gateways[i%len(s.gateways)], routes[i%len(routes)]
 		status, err := s.askOnce(g, "/"+name+"/"+fmt.Sprint(i))
-		s.add("consumer: GET /%s/%d at %s: status %d %v", name, i, g.name, status, err)
+		s.add("consumer: GET /%s/%d sent to %s: status %d, error %v", name, i, g.name, status, err)
 		if status == http.StatusOK {
 			served++
 		}
--- a/review/_rig/twice.go
+++ b/review/_rig/twice.go
@@ -136,9 +136,8 @@
 		}
 		if a.complete && a.events == moverEvents {
 			complete++
-			continue
 		}
-		s.add("consumer: stream %s through %s: status %d, ends after event %d of %d: %v", a.id, a.at.name, a.status, a.events, moverEvents, a.err)
+		s.add("consumer: stream %s sent to %s: status %d, ends after event %d of %d, error %v", a.id, a.at.name, a.status, a.events, moverEvents, a.err)
 	}
 	f.copies.mu.Lock()
 	answers, twice := f.copies.answers, f.copies.twice
