--- a/review/_rig/crash.go
+++ b/review/_rig/crash.go
@@ -156,7 +156,7 @@
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: seal-%s\r\nContent-Type: text/event-stream\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n", id, e.entry.id)
 	for n := last + 1; n <= soundEvents; n++ {
 		time.Sleep(eventPause)
-		event := fmt.Sprintf("id: %d\ndata: %d of %s\nsoftware: v1\n\n", n, n, id)
+		event := fmt.Sprintf("id: %d\ndata: %d of %s\n\n", n, n, id)
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
 			return
 		}
@@ -267,5 +267,5 @@
 // send sends a stream whose prompt has a part that others have, too. No two requests are alike.
 func (c *crashSite) send(i int, name, part string) *attempt {
 	headers := map[string]string{"Prompt-Prefix": fmt.Sprintf("f0:79,%s:321,%x:100", part, 1<<20+i)}
-	return c.stream(context.Background(), c.gateways[i%len(c.gateways)], "/short/"+name, "a-"+name, crashBudget, headers, nil)
+	return c.stream(context.Background(), c.gateways[i%len(c.gateways)], "/short/"+name, "a-"+name, crashBudget, headers)
 }
--- a/review/_rig/engine.go
+++ b/review/_rig/engine.go
@@ -297,7 +297,7 @@
 			return false
 		case <-time.After(eventPause):
 		}
-		event := fmt.Sprintf("id: %d\ndata: %d of %s\nsoftware: v1\n\n", n, n, of)
+		event := fmt.Sprintf("id: %d\ndata: %d of %s\n\n", n, n, of)
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
 			e.forget(id, r)
 			return false
--- a/review/_rig/site.go
+++ b/review/_rig/site.go
@@ -218,10 +218,9 @@
 	settings, binary string
 	log              *os.File
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	exited  chan struct{}
-	started time.Time
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 func (g *gateway) front() string { return g.ip + ":8740" }
@@ -278,7 +277,7 @@
 		s.gateways = append(s.gateways, g)
 	}
 	for _, g := range s.gateways {
-		if err := g.start(strings.Join(seeds, ","), true); err != nil {
+		if err := g.start(strings.Join(seeds, ",")); err != nil {
 			return err
 		}
 	}
@@ -297,8 +296,8 @@
 }
 
 // start starts the process with the command of the deploy file.
-func (g *gateway) start(seeds string, bootstrap bool) error {
-	if err := os.WriteFile(g.settings, []byte(g.settingsText(seeds, bootstrap)), 0o600); err != nil {
+func (g *gateway) start(seeds string) error {
+	if err := os.WriteFile(g.settings, []byte(g.settingsText(seeds)), 0o600); err != nil {
 		return err
 	}
 	cmd := exec.Command(g.binary, "-metrics-port", "9464")
@@ -314,12 +313,12 @@
 	}()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.cmd, g.exited, g.started = cmd, exited, time.Now()
+	g.cmd, g.exited = cmd, exited
 	g.site.add("machine %s: process %d is started", g.name, cmd.Process.Pid)
 	return nil
 }
 
-func (g *gateway) settingsText(seeds string, bootstrap bool) string {
+func (g *gateway) settingsText(seeds string) string {
 	return fmt.Sprintf(`NodeName = %q
 Role = "gateway"
 MachineClass = "front"
@@ -329,7 +328,7 @@
 Region = "area-1"
 InternalPortRange = [7200,7215]
 Seeds = [%s]
-Bootstrap = %t
+Bootstrap = true
 CountsInTolerance = false
 Discovery = "platform"
 Entry = "virtual_ip"
@@ -375,7 +374,7 @@
 PassMs = 120
 AgainS = 5.4
 [Platform]
-Address = %[7]q
+Address = %[6]q
 form = "table"
 WritesPerS = 400
 ReadsPerS = 2000
@@ -387,7 +386,7 @@
 BlobBytes = 8388608
 BlobMs = 25.0
 BlobPerS = 80.0
-`, g.name, g.ip, g.zone, seeds, bootstrap, heartbeat.Milliseconds(), g.site.store.Addr())
+`, g.name, g.ip, g.zone, seeds, heartbeat.Milliseconds(), g.site.store.Addr())
 }
 
 func (g *gateway) ready() bool {
@@ -424,13 +423,6 @@
 	}
 }
 
-// inTouch reports whether the process has run for StableWindowMs.
-func (g *gateway) inTouch() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return time.Since(g.started) >= stableWindow
-}
-
 // logLines returns the lines of the process's log that hold a text.
 func (g *gateway) logLines(text string, most int) []string {
 	b, err := os.ReadFile(g.log.Name())
--- a/review/_rig/stream.go
+++ b/review/_rig/stream.go
@@ -19,19 +19,16 @@
 type attempt struct {
 	id       string
 	at       *gateway
-	status   int    // 0: no answer
-	events   int    // id of the last event that came
-	version  string // of the software that wrote its first event
-	mixed    bool   // its events are of two versions
-	foreign  int    // events that were written for another request
+	status   int // 0: no answer
+	events   int // id of the last event that came
+	foreign  int // events that were written for another request
 	complete bool
 	err      error
-	inTouch  bool // the machine was in touch when the attempt was sent
 }
 
-// stream sends one attempt and reads events until the stream ends, breaks or ctx is done. begun, if set, is called with the first event.
-func (s *site) stream(ctx context.Context, at *gateway, path, id string, left time.Duration, headers map[string]string, begun func()) *attempt {
-	a := &attempt{id: id, at: at, inTouch: at.inTouch()}
+// stream sends one attempt and reads events until the stream ends, breaks or ctx is done.
+func (s *site) stream(ctx context.Context, at *gateway, path, id string, left time.Duration, headers map[string]string) *attempt {
+	a := &attempt{id: id, at: at}
 	d := net.Dialer{Timeout: time.Second}
 	c := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: d.DialContext}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at.front()+path, strings.NewReader("prompt of "+path))
@@ -42,7 +39,7 @@
 	req.Host = host
 	for name, value := range map[string]string{
 		"Attempt-Id": id, "X-Api-Key": key, "Deadline-Ms": fmt.Sprint(left.Milliseconds()), "Model": "m", "Token-Usage": fmt.Sprintf("%d,%d", promptTokens, maxOutput),
-		"Prompt-Prefix": "f0:79," + fmt.Sprintf("%x", path) + ":2921",
+		"Prompt-Prefix": fmt.Sprintf("f0:79,%x:%d", path[len(path)-6:], promptTokens-79),
 	} {
 		req.Header.Set(name, value)
 	}
@@ -60,26 +57,16 @@
 		return a
 	}
 	var last int
-	var version string
 	rd := bufio.NewScanner(resp.Body)
 	for rd.Scan() {
 		line := rd.Text()
 		switch {
 		case strings.HasPrefix(line, "id: "):
 			_, a.err = fmt.Sscanf(line, "id: %d", &last)
-		case strings.HasPrefix(line, "data: ") && path[:6] == "/long/" && !strings.HasSuffix(line, " of "+id):
+		case strings.HasPrefix(line, "data: ") && !strings.HasSuffix(line, " of "+id):
 			a.foreign++
-		case strings.HasPrefix(line, "software: "):
-			version = strings.TrimPrefix(line, "software: ")
 		case line == "" && last > 0:
 			a.events = last
-			if a.version == "" {
-				a.version = version
-				if begun != nil {
-					begun()
-				}
-			}
-			a.mixed = a.mixed || version != a.version
 		}
 	}
 	a.err = rd.Err()
--- a/review/_rig/twice.go
+++ b/review/_rig/twice.go
@@ -116,7 +116,7 @@
 	for i := range movers {
 		go func() {
 			name := fmt.Sprintf("r%dm%03d", round, i)
-			results <- s.stream(ctx, s.gateways[i%len(s.gateways)], "/long/"+name, "a-"+name, longBudget, nil, nil)
+			results <- s.stream(ctx, s.gateways[i%len(s.gateways)], "/long/"+name, "a-"+name, longBudget, nil)
 		}()
 	}
 	s.add("round %d: %d streams are begun", round, movers)
