Fleet: the log says why a target counts as leaving, and when one stays out though its entry is back

Change: Departure in place of a flag, with the same effects; target_leaving has cause=announced|delisted|missing, target_stays_out is logged when an entry is back as ready and the target gets no requests all the same. No other change of behaviour.

--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -53,7 +53,7 @@
 	state        State
 	firstSeen    time.Time // when this instance first heard of it
 	leftAt       time.Time
-	presumedGone bool // treated as leaving because its entry is missing, without a notice that it leaves
+	departure    Departure // why it counts as leaving
 	local        Load
 	failureShare float64 // decayed share of this instance's requests that the target failed
 	avoidUntil   time.Time
@@ -346,7 +346,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := f.targets[id]
-	return t != nil && t.presumedGone
+	return t != nil && t.departure == Missing
 }
 
 // AddLoad changes the load of a request at its target.
--- a/lib/fleet/list.go
+++ b/lib/fleet/list.go
@@ -7,6 +7,7 @@
 	Added, Leaving, Gone []Info
 	Restarted            []Info // a new incarnation under a known id: runs on the previous one are broken
 	Dropped              []Info // targets that this instance no longer needs to know, whatever happens to them
+	StaysOut             []Info // whose entries are back as ready, and which get no requests all the same
 }
 
 // Apply applies entries of the list and the ids of removed entries. outage is how long the list could not be read before. It returns what
@@ -39,9 +40,11 @@
 	case t.Born != 0 && e.Born > t.Born:
 		t.restart()
 		ch.Restarted = append(ch.Restarted, e)
-	case t.presumedGone && !e.Leaving:
-		t.state, t.presumedGone = Ready, false // it is alive and only wrote its entry late
+	case t.departure == Missing && !e.Leaving:
+		t.state, t.departure = Ready, NotLeaving // it is alive and only wrote its entry late
 		ch.Added = append(ch.Added, e)
+	case t.state == Leaving && !t.listed && !e.Leaving:
+		ch.StaysOut = append(ch.StaysOut, e)
 	}
 	if t.isGranted() {
 		t.grantedAt = time.Time{}
@@ -53,7 +56,7 @@
 	t.missingSince = time.Time{}
 	t.unreadable = false
 	if e.Leaving {
-		f.markLeaving(now, t, ch)
+		f.markLeaving(now, t, Announced, ch)
 	}
 	f.index.update(t)
 }
@@ -64,8 +67,10 @@
 }
 
 // markLeaving is final for an incarnation: a stale entry that says ready does not bring it back.
-func (f *Fleet) markLeaving(now time.Time, t *Target, ch *Change) {
-	t.presumedGone = false
+func (f *Fleet) markLeaving(now time.Time, t *Target, cause Departure, ch *Change) {
+	if cause == Announced || t.state != Leaving {
+		t.departure = cause
+	}
 	if t.state == Leaving {
 		return
 	}
@@ -88,7 +93,7 @@
 		}
 		return
 	}
-	f.markLeaving(now, t, ch)
+	f.markLeaving(now, t, Delisted, ch)
 }
 
 // PresumeGone treats targets as leaving because their entries are missing, without a notice that they leave. A target whose entry
@@ -109,8 +114,7 @@
 func (f *Fleet) presumeGone(now time.Time, t *Target, ch *Change) {
 	t.missingSince = time.Time{}
 	if t.state == Ready {
-		f.markLeaving(now, t, ch)
-		t.presumedGone = true
+		f.markLeaving(now, t, Missing, ch)
 	}
 	f.index.update(t)
 }
@@ -171,7 +175,7 @@
 	defer f.mu.Unlock()
 	var ch Change
 	if t := f.targets[id]; t != nil && (born == 0 || born >= t.Born) {
-		f.markLeaving(now, t, &ch)
+		f.markLeaving(now, t, Announced, &ch)
 	}
 	return ch
 }
@@ -213,7 +217,7 @@
 	defer f.mu.Unlock()
 	var out []LeftTarget
 	f.index.leftSince(at, func(t *Target) bool {
-		if !t.presumedGone {
+		if t.departure != Missing {
 			out = append(out, LeftTarget{ID: t.ID, Born: t.Born})
 		}
 		return true
--- a/lib/gatewayproc/feedlog.go
+++ b/lib/gatewayproc/feedlog.go
@@ -62,9 +62,21 @@
 
 // logTargets logs the targets named by a change of the list.
 func logTargets(level log.Level, event string, targets []fleet.Info) {
+	logTargetsWith(level, event, targets, func(_ fleet.Info, ev *log.Entry) *log.Entry { return ev })
+}
+
+// logLeaving logs targets that leave, and why they count as leaving.
+func (p *Process) logLeaving(targets []fleet.Info) {
+	logTargetsWith(log.InfoLevel, "target_leaving", targets, func(t fleet.Info, ev *log.Entry) *log.Entry {
+		return ev.Str("cause", p.fleet.DepartureOf(t.ID).String())
+	})
+}
+
+// logTargetsWith logs targets with the fields that addFields adds to each line.
+func logTargetsWith(level log.Level, event string, targets []fleet.Info, addFields func(fleet.Info, *log.Entry) *log.Entry) {
 	for _, t := range targets[:min(targetsLogged, len(targets))] {
 		ev := log.DefaultLogger.WithLevel(level).Str("event", event).Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr)
-		ev.Str("software", t.Software.Name).Int64("born", t.Born).Msg("")
+		addFields(t, ev.Str("software", t.Software.Name).Int64("born", t.Born)).Msg("")
 	}
 	if more := len(targets) - targetsLogged; more > 0 {
 		log.DefaultLogger.WithLevel(level).Str("event", event).Int("more", more).Msg("")
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -202,7 +202,8 @@
 func (p *Process) onFleetChange(ch fleet.Change) {
 	logTargets(log.InfoLevel, "target_added", ch.Added)
 	logTargets(log.WarnLevel, "target_restarted", ch.Restarted)
-	logTargets(log.InfoLevel, "target_leaving", ch.Leaving)
+	p.logLeaving(ch.Leaving)
+	logTargets(log.WarnLevel, "target_stays_out", ch.StaysOut)
 	for _, t := range ch.Restarted {
 		p.gate.TargetRestarted(t)
 	}
