Targets: one whose entry lapsed and was written again is used again (CONFIG)

Cause: an entry that is removed while the store can be read was taken for the target's own word that it leaves, final for its start, and told to peers as that. The platform removes entries of silent targets, too. Evidence: with each instance logs target_leaving cause=delisted, then target_stays_out when the entry is written again. Change: leaving is announced (final) or presumed; an entry written later revokes a presumption. Notices to peers say which of both they are, and from which position of the list, so that one that arrives late does not exclude a target that is back. Rows that a restore brings back stay hidden until the store has had time to remove them. Why it works: what a target says of itself still ends its use for good; what is only concluded from a missing entry lasts exactly as long as the entry is missing.

--- a/lib/feed/retention.go
+++ b/lib/feed/retention.go
@@ -20,8 +20,10 @@
 // Retention is the policy for rows after the store was restored from a backup: what a Replica goes on showing until the writers
 // have written again what the backup lacks.
 type Retention struct {
-	// Period is how long a row missing from the backup stays visible, and how long a removed row that is back stays hidden.
+	// Period is how long a row missing from the backup stays visible.
 	Period time.Duration
+	// HiddenPeriod is how long a removed row that is back stays hidden; 0: Period.
+	HiddenPeriod time.Duration
 	// WriteSeq returns the writer's sequence number of a row: the replica's row is retained for as long as the store has an older
 	// write of it. ok is false if the writer gives no sequence number; nil: no writer of the table does.
 	WriteSeq func(Row) (c WriteSeq, ok bool)
@@ -37,6 +39,14 @@
 	return ca.compare(cb), oka && okb
 }
 
+// periodOf returns how long a row, or its removal, is retained.
+func (k Retention) periodOf(row Row) time.Duration {
+	if row.Removed && k.HiddenPeriod > 0 {
+		return k.HiddenPeriod
+	}
+	return k.Period
+}
+
 // newer reports whether a was certainly written after b.
 func (k Retention) newer(a, b Row) bool {
 	order, ok := k.compare(a, b)
@@ -111,7 +121,7 @@
 		if stored, listed := r.rows[old.Key]; old.Removed && listed && stored.Version > r.restore.Version {
 			continue // written since the restore
 		}
-		left := r.retention.Period - now.Sub(r.restoredAt)
+		left := r.retention.periodOf(old) - now.Sub(r.restoredAt)
 		if k := retained[old.Key]; k.lost == lostRemoval {
 			// The store was restored before, too. Hidden anew each time, a row that was written again would stay hidden for as long as
 			// restores follow each other.
--- a/lib/feed/retention_test.go
+++ b/lib/feed/retention_test.go
@@ -154,6 +154,24 @@
 	})
 }
 
+// A removed row that is back in a restored store may belong to a writer that has left. Shown as soon as missing rows are given up, it would be taken
+// for written again; it is hidden for a period of its own, in which the store removes it.
+func TestRemovedRowIsHiddenForItsOwnPeriod(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newRestoredReplica()
+		c.r.retention.HiddenPeriod = 2 * retentionPeriod
+		c.snapshot(Position{Era: 1, Version: 10}, "gone", "1: x", "kept", "1: y")
+		c.changes(Position{Era: 1, Version: 11}, "gone", "")
+		c.snapshot(Position{Era: 2, Version: 10}, "gone", "1: x")
+		time.Sleep(retentionPeriod + time.Second)
+		c.changes(Position{Era: 2, Version: 11})
+		must.MapEmpty(t, c.visible)
+		time.Sleep(retentionPeriod)
+		c.changes(Position{Era: 2, Version: 12})
+		must.Eq(t, map[string]string{"gone": "1: x"}, c.visible)
+	})
+}
+
 // A row was removed and written again by a writer without sequence numbers, before anything of the new era was read. Its value differs
 // from before, so the restore did not bring back the old row.
 func TestRewrittenRowIsShownAfterRestore(t *testing.T) {
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/feed"
 	"anvilwick.example/anvilwick/lib/plainload"
 )
 
@@ -32,6 +33,7 @@
 	Slots   int
 	Leaving bool
 	ColdFor time.Duration // remaining time that the target is cold (slow after its start)
+	Written feed.Position // of the entry in the list; zero: unknown
 
 	Software Software
 }
@@ -53,7 +55,8 @@
 	state        State
 	firstSeen    time.Time // when this instance first heard of it
 	leftAt       time.Time
-	departure    Departure // why it counts as leaving
+	departure    Departure     // why it counts as leaving
+	listedOut    feed.Position // of the list that lacked its entry, if Delisted
 	local        Load
 	failureShare float64 // decayed share of this instance's requests that the target failed
 	avoidUntil   time.Time
@@ -104,6 +107,7 @@
 	share        float64         // this instance's share of a target's connections
 	sizes        func(target string) []Size
 
+	position  feed.Position        // of the list applied last
 	partial   bool                 // the instance holds only a part of the list
 	evacuated map[string]time.Time // failure domains whose targets get no new requests, and since when; zero: unknown
 	regions   map[string]string    // by failure domain
@@ -341,14 +345,6 @@
 	return now.Sub(t.leftAt)
 }
 
-// IsPresumedGone reports whether a target gets no new requests only because its entry is missing.
-func (f *Fleet) IsPresumedGone(id string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	t := f.targets[id]
-	return t != nil && t.departure == Missing
-}
-
 // AddLoad changes the load of a request at its target.
 func (f *Fleet) AddLoad(id string, by Load) {
 	f.mu.Lock()
--- a/lib/fleet/fleet_test.go
+++ b/lib/fleet/fleet_test.go
@@ -51,7 +51,7 @@
 	_, ok := f.Acquire(t0, Need{Service: "engine"})
 	must.False(t, ok)
 	must.True(t, f.IsLeaving("e0"))
-	must.Eq(t, []LeftTarget{{ID: "e0"}}, f.LeftSince(t0.Add(-time.Second)))
+	must.Eq(t, []LeftTarget{{ID: "e0", Cause: Announced}}, f.LeftSince(t0.Add(-time.Second)))
 }
 
 // Entries expire during a store outage. The targets are kept for a grace period, stay usable if their entries return, and are treated as
--- a/lib/fleet/grant.go
+++ b/lib/fleet/grant.go
@@ -24,6 +24,9 @@
 		ch.Restarted = append(ch.Restarted, e)
 		t.Info = e
 		f.index.update(t)
+	case t.isGranted() && t.departure.isPresumed():
+		f.use(t) // its owner has read the entry that it has written since
+		f.index.update(t)
 	}
 	if t.isGranted() {
 		t.grantedAt = now
--- a/lib/fleet/list.go
+++ b/lib/fleet/list.go
@@ -1,11 +1,16 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"anvilwick.example/anvilwick/lib/feed"
+)
 
 // Change is the result of an update of the list.
 type Change struct {
 	Added, Leaving, Gone []Info
 	Restarted            []Info // a new incarnation under a known id: runs on the previous one are broken
+	Confirmed            []Info // that were presumed to have left, and have announced it now
 	Dropped              []Info // targets that this instance no longer needs to know, whatever happens to them
 	StaysOut             []Info // whose entries are back as ready, and which get no requests all the same
 }
@@ -40,8 +45,8 @@
 	case t.Born != 0 && e.Born > t.Born:
 		t.restart()
 		ch.Restarted = append(ch.Restarted, e)
-	case t.departure == Missing && !e.Leaving:
-		t.state, t.departure = Ready, NotLeaving // it is alive and only wrote its entry late
+	case t.departure.isPresumed() && !e.Leaving:
+		f.use(t)
 		ch.Added = append(ch.Added, e)
 	case t.state == Leaving && !t.listed && !e.Leaving:
 		ch.StaysOut = append(ch.StaysOut, e)
@@ -56,7 +61,7 @@
 	t.missingSince = time.Time{}
 	t.unreadable = false
 	if e.Leaving {
-		f.markLeaving(now, t, Announced, ch)
+		f.announceLeaving(now, t, ch)
 	}
 	f.index.update(t)
 }
@@ -66,11 +71,27 @@
 	*t = Target{Info: t.Info, state: Ready, firstSeen: t.firstSeen, local: t.local, grantedAt: t.grantedAt, listing: t.listing}
 }
 
-// markLeaving is final for an incarnation: a stale entry that says ready does not bring it back.
-func (f *Fleet) markLeaving(now time.Time, t *Target, cause Departure, ch *Change) {
-	if cause == Announced || t.state != Leaving {
-		t.departure = cause
+// announceLeaving is final for an incarnation: a stale entry that says ready does not bring it back.
+func (f *Fleet) announceLeaving(now time.Time, t *Target, ch *Change) {
+	if t.departure.isPresumed() {
+		ch.Confirmed = append(ch.Confirmed, t.Info)
+	}
+	t.departure = Announced
+	f.stopUse(now, t, ch)
+}
+
+// presumeLeft takes a target that lacks an entry in the list at a position for one that has left. If only its heartbeats were lost it writes the entry
+// again, and is used again.
+func (f *Fleet) presumeLeft(now time.Time, t *Target, cause Departure, at feed.Position, ch *Change) {
+	if t.state == Leaving {
+		return
 	}
+	t.departure, t.listedOut = cause, at
+	f.stopUse(now, t, ch)
+}
+
+// stopUse ends new requests to a target.
+func (f *Fleet) stopUse(now time.Time, t *Target, ch *Change) {
 	if t.state == Leaving {
 		return
 	}
@@ -80,6 +101,9 @@
 	f.index.update(t)
 }
 
+// use sends requests to a target again that was presumed to have left.
+func (f *Fleet) use(t *Target) { t.state, t.departure = Ready, NotLeaving }
+
 func (f *Fleet) remove(now time.Time, id string, outage time.Duration, ch *Change) {
 	t := f.targets[id]
 	if t == nil {
@@ -93,7 +117,7 @@
 		}
 		return
 	}
-	f.markLeaving(now, t, Delisted, ch)
+	f.presumeLeft(now, t, Delisted, f.position, ch)
 }
 
 // PresumeGone treats targets as leaving because their entries are missing, without a notice that they leave. A target whose entry
@@ -113,9 +137,7 @@
 
 func (f *Fleet) presumeGone(now time.Time, t *Target, ch *Change) {
 	t.missingSince = time.Time{}
-	if t.state == Ready {
-		f.markLeaving(now, t, Missing, ch)
-	}
+	f.presumeLeft(now, t, Missing, f.position, ch)
 	f.index.update(t)
 }
 
@@ -175,7 +197,7 @@
 	defer f.mu.Unlock()
 	var ch Change
 	if t := f.targets[id]; t != nil && (born == 0 || born >= t.Born) {
-		f.markLeaving(now, t, Announced, &ch)
+		f.announceLeaving(now, t, &ch)
 	}
 	return ch
 }
@@ -205,26 +227,6 @@
 	}
 }
 
-// LeftTarget is an incarnation of a target that has left.
-type LeftTarget struct {
-	ID   string
-	Born int64 // as in Info
-}
-
-// LeftSince lists the targets that announced leaving, or were removed from the list, after a time; presumed departures are left out.
-func (f *Fleet) LeftSince(at time.Time) []LeftTarget {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []LeftTarget
-	f.index.leftSince(at, func(t *Target) bool {
-		if t.departure != Missing {
-			out = append(out, LeftTarget{ID: t.ID, Born: t.Born})
-		}
-		return true
-	})
-	return out
-}
-
 // settleTime is how long a list read for the first time may lack live targets: targets whose entries expired during a store outage write
 // them again within OutageGrace.
 const settleTime = OutageGrace + 500*time.Millisecond
--- a/lib/gateway/gateway_test.go
+++ b/lib/gateway/gateway_test.go
@@ -16,7 +16,7 @@
 
 var testNames = Names{
 	RequestID: "Id", Deadline: "Left", Key: "Key", Workspace: "Ws", Expect: "For", NotRun: "Not-Run", Seal: "Seal",
-	Load: "Load", Limit: "Limit", Brittle: "Brittle", LastEvent: "Last", Tokens: "Tokens", Hint: "Hint", Urgency: "Rank", Reserved: []string{"Ws", "For", "Rank"},
+	Load: "Load", Limit: "Limit", Brittle: "Brittle", Leaving: "Leaving", LastEvent: "Last", Tokens: "Tokens", Hint: "Hint", Urgency: "Rank", Reserved: []string{"Ws", "For", "Rank"},
 }
 
 func newTestGateway() *Gateway {
--- a/lib/gateway/notice.go
+++ b/lib/gateway/notice.go
@@ -56,7 +56,7 @@
 	if v := strings.TrimSpace(h.Get(g.Names.Leaving)); v == "" || v == "0" || g.OnLeaving == nil {
 		return
 	}
-	if g.Fleet.IsLeaving(target.ID) {
+	if g.Fleet.DepartureOf(target.ID) == fleet.Announced {
 		return
 	}
 	g.Log.TargetLeaving(target)
--- a/lib/gateway/notice_test.go
+++ b/lib/gateway/notice_test.go
@@ -113,3 +113,21 @@
 	g.Fleet.Apply(time.Now(), []fleet.Info{target}, nil, 0)
 	must.False(t, g.Fleet.InBackoff(time.Now(), "t"))
 }
+
+// A target whose entry is gone says in a response that it leaves. Its notice must be reported, or its entry, written once more meanwhile, would bring it
+// back at the other instances.
+func TestDelistedTargetAnnouncesLeaving(t *testing.T) {
+	g := newTestGateway()
+	target := fleet.Info{ID: "t", Service: "s"}
+	g.Fleet.Apply(time.Now(), []fleet.Info{target}, nil, 0)
+	g.Fleet.Apply(time.Now(), nil, []string{"t"}, 0)
+	reported := 0
+	g.OnLeaving = func(t fleet.Info) {
+		reported++
+		g.Fleet.MarkLeaving(time.Now(), t.ID, t.Born)
+	}
+	for range 2 {
+		g.ReadNotices(target, &wirehttp.Response{Status: 200, Header: http.Header{"Seal": {"s"}, "Leaving": {"1"}}}, time.Now())
+	}
+	must.Eq(t, 1, reported)
+}
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -51,7 +51,9 @@
 	p.feeds.settings = p.replica(settingsTable, p.applySettings).
 		WithRetention(feed.Retention{Period: settingsRetention, WriteSeq: p.site.SettingsWriteSeq})
 	p.feeds.targets = p.replica(targetsTable, p.applyTargets).
-		WithRetention(feed.Retention{Period: fleet.OutageGrace, WriteSeq: p.site.TargetWriteSeq})
+		WithRetention(feed.Retention{
+			Period: fleet.OutageGrace, HiddenPeriod: p.cfg.TargetTTL + fleet.OutageGrace, WriteSeq: p.site.TargetWriteSeq,
+		})
 	p.feeds.instances = p.replica(instancesTable, p.applyInstances).WithRetention(feed.Retention{Period: instancesRetention})
 	p.feeds.refusals = p.replica(refusalsTable, p.applyRefusals).WithRetention(feed.Retention{Period: refusalsRetention})
 }
@@ -185,11 +187,13 @@
 			continue
 		}
 		p.refused.markReadable(row.Key)
+		info.Written = feed.PositionOf(u.Era, row.Version)
 		entries = append(entries, info)
 	}
 	p.fleet.MarkUnreadable(unreadable)
 	p.observeSoftware(entries)
 	now := time.Now()
+	p.fleet.SetPosition(u.Position())
 	p.onFleetChange(p.fleet.PresumeGone(now, lapsed))
 	p.onFleetChange(p.fleet.Apply(now, entries, removed, u.Outage))
 	p.onFleetChange(p.fleet.Drop(now, u.Dropped))
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -93,7 +93,7 @@
 			return owner.ByShard(shardOf, p.gate.Runs(), p.gate.HeldMemory())
 		},
 		MoveLink: p.gate.MoveLink,
-		OnLeft:   p.markLeaving,
+		OnLeft:   func(t fleet.LeftTarget) bool { return p.applyLeaving(p.fleet.MarkLeft(time.Now(), t)) },
 
 		OnRestarted:    func(id string, born int64) { p.onFleetChange(p.fleet.MarkRestarted(time.Now(), id, born)) },
 		OnGranted:      func(t fleet.Info) { p.onFleetChange(p.fleet.Grant(time.Now(), t)) },
@@ -117,17 +117,16 @@
 	return nil
 }
 
-// markLeaving records that an incarnation of a target is leaving, and reports whether that was not known before.
-func (p *Process) markLeaving(id string, born int64) bool {
-	ch := p.fleet.MarkLeaving(time.Now(), id, born)
+// applyLeaving reacts to a notice that a target is leaving, and reports whether that was not known before.
+func (p *Process) applyLeaving(ch fleet.Change) bool {
 	p.onFleetChange(ch)
-	return len(ch.Leaving) > 0
+	return len(ch.Leaving)+len(ch.Confirmed) > 0
 }
 
 // onTargetLeaving records that a target has announced its leaving in a response to this instance, and notifies the other instances: while
 // the store is unavailable they have no other source.
 func (p *Process) onTargetLeaving(t fleet.Info) {
-	if p.markLeaving(t.ID, t.Born) {
+	if p.applyLeaving(p.fleet.MarkLeaving(time.Now(), t.ID, t.Born)) {
 		p.link.NotifyLeaving(t)
 	}
 }
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -54,6 +54,8 @@
 
 	Grace time.Duration // from SIGTERM to the kill
 
+	TargetTTL time.Duration // after which the platform removes the entry of a target that writes nothing
+
 	Network Network // connects to other instances
 
 	// All instances together may retry RetryRatio of a service's requests, plus RetryFloor, in each RetryWindow.
--- a/lib/ownerlink/call.go
+++ b/lib/ownerlink/call.go
@@ -174,9 +174,15 @@
 	layout := l.layout.Load()
 	left := make(map[*owner.Shard][]*ownerpb.Left)
 	for _, e := range engines {
-		if s := layout.ShardOf(e); s != nil {
-			left[s] = append(left[s], &ownerpb.Left{Target: e.ID, Born: e.Born})
+		s := layout.ShardOf(e)
+		if s == nil {
+			continue
+		}
+		told := left[s]
+		if t, ok := l.Fleet.Left(e.ID); ok {
+			told = append(told, encodeLeft(t))
 		}
+		left[s] = told // also without any: the owner may have a plan
 	}
 	reports := l.reports()
 	var steps []moveplan.Step
--- a/lib/ownerlink/heartbeat.go
+++ b/lib/ownerlink/heartbeat.go
@@ -91,7 +91,7 @@
 	left := l.Fleet.LeftSince(now.Add(-leftAnnouncedFor))
 	out := make([]*ownerpb.Left, min(maxLeftPerHeartbeat, len(left)))
 	for i := range out {
-		out[i] = &ownerpb.Left{Target: left[i].ID, Born: left[i].Born}
+		out[i] = encodeLeft(left[i])
 	}
 	return out
 }
@@ -168,6 +168,6 @@
 		Instance: d.Instance, Incarnation: d.Incarnation, Cold: b.Cold, Leaving: b.Leaving, Fills: fills,
 	})
 	for _, e := range b.Left {
-		l.OnLeft(e.Target, e.Born)
+		l.OnLeft(decodeLeft(e))
 	}
 }
--- a/lib/ownerlink/left.go
+++ b/lib/ownerlink/left.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"anvilwick.example/anvilwick/lib/feed"
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/ownerpb"
 )
@@ -10,7 +11,7 @@
 // NotifyLeaving reports a target that has announced in an answer that it leaves to its owner, which informs all instances. Otherwise
 // each of them would send it a request before receiving the announcement from the target.
 func (l *Link) NotifyLeaving(t fleet.Info) {
-	left := &ownerpb.Left{Target: t.ID, Born: t.Born}
+	left := encodeLeft(fleet.LeftTarget{ID: t.ID, Born: t.Born, Cause: fleet.Announced})
 	s := l.layout.Load().PermitShard(t)
 	if s == nil {
 		return
@@ -40,10 +41,10 @@
 	var left []*ownerpb.Left
 	named := make(map[string]bool)
 	addIfLeft := func(target string) {
-		t, known := l.Fleet.Info(target)
-		if known && !named[t.ID] && l.Fleet.IsLeaving(t.ID) && !l.Fleet.IsPresumedGone(t.ID) {
+		t, ok := l.Fleet.Left(target)
+		if ok && t.Cause != fleet.Missing && !named[t.ID] {
 			named[t.ID] = true
-			left = append(left, &ownerpb.Left{Target: t.ID, Born: t.Born})
+			left = append(left, encodeLeft(t))
 		}
 	}
 	for _, run := range r.Runs {
@@ -72,6 +73,23 @@
 	}
 }
 
+func encodeLeft(t fleet.LeftTarget) *ownerpb.Left {
+	return &ownerpb.Left{
+		Target: t.ID, Born: t.Born, Presumed: t.Cause == fleet.Delisted || t.Cause == fleet.Missing,
+		ListEra: t.ListedOut.Era, ListVersion: t.ListedOut.Version,
+	}
+}
+
+func decodeLeft(e *ownerpb.Left) fleet.LeftTarget {
+	cause := fleet.Announced
+	if e.Presumed {
+		cause = fleet.Delisted
+	}
+	return fleet.LeftTarget{
+		ID: e.Target, Born: e.Born, Cause: cause, ListedOut: feed.Position{Era: e.ListEra, Version: e.ListVersion},
+	}
+}
+
 // handleLeft applies another instance's observation, and forwards it to all instances if requested.
 func (l *Link) handleLeft(body *ownerpb.LeftTold) {
 	for _, e := range body.GetLeft() {
@@ -79,7 +97,7 @@
 			l.OnRestarted(e.Target, e.Born)
 			continue
 		}
-		if l.OnLeft(e.Target, e.Born) && body.PassOn {
+		if l.OnLeft(decodeLeft(e)) && body.PassOn {
 			l.broadcast(l.newLeftDatagram(e))
 		}
 	}
--- a/lib/ownerlink/link.go
+++ b/lib/ownerlink/link.go
@@ -71,7 +71,7 @@
 	// MoveLink returns the links over which a service's engines copy runs; ok is false when they do not copy.
 	MoveLink func(service string) (link moveplan.Link, ok bool)
 	// OnLeft receives targets that another instance saw leaving, and reports whether that is new here.
-	OnLeft func(id string, born int64) bool
+	OnLeft func(fleet.LeftTarget) bool
 	// OnRestarted receives targets that another instance saw restarted.
 	OnRestarted func(id string, born int64)
 	// OnGranted receives targets that owners selected for this instance, if it holds a part of the target list.
--- a/lib/ownerlink/link_test.go
+++ b/lib/ownerlink/link_test.go
@@ -62,11 +62,11 @@
 		MoveLink: func(string) (moveplan.Link, bool) {
 			return moveplan.Link{TokensPerSecond: 10_000, CrossDomainFactor: 2}, true
 		},
-		OnLeft: func(id string, _ int64) bool {
-			if _, known := m.knownLeft.LoadOrStore(id, true); known {
+		OnLeft: func(t fleet.LeftTarget) bool {
+			if _, known := m.knownLeft.LoadOrStore(t.ID, true); known {
 				return false
 			}
-			m.left <- id
+			m.left <- t.ID
 			return true
 		},
 		OnBlames: func(*ownerpb.Blames) { m.blamed.Add(1) },
@@ -247,6 +247,7 @@
 	first := members[s.Ranked[0].Name]
 	eventually(t, func() bool { return first.Fleet.KnownState(time.Now(), "e0").Load.Runs == 2 })
 	e0, _ := first.Fleet.Info("e0")
+	first.Fleet.MarkLeaving(time.Now(), "e0", 0)
 	first.PlanLeaving([]fleet.Info{e0})
 	steps, err := requester.RequestMoves(t.Context(), []fleet.Info{e0})
 	must.NoError(t, err)
--- a/lib/ownerlink/moves.go
+++ b/lib/ownerlink/moves.go
@@ -64,11 +64,10 @@
 	var left []*ownerpb.Left
 	ids := make(map[string]bool, len(engines))
 	for _, e := range engines {
-		if l.Fleet.IsPresumedGone(e.ID) {
-			continue // others detect the missing entry themselves, and would take this for the engine's own announcement
+		if t, ok := l.Fleet.Left(e.ID); ok && t.Cause != fleet.Missing {
+			left = append(left, encodeLeft(t))
+			ids[e.ID] = true
 		}
-		left = append(left, &ownerpb.Left{Target: e.ID, Born: e.Born})
-		ids[e.ID] = true
 	}
 	if len(left) == 0 {
 		return
@@ -99,7 +98,7 @@
 	}
 	l.Coordinator.Report(now, decodeReport(d, req.Report))
 	for _, e := range req.Left {
-		l.OnLeft(e.Target, e.Born)
+		l.OnLeft(decodeLeft(e))
 	}
 	l.mu.Lock()
 	p := l.plans[s.Key]
