--- a/lib/entry/guards.go
+++ b/lib/entry/guards.go
@@ -62,7 +62,10 @@
 func (s *Server) checkPrefixes(g *generation) *result.Error {
 	now := s.now()
 	v := s.opts.Prefixes.Check(now, g.service.Name, g.completion.Model, g.prefixes)
-	if !v.Refused || v.ProbeDue && s.opts.Prefixes.TakeProbe(now, v.Conviction) {
+	if !v.Refused {
+		return s.checkTrials(now, g)
+	}
+	if v.ProbeDue && s.opts.Prefixes.TakeProbe(now, v.Conviction) {
 		return nil
 	}
 	err := result.New(result.Poisoned, "engines died under prompts with the same beginning: prefixes=%s deaths=%d", v.Conviction.Name(), v.Conviction.Deaths)
@@ -70,6 +73,17 @@
 	return err
 }
 
+// checkTrials refuses a generation whose prompt begins as those do that may kill engines, while another one finds out.
+func (s *Server) checkTrials(now time.Time, g *generation) *result.Error {
+	wait, held := s.opts.Prefixes.Held(now, g.service.Name, g.completion.Model, g.prefixes, nil)
+	if !held {
+		return nil
+	}
+	err := result.New(result.Poisoned, "engines died under prompts with the same beginning, and another request with it is under way")
+	err.RetryAfter = max(time.Second, wait)
+	return err
+}
+
 // pause waits for d or until ctx is done.
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
@@ -142,7 +156,7 @@
 // reportAttemptToPoison reports an attempt's end to the poison table. Every attempt that was running reports the death;
 // the table counts it once.
 func (s *Server) reportAttemptToPoison(g *generation, c *target.Client, ran poison.Run, prefixes *poison.SegmentRun, reason sched.EndReason) {
-	prefixes.End()
+	prefixes.End(s.now())
 	switch reason {
 	case sched.EndCompleted:
 		s.opts.Poison.Finished(s.now(), ran)
--- a/lib/entry/run.go
+++ b/lib/entry/run.go
@@ -194,7 +194,7 @@
 	g.log(log.Debug(), "attempt_start").Str("target", grant.Target).Uint32("attempt", number).Msg("")
 	s.refreshIncarnation(c)
 	ran := s.opts.Poison.Started(grant.Target, g.subject.Fingerprint)
-	prefixes := s.opts.Prefixes.Begin(g.service.Name, g.completion.Model, g.prefixes, func() {})
+	prefixes := s.opts.Prefixes.Begin(s.now(), g.service.Name, g.completion.Model, g.prefixes, func() {})
 	r := &attemptRun{server: s, g: g, client: c, number: number, priority: grant.Priority, ticket: ticket}
 	end := r.execute()
 	g.fenceAttempt()
--- a/lib/gateway/call.go
+++ b/lib/gateway/call.go
@@ -29,6 +29,7 @@
 	host      string
 	header    http.Header // forwarded to targets, without the headers that are set for each send
 	body      []byte
+	begun     bool // its caller has a part of the answer, or an engine keeps its memory
 	arrived   time.Time
 	deadline  time.Time // the caller's deadline
 	limit     time.Time // the earlier of the deadline and the route's timeout
@@ -105,7 +106,7 @@
 	c.service = c.route.PickService(rand.Float64())
 	c.engine = t.Service(c.service).Engine
 	g.readHeaders(r, c)
-	if ref := g.checkSegments(c); ref != nil {
+	if ref := g.checkSegments(c, nil); ref != nil {
 		return c, ref
 	}
 	return c, g.checkPoison(c)
--- a/lib/gateway/plain.go
+++ b/lib/gateway/plain.go
@@ -46,7 +46,7 @@
 		if !ok {
 			break
 		}
-		if ref := g.checkSegments(c); ref != nil {
+		if ref := g.checkSegments(c, nil); ref != nil {
 			g.Fleet.Release(time.Now(), target.ID, fleet.Load{}, fleet.Abandoned)
 			g.refuse(w, c, *ref)
 			return
--- a/lib/gateway/poison.go
+++ b/lib/gateway/poison.go
@@ -53,14 +53,14 @@
 	}
 	return &execution{
 		content:  g.poison.Started(target.ID, c.contentHash),
-		segments: g.segments.Begin(c.service, c.model, c.segments, cancel),
+		segments: g.segments.Begin(time.Now(), c.service, c.model, c.segments, cancel),
 	}
 }
 
 // endExecution records how a call's execution on a target ended. A broken one is blamed on its content only if the target has
 // died: connections and targets also fail for reasons unrelated to the content.
 func (g *Gateway) endExecution(c *call, run *execution, x *exchange, finished, broke bool) {
-	run.segments.End()
+	run.segments.End(time.Now())
 	switch {
 	case finished && x.resp.CloseDelimited():
 		// The end of the connection may be the target's crash.
--- a/lib/gateway/run.go
+++ b/lib/gateway/run.go
@@ -18,6 +18,7 @@
 	headSent    bool   // the response's head has been sent to the caller
 	lastID      string // id of the last event that the caller has
 	events      int
+	refused     refusal          // why it was not sent; zero: it was
 	firstAt     time.Time        // when the head was sent
 	lastEventAt time.Time        // when the last event was forwarded
 	lastKnown   fleet.KnownState // state of the target assumed when it was chosen
--- a/lib/gateway/segments.go
+++ b/lib/gateway/segments.go
@@ -28,12 +28,20 @@
 // segmentsRefusal has no Retry-After: the request will not be served when it returns.
 var segmentsRefusal = refusal{status: http.StatusServiceUnavailable, reason: reasonSegments}
 
-// checkSegments refuses a call whose prompt has segments that crash the targets that begin it. A call that is a probe may run once.
-func (g *Gateway) checkSegments(c *call) *refusal {
-	v := g.segments.Check(time.Now(), c.service, c.model, c.segments)
-	if !v.Refused || c.probe && c.sends == 0 {
+// reasonHeld is the reason of refusals for segments that may crash targets, while another request finds out.
+const reasonHeld = "segment_on_trial"
+
+// checkSegments refuses a call whose prompt has segments that crash the targets that begin it, or may do so. A call that is a probe may run once. self is
+// the call's run; nil: it has none yet.
+func (g *Gateway) checkSegments(c *call, self *poison.SegmentRun) *refusal {
+	now := time.Now()
+	v := g.segments.Check(now, c.service, c.model, c.segments)
+	if c.probe && c.sends == 0 {
 		return nil
 	}
+	if !v.Refused {
+		return g.checkTrials(now, c, self)
+	}
 	if v.ProbeDue && c.sends == 0 && !c.mayHaveRun && g.acquireProbe(v.Conviction) {
 		c.probe = true
 		return nil
@@ -41,6 +49,19 @@
 	return &segmentsRefusal
 }
 
+// checkTrials refuses a call of which nothing has been sent to the caller yet while one of its segments is on trial. A stream that has begun goes on: it
+// is not what crashes targets that begin it.
+func (g *Gateway) checkTrials(now time.Time, c *call, self *poison.SegmentRun) *refusal {
+	if c.begun || c.continues() {
+		return nil
+	}
+	wait, held := g.segments.Held(now, c.service, c.model, c.segments, self)
+	if !held {
+		return nil
+	}
+	return &refusal{status: http.StatusServiceUnavailable, after: c.boundWait(wait), reason: reasonHeld}
+}
+
 func (g *Gateway) acquireProbe(v poison.Conviction) bool {
 	if g.Probes == nil {
 		return false
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -133,8 +133,11 @@
 			return placement{}, false
 		}
 	case endRefused:
+		if r.refused.reason == "" {
+			r.refused = segmentsRefusal // convicted while it ran
+		}
 		r.c.mayHaveRun = r.c.mayHaveRun || x.sent
-		r.giveUp(ctx, reasonSegments)
+		r.giveUp(ctx, r.refused.reason)
 		return placement{}, true
 	case endMoved:
 		to = r.awaitHandoff()
@@ -192,7 +195,9 @@
 		r.leave(e, x)
 		r.g.endExecution(r.c, x.run, x, e == endComplete, e == endBroken)
 	}()
-	if r.g.checkSegments(r.c) != nil {
+	r.c.begun = r.headSent || to.copyFrom != ""
+	if ref := r.g.checkSegments(r.c, x.run.segments); ref != nil {
+		r.refused = *ref
 		e = endRefused
 		return e, x
 	}
@@ -313,8 +318,8 @@
 		r.g.refuse(r.w, r.c, refusal{status: http.StatusGatewayTimeout, reason: "time_limit"})
 	case r.c.mayHaveRun:
 		r.g.refuse(r.w, r.c, refusal{status: http.StatusBadGateway, reason: reason})
-	case reason == reasonSegments:
-		r.g.refuse(r.w, r.c, segmentsRefusal)
+	case reason == r.refused.reason:
+		r.g.refuse(r.w, r.c, r.refused)
 	default:
 		r.g.refuse(r.w, r.c, r.c.unavailable(reason))
 	}
--- a/lib/guardlink/segments_test.go
+++ b/lib/guardlink/segments_test.go
@@ -14,11 +14,11 @@
 func TestSegmentRecordsReachAllEntries(t *testing.T) {
 	procs := startAll(t, 3, limit.DefaultConfig)
 	for _, p := range procs {
-		p.segs.Begin("s", "m", []uint64{1}, func() {}).Survive(time.Now())
+		p.segs.Begin(time.Now(), "s", "m", []uint64{1}, func() {}).Survive(time.Now())
 		go p.segs.JudgeUntilDone(t.Context())
 	}
 	for i, p := range procs {
-		run := p.segs.Begin("s", "m", []uint64{1, 66}, func() {})
+		run := p.segs.Begin(time.Now(), "s", "m", []uint64{1, 66}, func() {})
 		run.EngineDied(time.Now(), poison.Death{ID: uint64(i + 1), Address: uint64(i + 1)})
 		time.Sleep(2 * poison.DefaultSegmentConfig.BurstSpan)
 	}
--- a/lib/poison/judge.go
+++ b/lib/poison/judge.go
@@ -22,11 +22,17 @@
 			fresh.remove(v)
 		}
 	}
-	out := t.explain(now, fresh, fresh, t.convictsNew)
-	for _, v := range out {
+	t.reached = nil
+	t.explain(now, fresh, fresh, t.convictsNew)
+	for _, v := range t.reached {
 		known.remove(v)
 	}
-	return append(out, t.explain(now, known, fresh, t.convictsKnown)...)
+	known.removeSuspected(fresh, t.cfg.NewDeaths)
+	t.explain(now, known, fresh, t.convictsKnown)
+	t.updateTrials(now, fresh)
+	out := t.reached
+	t.reached = nil
+	return out
 }
 
 // extend adds the deaths that a conviction explains to what it rests on.
@@ -51,7 +57,7 @@
 		if now.Sub(d.reported) < t.cfg.SettleTime || now.Sub(d.at) >= t.cfg.Window {
 			continue
 		}
-		for c := range d.candidates() {
+		for c := range d.suspects {
 			into := fresh
 			if at := t.known.last(now, c); !at.IsZero() {
 				into = known
@@ -68,14 +74,16 @@
 	return fresh, known
 }
 
-// candidates returns the segments that the death may be due to: those whose runs the engine had begun, or all if that is known of none.
-func (d *segmentDeath) candidates() map[Cause]bool {
-	begun := maps.Clone(d.causes)
-	maps.DeleteFunc(begun, func(_ Cause, b bool) bool { return !b })
-	if len(begun) > 0 {
-		return begun
+// removeSuspected removes the deaths that speak against a segment of fresh with at least n deaths: whether that one is to blame is open.
+func (e evidence) removeSuspected(fresh evidence, n int) {
+	for _, suspected := range fresh {
+		if len(suspected) < n {
+			continue
+		}
+		for _, deaths := range e {
+			maps.DeleteFunc(deaths, func(id uint64, _ *segmentDeath) bool { return suspected[id] != nil })
+		}
 	}
-	return d.causes
 }
 
 // remove removes the deaths that a conviction explains.
@@ -88,47 +96,66 @@
 // explains reports whether a death was under a run with all segments of the conviction.
 func (v *Conviction) explains(d *segmentDeath) bool {
 	return !slices.ContainsFunc(v.Segments, func(s uint64) bool {
-		_, ok := d.causes[Cause{Service: v.Service, Model: v.Model, Segment: s}]
-		return !ok
+		return d.suspects[Cause{Service: v.Service, Model: v.Model, Segment: s}] == nil
 	})
 }
 
-// explain convicts, one after the other, the segments that explain the most deaths that are not explained yet.
-func (t *SegmentTable) explain(now time.Time, e, fresh evidence, enough func(time.Time, Cause, map[uint64]*segmentDeath, evidence) bool) []*Conviction {
-	var out []*Conviction
+// enoughFunc reports whether deaths convict a segment.
+type enoughFunc func(now time.Time, c Cause, deaths map[uint64]*segmentDeath, fresh evidence) bool
+
+// explain adds to reached, one after the other, convictions of the segments that explain the most deaths that are not explained yet. One that explains more deaths, but not
+// by more than chance, such as one that all requests share, does not keep others from being convicted.
+func (t *SegmentTable) explain(now time.Time, e, fresh evidence, enough enoughFunc) {
 	for {
-		best, ok := e.heaviest()
-		if !ok || !enough(now, best, e[best], fresh) {
-			return out
+		c, ok := t.heaviest(now, e, fresh, enough)
+		if !ok {
+			return
 		}
-		v := e.conviction(best)
-		out = append(out, v)
+		v := e.conviction(c, func(o Cause) bool { return enough(now, o, e[o], fresh) })
+		t.reached = append(t.reached, v)
 		e.remove(v)
 	}
 }
 
-// heaviest returns the segment with the most deaths.
-func (e evidence) heaviest() (best Cause, ok bool) {
+// heaviest returns the segment with the most deaths of those that they convict. Of several with as many deaths it is the one that is there least by
+// chance, then the one of which most runs had begun.
+func (t *SegmentTable) heaviest(now time.Time, e, fresh evidence, enough enoughFunc) (best Cause, ok bool) {
+	bestChance := 0.0
 	for c, deaths := range e {
-		if len(deaths) == 0 {
+		if len(deaths) < t.cfg.NewDeaths || len(deaths) < len(e[best]) || !enough(now, c, deaths, fresh) {
 			continue
 		}
-		if n := len(e[best]); !ok || len(deaths) > n || len(deaths) == n && c.less(best) {
-			best, ok = c, true
+		chance, _ := t.coincidence(now, c, deaths)
+		if !ok || cmp.Or(
+			cmp.Compare(len(e[best]), len(deaths)), cmp.Compare(chance, bestChance),
+			cmp.Compare(e.begun(best), e.begun(c)), c.compare(best),
+		) < 0 {
+			best, bestChance, ok = c, chance, true
 		}
 	}
 	return best, ok
 }
 
-func (c Cause) less(o Cause) bool {
-	return cmp.Or(cmp.Compare(c.Service, o.Service), cmp.Compare(c.Model, o.Model), cmp.Compare(c.Segment, o.Segment)) < 0
+// begun counts the deaths of a segment in which a response with it had begun.
+func (e evidence) begun(c Cause) int {
+	n := 0
+	for _, d := range e[c] {
+		if d.suspects[c].begun {
+			n++
+		}
+	}
+	return n
+}
+
+func (c Cause) compare(o Cause) int {
+	return cmp.Or(cmp.Compare(c.Service, o.Service), cmp.Compare(c.Model, o.Model), cmp.Compare(c.Segment, o.Segment))
 }
 
-// conviction returns the conviction of a segment together with those that the same deaths speak against.
-func (e evidence) conviction(c Cause) *Conviction {
+// conviction returns the conviction of a segment together with those that the same deaths speak against as strongly.
+func (e evidence) conviction(c Cause, enough func(Cause) bool) *Conviction {
 	v := &Conviction{Service: c.Service, Model: c.Model, Deaths: len(e[c])}
 	for o, deaths := range e {
-		if o.Service == c.Service && o.Model == c.Model && sameDeaths(deaths, e[c]) {
+		if o.Service == c.Service && o.Model == c.Model && sameDeaths(deaths, e[c]) && (o == c || e.begun(o) >= e.begun(c) && enough(o)) {
 			v.Segments = append(v.Segments, o.Segment)
 		}
 	}
@@ -154,21 +181,34 @@
 	return true
 }
 
-// convictsNew reports whether deaths convict a segment that has never survived: engines must have survived other runs.
+// convictsNew reports whether deaths convict a segment that has never survived. Engines must have survived other runs; as long as they have not, its
+// presence at the deaths must be beyond chance.
 func (t *SegmentTable) convictsNew(now time.Time, c Cause, deaths map[uint64]*segmentDeath, fresh evidence) bool {
-	return t.weigh(deaths) >= t.deathsNeeded(now, c, fresh, t.cfg.NewDeaths) && addresses(deaths) >= t.cfg.MinAddresses &&
-		t.contrast(c, now.Add(-t.cfg.Window)) > 0
+	if !t.mayCrash(now, c, deaths, fresh) {
+		return false
+	}
+	chance, known := t.coincidence(now, c, deaths)
+	return !known || chance <= maxChance
 }
 
 // convictsKnown reports whether deaths convict a segment that had survived: meanwhile, other runs must survive on.
 func (t *SegmentTable) convictsKnown(now time.Time, c Cause, deaths map[uint64]*segmentDeath, fresh evidence) bool {
+	if t.weigh(deaths) < t.deathsNeeded(now, c, fresh, t.cfg.KnownDeaths) || addresses(deaths) < t.cfg.MinAddresses {
+		return false
+	}
+	chance, known := t.coincidence(now, c, deaths)
+	return t.contrast(c, firstDeath(deaths)) >= t.cfg.KnownContrast && (!known || chance <= maxChance)
+}
+
+// firstDeath returns the time of the first of some deaths.
+func firstDeath(deaths map[uint64]*segmentDeath) time.Time {
 	first := time.Time{}
 	for _, d := range deaths {
 		if first.IsZero() || d.at.Before(first) {
 			first = d.at
 		}
 	}
-	return t.weigh(deaths) >= t.deathsNeeded(now, c, fresh, t.cfg.KnownDeaths) && addresses(deaths) >= t.cfg.MinAddresses && t.contrast(c, first) >= t.cfg.KnownContrast
+	return first
 }
 
 // weigh counts deaths, of each burst at most MaxBurstDeaths.
--- a/lib/poison/segmentgossip.go
+++ b/lib/poison/segmentgossip.go
@@ -14,6 +14,7 @@
 	RecordDeath      RecordKind = iota + 1 // an engine died under a run with the segments
 	RecordSurvival                         // a run with the segments has survived
 	RecordConviction                       // requests with all of the segments are refused
+	RecordControl                          // how common the segments are among the runs of an instance that had runs on a dead engine
 )
 
 // SegmentRecord is what instances exchange. Merging is idempotent.
@@ -22,7 +23,13 @@
 	Service, Model string
 	Segments       []uint64
 	At             time.Time // of the death, the survival, or the conviction's last death
-	Death          Death     // RecordDeath
+
+	// Of a death.
+	Death    Death
+	RunAge   time.Duration // of the run, from its start to its end
+	Reporter uint64        // the instance; 0: a build that does not say
+	Runs     int           // how many runs of the reporter on the engine have been reported so far
+	Controls []Controls    // RecordControl: of each segment
 
 	Deaths, Probes int       // RecordConviction
 	ProbeAt        time.Time // RecordConviction
@@ -60,6 +67,17 @@
 	o.signal()
 }
 
+// addControl queues controls in place of older ones for the same segments of a death.
+func (o *outbox) addControl(rec SegmentRecord) {
+	for i, old := range o.records {
+		if old.Kind == RecordControl && old.Death.ID == rec.Death.ID && slices.Equal(old.Segments, rec.Segments) {
+			o.records[i] = rec
+			return
+		}
+	}
+	o.add(rec)
+}
+
 // offerSurvival queues a survival unless one that is about as new has been reported.
 func (o *outbox) offerSurvival(c Cause, at time.Time) {
 	if at.Sub(o.reported[c]) < survivalInterval {
@@ -99,10 +117,7 @@
 	out := t.outbox.records
 	t.outbox.records = nil
 	for _, c := range slices.SortedFunc(maps.Keys(t.outbox.survivals), func(a, b Cause) int {
-		if a.less(b) {
-			return -1
-		}
-		return 1
+		return a.compare(b)
 	}) {
 		at := t.outbox.survivals[c]
 		out = append(out, SegmentRecord{Kind: RecordSurvival, Service: c.Service, Model: c.Model, Segments: []uint64{c.Segment}, At: at})
@@ -142,6 +157,8 @@
 	switch rec.Kind {
 	case RecordDeath:
 		t.recordDeath(now, rec)
+	case RecordControl:
+		t.mergeControls(rec)
 	case RecordSurvival:
 		for _, s := range rec.Segments {
 			c := Cause{Service: rec.Service, Model: rec.Model, Segment: s}
--- a/lib/poison/segments.go
+++ b/lib/poison/segments.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -52,7 +53,10 @@
 	failed  map[serviceModel]*outcomes // runs that a death ended
 	runs    map[*SegmentRun]struct{}
 	refused []*Conviction
+	reached []*Conviction // by the judgement that is going on
+	trials  map[Cause]*trial
 	settled time.Time // when the last report has settled; zero: nothing to judge
+	id      uint64    // of this table, among its peers
 	outbox  outbox
 	changes chan SegmentChange
 	pending chan struct{} // a report waits to be judged
@@ -65,13 +69,23 @@
 	at       time.Time
 	reported time.Time // when the last segment was added
 	address  uint64
-	causes   map[Cause]bool // the engine had begun a run with it
+	suspects map[Cause]*suspect
+	runs     map[uint64]int // by reporting instance: how many of its runs, none of which had survived, were on the engine
+}
+
+// suspect is what speaks for and against a segment as the cause of a death.
+type suspect struct {
+	runs     int                 // with it
+	begun    bool                // the response of a run with it had begun
+	age      time.Duration       // of the oldest run with it, from its start
+	controls map[uint64]Controls // by reporting instance
 }
 
 // NewSegmentTable returns an empty SegmentTable.
 func NewSegmentTable(cfg SegmentConfig) *SegmentTable {
 	return &SegmentTable{
 		cfg: cfg, deaths: make(map[uint64]*segmentDeath), blamed: make(map[Cause]int), known: newSurvivals(cfg.Window, cfg.MaxSurvivals),
+		id: rand.Uint64(), trials: make(map[Cause]*trial),
 		recent: make(map[serviceModel]*outcomes), failed: make(map[serviceModel]*outcomes), runs: make(map[*SegmentRun]struct{}), outbox: newOutbox(),
 		changes: make(chan SegmentChange, cfg.MaxVerdicts), pending: make(chan struct{}, 1),
 	}
@@ -79,17 +93,20 @@
 
 // SegmentRun is one run on an engine, from Begin to End.
 type SegmentRun struct {
-	table    *SegmentTable
-	causes   []Cause
-	survived bool // guarded by table.mu
+	table  *SegmentTable
+	causes []Cause
+	began  time.Time
+
+	survived bool      // guarded by table.mu
+	ended    time.Time // guarded by table.mu; zero: the run has not ended
 
 	mu     sync.Mutex
 	cancel func() // nil: the run has ended
 }
 
 // Begin records that a run is sent to an engine. cancel is called once if its segments are convicted before it has survived.
-func (t *SegmentTable) Begin(service, model string, segments []uint64, cancel func()) *SegmentRun {
-	r := &SegmentRun{table: t, cancel: cancel, causes: make([]Cause, len(segments))}
+func (t *SegmentTable) Begin(now time.Time, service, model string, segments []uint64, cancel func()) *SegmentRun {
+	r := &SegmentRun{table: t, cancel: cancel, began: now, causes: make([]Cause, len(segments))}
 	for i, s := range segments {
 		r.causes[i] = Cause{Service: service, Model: model, Segment: s}
 	}
@@ -132,12 +149,13 @@
 }
 
 // End ends the run without a verdict on it. It is not cancelled any more.
-func (r *SegmentRun) End() {
+func (r *SegmentRun) End(now time.Time) {
 	if len(r.causes) == 0 {
 		return
 	}
 	r.table.mu.Lock()
 	delete(r.table.runs, r)
+	r.ended = now
 	r.table.mu.Unlock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -167,8 +185,15 @@
 	if r.survived || len(r.causes) == 0 {
 		return
 	}
+	delete(t.runs, r)
 	t.recordOutcome(outcome{at: now, causes: r.causes, death: d.ID})
-	rec := SegmentRecord{Kind: RecordDeath, Service: r.causes[0].Service, Model: r.causes[0].Model, Death: d, At: now}
+	rec := SegmentRecord{Kind: RecordDeath, Service: r.causes[0].Service, Model: r.causes[0].Model, Death: d, At: now, Reporter: t.id, Runs: 1}
+	if !r.ended.IsZero() {
+		rec.RunAge = r.ended.Sub(r.began)
+	}
+	if known := t.deaths[d.ID]; known != nil {
+		rec.Runs += known.runs[t.id]
+	}
 	for _, c := range r.causes[:min(len(r.causes), t.cfg.MaxDeathRecords)] {
 		rec.Segments = append(rec.Segments, c.Segment)
 	}
@@ -185,21 +210,25 @@
 	d := t.deaths[rec.Death.ID]
 	if d == nil {
 		t.evictDeaths(now)
-		d = &segmentDeath{at: rec.At, address: rec.Death.Address, causes: make(map[Cause]bool)}
+		d = &segmentDeath{at: rec.At, address: rec.Death.Address, suspects: make(map[Cause]*suspect), runs: make(map[uint64]int)}
 		t.deaths[rec.Death.ID] = d
 		t.oldest = append(t.oldest, rec.Death.ID)
 	}
-	changed := false
+	changed := rec.Runs > d.runs[rec.Reporter]
+	d.runs[rec.Reporter] = max(d.runs[rec.Reporter], rec.Runs)
 	for _, s := range rec.Segments {
 		c := Cause{Service: rec.Service, Model: rec.Model, Segment: s}
-		begun, known := d.causes[c]
-		if !known {
+		known := d.suspects[c]
+		if known == nil {
 			t.blamed[c]++
-		}
-		if !known || rec.Death.Begun && !begun {
-			d.causes[c] = begun || rec.Death.Begun
+			t.extendTrial(now, c)
+			known = &suspect{controls: make(map[uint64]Controls)}
+			d.suspects[c] = known
 			changed = true
 		}
+		if changed {
+			known.observe(rec)
+		}
 		// Whoever has seen the segment survive says so before the death is judged, although that was said before: an instance that has started
 		// since has not heard it.
 		if at := t.known.last(now, c); changed && !at.IsZero() {
@@ -208,6 +237,7 @@
 		}
 	}
 	if changed {
+		t.compare(now, d, rec)
 		d.reported = now
 		t.settled = now.Add(t.cfg.SettleTime)
 		select {
@@ -221,7 +251,7 @@
 // evictDeaths removes deaths older than the window, and the oldest one when the table is full.
 func (t *SegmentTable) evictDeaths(now time.Time) {
 	for len(t.oldest) > 0 && (len(t.oldest) >= t.cfg.MaxDeaths || now.Sub(t.deaths[t.oldest[0]].reported) >= t.cfg.Window) {
-		for c := range t.deaths[t.oldest[0]].causes {
+		for c := range t.deaths[t.oldest[0]].suspects {
 			if t.blamed[c]--; t.blamed[c] <= 0 {
 				delete(t.blamed, c)
 			}
--- a/lib/poison/segments_test.go
+++ b/lib/poison/segments_test.go
@@ -24,8 +24,10 @@
 
 func newPeers(n int) *peers {
 	p := &peers{now: time.Unix(1e6, 0), delay: 50 * time.Millisecond}
-	for range n {
-		p.tables = append(p.tables, NewSegmentTable(DefaultSegmentConfig))
+	for i := range n {
+		t := NewSegmentTable(DefaultSegmentConfig)
+		t.id = uint64(i + 1)
+		p.tables = append(p.tables, t)
 	}
 	return p
 }
@@ -54,21 +56,21 @@
 }
 
 func (p *peers) begin(i int, segments ...uint64) *SegmentRun {
-	return p.tables[i].Begin("s", "m", segments, func() {})
+	return p.tables[i].Begin(p.now, "s", "m", segments, func() {})
 }
 
 // survive runs a request to its end.
 func (p *peers) survive(i int, segments ...uint64) {
 	r := p.begin(i, segments...)
 	r.Survive(p.now)
-	r.End()
+	r.End(p.now)
 }
 
 // die runs requests, each at an instance, on an engine that dies.
 func (p *peers) die(engine uint64, runs ...*SegmentRun) {
 	for _, r := range runs {
 		r.EngineDied(p.now, Death{ID: engine, Address: engine, Begun: true})
-		r.End()
+		r.End(p.now)
 	}
 }
 
@@ -229,11 +231,11 @@
 	p.survive(0, 1)
 	cancelled := make(chan string, 3)
 	begin := func(name string, segments ...uint64) *SegmentRun {
-		return p.tables[0].Begin("s", "m", segments, func() { cancelled <- name })
+		return p.tables[0].Begin(p.now, "s", "m", segments, func() { cancelled <- name })
 	}
 	begin("bad", 1, 66)
 	begin("other", 1)
-	begin("ended", 66).End()
+	begin("ended", 66).End(p.now)
 	for engine := range uint64(3) {
 		p.die(engine, p.begin(0, 1, 66))
 		p.step(time.Second)
@@ -381,8 +383,8 @@
 func (s *site) crash(e int) {
 	s.boots++
 	for _, r := range s.engines[e] {
+		r.End(s.now)
 		r.EngineDied(s.now, Death{ID: s.boots, Address: uint64(e), Begun: true})
-		r.End()
 	}
 	s.engines[e] = nil
 }
--- a/lib/poison/survivals.go
+++ b/lib/poison/survivals.go
@@ -106,10 +106,10 @@
 
 // explained reports whether a death may be due to a segment, or is due to convicted ones.
 func (t *SegmentTable) explained(d *segmentDeath, c Cause) bool {
-	if _, ok := d.causes[c]; ok {
+	if d.suspects[c] != nil {
 		return true
 	}
-	return slices.ContainsFunc(t.refused, func(v *Conviction) bool { return v.explains(d) })
+	return t.isExplained(d)
 }
 
 // heavyOther reports whether a death speaks against another new segment with as many deaths as convict one.
--- /dev/null
+++ b/lib/poison/trial_test.go
@@ -0,0 +1,70 @@
+package poison
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func (p *peers) held(i int, segments ...uint64) bool {
+	_, held := p.tables[i].Held(p.now, "s", "m", segments, nil)
+	return held
+}
+
+// suspect lets engines die under runs with a segment, while so many others are alive that the deaths prove nothing yet.
+func (p *peers) suspect(segment uint64) {
+	p.survive(0, 1)
+	for range 10 {
+		p.begin(0, 1, segment)
+		p.begin(0, 1, 2)
+	}
+	for engine := range uint64(3) {
+		p.die(engine, p.begin(0, 1, segment))
+		p.step(time.Second)
+	}
+}
+
+// A segment that may crash engines is tried by one run at a time. Sent on as fast as it comes, it crashed all engines before there was any proof.
+func TestSuspectIsTriedOneAtATime(t *testing.T) {
+	p := newPeers(1)
+	p.suspect(66)
+	must.False(t, p.refuses(0, 66))
+	must.True(t, p.held(0, 1, 66))
+	must.False(t, p.held(0, 1, 2))
+}
+
+// A run of a suspect that survives ends its trial at all instances.
+func TestSurvivalEndsTrial(t *testing.T) {
+	p := newPeers(1)
+	p.suspect(66)
+	must.True(t, p.held(0, 66))
+	p.survive(0, 66)
+	p.die(9, p.begin(0, 1, 3))
+	p.step(time.Second)
+	must.False(t, p.held(0, 66))
+}
+
+// Each further death of a run on trial lengthens the pause before the next one.
+func TestTrialPausesGrow(t *testing.T) {
+	p := newPeers(1)
+	p.suspect(66)
+	c := Cause{Service: "s", Model: "m", Segment: 66}
+	last := time.Duration(0)
+	for engine := range uint64(3) {
+		p.die(20+engine, p.begin(0, 1, 66))
+		pause := p.tables[0].trials[c].pause
+		must.Greater(t, last, pause)
+		last = pause
+	}
+	must.LessEq(t, maxTrialPause, last)
+}
+
+// Bystanders are on dead engines as often as their share says; a crashing segment is there more often. The probability decides.
+func TestBinomialTail(t *testing.T) {
+	must.InDelta(t, 1, binomialTail(5, 0, 0.3), 1e-9)
+	must.InDelta(t, 0.3, binomialTail(1, 1, 0.3), 1e-9)
+	must.InDelta(t, 0.028, binomialTail(3, 3, 0.3)+binomialTail(3, 4, 0.3)+0.001, 1e-9)
+	must.Eq(t, 0, binomialTail(3, 4, 0.3))
+	must.InDelta(t, 1, binomialTail(3, 3, 1), 1e-6)
+}
