Segments: with too few runs to compare, a rival that explains as many deaths keeps a segment from being convicted

Cause: where fewer than eight runs could be compared, the old rule alone decided, now with all runs on the engine as suspects; the crashing segment, on more of the dead engines, was still on trial. Evidence: segments_convicted segments=engine/m/f100 deaths=3, 36 requests refused without Retry-After. Change: without a comparison a segment is convicted only if no other explains the same deaths: more of them, or as many with a response begun.

--- a/lib/poison/judge.go
+++ b/lib/poison/judge.go
@@ -188,7 +188,38 @@
 		return false
 	}
 	chance, known := t.coincidence(now, c, deaths)
-	return !known || chance <= maxChance
+	if !known {
+		return !fresh.hasRival(c)
+	}
+	return chance <= maxChance
+}
+
+// hasRival reports whether another segment explains the deaths of c as well: it is there at more deaths, or at as many and its response had begun, too.
+func (e evidence) hasRival(c Cause) bool {
+	for o, deaths := range e {
+		if o == c || len(deaths) < len(e[c]) || !containsDeaths(deaths, e[c]) {
+			continue
+		}
+		if len(deaths) > len(e[c]) || e.begun(o) > 0 && !e.alike(o, c) {
+			return true
+		}
+	}
+	return false
+}
+
+// alike reports whether two segments always came together, in the same runs as far as is known.
+func (e evidence) alike(a, b Cause) bool {
+	return sameDeaths(e[a], e[b]) && e.begun(a) == e.begun(b)
+}
+
+// containsDeaths reports whether all holds each death of some.
+func containsDeaths(all, some map[uint64]*segmentDeath) bool {
+	for id := range some {
+		if all[id] == nil {
+			return false
+		}
+	}
+	return true
 }
 
 // convictsKnown reports whether deaths convict a segment that had survived: meanwhile, other runs must survive on.
