--- a/lib/poison/control.go
+++ b/lib/poison/control.go
@@ -116,7 +116,7 @@
 
 // shareOf returns the share of a segment among the runs that are alive, as far as it may be if the segment crashes nothing: none of few runs says little.
 func (t *SegmentTable) shareOf(c Cause, deaths map[uint64]*segmentDeath) (share float64, known bool) {
-	var any, older Control
+	var whole, older Control
 	ordered := slices.SortedFunc(maps.Values(deaths), func(a, b *segmentDeath) int { return a.at.Compare(b.at) })
 	var last time.Time
 	for _, d := range ordered {
@@ -125,13 +125,13 @@
 		}
 		last = d.at
 		for _, of := range d.suspects[c].controls {
-			any.add(of.Any)
+			whole.add(of.Any)
 			older.add(of.Older)
 		}
 	}
 	compared := older
 	if compared.All < minControls {
-		compared = any
+		compared = whole
 	}
 	with := float64(compared.With) + 2*math.Sqrt(float64(compared.With+1))
 	return min(with/float64(compared.All+2), 1), compared.All >= minControls
