Wording: comments and one reason in usual terms; a test of the binomial tail without a sum of its own

Cause: some new comments and a name used words of ours (tell, finds out); one assertion of TestBinomialTail added a constant to reach its bound. Change: comments, two texts and a variable's name; the assertion compares the value itself, as strict. No change of behaviour. Measured: lib/fleet, gateway, explain, doctest, ownerlink and poison pass (without the simulations and the test of permits, listed).

--- a/lib/entry/guards.go
+++ b/lib/entry/guards.go
@@ -73,7 +73,7 @@
 	return err
 }
 
-// checkTrials refuses a generation whose prompt begins as those do that may kill engines, while another one finds out.
+// checkTrials refuses a generation whose prompt begins as those do that may kill engines, while another one tests that.
 func (s *Server) checkTrials(now time.Time, g *generation) *result.Error {
 	wait, held := s.opts.Prefixes.Held(now, g.service.Name, g.completion.Model, g.prefixes, nil)
 	if !held {
--- a/lib/explain/reasons.go
+++ b/lib/explain/reasons.go
@@ -8,7 +8,7 @@
 	"body_too_long":    "the body exceeds the limit in the settings",
 	"body_cut":         "the caller's body was truncated",
 	"segment_refused":  "its prompt has segments that crash the engines that begin it",
-	"segment_on_trial": "its prompt has segments that may crash engines, and another request was finding out",
+	"segment_on_trial": "its prompt has segments that may crash engines, and another request was testing them",
 	"content_poisoned": "the same content has crashed several targets",
 	"content_settling": "the same content may have crashed a target just now",
 	"no_target":        "no target of the service was ready, or the connections to each were used up",
--- a/lib/fleet/departure.go
+++ b/lib/fleet/departure.go
@@ -35,7 +35,7 @@
 	return NotLeaving
 }
 
-// LeftTarget is an incarnation of a target that has left, as instances tell each other.
+// LeftTarget is an incarnation of a target that has left, as instances report it to each other.
 type LeftTarget struct {
 	ID        string
 	Born      int64 // as in Info
@@ -48,7 +48,7 @@
 	return l.Cause.isPresumed() && l.ListedOut.Before(e.Written)
 }
 
-// Left returns what to tell other instances about a target; ok is false if it does not leave.
+// Left returns the notice about a target for other instances; ok is false if it does not leave.
 func (f *Fleet) Left(id string) (left LeftTarget, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/lib/gateway/segments.go
+++ b/lib/gateway/segments.go
@@ -28,7 +28,7 @@
 // segmentsRefusal has no Retry-After: the request will not be served when it returns.
 var segmentsRefusal = refusal{status: http.StatusServiceUnavailable, reason: reasonSegments}
 
-// reasonHeld is the reason of refusals for segments that may crash targets, while another request finds out.
+// reasonHeld is the reason of refusals for segments that may crash targets, while another request tests them.
 const reasonHeld = "segment_on_trial"
 
 // checkSegments refuses a call whose prompt has segments that crash the targets that begin it, or may do so. A call that is a probe may run once. self is
@@ -49,8 +49,8 @@
 	return &segmentsRefusal
 }
 
-// checkTrials refuses a call of which nothing has been sent to the caller yet while one of its segments is on trial. A stream that has begun goes on: it
-// is not what crashes targets that begin it.
+// checkTrials refuses a call while one of its segments is on trial, unless a part of the response has been sent to the caller: a stream that has begun is
+// not what crashes targets that begin it.
 func (g *Gateway) checkTrials(now time.Time, c *call, self *poison.SegmentRun) *refusal {
 	if c.begun || c.continues() {
 		return nil
--- a/lib/ownerlink/call.go
+++ b/lib/ownerlink/call.go
@@ -178,11 +178,11 @@
 		if s == nil {
 			continue
 		}
-		told := left[s]
+		notices := left[s]
 		if t, ok := l.Fleet.Left(e.ID); ok {
-			told = append(told, encodeLeft(t))
+			notices = append(notices, encodeLeft(t))
 		}
-		left[s] = told // also without any: the owner may have a plan
+		left[s] = notices // also without any: the owner may have a plan
 	}
 	reports := l.reports()
 	var steps []moveplan.Step
--- a/lib/poison/control.go
+++ b/lib/poison/control.go
@@ -46,7 +46,7 @@
 	s.runs++
 }
 
-// compare takes this instance's controls for segments of a death. An instance that had runs on the engine tells them to the others.
+// compare takes this instance's controls for segments of a death. An instance that had runs on the engine sends them to its peers.
 func (t *SegmentTable) compare(now time.Time, d *segmentDeath, rec SegmentRecord) {
 	out := SegmentRecord{Kind: RecordControl, Service: rec.Service, Model: rec.Model, Death: rec.Death, At: rec.At, Reporter: t.id}
 	for _, seg := range rec.Segments {
--- a/lib/poison/trial.go
+++ b/lib/poison/trial.go
@@ -15,7 +15,7 @@
 const maxTrialChance = 0.5
 
 // trial is what holds requests with a suspected segment back. It has never survived and is on each of several dead engines, but may be there by chance:
-// one run at a time finds out, and the others no longer hide which of all segments it is.
+// one run at a time tests that, and fewer of its runs are on engines that others crash.
 type trial struct {
 	pause  time.Duration
 	next   time.Time // no run before
@@ -92,7 +92,7 @@
 	tr.pause = min(2*tr.pause, maxTrialPause)
 }
 
-// draw returns a number in [0, 1) that differs between instances, so that the next run is at one of them and the others hear of its end first.
+// draw returns a number in [0, 1) that differs between instances, so that one of them runs the next and the others receive the report of its end first.
 func (t *SegmentTable) draw(n int) float64 {
 	return float64(DeathID("trial", t.id+uint64(n))) / math.MaxUint64
 }
--- a/lib/poison/trial_test.go
+++ b/lib/poison/trial_test.go
@@ -64,7 +64,7 @@
 func TestBinomialTail(t *testing.T) {
 	must.InDelta(t, 1, binomialTail(5, 0, 0.3), 1e-9)
 	must.InDelta(t, 0.3, binomialTail(1, 1, 0.3), 1e-9)
-	must.InDelta(t, 0.028, binomialTail(3, 3, 0.3)+binomialTail(3, 4, 0.3)+0.001, 1e-9)
+	must.InDelta(t, 0.027, binomialTail(3, 3, 0.3), 1e-9)
 	must.Eq(t, 0, binomialTail(3, 4, 0.3))
 	must.InDelta(t, 1, binomialTail(3, 3, 1), 1e-6)
 }
