--- a/review/_standin2/link.go
+++ b/review/_standin2/link.go
@@ -89,7 +89,10 @@
 		return
 	}
 	go func() {
-		_, _ = io.Copy(c, up)
+		if _, err := io.Copy(c, up); err != nil {
+			reset(c)
+			return
+		}
 		_ = c.Close()
 	}()
 	b := make([]byte, 32<<10)
