--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -7,4 +7,4 @@
 	echo "build first: the deploy file's build, then review/build-2.sh"
 	exit 2
 fi
-exec "$bin" poison "$root" "$here/record.txt"
+exec "$bin" taken "$root" "$here/record.txt"
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -21,6 +21,7 @@
 	"poison": poisonCase,
 	"home":   homeCase,
 	"order":  orderCase,
+	"taken":  takenCase,
 }
 
 func main() {
--- a/review/_standin2/memory.go
+++ b/review/_standin2/memory.go
@@ -21,7 +21,7 @@
 	if n, err := strconv.Atoi(os.Getenv("UPLOADS")); err == nil {
 		return n
 	}
-	return 20
+	return 24
 }
 
 // memoryCase: many consumers send bodies of the permitted size to one machine at the same time. The platform kills a process that exceeds its
