--- a/lib/gateway/call.go
+++ b/lib/gateway/call.go
@@ -29,7 +29,8 @@
 	host      string
 	header    http.Header // forwarded to targets, without the headers that are set for each send
 	body      []byte
-	begun     bool // its caller has a part of the answer, or an engine keeps its memory
+	bodyRead  int64 // bytes of the body that have arrived
+	begun     bool  // its caller has a part of the answer, or an engine keeps its memory
 	arrived   time.Time
 	deadline  time.Time // the caller's deadline
 	limit     time.Time // the earlier of the deadline and the route's timeout
@@ -125,7 +126,7 @@
 	if limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, limit)
 	}
-	b, err := io.ReadAll(body)
+	b, err := io.ReadAll(bodyReader{body, c})
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLong):
@@ -137,6 +138,23 @@
 	return nil
 }
 
+// bodyReader counts the bytes of a body as they arrive, until its call ends.
+type bodyReader struct {
+	io.Reader
+	c *call
+}
+
+// Read implements io.Reader.
+func (r bodyReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.c.bodyRead += int64(n)
+	requestBodyBytes.AddInt64(int64(n))
+	return n, err
+}
+
+// releaseBody ends the count of the call's body.
+func (c *call) releaseBody() { requestBodyBytes.AddInt64(-c.bodyRead) }
+
 func (g *Gateway) readHeaders(r *http.Request, c *call) {
 	c.deadline = c.arrived.Add(g.callerTimeout(r))
 	c.limit = c.deadline
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -233,6 +233,7 @@
 	}
 	g.awaitSettings(r)
 	c, ref := g.accept(w, r)
+	defer c.releaseBody()
 	if ref != nil {
 		g.refuse(w, c, *ref)
 		return
--- a/lib/gateway/metrics.go
+++ b/lib/gateway/metrics.go
@@ -21,6 +21,9 @@
 	metricMoves  = "anvilwick_gateway_moves_total"           // moves of runs, by success
 )
 
+// requestBodyBytes is the size of the bodies of open calls, as far as they have arrived.
+var requestBodyBytes = metrics.NewCounter(`anvilwick_gateway_request_body_bytes`)
+
 // The metrics of calls are labelled by workspace and kind of route. Both come from settings, never from callers, which bounds
 // the number of series.
 
