--- a/lib/gateway/answer.go
+++ b/lib/gateway/answer.go
@@ -27,7 +27,15 @@
 		h.Set("Retry-After", strconv.FormatFloat(ref.after.Seconds(), 'f', 3, 64))
 	}
 	h.Set("Content-Length", "0")
+	if ref.unread == nil {
+		w.WriteHeader(ref.status)
+		return
+	}
+	// The connection can carry no further request. Without full duplex, net/http would read on before it sends the response.
+	h.Set("Connection", "close")
+	_ = http.NewResponseController(w).EnableFullDuplex()
 	w.WriteHeader(ref.status)
+	drain(w, ref.unread)
 }
 
 // unavailable returns a 503 for a request that no target has executed. Retry-After is at most a third of the caller's
--- /dev/null
+++ b/lib/gateway/body.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"time"
+
+	"anvilwick.example/anvilwick/lib/membudget"
+)
+
+const (
+	// retryAfterMemory is the shortest Retry-After for requests whose body the instance has no memory for, and the range of the jitter
+	// added to it: a large body takes some seconds to arrive.
+	retryAfterMemory = time.Second
+	// drainTimeout bounds how long the rest of a rejected body is read, and discarded. Callers that read no response before they have
+	// sent their request would otherwise see a reset connection instead of the rejection.
+	drainTimeout = 5 * time.Second
+)
+
+// readBody reads the whole body: a request is forwarded only once it is complete, with its Content-Length. A body that the instance has no memory for
+// is rejected, before it is read if its length is known.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, c *call, limit int64) *refusal {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil
+	}
+	if limit <= 0 {
+		limit = membudget.NoLimit
+	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(c.limit) // without it a slow body is read until its caller leaves
+	b, err := g.Memory.ReadAll(bodyReader{r.Body, c}, r.ContentLength, limit)
+	switch {
+	case errors.Is(err, membudget.ErrTooLong):
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_long", unread: r.Body}
+	case errors.Is(err, membudget.ErrNoMemory):
+		after := c.boundWait(retryAfterMemory + rand.N(retryAfterMemory))
+		return &refusal{status: http.StatusServiceUnavailable, after: after, reason: "no_memory", unread: r.Body}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &refusal{status: http.StatusRequestTimeout, after: c.boundWait(retryAfterPlain), reason: "body_slow"}
+	case err != nil:
+		return &refusal{status: http.StatusBadRequest, reason: "body_cut"}
+	}
+	_ = rc.SetReadDeadline(time.Time{})
+	c.body = b
+	return nil
+}
+
+// bodyReader counts the bytes of a body as they arrive, until its call ends.
+type bodyReader struct {
+	io.Reader
+	c *call
+}
+
+// Read implements io.Reader.
+func (r bodyReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.c.bodyRead += int64(n)
+	requestBodyBytes.AddInt64(int64(n))
+	return n, err
+}
+
+// releaseBody ends the count of the call's body.
+func (c *call) releaseBody() { requestBodyBytes.AddInt64(-c.bodyRead) }
+
+// drain reads and discards the rest of a body whose request was rejected, after the response was sent.
+func drain(w http.ResponseWriter, body io.Reader) {
+	rc := http.NewResponseController(w)
+	if rc.Flush() != nil || rc.SetReadDeadline(time.Now().Add(drainTimeout)) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, body) // the caller has its response, whatever happens to the rest
+}
--- a/lib/gateway/call.go
+++ b/lib/gateway/call.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -54,6 +53,7 @@
 	status int
 	after  time.Duration // for Retry-After; 0: none
 	reason string
+	unread io.Reader // body of the request, if it was rejected before it was read; nil otherwise
 }
 
 // Retry-After values for requests that no target has executed.
@@ -101,12 +101,12 @@
 			c.priority = *holder.Priority
 		}
 	}
-	if ref := g.readBody(w, r, c, t.Limits.BodyBytes); ref != nil {
-		return c, ref
-	}
 	c.service = c.route.PickService(rand.Float64())
 	c.engine = t.Service(c.service).Engine
 	g.readHeaders(r, c)
+	if ref := g.readBody(w, r, c, t.Limits.BodyBytes); ref != nil {
+		return c, ref
+	}
 	if ref := g.checkSegments(c, nil); ref != nil {
 		return c, ref
 	}
@@ -117,44 +117,6 @@
 // one software version accept it, and its caller has waited already.
 func (c *call) continues() bool { return c.software.ID != 0 }
 
-// readBody reads the whole body: a request is forwarded only once it is complete, with its Content-Length.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, c *call, limit int64) *refusal {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil
-	}
-	body := io.Reader(r.Body)
-	if limit > 0 {
-		body = http.MaxBytesReader(w, r.Body, limit)
-	}
-	b, err := io.ReadAll(bodyReader{body, c})
-	var tooLong *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLong):
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_long"}
-	case err != nil:
-		return &refusal{status: http.StatusBadRequest, reason: "body_cut"}
-	}
-	c.body = b
-	return nil
-}
-
-// bodyReader counts the bytes of a body as they arrive, until its call ends.
-type bodyReader struct {
-	io.Reader
-	c *call
-}
-
-// Read implements io.Reader.
-func (r bodyReader) Read(p []byte) (int, error) {
-	n, err := r.Reader.Read(p)
-	r.c.bodyRead += int64(n)
-	requestBodyBytes.AddInt64(int64(n))
-	return n, err
-}
-
-// releaseBody ends the count of the call's body.
-func (c *call) releaseBody() { requestBodyBytes.AddInt64(-c.bodyRead) }
-
 func (g *Gateway) readHeaders(r *http.Request, c *call) {
 	c.deadline = c.arrived.Add(g.callerTimeout(r))
 	c.limit = c.deadline
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -19,6 +19,7 @@
 
 	"anvilwick.example/anvilwick/lib/admit"
 	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/membudget"
 	"anvilwick.example/anvilwick/lib/moveplan"
 	"anvilwick.example/anvilwick/lib/owner"
 	"anvilwick.example/anvilwick/lib/poison"
@@ -83,7 +84,9 @@
 	Fleet   *fleet.Fleet
 	Pool    *wirehttp.Pool
 	Budget  *retry.InstanceBudget
-	Log     Log
+	// Memory grants the buffers for bodies and events; nil: there is no limit.
+	Memory *membudget.Budget
+	Log    Log
 	// OnLeaving is called for a target whose response says that it is leaving; may be nil.
 	OnLeaving func(t fleet.Info)
 	// Links knows which of this instance's own links to targets are lost; nil: none is.
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -24,6 +24,7 @@
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/gateway"
 	"anvilwick.example/anvilwick/lib/logline"
+	"anvilwick.example/anvilwick/lib/membudget"
 	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/owner"
 	"anvilwick.example/anvilwick/lib/ownerlink"
@@ -187,7 +188,8 @@
 	p.retryBudget = retry.NewInstanceBudget(cfg.RetryRatio, cfg.RetryFloor, cfg.RetryWindow)
 	p.gate = gateway.New(gateway.Config{
 		Names: site.Names, Engines: site.Engines, Fleet: p.fleet, Pool: site.Pool, Budget: p.retryBudget,
-		Log: gateway.Log{Version: p.version, Era: p.era.Load}, OnLeaving: p.onTargetLeaving, Links: p.dialer,
+		Memory: membudget.New(int64(cfg.MemoryMB) << 20),
+		Log:    gateway.Log{Version: p.version, Era: p.era.Load}, OnLeaving: p.onTargetLeaving, Links: p.dialer,
 	})
 	site.SetResponseHook(p.gate.ReadNotices)
 	if err := p.openOwnerLink(); err != nil {
