Heads of responses are bounded: a target that sends without end no longer ends an instance

Callers saw: all requests at an instance lost, again and again, while one target answered with bytes that never end.

Cause: http.ReadResponse bounds neither the status line nor the header, so that lib/wirehttp kept all that came. Bodies of answers to other requests were kept as well before they were dropped.

Fix: a reader between connection and buffer gives at most 64 KiB while a head is read (also a proxy's answer to CONNECT); skipped bodies are not kept. All responses that an instance reads pass there: targets, control calls, store.

--- a/lib/wirehttp/conn.go
+++ b/lib/wirehttp/conn.go
@@ -90,7 +90,8 @@
 // Conn is a connection to one target, used for one exchange at a time.
 type Conn struct {
 	nc           net.Conn
-	rd           *bufio.Reader
+	in           *headReader
+	rd           *bufio.Reader // of in
 	addr         string
 	used         bool        // it has carried an exchange before
 	unusable     atomic.Bool // it must not carry another exchange; set concurrently by a cancelled request
@@ -103,7 +104,8 @@
 func NewConn(nc net.Conn, addr string) *Conn { return newConn(nc, addr) }
 
 func newConn(nc net.Conn, addr string) *Conn {
-	return &Conn{nc: nc, rd: bufio.NewReaderSize(nc, readBufferSize), addr: addr}
+	in := newHeadReader(nc)
+	return &Conn{nc: nc, in: in, rd: bufio.NewReaderSize(in, readBufferSize), addr: addr}
 }
 
 // SetDeadline sets the deadline of all pending and future reads and writes.
@@ -178,7 +180,7 @@
 		if got := resp.Header.Get(idHeader); idHeader == "" || got == id || got == "" && resp.Status >= 300 {
 			return resp, nil
 		}
-		if err := resp.discard(); err != nil {
+		if err := resp.Discard(unexpectedBodyLimit); err != nil {
 			c.unusable.Store(true)
 			return nil, &SendError{MaybeSent: true, Err: errors.Join(ErrUnexpectedResponse, err)}
 		}
@@ -191,7 +193,9 @@
 }
 
 func (c *Conn) receive(method string) (*Response, error) {
+	c.in.setLimited(true)
 	r, err := http.ReadResponse(c.rd, &http.Request{Method: method})
+	c.in.setLimited(false)
 	if err != nil {
 		return nil, err
 	}
@@ -199,6 +203,9 @@
 		return nil, ErrStatus
 	}
 	framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
+	if method == http.MethodHead {
+		r.ContentLength = 0 // the header states the length that the body would have
+	}
 	return &Response{
 		Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, conn: c, body: r.Body, connectionClose: r.Close, framed: framed,
 	}, nil
--- a/lib/wirehttp/connect.go
+++ b/lib/wirehttp/connect.go
@@ -35,7 +35,9 @@
 	if _, err := fmt.Fprintf(nc, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n\r\n", addr, addr); err != nil {
 		return err
 	}
-	r := bufio.NewReader(nc)
+	in := newHeadReader(nc)
+	in.setLimited(true)
+	r := bufio.NewReader(in)
 	resp, err := http.ReadResponse(r, &http.Request{Method: http.MethodConnect})
 	switch {
 	case err != nil:
--- a/lib/wirehttp/response.go
+++ b/lib/wirehttp/response.go
@@ -62,8 +62,12 @@
 // unexpectedBodyLimit bounds, in bytes, a response to another request that is skipped.
 const unexpectedBodyLimit = 1 << 20
 
-func (r *Response) discard() error {
-	_, err := r.ReadAll(unexpectedBodyLimit)
+// Discard reads a whole body of at most limit bytes without keeping it.
+func (r *Response) Discard(limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(r, limit+1))
+	if err == nil && n > limit {
+		err = ErrBodyTooLarge
+	}
 	return err
 }
 
