Plain answers get memory from the budget; what does not fit is forwarded as it arrives

Each answer of up to 16 MiB was held whole, with as much again while its buffer grew, until its caller had read it; no bound on the sum.

Fix: an answer is buffered up to 4 MiB as far as the budget grants it; otherwise head and body are forwarded as they arrive, up to 16 MiB, and cut visibly when the target breaks off: it can't be replaced by another target's any more, which is what buffering is for. Answers that are not forwarded (not run, faulty) are read without being kept. An answer over 16 MiB without a length used to be 502 after all of it had been read; it is now forwarded up to that and cut.

--- a/lib/gateway/log.go
+++ b/lib/gateway/log.go
@@ -165,6 +165,11 @@
 	l.line(log.Warn(), "cut", e).Str("target", target).Str("reason", reason).Int("events", events).Msg("")
 }
 
+// AnswerCut logs a response that was forwarded as it arrived and broke off.
+func (l Log) AnswerCut(e entry, target string, err error) {
+	l.line(log.Warn(), "answer_cut", e).Str("target", target).Err(err).Msg("")
+}
+
 // EventsRepeated logs events dropped because the caller has them; last is the id of the newest of those.
 func (l Log) EventsRepeated(e entry, target, last string, n int) {
 	l.line(log.Warn(), "events_repeated", e).Str("target", target).Str("last_event", last).Int("events", n).Msg("")
--- a/lib/gateway/plain.go
+++ b/lib/gateway/plain.go
@@ -16,8 +16,6 @@
 	dialTimeout = 250 * time.Millisecond
 	// maxDials bounds the unsuccessful connection attempts for one call.
 	maxDials = 4
-	// answerLimit bounds the size of a response that is buffered before it is forwarded, in bytes.
-	answerLimit = 16 << 20
 	// firstAttemptShare is the share of the remaining time after which an attempt without a response is abandoned, if the call
 	// may be repeated: the rest is needed for another target.
 	firstAttemptShare = 0.4
@@ -35,9 +33,12 @@
 	direct  bool   // it went over this instance's own link, not by way of a peer
 	via     string // peer by way of which it went
 	whole   bool   // the stream ended between two events and without an error
+
+	forwarded  bool // a part of the response to a plain request has been sent to the caller
+	callerLeft bool // and the caller accepts no more
 }
 
-// servePlain serves a call with a single response, which is read completely before any of it is forwarded.
+// servePlain serves a call with a single response, which is read completely before any of it is forwarded, unless it is too large for that.
 func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, c *call) {
 	var last *exchange
 	dials := 0
@@ -54,10 +55,10 @@
 		lastKnown := g.Fleet.KnownState(time.Now(), target.ID)
 		sendCtx, cancel := context.WithCancel(ctx)
 		run := g.beginExecution(c, target, cancel)
-		x := g.send(sendCtx, c, target, c.route.MayRepeat() && c.sends+1 < c.route.MaxAttempts)
+		x := g.send(sendCtx, w, c, target)
 		convicted := sendCtx.Err() != nil && ctx.Err() == nil
 		cancel()
-		g.endExecution(c, run, x, x.verdict == verdictGood, x.sent && x.err != nil && ctx.Err() == nil && !convicted)
+		g.endExecution(c, run, x, x.verdict == verdictGood, x.sent && x.err != nil && ctx.Err() == nil && !convicted && !x.callerLeft)
 		c.tried[target.ID] = true
 		outcome := g.judge(target, x.outcome(ctx), x.direct)
 		g.Fleet.Release(time.Now(), target.ID, fleet.Load{}, outcome)
@@ -66,6 +67,10 @@
 		}
 		g.Log.Sent(c.entry(), target, lastKnown, x.via, x.statusCode(), x.verdict.String(), x.err)
 		c.count(metricSent, "outcome", x.verdict.String())
+		if x.forwarded {
+			g.finishForwarded(c, x)
+			return
+		}
 		if !x.sent {
 			if ctx.Err() != nil {
 				break
@@ -117,8 +122,8 @@
 	return g.mayRepeat(c)
 }
 
-// send sends the call to one target and reads the whole response. With keepTime it leaves time for another attempt.
-func (g *Gateway) send(ctx context.Context, c *call, target fleet.Info, keepTime bool) *exchange {
+// send sends the call to one target and reads the whole response. If the call may be repeated, it leaves time for another attempt.
+func (g *Gateway) send(ctx context.Context, w http.ResponseWriter, c *call, target fleet.Info) *exchange {
 	x := &exchange{target: target, verdict: verdictFaulty}
 	conn, err := g.connect(ctx, target)
 	if err != nil {
@@ -126,8 +131,8 @@
 		return x
 	}
 	x.direct, x.via = isDirect(conn), viaOf(conn)
-	abandon := func() {}
-	if keepTime {
+	abandon, callCtx := func() {}, ctx
+	if c.route.MayRepeat() && c.sends+1 < c.route.MaxAttempts {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(firstAttemptShare*float64(c.timeLeft(time.Now()))))
 		defer cancel()
@@ -142,7 +147,12 @@
 	if x.err == nil {
 		x.verdict = g.classify(x.resp)
 		g.ReadNotices(target, x.resp, sentAt)
-		x.body, x.err = x.resp.ReadAll(answerLimit)
+		x.err = g.readAnswer(x, func() error {
+			if stop() { // there will be no other attempt
+				stop = context.AfterFunc(callCtx, conn.Close)
+			}
+			return g.forwardAnswer(w, x)
+		})
 		if x.err != nil {
 			// A truncated response proves nothing, whatever its head says.
 			x.verdict = verdictFaulty
@@ -186,7 +196,7 @@
 // outcome classifies the exchange for the target's health.
 func (x *exchange) outcome(ctx context.Context) fleet.Outcome {
 	switch {
-	case ctx.Err() != nil && x.err != nil:
+	case x.err != nil && (ctx.Err() != nil || x.callerLeft):
 		return fleet.Abandoned
 	case !x.sent:
 		return fleet.Unreachable
@@ -222,10 +232,14 @@
 	}
 }
 
-// writeAnswer forwards a complete response.
-func (g *Gateway) writeAnswer(w http.ResponseWriter, c *call, x *exchange) {
+func (g *Gateway) recordAnswered(c *call, x *exchange) {
 	g.Log.Answered(c.entry(), x.target.ID, x.resp.Status, time.Since(c.arrived))
 	c.observe(metricAnswer)
+}
+
+// writeAnswer forwards a complete response.
+func (g *Gateway) writeAnswer(w http.ResponseWriter, c *call, x *exchange) {
+	g.recordAnswered(c, x)
 	g.copyHead(w, x.resp.Header)
 	w.Header().Set("Content-Length", strconv.Itoa(len(x.body)))
 	w.WriteHeader(x.resp.Status)
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -282,8 +282,7 @@
 	case verdictNotRun:
 		return endNotRun
 	case verdictFailure:
-		x.body, x.err = x.resp.ReadAll(answerLimit)
-		if x.err != nil {
+		if x.err = r.g.readAnswer(x, nil); x.err != nil {
 			return endBroken
 		}
 		return endFailure
