Buffers for events come from the budget, and a large one is not kept

A target that begins an event without ending it was read up to 1 MiB on each stream, some 130 streams exceed an instance. TestEventWithoutMemoryIsAnError, TestBufferOfLargeEventIsNotKept (each fails without the change: the buffer had no budget, and stayed as large as its largest event).

--- a/lib/gateway/events.go
+++ b/lib/gateway/events.go
@@ -4,22 +4,34 @@
 	"bytes"
 	"errors"
 	"strconv"
+
+	"anvilwick.example/anvilwick/lib/membudget"
 )
 
 // eventLimit bounds the size of one event of a stream, in bytes.
 const eventLimit = 1 << 20
 
-var errEventTooLong = errors.New("gateway: event too long")
+// keptEventBuffer is the size in bytes of the largest buffer that is kept for the next events.
+const keptEventBuffer = 64 << 10
+
+// Errors of events that can't be buffered.
+var (
+	errEventTooLong  = errors.New("gateway: event too long")
+	errEventNoMemory = errors.New("gateway: no memory for an event")
+)
 
 // eventBuffer splits a byte stream into complete events. Only complete events are forwarded: a target may fail in the middle
 // of one, and the resumed run starts after the last event that the caller has.
 type eventBuffer struct {
-	buf []byte
+	memory *membudget.Budget
+	buf    []byte
 }
 
 // add appends bytes and returns the events completed so far, their count and the id of the last one.
 func (e *eventBuffer) add(p []byte) (whole []byte, n int, lastID string, err error) {
-	e.buf = append(e.buf, p...)
+	if !e.append(p) {
+		return nil, 0, "", errEventNoMemory
+	}
 	end := 0
 	for {
 		size := eventEnd(e.buf[end:])
@@ -36,10 +48,32 @@
 		return nil, 0, "", errEventTooLong
 	}
 	whole = bytes.Clone(e.buf[:end])
-	e.buf = append(e.buf[:0], e.buf[end:]...)
+	e.keep(e.buf[end:])
 	return whole, n, lastID, nil
 }
 
+// append appends bytes to the buffer, and reports false if the instance has no memory for them.
+func (e *eventBuffer) append(p []byte) bool {
+	if need := len(e.buf) + len(p); need > cap(e.buf) {
+		grown, ok := e.memory.Alloc(int64(max(2*cap(e.buf), need)))
+		if !ok {
+			return false
+		}
+		e.buf = append(grown[:0], e.buf...)
+	}
+	e.buf = append(e.buf, p...)
+	return true
+}
+
+// keep keeps the rest of the buffer.
+func (e *eventBuffer) keep(rest []byte) {
+	if cap(e.buf) > keptEventBuffer && len(rest) <= keptEventBuffer/2 {
+		e.buf = bytes.Clone(rest)
+		return
+	}
+	e.buf = append(e.buf[:0], rest...)
+}
+
 // incomplete reports whether the stream stopped within an event.
 func (e *eventBuffer) incomplete() bool { return len(e.buf) > 0 }
 
--- a/lib/gateway/events_test.go
+++ b/lib/gateway/events_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
+
+	"anvilwick.example/anvilwick/lib/membudget"
 )
 
 // However a stream is split into reads, all events come out complete and in order, and no partial event does.
@@ -53,6 +55,36 @@
 	must.ErrorIs(t, err, errEventTooLong)
 }
 
+// Guards against targets that begin large events on many streams, each within its limit: together they exceed the memory.
+func TestEventWithoutMemoryIsAnError(t *testing.T) {
+	const limit = 100 << 20
+	e := eventBuffer{memory: membudget.NewOf(limit, fullMemory{limit})} // room for small buffers
+	_, _, _, err := e.add(make([]byte, 32<<10))
+	must.NoError(t, err)
+	for range 3 {
+		if _, _, _, err = e.add(make([]byte, 32<<10)); err != nil {
+			break
+		}
+	}
+	must.ErrorIs(t, err, errEventNoMemory)
+}
+
+// Guards against streams that keep the buffer of one large event to their end.
+func TestBufferOfLargeEventIsNotKept(t *testing.T) {
+	var e eventBuffer
+	event := "data: " + strings.Repeat("x", 500<<10) + "\n\n"
+	whole, n, _, err := e.add([]byte(event + "id: 2"))
+	must.NoError(t, err)
+	must.Eq(t, 1, n)
+	must.True(t, string(whole) == event)
+	must.LessEq(t, keptEventBuffer, cap(e.buf))
+	whole, n, id, err := e.add([]byte("\ndata: b\n\n"))
+	must.NoError(t, err)
+	must.Eq(t, 1, n)
+	must.Eq(t, "2", id)
+	must.Eq(t, "id: 2\ndata: b\n\n", string(whole))
+}
+
 // A target repeats events that the caller has. Only those are dropped; ids that are not numeric define no order, so nothing is
 // dropped for them.
 func TestSeenEventsAreDropped(t *testing.T) {
--- a/lib/gateway/relay.go
+++ b/lib/gateway/relay.go
@@ -33,7 +33,7 @@
 
 // relay forwards complete events as they arrive.
 func (r *run) relay(x *exchange) end {
-	var events eventBuffer
+	events := eventBuffer{memory: r.g.Memory}
 	var clock eventClock
 	var firstOutput time.Time
 	p := make([]byte, 4<<10)
