Connections, workspaces and slow bodies within the memory budget

New connections are closed unread while there is no memory for them (callers connect elsewhere); an owner holds at most three quarters of the memory for large buffers; a body must arrive at 64 KiB/s on average after 10 s.

TestConnectionsBeyondTheMemoryAreClosed, TestOwnerLeavesLargeBuffersToOthers, TestAdmittedBytesCount.

--- a/lib/gateway/body.go
+++ b/lib/gateway/body.go
@@ -18,6 +18,12 @@
 	// drainTimeout bounds how long the rest of a rejected body is read, and discarded. Callers that read no response before they have
 	// sent their request would otherwise see a reset connection instead of the rejection.
 	drainTimeout = 5 * time.Second
+	// minBodyRate is the average rate, in bytes a second, below which a body is given up after bodyGrace: callers may state any time, and its
+	// memory is held meanwhile.
+	minBodyRate = 64 << 10
+	bodyGrace   = 10 * time.Second
+	// maxPacedBody bounds the length, in bytes, for which that rate grants time.
+	maxPacedBody = 64 << 20
 )
 
 // readBody reads the whole body: a request is forwarded only once it is complete, with its Content-Length. A body that the instance has no memory for
@@ -30,8 +36,9 @@
 		limit = membudget.NoLimit
 	}
 	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(c.limit) // without it a slow body is read until its caller leaves
-	b, err := g.Memory.ReadAll(bodyReader{r.Body, c}, r.ContentLength, limit)
+	_ = rc.SetReadDeadline(c.bodyDeadline(r.ContentLength, limit)) // without it a slow body is read until its caller leaves
+	c.memory = g.Memory.Account(c.workspace)
+	b, err := c.memory.ReadAll(bodyReader{r.Body, c}, r.ContentLength, limit)
 	switch {
 	case errors.Is(err, membudget.ErrTooLong):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_long", unread: r.Body}
@@ -62,8 +69,26 @@
 	return n, err
 }
 
-// releaseBody ends the count of the call's body.
-func (c *call) releaseBody() { requestBodyBytes.AddInt64(-c.bodyRead) }
+// releaseBody ends the use of the call's body.
+func (c *call) releaseBody() {
+	requestBodyBytes.AddInt64(-c.bodyRead)
+	if c.memory != nil {
+		c.memory.Close()
+	}
+}
+
+// bodyDeadline returns when a body of a stated length, or of up to limit bytes, must have arrived: within the call's time, and at
+// minBodyRate on average.
+func (c *call) bodyDeadline(stated, limit int64) time.Time {
+	if stated < 0 {
+		stated = limit
+	}
+	atRate := c.arrived.Add(bodyGrace + time.Duration(min(stated, maxPacedBody)/minBodyRate)*time.Second)
+	if atRate.Before(c.limit) {
+		return atRate
+	}
+	return c.limit
+}
 
 // drain reads and discards the rest of a body whose request was rejected, after the response was sent.
 func drain(w http.ResponseWriter, body io.Reader) {
--- a/lib/gateway/call.go
+++ b/lib/gateway/call.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/membudget"
 	"anvilwick.example/anvilwick/lib/rendezvous"
 	"anvilwick.example/anvilwick/lib/routes"
 	"anvilwick.example/anvilwick/lib/wirehttp"
@@ -28,8 +29,9 @@
 	host      string
 	header    http.Header // forwarded to targets, without the headers that are set for each send
 	body      []byte
-	bodyRead  int64 // bytes of the body that have arrived
-	begun     bool  // its caller has a part of the answer, or an engine keeps its memory
+	bodyRead  int64              // bytes of the body that have arrived
+	memory    *membudget.Account // of the body; nil: it has none
+	begun     bool               // its caller has a part of the answer, or an engine keeps its memory
 	arrived   time.Time
 	deadline  time.Time // the caller's deadline
 	limit     time.Time // the earlier of the deadline and the route's timeout
--- /dev/null
+++ b/lib/gatewayproc/admission_test.go
@@ -0,0 +1,46 @@
+package gatewayproc
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/membudget"
+)
+
+// usedMemory is a memory of which a part is in use.
+type usedMemory int64
+
+func (m usedMemory) InUse() int64 { return int64(m) }
+func (m usedMemory) Collect()     {}
+
+// Guards against connections whose sum exceeds the memory: those beyond it are closed at once, and the caller sees that nothing was read.
+func TestConnectionsBeyondTheMemoryAreClosed(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = ln.Close() })
+		memory := usedMemory(0)
+		if full {
+			memory = 100 << 20
+		}
+		l := admittingListener{ln, membudget.NewOf(100<<20, memory)}
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "accepted")
+				_ = c.Close()
+			}
+		}()
+		c, err := net.Dial("tcp", ln.Addr().String())
+		must.NoError(t, err)
+		got, err := io.ReadAll(c)
+		must.NoError(t, err)
+		must.Eq(t, !full, string(got) == "accepted")
+	}
+}
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -306,7 +306,7 @@
 	}
 	front := p.front
 	p.mu.Unlock()
-	if err := front.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := front.Serve(admittingListener{ln, p.gate.Memory}); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("gatewayproc: callers: %w", err)
 	}
 	return nil
--- /dev/null
+++ b/lib/membudget/account.go
@@ -0,0 +1,59 @@
+package membudget
+
+import "io"
+
+// ownerShare is the part of the memory for large buffers that one owner may hold: the others must find some.
+const ownerShare = 0.75
+
+// Account requests the buffers of one call on behalf of an owner. It is not safe for concurrent use.
+type Account struct {
+	b     *Budget
+	owner string
+	held  int64 // bytes of its large buffers
+}
+
+// Account returns an account of an owner. Close it when its buffers are no longer used.
+func (b *Budget) Account(owner string) *Account { return &Account{b: b, owner: owner} }
+
+// Alloc is like Budget.Alloc. It also refuses a large buffer if the owner's accounts hold too many.
+func (a *Account) Alloc(n int64) (buf []byte, ok bool) {
+	if a.b == nil || n <= smallBuffer {
+		return a.b.Alloc(n)
+	}
+	ok = a.b.grant(func() bool {
+		if !a.withinShare(n) || !a.b.add(n) {
+			return false
+		}
+		a.b.held[a.owner] += n
+		a.b.heldTotal += n
+		a.held += n
+		buf = make([]byte, n)
+		return true
+	})
+	return buf, ok
+}
+
+// withinShare reports whether the owner may hold n bytes more. b.mu must be held.
+func (a *Account) withinShare(n int64) bool {
+	all := a.b.free(n) + a.b.heldTotal
+	return float64(a.b.held[a.owner]+n) <= ownerShare*float64(all)
+}
+
+// ReadAll is like Budget.ReadAll, with Alloc.
+func (a *Account) ReadAll(r io.Reader, expected, limit int64) ([]byte, error) {
+	return readAll(a, r, expected, limit)
+}
+
+// Close ends the account.
+func (a *Account) Close() {
+	if a.held == 0 {
+		return
+	}
+	a.b.mu.Lock()
+	defer a.b.mu.Unlock()
+	a.b.heldTotal -= a.held
+	if a.b.held[a.owner] -= a.held; a.b.held[a.owner] == 0 {
+		delete(a.b.held, a.owner)
+	}
+	a.held = 0
+}
--- a/lib/membudget/budget.go
+++ b/lib/membudget/budget.go
@@ -1,5 +1,5 @@
 // Package membudget decides whether a process has memory for data whose size its peers choose: bodies of requests and
-// responses, events.
+// responses, events, connections.
 //
 // A process that exceeds its memory is killed, with all requests that it carries. Each peer's data may be within its own
 // limit while the sum is not, so that each buffer for such data is requested here. What is refused is the caller's to answer
@@ -26,15 +26,15 @@
 	smallShare = 0.7
 	// smallBuffer is the size in bytes of the largest buffer that counts as small.
 	smallBuffer = 64 << 10
-	// measureInterval is how long a measurement is used; buffers allocated since are added to it.
+	// measureInterval is how long a measurement is used; what was granted since is added to it.
 	measureInterval = 50 * time.Millisecond
 	// collectInterval is the shortest time between two collections that a refusal would cause.
 	collectInterval = 500 * time.Millisecond
 )
 
 var (
-	allocated = vm.NewCounter(`anvilwick_memory_buffer_bytes_total`)
-	refused   = vm.NewCounter(`anvilwick_memory_buffers_refused_total`)
+	granted = vm.NewCounter(`anvilwick_memory_granted_bytes_total`)
+	refused = vm.NewCounter(`anvilwick_memory_refused_total`)
 )
 
 // Memory measures the memory of the process and frees what is not in use.
@@ -45,7 +45,7 @@
 	Collect()
 }
 
-// Budget grants buffers. It is safe for concurrent use. A nil Budget grants every buffer.
+// Budget grants memory. It is safe for concurrent use. A nil Budget grants everything.
 type Budget struct {
 	limit  int64 // bytes at which the process is killed
 	memory Memory
@@ -53,7 +53,9 @@
 	mu         sync.Mutex
 	measured   int64 // bytes in use at measuredAt
 	measuredAt time.Time
-	added      int64 // bytes of the buffers granted since
+	added      int64            // bytes granted since
+	held       map[string]int64 // bytes of the large buffers of open accounts, by owner
+	heldTotal  int64
 
 	collecting  sync.Mutex
 	collectedAt time.Time // guarded by collecting
@@ -68,44 +70,68 @@
 }
 
 // NewOf returns a budget of limit bytes of a memory.
-func NewOf(limit int64, memory Memory) *Budget { return &Budget{limit: limit, memory: memory} }
+func NewOf(limit int64, memory Memory) *Budget {
+	return &Budget{limit: limit, memory: memory, held: make(map[string]int64)}
+}
 
 // Alloc returns a buffer of n bytes; ok is false if the process has no memory for it.
 func (b *Budget) Alloc(n int64) (buf []byte, ok bool) {
 	if b == nil {
 		return make([]byte, n), true
 	}
-	if buf, ok = b.tryAlloc(n); ok {
-		return buf, true
+	ok = b.grant(func() bool {
+		if !b.add(n) {
+			return false
+		}
+		buf = make([]byte, n) // before the next measurement, which would miss it otherwise
+		return true
+	})
+	return buf, ok
+}
+
+// Admit reports whether the process has memory for n bytes more that it will use soon.
+func (b *Budget) Admit(n int64) bool {
+	return b == nil || b.grant(func() bool { return b.add(n) })
+}
+
+// grant reports whether try succeeds, which it calls with the lock held; a second time, if it fails, after unreachable objects were freed.
+func (b *Budget) grant(try func() bool) bool {
+	locked := func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return try()
+	}
+	if locked() {
+		return true
 	}
 	b.collect()
-	if buf, ok = b.tryAlloc(n); !ok {
+	ok := locked()
+	if !ok {
 		refused.Inc()
 	}
-	return buf, ok
+	return ok
 }
 
-// tryAlloc allocates while it holds the lock, so that a measurement never misses a granted buffer.
-func (b *Budget) tryAlloc(n int64) (buf []byte, ok bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if now := time.Now(); now.Sub(b.measuredAt) >= measureInterval {
-		b.measured, b.measuredAt, b.added = b.memory.InUse(), now, 0
-	}
-	if b.measured+b.added+n > b.ceiling(n) {
-		return nil, false
+// add counts n bytes if the process has memory for them. b.mu must be held.
+func (b *Budget) add(n int64) bool {
+	if b.free(n) < n {
+		return false
 	}
 	b.added += n
-	allocated.AddInt64(n)
-	return make([]byte, n), true
+	granted.AddInt64(n)
+	return true
 }
 
-// ceiling returns the bytes that the process may use after a buffer of n bytes was added.
-func (b *Budget) ceiling(n int64) int64 {
+// free returns the memory left for buffers of n bytes. b.mu must be held.
+func (b *Budget) free(n int64) int64 {
+	if now := time.Now(); now.Sub(b.measuredAt) >= measureInterval {
+		b.measured, b.measuredAt, b.added = b.memory.InUse(), now, 0
+	}
+	share := largeShare
 	if n <= smallBuffer {
-		return int64(smallShare * float64(b.limit))
+		share = smallShare
 	}
-	return int64(largeShare * float64(b.limit))
+	return int64(share*float64(b.limit)) - b.measured - b.added
 }
 
 // collect frees unreachable objects, unless that has just been done. Calls at the same time share one collection.
--- a/lib/membudget/budget_test.go
+++ b/lib/membudget/budget_test.go
@@ -85,6 +85,42 @@
 	})
 }
 
+// Guards against one owner whose large buffers keep those of the others from being granted.
+func TestOwnerLeavesLargeBuffersToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewOf(100*mib, &fakeMemory{used: 15 * mib}) // 40 MiB for large buffers
+		b.collectedAt = time.Now()
+		var open []*Account
+		alloc := func(owner string) bool {
+			a := b.Account(owner)
+			_, ok := a.Alloc(4 * mib)
+			open = append(open, a)
+			return ok
+		}
+		for range 7 {
+			must.True(t, alloc("greedy"))
+		}
+		must.False(t, alloc("greedy")) // 32 of 40 MiB
+		must.True(t, alloc("other"))
+		for _, a := range open {
+			a.Close()
+		}
+		must.MapEmpty(t, b.held)
+		must.Eq(t, 0, b.heldTotal)
+	})
+}
+
+// Guards against connections that are each small and exceed the memory together.
+func TestAdmittedBytesCount(t *testing.T) {
+	b := NewOf(100*mib, &fakeMemory{used: 69 * mib})
+	n := 0
+	for b.Admit(32 << 10) {
+		n++
+	}
+	must.Between(t, 32, n, 64) // 1 MiB, and once more after the collection that forgets them in this fake
+	must.True(t, (*Budget)(nil).Admit(mib))
+}
+
 func TestReadAll(t *testing.T) {
 	b := NewOf(100*mib, &fakeMemory{})
 	for _, size := range []int{0, 1, firstBuffer - 1, firstBuffer, firstBuffer + 1, 100 << 10} {
@@ -119,6 +155,7 @@
 
 // Guards against a runtime that no longer has the metrics that the budget reads.
 func TestGoMemoryIsMeasured(t *testing.T) {
+	goMemory{}.Collect()
 	before := goMemory{}.InUse()
 	must.Positive(t, before)
 	kept := make([]byte, 32*mib)
--- a/lib/membudget/read.go
+++ b/lib/membudget/read.go
@@ -25,6 +25,15 @@
 // unknown length gets it as it grows. Data longer than limit bytes gives ErrTooLong, and data that the process has no
 // memory for ErrNoMemory; like other errors they come with what was read so far.
 func (b *Budget) ReadAll(r io.Reader, expected, limit int64) ([]byte, error) {
+	return readAll(b, r, expected, limit)
+}
+
+// allocator grants buffers.
+type allocator interface {
+	Alloc(n int64) (buf []byte, ok bool)
+}
+
+func readAll(from allocator, r io.Reader, expected, limit int64) ([]byte, error) {
 	if expected > limit {
 		return nil, ErrTooLong
 	}
@@ -32,7 +41,7 @@
 	if expected < 0 {
 		size = min(firstBuffer, limit)
 	}
-	buf, ok := b.Alloc(size + 1) // the last byte shows that the data has ended
+	buf, ok := from.Alloc(size + 1) // the last byte shows that the data has ended
 	if !ok {
 		return nil, ErrNoMemory
 	}
@@ -50,7 +59,7 @@
 		case n < len(buf):
 			continue
 		}
-		grown, ok := b.Alloc(min(2*int64(n), limit+1))
+		grown, ok := from.Alloc(min(2*int64(n), limit+1))
 		if !ok {
 			return buf[:n], ErrNoMemory
 		}
