--- a/lib/entry/accept.go
+++ b/lib/entry/accept.go
@@ -2,12 +2,12 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
 	"anvilwick.example/anvilwick/lib/callerapi"
 	"anvilwick.example/anvilwick/lib/ids"
+	"anvilwick.example/anvilwick/lib/membudget"
 	"anvilwick.example/anvilwick/lib/result"
 	"anvilwick.example/anvilwick/lib/settings"
 )
@@ -15,6 +15,7 @@
 const (
 	maxRequestID         = 64
 	noSettingsRetryAfter = time.Second // Retry-After sent until the first settings are in force
+	noMemoryRetryAfter   = time.Second // Retry-After for a body without memory: large ones take some seconds to arrive
 )
 
 // request is the state of a caller's request during acceptance.
@@ -109,16 +110,22 @@
 	return id
 }
 
-// readBody reads a request body of at most limit bytes; larger bodies yield BodyTooLarge.
-func readBody(w http.ResponseWriter, r *http.Request, limit int) ([]byte, *result.Error) {
+// readBody reads a request body of at most limit bytes; larger bodies yield BodyTooLarge, and those that the process has no memory for TooManyStreams.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, limit int) ([]byte, *result.Error) {
 	if limit <= 0 || limit > maxBodyBytes {
 		limit = maxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	body, err := s.opts.Memory.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)), r.ContentLength, int64(limit))
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.As(err, &tooLarge) || errors.Is(err, membudget.ErrTooLong):
+		w.Header().Set("Connection", "close")
 		return nil, result.New(result.BodyTooLarge, "%d bytes at most", limit)
+	case errors.Is(err, membudget.ErrNoMemory):
+		w.Header().Set("Connection", "close")
+		e := result.New(result.TooManyStreams, "no memory for a body of %d bytes", r.ContentLength)
+		e.RetryAfter = noMemoryRetryAfter
+		return nil, e
 	case err != nil:
 		return nil, result.Wrap(result.BadRequest, err, "read the body")
 	}
--- a/lib/entry/complete.go
+++ b/lib/entry/complete.go
@@ -60,7 +60,7 @@
 	if r.Method != http.MethodPost {
 		return nil, result.New(result.NoRoute, "%s %s", r.Method, r.URL.Path)
 	}
-	body, err := readBody(w, r, maxBodyBytes)
+	body, err := s.readBody(w, r, maxBodyBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/lib/entry/plain.go
+++ b/lib/entry/plain.go
@@ -69,7 +69,7 @@
 	if pc.policy, err = rq.policy(pc.service); err != nil {
 		return nil, err
 	}
-	body, err := readBody(w, r, pc.policy.MaxBody)
+	body, err := s.readBody(w, r, pc.policy.MaxBody)
 	if err != nil {
 		return nil, err
 	}
--- a/lib/entry/server.go
+++ b/lib/entry/server.go
@@ -21,6 +21,7 @@
 	"anvilwick.example/anvilwick/lib/callerapi"
 	"anvilwick.example/anvilwick/lib/engineapi"
 	"anvilwick.example/anvilwick/lib/entrymetrics"
+	"anvilwick.example/anvilwick/lib/membudget"
 	"anvilwick.example/anvilwick/lib/placer"
 	"anvilwick.example/anvilwick/lib/poison"
 	"anvilwick.example/anvilwick/lib/result"
@@ -57,6 +58,7 @@
 	Prefixes      *poison.SegmentTable // of prompts that crash engines
 	FailureDomain string               // of this instance
 	MaxStreams    int                  // requests in progress; 0: 4096
+	Memory        *membudget.Budget    // for bodies; nil: there is no limit
 	// CallerGrace is how long a keyed generation keeps running without a caller; 0: 10 s.
 	CallerGrace time.Duration
 	// ResumeTimeout is the minimum time that a generation which may have run waits to be placed again; 0: 30 s.
--- a/lib/entryproc/assemble.go
+++ b/lib/entryproc/assemble.go
@@ -11,6 +11,7 @@
 	"anvilwick.example/anvilwick/lib/limit"
 	"anvilwick.example/anvilwick/lib/loadpoll"
 	"anvilwick.example/anvilwick/lib/member"
+	"anvilwick.example/anvilwick/lib/membudget"
 	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/poison"
 	"anvilwick.example/anvilwick/lib/record"
@@ -31,6 +32,7 @@
 		Prefixes:      p.prefixes,
 		FailureDomain: p.cfg.Domain,
 		MaxStreams:    p.cfg.MaxStreams,
+		Memory:        membudget.New(int64(p.cfg.MemoryMB) << 20),
 		Metrics:       p.metrics,
 		Clients:       p.clients,
 		OnView:        p.viewHook(ctx, d),
--- a/lib/entryproc/config.go
+++ b/lib/entryproc/config.go
@@ -27,6 +27,7 @@
 	StopLimit    time.Duration // longest wait for requests in progress; 0: unlimited
 	TargetProxy  string        // address of an HTTP proxy (CONNECT) for the connections to targets; empty: none
 	MaxStreams   int
+	MemoryMB     int    // limit at which the process is killed; 0: none
 	Scheduler    string // scheduling policy of a shard; all but SchedulerOwner are for experiments
 	LogLevel     string
 }
@@ -48,6 +49,7 @@
 		"after SIGTERM, time in which requests are still accepted while balancers notice")
 	fs.DurationVar(&c.StopLimit, "stop-limit", 0, "after SIGTERM, longest wait for requests in progress; 0: unlimited")
 	fs.IntVar(&c.MaxStreams, "max-streams", 4096, "requests in progress at most")
+	fs.IntVar(&c.MemoryMB, "memory-mb", 0, "memory at which the process is killed, in MiB: requests whose bodies do not fit are refused; 0: no limit")
 	fs.StringVar(&c.TargetProxy, "target-proxy", "", "address of an HTTP proxy (CONNECT) for the connections to targets; empty: none")
 	fs.StringVar(&c.Scheduler, "scheduler", SchedulerOwner,
 		"policy of a shard: owner; for experiments only: least-loaded or round-robin, which ignore future memory use")
