--- a/Makefile
+++ b/Makefile
@@ -69,15 +69,15 @@
 soak-cases: build
 	$(GO) build -o bin/ ./examples/soak
 	@grep -v '^#' platform/soak/cases.txt | while read -r seed span cause; do \
-		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -evacuate=false -words=false -copies=false -loads=false -partitions=false -brittle=false -software=false -segments=false -lapses=false -bodies=false </dev/null || exit 1; done
+		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -evacuate=false -words=false -copies=false -loads=false -partitions=false -brittle=false -software=false -segments=false -lapses=false -bodies=false -first-release=false </dev/null || exit 1; done
 	@grep -v '^#' platform/soak/cases-copies.txt | while read -r seed span cause; do \
-		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -loads=false -partitions=false -brittle=false -software=false -segments=false -lapses=false -bodies=false </dev/null || exit 1; done
+		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -loads=false -partitions=false -brittle=false -software=false -segments=false -lapses=false -bodies=false -first-release=false </dev/null || exit 1; done
 	@grep -v '^#' platform/soak/cases-loads.txt | while read -r seed span cause; do \
-		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -partitions=false -brittle=false -software=false -segments=false -lapses=false -bodies=false </dev/null || exit 1; done
+		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -partitions=false -brittle=false -software=false -segments=false -lapses=false -bodies=false -first-release=false </dev/null || exit 1; done
 	@grep -v '^#' platform/soak/cases-partitions.txt | while read -r seed span cause; do \
-		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -software=false -segments=false -lapses=false -bodies=false </dev/null || exit 1; done
+		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -software=false -segments=false -lapses=false -bodies=false -first-release=false </dev/null || exit 1; done
 	@grep -v '^#' platform/soak/cases-segments.txt | while read -r seed span cause; do \
-		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -lapses=false -bodies=false </dev/null || exit 1; done
+		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -lapses=false -bodies=false -first-release=false </dev/null || exit 1; done
 
 # capacity measures the slopes behind docs/CAPACITY.md; the last line is "capacity: ok ...". CAPACITYFLAGS adds flags.
 capacity: build
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -128,7 +128,10 @@
 }
 
 func (p *Process) applySettings(u feed.Update) {
-	p.era.Store(u.Era)
+	if before := p.era.Swap(u.Era); before != 0 && before != u.Era {
+		p.recorder.StoreAgain()
+		p.storeStreams()
+	}
 	p.evacuate(u)
 	rev, err := p.site.DecodeSettings(u.Rows)
 	if err != nil {
--- a/lib/gatewayproc/parts.go
+++ b/lib/gatewayproc/parts.go
@@ -169,7 +169,7 @@
 	out := new(ownerpb.Division)
 	division := p.shards.layout().Division()
 	for _, service := range slices.Sorted(maps.Keys(division)) {
-		s := &ownerpb.DividedService{Service: service}
+		s := &ownerpb.DividedService{Service: service, Mixed: p.software.isMixed(time.Now(), service)}
 		for _, domain := range slices.Sorted(maps.Keys(division[service])) {
 			s.Domains = append(s.Domains, &ownerpb.DividedDomain{Domain: domain, Shards: uint32(division[service][domain])})
 		}
@@ -192,7 +192,9 @@
 		return fmt.Errorf("gatewayproc: division of engines: %w", err)
 	}
 	division := make(owner.Division, len(msg.Services))
+	turned := false
 	for _, s := range msg.Services {
+		turned = p.software.tell(time.Now(), s.Service, s.Mixed) || turned
 		domains := make(map[string]int, len(s.Domains))
 		for _, d := range s.Domains {
 			if d.Shards > 0 && d.Shards <= maxShardsPerDomain {
@@ -202,6 +204,9 @@
 		division[s.Service] = domains
 	}
 	p.shards.setDivision(division)
+	if turned {
+		p.storeStreams()
+	}
 	return nil
 }
 
@@ -210,5 +215,6 @@
 	p.fleet.SetPartial(partial)
 	if !partial {
 		p.shards.setDivision(nil)
+		p.software.forgetTold()
 	}
 }
--- a/lib/gatewayproc/software.go
+++ b/lib/gatewayproc/software.go
@@ -82,17 +82,19 @@
 type software struct {
 	mu     sync.Mutex
 	seen   map[string]map[uint64]time.Time // by service: when a target of the version was last listed
+	told   map[string]bool                 // services that a peer with all targets calls mixed
 	change chan struct{}                   // a version was seen for the first time
 }
 
 func newSoftware() *software {
-	return &software{seen: make(map[string]map[uint64]time.Time), change: make(chan struct{}, 1)}
+	return &software{seen: make(map[string]map[uint64]time.Time), told: make(map[string]bool), change: make(chan struct{}, 1)}
 }
 
-// observe records the version of a listed target.
-func (s *software) observe(now time.Time, service string, version uint64) {
+// observe records the version of a listed target. It reports whether the service is mixed since then.
+func (s *software) observe(now time.Time, service string, version uint64) (turned bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before := s.mixed(now, service)
 	versions := s.seen[service]
 	if versions == nil {
 		versions = make(map[uint64]time.Time)
@@ -105,12 +107,66 @@
 		}
 	}
 	versions[version] = now
+	return !before && s.mixed(now, service)
+}
+
+// tell records whether a service is mixed, as a peer says that has all targets. It reports whether the service is mixed since then.
+func (s *software) tell(now time.Time, service string, mixed bool) (turned bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.mixed(now, service)
+	s.told[service] = mixed
+	return mixed && !before
+}
+
+// forgetTold forgets what peers have said: this instance has all targets itself.
+func (s *software) forgetTold() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.told)
 }
 
 // isMixed reports whether a service has, or lately had, several versions.
 func (s *software) isMixed(now time.Time, service string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.mixed(now, service)
+}
+
+// anyMixed reports whether any service is mixed.
+func (s *software) anyMixed(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for service := range s.told {
+		if s.mixed(now, service) {
+			return true
+		}
+	}
+	for service := range s.seen {
+		if s.mixed(now, service) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayBeMixed reports whether a version may be one of a mixed service. Of a version that was never seen the service is not known.
+func (s *software) mayBeMixed(now time.Time, version uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for service, versions := range s.seen {
+		if _, known := versions[version]; known {
+			return s.mixed(now, service)
+		}
+	}
+	return true
+}
+
+// mixed is isMixed with s.mu held.
+func (s *software) mixed(now time.Time, service string) bool {
+	if s.told[service] {
+		return true
+	}
 	n := 0
 	for _, at := range s.seen[service] {
 		if now.Sub(at) <= softwareRetention {
@@ -294,10 +350,14 @@
 	return row.Versions[0], true, nil
 }
 
-// observeSoftware records the versions of listed targets.
+// observeSoftware records the versions of listed targets. Streams that began before their service had a second version are recorded in the store when it gets one.
 func (p *Process) observeSoftware(entries []fleet.Info) {
 	now := time.Now()
+	turned := false
 	for _, e := range entries {
-		p.software.observe(now, e.Service, e.Software.ID)
+		turned = p.software.observe(now, e.Service, e.Software.ID) || turned
+	}
+	if turned {
+		p.storeStreams()
 	}
 }
--- a/lib/gatewayproc/software_test.go
+++ b/lib/gatewayproc/software_test.go
@@ -63,3 +63,24 @@
 		must.Eq(t, now.Add(restoreDoubt).UnixMilli(), got.DoubtedMS, must.Sprint(name))
 	}
 }
+
+// Guards against an instance that holds a subset of the targets, with one version, and goes on recording its streams in memory alone although their service
+// has several: a peer with all targets tells it.
+func TestSubsetLearnsThatServiceIsMixed(t *testing.T) {
+	s := newSoftware()
+	now := time.Now()
+	must.False(t, s.observe(now, "llm", 1))
+	must.False(t, s.tell(now, "llm", false))
+	must.False(t, s.anyMixed(now))
+	must.False(t, s.mayBeMixed(now, 1))
+	must.True(t, s.tell(now, "llm", true))
+	must.False(t, s.tell(now, "llm", true))
+	must.True(t, s.isMixed(now.Add(2*softwareRetention), "llm"))
+	must.True(t, s.anyMixed(now))
+	must.True(t, s.mayBeMixed(now, 1))
+	must.True(t, s.mayBeMixed(now, 99)) // its service is not known
+	s.forgetTold()
+	must.False(t, s.isMixed(now, "llm"))
+	must.True(t, s.observe(now, "llm", 2))
+	must.False(t, s.observe(now, "llm", 3))
+}
--- a/lib/gatewayproc/streams.go
+++ b/lib/gatewayproc/streams.go
@@ -35,7 +35,21 @@
 func (s streams) RecordStream(start gateway.StreamStart) {
 	expires := time.Now().Add(min(time.Until(start.Deadline), maxRecordTTL) + recordMargin)
 	e := resume.Entry{Key: resume.Key(start.Workspace, start.Attempt), Software: start.Software.ID, Expires: expires}
-	s.p.recorder.Record(e, s.p.software.isMixed(time.Now(), start.Service))
+	// An instance that holds a subset of the targets may see a version here first.
+	turned := s.p.software.observe(time.Now(), start.Service, start.Software.ID)
+	mixed := s.p.software.isMixed(time.Now(), start.Service)
+	s.p.recorder.Record(e, mixed)
+	if turned || !mixed && s.p.software.isMixed(time.Now(), start.Service) {
+		s.p.storeStreams()
+	}
+}
+
+// storeStreams writes to the store the records of streams of services with several versions that are held only in memory. It is called when a service
+// gets its second version, and after a restore of the store.
+func (p *Process) storeStreams() {
+	if now := time.Now(); p.software.anyMixed(now) {
+		p.recorder.StoreHeld(func(version uint64) bool { return p.software.mayBeMixed(now, version) })
+	}
 }
 
 // FindStream implements gateway.Streams.
--- a/lib/ownerlink/streams.go
+++ b/lib/ownerlink/streams.go
@@ -36,7 +36,7 @@
 	msg := &ownerpb.StreamRecords{Id: c.id, Store: store}
 	now := time.Now()
 	for _, e := range entries {
-		msg.Records = append(msg.Records, &ownerpb.StreamRecord{Key: e.Key, Software: e.Software, TtlMs: ms(e.Expires.Sub(now))})
+		msg.Records = append(msg.Records, &ownerpb.StreamRecord{Key: e.Key, Software: e.Software, TtlMs: ms(e.Expires.Sub(now)), Stored: e.Stored})
 	}
 	if l.knownToPeers() {
 		msg.Sender = nameHash(l.Self.Name)
@@ -107,7 +107,7 @@
 	now := time.Now()
 	entries := make([]resume.Entry, len(m.Records))
 	for i, r := range m.Records {
-		entries[i] = resume.Entry{Key: r.Key, Software: r.Software, Expires: now.Add(duration(r.TtlMs))}
+		entries[i] = resume.Entry{Key: r.Key, Software: r.Software, Expires: now.Add(duration(r.TtlMs)), Stored: r.Stored}
 	}
 	l.Streams.Receive(entries, m.Store)
 	out := l.newDatagram()
--- a/lib/resume/keeper.go
+++ b/lib/resume/keeper.go
@@ -21,8 +21,11 @@
 	retryMax = 4 * time.Second
 	// maxRowEntries bounds a row. The store takes rows of 64 KB.
 	maxRowEntries = 1024
-	// maxPending bounds the records that wait for a store that does not answer.
-	maxPending = 16 << 10
+	// maxPending bounds the records that wait for the store: those of all instances of a failure domain come at once when their service gets a
+	// second version.
+	maxPending = 64 << 10
+	// rowPause is the pause between two rows of such a burst: the instances share the store's rate of writes.
+	rowPause = 50 * time.Millisecond
 	// staleRows is how long after its last record expired a row is removed if its writer has not used it again.
 	staleRows = 10 * time.Minute
 	// maxRemoved bounds the rows removed at a time.
@@ -148,6 +151,10 @@
 			return err
 		}
 		rowsWritten.Inc()
+		if len(batch) < maxRowEntries {
+			return nil
+		}
+		time.Sleep(rowPause)
 	}
 }
 
--- a/lib/resume/outbox.go
+++ b/lib/resume/outbox.go
@@ -11,8 +11,8 @@
 const (
 	// outboxDelay is how long records on their way to the store are collected.
 	outboxDelay = 100 * time.Millisecond
-	// maxOutbox bounds those records; further ones are held by peers only.
-	maxOutbox = 8192
+	// maxOutbox bounds those records: all that this instance can hold. Further ones are held by peers only.
+	maxOutbox = maxEntries
 	// maxBatch is the number of records in one datagram, at some 25 bytes each.
 	maxBatch = 400
 )
@@ -20,18 +20,34 @@
 // keeperKey ranks the instances of a failure domain as keepers.
 const keeperKey = 0x6b65657065727321
 
-func (r *Recorder) enqueue(e Entry) {
+// enqueue has records written to the store, and returns those for which there is no room.
+func (r *Recorder) enqueue(entries []Entry) (rest []Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.outbox) < maxOutbox {
-		r.outbox = append(r.outbox, e)
-	}
+	n := min(len(entries), max(0, maxOutbox-len(r.outbox)))
+	r.outbox = append(r.outbox, entries[:n]...)
 	select {
 	case r.wake <- struct{}{}:
 	default:
 	}
+	return entries[n:]
 }
 
+// StoreHeld writes to the store the records that are held only in memory, of the versions that mixed selects: those of streams that began before their
+// service had several versions, without which the loss of all instances would lose these streams. Holders write them as well as the
+// instance that began the stream, which may have been replaced since.
+func (r *Recorder) StoreHeld(mixed func(software uint64) bool) {
+	held := r.table.TakeUnstored(time.Now(), func(e Entry) bool { return mixed(e.Software) })
+	if len(held) == 0 {
+		return
+	}
+	storedLate.Add(len(held))
+	r.table.MarkUnstored(r.enqueue(held))
+}
+
+// StoreAgain makes StoreHeld write all records again: the store was restored from a copy that may lack them.
+func (r *Recorder) StoreAgain() { r.table.MarkUnstored(r.table.All(time.Now())) }
+
 // Run sends records to the keeper and writes those of this instance as keeper until ctx is done.
 func (r *Recorder) Run(ctx context.Context) {
 	go r.keeper.run(ctx)
@@ -72,7 +88,7 @@
 			return
 		}
 	}
-	r.keeper.Add(batch)
+	r.keeper.Add(r.table.Queue(batch))
 }
 
 // HandOver passes on, before this instance stops, what it holds for others and what is on its way to the store: instances that are restarted
--- a/lib/resume/recorder.go
+++ b/lib/resume/recorder.go
@@ -31,6 +31,7 @@
 	recorded        = metrics.NewCounter(`anvilwick_resume_records_total{holders="2"}`)
 	recordedOnce    = metrics.NewCounter(`anvilwick_resume_records_total{holders="1"}`)
 	recordedNowhere = metrics.NewCounter(`anvilwick_resume_records_total{holders="0"}`)
+	storedLate      = metrics.NewCounter(`anvilwick_resume_stored_late_total`)
 	recordTime      = metrics.NewHistogram(`anvilwick_resume_record_seconds`)
 	foundHere       = metrics.NewCounter(`anvilwick_resume_found_total{where="here"}`)
 	foundAtPeer     = metrics.NewCounter(`anvilwick_resume_found_total{where="peer"}`)
@@ -100,9 +101,10 @@
 // With store the record is also written to the store, in the background.
 func (r *Recorder) Record(e Entry, store bool) {
 	start := time.Now()
+	e.Stored = store
 	r.table.Put(start, e)
 	if store {
-		r.enqueue(e)
+		r.table.MarkUnstored(r.enqueue([]Entry{e}))
 	}
 	done := make(chan struct{})
 	go func() {
@@ -189,10 +191,11 @@
 func (r *Recorder) Receive(entries []Entry, store bool) {
 	now := time.Now()
 	for _, e := range entries {
+		e.Stored = e.Stored || store
 		r.table.Put(now, e)
 	}
 	if store {
-		r.keeper.Add(entries)
+		r.keeper.Add(r.table.Queue(entries)) // several instances may hold a record
 	}
 }
 
--- a/lib/resume/table.go
+++ b/lib/resume/table.go
@@ -13,6 +13,9 @@
 	Key      uint64    // of the attempt that brought the first event, as Key returns it
 	Software uint64    // fleet.Software.ID of the version that began the stream; 0: two versions were recorded for the key
 	Expires  time.Time // the caller's deadline, and a margin
+	Stored   bool      // the record is in the store, or on its way there
+
+	queued bool // this instance has it written to the store, as keeper
 }
 
 // Key identifies an attempt among those of all workspaces. A caller can't resume the stream of another workspace, whatever attempt it names.
@@ -40,8 +43,9 @@
 	if known && !now.After(old.Expires) {
 		if old.Software != e.Software {
 			old.Software = 0
-			t.entries[e.Key] = old
 		}
+		old.Stored = old.Stored || e.Stored
+		t.entries[e.Key] = old
 		return
 	}
 	t.entries[e.Key] = e
@@ -67,6 +71,53 @@
 	return e, ok && !now.After(e.Expires)
 }
 
+// TakeUnstored marks the records that are not stored, and that pick selects, as stored, and returns them.
+func (t *Table) TakeUnstored(now time.Time, pick func(Entry) bool) []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Entry
+	for key, e := range t.entries {
+		if e.Stored || now.After(e.Expires) || !pick(e) {
+			continue
+		}
+		e.Stored = true
+		t.entries[key] = e
+		out = append(out, e)
+	}
+	return out
+}
+
+// Queue marks records as queued, and returns those that were not.
+func (t *Table) Queue(entries []Entry) []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Entry
+	for _, e := range entries {
+		old, known := t.entries[e.Key]
+		if known && old.queued {
+			continue
+		}
+		out = append(out, e)
+		if known {
+			old.queued = true
+			t.entries[e.Key] = old
+		}
+	}
+	return out
+}
+
+// MarkUnstored marks records as not stored.
+func (t *Table) MarkUnstored(entries []Entry) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range entries {
+		if old, known := t.entries[e.Key]; known {
+			old.Stored, old.queued = false, false
+			t.entries[e.Key] = old
+		}
+	}
+}
+
 // All returns the records that have not expired.
 func (t *Table) All(now time.Time) []Entry {
 	t.mu.Lock()
