--- a/lib/resume/keeper.go
+++ b/lib/resume/keeper.go
@@ -23,7 +23,7 @@
 	maxRowEntries = 1024
 	// maxPending bounds the records that wait for the store: those of all instances of a failure domain come at once when their service gets a
 	// second version.
-	maxPending = 64 << 10
+	maxPending = 160 << 10
 	// rowPause is the pause between two rows of such a burst: the instances share the store's rate of writes.
 	rowPause = 50 * time.Millisecond
 	// staleRows is how long after its last record expired a row is removed if its writer has not used it again.
