--- a/lib/membudget/account.go
+++ b/lib/membudget/account.go
@@ -3,7 +3,7 @@
 import "io"
 
 // ownerShare is the part of the memory for large buffers that one owner may hold: the others must find some.
-const ownerShare = 0.75
+const ownerShare = 0.85
 
 // Account requests the buffers of one call on behalf of an owner. It is not safe for concurrent use.
 type Account struct {
