--- a/lib/fleet/list.go
+++ b/lib/fleet/list.go
@@ -202,7 +202,8 @@
 	return ch
 }
 
-// MarkRestarted records that a target responds as a later incarnation than the listed one. The list supplies the rest later.
+// MarkRestarted records that a target responds as a later incarnation than the listed one. The list supplies the rest later; until then its software
+// version is unknown, since a target may start again with another one.
 func (f *Fleet) MarkRestarted(now time.Time, id string, born int64) Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -210,6 +211,7 @@
 	if t := f.targets[id]; t != nil && t.Born != 0 && born > t.Born {
 		e := t.Info
 		e.Born, e.Leaving, e.ColdFor = born, false, f.specs[t.Service].ColdFor
+		e.Software = UnnamedSoftware(e.Service, e.ID, born)
 		f.upsert(now, e, &ch)
 	}
 	return ch
--- a/lib/fleet/software.go
+++ b/lib/fleet/software.go
@@ -35,6 +35,28 @@
 // runs reports whether a target runs a version; 0 stands for any.
 func (t *Target) runs(software uint64) bool { return software == 0 || t.Software.ID == software }
 
+// ResolveSoftware returns the version that a service's target has named since a stream began on it under an UnnamedSoftware: targets that start again
+// while the list can't be read are used before their entry says which version they run. Any other version is returned as it is.
+func (f *Fleet) ResolveSoftware(service string, id uint64) uint64 {
+	if id == 0 {
+		return 0
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	targets := f.index.targetsOf(service)
+	for _, t := range targets {
+		if t.Software.ID == id {
+			return id
+		}
+	}
+	for _, t := range targets {
+		if t.Born != 0 && UnnamedSoftware(service, t.ID, t.Born).ID == id {
+			return t.Software.ID
+		}
+	}
+	return id
+}
+
 // RunsSoftware reports whether one of the given targets runs a version and accepts requests.
 func (f *Fleet) RunsSoftware(among []string, software uint64) bool {
 	f.mu.Lock()
--- a/lib/fleet/software_test.go
+++ b/lib/fleet/software_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -52,3 +53,23 @@
 	must.Eq(t, maxSoftwareName, len(long.Name))
 	must.NotEq(t, long.ID, NewSoftware("s", string(make([]byte, 4001))).ID)
 }
+
+// Guards against a stream that goes on at a target that has started again with another version: until its entry says which one it runs, none of the known versions
+// may be assumed. A stream that began there meanwhile continues at the version that the entry names later.
+func TestRestartedTargetHasUnknownSoftware(t *testing.T) {
+	v1, v2 := NewSoftware("s", "v1"), NewSoftware("s", "v2")
+	f := New("z")
+	now := time.Now()
+	f.Apply(now, []Info{{ID: "a", Service: "s", Born: 100, Software: v1}, {ID: "b", Service: "s", Born: 100, Software: v2}}, nil, 0)
+	must.SliceNotEmpty(t, f.MarkRestarted(now, "a", 200).Restarted)
+	must.False(t, f.RunsSoftware([]string{"a", "b"}, v1.ID))
+	a, _ := f.Info("a")
+	must.NotEq(t, v1.ID, a.Software.ID)
+	must.Eq(t, a.Software.ID, f.ResolveSoftware("s", a.Software.ID))
+
+	f.Apply(now, []Info{{ID: "a", Service: "s", Born: 200, Software: v2}}, nil, 0)
+	must.Eq(t, v2.ID, f.ResolveSoftware("s", a.Software.ID))
+	must.Eq(t, v2.ID, f.ResolveSoftware("s", v2.ID))
+	must.Eq(t, v1.ID, f.ResolveSoftware("s", v1.ID)) // no target runs it; it is no unnamed one either
+	must.Eq(t, 0, f.ResolveSoftware("s", 0))
+}
--- a/lib/fleetsim/site.go
+++ b/lib/fleetsim/site.go
@@ -230,6 +230,10 @@
 	return gateway.Report{}, gateway.ErrNoRun
 }
 
+func (engineCalls) Incarnation(context.Context, *wirehttp.Conn, fleet.Info) (int64, error) {
+	return 0, nil
+}
+
 func (engineCalls) ReleaseCopy(context.Context, fleet.Info, string) error { return nil }
 
 // killAll ends all instances at once, without a graceful stop.
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -71,6 +71,8 @@
 	// Copy copies the memory of the run that serves request id from one engine to another; a repeated call copies only what
 	// was added since. last stops the run at its source before the rest is copied.
 	Copy(ctx context.Context, from, to fleet.Info, id string, last bool) (CopyResult, error)
+	// Incarnation requests, on a connection to an engine that can carry a request after it, which incarnation the engine at its other end is; 0: unknown.
+	Incarnation(ctx context.Context, conn *wirehttp.Conn, at fleet.Info) (int64, error)
 	// Report requests an engine's state.
 	Report(ctx context.Context, at fleet.Info) (Report, error)
 	// ReleaseCopy frees a copy at both ends.
@@ -89,6 +91,8 @@
 	Log    Log
 	// OnLeaving is called for a target whose response says that it is leaving; may be nil.
 	OnLeaving func(t fleet.Info)
+	// OnRestarted is called for a target that responds as a later incarnation than the listed one; may be nil.
+	OnRestarted func(id string, born int64)
 	// Links knows which of this instance's own links to targets are lost; nil: none is.
 	Links Links
 	// Owners coordinates placement with other instances; nil: this instance decides alone.
--- a/lib/gateway/origin.go
+++ b/lib/gateway/origin.go
@@ -24,7 +24,7 @@
 	start := time.Now()
 	origin := g.Streams.FindStream(ctx, c.workspace, c.resumes, c.service)
 	g.Log.Origin(c.entry(), origin, time.Since(start))
-	c.software.ID = origin.Software
+	c.software.ID = g.Fleet.ResolveSoftware(c.service, origin.Software)
 	switch {
 	case origin.Software != 0:
 		return nil
--- a/lib/gateway/run.go
+++ b/lib/gateway/run.go
@@ -45,7 +45,7 @@
 func (r *run) need() fleet.Need {
 	return fleet.Need{
 		Service: r.c.service, Tokens: r.c.prompt + r.c.output/2, Unread: r.c.prompt, Exclude: r.c.tried, Regions: r.g.regions(r.c),
-		Software: r.c.software.ID,
+		Software: r.g.Fleet.ResolveSoftware(r.c.service, r.c.software.ID),
 	}
 }
 
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -243,6 +243,9 @@
 
 // exchange sends the request and forwards the events.
 func (r *run) exchange(ctx context.Context, conn *wirehttp.Conn, to placement, x *exchange) end {
+	if x.err = r.checkIncarnation(ctx, conn, to); x.err != nil {
+		return endUnsent
+	}
 	req := r.g.request(r.c, to.target.ID, time.Now())
 	if r.lastID != "" {
 		req.Header.Set(r.g.Names.LastEvent, r.lastID)
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -189,7 +189,7 @@
 	p.gate = gateway.New(gateway.Config{
 		Names: site.Names, Engines: site.Engines, Fleet: p.fleet, Pool: site.Pool, Budget: p.retryBudget,
 		Memory: membudget.New(int64(cfg.MemoryMB) << 20),
-		Log:    gateway.Log{Version: p.version, Era: p.era.Load}, OnLeaving: p.onTargetLeaving, Links: p.dialer,
+		Log:    gateway.Log{Version: p.version, Era: p.era.Load}, OnLeaving: p.onTargetLeaving, OnRestarted: p.noticeRestart, Links: p.dialer,
 	})
 	site.SetResponseHook(p.gate.ReadNotices)
 	if err := p.openOwnerLink(); err != nil {
--- a/lib/gatewayproc/watch.go
+++ b/lib/gatewayproc/watch.go
@@ -102,6 +102,13 @@
 	return time.Since(p.feeds.targets.LastContact()) >= listStaleAfter || p.listLost() || p.syncer.StoreLost()
 }
 
+// noticeRestart applies what a target has said of its incarnation, and tells all instances if that is news.
+func (p *Process) noticeRestart(target string, born int64) {
+	ch := p.fleet.MarkRestarted(time.Now(), target, born)
+	p.onFleetChange(ch)
+	p.link.BroadcastRestarted(ch.Restarted)
+}
+
 func (p *Process) pollEngine(ctx context.Context, e fleet.Info) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -111,7 +118,7 @@
 		return
 	}
 	now := time.Now()
-	p.onFleetChange(p.fleet.MarkRestarted(now, e.ID, r.Born))
+	p.noticeRestart(e.ID, r.Born)
 	if r.Leaving {
 		p.onFleetChange(p.fleet.MarkLeaving(now, e.ID, r.Born))
 	}
--- a/lib/ownerlink/left.go
+++ b/lib/ownerlink/left.go
@@ -73,6 +73,14 @@
 	}
 }
 
+// BroadcastRestarted informs all instances that engines have restarted, as this instance has learnt before the list said so. Those that still took an
+// engine for its earlier incarnation would continue streams there, at another software version.
+func (l *Link) BroadcastRestarted(engines []fleet.Info) {
+	for _, e := range engines {
+		l.broadcast(l.newLeftDatagram(&ownerpb.Left{Target: e.ID, Born: e.Born, Lives: true}))
+	}
+}
+
 func encodeLeft(t fleet.LeftTarget) *ownerpb.Left {
 	return &ownerpb.Left{
 		Target: t.ID, Born: t.Born, Presumed: t.Cause == fleet.Delisted || t.Cause == fleet.Missing,
--- a/lib/wirehttp/pool.go
+++ b/lib/wirehttp/pool.go
@@ -103,11 +103,16 @@
 	return c
 }
 
+// EndExchange ends the exchange of resp, and reports whether the connection can carry another one: no data of this one can remain on it.
+func (c *Conn) EndExchange(resp *Response) bool {
+	c.exchanging.Store(false)
+	return !c.unusable.Load() && resp != nil && resp.reusable() && c.requestWritten() && c.rd.Buffered() == 0
+}
+
 // Put returns a connection to the pool after the exchange of resp. It is closed instead unless no data of that exchange can
 // remain on it: the response was read whole, the request was written whole, and no further byte is buffered.
 func (p *Pool) Put(c *Conn, resp *Response) {
-	c.exchanging.Store(false)
-	if c.unusable.Load() || resp == nil || !resp.reusable() || !c.requestWritten() || c.rd.Buffered() > 0 {
+	if !c.EndExchange(resp) {
 		c.Close()
 		return
 	}
