--- a/lib/gateway/call.go
+++ b/lib/gateway/call.go
@@ -109,6 +109,7 @@
 	if ref := g.readBody(w, r, c, t.Limits.BodyBytes); ref != nil {
 		return c, ref
 	}
+	c.contentHash = c.fingerprint()
 	if ref := g.checkSegments(c, nil); ref != nil {
 		return c, ref
 	}
--- a/lib/gateway/poison.go
+++ b/lib/gateway/poison.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -25,9 +26,24 @@
 	return poison.Fingerprint(strings.Join([]string{c.workspace, c.method, c.host, c.target}, "\x00"), c.body)
 }
 
-// checkPoison refuses a call whose content has killed the targets that executed it.
+// causes lists what a call may be refused for: the segments of its prompt, and its whole content, which is convicted as if it were a segment of its own.
+func (c *call) causes() []uint64 { return append(slices.Clip(c.segments), c.contentHash) }
+
+// convictContent makes the verdict on a content one of all instances, also of those that start later, and for longer than the table of this one keeps it: it
+// gets a row in the store, and probes at growing pauses.
+func (g *Gateway) convictContent(c *call) {
+	now := time.Now()
+	g.segments.Convict(now, poison.Conviction{
+		Service: c.service, Model: c.model, Segments: []uint64{c.contentHash}, Deaths: int(poisonConfig.Weight), LastDeath: now,
+		ProbeAt: now.Add(poison.ProbePause(0)),
+	})
+}
+
+// checkPoison refuses a call whose content has killed the targets that executed it, unless it is the probe that finds out whether it still does.
 func (g *Gateway) checkPoison(c *call) *refusal {
-	c.contentHash = c.fingerprint()
+	if c.probe {
+		return nil
+	}
 	now := time.Now()
 	switch v, wait := g.poison.Check(now, c.contentHash); v {
 	case poison.Poisoned, poison.Settling:
@@ -48,12 +64,13 @@
 
 // beginExecution records that a call is sent to a target. cancel is called if the call turns out to be one that crashes targets.
 func (g *Gateway) beginExecution(c *call, target fleet.Info, cancel func()) *execution {
+	segments := c.segments
 	if c.probe {
-		cancel = func() {}
+		cancel, segments = func() {}, c.causes()
 	}
 	return &execution{
 		content:  g.poison.Started(target.ID, c.contentHash),
-		segments: g.segments.Begin(time.Now(), c.service, c.model, c.segments, cancel),
+		segments: g.segments.Begin(time.Now(), c.service, c.model, segments, cancel),
 	}
 }
 
@@ -66,8 +83,7 @@
 		// The end of the connection may be the target's crash.
 		go g.checkAnswered(c, run, x, time.Now())
 	case finished:
-		g.poison.Finished(time.Now(), run.content)
-		run.segments.Survive(time.Now())
+		g.recordSurvival(c, run)
 	case !broke || g.Fleet.IsLeaving(x.target.ID):
 		g.poison.Stopped(run.content)
 	default:
@@ -79,13 +95,20 @@
 func (g *Gateway) checkAnswered(c *call, run *execution, x *exchange, ended time.Time) {
 	time.Sleep(aliveWatch)
 	if g.Fleet.LastContact(x.target.ID).After(ended.Add(lastWordsTime)) {
-		g.poison.Finished(time.Now(), run.content)
-		run.segments.Survive(time.Now())
+		g.recordSurvival(c, run)
 		return
 	}
 	g.checkAlive(c, run, x, true)
 }
 
+// recordSurvival records that a call was completed: neither its content nor its segments crash targets.
+func (g *Gateway) recordSurvival(c *call, run *execution) {
+	now := time.Now()
+	g.poison.Finished(now, run.content)
+	run.segments.Survive(now)
+	g.segments.Acquit(now, poison.Cause{Service: c.service, Model: c.model, Segment: c.contentHash})
+}
+
 // lastWordsTime is how long after a target's death what it sent before may still arrive.
 const lastWordsTime = 50 * time.Millisecond
 
@@ -99,8 +122,7 @@
 		g.poison.Stopped(run.content)
 		return
 	case err == nil && finished:
-		g.poison.Finished(now, run.content)
-		run.segments.Survive(now)
+		g.recordSurvival(c, run)
 		return
 	case err == nil:
 		g.poison.Stopped(run.content)
@@ -113,9 +135,16 @@
 			ID: poison.DeathID(target.ID, uint64(target.Born)), Address: poison.DeathID(target.Addr, 0), Begun: x.resp != nil,
 		})
 	}
-	verdict, _ := g.poison.Check(now, c.contentHash)
+	verdict, wait := g.poison.Check(now, c.contentHash)
 	g.Log.TargetDied(c.entry(), target.ID, c.contentHash, verdict, err)
 	c.count(metricDeaths, "verdict", verdict.String())
+	if verdict == poison.Settling {
+		time.Sleep(wait)
+		verdict, _ = g.poison.Check(time.Now(), c.contentHash)
+	}
+	if verdict == poison.Poisoned {
+		g.convictContent(c)
+	}
 }
 
 // BlamesChanged receives a value when there are blames not yet sent to peers.
--- a/lib/gateway/segments.go
+++ b/lib/gateway/segments.go
@@ -35,7 +35,7 @@
 // the call's run; nil: it has none yet.
 func (g *Gateway) checkSegments(c *call, self *poison.SegmentRun) *refusal {
 	now := time.Now()
-	v := g.segments.Check(now, c.service, c.model, c.segments)
+	v := g.segments.Check(now, c.service, c.model, c.causes())
 	if c.probe && c.sends == 0 {
 		return nil
 	}
--- a/lib/poison/conviction.go
+++ b/lib/poison/conviction.go
@@ -65,6 +65,30 @@
 	}
 }
 
+// Convict puts a conviction in force that its caller has reached by other means, unless a segment of it has survived since the last death. It is sent to
+// peers, and announced to be stored.
+func (t *SegmentTable) Convict(now time.Time, v Conviction) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.unproved(now, &v)) == len(v.Segments) {
+		t.convict(&v)
+	}
+}
+
+// Acquit ends the convictions of a single segment, with which a request has just been completed.
+func (t *SegmentTable) Acquit(now time.Time, c Cause) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, v := range t.refused {
+		if len(v.Segments) == 1 && v.contains(c) {
+			t.known.add(now, c)
+			t.outbox.offerSurvival(c, now)
+			t.acquit(now)
+			return
+		}
+	}
+}
+
 // enforce puts a conviction in force unless one that covers it is, and reports whether it did. Runs with its segments that have not survived are
 // cancelled.
 func (t *SegmentTable) enforce(v *Conviction, from Source) bool {
