A lost own link proves no target's death

Fix: a refusal proves a death only if another target is reached at that time; what a peer carries proves none by closing. Tests of crashes, segments, contents and partitions pass.

--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -171,6 +171,22 @@
 	return nil
 }
 
+// Others returns up to n targets that accept requests, in no order, without the given one.
+func (f *Fleet) Others(id string, n int) []Info {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []Info
+	for _, t := range f.targets {
+		if len(out) == n {
+			break
+		}
+		if t.ID != id && f.accepts(t) {
+			out = append(out, t.Info)
+		}
+	}
+	return out
+}
+
 // Info returns the list entry of a target.
 func (f *Fleet) Info(id string) (Info, bool) {
 	f.mu.Lock()
--- a/lib/gateway/alive.go
+++ b/lib/gateway/alive.go
@@ -16,11 +16,20 @@
 // target has died: a listener is closed last, or a forwarder accepts for it.
 const aliveWatch = 400 * time.Millisecond
 
+// contactPoll is the interval of checks whether anything arrives from other targets.
+const contactPoll = 5 * time.Millisecond
+
+// errOwnLink means that this instance can't tell a dead target from its own lost link.
+var errOwnLink = errors.New("gateway: the own link may be lost")
+
 var errClosedAgain = errors.New("gateway: the target accepted a connection and closed it")
 
 // provesDeath reports whether the error of checkDeath shows that the target's process has ended. A target that is silent may be cut off, frozen or
 // busy: its runs have not crashed it, as far as anybody knows.
 func provesDeath(err error) bool {
+	if errors.Is(err, errOwnLink) {
+		return false
+	}
 	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, errClosedAgain) {
 		return true
 	}
@@ -37,17 +46,49 @@
 }
 
 func (g *Gateway) watchTarget(target fleet.Info) error {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-	defer cancel()
-	conn, err := g.Pool.Dial(ctx, target.Addr)
+	conn, err := g.dialAgain(target)
+	if errors.Is(err, syscall.ECONNREFUSED) && !g.reachesOthers(target, time.Now()) {
+		// A lost link refuses connections as a dead target does. A peer may reach the target by now.
+		if conn, err = g.dialAgain(target); err != nil {
+			err = errors.Join(errOwnLink, err)
+		}
+	}
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
-	if !conn.StaysOpen(aliveWatch) && !(isDirect(conn) && g.reachedByPeer(target)) {
-		return errClosedAgain
+	switch {
+	case conn.StaysOpen(aliveWatch), isDirect(conn) && g.reachedByPeer(target):
+		return g.replaced(target)
+	case !isDirect(conn):
+		return errors.Join(errOwnLink, errClosedAgain) // the peer may have closed it
+	}
+	return errClosedAgain
+}
+
+func (g *Gateway) dialAgain(target fleet.Info) (*wirehttp.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	return g.Pool.Dial(ctx, target.Addr)
+}
+
+// probedOthers is the number of other targets that are tried when one refuses a connection.
+const probedOthers = 3
+
+// reachesOthers reports whether anything arrives from other targets over this instance's own links after a time. It tries some, and waits.
+func (g *Gateway) reachesOthers(target fleet.Info, since time.Time) bool {
+	if g.Links == nil {
+		return true
+	}
+	for _, other := range g.Fleet.Others(target.ID, probedOthers) {
+		go g.Links.Probe(other.Addr, 0)
+	}
+	for end := since.Add(aliveWatch); time.Now().Before(end); time.Sleep(contactPoll) {
+		if g.Links.ContactSince(since) {
+			return true
+		}
 	}
-	return g.replaced(target)
+	return false
 }
 
 // reachedByPeer reports whether a target keeps a connection open that a peer carries: then this instance's own link to it resets connections.
--- a/lib/gateway/alive_test.go
+++ b/lib/gateway/alive_test.go
@@ -6,11 +6,15 @@
 	"fmt"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
+	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/targetdial"
 	"anvilwick.example/anvilwick/lib/wirehttp"
 )
 
@@ -33,3 +37,37 @@
 		must.Eq(t, want, provesDeath(err), must.Sprint(err))
 	}
 }
+
+// cutLinks are the links of an instance that reaches no target, or all but one.
+type cutLinks struct {
+	Links
+	others  bool // reached
+	contact atomic.Bool
+}
+
+func (l *cutLinks) ContactSince(time.Time) bool { return l.contact.Load() }
+
+func (l *cutLinks) Probe(string, time.Duration) targetdial.Reach {
+	l.contact.Store(l.others)
+	return targetdial.ReachNone
+}
+
+func (l *cutLinks) DialByPeer(context.Context, string) (net.Conn, error) { return nil, errClosedAgain }
+
+// Guards against sound segments that are convicted by an instance whose own links refuse connections as dead targets do: three targets seem to die at once. A refusal
+// proves a death only if another target is reached.
+func TestRefusalByOwnLinkProvesNoDeath(t *testing.T) {
+	for _, others := range []bool{false, true} {
+		g := newTestGateway()
+		links := &cutLinks{others: others}
+		g.Links = links
+		g.Pool = wirehttp.NewPool(func(context.Context, string) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+		})
+		dead := fleet.Info{ID: "a", Service: "s", Addr: "127.0.0.1:1"}
+		g.Fleet.Apply(time.Now(), []fleet.Info{dead, {ID: "b", Service: "s", Addr: "127.0.0.1:2"}}, nil, 0)
+		err := g.checkDeath(dead)
+		must.Error(t, err)
+		must.Eq(t, others, provesDeath(err))
+	}
+}
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -155,6 +155,8 @@
 type Links interface {
 	// Lost reports whether the own link to a target is lost.
 	Lost(addr string) bool
+	// ContactSince reports whether anything has arrived from any target over an own link since a time.
+	ContactSince(at time.Time) bool
 	// Silent reports whether open connections over the own link to a target carry nothing any more.
 	Silent(addr string) bool
 	// Probe finds out whether a target accepts connections, unless that was found out at most maxAge ago. It may take half a second.
--- a/lib/targetdial/dialer.go
+++ b/lib/targetdial/dialer.go
@@ -183,6 +183,9 @@
 // Lost reports whether the own link to a target is lost.
 func (d *Dialer) Lost(addr string) bool { return d.Paths.Lost(time.Now(), addr) }
 
+// ContactSince reports whether anything has arrived from a target over an own link since a time.
+func (d *Dialer) ContactSince(at time.Time) bool { return d.Paths.ContactSince(at) }
+
 // Silent reports whether open connections over the own link to a target carry nothing any more.
 func (d *Dialer) Silent(addr string) bool { return d.Paths.Silent(time.Now(), addr) }
 
--- a/lib/targetdial/paths.go
+++ b/lib/targetdial/paths.go
@@ -53,6 +53,13 @@
 	p.allSince = time.Time{}
 }
 
+// ContactSince reports whether something has arrived over an own link since a time.
+func (p *Paths) ContactSince(at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lastContact.After(at)
+}
+
 // Reached records that a target accepted a connection over the own link. It reports whether the link was lost before.
 func (p *Paths) Reached(now time.Time, addr string) (regained bool) {
 	p.Contact(now)
