--- a/lib/entry/accept.go
+++ b/lib/entry/accept.go
@@ -110,7 +110,8 @@
 	return id
 }
 
-// readBody reads a request body of at most limit bytes; larger bodies yield BodyTooLarge, and those that the process has no memory for TooManyStreams.
+// readBody reads a request body of at most limit bytes; larger bodies yield BodyTooLarge, and those that the process has no memory for
+// TooManyStreams.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, limit int) ([]byte, *result.Error) {
 	if limit <= 0 || limit > maxBodyBytes {
 		limit = maxBodyBytes
--- a/lib/entry/body_test.go
+++ b/lib/entry/body_test.go
@@ -17,7 +17,8 @@
 func (m usedMemory) InUse() int64 { return int64(m) }
 func (m usedMemory) Collect()     {}
 
-// Guards against bodies, each of the permitted size, whose sum exceeds the process's memory: those that do not fit are refused, and small ones served.
+// Guards against bodies, each of the permitted size, whose sum exceeds the process's memory: those that do not fit are refused, and small ones
+// served.
 func TestBodyWithoutMemoryIsRefused(t *testing.T) {
 	p := startPlain(t, "one")
 	r := newRig(t, siteText("", true, nil, []string{p.Addr()}), func(o *Options) {
--- a/lib/fleet/software_test.go
+++ b/lib/fleet/software_test.go
@@ -54,8 +54,8 @@
 	must.NotEq(t, long.ID, NewSoftware("s", string(make([]byte, 4001))).ID)
 }
 
-// Guards against a stream that goes on at a target that has started again with another version: until its entry says which one it runs, none of the known versions
-// may be assumed. A stream that began there meanwhile continues at the version that the entry names later.
+// Guards against a stream that goes on at a target that has started again with another version: until its entry says which one it runs, none of the
+// known versions may be assumed. A stream that began there meanwhile continues at the version that the entry names later.
 func TestRestartedTargetHasUnknownSoftware(t *testing.T) {
 	v1, v2 := NewSoftware("s", "v1"), NewSoftware("s", "v2")
 	f := New("z")
--- a/lib/gateway/alive.go
+++ b/lib/gateway/alive.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/tunnel"
 	"anvilwick.example/anvilwick/lib/wirehttp"
 )
 
@@ -48,8 +49,8 @@
 func (g *Gateway) watchTarget(target fleet.Info) error {
 	conn, err := g.dialAgain(target)
 	if errors.Is(err, syscall.ECONNREFUSED) && !g.reachesOthers(target, time.Now()) {
-		// A lost link refuses connections as a dead target does. A peer may reach the target by now.
-		if conn, err = g.dialAgain(target); err != nil {
+		// A lost link refuses connections as a dead target does. A peer may reach the target by now, or know that it does not.
+		if conn, err = g.dialAgain(target); err != nil && !errors.Is(err, tunnel.ErrUnreachable) {
 			err = errors.Join(errOwnLink, err)
 		}
 	}
@@ -57,11 +58,14 @@
 		return err
 	}
 	defer conn.Close()
-	switch {
-	case conn.StaysOpen(aliveWatch), isDirect(conn) && g.reachedByPeer(target):
+	if conn.StaysOpen(aliveWatch) {
 		return g.replaced(target)
-	case !isDirect(conn):
-		return errors.Join(errOwnLink, errClosedAgain) // the peer may have closed it
+	}
+	switch err := g.openByPeer(target); {
+	case err == nil:
+		return g.replaced(target)
+	case !isDirect(conn) && !errors.Is(err, tunnel.ErrUnreachable) && !errors.Is(err, errClosedAgain):
+		return errors.Join(errOwnLink, err) // the peer may have closed the first one
 	}
 	return errClosedAgain
 }
@@ -91,20 +95,23 @@
 	return false
 }
 
-// reachedByPeer reports whether a target keeps a connection open that a peer carries: then this instance's own link to it resets connections.
-func (g *Gateway) reachedByPeer(target fleet.Info) bool {
+// openByPeer returns an error unless a target keeps a connection open that a peer carries: then this instance's own link to it resets connections.
+func (g *Gateway) openByPeer(target fleet.Info) error {
 	if g.Links == nil {
-		return false
+		return errClosedAgain
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	nc, err := g.Links.DialByPeer(ctx, target.Addr)
 	if err != nil {
-		return false
+		return err
 	}
 	conn := wirehttp.NewConn(nc, target.Addr)
 	defer conn.Close()
-	return conn.StaysOpen(aliveWatch)
+	if !conn.StaysOpen(aliveWatch) {
+		return errClosedAgain
+	}
+	return nil
 }
 
 // replaced returns an error if the list of targets shows that another process has taken a target's place.
--- a/lib/gateway/alive_test.go
+++ b/lib/gateway/alive_test.go
@@ -54,8 +54,8 @@
 
 func (l *cutLinks) DialByPeer(context.Context, string) (net.Conn, error) { return nil, errClosedAgain }
 
-// Guards against sound segments that are convicted by an instance whose own links refuse connections as dead targets do: three targets seem to die at once. A refusal
-// proves a death only if another target is reached.
+// Guards against sound segments that are convicted by an instance whose own links refuse connections as dead targets do: three targets seem to die
+// at once. A refusal proves a death only if another target is reached.
 func TestRefusalByOwnLinkProvesNoDeath(t *testing.T) {
 	for _, others := range []bool{false, true} {
 		g := newTestGateway()
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -71,7 +71,8 @@
 	// Copy copies the memory of the run that serves request id from one engine to another; a repeated call copies only what
 	// was added since. last stops the run at its source before the rest is copied.
 	Copy(ctx context.Context, from, to fleet.Info, id string, last bool) (CopyResult, error)
-	// Incarnation requests, on a connection to an engine that can carry a request after it, which incarnation the engine at its other end is; 0: unknown.
+	// Incarnation requests, on a connection to an engine that can carry a request after it, which incarnation the engine at its other end is; 0:
+	// unknown.
 	Incarnation(ctx context.Context, conn *wirehttp.Conn, at fleet.Info) (int64, error)
 	// Report requests an engine's state.
 	Report(ctx context.Context, at fleet.Info) (Report, error)
--- a/lib/gateway/poison.go
+++ b/lib/gateway/poison.go
@@ -26,11 +26,12 @@
 	return poison.Fingerprint(strings.Join([]string{c.workspace, c.method, c.host, c.target}, "\x00"), c.body)
 }
 
-// causes lists what a call may be refused for: the segments of its prompt, and its whole content, which is convicted as if it were a segment of its own.
+// causes lists what a call may be refused for: the segments of its prompt, and its whole content, which is convicted as if it were a segment of its
+// own.
 func (c *call) causes() []uint64 { return append(slices.Clip(c.segments), c.contentHash) }
 
-// convictContent makes the verdict on a content one of all instances, also of those that start later, and for longer than the table of this one keeps it: it
-// gets a row in the store, and probes at growing pauses.
+// convictContent makes the verdict on a content one of all instances, also of those that start later, and for longer than the table of this one
+// keeps it: it gets a row in the store, and probes at growing pauses.
 func (g *Gateway) convictContent(c *call) {
 	now := time.Now()
 	g.segments.Convict(now, poison.Conviction{
--- a/lib/gatewayproc/software.go
+++ b/lib/gatewayproc/software.go
@@ -350,7 +350,8 @@
 	return row.Versions[0], true, nil
 }
 
-// observeSoftware records the versions of listed targets. Streams that began before their service had a second version are recorded in the store when it gets one.
+// observeSoftware records the versions of listed targets. Streams that began before their service had a second version are recorded in the store
+// when it gets one.
 func (p *Process) observeSoftware(entries []fleet.Info) {
 	now := time.Now()
 	turned := false
--- a/lib/gatewayproc/software_test.go
+++ b/lib/gatewayproc/software_test.go
@@ -64,8 +64,8 @@
 	}
 }
 
-// Guards against an instance that holds a subset of the targets, with one version, and goes on recording its streams in memory alone although their service
-// has several: a peer with all targets tells it.
+// Guards against an instance that holds a subset of the targets, with one version, and goes on recording its streams in memory alone although their
+// service has several: a peer with all targets tells it.
 func TestSubsetLearnsThatServiceIsMixed(t *testing.T) {
 	s := newSoftware()
 	now := time.Now()
--- a/lib/poison/conviction.go
+++ b/lib/poison/conviction.go
@@ -65,8 +65,8 @@
 	}
 }
 
-// Convict puts a conviction in force that its caller has reached by other means, unless a segment of it has survived since the last death. It is sent to
-// peers, and announced to be stored.
+// Convict puts a conviction in force that its caller has reached by other means, unless a segment of it has survived since the last death. It is
+// sent to peers, and announced to be stored.
 func (t *SegmentTable) Convict(now time.Time, v Conviction) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/lib/resume/held_test.go
+++ b/lib/resume/held_test.go
@@ -24,8 +24,8 @@
 	}
 }
 
-// Guards against the loss of streams that began before their service had a second version, when all instances die after it has appeared. The instance that
-// began some of them has been replaced in between.
+// Guards against the loss of streams that began before their service had a second version, when all instances die after it has appeared. The
+// instance that began some of them has been replaced in between.
 func TestHeldRecordsAreStoredWhenTheServiceIsMixed(t *testing.T) {
 	run(t, func(ctx context.Context, s *site) {
 		for key := range uint64(20) {
@@ -42,7 +42,8 @@
 	})
 }
 
-// Guards against a burst that is written again each time: a record is written once by the keepers of each failure domain, and only for mixed services.
+// Guards against a burst that is written again each time: a record is written once by the keepers of each failure domain, and only for mixed
+// services.
 func TestHeldRecordsAreStoredOnce(t *testing.T) {
 	run(t, func(ctx context.Context, s *site) {
 		for key := range uint64(20) {
--- a/lib/resume/outbox.go
+++ b/lib/resume/outbox.go
@@ -33,9 +33,9 @@
 	return entries[n:]
 }
 
-// StoreHeld writes to the store the records that are held only in memory, of the versions that mixed selects: those of streams that began before their
-// service had several versions, without which the loss of all instances would lose these streams. Holders write them as well as the
-// instance that began the stream, which may have been replaced since.
+// StoreHeld writes to the store the records that are held only in memory, of the versions that mixed selects: those of streams that began before
+// their service had several versions, without which the loss of all instances would lose these streams. Holders write them as well as the instance
+// that began the stream, which may have been replaced since.
 func (r *Recorder) StoreHeld(mixed func(software uint64) bool) {
 	held := r.table.TakeUnstored(time.Now(), func(e Entry) bool { return mixed(e.Software) })
 	if len(held) == 0 {
--- a/lib/wirehttp/head.go
+++ b/lib/wirehttp/head.go
@@ -6,8 +6,8 @@
 	"net"
 )
 
-// maxResponseHead bounds the status line and header of a response, in bytes. http.ReadResponse has no bound of its own: a target that sends bytes without
-// end would use up the process's memory.
+// maxResponseHead bounds the status line and header of a response, in bytes. http.ReadResponse has no bound of its own: a target that sends bytes
+// without end would use up the process's memory.
 const maxResponseHead = 64 << 10
 
 // ErrHeadTooLarge reports that the head of a response exceeds 64 KiB.
