--- a/Makefile
+++ b/Makefile
@@ -78,6 +78,8 @@
 		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -software=false -segments=false -lapses=false -bodies=false -first-release=false </dev/null || exit 1; done
 	@grep -v '^#' platform/soak/cases-segments.txt | while read -r seed span cause; do \
 		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -lapses=false -bodies=false -first-release=false </dev/null || exit 1; done
+	@grep -v '^#' platform/soak/cases-bodies.txt | while read -r seed span cause; do \
+		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span </dev/null || exit 1; done
 
 # capacity measures the slopes behind docs/CAPACITY.md; the last line is "capacity: ok ...". CAPACITYFLAGS adds flags.
 capacity: build
