--- a/lib/wirehttp/conn.go
+++ b/lib/wirehttp/conn.go
@@ -171,13 +171,29 @@
 // Receive reads the header of the response to the request identified by id in the header idHeader. Whole responses with
 // another id are skipped: a faulty target may send a response twice or late, in place of the next one.
 func (c *Conn) Receive(method, idHeader, id string) (*Response, error) {
+	return c.receiveExpected(method, func(resp *Response) bool {
+		got := resp.Header.Get(idHeader)
+		return idHeader == "" || got == id || got == "" && resp.Status >= 300
+	})
+}
+
+// ReceiveUnnamed is like Receive, for requests that carry no id: whole responses that name another id than about are skipped, those that name none
+// are not.
+func (c *Conn) ReceiveUnnamed(method, idHeader, about string) (*Response, error) {
+	return c.receiveExpected(method, func(resp *Response) bool {
+		got := resp.Header.Get(idHeader)
+		return got == about || got == ""
+	})
+}
+
+func (c *Conn) receiveExpected(method string, expected func(*Response) bool) (*Response, error) {
 	for range maxUnexpectedResponses {
 		resp, err := c.receive(method)
 		if err != nil {
 			c.unusable.Store(true)
 			return nil, &SendError{MaybeSent: true, Err: err}
 		}
-		if got := resp.Header.Get(idHeader); idHeader == "" || got == id || got == "" && resp.Status >= 300 {
+		if expected(resp) {
 			return resp, nil
 		}
 		if err := resp.Discard(unexpectedBodyLimit); err != nil {
