--- a/lib/feedlink/hops_test.go
+++ b/lib/feedlink/hops_test.go
@@ -1,7 +1,9 @@
 package feedlink
 
 import (
+	"fmt"
 	"net"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -55,13 +57,19 @@
 	must.Less(t, emptyUpstreamWait, relay.waitFor(t, "one"))
 }
 
+// ownLoopback returns a loopback address that no other process uses: a port there stays free between two listens.
+func ownLoopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 201+pid%50, 1+pid/50%250, 1+pid/12500%250)
+}
+
 // All instances of a large site start at once, and an instance's upstreams start later than itself. It waits for them instead of reading
 // all tables itself, which would take seconds.
 func TestFollowerOfLargeSiteWaitsForLaterUpstream(t *testing.T) {
 	t.Parallel()
 	src, unused := &table{}, &table{}
 	src.set("one")
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", ownLoopback()+":0")
 	must.NoError(t, err)
 	addr := ln.Addr().String()
 	must.NoError(t, ln.Close())
