--- a/lib/result/result.go
+++ b/lib/result/result.go
@@ -121,7 +121,7 @@
 	{Stopping, "stopping", http.StatusServiceUnavailable, NotRun, RetryLater, "this instance is stopping"},
 	{RetryBudget, "retry_budget", http.StatusServiceUnavailable, NotRun, RetryLater, "the retry budget is spent"},
 	{PowerCap, "power_cap", http.StatusServiceUnavailable, NotRun, RetryLater, "the site's power cap leaves no room"},
-	{TooManyStreams, "too_many_streams", http.StatusServiceUnavailable, NotRun, RetryLater, "this instance holds its bound of streams"},
+	{TooManyStreams, "too_many_streams", http.StatusServiceUnavailable, NotRun, RetryLater, "this instance holds its bound of streams, or has no memory for the body"},
 	{AlreadyRunning, "already_running", http.StatusConflict, NotRun, RetryLater, "a request with this key is in progress; this one started nothing"},
 	{TargetFailed, "target_failed", http.StatusBadGateway, FailedRan, RetryIfIdempotent, "the target reported an error"},
 	{CannotResume, "cannot_resume", http.StatusBadGateway, FailedRan, RetryIfIdempotent, "the stream broke and can't be resumed"},
