--- a/lib/gateway/alive.go
+++ b/lib/gateway/alive.go
@@ -20,7 +20,7 @@
 // contactPoll is the interval of checks whether anything arrives from other targets.
 const contactPoll = 5 * time.Millisecond
 
-// errOwnLink means that this instance can't tell a dead target from its own lost link.
+// errOwnLink means that this instance can't distinguish a dead target from its own lost link.
 var errOwnLink = errors.New("gateway: the own link may be lost")
 
 var errClosedAgain = errors.New("gateway: the target accepted a connection and closed it")
--- a/lib/gatewayproc/parts.go
+++ b/lib/gatewayproc/parts.go
@@ -194,7 +194,7 @@
 	division := make(owner.Division, len(msg.Services))
 	turned := false
 	for _, s := range msg.Services {
-		turned = p.software.tell(time.Now(), s.Service, s.Mixed) || turned
+		turned = p.software.recordReport(time.Now(), s.Service, s.Mixed) || turned
 		domains := make(map[string]int, len(s.Domains))
 		for _, d := range s.Domains {
 			if d.Shards > 0 && d.Shards <= maxShardsPerDomain {
@@ -215,6 +215,6 @@
 	p.fleet.SetPartial(partial)
 	if !partial {
 		p.shards.setDivision(nil)
-		p.software.forgetTold()
+		p.software.forgetReported()
 	}
 }
--- a/lib/gatewayproc/software.go
+++ b/lib/gatewayproc/software.go
@@ -80,14 +80,14 @@
 
 // software is what this instance has seen of the services' versions.
 type software struct {
-	mu     sync.Mutex
-	seen   map[string]map[uint64]time.Time // by service: when a target of the version was last listed
-	told   map[string]bool                 // services that a peer with all targets calls mixed
-	change chan struct{}                   // a version was seen for the first time
+	mu       sync.Mutex
+	seen     map[string]map[uint64]time.Time // by service: when a target of the version was last listed
+	reported map[string]bool                 // services that a peer with all targets reports as mixed
+	change   chan struct{}                   // a version was seen for the first time
 }
 
 func newSoftware() *software {
-	return &software{seen: make(map[string]map[uint64]time.Time), told: make(map[string]bool), change: make(chan struct{}, 1)}
+	return &software{seen: make(map[string]map[uint64]time.Time), reported: make(map[string]bool), change: make(chan struct{}, 1)}
 }
 
 // observe records the version of a listed target. It reports whether the service is mixed since then.
@@ -110,20 +110,20 @@
 	return !before && s.mixed(now, service)
 }
 
-// tell records whether a service is mixed, as a peer says that has all targets. It reports whether the service is mixed since then.
-func (s *software) tell(now time.Time, service string, mixed bool) (turned bool) {
+// recordReport records whether a service is mixed, as a peer with all targets reports. It reports whether the service is mixed since then.
+func (s *software) recordReport(now time.Time, service string, mixed bool) (turned bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.mixed(now, service)
-	s.told[service] = mixed
+	s.reported[service] = mixed
 	return mixed && !before
 }
 
-// forgetTold forgets what peers have said: this instance has all targets itself.
-func (s *software) forgetTold() {
+// forgetReported forgets what peers have said: this instance has all targets itself.
+func (s *software) forgetReported() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	clear(s.told)
+	clear(s.reported)
 }
 
 // isMixed reports whether a service has, or lately had, several versions.
@@ -137,7 +137,7 @@
 func (s *software) anyMixed(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for service := range s.told {
+	for service := range s.reported {
 		if s.mixed(now, service) {
 			return true
 		}
@@ -164,7 +164,7 @@
 
 // mixed is isMixed with s.mu held.
 func (s *software) mixed(now time.Time, service string) bool {
-	if s.told[service] {
+	if s.reported[service] {
 		return true
 	}
 	n := 0
