Observability: why a process ends, how near it is to its memory, how old a confirmation is

- event=end, the last line of each process that is not killed, with reason and cause.
- event=memory when use crosses 0.6, 0.75 or 0.9 of the limit, with connections, requests and bytes of bodies at that moment; gauges of use and limit.
- feed_regained: unconfirmed_ms (advance of the store's confirmation) and confirmed_ago_ms (its age on arrival) in place of silent_ms.

No decision changes. lib/membudget, lib/feed, lib/gatewayproc, lib/gateway, lib/explain: tests pass.

--- a/app/anvilwick-gateway/main.go
+++ b/app/anvilwick-gateway/main.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"anvilwick.example/anvilwick/lib/cmdline"
 	"anvilwick.example/anvilwick/lib/gatewayproc"
 	"anvilwick.example/anvilwick/lib/logline"
@@ -65,8 +67,10 @@
 	}
 	s, err := platform.LoadSettings()
 	if err != nil {
+		logline.Send(log.Error().Str("event", "end").Str("reason", "settings"), err)
 		return cmdline.UsageError(err)
 	}
+	s.Process.FlushLog = func() { out.Flush(flushTime) }
 	if o.metricsPort != 0 {
 		s.Process.Metrics = net.JoinHostPort(s.IP, strconv.Itoa(o.metricsPort))
 	}
--- a/lib/explain/explain.go
+++ b/lib/explain/explain.go
@@ -38,7 +38,7 @@
 
 // instanceEvents lists events that affect everything an instance does.
 var instanceEvents = map[string]bool{
-	"start": true, "stop": true, "stopped": true, "reload": true, "reload_refused": true, "settings": true,
+	"start": true, "stop": true, "stopped": true, "end": true, "memory": true, "reload": true, "reload_refused": true, "settings": true,
 	"feed_failed": true, "feed_regained": true, "feed_era": true, "row_hidden": true, "log_dropped": true,
 }
 
--- a/lib/feed/feed.go
+++ b/lib/feed/feed.go
@@ -71,7 +71,8 @@
 	RetainedCounts RetainedCounts
 	Hidden         []HiddenRow   // rows that are not shown because the restore seems to have brought them back
 	Dropped        []string      // keys of rows that this instance no longer needs and gets no more updates of
-	Outage         time.Duration // how long no instance could reach the store before this update; 0: no outage
+	Outage         time.Duration // from the store's last confirmation known before to the one that came with this update; 0: no outage
+	ConfirmedAgo   time.Duration // age of the latter when it arrived: it may have come by way of peers that held it meanwhile
 }
 
 // IsNews reports whether a row of the update was written while this instance followed the table, so that it has arrived soon after.
--- a/lib/feed/replica.go
+++ b/lib/feed/replica.go
@@ -81,7 +81,7 @@
 		return
 	}
 	u := r.applyPage(page, whole, now)
-	u.Outage = outage
+	u.Outage, u.ConfirmedAgo = outage, now.Sub(contact)
 	r.initialized = true
 	r.expireTombstones(now)
 	changed := u.Initial || u.Restored || len(u.Rows)+len(u.Dropped) > 0
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -182,6 +182,7 @@
 	segments      *poison.SegmentTable
 	deathChecks   singleflight.Group
 	loadHeaders   loadHeaders
+	openRequests  atomic.Int64
 }
 
 // maxSettingsWait bounds how long a request waits for the first settings; the wait is also at most one settingsWaitPart-th of
@@ -238,6 +239,8 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.openRequests.Add(1)
+	defer g.openRequests.Add(-1)
 	if g.stopping() {
 		w.Header().Set("Connection", "close")
 	}
--- a/lib/gateway/metrics.go
+++ b/lib/gateway/metrics.go
@@ -24,6 +24,12 @@
 // requestBodyBytes is the size of the bodies of open calls, as far as they have arrived.
 var requestBodyBytes = metrics.NewCounter(`anvilwick_gateway_request_body_bytes`)
 
+// OpenRequests returns the number of requests of callers that are being served.
+func (g *Gateway) OpenRequests() int64 { return g.openRequests.Load() }
+
+// BodyBytes returns the size of the bodies of open calls, as far as they have arrived.
+func (g *Gateway) BodyBytes() int64 { return int64(requestBodyBytes.Get()) }
+
 // The metrics of calls are labelled by workspace and kind of route. Both come from settings, never from callers, which bounds
 // the number of series.
 
--- a/lib/gatewayproc/feedlog.go
+++ b/lib/gatewayproc/feedlog.go
@@ -52,7 +52,8 @@
 
 // logRegained logs that contact with a table is back after an outage.
 func logRegained(name string, u feed.Update) {
-	ev := log.Info().Str("event", "feed_regained").Str("feed", name).Int64("silent_ms", u.Outage.Milliseconds())
+	ev := log.Info().Str("event", "feed_regained").Str("feed", name).Int64("unconfirmed_ms", u.Outage.Milliseconds())
+	ev = ev.Int64("confirmed_ago_ms", u.ConfirmedAgo.Milliseconds())
 	ev.Str("before", u.Previous.String()).Str("now", u.Position().String()).Bool("read_whole", u.Snapshot).Int("rows", len(u.Rows)).Msg("")
 }
 
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -248,6 +248,7 @@
 	p.work.Add(1)
 	go func() {
 		defer p.work.Done()
+		defer p.logPanic()
 		f()
 	}()
 }
--- a/lib/gatewayproc/idle.go
+++ b/lib/gatewayproc/idle.go
@@ -20,6 +20,19 @@
 	return &idleGuard{limit: limit, timers: make(map[net.Conn]*time.Timer)}
 }
 
+// onConnState returns the callers' server's ConnState hook, which also counts their connections.
+func (p *Process) onConnState(guard *idleGuard) func(net.Conn, http.ConnState) {
+	return func(c net.Conn, s http.ConnState) {
+		switch s {
+		case http.StateNew:
+			p.callerConns.Add(1)
+		case http.StateClosed, http.StateHijacked:
+			p.callerConns.Add(-1)
+		}
+		guard.state(c, s)
+	}
+}
+
 // state is an http.Server's ConnState hook.
 func (g *idleGuard) state(c net.Conn, s http.ConnState) {
 	g.mu.Lock()
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -55,6 +55,8 @@
 
 	Grace time.Duration // from SIGTERM to the kill
 
+	FlushLog func() // writes the log's remaining lines before the process ends by a panic; nil: the log needs none
+
 	TargetTTL time.Duration // after which the platform removes the entry of a target that writes nothing
 
 	Network Network // connects to other instances
@@ -158,6 +160,7 @@
 	keeper      *resume.Keeper
 
 	front, ready *http.Server
+	callerConns  atomic.Int64 // open connections of callers
 	cancel       context.CancelFunc
 	work         sync.WaitGroup
 
@@ -191,6 +194,8 @@
 		Memory: membudget.New(int64(cfg.MemoryMB) << 20),
 		Log:    gateway.Log{Version: p.version, Era: p.era.Load}, OnLeaving: p.onTargetLeaving, OnRestarted: p.noticeRestart, Links: p.dialer,
 	})
+	p.gate.Memory.OnPressure(p.logPressure)
+	p.gate.Memory.Export()
 	site.SetResponseHook(p.gate.ReadNotices)
 	if err := p.openOwnerLink(); err != nil {
 		return nil, fmt.Errorf("gatewayproc: peers: %w", err)
@@ -204,15 +209,22 @@
 	return p, nil
 }
 
-// Run serves until ctx is done, then stops gracefully.
+// Run serves until ctx is done, then stops gracefully. The last line that it logs says why the process ends.
 func Run(ctx context.Context, cfg Config, site Site) error {
+	err := run(ctx, cfg, site)
+	logEnd(cfg.Instance, err)
+	return err
+}
+
+func run(ctx context.Context, cfg Config, site Site) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
 	p, err := newProcess(cfg, site)
 	if err != nil {
 		return err
 	}
 	defer p.node.Close()
-	log.Info().Str("event", "start").Str("instance", cfg.Instance).Str("domain", cfg.Domain).Str("front", cfg.Front).Msg("")
+	log.Info().Str("event", "start").Str("instance", cfg.Instance).Str("domain", cfg.Domain).Str("front", cfg.Front).
+		Int("memory_mb", cfg.MemoryMB).Msg("")
 	work, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	defer cancel()
@@ -302,7 +314,7 @@
 	})
 	p.mu.Lock()
 	p.front = &http.Server{
-		Handler: p.gate, ConnState: guard.state, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: maxIdle, MaxHeaderBytes: maxHeader,
+		Handler: p.gate, ConnState: p.onConnState(guard), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: maxIdle, MaxHeaderBytes: maxHeader,
 	}
 	front := p.front
 	p.mu.Unlock()
--- a/lib/membudget/budget.go
+++ b/lib/membudget/budget.go
@@ -47,13 +47,15 @@
 
 // Budget grants memory. It is safe for concurrent use. A nil Budget grants everything.
 type Budget struct {
-	limit  int64 // bytes at which the process is killed
-	memory Memory
+	limit      int64 // bytes at which the process is killed
+	memory     Memory
+	onPressure func(p Pressure, used, limit int64)
 
 	mu         sync.Mutex
 	measured   int64 // bytes in use at measuredAt
 	measuredAt time.Time
 	added      int64            // bytes granted since
+	pressure   Pressure         // at measuredAt
 	held       map[string]int64 // bytes of the large buffers of open accounts, by owner
 	heldTotal  int64
 
@@ -125,7 +127,8 @@
 // free returns the memory left for buffers of n bytes. b.mu must be held.
 func (b *Budget) free(n int64) int64 {
 	if now := time.Now(); now.Sub(b.measuredAt) >= measureInterval {
-		b.measured, b.measuredAt, b.added = b.memory.InUse(), now, 0
+		b.measuredAt = now
+		b.measure()
 	}
 	share := largeShare
 	if n <= smallBuffer {
