--- a/lib/entryproc/tunnels.go
+++ b/lib/entryproc/tunnels.go
@@ -86,7 +86,7 @@
 	defer tick.Stop()
 	for {
 		if v := view(); v != nil {
-			t.client.SetPeers(tunnelPeers(v))
+			t.client.SetPeers(tunnelPeers(v), "")
 		}
 		t.dialer.Prune(time.Now())
 		select {
--- a/lib/fleet/places.go
+++ b/lib/fleet/places.go
@@ -9,6 +9,13 @@
 	f.regions = regions
 }
 
+// Region returns the region of a failure domain; empty: unknown.
+func (f *Fleet) Region(domain string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.regions[domain]
+}
+
 // accepts reports whether a target accepts new requests at all.
 func (f *Fleet) accepts(t *Target) bool {
 	return t.state == Ready && !t.unreadable && !f.isEvacuated(t.Domain)
--- a/lib/gatewayproc/tunnels.go
+++ b/lib/gatewayproc/tunnels.go
@@ -38,6 +38,7 @@
 // openTunnels opens connections to targets by way of peers, and for them.
 func (p *Process) openTunnels() {
 	p.tunnels = tunnel.NewClient(p.node, p.cfg.Instance, p.cfg.Domain)
+	p.tunnels.RegionOf = p.regionOfTarget
 	p.dialer.Tunnel = p.tunnels.Dial
 	p.carrier = &tunnel.Server{Dial: p.dialForPeer, LinksLost: p.linksLost, Permitted: p.mayConnect, OnBackoff: p.backOffForPeer}
 	p.carrier.Serve(p.node)
@@ -72,10 +73,22 @@
 	}
 }
 
-func tunnelPeers(instances []owner.Instance) []tunnel.Peer {
+// regionOfTarget returns the region of the target at an address, and whether requests of the settings in force are bound to regions.
+func (p *Process) regionOfTarget(addr string) (region string, bound bool) {
+	table := p.gate.Table()
+	if table == nil || !table.BindsRegions() {
+		return "", false
+	}
+	if t, known := p.fleet.At(addr); known {
+		region = p.fleet.Region(t.Domain)
+	}
+	return region, true
+}
+
+func (p *Process) tunnelPeers(instances []owner.Instance) []tunnel.Peer {
 	out := make([]tunnel.Peer, len(instances))
 	for i, in := range instances {
-		out[i] = tunnel.Peer{Name: in.Name, Domain: in.Domain, Addr: in.Link}
+		out[i] = tunnel.Peer{Name: in.Name, Domain: in.Domain, Region: p.fleet.Region(in.Domain), Addr: in.Link}
 	}
 	return out
 }
--- a/lib/routes/routes.go
+++ b/lib/routes/routes.go
@@ -113,6 +113,7 @@
 	workspaceByKey  map[string]*Workspace
 	workspaceByName map[string]*Workspace
 	services        map[string]*Service
+	bindsRegions    bool
 }
 
 // NewTable indexes a revision. It rejects one that could route requests wrongly.
@@ -131,6 +132,7 @@
 			return nil, err
 		}
 		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+		t.bindsRegions = t.bindsRegions || len(r.Regions) > 0
 	}
 	for _, list := range t.hosts {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -138,6 +140,7 @@
 	for i := range rev.Workspaces {
 		w := &rev.Workspaces[i]
 		t.workspaceByName[w.Name] = w
+		t.bindsRegions = t.bindsRegions || len(w.Regions) > 0
 		for _, key := range w.Keys {
 			t.workspaceByKey[key] = w
 		}
@@ -195,6 +198,9 @@
 	return both
 }
 
+// BindsRegions reports whether requests of any route or workspace may run in some regions only.
+func (t *Table) BindsRegions() bool { return t.bindsRegions }
+
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
--- a/lib/tunnel/client.go
+++ b/lib/tunnel/client.go
@@ -31,7 +31,8 @@
 	maxPeers = 4
 	// maxUnreachable is the number of peers that have to find a target unreachable before the target is taken to be so.
 	maxUnreachable = 2
-	// candidatesPerSide bounds the peers of the own failure domain, and those of other domains, that an instance uses.
+	// candidatesPerSide bounds the peers of the own failure domain, those of the rest of the own region, and those of each other region that an
+	// instance uses.
 	candidatesPerSide = 6
 	// backoffMin and backoffMax bound the time for which a peer that could not help is tried after all others.
 	backoffMin = 250 * time.Millisecond
@@ -57,15 +58,22 @@
 type Peer struct {
 	Name   string
 	Domain string // failure domain
+	Region string // empty: unknown, or the site has none
 	Addr   string // of its mesh node
 }
 
 // Client opens connections to targets by way of peers. It is safe for concurrent use.
 type Client struct {
+	// RegionOf returns the region of the target at an address, empty if it is unknown, and whether requests are bound to regions. If they are,
+	// only peers of the own region and of the target's carry connections: a request's body must not pass through another. Nil: no request is
+	// bound. Set it before the first Dial.
+	RegionOf func(addr string) (region string, bound bool)
+
 	node         *mesh.Node
 	self, domain string
 
 	mu         sync.Mutex
+	region     string       // own
 	candidates []*candidate // in order of preference while none has failed
 }
 
@@ -83,33 +91,26 @@
 	return &Client{node: node, self: self, domain: domain}
 }
 
-// SetPeers replaces the list of instances. The client uses some of its own failure domain and some of others, since a whole domain may
-// lose its links at once. Each instance uses others, by rendezvous hashing, so that the load is spread.
-func (c *Client) SetPeers(list []Peer) {
+// SetPeers replaces the list of instances, and the own region. The client uses some of its own failure domain, some of the rest of its region and
+// some of each other region, since a whole domain may lose its links at once. Each instance uses others, by rendezvous hashing, so that the load
+// is spread.
+func (c *Client) SetPeers(list []Peer, region string) {
 	hash := rendezvous.Hash("tunnel " + c.self)
 	ranked := slices.Clone(list)
 	slices.SortFunc(ranked, func(a, b Peer) int {
 		return cmp.Or(cmp.Compare(rendezvous.Rank(hash, rendezvous.Hash(b.Name)), rendezvous.Rank(hash, rendezvous.Hash(a.Name))), cmp.Compare(a.Name, b.Name))
 	})
-	var own, other []Peer
-	for _, p := range ranked {
-		switch {
-		case p.Name == c.self:
-		case p.Domain == c.domain && len(own) < candidatesPerSide:
-			own = append(own, p)
-		case p.Domain != c.domain && len(other) < candidatesPerSide:
-			other = append(other, p)
-		}
-	}
+	sides := c.sides(ranked, region)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.region = region
 	known := make(map[Peer]*candidate, len(c.candidates))
 	for _, k := range c.candidates {
 		known[k.Peer] = k
 	}
 	c.candidates = c.candidates[:0:0]
-	for i := range max(len(own), len(other)) {
-		for _, side := range [][]Peer{own, other} {
+	for i := range candidatesPerSide {
+		for _, side := range sides {
 			if i >= len(side) {
 				continue
 			}
@@ -122,17 +123,52 @@
 	}
 }
 
-// choose returns the peers to try, the most promising first: those that did not fail lately, then those that carry least.
-func (c *Client) choose(now time.Time) []*candidate {
+// sides returns the peers that the client uses: those of the own failure domain first, then those of the rest of its region, then those of each
+// other region.
+func (c *Client) sides(ranked []Peer, region string) [][]Peer {
+	sides := make([][]Peer, 2)
+	index := map[string]int{region: 1}
+	for _, p := range ranked {
+		if p.Name == c.self {
+			continue
+		}
+		side := 0
+		if p.Domain != c.domain {
+			known := false
+			if side, known = index[p.Region]; !known {
+				side = len(sides)
+				index[p.Region] = side
+				sides = append(sides, nil)
+			}
+		}
+		if len(sides[side]) < candidatesPerSide {
+			sides[side] = append(sides[side], p)
+		}
+	}
+	return sides
+}
+
+// choose returns the peers to try for a target, the most promising first: those that did not fail lately, then those that carry least.
+func (c *Client) choose(now time.Time, addr string) []*candidate {
+	region, bound := c.regionOf(addr)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := slices.Clone(c.candidates)
+	out := slices.DeleteFunc(slices.Clone(c.candidates), func(p *candidate) bool {
+		return bound && p.Region != c.region && (region == "" || p.Region != region)
+	})
 	slices.SortStableFunc(out, func(a, b *candidate) int {
 		return cmp.Or(cmp.Compare(a.avoidedFor(now), b.avoidedFor(now)), cmp.Compare(a.open, b.open))
 	})
 	return out[:min(maxPeers, len(out))]
 }
 
+func (c *Client) regionOf(addr string) (region string, bound bool) {
+	if c.RegionOf == nil {
+		return "", false
+	}
+	return c.RegionOf(addr)
+}
+
 // avoidedFor returns how much longer the peer is tried after all others.
 func (p *candidate) avoidedFor(now time.Time) time.Duration { return max(0, p.avoidUntil.Sub(now)) }
 
@@ -179,7 +215,7 @@
 }
 
 func (c *Client) newDialing(ctx context.Context, addr string) *dialing {
-	peers := c.choose(time.Now())
+	peers := c.choose(time.Now(), addr)
 	d := &dialing{client: c, addr: addr, peers: peers, timeouts: c.timeouts(peers), results: make(chan attempt, len(peers))}
 	d.limit = dialTimeout + slices.Max(append(d.timeouts, peerTimeout))
 	d.ctx, d.cancel = context.WithTimeout(context.WithoutCancel(ctx), attemptTimeout)
--- a/lib/tunnel/tunnel_test.go
+++ b/lib/tunnel/tunnel_test.go
@@ -72,7 +72,7 @@
 	for _, p := range peers {
 		list = append(list, p.Peer)
 	}
-	c.SetPeers(append(list, Peer{Name: "a", Domain: "d1", Addr: "127.0.0.1:1"}))
+	c.SetPeers(append(list, Peer{Name: "a", Domain: "d1", Addr: "127.0.0.1:1"}), "")
 	return c
 }
 
@@ -311,7 +311,7 @@
 	used := make(map[string]int)
 	for i := 0; i < n; i += 3 { // all of d0
 		c := NewClient(nil, fmt.Sprint("i-", i), "d0")
-		c.SetPeers(list)
+		c.SetPeers(list, "")
 		must.Len(t, 2*candidatesPerSide, c.candidates)
 		must.NotEq(t, c.candidates[0].Domain, c.candidates[1].Domain)
 		for _, k := range c.candidates {
