Planned stop: a request that comes too late is not run here and is told so

Callers saw: in a planned stop of one instance (GraceS 8, nothing else wrong) requests whose head came early and whose body ended late in the grace period were sent to a target and cut at its end: 504 at 7.7 s for plain ones, non-idempotent ones among them, and streams that broke off. One whose body ended after everything was aborted still reached its target.

Cause: only streams that can't be resumed were asked whether they end before the instance does, once, when they were accepted, and only while the pace of their engines was known. The server's shutdown looked for the end of its last request up to twice a second, so that it ran out of time with "deadline exceeded" although all were answered.

Now StopSchedule.allows decides, for each kind of call and right before each send, whether the call can still be answered. If not, it gets 503 "not run" with the short Retry-After of a stop. Times are recent highs per service; a service whose time is unknown is served only while balancers send new connections. A body that isn't complete when open responses are aborted is refused, too. Open responses are aborted 0.7 s before the kill (0.3 s before), connections still open are closed 0.35 s before it, and a planned stop that reaches that point is not a failure: event=stopped counts what was aborted or unfinished.

TestLongStreamsAreRefusedWhileStopping keeps its checks; its calls now name what the decision also takes into account, a time limit and an engine.

--- a/lib/gateway/body.go
+++ b/lib/gateway/body.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -38,8 +39,15 @@
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(c.bodyDeadline(r.ContentLength, limit)) // without it a slow body is read until its caller leaves
 	c.memory = g.Memory.Account(c.workspace)
+	stop := context.AfterFunc(g.openCtx, func() { _ = rc.SetReadDeadline(time.Now()) })
+	defer stop()
 	b, err := c.memory.ReadAll(bodyReader{r.Body, c}, r.ContentLength, limit)
+	stop()
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && g.openCtx.Err() != nil:
+		ref := c.stoppingRefusal()
+		ref.unread = r.Body
+		return &ref
 	case errors.Is(err, membudget.ErrTooLong):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_long", unread: r.Body}
 	case errors.Is(err, membudget.ErrNoMemory):
--- a/lib/gateway/call.go
+++ b/lib/gateway/call.go
@@ -37,6 +37,7 @@
 	limit     time.Time // the earlier of the deadline and the route's timeout
 	prompt    int       // tokens of the prompt
 	output    int       // expected tokens of the output
+	maxOutput int       // most tokens of the output that the caller accepts; 0: unknown
 	model     string
 	segments  []uint64 // of the prompt, without the last
 	lastEvent string   // id of the last event that the caller has
@@ -106,6 +107,13 @@
 	c.service = c.route.PickService(rand.Float64())
 	c.engine = t.Service(c.service).Engine
 	g.readHeaders(r, c)
+	if g.endsTooLate(c) { // the body would be read for nothing
+		ref := c.stoppingRefusal()
+		if r.Body != nil && r.Body != http.NoBody {
+			ref.unread = r.Body
+		}
+		return c, &ref
+	}
 	if ref := g.readBody(w, r, c, t.Limits.BodyBytes); ref != nil {
 		return c, ref
 	}
@@ -126,7 +134,7 @@
 	if t := c.route.Timeout; t > 0 && c.arrived.Add(t).Before(c.limit) {
 		c.limit = c.arrived.Add(t)
 	}
-	c.prompt, c.output = g.tokens(r.Header)
+	c.prompt, c.output, c.maxOutput = g.tokens(r.Header)
 	c.model = r.Header.Get(g.Names.Model)
 	c.segments = parseSegments(r.Header.Get(g.Names.Segments))
 	c.lastEvent = r.Header.Get(g.Names.LastEvent)
@@ -143,18 +151,18 @@
 	return defaultDeadline
 }
 
-// tokens returns the prompt's size and an estimate of the output's: the caller's hint, or else half of the maximum.
-func (g *Gateway) tokens(h http.Header) (prompt, output int) {
+// tokens returns the prompt's size, an estimate of the output's, which is the caller's hint or else half of the maximum, and that maximum.
+func (g *Gateway) tokens(h http.Header) (prompt, output, maxOutput int) {
 	in, most, _ := strings.Cut(h.Get(g.Names.Tokens), ",")
-	prompt = atoi(in)
-	output = atoi(most) / 2
+	prompt, maxOutput = atoi(in), atoi(most)
+	output = maxOutput / 2
 	if hint := atoi(h.Get(g.Names.Hint)); hint > 0 {
 		output = hint
-		if n := atoi(most); n > 0 {
-			output = min(output, n) // callers' hints are often far off
+		if maxOutput > 0 {
+			output = min(output, maxOutput) // callers' hints are often far off
 		}
 	}
-	return prompt, output
+	return prompt, output, maxOutput
 }
 
 // atoi parses a number sent by a caller or target. An invalid one counts as 0, which at worst leads to a poorer choice of
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -170,14 +170,14 @@
 type Gateway struct {
 	Config
 	table         atomic.Pointer[routes.Table]
-	stopBy        atomic.Pointer[time.Time] // when open responses are aborted; nil: the instance is not stopping
-	openCtx       context.Context           // cancelled to abort open responses
+	stop          atomic.Pointer[StopSchedule] // nil: the instance is not stopping
+	openCtx       context.Context              // cancelled to abort open responses
 	cancelOpen    context.CancelFunc
 	settingsReady chan struct{} // closed when the first settings are in force
 	runs          runTable
 	placer        admit.Placer // decides when streams are sent to engines
 	conns         openConns
-	pace          tokenPace
+	times         answerTimes
 	poison        *poison.Table
 	segments      *poison.SegmentTable
 	deathChecks   singleflight.Group
@@ -229,12 +229,12 @@
 // Table returns the table in force, or nil before the first.
 func (g *Gateway) Table() *routes.Table { return g.table.Load() }
 
-// Stop makes responses close their connections. Responses still open at by will be aborted.
-func (g *Gateway) Stop(by time.Time) { g.stopBy.Store(&by) }
+// Stop makes responses close their connections. Calls that can't be answered before s.By are refused from now on.
+func (g *Gateway) Stop(s StopSchedule) { g.stop.Store(&s) }
 
-func (g *Gateway) stopping() bool { return g.stopBy.Load() != nil }
+func (g *Gateway) stopping() bool { return g.stop.Load() != nil }
 
-// AbortOpen aborts the open responses. Call it after Stop.
+// AbortOpen aborts the open responses, and refuses the calls that no target has got yet. Call it after Stop, at StopSchedule.By.
 func (g *Gateway) AbortOpen() { g.cancelOpen() }
 
 // ServeHTTP implements http.Handler.
--- a/lib/gateway/place.go
+++ b/lib/gateway/place.go
@@ -123,7 +123,7 @@
 	p := r.g.placer
 	p.Acquire = func(_ time.Time, need fleet.Need) (fleet.Info, bool) { return r.g.acquirePermitted(ctx, need) }
 	d := p.Step(time.Now(), s)
-	for d.Action == admit.Wait && ctx.Err() == nil {
+	for d.Action == admit.Wait && ctx.Err() == nil && !r.g.endsTooLate(r.c) {
 		time.Sleep(admit.PollInterval)
 		d = p.Step(time.Now(), s)
 	}
--- a/lib/gateway/plain.go
+++ b/lib/gateway/plain.go
@@ -42,7 +42,7 @@
 func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, c *call) {
 	var last *exchange
 	dials := 0
-	for {
+	for !g.endsTooLate(c) {
 		target, ok := g.acquire(ctx, c, fleet.Need{Service: c.service, Exclude: c.tried, Regions: g.regions(c)})
 		if !ok {
 			break
@@ -72,7 +72,7 @@
 			return
 		}
 		if !x.sent {
-			if ctx.Err() != nil {
+			if ctx.Err() != nil || errors.Is(x.err, errEndsTooLate) {
 				break
 			}
 			dials++
@@ -104,7 +104,7 @@
 	deadline := time.Now().Add(time.Duration(settleShare * float64(c.timeLeft(time.Now()))))
 	for {
 		target, ok := g.acquirePermitted(ctx, need)
-		if ok || c.sends > 0 || !g.Fleet.Settling(time.Now()) || time.Now().After(deadline) || ctx.Err() != nil {
+		if ok || c.sends > 0 || !g.Fleet.Settling(time.Now()) || time.Now().After(deadline) || ctx.Err() != nil || g.endsTooLate(c) {
 			return target, ok
 		}
 		if avail := g.Fleet.Availability(time.Now(), need); avail.Blocked() {
@@ -141,6 +141,13 @@
 	defer g.checkSlowResponse(conn, target, abandon)()
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer g.conns.add(target, conn.Close)()
+	if g.endsTooLate(c) {
+		stop()
+		conn.Close()
+		x.err = errEndsTooLate
+		return x
+	}
+	defer g.times.sent(c.service)()
 	sentAt := time.Now()
 	x.resp, x.err = g.roundTrip(conn, c, g.request(c, target.ID, sentAt))
 	x.sent = x.err == nil || wirehttp.MaybeSent(x.err)
@@ -158,6 +165,9 @@
 			x.verdict = verdictFaulty
 		}
 	}
+	if x.err == nil && x.verdict == verdictGood {
+		g.times.observeAnswer(c.service, time.Since(sentAt))
+	}
 	if stop() && x.err == nil {
 		g.Pool.Put(conn, x.resp)
 	} else {
@@ -169,6 +179,9 @@
 // errEvacuated means that a target was chosen just before its failure domain was evacuated.
 var errEvacuated = errors.New("gateway: the target's failure domain is evacuated")
 
+// errEndsTooLate means that a call was not sent because this instance ends before the answer.
+var errEndsTooLate = errors.New("gateway: the instance ends before the answer")
+
 // connect is dial unless the target's failure domain is evacuated. All requests on callers' behalf pass through here, except those of runs
 // that may continue at an evacuated engine: a run that is moved or resumed from a copy may have been placed seconds ago.
 func (g *Gateway) connect(ctx context.Context, target fleet.Info) (*wirehttp.Conn, error) {
@@ -196,7 +209,7 @@
 // outcome classifies the exchange for the target's health.
 func (x *exchange) outcome(ctx context.Context) fleet.Outcome {
 	switch {
-	case x.err != nil && (ctx.Err() != nil || x.callerLeft):
+	case x.err != nil && (ctx.Err() != nil || x.callerLeft), errors.Is(x.err, errEndsTooLate):
 		return fleet.Abandoned
 	case !x.sent:
 		return fleet.Unreachable
@@ -219,6 +232,8 @@
 // finishPlain responds to the caller with the last exchange, or with a refusal.
 func (g *Gateway) finishPlain(ctx context.Context, w http.ResponseWriter, c *call, x *exchange) {
 	switch {
+	case !c.mayHaveRun && (x == nil || x.verdict == verdictNotRun) && g.endsTooLate(c):
+		g.refuse(w, c, c.stoppingRefusal())
 	case x == nil:
 		g.refuse(w, c, g.noTargetRefusal(c))
 	case x.err == nil && (x.verdict == verdictGood || x.verdict == verdictFailure):
--- a/lib/gateway/run.go
+++ b/lib/gateway/run.go
@@ -23,6 +23,7 @@
 	lastEventAt time.Time        // when the last event was forwarded
 	lastKnown   fleet.KnownState // state of the target assumed when it was chosen
 	sentAt      time.Time        // when the request was last sent
+	answered    func()           // ends the time in which that request has no event yet
 	waited      time.Duration    // for an engine, before the first send
 	pause       time.Duration    // longest time between two events
 
--- a/lib/gateway/stop_test.go
+++ b/lib/gateway/stop_test.go
@@ -9,17 +9,21 @@
 	"anvilwick.example/anvilwick/lib/routes"
 )
 
-// An instance terminates in 8 s. A stream that takes longer would be cut, and lost if it can't be repeated, so it is refused at
-// once, while other instances can start it in time. Short streams, repeatable ones, and all streams while the engines' pace
-// is unknown are served.
+// An instance terminates in 8 s and is in rotation for 2.5 s more. A stream that takes longer would be cut, and lost if it can't be
+// repeated, so it is refused at once, while other instances can start it in time. Short streams, repeatable ones, and all streams while the
+// engines' pace is unknown are served.
 func TestLongStreamsAreRefusedWhileStopping(t *testing.T) {
 	g := newTestGateway()
-	long := &call{service: "s", output: 1000, route: &routes.Route{Kind: routes.Stream}}
-	must.False(t, g.outlastsInstance(long))
-	g.Stop(time.Now().Add(8 * time.Second))
-	must.False(t, g.outlastsInstance(long))
-	g.pace.observe("s", 100, time.Second)
-	must.True(t, g.outlastsInstance(long))
-	must.False(t, g.outlastsInstance(&call{service: "s", output: 100, route: long.route}))
-	must.False(t, g.outlastsInstance(&call{service: "s", output: 1000, route: &routes.Route{Kind: routes.Stream, Resumable: true}}))
+	long := &call{
+		service: "s", output: 1000, route: &routes.Route{Kind: routes.Stream}, engine: &routes.Engine{}, limit: time.Now().Add(time.Minute),
+	}
+	must.False(t, g.endsTooLate(long))
+	g.Stop(StopSchedule{InRotation: time.Now().Add(2500 * time.Millisecond), By: time.Now().Add(8 * time.Second)})
+	must.False(t, g.endsTooLate(long))
+	g.times.observeTokens("s", 100, time.Second)
+	must.True(t, g.endsTooLate(long))
+	must.False(t, g.endsTooLate(&call{service: "s", output: 100, route: long.route, engine: long.engine, limit: long.limit}))
+	must.False(t, g.endsTooLate(&call{
+		service: "s", output: 1000, route: &routes.Route{Kind: routes.Stream, Resumable: true}, engine: long.engine, limit: long.limit,
+	}))
 }
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -47,10 +47,6 @@
 
 // serveStream serves a call whose response is a stream of events.
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, c *call) {
-	if g.outlastsInstance(c) {
-		g.refuse(w, c, refusal{status: http.StatusServiceUnavailable, after: c.boundWait(retryAfterStopping), reason: "stopping"})
-		return
-	}
 	if ref := g.findOrigin(ctx, c); ref != nil {
 		g.refuse(w, c, *ref)
 		return
@@ -97,19 +93,6 @@
 	}
 }
 
-// stopShare is the share of the time until this instance terminates that a stream is expected to take at most. Estimates of
-// length are often too low by half, a stream that is cut is lost, and one that is refused at once starts elsewhere in time.
-const stopShare = 0.5
-
-// outlastsInstance reports whether a stream that can't be repeated elsewhere would not end before this instance terminates.
-func (g *Gateway) outlastsInstance(c *call) bool {
-	by := g.stopBy.Load()
-	if by == nil || c.route.MayRepeat() {
-		return false
-	}
-	return g.pace.expectedDuration(c.service, c.output) > time.Duration(stopShare*float64(time.Until(*by)))
-}
-
 // decideNext decides what follows the end of the run at prev: the placement to continue at, where an empty target means a new
 // choice, or that the response is done.
 func (r *run) decideNext(ctx context.Context, e end, x *exchange, prev placement) (to placement, done bool) {
@@ -126,6 +109,7 @@
 	}
 	switch e {
 	case endComplete, endCaller:
+		r.c.mayHaveRun = r.c.mayHaveRun || x.sent
 		r.conclude(ctx, e)
 		return placement{}, true
 	case endUnsent:
@@ -246,6 +230,11 @@
 	if x.err = r.checkIncarnation(ctx, conn, to); x.err != nil {
 		return endUnsent
 	}
+	if to.copyFrom == "" && !r.headSent && r.g.endsTooLate(r.c) {
+		x.err = errEndsTooLate
+		r.refused = r.c.stoppingRefusal()
+		return endRefused
+	}
 	req := r.g.request(r.c, to.target.ID, time.Now())
 	if r.lastID != "" {
 		req.Header.Set(r.g.Names.LastEvent, r.lastID)
@@ -269,6 +258,8 @@
 	}
 	x.sent = true
 	r.sentAt = time.Now()
+	r.answered = r.g.times.sent(r.c.service)
+	defer r.answered()
 	r.recordContact(to.target.ID)
 	watch := r.watch(conn, to.target)
 	defer watch.stop()
@@ -296,7 +287,7 @@
 // conclude ends the response: complete, or visibly cut.
 func (r *run) conclude(ctx context.Context, e end) {
 	if e == endComplete {
-		r.g.pace.observe(r.c.service, r.outputTokens, r.lastEventAt.Sub(r.firstAt))
+		r.observeTimes()
 		r.g.Log.Streamed(r.c.entry(), r.currentTarget().ID, r.events, r.pause)
 		r.c.observe(metricAnswer)
 		return
@@ -304,6 +295,10 @@
 	if r.headSent {
 		r.abort("caller_or_limit")
 	}
+	if r.refusedByStop() {
+		r.g.refuse(r.w, r.c, r.c.stoppingRefusal())
+		return
+	}
 	reason := refusal{status: http.StatusGatewayTimeout, reason: "time_limit"}
 	if !r.c.mayHaveRun && r.c.sends == 0 && ctx.Err() == nil {
 		reason = r.c.unavailable("no_time")
@@ -311,11 +306,31 @@
 	r.g.refuse(r.w, r.c, reason)
 }
 
+// refusedByStop reports whether the run ends because the instance stops, and no target has executed it.
+func (r *run) refusedByStop() bool {
+	return !r.c.mayHaveRun && r.refused.reason != segmentsRefusal.reason && r.g.endsTooLate(r.c)
+}
+
+// observeTimes records how long the complete stream took. The time of one that ran on several targets says nothing about the next.
+func (r *run) observeTimes() {
+	if r.c.engine == nil {
+		r.g.times.observeAnswer(r.c.service, time.Since(r.sentAt))
+		return
+	}
+	tokens := r.outputTokens
+	if r.c.maxOutput > 0 {
+		tokens = min(tokens, r.c.maxOutput) // estimates are made from the caller's maximum, whatever the engine counts
+	}
+	r.g.times.observeTokens(r.c.service, tokens, r.lastEventAt.Sub(r.firstAt))
+}
+
 // giveUp ends a run that can't be continued anywhere.
 func (r *run) giveUp(ctx context.Context, reason string) {
 	switch {
 	case r.headSent:
 		r.abort(reason)
+	case r.refusedByStop():
+		r.g.refuse(r.w, r.c, r.c.stoppingRefusal())
 	case ctx.Err() != nil:
 		r.g.refuse(r.w, r.c, refusal{status: http.StatusGatewayTimeout, reason: "time_limit"})
 	case r.c.mayHaveRun:
@@ -329,7 +344,7 @@
 
 // endWithoutTarget ends a run for which no target was found.
 func (r *run) endWithoutTarget(ctx context.Context) {
-	if !r.headSent && !r.c.mayHaveRun && ctx.Err() == nil {
+	if !r.headSent && !r.c.mayHaveRun && ctx.Err() == nil && !r.refusedByStop() {
 		r.g.refuse(r.w, r.c, r.g.noTargetRefusal(r.c))
 		return
 	}
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -131,8 +131,14 @@
 	// outOfRotation is how long after SIGTERM the balancer may still send new connections: it checks once a second and
 	// takes an instance out of rotation after two failed checks.
 	outOfRotation = 2500 * time.Millisecond
-	// abortMargin is how long before the kill open responses are aborted.
-	abortMargin = 300 * time.Millisecond
+	// abortMargin is how long before the kill open responses are aborted, at most one abortShare-th of the grace period, and closeMargin
+	// how long before it the connections of callers are closed that still wait, with nothing to read or a reader that is slow. Aborted
+	// calls are answered in between, on a busy machine, too; the records and the log are written after it.
+	abortMargin = 700 * time.Millisecond
+	closeMargin = abortMargin / 2
+	abortShare  = 8
+	// shutdownPoll is the longest interval at which the server checks for the end of the last request.
+	shutdownPoll = 50 * time.Millisecond
 	// memoryShare is the part of MemoryMB that is set as the garbage collector's soft memory limit.
 	memoryShare = 0.6
 )
@@ -242,13 +248,15 @@
 	p.startFeeds(work)
 	p.goWork(func() { p.reloadOnHangup(work) })
 	failed := make(chan error, 1)
+	p.front = p.newFront()
 	go func() { failed <- p.serveFront(ln) }()
 	select {
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
 	}
-	return p.stop()
+	p.stop()
+	return nil
 }
 
 func (p *Process) version() int64 {
@@ -304,21 +312,22 @@
 	w.WriteHeader(status)
 }
 
-// serveFront serves callers.
-func (p *Process) serveFront(ln net.Listener) error {
+// newFront returns the server for callers.
+func (p *Process) newFront() *http.Server {
 	guard := newIdleGuard(func() time.Duration {
 		if t := p.gate.Table(); t != nil {
 			return orDefault(t.Limits.IdleTimeout, defaultIdle)
 		}
 		return defaultIdle
 	})
-	p.mu.Lock()
-	p.front = &http.Server{
+	return &http.Server{
 		Handler: p.gate, ConnState: p.onConnState(guard), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: maxIdle, MaxHeaderBytes: maxHeader,
 	}
-	front := p.front
-	p.mu.Unlock()
-	if err := front.Serve(admittingListener{ln, p.gate.Memory}); !errors.Is(err, http.ErrServerClosed) {
+}
+
+// serveFront serves callers.
+func (p *Process) serveFront(ln net.Listener) error {
+	if err := p.front.Serve(admittingListener{ln, p.gate.Memory}); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("gatewayproc: callers: %w", err)
 	}
 	return nil
@@ -332,36 +341,57 @@
 }
 
 // stop takes the instance out of rotation, lets open responses end, and aborts the rest just before the kill.
-func (p *Process) stop() error {
+func (p *Process) stop() {
 	start := time.Now()
 	log.Info().Str("event", "stop").Str("instance", p.cfg.Instance).Msg("")
 	p.mu.Lock()
 	p.stopped = true
-	front := p.front
 	p.mu.Unlock()
-	p.gate.Stop(start.Add(p.cfg.Grace - abortMargin))
+	schedule, closeAt := stopSchedule(start, p.cfg.Grace)
+	p.gate.Stop(schedule)
 	p.carrier.Stop()
 	// Other instances switch to another owner and another reader now, while this one still answers.
 	p.link.Coordinator.Leave()
 	p.goWork(func() { p.unregister(context.Background()) })
 	p.goWork(func() { p.handOver(context.Background()) })
-	time.Sleep(min(outOfRotation, p.cfg.Grace/2))
-	abort := time.AfterFunc(p.cfg.Grace-time.Since(start)-abortMargin, p.gate.AbortOpen)
+	time.Sleep(time.Until(schedule.InRotation))
+	var aborted atomic.Int64 // requests
+	abort := time.AfterFunc(time.Until(schedule.By), func() {
+		aborted.Store(p.gate.OpenRequests())
+		p.gate.AbortOpen()
+	})
 	defer abort.Stop()
-	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.Grace-time.Since(start)-abortMargin/2)
+	ctx, cancel := context.WithDeadline(context.Background(), closeAt)
 	defer cancel()
-	var err error
-	if front != nil {
-		err = front.Shutdown(ctx)
-	}
+	p.shutDownFront(ctx)
 	p.carrier.Drain(ctx)
+	unfinished := p.gate.OpenRequests()
+	_ = p.front.Close() // the listener is closed already
 	p.handOver(context.Background())
 	p.cancel()
-	log.Info().Str("event", "stopped").Int64("after_ms", time.Since(start).Milliseconds()).Msg("")
-	if err != nil {
-		return fmt.Errorf("gatewayproc: shutdown: open responses aborted at the end of the grace period: %w", err)
+	log.Info().Str("event", "stopped").Int64("after_ms", time.Since(start).Milliseconds()).Int64("aborted", aborted.Load()).
+		Int64("unfinished", unfinished).Msg("")
+}
+
+// stopSchedule returns the course of a stop that began at start, and when the connections of callers are closed.
+func stopSchedule(start time.Time, grace time.Duration) (s gateway.StopSchedule, closeAt time.Time) {
+	abort := min(abortMargin, grace/abortShare)
+	end := start.Add(grace)
+	s = gateway.StopSchedule{InRotation: start.Add(min(outOfRotation, grace/2)), By: end.Add(-abort)}
+	return s, end.Add(-abort * closeMargin / abortMargin)
+}
+
+// shutDownFront closes the callers' listener, and each connection that serves no request, until none is left or ctx is done.
+func (p *Process) shutDownFront(ctx context.Context) {
+	for ctx.Err() == nil {
+		// Shutdown itself would check less and less often, up to twice a second.
+		poll, cancel := context.WithTimeout(ctx, shutdownPoll)
+		err := p.front.Shutdown(poll)
+		cancel()
+		if err == nil {
+			return
+		}
 	}
-	return nil
 }
 
 // reloadOnHangup reads the settings again on each SIGHUP, which would otherwise end the process. Changed addresses are ignored: the
