Entry: a request whose body ends after new ones are refused is refused, too

If its body ended after the instance had begun to refuse new requests, it was still run, and cut where the stop has a limit or the process is killed.

Cause: whether the instance stops was asked only when the head arrived. It is now asked again once the body is complete.

--- a/lib/entry/accept.go
+++ b/lib/entry/accept.go
@@ -130,5 +130,5 @@
 	case err != nil:
 		return nil, result.Wrap(result.BadRequest, err, "read the body")
 	}
-	return body, nil
+	return body, s.refuseStopping()
 }
--- a/lib/entry/stop.go
+++ b/lib/entry/stop.go
@@ -56,11 +56,20 @@
 	if err := s.table.enter(); err != nil {
 		return err
 	}
-	if s.stopping.Load() {
+	if err := s.refuseStopping(); err != nil {
 		s.table.leave()
-		err := result.New(result.Stopping, "another instance takes it")
-		err.RetryAfter = stopRetryAfter
 		return err
 	}
 	return nil
 }
+
+// refuseStopping refuses a request while stopping. It is asked when a request arrives and again once its body has: a body may take as long as
+// its caller likes, and what begins late in a stop may be cut at its end.
+func (s *Server) refuseStopping() *result.Error {
+	if !s.stopping.Load() {
+		return nil
+	}
+	err := result.New(result.Stopping, "another instance takes it")
+	err.RetryAfter = stopRetryAfter
+	return err
+}
