Gateway: SIGHUP can't end the process during its start or at the end of its stop

The signal was caught only between the start of the feeds and the end of a stop's work. Before and after it, SIGHUP has its default effect and kills the process. It is now caught from the first step of Run until the process has ended.

--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -224,6 +224,9 @@
 
 func run(ctx context.Context, cfg Config, site Site) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
+	// From here to the end of the process no SIGHUP may end it.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	p, err := newProcess(cfg, site)
 	if err != nil {
 		return err
@@ -246,7 +249,7 @@
 		return err
 	}
 	p.startFeeds(work)
-	p.goWork(func() { p.reloadOnHangup(work) })
+	p.goWork(func() { p.reloadOnHangup(work, hangups) })
 	failed := make(chan error, 1)
 	p.front = p.newFront()
 	go func() { failed <- p.serveFront(ln) }()
@@ -396,15 +399,12 @@
 
 // reloadOnHangup reads the settings again on each SIGHUP, which would otherwise end the process. Changed addresses are ignored: the
 // listeners are open for the life of the process.
-func (p *Process) reloadOnHangup(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func (p *Process) reloadOnHangup(ctx context.Context, hangups <-chan os.Signal) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-hangups:
 		}
 		cfg, err := p.site.Reload()
 		if err != nil {
--- a/lib/gatewayproc/reload_test.go
+++ b/lib/gatewayproc/reload_test.go
@@ -40,7 +40,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		p.reloadOnHangup(ctx)
+		p.reloadOnHangup(ctx, caught)
 	}()
 	defer func() {
 		cancel()
