Entry: a stop ends at its limit, and says so to the callers that it cuts

Callers saw: with -stop-limit, an answer that was open at the limit went on until the process ended, which the server's shutdown put off by up to ten seconds more; then it was cut without a word.

Now requests without a key end at the limit with an error that says whether they may have run, connections are closed, and the process ends within a second. Requests with a key are left to the instance that their callers return to.

--- a/lib/entry/attempt.go
+++ b/lib/entry/attempt.go
@@ -133,6 +133,8 @@
 	switch {
 	case errors.Is(cause, errDeadline):
 		return result.Wrap(result.DeadlinePassed, cause, "finish in time")
+	case errors.Is(cause, errStopLimit):
+		return stoppingError()
 	case errors.Is(cause, errCallerSlow):
 		return result.Wrap(result.CallerTooSlow, cause, "deliver tokens")
 	case errors.Is(cause, invariant.ErrBroken):
--- a/lib/entry/generation.go
+++ b/lib/entry/generation.go
@@ -26,6 +26,7 @@
 	errStalled    = errors.New("no token within the stall bound")
 	errMoved      = errors.New("attempt moved by the scheduler")
 	errTakenOver  = errors.New("generation taken over by another entry")
+	errStopLimit  = errors.New("the stop has reached its limit")
 	errDiverged   = errors.New("tokens decoded again differ from those the caller received")
 )
 
--- a/lib/entry/plain.go
+++ b/lib/entry/plain.go
@@ -123,6 +123,9 @@
 func (s *Server) runPlain(w http.ResponseWriter, r *http.Request, pc *plainCall) {
 	ctx, cancel := pc.boundContext(r.Context())
 	defer cancel()
+	if pc.claim == nil {
+		defer context.AfterFunc(s.aborted, cancel)()
+	}
 	s.opts.Budgets.Deposit(s.now(), pc.subject.Workspace, pc.policy.RetryBudget)
 	resp, name, err := s.sendPlain(ctx, pc)
 	if err != nil {
--- a/lib/entry/server.go
+++ b/lib/entry/server.go
@@ -83,6 +83,8 @@
 	applyMu      sync.Mutex
 	shuttingDown atomic.Bool
 	stopping     atomic.Bool
+	aborted      context.Context // done once a stop has reached its limit
+	abort        context.CancelFunc
 	background   sync.WaitGroup
 }
 
@@ -99,6 +101,7 @@
 		pickTables:   newPickTables(),
 		backoffs:     newBackoffs(),
 	}
+	s.aborted, s.abort = context.WithCancel(context.Background())
 	s.metrics.Gauge("requests_in_progress", func() float64 { n, _ := s.table.counts(); return float64(n) })
 	s.metrics.Gauge("generations_in_progress", func() float64 { _, n := s.table.counts(); return float64(n) })
 	s.metrics.Gauge("settings_revision", func() float64 { return float64(s.Revision()) })
--- a/lib/entry/stop.go
+++ b/lib/entry/stop.go
@@ -11,6 +11,7 @@
 
 const (
 	stopPoll       = 50 * time.Millisecond
+	abortWait      = 500 * time.Millisecond
 	stopRetryAfter = time.Second // short, since another entry accepts the request immediately
 )
 
@@ -44,12 +45,34 @@
 		select {
 		case <-ctx.Done():
 			log.Warn().Str("event", "stop_cut").Int("requests", active).Int("generations", generations).Msg("")
+			s.abortUnkeyed()
+			s.awaitAborted()
 			return ctx.Err()
 		case <-t.C:
 		}
 	}
 }
 
+// abortUnkeyed ends the requests in progress with an error that says whether they may have run. Those with a key are left as they are: their
+// callers may return with it to another instance, which goes on with them.
+func (s *Server) abortUnkeyed() {
+	s.abort()
+	for _, g := range s.table.appendRunning(nil) {
+		if g.key == "" {
+			g.cancel(errStopLimit)
+		}
+	}
+}
+
+// awaitAborted gives aborted requests the time to write their errors.
+func (s *Server) awaitAborted() {
+	for end := time.Now().Add(abortWait); time.Now().Before(end); time.Sleep(stopPoll) {
+		if active, _ := s.table.counts(); active == 0 {
+			return
+		}
+	}
+}
+
 // enter counts a request in progress, or refuses it while stopping. It counts first, so that Stop can't see a zero count
 // between the check and the increment.
 func (s *Server) enter() *result.Error {
@@ -69,6 +92,10 @@
 	if !s.stopping.Load() {
 		return nil
 	}
+	return stoppingError()
+}
+
+func stoppingError() *result.Error {
 	err := result.New(result.Stopping, "another instance takes it")
 	err.RetryAfter = stopRetryAfter
 	return err
--- a/lib/entryproc/process.go
+++ b/lib/entryproc/process.go
@@ -22,7 +22,11 @@
 	"anvilwick.example/anvilwick/lib/target"
 )
 
-const closeTimeout = 10 * time.Second // for idle connections, after all requests have ended
+const (
+	closeTimeout = 10 * time.Second // for idle connections, after all requests have ended
+	// cutTimeout is the same where requests are still in progress at the stop's limit.
+	cutTimeout = 100 * time.Millisecond
+)
 
 // Process is one entry process.
 type Process struct {
@@ -172,12 +176,17 @@
 	ctx, cancel := p.stopContext()
 	defer cancel()
 	stopErr := errors.Join(p.server.Stop(ctx), p.claims.flush())
-	cctx, ccancel := context.WithTimeout(context.Background(), closeTimeout)
+	timeout := closeTimeout
+	if ctx.Err() != nil {
+		timeout = cutTimeout
+	}
+	cctx, ccancel := context.WithTimeout(context.Background(), timeout)
 	defer ccancel()
 	if p.links != nil {
 		p.tunnels.carrier.Drain(cctx) // what other entries have open through this one
 	}
 	err := errors.Join(stopErr, p.callerSrv.Shutdown(cctx), p.opsSrv.Shutdown(cctx))
+	_ = p.callerSrv.Close() // the connections of requests that are cut
 	p.cancel()
 	if p.links != nil {
 		p.links.close()
