LOST, FAULT: large heads on open connections end an instance by its memory

An instance of 134 MB with 1,500 open connections, whose callers send heads of 60 KB at once, is killed with all requests in progress; callers beside lose theirs.

Cause: memory whose amount peers decide, bounded for each and not in sum. A connection is admitted for 24 KiB; a head may be 64 KiB, and was held up to four times over (as read, parsed, copied for the call and for each send). In many short lines it takes nine times its bytes (measured: 60 KB in lines of 12 bytes take 558 KB parsed).

Why it works: a caller's connection requests memory for a head as it arrives, by its bytes and lines; the first 16 KiB of cost at the priority of small requests (0.7 of the memory), the rest as bulk (0.55, at most 0.85 of it for heads). New connections are admitted up to 0.65, so that idle ones leave memory for those that are used. A head without memory is refused before it is complete: 503, Retry-After, the rest discarded; nothing has run. Forwarding a large head asks again, for the caller's workspace. A forwarded header is no longer copied: requests to targets share it and name what they omit and replace. A head must end by HeaderTimeout of the settings, at most 5 s.

--- a/lib/gateway/body.go
+++ b/lib/gateway/body.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"os"
 	"time"
@@ -37,14 +36,12 @@
 	}
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(c.bodyDeadline(r.ContentLength, limit)) // without it a slow body is read until its caller leaves
-	c.memory = g.Memory.Account(c.workspace)
 	b, err := c.memory.ReadAll(bodyReader{r.Body, c}, r.ContentLength, limit)
 	switch {
 	case errors.Is(err, membudget.ErrTooLong):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_long", unread: r.Body}
 	case errors.Is(err, membudget.ErrNoMemory):
-		after := c.boundWait(retryAfterMemory + rand.N(retryAfterMemory))
-		return &refusal{status: http.StatusServiceUnavailable, after: after, reason: "no_memory", unread: r.Body}
+		return c.noMemory(r.Body)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &refusal{status: http.StatusRequestTimeout, after: c.boundWait(retryAfterPlain), reason: "body_slow"}
 	case err != nil:
--- a/lib/gateway/call.go
+++ b/lib/gateway/call.go
@@ -13,7 +13,6 @@
 	"anvilwick.example/anvilwick/lib/membudget"
 	"anvilwick.example/anvilwick/lib/rendezvous"
 	"anvilwick.example/anvilwick/lib/routes"
-	"anvilwick.example/anvilwick/lib/wirehttp"
 )
 
 // call is one request attempt of a caller.
@@ -27,10 +26,11 @@
 	method    string
 	target    string // request target as received
 	host      string
-	header    http.Header // forwarded to targets, without the headers that are set for each send
+	header    http.Header     // as received
+	omit      map[string]bool // names of headers that are not forwarded
 	body      []byte
 	bodyRead  int64              // bytes of the body that have arrived
-	memory    *membudget.Account // of the body; nil: it has none
+	memory    *membudget.Account // of a large head and the body
 	begun     bool               // its caller has a part of the answer, or an engine keeps its memory
 	arrived   time.Time
 	deadline  time.Time // the caller's deadline
@@ -73,12 +73,6 @@
 // defaultDeadline applies to requests without a deadline on a route without a timeout.
 const defaultDeadline = 60 * time.Second
 
-// requestHopHeaders concern a single connection, or are set for each send.
-var requestHopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-	"Content-Length", "Host", "Expect", "Proxy-Authorization", "Proxy-Authenticate",
-}
-
 // accept reads a request and resolves its route and workspace. The call is returned along with a refusal, for the log.
 func (g *Gateway) accept(w http.ResponseWriter, r *http.Request) (*call, *refusal) {
 	c := &call{id: r.Header.Get(g.Names.RequestID), method: r.Method, target: r.RequestURI, host: r.Host, arrived: time.Now()}
@@ -106,6 +100,10 @@
 	c.service = c.route.PickService(rand.Float64())
 	c.engine = t.Service(c.service).Engine
 	g.readHeaders(r, c)
+	c.memory = g.Memory.Account(c.workspace)
+	if ref := c.admitHead(r.Body); ref != nil {
+		return c, ref
+	}
 	if ref := g.readBody(w, r, c, t.Limits.BodyBytes); ref != nil {
 		return c, ref
 	}
@@ -131,7 +129,7 @@
 	c.segments = parseSegments(r.Header.Get(g.Names.Segments))
 	c.lastEvent = r.Header.Get(g.Names.LastEvent)
 	c.resumes = r.Header.Get(g.Names.Resumes)
-	c.header = g.forwardHeaders(r.Header, c)
+	c.header, c.omit = r.Header, g.omitted(r.Header)
 	c.tried = make(map[string]bool)
 }
 
@@ -167,32 +165,6 @@
 	return n
 }
 
-// forwardHeaders returns the request headers that are forwarded to targets.
-func (g *Gateway) forwardHeaders(h http.Header, c *call) http.Header {
-	out := h.Clone()
-	for name := range strings.SplitSeq(h.Get("Connection"), ",") {
-		out.Del(strings.TrimSpace(name))
-	}
-	for _, name := range requestHopHeaders {
-		out.Del(name)
-	}
-	for _, name := range g.Names.Reserved {
-		out.Del(name)
-	}
-	out.Del(g.Names.Key)
-	if c.workspace != "" {
-		out.Set(g.Names.Workspace, c.workspace)
-	}
-	if c.engine != nil {
-		out.Set(g.Names.Urgency, strconv.Itoa(urgency))
-	}
-	return out
-}
-
-// urgency is the queue rank of every run on its engine. An engine preempts running requests for a more urgent one: their
-// prompts are read again and their callers see a pause, which costs more than the urgent one gains.
-const urgency = 3
-
 func hostname(host string) string {
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		return h
@@ -226,14 +198,6 @@
 	return rendezvous.Hash(c.workspace)
 }
 
-// request builds the request to one target.
-func (g *Gateway) request(c *call, target string, now time.Time) *wirehttp.Request {
-	h := c.header.Clone()
-	h.Set(g.Names.Expect, target)
-	h.Set(g.Names.Deadline, strconv.FormatInt(max(1, c.timeLeft(now).Milliseconds()), 10))
-	return &wirehttp.Request{Method: c.method, Target: c.target, Host: c.host, Header: h, Body: c.body}
-}
-
 // mayRepeat reports whether the call may be sent to one more target after an earlier one may have executed it.
 func (g *Gateway) mayRepeat(c *call) bool {
 	return c.route.MayRepeat() && c.sends < c.route.MaxAttempts && g.Budget.Take(time.Now(), c.service)
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -169,6 +169,7 @@
 // Gateway serves callers' requests. It is an http.Handler.
 type Gateway struct {
 	Config
+	omit          map[string]bool // names of headers of callers that are never forwarded
 	table         atomic.Pointer[routes.Table]
 	stopBy        atomic.Pointer[time.Time] // when open responses are aborted; nil: the instance is not stopping
 	openCtx       context.Context           // cancelled to abort open responses
@@ -196,7 +197,7 @@
 func New(cfg Config) *Gateway {
 	open, cut := context.WithCancel(context.Background())
 	g := &Gateway{
-		Config: cfg, openCtx: open, cancelOpen: cut, settingsReady: make(chan struct{}), runs: newRunTable(), conns: newOpenConns(),
+		Config: cfg, omit: omittedHeaders(cfg.Names), openCtx: open, cancelOpen: cut, settingsReady: make(chan struct{}), runs: newRunTable(), conns: newOpenConns(),
 		placer: admit.Placer{Fleet: cfg.Fleet, Prefill: new(admit.PrefillRates)}, poison: poison.New(poisonConfig),
 		segments: poison.NewSegmentTable(poison.DefaultSegmentConfig),
 	}
--- a/lib/gateway/gateway_test.go
+++ b/lib/gateway/gateway_test.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"bufio"
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -23,7 +26,7 @@
 	return New(Config{Names: testNames, Fleet: fleet.New("z"), Pool: wirehttp.NewPool(nil), Budget: retry.NewInstanceBudget(0.2, 50, 10*time.Second)})
 }
 
-func testTable(t *testing.T, version int64) *routes.Table {
+func testTable(t testing.TB, version int64) *routes.Table {
 	t.Helper()
 	tab, err := routes.NewTable(&routes.Revision{
 		Version: version,
@@ -86,7 +89,7 @@
 	}
 	c, ref := g.accept(httptest.NewRecorder(), req)
 	must.Nil(t, ref)
-	out := g.request(c, "t1", c.arrived).Header
+	out := sentHeader(t, g.request(c, "t1", c.arrived))
 	must.Eq(t, "w", out.Get("Ws"))
 	must.Eq(t, "t1", out.Get("For"))
 	must.Eq(t, "1", out.Get("X-Kept"))
@@ -94,8 +97,22 @@
 	for _, name := range []string{"Key", "Connection", "X-Hop"} {
 		must.Eq(t, "", out.Get(name), must.Sprint(name))
 	}
+	for _, name := range []string{"Ws", "For", "Left"} {
+		must.Len(t, 1, out[name])
+	}
 	// A later send grants the target only the remaining time.
-	must.Eq(t, "200", g.request(c, "t1", c.arrived.Add(500*time.Millisecond)).Header.Get("Left"))
+	must.Eq(t, "200", sentHeader(t, g.request(c, "t1", c.arrived.Add(500*time.Millisecond))).Get("Left"))
+}
+
+// sentHeader sends a request and returns the header that its target reads.
+func sentHeader(t *testing.T, req *wirehttp.Request) http.Header {
+	t.Helper()
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = near.Close() })
+	go func() { _ = wirehttp.NewConn(near, "").Send(req) }()
+	got, err := http.ReadRequest(bufio.NewReader(far))
+	must.NoError(t, err)
+	return got.Header
 }
 
 // Retry-After is at most a third of the caller's time, because callers don't honour a longer one.
@@ -106,3 +123,28 @@
 	c.deadline = time.Now().Add(-time.Second)
 	must.Eq(t, time.Millisecond, c.boundWait(time.Second))
 }
+
+// discardConn is a connection that takes everything.
+type discardConn struct{ net.Conn }
+
+func (discardConn) Write(p []byte) (int, error) { return len(p), nil }
+
+// BenchmarkForwardHead measures what forwarding the head of a usual request costs, from its parsed header to its bytes.
+func BenchmarkForwardHead(b *testing.B) {
+	g := newTestGateway()
+	must.True(b, g.Apply(testTable(b, 1)))
+	req := httptest.NewRequest("GET", "/x", nil)
+	req.Host = "h"
+	for i := range 12 {
+		req.Header.Set(fmt.Sprint("X-Some-", i), "some value of it")
+	}
+	req.Header.Set("Key", "k")
+	conn := wirehttp.NewConn(discardConn{}, "")
+	w := httptest.NewRecorder()
+	b.ReportAllocs()
+	for b.Loop() {
+		c, ref := g.accept(w, req)
+		must.Nil(b, ref)
+		must.NoError(b, conn.Send(g.request(c, "t1", c.arrived)))
+	}
+}
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -248,16 +248,16 @@
 	}
 	req := r.g.request(r.c, to.target.ID, time.Now())
 	if r.lastID != "" {
-		req.Header.Set(r.g.Names.LastEvent, r.lastID)
+		req.Replace(r.g.Names.LastEvent, r.lastID)
 	}
 	if to.copyFrom != "" {
 		r.g.countForced(to.target)
 		r.dropBackup() // made before the run continued here
-		req.Header.Set(r.g.Names.CopyFrom, to.copyFrom)
+		req.Replace(r.g.Names.CopyFrom, to.copyFrom)
 	} else {
 		r.chooseBackup(to)
 		if b := r.backupTarget(); b.ID != "" {
-			req.Header.Set(r.g.Names.Backup, b.Addr)
+			req.Replace(r.g.Names.Backup, b.Addr)
 		}
 	}
 	if err := conn.Send(req); err != nil {
--- a/lib/gatewayproc/admission.go
+++ b/lib/gatewayproc/admission.go
@@ -2,13 +2,14 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"anvilwick.example/anvilwick/lib/membudget"
 )
 
-// connectionBytes is the memory that a caller's connection takes: buffers, stacks and the head of a request.
+// connectionBytes is the memory that a caller's connection takes: buffers and stacks.
 const connectionBytes = 24 << 10
 
 var connectionsRefused = metrics.NewCounter(`anvilwick_gateway_connections_refused_total`)
@@ -17,15 +18,19 @@
 // connections end the process, and all requests in progress with it.
 type admittingListener struct {
 	net.Listener
-	memory *membudget.Budget
+	memory      *membudget.Budget
+	headTimeout func() time.Duration // bounds reading the head of a request
 }
 
 // Accept implements net.Listener.
 func (l admittingListener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
-		if err != nil || l.memory.Admit(connectionBytes) {
-			return c, err
+		if err != nil {
+			return nil, err
+		}
+		if l.memory.Admit(connectionBytes, membudget.Connection) {
+			return newCallerConn(c, l.memory, l.headTimeout), nil
 		}
 		connectionsRefused.Inc()
 		_ = c.Close()
--- a/lib/gatewayproc/admission_test.go
+++ b/lib/gatewayproc/admission_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -26,7 +27,7 @@
 		if full {
 			memory = 100 << 20
 		}
-		l := admittingListener{ln, membudget.NewOf(100<<20, memory)}
+		l := admittingListener{ln, membudget.NewOf(100<<20, memory), func() time.Duration { return time.Second }}
 		go func() {
 			for {
 				c, err := l.Accept()
--- /dev/null
+++ b/lib/gatewayproc/callerconn.go
@@ -0,0 +1,177 @@
+package gatewayproc
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"anvilwick.example/anvilwick/lib/membudget"
+)
+
+// A head's memory is estimated by its bytes, which are held while they are read and again in the parsed header, and by its lines.
+const (
+	headByteCost = 2
+	headLineCost = 128 // bytes, of an entry in a header
+)
+
+const (
+	// smallHeadStep is requested for each head until it has cost smallHeadCost, and largeHeadStep at a time beyond that, in bytes.
+	smallHeadStep = 8 << 10
+	smallHeadCost = 2 * smallHeadStep
+	largeHeadStep = 32 << 10
+	// headRefusalWait is the shortest Retry-After of a head that there is no memory for, and the range of the jitter added to it.
+	headRefusalWait = 150 * time.Millisecond
+	// headDrainTimeout bounds how long the rest of such a head is read, and discarded. Callers that read no response before they have sent their
+	// request would otherwise see a reset connection instead of the refusal.
+	headDrainTimeout = 5 * time.Second
+	headDrainBuffer  = 1 << 10 // bytes
+)
+
+// errReadRefused ends reading a head that there is no memory for.
+var errReadRefused = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("gatewayproc: no memory for the head of a request")}
+
+var headsRefused = metrics.NewCounter(`anvilwick_gateway_heads_refused_total`)
+
+// headsOwner is the owner of the memory of large heads, whose workspaces are not known before they are parsed.
+const headsOwner = "heads"
+
+// callerConn is a caller's connection that requests memory for the head of each request as it arrives, and refuses the request when there is none.
+// net/http bounds each head; their sum on connections that are open already would end the process.
+type callerConn struct {
+	*net.TCPConn
+	memory      *membudget.Budget
+	headTimeout func() time.Duration
+
+	// Used by the server's goroutine of this connection, and by its background read, which ends before the state changes.
+	reading bool      // a head is being read, or awaited
+	began   time.Time // when its first part arrived; zero: none has
+	bounded bool      // its time is bounded
+	cost    int64
+	granted int64
+	large   *membudget.Account // of its cost beyond smallHeadCost; nil: none
+
+	refused atomic.Bool // its head was refused and its caller has not been told
+}
+
+// newCallerConn wraps a connection that was accepted. Others than TCP connections are left as they are.
+func newCallerConn(c net.Conn, memory *membudget.Budget, headTimeout func() time.Duration) net.Conn {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return c
+	}
+	return &callerConn{TCPConn: tcp, memory: memory, headTimeout: headTimeout}
+}
+
+// setState is called with each state that the server gives the connection.
+func (c *callerConn) setState(s http.ConnState) {
+	c.reading = s == http.StateNew || s == http.StateIdle
+	if s == http.StateActive {
+		return // its request may hold the head until it ends
+	}
+	c.began, c.bounded, c.cost, c.granted = time.Time{}, false, 0, 0
+	if c.large != nil {
+		c.large.Close()
+		c.large = nil
+	}
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	if !c.reading {
+		return c.TCPConn.Read(p)
+	}
+	if c.refused.Load() {
+		return 0, errReadRefused
+	}
+	if !c.began.IsZero() && !c.bounded {
+		c.boundHead()
+	}
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && !c.admit(p[:n]) {
+		headsRefused.Inc()
+		c.refused.Store(true)
+		return 0, errReadRefused
+	}
+	return n, err
+}
+
+// boundHead sets when a head that has not arrived whole at once must be complete. net/http's own limit is set when its server is created, before settings
+// are known; it removes this one when the head is complete.
+func (c *callerConn) boundHead() {
+	c.bounded = true
+	_ = c.SetReadDeadline(c.began.Add(c.headTimeout())) // on failure the read fails, too
+}
+
+// admit requests the memory for a part of a head.
+func (c *callerConn) admit(part []byte) bool {
+	if c.began.IsZero() {
+		c.began = time.Now()
+	}
+	c.cost += headByteCost*int64(len(part)) + headLineCost*int64(bytes.Count(part, newline))
+	for c.granted < c.cost {
+		if !c.grantStep() {
+			return false
+		}
+	}
+	return true
+}
+
+var newline = []byte{'\n'}
+
+// grantStep requests the memory for the next part of a head's cost. Small heads have more memory than what large ones may use.
+func (c *callerConn) grantStep() bool {
+	if c.granted < smallHeadCost {
+		c.granted += smallHeadStep
+		return c.memory.Admit(smallHeadStep, membudget.Small)
+	}
+	if c.large == nil {
+		c.large = c.memory.Account(headsOwner)
+	}
+	c.granted += largeHeadStep
+	return c.large.Admit(largeHeadStep)
+}
+
+// Write implements net.Conn. net/http takes a refused head for a malformed one if a line of it is cut, and would tell the caller so.
+func (c *callerConn) Write(p []byte) (int, error) {
+	if c.refused.Load() {
+		return len(p), nil
+	}
+	return c.TCPConn.Write(p)
+}
+
+// Close implements net.Conn. The caller of a head that was refused is answered first, apart from the server, which keeps nothing of it meanwhile.
+func (c *callerConn) Close() error {
+	if c.refused.CompareAndSwap(true, false) {
+		go c.refuse()
+		return nil
+	}
+	return c.TCPConn.Close()
+}
+
+// refuse answers a request whose head is not complete: nothing has run.
+func (c *callerConn) refuse() {
+	defer func() { _ = c.TCPConn.Close() }()
+	if c.SetDeadline(time.Now().Add(headDrainTimeout)) != nil {
+		return
+	}
+	after := headRefusalWait + rand.N(headRefusalWait)
+	if _, err := fmt.Fprintf(c.TCPConn, headRefusal, after.Seconds()); err != nil || c.CloseWrite() != nil {
+		return
+	}
+	buf := make([]byte, headDrainBuffer)
+	for {
+		if _, err := c.TCPConn.Read(buf); err != nil {
+			return
+		}
+	}
+}
+
+// headRefusal is the response to a refused head, with the seconds after which to retry.
+const headRefusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: %.3f\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
--- a/lib/gatewayproc/idle.go
+++ b/lib/gatewayproc/idle.go
@@ -29,6 +29,9 @@
 		case http.StateClosed, http.StateHijacked:
 			p.callerConns.Add(-1)
 		}
+		if cc, ok := c.(*callerConn); ok {
+			cc.setState(s)
+		}
 		guard.state(c, s)
 	}
 }
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -306,24 +306,30 @@
 
 // serveFront serves callers.
 func (p *Process) serveFront(ln net.Listener) error {
-	guard := newIdleGuard(func() time.Duration {
-		if t := p.gate.Table(); t != nil {
-			return orDefault(t.Limits.IdleTimeout, defaultIdle)
-		}
-		return defaultIdle
-	})
+	guard := newIdleGuard(func() time.Duration { return orDefault(p.limits().IdleTimeout, defaultIdle) })
+	headTimeout := func() time.Duration {
+		return min(orDefault(p.limits().HeaderTimeout, defaultHeaderTimeout), defaultHeaderTimeout)
+	}
 	p.mu.Lock()
 	p.front = &http.Server{
 		Handler: p.gate, ConnState: p.onConnState(guard), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: maxIdle, MaxHeaderBytes: maxHeader,
 	}
 	front := p.front
 	p.mu.Unlock()
-	if err := front.Serve(admittingListener{ln, p.gate.Memory}); !errors.Is(err, http.ErrServerClosed) {
+	if err := front.Serve(admittingListener{ln, p.gate.Memory, headTimeout}); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("gatewayproc: callers: %w", err)
 	}
 	return nil
 }
 
+// limits returns the limits of the settings in force; zero: there are none yet.
+func (p *Process) limits() routes.Limits {
+	if t := p.gate.Table(); t != nil {
+		return t.Limits
+	}
+	return routes.Limits{}
+}
+
 func orDefault(d, def time.Duration) time.Duration {
 	if d > 0 {
 		return d
--- a/lib/membudget/account.go
+++ b/lib/membudget/account.go
@@ -9,7 +9,7 @@
 type Account struct {
 	b     *Budget
 	owner string
-	held  int64 // bytes of its large buffers
+	held  int64 // bytes at priority Bulk
 }
 
 // Account returns an account of an owner. Close it when its buffers are no longer used.
@@ -21,21 +21,34 @@
 		return a.b.Alloc(n)
 	}
 	ok = a.b.grant(func() bool {
-		if !a.withinShare(n) || !a.b.add(n) {
+		if !a.add(n) {
 			return false
 		}
-		a.b.held[a.owner] += n
-		a.b.heldTotal += n
-		a.held += n
 		buf = make([]byte, n)
 		return true
 	})
 	return buf, ok
 }
 
+// Admit is like Budget.Admit at priority Bulk. It also refuses what exceeds the owner's share.
+func (a *Account) Admit(n int64) bool {
+	return a.b == nil || a.b.grant(func() bool { return a.add(n) })
+}
+
+// add counts n bytes if both the owner and the process have memory for them. b.mu must be held.
+func (a *Account) add(n int64) bool {
+	if !a.withinShare(n) || !a.b.add(n, Bulk) {
+		return false
+	}
+	a.b.held[a.owner] += n
+	a.b.heldTotal += n
+	a.held += n
+	return true
+}
+
 // withinShare reports whether the owner may hold n bytes more. b.mu must be held.
 func (a *Account) withinShare(n int64) bool {
-	all := a.b.free(n) + a.b.heldTotal
+	all := a.b.free(Bulk) + a.b.heldTotal
 	return float64(a.b.held[a.owner]+n) <= ownerShare*float64(all)
 }
 
--- a/lib/membudget/budget.go
+++ b/lib/membudget/budget.go
@@ -19,11 +19,6 @@
 )
 
 const (
-	// largeShare is the part of the limit up to which the process may use memory when a large buffer is added, and smallShare
-	// that for small ones: peers with large bodies must not keep those with small ones from being served. The rest is for the
-	// program itself, socket buffers, and what the collector has not freed yet.
-	largeShare = 0.55
-	smallShare = 0.7
 	// smallBuffer is the size in bytes of the largest buffer that counts as small.
 	smallBuffer = 64 << 10
 	// measureInterval is how long a measurement is used; what was granted since is added to it.
@@ -56,7 +51,7 @@
 	measuredAt time.Time
 	added      int64            // bytes granted since
 	pressure   Pressure         // at measuredAt
-	held       map[string]int64 // bytes of the large buffers of open accounts, by owner
+	held       map[string]int64 // bytes of open accounts at priority Bulk, by owner
 	heldTotal  int64
 
 	collecting  sync.Mutex
@@ -76,13 +71,35 @@
 	return &Budget{limit: limit, memory: memory, held: make(map[string]int64)}
 }
 
+// Priority is a class of demand. Each has a part of the limit up to which the process may use memory when it is granted: peers that send much must not
+// keep those that send little from being served, nor new connections those that are open. The rest is for the program itself, socket
+// buffers, and what the collector has not freed yet.
+type Priority uint8
+
+// Priorities, the lowest first.
+const (
+	Bulk       Priority = iota // large buffers, and what one peer requests beyond a small amount
+	Connection                 // new connections
+	Small                      // small buffers and requests
+)
+
+var priorityShares = [...]float64{Bulk: 0.55, Connection: 0.65, Small: 0.7}
+
+// sizePriority returns the priority of a buffer of n bytes.
+func sizePriority(n int64) Priority {
+	if n <= smallBuffer {
+		return Small
+	}
+	return Bulk
+}
+
 // Alloc returns a buffer of n bytes; ok is false if the process has no memory for it.
 func (b *Budget) Alloc(n int64) (buf []byte, ok bool) {
 	if b == nil {
 		return make([]byte, n), true
 	}
 	ok = b.grant(func() bool {
-		if !b.add(n) {
+		if !b.add(n, sizePriority(n)) {
 			return false
 		}
 		buf = make([]byte, n) // before the next measurement, which would miss it otherwise
@@ -92,8 +109,8 @@
 }
 
 // Admit reports whether the process has memory for n bytes more that it will use soon.
-func (b *Budget) Admit(n int64) bool {
-	return b == nil || b.grant(func() bool { return b.add(n) })
+func (b *Budget) Admit(n int64, p Priority) bool {
+	return b == nil || b.grant(func() bool { return b.add(n, p) })
 }
 
 // grant reports whether try succeeds, which it calls with the lock held; a second time, if it fails, after unreachable objects were freed.
@@ -115,8 +132,8 @@
 }
 
 // add counts n bytes if the process has memory for them. b.mu must be held.
-func (b *Budget) add(n int64) bool {
-	if b.free(n) < n {
+func (b *Budget) add(n int64, p Priority) bool {
+	if b.free(p) < n {
 		return false
 	}
 	b.added += n
@@ -124,17 +141,13 @@
 	return true
 }
 
-// free returns the memory left for buffers of n bytes. b.mu must be held.
-func (b *Budget) free(n int64) int64 {
+// free returns the memory left for a priority. b.mu must be held.
+func (b *Budget) free(p Priority) int64 {
 	if now := time.Now(); now.Sub(b.measuredAt) >= measureInterval {
 		b.measuredAt = now
 		b.measure()
 	}
-	share := largeShare
-	if n <= smallBuffer {
-		share = smallShare
-	}
-	return int64(share*float64(b.limit)) - b.measured - b.added
+	return int64(priorityShares[p]*float64(b.limit)) - b.measured - b.added
 }
 
 // collect frees unreachable objects, unless that has just been done. Calls at the same time share one collection.
--- a/lib/membudget/budget_test.go
+++ b/lib/membudget/budget_test.go
@@ -114,11 +114,11 @@
 func TestAdmittedBytesCount(t *testing.T) {
 	b := NewOf(100*mib, &fakeMemory{used: 69 * mib})
 	n := 0
-	for b.Admit(32 << 10) {
+	for b.Admit(32<<10, Small) {
 		n++
 	}
 	must.Between(t, 32, n, 64) // 1 MiB, and once more after the collection that forgets them in this fake
-	must.True(t, (*Budget)(nil).Admit(mib))
+	must.True(t, (*Budget)(nil).Admit(mib, Small))
 }
 
 func TestReadAll(t *testing.T) {
--- a/lib/membudget/pressure_test.go
+++ b/lib/membudget/pressure_test.go
@@ -18,7 +18,7 @@
 		for _, used := range []int64{10, 59, 61, 58, 62, 92, 91, 70, 40} {
 			memory.used = used * mib
 			time.Sleep(measureInterval)
-			b.Admit(1)
+			b.Admit(1, Small)
 			synctest.Wait()
 		}
 		must.Eq(t, []Pressure{PressureElevated, PressureCritical, PressureHigh, PressureNone}, seen)
--- a/lib/wirehttp/conn.go
+++ b/lib/wirehttp/conn.go
@@ -7,13 +7,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
-	"strconv"
 	"sync/atomic"
 	"time"
 )
@@ -35,40 +33,6 @@
 	ErrStatus             = errors.New("wirehttp: informational or malformed status")
 )
 
-// Request is an outgoing call. Content-Length is always sent for a body.
-type Request struct {
-	Method string
-	Target string // request target as in the request line
-	Host   string
-	Header http.Header
-	Body   []byte
-}
-
-// encode returns the request line and header.
-func (r *Request) encode() []byte {
-	var b bytes.Buffer
-	b.Grow(512)
-	b.WriteString(r.Method)
-	b.WriteByte(' ')
-	b.WriteString(r.Target)
-	b.WriteString(" HTTP/1.1\r\nHost: ")
-	b.WriteString(r.Host)
-	b.WriteString("\r\n")
-	// Writes to a bytes.Buffer can't fail.
-	_ = r.Header.Write(&b)
-	if len(r.Body) > 0 || hasBody(r.Method) {
-		b.WriteString("Content-Length: ")
-		b.WriteString(strconv.Itoa(len(r.Body)))
-		b.WriteString("\r\n")
-	}
-	b.WriteString("\r\n")
-	return b.Bytes()
-}
-
-func hasBody(method string) bool {
-	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
-}
-
 // SendError is the error of a failed exchange.
 type SendError struct {
 	MaybeSent bool // whether a byte of the request may have reached the target
