FAULT: large heads on open connections end an entry by its memory, too

It admitted every connection, and bounded heads (32 KiB) each and not in sum, also with -memory-mb; its collector had no limit to stay below.

Cause and mend: as for the gateway, whose listener and connections move to lib/callerconn for both. With -memory-mb the collector stays below 0.6 of it, as in the gateway.

--- a/lib/gatewayproc/callerconn.go
+++ b/lib/callerconn/conn.go
@@ -1,4 +1,4 @@
-package gatewayproc
+package callerconn
 
 import (
 	"bytes"
@@ -10,8 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"anvilwick.example/anvilwick/lib/membudget"
 )
 
@@ -35,19 +33,16 @@
 )
 
 // errReadRefused ends reading a head that there is no memory for.
-var errReadRefused = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("gatewayproc: no memory for the head of a request")}
-
-var headsRefused = metrics.NewCounter(`anvilwick_gateway_heads_refused_total`)
+var errReadRefused = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("callerconn: no memory for the head of a request")}
 
 // headsOwner is the owner of the memory of large heads, whose workspaces are not known before they are parsed.
 const headsOwner = "heads"
 
-// callerConn is a caller's connection that requests memory for the head of each request as it arrives, and refuses the request when there is none.
+// conn is a caller's connection that requests memory for the head of each request as it arrives, and refuses the request when there is none.
 // net/http bounds each head; their sum on connections that are open already would end the process.
-type callerConn struct {
+type conn struct {
 	*net.TCPConn
-	memory      *membudget.Budget
-	headTimeout func() time.Duration
+	from *Listener
 
 	// Used by the server's goroutine of this connection, and by its background read, which ends before the state changes.
 	reading bool      // a head is being read, or awaited
@@ -60,17 +55,17 @@
 	refused atomic.Bool // its head was refused and its caller has not been told
 }
 
-// newCallerConn wraps a connection that was accepted. Others than TCP connections are left as they are.
-func newCallerConn(c net.Conn, memory *membudget.Budget, headTimeout func() time.Duration) net.Conn {
+// newConn wraps a connection that was accepted. Others than TCP connections are left as they are.
+func newConn(c net.Conn, from *Listener) net.Conn {
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
 		return c
 	}
-	return &callerConn{TCPConn: tcp, memory: memory, headTimeout: headTimeout}
+	return &conn{TCPConn: tcp, from: from}
 }
 
 // setState is called with each state that the server gives the connection.
-func (c *callerConn) setState(s http.ConnState) {
+func (c *conn) setState(s http.ConnState) {
 	c.reading = s == http.StateNew || s == http.StateIdle
 	if s == http.StateActive {
 		return // its request may hold the head until it ends
@@ -83,19 +78,19 @@
 }
 
 // Read implements net.Conn.
-func (c *callerConn) Read(p []byte) (int, error) {
+func (c *conn) Read(p []byte) (int, error) {
 	if !c.reading {
 		return c.TCPConn.Read(p)
 	}
 	if c.refused.Load() {
 		return 0, errReadRefused
 	}
-	if !c.began.IsZero() && !c.bounded {
+	if !c.began.IsZero() && !c.bounded && c.from.HeadTimeout != nil {
 		c.boundHead()
 	}
 	n, err := c.TCPConn.Read(p)
 	if n > 0 && !c.admit(p[:n]) {
-		headsRefused.Inc()
+		c.from.HeadsRefused.Inc()
 		c.refused.Store(true)
 		return 0, errReadRefused
 	}
@@ -104,13 +99,13 @@
 
 // boundHead sets when a head that has not arrived whole at once must be complete. net/http's own limit is set when its server is created, before settings
 // are known; it removes this one when the head is complete.
-func (c *callerConn) boundHead() {
+func (c *conn) boundHead() {
 	c.bounded = true
-	_ = c.SetReadDeadline(c.began.Add(c.headTimeout())) // on failure the read fails, too
+	_ = c.SetReadDeadline(c.began.Add(c.from.HeadTimeout())) // on failure the read fails, too
 }
 
 // admit requests the memory for a part of a head.
-func (c *callerConn) admit(part []byte) bool {
+func (c *conn) admit(part []byte) bool {
 	if c.began.IsZero() {
 		c.began = time.Now()
 	}
@@ -126,20 +121,20 @@
 var newline = []byte{'\n'}
 
 // grantStep requests the memory for the next part of a head's cost. Small heads have more memory than what large ones may use.
-func (c *callerConn) grantStep() bool {
+func (c *conn) grantStep() bool {
 	if c.granted < smallHeadCost {
 		c.granted += smallHeadStep
-		return c.memory.Admit(smallHeadStep, membudget.Small)
+		return c.from.Memory.Admit(smallHeadStep, membudget.Small)
 	}
 	if c.large == nil {
-		c.large = c.memory.Account(headsOwner)
+		c.large = c.from.Memory.Account(headsOwner)
 	}
 	c.granted += largeHeadStep
 	return c.large.Admit(largeHeadStep)
 }
 
 // Write implements net.Conn. net/http takes a refused head for a malformed one if a line of it is cut, and would tell the caller so.
-func (c *callerConn) Write(p []byte) (int, error) {
+func (c *conn) Write(p []byte) (int, error) {
 	if c.refused.Load() {
 		return len(p), nil
 	}
@@ -147,7 +142,7 @@
 }
 
 // Close implements net.Conn. The caller of a head that was refused is answered first, apart from the server, which keeps nothing of it meanwhile.
-func (c *callerConn) Close() error {
+func (c *conn) Close() error {
 	if c.refused.CompareAndSwap(true, false) {
 		go c.refuse()
 		return nil
@@ -156,7 +151,7 @@
 }
 
 // refuse answers a request whose head is not complete: nothing has run.
-func (c *callerConn) refuse() {
+func (c *conn) refuse() {
 	defer func() { _ = c.TCPConn.Close() }()
 	if c.SetDeadline(time.Now().Add(headDrainTimeout)) != nil {
 		return
--- a/lib/gatewayproc/callerconn_test.go
+++ b/lib/callerconn/conn_test.go
@@ -1,4 +1,4 @@
-package gatewayproc
+package callerconn
 
 import (
 	"bufio"
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/shoenig/test/must"
 
 	"anvilwick.example/anvilwick/lib/membudget"
@@ -31,23 +32,28 @@
 
 func serveHeads(t testing.TB, ln net.Listener, inUse usedMemory, headTimeout time.Duration, metered bool) *headServer {
 	s := &headServer{addr: ln.Addr().String()}
-	guard := newIdleGuard(func() time.Duration { return time.Minute })
-	p := &Process{}
 	srv := &http.Server{
 		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			s.runs.Add(1)
 			_, _ = io.Copy(io.Discard, r.Body)
 		}),
-		ConnState: p.onConnState(guard), ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: maxHeader,
+		ConnState: OnState, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 64 << 10,
 	}
 	if metered {
-		ln = admittingListener{ln, membudget.NewOf(100<<20, inUse), func() time.Duration { return headTimeout }}
+		ln = newListener(ln, inUse, headTimeout)
 	}
 	go func() { _ = srv.Serve(ln) }()
 	t.Cleanup(func() { _ = srv.Close() })
 	return s
 }
 
+func newListener(ln net.Listener, inUse usedMemory, headTimeout time.Duration) *Listener {
+	return &Listener{
+		Listener: ln, Memory: membudget.NewOf(100<<20, inUse), HeadTimeout: func() time.Duration { return headTimeout },
+		ConnsRefused: new(metrics.Counter), HeadsRefused: new(metrics.Counter),
+	}
+}
+
 // dial opens a connection to the server.
 func (s *headServer) dial(t testing.TB) (net.Conn, *bufio.Reader) {
 	t.Helper()
@@ -103,9 +109,9 @@
 
 // Guards against heads that are granted memory by their length only: many short lines take ten times their bytes.
 func TestLinesOfHeadCount(t *testing.T) {
-	b := membudget.NewOf(100<<20, usedMemory(0))
+	l := newListener(nil, 0, time.Minute)
 	for line, want := range map[int]int64{10: 500 << 10, 1000: 100 << 10} {
-		c := &callerConn{memory: b}
+		c := &conn{from: l}
 		c.setState(http.StateNew)
 		must.True(t, c.admit([]byte(largeRequest(line))))
 		must.Greater(t, want, c.granted, must.Sprint(line))
--- /dev/null
+++ b/lib/callerconn/listener.go
@@ -0,0 +1,51 @@
+// Package callerconn accepts connections of callers within the memory of the process.
+//
+// A server bounds what each connection may hold, but not the sum: callers that open many connections, or send large heads on those that are
+// open, would end the process and all requests in progress with it. Connections and heads for which there is no memory are refused in
+// ways that let callers repeat their requests elsewhere: nothing has run.
+package callerconn
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"anvilwick.example/anvilwick/lib/membudget"
+)
+
+// connectionBytes is the memory that a connection takes: buffers and stacks.
+const connectionBytes = 24 << 10
+
+// Listener accepts connections while there is memory for them, and closes others at once, unread.
+type Listener struct {
+	net.Listener
+	Memory *membudget.Budget
+	// HeadTimeout returns how long the head of a request may take to arrive; nil: the server alone bounds it.
+	HeadTimeout func() time.Duration
+	// ConnsRefused counts the connections that were closed, HeadsRefused the heads that were refused.
+	ConnsRefused, HeadsRefused *metrics.Counter
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.Memory.Admit(connectionBytes, membudget.Connection) {
+			return newConn(c, l), nil
+		}
+		l.ConnsRefused.Inc()
+		_ = c.Close()
+	}
+}
+
+// OnState is to be called with each state that the server gives a connection, as its ConnState hook.
+func OnState(c net.Conn, s http.ConnState) {
+	if cc, ok := c.(*conn); ok {
+		cc.setState(s)
+	}
+}
--- a/lib/gatewayproc/admission_test.go
+++ b/lib/callerconn/listener_test.go
@@ -1,4 +1,4 @@
-package gatewayproc
+package callerconn
 
 import (
 	"io"
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-
-	"anvilwick.example/anvilwick/lib/membudget"
 )
 
 // usedMemory is a memory of which a part is in use.
@@ -27,7 +25,7 @@
 		if full {
 			memory = 100 << 20
 		}
-		l := admittingListener{ln, membudget.NewOf(100<<20, memory), func() time.Duration { return time.Second }}
+		l := newListener(ln, memory, time.Second)
 		go func() {
 			for {
 				c, err := l.Accept()
--- a/lib/entry/plain.go
+++ b/lib/entry/plain.go
@@ -10,8 +10,10 @@
 	"github.com/phuslu/log"
 
 	"anvilwick.example/anvilwick/lib/callerapi"
+	"anvilwick.example/anvilwick/lib/callerconn"
 	"anvilwick.example/anvilwick/lib/claim"
 	"anvilwick.example/anvilwick/lib/entrymetrics"
+	"anvilwick.example/anvilwick/lib/membudget"
 	"anvilwick.example/anvilwick/lib/result"
 	"anvilwick.example/anvilwick/lib/settings"
 	"anvilwick.example/anvilwick/lib/target"
@@ -69,6 +71,9 @@
 	if pc.policy, err = rq.policy(pc.service); err != nil {
 		return nil, err
 	}
+	if err := s.admitHeader(r.Header); err != nil {
+		return nil, err
+	}
 	body, err := s.readBody(w, r, pc.policy.MaxBody)
 	if err != nil {
 		return nil, err
@@ -93,6 +98,24 @@
 	return pc, nil
 }
 
+const (
+	// smallHeader is the memory in bytes up to which a copy of a header is not worth a request to the budget.
+	smallHeader = 16 << 10
+	// headerCopies is how often a forwarded header is copied: here, and by net/http's client.
+	headerCopies = 2
+)
+
+// admitHeader refuses a request that the process has no memory to forward the header of.
+func (s *Server) admitHeader(h http.Header) *result.Error {
+	cost := callerconn.CloneCost(h)
+	if cost <= smallHeader || s.opts.Memory.Admit(headerCopies*cost, membudget.Bulk) {
+		return nil
+	}
+	err := result.New(result.TooManyStreams, "no memory for a header of %d bytes", callerconn.HeaderBytes(h))
+	err.RetryAfter = noMemoryRetryAfter
+	return err
+}
+
 func (pc *plainCall) fingerprint() uint64 {
 	d := xxhash.New()
 	_, _ = d.WriteString(pc.call.Method + " " + pc.call.Path + "\x00")
--- a/lib/entry/server.go
+++ b/lib/entry/server.go
@@ -15,10 +15,12 @@
 	"sync/atomic"
 	"time"
 
+	vm "github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
 	"anvilwick.example/anvilwick/lib/breaker"
 	"anvilwick.example/anvilwick/lib/callerapi"
+	"anvilwick.example/anvilwick/lib/callerconn"
 	"anvilwick.example/anvilwick/lib/engineapi"
 	"anvilwick.example/anvilwick/lib/entrymetrics"
 	"anvilwick.example/anvilwick/lib/membudget"
@@ -58,7 +60,7 @@
 	Prefixes      *poison.SegmentTable // of prompts that crash engines
 	FailureDomain string               // of this instance
 	MaxStreams    int                  // requests in progress; 0: 4096
-	Memory        *membudget.Budget    // for bodies; nil: there is no limit
+	Memory        *membudget.Budget    // for connections, heads and bodies; nil: there is no limit
 	// CallerGrace is how long a keyed generation keeps running without a caller; 0: 10 s.
 	CallerGrace time.Duration
 	// ResumeTimeout is the minimum time that a generation which may have run waits to be placed again; 0: 30 s.
@@ -179,6 +181,16 @@
 	return nil
 }
 
+// Listener returns a listener for HTTPServer that accepts what the process has memory for.
+func (s *Server) Listener(ln net.Listener) net.Listener {
+	return &callerconn.Listener{Listener: ln, Memory: s.opts.Memory, ConnsRefused: connsRefused, HeadsRefused: headsRefused}
+}
+
+var (
+	connsRefused = vm.NewCounter(`anvilwick_entry_connections_refused_total`)
+	headsRefused = vm.NewCounter(`anvilwick_entry_heads_refused_total`)
+)
+
 // Counts returns the number of requests and of generations in progress.
 func (s *Server) Counts() (requests, generations int) { return s.table.counts() }
 
@@ -202,13 +214,14 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnContext:       boundConn,
+		ConnState:         callerconn.OnState,
 	}
 }
 
 // boundConn limits the kernel's send buffer for a caller. By default it grows to megabytes for each slow reader, outside the
 // bound on the sink.
 func boundConn(ctx context.Context, c net.Conn) context.Context {
-	if tc, ok := c.(*net.TCPConn); ok {
+	if tc, ok := c.(interface{ SetWriteBuffer(bytes int) error }); ok {
 		_ = tc.SetWriteBuffer(connWriteBuffer)
 	}
 	return ctx
--- a/lib/entryproc/process.go
+++ b/lib/entryproc/process.go
@@ -16,6 +16,7 @@
 	"anvilwick.example/anvilwick/lib/guardlink"
 	"anvilwick.example/anvilwick/lib/limit"
 	"anvilwick.example/anvilwick/lib/logline"
+	"anvilwick.example/anvilwick/lib/membudget"
 	"anvilwick.example/anvilwick/lib/opsapi"
 	"anvilwick.example/anvilwick/lib/poison"
 	"anvilwick.example/anvilwick/lib/settings"
@@ -59,6 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
+	membudget.LimitCollector(int64(cfg.MemoryMB) << 20)
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Process{cfg: cfg, metrics: entrymetrics.New(), failed: make(chan error, 2), cancel: cancel}
 	p.tunnels = newTunnels(cfg)
@@ -138,7 +140,7 @@
 	for _, s := range []struct {
 		srv *http.Server
 		ln  net.Listener
-	}{{p.callerSrv, p.callers}, {p.opsSrv, p.ops}} {
+	}{{p.callerSrv, p.server.Listener(p.callers)}, {p.opsSrv, p.ops}} {
 		go func() {
 			if err := s.srv.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) {
 				p.failed <- err
--- a/lib/gateway/head.go
+++ b/lib/gateway/head.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/callerconn"
 	"anvilwick.example/anvilwick/lib/wirehttp"
 )
 
@@ -69,7 +70,7 @@
 // admitHead refuses a call that the instance has no memory to forward a large head for. What the head itself takes was admitted as it
 // arrived. body is the call's unread body.
 func (c *call) admitHead(body io.Reader) *refusal {
-	size := len(c.target) + headerBytes(c.header)
+	size := len(c.target) + callerconn.HeaderBytes(c.header)
 	if size <= smallHead || c.memory.Admit(headCopies*int64(size)) {
 		return nil
 	}
@@ -84,14 +85,3 @@
 	after := c.boundWait(retryAfterMemory + rand.N(retryAfterMemory))
 	return &refusal{status: http.StatusServiceUnavailable, after: after, reason: "no_memory", unread: unread}
 }
-
-// headerBytes returns the size of a header in bytes, without separators.
-func headerBytes(h http.Header) int {
-	n := 0
-	for name, values := range h {
-		for _, v := range values {
-			n += len(name) + len(v)
-		}
-	}
-	return n
-}
--- a/lib/gatewayproc/idle.go
+++ b/lib/gatewayproc/idle.go
@@ -5,6 +5,15 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"anvilwick.example/anvilwick/lib/callerconn"
+)
+
+var (
+	connectionsRefused = metrics.NewCounter(`anvilwick_gateway_connections_refused_total`)
+	headsRefused       = metrics.NewCounter(`anvilwick_gateway_heads_refused_total`)
 )
 
 // idleGuard closes callers' connections that have been idle for the time set in the current settings. net/http's own limit
@@ -29,9 +38,7 @@
 		case http.StateClosed, http.StateHijacked:
 			p.callerConns.Add(-1)
 		}
-		if cc, ok := c.(*callerConn); ok {
-			cc.setState(s)
-		}
+		callerconn.OnState(c, s)
 		guard.state(c, s)
 	}
 }
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -19,6 +18,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
+	"anvilwick.example/anvilwick/lib/callerconn"
 	"anvilwick.example/anvilwick/lib/feed"
 	"anvilwick.example/anvilwick/lib/feedlink"
 	"anvilwick.example/anvilwick/lib/fleet"
@@ -133,8 +133,6 @@
 	outOfRotation = 2500 * time.Millisecond
 	// abortMargin is how long before the kill open responses are aborted.
 	abortMargin = 300 * time.Millisecond
-	// memoryShare is the part of MemoryMB that is set as the garbage collector's soft memory limit.
-	memoryShare = 0.6
 )
 
 // Process is a running instance.
@@ -217,7 +215,7 @@
 }
 
 func run(ctx context.Context, cfg Config, site Site) error {
-	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
+	membudget.LimitCollector(int64(cfg.MemoryMB) << 20)
 	p, err := newProcess(cfg, site)
 	if err != nil {
 		return err
@@ -307,8 +305,8 @@
 // serveFront serves callers.
 func (p *Process) serveFront(ln net.Listener) error {
 	guard := newIdleGuard(func() time.Duration { return orDefault(p.limits().IdleTimeout, defaultIdle) })
-	headTimeout := func() time.Duration {
-		return min(orDefault(p.limits().HeaderTimeout, defaultHeaderTimeout), defaultHeaderTimeout)
+	callers := &callerconn.Listener{
+		Listener: ln, Memory: p.gate.Memory, HeadTimeout: p.headTimeout, ConnsRefused: connectionsRefused, HeadsRefused: headsRefused,
 	}
 	p.mu.Lock()
 	p.front = &http.Server{
@@ -316,7 +314,7 @@
 	}
 	front := p.front
 	p.mu.Unlock()
-	if err := front.Serve(admittingListener{ln, p.gate.Memory, headTimeout}); !errors.Is(err, http.ErrServerClosed) {
+	if err := front.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("gatewayproc: callers: %w", err)
 	}
 	return nil
@@ -330,6 +328,11 @@
 	return routes.Limits{}
 }
 
+// headTimeout bounds reading the head of a request.
+func (p *Process) headTimeout() time.Duration {
+	return min(orDefault(p.limits().HeaderTimeout, defaultHeaderTimeout), defaultHeaderTimeout)
+}
+
 func orDefault(d, def time.Duration) time.Duration {
 	if d > 0 {
 		return d
--- a/lib/membudget/budget.go
+++ b/lib/membudget/budget.go
@@ -11,6 +11,7 @@
 
 import (
 	"runtime"
+	"runtime/debug"
 	"runtime/metrics"
 	"sync"
 	"time"
@@ -93,6 +94,16 @@
 	return Bulk
 }
 
+// collectorShare is the part of the limit beyond which the garbage collector works harder to stay below it.
+const collectorShare = 0.6
+
+// LimitCollector sets the garbage collector's soft limit for a process that is killed at limit bytes; 0: there is no limit.
+func LimitCollector(limit int64) {
+	if limit > 0 {
+		debug.SetMemoryLimit(int64(collectorShare * float64(limit)))
+	}
+}
+
 // Alloc returns a buffer of n bytes; ok is false if the process has no memory for it.
 func (b *Budget) Alloc(n int64) (buf []byte, ok bool) {
 	if b == nil {
