--- a/lib/gatewayproc/admission_test.go
+++ b/lib/callerconn/listener_test.go
@@ -1,13 +1,12 @@
-package gatewayproc
+package callerconn
 
 import (
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
-
-	"anvilwick.example/anvilwick/lib/membudget"
 )
 
 // usedMemory is a memory of which a part is in use.
@@ -26,7 +25,7 @@
 		if full {
 			memory = 100 << 20
 		}
-		l := admittingListener{ln, membudget.NewOf(100<<20, memory)}
+		l := newListener(ln, memory, time.Second)
 		go func() {
 			for {
 				c, err := l.Accept()
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -19,6 +18,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
+	"anvilwick.example/anvilwick/lib/callerconn"
 	"anvilwick.example/anvilwick/lib/feed"
 	"anvilwick.example/anvilwick/lib/feedlink"
 	"anvilwick.example/anvilwick/lib/fleet"
@@ -139,8 +139,6 @@
 	abortShare  = 8
 	// shutdownPoll is the longest interval at which the server checks for the end of the last request.
 	shutdownPoll = 50 * time.Millisecond
-	// memoryShare is the part of MemoryMB that is set as the garbage collector's soft memory limit.
-	memoryShare = 0.6
 )
 
 // Process is a running instance.
@@ -223,7 +221,7 @@
 }
 
 func run(ctx context.Context, cfg Config, site Site) error {
-	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
+	membudget.LimitCollector(int64(cfg.MemoryMB) << 20)
 	// From here to the end of the process no SIGHUP may end it.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
@@ -317,12 +315,7 @@
 
 // newFront returns the server for callers.
 func (p *Process) newFront() *http.Server {
-	guard := newIdleGuard(func() time.Duration {
-		if t := p.gate.Table(); t != nil {
-			return orDefault(t.Limits.IdleTimeout, defaultIdle)
-		}
-		return defaultIdle
-	})
+	guard := newIdleGuard(func() time.Duration { return orDefault(p.limits().IdleTimeout, defaultIdle) })
 	return &http.Server{
 		Handler: p.gate, ConnState: p.onConnState(guard), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: maxIdle, MaxHeaderBytes: maxHeader,
 	}
@@ -330,12 +323,28 @@
 
 // serveFront serves callers.
 func (p *Process) serveFront(ln net.Listener) error {
-	if err := p.front.Serve(admittingListener{ln, p.gate.Memory}); !errors.Is(err, http.ErrServerClosed) {
+	callers := &callerconn.Listener{
+		Listener: ln, Memory: p.gate.Memory, HeadTimeout: p.headTimeout, ConnsRefused: connectionsRefused, HeadsRefused: headsRefused,
+	}
+	if err := p.front.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("gatewayproc: callers: %w", err)
 	}
 	return nil
 }
 
+// limits returns the limits of the settings in force; zero: there are none yet.
+func (p *Process) limits() routes.Limits {
+	if t := p.gate.Table(); t != nil {
+		return t.Limits
+	}
+	return routes.Limits{}
+}
+
+// headTimeout bounds reading the head of a request.
+func (p *Process) headTimeout() time.Duration {
+	return min(orDefault(p.limits().HeaderTimeout, defaultHeaderTimeout), defaultHeaderTimeout)
+}
+
 func orDefault(d, def time.Duration) time.Duration {
 	if d > 0 {
 		return d
