Ask an engine for its incarnation before a stream begins there, too

Callers saw: streams with events of two software versions. An engine starts again under its id with another version, and nobody knows yet: the list still names the version of before. A stream that begins there was recorded as of the listed version, broke, and went on at an engine of that version, in the same answer or at another instance. And a run that was moved went on from a copy of its memory at such an engine.

Cause: the version of a stream was taken from the list at its first event, and that of a copy's holder when the move was planned. Class: what is known of one incarnation is taken for the next.

Why it works: the engine names its incarnation on the connection that the request follows on, and a connection does not outlive a process. An engine that can't be asked serves new streams and copies all the same; what begins there has an unknown version and can't go on elsewhere. An engine with a rate limit is asked for continuations only, since questions count against the limit.

Price: a report for each stream that begins at an engine that names its start, on a connection that is opened for it in any case.

--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -201,13 +201,15 @@
 		e = endRefused
 		return e, x
 	}
-	conn, err := r.connect(runCtx, to)
+	conn, proven, err := r.open(runCtx, to, x)
 	if err != nil {
 		x.err = err
 		e = endOf(ctx, runCtx, e)
 		return e, x
 	}
-	x.direct, x.via = isDirect(conn), viaOf(conn)
+	if !proven {
+		to.target.Software = r.doubtSoftware()
+	}
 	defer conn.Close()
 	stop := context.AfterFunc(runCtx, conn.Close)
 	defer stop()
@@ -243,9 +245,6 @@
 
 // exchange sends the request and forwards the events.
 func (r *run) exchange(ctx context.Context, conn *wirehttp.Conn, to placement, x *exchange) end {
-	if x.err = r.checkIncarnation(ctx, conn, to); x.err != nil {
-		return endUnsent
-	}
 	req := r.g.request(r.c, to.target.ID, time.Now())
 	if r.lastID != "" {
 		req.Header.Set(r.g.Names.LastEvent, r.lastID)
