Record a stream that began at an engine which could not be asked as of unknown version

Recorded and observed like any other, it made its service count as one of several versions for ten minutes: records in the store for each stream, and streams that nobody knows refused though the service has one version. It is recorded as unknown now, which refuses its continuation and nothing else.

Seen by reading before it landed; TestUnknownVersionLeavesServiceUnmixed (lib/gatewayproc) guards it.

--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -115,8 +115,8 @@
 // StreamStart is the record of a stream that begins.
 type StreamStart struct {
 	Workspace, Attempt, Service string
-	Software                    fleet.Software
-	Deadline                    time.Time // of the caller, which resumes no stream after it
+	Software                    fleet.Software // zero: unknown
+	Deadline                    time.Time      // of the caller, which resumes no stream after it
 }
 
 // StreamOrigin is what is known of a stream.
--- a/lib/gateway/incarnation.go
+++ b/lib/gateway/incarnation.go
@@ -91,6 +91,7 @@
 // doubtSoftware records that the run's target may run another software version than the listed one, and returns a version that no target runs: what begins
 // there can't continue elsewhere.
 func (r *run) doubtSoftware() fleet.Software {
+	r.doubted = true
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.target.Software = fleet.UnnamedSoftware(r.target.Service, r.target.ID, 0)
--- a/lib/gateway/origin.go
+++ b/lib/gateway/origin.go
@@ -42,7 +42,11 @@
 	if r.g.Streams == nil || !r.c.route.MayRepeat() {
 		return
 	}
-	r.g.Streams.RecordStream(StreamStart{
+	start := StreamStart{
 		Workspace: r.c.workspace, Attempt: r.c.id, Service: r.c.service, Software: r.c.software, Deadline: r.c.deadline,
-	})
+	}
+	if r.doubted {
+		start.Software = fleet.Software{}
+	}
+	r.g.Streams.RecordStream(start)
 }
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -207,6 +207,7 @@
 		e = endOf(ctx, runCtx, e)
 		return e, x
 	}
+	r.doubted = false
 	if !proven {
 		to.target.Software = r.doubtSoftware()
 	}
--- a/lib/gatewayproc/software.go
+++ b/lib/gatewayproc/software.go
@@ -90,8 +90,11 @@
 	return &software{seen: make(map[string]map[uint64]time.Time), reported: make(map[string]bool), change: make(chan struct{}, 1)}
 }
 
-// observe records the version of a listed target. It reports whether the service is mixed since then.
+// observe records the version of a listed target, unless it is 0: unknown. It reports whether the service is mixed since then.
 func (s *software) observe(now time.Time, service string, version uint64) (turned bool) {
+	if version == 0 {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.mixed(now, service)
--- a/lib/gatewayproc/software_test.go
+++ b/lib/gatewayproc/software_test.go
@@ -84,3 +84,13 @@
 	must.True(t, s.observe(now, "llm", 2))
 	must.False(t, s.observe(now, "llm", 3))
 }
+
+// Guards against a service of one version that counts as mixed because a stream began at an engine which could not be asked for its incarnation.
+func TestUnknownVersionLeavesServiceUnmixed(t *testing.T) {
+	s := newSoftware()
+	now := time.Now()
+	must.False(t, s.observe(now, "llm", 1))
+	must.False(t, s.observe(now, "llm", 0))
+	must.False(t, s.isMixed(now, "llm"))
+	must.Eq(t, []uint64{1}, s.merge(now, map[string]softwareRow{}, feed.FirstEra)["llm"].Versions)
+}
