Take a version for a service's only one by the list in the store, not by the row alone

Callers saw: streams with events of two software versions. During a release an instance is cut off from the other instances while store, callers and engines reach it. Streams that began at the new version through other instances are resumed there, and it sends them to the old version.

Cause: it reached no holder of a record, knew one version from its copy of the list, and the service's row of versions in the store had not got the second one, since the row could not be written. Class: a copy that may be old is taken for the present; two old copies confirm each other. The row alone was trusted as complete, although an instance may begin streams at a version before the row names it.

Evidence: go test -parallel 6 -run TestInstanceOutOfStep ./platform, 18 parts: one of three instances cut off from the instances, the store or both, with and without the row writable. On the code before, instances "a" and "b" cut off from the instances with the row unwritable: 24 of 24 streams each went on at the other version; the other 16 parts none. Green now, 18 of 18 parts.

Why it works: a stream begins at a target only after its entry was accepted by the store, whose answers are linearizable. The entry is still there when the stream is resumed, or its version is in the row, which is read again after the list.

--- a/lib/gatewayproc/software.go
+++ b/lib/gatewayproc/software.go
@@ -332,7 +332,30 @@
 	}
 }
 
+// readOnlySoftware returns the only version in a service's row if the list in the store names no other: this instance's copy of the list may be old, and
+// the row may lack a version while it can't be written. The row is read again after the list, since it has the versions whose targets have left.
 func (p *Process) readOnlySoftware(ctx context.Context, service string) (version uint64, ok bool, err error) {
+	if len(p.fleet.ServiceSoftware(service)) > 1 || p.software.isMixed(time.Now(), service) {
+		return 0, false, nil
+	}
+	version, ok, err = p.rowSoftware(ctx, service)
+	if err != nil || !ok {
+		return 0, false, err
+	}
+	listed, err := p.readListedSoftware(ctx, service)
+	if err != nil {
+		return 0, false, err
+	}
+	for _, other := range listed {
+		if other != version {
+			return 0, false, nil
+		}
+	}
+	return p.rowSoftware(ctx, service)
+}
+
+// rowSoftware returns the version in a service's row; ok is false if there are several.
+func (p *Process) rowSoftware(ctx context.Context, service string) (version uint64, ok bool, err error) {
 	rows, era, err := p.readSoftware(ctx)
 	if err != nil {
 		return 0, false, err
@@ -353,6 +376,24 @@
 	return row.Versions[0], true, nil
 }
 
+// readListedSoftware reads the versions of a service's targets in the store.
+func (p *Process) readListedSoftware(ctx context.Context, service string) ([]uint64, error) {
+	callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	page, err := p.site.Targets.Snapshot(callCtx)
+	if err != nil {
+		return nil, fmt.Errorf("gatewayproc: software versions of %s: %w", service, err)
+	}
+	var out []uint64
+	for _, row := range page.Rows {
+		// An entry that can't be read names no target to use.
+		if info, err := p.site.DecodeTarget(row); err == nil && info.Service == service {
+			out = append(out, info.Software.ID)
+		}
+	}
+	return out, nil
+}
+
 // observeSoftware records the versions of listed targets. Streams that began before their service had a second version are recorded in the store
 // when it gets one.
 func (p *Process) observeSoftware(entries []fleet.Info) {
