--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -185,13 +185,16 @@
 		e = endRefused
 		return e, x
 	}
-	conn, err := r.connect(runCtx, to)
+	conn, proven, err := r.open(runCtx, to, x)
 	if err != nil {
 		x.err = err
 		e = endOf(ctx, runCtx, e)
 		return e, x
 	}
-	x.direct, x.via = isDirect(conn), viaOf(conn)
+	r.doubted = false
+	if !proven {
+		to.target.Software = r.doubtSoftware()
+	}
 	defer conn.Close()
 	stop := context.AfterFunc(runCtx, conn.Close)
 	defer stop()
@@ -227,9 +230,6 @@
 
 // exchange sends the request and forwards the events.
 func (r *run) exchange(ctx context.Context, conn *wirehttp.Conn, to placement, x *exchange) end {
-	if x.err = r.checkIncarnation(ctx, conn, to); x.err != nil {
-		return endUnsent
-	}
 	if to.copyFrom == "" && !r.headSent && r.g.endsTooLate(r.c) {
 		x.err = errEndsTooLate
 		r.refused = r.c.stoppingRefusal()
