An engine is asked for its incarnation once on each connection; whole streams leave their connection to the next

A connection can't outlive the engine's process, so that what the engine has said on it holds for all streams on it.

--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -195,16 +195,16 @@
 	if !proven {
 		to.target.Software = r.doubtSoftware()
 	}
-	defer conn.Close()
 	stop := context.AfterFunc(runCtx, conn.Close)
-	defer stop()
 	defer r.g.conns.add(to.target, conn.Close)()
 	e = r.exchange(runCtx, conn, to, x)
 	if e != endComplete {
 		e = endOf(ctx, runCtx, e)
 	}
-	if e == endComplete && stop() {
+	if stop() && e == endComplete {
 		r.g.Pool.Put(conn, x.resp)
+	} else {
+		conn.Close()
 	}
 	return e, x
 }
