FAULT: streams between instances keep the memory of their largest burst

What callers saw: an instance that carries connections for peers is nearly killed (peaks 106 to 130 of 134 MiB), and refuses small requests beside for want of memory although nothing is in use.

Cause, of the same class: yamux keeps a stream's receive buffer, as large as it has ever been (256 KB and the growth by doubling), as long as the stream is open. Carried connections are kept and reused; 512 of them are allowed.

Mend: a stream releases its empty receive buffer after it has carried more than 4 KiB.

--- a/lib/mesh/stream.go
+++ b/lib/mesh/stream.go
@@ -46,12 +46,16 @@
 	// arrived, so that the reader of a large frame could not tell a slow link from a dead one; other streams of the link would be
 	// blocked by it, too.
 	fragmentSize = 16 << 10
+	// maxIdleBuffer bounds what a stream's receive buffer may have held before it is released. yamux keeps it, as large as it has ever been, for as long as
+	// the stream is open: with hundreds of streams that is more than a process has.
+	maxIdleBuffer = 4 << 10
 )
 
 // idleReader bounds the time without data before each piece of a message.
 type idleReader struct {
 	conn net.Conn
 	idle time.Duration // 0: no bound
+	read int           // bytes since the receive buffer was released
 }
 
 func (r *idleReader) Read(p []byte) (int, error) {
@@ -60,7 +64,20 @@
 			return 0, err
 		}
 	}
-	return r.conn.Read(p)
+	n, err := r.conn.Read(p)
+	r.read += n
+	return n, err
+}
+
+// release frees the receive buffer if it is empty and may have grown.
+func (r *idleReader) release() {
+	if r.read <= maxIdleBuffer {
+		return
+	}
+	if s, ok := r.conn.(interface{ Shrink() }); ok {
+		s.Shrink()
+	}
+	r.read = 0
 }
 
 // Peer returns the identity of the other end.
@@ -102,7 +119,9 @@
 // Read waits for one message. Its size is checked against the limit before it is read.
 func (s *Stream) Read(m proto.Message) error {
 	opts := protodelim.UnmarshalOptions{MaxSize: int64(s.maxMessage)}
-	return opts.UnmarshalFrom(s.r, m)
+	err := opts.UnmarshalFrom(s.r, m)
+	s.in.release()
+	return err
 }
 
 // SetReadDeadline sets the deadline of future Reads; the zero time means none.
