FAULT: carried connections whose data nobody takes are bounded in sum

Cause, by the issue's question: 512 carried connections with windows of 256 KB hold 128 MiB and more if all targets stop reading at once; an instance that uses carried connections holds as much for callers who read slowly.

Mend: a carried connection whose target takes nothing for 10 ms stalls; as many may as fit into 0.15 of the memory with a full window each, others are reset, which the peer reports as a failure after which the request may have run. Data that is not read at the other end asks for memory each 100 ms, in bulk, and its connection ends without it. Both products.

--- a/lib/entryproc/assemble.go
+++ b/lib/entryproc/assemble.go
@@ -45,7 +45,7 @@
 		return
 	}
 	p.links.join(p.cfg, p.server, mesh, p.limits)
-	p.tunnels.join(p.cfg, p.links, p.isTarget)
+	p.tunnels.join(p.cfg, p.links, opts.Memory, p.isTarget)
 	p.guard = guardlink.New(ctx, guardlink.Options{Node: p.links.node, View: p.links.members.View, Limits: p.limits, Poison: p.poison, Segments: p.prefixes})
 	go p.guard.Run()
 }
--- a/lib/entryproc/tunnels.go
+++ b/lib/entryproc/tunnels.go
@@ -9,6 +9,7 @@
 
 	"anvilwick.example/anvilwick/lib/logline"
 	"anvilwick.example/anvilwick/lib/member"
+	"anvilwick.example/anvilwick/lib/membudget"
 	"anvilwick.example/anvilwick/lib/target"
 	"anvilwick.example/anvilwick/lib/targetdial"
 	"anvilwick.example/anvilwick/lib/tunnel"
@@ -60,12 +61,12 @@
 }
 
 // join opens tunnels over the links to other entries, and serves theirs. permitted reports whether an address is that of a target.
-func (t *tunnels) join(cfg Config, l *links, permitted func(addr string) bool) {
-	t.client = tunnel.NewClient(l.node, cfg.Instance, cfg.Domain)
+func (t *tunnels) join(cfg Config, l *links, memory *membudget.Budget, permitted func(addr string) bool) {
+	t.client = tunnel.NewClient(l.node, cfg.Instance, cfg.Domain, memory)
 	t.dialer.Tunnel = t.client.Dial
 	t.carrier = &tunnel.Server{
 		Dial: t.dialForPeer, LinksLost: func() bool { return t.dialer.Paths.AllLost(time.Now()) }, Permitted: permitted,
-		OnBackoff: func(string, time.Duration) {},
+		OnBackoff: func(string, time.Duration) {}, Memory: memory,
 	}
 	t.carrier.Serve(l.node)
 }
--- a/lib/gatewayproc/tunnels.go
+++ b/lib/gatewayproc/tunnels.go
@@ -37,9 +37,11 @@
 
 // openTunnels opens connections to targets by way of peers, and for them.
 func (p *Process) openTunnels() {
-	p.tunnels = tunnel.NewClient(p.node, p.cfg.Instance, p.cfg.Domain)
+	p.tunnels = tunnel.NewClient(p.node, p.cfg.Instance, p.cfg.Domain, p.gate.Memory)
 	p.dialer.Tunnel = p.tunnels.Dial
-	p.carrier = &tunnel.Server{Dial: p.dialForPeer, LinksLost: p.linksLost, Permitted: p.mayConnect, OnBackoff: p.backOffForPeer}
+	p.carrier = &tunnel.Server{
+		Dial: p.dialForPeer, LinksLost: p.linksLost, Permitted: p.mayConnect, OnBackoff: p.backOffForPeer, Memory: p.gate.Memory,
+	}
 	p.carrier.Serve(p.node)
 }
 
--- a/lib/membudget/budget.go
+++ b/lib/membudget/budget.go
@@ -10,6 +10,7 @@
 package membudget
 
 import (
+	"math"
 	"runtime"
 	"runtime/debug"
 	"runtime/metrics"
@@ -124,6 +125,14 @@
 	return b == nil || b.grant(func() bool { return b.add(n, p) })
 }
 
+// Share returns a part of the limit in bytes. Without a limit it is more than any process has.
+func (b *Budget) Share(part float64) int64 {
+	if b == nil {
+		return math.MaxInt64
+	}
+	return int64(part * float64(b.limit))
+}
+
 // grant reports whether try succeeds, which it calls with the lock held; a second time, if it fails, after unreachable objects were freed.
 func (b *Budget) grant(try func() bool) bool {
 	locked := func() bool {
--- a/lib/tunnel/client.go
+++ b/lib/tunnel/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"anvilwick.example/anvilwick/lib/membudget"
 	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/meshpb"
 	"anvilwick.example/anvilwick/lib/rendezvous"
@@ -64,6 +65,7 @@
 type Client struct {
 	node         *mesh.Node
 	self, domain string
+	stalls       stalls
 
 	mu         sync.Mutex
 	candidates []*candidate // in order of preference while none has failed
@@ -79,8 +81,9 @@
 }
 
 // NewClient returns a client without peers. domain is the instance's own failure domain.
-func NewClient(node *mesh.Node, self, domain string) *Client {
-	return &Client{node: node, self: self, domain: domain}
+// memory bounds what connections hold whose data is not read; nil: there is no limit.
+func NewClient(node *mesh.Node, self, domain string, memory *membudget.Budget) *Client {
+	return &Client{node: node, self: self, domain: domain, stalls: stalls{memory: memory}}
 }
 
 // SetPeers replaces the list of instances. The client uses some of its own failure domain and some of others, since a whole domain may
@@ -294,7 +297,7 @@
 		}
 		return nil, answer.Status
 	}
-	return newConn(stream, addr, p.Name, func() {
+	return newConn(stream, addr, p.Name, &c.stalls, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		p.open--
--- a/lib/tunnel/conn.go
+++ b/lib/tunnel/conn.go
@@ -25,6 +25,7 @@
 	stream *mesh.Stream
 	addr   string
 	peer   string
+	stalls *stalls
 	onDone func()
 	closed atomic.Bool
 	once   sync.Once
@@ -36,8 +37,8 @@
 	pending  []byte        // received and not read yet; used by Read only
 }
 
-func newConn(stream *mesh.Stream, addr, peer string, onDone func()) *Conn {
-	c := &Conn{stream: stream, addr: addr, peer: peer, onDone: onDone, frames: make(chan []byte), quit: make(chan struct{})}
+func newConn(stream *mesh.Stream, addr, peer string, stalls *stalls, onDone func()) *Conn {
+	c := &Conn{stream: stream, addr: addr, peer: peer, stalls: stalls, onDone: onDone, frames: make(chan []byte), quit: make(chan struct{})}
 	go c.receive()
 	return c
 }
@@ -55,10 +56,7 @@
 			c.goAway.Store(true)
 		}
 		if len(f.Data) > 0 {
-			select {
-			case c.frames <- f.Data:
-			case <-c.quit:
-				c.finalErr = net.ErrClosed
+			if c.finalErr = c.deliver(f.Data); c.finalErr != nil {
 				return
 			}
 		}
@@ -69,6 +67,25 @@
 	}
 }
 
+// deliver waits until data is read.
+func (c *Conn) deliver(data []byte) error {
+	stalled := time.NewTicker(stallInterval)
+	defer stalled.Stop()
+	for {
+		select {
+		case c.frames <- data:
+			return nil
+		case <-c.quit:
+			return net.ErrClosed
+		case <-stalled.C:
+			if !c.stalls.mayWait() {
+				go c.stream.Close() // on a silent link it takes until the time-out
+				return errNoMemory
+			}
+		}
+	}
+}
+
 func (c *Conn) readError(err error) error {
 	if c.closed.Load() {
 		return net.ErrClosed
--- a/lib/tunnel/server.go
+++ b/lib/tunnel/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"anvilwick.example/anvilwick/lib/membudget"
 	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/meshpb"
 )
@@ -43,14 +44,20 @@
 	Permitted func(addr string) bool
 	// OnBackoff is called when a target has requested a backoff of this instance, in a response to a peer's request.
 	OnBackoff func(addr string, d time.Duration)
+	// Memory bounds what connections hold whose targets read nothing; nil: there is no limit.
+	Memory *membudget.Budget
 
+	stalls   stalls
 	mu       sync.Mutex
 	carried  map[*mesh.Stream]bool // requested connections, open or being opened
 	stopping bool
 }
 
 // Serve registers the server's handler at a node.
-func (s *Server) Serve(node *mesh.Node) { node.Handle(meshpb.StreamKind_STREAM_TUNNEL, s.handle) }
+func (s *Server) Serve(node *mesh.Node) {
+	s.stalls.memory = s.Memory
+	node.Handle(meshpb.StreamKind_STREAM_TUNNEL, s.handle)
+}
 
 // Stop makes the server accept no more connections, and tells peers to send no further requests on those that it carries.
 func (s *Server) Stop() {
@@ -195,6 +202,5 @@
 	if f.BackoffMs > 0 {
 		s.OnBackoff(addr, time.Duration(f.BackoffMs)*time.Millisecond)
 	}
-	_, err := conn.Write(f.Data)
-	return err
+	return s.stalls.write(conn, f.Data)
 }
--- /dev/null
+++ b/lib/tunnel/stall.go
@@ -0,0 +1,85 @@
+package tunnel
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"anvilwick.example/anvilwick/lib/membudget"
+)
+
+// A connection whose data nobody takes holds up to the window of its stream. Hundreds of them hold more than a process has, so that their number is bounded, and
+// those that stall are reset while memory is short.
+const (
+	// stallTimeout is the time without progress after which a connection stalls, and stallInterval the period at which it asks for memory then.
+	stallTimeout  = 10 * time.Millisecond
+	stallInterval = 100 * time.Millisecond
+	// stallBytes is the memory that a connection which stalls holds at most: the window of its stream, 256 KB, in a buffer that grows by doubling.
+	stallBytes = 512 << 10
+	// stallShare is the part of the process's memory for connections that stall because a target reads nothing.
+	stallShare = 0.15
+)
+
+var resetTotal = metrics.NewCounter(`anvilwick_tunnel_stalled_resets_total`)
+
+// errNoMemory ends a connection that stalls while there is no memory for it.
+var errNoMemory = errors.New("tunnel: no memory for a stalled connection")
+
+// stalls bounds the memory of connections that stall.
+type stalls struct {
+	memory *membudget.Budget
+
+	mu    sync.Mutex
+	count int // connections that stall now
+}
+
+// enter reports whether one more connection may stall; leave ends that.
+func (s *stalls) enter() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if int64(s.count+1)*stallBytes > s.memory.Share(stallShare) {
+		return false
+	}
+	s.count++
+	return true
+}
+
+func (s *stalls) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count--
+}
+
+// write writes data to a connection, or gives up if it stalls while others do.
+func (s *stalls) write(conn net.Conn, data []byte) error {
+	if err := conn.SetWriteDeadline(time.Now().Add(stallTimeout)); err != nil {
+		return err
+	}
+	n, err := conn.Write(data)
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	if !s.enter() {
+		resetTotal.Inc()
+		return errNoMemory
+	}
+	defer s.leave()
+	if err := conn.SetWriteDeadline(time.Time{}); err != nil {
+		return err
+	}
+	_, err = conn.Write(data[n:])
+	return err
+}
+
+// mayWait reports whether the process has memory for a connection that goes on stalling.
+func (s *stalls) mayWait() bool {
+	if s.memory.Admit(stallBytes, membudget.Bulk) {
+		return true
+	}
+	resetTotal.Inc()
+	return false
+}
--- a/lib/tunnel/tunnel_test.go
+++ b/lib/tunnel/tunnel_test.go
@@ -67,7 +67,7 @@
 	node, err := mesh.New(mesh.Options{Self: mesh.Identity{Instance: "a", Incarnation: 1}, Plaintext: true})
 	must.NoError(t, err)
 	t.Cleanup(node.Close)
-	c := NewClient(node, "a", "d1")
+	c := NewClient(node, "a", "d1", nil)
 	var list []Peer
 	for _, p := range peers {
 		list = append(list, p.Peer)
@@ -310,7 +310,7 @@
 	}
 	used := make(map[string]int)
 	for i := 0; i < n; i += 3 { // all of d0
-		c := NewClient(nil, fmt.Sprint("i-", i), "d0")
+		c := NewClient(nil, fmt.Sprint("i-", i), "d0", nil)
 		c.SetPeers(list)
 		must.Len(t, 2*candidatesPerSide, c.candidates)
 		must.NotEq(t, c.candidates[0].Domain, c.candidates[1].Domain)
