FAULT: an address still in use ends an instance at its start, a failed accept later

Run returned an error when an address was in use, as for a moment after a process before was killed, and when accepting failed with an error that net/http does not take for temporary (ENOBUFS, ENOMEM: sockets' memory is short).

--- a/lib/entryproc/links.go
+++ b/lib/entryproc/links.go
@@ -15,6 +15,7 @@
 	"anvilwick.example/anvilwick/lib/entry"
 	"anvilwick.example/anvilwick/lib/entrylink"
 	"anvilwick.example/anvilwick/lib/limit"
+	"anvilwick.example/anvilwick/lib/listen"
 	"anvilwick.example/anvilwick/lib/locallink"
 	"anvilwick.example/anvilwick/lib/member"
 	"anvilwick.example/anvilwick/lib/mesh"
@@ -49,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ln, err := net.Listen("tcp", cmp.Or(cfg.MeshListen, cfg.MeshAddr))
+	ln, err := listen.TCP(cmp.Or(cfg.MeshListen, cfg.MeshAddr))
 	if err != nil {
 		node.Close()
 		return nil, fmt.Errorf("-mesh-addr: %w", err)
--- a/lib/entryproc/process.go
+++ b/lib/entryproc/process.go
@@ -15,6 +15,7 @@
 	"anvilwick.example/anvilwick/lib/entrymetrics"
 	"anvilwick.example/anvilwick/lib/guardlink"
 	"anvilwick.example/anvilwick/lib/limit"
+	"anvilwick.example/anvilwick/lib/listen"
 	"anvilwick.example/anvilwick/lib/logline"
 	"anvilwick.example/anvilwick/lib/membudget"
 	"anvilwick.example/anvilwick/lib/opsapi"
@@ -113,10 +114,10 @@
 	if p.hashes, err = p.cfg.Operators.Hashes(); err != nil {
 		return err
 	}
-	if p.callers, err = net.Listen("tcp", p.cfg.Listen); err != nil {
+	if p.callers, err = listen.TCP(p.cfg.Listen); err != nil {
 		return fmt.Errorf("-listen: %w", err)
 	}
-	if p.ops, err = net.Listen("tcp", p.cfg.OpsAddr); err != nil {
+	if p.ops, err = listen.TCP(p.cfg.OpsAddr); err != nil {
 		return fmt.Errorf("-ops-addr: %w", err)
 	}
 	if p.cfg.MeshAddr == "" {
--- a/lib/gatewayproc/feeds.go
+++ b/lib/gatewayproc/feeds.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"fmt"
-	"net"
 	"time"
 
 	"github.com/phuslu/log"
@@ -12,6 +11,7 @@
 	"anvilwick.example/anvilwick/lib/feed"
 	"anvilwick.example/anvilwick/lib/feedlink"
 	"anvilwick.example/anvilwick/lib/fleet"
+	"anvilwick.example/anvilwick/lib/listen"
 	"anvilwick.example/anvilwick/lib/logline"
 	"anvilwick.example/anvilwick/lib/mesh"
 	"anvilwick.example/anvilwick/lib/routes"
@@ -86,11 +86,11 @@
 	})
 	feedlink.Serve(node, p.syncer)
 	p.openTunnels()
-	listen := p.cfg.Network.Listen
-	if listen == nil {
-		listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+	open := p.cfg.Network.Listen
+	if open == nil {
+		open = listen.TCP
 	}
-	ln, err := listen(cmp.Or(p.cfg.LinkBind, p.cfg.Link))
+	ln, err := open(cmp.Or(p.cfg.LinkBind, p.cfg.Link))
 	if err != nil {
 		return fmt.Errorf("gatewayproc: links: %w", err)
 	}
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -23,6 +23,7 @@
 	"anvilwick.example/anvilwick/lib/feedlink"
 	"anvilwick.example/anvilwick/lib/fleet"
 	"anvilwick.example/anvilwick/lib/gateway"
+	"anvilwick.example/anvilwick/lib/listen"
 	"anvilwick.example/anvilwick/lib/logline"
 	"anvilwick.example/anvilwick/lib/membudget"
 	"anvilwick.example/anvilwick/lib/mesh"
@@ -227,7 +228,7 @@
 	p.cancel = cancel
 	defer cancel()
 	// Callers connect as soon as this instance reports ready, so their listener is opened first.
-	ln, err := net.Listen("tcp", cfg.Front)
+	ln, err := listen.TCP(cfg.Front)
 	if err != nil {
 		return fmt.Errorf("gatewayproc: callers: %w", err)
 	}
@@ -258,7 +259,7 @@
 
 // serveReady serves the balancer's readiness checks: 200 while this instance can serve and is not stopping.
 func (p *Process) serveReady() error {
-	ln, err := net.Listen("tcp", p.cfg.Ready)
+	ln, err := listen.TCP(p.cfg.Ready)
 	if err != nil {
 		return fmt.Errorf("gatewayproc: readiness: %w", err)
 	}
@@ -276,7 +277,7 @@
 	if p.cfg.Metrics == "" {
 		return nil
 	}
-	ln, err := net.Listen("tcp", p.cfg.Metrics)
+	ln, err := listen.TCP(p.cfg.Metrics)
 	if err != nil {
 		return fmt.Errorf("gatewayproc: metrics: %w", err)
 	}
