--- /dev/null
+++ b/lib/entryproc/processstop_test.go
@@ -0,0 +1,115 @@
+package entryproc
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/proc"
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	proc.RemoveBinaries()
+	os.Exit(code)
+}
+
+// Guards against requests that are cut without a word in a stop of the entry as a process: heads that came before it with bodies that end
+// throughout it, and streams that are open at its limit.
+func TestEntryProcessAnswersEachRequestOfAStop(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	dir, err := proc.Binaries(ctx)
+	must.NoError(t, err)
+	addrs, err := proc.Addrs(2)
+	must.NoError(t, err)
+	addr := addrs[0]
+	p, err := proc.Start(proc.Spec{Name: "entry", Path: dir + "/anvilwick-entry", Args: []string{
+		"-listen", addr, "-ops-addr", addrs[1], "-instance", "entry-1",
+		"-settings", settingsFile(t, startEngine(t).Addr()), "-stop-notice", "1s", "-stop-limit", "1s",
+	}})
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = p.Kill() })
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		must.True(t, time.Now().Before(end), must.Sprint("not ready"))
+		resp, err := http.Get("http://" + addrs[1] + "/readyz")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				break
+			}
+		}
+	}
+	var mu sync.Mutex
+	outcomes := map[string]int{}
+	stopping := make(chan struct{})
+	var wg sync.WaitGroup
+	for n := range 20 {
+		length := 20
+		if n%4 == 0 {
+			length = 20000 // it is open at the limit
+		}
+		wg.Go(func() {
+			got := lateCompletion(t, addr, length, stopping, time.Duration(n)*100*time.Millisecond)
+			mu.Lock()
+			defer mu.Unlock()
+			outcomes[got]++
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	must.NoError(t, p.Terminate())
+	began := time.Now()
+	close(stopping)
+	code, err := p.Wait(ctx)
+	must.NoError(t, err)
+	ended := time.Since(began)
+	wg.Wait()
+	t.Log("outcomes:", outcomes, "ended after", ended.Round(time.Millisecond), "with code", code)
+	must.Zero(t, outcomes["cut"])
+	must.Positive(t, outcomes["refused"])
+	must.Positive(t, outcomes["complete"])
+	must.Less(t, 4*time.Second, ended)
+	must.Eq(t, 1, code) // it has cut requests at its limit
+}
+
+// lateCompletion sends a request's head at once and its body some time after the beginning of the stop.
+func lateCompletion(t *testing.T, addr string, length int, stopping <-chan struct{}, at time.Duration) string {
+	conn, err := net.Dial("tcp", addr)
+	must.NoError(t, err)
+	defer conn.Close()
+	body := fmt.Sprintf(`{"model":"planner-llm","stream":true,"prompt":"narrative [len=%d]"}`, length)
+	_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nX-Anvilwick-Class: standard\r\nContent-Length: %d\r\n\r\n%s",
+		testKey, len(body), body[:10])
+	must.NoError(t, err)
+	<-stopping
+	time.Sleep(at)
+	_, _ = io.WriteString(conn, body[10:])
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return "cut"
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	switch {
+	case err != nil:
+		return "cut"
+	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != "":
+		return "refused"
+	case strings.Contains(string(got), "[DONE]"):
+		return "complete"
+	case strings.Contains(string(got), "event: error"):
+		return "ended with an error"
+	}
+	return "cut"
+}
