--- a/app/anvilwick-gateway/main.go
+++ b/app/anvilwick-gateway/main.go
@@ -1,7 +1,8 @@
 // Command anvilwick-gateway forwards callers' requests to the targets of a site whose platform provides the settings and the
 // list of targets. It needs no disk and no other anvilwick process.
 //
-// Exit codes: 0 after a graceful stop (SIGTERM or SIGINT), 1 if it failed while running, 2 for invalid flags or settings.
+// Exit codes: 0 after a planned stop (SIGTERM or SIGINT), whatever it had to abort at the end of the grace period; 1 if it failed while
+// running; 2 for invalid flags or settings.
 package main
 
 import (
@@ -28,7 +29,8 @@
 
 The environment variable ` + platform.SettingsEnv + ` names the instance's settings file (TOML), which the platform writes.
 
-Exit codes: 0 after a graceful stop (SIGTERM or SIGINT), 1 if it failed while running, 2 for invalid flags or settings.
+Exit codes: 0 after a planned stop (SIGTERM or SIGINT), whatever it had to abort at the end of the grace period, 1 if it failed while
+running, 2 for invalid flags or settings.
 `
 
 func main() {
