Log: the line that says why a process ends passes the rate limit

A stop that refuses hundreds of requests at once spends the 400 lines of that second, and event=end, which operators need to tell an end from a kill, was dropped with the rest.

TestLineThatSaysWhyAProcessEndsIsNotDropped (go test -count=1 -run TestLineThat ./lib/logline) failed before.

--- a/lib/logline/bounded.go
+++ b/lib/logline/bounded.go
@@ -1,6 +1,7 @@
 package logline
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync/atomic"
@@ -14,6 +15,9 @@
 	maxLinesPerSecond = 400
 )
 
+// endMark marks the line that says why a process ends. It is written beyond the rate limit: a stop may refuse many requests at once just before.
+var endMark = []byte("event=end ")
+
 // BoundedWriter is a writer that never blocks: a request must not wait for a full pipe. Lines beyond the queue's capacity or
 // the rate limit are dropped and counted, and the count is logged, so that readers know that lines are missing.
 type BoundedWriter struct {
@@ -68,7 +72,7 @@
 			}
 			begin, n = now, 0
 		}
-		if n++; n > maxLinesPerSecond {
+		if n++; n > maxLinesPerSecond && !bytes.Contains(line, endMark) {
 			b.countDrop()
 		} else {
 			_, _ = w.Write(line)
--- a/lib/logline/bounded_test.go
+++ b/lib/logline/bounded_test.go
@@ -67,3 +67,21 @@
 		close(b.queue)
 	})
 }
+
+// Guards against an end whose cause is dropped because many lines were logged in the same second.
+func TestLineThatSaysWhyAProcessEndsIsNotDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &blockedWriter{open: make(chan struct{})}
+		close(s.open)
+		b := NewBoundedWriter(s)
+		for i := range queueCapacity - 1 {
+			_, _ = fmt.Fprintf(b, "event=refused n=%d\n", i)
+		}
+		_, _ = fmt.Fprintln(b, "event=end reason=stopped")
+		b.Flush(time.Second)
+		synctest.Wait()
+		must.Positive(t, b.Dropped())
+		must.StrContains(t, s.buf.String(), "event=end reason=stopped")
+		close(b.queue)
+	})
+}
