--- a/lib/logline/bounded.go
+++ b/lib/logline/bounded.go
@@ -1,6 +1,7 @@
 package logline
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync/atomic"
@@ -14,10 +15,14 @@
 	maxLinesPerSecond = 400
 )
 
+// endMark marks the line that says why a process ends. It is written beyond the rate limit: a stop may refuse many requests at once just before.
+var endMark = []byte("event=end ")
+
 // BoundedWriter is a writer that never blocks: a request must not wait for a full pipe. Lines beyond the queue's capacity or
 // the rate limit are dropped and counted, and the count is logged, so that readers know that lines are missing.
 type BoundedWriter struct {
 	queue      chan []byte
+	pending    atomic.Int64 // lines that are queued or being written
 	unreported atomic.Int64
 	total      atomic.Int64
 }
@@ -31,17 +36,19 @@
 
 // Write queues a copy of the line or drops it; it never fails.
 func (b *BoundedWriter) Write(line []byte) (int, error) {
+	b.pending.Add(1)
 	select {
 	case b.queue <- append([]byte(nil), line...):
 	default:
+		b.pending.Add(-1)
 		b.countDrop()
 	}
 	return len(line), nil
 }
 
-// Flush waits up to d until the queue is empty. The last lines of a process often explain why it ended.
+// Flush waits up to d until all lines are written. The last lines of a process often explain why it ended.
 func (b *BoundedWriter) Flush(d time.Duration) {
-	for end := time.Now().Add(d); len(b.queue) > 0 && time.Now().Before(end); {
+	for end := time.Now().Add(d); b.pending.Load() > 0 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
 }
@@ -65,10 +72,11 @@
 			}
 			begin, n = now, 0
 		}
-		if n++; n > maxLinesPerSecond {
+		if n++; n > maxLinesPerSecond && !bytes.Contains(line, endMark) {
 			b.countDrop()
-			continue
+		} else {
+			_, _ = w.Write(line)
 		}
-		_, _ = w.Write(line)
+		b.pending.Add(-1)
 	}
 }
