Wait for the list before refusing a stream whose version was never listed

Callers saw: an instance stands still while engines of a new version join.

Cause, by the log: the instance reads the store itself and owns the engines. As it goes on, callers' requests are handled before its first call for the list is answered; it finds the streams' records, and no target of their version in a list that is 2.5 s old. Class: what a copy that may be old lacks is taken for absent. That a version was recorded and never listed here proves that the list is old.

Why it works: such a stream waits up to 0.9 s, and no longer than its caller would, for a target of its version, and is then placed once more. A version that the instance has seen listed is refused at once, as before.

--- a/lib/gateway/answer.go
+++ b/lib/gateway/answer.go
@@ -67,6 +67,8 @@
 		return c.unavailable("evacuated")
 	case avail.OutOfRegion > 0:
 		return c.unavailable("out_of_region")
+	case avail.OtherSoftware > 0 && c.unlisted:
+		return c.unavailable("no_software")
 	case avail.OtherSoftware > 0:
 		// Without Retry-After: nothing says that a target of the version will ever be back.
 		return refusal{status: http.StatusServiceUnavailable, reason: "no_software"}
--- a/lib/gateway/call.go
+++ b/lib/gateway/call.go
@@ -43,6 +43,7 @@
 	resumes   string   // id of the attempt that brought the first event of the stream that the caller resumes
 
 	software    fleet.Software  // that began the stream, and that alone may continue it; zero: none has
+	unlisted    bool            // this instance has seen no target of that version, so that its list may be old
 	contentHash uint64          // fingerprint of the request's content
 	probe       bool            // it may run although its segments are convicted
 	sends       int             // number of targets that the call was sent to
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -123,6 +123,7 @@
 type StreamOrigin struct {
 	Software uint64 // fleet.Software.ID of the version that began it; 0: unknown
 	Settled  bool   // without Software: another query is in vain
+	Unlisted bool   // this instance has seen no target of Software
 }
 
 // Owners is the client of the instances that decide placement on engines shared by many instances. An error means that none
--- a/lib/gateway/origin.go
+++ b/lib/gateway/origin.go
@@ -25,6 +25,7 @@
 	origin := g.Streams.FindStream(ctx, c.workspace, c.resumes, c.service)
 	g.Log.Origin(c.entry(), origin, time.Since(start))
 	c.software.ID = g.Fleet.ResolveSoftware(c.service, origin.Software)
+	c.unlisted = origin.Unlisted
 	switch {
 	case origin.Software != 0:
 		return nil
@@ -34,6 +35,33 @@
 	return &refusal{status: http.StatusServiceUnavailable, after: c.boundWait(unknownRetry), reason: "stream_unknown"}
 }
 
+const (
+	// unlistedWait bounds the wait for a target of a version that this instance has never seen. An instance that stood still, or was cut off, reads the
+	// list within some hundred milliseconds.
+	unlistedWait = 900 * time.Millisecond
+	// unlistedPoll is the pause between two looks at the list.
+	unlistedPoll = 10 * time.Millisecond
+)
+
+// awaitListed waits for a target of the stream's version if this instance has never seen one: a stream began at one, so that its list is old. It reports
+// whether to look for a target again.
+func (r *run) awaitListed(ctx context.Context) bool {
+	if !r.c.unlisted || r.headSent || r.c.sends > 0 || r.listAwaited {
+		return false
+	}
+	r.listAwaited = true
+	ctx, cancel := context.WithTimeout(ctx, r.c.boundWait(unlistedWait))
+	defer cancel()
+	for r.g.Fleet.Availability(time.Now(), r.need()).Accepting == 0 {
+		select {
+		case <-ctx.Done():
+			return true // the owner of the engines may have read the list meanwhile
+		case <-time.After(unlistedPoll):
+		}
+	}
+	return true
+}
+
 // begin records which version made the first event that the caller is about to get: from then on no other may continue the stream.
 func (r *run) begin(software fleet.Software) {
 	if r.c.software.ID == 0 {
--- a/lib/gateway/run.go
+++ b/lib/gateway/run.go
@@ -26,6 +26,7 @@
 	waited      time.Duration    // for an engine, before the first send
 	pause       time.Duration    // longest time between two events
 
+	listAwaited  bool // it has waited for a target of its version to be listed
 	doubted      bool // its target may run another software version than the listed one
 	repeatLogged bool // a target has sent events that the caller had, and this was logged
 
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -69,6 +69,9 @@
 				g.refuse(w, c, refusal{status: http.StatusServiceUnavailable, after: retryAfter, reason: "no_room"})
 				return
 			}
+			if to.target.ID == "" && r.awaitListed(ctx) {
+				continue
+			}
 			if to.target.ID == "" {
 				r.endWithoutTarget(ctx)
 				return
--- a/lib/gatewayproc/software.go
+++ b/lib/gatewayproc/software.go
@@ -113,6 +113,14 @@
 	return !before && s.mixed(now, service)
 }
 
+// hasSeen reports whether a target of the version was listed, or is lately.
+func (s *software) hasSeen(service string, version uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, seen := s.seen[service][version]
+	return seen
+}
+
 // recordReport records whether a service is mixed, as a peer with all targets reports. It reports whether the service is mixed since then.
 func (s *software) recordReport(now time.Time, service string, mixed bool) (turned bool) {
 	s.mu.Lock()
--- a/lib/gatewayproc/streams.go
+++ b/lib/gatewayproc/streams.go
@@ -55,7 +55,9 @@
 // FindStream implements gateway.Streams.
 func (s streams) FindStream(ctx context.Context, workspace, attempt, service string) gateway.StreamOrigin {
 	found := s.p.recorder.Find(ctx, resume.Key(workspace, attempt), service)
-	return gateway.StreamOrigin{Software: found.Software, Settled: found.Settled}
+	return gateway.StreamOrigin{
+		Software: found.Software, Settled: found.Settled, Unlisted: found.Software != 0 && !s.p.software.hasSeen(service, found.Software),
+	}
 }
 
 // handOverTimeout bounds the hand-over of records when this instance stops. It is short enough to end before the kill.
