--- a/lib/proc/proc.go
+++ b/lib/proc/proc.go
@@ -112,6 +112,23 @@
 	}
 }
 
+// State describes how the process ended, such as "exit status 1" or "signal: killed". It is empty while the process runs.
+func (p *Proc) State() string {
+	if p.Running() {
+		return ""
+	}
+	return p.cmd.ProcessState.String()
+}
+
+// EndedBy reports whether a signal ended the process.
+func (p *Proc) EndedBy(sig syscall.Signal) bool {
+	if p.Running() {
+		return false
+	}
+	status, ok := p.cmd.ProcessState.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == sig
+}
+
 // CPU returns user plus system time once the process has ended, and 0 before.
 func (p *Proc) CPU() time.Duration {
 	select {
--- a/lib/proc/proc_test.go
+++ b/lib/proc/proc_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -48,8 +49,13 @@
 		}
 		return nil
 	}))
+	must.Eq(t, "", p.State())
+	must.False(t, p.EndedBy(syscall.SIGKILL))
 	must.NoError(t, p.Kill())
 	must.False(t, p.Running())
+	must.Eq(t, "signal: killed", p.State())
+	must.True(t, p.EndedBy(syscall.SIGKILL))
+	must.False(t, p.EndedBy(syscall.SIGTERM))
 	code, err := p.Wait(t.Context())
 	must.NoError(t, err)
 	must.Eq(t, -1, code)
