--- a/lib/faultproxy/proxy.go
+++ b/lib/faultproxy/proxy.go
@@ -52,6 +52,8 @@
 	mu          sync.Mutex
 	target      string
 	mode        Mode
+	clients     func(client net.Conn) bool // names the connections in clientsMode; nil: none
+	clientsMode Mode
 	delay       time.Duration
 	modeChanged chan struct{} // closed and replaced when the mode changes
 	conns       map[net.Conn]struct{}
@@ -102,6 +104,30 @@
 	}
 }
 
+// SetFor changes the mode of the connections of some clients, new ones included, in place of the mode of all. Cut resets their connections. A nil
+// function ends it. The connections that the function gets are the proxy's own ends of those of its clients.
+func (p *Proxy) SetFor(clients func(client net.Conn) bool, m Mode) {
+	p.mu.Lock()
+	p.clients, p.clientsMode = clients, m
+	close(p.modeChanged)
+	p.modeChanged = make(chan struct{})
+	var open []net.Conn
+	for c := range p.conns {
+		if c.LocalAddr().String() == p.Addr() { // not a connection to the target
+			open = append(open, c)
+		}
+	}
+	p.mu.Unlock()
+	if clients == nil || m != Cut {
+		return
+	}
+	for _, c := range open {
+		if clients(c) {
+			reset(c)
+		}
+	}
+}
+
 // Reset resets every connection. New ones are accepted.
 func (p *Proxy) Reset() {
 	p.mu.Lock()
@@ -155,7 +181,7 @@
 }
 
 func (p *Proxy) serve(client net.Conn) {
-	if !p.waitOpen(toTarget) {
+	if !p.waitOpen(client, toTarget) {
 		reset(client)
 		return
 	}
@@ -176,8 +202,8 @@
 		return
 	}
 	var wg sync.WaitGroup
-	wg.Go(func() { p.copy(server, client, toTarget) })
-	wg.Go(func() { p.copy(client, server, fromTarget) })
+	wg.Go(func() { p.copy(server, client, client, toTarget) })
+	wg.Go(func() { p.copy(client, server, client, fromTarget) })
 	wg.Wait()
 	p.unregister(client, server)
 }
@@ -204,13 +230,13 @@
 	delete(p.conns, server)
 }
 
-// copy copies one direction. EOF is forwarded as EOF and an error as a reset: a reader must not take a truncated response for a
+// copy copies one direction of a client's connection. EOF is forwarded as EOF and an error as a reset: a reader must not take a truncated response for a
 // complete one.
-func (p *Proxy) copy(dst, src net.Conn, dir direction) {
+func (p *Proxy) copy(dst, src, client net.Conn, dir direction) {
 	buf := make([]byte, bufferSize)
 	for {
 		n, err := src.Read(buf)
-		if !p.waitOpen(dir) {
+		if !p.waitOpen(client, dir) {
 			return
 		}
 		if wasReset(src) {
@@ -258,11 +284,15 @@
 }
 
 // waitOpen waits while the direction is blocked, then for the delay, and returns false if the link is cut.
-func (p *Proxy) waitOpen(dir direction) bool {
+func (p *Proxy) waitOpen(client net.Conn, dir direction) bool {
 	for {
 		p.mu.Lock()
 		mode, changed, delay := p.mode, p.modeChanged, p.delay
+		clients, clientsMode := p.clients, p.clientsMode
 		p.mu.Unlock()
+		if mode == Up && clients != nil && clients(client) {
+			mode = clientsMode
+		}
 		if mode == Cut {
 			return false
 		}
--- a/lib/faultproxy/proxy_test.go
+++ b/lib/faultproxy/proxy_test.go
@@ -102,3 +102,29 @@
 	must.Error(t, err)
 	must.NotEq(t, io.EOF, err)
 }
+
+// Guards against a cut of some clients that spares them or that acts on others.
+func TestSomeClientsAreCut(t *testing.T) {
+	for _, m := range []Mode{Cut, Stalled} {
+		t.Run(m.String(), func(t *testing.T) {
+			p, err := New("peers", echo(t))
+			must.NoError(t, err)
+			t.Cleanup(p.Close)
+			dial := func() net.Conn {
+				c, err := net.Dial("tcp", p.Addr())
+				must.NoError(t, err)
+				t.Cleanup(func() { _ = c.Close() })
+				return c
+			}
+			cut, other := dial(), dial()
+			must.NoError(t, roundTrip(cut))
+			must.NoError(t, roundTrip(other))
+			p.SetFor(func(client net.Conn) bool { return client.RemoteAddr().String() != other.LocalAddr().String() }, m)
+			must.Error(t, roundTrip(cut))
+			must.Error(t, roundTrip(dial()))
+			must.NoError(t, roundTrip(other))
+			p.SetFor(nil, Up)
+			must.NoError(t, roundTrip(dial()))
+		})
+	}
+}
--- a/lib/proc/proc_test.go
+++ b/lib/proc/proc_test.go
@@ -93,6 +93,22 @@
 	}
 }
 
+func TestSocketIsFoundByItsAddresses(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	c, err := net.Dial("tcp", ln.Addr().String())
+	must.NoError(t, err)
+	own, err := HasSocket(os.Getpid(), c.LocalAddr(), c.RemoteAddr())
+	must.NoError(t, err)
+	must.True(t, own)
+	own, err = HasSocket(startChild(t).PID(), c.LocalAddr(), c.RemoteAddr())
+	must.NoError(t, err)
+	must.False(t, own)
+	_, err = HasSocket(os.Getpid(), c.LocalAddr(), c.LocalAddr())
+	must.ErrorContains(t, err, "no socket")
+}
+
 func TestTailIsBounded(t *testing.T) {
 	out := &tail{}
 	block := make([]byte, 64<<10)
