--- a/Makefile
+++ b/Makefile
@@ -66,19 +66,23 @@
 	$(GO) build -o bin/ ./examples/soak
 	@for n in $$(seq 0 $$(($(MINUTES) - 1))); do ./bin/soak -seed $$(($(SEED) + n)) -span 60s $(SOAKFLAGS) || exit 1; done
 
+# SOAK_BEFORE_ENDS are the parts that came with issue 68; older seeds are replayed without them.
+SOAK_BEFORE_ENDS := -heads=false -late-bodies=false -peer-cuts=false
 soak-cases: build
 	$(GO) build -o bin/ ./examples/soak
 	@grep -v '^#' platform/soak/cases.txt | while read -r seed span cause; do \
-		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -evacuate=false -words=false -copies=false -loads=false -partitions=false -brittle=false -software=false -segments=false -lapses=false -bodies=false -first-release=false </dev/null || exit 1; done
+		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -evacuate=false -words=false -copies=false -loads=false -partitions=false -brittle=false -software=false -segments=false -lapses=false -bodies=false -first-release=false $(SOAK_BEFORE_ENDS) </dev/null || exit 1; done
 	@grep -v '^#' platform/soak/cases-copies.txt | while read -r seed span cause; do \
-		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -loads=false -partitions=false -brittle=false -software=false -segments=false -lapses=false -bodies=false -first-release=false </dev/null || exit 1; done
+		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -loads=false -partitions=false -brittle=false -software=false -segments=false -lapses=false -bodies=false -first-release=false $(SOAK_BEFORE_ENDS) </dev/null || exit 1; done
 	@grep -v '^#' platform/soak/cases-loads.txt | while read -r seed span cause; do \
-		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -partitions=false -brittle=false -software=false -segments=false -lapses=false -bodies=false -first-release=false </dev/null || exit 1; done
+		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -partitions=false -brittle=false -software=false -segments=false -lapses=false -bodies=false -first-release=false $(SOAK_BEFORE_ENDS) </dev/null || exit 1; done
 	@grep -v '^#' platform/soak/cases-partitions.txt | while read -r seed span cause; do \
-		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -software=false -segments=false -lapses=false -bodies=false -first-release=false </dev/null || exit 1; done
+		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -software=false -segments=false -lapses=false -bodies=false -first-release=false $(SOAK_BEFORE_ENDS) </dev/null || exit 1; done
 	@grep -v '^#' platform/soak/cases-segments.txt | while read -r seed span cause; do \
-		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -lapses=false -bodies=false -first-release=false </dev/null || exit 1; done
+		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span -lapses=false -bodies=false -first-release=false $(SOAK_BEFORE_ENDS) </dev/null || exit 1; done
 	@grep -v '^#' platform/soak/cases-bodies.txt | while read -r seed span cause; do \
+		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span $(SOAK_BEFORE_ENDS) </dev/null || exit 1; done
+	@grep -v '^#' platform/soak/cases-ends.txt | while read -r seed span cause; do \
 		echo "case seed=$$seed: $$cause"; ./bin/soak -seed $$seed -span $$span </dev/null || exit 1; done
 
 # capacity measures the slopes behind docs/CAPACITY.md; the last line is "capacity: ok ...". CAPACITYFLAGS adds flags.
