FAULT: buffers of anvilwick-entry that were bounded each and not in sum

Slow callers: not played.

Mend: these buffers ask for memory in bulk. Without it an answer or a stream fails as one that its target broke off; a caller that has more than 64 KiB unread is one that reads too slowly.

--- a/lib/e2e/entry_memory_test.go
+++ b/lib/e2e/entry_memory_test.go
@@ -169,3 +169,57 @@
 	must.Zero(t, smallLost.Load())
 	must.Eq(t, 5*small, int(smallServed.Load()))
 }
+
+// Guards against an entry that ends for its memory because many callers of HTTP/1.0 get answers without a length, each of which is buffered whole.
+func TestAnswersForHTTP10CallersDoNotEndTheEntry(t *testing.T) {
+	const (
+		callers = 100
+		size    = 3 << 20 // bytes of an answer
+	)
+	part := strings.Repeat("x", 64<<10)
+	e := startMemoryEntry(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Large") == "" {
+			return
+		}
+		for n := 0; n < size; n += len(part) {
+			if _, err := io.WriteString(w, part); err != nil {
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}), "-memory-mb", fmt.Sprint(entryMemoryMB))
+	var served, failed, lost, smallLost atomic.Int64
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Go(func() {
+			c, err := net.Dial("tcp", e.addr)
+			if err != nil {
+				lost.Add(1)
+				return
+			}
+			defer func() { _ = c.Close() }()
+			_, _ = io.WriteString(c, strings.Replace(entryHead("Large: 1\r\n"), "HTTP/1.1", "HTTP/1.0", 1))
+			status, err := readStatus(c)
+			switch {
+			case err != nil:
+				lost.Add(1)
+			case status == http.StatusOK:
+				served.Add(1)
+			default:
+				failed.Add(1)
+			}
+		})
+	}
+	for range 20 {
+		time.Sleep(100 * time.Millisecond)
+		if status, err := e.get(nil, ""); err != nil || status != http.StatusOK {
+			smallLost.Add(1)
+		}
+	}
+	wg.Wait()
+	t.Logf("peak %d MiB; served %d, failed %d, lost %d; small ones lost %d", e.memory.Peak()>>20, served.Load(), failed.Load(), lost.Load(), smallLost.Load())
+	must.False(t, e.memory.Killed())
+	must.True(t, e.Running())
+	must.Zero(t, lost.Load())
+	must.Zero(t, smallLost.Load())
+}
--- a/lib/entry/plain.go
+++ b/lib/entry/plain.go
@@ -154,7 +154,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	started, err := pc.relay(w, r, resp)
+	started, err := pc.relay(w, r, resp, s.opts.Memory)
 	s.endPlain(pc, name, resp, err)
 	if err == nil {
 		return
--- a/lib/entry/relay.go
+++ b/lib/entry/relay.go
@@ -10,6 +10,7 @@
 
 	"anvilwick.example/anvilwick/lib/callerapi"
 	"anvilwick.example/anvilwick/lib/claim"
+	"anvilwick.example/anvilwick/lib/membudget"
 	"anvilwick.example/anvilwick/lib/result"
 	"anvilwick.example/anvilwick/lib/target"
 )
@@ -25,10 +26,11 @@
 	errHTTP10Body = errors.New("answer without a length exceeds the buffer for HTTP/1.0 callers")
 )
 
-// relay streams a target's answer to the caller. On error, started reports whether the caller received part of it.
-func (pc *plainCall) relay(w http.ResponseWriter, r *http.Request, resp *http.Response) (started bool, err *result.Error) {
+// relay streams a target's answer to the caller. On error, started reports whether the caller received part of it. memory grants the buffer for an answer
+// that can't be streamed.
+func (pc *plainCall) relay(w http.ResponseWriter, r *http.Request, resp *http.Response, memory *membudget.Budget) (started bool, err *result.Error) {
 	if !r.ProtoAtLeast(1, 1) && resp.ContentLength < 0 && r.Method != http.MethodHead {
-		return pc.relayHTTP10(w, resp)
+		return pc.relayHTTP10(w, resp, memory)
 	}
 	writeAnswerHead(w, resp)
 	return true, pc.relayBody(w, resp)
@@ -99,9 +101,9 @@
 
 // relayHTTP10 serves HTTP/1.0 callers, for whom an answer without a length ends with the connection. They could not tell
 // a truncated answer from a complete one, so the answer is buffered and sent with a Content-Length.
-func (pc *plainCall) relayHTTP10(w http.ResponseWriter, resp *http.Response) (started bool, err *result.Error) {
-	body, rerr := io.ReadAll(io.LimitReader(resp.Body, maxHTTP10Body+1))
-	if rerr == nil && len(body) > maxHTTP10Body {
+func (pc *plainCall) relayHTTP10(w http.ResponseWriter, resp *http.Response, memory *membudget.Budget) (started bool, err *result.Error) {
+	body, rerr := memory.ReadAll(resp.Body, membudget.UnknownLength, maxHTTP10Body)
+	if errors.Is(rerr, membudget.ErrTooLong) {
 		rerr = errHTTP10Body
 	}
 	if rerr != nil {
--- a/lib/entry/sink.go
+++ b/lib/entry/sink.go
@@ -14,6 +14,9 @@
 // maxSinkBytes bounds the bytes buffered for a slow caller, whatever the size of the tokens.
 const maxSinkBytes = 8 << 20
 
+// smallSinkBytes is the size up to which a slow caller's buffer does not count where memory is short.
+const smallSinkBytes = 64 << 10
+
 // sink buffers the events for one caller's connection. The engine's side appends and the caller's side takes everything at
 // once; neither waits for the other. Its fields are guarded by the generation's mutex.
 type sink struct {
--- a/lib/entry/tick.go
+++ b/lib/entry/tick.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"anvilwick.example/anvilwick/lib/membudget"
 )
 
 const (
@@ -47,9 +49,15 @@
 func (s *Server) checkCaller(g *generation, now time.Time) {
 	g.mu.Lock()
 	sk := g.sink
-	slow := sk != nil && sk.slow(now, g.policy.SlowReaderWait)
+	slow, unread := false, 0
+	if sk != nil {
+		slow, unread = sk.slow(now, g.policy.SlowReaderWait), len(sk.buf)
+	}
 	gone := !g.detachedAt.IsZero() && now.Sub(g.detachedAt) > s.opts.CallerGrace
 	g.mu.Unlock()
+	if unread > smallSinkBytes && !s.opts.Memory.Admit(int64(unread), membudget.Bulk) {
+		slow = true // its buffer is what memory is short of
+	}
 	switch {
 	case slow && g.key != "":
 		sk.abortWrites()
--- a/lib/entryproc/assemble.go
+++ b/lib/entryproc/assemble.go
@@ -37,6 +37,7 @@
 		Clients:       p.clients,
 		OnView:        p.viewHook(ctx, d),
 	}
+	p.clients.Memory = opts.Memory
 	p.addStores(ctx, &opts)
 	p.server = entry.New(opts)
 	mesh, ok := d.(*meshDecider)
--- a/lib/target/client.go
+++ b/lib/target/client.go
@@ -18,6 +18,7 @@
 
 	"anvilwick.example/anvilwick/lib/engineapi"
 	"anvilwick.example/anvilwick/lib/ids"
+	"anvilwick.example/anvilwick/lib/membudget"
 	"anvilwick.example/anvilwick/lib/retry"
 )
 
@@ -48,6 +49,9 @@
 
 // Clients holds the transports and connections that all Client values of a process share.
 type Clients struct {
+	// Memory grants the buffers for large events; nil: there is no limit. It must be set before the first call.
+	Memory *membudget.Budget
+
 	singleUse *http.Client
 	pooled    *http.Client
 }
--- a/lib/target/sse.go
+++ b/lib/target/sse.go
@@ -5,12 +5,21 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"anvilwick.example/anvilwick/lib/membudget"
 )
 
 // MaxEvent bounds the size of one event of a stream, in bytes.
 const MaxEvent = 256 << 10
 
-const sseBuffer = 8 << 10
+const (
+	sseBuffer = 8 << 10
+	// smallEvent is the size in bytes up to which an event's buffer is kept for the next one, and is not worth a request for memory.
+	smallEvent = 16 << 10
+)
+
+// ErrNoMemory is returned for an event that the process has no memory for.
+var ErrNoMemory = errors.New("no memory for a server-sent event")
 
 // ErrEventTooLarge is returned for an event larger than MaxEvent.
 var ErrEventTooLarge = errors.New("server-sent event over its bound")
@@ -19,8 +28,9 @@
 
 // eventReader splits a body into server-sent events. It reuses one buffer for all of them.
 type eventReader struct {
-	r    *bufio.Reader
-	data []byte
+	r      *bufio.Reader
+	data   []byte
+	memory *membudget.Budget // of large events; nil: there is no limit
 }
 
 func newEventReader(r io.Reader) *eventReader {
@@ -31,6 +41,9 @@
 // data are ignored. An event truncated by the end of the body is not returned.
 func (e *eventReader) next() ([]byte, error) {
 	e.data = e.data[:0]
+	if cap(e.data) > smallEvent {
+		e.data = nil
+	}
 	lines := 0
 	for {
 		from := len(e.data)
@@ -80,6 +93,12 @@
 	return bytes.TrimPrefix(rest[1:], []byte(" ")), true
 }
 
+// hasRoom reports whether the process has memory for the growth of the buffer by n bytes.
+func (e *eventReader) hasRoom(n int) bool {
+	size := len(e.data) + n
+	return size <= cap(e.data) || size <= smallEvent || e.memory.Admit(2*int64(size), membudget.Bulk)
+}
+
 // readLine appends one line, including its terminator, to e.data. An unterminated last line yields io.ErrUnexpectedEOF.
 func (e *eventReader) readLine() error {
 	for {
@@ -87,6 +106,9 @@
 		if len(e.data)+len(part) > MaxEvent {
 			return ErrEventTooLarge
 		}
+		if !e.hasRoom(len(part)) {
+			return ErrNoMemory
+		}
 		e.data = append(e.data, part...)
 		switch {
 		case err == nil:
--- a/lib/target/stream.go
+++ b/lib/target/stream.go
@@ -44,6 +44,7 @@
 	}
 	st := NewStream(resp.Body)
 	st.cancel = cancel
+	st.events.memory = c.clients.Memory
 	return st, nil
 }
 
