--- a/lib/entryproc/assemble.go
+++ b/lib/entryproc/assemble.go
@@ -32,7 +32,7 @@
 		Prefixes:      p.prefixes,
 		FailureDomain: p.cfg.Domain,
 		MaxStreams:    p.cfg.MaxStreams,
-		Memory:        membudget.New(int64(p.cfg.MemoryMB) << 20),
+		Memory:        membudget.New(p.cfg.memoryLimit()),
 		Metrics:       p.metrics,
 		Clients:       p.clients,
 		OnView:        p.viewHook(ctx, d),
--- a/lib/entryproc/config.go
+++ b/lib/entryproc/config.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/membudget"
 	"anvilwick.example/anvilwick/lib/procflags"
 )
 
@@ -27,7 +28,7 @@
 	StopLimit    time.Duration // longest wait for requests in progress; 0: unlimited
 	TargetProxy  string        // address of an HTTP proxy (CONNECT) for the connections to targets; empty: none
 	MaxStreams   int
-	MemoryMB     int    // limit at which the process is killed; 0: none
+	MemoryMB     int    // limit at which the process is killed; 0: that of its container
 	Scheduler    string // scheduling policy of a shard; all but SchedulerOwner are for experiments
 	LogLevel     string
 }
@@ -49,13 +50,21 @@
 		"after SIGTERM, time in which requests are still accepted while balancers notice")
 	fs.DurationVar(&c.StopLimit, "stop-limit", 0, "after SIGTERM, longest wait for requests in progress; 0: unlimited")
 	fs.IntVar(&c.MaxStreams, "max-streams", 4096, "requests in progress at most")
-	fs.IntVar(&c.MemoryMB, "memory-mb", 0, "memory at which the process is killed, in MiB: requests whose bodies do not fit are refused; 0: no limit")
+	fs.IntVar(&c.MemoryMB, "memory-mb", 0, "memory at which the process is killed, in MiB: what does not fit is refused; 0: the limit of the container (cgroup v2), if it has one")
 	fs.StringVar(&c.TargetProxy, "target-proxy", "", "address of an HTTP proxy (CONNECT) for the connections to targets; empty: none")
 	fs.StringVar(&c.Scheduler, "scheduler", SchedulerOwner,
 		"policy of a shard: owner; for experiments only: least-loaded or round-robin, which ignore future memory use")
 	fs.StringVar(&c.LogLevel, "log-level", "info", "debug, info, warn or error")
 }
 
+// memoryLimit returns the bytes at which the process is killed; 0: there is no limit.
+func (c *Config) memoryLimit() int64 {
+	if c.MemoryMB > 0 {
+		return int64(c.MemoryMB) << 20
+	}
+	return membudget.ContainerLimit()
+}
+
 // Check returns an error that names the first bad flag.
 func (c *Config) Check() error {
 	addrs := []struct{ flag, value string }{{"listen", c.Listen}, {"ops-addr", c.OpsAddr}}
--- a/lib/entryproc/process.go
+++ b/lib/entryproc/process.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	membudget.LimitCollector(int64(cfg.MemoryMB) << 20)
+	membudget.LimitCollector(cfg.memoryLimit())
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Process{cfg: cfg, metrics: entrymetrics.New(), failed: make(chan error, 2), cancel: cancel}
 	p.tunnels = newTunnels(cfg)
