Look for a stream's record in the store before taking its service's only version

Callers saw: streams with events of two versions.

Cause: a row that says "one version" ended the search, although the stream's own record, the better evidence, could be in the next table. Class: a negative answer about a whole is trusted above a positive one about the part.

Why it works: where several versions serve, each stream is recorded in the store within some 0.4 s. Price: one read of the table of records, empty as long as services have one version, for queries that nobody else answers, shared by those that wait.

--- a/lib/resume/keeper.go
+++ b/lib/resume/keeper.go
@@ -214,13 +214,11 @@
 // maxSlots bounds the rows of an instance that are looked for.
 const maxSlots = 4096
 
-// Find finds a record in the store, or the only version that a service has had.
+// Find finds a record in the store, or the only version that a service has had. A record is looked for in any case: the services' rows can lack
+// a version that streams have begun at.
 func (k *Keeper) Find(ctx context.Context, q Query) Found {
 	requested := time.Now()
 	only := k.onlyVersionOf(ctx, q.Service, requested)
-	if only.ok {
-		return Found{Software: only.software, Settled: true}
-	}
 	if only.err != nil {
 		k.onErr("read software", only.err)
 	}
@@ -229,6 +227,9 @@
 		return Found{}
 	}
 	e, known := k.read.Get(requested, q.Key)
+	if !known && only.ok {
+		return Found{Software: only.software, Settled: true}
+	}
 	return Found{Software: e.Software, Settled: known || only.err == nil}
 }
 
