Begin a stream at an engine's new incarnation rather than refuse it

A stream that begins may go to any incarnation, as long as it is recorded as of that one: the target is taken from the list again after the restart was noted there, with the version that the new incarnation has until its entry names one.

--- a/lib/gateway/incarnation.go
+++ b/lib/gateway/incarnation.go
@@ -18,24 +18,28 @@
 // errEarlierIncarnation means that the engine at the other end of a connection has been replaced by the listed incarnation.
 var errEarlierIncarnation = errors.New("gateway: the connection is to an earlier incarnation of the engine")
 
-// open opens or reuses a connection for the run's request to the listed incarnation of a target. A stream of which the caller has events is sent from
-// its prompt only if the engine has not said otherwise on that connection. Any other is sent to an engine that can't be asked, too; proven is false then:
-// the target may run another software version than the listed one.
-func (r *run) open(ctx context.Context, to placement, x *exchange) (conn *wirehttp.Conn, proven bool, err error) {
+// open opens or reuses a connection for the run's request, and returns the target at its other end. A stream of which the caller has events is sent from
+// its prompt only if the engine has not named another incarnation than the listed one on that connection. One that begins goes on at a newer incarnation,
+// and at an engine that can't be asked; the software version of the latter is doubted.
+func (r *run) open(ctx context.Context, to placement, x *exchange) (conn *wirehttp.Conn, target fleet.Info, err error) {
 	conn, err = r.connectVia(ctx, to, x)
 	if err != nil {
-		return nil, false, err
+		return nil, to.target, err
 	}
 	err = r.checkIncarnation(ctx, conn, to)
 	if err == nil {
-		return conn, true, nil
+		return conn, to.target, nil
+	}
+	restarted := errors.Is(err, errRestarted)
+	if now, known := r.g.Fleet.Info(to.target.ID); restarted && known && now.Born > to.target.Born && r.beginsAt(to) {
+		return conn, now, nil
 	}
 	conn.Close()
-	if errors.Is(err, errRestarted) || r.continuesFromPrompt(to) {
-		return nil, false, err
+	if restarted || r.continuesFromPrompt(to) {
+		return nil, to.target, err
 	}
 	conn, err = r.connectVia(ctx, to, x)
-	return conn, false, err
+	return conn, withDoubtedSoftware(to.target), err
 }
 
 // connectVia is connect and notes in x which way the connection takes.
@@ -52,6 +56,9 @@
 	return r.c.software.ID != 0 && to.copyFrom == ""
 }
 
+// beginsAt reports whether the caller has no events of the run and the target no memory of it.
+func (r *run) beginsAt(to placement) bool { return r.c.software.ID == 0 && to.copyFrom == "" }
+
 // checkIncarnation returns an error unless the engine at the other end of a connection is the listed incarnation, as far as it says. Engines don't check
 // which version wrote the events that they continue from, and the version of a stream that begins is taken from the list. A connection can't outlive the
 // engine's process, so that the answer holds for the request that follows on it.
@@ -88,12 +95,17 @@
 	return r.c.engine != nil && !r.g.Fleet.LimitOf(to.target.ID).On
 }
 
-// doubtSoftware records that the run's target may run another software version than the listed one, and returns a version that no target runs: what begins
-// there can't continue elsewhere.
-func (r *run) doubtSoftware() fleet.Software {
-	r.doubted = true
+// withDoubtedSoftware returns a target that may run another software version than the listed one, with a version that no target runs: what begins there
+// can't continue elsewhere.
+func withDoubtedSoftware(target fleet.Info) fleet.Info {
+	target.Software = fleet.UnnamedSoftware(target.Service, target.ID, 0)
+	return target
+}
+
+// arrive records which target is at the other end of the run's connection.
+func (r *run) arrive(target fleet.Info) {
+	r.doubted = target.Software == withDoubtedSoftware(target).Software
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.target.Software = fleet.UnnamedSoftware(r.target.Service, r.target.ID, 0)
-	return r.target.Software
+	r.target = target
 }
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -204,16 +204,14 @@
 		e = endRefused
 		return e, x
 	}
-	conn, proven, err := r.open(runCtx, to, x)
+	conn, target, err := r.open(runCtx, to, x)
 	if err != nil {
 		x.err = err
 		e = endOf(ctx, runCtx, e)
 		return e, x
 	}
-	r.doubted = false
-	if !proven {
-		to.target.Software = r.doubtSoftware()
-	}
+	r.arrive(target)
+	to.target = target
 	defer conn.Close()
 	stop := context.AfterFunc(runCtx, conn.Close)
 	defer stop()
