--- a/lib/entryproc/process.go
+++ b/lib/entryproc/process.go
@@ -16,13 +16,18 @@
 	"anvilwick.example/anvilwick/lib/guardlink"
 	"anvilwick.example/anvilwick/lib/limit"
 	"anvilwick.example/anvilwick/lib/logline"
+	"anvilwick.example/anvilwick/lib/membudget"
 	"anvilwick.example/anvilwick/lib/opsapi"
 	"anvilwick.example/anvilwick/lib/poison"
 	"anvilwick.example/anvilwick/lib/settings"
 	"anvilwick.example/anvilwick/lib/target"
 )
 
-const closeTimeout = 10 * time.Second // for idle connections, after all requests have ended
+const (
+	closeTimeout = 10 * time.Second // for idle connections, after all requests have ended
+	// cutTimeout is the same where requests are still in progress at the stop's limit.
+	cutTimeout = 100 * time.Millisecond
+)
 
 // Process is one entry process.
 type Process struct {
@@ -59,6 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
+	membudget.LimitCollector(int64(cfg.MemoryMB) << 20)
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Process{cfg: cfg, metrics: entrymetrics.New(), failed: make(chan error, 2), cancel: cancel}
 	p.tunnels = newTunnels(cfg)
@@ -138,7 +144,7 @@
 	for _, s := range []struct {
 		srv *http.Server
 		ln  net.Listener
-	}{{p.callerSrv, p.callers}, {p.opsSrv, p.ops}} {
+	}{{p.callerSrv, p.server.Listener(p.callers)}, {p.opsSrv, p.ops}} {
 		go func() {
 			if err := s.srv.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) {
 				p.failed <- err
@@ -172,12 +178,17 @@
 	ctx, cancel := p.stopContext()
 	defer cancel()
 	stopErr := errors.Join(p.server.Stop(ctx), p.claims.flush())
-	cctx, ccancel := context.WithTimeout(context.Background(), closeTimeout)
+	timeout := closeTimeout
+	if ctx.Err() != nil {
+		timeout = cutTimeout
+	}
+	cctx, ccancel := context.WithTimeout(context.Background(), timeout)
 	defer ccancel()
 	if p.links != nil {
 		p.tunnels.carrier.Drain(cctx) // what other entries have open through this one
 	}
 	err := errors.Join(stopErr, p.callerSrv.Shutdown(cctx), p.opsSrv.Shutdown(cctx))
+	_ = p.callerSrv.Close() // the connections of requests that are cut
 	p.cancel()
 	if p.links != nil {
 		p.links.close()
--- a/lib/gateway/gateway.go
+++ b/lib/gateway/gateway.go
@@ -115,8 +115,8 @@
 // StreamStart is the record of a stream that begins.
 type StreamStart struct {
 	Workspace, Attempt, Service string
-	Software                    fleet.Software
-	Deadline                    time.Time // of the caller, which resumes no stream after it
+	Software                    fleet.Software // zero: unknown
+	Deadline                    time.Time      // of the caller, which resumes no stream after it
 }
 
 // StreamOrigin is what is known of a stream.
@@ -169,15 +169,16 @@
 // Gateway serves callers' requests. It is an http.Handler.
 type Gateway struct {
 	Config
+	omit          map[string]bool // names of headers of callers that are never forwarded
 	table         atomic.Pointer[routes.Table]
-	stopBy        atomic.Pointer[time.Time] // when open responses are aborted; nil: the instance is not stopping
-	openCtx       context.Context           // cancelled to abort open responses
+	stop          atomic.Pointer[StopSchedule] // nil: the instance is not stopping
+	openCtx       context.Context              // cancelled to abort open responses
 	cancelOpen    context.CancelFunc
 	settingsReady chan struct{} // closed when the first settings are in force
 	runs          runTable
 	placer        admit.Placer // decides when streams are sent to engines
 	conns         openConns
-	pace          tokenPace
+	times         answerTimes
 	poison        *poison.Table
 	segments      *poison.SegmentTable
 	deathChecks   singleflight.Group
@@ -196,7 +197,7 @@
 func New(cfg Config) *Gateway {
 	open, cut := context.WithCancel(context.Background())
 	g := &Gateway{
-		Config: cfg, openCtx: open, cancelOpen: cut, settingsReady: make(chan struct{}), runs: newRunTable(), conns: newOpenConns(),
+		Config: cfg, omit: omittedHeaders(cfg.Names), openCtx: open, cancelOpen: cut, settingsReady: make(chan struct{}), runs: newRunTable(), conns: newOpenConns(),
 		placer: admit.Placer{Fleet: cfg.Fleet, Prefill: new(admit.PrefillRates)}, poison: poison.New(poisonConfig),
 		segments: poison.NewSegmentTable(poison.DefaultSegmentConfig),
 	}
@@ -229,12 +230,12 @@
 // Table returns the table in force, or nil before the first.
 func (g *Gateway) Table() *routes.Table { return g.table.Load() }
 
-// Stop makes responses close their connections. Responses still open at by will be aborted.
-func (g *Gateway) Stop(by time.Time) { g.stopBy.Store(&by) }
+// Stop makes responses close their connections. Calls that can't be answered before s.By are refused from now on.
+func (g *Gateway) Stop(s StopSchedule) { g.stop.Store(&s) }
 
-func (g *Gateway) stopping() bool { return g.stopBy.Load() != nil }
+func (g *Gateway) stopping() bool { return g.stop.Load() != nil }
 
-// AbortOpen aborts the open responses. Call it after Stop.
+// AbortOpen aborts the open responses, and refuses the calls that no target has got yet. Call it after Stop, at StopSchedule.By.
 func (g *Gateway) AbortOpen() { g.cancelOpen() }
 
 // ServeHTTP implements http.Handler.
--- a/lib/wirehttp/conn.go
+++ b/lib/wirehttp/conn.go
@@ -7,13 +7,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
-	"strconv"
 	"sync/atomic"
 	"time"
 )
@@ -35,40 +33,6 @@
 	ErrStatus             = errors.New("wirehttp: informational or malformed status")
 )
 
-// Request is an outgoing call. Content-Length is always sent for a body.
-type Request struct {
-	Method string
-	Target string // request target as in the request line
-	Host   string
-	Header http.Header
-	Body   []byte
-}
-
-// encode returns the request line and header.
-func (r *Request) encode() []byte {
-	var b bytes.Buffer
-	b.Grow(512)
-	b.WriteString(r.Method)
-	b.WriteByte(' ')
-	b.WriteString(r.Target)
-	b.WriteString(" HTTP/1.1\r\nHost: ")
-	b.WriteString(r.Host)
-	b.WriteString("\r\n")
-	// Writes to a bytes.Buffer can't fail.
-	_ = r.Header.Write(&b)
-	if len(r.Body) > 0 || hasBody(r.Method) {
-		b.WriteString("Content-Length: ")
-		b.WriteString(strconv.Itoa(len(r.Body)))
-		b.WriteString("\r\n")
-	}
-	b.WriteString("\r\n")
-	return b.Bytes()
-}
-
-func hasBody(method string) bool {
-	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
-}
-
 // SendError is the error of a failed exchange.
 type SendError struct {
 	MaybeSent bool // whether a byte of the request may have reached the target
@@ -97,9 +61,17 @@
 	unusable     atomic.Bool // it must not carry another exchange; set concurrently by a cancelled request
 	exchanging   atomic.Bool // a request was sent and its exchange has not ended
 	idleUntil    time.Time   // it must not be taken from the pool after this time
+	incarnation  int64       // of the process at the other end, as it said; 0: it has not
 	pendingWrite chan error  // result of a write in progress concurrently with reading; nil when there is none
 }
 
+// Incarnation returns which incarnation the process at the other end has said it is; 0: it has not. A connection can't outlive that process,
+// so that the answer holds for all its exchanges.
+func (c *Conn) Incarnation() int64 { return c.incarnation }
+
+// SetIncarnation records what the process at the other end has said. Call it from the goroutine that uses the connection.
+func (c *Conn) SetIncarnation(incarnation int64) { c.incarnation = incarnation }
+
 // NewConn returns a Conn on an open connection to addr.
 func NewConn(nc net.Conn, addr string) *Conn { return newConn(nc, addr) }
 
