--- a/lib/logline/bounded_test.go
+++ b/lib/logline/bounded_test.go
@@ -46,3 +46,42 @@
 		close(b.queue)
 	})
 }
+
+// slowWriter takes some time for each line.
+type slowWriter struct{ buf bytes.Buffer }
+
+func (s *slowWriter) Write(p []byte) (int, error) {
+	time.Sleep(100 * time.Millisecond)
+	return s.buf.Write(p)
+}
+
+// Guards against a last line that is lost because it was taken from the queue and not yet written when the process ended.
+func TestFlushWaitsForTheLineBeingWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := new(slowWriter)
+		b := NewBoundedWriter(s)
+		_, _ = fmt.Fprintln(b, "event=end")
+		synctest.Wait()
+		b.Flush(time.Second)
+		must.StrContains(t, s.buf.String(), "event=end")
+		close(b.queue)
+	})
+}
+
+// Guards against an end whose cause is dropped because many lines were logged in the same second.
+func TestLineThatSaysWhyAProcessEndsIsNotDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &blockedWriter{open: make(chan struct{})}
+		close(s.open)
+		b := NewBoundedWriter(s)
+		for i := range queueCapacity - 1 {
+			_, _ = fmt.Fprintf(b, "event=refused n=%d\n", i)
+		}
+		_, _ = fmt.Fprintln(b, "event=end reason=stopped")
+		b.Flush(time.Second)
+		synctest.Wait()
+		must.Positive(t, b.Dropped())
+		must.StrContains(t, s.buf.String(), "event=end reason=stopped")
+		close(b.queue)
+	})
+}
--- a/lib/tunnel/region_test.go
+++ b/lib/tunnel/region_test.go
@@ -10,7 +10,7 @@
 // Guards against a request of a route that is bound to a region whose body passes through an instance of another region, because the own links
 // to targets are lost.
 func TestPeersOfOtherRegionsCarryNothingBound(t *testing.T) {
-	c := NewClient(nil, "a", "n1")
+	c := NewClient(nil, "a", "n1", nil)
 	c.SetPeers([]Peer{
 		{Name: "a", Domain: "n1", Region: "north"}, {Name: "b", Domain: "n1", Region: "north"}, {Name: "c", Domain: "n2", Region: "north"},
 		{Name: "d", Domain: "s1", Region: "south"}, {Name: "e", Domain: "e1", Region: "east"},
@@ -34,7 +34,7 @@
 // Guards against regions whose peers are not known when a target there is reachable only by them: instances of some region may all be among the
 // first in the ranking.
 func TestEachRegionHasPeers(t *testing.T) {
-	c := NewClient(nil, "a", "n1")
+	c := NewClient(nil, "a", "n1", nil)
 	list := []Peer{{Name: "a", Domain: "n1", Region: "north"}}
 	for _, region := range []string{"north", "south", "east"} {
 		for _, n := range "1234567890" {
