--- /dev/null
+++ b/lib/callerconn/review_test.go
@@ -0,0 +1,45 @@
+package callerconn
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a head on a kept connection that outlasts the settings' time because its first bytes arrive one by one: net/http sets its own deadline when
+// the fourth has come.
+func TestHeadOnKeptConnectionEndsByTheTimeOfTheSettings(t *testing.T) {
+	s := startHeadServer(t, 0, 200*time.Millisecond)
+	c, rd := s.dial(t)
+	_, err := io.WriteString(c, smallRequest)
+	must.NoError(t, err)
+	buf := make([]byte, 4<<10)
+	_, err = rd.Read(buf)
+	must.NoError(t, err)
+	for _, part := range []string{"G", "E", "T / HT"} {
+		_, err := io.WriteString(c, part)
+		must.NoError(t, err)
+		time.Sleep(20 * time.Millisecond)
+	}
+	begun := time.Now()
+	_, err = rd.ReadByte()
+	t.Log("closed after", time.Since(begun).Round(time.Millisecond), err)
+	must.ErrorIs(t, err, io.EOF)
+	must.Less(t, 2*time.Second, time.Since(begun))
+}
+
+// Guards against a 400, which tells a caller never to come back, for a proper head that paused for longer than the settings' time in the middle of a line.
+func TestHeadThatPausesIsNotCalledMalformed(t *testing.T) {
+	s := startHeadServer(t, 0, 200*time.Millisecond)
+	c, rd := s.dial(t)
+	for _, part := range []string{"GET / HTTP/1.1\r\nHo", "st: h\r\nX-A"} {
+		_, err := io.WriteString(c, part)
+		must.NoError(t, err)
+		time.Sleep(20 * time.Millisecond)
+	}
+	got, err := io.ReadAll(rd)
+	must.NoError(t, err)
+	must.Eq(t, "", string(got))
+}
