--- a/lib/callerconn/conn.go
+++ b/lib/callerconn/conn.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -45,12 +46,12 @@
 	from *Listener
 
 	// Used by the server's goroutine of this connection, and by its background read, which ends before the state changes.
-	reading bool      // a head is being read, or awaited
-	began   time.Time // when its first part arrived; zero: none has
-	bounded bool      // its time is bounded
-	cost    int64
-	granted int64
-	large   *membudget.Account // of its cost beyond smallHeadCost; nil: none
+	reading  bool      // a head is being read, or awaited
+	began    time.Time // when its first part arrived; zero: none has
+	cost     int64
+	granted  int64
+	timedOut bool               // it has not arrived in time
+	large    *membudget.Account // of its cost beyond smallHeadCost; nil: none
 
 	refused atomic.Bool // its head was refused and its caller has not been told
 }
@@ -70,7 +71,7 @@
 	if s == http.StateActive {
 		return // its request may hold the head until it ends
 	}
-	c.began, c.bounded, c.cost, c.granted = time.Time{}, false, 0, 0
+	c.began, c.cost, c.granted, c.timedOut = time.Time{}, 0, 0, false
 	if c.large != nil {
 		c.large.Close()
 		c.large = nil
@@ -85,7 +86,7 @@
 	if c.refused.Load() {
 		return 0, errReadRefused
 	}
-	if !c.began.IsZero() && !c.bounded && c.from.HeadTimeout != nil {
+	if !c.began.IsZero() && c.from.HeadTimeout != nil {
 		c.boundHead()
 	}
 	n, err := c.TCPConn.Read(p)
@@ -94,13 +95,13 @@
 		c.refused.Store(true)
 		return 0, errReadRefused
 	}
+	c.timedOut = !c.began.IsZero() && errors.Is(err, os.ErrDeadlineExceeded)
 	return n, err
 }
 
 // boundHead sets when a head that has not arrived whole at once must be complete. net/http's own limit is set when its server is created, before settings
 // are known; it removes this one when the head is complete.
 func (c *conn) boundHead() {
-	c.bounded = true
 	_ = c.SetReadDeadline(c.began.Add(c.from.HeadTimeout())) // on failure the read fails, too
 }
 
@@ -135,7 +136,7 @@
 
 // Write implements net.Conn. net/http takes a refused head for a malformed one if a line of it is cut, and would tell the caller so.
 func (c *conn) Write(p []byte) (int, error) {
-	if c.refused.Load() {
+	if c.refused.Load() || c.timedOut {
 		return len(p), nil
 	}
 	return c.TCPConn.Write(p)
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -257,6 +257,7 @@
 		if !wirehttp.MaybeSent(err) {
 			return endUnsent
 		}
+		x.sent = true
 		return endBroken
 	}
 	x.sent = true
