--- a/lib/gateway/incarnation.go
+++ b/lib/gateway/incarnation.go
@@ -38,6 +38,7 @@
 	if restarted || r.continuesFromPrompt(to) {
 		return nil, to.target, err
 	}
+	r.g.Log.SoftwareUnknown(r.c.entry(), to.target.ID, err)
 	conn, err = r.connectVia(ctx, to, x)
 	return conn, withDoubtedSoftware(to.target), err
 }
@@ -66,7 +67,9 @@
 	if !r.mustAskIncarnation(to) {
 		return nil
 	}
-	born, err := r.incarnationOf(ctx, conn, to)
+	ctx, cancel := context.WithTimeout(ctx, incarnationTimeout)
+	defer cancel()
+	born, err := r.g.Engines.Incarnation(ctx, conn, to.target)
 	switch {
 	case err != nil:
 		return err
@@ -81,18 +84,6 @@
 	return errRestarted
 }
 
-// incarnationOf returns which incarnation is at the other end of a connection, which is asked once on each connection; 0: unknown.
-func (r *run) incarnationOf(ctx context.Context, conn *wirehttp.Conn, to placement) (int64, error) {
-	if known := conn.Incarnation(); known != 0 {
-		return known, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, incarnationTimeout)
-	defer cancel()
-	born, err := r.g.Engines.Incarnation(ctx, conn, to.target)
-	conn.SetIncarnation(born)
-	return born, err
-}
-
 // mustAskIncarnation reports whether a target must be asked which incarnation it is. Questions count against an engine's rate limit: only a continuation
 // from the prompt is worth that.
 func (r *run) mustAskIncarnation(to placement) bool {
--- a/lib/gateway/log.go
+++ b/lib/gateway/log.go
@@ -246,3 +246,8 @@
 func (v verdict) String() string {
 	return [...]string{"good", "failure", "not_run", "faulty"}[v]
 }
+
+// SoftwareUnknown logs that a stream begins at an engine that could not be asked for its incarnation, and can't continue elsewhere.
+func (l Log) SoftwareUnknown(e entry, target string, err error) {
+	logline.Send(l.line(log.Info(), "software_unknown", e).Str("target", target), err)
+}
--- a/lib/gateway/stream.go
+++ b/lib/gateway/stream.go
@@ -196,16 +196,16 @@
 	}
 	r.arrive(target)
 	to.target = target
-	stop := context.AfterFunc(runCtx, conn.Close)
+	// An idle connection would count against the engine's limit of connections, of which other instances need theirs.
+	defer conn.Close()
+	defer context.AfterFunc(runCtx, conn.Close)()
 	defer r.g.conns.add(to.target, conn.Close)()
 	e = r.exchange(runCtx, conn, to, x)
 	if e != endComplete {
 		e = endOf(ctx, runCtx, e)
 	}
-	if stop() && e == endComplete {
-		r.g.Pool.Put(conn, x.resp)
-	} else {
-		conn.Close()
+	if e == endComplete {
+		conn.EndExchange(x.resp) // closed without a reset
 	}
 	return e, x
 }
--- a/lib/gatewayproc/peers.go
+++ b/lib/gatewayproc/peers.go
@@ -73,7 +73,7 @@
 		logline.Send(log.Error().Str("event", "instance_refused"), err)
 	}
 	p.shards.setInstances(instances)
-	p.tunnels.SetPeers(p.tunnelPeers(instances), p.fleet.Region(p.cfg.Domain))
+	p.setTunnelPeers(instances)
 	p.recorder.SetInstances(instances)
 }
 
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -423,6 +423,7 @@
 		}
 		p.retryBudget.SetBound(cfg.RetryRatio, cfg.RetryFloor)
 		p.fleet.SetRegions(cfg.Regions)
+		p.setTunnelPeers(p.listedInstances())
 		log.Info().Str("event", "reload").Str("instance", cfg.Instance).Msg("")
 	}
 }
--- a/lib/gatewayproc/tunnels.go
+++ b/lib/gatewayproc/tunnels.go
@@ -87,6 +87,11 @@
 	return region, true
 }
 
+// setTunnelPeers sets which instances may carry connections for this one, with the regions of the settings file.
+func (p *Process) setTunnelPeers(instances []owner.Instance) {
+	p.tunnels.SetPeers(p.tunnelPeers(instances), p.fleet.Region(p.cfg.Domain))
+}
+
 func (p *Process) tunnelPeers(instances []owner.Instance) []tunnel.Peer {
 	out := make([]tunnel.Peer, len(instances))
 	for i, in := range instances {
--- a/lib/membudget/budget.go
+++ b/lib/membudget/budget.go
@@ -133,6 +133,11 @@
 	return int64(part * float64(b.limit))
 }
 
+// Fits reports whether the process has memory for n bytes that are counted already, or may never be used.
+func (b *Budget) Fits(n int64, p Priority) bool {
+	return b == nil || b.grant(func() bool { return b.free(p) >= n })
+}
+
 // grant reports whether try succeeds, which it calls with the lock held; a second time, if it fails, after unreachable objects were freed.
 func (b *Budget) grant(try func() bool) bool {
 	locked := func() bool {
--- a/lib/tunnel/client.go
+++ b/lib/tunnel/client.go
@@ -157,7 +157,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := slices.DeleteFunc(slices.Clone(c.candidates), func(p *candidate) bool {
-		return bound && p.Region != c.region && (region == "" || p.Region != region)
+		return bound && (p.Region == "" || p.Region != c.region && p.Region != region)
 	})
 	slices.SortStableFunc(out, func(a, b *candidate) int {
 		return cmp.Or(cmp.Compare(a.avoidedFor(now), b.avoidedFor(now)), cmp.Compare(a.open, b.open))
--- a/lib/wirehttp/conn.go
+++ b/lib/wirehttp/conn.go
@@ -61,17 +61,9 @@
 	unusable     atomic.Bool // it must not carry another exchange; set concurrently by a cancelled request
 	exchanging   atomic.Bool // a request was sent and its exchange has not ended
 	idleUntil    time.Time   // it must not be taken from the pool after this time
-	incarnation  int64       // of the process at the other end, as it said; 0: it has not
 	pendingWrite chan error  // result of a write in progress concurrently with reading; nil when there is none
 }
 
-// Incarnation returns which incarnation the process at the other end has said it is; 0: it has not. A connection can't outlive that process,
-// so that the answer holds for all its exchanges.
-func (c *Conn) Incarnation() int64 { return c.incarnation }
-
-// SetIncarnation records what the process at the other end has said. Call it from the goroutine that uses the connection.
-func (c *Conn) SetIncarnation(incarnation int64) { c.incarnation = incarnation }
-
 // NewConn returns a Conn on an open connection to addr.
 func NewConn(nc net.Conn, addr string) *Conn { return newConn(nc, addr) }
 
