--- a/lib/entry/tick.go
+++ b/lib/entry/tick.go
@@ -55,7 +55,7 @@
 	}
 	gone := !g.detachedAt.IsZero() && now.Sub(g.detachedAt) > s.opts.CallerGrace
 	g.mu.Unlock()
-	if unread > smallSinkBytes && !s.opts.Memory.Admit(int64(unread), membudget.Bulk) {
+	if unread > smallSinkBytes && !s.opts.Memory.Fits(int64(unread), membudget.Bulk) {
 		slow = true // its buffer is what memory is short of
 	}
 	switch {
--- a/lib/tunnel/conn.go
+++ b/lib/tunnel/conn.go
@@ -69,6 +69,11 @@
 
 // deliver waits until data is read.
 func (c *Conn) deliver(data []byte) error {
+	select {
+	case c.frames <- data: // the common case, without a timer
+		return nil
+	default:
+	}
 	stalled := time.NewTicker(stallInterval)
 	defer stalled.Stop()
 	for {
