--- a/lib/gatewayproc/ends.go
+++ b/lib/gatewayproc/ends.go
@@ -26,8 +26,9 @@
 	if v == nil {
 		return
 	}
-	log.Error().Str("event", "end").Str("instance", p.cfg.Instance).Str("reason", "panic").Str("cause", fmt.Sprint(v)).
-		Str("stack", string(debug.Stack()[:min(maxStackLogged, len(debug.Stack()))])).Msg("")
+	stack := debug.Stack()
+	stack = stack[:min(maxStackLogged, len(stack))]
+	log.Error().Str("event", "end").Str("instance", p.cfg.Instance).Str("reason", "panic").Str("cause", fmt.Sprint(v)).Bytes("stack", stack).Msg("")
 	p.flushLog()
 	panic(v)
 }
--- a/lib/gatewayproc/process.go
+++ b/lib/gatewayproc/process.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -15,10 +14,8 @@
 	"syscall"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
-	"anvilwick.example/anvilwick/lib/callerconn"
 	"anvilwick.example/anvilwick/lib/feed"
 	"anvilwick.example/anvilwick/lib/feedlink"
 	"anvilwick.example/anvilwick/lib/fleet"
@@ -119,27 +116,9 @@
 }
 
 const (
-	// defaultIdle applies where settings state no limit or are not known yet; maxIdle is net/http's own limit, above any setting.
-	defaultIdle = 20 * time.Second
-	maxIdle     = 10 * time.Minute
-	// defaultHeaderTimeout bounds reading the head of a request.
-	defaultHeaderTimeout = 5 * time.Second
-	// maxHeader is net/http's bound on a request's head, in bytes.
-	maxHeader = 64 << 10
 	// tickInterval is the housekeeping period while entries of targets are missing; tickIdleInterval the period otherwise.
 	tickInterval     = 200 * time.Millisecond
 	tickIdleInterval = time.Second
-	// outOfRotation is how long after SIGTERM the balancer may still send new connections: it checks once a second and
-	// takes an instance out of rotation after two failed checks.
-	outOfRotation = 2500 * time.Millisecond
-	// abortMargin is how long before the kill open responses are aborted, at most one abortShare-th of the grace period, and closeMargin
-	// how long before it the connections of callers are closed that still wait, with nothing to read or a reader that is slow. Aborted
-	// calls are answered in between, on a busy machine, too; the records and the log are written after it.
-	abortMargin = 700 * time.Millisecond
-	closeMargin = abortMargin / 2
-	abortShare  = 8
-	// shutdownPoll is the longest interval at which the server checks for the end of the last request.
-	shutdownPoll = 50 * time.Millisecond
 )
 
 // Process is a running instance.
@@ -268,145 +247,6 @@
 	return 0
 }
 
-// serveReady serves the balancer's readiness checks: 200 while this instance can serve and is not stopping.
-func (p *Process) serveReady() error {
-	ln, err := listen.TCP(p.cfg.Ready)
-	if err != nil {
-		return fmt.Errorf("gatewayproc: readiness: %w", err)
-	}
-	p.ready = &http.Server{Handler: http.HandlerFunc(p.answerReady), ReadHeaderTimeout: defaultHeaderTimeout}
-	go func() {
-		if err := p.ready.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			logline.Send(log.Error().Str("event", "ready_listener_failed"), err)
-		}
-	}()
-	return nil
-}
-
-// serveMetrics serves counters and histograms.
-func (p *Process) serveMetrics() error {
-	if p.cfg.Metrics == "" {
-		return nil
-	}
-	ln, err := listen.TCP(p.cfg.Metrics)
-	if err != nil {
-		return fmt.Errorf("gatewayproc: metrics: %w", err)
-	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTimeout}
-	go func() {
-		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			logline.Send(log.Error().Str("event", "metrics_listener_failed"), err)
-		}
-	}()
-	return nil
-}
-
-func (p *Process) answerReady(w http.ResponseWriter, _ *http.Request) {
-	status := http.StatusServiceUnavailable
-	p.mu.Lock()
-	if p.targetsRead && !p.stopped && p.gate.Table() != nil {
-		status = http.StatusOK
-	}
-	p.mu.Unlock()
-	w.Header().Set("Content-Length", "0")
-	w.WriteHeader(status)
-}
-
-// newFront returns the server for callers.
-func (p *Process) newFront() *http.Server {
-	guard := newIdleGuard(func() time.Duration { return orDefault(p.limits().IdleTimeout, defaultIdle) })
-	return &http.Server{
-		Handler: p.gate, ConnState: p.onConnState(guard), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: maxIdle, MaxHeaderBytes: maxHeader,
-	}
-}
-
-// serveFront serves callers.
-func (p *Process) serveFront(ln net.Listener) error {
-	callers := &callerconn.Listener{
-		Listener: ln, Memory: p.gate.Memory, HeadTimeout: p.headTimeout, ConnsRefused: connectionsRefused, HeadsRefused: headsRefused,
-	}
-	if err := p.front.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("gatewayproc: callers: %w", err)
-	}
-	return nil
-}
-
-// limits returns the limits of the settings in force; zero: there are none yet.
-func (p *Process) limits() routes.Limits {
-	if t := p.gate.Table(); t != nil {
-		return t.Limits
-	}
-	return routes.Limits{}
-}
-
-// headTimeout bounds reading the head of a request.
-func (p *Process) headTimeout() time.Duration {
-	return min(orDefault(p.limits().HeaderTimeout, defaultHeaderTimeout), defaultHeaderTimeout)
-}
-
-func orDefault(d, def time.Duration) time.Duration {
-	if d > 0 {
-		return d
-	}
-	return def
-}
-
-// stop takes the instance out of rotation, lets open responses end, and aborts the rest just before the kill.
-func (p *Process) stop() {
-	start := time.Now()
-	log.Info().Str("event", "stop").Str("instance", p.cfg.Instance).Msg("")
-	p.mu.Lock()
-	p.stopped = true
-	p.mu.Unlock()
-	schedule, closeAt := stopSchedule(start, p.cfg.Grace)
-	p.gate.Stop(schedule)
-	p.carrier.Stop()
-	// Other instances switch to another owner and another reader now, while this one still answers.
-	p.link.Coordinator.Leave()
-	p.goWork(func() { p.unregister(context.Background()) })
-	p.goWork(func() { p.handOver(context.Background()) })
-	time.Sleep(time.Until(schedule.InRotation))
-	var aborted atomic.Int64 // requests
-	abort := time.AfterFunc(time.Until(schedule.By), func() {
-		aborted.Store(p.gate.OpenRequests())
-		p.gate.AbortOpen()
-	})
-	defer abort.Stop()
-	ctx, cancel := context.WithDeadline(context.Background(), closeAt)
-	defer cancel()
-	p.shutDownFront(ctx)
-	p.carrier.Drain(ctx)
-	unfinished := p.gate.OpenRequests()
-	_ = p.front.Close() // the listener is closed already
-	p.handOver(context.Background())
-	p.cancel()
-	log.Info().Str("event", "stopped").Int64("after_ms", time.Since(start).Milliseconds()).Int64("aborted", aborted.Load()).
-		Int64("unfinished", unfinished).Msg("")
-}
-
-// stopSchedule returns the course of a stop that began at start, and when the connections of callers are closed.
-func stopSchedule(start time.Time, grace time.Duration) (s gateway.StopSchedule, closeAt time.Time) {
-	abort := min(abortMargin, grace/abortShare)
-	end := start.Add(grace)
-	s = gateway.StopSchedule{InRotation: start.Add(min(outOfRotation, grace/2)), By: end.Add(-abort)}
-	return s, end.Add(-abort * closeMargin / abortMargin)
-}
-
-// shutDownFront closes the callers' listener, and each connection that serves no request, until none is left or ctx is done.
-func (p *Process) shutDownFront(ctx context.Context) {
-	for ctx.Err() == nil {
-		// Shutdown itself would check less and less often, up to twice a second.
-		poll, cancel := context.WithTimeout(ctx, shutdownPoll)
-		err := p.front.Shutdown(poll)
-		cancel()
-		if err == nil {
-			return
-		}
-	}
-}
-
 // reloadOnHangup reads the settings again on each SIGHUP, which would otherwise end the process. Changed addresses are ignored: the
 // listeners are open for the life of the process.
 func (p *Process) reloadOnHangup(ctx context.Context, hangups <-chan os.Signal) {
