Gateway: the end of a connection ends no body while its request is unwritten

What callers saw: a part of an answer as a whole 200 (MIXED), on idempotent and non-idempotent routes and as streams. The target answered a long upload at once without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: a connection reports its reset once, to the call that meets it first. lib/wirehttp writes a large body beside the reading of its answer; the write took the error, nobody looked at its result before the connection went back to the pool, and the next read saw an ordinary end. For a body that only this end ends, that looks whole.

Change: such a body ends well only if the request was written whole; Response.Read waits up to a second for the write to return, and fails otherwise. Bodies with a length or in chunks are as before, also those of refusals that come while the upload goes on. The gateway treats the failure as any truncated answer: 502, never "not run", another target where the route allows it, the target judged as failed; the log line of the exchange has httpresp.ErrRequestUnwritten as its cause. The rule does not depend on time: a target that has read the whole request had all of it written, so the second only bounds how long a goroutine may be late.

--- a/lib/wirehttp/conn.go
+++ b/lib/wirehttp/conn.go
@@ -14,6 +14,8 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"anvilwick.example/anvilwick/lib/httpresp"
 )
 
 // inlineWriteLimit is the largest request, in bytes, that is written before the response is read. A larger one is written
@@ -57,13 +59,13 @@
 	in           *headReader
 	rd           *bufio.Reader // of in
 	addr         string
-	used         bool        // it has carried an exchange before
-	unusable     atomic.Bool // it must not carry another exchange; set concurrently by a cancelled request
-	exchanging   atomic.Bool // a request was sent and its exchange has not ended
-	idleUntil    time.Time   // it must not be taken from the pool after this time
-	answered     time.Time   // end of the last exchange; zero before the first
-	onEarlyClose func()      // called when the target has closed the connection early; may be nil
-	pendingWrite chan error  // result of a write in progress concurrently with reading; nil when there is none
+	used         bool            // it has carried an exchange before
+	unusable     atomic.Bool     // it must not carry another exchange; set concurrently by a cancelled request
+	exchanging   atomic.Bool     // a request was sent and its exchange has not ended
+	idleUntil    time.Time       // it must not be taken from the pool after this time
+	answered     time.Time       // end of the last exchange; zero before the first
+	onEarlyClose func()          // called when the target has closed the connection early; may be nil
+	pendingWrite *httpresp.Write // in progress concurrently with reading; nil when there is none
 }
 
 // NewConn returns a Conn on an open connection to addr.
@@ -116,11 +118,11 @@
 	if err := c.write(head); err != nil {
 		return err
 	}
-	done := make(chan error, 1)
-	c.pendingWrite = done
+	write := httpresp.NewWrite()
+	c.pendingWrite = write
 	go func() {
 		_, err := c.nc.Write(req.Body)
-		done <- err
+		write.End(err)
 	}()
 	return nil
 }
@@ -193,17 +195,22 @@
 	}, nil
 }
 
-// requestWritten reports whether the whole request has been written. It waits up to 10 ms, since the last write may still be
-// returning when the response is complete.
+// writeReturn is how long the last write of a request may still be returning when the response is complete.
+const writeReturn = 10 * time.Millisecond
+
+// requestWritten reports whether the whole request has been written.
 func (c *Conn) requestWritten() bool {
-	if c.pendingWrite == nil {
-		return true
-	}
-	select {
-	case err := <-c.pendingWrite:
-		c.pendingWrite = nil
-		return err == nil
-	case <-time.After(10 * time.Millisecond):
+	if c.pendingWrite != nil && !c.pendingWrite.Succeeded(writeReturn) {
 		return false
 	}
+	c.pendingWrite = nil
+	return true
+}
+
+// checkEnd returns nil if the end of the connection may end the body of a response, else httpresp.ErrRequestUnwritten.
+func (c *Conn) checkEnd() error {
+	if c.pendingWrite == nil {
+		return nil
+	}
+	return c.pendingWrite.CheckEnd()
 }
--- a/lib/wirehttp/response.go
+++ b/lib/wirehttp/response.go
@@ -38,6 +38,11 @@
 	if n > 0 && r.OnRead != nil {
 		r.OnRead()
 	}
+	if err == io.EOF && !r.framed {
+		if werr := r.conn.checkEnd(); werr != nil {
+			return n, werr
+		}
+	}
 	if err == io.EOF {
 		r.bodyEnded = true
 	}
