Tunnel: a target's connection has ended well only if all was delivered to it

What callers saw: the same part of an answer as a whole 200, where their instance has lost its own links and a peer carries the connection.

Cause: the peer writes the request and reads the answer in two goroutines of its own. Its write took the reset, its read saw an ordinary end, and it reported that end; the instance, which had handed the request to the link to its peer, had no failed write to go by.

Change: the report of an end (TunnelFrame.end_of_data) names the bytes that were written to the target's connection without an error. The instance takes it for an ordinary end only if these are all that it has written, and for a reset otherwise; no more is written afterwards. So the last word is that of the instance that answers the caller, whoever carries the bytes, and is no matter of time. A peer with older software names no bytes; an answer that only the end of its connection ends is then cut visibly, as is any whose peer is lost. That holds for answers without a length or chunks, carried by peers not yet upgraded.

Per answer it adds a varint; no message, no state beyond two counters a carried connection.

--- a/lib/tunnel/conn.go
+++ b/lib/tunnel/conn.go
@@ -35,6 +35,10 @@
 	once   sync.Once
 	goAway atomic.Bool // the peer is stopping
 
+	mu      sync.Mutex
+	written uint64 // bytes passed to Write
+	ended   bool   // the target has closed the connection
+
 	frames   chan []byte   // data of one frame at a time; closed when no more follows
 	quit     chan struct{} // closed by Close
 	finalErr error         // why no more data follows; valid once frames is closed
@@ -65,7 +69,7 @@
 			}
 		}
 		if f.EndOfData {
-			c.finalErr = io.EOF
+			c.finalErr = c.end(&f)
 			return
 		}
 	}
@@ -95,6 +99,19 @@
 	}
 }
 
+// end returns io.EOF if the target has closed the connection after all that was written was delivered to it.
+//
+// Else a write of the peer may have met a reset, which its read then takes for an ordinary end.
+func (c *Conn) end(f *meshpb.TunnelFrame) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+	if f.Delivered == nil || f.GetDelivered() != c.written {
+		return errReset
+	}
+	return io.EOF
+}
+
 func (c *Conn) readError(err error) error {
 	if c.closed.Load() {
 		return net.ErrClosed
@@ -143,8 +160,19 @@
 	return n, nil
 }
 
-// Write implements net.Conn. Data counts as written when the link to the peer has accepted it.
-func (c *Conn) Write(b []byte) (int, error) { return writeFrames(c.writeFrame, b) }
+// Write implements net.Conn. Data counts as written when the link to the peer has accepted it. After the target has closed the connection it fails.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	ended := c.ended
+	if !ended {
+		c.written += uint64(len(b))
+	}
+	c.mu.Unlock()
+	if ended {
+		return 0, errReset
+	}
+	return writeFrames(c.writeFrame, b)
+}
 
 // writeFrames writes data in frames. The returned count includes the frame whose write failed, since part of it may have arrived.
 func writeFrames(write func(data []byte) error, b []byte) (int, error) {
--- a/lib/tunnel/server.go
+++ b/lib/tunnel/server.go
@@ -161,11 +161,12 @@
 
 // copy copies both directions until either end closes.
 func (s *Server) copy(stream *mesh.Stream, conn net.Conn, addr string) {
+	sent := newDelivery()
 	go func() {
 		// The caller has left, or the link to the peer is lost: the target must not go on working, nor receive the rest of a request later.
 		defer abort(conn)
 		for {
-			if err := s.copyFrame(stream, conn, addr); err != nil {
+			if err := s.copyFrame(stream, conn, addr, sent); err != nil {
 				return
 			}
 		}
@@ -180,7 +181,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			_ = stream.Write(&meshpb.TunnelFrame{EndOfData: true}) // on failure the peer sees a reset
+			sendEnd(stream, sent)
 		}
 		if err != nil {
 			return
@@ -188,6 +189,15 @@
 	}
 }
 
+// sendEnd informs the peer that the target has closed the connection. Without this it sees a reset.
+func sendEnd(stream *mesh.Stream, sent *delivery) {
+	bytes, err := sent.total()
+	if err != nil {
+		return
+	}
+	_ = stream.Write(&meshpb.TunnelFrame{EndOfData: true, Delivered: &bytes}) // on failure the peer sees a reset, too
+}
+
 // abort resets a connection, so that what the target has not received is discarded.
 func abort(conn net.Conn) {
 	if l, ok := conn.(interface{ SetLinger(sec int) error }); ok {
@@ -196,7 +206,7 @@
 	_ = conn.Close()
 }
 
-func (s *Server) copyFrame(stream *mesh.Stream, conn net.Conn, addr string) error {
+func (s *Server) copyFrame(stream *mesh.Stream, conn net.Conn, addr string, sent *delivery) error {
 	var f meshpb.TunnelFrame
 	if err := stream.Read(&f); err != nil {
 		return errClosed
@@ -204,5 +214,5 @@
 	if f.BackoffMs > 0 {
 		s.OnBackoff(addr, time.Duration(f.BackoffMs)*time.Millisecond)
 	}
-	return s.stalls.write(conn, f.Data)
+	return sent.write(len(f.Data), func() error { return s.stalls.write(conn, f.Data) })
 }
