Gateway: bytes that no response may begin with are no answer

What callers saw: answers of targets in trouble with a blank in the name of a field, or between name and colon, passed on as answers; where the name was that of a length or of a coding, with a body that was not the target's.

Cause: what counts as a response was decided by net/http, which is meant to be lenient. Beyond the letter it let through, each played on own links and behind a peer on: statuses 600 to 999, HTTP/0.9 and 2.0, two spaces or control bytes in the status line, a transfer coding in HTTP/1.0 (its chunks passed on as the body), beside a length, or with 204, a folded length, and 204 with a body.

Change: lib/httpresp checks each line of a head as it is read, by RFC 9110 and 9112: statuses 100 to 599 but 101, names that are tokens, values and reasons without control bytes, and one account of where the body ends. Its Reader fails at the first faulty line, so that the exchange ends as with any broken connection: 502 and never "not run", another target where the route allows it, the target judged as failed, the fault in the log line. All calls of wirehttp and answers to CONNECT are read through it; it holds the bound of 64 KiB that headReader held. Sound answers that are only unusual pass as before: no reason phrase, empty values, bytes over 127 in values, folded values, the same length twice, 204 with a length of 0, lines without CR, bodies that the connection ends.

Status 000, 001 and 099, control bytes, tabs and bytes over 127 in names were refused before; their tests stay. Per answer it is one pass over the head.

--- a/lib/wirehttp/conn.go
+++ b/lib/wirehttp/conn.go
@@ -2,7 +2,7 @@
 //
 // net/http's Transport retries a request by itself when a reused connection turns out to be closed. This client never
 // resends: a Conn carries one exchange at a time, and errors report whether any byte of the request may have reached the
-// target. Responses are parsed by net/http.
+// target. Responses are parsed by net/http, and checked by lib/httpresp.
 package wirehttp
 
 import (
@@ -56,7 +56,7 @@
 // Conn is a connection to one target, used for one exchange at a time.
 type Conn struct {
 	nc           net.Conn
-	in           *headReader
+	in           *httpresp.Reader
 	rd           *bufio.Reader // of in
 	addr         string
 	used         bool            // it has carried an exchange before
@@ -72,7 +72,7 @@
 func NewConn(nc net.Conn, addr string) *Conn { return newConn(nc, addr) }
 
 func newConn(nc net.Conn, addr string) *Conn {
-	in := newHeadReader(nc)
+	in := httpresp.NewReader(nc)
 	return &Conn{nc: nc, in: in, rd: bufio.NewReaderSize(in, readBufferSize), addr: addr}
 }
 
@@ -177,9 +177,14 @@
 }
 
 func (c *Conn) receive(method string) (*Response, error) {
-	c.in.setLimited(true)
+	unused, _ := c.rd.Peek(c.rd.Buffered()) // no read, so no error
+	if err := c.in.Begin(unused); err != nil {
+		return nil, err
+	}
 	r, err := http.ReadResponse(c.rd, &http.Request{Method: method})
-	c.in.setLimited(false)
+	if fault := c.in.Fault(); fault != nil {
+		return nil, fault
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/lib/wirehttp/connect.go
+++ b/lib/wirehttp/connect.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/httpresp"
 	"anvilwick.example/anvilwick/lib/sockbuf"
 )
 
@@ -37,8 +38,10 @@
 	if _, err := fmt.Fprintf(nc, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n\r\n", addr, addr); err != nil {
 		return err
 	}
-	in := newHeadReader(nc)
-	in.setLimited(true)
+	in := httpresp.NewReader(nc)
+	if err := in.Begin(nil); err != nil {
+		return err
+	}
 	r := bufio.NewReader(in)
 	resp, err := http.ReadResponse(r, &http.Request{Method: http.MethodConnect})
 	switch {
--- a/lib/wirehttp/endless_test.go
+++ b/lib/wirehttp/endless_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/httpresp"
 )
 
 // endlessWays are the heads and bodies that a faulty target sends without end: what comes first, and what is repeated until the caller closes.
@@ -81,8 +83,8 @@
 
 // Guards against a sound head that is refused: the bound holds for heads only, and for each anew.
 func TestLargeHeadAndLargerBodyAreRead(t *testing.T) {
-	value := strings.Repeat("x", maxResponseHead-1000)
-	body := strings.Repeat("y", 4*maxResponseHead)
+	value := strings.Repeat("x", httpresp.MaxHead-1000)
+	body := strings.Repeat("y", 4*httpresp.MaxHead)
 	addr := startTarget(t, func(c net.Conn, rd *bufio.Reader) {
 		for readRequest(t, rd) != nil {
 			write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: a\r\nX: %s\r\nContent-Length: %d\r\n\r\n%s", value, len(body), body))
--- a/lib/wirehttp/wirehttp_test.go
+++ b/lib/wirehttp/wirehttp_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/httpresp"
 )
 
 // startTarget starts a server that runs script on each connection, and returns its address.
@@ -277,7 +279,8 @@
 		"Connection: close\r\n\r\nx":                                                 false,
 		"\r\nx":                                                                      false,
 	} {
-		c := &Conn{rd: bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n" + head))}
+		in := httpresp.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n" + head))
+		c := &Conn{in: in, rd: bufio.NewReader(in)}
 		r, err := c.receive("GET")
 		must.NoError(t, err)
 		must.Eq(t, !own, r.CloseDelimited(), must.Sprint(head))
