Entry: bytes that no response may begin with are no answer

What callers saw: where a target answered with status 000, 001 or 099, their connection ended without an answer, on each call; a blank in the name of a field, or between name and colon, was passed on as an answer, with a body that was not the target's where the name was that of a length or of a coding.

Cause: the entry's client is net/http's Transport, which lets these through; net/http's server then panics on a status below 100. It was the same leniency as in the gateway, in a reader of its own.

Change: httpresp.Transport wraps net/http's and checks each head by the same rules as the gateway, below net/http, on what is read from the connection; a response whose head was not read since its request got the connection is refused, too. lib/target, and so all calls of the entry to targets, uses it. A faulty head is now the error of a broken connection: outcome unknown (502) for a call that may not be repeated, another target for one that may, the breaker counts it, the log line names the fault. Its bound of 64 KiB replaces net/http's own.

--- /dev/null
+++ b/lib/entry/broken_answer_test.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"anvilwick.example/anvilwick/lib/engineapi"
+	"anvilwick.example/anvilwick/lib/result"
+	"anvilwick.example/anvilwick/lib/standin/raw"
+)
+
+// startRaw starts a plain service that sends an answer to each call, and returns its address.
+func startRaw(t *testing.T, answer raw.Answer) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+engineapi.PathServiceLoad, http.NotFound)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { answer.Send(w, r) })
+	srv := httptest.NewServer(mux)
+	t.Cleanup(srv.Close)
+	return srv.Listener.Addr().String()
+}
+
+// Guards against bytes that are no answer: passed on as one, or as a connection that ends without an answer to a call that may have run.
+func TestMalformedAnswerHasUnknownOutcome(t *testing.T) {
+	sound := startPlain(t, "sound")
+	for name, text := range raw.MalformedAnswers("") {
+		broken := startRaw(t, raw.Answer{Text: text, ReadBody: true})
+		once := newRig(t, siteText("", true, nil, []string{broken}), nil)
+		resp := once.call(http.MethodPost, "/dispatch/send", "", "go")
+		must.Eq(t, http.StatusBadGateway, resp.StatusCode, must.Sprint(name))
+		must.Eq(t, result.OutcomeUnknown.String(), readError(t, resp).Outcome, must.Sprint(name))
+		again := newRig(t, siteText("  max_attempts: 2\n  retry_budget: 1\n", true, nil, []string{broken, sound.Addr()}), nil)
+		for range 2 { // one of them at least begins at the broken target
+			must.Eq(t, http.StatusOK, again.call(http.MethodGet, "/dispatch/status/x", "", "").StatusCode, must.Sprint(name))
+		}
+	}
+}
+
+// Guards against sound answers that are refused because they are unusual.
+func TestUnusualAnswersArePassedOn(t *testing.T) {
+	for name, text := range raw.UnusualAnswers("") {
+		r := newRig(t, siteText("", true, nil, []string{startRaw(t, raw.Answer{Text: text, ReadBody: true})}), nil)
+		resp := r.call(http.MethodPost, "/dispatch/send", "", "go")
+		must.Less(t, 300, resp.StatusCode, must.Sprint(name))
+		body, err := io.ReadAll(resp.Body)
+		must.NoError(t, err)
+		must.Eq(t, !strings.HasPrefix(name, "204"), string(body) == "body", must.Sprint(name))
+	}
+}
--- a/lib/target/conn.go
+++ b/lib/target/conn.go
@@ -7,14 +7,14 @@
 	"sync/atomic"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/httpresp"
 	"anvilwick.example/anvilwick/lib/sockbuf"
 )
 
 const (
-	dialTimeout       = 2 * time.Second
-	idleConnTimeout   = 30 * time.Second
-	maxIdlePerTarget  = 16
-	maxResponseHeader = 64 << 10
+	dialTimeout      = 2 * time.Second
+	idleConnTimeout  = 30 * time.Second
+	maxIdlePerTarget = 16
 )
 
 // sentFlag records whether any byte of a request may have left this process.
@@ -62,22 +62,20 @@
 // net/http resends a request by itself when a reused connection breaks before the response, if it considers the request
 // replayable; an Idempotency-Key header suffices for that. A call that must not run twice would then run twice. On a new
 // connection net/http never resends, and any failure belongs to this request alone.
-func newSingleUseTransport(dial Dial) *http.Transport {
-	return &http.Transport{
-		DialContext:            dial.recordSent,
-		DisableKeepAlives:      true,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxResponseHeader,
-	}
+func newSingleUseTransport(dial Dial) *httpresp.Transport {
+	return httpresp.NewTransport(&http.Transport{
+		DialContext:        dial.recordSent,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	})
 }
 
 // newPooledTransport returns a transport that reuses connections, for requests that may be repeated.
-func newPooledTransport(dial Dial) *http.Transport {
-	return &http.Transport{
-		DialContext:            dial.recordSent,
-		DisableCompression:     true,
-		MaxIdleConnsPerHost:    maxIdlePerTarget,
-		IdleConnTimeout:        idleConnTimeout,
-		MaxResponseHeaderBytes: maxResponseHeader,
-	}
+func newPooledTransport(dial Dial) *httpresp.Transport {
+	return httpresp.NewTransport(&http.Transport{
+		DialContext:         dial.recordSent,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: maxIdlePerTarget,
+		IdleConnTimeout:     idleConnTimeout,
+	})
 }
