Entry: the end of a connection ends no body while its request is unwritten

What callers saw: the same part of an answer as a whole 200 that the gateway passed on, on calls to plain services, on the entry's own links and where another entry carries the connection.

Cause: net/http's Transport closes the connection when a write fails, but the goroutine that reads may see the ordinary end before that.

Change: httpresp.Transport lets the end of a connection end a body only if the request was written whole (httptrace.WroteRequest), by the same rule and the same wait of a second at most as wirehttp. Bodies with a length or chunks are as before.

--- a/lib/entry/broken_answer_test.go
+++ b/lib/entry/broken_answer_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -52,3 +53,22 @@
 		must.Eq(t, !strings.HasPrefix(name, "204"), string(body) == "body", must.Sprint(name))
 	}
 }
+
+// Guards against a caller that gets a part of an answer as the whole: its target reset the connection while the upload was being written.
+func TestPlainAnswerResetDuringUploadIsNoSuccess(t *testing.T) {
+	upload := strings.Repeat("u", 8<<20)
+	for _, wait := range []time.Duration{0, 5 * time.Millisecond, 50 * time.Millisecond} {
+		for _, head := range []string{"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n"} {
+			addr := startRaw(t, raw.Answer{Text: head + "part", Wait: wait, End: raw.Reset})
+			r := newRig(t, siteText("  max_body: 16MiB\n", true, nil, []string{addr}), nil)
+			for range 3 {
+				resp := r.call(http.MethodPost, "/dispatch/send", "", upload)
+				body, err := io.ReadAll(resp.Body)
+				must.False(t, err == nil && resp.StatusCode < 300, must.Sprintf("%q after %v: %d %q", head, wait, resp.StatusCode, body))
+				if err == nil && resp.StatusCode != http.StatusBadGateway {
+					must.Eq(t, http.StatusServiceUnavailable, resp.StatusCode, must.Sprintf("%s", body)) // the circuit of the only target is open
+				}
+			}
+		}
+	}
+}
--- a/lib/httpresp/transport.go
+++ b/lib/httpresp/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -39,9 +40,9 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	x := new(roundTrip)
-	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: x.gotConn})
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: x.gotConn, WroteRequest: x.wroteRequest})
 	resp, err := t.base.RoundTrip(req.WithContext(ctx))
-	conn := x.current()
+	conn, write := x.current()
 	if err != nil && conn != nil && conn.in.Fault() != nil {
 		return nil, conn.in.Fault()
 	}
@@ -52,28 +53,43 @@
 		_ = resp.Body.Close()
 		return nil, ErrUnasked
 	}
+	if write != nil && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		resp.Body = &closeDelimitedBody{ReadCloser: resp.Body, write: write}
+	}
 	return resp, nil
 }
 
 // roundTrip follows one call. net/http may send its request again by itself, on another connection.
 type roundTrip struct {
-	mu   sync.Mutex
-	conn *checkedConn
+	mu    sync.Mutex
+	conn  *checkedConn
+	write *Write
+	ended bool // write has
 }
 
 func (x *roundTrip) gotConn(info httptrace.GotConnInfo) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.write, x.ended = NewWrite(), false
 	x.conn, _ = info.Conn.(*checkedConn)
 	if x.conn != nil {
 		_ = x.conn.in.Begin(nil) // each read returns the error, too
 	}
 }
 
-func (x *roundTrip) current() *checkedConn {
+func (x *roundTrip) wroteRequest(info httptrace.WroteRequestInfo) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.write != nil && !x.ended {
+		x.ended = true
+		x.write.End(info.Err)
+	}
+}
+
+func (x *roundTrip) current() (*checkedConn, *Write) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.conn
+	return x.conn, x.write
 }
 
 // checkedConn checks the responses that are read from it.
@@ -84,3 +100,20 @@
 
 // Read implements net.Conn.
 func (c *checkedConn) Read(p []byte) (int, error) { return c.in.Read(p) }
+
+// closeDelimitedBody is a body that only the end of the connection ends.
+type closeDelimitedBody struct {
+	io.ReadCloser
+	write *Write // of the request
+}
+
+// Read implements io.Reader.
+func (b *closeDelimitedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if werr := b.write.CheckEnd(); werr != nil {
+			return n, werr
+		}
+	}
+	return n, err
+}
