Entry: a refusal or a report that is broken off proves nothing

What callers saw: "refused, not run" for a generation that its engine may have run. The engine's refusal, with "not_run", was broken off: its length stated more bytes, or its last chunk was missing, or the connection that had to end it was reset.

Cause: readRefusal left out the error of reading the body, and parsed what there was of it. Reports of load, events of the cache and results of a cancel were believed in the same way: a decoder stops behind the first document, and does not see that the answer is cut, or goes on with other bytes.

--- a/lib/entry/broken_answer_test.go
+++ b/lib/entry/broken_answer_test.go
@@ -72,3 +72,22 @@
 		}
 	}
 }
+
+// Guards against a refusal that promises "not run" and is broken off: nothing of it may be believed.
+func TestBrokenRefusalOfEngineProvesNothing(t *testing.T) {
+	const refusal = `{"type":"overloaded","message":"full","not_run":true}`
+	for name, text := range map[string]string{
+		"length":   "HTTP/1.1 503 Busy\r\nContent-Length: 500\r\n\r\n" + refusal,
+		"chunks":   "HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n\r\n35\r\n" + refusal + "\r\n",
+		"unframed": "HTTP/1.1 503 Busy\r\n\r\n" + refusal,
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newScripted(t, func(s *script, _ int) {
+				raw.Answer{Text: text, Wait: 10 * time.Millisecond, End: raw.Reset}.Send(s.w, s.r)
+			})
+			st := runScripted(t, e, "  max_attempts: 1\n", true)
+			must.NotNil(t, st.err)
+			must.NotEq(t, result.NotRun.String(), st.err.Outcome)
+		})
+	}
+}
