Control: bytes that no response may begin with are no answer of an engine or of the platform

What was seen: a status of 000, 001 or 099 from the platform counted as an answer (any status below 300 does): an object was "written". Orders to engines were taken for acknowledged by the same statuses, and names with blanks, contradictions about the body's end and other versions got through to both.

Cause: lib/control and lib/platform read with net/http's Transport, as the entry did.

Change: both use httpresp.Transport. A faulty head is the failure of a call that may have been executed: a transaction is resolved by its operation id, a report is left out, and the breaker counts it.

--- a/lib/control/usage.go
+++ b/lib/control/usage.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"anvilwick.example/anvilwick/lib/httpresp"
 )
 
 // pollErrors counts failed reads of the platform. CPU time and memory of the process are exported by the metrics library
@@ -22,12 +24,12 @@
 	replyTimeout = 3 * time.Second
 )
 
-// countedTransport returns a transport that counts its bytes under a link name.
+// countedTransport returns a transport that counts its bytes under a link name and checks the responses that it reads.
 func countedTransport(link string) http.RoundTripper {
 	d := net.Dialer{Timeout: dialTimeout}
 	sent := metrics.GetOrCreateCounter(fmt.Sprintf(`anvilwick_control_sent_bytes_total{link=%q}`, link))
 	received := metrics.GetOrCreateCounter(fmt.Sprintf(`anvilwick_control_received_bytes_total{link=%q}`, link))
-	return &http.Transport{
+	return httpresp.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := d.DialContext(ctx, network, addr)
 			if err != nil {
@@ -39,7 +41,7 @@
 		MaxConnsPerHost:       totalConns,
 		IdleConnTimeout:       idleTimeout,
 		ResponseHeaderTimeout: replyTimeout,
-	}
+	})
 }
 
 type countedConn struct {
--- a/lib/platform/client.go
+++ b/lib/platform/client.go
@@ -25,6 +25,7 @@
 	"golang.org/x/time/rate"
 
 	"anvilwick.example/anvilwick/lib/era"
+	"anvilwick.example/anvilwick/lib/httpresp"
 	"anvilwick.example/anvilwick/lib/membudget"
 	"anvilwick.example/anvilwick/lib/platformapi"
 )
@@ -87,7 +88,7 @@
 	orDuration(&c.BreakerOpen, DefaultBreakerOpen)
 	orDuration(&c.GroupLinger, DefaultGroupLinger)
 	if c.Transport == nil {
-		c.Transport = &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
+		c.Transport = httpresp.NewTransport(&http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute})
 	}
 }
 
