Tools: broken answers of processes and stand-ins are errors

What was seen: anvilwick-ctl took a part of a status, of a list or of a drain's reply for the whole, and tools read metrics from a part of the page, from a page with status 500, and from answers with malformed heads. Tools that judge answers (loadgen, prove, siterun, capacity, demo) read them by net/http's rules.

Cause: the decoder of sling stops behind the first document, Scrape handed on each series before it knew that the page was whole and did not look at the status, and each tool had a transport of its own.

Change: operator calls, queries to stand-ins and Scrape read bodies whole (httpresp.ReadAll) before they parse them; Scrape asks for 200; all tools read through httpresp.Transport, so that what counts as an answer to a tool is what counts as one in the product.

--- a/examples/demo/main.go
+++ b/examples/demo/main.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/caller"
+	"anvilwick.example/anvilwick/lib/httpresp"
 	"anvilwick.example/anvilwick/lib/localsite"
 	"anvilwick.example/anvilwick/lib/standin/engine"
 	"anvilwick.example/anvilwick/lib/workload"
@@ -79,7 +80,7 @@
 	for _, n := range site.Entries {
 		fmt.Printf("demo: %s in %s takes callers on %s\n", n.Name, n.Domain, n.Addr)
 	}
-	d := &demo{site: site, client: &caller.Client{Entries: site.CallerAddrs(), Token: localsite.WorkspaceKey(workspace), HTTP: http.DefaultClient}}
+	d := &demo{site: site, client: &caller.Client{Entries: site.CallerAddrs(), Token: localsite.WorkspaceKey(workspace), HTTP: httpresp.DefaultClient}}
 	steps := []func(context.Context) error{d.stream, d.plain, d.kill, d.stop}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
--- a/lib/capacity/scrape.go
+++ b/lib/capacity/scrape.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/httpresp"
 	"anvilwick.example/anvilwick/lib/localsite"
 	"anvilwick.example/anvilwick/lib/opsapi"
 )
@@ -31,7 +32,7 @@
 	if err != nil {
 		return usage{}, err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpresp.DefaultClient.Do(req)
 	if err != nil {
 		return usage{}, err
 	}
--- a/lib/capacity/settingstree.go
+++ b/lib/capacity/settingstree.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"anvilwick.example/anvilwick/lib/httpresp"
 	"anvilwick.example/anvilwick/lib/platform"
 	"anvilwick.example/anvilwick/lib/settings"
 	"anvilwick.example/anvilwick/lib/settingsync"
@@ -190,5 +191,5 @@
 
 // newCountingTransport returns a countingTransport over sockets.
 func newCountingTransport(conns int) *countingTransport {
-	return &countingTransport{next: &http.Transport{MaxIdleConnsPerHost: conns}}
+	return &countingTransport{next: httpresp.NewTransport(&http.Transport{MaxIdleConnsPerHost: conns})}
 }
--- a/lib/capacity/streams.go
+++ b/lib/capacity/streams.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/caller"
+	"anvilwick.example/anvilwick/lib/httpresp"
 	"anvilwick.example/anvilwick/lib/localsite"
 )
 
@@ -30,7 +31,7 @@
 		return nil, err
 	}
 	time.Sleep(siteSettle)
-	transport := &http.Transport{MaxIdleConnsPerHost: 4 * concurrentStreams}
+	transport := httpresp.NewTransport(&http.Transport{MaxIdleConnsPerHost: 4 * concurrentStreams})
 	return &streamSite{s, &caller.Client{
 		Entries: s.CallerAddrs(), Token: localsite.WorkspaceKey("workspace-0"), HTTP: &http.Client{Transport: transport},
 	}}, nil
--- a/lib/loadgen/run.go
+++ b/lib/loadgen/run.go
@@ -11,6 +11,7 @@
 
 	"anvilwick.example/anvilwick/lib/caller"
 	"anvilwick.example/anvilwick/lib/history"
+	"anvilwick.example/anvilwick/lib/httpresp"
 	"anvilwick.example/anvilwick/lib/standin/engine"
 )
 
@@ -37,11 +38,11 @@
 
 // Run sends the plan and returns once all requests have ended. When ctx is done, it sends no more requests.
 func (r *Runner) Run(ctx context.Context) {
-	r.http = &http.Client{Transport: &http.Transport{
+	r.http = &http.Client{Transport: httpresp.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: 64,
 		MaxConnsPerHost:     0,
 		IdleConnTimeout:     time.Minute,
-	}}
+	})}
 	defer r.http.CloseIdleConnections()
 	slots := make(chan struct{}, r.MaxInFlight)
 	var wg sync.WaitGroup
--- a/lib/localsite/standin.go
+++ b/lib/localsite/standin.go
@@ -2,19 +2,24 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/dghubble/sling"
 
+	"anvilwick.example/anvilwick/lib/httpresp"
 	"anvilwick.example/anvilwick/lib/opsapi"
 	"anvilwick.example/anvilwick/lib/standin/engine"
 	"anvilwick.example/anvilwick/lib/standin/plain"
 	"anvilwick.example/anvilwick/lib/standin/platform"
 )
 
-const standinTimeout = 5 * time.Second
+const (
+	standinTimeout = 5 * time.Second
+	maxAnswer      = 64 << 20 // bytes of a stand-in's answer
+)
 
 // Stats queries an engine stand-in for its counters.
 func Stats(ctx context.Context, n *Node) (engine.Stats, error) {
@@ -72,12 +77,19 @@
 	if err != nil {
 		return err
 	}
-	resp, err := s.Do(req.WithContext(ctx), result, nil)
+	resp, err := httpresp.DefaultClient.Do(req.WithContext(ctx))
 	if err != nil {
 		return err
 	}
-	if resp.StatusCode >= http.StatusMultipleChoices {
+	defer func() { _ = resp.Body.Close() }()
+	body, err := httpresp.ReadAll(resp.Body, maxAnswer)
+	switch {
+	case err != nil:
+		return fmt.Errorf("%s %s: %w", req.Method, req.URL, err)
+	case resp.StatusCode >= http.StatusMultipleChoices:
 		return fmt.Errorf("%s %s: %s", req.Method, req.URL, resp.Status)
+	case result == nil || len(body) == 0:
+		return nil
 	}
-	return nil
+	return json.Unmarshal(body, result)
 }
--- a/lib/opsapi/client.go
+++ b/lib/opsapi/client.go
@@ -2,28 +2,34 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/dghubble/sling"
+
+	"anvilwick.example/anvilwick/lib/httpresp"
 )
 
-// clientTimeout bounds one request to a process.
-const clientTimeout = 3 * time.Second
+const (
+	clientTimeout = 3 * time.Second // of one request to a process
+	maxReply      = 64 << 20        // bytes of a reply
+)
 
 // Client queries one process.
 type Client struct {
 	base *sling.Sling
+	http *http.Client
 }
 
 // NewClient returns a client of the process whose operator port is addr (IP:port).
 func NewClient(addr, token string) *Client {
-	s := sling.New().Client(&http.Client{Timeout: clientTimeout}).Base("http://" + addr)
+	s := sling.New().Base("http://" + addr)
 	if token != "" {
 		s = s.Set("Authorization", "Bearer "+token)
 	}
-	return &Client{base: s}
+	return &Client{base: s, http: &http.Client{Timeout: clientTimeout, Transport: httpresp.DefaultClient.Transport}}
 }
 
 // Status returns the process's status.
@@ -59,10 +65,19 @@
 	if err != nil {
 		return err
 	}
-	var refusal ErrorReply
-	resp, err := s.Do(req.WithContext(ctx), into, &refusal)
-	if resp != nil && resp.StatusCode != http.StatusOK {
+	resp, err := c.http.Do(req.WithContext(ctx))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := httpresp.ReadAll(resp.Body, maxReply)
+	if err != nil {
+		return fmt.Errorf("%s %s: %w", req.Method, req.URL.Path, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		var refusal ErrorReply
+		_ = json.Unmarshal(body, &refusal) // the status tells enough
 		return fmt.Errorf("%s %s: %s: %s", req.Method, req.URL.Path, resp.Status, refusal.Error)
 	}
-	return err
+	return json.Unmarshal(body, into)
 }
--- a/lib/opsapi/scrape.go
+++ b/lib/opsapi/scrape.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
+
+	"anvilwick.example/anvilwick/lib/httpresp"
 )
 
 // Scrape reads the metrics of the process whose operator port is addr (IP:port) and calls each with every series,
@@ -17,12 +20,19 @@
 	if err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpresp.DefaultClient.Do(req)
 	if err != nil {
 		return err
 	}
 	defer resp.Body.Close()
-	return ReadMetrics(resp.Body, each)
+	body, err := httpresp.ReadAll(resp.Body, maxReply)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("GET %s of %s: %s", PathMetrics, addr, resp.Status)
+	}
+	return ReadMetrics(bytes.NewReader(body), each)
 }
 
 // ReadMetrics parses metrics in the Prometheus text format.
--- a/lib/proc/wait.go
+++ b/lib/proc/wait.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"anvilwick.example/anvilwick/lib/httpresp"
 )
 
 // pollInterval is how often Until calls its condition. It is short, since test runs take tenths of a second.
@@ -35,7 +37,7 @@
 		if err != nil {
 			return err
 		}
-		resp, err := http.DefaultClient.Do(req)
+		resp, err := httpresp.DefaultClient.Do(req)
 		if err != nil {
 			return err
 		}
--- a/lib/prove/run.go
+++ b/lib/prove/run.go
@@ -13,6 +13,7 @@
 	"anvilwick.example/anvilwick/lib/faultlog"
 	"anvilwick.example/anvilwick/lib/faultproxy"
 	"anvilwick.example/anvilwick/lib/history"
+	"anvilwick.example/anvilwick/lib/httpresp"
 	"anvilwick.example/anvilwick/lib/localsite"
 	"anvilwick.example/anvilwick/lib/proc"
 	"anvilwick.example/anvilwick/lib/workload"
@@ -108,7 +109,7 @@
 func clientOf(site *localsite.Site) *caller.Client {
 	return &caller.Client{
 		Entries: site.CallerAddrs(), Token: localsite.WorkspaceKey(workspace),
-		HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		HTTP: &http.Client{Transport: httpresp.NewTransport(&http.Transport{MaxIdleConnsPerHost: 64})},
 	}
 }
 
--- a/lib/siterun/compare.go
+++ b/lib/siterun/compare.go
@@ -13,6 +13,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"anvilwick.example/anvilwick/lib/caller"
+	"anvilwick.example/anvilwick/lib/httpresp"
 	"anvilwick.example/anvilwick/lib/localsite"
 	"anvilwick.example/anvilwick/lib/standin/engine"
 	"anvilwick.example/anvilwick/lib/workload"
@@ -98,13 +99,13 @@
 // warmUp runs one stream through the entry. On a site that has just started, the owner of the shard places nothing until it
 // has received reports of what runs already; that wait is no part of the comparison.
 func warmUp(ctx context.Context, site *localsite.Site) error {
-	c := &caller.Client{Entries: site.CallerAddrs(), Token: localsite.WorkspaceKey(compareWorkspace), HTTP: http.DefaultClient}
+	c := &caller.Client{Entries: site.CallerAddrs(), Token: localsite.WorkspaceKey(compareWorkspace), HTTP: httpresp.DefaultClient}
 	return timeStream(ctx, c, newLatencies(), "warm-up")
 }
 
 // runPairs keeps c.Compare pairs of streams running for c.Load.Span.
 func (c Config) runPairs(ctx context.Context, site *localsite.Site, direct, through *latencies) error {
-	transport := &http.Transport{MaxIdleConnsPerHost: 2 * c.Compare}
+	transport := httpresp.NewTransport(&http.Transport{MaxIdleConnsPerHost: 2 * c.Compare})
 	defer transport.CloseIdleConnections()
 	client := func(addr string) *caller.Client {
 		return &caller.Client{Entries: []string{addr}, Token: localsite.WorkspaceKey(compareWorkspace), HTTP: &http.Client{Transport: transport}}
--- a/lib/siterun/recover.go
+++ b/lib/siterun/recover.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"anvilwick.example/anvilwick/lib/caller"
+	"anvilwick.example/anvilwick/lib/httpresp"
 	"anvilwick.example/anvilwick/lib/localsite"
 	"anvilwick.example/anvilwick/lib/proc"
 	"anvilwick.example/anvilwick/lib/standin/engine"
@@ -90,7 +91,7 @@
 // resumeTime runs a stream through an entry, calls kill midway, and returns the time from there to the next token. The answer
 // must be complete.
 func (r *recovery) resumeTime(ctx context.Context, call caller.Call, kill func() error) (time.Duration, error) {
-	c := &caller.Client{Entries: r.site.CallerAddrs(), Token: localsite.WorkspaceKey(recoverWorkspace), HTTP: &http.Client{Transport: &http.Transport{}}}
+	c := &caller.Client{Entries: r.site.CallerAddrs(), Token: localsite.WorkspaceKey(recoverWorkspace), HTTP: &http.Client{Transport: httpresp.NewTransport(new(http.Transport))}}
 	call.Model, call.Class = recoverModel, "standard"
 	call.Prompt = fmt.Sprintf("%d [len=%d]", time.Now().UnixNano(), recoverTokens)
 	var text strings.Builder
@@ -152,7 +153,7 @@
 	}
 	from := time.Now()
 	var first time.Time
-	c := &caller.Client{Entries: r.site.CallerAddrs(), Token: localsite.WorkspaceKey(recoverWorkspace), HTTP: &http.Client{Transport: &http.Transport{}}}
+	c := &caller.Client{Entries: r.site.CallerAddrs(), Token: localsite.WorkspaceKey(recoverWorkspace), HTTP: &http.Client{Transport: httpresp.NewTransport(new(http.Transport))}}
 	call := caller.Call{Model: recoverModel, Class: "standard", Prompt: "new [len=5]", Entry: index + 1}
 	_, err = c.Stream(ctx, call, func(t caller.Token) {
 		if first.IsZero() {
--- a/lib/target/client.go
+++ b/lib/target/client.go
@@ -17,6 +17,7 @@
 	"github.com/dghubble/sling"
 
 	"anvilwick.example/anvilwick/lib/engineapi"
+	"anvilwick.example/anvilwick/lib/httpresp"
 	"anvilwick.example/anvilwick/lib/ids"
 	"anvilwick.example/anvilwick/lib/membudget"
 	"anvilwick.example/anvilwick/lib/retry"
@@ -149,32 +150,20 @@
 	if resp.StatusCode != http.StatusOK {
 		return readRefusal(resp)
 	}
-	body, err := readWhole(resp.Body, maxControlBody)
+	body, err := httpresp.ReadAll(resp.Body, maxControlBody)
 	if err != nil {
-		return fmt.Errorf("%s of %s: %w", req.URL.Path, c.name, err)
+		return fmt.Errorf("%s of %s: %w: %w", req.URL.Path, c.name, ErrBroken, err)
 	}
 	return json.Unmarshal(body, into)
 }
 
-// readWhole reads a body of at most limit bytes. A part of one that is broken off may be a sound document by itself, and prove what the whole does not.
-func readWhole(body io.Reader, limit int64) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(body, limit+1))
-	switch {
-	case err != nil:
-		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
-	case int64(len(b)) > limit:
-		return nil, fmt.Errorf("%w: body over %d bytes", ErrBroken, limit)
-	}
-	return b, nil
-}
-
 // readRefusal returns the RefusedError of a response, or ErrBroken if it is broken off. A body that is not an engineapi.Error proves nothing, so NotRun stays
 // false.
 func readRefusal(resp *http.Response) error {
 	e := &RefusedError{Status: resp.StatusCode}
-	body, err := readWhole(resp.Body, maxErrorBody)
+	body, err := httpresp.ReadAll(resp.Body, maxErrorBody)
 	if err != nil {
-		return err
+		return fmt.Errorf("%w: %w", ErrBroken, err)
 	}
 	if json.Unmarshal(body, &e.Err) != nil || e.Err.Type == "" {
 		var wrapped struct{ Error engineapi.Error }
