Fault proxy: a reset that a write has taken stays a reset

What was seen: behind the proxies of tests, soak and prove a target's reset during an upload could reach the process as an ordinary end: the tool made a part of an answer look whole, whatever the product did.

Cause: as in the product, the copy to the target took the error of the reset, and the copy from it saw an end, which it forwarded.

Change: before an end is forwarded, the proxy asks the kernel whether the connection is closed in both directions (TCP_INFO) though its own side was open: then it was reset. The answer does not depend on which copy met the error.

--- a/lib/faultproxy/proxy.go
+++ b/lib/faultproxy/proxy.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"anvilwick.example/anvilwick/lib/proc"
 )
 
@@ -55,8 +57,8 @@
 	clients     func(client net.Conn) bool // names the connections in clientsMode; nil: none
 	clientsMode Mode
 	delay       time.Duration
-	modeChanged chan struct{} // closed and replaced when the mode changes
-	conns       map[net.Conn]struct{}
+	modeChanged chan struct{}     // closed and replaced when the mode changes
+	conns       map[net.Conn]bool // whether the proxy has closed its side
 	origins     map[string]string // remote address of each client, by the local address of its connection to the target
 }
 
@@ -81,7 +83,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("faultproxy: %s: %w", name, err)
 	}
-	return &Proxy{name: name, ln: ln, modeChanged: make(chan struct{}), conns: map[net.Conn]struct{}{}, origins: map[string]string{}}, nil
+	return &Proxy{name: name, ln: ln, modeChanged: make(chan struct{}), conns: map[net.Conn]bool{}, origins: map[string]string{}}, nil
 }
 
 // Addr returns the address on which the proxy listens.
@@ -225,7 +227,7 @@
 		reset(server)
 		return false
 	}
-	p.conns[client], p.conns[server] = struct{}{}, struct{}{}
+	p.conns[client], p.conns[server] = false, false
 	p.origins[server.LocalAddr().String()] = client.RemoteAddr().String()
 	return true
 }
@@ -260,10 +262,8 @@
 				return
 			}
 		}
-		if err == io.EOF {
-			if tcp, ok := dst.(*net.TCPConn); ok {
-				_ = tcp.CloseWrite()
-			}
+		if err == io.EOF && !p.endedByReset(src) {
+			p.closeWrite(dst)
 			return
 		}
 		if err != nil {
@@ -293,6 +293,45 @@
 	return err == nil && found
 }
 
+// closeWrite forwards an ordinary end.
+func (p *Proxy) closeWrite(c net.Conn) {
+	p.mu.Lock()
+	if _, open := p.conns[c]; open {
+		p.conns[c] = true
+	}
+	p.mu.Unlock()
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+}
+
+// endedByReset reports whether a connection whose reads have ended was reset. The write to it in the other direction may have taken the error, so that reads see an ordinary
+// end; after such an end the proxy's side is open until the proxy closes it.
+func (p *Proxy) endedByReset(c net.Conn) bool {
+	p.mu.Lock()
+	closed := p.conns[c]
+	p.mu.Unlock()
+	return !closed && isClosed(c)
+}
+
+// isClosed reports whether a connection is closed in both directions, as the kernel has it.
+func isClosed(c net.Conn) bool {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		info, ierr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = ierr == nil && info.State == unix.BPF_TCP_CLOSE
+	})
+	return err == nil && closed
+}
+
 // waitOpen waits while the direction is blocked, then for the delay, and returns false if the link is cut.
 func (p *Proxy) waitOpen(client net.Conn, dir direction) bool {
 	for {
