Stand-in of a plain service: a part and a reset, status 000, a blank in a field's name

Three faults more that POST /standin/fault takes, so that tests and tools can make a service send such answers. Each counts the call as executed, so that one that is sent again is found out.

--- a/lib/standin/plain/call.go
+++ b/lib/standin/plain/call.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"anvilwick.example/anvilwick/lib/standin/raw"
 )
 
 // SetFault injects a fault and reports whether its kind is known.
@@ -23,7 +25,7 @@
 		if wait > 0 {
 			time.AfterFunc(wait, s.die)
 		}
-	case FaultDieBefore, FaultDieAfter, FaultCutBefore, FaultCutAfter, FaultCutBody, FaultHang, FaultError:
+	case FaultDieBefore, FaultDieAfter, FaultCutBefore, FaultCutAfter, FaultCutBody, FaultPartReset, FaultBadStatus, FaultBadField, FaultHang, FaultError:
 		s.fault = f.Kind
 		s.faultCallsLeft = max(1, f.Count)
 	case FaultHealthy:
@@ -41,8 +43,32 @@
 	s.cfg.Die()
 }
 
+// brokenAnswers are answers that net/http's server can't send, by the fault.
+var brokenAnswers = map[string]raw.Answer{
+	FaultPartReset: {Text: "HTTP/1.1 200 OK\r\n\r\n{\"service\":", Wait: 5 * time.Millisecond, End: raw.Reset},
+	FaultBadStatus: {Text: "HTTP/1.1 000 Failed\r\nContent-Length: 2\r\n\r\n{}", ReadBody: true},
+	FaultBadField:  {Text: "HTTP/1.1 200 OK\r\nX Y: a\r\nContent-Length: 2\r\n\r\n{}", ReadBody: true},
+}
+
+// takeBroken returns the broken answer for the next call, if the active fault has one.
+func (s *Server) takeBroken() (raw.Answer, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	answer, ok := brokenAnswers[s.fault]
+	if !ok || s.faultCallsLeft == 0 {
+		return raw.Answer{}, false
+	}
+	s.faultCallsLeft--
+	return answer, true
+}
+
 // serveCall executes one call and applies the active fault before and after execution.
 func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
+	if answer, ok := s.takeBroken(); ok {
+		s.execute(r, "")
+		answer.Send(w, r)
+		return
+	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
 	if err != nil {
 		return
--- a/lib/standin/plain/plain.go
+++ b/lib/standin/plain/plain.go
@@ -50,6 +50,9 @@
 	FaultCutBefore = "cut_before" // close the connection before the call is executed
 	FaultCutAfter  = "cut_after"  // execute the call, then close the connection without an answer
 	FaultCutBody   = "cut_body"   // execute the call, send half of the answer's body, then close
+	FaultPartReset = "part_reset" // execute the call without reading its body, send a part of an answer that has no length, then reset
+	FaultBadStatus = "bad_status" // execute the call and answer with status 000
+	FaultBadField  = "bad_field"  // execute the call and answer with a blank in the name of a field
 	FaultHang      = "hang"       // execute the call and never answer
 	FaultError     = "error"      // answer 500 without executing
 	FaultDelay     = "delay"      // every call takes MS from now on
--- a/lib/standin/plain/plain_test.go
+++ b/lib/standin/plain/plain_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -75,6 +77,24 @@
 	must.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
 
+// Guards against broken answers that are sound, and against calls that they do not count: who sends such a call again must be found out.
+func TestBrokenAnswersAreSentAndCounted(t *testing.T) {
+	s := startServer(t)
+	for _, kind := range []string{FaultPartReset, FaultBadStatus, FaultBadField} {
+		must.True(t, s.SetFault(Fault{Kind: kind}))
+		conn, err := net.Dial("tcp", s.Addr())
+		must.NoError(t, err)
+		_, err = fmt.Fprintf(conn, "POST /%s HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc", kind)
+		must.NoError(t, err)
+		got, err := io.ReadAll(conn)
+		must.StrHasPrefix(t, strings.SplitAfter(brokenAnswers[kind].Text, "\r\n")[0], string(got))
+		must.Eq(t, kind == FaultPartReset, err != nil, must.Sprint(kind))
+		must.Eq(t, 1, s.Executions()["/"+kind])
+	}
+	_, err := call(s, "sound")
+	must.NoError(t, err)
+}
+
 func TestLoadReportsLeaving(t *testing.T) {
 	s := startServer(t)
 	must.True(t, s.SetFault(Fault{Kind: FaultLeave}))
