Gateway: an answer that breaks off looks broken to HTTP/1.0 callers, too

What callers saw: a part of a stream, or of a plain answer too large to be held (over 4 MiB), as a whole 200, where they speak HTTP/1.0 as the legacy screens do. The target's answer broke off, in whatever framing, and the gateway closed the caller's connection in order.

Cause: "closing the connection shows that the answer is truncated" holds for chunks. HTTP/1.0 has none, and where the length was not known before, the end of the connection is the end of the answer: the gateway made the very answers that it must not believe itself.

Change: while an HTTP/1.0 request is answered, any close of its connection is a reset (SO_LINGER of 0); once the handler has returned and all is flushed it is an ordinary one again. That holds for aborted answers, failed writes and the end of the process. The entry answers HTTP/1.0 callers with a length, or with streams that have an end mark, and needs nothing (TestHTTP10Caller).

One setsockopt more at both ends of an HTTP/1.0 request, a context value a connection.

--- a/lib/gatewayproc/serve.go
+++ b/lib/gatewayproc/serve.go
@@ -90,7 +90,8 @@
 func (p *Process) newFront() *http.Server {
 	guard := newIdleGuard(func() time.Duration { return orDefault(p.limits().IdleTimeout, defaultIdle) })
 	return &http.Server{
-		Handler: p.gate, ConnState: p.onConnState(guard), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: maxIdle, MaxHeaderBytes: maxHeader,
+		Handler: callerconn.ResetCutHTTP10(p.gate), ConnContext: callerconn.ConnContext, ConnState: p.onConnState(guard),
+		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: maxIdle, MaxHeaderBytes: maxHeader,
 	}
 }
 
