Entry: each response is checked by its own head, not by its connection's last

Cause: httpresp.Transport asked the connection whether a whole head had been read. net/http puts a connection back, and another call may take it and begin with its own head, before the first caller has its response.

Change: Begin returns the Head of one response, and RoundTrip asks that. TestTransportAnswersManyOnReusedConnections guards it (8 callers, 8,000 calls; red within its first calls before).

--- a/lib/httpresp/head_test.go
+++ b/lib/httpresp/head_test.go
@@ -18,14 +18,15 @@
 // read reads a response as clients do.
 func read(r io.Reader) (string, error) {
 	in := NewReader(r)
-	if err := in.Begin(nil); err != nil {
+	head, err := in.Begin(nil)
+	if err != nil {
 		return "", err
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(in), &http.Request{Method: http.MethodGet})
 	if err != nil {
 		return "", cmp.Or(in.Fault(), err)
 	}
-	complete := in.Complete()
+	complete := head.Complete()
 	body, err := io.ReadAll(resp.Body)
 	if !complete {
 		return "", errors.New("head not complete")
@@ -87,18 +88,21 @@
 	must.NoError(t, err)
 	must.Eq(t, "\x00 no : head\r\n\r\n", body)
 	in := NewReader(strings.NewReader("HTTP/1.1 000 OK\r\n" + text))
-	must.NoError(t, in.Begin(nil))
+	_, err = in.Begin(nil)
+	must.NoError(t, err)
 	got, err := io.ReadAll(in)
 	must.ErrorIs(t, err, ErrMalformed)
 	must.Eq(t, "HTTP/1.1 000 OK\r", string(got)) // no line that ends
-	must.ErrorIs(t, in.Begin(nil), ErrMalformed)
+	_, err = in.Begin(nil)
+	must.ErrorIs(t, err, ErrMalformed)
 }
 
 // Guards against bytes that belong to a response and were read before it was asked for.
 func TestUnusedBytesAreChecked(t *testing.T) {
 	for status, want := range map[string]error{"200": nil, "000": ErrMalformed} {
 		in := NewReader(strings.NewReader(""))
-		must.ErrorIs(t, in.Begin([]byte("HTTP/1.1 "+status+" OK\r\n\r\n")), want)
-		must.Eq(t, want == nil, in.Complete())
+		head, err := in.Begin([]byte("HTTP/1.1 " + status + " OK\r\n\r\n"))
+		must.ErrorIs(t, err, want)
+		must.Eq(t, want == nil, head.Complete())
 	}
 }
--- a/lib/httpresp/reader.go
+++ b/lib/httpresp/reader.go
@@ -9,10 +9,22 @@
 type Reader struct {
 	r io.Reader
 
-	mu       sync.Mutex
-	head     head
-	checking bool
-	err      error
+	mu   sync.Mutex
+	head *head // of the next response, or of the one that is read; nil: nothing is checked
+	err  error
+}
+
+// Head is the head of one response.
+type Head struct {
+	r    *Reader
+	head *head
+}
+
+// Complete reports whether the whole head was read. Connections that are reused may have begun with the head of another response meanwhile.
+func (h Head) Complete() bool {
+	h.r.mu.Lock()
+	defer h.r.mu.Unlock()
+	return h.head.done
 }
 
 // NewReader returns a Reader that checks nothing before the first call of Begin.
@@ -20,22 +32,14 @@
 
 // Begin makes the Reader check the head of the next response, which begins with the bytes that were read before and not used. Call it before a request is
 // sent, or before a response is read. Its error is that of these bytes.
-func (r *Reader) Begin(unused []byte) error {
+func (r *Reader) Begin(unused []byte) (Head, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.err != nil {
-		return r.err
+	r.head = new(head)
+	if r.err == nil {
+		_, r.err = r.head.check(unused)
 	}
-	r.head, r.checking = head{}, true
-	_, r.err = r.head.check(unused)
-	return r.err
-}
-
-// Complete reports whether a whole head was read since the last call of Begin.
-func (r *Reader) Complete() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.checking && r.head.done
+	return Head{r, r.head}, r.err
 }
 
 // Read implements io.Reader.
@@ -46,7 +50,7 @@
 	n, err := r.r.Read(p)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.checking || n == 0 {
+	if r.head == nil || n == 0 {
 		return n, err
 	}
 	sound, fault := r.head.check(p[:n])
--- a/lib/httpresp/transport.go
+++ b/lib/httpresp/transport.go
@@ -10,7 +10,7 @@
 	"sync"
 )
 
-// ErrUnasked reports a response that arrived before its request was sent.
+// ErrUnasked reports a response that was read before its connection was chosen for the request, so that it belongs to no request and was not checked.
 var ErrUnasked = errors.New("httpresp: response without a request")
 
 // Transport is an http.RoundTripper that fails for responses which are not sound. Their errors are those of a connection that broke.
@@ -42,14 +42,14 @@
 	x := new(roundTrip)
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: x.gotConn, WroteRequest: x.wroteRequest})
 	resp, err := t.base.RoundTrip(req.WithContext(ctx))
-	conn, write := x.current()
+	conn, head, write := x.current()
 	if err != nil && conn != nil && conn.in.Fault() != nil {
 		return nil, conn.in.Fault()
 	}
 	if err != nil {
 		return nil, err
 	}
-	if conn != nil && !conn.in.Complete() {
+	if conn != nil && !head.Complete() {
 		_ = resp.Body.Close()
 		return nil, ErrUnasked
 	}
@@ -63,6 +63,7 @@
 type roundTrip struct {
 	mu    sync.Mutex
 	conn  *checkedConn
+	head  Head // of the response on conn
 	write *Write
 	ended bool // write has
 }
@@ -73,7 +74,7 @@
 	x.write, x.ended = NewWrite(), false
 	x.conn, _ = info.Conn.(*checkedConn)
 	if x.conn != nil {
-		_ = x.conn.in.Begin(nil) // each read returns the error, too
+		x.head, _ = x.conn.in.Begin(nil) // each read returns the error, too
 	}
 }
 
@@ -86,10 +87,10 @@
 	}
 }
 
-func (x *roundTrip) current() (*checkedConn, *Write) {
+func (x *roundTrip) current() (*checkedConn, Head, *Write) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.conn, x.write
+	return x.conn, x.head, x.write
 }
 
 // checkedConn checks the responses that are read from it.
--- a/lib/httpresp/transport_test.go
+++ b/lib/httpresp/transport_test.go
@@ -155,3 +155,25 @@
 		must.Eq(t, !strings.HasPrefix(name, "204"), strings.HasSuffix(got, " body"), must.Sprint(name, got))
 	}
 }
+
+// Guards against sound answers that are taken for unasked ones: net/http hands a connection on to the next request before the caller of this one has its answer.
+func TestTransportAnswersManyOnReusedConnections(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	t.Cleanup(srv.Close)
+	client := &http.Client{Transport: NewTransport(&http.Transport{MaxIdleConnsPerHost: 8})}
+	t.Cleanup(client.CloseIdleConnections)
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() {
+			for range 1000 {
+				resp, err := client.Get(srv.URL)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_ = resp.Body.Close()
+			}
+		})
+	}
+	callers.Wait()
+}
--- a/lib/wirehttp/conn.go
+++ b/lib/wirehttp/conn.go
@@ -178,7 +178,7 @@
 
 func (c *Conn) receive(method string) (*Response, error) {
 	unused, _ := c.rd.Peek(c.rd.Buffered()) // no read, so no error
-	if err := c.in.Begin(unused); err != nil {
+	if _, err := c.in.Begin(unused); err != nil {
 		return nil, err
 	}
 	r, err := http.ReadResponse(c.rd, &http.Request{Method: method})
--- a/lib/wirehttp/connect.go
+++ b/lib/wirehttp/connect.go
@@ -39,7 +39,7 @@
 		return err
 	}
 	in := httpresp.NewReader(nc)
-	if err := in.Begin(nil); err != nil {
+	if _, err := in.Begin(nil); err != nil {
 		return err
 	}
 	r := bufio.NewReader(in)
