Tunnel: a write whose data the target has has not failed

Cause: net/http closes the connection at the end of the answer. A write by way of a peer that had handed over its last frame, and had not returned yet, then returned that the connection was closed, though the target had read the request and answered it.

Change: where the target has closed the connection after all that was written was delivered to it, as the peer reports it, a write that returns an error after that has succeeded. A write to a socket needs nothing: the kernel has taken its last byte before the target can have it.

--- a/lib/tunnel/conn.go
+++ b/lib/tunnel/conn.go
@@ -35,9 +35,10 @@
 	once   sync.Once
 	goAway atomic.Bool // the peer is stopping
 
-	mu      sync.Mutex
-	written uint64 // bytes passed to Write
-	ended   bool   // the target has closed the connection
+	mu        sync.Mutex
+	written   uint64 // bytes passed to Write
+	ended     bool   // the target has closed the connection
+	delivered bool   // and all that was written had been delivered to it
 
 	frames   chan []byte   // data of one frame at a time; closed when no more follows
 	quit     chan struct{} // closed by Close
@@ -106,12 +107,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ended = true
-	if f.Delivered == nil || f.GetDelivered() != c.written {
+	c.delivered = f.Delivered != nil && f.GetDelivered() == c.written
+	if !c.delivered {
 		return errReset
 	}
 	return io.EOF
 }
 
+// allDelivered reports whether the target has closed the connection after all that was written was delivered to it.
+func (c *Conn) allDelivered() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.delivered
+}
+
 func (c *Conn) readError(err error) error {
 	if c.closed.Load() {
 		return net.ErrClosed
@@ -160,7 +169,8 @@
 	return n, nil
 }
 
-// Write implements net.Conn. Data counts as written when the link to the peer has accepted it. After the target has closed the connection it fails.
+// Write implements net.Conn. Data counts as written when the link to the peer has accepted it, or when the target has it. After the target has closed the
+// connection it fails.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	ended := c.ended
@@ -171,7 +181,11 @@
 	if ended {
 		return 0, errReset
 	}
-	return writeFrames(c.writeFrame, b)
+	n, err := writeFrames(c.writeFrame, b)
+	if err != nil && c.allDelivered() {
+		return len(b), nil // the reader of the response has closed the connection before this call returned
+	}
+	return n, err
 }
 
 // writeFrames writes data in frames. The returned count includes the frame whose write failed, since part of it may have arrived.
--- a/lib/tunnel/delivery_test.go
+++ b/lib/tunnel/delivery_test.go
@@ -98,3 +98,25 @@
 	must.NoError(t, err)
 	must.Eq(t, 5, n)
 }
+
+// Guards against a sound answer taken for a broken one because the connection is closed, at the answer's end, before the write of its request returns.
+func TestWriteThatWasDeliveredHasNotFailed(t *testing.T) {
+	c := newTestClient(t, startPeer(t, "b", "d1"))
+	request := make([]byte, 3*maxFrameData)
+	addr := startTarget(t, func(c *net.TCPConn) {
+		_, _ = io.ReadFull(c, make([]byte, len(request)))
+		_ = c.Close()
+	})
+	for range 200 {
+		conn := dial(t, c, addr)
+		written := make(chan error, 1)
+		go func() {
+			_, err := conn.Write(request)
+			written <- err
+		}()
+		_, err := io.ReadAll(conn)
+		_ = conn.Close()
+		must.NoError(t, err)
+		must.NoError(t, <-written)
+	}
+}
