callerconn: of a burst of large heads some are served, though all arrive in pieces

Callers saw: 2,000 large heads at once on open connections, all refused with 503 though there was memory for some thirty.

Cause: a head's memory is granted in steps as it arrives. Heads that arrive together take all of it in parts; none is complete, and each is refused at its next step. What they held counts until it is collected, which comes after the last of them was refused.

Change: up to 16 heads wait for memory for up to 0.6 s instead of being refused, if other heads are arriving that will give theirs back; all memory is still asked for. A head alone is refused at once, as before.

--- a/lib/callerconn/conn.go
+++ b/lib/callerconn/conn.go
@@ -25,6 +25,10 @@
 	smallHeadStep = 8 << 10
 	smallHeadCost = 2 * smallHeadStep
 	largeHeadStep = 32 << 10
+	// maxHeadsWaiting is how many heads may wait for memory at a time, and headMemoryWait how long each: those of a burst that arrive together would take
+	// all memory in parts, and none would be complete. What the others held is free once they are refused and collected.
+	maxHeadsWaiting = 16
+	headMemoryWait  = 600 * time.Millisecond
 	// headRefusalWait is the shortest Retry-After of a head that there is no memory for, and the range of the jitter added to it.
 	headRefusalWait = 150 * time.Millisecond
 	// headDrainTimeout bounds how long the rest of such a head is read, and discarded. Callers that read no response before they have sent their
@@ -61,6 +65,8 @@
 	began    time.Time // when its first part arrived; zero: none has
 	cost     int64
 	granted  int64
+	waited   time.Duration      // for memory
+	arriving bool               // a part of the head has come and the rest is awaited
 	timedOut bool               // it has not arrived in time
 	large    *membudget.Account // of its cost beyond smallHeadCost; nil: none
 
@@ -80,17 +86,31 @@
 
 // setState is called with each state that the server gives the connection.
 func (c *conn) setState(s http.ConnState) {
+	c.setArriving(false)
 	c.reading = s == http.StateNew || s == http.StateIdle
 	if s == http.StateActive {
 		return // its request may hold the head until it ends
 	}
-	c.began, c.cost, c.granted, c.timedOut = time.Time{}, 0, 0, false
+	c.began, c.cost, c.granted, c.waited, c.timedOut = time.Time{}, 0, 0, 0, false
 	if c.large != nil {
 		c.large.Close()
 		c.large = nil
 	}
 }
 
+// setArriving sets whether a part of a head has come and the rest is awaited.
+func (c *conn) setArriving(arriving bool) {
+	if arriving == c.arriving {
+		return
+	}
+	c.arriving = arriving
+	if arriving {
+		c.from.headsArriving.Add(1)
+	} else {
+		c.from.headsArriving.Add(-1)
+	}
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	if !c.reading {
@@ -139,28 +159,58 @@
 	if c.began.IsZero() {
 		c.began = time.Now()
 	}
+	c.setArriving(true)
 	c.cost += headByteCost*int64(len(part)) + headLineCost*int64(bytes.Count(part, newline))
 	for c.granted < c.cost {
-		if !c.grantStep() {
+		if !c.grantStep() && !c.awaitStep() {
 			return false
 		}
 	}
 	return true
 }
 
+// awaitStep requests the memory for the next part again until there is some. Without other heads to give theirs back there is nothing to wait for.
+func (c *conn) awaitStep() bool {
+	if c.from.headsArriving.Load() <= 1 {
+		return false
+	}
+	defer c.from.headsWaiting.Add(-1)
+	if c.from.headsWaiting.Add(1) > maxHeadsWaiting {
+		return false
+	}
+	for c.waited < headMemoryWait {
+		time.Sleep(membudget.MeasureInterval)
+		c.waited += membudget.MeasureInterval
+		if c.grantStep() {
+			return true
+		}
+	}
+	return false
+}
+
 var newline = []byte{'\n'}
 
 // grantStep requests the memory for the next part of a head's cost. Small heads have more memory than what large ones may use.
 func (c *conn) grantStep() bool {
-	if c.granted < smallHeadCost {
-		c.granted += smallHeadStep
-		return c.from.Memory.Admit(smallHeadStep, membudget.Small)
+	if c.granted >= smallHeadCost {
+		return c.grantLargeStep()
 	}
+	if !c.from.Memory.Admit(smallHeadStep, membudget.Small) {
+		return false
+	}
+	c.granted += smallHeadStep
+	return true
+}
+
+func (c *conn) grantLargeStep() bool {
 	if c.large == nil {
 		c.large = c.from.Memory.Account(headsOwner)
 	}
+	if !c.large.Admit(largeHeadStep) {
+		return false
+	}
 	c.granted += largeHeadStep
-	return c.large.Admit(largeHeadStep)
+	return true
 }
 
 // Write implements net.Conn. net/http takes a refused head for a malformed one if a line of it is cut, and would tell the caller so.
--- a/lib/callerconn/listener.go
+++ b/lib/callerconn/listener.go
@@ -33,10 +33,12 @@
 	// ConnsRefused counts the connections that were closed, HeadsRefused the heads that were refused.
 	ConnsRefused, HeadsRefused *metrics.Counter
 
-	open     atomic.Int64 // connections accepted and not closed
-	refusals atomic.Int64 // connections whose first request is being refused
-	receive  int          // bytes, of the listener's receive buffer; 0: not set
-	waitedAt time.Time    // when memory was last awaited
+	open          atomic.Int64 // connections accepted and not closed
+	refusals      atomic.Int64 // connections whose first request is being refused
+	headsArriving atomic.Int64 // heads of which a part has come
+	headsWaiting  atomic.Int64 // of those, heads that wait for memory
+	receive       int          // bytes, of the listener's receive buffer; 0: not set
+	waitedAt      time.Time    // when memory for a connection was last awaited
 }
 
 // Accept implements net.Listener.
