--- a/lib/faultproxy/proxy.go
+++ b/lib/faultproxy/proxy.go
@@ -275,16 +275,12 @@
 
 // wasReset reports whether a connection has been reset, without reading from it.
 func wasReset(c net.Conn) bool {
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
+	raw := rawConn(c)
+	if raw == nil {
 		return false
 	}
 	found := false
-	err = raw.Read(func(fd uintptr) bool {
+	err := raw.Read(func(fd uintptr) bool {
 		var one [1]byte
 		_, _, rerr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		found = errors.Is(rerr, syscall.ECONNRESET)
@@ -316,22 +312,31 @@
 
 // isClosed reports whether a connection is closed in both directions, as the kernel has it.
 func isClosed(c net.Conn) bool {
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
+	raw := rawConn(c)
+	if raw == nil {
 		return false
 	}
 	closed := false
-	err = raw.Control(func(fd uintptr) {
+	err := raw.Control(func(fd uintptr) {
 		info, ierr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 		closed = ierr == nil && info.State == unix.BPF_TCP_CLOSE
 	})
 	return err == nil && closed
 }
 
+// rawConn returns the descriptor of a TCP connection, or nil.
+func rawConn(c net.Conn) syscall.RawConn {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
 // waitOpen waits while the direction is blocked, then for the delay, and returns false if the link is cut.
 func (p *Proxy) waitOpen(client net.Conn, dir direction) bool {
 	for {
