--- a/lib/control/broken_test.go
+++ b/lib/control/broken_test.go
@@ -13,7 +13,7 @@
 	"anvilwick.example/anvilwick/lib/standin/raw"
 )
 
-// Guards against an engine's report that is believed, and an order that is taken for acknowledged, although the answer is broken off or its head is malformed.
+// Guards against an engine's report that is accepted, and an order that counts as acknowledged, although the answer is broken off or its head is malformed.
 func TestBrokenAnswersOfEnginesAreNotBelieved(t *testing.T) {
 	const part = `{"KVTotal":7}`
 	answers := raw.MalformedAnswers("")
--- a/lib/entry/broken_answer_test.go
+++ b/lib/entry/broken_answer_test.go
@@ -87,7 +87,7 @@
 	}
 }
 
-// Guards against a refusal that promises "not run" and is broken off: nothing of it may be believed.
+// Guards against a refusal that promises "not run" and is broken off: nothing of it may be relied on.
 func TestBrokenRefusalOfEngineProvesNothing(t *testing.T) {
 	const refusal = `{"type":"overloaded","message":"full","not_run":true}`
 	for name, text := range map[string]string{
--- a/lib/httpresp/body.go
+++ b/lib/httpresp/body.go
@@ -10,7 +10,7 @@
 var ErrBodyTooLarge = errors.New("httpresp: response body too large")
 
 // ReadAll reads a whole body of at most limit bytes. A part of one that is broken off may be a sound document by itself, so that a reader which stops behind the first
-// document believes it.
+// document trusts it.
 func ReadAll(body io.Reader, limit int64) ([]byte, error) {
 	b, err := io.ReadAll(io.LimitReader(body, limit+1))
 	switch {
--- a/lib/httpresp/head_test.go
+++ b/lib/httpresp/head_test.go
@@ -97,7 +97,7 @@
 	must.ErrorIs(t, err, ErrMalformed)
 }
 
-// Guards against bytes that belong to a response and were read before it was asked for.
+// Guards against bytes that belong to a response and were read before it was requested.
 func TestUnusedBytesAreChecked(t *testing.T) {
 	for status, want := range map[string]error{"200": nil, "000": ErrMalformed} {
 		in := NewReader(strings.NewReader(""))
--- a/lib/opsapi/broken_test.go
+++ b/lib/opsapi/broken_test.go
@@ -11,7 +11,7 @@
 	"anvilwick.example/anvilwick/lib/standin/raw"
 )
 
-// Guards against an operator or a tool that believes a part of a status, a list or the metrics: the process ended while it answered, or something else answered.
+// Guards against an operator or a tool that accepts a part of a status, a list or the metrics: the process ended while it answered, or something else answered.
 func TestBrokenAnswersAreErrors(t *testing.T) {
 	answers := raw.MalformedAnswers("")
 	for name, part := range map[string]string{"document": "{}", "list": "[]", "metrics": "x_total 1\n"} {
--- a/lib/opsapi/client.go
+++ b/lib/opsapi/client.go
@@ -76,7 +76,7 @@
 	}
 	if resp.StatusCode != http.StatusOK {
 		var refusal ErrorReply
-		_ = json.Unmarshal(body, &refusal) // the status tells enough
+		_ = json.Unmarshal(body, &refusal) // the status is enough
 		return fmt.Errorf("%s %s: %s: %s", req.Method, req.URL.Path, resp.Status, refusal.Error)
 	}
 	return json.Unmarshal(body, into)
--- a/lib/platform/broken_test.go
+++ b/lib/platform/broken_test.go
@@ -12,7 +12,7 @@
 	"anvilwick.example/anvilwick/lib/standin/raw"
 )
 
-// Guards against items, listings and objects that are believed, and writes that are taken for acknowledged, although the platform's answer is broken off, goes on after its document or has a
+// Guards against items, listings and objects that are accepted, and writes that count as acknowledged, although the platform's answer is broken off, continues after its document or has a
 // malformed head.
 func TestBrokenAnswersAreErrors(t *testing.T) {
 	const part = `{"committed":true,"rev":7}`
--- a/lib/target/broken_test.go
+++ b/lib/target/broken_test.go
@@ -13,7 +13,7 @@
 	"anvilwick.example/anvilwick/lib/standin/raw"
 )
 
-// Guards against reports and results that are believed although they are broken off, contradict themselves or are followed by other bytes: a part of one may be
+// Guards against reports and results that are accepted although they are broken off, contradict themselves or are followed by other bytes: a part of one may be
 // a sound document.
 func TestBrokenReportsAreErrors(t *testing.T) {
 	const part = `{"running":1,"capacity":9}`
